--- /dev/null
+++ b/cmd/cplane/operate.go
@@ -0,0 +1,121 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"crypto/rand"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"os"
+	"text/tabwriter"
+
+	"github.com/urfave/cli/v3"
+
+	"crosstide/internal/fault"
+	"crosstide/internal/operator"
+)
+
+func addrFlags() []cli.Flag {
+	return []cli.Flag{&cli.StringFlag{Name: "addr", Usage: "`IP:PORT` of any cplane", Required: true}}
+}
+
+// orderCommand posts an order. Sent again with the same --order it is carried out once.
+func orderCommand(name, usage, what, path string) *cli.Command {
+	return &cli.Command{
+		Name: name, Usage: usage, ArgsUsage: what,
+		Flags: append(addrFlags(), &cli.StringFlag{Name: "order", Usage: "`ID` of the order; drawn if it is not given"}),
+		Action: func(ctx context.Context, cmd *cli.Command) error {
+			if cmd.NArg() != 1 {
+				return fault.Field(fault.Invalid, what, "one must be given, are %d", cmd.NArg())
+			}
+			id := cmd.String("order")
+			if id == "" {
+				id = rand.Text()[:16]
+				fmt.Fprintln(os.Stderr, "order", id)
+			}
+			body, err := json.Marshal(operator.Order{Order: id})
+			if err != nil {
+				return fault.Wrap(err, fault.Internal, "encode the order")
+			}
+			raw, err := call(ctx, http.MethodPost, cmd.String("addr"), fmt.Sprintf(path, url.PathEscape(cmd.Args().First())), body)
+			if err != nil {
+				return fault.Pass(err, "order %s", id)
+			}
+			fmt.Println(string(bytes.TrimSpace(raw)))
+			return nil
+		},
+	}
+}
+
+func call(ctx context.Context, method, addr, path string, body []byte) ([]byte, error) {
+	ctx, over := context.WithTimeout(ctx, patience)
+	defer over()
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+addr+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, fault.Wrap(err, fault.Invalid, "request")
+	}
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return nil, fault.Wrap(err, fault.Unavailable, "ask %s", addr)
+	}
+	defer func() { _ = res.Body.Close() }() // all of it was read
+	raw, err := io.ReadAll(res.Body)
+	if err != nil {
+		return nil, fault.Wrap(err, fault.Unavailable, "answer of %s", addr)
+	}
+	if res.StatusCode != http.StatusOK {
+		f := &fault.Fault{Kind: fault.Unavailable, Message: res.Status}
+		_ = json.Unmarshal(raw, f) // if it is no fault of ours, the status tells
+		return nil, fault.Field(f.Kind, f.Field, "%s", f.Message)
+	}
+	return raw, nil
+}
+
+func who(ctx context.Context, cmd *cli.Command) error {
+	raw, err := call(ctx, http.MethodGet, cmd.String("addr"), "/v1/who", nil)
+	if err != nil {
+		return fault.Pass(err, "who")
+	}
+	var w operator.Who
+	if err := json.Unmarshal(raw, &w); err != nil {
+		return fault.Wrap(err, fault.Malformed, "who")
+	}
+	fmt.Println("store", w.Store)
+	fmt.Println("sched", w.Sched)
+	for _, m := range w.Members {
+		kind := "voter"
+		if m.Learner {
+			kind = "learner"
+		}
+		fmt.Println(kind, m.ID, m.Addr, m.Zone)
+	}
+	for _, zone := range w.Evacuated {
+		fmt.Println("evacuated", zone)
+	}
+	return nil
+}
+
+func minions(ctx context.Context, cmd *cli.Command) error {
+	raw, err := call(ctx, http.MethodGet, cmd.String("addr"), "/v1/minions", nil)
+	if err != nil {
+		return fault.Pass(err, "minions")
+	}
+	var list operator.Minions
+	if err := json.Unmarshal(raw, &list); err != nil {
+		return fault.Wrap(err, fault.Malformed, "minions")
+	}
+	out := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(out, "NAME\tADDR\tZONE\tKIND\tBOOT\tTICKETS\tCORES\tGPUS\tSTATE")
+	for _, m := range list.Minions {
+		state := "open"
+		if m.Closed || m.Draining {
+			state = "drain"
+		}
+		fmt.Fprintf(out, "%s\t%s\t%s\t%s\t%s\t%d\t%d/%d\t%d/%d\t%s\n", m.Name, m.Addr, m.Zone, m.Kind, m.Boot, m.Tickets,
+			m.UsedCores, m.Cores, m.UsedGPUs, m.GPUs, state)
+	}
+	return fault.Wrap(out.Flush(), fault.Internal, "print")
+}
--- /dev/null
+++ b/cmd/cplane/run.go
@@ -0,0 +1,129 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"github.com/urfave/cli/v3"
+
+	"crosstide/internal/alarm"
+	"crosstide/internal/conf"
+	"crosstide/internal/daemon"
+	"crosstide/internal/fault"
+	"crosstide/internal/operator"
+	"crosstide/internal/slot"
+	"crosstide/internal/store"
+	"crosstide/internal/wire"
+)
+
+// load reads the settings with the flags over them.
+func load(cmd *cli.Command) (conf.Cplane, error) {
+	set, err := conf.LoadCplane(cmd.String("settings"))
+	if err != nil {
+		return set, fault.Pass(err, "settings")
+	}
+	for name, to := range map[string]*string{"addr": &set.Addr, "data": &set.Data, "zone": &set.Zone, "log-level": &set.LogLevel} {
+		if cmd.IsSet(name) {
+			*to = cmd.String(name)
+		}
+	}
+	if cmd.IsSet("grace") {
+		set.Grace = cmd.Duration("grace")
+	}
+	return set, fault.Pass(conf.CheckCplane(set), "settings with flags")
+}
+
+func check(_ context.Context, cmd *cli.Command) error {
+	if _, err := conf.LoadCplane(cmd.String("settings")); err != nil {
+		return fault.Pass(err, "check") // its text lists all mistakes
+	}
+	fmt.Println("ok")
+	return nil
+}
+
+func run(ctx context.Context, cmd *cli.Command) error {
+	set, err := load(cmd)
+	if err != nil {
+		return fault.Pass(err, "run")
+	}
+	logger := log.With(daemon.Logger(set.LogLevel, os.Stderr), "node", set.Name)
+	ctx, stop := daemon.Signals(ctx)
+	defer stop()
+	if err := serve(ctx, set, logger); err != nil {
+		_ = level.Error(logger).Log("msg", "end", "err", err)
+		return fault.Pass(err, "run")
+	}
+	_ = level.Info(logger).Log("msg", "end")
+	return nil
+}
+
+func serve(ctx context.Context, set conf.Cplane, logger log.Logger) error {
+	reg := daemon.Registry()
+	caller := wire.NewCaller(wire.CallerOptions{UserTimeout: 2 * set.Election, Logger: daemon.Part(logger, "caller"), Registry: reg})
+	defer caller.Close()
+	opt := store.Options{
+		Settings: set, Net: store.Wire(caller, set), Logger: daemon.Part(logger, "store"), Registry: reg,
+		Fatal: func(err error) {
+			_ = level.Error(logger).Log("msg", "the process ends", "err", err)
+			os.Exit(1)
+		},
+	}
+	s, err := open(opt, logger)
+	if err != nil {
+		return fault.Pass(err, "open %s", set.Data)
+	}
+	srv := wire.NewServer(wire.ServerOptions{Addr: set.Addr, Logger: daemon.Part(logger, "wire"), Registry: reg})
+	s.Serve(srv)
+	operator.Serve(srv, s, store.NameOf)
+	daemon.Routes(srv, reg, s.Ready)
+	if err := srv.Start(); err != nil {
+		s.Stop()
+		return fault.Pass(err, "serve")
+	}
+	s.Start()
+	_ = level.Info(logger).Log("msg", "serving", "addr", srv.Addr(), "zone", set.Zone, "version", version)
+	<-ctx.Done()
+	leave, over := context.WithTimeout(context.Background(), set.Grace)
+	defer over()
+	s.Handover(leave)
+	err = srv.Stop(set.Grace)
+	s.Stop()
+	if err != nil {
+		_ = level.Warn(logger).Log("msg", "calls were cut off", "err", err)
+	}
+	return nil
+}
+
+// open opens the store's folder. A damaged one is no member's disk any more: it is set aside, and the node joins
+// as a replaced machine.
+func open(opt store.Options, logger log.Logger) (*store.Store, error) {
+	dir := filepath.Clean(opt.Settings.Data)
+	disk, err := slot.OSDisk(dir)
+	if err != nil {
+		return nil, fault.Pass(err, "folder")
+	}
+	opt.Disk = disk
+	s, err := store.Open(opt)
+	if !fault.Is(err, fault.Damaged) {
+		return s, fault.Pass(err, "store")
+	}
+	aside := dir + ".damaged-" + alarm.Real{}.Wall().UTC().Format("20060102T150405")
+	_ = level.Error(logger).Log("msg", "the folder is damaged; set aside", "as", aside, "err", err)
+	if err := os.Rename(dir, aside); err != nil {
+		return nil, fault.Wrap(err, fault.Disk, "set the damaged folder aside")
+	}
+	if opt.Disk, err = slot.OSDisk(dir); err != nil {
+		return nil, fault.Pass(err, "folder")
+	}
+	opt.Damaged = true
+	s, err = store.Open(opt)
+	return s, fault.Pass(err, "store")
+}
+
+// patience is how long an operator's command waits for an answer.
+const patience = 10 * time.Second
--- /dev/null
+++ b/cmd/dplane/jobs.go
@@ -0,0 +1,79 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"os"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"crosstide/internal/fault"
+)
+
+// jobCommands are the consumers' commands: they ask a dplane's API and print its answer.
+func jobCommands() []*cli.Command {
+	addr := &cli.StringFlag{Name: "addr", Usage: "`IP:PORT` of any dplane", Required: true}
+	return []*cli.Command{{Name: "job", Usage: "hand in, show, list and cancel jobs", Commands: []*cli.Command{
+		{Name: "submit", Usage: "hand in the job in FILE (- for standard input)", ArgsUsage: "FILE", Flags: []cli.Flag{addr},
+			Action: func(ctx context.Context, cmd *cli.Command) error {
+				in := io.Reader(os.Stdin)
+				if name := cmd.Args().First(); name != "-" {
+					f, err := os.Open(name)
+					if err != nil {
+						return fault.Wrap(err, fault.Invalid, "job file")
+					}
+					defer f.Close()
+					in = f
+				}
+				return ask(ctx, http.MethodPost, cmd.String("addr"), "/v1/jobs", in)
+			}},
+		{Name: "show", Usage: "print the job KEY", ArgsUsage: "KEY", Flags: []cli.Flag{addr},
+			Action: func(ctx context.Context, cmd *cli.Command) error {
+				return ask(ctx, http.MethodGet, cmd.String("addr"), "/v1/jobs/"+url.PathEscape(cmd.Args().First()), nil)
+			}},
+		{Name: "cancel", Usage: "cancel the job KEY", ArgsUsage: "KEY", Flags: []cli.Flag{addr},
+			Action: func(ctx context.Context, cmd *cli.Command) error {
+				return ask(ctx, http.MethodDelete, cmd.String("addr"), "/v1/jobs/"+url.PathEscape(cmd.Args().First()), nil)
+			}},
+		{Name: "list", Usage: "print jobs", Flags: []cli.Flag{addr, &cli.StringFlag{Name: "team"}, &cli.StringFlag{Name: "state"},
+			&cli.StringFlag{Name: "after", Usage: "page on after this `KEY`"}},
+			Action: func(ctx context.Context, cmd *cli.Command) error {
+				q := url.Values{}
+				for _, name := range []string{"team", "state", "after"} {
+					if cmd.IsSet(name) {
+						q.Set(name, cmd.String(name))
+					}
+				}
+				return ask(ctx, http.MethodGet, cmd.String("addr"), "/v1/jobs?"+q.Encode(), nil)
+			}},
+	}}}
+}
+
+// ask makes one request and prints the answer; a fault answer is an error.
+func ask(ctx context.Context, method, addr, path string, body io.Reader) error {
+	ctx, stop := context.WithTimeout(ctx, 10*time.Second)
+	defer stop()
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+addr+path, body)
+	if err != nil {
+		return fault.Wrap(err, fault.Invalid, "request")
+	}
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return fault.Wrap(err, fault.Unavailable, "%s", addr)
+	}
+	defer res.Body.Close()
+	data, err := io.ReadAll(res.Body)
+	if err != nil {
+		return fault.Wrap(err, fault.Unavailable, "answer of %s", addr)
+	}
+	if res.StatusCode >= 300 {
+		return fault.New(fault.Invalid, "%s: %s", res.Status, bytes.TrimSpace(data))
+	}
+	fmt.Println(string(bytes.TrimSpace(data)))
+	return nil
+}
--- /dev/null
+++ b/cmd/dplane/main.go
@@ -0,0 +1,145 @@
+// Program dplane is a front node: it takes consumers' jobs, follows the store and is a candidate for the duty
+// sched; it is the consumers' command too.
+package main
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"github.com/urfave/cli/v3"
+
+	"crosstide/internal/alarm"
+	"crosstide/internal/conf"
+	"crosstide/internal/consumer"
+	"crosstide/internal/daemon"
+	"crosstide/internal/fault"
+	"crosstide/internal/pair"
+	"crosstide/internal/plane"
+	"crosstide/internal/sched"
+	"crosstide/internal/wire"
+)
+
+// version is set by the linker.
+var version = "dev"
+
+func main() {
+	settings := &cli.StringFlag{Name: "settings", Usage: "settings `FILE`", Required: true}
+	app := &cli.Command{
+		Name:  "dplane",
+		Usage: "a front node of crosstide",
+		Commands: append([]*cli.Command{
+			{
+				Name: "run", Usage: "run until SIGTERM", Action: run,
+				Flags: []cli.Flag{settings,
+					&cli.StringFlag{Name: "addr", Usage: "`IP:PORT` to listen at, over the settings"},
+					&cli.StringFlag{Name: "zone", Usage: "over the settings"},
+					&cli.StringFlag{Name: "log-level", Usage: "debug, info, warn or error, over the settings"},
+					&cli.DurationFlag{Name: "grace", Usage: "for running calls at the end, over the settings"},
+				},
+			},
+			{Name: "check", Usage: "print all mistakes in the settings; exit 1 if there are any", Action: check, Flags: []cli.Flag{settings}},
+			{Name: "version", Usage: "print the version", Action: func(context.Context, *cli.Command) error {
+				fmt.Println(version)
+				return nil
+			}},
+		}, jobCommands()...),
+	}
+	if err := app.Run(context.Background(), os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, "dplane:", err)
+		os.Exit(1)
+	}
+}
+
+func load(cmd *cli.Command) (conf.Dplane, error) {
+	set, err := conf.LoadDplane(cmd.String("settings"))
+	if err != nil {
+		return set, fault.Pass(err, "settings")
+	}
+	for name, to := range map[string]*string{"addr": &set.Addr, "zone": &set.Zone, "log-level": &set.LogLevel} {
+		if cmd.IsSet(name) {
+			*to = cmd.String(name)
+		}
+	}
+	if cmd.IsSet("grace") {
+		set.Grace = cmd.Duration("grace")
+	}
+	return set, fault.Pass(conf.CheckDplane(set), "settings with flags")
+}
+
+func check(_ context.Context, cmd *cli.Command) error {
+	if _, err := conf.LoadDplane(cmd.String("settings")); err != nil {
+		return fault.Pass(err, "check") // its text lists all mistakes
+	}
+	fmt.Println("ok")
+	return nil
+}
+
+func run(ctx context.Context, cmd *cli.Command) error {
+	set, err := load(cmd)
+	if err != nil {
+		return fault.Pass(err, "run")
+	}
+	logger := log.With(daemon.Logger(set.LogLevel, os.Stderr), "node", set.Name)
+	ctx, stop := daemon.Signals(ctx)
+	defer stop()
+	if err := serve(ctx, set, logger); err != nil {
+		_ = level.Error(logger).Log("msg", "end", "err", err)
+		return fault.Pass(err, "run")
+	}
+	_ = level.Info(logger).Log("msg", "end")
+	return nil
+}
+
+func passes(set conf.Dplane) sched.Config {
+	cfg := sched.Defaults()
+	cfg.Hold, cfg.HoldWait, cfg.StartWindow = set.Hold, set.HoldWait, set.StartWindow
+	cfg.Lateness, cfg.LeaseMargin = set.Lateness, set.LeaseMargin
+	return cfg
+}
+
+func serve(ctx context.Context, set conf.Dplane, logger log.Logger) error {
+	reg := daemon.Registry()
+	boot := make([]byte, 8)
+	if _, err := rand.Read(boot); err != nil {
+		return fault.Wrap(err, fault.Internal, "boot id")
+	}
+	caller := wire.NewCaller(wire.CallerOptions{UserTimeout: set.CallTimeout, Logger: daemon.Part(logger, "caller"), Registry: reg})
+	defer caller.Close()
+	// The kernel must not go on resending a start order when the lease is over: its time-out is well inside the margin.
+	minions := wire.NewCaller(wire.CallerOptions{UserTimeout: set.LeaseMargin / 2, DialTimeout: time.Second,
+		Logger: daemon.Part(logger, "hold"), Registry: reg})
+	defer minions.Close()
+	core := set.Core
+	if len(core) == 0 {
+		core = set.Seeds
+	}
+	n := plane.New(plane.Options{Name: set.Name, Addr: set.Addr, Boot: hex.EncodeToString(boot), Core: core, Sched: passes(set),
+		CallTimeout: set.CallTimeout, Backlog: set.Backlog, Clock: alarm.Real{}, Logger: daemon.Part(logger, "plane"),
+		Caller: caller, Minions: minions})
+	reg.MustRegister(plane.NewMeter(n))
+	srv := wire.NewServer(wire.ServerOptions{Addr: set.Addr, Logger: daemon.Part(logger, "wire"), Registry: reg})
+	consumer.Register(srv, n, consumer.Options{Within: set.CallTimeout, Seed: uint64(boot[0])<<8 | uint64(boot[1])})
+	wire.Handle(srv, pair.Minions, n.Announce)
+	daemon.Routes(srv, reg, n.Ready)
+	if err := srv.Start(); err != nil {
+		return fault.Pass(err, "serve")
+	}
+	n.Start(context.Background())
+	_ = level.Info(logger).Log("msg", "serving", "addr", srv.Addr(), "zone", set.Zone, "version", version)
+	<-ctx.Done()
+	leave, over := context.WithTimeout(context.Background(), set.Grace)
+	defer over()
+	n.Leave(leave)
+	err := srv.Stop(set.Grace)
+	n.Stop()
+	if err != nil {
+		_ = level.Warn(logger).Log("msg", "calls were cut off", "err", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/cmd/drill/fleet.go
@@ -0,0 +1,112 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"crosstide/internal/alarm"
+	"crosstide/internal/fault"
+	"crosstide/internal/rig/fleet"
+)
+
+func init() {
+	commands = append(commands,
+		&cli.Command{
+			Name: "ports", Usage: "print N free loopback ports", ArgsUsage: "N",
+			Description: "The ports are outside of the range that outgoing connections take theirs from.",
+			Arguments:   []cli.Argument{&cli.IntArg{Name: "n", Value: 1}},
+			Action: func(_ context.Context, cmd *cli.Command) error {
+				ports, err := fleet.Ports(cmd.IntArg("n"))
+				for _, port := range ports {
+					fmt.Fprintln(cmd.Root().Writer, port)
+				}
+				return fault.Pass(err, "ports")
+			},
+		},
+		&cli.Command{
+			Name: "plan", Usage: "write the settings of a fleet on this machine; scripts/fleet starts it",
+			Description: "Writes DIR/nodes.json, DIR/settings/NAME.json and DIR/start (lines: name program args...).",
+			Flags: []cli.Flag{
+				dirFlag(),
+				&cli.StringFlag{Name: "bin", Usage: "`FOLDER` of the programs", Required: true},
+				&cli.IntFlag{Name: "cplanes", Value: 5},
+				&cli.IntFlag{Name: "dplanes", Value: 3},
+				&cli.IntFlag{Name: "minions", Value: 12},
+				&cli.IntFlag{Name: "zones", Value: 3},
+				&cli.IntFlag{Name: "cores", Value: 16, Usage: "of each minion"},
+				&cli.StringFlag{Name: "kind", Value: "check", Usage: "obey, check or mixed"},
+			},
+			Action: func(_ context.Context, cmd *cli.Command) error {
+				_, err := fleet.Plan(cmd.String("fleet"), fleet.Shape{CPlanes: cmd.Int("cplanes"),
+					DPlanes: cmd.Int("dplanes"), Minions: cmd.Int("minions"), Zones: cmd.Int("zones"),
+					Cores: cmd.Int("cores"), Kind: cmd.String("kind"), Bin: cmd.String("bin")})
+				return fault.Pass(err, "plan")
+			},
+		},
+		&cli.Command{
+			Name: "ready", Usage: "wait until a fleet is ready; name what is not and exit 1 when the bound is over",
+			Description: "Ready: /readyz of every cplane and dplane is 200 and the store knows a boot of every minion.",
+			Flags:       []cli.Flag{dirFlag(), &cli.DurationFlag{Name: "for", Value: 20 * time.Second}},
+			Action:      ready,
+		},
+		&cli.Command{
+			Name: "who", Usage: "print the holders: store NAME and sched NAME", Flags: []cli.Flag{dirFlag()},
+			Action: func(ctx context.Context, cmd *cli.Command) error {
+				nodes, err := fleet.Read(cmd.String("fleet"))
+				if err != nil {
+					return fault.Pass(err, "who")
+				}
+				who, err := fleet.Who(ctx, fleet.NewCaller(1), nodes)
+				if err != nil {
+					return fault.Pass(err, "who")
+				}
+				_, err = fmt.Fprintf(cmd.Root().Writer, "store %s\nsched %s\n", who.Store, who.Sched)
+				return fault.Wrap(err, fault.Disk, "print")
+			},
+		},
+	)
+}
+
+// exitCode ends the program with a code of its own, after its message.
+type exitCode struct {
+	error
+	code int
+}
+
+// ExitCode is what cli asks for.
+func (e exitCode) ExitCode() int { return e.code }
+
+// Unwrap gives the fault.
+func (e exitCode) Unwrap() error { return e.error }
+
+func dirFlag() cli.Flag {
+	return &cli.StringFlag{Name: "fleet", Usage: "`DIR` of the fleet", Required: true}
+}
+
+func ready(ctx context.Context, cmd *cli.Command) error {
+	nodes, err := fleet.Read(cmd.String("fleet"))
+	if err != nil {
+		return fault.Pass(err, "ready")
+	}
+	caller, clock := fleet.NewCaller(2), alarm.Real{}
+	for end := clock.Now() + cmd.Duration("for"); ; {
+		late := fleet.Late(ctx, caller, nodes)
+		if len(late) == 0 {
+			return nil
+		}
+		if clock.Now() >= end {
+			return fault.New(fault.Unavailable, "not ready: %s", strings.Join(late, " "))
+		}
+		rung := make(chan struct{})
+		clock.Set(200*time.Millisecond, func() { close(rung) })
+		select {
+		case <-rung:
+		case <-ctx.Done():
+			return fault.Wrap(ctx.Err(), fault.Stopped, "ready")
+		}
+	}
+}
--- /dev/null
+++ b/cmd/drill/load.go
@@ -0,0 +1,91 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"crosstide/internal/fault"
+	"crosstide/internal/rig/load"
+)
+
+func init() {
+	commands = append(commands, &cli.Command{
+		Name:  "load",
+		Usage: "offer jobs to a fleet at a rate and follow each to its end",
+		Description: "drill load --fleet DIR --rate 20 --for 20s [--seed 1]\n\n" +
+			"An open loop: jobs arrive at random times (of the seed) whatever became of those before. Each is handed to\n" +
+			"a dplane; after a lost answer, 429 or 503 the same job goes to another one, as Retry-After says. Offers\n" +
+			"stop after --for; then it waits until every accepted job is over, --wait at most, and prints one JSON\n" +
+			"object. What was acknowledged goes to DIR/journal/consumer-PREFIX-N.jsonl for `drill audit`.",
+		Flags: append(loadFlags(), &cli.BoolFlag{Name: "all-done", Usage: "exit 1 unless all that was accepted is done"}),
+		Action: func(ctx context.Context, cmd *cli.Command) error {
+			ctx, stop := signal.NotifyContext(ctx, syscall.SIGINT, syscall.SIGTERM)
+			defer stop()
+			o, err := loadOptions(cmd)
+			if err != nil {
+				return fault.Pass(err, "load")
+			}
+			report, err := load.Run(ctx, o)
+			if err != nil {
+				return fault.Pass(err, "load")
+			}
+			if err := printJSON(cmd.Root().Writer, report); err != nil {
+				return fault.Pass(err, "load")
+			}
+			if cmd.Bool("all-done") && !report.AllDone() {
+				return fault.New(fault.Internal, "not all that was accepted is done")
+			}
+			return nil
+		},
+	})
+}
+
+func loadFlags() []cli.Flag {
+	return []cli.Flag{
+		dirFlag(),
+		&cli.FloatFlag{Name: "rate", Value: 20, Usage: "jobs per second"},
+		&cli.DurationFlag{Name: "for", Value: 20 * time.Second, Usage: "how long jobs are offered"},
+		&cli.DurationFlag{Name: "wait", Value: time.Minute, Usage: "for the ends, after --for"},
+		&cli.DurationFlag{Name: "give-up", Value: 30 * time.Second, Usage: "how long a job is offered to node after node"},
+		&cli.Uint64Flag{Name: "seed", Value: 1},
+		&cli.IntFlag{Name: "steps", Value: 1, Usage: "per job, one after the other"},
+		&cli.IntFlag{Name: "tasks", Value: 1, Usage: "per step"},
+		&cli.IntFlag{Name: "ms", Value: 100, Usage: "length of a task"},
+		&cli.BoolFlag{Name: "noop", Usage: "tasks that end at once, as --ms 0"},
+		&cli.IntFlag{Name: "cores", Value: 1, Usage: "of a task"},
+		&cli.IntFlag{Name: "retries", Value: 3, Usage: "of a task"},
+		&cli.StringFlag{Name: "type", Value: "scan"},
+		&cli.StringFlag{Name: "queue", Value: "default"},
+		&cli.StringFlag{Name: "team", Value: "drill"},
+		&cli.StringMapFlag{Name: "label", Usage: "`K=V` that a minion must bear, may be given again"},
+		&cli.FloatFlag{Name: "cancel", Usage: "cancel a job soon after its yes with probability `P`"},
+		&cli.FloatFlag{Name: "dup", Usage: "hand a job in once more at another node with probability `P`"},
+		&cli.StringFlag{Name: "key-prefix", Usage: "of the jobs' keys (default: new each time)"},
+		&cli.IntFlag{Name: "workers", Value: 4, Usage: "consumers, each with its own journal"},
+		&cli.FloatFlag{Name: "polls", Value: 1000, Usage: "polls per second of all consumers, at most"},
+	}
+}
+
+func loadOptions(cmd *cli.Command) (load.Options, error) {
+	o := load.Options{Dir: cmd.String("fleet"), Rate: cmd.Float("rate"), For: cmd.Duration("for"), Seed: cmd.Uint64("seed"),
+		Tasks: cmd.Int("tasks"), Run: time.Duration(cmd.Int("ms")) * time.Millisecond, Steps: cmd.Int("steps"),
+		Cores: cmd.Int("cores"), Type: cmd.String("type"), Queue: cmd.String("queue"), Team: cmd.String("team"),
+		Labels: cmd.StringMap("label"), Retries: cmd.Int("retries"), Cancel: cmd.Float("cancel"), Dup: cmd.Float("dup"),
+		Prefix: cmd.String("key-prefix"), Workers: cmd.Int("workers"), Polls: cmd.Float("polls"),
+		Wait: cmd.Duration("wait"), GiveUp: cmd.Duration("give-up")}
+	if cmd.Bool("noop") {
+		o.Run = 0
+	}
+	return o, fault.Pass(o.Fill(), "flags")
+}
+
+func printJSON(w io.Writer, v any) error {
+	enc := json.NewEncoder(w)
+	return fault.Wrap(enc.Encode(v), fault.Disk, "print")
+}
--- /dev/null
+++ b/cmd/drill/main.go
@@ -0,0 +1,25 @@
+// Command drill is the rehearsal kit: stand-in minions and consumers, faulty links, load, audits and drills.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+
+	"github.com/urfave/cli/v3"
+)
+
+// commands are the subcommands; each file adds its own in an init.
+var commands []*cli.Command
+
+func main() {
+	root := &cli.Command{
+		Name:     "drill",
+		Usage:    "rehearse a crosstide fleet on one machine",
+		Commands: commands,
+	}
+	if err := root.Run(context.Background(), os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, "drill:", err)
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/cmd/drill/minion.go
@@ -0,0 +1,125 @@
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"github.com/urfave/cli/v3"
+
+	"crosstide/internal/alarm"
+	"crosstide/internal/fault"
+	"crosstide/internal/rig/minion"
+	"crosstide/internal/spawn"
+)
+
+func init() {
+	commands = append(commands, &cli.Command{
+		Name:  "minion",
+		Usage: "run a stand-in minion, or many hollow ones at one address",
+		Description: "SIGTERM and SIGINT drain and then leave, a second one leaves at once;\n" +
+			"SIGUSR1 switches draining on and off. Flags go over what the settings file says.",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "settings", Usage: "JSON `FILE` with the names of these flags"},
+			&cli.StringFlag{Name: "name", Usage: "the minion's name"},
+			&cli.StringFlag{Name: "addr", Usage: "`HOST:PORT` to listen at (default 127.0.0.1:0)"},
+			&cli.StringFlag{Name: "kind", Usage: "obey or check (default check)"},
+			&cli.StringFlag{Name: "zone"},
+			&cli.StringFlag{Name: "rack"},
+			&cli.StringMapFlag{Name: "label", Usage: "`K=V`, may be given again"},
+			&cli.IntFlag{Name: "cores", Usage: "(default 4)"},
+			&cli.IntFlag{Name: "gpus"},
+			&cli.StringSliceFlag{Name: "dplanes", Usage: "`A,B,C`: host:port of dplanes to announce to"},
+			&cli.StringFlag{Name: "journal", Usage: "`FILE` to append to; {name} stands for the minion's name"},
+			&cli.IntFlag{Name: "count", Usage: "`N` hollow minions NAME-0 and on (default 1: NAME itself)"},
+			&cli.DurationFlag{Name: "grace", Usage: "how long a leaving minion waits (default 10s)"},
+			&cli.DurationFlag{Name: "late", Usage: "carry out calls with starts late by up to `D`, half of them unanswered"},
+			&cli.FloatFlag{Name: "lose", Usage: "drop an answer with probability `P`"},
+			&cli.FloatFlag{Name: "fail", Usage: "end a run in a fault with probability `P`"},
+			&cli.FloatFlag{Name: "slow", Usage: "let runs take up to `F` times as long (default 1)"},
+			&cli.Uint64Flag{Name: "seed", Usage: "of late, lose, fail and slow"},
+			&cli.StringFlag{Name: "log", Value: "info", Usage: "`LEVEL`: debug, info, warn or error"},
+		},
+		Action: runMinion,
+	})
+}
+
+func runMinion(ctx context.Context, cmd *cli.Command) error {
+	set, err := minionSettings(cmd)
+	if err != nil {
+		return fault.Pass(err, "minion")
+	}
+	at, err := level.Parse(cmd.String("log"))
+	if err != nil {
+		return fault.Wrap(err, fault.Settings, "log")
+	}
+	logger := log.With(log.NewLogfmtLogger(log.NewSyncWriter(os.Stderr)), "ts", log.DefaultTimestampUTC, "minion", set.Name)
+	logger = level.NewFilter(logger, level.Allow(at))
+
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
+	defer signal.Stop(signals)
+	host, err := minion.Open(set, alarm.Real{}, logger)
+	if err != nil {
+		return fault.Pass(err, "minion")
+	}
+	group := spawn.New(ctx)
+	defer group.Stop()
+	group.Go(func(ctx context.Context) {
+		on, leave := false, false
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case s := <-signals:
+				if leave && s != syscall.SIGUSR1 {
+					group.Cancel()
+					return
+				}
+				leave = leave || s != syscall.SIGUSR1
+				on = leave || !on
+				host.Drain(on, leave)
+			}
+		}
+	})
+	return fault.Pass(host.Run(group.Context()), "minion")
+}
+
+// minionSettings takes the defaults, then the file, then the flags that were given.
+func minionSettings(cmd *cli.Command) (minion.Settings, error) {
+	set := minion.Defaults()
+	if path := cmd.String("settings"); path != "" {
+		if err := set.Load(path); err != nil {
+			return set, fault.Pass(err, "settings")
+		}
+	}
+	put(cmd, "name", &set.Name, cmd.String)
+	put(cmd, "addr", &set.Addr, cmd.String)
+	put(cmd, "kind", &set.Kind, cmd.String)
+	put(cmd, "zone", &set.Zone, cmd.String)
+	put(cmd, "rack", &set.Rack, cmd.String)
+	put(cmd, "label", &set.Labels, cmd.StringMap)
+	put(cmd, "cores", &set.Cores, cmd.Int)
+	put(cmd, "gpus", &set.GPUs, cmd.Int)
+	put(cmd, "dplanes", &set.Dplanes, cmd.StringSlice)
+	put(cmd, "journal", &set.Journal, cmd.String)
+	put(cmd, "count", &set.Count, cmd.Int)
+	put(cmd, "grace", (*time.Duration)(&set.Grace), cmd.Duration)
+	put(cmd, "late", (*time.Duration)(&set.Late), cmd.Duration)
+	put(cmd, "lose", &set.Lose, cmd.Float)
+	put(cmd, "fail", &set.Fail, cmd.Float)
+	put(cmd, "slow", &set.Slow, cmd.Float)
+	put(cmd, "seed", &set.Seed, cmd.Uint64)
+	return set, fault.Pass(set.Check(), "settings")
+}
+
+// put sets *to from the flag name, if it was given.
+func put[T any](cmd *cli.Command, name string, to *T, get func(string) T) {
+	if cmd.IsSet(name) {
+		*to = get(name)
+	}
+}
--- /dev/null
+++ b/internal/alarm/alarm.go
@@ -0,0 +1,120 @@
+// Package alarm is the clock and the timers: real ones for the daemons, virtual ones for tests and the simulator.
+package alarm
+
+import (
+	"container/heap"
+	"sync"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// Clock tells time since an arbitrary start that counts suspension and never goes back, and sets alarms.
+type Clock interface {
+	// Now is the time since the clock's start. It counts the time a machine was suspended.
+	Now() time.Duration
+	// Wall is the time of day, for people and for ages of records, never for leases.
+	Wall() time.Time
+	// Set calls ring once after d, on a goroutine of the clock. Stop of the result calls it off.
+	Set(d time.Duration, ring func()) Stopper
+}
+
+// Stopper calls an alarm off; it tells whether the alarm had not rung yet.
+type Stopper interface{ Stop() bool }
+
+// Real is the machine's clock (CLOCK_BOOTTIME).
+type Real struct{}
+
+// Now reads CLOCK_BOOTTIME, which goes on while the machine or the process is suspended.
+func (Real) Now() time.Duration {
+	var ts unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts); err != nil {
+		panic("alarm: CLOCK_BOOTTIME cannot be read: " + err.Error())
+	}
+	return time.Duration(ts.Nano())
+}
+
+// Wall is time.Now.
+func (Real) Wall() time.Time { return time.Now() }
+
+// Set is time.AfterFunc.
+func (Real) Set(d time.Duration, ring func()) Stopper { return time.AfterFunc(d, ring) }
+
+// Virtual is a clock that moves only when it is told to. Alarms ring in order of time, then of setting.
+// The zero value starts at 0.
+type Virtual struct {
+	mu    sync.Mutex
+	now   time.Duration
+	next  uint64
+	queue rings
+}
+
+type ring struct {
+	at   time.Duration
+	seq  uint64
+	call func()
+	off  bool
+	host *Virtual
+}
+
+func (r *ring) Stop() bool {
+	r.host.mu.Lock()
+	defer r.host.mu.Unlock()
+	was := !r.off
+	r.off = true
+	return was
+}
+
+type rings []*ring
+
+func (q rings) Len() int { return len(q) }
+func (q rings) Less(i, j int) bool {
+	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].seq < q[j].seq
+}
+func (q rings) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *rings) Push(x any)   { *q = append(*q, x.(*ring)) }
+func (q *rings) Pop() any {
+	old := *q
+	last := old[len(old)-1]
+	*q = old[:len(old)-1]
+	return last
+}
+
+// Now is the virtual time.
+func (v *Virtual) Now() time.Duration {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.now
+}
+
+// Wall is the Unix epoch plus Now.
+func (v *Virtual) Wall() time.Time { return time.Unix(0, 0).Add(v.Now()) }
+
+// Set puts an alarm at Now+d.
+func (v *Virtual) Set(d time.Duration, call func()) Stopper {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.next++
+	r := &ring{at: v.now + max(d, 0), seq: v.next, call: call, host: v}
+	heap.Push(&v.queue, r)
+	return r
+}
+
+// Advance moves the clock by d and rings, in order, all that falls due on the way.
+func (v *Virtual) Advance(d time.Duration) {
+	v.mu.Lock()
+	end := v.now + d
+	for len(v.queue) > 0 && v.queue[0].at <= end {
+		r := heap.Pop(&v.queue).(*ring)
+		if r.off {
+			continue
+		}
+		r.off = true
+		v.now = max(v.now, r.at)
+		v.mu.Unlock()
+		r.call()
+		v.mu.Lock()
+	}
+	v.now = max(v.now, end)
+	v.mu.Unlock()
+}
--- /dev/null
+++ b/internal/conf/conf_test.go
@@ -0,0 +1,109 @@
+package conf
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"crosstide/internal/fault"
+)
+
+const key = `"AAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAA="`
+
+const cplane = `{"name":"c1","zone":"a","region":"r","addr":"10.0.0.1:7000","seeds":["10.0.0.2:7000"],"data":"d",
+"members":[{"id":"c1","addr":"10.0.0.1:7000","zone":"a"},{"id":"c2","addr":"10.0.0.2:7000","zone":"b"}],
+"lease":"800ms","backlog":7,"operator_keys":[{"name":"o","key":` + key + `}]}`
+
+const dplane = `{"name":"d1","zone":"a","region":"r","addr":"10.0.1.1:7000","core":["10.0.0.1:7000"],"inflight":9}`
+
+func file(t *testing.T, text string) string {
+	path := filepath.Join(t.TempDir(), "settings.json")
+	So(os.WriteFile(path, []byte(text), 0o600), ShouldBeNil)
+	return path
+}
+
+func lines(err error) []string {
+	var m Mistakes
+	So(fault.KindOf(err), ShouldEqual, fault.Settings)
+	So(errors.As(err, &m), ShouldBeTrue)
+	So(err.Error(), ShouldContainSubstring, m.Error())
+	return strings.Split(m.Error(), "\n")
+}
+
+func TestReader(t *testing.T) {
+	Convey("Three mistakes in one file are told at once, each with its field, and leave their targets", t, func() {
+		lease, n, on, names := 3*time.Second, 5, true, []string{"x"}
+		var of []int
+		err := Parse([]byte(`{"sched":{"lease":"3 monkeys","n":99},"names":["a",4],"each":[{"k":1},{"k":"2"}],"od":0}`), func(r *Reader) {
+			r.Need("sched")
+			r.Object("sched", func(r *Reader) {
+				r.Duration("lease", &lease, time.Second, time.Minute)
+				r.Int("n", &n, 0, 10)
+				r.Bool("on", &on)
+			})
+			r.Strings("names", &names)
+			r.Each("each", func(i int, r *Reader) { r.Int("k", &n, 0, 10); of = append(of, i) })
+		})
+		So(lines(err), ShouldResemble, []string{
+			`sched.lease: must be a duration like "3s", is "3 monkeys"`,
+			`sched.n: must be from 0 to 10, is 99`,
+			`names[1]: must be a string, is 4`,
+			`each[1].k: must be a whole number, is "2"`,
+			`od: is not a known field`,
+		})
+		So([]any{lease, on, names, of}, ShouldResemble, []any{3 * time.Second, true, []string{"x"}, []int{0, 1}})
+	})
+	Convey("Broken JSON, wrong shapes, doubles and absent needs are mistakes", t, func() {
+		into := func(r *Reader) {
+			var s string
+			r.Need("a")
+			r.Addr("a", &s)
+			r.Object("o", func(*Reader) {})
+		}
+		So(lines(Parse([]byte(`{"a":`), into))[0], ShouldStartWith, "must be JSON: ")
+		So(lines(Parse([]byte(`[]`), into)), ShouldResemble, []string{"must be an object, is []"})
+		So(lines(Parse([]byte(`{"o":1}`), into)), ShouldResemble, []string{"a: must be given", "o: must be an object, is 1"})
+		So(lines(Parse([]byte(`{"a":"1.2.3.4:5","a":"1.2.3.4:5"}`), into)), ShouldResemble, []string{"a: is given more than once"})
+		So(lines(Parse([]byte(`{"a":"host:5"}`), into)), ShouldResemble, []string{`a: must be an address like "10.0.0.7:7000", is "host:5"`})
+	})
+}
+
+func TestDaemons(t *testing.T) {
+	Convey("Sound files load, what is not set keeps its default, and a changed value is judged again", t, func() {
+		c, err := LoadCplane(file(t, cplane))
+		So(err, ShouldBeNil)
+		So([]any{c.Lease, c.Election, c.Backlog, c.KeepTombsFor, c.Grace, c.Members[1].Zone, len(c.OperatorKeys)}, ShouldResemble,
+			[]any{800 * time.Millisecond, time.Second, 7, 168 * time.Hour, 5 * time.Second, "b", 1})
+		So(CheckCplane(c), ShouldBeNil)
+		c.Lease, c.Addr, c.Members[1].Addr, c.LogLevel = time.Second, "", c.Members[0].Addr, "loud"
+		So(lines(CheckCplane(c)), ShouldResemble, []string{
+			`addr: must be an address like "10.0.0.7:7000", is ""`,
+			`log_level: must be one of debug, info, warn, error, is "loud"`,
+			`members[1].addr: must differ from members[0], both are "10.0.0.1:7000"`,
+			`lease: must be under election (1s), is 1s`,
+		})
+		d, err := LoadDplane(file(t, dplane))
+		So(err, ShouldBeNil)
+		So([]any{d.Inflight, d.Hold, d.Lateness}, ShouldResemble, []any{9, 20 * time.Second, 2 * time.Second})
+		d.Core, d.LeaseMargin = nil, 3*time.Second
+		So(lines(CheckDplane(d)), ShouldResemble, []string{
+			"core: must be given when there are no seeds", "lease_margin: must be under duty_lease (3s), is 3s"})
+	})
+	Convey("The mistakes of a cplane's file come together", t, func() {
+		text := strings.NewReplacer(`"800ms"`, `"150ms"`, `"backlog":7`, `"backlog":-1`, key, `"QQ=="`, `"seeds":["10.0.0.2:7000"]`, `"seeds":[]`).Replace(cplane)
+		_, err := LoadCplane(file(t, text))
+		So(lines(err), ShouldResemble, []string{
+			"seeds: must be 1 to 3 addresses, are 0",
+			"backlog: must be from 1 to 1073741824, is -1",
+			`operator_keys[0].key: must be the base64 of 32 bytes, is "QQ=="`,
+			"heartbeat: must be under half of lease (150ms), is 100ms",
+		})
+		_, err = LoadCplane(filepath.Join(t.TempDir(), "none"))
+		So(fault.Is(err, fault.Settings), ShouldBeTrue)
+	})
+}
--- /dev/null
+++ b/internal/conf/daemon.go
@@ -0,0 +1,211 @@
+package conf
+
+import (
+	"crypto/ed25519"
+	"os"
+	"time"
+
+	"crosstide/internal/fault"
+)
+
+// Common is what both daemons are told.
+type Common struct {
+	Name     string        // name: of this node, needed
+	Zone     string        // zone, needed
+	Region   string        // region, needed
+	Addr     string        // addr: IP:port to listen at, needed
+	Seeds    []string      // seeds: 1 to 3 addresses of nodes to ask for the others; a dplane with a core may go without
+	LogLevel string        // log_level: debug, info, warn or error; default info
+	Grace    time.Duration // grace: for running calls at the end; default 5s
+}
+
+// Member is one of the first cplanes of the store.
+type Member struct{ ID, Addr, Zone string }
+
+// OperatorKey is an operator's public key, 32 bytes of ed25519 in base64.
+type OperatorKey struct{ Name, Key string }
+
+// Cplane is the settings of a cplane.
+type Cplane struct {
+	Common
+	Data         string        // data: the folder of the store, needed
+	Members      []Member      // members: the first members of the store, needed
+	Election     time.Duration // election: silence after which one stands for leader; default 1s
+	Heartbeat    time.Duration // heartbeat: of the leader; default 100ms, under half of lease
+	Lease        time.Duration // lease: of the leader; default 700ms, under election
+	DutyLease    time.Duration // duty_lease; default 3s
+	SlotEvery    int           // slot_every: log entries between two slots; default 20000
+	Backlog      int           // backlog: jobs that wait in the inbox at most; default 20000
+	KeepEnded    int           // keep_ended: ended jobs kept at most; default 20000
+	KeepEndedFor time.Duration // keep_ended_for; default 1h
+	KeepTombs    int           // keep_tombs: tombstones kept at most; default 200000
+	KeepTombsFor time.Duration // keep_tombs_for; default 168h
+	OperatorKeys []OperatorKey // operator_keys
+}
+
+// Dplane is the settings of a dplane.
+type Dplane struct {
+	Common
+	Core        []string      // core: addresses of cplanes; this or seeds is needed
+	Hold        time.Duration // hold: how long a minion keeps its work without a leader; default 20s
+	HoldWait    time.Duration // hold_wait: how long a minion may wait with its answer; default 1s
+	StartWindow time.Duration // start_window: from the commit of a ticket to its start order; default 500ms
+	Lateness    time.Duration // lateness: bound on the late carrying-out by obeying minions; default 2s
+	LeaseMargin time.Duration // lease_margin: the duty is laid down this long before its end; default 500ms
+	DutyLease   time.Duration // duty_lease: as the cplanes have it; default 3s, over lease_margin
+	CallTimeout time.Duration // call_timeout; default 2s
+	Inflight    int           // inflight: plans proposed and not yet committed; default 64
+	Backlog     int           // backlog: jobs that wait in the inbox at most; default 20000
+}
+
+// DefaultCplane has every default, and nothing that is needed.
+func DefaultCplane() Cplane {
+	return Cplane{
+		Common: defaultCommon(), Election: time.Second, Heartbeat: 100 * time.Millisecond, Lease: 700 * time.Millisecond,
+		DutyLease: 3 * time.Second, SlotEvery: 20000, Backlog: 20000, KeepEnded: 20000, KeepEndedFor: time.Hour,
+		KeepTombs: 200000, KeepTombsFor: 168 * time.Hour,
+	}
+}
+
+// DefaultDplane has every default, and nothing that is needed.
+func DefaultDplane() Dplane {
+	return Dplane{
+		Common: defaultCommon(), Hold: 20 * time.Second, HoldWait: time.Second, StartWindow: 500 * time.Millisecond,
+		Lateness: 2 * time.Second, LeaseMargin: 500 * time.Millisecond, DutyLease: 3 * time.Second,
+		CallTimeout: 2 * time.Second, Inflight: 64, Backlog: 20000,
+	}
+}
+
+func defaultCommon() Common { return Common{LogLevel: "info", Grace: 5 * time.Second} }
+
+// LoadCplane reads and checks a cplane's settings file. A file that cannot be read is fault.Settings, as are the
+// Mistakes in it (see Parse).
+func LoadCplane(path string) (Cplane, error) {
+	c := DefaultCplane()
+	err := load(path, c.read)
+	return c, err
+}
+
+// LoadDplane is LoadCplane for a dplane.
+func LoadDplane(path string) (Dplane, error) {
+	d := DefaultDplane()
+	err := load(path, d.read)
+	return d, err
+}
+
+// CheckCplane tells all mistakes in c as Parse does, for settings that flags have changed.
+func CheckCplane(c Cplane) error { return judge(c.read) }
+
+// CheckDplane is CheckCplane for a dplane.
+func CheckDplane(d Dplane) error { return judge(d.read) }
+
+func judge(into func(r *Reader)) error {
+	var out Mistakes
+	check(&out, into)
+	return told(out)
+}
+
+func load(path string, into func(r *Reader)) error {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return fault.Wrap(err, fault.Settings, "read the settings")
+	}
+	return fault.Pass(Parse(data, into), "%s", path)
+}
+
+// Bounds of what may be set, wide: they catch slips of the unit, not odd choices.
+const (
+	shortest = time.Millisecond
+	longest  = time.Hour
+	oldest   = 10 * 365 * 24 * time.Hour
+	largest  = 1 << 30
+)
+
+func (c *Common) read(r *Reader) {
+	r.Need("name", "zone", "region", "addr")
+	r.String("name", &c.Name, Filled)
+	r.String("zone", &c.Zone, Filled)
+	r.String("region", &c.Region, Filled)
+	r.Addr("addr", &c.Addr)
+	r.Strings("seeds", &c.Seeds, Address)
+	if len(c.Seeds) > 3 {
+		r.Wrong("seeds", "must be 1 to 3 addresses, are %d", len(c.Seeds))
+	}
+	r.String("log_level", &c.LogLevel, OneOf("debug", "info", "warn", "error"))
+	r.Duration("grace", &c.Grace, 0, longest)
+}
+
+func (c *Cplane) read(r *Reader) {
+	c.Common.read(r)
+	if len(c.Seeds) == 0 {
+		r.Wrong("seeds", "must be 1 to 3 addresses, are 0")
+	}
+	r.Need("data", "members")
+	r.String("data", &c.Data, Filled)
+	List(r, "members", &c.Members, func(r *Reader, m *Member) {
+		r.Need("id", "addr", "zone")
+		r.String("id", &m.ID, Filled)
+		r.Addr("addr", &m.Addr)
+		r.String("zone", &m.Zone, Filled)
+	})
+	if len(c.Members) == 0 {
+		r.Wrong("members", "must be at least one")
+	}
+	once(r, "members", "id", c.Members, func(m Member) string { return m.ID })
+	once(r, "members", "addr", c.Members, func(m Member) string { return m.Addr })
+	r.Duration("election", &c.Election, shortest, longest)
+	r.Duration("heartbeat", &c.Heartbeat, shortest, longest)
+	r.Duration("lease", &c.Lease, shortest, longest)
+	r.Duration("duty_lease", &c.DutyLease, shortest, longest)
+	r.Int("slot_every", &c.SlotEvery, 1, largest)
+	r.Int("backlog", &c.Backlog, 1, largest)
+	r.Int("keep_ended", &c.KeepEnded, 0, largest)
+	r.Duration("keep_ended_for", &c.KeepEndedFor, 0, oldest)
+	r.Int("keep_tombs", &c.KeepTombs, 0, largest)
+	r.Duration("keep_tombs_for", &c.KeepTombsFor, 0, oldest)
+	List(r, "operator_keys", &c.OperatorKeys, func(r *Reader, k *OperatorKey) {
+		r.Need("name", "key")
+		r.String("name", &k.Name, Filled)
+		r.String("key", &k.Key, Base64(ed25519.PublicKeySize))
+	})
+	once(r, "operator_keys", "name", c.OperatorKeys, func(k OperatorKey) string { return k.Name })
+	if c.Lease >= c.Election {
+		r.Wrong("lease", "must be under election (%s), is %s", c.Election, c.Lease)
+	}
+	if 2*c.Heartbeat >= c.Lease {
+		r.Wrong("heartbeat", "must be under half of lease (%s), is %s", c.Lease, c.Heartbeat)
+	}
+}
+
+func (d *Dplane) read(r *Reader) {
+	d.Common.read(r)
+	r.Strings("core", &d.Core, Address)
+	if len(d.Core)+len(d.Seeds) == 0 {
+		r.Wrong("core", "must be given when there are no seeds")
+	}
+	r.Duration("hold", &d.Hold, shortest, longest)
+	r.Duration("hold_wait", &d.HoldWait, shortest, longest)
+	r.Duration("start_window", &d.StartWindow, shortest, longest)
+	r.Duration("lateness", &d.Lateness, 0, longest)
+	r.Duration("lease_margin", &d.LeaseMargin, shortest, longest)
+	r.Duration("duty_lease", &d.DutyLease, shortest, longest)
+	r.Duration("call_timeout", &d.CallTimeout, shortest, longest)
+	r.Int("inflight", &d.Inflight, 1, largest)
+	r.Int("backlog", &d.Backlog, 1, largest)
+	if d.LeaseMargin >= d.DutyLease {
+		r.Wrong("lease_margin", "must be under duty_lease (%s), is %s", d.DutyLease, d.LeaseMargin)
+	}
+}
+
+// once makes it a mistake when two items have the same key.
+func once[T any](r *Reader, list, field string, items []T, key func(T) string) {
+	first := map[string]int{}
+	for i, one := range items {
+		k := key(one)
+		if j, twice := first[k]; twice && k != "" {
+			r.Wrong(item(list, i)+"."+field, "must differ from %s, both are %q", item(list, j), k)
+			continue
+		}
+		first[k] = i
+	}
+}
--- /dev/null
+++ b/internal/consumer/consumer.go
@@ -0,0 +1,287 @@
+// Package consumer is the consumers' API of every dplane: hand in a job, ask for it, list jobs, cancel one.
+// What a node cannot confirm it answers with 503, never with 404.
+package consumer
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"math/rand/v2"
+	"net/http"
+	"net/url"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"crosstide/internal/alarm"
+	"crosstide/internal/fault"
+	"crosstide/internal/state"
+	"crosstide/internal/state/command"
+	"crosstide/internal/state/query"
+	"crosstide/internal/wire"
+)
+
+// MaxBody bounds the body of a job, in bytes.
+const MaxBody = 1 << 20
+
+// Bounds of a list.
+const (
+	DefaultList = 200
+	MaxList     = 1000
+)
+
+// Book is what the API needs of its node: confirmed reads and commits. Propose and Read must return at once
+// when ctx ends.
+type Book interface {
+	// Propose commits c at the leader and gives the command's answer. A command sent again after an error must
+	// do no harm: it may have been committed.
+	Propose(ctx context.Context, c command.Command) (json.RawMessage, error)
+	// Read runs do, before it returns, on a state at least as new as the call began. do must not keep the state.
+	// fault.Unavailable when that cannot be confirmed; do has not run then.
+	Read(ctx context.Context, do func(s *state.State) error) error
+	// Backlog is the most jobs the inbox may hold.
+	Backlog() int
+}
+
+// Router is what the API needs of its server (*wire.Server).
+type Router interface {
+	Route(pattern string, h func(w http.ResponseWriter, r *http.Request))
+}
+
+// Options are the settings of the API; the zero value takes the defaults.
+type Options struct {
+	Within   time.Duration // a call that takes longer is given up, default 2s
+	Inflight int           // submits worked on at once, default 2000; one more is fault.Pressure
+	Seed     uint64        // of the spread of Retry-After
+	Clock    alarm.Clock   // default alarm.Real
+}
+
+// Accepted answers POST /v1/jobs and DELETE /v1/jobs/{key}.
+type Accepted struct {
+	Key    string         `json:"key"`
+	State  state.JobPhase `json:"state"`
+	Reason string         `json:"reason,omitempty"`
+}
+
+// Listing answers GET /v1/jobs. Next, if there is one, is the `after` of the next page.
+type Listing struct {
+	Jobs []query.JobView `json:"jobs"`
+	Next string          `json:"next,omitempty"`
+}
+
+type api struct {
+	book   Book
+	opt    Options
+	busy   atomic.Int64
+	mu     sync.Mutex
+	spread *rand.Rand
+}
+
+// Register puts the API's routes on s:
+//
+//	POST   /v1/jobs        202 {"key","state"} when fresh, 200 when the same job was there before
+//	GET    /v1/jobs/{key}  200 query.JobView
+//	DELETE /v1/jobs/{key}  202 {"key","state"} while runs are being stopped, 200 when the job is over
+//	GET    /v1/jobs        200 Listing; ?team= &state= &after= &limit= (1..1000, 200 if not given)
+//
+// Faults are answered by the table of package fault; 429 and 503 carry a Retry-After of 1 to 3 seconds. Example:
+//
+//	consumer.Register(server, node, consumer.Options{Seed: seed})
+func Register(s Router, b Book, opt Options) {
+	if opt.Within <= 0 {
+		opt.Within = 2 * time.Second
+	}
+	if opt.Inflight <= 0 {
+		opt.Inflight = 2000
+	}
+	if opt.Clock == nil {
+		opt.Clock = alarm.Real{}
+	}
+	a := &api{book: b, opt: opt, spread: rand.New(rand.NewPCG(opt.Seed, 0))}
+	for pattern, h := range map[string]func(context.Context, *http.Request) (int, any, error){
+		"POST /v1/jobs":         a.submit,
+		"GET /v1/jobs":          a.list,
+		"GET /v1/jobs/{key}":    a.job,
+		"DELETE /v1/jobs/{key}": a.cancel,
+	} {
+		s.Route(pattern, func(w http.ResponseWriter, r *http.Request) {
+			ctx, cancel := context.WithCancel(r.Context())
+			defer cancel()
+			defer opt.Clock.Set(opt.Within, cancel).Stop()
+			status, answer, err := h(ctx, r)
+			if err != nil {
+				wire.WriteFault(w, a.outward(err))
+				return
+			}
+			wire.WriteJSON(w, status, answer)
+		})
+	}
+}
+
+func (a *api) submit(ctx context.Context, r *http.Request) (int, any, error) {
+	defer a.busy.Add(-1)
+	if n := a.busy.Add(1); n > int64(a.opt.Inflight) {
+		return 0, nil, fault.New(fault.Pressure, "%d jobs are being handed in here, the bound", a.opt.Inflight)
+	}
+	data, err := wire.ReadBody(r, MaxBody)
+	if err != nil {
+		return 0, nil, fault.Pass(err, "submit")
+	}
+	spec, digest, err := Parse(data)
+	if err != nil {
+		return 0, nil, fault.Pass(err, "submit")
+	}
+	var got command.Submitted
+	if err := a.propose(ctx, &command.Submit{Spec: spec, Digest: digest, Bound: a.book.Backlog()}, &got); err != nil {
+		return 0, nil, fault.Pass(err, "submit %s", spec.Key)
+	}
+	status := http.StatusOK
+	if got.Fresh {
+		status = http.StatusAccepted
+	}
+	return status, Accepted{got.Key, got.Phase, got.Reason}, nil
+}
+
+func (a *api) cancel(ctx context.Context, r *http.Request) (int, any, error) {
+	key, err := keyOf(r)
+	if err != nil {
+		return 0, nil, fault.Pass(err, "cancel")
+	}
+	var got command.Cancelled
+	if err := a.propose(ctx, &command.Cancel{Key: key}, &got); err != nil {
+		return 0, nil, fault.Pass(err, "cancel %s", key)
+	}
+	status := http.StatusAccepted
+	if got.Phase.Over() {
+		status = http.StatusOK
+	}
+	return status, Accepted{Key: got.Key, State: got.Phase}, nil
+}
+
+func (a *api) job(ctx context.Context, r *http.Request) (int, any, error) {
+	key, err := keyOf(r)
+	if err != nil {
+		return 0, nil, fault.Pass(err, "job")
+	}
+	var view query.JobView
+	var miss error // kept apart: only a confirmed state may say that a job is not there
+	if err := a.read(ctx, func(s *state.State) { view, miss = query.Job(s, key) }); err != nil {
+		return 0, nil, fault.Pass(err, "job %s", key)
+	}
+	if miss != nil {
+		return 0, nil, fault.Pass(miss, "job %s", key)
+	}
+	return http.StatusOK, view, nil
+}
+
+func (a *api) list(ctx context.Context, r *http.Request) (int, any, error) {
+	q, err := filterOf(r)
+	if err != nil {
+		return 0, nil, fault.Pass(err, "list")
+	}
+	out := Listing{Jobs: []query.JobView{}}
+	err = a.read(ctx, func(s *state.State) {
+		jobs, more := query.List(s, q.team, q.phase, q.after, q.limit)
+		out.Jobs = append(out.Jobs, jobs...)
+		if more {
+			out.Next = jobs[len(jobs)-1].Key
+		}
+	})
+	if err != nil {
+		return 0, nil, fault.Pass(err, "list")
+	}
+	return http.StatusOK, out, nil
+}
+
+func (a *api) propose(ctx context.Context, c command.Command, answer any) error {
+	raw, err := a.book.Propose(ctx, c)
+	if err != nil {
+		return fault.Pass(err, "propose %s", c.Op())
+	}
+	return fault.Wrap(json.Unmarshal(raw, answer), fault.Internal, "answer of %s", c.Op())
+}
+
+func (a *api) read(ctx context.Context, do func(s *state.State)) error {
+	ran := false
+	err := a.book.Read(ctx, func(s *state.State) error {
+		ran = true
+		do(s)
+		return nil
+	})
+	switch {
+	case fault.Is(err, fault.Unknown), err == nil && !ran:
+		return fault.New(fault.Unavailable, "nothing was read")
+	case err != nil:
+		return fault.Pass(err, "read")
+	}
+	return nil
+}
+
+// outward turns what only the inside can use into what a consumer can: kinds that mean "not confirmed" become
+// Unavailable, and those that come back later do so spread out.
+func (a *api) outward(err error) error {
+	f := *fault.Of(err)
+	ended := errors.Is(err, context.Canceled) || errors.Is(err, context.DeadlineExceeded)
+	switch {
+	case f.Kind == fault.Timeout, f.Kind == fault.NotLeader, f.Kind == fault.Stopped, f.Kind == fault.Internal && ended:
+		f = fault.Fault{Kind: fault.Unavailable, Message: "this cannot be confirmed now; send the same again, here or at another node"}
+	}
+	if f.Kind == fault.Unavailable || f.Kind == fault.Pressure {
+		a.mu.Lock()
+		f.After = time.Duration(1+a.spread.IntN(3)) * time.Second
+		a.mu.Unlock()
+	}
+	return fault.Pass(&f, "consumer")
+}
+
+func keyOf(r *http.Request) (string, error) {
+	key := r.PathValue("key")
+	if !nameForm.MatchString(key) {
+		return "", fault.Field(fault.Invalid, "key", nameRule)
+	}
+	return key, nil
+}
+
+type filter struct {
+	team, after string
+	phase       state.JobPhase
+	limit       int
+}
+
+var phases = map[state.JobPhase]bool{
+	state.JobAccepted: true, state.JobRunning: true, state.JobStopping: true,
+	state.JobDone: true, state.JobFault: true, state.JobCancelled: true,
+}
+
+func filterOf(r *http.Request) (filter, error) {
+	out := filter{limit: DefaultList}
+	values, err := url.ParseQuery(r.URL.RawQuery)
+	if err != nil {
+		return out, fault.Wrap(err, fault.Malformed, "the query")
+	}
+	for name, list := range values {
+		value := list[0]
+		switch {
+		case len(list) > 1:
+			return out, fault.Field(fault.Invalid, name, "is given twice")
+		case name == "team" && nameForm.MatchString(value):
+			out.team = value
+		case name == "after" && nameForm.MatchString(value):
+			out.after = value
+		case name == "team", name == "after":
+			return out, fault.Field(fault.Invalid, name, nameRule)
+		case name == "state":
+			if out.phase = state.JobPhase(value); !phases[out.phase] {
+				return out, fault.Field(fault.Invalid, name, "is no state of a job")
+			}
+		case name == "limit":
+			if out.limit, err = strconv.Atoi(value); err != nil || out.limit < 1 || out.limit > MaxList {
+				return out, fault.Field(fault.Invalid, name, "must be a whole number of 1 to %d", MaxList)
+			}
+		default:
+			return out, fault.Field(fault.Invalid, join("", name), "there is no such parameter")
+		}
+	}
+	return out, nil
+}
--- /dev/null
+++ b/internal/consumer/consumer_test.go
@@ -0,0 +1,243 @@
+package consumer
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"crosstide/internal/alarm"
+	"crosstide/internal/fault"
+	"crosstide/internal/spawn"
+	"crosstide/internal/state"
+	"crosstide/internal/state/command"
+	"crosstide/internal/wire"
+)
+
+const head = `{"key":"k","team":"depot","steps":`
+
+func step(more string) string { return head + `[{"name":"a","type":"scan"` + more + `}]}` }
+
+func TestParse(t *testing.T) {
+	Convey("A job with nothing but the needed gets the defaults", t, func() {
+		spec, _, err := Parse([]byte(step("")))
+		So(err, ShouldBeNil)
+		So(spec, ShouldResemble, state.Spec{Key: "k", Team: "depot", Queue: "default",
+			Steps: []state.StepSpec{{Name: "a", Type: "scan", Tasks: 1, Cores: 1, Retries: 3}}})
+	})
+	Convey("Bodies with a mistake name its field", t, func() {
+		many := func(n int, one string) string { return strings.TrimSuffix(strings.Repeat(one+",", n), ",") }
+		for _, c := range []struct {
+			body  string
+			kind  fault.Kind
+			field string
+			says  string
+		}{
+			{``, fault.Malformed, "", "JSON"},
+			{"{\n \"key\": nope}", fault.Malformed, "", "line 2, column 10"},
+			{"{\"key\":\"\xff\"}", fault.Malformed, "", "UTF-8"},
+			{step(`,"tasks":NaN`), fault.Malformed, "", "line 1"},
+			{step(`,"run":` + strings.Repeat("[", 400) + strings.Repeat("]", 400)), fault.Malformed, "", "depth"},
+			{`[]`, fault.Malformed, "", "must be an object"},
+			{`{}`, fault.Invalid, "key", "steps: is missing"},
+			{`{"key":"a b","team":"t","steps":[{"name":"a","type":"s"}]}`, fault.Invalid, "key", "must be 1 to 128"},
+			{`{"key":7,"team":"t","steps":[{"name":"a","type":"s"}]}`, fault.Malformed, "key", "must be a string"},
+			{strings.Replace(step(""), `"key":"k"`, `"key":"k","ke\u0079":"l"`, 1), fault.Invalid, "key", "twice"},
+			{strings.Replace(step(""), `"key"`, `"colour":1,"key"`, 1), fault.Invalid, "colour", "no such field"},
+			{head + `[]}`, fault.Invalid, "steps", "1 to 100"},
+			{head + `[` + many(101, `{}`) + `]}`, fault.Invalid, "steps", "has 101"},
+			{head + `[1]}`, fault.Malformed, "steps[0]", "must be an object"},
+			{head + `[{"name":"a"}]}`, fault.Invalid, "steps[0].type", "missing"},
+			{step(`,"tasks":0`), fault.Invalid, "steps[0].tasks", "must be 1 to 10000, is 0"},
+			{step(`,"tasks":10001`), fault.Invalid, "steps[0].tasks", "10001"},
+			{step(`,"tasks":1.5`), fault.Malformed, "steps[0].tasks", "whole number"},
+			{step(`,"tasks":99999999999999999999`), fault.Malformed, "steps[0].tasks", "whole number"},
+			{step(`,"cores":-1`), fault.Invalid, "steps[0].cores", "is -1"},
+			{step(`,"gpus":1025`), fault.Invalid, "steps[0].gpus", "0 to 1024"},
+			{step(`,"retries":101`), fault.Invalid, "steps[0].retries", "0 to 100"},
+			{step(`,"retries":"3"`), fault.Malformed, "steps[0].retries", "is string"},
+			{step(`,"gang":true,"tasks":65`), fault.Invalid, "steps[0].gang", "at most 64"},
+			{step(`,"standing":1`), fault.Malformed, "steps[0].standing", "true or false"},
+			{step(`,"labels":{"gpu":true}`), fault.Malformed, "steps[0].labels.gpu", "must be a string"},
+			{step(`,"labels":{"a":"b","a":"c"}`), fault.Invalid, "steps[0].labels.a", "twice"},
+			{step(`,"run":{"a":[{"b":1,"b":2}]}`), fault.Invalid, "steps[0].run.a[0].b", "twice"},
+			{step(`,"run":"` + strings.Repeat("x", MaxRun) + `"`), fault.Invalid, "steps[0].run", "65536"},
+			{step(`,"after":["b"]`), fault.Invalid, "steps[0].after[0]", `no step is named "b"`},
+			{step(`,"after":["a"]`), fault.Invalid, "steps[0].after[0]", "a after a"},
+			{head + `[{"name":"z","type":"s","after":["a"]},{"name":"a","type":"s","after":["b"]},{"name":"b","type":"s","after":["a"]}]}`,
+				fault.Invalid, "steps[2].after[0]", "a after b after a"},
+			{head + `[{"name":"a","type":"s"},{"name":"a","type":"s"}]}`, fault.Invalid, "steps[1].name", "steps[0] too"},
+			{head + `[{"name":"a","type":"s","tasks":10000},{"name":"b","type":"s","tasks":10000},{"name":"c","type":"s"}]}`,
+				fault.Invalid, "steps", "20001"},
+			{head + `[` + many(30, `{"name":"","type":"s"}`) + `]}`, fault.Invalid, "steps[0].name", "and 10 more"},
+		} {
+			_, _, err := Parse([]byte(c.body))
+			f := fault.Of(err)
+			So(f, ShouldNotBeNil)
+			So([]string{string(f.Kind), f.Field}, ShouldResemble, []string{string(c.kind), c.field})
+			So(f.Message, ShouldContainSubstring, c.says)
+		}
+	})
+	Convey("The digest tells jobs apart and nothing else", t, func() {
+		of := func(body string) string {
+			_, digest, err := Parse([]byte(body))
+			So(err, ShouldBeNil)
+			return digest
+		}
+		one := of(step(`,"run":{"ms":100,"ok":true,"n":1.50},"labels":{"x":"1","y":"2"}`))
+		So(len(one), ShouldEqual, 64)
+		So(of(` {"steps":[{"run": {"ok":true,"n":1.50, "ms":100}, "labels":{"y":"2","x":"1"}, "tasks":1,
+			"type":"scan","name":"\u0061"}],"queue":"default","team":"depot","key":"k"}`), ShouldEqual, one)
+		So(of(step(`,"run":{"ms":101,"ok":true,"n":1.50},"labels":{"x":"1","y":"2"}`)), ShouldNotEqual, one)
+		So(of(step(`,"retries":0`)), ShouldNotEqual, of(step("")))
+	})
+}
+
+// book is a node on a state of its own; fail, if set, ends calls before they reach it.
+type book struct {
+	s       *state.State
+	bound   int
+	fail    error
+	entered chan struct{} // if set: Propose tells that it was entered, and waits for ctx or leave
+	leave   chan struct{}
+}
+
+func (b *book) Backlog() int { return b.bound }
+
+func (b *book) Read(_ context.Context, do func(*state.State) error) error {
+	if b.fail != nil {
+		return b.fail
+	}
+	return do(b.s)
+}
+
+func (b *book) Propose(ctx context.Context, c command.Command) (json.RawMessage, error) {
+	if b.entered != nil {
+		b.entered <- struct{}{}
+		select {
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		case <-b.leave:
+		}
+	}
+	if b.fail != nil {
+		return nil, b.fail
+	}
+	data, err := command.Encode(time.Unix(1, 0), c)
+	if err != nil {
+		return nil, err
+	}
+	answer, err := command.Apply(b.s, b.s.Index+1, 1, data)
+	if err != nil {
+		return nil, err
+	}
+	return json.Marshal(answer)
+}
+
+type mux struct{ *http.ServeMux }
+
+func (m mux) Route(pattern string, h func(http.ResponseWriter, *http.Request)) {
+	m.HandleFunc(pattern, h)
+}
+
+func TestRoutes(t *testing.T) {
+	Convey("Given the API before a node", t, func() {
+		b := &book{s: state.New(), bound: 10}
+		clock := &alarm.Virtual{}
+		m := mux{http.NewServeMux()}
+		Register(m, b, Options{Inflight: 1, Clock: clock, Seed: 7})
+		call := func(method, path, body string) (int, string, *httptest.ResponseRecorder) {
+			w := httptest.NewRecorder()
+			m.ServeHTTP(w, httptest.NewRequest(method, path, strings.NewReader(body)))
+			return w.Code, strings.TrimSpace(w.Body.String()), w
+		}
+		status := func(method, path, body string) int { code, _, _ := call(method, path, body); return code }
+
+		Convey("the same job three times stays one, another one under its key is a conflict", func() {
+			for i, want := range []int{202, 200, 200} {
+				code, body, _ := call("POST", "/v1/jobs", step("")+strings.Repeat(" ", i))
+				So(code, ShouldEqual, want)
+				So(body, ShouldEqual, `{"key":"k","state":"accepted"}`)
+			}
+			So(len(b.s.Inbox), ShouldEqual, 1)
+			So(status("POST", "/v1/jobs", step(`,"tasks":2`)), ShouldEqual, 409)
+			_, body, _ := call("GET", "/v1/jobs/k", "")
+			So(body, ShouldContainSubstring, `"state":"accepted"`)
+			So(status("DELETE", "/v1/jobs/k", ""), ShouldEqual, 200)
+			So(b.s.Jobs["k"].Phase, ShouldEqual, state.JobCancelled)
+		})
+		Convey("lists come in pages", func() {
+			for i := range 3 {
+				So(status("POST", "/v1/jobs", strings.Replace(step(""), `"k"`, fmt.Sprintf(`"k%d"`, i), 1)), ShouldEqual, 202)
+			}
+			_, body, _ := call("GET", "/v1/jobs?team=depot&state=accepted&limit=2", "")
+			So(body, ShouldEndWith, `"next":"k1"}`)
+			_, body, _ = call("GET", "/v1/jobs?after=k1", "")
+			So(body, ShouldContainSubstring, `"key":"k2"`)
+			So(body, ShouldNotContainSubstring, "next")
+			_, body, _ = call("GET", "/v1/jobs?team=none", "")
+			So(body, ShouldEqual, `{"jobs":[]}`)
+			for _, q := range []string{"limit=0", "limit=1001", "limit=x", "state=odd", "team=", "colour=1", "limit=1&limit=2"} {
+				So(status("GET", "/v1/jobs?"+q, ""), ShouldEqual, 422)
+			}
+		})
+		Convey("what is surely not there is 404, what cannot be confirmed is 503 with Retry-After", func() {
+			So(status("GET", "/v1/jobs/none", ""), ShouldEqual, 404)
+			So(status("DELETE", "/v1/jobs/none", ""), ShouldEqual, 404)
+			So(status("GET", "/v1/jobs/a%20b", ""), ShouldEqual, 422)
+			for _, kind := range []fault.Kind{fault.Unavailable, fault.Timeout, fault.NotLeader, fault.Stopped} {
+				b.fail = fault.New(kind, "no")
+				for _, c := range [][3]string{{"POST", "/v1/jobs", step("")}, {"GET", "/v1/jobs/k", ""},
+					{"GET", "/v1/jobs", ""}, {"DELETE", "/v1/jobs/k", ""}} {
+					code, _, w := call(c[0], c[1], c[2])
+					So(code, ShouldEqual, 503)
+					So(w.Header().Get("Retry-After"), ShouldBeIn, []string{"1", "2", "3"})
+				}
+			}
+			b.fail = fault.New(fault.Unknown, "a node that does not know")
+			So(status("GET", "/v1/jobs/k", ""), ShouldEqual, 503)
+			b.fail = errors.New("odd")
+			So(status("GET", "/v1/jobs/k", ""), ShouldEqual, 500)
+		})
+		Convey("a full inbox is 429, spread over 1 to 3 seconds", func() {
+			b.bound = 0
+			seen := map[string]bool{}
+			for range 32 {
+				code, _, w := call("POST", "/v1/jobs", step(""))
+				So(code, ShouldEqual, 429)
+				seen[w.Header().Get("Retry-After")] = true
+			}
+			So(seen, ShouldResemble, map[string]bool{"1": true, "2": true, "3": true})
+		})
+		Convey("a call over its time is given up, one over the bound at the door is 429", func() {
+			b.entered, b.leave = make(chan struct{}), make(chan struct{})
+			g := spawn.New(context.Background())
+			late := 0
+			g.Go(func(context.Context) { late = status("POST", "/v1/jobs", step("")) })
+			<-b.entered
+			So(status("POST", "/v1/jobs", step("")), ShouldEqual, 429)
+			clock.Advance(2 * time.Second)
+			g.Wait()
+			So(late, ShouldEqual, 503)
+		})
+	})
+	Convey("Over the wire a body over its bound is 413 and bytes that are no JSON are 400", t, func() {
+		s := wire.NewServer(wire.ServerOptions{Addr: "127.0.0.1:0"})
+		Register(s, &book{s: state.New(), bound: 10}, Options{})
+		So(s.Start(), ShouldBeNil)
+		defer func() { So(s.Stop(time.Second), ShouldBeNil) }()
+		for body, want := range map[string]int{step(""): 202, step(strings.Repeat(" ", MaxBody)): 413, `{"key"`: 400} {
+			res, err := http.Post("http://"+s.Addr()+"/v1/jobs", "application/json", strings.NewReader(body))
+			So(err, ShouldBeNil)
+			So(res.Body.Close(), ShouldBeNil)
+			So(res.StatusCode, ShouldEqual, want)
+		}
+	})
+}
--- /dev/null
+++ b/internal/follow/follow.go
@@ -0,0 +1,200 @@
+// Package follow keeps a replica of the store on a node without a disk: it pulls what the node lacks, by a vector
+// of versions with one entry for each source, snapshot first where the changes are gone.
+package follow
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"crosstide/internal/alarm"
+	"crosstide/internal/fault"
+	"crosstide/internal/pair"
+	"crosstide/internal/quorum"
+	"crosstide/internal/state"
+	"crosstide/internal/state/command"
+)
+
+// Store is the source of the store's changes; its version is the log index.
+const Store = "store"
+
+// Core is what a replica asks of the cplanes.
+type Core interface {
+	// Follow asks any cplane; the same one while it answers well.
+	Follow(ctx context.Context, call pair.FollowCall) (pair.FollowAnswer, error)
+	// Chunk asks the cplane that Follow asked last.
+	Chunk(ctx context.Context, call pair.ChunkCall) (pair.ChunkAnswer, error)
+}
+
+// Replica is the followed state under its lock. Watch is told of every change, under the lock.
+type Replica struct {
+	mu     sync.RWMutex
+	st     *state.State
+	moved  chan struct{} // closed and made anew at every change of the index
+	watch  func(state.Note)
+	reset  func(*state.State)
+	pulled bool
+
+	Bytes, Changes, Snapshots uint64 // since the start, under the lock
+}
+
+// New makes a replica at version 0. watch is told of changes and reset of a new state after a snapshot; both run
+// under the replica's lock.
+func New(watch func(state.Note), reset func(*state.State)) *Replica {
+	r := &Replica{st: state.New(), moved: make(chan struct{}), watch: watch, reset: reset}
+	r.st.Watch = watch
+	return r
+}
+
+// Lock gives the state for changing what hangs on it; Unlock ends that.
+func (r *Replica) Lock() *state.State { r.mu.Lock(); return r.st }
+
+// Unlock ends what Lock began.
+func (r *Replica) Unlock() { r.mu.Unlock() }
+
+// View runs do on the state. Example:
+//
+//	r.View(func(s *state.State) { n = len(s.Jobs) })
+func (r *Replica) View(do func(s *state.State)) {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	do(r.st)
+}
+
+// Index is the log index the replica is at.
+func (r *Replica) Index() uint64 {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return r.st.Index
+}
+
+// Pulled tells whether the replica ever heard from a cplane since the start.
+func (r *Replica) Pulled() bool {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return r.pulled
+}
+
+// Reach waits until the replica is at index or past it; fault.Unavailable when ctx ends before.
+func (r *Replica) Reach(ctx context.Context, index uint64) error {
+	for {
+		r.mu.RLock()
+		at, moved := r.st.Index, r.moved
+		r.mu.RUnlock()
+		if at >= index {
+			return nil
+		}
+		select {
+		case <-moved:
+		case <-ctx.Done():
+			return fault.Wrap(ctx.Err(), fault.Unavailable, "the replica is at %d, not yet at %d", at, index)
+		}
+	}
+}
+
+// Pull asks once for what the replica lacks and takes it in; wait is how long the answer may be kept waiting.
+func (r *Replica) Pull(ctx context.Context, core Core, node string, wait time.Duration) error {
+	from := r.Index()
+	a, err := core.Follow(ctx, pair.FollowCall{Node: node, Vector: map[string]uint64{Store: from}, Wait: wait, Max: 4 << 20})
+	if err != nil {
+		return fault.Pass(err, "follow from %d", from)
+	}
+	lack := a.Lacks[Store]
+	if lack.Snapshot != nil {
+		if err := r.fetch(ctx, core, *lack.Snapshot); err != nil {
+			return fault.Pass(err, "snapshot at %d", lack.Snapshot.Index)
+		}
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.pulled = true
+	return r.take(lack.Changes)
+}
+
+// take applies changes in order. A version never goes back: what is at or below the index is passed over.
+func (r *Replica) take(changes []quorum.Entry) error {
+	before := r.st.Index
+	for _, e := range changes {
+		if e.Index <= r.st.Index {
+			continue
+		}
+		if e.Index != r.st.Index+1 {
+			return fault.New(fault.Stale, "changes skip from %d to %d", r.st.Index, e.Index)
+		}
+		data := e.Data
+		if e.Kind != quorum.Normal {
+			data = nil
+		}
+		_, _ = command.Apply(r.st, e.Index, e.Term, data) // a refusal is the command's outcome, the same on every node
+		r.Bytes += uint64(len(data))
+		r.Changes++
+	}
+	if r.st.Index != before {
+		close(r.moved)
+		r.moved = make(chan struct{})
+	}
+	return nil
+}
+
+// fetch takes a snapshot in chunks. A chunk that is lost is asked for again, so that a cut costs no more than it.
+func (r *Replica) fetch(ctx context.Context, core Core, snap pair.Snapshot) error {
+	body := make([]byte, 0, snap.Size)
+	faults := 0
+	for int64(len(body)) < snap.Size {
+		c, err := core.Chunk(ctx, pair.ChunkCall{Number: snap.Number, From: int64(len(body)), Max: 1 << 20})
+		if err == nil && (c.Number != snap.Number || len(c.Data) == 0) {
+			return fault.New(fault.Stale, "slot %d is gone", snap.Number)
+		}
+		if err != nil {
+			if faults++; faults > 5 || ctx.Err() != nil || fault.Is(err, fault.Unknown) {
+				return fault.Pass(err, "chunk at %d", len(body))
+			}
+			continue
+		}
+		body = append(body, c.Data...)
+		if int64(len(body)) == snap.Size && xxhash.Sum64(body) != c.Sum {
+			return fault.New(fault.Damaged, "snapshot %d fails its check", snap.Number)
+		}
+	}
+	st, err := state.Decode(body)
+	if err != nil {
+		return fault.Pass(err, "snapshot %d", snap.Number)
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if st.Index <= r.st.Index {
+		return fault.New(fault.Stale, "snapshot at %d is behind the replica at %d", st.Index, r.st.Index)
+	}
+	r.st.Watch = nil
+	r.st = st
+	st.Watch = r.watch
+	r.Snapshots++
+	r.Bytes += uint64(len(body))
+	if r.reset != nil {
+		r.reset(st)
+	}
+	close(r.moved)
+	r.moved = make(chan struct{})
+	return nil
+}
+
+// Run pulls until ctx ends. After a fault it backs off for a while.
+func (r *Replica) Run(ctx context.Context, core Core, clock alarm.Clock, node string, tell func(error)) {
+	for ctx.Err() == nil {
+		if err := r.Pull(ctx, core, node, time.Second); err != nil {
+			if ctx.Err() != nil {
+				return
+			}
+			tell(err)
+			woken := make(chan struct{})
+			ring := clock.Set(100*time.Millisecond, func() { close(woken) })
+			select {
+			case <-woken:
+			case <-ctx.Done():
+				ring.Stop()
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/operator/operator.go
@@ -0,0 +1,130 @@
+// Package operator answers the operators' API at a cplane. Any cplane answers: orders go to the leader, reads
+// are as new as the call.
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"slices"
+
+	"crosstide/internal/fault"
+	"crosstide/internal/pair"
+	"crosstide/internal/quorum"
+	"crosstide/internal/state"
+	"crosstide/internal/state/command"
+	"crosstide/internal/state/query"
+	"crosstide/internal/wire"
+)
+
+// Store is what the API needs of the control store.
+type Store interface {
+	// Order commits a command at the leader, wherever that is, and gives its answer.
+	Order(ctx context.Context, c command.Command) (json.RawMessage, error)
+	// Read looks at a state that has all that was committed before the call.
+	Read(ctx context.Context, read func(*state.State)) error
+	Status() pair.StatusAnswer
+}
+
+const maxBody = 64 << 10
+
+// Order is the body of every order. The same id with the same content is carried out once and answered alike.
+type Order struct {
+	Order string `json:"order"`
+}
+
+// Minions is the answer of GET /v1/minions.
+type Minions struct {
+	Minions []query.MinionView `json:"minions"`
+}
+
+// Who is the answer of GET /v1/who: the names of the holders, "" if there is none, and the members of the store.
+type Who struct {
+	Store     string             `json:"store"`
+	Sched     string             `json:"sched"`
+	Members   []quorum.Member    `json:"members"`
+	Evacuated []string           `json:"evacuated,omitempty"`
+	Status    *pair.StatusAnswer `json:"status,omitempty"` // of the cplane that answers
+}
+
+// Serve adds the routes:
+//
+//	POST /v1/zones/{zone}/evacuate  {"order":"id"}   no new starts there, what runs is stopped
+//	POST /v1/zones/{zone}/lift      {"order":"id"}
+//	POST /v1/minions/{name}/drain   {"order":"id"}   no new starts on it
+//	POST /v1/minions/{name}/open    {"order":"id"}
+//	POST /v1/minions/{name}/retire  {"order":"id"}   it must be empty
+//	GET  /v1/minions
+//	GET  /v1/who
+//
+// Faults: Malformed, Invalid, Unknown, Conflict, Pressure, Unavailable, Timeout (send the same order again).
+func Serve(srv *wire.Server, s Store, name func(id string) string) {
+	order := func(pattern string, make func(r *http.Request, id string) command.Command) {
+		srv.Route("POST "+pattern, func(w http.ResponseWriter, r *http.Request) {
+			answer, err := take(r, s, make)
+			if err != nil {
+				wire.WriteFault(w, err)
+				return
+			}
+			wire.WriteJSON(w, http.StatusOK, answer)
+		})
+	}
+	order("/v1/zones/{zone}/evacuate", func(r *http.Request, id string) command.Command {
+		return &command.Zone{Order: id, Zone: r.PathValue("zone"), Out: true}
+	})
+	order("/v1/zones/{zone}/lift", func(r *http.Request, id string) command.Command {
+		return &command.Zone{Order: id, Zone: r.PathValue("zone")}
+	})
+	order("/v1/minions/{name}/drain", func(r *http.Request, id string) command.Command {
+		return &command.Close{Order: id, Minion: r.PathValue("name"), Closed: true}
+	})
+	order("/v1/minions/{name}/open", func(r *http.Request, id string) command.Command {
+		return &command.Close{Order: id, Minion: r.PathValue("name")}
+	})
+	order("/v1/minions/{name}/retire", func(r *http.Request, id string) command.Command {
+		return &command.Close{Order: id, Minion: r.PathValue("name"), Retire: true}
+	})
+	srv.Route("GET /v1/minions", func(w http.ResponseWriter, r *http.Request) {
+		var out Minions
+		if err := s.Read(r.Context(), func(st *state.State) { out.Minions = query.Minions(st) }); err != nil {
+			wire.WriteFault(w, err)
+			return
+		}
+		wire.WriteJSON(w, http.StatusOK, out)
+	})
+	srv.Route("GET /v1/who", func(w http.ResponseWriter, r *http.Request) {
+		var out Who
+		err := s.Read(r.Context(), func(st *state.State) {
+			if d := st.Duties["sched"]; d != nil {
+				out.Sched = d.Holder
+			}
+			for zone := range st.Evacuated {
+				out.Evacuated = append(out.Evacuated, zone)
+			}
+			slices.Sort(out.Evacuated)
+		})
+		if err != nil {
+			wire.WriteFault(w, err)
+			return
+		}
+		status := s.Status()
+		out.Store, out.Members, out.Status = name(status.Quorum.Leader), status.Quorum.Members, &status
+		wire.WriteJSON(w, http.StatusOK, out)
+	})
+}
+
+func take(r *http.Request, s Store, make func(r *http.Request, id string) command.Command) (json.RawMessage, error) {
+	raw, err := wire.ReadBody(r, maxBody)
+	if err != nil {
+		return nil, fault.Pass(err, "order")
+	}
+	var body Order
+	if err := json.Unmarshal(raw, &body); err != nil {
+		return nil, fault.Wrap(err, fault.Malformed, "the body must be {\"order\":\"id\"}")
+	}
+	if body.Order == "" || len(body.Order) > 200 {
+		return nil, fault.Field(fault.Invalid, "order", "must be 1 to 200 bytes, is %d", len(body.Order))
+	}
+	answer, err := s.Order(r.Context(), make(r, body.Order))
+	return answer, fault.Pass(err, "order %s", body.Order)
+}
--- /dev/null
+++ b/internal/pair/core.go
@@ -0,0 +1,133 @@
+package pair
+
+import (
+	"encoding/json"
+	"time"
+
+	"crosstide/internal/quorum"
+	"crosstide/internal/wire"
+)
+
+// Quorum carries replication messages between cplanes. The answer says only that they arrived.
+var Quorum = wire.Pair[QuorumCall, QuorumAnswer]{Path: "/x/quorum"}
+
+// QuorumCall is a batch of messages in order.
+type QuorumCall struct {
+	From     string           `json:"from"`
+	Messages []quorum.Message `json:"m"`
+}
+
+// QuorumAnswer is empty.
+type QuorumAnswer struct{}
+
+// Propose commits one command. Only the leader takes it (fault.NotLeader with its address as hint). The answer
+// comes after the command was applied; a fault of the command's own is the answer's error.
+var Propose = wire.Pair[ProposeCall, ProposeAnswer]{Path: "/x/propose"}
+
+// ProposeCall is a command of package command: its op and its JSON.
+type ProposeCall struct {
+	Op   string          `json:"op"`
+	Body json.RawMessage `json:"c"`
+}
+
+// ProposeAnswer is the index of the command's entry and the command's answer.
+type ProposeAnswer struct {
+	Index  uint64          `json:"index"`
+	Answer json.RawMessage `json:"answer,omitempty"`
+}
+
+// Confirm asks the leader for an index that any earlier commit is at or below: a state at or past it is as new
+// as the call.
+var Confirm = wire.Pair[ConfirmCall, ConfirmAnswer]{Path: "/x/confirm"}
+
+// ConfirmCall is empty.
+type ConfirmCall struct{}
+
+// ConfirmAnswer is the index.
+type ConfirmAnswer struct {
+	Index uint64 `json:"index"`
+}
+
+// Follow gives committed changes past the caller's vector, from any cplane; waits up to Wait for the first.
+var Follow = wire.Pair[FollowCall, FollowAnswer]{Path: "/x/follow"}
+
+// FollowCall names, for each source, the version the caller has.
+type FollowCall struct {
+	Node   string            `json:"node"`
+	Vector map[string]uint64 `json:"vector"` // source to version; the store's source is "store", its version the log index
+	Wait   time.Duration     `json:"wait"`
+	Max    int               `json:"max"` // bytes of changes, about
+}
+
+// FollowAnswer carries what the caller lacks of each source.
+type FollowAnswer struct {
+	Lacks map[string]Lack `json:"lacks,omitempty"`
+}
+
+// Lack is a run of changes, or a snapshot to begin with where the changes are gone.
+type Lack struct {
+	Snapshot *Snapshot      `json:"snapshot,omitempty"`
+	Changes  []quorum.Entry `json:"changes,omitempty"`
+}
+
+// Snapshot names a snapshot to be fetched in chunks.
+type Snapshot struct {
+	Number uint64 `json:"number"` // of the slot
+	Index  uint64 `json:"index"`
+	Term   uint64 `json:"term"`
+	Size   int64  `json:"size"`
+}
+
+// Chunk fetches a part of a snapshot, so that a cut in the middle costs no more than the part.
+var Chunk = wire.Pair[ChunkCall, ChunkAnswer]{Path: "/x/chunk"}
+
+// ChunkCall wants Max bytes from From on of slot Number (0: the newest).
+type ChunkCall struct {
+	Number uint64 `json:"number"`
+	From   int64  `json:"from"`
+	Max    int    `json:"max"`
+}
+
+// ChunkAnswer is the part, with what slot it is of. Sum is xxhash64 of the whole body.
+type ChunkAnswer struct {
+	Snapshot
+	Meta json.RawMessage `json:"meta"` // quorum.Meta of the slot
+	Data []byte          `json:"data"`
+	Sum  uint64          `json:"sum"`
+}
+
+// Duty claims or renews a duty. Only the leader answers.
+var Duty = wire.Pair[DutyCall, DutyAnswer]{Path: "/x/duty"}
+
+// DutyCall is sent by every candidate again and again. Epoch is the caller's own grant, 0 if it has none.
+type DutyCall struct {
+	Duty   string `json:"duty"`
+	Holder string `json:"holder"`
+	Addr   string `json:"addr"`
+	Boot   string `json:"boot"`
+	Epoch  uint64 `json:"epoch"`
+	GiveUp bool   `json:"give_up,omitempty"`
+}
+
+// DutyAnswer tells who holds the duty. If Mine, the lease runs for Lease from the moment the call was sent.
+type DutyAnswer struct {
+	Mine   bool          `json:"mine"`
+	Epoch  uint64        `json:"epoch"`
+	Holder string        `json:"holder"`
+	Addr   string        `json:"addr"`
+	Lease  time.Duration `json:"lease"`
+}
+
+// Status tells how a cplane stands.
+var Status = wire.Pair[StatusCall, StatusAnswer]{Path: "/x/status"}
+
+// StatusCall is empty.
+type StatusCall struct{}
+
+// StatusAnswer is what `who` prints and what the drill waits for.
+type StatusAnswer struct {
+	Quorum  quorum.Status         `json:"quorum"`
+	Applied uint64                `json:"applied"`
+	Ready   bool                  `json:"ready"`
+	Duties  map[string]DutyAnswer `json:"duties"`
+}
--- /dev/null
+++ b/internal/pair/hold.go
@@ -0,0 +1,117 @@
+// Package pair holds the calls between crosstide's processes and their answers, as pairs of types.
+package pair
+
+import (
+	"encoding/json"
+	"time"
+
+	"crosstide/internal/wire"
+)
+
+// Hold is the call of the holder of sched to a minion: POST /v1/hold at the minion's address.
+//
+// Two connections lead to a minion. One carries calls without starts, which the minion may keep waiting up to
+// Wait until there is something to say. The other carries calls with starts, one at a time, in ticket order,
+// answered at once. The arrival of any call ends the wait of an older one. An answer names its call; the holder
+// drops an answer that is older than one it has already taken in.
+var Hold = wire.Pair[HoldCall, HoldAnswer]{Path: "/v1/hold"}
+
+// HoldCall tells a minion what to start, stop and forget. All clock values are readings of the minion's own
+// clock (HoldAnswer.Clock), in nanoseconds.
+type HoldCall struct {
+	Call   uint64        `json:"call"`            // goes up with every call to this minion under Epoch
+	Epoch  uint64        `json:"epoch"`           // of the duty sched; a minion that has seen a newer one refuses all
+	Minion string        `json:"minion"`          // whom the holder believes it is talking to
+	Boot   string        `json:"boot,omitempty"`  // the boot the holder knows; starts are void under another
+	Until  time.Duration `json:"until,omitempty"` // runs of Renew may go on until the minion's clock shows this
+	Renew  []uint64      `json:"renew,omitempty"` // tickets whose hold is renewed up to Until
+	Starts []StartOrder  `json:"starts,omitempty"`
+	Stops  []StopOrder   `json:"stops,omitempty"`
+	Acked  []uint64      `json:"acked,omitempty"` // ends that are durable: need not be listed any more
+	Floor  uint64        `json:"floor,omitempty"` // tickets at or below it that were not started are void
+	Wait   time.Duration `json:"wait,omitempty"`  // how long the answer may wait for something to say
+}
+
+// StartOrder starts one run. It is never sent twice.
+type StartOrder struct {
+	Ticket uint64            `json:"ticket"`
+	Job    string            `json:"job"`
+	Step   string            `json:"step"`
+	Task   int               `json:"task"`
+	Type   string            `json:"type"`
+	Queue  string            `json:"queue"`
+	Cores  int               `json:"cores"`
+	GPUs   int               `json:"gpus,omitempty"`
+	Labels map[string]string `json:"labels,omitempty"`
+	Run    json.RawMessage   `json:"run,omitempty"`
+	Void   time.Duration     `json:"void"`  // not to be started once the minion's clock is past it
+	Until  time.Duration     `json:"until"` // the first hold: not to run past it unless renewed
+}
+
+// StopOrder stops a run. It may be sent again.
+type StopOrder struct {
+	Ticket uint64 `json:"ticket"`
+	Why    string `json:"why"`
+}
+
+// HoldAnswer lists all that runs and all ends not yet acknowledged.
+type HoldAnswer struct {
+	Call     uint64            `json:"call"`
+	Epoch    uint64            `json:"epoch"` // the newest the minion has seen
+	Boot     string            `json:"boot"`
+	Clock    time.Duration     `json:"clock"` // the minion's own clock, counting suspension; starts anew with a boot
+	Seen     uint64            `json:"seen"`  // the highest ticket that came in an order
+	Floor    uint64            `json:"floor"` // the highest floor it was told
+	Running  []uint64          `json:"running,omitempty"`
+	Ended    []EndNote         `json:"ended,omitempty"`
+	Refused  []RefuseNote      `json:"refused,omitempty"` // of the starts of this very call
+	Kind     string            `json:"kind"`              // obey or check
+	Zone     string            `json:"zone"`
+	Rack     string            `json:"rack,omitempty"`
+	Labels   map[string]string `json:"labels,omitempty"`
+	Cores    int               `json:"cores"`
+	GPUs     int               `json:"gpus,omitempty"`
+	Draining bool              `json:"draining,omitempty"`
+}
+
+// How a run ended.
+const (
+	EndWell  = "ok"
+	EndFault = "fault"
+	EndStop  = "stop"  // stopped on an order
+	EndLapse = "lapse" // its hold lapsed
+)
+
+// EndNote is the end of a run; it is listed until it is acknowledged.
+type EndNote struct {
+	Ticket uint64 `json:"ticket"`
+	How    string `json:"how"`
+	Reason string `json:"reason,omitempty"`
+}
+
+// RefuseNote says why a start of this call was refused; a refused ticket will never run.
+type RefuseNote struct {
+	Ticket uint64 `json:"ticket"`
+	Why    string `json:"why"` // epoch, boot, ticket, floor, late, room, label, drain
+}
+
+// Minions is a minion's announcement to any dplane: POST /v1/minions. It is repeated every few seconds.
+var Minions = wire.Pair[MinionCall, MinionAnswer]{Path: "/v1/minions"}
+
+// MinionCall says where a minion is and what it is.
+type MinionCall struct {
+	Name   string            `json:"name"`
+	Addr   string            `json:"addr"`
+	Boot   string            `json:"boot"`
+	Kind   string            `json:"kind"`
+	Zone   string            `json:"zone"`
+	Rack   string            `json:"rack,omitempty"`
+	Labels map[string]string `json:"labels,omitempty"`
+	Cores  int               `json:"cores"`
+	GPUs   int               `json:"gpus,omitempty"`
+}
+
+// MinionAnswer tells how long to wait before announcing again.
+type MinionAnswer struct {
+	Again time.Duration `json:"again"`
+}
--- /dev/null
+++ b/internal/pair/join.go
@@ -0,0 +1,49 @@
+package pair
+
+import (
+	"time"
+
+	"crosstide/internal/wire"
+)
+
+// Found is asked by a cplane with an empty folder, before it takes part in anything: is there a fleet already?
+var Found = wire.Pair[FoundCall, FoundAnswer]{Path: "/x/found"}
+
+// FoundCall names the asker. Boot is drawn anew by each process.
+type FoundCall struct {
+	Name string `json:"name"`
+	Boot string `json:"boot"`
+}
+
+// FoundAnswer tells how the asked one stands.
+type FoundAnswer struct {
+	ID    string `json:"id"` // in the quorum; "" while it has none
+	Boot  string `json:"boot"`
+	Fresh bool   `json:"fresh"` // its folder is empty, or founded and without any vote or entry yet
+	// Commit is the highest index it knows to be committed; 1 is the founding itself.
+	Commit uint64 `json:"commit"`
+	// Founders are the boots of the others, by name, that told it they were fresh before it founded. A process
+	// that finds its own boot here has no earlier life in this fleet.
+	Founders map[string]string `json:"founders,omitempty"`
+	Digest   string            `json:"digest"` // of the members in its settings
+}
+
+// Join asks the leader to take a node with an empty folder in: as a learner, then, once it has caught up, as a
+// voter in place of the older member of its name. Each call moves it one step at most; it is sent again and
+// again until the answer says Voter.
+var Join = wire.Pair[JoinCall, JoinAnswer]{Path: "/x/join"}
+
+// JoinCall is the node. ID is Name, "~" and the incarnation of its folder.
+type JoinCall struct {
+	ID   string `json:"id"`
+	Name string `json:"name"`
+	Addr string `json:"addr"`
+	Zone string `json:"zone"`
+}
+
+// JoinAnswer tells how far it is.
+type JoinAnswer struct {
+	Learner bool          `json:"learner"`
+	Voter   bool          `json:"voter"`
+	Again   time.Duration `json:"again"` // when to ask next
+}
--- /dev/null
+++ b/internal/plane/node.go
@@ -0,0 +1,375 @@
+// Package plane is the runtime of a dplane: the replica of the store, the way to the cplanes, the duty sched with
+// its calls to the minions, and what the consumer API asks of the node.
+package plane
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
+	"crosstide/internal/alarm"
+	"crosstide/internal/fault"
+	"crosstide/internal/follow"
+	"crosstide/internal/pair"
+	"crosstide/internal/sched"
+	"crosstide/internal/spawn"
+	"crosstide/internal/state"
+	"crosstide/internal/state/command"
+	"crosstide/internal/wire"
+)
+
+// Options are what a node is made of.
+type Options struct {
+	Name, Addr, Boot string
+	Core             []string // cplane addresses
+	Sched            sched.Config
+	CallTimeout      time.Duration // of a call to a cplane, and of a minion's answer past its wait
+	Backlog          int           // bound of the inbox
+	Clock            alarm.Clock
+	Logger           log.Logger
+	Caller           *wire.Caller // to cplanes
+	Minions          *wire.Caller // to minions: with TCP_USER_TIMEOUT well inside the lease's margin
+}
+
+// Node is one dplane.
+type Node struct {
+	opt     Options
+	core    *core
+	replica *follow.Replica
+	sched   *sched.Core // under the replica's lock
+	group   *spawn.Group
+	kick    chan struct{}
+	fresh   confirmer
+
+	mu        sync.Mutex
+	lines     map[string]*lines
+	confirmed time.Duration // when an index was last confirmed and reached
+	granted   uint64        // epoch of the own grant, 0 if none
+	stopping  bool
+}
+
+// lines are the two connections to a minion.
+type lines struct {
+	addr        string
+	wait, order *wire.Line
+}
+
+// New makes a node; Start sets it going.
+func New(opt Options) *Node {
+	n := &Node{opt: opt, kick: make(chan struct{}, 1), lines: map[string]*lines{}}
+	n.core = &core{caller: opt.Caller, within: opt.CallTimeout, addrs: opt.Core}
+	n.replica = follow.New(func(note state.Note) { n.sched.Note(note); n.wake() }, func(st *state.State) {
+		n.sched.Reset(opt.Clock.Now(), st)
+	})
+	st := n.replica.Lock()
+	n.sched = sched.New(opt.Sched, st)
+	n.replica.Unlock()
+	n.fresh.node, n.fresh.work = n, make(chan struct{}, 1)
+	return n
+}
+
+// Start sets the node's loops going.
+func (n *Node) Start(ctx context.Context) {
+	n.group = spawn.New(ctx)
+	n.group.Go(func(ctx context.Context) {
+		n.replica.Run(ctx, n.core, n.opt.Clock, n.opt.Name, func(err error) {
+			_ = level.Debug(n.opt.Logger).Log("msg", "pull failed", "err", err)
+		})
+	})
+	n.group.Go(n.duty)
+	n.group.Go(n.passes)
+	n.group.Go(n.fresh.run)
+}
+
+// Leave makes the node unready and lays the duty down, so that another node can take it up at once.
+func (n *Node) Leave(ctx context.Context) {
+	n.mu.Lock()
+	n.stopping = true
+	epoch := n.granted
+	n.mu.Unlock()
+	if epoch == 0 {
+		return
+	}
+	n.replica.Lock()
+	n.sched.Yield()
+	n.replica.Unlock()
+	if _, err := toLeader(ctx, n.core, n, pair.Duty, n.claim(epoch, true), n.opt.CallTimeout, true); err != nil {
+		_ = level.Warn(n.opt.Logger).Log("msg", "giving the duty up failed, its lease will run out", "err", err)
+	}
+}
+
+// Stop ends the loops.
+func (n *Node) Stop() { n.group.Stop() }
+
+// pause waits for d or for the end of ctx (fault.Timeout).
+func (n *Node) pause(ctx context.Context, d time.Duration) error {
+	woken := make(chan struct{})
+	ring := n.opt.Clock.Set(d, func() { close(woken) })
+	select {
+	case <-woken:
+		return nil
+	case <-ctx.Done():
+		ring.Stop()
+		return fault.Wrap(ctx.Err(), fault.Timeout, "over while pausing")
+	}
+}
+
+func (n *Node) claim(epoch uint64, giveUp bool) pair.DutyCall {
+	return pair.DutyCall{Duty: "sched", Holder: n.opt.Name, Addr: n.opt.Addr, Boot: n.opt.Boot, Epoch: epoch, GiveUp: giveUp}
+}
+
+// duty claims or renews the duty again and again. The lease counts from before the call was sent.
+func (n *Node) duty(ctx context.Context) {
+	for ctx.Err() == nil {
+		n.mu.Lock()
+		epoch, stopping := n.granted, n.stopping
+		n.mu.Unlock()
+		if stopping {
+			return
+		}
+		sent := n.opt.Clock.Now()
+		a, err := toLeader(ctx, n.core, n, pair.Duty, n.claim(epoch, false), n.opt.CallTimeout/2, true)
+		switch {
+		case err != nil:
+			_ = level.Debug(n.opt.Logger).Log("msg", "claiming the duty failed", "err", err)
+		case a.Mine:
+			if err := n.take(ctx, a, sent); err != nil {
+				_ = level.Warn(n.opt.Logger).Log("msg", "granted, but not rebuilt yet", "epoch", a.Epoch, "err", err)
+			}
+		default:
+			n.lose(a)
+		}
+		if n.pause(ctx, 300*time.Millisecond) != nil {
+			return
+		}
+	}
+}
+
+// take makes a grant good: the replica is followed up to the grant's index first, then tallies are rebuilt.
+func (n *Node) take(ctx context.Context, a pair.DutyAnswer, sent time.Duration) error {
+	n.mu.Lock()
+	n.granted = a.Epoch
+	n.mu.Unlock()
+	reach, cancel := context.WithTimeout(ctx, n.opt.CallTimeout)
+	defer cancel()
+	if err := n.replica.Reach(reach, a.Epoch); err != nil {
+		return fault.Pass(err, "grant %d", a.Epoch)
+	}
+	st := n.replica.Lock()
+	defer n.replica.Unlock()
+	if d := st.Duties["sched"]; d == nil || d.Epoch != a.Epoch || d.Boot != n.opt.Boot {
+		return fault.New(fault.Stale, "grant %d is over", a.Epoch)
+	}
+	if n.sched.Epoch() != a.Epoch {
+		n.sched.Lead(n.opt.Clock.Now(), a.Epoch)
+		_ = level.Info(n.opt.Logger).Log("msg", "took up sched", "epoch", a.Epoch, "handles", len(st.Handles), "backlog", n.sched.Backlog())
+	}
+	n.sched.Lease(sent + a.Lease)
+	n.wake()
+	return nil
+}
+
+func (n *Node) lose(a pair.DutyAnswer) {
+	n.mu.Lock()
+	had := n.granted
+	n.granted = 0
+	n.mu.Unlock()
+	if had == 0 {
+		return
+	}
+	n.replica.Lock()
+	n.sched.Yield()
+	n.replica.Unlock()
+	_ = level.Info(n.opt.Logger).Log("msg", "lost sched", "epoch", had, "holder", a.Holder, "now", a.Epoch)
+}
+
+// wake asks for a pass soon.
+func (n *Node) wake() {
+	select {
+	case n.kick <- struct{}{}:
+	default:
+	}
+}
+
+// passes runs the passes when something came in, and every few milliseconds in any case.
+func (n *Node) passes(ctx context.Context) {
+	for ctx.Err() == nil {
+		ring := n.opt.Clock.Set(20*time.Millisecond, n.wake)
+		select {
+		case <-n.kick:
+			ring.Stop()
+		case <-ctx.Done():
+			ring.Stop()
+			return
+		}
+		n.replica.Lock()
+		out := n.sched.Pass(n.opt.Clock.Now())
+		n.replica.Unlock()
+		if out.Plan != nil {
+			n.group.Go(func(ctx context.Context) { n.commit(ctx, out.Plan) })
+		}
+		for _, call := range out.Calls {
+			n.group.Go(func(ctx context.Context) { n.send(ctx, call) })
+		}
+	}
+}
+
+// commit proposes a plan once and brings the answer to the core after the replica has reached it.
+func (n *Node) commit(ctx context.Context, plan *command.Plan) {
+	a, err := n.core.propose(ctx, n, plan, false)
+	var done command.Planned
+	if err == nil {
+		reach, cancel := context.WithTimeout(ctx, n.opt.CallTimeout)
+		err = n.replica.Reach(reach, a.Index)
+		cancel()
+	}
+	if err == nil {
+		err = fault.Wrap(json.Unmarshal(a.Answer, &done), fault.Malformed, "the answer to a plan")
+	}
+	if err != nil {
+		_ = level.Warn(n.opt.Logger).Log("msg", "a plan failed", "epoch", plan.Epoch, "err", err)
+		_ = n.pause(ctx, 20*time.Millisecond)
+	}
+	n.replica.Lock()
+	n.sched.Planned(n.opt.Clock.Now(), plan.Epoch, done, err)
+	n.replica.Unlock()
+	n.wake()
+}
+
+// line gives the connection for a call.
+func (n *Node) line(c sched.CallOut) *wire.Line {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	l := n.lines[c.Minion]
+	if l == nil || l.addr != c.Addr {
+		if l != nil {
+			l.wait.Close()
+			l.order.Close()
+		}
+		l = &lines{addr: c.Addr, wait: wire.NewLine(n.opt.Minions, c.Addr), order: wire.NewLine(n.opt.Minions, c.Addr)}
+		n.lines[c.Minion] = l
+	}
+	if c.Order {
+		return l.order
+	}
+	return l.wait
+}
+
+// send makes one hold call. Immediately before its bytes are written the lease is checked again, and for starts
+// the window; nothing is written after that.
+func (n *Node) send(ctx context.Context, c sched.CallOut) {
+	check := func() error {
+		now := n.opt.Clock.Now()
+		n.replica.Lock()
+		live := n.sched.Live(now) && n.sched.Epoch() == c.Call.Epoch
+		n.replica.Unlock()
+		if !live {
+			return fault.New(fault.Stale, "the duty's lease is over")
+		}
+		if c.Before > 0 && now >= c.Before {
+			return fault.New(fault.Stale, "the window of these starts is over")
+		}
+		return nil
+	}
+	a, err := wire.AskLine(ctx, n.line(c), pair.Hold, c.Call, c.Call.Wait+n.opt.CallTimeout/2, check)
+	now := n.opt.Clock.Now()
+	n.replica.Lock()
+	if err != nil {
+		n.sched.Fault(now, c.Minion, c.Order, c.Call, !wire.Unsent(err))
+	} else {
+		n.sched.Answer(now, c.Minion, c.Order, c.Call, a)
+	}
+	n.replica.Unlock()
+	if err != nil {
+		_ = level.Debug(n.opt.Logger).Log("msg", "a hold call failed", "minion", c.Minion, "call", c.Call.Call, "starts", len(c.Call.Starts), "err", err)
+	}
+	n.wake()
+}
+
+// Propose commits a command that may be repeated (submit, cancel, announce) and gives its answer.
+func (n *Node) Propose(ctx context.Context, c command.Command) (json.RawMessage, error) {
+	a, err := n.core.propose(ctx, n, c, true)
+	if err != nil {
+		return nil, fault.Pass(err, "commit")
+	}
+	return a.Answer, nil
+}
+
+// Read runs do on a state that is at least as new as the call; fault.Unavailable when that cannot be confirmed.
+func (n *Node) Read(ctx context.Context, do func(s *state.State) error) error {
+	index, err := n.fresh.index(ctx)
+	if err != nil {
+		return fault.Wrap(err, fault.Unavailable, "cannot confirm the state")
+	}
+	if err := n.replica.Reach(ctx, index); err != nil {
+		return fault.Pass(err, "read at %d", index)
+	}
+	n.replica.View(func(s *state.State) { err = do(s) })
+	return fault.Pass(err, "read")
+}
+
+// Backlog is the bound of the inbox.
+func (n *Node) Backlog() int { return n.opt.Backlog }
+
+// Ready says why the node could not serve now; nil if it could.
+func (n *Node) Ready() error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	switch age := n.opt.Clock.Now() - n.confirmed; {
+	case n.stopping:
+		return fault.New(fault.Stopped, "stopping")
+	case n.confirmed == 0:
+		return fault.New(fault.Unavailable, "the replica is not confirmed yet")
+	case age > 3*time.Second:
+		return fault.New(fault.Unavailable, "the replica was last confirmed %s ago", age.Round(time.Millisecond))
+	}
+	return nil
+}
+
+// Figures are what the node shows of itself.
+type Figures struct {
+	Index, Changes, Bytes, Snapshots uint64
+	Phase                            sched.Phase
+	Epoch                            uint64
+	Backlog                          int
+	Counts                           sched.Counts
+	Tallies                          map[string]int
+	Jobs, Handles, Minions, Inbox    int
+}
+
+// Figures gives a snapshot of the node's figures.
+func (n *Node) Figures() Figures {
+	st := n.replica.Lock()
+	defer n.replica.Unlock()
+	f := Figures{Index: st.Index, Changes: n.replica.Changes, Bytes: n.replica.Bytes, Snapshots: n.replica.Snapshots,
+		Phase: n.sched.Phase(), Epoch: n.sched.Epoch(), Backlog: n.sched.Backlog(), Counts: n.sched.Counts, Tallies: st.Tallies(),
+		Jobs: len(st.Jobs), Handles: len(st.Handles), Minions: len(st.Minions), Inbox: len(st.Inbox)}
+	f.Counts.Dead = map[string]uint64{}
+	for k, v := range n.sched.Counts.Dead {
+		f.Counts.Dead[k] = v
+	}
+	return f
+}
+
+// Announce makes a minion known to the store, if it is not known as it is.
+func (n *Node) Announce(ctx context.Context, c pair.MinionCall) (pair.MinionAnswer, error) {
+	answer := pair.MinionAnswer{Again: 3 * time.Second}
+	if c.Name == "" || c.Addr == "" {
+		return answer, fault.Field(fault.Invalid, "name", "a minion needs a name and an address")
+	}
+	known := false
+	n.replica.View(func(s *state.State) {
+		m := s.Minions[c.Name]
+		known = m != nil && m.Addr == c.Addr
+	})
+	if known {
+		return answer, nil
+	}
+	_, err := n.Propose(ctx, &command.Announce{Minion: state.Minion{Name: c.Name, Addr: c.Addr, Kind: c.Kind, Zone: c.Zone,
+		Rack: c.Rack, Labels: c.Labels, Cores: c.Cores, GPUs: c.GPUs}})
+	return answer, fault.Pass(err, "announce %s", c.Name)
+}
--- /dev/null
+++ b/internal/quorum/quorum_test.go
@@ -0,0 +1,558 @@
+package quorum
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"crosstide/internal/fault"
+)
+
+// batch is one Ready, or a cut of the stored log, on its way to the disk.
+type batch struct {
+	due time.Duration
+	r   Ready
+	cut uint64
+}
+
+type node struct {
+	core    *Core
+	id      string
+	disk    Boot
+	queue   []batch
+	zero    time.Duration // its clock at world time 0
+	slow    time.Duration // least time of a sync
+	applied uint64
+	down    bool
+}
+
+type flight struct {
+	at  time.Duration
+	msg Message
+}
+
+// world runs nodes under a virtual clock and checks them at every step.
+type world struct {
+	rnd       *rand.Rand
+	now       time.Duration
+	nodes     []*node
+	net       []flight
+	side      map[string]int // partition
+	loss      float64
+	committed []Entry // from index 2 on
+	leaders   map[uint64]string
+	reads     int
+	faults    []string
+}
+
+func (w *world) fail(f string, a ...any) { w.faults = append(w.faults, fmt.Sprintf(f, a...)) }
+
+func team(ids ...string) (ms []Member) {
+	for _, id := range ids {
+		ms = append(ms, Member{ID: id, Addr: id})
+	}
+	return ms
+}
+
+func newWorld(seed uint64, founders ...string) *world {
+	w := &world{rnd: rand.New(rand.NewPCG(seed, 1)), side: map[string]int{}, leaders: map[uint64]string{}}
+	for _, id := range founders {
+		w.join(id, Founding(team(founders...)))
+	}
+	return w
+}
+
+func (w *world) join(id string, b Boot) *node {
+	n := &node{id: id, disk: b, zero: time.Duration(w.rnd.Int64N(int64(time.Hour)))}
+	w.nodes = append(w.nodes, n)
+	w.boot(n)
+	return n
+}
+
+func (w *world) boot(n *node) {
+	var err error
+	n.core, err = New(Config{ID: n.id, Seed: w.rnd.Uint64(), MaxBytes: 200, MaxInflight: 4}, n.disk, w.now+n.zero)
+	if err != nil {
+		w.fail("boot %s: %v", n.id, err)
+		n.down = true
+		return
+	}
+	n.down, n.queue, n.applied = false, nil, n.disk.Snapshot.Index
+}
+
+func (w *world) get(id string) *node {
+	return w.nodes[slices.IndexFunc(w.nodes, func(n *node) bool { return n.id == id })]
+}
+
+func (w *world) send(ms []Message) {
+	for _, m := range ms {
+		for w.rnd.Float64() >= w.loss { // each copy is lost or doubled by the same chance
+			late := time.Duration(w.rnd.Int64N(int64(20 * time.Millisecond)))
+			if w.loss > 0 && w.rnd.IntN(50) == 0 {
+				late *= 100
+			}
+			w.net = append(w.net, flight{w.now + late, m})
+			if w.rnd.Float64() >= w.loss {
+				break
+			}
+		}
+	}
+}
+
+// meta describes the state after index i.
+func (w *world) meta(i uint64, base []Member) Meta {
+	m := Meta{Index: i, Term: 1, Members: base}
+	for _, e := range w.committed[:i-1] {
+		m.Term = e.Term
+		if e.Kind == Members {
+			f, _ := confOf(e)
+			m.Members = f.members
+		}
+	}
+	return m
+}
+
+func (w *world) pump(n *node) {
+	r := n.core.Ready()
+	w.send(r.Now)
+	for _, e := range r.Committed {
+		if n.applied++; e.Index != n.applied {
+			w.fail("%s applies %d after %d", n.id, e.Index, n.applied-1)
+		}
+		if at := int(e.Index) - 2; at == len(w.committed) {
+			w.committed = append(w.committed, e)
+		} else if at > len(w.committed) || w.committed[at].Term != e.Term || string(w.committed[at].Data) != string(e.Data) {
+			w.fail("%s commits another entry %d", n.id, e.Index)
+		}
+	}
+	if f := r.Fetch; f != nil && !w.get(f.From).down && w.side[f.From] == w.side[n.id] {
+		if m := w.get(f.From).disk.Snapshot; m.Index > r.Commit && w.rnd.IntN(4) > 0 {
+			n.queue = append(n.queue, batch{due: w.now, r: r})
+			w.sync(n, true)
+			n.disk.Snapshot, n.applied = m, m.Index
+			n.core.Installed(w.now+n.zero, m)
+			w.pump(n)
+			return
+		}
+	}
+	if r.Hard != nil || r.Reset || len(r.Append) > 0 || len(r.AfterSync) > 0 {
+		n.queue = append(n.queue, batch{due: w.now + n.slow + time.Duration(w.rnd.Int64N(int64(30*time.Millisecond))), r: r})
+	}
+	if s := n.disk.Snapshot; n.applied > s.Index+30 {
+		n.disk.Snapshot = w.meta(n.applied, s.Members)
+		n.core.SnapshotAt(n.disk.Snapshot)
+		n.core.Compact(n.applied - 10)
+		n.queue = append(n.queue, batch{due: w.now, cut: n.applied - 10})
+	}
+	term := n.core.hard.Term
+	if n.core.refused > 0 {
+		w.fail("%s refused a message", n.id)
+	}
+	if n.core.role == Leader {
+		if l := w.leaders[term]; l != "" && l != n.id {
+			w.fail("term %d is led by %s and %s", term, l, n.id)
+		}
+		w.leaders[term] = n.id
+	}
+	if at, ok := n.core.Confirmed(w.now + n.zero); ok {
+		if w.reads++; at < uint64(len(w.committed))+1 {
+			w.fail("%s confirms %d in term %d, committed is %d", n.id, at, term, len(w.committed)+1)
+		}
+	}
+}
+
+// sync brings what is due to the disk, in order.
+func (w *world) sync(n *node, all bool) {
+	for len(n.queue) > 0 && (all || n.queue[0].due <= w.now) {
+		b := n.queue[0]
+		n.queue = n.queue[1:]
+		if b.r.Hard != nil {
+			n.disk.Hard = *b.r.Hard
+		}
+		if b.r.Reset {
+			n.disk.Entries = nil
+		}
+		old := n.disk.Entries
+		if a := b.r.Append; len(a) > 0 {
+			old = slices.DeleteFunc(slices.Clone(old), func(e Entry) bool { return e.Index >= a[0].Index })
+			old = append(old, a...)
+			n.core.Synced(w.now+n.zero, a[len(a)-1].Index, a[len(a)-1].Term)
+		}
+		n.disk.Entries = slices.DeleteFunc(slices.Clone(old), func(e Entry) bool { return e.Index <= b.cut })
+		w.send(b.r.AfterSync)
+	}
+}
+
+// run lets time pass; do is called at each step.
+func (w *world) run(d time.Duration, do func()) {
+	const step = 20 * time.Millisecond
+	for end := w.now + d; w.now < end && len(w.faults) == 0; w.now += step {
+		due := w.net
+		w.net = nil
+		for _, f := range due {
+			if f.at > w.now {
+				w.net = append(w.net, f)
+				continue
+			}
+			i := slices.IndexFunc(w.nodes, func(n *node) bool { return n.id == f.msg.To })
+			if i >= 0 && !w.nodes[i].down && w.side[f.msg.From] == w.side[f.msg.To] {
+				w.nodes[i].core.Step(w.now+w.nodes[i].zero, f.msg)
+			}
+		}
+		for _, n := range w.nodes {
+			if !n.down {
+				n.core.Tick(w.now + n.zero)
+				w.sync(n, false)
+				w.pump(n)
+			}
+		}
+		if do != nil {
+			do()
+		}
+	}
+}
+
+// leader gives the leader of the newest term.
+func (w *world) leader() (out *node) {
+	for _, n := range w.nodes {
+		if !n.down && n.core.role == Leader && (out == nil || n.core.hard.Term > out.core.hard.Term) {
+			out = n
+		}
+	}
+	return out
+}
+
+func (w *world) propose() {
+	for _, n := range w.nodes {
+		if !n.down && n.core.role == Leader {
+			_, _, _ = n.core.Propose(w.now+n.zero, json.RawMessage(fmt.Sprintf(`"%s at %d"`, n.id, w.now)))
+		}
+	}
+}
+
+func (w *world) crash(n *node) { n.down, n.core = true, nil }
+
+// every runs f with each sequence of choices, f asks choose(n) for a number below n.
+func every(f func(choose func(n int) int)) (runs int) {
+	var picks, sizes []int
+	for {
+		at := 0
+		f(func(n int) int {
+			if at == len(picks) {
+				picks, sizes = append(picks, 0), append(sizes, n)
+			}
+			at++
+			return picks[at-1]
+		})
+		runs++
+		for len(picks) > 0 && picks[len(picks)-1] == sizes[len(sizes)-1]-1 {
+			picks, sizes = picks[:len(picks)-1], sizes[:len(sizes)-1]
+		}
+		if len(picks) == 0 {
+			return runs
+		}
+		picks[len(picks)-1]++
+	}
+}
+
+// order runs two candidates and an append among three nodes; the first choices are delivered or lost as chosen.
+func order(choose func(int) int, depth int) (bad string, led bool) {
+	w := newWorld(1, "a", "b", "c")
+	var pool []Message
+	drain := func() {
+		for _, n := range w.nodes {
+			r := n.core.Ready()
+			pool = append(append(pool, r.Now...), r.AfterSync...)
+			if a := r.Append; len(a) > 0 {
+				n.core.Synced(n.zero+3*time.Second, a[len(a)-1].Index, a[len(a)-1].Term)
+			}
+			term, leads := n.core.hard.Term, n.core.role == Leader
+			if l, ok := w.leaders[term]; leads && !ok {
+				w.leaders[term] = n.id
+				_, _, _ = n.core.Propose(n.zero+3*time.Second, json.RawMessage(`"`+n.id+`"`))
+			} else if leads && l != n.id {
+				bad = "two leaders in a term"
+			}
+		}
+	}
+	w.nodes[0].core.Tick(w.nodes[0].zero + 3*time.Second)
+	w.nodes[1].core.Tick(w.nodes[1].zero + 3*time.Second)
+	drain()
+	for step := 0; len(pool) > 0 && step < 200; step++ {
+		i := 0
+		if step < depth {
+			i = choose(min(len(pool), 4) + 1)
+		}
+		m := pool[i%min(len(pool), 4)]
+		lost := step < depth && i == min(len(pool), 4)
+		pool = slices.Delete(pool, i%min(len(pool), 4), i%min(len(pool), 4)+1)
+		if to := w.get(m.To); !lost {
+			to.core.Step(to.zero+3*time.Second, m)
+		}
+		drain()
+	}
+	for _, x := range w.nodes {
+		for _, y := range w.nodes {
+			match := false // from an entry of the same term down, all must be equal
+			for i := min(x.core.log.last(), y.core.log.last()); i > 1; i-- {
+				p, q := x.core.log.ents[i-2], y.core.log.ents[i-2]
+				match = match || p.Term == q.Term || i <= min(x.core.commit, y.core.commit)
+				if match && (p.Term != q.Term || string(p.Data) != string(q.Data)) {
+					bad = "logs differ"
+				}
+			}
+		}
+	}
+	return bad, len(w.leaders) > 0
+}
+
+func TestEveryOrder(t *testing.T) {
+	Convey("Every order and loss of the first messages of two campaigns keeps the rules", t, func() {
+		bad, led := "", 0
+		runs := every(func(choose func(int) int) {
+			b, ok := order(choose, 6)
+			if bad += b; ok {
+				led++
+			}
+		})
+		So(bad, ShouldEqual, "")
+		So(runs, ShouldBeGreaterThan, 10000)
+		So(led, ShouldBeGreaterThan, runs/4)
+	})
+}
+
+func TestNetwork(t *testing.T) {
+	Convey("Loss, doubles, delays, partitions and crashes never break the rules", t, func() {
+		entries, reads, terms := 0, 0, 0
+		for seed := range uint64(300) {
+			w := newWorld(seed, "a", "b", "c", "d", "e")
+			w.loss = float64(seed%4) * 0.05
+			w.run(16*time.Second, func() {
+				w.propose()
+				n := w.nodes[w.rnd.IntN(5)]
+				switch w.rnd.IntN(60) {
+				case 0:
+					if !n.down {
+						w.crash(n)
+					}
+				case 1, 2, 3:
+					if n.down {
+						w.boot(n)
+					}
+				case 4:
+					for _, n := range w.nodes {
+						w.side[n.id] = w.rnd.IntN(2)
+					}
+				case 5, 6:
+					clear(w.side)
+				case 7:
+					n.slow = time.Duration(w.rnd.IntN(2)) * 200 * time.Millisecond
+				case 8:
+					if l := w.leader(); l != nil {
+						_ = l.core.Handover(w.now+l.zero, n.id)
+					}
+				case 9: // take a voter out, or take one in again as a learner, or promote it
+					if l := w.leader(); l != nil {
+						next := slices.Clone(l.core.members())
+						if i := slices.IndexFunc(next, func(m Member) bool { return m.ID == n.id }); i < 0 || next[i].Learner {
+							next = append(slices.Delete(next, max(i, 0), max(i, 0)+min(i+1, 1)), Member{ID: n.id, Addr: n.id, Learner: i < 0})
+						} else if len(next) > 3 {
+							next = slices.Delete(next, i, i+1)
+						}
+						_, _, _ = l.core.ProposeMembers(w.now+l.zero, next)
+					}
+				}
+			})
+			clear(w.side)
+			w.loss = 0
+			for _, n := range w.nodes {
+				if n.slow = 0; n.down {
+					w.boot(n)
+				}
+			}
+			w.run(5*time.Second, nil)
+			before := len(w.committed)
+			w.propose()
+			w.run(time.Second, nil)
+			if len(w.committed) <= before {
+				w.fail("nothing is committed once all is well")
+			}
+			entries, reads, terms = entries+len(w.committed), reads+w.reads, terms+len(w.leaders)
+			if len(w.faults) > 0 {
+				So(fmt.Sprint("seed ", seed, ": ", w.faults), ShouldEqual, "")
+			}
+		}
+		So(entries, ShouldBeGreaterThan, 30000)
+		So(reads, ShouldBeGreaterThan, 30000)
+		So(terms, ShouldBeGreaterThan, 900)
+	})
+}
+
+func TestMembers(t *testing.T) {
+	Convey("A wiped machine comes back under a new ID as a learner and takes the old one's place", t, func() {
+		w := newWorld(7, "a", "b", "c")
+		w.run(5*time.Second, w.propose)
+		l := w.leader()
+		old := w.nodes[slices.IndexFunc(w.nodes, func(n *node) bool { return n != l })]
+		w.crash(old)
+		now := func() time.Duration { return w.now + l.zero }
+		_, _, err := l.core.ProposeMembers(now(), append(team("a", "b", "c"), Member{ID: "x", Addr: "x"}))
+		So(fault.Is(err, fault.Invalid), ShouldBeTrue)
+		_, _, err = l.core.ProposeMembers(now(), append(team("a", "b", "c"), Member{ID: "x", Addr: "x", Learner: true}))
+		So(err, ShouldBeNil)
+		_, _, err = l.core.ProposeMembers(now(), team("a", "b", "c"))
+		So(fault.Is(err, fault.Unavailable), ShouldBeTrue)
+		x := w.join("x", Boot{})
+		w.run(2*time.Second, nil)
+		So(x.core.Status().Voter, ShouldBeFalse)
+		So(x.applied, ShouldEqual, l.applied)
+		_, _, err = l.core.ProposeMembers(now(), team("a", "b", "c", "x"))
+		So(err, ShouldBeNil)
+		w.run(time.Second, nil)
+		So(x.core.Status().Voter, ShouldBeTrue)
+		rest := slices.DeleteFunc(team("a", "b", "c", "x"), func(m Member) bool { return m.ID == old.id })
+		_, _, err = l.core.ProposeMembers(now(), rest)
+		So(err, ShouldBeNil)
+		w.run(time.Second, nil)
+		So(l.core.Status().Members, ShouldResemble, rest)
+		w.crash(l) // the new one must carry the majority with the last
+		w.run(6*time.Second, nil)
+		So(w.leader(), ShouldNotBeNil)
+		So(w.faults, ShouldBeEmpty)
+	})
+	Convey("A wiped machine under its old ID never votes, also once it was told the members", t, func() {
+		w := newWorld(8, "a", "b", "c")
+		w.run(5*time.Second, w.propose)
+		l := w.leader()
+		i := slices.IndexFunc(w.nodes, func(n *node) bool { return n != l })
+		w.nodes[i].disk = Boot{}
+		w.boot(w.nodes[i])
+		w.run(time.Second, nil)
+		w.crash(l)
+		w.run(20*time.Second, nil) // a leader would need its vote
+		So(w.leader(), ShouldBeNil)
+		w.boot(l)
+		w.run(5*time.Second, nil)
+		So(w.leader(), ShouldNotBeNil)
+		So(w.nodes[i].core.Status().Voter, ShouldBeFalse)
+		So(w.faults, ShouldBeEmpty)
+	})
+}
+
+func TestSlowDisk(t *testing.T) {
+	Convey("A leader with a stuck disk commits through the others, 500 proposals in one append", t, func() {
+		w := newWorld(9, "a", "b", "c")
+		w.run(5*time.Second, nil)
+		l := w.leader()
+		l.slow = time.Hour
+		l.core.cfg.MaxBytes = 1 << 20
+		for range 500 {
+			_, _, err := l.core.Propose(w.now+l.zero, json.RawMessage(`1`))
+			So(err, ShouldBeNil)
+		}
+		l.core.flush()
+		So(len(l.core.out), ShouldEqual, 2)
+		So(len(l.core.out[0].Entries), ShouldEqual, 500)
+		w.run(500*time.Millisecond, nil)
+		So(l.core.Status().Commit, ShouldEqual, l.core.Status().Last)
+		So(l.core.Status().Match[l.id], ShouldBeLessThan, l.core.Status().Commit)
+		_, ok := l.core.Confirmed(w.now + l.zero)
+		So(ok, ShouldBeTrue)
+		So(w.faults, ShouldBeEmpty)
+	})
+}
+
+func TestPromises(t *testing.T) {
+	const sec = time.Second
+	from := func(k Kind, id string, term uint64) Message {
+		return Message{Kind: k, From: id, To: "a", Term: term, PrevIndex: 9, PrevTerm: 9}
+	}
+	start := func(b Boot) *Core {
+		c, err := New(Config{ID: "a"}, b, 0)
+		So(err, ShouldBeNil)
+		c.Ready()
+		return c
+	}
+	// granted gives whom the core votes for in answer to m.
+	granted := func(c *Core, now time.Duration, m Message) bool {
+		c.Step(now, m)
+		r := c.Ready()
+		yes := len(r.AfterSync) == 1 && !r.AfterSync[0].Reject
+		So(yes, ShouldEqual, r.Hard != nil && r.Hard.Vote == m.From) // the vote is stored with its answer
+		So(r.Now, ShouldBeEmpty)
+		return yes
+	}
+	// elect makes a core the leader of its next term at 3s.
+	elect := func(b Boot) *Core {
+		c := start(b)
+		c.Tick(3 * sec)
+		c.Step(3*sec, from(PreVoteReply, "b", b.Hard.Term+1))
+		c.Step(3*sec, from(VoteReply, "b", b.Hard.Term+1))
+		So(c.Status().Role, ShouldEqual, Leader)
+		c.Ready()
+		return c
+	}
+	acks := func(c *Core, match uint64) {
+		c.Step(3*sec, Message{Kind: AppendReply, From: "b", To: "a", Term: c.hard.Term, Match: match, Sent: 3 * sec})
+	}
+	founded := Founding(team("a", "b", "c"))
+	Convey("A restarted voter is silent for Election, and so is one that hears a leader, but for a handover", t, func() {
+		c := start(founded)
+		So(granted(c, sec-1, from(Vote, "b", 2)), ShouldBeFalse)
+		So(granted(c, sec, from(Vote, "b", 2)), ShouldBeTrue)
+		So(granted(c, sec, from(Vote, "c", 2)), ShouldBeFalse)
+		c.Step(2*sec, Message{Kind: Append, From: "b", To: "a", Term: 2, PrevIndex: 1, PrevTerm: 1})
+		c.Ready()
+		So(granted(c, 3*sec-1, from(Vote, "c", 3)), ShouldBeFalse)
+		So(c.Status().Term, ShouldEqual, 2)
+		forced := from(Vote, "c", 3)
+		forced.Force = true
+		So(granted(c, 3*sec-1, forced), ShouldBeTrue)
+		c.Step(4*sec, Message{Kind: VoteReply, From: "b", To: "a", Term: 5, Reject: true})
+		c.Ready()
+		So(granted(c, 4*sec, from(Vote, "c", 5)), ShouldBeTrue)
+	})
+	Convey("An empty disk does not vote, told to be a voter or not", t, func() {
+		c := start(Boot{})
+		So(granted(c, 5*sec, from(Vote, "b", 2)), ShouldBeFalse)
+		c.Installed(5*sec, Meta{Index: 7, Term: 2, Members: team("a", "b", "c")})
+		c.Ready()
+		So(granted(c, 9*sec, from(Vote, "b", 3)), ShouldBeFalse)
+		c.Tick(20 * sec)
+		So(c.Status().Role, ShouldEqual, Follower)
+	})
+	Convey("The lease counts from the send, ends with a handover and waits for an entry of the own term", t, func() {
+		c := elect(founded)
+		_, ok := c.Confirmed(3 * sec)
+		So(ok, ShouldBeFalse)
+		acks(c, 2)
+		c.Synced(3*sec, 2, 2)
+		_, ok = c.Confirmed(3*sec + 699*time.Millisecond)
+		So(ok, ShouldBeTrue)
+		So(c.Handover(3*sec, "b"), ShouldBeNil)
+		_, ok = c.Confirmed(3*sec + 699*time.Millisecond)
+		So(ok, ShouldBeFalse)
+		c = elect(founded)
+		acks(c, 2)
+		c.Synced(3*sec, 2, 2)
+		_, ok = c.Confirmed(3*sec + 700*time.Millisecond)
+		So(ok, ShouldBeFalse)
+	})
+	Convey("An entry of an older term is committed only through one of the own, and members wait for that", t, func() {
+		old := Boot{Hard: Hard{Term: 2}, Snapshot: founded.Snapshot, Entries: []Entry{{Term: 2, Index: 2, Kind: Noop}}}
+		c := elect(old)
+		c.lead.synced = 2 // as if counted
+		acks(c, 2)
+		So(c.Status().Commit, ShouldEqual, 1)
+		_, _, err := c.ProposeMembers(3*sec, team("a", "b"))
+		So(fault.Is(err, fault.Unavailable), ShouldBeTrue)
+		c.Synced(3*sec, 3, 3)
+		acks(c, 3)
+		So(c.Status().Commit, ShouldEqual, 3)
+	})
+}
--- /dev/null
+++ b/internal/rig/audit/audit.go
@@ -0,0 +1,244 @@
+// Package audit checks the promises of crosstide against what the minions, consumers and operators of a rehearsal
+// witnessed. It trusts no daemon: its checks are pure functions over a History of journal lines, to which Probe
+// may add what the public API tells at the end.
+package audit
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"time"
+
+	"crosstide/internal/fault"
+	"crosstide/internal/rig/journal"
+	"crosstide/internal/rig/load"
+)
+
+// What the audit grants, as the promises have it.
+const (
+	cancelGrace   = 3 * time.Second // from a cancel's yes to the last start of its job
+	knownGrace    = 3 * time.Second // from a job's yes until no node may call it unknown
+	drainGrace    = 2 * time.Second // from a drain to the last start on its minion
+	evacuateGrace = 5 * time.Second // from an evacuation's yes to the last start in its zone
+)
+
+// Event kinds of operators' and the drill's own journals.
+const (
+	Evacuate = "evacuate" // operator: zone Zone was acknowledged as evacuated
+	Lift     = "lift"     // operator: the evacuation of Zone is being lifted
+	Drain    = "drain"    // operator: the drain of minion Node was acknowledged
+	Undrain  = "undrain"  // operator: the drain of minion Node is being lifted
+	Kill     = "kill"     // drill: process Node got a signal to end
+	Freeze   = "freeze"   // drill: process Node is being frozen
+	Wipe     = "wipe"     // drill: the data of Node were removed
+)
+
+// Source says whose journal a line is of.
+type Source string
+
+// Sources, by the names of the journals: consumer-*, operator-*, drill-*; any other is a minion's.
+const (
+	Minion   Source = "minion"
+	Consumer Source = "consumer"
+	Operator Source = "operator"
+	Drill    Source = "drill"
+)
+
+// Event is one line of any journal.
+type Event struct {
+	journal.Entry
+	State string
+	Node  string
+	Steps []load.Step
+
+	From Source
+	File string
+	Line int
+	Raw  string
+}
+
+// String is where the line stands, and the line.
+func (e Event) String() string { return fmt.Sprintf("%s:%d %s", e.File, e.Line, e.Raw) }
+
+// after tells how long after at e is.
+func (e Event) after(at int64) time.Duration { return time.Duration(e.At - at) }
+
+// task names a task for good.
+type task struct {
+	job, step string
+	n         int
+}
+
+func (e Event) task() task { return task{e.Job, e.Step, e.Task} }
+
+// History is all lines: those of each file in order of writing.
+type History struct{ Events []Event }
+
+// by gives the events of a source in order of time; equal times keep the order of the files.
+func (h History) by(from Source, evs ...string) []Event {
+	var out []Event
+	for _, e := range h.Events {
+		if e.From == from && (len(evs) == 0 || slices.Contains(evs, e.Ev)) {
+			out = append(out, e)
+		}
+	}
+	slices.SortStableFunc(out, func(a, b Event) int { return int(min(max(a.At-b.At, -1), 1)) })
+	return out
+}
+
+// minions gives each minion's events in order of writing.
+func (h History) minions() map[string][]Event {
+	out := map[string][]Event{}
+	for _, e := range h.Events {
+		if e.From == Minion {
+			out[e.Minion] = append(out[e.Minion], e)
+		}
+	}
+	return out
+}
+
+// Read reads the journals of dir. A damaged line is a fault: half a witness proves nothing. Faults: Disk, Damaged,
+// Unknown (no line at all).
+func Read(dir string) (History, error) {
+	var h History
+	for line, err := range journal.Lines(dir) {
+		if err != nil {
+			return h, fault.Pass(err, "audit")
+		}
+		e, err := Parse(line)
+		if err != nil {
+			return h, fault.Pass(err, "audit")
+		}
+		h.Events = append(h.Events, e)
+	}
+	if len(h.Events) == 0 {
+		return h, fault.New(fault.Unknown, "%s holds no journals", dir)
+	}
+	return h, nil
+}
+
+// Parse reads one line of any journal. Fault: Damaged.
+func Parse(line journal.Line) (Event, error) {
+	var own struct {
+		State string
+		Node  string
+		Steps []load.Step
+	}
+	e := Event{From: Minion, File: line.File, Line: line.Number, Raw: string(line.Raw)}
+	for _, from := range []Source{Consumer, Operator, Drill} {
+		if strings.HasPrefix(line.File, string(from)+"-") {
+			e.From = from
+		}
+	}
+	if err := json.Unmarshal(line.Raw, &e.Entry); err != nil {
+		return e, fault.Wrap(err, fault.Damaged, "journal %s line %d", line.File, line.Number)
+	}
+	if err := json.Unmarshal(line.Raw, &own); err != nil {
+		return e, fault.Wrap(err, fault.Damaged, "journal %s line %d", line.File, line.Number)
+	}
+	e.State, e.Node, e.Steps = own.State, own.Node, own.Steps
+	return e, nil
+}
+
+// Verdict on a promise.
+const (
+	Held         = "held"
+	Broken       = "broken"
+	NotExercised = "not exercised"
+)
+
+// Finding is what the audit says of one promise.
+type Finding struct {
+	Promise string   `json:"promise"`
+	Verdict string   `json:"verdict"`
+	Cases   int      `json:"cases"`
+	Note    string   `json:"note,omitempty"`
+	Lines   []string `json:"lines,omitempty"` // the offending ones
+}
+
+func (f *Finding) broken(what string, lines ...Event) {
+	s := what
+	for _, e := range lines {
+		s += "\n      " + e.String()
+	}
+	f.Lines = append(f.Lines, s)
+}
+
+// checks are the promises that can be judged, in the order of the design's table. A nil check has no witness yet.
+var checks = []struct {
+	promise string
+	check   func(h History, f *Finding)
+	lacks   string // why there is no witness
+}{
+	{"once", once, ""},
+	{"ticket-newer", newer, ""},
+	{"fence", fence, ""},
+	{"durable", nil, "the journals cannot tell a ticket that was not durable"},
+	{"idle", nil, "no journal tells what was due"},
+	{"place", place, ""},
+	{"drain", drain, ""},
+	{"evacuate", evacuate, ""},
+	{"cancel", cancel, ""},
+	{"known", known, ""},
+	{"done", done, ""},
+	{"operators", nil, "no operators' orders are journaled"},
+	{"bundle", nil, "no bundles are journaled"},
+	{"readback", nil, "no bundles are journaled"},
+	{"repair", repair, ""},
+}
+
+// Check judges every promise. Example:
+//
+//	history, err := audit.Read(dir)
+//	findings := audit.Check(history)
+//	if !audit.Clean(findings) { … }
+func Check(h History) []Finding {
+	out := make([]Finding, 0, len(checks))
+	for _, c := range checks {
+		f := Finding{Promise: c.promise, Note: c.lacks}
+		if c.check != nil {
+			c.check(h, &f)
+		}
+		switch {
+		case len(f.Lines) > 0:
+			f.Verdict = Broken
+		case f.Cases > 0:
+			f.Verdict = Held
+		default:
+			f.Verdict = NotExercised
+		}
+		out = append(out, f)
+	}
+	return out
+}
+
+// Clean tells whether nothing is broken.
+func Clean(findings []Finding) bool {
+	return !slices.ContainsFunc(findings, func(f Finding) bool { return f.Verdict == Broken })
+}
+
+// Show writes one line per promise, and below a broken one the lines that break it, at most shown of them.
+func Show(w io.Writer, findings []Finding, shown int) error {
+	for _, f := range findings {
+		s := fmt.Sprintf("%-13s%s", f.Promise, f.Verdict)
+		if f.Verdict != NotExercised {
+			s += fmt.Sprintf(" %d cases", f.Cases)
+		}
+		if f.Note != "" {
+			s += " (" + f.Note + ")"
+		}
+		for i, line := range f.Lines {
+			if i == shown {
+				s += fmt.Sprintf("\n    and %d more", len(f.Lines)-shown)
+				break
+			}
+			s += "\n    " + line
+		}
+		if _, err := fmt.Fprintln(w, s); err != nil {
+			return fault.Wrap(err, fault.Disk, "print the audit")
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/rig/audit/audit_test.go
@@ -0,0 +1,130 @@
+package audit
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"crosstide/internal/rig/journal"
+)
+
+// history reads hand-written lines: "FILE SECONDS JSON-WITHOUT-BRACES".
+func history(lines ...string) History {
+	var h History
+	for i, text := range lines {
+		var file, rest string
+		var at float64
+		_, err := fmt.Sscan(text, &file, &at, &rest)
+		So(err, ShouldBeNil)
+		raw := fmt.Sprintf(`{"at":%d,%s}`, int64(at*1e9), text[strings.Index(text, `"`):])
+		e, err := Parse(journal.Line{File: file, Number: i + 1, Raw: []byte(raw)})
+		So(err, ShouldBeNil)
+		if e.From == Minion {
+			e.Minion = strings.TrimSuffix(file, ".jsonl")
+		}
+		h.Events = append(h.Events, e)
+	}
+	return h
+}
+
+func verdicts(h History) map[string]string {
+	out := map[string]string{}
+	for _, f := range Check(h) {
+		out[f.Promise] = f.Verdict
+	}
+	return out
+}
+
+// clean is a history that exercises every promise with a check, and keeps it.
+func clean() []string {
+	return []string{
+		`consumer-1 0 "ev":"accepted","job":"a","steps":[{"name":"s","tasks":2,"labels":{"gpu":"x"}}]`,
+		`consumer-1 0 "ev":"accepted","job":"b","steps":[{"name":"s","tasks":1}]`,
+		`consumer-1 1 "ev":"poll","job":"a","state":"404"`,
+		`m1 0 "ev":"boot","boot":"b1","labels":{"gpu":"x"}`,
+		`m1 1 "ev":"order","boot":"b1","job":"a","step":"s","task":0,"ticket":1,"epoch":5,"labels":{"gpu":"x"}`,
+		`m1 1 "ev":"start","boot":"b1","job":"a","step":"s","task":0,"ticket":1,"epoch":5,"labels":{"gpu":"x"}`,
+		`m1 2 "ev":"end","boot":"b1","job":"a","step":"s","task":0,"ticket":1,"ok":false`,
+		`m1 3 "ev":"start","boot":"b1","job":"a","step":"s","task":0,"ticket":2,"epoch":5,"labels":{"gpu":"x"}`,
+		`m1 4 "ev":"end","boot":"b1","job":"a","step":"s","task":0,"ticket":2,"ok":true`,
+		`m1 4.5 "ev":"start","boot":"b1","job":"a","step":"s","task":1,"ticket":3,"epoch":5,"labels":{"gpu":"x"}`,
+		`m1 5 "ev":"start","boot":"b1","job":"b","step":"s","task":0,"ticket":4,"epoch":5`,
+		`m1 5 "ev":"drain","boot":"b1","ok":true`,
+		`m1 6.9 "ev":"start","boot":"b1","job":"c","step":"s","task":0,"ticket":5,"epoch":5`,
+		`drill-fleet 7 "ev":"kill","node":"m1"`,
+		`m1 30 "ev":"boot","boot":"b2","labels":{"gpu":"x"}`,
+		`m2 0 "ev":"boot","boot":"b1","zone":"z2","labels":{"gpu":"x"}`,
+		`m2 8 "ev":"start","boot":"b1","zone":"z2","job":"a","step":"s","task":1,"ticket":6,"epoch":9`,
+		`m2 9 "ev":"end","boot":"b1","zone":"z2","job":"a","step":"s","task":1,"ticket":6,"ok":true`,
+		`m2 9 "ev":"start","boot":"b1","zone":"z2","job":"d","step":"s","task":0,"ticket":7,"epoch":9`,
+		`m2 9.5 "ev":"stop","boot":"b1","zone":"z2","job":"d","step":"s","task":0,"ticket":7`,
+		`m2 10 "ev":"start","boot":"b1","zone":"z2","job":"e","step":"s","task":0,"ticket":8,"epoch":9`,
+		`drill-zone 11 "ev":"freeze","node":"m2"`,
+		`m3 35 "ev":"start","boot":"b1","job":"e","step":"s","task":0,"ticket":9,"epoch":9`,
+		`m2 36 "ev":"lapse","boot":"b1","zone":"z2","job":"e","step":"s","task":0,"ticket":8`,
+		`consumer-1 8 "ev":"cancelled","job":"d"`,
+		`operator-1 5 "ev":"evacuate","zone":"z2"`,
+		`operator-1 40 "ev":"lift","zone":"z2"`,
+		`operator-1 8 "ev":"drain","node":"m2"`,
+		`drill-fleet 4 "ev":"wipe","node":"c1"`,
+		`drill-fleet 4.6 "ev":"kill","node":"c2"`,
+		`consumer-1 9.5 "ev":"poll","job":"a","state":"done"`,
+	}
+}
+
+func TestAudit(t *testing.T) {
+	judged := []string{"once", "ticket-newer", "fence", "place", "drain", "evacuate", "cancel", "known", "done", "repair"}
+
+	Convey("A clean history holds, with cases for every promise that has a check", t, func() {
+		findings := Check(history(clean()...))
+		So(Clean(findings), ShouldBeTrue)
+		for _, f := range findings {
+			want := NotExercised
+			for _, name := range judged {
+				if name == f.Promise {
+					want = Held
+				}
+			}
+			So(f.Promise+" "+f.Verdict+strings.Join(f.Lines, ""), ShouldEqual, f.Promise+" "+want)
+		}
+	})
+
+	Convey("An empty history exercises nothing", t, func() {
+		for promise, verdict := range verdicts(History{}) {
+			So(promise+verdict, ShouldEqual, promise+NotExercised)
+		}
+	})
+
+	Convey("Each breach is found, and breaks only what it breaks", t, func() {
+		for _, c := range []struct{ promise, why, line string }{
+			{"once", "two at once, on two minions", `m2 4.8 "ev":"start","boot":"b1","job":"b","step":"s","task":0,"ticket":20,"epoch":5|m2 6 "ev":"stop","boot":"b1","job":"b","step":"s","task":0,"ticket":20`},
+			{"once", "again after its good end", `m2 8 "ev":"start","boot":"b1","job":"a","step":"s","task":0,"ticket":20,"epoch":9`},
+			{"once", "again while the killed minion was alive", `m2 6.95 "ev":"start","boot":"b1","job":"c","step":"s","task":0,"ticket":10,"epoch":5`},
+			{"once", "one ticket on two minions", `m4 9 "ev":"start","boot":"b1","job":"z","step":"s","task":0,"ticket":4,"epoch":9`},
+			{"ticket-newer", "older than one started", `m3 36 "ev":"order","boot":"b1","job":"y","step":"s","task":0,"ticket":12|m3 36 "ev":"start","boot":"b1","job":"z","step":"s","task":0,"ticket":11,"epoch":9`},
+			{"ticket-newer", "older than one of the boot before", `m1 31 "ev":"order","boot":"b2","job":"z","step":"s","ticket":13|m1 32 "ev":"boot","boot":"b3"|m1 32 "ev":"start","boot":"b3","job":"z","step":"s","task":0,"ticket":12,"epoch":9`},
+			{"fence", "an old epoch after a newer one", `m4 9 "ev":"start","boot":"b1","job":"z","step":"s","task":0,"ticket":10,"epoch":5`},
+			{"place", "asked for by the accepted job", `m5 5 "ev":"boot","boot":"b1","labels":{"gpu":"y"}|m5 5 "ev":"start","boot":"b1","job":"a","step":"s","task":7,"ticket":10,"epoch":5`},
+			{"place", "asked for by the order", `m5 5 "ev":"boot","boot":"b1"|m5 5 "ev":"start","boot":"b1","job":"z","step":"s","task":0,"ticket":10,"epoch":5,"labels":{"x":""}`},
+			{"drain", "as the minion said", `m1 7.1 "ev":"start","boot":"b1","job":"z","step":"s","task":0,"ticket":10,"epoch":5`},
+			{"drain", "as an operator said", `m2 10.1 "ev":"start","boot":"b1","job":"z","step":"s","task":0,"ticket":10,"epoch":9`},
+			{"evacuate", "late in the zone", `m6 10.1 "ev":"start","boot":"b1","zone":"z2","job":"z","step":"s","task":0,"ticket":10,"epoch":9`},
+			{"cancel", "late after the yes", `m6 11.1 "ev":"start","boot":"b1","job":"d","step":"s","task":1,"ticket":10,"epoch":9`},
+			{"known", "late after the yes", `consumer-1 3.1 "ev":"poll","job":"a","state":"404"`},
+			{"done", "a task never ended", `consumer-1 6 "ev":"poll","job":"b","state":"done"`},
+			{"done", "a task ended later", `consumer-1 8.5 "ev":"poll","job":"a","state":"done"`},
+			{"repair", "lost after a second loss", `consumer-1 20 "ev":"poll","job":"b","state":"404"`},
+		} {
+			found := verdicts(history(append(clean(), strings.Split(c.line, "|")...)...))
+			for _, promise := range judged {
+				want := Held
+				if promise == c.promise || promise == "known" && c.promise == "repair" {
+					want = Broken
+				}
+				So(c.promise+", "+c.why+": "+promise+" "+found[promise], ShouldEqual, c.promise+", "+c.why+": "+promise+" "+want)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/rig/audit/checks.go
@@ -0,0 +1,368 @@
+package audit
+
+import (
+	"fmt"
+	"maps"
+	"math"
+	"slices"
+
+	"crosstide/internal/rig/journal"
+	"crosstide/internal/rig/load"
+	"crosstide/internal/state"
+)
+
+// span is the time a run surely ran.
+type span struct {
+	start Event
+	to    int64 // Unix ns
+	sure  bool  // false: it was never seen to end, to is its minion's last sign of life
+}
+
+// spans gives the run of every start. A run ends with its end, stop or lapse line. One without such a line is
+// taken to have run up to the first of:
+//
+//   - the drill's note that it killed the minion (it is written just before, and only for a live process), if the
+//     same boot wrote nothing afterwards;
+//   - the last line its minion wrote under the same boot, for a minion that was killed by others (or is frozen)
+//     leaves no other trace.
+//
+// A run whose hold lapsed while its minion was frozen did nothing from the freeze on: the lapse line is written
+// on waking. Where the drill noted the freeze, the run is taken to end with it; a freeze that nobody noted shows
+// as an overlap.
+//
+// So a span is never longer than the run was, and an overlap of two is a proof. What ran on unseen after its
+// minion's last line is not found; the finding's note counts the runs that were cut so. A minion kills its
+// leftovers before it reports under a new boot, which the new boot's line follows: no run reaches past its boot.
+func spans(h History) map[task][]span {
+	kills, freezes := h.by(Drill, Kill), h.by(Drill, Freeze)
+	out := map[task][]span{}
+	for _, name := range slices.Sorted(maps.Keys(h.minions())) {
+		events := h.minions()[name]
+		last := map[string]int64{}
+		for _, e := range events {
+			last[e.Boot] = max(last[e.Boot], e.At)
+		}
+		type key struct {
+			boot   string
+			ticket uint64
+		}
+		closed := map[key]Event{}
+		for i := len(events) - 1; i >= 0; i-- { // from the end, so that a ticket started twice closes twice
+			e := events[i]
+			k := key{e.Boot, e.Ticket}
+			switch e.Ev {
+			case journal.End, journal.Stop, journal.Lapse:
+				closed[k] = e
+			case journal.Start:
+				s := span{start: e, to: last[e.Boot]}
+				end, sure := closed[k]
+				note, noted := Event{}, false
+				if s.sure = sure; sure {
+					s.to = end.At
+					note, noted = firstOf(freezes, name, e.At)
+					noted = noted && end.Ev == journal.Lapse && note.At < end.At
+				} else {
+					note, noted = firstOf(kills, name, s.to)
+				}
+				if noted {
+					s.to, s.sure = note.At, true
+				}
+				out[e.task()] = append(out[e.task()], s)
+			}
+		}
+	}
+	for _, list := range out {
+		slices.SortStableFunc(list, func(a, b span) int { return int(min(max(a.start.At-b.start.At, -1), 1)) })
+	}
+	return out
+}
+
+// firstOf gives the first of events about a node from a time on.
+func firstOf(events []Event, node string, from int64) (Event, bool) {
+	i := slices.IndexFunc(events, func(e Event) bool { return e.Node == node && e.At >= from })
+	if i < 0 {
+		return Event{}, false
+	}
+	return events[i], true
+}
+
+// once: no two runs of a task at once, none after one that ended well, no ticket started twice.
+func once(h History, f *Finding) {
+	all := spans(h)
+	well := ends(h)
+	cut := 0
+	for _, list := range all {
+		for i, s := range list {
+			f.Cases++
+			if !s.sure {
+				cut++
+			}
+			for _, prev := range list[:i] {
+				if prev.to > s.start.At {
+					f.broken("ran twice at once", prev.start, s.start)
+				}
+			}
+			if e, ok := well[s.start.task()]; ok && e.At < s.start.At {
+				f.broken("started after it had ended well", e, s.start)
+			}
+		}
+	}
+	started := map[uint64]Event{}
+	for _, e := range h.by(Minion, journal.Start) {
+		if prev, twice := started[e.Ticket]; twice {
+			f.broken("one ticket, two starts", prev, e)
+		}
+		started[e.Ticket] = e
+	}
+	if cut > 0 {
+		f.Note = fmt.Sprintf("%d runs without an end, taken up to their minion's last line", cut)
+	}
+}
+
+// ends gives the first good end of every task.
+func ends(h History) map[task]Event {
+	out := map[task]Event{}
+	for _, e := range h.by(Minion, journal.End) {
+		if _, ok := out[e.task()]; e.OK && !ok {
+			out[e.task()] = e
+		}
+	}
+	return out
+}
+
+// newer: every start carries a ticket above all that its minion was ordered to start before, also under older
+// boots, for a ticket is given for one boot only.
+func newer(h History, f *Finding) {
+	for _, events := range h.minions() {
+		var top Event
+		for _, e := range events {
+			switch e.Ev {
+			case journal.Start:
+				f.Cases++
+				if e.Ticket < top.Ticket {
+					f.broken("a start with a ticket older than one seen", top, e)
+				}
+			case journal.Order:
+				if e.Ticket > top.Ticket {
+					top = e
+				}
+			}
+		}
+	}
+}
+
+// fence: once any run was started under an epoch, none starts under an older one. Cases are the starts after the
+// first change of epoch.
+func fence(h History, f *Finding) {
+	var top, first Event
+	for i, e := range h.by(Minion, journal.Start) {
+		if i == 0 {
+			first = e
+		}
+		if e.Epoch < top.Epoch && e.At > top.At {
+			f.broken("started by an old leader", top, e)
+		}
+		if e.Epoch > top.Epoch {
+			top = e
+		}
+		if e.Epoch != first.Epoch {
+			f.Cases++
+		}
+	}
+}
+
+// place: a run's minion bears the labels that the consumer asked for (by the accepted job, else by the order).
+func place(h History, f *Finding) {
+	asked := map[[2]string]map[string]string{}
+	for _, e := range h.by(Consumer, load.Accepted) {
+		for _, s := range e.Steps {
+			asked[[2]string{e.Job, s.Name}] = s.Labels
+		}
+	}
+	for _, events := range h.minions() {
+		var boot Event
+		for _, e := range events {
+			switch e.Ev {
+			case journal.Boot:
+				boot = e
+			case journal.Start:
+				want, ok := asked[[2]string{e.Job, e.Step}]
+				if !ok {
+					want = e.Labels
+				}
+				if len(want) > 0 {
+					f.Cases++
+				}
+				for k, v := range want {
+					if have, ok := boot.Labels[k]; !ok || have != v {
+						f.broken("label "+k+" is not borne", boot, e)
+						break
+					}
+				}
+			}
+		}
+	}
+	f.Note = "labels; charters are not journaled"
+}
+
+// window is a time in which nothing may start; to is open unless lifted.
+type window struct {
+	event    Event
+	from, to int64
+}
+
+// windows pairs the events that open a window with those that close it, by key.
+func windows(events []Event, key func(Event) string, opens func(Event) bool) map[string][]window {
+	out := map[string][]window{}
+	for _, e := range events {
+		k := key(e)
+		list := out[k]
+		open := len(list) > 0 && list[len(list)-1].to == math.MaxInt64
+		switch {
+		case opens(e) && !open:
+			out[k] = append(list, window{e, e.At, math.MaxInt64})
+		case !opens(e) && open:
+			list[len(list)-1].to = e.At
+		}
+	}
+	return out
+}
+
+// drain: no start on a minion that has been draining for longer than the grace, as it or an operator said.
+func drain(h History, f *Finding) {
+	own := windows(h.by(Minion, journal.Drain, journal.Boot), func(e Event) string { return e.Minion },
+		func(e Event) bool { return e.Ev == journal.Drain && e.OK })
+	ordered := windows(h.by(Operator, Drain, Undrain), func(e Event) string { return e.Node },
+		func(e Event) bool { return e.Ev == Drain })
+	starts := h.by(Minion, journal.Start)
+	for _, all := range []map[string][]window{own, ordered} {
+		for name, list := range all {
+			for _, w := range list {
+				f.Cases++
+				for _, e := range starts {
+					if e.Minion == name && e.At < w.to && e.after(w.from) > drainGrace {
+						f.broken("started on a draining minion", w.event, e)
+					}
+				}
+			}
+		}
+	}
+}
+
+// evacuate: no start in a zone that has been evacuated for longer than the grace.
+func evacuate(h History, f *Finding) {
+	starts := h.by(Minion, journal.Start)
+	for zone, list := range windows(h.by(Operator, Evacuate, Lift), func(e Event) string { return e.Zone },
+		func(e Event) bool { return e.Ev == Evacuate }) {
+		for _, w := range list {
+			f.Cases++
+			for _, e := range starts {
+				if e.Zone == zone && e.At < w.to && e.after(w.from) > evacuateGrace {
+					f.broken("started in an evacuated zone", w.event, e)
+				}
+			}
+		}
+	}
+}
+
+// cancel: no start of a job later than the grace after its cancel was acknowledged.
+func cancel(h History, f *Finding) {
+	acked := map[string]Event{}
+	for _, e := range h.by(Consumer, load.Cancelled) {
+		if _, ok := acked[e.Job]; !ok {
+			acked[e.Job] = e
+			f.Cases++
+		}
+	}
+	for _, e := range h.by(Minion, journal.Start) {
+		if c, ok := acked[e.Job]; ok && e.after(c.At) > cancelGrace {
+			f.broken("started after its cancel", c, e)
+		}
+	}
+}
+
+// known: no poll of an accepted job says that it is not there, later than the grace after its yes. Cases are the
+// accepted jobs that were polled.
+func known(h History, f *Finding) {
+	yes := accepted(h)
+	polled := map[string]bool{}
+	early := 0
+	for _, e := range h.by(Consumer, load.Poll) {
+		a, ok := yes[e.Job]
+		if !ok {
+			continue
+		}
+		polled[e.Job] = true
+		switch {
+		case e.State != load.Missing:
+		case e.after(a.At) > knownGrace:
+			f.broken("accepted, then unknown", a, e)
+		case e.At >= a.At:
+			early++
+		}
+	}
+	f.Cases = len(polled)
+	if early > 0 {
+		f.Note = fmt.Sprintf("%d polls found no job within the grace", early)
+	}
+}
+
+func accepted(h History) map[string]Event {
+	out := map[string]Event{}
+	for _, e := range h.by(Consumer, load.Accepted) {
+		if _, ok := out[e.Job]; !ok {
+			out[e.Job] = e
+		}
+	}
+	return out
+}
+
+// done: when a poll shows a job as done, every task of it has ended well before.
+func done(h History, f *Finding) {
+	yes, well := accepted(h), ends(h)
+	seen := map[string]bool{}
+	for _, e := range h.by(Consumer, load.Poll) {
+		a, ok := yes[e.Job]
+		if !ok || e.State != string(state.JobDone) || seen[e.Job] {
+			continue
+		}
+		seen[e.Job] = true
+		f.Cases++
+		for _, s := range a.Steps {
+			for n := range s.Tasks {
+				end, ok := well[task{e.Job, s.Name, n}]
+				if !ok || end.At > e.At {
+					f.broken(fmt.Sprintf("shown as done, step %s task %d had not ended well", s.Name, n), a, e)
+				}
+			}
+		}
+	}
+}
+
+// repair: after a disk was wiped and another core machine was killed, all that was accepted before is still
+// known. Cases are wipes with a later kill of another node and a poll after that.
+func repair(h History, f *Finding) {
+	polls, yes := h.by(Consumer, load.Poll), accepted(h)
+	for _, w := range h.by(Drill, Wipe) {
+		for _, k := range h.by(Drill, Kill) {
+			if k.Node == w.Node || k.At < w.At || len(k.Node) == 0 || k.Node[0] != w.Node[0] {
+				continue
+			}
+			looked := false
+			for _, p := range polls {
+				a, ok := yes[p.Job]
+				if !ok || a.At > k.At || p.At < k.At {
+					continue
+				}
+				looked = true
+				if p.State == load.Missing && p.after(a.At) > knownGrace {
+					f.broken("lost after a repair and a second loss", w, k, a, p)
+				}
+			}
+			if looked {
+				f.Cases++
+			}
+			break
+		}
+	}
+}
--- /dev/null
+++ b/internal/rig/fleet/call.go
@@ -0,0 +1,86 @@
+package fleet
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"crosstide/internal/fault"
+)
+
+// maxAnswer bounds what is read of an answer, in bytes.
+const maxAnswer = 16 << 20
+
+// Reply is an answer over HTTP, whatever its status.
+type Reply struct {
+	Status int
+	After  time.Duration // of Retry-After, 0 without one
+	Body   []byte
+}
+
+// Good tells whether the status is 2xx.
+func (r Reply) Good() bool { return r.Status >= 200 && r.Status < 300 }
+
+// Kind is the fault kind in the body; without one it is "status N".
+func (r Reply) Kind() string {
+	var f fault.Fault
+	if json.Unmarshal(r.Body, &f) == nil && f.Kind != "" {
+		return string(f.Kind)
+	}
+	return "status " + strconv.Itoa(r.Status)
+}
+
+// Caller is the one place through which the rig calls the public APIs.
+type Caller struct{ client *http.Client }
+
+// NewCaller makes a Caller with at most conns connections to each node.
+func NewCaller(conns int) *Caller {
+	return &Caller{&http.Client{
+		Transport: &http.Transport{MaxConnsPerHost: conns, MaxIdleConnsPerHost: conns, IdleConnTimeout: 30 * time.Second},
+		CheckRedirect: func(*http.Request, []*http.Request) error {
+			return http.ErrUseLastResponse
+		},
+	}}
+}
+
+// Call sends one request and reads the answer within bound; in is sent as JSON unless nil. Any answer at all is
+// a Reply. Faults: Internal (in is no JSON), Timeout (no whole answer: what was asked may have happened). Example:
+//
+//	reply, err := caller.Call(ctx, http.MethodGet, node.Addr, "/v1/who", nil, time.Second)
+func (c *Caller) Call(ctx context.Context, method, addr, path string, in any, bound time.Duration) (Reply, error) {
+	ctx, stop := context.WithTimeout(ctx, bound)
+	defer stop()
+	var body io.Reader
+	if in != nil {
+		data, err := json.Marshal(in)
+		if err != nil {
+			return Reply{}, fault.Wrap(err, fault.Internal, "body for %s", path)
+		}
+		body = bytes.NewReader(data)
+	}
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+addr+path, body)
+	if err != nil {
+		return Reply{}, fault.Wrap(err, fault.Internal, "request to %s%s", addr, path)
+	}
+	if in != nil {
+		req.Header.Set("Content-Type", "application/json")
+	}
+	resp, err := c.client.Do(req)
+	if err != nil {
+		return Reply{}, fault.Wrap(err, fault.Timeout, "%s %s%s", method, addr, path)
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
+	if err != nil {
+		return Reply{}, fault.Wrap(err, fault.Timeout, "answer of %s%s", addr, path)
+	}
+	out := Reply{Status: resp.StatusCode, Body: data}
+	if s, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64); err == nil && s > 0 {
+		out.After = time.Duration(s * float64(time.Second))
+	}
+	return out, nil
+}
--- /dev/null
+++ b/internal/rig/fleet/fleet.go
@@ -0,0 +1,175 @@
+// Package fleet knows a fleet on one machine: its nodes, its processes, whether they are ready and who leads.
+// The processes themselves are started by scripts/fleet; a program starts none.
+package fleet
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"crosstide/internal/fault"
+)
+
+// Node is one process of the fleet.
+type Node struct {
+	Name string `json:"name"`
+	Zone string `json:"zone"`
+	Addr string `json:"addr"`
+	Rack string `json:"rack,omitempty"`
+	Kind string `json:"kind,omitempty"` // of a minion: obey or check
+}
+
+// Nodes is DIR/nodes.json.
+type Nodes struct {
+	CPlanes []Node `json:"cplanes"`
+	DPlanes []Node `json:"dplanes"`
+	Minions []Node `json:"minions"`
+}
+
+// All gives every node.
+func (n Nodes) All() []Node {
+	out := make([]Node, 0, len(n.CPlanes)+len(n.DPlanes)+len(n.Minions))
+	return append(append(append(out, n.CPlanes...), n.DPlanes...), n.Minions...)
+}
+
+// Zone gives the names of all nodes in a zone.
+func (n Nodes) Zone(zone string) []string {
+	var out []string
+	for _, node := range n.All() {
+		if node.Zone == zone {
+			out = append(out, node.Name)
+		}
+	}
+	return out
+}
+
+// Read reads DIR/nodes.json. Faults: Disk, Malformed. Example:
+//
+//	nodes, err := fleet.Read(dir)
+func Read(dir string) (Nodes, error) {
+	var out Nodes
+	data, err := os.ReadFile(filepath.Join(dir, "nodes.json"))
+	if err != nil {
+		return out, fault.Wrap(err, fault.Disk, "nodes of the fleet")
+	}
+	return out, fault.Wrap(json.Unmarshal(data, &out), fault.Malformed, "nodes.json")
+}
+
+// Pids reads DIR/pids: pid by name. Faults: Disk, Malformed.
+func Pids(dir string) (map[string]int, error) {
+	data, err := os.ReadFile(filepath.Join(dir, "pids"))
+	if err != nil {
+		return nil, fault.Wrap(err, fault.Disk, "pids of the fleet")
+	}
+	out := map[string]int{}
+	for line := range strings.Lines(string(data)) {
+		var name string
+		var pid int
+		if _, err := fmt.Sscan(line, &name, &pid); err != nil || pid < 2 {
+			return nil, fault.New(fault.Malformed, "pids: line %q", strings.TrimSpace(line))
+		}
+		out[name] = pid
+	}
+	return out, nil
+}
+
+// Kill sends SIGKILL to the named process of the fleet, if the pid still is that process: its command line must
+// be the one in DIR/start. Faults: Disk, Malformed, Unknown (no such process any more).
+func Kill(dir, name string) error {
+	pids, err := Pids(dir)
+	if err != nil {
+		return fault.Pass(err, "kill %s", name)
+	}
+	pid, ok := pids[name]
+	if !ok {
+		return fault.New(fault.Unknown, "%s has no pid", name)
+	}
+	starts, err := os.ReadFile(filepath.Join(dir, "start"))
+	if err != nil {
+		return fault.Wrap(err, fault.Disk, "start lines of the fleet")
+	}
+	argv, err := os.ReadFile("/proc/" + strconv.Itoa(pid) + "/cmdline")
+	if err != nil {
+		return fault.Wrap(err, fault.Unknown, "%s, pid %d", name, pid)
+	}
+	line := name + " " + strings.Join(strings.Split(strings.TrimRight(string(argv), "\x00"), "\x00"), " ")
+	if !strings.Contains("\n"+string(starts), "\n"+line+"\n") {
+		return fault.New(fault.Unknown, "pid %d is not %s any more", pid, name)
+	}
+	return fault.Wrap(unix.Kill(pid, unix.SIGKILL), fault.Unknown, "kill %s, pid %d", name, pid)
+}
+
+// Holders is the answer of GET /v1/who.
+type Holders struct {
+	Store string `json:"store"`
+	Sched string `json:"sched"`
+}
+
+// Who asks the cplanes in turn and takes the first answer that names both holders, else the best one.
+// Fault: Unavailable, if none answers.
+func Who(ctx context.Context, c *Caller, n Nodes) (Holders, error) {
+	var best Holders
+	err := fault.New(fault.Unavailable, "no cplane tells who leads")
+	for _, node := range n.CPlanes {
+		reply, fail := c.Call(ctx, http.MethodGet, node.Addr, "/v1/who", nil, 2*time.Second)
+		var got Holders
+		if fail != nil || !reply.Good() || json.Unmarshal(reply.Body, &got) != nil {
+			continue
+		}
+		got.Store, _, _ = strings.Cut(got.Store, "~") // a repaired cplane's id is NAME~INCARNATION
+		if got.Store != "" && got.Sched != "" {
+			return got, nil
+		}
+		best, err = got, nil
+	}
+	return best, err
+}
+
+// Late names what is not ready: cplanes and dplanes whose /readyz is not 200, minions without a boot in the store.
+func Late(ctx context.Context, c *Caller, n Nodes) []string {
+	var late []string
+	booted := map[string]bool{}
+	for _, node := range append(append([]Node{}, n.CPlanes...), n.DPlanes...) {
+		if reply, err := c.Call(ctx, http.MethodGet, node.Addr, "/readyz", nil, time.Second); err != nil || !reply.Good() {
+			late = append(late, node.Name)
+		}
+	}
+	for _, node := range n.CPlanes {
+		reply, err := c.Call(ctx, http.MethodGet, node.Addr, "/v1/minions", nil, 2*time.Second)
+		if err == nil && reply.Good() {
+			booted = boots(reply.Body)
+			break
+		}
+	}
+	for _, node := range n.Minions {
+		if !booted[node.Name] {
+			late = append(late, node.Name)
+		}
+	}
+	return late
+}
+
+// boots reads the answer of GET /v1/minions, a list or an object with the list under "minions".
+func boots(body []byte) map[string]bool {
+	type minion struct{ Name, Boot string }
+	var list []minion
+	if json.Unmarshal(body, &list) != nil {
+		var page struct{ Minions []minion }
+		if json.Unmarshal(body, &page) == nil {
+			list = page.Minions
+		}
+	}
+	out := map[string]bool{}
+	for _, m := range list {
+		out[m.Name] = m.Boot != ""
+	}
+	return out
+}
--- /dev/null
+++ b/internal/rig/fleet/fleet_test.go
@@ -0,0 +1,49 @@
+package fleet
+
+import (
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"crosstide/internal/fault"
+)
+
+func TestPlan(t *testing.T) {
+	Convey("A fleet is laid over zones and racks, written once, and read back", t, func() {
+		dir := filepath.Join(t.TempDir(), "f")
+		s := Shape{CPlanes: 5, DPlanes: 3, Minions: 30, Zones: 3, Cores: 16, Kind: "mixed", Bin: "bin"}
+		n, err := Plan(dir, s)
+		So(err, ShouldBeNil)
+		back, err := Read(dir)
+		So(err, ShouldBeNil)
+		So(back, ShouldResemble, n)
+		So(n.Zone("z3")[:4], ShouldResemble, []string{"c3", "d3", "m3", "m6"})
+		So(n.Minions[23].Rack+n.Minions[24].Rack, ShouldEqual, "r1r2")
+		addrs := map[string]bool{}
+		for _, node := range n.All() {
+			addrs[node.Addr] = true
+		}
+		So(len(addrs), ShouldEqual, 38)
+		lines, err := os.ReadFile(filepath.Join(dir, "start"))
+		So(err, ShouldBeNil)
+		So(strings.Count(string(lines), "\n"), ShouldEqual, 38)
+		_, err = Plan(dir, s)
+		So(fault.KindOf(err), ShouldEqual, fault.Conflict)
+	})
+	Convey("A pid that is not the node any more is not killed", t, func() {
+		dir := t.TempDir()
+		So(os.WriteFile(filepath.Join(dir, "pids"), []byte("c1 "+strconv.Itoa(os.Getpid())+"\n"), 0o644), ShouldBeNil)
+		So(os.WriteFile(filepath.Join(dir, "start"), []byte("c1 bin/cplane run\n"), 0o644), ShouldBeNil)
+		So(fault.KindOf(Kill(dir, "c1")), ShouldEqual, fault.Unknown)
+		So(fault.KindOf(Kill(dir, "c2")), ShouldEqual, fault.Unknown)
+	})
+	Convey("Minions are read from a list or a page", t, func() {
+		for _, body := range []string{`[{"name":"m1","boot":"b"},{"name":"m2"}]`, `{"minions":[{"name":"m1","boot":"b"},{"name":"m2"}]}`} {
+			So(boots([]byte(body)), ShouldResemble, map[string]bool{"m1": true, "m2": false})
+		}
+	})
+}
--- /dev/null
+++ b/internal/rig/fleet/plan.go
@@ -0,0 +1,197 @@
+package fleet
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+
+	"crosstide/internal/fault"
+)
+
+// rackSize is how many minions share a rack.
+const rackSize = 8
+
+// Shape is what a fleet is made of.
+type Shape struct {
+	CPlanes, DPlanes, Minions, Zones, Cores int
+	Kind                                    string // obey, check or mixed
+	Bin                                     string // folder of the programs
+}
+
+// Check tells what is wrong with a shape. Fault: Invalid.
+func (s Shape) Check() error {
+	switch {
+	case s.CPlanes < 1 || s.DPlanes < 1 || s.Minions < 0:
+		return fault.Field(fault.Invalid, "nodes", "at least one cplane and one dplane are needed")
+	case s.Zones < 1 || s.Cores < 1:
+		return fault.Field(fault.Invalid, "zones", "zones and cores must be at least 1")
+	case s.Kind != "obey" && s.Kind != "check" && s.Kind != "mixed":
+		return fault.Field(fault.Invalid, "kind", "is %q, must be obey, check or mixed", s.Kind)
+	}
+	return nil
+}
+
+// Lay gives the nodes of a shape: zones round robin, racks of eight minions within each zone. One port per node.
+func Lay(s Shape, ports []int) Nodes {
+	var n Nodes
+	next := 0
+	node := func(prefix string, i int) Node {
+		next++
+		return Node{Name: prefix + strconv.Itoa(i+1), Zone: "z" + strconv.Itoa(i%s.Zones+1),
+			Addr: "127.0.0.1:" + strconv.Itoa(ports[next-1])}
+	}
+	for i := range s.CPlanes {
+		n.CPlanes = append(n.CPlanes, node("c", i))
+	}
+	for i := range s.DPlanes {
+		n.DPlanes = append(n.DPlanes, node("d", i))
+	}
+	for i := range s.Minions {
+		m := node("m", i)
+		m.Rack = "r" + strconv.Itoa(i/s.Zones/rackSize+1)
+		m.Kind = s.Kind
+		if s.Kind == "mixed" {
+			m.Kind = []string{"check", "obey"}[i%2]
+		}
+		n.Minions = append(n.Minions, m)
+	}
+	return n
+}
+
+type member struct {
+	ID   string `json:"id"`
+	Addr string `json:"addr"`
+	Zone string `json:"zone"`
+}
+
+type settings struct {
+	Name    string   `json:"name"`
+	Zone    string   `json:"zone"`
+	Region  string   `json:"region"`
+	Addr    string   `json:"addr"`
+	Seeds   []string `json:"seeds"`
+	Data    string   `json:"data,omitempty"`
+	Members []member `json:"members,omitempty"`
+	Core    []string `json:"core,omitempty"`
+}
+
+// Plan writes DIR/nodes.json, DIR/settings/NAME.json and DIR/start (lines `name program args...`). The folder
+// must not hold a fleet yet. Faults: Invalid, Conflict, Disk. Example:
+//
+//	nodes, err := fleet.Plan(dir, fleet.Shape{CPlanes: 5, DPlanes: 3, Minions: 12, Zones: 3, Cores: 16, Kind: "check", Bin: "bin"})
+func Plan(dir string, s Shape) (Nodes, error) {
+	if err := s.Check(); err != nil {
+		return Nodes{}, fault.Pass(err, "plan")
+	}
+	dir, err := filepath.Abs(dir)
+	if err != nil {
+		return Nodes{}, fault.Wrap(err, fault.Disk, "folder of the fleet")
+	}
+	if strings.ContainsAny(dir+s.Bin, " \t\n") {
+		return Nodes{}, fault.Field(fault.Invalid, "dir", "must hold no blanks: %q, %q", dir, s.Bin)
+	}
+	if _, err := os.Stat(filepath.Join(dir, "nodes.json")); err == nil {
+		return Nodes{}, fault.New(fault.Conflict, "%s holds a fleet already", dir)
+	}
+	ports, err := Ports(s.CPlanes + s.DPlanes + s.Minions)
+	if err != nil {
+		return Nodes{}, fault.Pass(err, "plan")
+	}
+	n := Lay(s, ports)
+	files := map[string]any{"nodes.json": n}
+	var start strings.Builder
+	var members []member
+	var core, front []string
+	for _, c := range n.CPlanes {
+		members, core = append(members, member{c.Name, c.Addr, c.Zone}), append(core, c.Addr)
+	}
+	for _, d := range n.DPlanes {
+		front = append(front, d.Addr)
+	}
+	for _, c := range n.CPlanes {
+		files["settings/"+c.Name+".json"] = settings{c.Name, c.Zone, "local", c.Addr, seeds(c, core),
+			filepath.Join(dir, "data", c.Name), members, nil}
+		fmt.Fprintf(&start, "%s %s/cplane run --settings %s/settings/%s.json\n", c.Name, s.Bin, dir, c.Name)
+	}
+	for _, d := range n.DPlanes {
+		files["settings/"+d.Name+".json"] = settings{d.Name, d.Zone, "local", d.Addr, seeds(d, core), "", nil, core}
+		fmt.Fprintf(&start, "%s %s/dplane run --settings %s/settings/%s.json\n", d.Name, s.Bin, dir, d.Name)
+	}
+	for _, m := range n.Minions {
+		fmt.Fprintf(&start, "%s %s/drill minion --name %s --addr %s --kind %s --zone %s --rack %s --cores %d"+
+			" --dplanes %s --journal %s/journal/%s.jsonl\n", m.Name, s.Bin, m.Name, m.Addr, m.Kind, m.Zone, m.Rack,
+			s.Cores, strings.Join(front, ","), dir, m.Name)
+	}
+	for _, sub := range []string{"settings", "log", "journal", "data"} {
+		if err := os.MkdirAll(filepath.Join(dir, sub), 0o755); err != nil {
+			return n, fault.Wrap(err, fault.Disk, "folder %s", sub)
+		}
+	}
+	for name, value := range files {
+		data, err := json.MarshalIndent(value, "", " ")
+		if err != nil {
+			return n, fault.Wrap(err, fault.Internal, "encode %s", name)
+		}
+		if err := os.WriteFile(filepath.Join(dir, name), append(data, '\n'), 0o644); err != nil {
+			return n, fault.Wrap(err, fault.Disk, "write %s", name)
+		}
+	}
+	return n, fault.Wrap(os.WriteFile(filepath.Join(dir, "start"), []byte(start.String()), 0o644), fault.Disk, "write start")
+}
+
+// seeds gives up to three addresses of others, beginning after the node's own place.
+func seeds(self Node, addrs []string) []string {
+	from := 0
+	for i, a := range addrs {
+		if a == self.Addr {
+			from = i + 1
+		}
+	}
+	var out []string
+	for i := range addrs {
+		if a := addrs[(from+i)%len(addrs)]; a != self.Addr && len(out) < 3 {
+			out = append(out, a)
+		}
+	}
+	if len(out) == 0 { // a fleet of one cplane has no other seed
+		out = addrs[:1]
+	}
+	return out
+}
+
+// Ports finds n free loopback ports below the range that outgoing connections take theirs from, so that a port
+// stays free for its node while that is down. Faults: Unavailable.
+func Ports(n int) ([]int, error) {
+	low := 32768
+	if data, err := os.ReadFile("/proc/sys/net/ipv4/ip_local_port_range"); err == nil {
+		if _, err := fmt.Sscan(string(data), &low); err != nil {
+			low = 32768
+		}
+	}
+	const floor = 10240
+	span := low - floor
+	if span < 4*n {
+		return nil, fault.New(fault.Unavailable, "ports %d to %d are too few for %d nodes", floor, low, n)
+	}
+	from := rand.IntN(span)
+	var out []int
+	for i := 0; i < span && len(out) < n; i++ {
+		port := floor + (from+i)%span
+		l, err := net.Listen("tcp", "127.0.0.1:"+strconv.Itoa(port))
+		if err != nil {
+			continue
+		}
+		if err := l.Close(); err == nil {
+			out = append(out, port)
+		}
+	}
+	if len(out) < n {
+		return nil, fault.New(fault.Unavailable, "only %d of %d ports are free", len(out), n)
+	}
+	return out, nil
+}
--- /dev/null
+++ b/internal/rig/journal/journal.go
@@ -0,0 +1,171 @@
+// Package journal is the witness of a rehearsal: append-only JSON lines that trust no daemon.
+package journal
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"errors"
+	"io"
+	"iter"
+	"os"
+	"path/filepath"
+	"sync"
+
+	"crosstide/internal/fault"
+)
+
+// What an Entry of a minion tells.
+const (
+	Boot   = "boot"   // the process began under a new boot id
+	Order  = "order"  // a start order came
+	Start  = "start"  // its run began
+	Refuse = "refuse" // it was refused, Why says for what
+	Stop   = "stop"   // a run was killed on an order, or as the minion left
+	End    = "end"    // a run came to its own end, OK says how
+	Lapse  = "lapse"  // a run was killed (or not begun) as its hold had lapsed
+	Drain  = "drain"  // draining was switched, OK says to what
+)
+
+// Entry is one line of a minion's journal.
+type Entry struct {
+	At     int64             `json:"at"` // Unix time in ns, of writing
+	Ev     string            `json:"ev"`
+	Minion string            `json:"minion"`
+	Boot   string            `json:"boot"`
+	Job    string            `json:"job"`
+	Task   int               `json:"task"`
+	Ticket uint64            `json:"ticket"`
+	Epoch  uint64            `json:"epoch"` // of the call that brought the order
+	Type   string            `json:"type"`
+	Zone   string            `json:"zone"`
+	OK     bool              `json:"ok"`
+	Step   string            `json:"step,omitempty"`
+	Queue  string            `json:"queue,omitempty"`
+	Labels map[string]string `json:"labels,omitempty"` // boot: of the minion; else: that the step asks for
+	Cores  int               `json:"cores,omitempty"`  // boot: of the minion; else: of the run
+	GPUs   int               `json:"gpus,omitempty"`
+	Clock  int64             `json:"clock,omitempty"` // the minion's own clock in ns
+	Why    string            `json:"why,omitempty"`
+}
+
+// Writer appends to one file. It is the file's only writer; its methods may be called from many goroutines.
+type Writer struct {
+	mu   sync.Mutex
+	file *os.File
+}
+
+// Open opens path for appending, with its folder if need be. A torn last line, left by a killed writer, is cut.
+// Faults: Disk.
+func Open(path string) (*Writer, error) {
+	if err := os.MkdirAll(filepath.Dir(path), 0o755); err != nil {
+		return nil, fault.Wrap(err, fault.Disk, "folder of journal %s", path)
+	}
+	whole, err := wholeLines(path)
+	if err != nil {
+		return nil, err
+	}
+	file, err := os.OpenFile(path, os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o644)
+	if err != nil {
+		return nil, fault.Wrap(err, fault.Disk, "open journal %s", path)
+	}
+	if err := file.Truncate(whole); err != nil {
+		return nil, fault.Wrap(errors.Join(err, file.Close()), fault.Disk, "cut torn end of journal %s", path)
+	}
+	return &Writer{file: file}, nil
+}
+
+// wholeLines gives the size of path up to its last line end, 0 if there is no such file.
+func wholeLines(path string) (int64, error) {
+	data, err := os.ReadFile(path)
+	if err != nil && !errors.Is(err, os.ErrNotExist) {
+		return 0, fault.Wrap(err, fault.Disk, "read journal %s", path)
+	}
+	return int64(bytes.LastIndexByte(data, '\n') + 1), nil
+}
+
+// Append writes v, commonly an Entry, as one line by one write(2): a process killed afterwards loses nothing.
+// Faults: Internal (v is no JSON), Disk. Example:
+//
+//	err := w.Append(journal.Entry{At: time.Now().UnixNano(), Ev: journal.Boot, Minion: "m1"})
+func (w *Writer) Append(v any) error {
+	line, err := json.Marshal(v)
+	if err != nil {
+		return fault.Wrap(err, fault.Internal, "journal line")
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	_, err = w.file.Write(append(line, '\n'))
+	return fault.Wrap(err, fault.Disk, "append to journal")
+}
+
+// Close closes the file.
+func (w *Writer) Close() error {
+	return fault.Wrap(w.file.Close(), fault.Disk, "close journal")
+}
+
+// Line is one line as found: the file's base name, the line's number from 1, and its bytes.
+type Line struct {
+	File   string
+	Number int
+	Raw    []byte // valid JSON, kept by nobody else
+}
+
+// Entry decodes the line as a minion's. Fault: Damaged.
+func (l Line) Entry() (Entry, error) {
+	var e Entry
+	err := json.Unmarshal(l.Raw, &e)
+	return e, fault.Wrap(err, fault.Damaged, "journal %s line %d", l.File, l.Number)
+}
+
+// Lines goes over all lines of dir/journal/*.jsonl, by file name and then in order of writing. A last line
+// without its line end is torn and left out. Any other line that is no JSON is yielded with a Damaged fault;
+// a file that cannot be read with a Disk fault. Example:
+//
+//	for line, err := range journal.Lines(dir) {
+//		if err != nil {
+//			return fault.Pass(err, "audit")
+//		}
+//		entry, err := line.Entry()
+//		…
+//	}
+func Lines(dir string) iter.Seq2[Line, error] {
+	return func(yield func(Line, error) bool) {
+		paths, err := filepath.Glob(filepath.Join(dir, "journal", "*.jsonl"))
+		if err != nil {
+			yield(Line{}, fault.Wrap(err, fault.Settings, "folder %s", dir))
+			return
+		}
+		for _, path := range paths {
+			if !linesOf(path, yield) {
+				return
+			}
+		}
+	}
+}
+
+func linesOf(path string, yield func(Line, error) bool) bool {
+	line := Line{File: filepath.Base(path)}
+	file, err := os.Open(path)
+	if err != nil {
+		return yield(line, fault.Wrap(err, fault.Disk, "open journal %s", path))
+	}
+	defer file.Close()
+	for in := bufio.NewReader(file); ; {
+		raw, err := in.ReadBytes('\n')
+		if err == io.EOF {
+			return true // what raw still holds is torn
+		}
+		if err != nil {
+			return yield(line, fault.Wrap(err, fault.Disk, "read journal %s", path))
+		}
+		line.Number++
+		line.Raw = bytes.TrimSuffix(raw, []byte("\n"))
+		if !json.Valid(line.Raw) {
+			err = fault.New(fault.Damaged, "journal %s line %d is no JSON", line.File, line.Number)
+		}
+		if !yield(line, err) {
+			return false
+		}
+	}
+}
--- /dev/null
+++ b/internal/rig/journal/journal_test.go
@@ -0,0 +1,61 @@
+package journal
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"crosstide/internal/fault"
+)
+
+func read(dir string) (tickets []uint64, kinds []fault.Kind) {
+	for line, err := range Lines(dir) {
+		if err != nil {
+			kinds = append(kinds, fault.KindOf(err))
+			continue
+		}
+		e, err := line.Entry()
+		So(err, ShouldBeNil)
+		tickets = append(tickets, e.Ticket)
+	}
+	return tickets, kinds
+}
+
+func TestJournal(t *testing.T) {
+	Convey("Lines written are read back in order; a torn end is left out, and cut when the writer comes back", t, func() {
+		dir := t.TempDir()
+		path := filepath.Join(dir, "journal", "m1.jsonl")
+		w, err := Open(path)
+		So(err, ShouldBeNil)
+		for n := range uint64(3) {
+			So(w.Append(Entry{Ev: Start, Ticket: n + 1}), ShouldBeNil)
+		}
+		So(w.Close(), ShouldBeNil)
+
+		data, err := os.ReadFile(path)
+		So(err, ShouldBeNil)
+		So(os.WriteFile(path, append(data, `{"ev":"sta`...), 0o644), ShouldBeNil)
+		tickets, kinds := read(dir)
+		So(tickets, ShouldResemble, []uint64{1, 2, 3})
+		So(kinds, ShouldBeEmpty)
+
+		w, err = Open(path)
+		So(err, ShouldBeNil)
+		So(w.Append(Entry{Ev: Boot, Ticket: 4}), ShouldBeNil)
+		So(w.Close(), ShouldBeNil)
+		tickets, kinds = read(dir)
+		So(tickets, ShouldResemble, []uint64{1, 2, 3, 4})
+		So(kinds, ShouldBeEmpty)
+	})
+
+	Convey("A whole line that is no JSON is damage", t, func() {
+		dir := t.TempDir()
+		So(os.Mkdir(filepath.Join(dir, "journal"), 0o755), ShouldBeNil)
+		So(os.WriteFile(filepath.Join(dir, "journal", "m.jsonl"), []byte("{\"ticket\":1}\n{\"ti\n{\"ticket\":2}\n"), 0o644), ShouldBeNil)
+		tickets, kinds := read(dir)
+		So(tickets, ShouldResemble, []uint64{1, 2})
+		So(kinds, ShouldResemble, []fault.Kind{fault.Damaged})
+	})
+}
--- /dev/null
+++ b/internal/rig/minion/host_test.go
@@ -0,0 +1,100 @@
+package minion
+
+import (
+	"context"
+	"encoding/json"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	. "github.com/smartystreets/goconvey/convey"
+
+	"crosstide/internal/alarm"
+	"crosstide/internal/fault"
+	"crosstide/internal/pair"
+	"crosstide/internal/rig/journal"
+	"crosstide/internal/spawn"
+	"crosstide/internal/wire"
+)
+
+func TestHost(t *testing.T) {
+	open := func(change func(*Settings)) (*Host, string) {
+		dir, set := t.TempDir(), Defaults()
+		set.Name, set.Zone, set.Journal = "m", "z1", filepath.Join(dir, "journal", "{name}.jsonl")
+		change(&set)
+		h, err := Open(set, alarm.Real{}, log.NewNopLogger())
+		So(err, ShouldBeNil)
+		return h, dir
+	}
+	caller := wire.NewCaller(wire.CallerOptions{})
+	defer caller.Close()
+	ask := func(h *Host, c pair.HoldCall) (pair.HoldAnswer, error) {
+		return wire.Ask(context.Background(), caller, h.Addr(), pair.Hold, c, time.Minute)
+	}
+	start := func(ticket uint64) []pair.StartOrder {
+		return []pair.StartOrder{{Ticket: ticket, Job: "j", Step: "s", Type: "t", Cores: 1, Run: json.RawMessage(`{}`),
+			Void: time.Hour, Until: time.Hour}}
+	}
+	events := func(dir string) (out []string) {
+		for line, err := range journal.Lines(dir) {
+			So(err, ShouldBeNil)
+			e, err := line.Entry()
+			So(err, ShouldBeNil)
+			out = append(out, e.Minion+" "+e.Ev)
+		}
+		return out
+	}
+
+	Convey("Hollow minions share an address, and each announces, runs, drains and leaves under its own name", t, func() {
+		heard := make(chan pair.MinionCall, 8)
+		dplane := wire.NewServer(wire.ServerOptions{Addr: "127.0.0.1:0"})
+		wire.Handle(dplane, pair.Minions, func(_ context.Context, c pair.MinionCall) (pair.MinionAnswer, error) {
+			heard <- c
+			return pair.MinionAnswer{Again: time.Hour}, nil
+		})
+		So(dplane.Start(), ShouldBeNil)
+		defer func() { So(dplane.Stop(time.Minute), ShouldBeNil) }()
+		h, dir := open(func(s *Settings) { s.Count, s.Dplanes = 2, []string{dplane.Addr()} })
+		group, over := spawn.New(context.Background()), make(chan error, 1)
+		defer group.Stop()
+		group.Go(func(ctx context.Context) { over <- h.Run(ctx) })
+		boots := map[string]string{}
+		for range 2 {
+			c := <-heard
+			So(c.Addr, ShouldEqual, h.Addr())
+			boots[c.Name] = c.Boot
+		}
+		So(boots, ShouldHaveLength, 2)
+		a, err := ask(h, pair.HoldCall{Call: 3, Epoch: 4, Minion: "m-1", Boot: boots["m-1"], Starts: start(7)})
+		So(err, ShouldBeNil)
+		So([]any{a.Call, a.Epoch, a.Boot, a.Seen}, ShouldResemble, []any{uint64(3), uint64(4), boots["m-1"], uint64(7)})
+		So(a.Ended, ShouldResemble, []pair.EndNote{{Ticket: 7, How: pair.EndWell}})
+		_, err = ask(h, pair.HoldCall{Minion: "other"})
+		So(fault.KindOf(err), ShouldEqual, fault.Unknown)
+		_, err = ask(h, pair.HoldCall{Minion: "m-1", Epoch: 3})
+		So(fault.KindOf(err), ShouldEqual, fault.Stale)
+		h.Drain(true, true)
+		_, err = ask(h, pair.HoldCall{Minion: "m-1", Epoch: 4, Acked: []uint64{7}})
+		So(err, ShouldBeNil)
+		So(<-over, ShouldBeNil)
+		So(events(dir), ShouldResemble, []string{"m-0 boot", "m-0 drain", "m-1 boot", "m-1 order", "m-1 start", "m-1 end", "m-1 drain"})
+	})
+
+	Convey("A lost answer ends the connection after the call was carried out, a late call is carried out too", t, func() {
+		h, dir := open(func(s *Settings) { s.Kind, s.Lose, s.Late = Obey, 1, Span(time.Millisecond) })
+		defer h.Close()
+		_, err := ask(h, pair.HoldCall{Minion: "m", Starts: start(7)})
+		So(fault.KindOf(err), ShouldEqual, fault.Unavailable)
+		So(wire.Unsent(err), ShouldBeFalse)
+		So(events(dir), ShouldResemble, []string{"m boot", "m order", "m start", "m end"})
+	})
+
+	Convey("All mistakes of the settings are told at once", t, func() {
+		err := Settings{Addr: "x", Kind: "y"}.Check()
+		So(fault.KindOf(err), ShouldEqual, fault.Settings)
+		for _, field := range []string{"name", "addr", "kind", "zone", "journal", "count", "slow"} {
+			So(err.Error(), ShouldContainSubstring, "settings: "+field+": ")
+		}
+	})
+}
--- /dev/null
+++ b/internal/sched/hold.go
@@ -0,0 +1,297 @@
+package sched
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"crosstide/internal/pair"
+	"crosstide/internal/state"
+	"crosstide/internal/state/command"
+)
+
+// clockAt is the least that the minion's clock shows at now.
+func (m *minion) clockAt(now time.Duration) time.Duration { return m.clock + (now - m.heard) }
+
+// holdPass gives the calls that a minion is to get now: orders and urgent words on the order line, else the next
+// waiting call.
+func (c *Core) holdPass(now time.Duration, m *minion, out []CallOut) []CallOut {
+	if m == nil {
+		return out
+	}
+	rec := c.st.Minions[m.name]
+	if rec == nil {
+		return out
+	}
+	if len(m.outbox) > 0 && (now > m.outBy || m.drain) {
+		c.unsend(m)
+	}
+	quiet := m.faults > 0 && now < m.retry
+	if m.order == 0 && !quiet && m.heard > 0 && (len(m.outbox) > 0 || m.urgent && m.waiting != 0) {
+		out = append(out, c.orderCall(now, m, rec))
+	}
+	if m.waiting == 0 && !quiet {
+		call := c.call(now, m)
+		call.Wait = c.cfg.HoldWait
+		if m.heard == 0 || m.faults > 0 || m.floor > m.told {
+			call.Wait = 0
+		}
+		m.waiting = call.Call
+		out = append(out, CallOut{Minion: m.name, Addr: rec.Addr, Call: call})
+	}
+	return out
+}
+
+// call makes a call with all but starts.
+func (c *Core) call(now time.Duration, m *minion) pair.HoldCall {
+	m.call++
+	m.urgent = false
+	call := pair.HoldCall{Call: m.call, Epoch: c.epoch, Minion: m.name, Boot: m.boot, Floor: m.floor, Acked: m.acks}
+	m.acks = nil
+	for _, t := range sortedTickets(m.runs) {
+		r := m.runs[t]
+		if r.stop != "" && r.listed {
+			call.Stops = append(call.Stops, pair.StopOrder{Ticket: t, Why: r.stop})
+			c.Counts.Stops++
+			continue
+		}
+		// A hold is renewed in its first quarter, and only while the minion answers: a call that may or may not
+		// have arrived must not put the lapse off for ever.
+		if m.heard > 0 && m.faults == 0 && r.listed && r.stop == "" {
+			until := m.clockAt(now) + c.cfg.Hold
+			if r.boot != m.boot || until-r.until > c.cfg.Hold/4 {
+				call.Renew = append(call.Renew, t)
+				call.Until = until
+				r.until, r.boot = until, m.boot
+			}
+		}
+	}
+	for _, t := range slices.Sorted(maps.Keys(m.strays)) {
+		call.Stops = append(call.Stops, pair.StopOrder{Ticket: t, Why: m.strays[t]})
+		c.Counts.Stops++
+	}
+	clear(m.strays)
+	return call
+}
+
+// orderCall makes a call with all the starts of the outbox, in ticket order.
+func (c *Core) orderCall(now time.Duration, m *minion, rec *state.Minion) CallOut {
+	call := c.call(now, m)
+	void, until := m.clockAt(now)+c.cfg.StartWindow, m.clockAt(now)+c.cfg.Hold
+	for _, t := range m.outbox {
+		r := m.runs[t]
+		if r == nil || r.gone {
+			continue
+		}
+		j, task := c.st.TaskOf(r.h.Ref)
+		if r.out = false; r.stop != "" || task == nil || task.Ticket != t || r.h.Boot != m.boot {
+			c.kill(r, command.ProofUnsent, "")
+			continue
+		}
+		step := &j.Spec.Steps[r.h.Ref.Step]
+		r.call, r.flying, r.until, r.boot = call.Call, true, until, m.boot
+		call.Starts = append(call.Starts, pair.StartOrder{Ticket: t, Job: r.h.Ref.Job, Step: step.Name, Task: r.h.Ref.Task,
+			Type: step.Type, Queue: j.Spec.Queue, Cores: step.Cores, GPUs: step.GPUs, Labels: step.Labels, Run: step.Run,
+			Void: void, Until: until})
+		c.Counts.Sent++
+	}
+	m.outbox = nil
+	m.order = call.Call
+	co := CallOut{Minion: m.name, Addr: rec.Addr, Order: true, Call: call}
+	if len(call.Starts) > 0 {
+		co.Before = m.outBy
+	}
+	return co
+}
+
+// unsend voids orders that did not leave in time: they never left, so their handles are dead.
+func (c *Core) unsend(m *minion) {
+	for _, t := range m.outbox {
+		if r := m.runs[t]; r != nil {
+			r.out = false
+			c.kill(r, command.ProofUnsent, "")
+		}
+	}
+	m.outbox = nil
+}
+
+// Fault takes in that a call got no answer. sent tells whether any byte of it may have left.
+func (c *Core) Fault(now time.Duration, name string, order bool, call pair.HoldCall, sent bool) {
+	c.now = now
+	m := c.line(name, order, call)
+	if m == nil {
+		return
+	}
+	c.Counts.CallFaults++
+	m.faults++
+	m.retry = now + c.cfg.Retry
+	m.acks = append(call.Acked, m.acks...)
+	for _, s := range call.Starts {
+		r := m.runs[s.Ticket]
+		if r == nil {
+			continue
+		}
+		r.flying = false
+		if !sent {
+			r.call = 0
+			c.kill(r, command.ProofUnsent, "")
+			continue
+		}
+		m.floor = max(m.floor, s.Ticket)
+		c.doubt(r)
+	}
+}
+
+func (c *Core) doubt(r *run) {
+	if !r.gone && !r.listed && r.h.Phase == state.TaskHeld {
+		c.doubts = append(c.doubts, r.h.Ticket)
+		c.Counts.Doubts++
+	}
+}
+
+// line finds the minion whose call came back and frees the line it went on; nil if that call is none of this
+// epoch's or not the one under way.
+func (c *Core) line(name string, order bool, call pair.HoldCall) *minion {
+	m := c.minions[name]
+	if m == nil || c.phase != Ready || call.Epoch != c.epoch {
+		return nil
+	}
+	at := &m.waiting
+	if order {
+		at = &m.order
+	}
+	if *at != call.Call {
+		return nil
+	}
+	*at = 0
+	c.dirty[name] = true
+	c.swept = false
+	return m
+}
+
+// Answer takes in the answer to a call. An answer that is older than one taken in already, or that names another
+// call, tells nothing any more.
+func (c *Core) Answer(now time.Duration, name string, order bool, call pair.HoldCall, a pair.HoldAnswer) {
+	c.now = now
+	if a.Call != call.Call {
+		c.Counts.Crossed++
+		c.Fault(now, name, order, call, true)
+		return
+	}
+	m := c.line(name, order, call)
+	if m == nil {
+		return
+	}
+	for _, s := range call.Starts {
+		if r := m.runs[s.Ticket]; r != nil {
+			r.flying = false
+		}
+	}
+	for _, ref := range a.Refused {
+		if r := m.runs[ref.Ticket]; r != nil && r.call == call.Call {
+			c.kill(r, command.ProofRefuse, "refused by "+name+": "+ref.Why)
+			c.Counts.Refused++
+		}
+	}
+	if call.Call < m.taken {
+		c.Counts.Crossed++
+		// Its starts are judged by a newer answer; that floor lets them be proved either way.
+		for _, s := range call.Starts {
+			if r := m.runs[s.Ticket]; r != nil && !r.listed {
+				m.floor = max(m.floor, s.Ticket)
+			}
+		}
+		return
+	}
+	m.taken = call.Call
+	m.faults = 0
+	m.boot, m.kind, m.drain = a.Boot, a.Kind, a.Draining
+	m.heard, m.clock, m.told = now, a.Clock, a.Floor
+	c.hear(m, a)
+	c.listing(now, m, call, a)
+}
+
+// hear takes in what the minion says of itself.
+func (c *Core) hear(m *minion, a pair.HoldAnswer) {
+	rec := c.st.Minions[m.name]
+	if rec == nil {
+		return
+	}
+	said := state.Minion{Name: m.name, Addr: rec.Addr, Closed: rec.Closed, Boot: a.Boot, Kind: a.Kind, Zone: a.Zone, Rack: a.Rack,
+		Labels: a.Labels, Cores: a.Cores, GPUs: a.GPUs, Draining: a.Draining}
+	m.report = nil
+	if said.Boot != rec.Boot || said.Kind != rec.Kind || said.Zone != rec.Zone || said.Rack != rec.Rack ||
+		said.Cores != rec.Cores || said.GPUs != rec.GPUs || said.Draining != rec.Draining || !maps.Equal(said.Labels, rec.Labels) {
+		m.report = &said
+	}
+}
+
+// listing holds what runs and what ended there against the handles, both ways.
+func (c *Core) listing(now time.Duration, m *minion, call pair.HoldCall, a pair.HoldAnswer) {
+	seen := make(map[uint64]bool, len(a.Running)+len(a.Ended))
+	for _, t := range a.Running {
+		seen[t] = true
+		r := m.runs[t]
+		if r == nil {
+			m.strays[t] = "no handle"
+			m.urgent = true
+			continue
+		}
+		r.listed, r.absent = true, 0
+		if r.h.Phase != state.TaskRunning && !r.gone {
+			c.running = append(c.running, t)
+		}
+		if r.stop != "" {
+			m.urgent = true
+		}
+	}
+	for _, e := range a.Ended {
+		seen[e.Ticket] = true
+		r := m.runs[e.Ticket]
+		if r == nil {
+			m.acks = append(m.acks, e.Ticket) // its end is durable
+			continue
+		}
+		if r.gone {
+			continue
+		}
+		switch e.How {
+		case pair.EndWell, pair.EndFault:
+			r.gone = true
+			c.ends = append(c.ends, command.End{Ticket: e.Ticket, OK: e.How == pair.EndWell, Reason: e.Reason})
+			c.Counts.Ended++
+			if e.How == pair.EndFault {
+				c.Counts.Faults++
+			}
+		case pair.EndLapse:
+			c.kill(r, command.ProofLapse, "its hold lapsed")
+		default:
+			c.kill(r, command.ProofStop, e.Reason)
+		}
+	}
+	for t, r := range m.runs {
+		if seen[t] || r.gone || r.out || r.flying || r.mine && (r.call == 0 || r.call > call.Call) {
+			continue
+		}
+		r.listed = false
+		if a.Floor < t {
+			m.floor = max(m.floor, t)
+			m.urgent = true
+			c.doubt(r)
+			continue
+		}
+		if m.kind == "obey" {
+			if r.absent == 0 {
+				r.absent = now
+				c.doubt(r)
+			}
+			if now-r.absent < c.cfg.Lateness {
+				continue
+			}
+		}
+		c.kill(r, command.ProofFloor, "")
+	}
+	c.dirty[m.name] = true
+}
+
+func sortedTickets(runs map[uint64]*run) []uint64 { return slices.Sorted(maps.Keys(runs)) }
--- /dev/null
+++ b/internal/sched/plan.go
@@ -0,0 +1,326 @@
+package sched
+
+import (
+	"container/heap"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"crosstide/internal/fault"
+	"crosstide/internal/state"
+	"crosstide/internal/state/command"
+)
+
+// planPass gathers all that is to be committed into one plan; nil while one is under way or if there is nothing.
+func (c *Core) planPass(now time.Duration) *command.Plan {
+	if c.plan != nil {
+		return nil
+	}
+	p := &command.Plan{Epoch: c.epoch, Charter: c.st.Bundle.Version, Hold: c.cfg.Hold,
+		Running: c.running, Doubt: c.doubts, Ends: c.ends, Dead: c.dead}
+	if len(c.st.Inbox) > 0 {
+		p.Seq = c.st.Seq
+	}
+	for _, name := range slices.Sorted(maps.Keys(c.minions)) {
+		if m := c.minions[name]; m.report != nil {
+			p.Minions = append(p.Minions, *m.report)
+			m.report = nil
+		}
+	}
+	if !c.swept {
+		c.place(now, p)
+		c.swept = true
+	}
+	if p.Seq == 0 && len(p.Minions)+len(p.Running)+len(p.Doubt)+len(p.Ends)+len(p.Dead)+len(p.Starts) == 0 {
+		return nil
+	}
+	c.running, c.doubts, c.ends, c.dead = nil, nil, nil, nil
+	c.plan = &flight{plan: p, at: now}
+	c.Counts.Plans++
+	return p
+}
+
+// Planned takes in the answer to the plan under way. The caller has followed the store up to the plan's index,
+// so that the handles of its tickets are in the replica. A plan without an answer may or may not have been
+// committed: what it said is said again, and tickets that it brought are never sent.
+func (c *Core) Planned(now time.Duration, epoch uint64, done command.Planned, err error) {
+	c.now = now
+	f := c.plan
+	if f == nil || f.plan.Epoch != epoch || c.phase != Ready {
+		return
+	}
+	c.plan, c.swept = nil, false
+	if err != nil {
+		c.Counts.PlanFaults++
+		if fault.Is(err, fault.Stale) {
+			c.Yield()
+			return
+		}
+		c.ends = append(f.plan.Ends, c.ends...)
+		c.dead = append(f.plan.Dead, c.dead...)
+		for _, s := range f.plan.Starts {
+			c.due(s.Ref)
+		}
+		return
+	}
+	for i, s := range f.plan.Starts {
+		ticket := done.Tickets[i]
+		if ticket == 0 {
+			c.Counts.Refused++
+			c.due(s.Ref)
+			continue
+		}
+		c.Counts.Tickets++
+		r, m := c.runs[ticket], c.minions[s.Minion]
+		if r == nil || m == nil {
+			continue
+		}
+		by := min(now+c.cfg.StartWindow, f.at+c.cfg.PlanWindow)
+		if now >= by {
+			c.kill(r, command.ProofUnsent, "")
+			continue
+		}
+		r.out = true
+		m.outbox = append(m.outbox, ticket)
+		m.outBy = by
+		c.dirty[m.name] = true
+	}
+}
+
+// class is the due tasks that the same minions may run.
+type class struct {
+	key    string
+	kind   string
+	urgent bool
+	gang   bool
+	refs   []state.TaskRef
+	head   int
+}
+
+type waiter struct {
+	at  time.Duration
+	ref state.TaskRef
+}
+
+type waiters []waiter
+
+func (w waiters) Len() int           { return len(w) }
+func (w waiters) Less(i, j int) bool { return w[i].at < w[j].at }
+func (w waiters) Swap(i, j int)      { w[i], w[j] = w[j], w[i] }
+func (w *waiters) Push(x any)        { *w = append(*w, x.(waiter)) }
+func (w *waiters) Pop() any {
+	old := *w
+	x := old[len(old)-1]
+	*w = old[:len(old)-1]
+	return x
+}
+
+// backlog holds the due tasks: those in back-off by time, the others by class, oldest first. Entries may be out
+// of date; they are checked against the replica when they are taken.
+type backlog struct {
+	classes map[string]*class
+	later   waiters
+	in      map[state.TaskRef]bool
+}
+
+func (b *backlog) clear() {
+	b.classes, b.later, b.in = map[string]*class{}, nil, map[state.TaskRef]bool{}
+}
+
+func (b *backlog) len() int { return len(b.in) }
+
+// due puts a task that fell due into the backlog.
+func (c *Core) due(ref state.TaskRef) {
+	if c.backlog.in[ref] {
+		return
+	}
+	_, t := c.st.TaskOf(ref)
+	if t == nil || t.Phase != state.TaskDue {
+		return
+	}
+	c.backlog.in[ref] = true
+	if wait := t.Due.Sub(c.st.At); !t.Due.IsZero() && wait > 0 {
+		heap.Push(&c.backlog.later, waiter{c.now + wait, ref})
+		return
+	}
+	c.enlist(ref)
+}
+
+func (c *Core) enlist(ref state.TaskRef) {
+	j, _ := c.st.TaskOf(ref)
+	if j == nil {
+		delete(c.backlog.in, ref)
+		return
+	}
+	step := &j.Spec.Steps[ref.Step]
+	var key strings.Builder
+	fmt.Fprintf(&key, "%s|%s|%s|%d|%d", j.Spec.Queue, j.Spec.Team, step.Type, step.Cores, step.GPUs)
+	for _, k := range slices.Sorted(maps.Keys(step.Labels)) {
+		key.WriteString("|" + k + "=" + step.Labels[k])
+	}
+	if step.Gang {
+		fmt.Fprintf(&key, "|gang|%s|%d", ref.Job, ref.Step)
+	}
+	k := c.backlog.classes[key.String()]
+	if k == nil {
+		k = &class{key: key.String(), kind: step.Type, gang: step.Gang, urgent: c.st.Bundle.Queues[j.Spec.Queue].Urgent}
+		c.backlog.classes[k.key] = k
+	}
+	k.refs = append(k.refs, ref)
+}
+
+// peek gives the oldest task of a class that is still due, nil if none is left.
+func (c *Core) peek(k *class) (*state.Job, *state.TaskRef) {
+	for k.head < len(k.refs) {
+		ref := &k.refs[k.head]
+		if j, t := c.st.TaskOf(*ref); t != nil && t.Phase == state.TaskDue && j.Phase == state.JobRunning {
+			return j, ref
+		}
+		c.pop(k)
+	}
+	return nil, nil
+}
+
+func (c *Core) pop(k *class) {
+	delete(c.backlog.in, k.refs[k.head])
+	k.head++
+	switch {
+	case k.head == len(k.refs):
+		k.refs, k.head = nil, 0
+	case k.head > 1024 && k.head > len(k.refs)/2:
+		k.refs = append([]state.TaskRef(nil), k.refs[k.head:]...)
+		k.head = 0
+	}
+}
+
+// spot is what is free on a minion in this pass.
+type spot struct {
+	rec         *state.Minion
+	cores, gpus int
+}
+
+// spots gives the minions that may get a start now, in turn from where the last pass left off.
+func (c *Core) spots(now time.Duration) []*spot {
+	out := make([]*spot, 0, len(c.ring))
+	for i := range c.ring {
+		m := c.minions[c.ring[(c.turn+i)%len(c.ring)]]
+		rec := c.st.Minions[m.name]
+		if rec == nil || m.heard == 0 || m.faults > 0 || m.drain || m.order != 0 || len(m.outbox) > 0 || m.report != nil ||
+			rec.Boot != m.boot || now-m.heard > c.cfg.Silence {
+			continue
+		}
+		r := c.st.Room(m.name)
+		if s := (&spot{rec, rec.Cores - r.Cores, rec.GPUs - r.GPUs}); s.cores > 0 {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
+// place puts starts for due tasks into a plan. Urgent queues go first, then types under their limit, then those
+// over it; the oldest first in each. A class that fits nowhere now holds up no other: no limit and no large task
+// leaves room idle that another due task may use.
+func (c *Core) place(now time.Duration, p *command.Plan) {
+	for len(c.backlog.later) > 0 && c.backlog.later[0].at <= now {
+		c.enlist(heap.Pop(&c.backlog.later).(waiter).ref)
+	}
+	if len(c.backlog.in) == len(c.backlog.later) || len(c.ring) == 0 {
+		return
+	}
+	spots := c.spots(now)
+	if len(spots) == 0 {
+		return
+	}
+	pending := map[string]int{}
+	stuck := map[string]bool{}
+	next := 0
+	for len(p.Starts) < c.cfg.Batch {
+		k, j := c.choose(pending, stuck)
+		if k == nil {
+			break
+		}
+		n := 1
+		if k.gang {
+			n = len(k.refs) - k.head
+		}
+		starts := c.fit(spots, &next, j, k, n)
+		if starts == nil {
+			stuck[k.key] = true
+			continue
+		}
+		for range n {
+			c.pop(k)
+		}
+		if k.gang {
+			delete(c.backlog.classes, k.key)
+			for i := range starts {
+				starts[i].Group = len(p.Starts) + 1
+			}
+		}
+		p.Starts = append(p.Starts, starts...)
+		pending[k.kind] += n
+	}
+	c.turn = (c.turn + next) % len(c.ring)
+}
+
+// choose gives the class whose oldest task is next, with the job of that task.
+func (c *Core) choose(pending map[string]int, stuck map[string]bool) (*class, *state.Job) {
+	var best *class
+	var owner *state.Job
+	rank := 0
+	for key, k := range c.backlog.classes {
+		if stuck[key] {
+			continue
+		}
+		j, _ := c.peek(k)
+		if j == nil {
+			delete(c.backlog.classes, key)
+			continue
+		}
+		r := 1
+		if limit, ok := c.st.Bundle.Limits[k.kind]; ok && c.tally[k.kind]+pending[k.kind] >= limit {
+			r = 2
+		}
+		if k.urgent {
+			r = 0
+		}
+		if best == nil || r < rank || r == rank && (j.Seq < owner.Seq || j.Seq == owner.Seq && key < best.key) {
+			best, owner, rank = k, j, r
+		}
+	}
+	return best, owner
+}
+
+// fit finds room for the next n tasks of a class, for all or none, and takes it.
+func (c *Core) fit(spots []*spot, next *int, j *state.Job, k *class, n int) []command.Start {
+	var starts []command.Start
+	var taken []*spot
+	for i := range n {
+		ref := k.refs[k.head+i]
+		step := &j.Spec.Steps[ref.Step]
+		found := false
+		for range spots {
+			s := spots[*next%len(spots)]
+			*next++
+			if s.cores >= step.Cores && s.gpus >= step.GPUs && c.st.Fits(&j.Spec, step, s.rec) == "" {
+				s.cores -= step.Cores
+				s.gpus -= step.GPUs
+				taken = append(taken, s)
+				starts = append(starts, command.Start{Ref: ref, Minion: s.rec.Name, Boot: s.rec.Boot})
+				found = true
+				break
+			}
+		}
+		if !found {
+			for x, s := range taken {
+				step := &j.Spec.Steps[starts[x].Ref.Step]
+				s.cores += step.Cores
+				s.gpus += step.GPUs
+			}
+			return nil
+		}
+	}
+	return starts
+}
