--- /dev/null
+++ b/internal/sched/sched.go
@@ -0,0 +1,391 @@
+// Package sched is the duty `sched`: the type tally, placement, run tickets and the hold calls to the minions.
+//
+// Core is a step function without clock, socket or goroutine: its owner feeds it notes of the replicated state,
+// answers, faults and the time, and carries out what Pass gives. Runs and minions are records in tables; a pass
+// runs over those that changed, and over all on every sweep.
+package sched
+
+import (
+	"slices"
+	"time"
+
+	"crosstide/internal/pair"
+	"crosstide/internal/state"
+	"crosstide/internal/state/command"
+)
+
+// Config holds the durations that the passes go by.
+type Config struct {
+	Hold        time.Duration // how long a run goes on unheard
+	HoldWait    time.Duration // how long a minion may keep a call waiting
+	StartWindow time.Duration // from the answer of a ticket's commit to the write of its order
+	PlanWindow  time.Duration // from the sending of a plan to the write of its orders
+	Lateness    time.Duration // how late an obeying minion may carry out an order
+	LeaseMargin time.Duration // the duty's work stops this long before the lease ends
+	Retry       time.Duration // between calls to a minion that does not answer
+	Silence     time.Duration // no new starts on a minion unheard for this long
+	Sweep       time.Duration // between passes over all records
+	Batch       int           // most starts in a plan
+}
+
+// Defaults are our starting values.
+func Defaults() Config {
+	return Config{Hold: 20 * time.Second, HoldWait: time.Second, StartWindow: 500 * time.Millisecond,
+		PlanWindow: 1500 * time.Millisecond, Lateness: 2 * time.Second, LeaseMargin: 500 * time.Millisecond,
+		Retry: 500 * time.Millisecond, Silence: 2500 * time.Millisecond, Sweep: 100 * time.Millisecond, Batch: 1024}
+}
+
+// Phase is where the duty stands on this node.
+type Phase string
+
+const (
+	Idle  Phase = "idle"  // another node has the duty
+	Ready Phase = "ready" // granted, tallies rebuilt
+)
+
+// Out is what a pass wants done.
+type Out struct {
+	Plan  *command.Plan // to be committed; answered by Planned
+	Calls []CallOut     // to be sent; each answered by Answer or Fault
+}
+
+// CallOut is one hold call to be sent.
+type CallOut struct {
+	Minion string
+	Addr   string
+	Order  bool // on the order line, else on the waiting line
+	Call   pair.HoldCall
+	// Before is the time by which starts must have been written; 0 without starts.
+	Before time.Duration
+}
+
+// Counts are what a Core counted since it was made.
+type Counts struct {
+	Tickets, Refused, Sent, Ended, Faults, Doubts, Stops, Plans, PlanFaults, CallFaults, Crossed uint64
+	Dead                                                                                         map[string]uint64 // by proof
+}
+
+// Core is the duty's record tables and the passes over them. One caller at a time.
+type Core struct {
+	cfg   Config
+	st    *state.State
+	phase Phase
+	epoch uint64
+	since time.Duration // when this node took up the duty
+	lease time.Duration // when its lease ends
+
+	runs    map[uint64]*run
+	minions map[string]*minion
+	ring    []string // minion names, for placement in turn
+	turn    int
+	dirty   map[string]bool // minions with something to send
+	backlog backlog
+	tally   map[string]int
+
+	plan    *flight
+	running []uint64
+	doubts  []uint64
+	ends    []command.End
+	dead    []command.Proof
+	sweepAt time.Duration
+	now     time.Duration // of the newest input
+	swept   bool          // placement looked at the backlog since the last change
+
+	Counts Counts
+}
+
+// flight is the plan under way.
+type flight struct {
+	plan *command.Plan
+	at   time.Duration
+}
+
+// run is the record of a handle.
+type run struct {
+	h      *state.Handle
+	call   uint64        // the call its order went out with under this epoch; 0: not sent by this holder
+	out    bool          // waits in its minion's outbox
+	flying bool          // its order is under way, unanswered
+	mine   bool          // its ticket was given under this epoch
+	until  time.Duration // the latest hold that may have been told, in the minion's clock; 0: unknown
+	boot   string        // the boot whose clock until is of
+	absent time.Duration // obeying minion: when it was first found missing at or below the floor
+	stop   string        // why it is to be stopped; "" if it is not
+	listed bool
+	gone   bool // its end or proof waits in the next plan
+}
+
+// minion is the record of a minion: what its answers tell under this epoch.
+type minion struct {
+	name    string
+	boot    string
+	kind    string
+	drain   bool
+	heard   time.Duration // when the newest answer came; 0: not under this epoch
+	clock   time.Duration // its clock in that answer
+	call    uint64        // number of the newest call
+	taken   uint64        // number of the newest call whose answer was taken in
+	waiting uint64        // the call on the waiting line; 0: none
+	order   uint64        // the call on the order line; 0: none
+	faults  int
+	retry   time.Duration
+	floor   uint64
+	told    uint64 // the floor it is known to have
+	runs    map[uint64]*run
+	outbox  []uint64 // committed tickets to be ordered, ascending
+	outBy   time.Duration
+	acks    []uint64
+	strays  map[uint64]string // listed as running without a handle: to be stopped
+	urgent  bool              // something must go out before the waiting call comes back
+	report  *state.Minion     // to go into the next plan
+}
+
+// New makes a core that reads st, the node's replica. The owner passes st's notes to Note.
+func New(cfg Config, st *state.State) *Core {
+	c := &Core{cfg: cfg, st: st, phase: Idle, Counts: Counts{Dead: map[string]uint64{}}}
+	c.clear()
+	return c
+}
+
+func (c *Core) clear() {
+	c.runs, c.minions, c.dirty, c.tally = map[uint64]*run{}, map[string]*minion{}, map[string]bool{}, map[string]int{}
+	c.ring, c.plan = nil, nil
+	c.running, c.doubts, c.ends, c.dead = nil, nil, nil, nil
+	c.backlog.clear()
+}
+
+// Reset puts another replica in place (after a snapshot). The duty, if held, is rebuilt from it.
+func (c *Core) Reset(now time.Duration, st *state.State) {
+	c.st = st
+	if c.phase == Ready {
+		c.Lead(now, c.epoch)
+	}
+}
+
+// Phase tells where the duty stands here.
+func (c *Core) Phase() Phase { return c.phase }
+
+// Epoch is the duty's epoch here, 0 when idle.
+func (c *Core) Epoch() uint64 {
+	if c.phase == Idle {
+		return 0
+	}
+	return c.epoch
+}
+
+// Lead takes the duty up under epoch, the log index of the grant. The caller has followed the store up to that
+// index at least, so that no older epoch can add a handle any more. Every tally is rebuilt from the handles
+// before anything is released.
+func (c *Core) Lead(now time.Duration, epoch uint64) {
+	c.clear()
+	c.now, c.epoch, c.since, c.sweepAt = now, epoch, now, now
+	for _, h := range c.st.Handles {
+		c.opened(h)
+	}
+	for _, name := range c.st.MinionNames() {
+		c.meet(name)
+	}
+	for key, j := range c.st.Jobs {
+		for i := range j.Tasks {
+			for k := range j.Tasks[i] {
+				if j.Tasks[i][k].Phase == state.TaskDue {
+					c.due(state.TaskRef{Job: key, Step: i, Task: k})
+				}
+			}
+		}
+	}
+	c.phase = Ready
+}
+
+// Lease says until when the duty is held.
+func (c *Core) Lease(until time.Duration) { c.lease = until }
+
+// Yield lays the duty down.
+func (c *Core) Yield() {
+	c.phase = Idle
+	c.clear()
+}
+
+// Live tells whether the duty may act at now: it is ready and its lease has a margin left.
+func (c *Core) Live(now time.Duration) bool {
+	return c.phase == Ready && now < c.lease-c.cfg.LeaseMargin
+}
+
+// Note takes in a change of the replica.
+func (c *Core) Note(n state.Note) {
+	if c.phase != Ready {
+		return
+	}
+	switch n.Kind {
+	case state.NoteDue:
+		c.due(n.Ref)
+	case state.NoteOpened:
+		c.opened(n.Handle)
+	case state.NoteClosed:
+		c.closed(n.Handle)
+	case state.NoteMinion:
+		m := c.meet(n.Name)
+		c.dirty[m.name] = true
+		for _, r := range m.runs {
+			c.review(r)
+		}
+	case state.NoteGone:
+		delete(c.minions, n.Name)
+		c.ring = slices.DeleteFunc(c.ring, func(s string) bool { return s == n.Name })
+	case state.NoteStopping:
+		if j := c.st.Jobs[n.Name]; j != nil && j.Open() > 0 {
+			for i := range j.Tasks {
+				for k := range j.Tasks[i] {
+					if t := &j.Tasks[i][k]; t.Phase.Open() && c.runs[t.Ticket] != nil {
+						c.review(c.runs[t.Ticket])
+					}
+				}
+			}
+		}
+	case state.NotePlacement:
+		for _, r := range c.runs {
+			c.review(r)
+		}
+	}
+	c.swept = false
+}
+
+func (c *Core) meet(name string) *minion {
+	m := c.minions[name]
+	if m == nil {
+		m = &minion{name: name, runs: map[uint64]*run{}, strays: map[uint64]string{}, floor: c.st.Ticket}
+		c.minions[name] = m
+		c.ring = append(c.ring, name)
+		c.dirty[name] = true
+	}
+	return m
+}
+
+func (c *Core) opened(h *state.Handle) {
+	r := &run{h: h, mine: h.Epoch == c.epoch}
+	c.runs[h.Ticket] = r
+	m := c.meet(h.Minion)
+	m.runs[h.Ticket] = r
+	c.tally[h.Type]++
+	if c.phase != Ready {
+		c.review(r)
+	}
+}
+
+func (c *Core) closed(h *state.Handle) {
+	delete(c.runs, h.Ticket)
+	if m := c.minions[h.Minion]; m != nil {
+		delete(m.runs, h.Ticket)
+	}
+	if c.tally[h.Type]--; c.tally[h.Type] == 0 {
+		delete(c.tally, h.Type)
+	}
+}
+
+// review notes whether a run is to be stopped: its job stops, or bundle, zone or drain do not allow it any more.
+func (c *Core) review(r *run) {
+	j, _ := c.st.TaskOf(r.h.Ref)
+	why := ""
+	switch m := c.st.Minions[r.h.Minion]; {
+	case j == nil:
+		why = "job"
+	case j.Phase != state.JobRunning:
+		why = string(j.Outcome)
+	case m != nil:
+		if why = c.st.Fits(&j.Spec, &j.Spec.Steps[r.h.Ref.Step], m); why == "boot" {
+			why = ""
+		}
+	}
+	if r.stop = why; why != "" {
+		if m := c.minions[r.h.Minion]; m != nil {
+			m.urgent = true
+			c.dirty[m.name] = true
+		}
+	}
+}
+
+// Tally gives the tally of a type, as rebuilt and kept by this holder.
+func (c *Core) Tally(kind string) int { return c.tally[kind] }
+
+// Backlog is how many due tasks wait for a ticket, those in back-off included.
+func (c *Core) Backlog() int { return c.backlog.len() }
+
+// Pass runs the passes and gives what is to be done at now.
+func (c *Core) Pass(now time.Duration) Out {
+	c.now = now
+	if !c.Live(now) {
+		return Out{}
+	}
+	if now >= c.sweepAt {
+		c.sweepAt = now + c.cfg.Sweep
+		c.sweep(now)
+	}
+	out := Out{Plan: c.planPass(now)}
+	for _, name := range sorted(c.dirty) {
+		out.Calls = c.holdPass(now, c.minions[name], out.Calls)
+	}
+	clear(c.dirty)
+	return out
+}
+
+// sweep is the pass over all records: lapses, orphans, silent minions, the tally.
+func (c *Core) sweep(now time.Duration) {
+	for _, m := range c.minions {
+		c.dirty[m.name] = true
+		if m.heard == 0 || now-m.heard > c.cfg.Silence {
+			for _, r := range m.runs {
+				c.lapse(now, m, r)
+			}
+		}
+	}
+	if c.plan == nil {
+		for _, r := range c.runs {
+			if r.mine && r.call == 0 && !r.out {
+				c.kill(r, command.ProofUnsent, "")
+			}
+		}
+	}
+	c.swept = false
+}
+
+// drift allows for a minion's clock that runs a little slow against ours.
+func drift(d time.Duration) time.Duration { return d - d/500 }
+
+// lapse proves a run dead whose hold has surely run out.
+func (c *Core) lapse(now time.Duration, m *minion, r *run) {
+	if r.gone || r.out || r.flying {
+		return
+	}
+	margin := 200 * time.Millisecond
+	if m.kind == "obey" || m.heard == 0 {
+		margin += c.cfg.Lateness
+	}
+	over := false
+	if r.until > 0 && r.boot == m.boot && m.heard > 0 {
+		over = m.clock+drift(now-m.heard) > r.until+margin
+	} else {
+		over = drift(now-c.since) > max(r.h.Hold, c.cfg.Hold)+margin && drift(now-m.heard) > max(r.h.Hold, c.cfg.Hold)+margin
+	}
+	if over {
+		c.kill(r, command.ProofLapse, "its hold lapsed unheard")
+	}
+}
+
+// kill puts a proof into the next plan.
+func (c *Core) kill(r *run, why, reason string) {
+	if r.gone {
+		return
+	}
+	r.gone = true
+	c.dead = append(c.dead, command.Proof{Ticket: r.h.Ticket, Why: why, Reason: reason})
+	c.Counts.Dead[why]++
+}
+
+func sorted(set map[string]bool) []string {
+	out := make([]string, 0, len(set))
+	for k := range set {
+		out = append(out, k)
+	}
+	slices.Sort(out)
+	return out
+}
--- /dev/null
+++ b/internal/sched/sched_test.go
@@ -0,0 +1,379 @@
+package sched
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"crosstide/internal/pair"
+	"crosstide/internal/state"
+	"crosstide/internal/state/command"
+)
+
+// desk is a store of one, with a core on its state: what the core plans is committed when the test says so.
+type desk struct {
+	st   *state.State
+	core *Core
+	now  time.Duration
+	wait map[string]CallOut // waiting calls that are out, by minion
+}
+
+func newDesk(kind string, minions ...string) *desk {
+	d := &desk{st: state.New(), now: time.Minute, wait: map[string]CallOut{}}
+	d.core = New(Defaults(), d.st)
+	d.st.Watch = d.core.Note
+	d.do(&command.Grant{Duty: "sched", Holder: "d1"})
+	for _, name := range minions {
+		d.do(&command.Announce{Minion: state.Minion{Name: name, Addr: name, Kind: kind}})
+	}
+	d.lead()
+	return d
+}
+
+func (d *desk) do(c command.Command) any {
+	data, err := command.Encode(time.Unix(0, 0).Add(d.now), c)
+	if err != nil {
+		panic(err)
+	}
+	a, err := command.Apply(d.st, d.st.Index+1, 1, data)
+	if err != nil {
+		panic(err)
+	}
+	return a
+}
+
+// lead gives the duty to a holder after the present one.
+func (d *desk) lead() {
+	d.do(&command.Grant{Duty: "sched", Holder: "d", After: d.st.Duties["sched"].Epoch})
+	d.core = New(Defaults(), d.st)
+	d.st.Watch = d.core.Note
+	d.core.Lead(d.now, d.st.Duties["sched"].Epoch)
+	d.core.Lease(d.now + time.Hour)
+	clear(d.wait)
+}
+
+func (d *desk) submit(key string, step state.StepSpec) {
+	step.Name, step.Type = "s", "t"
+	step.Tasks, step.Cores = max(step.Tasks, 1), max(step.Cores, 1)
+	d.do(&command.Submit{Spec: state.Spec{Key: key, Team: "a", Queue: "default", Steps: []state.StepSpec{step}}, Digest: key, Bound: 100})
+}
+
+// commit applies a plan and answers it.
+func (d *desk) commit(p *command.Plan) {
+	if p != nil {
+		d.core.Planned(d.now, p.Epoch, d.do(p).(command.Planned), nil)
+	}
+}
+
+// settle passes and commits until no plan comes, and gives the calls of all passes.
+func (d *desk) settle() []CallOut {
+	var calls []CallOut
+	for {
+		out := d.core.Pass(d.now)
+		calls = append(calls, out.Calls...)
+		for _, c := range out.Calls {
+			if !c.Order {
+				d.wait[c.Minion] = c
+			}
+		}
+		if out.Plan == nil {
+			return calls
+		}
+		d.commit(out.Plan)
+	}
+}
+
+func (d *desk) answer(c CallOut, kind string, a pair.HoldAnswer) {
+	a.Call, a.Epoch, a.Kind, a.Clock, a.Floor = c.Call.Call, c.Call.Epoch, kind, d.now, max(a.Floor, c.Call.Floor)
+	a.Cores, a.Zone = 4, "z1"
+	if a.Boot == "" {
+		a.Boot = "b1"
+	}
+	d.core.Answer(d.now, c.Minion, c.Order, c.Call, a)
+}
+
+// greet answers the waiting calls, so that every minion is known.
+func (d *desk) greet(kind string) {
+	for range 2 {
+		d.settle()
+		d.reply(kind, "", pair.HoldAnswer{})
+	}
+	d.settle()
+}
+
+// reply answers the waiting calls that are out, but for those of the minion named.
+func (d *desk) reply(kind, but string, a pair.HoldAnswer) {
+	for _, name := range slices.Sorted(maps.Keys(d.wait)) {
+		if c := d.wait[name]; name != but {
+			delete(d.wait, name)
+			d.answer(c, kind, a)
+		}
+	}
+}
+
+// order gives the one call with starts among calls.
+func order(calls []CallOut) *CallOut {
+	for i := range calls {
+		if len(calls[i].Call.Starts) > 0 {
+			return &calls[i]
+		}
+	}
+	return nil
+}
+
+func taskOf(d *desk, key string) *state.Task {
+	_, t := d.st.TaskOf(state.TaskRef{Job: key})
+	return t
+}
+
+func TestTicketBeforeOrder(t *testing.T) {
+	Convey("an order leaves only after its ticket's commit was answered", t, func() {
+		d := newDesk("check", "m1")
+		d.greet("check")
+		d.submit("j", state.StepSpec{})
+		out := d.core.Pass(d.now)
+		So(out.Plan, ShouldNotBeNil)
+		So(out.Plan.Seq, ShouldEqual, 1) // the inbox number is written ahead, in the same commit
+		d.commit(out.Plan)
+		out = d.core.Pass(d.now)
+		So(out.Plan, ShouldNotBeNil)
+		So(out.Plan.Starts, ShouldHaveLength, 1)
+		So(order(out.Calls), ShouldBeNil)
+		So(order(d.core.Pass(d.now).Calls), ShouldBeNil)
+		d.commit(out.Plan)
+		So(d.st.Handles, ShouldHaveLength, 1)
+		o := order(d.core.Pass(d.now).Calls)
+		So(o, ShouldNotBeNil)
+		So(o.Call.Starts[0].Ticket, ShouldEqual, 1)
+
+		Convey("and only inside its window", func() {
+			d = newDesk("check", "m1")
+			d.greet("check")
+			d.submit("j", state.StepSpec{})
+			d.commit(d.core.Pass(d.now).Plan)
+			d.commit(d.core.Pass(d.now).Plan)
+			d.now += Defaults().StartWindow + time.Millisecond
+			So(order(d.core.Pass(d.now).Calls), ShouldBeNil) // voided
+			d.commit(d.core.Pass(d.now).Plan)
+			So(taskOf(d, "j").Phase, ShouldEqual, state.TaskDue)
+			So(d.core.Counts.Dead[command.ProofUnsent], ShouldEqual, 1)
+		})
+		Convey("and not once the lease has only its margin left", func() {
+			d.submit("k", state.StepSpec{})
+			d.core.Lease(d.now + Defaults().LeaseMargin)
+			So(d.core.Pass(d.now), ShouldResemble, Out{})
+		})
+	})
+}
+
+func TestLimitOrdersOnly(t *testing.T) {
+	Convey("a type over its limit runs where there is room, after types under theirs", t, func() {
+		d := newDesk("check", "m1")
+		d.greet("check")
+		d.st.Bundle.Limits = map[string]int{"t": 1}
+		d.submit("j", state.StepSpec{Tasks: 6})
+		d.submit("k", state.StepSpec{})
+		d.st.Jobs["k"].Spec.Steps[0].Type = "u"
+		o := order(d.settle())
+		So(o, ShouldNotBeNil)
+		So(o.Call.Starts, ShouldHaveLength, 4) // all the room there is, though the limit of t is 1
+		So(o.Call.Starts[1].Type, ShouldEqual, "u")
+		So(d.core.Tally("t"), ShouldEqual, 3)
+		So(d.st.Tally("t"), ShouldEqual, 3)
+		Convey("and a new holder rebuilds the same tally before it releases anything", func() {
+			d.lead()
+			So(d.core.Tally("t"), ShouldEqual, 3)
+			So(d.core.Tally("u"), ShouldEqual, 1)
+			So(order(d.settle()), ShouldBeNil) // no minion has answered under the new epoch
+		})
+	})
+}
+
+// event is one thing that may happen after an order went out.
+type event struct {
+	name string
+	do   func(d *desk, w *world)
+}
+
+// world is what is true at the minion: whether the order arrived, ran, ended.
+type world struct {
+	kind    string
+	order   CallOut
+	arrived bool
+	floor   uint64
+	started map[uint64]int
+	running map[uint64]bool
+}
+
+func (w *world) listing() pair.HoldAnswer {
+	a := pair.HoldAnswer{Floor: w.floor}
+	for t := range w.running {
+		a.Running = append(a.Running, t)
+	}
+	return a
+}
+
+// arrive carries the order out as a minion of the kind does.
+func (w *world) arrive(d *desk) {
+	for _, s := range w.order.Call.Starts {
+		late := d.now > s.Until
+		if w.kind == "check" {
+			late = late || s.Ticket <= w.floor || d.now > s.Void
+		}
+		if !late {
+			w.started[s.Ticket]++
+			w.running[s.Ticket] = true
+		}
+	}
+	w.arrived = true
+}
+
+func permute(n int, do func(order []int)) {
+	order := make([]int, n)
+	var rec func(k int, used int)
+	rec = func(k, used int) {
+		if k == n {
+			do(order)
+			return
+		}
+		for i := range n {
+			if used&(1<<i) == 0 {
+				order[k] = i
+				rec(k+1, used|1<<i)
+			}
+		}
+	}
+	rec(0, 0)
+}
+
+// TestEveryOrder tries, one by one, every order of: the order's arrival, the loss of its answer, a waiting call
+// answered, a new leader, the lapse of time. Whatever the order, the task is never running twice, and a second
+// ticket is given only when the first can never run any more.
+func TestEveryOrder(t *testing.T) {
+	events := []event{
+		{"arrive", func(d *desk, w *world) { w.arrive(d) }},
+		{"lost", func(d *desk, w *world) { d.core.Fault(d.now, "m1", true, w.order.Call, true) }},
+		{"listing", func(d *desk, w *world) { w.poll(d) }},
+		{"listing", func(d *desk, w *world) { w.poll(d) }},
+		{"leader", func(d *desk, w *world) { d.lead() }},
+		{"time", func(d *desk, w *world) { d.now += 3 * time.Second }},
+	}
+	for _, kind := range []string{"check", "obey"} {
+		Convey("every order of a start, its lost answer, listings, a new leader and time: "+kind, t, func() {
+			cases, seconds := 0, 0
+			permute(len(events), func(seq []int) {
+				d := newDesk(kind, "m1")
+				d.greet(kind)
+				d.submit("j", state.StepSpec{})
+				calls := d.settle()
+				o := order(calls)
+				w := &world{kind: kind, order: *o, started: map[uint64]int{}, running: map[uint64]bool{}}
+				names := ""
+				sent := d.now
+				for _, i := range seq {
+					names += events[i].name + " "
+					// An obeying minion may carry the order out late, up to its bound, and no later.
+					if events[i].name == "arrive" && kind == "obey" && d.now-sent > Defaults().Lateness {
+						continue
+					}
+					events[i].do(d, w)
+					for _, c := range d.settle() {
+						if len(c.Call.Starts) > 0 && c.Call.Starts[0].Ticket != 1 {
+							seconds++
+							if w.running[1] {
+								panic(fmt.Sprintf("%s: a second ticket while the first runs: %s", kind, names))
+							}
+							if !w.arrived && (kind == "check" || d.now-sent <= Defaults().Lateness) {
+								w.arrive(d) // the late order arrives now
+								if w.running[1] {
+									panic(fmt.Sprintf("%s: a late order started beside a second ticket: %s", kind, names))
+								}
+							}
+						}
+					}
+				}
+				cases++
+			})
+			So(cases, ShouldEqual, 720)
+			So(seconds, ShouldBeGreaterThan, 0) // the case that matters did come up
+		})
+	}
+}
+
+// poll answers the waiting call that is out, as things stand at the minion.
+func (w *world) poll(d *desk) {
+	d.settle()
+	if c, ok := d.wait["m1"]; ok {
+		delete(d.wait, "m1")
+		w.floor = max(w.floor, c.Call.Floor)
+		for _, s := range c.Call.Stops {
+			delete(w.running, s.Ticket)
+		}
+		d.answer(c, w.kind, w.listing())
+	}
+}
+
+func TestCrossedAnswer(t *testing.T) {
+	Convey("an answer that is older than one taken in, or names another call, proves nothing", t, func() {
+		d := newDesk("check", "m1")
+		d.greet("check")
+		wait := d.wait["m1"]
+		d.submit("j", state.StepSpec{})
+		o := order(d.settle())
+		So(o, ShouldNotBeNil)
+		d.answer(*o, "check", pair.HoldAnswer{Running: []uint64{1}})
+		d.answer(wait, "check", pair.HoldAnswer{Floor: 9}) // made before the order arrived
+		d.settle()
+		So(d.st.Handles[1], ShouldNotBeNil)
+		So(d.st.Handles[1].Phase, ShouldEqual, state.TaskRunning)
+		So(d.core.Counts.Crossed, ShouldEqual, 1)
+	})
+}
+
+func TestLapseAndBoot(t *testing.T) {
+	Convey("given a running task on a minion that falls silent", t, func() {
+		d := newDesk("check", "m1", "m2")
+		d.greet("check")
+		d.submit("j", state.StepSpec{Run: json.RawMessage(`{}`)})
+		o := order(d.settle())
+		d.answer(*o, "check", pair.HoldAnswer{Running: []uint64{1}})
+		d.settle()
+		Convey("its task is due again only when the hold told last has run out on its clock", func() {
+			end := o.Call.Starts[0].Until
+			tick := func() {
+				for _, c := range d.settle() {
+					So(c.Call.Starts, ShouldBeEmpty)
+				}
+				if c, ok := d.wait[o.Minion]; ok { // no renewal may go to a minion that does not answer
+					end = max(end, c.Call.Until)
+					delete(d.wait, o.Minion)
+					d.core.Fault(d.now, c.Minion, false, c.Call, true)
+				}
+				d.reply("check", o.Minion, pair.HoldAnswer{})
+			}
+			for tick(); d.now+500*time.Millisecond < end+200*time.Millisecond; tick() {
+				d.now += 500 * time.Millisecond
+			}
+			So(taskOf(d, "j").Ticket, ShouldEqual, 1)
+			So(end, ShouldBeLessThanOrEqualTo, o.Call.Starts[0].Until+Defaults().Hold)
+			d.now += time.Second
+			d.settle()
+			d.settle()
+			So(taskOf(d, "j").Ticket, ShouldEqual, 2)
+			So(d.core.Counts.Dead[command.ProofLapse], ShouldEqual, 1)
+		})
+		Convey("a new boot proves it dead at once", func() {
+			for range 2 { // the first one is older than the order's answer and tells nothing
+				d.reply("check", "", pair.HoldAnswer{Boot: "b2"})
+				d.settle()
+			}
+			So(d.st.Handles[1], ShouldBeNil)
+			So(taskOf(d, "j").Lost, ShouldEqual, 1)
+		})
+	})
+}
--- /dev/null
+++ b/internal/slot/disk.go
@@ -0,0 +1,112 @@
+package slot
+
+import (
+	"errors"
+	"io"
+	"io/fs"
+	"os"
+	"path/filepath"
+
+	"golang.org/x/sys/unix"
+
+	"crosstide/internal/fault"
+)
+
+// Disk is what slot needs of a folder. Names have no path. What is not synced may be lost, in any part.
+type Disk interface {
+	Create(name string) (File, error) // a new empty file to write; fails when the name is taken
+	Open(name string) (File, error)   // to read from the start
+	List() ([]string, error)
+	Remove(name string) error
+	Rename(old, name string) error // takes the place of name
+	Sync() error                   // makes creates, removes and renames last
+}
+
+// File is a file that is either read or written from its start to its end.
+type File interface {
+	io.Reader
+	io.Writer
+	Sync() error // makes the bytes and the length last
+	Close() error
+}
+
+type osDisk struct{ dir string }
+
+type osFile struct{ *os.File }
+
+// OSDisk gives the folder dir, created (and synced in its parent) if it is missing. Fault: Disk. Example:
+//
+//	disk, err := slot.OSDisk(filepath.Join(data, "store"))
+func OSDisk(dir string) (Disk, error) {
+	if _, err := os.Stat(dir); err == nil {
+		return osDisk{dir}, nil
+	} else if !errors.Is(err, fs.ErrNotExist) {
+		return nil, fault.Wrap(err, fault.Disk, "look at the folder")
+	}
+	if err := os.MkdirAll(dir, 0o750); err != nil {
+		return nil, fault.Wrap(err, fault.Disk, "make the folder")
+	}
+	if err := (osDisk{filepath.Dir(dir)}).Sync(); err != nil {
+		return nil, fault.Pass(err, "sync the parent")
+	}
+	return osDisk{dir}, nil
+}
+
+func (d osDisk) at(name string) string { return filepath.Join(d.dir, name) }
+
+func (d osDisk) Create(name string) (File, error) {
+	f, err := os.OpenFile(d.at(name), os.O_CREATE|os.O_EXCL|os.O_WRONLY, 0o640)
+	if err != nil {
+		return nil, fault.Wrap(err, fault.Disk, "create %s", name)
+	}
+	return osFile{f}, nil
+}
+
+func (d osDisk) Open(name string) (File, error) {
+	f, err := os.Open(d.at(name))
+	if err != nil {
+		return nil, fault.Wrap(err, fault.Disk, "open %s", name)
+	}
+	return osFile{f}, nil
+}
+
+func (d osDisk) List() ([]string, error) {
+	all, err := os.ReadDir(d.dir)
+	if err != nil {
+		return nil, fault.Wrap(err, fault.Disk, "list the folder")
+	}
+	var out []string
+	for _, e := range all {
+		if e.Type().IsRegular() {
+			out = append(out, e.Name())
+		}
+	}
+	return out, nil
+}
+
+func (d osDisk) Remove(name string) error {
+	return fault.Wrap(os.Remove(d.at(name)), fault.Disk, "remove %s", name)
+}
+
+func (d osDisk) Rename(old, name string) error {
+	return fault.Wrap(os.Rename(d.at(old), d.at(name)), fault.Disk, "rename %s to %s", old, name)
+}
+
+func (d osDisk) Sync() error {
+	f, err := os.Open(d.dir)
+	if err != nil {
+		return fault.Wrap(err, fault.Disk, "open the folder")
+	}
+	defer f.Close()
+	return fault.Wrap(f.Sync(), fault.Disk, "sync the folder")
+}
+
+// Sync is fdatasync, which also makes the length last. EINTR is no failed sync: the call did not run.
+func (f osFile) Sync() error {
+	for {
+		err := unix.Fdatasync(int(f.Fd()))
+		if !errors.Is(err, unix.EINTR) {
+			return fault.Wrap(err, fault.Disk, "sync %s", filepath.Base(f.Name()))
+		}
+	}
+}
--- /dev/null
+++ b/internal/slot/memdisk.go
@@ -0,0 +1,262 @@
+package slot
+
+import (
+	"io"
+	"maps"
+	"math/rand"
+	"slices"
+	"sync"
+
+	"crosstide/internal/fault"
+)
+
+// MemDisk is a Disk in memory that keeps what is synced apart from what is not, for tests and the simulator.
+// It is safe for use from many goroutines.
+type MemDisk struct {
+	mu       sync.Mutex
+	live     map[string]*inode
+	kept     map[string]*inode   // the names as last synced
+	names    []map[string]*inode // the names after each change since then
+	boot     int
+	failSync int
+	powerOff int
+}
+
+type inode struct {
+	data  []byte
+	kept  int  // bytes that last
+	spoil bool // a sync failed: what was written before never lasts, though reads give it
+}
+
+type memFile struct {
+	d    *MemDisk
+	n    *inode
+	boot int
+	pos  int
+}
+
+// NewMemDisk makes an empty folder. Example:
+//
+//	d := slot.NewMemDisk()
+//	store, _, err := slot.Open(d, slot.Options{})
+//	d.Crash(rand.New(rand.NewSource(7)))
+//	store, boot, err := slot.Open(d, slot.Options{}) // all that was appended is in boot
+func NewMemDisk() *MemDisk {
+	return &MemDisk{live: map[string]*inode{}, kept: map[string]*inode{}}
+}
+
+// FailSync makes the n-th sync from now fail (1: the next), of a file or of the folder; 0 calls it off.
+// As on Linux, later syncs of that file succeed, yet what it held does not last.
+func (d *MemDisk) FailSync(n int) { d.mu.Lock(); defer d.mu.Unlock(); d.failSync = n }
+
+// PowerOff makes the n-th changing call from now and all after it fail until Crash; 0 calls it off.
+func (d *MemDisk) PowerOff(n int) { d.mu.Lock(); defer d.mu.Unlock(); d.powerOff = n }
+
+// Crash is a power loss: of unsynced bytes a random prefix stays, now and then followed by zeros; of unsynced
+// creates, removes and renames the first few stay. Files open before it fail from now on.
+func (d *MemDisk) Crash(r *rand.Rand) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.boot++
+	d.failSync, d.powerOff = 0, 0
+	if n := r.Intn(len(d.names) + 1); n > 0 {
+		d.kept = d.names[n-1]
+	}
+	d.names, d.live = nil, maps.Clone(d.kept)
+	for _, name := range slices.Sorted(maps.Keys(d.live)) {
+		n := d.live[name]
+		loose := len(n.data) - n.kept
+		if n.spoil {
+			loose = 0
+		}
+		stay := n.kept + r.Intn(loose+1)
+		data := slices.Clone(n.data[:stay])
+		if r.Intn(3) == 0 {
+			data = append(data, make([]byte, len(n.data)-stay)...)
+		}
+		d.live[name] = &inode{data: data, kept: len(data)}
+	}
+	d.kept = maps.Clone(d.live)
+}
+
+// Flip turns over the bits of mask in one byte of a file; nothing happens past its end.
+func (d *MemDisk) Flip(name string, offset int, mask byte) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if n := d.live[name]; n != nil && offset < len(n.data) {
+		n.data[offset] ^= mask
+	}
+}
+
+// Bytes gives a copy of a file, nil if it is missing.
+func (d *MemDisk) Bytes(name string) []byte {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if n := d.live[name]; n != nil {
+		return append([]byte{}, n.data...)
+	}
+	return nil
+}
+
+// Put sets a file, synced.
+func (d *MemDisk) Put(name string, data []byte) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	n := &inode{data: slices.Clone(data), kept: len(data)}
+	d.live[name], d.kept[name] = n, n
+	for _, m := range d.names {
+		m[name] = n
+	}
+}
+
+// Clone copies the folder as it is read now, all synced.
+func (d *MemDisk) Clone() *MemDisk {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	out := NewMemDisk()
+	for name, n := range d.live {
+		out.Put(name, n.data)
+	}
+	return out
+}
+
+// change counts a changing call and tells whether the power is off.
+func (d *MemDisk) change(boot int) error {
+	if d.powerOff > 1 {
+		d.powerOff--
+	} else if d.powerOff == 1 {
+		return fault.New(fault.Disk, "power is off")
+	}
+	if boot != d.boot {
+		return fault.New(fault.Disk, "file of an earlier boot")
+	}
+	return nil
+}
+
+func (d *MemDisk) syncFails() bool {
+	if d.failSync == 0 {
+		return false
+	}
+	d.failSync--
+	return d.failSync == 0
+}
+
+// rename does edit on the live names and notes the outcome.
+func (d *MemDisk) rename(edit func()) {
+	edit()
+	d.names = append(d.names, maps.Clone(d.live))
+}
+
+// Create makes a new file.
+func (d *MemDisk) Create(name string) (File, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if err := d.change(d.boot); err != nil {
+		return nil, err
+	}
+	if d.live[name] != nil {
+		return nil, fault.New(fault.Disk, "%s is there already", name)
+	}
+	n := &inode{}
+	d.rename(func() { d.live[name] = n })
+	return &memFile{d: d, n: n, boot: d.boot}, nil
+}
+
+// Open opens a file to read.
+func (d *MemDisk) Open(name string) (File, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.live[name] == nil {
+		return nil, fault.New(fault.Disk, "%s is missing", name)
+	}
+	return &memFile{d: d, n: d.live[name], boot: d.boot}, nil
+}
+
+// List gives the names in order.
+func (d *MemDisk) List() ([]string, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return slices.Sorted(maps.Keys(d.live)), nil
+}
+
+// Remove removes a name.
+func (d *MemDisk) Remove(name string) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if err := d.change(d.boot); err != nil {
+		return err
+	}
+	if d.live[name] == nil {
+		return fault.New(fault.Disk, "%s is missing", name)
+	}
+	d.rename(func() { delete(d.live, name) })
+	return nil
+}
+
+// Rename moves old to name.
+func (d *MemDisk) Rename(old, name string) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if err := d.change(d.boot); err != nil {
+		return err
+	}
+	n := d.live[old]
+	if n == nil {
+		return fault.New(fault.Disk, "%s is missing", old)
+	}
+	d.rename(func() { delete(d.live, old); d.live[name] = n })
+	return nil
+}
+
+// Sync makes the names last.
+func (d *MemDisk) Sync() error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if err := d.change(d.boot); err != nil {
+		return err
+	}
+	if d.syncFails() {
+		return fault.New(fault.Disk, "sync of the folder failed")
+	}
+	d.kept, d.names = maps.Clone(d.live), nil
+	return nil
+}
+
+func (f *memFile) Read(p []byte) (int, error) {
+	f.d.mu.Lock()
+	defer f.d.mu.Unlock()
+	if f.pos >= len(f.n.data) {
+		return 0, io.EOF
+	}
+	n := copy(p, f.n.data[f.pos:])
+	f.pos += n
+	return n, nil
+}
+
+func (f *memFile) Write(p []byte) (int, error) {
+	f.d.mu.Lock()
+	defer f.d.mu.Unlock()
+	if err := f.d.change(f.boot); err != nil {
+		return 0, err
+	}
+	f.n.data = append(f.n.data, p...)
+	return len(p), nil
+}
+
+func (f *memFile) Sync() error {
+	f.d.mu.Lock()
+	defer f.d.mu.Unlock()
+	if err := f.d.change(f.boot); err != nil {
+		return err
+	}
+	if f.d.syncFails() {
+		f.n.spoil = true
+		return fault.New(fault.Disk, "sync failed")
+	}
+	if !f.n.spoil {
+		f.n.kept = len(f.n.data)
+	}
+	return nil
+}
+
+func (f *memFile) Close() error { return nil }
--- /dev/null
+++ b/internal/state/command/command.go
@@ -0,0 +1,332 @@
+// Package command holds every change of the replicated state: each is a type whose JSON stands in the log, and
+// a function that applies it. Applying is deterministic and checks its preconditions in the same step.
+package command
+
+import (
+	"encoding/json"
+	"time"
+
+	"crosstide/internal/fault"
+	"crosstide/internal/state"
+)
+
+// Entry is what stands in a log entry: one command with the store time its leader gave it.
+type Entry struct {
+	At   time.Time       `json:"at"`
+	Op   string          `json:"op"`
+	Body json.RawMessage `json:"c"`
+}
+
+// Command is a change of state. Op names it in the log; apply makes it and gives its answer.
+type Command interface {
+	Op() string
+	apply(s *state.State, index uint64) (any, error)
+}
+
+var makers = map[string]func() Command{
+	"submit":   func() Command { return &Submit{} },
+	"cancel":   func() Command { return &Cancel{} },
+	"announce": func() Command { return &Announce{} },
+	"plan":     func() Command { return &Plan{} },
+	"grant":    func() Command { return &Grant{} },
+	"giveup":   func() Command { return &GiveUp{} },
+	"zone":     func() Command { return &Zone{} },
+	"close":    func() Command { return &Close{} },
+	"tidy":     func() Command { return &Tidy{} },
+}
+
+// Encode makes the log data of a command. Example:
+//
+//	data, err := command.Encode(clock.Wall(), &command.Cancel{Key: "k-1"})
+func Encode(at time.Time, c Command) (json.RawMessage, error) {
+	body, err := json.Marshal(c)
+	if err != nil {
+		return nil, fault.Wrap(err, fault.Malformed, "encode command %s", c.Op())
+	}
+	data, err := json.Marshal(Entry{At: at, Op: c.Op(), Body: body})
+	if err != nil {
+		return nil, fault.Wrap(err, fault.Malformed, "encode entry %s", c.Op())
+	}
+	return data, nil
+}
+
+// Make gives an empty command of an op, to decode into.
+func Make(op string) (Command, error) {
+	m, ok := makers[op]
+	if !ok {
+		return nil, fault.Field(fault.Invalid, "op", "no command %q", op)
+	}
+	return m(), nil
+}
+
+// Apply decodes the data of the log entry at index, term and applies it. The answer and the error are the
+// command's own (the error is an outcome, equal on every node); the state's index moves on in any case.
+// Empty data moves the index only.
+func Apply(s *state.State, index, term uint64, data []byte) (any, error) {
+	s.Index, s.Term = index, term
+	if len(data) == 0 {
+		return nil, nil
+	}
+	var e Entry
+	if err := json.Unmarshal(data, &e); err != nil {
+		return nil, fault.Wrap(err, fault.Malformed, "entry %d", index)
+	}
+	if e.At.After(s.At) {
+		s.At = e.At
+	}
+	c, err := Make(e.Op)
+	if err != nil {
+		return nil, fault.Pass(err, "entry")
+	}
+	if err := json.Unmarshal(e.Body, c); err != nil {
+		return nil, fault.Wrap(err, fault.Malformed, "entry %d, %s", index, e.Op)
+	}
+	answer, err := c.apply(s, index)
+	if err != nil {
+		return answer, fault.Pass(err, "apply")
+	}
+	return answer, nil
+}
+
+// Submit puts a job in the inbox. Sent again with the same digest it is the same job; with another one it is
+// a conflict. Bound is the most jobs the inbox may hold.
+type Submit struct {
+	Spec   state.Spec `json:"spec"`
+	Digest string     `json:"digest"`
+	Bound  int        `json:"bound"`
+}
+
+// Submitted answers Submit: the job's phase now, and whether this call brought it in.
+type Submitted struct {
+	Key    string         `json:"key"`
+	Phase  state.JobPhase `json:"state"`
+	Reason string         `json:"reason,omitempty"`
+	Fresh  bool           `json:"fresh"`
+}
+
+// Op is "submit".
+func (c *Submit) Op() string { return "submit" }
+
+func (c *Submit) apply(s *state.State, _ uint64) (any, error) {
+	key := c.Spec.Key
+	if j := s.Jobs[key]; j != nil {
+		if j.Digest != c.Digest {
+			return nil, fault.Field(fault.Conflict, "key", "%q is the key of another job", key)
+		}
+		return Submitted{Key: key, Phase: j.Phase, Reason: j.Reason}, nil
+	}
+	if t := s.Tombs[key]; t != nil {
+		if t.Digest != c.Digest {
+			return nil, fault.Field(fault.Conflict, "key", "%q was the key of another job", key)
+		}
+		return Submitted{Key: key, Phase: t.Phase, Reason: t.Reason}, nil
+	}
+	q, ok := s.Bundle.Queues[c.Spec.Queue]
+	if !ok {
+		return nil, fault.Field(fault.Invalid, "queue", "no queue %q in bundle %d", c.Spec.Queue, s.Bundle.Version)
+	}
+	if len(q.Teams) > 0 && !has(q.Teams, c.Spec.Team) {
+		return nil, fault.Field(fault.Forbidden, "team", "%q may not use queue %q", c.Spec.Team, c.Spec.Queue)
+	}
+	for i, step := range c.Spec.Steps {
+		if len(q.Types) > 0 && !has(q.Types, step.Type) {
+			return nil, fault.Field(fault.Forbidden, at("steps", i, "type"), "%q may not use queue %q", step.Type, c.Spec.Queue)
+		}
+	}
+	if len(s.Inbox) >= c.Bound {
+		return nil, fault.New(fault.Pressure, "the inbox holds %d jobs, its bound", len(s.Inbox))
+	}
+	s.Seq++
+	j := &state.Job{Spec: c.Spec, Digest: c.Digest, Phase: state.JobAccepted, Seq: s.Seq, At: s.At}
+	s.Enter(j)
+	return Submitted{Key: key, Phase: j.Phase, Fresh: true}, nil
+}
+
+// Cancel stops a job: nothing of it starts after this entry.
+type Cancel struct {
+	Key string `json:"key"`
+}
+
+// Cancelled answers Cancel with the phase after it; a job that was over stays what it was.
+type Cancelled struct {
+	Key   string         `json:"key"`
+	Phase state.JobPhase `json:"state"`
+}
+
+// Op is "cancel".
+func (c *Cancel) Op() string { return "cancel" }
+
+func (c *Cancel) apply(s *state.State, _ uint64) (any, error) {
+	if j := s.Jobs[c.Key]; j != nil {
+		s.Stop(j, state.JobCancelled, "cancelled by a consumer")
+		return Cancelled{c.Key, j.Phase}, nil
+	}
+	if t := s.Tombs[c.Key]; t != nil {
+		return Cancelled{c.Key, t.Phase}, nil
+	}
+	return nil, fault.Field(fault.Unknown, "key", "no job %q", c.Key)
+}
+
+// Announce makes a minion known. Of a known minion it moves the address only: what a minion is and which boot
+// it runs under, only its answers to the holder of sched tell.
+type Announce struct {
+	Minion state.Minion `json:"minion"`
+}
+
+// Op is "announce".
+func (c *Announce) Op() string { return "announce" }
+
+func (c *Announce) apply(s *state.State, _ uint64) (any, error) {
+	m := s.Minions[c.Minion.Name]
+	if m == nil {
+		fresh := c.Minion
+		fresh.Boot = ""
+		s.Minions[fresh.Name] = &fresh
+	} else if m.Addr != c.Minion.Addr {
+		moved := *m
+		moved.Addr = c.Minion.Addr
+		s.Minions[m.Name] = &moved
+	} else {
+		return nil, nil
+	}
+	s.Changed(state.NoteMinion, c.Minion.Name)
+	return nil, nil
+}
+
+// Grant gives a duty to a holder if After is still its epoch. The new epoch is the entry's index.
+type Grant struct {
+	Duty   string `json:"duty"`
+	Holder string `json:"holder"`
+	Addr   string `json:"addr"`
+	Boot   string `json:"boot"`
+	After  uint64 `json:"after"`
+}
+
+// Op is "grant".
+func (c *Grant) Op() string { return "grant" }
+
+func (c *Grant) apply(s *state.State, index uint64) (any, error) {
+	d := s.Duties[c.Duty]
+	if d == nil {
+		d = &state.Duty{}
+	}
+	if d.Epoch != c.After {
+		return nil, fault.New(fault.Stale, "duty %s is at epoch %d, not %d", c.Duty, d.Epoch, c.After)
+	}
+	next := &state.Duty{Holder: c.Holder, Addr: c.Addr, Boot: c.Boot, Epoch: index}
+	s.Duties[c.Duty] = next
+	s.Changed(state.NoteDuty, c.Duty)
+	return *next, nil
+}
+
+// GiveUp ends a duty before its lease does; nothing may be done under Epoch from here on.
+type GiveUp struct {
+	Duty  string `json:"duty"`
+	Epoch uint64 `json:"epoch"`
+}
+
+// Op is "giveup".
+func (c *GiveUp) Op() string { return "giveup" }
+
+func (c *GiveUp) apply(s *state.State, index uint64) (any, error) {
+	d := s.Duties[c.Duty]
+	if d == nil || d.Epoch != c.Epoch {
+		return nil, fault.New(fault.Stale, "duty %s is not at epoch %d", c.Duty, c.Epoch)
+	}
+	s.Duties[c.Duty] = &state.Duty{Epoch: index}
+	s.Changed(state.NoteDuty, c.Duty)
+	return nil, nil
+}
+
+// Zone evacuates a zone or lifts the evacuation.
+type Zone struct {
+	Order string `json:"order"`
+	Zone  string `json:"zone"`
+	Out   bool   `json:"out"`
+}
+
+// Op is "zone".
+func (c *Zone) Op() string { return "zone" }
+
+func (c *Zone) apply(s *state.State, _ uint64) (any, error) {
+	return once(s, c.Order, c, func() (any, error) {
+		if c.Out {
+			s.Evacuated[c.Zone] = s.At
+		} else {
+			delete(s.Evacuated, c.Zone)
+		}
+		s.Changed(state.NotePlacement, c.Zone)
+		return map[string]any{"zone": c.Zone, "evacuated": c.Out}, nil
+	})
+}
+
+// Close drains a minion by an operator's word, opens it again, or retires it (only without handles).
+type Close struct {
+	Order  string `json:"order"`
+	Minion string `json:"minion"`
+	Closed bool   `json:"closed"`
+	Retire bool   `json:"retire,omitempty"`
+}
+
+// Op is "close".
+func (c *Close) Op() string { return "close" }
+
+func (c *Close) apply(s *state.State, _ uint64) (any, error) {
+	return once(s, c.Order, c, func() (any, error) {
+		m := s.Minions[c.Minion]
+		if m == nil {
+			return nil, fault.Field(fault.Unknown, "minion", "no minion %q", c.Minion)
+		}
+		if c.Retire {
+			if n := len(s.Room(c.Minion).Tickets); n > 0 {
+				return nil, fault.Field(fault.Conflict, "minion", "%q has %d tickets out; drain it first", c.Minion, n)
+			}
+			delete(s.Minions, c.Minion)
+			s.Changed(state.NoteGone, c.Minion)
+			return map[string]any{"minion": c.Minion, "retired": true}, nil
+		}
+		next := *m
+		next.Closed = c.Closed
+		s.Minions[c.Minion] = &next
+		s.Changed(state.NoteMinion, c.Minion)
+		return map[string]any{"minion": c.Minion, "closed": c.Closed}, nil
+	})
+}
+
+// Tidy lets ended jobs, tombstones and remembered orders go, by age and by count.
+type Tidy struct {
+	JobsBefore   time.Time `json:"jobs_before"`
+	JobsKeep     int       `json:"jobs_keep"`
+	TombsBefore  time.Time `json:"tombs_before"`
+	TombsKeep    int       `json:"tombs_keep"`
+	OrdersBefore time.Time `json:"orders_before"`
+}
+
+// Op is "tidy".
+func (c *Tidy) Op() string { return "tidy" }
+
+func (c *Tidy) apply(s *state.State, _ uint64) (any, error) {
+	for len(s.Ended) > 0 {
+		j := s.Jobs[s.Ended[0]]
+		if len(s.Ended) <= c.JobsKeep && !j.Ended.Before(c.JobsBefore) {
+			break
+		}
+		s.Tombs[j.Spec.Key] = &state.Tomb{Digest: j.Digest, Team: j.Spec.Team, Phase: j.Phase, Reason: j.Reason, Ended: j.Ended}
+		s.TombOrder = append(s.TombOrder, j.Spec.Key)
+		delete(s.Jobs, j.Spec.Key)
+		s.Ended = s.Ended[1:]
+	}
+	for len(s.TombOrder) > 0 {
+		t := s.Tombs[s.TombOrder[0]]
+		if len(s.TombOrder) <= c.TombsKeep && !t.Ended.Before(c.TombsBefore) {
+			break
+		}
+		delete(s.Tombs, s.TombOrder[0])
+		s.TombOrder = s.TombOrder[1:]
+	}
+	for len(s.OrderKeys) > 0 && s.Orders[s.OrderKeys[0]].At.Before(c.OrdersBefore) {
+		delete(s.Orders, s.OrderKeys[0])
+		s.OrderKeys = s.OrderKeys[1:]
+	}
+	return nil, nil
+}
--- /dev/null
+++ b/internal/state/command/plan.go
@@ -0,0 +1,239 @@
+package command
+
+import (
+	"time"
+
+	"crosstide/internal/fault"
+	"crosstide/internal/state"
+)
+
+// Plan is all that the holder of sched changes, in one commit: the inbox number written ahead, what minions
+// said, what was proved, and the tickets it wants. Every part is checked when it is applied, so a plan made on
+// an old view changes nothing that moved on.
+type Plan struct {
+	Epoch   uint64         `json:"e"`           // of the duty sched; a plan of another epoch is refused whole
+	Charter uint64         `json:"v"`           // bundle version decided on; starts are refused under another
+	Seq     uint64         `json:"q,omitempty"` // inbox messages up to it are taken in
+	Minions []state.Minion `json:"m,omitempty"` // as reported in answers
+	Running []uint64       `json:"r,omitempty"` // tickets listed as running
+	Doubt   []uint64       `json:"u,omitempty"` // tickets whose order or answer was lost
+	Ends    []End          `json:"x,omitempty"` // ends listed
+	Dead    []Proof        `json:"k,omitempty"` // handles proved dead
+	Starts  []Start        `json:"s,omitempty"`
+	// Hold is put into every handle of Starts: how long its minion may run on unheard.
+	Hold time.Duration `json:"h,omitempty"`
+}
+
+// End is a listed end of a run.
+type End struct {
+	Ticket uint64 `json:"t"`
+	OK     bool   `json:"ok"`
+	Reason string `json:"w,omitempty"`
+}
+
+// Proof kinds: why a handle without a listed end is surely dead.
+const (
+	ProofFloor  = "floor"  // the minion's floor is at or above it, and it neither runs nor ended
+	ProofBoot   = "boot"   // the minion runs under another boot
+	ProofLapse  = "lapse"  // its hold has surely lapsed
+	ProofUnsent = "unsent" // its order never left this holder
+	ProofRefuse = "refuse" // the minion refused it
+	ProofStop   = "stop"   // the minion stopped it on our word
+)
+
+// Proof says that a handle is dead and why.
+type Proof struct {
+	Ticket uint64 `json:"t"`
+	Why    string `json:"w"`
+	Reason string `json:"r,omitempty"`
+}
+
+// Start wants a ticket for a due task on a minion. Starts with the same Group above 0 get theirs together or
+// not at all.
+type Start struct {
+	Ref    state.TaskRef `json:"r"`
+	Minion string        `json:"m"`
+	Boot   string        `json:"b"`
+	Group  int           `json:"g,omitempty"`
+}
+
+// Planned answers Plan: a ticket or 0 for each of Starts, with a word on each refusal.
+type Planned struct {
+	Tickets []uint64 `json:"tickets,omitempty"`
+	Refused []string `json:"refused,omitempty"`
+}
+
+// Op is "plan".
+func (c *Plan) Op() string { return "plan" }
+
+func (c *Plan) apply(s *state.State, index uint64) (any, error) {
+	d := s.Duties["sched"]
+	if d == nil || d.Epoch != c.Epoch || d.Holder == "" {
+		return nil, fault.New(fault.Stale, "plan of epoch %d, the duty sched has moved on", c.Epoch)
+	}
+	s.Admit(c.Seq)
+	for _, m := range c.Minions {
+		report(s, m)
+	}
+	for _, t := range c.Running {
+		if h := s.Handles[t]; h != nil && h.Phase != state.TaskRunning {
+			drop(s.Move(h.Ref, state.TaskRunning, nil))
+		}
+	}
+	for _, t := range c.Doubt {
+		if h := s.Handles[t]; h != nil && h.Phase != state.TaskDoubtful {
+			drop(s.Move(h.Ref, state.TaskDoubtful, nil))
+		}
+	}
+	for _, e := range c.Ends {
+		end(s, e)
+	}
+	for _, p := range c.Dead {
+		if h := s.Handles[p.Ticket]; h != nil {
+			again(s, h, p.Reason, time.Time{})
+		}
+	}
+	out := Planned{}
+	if len(c.Starts) > 0 {
+		out.Tickets = make([]uint64, len(c.Starts))
+		out.Refused = make([]string, len(c.Starts))
+	}
+	for i := 0; i < len(c.Starts); {
+		n := i + 1
+		for c.Starts[i].Group > 0 && n < len(c.Starts) && c.Starts[n].Group == c.Starts[i].Group {
+			n++
+		}
+		c.start(s, i, n, &out)
+		i = n
+	}
+	return out, nil
+}
+
+// start gives tickets to c.Starts[i:n], all or none.
+func (c *Plan) start(s *state.State, i, n int, out *Planned) {
+	type need struct{ cores, gpus int }
+	taken := map[string]need{}
+	for k := i; k < n; k++ {
+		st := c.Starts[k]
+		why := ""
+		if c.Charter != s.Bundle.Version {
+			why = "charter version"
+		} else {
+			why = refuse(s, st)
+		}
+		if why == "" {
+			j, _ := s.TaskOf(st.Ref)
+			step := &j.Spec.Steps[st.Ref.Step]
+			m, r, t := s.Minions[st.Minion], s.Room(st.Minion), taken[st.Minion]
+			t.cores += step.Cores
+			t.gpus += step.GPUs
+			taken[st.Minion] = t
+			if r.Cores+t.cores > m.Cores || r.GPUs+t.gpus > m.GPUs {
+				why = "room"
+			}
+		}
+		if why != "" {
+			for x := i; x < n; x++ {
+				out.Refused[x] = why
+			}
+			return
+		}
+	}
+	for k := i; k < n; k++ {
+		st := c.Starts[k]
+		j, _ := s.TaskOf(st.Ref)
+		step := &j.Spec.Steps[st.Ref.Step]
+		s.Ticket++
+		h := &state.Handle{Ticket: s.Ticket, Ref: st.Ref, Minion: st.Minion, Boot: st.Boot, Epoch: c.Epoch,
+			Charter: c.Charter, Type: step.Type, Cores: step.Cores, GPUs: step.GPUs, Hold: c.Hold}
+		drop(s.Move(st.Ref, state.TaskHeld, h))
+		out.Tickets[k] = s.Ticket
+	}
+}
+
+// refuse checks the preconditions of one ticket against the state at this very entry; "" lets it pass.
+func refuse(s *state.State, st Start) string {
+	j, t := s.TaskOf(st.Ref)
+	switch {
+	case t == nil || j.Phase != state.JobRunning:
+		return "job"
+	case t.Phase != state.TaskDue:
+		return "task"
+	case s.Minions[st.Minion] == nil || s.Minions[st.Minion].Boot != st.Boot:
+		return "boot"
+	}
+	return s.Fits(&j.Spec, &j.Spec.Steps[st.Ref.Step], s.Minions[st.Minion])
+}
+
+// report takes in what a minion said of itself. Under a new boot its older runs are dead: its contract is that
+// leftovers are killed before it reports under a new boot. An order that may still be under way to a minion that
+// starts whatever it is told is another matter: its handle waits for the holder's proof.
+func report(s *state.State, m state.Minion) {
+	old := s.Minions[m.Name]
+	if old == nil {
+		return // retired meanwhile
+	}
+	m.Closed, m.Addr = old.Closed, old.Addr
+	s.Minions[m.Name] = &m
+	if m.Boot != old.Boot {
+		for _, t := range s.Tickets(m.Name) {
+			if h := s.Handles[t]; h.Boot != m.Boot && (m.Kind != "obey" || h.Phase == state.TaskRunning) {
+				again(s, h, "the minion came back under a new boot", time.Time{})
+			}
+		}
+	}
+	s.Changed(state.NoteMinion, m.Name)
+}
+
+// end takes in a listed end. An end in fault is tried again after a back-off, up to the step's retries.
+func end(s *state.State, e End) {
+	h := s.Handles[e.Ticket]
+	if h == nil {
+		return
+	}
+	j, t := s.TaskOf(h.Ref)
+	step := &j.Spec.Steps[h.Ref.Step]
+	if e.OK {
+		drop(s.Move(h.Ref, state.TaskDone, nil))
+		return
+	}
+	t.Tries++
+	t.Reason = e.Reason
+	if t.Tries > step.Retries && !step.Standing && j.Phase == state.JobRunning {
+		reason := "step " + step.Name + " gave up: " + e.Reason
+		drop(s.Move(h.Ref, state.TaskSpent, nil))
+		s.Stop(j, state.JobFault, reason)
+		return
+	}
+	b := s.Bundle.Backoff
+	wait := b.Max
+	if t.Tries < 16 {
+		wait = min(b.Max, b.Min<<(t.Tries-1))
+	}
+	again(s, h, e.Reason, s.At.Add(wait))
+}
+
+// again releases a handle without an end that counts: the task is due again, or skipped when its job stops.
+func again(s *state.State, h *state.Handle, reason string, due time.Time) {
+	j, t := s.TaskOf(h.Ref)
+	t.Due = due
+	if reason != "" {
+		t.Reason = reason
+	}
+	if due.IsZero() {
+		t.Lost++
+	}
+	to := state.TaskDue
+	if j.Phase != state.JobRunning {
+		to = state.TaskSkipped
+	}
+	drop(s.Move(h.Ref, to, nil))
+}
+
+// drop is for moves whose table entry the caller has just checked: a refusal is a fault of ours and must not
+// leave nodes apart, so it stops the process.
+func drop(err error) {
+	if err != nil {
+		panic(err)
+	}
+}
--- /dev/null
+++ b/internal/state/query/query.go
@@ -0,0 +1,125 @@
+// Package query reads the replicated state.
+package query
+
+import (
+	"sort"
+	"time"
+
+	"crosstide/internal/fault"
+	"crosstide/internal/state"
+)
+
+// JobView is a job as consumers see it. Its JSON is the answer of GET /v1/jobs/{key}.
+type JobView struct {
+	Key       string         `json:"key"`
+	Team      string         `json:"team,omitempty"`
+	Queue     string         `json:"queue,omitempty"`
+	State     state.JobPhase `json:"state"`
+	Reason    string         `json:"reason,omitempty"`
+	Submitted time.Time      `json:"submitted,omitzero"`
+	Ended     time.Time      `json:"ended,omitzero"`
+	Steps     []StepView     `json:"steps,omitempty"`
+}
+
+// StepView counts the tasks of a step by where they stand.
+type StepView struct {
+	Name     string `json:"name"`
+	Type     string `json:"type"`
+	Tasks    int    `json:"tasks"`
+	Waiting  int    `json:"waiting,omitempty"`
+	Due      int    `json:"due,omitempty"`
+	Held     int    `json:"held,omitempty"`
+	Running  int    `json:"running,omitempty"`
+	Doubtful int    `json:"doubtful,omitempty"`
+	Done     int    `json:"done,omitempty"`
+	Spent    int    `json:"spent,omitempty"`
+	Skipped  int    `json:"skipped,omitempty"`
+	Faults   int    `json:"faults,omitempty"`
+	Lost     int    `json:"lost,omitempty"`
+	Reason   string `json:"reason,omitempty"` // of the newest fault of a task that is not done
+}
+
+// Job gives a job, or what its tombstone still tells; fault.Unknown if the store has neither.
+func Job(s *state.State, key string) (JobView, error) {
+	if j := s.Jobs[key]; j != nil {
+		return view(j), nil
+	}
+	if t := s.Tombs[key]; t != nil {
+		return JobView{Key: key, Team: t.Team, State: t.Phase, Reason: t.Reason, Ended: t.Ended}, nil
+	}
+	return JobView{}, fault.Field(fault.Unknown, "key", "no job %q", key)
+}
+
+func view(j *state.Job) JobView {
+	v := JobView{Key: j.Spec.Key, Team: j.Spec.Team, Queue: j.Spec.Queue, State: j.Phase, Reason: j.Reason,
+		Submitted: j.At, Ended: j.Ended, Steps: make([]StepView, len(j.Spec.Steps))}
+	for i, step := range j.Spec.Steps {
+		sv := &v.Steps[i]
+		sv.Name, sv.Type, sv.Tasks = step.Name, step.Type, step.Tasks
+		slots := map[state.TaskPhase]*int{
+			state.TaskWaiting: &sv.Waiting, state.TaskDue: &sv.Due, state.TaskHeld: &sv.Held,
+			state.TaskRunning: &sv.Running, state.TaskDoubtful: &sv.Doubtful, state.TaskDone: &sv.Done,
+			state.TaskSpent: &sv.Spent, state.TaskSkipped: &sv.Skipped,
+		}
+		for k := range j.Tasks[i] {
+			t := &j.Tasks[i][k]
+			*slots[t.Phase]++
+			sv.Faults += t.Tries
+			sv.Lost += t.Lost
+			if t.Reason != "" && t.Phase != state.TaskDone {
+				sv.Reason = t.Reason
+			}
+		}
+	}
+	return v
+}
+
+// List gives the jobs of a team ("" any) in a state ("" any) with keys after `after`, in order of keys, at most
+// limit; more tells whether there are others.
+func List(s *state.State, team string, phase state.JobPhase, after string, limit int) (jobs []JobView, more bool) {
+	keys := make([]string, 0, 64)
+	for key, j := range s.Jobs {
+		if key > after && (team == "" || j.Spec.Team == team) && (phase == "" || j.Phase == phase) {
+			keys = append(keys, key)
+		}
+	}
+	sort.Strings(keys)
+	if more = len(keys) > limit; more {
+		keys = keys[:limit]
+	}
+	for _, key := range keys {
+		v := view(s.Jobs[key])
+		v.Steps = nil
+		jobs = append(jobs, v)
+	}
+	return jobs, more
+}
+
+// Figures counts what is in the store.
+type Figures struct {
+	Jobs, Inbox, Tombs, Handles, Minions int
+	Tallies                              map[string]int
+}
+
+// Count gives the Figures of s.
+func Count(s *state.State) Figures {
+	return Figures{len(s.Jobs), len(s.Inbox), len(s.Tombs), len(s.Handles), len(s.Minions), s.Tallies()}
+}
+
+// MinionView is a minion with what is out on it.
+type MinionView struct {
+	state.Minion
+	Tickets   int `json:"tickets"`
+	UsedCores int `json:"used_cores"`
+	UsedGPUs  int `json:"used_gpus"`
+}
+
+// Minions gives every minion in order of names.
+func Minions(s *state.State) []MinionView {
+	out := make([]MinionView, 0, len(s.Minions))
+	for _, name := range s.MinionNames() {
+		r := s.Room(name)
+		out = append(out, MinionView{*s.Minions[name], len(r.Tickets), r.Cores, r.GPUs})
+	}
+	return out
+}
--- /dev/null
+++ b/internal/state/state.go
@@ -0,0 +1,559 @@
+// Package state is the replicated state of the control store: jobs, tasks, run handles, minions, duties, the
+// bundle in force. It changes only through package command, step by step in the order of the log, and is the
+// same on every node that applied the same entries. Package query reads it.
+package state
+
+import (
+	"encoding/json"
+	"slices"
+	"sort"
+	"time"
+
+	"crosstide/internal/fault"
+)
+
+// JobPhase is where a job stands.
+type JobPhase string
+
+const (
+	JobAccepted  JobPhase = "accepted"  // in the inbox, not yet read by the holder of sched
+	JobRunning   JobPhase = "running"   // admitted: its tasks fall due step by step
+	JobStopping  JobPhase = "stopping"  // its outcome is fixed, handles are still out
+	JobDone      JobPhase = "done"      // every task ended well
+	JobFault     JobPhase = "fault"     // a task was given up
+	JobCancelled JobPhase = "cancelled" // a consumer cancelled it and nothing of it runs any more
+)
+
+// Over tells whether the phase is final.
+func (p JobPhase) Over() bool { return p == JobDone || p == JobFault || p == JobCancelled }
+
+// TaskPhase is where a task stands. Only State.move changes it.
+type TaskPhase string
+
+const (
+	TaskWaiting  TaskPhase = ""  // its step waits for others, or the job is in the inbox
+	TaskDue      TaskPhase = "d" // wants a ticket, from Task.Due on
+	TaskHeld     TaskPhase = "h" // has a ticket; not yet listed as running
+	TaskRunning  TaskPhase = "r" // listed as running
+	TaskDoubtful TaskPhase = "?" // an answer about it was lost; waits for proof
+	TaskDone     TaskPhase = "e" // ended well; final
+	TaskSpent    TaskPhase = "x" // given up after its retries; final
+	TaskSkipped  TaskPhase = "s" // never to run: the job was cancelled or gave up; final
+)
+
+// Over tells whether the phase is final.
+func (p TaskPhase) Over() bool { return p == TaskDone || p == TaskSpent || p == TaskSkipped }
+
+// Open tells whether a handle is out for a task in this phase.
+func (p TaskPhase) Open() bool { return p == TaskHeld || p == TaskRunning || p == TaskDoubtful }
+
+// Task is one task of a step.
+type Task struct {
+	Phase  TaskPhase `json:"p,omitempty"`
+	Tries  int       `json:"n,omitempty"` // ends in fault so far
+	Lost   int       `json:"l,omitempty"` // handles proved dead without an end
+	Ticket uint64    `json:"t,omitempty"` // the newest ticket given
+	Due    time.Time `json:"d,omitzero"`  // store time from which it may start
+	Reason string    `json:"w,omitempty"` // of the last fault
+}
+
+// Spec is what a consumer hands in. Its JSON is the body of POST /v1/jobs.
+type Spec struct {
+	Key   string     `json:"key"`
+	Team  string     `json:"team"`
+	Queue string     `json:"queue"`
+	Steps []StepSpec `json:"steps"`
+}
+
+// StepSpec is one step: Tasks equal tasks of one type, after the steps named.
+type StepSpec struct {
+	Name     string            `json:"name"`
+	Type     string            `json:"type"`
+	After    []string          `json:"after,omitempty"`
+	Tasks    int               `json:"tasks"`
+	Cores    int               `json:"cores"`
+	GPUs     int               `json:"gpus,omitempty"`
+	Labels   map[string]string `json:"labels,omitempty"`
+	Retries  int               `json:"retries,omitempty"`
+	Run      json.RawMessage   `json:"run,omitempty"`
+	Standing bool              `json:"standing,omitempty"`
+	Gang     bool              `json:"gang,omitempty"`
+}
+
+// Job is a job in the store.
+type Job struct {
+	Spec    Spec      `json:"spec"`
+	Digest  string    `json:"digest"`
+	Phase   JobPhase  `json:"phase"`
+	Outcome JobPhase  `json:"outcome,omitempty"` // while stopping: what it will be
+	Reason  string    `json:"reason,omitempty"`
+	Seq     uint64    `json:"seq"` // inbox sequence number
+	At      time.Time `json:"at"`
+	Ended   time.Time `json:"ended,omitzero"`
+	Tasks   [][]Task  `json:"tasks"` // by step, by task
+
+	left  []int // tasks of each step that have not ended well
+	open  int   // handles out
+	steps map[string]int
+}
+
+// Open is how many handles of the job are out.
+func (j *Job) Open() int { return j.open }
+
+// TaskRef names a task.
+type TaskRef struct {
+	Job  string `json:"j"`
+	Step int    `json:"s"`
+	Task int    `json:"k"`
+}
+
+// Handle is a run handle: the durable record of a run ticket. It exists from the commit of the ticket to its
+// listed end or the proof that it is dead.
+type Handle struct {
+	Ticket  uint64        `json:"t"`
+	Ref     TaskRef       `json:"r"`
+	Minion  string        `json:"m"`
+	Boot    string        `json:"b"`
+	Epoch   uint64        `json:"e"`
+	Charter uint64        `json:"c"`
+	Type    string        `json:"y"`
+	Cores   int           `json:"n"`
+	GPUs    int           `json:"g,omitempty"`
+	Hold    time.Duration `json:"h"`
+	Phase   TaskPhase     `json:"p"`
+}
+
+// Minion is what the store knows of a minion.
+type Minion struct {
+	Name     string            `json:"name"`
+	Addr     string            `json:"addr"`
+	Boot     string            `json:"boot,omitempty"` // as the holder of sched last heard it in an answer
+	Kind     string            `json:"kind"`           // obey or check
+	Zone     string            `json:"zone"`
+	Rack     string            `json:"rack,omitempty"`
+	Labels   map[string]string `json:"labels,omitempty"`
+	Cores    int               `json:"cores"`
+	GPUs     int               `json:"gpus,omitempty"`
+	Draining bool              `json:"draining,omitempty"` // reported by the minion
+	Closed   bool              `json:"closed,omitempty"`   // drained by an operator
+}
+
+// Duty is a singleton duty and its holder. Epoch is the log index of the grant.
+type Duty struct {
+	Holder string `json:"holder,omitempty"` // node name; "" after it was given up
+	Addr   string `json:"addr,omitempty"`
+	Boot   string `json:"boot,omitempty"`
+	Epoch  uint64 `json:"epoch"`
+}
+
+// Bundle is the operators' configuration in force.
+type Bundle struct {
+	Version uint64           `json:"version"`
+	Queues  map[string]Queue `json:"queues"`
+	Limits  map[string]int   `json:"limits,omitempty"` // type to tickets out; orders the backlog only
+	Backoff Backoff          `json:"backoff"`
+}
+
+// Backoff bounds the wait before a task that ended in fault is due again.
+type Backoff struct {
+	Min time.Duration `json:"min"`
+	Max time.Duration `json:"max"`
+}
+
+// Queue is an operators' placement queue with its charter.
+type Queue struct {
+	Types   []string          `json:"types,omitempty"`  // empty: any
+	Teams   []string          `json:"teams,omitempty"`  // empty: any
+	Labels  map[string]string `json:"labels,omitempty"` // a minion must bear them
+	Minions []string          `json:"minions,omitempty"`
+	Zones   []string          `json:"zones,omitempty"`
+	Racks   []string          `json:"racks,omitempty"`
+	Urgent  bool              `json:"urgent,omitempty"`
+}
+
+// Tomb is what stays of a job that left the store: enough to answer a job sent again.
+type Tomb struct {
+	Digest string    `json:"d"`
+	Team   string    `json:"m,omitempty"`
+	Phase  JobPhase  `json:"p"`
+	Reason string    `json:"w,omitempty"`
+	Ended  time.Time `json:"e"`
+}
+
+// Order is the remembered answer to an operator's order.
+type Order struct {
+	Digest string          `json:"d"`
+	Answer json.RawMessage `json:"a"`
+	At     time.Time       `json:"at"`
+}
+
+// Note is a change that watchers are told of, after it was made.
+type Note struct {
+	Kind   NoteKind
+	Ref    TaskRef
+	Handle *Handle
+	Name   string // job key, minion, duty or zone
+}
+
+// NoteKind says what a Note is about.
+type NoteKind uint8
+
+const (
+	NoteDue          NoteKind = iota // a task fell due (Ref)
+	NoteOpened                       // a handle was recorded (Handle)
+	NoteClosed                       // a handle was released (Handle)
+	NoteMinion                       // a minion came or changed (Name)
+	NoteGone                         // a minion was retired (Name)
+	NoteInbox                        // a job entered the inbox (Name)
+	NoteStopping                     // a job's running handles are to be stopped (Name)
+	NoteDuty                         // a duty changed hands (Name)
+	NotePlacement                    // bundle or evacuated zones changed
+)
+
+// State is the whole replicated state. It has no lock: its owner has.
+type State struct {
+	Index  uint64    `json:"index"` // of the last entry applied
+	Term   uint64    `json:"term"`
+	At     time.Time `json:"at"`     // store time: never goes back
+	Ticket uint64    `json:"ticket"` // the newest ticket given
+	// Seq numbers the inbox messages; InboxSeq is the number written ahead by the holder of sched.
+	Seq       uint64               `json:"seq"`
+	InboxSeq  uint64               `json:"inbox_seq"`
+	Inbox     []string             `json:"inbox"` // job keys with Seq above InboxSeq, in order
+	Jobs      map[string]*Job      `json:"jobs"`
+	Ended     []string             `json:"ended"` // keys of jobs that are over, oldest first
+	Tombs     map[string]*Tomb     `json:"tombs"`
+	TombOrder []string             `json:"tomb_order"` // keys, oldest first
+	Handles   map[uint64]*Handle   `json:"handles"`
+	Minions   map[string]*Minion   `json:"minions"`
+	Duties    map[string]*Duty     `json:"duties"`
+	Bundle    Bundle               `json:"bundle"`
+	Evacuated map[string]time.Time `json:"evacuated"`
+	Orders    map[string]*Order    `json:"orders"`
+	OrderKeys []string             `json:"order_keys"` // oldest first
+
+	// Watch is told of changes as they are applied; it must not change the state.
+	Watch func(Note) `json:"-"`
+
+	room  map[string]*Room
+	tally map[string]int
+}
+
+// Room is what handles take on a minion.
+type Room struct {
+	Cores, GPUs int
+	Tickets     map[uint64]*Handle
+}
+
+// New is the state before the first entry: one queue `default` that any minion may serve.
+func New() *State {
+	s := &State{
+		Jobs: map[string]*Job{}, Tombs: map[string]*Tomb{}, Handles: map[uint64]*Handle{},
+		Minions: map[string]*Minion{}, Duties: map[string]*Duty{}, Evacuated: map[string]time.Time{},
+		Orders: map[string]*Order{},
+		Bundle: Bundle{
+			Version: 1,
+			Queues:  map[string]Queue{"default": {}},
+			Backoff: Backoff{Min: 200 * time.Millisecond, Max: 30 * time.Second},
+		},
+	}
+	s.index()
+	return s
+}
+
+// Encode gives the state as JSON, the same bytes for the same state.
+func (s *State) Encode() ([]byte, error) {
+	data, err := json.Marshal(s)
+	if err != nil {
+		return nil, fault.Wrap(err, fault.Internal, "encode state at %d", s.Index)
+	}
+	return data, nil
+}
+
+// Decode reads what Encode gave.
+func Decode(data []byte) (*State, error) {
+	s := New()
+	s.Bundle = Bundle{}
+	if err := json.Unmarshal(data, s); err != nil {
+		return nil, fault.Wrap(err, fault.Damaged, "decode state")
+	}
+	s.index()
+	return s, nil
+}
+
+// index makes anew what can be derived.
+func (s *State) index() {
+	s.room = map[string]*Room{}
+	s.tally = map[string]int{}
+	for _, j := range s.Jobs {
+		j.derive()
+	}
+	for _, h := range s.Handles {
+		s.take(h)
+	}
+}
+
+func (j *Job) derive() {
+	j.left = make([]int, len(j.Tasks))
+	j.open = 0
+	j.steps = make(map[string]int, len(j.Spec.Steps))
+	for i, step := range j.Spec.Steps {
+		j.steps[step.Name] = i
+	}
+	for i, tasks := range j.Tasks {
+		for k := range tasks {
+			if tasks[k].Phase != TaskDone {
+				j.left[i]++
+			}
+			if tasks[k].Phase.Open() {
+				j.open++
+			}
+		}
+	}
+}
+
+// Room gives what handles take on a minion; never nil.
+func (s *State) Room(minion string) *Room {
+	r := s.room[minion]
+	if r == nil {
+		r = &Room{Tickets: map[uint64]*Handle{}}
+		s.room[minion] = r
+	}
+	return r
+}
+
+// Tally gives how many handles of a type are out.
+func (s *State) Tally(kind string) int { return s.tally[kind] }
+
+// Tallies gives a copy of every tally.
+func (s *State) Tallies() map[string]int {
+	out := make(map[string]int, len(s.tally))
+	for k, n := range s.tally {
+		out[k] = n
+	}
+	return out
+}
+
+// TaskOf finds a task; nil if there is none.
+func (s *State) TaskOf(ref TaskRef) (*Job, *Task) {
+	j := s.Jobs[ref.Job]
+	if j == nil || ref.Step < 0 || ref.Step >= len(j.Tasks) || ref.Task < 0 || ref.Task >= len(j.Tasks[ref.Step]) {
+		return nil, nil
+	}
+	return j, &j.Tasks[ref.Step][ref.Task]
+}
+
+func (s *State) tell(n Note) {
+	if s.Watch != nil {
+		s.Watch(n)
+	}
+}
+
+func (s *State) take(h *Handle) {
+	r := s.Room(h.Minion)
+	r.Cores += h.Cores
+	r.GPUs += h.GPUs
+	r.Tickets[h.Ticket] = h
+	s.tally[h.Type]++
+}
+
+func (s *State) give(h *Handle) {
+	r := s.Room(h.Minion)
+	r.Cores -= h.Cores
+	r.GPUs -= h.GPUs
+	delete(r.Tickets, h.Ticket)
+	if s.tally[h.Type]--; s.tally[h.Type] == 0 {
+		delete(s.tally, h.Type)
+	}
+}
+
+// moves is the table of the changes of a task's phase that exist.
+var moves = map[TaskPhase][]TaskPhase{
+	TaskWaiting:  {TaskDue, TaskSkipped},
+	TaskDue:      {TaskHeld, TaskSkipped},
+	TaskHeld:     {TaskRunning, TaskDoubtful, TaskDone, TaskDue, TaskSpent, TaskSkipped},
+	TaskRunning:  {TaskDoubtful, TaskDone, TaskDue, TaskSpent, TaskSkipped},
+	TaskDoubtful: {TaskRunning, TaskDone, TaskDue, TaskSpent, TaskSkipped},
+}
+
+// shift is the one function that changes a task's phase, and with it the handle, the room and the tally. h is the
+// handle on the way into TaskHeld, else nil. It refuses a change that is not in the table (fault.Stale).
+func (s *State) shift(j *Job, t *Task, ref TaskRef, to TaskPhase, h *Handle) error {
+	from := t.Phase
+	if !slices.Contains(moves[from], to) {
+		return fault.New(fault.Stale, "task %v is %q, cannot become %q", ref, from, to)
+	}
+	t.Phase = to
+	switch {
+	case to == TaskHeld:
+		t.Ticket = h.Ticket
+		h.Phase = TaskHeld
+		s.Handles[h.Ticket] = h
+		s.take(h)
+		j.open++
+		s.tell(Note{Kind: NoteOpened, Handle: h, Ref: ref})
+	case from.Open() && to.Open():
+		s.Handles[t.Ticket].Phase = to
+	case from.Open():
+		old := s.Handles[t.Ticket]
+		delete(s.Handles, t.Ticket)
+		s.give(old)
+		j.open--
+		s.tell(Note{Kind: NoteClosed, Handle: old, Ref: ref})
+	}
+	switch to {
+	case TaskDone:
+		j.left[ref.Step]--
+	case TaskDue:
+		s.tell(Note{Kind: NoteDue, Ref: ref})
+	}
+	return nil
+}
+
+// Move changes a task's phase and draws what follows for its step and job. Example:
+//
+//	err := s.Move(h.Ref, state.TaskDone, nil) // the run of h ended well
+func (s *State) Move(ref TaskRef, to TaskPhase, h *Handle) error {
+	j, t := s.TaskOf(ref)
+	if t == nil {
+		return fault.New(fault.Stale, "no task %v", ref)
+	}
+	if err := s.shift(j, t, ref, to, h); err != nil {
+		return fault.Pass(err, "move")
+	}
+	if to == TaskDone && j.left[ref.Step] == 0 && j.Phase == JobRunning {
+		s.Advance(j)
+	}
+	s.settle(j)
+	return nil
+}
+
+// must is for changes that the caller has just checked: a refusal is a fault of ours, and going on would leave
+// the nodes apart.
+func must(err error) {
+	if err != nil {
+		panic(err)
+	}
+}
+
+// Advance makes the tasks due whose steps wait for nothing any more.
+func (s *State) Advance(j *Job) {
+	for i, step := range j.Spec.Steps {
+		ready := true
+		for _, name := range step.After {
+			ready = ready && j.left[j.steps[name]] == 0
+		}
+		if !ready {
+			continue
+		}
+		for k := range j.Tasks[i] {
+			if t := &j.Tasks[i][k]; t.Phase == TaskWaiting {
+				must(s.shift(j, t, TaskRef{j.Spec.Key, i, k}, TaskDue, nil))
+			}
+		}
+	}
+}
+
+// Stop fixes a job's outcome: nothing of it starts any more, and what runs is to be stopped.
+func (s *State) Stop(j *Job, outcome JobPhase, reason string) {
+	if j.Phase.Over() || j.Phase == JobStopping {
+		return
+	}
+	if j.Phase == JobAccepted {
+		for i, key := range s.Inbox {
+			if key == j.Spec.Key {
+				s.Inbox = append(s.Inbox[:i:i], s.Inbox[i+1:]...)
+				break
+			}
+		}
+	}
+	j.Phase, j.Outcome, j.Reason = JobStopping, outcome, reason
+	for i := range j.Tasks {
+		for k := range j.Tasks[i] {
+			if t := &j.Tasks[i][k]; t.Phase == TaskWaiting || t.Phase == TaskDue {
+				must(s.shift(j, t, TaskRef{j.Spec.Key, i, k}, TaskSkipped, nil))
+			}
+		}
+	}
+	s.tell(Note{Kind: NoteStopping, Name: j.Spec.Key})
+	s.settle(j)
+}
+
+// settle ends a job that has nothing left to do.
+func (s *State) settle(j *Job) {
+	to := j.Phase
+	switch j.Phase {
+	case JobStopping:
+		if j.open == 0 {
+			to = j.Outcome
+		}
+	case JobRunning:
+		left := 0
+		for _, n := range j.left {
+			left += n
+		}
+		if left == 0 {
+			to = JobDone
+		}
+	}
+	if to == j.Phase {
+		return
+	}
+	j.Phase, j.Outcome, j.Ended = to, "", s.At
+	s.Ended = append(s.Ended, j.Spec.Key)
+}
+
+// MinionNames gives the names of all minions in order.
+func (s *State) MinionNames() []string {
+	out := make([]string, 0, len(s.Minions))
+	for name := range s.Minions {
+		out = append(out, name)
+	}
+	sort.Strings(out)
+	return out
+}
+
+// Changed lets package command tell watchers of a change that Move does not see.
+func (s *State) Changed(kind NoteKind, name string) { s.tell(Note{Kind: kind, Name: name}) }
+
+// Enter puts a fresh job into the inbox.
+func (s *State) Enter(j *Job) {
+	j.Tasks = make([][]Task, len(j.Spec.Steps))
+	for i, step := range j.Spec.Steps {
+		j.Tasks[i] = make([]Task, step.Tasks)
+	}
+	j.derive()
+	s.Jobs[j.Spec.Key] = j
+	s.Inbox = append(s.Inbox, j.Spec.Key)
+	s.tell(Note{Kind: NoteInbox, Name: j.Spec.Key})
+}
+
+// Admit takes in the inbox messages up to seq: their first steps fall due, the number is written.
+func (s *State) Admit(seq uint64) {
+	if seq <= s.InboxSeq {
+		return
+	}
+	s.InboxSeq = min(seq, s.Seq)
+	n := 0
+	for n < len(s.Inbox) && s.Jobs[s.Inbox[n]].Seq <= seq {
+		n++
+	}
+	keys := s.Inbox[:n]
+	s.Inbox = append([]string(nil), s.Inbox[n:]...)
+	for _, key := range keys {
+		j := s.Jobs[key]
+		j.Phase = JobRunning
+		s.Advance(j)
+	}
+}
+
+// Tickets gives the tickets out on a minion, oldest first.
+func (s *State) Tickets(minion string) []uint64 {
+	r := s.Room(minion)
+	out := make([]uint64, 0, len(r.Tickets))
+	for t := range r.Tickets {
+		out = append(out, t)
+	}
+	slices.Sort(out)
+	return out
+}
--- /dev/null
+++ b/internal/store/disk.go
@@ -0,0 +1,263 @@
+package store
+
+import (
+	"context"
+	"encoding/json"
+
+	"github.com/go-kit/log/level"
+
+	"crosstide/internal/fault"
+	"crosstide/internal/pair"
+	"crosstide/internal/quorum"
+	"crosstide/internal/slot"
+	"crosstide/internal/state"
+)
+
+// entryRoom is what an entry takes beside its data.
+const entryRoom = 64
+
+// work is what one Ready wants of the disk. Ready.Reset needs nothing here: writing the image that caused it
+// made the slot store let go of the same entries.
+type work struct {
+	hard   *quorum.Hard
+	append []quorum.Entry
+	after  []quorum.Message // may leave once all of it is synced
+}
+
+// disk stores all that is pending with one sync, again and again.
+func (s *Store) disk(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-s.diskKick:
+		}
+		s.mu.Lock()
+		batch := s.queue
+		s.queue = nil
+		if len(batch) > 0 {
+			s.diskBusy = s.clock.Now()
+		}
+		s.mu.Unlock()
+		if len(batch) == 0 {
+			continue
+		}
+		records, last, err := recordsOf(batch)
+		if err == nil && len(records) > 0 {
+			from := s.clock.Now()
+			err = s.slots.Append(records)
+			s.meter.syncs.Observe((s.clock.Now() - from).Seconds())
+		}
+		if err != nil {
+			s.fatal(fault.Pass(err, "store the log"))
+			return
+		}
+		s.stored(batch, last)
+	}
+}
+
+func recordsOf(batch []work) (out []slot.Record, last quorum.Entry, err error) {
+	for _, w := range batch {
+		if w.hard != nil {
+			data, err := json.Marshal(w.hard)
+			if err != nil {
+				return nil, last, fault.Wrap(err, fault.Internal, "encode the hard state")
+			}
+			out = append(out, slot.Record{Kind: slot.KindHard, Data: data})
+		}
+		for _, e := range w.append {
+			out = append(out, slot.Record{Kind: uint8(e.Kind), Term: e.Term, Index: e.Index, Data: e.Data})
+			last = e
+		}
+	}
+	return out, last, nil
+}
+
+// stored takes in that a batch is synced.
+func (s *Store) stored(batch []work, last quorum.Entry) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.diskBusy = 0
+	for _, w := range batch {
+		s.route(w.after)
+	}
+	if last.Index > 0 {
+		s.core.Synced(s.clock.Now(), last.Index, last.Term)
+		s.durable = last.Index
+		for _, w := range s.queue { // what replaces stored entries is not stored yet
+			if len(w.append) > 0 {
+				s.durable = min(s.durable, w.append[0].Index-1)
+			}
+		}
+		nudge(s.shadowKick)
+	}
+	nudge(s.kick)
+	if len(s.queue) > 0 {
+		nudge(s.diskKick)
+	}
+}
+
+// install is a snapshot of another member that takes the place of this node's state.
+type install struct {
+	image slot.Image
+	meta  quorum.Meta
+	live  *state.State
+	done  chan struct{}
+}
+
+// shade keeps the shadow, a second replica of the state, and writes the slots from it. It is the only writer of
+// slots. It takes entries only once they are stored here: a slot must not be ahead of the log on its own disk.
+func (s *Store) shade(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-s.shadowKick:
+		}
+		s.mu.Lock()
+		in := s.install
+		s.install = nil
+		n := 0
+		for n < len(s.backlog) && s.backlog[n].Index <= s.durable {
+			n++
+		}
+		batch := s.backlog[:n:n]
+		if s.backlog = s.backlog[n:]; len(s.backlog) == 0 {
+			s.backlog = nil
+		}
+		s.mu.Unlock()
+		var err error
+		for i := 0; i < len(batch) && err == nil; i++ {
+			err = s.follow(batch[i])
+			batch[i].Data = nil
+		}
+		if err == nil && in != nil {
+			err = s.adopt(ctx, in)
+			close(in.done)
+		}
+		if err != nil {
+			s.fatal(err)
+			return
+		}
+	}
+}
+
+// follow applies an entry to the shadow, and writes a slot when one is due.
+func (s *Store) follow(e quorum.Entry) error {
+	if e.Index <= s.shadow.Index {
+		return nil // an image that was adopted has it
+	}
+	if e.Kind == quorum.Members {
+		s.shadowMembers = nil
+		if err := json.Unmarshal(e.Data, &s.shadowMembers); err != nil {
+			return fault.Wrap(err, fault.Damaged, "members at %d", e.Index)
+		}
+	}
+	_, _ = applyTo(s.shadow, e) // a command's own fault is an outcome
+	s.shadowSince++
+	s.shadowBytes += len(e.Data) + entryRoom
+	if s.shadowSince < s.set.SlotEvery && s.shadowBytes < maxBytes {
+		return nil
+	}
+	return fault.Pass(s.writeSlot(), "slot at %d", e.Index)
+}
+
+func (s *Store) writeSlot() error {
+	from := s.clock.Now()
+	body, err := s.shadow.Encode()
+	if err != nil {
+		return fault.Pass(err, "write a slot")
+	}
+	meta := quorum.Meta{Index: s.shadow.Index, Term: s.shadow.Term, Members: s.shadowMembers}
+	raw, err := json.Marshal(meta)
+	if err != nil {
+		return fault.Wrap(err, fault.Internal, "encode the meta of a slot")
+	}
+	if err := s.slots.WriteSlot(slot.Image{Index: meta.Index, Term: meta.Term, Meta: raw, Body: body}, 0); err != nil {
+		return fault.Pass(err, "write a slot")
+	}
+	took := s.clock.Now() - from
+	s.meter.slots.Observe(took.Seconds())
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	before := s.newest.Index
+	s.newest = pair.Snapshot{Number: s.newest.Number + 1, Index: meta.Index, Term: meta.Term, Size: int64(len(body))}
+	s.core.SnapshotAt(meta)
+	s.logTotal += s.shadowBytes
+	s.core.Compact(s.tail(before))
+	s.behind -= s.shadowBytes
+	s.shadowSince, s.shadowBytes = 0, 0
+	_ = level.Info(s.log).Log("msg", "slot written", "index", meta.Index, "bytes", len(body), "took", took)
+	return nil
+}
+
+// tail tells up to where the log may go from memory: up to the slot before the newest, for followers a little
+// behind, and not past a slot that is being fetched. Else one whose fetch takes longer than the writing of two
+// slots would find the log gone each time it is done. What a fetch holds back is bounded.
+func (s *Store) tail(before uint64) uint64 {
+	for _, k := range s.chunks.list {
+		if s.logTotal-k.total < maxBehind {
+			before = min(before, k.image.Index)
+		}
+	}
+	return before
+}
+
+// adopt puts an image of another member in the place of the own state. The core is frozen meanwhile: no message
+// goes in and no output comes out, so that the log on the disk cannot move between the image and Installed.
+func (s *Store) adopt(ctx context.Context, in *install) error {
+	s.mu.Lock()
+	ok := in.meta.Index > s.core.Status().Commit
+	s.frozen = ok
+	s.mu.Unlock()
+	if !ok {
+		return nil
+	}
+	defer func() {
+		s.mu.Lock()
+		s.frozen = false
+		s.mu.Unlock()
+		nudge(s.kick)
+	}()
+	for { // what was handed out before must be on the disk before the image
+		s.mu.Lock()
+		idle := len(s.queue) == 0 && s.diskBusy == 0
+		s.mu.Unlock()
+		if idle {
+			break
+		}
+		nudge(s.diskKick)
+		if !s.rest(ctx, tick) {
+			return nil
+		}
+	}
+	if err := s.slots.WriteSlot(in.image, 0); err != nil {
+		return fault.Pass(err, "write a fetched snapshot")
+	}
+	shadow, err := state.Decode(in.image.Body)
+	if err != nil {
+		return fault.Pass(err, "a fetched snapshot")
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.newest = pair.Snapshot{Number: s.newest.Number + 1, Index: in.meta.Index, Term: in.meta.Term, Size: int64(len(in.image.Body))}
+	s.core.Installed(s.clock.Now(), in.meta)
+	s.shadow, s.shadowMembers, s.shadowSince, s.shadowBytes = shadow, in.meta.Members, 0, 0
+	s.backlog, s.behind = nil, 0
+	s.durable = max(s.durable, in.meta.Index)
+	s.replace(in.live)
+	_ = level.Info(s.log).Log("msg", "snapshot installed", "index", in.meta.Index, "bytes", len(in.image.Body))
+	return nil
+}
+
+// replace makes next the live state.
+func (s *Store) replace(next *state.State) {
+	s.live = next
+	s.live.Watch = func(n state.Note) {
+		if n.Kind == state.NoteDuty {
+			s.book.Seen(s.clock.Now(), n.Name, s.live.Duties[n.Name].Epoch)
+		}
+	}
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
--- /dev/null
+++ b/internal/store/duty.go
@@ -0,0 +1,78 @@
+package store
+
+import (
+	"context"
+
+	"github.com/go-kit/log/level"
+
+	"crosstide/internal/fault"
+	"crosstide/internal/pair"
+	"crosstide/internal/state"
+	"crosstide/internal/state/command"
+)
+
+// Duty claims, renews or gives up a duty; only the confirmed leader answers. See Book for why no two hold one.
+// Faults: NotLeader (Hint), Unavailable, Timeout, Invalid.
+func (s *Store) Duty(ctx context.Context, call pair.DutyCall) (pair.DutyAnswer, error) {
+	if call.Duty == "" || call.Holder == "" || call.Boot == "" {
+		return pair.DutyAnswer{}, fault.Field(fault.Invalid, "holder", "duty, holder and boot are needed")
+	}
+	s.mu.Lock()
+	held, verdict, err := s.judge(call)
+	s.mu.Unlock()
+	if err != nil {
+		return pair.DutyAnswer{}, fault.Pass(err, "duty %s", call.Duty)
+	}
+	if verdict == Mine || verdict == Theirs {
+		return s.tell(held, verdict == Mine), nil
+	}
+	var c command.Command = &command.Grant{Duty: call.Duty, Holder: call.Holder, Addr: call.Addr, Boot: call.Boot, After: held.Epoch}
+	if call.GiveUp {
+		c = &command.GiveUp{Duty: call.Duty, Epoch: held.Epoch}
+	}
+	index, _, err := s.Propose(ctx, c)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.book.Settled(call.Duty, held.Epoch)
+	now := s.live.Duties[call.Duty]
+	switch {
+	case err != nil && !fault.Is(err, fault.Stale):
+		return pair.DutyAnswer{}, fault.Pass(err, "duty %s", call.Duty)
+	case now == nil:
+		return pair.DutyAnswer{}, nil
+	}
+	mine := err == nil && !call.GiveUp && now.Epoch == index
+	if mine {
+		_ = level.Info(s.log).Log("msg", "duty granted", "duty", call.Duty, "holder", call.Holder, "epoch", index)
+	}
+	return s.tell(*now, mine), nil
+}
+
+// judge asks the book; called under the lock. On Free a proposal is to follow.
+func (s *Store) judge(call pair.DutyCall) (held state.Duty, v Verdict, err error) {
+	if err := s.leads(); err != nil {
+		return held, v, fault.Pass(err, "judge")
+	}
+	now := s.clock.Now()
+	if _, ok := s.core.Confirmed(now); !ok || !s.book.Open() {
+		return held, v, fault.New(fault.Unavailable, "the lead cannot be confirmed now")
+	}
+	if d := s.live.Duties[call.Duty]; d != nil {
+		held = *d
+	}
+	if call.GiveUp {
+		if s.book.End(now, held, call) {
+			return held, Free, nil
+		}
+		return held, Theirs, nil
+	}
+	return held, s.book.Ask(now, held, call), nil
+}
+
+func (s *Store) tell(d state.Duty, mine bool) pair.DutyAnswer {
+	a := pair.DutyAnswer{Mine: mine, Epoch: d.Epoch, Holder: d.Holder, Addr: d.Addr}
+	if mine {
+		a.Lease = s.set.DutyLease
+	}
+	return a
+}
--- /dev/null
+++ b/internal/store/follow.go
@@ -0,0 +1,244 @@
+package store
+
+import (
+	"context"
+	"encoding/json"
+	"math"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/go-kit/log/level"
+
+	"crosstide/internal/fault"
+	"crosstide/internal/pair"
+	"crosstide/internal/quorum"
+	"crosstide/internal/slot"
+	"crosstide/internal/state"
+)
+
+const (
+	source    = "store" // of our changes in a vector
+	maxFollow = 8 << 20
+	maxChunk  = 4 << 20
+	maxWait   = 30 * time.Second
+	chunkIdle = 30 * time.Second // a slot kept for fetchers is let go after it
+)
+
+// Follow gives what the caller lacks, and waits up to call.Wait if that is nothing.
+func (s *Store) Follow(ctx context.Context, call pair.FollowCall) (pair.FollowAnswer, error) {
+	version, ok := call.Vector[source]
+	if !ok && len(call.Vector) > 0 {
+		return pair.FollowAnswer{}, nil
+	}
+	limit := min(max(call.Max, 64<<10), maxFollow)
+	over := make(chan struct{})
+	defer s.clock.Set(min(call.Wait, maxWait), func() { close(over) }).Stop()
+	for {
+		lack, changed, err := s.lack(version, limit)
+		if err != nil {
+			return pair.FollowAnswer{}, fault.Pass(err, "follow")
+		}
+		if lack != nil {
+			return pair.FollowAnswer{Lacks: map[string]pair.Lack{source: *lack}}, nil
+		}
+		select {
+		case <-changed:
+		case <-over:
+			return pair.FollowAnswer{}, nil
+		case <-ctx.Done():
+			return pair.FollowAnswer{}, nil
+		case <-s.group.Context().Done():
+			return pair.FollowAnswer{}, fault.New(fault.Stopped, "the store is stopping")
+		}
+	}
+}
+
+// lack gives what comes after version and is applied here, nil if that is nothing.
+func (s *Store) lack(version uint64, limit int) (*pair.Lack, chan struct{}, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.core == nil {
+		return nil, nil, fault.New(fault.Unavailable, "not part of a fleet yet")
+	}
+	if version >= s.live.Index {
+		return nil, s.changed, nil
+	}
+	entries, err := s.core.Entries(version+1, limit)
+	if fault.Is(err, fault.Unknown) {
+		newest := s.newest
+		return &pair.Lack{Snapshot: &newest}, nil, nil
+	}
+	if err != nil {
+		return nil, nil, fault.Pass(err, "entries after %d", version)
+	}
+	n := 0
+	for n < len(entries) && entries[n].Index <= s.live.Index {
+		n++
+	}
+	if n == 0 {
+		return nil, s.changed, nil
+	}
+	return &pair.Lack{Changes: entries[:n:n]}, nil, nil
+}
+
+// chunks keeps the slots that are being fetched, two at most.
+type chunks struct{ list []*kept }
+
+type kept struct {
+	image slot.Image
+	sum   uint64
+	used  time.Duration
+	total int // Store.logTotal as it was loaded
+}
+
+// Chunk gives a part of a slot. Fault: Unknown when there is no such slot any more; begin anew with Number 0.
+func (s *Store) Chunk(call pair.ChunkCall) (pair.ChunkAnswer, error) {
+	k, err := s.keep(call.Number)
+	if err != nil {
+		return pair.ChunkAnswer{}, fault.Pass(err, "chunk")
+	}
+	body := k.image.Body
+	if call.From < 0 || call.From > int64(len(body)) {
+		return pair.ChunkAnswer{}, fault.Field(fault.Invalid, "from", "%d of %d bytes", call.From, len(body))
+	}
+	limit := call.Max
+	if limit <= 0 || limit > maxChunk {
+		limit = maxChunk
+	}
+	end := min(call.From+int64(limit), int64(len(body)))
+	return pair.ChunkAnswer{
+		Snapshot: pair.Snapshot{Number: k.image.Number, Index: k.image.Index, Term: k.image.Term, Size: int64(len(body))},
+		Meta:     json.RawMessage(k.image.Meta), Data: body[call.From:end], Sum: k.sum,
+	}, nil
+}
+
+func (s *Store) keep(number uint64) (*kept, error) {
+	now := s.clock.Now()
+	s.mu.Lock()
+	if number == 0 {
+		number = s.newest.Number
+	}
+	newest := s.newest.Number
+	k := s.chunks.find(number, now)
+	s.mu.Unlock()
+	if k != nil {
+		return k, nil
+	}
+	if number != newest || newest == 0 {
+		return nil, fault.New(fault.Unknown, "slot %d is gone, the newest is %d", number, newest)
+	}
+	img, err := s.slots.NewestSlot()
+	if err != nil {
+		return nil, fault.Pass(err, "slot %d", number)
+	}
+	k = &kept{image: img, sum: xxhash.Sum64(img.Body), used: now}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if have := s.chunks.find(img.Number, now); have != nil {
+		return have, nil
+	}
+	k.total = s.logTotal
+	s.chunks.list = append(s.chunks.list, k)
+	if len(s.chunks.list) > 2 {
+		s.chunks.list = s.chunks.list[1:]
+	}
+	s.clock.Set(chunkIdle, s.sweep)
+	return k, nil
+}
+
+func (c *chunks) find(number uint64, now time.Duration) *kept {
+	for _, k := range c.list {
+		if k.image.Number == number {
+			k.used = now
+			return k
+		}
+	}
+	return nil
+}
+
+// sweep lets slots go that nobody fetches any more.
+func (s *Store) sweep() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.clock.Now()
+	list := s.chunks.list[:0:0]
+	for _, k := range s.chunks.list {
+		if now-k.used < chunkIdle {
+			list = append(list, k)
+		}
+	}
+	if s.chunks.list = list; len(list) > 0 && s.group.Context().Err() == nil {
+		s.clock.Set(chunkIdle, s.sweep)
+	}
+}
+
+// fetch gets a snapshot from another member and installs it. When it fails, the core asks for it again.
+func (s *Store) fetch(ctx context.Context, want quorum.FetchSnapshot) {
+	err := s.fetchOne(ctx, want)
+	if err != nil {
+		_ = level.Warn(s.log).Log("msg", "fetch a snapshot", "from", want.From, "err", err)
+	}
+	s.mu.Lock()
+	s.fetching = false
+	s.mu.Unlock()
+}
+
+func (s *Store) fetchOne(ctx context.Context, want quorum.FetchSnapshot) error {
+	in, err := s.download(ctx, want)
+	if err != nil {
+		return fault.Pass(err, "download")
+	}
+	if in.live, err = state.Decode(in.image.Body); err != nil {
+		return fault.Pass(err, "decode")
+	}
+	in.done = make(chan struct{})
+	s.mu.Lock()
+	s.install = in
+	s.mu.Unlock()
+	nudge(s.shadowKick)
+	select {
+	case <-in.done:
+	case <-ctx.Done():
+	}
+	return nil
+}
+
+// download gets the parts in order. After a fault it goes on at the byte it reached; it gives up after a few
+// without progress.
+func (s *Store) download(ctx context.Context, want quorum.FetchSnapshot) (*install, error) {
+	const tries = 8
+	var body []byte
+	var head pair.ChunkAnswer
+	for left := tries; ; {
+		a, err := s.opt.Net.Chunk(ctx, want.From, pair.ChunkCall{Number: head.Number, From: int64(len(body)), Max: 1 << 20})
+		switch {
+		case fault.Is(err, fault.Unknown) && head.Number != 0: // a newer slot took its place
+			body, head, left = nil, pair.ChunkAnswer{}, left-1
+		case err != nil:
+			left--
+		case head.Number != 0 && (a.Number != head.Number || a.Sum != head.Sum || a.Size != head.Size):
+			body, head, left = nil, pair.ChunkAnswer{}, left-1
+		case len(a.Data) == 0 && int64(len(body)) < a.Size || a.Size > math.MaxInt32*16:
+			return nil, fault.New(fault.Malformed, "an empty part at %d of %d bytes", len(body), a.Size)
+		default:
+			body, head, left = append(body, a.Data...), a, tries
+		}
+		if head.Number != 0 && int64(len(body)) >= head.Size {
+			break
+		}
+		if left == 0 || err != nil && !s.rest(ctx, askEvery) {
+			return nil, fault.Pass(err, "no part after byte %d", len(body))
+		}
+	}
+	meta, err := decodeMeta(head.Meta)
+	if err != nil {
+		return nil, fault.Pass(err, "slot of %s", want.From)
+	}
+	if int64(len(body)) != head.Size || xxhash.Sum64(body) != head.Sum || meta.Index != head.Index || meta.Term != head.Term {
+		return nil, fault.New(fault.Damaged, "the snapshot of %s does not fit its sum", want.From)
+	}
+	if meta.Index < want.Meta.Index {
+		return nil, fault.New(fault.Stale, "the snapshot of %s is at %d, before %d", want.From, meta.Index, want.Meta.Index)
+	}
+	return &install{image: slot.Image{Index: meta.Index, Term: meta.Term, Meta: head.Meta, Body: body}, meta: meta}, nil
+}
--- /dev/null
+++ b/internal/store/found.go
@@ -0,0 +1,406 @@
+package store
+
+import (
+	"context"
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"io"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"crosstide/internal/conf"
+	"crosstide/internal/fault"
+	"crosstide/internal/pair"
+	"crosstide/internal/quorum"
+	"crosstide/internal/slot"
+	"crosstide/internal/spawn"
+	"crosstide/internal/state"
+)
+
+const (
+	idFile    = "id" // holds the quorum ID of a folder that began empty in a fleet that existed
+	askEvery  = 200 * time.Millisecond
+	nearIndex = 1000 // a learner within it of the leader's last entry has caught up
+)
+
+// load reads the folder. If it tells who this node is, the core is made.
+func (s *Store) load() error {
+	id, err := readID(s.opt.Disk)
+	if err != nil {
+		return fault.Pass(err, "read the id")
+	}
+	slots, boot, err := slot.Open(s.opt.Disk, slot.Options{Clock: s.clock})
+	if err != nil {
+		return fault.Pass(err, "open the folder")
+	}
+	s.slots = slots
+	switch {
+	case id != "":
+		s.id = id
+	case boot.Fresh && s.opt.Damaged:
+		return fault.Pass(s.rename(), "begin anew")
+	case boot.Fresh:
+		return nil
+	default:
+		s.id = s.set.Name
+	}
+	return fault.Pass(s.begin(boot), "begin")
+}
+
+// begin makes the core of what the disk had.
+func (s *Store) begin(boot slot.Boot) error {
+	var b quorum.Boot
+	live, shadow := state.New(), state.New()
+	var err error
+	if img := boot.Image; img != nil {
+		if b.Snapshot, err = decodeMeta(img.Meta); err != nil {
+			return fault.Pass(err, "slot %d", img.Number)
+		}
+		if live, err = state.Decode(img.Body); err == nil {
+			shadow, err = state.Decode(img.Body)
+		}
+		if err != nil {
+			return fault.Pass(err, "slot %d", img.Number)
+		}
+		s.newest = pair.Snapshot{Number: img.Number, Index: img.Index, Term: img.Term, Size: int64(len(img.Body))}
+		s.durable = img.Index
+	}
+	for _, r := range boot.Records {
+		if r.Kind == slot.KindHard {
+			if err := json.Unmarshal(r.Data, &b.Hard); err != nil {
+				return fault.Wrap(err, fault.Damaged, "the hard state")
+			}
+			continue
+		}
+		b.Entries = append(b.Entries, quorum.Entry{Term: r.Term, Index: r.Index, Kind: quorum.EntryKind(r.Kind), Data: r.Data})
+		s.durable = r.Index
+	}
+	core, err := quorum.New(quorum.Config{ID: s.id, Election: s.set.Election, Heartbeat: s.set.Heartbeat,
+		Lease: s.set.Lease, Seed: s.opt.Seed}, b, s.clock.Now())
+	if err != nil {
+		return fault.Pass(err, "start the core")
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.shadow, s.shadowMembers = shadow, b.Snapshot.Members
+	s.replace(live)
+	s.core, s.status = core, core.Status()
+	_ = level.Info(s.log).Log("msg", "begin", "id", s.id, "slot", s.newest.Index, "entries", len(b.Entries), "term", s.status.Term, "cut", boot.Cut)
+	return nil
+}
+
+// settle finds out what an empty folder means: the first start of a fleet, or a disk that was lost.
+//
+// An empty folder never votes under an old name: its earlier life may have given votes and acknowledged entries
+// that are forgotten. So the fleet is founded only when every other member says that it is fresh too, or when a
+// founder says that it founded after having heard that this very process is fresh. Where a fleet exists, the node
+// joins under a new ID. While neither is sure it asks on and takes no part.
+func (s *Store) settle(ctx context.Context) bool {
+	member := slices.ContainsFunc(s.set.Members, func(m conf.Member) bool { return m.ID == s.set.Name })
+	var boots map[string]string
+	for round := 0; ; round++ {
+		answers := s.askAll(ctx)
+		verdict, founders := judge(s.set.Name, s.boot, s.digest(), len(s.set.Members), answers, boots)
+		boots = founders
+		if !member && verdict != exists {
+			verdict = unsure // only the fleet can take in one who is not a founder
+		}
+		var err error
+		switch verdict {
+		case fresh:
+			err = s.found(founders)
+		case exists:
+			if err = s.rename(); err == nil {
+				_ = level.Warn(s.log).Log("msg", "the fleet exists and this folder is empty: joining anew", "id", s.id)
+			}
+		case differs:
+			_ = level.Error(s.log).Log("msg", "members in the settings differ between nodes")
+		}
+		if err != nil {
+			s.fatal(fault.Pass(err, "settle"))
+			return false
+		}
+		if s.core != nil {
+			return true
+		}
+		if round%25 == 0 {
+			_ = level.Info(s.log).Log("msg", "empty folder: asking the other members", "answers", len(answers), "of", len(s.set.Members)-1)
+		}
+		if !s.rest(ctx, askEvery) {
+			return false
+		}
+	}
+}
+
+type verdict uint8
+
+const (
+	unsure verdict = iota
+	fresh
+	exists
+	differs
+)
+
+// judge weighs what the other members said, by name. It also gives their boots if all of them are fresh; before is
+// what it gave in the last round. Two such rounds in a row are needed: the first shows that these very processes
+// run, the second that none of them had stood for leader by then. So no earlier life of any of them gave a vote,
+// and each may be told that it was a founder.
+func judge(name, boot, digest string, members int, answers map[string]pair.FoundAnswer, before map[string]string) (verdict, map[string]string) {
+	founders, named, all := map[string]string{}, false, true
+	for who, a := range answers {
+		if a.Digest != digest {
+			return differs, nil
+		}
+		founders[who] = a.Boot
+		named = named || a.Founders[name] == boot
+		all = all && a.Fresh
+	}
+	if named {
+		return fresh, nil // nobody else is vouched for
+	}
+	for _, a := range answers {
+		if a.Commit > 1 {
+			return exists, nil
+		}
+	}
+	if !all || len(answers) < members-1 {
+		return unsure, nil
+	}
+	if !maps.Equal(before, founders) {
+		return unsure, founders
+	}
+	return fresh, founders
+}
+
+func (s *Store) askAll(ctx context.Context) map[string]pair.FoundAnswer {
+	got := make([]*pair.FoundAnswer, len(s.set.Members))
+	spawn.Each(len(got), len(got), func(i int) {
+		if m := s.set.Members[i]; m.ID != s.set.Name {
+			if a, err := s.opt.Net.Found(ctx, m.Addr, pair.FoundCall{Name: s.set.Name, Boot: s.boot}); err == nil {
+				got[i] = &a
+			}
+		}
+	})
+	out := map[string]pair.FoundAnswer{}
+	for i, a := range got {
+		if a != nil {
+			out[s.set.Members[i].ID] = *a
+		}
+	}
+	return out
+}
+
+// Found answers one that has an empty folder.
+func (s *Store) Found(pair.FoundCall) pair.FoundAnswer {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := pair.FoundAnswer{ID: s.id, Boot: s.boot, Founders: s.founders, Digest: s.digest(), Fresh: s.core == nil && s.id == ""}
+	if s.core != nil {
+		st := s.core.Status()
+		out.Commit = st.Commit
+		out.Fresh = st.Term <= 1 && st.Last <= 1 && nameOf(s.id) == s.id
+	}
+	return out
+}
+
+// digest is of the founding members in the settings; they must be the same everywhere.
+func (s *Store) digest() string {
+	lines := make([]string, len(s.set.Members))
+	for i, m := range s.set.Members {
+		lines[i] = m.ID + " " + m.Addr + " " + m.Zone
+	}
+	slices.Sort(lines)
+	sum := sha256.Sum256([]byte(strings.Join(lines, "\n")))
+	return hex.EncodeToString(sum[:8])
+}
+
+// found begins a fleet: the empty state at index 1 is the first slot.
+func (s *Store) found(founders map[string]string) error {
+	members := make([]quorum.Member, len(s.set.Members))
+	for i, m := range s.set.Members {
+		members[i] = quorum.Member{ID: m.ID, Addr: m.Addr, Zone: m.Zone}
+	}
+	b := quorum.Founding(members)
+	first := state.New()
+	first.Index, first.Term = b.Snapshot.Index, b.Snapshot.Term
+	body, err := first.Encode()
+	if err != nil {
+		return fault.Pass(err, "found")
+	}
+	meta, err := json.Marshal(b.Snapshot)
+	if err != nil {
+		return fault.Wrap(err, fault.Internal, "found")
+	}
+	img := slot.Image{Number: 1, Index: b.Snapshot.Index, Term: b.Snapshot.Term, Meta: meta, Body: body}
+	if err := s.slots.WriteSlot(img, 0); err != nil {
+		return fault.Pass(err, "found")
+	}
+	s.mu.Lock()
+	s.id, s.founders = s.set.Name, founders
+	s.mu.Unlock()
+	_ = level.Info(s.log).Log("msg", "founding the fleet", "members", len(members))
+	hard, err := json.Marshal(b.Hard)
+	if err != nil {
+		return fault.Wrap(err, fault.Internal, "found")
+	}
+	return fault.Pass(s.begin(slot.Boot{Image: &img, Records: []slot.Record{{Kind: slot.KindHard, Data: hard}}}), "found")
+}
+
+// rename gives an empty folder an ID of its own, synced before anything is done under it, and begins empty.
+func (s *Store) rename() error {
+	id := s.set.Name + "~" + strings.ToLower(rand.Text()[:10])
+	if err := writeID(s.opt.Disk, id); err != nil {
+		return fault.Pass(err, "take a new id")
+	}
+	s.mu.Lock()
+	s.id = id
+	s.mu.Unlock()
+	return fault.Pass(s.begin(slot.Boot{}), "begin empty")
+}
+
+func readID(d slot.Disk) (string, error) {
+	names, err := d.List()
+	if err != nil || !slices.Contains(names, idFile) {
+		return "", fault.Pass(err, "list")
+	}
+	f, err := d.Open(idFile)
+	if err != nil {
+		return "", fault.Pass(err, "open")
+	}
+	defer f.Close()
+	raw, err := io.ReadAll(f)
+	if err == nil && len(raw) == 0 {
+		return "", fault.New(fault.Damaged, "the id file is empty")
+	}
+	return string(raw), fault.Wrap(err, fault.Disk, "read")
+}
+
+func writeID(d slot.Disk, id string) error {
+	const loose = idFile + ".tmp"
+	f, err := d.Create(loose)
+	if err != nil {
+		return fault.Pass(err, "create")
+	}
+	_, err = f.Write([]byte(id))
+	if err == nil {
+		err = f.Sync()
+	}
+	if bad := f.Close(); err == nil {
+		err = bad
+	}
+	if err == nil {
+		err = d.Rename(loose, idFile)
+	}
+	if err == nil {
+		err = d.Sync()
+	}
+	return fault.Wrap(err, fault.Disk, "write the id")
+}
+
+// join asks the leader, through any member, until this node is a voter.
+func (s *Store) join(ctx context.Context) {
+	call := pair.JoinCall{ID: s.id, Name: s.set.Name, Addr: s.set.Addr, Zone: s.set.Zone}
+	for i := 0; ; i++ {
+		s.mu.Lock()
+		addr, voter := s.leaderAddr(), s.status.Voter
+		s.mu.Unlock()
+		if voter {
+			_ = level.Info(s.log).Log("msg", "joined as a voter", "id", s.id)
+			return
+		}
+		if addr == "" {
+			addr = s.set.Members[i%len(s.set.Members)].Addr
+		}
+		again := askEvery
+		if addr != s.set.Addr {
+			a, err := s.opt.Net.Join(ctx, addr, call)
+			if fault.Is(err, fault.NotLeader) && fault.Of(err).Hint != "" {
+				a, err = s.opt.Net.Join(ctx, fault.Of(err).Hint, call)
+			}
+			if err != nil {
+				_ = level.Debug(s.log).Log("msg", "join", "err", err)
+			} else {
+				again = max(a.Again, tick)
+			}
+		}
+		if !s.rest(ctx, again) {
+			return
+		}
+	}
+}
+
+// Join moves a node with an empty folder one step towards being a voter: learner; then its older self out; then
+// voter. The older self goes first, although promoting first would be allowed too: it is surely gone, so taking
+// it out of 5 leaves 4 that are all there and need 3, while promoting first makes 6 of which one is dead and 4
+// are needed. Both bear the loss of one more; the smaller set commits with fewer disks, and a newcomer that
+// falls again in between leaves no second dead voter behind.
+func (s *Store) Join(ctx context.Context, call pair.JoinCall) (pair.JoinAnswer, error) {
+	name, incarnation, ok := strings.Cut(call.ID, "~")
+	if !ok || name != call.Name || name == "" || incarnation == "" || call.Addr == "" {
+		return pair.JoinAnswer{}, fault.Field(fault.Invalid, "id", "%q is not of %q with an incarnation", call.ID, call.Name)
+	}
+	s.mu.Lock()
+	err := s.leads()
+	st := s.status
+	s.mu.Unlock()
+	if err != nil {
+		return pair.JoinAnswer{}, fault.Pass(err, "join")
+	}
+	out := pair.JoinAnswer{Again: askEvery}
+	var old *quorum.Member
+	next := make([]quorum.Member, 0, len(st.Members)+1)
+	at := -1
+	for _, m := range st.Members {
+		switch {
+		case m.ID == call.ID:
+			at = len(next)
+		case nameOf(m.ID) == name && m.Learner:
+			continue // an earlier folder that never became a voter
+		case nameOf(m.ID) == name:
+			old = &m
+		}
+		next = append(next, m)
+	}
+	if at >= 0 && !next[at].Learner {
+		return pair.JoinAnswer{Voter: true}, nil
+	}
+	if at < 0 {
+		next = append(next, quorum.Member{ID: call.ID, Addr: call.Addr, Zone: call.Zone, Incarnation: incarnation, Learner: true})
+		return out, fault.Pass(s.change(next), "join as a learner")
+	}
+	out.Learner = true
+	if match := st.Match[call.ID]; match == 0 || match+nearIndex < st.Last {
+		return out, nil
+	}
+	if old == nil {
+		next[at].Learner = false
+		return out, fault.Pass(s.change(next), "join as a voter")
+	}
+	if a, err := s.opt.Net.Found(ctx, old.Addr, pair.FoundCall{Name: s.set.Name, Boot: s.boot}); err == nil && a.ID == old.ID {
+		return out, fault.Field(fault.Conflict, "name", "%s is alive at %s", old.ID, old.Addr)
+	}
+	next = slices.DeleteFunc(next, func(m quorum.Member) bool { return m.ID == old.ID })
+	return out, fault.Pass(s.change(next), "take %s out", old.ID)
+}
+
+// change proposes a member set; that it is committed shows in a later call.
+func (s *Store) change(next []quorum.Member) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err := s.leads(); err != nil {
+		return fault.Pass(err, "members")
+	}
+	_, _, err := s.core.ProposeMembers(s.clock.Now(), next)
+	if err != nil {
+		return fault.Pass(err, "members")
+	}
+	_ = level.Info(s.log).Log("msg", "changing members", "members", len(next))
+	nudge(s.kick)
+	return nil
+}
--- /dev/null
+++ b/internal/store/meter.go
@@ -0,0 +1,98 @@
+package store
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+
+	"crosstide/internal/quorum"
+	"crosstide/internal/slot"
+	"crosstide/internal/state/query"
+)
+
+// meter is what the store shows of itself.
+type meter struct {
+	proposals, dropped    prometheus.Counter
+	syncs, commits, slots prometheus.Histogram
+}
+
+func newMeter(s *Store, to prometheus.Registerer) *meter {
+	counter := func(name, help string) prometheus.Counter {
+		return prometheus.NewCounter(prometheus.CounterOpts{Name: "crosstide_store_" + name, Help: help})
+	}
+	seconds := func(name, help string) prometheus.Histogram {
+		return prometheus.NewHistogram(prometheus.HistogramOpts{Name: "crosstide_store_" + name, Help: help,
+			Buckets: prometheus.ExponentialBuckets(0.0001, 2, 17)})
+	}
+	m := &meter{
+		proposals: counter("proposals_total", "Proposals put into the log."),
+		dropped:   counter("messages_dropped_total", "Messages to peers that fell or failed."),
+		syncs:     seconds("sync_seconds", "Syncs of the log; its count is the count of group commits."),
+		commits:   seconds("commit_seconds", "From a proposal to its answer, where it was committed."),
+		slots:     seconds("slot_seconds", "Encoding and writing of a slot."),
+	}
+	if to != nil {
+		to.MustRegister(m.proposals, m.dropped, m.syncs, m.commits, m.slots, &gauges{s: s})
+	}
+	return m
+}
+
+// gauges are read when they are asked for.
+type gauges struct{ s *Store }
+
+func describe(name, help string, labels ...string) *prometheus.Desc {
+	return prometheus.NewDesc("crosstide_store_"+name, help, labels, nil)
+}
+
+var (
+	descRole    = describe("role", "1 for the role of this node.", "role")
+	descTerm    = describe("term", "Term.")
+	descCommit  = describe("commit_index", "Newest entry known to be committed.")
+	descApplied = describe("applied_index", "Newest entry in the live state.")
+	descWaiting = describe("waiting", "Proposals that wait.")
+	descRefused = describe("refused_total", "Messages that contradict what is committed here; must stay 0.")
+	descLog     = describe("log_bytes_total", "Bytes written to disk.")
+	descWrites  = describe("slots_total", "Slots written.")
+	descState   = describe("state", "What is in the state.", "of")
+	descType    = describe("tickets", "Tickets out, by task type.", "type")
+)
+
+// Describe tells nothing in advance: the labels come with the state.
+func (g *gauges) Describe(chan<- *prometheus.Desc) {}
+
+// Collect gives the figures of now.
+func (g *gauges) Collect(to chan<- prometheus.Metric) {
+	s := g.s
+	s.mu.Lock()
+	st, applied, waiting := s.status, s.live.Index, s.waiting
+	figures := query.Count(s.live)
+	var disk slot.Stats
+	slots := s.slots
+	s.mu.Unlock()
+	if slots != nil {
+		disk = slots.Stats()
+	}
+	gauge := func(d *prometheus.Desc, v float64, labels ...string) {
+		to <- prometheus.MustNewConstMetric(d, prometheus.GaugeValue, v, labels...)
+	}
+	for _, role := range []quorum.Role{quorum.Follower, quorum.PreCandidate, quorum.Candidate, quorum.Leader} {
+		v := 0.0
+		if st.Role == role {
+			v = 1
+		}
+		gauge(descRole, v, string(role))
+	}
+	gauge(descTerm, float64(st.Term))
+	gauge(descCommit, float64(st.Commit))
+	gauge(descApplied, float64(applied))
+	gauge(descWaiting, float64(waiting))
+	to <- prometheus.MustNewConstMetric(descRefused, prometheus.CounterValue, float64(st.Refused))
+	to <- prometheus.MustNewConstMetric(descLog, prometheus.CounterValue, float64(disk.Bytes))
+	to <- prometheus.MustNewConstMetric(descWrites, prometheus.CounterValue, float64(disk.Slots))
+	gauge(descState, float64(figures.Jobs), "jobs")
+	gauge(descState, float64(figures.Inbox), "inbox")
+	gauge(descState, float64(figures.Tombs), "tombs")
+	gauge(descState, float64(figures.Handles), "handles")
+	gauge(descState, float64(figures.Minions), "minions")
+	for kind, n := range figures.Tallies {
+		gauge(descType, float64(n), kind)
+	}
+}
--- /dev/null
+++ b/internal/store/propose.go
@@ -0,0 +1,279 @@
+package store
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"crosstide/internal/fault"
+	"crosstide/internal/pair"
+	"crosstide/internal/quorum"
+	"crosstide/internal/state"
+	"crosstide/internal/state/command"
+)
+
+// outcome of a proposal.
+type outcome struct {
+	index  uint64
+	answer any
+	err    error
+}
+
+// waiter is a proposal under way.
+type waiter struct {
+	data  json.RawMessage
+	term  uint64 // of its entry; 0 while it is pending
+	index uint64
+	since time.Duration
+	done  chan outcome // has room for one
+	over  bool
+}
+
+// end answers w, once; called under the lock.
+func (w *waiter) end(s *Store, o outcome) {
+	if w.over {
+		return
+	}
+	w.over = true
+	s.waiting--
+	s.waitBytes -= len(w.data)
+	if o.err == nil {
+		s.meter.commits.Observe((s.clock.Now() - w.since).Seconds())
+	}
+	w.done <- o
+}
+
+// Propose commits c and applies it here; index is its entry's. The error is the command's own, or: NotLeader
+// (Hint: the leader's address), Pressure (too many wait), Unavailable and Stopped (surely nothing happened but for
+// a Stopped that says otherwise), Timeout (it may or may not be committed; ask again with the same content).
+// It waits 2 s at most. Example:
+//
+//	index, answer, err := s.Propose(ctx, &command.Cancel{Key: "k-1"})
+func (s *Store) Propose(ctx context.Context, c command.Command) (index uint64, answer any, err error) {
+	data, err := command.Encode(s.clock.Wall(), c)
+	if err != nil {
+		return 0, nil, fault.Pass(err, "propose")
+	}
+	if len(data) > maxCommand {
+		return 0, nil, fault.New(fault.TooLarge, "the command has %d bytes, at most %d", len(data), maxCommand)
+	}
+	w := &waiter{data: data, done: make(chan outcome, 1)}
+	if err := s.enter(w); err != nil {
+		return 0, nil, fault.Pass(err, "propose %s", c.Op())
+	}
+	nudge(s.kick)
+	late := make(chan struct{})
+	defer s.clock.Set(proposeWait, func() { close(late) }).Stop()
+	var o outcome
+	select {
+	case o = <-w.done:
+	case <-late:
+		o = s.leave(w)
+	case <-ctx.Done():
+		o = s.leave(w)
+	}
+	return o.index, o.answer, fault.Pass(o.err, "propose %s", c.Op())
+}
+
+// enter lets a proposal wait for its turn, within the bounds.
+func (s *Store) enter(w *waiter) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err := s.leads(); err != nil {
+		return fault.Pass(err, "enter")
+	}
+	if s.waiting >= maxWaiting || s.waitBytes+len(w.data) > maxBytes || s.behind > maxBehind {
+		return fault.New(fault.Pressure, "%d proposals wait, %d bytes; %d bytes of log since the last slot", s.waiting, s.waitBytes, s.behind)
+	}
+	s.waiting++
+	s.waitBytes += len(w.data)
+	w.since = s.clock.Now()
+	s.pending = append(s.pending, w)
+	return nil
+}
+
+// leads is nil if this node is the leader, as far as it knows.
+func (s *Store) leads() error {
+	switch {
+	case s.core == nil:
+		return fault.New(fault.Unavailable, "not part of a fleet yet")
+	case s.broken:
+		return fault.New(fault.Stopped, "the disk failed")
+	case s.status.Role != quorum.Leader:
+		err := fault.New(fault.NotLeader, "%s is %s in term %d", s.id, s.status.Role, s.status.Term)
+		fault.Of(err).Hint = s.leaderAddr()
+		return err
+	}
+	return nil
+}
+
+func (s *Store) leaderAddr() string { return s.status.LeaderAddr }
+
+// leave ends the wait for w.
+func (s *Store) leave(w *waiter) outcome {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if w.over {
+		return <-w.done
+	}
+	err := fault.New(fault.Timeout, "not committed in time; it may or may not be yet")
+	if w.term == 0 {
+		err = fault.New(fault.Unavailable, "the proposal found no way into the log in time")
+	} else {
+		delete(s.waiters, w.index)
+	}
+	w.end(s, outcome{err: err})
+	return <-w.done
+}
+
+// inject puts all that is pending into the log, as one batch.
+func (s *Store) inject(now time.Duration) {
+	if len(s.pending) == 0 {
+		return
+	}
+	batch := s.pending[:0]
+	for _, w := range s.pending {
+		if !w.over {
+			batch = append(batch, w)
+		}
+	}
+	s.pending = nil
+	if len(batch) == 0 {
+		return
+	}
+	data := make([]json.RawMessage, len(batch))
+	for i, w := range batch {
+		data[i] = w.data
+	}
+	first, term, err := s.core.Propose(now, data...)
+	s.meter.proposals.Add(float64(len(batch)))
+	for i, w := range batch {
+		if err != nil {
+			w.end(s, outcome{err: err})
+			continue
+		}
+		w.index, w.term = first+uint64(i), term
+		s.waiters[w.index] = w
+	}
+}
+
+// flush answers all proposals whose fate this node cannot follow any more.
+func (s *Store) flush(why error) {
+	for index, w := range s.waiters {
+		delete(s.waiters, index)
+		w.end(s, outcome{err: why})
+	}
+	for _, w := range s.pending {
+		w.end(s, outcome{err: fault.New(fault.Unavailable, "the leader changed before the proposal was in the log")})
+	}
+	s.pending = nil
+}
+
+// Confirm gives an index that every earlier commit is at or below. Faults: NotLeader (Hint), Unavailable.
+func (s *Store) Confirm() (uint64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err := s.leads(); err != nil {
+		return 0, fault.Pass(err, "confirm")
+	}
+	commit, ok := s.core.Confirmed(s.clock.Now())
+	if !ok {
+		return 0, fault.New(fault.Unavailable, "the lead cannot be confirmed now")
+	}
+	return commit, nil
+}
+
+// Await waits until the live state is at index or past it. Fault: Timeout.
+func (s *Store) Await(ctx context.Context, index uint64) error {
+	over := make(chan struct{})
+	defer s.clock.Set(proposeWait, func() { close(over) }).Stop()
+	for {
+		s.mu.Lock()
+		at, changed := s.live.Index, s.changed
+		s.mu.Unlock()
+		if at >= index {
+			return nil
+		}
+		select {
+		case <-changed:
+		case <-over:
+			return fault.New(fault.Timeout, "at %d, not at %d in time", at, index)
+		case <-ctx.Done():
+			return fault.Wrap(ctx.Err(), fault.Timeout, "at %d, not yet at %d", at, index)
+		}
+	}
+}
+
+// Read looks at a state that has all that was committed before the call, at any node: the leader, one hop away
+// at most, confirms the index. Faults: Unavailable, Timeout.
+func (s *Store) Read(ctx context.Context, read func(*state.State)) error {
+	index, err := s.Confirm()
+	if fault.Is(err, fault.NotLeader) && fault.Of(err).Hint != "" {
+		var a pair.ConfirmAnswer
+		a, err = s.opt.Net.Confirm(ctx, fault.Of(err).Hint)
+		index = a.Index
+	}
+	if err == nil {
+		err = s.Await(ctx, index)
+	}
+	if err != nil {
+		return fault.Pass(veil(err), "read")
+	}
+	s.View(read)
+	return nil
+}
+
+// Order is Propose at any node, one hop away at most; the answer is JSON. Faults as Propose, but for NotLeader,
+// which is Unavailable here. An order that ended in Timeout may have been carried out: send the same again.
+func (s *Store) Order(ctx context.Context, c command.Command) (json.RawMessage, error) {
+	_, answer, err := s.Propose(ctx, c)
+	if fault.Is(err, fault.NotLeader) && fault.Of(err).Hint != "" {
+		body, bad := json.Marshal(c)
+		if bad != nil {
+			return nil, fault.Wrap(bad, fault.Malformed, "encode %s", c.Op())
+		}
+		a, err := s.opt.Net.Propose(ctx, fault.Of(err).Hint, pair.ProposeCall{Op: c.Op(), Body: body})
+		return a.Answer, fault.Pass(veil(err), "order")
+	}
+	if err != nil {
+		return nil, fault.Pass(veil(err), "order")
+	}
+	raw, err := json.Marshal(answer)
+	return raw, fault.Wrap(err, fault.Internal, "encode the answer to %s", c.Op())
+}
+
+// veil makes NotLeader, which is no answer for an outside caller, Unavailable.
+func veil(err error) error {
+	if fault.Is(err, fault.NotLeader) {
+		return fault.Wrap(err, fault.Unavailable, "no leader is known here at the moment")
+	}
+	return err
+}
+
+// propose is the answer to pair.Propose.
+func (s *Store) propose(ctx context.Context, call pair.ProposeCall) (pair.ProposeAnswer, error) {
+	s.mu.Lock()
+	err := s.leads() // before the work of decoding
+	s.mu.Unlock()
+	if err != nil {
+		return pair.ProposeAnswer{}, fault.Pass(err, "propose")
+	}
+	c, err := command.Make(call.Op)
+	if err != nil {
+		return pair.ProposeAnswer{}, fault.Pass(err, "propose")
+	}
+	if err := json.Unmarshal(call.Body, c); err != nil {
+		return pair.ProposeAnswer{}, fault.Wrap(err, fault.Malformed, "command %s", call.Op)
+	}
+	index, answer, err := s.Propose(ctx, c)
+	if err != nil {
+		return pair.ProposeAnswer{}, fault.Pass(err, "call")
+	}
+	out := pair.ProposeAnswer{Index: index}
+	if answer != nil {
+		if out.Answer, err = json.Marshal(answer); err != nil {
+			return out, fault.Wrap(err, fault.Internal, "encode the answer to %s", call.Op)
+		}
+	}
+	return out, nil
+}
--- /dev/null
+++ b/internal/store/send.go
@@ -0,0 +1,143 @@
+package store
+
+import (
+	"context"
+
+	"crosstide/internal/pair"
+	"crosstide/internal/quorum"
+)
+
+const (
+	peerMessages = 4096     // a peer's backlog; the oldest fall
+	peerBytes    = 32 << 20 // likewise
+	callBytes    = 8 << 20  // of one call, about
+)
+
+// peer is the way to another member: its pending messages go as one call at a time.
+type peer struct {
+	addr    string
+	backlog []quorum.Message
+	bytes   int
+	kick    chan struct{}
+	stop    context.CancelFunc
+}
+
+func sizeOf(m quorum.Message) int {
+	n := 256
+	for _, e := range m.Entries {
+		n += len(e.Data) + entryRoom
+	}
+	return n
+}
+
+// route puts messages into the backlogs of those they are for; called under the lock.
+func (s *Store) route(messages []quorum.Message) {
+	if s.broken {
+		return
+	}
+	for _, m := range messages {
+		p := s.peers[m.To]
+		if p == nil {
+			if p = s.reach(m.To, s.learnt[m.To]); p == nil {
+				continue
+			}
+		}
+		p.backlog = append(p.backlog, m)
+		p.bytes += sizeOf(m)
+		for len(p.backlog) > peerMessages || p.bytes > peerBytes && len(p.backlog) > 1 {
+			p.bytes -= sizeOf(p.backlog[0])
+			p.backlog = p.backlog[1:]
+			s.meter.dropped.Inc()
+		}
+		nudge(p.kick)
+	}
+}
+
+// enlist makes the peers follow the member set; called under the lock.
+func (s *Store) enlist() {
+	known := make(map[string]bool, len(s.status.Members))
+	for _, m := range s.status.Members {
+		known[m.ID] = true
+		if m.ID == s.id {
+			continue
+		}
+		if p := s.peers[m.ID]; p == nil || p.addr != m.Addr {
+			s.reach(m.ID, m.Addr)
+		}
+	}
+	for id, p := range s.peers {
+		if !known[id] && (s.learnt[id] == "" || len(s.status.Members) > 0 && s.status.Leader != id) {
+			p.stop()
+			delete(s.peers, id)
+			delete(s.learnt, id)
+		}
+	}
+}
+
+// reach starts the sender to a member; nil if there is no address.
+func (s *Store) reach(id, addr string) *peer {
+	if addr == "" || s.group.Context().Err() != nil {
+		return nil
+	}
+	if old := s.peers[id]; old != nil {
+		old.stop()
+	}
+	ctx, stop := context.WithCancel(s.group.Context())
+	p := &peer{addr: addr, kick: make(chan struct{}, 1), stop: stop}
+	s.peers[id] = p
+	s.group.Go(func(context.Context) { s.sender(ctx, p) })
+	return p
+}
+
+func (s *Store) sender(ctx context.Context, p *peer) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-p.kick:
+		}
+		s.mu.Lock()
+		n, bytes := 0, 0
+		for n < len(p.backlog) && (n == 0 || bytes+sizeOf(p.backlog[n]) <= callBytes) {
+			bytes += sizeOf(p.backlog[n])
+			n++
+		}
+		batch := p.backlog[:n:n]
+		p.backlog, p.bytes = p.backlog[n:], p.bytes-bytes
+		more := len(p.backlog) > 0
+		broken := s.broken
+		s.mu.Unlock()
+		if n == 0 || broken {
+			continue
+		}
+		// A fault costs these messages only; the core makes up for what is lost.
+		if err := s.opt.Net.Quorum(ctx, p.addr, pair.QuorumCall{From: s.set.Addr, Messages: batch}); err != nil {
+			s.meter.dropped.Add(float64(n))
+		}
+		if more {
+			nudge(p.kick)
+		}
+	}
+}
+
+// Step takes in messages of another member. From of the call is the sender's address, by which a node that has
+// no members yet can answer.
+func (s *Store) Step(call pair.QuorumCall) {
+	s.mu.Lock()
+	if s.core == nil || s.frozen || s.broken {
+		s.mu.Unlock()
+		return // messages may be lost
+	}
+	now := s.clock.Now()
+	for _, m := range call.Messages {
+		if s.peers[m.From] == nil && call.From != "" && len(s.learnt) < 64 {
+			s.learnt[m.From] = call.From
+		}
+		s.core.Step(now, m)
+		if m.Kind == quorum.Append && m.To == s.id && m.Term >= s.status.Term {
+			s.told, s.toldAt = m.Commit, now
+		}
+	}
+	s.mu.Unlock()
+	nudge(s.kick)
+}
--- /dev/null
+++ b/internal/store/store.go
@@ -0,0 +1,449 @@
+// Package store is the runtime of a cplane: it gives the replication core its clock, disk and network, applies
+// what is committed to the live state, and answers for it.
+//
+// One mutex guards the core and the live state. The goroutines are: the loop (ticks, output of the core,
+// applying), the disk (one sync for all that is pending), the shadow (a second replica of the state that writes
+// the slots, so that the live one is never locked for that), a sender for each peer, and, at need, a fetch.
+package store
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/json"
+	"hash/maphash"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"crosstide/internal/alarm"
+	"crosstide/internal/conf"
+	"crosstide/internal/fault"
+	"crosstide/internal/pair"
+	"crosstide/internal/quorum"
+	"crosstide/internal/slot"
+	"crosstide/internal/spawn"
+	"crosstide/internal/state"
+	"crosstide/internal/state/command"
+)
+
+const (
+	tick        = 10 * time.Millisecond
+	proposeWait = 2 * time.Second // a proposal waits no longer
+	readyWithin = 2 * time.Second // a ready node was level with its leader within it
+	tidyEvery   = 10 * time.Second
+	maxCommand  = 8 << 20  // bytes of one encoded command
+	maxWaiting  = 16384    // proposals that wait
+	maxBytes    = 64 << 20 // bytes of proposals that wait; of log between two slots
+	maxBehind   = 256 << 20
+)
+
+// Net carries the calls to other cplanes at an address; all end by their own time-out.
+type Net interface {
+	Quorum(ctx context.Context, addr string, call pair.QuorumCall) error
+	Chunk(ctx context.Context, addr string, call pair.ChunkCall) (pair.ChunkAnswer, error)
+	Found(ctx context.Context, addr string, call pair.FoundCall) (pair.FoundAnswer, error)
+	Join(ctx context.Context, addr string, call pair.JoinCall) (pair.JoinAnswer, error)
+	Propose(ctx context.Context, addr string, call pair.ProposeCall) (pair.ProposeAnswer, error)
+	Confirm(ctx context.Context, addr string) (pair.ConfirmAnswer, error)
+}
+
+// Options of a store; Settings, Disk, Net and Fatal are needed.
+type Options struct {
+	Settings conf.Cplane
+	Disk     slot.Disk
+	Net      Net
+	// Fatal is told of a failed write or sync, of a state that cannot be trusted. It must end the process.
+	Fatal    func(error)
+	Damaged  bool                  // an earlier folder was set aside as damaged: never found a fleet
+	Seed     uint64                // of the election time-outs; 0 draws one
+	Clock    alarm.Clock           // default alarm.Real
+	Logger   log.Logger            // default: none
+	Registry prometheus.Registerer // default: not shown
+}
+
+// Store is a running cplane's part in the control store.
+type Store struct {
+	opt   Options
+	set   conf.Cplane
+	clock alarm.Clock
+	log   log.Logger
+	group *spawn.Group
+	meter *meter
+	slots *slot.Store
+	boot  string // of this process
+	id    string // in the quorum; fixed before core is set
+
+	kick, diskKick, shadowKick chan struct{}
+
+	mu      sync.Mutex
+	core    *quorum.Core // nil until the node knows who it is
+	live    *state.State
+	status  quorum.Status // as of the last pass
+	peers   map[string]*peer
+	learnt  map[string]string // addresses of nodes that are not in the member set yet, by ID
+	changed chan struct{}     // closed when the live state moved on
+	ticked  time.Duration
+	frozen  bool // a snapshot is being installed: nothing goes into the core or out of it
+	broken  bool // a write failed: nothing leaves any more
+
+	pending   []*waiter // not in the log yet
+	waiters   map[uint64]*waiter
+	waiting   int // both, and their bytes
+	waitBytes int
+	leadTerm  uint64 // 0: not leading
+	book      *Book
+
+	told, level     uint64        // commit index the leader told, and when we were level with it
+	toldAt, levelAt time.Duration // told at, level at
+	fetching        bool
+	queue           []work         // for the disk
+	diskBusy        time.Duration  // since when the disk works on one batch, 0 when idle
+	durable         uint64         // the stored log equals the core's up to here
+	backlog         []quorum.Entry // committed, for the shadow
+	behind          int            // their bytes, and of those the shadow applied since its last slot
+	shadow          *state.State   // the shadow goroutine's own
+	shadowMembers   []quorum.Member
+	shadowSince     int
+	shadowBytes     int
+	newest          pair.Snapshot // the newest slot
+	logTotal        int           // bytes of log that slots took the place of
+	founders        map[string]string
+	install         *install
+	chunks          chunks
+}
+
+// Open reads the folder and makes a store that takes part in nothing yet. Faults: Disk, Damaged (see Options).
+// Example:
+//
+//	s, err := store.Open(store.Options{Settings: settings, Disk: disk, Net: store.Wire(caller, settings), Fatal: die})
+//	s.Serve(server)
+//	s.Start()
+//	defer s.Stop()
+func Open(opt Options) (*Store, error) {
+	if opt.Clock == nil {
+		opt.Clock = alarm.Real{}
+	}
+	if opt.Logger == nil {
+		opt.Logger = log.NewNopLogger()
+	}
+	if opt.Seed == 0 {
+		opt.Seed = new(maphash.Hash).Sum64()
+	}
+	if strings.Contains(opt.Settings.Name, "~") {
+		return nil, fault.Field(fault.Settings, "name", "must not hold ~, which sets the incarnation of a folder apart")
+	}
+	s := &Store{
+		opt: opt, set: opt.Settings, clock: opt.Clock, log: opt.Logger, group: spawn.New(context.Background()),
+		boot: rand.Text()[:12],
+		kick: make(chan struct{}, 1), diskKick: make(chan struct{}, 1), shadowKick: make(chan struct{}, 1),
+		live: state.New(), peers: map[string]*peer{}, learnt: map[string]string{}, changed: make(chan struct{}),
+		waiters: map[uint64]*waiter{}, book: NewBook(opt.Settings.DutyLease, opt.Settings.DutyLease/10),
+		levelAt: -readyWithin * 2,
+	}
+	s.meter = newMeter(s, opt.Registry)
+	if err := s.load(); err != nil {
+		return nil, fault.Pass(err, "open the store")
+	}
+	return s, nil
+}
+
+// Start lets the store take part. It returns at once.
+func (s *Store) Start() { s.group.Go(s.run) }
+
+// Stop ends all of the store's goroutines. Nothing that was acknowledged is lost by it.
+func (s *Store) Stop() {
+	s.group.Stop()
+	if err := s.slots.Close(); err != nil {
+		_ = level.Error(s.log).Log("msg", "close the store", "err", err)
+	}
+}
+
+func (s *Store) run(ctx context.Context) {
+	if s.core == nil && !s.settle(ctx) {
+		return
+	}
+	s.group.Go(s.disk)
+	s.group.Go(s.shade)
+	s.group.Go(s.tidy)
+	if s.id != s.set.Name {
+		s.group.Go(s.join)
+	}
+	s.loop(ctx)
+}
+
+// nudge wakes the goroutine that waits on c.
+func nudge(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
+// rest waits for d; false if ctx ended first.
+func (s *Store) rest(ctx context.Context, d time.Duration) bool {
+	over := make(chan struct{})
+	defer s.clock.Set(d, func() { close(over) }).Stop()
+	select {
+	case <-over:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (s *Store) loop(ctx context.Context) {
+	var ring alarm.Stopper
+	wake := func() { nudge(s.kick) }
+	for {
+		due := s.pass()
+		if ring != nil {
+			ring.Stop()
+		}
+		ring = s.clock.Set(due, wake)
+		select {
+		case <-ctx.Done():
+			ring.Stop()
+			s.mu.Lock()
+			s.flush(fault.New(fault.Stopped, "the store is stopping; the proposal may or may not be committed"))
+			s.mu.Unlock()
+			return
+		case <-s.kick:
+		}
+	}
+}
+
+// pass is one turn of the loop; it gives the time to the next tick.
+func (s *Store) pass() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.clock.Now()
+	if s.frozen || s.broken {
+		return tick
+	}
+	if now-s.ticked >= tick {
+		s.core.Tick(now)
+		s.ticked = now
+		s.watchDisk(now)
+	}
+	s.inject(now)
+	r := s.core.Ready()
+	before := s.status
+	s.status = s.core.Status()
+	s.route(r.Now)
+	if r.Hard != nil || len(r.Append) > 0 || len(r.AfterSync) > 0 {
+		if len(r.Append) > 0 {
+			s.durable = min(s.durable, r.Append[0].Index-1)
+		}
+		s.queue = append(s.queue, work{r.Hard, r.Append, r.AfterSync})
+		nudge(s.diskKick)
+	}
+	s.apply(r.Committed)
+	s.roles(before, now)
+	if r.Fetch != nil && !s.fetching {
+		s.fetching = true
+		want := *r.Fetch
+		s.group.Go(func(ctx context.Context) { s.fetch(ctx, want) })
+	}
+	return max(0, s.ticked+tick-s.clock.Now())
+}
+
+// apply brings committed entries into the live state and wakes who waits for them.
+func (s *Store) apply(entries []quorum.Entry) {
+	if len(entries) == 0 {
+		return
+	}
+	for _, e := range entries {
+		answer, err := applyTo(s.live, e)
+		s.behind += len(e.Data) + entryRoom
+		w := s.waiters[e.Index]
+		if w == nil {
+			continue
+		}
+		delete(s.waiters, e.Index)
+		if w.term != e.Term {
+			w.end(s, outcome{err: fault.New(fault.Unavailable, "another leader's entry took the place %d", e.Index)})
+			continue
+		}
+		w.end(s, outcome{index: e.Index, answer: answer, err: err})
+	}
+	s.backlog = append(s.backlog, entries...)
+	nudge(s.shadowKick)
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// applyTo applies one entry; members and the first entry of a leader move the index only.
+func applyTo(to *state.State, e quorum.Entry) (any, error) {
+	data := e.Data
+	if e.Kind != quorum.Normal {
+		data = nil
+	}
+	answer, err := command.Apply(to, e.Index, e.Term, data)
+	return answer, fault.Pass(err, "entry %d", e.Index)
+}
+
+// roles does what a change of leader or members asks for.
+func (s *Store) roles(before quorum.Status, now time.Duration) {
+	st := &s.status
+	if before.Role != st.Role || before.Leader != st.Leader || before.Term != st.Term {
+		_ = level.Info(s.log).Log("msg", "role", "role", st.Role, "term", st.Term, "leader", st.Leader, "commit", st.Commit)
+	}
+	lead := uint64(0)
+	if st.Role == quorum.Leader {
+		lead = st.Term
+	}
+	if lead != s.leadTerm {
+		s.flush(fault.New(fault.Timeout, "the leader changed; the proposal may or may not be committed"))
+		s.book.Lose()
+		s.leadTerm = lead
+	}
+	if lead != 0 && !s.book.Open() {
+		if commit, ok := s.core.Confirmed(now); ok && s.live.Index >= commit {
+			s.book.Lead(now, s.live.Duties)
+		}
+	}
+	if s.toldAt > s.levelAt && s.live.Index >= s.told {
+		s.levelAt = s.toldAt
+	}
+	s.enlist()
+}
+
+// watchDisk gives the lead away when the own disk hangs: the others commit without it, but a node that cannot
+// store must not go on deciding for them.
+func (s *Store) watchDisk(now time.Duration) {
+	if s.status.Role == quorum.Leader && s.diskBusy != 0 && now-s.diskBusy > 2*s.set.Election {
+		if to := s.heir(); to != "" && s.core.Handover(now, to) == nil {
+			_ = level.Warn(s.log).Log("msg", "the disk hangs: handing over", "to", to, "for", now-s.diskBusy)
+		}
+	}
+}
+
+// heir is the voter, other than this node, that has most of the log.
+func (s *Store) heir() (to string) {
+	for _, m := range s.status.Members {
+		if m.ID != s.id && !m.Learner && (to == "" || s.status.Match[m.ID] > s.status.Match[to]) {
+			to = m.ID
+		}
+	}
+	return to
+}
+
+// Handover gives the lead to another if this node has it, and waits until it is gone, for one Election at most.
+func (s *Store) Handover(ctx context.Context) {
+	s.mu.Lock()
+	if s.core == nil || s.status.Role != quorum.Leader {
+		s.mu.Unlock()
+		return
+	}
+	to := s.heir()
+	err := s.core.Handover(s.clock.Now(), to)
+	s.mu.Unlock()
+	nudge(s.kick)
+	if err != nil {
+		_ = level.Warn(s.log).Log("msg", "no handover", "err", err)
+		return
+	}
+	for end := s.clock.Now() + s.set.Election; s.clock.Now() < end && s.rest(ctx, tick); {
+		s.mu.Lock()
+		gone := s.status.Role != quorum.Leader
+		s.mu.Unlock()
+		if gone {
+			_ = level.Info(s.log).Log("msg", "handed over", "to", to)
+			return
+		}
+	}
+}
+
+// tidy lets the leader propose the letting go of what is old.
+func (s *Store) tidy(ctx context.Context) {
+	for s.rest(ctx, tidyEvery) {
+		s.mu.Lock()
+		some := s.leadTerm != 0 && len(s.live.Ended)+len(s.live.TombOrder)+len(s.live.OrderKeys) > 0
+		s.mu.Unlock()
+		if !some {
+			continue
+		}
+		at := s.clock.Wall()
+		_, _, err := s.Propose(ctx, &command.Tidy{
+			JobsBefore: at.Add(-s.set.KeepEndedFor), JobsKeep: s.set.KeepEnded,
+			TombsBefore: at.Add(-s.set.KeepTombsFor), TombsKeep: s.set.KeepTombs,
+			OrdersBefore: at.Add(-s.set.KeepTombsFor),
+		})
+		if err != nil {
+			_ = level.Debug(s.log).Log("msg", "tidy", "err", err)
+		}
+	}
+}
+
+// View lets read look at the live state as it is here, under the lock: be short, keep nothing of it.
+func (s *Store) View(read func(*state.State)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	read(s.live)
+}
+
+// Ready is nil when the node knows a leader and was level with it within the last 2 s.
+func (s *Store) Ready() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return fault.Pass(s.readyNow(s.clock.Now()), "ready")
+}
+
+func (s *Store) readyNow(now time.Duration) error {
+	switch {
+	case s.core == nil:
+		return fault.New(fault.Unavailable, "not part of a fleet yet")
+	case s.status.Leader == "":
+		return fault.New(fault.Unavailable, "no leader is known")
+	case s.status.Role == quorum.Leader:
+		if commit, ok := s.core.Confirmed(now); !ok || s.live.Index < commit {
+			return fault.New(fault.Unavailable, "the lead is not confirmed")
+		}
+	case now-s.levelAt > readyWithin:
+		return fault.New(fault.Unavailable, "behind the leader: at %d of %d", s.live.Index, s.told)
+	}
+	return nil
+}
+
+// Status tells how this node stands.
+func (s *Store) Status() pair.StatusAnswer {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := pair.StatusAnswer{Applied: s.live.Index, Ready: s.readyNow(s.clock.Now()) == nil, Duties: map[string]pair.DutyAnswer{}}
+	if s.core != nil {
+		out.Quorum = s.core.Status()
+	}
+	for name, d := range s.live.Duties {
+		out.Duties[name] = pair.DutyAnswer{Epoch: d.Epoch, Holder: d.Holder, Addr: d.Addr}
+	}
+	return out
+}
+
+// fatal ends the use of the store for good: nothing leaves it any more, and the process is to end.
+func (s *Store) fatal(err error) {
+	s.mu.Lock()
+	was := s.broken
+	s.broken = true
+	s.mu.Unlock()
+	if !was {
+		_ = level.Error(s.log).Log("msg", "fatal", "err", err)
+		s.opt.Fatal(err)
+	}
+}
+
+// nameOf gives the name in a quorum ID: what stands before the incarnation.
+func nameOf(id string) string {
+	name, _, _ := strings.Cut(id, "~")
+	return name
+}
+
+// NameOf gives the name of the cplane that has a quorum ID.
+func NameOf(id string) string { return nameOf(id) }
+
+func decodeMeta(raw []byte) (m quorum.Meta, err error) {
+	return m, fault.Wrap(json.Unmarshal(raw, &m), fault.Damaged, "meta of a slot")
+}
--- /dev/null
+++ b/internal/store/store_test.go
@@ -0,0 +1,434 @@
+package store
+
+import (
+	"context"
+	"fmt"
+	"math/rand"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"crosstide/internal/alarm"
+	"crosstide/internal/conf"
+	"crosstide/internal/fault"
+	"crosstide/internal/pair"
+	"crosstide/internal/quorum"
+	"crosstide/internal/slot"
+	"crosstide/internal/spawn"
+	"crosstide/internal/state"
+	"crosstide/internal/state/command"
+)
+
+// rig is a fleet of stores in one process, over memory disks and a virtual clock. It lives in a synctest bubble:
+// the clock moves only when every goroutine waits.
+type rig struct {
+	clock alarm.Virtual
+	set   conf.Cplane
+	disks map[string]*slot.MemDisk
+	mu    sync.Mutex
+	nodes map[string]*Store // by address; nil while it is down
+	died  map[string]error
+	work  *spawn.Group
+	acked map[string]uint64
+}
+
+func newRig(n, slotEvery int) *rig {
+	r := &rig{set: conf.DefaultCplane(), disks: map[string]*slot.MemDisk{}, nodes: map[string]*Store{},
+		died: map[string]error{}, work: spawn.New(context.Background()), acked: map[string]uint64{}}
+	r.set.SlotEvery = slotEvery
+	for i := range n {
+		name := fmt.Sprintf("c%d", i+1)
+		r.set.Members = append(r.set.Members, conf.Member{ID: name, Addr: name, Zone: "z"})
+		r.disks[name] = slot.NewMemDisk()
+	}
+	for _, m := range r.set.Members {
+		r.start(m.ID)
+	}
+	return r
+}
+
+func (r *rig) start(name string) {
+	set := r.set
+	set.Name, set.Addr, set.Zone = name, name, "z"
+	s, err := Open(Options{Settings: set, Disk: r.disks[name], Net: net{r}, Clock: &r.clock, Seed: uint64(name[1]),
+		Fatal: func(err error) { r.mu.Lock(); r.died[name] = err; r.mu.Unlock() }})
+	So(err, ShouldBeNil)
+	r.mu.Lock()
+	r.nodes[name] = s
+	r.mu.Unlock()
+	s.Start()
+}
+
+// kill ends a node; what its disk had not synced may be gone.
+func (r *rig) kill(name string) {
+	s := r.nodes[name]
+	r.mu.Lock()
+	delete(r.nodes, name)
+	r.mu.Unlock()
+	s.Stop()
+	r.disks[name].Crash(rand.New(rand.NewSource(int64(name[1]))))
+}
+
+func (r *rig) close() {
+	for name := range r.nodes {
+		r.kill(name)
+	}
+	r.clock.Advance(time.Minute) // alarms that are still set, such as those of proposals
+	r.work.Stop()
+}
+
+// until moves the clock on, a little at a time, until cond holds.
+func (r *rig) until(what string, cond func() bool) {
+	for range 20000 {
+		synctest.Wait()
+		if cond() {
+			return
+		}
+		r.clock.Advance(2 * time.Millisecond)
+	}
+	So("not reached", ShouldEqual, what)
+}
+
+func (r *rig) leader() *Store {
+	var found *Store
+	r.until("a ready leader", func() bool {
+		for _, s := range r.nodes {
+			if st := s.Status(); st.Ready && st.Quorum.Role == quorum.Leader {
+				found = s
+				return true
+			}
+		}
+		return false
+	})
+	return found
+}
+
+// call runs what waits on the stores while the clock moves.
+func (r *rig) call(do func(ctx context.Context)) {
+	done := false
+	r.work.Go(func(ctx context.Context) { do(ctx); done = true })
+	r.until("the end of a call", func() bool { return done })
+}
+
+func job(key string) command.Command {
+	return &command.Submit{Digest: key, Bound: 1 << 20, Spec: state.Spec{Key: key, Queue: "default",
+		Steps: []state.StepSpec{{Name: "s", Type: "t", Tasks: 1, Cores: 1}}}}
+}
+
+// load submits n jobs at once at the leader and notes what was acknowledged.
+func (r *rig) load(label string, n int) (faults []fault.Kind) {
+	s := r.leader()
+	keys, got, errs := make([]string, n), make([]uint64, n), make([]error, n)
+	r.call(func(ctx context.Context) {
+		spawn.Each(n, n, func(i int) {
+			keys[i] = fmt.Sprintf("%s-%d", label, i)
+			got[i], _, errs[i] = s.Propose(ctx, job(keys[i]))
+		})
+	})
+	for i, err := range errs {
+		if err == nil {
+			r.acked[keys[i]] = got[i]
+		} else {
+			faults = append(faults, fault.KindOf(err))
+		}
+	}
+	return faults
+}
+
+// level waits until every node has applied the same, and checks that all that was acknowledged is there.
+func (r *rig) level() {
+	lead := r.leader()
+	r.until("all nodes level", func() bool {
+		for _, s := range r.nodes {
+			if s.Status().Applied != lead.Status().Applied {
+				return false
+			}
+		}
+		return true
+	})
+	want := ""
+	for _, s := range r.nodes {
+		s.View(func(st *state.State) {
+			lost := 0
+			for key := range r.acked {
+				if st.Jobs[key] == nil {
+					lost++
+				}
+			}
+			So(lost, ShouldEqual, 0)
+			body, err := st.Encode()
+			So(err, ShouldBeNil)
+			if want == "" {
+				want = string(body)
+			}
+			So(string(body) == want, ShouldBeTrue)
+		})
+		So(s.Status().Quorum.Refused, ShouldEqual, 0)
+	}
+}
+
+// net carries calls straight to the other store.
+type net struct{ r *rig }
+
+func to[A any](n net, addr string, do func(s *Store) (A, error)) (A, error) {
+	n.r.mu.Lock()
+	s := n.r.nodes[addr]
+	n.r.mu.Unlock()
+	if s == nil {
+		var none A
+		return none, fault.New(fault.Unavailable, "%s is down", addr)
+	}
+	return do(s)
+}
+
+func (n net) Quorum(_ context.Context, addr string, c pair.QuorumCall) error {
+	_, err := to(n, addr, func(s *Store) (int, error) { s.Step(c); return 0, nil })
+	return err
+}
+func (n net) Chunk(_ context.Context, addr string, c pair.ChunkCall) (pair.ChunkAnswer, error) {
+	c.Max = 1000 // many parts
+	return to(n, addr, func(s *Store) (pair.ChunkAnswer, error) { return s.Chunk(c) })
+}
+func (n net) Found(_ context.Context, addr string, c pair.FoundCall) (pair.FoundAnswer, error) {
+	return to(n, addr, func(s *Store) (pair.FoundAnswer, error) { return s.Found(c), nil })
+}
+func (n net) Join(ctx context.Context, addr string, c pair.JoinCall) (pair.JoinAnswer, error) {
+	return to(n, addr, func(s *Store) (pair.JoinAnswer, error) { return s.Join(ctx, c) })
+}
+func (n net) Propose(ctx context.Context, addr string, c pair.ProposeCall) (pair.ProposeAnswer, error) {
+	return to(n, addr, func(s *Store) (pair.ProposeAnswer, error) { return s.propose(ctx, c) })
+}
+func (n net) Confirm(_ context.Context, addr string) (pair.ConfirmAnswer, error) {
+	return to(n, addr, func(s *Store) (pair.ConfirmAnswer, error) {
+		i, err := s.Confirm()
+		return pair.ConfirmAnswer{Index: i}, err
+	})
+}
+
+// within runs a test in a bubble, with a rig of 3 nodes.
+func within(t *testing.T, slotEvery int, do func(r *rig)) {
+	synctest.Test(t, func(t *testing.T) {
+		Convey("Given a fleet", t, func() {
+			r := newRig(3, slotEvery)
+			defer r.close()
+			do(r)
+		})
+	})
+}
+
+func (r *rig) follower(of *Store) *Store {
+	for _, m := range r.set.Members {
+		if s := r.nodes[m.ID]; s != nil && s != of {
+			return s
+		}
+	}
+	return nil
+}
+
+func TestCommit(t *testing.T) {
+	within(t, 40, func(r *rig) {
+		lead := r.leader()
+		other := r.follower(lead)
+		So(r.load("a", 300), ShouldBeEmpty)
+		r.level()
+		_, _, err := other.Propose(context.Background(), job("x"))
+		So(fault.KindOf(err), ShouldEqual, fault.NotLeader)
+		So(fault.Of(err).Hint, ShouldEqual, lead.set.Addr)
+
+		// Orders and reads work at any node.
+		var raw []byte
+		seen := false
+		r.call(func(ctx context.Context) {
+			if raw, err = other.Order(ctx, job("hop")); err == nil {
+				err = other.Read(ctx, func(st *state.State) { seen = st.Jobs["hop"] != nil })
+			}
+		})
+		So(err, ShouldBeNil)
+		So(string(raw), ShouldContainSubstring, `"fresh":true`)
+		So(seen, ShouldBeTrue)
+		r.call(func(ctx context.Context) { _, err = other.Order(ctx, &command.Cancel{Key: "nobody"}) })
+		So(fault.KindOf(err), ShouldEqual, fault.Unknown)
+
+		// Followers get changes, a snapshot where those are gone, and wait for what comes.
+		at := other.Status().Applied
+		follow := func(from uint64, wait time.Duration, during func(ctx context.Context)) pair.Lack {
+			var a pair.FollowAnswer
+			r.call(func(ctx context.Context) {
+				waiting := spawn.New(ctx)
+				waiting.Go(func(ctx context.Context) {
+					a, err = other.Follow(ctx, pair.FollowCall{Vector: map[string]uint64{source: from}, Wait: wait, Max: 1 << 20})
+				})
+				during(ctx)
+				waiting.Wait()
+			})
+			So(err, ShouldBeNil)
+			return a.Lacks[source]
+		}
+		idle := func(context.Context) {}
+		So(len(follow(at-3, 0, idle).Changes), ShouldEqual, 3)
+		So(follow(0, 0, idle).Snapshot.Number, ShouldBeGreaterThan, 1)
+		So(follow(at, time.Second, idle), ShouldResemble, pair.Lack{})
+		news := follow(at, 20*time.Second, func(ctx context.Context) { _, _ = other.Order(ctx, job("news")) }) // shows in what follows
+		So(len(news.Changes), ShouldEqual, 1)
+	})
+}
+
+func TestGroupCommit(t *testing.T) {
+	within(t, 1<<20, func(r *rig) { // no slots: they sync too
+		lead := r.leader()
+		before := lead.slots.Stats().Syncs
+		So(r.load("a", 300), ShouldBeEmpty)
+		So(300/(lead.slots.Stats().Syncs-before), ShouldBeGreaterThan, 10)
+	})
+}
+
+func TestCrashes(t *testing.T) {
+	within(t, 40, func(r *rig) {
+		r.load("a", 100)
+		lead := r.leader()
+		r.kill(lead.set.Name)
+		r.load("b", 100) // the one that is down needs a snapshot now
+		r.start(lead.set.Name)
+		r.level()
+		for round := range 3 {
+			for _, m := range r.set.Members {
+				r.kill(m.ID)
+			}
+			for _, m := range r.set.Members {
+				r.start(m.ID)
+			}
+			So(r.load(fmt.Sprint("c", round), 70), ShouldBeEmpty)
+		}
+		r.level()
+		So(len(r.acked), ShouldEqual, 410)
+
+		// Without a majority no proposal is acknowledged; the waiters hear in time that nobody knows.
+		lead = r.leader()
+		for _, m := range r.set.Members {
+			if m.ID != lead.set.Name {
+				r.kill(m.ID)
+			}
+		}
+		var err error
+		r.call(func(ctx context.Context) { _, _, err = lead.Propose(ctx, job("alone")) })
+		So(fault.KindOf(err), ShouldEqual, fault.Timeout)
+	})
+}
+
+func TestLostDisk(t *testing.T) {
+	within(t, 40, func(r *rig) {
+		r.load("a", 200)
+		lead := r.leader()
+		gone := r.follower(lead).set.Name
+		r.kill(gone)
+		r.disks[gone] = slot.NewMemDisk()
+		r.start(gone)
+		fresh := r.nodes[gone]
+		r.until("the newcomer is a voter", func() bool { return fresh.Status().Quorum.Voter })
+		So(fresh.id, ShouldStartWith, gone+"~")
+		r.load("b", 50)
+		r.level()
+		So(len(lead.Status().Quorum.Members), ShouldEqual, 3)
+		So(slices.ContainsFunc(lead.Status().Quorum.Members, func(m quorum.Member) bool { return m.ID == gone }), ShouldBeFalse)
+
+		// The newcomer carries a majority, and keeps its new ID over a restart.
+		r.kill(gone)
+		r.start(gone)
+		r.level()
+		r.kill(lead.set.Name)
+		So(r.load("c", 50), ShouldBeEmpty)
+		r.level()
+		So(r.nodes[gone].id, ShouldEqual, fresh.id)
+	})
+}
+
+func TestFailedSync(t *testing.T) {
+	within(t, 40, func(r *rig) {
+		lead := r.leader()
+		r.disks[lead.set.Name].FailSync(1)
+		var err error
+		r.call(func(ctx context.Context) { _, _, err = lead.Propose(ctx, job("a")) })
+		if err == nil { // the two others had it synced before the fault showed: it must stay
+			r.acked["a"] = 1
+		} else {
+			So(fault.KindOf(err), ShouldEqual, fault.Timeout)
+		}
+		So(r.died[lead.set.Name], ShouldNotBeNil)
+		So(r.died, ShouldHaveLength, 1)
+		r.kill(lead.set.Name)
+		So(r.load("b", 20), ShouldBeEmpty)
+		r.start(lead.set.Name)
+		r.level()
+	})
+}
+
+func TestDuty(t *testing.T) {
+	within(t, 40, func(r *rig) {
+		ask := func(holder string, epoch uint64, giveUp bool) (a pair.DutyAnswer) {
+			s := r.leader()
+			var err error
+			r.call(func(ctx context.Context) {
+				a, err = s.Duty(ctx, pair.DutyCall{Duty: "sched", Holder: holder, Addr: holder, Boot: "1", Epoch: epoch, GiveUp: giveUp})
+			})
+			So(err, ShouldBeNil)
+			return a
+		}
+		first := ask("a", 0, false)
+		So(first.Mine, ShouldBeTrue)
+		So(ask("b", 0, false).Mine, ShouldBeFalse)
+		// The leader falls: the next one counts the lease anew, and still knows the epoch.
+		lead := r.leader()
+		r.kill(lead.set.Name)
+		So(ask("b", 0, false).Mine, ShouldBeFalse)
+		So(ask("a", first.Epoch, false).Mine, ShouldBeTrue)
+		var second pair.DutyAnswer
+		began, tries := r.clock.Now(), 0
+		for ; !second.Mine; tries++ {
+			second = ask("b", 0, false)
+			r.clock.Advance(50 * time.Millisecond)
+		}
+		So(r.clock.Now()-began, ShouldBeGreaterThan, r.set.DutyLease)
+		So(second.Epoch, ShouldBeGreaterThan, first.Epoch)
+		So(ask("a", first.Epoch, false).Mine, ShouldBeFalse)
+		So(ask("b", second.Epoch, true).Mine, ShouldBeFalse)
+		So(ask("a", 0, false).Mine, ShouldBeTrue)
+	})
+}
+
+func TestJudge(t *testing.T) {
+	Convey("An empty folder founds only when it is sure to have no earlier life", t, func() {
+		say := func(a ...pair.FoundAnswer) verdict {
+			all := map[string]pair.FoundAnswer{}
+			for i, one := range a {
+				one.Digest = "d"
+				all[fmt.Sprint("c", i+2)] = one
+			}
+			v, vouched := judge("c1", "boot", "d", 3, all, map[string]string{"c2": "p", "c3": "p"})
+			named := slices.ContainsFunc(a, func(one pair.FoundAnswer) bool { return one.Founders != nil })
+			So(v == fresh && !named, ShouldEqual, vouched != nil)
+			return v
+		}
+		empty := pair.FoundAnswer{Fresh: true, Boot: "p"}
+		So(say(), ShouldEqual, unsure)
+		So(say(empty), ShouldEqual, unsure)
+		So(say(empty, empty), ShouldEqual, fresh)
+		So(say(empty, pair.FoundAnswer{Commit: 2}), ShouldEqual, exists)
+		So(say(pair.FoundAnswer{Commit: 900}), ShouldEqual, exists)
+		So(say(empty, pair.FoundAnswer{Commit: 1}), ShouldEqual, unsure) // has voted, perhaps for us
+		So(say(pair.FoundAnswer{Commit: 9, Founders: map[string]string{"c1": "boot"}}), ShouldEqual, fresh)
+		So(say(pair.FoundAnswer{Commit: 9, Founders: map[string]string{"c1": "earlier"}}), ShouldEqual, exists)
+		one := map[string]pair.FoundAnswer{"c2": {Fresh: true, Digest: "d", Boot: "p"}}
+		v, _ := judge("c1", "boot", "other", 3, one, nil)
+		So(v, ShouldEqual, differs)
+		v, boots := judge("c1", "boot", "d", 2, one, nil) // the first such round
+		So(v, ShouldEqual, unsure)
+		v, _ = judge("c1", "boot", "d", 2, one, map[string]string{"c2": "an earlier process"})
+		So(v, ShouldEqual, unsure)
+		v, _ = judge("c1", "boot", "d", 2, one, boots)
+		So(v, ShouldEqual, fresh)
+	})
+}
--- /dev/null
+++ b/internal/wire/caller.go
@@ -0,0 +1,471 @@
+package wire
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"github.com/prometheus/client_golang/prometheus"
+	"golang.org/x/sys/unix"
+
+	"crosstide/internal/alarm"
+	"crosstide/internal/fault"
+)
+
+// CallerOptions are the settings of a Caller; all have defaults.
+type CallerOptions struct {
+	Clock       alarm.Clock           // default alarm.Real
+	UserTimeout time.Duration         // TCP_USER_TIMEOUT: how long the kernel may resend unconfirmed bytes; 0: its own
+	DialTimeout time.Duration         // default 2s
+	Idle        int                   // idle connections kept per address, default 16
+	IdleFor     time.Duration         // an idle connection is dropped after it, default 1m, under a server's 2m
+	MaxBody     int64                 // bound on an answer in bytes, default MaxBody
+	Logger      log.Logger            // default: none
+	Registry    prometheus.Registerer // default: the counters are not shown
+}
+
+// Caller asks pairs over connections pooled per address, one call at a time on each. It is safe for any number
+// of goroutines. A call is never sent twice: a broken connection is the asker's fault.Unavailable.
+type Caller struct {
+	opt    CallerOptions
+	dialer net.Dialer
+	meter  *meter
+
+	mu     sync.Mutex
+	idle   map[string][]*link
+	live   map[*link]struct{}
+	closed bool
+}
+
+// NewCaller makes a caller. Close it in the end.
+func NewCaller(opt CallerOptions) *Caller {
+	if opt.Clock == nil {
+		opt.Clock = alarm.Real{}
+	}
+	opt.DialTimeout = cmpOr(opt.DialTimeout, 2*time.Second)
+	opt.IdleFor = cmpOr(opt.IdleFor, time.Minute)
+	if opt.Idle <= 0 {
+		opt.Idle = 16
+	}
+	if opt.MaxBody <= 0 {
+		opt.MaxBody = MaxBody
+	}
+	if opt.Logger == nil {
+		opt.Logger = log.NewNopLogger()
+	}
+	k := &Caller{opt: opt, meter: newMeter("caller", opt.Registry), idle: map[string][]*link{}, live: map[*link]struct{}{}}
+	k.dialer = net.Dialer{Timeout: opt.DialTimeout, Control: func(_, _ string, c syscall.RawConn) error {
+		if opt.UserTimeout <= 0 {
+			return nil
+		}
+		var set error
+		err := c.Control(func(fd uintptr) {
+			ms := int((opt.UserTimeout + time.Millisecond - 1) / time.Millisecond)
+			set = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, ms)
+		})
+		return fault.Wrap(errors.Join(err, set), fault.Internal, "set TCP_USER_TIMEOUT")
+	}}
+	return k
+}
+
+// Close resets every connection, those of lines too; calls that still run end as fault.Stopped.
+func (k *Caller) Close() {
+	k.mu.Lock()
+	k.closed = true
+	live := k.live
+	k.live, k.idle = map[*link]struct{}{}, map[string][]*link{}
+	k.mu.Unlock()
+	for l := range live {
+		l.reset()
+	}
+}
+
+// Ask sends call to addr (host:port) and gives the answer. It ends at the latest after within, on the caller's
+// clock, or with ctx: the connection is closed with a reset and the error is fault.Timeout, also while dialing. A refused or
+// broken connection is fault.Unavailable, a closed caller fault.Stopped, an answer that is no JSON of A
+// fault.Malformed; a fault answered by the peer comes back with its kind, field, message, hint and After.
+// See Unsent for calls that surely were not made. Example:
+//
+//	verdict, err := wire.Ask(ctx, caller, "10.0.0.7:7000", Vote, ballot, 500*time.Millisecond)
+func Ask[C, A any](ctx context.Context, k *Caller, addr string, p Pair[C, A], call C, within time.Duration) (A, error) {
+	return ask(ctx, k, k, addr, p, call, within, nil)
+}
+
+// Line is a dedicated connection to one address: one call at a time, dialed at need, shared with nothing else.
+type Line struct {
+	k    *Caller
+	addr string
+	turn chan struct{}
+
+	mu     sync.Mutex
+	link   *link
+	closed bool
+}
+
+// NewLine makes a line to addr that is not dialed yet; k gives its options, counters and end.
+func NewLine(k *Caller, addr string) *Line {
+	return &Line{k: k, addr: addr, turn: make(chan struct{}, 1)}
+}
+
+// AskLine is Ask over l. Calls wait for their turn, within counts that too. before (nil for none) runs after
+// dialing and encoding, immediately before each write(2) of the call: once as a rule, again only when the socket
+// took a part. Its error stops the writing, closes the connection with a reset and comes back wrapped, its kind kept.
+// Nothing ever waits in a user-space buffer. After any error but one answered by the peer the next call
+// dials anew. Example:
+//
+//	answer, err := wire.AskLine(ctx, line, Hold, orders, time.Second, lease.Check)
+//	if wire.Unsent(err) {
+//		void(orders) // the minion surely has not seen them
+//	}
+func AskLine[C, A any](ctx context.Context, l *Line, p Pair[C, A], call C, within time.Duration, before func() error) (A, error) {
+	return ask(ctx, l.k, l, l.addr, p, call, within, before)
+}
+
+// Close resets the line's connection; a call that runs fails, later ones are fault.Stopped.
+func (l *Line) Close() {
+	l.mu.Lock()
+	held := l.link
+	l.link, l.closed = nil, true
+	l.mu.Unlock()
+	if held != nil {
+		l.k.drop(held)
+	}
+}
+
+// Unsent tells that a call surely failed before its first byte was handed to the kernel.
+func Unsent(err error) bool {
+	var u *unsent
+	return errors.As(err, &u)
+}
+
+type unsent struct{ cause error }
+
+func (u *unsent) Error() string { return "not sent: " + u.cause.Error() }
+func (u *unsent) Unwrap() error { return u.cause }
+
+// holder lends connections to calls.
+type holder interface {
+	take(ctx context.Context, addr string) (*link, error)
+	give(l *link, whole bool) // whole: the call went well to its last byte
+	ended() bool
+}
+
+var errLate = errors.New("no answer in time")
+
+func ask[C, A any](ctx context.Context, k *Caller, h holder, addr string, p Pair[C, A], call C, within time.Duration, before func() error) (A, error) {
+	var answer, none A
+	k.meter.calls.WithLabelValues(p.Path).Inc()
+	room := len(p.Path) + len(addr) + 160
+	out, in := takeFrame(room), takeFrame(0)
+	defer out.free()
+	defer in.free()
+	err := out.encode(call)
+	if err == nil {
+		err = k.exchange(ctx, h, addr, p.Path, out.head(room, p.Path, addr), &in.buf, within, before)
+	} else {
+		err = fault.Pass(&unsent{err}, "ask %s", p.Path)
+	}
+	if err == nil {
+		err = fault.Wrap(json.Unmarshal(in.buf.Bytes(), &answer), fault.Malformed, "the answer of %s at %s", p.Path, addr)
+	}
+	if err != nil {
+		k.meter.faults.WithLabelValues(p.Path, string(known(fault.KindOf(err)))).Inc()
+		return none, err
+	}
+	return answer, nil
+}
+
+// head puts the request's head right before the body, into the room kept for it, and gives the whole request.
+func (f *frame) head(room int, path, addr string) []byte {
+	whole := f.buf.Bytes()
+	b := make([]byte, 0, room)
+	b = append(append(b, "POST "...), path...)
+	b = append(append(b, " HTTP/1.1\r\nHost: "...), addr...)
+	b = append(b, "\r\nContent-Type: application/json\r\nContent-Length: "...)
+	b = strconv.AppendInt(b, int64(len(whole)-room), 10)
+	b = append(b, "\r\n\r\n"...)
+	start := room - len(b)
+	copy(whole[start:], b)
+	return whole[start:]
+}
+
+// exchange makes one call: the request as it goes out, the answer's body into in.
+func (k *Caller) exchange(ctx context.Context, h holder, addr, path string, out []byte, in *bytes.Buffer, within time.Duration, before func() error) error {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	if within <= 0 {
+		cancel(errLate)
+	} else {
+		defer k.opt.Clock.Set(within, func() { cancel(errLate) }).Stop()
+	}
+	sent := 0
+	explain := func(err error) error {
+		if sent == 0 {
+			err = &unsent{err}
+		}
+		switch {
+		case context.Cause(ctx) != nil:
+			return fault.Wrap(errors.Join(context.Cause(ctx), err), fault.Timeout, "%s at %s: over after at most %s", path, addr, within)
+		case h.ended():
+			return fault.Wrap(err, fault.Stopped, "%s at %s: closed on our side", path, addr)
+		}
+		return fault.Wrap(err, fault.Unavailable, "%s at %s", path, addr)
+	}
+	l, err := h.take(ctx, addr)
+	if err != nil {
+		return explain(err)
+	}
+	whole := false
+	stop := context.AfterFunc(ctx, l.reset)
+	defer func() { h.give(l, stop() && whole) }()
+
+	var refused error
+	err = l.write(out, &sent, func() error {
+		if context.Cause(ctx) != nil {
+			return context.Cause(ctx)
+		}
+		if before != nil {
+			refused = before()
+		}
+		return refused
+	})
+	k.meter.out.Add(float64(sent))
+	if refused != nil {
+		if sent == 0 {
+			refused = &unsent{refused}
+		}
+		return fault.Pass(refused, "%s at %s: held back before the write", path, addr)
+	}
+	if err != nil {
+		return explain(err)
+	}
+	res, err := http.ReadResponse(l.read, nil)
+	if err != nil {
+		return explain(err)
+	}
+	err = readInto(in, res.Body, res.ContentLength, k.opt.MaxBody)
+	k.meter.in.Add(float64(in.Len()))
+	if fault.Is(err, fault.TooLarge) {
+		return fault.Pass(err, "the answer of %s at %s", path, addr)
+	}
+	if err != nil {
+		return explain(err)
+	}
+	whole = !res.Close && l.read.Buffered() == 0
+	if res.StatusCode == http.StatusOK {
+		return nil
+	}
+	return fault.Pass(decodeFault(res, in.Bytes()), "%s at %s", path, addr)
+}
+
+// decodeFault makes the fault of an answer other than 200.
+func decodeFault(res *http.Response, body []byte) error {
+	var r reply
+	if err := json.Unmarshal(body, &r); err != nil || r.Kind == "" {
+		kind := fault.Internal
+		if res.StatusCode >= http.StatusInternalServerError {
+			kind = fault.Unavailable
+		}
+		return fault.New(kind, "status %d without a fault of ours", res.StatusCode)
+	}
+	f := &fault.Fault{Kind: known(r.Kind), Field: r.Field, Message: r.Message, Hint: r.Hint}
+	if s, err := strconv.Atoi(res.Header.Get("Retry-After")); err == nil && s > 0 {
+		f.After = time.Duration(s) * time.Second
+	}
+	return f
+}
+
+// link is one connection.
+type link struct {
+	*net.TCPConn
+	raw   syscall.RawConn
+	read  *bufio.Reader
+	addr  string
+	since time.Duration // idle since, on the caller's clock
+}
+
+// reset closes at once: unsent and unconfirmed bytes are thrown away, the peer gets a reset.
+func (l *link) reset() {
+	_ = l.SetLinger(0)
+	_ = l.Close()
+}
+
+// write hands b to the kernel straight, calling check immediately before each write(2); sent counts.
+func (l *link) write(b []byte, sent *int, check func() error) error {
+	var failed error
+	err := l.raw.Write(func(fd uintptr) bool {
+		for *sent < len(b) {
+			if failed = check(); failed != nil {
+				return true
+			}
+			n, err := unix.Write(int(fd), b[*sent:])
+			switch {
+			case err == unix.EAGAIN:
+				return false // wait until the socket takes more
+			case err == unix.EINTR:
+			case err != nil:
+				failed = err
+				return true
+			default:
+				*sent += n
+			}
+		}
+		return true
+	})
+	if failed == nil {
+		failed = err
+	}
+	return fault.Wrap(failed, fault.Unavailable, "write")
+}
+
+// alive tells whether an idle connection is still open with nothing to be read.
+func (l *link) alive() bool {
+	open := false
+	err := l.raw.Read(func(fd uintptr) bool {
+		var one [1]byte
+		_, _, err := unix.Recvfrom(int(fd), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		open = err == unix.EAGAIN
+		return true
+	})
+	return err == nil && open && l.read.Buffered() == 0
+}
+
+func (k *Caller) dial(ctx context.Context, addr string) (*link, error) {
+	c, err := k.dialer.DialContext(ctx, "tcp", addr)
+	if err != nil {
+		_ = level.Debug(k.opt.Logger).Log("msg", "dial failed", "addr", addr, "err", err)
+		return nil, fault.Wrap(err, fault.Unavailable, "dial")
+	}
+	tcp := c.(*net.TCPConn)
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		_ = tcp.Close()
+		return nil, fault.Wrap(err, fault.Internal, "raw connection")
+	}
+	l := &link{TCPConn: tcp, raw: raw, read: bufio.NewReader(tcp), addr: addr}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.closed {
+		l.reset()
+		return nil, fault.New(fault.Stopped, "the caller is closed")
+	}
+	k.live[l] = struct{}{}
+	return l, nil
+}
+
+func (k *Caller) drop(l *link) {
+	k.mu.Lock()
+	delete(k.live, l)
+	k.mu.Unlock()
+	l.reset()
+}
+
+func (k *Caller) take(ctx context.Context, addr string) (*link, error) {
+	for {
+		k.mu.Lock()
+		list := k.idle[addr]
+		if k.closed || len(list) == 0 {
+			k.mu.Unlock()
+			return k.dial(ctx, addr)
+		}
+		l := list[len(list)-1]
+		k.idle[addr] = list[:len(list)-1]
+		k.mu.Unlock()
+		if k.opt.Clock.Now()-l.since < k.opt.IdleFor && l.alive() {
+			return l, nil
+		}
+		k.drop(l)
+	}
+}
+
+func (k *Caller) give(l *link, whole bool) {
+	if !whole {
+		k.drop(l)
+		return
+	}
+	l.since = k.opt.Clock.Now()
+	old := l
+	k.mu.Lock()
+	list := append(k.idle[l.addr], l)
+	if k.closed {
+		list = nil
+	} else if len(list) > k.opt.Idle || l.since-list[0].since >= k.opt.IdleFor {
+		old, list = list[0], append(list[:0], list[1:]...)
+	} else {
+		old = nil
+	}
+	k.idle[l.addr] = list
+	k.mu.Unlock()
+	if old != nil {
+		k.drop(old)
+	}
+}
+
+func (k *Caller) ended() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.closed
+}
+
+func (l *Line) take(ctx context.Context, _ string) (*link, error) {
+	select {
+	case l.turn <- struct{}{}:
+	case <-ctx.Done():
+		return nil, fault.Wrap(ctx.Err(), fault.Timeout, "wait for the line")
+	}
+	l.mu.Lock()
+	held, closed := l.link, l.closed
+	l.mu.Unlock()
+	if held != nil && !closed {
+		if l.k.opt.Clock.Now()-held.since < l.k.opt.IdleFor && held.alive() {
+			return held, nil
+		}
+		l.k.drop(held)
+	}
+	var fresh *link
+	err := fault.New(fault.Stopped, "the line is closed")
+	if !closed {
+		fresh, err = l.k.dial(ctx, l.addr)
+	}
+	if err == nil {
+		l.mu.Lock()
+		l.link, closed = fresh, l.closed
+		l.mu.Unlock()
+		if !closed {
+			return fresh, nil
+		}
+		l.k.drop(fresh)
+		err = fault.New(fault.Stopped, "the line was closed")
+	}
+	<-l.turn
+	return nil, fault.Pass(err, "line to %s", l.addr)
+}
+
+func (l *Line) give(used *link, whole bool) {
+	l.mu.Lock()
+	used.since = l.k.opt.Clock.Now()
+	if l.closed || !whole {
+		l.link, whole = nil, false
+	}
+	l.mu.Unlock()
+	if !whole {
+		l.k.drop(used)
+	}
+	<-l.turn
+}
+
+func (l *Line) ended() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.closed || l.k.ended()
+}
--- /dev/null
+++ b/internal/wire/wire_test.go
@@ -0,0 +1,286 @@
+package wire
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	. "github.com/smartystreets/goconvey/convey"
+	"golang.org/x/sys/unix"
+
+	"crosstide/internal/alarm"
+	"crosstide/internal/fault"
+	"crosstide/internal/spawn"
+)
+
+type note struct {
+	Text string `json:"text"`
+}
+
+var (
+	echo  = Pair[note, note]{Path: "/echo"}
+	block = Pair[note, note]{Path: "/block"}
+	fail  = Pair[note, note]{Path: "/fail"}
+	ctx   = context.Background()
+)
+
+// bench is a server and a caller on one registry; block waits for gate, or for the end of its context.
+type bench struct {
+	*Server
+	*Caller
+	clock   *alarm.Virtual
+	entered chan struct{}
+	gate    chan struct{}
+	reg     *prometheus.Registry
+}
+
+func rig() *bench {
+	b := &bench{clock: &alarm.Virtual{}, entered: make(chan struct{}, 1000), gate: make(chan struct{}), reg: prometheus.NewRegistry()}
+	b.Server = NewServer(ServerOptions{Addr: "127.0.0.1:0", MaxBody: 1 << 20, Registry: b.reg, Clock: b.clock})
+	Handle(b.Server, echo, func(_ context.Context, n note) (note, error) { return n, nil })
+	Handle(b.Server, fail, func(_ context.Context, n note) (note, error) {
+		if n.Text == "panic" {
+			panic("on purpose")
+		}
+		return n, fault.Pass(&fault.Fault{Kind: fault.NotLeader, Field: "f", Message: "m", Hint: "h", After: 1500 * time.Millisecond}, "more")
+	})
+	Handle(b.Server, block, func(ctx context.Context, n note) (note, error) {
+		b.entered <- struct{}{}
+		select {
+		case <-b.gate:
+		case <-ctx.Done():
+		}
+		return n, nil
+	})
+	So(b.Start(), ShouldBeNil)
+	b.Caller = NewCaller(CallerOptions{Clock: b.clock, UserTimeout: 1500 * time.Millisecond, Registry: b.reg})
+	return b
+}
+
+func (b *bench) end() {
+	b.Caller.Close()
+	So(b.Stop(time.Hour), ShouldBeNil)
+}
+
+func (b *bench) count(name string, labels ...string) (sum float64) {
+	families, err := b.reg.Gather()
+	So(err, ShouldBeNil)
+	for _, f := range families {
+		for _, m := range f.GetMetric() {
+			all := f.GetName() == name
+			for _, l := range labels {
+				all = all && strings.Contains(m.String(), `"`+l+`"`)
+			}
+			if all {
+				sum += m.GetCounter().GetValue()
+			}
+		}
+	}
+	return sum
+}
+
+func TestAsk(t *testing.T) {
+	Convey("Calls are answered over one kept connection, whatever their size, and counted", t, func() {
+		b := rig()
+		defer b.end()
+		for _, text := range []string{"a<b>", strings.Repeat("x", 900_000), ""} {
+			got, err := Ask(ctx, b.Caller, b.Addr(), echo, note{text}, time.Second)
+			So(err, ShouldBeNil)
+			So(got.Text == text, ShouldBeTrue)
+		}
+		So(len(b.Caller.idle[b.Addr()]), ShouldEqual, 1)
+		So(len(b.live), ShouldEqual, 1)
+		So(b.count("crosstide_wire_calls_total", "server", "/echo"), ShouldEqual, 3)
+		So(b.count("crosstide_wire_bytes_total", "caller", "out"), ShouldBeGreaterThan, 900_000)
+		ms := 0
+		So(b.Caller.idle[b.Addr()][0].raw.Control(func(fd uintptr) {
+			ms, _ = unix.GetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT)
+		}), ShouldBeNil)
+		So(ms, ShouldEqual, 1500)
+	})
+	Convey("Faults come back with kind, field, message, hint and After, and are counted by kind", t, func() {
+		b := rig()
+		defer b.end()
+		_, err := Ask(ctx, b.Caller, b.Addr(), fail, note{}, time.Second)
+		f := fault.Of(err)
+		So([]any{f.Kind, f.Field, f.Message, f.Hint, f.After}, ShouldResemble, []any{fault.NotLeader, "f", "m", "h", 2 * time.Second})
+		_, err = Ask(ctx, b.Caller, b.Addr(), fail, note{"panic"}, time.Second)
+		So(fault.KindOf(err), ShouldEqual, fault.Internal)
+		_, err = Ask(ctx, b.Caller, b.Addr(), echo, note{strings.Repeat("x", 1<<20)}, time.Second)
+		So(fault.KindOf(err), ShouldEqual, fault.TooLarge)
+		_, err = Ask(ctx, b.Caller, b.Addr(), Pair[note, note]{"/none"}, note{}, time.Second)
+		So(fault.KindOf(err), ShouldEqual, fault.Unknown)
+		_, err = Ask(ctx, b.Caller, b.Addr(), Pair[int, note]{"/echo"}, 5, time.Second)
+		So(fault.KindOf(err), ShouldEqual, fault.Malformed)
+		So(Unsent(err), ShouldBeFalse)
+		So(b.count("crosstide_wire_faults_total", "caller", "/fail", "not_leader"), ShouldEqual, 1)
+		So(len(b.live), ShouldEqual, 1)
+	})
+	Convey("An alarm that rings, and a context that ends, give Timeout and a reset", t, func() {
+		b := rig()
+		defer b.end()
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		So(err, ShouldBeNil)
+		defer ln.Close()
+		for _, byAlarm := range []bool{true, false} {
+			ctx, cancel := context.WithCancel(ctx)
+			peer := spawn.New(ctx)
+			var seen error
+			peer.Go(func(context.Context) {
+				c, _ := ln.Accept()
+				_, _ = http.ReadRequest(bufio.NewReader(c))
+				if byAlarm {
+					b.clock.Advance(time.Second)
+				} else {
+					cancel()
+				}
+				_, seen = io.Copy(io.Discard, c)
+			})
+			_, err = Ask(ctx, b.Caller, ln.Addr().String(), echo, note{"x"}, time.Second)
+			So(fault.KindOf(err), ShouldEqual, fault.Timeout)
+			So(Unsent(err), ShouldBeFalse)
+			peer.Wait()
+			cancel()
+			So(errors.Is(seen, unix.ECONNRESET), ShouldBeTrue)
+		}
+		So(len(b.live), ShouldEqual, 0)
+	})
+	Convey("A refused connection is Unavailable and unsent; a kept one that the peer closed is not used", t, func() {
+		b := rig()
+		_, err := Ask(ctx, b.Caller, b.Addr(), echo, note{}, time.Second)
+		So(err, ShouldBeNil)
+		So(b.Stop(0), ShouldBeNil)
+		held := b.Caller.idle[b.Addr()][0]
+		_, _ = held.Read(make([]byte, 1)) // until the peer's end is here
+		_, err = Ask(ctx, b.Caller, b.Addr(), echo, note{}, time.Second)
+		So(fault.KindOf(err), ShouldEqual, fault.Unavailable)
+		So(Unsent(err), ShouldBeTrue)
+		So(len(b.live), ShouldEqual, 0)
+		b.Caller.Close()
+		_, err = Ask(ctx, b.Caller, b.Addr(), echo, note{}, time.Second)
+		So(fault.KindOf(err), ShouldEqual, fault.Stopped)
+	})
+}
+
+func TestLine(t *testing.T) {
+	Convey("before runs right before the write; its error keeps every byte back and keeps its kind", t, func() {
+		b := rig()
+		defer b.end()
+		l := NewLine(b.Caller, b.Addr())
+		runs := 0
+		check := func() error { runs++; return nil }
+		got, err := AskLine(ctx, l, echo, note{"x"}, time.Second, check)
+		So([]any{got.Text, err, runs}, ShouldResemble, []any{"x", nil, 1})
+		first := l.link
+		_, err = AskLine(ctx, l, echo, note{"y"}, time.Second, func() error { return fault.New(fault.Stale, "lease is over") })
+		So(fault.KindOf(err), ShouldEqual, fault.Stale)
+		So(Unsent(err), ShouldBeTrue)
+		So(b.count("crosstide_wire_calls_total", "server", "/echo"), ShouldEqual, 1)
+		_, err = AskLine(ctx, l, echo, note{"z"}, time.Second, check)
+		So(err, ShouldBeNil)
+		So(l.link, ShouldNotEqual, first)
+		l.Close()
+		_, err = AskLine(ctx, l, echo, note{}, time.Second, check)
+		So(fault.KindOf(err), ShouldEqual, fault.Stopped)
+		So(runs, ShouldEqual, 2)
+	})
+	Convey("When the socket takes only a part, the rest waits for before too, and is thrown away on its error", t, func() {
+		b := rig()
+		defer b.end()
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		So(err, ShouldBeNil)
+		defer ln.Close()
+		peer := spawn.New(ctx)
+		var seen error
+		peer.Go(func(context.Context) {
+			c, _ := ln.Accept()
+			<-b.gate // reads nothing until the call is over
+			_, seen = io.Copy(io.Discard, c)
+		})
+		runs := 0
+		_, err = AskLine(ctx, NewLine(b.Caller, ln.Addr().String()), echo, note{strings.Repeat("x", 32<<20)}, time.Second, func() error {
+			if runs++; runs > 1 {
+				return fault.New(fault.Stale, "lease is over")
+			}
+			return nil
+		})
+		close(b.gate)
+		peer.Wait()
+		So([]any{fault.KindOf(err), Unsent(err), runs}, ShouldResemble, []any{fault.Stale, false, 2})
+		So(errors.Is(seen, unix.ECONNRESET), ShouldBeTrue)
+	})
+}
+
+func TestServer(t *testing.T) {
+	Convey("500 blocked handlers do not hold up another call, and Stop lets them finish", t, func() {
+		b := rig()
+		defer b.Caller.Close()
+		work := spawn.New(ctx)
+		var mu sync.Mutex
+		well := 0
+		for range 500 {
+			work.Go(func(ctx context.Context) {
+				if _, err := Ask(ctx, b.Caller, b.Addr(), block, note{}, time.Hour); err == nil {
+					mu.Lock()
+					well++
+					mu.Unlock()
+				}
+			})
+		}
+		for range 500 {
+			<-b.entered
+		}
+		_, err := Ask(ctx, b.Caller, b.Addr(), echo, note{}, time.Hour)
+		So(err, ShouldBeNil)
+		close(b.gate)
+		work.Wait()
+		So(well, ShouldEqual, 500)
+		So(len(b.Caller.idle[b.Addr()]), ShouldEqual, b.Caller.opt.Idle)
+		So(b.Stop(time.Hour), ShouldBeNil)
+	})
+	Convey("A server that is stopped right after its start stops", t, func() {
+		for range 50 {
+			rig().end()
+		}
+	})
+	Convey("Stop refuses new requests, and ends handlers that outlast grace", t, func() {
+		b := rig()
+		defer b.Caller.Close()
+		work := spawn.New(ctx)
+		work.Go(func(ctx context.Context) { _, _ = Ask(ctx, b.Caller, b.Addr(), block, note{}, time.Hour) })
+		<-b.entered
+		_, err := Ask(ctx, b.Caller, b.Addr(), echo, note{}, time.Hour) // leaves a kept connection
+		So(err, ShouldBeNil)
+		stopped := make(chan error, 1)
+		spawn.New(ctx).Go(func(context.Context) { stopped <- b.Stop(time.Minute) })
+		for err == nil { // until Stop has begun
+			_, err = Ask(ctx, b.Caller, b.Addr(), echo, note{}, time.Hour)
+		}
+		So(fault.KindOf(err), ShouldEqual, fault.Stopped)
+		for b.work.Context().Err() == nil { // grace may not be set yet at the first turns
+			b.clock.Advance(time.Second)
+		}
+		So(fault.KindOf(<-stopped), ShouldEqual, fault.Timeout)
+		work.Wait()
+	})
+	Convey("Raw routes and refusals are JSON with the table's head", t, func() {
+		b := rig()
+		defer b.end()
+		res, err := http.Get("http://" + b.Addr() + "/echo")
+		So(err, ShouldBeNil)
+		body, _ := io.ReadAll(res.Body)
+		_ = res.Body.Close()
+		http.DefaultClient.CloseIdleConnections()
+		So([]any{res.StatusCode, res.Header.Get("Allow")}, ShouldResemble, []any{405, "POST"})
+		So(string(bytes.TrimSpace(body)), ShouldEqual, `{"kind":"invalid","field":"method","message":"GET is not taken here"}`)
+	})
+}
