--- a/internal/plane/confirm.go
+++ b/internal/plane/confirm.go
@@ -53,39 +53,39 @@
 
 // run makes the calls; without reads it makes one a second, for readiness.
 func (c *confirmer) run(ctx context.Context) {
-	n := c.node
-	for {
-		c.join()
-		<-c.work
+	for ctx.Err() == nil {
+		idle := c.node.opt.Clock.Set(time.Second, func() { c.join() })
+		select {
+		case <-c.work:
+		case <-ctx.Done():
+		}
+		idle.Stop()
 		c.mu.Lock()
 		r := c.next
 		c.next = nil
 		c.mu.Unlock()
-		call, cancel := context.WithTimeout(ctx, n.opt.CallTimeout)
-		a, err := toLeader(call, n.core, n, pair.Confirm, pair.ConfirmCall{}, n.opt.CallTimeout/2, true)
-		r.index, r.err = a.Index, err
-		close(r.done)
-		if err == nil {
-			err = n.replica.Reach(call, a.Index)
-		}
-		cancel()
-		if err == nil {
-			n.mu.Lock()
-			n.confirmed = n.opt.Clock.Now()
-			n.mu.Unlock()
-		} else {
-			_ = level.Debug(n.opt.Logger).Log("msg", "confirming failed", "err", err)
+		if r != nil {
+			c.ask(ctx, r)
 		}
-		woken := make(chan struct{})
-		ring := n.opt.Clock.Set(time.Second, func() { close(woken) })
-		select {
-		case <-woken:
-		case <-c.work:
-			c.work <- struct{}{}
-		case <-ctx.Done():
-			ring.Stop()
-			return
-		}
-		ring.Stop()
 	}
 }
+
+// ask makes the call of a round. Reads go on as soon as the index is known; readiness wants it reached too.
+func (c *confirmer) ask(ctx context.Context, r *round) {
+	n := c.node
+	ctx, cancel := context.WithTimeout(ctx, n.opt.CallTimeout)
+	defer cancel()
+	a, err := toLeader(ctx, n.core, n, pair.Confirm, pair.ConfirmCall{}, n.opt.CallTimeout/2, true)
+	r.index, r.err = a.Index, err
+	close(r.done)
+	if err == nil {
+		err = n.replica.Reach(ctx, a.Index)
+	}
+	if err != nil {
+		_ = level.Debug(n.opt.Logger).Log("msg", "confirming failed", "err", err)
+		return
+	}
+	n.mu.Lock()
+	n.confirmed = n.opt.Clock.Now()
+	n.mu.Unlock()
+}
