Name every error that was passed on bare

Ruled out: an exception for the CLI library's exit errors. The tree has none left: cmd/drill puts its exit codes on a fault. Ruled out too: that passing on a kept error (a minion host's, a broken store's) changes it: the trace library copies before it adds a message.

Change: each place passes the error on with what was being done; kinds, fields and hints stay. A connection error under the answer of a server is Unavailable, a call that is over before its write Timeout (it ended as Timeout before, too). In conf the text of mistakes is made in one place, so that it is not doubled. On the paths of slot.Append, of calls and of answers the message is made only when there is an error. Alignment of comments in state as gofmt has it.

--- a/cmd/dplane/jobs.go
+++ b/cmd/dplane/jobs.go
@@ -30,15 +30,17 @@
 					defer f.Close()
 					in = f
 				}
-				return ask(ctx, http.MethodPost, cmd.String("addr"), "/v1/jobs", in)
+				return fault.Pass(ask(ctx, http.MethodPost, cmd.String("addr"), "/v1/jobs", in), "hand in a job")
 			}},
 		{Name: "show", Usage: "print the job KEY", ArgsUsage: "KEY", Flags: []cli.Flag{addr},
 			Action: func(ctx context.Context, cmd *cli.Command) error {
-				return ask(ctx, http.MethodGet, cmd.String("addr"), "/v1/jobs/"+url.PathEscape(cmd.Args().First()), nil)
+				key := cmd.Args().First()
+				return fault.Pass(ask(ctx, http.MethodGet, cmd.String("addr"), "/v1/jobs/"+url.PathEscape(key), nil), "show job %q", key)
 			}},
 		{Name: "cancel", Usage: "cancel the job KEY", ArgsUsage: "KEY", Flags: []cli.Flag{addr},
 			Action: func(ctx context.Context, cmd *cli.Command) error {
-				return ask(ctx, http.MethodDelete, cmd.String("addr"), "/v1/jobs/"+url.PathEscape(cmd.Args().First()), nil)
+				key := cmd.Args().First()
+				return fault.Pass(ask(ctx, http.MethodDelete, cmd.String("addr"), "/v1/jobs/"+url.PathEscape(key), nil), "cancel job %q", key)
 			}},
 		{Name: "list", Usage: "print jobs", Flags: []cli.Flag{addr, &cli.StringFlag{Name: "team"}, &cli.StringFlag{Name: "state"},
 			&cli.StringFlag{Name: "after", Usage: "page on after this `KEY`"}},
@@ -49,7 +51,7 @@
 						q.Set(name, cmd.String(name))
 					}
 				}
-				return ask(ctx, http.MethodGet, cmd.String("addr"), "/v1/jobs?"+q.Encode(), nil)
+				return fault.Pass(ask(ctx, http.MethodGet, cmd.String("addr"), "/v1/jobs?"+q.Encode(), nil), "list jobs")
 			}},
 	}}}
 }
--- a/internal/conf/daemon.go
+++ b/internal/conf/daemon.go
@@ -83,26 +83,26 @@
 func LoadCplane(path string) (Cplane, error) {
 	c := DefaultCplane()
 	err := load(path, c.read)
-	return c, err
+	return c, fault.Pass(err, "cplane")
 }
 
 // LoadDplane is LoadCplane for a dplane.
 func LoadDplane(path string) (Dplane, error) {
 	d := DefaultDplane()
 	err := load(path, d.read)
-	return d, err
+	return d, fault.Pass(err, "dplane")
 }
 
 // CheckCplane tells all mistakes in c as Parse does, for settings that flags have changed.
-func CheckCplane(c Cplane) error { return judge(c.read) }
+func CheckCplane(c Cplane) error { return fault.Pass(judge(c.read), "cplane") }
 
 // CheckDplane is CheckCplane for a dplane.
-func CheckDplane(d Dplane) error { return judge(d.read) }
+func CheckDplane(d Dplane) error { return fault.Pass(judge(d.read), "dplane") }
 
 func judge(into func(r *Reader)) error {
 	var out Mistakes
 	check(&out, into)
-	return told(out)
+	return fault.Wrap(out.orNil(), fault.Settings, "%s in the settings", out.count())
 }
 
 func load(path string, into func(r *Reader)) error {
--- a/internal/conf/reader.go
+++ b/internal/conf/reader.go
@@ -96,22 +96,26 @@
 	var parser fastjson.Parser // its values live as long as it does
 	v, err := parser.ParseBytes(data)
 	if err != nil {
-		return told(Mistakes{{"", "must be JSON: " + err.Error()}})
+		return fault.Wrap(Mistakes{{"", "must be JSON: " + err.Error()}}, fault.Settings, "1 mistake in the settings")
 	}
 	var out Mistakes
 	read("", v, &out, into)
-	return told(out)
+	return fault.Wrap(out.orNil(), fault.Settings, "%s in the settings", out.count())
 }
 
-func told(m Mistakes) error {
+// orNil is m as an error, nil if there are none.
+func (m Mistakes) orNil() error {
 	if len(m) == 0 {
 		return nil
 	}
-	noun := "mistakes"
+	return m
+}
+
+func (m Mistakes) count() string {
 	if len(m) == 1 {
-		noun = "mistake"
+		return "1 mistake"
 	}
-	return fault.Wrap(m, fault.Settings, "%d %s in the settings", len(m), noun)
+	return fmt.Sprintf("%d mistakes", len(m))
 }
 
 func read(path string, v *fastjson.Value, out *Mistakes, into func(r *Reader)) {
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -110,7 +110,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.pulled = true
-	return r.take(lack.Changes)
+	return fault.Pass(r.take(lack.Changes), "changes after %d", from)
 }
 
 // take applies changes in order. A version never goes back: what is at or below the index is passed over.
--- a/internal/quorum/lead.go
+++ b/internal/quorum/lead.go
@@ -100,7 +100,7 @@
 
 func (c *Core) leads() error {
 	if c.role != Leader {
-		return c.follows()
+		return fault.Pass(c.follows(), "not the leader")
 	}
 	if c.lead.to != "" {
 		return fault.New(fault.Unavailable, "handing over to %s", c.lead.to)
--- a/internal/rig/journal/journal.go
+++ b/internal/rig/journal/journal.go
@@ -63,7 +63,7 @@
 	}
 	whole, err := wholeLines(path)
 	if err != nil {
-		return nil, err
+		return nil, fault.Pass(err, "whole lines")
 	}
 	file, err := os.OpenFile(path, os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o644)
 	if err != nil {
--- a/internal/rig/minion/host.go
+++ b/internal/rig/minion/host.go
@@ -97,7 +97,7 @@
 	}
 	h.bodies[name] = b
 	b.do(func(time.Duration) Step { return b.core.Start() })
-	return h.fault()
+	return fault.Pass(h.fault(), "start")
 }
 
 // Addr is the host:port that all minions of the host are reached at.
@@ -115,7 +115,7 @@
 	case <-h.over:
 	}
 	h.Close()
-	return h.fault()
+	return fault.Pass(h.fault(), "minions at %s", h.Addr())
 }
 
 // Drain switches draining of all minions. With leave it is final: Run returns once nothing runs and the ends
--- a/internal/slot/memdisk.go
+++ b/internal/slot/memdisk.go
@@ -152,7 +152,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if err := d.change(d.boot); err != nil {
-		return nil, err
+		return nil, fault.Pass(err, "create %s", name)
 	}
 	if d.live[name] != nil {
 		return nil, fault.New(fault.Disk, "%s is there already", name)
@@ -184,7 +184,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if err := d.change(d.boot); err != nil {
-		return err
+		return fault.Pass(err, "remove %s", name)
 	}
 	if d.live[name] == nil {
 		return fault.New(fault.Disk, "%s is missing", name)
@@ -198,7 +198,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if err := d.change(d.boot); err != nil {
-		return err
+		return fault.Pass(err, "rename %s", old)
 	}
 	n := d.live[old]
 	if n == nil {
@@ -213,7 +213,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if err := d.change(d.boot); err != nil {
-		return err
+		return fault.Pass(err, "sync the folder")
 	}
 	if d.syncFails() {
 		return fault.New(fault.Disk, "sync of the folder failed")
@@ -237,7 +237,7 @@
 	f.d.mu.Lock()
 	defer f.d.mu.Unlock()
 	if err := f.d.change(f.boot); err != nil {
-		return 0, err
+		return 0, fault.Pass(err, "write")
 	}
 	f.n.data = append(f.n.data, p...)
 	return len(p), nil
@@ -247,7 +247,7 @@
 	f.d.mu.Lock()
 	defer f.d.mu.Unlock()
 	if err := f.d.change(f.boot); err != nil {
-		return err
+		return fault.Pass(err, "sync")
 	}
 	if f.d.syncFails() {
 		f.n.spoil = true
--- a/internal/slot/slot.go
+++ b/internal/slot/slot.go
@@ -125,7 +125,7 @@
 		}
 		all, err := s.read(name)
 		if err != nil {
-			return f, err
+			return f, fault.Pass(err, "look at %s", name)
 		}
 		if isLog {
 			f.numbers, f.bytes = append(f.numbers, number), append(f.bytes, all)
@@ -158,7 +158,7 @@
 func (s *Store) open() (boot Boot, err error) {
 	f, err := s.look()
 	if err != nil {
-		return boot, err
+		return boot, fault.Pass(err, "files of the store")
 	}
 	// Read the log up to its first bad byte, which may only be the torn end of it all.
 	var tail []Record // records of the last segment that counts
@@ -200,9 +200,9 @@
 		return boot, fault.New(fault.Damaged, "slots without a log")
 	}
 	if err := s.choose(f, &told, &boot); err != nil {
-		return boot, err
+		return boot, fault.Pass(err, "newest slot")
 	}
-	return boot, s.settle(f, dropped, tail, told)
+	return boot, fault.Pass(s.settle(f, dropped, tail, told), "end of the log")
 }
 
 // choose takes the newest image that the log follows.
@@ -262,11 +262,12 @@
 		s.tale.list[i].Data = nil
 	}
 	if err := s.start(last, head); err != nil {
-		return err
+		return fault.Pass(err, "segment %d", last.number)
 	}
 	for i := range dropped { // from the end, so that no gap can stay
-		if err := s.removeSegment(f.numbers[len(f.numbers)-1-i]); err != nil {
-			return err
+		number := f.numbers[len(f.numbers)-1-i]
+		if err := s.removeSegment(number); err != nil {
+			return fault.Pass(err, "drop segment %d", number)
 		}
 	}
 	return nil
@@ -290,7 +291,7 @@
 	}
 	file, err := s.place(g.name(), buf)
 	if err != nil {
-		return err
+		return fault.Pass(err, "segment to append to")
 	}
 	if s.file != nil {
 		_ = s.file.Close() // synced before
@@ -373,7 +374,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if err := s.usable(); err != nil {
-		return err
+		return fault.Pass(err, "append %d records", len(recs))
 	}
 	if len(recs) == 0 {
 		return nil
@@ -394,11 +395,11 @@
 		s.buf = appendRecord(s.buf, s.segments[len(s.segments)-1].number, s.size, r)
 	}
 	if _, err := s.file.Write(s.buf); err != nil {
-		return s.fail(fault.Wrap(err, fault.Disk, "write the log"))
+		return fault.Pass(s.fail(fault.Wrap(err, fault.Disk, "write the log")), "append %d records", len(recs))
 	}
 	from := s.clock.Now()
 	if err := s.file.Sync(); err != nil {
-		return s.fail(fault.Wrap(err, fault.Disk, "sync the log"))
+		return fault.Pass(s.fail(fault.Wrap(err, fault.Disk, "sync the log")), "append %d records", len(recs))
 	}
 	took := s.clock.Now() - from
 	s.size += len(s.buf)
@@ -433,7 +434,7 @@
 	err, before, at := s.usable(), s.newest, 1-s.at
 	s.mu.Unlock()
 	if err != nil {
-		return err
+		return fault.Pass(err, "slot %d", before.Number+1)
 	}
 	if img.Index < before.Index {
 		return fault.Field(fault.Invalid, "index", "image at %d, the newest slot is at %d", img.Index, before.Index)
@@ -448,7 +449,7 @@
 	if err != nil {
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		return s.fail(err)
+		return fault.Pass(s.fail(err), "slot %d", img.Number)
 	}
 	s.count(func(c *Stats) { c.Slots++ })
 	return nil
@@ -483,7 +484,7 @@
 	for i := 0; i < n && err == nil; i++ { // oldest first, each synced, so that no gap can stay
 		err = s.removeSegment(old[i].number)
 	}
-	return err
+	return fault.Pass(err, "change of segment")
 }
 
 // NewestSlot reads the newest slot back and checks it. Faults: Unknown (none was written), Damaged, Disk.
@@ -496,7 +497,7 @@
 	}
 	all, err := s.read(name)
 	if err != nil {
-		return Image{}, err
+		return Image{}, fault.Pass(err, "newest slot")
 	}
 	img, err := readSlot(all)
 	if err != nil {
--- a/internal/state/command/command.go
+++ b/internal/state/command/command.go
@@ -249,7 +249,7 @@
 func (c *Zone) Op() string { return "zone" }
 
 func (c *Zone) apply(s *state.State, _ uint64) (any, error) {
-	return once(s, c.Order, c, func() (any, error) {
+	answer, err := once(s, c.Order, c, func() (any, error) {
 		if c.Out {
 			s.Evacuated[c.Zone] = s.At
 		} else {
@@ -258,6 +258,7 @@
 		s.Changed(state.NotePlacement, c.Zone)
 		return map[string]any{"zone": c.Zone, "evacuated": c.Out}, nil
 	})
+	return answer, fault.Pass(err, "zone %q", c.Zone)
 }
 
 // Close drains a minion by an operator's word, opens it again, or retires it (only without handles).
@@ -272,7 +273,7 @@
 func (c *Close) Op() string { return "close" }
 
 func (c *Close) apply(s *state.State, _ uint64) (any, error) {
-	return once(s, c.Order, c, func() (any, error) {
+	answer, err := once(s, c.Order, c, func() (any, error) {
 		m := s.Minions[c.Minion]
 		if m == nil {
 			return nil, fault.Field(fault.Unknown, "minion", "no minion %q", c.Minion)
@@ -291,6 +292,7 @@
 		s.Changed(state.NoteMinion, c.Minion)
 		return map[string]any{"minion": c.Minion, "closed": c.Closed}, nil
 	})
+	return answer, fault.Pass(err, "close minion %q", c.Minion)
 }
 
 // Tidy lets ended jobs, tombstones and remembered orders go, by age and by count.
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -199,15 +199,15 @@
 type NoteKind uint8
 
 const (
-	NoteDue          NoteKind = iota // a task fell due (Ref)
-	NoteOpened                       // a handle was recorded (Handle)
-	NoteClosed                       // a handle was released (Handle)
-	NoteMinion                       // a minion came or changed (Name)
-	NoteGone                         // a minion was retired (Name)
-	NoteInbox                        // a job entered the inbox (Name)
-	NoteStopping                     // a job's running handles are to be stopped (Name)
-	NoteDuty                         // a duty changed hands (Name)
-	NotePlacement                    // bundle or evacuated zones changed
+	NoteDue       NoteKind = iota // a task fell due (Ref)
+	NoteOpened                    // a handle was recorded (Handle)
+	NoteClosed                    // a handle was released (Handle)
+	NoteMinion                    // a minion came or changed (Name)
+	NoteGone                      // a minion was retired (Name)
+	NoteInbox                     // a job entered the inbox (Name)
+	NoteStopping                  // a job's running handles are to be stopped (Name)
+	NoteDuty                      // a duty changed hands (Name)
+	NotePlacement                 // bundle or evacuated zones changed
 )
 
 // State is the whole replicated state. It has no lock: its owner has.
--- a/internal/wire/caller.go
+++ b/internal/wire/caller.go
@@ -98,7 +98,11 @@
 //
 //	verdict, err := wire.Ask(ctx, caller, "10.0.0.7:7000", Vote, ballot, 500*time.Millisecond)
 func Ask[C, A any](ctx context.Context, k *Caller, addr string, p Pair[C, A], call C, within time.Duration) (A, error) {
-	return ask(ctx, k, k, addr, p, call, within, nil)
+	answer, err := ask(ctx, k, k, addr, p, call, within, nil)
+	if err != nil {
+		return answer, fault.Pass(err, "shared connection")
+	}
+	return answer, nil
 }
 
 // Line is a dedicated connection to one address: one call at a time, dialed at need, shared with nothing else.
@@ -128,7 +132,11 @@
 //		void(orders) // the minion surely has not seen them
 //	}
 func AskLine[C, A any](ctx context.Context, l *Line, p Pair[C, A], call C, within time.Duration, before func() error) (A, error) {
-	return ask(ctx, l.k, l, l.addr, p, call, within, before)
+	answer, err := ask(ctx, l.k, l, l.addr, p, call, within, before)
+	if err != nil {
+		return answer, fault.Pass(err, "line")
+	}
+	return answer, nil
 }
 
 // Close resets the line's connection; a call that runs fails, later ones are fault.Stopped.
@@ -173,14 +181,14 @@
 	if err == nil {
 		err = k.exchange(ctx, h, addr, p.Path, out.head(room, p.Path, addr), &in.buf, within, before)
 	} else {
-		err = fault.Pass(&unsent{err}, "ask %s", p.Path)
+		err = fault.Pass(&unsent{err}, "the call")
 	}
 	if err == nil {
 		err = fault.Wrap(json.Unmarshal(in.buf.Bytes(), &answer), fault.Malformed, "the answer of %s at %s", p.Path, addr)
 	}
 	if err != nil {
 		k.meter.faults.WithLabelValues(p.Path, string(known(fault.KindOf(err)))).Inc()
-		return none, err
+		return none, fault.Pass(err, "ask %s", p.Path)
 	}
 	return answer, nil
 }
@@ -223,7 +231,7 @@
 	}
 	l, err := h.take(ctx, addr)
 	if err != nil {
-		return explain(err)
+		return fault.Pass(explain(err), "connect")
 	}
 	whole := false
 	stop := context.AfterFunc(ctx, l.reset)
@@ -232,12 +240,15 @@
 	var refused error
 	err = l.write(out, &sent, func() error {
 		if context.Cause(ctx) != nil {
-			return context.Cause(ctx)
+			return fault.Wrap(context.Cause(ctx), fault.Timeout, "before the write")
 		}
-		if before != nil {
-			refused = before()
+		if before == nil {
+			return nil
+		}
+		if refused = before(); refused != nil {
+			return fault.Pass(refused, "held back")
 		}
-		return refused
+		return nil
 	})
 	k.meter.out.Add(float64(sent))
 	if refused != nil {
@@ -247,11 +258,11 @@
 		return fault.Pass(refused, "%s at %s: held back before the write", path, addr)
 	}
 	if err != nil {
-		return explain(err)
+		return fault.Pass(explain(err), "write the call")
 	}
 	res, err := http.ReadResponse(l.read, nil)
 	if err != nil {
-		return explain(err)
+		return fault.Pass(explain(err), "read the answer's head")
 	}
 	err = readInto(in, res.Body, res.ContentLength, k.opt.MaxBody)
 	k.meter.in.Add(float64(in.Len()))
@@ -259,7 +270,7 @@
 		return fault.Pass(err, "the answer of %s at %s", path, addr)
 	}
 	if err != nil {
-		return explain(err)
+		return fault.Pass(explain(err), "read the answer")
 	}
 	whole = !res.Close && l.read.Buffered() == 0
 	if res.StatusCode == http.StatusOK {
@@ -376,7 +387,11 @@
 		list := k.idle[addr]
 		if k.closed || len(list) == 0 {
 			k.mu.Unlock()
-			return k.dial(ctx, addr)
+			l, err := k.dial(ctx, addr)
+			if err != nil {
+				return nil, fault.Pass(err, "no idle connection to %s", addr)
+			}
+			return l, nil
 		}
 		l := list[len(list)-1]
 		k.idle[addr] = list[:len(list)-1]
--- a/internal/wire/server.go
+++ b/internal/wire/server.go
@@ -182,7 +182,10 @@
 	t.begun = true
 	n, err := t.ResponseWriter.Write(b)
 	t.out += max(n, 0)
-	return n, err
+	if err != nil {
+		return n, fault.Wrap(err, fault.Unavailable, "write the answer")
+	}
+	return n, nil
 }
 
 // serve lets a request in, unless the server stops, and finds its route.
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -99,7 +99,7 @@
 func ReadBody(r *http.Request, limit int64) ([]byte, error) {
 	var buf bytes.Buffer
 	if err := readInto(&buf, r.Body, r.ContentLength, limit); err != nil {
-		return nil, err
+		return nil, fault.Pass(err, "request")
 	}
 	return buf.Bytes(), nil
 }
