Faulty links, cuts and freezes for the rehearsal kit

Cause: a cut network and a hung machine could not be rehearsed on real processes. Ruled out: firewall rules (need rights), a proxy address in place of the real one (hints, duty addresses and announced addresses travel inside messages and would go round it).

--- a/cmd/cplane/run.go
+++ b/cmd/cplane/run.go
@@ -64,7 +64,7 @@
 
 func serve(ctx context.Context, set conf.Cplane, logger log.Logger) error {
 	reg := daemon.Registry()
-	caller := wire.NewCaller(wire.CallerOptions{UserTimeout: 2 * set.Election, Logger: daemon.Part(logger, "caller"), Registry: reg})
+	caller := wire.NewCaller(wire.CallerOptions{UserTimeout: 2 * set.Election, Via: set.Via, Logger: daemon.Part(logger, "caller"), Registry: reg})
 	defer caller.Close()
 	opt := store.Options{
 		Settings: set, Net: store.Wire(caller, set), Logger: daemon.Part(logger, "store"), Registry: reg,
--- a/cmd/dplane/main.go
+++ b/cmd/dplane/main.go
@@ -109,10 +109,10 @@
 	if _, err := rand.Read(boot); err != nil {
 		return fault.Wrap(err, fault.Internal, "boot id")
 	}
-	caller := wire.NewCaller(wire.CallerOptions{UserTimeout: set.CallTimeout, Logger: daemon.Part(logger, "caller"), Registry: reg})
+	caller := wire.NewCaller(wire.CallerOptions{UserTimeout: set.CallTimeout, Via: set.Via, Logger: daemon.Part(logger, "caller"), Registry: reg})
 	defer caller.Close()
 	// The kernel must not go on resending a start order when the lease is over: its time-out is well inside the margin.
-	minions := wire.NewCaller(wire.CallerOptions{UserTimeout: set.LeaseMargin / 2, DialTimeout: time.Second,
+	minions := wire.NewCaller(wire.CallerOptions{UserTimeout: set.LeaseMargin / 2, Via: set.Via, DialTimeout: time.Second,
 		Logger: daemon.Part(logger, "hold"), Registry: reg})
 	defer minions.Close()
 	core := set.Core
--- /dev/null
+++ b/cmd/drill/freeze.go
@@ -0,0 +1,73 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"os/signal"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"github.com/urfave/cli/v3"
+	"golang.org/x/sys/unix"
+
+	"crosstide/internal/alarm"
+	"crosstide/internal/fault"
+	"crosstide/internal/rig/audit"
+	"crosstide/internal/rig/fleet"
+	"crosstide/internal/rig/journal"
+)
+
+func init() {
+	commands = append(commands, &cli.Command{
+		Name: "freeze", Usage: "stop a process for a while, as a machine that hangs, and let it go on",
+		Description: "drill freeze --fleet DIR --node NAME --for 25s\n\n" +
+			"SIGSTOP, then SIGCONT; also when this command is told to end. Journaled to DIR/journal/drill-freeze-NAME.jsonl.",
+		Flags: []cli.Flag{dirFlag(), &cli.StringFlag{Name: "node", Required: true}, &cli.DurationFlag{Name: "for", Required: true}},
+		Action: func(ctx context.Context, cmd *cli.Command) error {
+			ctx, stop := signal.NotifyContext(ctx, syscall.SIGINT, syscall.SIGTERM)
+			defer stop()
+			return fault.Pass(freeze(ctx, cmd.String("fleet"), cmd.String("node"), cmd.Duration("for")), "freeze")
+		},
+	})
+}
+
+// freeze stops a node for d, or until ctx ends; it always wakes it. Faults: Unknown (it does not run), Disk.
+func freeze(ctx context.Context, dir, name string, d time.Duration) error {
+	pid, err := fleet.Pid(dir, name)
+	if err != nil {
+		return fault.Pass(err, "freeze %s", name)
+	}
+	pen, err := journal.Open(filepath.Join(dir, "journal", "drill-freeze-"+name+".jsonl"))
+	if err != nil {
+		return fault.Pass(err, "drill's journal")
+	}
+	defer pen.Close()
+	if err := note(pen, audit.Freeze, name, "SIGSTOP"); err != nil {
+		return fault.Pass(err, "freeze %s", name)
+	}
+	if err := unix.Kill(pid, unix.SIGSTOP); err != nil {
+		return fault.Wrap(err, fault.Unknown, "freeze %s, pid %d", name, pid)
+	}
+	pause(ctx, d)
+	woken := fault.Pass(fleet.Signal(dir, name, unix.SIGCONT), "thaw") // unless it was killed, and the pid is another's
+	return errors.Join(woken, note(pen, "thaw", name, "SIGCONT"))
+}
+
+// note writes what is done to a node into a journal of the drill, for the audit.
+func note(pen *journal.Writer, ev, node, how string) error {
+	err := pen.Append(map[string]any{"at": alarm.Real{}.Wall().UnixNano(), "ev": ev, "node": node, "how": how})
+	return fault.Pass(err, "drill's journal")
+}
+
+// pause waits for d, false if ctx ends before.
+func pause(ctx context.Context, d time.Duration) bool {
+	rung := make(chan struct{})
+	defer alarm.Real{}.Set(d, func() { close(rung) }).Stop()
+	select {
+	case <-rung:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/cmd/drill/link.go
@@ -0,0 +1,99 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/urfave/cli/v3"
+
+	"crosstide/internal/alarm"
+	"crosstide/internal/fault"
+	"crosstide/internal/rig/fleet"
+	"crosstide/internal/rig/link"
+)
+
+func init() {
+	commands = append(commands,
+		&cli.Command{
+			Name: "link", Usage: "run the faulty links of a fleet; `scripts/fleet up --links` starts it",
+			Flags: []cli.Flag{&cli.StringFlag{Name: "settings", Usage: "JSON `FILE` of drill plan", Required: true}},
+			Action: func(ctx context.Context, cmd *cli.Command) error {
+				set, err := link.Load(cmd.String("settings"))
+				if err != nil {
+					return fault.Pass(err, "link")
+				}
+				ctx, stop := signal.NotifyContext(ctx, syscall.SIGINT, syscall.SIGTERM)
+				defer stop()
+				logger := log.With(log.NewLogfmtLogger(log.NewSyncWriter(os.Stderr)), "ts", log.DefaultTimestampUTC)
+				return fault.Pass(link.Run(ctx, set, alarm.Real{}, logger), "link")
+			},
+		},
+		&cli.Command{
+			Name: "cut", Usage: "make the links to a node or a zone lose, slow down or hold back what they carry",
+			Description: "drill cut --fleet DIR (--node NAME|--zone Z) --for 25s [--silent|--oneway|--slow 300ms|--late]\n\n" +
+				"Only the links between the node (or zone) and all others are touched; consumers and operators still reach\n" +
+				"it. The cut heals by itself, this command does not wait for it. No connection is reset before it heals.\n" +
+				"With --late, held back orders of one that has gone on since arrive at the end: a minion that obeys late\n" +
+				"orders is promised that none is later than `lateness` of the dplanes' settings.",
+			Flags: []cli.Flag{
+				dirFlag(),
+				&cli.StringFlag{Name: "node"},
+				&cli.StringFlag{Name: "zone"},
+				&cli.DurationFlag{Name: "for", Required: true},
+				&cli.BoolFlag{Name: "silent", Usage: "swallow all (the default)"},
+				&cli.BoolFlag{Name: "oneway", Usage: "swallow what the node or zone sends"},
+				&cli.DurationFlag{Name: "slow", Usage: "let all arrive `D` later"},
+				&cli.BoolFlag{Name: "late", Usage: "hold all back until the end"},
+			},
+			Action: func(ctx context.Context, cmd *cli.Command) error {
+				c := link.Cut{Node: cmd.String("node"), Zone: cmd.String("zone"), For: cmd.Duration("for"), How: link.Silent}
+				given := 0
+				for _, how := range []string{link.Silent, link.Oneway, link.Slow, link.Late} {
+					if cmd.IsSet(how) {
+						c.How = how
+						given++
+					}
+				}
+				if given > 1 {
+					return exitCode{fault.Field(fault.Settings, "how", "only one of them may be given"), 2}
+				}
+				c.Delay = cmd.Duration("slow")
+				links, err := cut(ctx, cmd.String("fleet"), c)
+				if err != nil {
+					return fault.Pass(err, "cut")
+				}
+				_, err = fmt.Fprintf(cmd.Root().Writer, "%s cut of %s%s for %s, %d links\n", c.How, c.Node, c.Zone, c.For, links)
+				return fault.Wrap(err, fault.Disk, "print")
+			},
+		})
+}
+
+// cut gives the order to the fleet's links and tells how many it touched.
+func cut(ctx context.Context, dir string, c link.Cut) (int, error) {
+	if err := c.Check(); err != nil {
+		return 0, fault.Pass(err, "cut")
+	}
+	nodes, err := fleet.Read(dir)
+	if err != nil {
+		return 0, fault.Pass(err, "cut")
+	}
+	if nodes.Link == "" {
+		return 0, fault.New(fault.Settings, "the fleet has no links; it was brought up without --links")
+	}
+	reply, err := fleet.NewCaller(1).Call(ctx, http.MethodPost, nodes.Link, link.Order.Path, c, 5*time.Second)
+	if err != nil {
+		return 0, fault.Pass(err, "links")
+	}
+	var answer link.CutAnswer
+	if !reply.Good() || json.Unmarshal(reply.Body, &answer) != nil {
+		return 0, fault.New(fault.Internal, "the links refuse: %s", reply.Body)
+	}
+	return answer.Links, nil
+}
--- a/cmd/drill/minion.go
+++ b/cmd/drill/minion.go
@@ -34,6 +34,7 @@
 			&cli.IntFlag{Name: "cores", Usage: "(default 4)"},
 			&cli.IntFlag{Name: "gpus"},
 			&cli.StringSliceFlag{Name: "dplanes", Usage: "`A,B,C`: host:port of dplanes to announce to"},
+			&cli.StringMapFlag{Name: "via", Usage: "`A=B`: dial B to reach A, may be given again"},
 			&cli.StringFlag{Name: "journal", Usage: "`FILE` to append to; {name} stands for the minion's name"},
 			&cli.IntFlag{Name: "count", Usage: "`N` hollow minions NAME-0 and on (default 1: NAME itself)"},
 			&cli.DurationFlag{Name: "grace", Usage: "how long a leaving minion waits (default 10s)"},
@@ -106,6 +107,7 @@
 	put(cmd, "cores", &set.Cores, cmd.Int)
 	put(cmd, "gpus", &set.GPUs, cmd.Int)
 	put(cmd, "dplanes", &set.Dplanes, cmd.StringSlice)
+	put(cmd, "via", &set.Via, cmd.StringMap)
 	put(cmd, "journal", &set.Journal, cmd.String)
 	put(cmd, "count", &set.Count, cmd.Int)
 	put(cmd, "grace", (*time.Duration)(&set.Grace), cmd.Duration)
--- a/internal/conf/conf_test.go
+++ b/internal/conf/conf_test.go
@@ -58,6 +58,16 @@
 		})
 		So([]any{lease, on, names, of}, ShouldResemble, []any{3 * time.Second, true, []string{"x"}, []int{0, 1}})
 	})
+	Convey("A map of addresses is read whole or not at all", t, func() {
+		const a, b = "10.0.0.1:1", "10.0.0.2:2"
+		via := map[string]string{}
+		into := func(r *Reader) { r.Map("via", &via, Address) }
+		So(Parse([]byte(`{"via":{"`+a+`":"`+b+`"}}`), into), ShouldBeNil)
+		So(via, ShouldResemble, map[string]string{a: b})
+		So(lines(Parse([]byte(`{"via":{"`+a+`":7,"x":"`+b+`"}}`), into)), ShouldResemble, []string{
+			"via." + a + ": must be a string, is 7", `via: must be an address like "10.0.0.7:7000", is "x"`})
+		So(via, ShouldResemble, map[string]string{a: b})
+	})
 	Convey("Broken JSON, wrong shapes, doubles and absent needs are mistakes", t, func() {
 		into := func(r *Reader) {
 			var s string
--- a/internal/conf/daemon.go
+++ b/internal/conf/daemon.go
@@ -17,6 +17,8 @@
 	Seeds    []string      // seeds: 1 to 3 addresses of nodes to ask for the others; a dplane with a core may go without
 	LogLevel string        // log_level: debug, info, warn or error; default info
 	Grace    time.Duration // grace: for running calls at the end; default 5s
+
+	Via map[string]string // via: an address in it is dialed at the other one; for rehearsals with faulty links
 }
 
 // Member is one of the first cplanes of the store.
@@ -133,6 +135,7 @@
 	}
 	r.String("log_level", &c.LogLevel, OneOf("debug", "info", "warn", "error"))
 	r.Duration("grace", &c.Grace, 0, longest)
+	r.Map("via", &c.Via, Address)
 }
 
 func (c *Cplane) read(r *Reader) {
--- a/internal/conf/reader.go
+++ b/internal/conf/reader.go
@@ -4,6 +4,7 @@
 import (
 	"encoding/base64"
 	"fmt"
+	"maps"
 	"net/netip"
 	"slices"
 	"strconv"
@@ -290,6 +291,30 @@
 	}
 }
 
+// Map reads an object of strings; every rule must allow its keys and values.
+func (r *Reader) Map(field string, to *map[string]string, rules ...Rule) {
+	out, had := *to, len(*r.out)
+	if v := r.get(field); v != nil {
+		out = map[string]string{}
+		read(r.join(field), v, r.out, func(r *Reader) {
+			r.obj.Visit(func(key []byte, v *fastjson.Value) {
+				var one string
+				r.seen[string(key)] = true
+				r.str(string(key), v, &one, rules)
+				out[string(key)] = one
+			})
+		})
+	}
+	for _, key := range slices.Sorted(maps.Keys(out)) {
+		if r.allowed(field, key, rules) && r.checking() {
+			r.allowed(field+"."+key, out[key], rules)
+		}
+	}
+	if len(*r.out) == had {
+		*to = out
+	}
+}
+
 // Object reads a nested object.
 func (r *Reader) Object(field string, into func(r *Reader)) {
 	if v := r.get(field); v != nil {
--- a/internal/rig/fleet/fleet.go
+++ b/internal/rig/fleet/fleet.go
@@ -32,6 +32,7 @@
 	CPlanes []Node `json:"cplanes"`
 	DPlanes []Node `json:"dplanes"`
 	Minions []Node `json:"minions"`
+	Link    string `json:"link,omitempty"` // where the process of the faulty links takes orders
 }
 
 // All gives every node.
@@ -81,30 +82,42 @@
 	return out, nil
 }
 
-// Kill sends SIGKILL to the named process of the fleet, if the pid still is that process: its command line must
-// be the one in DIR/start. Faults: Disk, Malformed, Unknown (no such process any more).
-func Kill(dir, name string) error {
+// Kill is Signal with SIGKILL.
+func Kill(dir, name string) error { return fault.Pass(Signal(dir, name, unix.SIGKILL), "kill") }
+
+// Signal sends a signal to the named process of the fleet, if the pid still is that process. Faults: as of Pid.
+func Signal(dir, name string, sig unix.Signal) error {
+	pid, err := Pid(dir, name)
+	if err != nil {
+		return fault.Pass(err, "signal %s", name)
+	}
+	return fault.Wrap(unix.Kill(pid, sig), fault.Unknown, "signal %s, pid %d", name, pid)
+}
+
+// Pid gives the pid of a node that runs: the process with the pid of DIR/pids must have the command line of
+// DIR/start. Faults: Disk, Malformed, Unknown (no such process any more).
+func Pid(dir, name string) (int, error) {
 	pids, err := Pids(dir)
 	if err != nil {
-		return fault.Pass(err, "kill %s", name)
+		return 0, fault.Pass(err, "pid of %s", name)
 	}
 	pid, ok := pids[name]
 	if !ok {
-		return fault.New(fault.Unknown, "%s has no pid", name)
+		return 0, fault.New(fault.Unknown, "%s has no pid", name)
 	}
 	starts, err := os.ReadFile(filepath.Join(dir, "start"))
 	if err != nil {
-		return fault.Wrap(err, fault.Disk, "start lines of the fleet")
+		return 0, fault.Wrap(err, fault.Disk, "start lines of the fleet")
 	}
 	argv, err := os.ReadFile("/proc/" + strconv.Itoa(pid) + "/cmdline")
 	if err != nil {
-		return fault.Wrap(err, fault.Unknown, "%s, pid %d", name, pid)
+		return 0, fault.Wrap(err, fault.Unknown, "%s, pid %d", name, pid)
 	}
 	line := name + " " + strings.Join(strings.Split(strings.TrimRight(string(argv), "\x00"), "\x00"), " ")
 	if !strings.Contains("\n"+string(starts), "\n"+line+"\n") {
-		return fault.New(fault.Unknown, "pid %d is not %s any more", pid, name)
+		return 0, fault.New(fault.Unknown, "pid %d is not %s any more", pid, name)
 	}
-	return fault.Wrap(unix.Kill(pid, unix.SIGKILL), fault.Unknown, "kill %s, pid %d", name, pid)
+	return pid, nil
 }
 
 // Holders is the answer of GET /v1/who.
--- a/internal/rig/fleet/plan.go
+++ b/internal/rig/fleet/plan.go
@@ -11,6 +11,7 @@
 	"strings"
 
 	"crosstide/internal/fault"
+	"crosstide/internal/rig/link"
 )
 
 // rackSize is how many minions share a rack.
@@ -21,6 +22,7 @@
 	CPlanes, DPlanes, Minions, Zones, Cores int
 	Kind                                    string // obey, check or mixed
 	Bin                                     string // folder of the programs
+	Links                                   bool   // a faulty link between any two nodes that talk
 }
 
 // Check tells what is wrong with a shape. Fault: Invalid.
@@ -36,6 +38,41 @@
 	return nil
 }
 
+// ways counts the links of a shape: among cplanes, from dplanes to cplanes, between dplanes and minions.
+func (s Shape) ways() int {
+	if !s.Links {
+		return 0
+	}
+	return s.CPlanes*(s.CPlanes-1) + s.DPlanes*s.CPlanes + 2*s.DPlanes*s.Minions
+}
+
+// Lace gives a link for each way that some node dials another, one port each, and for each node by name the
+// address to dial by the address to reach.
+func Lace(n Nodes, ports []int) ([]link.Way, map[string]map[string]string) {
+	var out []link.Way
+	via := map[string]map[string]string{}
+	lace := func(from, to []Node) {
+		for _, a := range from {
+			for _, b := range to {
+				if a.Name == b.Name {
+					continue
+				}
+				w := link.Way{From: a.Name, FromZone: a.Zone, To: b.Name, ToZone: b.Zone, Dial: b.Addr,
+					Listen: "127.0.0.1:" + strconv.Itoa(ports[len(out)])}
+				if out = append(out, w); via[a.Name] == nil {
+					via[a.Name] = map[string]string{}
+				}
+				via[a.Name][b.Addr] = w.Listen
+			}
+		}
+	}
+	lace(n.CPlanes, n.CPlanes)
+	lace(n.DPlanes, n.CPlanes)
+	lace(n.DPlanes, n.Minions)
+	lace(n.Minions, n.DPlanes)
+	return out, via
+}
+
 // Lay gives the nodes of a shape: zones round robin, racks of eight minions within each zone. One port per node.
 func Lay(s Shape, ports []int) Nodes {
 	var n Nodes
@@ -78,6 +115,8 @@
 	Data    string   `json:"data,omitempty"`
 	Members []member `json:"members,omitempty"`
 	Core    []string `json:"core,omitempty"`
+
+	Via map[string]string `json:"via,omitempty"`
 }
 
 // Plan writes DIR/nodes.json, DIR/settings/NAME.json and DIR/start (lines `name program args...`). The folder
@@ -98,13 +137,22 @@
 	if _, err := os.Stat(filepath.Join(dir, "nodes.json")); err == nil {
 		return Nodes{}, fault.New(fault.Conflict, "%s holds a fleet already", dir)
 	}
-	ports, err := Ports(s.CPlanes + s.DPlanes + s.Minions)
+	nodes := s.CPlanes + s.DPlanes + s.Minions
+	ports, err := Ports(nodes + s.ways() + 1)
 	if err != nil {
 		return Nodes{}, fault.Pass(err, "plan")
 	}
 	n := Lay(s, ports)
-	files := map[string]any{"nodes.json": n}
+	files := map[string]any{}
 	var start strings.Builder
+	var via map[string]map[string]string
+	if s.Links {
+		set := link.Settings{Control: "127.0.0.1:" + strconv.Itoa(ports[nodes]), Journal: dir + "/journal/drill-cut.jsonl"}
+		set.Ways, via = Lace(n, ports[nodes+1:])
+		n.Link, files["settings/link.json"] = set.Control, set
+		fmt.Fprintf(&start, "link %s/drill link --settings %s/settings/link.json\n", s.Bin, dir)
+	}
+	files["nodes.json"] = n
 	var members []member
 	var core, front []string
 	for _, c := range n.CPlanes {
@@ -115,17 +163,23 @@
 	}
 	for _, c := range n.CPlanes {
 		files["settings/"+c.Name+".json"] = settings{c.Name, c.Zone, "local", c.Addr, seeds(c, core),
-			filepath.Join(dir, "data", c.Name), members, nil}
+			filepath.Join(dir, "data", c.Name), members, nil, via[c.Name]}
 		fmt.Fprintf(&start, "%s %s/cplane run --settings %s/settings/%s.json\n", c.Name, s.Bin, dir, c.Name)
 	}
 	for _, d := range n.DPlanes {
-		files["settings/"+d.Name+".json"] = settings{d.Name, d.Zone, "local", d.Addr, seeds(d, core), "", nil, core}
+		files["settings/"+d.Name+".json"] = settings{d.Name, d.Zone, "local", d.Addr, seeds(d, core), "", nil, core, via[d.Name]}
 		fmt.Fprintf(&start, "%s %s/dplane run --settings %s/settings/%s.json\n", d.Name, s.Bin, dir, d.Name)
 	}
 	for _, m := range n.Minions {
 		fmt.Fprintf(&start, "%s %s/drill minion --name %s --addr %s --kind %s --zone %s --rack %s --cores %d"+
-			" --dplanes %s --journal %s/journal/%s.jsonl\n", m.Name, s.Bin, m.Name, m.Addr, m.Kind, m.Zone, m.Rack,
+			" --dplanes %s --journal %s/journal/%s.jsonl", m.Name, s.Bin, m.Name, m.Addr, m.Kind, m.Zone, m.Rack,
 			s.Cores, strings.Join(front, ","), dir, m.Name)
+		for _, addr := range front {
+			if by := via[m.Name][addr]; by != "" {
+				fmt.Fprintf(&start, " --via %s=%s", addr, by)
+			}
+		}
+		start.WriteString("\n")
 	}
 	for _, sub := range []string{"settings", "log", "journal", "data"} {
 		if err := os.MkdirAll(filepath.Join(dir, sub), 0o755); err != nil {
--- /dev/null
+++ b/internal/rig/link/link.go
@@ -0,0 +1,268 @@
+package link
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"os"
+	"slices"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
+	"crosstide/internal/alarm"
+	"crosstide/internal/fault"
+	"crosstide/internal/rig/journal"
+	"crosstide/internal/spawn"
+	"crosstide/internal/wire"
+)
+
+const (
+	chunk     = 32 << 10
+	held      = 4096 // chunks that a direction of a connection holds back at most; then it stops reading
+	dialBound = 2 * time.Second
+)
+
+// Settings are those of `drill link`.
+type Settings struct {
+	Control string `json:"control"` // host:port that takes orders
+	Journal string `json:"journal"`
+	Ways    []Way  `json:"ways"`
+}
+
+// Load reads a settings file. Fault: Settings.
+func Load(path string) (Settings, error) {
+	var s Settings
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return s, fault.Wrap(err, fault.Settings, "read %s", path)
+	}
+	return s, fault.Wrap(json.Unmarshal(raw, &s), fault.Settings, "%s", path)
+}
+
+// Links is a process's links.
+type Links struct {
+	set    Settings
+	clock  alarm.Clock
+	logger log.Logger
+	pen    *journal.Writer
+	group  *spawn.Group
+	gate   gate
+}
+
+// Run opens the links and takes orders until ctx ends. Faults: Settings, Disk. Example:
+//
+//	err := link.Run(ctx, set, alarm.Real{}, logger)
+func Run(ctx context.Context, set Settings, clock alarm.Clock, logger log.Logger) error {
+	pen, err := journal.Open(set.Journal)
+	if err != nil {
+		return fault.Pass(err, "links")
+	}
+	defer pen.Close()
+	l := &Links{set: set, clock: clock, logger: logger, pen: pen, group: spawn.New(ctx)}
+	defer l.group.Stop()
+	for _, w := range set.Ways {
+		ln, err := net.Listen("tcp", w.Listen)
+		if err != nil {
+			return fault.Wrap(err, fault.Settings, "link from %s to %s", w.From, w.To)
+		}
+		context.AfterFunc(l.group.Context(), func() { _ = ln.Close() })
+		l.group.Go(func(ctx context.Context) { l.accept(ctx, ln, w) })
+	}
+	srv := wire.NewServer(wire.ServerOptions{Addr: set.Control, Logger: logger})
+	wire.Handle(srv, Order, func(_ context.Context, c Cut) (CutAnswer, error) {
+		a, err := l.cut(c)
+		return a, fault.Pass(err, "order")
+	})
+	if err := srv.Start(); err != nil {
+		return fault.Pass(err, "control port of the links")
+	}
+	_ = level.Info(logger).Log("msg", "links are up", "links", len(set.Ways), "control", srv.Addr())
+	<-ctx.Done()
+	return fault.Pass(srv.Stop(time.Second), "links")
+}
+
+// cut carries out an order, after it is in the journal, and journals when it is over.
+func (l *Links) cut(c Cut) (CutAnswer, error) {
+	var answer CutAnswer
+	if err := c.Check(); err != nil {
+		return answer, fault.Pass(err, "cut")
+	}
+	for _, w := range l.set.Ways {
+		if yes, _ := c.crosses(w); yes {
+			answer.Links++
+		}
+	}
+	if answer.Links == 0 {
+		return answer, fault.New(fault.Unknown, "no link leads to %s%s", c.Node, c.Zone)
+	}
+	note := func(ev string) error {
+		err := l.pen.Append(map[string]any{"at": l.clock.Wall().UnixNano(), "ev": ev, "node": c.Node, "zone": c.Zone,
+			"how": c.How, "for": c.For.String(), "delay": c.Delay.String()})
+		return fault.Pass(err, "links' journal")
+	}
+	if err := note("cut"); err != nil {
+		return answer, fault.Pass(err, "cut")
+	}
+	l.gate.add(l.clock.Now(), c)
+	l.clock.Set(c.For, func() {
+		if err := note("heal"); err != nil {
+			_ = level.Warn(l.logger).Log("msg", "journal", "err", err)
+		}
+	})
+	_ = level.Info(l.logger).Log("msg", "cut", "node", c.Node, "zone", c.Zone, "how", c.How, "for", c.For, "links", answer.Links)
+	return answer, nil
+}
+
+func (l *Links) accept(ctx context.Context, ln net.Listener, w Way) {
+	for {
+		c, err := ln.Accept()
+		if err != nil {
+			if ctx.Err() == nil {
+				_ = level.Error(l.logger).Log("msg", "a link has ended", "from", w.From, "to", w.To, "err", err)
+			}
+			return
+		}
+		l.group.Go(func(ctx context.Context) { l.serve(ctx, w, c.(*net.TCPConn)) })
+	}
+}
+
+// tie is one connection through a link: its two ends, reset together.
+type tie struct {
+	*Links
+	Way
+	group *spawn.Group
+}
+
+// serve leads one connection. The opening of it is judged as its bytes are: held back, or never answered.
+func (l *Links) serve(ctx context.Context, w Way, in *net.TCPConn) {
+	t := &tie{l, w, spawn.New(ctx)}
+	defer t.group.Stop()
+	closing(t.group, in)
+	to := make(chan piece, held)
+	ended := make(chan struct{}, 2)
+	open := t.judge(true)
+	t.group.Go(func(context.Context) { t.read(in, true, to) }) // at once: bytes may come that are to be held back
+	if open.lost || !t.wait(open.due) {
+		<-t.group.Context().Done()
+		return
+	}
+	dialer := net.Dialer{Timeout: dialBound}
+	c, err := dialer.DialContext(t.group.Context(), "tcp", w.Dial)
+	if err != nil {
+		return // as the node's own kernel would: reset
+	}
+	out := c.(*net.TCPConn)
+	closing(t.group, out)
+	from := make(chan piece, held)
+	t.group.Go(func(context.Context) { t.read(out, false, from) })
+	t.group.Go(func(context.Context) { t.write(out, to); ended <- struct{}{} })
+	t.group.Go(func(context.Context) { t.write(in, from); ended <- struct{}{} })
+	for range 2 {
+		select {
+		case <-ended:
+		case <-t.group.Context().Done():
+		}
+	}
+}
+
+// closing resets c when the group ends.
+func closing(g *spawn.Group, c *net.TCPConn) {
+	context.AfterFunc(g.Context(), func() {
+		_ = c.SetLinger(0)
+		_ = c.Close()
+	})
+}
+
+// judge gives the fate of what comes now; what is lost dooms the connection: a stream with a gap cannot go on.
+func (t *tie) judge(forward bool) fate {
+	now := t.clock.Now()
+	f := t.gate.fate(now, t.Way, forward)
+	if f.lost {
+		t.clock.Set(f.end-now, t.group.Cancel)
+	}
+	return f
+}
+
+// wait waits until due, false if the connection ends before.
+func (t *tie) wait(due time.Duration) bool {
+	d := due - t.clock.Now()
+	if d <= 0 {
+		return true
+	}
+	rung := make(chan struct{})
+	ring := t.clock.Set(d, func() { close(rung) })
+	select {
+	case <-rung:
+		return true
+	case <-t.group.Context().Done():
+		ring.Stop()
+		return false
+	}
+}
+
+// piece is what came at one moment: bytes, or the stream's end.
+type piece struct {
+	data []byte
+	due  time.Duration
+	err  error // the end: io.EOF or a reset
+}
+
+// read takes in a direction's bytes until its end, or until something of it is lost; then all the rest is.
+func (t *tie) read(from *net.TCPConn, forward bool, to chan<- piece) {
+	buf := make([]byte, chunk)
+	for {
+		n, err := from.Read(buf)
+		f := t.judge(forward)
+		if f.lost {
+			_, _ = io.Copy(io.Discard, from) // nothing of it matters any more
+			return
+		}
+		if n > 0 && !t.put(to, piece{data: slices.Clone(buf[:n]), due: f.due}) {
+			return
+		}
+		if err != nil {
+			t.put(to, piece{due: f.due, err: err})
+			return
+		}
+	}
+}
+
+func (t *tie) put(to chan<- piece, p piece) bool {
+	select {
+	case to <- p:
+		return true
+	case <-t.group.Context().Done():
+		return false
+	}
+}
+
+// write lets pieces go on when they are due. An end goes on as what it was, a reset takes both sides.
+func (t *tie) write(to *net.TCPConn, from <-chan piece) {
+	for {
+		var p piece
+		select {
+		case p = <-from:
+		case <-t.group.Context().Done():
+			return
+		}
+		if !t.wait(p.due) {
+			return
+		}
+		if len(p.data) > 0 {
+			if _, err := to.Write(p.data); err != nil {
+				t.group.Cancel()
+				return
+			}
+		}
+		if p.err != nil {
+			if !errors.Is(p.err, io.EOF) || to.CloseWrite() != nil {
+				t.group.Cancel()
+			}
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/rig/link/link_test.go
@@ -0,0 +1,162 @@
+package link
+
+import (
+	"context"
+	"io"
+	"net"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	. "github.com/smartystreets/goconvey/convey"
+
+	"crosstide/internal/alarm"
+	"crosstide/internal/rig/journal"
+	"crosstide/internal/spawn"
+)
+
+var way = Way{From: "d1", FromZone: "z1", To: "c2", ToZone: "z2"}
+
+func TestGate(t *testing.T) {
+	Convey("A cut touches what crosses it, for its time; cuts add up", t, func() {
+		g := &gate{}
+		out := func(now time.Duration, w Way, forward bool) []any {
+			f := g.fate(now, w, forward)
+			return []any{f.lost, f.end, f.due}
+		}
+		within := Way{From: "d1", FromZone: "z1", To: "c1", ToZone: "z1"}
+		g.add(0, Cut{Zone: "z1", How: Silent, For: 10})
+		So(out(5, way, true), ShouldResemble, []any{true, time.Duration(10), time.Duration(5)})
+		So(out(5, way, false)[0], ShouldBeTrue)
+		So(out(5, within, true)[0], ShouldBeFalse)
+		So(out(10, way, true)[0], ShouldBeFalse)
+		g.add(10, Cut{Node: "c2", How: Oneway, For: 10})
+		So([]any{out(11, way, true)[0], out(11, way, false)[0]}, ShouldResemble, []any{false, true})
+		g.add(20, Cut{Node: "d1", How: Slow, Delay: 3, For: 10})
+		So(out(21, way, true)[2], ShouldEqual, time.Duration(24))
+		g.add(21, Cut{Node: "d1", How: Late, For: 9})
+		So(out(22, way, false)[2], ShouldEqual, time.Duration(30))
+		So(out(22, Way{From: "m1", To: "d2"}, true)[2], ShouldEqual, time.Duration(22))
+	})
+	Convey("An order that makes no sense is refused", t, func() {
+		for _, c := range []Cut{{How: Late, For: 1}, {Node: "a", Zone: "b", How: Late, For: 1}, {Node: "a", How: "x", For: 1},
+			{Node: "a", How: Late}, {Node: "a", How: Slow, For: 1}, {Node: "a", How: Late, For: 1, Delay: 1}} {
+			So(c.Check(), ShouldNotBeNil)
+		}
+		So(Cut{Node: "a", How: Slow, For: 1, Delay: 1}.Check(), ShouldBeNil)
+	})
+}
+
+// counted tells of every alarm that is set.
+type counted struct {
+	alarm.Virtual
+	sets chan struct{}
+}
+
+func (c *counted) Set(d time.Duration, ring func()) alarm.Stopper {
+	defer func() { c.sets <- struct{}{} }()
+	return c.Virtual.Set(d, ring)
+}
+
+func (c *counted) await(n int) {
+	for range n {
+		<-c.sets
+	}
+}
+
+// pipe is a link to a peer that answers every byte with the next one.
+func pipe(t *testing.T) (*Links, *counted, func() net.Conn) {
+	clock, group := &counted{sets: make(chan struct{}, 100)}, spawn.New(context.Background())
+	pen, err := journal.Open(filepath.Join(t.TempDir(), "j"))
+	So(err, ShouldBeNil)
+	listen := func() net.Listener {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		So(err, ShouldBeNil)
+		context.AfterFunc(group.Context(), func() { _ = ln.Close() })
+		return ln
+	}
+	peer, front := listen(), listen()
+	group.Go(func(context.Context) {
+		for c, err := peer.Accept(); err == nil; c, err = peer.Accept() {
+			group.Go(func(context.Context) {
+				b := make([]byte, 1)
+				for _, err := c.Read(b); err == nil; _, err = c.Read(b) {
+					b[0]++
+					_, _ = c.Write(b)
+				}
+				_ = c.Close()
+			})
+		}
+	})
+	w := way
+	w.Dial = peer.Addr().String()
+	l := &Links{set: Settings{Ways: []Way{w}}, clock: clock, logger: log.NewNopLogger(), pen: pen, group: group}
+	group.Go(func(ctx context.Context) { l.accept(ctx, front, w) })
+	Reset(func() { group.Stop(); So(pen.Close(), ShouldBeNil) })
+	return l, clock, func() net.Conn {
+		c, err := net.Dial("tcp", front.Addr().String())
+		So(err, ShouldBeNil)
+		return c
+	}
+}
+
+func say(c net.Conn, b byte) {
+	_, err := c.Write([]byte{b})
+	So(err, ShouldBeNil)
+}
+
+func hears(c net.Conn) byte {
+	b := make([]byte, 1)
+	_, err := io.ReadFull(c, b)
+	So(err, ShouldBeNil)
+	return b[0]
+}
+
+func TestLinks(t *testing.T) {
+	Convey("Bytes and ends go through, both ways", t, func() {
+		_, _, dial := pipe(t)
+		c := dial()
+		say(c, 1)
+		So(hears(c), ShouldEqual, 2)
+		So(c.(*net.TCPConn).CloseWrite(), ShouldBeNil)
+		_, err := c.Read(make([]byte, 1))
+		So(err, ShouldEqual, io.EOF)
+	})
+	Convey("In a silent cut nothing is answered, and what lost something is reset at the end of it only", t, func() {
+		l, clock, dial := pipe(t)
+		old, quiet := dial(), dial()
+		for _, c := range []net.Conn{old, quiet} {
+			say(c, 1)
+			So(hears(c), ShouldEqual, 2)
+		}
+		answer, err := l.cut(Cut{Node: "c2", How: Silent, For: time.Second})
+		So(err, ShouldBeNil)
+		So(answer.Links, ShouldEqual, 1)
+		fresh := dial()
+		say(old, 5)
+		say(fresh, 7)
+		over := make(chan error, 2)
+		for _, c := range []net.Conn{old, fresh} {
+			l.group.Go(func(context.Context) { _, err := c.Read(make([]byte, 1)); over <- err })
+		}
+		clock.await(4) // of the cut, of what was lost, and of the new connection and what was lost on it
+		clock.Advance(time.Second)
+		So([]error{<-over, <-over}, ShouldNotContain, nil)
+		say(quiet, 3)
+		So(hears(quiet), ShouldEqual, 4)
+	})
+	Convey("A late link delivers in order at the end, also what was sent by one that has gone", t, func() {
+		l, clock, dial := pipe(t)
+		c := dial()
+		say(c, 1)
+		So(hears(c), ShouldEqual, 2)
+		_, err := l.cut(Cut{Zone: "z1", How: Late, For: time.Second})
+		So(err, ShouldBeNil)
+		say(c, 5)
+		So(c.(*net.TCPConn).CloseWrite(), ShouldBeNil)
+		clock.await(2) // of the cut, and of the bytes that wait for its end
+		clock.Advance(time.Second)
+		So(hears(c), ShouldEqual, 6)
+	})
+}
--- a/internal/rig/minion/host.go
+++ b/internal/rig/minion/host.go
@@ -61,7 +61,7 @@
 	h := &Host{
 		set: set, clock: clock, logger: logger, bodies: map[string]*body{}, pens: map[string]*journal.Writer{},
 		server: wire.NewServer(wire.ServerOptions{Addr: set.Addr, Logger: logger, Clock: clock}),
-		caller: wire.NewCaller(wire.CallerOptions{Logger: logger, Clock: clock}),
+		caller: wire.NewCaller(wire.CallerOptions{Logger: logger, Clock: clock, Via: set.Via}),
 		group:  spawn.New(context.Background()), stays: set.Count, over: make(chan struct{}),
 	}
 	for _, name := range set.names() {
--- a/internal/rig/minion/settings.go
+++ b/internal/rig/minion/settings.go
@@ -37,6 +37,7 @@
 	Cores   int               `json:"cores"`
 	GPUs    int               `json:"gpus"`
 	Dplanes []string          `json:"dplanes"`
+	Via     map[string]string `json:"via"`     // an address in it is dialed at the other one
 	Journal string            `json:"journal"` // path; {name} stands for the minion's name
 	Count   int               `json:"count"`   // over 1: hollow minions NAME-0, NAME-1, … at one address
 	Grace   Span              `json:"grace"`
--- a/internal/wire/caller.go
+++ b/internal/wire/caller.go
@@ -27,6 +27,7 @@
 	Clock       alarm.Clock           // default alarm.Real
 	UserTimeout time.Duration         // TCP_USER_TIMEOUT: how long the kernel may resend unconfirmed bytes; 0: its own
 	DialTimeout time.Duration         // default 2s
+	Via         map[string]string     // an address in it is reached by dialing the other one, as a rehearsal's links want
 	Idle        int                   // idle connections kept per address, default 16
 	IdleFor     time.Duration         // an idle connection is dropped after it, default 1m, under a server's 2m
 	MaxBody     int64                 // bound on an answer in bytes, default MaxBody
@@ -352,7 +353,11 @@
 }
 
 func (k *Caller) dial(ctx context.Context, addr string) (*link, error) {
-	c, err := k.dialer.DialContext(ctx, "tcp", addr)
+	by := addr
+	if link := k.opt.Via[addr]; link != "" {
+		by = link
+	}
+	c, err := k.dialer.DialContext(ctx, "tcp", by)
 	if err != nil {
 		_ = level.Debug(k.opt.Logger).Log("msg", "dial failed", "addr", addr, "err", err)
 		return nil, fault.Wrap(err, fault.Unavailable, "dial")
