Bound what a dplane does on its way out

Cause: announcements and the giving up of the duty asked for the leader until the grace was over, one after the other: a dplane took over 10 s to end after the cplanes had gone. Change: commits and the giving up are bounded by the call time-out. Conclusion: SIGTERM ends a dplane within its grace.

--- a/internal/plane/node.go
+++ b/internal/plane/node.go
@@ -97,6 +97,8 @@
 	n.replica.Lock()
 	n.sched.Yield()
 	n.replica.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, n.opt.CallTimeout)
+	defer cancel()
 	if _, err := toLeader(ctx, n.core, n, pair.Duty, n.claim(epoch, true), n.opt.CallTimeout, true); err != nil {
 		_ = level.Warn(n.opt.Logger).Log("msg", "giving the duty up failed, its lease will run out", "err", err)
 	}
@@ -292,6 +294,8 @@
 
 // Propose commits a command that may be repeated (submit, cancel, announce) and gives its answer.
 func (n *Node) Propose(ctx context.Context, c command.Command) (json.RawMessage, error) {
+	ctx, cancel := context.WithTimeout(ctx, n.opt.CallTimeout)
+	defer cancel()
 	a, err := n.core.propose(ctx, n, c, true)
 	if err != nil {
 		return nil, fault.Pass(err, "commit")
