Give the group commit's test a disk whose syncs take time

Change: syncs of the test's disk take 5 ms of the virtual clock. The bound (over ten proposals a sync) is unchanged. Conclusion: the verdict no longer hangs on the scheduler.

--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -6,6 +6,7 @@
 	"math/rand"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -34,6 +35,32 @@
 	died  map[string]error
 	work  *spawn.Group
 	acked map[string]uint64
+	slow  atomic.Int64 // nanoseconds that a sync takes on the virtual clock
+}
+
+// paced is a disk whose syncs take the rig's time.
+type paced struct {
+	slot.Disk
+	r *rig
+}
+
+type pacedFile struct {
+	slot.File
+	r *rig
+}
+
+func (d paced) Create(name string) (slot.File, error) {
+	f, err := d.Disk.Create(name)
+	return pacedFile{f, d.r}, err
+}
+
+func (f pacedFile) Sync() error {
+	if took := time.Duration(f.r.slow.Load()); took > 0 {
+		over := make(chan struct{})
+		f.r.clock.Set(took, func() { close(over) })
+		<-over
+	}
+	return f.File.Sync()
 }
 
 func newRig(n, slotEvery int) *rig {
@@ -54,7 +81,7 @@
 func (r *rig) start(name string) {
 	set := r.set
 	set.Name, set.Addr, set.Zone = name, name, "z"
-	s, err := Open(Options{Settings: set, Disk: r.disks[name], Net: net{r}, Clock: &r.clock, Seed: uint64(name[1]),
+	s, err := Open(Options{Settings: set, Disk: paced{r.disks[name], r}, Net: net{r}, Clock: &r.clock, Seed: uint64(name[1]),
 		Fatal: func(err error) { r.mu.Lock(); r.died[name] = err; r.mu.Unlock() }})
 	So(err, ShouldBeNil)
 	r.mu.Lock()
@@ -280,9 +307,12 @@
 func TestGroupCommit(t *testing.T) {
 	within(t, 1<<20, func(r *rig) { // no slots: they sync too
 		lead := r.leader()
+		r.slow.Store(int64(5 * time.Millisecond)) // a disk without a delay would leave the grouping to the scheduler
 		before := lead.slots.Stats().Syncs
 		So(r.load("a", 300), ShouldBeEmpty)
 		So(300/(lead.slots.Stats().Syncs-before), ShouldBeGreaterThan, 10)
+		r.slow.Store(0)
+		r.clock.Advance(time.Second) // lets the syncs under way end
 	})
 }
 
