Bundles in the state: one line of versions, two signatures, charters that count

Cause: the bundle was a fixed record; operators could neither write nor sign one. Ruled out: keeping the keys in each cplane's settings for apply (replicas could judge a signature differently); merging a patch at the node that takes it (its order sent again could merge another text). Change: package bundle reads one document and tells all mistakes at once; package seal holds keys and the signed texts; commands keys, put, patch and sign compare on the newest version in the log. Queues gain nearness, holds and retries, the bundle weights of teams; placement, holds and retries go by them. A job whose queue is gone stays due and says why. Signed evacuations, lifted by two.

--- /dev/null
+++ b/internal/bundle/bundle_test.go
@@ -0,0 +1,100 @@
+package bundle
+
+import (
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"crosstide/internal/fault"
+	"crosstide/internal/seal"
+	"crosstide/internal/state"
+)
+
+const full = `{"queues":{"scan":{"types":["scan","route"],"teams":["parcel"],"labels":{"disk":"ssd"},"urgent":true,"hold":"10s",
+"retries":2,"charter":{"minions":["m2","m1"],"zones":["z1"],"racks":["r1"],"near":[{"label":"data","value":"scans","within":"rack"}]}}},
+"limits":{"scan":40},"weights":{"parcel":3},"retries":5,"backoff":{"min":"1s","max":"1m"},"hold":"30s"}`
+
+func TestParse(t *testing.T) {
+	Convey("A bundle says what it says; the first text is the state's own first bundle", t, func() {
+		b, err := Parse([]byte(full))
+		So(err, ShouldBeNil)
+		two, five := 2, 5
+		So(b, ShouldResemble, state.Bundle{
+			Queues: map[string]state.Queue{"scan": {Types: []string{"route", "scan"}, Teams: []string{"parcel"},
+				Labels: map[string]string{"disk": "ssd"}, Minions: []string{"m1", "m2"}, Zones: []string{"z1"}, Racks: []string{"r1"},
+				Urgent: true, Near: []state.Near{{Label: "data", Value: "scans", Within: "rack"}}, Hold: 10 * time.Second, Retries: &two}},
+			Limits: map[string]int{"scan": 40}, Weights: map[string]int{"parcel": 3}, Retries: &five, Hold: 30 * time.Second,
+			Backoff: state.Backoff{Min: time.Second, Max: time.Minute}})
+		first, err := Parse([]byte(state.First))
+		So(err, ShouldBeNil)
+		first.Version = 1
+		So(state.New().Bundle, ShouldResemble, first)
+		So(state.New().Head().Digest, ShouldEqual, Digest([]byte(state.First)))
+	})
+	Convey("All mistakes are told at once, with their paths", t, func() {
+		_, err := Parse([]byte(`{"queues":{"a b":{},"q":{"zones":["z1"],"types":[],"hold":"1ms","charter":{"racks":["r 1",7],
+			"near":[{"label":"x","within":"room"}]}}},"limits":{"scan":-1},"weights":{"t":0},"backoff":{"min":"2s","max":"1s"},
+			"operators":[{"name":"o","key":"QQ=="}],"limit":{}}`))
+		So(fault.KindOf(err), ShouldEqual, fault.Invalid)
+		lines := strings.Split(fault.Of(err).Message, "\n")
+		So(lines[0], ShouldEqual, "14 mistakes in the bundle:")
+		for i, want := range []string{"queues.a b: must be a name", "queues.q.types: must not be empty", "queues.q.hold: must be from 5s",
+			`queues.q.charter.racks[0]: must be a name`, "queues.q.charter.racks[1]: must be a string, is 7",
+			"queues.q.charter.near[0].value: must be given", "queues.q.charter.near[0].within: must be one of rack, zone",
+			"queues.q.zones: is not a known field", "limits.scan: must be from 0", "weights.t: must be from 1",
+			"backoff.max: must not be under min", "operators[0].key: must be the base64 of 32 bytes"} {
+			So(lines[i+1], ShouldStartWith, want)
+		}
+		So(fault.Of(err).Message, ShouldEndWith, "limit: is not a known field")
+	})
+	Convey("What is no bundle at all is refused", t, func() {
+		for _, text := range []string{``, `[]`, `{}`, `{"queues":{}}`, `{"queues":{"q":{},"q":{}}}`, "{\"queues\":{\"q\":{\"teams\":[\"\xff\"]}}}",
+			`{"queues":{"q":{}},"operators":[]}`} {
+			_, err := Parse([]byte(text))
+			So(text+string(fault.KindOf(err)), ShouldEqual, text+string(fault.Invalid))
+		}
+		_, err := Parse(make([]byte, MaxBytes+1))
+		So(fault.KindOf(err), ShouldEqual, fault.TooLarge)
+	})
+}
+
+func TestMerge(t *testing.T) {
+	Convey("A merge patch sets, replaces and takes away, and the difference is told by paths", t, func() {
+		next, err := Merge([]byte(full), []byte(`{"queues":{"scan":{"charter":{"zones":["z2"],"racks":null},"teams":null},"new":{}},"limits":null}`))
+		So(err, ShouldBeNil)
+		b, err := Parse(next)
+		So(err, ShouldBeNil)
+		So([]any{b.Queues["scan"].Zones, b.Queues["scan"].Racks, b.Queues["scan"].Teams, len(b.Queues), b.Limits},
+			ShouldResemble, []any{[]string{"z2"}, []string(nil), []string(nil), 2, map[string]int(nil)})
+		changes, err := Diff([]byte(full), next)
+		So(err, ShouldBeNil)
+		So(changes, ShouldResemble, []Change{{"limits", `{"scan":40}`, ""}, {"queues.new", "", "{}"},
+			{"queues.scan.charter.racks", `["r1"]`, ""}, {"queues.scan.charter.zones", `["z1"]`, `["z2"]`},
+			{"queues.scan.teams", `["parcel"]`, ""}})
+	})
+	Convey("A patch that is none, or says a thing twice, is refused", t, func() {
+		for _, patch := range []string{`{`, `[]`, `{"limits":{"a":1,"a":2}}`} {
+			_, err := Merge([]byte(full), []byte(patch))
+			So(fault.KindOf(err), ShouldEqual, fault.Invalid)
+		}
+	})
+}
+
+func TestKeys(t *testing.T) {
+	Convey("A key survives its file, which is not written over, and signs what it signed", t, func() {
+		key, err := seal.New("ada")
+		So(err, ShouldBeNil)
+		path := filepath.Join(t.TempDir(), "ada.json")
+		So(key.Save(path), ShouldBeNil)
+		So(fault.KindOf(key.Save(path)), ShouldEqual, fault.Disk)
+		back, err := seal.Load(path)
+		So(err, ShouldBeNil)
+		So(back, ShouldResemble, key)
+		sig := back.Sign(seal.Bundle(2, "d"))
+		So(seal.Verify(key.Public(), seal.Bundle(2, "d"), sig), ShouldBeTrue)
+		So(seal.Verify(key.Public(), seal.Bundle(3, "d"), sig), ShouldBeFalse)
+	})
+}
--- /dev/null
+++ b/internal/bundle/merge.go
@@ -0,0 +1,140 @@
+package bundle
+
+import (
+	"bytes"
+	"encoding/json"
+	"slices"
+	"strconv"
+
+	"github.com/valyala/fastjson"
+
+	"crosstide/internal/fault"
+)
+
+// Merge changes a bundle's text by a JSON merge patch (RFC 7396): objects are merged, null takes away, all else
+// replaces. The result is indented by two spaces; the order of the names stays, new ones come last. It is not yet
+// checked as a bundle. Faults: Invalid, TooLarge. Example:
+//
+//	next, err := bundle.Merge(body, []byte(`{"limits":{"scan":40}}`))
+func Merge(base, patch []byte) ([]byte, error) {
+	if len(patch) > MaxBytes {
+		return nil, fault.New(fault.TooLarge, "the patch has %d bytes, at most %d", len(patch), MaxBytes)
+	}
+	var left, right fastjson.Parser
+	to, err := left.ParseBytes(base)
+	if err != nil {
+		return nil, fault.Wrap(err, fault.Invalid, "the base must be JSON")
+	}
+	from, err := right.ParseBytes(patch)
+	if err != nil {
+		return nil, fault.New(fault.Invalid, "1 mistake in the patch:\nmust be JSON: %v", err)
+	}
+	if from.Type() != fastjson.TypeObject {
+		return nil, fault.New(fault.Invalid, "1 mistake in the patch:\nmust be an object, is %s", from.Type())
+	}
+	if path := twice("", from); path != "" {
+		return nil, fault.Field(fault.Invalid, path, "1 mistake in the patch:\n%s: is given more than once", path)
+	}
+	var out bytes.Buffer
+	if err := json.Indent(&out, merged(to, from).MarshalTo(nil), "", "  "); err != nil {
+		return nil, fault.Wrap(err, fault.Invalid, "the result")
+	}
+	out.WriteByte('\n')
+	return out.Bytes(), nil
+}
+
+func merged(to, from *fastjson.Value) *fastjson.Value {
+	if from.Type() != fastjson.TypeObject {
+		return from
+	}
+	if to == nil || to.Type() != fastjson.TypeObject {
+		to = fastjson.MustParse("{}")
+	}
+	from.GetObject().Visit(func(key []byte, v *fastjson.Value) {
+		name := string(key)
+		if v.Type() == fastjson.TypeNull {
+			to.Del(name)
+			return
+		}
+		to.Set(name, merged(to.Get(name), v))
+	})
+	return to
+}
+
+// twice gives the path of a name that an object in v has more than once.
+func twice(path string, v *fastjson.Value) (found string) {
+	if v.Type() != fastjson.TypeObject {
+		return ""
+	}
+	seen := map[string]bool{}
+	v.GetObject().Visit(func(key []byte, v *fastjson.Value) {
+		at := joined(path, string(key))
+		if seen[string(key)] && found == "" {
+			found = at
+		}
+		seen[string(key)] = true
+		if deep := twice(at, v); found == "" {
+			found = deep
+		}
+	})
+	return found
+}
+
+// Change is one difference of two bundles: From or To is "" where there is nothing, else JSON.
+type Change struct {
+	Path string `json:"path"`
+	From string `json:"from,omitempty"`
+	To   string `json:"to,omitempty"`
+}
+
+// Diff gives what differs between two texts, by what they say and not by their spelling, in order of paths.
+// Fault: Invalid.
+func Diff(from, to []byte) ([]Change, error) {
+	var left, right fastjson.Parser
+	a, err := left.ParseBytes(from)
+	if err != nil {
+		return nil, fault.Wrap(err, fault.Invalid, "the first must be JSON")
+	}
+	b, err := right.ParseBytes(to)
+	if err != nil {
+		return nil, fault.Wrap(err, fault.Invalid, "the second must be JSON")
+	}
+	var out []Change
+	differ("", a, b, &out)
+	slices.SortStableFunc(out, func(a, b Change) int { return bytes.Compare([]byte(a.Path), []byte(b.Path)) })
+	return out, nil
+}
+
+func differ(path string, a, b *fastjson.Value, out *[]Change) {
+	if a != nil && b != nil && a.Type() == fastjson.TypeObject && b.Type() == fastjson.TypeObject {
+		a.GetObject().Visit(func(key []byte, v *fastjson.Value) {
+			differ(joined(path, string(key)), v, b.GetObject().Get(string(key)), out)
+		})
+		b.GetObject().Visit(func(key []byte, v *fastjson.Value) {
+			if a.GetObject().Get(string(key)) == nil {
+				differ(joined(path, string(key)), nil, v, out)
+			}
+		})
+		return
+	}
+	if from, to := text(a), text(b); from != to {
+		*out = append(*out, Change{path, from, to})
+	}
+}
+
+func text(v *fastjson.Value) string {
+	if v == nil {
+		return ""
+	}
+	return string(v.MarshalTo(nil))
+}
+
+func joined(path, name string) string {
+	if !nameForm.MatchString(name) {
+		name = strconv.Quote(name)
+	}
+	if path == "" {
+		return name
+	}
+	return path + "." + name
+}
--- a/internal/conf/reader.go
+++ b/internal/conf/reader.go
@@ -174,6 +174,19 @@
 	return r.obj.Get(field)
 }
 
+// Has tells whether a field is given; a reader without an object has none.
+func (r *Reader) Has(field string) bool { return !r.checking() && r.obj.Get(field) != nil }
+
+// Names gives the names of this object's fields in the order of the text, for objects whose names are the
+// operator's own. A name given twice is there twice, and a mistake.
+func (r *Reader) Names() []string {
+	var out []string
+	if !r.checking() {
+		r.obj.Visit(func(key []byte, _ *fastjson.Value) { out = append(out, string(key)) })
+	}
+	return out
+}
+
 // Need makes the absence of fields a mistake.
 func (r *Reader) Need(fields ...string) {
 	for _, field := range fields {
--- a/internal/sched/hold.go
+++ b/internal/sched/hold.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -48,6 +49,7 @@
 	m.urgent = false
 	call := pair.HoldCall{Call: m.call, Epoch: c.epoch, Minion: m.name, Boot: m.boot, Floor: m.floor, Acked: m.acks}
 	m.acks = nil
+	var due []*run
 	for _, t := range sortedTickets(m.runs) {
 		r := m.runs[t]
 		if r.stop != "" && r.listed {
@@ -55,17 +57,11 @@
 			c.Counts.Stops++
 			continue
 		}
-		// A hold is renewed in its first quarter, and only while the minion answers: a call that may or may not
-		// have arrived must not put the lapse off for ever.
-		if m.heard > 0 && m.faults == 0 && r.listed && r.stop == "" {
-			until := m.clockAt(now) + c.cfg.Hold
-			if r.boot != m.boot || until-r.until > c.cfg.Hold/4 {
-				call.Renew = append(call.Renew, t)
-				call.Until = until
-				r.until, r.boot = until, m.boot
-			}
+		if m.heard > 0 && m.faults == 0 && r.listed {
+			due = append(due, r)
 		}
 	}
+	c.renew(now, m, due, &call)
 	for _, t := range slices.Sorted(maps.Keys(m.strays)) {
 		call.Stops = append(call.Stops, pair.StopOrder{Ticket: t, Why: m.strays[t]})
 		c.Counts.Stops++
@@ -74,10 +70,42 @@
 	return call
 }
 
+// renew puts renewals into a call. A hold is renewed in its first quarter, and only while the minion answers: a call
+// that may or may not have arrived must not put the lapse off for ever. A call has one Until: of holds that differ
+// in length, those go first that have used up most.
+func (c *Core) renew(now time.Duration, m *minion, runs []*run, call *pair.HoldCall) {
+	var pick time.Duration
+	worst := 0.0
+	spent := func(r *run) float64 {
+		if r.boot != m.boot {
+			return 1
+		}
+		return float64(m.clockAt(now)+c.holdOf(r)-r.until) / float64(c.holdOf(r))
+	}
+	for _, r := range runs {
+		if used := spent(r); used > 0.25 && used > worst {
+			worst, pick = used, c.holdOf(r)
+		}
+	}
+	if pick == 0 {
+		return
+	}
+	call.Until = m.clockAt(now) + pick
+	for _, r := range runs {
+		if c.holdOf(r) == pick && spent(r) > 0.25 {
+			call.Renew = append(call.Renew, r.h.Ticket)
+			r.until, r.boot = call.Until, m.boot
+		}
+	}
+}
+
+// holdOf is how long a run goes on unheard: as its charter had it when the ticket was given.
+func (c *Core) holdOf(r *run) time.Duration { return cmp.Or(r.h.Hold, c.cfg.Hold) }
+
 // orderCall makes a call with all the starts of the outbox, in ticket order.
 func (c *Core) orderCall(now time.Duration, m *minion, rec *state.Minion) CallOut {
 	call := c.call(now, m)
-	void, until := m.clockAt(now)+c.cfg.StartWindow, m.clockAt(now)+c.cfg.Hold
+	void := m.clockAt(now) + c.cfg.StartWindow
 	for _, t := range m.outbox {
 		r := m.runs[t]
 		if r == nil || r.gone {
@@ -89,6 +117,7 @@
 			continue
 		}
 		step := &j.Spec.Steps[r.h.Ref.Step]
+		until := m.clockAt(now) + c.holdOf(r)
 		r.call, r.flying, r.until, r.boot = call.Call, true, until, m.boot
 		call.Starts = append(call.Starts, pair.StartOrder{Ticket: t, Job: r.h.Ref.Job, Step: step.Name, Task: r.h.Ref.Task,
 			Type: step.Type, Queue: j.Spec.Queue, Cores: step.Cores, GPUs: step.GPUs, Labels: step.Labels, Run: step.Run,
--- a/internal/sched/plan.go
+++ b/internal/sched/plan.go
@@ -91,12 +91,13 @@
 
 // class is the due tasks that the same minions may run.
 type class struct {
-	key    string
-	kind   string
-	urgent bool
-	gang   bool
-	refs   []state.TaskRef
-	head   int
+	key   string
+	kind  string
+	queue string
+	team  string
+	gang  bool
+	refs  []state.TaskRef
+	head  int
 }
 
 type waiter struct {
@@ -165,7 +166,7 @@
 	}
 	k := c.backlog.classes[key.String()]
 	if k == nil {
-		k = &class{key: key.String(), kind: step.Type, gang: step.Gang, urgent: c.st.Bundle.Queues[j.Spec.Queue].Urgent}
+		k = &class{key: key.String(), kind: step.Type, queue: j.Spec.Queue, team: j.Spec.Team, gang: step.Gang}
 		c.backlog.classes[k.key] = k
 	}
 	k.refs = append(k.refs, ref)
@@ -220,8 +221,9 @@
 }
 
 // place puts starts for due tasks into a plan. Urgent queues go first, then types under their limit, then those
-// over it; the oldest first in each. A class that fits nowhere now holds up no other: no limit and no large task
-// leaves room idle that another due task may use.
+// over it; in each the team first that has least out for its weight, if the bundle gives weights, then the oldest.
+// A class that fits nowhere now holds up no other: no limit and no large task leaves room idle that another due
+// task may use.
 func (c *Core) place(now time.Duration, p *command.Plan) {
 	for len(c.backlog.later) > 0 && c.backlog.later[0].at <= now {
 		c.enlist(heap.Pop(&c.backlog.later).(waiter).ref)
@@ -233,11 +235,11 @@
 	if len(spots) == 0 {
 		return
 	}
-	pending := map[string]int{}
+	pending, teams := map[string]int{}, map[string]int{}
 	stuck := map[string]bool{}
 	next := 0
 	for len(p.Starts) < c.cfg.Batch {
-		k, j := c.choose(pending, stuck)
+		k, j := c.choose(pending, teams, stuck)
 		if k == nil {
 			break
 		}
@@ -261,15 +263,16 @@
 		}
 		p.Starts = append(p.Starts, starts...)
 		pending[k.kind] += n
+		teams[k.team] += n
 	}
 	c.turn = (c.turn + next) % len(c.ring)
 }
 
 // choose gives the class whose oldest task is next, with the job of that task.
-func (c *Core) choose(pending map[string]int, stuck map[string]bool) (*class, *state.Job) {
+func (c *Core) choose(pending, teams map[string]int, stuck map[string]bool) (*class, *state.Job) {
 	var best *class
 	var owner *state.Job
-	rank := 0
+	rank, least := 0, 0.0
 	for key, k := range c.backlog.classes {
 		if stuck[key] {
 			continue
@@ -283,16 +286,25 @@
 		if limit, ok := c.st.Bundle.Limits[k.kind]; ok && c.tally[k.kind]+pending[k.kind] >= limit {
 			r = 2
 		}
-		if k.urgent {
+		if c.st.Bundle.Queues[k.queue].Urgent {
 			r = 0
 		}
-		if best == nil || r < rank || r == rank && (j.Seq < owner.Seq || j.Seq == owner.Seq && key < best.key) {
-			best, owner, rank = k, j, r
+		share := c.share(k.team, teams)
+		if best == nil || r < rank || r == rank && (share < least || share == least && (j.Seq < owner.Seq || j.Seq == owner.Seq && key < best.key)) {
+			best, owner, rank, least = k, j, r, share
 		}
 	}
 	return best, owner
 }
 
+// share is what a team has out against its weight; 0 for all while the bundle gives no weights.
+func (c *Core) share(team string, pending map[string]int) float64 {
+	if len(c.st.Bundle.Weights) == 0 {
+		return 0
+	}
+	return float64(c.teams[team]+pending[team]) / float64(max(1, c.st.Bundle.Weights[team]))
+}
+
 // fit finds room for the next n tasks of a class, for all or none, and takes it.
 func (c *Core) fit(spots []*spot, next *int, j *state.Job, k *class, n int) []command.Start {
 	var starts []command.Start
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -81,6 +81,7 @@
 	dirty   map[string]bool // minions with something to send
 	backlog backlog
 	tally   map[string]int
+	teams   map[string]int // handles out by team
 
 	plan    *flight
 	running []uint64
@@ -103,6 +104,7 @@
 // run is the record of a handle.
 type run struct {
 	h      *state.Handle
+	team   string
 	call   uint64        // the call its order went out with under this epoch; 0: not sent by this holder
 	out    bool          // waits in its minion's outbox
 	flying bool          // its order is under way, unanswered
@@ -149,6 +151,7 @@
 
 func (c *Core) clear() {
 	c.runs, c.minions, c.dirty, c.tally = map[uint64]*run{}, map[string]*minion{}, map[string]bool{}, map[string]int{}
+	c.teams = map[string]int{}
 	c.ring, c.plan = nil, nil
 	c.running, c.doubts, c.ends, c.dead = nil, nil, nil, nil
 	c.backlog.clear()
@@ -267,12 +270,21 @@
 	m := c.meet(h.Minion)
 	m.runs[h.Ticket] = r
 	c.tally[h.Type]++
+	if j, _ := c.st.TaskOf(h.Ref); j != nil {
+		r.team = j.Spec.Team
+	}
+	c.teams[r.team]++
 	if c.phase != Ready {
 		c.review(r)
 	}
 }
 
 func (c *Core) closed(h *state.Handle) {
+	if r := c.runs[h.Ticket]; r != nil {
+		if c.teams[r.team]--; c.teams[r.team] == 0 {
+			delete(c.teams, r.team)
+		}
+	}
 	delete(c.runs, h.Ticket)
 	if m := c.minions[h.Minion]; m != nil {
 		delete(m.runs, h.Ticket)
--- /dev/null
+++ b/internal/seal/seal.go
@@ -0,0 +1,128 @@
+// Package seal is the operators' signatures: their Ed25519 keys, the texts that are signed, and the check of both.
+package seal
+
+import (
+	"crypto/ed25519"
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/base64"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"os"
+	"time"
+
+	"crosstide/internal/fault"
+)
+
+// Key is an operator's name and private key.
+type Key struct {
+	Name    string
+	private ed25519.PrivateKey
+}
+
+// file is a key on disk; Private is the 32 bytes of the seed in base64.
+type file struct {
+	Name    string `json:"name"`
+	Public  string `json:"public"`
+	Private string `json:"private"`
+}
+
+// New draws a key for an operator. Faults: Invalid (no name), Internal.
+func New(name string) (Key, error) {
+	if name == "" {
+		return Key{}, fault.Field(fault.Invalid, "name", "an operator needs a name")
+	}
+	_, private, err := ed25519.GenerateKey(rand.Reader)
+	if err != nil {
+		return Key{}, fault.Wrap(err, fault.Internal, "draw a key")
+	}
+	return Key{name, private}, nil
+}
+
+// Load reads a key that Save wrote. Faults: Disk, Malformed.
+func Load(path string) (Key, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return Key{}, fault.Wrap(err, fault.Disk, "key file")
+	}
+	var f file
+	if err := json.Unmarshal(data, &f); err != nil {
+		return Key{}, fault.Wrap(err, fault.Malformed, "key file %s", path)
+	}
+	seed, err := base64.StdEncoding.DecodeString(f.Private)
+	if err != nil || len(seed) != ed25519.SeedSize || f.Name == "" {
+		return Key{}, fault.New(fault.Malformed, "%s is no key file: it needs a name and a private key of %d bytes", path, ed25519.SeedSize)
+	}
+	return Key{f.Name, ed25519.NewKeyFromSeed(seed)}, nil
+}
+
+// Save writes the key to a new file that only its owner may read. Fault: Disk, also when the file is there.
+func (k Key) Save(path string) error {
+	data, err := json.MarshalIndent(file{k.Name, k.Public(), base64.StdEncoding.EncodeToString(k.private.Seed())}, "", "  ")
+	if err != nil {
+		return fault.Wrap(err, fault.Internal, "encode the key")
+	}
+	out, err := os.OpenFile(path, os.O_CREATE|os.O_EXCL|os.O_WRONLY, 0o600)
+	if err != nil {
+		return fault.Wrap(err, fault.Disk, "key file")
+	}
+	if _, err := out.Write(append(data, '\n')); err != nil {
+		_ = out.Close()
+		return fault.Wrap(err, fault.Disk, "write %s", path)
+	}
+	return fault.Wrap(out.Close(), fault.Disk, "close %s", path)
+}
+
+// Public is the public key in base64, as settings and bundles hold it.
+func (k Key) Public() string {
+	return base64.StdEncoding.EncodeToString(k.private.Public().(ed25519.PublicKey))
+}
+
+// Sign gives the signature of a text in base64. Example:
+//
+//	sig := key.Sign(seal.Bundle(8, seal.Digest(body)))
+func (k Key) Sign(text string) string {
+	return base64.StdEncoding.EncodeToString(ed25519.Sign(k.private, []byte(text)))
+}
+
+// Verify tells whether sig is the signature of text by the owner of a public key; both are base64.
+func Verify(public, text, sig string) bool {
+	key, err := base64.StdEncoding.DecodeString(public)
+	if err != nil || len(key) != ed25519.PublicKeySize {
+		return false
+	}
+	raw, err := base64.StdEncoding.DecodeString(sig)
+	return err == nil && ed25519.Verify(key, []byte(text), raw)
+}
+
+// Digest is the SHA-256 of data in hex.
+func Digest(data []byte) string {
+	sum := sha256.Sum256(data)
+	return hex.EncodeToString(sum[:])
+}
+
+// Bundle is the text that two operators sign to put a version in force: version and digest of its exact bytes.
+func Bundle(version uint64, digest string) string {
+	return fmt.Sprintf("crosstide bundle\nversion %d\nsha256 %s\n", version, digest)
+}
+
+// Put is the text of an order that writes a draft against a base.
+func Put(order string, base uint64, digest string) string {
+	return fmt.Sprintf("crosstide put\norder %q\nbase %d\nsha256 %s\n", order, base, digest)
+}
+
+// Patch is the text of an order that changes a base by a merge patch; digest is the patch's.
+func Patch(order string, base uint64, digest string) string {
+	return fmt.Sprintf("crosstide patch\norder %q\nbase %d\nsha256 %s\n", order, base, digest)
+}
+
+// Evacuate is the text of an order that evacuates a zone.
+func Evacuate(order, zone string) string {
+	return fmt.Sprintf("crosstide evacuate\norder %q\nzone %q\n", order, zone)
+}
+
+// Lift is the text that two operators sign to lift the evacuation of a zone that began at since.
+func Lift(zone string, since time.Time) string {
+	return fmt.Sprintf("crosstide lift\nzone %q\nsince %d\n", zone, since.UnixNano())
+}
--- /dev/null
+++ b/internal/state/command/bundle.go
@@ -0,0 +1,266 @@
+package command
+
+import (
+	"slices"
+	"strings"
+
+	"crosstide/internal/bundle"
+	"crosstide/internal/fault"
+	"crosstide/internal/seal"
+	"crosstide/internal/state"
+)
+
+// Keys makes the operators known, once: the first leader whose settings list them brings them in. From then on
+// only a bundle that two of them signed changes them.
+type Keys struct {
+	Operators map[string]string `json:"operators"` // name to public key
+}
+
+// Op is "keys".
+func (c *Keys) Op() string { return "keys" }
+
+func (c *Keys) apply(s *state.State, _ uint64) (any, error) {
+	if len(s.Operators) > 0 {
+		return nil, fault.New(fault.Conflict, "the store knows its operators already")
+	}
+	if why := bundle.Quorate(c.Operators, len(c.Operators)); why != "" {
+		return nil, fault.Field(fault.Invalid, "operators", "%s", why)
+	}
+	s.Operators = c.Operators
+	return nil, nil
+}
+
+// verify is nil if sig is the signature of text by operator by. Fault: Forbidden.
+func verify(s *state.State, by, sig, text string) error {
+	key, ok := s.Operators[by]
+	switch {
+	case len(s.Operators) == 0:
+		return fault.Field(fault.Forbidden, "by", "the store knows no operators; list operator_keys in the cplanes' settings")
+	case by == "":
+		return fault.Field(fault.Forbidden, "by", "an operator must sign this")
+	case !ok:
+		return fault.Field(fault.Forbidden, "by", "%q is no operator", by)
+	case !seal.Verify(key, text, sig):
+		return fault.Field(fault.Forbidden, "sig", "is not %s's signature of this", by)
+	}
+	return nil
+}
+
+// Put writes a version as a draft against Base, which must be the newest. By signs seal.Put.
+type Put struct {
+	Order string `json:"order"`
+	Base  uint64 `json:"base"`
+	By    string `json:"by"`
+	Sig   string `json:"sig"`
+	Body  []byte `json:"body"`
+}
+
+// Drafted answers Put and Patch: the new version, what is to be signed, and where it stands.
+type Drafted struct {
+	Version uint64              `json:"version"`
+	Base    uint64              `json:"base"`
+	Digest  string              `json:"sha256"`
+	Phase   state.RevisionPhase `json:"state"`
+}
+
+// Op is "put".
+func (c *Put) Op() string { return "put" }
+
+func (c *Put) apply(s *state.State, _ uint64) (any, error) {
+	answer, err := once(s, c.Order, c, func() (any, error) {
+		if err := verify(s, c.By, c.Sig, seal.Put(c.Order, c.Base, bundle.Digest(c.Body))); err != nil {
+			return nil, fault.Pass(err, "put")
+		}
+		if err := newest(s, c.Base); err != nil {
+			return nil, fault.Pass(err, "put")
+		}
+		out, err := draft(s, c.Order, c.By, c.Body)
+		return out, fault.Pass(err, "put")
+	})
+	return answer, fault.Pass(err, "put")
+}
+
+// Patch writes a version as a draft: Base, which must be the newest, changed by a JSON merge patch. The result is
+// checked as a whole. By signs seal.Patch.
+type Patch struct {
+	Order string `json:"order"`
+	Base  uint64 `json:"base"`
+	By    string `json:"by"`
+	Sig   string `json:"sig"`
+	Patch []byte `json:"patch"`
+}
+
+// Op is "patch".
+func (c *Patch) Op() string { return "patch" }
+
+func (c *Patch) apply(s *state.State, _ uint64) (any, error) {
+	answer, err := once(s, c.Order, c, func() (any, error) {
+		if err := verify(s, c.By, c.Sig, seal.Patch(c.Order, c.Base, bundle.Digest(c.Patch))); err != nil {
+			return nil, fault.Pass(err, "patch")
+		}
+		if err := newest(s, c.Base); err != nil {
+			return nil, fault.Pass(err, "patch")
+		}
+		body, err := bundle.Merge(s.Head().Body, c.Patch)
+		if err != nil {
+			return nil, fault.Pass(err, "patch")
+		}
+		out, err := draft(s, c.Order, c.By, body)
+		return out, fault.Pass(err, "patch")
+	})
+	return answer, fault.Pass(err, "patch")
+}
+
+// newest is nil if base is the newest version, draft or not. Fault: Conflict.
+func newest(s *state.State, base uint64) error {
+	head := s.Head()
+	switch {
+	case base > head.Version:
+		return fault.Field(fault.Conflict, "base", "there is no version %d, the newest is %d", base, head.Version)
+	case base < head.Version:
+		by := head.By
+		if next := s.Revision(base + 1); next != nil {
+			by = next.By
+		}
+		return fault.Field(fault.Conflict, "base", "someone else was first: version %d, by %s, was written against %d; the newest is %d",
+			base+1, by, base, head.Version)
+	}
+	return nil
+}
+
+func draft(s *state.State, order, by string, body []byte) (any, error) {
+	if _, err := bundle.Parse(body); err != nil {
+		return nil, fault.Pass(err, "draft")
+	}
+	base := s.Head().Version
+	r := &state.Revision{Version: base + 1, Base: base, Digest: bundle.Digest(body), Size: len(body), Order: order, By: by,
+		At: s.At, Phase: state.RevisionDraft, Body: body}
+	if err := s.Append(r); err != nil {
+		return nil, fault.Pass(err, "draft")
+	}
+	return Drafted{r.Version, r.Base, r.Digest, r.Phase}, nil
+}
+
+// Sign is an operator's word for a version: Sig is over seal.Bundle. The second one, by another operator, puts the
+// version in force in this very step.
+type Sign struct {
+	Order   string `json:"order"`
+	Version uint64 `json:"version"`
+	Digest  string `json:"sha256"`
+	By      string `json:"by"`
+	Sig     string `json:"sig"`
+}
+
+// Signed answers Sign: where the version stands now, and who signed it.
+type Signed struct {
+	Version uint64              `json:"version"`
+	Digest  string              `json:"sha256"`
+	Phase   state.RevisionPhase `json:"state"`
+	Signed  []string            `json:"signed"`
+}
+
+// Op is "sign".
+func (c *Sign) Op() string { return "sign" }
+
+func (c *Sign) apply(s *state.State, _ uint64) (any, error) {
+	answer, err := once(s, c.Order, c, func() (any, error) {
+		r := s.Revision(c.Version)
+		switch {
+		case r == nil:
+			return nil, fault.Field(fault.Unknown, "version", "no version %d", c.Version)
+		case !strings.EqualFold(r.Digest, c.Digest):
+			return nil, fault.Field(fault.Invalid, "sha256", "version %d has %s, not %s", r.Version, r.Digest, c.Digest)
+		}
+		if err := verify(s, c.By, c.Sig, seal.Bundle(r.Version, r.Digest)); err != nil {
+			return nil, fault.Pass(err, "sign")
+		}
+		switch {
+		case r.Phase == state.RevisionForce:
+			return nil, fault.Field(fault.Conflict, "version", "version %d is in force already", r.Version)
+		case r.Phase == state.RevisionReplaced:
+			return nil, fault.Field(fault.Conflict, "version", "someone else was first: version %d was replaced, the newest is %d",
+				r.Version, s.Head().Version)
+		case slices.ContainsFunc(r.Signed, func(g state.Signature) bool { return g.By == c.By }):
+			return nil, fault.Field(fault.Forbidden, "by", "%s has signed version %d; another operator must sign too", c.By, r.Version)
+		}
+		r.Signed = append(r.Signed, state.Signature{By: c.By, At: s.At, Sig: c.Sig})
+		if len(r.Signed) == 1 {
+			drop(s.Turn(r, state.RevisionSigned))
+		} else {
+			b, err := bundle.Parse(r.Body)
+			drop(err) // the draft was parsed; what holds no more must not come in force here and not there
+			drop(s.Enforce(r, b))
+		}
+		out := Signed{Version: r.Version, Digest: r.Digest, Phase: r.Phase}
+		for _, g := range r.Signed {
+			out.Signed = append(out.Signed, g.By)
+		}
+		return out, nil
+	})
+	return answer, fault.Pass(err, "sign")
+}
+
+// Zone evacuates a zone or lifts the evacuation. Once the store knows operators, one of them must sign an
+// evacuation (seal.Evacuate), and two its lifting (seal.Lift).
+type Zone struct {
+	Order string `json:"order"`
+	Zone  string `json:"zone"`
+	Out   bool   `json:"out"`
+	By    string `json:"by,omitempty"`
+	Sig   string `json:"sig,omitempty"`
+}
+
+// Zoned answers Zone: whether the zone is evacuated now, and who signed its lifting so far.
+type Zoned struct {
+	Zone      string   `json:"zone"`
+	Evacuated bool     `json:"evacuated"`
+	Signed    []string `json:"signed,omitempty"`
+}
+
+// Op is "zone".
+func (c *Zone) Op() string { return "zone" }
+
+func (c *Zone) apply(s *state.State, _ uint64) (any, error) {
+	answer, err := once(s, c.Order, c, func() (any, error) {
+		if c.Out {
+			if err := c.signed(s, seal.Evacuate(c.Order, c.Zone)); err != nil {
+				return nil, fault.Pass(err, "evacuate")
+			}
+			s.Evacuated[c.Zone] = s.At // signatures for lifting an earlier one are void
+			delete(s.Lifts, c.Zone)
+			s.Changed(state.NotePlacement, c.Zone)
+			return Zoned{Zone: c.Zone, Evacuated: true}, nil
+		}
+		since, out := s.Evacuated[c.Zone]
+		if !out && len(s.Operators) > 0 {
+			return nil, fault.Field(fault.Unknown, "zone", "zone %q is not evacuated", c.Zone)
+		}
+		if err := c.signed(s, seal.Lift(c.Zone, since)); err != nil {
+			return nil, fault.Pass(err, "lift")
+		}
+		if slices.Contains(s.Lifts[c.Zone], c.By) {
+			return nil, fault.Field(fault.Forbidden, "by", "%s has signed this lifting; another operator must sign too", c.By)
+		}
+		var signed []string
+		if len(s.Operators) > 0 {
+			signed = append(slices.Clone(s.Lifts[c.Zone]), c.By)
+		}
+		if len(signed) == 1 {
+			s.Lifts[c.Zone] = signed
+			return Zoned{Zone: c.Zone, Evacuated: true, Signed: signed}, nil
+		}
+		delete(s.Lifts, c.Zone)
+		delete(s.Evacuated, c.Zone)
+		s.Changed(state.NotePlacement, c.Zone)
+		return Zoned{Zone: c.Zone, Signed: signed}, nil
+	})
+	return answer, fault.Pass(err, "zone %q", c.Zone)
+}
+
+// signed checks the signature, once there are operators who could give one.
+func (c *Zone) signed(s *state.State, text string) error {
+	if len(s.Operators) == 0 {
+		return nil
+	}
+	return fault.Pass(verify(s, c.By, c.Sig, text), "zone %q", c.Zone)
+}
--- a/internal/state/command/command.go
+++ b/internal/state/command/command.go
@@ -33,6 +33,10 @@
 	"zone":     func() Command { return &Zone{} },
 	"close":    func() Command { return &Close{} },
 	"tidy":     func() Command { return &Tidy{} },
+	"keys":     func() Command { return &Keys{} },
+	"put":      func() Command { return &Put{} },
+	"patch":    func() Command { return &Patch{} },
+	"sign":     func() Command { return &Sign{} },
 }
 
 // Encode makes the log data of a command. Example:
@@ -181,15 +185,12 @@
 	if m == nil {
 		fresh := c.Minion
 		fresh.Boot = ""
-		s.Minions[fresh.Name] = &fresh
+		s.PutMinion(&fresh)
 	} else if m.Addr != c.Minion.Addr {
 		moved := *m
 		moved.Addr = c.Minion.Addr
-		s.Minions[m.Name] = &moved
-	} else {
-		return nil, nil
+		s.PutMinion(&moved)
 	}
-	s.Changed(state.NoteMinion, c.Minion.Name)
 	return nil, nil
 }
 
@@ -238,29 +239,6 @@
 	return nil, nil
 }
 
-// Zone evacuates a zone or lifts the evacuation.
-type Zone struct {
-	Order string `json:"order"`
-	Zone  string `json:"zone"`
-	Out   bool   `json:"out"`
-}
-
-// Op is "zone".
-func (c *Zone) Op() string { return "zone" }
-
-func (c *Zone) apply(s *state.State, _ uint64) (any, error) {
-	answer, err := once(s, c.Order, c, func() (any, error) {
-		if c.Out {
-			s.Evacuated[c.Zone] = s.At
-		} else {
-			delete(s.Evacuated, c.Zone)
-		}
-		s.Changed(state.NotePlacement, c.Zone)
-		return map[string]any{"zone": c.Zone, "evacuated": c.Out}, nil
-	})
-	return answer, fault.Pass(err, "zone %q", c.Zone)
-}
-
 // Close drains a minion by an operator's word, opens it again, or retires it (only without handles).
 type Close struct {
 	Order  string `json:"order"`
@@ -282,14 +260,12 @@
 			if n := len(s.Room(c.Minion).Tickets); n > 0 {
 				return nil, fault.Field(fault.Conflict, "minion", "%q has %d tickets out; drain it first", c.Minion, n)
 			}
-			delete(s.Minions, c.Minion)
-			s.Changed(state.NoteGone, c.Minion)
+			s.DropMinion(c.Minion)
 			return map[string]any{"minion": c.Minion, "retired": true}, nil
 		}
 		next := *m
 		next.Closed = c.Closed
-		s.Minions[c.Minion] = &next
-		s.Changed(state.NoteMinion, c.Minion)
+		s.PutMinion(&next)
 		return map[string]any{"minion": c.Minion, "closed": c.Closed}, nil
 	})
 	return answer, fault.Pass(err, "close minion %q", c.Minion)
--- a/internal/state/command/plan.go
+++ b/internal/state/command/plan.go
@@ -145,7 +145,7 @@
 		step := &j.Spec.Steps[st.Ref.Step]
 		s.Ticket++
 		h := &state.Handle{Ticket: s.Ticket, Ref: st.Ref, Minion: st.Minion, Boot: st.Boot, Epoch: c.Epoch,
-			Charter: c.Charter, Type: step.Type, Cores: step.Cores, GPUs: step.GPUs, Hold: c.Hold}
+			Charter: c.Charter, Type: step.Type, Cores: step.Cores, GPUs: step.GPUs, Hold: s.Bundle.HoldOf(j.Spec.Queue, c.Hold)}
 		drop(s.Move(st.Ref, state.TaskHeld, h))
 		out.Tickets[k] = s.Ticket
 	}
@@ -174,7 +174,7 @@
 		return // retired meanwhile
 	}
 	m.Closed, m.Addr = old.Closed, old.Addr
-	s.Minions[m.Name] = &m
+	s.PutMinion(&m)
 	if m.Boot != old.Boot {
 		for _, t := range s.Tickets(m.Name) {
 			if h := s.Handles[t]; h.Boot != m.Boot && (m.Kind != "obey" || h.Phase == state.TaskRunning) {
@@ -182,7 +182,6 @@
 			}
 		}
 	}
-	s.Changed(state.NoteMinion, m.Name)
 }
 
 // end takes in a listed end. An end in fault is tried again after a back-off, up to the step's retries.
@@ -199,7 +198,7 @@
 	}
 	t.Tries++
 	t.Reason = e.Reason
-	if t.Tries > step.Retries && !step.Standing && j.Phase == state.JobRunning {
+	if t.Tries > s.Bundle.RetriesOf(j.Spec.Queue, step.Retries) && !step.Standing && j.Phase == state.JobRunning {
 		reason := "step " + step.Name + " gave up: " + e.Reason
 		drop(s.Move(h.Ref, state.TaskSpent, nil))
 		s.Stop(j, state.JobFault, reason)
--- a/internal/state/query/query.go
+++ b/internal/state/query/query.go
@@ -16,6 +16,7 @@
 	Queue     string         `json:"queue,omitempty"`
 	State     state.JobPhase `json:"state"`
 	Reason    string         `json:"reason,omitempty"`
+	Waits     string         `json:"waits,omitempty"` // why the bundle in force lets nothing of it start
 	Submitted time.Time      `json:"submitted,omitzero"`
 	Ended     time.Time      `json:"ended,omitzero"`
 	Steps     []StepView     `json:"steps,omitempty"`
@@ -42,7 +43,7 @@
 // Job gives a job, or what its tombstone still tells; fault.Unknown if the store has neither.
 func Job(s *state.State, key string) (JobView, error) {
 	if j := s.Jobs[key]; j != nil {
-		return view(j), nil
+		return view(s, j), nil
 	}
 	if t := s.Tombs[key]; t != nil {
 		return JobView{Key: key, Team: t.Team, State: t.Phase, Reason: t.Reason, Ended: t.Ended}, nil
@@ -50,9 +51,12 @@
 	return JobView{}, fault.Field(fault.Unknown, "key", "no job %q", key)
 }
 
-func view(j *state.Job) JobView {
+func view(s *state.State, j *state.Job) JobView {
 	v := JobView{Key: j.Spec.Key, Team: j.Spec.Team, Queue: j.Spec.Queue, State: j.Phase, Reason: j.Reason,
 		Submitted: j.At, Ended: j.Ended, Steps: make([]StepView, len(j.Spec.Steps))}
+	if !j.Phase.Over() && j.Phase != state.JobStopping {
+		v.Waits = s.Waits(&j.Spec)
+	}
 	for i, step := range j.Spec.Steps {
 		sv := &v.Steps[i]
 		sv.Name, sv.Type, sv.Tasks = step.Name, step.Type, step.Tasks
@@ -88,7 +92,7 @@
 		keys = keys[:limit]
 	}
 	for _, key := range keys {
-		v := view(s.Jobs[key])
+		v := view(s, s.Jobs[key])
 		v.Steps = nil
 		jobs = append(jobs, v)
 	}
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -4,6 +4,7 @@
 package state
 
 import (
+	"cmp"
 	"encoding/json"
 	"slices"
 	"sort"
@@ -152,6 +153,29 @@
 	Queues  map[string]Queue `json:"queues"`
 	Limits  map[string]int   `json:"limits,omitempty"` // type to tickets out; orders the backlog only
 	Backoff Backoff          `json:"backoff"`
+	// Retries bounds what steps may ask for; nil: no bound.
+	Retries *int `json:"retries,omitempty"`
+	// Hold is how long a run goes on unheard; 0: as the holder of sched is set.
+	Hold time.Duration `json:"hold,omitempty"`
+	// Weights are the teams' shares under contention; a team that is not listed has 1.
+	Weights map[string]int `json:"weights,omitempty"`
+	// Operators, if any are listed, are the operators from this version on: name to public key.
+	Operators map[string]string `json:"operators,omitempty"`
+}
+
+// HoldOf gives the hold of a queue's runs; own is the holder's setting.
+func (b *Bundle) HoldOf(queue string, own time.Duration) time.Duration {
+	return cmp.Or(b.Queues[queue].Hold, b.Hold, own)
+}
+
+// RetriesOf gives the retries of a queue's step that asks for some.
+func (b *Bundle) RetriesOf(queue string, asked int) int {
+	for _, most := range []*int{b.Queues[queue].Retries, b.Retries} {
+		if most != nil {
+			return min(asked, *most)
+		}
+	}
+	return asked
 }
 
 // Backoff bounds the wait before a task that ended in fault is due again.
@@ -169,6 +193,16 @@
 	Zones   []string          `json:"zones,omitempty"`
 	Racks   []string          `json:"racks,omitempty"`
 	Urgent  bool              `json:"urgent,omitempty"`
+	Near    []Near            `json:"near,omitempty"`
+	Hold    time.Duration     `json:"hold,omitempty"` // over Bundle.Hold
+	Retries *int              `json:"retries,omitempty"`
+}
+
+// Near wants a data set nearby: a minion that bears Label with Value, in the same rack or zone.
+type Near struct {
+	Label  string `json:"label"`
+	Value  string `json:"value"`
+	Within string `json:"within"` // rack or zone
 }
 
 // Tomb is what stays of a job that left the store: enough to answer a job sent again.
@@ -228,7 +262,10 @@
 	Minions   map[string]*Minion   `json:"minions"`
 	Duties    map[string]*Duty     `json:"duties"`
 	Bundle    Bundle               `json:"bundle"`
+	Line      []*Revision          `json:"line"`      // versions of the bundle, oldest first; never empty
+	Operators map[string]string    `json:"operators"` // name to public key; empty: none known yet
 	Evacuated map[string]time.Time `json:"evacuated"`
+	Lifts     map[string][]string  `json:"lifts,omitempty"` // zone to the operators who signed its lifting
 	Orders    map[string]*Order    `json:"orders"`
 	OrderKeys []string             `json:"order_keys"` // oldest first
 
@@ -237,6 +274,7 @@
 
 	room  map[string]*Room
 	tally map[string]int
+	sites map[site]int
 }
 
 // Room is what handles take on a minion.
@@ -250,13 +288,14 @@
 	s := &State{
 		Jobs: map[string]*Job{}, Tombs: map[string]*Tomb{}, Handles: map[uint64]*Handle{},
 		Minions: map[string]*Minion{}, Duties: map[string]*Duty{}, Evacuated: map[string]time.Time{},
-		Orders: map[string]*Order{},
+		Orders: map[string]*Order{}, Operators: map[string]string{}, Lifts: map[string][]string{},
 		Bundle: Bundle{
 			Version: 1,
 			Queues:  map[string]Queue{"default": {}},
 			Backoff: Backoff{Min: 200 * time.Millisecond, Max: 30 * time.Second},
 		},
 	}
+	s.found()
 	s.index()
 	return s
 }
@@ -273,10 +312,11 @@
 // Decode reads what Encode gave.
 func Decode(data []byte) (*State, error) {
 	s := New()
-	s.Bundle = Bundle{}
+	s.Bundle, s.Line = Bundle{}, nil
 	if err := json.Unmarshal(data, s); err != nil {
 		return nil, fault.Wrap(err, fault.Damaged, "decode state")
 	}
+	s.found()
 	s.index()
 	return s, nil
 }
@@ -285,6 +325,10 @@
 func (s *State) index() {
 	s.room = map[string]*Room{}
 	s.tally = map[string]int{}
+	s.sites = map[site]int{}
+	for _, m := range s.Minions {
+		s.mark(m, 1)
+	}
 	for _, j := range s.Jobs {
 		j.derive()
 	}
