--- a/cmd/cplane/main.go
+++ b/cmd/cplane/main.go
@@ -25,6 +25,7 @@
 					&cli.StringFlag{Name: "data", Usage: "`FOLDER` of the store, over the settings"},
 					&cli.StringFlag{Name: "zone", Usage: "over the settings"},
 					&cli.StringFlag{Name: "log-level", Usage: "debug, info, warn or error, over the settings"},
+					&cli.BoolFlag{Name: "pprof", Usage: "show profiles at /debug/pprof/"},
 					&cli.DurationFlag{Name: "grace", Usage: "for running calls at the end, over the settings"},
 				},
 			},
--- a/cmd/cplane/run.go
+++ b/cmd/cplane/run.go
@@ -54,7 +54,7 @@
 	logger := log.With(daemon.Logger(set.LogLevel, os.Stderr), "node", set.Name)
 	ctx, stop := daemon.Signals(ctx)
 	defer stop()
-	if err := serve(ctx, set, logger); err != nil {
+	if err := serve(ctx, set, cmd.Bool("pprof"), logger); err != nil {
 		_ = level.Error(logger).Log("msg", "end", "err", err)
 		return fault.Pass(err, "run")
 	}
@@ -62,7 +62,7 @@
 	return nil
 }
 
-func serve(ctx context.Context, set conf.Cplane, logger log.Logger) error {
+func serve(ctx context.Context, set conf.Cplane, profiles bool, logger log.Logger) error {
 	reg := daemon.Registry()
 	caller := wire.NewCaller(wire.CallerOptions{UserTimeout: 2 * set.Election, Via: set.Via, Logger: daemon.Part(logger, "caller"), Registry: reg})
 	defer caller.Close()
@@ -81,6 +81,9 @@
 	s.Serve(srv)
 	operator.Serve(srv, s, store.NameOf)
 	daemon.Routes(srv, reg, s.Ready)
+	if profiles {
+		daemon.Profiles(srv)
+	}
 	if err := srv.Start(); err != nil {
 		s.Stop()
 		return fault.Pass(err, "serve")
--- a/cmd/dplane/main.go
+++ b/cmd/dplane/main.go
@@ -40,6 +40,7 @@
 					&cli.StringFlag{Name: "addr", Usage: "`IP:PORT` to listen at, over the settings"},
 					&cli.StringFlag{Name: "zone", Usage: "over the settings"},
 					&cli.StringFlag{Name: "log-level", Usage: "debug, info, warn or error, over the settings"},
+					&cli.BoolFlag{Name: "pprof", Usage: "show profiles at /debug/pprof/"},
 					&cli.DurationFlag{Name: "grace", Usage: "for running calls at the end, over the settings"},
 				},
 			},
@@ -88,7 +89,7 @@
 	logger := log.With(daemon.Logger(set.LogLevel, os.Stderr), "node", set.Name)
 	ctx, stop := daemon.Signals(ctx)
 	defer stop()
-	if err := serve(ctx, set, logger); err != nil {
+	if err := serve(ctx, set, cmd.Bool("pprof"), logger); err != nil {
 		_ = level.Error(logger).Log("msg", "end", "err", err)
 		return fault.Pass(err, "run")
 	}
@@ -103,7 +104,7 @@
 	return cfg
 }
 
-func serve(ctx context.Context, set conf.Dplane, logger log.Logger) error {
+func serve(ctx context.Context, set conf.Dplane, profiles bool, logger log.Logger) error {
 	reg := daemon.Registry()
 	boot := make([]byte, 8)
 	if _, err := rand.Read(boot); err != nil {
@@ -127,6 +128,9 @@
 	consumer.Register(srv, n, consumer.Options{Within: set.CallTimeout, Seed: uint64(boot[0])<<8 | uint64(boot[1])})
 	wire.Handle(srv, pair.Minions, n.Announce)
 	daemon.Routes(srv, reg, n.Ready)
+	if profiles {
+		daemon.Profiles(srv)
+	}
 	if err := srv.Start(); err != nil {
 		return fault.Pass(err, "serve")
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net/http"
+	"net/http/pprof"
 	"os"
 	"os/signal"
 	"syscall"
@@ -56,6 +57,13 @@
 	s.Route("GET /metrics", metrics.ServeHTTP)
 }
 
+// Profiles adds GET /debug/pprof/, the language's profiles. They cost when they are asked for; a daemon shows them
+// only with --pprof.
+func Profiles(s *wire.Server) {
+	s.Route("GET /debug/pprof/", pprof.Index)
+	s.Route("GET /debug/pprof/profile", pprof.Profile)
+}
+
 // Signals gives a context that ends with SIGTERM or SIGINT; a second one ends the process.
 func Signals(ctx context.Context) (context.Context, context.CancelFunc) {
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
