Take profiles by the runtime's own package

Cause: the habits' test refused net/http/pprof: it brings an HTTP server's mux of its own. Change: the two routes use runtime/pprof. Measured: the habits' test is green again. Conclusion: no rule was changed.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -2,13 +2,16 @@
 package daemon
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net/http"
-	"net/http/pprof"
 	"os"
 	"os/signal"
+	"runtime/pprof"
+	"strconv"
 	"syscall"
+	"time"
 
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
@@ -16,6 +19,8 @@
 	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
+	"crosstide/internal/alarm"
+	"crosstide/internal/fault"
 	"crosstide/internal/wire"
 )
 
@@ -57,11 +62,38 @@
 	s.Route("GET /metrics", metrics.ServeHTTP)
 }
 
-// Profiles adds GET /debug/pprof/, the language's profiles. They cost when they are asked for; a daemon shows them
-// only with --pprof.
+// Profiles adds GET /debug/pprof/cpu?seconds=N (1 to 60, default 5) and GET /debug/pprof/NAME for heap, goroutine
+// and the other profiles of the runtime. They cost when they are asked for; a daemon shows them only with --pprof.
 func Profiles(s *wire.Server) {
-	s.Route("GET /debug/pprof/", pprof.Index)
-	s.Route("GET /debug/pprof/profile", pprof.Profile)
+	s.Route("GET /debug/pprof/cpu", func(w http.ResponseWriter, r *http.Request) {
+		n, err := strconv.Atoi(r.URL.Query().Get("seconds"))
+		if err != nil || n < 1 || n > 60 {
+			n = 5
+		}
+		var out bytes.Buffer
+		if err := pprof.StartCPUProfile(&out); err != nil {
+			wire.WriteFault(w, fault.Wrap(err, fault.Conflict, "a profile is being taken"))
+			return
+		}
+		over := make(chan struct{})
+		alarm.Real{}.Set(time.Duration(n)*time.Second, func() { close(over) })
+		<-over
+		pprof.StopCPUProfile()
+		_, _ = w.Write(out.Bytes())
+	})
+	s.Route("GET /debug/pprof/{name}", func(w http.ResponseWriter, r *http.Request) {
+		p := pprof.Lookup(r.PathValue("name"))
+		if p == nil {
+			wire.WriteFault(w, fault.Field(fault.Unknown, "name", "no profile %q", r.PathValue("name")))
+			return
+		}
+		var out bytes.Buffer
+		if err := p.WriteTo(&out, 0); err != nil {
+			wire.WriteFault(w, fault.Wrap(err, fault.Internal, "profile"))
+			return
+		}
+		_, _ = w.Write(out.Bytes())
+	})
 }
 
 // Signals gives a context that ends with SIGTERM or SIGINT; a second one ends the process.
