Membership by partial views, shuffled between neighbours

Cause: daemons knew each other from their settings alone; a dplane without a list of cplanes had to take its seeds for cplanes, and nobody could say which dplanes are up. Ruled out: pings of all by all (cost grows with the fleet), members in the store (writes for liveness, and not there when the store is not), ages without versions (an old incarnation wins). Change: internal/view is a pure core (Cyclon's swap of places; versions made by the node itself only, so the age of a version only grows), a small directory of cplanes that rides on each shuffle, seeds for joining and for healing; /x/shuffle in both daemons; dplanes without core in their settings take the cplanes from the view; /v1/who lists nodes; figures in /metrics.

--- a/cmd/cplane/operate.go
+++ b/cmd/cplane/operate.go
@@ -11,6 +11,7 @@
 	"net/url"
 	"os"
 	"text/tabwriter"
+	"time"
 
 	"github.com/urfave/cli/v3"
 
@@ -92,6 +93,9 @@
 		}
 		fmt.Println(kind, m.ID, m.Addr, m.Zone)
 	}
+	for _, n := range w.Nodes {
+		fmt.Println("node", n.Name, n.Role, n.Zone, n.Addr, n.Age.Round(time.Millisecond))
+	}
 	for _, zone := range w.Evacuated {
 		fmt.Println("evacuated", zone)
 	}
--- a/cmd/cplane/run.go
+++ b/cmd/cplane/run.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"slices"
 	"time"
 
 	"github.com/go-kit/log"
@@ -16,8 +17,10 @@
 	"crosstide/internal/daemon"
 	"crosstide/internal/fault"
 	"crosstide/internal/operator"
+	"crosstide/internal/pair"
 	"crosstide/internal/slot"
 	"crosstide/internal/store"
+	"crosstide/internal/view"
 	"crosstide/internal/wire"
 )
 
@@ -79,7 +82,13 @@
 	}
 	srv := wire.NewServer(wire.ServerOptions{Addr: set.Addr, Logger: daemon.Part(logger, "wire"), Registry: reg})
 	s.Serve(srv)
-	operator.Serve(srv, s, store.NameOf)
+	seeds := slices.Clone(set.Seeds)
+	for _, m := range set.Members {
+		seeds = append(seeds, m.Addr)
+	}
+	members := daemon.View(set.Common, view.Cplane, seeds, caller, logger, reg, nil)
+	wire.Handle(srv, pair.Shuffle, members.Serve)
+	operator.Serve(srv, s, store.NameOf, members.Nodes)
 	daemon.Routes(srv, reg, s.Ready)
 	if profiles {
 		daemon.Profiles(srv)
@@ -89,11 +98,13 @@
 		return fault.Pass(err, "serve")
 	}
 	s.Start()
+	members.Start(context.Background())
 	_ = level.Info(logger).Log("msg", "serving", "addr", srv.Addr(), "zone", set.Zone, "version", version)
 	<-ctx.Done()
 	leave, over := context.WithTimeout(context.Background(), set.Grace)
 	defer over()
 	s.Handover(leave)
+	members.Stop(leave)
 	err = srv.Stop(set.Grace)
 	s.Stop()
 	if err != nil {
--- a/cmd/dplane/main.go
+++ b/cmd/dplane/main.go
@@ -22,6 +22,7 @@
 	"crosstide/internal/pair"
 	"crosstide/internal/plane"
 	"crosstide/internal/sched"
+	"crosstide/internal/view"
 	"crosstide/internal/wire"
 )
 
@@ -118,15 +119,21 @@
 	defer minions.Close()
 	core := set.Core
 	if len(core) == 0 {
-		core = set.Seeds
+		core = set.Seeds // until the view tells of the cplanes
 	}
 	n := plane.New(plane.Options{Name: set.Name, Addr: set.Addr, Boot: hex.EncodeToString(boot), Core: core, Sched: passes(set),
 		CallTimeout: set.CallTimeout, Backlog: set.Backlog, Clock: alarm.Real{}, Logger: daemon.Part(logger, "plane"),
 		Caller: caller, Minions: minions})
 	reg.MustRegister(plane.NewMeter(n))
+	var learn func([]string)
+	if len(set.Core) == 0 {
+		learn = n.Cplanes
+	}
+	members := daemon.View(set.Common, view.Dplane, set.Seeds, caller, logger, reg, learn)
 	srv := wire.NewServer(wire.ServerOptions{Addr: set.Addr, Logger: daemon.Part(logger, "wire"), Registry: reg})
 	consumer.Register(srv, n, consumer.Options{Within: set.CallTimeout, Seed: uint64(boot[0])<<8 | uint64(boot[1])})
 	wire.Handle(srv, pair.Minions, n.Announce)
+	wire.Handle(srv, pair.Shuffle, members.Serve)
 	daemon.Routes(srv, reg, n.Ready)
 	if profiles {
 		daemon.Profiles(srv)
@@ -134,12 +141,14 @@
 	if err := srv.Start(); err != nil {
 		return fault.Pass(err, "serve")
 	}
+	members.Start(context.Background())
 	n.Start(context.Background())
 	_ = level.Info(logger).Log("msg", "serving", "addr", srv.Addr(), "zone", set.Zone, "version", version)
 	<-ctx.Done()
 	leave, over := context.WithTimeout(context.Background(), set.Grace)
 	defer over()
 	n.Leave(leave)
+	members.Stop(leave)
 	err := srv.Stop(set.Grace)
 	n.Stop()
 	if err != nil {
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -14,6 +14,7 @@
 	"crosstide/internal/state"
 	"crosstide/internal/state/command"
 	"crosstide/internal/state/query"
+	"crosstide/internal/view"
 	"crosstide/internal/wire"
 )
 
@@ -45,6 +46,7 @@
 	Members   []quorum.Member    `json:"members"`
 	Evacuated []string           `json:"evacuated,omitempty"`
 	Status    *pair.StatusAnswer `json:"status,omitempty"` // of the cplane that answers
+	Nodes     []view.Seen        `json:"nodes,omitempty"`  // as the cplane that answers knows them: all of a small fleet, else a part
 }
 
 // Serve adds the routes:
@@ -58,7 +60,7 @@
 //	GET  /v1/who
 //
 // Faults: Malformed, Invalid, Unknown, Conflict, Pressure, Unavailable, Timeout (send the same order again).
-func Serve(srv *wire.Server, s Store, name func(id string) string) {
+func Serve(srv *wire.Server, s Store, name func(id string) string, nodes func() []view.Seen) {
 	order := func(pattern string, make func(r *http.Request, id string) command.Command) {
 		srv.Route("POST "+pattern, func(w http.ResponseWriter, r *http.Request) {
 			answer, err := take(r, s, make)
@@ -109,6 +111,7 @@
 		}
 		status := s.Status()
 		out.Store, out.Members, out.Status = name(status.Quorum.Leader), status.Quorum.Members, &status
+		out.Nodes = nodes()
 		wire.WriteJSON(w, http.StatusOK, out)
 	})
 }
--- a/internal/plane/core.go
+++ b/internal/plane/core.go
@@ -24,6 +24,15 @@
 	source string
 }
 
+// know replaces the addresses; none given leaves them as they are.
+func (c *core) know(addrs []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(addrs) > 0 {
+		c.addrs = addrs
+	}
+}
+
 func (c *core) lead() string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/plane/node.go
+++ b/internal/plane/node.go
@@ -72,6 +72,9 @@
 	return n
 }
 
+// Cplanes replaces the addresses of the cplanes; none given leaves them as they are.
+func (n *Node) Cplanes(addrs []string) { n.core.know(addrs) }
+
 // Start sets the node's loops going.
 func (n *Node) Start(ctx context.Context) {
 	n.group = spawn.New(ctx)
--- /dev/null
+++ b/internal/view/node.go
@@ -0,0 +1,203 @@
+package view
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"crosstide/internal/alarm"
+	"crosstide/internal/fault"
+	"crosstide/internal/spawn"
+)
+
+// Ask sends a message to an address and gives the answer; it ends by its own time-out.
+type Ask func(ctx context.Context, addr string, m Message) (Message, error)
+
+// Options are what a node is made of; Self, Ask and Clock are needed.
+type Options struct {
+	Self     Note // Boot 0 takes the time of day in milliseconds
+	Seeds    []string
+	Rnd      uint64
+	Config   *Config // default Defaults
+	Ask      Ask
+	Clock    alarm.Clock
+	Logger   log.Logger
+	Registry prometheus.Registerer // default: not shown
+	// Cplanes is told the addresses of the cplanes whenever the directory of them changed.
+	Cplanes func(addrs []string)
+}
+
+// Node runs a Core.
+type Node struct {
+	opt   Options
+	group *spawn.Group
+	mu    sync.Mutex
+	core  *Core
+	bytes prometheus.Counter
+}
+
+// NewNode makes a node; Start sets it going. Example:
+//
+//	n := view.NewNode(view.Options{Self: self, Seeds: seeds, Ask: ask, Clock: alarm.Real{}})
+//	wire.Handle(srv, pair.Shuffle, n.Serve)
+//	n.Start(ctx)
+//	defer n.Stop(ctx)
+func NewNode(opt Options) *Node {
+	if opt.Logger == nil {
+		opt.Logger = log.NewNopLogger()
+	}
+	if opt.Self.Boot == 0 {
+		opt.Self.Boot = uint64(opt.Clock.Wall().UnixMilli())
+	}
+	cfg := Defaults()
+	if opt.Config != nil {
+		cfg = *opt.Config
+	}
+	n := &Node{opt: opt, core: New(cfg, opt.Self, opt.Seeds, opt.Rnd)}
+	n.bytes = prometheus.NewCounter(prometheus.CounterOpts{Name: "crosstide_view_bytes_total",
+		Help: "Bytes of JSON sent in shuffles, calls and answers; heads are not counted."})
+	if opt.Registry != nil {
+		opt.Registry.MustRegister(n.bytes, &gauges{n})
+	}
+	return n
+}
+
+// Start sets the node going.
+func (n *Node) Start(ctx context.Context) {
+	n.group = spawn.New(ctx)
+	n.group.Go(n.run)
+}
+
+// Stop tells some neighbours that the node leaves, until ctx ends, and ends it.
+func (n *Node) Stop(ctx context.Context) {
+	n.mu.Lock()
+	calls := n.core.Leave(n.opt.Clock.Now())
+	n.mu.Unlock()
+	n.group.Stop()
+	spawn.Each(len(calls), len(calls), func(i int) {
+		n.count(calls[i].Message)
+		if _, err := n.opt.Ask(ctx, calls[i].Addr, calls[i].Message); err != nil {
+			_ = level.Debug(n.opt.Logger).Log("msg", "leaving was not heard", "addr", calls[i].Addr, "err", err)
+		}
+	})
+}
+
+func (n *Node) run(ctx context.Context) {
+	for {
+		n.mu.Lock()
+		now := n.opt.Clock.Now()
+		calls := n.core.Tick(now)
+		due := n.core.Next() - now
+		n.mu.Unlock()
+		n.tell()
+		for _, call := range calls {
+			n.group.Go(func(ctx context.Context) { n.send(ctx, call) })
+		}
+		rung := make(chan struct{})
+		ring := n.opt.Clock.Set(max(due, time.Millisecond), func() { close(rung) })
+		select {
+		case <-rung:
+		case <-ctx.Done():
+			ring.Stop()
+			return
+		}
+	}
+}
+
+func (n *Node) send(ctx context.Context, call Call) {
+	n.count(call.Message)
+	answer, err := n.opt.Ask(ctx, call.Addr, call.Message)
+	n.mu.Lock()
+	if err != nil {
+		n.core.Fault(n.opt.Clock.Now(), call.ID)
+	} else {
+		n.core.Answer(n.opt.Clock.Now(), call.ID, answer)
+	}
+	n.mu.Unlock()
+	if err != nil {
+		_ = level.Debug(n.opt.Logger).Log("msg", "a shuffle failed", "addr", call.Addr, "err", err)
+	}
+	n.tell()
+}
+
+// Serve answers a shuffle. Fault: Invalid.
+func (n *Node) Serve(_ context.Context, m Message) (Message, error) {
+	if !m.From.whole() {
+		return Message{}, fault.Field(fault.Invalid, "from", "must be a node with its name and address")
+	}
+	n.mu.Lock()
+	answer := n.core.Call(n.opt.Clock.Now(), m)
+	n.mu.Unlock()
+	n.count(answer)
+	n.tell()
+	return answer, nil
+}
+
+// tell logs the changes of the directory and hands its addresses on.
+func (n *Node) tell() {
+	n.mu.Lock()
+	defer n.mu.Unlock() // the order of two changes is kept
+	changes := n.core.Changes()
+	for _, ch := range changes {
+		_ = level.Info(n.opt.Logger).Log("msg", "cplane", "what", ch.What, "name", ch.Note.Name, "addr", ch.Note.Addr, "boot", ch.Note.Boot)
+	}
+	if len(changes) > 0 && n.opt.Cplanes != nil {
+		n.opt.Cplanes(n.core.Cplanes())
+	}
+}
+
+func (n *Node) count(m Message) {
+	if raw, err := json.Marshal(m); err == nil {
+		n.bytes.Add(float64(len(raw)))
+	}
+}
+
+// Nodes gives the nodes known, as Core.Nodes does.
+func (n *Node) Nodes() []Seen {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.core.Nodes(n.opt.Clock.Now())
+}
+
+// gauges are read when they are asked for.
+type gauges struct{ n *Node }
+
+var (
+	descSize     = prometheus.NewDesc("crosstide_view_nodes", "Nodes known: neighbours, suspects among them, cplanes in the directory.", []string{"of"}, nil)
+	descShuffles = prometheus.NewDesc("crosstide_view_shuffles_total", "Shuffles: sent, taken, without an answer, and sent to seeds.", []string{"how"}, nil)
+	descSuspects = prometheus.NewDesc("crosstide_view_suspects_total", "Neighbours that were suspected, and of those dropped.", []string{"what"}, nil)
+)
+
+// Describe sends the descriptions.
+func (g *gauges) Describe(to chan<- *prometheus.Desc) {
+	to <- descSize
+	to <- descShuffles
+	to <- descSuspects
+}
+
+// Collect gives the figures of now.
+func (g *gauges) Collect(to chan<- prometheus.Metric) {
+	g.n.mu.Lock()
+	neighbours, cplanes := g.n.core.Size()
+	c, suspects := g.n.core.Counts, 0
+	for _, e := range g.n.core.view {
+		if e.doubt {
+			suspects++
+		}
+	}
+	g.n.mu.Unlock()
+	for of, v := range map[string]int{"view": neighbours, "suspects": suspects, "core": cplanes} {
+		to <- prometheus.MustNewConstMetric(descSize, prometheus.GaugeValue, float64(v), of)
+	}
+	for how, v := range map[string]uint64{"sent": c.Shuffles, "taken": c.Taken, "fault": c.Faults, "seed": c.Visits} {
+		to <- prometheus.MustNewConstMetric(descShuffles, prometheus.CounterValue, float64(v), how)
+	}
+	for what, v := range map[string]uint64{"suspected": c.Suspects, "dropped": c.Dropped} {
+		to <- prometheus.MustNewConstMetric(descSuspects, prometheus.CounterValue, float64(v), what)
+	}
+}
