--- /dev/null
+++ b/cmd/drill/bench.go
@@ -0,0 +1,124 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"crosstide/internal/alarm"
+	"crosstide/internal/fault"
+	"crosstide/internal/rig/fleet"
+	"crosstide/internal/rig/load"
+	"crosstide/internal/slot"
+)
+
+func init() {
+	commands = append(commands, &cli.Command{
+		Name:  "bench",
+		Usage: "measure a fleet at rising rates of no-op tasks",
+		Description: "drill bench --fleet DIR --rates 100,200,400 --tasks 5 --for 5s\n\n" +
+			"One load after another, each of no-op tasks; prints a table: jobs and starts per second, accept and start\n" +
+			"percentiles, tickets per sync of the store's leader, and processor time of the leader and of the holder of sched.",
+		Flags: []cli.Flag{dirFlag(),
+			&cli.FloatSliceFlag{Name: "rates", Value: []float64{50, 100, 200, 400, 800}, Usage: "jobs per second"},
+			&cli.IntFlag{Name: "tasks", Value: 5, Usage: "per job"},
+			&cli.DurationFlag{Name: "for", Value: 5 * time.Second, Usage: "of each rate"},
+			&cli.DurationFlag{Name: "wait", Value: 30 * time.Second, Usage: "for the ends"},
+		},
+		Action: bench,
+	}, &cli.Command{
+		Name:  "disk",
+		Usage: "measure how many syncs a second the disk gives, as the store does them",
+		Flags: []cli.Flag{&cli.StringFlag{Name: "data", Required: true, Usage: "a new `FOLDER`, left behind"},
+			&cli.DurationFlag{Name: "for", Value: 2 * time.Second}, &cli.IntFlag{Name: "bytes", Value: 256, Usage: "of a record"}},
+		Action: disk,
+	})
+}
+
+// sample is what the two that matter have counted.
+type sample struct{ syncs, tickets, leaderCPU, holderCPU float64 }
+
+func take(ctx context.Context, c *fleet.Caller, nodes fleet.Nodes) (sample, error) {
+	who, err := fleet.Who(ctx, c, nodes)
+	if err != nil {
+		return sample{}, fault.Pass(err, "who holds what")
+	}
+	var s sample
+	for _, n := range append(nodes.CPlanes, nodes.DPlanes...) {
+		if n.Name != who.Store && n.Name != who.Sched {
+			continue
+		}
+		f, err := fleet.Scrape(ctx, c, n.Addr)
+		if err != nil {
+			return s, fault.Pass(err, "sample of %s", n.Name)
+		}
+		if n.Name == who.Store {
+			s.syncs, s.leaderCPU = f.Sum("crosstide_store_sync_seconds_count"), f.Sum("process_cpu_seconds_total")
+		} else {
+			s.tickets, s.holderCPU = f.Sum("crosstide_sched_tickets_total"), f.Sum("process_cpu_seconds_total")
+		}
+	}
+	return s, nil
+}
+
+func bench(ctx context.Context, cmd *cli.Command) error {
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	nodes, err := fleet.Read(cmd.String("fleet"))
+	if err != nil {
+		return fault.Pass(err, "bench")
+	}
+	caller := fleet.NewCaller(4)
+	out := cmd.Root().Writer
+	fmt.Fprintln(out, "| jobs/s offered | accepted | done | starts/s | accept p50 / p99 ms | start p50 / p99 ms | syncs/s | tickets per sync | leader % core | holder % core |")
+	fmt.Fprintln(out, "|---|---|---|---|---|---|---|---|---|---|")
+	for i, rate := range cmd.FloatSlice("rates") {
+		before, err := take(ctx, caller, nodes)
+		if err != nil {
+			return fault.Pass(err, "bench")
+		}
+		begun := alarm.Real{}.Now()
+		r, err := load.Run(ctx, load.Options{Dir: cmd.String("fleet"), Rate: rate, For: cmd.Duration("for"), Seed: uint64(i + 1),
+			Tasks: cmd.Int("tasks"), Wait: cmd.Duration("wait"), Polls: 2000, Workers: 8, Retries: 3})
+		if err != nil {
+			return fault.Pass(err, "load at %g", rate)
+		}
+		took := (alarm.Real{}.Now() - begun).Seconds()
+		after, err := take(ctx, caller, nodes)
+		if err != nil {
+			return fault.Pass(err, "bench")
+		}
+		syncs, tickets := after.syncs-before.syncs, after.tickets-before.tickets
+		fmt.Fprintf(out, "| %.0f | %d | %d | %.0f | %.1f / %.1f | %.1f / %.1f | %.0f | %.1f | %.0f | %.0f |\n", rate, r.Accepted, r.Done,
+			r.StartsPerS, r.Accept.P50, r.Accept.P99, r.ToStart.P50, r.ToStart.P99, syncs/took, tickets/syncs,
+			100*(after.leaderCPU-before.leaderCPU)/took, 100*(after.holderCPU-before.holderCPU)/took)
+	}
+	return nil
+}
+
+func disk(_ context.Context, cmd *cli.Command) error {
+	folder, err := slot.OSDisk(cmd.String("data"))
+	if err != nil {
+		return fault.Pass(err, "disk")
+	}
+	s, _, err := slot.Open(folder, slot.Options{})
+	if err != nil {
+		return fault.Pass(err, "disk")
+	}
+	data := make([]byte, cmd.Int("bytes"))
+	clock := alarm.Real{}
+	begun := clock.Now()
+	var n uint64
+	for clock.Now()-begun < cmd.Duration("for") {
+		n++
+		if err := s.Append([]slot.Record{{Term: 1, Index: n, Data: data}}); err != nil {
+			return fault.Pass(err, "disk")
+		}
+	}
+	fmt.Fprintf(cmd.Root().Writer, "%.0f syncs/s of one record of %d bytes\n", float64(n)/(clock.Now()-begun).Seconds(), len(data))
+	return fault.Pass(s.Close(), "disk")
+}
