Hold minions sick that spoil what their peers end well

Cause: a minion that fails its work at once while looking healthy has room all the time: it draws tasks and eats their retries. Ruled out: judging by a fixed bound of faults (a job that can never succeed would take minions with it). Change: the holder keeps fading scores by minion and type, holds a minion sick whose fault rate is clearly above its peers', up to a share of its zone, probes it one task at a time, and tries a task elsewhere that ended in fault somewhere. Conclusion: stands in the pure core; the goodput on processes is still to be measured.

--- a/internal/plane/meter.go
+++ b/internal/plane/meter.go
@@ -29,6 +29,7 @@
 	} {
 		m.desc[name] = prometheus.NewDesc("crosstide_"+name, help, nil, nil)
 	}
+	m.desc["sched_sick"] = prometheus.NewDesc("crosstide_sched_sick", "1 for each minion held sick.", []string{"minion"}, nil)
 	m.desc["dead"] = prometheus.NewDesc("crosstide_sched_dead_total", "Handles proved dead, by proof.", []string{"proof"}, nil)
 	m.desc["tally"] = prometheus.NewDesc("crosstide_sched_tally", "Handles out, by type of job.", []string{"type"}, nil)
 	return m
@@ -77,6 +78,9 @@
 	count("sched_stops_total", c.Stops)
 	count("sched_call_faults_total", c.CallFaults)
 	count("sched_crossed_total", c.Crossed)
+	for _, name := range f.Sick {
+		to <- prometheus.MustNewConstMetric(m.desc["sched_sick"], prometheus.GaugeValue, 1, name)
+	}
 	for why, n := range c.Dead {
 		to <- prometheus.MustNewConstMetric(m.desc["dead"], prometheus.CounterValue, float64(n), why)
 	}
--- a/internal/plane/node.go
+++ b/internal/plane/node.go
@@ -346,6 +346,7 @@
 	Counts                           sched.Counts
 	Tallies                          map[string]int
 	Jobs, Handles, Minions, Inbox    int
+	Sick                             []string // minions held sick
 }
 
 // Figures gives a snapshot of the node's figures.
@@ -354,7 +355,7 @@
 	defer n.replica.Unlock()
 	f := Figures{Index: st.Index, Changes: n.replica.Changes, Bytes: n.replica.Bytes, Snapshots: n.replica.Snapshots,
 		Phase: n.sched.Phase(), Epoch: n.sched.Epoch(), Backlog: n.sched.Backlog(), Counts: n.sched.Counts, Tallies: st.Tallies(),
-		Jobs: len(st.Jobs), Handles: len(st.Handles), Minions: len(st.Minions), Inbox: len(st.Inbox)}
+		Jobs: len(st.Jobs), Handles: len(st.Handles), Minions: len(st.Minions), Inbox: len(st.Inbox), Sick: n.sched.Sick()}
 	f.Counts.Dead = map[string]uint64{}
 	for k, v := range n.sched.Counts.Dead {
 		f.Counts.Dead[k] = v
--- a/internal/sched/hold.go
+++ b/internal/sched/hold.go
@@ -289,8 +289,10 @@
 			r.gone = true
 			c.ends = append(c.ends, command.End{Ticket: e.Ticket, OK: e.How == pair.EndWell, Reason: e.Reason})
 			c.Counts.Ended++
+			c.health.ended(now, r.h, e.How == pair.EndWell)
 			if e.How == pair.EndFault {
 				c.Counts.Faults++
+				c.judge(now, m, r.h.Type)
 			}
 		case pair.EndLapse:
 			c.kill(r, command.ProofLapse, "its hold lapsed")
--- a/internal/sched/plan.go
+++ b/internal/sched/plan.go
@@ -200,6 +200,7 @@
 type spot struct {
 	rec         *state.Minion
 	cores, gpus int
+	probe       bool // of a sick minion: one start, no more
 }
 
 // spots gives the minions that may get a start now, in turn from where the last pass left off.
@@ -209,11 +210,11 @@
 		m := c.minions[c.ring[(c.turn+i)%len(c.ring)]]
 		rec := c.st.Minions[m.name]
 		if rec == nil || m.heard == 0 || m.faults > 0 || m.drain || m.order != 0 || len(m.outbox) > 0 || m.report != nil ||
-			rec.Boot != m.boot || now-m.heard > c.cfg.Silence {
+			rec.Boot != m.boot || now-m.heard > c.cfg.Silence || !c.health.admits(now, m.name) {
 			continue
 		}
 		r := c.st.Room(m.name)
-		if s := (&spot{rec, rec.Cores - r.Cores, rec.GPUs - r.GPUs}); s.cores > 0 {
+		if s := (&spot{rec, rec.Cores - r.Cores, rec.GPUs - r.GPUs, c.health.sick[m.name] != nil}); s.cores > 0 {
 			out = append(out, s)
 		}
 	}
@@ -312,20 +313,22 @@
 	for i := range n {
 		ref := k.refs[k.head+i]
 		step := &j.Spec.Steps[ref.Step]
-		found := false
+		var found *spot
 		for range spots {
 			s := spots[*next%len(spots)]
 			*next++
-			if s.cores >= step.Cores && s.gpus >= step.GPUs && c.st.Fits(&j.Spec, step, s.rec) == "" {
-				s.cores -= step.Cores
-				s.gpus -= step.GPUs
-				taken = append(taken, s)
-				starts = append(starts, command.Start{Ref: ref, Minion: s.rec.Name, Boot: s.rec.Boot})
-				found = true
+			if s.cores < step.Cores || s.gpus < step.GPUs || s.probe && n > 1 || c.st.Fits(&j.Spec, step, s.rec) != "" {
+				continue
+			}
+			if !c.health.shuns(ref, s.rec.Name) {
+				found = s
 				break
 			}
+			if found == nil && !s.probe { // better there again than not at all
+				found = s
+			}
 		}
-		if !found {
+		if found == nil {
 			for x, s := range taken {
 				step := &j.Spec.Steps[starts[x].Ref.Step]
 				s.cores += step.Cores
@@ -333,6 +336,13 @@
 			}
 			return nil
 		}
+		found.cores -= step.Cores
+		found.gpus -= step.GPUs
+		if found.probe {
+			found.cores = 0
+		}
+		taken = append(taken, found)
+		starts = append(starts, command.Start{Ref: ref, Minion: found.rec.Name, Boot: found.rec.Boot})
 	}
 	return starts
 }
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -6,6 +6,7 @@
 package sched
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -26,13 +27,14 @@
 	Silence     time.Duration // no new starts on a minion unheard for this long
 	Sweep       time.Duration // between passes over all records
 	Batch       int           // most starts in a plan
+	Health      HealthConfig
 }
 
 // Defaults are our starting values.
 func Defaults() Config {
 	return Config{Hold: 20 * time.Second, HoldWait: time.Second, StartWindow: 500 * time.Millisecond,
 		PlanWindow: 1500 * time.Millisecond, Lateness: 2 * time.Second, LeaseMargin: 500 * time.Millisecond,
-		Retry: 500 * time.Millisecond, Silence: 2500 * time.Millisecond, Sweep: 100 * time.Millisecond, Batch: 1024}
+		Retry: 500 * time.Millisecond, Silence: 2500 * time.Millisecond, Sweep: 100 * time.Millisecond, Batch: 1024, Health: HealthDefaults()}
 }
 
 // Phase is where the duty stands on this node.
@@ -61,8 +63,8 @@
 
 // Counts are what a Core counted since it was made.
 type Counts struct {
-	Tickets, Refused, Sent, Ended, Faults, Doubts, Stops, Plans, PlanFaults, CallFaults, Crossed uint64
-	Dead                                                                                         map[string]uint64 // by proof
+	Tickets, Refused, Sent, Ended, Faults, Doubts, Stops, Plans, PlanFaults, CallFaults, Crossed, Sick uint64
+	Dead                                                                                               map[string]uint64 // by proof
 }
 
 // Core is the duty's record tables and the passes over them. One caller at a time.
@@ -80,6 +82,7 @@
 	turn    int
 	dirty   map[string]bool // minions with something to send
 	backlog backlog
+	health  health
 	tally   map[string]int
 	teams   map[string]int // handles out by team
 
@@ -89,6 +92,7 @@
 	ends    []command.End
 	dead    []command.Proof
 	sweepAt time.Duration
+	tidyAt  time.Duration
 	now     time.Duration // of the newest input
 	swept   bool          // placement looked at the backlog since the last change
 
@@ -155,6 +159,7 @@
 	c.ring, c.plan = nil, nil
 	c.running, c.doubts, c.ends, c.dead = nil, nil, nil, nil
 	c.backlog.clear()
+	c.health = newHealth(c.cfg.Health)
 }
 
 // Reset puts another replica in place (after a snapshot). The duty, if held, is rebuilt from it.
@@ -270,6 +275,7 @@
 	m := c.meet(h.Minion)
 	m.runs[h.Ticket] = r
 	c.tally[h.Type]++
+	c.health.probe(h.Minion, h.Ticket)
 	if j, _ := c.st.TaskOf(h.Ref); j != nil {
 		r.team = j.Spec.Team
 	}
@@ -286,6 +292,7 @@
 		}
 	}
 	delete(c.runs, h.Ticket)
+	c.health.lost(h.Minion, h.Ticket)
 	if m := c.minions[h.Minion]; m != nil {
 		delete(m.runs, h.Ticket)
 	}
@@ -319,6 +326,29 @@
 // Tally gives the tally of a type, as rebuilt and kept by this holder.
 func (c *Core) Tally(kind string) int { return c.tally[kind] }
 
+// Sick gives the minions that are held sick, by name.
+func (c *Core) Sick() []string { return slices.Sorted(maps.Keys(c.health.sick)) }
+
+// judge holds a minion sick if it spoils what its peers end well, as far as its zone can spare it.
+func (c *Core) judge(now time.Duration, m *minion, kind string) {
+	rec := c.st.Minions[m.name]
+	if rec == nil || c.health.score(m.name, kind).spoilt < c.cfg.Health.Least {
+		return
+	}
+	zone, held := 0, 0
+	for name, other := range c.st.Minions {
+		if other.Zone == rec.Zone {
+			zone++
+			if c.health.sick[name] != nil {
+				held++
+			}
+		}
+	}
+	if c.health.judge(now, m.name, kind, zone, held) {
+		c.Counts.Sick++
+	}
+}
+
 // Backlog is how many due tasks wait for a ticket, those in back-off included.
 func (c *Core) Backlog() int { return c.backlog.len() }
 
@@ -358,6 +388,10 @@
 		}
 	}
 	c.swept = false
+	if now >= c.tidyAt {
+		c.tidyAt = now + 10*time.Second
+		c.health.forget(func(job string) bool { j := c.st.Jobs[job]; return j != nil && !j.Phase.Over() })
+	}
 }
 
 // drift allows for a minion's clock that runs a little slow against ours.
