--- /dev/null
+++ b/cmd/cplane/bundle.go
@@ -0,0 +1,390 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"crosstide/internal/bundle"
+	"crosstide/internal/fault"
+	"crosstide/internal/operator"
+	"crosstide/internal/seal"
+	"crosstide/internal/state"
+	"crosstide/internal/state/command"
+)
+
+const stamp = "2006-01-02T15:04:05.000Z"
+
+func keyFlag() cli.Flag {
+	return &cli.StringFlag{Name: "key", Usage: "`FILE` of the operator who signs"}
+}
+
+func orderFlag() cli.Flag {
+	return &cli.StringFlag{Name: "order", Usage: "`ID` of the order; drawn if it is not given. Sent again it is carried out once"}
+}
+
+func jsonFlag() cli.Flag {
+	return &cli.BoolFlag{Name: "json", Usage: "print the answer as JSON"}
+}
+
+func bundleCommands() []*cli.Command {
+	base := &cli.Uint64Flag{Name: "base", Usage: "the `VERSION` that this is written against, the newest", Required: true}
+	asked := slices.Clip(append(addrFlags(), jsonFlag()))
+	return []*cli.Command{
+		{Name: "key", Usage: "an operator's key", Commands: []*cli.Command{
+			{Name: "new", Usage: "draw a key for the operator NAME and write it to FILE", ArgsUsage: "NAME FILE", Action: keyNew},
+			{Name: "show", Usage: "print the public part of the key in FILE, as operator_keys holds it", ArgsUsage: "FILE", Action: keyShow},
+		}},
+		{Name: "bundle", Usage: "write, sign and read the bundle", Commands: []*cli.Command{
+			{Name: "check", Usage: "print all mistakes in the bundle FILE (- for standard input)", ArgsUsage: "FILE", Action: bundleCheck},
+			{Name: "put", Usage: "write FILE as a draft", ArgsUsage: "FILE", Flags: append(asked, keyFlag(), orderFlag(), base),
+				Action: write("/v1/bundles", seal.Put)},
+			{Name: "patch", Usage: "write the base, changed by the JSON merge patch in FILE, as a draft", ArgsUsage: "FILE",
+				Flags: append(asked, keyFlag(), orderFlag(), base), Action: write("/v1/bundles/patch", seal.Patch)},
+			{Name: "sign", Usage: "sign VERSION; the second operator puts it in force", ArgsUsage: "VERSION", Action: bundleSign,
+				Flags: append(asked, keyFlag(), orderFlag(), &cli.StringFlag{Name: "sha", Usage: "refuse unless the bytes have this SHA-256"})},
+			{Name: "show", Usage: "print the exact bytes of VERSION (also: current, newest); with --json what is known of it",
+				ArgsUsage: "VERSION", Flags: asked, Action: bundleShow},
+			{Name: "log", Usage: "list the versions, newest first", Action: bundleLog,
+				Flags: append(asked, &cli.IntFlag{Name: "limit", Value: 50})},
+			{Name: "diff", Usage: "print what differs between A and B", ArgsUsage: "A B", Flags: asked, Action: bundleDiff},
+		}},
+		{Name: "rollout", Usage: "print which bundle every node has, and how long it took", Flags: asked, Action: rollout},
+		{Name: "zone", Usage: "evacuate a zone, or lift that", Commands: []*cli.Command{
+			{Name: "evacuate", Usage: "no new starts in ZONE, what runs there is stopped", ArgsUsage: "ZONE",
+				Flags: append(asked, keyFlag(), orderFlag()), Action: zone(true)},
+			{Name: "lift", Usage: "ZONE may be used again; two operators are needed", ArgsUsage: "ZONE",
+				Flags: append(asked, keyFlag(), orderFlag()), Action: zone(false)},
+			{Name: "list", Usage: "print the evacuated zones", Flags: asked, Action: zoneList},
+		}},
+	}
+}
+
+// one gives the arguments, which must be so many.
+func args(cmd *cli.Command, names ...string) ([]string, error) {
+	if cmd.NArg() != len(names) {
+		return nil, fault.Field(fault.Settings, strings.Join(names, " "), "%d arguments are needed, are %d", len(names), cmd.NArg())
+	}
+	return cmd.Args().Slice(), nil
+}
+
+func keyNew(_ context.Context, cmd *cli.Command) error {
+	a, err := args(cmd, "NAME", "FILE")
+	if err != nil {
+		return fault.Pass(err, "key")
+	}
+	key, err := seal.New(a[0])
+	if err != nil {
+		return fault.Pass(err, "key")
+	}
+	if err := key.Save(a[1]); err != nil {
+		return fault.Pass(err, "key")
+	}
+	return fault.Pass(show(map[string]string{"name": key.Name, "key": key.Public()}), "key")
+}
+
+func keyShow(_ context.Context, cmd *cli.Command) error {
+	a, err := args(cmd, "FILE")
+	if err != nil {
+		return fault.Pass(err, "key")
+	}
+	key, err := seal.Load(a[0])
+	if err != nil {
+		return fault.Pass(err, "key")
+	}
+	return fault.Pass(show(map[string]string{"name": key.Name, "key": key.Public()}), "key")
+}
+
+func show(v any) error {
+	raw, err := json.Marshal(v)
+	if err != nil {
+		return fault.Wrap(err, fault.Internal, "encode")
+	}
+	_, err = fmt.Println(string(raw))
+	return fault.Wrap(err, fault.Internal, "print")
+}
+
+// text reads the one argument as a file.
+func text(cmd *cli.Command) ([]byte, error) {
+	a, err := args(cmd, "FILE")
+	if err != nil {
+		return nil, fault.Pass(err, "file")
+	}
+	if a[0] == "-" {
+		data, err := io.ReadAll(os.Stdin)
+		return data, fault.Wrap(err, fault.Disk, "standard input")
+	}
+	data, err := os.ReadFile(a[0])
+	return data, fault.Wrap(err, fault.Disk, "file")
+}
+
+func bundleCheck(_ context.Context, cmd *cli.Command) error {
+	data, err := text(cmd)
+	if err != nil {
+		return fault.Pass(err, "check")
+	}
+	if _, err := bundle.Parse(data); err != nil {
+		return fault.Pass(err, "check")
+	}
+	fmt.Println("ok", bundle.Digest(data))
+	return nil
+}
+
+// signer gives the operator's key, nil if none is given: the store may know no operators yet.
+func signer(cmd *cli.Command) (*seal.Key, error) {
+	if !cmd.IsSet("key") {
+		return nil, nil
+	}
+	key, err := seal.Load(cmd.String("key"))
+	return &key, fault.Pass(err, "key")
+}
+
+// write makes the action of put and patch; what is signed is the order, the base and the digest of the text.
+func write(path string, signed func(order string, base uint64, digest string) string) cli.ActionFunc {
+	return func(ctx context.Context, cmd *cli.Command) error {
+		data, err := text(cmd)
+		if err != nil {
+			return fault.Pass(err, "write")
+		}
+		key, err := signer(cmd)
+		if err != nil {
+			return fault.Pass(err, "write")
+		}
+		id, base := orderID(cmd), cmd.Uint64("base")
+		q := url.Values{"order": {id}, "base": {strconv.FormatUint(base, 10)}}
+		if key != nil {
+			q.Set("by", key.Name)
+			q.Set("sig", key.Sign(signed(id, base, bundle.Digest(data))))
+		}
+		raw, err := call(ctx, http.MethodPost, cmd.String("addr"), path+"?"+q.Encode(), data)
+		if err != nil {
+			return fault.Pass(err, "order %s", id)
+		}
+		var done command.Drafted
+		return fault.Pass(answer(cmd, raw, &done, func(w io.Writer) {
+			fmt.Fprintf(w, "version\t%d\nsha256\t%s\nstate\t%s\n", done.Version, done.Digest, done.Phase)
+		}), "write")
+	}
+}
+
+// answer prints raw, or with a table what it says.
+func answer(cmd *cli.Command, raw []byte, into any, table func(w io.Writer)) error {
+	if cmd.Bool("json") {
+		_, err := os.Stdout.Write(append([]byte(strings.TrimSpace(string(raw))), '\n'))
+		return fault.Wrap(err, fault.Internal, "print")
+	}
+	if err := json.Unmarshal(raw, into); err != nil {
+		return fault.Wrap(err, fault.Malformed, "the answer")
+	}
+	out := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	table(out)
+	return fault.Wrap(out.Flush(), fault.Internal, "print")
+}
+
+// bundleSign reads the version, takes the digest of the very bytes it read, and signs that.
+func bundleSign(ctx context.Context, cmd *cli.Command) error {
+	a, err := args(cmd, "VERSION")
+	if err != nil {
+		return fault.Pass(err, "sign")
+	}
+	version, err := strconv.ParseUint(a[0], 10, 64)
+	if err != nil {
+		return fault.Field(fault.Settings, "VERSION", "must be a number, is %q", a[0])
+	}
+	key, err := signer(cmd)
+	if err != nil {
+		return fault.Pass(err, "sign")
+	}
+	if key == nil {
+		return fault.Field(fault.Settings, "key", "must be given")
+	}
+	addr, path := cmd.String("addr"), "/v1/bundles/"+strconv.FormatUint(version, 10)
+	body, err := call(ctx, http.MethodGet, addr, path+"/body", nil)
+	if err != nil {
+		return fault.Pass(err, "read version %d", version)
+	}
+	digest := bundle.Digest(body)
+	if want := cmd.String("sha"); want != "" && !strings.EqualFold(want, digest) {
+		return fault.Field(fault.Conflict, "sha", "version %d has %s", version, digest)
+	}
+	id := orderID(cmd)
+	in, err := json.Marshal(operator.Signing{Order: id, Digest: digest, By: key.Name, Sig: key.Sign(seal.Bundle(version, digest))})
+	if err != nil {
+		return fault.Wrap(err, fault.Internal, "encode the order")
+	}
+	raw, err := call(ctx, http.MethodPost, addr, path+"/sign", in)
+	if err != nil {
+		return fault.Pass(err, "order %s", id)
+	}
+	var done command.Signed
+	return fault.Pass(answer(cmd, raw, &done, func(w io.Writer) {
+		fmt.Fprintf(w, "version\t%d\nsha256\t%s\nstate\t%s\nsigned\t%s\n", done.Version, done.Digest, done.Phase, strings.Join(done.Signed, " "))
+	}), "sign")
+}
+
+func bundleShow(ctx context.Context, cmd *cli.Command) error {
+	a, err := args(cmd, "VERSION")
+	if err != nil {
+		return fault.Pass(err, "show")
+	}
+	path := "/v1/bundles/" + url.PathEscape(a[0])
+	if !cmd.Bool("json") {
+		path += "/body"
+	}
+	raw, err := call(ctx, http.MethodGet, cmd.String("addr"), path, nil)
+	if err != nil {
+		return fault.Pass(err, "show")
+	}
+	_, err = os.Stdout.Write(raw) // the exact bytes, no line end put to them
+	return fault.Wrap(err, fault.Internal, "print")
+}
+
+// ask gets path and prints it as a table, or as JSON.
+func ask(ctx context.Context, cmd *cli.Command, path string, into any, table func(w io.Writer)) error {
+	raw, err := call(ctx, http.MethodGet, cmd.String("addr"), path, nil)
+	if err != nil {
+		return fault.Pass(err, "ask")
+	}
+	return fault.Pass(answer(cmd, raw, into, table), "ask")
+}
+
+func when(t time.Time) string {
+	if t.IsZero() {
+		return "-"
+	}
+	return t.UTC().Format(stamp)
+}
+
+func bundleLog(ctx context.Context, cmd *cli.Command) error {
+	var log operator.Log
+	return fault.Pass(ask(ctx, cmd, "/v1/bundles?limit="+strconv.Itoa(cmd.Int("limit")), &log, func(w io.Writer) {
+		fmt.Fprintln(w, "VERSION\tBASE\tSTATE\tWRITTEN\tBY\tSIGNED\tIN FORCE\tBYTES\tSHA256")
+		for _, v := range log.Versions {
+			fmt.Fprintf(w, "%d\t%d\t%s\t%s\t%s\t%s\t%s\t%d\t%s\n", v.Version, v.Base, v.Phase, when(v.At), dash(v.By),
+				dash(signers(v)), when(v.Force), v.Size, v.Digest)
+		}
+	}), "log")
+}
+
+func signers(r state.Revision) string {
+	var out []string
+	for _, g := range r.Signed {
+		out = append(out, g.By)
+	}
+	return strings.Join(out, " ")
+}
+
+func dash(s string) string {
+	if s == "" {
+		return "-"
+	}
+	return s
+}
+
+func bundleDiff(ctx context.Context, cmd *cli.Command) error {
+	a, err := args(cmd, "A", "B")
+	if err != nil {
+		return fault.Pass(err, "diff")
+	}
+	var diff operator.Difference
+	return fault.Pass(ask(ctx, cmd, "/v1/bundles/"+url.PathEscape(a[0])+"/diff/"+url.PathEscape(a[1]), &diff, func(w io.Writer) {
+		fmt.Fprintf(w, "PATH\t%d\t%d\n", diff.From, diff.To)
+		for _, c := range diff.Changes {
+			fmt.Fprintf(w, "%s\t%s\t%s\n", c.Path, dash(c.From), dash(c.To))
+		}
+	}), "diff")
+}
+
+func rollout(ctx context.Context, cmd *cli.Command) error {
+	var out operator.Rollout
+	return fault.Pass(ask(ctx, cmd, "/v1/rollout", &out, func(w io.Writer) {
+		fmt.Fprintf(w, "version %d in force since %s\nKIND\tNODE\tVERSION\tSINCE\tTOOK\tHEARD\n", out.Version, when(out.Force))
+		for _, n := range out.Nodes {
+			took := "-"
+			if n.Version == out.Version && !out.Force.IsZero() {
+				took = n.Took.Round(100 * time.Microsecond).String()
+			}
+			fmt.Fprintf(w, "%s\t%s\t%d\t%s\t%s\t%s\n", n.Kind, n.Node, n.Version, when(n.Since), took, when(n.Heard))
+		}
+		for _, name := range out.Silent {
+			fmt.Fprintf(w, "cplane\t%s\tno answer\t\t\t\n", name)
+		}
+	}), "rollout")
+}
+
+// zone makes the action of evacuate and lift.
+func zone(out bool) cli.ActionFunc {
+	return func(ctx context.Context, cmd *cli.Command) error {
+		a, err := args(cmd, "ZONE")
+		if err != nil {
+			return fault.Pass(err, "zone")
+		}
+		key, err := signer(cmd)
+		if err != nil {
+			return fault.Pass(err, "zone")
+		}
+		in := operator.Order{Order: orderID(cmd)}
+		word, signed := "evacuate", seal.Evacuate(in.Order, a[0])
+		if !out {
+			since, err := evacuated(ctx, cmd, a[0])
+			if err != nil {
+				return fault.Pass(err, "zone")
+			}
+			word, signed = "lift", seal.Lift(a[0], since)
+		}
+		if key != nil {
+			in.By, in.Sig = key.Name, key.Sign(signed)
+		}
+		body, err := json.Marshal(in)
+		if err != nil {
+			return fault.Wrap(err, fault.Internal, "encode the order")
+		}
+		raw, err := call(ctx, http.MethodPost, cmd.String("addr"), "/v1/zones/"+url.PathEscape(a[0])+"/"+word, body)
+		if err != nil {
+			return fault.Pass(err, "order %s", in.Order)
+		}
+		var done command.Zoned
+		return fault.Pass(answer(cmd, raw, &done, func(w io.Writer) {
+			fmt.Fprintf(w, "zone\t%s\nevacuated\t%t\nsigned\t%s\n", done.Zone, done.Evacuated, dash(strings.Join(done.Signed, " ")))
+		}), "zone")
+	}
+}
+
+// evacuated gives since when a zone is; the zero time if it is not.
+func evacuated(ctx context.Context, cmd *cli.Command, name string) (since time.Time, err error) {
+	raw, err := call(ctx, http.MethodGet, cmd.String("addr"), "/v1/zones", nil)
+	if err != nil {
+		return since, fault.Pass(err, "zones")
+	}
+	var list operator.Zones
+	if err := json.Unmarshal(raw, &list); err != nil {
+		return since, fault.Wrap(err, fault.Malformed, "zones")
+	}
+	for _, z := range list.Zones {
+		if z.Zone == name {
+			since = z.Since
+		}
+	}
+	return since, nil
+}
+
+func zoneList(ctx context.Context, cmd *cli.Command) error {
+	var list operator.Zones
+	return fault.Pass(ask(ctx, cmd, "/v1/zones", &list, func(w io.Writer) {
+		fmt.Fprintln(w, "ZONE\tEVACUATED\tLIFTING SIGNED")
+		for _, z := range list.Zones {
+			fmt.Fprintf(w, "%s\t%s\t%s\n", z.Zone, when(z.Since), dash(strings.Join(z.Signed, " ")))
+		}
+	}), "zones")
+}
--- a/cmd/cplane/main.go
+++ b/cmd/cplane/main.go
@@ -34,21 +34,19 @@
 				fmt.Println(version)
 				return nil
 			}},
-			{Name: "who", Usage: "print who holds what", Action: who, Flags: addrFlags()},
-			{Name: "zone", Usage: "evacuate a zone, or lift that", Commands: []*cli.Command{
-				orderCommand("evacuate", "no new starts in ZONE, what runs there is stopped", "ZONE", "/v1/zones/%s/evacuate"),
-				orderCommand("lift", "ZONE may be used again", "ZONE", "/v1/zones/%s/lift"),
-			}},
-			{Name: "minion", Usage: "list, drain, open and retire minions", Commands: []*cli.Command{
-				{Name: "list", Usage: "print every minion", Action: minions, Flags: addrFlags()},
-				orderCommand("drain", "no new starts on MINION", "MINION", "/v1/minions/%s/drain"),
-				orderCommand("open", "MINION may be used again", "MINION", "/v1/minions/%s/open"),
-				orderCommand("retire", "forget MINION, which must be empty", "MINION", "/v1/minions/%s/retire"),
-			}},
 		},
 	}
+	app.Commands = append(app.Commands, codes(append(bundleCommands(),
+		&cli.Command{Name: "who", Usage: "print who holds what", Action: who, Flags: append(addrFlags(), jsonFlag())},
+		&cli.Command{Name: "minion", Usage: "list, drain, open and retire minions", Commands: []*cli.Command{
+			{Name: "list", Usage: "print every minion", Action: minions, Flags: append(addrFlags(), jsonFlag())},
+			orderCommand("drain", "no new starts on MINION", "MINION", "/v1/minions/%s/drain"),
+			orderCommand("open", "MINION may be used again", "MINION", "/v1/minions/%s/open"),
+			orderCommand("retire", "forget MINION, which must be empty", "MINION", "/v1/minions/%s/retire"),
+		}})...)...)
+	app.ExitErrHandler = func(context.Context, *cli.Command, error) {} // the codes are ours, see exit.go
 	if err := app.Run(context.Background(), os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, "cplane:", err)
-		os.Exit(1)
+		os.Exit(exitOf(err))
 	}
 }
--- a/cmd/cplane/operate.go
+++ b/cmd/cplane/operate.go
@@ -10,7 +10,6 @@
 	"net/http"
 	"net/url"
 	"os"
-	"text/tabwriter"
 	"time"
 
 	"github.com/urfave/cli/v3"
@@ -23,25 +22,31 @@
 	return []cli.Flag{&cli.StringFlag{Name: "addr", Usage: "`IP:PORT` of any cplane", Required: true}}
 }
 
-// orderCommand posts an order. Sent again with the same --order it is carried out once.
+// orderID is the order's id: given, or drawn and told on standard error, so that it can be sent again.
+func orderID(cmd *cli.Command) string {
+	id := cmd.String("order")
+	if id == "" {
+		id = rand.Text()[:16]
+		fmt.Fprintln(os.Stderr, "order", id)
+	}
+	return id
+}
+
+// orderCommand posts an order that needs no signature. Sent again with the same --order it is carried out once.
 func orderCommand(name, usage, what, path string) *cli.Command {
 	return &cli.Command{
-		Name: name, Usage: usage, ArgsUsage: what,
-		Flags: append(addrFlags(), &cli.StringFlag{Name: "order", Usage: "`ID` of the order; drawn if it is not given"}),
+		Name: name, Usage: usage, ArgsUsage: what, Flags: append(addrFlags(), orderFlag()),
 		Action: func(ctx context.Context, cmd *cli.Command) error {
-			if cmd.NArg() != 1 {
-				return fault.Field(fault.Invalid, what, "one must be given, are %d", cmd.NArg())
-			}
-			id := cmd.String("order")
-			if id == "" {
-				id = rand.Text()[:16]
-				fmt.Fprintln(os.Stderr, "order", id)
+			a, err := args(cmd, what)
+			if err != nil {
+				return fault.Pass(err, "%s", name)
 			}
+			id := orderID(cmd)
 			body, err := json.Marshal(operator.Order{Order: id})
 			if err != nil {
 				return fault.Wrap(err, fault.Internal, "encode the order")
 			}
-			raw, err := call(ctx, http.MethodPost, cmd.String("addr"), fmt.Sprintf(path, url.PathEscape(cmd.Args().First())), body)
+			raw, err := call(ctx, http.MethodPost, cmd.String("addr"), fmt.Sprintf(path, url.PathEscape(a[0])), body)
 			if err != nil {
 				return fault.Pass(err, "order %s", id)
 			}
@@ -76,50 +81,37 @@
 }
 
 func who(ctx context.Context, cmd *cli.Command) error {
-	raw, err := call(ctx, http.MethodGet, cmd.String("addr"), "/v1/who", nil)
-	if err != nil {
-		return fault.Pass(err, "who")
-	}
 	var w operator.Who
-	if err := json.Unmarshal(raw, &w); err != nil {
-		return fault.Wrap(err, fault.Malformed, "who")
-	}
-	fmt.Println("store", w.Store)
-	fmt.Println("sched", w.Sched)
-	for _, m := range w.Members {
-		kind := "voter"
-		if m.Learner {
-			kind = "learner"
+	return fault.Pass(ask(ctx, cmd, "/v1/who", &w, func(out io.Writer) {
+		fmt.Fprintln(out, "store", w.Store)
+		fmt.Fprintln(out, "sched", w.Sched)
+		for _, m := range w.Members {
+			kind := "voter"
+			if m.Learner {
+				kind = "learner"
+			}
+			fmt.Fprintln(out, kind, m.ID, m.Addr, m.Zone)
 		}
-		fmt.Println(kind, m.ID, m.Addr, m.Zone)
-	}
-	for _, n := range w.Nodes {
-		fmt.Println("node", n.Name, n.Role, n.Zone, n.Addr, n.Age.Round(time.Millisecond))
-	}
-	for _, zone := range w.Evacuated {
-		fmt.Println("evacuated", zone)
-	}
-	return nil
+		for _, n := range w.Nodes {
+			fmt.Fprintln(out, "node", n.Name, n.Role, n.Zone, n.Addr, n.Age.Round(time.Millisecond))
+		}
+		for _, zone := range w.Evacuated {
+			fmt.Fprintln(out, "evacuated", zone)
+		}
+	}), "who")
 }
 
 func minions(ctx context.Context, cmd *cli.Command) error {
-	raw, err := call(ctx, http.MethodGet, cmd.String("addr"), "/v1/minions", nil)
-	if err != nil {
-		return fault.Pass(err, "minions")
-	}
 	var list operator.Minions
-	if err := json.Unmarshal(raw, &list); err != nil {
-		return fault.Wrap(err, fault.Malformed, "minions")
-	}
-	out := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(out, "NAME\tADDR\tZONE\tKIND\tBOOT\tTICKETS\tCORES\tGPUS\tSTATE")
-	for _, m := range list.Minions {
-		state := "open"
-		if m.Closed || m.Draining {
-			state = "drain"
+	return fault.Pass(ask(ctx, cmd, "/v1/minions", &list, func(out io.Writer) {
+		fmt.Fprintln(out, "NAME\tADDR\tZONE\tKIND\tBOOT\tTICKETS\tCORES\tGPUS\tSTATE")
+		for _, m := range list.Minions {
+			state := "open"
+			if m.Closed || m.Draining {
+				state = "drain"
+			}
+			fmt.Fprintf(out, "%s\t%s\t%s\t%s\t%s\t%d\t%d/%d\t%d/%d\t%s\n", m.Name, m.Addr, m.Zone, m.Kind, m.Boot, m.Tickets,
+				m.UsedCores, m.Cores, m.UsedGPUs, m.GPUs, state)
 		}
-		fmt.Fprintf(out, "%s\t%s\t%s\t%s\t%s\t%d\t%d/%d\t%d/%d\t%s\n", m.Name, m.Addr, m.Zone, m.Kind, m.Boot, m.Tickets,
-			m.UsedCores, m.Cores, m.UsedGPUs, m.GPUs, state)
-	}
-	return fault.Wrap(out.Flush(), fault.Internal, "print")
+	}), "minions")
 }
--- a/cmd/dplane/main.go
+++ b/cmd/dplane/main.go
@@ -134,6 +134,7 @@
 	consumer.Register(srv, n, consumer.Options{Within: set.CallTimeout, Seed: uint64(boot[0])<<8 | uint64(boot[1])})
 	wire.Handle(srv, pair.Minions, n.Announce)
 	wire.Handle(srv, pair.Shuffle, members.Serve)
+	n.Routes(srv)
 	daemon.Routes(srv, reg, n.Ready)
 	if profiles {
 		daemon.Profiles(srv)
--- a/internal/conf/conf_test.go
+++ b/internal/conf/conf_test.go
@@ -15,9 +15,11 @@
 
 const key = `"AAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAA="`
 
+const other = `"AQAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAA="`
+
 const cplane = `{"name":"c1","zone":"a","region":"r","addr":"10.0.0.1:7000","seeds":["10.0.0.2:7000"],"data":"d",
 "members":[{"id":"c1","addr":"10.0.0.1:7000","zone":"a"},{"id":"c2","addr":"10.0.0.2:7000","zone":"b"}],
-"lease":"800ms","backlog":7,"operator_keys":[{"name":"o","key":` + key + `}]}`
+"lease":"800ms","backlog":7,"operator_keys":[{"name":"o","key":` + key + `},{"name":"p","key":` + other + `}]}`
 
 const dplane = `{"name":"d1","zone":"a","region":"r","addr":"10.0.1.1:7000","core":["10.0.0.1:7000"],"inflight":9}`
 
@@ -88,8 +90,13 @@
 		c, err := LoadCplane(file(t, cplane))
 		So(err, ShouldBeNil)
 		So([]any{c.Lease, c.Election, c.Backlog, c.KeepTombsFor, c.Grace, c.Members[1].Zone, len(c.OperatorKeys)}, ShouldResemble,
-			[]any{800 * time.Millisecond, time.Second, 7, 168 * time.Hour, 5 * time.Second, "b", 1})
+			[]any{800 * time.Millisecond, time.Second, 7, 168 * time.Hour, 5 * time.Second, "b", 2})
 		So(CheckCplane(c), ShouldBeNil)
+		c.OperatorKeys = append(c.OperatorKeys, OperatorKey{"q", c.OperatorKeys[0].Key})
+		So(lines(CheckCplane(c)), ShouldHaveLength, 1) // one key under two names
+		c.OperatorKeys = c.OperatorKeys[:1]
+		So(lines(CheckCplane(c)), ShouldResemble, []string{"operator_keys: must be none, or two at least: two operators sign each bundle"})
+		c.OperatorKeys = nil
 		c.Lease, c.Addr, c.Members[1].Addr, c.LogLevel = time.Second, "", c.Members[0].Addr, "loud"
 		So(lines(CheckCplane(c)), ShouldResemble, []string{
 			`addr: must be an address like "10.0.0.7:7000", is ""`,
--- a/internal/conf/daemon.go
+++ b/internal/conf/daemon.go
@@ -42,7 +42,7 @@
 	KeepEndedFor time.Duration // keep_ended_for; default 1h
 	KeepTombs    int           // keep_tombs: tombstones kept at most; default 200000
 	KeepTombsFor time.Duration // keep_tombs_for; default 168h
-	OperatorKeys []OperatorKey // operator_keys
+	OperatorKeys []OperatorKey // operator_keys: who may sign from the founding on; none, or two at least
 }
 
 // Dplane is the settings of a dplane.
@@ -172,6 +172,10 @@
 		r.String("key", &k.Key, Base64(ed25519.PublicKeySize))
 	})
 	once(r, "operator_keys", "name", c.OperatorKeys, func(k OperatorKey) string { return k.Name })
+	once(r, "operator_keys", "key", c.OperatorKeys, func(k OperatorKey) string { return k.Key })
+	if len(c.OperatorKeys) == 1 {
+		r.Wrong("operator_keys", "must be none, or two at least: two operators sign each bundle")
+	}
 	if c.Lease >= c.Election {
 		r.Wrong("lease", "must be under election (%s), is %s", c.Election, c.Lease)
 	}
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -25,6 +25,7 @@
 	// Read looks at a state that has all that was committed before the call.
 	Read(ctx context.Context, read func(*state.State)) error
 	Status() pair.StatusAnswer
+	Roller
 }
 
 const maxBody = 64 << 10
@@ -32,6 +33,8 @@
 // Order is the body of every order. The same id with the same content is carried out once and answered alike.
 type Order struct {
 	Order string `json:"order"`
+	By    string `json:"by,omitempty"`  // of evacuate and lift: the operator who signs
+	Sig   string `json:"sig,omitempty"` // over seal.Evacuate or seal.Lift, in base64
 }
 
 // Minions is the answer of GET /v1/minions.
@@ -51,17 +54,28 @@
 
 // Serve adds the routes:
 //
-//	POST /v1/zones/{zone}/evacuate  {"order":"id"}   no new starts there, what runs is stopped
-//	POST /v1/zones/{zone}/lift      {"order":"id"}
+//	POST /v1/bundles?order=ID&base=V&by=NAME&sig=S        body: the exact bytes; a draft against the newest version V
+//	POST /v1/bundles/patch?order=ID&base=V&by=NAME&sig=S  body: a JSON merge patch on V
+//	POST /v1/bundles/{version}/sign  {"order","sha256","by","sig"}  the second operator puts it in force
+//	GET  /v1/bundles?limit=N         the line, newest first, without bodies
+//	GET  /v1/bundles/{version}       one version without its body; also "current" and "newest"
+//	GET  /v1/bundles/{version}/body  the exact bytes
+//	GET  /v1/bundles/{version}/diff/{other}
+//	GET  /v1/rollout                 which version every node has
+//	GET  /v1/zones                   the evacuated zones
+//	POST /v1/zones/{zone}/evacuate  {"order":"id","by","sig"}   no new starts there, what runs is stopped
+//	POST /v1/zones/{zone}/lift      {"order":"id","by","sig"}   two operators are needed
 //	POST /v1/minions/{name}/drain   {"order":"id"}   no new starts on it
 //	POST /v1/minions/{name}/open    {"order":"id"}
 //	POST /v1/minions/{name}/retire  {"order":"id"}   it must be empty
 //	GET  /v1/minions
 //	GET  /v1/who
 //
-// Faults: Malformed, Invalid, Unknown, Conflict, Pressure, Unavailable, Timeout (send the same order again).
+// Once the store knows operators, what needs a signature and has none is Forbidden; before that, zones take orders
+// without one. Faults: Malformed, TooLarge, Forbidden, Invalid, Unknown, Conflict, Pressure, Unavailable, Timeout
+// (send the same order again).
 func Serve(srv *wire.Server, s Store, name func(id string) string, nodes func() []view.Seen) {
-	order := func(pattern string, make func(r *http.Request, id string) command.Command) {
+	order := func(pattern string, make func(r *http.Request, in Order) command.Command) {
 		srv.Route("POST "+pattern, func(w http.ResponseWriter, r *http.Request) {
 			answer, err := take(r, s, make)
 			if err != nil {
@@ -71,21 +85,22 @@
 			wire.WriteJSON(w, http.StatusOK, answer)
 		})
 	}
-	order("/v1/zones/{zone}/evacuate", func(r *http.Request, id string) command.Command {
-		return &command.Zone{Order: id, Zone: r.PathValue("zone"), Out: true}
+	order("/v1/zones/{zone}/evacuate", func(r *http.Request, in Order) command.Command {
+		return &command.Zone{Order: in.Order, Zone: r.PathValue("zone"), Out: true, By: in.By, Sig: in.Sig}
 	})
-	order("/v1/zones/{zone}/lift", func(r *http.Request, id string) command.Command {
-		return &command.Zone{Order: id, Zone: r.PathValue("zone")}
+	order("/v1/zones/{zone}/lift", func(r *http.Request, in Order) command.Command {
+		return &command.Zone{Order: in.Order, Zone: r.PathValue("zone"), By: in.By, Sig: in.Sig}
 	})
-	order("/v1/minions/{name}/drain", func(r *http.Request, id string) command.Command {
-		return &command.Close{Order: id, Minion: r.PathValue("name"), Closed: true}
+	order("/v1/minions/{name}/drain", func(r *http.Request, in Order) command.Command {
+		return &command.Close{Order: in.Order, Minion: r.PathValue("name"), Closed: true}
 	})
-	order("/v1/minions/{name}/open", func(r *http.Request, id string) command.Command {
-		return &command.Close{Order: id, Minion: r.PathValue("name")}
+	order("/v1/minions/{name}/open", func(r *http.Request, in Order) command.Command {
+		return &command.Close{Order: in.Order, Minion: r.PathValue("name")}
 	})
-	order("/v1/minions/{name}/retire", func(r *http.Request, id string) command.Command {
-		return &command.Close{Order: id, Minion: r.PathValue("name"), Retire: true}
+	order("/v1/minions/{name}/retire", func(r *http.Request, in Order) command.Command {
+		return &command.Close{Order: in.Order, Minion: r.PathValue("name"), Retire: true}
 	})
+	serveBundles(srv, s)
 	srv.Route("GET /v1/minions", func(w http.ResponseWriter, r *http.Request) {
 		var out Minions
 		if err := s.Read(r.Context(), func(st *state.State) { out.Minions = query.Minions(st) }); err != nil {
@@ -116,7 +131,7 @@
 	})
 }
 
-func take(r *http.Request, s Store, make func(r *http.Request, id string) command.Command) (json.RawMessage, error) {
+func take(r *http.Request, s Store, make func(r *http.Request, in Order) command.Command) (json.RawMessage, error) {
 	raw, err := wire.ReadBody(r, maxBody)
 	if err != nil {
 		return nil, fault.Pass(err, "order")
@@ -128,6 +143,6 @@
 	if body.Order == "" || len(body.Order) > 200 {
 		return nil, fault.Field(fault.Invalid, "order", "must be 1 to 200 bytes, is %d", len(body.Order))
 	}
-	answer, err := s.Order(r.Context(), make(r, body.Order))
+	answer, err := s.Order(r.Context(), make(r, body))
 	return answer, fault.Pass(err, "order %s", body.Order)
 }
--- /dev/null
+++ b/internal/operator/operator_test.go
@@ -0,0 +1,115 @@
+package operator
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"crosstide/internal/pair"
+	"crosstide/internal/seal"
+	"crosstide/internal/state"
+	"crosstide/internal/state/command"
+	"crosstide/internal/view"
+	"crosstide/internal/wire"
+)
+
+// desk is a store of one.
+type desk struct{ st *state.State }
+
+func (d *desk) Order(_ context.Context, c command.Command) (json.RawMessage, error) {
+	data, err := command.Encode(time.Unix(int64(d.st.Index), 0), c)
+	if err != nil {
+		return nil, err
+	}
+	answer, err := command.Apply(d.st, d.st.Index+1, 1, data)
+	if err != nil {
+		return nil, err
+	}
+	return json.Marshal(answer)
+}
+
+func (d *desk) Read(_ context.Context, read func(*state.State)) error { read(d.st); return nil }
+func (d *desk) Status() pair.StatusAnswer                             { return pair.StatusAnswer{} }
+func (d *desk) Rollout(context.Context) ([]pair.NodeBundle, []string) {
+	return []pair.NodeBundle{{Node: "c1", Version: 2, Since: time.Unix(60, 0)}, {Node: "d1", Version: 1}}, []string{"c2"}
+}
+
+func TestAPI(t *testing.T) {
+	Convey("A bundle is written, signed twice and read back byte for byte; what is not signed is 403", t, func() {
+		d := &desk{state.New()}
+		keys := map[string]seal.Key{}
+		public := map[string]string{}
+		for _, name := range []string{"ada", "ben"} {
+			key, err := seal.New(name)
+			So(err, ShouldBeNil)
+			keys[name], public[name] = key, key.Public()
+		}
+		_, err := d.Order(t.Context(), &command.Keys{Operators: public})
+		So(err, ShouldBeNil)
+		srv := wire.NewServer(wire.ServerOptions{Addr: "127.0.0.1:0"})
+		Serve(srv, d, func(id string) string { return id }, func() []view.Seen { return nil })
+		So(srv.Start(), ShouldBeNil)
+		defer func() { _ = srv.Stop(time.Second) }()
+		call := func(method, path string, body []byte) (int, string) {
+			req, err := http.NewRequest(method, "http://"+srv.Addr()+path, bytes.NewReader(body))
+			So(err, ShouldBeNil)
+			res, err := http.DefaultClient.Do(req)
+			So(err, ShouldBeNil)
+			defer func() { _ = res.Body.Close() }()
+			raw, err := io.ReadAll(res.Body)
+			So(err, ShouldBeNil)
+			return res.StatusCode, string(raw)
+		}
+		put := func(by string, base uint64, text string) (int, string) {
+			order := fmt.Sprint("o", by, base, len(text))
+			q := url.Values{"order": {order}, "base": {fmt.Sprint(base)}, "by": {by},
+				"sig": {keys[by].Sign(seal.Put(order, base, seal.Digest([]byte(text))))}}
+			return call("POST", "/v1/bundles?"+q.Encode(), []byte(text))
+		}
+		text := "{\"queues\":\t{\"default\":{ }}}\n\n"
+		status, _ := call("POST", "/v1/bundles?order=o&base=1", []byte(text))
+		So(status, ShouldEqual, 403)
+		status, raw := put("ada", 1, `{"queues":{"q":{"zone":1}},"x":1}`)
+		So(fmt.Sprint(status, raw), ShouldContainSubstring, "422")
+		So(raw, ShouldContainSubstring, `queues.q.zone: is not a known field\nx: is not a known field`)
+		status, _ = put("ada", 1, text)
+		So(status, ShouldEqual, 200)
+		status, raw = put("ben", 1, text)
+		So(fmt.Sprint(status, raw), ShouldContainSubstring, "someone else was first")
+		So(status, ShouldEqual, 409)
+		for _, by := range []string{"ada", "ben"} {
+			sig := Signing{Order: "s" + by, Digest: seal.Digest([]byte(text)), By: by, Sig: keys[by].Sign(seal.Bundle(2, seal.Digest([]byte(text))))}
+			body, err := json.Marshal(sig)
+			So(err, ShouldBeNil)
+			status, raw = call("POST", "/v1/bundles/2/sign", body)
+			So(status, ShouldEqual, 200)
+		}
+		So(raw, ShouldContainSubstring, `"state":"in force"`)
+		for _, word := range []string{"2", "current", "newest"} {
+			status, raw = call("GET", "/v1/bundles/"+word+"/body", nil)
+			So([]any{status, raw}, ShouldResemble, []any{200, text})
+		}
+		status, raw = call("GET", "/v1/bundles/1/diff/2", nil)
+		So([]any{status, raw}, ShouldResemble, []any{200,
+			`{"from":1,"to":2,"changes":[{"path":"backoff","from":"{\"min\":\"200ms\",\"max\":\"30s\"}"}]}` + "\n"})
+		for path, want := range map[string]int{"/v1/bundles/9": 404, "/v1/bundles/x": 422, "/v1/bundles?limit=0": 422, "/v1/zones": 200, "/v1/bundles": 200} {
+			status, _ = call("GET", path, nil)
+			So(fmt.Sprint(path, status), ShouldEqual, fmt.Sprint(path, want))
+		}
+		status, _ = call("POST", "/v1/zones/z1/evacuate", []byte(`{"order":"z"}`))
+		So(status, ShouldEqual, 403)
+		status, raw = call("GET", "/v1/rollout", nil)
+		var out Rollout
+		So(json.Unmarshal([]byte(raw), &out), ShouldBeNil)
+		So([]any{status, out.Version, out.Nodes[0].Current, out.Nodes[1].Current, out.Silent}, ShouldResemble,
+			[]any{200, uint64(2), true, false, []string{"c2"}})
+	})
+}
--- a/internal/pair/core.go
+++ b/internal/pair/core.go
@@ -57,6 +57,9 @@
 	Vector map[string]uint64 `json:"vector"` // source to version; the store's source is "store", its version the log index
 	Wait   time.Duration     `json:"wait"`
 	Max    int               `json:"max"` // bytes of changes, about
+	// Bundle is the version the caller goes by, 0 before its first pull, and Age how long it has had it.
+	Bundle uint64        `json:"bundle,omitempty"`
+	Age    time.Duration `json:"age,omitempty"`
 }
 
 // FollowAnswer carries what the caller lacks of each source.
--- a/internal/plane/node.go
+++ b/internal/plane/node.go
@@ -79,7 +79,7 @@
 func (n *Node) Start(ctx context.Context) {
 	n.group = spawn.New(ctx)
 	n.group.Go(func(ctx context.Context) {
-		n.replica.Run(ctx, n.core, n.opt.Clock, n.opt.Name, func(err error) {
+		n.replica.Run(ctx, &puller{core: n.core, node: n}, n.opt.Clock, n.opt.Name, func(err error) {
 			_ = level.Debug(n.opt.Logger).Log("msg", "pull failed", "err", err)
 		})
 	})
--- /dev/null
+++ b/internal/plane/rollout.go
@@ -0,0 +1,70 @@
+package plane
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"crosstide/internal/fault"
+	"crosstide/internal/pair"
+	"crosstide/internal/state"
+	"crosstide/internal/wire"
+)
+
+// puller follows a cplane for the replica and tells it with each call which bundle the node has, and for how long.
+type puller struct {
+	*core
+	node    *Node
+	version uint64        // told last; 0 until the first pull
+	since   time.Duration // when the node was first seen to have it
+}
+
+// Follow is core's, with the node's bundle.
+func (p *puller) Follow(ctx context.Context, call pair.FollowCall) (pair.FollowAnswer, error) {
+	now := p.node.opt.Clock.Now()
+	if v := p.node.bundle(); v != p.version {
+		p.version, p.since = v, now
+	}
+	call.Bundle, call.Age = p.version, now-p.since
+	a, err := p.core.Follow(ctx, call)
+	return a, fault.Pass(err, "pull")
+}
+
+// bundle is the version the node has, 0 before it has pulled.
+func (n *Node) bundle() (version uint64) {
+	if n.replica.Pulled() {
+		n.replica.View(func(s *state.State) { version = s.Bundle.Version })
+	}
+	return version
+}
+
+// Router is what the node needs of its server (*wire.Server).
+type Router interface {
+	Route(pattern string, h func(w http.ResponseWriter, r *http.Request))
+}
+
+// Bundle is the answer of GET /v1/bundle: the version this node goes by. It is not confirmed at a leader.
+type Bundle struct {
+	Node    string `json:"node"`
+	Version uint64 `json:"version"`
+	Digest  string `json:"sha256"`
+	Index   uint64 `json:"index"` // of the newest change this node has
+}
+
+// Routes adds GET /v1/bundle. Fault: Unavailable before the first pull.
+func (n *Node) Routes(srv Router) {
+	srv.Route("GET /v1/bundle", func(w http.ResponseWriter, _ *http.Request) {
+		if !n.replica.Pulled() {
+			wire.WriteFault(w, fault.New(fault.Unavailable, "this node has not pulled yet"))
+			return
+		}
+		out := Bundle{Node: n.opt.Name}
+		n.replica.View(func(s *state.State) {
+			out.Version, out.Index = s.Bundle.Version, s.Index
+			if r := s.Revision(s.Bundle.Version); r != nil {
+				out.Digest = r.Digest
+			}
+		})
+		wire.WriteJSON(w, http.StatusOK, out)
+	})
+}
--- a/internal/rig/fleet/plan.go
+++ b/internal/rig/fleet/plan.go
@@ -12,6 +12,7 @@
 
 	"crosstide/internal/fault"
 	"crosstide/internal/rig/link"
+	"crosstide/internal/seal"
 )
 
 // rackSize is how many minions share a rack.
@@ -106,6 +107,46 @@
 	Zone string `json:"zone"`
 }
 
+type operator struct {
+	Name string `json:"name"`
+	Key  string `json:"key"`
+}
+
+// Operators are the names of the two operators of a rehearsal; their keys are in DIR/keys/NAME.json.
+var Operators = []string{"ada", "ben"}
+
+// Keys reads the operators' keys of the fleet in dir. Faults: Disk, Malformed.
+func Keys(dir string) ([]seal.Key, error) {
+	var out []seal.Key
+	for _, name := range Operators {
+		key, err := seal.Load(filepath.Join(dir, "keys", name+".json"))
+		if err != nil {
+			return nil, fault.Pass(err, "operator %s", name)
+		}
+		out = append(out, key)
+	}
+	return out, nil
+}
+
+// drawKeys writes the operators' keys to DIR/keys and gives their public part.
+func drawKeys(dir string) ([]operator, error) {
+	if err := os.MkdirAll(filepath.Join(dir, "keys"), 0o700); err != nil {
+		return nil, fault.Wrap(err, fault.Disk, "folder keys")
+	}
+	var out []operator
+	for _, name := range Operators {
+		key, err := seal.New(name)
+		if err != nil {
+			return nil, fault.Pass(err, "operator %s", name)
+		}
+		if err := key.Save(filepath.Join(dir, "keys", name+".json")); err != nil {
+			return nil, fault.Pass(err, "operator %s", name)
+		}
+		out = append(out, operator{name, key.Public()})
+	}
+	return out, nil
+}
+
 type settings struct {
 	Name    string   `json:"name"`
 	Zone    string   `json:"zone"`
@@ -116,10 +157,12 @@
 	Members []member `json:"members,omitempty"`
 	Core    []string `json:"core,omitempty"`
 
+	Operators []operator `json:"operator_keys,omitempty"`
+
 	Via map[string]string `json:"via,omitempty"`
 }
 
-// Plan writes DIR/nodes.json, DIR/settings/NAME.json and DIR/start (lines `name program args...`). The folder
+// Plan writes DIR/nodes.json, DIR/settings/NAME.json, DIR/keys and DIR/start (lines `name program args...`). The folder
 // must not hold a fleet yet. Faults: Invalid, Conflict, Disk. Example:
 //
 //	nodes, err := fleet.Plan(dir, fleet.Shape{CPlanes: 5, DPlanes: 3, Minions: 12, Zones: 3, Cores: 16, Kind: "check", Bin: "bin"})
@@ -142,6 +185,10 @@
 	if err != nil {
 		return Nodes{}, fault.Pass(err, "plan")
 	}
+	operators, err := drawKeys(dir)
+	if err != nil {
+		return Nodes{}, fault.Pass(err, "plan")
+	}
 	n := Lay(s, ports)
 	files := map[string]any{}
 	var start strings.Builder
@@ -163,11 +210,11 @@
 	}
 	for _, c := range n.CPlanes {
 		files["settings/"+c.Name+".json"] = settings{c.Name, c.Zone, "local", c.Addr, seeds(c, core),
-			filepath.Join(dir, "data", c.Name), members, nil, via[c.Name]}
+			filepath.Join(dir, "data", c.Name), members, nil, operators, via[c.Name]}
 		fmt.Fprintf(&start, "%s %s/cplane run --settings %s/settings/%s.json\n", c.Name, s.Bin, dir, c.Name)
 	}
 	for _, d := range n.DPlanes {
-		files["settings/"+d.Name+".json"] = settings{d.Name, d.Zone, "local", d.Addr, seeds(d, core), "", nil, core, via[d.Name]}
+		files["settings/"+d.Name+".json"] = settings{d.Name, d.Zone, "local", d.Addr, seeds(d, core), "", nil, core, nil, via[d.Name]}
 		fmt.Fprintf(&start, "%s %s/dplane run --settings %s/settings/%s.json\n", d.Name, s.Bin, dir, d.Name)
 	}
 	for _, m := range n.Minions {
--- a/internal/store/disk.go
+++ b/internal/store/disk.go
@@ -258,6 +258,7 @@
 			s.book.Seen(s.clock.Now(), n.Name, s.live.Duties[n.Name].Epoch)
 		}
 	}
+	s.took()
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
--- a/internal/store/follow.go
+++ b/internal/store/follow.go
@@ -26,6 +26,7 @@
 
 // Follow gives what the caller lacks, and waits up to call.Wait if that is nothing.
 func (s *Store) Follow(ctx context.Context, call pair.FollowCall) (pair.FollowAnswer, error) {
+	s.heard(call)
 	version, ok := call.Vector[source]
 	if !ok && len(call.Vector) > 0 {
 		return pair.FollowAnswer{}, nil
--- /dev/null
+++ b/internal/store/rollout.go
@@ -0,0 +1,112 @@
+package store
+
+import (
+	"cmp"
+	"context"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"crosstide/internal/pair"
+	"crosstide/internal/spawn"
+	"crosstide/internal/state/command"
+)
+
+const (
+	keysEvery  = 200 * time.Millisecond
+	forgetNode = 10 * time.Minute // a dplane unheard for it is left out of the roll-out
+)
+
+// keys lets the leader bring the operators of its settings into a store that knows none yet. Whoever leads first
+// settles them: they must stand in the log, as every replica judges signatures by them.
+func (s *Store) keys(ctx context.Context) {
+	if len(s.set.OperatorKeys) == 0 {
+		return
+	}
+	operators := map[string]string{}
+	for _, k := range s.set.OperatorKeys {
+		operators[k.Name] = k.Key
+	}
+	for s.rest(ctx, keysEvery) {
+		s.mu.Lock()
+		leads, known, same := s.leadTerm != 0 && s.book.Open(), len(s.live.Operators) > 0, maps.Equal(s.live.Operators, operators)
+		s.mu.Unlock()
+		if known {
+			if !same {
+				_ = level.Warn(s.log).Log("msg", "operator_keys in the settings are not those the store knows; its own hold")
+			}
+			return
+		}
+		if !leads {
+			continue
+		}
+		if _, _, err := s.Propose(ctx, &command.Keys{Operators: operators}); err != nil {
+			_ = level.Debug(s.log).Log("msg", "operator keys", "err", err)
+		}
+	}
+}
+
+// took notes when the live state came to the bundle it has; called under the lock.
+func (s *Store) took() {
+	if v := s.live.Bundle.Version; s.own.Version != v {
+		s.own = pair.NodeBundle{Node: s.set.Name, Kind: "cplane", Version: v, Since: s.clock.Wall()}
+	}
+}
+
+// heard notes what a follower says of its bundle.
+func (s *Store) heard(call pair.FollowCall) {
+	if call.Node == "" {
+		return
+	}
+	now := s.clock.Wall()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	maps.DeleteFunc(s.followers, func(_ string, n pair.NodeBundle) bool { return now.Sub(n.Heard) > forgetNode })
+	s.followers[call.Node] = pair.NodeBundle{Node: call.Node, Kind: "dplane", Version: call.Bundle, Since: now.Add(-call.Age), Heard: now}
+}
+
+// rollout is the answer to pair.Rollout.
+func (s *Store) rollout() pair.RolloutAnswer {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	own := s.own
+	own.Heard = s.clock.Wall()
+	out := pair.RolloutAnswer{Nodes: []pair.NodeBundle{own}}
+	for _, name := range slices.Sorted(maps.Keys(s.followers)) {
+		out.Nodes = append(out.Nodes, s.followers[name])
+	}
+	return out
+}
+
+// Rollout asks every member which bundle version it has and which its followers have, and gives the newest word on
+// each node, by kind and name; silent names the members that did not answer.
+func (s *Store) Rollout(ctx context.Context) (nodes []pair.NodeBundle, silent []string) {
+	members := s.Status().Quorum.Members
+	answers := make([]*pair.RolloutAnswer, len(members))
+	spawn.Each(len(members), len(members), func(i int) {
+		if members[i].ID == s.id {
+			a := s.rollout()
+			answers[i] = &a
+		} else if a, err := s.opt.Net.Rollout(ctx, members[i].Addr); err == nil {
+			answers[i] = &a
+		}
+	})
+	newest := map[string]pair.NodeBundle{}
+	for i, a := range answers {
+		if a == nil {
+			silent = append(silent, nameOf(members[i].ID))
+			continue
+		}
+		for _, n := range a.Nodes {
+			if have, ok := newest[n.Kind+n.Node]; !ok || n.Heard.After(have.Heard) {
+				newest[n.Kind+n.Node] = n
+			}
+		}
+	}
+	nodes = slices.SortedFunc(maps.Values(newest), func(a, b pair.NodeBundle) int {
+		return cmp.Or(cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.Node, b.Node))
+	})
+	return nodes, silent
+}
--- /dev/null
+++ b/internal/store/rollout_test.go
@@ -0,0 +1,103 @@
+package store
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"crosstide/internal/pair"
+	"crosstide/internal/seal"
+	"crosstide/internal/state"
+	"crosstide/internal/state/command"
+)
+
+func TestBundles(t *testing.T) {
+	keys := make([]seal.Key, 2)
+	for i, name := range []string{"ada", "ben"} {
+		var err error
+		if keys[i], err = seal.New(name); err != nil {
+			t.Fatal(err)
+		}
+	}
+	within(t, 30, func(r *rig) {
+		lead := r.leader()
+		r.until("the operators' keys", func() bool {
+			n := 0
+			lead.View(func(s *state.State) { n = len(s.Operators) })
+			return n == 2
+		})
+		order := func(c command.Command) {
+			var err error
+			r.call(func(ctx context.Context) { _, err = lead.Order(ctx, c) })
+			So(err, ShouldBeNil)
+		}
+		text := ""
+		for v := uint64(1); v < 40; v++ { // over several slots
+			text = fmt.Sprintf("{\"queues\": {\"q%d\":{}} }\t\n", v)
+			id, digest := fmt.Sprint("o", v), seal.Digest([]byte(text))
+			order(&command.Put{Order: id, Base: v, By: "ada", Body: []byte(text), Sig: keys[0].Sign(seal.Put(id, v, digest))})
+			for i, by := range []string{"ada", "ben"} {
+				order(&command.Sign{Order: id + by, Version: v + 1, Digest: digest, By: by, Sig: keys[i].Sign(seal.Bundle(v+1, digest))})
+			}
+		}
+
+		// Every node has it, and so have they after the loss of power at all of them: byte for byte.
+		shown := func() []string {
+			var out []string
+			for _, name := range []string{"c1", "c2", "c3"} {
+				r.nodes[name].View(func(s *state.State) { out = append(out, fmt.Sprint(s.Bundle.Version, string(s.Revision(40).Body))) })
+			}
+			return out
+		}
+		level := func() bool {
+			n := 0
+			for _, s := range r.nodes {
+				s.View(func(st *state.State) {
+					if st.Bundle.Version == 40 {
+						n++
+					}
+				})
+			}
+			return n == len(r.set.Members)
+		}
+		r.until("all at 40", level)
+		want := fmt.Sprint(40, text)
+		So(shown(), ShouldResemble, []string{want, want, want})
+		for _, m := range r.set.Members {
+			r.kill(m.ID)
+		}
+		for _, m := range r.set.Members {
+			r.start(m.ID)
+		}
+		r.until("all at 40 again", level)
+		So(shown(), ShouldResemble, []string{want, want, want})
+
+		// What followers say of their bundle is known at every member, the newest word first.
+		for i, name := range []string{"c1", "c2"} {
+			r.call(func(ctx context.Context) {
+				_, _ = r.nodes[name].Follow(ctx, pair.FollowCall{Node: "d1", Vector: map[string]uint64{}, Bundle: uint64(39 + i)})
+			})
+		}
+		var nodes []pair.NodeBundle
+		var silent []string
+		r.kill("c2")
+		r.call(func(ctx context.Context) { nodes, silent = r.nodes["c3"].Rollout(ctx) })
+		got := map[string]uint64{}
+		for _, n := range nodes {
+			got[n.Kind+" "+n.Node] = n.Version
+		}
+		So(got, ShouldResemble, map[string]uint64{"cplane c1": 40, "cplane c3": 40, "dplane d1": 39})
+		So(silent, ShouldResemble, []string{"c2"})
+		r.start("c2")
+		r.until("c2 again", level)
+		r.clock.Advance(time.Second) // a newer word is one at a later time
+		r.call(func(ctx context.Context) {
+			_, _ = r.nodes["c2"].Follow(ctx, pair.FollowCall{Node: "d1", Vector: map[string]uint64{}, Bundle: 40})
+		})
+		r.call(func(ctx context.Context) { nodes, silent = r.nodes["c1"].Rollout(ctx) })
+		So([]any{nodes[3].Node, nodes[3].Version, len(silent)}, ShouldResemble, []any{"d1", uint64(40), 0})
+	}, keys...)
+}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -49,6 +49,7 @@
 	Join(ctx context.Context, addr string, call pair.JoinCall) (pair.JoinAnswer, error)
 	Propose(ctx context.Context, addr string, call pair.ProposeCall) (pair.ProposeAnswer, error)
 	Confirm(ctx context.Context, addr string) (pair.ConfirmAnswer, error)
+	Rollout(ctx context.Context, addr string) (pair.RolloutAnswer, error)
 }
 
 // Options of a store; Settings, Disk, Net and Fatal are needed.
@@ -114,6 +115,8 @@
 	founders        map[string]string
 	install         *install
 	chunks          chunks
+	own             pair.NodeBundle            // the bundle of the live state
+	followers       map[string]pair.NodeBundle // by node
 }
 
 // Open reads the folder and makes a store that takes part in nothing yet. Faults: Disk, Damaged (see Options).
@@ -141,7 +144,7 @@
 		boot: rand.Text()[:12],
 		kick: make(chan struct{}, 1), diskKick: make(chan struct{}, 1), shadowKick: make(chan struct{}, 1),
 		live: state.New(), peers: map[string]*peer{}, learnt: map[string]string{}, changed: make(chan struct{}),
-		waiters: map[uint64]*waiter{}, book: NewBook(opt.Settings.DutyLease, opt.Settings.DutyLease/10),
+		waiters: map[uint64]*waiter{}, followers: map[string]pair.NodeBundle{}, book: NewBook(opt.Settings.DutyLease, opt.Settings.DutyLease/10),
 		levelAt: -readyWithin * 2,
 	}
 	s.meter = newMeter(s, opt.Registry)
@@ -169,6 +172,7 @@
 	s.group.Go(s.disk)
 	s.group.Go(s.shade)
 	s.group.Go(s.tidy)
+	s.group.Go(s.keys)
 	if s.id != s.set.Name {
 		s.group.Go(s.join)
 	}
@@ -272,6 +276,7 @@
 	}
 	s.backlog = append(s.backlog, entries...)
 	nudge(s.shadowKick)
+	s.took()
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -18,6 +18,7 @@
 	"crosstide/internal/fault"
 	"crosstide/internal/pair"
 	"crosstide/internal/quorum"
+	"crosstide/internal/seal"
 	"crosstide/internal/slot"
 	"crosstide/internal/spawn"
 	"crosstide/internal/state"
@@ -35,6 +36,7 @@
 	died  map[string]error
 	work  *spawn.Group
 	acked map[string]uint64
+	keys  []seal.Key   // of the operators
 	slow  atomic.Int64 // nanoseconds that a sync takes on the virtual clock
 }
 
@@ -63,10 +65,13 @@
 	return f.File.Sync()
 }
 
-func newRig(n, slotEvery int) *rig {
+func newRig(n, slotEvery int, operators ...seal.Key) *rig {
 	r := &rig{set: conf.DefaultCplane(), disks: map[string]*slot.MemDisk{}, nodes: map[string]*Store{},
 		died: map[string]error{}, work: spawn.New(context.Background()), acked: map[string]uint64{}}
 	r.set.SlotEvery = slotEvery
+	for _, key := range operators {
+		r.set.OperatorKeys = append(r.set.OperatorKeys, conf.OperatorKey{Name: key.Name, Key: key.Public()})
+	}
 	for i := range n {
 		name := fmt.Sprintf("c%d", i+1)
 		r.set.Members = append(r.set.Members, conf.Member{ID: name, Addr: name, Zone: "z"})
@@ -229,6 +234,9 @@
 func (n net) Propose(ctx context.Context, addr string, c pair.ProposeCall) (pair.ProposeAnswer, error) {
 	return to(n, addr, func(s *Store) (pair.ProposeAnswer, error) { return s.propose(ctx, c) })
 }
+func (n net) Rollout(_ context.Context, addr string) (pair.RolloutAnswer, error) {
+	return to(n, addr, func(s *Store) (pair.RolloutAnswer, error) { return s.rollout(), nil })
+}
 func (n net) Confirm(_ context.Context, addr string) (pair.ConfirmAnswer, error) {
 	return to(n, addr, func(s *Store) (pair.ConfirmAnswer, error) {
 		i, err := s.Confirm()
@@ -237,10 +245,10 @@
 }
 
 // within runs a test in a bubble, with a rig of 3 nodes.
-func within(t *testing.T, slotEvery int, do func(r *rig)) {
+func within(t *testing.T, slotEvery int, do func(r *rig), operators ...seal.Key) {
 	synctest.Test(t, func(t *testing.T) {
 		Convey("Given a fleet", t, func() {
-			r := newRig(3, slotEvery)
+			r := newRig(3, slotEvery, operators...)
 			defer r.close()
 			do(r)
 		})
--- a/internal/store/wire.go
+++ b/internal/store/wire.go
@@ -30,6 +30,7 @@
 	wire.Handle(srv, pair.Status, func(context.Context, pair.StatusCall) (pair.StatusAnswer, error) { return s.Status(), nil })
 	wire.Handle(srv, pair.Found, func(_ context.Context, c pair.FoundCall) (pair.FoundAnswer, error) { return s.Found(c), nil })
 	wire.Handle(srv, pair.Join, s.Join)
+	wire.Handle(srv, pair.Rollout, func(context.Context, pair.RolloutCall) (pair.RolloutAnswer, error) { return s.rollout(), nil })
 }
 
 // Wire is the Net of a daemon.
@@ -69,3 +70,8 @@
 	a, err := wire.Ask(ctx, w.k, addr, pair.Confirm, pair.ConfirmCall{}, w.election)
 	return a, fault.Pass(err, "confirm")
 }
+
+func (w wired) Rollout(ctx context.Context, addr string) (pair.RolloutAnswer, error) {
+	a, err := wire.Ask(ctx, w.k, addr, pair.Rollout, pair.RolloutCall{}, w.election/2)
+	return a, fault.Pass(err, "rollout")
+}
