Measure what each role costs against the fleet's size, with hollow minions

Cause: the size to design for asks for messages, processor time and memory of each role, worked out from measured slopes; a fleet had one process a minion, and nothing read what the roles use.

--- a/internal/rig/fleet/fleet.go
+++ b/internal/rig/fleet/fleet.go
@@ -3,12 +3,14 @@
 package fleet
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -25,8 +27,12 @@
 	Addr string `json:"addr"`
 	Rack string `json:"rack,omitempty"`
 	Kind string `json:"kind,omitempty"` // of a minion: obey or check
+	Host string `json:"host,omitempty"` // of a hollow minion: the process that it shares, as in DIR/pids
 }
 
+// Process gives the name that the node's process has in DIR/pids.
+func (n Node) Process() string { return cmp.Or(n.Host, n.Name) }
+
 // Nodes is DIR/nodes.json.
 type Nodes struct {
 	CPlanes []Node `json:"cplanes"`
@@ -41,12 +47,12 @@
 	return append(append(append(out, n.CPlanes...), n.DPlanes...), n.Minions...)
 }
 
-// Zone gives the names of all nodes in a zone.
+// Zone gives the names of all processes in a zone.
 func (n Nodes) Zone(zone string) []string {
 	var out []string
 	for _, node := range n.All() {
-		if node.Zone == zone {
-			out = append(out, node.Name)
+		if name := node.Process(); node.Zone == zone && !slices.Contains(out, name) {
+			out = append(out, name)
 		}
 	}
 	return out
--- a/internal/rig/fleet/plan.go
+++ b/internal/rig/fleet/plan.go
@@ -24,6 +24,7 @@
 	Kind                                    string // obey, check or mixed
 	Bin                                     string // folder of the programs
 	Links                                   bool   // a faulty link between any two nodes that talk
+	Hollow, Hosts                           int    // hollow minions, and the processes that share them
 }
 
 // Check tells what is wrong with a shape. Fault: Invalid.
@@ -33,6 +34,10 @@
 		return fault.Field(fault.Invalid, "nodes", "at least one cplane and one dplane are needed")
 	case s.Zones < 1 || s.Cores < 1:
 		return fault.Field(fault.Invalid, "zones", "zones and cores must be at least 1")
+	case s.Hollow < 0 || s.Hollow > 0 && (s.Hosts < 1 || s.Hollow < 2*s.Hosts):
+		return fault.Field(fault.Invalid, "hollow", "%d hollow minions cannot share %d processes", s.Hollow, s.Hosts)
+	case s.Hollow > 0 && s.Links:
+		return fault.Field(fault.Invalid, "hollow", "hollow minions take no links")
 	case s.Kind != "obey" && s.Kind != "check" && s.Kind != "mixed":
 		return fault.Field(fault.Invalid, "kind", "is %q, must be obey, check or mixed", s.Kind)
 	}
@@ -74,7 +79,26 @@
 	return out, via
 }
 
-// Lay gives the nodes of a shape: zones round robin, racks of eight minions within each zone. One port per node.
+// processes counts the processes with a port of their own, links aside.
+func (s Shape) processes() int {
+	n := s.CPlanes + s.DPlanes + s.Minions
+	if s.Hollow > 0 {
+		n += s.Hosts
+	}
+	return n
+}
+
+// share is how many of the hollow minions process i has.
+func (s Shape) share(i int) int {
+	n := s.Hollow / s.Hosts
+	if i < s.Hollow%s.Hosts {
+		n++
+	}
+	return n
+}
+
+// Lay gives the nodes of a shape: zones round robin, racks of eight minions within each zone. One port per process;
+// the hollow minions of a process share its zone, rack and port, and are named after it: h1-0, h1-1 and on.
 func Lay(s Shape, ports []int) Nodes {
 	var n Nodes
 	next := 0
@@ -98,6 +122,21 @@
 		}
 		n.Minions = append(n.Minions, m)
 	}
+	for i := range s.Hosts {
+		if s.Hollow == 0 {
+			break
+		}
+		h := node("h", i)
+		h.Host, h.Rack, h.Kind = h.Name, "r"+strconv.Itoa(i/s.Zones+1), s.Kind
+		if s.Kind == "mixed" {
+			h.Kind = []string{"check", "obey"}[i%2]
+		}
+		for k := range s.share(i) {
+			m := h
+			m.Name += "-" + strconv.Itoa(k)
+			n.Minions = append(n.Minions, m)
+		}
+	}
 	return n
 }
 
@@ -180,7 +219,7 @@
 	if _, err := os.Stat(filepath.Join(dir, "nodes.json")); err == nil {
 		return Nodes{}, fault.New(fault.Conflict, "%s holds a fleet already", dir)
 	}
-	nodes := s.CPlanes + s.DPlanes + s.Minions
+	nodes := s.processes()
 	ports, err := Ports(nodes + s.ways() + 1)
 	if err != nil {
 		return Nodes{}, fault.Pass(err, "plan")
@@ -217,7 +256,16 @@
 		files["settings/"+d.Name+".json"] = settings{d.Name, d.Zone, "local", d.Addr, seeds(d, core), "", nil, core, nil, via[d.Name]}
 		fmt.Fprintf(&start, "%s %s/dplane run --settings %s/settings/%s.json\n", d.Name, s.Bin, dir, d.Name)
 	}
+	host, hosted := "", map[string]int{}
 	for _, m := range n.Minions {
+		hosted[m.Host]++
+	}
+	for _, m := range n.Minions {
+		if m.Host != "" && m.Host == host {
+			continue // one line for all that share a process
+		}
+		host = m.Host
+		m.Name = m.Process()
 		fmt.Fprintf(&start, "%s %s/drill minion --name %s --addr %s --kind %s --zone %s --rack %s --cores %d"+
 			" --dplanes %s --journal %s/journal/%s.jsonl", m.Name, s.Bin, m.Name, m.Addr, m.Kind, m.Zone, m.Rack,
 			s.Cores, strings.Join(front, ","), dir, m.Name)
@@ -226,6 +274,9 @@
 				fmt.Fprintf(&start, " --via %s=%s", addr, by)
 			}
 		}
+		if host != "" {
+			fmt.Fprintf(&start, " --count %d", hosted[host])
+		}
 		start.WriteString("\n")
 	}
 	for _, sub := range []string{"settings", "log", "journal", "data"} {
--- a/internal/rig/minion/host.go
+++ b/internal/rig/minion/host.go
@@ -16,6 +16,7 @@
 	"github.com/go-kit/log/level"
 
 	"crosstide/internal/alarm"
+	"crosstide/internal/daemon"
 	"crosstide/internal/fault"
 	"crosstide/internal/pair"
 	"crosstide/internal/rig/journal"
@@ -58,10 +59,11 @@
 	if err := set.Check(); err != nil {
 		return nil, fault.Pass(err, "minion")
 	}
+	reg := daemon.Registry()
 	h := &Host{
 		set: set, clock: clock, logger: logger, bodies: map[string]*body{}, pens: map[string]*journal.Writer{},
-		server: wire.NewServer(wire.ServerOptions{Addr: set.Addr, Logger: logger, Clock: clock}),
-		caller: wire.NewCaller(wire.CallerOptions{Logger: logger, Clock: clock, Via: set.Via}),
+		server: wire.NewServer(wire.ServerOptions{Addr: set.Addr, Logger: logger, Clock: clock, Registry: reg}),
+		caller: wire.NewCaller(wire.CallerOptions{Logger: logger, Clock: clock, Via: set.Via, Registry: reg}),
 		group:  spawn.New(context.Background()), stays: set.Count, over: make(chan struct{}),
 	}
 	for _, name := range set.names() {
@@ -71,6 +73,7 @@
 		}
 	}
 	h.server.Route(pair.Hold.Path, h.serve)
+	daemon.Routes(h.server, reg, func() error { return fault.Pass(h.fault(), "journal") })
 	if err := h.server.Start(); err != nil {
 		h.Close()
 		return nil, fault.Pass(err, "minion")
--- /dev/null
+++ b/internal/rig/scale/run.go
@@ -0,0 +1,143 @@
+package scale
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"time"
+
+	"crosstide/internal/fault"
+	"crosstide/internal/rig/load"
+	"crosstide/internal/spawn"
+	"crosstide/internal/state"
+)
+
+// Plan is what a fleet is measured under.
+type Plan struct {
+	Dir     string
+	Running int           // long tasks that are put out first
+	Fill    time.Duration // bound on that
+	Rates   []float64     // task starts a second, one step each; 0: no load
+	For     time.Duration // of a step
+	Settle  time.Duration // left out at the start of a step
+	Tasks   int           // of a job
+	Run     time.Duration // of a task
+	Bound   time.Duration // a step whose 99th percentile to the first start is over it is the last; 0: none
+}
+
+// Run measures step after step and gives each step's rows to tell. It ends early, with a note in that step's rows,
+// when a step fails its bound or leaves jobs unfinished. Faults: those of Probe.Read, Invalid, Unavailable.
+func Run(ctx context.Context, p Plan, probe *Probe, tell func([]Row) error) error {
+	if p.Running > 0 {
+		rows, err := probe.fill(ctx, p)
+		if err != nil {
+			return fault.Pass(err, "fill")
+		}
+		if err := tell(rows); err != nil {
+			return fault.Pass(err, "fill")
+		}
+	}
+	for i, rate := range p.Rates {
+		rows, stop, err := probe.step(ctx, p, i, rate)
+		if err != nil {
+			return fault.Pass(err, "%g starts a second", rate)
+		}
+		if err := tell(rows); err != nil || stop {
+			return fault.Pass(err, "step")
+		}
+	}
+	return nil
+}
+
+// fill hands in jobs of long tasks until p.Running of them run, and measures the burst.
+func (p *Probe) fill(ctx context.Context, plan Plan) ([]Row, error) {
+	const most = 1000 // tasks of a job
+	from, err := p.Read(ctx)
+	if err != nil {
+		return nil, fault.Pass(err, "before")
+	}
+	for left, n := plan.Running, 0; left > 0; n++ {
+		spec := state.Spec{Key: fmt.Sprintf("fill-%d-%d", p.clock.Wall().UnixMilli(), n), Team: fmt.Sprintf("t%d", n%20), Queue: "default",
+			Steps: []state.StepSpec{{Name: "s1", Type: "fill", Tasks: min(left, most), Cores: 1, Run: []byte(`{"ms":3600000}`)}}}
+		left -= most
+		reply, err := p.caller.Call(ctx, http.MethodPost, p.nodes.DPlanes[n%len(p.nodes.DPlanes)].Addr, "/v1/jobs", spec, 5*time.Second)
+		if err != nil || !reply.Good() {
+			return nil, fault.New(fault.Unavailable, "job %d is not taken: %s %v", n, reply.Body, err)
+		}
+	}
+	step := Step{Minions: p.Minions(), Offered: float64(plan.Running)}
+	began, snap := p.clock.Now(), from
+	for p.clock.Now() < began+plan.Fill && out(snap) < float64(plan.Running) {
+		if err := p.pause(ctx, 500*time.Millisecond); err != nil {
+			return nil, fault.Pass(err, "fill")
+		}
+		if snap, err = p.Read(ctx); err != nil {
+			return nil, fault.Pass(err, "fill")
+		}
+	}
+	step.Note = fmt.Sprintf("fill: %.0f of %d out after %.1f s", out(snap), plan.Running, (snap.At - from.At).Seconds())
+	rows, err := Rows(from, snap, step)
+	return rows, fault.Pass(err, "fill")
+}
+
+// out is how many tickets are out as the holder of sched has them.
+func out(s Snap) float64 {
+	for _, r := range s.Procs {
+		if r.Role == Sched {
+			return r.Handles
+		}
+	}
+	return 0
+}
+
+func (p *Probe) step(ctx context.Context, plan Plan, nth int, rate float64) (rows []Row, stop bool, err error) {
+	var report load.Report
+	var loadErr error
+	group := spawn.New(ctx)
+	defer group.Stop()
+	if rate > 0 {
+		group.Go(func(ctx context.Context) {
+			report, loadErr = load.Run(ctx, load.Options{Dir: plan.Dir, Rate: rate / float64(plan.Tasks), For: plan.For, Seed: uint64(nth + 1),
+				Tasks: plan.Tasks, Run: plan.Run, Wait: 6*time.Second + plan.Run, GiveUp: 5 * time.Second, Polls: 300})
+		})
+	}
+	if err := p.pause(ctx, plan.Settle); err != nil {
+		return nil, true, fault.Pass(err, "settle")
+	}
+	from, err := p.Read(ctx)
+	if err != nil {
+		return nil, true, fault.Pass(err, "from")
+	}
+	if err := p.pause(ctx, plan.For-plan.Settle); err != nil {
+		return nil, true, fault.Pass(err, "step")
+	}
+	to, err := p.Read(ctx)
+	if err != nil {
+		return nil, true, fault.Pass(err, "to")
+	}
+	group.Wait()
+	if loadErr != nil {
+		return nil, true, fault.Pass(loadErr, "load")
+	}
+	step := Step{Minions: p.Minions(), Offered: rate, P50: report.ToStart.P50, P99: report.ToStart.P99,
+		Left: report.Unfinished + report.Offered - report.Accepted}
+	switch {
+	case step.Left > 0:
+		step.Note, stop = fmt.Sprintf("stopped here: %d of %d jobs not accepted or not over in time", step.Left, report.Offered), true
+	case plan.Bound > 0 && step.P99 > float64(plan.Bound.Milliseconds()):
+		step.Note, stop = fmt.Sprintf("stopped here: p99 to the first start over %s", plan.Bound), true
+	}
+	rows, err = Rows(from, to, step)
+	return rows, stop, fault.Pass(err, "step")
+}
+
+func (p *Probe) pause(ctx context.Context, d time.Duration) error {
+	rung := make(chan struct{})
+	defer p.clock.Set(d, func() { close(rung) }).Stop()
+	select {
+	case <-rung:
+		return nil
+	case <-ctx.Done():
+		return fault.Wrap(ctx.Err(), fault.Stopped, "stopped")
+	}
+}
--- /dev/null
+++ b/internal/rig/scale/scale_test.go
@@ -0,0 +1,53 @@
+package scale
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"crosstide/internal/fault"
+)
+
+func TestRows(t *testing.T) {
+	Convey("Rows are means per process and second, of a minion per minion", t, func() {
+		a := Snap{Procs: map[string]Reading{"c1": {Role: Follower, Count: 1}, "c2": {Role: Leader, Count: 1}, "c3": {Role: Follower, Count: 1},
+			"d1": {Role: Sched, Count: 1}, "h1": {Role: Minion, Count: 50}}}
+		b := Snap{At: 10 * time.Second, Busy: 20, Loop: 1e6, Procs: map[string]Reading{
+			"c1": {Role: Follower, Count: 1, CPU: time.Second, RSS: 4e6, Syncs: 100},
+			"c2": {Role: Leader, Count: 1, CPU: 2 * time.Second}, "c3": {Role: Follower, Count: 1, CPU: 3 * time.Second, RSS: 2e6},
+			"d1": {Role: Sched, Count: 1, Tickets: 500, Handles: 7}, "h1": {Role: Minion, Count: 50, Stream: 1e6, Msgs: 500}}}
+		rows, err := Rows(a, b, Step{Minions: 50, Offered: 60})
+		So(err, ShouldBeNil)
+		So(len(rows), ShouldEqual, 4)
+		So(rows[1], ShouldResemble, Row{Step: Step{Minions: 50, Offered: 60, Starts: 50, Running: 7, Cores: 2, LoopKB: 100},
+			Role: Follower, Procs: 2, CPU: 20, MB: 3, Syncs: 5})
+		So(rows[3].Net, ShouldEqual, 2)
+		So(rows[3].Msgs, ShouldEqual, 1)
+		Convey("they are read back from the file, and drawn", func() {
+			path := filepath.Join(t.TempDir(), "a.csv")
+			So(Append(path, rows[:1]), ShouldBeNil)
+			So(Append(path, rows[1:]), ShouldBeNil)
+			back, err := Load(path)
+			So(err, ShouldBeNil)
+			So(back, ShouldResemble, rows)
+			So(Draw(path+".png", back), ShouldBeNil)
+			info, err := os.Stat(path + ".png")
+			So(err, ShouldBeNil)
+			So(info.Size(), ShouldBeGreaterThan, 1000)
+			So(fault.KindOf(Draw(path, nil)), ShouldEqual, fault.Invalid)
+		})
+		Convey("a process that was started anew is no measurement", func() {
+			_, err := Rows(b, a, Step{})
+			So(fault.KindOf(err), ShouldEqual, fault.Unknown)
+		})
+	})
+	Convey("A line is fitted", t, func() {
+		base, slope, ok := Slope([]float64{1, 2, 3}, []float64{3, 5, 7})
+		So([]any{base, slope, ok}, ShouldResemble, []any{1.0, 2.0, true})
+		_, _, ok = Slope([]float64{1, 1, 1}, []float64{3, 5, 7})
+		So(ok, ShouldBeFalse)
+	})
+}
