Shed by the teams' shares at the door; cancel in masses in one call

Cause: only the inbox was bounded, and it empties with the next plan: a crowd of one team could fill the store; a mass of cancels cost a commit each. Change: the bound counts jobs that are not over; past its half a team keeps to its share by weight, the last twentieth is for urgent queues. POST /v1/jobs/cancel and the command take keys, a team or a queue in one entry of the log. Conclusion: a crowd is turned away by its own share; 429 comes with Retry-After as before.

--- a/cmd/dplane/jobs.go
+++ b/cmd/dplane/jobs.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
@@ -13,6 +14,7 @@
 	"github.com/urfave/cli/v3"
 
 	"crosstide/internal/fault"
+	"crosstide/internal/state/command"
 )
 
 // jobCommands are the consumers' commands: they ask a dplane's API and print its answer.
@@ -37,8 +39,16 @@
 				key := cmd.Args().First()
 				return fault.Pass(ask(ctx, http.MethodGet, cmd.String("addr"), "/v1/jobs/"+url.PathEscape(key), nil), "show job %q", key)
 			}},
-		{Name: "cancel", Usage: "cancel the job KEY", ArgsUsage: "KEY", Flags: []cli.Flag{addr},
+		{Name: "cancel", Usage: "cancel the jobs KEY…, or all of a team or queue", ArgsUsage: "[KEY…]",
+			Flags: []cli.Flag{addr, &cli.StringFlag{Name: "team"}, &cli.StringFlag{Name: "queue"}},
 			Action: func(ctx context.Context, cmd *cli.Command) error {
+				if cmd.Args().Len() != 1 || cmd.IsSet("team") || cmd.IsSet("queue") {
+					body, err := json.Marshal(command.Cancels{Keys: cmd.Args().Slice(), Team: cmd.String("team"), Queue: cmd.String("queue")})
+					if err != nil {
+						return fault.Wrap(err, fault.Internal, "encode")
+					}
+					return ask(ctx, http.MethodPost, cmd.String("addr"), "/v1/jobs/cancel", bytes.NewReader(body))
+				}
 				key := cmd.Args().First()
 				return fault.Pass(ask(ctx, http.MethodDelete, cmd.String("addr"), "/v1/jobs/"+url.PathEscape(key), nil), "cancel job %q", key)
 			}},
--- a/internal/conf/daemon.go
+++ b/internal/conf/daemon.go
@@ -37,7 +37,7 @@
 	Lease        time.Duration // lease: of the leader; default 700ms, under election
 	DutyLease    time.Duration // duty_lease; default 3s
 	SlotEvery    int           // slot_every: log entries between two slots; default 20000
-	Backlog      int           // backlog: jobs that wait in the inbox at most; default 20000
+	Backlog      int           // backlog: jobs that may be open at most; default 60000
 	KeepEnded    int           // keep_ended: ended jobs kept at most; default 20000
 	KeepEndedFor time.Duration // keep_ended_for; default 1h
 	KeepTombs    int           // keep_tombs: tombstones kept at most; default 200000
@@ -57,14 +57,14 @@
 	DutyLease   time.Duration // duty_lease: as the cplanes have it; default 3s, over lease_margin
 	CallTimeout time.Duration // call_timeout; default 2s
 	Inflight    int           // inflight: plans proposed and not yet committed; default 64
-	Backlog     int           // backlog: jobs that wait in the inbox at most; default 20000
+	Backlog     int           // backlog: jobs that may be open at most; default 60000
 }
 
 // DefaultCplane has every default, and nothing that is needed.
 func DefaultCplane() Cplane {
 	return Cplane{
 		Common: defaultCommon(), Election: time.Second, Heartbeat: 100 * time.Millisecond, Lease: 700 * time.Millisecond,
-		DutyLease: 3 * time.Second, SlotEvery: 20000, Backlog: 20000, KeepEnded: 20000, KeepEndedFor: time.Hour,
+		DutyLease: 3 * time.Second, SlotEvery: 20000, Backlog: 60000, KeepEnded: 20000, KeepEndedFor: time.Hour,
 		KeepTombs: 200000, KeepTombsFor: 168 * time.Hour,
 	}
 }
@@ -74,7 +74,7 @@
 	return Dplane{
 		Common: defaultCommon(), Hold: 20 * time.Second, HoldWait: time.Second, StartWindow: 500 * time.Millisecond,
 		Lateness: 2 * time.Second, LeaseMargin: 500 * time.Millisecond, DutyLease: 3 * time.Second,
-		CallTimeout: 2 * time.Second, Inflight: 64, Backlog: 20000,
+		CallTimeout: 2 * time.Second, Inflight: 64, Backlog: 60000,
 	}
 }
 
--- a/internal/consumer/consumer.go
+++ b/internal/consumer/consumer.go
@@ -3,6 +3,7 @@
 package consumer
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -40,7 +41,7 @@
 	// Read runs do, before it returns, on a state at least as new as the call began. do must not keep the state.
 	// fault.Unavailable when that cannot be confirmed; do has not run then.
 	Read(ctx context.Context, do func(s *state.State) error) error
-	// Backlog is the most jobs the inbox may hold.
+	// Backlog is the most jobs that may be open.
 	Backlog() int
 }
 
@@ -104,6 +105,7 @@
 		"GET /v1/jobs":          a.list,
 		"GET /v1/jobs/{key}":    a.job,
 		"DELETE /v1/jobs/{key}": a.cancel,
+		"POST /v1/jobs/cancel":  a.cancels,
 	} {
 		s.Route(pattern, func(w http.ResponseWriter, r *http.Request) {
 			ctx, cancel := context.WithCancel(r.Context())
@@ -159,6 +161,25 @@
 	return status, Accepted{Key: got.Key, State: got.Phase}, nil
 }
 
+// cancels stops many jobs: {"keys":[…]}, or {"team":…,"queue":…} with one of the two or both.
+func (a *api) cancels(ctx context.Context, r *http.Request) (int, any, error) {
+	data, err := wire.ReadBody(r, MaxBody)
+	if err != nil {
+		return 0, nil, fault.Pass(err, "cancels")
+	}
+	var c command.Cancels
+	in := json.NewDecoder(bytes.NewReader(data))
+	in.DisallowUnknownFields()
+	if err := in.Decode(&c); err != nil {
+		return 0, nil, fault.Wrap(err, fault.Malformed, "the body is not {keys} or {team, queue}: %s", err)
+	}
+	var got command.CancelledAll
+	if err := a.propose(ctx, &c, &got); err != nil {
+		return 0, nil, fault.Pass(err, "cancels")
+	}
+	return http.StatusAccepted, got, nil
+}
+
 func (a *api) job(ctx context.Context, r *http.Request) (int, any, error) {
 	key, err := keyOf(r)
 	if err != nil {
--- a/internal/consumer/consumer_test.go
+++ b/internal/consumer/consumer_test.go
@@ -173,6 +173,20 @@
 			So(status("DELETE", "/v1/jobs/k", ""), ShouldEqual, 200)
 			So(b.s.Jobs["k"].Phase, ShouldEqual, state.JobCancelled)
 		})
+		Convey("a cancel in masses takes a list or a team's queue, and says what is wrong with anything else", func() {
+			for i := range 3 {
+				call("POST", "/v1/jobs", strings.Replace(step(""), `"k"`, fmt.Sprintf(`"k%d"`, i), 1))
+			}
+			code, body, _ := call("POST", "/v1/jobs/cancel", `{"keys":["k0","none"]}`)
+			So(code, ShouldEqual, 202)
+			So(body, ShouldEqual, `{"cancelled":1,"unknown":["none"]}`)
+			_, body, _ = call("POST", "/v1/jobs/cancel", `{"team":"depot","queue":"default"}`)
+			So(body, ShouldEqual, `{"cancelled":2}`)
+			So(b.s.Jobs["k2"].Phase, ShouldEqual, state.JobCancelled)
+			So(status("POST", "/v1/jobs/cancel", `{"keys":["k0"],"oops":true}`), ShouldEqual, 400)
+			So(status("POST", "/v1/jobs/cancel", `{"keys":`), ShouldEqual, 400)
+			So(status("POST", "/v1/jobs/cancel", `{}`), ShouldEqual, 422)
+		})
 		Convey("lists come in pages", func() {
 			for i := range 3 {
 				So(status("POST", "/v1/jobs", strings.Replace(step(""), `"k"`, fmt.Sprintf(`"k%d"`, i), 1)), ShouldEqual, 202)
--- a/internal/state/command/command.go
+++ b/internal/state/command/command.go
@@ -4,6 +4,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"time"
 
 	"crosstide/internal/fault"
@@ -26,6 +27,7 @@
 var makers = map[string]func() Command{
 	"submit":   func() Command { return &Submit{} },
 	"cancel":   func() Command { return &Cancel{} },
+	"cancels":  func() Command { return &Cancels{} },
 	"announce": func() Command { return &Announce{} },
 	"plan":     func() Command { return &Plan{} },
 	"grant":    func() Command { return &Grant{} },
@@ -93,7 +95,7 @@
 }
 
 // Submit puts a job in the inbox. Sent again with the same digest it is the same job; with another one it is
-// a conflict. Bound is the most jobs the inbox may hold.
+// a conflict. Bound is the most jobs that may be open; see State.Shed for who is turned away before.
 type Submit struct {
 	Spec   state.Spec `json:"spec"`
 	Digest string     `json:"digest"`
@@ -137,8 +139,8 @@
 			return nil, fault.Field(fault.Forbidden, at("steps", i, "type"), "%q may not use queue %q", step.Type, c.Spec.Queue)
 		}
 	}
-	if len(s.Inbox) >= c.Bound {
-		return nil, fault.New(fault.Pressure, "the inbox holds %d jobs, its bound", len(s.Inbox))
+	if why := s.Shed(c.Spec.Team, q.Urgent, c.Bound); why != "" {
+		return nil, fault.New(fault.Pressure, "%s", why)
 	}
 	s.Seq++
 	j := &state.Job{Spec: c.Spec, Digest: c.Digest, Phase: state.JobAccepted, Seq: s.Seq, At: s.At}
@@ -171,6 +173,58 @@
 	return nil, fault.Field(fault.Unknown, "key", "no job %q", c.Key)
 }
 
+// MaxCancels bounds the keys of one Cancels.
+const MaxCancels = 10000
+
+// Cancels stops many jobs in one step: those of Keys, or all of a team, of a queue, or of a team in a queue.
+type Cancels struct {
+	Keys  []string `json:"keys,omitempty"`
+	Team  string   `json:"team,omitempty"`
+	Queue string   `json:"queue,omitempty"`
+}
+
+// CancelledAll answers Cancels.
+type CancelledAll struct {
+	Cancelled int      `json:"cancelled"`         // stopped by this call
+	Over      int      `json:"over,omitempty"`    // were over or stopping
+	Unknown   []string `json:"unknown,omitempty"` // keys that no job has
+}
+
+// Op is "cancels".
+func (c *Cancels) Op() string { return "cancels" }
+
+func (c *Cancels) apply(s *state.State, _ uint64) (any, error) {
+	keys := c.Keys
+	switch {
+	case len(keys) > MaxCancels:
+		return nil, fault.Field(fault.Invalid, "keys", "%d keys, at most %d", len(keys), MaxCancels)
+	case len(keys) > 0 && c.Team+c.Queue != "":
+		return nil, fault.Field(fault.Invalid, "keys", "keys go without team and queue")
+	case len(keys) == 0 && c.Team+c.Queue == "":
+		return nil, fault.Field(fault.Invalid, "keys", "keys, a team or a queue are needed")
+	case len(keys) == 0:
+		for key, j := range s.Jobs {
+			if !j.Phase.Over() && (c.Team == "" || j.Spec.Team == c.Team) && (c.Queue == "" || j.Spec.Queue == c.Queue) {
+				keys = append(keys, key)
+			}
+		}
+		slices.Sort(keys) // every node stops them in the same order
+	}
+	out := CancelledAll{}
+	for _, key := range keys {
+		switch j := s.Jobs[key]; {
+		case j != nil && !j.Phase.Over() && j.Phase != state.JobStopping:
+			s.Stop(j, state.JobCancelled, "cancelled by a consumer")
+			out.Cancelled++
+		case j != nil || s.Tombs[key] != nil:
+			out.Over++
+		default:
+			out.Unknown = append(out.Unknown, key)
+		}
+	}
+	return out, nil
+}
+
 // Announce makes a minion known. Of a known minion it moves the address only: what a minion is and which boot
 // it runs under, only its answers to the holder of sched tell.
 type Announce struct {
--- a/internal/state/command/plan_test.go
+++ b/internal/state/command/plan_test.go
@@ -206,6 +206,52 @@
 		So(b.InboxSeq, ShouldEqual, b.Seq)
 		So(b.Inbox, ShouldBeEmpty)
 	})
+	Convey("under pressure each team keeps its share, and the last room is for urgent queues", t, func() {
+		b := book{state.New()}
+		b.Bundle.Queues["now"] = state.Queue{Urgent: true}
+		b.Bundle.Weights = map[string]int{"c": 2}
+		hand := func(team, queue string, n int) (took int) {
+			for i := range n {
+				spec := state.Spec{Key: fmt.Sprint(team, queue, i, b.Index), Team: team, Queue: queue, Steps: []state.StepSpec{{Name: "s", Type: "t", Tasks: 1}}}
+				if _, err := b.do(&Submit{Spec: spec, Digest: "d", Bound: 100}); err == nil {
+					took++
+				} else {
+					So(fault.KindOf(err), ShouldEqual, fault.Pressure)
+				}
+			}
+			return took
+		}
+		So(hand("a", "default", 40), ShouldEqual, 40)
+		So(hand("b", "default", 20), ShouldEqual, 20)
+		So(hand("a", "default", 20), ShouldEqual, 10) // up to half of the bound, the share of one of two
+		So(hand("c", "default", 90), ShouldEqual, 25) // its share of twice the weight would be 50: the reserve stops it
+		So(hand("b", "default", 20), ShouldEqual, 0)
+		So(hand("b", "now", 20), ShouldEqual, 5)
+		So(b.Open(), ShouldEqual, 100)
+		Convey("and a team's queue is cancelled in one call, a list likewise", func() {
+			got, err := b.do(&Cancels{Team: "b", Queue: "now"})
+			So(err, ShouldBeNil)
+			So(got, ShouldResemble, CancelledAll{Cancelled: 5})
+			got, err = b.do(&Cancels{Team: "b"})
+			So(err, ShouldBeNil)
+			So(got, ShouldResemble, CancelledAll{Cancelled: 20})
+			So(b.Open(), ShouldEqual, 75)
+			So(b.OpenOf("b"), ShouldEqual, 0)
+			var keys []string
+			for key, j := range b.Jobs {
+				if j.Spec.Team == "a" && len(keys) < 10 {
+					keys = append(keys, key)
+				}
+			}
+			got, err = b.do(&Cancels{Keys: append(keys, "nobody", keys[0])})
+			So(err, ShouldBeNil)
+			So(got, ShouldResemble, CancelledAll{Cancelled: 10, Over: 1, Unknown: []string{"nobody"}})
+			for _, bad := range []*Cancels{{}, {Keys: keys, Team: "a"}} {
+				_, err = b.do(bad)
+				So(fault.KindOf(err), ShouldEqual, fault.Invalid)
+			}
+		})
+	})
 	Convey("an operator's order is applied once and answered the same for ever; its id is not another's", t, func() {
 		b := newBook()
 		first, err := b.do(&Zone{Order: "o", Zone: "z1", Out: true})
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -274,6 +274,8 @@
 
 	room  map[string]*Room
 	tally map[string]int
+	open  int            // jobs that are not over
+	teams map[string]int // the same by team
 	sites map[site]int
 }
 
@@ -326,11 +328,15 @@
 	s.room = map[string]*Room{}
 	s.tally = map[string]int{}
 	s.sites = map[site]int{}
+	s.open, s.teams = 0, map[string]int{}
 	for _, m := range s.Minions {
 		s.mark(m, 1)
 	}
 	for _, j := range s.Jobs {
 		j.derive()
+		if !j.Phase.Over() {
+			s.count(j, 1)
+		}
 	}
 	for _, h := range s.Handles {
 		s.take(h)
@@ -544,6 +550,7 @@
 		return
 	}
 	j.Phase, j.Outcome, j.Ended = to, "", s.At
+	s.count(j, -1)
 	s.Ended = append(s.Ended, j.Spec.Key)
 }
 
@@ -567,6 +574,7 @@
 		j.Tasks[i] = make([]Task, step.Tasks)
 	}
 	j.derive()
+	s.count(j, 1)
 	s.Jobs[j.Spec.Key] = j
 	s.Inbox = append(s.Inbox, j.Spec.Key)
 	s.tell(Note{Kind: NoteInbox, Name: j.Spec.Key})
