--- a/cmd/dplane/jobs.go
+++ b/cmd/dplane/jobs.go
@@ -47,7 +47,7 @@
 					if err != nil {
 						return fault.Wrap(err, fault.Internal, "encode")
 					}
-					return ask(ctx, http.MethodPost, cmd.String("addr"), "/v1/jobs/cancel", bytes.NewReader(body))
+					return fault.Pass(ask(ctx, http.MethodPost, cmd.String("addr"), "/v1/jobs/cancel", bytes.NewReader(body)), "cancel")
 				}
 				key := cmd.Args().First()
 				return fault.Pass(ask(ctx, http.MethodDelete, cmd.String("addr"), "/v1/jobs/"+url.PathEscape(key), nil), "cancel job %q", key)
