--- a/internal/rig/fleet/call.go
+++ b/internal/rig/fleet/call.go
@@ -47,7 +47,7 @@
 	}}
 }
 
-// Call sends one request and reads the answer within bound; in is sent as JSON unless nil. Any answer at all is
+// Call sends one request and reads the answer within bound; in is sent as JSON unless nil, bytes as they are. Any answer at all is
 // a Reply. Faults: Internal (in is no JSON), Timeout (no whole answer: what was asked may have happened). Example:
 //
 //	reply, err := caller.Call(ctx, http.MethodGet, node.Addr, "/v1/who", nil, time.Second)
@@ -56,9 +56,12 @@
 	defer stop()
 	var body io.Reader
 	if in != nil {
-		data, err := json.Marshal(in)
-		if err != nil {
-			return Reply{}, fault.Wrap(err, fault.Internal, "body for %s", path)
+		data, exact := in.([]byte)
+		if !exact {
+			var err error
+			if data, err = json.Marshal(in); err != nil {
+				return Reply{}, fault.Wrap(err, fault.Internal, "body for %s", path)
+			}
 		}
 		body = bytes.NewReader(data)
 	}
