Rehearse blow after blow on a running fleet; zones cut, frozen, evacuated

Cause: the promises under faults were tried by hand, one blow at a time; only a killed zone had a drill. Ruled out: a shell script for the matrix (waits, figures and audits want the kit's own code; the one thing that starts processes stays scripts/fleet, which the command calls). Change: drill rehearse plays ten cases under load, audits after each, and prints a line with the seconds without a yes and without a start. drill zone takes evacuate (by the operators' API, lifted in any case), cut and freeze. The links cover the talk of all daemons among each other.

--- /dev/null
+++ b/cmd/drill/blow.go
@@ -0,0 +1,122 @@
+package main
+
+import (
+	"context"
+	"crypto/rand"
+	"errors"
+	"net/http"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"crosstide/internal/alarm"
+	"crosstide/internal/fault"
+	"crosstide/internal/operator"
+	"crosstide/internal/rig/audit"
+	"crosstide/internal/rig/fleet"
+	"crosstide/internal/rig/journal"
+	"crosstide/internal/rig/link"
+	"crosstide/internal/spawn"
+)
+
+// takeOut takes a zone with its nodes out, for d unless it is killed, and gives the nodes that it hit.
+func takeOut(ctx context.Context, dir, zone, how string, names []string, d time.Duration) ([]string, error) {
+	var err error
+	switch how {
+	case "kill":
+		names, err = killAll(dir, "zone", names)
+	case "freeze":
+		err = freezeAll(ctx, dir, names, d)
+	case "cut":
+		_, err = cut(ctx, dir, link.Cut{Zone: zone, How: link.Silent, For: d})
+	default:
+		err = evacuate(ctx, dir, zone, d)
+	}
+	return names, fault.Pass(err, "%s of %s", how, zone)
+}
+
+// killAll sends SIGKILL to processes, all at once, and notes each in DIR/journal/drill-BOOK.jsonl with the time
+// before; one that is gone already is left out.
+func killAll(dir, book string, names []string) ([]string, error) {
+	pen, err := journal.Open(filepath.Join(dir, "journal", "drill-"+book+".jsonl"))
+	if err != nil {
+		return nil, fault.Pass(err, "drill's journal")
+	}
+	defer pen.Close()
+	var killed []string
+	for _, name := range names {
+		at := alarm.Real{}.Wall().UnixNano()
+		if err := fleet.Kill(dir, name); fault.Is(err, fault.Unknown) {
+			continue
+		} else if err != nil {
+			return killed, fault.Pass(err, "kill all")
+		}
+		killed = append(killed, name)
+		err := pen.Append(map[string]any{"at": at, "ev": audit.Kill, "node": name, "how": "SIGKILL"})
+		if err != nil {
+			return killed, fault.Pass(err, "drill's journal")
+		}
+	}
+	return killed, nil
+}
+
+// freezeAll freezes nodes for d, all at once.
+func freezeAll(ctx context.Context, dir string, names []string, d time.Duration) error {
+	var mu sync.Mutex
+	var all []error
+	spawn.Each(len(names), len(names), func(i int) {
+		err := freeze(ctx, dir, names[i], d)
+		mu.Lock()
+		defer mu.Unlock()
+		all = append(all, err)
+	})
+	return errors.Join(all...)
+}
+
+// evacuate orders a zone to be evacuated and lifts that after d, or when ctx ends, in any case.
+func evacuate(ctx context.Context, dir, zone string, d time.Duration) error {
+	nodes, err := fleet.Read(dir)
+	if err != nil {
+		return fault.Pass(err, "evacuate")
+	}
+	id := rand.Text()[:12]
+	pen, err := journal.Open(filepath.Join(dir, "journal", "operator-"+id+".jsonl"))
+	if err != nil {
+		return fault.Pass(err, "operator's journal")
+	}
+	defer pen.Close()
+	note := func(ev string) error {
+		err := pen.Append(map[string]any{"at": alarm.Real{}.Wall().UnixNano(), "ev": ev, "zone": zone, "order": id})
+		return fault.Pass(err, "operator's journal")
+	}
+	ordered := order(ctx, nodes.CPlanes, "/v1/zones/"+zone+"/evacuate", id+"-out")
+	if ordered == nil {
+		if ordered = note(audit.Evacuate); ordered == nil {
+			pause(ctx, d)
+		}
+	}
+	late := context.WithoutCancel(ctx)
+	lifting := note(audit.Lift) // before the order: starts may come from its commit on
+	return errors.Join(ordered, lifting, order(late, nodes.CPlanes, "/v1/zones/"+zone+"/lift", id+"-lift"))
+}
+
+// order gives an operator's order to one cplane after another until one has carried it out, for 30 s; the id makes
+// it one order.
+func order(ctx context.Context, cplanes []fleet.Node, path, id string) error {
+	ctx, stop := context.WithTimeout(ctx, 30*time.Second)
+	defer stop()
+	caller := fleet.NewCaller(1)
+	for try := 0; ; try++ {
+		node := cplanes[try%len(cplanes)]
+		reply, err := caller.Call(ctx, http.MethodPost, node.Addr, path, operator.Order{Order: id}, 5*time.Second)
+		switch {
+		case err == nil && reply.Good():
+			return nil
+		case err == nil && reply.Status < http.StatusInternalServerError && reply.Status != http.StatusTooManyRequests &&
+			reply.Status != http.StatusMisdirectedRequest:
+			return fault.New(fault.Internal, "order %s: %s refuses: %s", path, node.Name, reply.Body)
+		case !pause(ctx, 200*time.Millisecond):
+			return fault.New(fault.Unavailable, "order %s: no cplane carried it out in time, the last one said %v %s", path, err, reply.Body)
+		}
+	}
+}
--- a/internal/rig/fleet/fleet.go
+++ b/internal/rig/fleet/fleet.go
@@ -1,5 +1,6 @@
 // Package fleet knows a fleet on one machine: its nodes, its processes, whether they are ready and who leads.
-// The processes themselves are started by scripts/fleet; a program starts none.
+// The processes themselves are started by scripts/fleet; of the programs only drill rehearse starts any, by that
+// script.
 package fleet
 
 import (
--- a/internal/rig/fleet/fleet_test.go
+++ b/internal/rig/fleet/fleet_test.go
@@ -10,6 +10,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"crosstide/internal/fault"
+	"crosstide/internal/rig/link"
 )
 
 func TestPlan(t *testing.T) {
@@ -49,6 +50,29 @@
 		_, err = Plan(filepath.Join(t.TempDir(), "g"), Shape{CPlanes: 1, DPlanes: 1, Zones: 1, Cores: 1, Kind: "check", Hollow: 3, Hosts: 2})
 		So(fault.KindOf(err), ShouldEqual, fault.Invalid)
 	})
+	Convey("With links, every address that a node dials leads over a link of its own", t, func() {
+		dir := t.TempDir()
+		n, err := Plan(dir, Shape{CPlanes: 3, DPlanes: 2, Minions: 4, Zones: 2, Cores: 1, Kind: "check", Bin: "bin", Links: true})
+		So(err, ShouldBeNil)
+		set, err := link.Load(filepath.Join(dir, "settings", "link.json"))
+		So(err, ShouldBeNil)
+		So(set.Control, ShouldEqual, n.Link)
+		So(len(set.Ways), ShouldEqual, 5*4+2*2*4)
+		ports := map[string]bool{}
+		for _, w := range set.Ways {
+			ports[w.Listen] = true
+		}
+		So(len(ports), ShouldEqual, len(set.Ways))
+		d, err := os.ReadFile(filepath.Join(dir, "settings", "d2.json"))
+		So(err, ShouldBeNil)
+		for _, to := range append(n.CPlanes, n.Minions...) {
+			So(string(d), ShouldContainSubstring, `"`+to.Addr+`": "127.0.0.1:`)
+		}
+		lines, err := os.ReadFile(filepath.Join(dir, "start"))
+		So(err, ShouldBeNil)
+		So(strings.Count(string(lines), " --via "), ShouldEqual, 2*4)
+		So(string(lines), ShouldStartWith, "link bin/drill link ")
+	})
 	Convey("A pid that is not the node any more is not killed", t, func() {
 		dir := t.TempDir()
 		So(os.WriteFile(filepath.Join(dir, "pids"), []byte("c1 "+strconv.Itoa(os.Getpid())+"\n"), 0o644), ShouldBeNil)
--- a/internal/rig/fleet/plan.go
+++ b/internal/rig/fleet/plan.go
@@ -7,6 +7,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -44,12 +45,13 @@
 	return nil
 }
 
-// ways counts the links of a shape: among cplanes, from dplanes to cplanes, between dplanes and minions.
+// ways counts the links of a shape: among the daemons, and between dplanes and minions.
 func (s Shape) ways() int {
 	if !s.Links {
 		return 0
 	}
-	return s.CPlanes*(s.CPlanes-1) + s.DPlanes*s.CPlanes + 2*s.DPlanes*s.Minions
+	daemons := s.CPlanes + s.DPlanes
+	return daemons*(daemons-1) + 2*s.DPlanes*s.Minions
 }
 
 // Lace gives a link for each way that some node dials another, one port each, and for each node by name the
@@ -72,8 +74,8 @@
 			}
 		}
 	}
-	lace(n.CPlanes, n.CPlanes)
-	lace(n.DPlanes, n.CPlanes)
+	daemons := slices.Concat(n.CPlanes, n.DPlanes) // the members' views are shuffled between all of them
+	lace(daemons, daemons)
 	lace(n.DPlanes, n.Minions)
 	lace(n.Minions, n.DPlanes)
 	return out, via
