--- /dev/null
+++ b/internal/sched/bundle_test.go
@@ -0,0 +1,121 @@
+package sched
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"crosstide/internal/pair"
+	"crosstide/internal/seal"
+	"crosstide/internal/state"
+	"crosstide/internal/state/command"
+	"crosstide/internal/state/query"
+)
+
+// enact puts a text in force, signed by two.
+func (d *desk) enact(text string) {
+	ada, err := seal.New("ada")
+	So(err, ShouldBeNil)
+	ben, err := seal.New("ben")
+	So(err, ShouldBeNil)
+	d.st.Operators = map[string]string{"ada": ada.Public(), "ben": ben.Public()}
+	base, digest := d.st.Head().Version, seal.Digest([]byte(text))
+	id := fmt.Sprint("o", base)
+	d.do(&command.Put{Order: id, Base: base, By: "ada", Body: []byte(text), Sig: ada.Sign(seal.Put(id, base, digest))})
+	for _, key := range []seal.Key{ada, ben} {
+		d.do(&command.Sign{Order: id + key.Name, Version: base + 1, Digest: digest, By: key.Name, Sig: key.Sign(seal.Bundle(base+1, digest))})
+	}
+}
+
+func TestBundle(t *testing.T) {
+	Convey("A plan made under the bundle before gets no ticket", t, func() {
+		d := newDesk("check", "m1")
+		d.greet("check")
+		d.submit("j", state.StepSpec{})
+		d.commit(d.core.Pass(d.now).Plan)
+		plan := d.core.Pass(d.now).Plan
+		So(plan.Starts, ShouldHaveLength, 1)
+		d.enact(`{"queues":{"default":{}}}`)
+		d.commit(plan)
+		So(d.st.Handles, ShouldBeEmpty)
+		So(order(d.settle()), ShouldNotBeNil) // made again under the new one
+	})
+
+	Convey("What does not fit a new bundle is stopped, made due again, and tells why it waits", t, func() {
+		d := newDesk("check", "m1")
+		d.greet("check")
+		d.submit("j", state.StepSpec{})
+		o := order(d.settle())
+		d.answer(*o, "check", pair.HoldAnswer{Running: []uint64{1}})
+		d.settle()
+		d.enact(`{"queues":{"other":{}}}`)
+		d.now += time.Second
+		var stop *CallOut
+		for _, c := range d.settle() {
+			if len(c.Call.Stops) > 0 {
+				stop = &c
+			}
+		}
+		So(stop, ShouldNotBeNil)
+		So(stop.Call.Stops, ShouldResemble, []pair.StopOrder{{Ticket: 1, Why: "queue"}})
+		d.answer(*stop, "check", pair.HoldAnswer{Ended: []pair.EndNote{{Ticket: 1, How: pair.EndStop}}})
+		So(order(d.settle()), ShouldBeNil)
+		So(taskOf(d, "j").Phase, ShouldEqual, state.TaskDue)
+		view, err := query.Job(d.st, "j")
+		So(err, ShouldBeNil)
+		So([]any{view.State, view.Waits}, ShouldResemble, []any{state.JobRunning, "no queue default in bundle 2"})
+		d.enact(`{"queues":{"default":{}}}`)
+		d.reply("check", "", pair.HoldAnswer{})
+		So(order(d.settle()), ShouldNotBeNil)
+	})
+
+	Convey("A charter's hold goes into the order, and each length of hold is renewed by its own", t, func() {
+		d := newDesk("check", "m1")
+		d.greet("check")
+		d.enact(`{"queues":{"default":{"hold":"8s"},"slow":{}}}`)
+		d.submit("j", state.StepSpec{})
+		d.do(&command.Submit{Spec: state.Spec{Key: "k", Team: "a", Queue: "slow", Steps: []state.StepSpec{{Name: "s", Type: "t", Tasks: 1, Cores: 1}}}, Digest: "k", Bound: 100})
+		until := map[string]time.Duration{}
+		o := order(d.settle())
+		for _, s := range o.Call.Starts {
+			until[s.Job] = s.Until - d.now
+		}
+		So(until, ShouldResemble, map[string]time.Duration{"j": 8 * time.Second, "k": Defaults().Hold})
+		ticket := map[string]uint64{"j": taskOf(d, "j").Ticket, "k": taskOf(d, "k").Ticket}
+		runs := pair.HoldAnswer{Running: []uint64{1, 2}}
+		d.answer(*o, "check", runs)
+		renewed := map[uint64]int{}
+		for range 30 { // seconds
+			d.now += time.Second
+			d.reply("check", "", runs)
+			for _, c := range d.settle() {
+				for _, t := range c.Call.Renew {
+					renewed[t]++
+					want := 8 * time.Second
+					if t == ticket["k"] {
+						want = Defaults().Hold
+					}
+					So(c.Call.Until-d.now, ShouldEqual, want)
+				}
+			}
+		}
+		So(renewed[ticket["j"]], ShouldBeGreaterThanOrEqualTo, 9) // each 3 s
+		So(renewed[ticket["k"]], ShouldBeGreaterThanOrEqualTo, 4) // each 6 s
+	})
+
+	Convey("Under contention teams share by their weights; without contention all room is used", t, func() {
+		d := newDesk("check", "m1")
+		d.greet("check")
+		d.enact(`{"queues":{"default":{}},"weights":{"a":3}}`)
+		d.submit("old", state.StepSpec{Tasks: 9}) // of team a
+		d.do(&command.Submit{Spec: state.Spec{Key: "new", Team: "b", Queue: "default", Steps: []state.StepSpec{{Name: "s", Type: "t", Tasks: 9, Cores: 1}}}, Digest: "n", Bound: 100})
+		o := order(d.settle())
+		got := map[string]int{}
+		for _, s := range o.Call.Starts {
+			got[s.Job]++
+		}
+		So(got, ShouldResemble, map[string]int{"old": 3, "new": 1})
+	})
+}
