Walk sched's tables in order: the same inputs give the same plan, oldest job first

Ruled out: the state (its JSON is sorted) and the replication core (its walks over maps commute). Change: handles by ticket, jobs by their number in the inbox; what a walk adds to the plan is sorted by ticket. Conclusion: a holder's plan is a function of its inputs.

--- a/internal/sched/hold.go
+++ b/internal/sched/hold.go
@@ -301,6 +301,7 @@
 			c.kill(r, command.ProofStop, e.Reason)
 		}
 	}
+	dead, doubts := len(c.dead), len(c.doubts)
 	for t, r := range m.runs {
 		if seen[t] || r.gone || r.out || r.flying || r.mine && (r.call == 0 || r.call > call.Call) {
 			continue
@@ -323,6 +324,7 @@
 		}
 		c.kill(r, command.ProofFloor, "")
 	}
+	c.order(dead, doubts)
 	c.dirty[m.name] = true
 }
 
--- /dev/null
+++ b/internal/sched/order_test.go
@@ -0,0 +1,52 @@
+package sched
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"crosstide/internal/pair"
+	"crosstide/internal/state"
+)
+
+// The tables are maps; what a core does must not hang on the order in which they are walked.
+func TestOrder(t *testing.T) {
+	Convey("A fresh holder takes the oldest due task first, every time the same way", t, func() {
+		var plans [8]string
+		for i := range plans {
+			d := newDesk("check", "m1", "m2", "m3")
+			for n := range 20 {
+				d.submit(fmt.Sprintf("j%d", (n*7)%20), state.StepSpec{})
+			}
+			d.settle()
+			d.lead()
+			d.core.Pass(d.now)
+			d.core.Reset(d.now, d.st)
+			for _, m := range []string{"m1", "m2", "m3"} {
+				rec := *d.st.Minions[m]
+				rec.Boot, rec.Cores = "b1", 4
+				d.st.Minions[m] = &rec
+			}
+			for _, c := range d.core.Pass(d.now).Calls {
+				d.answer(c, "check", pair.HoldAnswer{Zone: "z1"})
+			}
+			for {
+				out := d.core.Pass(d.now)
+				if out.Plan == nil {
+					break
+				}
+				raw, err := json.Marshal(out.Plan)
+				So(err, ShouldBeNil)
+				plans[i] += string(raw)
+				for k, s := range out.Plan.Starts {
+					So(s.Ref.Job, ShouldEqual, fmt.Sprintf("j%d", (k*7)%20))
+				}
+				d.commit(out.Plan)
+			}
+			So(plans[i], ShouldNotBeEmpty)
+			So(plans[i], ShouldEqual, plans[0])
+		}
+	})
+}
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -6,6 +6,7 @@
 package sched
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -188,17 +189,17 @@
 func (c *Core) Lead(now time.Duration, epoch uint64) {
 	c.clear()
 	c.now, c.epoch, c.since, c.sweepAt = now, epoch, now, now
-	for _, h := range c.st.Handles {
-		c.opened(h)
-	}
 	for _, name := range c.st.MinionNames() {
 		c.meet(name)
 	}
-	for key, j := range c.st.Jobs {
+	for _, t := range slices.Sorted(maps.Keys(c.st.Handles)) {
+		c.opened(c.st.Handles[t])
+	}
+	for _, j := range slices.SortedFunc(maps.Values(c.st.Jobs), func(a, b *state.Job) int { return cmp.Compare(a.Seq, b.Seq) }) {
 		for i := range j.Tasks {
 			for k := range j.Tasks[i] {
 				if j.Tasks[i][k].Phase == state.TaskDue {
-					c.due(state.TaskRef{Job: key, Step: i, Task: k})
+					c.due(state.TaskRef{Job: j.Spec.Key, Step: i, Task: k})
 				}
 			}
 		}
@@ -373,6 +374,7 @@
 
 // sweep is the pass over all records: lapses, orphans, silent minions, the tally.
 func (c *Core) sweep(now time.Duration) {
+	old := len(c.dead)
 	for _, m := range c.minions {
 		c.dirty[m.name] = true
 		if m.heard == 0 || now-m.heard > c.cfg.Silence {
@@ -388,6 +390,7 @@
 			}
 		}
 	}
+	c.order(old, len(c.doubts))
 	c.swept = false
 	if now >= c.tidyAt {
 		c.tidyAt = now + 10*time.Second
@@ -395,6 +398,12 @@
 	}
 }
 
+// order sorts the proofs and doubts that a walk over a table has added, so that the same inputs give the same plan.
+func (c *Core) order(dead, doubts int) {
+	slices.SortFunc(c.dead[dead:], func(a, b command.Proof) int { return cmp.Compare(a.Ticket, b.Ticket) })
+	slices.Sort(c.doubts[doubts:])
+}
+
 // drift allows for a minion's clock that runs a little slow against ours.
 func drift(d time.Duration) time.Duration { return d - d/500 }
 
