Drive the store by hand, step by step on one goroutine

The loops of the store are split into the steps they are made of (pick, write, stored; trail, freeze, put; ask, granted; tidying), and store.Hand takes these steps in place of the goroutines. Names that no other process has come from Options.Draw.

--- a/internal/quorum/log.go
+++ b/internal/quorum/log.go
@@ -90,6 +90,12 @@
 	return c, fault.Pass(valid(c.members), "members at index %d", e.Index)
 }
 
+// DecodeMembers gives the member set that a Members entry brings.
+func DecodeMembers(e Entry) ([]Member, error) {
+	c, err := confOf(e)
+	return c.members, fault.Pass(err, "decode")
+}
+
 // valid checks a member set by itself.
 func valid(ms []Member) error {
 	seen := make(map[string]bool, len(ms))
--- a/internal/store/disk.go
+++ b/internal/store/disk.go
@@ -32,54 +32,68 @@
 			return
 		case <-s.diskKick:
 		}
-		s.mu.Lock()
-		batch := s.queue
-		s.queue = nil
-		if len(batch) > 0 {
-			s.diskBusy = s.clock.Now()
-		}
-		s.mu.Unlock()
+		batch := s.pick()
 		if len(batch) == 0 {
 			continue
 		}
-		records, last, err := recordsOf(batch)
-		if err == nil && len(records) > 0 {
-			from := s.clock.Now()
-			err = s.slots.Append(records)
-			s.meter.syncs.Observe((s.clock.Now() - from).Seconds())
-		}
-		if err != nil {
+		if err := s.write(batch); err != nil {
 			s.fatal(fault.Pass(err, "store the log"))
 			return
 		}
-		s.stored(batch, last)
+		s.stored(batch)
+	}
+}
+
+// pick takes all that waits for the disk.
+func (s *Store) pick() []work {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	batch := s.queue
+	s.queue = nil
+	if len(batch) > 0 {
+		s.diskBusy = s.clock.Now()
+	}
+	return batch
+}
+
+// write writes a batch with one sync.
+func (s *Store) write(batch []work) error {
+	records, err := recordsOf(batch)
+	if err == nil && len(records) > 0 {
+		from := s.clock.Now()
+		err = s.slots.Append(records)
+		s.meter.syncs.Observe((s.clock.Now() - from).Seconds())
 	}
+	return fault.Pass(err, "append")
 }
 
-func recordsOf(batch []work) (out []slot.Record, last quorum.Entry, err error) {
+func recordsOf(batch []work) (out []slot.Record, err error) {
 	for _, w := range batch {
 		if w.hard != nil {
 			data, err := json.Marshal(w.hard)
 			if err != nil {
-				return nil, last, fault.Wrap(err, fault.Internal, "encode the hard state")
+				return nil, fault.Wrap(err, fault.Internal, "encode the hard state")
 			}
 			out = append(out, slot.Record{Kind: slot.KindHard, Data: data})
 		}
 		for _, e := range w.append {
 			out = append(out, slot.Record{Kind: uint8(e.Kind), Term: e.Term, Index: e.Index, Data: e.Data})
-			last = e
 		}
 	}
-	return out, last, nil
+	return out, nil
 }
 
 // stored takes in that a batch is synced.
-func (s *Store) stored(batch []work, last quorum.Entry) {
+func (s *Store) stored(batch []work) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.diskBusy = 0
+	var last quorum.Entry
 	for _, w := range batch {
 		s.route(w.after)
+		if n := len(w.append); n > 0 {
+			last = w.append[n-1]
+		}
 	}
 	if last.Index > 0 {
 		s.core.Synced(s.clock.Now(), last.Index, last.Term)
@@ -114,23 +128,7 @@
 			return
 		case <-s.shadowKick:
 		}
-		s.mu.Lock()
-		in := s.install
-		s.install = nil
-		n := 0
-		for n < len(s.backlog) && s.backlog[n].Index <= s.durable {
-			n++
-		}
-		batch := s.backlog[:n:n]
-		if s.backlog = s.backlog[n:]; len(s.backlog) == 0 {
-			s.backlog = nil
-		}
-		s.mu.Unlock()
-		var err error
-		for i := 0; i < len(batch) && err == nil; i++ {
-			err = s.follow(batch[i])
-			batch[i].Data = nil
-		}
+		in, err := s.trail()
 		if err == nil && in != nil {
 			err = s.adopt(ctx, in)
 			close(in.done)
@@ -142,6 +140,29 @@
 	}
 }
 
+// trail brings the shadow up to what is stored here and gives the image that waits to be adopted, if any.
+func (s *Store) trail() (*install, error) {
+	s.mu.Lock()
+	in := s.install
+	s.install = nil
+	n := 0
+	for n < len(s.backlog) && s.backlog[n].Index <= s.durable {
+		n++
+	}
+	batch := s.backlog[:n:n]
+	if s.backlog = s.backlog[n:]; len(s.backlog) == 0 {
+		s.backlog = nil
+	}
+	s.mu.Unlock()
+	for i := range batch {
+		if err := s.follow(batch[i]); err != nil {
+			return in, fault.Pass(err, "trail")
+		}
+		batch[i].Data = nil
+	}
+	return in, nil
+}
+
 // follow applies an entry to the shadow, and writes a slot when one is due.
 func (s *Store) follow(e quorum.Entry) error {
 	if e.Index <= s.shadow.Index {
@@ -206,31 +227,43 @@
 // adopt puts an image of another member in the place of the own state. The core is frozen meanwhile: no message
 // goes in and no output comes out, so that the log on the disk cannot move between the image and Installed.
 func (s *Store) adopt(ctx context.Context, in *install) error {
-	s.mu.Lock()
-	ok := in.meta.Index > s.core.Status().Commit
-	s.frozen = ok
-	s.mu.Unlock()
-	if !ok {
+	if !s.freeze(in) {
 		return nil
 	}
-	defer func() {
-		s.mu.Lock()
-		s.frozen = false
-		s.mu.Unlock()
-		nudge(s.kick)
-	}()
-	for { // what was handed out before must be on the disk before the image
-		s.mu.Lock()
-		idle := len(s.queue) == 0 && s.diskBusy == 0
-		s.mu.Unlock()
-		if idle {
-			break
-		}
+	defer s.thaw()
+	for !s.idle() { // what was handed out before must be on the disk before the image
 		nudge(s.diskKick)
 		if !s.rest(ctx, tick) {
 			return nil
 		}
 	}
+	return fault.Pass(s.put(in), "adopt")
+}
+
+// freeze holds the core still if the image is newer than what is committed here.
+func (s *Store) freeze(in *install) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.frozen = in.meta.Index > s.core.Status().Commit
+	return s.frozen
+}
+
+func (s *Store) thaw() {
+	s.mu.Lock()
+	s.frozen = false
+	s.mu.Unlock()
+	nudge(s.kick)
+}
+
+// idle tells whether the disk has nothing to do.
+func (s *Store) idle() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.queue) == 0 && s.diskBusy == 0
+}
+
+// put stores the image and puts it in the place of the own state.
+func (s *Store) put(in *install) error {
 	if err := s.slots.WriteSlot(in.image, 0); err != nil {
 		return fault.Pass(err, "write a fetched snapshot")
 	}
--- a/internal/store/duty.go
+++ b/internal/store/duty.go
@@ -17,20 +17,33 @@
 	if call.Duty == "" || call.Holder == "" || call.Boot == "" {
 		return pair.DutyAnswer{}, fault.Field(fault.Invalid, "holder", "duty, holder and boot are needed")
 	}
+	a, held, c, err := s.ask(call)
+	if err != nil || c == nil {
+		return a, fault.Pass(err, "duty %s", call.Duty)
+	}
+	index, _, err := s.Propose(ctx, c)
+	a, err = s.granted(call, held, index, err)
+	return a, fault.Pass(err, "call")
+}
+
+// ask judges a call: the answer, or the command on the duty that is to be committed first.
+func (s *Store) ask(call pair.DutyCall) (a pair.DutyAnswer, held state.Duty, c command.Command, err error) {
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	held, verdict, err := s.judge(call)
-	s.mu.Unlock()
-	if err != nil {
-		return pair.DutyAnswer{}, fault.Pass(err, "duty %s", call.Duty)
-	}
-	if verdict == Mine || verdict == Theirs {
-		return s.tell(held, verdict == Mine), nil
-	}
-	var c command.Command = &command.Grant{Duty: call.Duty, Holder: call.Holder, Addr: call.Addr, Boot: call.Boot, After: held.Epoch}
-	if call.GiveUp {
-		c = &command.GiveUp{Duty: call.Duty, Epoch: held.Epoch}
+	switch {
+	case err != nil:
+		return a, held, nil, fault.Pass(err, "ask")
+	case verdict == Mine || verdict == Theirs:
+		return s.tell(held, verdict == Mine), held, nil, nil
+	case call.GiveUp:
+		return a, held, &command.GiveUp{Duty: call.Duty, Epoch: held.Epoch}, nil
 	}
-	index, _, err := s.Propose(ctx, c)
+	return a, held, &command.Grant{Duty: call.Duty, Holder: call.Holder, Addr: call.Addr, Boot: call.Boot, After: held.Epoch}, nil
+}
+
+// granted takes in how the command of ask ended, and answers.
+func (s *Store) granted(call pair.DutyCall, held state.Duty, index uint64, err error) (pair.DutyAnswer, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.book.Settled(call.Duty, held.Epoch)
--- a/internal/store/found.go
+++ b/internal/store/found.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/rand"
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
@@ -254,7 +253,7 @@
 
 // rename gives an empty folder an ID of its own, synced before anything is done under it, and begins empty.
 func (s *Store) rename() error {
-	id := s.set.Name + "~" + strings.ToLower(rand.Text()[:10])
+	id := s.set.Name + "~" + strings.ToLower(s.opt.Draw()[:10])
 	if err := writeID(s.opt.Disk, id); err != nil {
 		return fault.Pass(err, "take a new id")
 	}
--- a/internal/store/send.go
+++ b/internal/store/send.go
@@ -85,10 +85,24 @@
 	ctx, stop := context.WithCancel(s.group.Context())
 	p := &peer{addr: addr, kick: make(chan struct{}, 1), stop: stop}
 	s.peers[id] = p
-	s.group.Go(func(context.Context) { s.sender(ctx, p) })
+	if s.hand == nil {
+		s.group.Go(func(context.Context) { s.sender(ctx, p) })
+	}
 	return p
 }
 
+// take gives the messages of the next call.
+func (p *peer) take() []quorum.Message {
+	n, bytes := 0, 0
+	for n < len(p.backlog) && (n == 0 || bytes+sizeOf(p.backlog[n]) <= callBytes) {
+		bytes += sizeOf(p.backlog[n])
+		n++
+	}
+	batch := p.backlog[:n:n]
+	p.backlog, p.bytes = p.backlog[n:], p.bytes-bytes
+	return batch
+}
+
 func (s *Store) sender(ctx context.Context, p *peer) {
 	for {
 		select {
@@ -97,16 +111,11 @@
 		case <-p.kick:
 		}
 		s.mu.Lock()
-		n, bytes := 0, 0
-		for n < len(p.backlog) && (n == 0 || bytes+sizeOf(p.backlog[n]) <= callBytes) {
-			bytes += sizeOf(p.backlog[n])
-			n++
-		}
-		batch := p.backlog[:n:n]
-		p.backlog, p.bytes = p.backlog[n:], p.bytes-bytes
+		batch := p.take()
 		more := len(p.backlog) > 0
 		broken := s.broken
 		s.mu.Unlock()
+		n := len(batch)
 		if n == 0 || broken {
 			continue
 		}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -61,6 +61,7 @@
 	Fatal    func(error)
 	Damaged  bool                  // an earlier folder was set aside as damaged: never found a fleet
 	Seed     uint64                // of the election time-outs; 0 draws one
+	Draw     func() string         // of names that no other process has; default crypto/rand.Text
 	Clock    alarm.Clock           // default alarm.Real
 	Logger   log.Logger            // default: none
 	Registry prometheus.Registerer // default: not shown
@@ -73,6 +74,7 @@
 	clock alarm.Clock
 	log   log.Logger
 	group *spawn.Group
+	hand  *Hand // who drives the store in place of its goroutines; nil in a daemon
 	meter *meter
 	slots *slot.Store
 	boot  string // of this process
@@ -133,6 +135,9 @@
 	if opt.Logger == nil {
 		opt.Logger = log.NewNopLogger()
 	}
+	if opt.Draw == nil {
+		opt.Draw = rand.Text
+	}
 	if opt.Seed == 0 {
 		opt.Seed = new(maphash.Hash).Sum64()
 	}
@@ -141,7 +146,7 @@
 	}
 	s := &Store{
 		opt: opt, set: opt.Settings, clock: opt.Clock, log: opt.Logger, group: spawn.New(context.Background()),
-		boot: rand.Text()[:12],
+		boot: opt.Draw()[:12],
 		kick: make(chan struct{}, 1), diskKick: make(chan struct{}, 1), shadowKick: make(chan struct{}, 1),
 		live: state.New(), peers: map[string]*peer{}, learnt: map[string]string{}, changed: make(chan struct{}),
 		waiters: map[uint64]*waiter{}, followers: map[string]pair.NodeBundle{}, book: NewBook(opt.Settings.DutyLease, opt.Settings.DutyLease/10),
@@ -250,7 +255,11 @@
 	if r.Fetch != nil && !s.fetching {
 		s.fetching = true
 		want := *r.Fetch
-		s.group.Go(func(ctx context.Context) { s.fetch(ctx, want) })
+		if s.hand != nil {
+			s.hand.want = &want
+		} else {
+			s.group.Go(func(ctx context.Context) { s.fetch(ctx, want) })
+		}
 	}
 	return max(0, s.ticked+tick-s.clock.Now())
 }
@@ -366,24 +375,31 @@
 // tidy lets the leader propose the letting go of what is old.
 func (s *Store) tidy(ctx context.Context) {
 	for s.rest(ctx, tidyEvery) {
-		s.mu.Lock()
-		some := s.leadTerm != 0 && len(s.live.Ended)+len(s.live.TombOrder)+len(s.live.OrderKeys) > 0
-		s.mu.Unlock()
-		if !some {
+		c := s.tidying()
+		if c == nil {
 			continue
 		}
-		at := s.clock.Wall()
-		_, _, err := s.Propose(ctx, &command.Tidy{
-			JobsBefore: at.Add(-s.set.KeepEndedFor), JobsKeep: s.set.KeepEnded,
-			TombsBefore: at.Add(-s.set.KeepTombsFor), TombsKeep: s.set.KeepTombs,
-			OrdersBefore: at.Add(-s.set.KeepTombsFor),
-		})
-		if err != nil {
+		if _, _, err := s.Propose(ctx, c); err != nil {
 			_ = level.Debug(s.log).Log("msg", "tidy", "err", err)
 		}
 	}
 }
 
+// tidying gives the command that lets go of what is old; nil on a node that does not lead or if there is nothing.
+func (s *Store) tidying() command.Command {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.leadTerm == 0 || len(s.live.Ended)+len(s.live.TombOrder)+len(s.live.OrderKeys) == 0 {
+		return nil
+	}
+	at := s.clock.Wall()
+	return &command.Tidy{
+		JobsBefore: at.Add(-s.set.KeepEndedFor), JobsKeep: s.set.KeepEnded,
+		TombsBefore: at.Add(-s.set.KeepTombsFor), TombsKeep: s.set.KeepTombs,
+		OrdersBefore: at.Add(-s.set.KeepTombsFor),
+	}
+}
+
 // View lets read look at the live state as it is here, under the lock: be short, keep nothing of it.
 func (s *Store) View(read func(*state.State)) {
 	s.mu.Lock()
