Measure sick minions on processes; share and switch in the settings

Cause: holding minions sick was shown in the pure core only; drill load could not ask for no retries, since 0 was left out of the body and became the default of 3.

--- a/cmd/dplane/main.go
+++ b/cmd/dplane/main.go
@@ -102,6 +102,7 @@
 	cfg := sched.Defaults()
 	cfg.Hold, cfg.HoldWait, cfg.StartWindow = set.Hold, set.HoldWait, set.StartWindow
 	cfg.Lateness, cfg.LeaseMargin = set.Lateness, set.LeaseMargin
+	cfg.Health.Share = float64(set.SickShare) / 100
 	return cfg
 }
 
--- a/internal/conf/conf_test.go
+++ b/internal/conf/conf_test.go
@@ -21,7 +21,7 @@
 "members":[{"id":"c1","addr":"10.0.0.1:7000","zone":"a"},{"id":"c2","addr":"10.0.0.2:7000","zone":"b"}],
 "lease":"800ms","backlog":7,"operator_keys":[{"name":"o","key":` + key + `},{"name":"p","key":` + other + `}]}`
 
-const dplane = `{"name":"d1","zone":"a","region":"r","addr":"10.0.1.1:7000","core":["10.0.0.1:7000"],"inflight":9}`
+const dplane = `{"name":"d1","zone":"a","region":"r","addr":"10.0.1.1:7000","core":["10.0.0.1:7000"],"sick_share":9}`
 
 func file(t *testing.T, text string) string {
 	path := filepath.Join(t.TempDir(), "settings.json")
@@ -106,7 +106,7 @@
 		})
 		d, err := LoadDplane(file(t, dplane))
 		So(err, ShouldBeNil)
-		So([]any{d.Inflight, d.Hold, d.Lateness}, ShouldResemble, []any{9, 20 * time.Second, 2 * time.Second})
+		So([]any{d.SickShare, d.Hold, d.Lateness}, ShouldResemble, []any{9, 20 * time.Second, 2 * time.Second})
 		d.Core, d.LeaseMargin = nil, 3*time.Second
 		So(lines(CheckDplane(d)), ShouldResemble, []string{
 			"core: must be given when there are no seeds", "lease_margin: must be under duty_lease (3s), is 3s"})
--- a/internal/conf/daemon.go
+++ b/internal/conf/daemon.go
@@ -56,7 +56,7 @@
 	LeaseMargin time.Duration // lease_margin: the duty is laid down this long before its end; default 500ms
 	DutyLease   time.Duration // duty_lease: as the cplanes have it; default 3s, over lease_margin
 	CallTimeout time.Duration // call_timeout; default 2s
-	Inflight    int           // inflight: plans proposed and not yet committed; default 64
+	SickShare   int           // sick_share: percent of a zone's minions that may be held sick at once; default 30, 0: none
 	Backlog     int           // backlog: jobs that may be open at most; default 60000
 }
 
@@ -74,7 +74,7 @@
 	return Dplane{
 		Common: defaultCommon(), Hold: 20 * time.Second, HoldWait: time.Second, StartWindow: 500 * time.Millisecond,
 		Lateness: 2 * time.Second, LeaseMargin: 500 * time.Millisecond, DutyLease: 3 * time.Second,
-		CallTimeout: 2 * time.Second, Inflight: 64, Backlog: 60000,
+		CallTimeout: 2 * time.Second, SickShare: 30, Backlog: 60000,
 	}
 }
 
@@ -197,7 +197,7 @@
 	r.Duration("lease_margin", &d.LeaseMargin, shortest, longest)
 	r.Duration("duty_lease", &d.DutyLease, shortest, longest)
 	r.Duration("call_timeout", &d.CallTimeout, shortest, longest)
-	r.Int("inflight", &d.Inflight, 1, largest)
+	r.Int("sick_share", &d.SickShare, 0, 100)
 	r.Int("backlog", &d.Backlog, 1, largest)
 	if d.LeaseMargin >= d.DutyLease {
 		r.Wrong("lease_margin", "must be under duty_lease (%s), is %s", d.DutyLease, d.LeaseMargin)
--- a/internal/rig/fleet/plan.go
+++ b/internal/rig/fleet/plan.go
@@ -26,6 +26,7 @@
 	Bin                                     string // folder of the programs
 	Links                                   bool   // a faulty link between any two nodes that talk
 	Hollow, Hosts                           int    // hollow minions, and the processes that share them
+	Sick                                    int    // of the minions: the first ones end every run in a fault
 }
 
 // Check tells what is wrong with a shape. Fault: Invalid.
@@ -262,7 +263,7 @@
 	for _, m := range n.Minions {
 		hosted[m.Host]++
 	}
-	for _, m := range n.Minions {
+	for i, m := range n.Minions {
 		if m.Host != "" && m.Host == host {
 			continue // one line for all that share a process
 		}
@@ -276,6 +277,9 @@
 				fmt.Fprintf(&start, " --via %s=%s", addr, by)
 			}
 		}
+		if i < s.Sick {
+			start.WriteString(" --fail 1")
+		}
 		if host != "" {
 			fmt.Fprintf(&start, " --count %d", hosted[host])
 		}
--- a/internal/sched/health.go
+++ b/internal/sched/health.go
@@ -12,7 +12,7 @@
 	Least    float64       // ends in fault of a type, recent ones counting more, before a minion is judged
 	Excess   float64       // its fault rate must be above its peers' by this much
 	HalfLife time.Duration // an end counts half after it
-	Share    float64       // of the minions of a zone that may be held sick at once, one at least
+	Share    float64       // of the minions of a zone that may be held sick at once, one at least; 0: none is
 	Probe    time.Duration // between two probes of a sick minion, doubled after each that fails
 	ProbeMax time.Duration
 	Cure     int // probes that must end well in a row
@@ -147,7 +147,7 @@
 // judge tells whether a minion is to be held sick now, for a type: it ends clearly more of it in fault than its
 // peers do. zone counts the minions of its zone and those of them held sick.
 func (h *health) judge(now time.Duration, name, kind string, zone, held int) bool {
-	if h.sick[name] != nil || float64(held+1) > max(1, h.cfg.Share*float64(zone)) {
+	if h.cfg.Share == 0 || h.sick[name] != nil || float64(held+1) > max(1, h.cfg.Share*float64(zone)) {
 		return false
 	}
 	one, all := *h.score(name, kind), *h.total(kind)
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -75,7 +75,7 @@
 	Cores    int               `json:"cores"`
 	GPUs     int               `json:"gpus,omitempty"`
 	Labels   map[string]string `json:"labels,omitempty"`
-	Retries  int               `json:"retries,omitempty"`
+	Retries  int               `json:"retries"`
 	Run      json.RawMessage   `json:"run,omitempty"`
 	Standing bool              `json:"standing,omitempty"`
 	Gang     bool              `json:"gang,omitempty"`
