--- /dev/null
+++ b/internal/rig/month/month.go
@@ -0,0 +1,196 @@
+// Package month lets a state live through simulated days at a rate of jobs, by the commands and the letting go of the
+// daemons, and tells how large it is at the end of each day.
+package month
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"crosstide/internal/conf"
+	"crosstide/internal/fault"
+	"crosstide/internal/state"
+	"crosstide/internal/state/command"
+)
+
+// Options are what the days are made of.
+type Options struct {
+	Days    int
+	Jobs    int           // a day
+	Tasks   int           // of a job
+	Last    time.Duration // of a task, mean
+	Minions int
+	Orders  int // operators' orders a day
+	Seed    uint64
+	Keep    conf.Cplane // keep_ended and keep_tombs, as the cplanes have them
+}
+
+// Day is the state at the end of a day.
+type Day struct {
+	Day     int `json:"day"`
+	Jobs    int `json:"jobs"`
+	Open    int `json:"open"` // jobs not over
+	Ended   int `json:"ended"`
+	Tombs   int `json:"tombs"`
+	Handles int `json:"handles"`
+	Orders  int `json:"orders"`
+	Line    int `json:"bundles"` // versions kept
+	Bytes   int `json:"bytes"`   // encoded
+	Entries int `json:"entries"` // of the log, that day
+	LogKB   int `json:"log_kb"`  // their data
+}
+
+// sim is the state with the work that is to come.
+type sim struct {
+	o       Options
+	st      *state.State
+	luck    *rand.Rand
+	minions []string
+	epoch   uint64
+	runs    []run // out, in order of their ends
+	bytes   int
+	entries int
+}
+
+type run struct {
+	ticket uint64
+	ends   time.Time
+}
+
+// step is how far time goes at once: what falls into it is one plan.
+const step = 30 * time.Second
+
+// Run lives through the days and gives each day's end to tell. The same options give the same days. Faults: Invalid,
+// those of the commands, those of tell. Example:
+//
+//	err := month.Run(month.Options{Days: 30, Jobs: 21000, Tasks: 20, Last: time.Minute, Minions: 1600, Keep: conf.DefaultCplane()}, print)
+func Run(o Options, tell func(Day) error) error {
+	if o.Days < 1 || o.Jobs < 1 || o.Tasks < 1 || o.Minions < 1 || o.Last <= 0 {
+		return fault.Field(fault.Invalid, "days", "days, jobs, tasks, minions and the length of a task must be above 0")
+	}
+	s := &sim{o: o, st: state.New(), luck: rand.New(rand.NewPCG(o.Seed, 1))}
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	if err := s.found(now); err != nil {
+		return fault.Pass(err, "begin")
+	}
+	perStep, perOrder := float64(o.Jobs)*step.Hours()/24, float64(o.Orders)*step.Hours()/24
+	jobs, orders, nth := 0.0, 0.0, 0
+	for day := 1; day <= o.Days; day++ {
+		s.bytes, s.entries = 0, 0
+		for end := now.Add(24 * time.Hour); now.Before(end); now = now.Add(step) {
+			for jobs += perStep; jobs >= 1; jobs-- {
+				nth++
+				if err := s.submit(now, nth); err != nil {
+					return fault.Pass(err, "day %d", day)
+				}
+			}
+			for orders += perOrder; orders >= 1; orders-- {
+				nth++
+				m := s.minions[s.luck.IntN(len(s.minions))]
+				if _, err := s.apply(now, &command.Close{Order: "o-" + strconv.Itoa(nth), Minion: m}); err != nil {
+					return fault.Pass(err, "day %d", day)
+				}
+			}
+			if err := s.pass(now); err != nil {
+				return fault.Pass(err, "day %d", day)
+			}
+		}
+		data, err := s.st.Encode()
+		if err != nil {
+			return fault.Pass(err, "day %d", day)
+		}
+		d := Day{Day: day, Jobs: len(s.st.Jobs), Open: len(s.st.Jobs) - len(s.st.Ended), Ended: len(s.st.Ended), Tombs: len(s.st.Tombs),
+			Handles: len(s.st.Handles), Orders: len(s.st.Orders), Line: len(s.st.Line), Bytes: len(data), Entries: s.entries, LogKB: s.bytes / 1000}
+		if err := tell(d); err != nil {
+			return fault.Pass(err, "tell")
+		}
+	}
+	return nil
+}
+
+func (s *sim) apply(now time.Time, c command.Command) (any, error) {
+	data, err := command.Encode(now, c)
+	if err != nil {
+		return nil, fault.Pass(err, "month")
+	}
+	s.bytes += len(data)
+	s.entries++
+	answer, err := command.Apply(s.st, s.st.Index+1, 1, data)
+	return answer, fault.Pass(err, "%s", c.Op())
+}
+
+func (s *sim) found(now time.Time) error {
+	for i := range s.o.Minions {
+		m := state.Minion{Name: fmt.Sprintf("m%04d", i), Addr: "10.0.0.1:7000", Kind: "check", Zone: "z" + strconv.Itoa(i%8), Cores: 1 << 20}
+		s.minions = append(s.minions, m.Name)
+		if _, err := s.apply(now, &command.Announce{Minion: m}); err != nil {
+			return fault.Pass(err, "found")
+		}
+	}
+	if _, err := s.apply(now, &command.Grant{Duty: "sched", Holder: "d1"}); err != nil {
+		return fault.Pass(err, "found")
+	}
+	s.epoch = s.st.Index
+	p := &command.Plan{Epoch: s.epoch, Charter: s.st.Bundle.Version}
+	for _, name := range s.minions {
+		m := *s.st.Minions[name]
+		m.Boot = "b"
+		p.Minions = append(p.Minions, m)
+	}
+	_, err := s.apply(now, p)
+	return fault.Pass(err, "found")
+}
+
+func (s *sim) submit(now time.Time, nth int) error {
+	spec := state.Spec{Key: "job-" + strconv.Itoa(nth), Team: "team-" + strconv.Itoa(nth%20), Queue: "default", Steps: []state.StepSpec{
+		{Name: "s1", Type: "scan", Tasks: s.o.Tasks, Cores: 1, Retries: 3, Run: json.RawMessage(`{"ms":60000,"ok":true}`)}}}
+	_, err := s.apply(now, &command.Submit{Spec: spec, Digest: fmt.Sprintf("%064x", xxhash.Sum64String(spec.Key)), Bound: s.o.Keep.Backlog})
+	return fault.Pass(err, "submit")
+}
+
+// pass is a plan as the holder of sched makes it, and the letting go as the leader does it.
+func (s *sim) pass(now time.Time) error {
+	p := &command.Plan{Epoch: s.epoch, Charter: s.st.Bundle.Version, Hold: 20 * time.Second, Seq: s.st.Seq}
+	fresh := append([]string(nil), s.st.Inbox...)
+	var left []run
+	for _, r := range s.runs {
+		if r.ends.After(now) {
+			left = append(left, r)
+			continue
+		}
+		p.Ends = append(p.Ends, command.End{Ticket: r.ticket, OK: true})
+	}
+	s.runs = left
+	if _, err := s.apply(now, p); err != nil {
+		return fault.Pass(err, "ends")
+	}
+	p = &command.Plan{Epoch: s.epoch, Charter: s.st.Bundle.Version, Hold: 20 * time.Second}
+	for _, key := range fresh {
+		for i := range s.st.Jobs[key].Tasks[0] {
+			p.Starts = append(p.Starts, command.Start{Ref: state.TaskRef{Job: key, Task: i}, Minion: s.minions[s.luck.IntN(len(s.minions))], Boot: "b"})
+		}
+	}
+	answer, err := s.apply(now, p)
+	if err != nil {
+		return fault.Pass(err, "starts")
+	}
+	running := &command.Plan{Epoch: s.epoch, Charter: s.st.Bundle.Version}
+	for i, t := range answer.(command.Planned).Tickets {
+		if t == 0 {
+			return fault.New(fault.Internal, "a start is refused: %s", answer.(command.Planned).Refused[i])
+		}
+		running.Running = append(running.Running, t)
+		s.runs = append(s.runs, run{t, now.Add(time.Duration(s.luck.ExpFloat64() * float64(s.o.Last)))})
+	}
+	if _, err := s.apply(now, running); err != nil {
+		return fault.Pass(err, "running")
+	}
+	k := s.o.Keep
+	_, err = s.apply(now, &command.Tidy{JobsBefore: now.Add(-k.KeepEndedFor), JobsKeep: k.KeepEnded, TombsBefore: now.Add(-k.KeepTombsFor),
+		TombsKeep: k.KeepTombs, OrdersBefore: now.Add(-k.KeepTombsFor)})
+	return fault.Pass(err, "tidy")
+}
