--- a/cmd/drill/blow.go
+++ b/cmd/drill/blow.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/rand"
+	"encoding/json"
 	"errors"
 	"net/http"
 	"path/filepath"
@@ -16,6 +17,7 @@
 	"crosstide/internal/rig/fleet"
 	"crosstide/internal/rig/journal"
 	"crosstide/internal/rig/link"
+	"crosstide/internal/seal"
 	"crosstide/internal/spawn"
 )
 
@@ -89,7 +91,12 @@
 		err := pen.Append(map[string]any{"at": alarm.Real{}.Wall().UnixNano(), "ev": ev, "zone": zone, "order": id})
 		return fault.Pass(err, "operator's journal")
 	}
-	ordered := order(ctx, nodes.CPlanes, "/v1/zones/"+zone+"/evacuate", id+"-out")
+	keys, err := fleet.Keys(dir)
+	if err != nil {
+		return fault.Pass(err, "evacuate")
+	}
+	out := operator.Order{Order: id + "-out", By: keys[0].Name, Sig: keys[0].Sign(seal.Evacuate(id+"-out", zone))}
+	ordered := order(ctx, nodes.CPlanes, "/v1/zones/"+zone+"/evacuate", out)
 	if ordered == nil {
 		if ordered = note(audit.Evacuate); ordered == nil {
 			pause(ctx, d)
@@ -97,18 +104,55 @@
 	}
 	late := context.WithoutCancel(ctx)
 	lifting := note(audit.Lift) // before the order: starts may come from its commit on
-	return errors.Join(ordered, lifting, order(late, nodes.CPlanes, "/v1/zones/"+zone+"/lift", id+"-lift"))
+	return errors.Join(ordered, lifting, lift(late, nodes.CPlanes, zone, id, keys))
+}
+
+// lift lets every operator sign the lifting of a zone, which two must.
+func lift(ctx context.Context, cplanes []fleet.Node, zone, id string, keys []seal.Key) error {
+	since, err := evacuatedSince(ctx, cplanes, zone)
+	if err != nil {
+		return fault.Pass(err, "lift %s", zone)
+	}
+	for _, key := range keys {
+		in := operator.Order{Order: id + "-lift-" + key.Name, By: key.Name, Sig: key.Sign(seal.Lift(zone, since))}
+		if err := order(ctx, cplanes, "/v1/zones/"+zone+"/lift", in); err != nil {
+			return fault.Pass(err, "lift %s", zone)
+		}
+	}
+	return nil
+}
+
+// evacuatedSince asks one cplane after another since when a zone is out, for 30 s.
+func evacuatedSince(ctx context.Context, cplanes []fleet.Node, zone string) (time.Time, error) {
+	ctx, stop := context.WithTimeout(ctx, 30*time.Second)
+	defer stop()
+	caller := fleet.NewCaller(1)
+	for try := 0; ; try++ {
+		var list operator.Zones
+		reply, err := caller.Call(ctx, http.MethodGet, cplanes[try%len(cplanes)].Addr, "/v1/zones", nil, 5*time.Second)
+		if err == nil && reply.Good() && json.Unmarshal(reply.Body, &list) == nil {
+			for _, z := range list.Zones {
+				if z.Zone == zone {
+					return z.Since, nil
+				}
+			}
+			return time.Time{}, fault.New(fault.Unknown, "zone %s is not evacuated", zone)
+		}
+		if !pause(ctx, 200*time.Millisecond) {
+			return time.Time{}, fault.New(fault.Unavailable, "no cplane lists the zones: %v %s", err, reply.Body)
+		}
+	}
 }
 
-// order gives an operator's order to one cplane after another until one has carried it out, for 30 s; the id makes
+// order gives an operator's order to one cplane after another until one has carried it out, for 30 s; its id makes
 // it one order.
-func order(ctx context.Context, cplanes []fleet.Node, path, id string) error {
+func order(ctx context.Context, cplanes []fleet.Node, path string, in operator.Order) error {
 	ctx, stop := context.WithTimeout(ctx, 30*time.Second)
 	defer stop()
 	caller := fleet.NewCaller(1)
 	for try := 0; ; try++ {
 		node := cplanes[try%len(cplanes)]
-		reply, err := caller.Call(ctx, http.MethodPost, node.Addr, path, operator.Order{Order: id}, 5*time.Second)
+		reply, err := caller.Call(ctx, http.MethodPost, node.Addr, path, in, 5*time.Second)
 		switch {
 		case err == nil && reply.Good():
 			return nil
--- /dev/null
+++ b/cmd/drill/bundles.go
@@ -0,0 +1,48 @@
+package main
+
+import (
+	"context"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"crosstide/internal/fault"
+	"crosstide/internal/rig/bundles"
+)
+
+func init() {
+	commands = append(commands, &cli.Command{
+		Name:  "bundles",
+		Usage: "let two operators change the bundle of a fleet again and again",
+		Description: "drill bundles --fleet DIR --for 60s [--seed 1]\n\n" +
+			"The operators of DIR/keys write bundles that move the queue `default` between zones, race for the same base,\n" +
+			"sign, send orders again, read the bytes back and watch the roll-out. What they were told goes to\n" +
+			"DIR/journal/operator-bundles-*.jsonl for `drill audit`. Prints one JSON object; exit 1 if something was amiss.",
+		Flags: []cli.Flag{
+			dirFlag(),
+			&cli.DurationFlag{Name: "for", Value: time.Minute},
+			&cli.Uint64Flag{Name: "seed", Value: 1},
+			&cli.DurationFlag{Name: "every", Value: 300 * time.Millisecond, Usage: "between two changes, on average"},
+			&cli.FloatFlag{Name: "race", Value: 0.3, Usage: "probability that both write against the same base at once"},
+			&cli.FloatFlag{Name: "again", Value: 0.3, Usage: "probability that an order is sent once more"},
+		},
+		Action: func(ctx context.Context, cmd *cli.Command) error {
+			ctx, stop := signal.NotifyContext(ctx, syscall.SIGINT, syscall.SIGTERM)
+			defer stop()
+			report, err := bundles.Run(ctx, bundles.Options{Dir: cmd.String("fleet"), For: cmd.Duration("for"), Seed: cmd.Uint64("seed"),
+				Every: cmd.Duration("every"), Race: cmd.Float("race"), Again: cmd.Float("again")})
+			if err != nil {
+				return fault.Pass(err, "bundles")
+			}
+			if err := printJSON(cmd.Root().Writer, report); err != nil {
+				return fault.Pass(err, "bundles")
+			}
+			if !report.Held() {
+				return exitCode{fault.New(fault.Internal, "nothing was changed, or a promise to the operators was broken"), 1}
+			}
+			return nil
+		},
+	})
+}
--- a/internal/rig/audit/audit.go
+++ b/internal/rig/audit/audit.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"crosstide/internal/fault"
+	"crosstide/internal/rig/bundles"
 	"crosstide/internal/rig/journal"
 	"crosstide/internal/rig/load"
 )
@@ -21,6 +22,7 @@
 	cancelGrace   = 3 * time.Second // from a cancel's yes to the last start of its job
 	knownGrace    = 3 * time.Second // from a job's yes until no node may call it unknown
 	drainGrace    = 2 * time.Second // from a drain to the end of the last run on its minion
+	bundleGrace   = 2 * time.Second // from a bundle's acknowledgement to the last start under an older one
 	evacuateGrace = 5 * time.Second // from an evacuation's yes to the end of the last run in its zone
 )
 
@@ -51,7 +53,9 @@
 	journal.Entry
 	State string
 	Node  string
+	Team  string
 	Steps []load.Step
+	Op    bundles.Entry // of an operator's line
 
 	From Source
 	File string
@@ -124,6 +128,7 @@
 	var own struct {
 		State string
 		Node  string
+		Team  string
 		Steps []load.Step
 	}
 	e := Event{From: Minion, File: line.File, Line: line.Number, Raw: string(line.Raw)}
@@ -138,7 +143,12 @@
 	if err := json.Unmarshal(line.Raw, &own); err != nil {
 		return e, fault.Wrap(err, fault.Damaged, "journal %s line %d", line.File, line.Number)
 	}
-	e.State, e.Node, e.Steps = own.State, own.Node, own.Steps
+	e.State, e.Node, e.Team, e.Steps = own.State, own.Node, own.Team, own.Steps
+	if e.From == Operator {
+		if err := json.Unmarshal(line.Raw, &e.Op); err != nil {
+			return e, fault.Wrap(err, fault.Damaged, "journal %s line %d", line.File, line.Number)
+		}
+	}
 	return e, nil
 }
 
@@ -183,9 +193,9 @@
 	{"cancel", cancel, ""},
 	{"known", known, ""},
 	{"done", done, ""},
-	{"operators", nil, "no operators' orders are journaled"},
-	{"bundle", nil, "no bundles are journaled"},
-	{"readback", nil, "no bundles are journaled"},
+	{"operators", operators, ""},
+	{"bundle", followed, ""},
+	{"readback", readback, ""},
 	{"repair", repair, ""},
 }
 
--- a/internal/rig/audit/audit_test.go
+++ b/internal/rig/audit/audit_test.go
@@ -71,11 +71,22 @@
 		`drill-fleet 4 "ev":"wipe","node":"c1"`,
 		`drill-fleet 4.6 "ev":"kill","node":"c2"`,
 		`consumer-1 9.5 "ev":"poll","job":"a","state":"done"`,
+		`operator-2 0.5 "ev":"put","sent":400000000,"order":"o1","base":1,"version":2,"sha":"A","ok":true`,
+		`operator-2 0.5 "ev":"put","sent":400000000,"order":"o2","base":1,"ok":false,"why":"conflict"`,
+		`operator-2 0.7 "ev":"put","sent":600000000,"order":"o1","base":1,"version":2,"sha":"A","ok":true`,
+		`operator-2 1.8 "ev":"sign","sent":1700000000,"order":"s1","version":2,"sha":"A","ok":true`,
+		`operator-2 2 "ev":"bundle","sent":1900000000,"order":"s2","base":1,"version":2,"sha":"A","ok":true,"bundle":{"queues":{"q":{"labels":{"disk":"ssd"},"charter":{"zones":["z7"],"racks":["r1"],"near":[{"label":"data","value":"s","within":"rack"}]}}}}`,
+		`operator-2 2.2 "ev":"has","sent":2100000000,"node":"d1","version":1`,
+		`operator-2 2.6 "ev":"read","sent":2500000000,"node":"c1","version":2,"sha":"A"`,
+		`operator-2 4.6 "ev":"has","sent":4500000000,"node":"d1","version":2`,
+		`m7 0 "ev":"boot","boot":"b1","zone":"z7","rack":"r1","labels":{"disk":"ssd","data":"s"}`,
+		`m7 3.9 "ev":"start","boot":"b1","zone":"z7","queue":"default","job":"p","step":"s","task":0,"ticket":30,"epoch":5`,
+		`m7 4.1 "ev":"start","boot":"b1","zone":"z7","queue":"q","job":"q","step":"s","task":0,"ticket":31,"epoch":5`,
 	}
 }
 
 func TestAudit(t *testing.T) {
-	judged := []string{"once", "ticket-newer", "fence", "place", "drain", "evacuate", "cancel", "known", "done", "repair"}
+	judged := []string{"once", "ticket-newer", "fence", "place", "drain", "evacuate", "cancel", "known", "done", "operators", "bundle", "readback", "repair"}
 
 	Convey("A clean history holds, with cases for every promise that has a check", t, func() {
 		findings := Check(history(clean()...))
@@ -97,6 +108,13 @@
 		}
 	})
 
+	Convey("While a signature's fate is unsure, starts are not judged by charters", t, func() {
+		late := `m7 4.2 "ev":"start","boot":"b1","zone":"z7","queue":"default","job":"p2","step":"s","task":0,"ticket":40,"epoch":5`
+		unsure := `operator-3 34 "ev":"unsure","sent":4000000000,"order":"s3","version":3`
+		So(verdicts(history(append(clean(), late)...))["place"], ShouldEqual, Broken)
+		So(verdicts(history(append(clean(), late, unsure)...))["place"], ShouldEqual, Held)
+	})
+
 	Convey("Each breach is found, and breaks only what it breaks", t, func() {
 		for _, c := range []struct{ promise, why, line string }{
 			{"once", "two at once, on two minions", `m2 4.8 "ev":"start","boot":"b1","job":"b","step":"s","task":0,"ticket":20,"epoch":5|m2 6 "ev":"stop","boot":"b1","job":"b","step":"s","task":0,"ticket":20`},
@@ -108,6 +126,18 @@
 			{"fence", "an old epoch after a newer one", `m4 9 "ev":"start","boot":"b1","job":"z","step":"s","task":0,"ticket":10,"epoch":5`},
 			{"place", "asked for by the accepted job", `m5 5 "ev":"boot","boot":"b1","labels":{"gpu":"y"}|m5 5 "ev":"start","boot":"b1","job":"a","step":"s","task":7,"ticket":10,"epoch":5`},
 			{"place", "asked for by the order", `m5 5 "ev":"boot","boot":"b1"|m5 5 "ev":"start","boot":"b1","job":"z","step":"s","task":0,"ticket":10,"epoch":5,"labels":{"x":""}`},
+			{"place", "under a bundle that is over", `m7 4.2 "ev":"start","boot":"b1","zone":"z7","queue":"default","job":"p2","step":"s","task":0,"ticket":40,"epoch":5`},
+			{"place", "before its bundle", `m7 1.8 "ev":"start","boot":"b1","zone":"z7","queue":"q","job":"p2","step":"s","task":0,"ticket":29,"epoch":5`},
+			{"place", "outside of the zones", `m8 0 "ev":"boot","boot":"b1","zone":"z8","rack":"r1","labels":{"disk":"ssd"}|m8 5 "ev":"start","boot":"b1","zone":"z8","queue":"q","job":"p2","step":"s","task":0,"ticket":40,"epoch":5`},
+			{"place", "far from the data", `m8 0 "ev":"boot","boot":"b1","zone":"z7","rack":"r2","labels":{"disk":"ssd"}|m8 5 "ev":"start","boot":"b1","zone":"z7","queue":"q","job":"p2","step":"s","task":0,"ticket":40,"epoch":5`},
+			{"place", "without the queue's label", `m8 0 "ev":"boot","boot":"b1","zone":"z7","rack":"r1"|m8 5 "ev":"start","boot":"b1","zone":"z7","queue":"q","job":"p2","step":"s","task":0,"ticket":40,"epoch":5`},
+			{"operators", "two yes on one base", `operator-3 0.9 "ev":"put","sent":800000000,"order":"o3","base":1,"version":3,"sha":"B","ok":true`},
+			{"operators", "sent again and refused", `operator-3 0.9 "ev":"put","sent":800000000,"order":"o1","base":1,"ok":false,"why":"conflict"`},
+			{"operators", "sent again and answered otherwise", `operator-3 1.9 "ev":"sign","sent":1800000000,"order":"s1","version":3,"sha":"B","ok":true`},
+			{"readback", "an older one", `operator-3 2.6 "ev":"read","sent":2500000000,"node":"c2","version":1,"sha":"0"`},
+			{"readback", "other bytes", `operator-3 2.6 "ev":"read","sent":2500000000,"node":"c2","version":2,"sha":"B"`},
+			{"bundle", "ignored", `operator-3 4.2 "ev":"has","sent":4100000000,"node":"d2","version":1`},
+			{"bundle", "gone back", `operator-3 2.2 "ev":"has","sent":2100000000,"node":"d2","version":2|operator-3 2.4 "ev":"has","sent":2300000000,"node":"d2","version":1`},
 			{"drain", "as the minion said", `m1 7.1 "ev":"start","boot":"b1","job":"z","step":"s","task":0,"ticket":10,"epoch":5`},
 			{"drain", "as an operator said", `m2 10.1 "ev":"start","boot":"b1","job":"z","step":"s","task":0,"ticket":10,"epoch":9`},
 			{"drain", "ran on", `m2 7.5 "ev":"start","boot":"b1","job":"z","step":"s","task":0,"ticket":10,"epoch":9|m2 10.1 "ev":"stop","boot":"b1","job":"z","step":"s","task":0,"ticket":10`},
--- a/internal/rig/audit/checks.go
+++ b/internal/rig/audit/checks.go
@@ -173,7 +173,8 @@
 	}
 }
 
-// place: a run's minion bears the labels that the consumer asked for (by the accepted job, else by the order).
+// place: a run's minion bears the labels that the consumer asked for (by the accepted job, else by the order), and
+// the start is within the charter of its queue.
 func place(h History, f *Finding) {
 	asked := map[[2]string]map[string]string{}
 	for _, e := range h.by(Consumer, load.Accepted) {
@@ -204,7 +205,7 @@
 			}
 		}
 	}
-	f.Note = "labels; charters are not journaled"
+	charter(h, f)
 }
 
 // window is a time in which nothing may start; to is open unless lifted.
--- /dev/null
+++ b/internal/rig/bundles/entry.go
@@ -0,0 +1,32 @@
+// Package bundles is the stand-in operators of the rehearsal kit: two of them who write, sign, race for and read
+// back bundles, and journal what they were told.
+package bundles
+
+import "encoding/json"
+
+// What an Entry of an operator tells.
+const (
+	Put    = "put"    // the writing of a draft was answered for good: OK, Version and SHA, or Why
+	Sign   = "sign"   // a signature was answered for good
+	Force  = "bundle" // a version was acknowledged as in force; Bundle is its text
+	Unsure = "unsure" // no answer came in the end; Version may be in force from Sent on
+	Read   = "read"   // the version in force was read back; SHA is of the bytes that came
+	Has    = "has"    // node Node said which version it goes by
+)
+
+// Entry is one line of an operator's journal, DIR/journal/operator-bundles-*.jsonl. Sent is when the call was sent;
+// At is after its answer came.
+type Entry struct {
+	At      int64           `json:"at"` // Unix time in ns, of writing
+	Ev      string          `json:"ev"`
+	Sent    int64           `json:"sent"`
+	Node    string          `json:"node"`
+	Order   string          `json:"order,omitempty"`
+	By      string          `json:"by,omitempty"`
+	Base    uint64          `json:"base,omitempty"`
+	Version uint64          `json:"version,omitempty"`
+	SHA     string          `json:"sha,omitempty"`
+	OK      bool            `json:"ok"`
+	Why     string          `json:"why,omitempty"` // the fault's kind
+	Bundle  json.RawMessage `json:"bundle,omitempty"`
+}
--- /dev/null
+++ b/internal/rig/bundles/report.go
@@ -0,0 +1,87 @@
+package bundles
+
+import (
+	"encoding/json"
+	"strings"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// Report is what the operators' work came to; its JSON is what `drill bundles` prints.
+type Report struct {
+	Seed            uint64         `json:"seed"`
+	Changes         int            `json:"changes"` // versions that came in force
+	Puts            int            `json:"puts"`
+	Races           int            `json:"races"`
+	BothWon         int            `json:"both_won"` // races in which both heard yes
+	Repeats         int            `json:"repeats"`  // orders that were sent once more after their answer
+	RepeatsDiffer   int            `json:"repeats_differ"`
+	ReadBacks       int            `json:"read_backs"`
+	ReadBacksDiffer int            `json:"read_backs_differ"`
+	NotEverywhere   int            `json:"not_everywhere"` // changes that some node did not have within 5 s
+	Unsure          int            `json:"unsure"`         // orders without an answer in 30 s
+	Tries           int            `json:"retries"`
+	Refused         map[string]int `json:"refused"`
+	Acks            Spread         `json:"sign_to_ack_ms"`       // of the signature that put a version in force
+	Everywhere      Spread         `json:"ack_to_everywhere_ms"` // from that to the last node, per change; 0: it was there before
+	Node            Spread         `json:"ack_to_node_ms"`       // to each node
+	FromForce       Spread         `json:"commit_to_node_ms"`    // from the commit's store time to each node
+}
+
+// Held tells whether something changed and nothing was amiss.
+func (r Report) Held() bool {
+	return r.Changes > 0 && r.BothWon+r.RepeatsDiffer+r.ReadBacksDiffer+r.NotEverywhere == 0
+}
+
+// Spread is a distribution in milliseconds.
+type Spread struct {
+	P50   float64 `json:"p50"`
+	P99   float64 `json:"p99"`
+	Max   float64 `json:"max"`
+	Count int64   `json:"count"`
+}
+
+// pressure records durations in microseconds up to an hour at three significant digits.
+type pressure struct{ h *hdrhistogram.Histogram }
+
+func newPressure() *pressure { return &pressure{hdrhistogram.New(1, time.Hour.Microseconds(), 3)} }
+
+func (p *pressure) record(d time.Duration) {
+	if err := p.h.RecordValue(min(max(d.Microseconds(), 0), time.Hour.Microseconds())); err != nil {
+		panic(err) // it is within the bounds
+	}
+}
+
+func (p *pressure) spread() Spread {
+	ms := func(us int64) float64 { return float64(us) / 1000 }
+	return Spread{ms(p.h.ValueAtPercentile(50)), ms(p.h.ValueAtPercentile(99)), ms(p.h.Max()), p.h.TotalCount()}
+}
+
+// queue is a charter for the queue that the load uses: some zones, now and then with more.
+func (o *office) queue() map[string]any {
+	zones := []string{}
+	for _, k := range o.luck.Perm(len(o.zones))[:1+o.luck.IntN(len(o.zones))] {
+		zones = append(zones, o.zones[k])
+	}
+	q := map[string]any{"charter": map[string]any{"zones": zones}, "urgent": o.luck.IntN(2) == 0}
+	if o.luck.IntN(3) == 0 {
+		q["hold"] = "15s"
+	}
+	return q
+}
+
+// text is a whole bundle, spelled in some way.
+func (o *office) text() []byte {
+	queues := map[string]any{"default": o.queue()}
+	for range o.luck.IntN(4) {
+		queues[string(rune('a'+o.luck.IntN(26)))+"-queue"] = o.queue()
+	}
+	doc := map[string]any{"queues": queues, "limits": map[string]int{"scan": 1 + o.luck.IntN(200)},
+		"weights": map[string]int{"drill": 1 + o.luck.IntN(9)}}
+	raw, err := json.MarshalIndent(doc, strings.Repeat("\t", o.luck.IntN(2)), strings.Repeat(" ", o.luck.IntN(5)))
+	if err != nil {
+		panic(err) // maps of strings and numbers
+	}
+	return append(raw, strings.Repeat("\n", o.luck.IntN(3))...)
+}
--- a/internal/rig/journal/journal.go
+++ b/internal/rig/journal/journal.go
@@ -39,6 +39,7 @@
 	Epoch  uint64            `json:"epoch"` // of the call that brought the order
 	Type   string            `json:"type"`
 	Zone   string            `json:"zone"`
+	Rack   string            `json:"rack,omitempty"` // boot: of the minion
 	OK     bool              `json:"ok"`
 	Step   string            `json:"step,omitempty"`
 	Queue  string            `json:"queue,omitempty"`
--- a/internal/rig/minion/core.go
+++ b/internal/rig/minion/core.go
@@ -343,7 +343,7 @@
 func (c *Core) note(ev string, r *run, why string) {
 	e := journal.Entry{Ev: ev, Minion: c.t.Name, Boot: c.t.Boot, Zone: c.t.Zone, Clock: int64(c.now), Why: why, Epoch: c.epoch}
 	if ev == journal.Boot {
-		e.Labels, e.Cores, e.GPUs = c.t.Labels, c.t.Cores, c.t.GPUs
+		e.Rack, e.Labels, e.Cores, e.GPUs = c.t.Rack, c.t.Labels, c.t.Cores, c.t.GPUs
 	}
 	if r != nil {
 		o := r.order
