--- a/cmd/drill/fleet.go
+++ b/cmd/drill/fleet.go
@@ -41,14 +41,22 @@
 				&cli.StringFlag{Name: "kind", Value: "check", Usage: "obey, check or mixed"},
 				&cli.IntFlag{Name: "hollow", Usage: "`N` hollow minions, many to a process, beside the others"},
 				&cli.IntFlag{Name: "hosts", Value: 8, Usage: "processes that share the hollow minions"},
+				&cli.StringFlag{Name: "profile", Usage: "a deployment at its own size, in place of the sizes: lubra or mamlaka"},
 				&cli.IntFlag{Name: "sick", Usage: "`N` of the minions end every run in a fault"},
 				&cli.BoolFlag{Name: "links", Usage: "a faulty link between any two nodes, for drill cut"},
 			},
 			Action: func(_ context.Context, cmd *cli.Command) error {
-				_, err := fleet.Plan(cmd.String("fleet"), fleet.Shape{CPlanes: cmd.Int("cplanes"),
+				shape := fleet.Shape{CPlanes: cmd.Int("cplanes"),
 					DPlanes: cmd.Int("dplanes"), Minions: cmd.Int("minions"), Zones: cmd.Int("zones"),
 					Cores: cmd.Int("cores"), Kind: cmd.String("kind"), Bin: cmd.String("bin"), Links: cmd.Bool("links"),
-					Hollow: cmd.Int("hollow"), Hosts: cmd.Int("hosts"), Sick: cmd.Int("sick")})
+					Hollow: cmd.Int("hollow"), Hosts: cmd.Int("hosts"), Sick: cmd.Int("sick")}
+				var err error
+				if cmd.IsSet("profile") {
+					if shape, err = shape.WithProfile(cmd.String("profile")); err != nil {
+						return fault.Pass(err, "plan")
+					}
+				}
+				_, err = fleet.Plan(cmd.String("fleet"), shape)
 				return fault.Pass(err, "plan")
 			},
 		},
--- a/cmd/drill/load.go
+++ b/cmd/drill/load.go
@@ -23,7 +23,9 @@
 			"a dplane; after a lost answer, 429 or 503 the same job goes to another one, as Retry-After says. Offers\n" +
 			"stop after --for; then it waits until every accepted job is over, --wait at most, and prints one JSON\n" +
 			"object. What was acknowledged goes to DIR/journal/consumer-PREFIX-N.jsonl for `drill audit`.",
-		Flags: append(loadFlags(), &cli.BoolFlag{Name: "all-done", Usage: "exit 1 unless all that was accepted is done"}),
+		Flags: append(loadFlags(), &cli.BoolFlag{Name: "all-done", Usage: "exit 1 unless all that was accepted is done"},
+			&cli.StringFlag{Name: "profile", Usage: "the work of a deployment, in place of one kind: lubra or mamlaka"},
+			&cli.FloatFlag{Name: "scale", Value: 1, Usage: "of the profile's rates"}),
 		Action: func(ctx context.Context, cmd *cli.Command) error {
 			ctx, stop := signal.NotifyContext(ctx, syscall.SIGINT, syscall.SIGTERM)
 			defer stop()
@@ -31,6 +33,13 @@
 			if err != nil {
 				return fault.Pass(err, "load")
 			}
+			if cmd.IsSet("profile") {
+				reports, err := load.RunProfile(ctx, cmd.String("profile"), cmd.Float("scale"), o)
+				if err != nil {
+					return fault.Pass(err, "load")
+				}
+				return fault.Pass(printJSON(cmd.Root().Writer, reports), "load")
+			}
 			report, err := load.Run(ctx, o)
 			if err != nil {
 				return fault.Pass(err, "load")
--- a/internal/rig/fleet/fleet.go
+++ b/internal/rig/fleet/fleet.go
@@ -29,6 +29,10 @@
 	Rack string `json:"rack,omitempty"`
 	Kind string `json:"kind,omitempty"` // of a minion: obey or check
 	Host string `json:"host,omitempty"` // of a hollow minion: the process that it shares, as in DIR/pids
+
+	Cores  int               `json:"cores,omitempty"` // of a minion
+	GPUs   int               `json:"gpus,omitempty"`
+	Labels map[string]string `json:"labels,omitempty"`
 }
 
 // Process gives the name that the node's process has in DIR/pids.
--- a/internal/rig/fleet/plan.go
+++ b/internal/rig/fleet/plan.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"os"
@@ -26,6 +27,7 @@
 	Bin                                     string // folder of the programs
 	Links                                   bool   // a faulty link between any two nodes that talk
 	Hollow, Hosts                           int    // hollow minions, and the processes that share them
+	Profile                                 string // lubra or mamlaka, see WithProfile
 	Sick                                    int    // of the minions: the first ones end every run in a fault
 }
 
@@ -119,6 +121,7 @@
 	for i := range s.Minions {
 		m := node("m", i)
 		m.Rack = "r" + strconv.Itoa(i/s.Zones/rackSize+1)
+		s.equip(i, &m)
 		m.Kind = s.Kind
 		if s.Kind == "mixed" {
 			m.Kind = []string{"check", "obey"}[i%2]
@@ -130,6 +133,7 @@
 			break
 		}
 		h := node("h", i)
+		s.equip(i, &h)
 		h.Host, h.Rack, h.Kind = h.Name, "r"+strconv.Itoa(i/s.Zones+1), s.Kind
 		if s.Kind == "mixed" {
 			h.Kind = []string{"check", "obey"}[i%2]
@@ -271,7 +275,13 @@
 		m.Name = m.Process()
 		fmt.Fprintf(&start, "%s %s/drill minion --name %s --addr %s --kind %s --zone %s --rack %s --cores %d"+
 			" --dplanes %s --journal %s/journal/%s.jsonl", m.Name, s.Bin, m.Name, m.Addr, m.Kind, m.Zone, m.Rack,
-			s.Cores, strings.Join(front, ","), dir, m.Name)
+			m.Cores, strings.Join(front, ","), dir, m.Name)
+		if m.GPUs > 0 {
+			fmt.Fprintf(&start, " --gpus %d", m.GPUs)
+		}
+		for _, k := range slices.Sorted(maps.Keys(m.Labels)) {
+			fmt.Fprintf(&start, " --label %s=%s", k, m.Labels[k])
+		}
 		for _, addr := range front {
 			if by := via[m.Name][addr]; by != "" {
 				fmt.Fprintf(&start, " --via %s=%s", addr, by)
--- /dev/null
+++ b/internal/rig/fleet/profile.go
@@ -0,0 +1,35 @@
+package fleet
+
+import "crosstide/internal/fault"
+
+// Profiles are the two deployments of the brief at their own sizes.
+var profiles = map[string]Shape{
+	// one region of three zones; the tracking service on 48 minions of 16 cores, eight to a rack, that start
+	// whatever they are told
+	"lubra": {CPlanes: 5, DPlanes: 9, Minions: 48, Zones: 3, Cores: 16, Kind: "obey"},
+	// one region of four zones; activation on 29 minions of 64 cores with GPUs, reconciliation on 19 of 16 cores;
+	// they refuse what does not fit
+	"mamlaka": {CPlanes: 5, DPlanes: 8, Minions: 48, Zones: 4, Cores: 16, Kind: "check"},
+}
+
+// WithProfile gives the shape of a deployment by name, in place of s but for what is no matter of size. Fault: Invalid.
+func (s Shape) WithProfile(name string) (Shape, error) {
+	p, ok := profiles[name]
+	if !ok {
+		return s, fault.Field(fault.Invalid, "profile", "is %q, must be lubra or mamlaka", name)
+	}
+	p.Profile, p.Bin, p.Links, p.Sick, p.Hosts = name, s.Bin, s.Links, s.Sick, s.Hosts
+	return p, nil
+}
+
+// equip gives minion i of a profile its size and labels.
+func (s Shape) equip(i int, m *Node) {
+	m.Cores = s.Cores
+	if s.Profile != "mamlaka" {
+		return
+	}
+	m.Labels = map[string]string{"pool": "recon"}
+	if i < 29 {
+		m.Cores, m.GPUs, m.Labels = 64, 4, map[string]string{"pool": "activation"}
+	}
+}
--- a/internal/rig/load/load.go
+++ b/internal/rig/load/load.go
@@ -62,7 +62,7 @@
 		return Report{}, fault.Pass(err, "load")
 	}
 	if o.Prefix == "" {
-		o.Prefix = "l" + strconv.FormatInt(time.Now().UnixMilli(), 36)
+		o.Prefix = stamp()
 	}
 	nodes, err := fleet.Read(o.Dir)
 	if err != nil {
@@ -87,6 +87,9 @@
 	return report, fault.Pass(err, "load")
 }
 
+// stamp gives a prefix of keys that no earlier load had.
+func stamp() string { return "l" + strconv.FormatInt(time.Now().UnixMilli(), 36) }
+
 // offer starts every job at its time, whatever became of those before, and waits for all.
 func (l *load) offer(ctx context.Context, offers []offer) {
 	began := l.clock.Now()
--- a/internal/rig/load/offer.go
+++ b/internal/rig/load/offer.go
@@ -12,26 +12,31 @@
 
 // Options are what a load is made of. Zero values take the defaults of Fill.
 type Options struct {
-	Dir     string        // of the fleet
-	Rate    float64       // jobs per second on average, arrivals as of many independent consumers
-	For     time.Duration // how long jobs are offered
-	Seed    uint64
-	Tasks   int           // tasks per step, default 1
-	Run     time.Duration // of a task, in whole ms
-	Steps   int           // steps per job, one after the other, default 1
-	Cores   int           // of a task, default 1
-	Type    string        // default scan
-	Queue   string        // default "default"
-	Team    string        // default drill
-	Labels  map[string]string
-	Retries int           // of a task
-	Cancel  float64       // probability that a job is cancelled some time after its yes
-	Dup     float64       // probability that a job is handed in once more at another node
-	Prefix  string        // of the keys; default is new with each load
-	Workers int           // consumers, each with its own journal, default 4
-	Polls   float64       // polls per second of all consumers, at most, default 1000
-	Wait    time.Duration // after For, until every accepted job has ended, default 60s
-	GiveUp  time.Duration // how long a job is offered to one node after another, default 30s
+	Dir   string        // of the fleet
+	Rate  float64       // jobs per second on average, arrivals as of many independent consumers
+	For   time.Duration // how long jobs are offered
+	Seed  uint64
+	Tasks int           // tasks per step, default 1
+	Run   time.Duration // of a task, in whole ms
+	Steps int           // steps per job, one after the other, default 1
+	Cores int           // of a task, default 1
+	GPUs  int           // of a task
+	Count int           // exactly so many jobs, one after the other at the start, in place of Rate
+	Gang  bool          // the tasks of a step start together
+	// Standing jobs run for good; each is cancelled when the offers end.
+	Standing bool
+	Type     string // default scan
+	Queue    string // default "default"
+	Team     string // default drill
+	Labels   map[string]string
+	Retries  int           // of a task
+	Cancel   float64       // probability that a job is cancelled some time after its yes
+	Dup      float64       // probability that a job is handed in once more at another node
+	Prefix   string        // of the keys; default is new with each load
+	Workers  int           // consumers, each with its own journal, default 4
+	Polls    float64       // polls per second of all consumers, at most, default 1000
+	Wait     time.Duration // after For, until every accepted job has ended, default 60s
+	GiveUp   time.Duration // how long a job is offered to one node after another, default 30s
 }
 
 // Fill puts the defaults in and tells what is wrong. Fault: Invalid.
@@ -56,7 +61,7 @@
 		o.Polls = 1000
 	}
 	switch {
-	case o.Rate <= 0 || o.For <= 0:
+	case o.Rate <= 0 && o.Count <= 0 || o.For <= 0:
 		return fault.Field(fault.Invalid, "rate", "rate and duration must be above 0")
 	case o.Cancel < 0 || o.Cancel > 1 || o.Dup < 0 || o.Dup > 1:
 		return fault.Field(fault.Invalid, "cancel", "cancel and dup are probabilities")
@@ -78,25 +83,36 @@
 // plan gives the offers of o in order: the same seed gives the same ones.
 func plan(o Options) []offer {
 	luck := rand.New(rand.NewPCG(o.Seed, 1))
-	run, err := json.Marshal(map[string]any{"ms": o.Run.Milliseconds(), "ok": true})
+	ms := o.Run.Milliseconds()
+	if o.Standing {
+		ms = -1
+	}
+	run, err := json.Marshal(map[string]any{"ms": ms, "ok": true})
 	if err != nil {
 		panic(err) // a number and a bool
 	}
 	var out []offer
 	for at := time.Duration(0); ; {
-		at += time.Duration(luck.ExpFloat64() / o.Rate * float64(time.Second))
-		if at >= o.For {
+		if o.Count > 0 {
+			at += 20 * time.Millisecond
+		} else {
+			at += time.Duration(luck.ExpFloat64() / o.Rate * float64(time.Second))
+		}
+		if at >= o.For || o.Count > 0 && len(out) == o.Count {
 			return out
 		}
 		of := offer{at: at, cancel: -1, seed: luck.Uint64()}
 		if luck.Float64() < o.Cancel {
 			of.cancel = time.Duration(luck.Float64() * float64(time.Second))
 		}
+		if o.Standing {
+			of.cancel = o.For - at
+		}
 		of.dup = luck.Float64() < o.Dup
 		of.spec = state.Spec{Key: fmt.Sprintf("%s-%d", o.Prefix, len(out)), Team: o.Team, Queue: o.Queue}
 		for i := range o.Steps {
 			step := state.StepSpec{Name: fmt.Sprintf("s%d", i+1), Type: o.Type, Tasks: o.Tasks, Cores: o.Cores,
-				Labels: o.Labels, Retries: o.Retries, Run: run}
+				GPUs: o.GPUs, Gang: o.Gang, Standing: o.Standing, Labels: o.Labels, Retries: o.Retries, Run: run}
 			if i > 0 {
 				step.After = []string{fmt.Sprintf("s%d", i)}
 			}
--- /dev/null
+++ b/internal/rig/load/profile.go
@@ -0,0 +1,63 @@
+package load
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"crosstide/internal/fault"
+	"crosstide/internal/spawn"
+)
+
+// profiles are the kinds of work of the brief's two deployments, at their rates.
+var profiles = map[string]map[string]Options{
+	"lubra": {
+		"scan":  {Rate: 15, Type: "scan", Team: "tracking", Tasks: 2, Run: 400 * time.Millisecond, Retries: 5, Dup: 0.05, Cancel: 0.02},
+		"route": {Rate: 1, Type: "route", Team: "routing", Steps: 3, Tasks: 6, Cores: 2, Run: 800 * time.Millisecond, Retries: 5},
+		"feed":  {Count: 5, Type: "feed", Team: "tracking", Standing: true},
+	},
+	"mamlaka": {
+		"activate": {Rate: 6, Type: "activate", Team: "lines", Tasks: 3, Cores: 4, Run: 600 * time.Millisecond, Retries: 5,
+			Labels: map[string]string{"pool": "activation"}, Dup: 0.05, Cancel: 0.02},
+		"recon": {Rate: 4, Type: "recon", Team: "operators", Steps: 2, Tasks: 2, Cores: 2, Run: 900 * time.Millisecond, Retries: 5,
+			Labels: map[string]string{"pool": "recon"}},
+		"match": {Rate: 0.5, Type: "match", Team: "prints", Tasks: 4, Cores: 8, GPUs: 1, Gang: true, Run: 2 * time.Second, Retries: 5},
+		"watch": {Count: 3, Type: "watch", Team: "lines", Standing: true},
+	},
+}
+
+// RunProfile runs all kinds of work of a deployment at once, at scale times the brief's rates, with the bounds of o
+// (Dir, For, Wait, GiveUp, Seed, Prefix). It gives a report by kind. Fault: Invalid. Example:
+//
+//	reports, err := load.RunProfile(ctx, "lubra", 1, load.Options{Dir: dir, For: time.Minute})
+func RunProfile(ctx context.Context, name string, scale float64, o Options) (map[string]Report, error) {
+	kinds, ok := profiles[name]
+	if !ok {
+		return nil, fault.Field(fault.Invalid, "profile", "is %q, must be one of %v", name, slices.Sorted(maps.Keys(profiles)))
+	}
+	if scale <= 0 {
+		return nil, fault.Field(fault.Invalid, "scale", "must be above 0, is %g", scale)
+	}
+	if o.Prefix == "" {
+		o.Prefix = stamp()
+	}
+	names := slices.Sorted(maps.Keys(kinds))
+	var mu sync.Mutex
+	var broke error
+	out := map[string]Report{}
+	spawn.Each(len(names), len(names), func(i int) {
+		k := kinds[names[i]]
+		k.Dir, k.For, k.Wait, k.GiveUp, k.Seed, k.Prefix = o.Dir, o.For, o.Wait, o.GiveUp, o.Seed+uint64(i), o.Prefix+"-"+names[i]
+		k.Workers, k.Rate = 2, k.Rate*scale
+		r, err := Run(ctx, k)
+		mu.Lock()
+		defer mu.Unlock()
+		out[names[i]] = r
+		if err != nil && broke == nil {
+			broke = fault.Pass(err, "%s", names[i])
+		}
+	})
+	return out, broke
+}
