Keep a holder's runs when it takes its duty up anew under the same epoch

It then held every handle of that epoch for one of its own whose order had never left, let it go as unsent while it ran, counted its calls from 1 again, and took the answer to the plan under way for that of the next one. Ruled out: the store (its preconditions held: the task was due by the false proof); the minion. Change: taken up anew under the same epoch, runs up to there count as another holder's, to be proved dead by floor, end, boot or lapse; calls go on counting; the plan under way stays until answered, and its answer says nothing.

--- /dev/null
+++ b/internal/sched/again_test.go
@@ -0,0 +1,68 @@
+package sched
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"crosstide/internal/pair"
+	"crosstide/internal/state"
+	"crosstide/internal/state/command"
+)
+
+// A holder that falls behind takes a snapshot, and takes its duty up anew under the same epoch.
+func TestAgain(t *testing.T) {
+	Convey("With a run out and a plan under way, a holder takes a snapshot", t, func() {
+		d := newDesk("check", "m1", "m2")
+		d.greet("check")
+		d.submit("j1", state.StepSpec{Cores: 3})
+		calls := d.settle()
+		var order CallOut
+		for _, c := range calls {
+			if c.Order {
+				order = c
+			}
+		}
+		So(order.Call.Starts, ShouldHaveLength, 1)
+		ticket := order.Call.Starts[0].Ticket
+		d.submit("j2", state.StepSpec{Cores: 3})
+		d.commit(d.core.Pass(d.now).Plan) // lets it in
+		plan := d.core.Pass(d.now).Plan
+		So(plan.Starts, ShouldHaveLength, 1)
+		answer := d.do(plan).(command.Planned)
+		body, err := d.st.Encode()
+		So(err, ShouldBeNil)
+		st, err := state.Decode(body)
+		So(err, ShouldBeNil)
+		d.st = st
+		d.st.Watch = d.core.Note
+		d.core.Reset(d.now, d.st)
+
+		Convey("The run is not let go as unsent, and calls go on counting", func() {
+			for range 5 {
+				d.now += 200 * time.Millisecond
+				out := d.core.Pass(d.now)
+				So(out.Plan, ShouldBeNil) // the old one is still under way
+				for _, c := range out.Calls {
+					So(c.Call.Call, ShouldBeGreaterThan, order.Call.Call)
+					d.answer(c, "check", pair.HoldAnswer{Running: map[bool][]uint64{true: {ticket}}[c.Minion == order.Minion]})
+				}
+			}
+			So(d.st.Handles[ticket], ShouldNotBeNil)
+
+			Convey("Nor is the answer to the old plan taken for that of the next", func() {
+				d.submit("j3", state.StepSpec{})
+				d.core.Planned(d.now, plan.Epoch, answer, nil)
+				calls := d.settle()
+				for _, c := range calls {
+					for _, s := range c.Call.Starts {
+						So(s.Ticket, ShouldBeGreaterThan, answer.Tickets[0])
+					}
+				}
+				So(d.st.Handles[ticket], ShouldNotBeNil)
+				So(d.st.Handles[ticket].Phase, ShouldEqual, state.TaskRunning)
+			})
+		})
+	})
+}
--- a/internal/sched/hold.go
+++ b/internal/sched/hold.go
@@ -46,6 +46,7 @@
 // call makes a call with all but starts.
 func (c *Core) call(now time.Duration, m *minion) pair.HoldCall {
 	m.call++
+	c.called = max(c.called, m.call)
 	m.urgent = false
 	call := pair.HoldCall{Call: m.call, Epoch: c.epoch, Minion: m.name, Boot: m.boot, Floor: m.floor, Acked: m.acks}
 	m.acks = nil
@@ -314,6 +315,9 @@
 			continue
 		}
 		if m.kind == "obey" {
+			if c.old > 0 && now < c.since+c.cfg.StartWindow { // an order of before, under this epoch, may not have left yet
+				continue
+			}
 			if r.absent == 0 {
 				r.absent = now
 				c.doubt(r)
--- a/internal/sched/plan.go
+++ b/internal/sched/plan.go
@@ -49,10 +49,12 @@
 func (c *Core) Planned(now time.Duration, epoch uint64, done command.Planned, err error) {
 	c.now = now
 	f := c.plan
-	if f == nil || f.plan.Epoch != epoch || c.phase != Ready {
+	if f == nil || f.plan.Epoch != epoch {
+		return
+	}
+	if c.plan, c.swept = nil, false; f.void || c.phase != Ready {
 		return
 	}
-	c.plan, c.swept = nil, false
 	for _, s := range f.plan.Starts { // what a refused start would have taken is free still
 		c.fresh[s.Minion] = true
 	}
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -76,6 +76,9 @@
 	epoch uint64
 	since time.Duration // when this node took up the duty
 	lease time.Duration // when its lease ends
+	// Where this node takes the same epoch up anew, it may have sent orders for tickets up to old; its calls go on
+	// counting from called.
+	old, called uint64
 
 	runs    map[uint64]*run
 	minions map[string]*minion
@@ -107,6 +110,7 @@
 type flight struct {
 	plan *command.Plan
 	at   time.Duration
+	void bool
 }
 
 // run is the record of a handle.
@@ -160,7 +164,10 @@
 func (c *Core) clear() {
 	c.runs, c.minions, c.dirty, c.tally = map[uint64]*run{}, map[string]*minion{}, map[string]bool{}, map[string]int{}
 	c.teams, c.said, c.fresh, c.wide = map[string]int{}, map[string]bool{}, map[string]bool{}, true
-	c.ring, c.plan = nil, nil
+	c.ring = nil
+	if c.plan != nil {
+		c.plan.void = true // its answer says nothing any more, and must not be taken for that of a later plan
+	}
 	c.running, c.doubts, c.ends, c.dead = nil, nil, nil, nil
 	c.backlog.clear()
 	c.health = newHealth(c.cfg.Health)
@@ -188,8 +195,14 @@
 // Lead takes the duty up under epoch, the log index of the grant. The caller has followed the store up to that
 // index at least, so that no older epoch can add a handle any more. Every tally is rebuilt from the handles
 // before anything is released.
+//
+// Taken up anew under the same epoch (after a snapshot, say), what this node did before under it is forgotten: runs
+// up to there are those of another holder, to be proved dead as such; nothing is surely unsent.
 func (c *Core) Lead(now time.Duration, epoch uint64) {
 	c.clear()
+	if c.old = c.st.Ticket; epoch != c.epoch {
+		c.plan, c.old, c.called = nil, 0, 0
+	}
 	c.now, c.epoch, c.since, c.sweepAt = now, epoch, now, now
 	for _, name := range c.st.MinionNames() {
 		c.meet(name)
@@ -266,7 +279,8 @@
 func (c *Core) meet(name string) *minion {
 	m := c.minions[name]
 	if m == nil {
-		m = &minion{name: name, runs: map[uint64]*run{}, strays: map[uint64]string{}, floor: c.st.Ticket}
+		m = &minion{name: name, runs: map[uint64]*run{}, strays: map[uint64]string{}, floor: c.st.Ticket,
+			call: c.called}
 		c.minions[name] = m
 		c.ring = append(c.ring, name)
 		c.dirty[name] = true
@@ -275,7 +289,7 @@
 }
 
 func (c *Core) opened(h *state.Handle) {
-	r := &run{h: h, mine: h.Epoch == c.epoch}
+	r := &run{h: h, mine: h.Epoch == c.epoch && h.Ticket > c.old}
 	c.runs[h.Ticket] = r
 	m := c.meet(h.Minion)
 	m.runs[h.Ticket] = r
