Count a listed end before the minion's new boot in the same plan

Cause: a plan takes in what minions report before the ends it carries. If a minion ended a run, told so, and came back under a new boot before the plan was committed (a core without a leader for some seconds is enough), the report let the handle go first, the end met no handle, and a task that had ended well ran again. Ruled out: the holder forgetting the end (it stood in the plan); the order of plans (one plan carried both). Change: ends are taken in first. Listings of running ones stay after the reports: those may be of the new boot.

--- a/internal/state/command/plan.go
+++ b/internal/state/command/plan.go
@@ -72,6 +72,9 @@
 		return nil, fault.New(fault.Stale, "plan of epoch %d, the duty sched has moved on", c.Epoch)
 	}
 	s.Admit(c.Seq)
+	for _, e := range c.Ends { // before the reports: a new boot lets go what did not end under the old one
+		end(s, e)
+	}
 	for _, m := range c.Minions {
 		report(s, m)
 	}
@@ -85,9 +88,6 @@
 			drop(s.Move(h.Ref, state.TaskDoubtful, nil))
 		}
 	}
-	for _, e := range c.Ends {
-		end(s, e)
-	}
 	for _, p := range c.Dead {
 		if h := s.Handles[p.Ticket]; h != nil {
 			again(s, h, p.Reason, time.Time{})
--- a/internal/state/command/plan_test.go
+++ b/internal/state/command/plan_test.go
@@ -265,3 +265,19 @@
 		So(fault.KindOf(err), ShouldEqual, fault.Conflict)
 	})
 }
+
+func TestEndBeforeBoot(t *testing.T) {
+	Convey("An end that stands in one plan with its minion's new boot counts", t, func() {
+		b := newBook()
+		b.submit("j", state.StepSpec{Name: "s", Type: "t"})
+		b.start(1)
+		ticket := b.start(1, on("m1", "j", 0)).Tickets[0]
+		So(ticket, ShouldNotEqual, 0)
+		m := minion("m1")
+		m.Boot = "b2"
+		_, err := b.do(&Plan{Epoch: 1, Ends: []End{{Ticket: ticket, OK: true}}, Minions: []state.Minion{m}})
+		So(err, ShouldBeNil)
+		So(b.Jobs["j"].Tasks[0][0].Phase, ShouldEqual, state.TaskDone)
+		So(b.Jobs["j"].Phase, ShouldEqual, state.JobDone)
+	})
+}
