--- a/internal/rig/sim/dplane.go
+++ b/internal/rig/sim/dplane.go
@@ -42,7 +42,13 @@
 func (d *dplane) open() {
 	d.begin()
 	d.boot = fmt.Sprintf("%s-%d", d.addr, d.gen)
-	d.replica = follow.New(func(n state.Note) { d.sched.Note(n); d.wake() }, func(st *state.State) { d.sched.Reset(d.Now(), st) })
+	d.replica = follow.New(func(n state.Note) { d.sched.Note(n); d.wake() }, func(st *state.State) {
+		if d.sched.Phase() == sched.Ready {
+			d.s.report.Counts["holders that took a snapshot"]++
+			d.s.tell("%s, which holds sched, takes a snapshot at %d", d.addr, st.Index)
+		}
+		d.sched.Reset(d.Now(), st)
+	})
 	d.sched = sched.New(sched.Defaults(), d.replica.Lock())
 	d.replica.Unlock()
 	d.granted, d.ready, d.passing, d.leader, d.source, d.reaches, d.leaving = 0, false, false, "", "", nil, false
@@ -286,6 +292,7 @@
 	}
 	failed := func(err error) {
 		d.s.report.Counts["plans without a good answer"]++
+		d.s.tell("%s has no good answer to a plan: %v", d.addr, fault.KindOf(err))
 		d.after(20*time.Millisecond, func() { end(command.Planned{}, err) })
 	}
 	d.propose(plan, false, 0, func(index uint64, answer json.RawMessage, err error) {
