Print the heap of a month's state

Cause: the month told encoded bytes only; a cplane holds two replicas in memory.

Ruled out: the size of a process, which has the simulation's own lists in it.

Change: `drill month` prints the heap after a collection.

Conclusion: the memory of a month can be measured by a command.

--- a/internal/rig/month/month.go
+++ b/internal/rig/month/month.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
+	"runtime"
 	"strconv"
 	"time"
 
@@ -40,6 +41,7 @@
 	Orders  int `json:"orders"`
 	Line    int `json:"bundles"` // versions kept
 	Bytes   int `json:"bytes"`   // encoded
+	HeapMB  int `json:"heap_mb"` // of this one replica and the work of the simulation, after a collection
 	Entries int `json:"entries"` // of the log, that day
 	LogKB   int `json:"log_kb"`  // their data
 }
@@ -103,8 +105,11 @@
 		if err != nil {
 			return fault.Pass(err, "day %d", day)
 		}
+		var mem runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&mem)
 		d := Day{Day: day, Jobs: len(s.st.Jobs), Open: len(s.st.Jobs) - len(s.st.Ended), Ended: len(s.st.Ended), Tombs: len(s.st.Tombs),
-			Handles: len(s.st.Handles), Orders: len(s.st.Orders), Line: len(s.st.Line), Bytes: len(data), Entries: s.entries, LogKB: s.bytes / 1000}
+			Handles: len(s.st.Handles), Orders: len(s.st.Orders), Line: len(s.st.Line), Bytes: len(data), HeapMB: int((mem.HeapAlloc - uint64(cap(data))) / 1e6), Entries: s.entries, LogKB: s.bytes / 1000}
 		if err := tell(d); err != nil {
 			return fault.Pass(err, "tell")
 		}
