Churn a whole deployment: rolling faults, operators at work, and the lags by the journals

Cause: faults were rehearsed one by one, not one upon the other under a deployment's work. Change: drill churn (kills, freezes, drains, leavings, evacuations, masses of cancels beside changing bundles and the work of lubra or mamlaka, then the audit) and drill lags (from a cancel, drain or evacuation to the last start and end).

--- /dev/null
+++ b/cmd/drill/churn.go
@@ -0,0 +1,257 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/urfave/cli/v3"
+	"golang.org/x/sys/unix"
+
+	"crosstide/internal/alarm"
+	"crosstide/internal/fault"
+	"crosstide/internal/operator"
+	"crosstide/internal/rig/audit"
+	"crosstide/internal/rig/bundles"
+	"crosstide/internal/rig/fleet"
+	"crosstide/internal/rig/journal"
+	"crosstide/internal/rig/load"
+	"crosstide/internal/spawn"
+)
+
+func init() {
+	commands = append(commands, &cli.Command{
+		Name: "churn", Usage: "a deployment's work with rolling faults and operators at work, then the audit",
+		Description: "drill churn --fleet DIR --profile lubra|mamlaka --for 5m [--seed 1]\n\n" +
+			"The work of the deployment; two operators who change bundles and race; and, one after the other at random:\n" +
+			"a node killed and started again, a node frozen, minions drained by order and by themselves, a zone\n" +
+			"evacuated and lifted, a mass of cancels. Prints one JSON object; the audit goes to the standard error.\n" +
+			"Exit 1 if a promise is broken, or an accepted job is unknown or unfinished.",
+		Flags: []cli.Flag{dirFlag(),
+			&cli.StringFlag{Name: "profile", Value: "lubra"}, &cli.FloatFlag{Name: "scale", Value: 1, Usage: "of the profile's rates"},
+			&cli.DurationFlag{Name: "for", Value: time.Minute}, &cli.DurationFlag{Name: "wait", Value: time.Minute, Usage: "for the ends"},
+			&cli.Uint64Flag{Name: "seed", Value: 1},
+			&cli.DurationFlag{Name: "every", Value: 2 * time.Second, Usage: "from the end of a fault to the next, on average"},
+			&cli.DurationFlag{Name: "changes", Value: 2 * time.Second, Usage: "from a change of bundle to the next, on average; 0: none"},
+			&cli.StringSliceFlag{Name: "only", Usage: "kinds of faults: kill, freeze, drain, leave, evacuate, cancel (default: all)"},
+		},
+		Action: churn,
+	}, &cli.Command{
+		Name: "lags", Usage: "how long a fleet took to follow cancels, drains and evacuations, by its journals",
+		ArgsUsage: "DIR",
+		Action: func(_ context.Context, cmd *cli.Command) error {
+			h, err := audit.Read(cmd.Args().First())
+			if err != nil {
+				return fault.Pass(err, "lags")
+			}
+			for _, l := range audit.Lags(h) {
+				fmt.Fprintf(cmd.Root().Writer, "%-32s %5d cases  p50 %7.1f ms  p99 %7.1f ms  max %7.1f ms\n", l.What, l.Cases,
+					l.P50.Seconds()*1000, l.P99.Seconds()*1000, l.Max.Seconds()*1000)
+			}
+			return nil
+		},
+	})
+}
+
+// churner deals the faults.
+type churner struct {
+	stage
+	luck *rand.Rand
+	pen  *journal.Writer // an operator's, for drains by order
+	n    int
+	done map[string]int
+}
+
+// churnReport is what a churn came to.
+type churnReport struct {
+	Faults  map[string]int         `json:"faults"`
+	Work    map[string]load.Report `json:"work"`
+	Bundles *bundles.Report        `json:"bundles,omitempty"`
+}
+
+func churn(ctx context.Context, cmd *cli.Command) error {
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	dir, err := filepath.Abs(cmd.String("fleet"))
+	if err != nil {
+		return fault.Wrap(err, fault.Settings, "fleet")
+	}
+	nodes, err := fleet.Read(dir)
+	if err != nil {
+		return fault.Pass(err, "churn")
+	}
+	pen, err := journal.Open(filepath.Join(dir, "journal", "operator-churn.jsonl"))
+	if err != nil {
+		return fault.Pass(err, "churn")
+	}
+	defer pen.Close()
+	c := &churner{stage: stage{dir: dir, script: filepath.Join(filepath.Dir(program("drill")), "..", "scripts", "fleet"), nodes: nodes,
+		caller: fleet.NewCaller(16)}, luck: rand.New(rand.NewPCG(cmd.Uint64("seed"), 7)), pen: pen, done: map[string]int{}}
+	out := churnReport{Faults: c.done}
+	lasts, seed := cmd.Duration("for"), cmd.Uint64("seed")
+	var mu sync.Mutex
+	var broke []error
+	failed := func(what string, err error) {
+		mu.Lock()
+		defer mu.Unlock()
+		if err != nil {
+			broke = append(broke, fault.Pass(err, "%s", what))
+		}
+	}
+	group := spawn.New(ctx)
+	group.Go(func(ctx context.Context) {
+		work, err := load.RunProfile(ctx, cmd.String("profile"), cmd.Float("scale"),
+			load.Options{Dir: dir, For: lasts, Wait: cmd.Duration("wait"), Seed: seed})
+		out.Work = work
+		failed("work", err)
+	})
+	if every := cmd.Duration("changes"); every > 0 {
+		group.Go(func(ctx context.Context) {
+			r, err := bundles.Run(ctx, bundles.Options{Dir: dir, For: lasts, Seed: seed, Every: every, Race: 0.2, Again: 0.2})
+			out.Bundles = &r
+			failed("bundles", err)
+		})
+	}
+	group.Go(func(ctx context.Context) {
+		failed("faults", c.deal(ctx, lasts, cmd.Duration("every"), cmd.StringSlice("only")))
+	})
+	group.Wait()
+	if err := errors.Join(broke...); err != nil {
+		return fault.Wrap(err, fault.Internal, "churn")
+	}
+	if err := printJSON(cmd.Root().Writer, out); err != nil {
+		return fault.Pass(err, "churn")
+	}
+	return fault.Pass(c.judge(ctx, out), "churn")
+}
+
+// judge audits, and looks for jobs that are not over.
+func (c *churner) judge(ctx context.Context, out churnReport) error {
+	findings, err := findings(ctx, c.dir)
+	if err != nil {
+		return fault.Pass(err, "audit")
+	}
+	if err := audit.Show(os.Stderr, findings, 3); err != nil {
+		return fault.Pass(err, "audit")
+	}
+	for kind, r := range out.Work {
+		if r.Unknown+r.Unfinished > 0 {
+			return exitCode{fault.New(fault.Internal, "%s: %d jobs unknown, %d unfinished", kind, r.Unknown, r.Unfinished), 1}
+		}
+	}
+	if !audit.Clean(findings) {
+		return exitCode{fault.New(fault.Internal, "a promise is broken"), 1}
+	}
+	return nil
+}
+
+// deal deals faults until d is over; the last one is healed before it returns.
+func (c *churner) deal(ctx context.Context, d, every time.Duration, only []string) error {
+	kinds := map[string]func(context.Context) error{"kill": c.killOne, "freeze": c.freezeOne, "drain": c.drainSome,
+		"leave": c.leaveOne, "evacuate": c.evacuateOne, "cancel": c.cancelMany}
+	if len(only) == 0 {
+		only = []string{"kill", "freeze", "drain", "leave", "evacuate", "cancel"}
+	}
+	for _, name := range only {
+		if kinds[name] == nil {
+			return fault.Field(fault.Invalid, "only", "no kind of fault is named %q", name)
+		}
+	}
+	clock := alarm.Real{}
+	for end := clock.Now() + d; clock.Now() < end; {
+		if !pause(ctx, time.Duration(c.luck.ExpFloat64()*float64(every))) {
+			return nil
+		}
+		kind := only[c.luck.IntN(len(only))]
+		if err := kinds[kind](ctx); err != nil && ctx.Err() == nil {
+			return fault.Pass(err, "%s", kind)
+		}
+		c.done[kind]++
+	}
+	return nil
+}
+
+func (c *churner) one(list []fleet.Node) fleet.Node { return list[c.luck.IntN(len(list))] }
+
+// anyNode picks a cplane, a dplane or a minion, each role as often as the others.
+func (c *churner) anyNode() fleet.Node {
+	return c.one([][]fleet.Node{c.nodes.CPlanes, c.nodes.DPlanes, c.nodes.Minions}[c.luck.IntN(3)])
+}
+
+func (c *churner) killOne(ctx context.Context) error {
+	name := c.anyNode().Name
+	if err := c.kill(name); err != nil {
+		return fault.Pass(err, "kill")
+	}
+	pause(ctx, time.Duration(c.luck.Int64N(int64(4*time.Second))))
+	return fault.Pass(c.restart(context.WithoutCancel(ctx), []string{name}), "back")
+}
+
+func (c *churner) freezeOne(ctx context.Context) error {
+	return fault.Pass(freeze(ctx, c.dir, c.anyNode().Name, time.Duration(c.luck.Int64N(int64(6*time.Second)))), "freeze")
+}
+
+// drainSome drains a few minions by an operator's order, and opens them again.
+func (c *churner) drainSome(ctx context.Context) error {
+	var out []fleet.Node
+	for range 1 + len(c.nodes.Minions)/16 {
+		out = append(out, c.one(c.nodes.Minions))
+	}
+	give := func(ctx context.Context, name, word, ev string, before bool) error {
+		c.n++
+		note := func() error {
+			return fault.Pass(c.pen.Append(map[string]any{"at": alarm.Real{}.Wall().UnixNano(), "ev": ev, "node": name}), "journal")
+		}
+		var first error
+		if before { // starts may come from its commit on
+			first = note()
+		}
+		err := order(ctx, c.nodes.CPlanes, "/v1/minions/"+name+"/"+word,
+			operator.Order{Order: fmt.Sprintf("churn-%d-%d", alarm.Real{}.Wall().UnixNano(), c.n)})
+		if err == nil && !before {
+			first = note()
+		}
+		return errors.Join(err, first)
+	}
+	for _, m := range out {
+		if err := give(ctx, m.Name, "drain", audit.Drain, false); err != nil {
+			return fault.Pass(err, "drain %s", m.Name)
+		}
+	}
+	pause(ctx, 3*time.Second)
+	for _, m := range out {
+		if err := give(context.WithoutCancel(ctx), m.Name, "open", audit.Undrain, true); err != nil {
+			return fault.Pass(err, "open %s", m.Name)
+		}
+	}
+	return nil
+}
+
+// leaveOne tells a minion to leave, as the platform does, and starts it again.
+func (c *churner) leaveOne(ctx context.Context) error {
+	name := c.one(c.nodes.Minions).Name
+	if err := fleet.Signal(c.dir, name, unix.SIGTERM); err != nil {
+		return fault.Pass(err, "leave")
+	}
+	_, err := c.until(ctx, 15*time.Second, name+" gone", func() bool { _, err := fleet.Pid(c.dir, name); return err != nil })
+	return errors.Join(err, c.restart(context.WithoutCancel(ctx), []string{name}))
+}
+
+func (c *churner) evacuateOne(ctx context.Context) error {
+	zone := c.one(c.nodes.CPlanes).Zone
+	return fault.Pass(evacuate(ctx, c.dir, zone, 6*time.Second), "zone %s", zone)
+}
+
+// cancelMany hands in a crowd of jobs and cancels them one after the other at once.
+func (c *churner) cancelMany(ctx context.Context) error {
+	_, err := load.Run(ctx, load.Options{Dir: c.dir, Count: 20, For: time.Second, Run: 5 * time.Second, Cancel: 1, Team: "crowd",
+		Seed: c.luck.Uint64(), Workers: 2, Wait: 20 * time.Second, Prefix: fmt.Sprintf("x%d", alarm.Real{}.Wall().UnixNano())})
+	return fault.Pass(err, "crowd")
+}
--- /dev/null
+++ b/internal/rig/audit/lags.go
@@ -0,0 +1,89 @@
+package audit
+
+import (
+	"slices"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"crosstide/internal/rig/journal"
+	"crosstide/internal/rig/load"
+)
+
+// Lag is how long the fleet took to follow what it was told, over all cases of a kind. A case that nothing had to
+// follow any more counts as 0.
+type Lag struct {
+	What  string        `json:"what"`
+	Cases int           `json:"cases"`
+	P50   time.Duration `json:"p50_ns"`
+	P99   time.Duration `json:"p99_ns"`
+	Max   time.Duration `json:"max_ns"`
+}
+
+// lagOf puts durations together.
+func lagOf(what string, all []time.Duration) Lag {
+	h := hdrhistogram.New(1, time.Hour.Microseconds(), 3)
+	for _, d := range all {
+		_ = h.RecordValue(min(d.Microseconds(), time.Hour.Microseconds()))
+	}
+	l := Lag{What: what, Cases: len(all)}
+	if len(all) > 0 {
+		l.P50 = time.Duration(h.ValueAtPercentile(50)) * time.Microsecond
+		l.P99 = time.Duration(h.ValueAtPercentile(99)) * time.Microsecond
+		l.Max = slices.Max(all)
+	}
+	return l
+}
+
+// Lags measures, by the journals alone: from a cancel's acknowledgement to the last start and to the last end of
+// its job, from a drain to the last start and to the last end on its minion, and from an evacuation's
+// acknowledgement to the last start and to the last end in its zone. A run that was never seen to end is left out.
+func Lags(h History) []Lag {
+	runs := flat(spans(h))
+	byJob := map[string][]span{}
+	for _, s := range runs {
+		byJob[s.start.Job] = append(byJob[s.start.Job], s)
+	}
+	last := func(runs []span, w window, of func(Event) bool) (start, end time.Duration) {
+		for _, s := range runs {
+			if s.start.At >= w.to || s.to <= w.from || !of(s.start) {
+				continue
+			}
+			start = max(start, time.Duration(s.start.At-w.from))
+			if s.sure {
+				end = max(end, time.Duration(min(s.to, w.to)-w.from))
+			}
+		}
+		return start, end
+	}
+	var out []Lag
+	add := func(what string, starts, ends []time.Duration) {
+		out = append(out, lagOf(what+" to last start", starts), lagOf(what+" to last end", ends))
+	}
+	var starts, ends []time.Duration
+	for _, e := range h.by(Consumer, load.Cancelled) {
+		s, t := last(byJob[e.Job], window{from: e.At, to: 1<<63 - 1}, func(Event) bool { return true })
+		starts, ends = append(starts, s), append(ends, t)
+	}
+	add("cancel", starts, ends)
+	over := func(what string, all map[string][]window, of func(name string) func(Event) bool) {
+		starts, ends = nil, nil
+		for name, list := range all {
+			for _, w := range list {
+				s, t := last(runs, w, of(name))
+				starts, ends = append(starts, s), append(ends, t)
+			}
+		}
+		add(what, starts, ends)
+	}
+	onMinion := func(name string) func(Event) bool { return func(e Event) bool { return e.Minion == name } }
+	over("drain reported", windows(h.by(Minion, journal.Drain, journal.Boot), func(e Event) string { return e.Minion },
+		func(e Event) bool { return e.Ev == journal.Drain && e.OK }), onMinion)
+	over("drain ordered", windows(h.by(Operator, Drain, Undrain), func(e Event) string { return e.Node },
+		func(e Event) bool { return e.Ev == Drain }), onMinion)
+	over("evacuation", windows(h.by(Operator, Evacuate, Lift), func(e Event) string { return e.Zone },
+		func(e Event) bool { return e.Ev == Evacuate }), func(zone string) func(Event) bool {
+		return func(e Event) bool { return e.Zone == zone }
+	})
+	return out
+}
