Confirm a dplane's own word on its bundle; evacuations and mistakes in drill bundles

Cause: in a run with cuts and freezes the audit broke 'bundle' 27 times: a dplane that was cut off, and one that had just woken, told an old version at GET /v1/bundle as theirs. Ruled out: letting the audit pass over nodes that are cut off (it would pass over a node that is merely late).

--- a/cmd/drill/bundles.go
+++ b/cmd/drill/bundles.go
@@ -27,12 +27,15 @@
 			&cli.DurationFlag{Name: "every", Value: 300 * time.Millisecond, Usage: "between two changes, on average"},
 			&cli.FloatFlag{Name: "race", Value: 0.3, Usage: "probability that both write against the same base at once"},
 			&cli.FloatFlag{Name: "again", Value: 0.3, Usage: "probability that an order is sent once more"},
+			&cli.FloatFlag{Name: "invalid", Value: 0.1, Usage: "probability that a text with mistakes is sent before a change"},
+			&cli.FloatFlag{Name: "evacuate", Usage: "probability that a zone is evacuated after a change, for 6 to 10 s; one at a time"},
 		},
 		Action: func(ctx context.Context, cmd *cli.Command) error {
 			ctx, stop := signal.NotifyContext(ctx, syscall.SIGINT, syscall.SIGTERM)
 			defer stop()
 			report, err := bundles.Run(ctx, bundles.Options{Dir: cmd.String("fleet"), For: cmd.Duration("for"), Seed: cmd.Uint64("seed"),
-				Every: cmd.Duration("every"), Race: cmd.Float("race"), Again: cmd.Float("again")})
+				Every: cmd.Duration("every"), Race: cmd.Float("race"), Again: cmd.Float("again"),
+				Invalid: cmd.Float("invalid"), Evacuate: cmd.Float("evacuate")})
 			if err != nil {
 				return fault.Pass(err, "bundles")
 			}
--- a/internal/plane/rollout.go
+++ b/internal/plane/rollout.go
@@ -43,7 +43,7 @@
 	Route(pattern string, h func(w http.ResponseWriter, r *http.Request))
 }
 
-// Bundle is the answer of GET /v1/bundle: the version this node goes by. It is not confirmed at a leader.
+// Bundle is the answer of GET /v1/bundle: the version this node goes by, no older than the call.
 type Bundle struct {
 	Node    string `json:"node"`
 	Version uint64 `json:"version"`
@@ -51,20 +51,27 @@
 	Index   uint64 `json:"index"` // of the newest change this node has
 }
 
-// Routes adds GET /v1/bundle. Fault: Unavailable before the first pull.
+// bundleWithin is how long a node tries to confirm that its bundle is the newest.
+const bundleWithin = time.Second
+
+// Routes adds GET /v1/bundle. A node that is cut off, behind or just woken does not pass an old version off as the
+// one in force. Fault: Unavailable when it cannot confirm in a second.
 func (n *Node) Routes(srv Router) {
-	srv.Route("GET /v1/bundle", func(w http.ResponseWriter, _ *http.Request) {
-		if !n.replica.Pulled() {
-			wire.WriteFault(w, fault.New(fault.Unavailable, "this node has not pulled yet"))
-			return
-		}
+	srv.Route("GET /v1/bundle", func(w http.ResponseWriter, r *http.Request) {
+		ctx, over := context.WithTimeout(r.Context(), bundleWithin)
+		defer over()
 		out := Bundle{Node: n.opt.Name}
-		n.replica.View(func(s *state.State) {
+		err := n.Read(ctx, func(s *state.State) error {
 			out.Version, out.Index = s.Bundle.Version, s.Index
 			if r := s.Revision(s.Bundle.Version); r != nil {
 				out.Digest = r.Digest
 			}
+			return nil
 		})
+		if err != nil {
+			wire.WriteFault(w, fault.Wrap(err, fault.Unavailable, "this node cannot confirm its bundle now"))
+			return
+		}
 		wire.WriteJSON(w, http.StatusOK, out)
 	})
 }
--- a/internal/rig/audit/bundles.go
+++ b/internal/rig/audit/bundles.go
@@ -200,7 +200,12 @@
 func followed(h History, f *Finding) {
 	acked := h.by(Operator, bundles.Force)
 	top := map[string]Event{}
+	mute := 0
 	for _, e := range h.by(Operator, bundles.Has) {
+		if !e.OK {
+			mute++
+			continue
+		}
 		f.Cases++
 		for _, a := range acked {
 			if a.Op.Version > e.Op.Version && e.Op.Sent-a.At > int64(bundleGrace) {
@@ -214,4 +219,7 @@
 			top[e.Op.Node] = e
 		}
 	}
+	if mute > 0 {
+		f.Note = fmt.Sprintf("%d times a node could not confirm its version", mute)
+	}
 }
--- a/internal/rig/bundles/entry.go
+++ b/internal/rig/bundles/entry.go
@@ -11,7 +11,10 @@
 	Force  = "bundle" // a version was acknowledged as in force; Bundle is its text
 	Unsure = "unsure" // no answer came in the end; Version may be in force from Sent on
 	Read   = "read"   // the version in force was read back; SHA is of the bytes that came
-	Has    = "has"    // node Node said which version it goes by
+	Has    = "has"    // node Node said which version it goes by, or (not OK) could not confirm it
+
+	Evacuate = "evacuate" // the evacuation of Zone was acknowledged
+	Lift     = "lift"     // the second signature for lifting it is about to be sent
 )
 
 // Entry is one line of an operator's journal, DIR/journal/operator-bundles-*.jsonl. Sent is when the call was sent;
@@ -21,6 +24,7 @@
 	Ev      string          `json:"ev"`
 	Sent    int64           `json:"sent"`
 	Node    string          `json:"node"`
+	Zone    string          `json:"zone,omitempty"`
 	Order   string          `json:"order,omitempty"`
 	By      string          `json:"by,omitempty"`
 	Base    uint64          `json:"base,omitempty"`
--- a/internal/rig/bundles/report.go
+++ b/internal/rig/bundles/report.go
@@ -19,7 +19,12 @@
 	RepeatsDiffer   int            `json:"repeats_differ"`
 	ReadBacks       int            `json:"read_backs"`
 	ReadBacksDiffer int            `json:"read_backs_differ"`
+	Invalid         int            `json:"invalid"` // texts with mistakes
+	InvalidTaken    int            `json:"invalid_taken"`
+	Evacuations     int            `json:"evacuations"`
+	LiftsWrong      int            `json:"lifts_wrong"`    // lifted by one, or not by two
 	NotEverywhere   int            `json:"not_everywhere"` // changes that some node did not have within 5 s
+	Mute            int            `json:"mute"`           // times a dplane could not confirm its version, or did not answer
 	Unsure          int            `json:"unsure"`         // orders without an answer in 30 s
 	Tries           int            `json:"retries"`
 	Refused         map[string]int `json:"refused"`
@@ -31,7 +36,7 @@
 
 // Held tells whether something changed and nothing was amiss.
 func (r Report) Held() bool {
-	return r.Changes > 0 && r.BothWon+r.RepeatsDiffer+r.ReadBacksDiffer+r.NotEverywhere == 0
+	return r.Changes > 0 && r.BothWon+r.RepeatsDiffer+r.ReadBacksDiffer+r.NotEverywhere+r.InvalidTaken+r.LiftsWrong == 0
 }
 
 // Spread is a distribution in milliseconds.
