Measure a minion's agent with a process of its own; the loopback's slope

Cause: hollow minions share a process, so their memory and processor time say little of an agent's own base.

Ruled out: one process a minion at every size (hundreds of processes).

Conclusion: the agent's base is measured apart from its slope.

--- a/cmd/drill/scale.go
+++ b/cmd/drill/scale.go
@@ -77,15 +77,19 @@
 			name string
 			at   func(scale.Row) float64
 		}{{"cpu %", func(r scale.Row) float64 { return r.CPU }}, {"MB", func(r scale.Row) float64 { return r.MB }},
-			{"KB/s", func(r scale.Row) float64 { return r.Net }}, {"msg/s", func(r scale.Row) float64 { return r.Msgs }}} {
+			{"KB/s", func(r scale.Row) float64 { return r.Net }}, {"msg/s", func(r scale.Row) float64 { return r.Msgs }},
+			{"loopback KB/s", func(r scale.Row) float64 { return r.LoopKB }}} {
 			var x, y []float64
 			for _, r := range rows {
+				if of.name == "loopback KB/s" && role != scale.Sched {
+					continue
+				}
 				if r.Role == role && r.Offered == 0 && r.Running == 0 {
 					x, y = append(x, float64(r.Minions)), append(y, of.at(r))
 				}
 			}
 			if base, slope, ok := scale.Slope(x, y); ok {
-				fmt.Fprintf(cmd.Root().Writer, "%-15s %-5s at idle: %10.4f + %9.6f a minion\n", role, of.name, base, slope)
+				fmt.Fprintf(cmd.Root().Writer, "%-15s %-13s at idle: %10.4f + %9.6f a minion\n", role, of.name, base, slope)
 			}
 		}
 	}
--- a/internal/rig/scale/probe.go
+++ b/internal/rig/scale/probe.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"time"
 
@@ -29,6 +30,7 @@
 	Sched    = "sched holder"
 	Dplane   = "dplane"
 	Minion   = "minion" // hollow ones: figures are per minion, the process's divided by how many share it
+	Agent    = "agent"  // a minion with a process of its own
 )
 
 // Reading is what one process has used since its start, and what it holds now.
@@ -41,6 +43,8 @@
 	Bytes   float64       // bodies in and out, by its wire counters
 	Msgs    float64       // calls asked and answered
 	Stream  float64       // bytes through read(2) and write(2) but for those of its log or journal: sockets, heads and all
+	Told    float64       // bytes of the reading's own answer, counted by the wire counters of the next one
+	Probed  float64       // Stream after the reading itself, whose answer is large
 	Syncs   float64       // of the log
 	Log     float64       // bytes to the log and slots
 	Tickets float64       // given by this holder of sched
@@ -136,11 +140,11 @@
 	if err != nil {
 		return r, fault.Wrap(err, fault.Unknown, "pid %d", pid)
 	}
+	r.CPU, r.RSS = time.Duration(stat.CPUTime()*float64(time.Second)), float64(stat.ResidentMemory())
 	io, err := proc.IO()
 	if err != nil {
 		return r, fault.Wrap(err, fault.Unknown, "pid %d", pid)
 	}
-	r.CPU, r.RSS = time.Duration(stat.CPUTime()*float64(time.Second)), float64(stat.ResidentMemory())
 	reply, err := p.caller.Call(ctx, http.MethodGet, addr, "/metrics", nil, 5*time.Second)
 	if err != nil {
 		return r, fault.Pass(err, "metrics")
@@ -151,17 +155,24 @@
 		return r, fault.Wrap(err, fault.Malformed, "metrics")
 	}
 	m := families(all)
-	r.Bytes, r.Msgs = m.sum("crosstide_wire_bytes_total"), m.sum("crosstide_wire_calls_total")
+	r.Bytes, r.Msgs, r.Told = m.sum("crosstide_wire_bytes_total"), m.sum("crosstide_wire_calls_total"), float64(len(reply.Body))
 	r.Syncs, r.Log = m.sum("crosstide_store_sync_seconds"), m.sum("crosstide_store_log_bytes_total")
 	r.Tickets, r.Handles = m.sum("crosstide_sched_tickets_total"), m.sum("crosstide_state_handles")
 	r.Role = m.role(name)
 	own := r.Log
-	if r.Role == Minion {
+	if r.Role == Minion && count == 1 {
+		r.Role = Agent
+	}
+	if r.Role == Minion || r.Role == Agent {
 		if info, err := os.Stat(filepath.Join(p.dir, "journal", name+".jsonl")); err == nil {
 			own = float64(info.Size())
 		}
 	}
-	r.Stream = max(0, float64(io.RChar+io.WChar)-own)
+	after, err := proc.IO()
+	if err != nil {
+		return r, fault.Wrap(err, fault.Unknown, "pid %d", pid)
+	}
+	r.Stream, r.Probed = max(0, float64(io.RChar+io.WChar)-own), max(0, float64(after.RChar+after.WChar)-own)
 	return r, nil
 }
 
@@ -171,6 +182,9 @@
 func (f families) sum(name string) float64 {
 	sum := 0.0
 	for _, m := range f[name].GetMetric() {
+		if slices.ContainsFunc(m.GetLabel(), func(l *dto.LabelPair) bool { return l.GetValue() == "GET /metrics" }) {
+			continue // our own reading
+		}
 		sum += m.GetCounter().GetValue() + m.GetGauge().GetValue() + float64(m.GetHistogram().GetSampleCount())
 	}
 	return sum
--- a/internal/rig/scale/row.go
+++ b/internal/rig/scale/row.go
@@ -46,7 +46,7 @@
 	"syncs_s", "log_kb_s", "note"}
 
 // Roles is the order of rows.
-var Roles = []string{Leader, Follower, Sched, Dplane, Minion}
+var Roles = []string{Leader, Follower, Sched, Dplane, Minion, Agent}
 
 // Rows gives the cost of each role between two readings. A process that changed its role between them counts for
 // the newer one; counters that went back (a process that was started anew) are a fault. Fault: Unknown.
@@ -70,8 +70,8 @@
 		r.CPU += 100 * (b.CPU - a.CPU).Seconds() / s
 		r.MB += b.RSS / 1e6
 		r.Msgs += (b.Msgs - a.Msgs) / s
-		r.KB += (b.Bytes - a.Bytes) / s / 1000
-		r.Net += (b.Stream - a.Stream) / s / 1000
+		r.KB += (b.Bytes - a.Bytes - a.Told) / s / 1000
+		r.Net += (b.Stream - a.Probed) / s / 1000
 		r.Syncs += (b.Syncs - a.Syncs) / s
 		r.LogKB += (b.Log - a.Log) / s / 1000
 	}
