Take listed ends from answers that came out of order too

Cause: an answer older than one taken in was dropped whole. It may list an end that was told nowhere else yet; if its minion then loses its boot, a task runs again although the holder had been told that it ended well. Ruled out: the minion (it lists an end until it is acknowledged, but only while it lives). Change: what ran is still told by the newest answer only; an end is a fact however old its answer is.

--- a/internal/rig/sim/dplane.go
+++ b/internal/rig/sim/dplane.go
@@ -295,6 +295,8 @@
 		d.s.tell("%s has no good answer to a plan: %v", d.addr, fault.KindOf(err))
 		d.after(20*time.Millisecond, func() { end(command.Planned{}, err) })
 	}
+	d.s.tell("%s plans under epoch %d: to %d, %d reports, running %v, doubt %v, ends %v, dead %v, %d starts", d.addr, plan.Epoch, plan.Seq,
+		len(plan.Minions), plan.Running, plan.Doubt, plan.Ends, plan.Dead, len(plan.Starts))
 	d.propose(plan, false, 0, func(index uint64, answer json.RawMessage, err error) {
 		if err != nil {
 			failed(err)
--- a/internal/sched/again_test.go
+++ b/internal/sched/again_test.go
@@ -66,3 +66,21 @@
 		})
 	})
 }
+
+func TestOldEnd(t *testing.T) {
+	Convey("An end counts that stands in an answer older than one taken in", t, func() {
+		d := newDesk("check", "m1")
+		d.greet("check")
+		d.submit("j1", state.StepSpec{})
+		first := order(d.settle())
+		d.answer(*first, "check", pair.HoldAnswer{Running: []uint64{1}})
+		d.submit("j2", state.StepSpec{})
+		second := order(d.settle())
+		waiting := d.wait["m1"] // sent before it
+		So(waiting.Call.Call, ShouldBeLessThan, second.Call.Call)
+		d.answer(*second, "check", pair.HoldAnswer{Running: []uint64{1, 2}})
+		d.answer(waiting, "check", pair.HoldAnswer{Running: []uint64{2}, Ended: []pair.EndNote{{Ticket: 1, How: pair.EndWell}}})
+		d.settle()
+		So(d.st.Jobs["j1"].Phase, ShouldEqual, state.JobDone)
+	})
+}
--- a/internal/sched/hold.go
+++ b/internal/sched/hold.go
@@ -231,6 +231,7 @@
 				m.floor = max(m.floor, s.Ticket)
 			}
 		}
+		c.endings(now, m, a.Ended)
 		return
 	}
 	m.taken = call.Call
@@ -257,27 +258,9 @@
 	}
 }
 
-// listing holds what runs and what ended there against the handles, both ways.
-func (c *Core) listing(now time.Duration, m *minion, call pair.HoldCall, a pair.HoldAnswer) {
-	seen := make(map[uint64]bool, len(a.Running)+len(a.Ended))
-	for _, t := range a.Running {
-		seen[t] = true
-		r := m.runs[t]
-		if r == nil {
-			m.strays[t] = "no handle"
-			m.urgent = true
-			continue
-		}
-		r.listed, r.absent = true, 0
-		if r.h.Phase != state.TaskRunning && !r.gone {
-			c.running = append(c.running, t)
-		}
-		if r.stop != "" {
-			m.urgent = true
-		}
-	}
-	for _, e := range a.Ended {
-		seen[e.Ticket] = true
+// endings takes in listed ends. An end is a fact however old the answer is that lists it.
+func (c *Core) endings(now time.Duration, m *minion, ended []pair.EndNote) {
+	for _, e := range ended {
 		r := m.runs[e.Ticket]
 		if r == nil {
 			m.acks = append(m.acks, e.Ticket) // its end is durable
@@ -302,6 +285,31 @@
 			c.kill(r, command.ProofStop, e.Reason)
 		}
 	}
+}
+
+// listing holds what runs and what ended there against the handles, both ways.
+func (c *Core) listing(now time.Duration, m *minion, call pair.HoldCall, a pair.HoldAnswer) {
+	seen := make(map[uint64]bool, len(a.Running)+len(a.Ended))
+	for _, t := range a.Running {
+		seen[t] = true
+		r := m.runs[t]
+		if r == nil {
+			m.strays[t] = "no handle"
+			m.urgent = true
+			continue
+		}
+		r.listed, r.absent = true, 0
+		if r.h.Phase != state.TaskRunning && !r.gone {
+			c.running = append(c.running, t)
+		}
+		if r.stop != "" {
+			m.urgent = true
+		}
+	}
+	for _, e := range a.Ended {
+		seen[e.Ticket] = true
+	}
+	c.endings(now, m, a.Ended)
 	dead, doubts := len(c.dead), len(c.doubts)
 	for t, r := range m.runs {
 		if seen[t] || r.gone || r.out || r.flying || r.mine && (r.call == 0 || r.call > call.Call) {
