Keep the ends a holder has heard when it takes its duty up anew

If the minion then came back under a new boot, a task ran again although its holder had been told of its end. Ruled out: the plan under way (its answer was a fault, it was not committed). Change: ends are kept through it, with those of the plan under way, for the handles that are still out.

--- a/internal/sched/again_test.go
+++ b/internal/sched/again_test.go
@@ -6,6 +6,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"crosstide/internal/fault"
 	"crosstide/internal/pair"
 	"crosstide/internal/state"
 	"crosstide/internal/state/command"
@@ -84,3 +85,28 @@
 		So(d.st.Jobs["j1"].Phase, ShouldEqual, state.JobDone)
 	})
 }
+
+func TestKeptEnd(t *testing.T) {
+	Convey("An end that was heard is not forgotten when the duty is taken up anew, whatever became of its plan", t, func() {
+		d := newDesk("check", "m1")
+		d.greet("check")
+		d.submit("j1", state.StepSpec{})
+		o := order(d.settle())
+		d.answer(*o, "check", pair.HoldAnswer{Ended: []pair.EndNote{{Ticket: 1, How: pair.EndWell}}})
+		plan := d.core.Pass(d.now).Plan
+		So(plan.Ends, ShouldHaveLength, 1)
+		again := map[string]func(){
+			"a snapshot":  func() { d.core.Reset(d.now, d.st) },
+			"a new epoch": func() { d.core.Yield(); d.do(&command.Grant{Duty: "sched", Holder: "d", After: plan.Epoch}) },
+		}
+		for name, do := range again {
+			Convey("After "+name, func() {
+				do()
+				d.core.Planned(d.now, plan.Epoch, command.Planned{}, fault.New(fault.Stale, "lost"))
+				d.core.Lead(d.now, d.st.Duties["sched"].Epoch)
+				d.settle()
+				So(d.st.Jobs["j1"].Phase, ShouldEqual, state.JobDone)
+			})
+		}
+	})
+}
--- a/internal/sched/plan.go
+++ b/internal/sched/plan.go
@@ -60,11 +60,11 @@
 	}
 	if err != nil {
 		c.Counts.PlanFaults++
+		c.ends = append(f.plan.Ends, c.ends...)
 		if fault.Is(err, fault.Stale) {
 			c.Yield()
 			return
 		}
-		c.ends = append(f.plan.Ends, c.ends...)
 		c.dead = append(f.plan.Dead, c.dead...)
 		for _, s := range f.plan.Starts {
 			c.due(s.Ref)
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -165,10 +165,11 @@
 	c.runs, c.minions, c.dirty, c.tally = map[uint64]*run{}, map[string]*minion{}, map[string]bool{}, map[string]int{}
 	c.teams, c.said, c.fresh, c.wide = map[string]int{}, map[string]bool{}, map[string]bool{}, true
 	c.ring = nil
-	if c.plan != nil {
+	if c.plan != nil && !c.plan.void {
 		c.plan.void = true // its answer says nothing any more, and must not be taken for that of a later plan
+		c.ends = append(c.plan.plan.Ends, c.ends...)
 	}
-	c.running, c.doubts, c.ends, c.dead = nil, nil, nil, nil
+	c.running, c.doubts, c.dead = nil, nil, nil // ends are facts, and their minions may forget them
 	c.backlog.clear()
 	c.health = newHealth(c.cfg.Health)
 }
@@ -210,6 +211,13 @@
 	for _, t := range slices.Sorted(maps.Keys(c.st.Handles)) {
 		c.opened(c.st.Handles[t])
 	}
+	c.ends = slices.DeleteFunc(c.ends, func(e command.End) bool {
+		r := c.runs[e.Ticket]
+		if r != nil {
+			r.gone = true
+		}
+		return r == nil
+	})
 	for _, j := range slices.SortedFunc(maps.Values(c.st.Jobs), func(a, b *state.Job) int { return cmp.Compare(a.Seq, b.Seq) }) {
 		for i := range j.Tasks {
 			for k := range j.Tasks[i] {
