--- a/internal/rig/sim/cplane.go
+++ b/internal/rig/sim/cplane.go
@@ -67,8 +67,14 @@
 	st, err := store.Open(store.Options{Settings: set, Disk: c.disk, Net: direct{c: c}, Seed: s.rnd.Uint64() | 1, Clock: c.proc,
 		Fatal: func(err error) { s.on(0, func() { c.fell(gen, err) }) },
 		Draw:  func() string { return fmt.Sprintf("%010X%010X", s.rnd.Uint32(), s.rnd.Uint32()) }})
+	if fault.Is(err, fault.Disk) { // the process ends, as after any sync that fails
+		s.tell("%s cannot open its folder: %v", c.addr, fault.Of(err))
+		c.die()
+		s.on(500*time.Millisecond, c.up)
+		return
+	}
 	if err != nil {
-		s.broke("disk", "%s cannot read its folder: %v", c.addr, err)
+		s.broke("disk", "%s cannot read its folder: %v", c.addr, fault.Of(err))
 		return
 	}
 	c.store, c.hand = st, st.ByHand()
--- a/internal/rig/sim/oracle.go
+++ b/internal/rig/sim/oracle.go
@@ -349,7 +349,7 @@
 	s.held("not late")
 	late := 700 * time.Millisecond // the void time in the minion's clock, and what its report was under way
 	if m.kind == minion.Obey {
-		late = sched.Defaults().Lateness + 300*time.Millisecond
+		late = callTimeout/2 + lateness + 100*time.Millisecond // it was under way until its connection was closed at most
 	}
 	if s.now-max(t.written, m.woke) > late { // what lay in the kernel of a frozen machine is carried out when it wakes
 		s.broke("not late", "ticket %d was written at %v and starts on %s (%s)", e.Ticket, t.written, m.addr, m.kind)
