--- a/cmd/drill/load.go
+++ b/cmd/drill/load.go
@@ -65,6 +65,7 @@
 		&cli.Uint64Flag{Name: "seed", Value: 1},
 		&cli.IntFlag{Name: "steps", Value: 1, Usage: "per job, one after the other"},
 		&cli.IntFlag{Name: "tasks", Value: 1, Usage: "per step"},
+		&cli.BoolFlag{Name: "gang", Usage: "the tasks of a step start together or not at all"},
 		&cli.IntFlag{Name: "ms", Value: 100, Usage: "length of a task"},
 		&cli.BoolFlag{Name: "noop", Usage: "tasks that end at once, as --ms 0"},
 		&cli.IntFlag{Name: "cores", Value: 1, Usage: "of a task"},
@@ -84,7 +85,7 @@
 func loadOptions(cmd *cli.Command) (load.Options, error) {
 	o := load.Options{Dir: cmd.String("fleet"), Rate: cmd.Float("rate"), For: cmd.Duration("for"), Seed: cmd.Uint64("seed"),
 		Tasks: cmd.Int("tasks"), Run: time.Duration(cmd.Int("ms")) * time.Millisecond, Steps: cmd.Int("steps"),
-		Cores: cmd.Int("cores"), Type: cmd.String("type"), Queue: cmd.String("queue"), Team: cmd.String("team"),
+		Cores: cmd.Int("cores"), Gang: cmd.Bool("gang"), Type: cmd.String("type"), Queue: cmd.String("queue"), Team: cmd.String("team"),
 		Labels: cmd.StringMap("label"), Retries: cmd.Int("retries"), Cancel: cmd.Float("cancel"), Dup: cmd.Float("dup"),
 		Prefix: cmd.String("key-prefix"), Workers: cmd.Int("workers"), Polls: cmd.Float("polls"),
 		Wait: cmd.Duration("wait"), GiveUp: cmd.Duration("give-up")}
