Replace a core machine by an operator's word; hold the duty over a slow way

Cause: (1) any process with settings could join the store as one more voter, and a machine under another name could not take a dead one's place. (2) With the store's leader slowed by 300 ms each way the duty moved or lapsed: one claim and one batch of messages at a time, so each cost a whole turn, and the leader's lease of 700 ms held only for moments. Ruled out: a longer time-out of claims alone (slows the fail-over from a dead leader). Change: (1) cplane member list and replace; strangers are refused. (2) up to four claims under way, up to eight batches to a peer once one takes longer than a heartbeat, a call for a confirmed lead waits up to 600 ms for the next moment; a plan's window is 1.9 s. Handing the lead over when only its ways are slow is not done.

--- a/cmd/cplane/main.go
+++ b/cmd/cplane/main.go
@@ -38,6 +38,10 @@
 	}
 	app.Commands = append(app.Commands, codes(append(bundleCommands(),
 		&cli.Command{Name: "who", Usage: "print who holds what", Action: who, Flags: append(addrFlags(), jsonFlag())},
+		&cli.Command{Name: "member", Usage: "list the members of the store, replace one", Commands: []*cli.Command{
+			{Name: "list", Usage: "print every member", Action: members, Flags: append(addrFlags(), jsonFlag())},
+			orderCommand("replace", "the cplane NEW may join in the place of OLD, whose machine is gone", "OLD NEW", "/v1/members/%s/replace/%s"),
+		}},
 		&cli.Command{Name: "minion", Usage: "list, drain, open and retire minions", Commands: []*cli.Command{
 			{Name: "list", Usage: "print every minion", Action: minions, Flags: append(addrFlags(), jsonFlag())},
 			orderCommand("drain", "no new starts on MINION", "MINION", "/v1/minions/%s/drain"),
--- a/cmd/cplane/operate.go
+++ b/cmd/cplane/operate.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/url"
 	"os"
+	"strings"
 	"time"
 
 	"github.com/urfave/cli/v3"
@@ -37,7 +38,7 @@
 	return &cli.Command{
 		Name: name, Usage: usage, ArgsUsage: what, Flags: append(addrFlags(), orderFlag()),
 		Action: func(ctx context.Context, cmd *cli.Command) error {
-			a, err := args(cmd, what)
+			a, err := args(cmd, strings.Fields(what)...)
 			if err != nil {
 				return fault.Pass(err, "%s", name)
 			}
@@ -46,7 +47,7 @@
 			if err != nil {
 				return fault.Wrap(err, fault.Internal, "encode the order")
 			}
-			raw, err := call(ctx, http.MethodPost, cmd.String("addr"), fmt.Sprintf(path, url.PathEscape(a[0])), body)
+			raw, err := call(ctx, http.MethodPost, cmd.String("addr"), fmt.Sprintf(path, escaped(a)...), body)
 			if err != nil {
 				return fault.Pass(err, "order %s", id)
 			}
@@ -56,6 +57,15 @@
 	}
 }
 
+// escaped makes words fit for a path.
+func escaped(words []string) []any {
+	out := make([]any, len(words))
+	for i, w := range words {
+		out[i] = url.PathEscape(w)
+	}
+	return out
+}
+
 func call(ctx context.Context, method, addr, path string, body []byte) ([]byte, error) {
 	ctx, over := context.WithTimeout(ctx, patience)
 	defer over()
@@ -101,6 +111,28 @@
 	}), "who")
 }
 
+// members prints the members of the store, with how far each has its log.
+func members(ctx context.Context, cmd *cli.Command) error {
+	var w operator.Who
+	return fault.Pass(ask(ctx, cmd, "/v1/who", &w, func(out io.Writer) {
+		fmt.Fprintln(out, "ID\tADDR\tZONE\tSTANDS\tMATCH")
+		for _, m := range w.Members {
+			stands := "voter"
+			if m.Learner {
+				stands = "learner"
+			}
+			match := "-"
+			if w.Status != nil && w.Status.Quorum.Match[m.ID] > 0 { // only the leader knows
+				match = fmt.Sprint(w.Status.Quorum.Match[m.ID])
+			}
+			if w.Store == m.ID || strings.HasPrefix(m.ID, w.Store+"~") {
+				stands += ", leads"
+			}
+			fmt.Fprintf(out, "%s\t%s\t%s\t%s\t%s\n", m.ID, m.Addr, m.Zone, stands, match)
+		}
+	}), "members")
+}
+
 func minions(ctx context.Context, cmd *cli.Command) error {
 	var list operator.Minions
 	return fault.Pass(ask(ctx, cmd, "/v1/minions", &list, func(out io.Writer) {
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -68,6 +68,7 @@
 //	POST /v1/minions/{name}/drain   {"order":"id"}   no new starts on it
 //	POST /v1/minions/{name}/open    {"order":"id"}
 //	POST /v1/minions/{name}/retire  {"order":"id"}   it must be empty
+//	POST /v1/members/{old}/replace/{new}  {"order":"id"}   the cplane new may join in the place of old
 //	GET  /v1/minions
 //	GET  /v1/who
 //
@@ -100,6 +101,9 @@
 	order("/v1/minions/{name}/retire", func(r *http.Request, in Order) command.Command {
 		return &command.Close{Order: in.Order, Minion: r.PathValue("name"), Retire: true}
 	})
+	order("/v1/members/{old}/replace/{new}", func(r *http.Request, in Order) command.Command {
+		return &command.Succeed{Order: in.Order, Old: r.PathValue("old"), New: r.PathValue("new")}
+	})
 	serveBundles(srv, s)
 	srv.Route("GET /v1/minions", func(w http.ResponseWriter, r *http.Request) {
 		var out Minions
--- a/internal/plane/node.go
+++ b/internal/plane/node.go
@@ -41,6 +41,8 @@
 	core    *core
 	replica *follow.Replica
 	sched   *sched.Core // under the replica's lock
+	leased  uint64      // epoch of the newest lease, and its end; under the replica's lock
+	until   time.Duration
 	group   *spawn.Group
 	kick    chan struct{}
 	fresh   confirmer
@@ -127,28 +129,54 @@
 	return pair.DutyCall{Duty: "sched", Holder: n.opt.Name, Addr: n.opt.Addr, Boot: n.opt.Boot, Epoch: epoch, GiveUp: giveUp}
 }
 
+// claims is how many claims may be under way at once: a slow way to the leader must not let the lease run out
+// between two answers, and a dead one must not keep the next claim from finding its successor.
+const claims = 4
+
 // duty claims or renews the duty again and again. The lease counts from before the call was sent.
 func (n *Node) duty(ctx context.Context) {
+	slots := make(chan struct{}, claims)
 	for ctx.Err() == nil {
 		n.mu.Lock()
-		epoch, stopping := n.granted, n.stopping
+		stopping := n.stopping
 		n.mu.Unlock()
 		if stopping {
 			return
 		}
-		sent := n.opt.Clock.Now()
-		a, err := toLeader(ctx, n.core, n, pair.Duty, n.claim(epoch, false), n.opt.CallTimeout/2, true)
+		select {
+		case slots <- struct{}{}:
+			n.group.Go(func(ctx context.Context) {
+				defer func() { <-slots }()
+				n.renew(ctx)
+			})
+		default:
+		}
+		if n.pause(ctx, 300*time.Millisecond) != nil {
+			return
+		}
+	}
+}
+
+// renew makes one claim, at the node that the last hint named.
+func (n *Node) renew(ctx context.Context) {
+	n.mu.Lock()
+	epoch := n.granted
+	n.mu.Unlock()
+	for range 3 {
+		addr, sent := n.core.lead(), n.opt.Clock.Now()
+		a, err := wire.Ask(ctx, n.opt.Caller, addr, pair.Duty, n.claim(epoch, false), n.opt.CallTimeout)
+		n.core.learn(addr, err)
 		switch {
-		case err != nil:
-			_ = level.Debug(n.opt.Logger).Log("msg", "claiming the duty failed", "err", err)
-		case a.Mine:
+		case err == nil && a.Mine:
 			if err := n.take(ctx, a, sent); err != nil {
 				_ = level.Warn(n.opt.Logger).Log("msg", "granted, but not rebuilt yet", "epoch", a.Epoch, "err", err)
 			}
-		default:
+			return
+		case err == nil:
 			n.lose(a)
-		}
-		if n.pause(ctx, 300*time.Millisecond) != nil {
+			return
+		case !fault.Is(err, fault.NotLeader) && !wire.Unsent(err):
+			_ = level.Debug(n.opt.Logger).Log("msg", "claiming the duty failed", "err", err)
 			return
 		}
 	}
@@ -157,8 +185,12 @@
 // take makes a grant good: the replica is followed up to the grant's index first, then tallies are rebuilt.
 func (n *Node) take(ctx context.Context, a pair.DutyAnswer, sent time.Duration) error {
 	n.mu.Lock()
-	n.granted = a.Epoch
+	stale := a.Epoch < n.granted // answers of claims under way at once may cross
+	n.granted = max(n.granted, a.Epoch)
 	n.mu.Unlock()
+	if stale {
+		return nil
+	}
 	reach, cancel := context.WithTimeout(ctx, n.opt.CallTimeout)
 	defer cancel()
 	if err := n.replica.Reach(reach, a.Epoch); err != nil {
@@ -173,19 +205,25 @@
 		n.sched.Lead(n.opt.Clock.Now(), a.Epoch)
 		_ = level.Info(n.opt.Logger).Log("msg", "took up sched", "epoch", a.Epoch, "handles", len(st.Handles), "backlog", n.sched.Backlog())
 	}
-	n.sched.Lease(sent + a.Lease)
+	if until := sent + a.Lease; a.Epoch > n.leased || until > n.until {
+		n.leased, n.until = a.Epoch, until
+		n.sched.Lease(until)
+	}
 	n.wake()
 	return nil
 }
 
+// lose takes in that the duty is another's. An answer that knows no newer epoch than the own grant crossed it, or
+// tells that the epoch ends: its lease runs out by itself.
 func (n *Node) lose(a pair.DutyAnswer) {
 	n.mu.Lock()
 	had := n.granted
-	n.granted = 0
-	n.mu.Unlock()
-	if had == 0 {
+	if had == 0 || a.Epoch <= had {
+		n.mu.Unlock()
 		return
 	}
+	n.granted = 0
+	n.mu.Unlock()
 	n.replica.Lock()
 	n.sched.Yield()
 	n.replica.Unlock()
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -34,7 +34,7 @@
 // Defaults are our starting values.
 func Defaults() Config {
 	return Config{Hold: 20 * time.Second, HoldWait: time.Second, StartWindow: 500 * time.Millisecond,
-		PlanWindow: 1500 * time.Millisecond, Lateness: 2 * time.Second, LeaseMargin: 500 * time.Millisecond,
+		PlanWindow: 1900 * time.Millisecond, Lateness: 2 * time.Second, LeaseMargin: 500 * time.Millisecond,
 		Retry: 500 * time.Millisecond, Silence: 2500 * time.Millisecond, Sweep: 100 * time.Millisecond, Batch: 1024, Health: HealthDefaults()}
 }
 
--- a/internal/state/command/command.go
+++ b/internal/state/command/command.go
@@ -5,6 +5,7 @@
 import (
 	"encoding/json"
 	"slices"
+	"strings"
 	"time"
 
 	"crosstide/internal/fault"
@@ -34,6 +35,7 @@
 	"giveup":   func() Command { return &GiveUp{} },
 	"zone":     func() Command { return &Zone{} },
 	"close":    func() Command { return &Close{} },
+	"succeed":  func() Command { return &Succeed{} },
 	"tidy":     func() Command { return &Tidy{} },
 	"keys":     func() Command { return &Keys{} },
 	"put":      func() Command { return &Put{} },
@@ -325,6 +327,37 @@
 	return answer, fault.Pass(err, "close minion %q", c.Minion)
 }
 
+// Succeed lets the cplane New join in the place of Old, whose machine is gone. The store takes Old out when New has
+// caught up.
+type Succeed struct {
+	Order string `json:"order"`
+	Old   string `json:"old"`
+	New   string `json:"new"`
+}
+
+// Op is "succeed".
+func (c *Succeed) Op() string { return "succeed" }
+
+func (c *Succeed) apply(s *state.State, _ uint64) (any, error) {
+	answer, err := once(s, c.Order, c, func() (any, error) {
+		switch {
+		case c.Old == "" || c.New == "" || strings.Contains(c.Old+c.New, "~"):
+			return nil, fault.Field(fault.Invalid, "new", "the names of two machines are needed, without ~")
+		case c.Old == c.New:
+			return nil, fault.Field(fault.Invalid, "new", "a machine of the same name joins by itself")
+		}
+		if old, ok := s.Successors[c.New]; ok && old != c.Old {
+			return nil, fault.Field(fault.Conflict, "new", "%q takes the place of %q already", c.New, old)
+		}
+		if s.Successors == nil {
+			s.Successors = map[string]string{}
+		}
+		s.Successors[c.New] = c.Old
+		return map[string]string{"old": c.Old, "new": c.New}, nil
+	})
+	return answer, fault.Pass(err, "succeed")
+}
+
 // Tidy lets ended jobs, tombstones and remembered orders go, by age and by count.
 type Tidy struct {
 	JobsBefore   time.Time `json:"jobs_before"`
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -265,9 +265,11 @@
 	Line      []*Revision          `json:"line"`      // versions of the bundle, oldest first; never empty
 	Operators map[string]string    `json:"operators"` // name to public key; empty: none known yet
 	Evacuated map[string]time.Time `json:"evacuated"`
-	Lifts     map[string][]string  `json:"lifts,omitempty"` // zone to the operators who signed its lifting
-	Orders    map[string]*Order    `json:"orders"`
-	OrderKeys []string             `json:"order_keys"` // oldest first
+	// Successors are the cplanes that may join in another's place, by an operator's word: new name to old.
+	Successors map[string]string   `json:"successors,omitempty"`
+	Lifts      map[string][]string `json:"lifts,omitempty"` // zone to the operators who signed its lifting
+	Orders     map[string]*Order   `json:"orders"`
+	OrderKeys  []string            `json:"order_keys"` // oldest first
 
 	// Watch is told of changes as they are applied; it must not change the state.
 	Watch func(Note) `json:"-"`
--- a/internal/store/duty.go
+++ b/internal/store/duty.go
@@ -63,12 +63,12 @@
 
 // judge asks the book; called under the lock. On Free a proposal is to follow.
 func (s *Store) judge(call pair.DutyCall) (held state.Duty, v Verdict, err error) {
-	if err := s.leads(); err != nil {
+	if _, err := s.confirm(); err != nil {
 		return held, v, fault.Pass(err, "judge")
 	}
 	now := s.clock.Now()
-	if _, ok := s.core.Confirmed(now); !ok || !s.book.Open() {
-		return held, v, fault.New(fault.Unavailable, "the lead cannot be confirmed now")
+	if !s.book.Open() {
+		return held, v, fault.New(fault.Unavailable, "what earlier leaders committed is not applied here yet")
 	}
 	if d := s.live.Duties[call.Duty]; d != nil {
 		held = *d
--- a/internal/store/found.go
+++ b/internal/store/found.go
@@ -347,10 +347,20 @@
 	s.mu.Lock()
 	err := s.leads()
 	st := s.status
+	place, named := s.live.Successors[name]
 	s.mu.Unlock()
 	if err != nil {
 		return pair.JoinAnswer{}, fault.Pass(err, "join")
 	}
+	if !named {
+		place = name
+		known := func(m quorum.Member) bool { return nameOf(m.ID) == name }
+		first := func(m conf.Member) bool { return m.ID == name }
+		if !slices.ContainsFunc(st.Members, known) && !slices.ContainsFunc(s.set.Members, first) {
+			return pair.JoinAnswer{}, fault.Field(fault.Forbidden, "name",
+				"no member is named %s; an operator says whom it replaces: cplane member replace OLD %s", name, name)
+		}
+	}
 	out := pair.JoinAnswer{Again: askEvery}
 	var old *quorum.Member
 	next := make([]quorum.Member, 0, len(st.Members)+1)
@@ -361,7 +371,7 @@
 			at = len(next)
 		case nameOf(m.ID) == name && m.Learner:
 			continue // an earlier folder that never became a voter
-		case nameOf(m.ID) == name:
+		case nameOf(m.ID) == name || nameOf(m.ID) == place:
 			old = &m
 		}
 		next = append(next, m)
--- a/internal/store/propose.go
+++ b/internal/store/propose.go
@@ -169,18 +169,36 @@
 	s.pending = nil
 }
 
+// confirmWait is how long a call waits for the lead to be confirmed: over a slow way to the others the lease holds
+// only for a moment after each of their answers.
+const confirmWait = 600 * time.Millisecond
+
 // Confirm gives an index that every earlier commit is at or below. Faults: NotLeader (Hint), Unavailable.
 func (s *Store) Confirm() (uint64, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if err := s.leads(); err != nil {
-		return 0, fault.Pass(err, "confirm")
-	}
-	commit, ok := s.core.Confirmed(s.clock.Now())
-	if !ok {
-		return 0, fault.New(fault.Unavailable, "the lead cannot be confirmed now")
+	return s.confirm()
+}
+
+// confirm is called under the lock, which it lets go while it waits.
+func (s *Store) confirm() (uint64, error) {
+	end := s.clock.Now() + confirmWait
+	for {
+		if err := s.leads(); err != nil {
+			return 0, fault.Pass(err, "confirm")
+		}
+		now := s.clock.Now()
+		commit, ok := s.core.Confirmed(now)
+		if ok {
+			return commit, nil
+		}
+		if now >= end || s.hand != nil || s.group.Context().Err() != nil {
+			return 0, fault.New(fault.Unavailable, "the lead cannot be confirmed now")
+		}
+		s.mu.Unlock()
+		s.rest(s.group.Context(), tick)
+		s.mu.Lock()
 	}
-	return commit, nil
 }
 
 // Await waits until the live state is at index or past it. Fault: Timeout.
--- a/internal/store/send.go
+++ b/internal/store/send.go
@@ -11,9 +11,10 @@
 	peerMessages = 4096     // a peer's backlog; the oldest fall
 	peerBytes    = 32 << 20 // likewise
 	callBytes    = 8 << 20  // of one call, about
+	flights      = 8        // calls to a peer that may be under way at once, over a slow way
 )
 
-// peer is the way to another member: its pending messages go as one call at a time.
+// peer is the way to another member: its pending messages go as one call, one call after the other, see post.
 type peer struct {
 	addr    string
 	backlog []quorum.Message
@@ -104,6 +105,7 @@
 }
 
 func (s *Store) sender(ctx context.Context, p *peer) {
+	slots := make(chan struct{}, flights)
 	for {
 		select {
 		case <-ctx.Done():
@@ -115,13 +117,11 @@
 		more := len(p.backlog) > 0
 		broken := s.broken
 		s.mu.Unlock()
-		n := len(batch)
-		if n == 0 || broken {
+		if len(batch) == 0 || broken {
 			continue
 		}
-		// A fault costs these messages only; the core makes up for what is lost.
-		if err := s.opt.Net.Quorum(ctx, p.addr, pair.QuorumCall{From: s.set.Addr, Messages: batch}); err != nil {
-			s.meter.dropped.Add(float64(n))
+		if !s.post(ctx, p, batch, slots) {
+			return
 		}
 		if more {
 			nudge(p.kick)
@@ -129,6 +129,33 @@
 	}
 }
 
+// post sends one call and waits until it is answered, or a heartbeat long: over a way that takes longer than that,
+// calls follow one another without waiting, up to the number of slots, so that the leader's lease does not hang
+// on a whole turn for each. The core bears messages that overtake one another. false: ctx has ended.
+func (s *Store) post(ctx context.Context, p *peer, batch []quorum.Message, slots chan struct{}) bool {
+	select {
+	case slots <- struct{}{}:
+	case <-ctx.Done():
+		return false
+	}
+	done, late := make(chan struct{}), make(chan struct{})
+	s.group.Go(func(context.Context) {
+		defer func() { <-slots; close(done) }()
+		// A fault costs these messages only; the core makes up for what is lost.
+		if err := s.opt.Net.Quorum(ctx, p.addr, pair.QuorumCall{From: s.set.Addr, Messages: batch}); err != nil {
+			s.meter.dropped.Add(float64(len(batch)))
+		}
+	})
+	defer s.clock.Set(s.set.Heartbeat, func() { close(late) }).Stop()
+	select {
+	case <-done:
+	case <-late:
+	case <-ctx.Done():
+		return false
+	}
+	return true
+}
+
 // Step takes in messages of another member. From of the call is the sender's address, by which a node that has
 // no members yet can answer.
 func (s *Store) Step(call pair.QuorumCall) {
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -384,6 +384,35 @@
 	})
 }
 
+func TestSuccessor(t *testing.T) {
+	within(t, 40, func(r *rig) {
+		r.load("a", 100)
+		lead := r.leader()
+		gone := r.follower(lead).set.Name
+		r.kill(gone)
+		r.disks["c9"] = slot.NewMemDisk()
+		r.start("c9")
+		fresh := r.nodes["c9"]
+		var err error
+		r.until("the leader turns a stranger away", func() bool {
+			_, err = lead.Join(context.Background(), pair.JoinCall{ID: fresh.id, Name: "c9", Addr: "c9"})
+			return fault.Is(err, fault.Forbidden)
+		})
+		So(err.Error(), ShouldContainSubstring, "cplane member replace OLD c9")
+		r.call(func(ctx context.Context) {
+			_, err = lead.Order(ctx, &command.Succeed{Order: "o", Old: gone, New: "c9"})
+		})
+		So(err, ShouldBeNil)
+		r.until("the successor is a voter", func() bool { return fresh.Status().Quorum.Voter })
+		r.until("the old member is out", func() bool { return len(lead.Status().Quorum.Members) == 3 })
+		So(slices.ContainsFunc(lead.Status().Quorum.Members, func(m quorum.Member) bool { return m.ID == gone }), ShouldBeFalse)
+
+		// It carries a majority with the one other that is left.
+		r.kill(lead.set.Name)
+		So(r.load("b", 50), ShouldBeEmpty)
+	})
+}
+
 func TestFailedSync(t *testing.T) {
 	within(t, 40, func(r *rig) {
 		lead := r.leader()
