--- a/internal/store/propose.go
+++ b/internal/store/propose.go
@@ -177,7 +177,8 @@
 func (s *Store) Confirm() (uint64, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.confirm()
+	index, err := s.confirm()
+	return index, fault.Pass(err, "index")
 }
 
 // confirm is called under the lock, which it lets go while it waits.
