--- /dev/null
+++ b/internal/follow/follow_test.go
@@ -0,0 +1,157 @@
+package follow
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	. "github.com/smartystreets/goconvey/convey"
+
+	"crosstide/internal/fault"
+	"crosstide/internal/pair"
+	"crosstide/internal/quorum"
+	"crosstide/internal/state"
+	"crosstide/internal/state/command"
+)
+
+// history is a store's log of n entries with the state at each.
+type history struct {
+	log    []quorum.Entry // from index 2 on
+	states [][]byte       // encoded, by index
+}
+
+func newHistory(n int) history {
+	s := state.New()
+	s.Index, s.Term = 1, 1 // the founding
+	first, err := s.Encode()
+	So(err, ShouldBeNil)
+	h := history{states: [][]byte{nil, first}}
+	for i := 2; i < n+2; i++ {
+		data, err := command.Encode(time.Unix(int64(i), 0), &command.Announce{Minion: state.Minion{Name: fmt.Sprint("m", i), Addr: "a"}})
+		So(err, ShouldBeNil)
+		_, err = command.Apply(s, uint64(i), 1, data)
+		So(err, ShouldBeNil)
+		h.log = append(h.log, quorum.Entry{Term: 1, Index: uint64(i), Data: data})
+		body, err := s.Encode()
+		So(err, ShouldBeNil)
+		h.states = append(h.states, body)
+	}
+	return h
+}
+
+// begin gives a replica at the founding's snapshot.
+func (h history) begin() *Replica {
+	r := New(nil, nil)
+	f := &fake{body: h.states[1], number: 1, size: 1 << 20}
+	f.answers = []pair.Lack{{Snapshot: f.snapshot(1)}}
+	So(r.Pull(context.Background(), f, "d", 0), ShouldBeNil)
+	return r
+}
+
+func (h history) changes(from, to uint64) []quorum.Entry { return h.log[from-2 : to-1] }
+
+// fake answers what the test lays out: the answers in turn, chunks of a body with a fault before some.
+type fake struct {
+	answers []pair.Lack
+	body    []byte
+	number  uint64
+	faults  int // of the next chunks
+	size    int // of a chunk
+	asked   []uint64
+}
+
+func (f *fake) Follow(_ context.Context, call pair.FollowCall) (pair.FollowAnswer, error) {
+	f.asked = append(f.asked, call.Vector[Store])
+	a := f.answers[0]
+	f.answers = f.answers[1:]
+	return pair.FollowAnswer{Lacks: map[string]pair.Lack{Store: a}}, nil
+}
+
+func (f *fake) Chunk(_ context.Context, call pair.ChunkCall) (pair.ChunkAnswer, error) {
+	if f.faults > 0 {
+		f.faults--
+		return pair.ChunkAnswer{}, fault.New(fault.Unavailable, "cut")
+	}
+	end := min(int(call.From)+f.size, len(f.body))
+	return pair.ChunkAnswer{Snapshot: pair.Snapshot{Number: f.number, Size: int64(len(f.body))}, Data: f.body[call.From:end], Sum: xxhash.Sum64(f.body)}, nil
+}
+
+func (f *fake) snapshot(index uint64) *pair.Snapshot {
+	return &pair.Snapshot{Number: f.number, Index: index, Term: 1, Size: int64(len(f.body))}
+}
+
+func TestPulls(t *testing.T) {
+	Convey("whatever order answers come in, the replica never goes back and never skips a change", t, func() {
+		h := newHistory(6)
+		answers := [][]quorum.Entry{h.changes(2, 4), h.changes(2, 3), h.changes(4, 5), h.changes(6, 7), nil}
+		orders, whole := 0, 0
+		var walk func(seq []int, used int)
+		walk = func(seq []int, used int) {
+			if len(seq) == len(answers) {
+				r := h.begin()
+				core := &fake{}
+				for _, i := range seq {
+					before := r.Index()
+					core.answers = append(core.answers, pair.Lack{Changes: answers[i]})
+					err := r.Pull(context.Background(), core, "d", 0)
+					if err != nil && !fault.Is(err, fault.Stale) {
+						panic(err)
+					}
+					at := r.Index()
+					body, bad := r.Lock().Encode()
+					r.Unlock()
+					if bad != nil || at < before || at > 0 && string(body) != string(h.states[at]) {
+						panic(fmt.Sprintf("order %v: at %d after %d, not the state of the log", seq, at, before))
+					}
+				}
+				if at := r.Index(); at == 7 {
+					whole++
+				}
+				orders++
+				return
+			}
+			for i := range answers {
+				if used&(1<<i) == 0 {
+					walk(append(seq[:len(seq):len(seq)], i), used|1<<i)
+				}
+			}
+		}
+		walk(nil, 0)
+		So(orders, ShouldEqual, 120)
+		So(whole, ShouldBeGreaterThan, 0)
+	})
+	Convey("a snapshot comes in parts, a cut costs a part, and what follows is applied to it", t, func() {
+		h := newHistory(6)
+		for _, cuts := range []int{0, 1, 5} {
+			core := &fake{body: h.states[5], number: 3, size: 100, faults: cuts}
+			core.answers = []pair.Lack{{Snapshot: core.snapshot(5), Changes: h.changes(5, 7)}}
+			resets := 0
+			r := New(nil, func(*state.State) { resets++ })
+			So(r.Pull(context.Background(), core, "d", 0), ShouldBeNil)
+			So(r.Index(), ShouldEqual, 7)
+			So(resets, ShouldEqual, 1)
+			body, err := r.Lock().Encode()
+			r.Unlock()
+			So(err, ShouldBeNil)
+			So(string(body), ShouldEqual, string(h.states[7]))
+		}
+		Convey("too many cuts, a spoilt body or an older snapshot leave the replica as it was", func() {
+			for _, spoil := range []func(f *fake){
+				func(f *fake) { f.faults = 6 },
+				func(f *fake) { f.body = append([]byte("x"), f.body[1:]...) },
+				func(f *fake) { f.body = h.states[3] },
+			} {
+				r := h.begin()
+				first := &fake{answers: []pair.Lack{{Changes: h.changes(2, 4)}}}
+				So(r.Pull(context.Background(), first, "d", 0), ShouldBeNil)
+				core := &fake{body: h.states[5], number: 3, size: 1 << 20}
+				spoil(core)
+				core.answers = []pair.Lack{{Snapshot: core.snapshot(5)}}
+				So(r.Pull(context.Background(), core, "d", 0), ShouldNotBeNil)
+				So(r.Index(), ShouldEqual, 4)
+			}
+		})
+	})
+}
