Let a listed end go before a lapse that is not committed yet

Cause: once a holder had put the proof of a lapse into a plan, it passed over a listed end of that run; if that plan got no answer, the proof was sent again without the end, and a task that had ended well ran again. Ruled out: the store (in one plan, ends count before proofs). Change: an end that tells how the run went is put into the next plan beside a proof that may not be committed; if the proof was committed, the end meets no handle.

--- a/internal/sched/again_test.go
+++ b/internal/sched/again_test.go
@@ -110,3 +110,24 @@
 		}
 	})
 }
+
+func TestEndAfterProof(t *testing.T) {
+	Convey("An end that is heard while the proof of a lapse is not committed yet goes before it", t, func() {
+		d := newDesk("check", "m1")
+		d.greet("check")
+		d.submit("j1", state.StepSpec{})
+		o := order(d.settle())
+		d.answer(*o, "check", pair.HoldAnswer{Running: []uint64{1}})
+		d.settle()
+		w := d.wait["m1"]
+		d.core.Fault(d.now, "m1", false, w.Call, true)
+		d.now += 30 * time.Second
+		out := d.core.Pass(d.now)
+		So(out.Plan.Dead, ShouldHaveLength, 1)
+		So(out.Calls, ShouldHaveLength, 1)
+		d.answer(out.Calls[0], "check", pair.HoldAnswer{Ended: []pair.EndNote{{Ticket: 1, How: pair.EndWell}}})
+		d.core.Planned(d.now, out.Plan.Epoch, command.Planned{}, fault.New(fault.Timeout, "lost"))
+		d.settle()
+		So(d.st.Jobs["j1"].Phase, ShouldEqual, state.JobDone)
+	})
+}
--- a/internal/sched/hold.go
+++ b/internal/sched/hold.go
@@ -266,9 +266,11 @@
 			m.acks = append(m.acks, e.Ticket) // its end is durable
 			continue
 		}
-		if r.gone {
-			continue
+		well := e.How == pair.EndWell || e.How == pair.EndFault
+		if r.ended || r.gone && !well {
+			continue // gone by a proof that is not committed yet: a true end still goes before it
 		}
+		r.ended = well
 		switch e.How {
 		case pair.EndWell, pair.EndFault:
 			r.gone = true
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -127,6 +127,7 @@
 	stop   string        // why it is to be stopped; "" if it is not
 	listed bool
 	gone   bool // its end or proof waits in the next plan
+	ended  bool // its end does
 }
 
 // minion is the record of a minion: what its answers tell under this epoch.
@@ -214,7 +215,7 @@
 	c.ends = slices.DeleteFunc(c.ends, func(e command.End) bool {
 		r := c.runs[e.Ticket]
 		if r != nil {
-			r.gone = true
+			r.gone, r.ended = true, true
 		}
 		return r == nil
 	})
