Look at every committed entry's copies, at plans decided out of office and at all hold calls

The oracle looked at the entries of tickets only, as their orders left: it now looks at each entry as it is first shown as committed, counts a plan that is committed under an epoch older than the newest grant, and holds every hold call to the fence. New fault: an island (a zone, or the holder with some minions).

--- a/internal/rig/sim/cplane.go
+++ b/internal/rig/sim/cplane.go
@@ -30,6 +30,11 @@
 	terms map[uint64]uint64
 	top   uint64
 
+	// what a folder had that was lost since
+	wiped string
+	had   map[uint64]uint64
+	hadTo uint64
+
 	waits   []*proposal
 	follows []*follower
 	role    string
@@ -206,6 +211,7 @@
 		return
 	}
 	c.hand.Pass()
+	s.oracle.committed(c) // before Shade lets go of it
 	for _, p := range c.hand.Out() {
 		to := s.byAddr[p.Addr]
 		if to == nil || to == c.proc {
@@ -261,7 +267,6 @@
 			s.broke("log", "%s refused %d messages that contradict what is committed", c.addr, st.Refused)
 		}
 	}
-	s.oracle.committed(c)
 }
 
 // synced ends a sync.
@@ -331,6 +336,7 @@
 
 // propose is the answer to pair.Propose.
 func (c *cplane) propose(cmd command.Command, done func(index uint64, answer any, err error)) {
+	first := cmd
 	if p, ok := cmd.(*command.Plan); ok && c.s.opt.Break == "epoch" {
 		if d := c.hand.State().Duties["sched"]; d != nil {
 			next := *p
@@ -338,6 +344,15 @@
 			cmd = &next
 		}
 	}
+	if p, ok := first.(*command.Plan); ok {
+		epoch, then := p.Epoch, done
+		done = func(index uint64, answer any, err error) {
+			if err == nil {
+				c.s.oracle.planned(epoch, index)
+			}
+			then(index, answer, err)
+		}
+	}
 	p, err := c.hand.Propose(cmd)
 	if err != nil {
 		done(0, nil, err)
--- a/internal/rig/sim/dplane.go
+++ b/internal/rig/sim/dplane.go
@@ -297,6 +297,7 @@
 	}
 	d.s.tell("%s plans under epoch %d: to %d, %d reports, running %v, doubt %v, ends %v, dead %v, %d starts", d.addr, plan.Epoch, plan.Seq,
 		len(plan.Minions), plan.Running, plan.Doubt, plan.Ends, plan.Dead, len(plan.Starts))
+	d.s.oracle.decided(d, plan)
 	d.propose(plan, false, 0, func(index uint64, answer json.RawMessage, err error) {
 		if err != nil {
 			failed(err)
@@ -327,9 +328,7 @@
 		fail(nil, false)
 		return
 	}
-	if len(c.Call.Starts) > 0 {
-		s.oracle.written(d, c)
-	}
+	s.oracle.written(d, c)
 	s.ask(ask{from: d.proc, addr: c.Addr, within: c.Call.Wait + callTimeout/2, keep: sched.Defaults().LeaseMargin / 2,
 		serve: func(to *proc, reply func(any, error)) { s.minionAt(to).hold(c.Call, reply) },
 		back: func(a any, err error, sent bool) {
--- a/internal/rig/sim/each.go
+++ b/internal/rig/sim/each.go
@@ -101,7 +101,7 @@
 }
 
 // Promises are the names that the oracle uses.
-var Promises = []string{"once at a time", "not after it ended well", "newer ticket", "fence", "rebuilt", "durable", "ordered once",
+var Promises = []string{"once at a time", "not after it ended well", "newer ticket", "fence", "decided in office", "rebuilt", "durable", "ordered once",
 	"not late", "cancelled starts nothing", "known", "done", "not idle beside room", "draining", "evacuated", "fits", "order once",
 	"same log", "same state", "all ends"}
 
@@ -109,4 +109,4 @@
 var made = map[string]string{"net": "lose", "kill": "kill", "power": "power", "blackout": "blackout", "wipe": "wipe", "sync": "sync failed",
 	"slow": "slow", "freeze": "freeze", "holder": "holder", "dkill": "dkill", "leave": "leave", "split": "split", "oneway": "oneway",
 	"cut": "cut", "stall": "stall", "boot": "boot", "late": "late order", "lost": "lost at the minion", "drain": "drain", "zone": "zone",
-	"cancel": "cancel"}
+	"cancel": "cancel", "island": "island"}
--- a/internal/rig/sim/faults.go
+++ b/internal/rig/sim/faults.go
@@ -22,10 +22,11 @@
 	"leave",    // a dplane is told to end
 	"split",    // the machines fall into two sets
 	"oneway",   // bytes go one way only
+	"island",   // a zone, or the holder of sched with some minions, is cut off from the rest
 	"cut",      // one machine is cut off
 	"stall",    // a minion stands still and wakes
 	"boot",     // a minion ends and comes back under a new boot
-	"late",     // obeying minions carry orders out late
+	"late",     // minions carry orders out late
 	"lost",     // minions lose answers
 	"drain",    // a minion drains for a while
 	"zone",     // operators evacuate a zone and lift it
@@ -63,7 +64,7 @@
 		s.net.cross = s.rnd.Float64() * 0.005
 	}
 	for _, m := range s.minions {
-		if f.on["late"] && m.kind == "obey" {
+		if f.on["late"] {
 			m.late = s.rnd.Float64() * 0.3
 		}
 		if f.on["lost"] {
@@ -150,6 +151,9 @@
 		count(c.proc, name)
 		f.wiped = c
 		c.crash(false)
+		if c.hand.Core() != nil {
+			c.wiped, c.had, c.hadTo = c.hand.Core().Status().ID, c.terms, c.floor
+		}
 		c.disk = slot.NewMemDisk()
 		c.floor, c.top, c.terms = 0, 0, nil
 		s.on(s.between(10*time.Millisecond, 3*time.Second), c.up)
@@ -203,6 +207,18 @@
 		s.report.Faults[name]++
 		s.tell("fault %s %s", name, names(side))
 		f.cut(side, name == "split")
+	case "island":
+		z, half := zone(s.rnd.IntN(3)), s.chance(0.5)
+		var side []*proc
+		for _, p := range s.procs {
+			d, m := s.dplaneAt(p), s.minionAt(p)
+			if half && (d != nil && d.alive && d.sched.Live(d.Now()) || m != nil && s.chance(0.5)) || !half && p.zone == z {
+				side = append(side, p)
+			}
+		}
+		s.report.Faults[name]++
+		s.tell("fault island %s", names(side))
+		f.cut(side, true)
 	case "cut":
 		p := pick(s, s.procs)
 		if p != s.people.proc {
--- a/internal/rig/sim/oracle.go
+++ b/internal/rig/sim/oracle.go
@@ -153,6 +153,10 @@
 		return
 	}
 	o.log = append(o.log, r)
+	s.held("durable")
+	if !o.durable(e.Index, e.Term) {
+		s.broke("durable", "%s shows entry %d of term %d as committed, which is not on a majority of disks", c.addr, e.Index, e.Term)
+	}
 	if e.Kind == quorum.Members {
 		ms, err := quorum.DecodeMembers(e)
 		must(err)
@@ -192,11 +196,14 @@
 	have := map[string]bool{}
 	sets := [][]quorum.Member{o.members}
 	for _, c := range o.s.cplanes {
+		if c.wiped != "" { // it may have said that it has it before it lost it
+			have[c.wiped] = have[c.wiped] || index <= c.hadTo || c.had[index] == term
+		}
 		if c.hand == nil || c.hand.Core() == nil {
 			continue
 		}
 		st := c.hand.Core().Status()
-		have[st.ID] = c.has(index, term)
+		have[st.ID] = have[st.ID] || c.has(index, term)
 		sets = append(sets, st.Members)
 	}
 	for _, set := range sets {
@@ -216,26 +223,49 @@
 	return false
 }
 
-// written takes in that a call with start orders leaves a dplane.
+// newest is the last epoch granted at or before an index of the log.
+func (o *oracle) newest(index uint64) (epoch uint64) {
+	for _, g := range o.grants {
+		if g <= index {
+			epoch = g
+		}
+	}
+	return epoch
+}
+
+// planned takes in that a plan decided under an epoch was committed and counted.
+func (o *oracle) planned(epoch, index uint64) {
+	o.s.held("decided in office")
+	if now := o.newest(index); now != epoch {
+		o.s.broke("decided in office", "a plan of epoch %d counts at %d, where %d was granted", epoch, index, now)
+	}
+}
+
+// decided takes in that a holder makes a plan.
+func (o *oracle) decided(d *dplane, p *command.Plan) {
+	if len(p.Starts) == 0 {
+		return
+	}
+	o.s.held("rebuilt")
+	if d.state().Index < p.Epoch {
+		o.s.broke("rebuilt", "%s decides starts under epoch %d with its replica at %d", d.addr, p.Epoch, d.state().Index)
+	}
+	if h := len(d.state().Handles); h > 0 && d.sched.Epoch() == p.Epoch {
+		o.rebuilt(d)
+	}
+}
+
+// written takes in that a hold call leaves a dplane.
 func (o *oracle) written(d *dplane, c sched.CallOut) {
 	s := o.s
-	newest := uint64(0)
-	if n := len(o.grants); n > 0 {
-		newest = o.grants[n-1]
-	}
 	s.held("fence")
-	if c.Call.Epoch < newest {
-		s.broke("fence", "%s writes start orders under epoch %d, %d was granted", d.addr, c.Call.Epoch, newest)
-	}
-	s.held("rebuilt")
-	if d.state().Index < c.Call.Epoch {
-		s.broke("rebuilt", "%s releases under epoch %d with its replica at %d", d.addr, c.Call.Epoch, d.state().Index)
+	if now := o.newest(o.ref.Index); c.Call.Epoch < now {
+		s.broke("fence", "%s writes to %s under epoch %d, %d was granted", d.addr, c.Minion, c.Call.Epoch, now)
 	}
 	for _, st := range c.Call.Starts {
 		t := o.tickets[st.Ticket]
-		s.held("durable")
-		if t == nil || !o.durable(t.index, t.term) {
-			s.broke("durable", "the order of ticket %d leaves %s before it is on a majority of disks", st.Ticket, d.addr)
+		if t == nil {
+			s.broke("durable", "the order of ticket %d leaves %s before it is committed", st.Ticket, d.addr)
 			return
 		}
 		s.held("ordered once")
@@ -415,7 +445,7 @@
 	want := d.state().Tallies()
 	for kind, n := range want {
 		if got := d.sched.Tally(kind); got != n {
-			o.s.broke("rebuilt", "%s takes sched up with a tally of %d for %s, %d handles are out", d.addr, got, kind, n)
+			o.s.broke("rebuilt", "%s has a tally of %d for %s, %d handles are out", d.addr, got, kind, n)
 		}
 	}
 }
