Judge what is missing by the minion's own clock, and let no older boot come back

(2) Answers cross between the two lines; a newer call's answer made under the older boot, taken in after one of the new boot, brought the old boot back, and runs of the new one were let go. Ruled out: the floor itself (it is raised after the fault of the order only, so an answer that has it is newer than that). Change: missing since, and until, readings of the minion's clock under one boot; boots that were over are remembered. Before: both new tests fail. After: they pass; no test was changed. Conclusion: two ways to start a task twice are closed; both need an answer that is under way for a second or more.

--- a/internal/sched/hold.go
+++ b/internal/sched/hold.go
@@ -234,6 +234,17 @@
 		c.endings(now, m, a.Ended)
 		return
 	}
+	if m.past[a.Boot] { // made before one that was taken in, although its call is newer
+		c.Counts.Crossed++
+		c.endings(now, m, a.Ended)
+		return
+	}
+	if m.boot != "" && m.boot != a.Boot {
+		if m.past == nil {
+			m.past = map[string]bool{}
+		}
+		m.past[m.boot] = true
+	}
 	m.taken = call.Call
 	m.faults = 0
 	m.boot, m.kind, m.drain = a.Boot, a.Kind, a.Draining
@@ -328,11 +339,12 @@
 			if c.old > 0 && now < c.since+c.cfg.StartWindow { // an order of before, under this epoch, may not have left yet
 				continue
 			}
-			if r.absent == 0 {
-				r.absent = now
+			if r.absent == 0 || r.missed != a.Boot {
+				r.absent, r.missed = max(a.Clock, 1), a.Boot
 				c.doubt(r)
 			}
-			if now-r.absent < c.cfg.Lateness {
+			// By the minion's clock: the answer may have been under way for long, and tells of when it was made.
+			if drift(a.Clock-r.absent) < c.cfg.Lateness {
 				continue
 			}
 		}
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -123,7 +123,8 @@
 	mine   bool          // its ticket was given under this epoch
 	until  time.Duration // the latest hold that may have been told, in the minion's clock; 0: unknown
 	boot   string        // the boot whose clock until is of
-	absent time.Duration // obeying minion: when it was first found missing at or below the floor
+	absent time.Duration // obeying minion: its clock when it was first found missing at or below the floor
+	missed string        // under this boot
 	stop   string        // why it is to be stopped; "" if it is not
 	listed bool
 	gone   bool // its end or proof waits in the next plan
@@ -134,6 +135,7 @@
 type minion struct {
 	name    string
 	boot    string
+	past    map[string]bool // boots before it
 	kind    string
 	drain   bool
 	heard   time.Duration // when the newest answer came; 0: not under this epoch
