--- a/internal/rig/scale/plot.go
+++ b/internal/rig/scale/plot.go
@@ -2,6 +2,7 @@
 
 import (
 	"os"
+	"strings"
 
 	"gonum.org/v1/plot"
 	"gonum.org/v1/plot/plotter"
@@ -24,7 +25,7 @@
 		return fault.New(fault.Invalid, "nothing to draw")
 	}
 	idle := func(r Row) bool { return r.Offered == 0 && r.Running == 0 }
-	loaded := func(r Row) bool { return r.Minions == most && r.Offered > 0 }
+	loaded := func(r Row) bool { return r.Minions == most && r.Offered > 0 && !strings.HasPrefix(r.Note, fillNote) }
 	size := func(r Row) float64 { return float64(r.Minions) }
 	rate := func(r Row) float64 { return r.Starts }
 	var tiles [][]*plot.Plot
--- a/internal/rig/scale/run.go
+++ b/internal/rig/scale/run.go
@@ -12,6 +12,9 @@
 	"crosstide/internal/state"
 )
 
+// fillNote begins the note of the burst that puts the long tasks out: no steady step.
+const fillNote = "fill: "
+
 // Plan is what a fleet is measured under.
 type Plan struct {
 	Dir     string
@@ -75,7 +78,7 @@
 			return nil, fault.Pass(err, "fill")
 		}
 	}
-	step.Note = fmt.Sprintf("fill: %.0f of %d out after %.1f s", out(snap), plan.Running, (snap.At - from.At).Seconds())
+	step.Note = fmt.Sprintf(fillNote+"%.0f of %d out after %.1f s", out(snap), plan.Running, (snap.At - from.At).Seconds())
 	rows, err := Rows(from, snap, step)
 	return rows, fault.Pass(err, "fill")
 }
