Give an obeying minion's run a short first hold

Ruled out: an order that left late (it left in time); Void (such minions do not look at it). Change: the first hold of an obeying minion's run is the bound on its lateness, 2 s; the first answer that lists the run renews it to the full hold. Conclusion: a run whose order's answer is lost may lapse 2 s later and is done again.

--- a/internal/sched/hold.go
+++ b/internal/sched/hold.go
@@ -103,6 +103,17 @@
 // holdOf is how long a run goes on unheard: as its charter had it when the ticket was given.
 func (c *Core) holdOf(r *run) time.Duration { return cmp.Or(r.h.Hold, c.cfg.Hold) }
 
+// firstHold is the hold that a start order brings. A minion that starts whatever it is told looks at nothing else of
+// an order but its hold: one that stood still with the order unread must not carry it out long after its job was
+// cancelled or its zone evacuated. So its first hold is no longer than the bound on its lateness; the first answer
+// that lists the run renews it in full. Others look at Void.
+func (c *Core) firstHold(m *minion, r *run) time.Duration {
+	if m.kind == "obey" && c.cfg.Lateness > 0 {
+		return min(c.holdOf(r), c.cfg.Lateness)
+	}
+	return c.holdOf(r)
+}
+
 // orderCall makes a call with all the starts of the outbox, in ticket order.
 func (c *Core) orderCall(now time.Duration, m *minion, rec *state.Minion) CallOut {
 	call := c.call(now, m)
@@ -118,7 +129,7 @@
 			continue
 		}
 		step := &j.Spec.Steps[r.h.Ref.Step]
-		until := m.clockAt(now) + c.holdOf(r)
+		until := m.clockAt(now) + c.firstHold(m, r)
 		r.call, r.flying, r.until, r.boot = call.Call, true, until, m.boot
 		call.Starts = append(call.Starts, pair.StartOrder{Ticket: t, Job: r.h.Ref.Job, Step: step.Name, Task: r.h.Ref.Task,
 			Type: step.Type, Queue: j.Spec.Queue, Cores: step.Cores, GPUs: step.GPUs, Labels: step.Labels, Run: step.Run,
--- a/internal/sched/sched_test.go
+++ b/internal/sched/sched_test.go
@@ -377,3 +377,21 @@
 		})
 	})
 }
+
+func TestFirstHold(t *testing.T) {
+	Convey("the first hold of an obeying minion's run is short, and is renewed in full when the run is listed", t, func() {
+		cfg := Defaults()
+		for kind, first := range map[string]time.Duration{"check": cfg.Hold, "obey": cfg.Lateness} {
+			d := newDesk(kind, "m1")
+			d.greet(kind)
+			d.submit("j", state.StepSpec{})
+			o := order(d.settle())
+			So(o.Call.Starts[0].Until-d.now, ShouldEqual, first)
+			d.answer(*o, kind, pair.HoldAnswer{Running: []uint64{1}})
+			d.settle()
+			d.reply(kind, "", pair.HoldAnswer{Running: []uint64{1}})
+			d.settle()
+			So(d.core.runs[1].until-d.now, ShouldEqual, cfg.Hold)
+		}
+	})
+}
