--- a/internal/rig/sim/each.go
+++ b/internal/rig/sim/each.go
@@ -103,7 +103,7 @@
 // Promises are the names that the oracle uses.
 var Promises = []string{"once at a time", "not after it ended well", "newer ticket", "fence", "decided in office", "rebuilt", "durable", "ordered once",
 	"not late", "cancelled starts nothing", "known", "done", "not idle beside room", "draining", "evacuated", "fits", "order once",
-	"same log", "same state", "all ends"}
+	"same log", "same state", "all ends", "linear"}
 
 // made tells under which name a fault is counted.
 var made = map[string]string{"net": "lose", "kill": "kill", "power": "power", "blackout": "blackout", "wipe": "wipe", "sync": "sync failed",
--- a/internal/rig/sim/people.go
+++ b/internal/rig/sim/people.go
@@ -20,6 +20,7 @@
 	op   *dplane // only its way to the leader
 	out  map[string]bool
 	acts int
+	seen linear
 }
 
 // job is what its consumer knows.
@@ -90,11 +91,13 @@
 	s := p.s
 	d := p.at()
 	cmd := &command.Submit{Spec: j.spec, Digest: "d-" + j.spec.Key, Bound: 10000}
+	m := p.seen.called(s.now, j.spec.Key, actSubmit, cmd.Digest)
 	s.ask(ask{from: p.proc, addr: d.addr, within: 3 * time.Second, keep: 3 * time.Second, twice: true,
 		serve: func(_ *proc, reply func(any, error)) {
 			d.propose(cmd, true, d.Now()+3*time.Second, func(_ uint64, a json.RawMessage, err error) { reply(a, err) })
 		},
-		back: func(_ any, err error, _ bool) {
+		back: func(a any, err error, _ bool) {
+			m.told(s.now, a, err)
 			if err != nil {
 				if try > 20 && !s.calm {
 					j.gave = true
@@ -122,11 +125,13 @@
 	s := p.s
 	j.wanted = true
 	d := p.at()
+	m := p.seen.called(s.now, j.spec.Key, actCancel, "")
 	s.ask(ask{from: p.proc, addr: d.addr, within: 3 * time.Second, keep: 3 * time.Second, twice: true,
 		serve: func(_ *proc, reply func(any, error)) {
 			d.propose(&command.Cancel{Key: j.spec.Key}, true, d.Now()+3*time.Second, func(_ uint64, a json.RawMessage, err error) { reply(a, err) })
 		},
 		back: func(a any, err error, _ bool) {
+			m.told(s.now, a, err)
 			if err != nil {
 				if fault.Is(err, fault.Unknown) {
 					s.broke("known", "cancel of %s, accepted at %v: %v", j.spec.Key, j.accepted, err)
@@ -148,17 +153,20 @@
 func (p *people) poll(j *job) {
 	s := p.s
 	d := p.at()
+	m := p.seen.called(s.now, j.spec.Key, actPoll, "")
 	s.ask(ask{from: p.proc, addr: d.addr, within: 3 * time.Second, keep: 3 * time.Second, twice: true,
 		serve: func(_ *proc, reply func(any, error)) {
 			d.read(j.spec.Key, func(v query.JobView, err error) { reply(v, err) })
 		},
 		back: func(a any, err error, _ bool) {
 			if fault.Is(err, fault.Unknown) {
+				m.seen(s.now, ansUnknown, "")
 				s.broke("known", "%s, accepted at %v, is unknown at %s", j.spec.Key, j.accepted, d.addr)
 			}
 			if err == nil {
 				s.held("known")
 				v := a.(query.JobView)
+				m.seen(s.now, ansPhase, v.State)
 				if j.over != "" && v.State != j.over {
 					s.broke("done", "%s was %s, now it is %s", j.spec.Key, j.over, v.State)
 				}
--- a/internal/rig/sim/sim.go
+++ b/internal/rig/sim/sim.go
@@ -126,6 +126,7 @@
 	}
 	if s.report.Breach == nil {
 		s.oracle.end()
+		s.people.seen.judge(s)
 	}
 	s.report.Virtual, s.report.Trace = s.now, s.hash.Sum64()
 	return s.report
--- a/internal/rig/sim/sim_test.go
+++ b/internal/rig/sim/sim_test.go
@@ -16,6 +16,7 @@
 		}
 		So(sum.Broken, ShouldEqual, 0)
 		So(sum.Promise["once at a time"], ShouldBeGreaterThan, 200)
+		So(sum.Promise["linear"], ShouldBeGreaterThan, 200)
 	})
 }
 
