Share the daemons' command line: run, check and version over typed settings

Cause: cplane and dplane had the same 60 lines of loading, overriding and running each. Change: daemon.Program, generic over the settings; flags and texts as before. Measured: three mistakes of a settings file told at once as before, exit 1. Conclusion: one piece serves both.

--- a/cmd/cplane/main.go
+++ b/cmd/cplane/main.go
@@ -13,28 +13,10 @@
 var version = "dev"
 
 func main() {
-	settings := &cli.StringFlag{Name: "settings", Usage: "settings `FILE`", Required: true}
 	app := &cli.Command{
-		Name:  "cplane",
-		Usage: "a member of the control store",
-		Commands: []*cli.Command{
-			{
-				Name: "run", Usage: "run until SIGTERM", Action: run,
-				Flags: []cli.Flag{settings,
-					&cli.StringFlag{Name: "addr", Usage: "`IP:PORT` to listen at, over the settings"},
-					&cli.StringFlag{Name: "data", Usage: "`FOLDER` of the store, over the settings"},
-					&cli.StringFlag{Name: "zone", Usage: "over the settings"},
-					&cli.StringFlag{Name: "log-level", Usage: "debug, info, warn or error, over the settings"},
-					&cli.BoolFlag{Name: "pprof", Usage: "show profiles at /debug/pprof/"},
-					&cli.DurationFlag{Name: "grace", Usage: "for running calls at the end, over the settings"},
-				},
-			},
-			{Name: "check", Usage: "print all mistakes in the settings; exit 1 if there are any", Action: check, Flags: []cli.Flag{settings}},
-			{Name: "version", Usage: "print the version", Action: func(context.Context, *cli.Command) error {
-				fmt.Println(version)
-				return nil
-			}},
-		},
+		Name:     "cplane",
+		Usage:    "a member of the control store",
+		Commands: program().Commands(),
 	}
 	app.Commands = append(app.Commands, codes(append(bundleCommands(),
 		&cli.Command{Name: "who", Usage: "print who holds what", Action: who, Flags: append(addrFlags(), jsonFlag())},
--- a/cmd/cplane/run.go
+++ b/cmd/cplane/run.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"os"
 	"path/filepath"
 	"slices"
@@ -24,45 +23,14 @@
 	"crosstide/internal/wire"
 )
 
-// load reads the settings with the flags over them.
-func load(cmd *cli.Command) (conf.Cplane, error) {
-	set, err := conf.LoadCplane(cmd.String("settings"))
-	if err != nil {
-		return set, fault.Pass(err, "settings")
-	}
-	for name, to := range map[string]*string{"addr": &set.Addr, "data": &set.Data, "zone": &set.Zone, "log-level": &set.LogLevel} {
-		if cmd.IsSet(name) {
-			*to = cmd.String(name)
-		}
+// program is the daemon's own part of the command line.
+func program() daemon.Program[conf.Cplane] {
+	return daemon.Program[conf.Cplane]{
+		Version: version, Load: conf.LoadCplane, Check: conf.CheckCplane, Serve: serve,
+		Common: func(set *conf.Cplane) *conf.Common { return &set.Common },
+		Words:  map[string]func(*conf.Cplane) *string{"data": func(set *conf.Cplane) *string { return &set.Data }},
+		Flags:  []cli.Flag{&cli.StringFlag{Name: "data", Usage: "`FOLDER` of the store, over the settings"}},
 	}
-	if cmd.IsSet("grace") {
-		set.Grace = cmd.Duration("grace")
-	}
-	return set, fault.Pass(conf.CheckCplane(set), "settings with flags")
-}
-
-func check(_ context.Context, cmd *cli.Command) error {
-	if _, err := conf.LoadCplane(cmd.String("settings")); err != nil {
-		return fault.Pass(err, "check") // its text lists all mistakes
-	}
-	fmt.Println("ok")
-	return nil
-}
-
-func run(ctx context.Context, cmd *cli.Command) error {
-	set, err := load(cmd)
-	if err != nil {
-		return fault.Pass(err, "run")
-	}
-	logger := log.With(daemon.Logger(set.LogLevel, os.Stderr), "node", set.Name)
-	ctx, stop := daemon.Signals(ctx)
-	defer stop()
-	if err := serve(ctx, set, cmd.Bool("pprof"), logger); err != nil {
-		_ = level.Error(logger).Log("msg", "end", "err", err)
-		return fault.Pass(err, "run")
-	}
-	_ = level.Info(logger).Log("msg", "end")
-	return nil
 }
 
 func serve(ctx context.Context, set conf.Cplane, profiles bool, logger log.Logger) error {
--- a/cmd/dplane/main.go
+++ b/cmd/dplane/main.go
@@ -30,74 +30,17 @@
 var version = "dev"
 
 func main() {
-	settings := &cli.StringFlag{Name: "settings", Usage: "settings `FILE`", Required: true}
-	app := &cli.Command{
-		Name:  "dplane",
-		Usage: "a front node of crosstide",
-		Commands: append([]*cli.Command{
-			{
-				Name: "run", Usage: "run until SIGTERM", Action: run,
-				Flags: []cli.Flag{settings,
-					&cli.StringFlag{Name: "addr", Usage: "`IP:PORT` to listen at, over the settings"},
-					&cli.StringFlag{Name: "zone", Usage: "over the settings"},
-					&cli.StringFlag{Name: "log-level", Usage: "debug, info, warn or error, over the settings"},
-					&cli.BoolFlag{Name: "pprof", Usage: "show profiles at /debug/pprof/"},
-					&cli.DurationFlag{Name: "grace", Usage: "for running calls at the end, over the settings"},
-				},
-			},
-			{Name: "check", Usage: "print all mistakes in the settings; exit 1 if there are any", Action: check, Flags: []cli.Flag{settings}},
-			{Name: "version", Usage: "print the version", Action: func(context.Context, *cli.Command) error {
-				fmt.Println(version)
-				return nil
-			}},
-		}, jobCommands()...),
+	program := daemon.Program[conf.Dplane]{
+		Version: version, Load: conf.LoadDplane, Check: conf.CheckDplane, Serve: serve,
+		Common: func(set *conf.Dplane) *conf.Common { return &set.Common },
 	}
+	app := &cli.Command{Name: "dplane", Usage: "a front node of crosstide", Commands: append(program.Commands(), jobCommands()...)}
 	if err := app.Run(context.Background(), os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, "dplane:", err)
 		os.Exit(1)
 	}
 }
 
-func load(cmd *cli.Command) (conf.Dplane, error) {
-	set, err := conf.LoadDplane(cmd.String("settings"))
-	if err != nil {
-		return set, fault.Pass(err, "settings")
-	}
-	for name, to := range map[string]*string{"addr": &set.Addr, "zone": &set.Zone, "log-level": &set.LogLevel} {
-		if cmd.IsSet(name) {
-			*to = cmd.String(name)
-		}
-	}
-	if cmd.IsSet("grace") {
-		set.Grace = cmd.Duration("grace")
-	}
-	return set, fault.Pass(conf.CheckDplane(set), "settings with flags")
-}
-
-func check(_ context.Context, cmd *cli.Command) error {
-	if _, err := conf.LoadDplane(cmd.String("settings")); err != nil {
-		return fault.Pass(err, "check") // its text lists all mistakes
-	}
-	fmt.Println("ok")
-	return nil
-}
-
-func run(ctx context.Context, cmd *cli.Command) error {
-	set, err := load(cmd)
-	if err != nil {
-		return fault.Pass(err, "run")
-	}
-	logger := log.With(daemon.Logger(set.LogLevel, os.Stderr), "node", set.Name)
-	ctx, stop := daemon.Signals(ctx)
-	defer stop()
-	if err := serve(ctx, set, cmd.Bool("pprof"), logger); err != nil {
-		_ = level.Error(logger).Log("msg", "end", "err", err)
-		return fault.Pass(err, "run")
-	}
-	_ = level.Info(logger).Log("msg", "end")
-	return nil
-}
-
 func passes(set conf.Dplane) sched.Config {
 	cfg := sched.Defaults()
 	cfg.Hold, cfg.HoldWait, cfg.StartWindow = set.Hold, set.HoldWait, set.StartWindow
