--- a/cmd/drill/churn.go
+++ b/cmd/drill/churn.go
@@ -40,6 +40,7 @@
 			&cli.Uint64Flag{Name: "seed", Value: 1},
 			&cli.DurationFlag{Name: "every", Value: 2 * time.Second, Usage: "from the end of a fault to the next, on average"},
 			&cli.DurationFlag{Name: "changes", Value: 2 * time.Second, Usage: "from a change of bundle to the next, on average; 0: none"},
+			&cli.StringFlag{Name: "script", Usage: "scripts/`fleet`, which starts processes again (default: beside this program's folder)"},
 			&cli.StringSliceFlag{Name: "only", Usage: "kinds of faults: kill, freeze, drain, leave, evacuate, cancel (default: all)"},
 		},
 		Action: churn,
@@ -79,21 +80,17 @@
 func churn(ctx context.Context, cmd *cli.Command) error {
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
-	dir, err := filepath.Abs(cmd.String("fleet"))
-	if err != nil {
-		return fault.Wrap(err, fault.Settings, "fleet")
-	}
-	nodes, err := fleet.Read(dir)
+	set, err := stageOf(cmd)
 	if err != nil {
 		return fault.Pass(err, "churn")
 	}
+	dir := set.dir
 	pen, err := journal.Open(filepath.Join(dir, "journal", "operator-churn.jsonl"))
 	if err != nil {
 		return fault.Pass(err, "churn")
 	}
 	defer pen.Close()
-	c := &churner{stage: stage{dir: dir, script: filepath.Join(filepath.Dir(program("drill")), "..", "scripts", "fleet"), nodes: nodes,
-		caller: fleet.NewCaller(16)}, luck: rand.New(rand.NewPCG(cmd.Uint64("seed"), 7)), pen: pen, done: map[string]int{}}
+	c := &churner{stage: set, luck: rand.New(rand.NewPCG(cmd.Uint64("seed"), 7)), pen: pen, done: map[string]int{}}
 	out := churnReport{Faults: c.done}
 	lasts, seed := cmd.Duration("for"), cmd.Uint64("seed")
 	var mu sync.Mutex
--- a/cmd/drill/rehearse.go
+++ b/cmd/drill/rehearse.go
@@ -71,6 +71,23 @@
 	wrong       []string
 }
 
+// stageOf is the stage that a command's flags name: the fleet, and the script that starts its processes again.
+func stageOf(cmd *cli.Command) (stage, error) {
+	dir, err := filepath.Abs(cmd.String("fleet"))
+	if err != nil {
+		return stage{}, fault.Wrap(err, fault.Settings, "fleet")
+	}
+	nodes, err := fleet.Read(dir)
+	if err != nil {
+		return stage{}, fault.Pass(err, "fleet")
+	}
+	script := cmd.String("script")
+	if script == "" {
+		script = filepath.Join(filepath.Dir(program("drill")), "..", "scripts", "fleet")
+	}
+	return stage{dir: dir, script: script, nodes: nodes, caller: fleet.NewCaller(16)}, nil
+}
+
 func (s *stage) note(format string, args ...any) {
 	s.notes = append(s.notes, fmt.Sprintf(format, args...))
 }
@@ -117,18 +134,10 @@
 func rehearse(ctx context.Context, cmd *cli.Command) error {
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
-	dir, err := filepath.Abs(cmd.String("fleet"))
-	if err != nil {
-		return fault.Wrap(err, fault.Settings, "fleet")
-	}
-	nodes, err := fleet.Read(dir)
+	set, err := stageOf(cmd)
 	if err != nil {
 		return fault.Pass(err, "rehearse")
 	}
-	script := cmd.String("script")
-	if script == "" {
-		script = filepath.Join(filepath.Dir(program("drill")), "..", "scripts", "fleet")
-	}
 	run, err := chosen(cmd.StringSlice("only"))
 	if err != nil {
 		return exitCode{fault.Pass(err, "only"), 2}
@@ -139,8 +148,8 @@
 		if ctx.Err() != nil {
 			return fault.Wrap(ctx.Err(), fault.Stopped, "rehearse")
 		}
-		s := &stage{dir: dir, script: script, nodes: nodes, caller: fleet.NewCaller(16)}
-		line := s.play(ctx, sc, load.Options{Dir: dir, Rate: cmd.Float("rate"), For: sc.offer, Seed: cmd.Uint64("seed") + uint64(i),
+		s := &stage{dir: set.dir, script: set.script, nodes: set.nodes, caller: fleet.NewCaller(16)}
+		line := s.play(ctx, sc, load.Options{Dir: set.dir, Rate: cmd.Float("rate"), For: sc.offer, Seed: cmd.Uint64("seed") + uint64(i),
 			Run: time.Duration(cmd.Int("ms")) * time.Millisecond, Retries: 5, Cancel: 0.05, Dup: 0.05}, seen)
 		verdict := "held"
 		if len(s.wrong) > 0 {
