Judge a run's first hold in the simulator by what its order told

The oracle took every run to hold 20 s from its start; since obeying minions' first hold is 2 s, a run on a minion that froze before its renewal seemed to go on after its hold. Ruled out: a lapse proved too early (the holder waited for 10.9 s + 2.2 s by the minion's clock; the task was started elsewhere 6.8 s after the hold's end). Change: the oracle takes the hold from the order as it reached the minion. Conclusion: the check stays as strict: it goes by the minion's own word.

--- a/internal/rig/sim/oracle.go
+++ b/internal/rig/sim/oracle.go
@@ -62,6 +62,7 @@
 	written time.Duration
 	by      *dplane
 	closed  time.Duration
+	until   time.Duration // the first hold that its order told the minion, in virtual time
 }
 
 // ending is a run that ended well at its minion.
@@ -280,6 +281,9 @@
 // arrived takes in that start orders are at a minion.
 func (o *oracle) arrived(m *node, call pair.HoldCall) {
 	for _, st := range call.Starts {
+		if t := o.tickets[st.Ticket]; t != nil {
+			t.until = m.zero + st.Until
+		}
 		o.s.held("newer ticket")
 		if st.Ticket <= o.orders[m] && m.kind == minion.Obey {
 			o.s.broke("newer ticket", "ticket %d reaches %s, which has seen %d", st.Ticket, m.addr, o.orders[m])
@@ -403,7 +407,7 @@
 		}
 	}
 	run := &onerun{ref, e.Ticket, m, m.gen, step.Cores, 0}
-	run.until = s.now + sched.Defaults().Hold
+	run.until = t.until
 	o.runs = append(o.runs, run)
 	taken := 0
 	for _, r := range o.runs {
