Types of the job table, the orders to workers and the core's calls

Cause: the platform's jobs (copies, gangs that share a run number, one lease for a worker, proof of death by a stop) do not fit the one-handle task model with floors. Ruled out: bending state.Task, whose simulator and audit stand on it.

--- /dev/null
+++ b/internal/controller/api.go
@@ -0,0 +1,97 @@
+// Package controller serves clients, workers and operators from the core: the leader of the store answers, and every
+// other node passes calls on to it.
+package controller
+
+import (
+	"time"
+
+	"crosstide/internal/jobs"
+	"crosstide/internal/wire"
+)
+
+// Locate names the queue of a call: by host and path, as the configuration says.
+type Locate struct {
+	Host string `json:"host"`
+	Path string `json:"path"`
+}
+
+// SubmitCall hands a job in. Spec.ID is what follows the queue's prefix in the path; Spec.Queue is found by the leader.
+type SubmitCall struct {
+	Locate Locate    `json:"at"`
+	Spec   jobs.Spec `json:"spec"`
+	Digest string    `json:"digest"`
+}
+
+// SubmitAnswer says that the job is accepted and durable.
+type SubmitAnswer struct {
+	State jobs.JobState `json:"state"`
+}
+
+// JobCall asks for a job or cancels it.
+type JobCall struct {
+	Locate Locate `json:"at"`
+	Cancel bool   `json:"cancel,omitempty"`
+}
+
+// JobAnswer tells a job's state. Gone: there is no such job.
+type JobAnswer struct {
+	State jobs.JobState `json:"state,omitempty"`
+	Gone  bool          `json:"gone,omitempty"`
+}
+
+// CountCall asks how many jobs of a queue wait.
+type CountCall struct {
+	Locate Locate `json:"at"`
+}
+
+// CountAnswer is the count.
+type CountAnswer struct {
+	Waiting int `json:"waiting"`
+}
+
+// BeatCall is a worker's heartbeat. Leaving: it ends now.
+type BeatCall struct {
+	Worker    jobs.Worker   `json:"worker"`
+	Sequence  uint64        `json:"seq"`
+	Clock     time.Duration `json:"clock"`
+	Remaining time.Duration `json:"remaining,omitempty"` // while draining: the least time it has left
+	Cold      time.Duration `json:"cold,omitempty"`
+	Leaving   bool          `json:"leaving,omitempty"`
+}
+
+// BeatAnswer acknowledges a heartbeat: what it told is known to the scheduler and durable.
+type BeatAnswer struct {
+	Leader string `json:"leader,omitempty"` // control address that later heartbeats are best sent to
+}
+
+// ConfigCall asks for the configuration in force.
+type ConfigCall struct{}
+
+// TopologyCall asks for the members of the core and the leader.
+type TopologyCall struct{}
+
+// TopologyAnswer lists internal addresses.
+type TopologyAnswer struct {
+	Leader  string   `json:"leader,omitempty"`
+	Members []string `json:"members"`
+}
+
+// ConfigureAnswer says that a configuration is in force and durable.
+type ConfigureAnswer struct{}
+
+// EvacuateAnswer says that an evacuation is in force and durable.
+type EvacuateAnswer struct{}
+
+// The calls that the leader answers; any other node answers fault.NotLeader with the leader's address as hint. Faults:
+// fault.Unknown: no such queue; fault.Unavailable: surely not taken; fault.Timeout: it may or may not have been taken;
+// fault.Invalid with the field; fault.Stale: another version is in force.
+var (
+	SubmitPair    = wire.Pair[SubmitCall, SubmitAnswer]{Path: "/c/submit"}
+	JobPair       = wire.Pair[JobCall, JobAnswer]{Path: "/c/job"}
+	CountPair     = wire.Pair[CountCall, CountAnswer]{Path: "/c/count"}
+	BeatPair      = wire.Pair[BeatCall, BeatAnswer]{Path: "/c/beat"}
+	ConfigPair    = wire.Pair[ConfigCall, jobs.Config]{Path: "/c/config"}
+	ConfigurePair = wire.Pair[jobs.Configure, ConfigureAnswer]{Path: "/c/configure"}
+	EvacuatePair  = wire.Pair[jobs.Evacuate, EvacuateAnswer]{Path: "/c/evacuate"}
+	TopologyPair  = wire.Pair[TopologyCall, TopologyAnswer]{Path: "/c/topology"} // any node answers
+)
--- /dev/null
+++ b/internal/jobs/changes.go
@@ -0,0 +1,90 @@
+package jobs
+
+import (
+	"encoding/json"
+	"time"
+)
+
+// Submit accepts a job. The same ID with the same digest is the same job.
+type Submit struct {
+	Spec   Spec      `json:"spec"`
+	Digest string    `json:"digest"`
+	At     time.Time `json:"at"`
+}
+
+// Cancel ends a job that is not over: nothing of it starts any more.
+type Cancel struct {
+	ID string    `json:"id"`
+	At time.Time `json:"at"`
+}
+
+// Configure changes the configuration on top of version Base. Replace: Queues, Services and Limits are the whole new
+// configuration; else they are added or replace those of the same name, after the removals. Digest is of the order's
+// own bytes and its base: an order that was taken is answered alike when it is sent again.
+type Configure struct {
+	Base           uint64          `json:"base"`
+	Version        uint64          `json:"version"`
+	Digest         string          `json:"digest"`
+	Replace        bool            `json:"replace,omitempty"`
+	Queues         []Queue         `json:"queues,omitempty"`
+	Services       []Service       `json:"services,omitempty"`
+	Limits         json.RawMessage `json:"limits,omitempty"`
+	RemoveQueues   []string        `json:"rq,omitempty"`
+	RemoveServices []string        `json:"rs,omitempty"`
+}
+
+// Evacuate starts or withdraws the evacuation of a zone.
+type Evacuate struct {
+	Zone  string `json:"zone"`
+	Start bool   `json:"start"`
+}
+
+// Register records workers that are new or have changed.
+type Register struct {
+	Workers []Worker `json:"workers"`
+}
+
+// How a run ended or was proved dead.
+type How string
+
+// The ends of runs. Only Done and FailedRun are the task's own; the others make the task due again.
+const (
+	EndDone    How = "done"
+	EndFailed  How = "failed"
+	EndStopped How = "stopped"
+	EndLapsed  How = "lapsed"
+	EndBroken  How = "broken" // another member of its gang ended
+	EndAlone   How = "alone"  // it waited too long for the other members
+	EndLost    How = "lost"   // proved dead without an end: never started, or its worker is gone
+)
+
+// Start records one run of a task on a worker. The members of a gang are recorded in one Progress.
+type Start struct {
+	Task   TaskRef `json:"t"`
+	Number int     `json:"n"` // above the task's LastRun; one number for all members of a gang
+	Worker string  `json:"w"`
+}
+
+// End records the end of a run.
+type End struct {
+	Key        RunKey `json:"r"`
+	Worker     string `json:"w"`
+	How        How    `json:"h"`
+	Checkpoint string `json:"k,omitempty"` // newest saved progress, if any
+}
+
+// Progress is what the scheduler of a term has decided and heard: ends first, then starts. It is refused whole when
+// another term's leader writes it; a start whose preconditions do not hold any more is left out alone (with the other
+// members of its gang).
+type Progress struct {
+	Term   uint64    `json:"term"`
+	At     time.Time `json:"at"`
+	Ends   []End     `json:"ends,omitempty"`
+	Starts []Start   `json:"starts,omitempty"`
+	Forget []string  `json:"forget,omitempty"` // workers without runs that are gone
+}
+
+// Started answers Progress: Recorded tells of each start in order whether it was recorded.
+type Started struct {
+	Recorded []bool `json:"recorded,omitempty"`
+}
