--- /dev/null
+++ b/internal/controller/leader.go
@@ -0,0 +1,284 @@
+package controller
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
+	"crosstide/internal/alarm"
+	"crosstide/internal/fault"
+	"crosstide/internal/jobs"
+	"crosstide/internal/scheduler"
+	"crosstide/internal/spawn"
+	"crosstide/internal/state"
+	"crosstide/internal/state/command"
+	"crosstide/internal/wire"
+)
+
+// Store is the replicated store as the controller needs it.
+type Store interface {
+	// View lets read look at the live state under the store's lock.
+	View(read func(*state.State))
+	// LeadTerm gives the term in which this node leads; held tells that the leader's lease is in force at now and
+	// that everything committed before is applied here.
+	LeadTerm(now time.Duration) (term uint64, held bool)
+	// ProposeIn commits a command under a term and applies it.
+	ProposeIn(ctx context.Context, term uint64, c command.Command) (index uint64, answer any, err error)
+	// Changed gives a channel that is closed when the live state moves on or the leadership changes.
+	Changed() <-chan struct{}
+	// Members gives the leader's address, if one is known, and those of all members.
+	Members() (leader string, addresses []string)
+}
+
+// LeaderOptions are the parts of a Leader.
+type LeaderOptions struct {
+	Store   Store
+	Workers scheduler.Workers
+	Config  scheduler.Config
+	Control string // address at which this node takes heartbeats
+	Clock   alarm.Clock
+	Logger  log.Logger
+}
+
+// Leader serves calls and runs the scheduler on the node that leads the store; on any other node it answers
+// fault.NotLeader.
+type Leader struct {
+	opt   LeaderOptions
+	clock alarm.Clock
+	log   log.Logger
+	group *spawn.Group
+	core  *scheduler.Core // of the loop alone
+
+	mu     sync.Mutex
+	events []func(*scheduler.Core, time.Duration)
+	notes  []jobs.Note
+	wake   chan struct{}
+	beats  map[string]uint64 // newest heartbeat of each worker, by its sequence number
+}
+
+// NewLeader makes a controller that does nothing before Start.
+func NewLeader(opt LeaderOptions) *Leader {
+	return &Leader{opt: opt, clock: opt.Clock, log: opt.Logger, group: spawn.New(context.Background()),
+		core: scheduler.New(opt.Config), wake: make(chan struct{}, 1), beats: map[string]uint64{}}
+}
+
+// Start begins to schedule whenever this node leads. It returns at once.
+func (l *Leader) Start() { l.group.Go(l.loop) }
+
+// Stop ends all goroutines of the controller.
+func (l *Leader) Stop() { l.group.Stop() }
+
+// tell queues an input of the scheduler and wakes the loop.
+func (l *Leader) tell(event func(*scheduler.Core, time.Duration)) {
+	l.mu.Lock()
+	l.events = append(l.events, event)
+	l.mu.Unlock()
+	l.nudge()
+}
+
+func (l *Leader) nudge() {
+	select {
+	case l.wake <- struct{}{}:
+	default:
+	}
+}
+
+// watch takes a note of the job table; it is called under the store's lock.
+func (l *Leader) watch(note jobs.Note) {
+	l.mu.Lock()
+	l.notes = append(l.notes, note)
+	l.mu.Unlock()
+	l.nudge()
+}
+
+func (l *Leader) loop(ctx context.Context) {
+	for {
+		changed := l.opt.Store.Changed()
+		next := l.pass()
+		timer := l.clock.Set(max(time.Millisecond, next-l.clock.Now()), l.nudge)
+		if l.core.Term() != 0 {
+			changed = nil // what matters of it comes as notes
+		}
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return
+		case <-l.wake:
+		case <-changed:
+		}
+		timer.Stop()
+	}
+}
+
+// idlePass is the pause between looks at the leadership on a node that does not lead.
+const idlePass = time.Second
+
+// leasePass is the pause before the next look while this node leads without its lease in force.
+const leasePass = 20 * time.Millisecond
+
+// pass is one turn of the loop; it gives when the next is due.
+func (l *Leader) pass() time.Duration {
+	now := l.clock.Now()
+	term, held := l.opt.Store.LeadTerm(now)
+	if term == 0 || term != l.core.Term() && l.core.Term() != 0 {
+		l.yield()
+	}
+	switch {
+	case term == 0:
+		return now + idlePass
+	case !held:
+		return now + leasePass
+	}
+	var out scheduler.Out
+	l.opt.Store.View(func(s *state.State) {
+		if l.core.Term() == 0 {
+			l.lead(now, term, s.Table)
+		}
+		events, notes := l.take()
+		for _, note := range notes {
+			l.core.Note(note)
+		}
+		for _, event := range events {
+			event(l.core, now)
+		}
+		out = l.core.Pass(now, l.clock.Wall())
+	})
+	l.carryOut(term, out)
+	return out.Next
+}
+
+func (l *Leader) lead(now time.Duration, term uint64, table *jobs.Table) {
+	l.take()
+	table.Watch = l.watch
+	l.core.Lead(now, term, table)
+	_ = level.Info(l.log).Log("msg", "scheduling", "term", term, "jobs", len(table.Jobs), "workers", len(table.Workers))
+}
+
+func (l *Leader) yield() {
+	if l.core.Term() == 0 {
+		return
+	}
+	_ = level.Info(l.log).Log("msg", "no longer scheduling", "term", l.core.Term())
+	l.core.Yield()
+	l.opt.Store.View(func(s *state.State) { s.Table.Watch = nil })
+	l.take()
+}
+
+func (l *Leader) take() ([]func(*scheduler.Core, time.Duration), []jobs.Note) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	events, notes := l.events, l.notes
+	l.events, l.notes = nil, nil
+	return events, notes
+}
+
+// carryOut does what a pass wants done.
+func (l *Leader) carryOut(term uint64, out scheduler.Out) {
+	if out.Progress != nil {
+		l.group.Go(func(ctx context.Context) { l.commit(ctx, term, out.Progress) })
+	}
+	for _, start := range out.Starts {
+		l.group.Go(func(ctx context.Context) { l.start(ctx, term, start) })
+	}
+	for _, stop := range out.Stops {
+		l.group.Go(func(ctx context.Context) { l.stop(ctx, term, stop) })
+	}
+	for _, hold := range out.Holds {
+		l.group.Go(func(ctx context.Context) { l.hold(ctx, term, hold) })
+	}
+}
+
+func (l *Leader) commit(ctx context.Context, term uint64, progress *jobs.Progress) {
+	_, answer, err := l.opt.Store.ProposeIn(ctx, term, &command.JobProgress{Progress: *progress})
+	started, _ := answer.(jobs.Started)
+	if err != nil {
+		_ = level.Warn(l.log).Log("msg", "progress not committed", "err", err)
+	}
+	l.tell(func(c *scheduler.Core, now time.Duration) { c.Committed(now, progress, started, err) })
+}
+
+// leads tells whether this node may send orders under a term now: called immediately before each order.
+func (l *Leader) leads(term uint64) bool {
+	current, held := l.opt.Store.LeadTerm(l.clock.Now())
+	return held && current == term
+}
+
+// callTimeout bounds start and stop orders and the part of a hold call beyond its wait.
+const callTimeout = 700 * time.Millisecond
+
+func (l *Leader) start(ctx context.Context, term uint64, start scheduler.StartOut) {
+	id, key := start.Worker.ID, start.Order.Key
+	failure := scheduler.StartUnsent
+	var answer scheduler.StartAnswer
+	if l.leads(term) {
+		bounded, cancel := l.within(ctx, callTimeout)
+		var err error
+		answer, err = l.opt.Workers.Start(bounded, start.Worker, start.Order)
+		cancel()
+		failure = startError(err)
+	}
+	l.tell(func(c *scheduler.Core, now time.Duration) { c.StartAnswered(now, id, key, answer, failure) })
+}
+
+func startError(err error) scheduler.StartError {
+	switch {
+	case err == nil:
+		return scheduler.StartOK
+	case fault.Is(err, fault.Unknown):
+		return scheduler.StartOtherLife
+	case wire.Unsent(err):
+		return scheduler.StartUnsent
+	}
+	return scheduler.StartUnknown
+}
+
+func (l *Leader) stop(ctx context.Context, term uint64, stop scheduler.StopOut) {
+	id, key := stop.Worker.ID, stop.Order.Key
+	ok := false
+	if l.leads(term) {
+		bounded, cancel := l.within(ctx, callTimeout)
+		err := l.opt.Workers.Stop(bounded, stop.Worker, stop.Order)
+		cancel()
+		ok = err == nil
+	}
+	l.tell(func(c *scheduler.Core, now time.Duration) { c.StopAnswered(now, id, key, ok) })
+}
+
+func (l *Leader) hold(ctx context.Context, term uint64, hold scheduler.HoldOut) {
+	id, number := hold.Worker.ID, hold.Number
+	failure := scheduler.HoldFailed
+	var answer scheduler.HoldAnswer
+	if l.leads(term) {
+		bounded, cancel := l.within(ctx, hold.Call.Wait+callTimeout)
+		var err error
+		answer, err = l.opt.Workers.Hold(bounded, hold.Worker, hold.Call)
+		cancel()
+		failure = holdError(err)
+	}
+	l.tell(func(c *scheduler.Core, now time.Duration) { c.HoldAnswered(now, id, number, answer, failure) })
+}
+
+func holdError(err error) scheduler.HoldError {
+	switch {
+	case err == nil:
+		return scheduler.HoldOK
+	case fault.Is(err, fault.Unknown):
+		return scheduler.HoldOtherLife
+	case fault.Is(err, fault.Stale):
+		return scheduler.HoldFenced
+	}
+	return scheduler.HoldFailed
+}
+
+// within bounds a context by the controller's clock.
+func (l *Leader) within(ctx context.Context, limit time.Duration) (context.Context, context.CancelFunc) {
+	bounded, cancel := context.WithCancel(ctx)
+	timer := l.clock.Set(limit, cancel)
+	return bounded, func() {
+		timer.Stop()
+		cancel()
+	}
+}
--- /dev/null
+++ b/internal/controller/serve.go
@@ -0,0 +1,190 @@
+package controller
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"time"
+
+	"crosstide/internal/fault"
+	"crosstide/internal/jobs"
+	"crosstide/internal/scheduler"
+	"crosstide/internal/state"
+	"crosstide/internal/state/command"
+)
+
+// look reads the job table if this node leads with its lease in force: then it has every commit. Faults: NotLeader with
+// the leader's address as hint, Unavailable.
+func (l *Leader) look(read func(*jobs.Table) error) (term uint64, err error) {
+	term, held := l.opt.Store.LeadTerm(l.clock.Now())
+	if term == 0 {
+		leader, _ := l.opt.Store.Members()
+		err := fault.New(fault.NotLeader, "this node does not lead")
+		fault.Of(err).Hint = leader
+		return 0, err
+	}
+	if !held {
+		return term, fault.New(fault.Unavailable, "the lead cannot be confirmed now")
+	}
+	l.opt.Store.View(func(s *state.State) { err = read(s.Table) })
+	return term, fault.Pass(err, "look")
+}
+
+// locate finds the queue of a call.
+func locate(table *jobs.Table, at Locate) (*jobs.Queue, error) {
+	if table.Config.Version == 0 {
+		return nil, fault.New(fault.Unavailable, "there is no configuration yet")
+	}
+	q := table.QueueFor(at.Host, at.Path)
+	if q == nil {
+		return nil, fault.New(fault.Unknown, "no queue at %s%s", at.Host, at.Path)
+	}
+	return q, nil
+}
+
+// Submit accepts a job.
+func (l *Leader) Submit(ctx context.Context, call SubmitCall) (SubmitAnswer, error) {
+	term, err := l.look(func(table *jobs.Table) error {
+		q, err := locate(table, call.Locate)
+		if err != nil {
+			return fault.Pass(err, "submit")
+		}
+		call.Spec.Queue = q.Name
+		return nil
+	})
+	if err != nil {
+		return SubmitAnswer{}, fault.Pass(err, "submit")
+	}
+	change := command.JobSubmit{Submit: jobs.Submit{Spec: call.Spec, Digest: call.Digest, At: l.clock.Wall()}}
+	_, answer, err := l.opt.Store.ProposeIn(ctx, term, &change)
+	state, _ := answer.(jobs.JobState)
+	return SubmitAnswer{State: state}, fault.Pass(err, "submit")
+}
+
+// Job tells a job's state, or cancels it.
+func (l *Leader) Job(ctx context.Context, call JobCall) (JobAnswer, error) {
+	var answer JobAnswer
+	id := call.Locate.Path[strings.LastIndexByte(call.Locate.Path, '/')+1:]
+	term, err := l.look(func(table *jobs.Table) error {
+		if _, err := locate(table, call.Locate); err != nil {
+			return fault.Pass(err, "job")
+		}
+		if j := table.Jobs[id]; j != nil {
+			answer.State = j.State
+		} else {
+			answer.Gone = true
+		}
+		return nil
+	})
+	if err != nil || !call.Cancel || answer.Gone {
+		return answer, fault.Pass(err, "job")
+	}
+	_, result, err := l.opt.Store.ProposeIn(ctx, term, &command.JobCancel{Cancel: jobs.Cancel{ID: id, At: l.clock.Wall()}})
+	if fault.Is(err, fault.Unknown) {
+		return JobAnswer{Gone: true}, nil
+	}
+	answer.State, _ = result.(jobs.JobState)
+	return answer, fault.Pass(err, "cancel")
+}
+
+// Count tells how many jobs of a queue wait.
+func (l *Leader) Count(_ context.Context, call CountCall) (answer CountAnswer, err error) {
+	_, err = l.look(func(table *jobs.Table) error {
+		q, err := locate(table, call.Locate)
+		if err == nil {
+			answer.Waiting = table.Waiting(q.Name)
+		}
+		return fault.Pass(err, "count")
+	})
+	return answer, fault.Pass(err, "count")
+}
+
+// Config gives the configuration in force.
+func (l *Leader) Config(context.Context, ConfigCall) (config jobs.Config, err error) {
+	_, err = l.look(func(table *jobs.Table) error {
+		config = table.Config
+		config.Queues, config.Services = slices.Clone(config.Queues), slices.Clone(config.Services)
+		return nil
+	})
+	return config, fault.Pass(err, "configuration")
+}
+
+// Configure changes the configuration.
+func (l *Leader) Configure(ctx context.Context, call jobs.Configure) (ConfigureAnswer, error) {
+	return ConfigureAnswer{}, fault.Pass(l.change(ctx, &command.JobConfigure{Configure: call}), "configure")
+}
+
+// Evacuate starts or withdraws the evacuation of a zone.
+func (l *Leader) Evacuate(ctx context.Context, call jobs.Evacuate) (EvacuateAnswer, error) {
+	return EvacuateAnswer{}, fault.Pass(l.change(ctx, &command.JobEvacuate{Evacuate: call}), "evacuate")
+}
+
+func (l *Leader) change(ctx context.Context, c command.Command) error {
+	term, err := l.look(func(*jobs.Table) error { return nil })
+	if err != nil {
+		return fault.Pass(err, "change")
+	}
+	_, _, err = l.opt.Store.ProposeIn(ctx, term, c)
+	return fault.Pass(err, "change")
+}
+
+// Beat takes a worker's heartbeat. What it changes is durable, and known to the scheduler, before it is answered.
+func (l *Leader) Beat(ctx context.Context, call BeatCall) (BeatAnswer, error) {
+	answer := BeatAnswer{Leader: l.opt.Control}
+	worker := call.Worker
+	changed := false
+	term, err := l.look(func(table *jobs.Table) error {
+		known := table.Workers[worker.ID]
+		if call.Leaving {
+			if known == nil || known.Left {
+				return nil
+			}
+			worker = *known
+			worker.Left = true
+		}
+		changed = known == nil || !sameWorker(known, &worker)
+		return nil
+	})
+	if err != nil {
+		return BeatAnswer{}, fault.Pass(err, "heartbeat")
+	}
+	if !l.newest(worker.ID, call) {
+		return answer, nil
+	}
+	if changed {
+		_, _, err := l.opt.Store.ProposeIn(ctx, term, &command.JobRegister{Register: jobs.Register{Workers: []jobs.Worker{worker}}})
+		if err != nil {
+			return BeatAnswer{}, fault.Pass(err, "heartbeat")
+		}
+	}
+	if !call.Leaving {
+		l.tell(func(c *scheduler.Core, now time.Duration) { c.Beat(now, worker.ID, call.Clock, call.Remaining) })
+	}
+	return answer, nil
+}
+
+// newest tells whether a heartbeat is newer than those taken before. One that announces the worker's end always is.
+func (l *Leader) newest(id string, call BeatCall) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if call.Leaving {
+		return true
+	}
+	if call.Sequence < l.beats[id] {
+		return false
+	}
+	l.beats[id] = call.Sequence
+	return true
+}
+
+func sameWorker(known, told *jobs.Worker) bool {
+	return known.Address == told.Address && known.Service == told.Service && known.Zone == told.Zone &&
+		known.Rack == told.Rack && known.Capacity == told.Capacity && slices.Equal(known.Labels, told.Labels) &&
+		(known.Draining || !told.Draining) && (known.Left || !told.Left)
+}
+
+// Topology tells the leader and the members of the core, as this node knows them.
+func (l *Leader) Topology(context.Context, TopologyCall) (TopologyAnswer, error) {
+	leader, members := l.opt.Store.Members()
+	return TopologyAnswer{Leader: leader, Members: members}, nil
+}
--- /dev/null
+++ b/internal/scheduler/place.go
@@ -0,0 +1,325 @@
+package scheduler
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"crosstide/internal/jobs"
+)
+
+// node is a worker that may take starts in this pass, with the room it has left.
+type node struct {
+	w       *worker
+	rec     *jobs.Worker
+	free    jobs.Resources
+	freeing jobs.Resources // what runs that are being stopped give back
+	held    bool           // kept free for a more urgent unit
+	factor  float64        // how many times as long a task takes here
+}
+
+func fits(free, needs jobs.Resources) bool {
+	return needs.MilliCPU <= free.MilliCPU && needs.MemoryMB <= free.MemoryMB && needs.GPUs <= free.GPUs
+}
+
+func plus(a, b jobs.Resources) jobs.Resources {
+	return jobs.Resources{MilliCPU: a.MilliCPU + b.MilliCPU, MemoryMB: a.MemoryMB + b.MemoryMB, GPUs: a.GPUs + b.GPUs}
+}
+
+func minus(a, b jobs.Resources) jobs.Resources {
+	return jobs.Resources{MilliCPU: a.MilliCPU - b.MilliCPU, MemoryMB: a.MemoryMB - b.MemoryMB, GPUs: a.GPUs - b.GPUs}
+}
+
+// placement is the work of one pass.
+type placement struct {
+	c         *Core
+	now       time.Duration
+	wall      time.Time
+	nodes     map[string][]*node // by service
+	starts    []jobs.Start
+	perNode   map[jobs.TaskRef]map[string]int // planned tasks of a unit on a worker
+	preempted int
+}
+
+// place chooses workers for due tasks.
+func (c *Core) place(now time.Duration, wall time.Time) []jobs.Start {
+	units := c.dueUnits(wall)
+	if len(units) == 0 {
+		return nil
+	}
+	p := &placement{c: c, now: now, wall: wall, nodes: map[string][]*node{}, perNode: map[jobs.TaskRef]map[string]int{}}
+	for _, u := range units {
+		if len(p.starts) >= c.cfg.MostStarts {
+			c.moved = true
+			break
+		}
+		if u.step.Gang {
+			p.placeGang(u)
+		} else {
+			p.placeTasks(u)
+		}
+	}
+	return p.starts
+}
+
+// usable gives the nodes of a service, the same for all units of a pass.
+func (p *placement) usable(service string) []*node {
+	if nodes, ok := p.nodes[service]; ok {
+		return nodes
+	}
+	var nodes []*node
+	for _, id := range p.c.names {
+		w := p.c.workers[id]
+		rec := w.record()
+		if rec == nil || rec.Service != service || !w.takesStarts(p.c, p.now) {
+			continue
+		}
+		n := &node{w: w, rec: rec, free: minus(rec.Capacity, p.c.table.Used(id)), factor: p.c.speeds.factor(id)}
+		for _, r := range w.runs {
+			if r.stop && !r.ending {
+				n.freeing = plus(n.freeing, r.needs)
+			}
+		}
+		nodes = append(nodes, n)
+	}
+	p.nodes[service] = nodes
+	return nodes
+}
+
+// Pauses after a worker refused a start.
+const (
+	fullPause = 300 * time.Millisecond
+	sickPause = time.Second
+)
+
+// takesStarts tells whether a worker may be given starts.
+func (w *worker) takesStarts(c *Core, now time.Duration) bool {
+	rec := w.record()
+	switch {
+	case rec.Draining || rec.Left || c.table.Evacuated[rec.Zone]:
+		return false
+	case !w.clockOK || w.heardAt == 0 || now-w.heardAt > c.cfg.Silence || w.failures > 0:
+		return false
+	case !w.answered:
+		return false
+	case w.fullAt > 0 && now-w.fullAt < fullPause || w.sickAt > 0 && now-w.sickAt < sickPause:
+		return false
+	}
+	return true
+}
+
+// allowed tells whether a unit's tasks may run on a node at all, room apart.
+func (p *placement) allowed(u *unit, n *node) bool {
+	if u.step.Label != "" && !slices.Contains(n.rec.Labels, u.step.Label) {
+		return false
+	}
+	return u.step.MostPerNode == 0 || p.onNode(u, n.rec.ID) < u.step.MostPerNode
+}
+
+// onNode counts a unit's tasks on a worker, those planned in this pass included.
+func (p *placement) onNode(u *unit, id string) int {
+	counts := p.perNode[u.key()]
+	if counts == nil {
+		counts = map[string]int{}
+		for _, task := range u.job.Rounds[u.round][u.number] {
+			for _, handle := range task.Runs {
+				counts[handle.Worker]++
+			}
+		}
+		p.perNode[u.key()] = counts
+	}
+	return counts[id]
+}
+
+// cost is how long a unit's task takes on a node, by what is known.
+func (p *placement) cost(u *unit, n *node) float64 {
+	cost := n.factor
+	if u.step.Near != "" && !slices.Contains(n.rec.Labels, u.step.Near) {
+		cost *= p.c.cfg.SpreadFactor
+	}
+	return cost
+}
+
+// best gives the node that suits the unit's next task best; nil if none has room.
+func (p *placement) best(u *unit, nodes []*node, shun string) *node {
+	var found *node
+	var least float64
+	for _, n := range nodes {
+		if n.held || !fits(n.free, u.step.Needs) || !p.allowed(u, n) {
+			continue
+		}
+		cost := p.cost(u, n)
+		if n.rec.ID == shun {
+			cost *= 4 // better there again than not at all
+		}
+		if found == nil || cost < least || cost == least && n.free.MilliCPU < found.free.MilliCPU {
+			found, least = n, cost
+		}
+	}
+	return found
+}
+
+// take plans a start of one task on a node.
+func (p *placement) take(u *unit, n *node, index, number int) {
+	n.free = minus(n.free, u.step.Needs)
+	p.onNode(u, n.rec.ID)
+	p.perNode[u.key()][n.rec.ID]++
+	ref := u.key()
+	ref.Index = index
+	p.starts = append(p.starts, jobs.Start{Task: ref, Number: number, Worker: n.rec.ID})
+}
+
+// untake undoes the newest starts, down to a length of the list.
+func (p *placement) untake(u *unit, nodes []*node, length int) {
+	for _, s := range p.starts[length:] {
+		for _, n := range nodes {
+			if n.rec.ID == s.Worker {
+				n.free = plus(n.free, u.step.Needs)
+			}
+		}
+		p.perNode[u.key()][s.Worker]--
+	}
+	p.starts = p.starts[:length]
+}
+
+func (u *unit) tasks() []jobs.Task { return u.job.Rounds[u.round][u.number] }
+
+// placeTasks places the tasks of a unit one by one.
+func (p *placement) placeTasks(u *unit) {
+	nodes := p.usable(u.queue.Service)
+	tasks := u.tasks()
+	for position, index := range u.indexes {
+		ref := u.key()
+		ref.Index = index
+		n := p.best(u, nodes, p.c.avoid[ref])
+		if n == nil {
+			p.wait(u, nodes, len(u.indexes)-position)
+			return
+		}
+		p.take(u, n, index, tasks[index].LastRun+1)
+	}
+}
+
+// placeGang places all members of a gang, or none.
+func (p *placement) placeGang(u *unit) {
+	nodes := p.usable(u.queue.Service)
+	groups := [][]*node{nodes}
+	if u.step.SameRack {
+		groups = byRack(nodes)
+		if p.now-u.since > 4*p.c.cfg.GangHold {
+			groups = append(groups, nodes) // slower over several racks, but not waiting
+		}
+	}
+	for _, group := range groups {
+		if p.tryGang(u, group) {
+			return
+		}
+	}
+	p.wait(u, nodes, len(u.indexes))
+}
+
+func (p *placement) tryGang(u *unit, nodes []*node) bool {
+	number := 0
+	for _, task := range u.tasks() {
+		number = max(number, task.LastRun+1)
+	}
+	length := len(p.starts)
+	for _, index := range u.indexes {
+		n := p.best(u, nodes, "")
+		if n == nil {
+			p.untake(u, nodes, length)
+			return false
+		}
+		p.take(u, n, index, number)
+	}
+	return true
+}
+
+// byRack groups nodes by rack, in the order of the racks' free processors, most first.
+func byRack(nodes []*node) [][]*node {
+	racks := map[string][]*node{}
+	free := map[string]int{}
+	for _, n := range nodes {
+		racks[n.rec.Rack] = append(racks[n.rec.Rack], n)
+		free[n.rec.Rack] += n.free.MilliCPU
+	}
+	names := sortedKeys(racks)
+	slices.SortStableFunc(names, func(a, b string) int { return cmp.Compare(free[b], free[a]) })
+	groups := make([][]*node, len(names))
+	for i, name := range names {
+		groups[i] = racks[name]
+	}
+	return groups
+}
+
+// wait is for a unit of which count tasks found no room: less urgent runs are stopped for it, and once it has waited
+// for a while room is kept free for it.
+func (p *placement) wait(u *unit, nodes []*node, count int) {
+	if u.tier(p.wall) == hopelessTier {
+		return
+	}
+	if p.preempt(u, nodes, count) {
+		return
+	}
+	if p.now-u.since < p.c.cfg.GangHold || !u.step.Gang && u.step.Needs.MilliCPU <= smallTask {
+		return
+	}
+	p.reserve(u, nodes, count)
+}
+
+// smallTask is a task, in thousandths of a core, for which room turns up by itself.
+const smallTask = 2000
+
+// reserve keeps the nodes that would take the unit soonest from less urgent units of this pass.
+func (p *placement) reserve(u *unit, nodes []*node, count int) {
+	group := nodes
+	if u.step.SameRack {
+		group = nil
+		for _, rack := range byRack(nodes) {
+			if group == nil || p.couldTake(u, rack) > p.couldTake(u, group) {
+				group = rack
+			}
+		}
+	}
+	group = slices.Clone(group)
+	slices.SortStableFunc(group, func(a, b *node) int { return cmp.Compare(b.free.MilliCPU, a.free.MilliCPU) })
+	for _, n := range group {
+		if count <= 0 {
+			return
+		}
+		if could := p.capacityFor(u, n); could > 0 && !n.held {
+			n.held = true
+			count -= could
+		}
+	}
+}
+
+func (p *placement) couldTake(u *unit, nodes []*node) int {
+	sum := 0
+	for _, n := range nodes {
+		sum += p.capacityFor(u, n)
+	}
+	return sum
+}
+
+// capacityFor is how many of a unit's tasks an empty node takes.
+func (p *placement) capacityFor(u *unit, n *node) int {
+	if !p.allowed(u, n) {
+		return 0
+	}
+	needs, has := u.step.Needs, n.rec.Capacity
+	most := 1 << 10
+	if needs.MilliCPU > 0 {
+		most = min(most, has.MilliCPU/needs.MilliCPU)
+	}
+	if needs.MemoryMB > 0 {
+		most = min(most, has.MemoryMB/needs.MemoryMB)
+	}
+	if needs.GPUs > 0 {
+		most = min(most, has.GPUs/needs.GPUs)
+	}
+	if u.step.MostPerNode > 0 {
+		most = min(most, u.step.MostPerNode)
+	}
+	return most
+}
--- /dev/null
+++ b/internal/scheduler/preempt.go
@@ -0,0 +1,95 @@
+package scheduler
+
+import (
+	"cmp"
+	"slices"
+
+	"crosstide/internal/jobs"
+)
+
+// preempt stops less urgent runs so that count tasks of a unit find room. It tells whether room is on the way.
+func (p *placement) preempt(u *unit, nodes []*node, count int) bool {
+	if u.step.Gang || u.step.Lasting {
+		return false
+	}
+	for range count {
+		if !p.preemptOne(u, nodes) {
+			return false
+		}
+	}
+	return true
+}
+
+// preemptOne makes room for one task on the node where that throws the least work away.
+func (p *placement) preemptOne(u *unit, nodes []*node) bool {
+	var chosen *node
+	var victims []*run
+	least := 0.0
+	for _, n := range nodes {
+		if n.held || !p.allowed(u, n) || !fits(n.rec.Capacity, u.step.Needs) {
+			continue
+		}
+		if fits(plus(n.free, n.freeing), u.step.Needs) { // room is on the way here
+			n.freeing = minus(n.freeing, u.step.Needs)
+			return true
+		}
+		stop, waste, ok := p.victims(u, n)
+		if ok && (chosen == nil || waste < least) {
+			chosen, victims, least = n, stop, waste
+		}
+	}
+	if chosen == nil || p.preempted+len(victims) > p.c.cfg.MostPreempted {
+		return false
+	}
+	for _, r := range victims {
+		r.stop = true
+		chosen.freeing = plus(chosen.freeing, r.needs)
+		p.c.Counts.Preempted++
+	}
+	p.preempted += len(victims)
+	p.c.moved = true
+	chosen.freeing = minus(chosen.freeing, u.step.Needs)
+	return true
+}
+
+// victims gives the runs to stop on a node for one task of a unit, and the work thrown away in core-seconds.
+func (p *placement) victims(u *unit, n *node) (stop []*run, waste float64, ok bool) {
+	var candidates []*run
+	for _, r := range n.w.runs {
+		if r.priority > u.queue.Priority && r.sent && r.listed && !r.stop && !r.ending && !r.gang {
+			candidates = append(candidates, r)
+		}
+	}
+	slices.SortFunc(candidates, func(a, b *run) int {
+		return cmp.Or(cmp.Compare(p.wasteOf(a), p.wasteOf(b)), compareKeys(a.key, b.key))
+	})
+	room := plus(n.free, n.freeing)
+	for _, r := range candidates {
+		if fits(room, u.step.Needs) {
+			break
+		}
+		room = plus(room, r.needs)
+		waste += p.wasteOf(r)
+		stop = append(stop, r)
+	}
+	return stop, waste, fits(room, u.step.Needs)
+}
+
+// wasteOf is the work that a stop of a run throws away, in core-seconds; a saved run loses little.
+func (p *placement) wasteOf(r *run) float64 {
+	waste := (p.now - r.sentAt).Seconds() * coresOf(r.needs)
+	if r.saved != "" {
+		waste /= 4
+	}
+	if r.lasting {
+		waste += 1
+	}
+	return waste
+}
+
+// coresPerGPU is what an accelerator counts as, in cores.
+const coresPerGPU = 8
+
+func coresOf(needs jobs.Resources) float64 {
+	return float64(needs.MilliCPU)/1000 + float64(coresPerGPU*needs.GPUs)
+}
--- /dev/null
+++ b/internal/scheduler/queue.go
@@ -0,0 +1,219 @@
+package scheduler
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"crosstide/internal/jobs"
+)
+
+// job is the scheduler's record of a job that is not over or has handles out.
+type job struct {
+	id    string
+	timed bool // a round of it is not due yet
+	runs  map[jobs.RunKey]bool
+	units []*unit
+}
+
+// unit is what is placed together: the due tasks of a step of a round, one by one, or a gang whole.
+type unit struct {
+	job      *jobs.Job
+	step     *jobs.Step
+	queue    *jobs.Queue
+	round    int
+	number   int   // index of the step
+	indexes  []int // of due tasks
+	since    time.Duration
+	latest   time.Time // start by then to end in time
+	hopeless time.Time // from then on the round earns nothing any more
+}
+
+// key tells units of the same step and round apart from others.
+func (u *unit) key() jobs.TaskRef {
+	return jobs.TaskRef{Job: u.job.Spec.ID, Round: u.round, Step: u.number}
+}
+
+func (c *Core) refresh(id string) { c.dirty[id] = true }
+
+// refreshAt makes a job's record anew from the table.
+func (c *Core) refreshAt(id string, wall time.Time) {
+	rec := c.queue[id]
+	if rec == nil {
+		rec = &job{id: id, runs: map[jobs.RunKey]bool{}}
+		c.queue[id] = rec
+	}
+	j := c.table.Jobs[id]
+	handles := c.refreshRuns(rec, j)
+	before := rec.units
+	rec.units, rec.timed = nil, false
+	if j == nil || j.State.Over() {
+		if handles == 0 {
+			delete(c.queue, id)
+			c.forgetTasks(id)
+		}
+		return
+	}
+	q := c.table.Config.Queue(j.Spec.Queue)
+	if q == nil {
+		return // no configuration directs it anywhere
+	}
+	for round := range j.Rounds {
+		c.refreshRound(rec, j, q, round, wall)
+	}
+	for _, u := range rec.units {
+		u.since = c.now
+		for _, old := range before {
+			if old.round == u.round && old.number == u.number {
+				u.since = old.since
+			}
+		}
+	}
+}
+
+func (c *Core) forgetTasks(id string) {
+	for ref := range c.avoid {
+		if ref.Job == id {
+			delete(c.avoid, ref)
+		}
+	}
+}
+
+// refreshRuns brings the run records of a job in line with its handles and gives how many there are.
+func (c *Core) refreshRuns(rec *job, j *jobs.Job) int {
+	present := map[jobs.RunKey]bool{}
+	if j != nil {
+		for round, steps := range j.Rounds {
+			for step, tasks := range steps {
+				for index := range tasks {
+					c.refreshTask(j, jobs.TaskRef{Job: rec.id, Round: round, Step: step, Index: index}, &tasks[index], present)
+				}
+			}
+		}
+	}
+	for key := range rec.runs {
+		if r := c.runs[key]; !present[key] && r != nil {
+			c.dropRun(r)
+		}
+	}
+	rec.runs = present
+	return len(present)
+}
+
+func (c *Core) refreshTask(j *jobs.Job, ref jobs.TaskRef, task *jobs.Task, present map[jobs.RunKey]bool) {
+	for _, handle := range task.Runs {
+		key := jobs.RunKey{Task: ref, Number: handle.Number}
+		present[key] = true
+		r := c.runs[key]
+		if r == nil {
+			if c.inFlight(key) {
+				continue // its commit is about to be reported
+			}
+			mine := handle.Term == c.term
+			if r = c.addRun(key, handle.Worker, mine); mine && r != nil {
+				c.end(r, jobs.EndLost, "") // recorded under this term, and its order never left
+			}
+		}
+		if r != nil && (task.Done || j.State.Over()) && !r.stop {
+			r.stop = true
+		}
+	}
+}
+
+// refreshRound adds the units of a round that are due.
+func (c *Core) refreshRound(rec *job, j *jobs.Job, q *jobs.Queue, round int, wall time.Time) {
+	begin := j.Accepted
+	if j.Spec.Rounds > 0 {
+		begin = j.Spec.FirstRun.Add(time.Duration(round) * j.Spec.Interval)
+		if due := begin.Add(-c.cfg.EarlyStart); wall.Before(due) {
+			rec.timed = true
+			if c.dueAt.IsZero() || due.Before(c.dueAt) {
+				c.dueAt = due
+			}
+			return
+		}
+	}
+	objective := time.Duration(q.Stretch*float64(chain(j.Spec.Steps, 0, true))) + q.Target
+	for number := range j.Spec.Steps {
+		step := &j.Spec.Steps[number]
+		indexes := dueTasks(j.Rounds[round][number], step.Gang)
+		if len(indexes) == 0 || !c.table.ReadyStep(j, round, number) {
+			continue
+		}
+		u := &unit{job: j, step: step, queue: q, round: round, number: number, indexes: indexes}
+		u.latest = begin.Add(objective - chain(j.Spec.Steps, number, false))
+		u.hopeless = begin.Add(3 * objective)
+		if step.Lasting {
+			u.latest, u.hopeless = begin.Add(q.Target), begin.Add(24*time.Hour)
+		}
+		rec.units = append(rec.units, u)
+	}
+}
+
+// dueTasks gives the tasks of a step that are to be started; of a gang all or none.
+func dueTasks(tasks []jobs.Task, gang bool) []int {
+	var due []int
+	for index := range tasks {
+		if !tasks[index].Done && len(tasks[index].Runs) == 0 {
+			due = append(due, index)
+		}
+	}
+	if gang && len(due) < len(tasks) {
+		return nil
+	}
+	return due
+}
+
+// leastEstimate stands for a step whose client gave no estimate.
+const leastEstimate = 200 * time.Millisecond
+
+// chain is the longest time along steps that wait for each other: of the whole job, or from one step on.
+func chain(steps []jobs.Step, from int, whole bool) time.Duration {
+	longest := make([]time.Duration, len(steps))
+	var most time.Duration
+	for number := range steps {
+		estimate := max(steps[number].Estimate, leastEstimate)
+		var before time.Duration
+		reached := whole || number == from
+		for _, earlier := range steps[number].After {
+			if earlier < number && longest[earlier] > 0 {
+				before = max(before, longest[earlier])
+				reached = true
+			}
+		}
+		if !reached || number < from {
+			continue
+		}
+		longest[number] = before + estimate
+		most = max(most, longest[number])
+	}
+	return most
+}
+
+// dueUnits gives all units in the order in which they are to be placed.
+func (c *Core) dueUnits(wall time.Time) []*unit {
+	var units []*unit
+	for _, rec := range c.queue {
+		units = append(units, rec.units...)
+	}
+	slices.SortFunc(units, func(a, b *unit) int {
+		return cmp.Or(
+			cmp.Compare(a.tier(wall), b.tier(wall)),
+			a.latest.Compare(b.latest),
+			cmp.Compare(a.job.Sequence, b.job.Sequence),
+			cmp.Compare(a.round, b.round),
+			cmp.Compare(a.number, b.number))
+	})
+	return units
+}
+
+// hopelessTier comes after every priority.
+const hopelessTier = 1 << 20
+
+// tier is the unit's class of urgency: its queue's priority, or the last one once it can earn nothing any more.
+func (u *unit) tier(wall time.Time) int {
+	if wall.After(u.hopeless) {
+		return hopelessTier
+	}
+	return u.queue.Priority
+}
--- /dev/null
+++ b/internal/scheduler/runs.go
@@ -0,0 +1,236 @@
+package scheduler
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"crosstide/internal/jobs"
+)
+
+// run is what the leader knows of a run whose handle is in the table.
+type run struct {
+	key    jobs.RunKey
+	worker string
+	mine   bool // recorded under this term
+	sent   bool // its order may have left
+	sentAt time.Duration
+	// accepted is the sequence at which its start was answered well; 0: not.
+	accepted uint64
+	doubted  bool // its start got no answer
+	listed   bool // the worker listed it as running
+	listedAt time.Duration
+	saved    string
+	percent  int
+	stop     bool   // it is to be stopped
+	stopping bool   // a stop order is under way
+	stopped  uint64 // sequence at which a stop order was answered; 0: not
+	retryAt  time.Duration
+	ending   bool // its end waits to be committed
+	gang     bool
+	lasting  bool
+	estimate time.Duration
+	priority int
+	needs    jobs.Resources
+}
+
+func compareKeys(a, b jobs.RunKey) int {
+	return cmp.Or(cmp.Compare(a.Task.Job, b.Task.Job), cmp.Compare(a.Task.Round, b.Task.Round),
+		cmp.Compare(a.Task.Step, b.Task.Step), cmp.Compare(a.Task.Index, b.Task.Index), cmp.Compare(a.Number, b.Number))
+}
+
+func sortedRuns(runs map[jobs.RunKey]*run) []jobs.RunKey {
+	keys := make([]jobs.RunKey, 0, len(runs))
+	for key := range runs {
+		keys = append(keys, key)
+	}
+	slices.SortFunc(keys, compareKeys)
+	return keys
+}
+
+func sortedKeys[V any](m map[string]V) []string {
+	keys := make([]string, 0, len(m))
+	for key := range m {
+		keys = append(keys, key)
+	}
+	slices.Sort(keys)
+	return keys
+}
+
+// addRun notes a handle of the table; nil if its worker or job is not known.
+func (c *Core) addRun(key jobs.RunKey, workerID string, mine bool) *run {
+	if r := c.runs[key]; r != nil {
+		return r
+	}
+	j := c.table.Jobs[key.Task.Job]
+	if j == nil {
+		return nil
+	}
+	r := &run{key: key, worker: workerID, mine: mine, sent: !mine}
+	if key.Task.Step < len(j.Spec.Steps) {
+		step := &j.Spec.Steps[key.Task.Step]
+		r.gang, r.lasting, r.estimate, r.needs = step.Gang, step.Lasting, step.Estimate, step.Needs
+	}
+	if q := c.table.Config.Queue(j.Spec.Queue); q != nil {
+		r.priority = q.Priority
+	}
+	c.runs[key] = r
+	w := c.meet(workerID)
+	w.runs[key] = r
+	return r
+}
+
+// dropRun forgets a run whose handle has left the table.
+func (c *Core) dropRun(r *run) {
+	delete(c.runs, r.key)
+	if w := c.workers[r.worker]; w != nil {
+		delete(w.runs, r.key)
+	}
+}
+
+// end puts a run's end into the next Progress.
+func (c *Core) end(r *run, how jobs.How, checkpoint string) {
+	if r.ending {
+		return
+	}
+	r.ending = true
+	c.moved = true
+	c.ends = append(c.ends, jobs.End{Key: r.key, Worker: r.worker, How: how, Checkpoint: cmp.Or(checkpoint, r.saved)})
+	switch how {
+	case jobs.EndDone:
+		c.Counts.Done++
+	case jobs.EndFailed:
+		c.Counts.Failed++
+		c.avoid[r.key.Task] = r.worker
+	case jobs.EndLost:
+		c.Counts.Lost++
+	}
+	if r.gang {
+		c.stopGang(r)
+	}
+}
+
+// stopGang stops the other members of a run that has ended: they can do nothing alone.
+func (c *Core) stopGang(ended *run) {
+	j := c.table.Jobs[ended.key.Task.Job]
+	if j == nil || j.Rounds == nil {
+		return
+	}
+	key := ended.key
+	for i := range j.Rounds[key.Task.Round][key.Task.Step] {
+		key.Task.Index = i
+		if r := c.runs[key]; r != nil && !r.ending {
+			r.stop = true
+		}
+	}
+}
+
+// sendStops gives the stop orders that are due.
+func (c *Core) sendStops(out *Out) {
+	for _, id := range c.names {
+		w := c.workers[id]
+		rec := w.record()
+		if rec == nil {
+			continue
+		}
+		for _, key := range sortedRuns(w.runs) {
+			r := w.runs[key]
+			wanted := r.stop || r.doubted && !r.listed
+			if !wanted || !r.sent || r.ending || r.stopping || r.stopped != 0 || c.now < r.retryAt {
+				continue
+			}
+			r.stopping = true
+			out.Stops = append(out.Stops, StopOut{Worker: *rec, Order: StopOrder{Key: key, Token: c.term}})
+			c.Counts.Stopped++
+		}
+		for _, key := range w.strayKeys() {
+			if s := w.strays[key]; !s.stopping && c.now >= s.retryAt {
+				s.stopping = true
+				out.Stops = append(out.Stops, StopOut{Worker: *rec, Order: StopOrder{Key: key, Token: c.term}})
+			}
+		}
+	}
+}
+
+// StartAnswered takes in the answer to a start order.
+func (c *Core) StartAnswered(now time.Duration, workerID string, key jobs.RunKey, answer StartAnswer, err StartError) {
+	c.now = now
+	w, r := c.workers[workerID], c.runs[key]
+	if c.term == 0 || w == nil {
+		return
+	}
+	w.starting = max(0, w.starting-1)
+	c.sequence++
+	switch err {
+	case StartOtherLife:
+		c.gone(w)
+		return
+	case StartUnsent:
+		w.failed(c, now)
+		if r != nil && r.sent && !r.listed {
+			c.end(r, jobs.EndLost, "")
+		}
+		return
+	case StartUnknown:
+		w.failed(c, now)
+		if r != nil && !r.listed {
+			r.doubted = true
+			w.probe = true
+			c.Counts.Doubted++
+		}
+		return
+	}
+	w.heard(c, now, answer.Clock)
+	if r == nil {
+		return
+	}
+	if answer.Refusal == "" {
+		r.accepted = c.sequence
+		return
+	}
+	c.Counts.Refused++
+	w.refused(c, now, answer.Refusal)
+	if !r.listed {
+		c.end(r, jobs.EndLost, "")
+		c.avoid[key.Task] = workerID
+	}
+}
+
+// StartError says how a start order without an answer failed.
+type StartError int
+
+// The failures of a start order.
+const (
+	StartOK        StartError = iota // it was answered
+	StartUnsent                      // no byte of it left: it never starts
+	StartUnknown                     // it may be carried out, now or later
+	StartOtherLife                   // another life answered: the worker is gone for good
+)
+
+// StopAnswered takes in the answer to a stop order; ok tells that the worker answered it.
+func (c *Core) StopAnswered(now time.Duration, workerID string, key jobs.RunKey, ok bool) {
+	c.now = now
+	w := c.workers[workerID]
+	if c.term == 0 || w == nil {
+		return
+	}
+	c.sequence++
+	retry := now + c.cfg.RetryMin
+	if s := w.strays[key]; s != nil {
+		if s.stopping, s.retryAt = false, retry; ok {
+			delete(w.strays, key)
+		}
+	}
+	r := w.runs[key]
+	if r == nil {
+		return
+	}
+	r.stopping = false
+	if !ok {
+		w.failed(c, now)
+		r.retryAt = retry
+		return
+	}
+	r.stopped = c.sequence
+	w.probe = true
+}
--- /dev/null
+++ b/internal/scheduler/worker.go
@@ -0,0 +1,327 @@
+package scheduler
+
+import (
+	"slices"
+	"time"
+
+	"crosstide/internal/jobs"
+)
+
+// worker is what the leader knows of a worker under its term.
+type worker struct {
+	id    string
+	table *jobs.Table
+	runs  map[jobs.RunKey]*run
+	// strays are runs that the worker lists and the table does not have: to be stopped.
+	strays map[jobs.RunKey]*stray
+
+	heardAt  time.Duration // when it last answered or sent a heartbeat; 0: not under this term
+	answered bool          // it answered a hold call under this term: no older token counts there any more
+	clock    time.Duration // its clock at clockAt
+	clockAt  time.Duration
+	clockOK  bool
+	granted  time.Duration // the latest lease that may be in force there, on its clock; 0: unknown
+
+	holding  uint64 // the hold call that waits; 0: none
+	probing  uint64 // the hold call that asks at once; 0: none
+	probe    bool   // something must be asked at once
+	noted    uint64 // highest end taken in
+	seen     uint64 // highest end that is durable
+	failures int
+	retryAt  time.Duration
+	starting int           // start orders under way
+	fullAt   time.Duration // it refused for room then: our account of it is wrong for a moment
+	sickAt   time.Duration // it refused as unhealthy then
+	leaving  time.Duration // while draining: when it may be gone, on our clock; 0: unknown
+}
+
+type stray struct {
+	stopping bool
+	retryAt  time.Duration
+}
+
+// meet gives the record of a worker.
+func (c *Core) meet(id string) *worker {
+	w := c.workers[id]
+	if w == nil {
+		w = &worker{id: id, table: c.table, runs: map[jobs.RunKey]*run{}, strays: map[jobs.RunKey]*stray{}, probe: true}
+		c.workers[id] = w
+		c.names = append(c.names, id)
+	}
+	return w
+}
+
+func (w *worker) record() *jobs.Worker { return w.table.Workers[w.id] }
+
+func (w *worker) strayKeys() []jobs.RunKey {
+	if len(w.strays) == 0 {
+		return nil
+	}
+	keys := make([]jobs.RunKey, 0, len(w.strays))
+	for key := range w.strays {
+		keys = append(keys, key)
+	}
+	slices.SortFunc(keys, compareKeys)
+	return keys
+}
+
+// heard notes a sign of life, with the worker's clock if it was told.
+func (w *worker) heard(c *Core, now, clock time.Duration) {
+	w.heardAt = max(now, 1)
+	w.failures, w.retryAt = 0, 0
+	if clock > 0 && (!w.clockOK || clock > w.clock) {
+		w.clock, w.clockAt, w.clockOK = clock, now, true
+	}
+}
+
+// failed notes a call without an answer.
+func (w *worker) failed(c *Core, now time.Duration) {
+	w.failures++
+	pause := c.cfg.RetryMin << min(w.failures-1, 8)
+	w.retryAt = now + min(pause, c.cfg.RetryMax)
+}
+
+// refused notes why a worker did not take a start.
+func (w *worker) refused(c *Core, now time.Duration, why Refusal) {
+	switch why {
+	case RefusedRoom:
+		w.fullAt = max(now, 1)
+		w.probe = true
+	case RefusedUnhealthy, RefusedInvalid:
+		w.sickAt = max(now, 1)
+	}
+}
+
+// grant gives the deadline of a new lease, on the worker's clock, and notes that it may be in force.
+func (w *worker) grant(c *Core, now time.Duration) time.Duration {
+	if !w.clockOK {
+		return 0
+	}
+	deadline := w.clock + (now - w.clockAt) + c.cfg.Lease
+	w.granted = max(w.granted, deadline)
+	return deadline
+}
+
+// clockLeast is the least that the worker's clock shows at now.
+func (w *worker) clockLeast(c *Core, now time.Duration) time.Duration {
+	return w.clock + time.Duration(float64(now-w.clockAt)*(1-c.cfg.ClockSlack))
+}
+
+// lapsed tells whether every lease that may have been given to the worker is surely over.
+func (w *worker) lapsed(c *Core, now time.Duration) bool {
+	if w.record() != nil && w.record().Left && w.failures > 0 {
+		return true // it said that it ends, and answers no more
+	}
+	if now-w.heardAt < c.cfg.Lease && w.heardAt > 0 && w.answered {
+		return false
+	}
+	if !w.answered { // an earlier leader may have granted a whole lease just before this term began
+		return time.Duration(float64(now-c.since)*(1-c.cfg.ClockSlack)) > c.cfg.Lease+2*c.cfg.LapseMargin
+	}
+	return w.clockLeast(c, now) > w.granted+c.cfg.LapseMargin
+}
+
+// gone ends all runs of a worker in whose place another life answers.
+func (c *Core) gone(w *worker) {
+	for _, key := range sortedRuns(w.runs) {
+		if r := w.runs[key]; r.sent {
+			c.end(r, jobs.EndLost, "")
+		}
+	}
+	w.dead(c)
+}
+
+// dead makes a worker take no starts until it is forgotten.
+func (w *worker) dead(c *Core) {
+	w.heardAt, w.failures, w.retryAt = 0, 1, c.now+time.Hour
+	clear(w.strays)
+}
+
+// Beat takes in a heartbeat. remaining is how long a draining worker stays at least; 0 if it did not say.
+func (c *Core) Beat(now time.Duration, id string, clock, remaining time.Duration) {
+	w := c.workers[id]
+	if c.term == 0 || w == nil {
+		return
+	}
+	silent := w.heardAt == 0 || w.failures > 0 || now-w.heardAt > c.cfg.Silence
+	if w.retryAt > now+c.cfg.RetryMax {
+		return // another life has its address
+	}
+	w.heardAt = max(now, 1)
+	if clock > 0 && !w.clockOK {
+		w.clock, w.clockAt, w.clockOK = clock, now, true
+	}
+	if remaining > 0 {
+		w.leaving = now + remaining
+	}
+	if silent {
+		w.probe, w.retryAt = true, min(w.retryAt, now)
+		c.moved = true
+	}
+}
+
+// sendHolds gives the hold calls that are due.
+func (c *Core) sendHolds(now time.Duration, out *Out) {
+	for _, id := range c.names {
+		w := c.workers[id]
+		rec := w.record()
+		if rec == nil || now < w.retryAt {
+			continue
+		}
+		if w.probe && w.probing == 0 {
+			w.probe = false
+			w.probing = c.hold(w, rec, 0, out)
+			continue
+		}
+		_, pending := c.seen[id]
+		committing := c.flight != nil && c.flight.seen[id] > 0
+		if w.holding == 0 && len(w.runs) > 0 && w.answered && !pending && !committing {
+			w.holding = c.hold(w, rec, c.cfg.HoldWait, out)
+		}
+	}
+}
+
+// hold makes one hold call and gives its number.
+func (c *Core) hold(w *worker, rec *jobs.Worker, wait time.Duration, out *Out) uint64 {
+	c.sequence++
+	call := HoldCall{Token: c.term, SeenUpTo: w.seen, Wait: wait}
+	if len(w.runs) > 0 {
+		call.Deadline = w.grant(c, c.now)
+	}
+	out.Holds = append(out.Holds, HoldOut{Worker: *rec, Number: c.sequence, Call: call})
+	return c.sequence
+}
+
+// HoldError says how a hold call without an answer failed.
+type HoldError int
+
+// The failures of a hold call.
+const (
+	HoldOK        HoldError = iota // it was answered
+	HoldFailed                     // no answer
+	HoldOtherLife                  // another life answered: the worker is gone for good
+	HoldFenced                     // the worker has seen a higher token: this leader is an old one
+)
+
+// HoldAnswered takes in the answer to the hold call of a number.
+func (c *Core) HoldAnswered(now time.Duration, id string, number uint64, answer HoldAnswer, err HoldError) {
+	c.now = now
+	w := c.workers[id]
+	if c.term == 0 || w == nil || number != w.holding && number != w.probing {
+		return
+	}
+	if number == w.holding {
+		w.holding = 0
+	} else {
+		w.probing = 0
+	}
+	switch err {
+	case HoldOtherLife:
+		c.gone(w)
+		return
+	case HoldFailed, HoldFenced:
+		w.failed(c, now)
+		w.probe = w.probe || len(w.runs) > 0 || !w.answered
+		return
+	}
+	w.heard(c, now, answer.Clock)
+	if !w.answered {
+		w.answered = true
+		// No earlier leader can renew from here on; what one granted ends by then, as all go by the same settings.
+		w.granted = max(w.granted, answer.Clock+c.cfg.Lease+c.cfg.LapseMargin)
+	}
+	c.moved = true
+	c.takeEnds(w, answer.Ended)
+	c.takeRunning(w, number, answer)
+}
+
+// takeEnds takes in ended runs; an end is a fact however old the answer is.
+func (c *Core) takeEnds(w *worker, ended []Ended) {
+	for _, e := range ended {
+		if e.Sequence <= w.noted {
+			continue
+		}
+		w.noted = e.Sequence
+		c.seen[w.id] = e.Sequence
+		delete(w.strays, e.Key)
+		r := w.runs[e.Key]
+		if r == nil || r.ending {
+			continue
+		}
+		c.speeds.ended(c, w, r, e.How)
+		if e.How != jobs.EndFailed || !r.stop {
+			c.end(r, e.How, e.Checkpoint)
+		} else {
+			c.end(r, jobs.EndStopped, e.Checkpoint)
+		}
+	}
+}
+
+// takeRunning holds the list of running runs against the handles, both ways.
+func (c *Core) takeRunning(w *worker, number uint64, answer HoldAnswer) {
+	present := make(map[jobs.RunKey]bool, len(answer.Running)+len(answer.Ended))
+	for _, e := range answer.Ended {
+		present[e.Key] = true
+	}
+	for _, l := range answer.Running {
+		present[l.Key] = true
+		r := w.runs[l.Key]
+		if r == nil {
+			if w.strays[l.Key] == nil && c.runs[l.Key] == nil && !c.inFlight(l.Key) {
+				w.strays[l.Key] = &stray{}
+			}
+			continue
+		}
+		if !r.listed {
+			r.listed, r.listedAt = true, c.now
+		}
+		r.saved, r.percent = l.Checkpoint, l.Percent
+	}
+	for key := range w.strays {
+		if !present[key] {
+			delete(w.strays, key)
+		}
+	}
+	if answer.Full {
+		return
+	}
+	for _, key := range sortedRuns(w.runs) {
+		if r := w.runs[key]; !present[key] && !r.ending && r.provedAbsent(number) {
+			c.end(r, jobs.EndLost, "")
+		}
+	}
+}
+
+func (c *Core) inFlight(key jobs.RunKey) bool { return c.flight != nil && c.flight.starts[key] }
+
+// provedAbsent tells whether a run that the answer to the hold call of a number does not list is surely dead and never
+// starts later: a run of an earlier term, whose orders the token of that call has fenced; one whose start or stop was
+// answered before the call left. A start without an answer proves nothing: it may be carried out late.
+func (r *run) provedAbsent(number uint64) bool {
+	switch {
+	case !r.mine:
+		return true
+	case !r.sent:
+		return false
+	case r.stopped != 0 && r.stopped < number:
+		return true
+	}
+	return r.accepted != 0 && r.accepted < number
+}
+
+// forgotten gives the workers without runs that are gone.
+func (c *Core) forgotten(now time.Duration) []string {
+	var out []string
+	for _, id := range c.names {
+		w := c.workers[id]
+		rec := w.record()
+		if rec == nil || len(w.runs) > 0 || w.starting > 0 {
+			continue
+		}
+		silent := now-max(w.heardAt, c.since) > c.cfg.ForgetAfter
+		if silent || rec.Left && w.failures > 0 {
+			out = append(out, id)
+		}
+	}
+	return out
+}
