Add the replicated job table and its commands

Cause: the scheduler on the core works from a table of jobs, workers and configuration that every node must build alike. Change: jobs.Table with one method per change, derived indexes for handles and tasks left, and the commands job-* in the log. The table stands in state.State; old encodings are read with an empty one.

--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -99,6 +99,8 @@
 	Accepted time.Time  `json:"at"`
 	Ended    time.Time  `json:"ended,omitzero"`
 	Rounds   [][][]Task `json:"rounds,omitempty"` // by round, step, index; nil once it is over and no handle is out
+
+	index jobIndex
 }
 
 // Worker is what is durable of a worker: one life of it, under an ID that is never used again.
--- /dev/null
+++ b/internal/jobs/lifecycle.go
@@ -0,0 +1,119 @@
+package jobs
+
+import (
+	"container/heap"
+	"fmt"
+	"time"
+
+	"crosstide/internal/fault"
+)
+
+// Submit accepts a job, or finds it if it was accepted before. Faults: Conflict: the ID is another job's; Unknown: no
+// such queue; Invalid: a step cannot be built.
+func (t *Table) Submit(c Submit) (JobState, error) {
+	if job := t.Jobs[c.Spec.ID]; job != nil {
+		if job.Digest != c.Digest {
+			return "", fault.Field(fault.Conflict, "id", "%q is the ID of another job", c.Spec.ID)
+		}
+		return job.State, nil
+	}
+	if t.Config.Queue(c.Spec.Queue) == nil {
+		return "", fault.Field(fault.Unknown, "queue", "no queue %q", c.Spec.Queue)
+	}
+	if err := checkSteps(c.Spec.Steps); err != nil {
+		return "", fault.Pass(err, "job %q", c.Spec.ID)
+	}
+	t.Sequence++
+	job := &Job{
+		Spec: c.Spec, Digest: c.Digest, State: Queued, Sequence: t.Sequence, Accepted: c.At,
+		Rounds: newRounds(&c.Spec),
+	}
+	t.Jobs[c.Spec.ID] = job
+	t.indexJob(job)
+	t.succeed(job, c.At) // only a job without tasks
+	t.tell(JobChanged, c.Spec.ID)
+	return job.State, nil
+}
+
+// checkSteps refuses what the table could not hold.
+func checkSteps(steps []Step) error {
+	for i, step := range steps {
+		if step.Count < 0 {
+			return fault.Field(fault.Invalid, fmt.Sprintf("steps[%d].count", i), "must not be negative, is %d", step.Count)
+		}
+		for _, before := range step.After {
+			if before < 0 || before >= i {
+				return fault.Field(fault.Invalid, fmt.Sprintf("steps[%d].after", i), "%d is no earlier step", before)
+			}
+		}
+	}
+	return nil
+}
+
+func newRounds(spec *Spec) [][][]Task {
+	rounds := make([][][]Task, max(1, spec.Rounds))
+	for round := range rounds {
+		rounds[round] = make([][]Task, len(spec.Steps))
+		for step := range spec.Steps {
+			rounds[round][step] = make([]Task, spec.Steps[step].Count)
+		}
+	}
+	return rounds
+}
+
+// Cancel ends a job that is not over. Its handles stay until their ends. Fault: Unknown.
+func (t *Table) Cancel(c Cancel) (JobState, error) {
+	job := t.Jobs[c.ID]
+	if job == nil {
+		return "", fault.New(fault.Unknown, "no job %q", c.ID)
+	}
+	if !job.State.Over() {
+		t.finish(job, Cancelled, c.At)
+		t.tell(JobChanged, c.ID)
+	}
+	return job.State, nil
+}
+
+// Tidy drops the jobs that ended before a time and have no handle out.
+func (t *Table) Tidy(before time.Time) {
+	for len(t.retired) > 0 && t.retired[0].Ended.Before(before) {
+		job := heap.Pop(&t.retired).(*Job)
+		delete(t.Jobs, job.Spec.ID)
+		t.tell(JobChanged, job.Spec.ID)
+	}
+}
+
+// succeed ends a job that has no task left.
+func (t *Table) succeed(job *Job, at time.Time) {
+	if job.index.undone == 0 && !job.State.Over() {
+		t.finish(job, Succeeded, at)
+	}
+}
+
+// finish puts a job that is not over into a final state.
+func (t *Table) finish(job *Job, to JobState, at time.Time) {
+	t.setState(job, to)
+	job.Ended = at
+	t.retire(job)
+}
+
+// retire lets go of what nobody needs any more of a job that is over and has no handle out.
+func (t *Table) retire(job *Job) {
+	if !job.State.Over() || job.index.handles > 0 {
+		return
+	}
+	job.Rounds = nil
+	job.Spec.Payload, job.Spec.Steps = "", nil
+	job.index = jobIndex{}
+	heap.Push(&t.retired, job)
+}
+
+// setState is the one place that changes a job's state.
+func (t *Table) setState(job *Job, to JobState) {
+	if job.State == Queued {
+		if t.waiting[job.Spec.Queue]--; t.waiting[job.Spec.Queue] == 0 {
+			delete(t.waiting, job.Spec.Queue)
+		}
+	}
+	job.State = to
+}
--- /dev/null
+++ b/internal/jobs/start.go
@@ -0,0 +1,111 @@
+package jobs
+
+import "slices"
+
+// gangRun names one run of a gang.
+type gangRun struct {
+	step   stepRef
+	number int
+}
+
+// recordStarts records the starts whose preconditions hold, and tells which: those of a gang together or not at all.
+func (t *Table) recordStarts(term uint64, starts []Start) []bool {
+	if len(starts) == 0 {
+		return nil
+	}
+	recorded := make([]bool, len(starts))
+	gangs := t.gangRuns(starts)
+	for i, start := range starts {
+		job, task := t.find(start.Task)
+		if task == nil {
+			continue
+		}
+		group := []int{i}
+		if job.Spec.Steps[start.Task.Step].Gang {
+			group = gangs[gangRun{start.Task.stepRef(), start.Number}]
+		}
+		if group[0] == i && t.mayStart(job, starts, group) {
+			for _, member := range group {
+				t.record(job, starts[member], term)
+				recorded[member] = true
+			}
+		}
+	}
+	return recorded
+}
+
+// gangRuns gives the positions of the starts of each run of a gang.
+func (t *Table) gangRuns(starts []Start) map[gangRun][]int {
+	var gangs map[gangRun][]int
+	for i, start := range starts {
+		job, task := t.find(start.Task)
+		if task == nil || !job.Spec.Steps[start.Task.Step].Gang {
+			continue
+		}
+		if gangs == nil {
+			gangs = map[gangRun][]int{}
+		}
+		run := gangRun{start.Task.stepRef(), start.Number}
+		gangs[run] = append(gangs[run], i)
+	}
+	return gangs
+}
+
+// mayStart tells whether all starts of a group, one task or one run of a gang, may be recorded together.
+func (t *Table) mayStart(job *Job, starts []Start, group []int) bool {
+	first := starts[group[0]].Task
+	if job.State.Over() || len(group) != len(job.members(first)) || !t.ReadyStep(job, first.Round, first.Step) {
+		return false
+	}
+	members := map[int]bool{}
+	placed := map[string]int{} // members of the group by worker
+	for _, i := range group {
+		start := starts[i]
+		task := &job.Rounds[first.Round][first.Step][start.Task.Index]
+		if members[start.Task.Index] || task.Done || len(task.Runs) > 0 || start.Number <= task.LastRun {
+			return false
+		}
+		members[start.Task.Index] = true
+		placed[start.Worker]++
+		if !t.accepts(start.Worker, job, first.stepRef(), placed[start.Worker]) {
+			return false
+		}
+	}
+	return true
+}
+
+// accepts tells whether a worker may be given so many more runs of a step.
+func (t *Table) accepts(id string, job *Job, ref stepRef, runs int) bool {
+	worker := t.Workers[id]
+	queue := t.Config.Queue(job.Spec.Queue)
+	if worker == nil || worker.Draining || worker.Left || t.Evacuated[worker.Zone] {
+		return false
+	}
+	if queue == nil || queue.Service != worker.Service {
+		return false
+	}
+	step := &job.Spec.Steps[ref.step]
+	if step.Label != "" && !slices.Contains(worker.Labels, step.Label) {
+		return false
+	}
+	if step.MostPerNode > 0 && t.runsOfStep(id, ref)+runs > step.MostPerNode {
+		return false
+	}
+	if service := t.Config.Service(worker.Service); service != nil && service.GuardsRoom {
+		return true
+	}
+	return t.Used(id).plus(step.Needs, runs).within(worker.Capacity)
+}
+
+// record makes the handle of a start that may be recorded.
+func (t *Table) record(job *Job, start Start, term uint64) {
+	ref := start.Task
+	task := &job.Rounds[ref.Round][ref.Step][ref.Index]
+	task.LastRun = start.Number
+	task.Runs = []Run{{Number: start.Number, Worker: start.Worker, Term: term}}
+	job.index.handles++
+	t.occupy(start.Worker, RunKey{Task: ref, Number: start.Number}, job.Spec.Steps[ref.Step].Needs)
+	if job.State == Queued {
+		t.setState(job, Running)
+	}
+}
--- /dev/null
+++ b/internal/jobs/table.go
@@ -0,0 +1,82 @@
+package jobs
+
+import (
+	"encoding/json"
+
+	"crosstide/internal/fault"
+)
+
+// MaxOrders is how many digests of configuration orders are remembered, the newest.
+const MaxOrders = 1024
+
+// Table is the replicated table. It has no lock: its owner has.
+type Table struct {
+	Jobs      map[string]*Job    `json:"jobs"`
+	Workers   map[string]*Worker `json:"workers"`
+	Config    Config             `json:"config"`
+	Evacuated map[string]bool    `json:"evacuated,omitempty"` // zones being evacuated
+	Sequence  uint64             `json:"seq"`                 // of the newest accepted job
+	Term      uint64             `json:"term"`                // of the newest Progress
+	Orders    []string           `json:"orders,omitempty"`    // digests of configuration orders taken, oldest first
+
+	// Watch is told of each change after it was made; it must not change the table.
+	Watch func(Note) `json:"-"`
+
+	orders    map[string]struct{}   // Orders as a set
+	waiting   map[string]int        // queued jobs by queue
+	occupancy map[string]*occupancy // what handles take, by worker ID; none for a worker without handles
+	retired   retiredJobs           // jobs that are over and have no handle out, oldest end first
+}
+
+// NoteKind says what a Note is about.
+type NoteKind uint8
+
+// The kinds of notes. A job that was dropped is told as changed too.
+const (
+	JobChanged    NoteKind = iota + 1 // a job came, changed or was dropped (its ID)
+	WorkerChanged                     // the record of a worker came or changed (its ID)
+	WorkerGone                        // a worker was forgotten (its ID)
+	ConfigChanged                     // another configuration is in force
+	ZonesChanged                      // an evacuation was started or withdrawn (the zone)
+)
+
+// Note is a change that the watcher is told of.
+type Note struct {
+	Kind NoteKind
+	Name string
+}
+
+// NewTable makes an empty table.
+func NewTable() *Table {
+	t := &Table{}
+	t.Rebuild()
+	return t
+}
+
+// Encode gives the table as JSON, the same bytes for the same table.
+func (t *Table) Encode() ([]byte, error) {
+	data, err := json.Marshal(t)
+	if err != nil {
+		return nil, fault.Wrap(err, fault.Internal, "encode job table")
+	}
+	return data, nil
+}
+
+// UnmarshalJSON replaces the table by what Encode gave. Watch stays.
+func (t *Table) UnmarshalJSON(data []byte) error {
+	type plain Table // without this method
+	var decoded plain
+	if err := json.Unmarshal(data, &decoded); err != nil {
+		return fault.Wrap(err, fault.Damaged, "decode job table")
+	}
+	decoded.Watch = t.Watch
+	*t = Table(decoded)
+	t.Rebuild()
+	return nil
+}
+
+func (t *Table) tell(kind NoteKind, name string) {
+	if t.Watch != nil {
+		t.Watch(Note{Kind: kind, Name: name})
+	}
+}
--- /dev/null
+++ b/internal/jobs/workers.go
@@ -0,0 +1,36 @@
+package jobs
+
+import "slices"
+
+// Register records workers that are new or have changed. One that drains or has left never comes back under its ID.
+func (t *Table) Register(c Register) error {
+	for _, worker := range c.Workers {
+		old := t.Workers[worker.ID]
+		if old != nil {
+			worker.Draining = worker.Draining || old.Draining
+			worker.Left = worker.Left || old.Left
+			if old.equal(&worker) {
+				continue
+			}
+		}
+		t.Workers[worker.ID] = &worker
+		t.tell(WorkerChanged, worker.ID)
+	}
+	return nil
+}
+
+func (w *Worker) equal(other *Worker) bool {
+	return w.ID == other.ID && w.Address == other.Address && w.Service == other.Service && w.Zone == other.Zone &&
+		w.Rack == other.Rack && w.Capacity == other.Capacity && w.Draining == other.Draining && w.Left == other.Left &&
+		slices.Equal(w.Labels, other.Labels)
+}
+
+// forget drops workers that have no handle.
+func (t *Table) forget(workers []string) {
+	for _, id := range workers {
+		if t.Workers[id] != nil && t.occupancy[id] == nil {
+			delete(t.Workers, id)
+			t.tell(WorkerGone, id)
+		}
+	}
+}
--- a/internal/state/command/command.go
+++ b/internal/state/command/command.go
@@ -41,6 +41,14 @@
 	"put":      func() Command { return &Put{} },
 	"patch":    func() Command { return &Patch{} },
 	"sign":     func() Command { return &Sign{} },
+
+	"job-submit":    func() Command { return &JobSubmit{} },
+	"job-cancel":    func() Command { return &JobCancel{} },
+	"job-configure": func() Command { return &JobConfigure{} },
+	"job-evacuate":  func() Command { return &JobEvacuate{} },
+	"job-register":  func() Command { return &JobRegister{} },
+	"job-progress":  func() Command { return &JobProgress{} },
+	"job-tidy":      func() Command { return &JobTidy{} },
 }
 
 // Encode makes the log data of a command. Example:
--- a/internal/state/line.go
+++ b/internal/state/line.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"crosstide/internal/fault"
+	"crosstide/internal/jobs"
 )
 
 // First is the text of version 1, in force from the founding: one queue `default` that any minion may serve.
@@ -159,6 +160,9 @@
 }
 
 func (s *State) found() {
+	if s.Table == nil { // also in encodings from before there was one
+		s.Table = jobs.NewTable()
+	}
 	if len(s.Line) == 0 {
 		s.Line = []*Revision{{Version: 1, Size: len(First), Digest: firstDigest, Phase: RevisionForce, Body: []byte(First)}}
 	}
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"crosstide/internal/fault"
+	"crosstide/internal/jobs"
 )
 
 // JobPhase is where a job stands.
@@ -270,6 +271,8 @@
 	Lifts      map[string][]string `json:"lifts,omitempty"` // zone to the operators who signed its lifting
 	Orders     map[string]*Order   `json:"orders"`
 	OrderKeys  []string            `json:"order_keys"` // oldest first
+	// Table holds jobs, workers and configuration of the platform; never nil.
+	Table *jobs.Table `json:"table,omitempty"`
 
 	// Watch is told of changes as they are applied; it must not change the state.
 	Watch func(Note) `json:"-"`
