--- a/internal/wire/caller.go
+++ b/internal/wire/caller.go
@@ -31,6 +31,7 @@
 	Idle        int                   // idle connections kept per address, default 16
 	IdleFor     time.Duration         // an idle connection is dropped after it, default 1m, under a server's 2m
 	MaxBody     int64                 // bound on an answer in bytes, default MaxBody
+	ReadBuffer  int                   // bytes of the read buffer of each connection, default 4096
 	Logger      log.Logger            // default: none
 	Registry    prometheus.Registerer // default: the counters are not shown
 }
@@ -61,6 +62,9 @@
 	if opt.MaxBody <= 0 {
 		opt.MaxBody = MaxBody
 	}
+	if opt.ReadBuffer <= 0 {
+		opt.ReadBuffer = 4096
+	}
 	if opt.Logger == nil {
 		opt.Logger = log.NewNopLogger()
 	}
@@ -95,17 +99,23 @@
 // clock, or with ctx: the connection is closed with a reset and the error is fault.Timeout, also while dialing. A refused or
 // broken connection is fault.Unavailable, a closed caller fault.Stopped, an answer that is no JSON of A
 // fault.Malformed; a fault answered by the peer comes back with its kind, field, message, hint and After.
-// See Unsent for calls that surely were not made. Example:
+// See Unsent for calls that surely were not made, Answered for faults that the peer gave. Example:
 //
 //	verdict, err := wire.Ask(ctx, caller, "10.0.0.7:7000", Vote, ballot, 500*time.Millisecond)
 func Ask[C, A any](ctx context.Context, k *Caller, addr string, p Pair[C, A], call C, within time.Duration) (A, error) {
-	answer, err := ask(ctx, k, k, addr, p, call, within, nil)
-	if err != nil {
-		return answer, fault.Pass(err, "shared connection")
+	var answer, none A
+	if err := k.AskInto(ctx, addr, p.Path, call, &answer, within); err != nil {
+		return none, fault.Pass(err, "shared connection")
 	}
 	return answer, nil
 }
 
+// AskInto is Ask for callers that hold pairs of several types: answer is a pointer to the answer's type. After an
+// error it may hold a part of the answer.
+func (k *Caller) AskInto(ctx context.Context, addr, path string, call, answer any, within time.Duration) error {
+	return fault.Pass(k.ask(ctx, k, addr, path, call, answer, within, nil), "ask %s", path)
+}
+
 // Line is a dedicated connection to one address: one call at a time, dialed at need, shared with nothing else.
 type Line struct {
 	k    *Caller
@@ -133,9 +143,9 @@
 //		void(orders) // the minion surely has not seen them
 //	}
 func AskLine[C, A any](ctx context.Context, l *Line, p Pair[C, A], call C, within time.Duration, before func() error) (A, error) {
-	answer, err := ask(ctx, l.k, l, l.addr, p, call, within, before)
-	if err != nil {
-		return answer, fault.Pass(err, "line")
+	var answer, none A
+	if err := l.k.ask(ctx, l, l.addr, p.Path, call, &answer, within, before); err != nil {
+		return none, fault.Pass(err, "line, ask %s", p.Path)
 	}
 	return answer, nil
 }
@@ -162,6 +172,17 @@
 func (u *unsent) Error() string { return "not sent: " + u.cause.Error() }
 func (u *unsent) Unwrap() error { return u.cause }
 
+// Answered tells that err is a fault that the peer's handler (or its server) gave as the answer.
+func Answered(err error) bool {
+	var a *answered
+	return errors.As(err, &a)
+}
+
+type answered struct{ cause error }
+
+func (a *answered) Error() string { return "answered: " + a.cause.Error() }
+func (a *answered) Unwrap() error { return a.cause }
+
 // holder lends connections to calls.
 type holder interface {
 	take(ctx context.Context, addr string) (*link, error)
@@ -171,27 +192,38 @@
 
 var errLate = errors.New("no answer in time")
 
-func ask[C, A any](ctx context.Context, k *Caller, h holder, addr string, p Pair[C, A], call C, within time.Duration, before func() error) (A, error) {
-	var answer, none A
-	k.meter.calls.WithLabelValues(p.Path).Inc()
-	room := len(p.Path) + len(addr) + 160
+func (k *Caller) ask(ctx context.Context, h holder, addr, path string, call, answer any, within time.Duration, before func() error) error {
+	k.meter.calls.WithLabelValues(path).Inc()
+	room := len(path) + len(addr) + 160
 	out, in := takeFrame(room), takeFrame(0)
 	defer out.free()
 	defer in.free()
 	err := out.encode(call)
 	if err == nil {
-		err = k.exchange(ctx, h, addr, p.Path, out.head(room, p.Path, addr), &in.buf, within, before)
+		err = k.askFrame(ctx, h, addr, path, out.head(room, path, addr), &in.buf, within, before)
 	} else {
 		err = fault.Pass(&unsent{err}, "the call")
 	}
 	if err == nil {
-		err = fault.Wrap(json.Unmarshal(in.buf.Bytes(), &answer), fault.Malformed, "the answer of %s at %s", p.Path, addr)
+		err = fault.Wrap(json.Unmarshal(in.buf.Bytes(), answer), fault.Malformed, "the answer of %s at %s", path, addr)
 	}
 	if err != nil {
-		k.meter.faults.WithLabelValues(p.Path, string(known(fault.KindOf(err)))).Inc()
-		return none, fault.Pass(err, "ask %s", p.Path)
+		k.meter.faults.WithLabelValues(path, string(known(fault.KindOf(err)))).Inc()
 	}
-	return answer, nil
+	return fault.Pass(err, "call")
+}
+
+// askFrame makes one call of a pair: an answer other than 200 is the fault it tells of.
+func (k *Caller) askFrame(ctx context.Context, h holder, addr, path string, out []byte, in *bytes.Buffer, within time.Duration, before func() error) error {
+	t := transfer{addr: addr, path: path, method: http.MethodPost, out: out, in: in, within: within, before: before}
+	res, err := k.transfer(ctx, h, t)
+	if err != nil {
+		return fault.Pass(err, "send")
+	}
+	if res.StatusCode == http.StatusOK {
+		return nil
+	}
+	return fault.Pass(decodeFault(res, in.Bytes()), "%s at %s", path, addr)
 }
 
 // head puts the request's head right before the body, into the room kept for it, and gives the whole request.
@@ -208,14 +240,23 @@
 	return whole[start:]
 }
 
-// exchange makes one call: the request as it goes out, the answer's body into in.
-func (k *Caller) exchange(ctx context.Context, h holder, addr, path string, out []byte, in *bytes.Buffer, within time.Duration, before func() error) error {
+// transfer is one request as it goes out, and the buffer that takes the body of its response.
+type transfer struct {
+	addr, path, method string
+	out                []byte // head and body
+	in                 *bytes.Buffer
+	within             time.Duration
+	before             func() error // before each write; nil: none
+}
+
+// transfer sends a request once and reads the whole response, of any status, over a connection of h.
+func (k *Caller) transfer(ctx context.Context, h holder, t transfer) (*http.Response, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	if within <= 0 {
+	if t.within <= 0 {
 		cancel(errLate)
 	} else {
-		defer k.opt.Clock.Set(within, func() { cancel(errLate) }).Stop()
+		defer k.opt.Clock.Set(t.within, func() { cancel(errLate) }).Stop()
 	}
 	sent := 0
 	explain := func(err error) error {
@@ -224,29 +265,29 @@
 		}
 		switch {
 		case context.Cause(ctx) != nil:
-			return fault.Wrap(errors.Join(context.Cause(ctx), err), fault.Timeout, "%s at %s: over after at most %s", path, addr, within)
+			return fault.Wrap(errors.Join(context.Cause(ctx), err), fault.Timeout, "%s at %s: over after at most %s", t.path, t.addr, t.within)
 		case h.ended():
-			return fault.Wrap(err, fault.Stopped, "%s at %s: closed on our side", path, addr)
+			return fault.Wrap(err, fault.Stopped, "%s at %s: closed on our side", t.path, t.addr)
 		}
-		return fault.Wrap(err, fault.Unavailable, "%s at %s", path, addr)
+		return fault.Wrap(err, fault.Unavailable, "%s at %s", t.path, t.addr)
 	}
-	l, err := h.take(ctx, addr)
+	l, err := h.take(ctx, t.addr)
 	if err != nil {
-		return fault.Pass(explain(err), "connect")
+		return nil, fault.Pass(explain(err), "connect")
 	}
 	whole := false
 	stop := context.AfterFunc(ctx, l.reset)
 	defer func() { h.give(l, stop() && whole) }()
 
 	var refused error
-	err = l.write(out, &sent, func() error {
+	err = l.write(t.out, &sent, func() error {
 		if context.Cause(ctx) != nil {
 			return fault.Wrap(context.Cause(ctx), fault.Timeout, "before the write")
 		}
-		if before == nil {
+		if t.before == nil {
 			return nil
 		}
-		if refused = before(); refused != nil {
+		if refused = t.before(); refused != nil {
 			return fault.Pass(refused, "held back")
 		}
 		return nil
@@ -256,31 +297,41 @@
 		if sent == 0 {
 			refused = &unsent{refused}
 		}
-		return fault.Pass(refused, "%s at %s: held back before the write", path, addr)
+		return nil, fault.Pass(refused, "%s at %s: held back before the write", t.path, t.addr)
 	}
 	if err != nil {
-		return fault.Pass(explain(err), "write the call")
+		return nil, fault.Pass(explain(err), "write the call")
 	}
-	res, err := http.ReadResponse(l.read, nil)
+	res, err := l.response(t.method)
 	if err != nil {
-		return fault.Pass(explain(err), "read the answer's head")
+		return nil, fault.Pass(explain(err), "read the answer's head")
 	}
-	err = readInto(in, res.Body, res.ContentLength, k.opt.MaxBody)
-	k.meter.in.Add(float64(in.Len()))
+	err = readInto(t.in, res.Body, res.ContentLength, k.opt.MaxBody)
+	k.meter.in.Add(float64(t.in.Len()))
 	if fault.Is(err, fault.TooLarge) {
-		return fault.Pass(err, "the answer of %s at %s", path, addr)
+		return nil, fault.Pass(err, "the answer of %s at %s", t.path, t.addr)
 	}
 	if err != nil {
-		return fault.Pass(explain(err), "read the answer")
+		return nil, fault.Pass(explain(err), "read the answer")
 	}
 	whole = !res.Close && l.read.Buffered() == 0
-	if res.StatusCode == http.StatusOK {
-		return nil
+	return res, nil
+}
+
+// response reads the head of the final response; interim ones (1xx) are passed over.
+func (l *link) response(method string) (*http.Response, error) {
+	for {
+		res, err := http.ReadResponse(l.read, &http.Request{Method: method})
+		if err != nil {
+			return nil, fault.Wrap(err, fault.Unavailable, "response")
+		}
+		if res.StatusCode >= http.StatusOK || res.StatusCode == http.StatusSwitchingProtocols {
+			return res, nil
+		}
 	}
-	return fault.Pass(decodeFault(res, in.Bytes()), "%s at %s", path, addr)
 }
 
-// decodeFault makes the fault of an answer other than 200.
+// decodeFault makes the fault of an answer other than 200; a fault of ours is marked for Answered.
 func decodeFault(res *http.Response, body []byte) error {
 	var r reply
 	if err := json.Unmarshal(body, &r); err != nil || r.Kind == "" {
@@ -294,7 +345,7 @@
 	if s, err := strconv.Atoi(res.Header.Get("Retry-After")); err == nil && s > 0 {
 		f.After = time.Duration(s) * time.Second
 	}
-	return f
+	return &answered{f}
 }
 
 // link is one connection.
@@ -368,7 +419,7 @@
 		_ = tcp.Close()
 		return nil, fault.Wrap(err, fault.Internal, "raw connection")
 	}
-	l := &link{TCPConn: tcp, raw: raw, read: bufio.NewReader(tcp), addr: addr}
+	l := &link{TCPConn: tcp, raw: raw, read: bufio.NewReaderSize(tcp, k.opt.ReadBuffer), addr: addr}
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if k.closed {
