--- /dev/null
+++ b/internal/controller/forward.go
@@ -0,0 +1,124 @@
+package controller
+
+import (
+	"context"
+	"time"
+
+	"crosstide/internal/fault"
+	"crosstide/internal/jobs"
+	"crosstide/internal/wire"
+)
+
+// Local answers the calls on a node of the core, by the contract of the pairs: a node that does not lead gives
+// fault.NotLeader with the leader's internal address as hint and has done nothing. Topology is answered by any node; it
+// names this node as the leader only while its lease holds.
+type Local interface {
+	Submit(ctx context.Context, call SubmitCall) (SubmitAnswer, error)
+	Job(ctx context.Context, call JobCall) (JobAnswer, error)
+	Count(ctx context.Context, call CountCall) (CountAnswer, error)
+	Beat(ctx context.Context, call BeatCall) (BeatAnswer, error)
+	Config(ctx context.Context, call ConfigCall) (jobs.Config, error)
+	Configure(ctx context.Context, call jobs.Configure) (ConfigureAnswer, error)
+	Evacuate(ctx context.Context, call jobs.Evacuate) (EvacuateAnswer, error)
+	Topology(ctx context.Context, call TopologyCall) (TopologyAnswer, error)
+}
+
+// serveWithin bounds a call at the node that answers it: its caller has long gone on by then.
+const serveWithin = 10 * time.Second
+
+// Serve answers all pairs of the core at s by local; nothing is passed on from there. Call it before s starts.
+func Serve(s *wire.Server, local Local) {
+	handle(s, SubmitPair, local.Submit)
+	handle(s, JobPair, local.Job)
+	handle(s, CountPair, local.Count)
+	handle(s, BeatPair, local.Beat)
+	handle(s, ConfigPair, local.Config)
+	handle(s, ConfigurePair, local.Configure)
+	handle(s, EvacuatePair, local.Evacuate)
+	handle(s, TopologyPair, local.Topology)
+}
+
+func handle[C, A any](s *wire.Server, p wire.Pair[C, A], serve func(context.Context, C) (A, error)) {
+	wire.Handle(s, p, func(ctx context.Context, call C) (A, error) {
+		ctx, cancel := context.WithTimeout(ctx, serveWithin)
+		defer cancel()
+		answer, err := serve(ctx, call)
+		return answer, fault.Pass(err, "%s", p.Path)
+	})
+}
+
+// Relay answers calls on any node of the core: by the node itself when it leads, else by the leader.
+type Relay struct {
+	local  Local
+	remote *Client
+	self   string
+}
+
+// NewRelay makes a relay on the node whose internal address is self.
+func NewRelay(local Local, remote *Client, self string) *Relay {
+	return &Relay{local: local, remote: remote, self: self}
+}
+
+// Submit hands a job in.
+func (r *Relay) Submit(ctx context.Context, call SubmitCall) (SubmitAnswer, error) {
+	answer, err := relay(ctx, r, call, r.local.Submit, r.remote.Submit)
+	return answer, fault.Pass(err, "relay")
+}
+
+// Job asks for a job or cancels it.
+func (r *Relay) Job(ctx context.Context, call JobCall) (JobAnswer, error) {
+	answer, err := relay(ctx, r, call, r.local.Job, r.remote.Job)
+	return answer, fault.Pass(err, "relay")
+}
+
+// Count asks how many jobs of a queue wait.
+func (r *Relay) Count(ctx context.Context, call CountCall) (CountAnswer, error) {
+	answer, err := relay(ctx, r, call, r.local.Count, r.remote.Count)
+	return answer, fault.Pass(err, "relay")
+}
+
+// Beat passes a worker's heartbeat on.
+func (r *Relay) Beat(ctx context.Context, call BeatCall) (BeatAnswer, error) {
+	answer, err := relay(ctx, r, call, r.local.Beat, r.remote.Beat)
+	return answer, fault.Pass(err, "relay")
+}
+
+// Config asks for the configuration in force.
+func (r *Relay) Config(ctx context.Context, call ConfigCall) (jobs.Config, error) {
+	answer, err := relay(ctx, r, call, r.local.Config, r.remote.Config)
+	return answer, fault.Pass(err, "relay")
+}
+
+// Configure changes the configuration.
+func (r *Relay) Configure(ctx context.Context, call jobs.Configure) (ConfigureAnswer, error) {
+	answer, err := relay(ctx, r, call, r.local.Configure, r.remote.Configure)
+	return answer, fault.Pass(err, "relay")
+}
+
+// Evacuate starts or withdraws the evacuation of a zone.
+func (r *Relay) Evacuate(ctx context.Context, call jobs.Evacuate) (EvacuateAnswer, error) {
+	answer, err := relay(ctx, r, call, r.local.Evacuate, r.remote.Evacuate)
+	return answer, fault.Pass(err, "relay")
+}
+
+func relay[C, A any](ctx context.Context, r *Relay, call C, local, remote func(context.Context, C) (A, error)) (A, error) {
+	answer, err := local(ctx, call)
+	if err == nil || !r.goesOn(ctx, err) {
+		return answer, fault.Pass(err, "this node")
+	}
+	answer, err = remote(ctx, call)
+	return answer, fault.Pass(err, "the leader")
+}
+
+// goesOn tells whether a call that this node has not carried out, with err, may be another node's.
+func (r *Relay) goesOn(ctx context.Context, err error) bool {
+	switch fault.KindOf(err) {
+	case fault.NotLeader:
+		r.remote.Hint(fault.Of(err).Hint)
+		return true
+	case fault.Unavailable:
+		t, unknown := r.local.Topology(ctx, TopologyCall{})
+		return unknown != nil || t.Leader != r.self
+	}
+	return false
+}
