wire: count a request as running until its answer is written; bound descriptors

Cause: Stop counted handlers, but nbhttp writes an answer after its handler has returned, so the connection could be closed first.

--- a/internal/wire/server.go
+++ b/internal/wire/server.go
@@ -32,6 +32,9 @@
 	MaxBody  int64                 // bound on bodies of pairs in bytes, default MaxBody
 	Clock    alarm.Clock           // default alarm.Real
 	Registry prometheus.Registerer // default: the counters are not shown
+	// Descriptors bounds the file descriptors that the process has, if the system tells no lower bound: a table of
+	// that length is kept for each server. The lowest one given holds for the whole process; 0 leaves it as it is.
+	Descriptors int
 }
 
 // Server answers pairs and raw routes. Every request runs on a goroutine of its own, so any number of them may
@@ -48,9 +51,10 @@
 	accepted atomic.Int64
 
 	mu       sync.Mutex
-	running  int
+	running  int // requests from their last byte read until their answer is written
 	stopping bool
 	idle     chan struct{} // closed when stopping and nothing runs
+	idleTold bool
 }
 
 // NewServer makes a server that does not listen yet. Example:
@@ -72,6 +76,7 @@
 		opt.Clock = alarm.Real{}
 	}
 	routeLogs(opt.Logger)
+	boundDescriptors(opt.Descriptors)
 	s := &Server{
 		opt: opt, mux: http.NewServeMux(), work: spawn.New(context.Background()),
 		meter: newMeter("server", opt.Registry), idle: make(chan struct{}),
@@ -82,7 +87,7 @@
 		MaxLoad: 100_000, MaxHTTPBodySize: bound, ReadLimit: 2 * bound,
 		SupportServerOnly: true,
 		Handler:           http.HandlerFunc(s.serve),
-		ServerExecutor:    func(f func()) { s.work.Go(func(context.Context) { f() }) },
+		ServerExecutor:    s.execute,
 		Context:           s.work.Context(),
 		Cancel:            s.work.Cancel,
 	})
@@ -188,23 +193,42 @@
 	return n, nil
 }
 
+// execute runs the handling of a request, with the writing of its answer.
+func (s *Server) execute(handle func()) {
+	s.mu.Lock()
+	s.running++
+	s.mu.Unlock()
+	s.work.Go(func(context.Context) {
+		defer s.executed()
+		handle()
+	})
+}
+
+func (s *Server) executed() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.running--
+	s.tellIdle()
+}
+
+// tellIdle closes idle once, when the server stops and nothing runs. The mutex is held.
+func (s *Server) tellIdle() {
+	if s.running > 0 || !s.stopping || s.idleTold {
+		return
+	}
+	s.idleTold = true
+	close(s.idle)
+}
+
 // serve lets a request in, unless the server stops, and finds its route.
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
-	if s.stopping {
-		s.mu.Unlock()
+	stopping := s.stopping
+	s.mu.Unlock()
+	if stopping {
 		WriteFault(w, fault.New(fault.Stopped, "the server is stopping"))
 		return
 	}
-	s.running++
-	s.mu.Unlock()
-	defer func() {
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		if s.running--; s.running == 0 && s.stopping {
-			close(s.idle)
-		}
-	}()
 	if h, pattern := s.mux.Handler(r); pattern == "" {
 		seen := &probe{head: w.Header()}
 		h.ServeHTTP(seen, r) // the mux's own refusal; ours is JSON
@@ -303,9 +327,7 @@
 	s.ln.quiet()
 	s.mu.Lock()
 	s.stopping = true
-	if s.running == 0 {
-		close(s.idle)
-	}
+	s.tellIdle()
 	s.mu.Unlock()
 	over := make(chan struct{})
 	ring := s.opt.Clock.Set(grace, func() { close(over) })
@@ -368,6 +390,17 @@
 	return nil
 }
 
+// boundDescriptors bounds nbio's tables of connections, which it makes as long as there may be descriptors.
+func boundDescriptors(n int) {
+	descriptorsMu.Lock()
+	defer descriptorsMu.Unlock()
+	if n > 0 && n < nbio.MaxOpenFiles {
+		nbio.MaxOpenFiles = n
+	}
+}
+
+var descriptorsMu sync.Mutex
+
 // routeLogs sends nbio's own lines, which have one logger per process, to the latest server's logger.
 func routeLogs(to log.Logger) {
 	logTo.Store(&to)
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"strings"
 	"sync"
 	"testing"
@@ -247,6 +248,35 @@
 		So(len(b.Caller.idle[b.Addr()]), ShouldEqual, b.Caller.opt.Idle)
 		So(b.Stop(time.Hour), ShouldBeNil)
 	})
+	Convey("Stop closes no connection before the answers of the handlers that it waited for are written", t, func() {
+		for range 20 {
+			b := rig()
+			work := spawn.New(ctx)
+			failed := make(chan error, 100)
+			for range 100 {
+				work.Go(func(ctx context.Context) {
+					if _, err := Ask(ctx, b.Caller, b.Addr(), block, note{}, time.Hour); err != nil {
+						failed <- err
+					}
+				})
+			}
+			for range 100 {
+				<-b.entered
+			}
+			stopped := spawn.New(ctx)
+			stopped.Go(func(context.Context) { _ = b.Stop(time.Hour) })
+			for stopping := false; !stopping; runtime.Gosched() {
+				b.Server.mu.Lock()
+				stopping = b.stopping
+				b.Server.mu.Unlock()
+			}
+			close(b.gate)
+			work.Wait()
+			stopped.Wait()
+			So(failed, ShouldBeEmpty)
+			b.Caller.Close()
+		}
+	})
 	Convey("A server that is stopped right after its start stops", t, func() {
 		for range 50 {
 			rig().end()
