dplane platform: run a front node on the users' platform

Cause: the fronts pass calls to the core's leader. Change: the subcommand with readiness, drain and new seeds on SIGHUP; for cplane the mapping of settings and the exchanger.

--- /dev/null
+++ b/cmd/cplane/platform_test.go
@@ -0,0 +1,43 @@
+package main
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"crosstide/internal/conf"
+	"crosstide/internal/wire"
+	"crosstide/platform"
+)
+
+func TestStoreSettings(t *testing.T) {
+	Convey("A core node's settings are the store's, with the seeds as founders", t, func() {
+		set := storeSettings(platform.CoreSettings{Name: "10.1.0.10", InternalAddress: "10.1.0.10:7720", Zone: "a", Region: "r",
+			DataFolder: "data", Seeds: []string{"10.1.0.10:7720", "10.2.0.10:7720"}, Grace: 6 * time.Second})
+		So(set.Members, ShouldResemble, []conf.Member{{ID: "10.1.0.10", Addr: "10.1.0.10:7720", Zone: "a"}, {ID: "10.2.0.10", Addr: "10.2.0.10:7720"}})
+		So([]any{set.Name, set.Addr, set.Zone, set.Region, set.Data, set.Grace}, ShouldResemble,
+			[]any{"10.1.0.10", "10.1.0.10:7720", "a", "r", "data", 5500 * time.Millisecond})
+		So(set.Lease, ShouldEqual, conf.DefaultCplane().Lease)
+	})
+}
+
+func TestExchanger(t *testing.T) {
+	Convey("A platform request goes out over the caller, and any status comes back with its head", t, func() {
+		s := wire.NewServer(wire.ServerOptions{Addr: "127.0.0.1:0"})
+		s.Route("POST /work", func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set("X-Seen", r.Header.Get("X-Sent"))
+			wire.WriteJSON(w, http.StatusConflict, "no")
+		})
+		So(s.Start(), ShouldBeNil)
+		caller := wire.NewCaller(wire.CallerOptions{})
+		defer caller.Close()
+		r, err := exchanger{caller}.Exchange(context.Background(), s.Addr(), platform.Request{Method: "POST", Path: "/work",
+			Header: map[string]string{"X-Sent": "v"}, Body: []byte("{}")}, 5*time.Second)
+		So(err, ShouldBeNil)
+		So([]any{r.Status, r.Header["X-Seen"], string(r.Body)}, ShouldResemble, []any{409, "v", "\"no\"\n"})
+		So(s.Stop(time.Second), ShouldBeNil)
+	})
+}
--- a/cmd/dplane/main.go
+++ b/cmd/dplane/main.go
@@ -34,7 +34,7 @@
 		Version: version, Load: conf.LoadDplane, Check: conf.CheckDplane, Serve: serve,
 		Common: func(set *conf.Dplane) *conf.Common { return &set.Common },
 	}
-	app := &cli.Command{Name: "dplane", Usage: "a front node of crosstide", Commands: append(program.Commands(), jobCommands()...)}
+	app := &cli.Command{Name: "dplane", Usage: "a front node of crosstide", Commands: append(append(program.Commands(), jobCommands()...), platformCommand())}
 	if err := app.Run(context.Background(), os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, "dplane:", err)
 		os.Exit(1)
--- /dev/null
+++ b/cmd/dplane/platform.go
@@ -0,0 +1,160 @@
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"github.com/urfave/cli/v3"
+
+	"crosstide/internal/alarm"
+	"crosstide/internal/controller"
+	"crosstide/internal/daemon"
+	"crosstide/internal/fault"
+	"crosstide/internal/spawn"
+	"crosstide/internal/wire"
+	"crosstide/platform"
+)
+
+const (
+	coreDialTimeout = 700 * time.Millisecond // a connection to a machine that is gone hangs
+	coreUserTimeout = 1500 * time.Millisecond
+	coreIdle        = 64 // idle connections kept to each core node
+
+	leaveFor      = 2500 * time.Millisecond // new clients still come so long after the node says that it is not ready
+	exitMargin    = 500 * time.Millisecond  // left of the grace for the process's own end
+	defaultGrace  = 5 * time.Second
+	settingsEvery = 10 * time.Second // the settings are read again so often while no leader is found
+)
+
+// platformCommand runs a front node on the users' platform.
+func platformCommand() *cli.Command {
+	return &cli.Command{Name: "platform", Usage: "serve as a front node of the users' platform",
+		Action: func(ctx context.Context, _ *cli.Command) error {
+			changed := make(chan os.Signal, 1) // from the start: SIGHUP would end the process else
+			signal.Notify(changed, syscall.SIGHUP)
+			defer signal.Stop(changed)
+			settings, err := platform.LoadSettings()
+			if err != nil {
+				return fault.Pass(err, "platform")
+			}
+			ctx, stop := daemon.Signals(ctx)
+			defer stop()
+			logger := log.With(daemon.Logger("info", os.Stderr), "node", settings.IP)
+			return fault.Pass(serveFront(ctx, settings, changed, logger), "platform")
+		}}
+}
+
+// front is a front node: it takes clients' calls and passes them to the core.
+type front struct {
+	settings  platform.CoreSettings
+	logger    log.Logger
+	client    *controller.Client
+	clients   *wire.Server // clients call it
+	readiness readiness
+	asked     *wire.Server // it is asked for readiness
+}
+
+// serveFront runs a front node until ctx ends, then lets it drain. changed tells that the settings have changed.
+func serveFront(ctx context.Context, settings platform.Settings, changed <-chan os.Signal, logger log.Logger) error {
+	core := settings.Core()
+	daemon.LimitMemory(core.MemoryBytes)
+	caller := wire.NewCaller(wire.CallerOptions{DialTimeout: coreDialTimeout, UserTimeout: coreUserTimeout, Idle: coreIdle,
+		Logger: daemon.Part(logger, "caller")})
+	defer caller.Close()
+	f := newFront(core, settings.Limits.FileDescriptors, caller, logger)
+	if err := f.start(); err != nil {
+		return fault.Pass(err, "start")
+	}
+	reload := spawn.New(context.Background())
+	reload.Go(func(ctx context.Context) { f.followSettings(ctx, changed) })
+	<-ctx.Done()
+	reload.Stop()
+	f.stop()
+	return nil
+}
+
+func newFront(core platform.CoreSettings, descriptors int, caller *wire.Caller, logger log.Logger) *front {
+	f := &front{settings: core, logger: logger}
+	f.client = controller.NewClient(controller.ClientOptions{Caller: caller, Seeds: core.Seeds,
+		Logger: daemon.Part(logger, "client")})
+	f.readiness.fresh, f.readiness.within = f.client.Ready, f.client.ReadyWithin
+	f.clients = wire.NewServer(wire.ServerOptions{Addr: core.ClientAddress, Descriptors: descriptors,
+		Logger: daemon.Part(logger, "wire")})
+	platform.NewIngress(f.client).Routes(f.clients)
+	f.asked = wire.NewServer(wire.ServerOptions{Addr: core.ReadyAddress, Descriptors: descriptors,
+		Logger: daemon.Part(logger, "wire")})
+	platform.Readiness(f.asked, f.readiness.check)
+	return f
+}
+
+func (f *front) start() error {
+	if err := f.clients.Start(); err != nil {
+		return fault.Pass(err, "serve clients")
+	}
+	if err := f.asked.Start(); err != nil {
+		_ = f.clients.Stop(0) // the start is given up: nobody has called yet
+		return fault.Pass(err, "serve readiness")
+	}
+	f.client.Start()
+	_ = level.Info(f.logger).Log("msg", "serving", "addr", f.clients.Addr(), "zone", f.settings.Zone, "version", version)
+	return nil
+}
+
+// followSettings takes new seeds from the settings: when the process is told that they changed, and now and again while
+// no leader is found, for they may change without a word.
+func (f *front) followSettings(ctx context.Context, changed <-chan os.Signal) {
+	for {
+		due := make(chan struct{})
+		ring := alarm.Real{}.Set(settingsEvery, func() { close(due) })
+		select {
+		case <-ctx.Done():
+			ring.Stop()
+			return
+		case <-changed:
+			f.readSeeds()
+		case <-due:
+			if f.client.Ready() != nil {
+				f.readSeeds()
+			}
+		}
+		ring.Stop()
+	}
+}
+
+func (f *front) readSeeds() {
+	settings, err := platform.LoadSettings()
+	if err != nil {
+		_ = level.Warn(f.logger).Log("msg", "the settings cannot be read; the old seeds stay", "err", err)
+		return
+	}
+	f.client.SetSeeds(settings.Core().Seeds)
+}
+
+// stop lets the node go: it is not ready any more, serves on while new clients may still come, then refuses new calls
+// and answers those that run.
+func (f *front) stop() {
+	clock := alarm.Real{}
+	begin := clock.Now()
+	grace := f.settings.Grace
+	if grace <= 0 {
+		grace = defaultGrace
+	}
+	grace = max(grace-exitMargin, grace/2)
+	f.readiness.drain()
+	gone := make(chan struct{})
+	clock.Set(min(leaveFor, grace/2), func() { close(gone) })
+	<-gone
+	if err := f.clients.Stop(max(grace-(clock.Now()-begin), 0)); err != nil {
+		_ = level.Warn(f.logger).Log("msg", "calls were cut off", "err", err)
+	}
+	f.client.Stop()
+	if err := f.asked.Stop(0); err != nil {
+		_ = level.Debug(f.logger).Log("msg", "a question for readiness was cut off", "err", err)
+	}
+	_ = level.Info(f.logger).Log("msg", "end")
+}
--- /dev/null
+++ b/cmd/dplane/readiness.go
@@ -0,0 +1,45 @@
+package main
+
+import (
+	"sync"
+	"time"
+
+	"crosstide/internal/fault"
+)
+
+// leaderlessGrace is how long a node that was ready stays so without an answer of the core's leader: a change of leader
+// must not take all front nodes out at once.
+const leaderlessGrace = 4 * time.Second
+
+// readiness tells whether the node takes clients.
+type readiness struct {
+	fresh  func() error                // the leader has answered just now
+	within func(d time.Duration) error // the leader has answered within d
+
+	mu       sync.Mutex
+	was      bool // ready at the last question
+	draining bool
+}
+
+// check is nil when the node takes new clients. A node becomes ready by a fresh answer of the leader, and stays so
+// through leaderlessGrace without one.
+func (r *readiness) check() error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.draining {
+		return fault.New(fault.Stopped, "the node is stopping")
+	}
+	err := r.fresh()
+	if r.was {
+		err = r.within(leaderlessGrace)
+	}
+	r.was = err == nil
+	return fault.Pass(err, "not ready")
+}
+
+// drain makes the node not ready for good.
+func (r *readiness) drain() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.draining = true
+}
--- /dev/null
+++ b/cmd/dplane/readiness_test.go
@@ -0,0 +1,36 @@
+package main
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"crosstide/internal/fault"
+)
+
+func TestReadiness(t *testing.T) {
+	Convey("A node gets ready by a fresh answer, stays so through the grace, and is not ready once it drains", t, func() {
+		silent := 3 * time.Second // since the leader's last answer
+		within := func(d time.Duration) error {
+			if silent <= d {
+				return nil
+			}
+			return fault.New(fault.Unavailable, "no leader")
+		}
+		r := &readiness{fresh: func() error { return within(2500 * time.Millisecond) }, within: within}
+		So(fault.KindOf(r.check()), ShouldEqual, fault.Unavailable) // never was ready: the grace is not for it
+		silent = 0
+		So(r.check(), ShouldBeNil)
+		silent = leaderlessGrace
+		So(r.check(), ShouldBeNil)
+		silent++
+		So(fault.KindOf(r.check()), ShouldEqual, fault.Unavailable)
+		silent = 3 * time.Second // an answer that came late; it is not fresh
+		So(fault.KindOf(r.check()), ShouldEqual, fault.Unavailable)
+		silent = time.Second
+		So(r.check(), ShouldBeNil)
+		r.drain()
+		So(fault.KindOf(r.check()), ShouldEqual, fault.Stopped)
+	})
+}
--- a/internal/controller/client.go
+++ b/internal/controller/client.go
@@ -133,11 +133,14 @@
 func (c *Client) Stop() { c.work.Stop() }
 
 // Ready is nil when a leader has answered lately, else fault.Unavailable.
-func (c *Client) Ready() error {
-	if c.within(&c.led, readyFor) {
+func (c *Client) Ready() error { return fault.Pass(c.ReadyWithin(readyFor), "core") }
+
+// ReadyWithin is nil when a leader has answered within the last d, else fault.Unavailable.
+func (c *Client) ReadyWithin(d time.Duration) error {
+	if c.within(&c.led, d) {
 		return nil
 	}
-	return fault.New(fault.Unavailable, "no leader of the core has answered for %s", readyFor)
+	return fault.New(fault.Unavailable, "no leader of the core has answered for %s", d)
 }
 
 func (c *Client) watch(ctx context.Context) {
--- a/internal/controller/forward.go
+++ b/internal/controller/forward.go
@@ -23,6 +23,8 @@
 	Topology(ctx context.Context, call TopologyCall) (TopologyAnswer, error)
 }
 
+var _ Local = (*Leader)(nil)
+
 // serveWithin bounds a call at the node that answers it: its caller has long gone on by then.
 const serveWithin = 10 * time.Second
 
