--- a/cmd/cplane/run.go
+++ b/cmd/cplane/run.go
@@ -81,8 +81,8 @@
 	return nil
 }
 
-// open opens the store's folder. A damaged one is no member's disk any more: it is set aside, and the node joins
-// as a replaced machine.
+// open opens the store's folder. A damaged one is no member's disk any more: it is set aside, with an open
+// membership its files are removed instead, and the node joins as a replaced machine.
 func open(opt store.Options, logger log.Logger) (*store.Store, error) {
 	dir := filepath.Clean(opt.Settings.Data)
 	disk, err := slot.OSDisk(dir)
@@ -94,6 +94,14 @@
 	if !fault.Is(err, fault.Damaged) {
 		return s, fault.Pass(err, "store")
 	}
+	if opt.Settings.OpenMembership {
+		_ = level.Error(logger).Log("msg", "the folder is damaged; its files are removed", "err", err)
+		if err := store.Discard(disk); err != nil {
+			return nil, fault.Pass(err, "discard the damaged folder")
+		}
+		s, err = store.Open(opt)
+		return s, fault.Pass(err, "store")
+	}
 	aside := dir + ".damaged-" + alarm.Real{}.Wall().UTC().Format("20060102T150405")
 	_ = level.Error(logger).Log("msg", "the folder is damaged; set aside", "as", aside, "err", err)
 	if err := os.Rename(dir, aside); err != nil {
--- a/internal/conf/daemon.go
+++ b/internal/conf/daemon.go
@@ -2,6 +2,7 @@
 
 import (
 	"crypto/ed25519"
+	"net/netip"
 	"os"
 	"time"
 
@@ -43,6 +44,12 @@
 	KeepTombs    int           // keep_tombs: tombstones kept at most; default 200000
 	KeepTombsFor time.Duration // keep_tombs_for; default 168h
 	OperatorKeys []OperatorKey // operator_keys: who may sign from the founding on; none, or two at least
+
+	// OpenMembership, open_membership: members are only seeds, which may differ between nodes and starts; any node
+	// may join, and the leader removes voters that are silent. Default false.
+	OpenMembership bool
+	Founding       bool          // founding: an empty folder may found the fleet; else it only joins one. Default true
+	RemoveAfter    time.Duration // remove_after: silence after which an open fleet removes a voter of an even set; default 3s, over election
 }
 
 // Dplane is the settings of a dplane.
@@ -65,7 +72,7 @@
 	return Cplane{
 		Common: defaultCommon(), Election: time.Second, Heartbeat: 100 * time.Millisecond, Lease: 700 * time.Millisecond,
 		DutyLease: 3 * time.Second, SlotEvery: 20000, Backlog: 60000, KeepEnded: 20000, KeepEndedFor: time.Hour,
-		KeepTombs: 200000, KeepTombsFor: 168 * time.Hour,
+		KeepTombs: 200000, KeepTombsFor: 168 * time.Hour, Founding: true, RemoveAfter: 3 * time.Second,
 	}
 }
 
@@ -121,6 +128,8 @@
 	longest  = time.Hour
 	oldest   = 10 * 365 * 24 * time.Hour
 	largest  = 1 << 30
+
+	maxSeedMembers = 3
 )
 
 func (c *Common) read(r *Reader) {
@@ -176,6 +185,12 @@
 	if len(c.OperatorKeys) == 1 {
 		r.Wrong("operator_keys", "must be none, or two at least: two operators sign each bundle")
 	}
+	r.Bool("open_membership", &c.OpenMembership)
+	r.Bool("founding", &c.Founding)
+	r.Duration("remove_after", &c.RemoveAfter, shortest, longest)
+	if c.OpenMembership {
+		c.checkOpen(r)
+	}
 	if c.Lease >= c.Election {
 		r.Wrong("lease", "must be under election (%s), is %s", c.Election, c.Lease)
 	}
@@ -184,6 +199,33 @@
 	}
 }
 
+// checkOpen checks what an open membership asks of the settings: nodes are named by the IP of their address.
+func (c *Cplane) checkOpen(r *Reader) {
+	if len(c.Members) > maxSeedMembers {
+		r.Wrong("members", "must be at most %d with open_membership, are %d", maxSeedMembers, len(c.Members))
+	}
+	if host := hostOf(c.Addr); host != "" && c.Name != host {
+		r.Wrong("name", "must be the IP of addr (%s) with open_membership, is %q", host, c.Name)
+	}
+	for i, m := range c.Members {
+		if host := hostOf(m.Addr); host != "" && m.ID != host {
+			r.Wrong(item("members", i)+".id", "must be the IP of addr (%s) with open_membership, is %q", host, m.ID)
+		}
+	}
+	if c.RemoveAfter <= c.Election {
+		r.Wrong("remove_after", "must be over election (%s), is %s", c.Election, c.RemoveAfter)
+	}
+}
+
+// hostOf gives the IP of an address, "" if it is none.
+func hostOf(addr string) string {
+	a, err := netip.ParseAddrPort(addr)
+	if err != nil {
+		return ""
+	}
+	return a.Addr().String()
+}
+
 func (d *Dplane) read(r *Reader) {
 	d.Common.read(r)
 	r.Strings("core", &d.Core, Address)
--- a/internal/pair/join.go
+++ b/internal/pair/join.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"crosstide/internal/quorum"
 	"crosstide/internal/wire"
 )
 
@@ -26,6 +27,12 @@
 	// that finds its own boot here has no earlier life in this fleet.
 	Founders map[string]string `json:"founders,omitempty"`
 	Digest   string            `json:"digest"` // of the members in its settings
+	// Leader is the address of the leader it knows in Term, if any. Members is the newest member set that it knows
+	// to be committed, by the entry at MembersAt.
+	Leader    string          `json:"leader,omitempty"`
+	Term      uint64          `json:"term,omitempty"`
+	Members   []quorum.Member `json:"members,omitempty"`
+	MembersAt uint64          `json:"members_at,omitempty"`
 }
 
 // Join asks the leader to take a node with an empty folder in: as a learner, then, once it has caught up, as a
@@ -45,5 +52,6 @@
 type JoinAnswer struct {
 	Learner bool          `json:"learner"`
 	Voter   bool          `json:"voter"`
-	Again   time.Duration `json:"again"` // when to ask next
+	Again   time.Duration `json:"again"`             // when to ask next
+	Members []string      `json:"members,omitempty"` // addresses of the present members
 }
--- a/internal/quorum/core.go
+++ b/internal/quorum/core.go
@@ -192,7 +192,8 @@
 	c.role, c.leader, c.granted, c.lead = Follower, leader, nil, lead{}
 }
 
-// Tick moves the time on: heartbeats, check-quorum and campaigns. Call it every 10 to 20 ms.
+// Tick moves the time on: heartbeats, check-quorum and campaigns. Call it four times a Heartbeat: all it does may
+// be late by one such step, which the lease must have room for.
 func (c *Core) Tick(now time.Duration) {
 	c.at(now)
 	if c.role == Leader {
@@ -538,6 +539,15 @@
 	return s
 }
 
+// CommittedMembers gives the newest member set that is known here to be committed, and the index of its entry;
+// none on a node that began empty and has not caught up.
+func (c *Core) CommittedMembers() (index uint64, members []Member) {
+	if len(c.confs) == 0 {
+		return 0, nil
+	}
+	return c.confs[0].index, slices.Clone(c.confs[0].members)
+}
+
 // hint is the address of the leader, if known.
 func (c *Core) hint() string {
 	if m, ok := find(c.members(), c.leader); ok && c.leader != "" {
--- a/internal/quorum/lead.go
+++ b/internal/quorum/lead.go
@@ -216,6 +216,26 @@
 	}
 }
 
+// Leads tells whether this node leads, and in which term.
+func (c *Core) Leads() (term uint64, ok bool) { return c.hard.Term, c.role == Leader }
+
+// Heard tells when this leader last heard of a member; of one it has not heard of, when it began to send to it.
+// ok is false on a node that does not lead and for one that is no member.
+func (c *Core) Heard(now time.Duration, id string) (at time.Duration, ok bool) {
+	c.at(now)
+	if c.role != Leader {
+		return 0, false
+	}
+	if id == c.cfg.ID {
+		return c.now, true
+	}
+	p := c.lead.peers[id]
+	if p == nil {
+		return 0, false
+	}
+	return p.heard, true
+}
+
 // flush makes the appends that are due. Everything proposed since the last one goes together.
 func (c *Core) flush() {
 	if c.lead.hold {
--- a/internal/quorum/quorum.go
+++ b/internal/quorum/quorum.go
@@ -5,7 +5,7 @@
 //
 // The runtime loops:
 //
-//	core.Tick(now)             // every 10..20ms; or Step, Propose, Synced ...
+//	core.Tick(now)             // four times a heartbeat; or Step, Propose, Synced ...
 //	r := core.Ready()          // after each burst of calls: appends are made here, so a burst is one append
 //	send(r.Now)
 //	disk.Queue(r.Reset, r.Hard, r.Append)     // in the order of the Readys; Reset first
--- a/internal/slot/slot.go
+++ b/internal/slot/slot.go
@@ -112,10 +112,8 @@
 	}
 	slices.Sort(names)
 	for _, name := range names {
-		var number uint64
 		place := slices.Index(slotNames[:], name)
-		_, bad := fmt.Sscanf(name, logTag+"%d", &number)
-		isLog := bad == nil && segment{number: number}.name() == name
+		number, isLog := segmentNumber(name)
 		switch {
 		case strings.HasSuffix(name, loose):
 			f.loose = append(f.loose, name)
@@ -145,6 +143,30 @@
 	return f, nil
 }
 
+// segmentNumber gives the number of the log segment that has the name; false if none has.
+func segmentNumber(name string) (number uint64, ok bool) {
+	_, err := fmt.Sscanf(name, logTag+"%d", &number)
+	return number, err == nil && segment{number: number}.name() == name
+}
+
+// Clear removes every file of a store from the folder, and only those, and makes it last. Fault: Disk.
+func Clear(d Disk) error {
+	names, err := d.List()
+	if err != nil {
+		return fault.Pass(err, "clear the folder")
+	}
+	for _, name := range names {
+		_, isLog := segmentNumber(name)
+		if !isLog && !slices.Contains(slotNames[:], name) && !strings.HasSuffix(name, loose) {
+			continue
+		}
+		if err := d.Remove(name); err != nil {
+			return fault.Pass(err, "clear the folder")
+		}
+	}
+	return fault.Pass(d.Sync(), "clear the folder")
+}
+
 func (s *Store) read(name string) ([]byte, error) {
 	file, err := s.disk.Open(name)
 	if err != nil {
--- a/internal/store/disk.go
+++ b/internal/store/disk.go
@@ -233,7 +233,7 @@
 	defer s.thaw()
 	for !s.idle() { // what was handed out before must be on the disk before the image
 		nudge(s.diskKick)
-		if !s.rest(ctx, tick) {
+		if !s.rest(ctx, pollEvery) {
 			return nil
 		}
 	}
--- a/internal/store/found.go
+++ b/internal/store/found.go
@@ -30,6 +30,9 @@
 
 // load reads the folder. If it tells who this node is, the core is made.
 func (s *Store) load() error {
+	if err := s.finishDiscard(); err != nil {
+		return fault.Pass(err, "discard")
+	}
 	id, err := readID(s.opt.Disk)
 	if err != nil {
 		return fault.Pass(err, "read the id")
@@ -42,7 +45,7 @@
 	switch {
 	case id != "":
 		s.id = id
-	case boot.Fresh && s.opt.Damaged:
+	case boot.Fresh && (s.opt.Damaged || !s.set.Founding):
 		return fault.Pass(s.rename(), "begin anew")
 	case boot.Fresh:
 		return nil
@@ -101,6 +104,9 @@
 // founder says that it founded after having heard that this very process is fresh. Where a fleet exists, the node
 // joins under a new ID. While neither is sure it asks on and takes no part.
 func (s *Store) settle(ctx context.Context) bool {
+	if s.set.OpenMembership {
+		return s.settleOpen(ctx)
+	}
 	member := slices.ContainsFunc(s.set.Members, func(m conf.Member) bool { return m.ID == s.set.Name })
 	var boots map[string]string
 	for round := 0; ; round++ {
@@ -199,9 +205,14 @@
 func (s *Store) Found(pair.FoundCall) pair.FoundAnswer {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	out := pair.FoundAnswer{ID: s.id, Boot: s.boot, Founders: s.founders, Digest: s.digest(), Fresh: s.core == nil && s.id == ""}
+	out := pair.FoundAnswer{ID: s.id, Boot: s.boot, Founders: s.founders, Digest: s.digest(),
+		Fresh: s.core == nil && s.id == "" && s.set.Founding}
 	if s.core != nil {
 		st := s.core.Status()
+		out.Term, out.Leader = st.Term, st.LeaderAddr
+		if out.MembersAt, out.Members = s.core.CommittedMembers(); s.set.OpenMembership {
+			out.Digest = digestOf(seedsOf(out.Members))
+		}
 		out.Commit = st.Commit
 		out.Fresh = st.Term <= 1 && st.Last <= 1 && nameOf(s.id) == s.id
 	}
@@ -209,9 +220,11 @@
 }
 
 // digest is of the founding members in the settings; they must be the same everywhere.
-func (s *Store) digest() string {
-	lines := make([]string, len(s.set.Members))
-	for i, m := range s.set.Members {
+func (s *Store) digest() string { return digestOf(s.set.Members) }
+
+func digestOf(members []conf.Member) string {
+	lines := make([]string, len(members))
+	for i, m := range members {
 		lines[i] = m.ID + " " + m.Addr + " " + m.Zone
 	}
 	slices.Sort(lines)
@@ -253,7 +266,7 @@
 
 // rename gives an empty folder an ID of its own, synced before anything is done under it, and begins empty.
 func (s *Store) rename() error {
-	id := s.set.Name + "~" + strings.ToLower(s.opt.Draw()[:10])
+	id := s.newID()
 	if err := writeID(s.opt.Disk, id); err != nil {
 		return fault.Pass(err, "take a new id")
 	}
@@ -263,6 +276,9 @@
 	return fault.Pass(s.begin(slot.Boot{}), "begin empty")
 }
 
+// newID draws an ID for a new life of this node's folder.
+func (s *Store) newID() string { return s.set.Name + "~" + strings.ToLower(s.opt.Draw()[:10]) }
+
 func readID(d slot.Disk) (string, error) {
 	names, err := d.List()
 	if err != nil || !slices.Contains(names, idFile) {
@@ -325,7 +341,7 @@
 			if err != nil {
 				_ = level.Debug(s.log).Log("msg", "join", "err", err)
 			} else {
-				again = max(a.Again, tick)
+				again = max(a.Again, pollEvery)
 			}
 		}
 		if !s.rest(ctx, again) {
@@ -354,6 +370,8 @@
 	}
 	if !named {
 		place = name
+	}
+	if !named && !s.set.OpenMembership {
 		known := func(m quorum.Member) bool { return nameOf(m.ID) == name }
 		first := func(m conf.Member) bool { return m.ID == name }
 		if !slices.ContainsFunc(st.Members, known) && !slices.ContainsFunc(s.set.Members, first) {
@@ -361,7 +379,10 @@
 				"no member is named %s; an operator says whom it replaces: cplane member replace OLD %s", name, name)
 		}
 	}
-	out := pair.JoinAnswer{Again: askEvery}
+	out := pair.JoinAnswer{Again: askEvery, Members: addressesOf(st.Members)}
+	if s.set.OpenMembership {
+		out.Again = joinEvery
+	}
 	var old *quorum.Member
 	next := make([]quorum.Member, 0, len(st.Members)+1)
 	at := -1
@@ -381,35 +402,48 @@
 	}
 	if at < 0 {
 		next = append(next, quorum.Member{ID: call.ID, Addr: call.Addr, Zone: call.Zone, Incarnation: incarnation, Learner: true})
-		return out, fault.Pass(s.change(next), "join as a learner")
+		return out, fault.Pass(s.change(st.Members, next), "join as a learner")
 	}
 	out.Learner = true
 	if match := st.Match[call.ID]; match == 0 || match+nearIndex < st.Last {
 		return out, nil
 	}
 	if old == nil {
+		if gone := s.silentVoter(st.Members); gone != "" {
+			return out, fault.Pass(s.change(st.Members, without(next, gone)), "take %s out before a new voter", gone)
+		}
 		next[at].Learner = false
-		return out, fault.Pass(s.change(next), "join as a voter")
+		return out, fault.Pass(s.change(st.Members, next), "join as a voter")
 	}
 	if a, err := s.opt.Net.Found(ctx, old.Addr, pair.FoundCall{Name: s.set.Name, Boot: s.boot}); err == nil && a.ID == old.ID {
 		return out, fault.Field(fault.Conflict, "name", "%s is alive at %s", old.ID, old.Addr)
 	}
-	next = slices.DeleteFunc(next, func(m quorum.Member) bool { return m.ID == old.ID })
-	return out, fault.Pass(s.change(next), "take %s out", old.ID)
+	return out, fault.Pass(s.change(st.Members, without(next, old.ID)), "take %s out", old.ID)
 }
 
-// change proposes a member set; that it is committed shows in a later call.
-func (s *Store) change(next []quorum.Member) error {
+// change proposes the member set next, which was made from the set from; that it is committed shows in a later call.
+func (s *Store) change(from, next []quorum.Member) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if err := s.leads(); err != nil {
 		return fault.Pass(err, "members")
 	}
-	_, _, err := s.core.ProposeMembers(s.clock.Now(), next)
-	if err != nil {
+	if err := s.proposeMembers(s.clock.Now(), from, next); err != nil {
 		return fault.Pass(err, "members")
 	}
-	_ = level.Info(s.log).Log("msg", "changing members", "members", len(next))
 	nudge(s.kick)
 	return nil
 }
+
+// proposeMembers puts a member set into the log unless the set it was made from is not in force any more: it would
+// undo what another change did. Called under the lock.
+func (s *Store) proposeMembers(now time.Duration, from, next []quorum.Member) error {
+	if !slices.Equal(from, s.core.Status().Members) {
+		return fault.New(fault.Unavailable, "the members changed meanwhile")
+	}
+	if _, _, err := s.core.ProposeMembers(now, next); err != nil {
+		return fault.Pass(err, "propose")
+	}
+	_ = level.Info(s.log).Log("msg", "changing members", "members", len(next))
+	return nil
+}
--- /dev/null
+++ b/internal/store/lead.go
@@ -0,0 +1,26 @@
+package store
+
+import "time"
+
+// LeadTerm gives the term in which this node leads. held tells that at now, a time of the store's clock, no other
+// node can lead: the lease is held, and all that earlier leaders committed is in the live state. Example:
+//
+//	if term, held := s.LeadTerm(clock.Now()); held {
+//		_, _, err = s.ProposeIn(ctx, term, decide())
+//	}
+func (s *Store) LeadTerm(now time.Duration) (term uint64, held bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.core == nil || s.broken || s.leadTerm == 0 || !s.book.Open() {
+		return 0, false
+	}
+	_, held = s.core.Confirmed(now)
+	return s.leadTerm, held
+}
+
+// Changed gives a channel that is closed when the live state moves on. Take it before you look at the state.
+func (s *Store) Changed() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.changed
+}
--- /dev/null
+++ b/internal/store/members.go
@@ -0,0 +1,160 @@
+package store
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"crosstide/internal/conf"
+	"crosstide/internal/quorum"
+)
+
+// What the leader of an open fleet keeps to when it removes members that are silent.
+const (
+	leastVoters  = 3                // it never leaves fewer
+	dropLearner  = 10 * time.Second // a learner unheard of for it is dropped
+	maxAddresses = 64               // addresses of other nodes that are remembered
+)
+
+// Members gives the address of the leader, "" if none is known, and the addresses of all members, voters first.
+func (s *Store) Members() (leader string, addresses []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.leaderAddr(), addressesOf(s.status.Members)
+}
+
+// addressesOf gives the addresses of members, voters first.
+func addressesOf(members []quorum.Member) (out []string) {
+	for _, learner := range []bool{false, true} {
+		for _, m := range members {
+			if m.Learner == learner {
+				out = append(out, m.Addr)
+			}
+		}
+	}
+	return out
+}
+
+// seedsOf gives members in the form of the settings.
+func seedsOf(members []quorum.Member) []conf.Member {
+	out := make([]conf.Member, len(members))
+	for i, m := range members {
+		out[i] = conf.Member{ID: m.ID, Addr: m.Addr, Zone: m.Zone}
+	}
+	return out
+}
+
+// without gives a copy of members that leaves out the one with the ID.
+func without(members []quorum.Member, id string) []quorum.Member {
+	return slices.DeleteFunc(slices.Clone(members), func(m quorum.Member) bool { return m.ID == id })
+}
+
+// learn remembers the address of another node of an open fleet; called under the lock.
+func (s *Store) learn(addresses ...string) {
+	if !s.set.OpenMembership {
+		return
+	}
+	for _, a := range addresses {
+		if a != "" && a != s.set.Addr && len(s.known) < maxAddresses {
+			s.known[a] = true
+		}
+	}
+}
+
+// addresses are those of all nodes that may know the fleet: seeds, members, and those that others told of.
+func (s *Store) addresses() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	all := maps.Clone(s.known)
+	for _, m := range s.set.Members {
+		all[m.Addr] = true
+	}
+	for _, m := range s.status.Members {
+		all[m.Addr] = true
+	}
+	delete(all, s.set.Addr)
+	return slices.Sorted(maps.Keys(all))
+}
+
+// removeSilent lets the leader of an open fleet remove a silent voter of an even set, which bears no more losses
+// than the odd set below it, or a silent learner. One change goes at a time. Called under the lock, at each tick.
+func (s *Store) removeSilent(now time.Duration) {
+	if !s.set.OpenMembership || s.status.Role != quorum.Leader {
+		return
+	}
+	members := s.status.Members
+	gone := ""
+	if voterCount(members)%2 == 0 {
+		gone = s.silentIn(now, members)
+	}
+	for _, m := range members {
+		if gone == "" && m.Learner && s.silence(now, m.ID) >= dropLearner {
+			gone = m.ID
+		}
+	}
+	if gone == "" {
+		return
+	}
+	silent := s.silence(now, gone)
+	if err := s.proposeMembers(now, members, without(members, gone)); err != nil {
+		_ = level.Debug(s.log).Log("msg", "remove a silent member", "id", gone, "err", err)
+		return
+	}
+	_ = level.Warn(s.log).Log("msg", "removing a silent member", "id", gone, "silent", silent)
+}
+
+// silentVoter is silentIn at this moment.
+func (s *Store) silentVoter(members []quorum.Member) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.core == nil || !s.set.OpenMembership {
+		return ""
+	}
+	return s.silentIn(s.clock.Now(), members)
+}
+
+// silentIn gives the voter that has been silent for longest, RemoveAfter at least, if the others can do without it.
+func (s *Store) silentIn(now time.Duration, members []quorum.Member) (id string) {
+	longest := s.set.RemoveAfter
+	for _, m := range members {
+		if d := s.silence(now, m.ID); !m.Learner && d >= longest {
+			id, longest = m.ID, d
+		}
+	}
+	if id == "" || !s.standing(now, without(members, id)) {
+		return ""
+	}
+	return id
+}
+
+// silence is how long this leader has not heard of a member; 0 if it does not lead.
+func (s *Store) silence(now time.Duration, id string) time.Duration {
+	heard, ok := s.core.Heard(now, id)
+	if !ok {
+		return 0
+	}
+	return now - heard
+}
+
+// standing tells whether a member set has voters enough and a majority of them was heard of within an Election.
+func (s *Store) standing(now time.Duration, members []quorum.Member) bool {
+	heard := 0
+	for _, m := range members {
+		if !m.Learner && s.silence(now, m.ID) < s.set.Election {
+			heard++
+		}
+	}
+	voters := voterCount(members)
+	return voters >= leastVoters && heard > voters/2
+}
+
+func voterCount(members []quorum.Member) (n int) {
+	for _, m := range members {
+		if !m.Learner {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/internal/store/open.go
@@ -0,0 +1,212 @@
+package store
+
+import (
+	"context"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"crosstide/internal/conf"
+	"crosstide/internal/fault"
+	"crosstide/internal/pair"
+	"crosstide/internal/quorum"
+	"crosstide/internal/spawn"
+)
+
+// Intervals of an open fleet; each is spread by a quarter, so that nodes started together do not ask in step.
+const (
+	settleEvery  = 100 * time.Millisecond // of asking what an empty folder means
+	joinEvery    = 50 * time.Millisecond  // of asking to be taken in
+	removalEvery = 500 * time.Millisecond // of asking, without a leader, whether this node was removed
+)
+
+// spread gives d, longer or shorter by up to a quarter.
+func spread(d time.Duration) time.Duration { return d - d/4 + rand.N(d/2) }
+
+// settleOpen is settle where members are only seeds: a seed may found with the others, all other nodes wait until
+// somebody tells them that the fleet exists.
+func (s *Store) settleOpen(ctx context.Context) bool {
+	founder := slices.ContainsFunc(s.set.Members, func(m conf.Member) bool { return m.ID == s.set.Name })
+	var boots map[string]string
+	for round := 0; ; round++ {
+		// A founder waits for all answers: one that names it among the founders weighs most.
+		answers := s.survey(ctx, func(a pair.FoundAnswer) bool { return !founder && a.Commit > 1 })
+		v, founders := s.judgeOpen(answers, boots)
+		boots = founders
+		var err error
+		switch {
+		case v == fresh && founder:
+			err = s.found(founders)
+		case v == exists:
+			if err = s.rename(); err == nil {
+				_ = level.Info(s.log).Log("msg", "the fleet exists and this folder is empty: joining", "id", s.id)
+			}
+		case v == differs:
+			_ = level.Error(s.log).Log("msg", "founding members in the settings differ between nodes")
+		}
+		if err != nil {
+			s.fatal(fault.Pass(err, "settle"))
+			return false
+		}
+		if s.core != nil {
+			return true
+		}
+		if round%50 == 0 {
+			_ = level.Info(s.log).Log("msg", "empty folder: asking other nodes", "answers", len(answers))
+		}
+		if !s.rest(ctx, spread(settleEvery)) {
+			return false
+		}
+	}
+}
+
+// judgeOpen is judge where settings may differ between nodes: only those who may found together must have the same
+// founders. answers are by address.
+func (s *Store) judgeOpen(answers map[string]pair.FoundAnswer, before map[string]string) (verdict, map[string]string) {
+	digest := s.digest()
+	founders := map[string]pair.FoundAnswer{}
+	for _, m := range s.set.Members {
+		a, ok := answers[m.Addr]
+		if !ok {
+			continue
+		}
+		if a.Digest == digest && a.Founders[s.set.Name] == s.boot {
+			return fresh, nil // nobody else is vouched for
+		}
+		founders[m.ID] = a
+	}
+	for _, a := range answers {
+		if a.Commit > 1 {
+			return exists, nil
+		}
+	}
+	for id, a := range founders {
+		if !a.Fresh {
+			a.Digest = digest // it only keeps the others from founding
+			founders[id] = a
+		}
+	}
+	v, boots := judge(s.set.Name, s.boot, digest, len(s.set.Members), founders, before)
+	return v, boots
+}
+
+// survey asks all nodes whose address is known how they stand, at once, until enough holds for an answer or all
+// have answered or failed. It gives the answers by address, and learns the addresses in them.
+func (s *Store) survey(ctx context.Context, enough func(pair.FoundAnswer) bool) map[string]pair.FoundAnswer {
+	addresses := s.addresses()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var mu sync.Mutex
+	answers := map[string]pair.FoundAnswer{}
+	spawn.Each(len(addresses), len(addresses), func(i int) {
+		a, err := s.opt.Net.Found(ctx, addresses[i], pair.FoundCall{Name: s.set.Name, Boot: s.boot})
+		if err != nil {
+			return
+		}
+		if enough(a) {
+			cancel()
+		}
+		mu.Lock()
+		defer mu.Unlock()
+		answers[addresses[i]] = a
+	})
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, a := range answers {
+		s.learn(a.Leader)
+		s.learn(addressesOf(a.Members)...)
+	}
+	return answers
+}
+
+// joinOpen asks the leader until this node is a voter.
+func (s *Store) joinOpen(ctx context.Context) {
+	call := pair.JoinCall{ID: s.id, Name: s.set.Name, Addr: s.set.Addr, Zone: s.set.Zone}
+	leader := ""
+	for {
+		s.mu.Lock()
+		voter := s.status.Voter
+		s.mu.Unlock()
+		if voter {
+			_ = level.Info(s.log).Log("msg", "joined as a voter", "id", s.id)
+			return
+		}
+		if leader == "" {
+			leader = s.findLeader(ctx)
+		}
+		if leader != "" && !s.askToJoin(ctx, leader, call) {
+			leader = ""
+		}
+		if !s.rest(ctx, spread(joinEvery)) {
+			return
+		}
+	}
+}
+
+// askToJoin moves this node one step towards being a voter; false if the one at the address does not lead.
+func (s *Store) askToJoin(ctx context.Context, leader string, call pair.JoinCall) bool {
+	a, err := s.opt.Net.Join(ctx, leader, call)
+	if err != nil {
+		_ = level.Debug(s.log).Log("msg", "join", "leader", leader, "err", err)
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.learn(a.Members...)
+	return true
+}
+
+// findLeader asks other nodes for the leader's address; "" if nobody knows one. Of two the newer term counts.
+func (s *Store) findLeader(ctx context.Context) (leader string) {
+	newest := uint64(0)
+	for _, a := range s.survey(ctx, func(a pair.FoundAnswer) bool { return a.Leader != "" }) {
+		if a.Leader != "" && a.Leader != s.set.Addr && (leader == "" || a.Term > newest) {
+			leader, newest = a.Leader, a.Term
+		}
+	}
+	return leader
+}
+
+// watchRemoval finds out whether this node was removed while it was down or cut off. Its contents are void then:
+// it ends the process, and the next one begins as a new incarnation.
+func (s *Store) watchRemoval(ctx context.Context) {
+	for s.rest(ctx, spread(removalEvery)) {
+		if !s.forsaken() {
+			continue
+		}
+		answers := s.survey(ctx, s.removedBy)
+		for _, address := range slices.Sorted(maps.Keys(answers)) {
+			if !s.removedBy(answers[address]) {
+				continue
+			}
+			_ = level.Warn(s.log).Log("msg", "removed from the members while away: this process ends, the next one joins anew", "id", s.id, "by", address)
+			err := Discard(s.opt.Disk)
+			if err == nil {
+				err = fault.New(fault.Stale, "%s is no member any more; it joins anew at the next start", s.id)
+			}
+			s.fatal(fault.Pass(err, "watch for removal"))
+			return
+		}
+	}
+}
+
+// forsaken tells whether this node neither leads nor heard of a leader for two Elections.
+func (s *Store) forsaken() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.status.Role != quorum.Leader && s.clock.Now()-s.toldAt > 2*s.set.Election
+}
+
+// removedBy tells whether an answer proves that this node was removed: a set that was committed after one with
+// this node in it is without it. An ID that is out never comes back, so a later set cannot have it again.
+func (s *Store) removedBy(a pair.FoundAnswer) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	at, own := s.core.CommittedMembers()
+	is := func(m quorum.Member) bool { return m.ID == s.id }
+	return a.MembersAt > at && slices.ContainsFunc(own, is) && !slices.ContainsFunc(a.Members, is)
+}
--- a/internal/store/propose.go
+++ b/internal/store/propose.go
@@ -22,6 +22,7 @@
 // waiter is a proposal under way.
 type waiter struct {
 	data  json.RawMessage
+	only  uint64 // the leader's term it may be proposed in; 0: any
 	term  uint64 // of its entry; 0 while it is pending
 	index uint64
 	since time.Duration
@@ -50,6 +51,23 @@
 //
 //	index, answer, err := s.Propose(ctx, &command.Cancel{Key: "k-1"})
 func (s *Store) Propose(ctx context.Context, c command.Command) (index uint64, answer any, err error) {
+	index, answer, err = s.commit(ctx, c, 0)
+	return index, answer, fault.Pass(err, "any term")
+}
+
+// ProposeIn is Propose by what was decided in one term of this node's lead, such as LeadTerm gave: the command
+// enters the log in that term or not at all. Fault, besides those of Propose: Stale if this node leads in
+// another term by then; nothing happened.
+func (s *Store) ProposeIn(ctx context.Context, term uint64, c command.Command) (index uint64, answer any, err error) {
+	if term == 0 {
+		return 0, nil, fault.Field(fault.Stale, "term", "no leader has term 0")
+	}
+	index, answer, err = s.commit(ctx, c, term)
+	return index, answer, fault.Pass(err, "term %d", term)
+}
+
+// commit proposes c, in the term only if that is not 0, and waits for the outcome.
+func (s *Store) commit(ctx context.Context, c command.Command, term uint64) (index uint64, answer any, err error) {
 	data, err := command.Encode(s.clock.Wall(), c)
 	if err != nil {
 		return 0, nil, fault.Pass(err, "propose")
@@ -57,7 +75,7 @@
 	if len(data) > maxCommand {
 		return 0, nil, fault.New(fault.TooLarge, "the command has %d bytes, at most %d", len(data), maxCommand)
 	}
-	w := &waiter{data: data, done: make(chan outcome, 1)}
+	w := &waiter{data: data, only: term, done: make(chan outcome, 1)}
 	if err := s.enter(w); err != nil {
 		return 0, nil, fault.Pass(err, "propose %s", c.Op())
 	}
@@ -132,7 +150,11 @@
 		return
 	}
 	batch := s.pending[:0]
+	lead, _ := s.core.Leads()
 	for _, w := range s.pending {
+		if w.only != 0 && w.only != lead {
+			w.end(s, outcome{err: fault.New(fault.Stale, "decided in term %d, it is %d now", w.only, lead)})
+		}
 		if !w.over {
 			batch = append(batch, w)
 		}
@@ -197,7 +219,7 @@
 			return 0, fault.New(fault.Unavailable, "the lead cannot be confirmed now")
 		}
 		s.mu.Unlock()
-		s.rest(s.group.Context(), tick)
+		s.rest(s.group.Context(), pollEvery)
 		s.mu.Lock()
 	}
 }
--- a/internal/store/send.go
+++ b/internal/store/send.go
@@ -160,6 +160,7 @@
 // no members yet can answer.
 func (s *Store) Step(call pair.QuorumCall) {
 	s.mu.Lock()
+	s.learn(call.From)
 	if s.core == nil || s.frozen || s.broken {
 		s.mu.Unlock()
 		return // messages may be lost
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -31,14 +31,15 @@
 )
 
 const (
-	tick        = 10 * time.Millisecond
-	proposeWait = 2 * time.Second // a proposal waits no longer
-	readyWithin = 2 * time.Second // a ready node was level with its leader within it
-	tidyEvery   = 10 * time.Second
-	maxCommand  = 8 << 20  // bytes of one encoded command
-	maxWaiting  = 16384    // proposals that wait
-	maxBytes    = 64 << 20 // bytes of proposals that wait; of log between two slots
-	maxBehind   = 256 << 20
+	pollEvery    = 10 * time.Millisecond // of what is waited for but gives no sign
+	ticksPerBeat = 4                     // of the core, in one Heartbeat
+	proposeWait  = 2 * time.Second       // a proposal waits no longer
+	readyWithin  = 2 * time.Second       // a ready node was level with its leader within it
+	tidyEvery    = 10 * time.Second
+	maxCommand   = 8 << 20  // bytes of one encoded command
+	maxWaiting   = 16384    // proposals that wait
+	maxBytes     = 64 << 20 // bytes of proposals that wait; of log between two slots
+	maxBehind    = 256 << 20
 )
 
 // Net carries the calls to other cplanes at an address; all end by their own time-out.
@@ -88,6 +89,7 @@
 	status  quorum.Status // as of the last pass
 	peers   map[string]*peer
 	learnt  map[string]string // addresses of nodes that are not in the member set yet, by ID
+	known   map[string]bool   // addresses of nodes that others told of; of an open fleet only
 	changed chan struct{}     // closed when the live state moved on
 	ticked  time.Duration
 	frozen  bool // a snapshot is being installed: nothing goes into the core or out of it
@@ -148,7 +150,7 @@
 		opt: opt, set: opt.Settings, clock: opt.Clock, log: opt.Logger, group: spawn.New(context.Background()),
 		boot: opt.Draw()[:12],
 		kick: make(chan struct{}, 1), diskKick: make(chan struct{}, 1), shadowKick: make(chan struct{}, 1),
-		live: state.New(), peers: map[string]*peer{}, learnt: map[string]string{}, changed: make(chan struct{}),
+		live: state.New(), peers: map[string]*peer{}, learnt: map[string]string{}, known: map[string]bool{}, changed: make(chan struct{}),
 		waiters: map[uint64]*waiter{}, followers: map[string]pair.NodeBundle{}, book: NewBook(opt.Settings.DutyLease, opt.Settings.DutyLease/10),
 		levelAt: -readyWithin * 2,
 	}
@@ -178,9 +180,15 @@
 	s.group.Go(s.shade)
 	s.group.Go(s.tidy)
 	s.group.Go(s.keys)
-	if s.id != s.set.Name {
+	switch {
+	case s.id != s.set.Name && s.set.OpenMembership:
+		s.group.Go(s.joinOpen)
+	case s.id != s.set.Name:
 		s.group.Go(s.join)
 	}
+	if s.set.OpenMembership {
+		s.group.Go(s.watchRemoval)
+	}
 	s.loop(ctx)
 }
 
@@ -230,6 +238,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.clock.Now()
+	tick := s.tick()
 	if s.frozen || s.broken {
 		return tick
 	}
@@ -237,6 +246,7 @@
 		s.core.Tick(now)
 		s.ticked = now
 		s.watchDisk(now)
+		s.removeSilent(now)
 	}
 	s.inject(now)
 	r := s.core.Ready()
@@ -264,6 +274,9 @@
 	return max(0, s.ticked+tick-s.clock.Now())
 }
 
+// tick is the time between two ticks of the core; in between the loop runs only when there is something to do.
+func (s *Store) tick() time.Duration { return s.set.Heartbeat / ticksPerBeat }
+
 // apply brings committed entries into the live state and wakes who waits for them.
 func (s *Store) apply(entries []quorum.Entry) {
 	if len(entries) == 0 {
@@ -336,11 +349,19 @@
 	}
 }
 
-// heir is the voter, other than this node, that has most of the log.
+// heir is the voter, other than this node, that has most of the log, of those heard of within an Election; of two
+// alike the one heard of last.
 func (s *Store) heir() (to string) {
+	now := s.clock.Now()
+	var newest time.Duration
 	for _, m := range s.status.Members {
-		if m.ID != s.id && !m.Learner && (to == "" || s.status.Match[m.ID] > s.status.Match[to]) {
-			to = m.ID
+		heard, ok := s.core.Heard(now, m.ID)
+		if m.ID == s.id || m.Learner || !ok || now-heard >= s.set.Election {
+			continue
+		}
+		more := s.status.Match[m.ID] > s.status.Match[to]
+		if to == "" || more || s.status.Match[m.ID] == s.status.Match[to] && heard > newest {
+			to, newest = m.ID, heard
 		}
 	}
 	return to
@@ -361,7 +382,7 @@
 		_ = level.Warn(s.log).Log("msg", "no handover", "err", err)
 		return
 	}
-	for end := s.clock.Now() + s.set.Election; s.clock.Now() < end && s.rest(ctx, tick); {
+	for end := s.clock.Now() + s.set.Election; s.clock.Now() < end && s.rest(ctx, pollEvery); {
 		s.mu.Lock()
 		gone := s.status.Role != quorum.Leader
 		s.mu.Unlock()
