cplane platform: run a core node on the users' platform

Cause: the daemons need one command each on the platform. Change: store with open membership, the leader's controller and the control address in one process.

--- a/cmd/cplane/platform.go
+++ b/cmd/cplane/platform.go
@@ -3,24 +3,151 @@
 import (
 	"context"
 	"net"
-	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
 	"time"
 
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"github.com/urfave/cli/v3"
+
+	"crosstide/internal/alarm"
 	"crosstide/internal/conf"
+	"crosstide/internal/controller"
+	"crosstide/internal/daemon"
 	"crosstide/internal/fault"
+	"crosstide/internal/scheduler"
+	"crosstide/internal/store"
 	"crosstide/internal/wire"
 	"crosstide/platform"
 )
 
-// exitMargin is left of the grace for the process's own end.
-const exitMargin = 500 * time.Millisecond
+// Timings of the store on the platform, for a fail-over well under three seconds.
+const (
+	platformElection  = 600 * time.Millisecond
+	platformHeartbeat = 120 * time.Millisecond
+	platformLease     = 400 * time.Millisecond
+
+	dialTimeout = 700 * time.Millisecond  // a connection to a machine that is gone hangs
+	userTimeout = 1500 * time.Millisecond // how long the kernel resends bytes that nobody confirms
+	exitMargin  = 500 * time.Millisecond  // left of the grace for the process's own end
+	workerIdle  = 4                       // idle connections kept to each worker and node
+)
+
+// platformCommand runs a core node on the users' platform.
+func platformCommand() *cli.Command {
+	return &cli.Command{Name: "platform", Usage: "serve as a core node of the users' platform",
+		Action: func(ctx context.Context, _ *cli.Command) error {
+			changed := make(chan os.Signal, 1) // SIGHUP would end the process else
+			signal.Notify(changed, syscall.SIGHUP)
+			defer signal.Stop(changed)
+			settings, err := platform.LoadSettings()
+			if err != nil {
+				return fault.Pass(err, "platform")
+			}
+			ctx, stop := daemon.Signals(ctx)
+			defer stop()
+			logger := log.With(daemon.Logger("info", os.Stderr), "node", settings.IP)
+			return fault.Pass(serveCore(ctx, settings, logger), "platform")
+		}}
+}
+
+// coreNode is a core node: a member of the store, the leader's controller, and the doors for workers and operators.
+type coreNode struct {
+	settings platform.CoreSettings
+	logger   log.Logger
+	store    *store.Store
+	leader   *controller.Leader
+	client   *controller.Client // asks the leader where this node does not lead
+	inner    *wire.Server       // other nodes call it
+	control  *wire.Server       // workers and operators call it
+}
+
+// serveCore runs a core node until ctx ends, then hands the lead over and drains.
+func serveCore(ctx context.Context, settings platform.Settings, logger log.Logger) error {
+	core := settings.Core()
+	daemon.LimitMemory(core.MemoryBytes)
+	caller := wire.NewCaller(wire.CallerOptions{DialTimeout: dialTimeout, UserTimeout: userTimeout, Idle: workerIdle,
+		Logger: daemon.Part(logger, "caller")})
+	defer caller.Close()
+	node, err := newCoreNode(core, settings.Limits.FileDescriptors, caller, logger)
+	if err != nil {
+		return fault.Pass(err, "make the node")
+	}
+	if err := node.start(); err != nil {
+		node.store.Stop()
+		return fault.Pass(err, "start")
+	}
+	<-ctx.Done()
+	node.stop()
+	return nil
+}
+
+func newCoreNode(core platform.CoreSettings, descriptors int, caller *wire.Caller, logger log.Logger) (*coreNode, error) {
+	set := storeSettings(core)
+	node := &coreNode{settings: core, logger: logger}
+	var err error
+	node.store, err = open(store.Options{Settings: set, Net: store.Wire(caller, set), Logger: daemon.Part(logger, "store"),
+		Fatal: func(err error) {
+			_ = level.Error(logger).Log("msg", "the process ends", "err", err)
+			os.Exit(1)
+		}}, logger)
+	if err != nil {
+		return nil, fault.Pass(err, "open the store")
+	}
+	node.leader = controller.NewLeader(controller.LeaderOptions{Store: node.store,
+		Workers: platform.NewWorkers(exchanger{caller}, 0), Config: schedulerSettings(core.Scheduler),
+		Control: core.ControlAddress, Clock: alarm.Real{}, Logger: daemon.Part(logger, "controller")})
+	node.client = controller.NewClient(controller.ClientOptions{Caller: caller, Seeds: core.Seeds, Self: core.InternalAddress,
+		Logger: daemon.Part(logger, "client")})
+	node.inner = wire.NewServer(wire.ServerOptions{Addr: core.InternalAddress, Descriptors: descriptors, Logger: daemon.Part(logger, "wire")})
+	node.store.Serve(node.inner)
+	controller.Serve(node.inner, node.leader)
+	node.control = wire.NewServer(wire.ServerOptions{Addr: core.ControlAddress, Descriptors: descriptors, Logger: daemon.Part(logger, "control")})
+	relay := controller.NewRelay(node.leader, node.client, core.InternalAddress)
+	platform.NewControlPlane(relay, core.ControlAddress).Routes(node.control)
+	return node, nil
+}
+
+func (n *coreNode) start() error {
+	if err := n.inner.Start(); err != nil {
+		return fault.Pass(err, "serve other nodes")
+	}
+	if err := n.control.Start(); err != nil {
+		_ = n.inner.Stop(0) // the start is given up: nobody has called yet
+		return fault.Pass(err, "serve workers and operators")
+	}
+	n.store.Start()
+	n.leader.Start()
+	_ = level.Info(n.logger).Log("msg", "serving", "addr", n.inner.Addr(), "zone", n.settings.Zone, "version", version)
+	return nil
+}
 
-// storeSettings maps the users' platform's settings of a core node to the store's. The founders are the seeds; their
-// zones are not told, except this node's own.
+// stop hands the lead over first, so that the next leader begins while this one still answers.
+func (n *coreNode) stop() {
+	leave, over := context.WithTimeout(context.Background(), n.grace())
+	defer over()
+	n.store.Handover(leave)
+	if err := n.control.Stop(time.Second); err != nil {
+		_ = level.Warn(n.logger).Log("msg", "calls were cut off", "err", err)
+	}
+	n.leader.Stop()
+	if err := n.inner.Stop(time.Second); err != nil {
+		_ = level.Debug(n.logger).Log("msg", "calls of nodes were cut off", "err", err)
+	}
+	n.store.Stop()
+}
+
+func (n *coreNode) grace() time.Duration { return max(n.settings.Grace-exitMargin, time.Second) }
+
+// storeSettings maps the platform's settings of a core node to the store's. The founders are the seeds.
 func storeSettings(core platform.CoreSettings) conf.Cplane {
 	set := conf.DefaultCplane()
 	set.Name, set.Zone, set.Region = core.Name, core.Zone, core.Region
 	set.Addr, set.Seeds, set.Data = core.InternalAddress, core.Seeds, core.DataFolder
+	set.Election, set.Heartbeat, set.Lease = platformElection, platformHeartbeat, platformLease
+	set.OpenMembership, set.Founding = true, core.Bootstrap
 	if core.Grace > 0 {
 		set.Grace = max(core.Grace-exitMargin, core.Grace/2)
 	}
@@ -29,15 +156,33 @@
 		if err != nil {
 			continue // the settings were checked when they were read
 		}
-		founder := conf.Member{ID: host, Addr: seed}
-		if host == core.Name {
-			founder.Zone = core.Zone
-		}
-		set.Members = append(set.Members, founder)
+		set.Members = append(set.Members, conf.Member{ID: host, Addr: seed}) // zones of seeds are not told
 	}
 	return set
 }
 
+// leaseShare is the lease of workers as a share of the longest one.
+const leaseShare = 0.5
+
+// schedulerSettings maps the platform's bounds to the scheduler's settings.
+func schedulerSettings(bounds platform.SchedulerSettings) scheduler.Config {
+	config := scheduler.Defaults()
+	if bounds.LongestLease > 0 {
+		config.Lease = time.Duration(float64(bounds.LongestLease) * leaseShare)
+	}
+	config.HoldWait = min(config.HoldWait, config.Lease/3)
+	if bounds.StopTime > 0 {
+		config.LapseMargin = bounds.StopTime/2 + 200*time.Millisecond
+	}
+	if bounds.SpreadFactor > 0 {
+		config.SpreadFactor = bounds.SpreadFactor
+	}
+	if bounds.HeartbeatInterval > 0 {
+		config.Silence = bounds.HeartbeatInterval*5/2 + 250*time.Millisecond
+	}
+	return config
+}
+
 // exchanger carries the platform's requests to workers over a Caller.
 type exchanger struct{ caller *wire.Caller }
 
@@ -45,19 +190,6 @@
 
 // Exchange sends one request to addr and gives the answer.
 func (e exchanger) Exchange(ctx context.Context, addr string, request platform.Request, within time.Duration) (platform.Response, error) {
-	r, err := e.caller.Exchange(ctx, addr, wire.Request{Method: request.Method, Path: request.Path, Header: request.Header, Body: request.Body}, within)
-	if err != nil {
-		return platform.Response{}, fault.Pass(err, "exchange")
-	}
-	return platform.Response{Status: r.Status, Header: firstValues(r.Header), Body: r.Body}, nil
-}
-
-func firstValues(header http.Header) map[string]string {
-	first := make(map[string]string, len(header))
-	for name, values := range header {
-		if len(values) > 0 {
-			first[name] = values[0]
-		}
-	}
-	return first
+	r, err := e.caller.Exchange(ctx, addr, wire.Request(request), within)
+	return platform.Response(r), fault.Pass(err, "exchange")
 }
