--- a/cmd/cplane/platform.go
+++ b/cmd/cplane/platform.go
@@ -101,10 +101,10 @@
 		Control: core.ControlAddress, Clock: alarm.Real{}, Logger: daemon.Part(logger, "controller")})
 	node.client = controller.NewClient(controller.ClientOptions{Caller: caller, Seeds: core.Seeds, Self: core.InternalAddress,
 		Logger: daemon.Part(logger, "client")})
-	node.inner = wire.NewServer(wire.ServerOptions{Addr: core.InternalAddress, Descriptors: descriptors, Logger: daemon.Part(logger, "wire")})
+	node.inner = wire.NewServer(wire.ServerOptions{Addr: core.InternalAddress, Loops: 1, Descriptors: descriptors, Logger: daemon.Part(logger, "wire")})
 	node.store.Serve(node.inner)
 	controller.Serve(node.inner, node.leader)
-	node.control = wire.NewServer(wire.ServerOptions{Addr: core.ControlAddress, Descriptors: descriptors, Logger: daemon.Part(logger, "control")})
+	node.control = wire.NewServer(wire.ServerOptions{Addr: core.ControlAddress, Loops: 1, Descriptors: descriptors, Logger: daemon.Part(logger, "control")})
 	relay := controller.NewRelay(node.leader, node.client, core.InternalAddress)
 	platform.NewControlPlane(relay, core.ControlAddress).Routes(node.control)
 	return node, nil
--- a/cmd/dplane/platform.go
+++ b/cmd/dplane/platform.go
@@ -83,10 +83,10 @@
 	f.client = controller.NewClient(controller.ClientOptions{Caller: caller, Seeds: core.Seeds,
 		Logger: daemon.Part(logger, "client")})
 	f.readiness.fresh, f.readiness.within = f.client.Ready, f.client.ReadyWithin
-	f.clients = wire.NewServer(wire.ServerOptions{Addr: core.ClientAddress, Descriptors: descriptors,
+	f.clients = wire.NewServer(wire.ServerOptions{Addr: core.ClientAddress, Loops: 1, Descriptors: descriptors,
 		Logger: daemon.Part(logger, "wire")})
 	platform.NewIngress(f.client).Routes(f.clients)
-	f.asked = wire.NewServer(wire.ServerOptions{Addr: core.ReadyAddress, Descriptors: descriptors,
+	f.asked = wire.NewServer(wire.ServerOptions{Addr: core.ReadyAddress, Loops: 1, Descriptors: descriptors,
 		Logger: daemon.Part(logger, "wire")})
 	platform.Readiness(f.asked, f.readiness.check)
 	return f
--- a/internal/wire/server.go
+++ b/internal/wire/server.go
@@ -35,6 +35,8 @@
 	// Descriptors bounds the file descriptors that the process has, if the system tells no lower bound: a table of
 	// that length is kept for each server. The lowest one given holds for the whole process; 0 leaves it as it is.
 	Descriptors int
+	// Loops is the number of event loops; 0: nbio's default.
+	Loops int
 }
 
 // Server answers pairs and raw routes. Every request runs on a goroutine of its own, so any number of them may
@@ -85,11 +87,11 @@
 	s.engine = nbhttp.NewEngine(nbhttp.Config{
 		Name: "wire", Network: "tcp", Addrs: []string{opt.Addr}, Listen: s.listen,
 		MaxLoad: 100_000, MaxHTTPBodySize: bound, ReadLimit: 2 * bound,
-		SupportServerOnly: true,
-		Handler:           http.HandlerFunc(s.serve),
-		ServerExecutor:    s.execute,
-		Context:           s.work.Context(),
-		Cancel:            s.work.Cancel,
+		SupportServerOnly: true, NPoller: opt.Loops,
+		Handler:        http.HandlerFunc(s.serve),
+		ServerExecutor: s.execute,
+		Context:        s.work.Context(),
+		Cancel:         s.work.Cancel,
 	})
 	s.engine.OnOpen(func(net.Conn) { s.accepted.Add(1) })
 	s.engine.Engine.OnData(func(c *nbio.Conn, data []byte) {
@@ -264,6 +266,9 @@
 // Stop would wait for it forever. Each loop gets one end of a local connection and has to see it close.
 func (s *Server) warm() error {
 	loops := s.engine.Engine.NPoller
+	if loops == 1 {
+		return fault.Pass(s.warmOne(), "the only event loop")
+	}
 	gone := make(chan struct{}, loops)
 	s.engine.OnClose(func(c net.Conn, _ error) {
 		if _, local := c.RemoteAddr().(*net.UnixAddr); local {
@@ -281,6 +286,27 @@
 	return nil
 }
 
+// warmOne is warm for a single loop, which any connection reaches: one to the server's own address, as not every
+// machine has local socket pairs.
+func (s *Server) warmOne() error {
+	gone := make(chan struct{}, 1)
+	s.engine.OnClose(func(net.Conn, error) {
+		select {
+		case gone <- struct{}{}:
+		default:
+		}
+	})
+	c, err := net.Dial("tcp", s.Addr())
+	if err != nil {
+		return fault.Wrap(err, fault.Internal, "reach the own address")
+	}
+	if err := c.Close(); err != nil {
+		return fault.Wrap(err, fault.Internal, "close")
+	}
+	<-gone
+	return nil
+}
+
 // nudge gives one loop a connection that is closed at its other end. nbio picks the loop by the descriptor, so
 // copies are made until one has a number that fits. All others are closed before that one is handed over: epoll
 // goes on telling of a connection as long as a copy is open, by a number that may be another's by then.
