Core node: a started client, new seeds on SIGHUP, no leader named without its lease; leaving proves nothing

The client of a core node never learnt the members; the settings' change was caught and not read; a leader whose lease had lapsed kept fronts ready; a worker that announced its end and did not answer was taken for dead, but may serve on.

--- a/cmd/cplane/platform.go
+++ b/cmd/cplane/platform.go
@@ -18,6 +18,7 @@
 	"crosstide/internal/daemon"
 	"crosstide/internal/fault"
 	"crosstide/internal/scheduler"
+	"crosstide/internal/spawn"
 	"crosstide/internal/store"
 	"crosstide/internal/wire"
 	"crosstide/platform"
@@ -49,7 +50,7 @@
 			ctx, stop := daemon.Signals(ctx)
 			defer stop()
 			logger := log.With(daemon.Logger("info", os.Stderr), "node", settings.IP)
-			return fault.Pass(serveCore(ctx, settings, logger), "platform")
+			return fault.Pass(serveCore(ctx, settings, changed, logger), "platform")
 		}}
 }
 
@@ -64,8 +65,9 @@
 	control  *wire.Server       // workers and operators call it
 }
 
-// serveCore runs a core node until ctx ends, then hands the lead over and drains.
-func serveCore(ctx context.Context, settings platform.Settings, logger log.Logger) error {
+// serveCore runs a core node until ctx ends, then hands the lead over and drains. changed tells that the settings have
+// changed.
+func serveCore(ctx context.Context, settings platform.Settings, changed <-chan os.Signal, logger log.Logger) error {
 	core := settings.Core()
 	daemon.LimitMemory(core.MemoryBytes)
 	caller := wire.NewCaller(wire.CallerOptions{DialTimeout: dialTimeout, UserTimeout: userTimeout, Idle: workerIdle,
@@ -79,11 +81,31 @@
 		node.store.Stop()
 		return fault.Pass(err, "start")
 	}
+	reload := spawn.New(context.Background())
+	reload.Go(func(ctx context.Context) { node.followSettings(ctx, changed) })
 	<-ctx.Done()
+	reload.Stop()
 	node.stop()
 	return nil
 }
 
+// followSettings takes new seeds from the settings whenever the process is told that they changed.
+func (n *coreNode) followSettings(ctx context.Context, changed <-chan os.Signal) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		}
+		settings, err := platform.LoadSettings()
+		if err != nil {
+			_ = level.Warn(n.logger).Log("msg", "the settings cannot be read; the old seeds stay", "err", err)
+			continue
+		}
+		n.client.SetSeeds(settings.Core().Seeds)
+	}
+}
+
 func newCoreNode(core platform.CoreSettings, descriptors int, caller *wire.Caller, logger log.Logger) (*coreNode, error) {
 	set := storeSettings(core)
 	node := &coreNode{settings: core, logger: logger}
@@ -120,6 +142,7 @@
 	}
 	n.store.Start()
 	n.leader.Start()
+	n.client.Start()
 	_ = level.Info(n.logger).Log("msg", "serving", "addr", n.inner.Addr(), "zone", n.settings.Zone, "version", version)
 	return nil
 }
@@ -132,6 +155,7 @@
 	if err := n.control.Stop(time.Second); err != nil {
 		_ = level.Warn(n.logger).Log("msg", "calls were cut off", "err", err)
 	}
+	n.client.Stop()
 	n.leader.Stop()
 	if err := n.inner.Stop(time.Second); err != nil {
 		_ = level.Debug(n.logger).Log("msg", "calls of nodes were cut off", "err", err)
--- a/internal/controller/serve.go
+++ b/internal/controller/serve.go
@@ -186,5 +186,8 @@
 // Topology tells the leader and the members of the core, as this node knows them.
 func (l *Leader) Topology(context.Context, TopologyCall) (TopologyAnswer, error) {
 	leader, members := l.opt.Store.Members()
+	if term, held := l.opt.Store.LeadTerm(l.clock.Now()); term != 0 && !held {
+		leader = "" // its own lead cannot be confirmed: nobody is to count on it
+	}
 	return TopologyAnswer{Leader: leader, Members: members}, nil
 }
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -109,9 +109,6 @@
 
 // lapsed tells whether every lease that may have been given to the worker is surely over.
 func (w *worker) lapsed(c *Core, now time.Duration) bool {
-	if w.record() != nil && w.record().Left && w.failures > 0 {
-		return true // it said that it ends, and answers no more
-	}
 	if now-w.heardAt < c.cfg.Lease && w.heardAt > 0 && w.answered {
 		return false
 	}
