Test the job table rule by rule, in all orders and with random changes

Cause: a start that is recorded wrongly runs a task twice or where it must not run, on every node alike. Change: goconvey tests of each change, of gangs, lasting tasks, attempts, tidying and races of configurations in all orders; a property test that checks starts and derived counts by hand on tables that are encoded and decoded on the way; a benchmark. Ruled out: tests that pass without the rule.

--- /dev/null
+++ b/internal/jobs/bench_test.go
@@ -0,0 +1,40 @@
+package jobs
+
+import (
+	"fmt"
+	"testing"
+)
+
+// BenchmarkProgress makes changes of 50 ends and 50 starts on a table of 20,000 jobs and 200 workers; an operation is
+// one start and one end.
+func BenchmarkProgress(b *testing.B) {
+	const jobs, workers, batch = 20_000, 200, 50
+	table := testTable()
+	for i := range workers {
+		must(table.Register(Register{Workers: []Worker{testWorker(fmt.Sprintf("w%d", i), "open")}}))
+	}
+	for i := range jobs {
+		table.mustSubmit(testJob(fmt.Sprint(i), Step{Count: 4, Needs: Resources{MilliCPU: 100}}))
+	}
+	round := 0
+	b.ResetTimer()
+	for done := 0; done < b.N; done += batch {
+		round++
+		p := Progress{Term: testTerm, At: noon}
+		for i := range batch {
+			start := startOf(taskOf(fmt.Sprint((done+i)%jobs), 0, 0), round, fmt.Sprintf("w%d", i%workers))
+			p.Starts = append(p.Starts, start)
+		}
+		started, err := table.Progress(testTerm, p)
+		must(err)
+		for i, start := range p.Starts {
+			if !started.Recorded[i] {
+				b.Fatal(start)
+			}
+			p.Ends = append(p.Ends, endOf(start, EndLost))
+		}
+		p.Starts = nil
+		_, err = table.Progress(testTerm, p)
+		must(err)
+	}
+}
--- /dev/null
+++ b/internal/jobs/configure_test.go
@@ -0,0 +1,192 @@
+package jobs
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"crosstide/internal/fault"
+)
+
+func TestConfigure(t *testing.T) {
+	Convey("A refused configuration names its field and changes nothing", t, func() {
+		table := testTable()
+		before := table.bytes()
+		queue := func(change func(*Queue)) Configure {
+			q := testConfig().Queues[0]
+			change(&q)
+			return Configure{Base: 5, Version: 6, Digest: "second", Queues: []Queue{q}}
+		}
+		cases := []struct {
+			order Configure
+			kind  fault.Kind
+			field string
+		}{
+			{Configure{Base: 4, Version: 6}, fault.Stale, "base"},
+			{Configure{Base: 6, Version: 7}, fault.Stale, "base"},
+			{Configure{Base: 4, Version: 4}, fault.Stale, "base"}, // stale goes before invalid
+			{Configure{Base: 5, Version: 5}, fault.Invalid, "version"},
+			{queue(func(q *Queue) { q.Service = "none" }), fault.Invalid, "queues[0].service"},
+			{queue(func(q *Queue) { q.Timeout = 0 }), fault.Invalid, "queues[0].timeout"},
+			{queue(func(q *Queue) { q.Name = "other" }), fault.Invalid, "queues[2].prefix"},
+			{queue(func(q *Queue) { q.Name, q.Host = "other", "A.example" }), fault.Invalid, "queues[2].prefix"},
+			{Configure{Base: 5, Version: 6, RemoveServices: []string{"guard"}}, fault.Invalid, "queues[1].service"},
+			{Configure{Base: 5, Version: 6, Replace: true, Queues: testConfig().Queues}, fault.Invalid, "queues[0].service"},
+		}
+		twice := testConfig()
+		twice.Base, twice.Version, twice.Digest, twice.Replace = 5, 6, "second", true
+		twice.Queues[1].Name = "plain"
+		cases = append(cases, struct {
+			order Configure
+			kind  fault.Kind
+			field string
+		}{twice, fault.Invalid, "queues[1].name"})
+		for _, c := range cases {
+			err := table.Configure(c.order)
+			So(err, shouldBeFault, c.kind)
+			So(err, shouldNameField, c.field)
+			So(table.bytes(), ShouldEqual, before)
+		}
+	})
+	Convey("An update removes, then replaces in place or appends; a new whole configuration replaces all", t, func() {
+		table := testTable()
+		changed := testConfig().Queues[0]
+		changed.MaxAttempts = 9
+		added := Queue{Name: "added", Host: "b.example", Prefix: "/", Service: "new", Timeout: time.Second}
+		old := table.Config
+		So(table.Configure(Configure{
+			Base: 5, Version: 8, Digest: "second", Queues: []Queue{added, changed}, Services: []Service{{Name: "new"}},
+			Limits: []byte(`{"a":1}`), RemoveQueues: []string{"guarded", "none"}, RemoveServices: []string{"guard", "none"},
+		}), ShouldBeNil)
+		So(table.Config.Version, ShouldEqual, 8)
+		So(table.Config.Queues, ShouldResemble, []Queue{changed, added})
+		So(table.Config.Services, ShouldResemble, []Service{{Name: "open"}, {Name: "new"}})
+		So(old.Queues, ShouldResemble, testConfig().Queues)
+		So(table.Configure(Configure{Base: 8, Version: 9}), ShouldBeNil)
+		So(string(table.Config.Limits), ShouldEqual, `{"a":1}`)
+		So(table.Configure(Configure{Base: 9, Version: 12, Replace: true, Queues: []Queue{added}, Services: []Service{{Name: "new"}}}), ShouldBeNil)
+		So(table.Config, ShouldResemble, Config{Version: 12, Queues: []Queue{added}, Services: []Service{{Name: "new"}}})
+		Convey("a removed item may be put again in the same order: it goes to the end", func() {
+			one := Queue{Name: "one", Host: "c", Prefix: "/", Service: "new", Timeout: 1}
+			So(table.Configure(Configure{Base: 12, Version: 13, Queues: []Queue{one}}), ShouldBeNil)
+			So(table.Configure(Configure{Base: 13, Version: 14, RemoveQueues: []string{"added"}, Queues: []Queue{added}}), ShouldBeNil)
+			So(table.Config.Queues, ShouldResemble, []Queue{one, added})
+		})
+	})
+	Convey("Of orders on one base the first wins, in whatever order they and their repeats come", t, func() {
+		orders := make([]Configure, 6) // three orders, each sent twice
+		for i := range orders {
+			orders[i] = Configure{Base: 5, Version: uint64(6 + i%3), Digest: fmt.Sprint("order ", i%3)}
+		}
+		cases := 0
+		permutations(len(orders), func(order []int) {
+			table := testTable()
+			winner := orders[order[0]]
+			for _, i := range order {
+				err := table.Configure(orders[i])
+				if taken := orders[i].Digest == winner.Digest; taken != (err == nil) || !taken && !fault.Is(err, fault.Stale) {
+					panic(fmt.Sprint("order ", order, " at ", i, ": ", err))
+				}
+			}
+			if table.Config.Version != winner.Version {
+				panic(fmt.Sprint("order ", order, ": version ", table.Config.Version))
+			}
+			cases++
+		})
+		So(cases, ShouldEqual, 720)
+	})
+	Convey("An order that was taken is answered alike after later ones, among the newest, also after a decode", t, func() {
+		table := testTable()
+		for i := range uint64(MaxOrders) {
+			So(table.Configure(Configure{Base: 5 + i, Version: 6 + i, Digest: fmt.Sprint(i)}), ShouldBeNil)
+		}
+		So(table.Orders, ShouldHaveLength, MaxOrders)
+		for _, each := range []*Table{table, table.copied()} {
+			before := each.bytes()
+			So(each.Configure(Configure{Base: 5, Version: 6, Digest: "0"}), ShouldBeNil)
+			So(each.Configure(Configure{Base: 99, Version: 1, Digest: "7"}), ShouldBeNil)
+			So(each.Configure(testConfig()), shouldBeFault, fault.Stale) // the oldest of 1,025
+			So(each.bytes(), ShouldEqual, before)
+		}
+	})
+	Convey("An order without a digest is never taken for another", t, func() {
+		table := testTable()
+		So(table.Configure(Configure{Base: 5, Version: 6}), ShouldBeNil)
+		So(table.Configure(Configure{Base: 6, Version: 7}), ShouldBeNil)
+		So(table.Config.Version, ShouldEqual, 7)
+		So(table.Configure(Configure{Base: 6, Version: 7}), shouldBeFault, fault.Stale)
+	})
+}
+
+func TestQueueFor(t *testing.T) {
+	Convey("The longest prefix of the host counts, with or without a port", t, func() {
+		table := NewTable()
+		at := func(name, host, prefix string) Queue {
+			return Queue{Name: name, Host: host, Prefix: prefix, Service: "s", Timeout: 1}
+		}
+		must(table.Configure(Configure{Version: 1, Services: []Service{{Name: "s"}}, Queues: []Queue{
+			at("long", "a.example", "/x/y/"), at("short", "a.example", "/x/"), at("other", "b.example", "/x/y/z/"),
+		}}))
+		for _, c := range [][3]string{
+			{"a.example", "/x/y/1", "long"}, {"a.example:80", "/x/y/z/1", "long"}, {"A.Example", "/x/1", "short"},
+			{"b.example:1", "/x/y/z/", "other"}, {"b.example", "/x/y/1", ""}, {"c.example", "/x/", ""}, {"a.example", "/", ""},
+		} {
+			name := ""
+			if queue := table.QueueFor(c[0], c[1]); queue != nil {
+				name = queue.Name
+			}
+			So(name, ShouldEqual, c[2])
+		}
+	})
+}
+
+func TestWorkers(t *testing.T) {
+	Convey("A worker that drains or left does not come back under its ID, in whatever order it is told", t, func() {
+		plain, draining, left := testWorker("w1", "open"), testWorker("w1", "open"), testWorker("w1", "open")
+		draining.Draining, left.Left = true, true
+		told := []Worker{plain, draining, left}
+		permutations(3, func(order []int) {
+			table := testTable()
+			for _, i := range order {
+				must(table.Register(Register{Workers: told[i : i+1]}))
+			}
+			if w := table.Workers["w1"]; !w.Draining || !w.Left {
+				panic(fmt.Sprint(order))
+			}
+		})
+		table := testTable()
+		plain.Zone, plain.Labels = "elsewhere", nil
+		must(table.Register(Register{Workers: []Worker{plain}}))
+		So(*table.Workers["w1"], ShouldResemble, plain)
+	})
+	Convey("An evacuation is started and withdrawn, each as often as one likes", t, func() {
+		table := testTable()
+		before := table.bytes()
+		must(table.Evacuate(Evacuate{Zone: "zone-1"}))
+		So(table.bytes(), ShouldEqual, before)
+		must(table.Evacuate(Evacuate{Zone: "zone-1", Start: true}))
+		must(table.Evacuate(Evacuate{Zone: "zone-1", Start: true}))
+		So(table.Evacuated, ShouldResemble, map[string]bool{"zone-1": true})
+		must(table.Evacuate(Evacuate{Zone: "zone-1"}))
+		So(table.bytes(), ShouldEqual, before)
+	})
+	Convey("A worker is forgotten only without a handle", t, func() {
+		table := testTable()
+		table.mustSubmit(testJob("j", oneCore(1)))
+		start := startOf(taskOf("j", 0, 0), 1, "w1")
+		table.start(start)
+		forget := func(p Progress) {
+			p.Term, p.Forget = testTerm, []string{"w1"}
+			_, err := table.Progress(testTerm, p)
+			must(err)
+		}
+		forget(Progress{})
+		So(table.Workers["w1"], ShouldNotBeNil)
+		forget(Progress{Ends: []End{endOf(start, EndLost)}, Starts: []Start{startOf(start.Task, 2, "w1")}})
+		So(table.Workers["w1"], ShouldNotBeNil)
+		forget(Progress{Ends: []End{endOf(startOf(start.Task, 2, "w1"), EndLost)}})
+		So(table.Workers["w1"], ShouldBeNil)
+	})
+}
--- /dev/null
+++ b/internal/jobs/gang_test.go
@@ -0,0 +1,151 @@
+package jobs
+
+import (
+	"fmt"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// gangOf gives the starts of one run of a gang, its members on the workers in turn.
+func gangOf(job string, number int, workers ...string) []Start {
+	starts := make([]Start, len(workers))
+	for i, worker := range workers {
+		starts[i] = startOf(taskOf(job, 0, i), number, worker)
+	}
+	return starts
+}
+
+func gangStep(count int) Step {
+	step := oneCore(count)
+	step.Gang = true
+	return step
+}
+
+func TestGangStarts(t *testing.T) {
+	Convey("Given a gang of three", t, func() {
+		table := testTable()
+		job := table.mustSubmit(testJob("j", gangStep(3)))
+		none := []bool{false, false, false}
+		Convey("its members are recorded together, in whatever order and between other starts", func() {
+			permutations(3, func(order []int) {
+				each := testTable()
+				each.mustSubmit(testJob("j", gangStep(3)))
+				each.mustSubmit(testJob("k", oneCore(1)))
+				gang := gangOf("j", 1, "w1", "w1", "w2")
+				got := each.start(gang[order[0]], startOf(taskOf("k", 0, 0), 1, "w2"), gang[order[1]], gang[order[2]])
+				if fmt.Sprint(got) != "[true true true true]" || len(each.RunsOn("w1")) != 2 || len(each.RunsOn("w2")) != 2 {
+					panic(fmt.Sprint(order, got))
+				}
+			})
+		})
+		Convey("none is if one is missing, said twice, under another number, or does not fit", func() {
+			gang := gangOf("j", 1, "w1", "w1", "w2")
+			So(table.start(gang[:2]...), ShouldResemble, none[:2])
+			twice := startOf(taskOf("j", 0, 0), 1, "w2") // there is room for it
+			So(table.start(gang[0], twice, gang[2]), ShouldResemble, none)
+			So(table.start(gang[0], gang[1], gang[2], gang[2]), ShouldResemble, append(none, false))
+			So(table.start(gang[0], gang[1], startOf(taskOf("j", 0, 2), 2, "w2")), ShouldResemble, none)
+			So(table.start(gangOf("j", 1, "w1", "w1", "w1")...), ShouldResemble, none)
+			So(table.start(gangOf("j", 1, "w1", "w2", "g1")...), ShouldResemble, none)
+			So(job.State, ShouldEqual, Queued)
+			So(table.Used("w1"), ShouldResemble, Resources{})
+			So(table.start(append(gang, gangOf("j", 2, "w2", "w1", "w1")...)...), ShouldResemble, []bool{true, true, true, false, false, false})
+		})
+		Convey("a step's most per worker counts the members placed before", func() {
+			step := gangStep(3)
+			step.MostPerNode = 1
+			table.mustSubmit(testJob("k", step))
+			must(table.Register(Register{Workers: []Worker{testWorker("w3", "open")}}))
+			So(table.start(gangOf("k", 1, "w1", "w1", "w2")...), ShouldResemble, none)
+			So(table.start(gangOf("k", 1, "w1", "w2", "w3")...), ShouldResemble, []bool{true, true, true})
+		})
+		Convey("no new run starts while a handle of the old one is out, and then under a higher number", func() {
+			gang := gangOf("j", 4, "w1", "w1", "w2")
+			table.start(gang...)
+			table.end(endOf(gang[0], EndLost), endOf(gang[2], EndLost))
+			So(table.start(gangOf("j", 5, "w2", "w1", "w2")...), ShouldResemble, none)
+			table.end(endOf(gang[1], EndLost))
+			So(table.start(gangOf("j", 4, "w1", "w1", "w2")...), ShouldResemble, none)
+			So(table.start(gangOf("j", 5, "w1", "w1", "w2")...), ShouldResemble, []bool{true, true, true})
+			for _, task := range job.Rounds[0][0] {
+				So(task.LastRun, ShouldEqual, 5)
+			}
+		})
+	})
+}
+
+func TestGangEnds(t *testing.T) {
+	Convey("One end done is for all members; their handles stay until their own ends, in any order", t, func() {
+		permutations(3, func(order []int) {
+			table := testTable()
+			job := table.mustSubmit(testJob("j", gangStep(3)))
+			gang := gangOf("j", 1, "w1", "w1", "w2")
+			table.start(gang...)
+			hows := []How{EndDone, EndFailed, EndBroken}
+			for n, member := range order {
+				table.end(endOf(gang[member], hows[n]))
+				if job.State != Succeeded || (job.Rounds == nil) != (n == 2) || job.index.handles != 2-n {
+					panic(fmt.Sprint(order, n, job.State))
+				}
+				if n < 2 && job.Rounds[0][0][0].Failures != 0 {
+					panic("a failure was counted of a gang that is done")
+				}
+			}
+		})
+	})
+	Convey("A member that fails after its gang is done counts for nothing while other steps go on", t, func() {
+		table := testTable()
+		job := table.mustSubmit(testJob("j", gangStep(2), oneCore(1)))
+		gang := gangOf("j", 1, "w1", "w2")
+		table.start(gang...)
+		table.end(endOf(gang[0], EndDone), endOf(gang[1], EndFailed))
+		So(job.State, ShouldEqual, Running)
+		So(job.Rounds[0][0], ShouldResemble, []Task{{Done: true, LastRun: 1}, {Done: true, LastRun: 1}})
+	})
+	Convey("A run of a gang counts one failure at the first member, in any order of the ends", t, func() {
+		permutations(3, func(order []int) {
+			table := testTable()
+			job := table.mustSubmit(testJob("j", gangStep(3)))
+			hows := []How{EndFailed, EndFailed, EndBroken}
+			for number := 1; number <= 2; number++ {
+				gang := gangOf("j", number, "w1", "w1", "w2")
+				table.start(gang...)
+				for _, member := range order {
+					table.end(endOf(gang[member], hows[member]))
+				}
+				first := Task{LastRun: 1, Failures: 1, FailedRun: 1}
+				if number == 1 && (job.State != Running || fmt.Sprint(job.Rounds[0][0][0]) != fmt.Sprint(first) || job.Rounds[0][0][1].Failures != 0) {
+					panic(fmt.Sprint(order, job.Rounds))
+				}
+			}
+			if job.State != Failed || job.Rounds != nil {
+				panic(fmt.Sprint(order, job.State))
+			}
+		})
+	})
+	Convey("Saved progress is that of every member", t, func() {
+		table := testTable()
+		job := table.mustSubmit(testJob("j", gangStep(2), oneCore(1)))
+		gang := gangOf("j", 1, "w1", "w2")
+		table.start(gang...)
+		end := endOf(gang[1], EndStopped)
+		end.Checkpoint = "half"
+		table.end(end, endOf(gang[0], EndBroken))
+		So(job.Rounds[0][0], ShouldResemble, []Task{{LastRun: 1, Checkpoint: "half"}, {LastRun: 1, Checkpoint: "half"}})
+		So(job.Rounds[0][1], ShouldResemble, []Task{{}})
+	})
+	Convey("A lasting gang is due again however it ends", t, func() {
+		table := testTable()
+		step := gangStep(2)
+		step.Lasting = true
+		job := table.mustSubmit(testJob("j", step))
+		for number := 1; number <= 3; number++ {
+			gang := gangOf("j", number, "w1", "w2")
+			So(table.start(gang...), ShouldResemble, []bool{true, true})
+			table.end(endOf(gang[0], EndDone), endOf(gang[1], EndFailed))
+			So(job.Rounds[0][0], ShouldResemble, []Task{{LastRun: number}, {LastRun: number}})
+		}
+		So(job.State, ShouldEqual, Running)
+	})
+}
--- /dev/null
+++ b/internal/jobs/helpers_test.go
@@ -0,0 +1,138 @@
+package jobs
+
+import (
+	"encoding/json"
+	"flag"
+	"fmt"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"crosstide/internal/fault"
+)
+
+// The property tests draw the same cases in each run; -rapid.seed on the command line draws others.
+func init() {
+	for name, value := range map[string]string{"rapid.seed": "20261202", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+}
+
+const testTerm = 3
+
+var noon = time.Date(2026, 12, 2, 12, 0, 0, 0, time.UTC)
+
+func testConfig() Configure {
+	return Configure{
+		Version: 5, Digest: "first",
+		Queues: []Queue{
+			{Name: "plain", Host: "a.example", Prefix: "/plain/", Service: "open", MaxAttempts: 2, Timeout: time.Second},
+			{Name: "guarded", Host: "a.example", Prefix: "/guarded/", Service: "guard", MaxAttempts: 3, Timeout: time.Second},
+		},
+		Services: []Service{{Name: "open"}, {Name: "guard", GuardsRoom: true}},
+	}
+}
+
+// testWorker gives a worker with two cores in the zone of its second letter.
+func testWorker(id, service string) Worker {
+	return Worker{
+		ID: id, Address: id + ":1", Service: service, Zone: "zone-" + id[1:2], Labels: []string{"ssd"},
+		Capacity: Resources{MilliCPU: 2000, MemoryMB: 1000, GPUs: 1},
+	}
+}
+
+// testTable has two queues and the workers w1 and w2 of plain and g1 of guarded.
+func testTable() *Table {
+	t := NewTable()
+	must(t.Configure(testConfig()))
+	must(t.Register(Register{Workers: []Worker{testWorker("w1", "open"), testWorker("w2", "open"), testWorker("g1", "guard")}}))
+	return t
+}
+
+func must(err error) {
+	if err != nil {
+		panic(err)
+	}
+}
+
+// oneCore is a step of tasks that take a core each.
+func oneCore(count int) Step { return Step{Count: count, Needs: Resources{MilliCPU: 1000}} }
+
+func testJob(id string, steps ...Step) Submit {
+	return Submit{Spec: Spec{ID: id, Queue: "plain", Payload: "text", Steps: steps}, Digest: "digest of " + id, At: noon}
+}
+
+func (t *Table) mustSubmit(c Submit) *Job {
+	_, err := t.Submit(c)
+	must(err)
+	return t.Jobs[c.Spec.ID]
+}
+
+func taskOf(job string, step, index int) TaskRef { return TaskRef{Job: job, Step: step, Index: index} }
+
+func startOf(task TaskRef, number int, worker string) Start {
+	return Start{Task: task, Number: number, Worker: worker}
+}
+
+func endOf(start Start, how How) End {
+	return End{Key: RunKey{Task: start.Task, Number: start.Number}, Worker: start.Worker, How: how}
+}
+
+// start records starts and gives which were taken.
+func (t *Table) start(starts ...Start) []bool {
+	started, err := t.Progress(testTerm, Progress{Term: testTerm, At: noon, Starts: starts})
+	must(err)
+	return started.Recorded
+}
+
+func (t *Table) end(ends ...End) {
+	_, err := t.Progress(testTerm, Progress{Term: testTerm, At: noon.Add(time.Minute), Ends: ends})
+	must(err)
+}
+
+func (t *Table) bytes() string {
+	data, err := t.Encode()
+	must(err)
+	return string(data)
+}
+
+func (t *Table) copied() *Table {
+	back := NewTable()
+	must(json.Unmarshal([]byte(t.bytes()), back))
+	return back
+}
+
+func shouldBeFault(actual any, expected ...any) string {
+	err, _ := actual.(error)
+	if fault.Is(err, expected[0].(fault.Kind)) {
+		return ""
+	}
+	return fmt.Sprintf("want a fault %v, got %v", expected[0], err)
+}
+
+func shouldNameField(actual any, expected ...any) string {
+	err, _ := actual.(error)
+	if err == nil {
+		return "got no fault"
+	}
+	return ShouldEqual(fault.Of(err).Field, expected[0])
+}
+
+// permutations calls do with every order of the numbers below n.
+func permutations(n int, do func(order []int)) {
+	var walk func(order []int, used int)
+	walk = func(order []int, used int) {
+		if len(order) == n {
+			do(order)
+			return
+		}
+		for i := range n {
+			if used&(1<<i) == 0 {
+				walk(append(order[:len(order):len(order)], i), used|1<<i)
+			}
+		}
+	}
+	walk(nil, 0)
+}
--- /dev/null
+++ b/internal/state/command/jobs_test.go
@@ -0,0 +1,79 @@
+package command
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"crosstide/internal/fault"
+	"crosstide/internal/jobs"
+	"crosstide/internal/state"
+)
+
+func TestJobTable(t *testing.T) {
+	Convey("The commands of the job table go through the log, and the state comes back from its bytes as it was", t, func() {
+		b := book{state.New()}
+		do := func(c Command) any {
+			answer, err := b.do(c)
+			So(err, ShouldBeNil)
+			return answer
+		}
+		at := time.Unix(100, 0).UTC()
+		do(&JobConfigure{jobs.Configure{Version: 1, Digest: "d", Services: []jobs.Service{{Name: "s"}},
+			Queues: []jobs.Queue{{Name: "q", Service: "s", Timeout: time.Second, MaxAttempts: 1}}}})
+		do(&JobRegister{jobs.Register{Workers: []jobs.Worker{{ID: "w", Service: "s", Zone: "z"}}}})
+		So(do(&JobSubmit{jobs.Submit{Spec: jobs.Spec{ID: "j", Queue: "q", Steps: []jobs.Step{{Count: 2}}}, Digest: "x", At: at}}),
+			ShouldEqual, jobs.Queued)
+		first := jobs.RunKey{Task: jobs.TaskRef{Job: "j"}, Number: 1}
+		progress := &JobProgress{jobs.Progress{Term: 1, At: at, Starts: []jobs.Start{{Task: first.Task, Number: 1, Worker: "w"}}}}
+		So(do(progress), ShouldResemble, jobs.Started{Recorded: []bool{true}})
+		do(&JobEvacuate{jobs.Evacuate{Zone: "z", Start: true}})
+
+		data, err := b.Encode()
+		So(err, ShouldBeNil)
+		decoded, err := state.Decode(data)
+		So(err, ShouldBeNil)
+		So(decoded.Table.RunsOn("w"), ShouldResemble, []jobs.RunKey{first})
+		for _, each := range []book{b, {decoded}} {
+			answer, err := each.do(&JobProgress{jobs.Progress{Term: 1, At: at, Starts: []jobs.Start{{Task: jobs.TaskRef{Job: "j", Index: 1}, Number: 1, Worker: "w"}}}})
+			So(err, ShouldBeNil)
+			So(answer, ShouldResemble, jobs.Started{Recorded: []bool{false}})
+			answer, err = each.do(&JobCancel{jobs.Cancel{ID: "j", At: at}})
+			So(err, ShouldBeNil)
+			So(answer, ShouldEqual, jobs.Cancelled)
+			_, err = each.do(&JobProgress{jobs.Progress{Term: 1, At: at, Ends: []jobs.End{{Key: first, Worker: "w", How: jobs.EndStopped}}}})
+			So(err, ShouldBeNil)
+			_, err = each.do(&JobTidy{Before: at.Add(time.Second)})
+			So(err, ShouldBeNil)
+			So(each.Table.Jobs, ShouldBeEmpty)
+		}
+		one, _ := b.Encode()
+		two, _ := decoded.Encode()
+		So(string(one), ShouldEqual, string(two))
+	})
+	Convey("Progress that another term's entry carries is stale, and an unknown job is unknown", t, func() {
+		b := book{state.New()}
+		_, err := b.do(&JobProgress{jobs.Progress{Term: 2}}) // the book's entries are of term 1
+		So(fault.KindOf(err), ShouldEqual, fault.Stale)
+		_, err = b.do(&JobCancel{jobs.Cancel{ID: "j"}})
+		So(fault.KindOf(err), ShouldEqual, fault.Unknown)
+	})
+	Convey("A state from before there was a job table is read with an empty one", t, func() {
+		data, err := state.New().Encode()
+		So(err, ShouldBeNil)
+		cut := strings.Index(string(data), `,"table":`)
+		So(cut, ShouldBeGreaterThan, 0)
+		for _, old := range []string{string(data[:cut]) + "}", string(data[:cut]) + `,"table":null}`, string(data)} {
+			s, err := state.Decode([]byte(old))
+			So(err, ShouldBeNil)
+			So(s.Table, ShouldNotBeNil)
+			back, err := s.Encode()
+			So(err, ShouldBeNil)
+			So(string(back), ShouldEqual, string(data))
+			_, err = s.Table.Submit(jobs.Submit{})
+			So(fault.KindOf(err), ShouldEqual, fault.Unknown)
+		}
+	})
+}
