--- /dev/null
+++ b/internal/wire/exchange_test.go
@@ -0,0 +1,178 @@
+package wire
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"golang.org/x/sys/unix"
+
+	"crosstide/internal/alarm"
+	"crosstide/internal/fault"
+	"crosstide/internal/spawn"
+)
+
+// plainPeer listens and hands each connection to serve, with its number from 1.
+func plainPeer(serve func(n int, c net.Conn, in *bufio.Reader)) (addr string, end func()) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	So(err, ShouldBeNil)
+	work := spawn.New(ctx)
+	work.Go(func(context.Context) {
+		for n := 1; ; n++ {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			work.Go(func(context.Context) {
+				defer c.Close()
+				serve(n, c, bufio.NewReader(c))
+			})
+		}
+	})
+	return ln.Addr().String(), func() {
+		_ = ln.Close()
+		work.Stop()
+	}
+}
+
+func TestExchange(t *testing.T) {
+	Convey("Requests go out as they are and every status is a response, over one kept connection", t, func() {
+		type seen struct {
+			n                        int
+			line, host, sent, length string
+			body                     string
+		}
+		requests := make(chan seen, 10)
+		addr, end := plainPeer(func(n int, c net.Conn, in *bufio.Reader) {
+			for {
+				r, err := http.ReadRequest(in)
+				if err != nil {
+					return
+				}
+				body, _ := io.ReadAll(r.Body)
+				requests <- seen{n, r.Method + " " + r.RequestURI, r.Host, r.Header.Get("X-Sent"), r.Header.Get("Content-Length"), string(body)}
+				switch r.Method {
+				case http.MethodPost:
+					_, _ = io.WriteString(c, "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 409 Conflict\r\nX-Seen: a\r\nX-Seen: b\r\nContent-Length: 2\r\n\r\nno")
+				case http.MethodHead:
+					_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n")
+				default:
+					_, _ = io.WriteString(c, "HTTP/1.1 503 Unavailable\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nyes\r\n0\r\n\r\n")
+				}
+			}
+		})
+		k := NewCaller(CallerOptions{ReadBuffer: 1024})
+		res, err := k.Exchange(ctx, addr, Request{Method: "POST", Path: "/a?b=c", Body: []byte("{}"), Header: map[string]string{"X-Sent": "v", "host": "h.example"}}, time.Minute)
+		So(err, ShouldBeNil)
+		So([]any{res.Status, res.Header["X-Seen"], string(res.Body)}, ShouldResemble, []any{409, []string{"a", "b"}, "no"})
+		So(<-requests, ShouldResemble, seen{1, "POST /a?b=c", "h.example", "v", "2", "{}"})
+		res, err = k.Exchange(ctx, addr, Request{Method: "GET", Path: "/"}, time.Minute)
+		So(err, ShouldBeNil)
+		So([]any{res.Status, string(res.Body)}, ShouldResemble, []any{503, "yes"})
+		So(<-requests, ShouldResemble, seen{1, "GET /", addr, "", "", ""})
+		res, err = k.Exchange(ctx, addr, Request{Method: "HEAD", Path: "/"}, time.Minute)
+		So([]any{res.Status, len(res.Body), err}, ShouldResemble, []any{200, 0, nil})
+		So((<-requests).n, ShouldEqual, 1)
+		k.Close()
+		end()
+	})
+	Convey("Time that is over and a ctx that ends give Timeout and a reset", t, func() {
+		for _, byClock := range []bool{true, false} {
+			clock := &alarm.Virtual{}
+			k := NewCaller(CallerOptions{Clock: clock})
+			ctx, cancel := context.WithCancel(ctx)
+			broken := make(chan error, 1)
+			addr, end := plainPeer(func(_ int, c net.Conn, in *bufio.Reader) {
+				_, _ = http.ReadRequest(in)
+				if byClock {
+					clock.Advance(time.Second)
+				} else {
+					cancel()
+				}
+				_, err := io.Copy(io.Discard, c)
+				broken <- err
+			})
+			_, err := k.Exchange(ctx, addr, Request{Method: "POST", Path: "/"}, time.Second)
+			So([]any{fault.KindOf(err), Unsent(err), Answered(err)}, ShouldResemble, []any{fault.Timeout, false, false})
+			So(errors.Is(<-broken, unix.ECONNRESET), ShouldBeTrue)
+			cancel()
+			end()
+			So(len(k.live), ShouldEqual, 0)
+		}
+	})
+	Convey("What surely did not leave is Unsent: a refused connection, no time, a request that cannot be sent", t, func() {
+		addr, end := plainPeer(nil)
+		end()
+		k := NewCaller(CallerOptions{})
+		_, err := k.Exchange(ctx, addr, Request{Method: "POST", Path: "/"}, time.Minute)
+		So([]any{fault.KindOf(err), Unsent(err)}, ShouldResemble, []any{fault.Unavailable, true})
+		_, err = k.Exchange(ctx, addr, Request{Method: "POST", Path: "/"}, 0)
+		So([]any{fault.KindOf(err), Unsent(err)}, ShouldResemble, []any{fault.Timeout, true})
+		for _, r := range []Request{{Method: "", Path: "/"}, {Method: "GET", Path: "x"}, {Method: "GET", Path: "/ x"},
+			{Method: "GET", Path: "/", Header: map[string]string{"A": "b\r\nC: d"}}, {Method: "GET", Path: "/", Header: map[string]string{"A:": "b"}}} {
+			_, err = k.Exchange(ctx, addr, r, time.Minute)
+			So([]any{fault.KindOf(err), Unsent(err)}, ShouldResemble, []any{fault.Invalid, true})
+		}
+		k.Close()
+		_, err = k.Exchange(ctx, addr, Request{Method: "POST", Path: "/"}, time.Minute)
+		So([]any{fault.KindOf(err), Unsent(err)}, ShouldResemble, []any{fault.Stopped, true})
+	})
+	Convey("A kept connection that the peer closed is passed over; one that breaks under a request is an error, sent once", t, func() {
+		const answer = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+		requests := make(chan int, 10)
+		addr, end := plainPeer(func(n int, c net.Conn, in *bufio.Reader) {
+			for round := 1; ; round++ {
+				if _, err := http.ReadRequest(in); err != nil {
+					return
+				}
+				requests <- n
+				if n == 2 && round == 2 {
+					return // without an answer
+				}
+				_, _ = io.WriteString(c, answer)
+				if n == 1 {
+					return
+				}
+			}
+		})
+		defer end()
+		k := NewCaller(CallerOptions{})
+		defer k.Close()
+		r := Request{Method: "POST", Path: "/"}
+		_, err := k.Exchange(ctx, addr, r, time.Minute)
+		So([]any{err, <-requests}, ShouldResemble, []any{nil, 1})
+		_, _ = k.idle[addr][0].Read(make([]byte, 1)) // until the peer's end is here
+		_, err = k.Exchange(ctx, addr, r, time.Minute)
+		So([]any{err, <-requests}, ShouldResemble, []any{nil, 2})
+		_, err = k.Exchange(ctx, addr, r, time.Minute)
+		So([]any{fault.KindOf(err), Unsent(err), <-requests}, ShouldResemble, []any{fault.Unavailable, false, 2})
+		_, err = k.Exchange(ctx, addr, r, time.Minute)
+		So([]any{err, <-requests, len(requests)}, ShouldResemble, []any{nil, 3, 0})
+	})
+	Convey("A response over the bound is TooLarge, and its connection is not kept", t, func() {
+		addr, end := plainPeer(func(_ int, c net.Conn, in *bufio.Reader) {
+			_, _ = http.ReadRequest(in)
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 11\r\n\r\n"+strings.Repeat("x", 11))
+		})
+		defer end()
+		k := NewCaller(CallerOptions{MaxBody: 10})
+		defer k.Close()
+		_, err := k.Exchange(ctx, addr, Request{Method: "GET", Path: "/"}, time.Minute)
+		So([]any{fault.KindOf(err), Unsent(err), len(k.live)}, ShouldResemble, []any{fault.TooLarge, false, 0})
+	})
+	Convey("Answered tells the peer's faults from our own", t, func() {
+		b := rig()
+		defer b.end()
+		_, err := Ask(ctx, b.Caller, b.Addr(), fail, note{}, time.Second)
+		So(Answered(err), ShouldBeTrue)
+		_, err = Ask(ctx, b.Caller, b.Addr(), Pair[note, int]{"/echo"}, note{}, time.Second)
+		So([]any{fault.KindOf(err), Answered(err)}, ShouldResemble, []any{fault.Malformed, false})
+	})
+}
