--- /dev/null
+++ b/internal/controller/client_test.go
@@ -0,0 +1,351 @@
+package controller
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"crosstide/internal/alarm"
+	"crosstide/internal/fault"
+	"crosstide/internal/jobs"
+)
+
+// fakeCore answers a client's attempts by address. Everything runs on the caller's goroutine: pauses and silent nodes
+// move the virtual clock.
+type fakeCore struct {
+	*Client
+	clock *alarm.Virtual
+	nodes map[string]func(ctx context.Context, q query, answer any, within time.Duration) reply
+	asked []string // addresses in order
+	ended time.Duration
+}
+
+type node = func(ctx context.Context, q query, answer any, within time.Duration) reply
+
+func newFakeCore(nodes map[string]node, seeds ...string) *fakeCore {
+	f := &fakeCore{clock: &alarm.Virtual{}, nodes: nodes}
+	f.Client = NewClient(ClientOptions{Seeds: seeds, Clock: f.clock})
+	f.directory.next = 0
+	f.ask = func(ctx context.Context, addr string, q query, answer any, within time.Duration) reply {
+		f.asked = append(f.asked, addr)
+		return f.nodes[addr](ctx, q, answer, within)
+	}
+	f.sleep = func(_ context.Context, d time.Duration) { f.clock.Advance(max(d, time.Millisecond)) }
+	return f
+}
+
+// until gives a ctx whose deadline is on the virtual clock.
+func (f *fakeCore) until(d time.Duration) context.Context {
+	return deadlineContext{context.Background(), f.clock.Wall().Add(d)}
+}
+
+type deadlineContext struct {
+	context.Context
+	deadline time.Time
+}
+
+func (d deadlineContext) Deadline() (time.Time, bool) { return d.deadline, true }
+
+// submit hands a job in and gives the kind of the error and how long it took.
+func (f *fakeCore) submit(within time.Duration) (fault.Kind, time.Duration) {
+	begin := f.clock.Now()
+	f.asked = nil
+	_, err := f.Submit(f.until(within), SubmitCall{})
+	return fault.KindOf(err), f.clock.Now() - begin
+}
+
+// leads answers as the leader.
+func leads(_ context.Context, _ query, answer any, _ time.Duration) reply {
+	switch a := answer.(type) {
+	case *SubmitAnswer:
+		a.State = jobs.Queued
+	case *JobAnswer:
+		a.State = jobs.Running
+	}
+	return reply{answered: true}
+}
+
+// says answers a fault.
+func says(kind fault.Kind) node {
+	return func(context.Context, query, any, time.Duration) reply {
+		return reply{err: fault.New(kind, "on purpose"), answered: true}
+	}
+}
+
+// hints names another node as the leader.
+func hints(leader string) node {
+	return func(context.Context, query, any, time.Duration) reply {
+		return reply{err: &fault.Fault{Kind: fault.NotLeader, Message: "on purpose", Hint: leader}, answered: true}
+	}
+}
+
+// refuses is a machine without the process.
+func refuses(context.Context, query, any, time.Duration) reply {
+	return reply{err: fault.New(fault.Unavailable, "refused"), unsent: true}
+}
+
+// silent takes the call and says nothing; hangs takes no connection.
+func (f *fakeCore) silent(_ context.Context, _ query, _ any, within time.Duration) reply {
+	f.clock.Advance(within)
+	return reply{err: fault.New(fault.Timeout, "silent")}
+}
+
+func (f *fakeCore) hangs(_ context.Context, _ query, _ any, within time.Duration) reply {
+	f.clock.Advance(within)
+	return reply{err: fault.New(fault.Timeout, "hangs"), unsent: true}
+}
+
+func TestClientFindsTheLeader(t *testing.T) {
+	Convey("A hint is followed at once, and the leader is remembered", t, func() {
+		f := newFakeCore(map[string]node{"a": hints("c"), "b": hints("c"), "c": leads}, "a", "b")
+		kind, took := f.submit(time.Second)
+		So([]any{kind, took, f.asked}, ShouldResemble, []any{fault.Kind(""), time.Duration(0), []string{"a", "c"}})
+		f.submit(time.Second)
+		So(f.asked, ShouldResemble, []string{"c"})
+	})
+	Convey("A leader that is gone is passed over for a moment, also when others still name it", t, func() {
+		f := newFakeCore(map[string]node{"a": leads, "b": hints("a"), "c": hints("a")}, "a", "b", "c")
+		f.submit(time.Second)
+		f.nodes["a"] = refuses
+		f.nodes["c"] = leads
+		kind, _ := f.submit(time.Second)
+		So([]any{kind, f.asked}, ShouldResemble, []any{fault.Kind(""), []string{"a", "b", "c"}})
+		f.submit(time.Second)
+		So(f.asked, ShouldResemble, []string{"c"})
+	})
+	Convey("Two nodes that name each other are not asked without pauses", t, func() {
+		f := newFakeCore(map[string]node{"a": hints("b"), "b": hints("a")}, "a", "b")
+		kind, took := f.submit(time.Second)
+		So(kind, ShouldEqual, fault.Unavailable)
+		So(took, ShouldBeGreaterThan, 900*time.Millisecond)
+		So(len(f.asked), ShouldBeLessThan, 60)
+	})
+	Convey("Members that the topology lists are asked when the seeds are gone", t, func() {
+		f := newFakeCore(map[string]node{"b": leads}, "a")
+		f.nodes["a"] = func(_ context.Context, q query, answer any, _ time.Duration) reply {
+			*answer.(*TopologyAnswer) = TopologyAnswer{Leader: "a", Members: []string{"a", "b"}}
+			return reply{answered: true}
+		}
+		f.probe(context.Background())
+		So(f.Ready(), ShouldBeNil)
+		f.nodes["a"] = refuses
+		kind, _ := f.submit(time.Second)
+		So([]any{kind, f.asked}, ShouldResemble, []any{fault.Kind(""), []string{"a", "b"}})
+		f.SetSeeds([]string{"z"})
+		So(f.directory.all(), ShouldResemble, []string{"a", "b", "z"})
+	})
+	Convey("Our own address is not asked in turn, but by a hint", t, func() {
+		f := newFakeCore(map[string]node{"b": hints("")}, "a", "b")
+		f.directory.self = "a"
+		kind, _ := f.submit(300 * time.Millisecond)
+		So(kind, ShouldEqual, fault.Unavailable)
+		So(f.asked, ShouldNotContain, "a")
+		f.nodes["a"], f.nodes["b"] = leads, hints("a")
+		kind, _ = f.submit(300 * time.Millisecond)
+		So([]any{kind, f.asked}, ShouldResemble, []any{fault.Kind(""), []string{"b", "a"}})
+	})
+	Convey("A call whose own time was short does not make its node pass for lost", t, func() {
+		f := newFakeCore(map[string]node{"a": leads, "b": leads}, "a", "b")
+		f.submit(time.Second)
+		f.nodes["a"] = f.silent
+		kind, _ := f.submit(200 * time.Millisecond)
+		So(kind, ShouldEqual, fault.Timeout)
+		So(f.directory.pick(f.clock.Now()), ShouldEqual, "a")
+	})
+}
+
+func TestClientTellsWhatBecameOfACall(t *testing.T) {
+	final := []fault.Kind{fault.Unknown, fault.Invalid, fault.Malformed, fault.TooLarge, fault.Conflict, fault.Stale, fault.Forbidden, fault.Pressure}
+	Convey("A refusal ends the call at once", t, func() {
+		for _, kind := range final {
+			f := newFakeCore(map[string]node{"a": says(kind)}, "a")
+			got, took := f.submit(time.Second)
+			So([]any{got, took, len(f.asked)}, ShouldResemble, []any{kind, time.Duration(0), 1})
+		}
+	})
+	Convey("After an attempt that may have been carried out, a refusal stays but for Pressure, which is Timeout", t, func() {
+		for _, kind := range final {
+			f := newFakeCore(map[string]node{"b": says(kind)}, "a", "b")
+			f.nodes["a"] = f.silent
+			got, _ := f.submit(3 * time.Second)
+			want := kind
+			if kind == fault.Pressure {
+				want = fault.Timeout
+			}
+			So([]any{got, f.asked}, ShouldResemble, []any{want, []string{"a", "b"}})
+		}
+	})
+	Convey("When time is up: Unavailable if surely nothing was done, else Timeout", t, func() {
+		for _, c := range []struct {
+			a, b fault.Kind
+			want fault.Kind
+		}{
+			{fault.Unavailable, fault.NotLeader, fault.Unavailable},
+			{fault.Unavailable, fault.Timeout, fault.Timeout},
+			{fault.Unavailable, fault.Stopped, fault.Timeout},
+			{fault.Unavailable, fault.Internal, fault.Timeout},
+			{fault.Disk, fault.Unavailable, fault.Timeout},
+		} {
+			f := newFakeCore(map[string]node{"a": says(c.a), "b": says(c.b)}, "a", "b")
+			got, took := f.submit(2 * time.Second)
+			So(got, ShouldEqual, c.want)
+			So(took, ShouldBeBetween, 1900*time.Millisecond, 2*time.Second)
+		}
+	})
+	Convey("Reads are Unavailable whatever their attempts met", t, func() {
+		f := newFakeCore(map[string]node{"a": says(fault.Internal)}, "a")
+		_, err := f.Job(f.until(time.Second), JobCall{})
+		So(fault.KindOf(err), ShouldEqual, fault.Unavailable)
+		_, err = f.Job(f.until(time.Second), JobCall{Cancel: true})
+		So(fault.KindOf(err), ShouldEqual, fault.Timeout)
+	})
+	Convey("A core that cannot be reached is given up early, with the time to come back", t, func() {
+		f := newFakeCore(map[string]node{"a": refuses, "b": refuses}, "a", "b")
+		begin := f.clock.Now()
+		_, err := f.Submit(f.until(time.Minute), SubmitCall{})
+		So([]any{fault.KindOf(err), fault.Of(err).After}, ShouldResemble, []any{fault.Unavailable, retryAfter})
+		So(f.clock.Now()-begin, ShouldBeBetween, giveUpAfter, giveUpAfter+longestPause)
+		f.nodes["a"], f.nodes["b"] = f.hangs, f.hangs
+		kind, took := f.submit(time.Minute)
+		So(kind, ShouldEqual, fault.Unavailable)
+		So(took, ShouldBeBetween, giveUpAfter, giveUpAfter+defaultAttempt+longestPause)
+	})
+	Convey("It is not given up when a node answers, nor when the call may have been carried out", t, func() {
+		f := newFakeCore(map[string]node{"a": refuses, "b": hints("")}, "a", "b")
+		kind, took := f.submit(5 * time.Second)
+		So(kind, ShouldEqual, fault.Unavailable)
+		So(took, ShouldBeGreaterThan, 4900*time.Millisecond)
+		f.nodes["a"], f.nodes["b"] = f.silent, refuses
+		kind, took = f.submit(5 * time.Second)
+		So(kind, ShouldEqual, fault.Timeout)
+		So(took, ShouldBeGreaterThan, 4900*time.Millisecond)
+	})
+	Convey("Without an address, or without time, nothing is asked", t, func() {
+		f := newFakeCore(nil)
+		kind, took := f.submit(time.Second)
+		So([]any{kind, took}, ShouldResemble, []any{fault.Unavailable, time.Duration(0)})
+		f = newFakeCore(map[string]node{"a": leads}, "a")
+		kind, _ = f.submit(-time.Second)
+		So([]any{kind, len(f.asked)}, ShouldResemble, []any{fault.Unavailable, 0})
+	})
+	Convey("A ctx that is cancelled ends the call", t, func() {
+		f := newFakeCore(nil, "a")
+		ctx, cancel := context.WithCancel(context.Background())
+		f.nodes = map[string]node{"a": func(context.Context, query, any, time.Duration) reply {
+			cancel()
+			return reply{err: fault.New(fault.Timeout, "cancelled")}
+		}}
+		_, err := f.Submit(ctx, SubmitCall{})
+		So([]any{fault.KindOf(err), len(f.asked)}, ShouldResemble, []any{fault.Timeout, 1})
+	})
+	Convey("Attempts are short, longer for large bodies, and never beyond the deadline", t, func() {
+		var bounds []time.Duration
+		f := newFakeCore(map[string]node{"a": func(_ context.Context, _ query, _ any, within time.Duration) reply {
+			bounds = append(bounds, within)
+			return reply{err: fault.New(fault.Invalid, "on purpose"), answered: true}
+		}}, "a")
+		_, _ = f.Submit(f.until(time.Minute), SubmitCall{})
+		_, _ = f.Configure(f.until(time.Minute), jobs.Configure{})
+		_, _ = f.Submit(f.until(100*time.Millisecond), SubmitCall{})
+		So(bounds, ShouldResemble, []time.Duration{defaultAttempt, largeFactor * defaultAttempt, 90 * time.Millisecond})
+	})
+}
+
+func TestClientHedges(t *testing.T) {
+	Convey("A read that is slow is asked of another node too, and the first answer counts", t, func() {
+		f := newFakeCore(nil, "a", "b", "c")
+		cut := false
+		f.nodes = map[string]node{
+			"a": func(ctx context.Context, _ query, _ any, _ time.Duration) reply {
+				f.clock.Advance(hedgeAfter)
+				<-ctx.Done()
+				cut = true
+				return reply{err: fault.New(fault.Timeout, "cut")}
+			},
+			"b": hints("c"), "c": leads,
+		}
+		answer, err := f.Job(f.until(time.Second), JobCall{})
+		So([]any{answer.State, err, cut, f.clock.Now()}, ShouldResemble, []any{jobs.Running, nil, true, hedgeAfter})
+		So(f.asked, ShouldResemble, []string{"a", "b", "c"})
+		So(f.directory.pick(f.clock.Now()), ShouldEqual, "c")
+	})
+	Convey("The first node's answer counts when the other one has none", t, func() {
+		f := newFakeCore(nil, "a", "b")
+		other := make(chan struct{})
+		f.nodes = map[string]node{
+			"a": func(ctx context.Context, q query, answer any, within time.Duration) reply {
+				f.clock.Advance(hedgeAfter)
+				<-other
+				return leads(ctx, q, answer, within)
+			},
+			"b": func(context.Context, query, any, time.Duration) reply {
+				defer close(other)
+				return reply{err: errors.New("broken"), unsent: true}
+			},
+		}
+		answer, err := f.Job(f.until(time.Second), JobCall{})
+		So([]any{answer.State, err}, ShouldResemble, []any{jobs.Running, nil})
+	})
+	Convey("A call that changes something is asked of one node at a time", t, func() {
+		f := newFakeCore(nil, "a", "b")
+		f.nodes = map[string]node{"a": f.silent, "b": leads}
+		f.submit(2 * time.Second)
+		So(f.asked, ShouldResemble, []string{"a", "b"})
+		So(f.clock.Now(), ShouldBeGreaterThanOrEqualTo, defaultAttempt)
+	})
+}
+
+func TestClientReady(t *testing.T) {
+	Convey("A client is ready while a leader has answered lately, by whatever call", t, func() {
+		f := newFakeCore(map[string]node{"a": leads}, "a")
+		So(fault.KindOf(f.Ready()), ShouldEqual, fault.Unavailable)
+		f.submit(time.Second)
+		So(f.Ready(), ShouldBeNil)
+		f.clock.Advance(readyFor)
+		So(f.Ready(), ShouldBeNil)
+		f.clock.Advance(1)
+		So(fault.KindOf(f.Ready()), ShouldEqual, fault.Unavailable)
+		So(f.ReadyWithin(4*time.Second), ShouldBeNil)
+		f.nodes["a"] = says(fault.Unknown)
+		f.submit(time.Second)
+		So(f.Ready(), ShouldBeNil)
+	})
+	Convey("A probe does not take another node's word for the leader's answer", t, func() {
+		f := newFakeCore(nil, "a")
+		f.nodes = map[string]node{"a": func(_ context.Context, _ query, answer any, _ time.Duration) reply {
+			*answer.(*TopologyAnswer) = TopologyAnswer{Leader: "b", Members: []string{"a", "b"}}
+			return reply{answered: true}
+		}, "b": refuses}
+		f.probe(context.Background())
+		So(fault.KindOf(f.Ready()), ShouldEqual, fault.Unavailable)
+		So(f.asked, ShouldContain, "b")
+		So(f.clock.Now(), ShouldBeLessThanOrEqualTo, probeEvery)
+	})
+	Convey("The watch probes at once and then no more while calls are answered", t, func() {
+		f := newFakeCore(nil, "a")
+		probes, rounds := 0, 0
+		f.nodes = map[string]node{"a": func(_ context.Context, q query, answer any, _ time.Duration) reply {
+			if q.topology {
+				probes++
+				*answer.(*TopologyAnswer) = TopologyAnswer{Leader: "a", Members: []string{"a"}}
+			}
+			return reply{answered: true}
+		}}
+		ctx, cancel := context.WithCancel(context.Background())
+		f.sleep = func(_ context.Context, d time.Duration) {
+			So(d, ShouldEqual, probeEvery)
+			f.clock.Advance(d)
+			if rounds++; rounds == 9 {
+				cancel()
+				return
+			}
+			_, err := f.Submit(context.Background(), SubmitCall{})
+			So(err, ShouldBeNil)
+		}
+		f.watch(ctx)
+		So(probes, ShouldEqual, 1)
+	})
+}
