--- a/cmd/dplane/platform.go
+++ b/cmd/dplane/platform.go
@@ -53,6 +53,7 @@
 type front struct {
 	settings  platform.CoreSettings
 	logger    log.Logger
+	load      func() (platform.Settings, error) // reads the settings anew
 	client    *controller.Client
 	clients   *wire.Server // clients call it
 	readiness readiness
@@ -79,7 +80,7 @@
 }
 
 func newFront(core platform.CoreSettings, descriptors int, caller *wire.Caller, logger log.Logger) *front {
-	f := &front{settings: core, logger: logger}
+	f := &front{settings: core, logger: logger, load: platform.LoadSettings}
 	f.client = controller.NewClient(controller.ClientOptions{Caller: caller, Seeds: core.Seeds,
 		Logger: daemon.Part(logger, "client")})
 	f.readiness.fresh, f.readiness.within = f.client.Ready, f.client.ReadyWithin
@@ -127,7 +128,7 @@
 }
 
 func (f *front) readSeeds() {
-	settings, err := platform.LoadSettings()
+	settings, err := f.load()
 	if err != nil {
 		_ = level.Warn(f.logger).Log("msg", "the settings cannot be read; the old seeds stay", "err", err)
 		return
--- /dev/null
+++ b/cmd/dplane/platform_test.go
@@ -0,0 +1,109 @@
+package main
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/netip"
+	"os"
+	"runtime"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	. "github.com/smartystreets/goconvey/convey"
+
+	"crosstide/internal/controller"
+	"crosstide/internal/jobs"
+	"crosstide/internal/spawn"
+	"crosstide/internal/wire"
+	"crosstide/platform"
+)
+
+// startLeader starts a core of one node; a cancel is held until gate is closed.
+func startLeader(gate chan struct{}, entered chan<- struct{}) (addr string, end func()) {
+	s := wire.NewServer(wire.ServerOptions{Addr: "127.0.0.1:0"})
+	wire.Handle(s, controller.TopologyPair, func(context.Context, controller.TopologyCall) (controller.TopologyAnswer, error) {
+		return controller.TopologyAnswer{Leader: s.Addr(), Members: []string{s.Addr()}}, nil
+	})
+	wire.Handle(s, controller.JobPair, func(context.Context, controller.JobCall) (controller.JobAnswer, error) {
+		entered <- struct{}{}
+		<-gate
+		return controller.JobAnswer{State: jobs.Cancelled}, nil
+	})
+	So(s.Start(), ShouldBeNil)
+	return s.Addr(), func() { So(s.Stop(time.Minute), ShouldBeNil) }
+}
+
+// cancelJob cancels a job at a front node and gives the answer's status, 0 for none.
+func cancelJob(addr string) int {
+	req, err := http.NewRequest(http.MethodDelete, "http://"+addr+"/queue/00000000000000a1", nil)
+	if err != nil {
+		return 0
+	}
+	req.Close = true
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0
+	}
+	defer res.Body.Close()
+	_, _ = io.Copy(io.Discard, res.Body)
+	return res.StatusCode
+}
+
+func TestFront(t *testing.T) {
+	Convey("A front node serves clients, says that it is not ready once it stops, and still answers what runs", t, func() {
+		gate, entered := make(chan struct{}), make(chan struct{}, 10)
+		leader, end := startLeader(gate, entered)
+		defer end()
+		caller := wire.NewCaller(wire.CallerOptions{})
+		defer caller.Close()
+		f := newFront(platform.CoreSettings{ClientAddress: "127.0.0.1:0", ReadyAddress: "127.0.0.1:0", Seeds: []string{leader},
+			Grace: 3 * time.Second}, 4000, caller, log.NewNopLogger())
+		So(f.start(), ShouldBeNil)
+		for f.readiness.check() != nil { // until the first probe is answered
+			runtime.Gosched()
+		}
+		answers := make(chan int, 1)
+		work := spawn.New(context.Background())
+		work.Go(func(context.Context) {
+			answers <- cancelJob(f.clients.Addr())
+		})
+		<-entered
+		work.Go(func(context.Context) { f.stop() })
+		for f.readiness.check() == nil {
+			runtime.Gosched()
+		}
+		close(gate)
+		So(<-answers, ShouldEqual, http.StatusOK)
+		work.Wait()
+		So(cancelJob(f.clients.Addr()), ShouldEqual, 0)
+	})
+	Convey("New seeds are read when the settings change", t, func() {
+		gate, entered := make(chan struct{}), make(chan struct{}, 10)
+		close(gate)
+		leader, end := startLeader(gate, entered)
+		defer end()
+		at, err := netip.ParseAddrPort(leader)
+		So(err, ShouldBeNil)
+		caller := wire.NewCaller(wire.CallerOptions{})
+		defer caller.Close()
+		f := newFront(platform.CoreSettings{ClientAddress: "127.0.0.1:0", ReadyAddress: "127.0.0.1:0"}, 4000, caller, log.NewNopLogger())
+		f.load = func() (platform.Settings, error) {
+			return platform.Settings{InternalPorts: [2]int{int(at.Port()), int(at.Port())}, Seeds: []string{"127.0.0.1:1"}}, nil
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+		defer cancel()
+		_, err = f.client.Job(ctx, controller.JobCall{})
+		So(err, ShouldNotBeNil) // no seed at all
+		changed := make(chan os.Signal)
+		work := spawn.New(context.Background())
+		work.Go(func(ctx context.Context) { f.followSettings(ctx, changed) })
+		changed <- syscall.SIGHUP
+		changed <- syscall.SIGHUP // taken once the first one is done with
+		_, err = f.client.Job(ctx, controller.JobCall{})
+		So(err, ShouldBeNil)
+		work.Stop()
+	})
+}
--- a/internal/controller/call.go
+++ b/internal/controller/call.go
@@ -153,7 +153,7 @@
 		kind = fault.Timeout
 	}
 	if a.last != nil {
-		why += ", last: " + fault.Of(a.last).Message
+		why += ", last: " + string(fault.KindOf(a.last)) // no more: clients see it
 	}
 	return &fault.Fault{Kind: kind, Message: why, After: retryAfter}
 }
