A silent worker gets no new lease; failures of stopped runs count as attempts

Ruled out: gangs too large for a rack (placed over several after 2 s), the table's count of attempts (its tests). Change: no deadline in a hold call to a worker that did not answer the one before; an end is recorded as it was listed. Tests: TestSilentWorkerLapses, TestFailureOfStoppedRunCounts; both fail without the change.

--- /dev/null
+++ b/internal/scheduler/lapse_test.go
@@ -0,0 +1,125 @@
+package scheduler
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"crosstide/internal/jobs"
+)
+
+// bench is a table and a core that leads it, whose commits succeed at once.
+type bench struct {
+	table *jobs.Table
+	core  *Core
+	now   time.Duration
+	wall  time.Time
+}
+
+const testTerm = 7
+
+func newBench(attempts int, workers ...string) *bench {
+	b := &bench{table: jobs.NewTable(), core: New(Defaults()), now: time.Minute, wall: time.Unix(1_000_000, 0)}
+	must(b.table.Configure(jobs.Configure{Version: 1, Digest: "first", Replace: true,
+		Queues: []jobs.Queue{{Name: "q", Host: "h", Prefix: "/p/", Service: "s", MaxAttempts: attempts, Stretch: 2,
+			Target: time.Second, Timeout: time.Second}},
+		Services: []jobs.Service{{Name: "s"}}}))
+	for _, id := range workers {
+		must(b.table.Register(jobs.Register{Workers: []jobs.Worker{{ID: id, Address: id + ":1", Service: "s", Zone: "z",
+			Capacity: jobs.Resources{MilliCPU: 4000, MemoryMB: 4000}}}}))
+	}
+	b.table.Watch = b.core.Note
+	b.core.Lead(b.now, testTerm, b.table)
+	return b
+}
+
+func must(err error) {
+	if err != nil {
+		panic(err)
+	}
+}
+
+func (b *bench) submit(id string, steps ...jobs.Step) {
+	_, err := b.table.Submit(jobs.Submit{Spec: jobs.Spec{ID: id, Queue: "q", Steps: steps}, Digest: id, At: b.wall})
+	must(err)
+}
+
+// pass moves the time on and runs one pass; what it wants committed is committed.
+func (b *bench) pass(after time.Duration) Out {
+	b.now += after
+	b.wall = b.wall.Add(after)
+	out := b.core.Pass(b.now, b.wall)
+	if out.Progress != nil {
+		started, err := b.table.Progress(testTerm, *out.Progress)
+		b.core.Committed(b.now, out.Progress, started, err)
+	}
+	return out
+}
+
+// firstStart answers every call of passes as healthy workers do, until a start leaves, and gives that start.
+func (b *bench) firstStart() StartOut {
+	for range 20 {
+		out := b.pass(time.Millisecond)
+		for _, hold := range out.Holds {
+			b.core.HoldAnswered(b.now, hold.Worker.ID, hold.Number, HoldAnswer{Clock: b.now}, HoldOK)
+		}
+		if len(out.Starts) > 0 {
+			return out.Starts[0]
+		}
+	}
+	panic("no start")
+}
+
+func TestSilentWorkerLapses(t *testing.T) {
+	Convey("Given a run on a worker that falls silent and is asked again and again", t, func() {
+		b := newBench(2, "w1")
+		b.submit("j1", jobs.Step{Count: 1, Needs: jobs.Resources{MilliCPU: 1000}, Estimate: time.Second})
+		start := b.firstStart()
+		b.core.StartAnswered(b.now, start.Worker.ID, start.Order.Key, StartAnswer{Clock: b.now}, StartOK)
+		must(b.table.Register(jobs.Register{Workers: []jobs.Worker{{ID: "w2", Address: "w2:1", Service: "s", Zone: "z",
+			Capacity: jobs.Resources{MilliCPU: 4000, MemoryMB: 4000}}}}))
+		Convey("its lease runs out all the same, and the task starts elsewhere under a new number", func() {
+			var again *StartOut
+			for range 200 {
+				out := b.pass(50 * time.Millisecond)
+				for _, hold := range out.Holds {
+					if hold.Worker.ID == "w1" {
+						b.core.HoldAnswered(b.now, "w1", hold.Number, HoldAnswer{}, HoldFailed)
+					} else {
+						b.core.HoldAnswered(b.now, "w2", hold.Number, HoldAnswer{Clock: b.now}, HoldOK)
+					}
+				}
+				b.core.Beat(b.now, "w2", b.now, 0)
+				if len(out.Starts) > 0 {
+					again = &out.Starts[0]
+					break
+				}
+			}
+			So(again, ShouldNotBeNil)
+			So(again.Worker.ID, ShouldEqual, "w2")
+			So(again.Order.Key.Number, ShouldEqual, 2)
+		})
+	})
+}
+
+func TestFailureOfStoppedRunCounts(t *testing.T) {
+	Convey("Given a run that is being stopped and fails by itself", t, func() {
+		b := newBench(1, "w1")
+		b.submit("j1", jobs.Step{Count: 1, Needs: jobs.Resources{MilliCPU: 1000}, Estimate: time.Second})
+		start := b.firstStart()
+		key := start.Order.Key
+		b.core.StartAnswered(b.now, "w1", key, StartAnswer{Clock: b.now}, StartOK)
+		b.core.runs[key].stop = true
+		Convey("the failure counts as an attempt", func() {
+			for range 20 {
+				out := b.pass(time.Millisecond)
+				for _, hold := range out.Holds {
+					b.core.HoldAnswered(b.now, "w1", hold.Number, HoldAnswer{Clock: b.now,
+						Ended: []Ended{{Sequence: 1, Key: key, How: jobs.EndFailed}}}, HoldOK)
+				}
+			}
+			So(b.table.Jobs["j1"].State, ShouldEqual, jobs.Failed)
+		})
+	})
+}
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -178,11 +178,12 @@
 	}
 }
 
-// hold makes one hold call and gives its number.
+// hold makes one hold call and gives its number. A worker that did not answer the call before gets no new lease: a call
+// that may or may not have arrived must not put the lapse off for ever.
 func (c *Core) hold(w *worker, rec *jobs.Worker, wait time.Duration, out *Out) uint64 {
 	c.sequence++
 	call := HoldCall{Token: c.term, SeenUpTo: w.seen, Wait: wait}
-	if len(w.runs) > 0 {
+	if len(w.runs) > 0 && w.failures == 0 {
 		call.Deadline = w.grant(c, c.now)
 	}
 	out.Holds = append(out.Holds, HoldOut{Worker: *rec, Number: c.sequence, Call: call})
@@ -246,11 +247,7 @@
 			continue
 		}
 		c.speeds.ended(c, w, r, e.How)
-		if e.How != jobs.EndFailed || !r.stop {
-			c.end(r, e.How, e.Checkpoint)
-		} else {
-			c.end(r, jobs.EndStopped, e.Checkpoint)
-		}
+		c.end(r, e.How, e.Checkpoint)
 	}
 }
 
