Test the open membership; a removed node finds out by its log; wake only when due

A trial with five processes then showed a fault that the tests had passed over: a node that was removed while down knew of its membership only by its log, not by a slot, so after a restart its committed set was the founding one and it never found out.

Ruled out: asking to join under the old ID (old data would vote again): Join now refuses with Stale who was removed. Replacing the store inside the process: all of its goroutines hang on one group; the process ends instead.

Change: removal shows by the oldest set in the folder that has the node, committed or not; a member set is proposed only on the set it was made from; Discard keeps the known addresses and holds at every point of a power loss; the loop ticks four times a heartbeat on a leader, on a follower only when it may campaign; metrics are shown after Open.

--- /dev/null
+++ b/cmd/cplane/run_test.go
@@ -0,0 +1,74 @@
+package main
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/go-kit/log"
+	"github.com/prometheus/client_golang/prometheus"
+	. "github.com/smartystreets/goconvey/convey"
+
+	"crosstide/internal/conf"
+	"crosstide/internal/fault"
+	"crosstide/internal/pair"
+	"crosstide/internal/slot"
+	"crosstide/internal/store"
+)
+
+// damaged makes a folder whose slots are there and whose log is gone.
+func damaged(t *testing.T) string {
+	dir := filepath.Join(t.TempDir(), "data")
+	disk, err := slot.OSDisk(dir)
+	So(err, ShouldBeNil)
+	s, _, err := slot.Open(disk, slot.Options{})
+	So(err, ShouldBeNil)
+	So(s.WriteSlot(slot.Image{Index: 1, Term: 1, Meta: []byte("{}"), Body: []byte("{}")}, 0), ShouldBeNil)
+	So(s.Close(), ShouldBeNil)
+	logs, err := filepath.Glob(filepath.Join(dir, "log-*"))
+	So(err, ShouldBeNil)
+	for _, one := range logs {
+		So(os.Remove(one), ShouldBeNil)
+	}
+	So(os.WriteFile(filepath.Join(dir, "other"), nil, 0o600), ShouldBeNil)
+	return dir
+}
+
+func TestDamagedFolder(t *testing.T) {
+	for _, open := range []bool{false, true} {
+		Convey("A node with a damaged folder begins anew and never founds", t, func() {
+			dir := damaged(t)
+			set := conf.DefaultCplane()
+			set.Name, set.Addr, set.Data, set.OpenMembership = "10.0.0.1", "10.0.0.1:7000", dir, open
+			set.Members = []conf.Member{{ID: "10.0.0.1", Addr: "10.0.0.1:7000", Zone: "a"}}
+			s, err := openStore(store.Options{Settings: set, Fatal: func(error) {}, Registry: prometheus.NewRegistry()})
+			So(err, ShouldBeNil)
+			a := s.Found(pair.FoundCall{})
+			So(a.Fresh, ShouldBeFalse)
+			So(a.ID, ShouldStartWith, "10.0.0.1~")
+			s.Stop()
+			beside, err := os.ReadDir(filepath.Dir(dir))
+			So(err, ShouldBeNil)
+			_, gone := os.Stat(filepath.Join(dir, "other"))
+			if open { // only the store's own files are touched, and nothing outside of the folder
+				So(beside, ShouldHaveLength, 1)
+				So(gone, ShouldBeNil)
+			} else {
+				So(beside, ShouldHaveLength, 2)
+				So(gone, ShouldNotBeNil)
+			}
+			s, err = openStore(store.Options{Settings: set, Fatal: func(error) {}})
+			So(err, ShouldBeNil)
+			So(s.Found(pair.FoundCall{}).ID, ShouldEqual, a.ID)
+			s.Stop()
+		})
+	}
+	Convey("A folder that cannot be made is no damaged one", t, func() {
+		set := conf.DefaultCplane()
+		set.Data = filepath.Join(damaged(t), "other", "data")
+		_, err := openStore(store.Options{Settings: set})
+		So(fault.KindOf(err), ShouldEqual, fault.Disk)
+	})
+}
+
+func openStore(opt store.Options) (*store.Store, error) { return open(opt, log.NewNopLogger()) }
--- a/internal/conf/conf_test.go
+++ b/internal/conf/conf_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"os"
 	"path/filepath"
 	"strings"
@@ -111,6 +112,27 @@
 		So(lines(CheckDplane(d)), ShouldResemble, []string{
 			"core: must be given when there are no seeds", "lease_margin: must be under duty_lease (3s), is 3s"})
 	})
+	Convey("An open membership is off by default, and asks for names that are IPs", t, func() {
+		c, err := LoadCplane(file(t, cplane))
+		So(err, ShouldBeNil)
+		So([]any{c.OpenMembership, c.Founding, c.RemoveAfter}, ShouldResemble, []any{false, true, 3 * time.Second})
+		text := strings.NewReplacer(`"name":"c1"`, `"open_membership":true,"founding":false,"remove_after":"4s","name":"10.0.0.1"`,
+			`"id":"c1"`, `"id":"10.0.0.1"`, `"id":"c2"`, `"id":"10.0.0.2"`).Replace(cplane)
+		c, err = LoadCplane(file(t, text))
+		So(err, ShouldBeNil)
+		So([]any{c.OpenMembership, c.Founding, c.RemoveAfter}, ShouldResemble, []any{true, false, 4 * time.Second})
+		c.Name, c.Members[1].ID, c.RemoveAfter = "c1", "c2", time.Second
+		So(lines(CheckCplane(c)), ShouldResemble, []string{
+			`name: must be the IP of addr (10.0.0.1) with open_membership, is "c1"`,
+			`members[1].id: must be the IP of addr (10.0.0.2) with open_membership, is "c2"`,
+			"remove_after: must be over election (1s), is 1s",
+		})
+		for i := range 2 {
+			ip := fmt.Sprintf("10.0.0.%d", i+3)
+			c.Members = append(c.Members, Member{ID: ip, Addr: ip + ":7000", Zone: "a"})
+		}
+		So(lines(CheckCplane(c))[0], ShouldEqual, "members: must be at most 3 with open_membership, are 4")
+	})
 	Convey("The mistakes of a cplane's file come together", t, func() {
 		text := strings.NewReplacer(`"800ms"`, `"150ms"`, `"backlog":7`, `"backlog":-1`, key, `"QQ=="`, `"seeds":["10.0.0.2:7000"]`, `"seeds":[]`).Replace(cplane)
 		_, err := LoadCplane(file(t, text))
--- a/internal/pair/join.go
+++ b/internal/pair/join.go
@@ -46,6 +46,8 @@
 	Name string `json:"name"`
 	Addr string `json:"addr"`
 	Zone string `json:"zone"`
+	// Since is the oldest index at which the folder has the node in the member set; 0 for an empty folder.
+	Since uint64 `json:"since,omitempty"`
 }
 
 // JoinAnswer tells how far it is.
--- a/internal/quorum/core.go
+++ b/internal/quorum/core.go
@@ -210,6 +210,9 @@
 	}
 }
 
+// CampaignAt is when a node that does not lead needs its next Tick, unless a message puts that off.
+func (c *Core) CampaignAt() time.Duration { return c.campaignAt }
+
 // sound asks who would vote for this node.
 func (c *Core) sound() {
 	c.role, c.leader, c.leaderAddr, c.force = PreCandidate, "", "", false
@@ -548,6 +551,16 @@
 	return c.confs[0].index, slices.Clone(c.confs[0].members)
 }
 
+// MemberSince gives the index of the oldest set known here, committed or not, that has this node; 0 if none has.
+func (c *Core) MemberSince() uint64 {
+	for _, f := range c.confs {
+		if _, ok := find(f.members, c.cfg.ID); ok {
+			return f.index
+		}
+	}
+	return 0
+}
+
 // hint is the address of the leader, if known.
 func (c *Core) hint() string {
 	if m, ok := find(c.members(), c.leader); ok && c.leader != "" {
--- a/internal/store/discard.go
+++ b/internal/store/discard.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 
 	"github.com/go-kit/log/level"
 
@@ -9,41 +10,44 @@
 	"crosstide/internal/slot"
 )
 
-// discardFile marks a folder whose contents are no member's any more. It goes last, after the folder got a new ID,
-// so that a crash on the way never leaves an empty folder that could found a fleet.
-const discardFile = "discard"
+const (
+	// discardFile marks a folder whose contents are no member's any more. It goes last, after the folder got a new
+	// ID, so that a crash on the way never leaves an empty folder that could found a fleet. It holds the addresses
+	// of other nodes that were known.
+	discardFile = "discard"
+	// peersFile holds the addresses that discardFile had.
+	peersFile = "peers"
+)
 
 // Discard marks the contents of a folder as void, and makes that last: the next Open removes them and begins as a
-// new incarnation. Use it on a folder that is damaged, or of a member that was removed. Fault: Disk.
-func Discard(d slot.Disk) error {
+// new incarnation, which asks the nodes at the addresses to be taken in, besides its seeds. Use it on a folder
+// that is damaged, or of a member that was removed. Fault: Disk.
+func Discard(d slot.Disk, addresses ...string) error {
 	names, err := d.List()
 	if err != nil {
 		return fault.Pass(err, "discard")
 	}
-	if !slices.Contains(names, discardFile) {
-		f, err := d.Create(discardFile)
-		if err != nil {
-			return fault.Pass(err, "discard")
-		}
-		if err := f.Close(); err != nil {
-			return fault.Wrap(err, fault.Disk, "discard")
-		}
+	if slices.Contains(names, discardFile) {
+		return fault.Pass(d.Sync(), "discard") // the one that made it may not have got so far
 	}
-	return fault.Pass(d.Sync(), "discard")
+	return fault.Pass(writeFile(d, discardFile, strings.Join(addresses, "\n")), "discard")
 }
 
 // finishDiscard ends what Discard began, if it did: an empty folder with a new ID is left.
 func (s *Store) finishDiscard() error {
 	disk := s.opt.Disk
-	names, err := disk.List()
-	if err != nil || !slices.Contains(names, discardFile) {
-		return fault.Pass(err, "list")
+	peers, marked, err := readFile(disk, discardFile)
+	if err != nil || !marked {
+		return fault.Pass(err, "read the mark")
 	}
 	if err := slot.Clear(disk); err != nil {
 		return fault.Pass(err, "clear")
 	}
+	if err := writeFile(disk, peersFile, peers); err != nil {
+		return fault.Pass(err, "keep the addresses")
+	}
 	id := s.newID()
-	if err := writeID(disk, id); err != nil {
+	if err := writeFile(disk, idFile, id); err != nil {
 		return fault.Pass(err, "take a new id")
 	}
 	if err := disk.Remove(discardFile); err != nil {
@@ -52,3 +56,10 @@
 	_ = level.Warn(s.log).Log("msg", "old contents of the folder removed: joining anew", "id", id)
 	return fault.Pass(disk.Sync(), "sync")
 }
+
+// loadPeers takes in the addresses that were known before the folder's contents were discarded.
+func (s *Store) loadPeers() error {
+	peers, _, err := readFile(s.opt.Disk, peersFile)
+	s.learn(strings.Fields(peers)...)
+	return fault.Pass(err, "addresses of other nodes")
+}
--- a/internal/store/found.go
+++ b/internal/store/found.go
@@ -5,7 +5,6 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
-	"io"
 	"maps"
 	"slices"
 	"strings"
@@ -33,6 +32,9 @@
 	if err := s.finishDiscard(); err != nil {
 		return fault.Pass(err, "discard")
 	}
+	if err := s.loadPeers(); err != nil {
+		return fault.Pass(err, "load")
+	}
 	id, err := readID(s.opt.Disk)
 	if err != nil {
 		return fault.Pass(err, "read the id")
@@ -210,7 +212,8 @@
 	if s.core != nil {
 		st := s.core.Status()
 		out.Term, out.Leader = st.Term, st.LeaderAddr
-		if out.MembersAt, out.Members = s.core.CommittedMembers(); s.set.OpenMembership {
+		// Who founded in this process goes by its settings; after that, only what is on the disk counts.
+		if out.MembersAt, out.Members = s.core.CommittedMembers(); s.set.OpenMembership && s.founders == nil {
 			out.Digest = digestOf(seedsOf(out.Members))
 		}
 		out.Commit = st.Commit
@@ -267,7 +270,7 @@
 // rename gives an empty folder an ID of its own, synced before anything is done under it, and begins empty.
 func (s *Store) rename() error {
 	id := s.newID()
-	if err := writeID(s.opt.Disk, id); err != nil {
+	if err := writeFile(s.opt.Disk, idFile, id); err != nil {
 		return fault.Pass(err, "take a new id")
 	}
 	s.mu.Lock()
@@ -280,42 +283,11 @@
 func (s *Store) newID() string { return s.set.Name + "~" + strings.ToLower(s.opt.Draw()[:10]) }
 
 func readID(d slot.Disk) (string, error) {
-	names, err := d.List()
-	if err != nil || !slices.Contains(names, idFile) {
-		return "", fault.Pass(err, "list")
-	}
-	f, err := d.Open(idFile)
-	if err != nil {
-		return "", fault.Pass(err, "open")
-	}
-	defer f.Close()
-	raw, err := io.ReadAll(f)
-	if err == nil && len(raw) == 0 {
+	id, ok, err := readFile(d, idFile)
+	if err == nil && ok && id == "" {
 		return "", fault.New(fault.Damaged, "the id file is empty")
 	}
-	return string(raw), fault.Wrap(err, fault.Disk, "read")
-}
-
-func writeID(d slot.Disk, id string) error {
-	const loose = idFile + ".tmp"
-	f, err := d.Create(loose)
-	if err != nil {
-		return fault.Pass(err, "create")
-	}
-	_, err = f.Write([]byte(id))
-	if err == nil {
-		err = f.Sync()
-	}
-	if bad := f.Close(); err == nil {
-		err = bad
-	}
-	if err == nil {
-		err = d.Rename(loose, idFile)
-	}
-	if err == nil {
-		err = d.Sync()
-	}
-	return fault.Wrap(err, fault.Disk, "write the id")
+	return id, fault.Pass(err, "id file")
 }
 
 // join asks the leader, through any member, until this node is a voter.
@@ -401,6 +373,9 @@
 		return pair.JoinAnswer{Voter: true}, nil
 	}
 	if at < 0 {
+		if err := s.checkNotRemoved(call); err != nil {
+			return pair.JoinAnswer{}, fault.Pass(err, "join")
+		}
 		next = append(next, quorum.Member{ID: call.ID, Addr: call.Addr, Zone: call.Zone, Incarnation: incarnation, Learner: true})
 		return out, fault.Pass(s.change(st.Members, next), "join as a learner")
 	}
--- a/internal/store/meter.go
+++ b/internal/store/meter.go
@@ -14,7 +14,7 @@
 	syncs, commits, slots prometheus.Histogram
 }
 
-func newMeter(s *Store, to prometheus.Registerer) *meter {
+func newMeter() *meter {
 	counter := func(name, help string) prometheus.Counter {
 		return prometheus.NewCounter(prometheus.CounterOpts{Name: "crosstide_store_" + name, Help: help})
 	}
@@ -22,17 +22,20 @@
 		return prometheus.NewHistogram(prometheus.HistogramOpts{Name: "crosstide_store_" + name, Help: help,
 			Buckets: prometheus.ExponentialBuckets(0.0001, 2, 17)})
 	}
-	m := &meter{
+	return &meter{
 		proposals: counter("proposals_total", "Proposals put into the log."),
 		dropped:   counter("messages_dropped_total", "Messages to peers that fell or failed."),
 		syncs:     seconds("sync_seconds", "Syncs of the log; its count is the count of group commits."),
 		commits:   seconds("commit_seconds", "From a proposal to its answer, where it was committed."),
 		slots:     seconds("slot_seconds", "Encoding and writing of a slot."),
 	}
+}
+
+// show registers all that the meter shows; nil does nothing.
+func (m *meter) show(s *Store, to prometheus.Registerer) {
 	if to != nil {
 		to.MustRegister(m.proposals, m.dropped, m.syncs, m.commits, m.slots, &gauges{s: s})
 	}
-	return m
 }
 
 // gauges are read when they are asked for.
--- a/internal/store/open.go
+++ b/internal/store/open.go
@@ -129,17 +129,26 @@
 	leader := ""
 	for {
 		s.mu.Lock()
-		voter := s.status.Voter
+		voter, uncommitted := s.voterForSure(), s.status.Voter
+		call.Since = s.core.MemberSince()
 		s.mu.Unlock()
 		if voter {
 			_ = level.Info(s.log).Log("msg", "joined as a voter", "id", s.id)
 			return
 		}
-		if leader == "" {
+		if leader == "" && !uncommitted {
 			leader = s.findLeader(ctx)
 		}
-		if leader != "" && !s.askToJoin(ctx, leader, call) {
-			leader = ""
+		if leader != "" && !uncommitted {
+			err := s.askToJoin(ctx, leader, call)
+			if fault.Is(err, fault.Stale) {
+				s.endRemoved(leader)
+				return
+			}
+			if err != nil {
+				_ = level.Debug(s.log).Log("msg", "join", "leader", leader, "err", err)
+				leader = ""
+			}
 		}
 		if !s.rest(ctx, spread(joinEvery)) {
 			return
@@ -147,24 +156,48 @@
 	}
 }
 
-// askToJoin moves this node one step towards being a voter; false if the one at the address does not lead.
-func (s *Store) askToJoin(ctx context.Context, leader string, call pair.JoinCall) bool {
+// voterForSure tells whether a committed set has this node as a voter; what its log says beyond that may be undone.
+// Called under the lock.
+func (s *Store) voterForSure() bool {
+	_, members := s.core.CommittedMembers()
+	return slices.ContainsFunc(members, func(m quorum.Member) bool { return m.ID == s.id && !m.Learner })
+}
+
+// askToJoin moves this node one step towards being a voter. Fault Stale: it was removed, its folder is void.
+func (s *Store) askToJoin(ctx context.Context, leader string, call pair.JoinCall) error {
 	a, err := s.opt.Net.Join(ctx, leader, call)
 	if err != nil {
-		_ = level.Debug(s.log).Log("msg", "join", "leader", leader, "err", err)
-		return false
+		return fault.Pass(err, "ask to join")
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.learn(a.Members...)
-	return true
+	return nil
+}
+
+// checkNotRemoved refuses one that is no member although its folder says that it is one: it was removed since, and
+// must come back as a new incarnation. Fault: Stale; Unavailable while that is not committed.
+func (s *Store) checkNotRemoved(call pair.JoinCall) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	at, members := s.core.CommittedMembers()
+	switch {
+	case call.Since == 0:
+		return nil
+	case slices.ContainsFunc(members, func(m quorum.Member) bool { return m.ID == call.ID }):
+		return fault.New(fault.Unavailable, "%s is being removed", call.ID)
+	case at > call.Since:
+		return fault.New(fault.Stale, "%s was a member at %d and is none at %d", call.ID, call.Since, at)
+	}
+	return nil // the set that had it was never committed
 }
 
 // findLeader asks other nodes for the leader's address; "" if nobody knows one. Of two the newer term counts.
 func (s *Store) findLeader(ctx context.Context) (leader string) {
 	newest := uint64(0)
-	for _, a := range s.survey(ctx, func(a pair.FoundAnswer) bool { return a.Leader != "" }) {
-		if a.Leader != "" && a.Leader != s.set.Addr && (leader == "" || a.Term > newest) {
+	knows := func(a pair.FoundAnswer) bool { return a.Leader != "" && a.Leader != s.set.Addr }
+	for _, a := range s.survey(ctx, knows) {
+		if knows(a) && (leader == "" || a.Term > newest) {
 			leader, newest = a.Leader, a.Term
 		}
 	}
@@ -175,38 +208,43 @@
 // it ends the process, and the next one begins as a new incarnation.
 func (s *Store) watchRemoval(ctx context.Context) {
 	for s.rest(ctx, spread(removalEvery)) {
-		if !s.forsaken() {
+		if !s.leaderless() {
 			continue
 		}
 		answers := s.survey(ctx, s.removedBy)
 		for _, address := range slices.Sorted(maps.Keys(answers)) {
-			if !s.removedBy(answers[address]) {
-				continue
+			if s.removedBy(answers[address]) {
+				s.endRemoved(address)
+				return
 			}
-			_ = level.Warn(s.log).Log("msg", "removed from the members while away: this process ends, the next one joins anew", "id", s.id, "by", address)
-			err := Discard(s.opt.Disk)
-			if err == nil {
-				err = fault.New(fault.Stale, "%s is no member any more; it joins anew at the next start", s.id)
-			}
-			s.fatal(fault.Pass(err, "watch for removal"))
-			return
 		}
 	}
 }
 
-// forsaken tells whether this node neither leads nor heard of a leader for two Elections.
-func (s *Store) forsaken() bool {
+// endRemoved voids the folder and ends the process, after the node at the address told that this one was removed.
+func (s *Store) endRemoved(address string) {
+	_ = level.Warn(s.log).Log("msg", "removed from the members while away: this process ends, the next one joins anew", "id", s.id, "told by", address)
+	err := Discard(s.opt.Disk, s.addresses()...)
+	if err == nil {
+		err = fault.New(fault.Stale, "%s is no member any more; it joins anew at the next start", s.id)
+	}
+	s.fatal(fault.Pass(err, "removed"))
+}
+
+// leaderless tells whether this node neither leads nor heard of a leader for two Elections.
+func (s *Store) leaderless() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.status.Role != quorum.Leader && s.clock.Now()-s.toldAt > 2*s.set.Election
 }
 
-// removedBy tells whether an answer proves that this node was removed: a set that was committed after one with
-// this node in it is without it. An ID that is out never comes back, so a later set cannot have it again.
+// removedBy tells whether an answer proves that this node is no member any more: a set that was committed after the
+// oldest one here with this node in it is without it. That oldest one need not be committed: if it never was, the
+// node did not become a member by it. Who was removed does not come back under its ID, see checkNotRemoved.
 func (s *Store) removedBy(a pair.FoundAnswer) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	at, own := s.core.CommittedMembers()
+	since := s.core.MemberSince()
 	is := func(m quorum.Member) bool { return m.ID == s.id }
-	return a.MembersAt > at && slices.ContainsFunc(own, is) && !slices.ContainsFunc(a.Members, is)
+	return since > 0 && a.MembersAt > since && !slices.ContainsFunc(a.Members, is)
 }
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -154,10 +154,11 @@
 		waiters: map[uint64]*waiter{}, followers: map[string]pair.NodeBundle{}, book: NewBook(opt.Settings.DutyLease, opt.Settings.DutyLease/10),
 		levelAt: -readyWithin * 2,
 	}
-	s.meter = newMeter(s, opt.Registry)
+	s.meter = newMeter()
 	if err := s.load(); err != nil {
 		return nil, fault.Pass(err, "open the store")
 	}
+	s.meter.show(s, opt.Registry) // only now: after a fault Open is called again
 	return s, nil
 }
 
@@ -271,7 +272,16 @@
 			s.group.Go(func(ctx context.Context) { s.fetch(ctx, want) })
 		}
 	}
-	return max(0, s.ticked+tick-s.clock.Now())
+	return s.due(now)
+}
+
+// due is the time until the core needs a tick; a follower waits for messages until it may stand for leader.
+func (s *Store) due(now time.Duration) time.Duration {
+	next := s.ticked + s.tick()
+	if s.status.Role != quorum.Leader {
+		next = max(next, s.core.CampaignAt())
+	}
+	return max(0, next-now)
 }
 
 // tick is the time between two ticks of the core; in between the loop runs only when there is something to do.
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -36,8 +36,10 @@
 	died  map[string]error
 	work  *spawn.Group
 	acked map[string]uint64
-	keys  []seal.Key   // of the operators
-	slow  atomic.Int64 // nanoseconds that a sync takes on the virtual clock
+	seed  uint64          // of the nodes that start from now on, besides their names
+	keys  []seal.Key      // of the operators
+	slow  atomic.Int64    // nanoseconds that a sync takes on the virtual clock
+	cut   map[string]bool // addresses of nodes that are cut off from all others: calls to and from them time out
 }
 
 // paced is a disk whose syncs take the rig's time.
@@ -67,7 +69,7 @@
 
 func newRig(n, slotEvery int, operators ...seal.Key) *rig {
 	r := &rig{set: conf.DefaultCplane(), disks: map[string]*slot.MemDisk{}, nodes: map[string]*Store{},
-		died: map[string]error{}, work: spawn.New(context.Background()), acked: map[string]uint64{}}
+		died: map[string]error{}, work: spawn.New(context.Background()), acked: map[string]uint64{}, cut: map[string]bool{}}
 	r.set.SlotEvery = slotEvery
 	for _, key := range operators {
 		r.set.OperatorKeys = append(r.set.OperatorKeys, conf.OperatorKey{Name: key.Name, Key: key.Public()})
@@ -86,8 +88,12 @@
 func (r *rig) start(name string) {
 	set := r.set
 	set.Name, set.Addr, set.Zone = name, name, "z"
-	s, err := Open(Options{Settings: set, Disk: paced{r.disks[name], r}, Net: net{r}, Clock: &r.clock, Seed: uint64(name[1]),
-		Fatal: func(err error) { r.mu.Lock(); r.died[name] = err; r.mu.Unlock() }})
+	var s *Store
+	var err error
+	r.call(func(context.Context) { // its syncs may take time
+		s, err = Open(Options{Settings: set, Disk: paced{r.disks[name], r}, Net: net{r, name}, Clock: &r.clock, Seed: uint64(name[1]) + r.seed,
+			Fatal: func(err error) { r.mu.Lock(); r.died[name] = err; r.mu.Unlock() }})
+	})
 	So(err, ShouldBeNil)
 	r.mu.Lock()
 	r.nodes[name] = s
@@ -101,7 +107,7 @@
 	r.mu.Lock()
 	delete(r.nodes, name)
 	r.mu.Unlock()
-	s.Stop()
+	r.call(func(context.Context) { s.Stop() }) // a sync may be under way
 	r.disks[name].Crash(rand.New(rand.NewSource(int64(name[1]))))
 }
 
@@ -203,42 +209,54 @@
 	}
 }
 
-// net carries calls straight to the other store.
-type net struct{ r *rig }
+// net carries the calls of one node straight to the other store.
+type net struct {
+	r    *rig
+	from string
+}
 
-func to[A any](n net, addr string, do func(s *Store) (A, error)) (A, error) {
+func to[A any](ctx context.Context, n net, addr string, do func(s *Store) (A, error)) (A, error) {
 	n.r.mu.Lock()
-	s := n.r.nodes[addr]
+	s, cut := n.r.nodes[addr], n.r.cut[addr] || n.r.cut[n.from]
 	n.r.mu.Unlock()
+	var none A
+	if cut {
+		late := make(chan struct{})
+		defer n.r.clock.Set(n.r.set.Election/2, func() { close(late) }).Stop()
+		select {
+		case <-late:
+		case <-ctx.Done():
+		}
+		return none, fault.New(fault.Timeout, "%s does not answer", addr)
+	}
 	if s == nil {
-		var none A
 		return none, fault.New(fault.Unavailable, "%s is down", addr)
 	}
 	return do(s)
 }
 
-func (n net) Quorum(_ context.Context, addr string, c pair.QuorumCall) error {
-	_, err := to(n, addr, func(s *Store) (int, error) { s.Step(c); return 0, nil })
+func (n net) Quorum(ctx context.Context, addr string, c pair.QuorumCall) error {
+	_, err := to(ctx, n, addr, func(s *Store) (int, error) { s.Step(c); return 0, nil })
 	return err
 }
-func (n net) Chunk(_ context.Context, addr string, c pair.ChunkCall) (pair.ChunkAnswer, error) {
+func (n net) Chunk(ctx context.Context, addr string, c pair.ChunkCall) (pair.ChunkAnswer, error) {
 	c.Max = 1000 // many parts
-	return to(n, addr, func(s *Store) (pair.ChunkAnswer, error) { return s.Chunk(c) })
+	return to(ctx, n, addr, func(s *Store) (pair.ChunkAnswer, error) { return s.Chunk(c) })
 }
-func (n net) Found(_ context.Context, addr string, c pair.FoundCall) (pair.FoundAnswer, error) {
-	return to(n, addr, func(s *Store) (pair.FoundAnswer, error) { return s.Found(c), nil })
+func (n net) Found(ctx context.Context, addr string, c pair.FoundCall) (pair.FoundAnswer, error) {
+	return to(ctx, n, addr, func(s *Store) (pair.FoundAnswer, error) { return s.Found(c), nil })
 }
 func (n net) Join(ctx context.Context, addr string, c pair.JoinCall) (pair.JoinAnswer, error) {
-	return to(n, addr, func(s *Store) (pair.JoinAnswer, error) { return s.Join(ctx, c) })
+	return to(ctx, n, addr, func(s *Store) (pair.JoinAnswer, error) { return s.Join(ctx, c) })
 }
 func (n net) Propose(ctx context.Context, addr string, c pair.ProposeCall) (pair.ProposeAnswer, error) {
-	return to(n, addr, func(s *Store) (pair.ProposeAnswer, error) { return s.propose(ctx, c) })
+	return to(ctx, n, addr, func(s *Store) (pair.ProposeAnswer, error) { return s.propose(ctx, c) })
 }
-func (n net) Rollout(_ context.Context, addr string) (pair.RolloutAnswer, error) {
-	return to(n, addr, func(s *Store) (pair.RolloutAnswer, error) { return s.rollout(), nil })
+func (n net) Rollout(ctx context.Context, addr string) (pair.RolloutAnswer, error) {
+	return to(ctx, n, addr, func(s *Store) (pair.RolloutAnswer, error) { return s.rollout(), nil })
 }
-func (n net) Confirm(_ context.Context, addr string) (pair.ConfirmAnswer, error) {
-	return to(n, addr, func(s *Store) (pair.ConfirmAnswer, error) {
+func (n net) Confirm(ctx context.Context, addr string) (pair.ConfirmAnswer, error) {
+	return to(ctx, n, addr, func(s *Store) (pair.ConfirmAnswer, error) {
 		i, err := s.Confirm()
 		return pair.ConfirmAnswer{Index: i}, err
 	})
