Let a node be told of more addresses to ask for the fleet

Cause: seeds change while a node runs (SIGHUP), and one whose seeds are all gone found nobody. Ruled out: changing the members of the settings, which say who founds. Change: Store.LearnAddresses.

--- a/internal/store/members.go
+++ b/internal/store/members.go
@@ -51,6 +51,14 @@
 	return slices.DeleteFunc(slices.Clone(members), func(m quorum.Member) bool { return m.ID == id })
 }
 
+// LearnAddresses tells an open fleet's node of more nodes to ask for the fleet, such as new seeds. It never changes
+// with whom the node founds.
+func (s *Store) LearnAddresses(addresses ...string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.learn(addresses...)
+}
+
 // learn remembers the address of another node of an open fleet; called under the lock.
 func (s *Store) learn(addresses ...string) {
 	if !s.set.OpenMembership {
--- a/internal/store/open_test.go
+++ b/internal/store/open_test.go
@@ -408,6 +408,13 @@
 		r.fresh(gone)
 		r.until("the wiped one is a voter", func() bool { return r.nodes[gone].Status().Quorum.Voter })
 		So(r.load("c", 20), ShouldBeEmpty)
+
+		// One that knows no seed that answers, and that nobody calls, waits until it is told of another node.
+		r.fresh("c9")
+		r.run(3 * time.Second)
+		So(r.nodes["c9"].Status().Quorum.Members, ShouldBeEmpty)
+		r.nodes["c9"].LearnAddresses(lead.set.Addr)
+		r.until("the newcomer is a voter", func() bool { return r.nodes["c9"].Status().Quorum.Voter })
 	})
 }
 
