--- a/cmd/cplane/platform.go
+++ b/cmd/cplane/platform.go
@@ -26,9 +26,9 @@
 
 // Timings of the store on the platform, for a fail-over well under three seconds.
 const (
-	platformElection  = 400 * time.Millisecond
-	platformHeartbeat = 80 * time.Millisecond
-	platformLease     = 270 * time.Millisecond
+	platformElection  = 350 * time.Millisecond
+	platformHeartbeat = 70 * time.Millisecond
+	platformLease     = 235 * time.Millisecond
 
 	// platformSlotEvery is the number of log entries between two slots: a restart replays no more than about twice as many.
 	platformSlotEvery = 1000
