Scheduler: a pass looks only at the runs to be stopped, not at all of them

Cause: CPU profile of the leader with 350 fake workers and 500 starts a second: 51% of its time in sendStops, which sorted the runs of every worker in every pass; there is a pass for each answer of a worker.

--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -76,16 +76,20 @@
 	queue   map[string]*job // jobs that are not over or have handles out
 	dirty   map[string]bool // jobs to look at again
 
+	unwanted map[jobs.RunKey]*run // runs to be stopped
+	straying map[string]bool      // workers with runs that the table does not have
+
 	ends   []jobs.End
 	seen   map[string]uint64 // by worker: highest end in ends
 	starts []jobs.RunKey     // recorded, to be sent
 	flight *flight
 	moved  bool // something changed that may let a due task be placed
 
-	sweepAt time.Duration
-	dueAt   time.Time // the next round that falls due
-	avoid   map[jobs.TaskRef]string
-	speeds  speeds
+	sweepAt  time.Duration
+	forgetAt time.Duration // the next look for workers to forget
+	dueAt    time.Time     // the next round that falls due
+	avoid    map[jobs.TaskRef]string
+	speeds   speeds
 
 	// Counts are for metrics and tests.
 	Counts Counts
@@ -101,7 +105,9 @@
 func (c *Core) clear() {
 	c.workers, c.names, c.runs = map[string]*worker{}, nil, map[jobs.RunKey]*run{}
 	c.queue, c.dirty, c.seen = map[string]*job{}, map[string]bool{}, map[string]uint64{}
+	c.unwanted, c.straying = map[jobs.RunKey]*run{}, map[string]bool{}
 	c.ends, c.starts, c.flight = nil, nil, nil
+	c.forgetAt = 0
 	c.avoid, c.speeds = map[jobs.TaskRef]string{}, newSpeeds()
 	c.dueAt = time.Time{}
 }
@@ -200,6 +206,11 @@
 			}
 		}
 	}
+	for _, r := range c.runs {
+		if r.wantsStop() {
+			c.askStop(r)
+		}
+	}
 	c.moved = true
 }
 
@@ -213,7 +224,10 @@
 		c.moved = false
 		starts = c.place(now, wall)
 	}
-	forget := c.forgotten(now)
+	var forget []string
+	if now >= c.forgetAt {
+		forget, c.forgetAt = c.forgotten(now), now+sweepEvery
+	}
 	if len(c.ends) == 0 && len(starts) == 0 && len(forget) == 0 && len(c.seen) == 0 {
 		return
 	}
--- a/internal/scheduler/preempt.go
+++ b/internal/scheduler/preempt.go
@@ -43,6 +43,7 @@
 	}
 	for _, r := range victims {
 		r.stop = true
+		p.c.askStop(r)
 		chosen.freeing = plus(chosen.freeing, r.needs)
 		p.c.Counts.Preempted++
 	}
--- a/internal/scheduler/runs.go
+++ b/internal/scheduler/runs.go
@@ -121,33 +121,57 @@
 		key.Task.Index = i
 		if r := c.runs[key]; r != nil && !r.ending {
 			r.stop = true
+			c.askStop(r)
 		}
 	}
 }
 
-// sendStops gives the stop orders that are due.
+// askStop puts a run that is to be stopped on the list that sendStops goes through. The sweep adds those that were
+// marked in another way.
+func (c *Core) askStop(r *run) { c.unwanted[r.key] = r }
+
+// wantsStop tells whether a stop order is wanted for the run and was not answered yet.
+func (r *run) wantsStop() bool {
+	return (r.stop || r.doubted && !r.listed) && !r.ending && r.stopped == 0
+}
+
+// sendStops gives the stop orders that are due. It looks only at the runs and workers on its lists: most runs are never
+// stopped, and there is a pass for each answer of a worker.
 func (c *Core) sendStops(out *Out) {
-	for _, id := range c.names {
-		w := c.workers[id]
+	for _, key := range sortedRuns(c.unwanted) {
+		r := c.unwanted[key]
+		w := c.workers[r.worker]
+		if c.runs[key] != r || w == nil || !r.wantsStop() {
+			delete(c.unwanted, key)
+			continue
+		}
 		rec := w.record()
-		if rec == nil {
+		if rec == nil || !r.sent || r.stopping || c.now < r.retryAt {
 			continue
 		}
-		for _, key := range sortedRuns(w.runs) {
-			r := w.runs[key]
-			wanted := r.stop || r.doubted && !r.listed
-			if !wanted || !r.sent || r.ending || r.stopping || r.stopped != 0 || c.now < r.retryAt {
-				continue
-			}
-			r.stopping = true
-			out.Stops = append(out.Stops, StopOut{Worker: *rec, Order: StopOrder{Key: key, Token: c.term}})
-			c.Counts.Stopped++
+		r.stopping = true
+		out.Stops = append(out.Stops, StopOut{Worker: *rec, Order: StopOrder{Key: key, Token: c.term}})
+		c.Counts.Stopped++
+	}
+	for _, id := range sortedKeys(c.straying) {
+		if w := c.workers[id]; w == nil || len(w.strays) == 0 {
+			delete(c.straying, id)
+		} else {
+			c.stopStrays(w, out)
 		}
-		for _, key := range w.strayKeys() {
-			if s := w.strays[key]; !s.stopping && c.now >= s.retryAt {
-				s.stopping = true
-				out.Stops = append(out.Stops, StopOut{Worker: *rec, Order: StopOrder{Key: key, Token: c.term}})
-			}
+	}
+}
+
+// stopStrays gives the stop orders for runs on a worker that the table does not have.
+func (c *Core) stopStrays(w *worker, out *Out) {
+	rec := w.record()
+	if rec == nil {
+		return
+	}
+	for _, key := range w.strayKeys() {
+		if s := w.strays[key]; !s.stopping && c.now >= s.retryAt {
+			s.stopping = true
+			out.Stops = append(out.Stops, StopOut{Worker: *rec, Order: StopOrder{Key: key, Token: c.term}})
 		}
 	}
 }
@@ -175,6 +199,7 @@
 		w.failed(c, now)
 		if r != nil && !r.listed {
 			r.doubted = true
+			c.askStop(r)
 			w.probe = true
 			c.Counts.Doubted++
 		}
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -161,8 +161,11 @@
 func (c *Core) sendHolds(now time.Duration, out *Out) {
 	for _, id := range c.names {
 		w := c.workers[id]
+		if !w.probe && (w.holding != 0 || len(w.runs) == 0) || now < w.retryAt {
+			continue // nothing to ask: the rule for most workers in most passes
+		}
 		rec := w.record()
-		if rec == nil || now < w.retryAt {
+		if rec == nil {
 			continue
 		}
 		if w.probe && w.probing == 0 {
@@ -263,6 +266,7 @@
 		if r == nil {
 			if w.strays[l.Key] == nil && c.runs[l.Key] == nil && !c.inFlight(l.Key) {
 				w.strays[l.Key] = &stray{}
+				c.straying[w.id] = true
 			}
 			continue
 		}
