--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -71,7 +71,8 @@
 	sequence uint64
 
 	workers map[string]*worker
-	names   []string // of workers, in the order they were met
+	names   []string  // of workers, in the order they were met
+	order   []*worker // the same workers, for looks at all of them
 	runs    map[jobs.RunKey]*run
 	queue   map[string]*job // jobs that are not over or have handles out
 	dirty   map[string]bool // jobs to look at again
@@ -103,7 +104,7 @@
 }
 
 func (c *Core) clear() {
-	c.workers, c.names, c.runs = map[string]*worker{}, nil, map[jobs.RunKey]*run{}
+	c.workers, c.names, c.order, c.runs = map[string]*worker{}, nil, nil, map[jobs.RunKey]*run{}
 	c.queue, c.dirty, c.seen = map[string]*job{}, map[string]bool{}, map[string]uint64{}
 	c.unwanted, c.straying = map[jobs.RunKey]*run{}, map[string]bool{}
 	c.ends, c.starts, c.flight = nil, nil, nil
@@ -149,6 +150,7 @@
 	case jobs.WorkerGone:
 		delete(c.workers, note.Name)
 		c.names = slices.DeleteFunc(c.names, func(id string) bool { return id == note.Name })
+		c.order = slices.DeleteFunc(c.order, func(w *worker) bool { return w.id == note.Name })
 	}
 }
 
@@ -195,8 +197,7 @@
 // sweep looks at everything that time alone changes.
 func (c *Core) sweep(now time.Duration) {
 	c.sweepAt = now + sweepEvery
-	for _, id := range c.names {
-		w := c.workers[id]
+	for _, w := range c.order {
 		if w.lapsed(c, now) {
 			for _, key := range sortedRuns(w.runs) {
 				if r := w.runs[key]; r.sent && !r.ending {
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -46,7 +46,7 @@
 	if w == nil {
 		w = &worker{id: id, table: c.table, runs: map[jobs.RunKey]*run{}, strays: map[jobs.RunKey]*stray{}, probe: true}
 		c.workers[id] = w
-		c.names = append(c.names, id)
+		c.names, c.order = append(c.names, id), append(c.order, w)
 	}
 	return w
 }
@@ -159,8 +159,7 @@
 
 // sendHolds gives the hold calls that are due.
 func (c *Core) sendHolds(now time.Duration, out *Out) {
-	for _, id := range c.names {
-		w := c.workers[id]
+	for _, w := range c.order {
 		if !w.probe && (w.holding != 0 || len(w.runs) == 0) || now < w.retryAt {
 			continue // nothing to ask: the rule for most workers in most passes
 		}
@@ -173,8 +172,8 @@
 			w.probing = c.hold(w, rec, 0, out)
 			continue
 		}
-		_, pending := c.seen[id]
-		committing := c.flight != nil && c.flight.seen[id] > 0
+		_, pending := c.seen[w.id]
+		committing := c.flight != nil && c.flight.seen[w.id] > 0
 		if w.holding == 0 && len(w.runs) > 0 && w.answered && !pending && !committing {
 			w.holding = c.hold(w, rec, c.cfg.HoldWait, out)
 		}
@@ -310,15 +309,14 @@
 // forgotten gives the workers without runs that are gone.
 func (c *Core) forgotten(now time.Duration) []string {
 	var out []string
-	for _, id := range c.names {
-		w := c.workers[id]
+	for _, w := range c.order {
 		rec := w.record()
 		if rec == nil || len(w.runs) > 0 || w.starting > 0 {
 			continue
 		}
 		silent := now-max(w.heardAt, c.since) > c.cfg.ForgetAfter
 		if silent || rec.Left && w.failures > 0 {
-			out = append(out, id)
+			out = append(out, w.id)
 		}
 	}
 	return out
