Passes 2 ms apart; placement looks for runs to stop only where there are any

Change: each worker of a pass knows its least urgent run; the order by free room is kept until the next start; what comes in within 2 ms of a pass is taken in together.

--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -97,6 +97,7 @@
 func (l *Leader) loop(ctx context.Context) {
 	for {
 		changed := l.opt.Store.Changed()
+		begin := l.clock.Now()
 		next := l.pass()
 		timer := l.clock.Set(max(time.Millisecond, next-l.clock.Now()), l.nudge)
 		if l.core.Term() != 0 {
@@ -110,6 +111,26 @@
 		case <-changed:
 		}
 		timer.Stop()
+		l.gather(ctx, begin+passGap)
+	}
+}
+
+// passGap is the least time from one pass to the next. Answers of workers come by the thousand a second; what comes in
+// the meantime is taken in together.
+const passGap = 2 * time.Millisecond
+
+// gather waits until a time.
+func (l *Leader) gather(ctx context.Context, until time.Duration) {
+	pause := until - l.clock.Now()
+	if pause <= 0 {
+		return
+	}
+	over := make(chan struct{})
+	timer := l.clock.Set(pause, func() { close(over) })
+	defer timer.Stop()
+	select {
+	case <-over:
+	case <-ctx.Done():
 	}
 }
 
--- /dev/null
+++ b/internal/scheduler/crowd_test.go
@@ -0,0 +1,171 @@
+package scheduler
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"crosstide/internal/jobs"
+)
+
+// crowd is a fleet of 350 workers under a load of which a part must wait. Commits and answers take the time that they
+// take on the platform, on a clock of its own.
+type crowd struct {
+	*bench
+	random *rand.Rand
+	later  map[time.Duration][]func() // by time in milliseconds
+	lists  map[string]map[jobs.RunKey]bool
+	ended  map[string][]Ended
+	counts map[string]uint64
+	waits  map[string]*HoldOut
+	passes int
+}
+
+const (
+	crowdWorkers = 350
+	commitTime   = 20 * time.Millisecond
+	answerTime   = 2 * time.Millisecond
+)
+
+func newCrowd() *crowd {
+	w := &crowd{bench: newBench(3), random: rand.New(rand.NewPCG(1, 2)), later: map[time.Duration][]func(){},
+		lists: map[string]map[jobs.RunKey]bool{}, ended: map[string][]Ended{}, counts: map[string]uint64{}, waits: map[string]*HoldOut{}}
+	must(w.table.Configure(jobs.Configure{Base: 1, Version: 2, Digest: "second", Queues: []jobs.Queue{
+		{Name: "slow", Host: "h", Prefix: "/s/", Service: "s", Priority: 2, MaxAttempts: 2, Stretch: 4, Target: 3 * time.Second, Timeout: time.Second}}}))
+	for i := range crowdWorkers {
+		id := fmt.Sprintf("w%03d", i)
+		rack := fmt.Sprintf("r%d", i/12)
+		must(w.table.Register(jobs.Register{Workers: []jobs.Worker{{ID: id, Address: id + ":1", Service: "s", Zone: "z", Rack: rack,
+			Labels: []string{"a", rack}, Capacity: jobs.Resources{MilliCPU: 16000, MemoryMB: 65536}}}}))
+		w.lists[id] = map[jobs.RunKey]bool{}
+	}
+	return w
+}
+
+func (w *crowd) after(d time.Duration, do func()) {
+	at := (w.now + d).Truncate(time.Millisecond)
+	w.later[at] = append(w.later[at], do)
+}
+
+func (w *crowd) arrive(queue string, steps ...jobs.Step) {
+	id := fmt.Sprintf("%016x", w.random.Uint64())
+	_, err := w.table.Submit(jobs.Submit{Spec: jobs.Spec{ID: id, Queue: queue, Steps: steps}, Digest: id, At: w.wall})
+	must(err)
+}
+
+func (w *crowd) width(mean float64) int { return 1 + int(w.random.ExpFloat64()*mean) }
+
+// step moves the time on by a millisecond and runs a pass.
+func (w *crowd) step(load float64) {
+	w.now += time.Millisecond
+	w.wall = w.wall.Add(time.Millisecond)
+	for _, do := range w.later[w.now.Truncate(time.Millisecond)] {
+		do()
+	}
+	delete(w.later, w.now.Truncate(time.Millisecond))
+	if w.random.Float64() < 0.035*load {
+		near := fmt.Sprintf("r%d", w.random.IntN(crowdWorkers/12))
+		w.arrive("q", jobs.Step{Count: w.width(9), Needs: jobs.Resources{MilliCPU: 1900, MemoryMB: 3800}, Estimate: 800 * time.Millisecond, Near: near},
+			jobs.Step{Count: w.width(9), Needs: jobs.Resources{MilliCPU: 1900, MemoryMB: 3800}, Estimate: 800 * time.Millisecond, After: []int{0}})
+	}
+	if w.random.Float64() < 0.0016*load {
+		w.arrive("slow", jobs.Step{Count: w.width(39), Needs: jobs.Resources{MilliCPU: 4100, MemoryMB: 15000}, Estimate: 4800 * time.Millisecond, Checkpoints: true},
+			jobs.Step{Count: w.width(39), Needs: jobs.Resources{MilliCPU: 4100, MemoryMB: 15000}, Estimate: 4800 * time.Millisecond, After: []int{0}})
+	}
+	w.carryOut(w.core.Pass(w.now, w.wall))
+	w.passes++
+}
+
+func (w *crowd) carryOut(out Out) {
+	if p := out.Progress; p != nil {
+		w.after(commitTime, func() {
+			started, err := w.table.Progress(testTerm, *p)
+			w.core.Committed(w.now, p, started, err)
+		})
+	}
+	for _, s := range out.Starts {
+		w.after(answerTime, func() { w.start(s) })
+	}
+	for _, s := range out.Stops {
+		w.after(answerTime, func() {
+			w.end(s.Worker.ID, s.Order.Key, jobs.EndStopped)
+			w.core.StopAnswered(w.now, s.Worker.ID, s.Order.Key, true)
+		})
+	}
+	for _, h := range out.Holds {
+		w.after(answerTime, func() { w.hold(h) })
+	}
+}
+
+func (w *crowd) start(s StartOut) {
+	key := s.Order.Key
+	w.lists[s.Worker.ID][key] = true
+	w.core.StartAnswered(w.now, s.Worker.ID, key, StartAnswer{Clock: w.now}, StartOK)
+	j := w.table.Jobs[key.Task.Job]
+	if j == nil || key.Task.Step >= len(j.Spec.Steps) {
+		return
+	}
+	took := time.Duration(float64(j.Spec.Steps[key.Task.Step].Estimate) * (0.7 + 0.6*w.random.Float64()))
+	w.after(took, func() { w.end(s.Worker.ID, key, jobs.EndDone) })
+}
+
+func (w *crowd) end(id string, key jobs.RunKey, how jobs.How) {
+	if !w.lists[id][key] {
+		return
+	}
+	delete(w.lists[id], key)
+	w.counts[id]++
+	w.ended[id] = append(w.ended[id], Ended{Sequence: w.counts[id], Key: key, How: how})
+	if h := w.waits[id]; h != nil {
+		w.waits[id] = nil
+		w.answer(*h)
+	}
+}
+
+func (w *crowd) hold(h HoldOut) {
+	id := h.Worker.ID
+	for len(w.ended[id]) > 0 && w.ended[id][0].Sequence <= h.Call.SeenUpTo {
+		w.ended[id] = w.ended[id][1:]
+	}
+	if h.Call.Wait == 0 || len(w.ended[id]) > 0 {
+		w.answer(h)
+		return
+	}
+	w.waits[id] = &h
+	w.after(h.Call.Wait, func() {
+		if w.waits[id] == &h {
+			w.waits[id] = nil
+			w.answer(h)
+		}
+	})
+}
+
+func (w *crowd) answer(h HoldOut) {
+	a := HoldAnswer{Clock: w.now, Ended: w.ended[h.Worker.ID]}
+	for key := range w.lists[h.Worker.ID] {
+		a.Running = append(a.Running, Listed{Key: key})
+	}
+	w.core.HoldAnswered(w.now, h.Worker.ID, h.Number, a, HoldOK)
+}
+
+// BenchmarkCrowd is a second of scheduling for 350 workers, after ten seconds of the same load: 1 is about what the
+// workers can take, 3 is what storms bring.
+func BenchmarkCrowd(b *testing.B) {
+	for _, load := range []float64{1, 3} {
+		b.Run(fmt.Sprintf("load=%v", load), func(b *testing.B) {
+			w := newCrowd()
+			for range 10000 {
+				w.step(load)
+			}
+			done := w.core.Counts.Done
+			b.ResetTimer()
+			for range b.N {
+				for range 1000 {
+					w.step(load)
+				}
+			}
+			b.ReportMetric(float64(w.core.Counts.Done-done)/float64(b.N), "done/op")
+		})
+	}
+}
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -16,6 +16,8 @@
 	freeing jobs.Resources // what runs that are being stopped give back
 	held    bool           // kept free for a more urgent unit
 	factor  float64        // how many times as long a task takes here
+	// lowest is the priority of the least urgent run here that may be stopped for a more urgent one; -1: none.
+	lowest int
 }
 
 func fits(free, needs jobs.Resources) bool {
@@ -38,6 +40,7 @@
 	nodes     map[string][]*node // by service
 	starts    []jobs.Start
 	perNode   map[jobs.TaskRef]map[string]int // planned tasks of a unit on a worker
+	byFree    map[string][]*node              // by service: the nodes with most free room first; gone with each start
 	preempted int
 }
 
@@ -47,7 +50,8 @@
 	if len(units) == 0 {
 		return nil
 	}
-	p := &placement{c: c, now: now, wall: wall, nodes: map[string][]*node{}, perNode: map[jobs.TaskRef]map[string]int{}}
+	p := &placement{c: c, now: now, wall: wall, nodes: map[string][]*node{}, perNode: map[jobs.TaskRef]map[string]int{},
+		byFree: map[string][]*node{}}
 	for _, u := range units {
 		if len(p.starts) >= c.cfg.MostStarts {
 			c.moved = true
@@ -74,11 +78,14 @@
 		if rec == nil || rec.Service != service || !w.takesStarts(p.c, p.now) {
 			continue
 		}
-		n := &node{w: w, rec: rec, free: minus(rec.Capacity, p.c.table.Used(id)), factor: p.c.speeds.factor(id)}
+		n := &node{w: w, rec: rec, free: minus(rec.Capacity, p.c.table.Used(id)), factor: p.c.speeds.factor(id), lowest: -1}
 		for _, r := range w.runs {
 			if r.stop && !r.ending {
 				n.freeing = plus(n.freeing, r.needs)
 			}
+			if r.mayYield() {
+				n.lowest = max(n.lowest, r.priority)
+			}
 		}
 		nodes = append(nodes, n)
 	}
@@ -162,6 +169,7 @@
 // take plans a start of one task on a node.
 func (p *placement) take(u *unit, n *node, index, number int) {
 	n.free = minus(n.free, u.step.Needs)
+	clear(p.byFree)
 	p.onNode(u, n.rec.ID)
 	p.perNode[u.key()][n.rec.ID]++
 	ref := u.key()
@@ -171,6 +179,7 @@
 
 // untake undoes the newest starts, down to a length of the list.
 func (p *placement) untake(u *unit, nodes []*node, length int) {
+	clear(p.byFree)
 	for _, s := range p.starts[length:] {
 		for _, n := range nodes {
 			if n.rec.ID == s.Worker {
@@ -272,7 +281,7 @@
 
 // reserve keeps the nodes that would take the unit soonest from less urgent units of this pass.
 func (p *placement) reserve(u *unit, nodes []*node, count int) {
-	group := nodes
+	group := p.mostFree(u.queue.Service, nodes)
 	if u.step.SameRack {
 		group = nil
 		for _, rack := range byRack(nodes) {
@@ -280,9 +289,8 @@
 				group = rack
 			}
 		}
+		group = sortByFree(group)
 	}
-	group = slices.Clone(group)
-	slices.SortStableFunc(group, func(a, b *node) int { return cmp.Compare(b.free.MilliCPU, a.free.MilliCPU) })
 	for _, n := range group {
 		if count <= 0 {
 			return
@@ -294,6 +302,23 @@
 	}
 }
 
+// mostFree gives all nodes of a service, those with most free room first. Units that wait follow one another without a
+// start in between, so the order is kept until the next start.
+func (p *placement) mostFree(service string, nodes []*node) []*node {
+	sorted, ok := p.byFree[service]
+	if !ok {
+		sorted = sortByFree(nodes)
+		p.byFree[service] = sorted
+	}
+	return sorted
+}
+
+func sortByFree(nodes []*node) []*node {
+	sorted := slices.Clone(nodes)
+	slices.SortStableFunc(sorted, func(a, b *node) int { return cmp.Compare(b.free.MilliCPU, a.free.MilliCPU) })
+	return sorted
+}
+
 func (p *placement) couldTake(u *unit, nodes []*node) int {
 	sum := 0
 	for _, n := range nodes {
--- a/internal/scheduler/preempt.go
+++ b/internal/scheduler/preempt.go
@@ -33,6 +33,9 @@
 			n.freeing = minus(n.freeing, u.step.Needs)
 			return true
 		}
+		if n.lowest <= u.queue.Priority || p.preempted >= p.c.cfg.MostPreempted {
+			continue // nothing to stop here, or no more may be stopped in this pass
+		}
 		stop, waste, ok := p.victims(u, n)
 		if ok && (chosen == nil || waste < least) {
 			chosen, victims, least = n, stop, waste
@@ -57,7 +60,7 @@
 func (p *placement) victims(u *unit, n *node) (stop []*run, waste float64, ok bool) {
 	var candidates []*run
 	for _, r := range n.w.runs {
-		if r.priority > u.queue.Priority && r.sent && r.listed && !r.stop && !r.ending && !r.gang {
+		if r.priority > u.queue.Priority && r.mayYield() {
 			candidates = append(candidates, r)
 		}
 	}
@@ -76,6 +79,9 @@
 	return stop, waste, fits(room, u.step.Needs)
 }
 
+// mayYield tells whether a run may be stopped for a more urgent one.
+func (r *run) mayYield() bool { return r.sent && r.listed && !r.stop && !r.ending && !r.gang }
+
 // wasteOf is the work that a stop of a run throws away, in core-seconds; a saved run loses little.
 func (p *placement) wasteOf(r *run) float64 {
 	waste := (p.now - r.sentAt).Seconds() * coresOf(r.needs)
