Store: a pass applies a bounded batch, so that a leader that comes back sends its heartbeats

Change: at most 64 entries or 256 KB a pass, the next pass follows at once; the lead counts as held only when all that is committed is applied.

--- /dev/null
+++ b/internal/store/apply_test.go
@@ -0,0 +1,45 @@
+package store
+
+import (
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"crosstide/internal/quorum"
+)
+
+func TestPassAppliesBoundedBatch(t *testing.T) {
+	Convey("Given a store with more committed entries than one pass applies", t, func() {
+		s := &Store{kick: make(chan struct{}, 1)}
+		for i := range 2*applyEntries + 8 {
+			s.unapplied = append(s.unapplied, quorum.Entry{Index: uint64(i + 1)})
+		}
+		Convey("Then passes take them batch by batch, in order, and each asks for the next", func() {
+			var sizes []int
+			next := uint64(1)
+			for len(s.unapplied) > 0 {
+				batch := s.nextApplied()
+				sizes = append(sizes, len(batch))
+				for _, e := range batch {
+					So(e.Index, ShouldEqual, next)
+					next++
+				}
+				So(len(s.kick) == 1, ShouldEqual, len(s.unapplied) > 0)
+				select {
+				case <-s.kick:
+				default:
+				}
+			}
+			So(sizes, ShouldResemble, []int{applyEntries, applyEntries, 8})
+			So(s.nextApplied(), ShouldBeEmpty)
+		})
+		Convey("Then long entries make a shorter batch, of one at least", func() {
+			s.unapplied[0].Data = make([]byte, applyBytes)
+			So(len(s.nextApplied()), ShouldEqual, 1)
+		})
+		Convey("Then a store that is driven by hand applies all at once", func() {
+			s.hand = &Hand{}
+			So(len(s.nextApplied()), ShouldEqual, 2*applyEntries+8)
+		})
+	})
+}
--- a/internal/store/disk.go
+++ b/internal/store/disk.go
@@ -276,7 +276,7 @@
 	s.newest = pair.Snapshot{Number: s.newest.Number + 1, Index: in.meta.Index, Term: in.meta.Term, Size: int64(len(in.image.Body))}
 	s.core.Installed(s.clock.Now(), in.meta)
 	s.shadow, s.shadowMembers, s.shadowSince, s.shadowBytes = shadow, in.meta.Members, 0, 0
-	s.backlog, s.behind = nil, 0
+	s.backlog, s.behind, s.unapplied = nil, 0, nil
 	s.durable = max(s.durable, in.meta.Index)
 	s.replace(in.live)
 	_ = level.Info(s.log).Log("msg", "snapshot installed", "index", in.meta.Index, "bytes", len(in.image.Body))
--- a/internal/store/lead.go
+++ b/internal/store/lead.go
@@ -14,8 +14,8 @@
 	if s.core == nil || s.broken || s.leadTerm == 0 || !s.book.Open() {
 		return 0, false
 	}
-	_, held = s.core.Confirmed(now)
-	return s.leadTerm, held
+	commit, held := s.core.Confirmed(now)
+	return s.leadTerm, held && s.live.Index >= commit
 }
 
 // Changed gives a channel that is closed when the live state moves on. Take it before you look at the state.
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -96,6 +96,7 @@
 	broken  bool // a write failed: nothing leaves any more
 
 	pending   []*waiter // not in the log yet
+	unapplied []quorum.Entry // committed, not in the live state yet
 	waiters   map[uint64]*waiter
 	waiting   int // both, and their bytes
 	waitBytes int
@@ -289,10 +290,12 @@
 
 // apply brings committed entries into the live state and wakes who waits for them.
 func (s *Store) apply(entries []quorum.Entry) {
-	if len(entries) == 0 {
+	s.unapplied = append(s.unapplied, entries...)
+	batch := s.nextApplied()
+	if len(batch) == 0 {
 		return
 	}
-	for _, e := range entries {
+	for _, e := range batch {
 		answer, err := applyTo(s.live, e)
 		s.behind += len(e.Data) + entryRoom
 		w := s.waiters[e.Index]
@@ -306,13 +309,36 @@
 		}
 		w.end(s, outcome{index: e.Index, answer: answer, err: err})
 	}
-	s.backlog = append(s.backlog, entries...)
+	s.backlog = append(s.backlog, batch...)
 	nudge(s.shadowKick)
 	s.took()
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
 
+// What one pass applies at most: a node that comes back has a thousand entries to apply, and a leader that applied them
+// all at once would send no heartbeat meanwhile.
+const (
+	applyEntries = 64
+	applyBytes   = 256 << 10
+)
+
+// nextApplied takes the committed entries that this pass applies. A store that is driven by hand applies all.
+func (s *Store) nextApplied() []quorum.Entry {
+	n, bytes := 0, 0
+	for n < len(s.unapplied) && (s.hand != nil || n < applyEntries && bytes < applyBytes) {
+		bytes += len(s.unapplied[n].Data)
+		n++
+	}
+	batch := s.unapplied[:n:n]
+	if s.unapplied = s.unapplied[n:]; len(s.unapplied) > 0 {
+		nudge(s.kick)
+	} else {
+		s.unapplied = nil
+	}
+	return batch
+}
+
 // applyTo applies one entry; members and the first entry of a leader move the index only.
 func applyTo(to *state.State, e quorum.Entry) (any, error) {
 	data := e.Data
