Move runs that stand still or are far slower than their peers

Change: a run is moved if its listed progress stands still for 1.5 s, or it took twice the mean of its step's ended runs and more is left than a new start costs; the worker counts as slow.

--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -50,7 +50,7 @@
 
 // Counts are what a Core counted since it was made.
 type Counts struct {
-	Started, Done, Failed, Lost, Lapsed, Refused, Doubted, Stopped, Preempted uint64
+	Started, Done, Failed, Lost, Lapsed, Refused, Doubted, Stopped, Preempted, Moved uint64
 }
 
 // flight is the Progress under way.
--- /dev/null
+++ b/internal/scheduler/move.go
@@ -0,0 +1,76 @@
+package scheduler
+
+import (
+	"slices"
+	"time"
+)
+
+// Bounds of what is moved away from a slow worker.
+const (
+	slowFactor   = 2.0                     // a run is looked at once it took so many times as long as its peers
+	standstill   = 1500 * time.Millisecond // a run without any progress for so long stands still
+	moveCost     = 500 * time.Millisecond  // a stop, two commits and a start
+	gainFactor   = 1.5                     // what is left must be so many times as long as beginning anew elsewhere
+	freshListing = 2 * time.Second         // progress that was listed longer ago says nothing
+	mostMoves    = 16                      // runs moved by one pass
+)
+
+// moveSlow stops runs that stand still or go on far slower than elsewhere, where another worker has room for them. They
+// are due again once their end is listed, and shun the worker that they come from.
+func (p *placement) moveSlow() {
+	moved := 0
+	for _, id := range p.c.names {
+		w := p.c.workers[id]
+		if w.failures > 0 {
+			continue // nothing is known of its runs
+		}
+		for _, key := range sortedRuns(w.runs) {
+			r := w.runs[key]
+			if moved < mostMoves && p.slow(r) && p.moveOne(r) {
+				moved++
+			}
+		}
+	}
+}
+
+// slow tells whether what is left of a run takes far longer than beginning it anew elsewhere: it stands still, or other
+// tasks of its step took a fraction of its time.
+func (p *placement) slow(r *run) bool {
+	if r.lasting || r.gang || !r.listed || r.stop || r.ending || !r.mine || p.now-r.percentAt > freshListing {
+		return false
+	}
+	if r.percentAt-r.advancedAt >= standstill {
+		return true
+	}
+	peers, known := p.c.speeds.peers(r.key.Task)
+	elapsed := r.percentAt - r.sentAt
+	if !known || elapsed < time.Duration(slowFactor*float64(peers)) {
+		return false
+	}
+	left := time.Duration(float64(elapsed) * float64(100-r.percent) / float64(max(r.percent, 1)))
+	return left > time.Duration(gainFactor*float64(peers+moveCost))
+}
+
+// moveOne stops a run if another worker has room for its task.
+func (p *placement) moveOne(r *run) bool {
+	j := p.c.table.Jobs[r.key.Task.Job]
+	if j == nil || j.State.Over() || r.key.Task.Step >= len(j.Spec.Steps) {
+		return false
+	}
+	q := p.c.table.Config.Queue(j.Spec.Queue)
+	if q == nil {
+		return false
+	}
+	u := &unit{job: j, step: &j.Spec.Steps[r.key.Task.Step], queue: q, round: r.key.Task.Round, number: r.key.Task.Step}
+	others := slices.DeleteFunc(slices.Clone(p.usable(q.Service)), func(n *node) bool { return n.rec.ID == r.worker })
+	n := p.best(u, others, "")
+	if n == nil {
+		return false
+	}
+	n.free = minus(n.free, u.step.Needs)
+	r.stop = true
+	p.c.avoid[r.key.Task] = r.worker
+	p.c.speeds.slow(r.worker)
+	p.c.Counts.Moved++
+	return true
+}
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -44,9 +44,6 @@
 // place chooses workers for due tasks.
 func (c *Core) place(now time.Duration, wall time.Time) []jobs.Start {
 	units := c.dueUnits(wall)
-	if len(units) == 0 {
-		return nil
-	}
 	p := &placement{c: c, now: now, wall: wall, nodes: map[string][]*node{}, perNode: map[jobs.TaskRef]map[string]int{}}
 	for _, u := range units {
 		if len(p.starts) >= c.cfg.MostStarts {
@@ -59,6 +56,7 @@
 			p.placeTasks(u)
 		}
 	}
+	p.moveSlow()
 	return p.starts
 }
 
--- a/internal/scheduler/queue.go
+++ b/internal/scheduler/queue.go
@@ -72,6 +72,11 @@
 }
 
 func (c *Core) forgetTasks(id string) {
+	for key := range c.speeds.steps {
+		if key.job == id {
+			delete(c.speeds.steps, key)
+		}
+	}
 	for ref := range c.avoid {
 		if ref.Job == id {
 			delete(c.avoid, ref)
--- a/internal/scheduler/runs.go
+++ b/internal/scheduler/runs.go
@@ -22,16 +22,20 @@
 	listedAt time.Duration
 	saved    string
 	percent  int
-	stop     bool   // it is to be stopped
-	stopping bool   // a stop order is under way
-	stopped  uint64 // sequence at which a stop order was answered; 0: not
-	retryAt  time.Duration
-	ending   bool // its end waits to be committed
-	gang     bool
-	lasting  bool
-	estimate time.Duration
-	priority int
-	needs    jobs.Resources
+	// percentAt is when the progress was listed.
+	percentAt time.Duration
+	// advancedAt is when it was first listed, or last listed with more progress than before.
+	advancedAt time.Duration
+	stop       bool   // it is to be stopped
+	stopping   bool   // a stop order is under way
+	stopped    uint64 // sequence at which a stop order was answered; 0: not
+	retryAt    time.Duration
+	ending     bool // its end waits to be committed
+	gang       bool
+	lasting    bool
+	estimate   time.Duration
+	priority   int
+	needs      jobs.Resources
 }
 
 func compareKeys(a, b jobs.RunKey) int {
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -267,9 +267,12 @@
 			continue
 		}
 		if !r.listed {
-			r.listed, r.listedAt = true, c.now
+			r.listed, r.listedAt, r.advancedAt = true, c.now, c.now
 		}
-		r.saved, r.percent = l.Checkpoint, l.Percent
+		if l.Percent > r.percent {
+			r.advancedAt = c.now
+		}
+		r.saved, r.percent, r.percentAt = l.Checkpoint, l.Percent, c.now
 	}
 	for key := range w.strays {
 		if !present[key] {
