--- a/cmd/cplane/platform.go
+++ b/cmd/cplane/platform.go
@@ -192,7 +192,7 @@
 }
 
 // leaseShare is the lease of workers as a share of the longest one.
-const leaseShare = 0.5
+const leaseShare = 0.35
 
 // schedulerSettings maps the platform's bounds to the scheduler's settings.
 func schedulerSettings(bounds platform.SchedulerSettings) scheduler.Config {
