--- /dev/null
+++ b/internal/rig/fleetsim/beats.go
@@ -0,0 +1,199 @@
+package fleetsim
+
+import (
+	"fmt"
+	"time"
+
+	"crosstide/internal/fault"
+	"crosstide/internal/jobs"
+	"crosstide/internal/scheduler"
+)
+
+const (
+	beatEvery   = 500 * time.Millisecond
+	beatTimeout = time.Second
+)
+
+// buildWorkers makes the machines of both services.
+func (s *simulator) buildWorkers() {
+	for i := range workersPerService * 2 {
+		guards := i%2 == 0
+		place := i / 2
+		sl := &slot{s: s, address: fmt.Sprintf("10.0.0.%d:80", i+1), service: serviceOpen, guards: guards,
+			zone: fmt.Sprintf("zone%d", place%zoneCount), rack: fmt.Sprintf("r%d", place%rackCount),
+			capacity: jobs.Resources{MilliCPU: 16000, MemoryMB: 65536, GPUs: place % 3},
+			speed:    0.8 + 0.5*s.rng.Float64(), cutFrom: map[*node]bool{}, troubled: -time.Minute}
+		if guards {
+			sl.service = serviceGuards
+		}
+		sl.labels = []string{"kind" + string(rune('a'+place%2)), sl.rack}
+		s.slots = append(s.slots, sl)
+		s.after(s.between(0, beatEvery), sl.newLife)
+	}
+}
+
+const (
+	serviceGuards     = "guarding"
+	serviceOpen       = "open"
+	workersPerService = 8
+	zoneCount         = 3
+	rackCount         = 4
+)
+
+func (s *simulator) slotOf(address string) *slot {
+	for _, sl := range s.slots {
+		if sl.address == address {
+			return sl
+		}
+	}
+	return nil
+}
+
+// beatLoop sends heartbeats for as long as the life lasts.
+func (w *life) beatLoop() {
+	if !w.up() {
+		return
+	}
+	w.sendBeat(false, func(bool) {})
+	w.slot.s.after(w.slot.s.between(beatEvery*9/10, beatEvery*11/10), w.beatLoop)
+}
+
+// beatCall is a heartbeat as it was sent.
+type beatCall struct {
+	worker    jobs.Worker
+	sequence  uint64
+	clock     time.Duration
+	remaining time.Duration
+	leaving   bool
+}
+
+// sendBeat sends one heartbeat to a node that may lead.
+func (w *life) sendBeat(leaving bool, done func(ok bool)) {
+	s := w.slot.s
+	w.beat++
+	call := beatCall{worker: w.record(), sequence: w.beat, clock: w.clock(), leaving: leaving}
+	if w.draining {
+		call.remaining = drainTimeout
+	}
+	n := s.anyLeader()
+	if n == nil || w.slot.cutOff(n) {
+		return
+	}
+	late := time.Duration(0)
+	if s.chance(0.01) {
+		late = s.between(0, 3*time.Second)
+	}
+	s.after(s.link()+late, func() {
+		n.do(0, func() {
+			n.takeBeat(call, func(err error) {
+				s.after(s.link(), func() {
+					if ok := err == nil && !w.slot.cutOff(n); ok && late == 0 {
+						w.beatAcknowledged(call, n)
+						done(true)
+					}
+				})
+			})
+		})
+	})
+}
+
+// beatAcknowledged counts the time of a drain from its first acknowledgement.
+func (w *life) beatAcknowledged(call beatCall, _ *node) {
+	if !call.worker.Draining || w.drainTold != 0 || !w.up() {
+		return
+	}
+	s := w.slot.s
+	w.drainTold = s.now
+	s.after(drainTimeout+s.between(100*time.Millisecond, 4*time.Second), w.leave)
+}
+
+// leave says that the worker ends, and ends it.
+func (w *life) leave() {
+	if !w.up() {
+		return
+	}
+	w.sendBeat(true, func(bool) {})
+	w.slot.s.after(w.slot.s.between(5*time.Millisecond, 50*time.Millisecond), w.die)
+}
+
+// drain begins a planned end.
+func (w *life) drain() {
+	w.draining = true
+	w.slot.s.trace("%s drains", w.id)
+	w.slot.s.after(10*time.Second, w.leave) // also without an acknowledgement
+}
+
+// record is what the worker tells of itself.
+func (w *life) record() jobs.Worker {
+	sl := w.slot
+	return jobs.Worker{ID: w.id, Address: sl.address, Service: sl.service, Zone: sl.zone, Rack: sl.rack,
+		Labels: sl.labels, Capacity: sl.capacity, Draining: w.draining}
+}
+
+// anyLeader gives a node that takes itself for the leader; nil if there is none.
+func (s *simulator) anyLeader() *node {
+	var leading []*node
+	for _, n := range s.nodes {
+		if n.term != 0 && !n.down {
+			leading = append(leading, n)
+		}
+	}
+	if len(leading) == 0 {
+		return nil
+	}
+	return leading[s.rng.IntN(len(leading))]
+}
+
+// look reads the table if this node may answer for it, as controller.Leader.look.
+func (n *node) look() (table *jobs.Table, term uint64, err error) {
+	term, held := n.leadTerm()
+	if n.s.opt.Break == NoLeaseCheck && n.core.Term() != 0 {
+		term, held = n.core.Term(), true
+	}
+	switch {
+	case term == 0:
+		return nil, 0, fault.New(fault.NotLeader, "this node does not lead")
+	case !held:
+		return nil, term, fault.New(fault.Unavailable, "the lead cannot be confirmed now")
+	}
+	return n.table, term, nil
+}
+
+// takeBeat takes a heartbeat in, as controller.Leader.Beat.
+func (n *node) takeBeat(call beatCall, done func(error)) {
+	table, term, err := n.look()
+	if err != nil {
+		done(err)
+		return
+	}
+	worker := call.worker
+	known := table.Workers[worker.ID]
+	if call.leaving {
+		if known == nil || known.Left {
+			done(nil)
+			return
+		}
+		worker = *known
+		worker.Left = true
+	} else if call.sequence < n.beats[worker.ID] {
+		done(nil)
+		return
+	} else {
+		n.beats[worker.ID] = call.sequence
+	}
+	finish := func(err error) {
+		if err == nil && !call.leaving {
+			n.tell(func(c *scheduler.Core, now time.Duration) { c.Beat(now, worker.ID, call.clock, call.remaining) })
+		}
+		done(err)
+	}
+	if known != nil && !changedWorker(known, &worker) {
+		finish(nil)
+		return
+	}
+	n.s.log.propose(n, term, jobs.Register{Workers: []jobs.Worker{worker}}, func(_ any, err error) { finish(err) })
+}
+
+func changedWorker(known, told *jobs.Worker) bool {
+	return known.Address != told.Address || told.Draining && !known.Draining || told.Left && !known.Left
+}
--- /dev/null
+++ b/internal/rig/fleetsim/clients.go
@@ -0,0 +1,283 @@
+package fleetsim
+
+import (
+	"fmt"
+	"time"
+
+	"crosstide/internal/fault"
+	"crosstide/internal/jobs"
+)
+
+// Load says which jobs come.
+type Load string
+
+// The loads.
+const (
+	Mixed Load = "mixed" // jobs of all shapes
+	Short Load = "short" // a steady stream of short tasks
+)
+
+// clientJob is a job as its client knows it.
+type clientJob struct {
+	spec       jobs.Spec
+	prefix     string
+	sentAt     time.Duration
+	attempts   int
+	unclear    bool          // an attempt got no clear answer
+	accepted   bool          // an attempt was answered well
+	acceptedAt time.Duration // when
+	rejected   bool          // every attempt was rejected
+	cancelSent bool
+	cancelled  bool // its cancelling was acknowledged
+	cancelAt   time.Duration
+	shown      jobs.JobState
+	polls      int // made since it was shown as over
+}
+
+// clients hand jobs in, ask for them and cancel some.
+type clients struct {
+	s    *simulator
+	jobs []*clientJob
+	byID map[string]*clientJob
+}
+
+const (
+	submitAttempts = 4
+	answerLimit    = time.Second // a client waits so long for an answer
+	retryPause     = 400 * time.Millisecond
+	pollLeast      = 500 * time.Millisecond
+	pollMost       = 3 * time.Second
+	pollsAfterEnd  = 2
+)
+
+func (s *simulator) buildClients() {
+	s.clients = &clients{s: s, byID: map[string]*clientJob{}}
+	s.after(2*time.Second, s.clients.arrive)
+	s.after(s.opt.For+time.Second, s.clients.cancelLasting)
+}
+
+// spec gives a job as a client sent it; nil if none did.
+func (c *clients) spec(id string) *jobs.Spec {
+	if j := c.byID[id]; j != nil {
+		return &j.spec
+	}
+	return nil
+}
+
+// arrive hands one job in and plans the next.
+func (c *clients) arrive() {
+	s := c.s
+	if s.now >= s.opt.For {
+		return
+	}
+	pause := s.between(100*time.Millisecond, 900*time.Millisecond)
+	if s.opt.Load == Short {
+		pause = s.between(5*time.Millisecond, 45*time.Millisecond)
+		c.hand(c.shortJob())
+	} else {
+		c.hand(c.anyJob())
+	}
+	s.after(pause, c.arrive)
+}
+
+// hand begins to hand a job in.
+func (c *clients) hand(spec jobs.Spec, prefix string) *clientJob {
+	j := &clientJob{spec: spec, prefix: prefix, sentAt: c.s.now}
+	c.jobs = append(c.jobs, j)
+	c.byID[spec.ID] = j
+	c.submit(j)
+	return j
+}
+
+// call makes a call to a node that may lead; done is told once, with a Timeout if no answer comes.
+func (c *clients) call(make func(n *node, done func(any, error)), done func(any, error)) {
+	s := c.s
+	over := false
+	finish := func(answer any, err error) {
+		if !over {
+			over = true
+			done(answer, err)
+		}
+	}
+	n := s.anyLeader()
+	if n == nil {
+		s.after(s.link(), func() { finish(nil, fault.New(fault.Unavailable, "no leader")) })
+		return
+	}
+	s.after(answerLimit, func() { finish(nil, fault.New(fault.Timeout, "no answer")) })
+	s.after(s.link(), func() {
+		n.do(0, func() {
+			make(n, func(answer any, err error) { s.after(s.link(), func() { finish(answer, err) }) })
+		})
+	})
+}
+
+// surelyNotTaken tells whether an error says that a job was not taken.
+func surelyNotTaken(err error) bool {
+	switch errorKind(err) {
+	case fault.Unavailable, fault.NotLeader, fault.Unknown:
+		return true
+	}
+	return false
+}
+
+func (c *clients) submit(j *clientJob) {
+	j.attempts++
+	c.call(func(n *node, done func(any, error)) { n.submit(j, done) }, func(_ any, err error) {
+		switch {
+		case err == nil:
+			if !j.accepted {
+				j.accepted, j.acceptedAt = true, c.s.now
+				c.s.report.Jobs++
+				c.s.oracle.accepted(j)
+				c.follow(j)
+			}
+			return
+		case !surelyNotTaken(err):
+			j.unclear = true
+		}
+		if j.attempts < submitAttempts {
+			c.s.after(c.s.between(retryPause/2, retryPause*3/2), func() { c.submit(j) })
+		} else if !j.unclear {
+			j.rejected = true
+			c.s.oracle.rejected(j)
+		}
+	})
+}
+
+// submit is controller.Leader.Submit.
+func (n *node) submit(j *clientJob, done func(any, error)) {
+	table, term, err := n.look()
+	if err != nil {
+		done(nil, err)
+		return
+	}
+	if table.Config.Version == 0 {
+		done(nil, fault.New(fault.Unavailable, "there is no configuration yet"))
+		return
+	}
+	q := table.QueueFor(queueHost, j.prefix+j.spec.ID)
+	if q == nil {
+		done(nil, fault.New(fault.Unknown, "no queue"))
+		return
+	}
+	spec := j.spec
+	spec.Queue = q.Name
+	n.s.log.propose(n, term, jobs.Submit{Spec: spec, Digest: "d" + spec.ID, At: n.wall()}, done)
+}
+
+// follow asks for an accepted job until it is over, and a little longer; some are cancelled on the way.
+func (c *clients) follow(j *clientJob) {
+	if !j.cancelSent && c.s.chance(0.06) {
+		c.s.after(c.s.between(0, 4*time.Second), func() { c.cancel(j) })
+	}
+	c.s.after(c.s.between(pollLeast, pollMost), func() {
+		c.poll(j)
+		if j.polls < pollsAfterEnd {
+			c.follow(j)
+		}
+	})
+}
+
+// jobAnswer is what a poll is answered with.
+type jobAnswer struct {
+	state jobs.JobState
+	gone  bool
+}
+
+func (c *clients) poll(j *clientJob) {
+	c.call(func(n *node, done func(any, error)) { n.job(j, false, done) }, func(answer any, err error) {
+		if err != nil {
+			return
+		}
+		told := answer.(jobAnswer)
+		c.s.oracle.shown(j, told)
+		j.shown = told.state
+		if told.state.Over() {
+			j.polls++
+		}
+	})
+}
+
+// cancel sends a cancel until it is acknowledged.
+func (c *clients) cancel(j *clientJob) {
+	if j.cancelled || j.shown.Over() {
+		return
+	}
+	j.cancelSent = true
+	c.call(func(n *node, done func(any, error)) { n.job(j, true, done) }, func(answer any, err error) {
+		if err != nil {
+			c.s.after(c.s.between(retryPause/2, retryPause), func() { c.cancel(j) })
+			return
+		}
+		c.s.oracle.shown(j, answer.(jobAnswer))
+		if answer.(jobAnswer).state == jobs.Cancelled {
+			j.cancelled, j.cancelAt = true, c.s.now
+			c.s.oracle.cancelled(j)
+		}
+	})
+}
+
+// job is controller.Leader.Job.
+func (n *node) job(j *clientJob, cancel bool, done func(any, error)) {
+	table, term, err := n.look()
+	if err != nil {
+		done(nil, err)
+		return
+	}
+	if table.QueueFor(queueHost, j.prefix+j.spec.ID) == nil {
+		done(nil, fault.New(fault.Unknown, "no queue"))
+		return
+	}
+	known := table.Jobs[j.spec.ID]
+	switch {
+	case known == nil:
+		done(jobAnswer{gone: true}, nil)
+	case !cancel:
+		done(jobAnswer{state: known.State}, nil)
+	default:
+		n.s.log.propose(n, term, jobs.Cancel{ID: j.spec.ID, At: n.wall()}, func(answer any, err error) {
+			state, _ := answer.(jobs.JobState)
+			done(jobAnswer{state: state}, err)
+		})
+	}
+}
+
+// cancelMany cancels most of the jobs that are not over.
+func (c *clients) cancelMany() {
+	for _, j := range c.jobs {
+		if j.accepted && !j.shown.Over() && !j.cancelSent && c.s.chance(0.5) {
+			c.cancel(j)
+		}
+	}
+}
+
+// cancelLasting ends the lasting jobs, so that a run can settle.
+func (c *clients) cancelLasting() {
+	for _, j := range c.jobs {
+		if lasts(&j.spec) && j.accepted {
+			c.cancel(j)
+		}
+	}
+}
+
+func lasts(spec *jobs.Spec) bool {
+	for i := range spec.Steps {
+		if spec.Steps[i].Lasting {
+			return true
+		}
+	}
+	return false
+}
+
+// settled tells whether all accepted jobs were shown as over and asked for again.
+func (c *clients) settled() bool {
+	for _, j := range c.jobs {
+		if j.accepted && j.polls < pollsAfterEnd || !j.accepted && !j.rejected && j.attempts < submitAttempts {
+			return false
+		}
+	}
+	return true
+}
+
+func (c *clients) newID() string { return fmt.Sprintf("%016x", c.s.rng.Uint64()) }
--- /dev/null
+++ b/internal/rig/fleetsim/disruptions.go
@@ -0,0 +1,244 @@
+package fleetsim
+
+import "time"
+
+// Disruption names a kind of disruption.
+type Disruption string
+
+// The disruptions.
+const (
+	LeaderFreeze Disruption = "leader freezes"
+	LeaderCut    Disruption = "leader is cut off"
+	LeaderKill   Disruption = "leader is killed"
+	CoreOutage   Disruption = "whole core is down"
+	NodeLinkCut  Disruption = "worker cut from one node"
+	WorkerCrash  Disruption = "worker crashes"
+	WorkerCut    Disruption = "worker is cut off"
+	WorkerDrain  Disruption = "worker drains"
+	WorkerHang   Disruption = "tasks of a worker stand still"
+	WorkerSlow   Disruption = "worker is slow"
+	WorkerGrey   Disruption = "worker fails all"
+	WorkerLate   Disruption = "worker carries orders out late"
+	WorkerMute   Disruption = "answers of a worker are lost"
+	Reconfigure  Disruption = "configuration changes"
+	Evacuation   Disruption = "zone is evacuated"
+	MassCancel   Disruption = "many jobs are cancelled"
+	Burst        Disruption = "wide jobs come at once"
+)
+
+// Disruptions lists all kinds.
+func Disruptions() []Disruption {
+	return []Disruption{LeaderFreeze, LeaderCut, LeaderKill, CoreOutage, NodeLinkCut, WorkerCrash, WorkerCut, WorkerDrain,
+		WorkerHang, WorkerSlow, WorkerGrey, WorkerLate, WorkerMute, Reconfigure, Evacuation, MassCancel, Burst}
+}
+
+// contactTimeout is how long after a disruption a machine is in touch again.
+const contactTimeout = 3 * time.Second
+
+// quiet tells when the last disruptions ended.
+type quiet struct {
+	core time.Duration // of the core
+	any  time.Duration // of anything but configurations, cancels and new workers
+}
+
+func (s *simulator) coreDisturbed(until time.Duration) {
+	s.quiet.core = max(s.quiet.core, until)
+	s.disturbed(until)
+}
+
+func (s *simulator) disturbed(until time.Duration) { s.quiet.any = max(s.quiet.any, until) }
+
+// inTouch tells whether the machines of the core are in touch.
+func (s *simulator) inTouch() bool {
+	return s.now > s.quiet.core+contactTimeout && s.now > contactTimeout
+}
+
+// calmSince tells whether nothing was disrupted near the time from a moment until now.
+func (s *simulator) calmSince(since time.Duration) bool { return since > s.quiet.any+2*contactTimeout }
+
+// disrupting tells whether disruptions still come.
+func (s *simulator) disrupting() bool {
+	return s.now < s.opt.For && (s.opt.Kinds == nil || len(s.opt.Kinds) > 0)
+}
+
+// planDisruptions begins the disruptions. They come in spells, with calm between them.
+func (s *simulator) planDisruptions() {
+	kinds := s.opt.Kinds
+	if kinds == nil {
+		kinds = Disruptions()
+	}
+	if len(kinds) == 0 {
+		return
+	}
+	s.after(s.between(3*time.Second, 5*time.Second), func() { s.spell(kinds) })
+}
+
+// spell makes disruptions for a while.
+func (s *simulator) spell(kinds []Disruption) {
+	end := min(s.now+s.between(4*time.Second, 14*time.Second), s.opt.For)
+	var next func()
+	next = func() {
+		if s.now >= end {
+			if s.now < s.opt.For {
+				s.after(s.between(2*time.Second, 12*time.Second), func() { s.spell(kinds) })
+			}
+			return
+		}
+		s.disrupt(kinds[s.rng.IntN(len(kinds))])
+		s.after(s.between(100*time.Millisecond, 1500*time.Millisecond), next)
+	}
+	next()
+}
+
+// disrupt makes one disruption, if it can be made now.
+func (s *simulator) disrupt(kind Disruption) {
+	made := true
+	sl := s.slots[s.rng.IntN(len(s.slots))]
+	switch kind {
+	case LeaderFreeze, LeaderCut, LeaderKill:
+		made = s.loseLeader(kind)
+	case CoreOutage:
+		made = s.outage()
+	case Reconfigure:
+		s.operator.reconfigure()
+	case Evacuation:
+		s.operator.evacuate()
+	case MassCancel:
+		s.clients.cancelMany()
+	case Burst:
+		s.clients.burst()
+	default:
+		made = s.disruptWorker(kind, sl)
+	}
+	if made {
+		s.report.Disruptions[kind]++
+		s.trace("disruption: %s (%s)", kind, sl.address)
+	}
+}
+
+// loseLeader takes the lead from its holder.
+func (s *simulator) loseLeader(kind Disruption) bool {
+	n := s.log.leader
+	if n == nil || !s.majorityWithout(n) {
+		return false
+	}
+	s.log.lose()
+	back := s.between(time.Second, 6*time.Second)
+	switch kind {
+	case LeaderFreeze:
+		n.frozenUntil = s.now + back
+		n.do(s.between(0, 300*time.Millisecond), func() { n.learn() })
+	case LeaderCut:
+		n.cut = true
+		s.after(back, func() {
+			n.cut = false
+			n.do(s.between(0, 300*time.Millisecond), n.learn)
+		})
+	default:
+		n.kill()
+		s.after(back, n.boot)
+	}
+	election := s.between(electionLeast, electionMost)
+	s.after(election, s.log.elect)
+	s.coreDisturbed(s.now + max(back, election) + 300*time.Millisecond)
+	return true
+}
+
+// learn lets a node that led hear of the newer term.
+func (n *node) learn() {
+	if n.s.log.leader != n {
+		n.stepDown()
+	}
+}
+
+func (s *simulator) majorityWithout(n *node) bool {
+	able := 0
+	for _, other := range s.nodes {
+		if other != n && other.able() {
+			able++
+		}
+	}
+	return able > len(s.nodes)/2
+}
+
+// outage stops the whole core for a while.
+func (s *simulator) outage() bool {
+	if s.log.leader == nil {
+		return false
+	}
+	s.log.lose()
+	longest := s.between(500*time.Millisecond, 8*time.Second)
+	for _, n := range s.nodes {
+		n.kill()
+		n.frozenUntil, n.cut = 0, false
+		s.after(s.between(longest/2, longest), n.boot)
+	}
+	s.after(longest+s.between(0, time.Second), s.log.elect)
+	s.coreDisturbed(s.now + longest + electionMost)
+	return true
+}
+
+// disruptWorker disrupts what runs at a slot.
+func (s *simulator) disruptWorker(kind Disruption, sl *slot) bool {
+	w := sl.current
+	if w == nil || w.draining {
+		return false
+	}
+	d := s.between(time.Second, 10*time.Second)
+	sl.troubled = s.now + d
+	switch kind {
+	case NodeLinkCut:
+		n := s.nodes[s.rng.IntN(len(s.nodes))]
+		if s.chance(0.5) && s.log.leader != nil {
+			n = s.log.leader
+		}
+		sl.cutFrom[n] = true
+		s.after(d, func() { delete(sl.cutFrom, n) })
+	case WorkerCrash:
+		w.die()
+		s.after(s.between(500*time.Millisecond, d), sl.newLife)
+	case WorkerCut:
+		d += s.between(0, 4*time.Second)
+		sl.cut = true
+		s.after(d, func() { sl.cut = false })
+	case WorkerDrain:
+		w.drain()
+		s.after(10*time.Second+100*time.Millisecond+s.between(0, 2*time.Second), func() {
+			if sl.current == nil {
+				sl.newLife()
+			}
+		})
+		d = 10 * time.Second
+	case WorkerHang:
+		w.hang()
+		s.after(d, w.wake)
+	case WorkerSlow:
+		w.slow = 3
+		s.after(d, func() { w.slow = 1 })
+	case WorkerGrey:
+		w.grey = true
+		s.after(d/2, func() { w.grey = false })
+	case WorkerLate:
+		sl.lateUntil = s.now + d
+		d += lateMost
+	case WorkerMute:
+		sl.mutedUntil = s.now + d
+	}
+	sl.troubled = s.now + d
+	s.disturbed(s.now + d)
+	return true
+}
+
+// hang lets the tasks of a worker stand still.
+func (w *life) hang() {
+	if w.hungSince == 0 {
+		w.hungSince = w.slot.s.now
+	}
+}
+
+func (w *life) wake() {
+	if w.hungSince > 0 {
+		w.hungFor += w.slot.s.now - w.hungSince
+		w.hungSince = 0
+	}
+}
--- /dev/null
+++ b/internal/rig/fleetsim/guards.go
@@ -0,0 +1,80 @@
+package fleetsim
+
+import (
+	"cmp"
+	"slices"
+
+	"crosstide/internal/jobs"
+	"crosstide/internal/scheduler"
+)
+
+// Guard names a safety measure that a run can do without, to show that the oracle finds its lack.
+type Guard string
+
+// The guards that can be taken out.
+const (
+	DoubtIsDead          Guard = "doubt is dead"         // a start without an answer is taken for one that never left
+	EarlyAcknowledgement Guard = "early acknowledgement" // ends are acknowledged before their commit
+	NoFencingWait        Guard = "no fencing wait"       // a new leader takes all runs of earlier terms for dead
+	DoubtTakesNoRoom     Guard = "doubt takes no room"   // the room of a doubtful run is given away
+	StartBeforeCommit    Guard = "start before commit"   // starts leave before their handles are committed
+	NoLeaseCheck         Guard = "no lease check"        // a leader goes on after its lease
+)
+
+// Guards lists all guards that can be taken out.
+func Guards() []Guard {
+	return []Guard{DoubtIsDead, EarlyAcknowledgement, NoFencingWait, DoubtTakesNoRoom, StartBeforeCommit, NoLeaseCheck}
+}
+
+// doubted gives what the scheduler is told of a start without an answer.
+func (n *node) doubted(term uint64, start scheduler.StartOut) scheduler.StartError {
+	switch n.s.opt.Break {
+	case DoubtIsDead:
+		return scheduler.StartUnsent
+	case DoubtTakesNoRoom:
+		n.widen(term, start)
+	}
+	return scheduler.StartUnknown
+}
+
+// widen records a worker with the room of a run on top of its capacity.
+func (n *node) widen(term uint64, start scheduler.StartOut) {
+	known, j := n.table.Workers[start.Worker.ID], n.table.Jobs[start.Order.Key.Task.Job]
+	if known == nil || j == nil || j.Rounds == nil {
+		return
+	}
+	worker := *known
+	needs := j.Spec.Steps[start.Order.Key.Task.Step].Needs
+	worker.Capacity = plus(worker.Capacity, needs)
+	n.s.log.propose(n, term, jobs.Register{Workers: []jobs.Worker{worker}}, func(any, error) {})
+}
+
+// startAhead sends the starts of a Progress that is not committed.
+func (n *node) startAhead(term uint64, progress *jobs.Progress) {
+	for _, s := range progress.Starts {
+		worker, j := n.table.Workers[s.Worker], n.table.Jobs[s.Task.Job]
+		if worker == nil || j == nil || j.Rounds == nil {
+			continue
+		}
+		sl := n.s.slotOf(worker.Address)
+		if sl == nil || sl.current == nil {
+			continue
+		}
+		n.start(term, scheduler.StartOut{Worker: *worker, Order: scheduler.StartOrder{
+			Key: jobs.RunKey{Task: s.Task, Number: s.Number}, Payload: j.Spec.Payload,
+			Deadline: sl.current.clock() + n.s.schedulerConfig().Lease, Token: term,
+			Checkpoint: j.Rounds[s.Task.Round][s.Task.Step][s.Task.Index].Checkpoint}})
+	}
+}
+
+// forgetHandles commits the end of all handles of earlier terms, without proof.
+func (n *node) forgetHandles(term uint64) {
+	progress := jobs.Progress{Term: term, At: n.wall()}
+	for id := range n.table.Workers {
+		for _, key := range n.table.RunsOn(id) {
+			progress.Ends = append(progress.Ends, jobs.End{Key: key, Worker: id, How: jobs.EndLost})
+		}
+	}
+	slices.SortFunc(progress.Ends, func(a, b jobs.End) int { return cmp.Or(a.Key.Compare(b.Key), cmp.Compare(a.Worker, b.Worker)) })
+	n.s.log.propose(n, term, progress, func(any, error) {})
+}
--- /dev/null
+++ b/internal/rig/fleetsim/log.go
@@ -0,0 +1,159 @@
+package fleetsim
+
+import (
+	"time"
+
+	"crosstide/internal/fault"
+	"crosstide/internal/jobs"
+)
+
+// entry is a committed change.
+type entry struct {
+	term   uint64
+	change any
+}
+
+// proposal is a change on its way into the log.
+type proposal struct {
+	entry
+	node    *node
+	dropped bool
+	done    func(answer any, err error)
+}
+
+// replicatedLog is the log of the core: it commits in the order of proposing, and only what the leader of the newest
+// term proposes while a majority is there.
+type replicatedLog struct {
+	s       *simulator
+	entries []entry
+	term    uint64
+	leader  *node // nil while there is none
+	pending []*proposal
+	last    time.Duration // when the newest proposal commits
+}
+
+const (
+	commitLeast     = 5 * time.Millisecond
+	commitMost      = 30 * time.Millisecond
+	proposalTimeout = time.Second // a proposal without an outcome is given up after it
+	unknownOutcome  = 0.01        // share of proposals whose outcome is not told
+)
+
+// propose is the store's ProposeIn: done is called on the node with the answer or with an error.
+func (l *replicatedLog) propose(n *node, term uint64, change any, done func(any, error)) {
+	if n.term != term {
+		n.do(0, func() { done(nil, fault.New(fault.Unavailable, "another term")) })
+		return
+	}
+	if l.leader != n || n.cut {
+		n.do(proposalTimeout, func() { done(nil, fault.New(fault.Timeout, "no majority")) })
+		return
+	}
+	p := &proposal{entry: entry{term: term, change: change}, node: n, done: done}
+	delay := l.s.between(commitLeast, commitMost)
+	if l.s.disrupting() && l.s.chance(unknownOutcome) {
+		delay = l.loseOutcome(p, delay)
+		if p.dropped {
+			return
+		}
+	}
+	l.pending = append(l.pending, p)
+	l.last = max(l.last, l.s.now+delay)
+	l.s.after(l.last-l.s.now, func() { l.commit(p) })
+}
+
+// loseOutcome answers a proposal with an error and lets it be committed later or never; it gives the new delay.
+func (l *replicatedLog) loseOutcome(p *proposal, delay time.Duration) time.Duration {
+	done := p.done
+	p.done = func(any, error) {}
+	p.node.do(l.s.between(10*time.Millisecond, 200*time.Millisecond), func() {
+		done(nil, fault.New(fault.Timeout, "outcome unknown"))
+	})
+	p.dropped = l.s.chance(0.5)
+	return delay + l.s.between(0, time.Second)
+}
+
+// commit appends a proposal, applies it at the leader and answers it.
+func (l *replicatedLog) commit(p *proposal) {
+	if p.dropped {
+		return
+	}
+	l.pending = l.pending[1:]
+	l.entries = append(l.entries, p.entry)
+	answer, err := p.node.applyAll()
+	p.node.do(0, func() { p.done(answer, err) })
+}
+
+// lose takes the leader's power away: some of what it proposed last is committed by the next leader, the rest never.
+func (l *replicatedLog) lose() {
+	old := l.leader
+	if old == nil {
+		return
+	}
+	old.leaseUntil = l.s.now + l.s.between(100*time.Millisecond, leaderLease)
+	kept := l.s.rng.IntN(len(l.pending) + 1)
+	for i, p := range l.pending {
+		p.dropped = true
+		done := p.done
+		old.do(proposalTimeout, func() { done(nil, fault.New(fault.Timeout, "leadership lost")) })
+		if i < kept {
+			l.entries = append(l.entries, p.entry)
+		}
+	}
+	l.pending, l.leader = nil, nil
+	l.s.oracle.lost(l.term)
+}
+
+const (
+	leaderLease     = 500 * time.Millisecond
+	electionLeast   = 600 * time.Millisecond
+	electionMost    = 2 * time.Second
+	electionRetry   = 200 * time.Millisecond
+	termStepsAtMost = 3
+)
+
+// elect gives the lead to a node that is up and sees the majority.
+func (l *replicatedLog) elect() {
+	if l.leader != nil {
+		return
+	}
+	var able []*node
+	for _, n := range l.s.nodes {
+		if n.able() {
+			able = append(able, n)
+		}
+	}
+	if len(able) <= len(l.s.nodes)/2 {
+		l.s.after(electionRetry, l.elect)
+		return
+	}
+	n := able[l.s.rng.IntN(len(able))]
+	n.stepDown()
+	l.term += 1 + uint64(l.s.rng.IntN(termStepsAtMost))
+	l.leader = n
+	l.last = l.s.now
+	n.catchUp()
+	n.term = l.term
+	l.s.trace("elected %s term %d", n.name, l.term)
+	l.s.oracle.elected(l.term)
+	n.nudge()
+}
+
+// apply makes a change in a table.
+func apply(t *jobs.Table, e entry) (any, error) {
+	switch c := e.change.(type) {
+	case jobs.Submit:
+		return t.Submit(c)
+	case jobs.Cancel:
+		return t.Cancel(c)
+	case jobs.Configure:
+		return nil, t.Configure(c)
+	case jobs.Evacuate:
+		return nil, t.Evacuate(c)
+	case jobs.Register:
+		return nil, t.Register(c)
+	case jobs.Progress:
+		return t.Progress(e.term, c)
+	}
+	return nil, fault.New(fault.Internal, "unknown change %T", e.change)
+}
--- /dev/null
+++ b/internal/rig/fleetsim/network.go
@@ -0,0 +1,80 @@
+package fleetsim
+
+import (
+	"time"
+
+	"crosstide/internal/jobs"
+)
+
+// failure says how a call to a worker went.
+type failure int
+
+const (
+	answered  failure = iota
+	unsent            // no byte of it left
+	unknown           // it may be carried out, now or later
+	otherLife         // another life has the address
+)
+
+const (
+	linkLeast = 300 * time.Microsecond
+	linkMost  = 3 * time.Millisecond
+	lateLeast = 2 * time.Second
+	lateMost  = 12 * time.Second
+)
+
+// link draws how long a message is on its way.
+func (s *simulator) link() time.Duration {
+	if s.chance(0.01) {
+		return s.between(20*time.Millisecond, 400*time.Millisecond)
+	}
+	return s.between(linkLeast, linkMost)
+}
+
+// handler is what a worker does with a call. late: it is carried out late.
+type handler func(w *life, late bool, reply func(any))
+
+// exchange makes a call to a worker: done is called once on the node, with the answer or with what is known of it.
+func (s *simulator) exchange(n *node, to jobs.Worker, limit time.Duration, handle handler, done func(any, failure)) {
+	over := false
+	finish := func(answer any, f failure) {
+		if !over {
+			over = true
+			done(answer, f)
+		}
+	}
+	n.do(limit, func() { finish(nil, unknown) })
+	sl := s.slotOf(to.Address)
+	if sl == nil {
+		return
+	}
+	deliver := func(late bool, answer func(any, failure)) {
+		w := sl.current
+		switch {
+		case w == nil || sl.cutOff(n):
+		case w.id != to.ID:
+			answer(nil, otherLife)
+		default:
+			handle(w, late, func(a any) { answer(a, answered) })
+		}
+	}
+	nothing := func(any, failure) {}
+	send := func(answer any, f failure) {
+		if sl.cutOff(n) || s.now < sl.mutedUntil && s.chance(0.5) {
+			return // the answer is lost
+		}
+		n.do(s.link(), func() { finish(answer, f) })
+	}
+	switch {
+	case sl.cutOff(n) || sl.current == nil:
+		if s.chance(0.3) {
+			n.do(s.link(), func() { finish(nil, unsent) })
+		} else if s.chance(0.4) {
+			s.after(s.between(lateLeast, lateMost), func() { deliver(true, nothing) })
+		}
+	case s.now < sl.lateUntil && s.chance(0.4):
+		s.after(s.between(lateLeast, lateMost), func() { deliver(true, nothing) })
+	default:
+		s.after(s.link(), func() { deliver(false, send) })
+	}
+}
--- /dev/null
+++ b/internal/rig/fleetsim/node.go
@@ -0,0 +1,267 @@
+package fleetsim
+
+import (
+	"bytes"
+	"fmt"
+	"time"
+
+	"crosstide/internal/fault"
+	"crosstide/internal/jobs"
+	"crosstide/internal/scheduler"
+)
+
+// node is a machine of the core: a replica of the table, and the loop of controller.Leader round a scheduler.Core.
+type node struct {
+	s       *simulator
+	name    string
+	table   *jobs.Table
+	applied int
+	life    int // rises with each start of the process
+
+	term        uint64 // in which it leads, as far as it knows; 0: it does not
+	leaseUntil  time.Duration
+	down        bool
+	cut         bool // from the rest of the core
+	frozenUntil time.Duration
+	skew        time.Duration // of its time of day
+
+	core    *scheduler.Core
+	events  []func(*scheduler.Core, time.Duration)
+	notes   []jobs.Note
+	passNo  int // newest planned pass
+	passAt  time.Duration
+	planned bool
+	beats   map[string]uint64
+	ends    map[string]uint64 // newest end seen of each worker, for EarlyAcknowledgement
+}
+
+// coreSize is how many machines the core has.
+const coreSize = 5
+
+func (s *simulator) buildCore() {
+	s.log = &replicatedLog{s: s}
+	for i := range coreSize {
+		n := &node{s: s, name: fmt.Sprintf("core%d", i), table: jobs.NewTable(),
+			skew: s.between(-100*time.Millisecond, 100*time.Millisecond)}
+		n.boot()
+		s.nodes = append(s.nodes, n)
+	}
+	s.after(0, s.log.elect)
+	s.after(followEvery, s.follow)
+}
+
+// followEvery is the pause between catch-ups of the followers.
+const followEvery = time.Second
+
+// follow lets the followers apply what is committed.
+func (s *simulator) follow() {
+	for _, n := range s.nodes {
+		if n.able() && n.term == 0 {
+			n.catchUp()
+		}
+	}
+	s.after(followEvery, s.follow)
+}
+
+// schedulerConfig is the configuration of the schedulers, cut to the lease of the platform.
+func (s *simulator) schedulerConfig() scheduler.Config {
+	cfg := scheduler.Defaults()
+	cfg.Lease = min(cfg.Lease, maxHold)
+	cfg.SpreadFactor = spreadFactor
+	return cfg
+}
+
+// boot starts the process anew: its memory is gone, its log is not.
+func (n *node) boot() {
+	if !n.down && n.life > 0 {
+		return
+	}
+	n.life++
+	n.down, n.term, n.planned = false, 0, false
+	n.core = scheduler.New(n.s.schedulerConfig())
+	n.events, n.notes = nil, nil
+	n.beats, n.ends = map[string]uint64{}, map[string]uint64{}
+	if n.applied > 0 {
+		n.reload()
+	}
+}
+
+// reload replaces the table by what it reads back from its own snapshot.
+func (n *node) reload() {
+	data, err := n.table.Encode()
+	table := jobs.NewTable()
+	if err == nil {
+		err = table.UnmarshalJSON(data)
+	}
+	if err != nil {
+		n.s.oracle.breach(ReplicaRule, "%s cannot read its snapshot: %v", n.name, err)
+		return
+	}
+	n.table = table
+}
+
+func (n *node) kill() {
+	n.life++
+	n.down, n.term = true, 0
+}
+
+// able tells whether it can be a member of a majority now.
+func (n *node) able() bool { return !n.down && !n.cut && n.s.now >= n.frozenUntil }
+
+// do plans a call on this life of the node; a frozen node makes it after it wakes.
+func (n *node) do(d time.Duration, call func()) {
+	life := n.life
+	var fire func()
+	fire = func() {
+		switch {
+		case n.life != life:
+		case n.s.now < n.frozenUntil:
+			n.s.after(n.frozenUntil-n.s.now+n.s.between(0, time.Millisecond), fire)
+		default:
+			call()
+		}
+	}
+	n.s.after(d, fire)
+}
+
+// applyAll applies what is committed and gives the answer of the newest entry.
+func (n *node) applyAll() (answer any, err error) {
+	for n.applied < len(n.s.log.entries) {
+		answer, err = apply(n.table, n.s.log.entries[n.applied])
+		n.applied++
+	}
+	return answer, err
+}
+
+func (n *node) catchUp() { _, _ = n.applyAll() }
+
+// stepDown lets the node learn that it leads no more.
+func (n *node) stepDown() {
+	if n.term != 0 {
+		n.term = 0
+		n.nudge()
+	}
+}
+
+// leadTerm is the store's LeadTerm.
+func (n *node) leadTerm() (term uint64, held bool) {
+	return n.term, n.term != 0 && (n.s.log.leader == n && !n.cut || n.s.now < n.leaseUntil)
+}
+
+// leads tells whether an order may be sent under a term now.
+func (n *node) leads(term uint64) bool {
+	if n.s.opt.Break == NoLeaseCheck {
+		return true
+	}
+	current, held := n.leadTerm()
+	return held && current == term
+}
+
+// tell queues an input of the scheduler.
+func (n *node) tell(e func(*scheduler.Core, time.Duration)) {
+	n.events = append(n.events, e)
+	n.nudge()
+}
+
+func (n *node) watch(note jobs.Note) {
+	n.notes = append(n.notes, note)
+	n.nudge()
+}
+
+func (n *node) nudge() { n.passIn(n.s.between(0, time.Millisecond)) }
+
+// passIn plans the next pass; an earlier one takes the place of a later one.
+func (n *node) passIn(d time.Duration) {
+	if at := n.s.now + d; n.planned && n.passAt <= at && n.passAt >= n.s.now {
+		return
+	}
+	n.passNo++
+	number := n.passNo
+	n.planned, n.passAt = true, n.s.now+d
+	n.do(d, func() {
+		if number == n.passNo {
+			n.planned = false
+			n.pass()
+		}
+	})
+}
+
+const (
+	idlePass  = time.Second
+	leasePass = 20 * time.Millisecond
+)
+
+// pass is one turn of the loop, as controller.Leader.pass.
+func (n *node) pass() {
+	now := n.s.now
+	term, held := n.leadTerm()
+	if n.s.opt.Break == NoLeaseCheck && n.core.Term() != 0 && (term == 0 || term == n.core.Term()) {
+		term, held = n.core.Term(), true
+	}
+	if term == 0 || term != n.core.Term() && n.core.Term() != 0 {
+		n.yield()
+	}
+	switch {
+	case term == 0:
+		n.passIn(idlePass)
+		return
+	case !held:
+		n.passIn(leasePass)
+		return
+	}
+	if n.core.Term() == 0 {
+		n.lead(term)
+	}
+	events, notes := n.events, n.notes
+	n.events, n.notes = nil, nil
+	for _, note := range notes {
+		n.core.Note(note)
+	}
+	for _, e := range events {
+		e(n.core, now)
+	}
+	out := n.core.Pass(now, n.wall())
+	n.carryOut(term, out)
+	n.passIn(max(time.Millisecond, out.Next-now))
+}
+
+func (n *node) wall() time.Time { return n.s.wall().Add(n.skew) }
+
+func (n *node) lead(term uint64) {
+	n.events, n.notes = nil, nil
+	if n.s.opt.Break == NoFencingWait {
+		n.forgetHandles(term)
+	}
+	n.table.Watch = n.watch
+	n.core.Lead(n.s.now, term, n.table)
+}
+
+func (n *node) yield() {
+	if n.core.Term() == 0 {
+		return
+	}
+	n.core.Yield()
+	n.table.Watch = nil
+	n.events, n.notes = nil, nil
+}
+
+// compareReplicas holds the tables of all nodes against each other.
+func (s *simulator) compareReplicas() {
+	var first []byte
+	for _, n := range s.nodes {
+		n.catchUp()
+		data, err := n.table.Encode()
+		s.oracle.count(ReplicaRule)
+		if err != nil {
+			s.oracle.breach(ReplicaRule, "%s cannot write its table: %v", n.name, err)
+		}
+		if first == nil {
+			first = data
+		} else if !bytes.Equal(first, data) {
+			s.oracle.breach(ReplicaRule, "%s has another table than %s", n.name, s.nodes[0].name)
+		}
+	}
+}
+
+// errorKind gives the class of an error of a proposal or a look.
+func errorKind(err error) fault.Kind { return fault.KindOf(err) }
--- /dev/null
+++ b/internal/rig/fleetsim/oracle.go
@@ -0,0 +1,387 @@
+package fleetsim
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"crosstide/internal/jobs"
+	"crosstide/internal/scheduler"
+)
+
+// Rule names a rule of the platform, or one of the simulator's own.
+type Rule string
+
+// The rules on jobs.
+const (
+	LimitRule   Rule = "LIMIT"
+	TwiceRule   Rule = "TWICE"
+	OrderRule   Rule = "ORDER"
+	RouteRule   Rule = "ROUTE"
+	BudgetRule  Rule = "BUDGET"
+	GangRule    Rule = "GANG"
+	UnaskedRule Rule = "UNASKED"
+	RefusedRule Rule = "REFUSED"
+	DrainRule   Rule = "DRAIN"
+	EvacRule    Rule = "EVAC"
+	MixedRule   Rule = "MIXED"
+	LostRule    Rule = "LOST"
+	ConfigRule  Rule = "CONFIG"
+	ReplicaRule Rule = "REPLICA" // all nodes have the same table
+	EndRule     Rule = "END"     // every job ends within a bound once disruptions are over
+)
+
+// Rules lists all rules.
+func Rules() []Rule {
+	return []Rule{LimitRule, TwiceRule, OrderRule, RouteRule, BudgetRule, GangRule, UnaskedRule, RefusedRule, DrainRule,
+		EvacRule, MixedRule, LostRule, ConfigRule, ReplicaRule, EndRule}
+}
+
+// Bounds of the rules.
+const (
+	configApply    = 2 * time.Second
+	evacuationTime = 5 * time.Second
+	cancelTime     = 3 * time.Second
+	visibleTime    = 3 * time.Second
+	earlyTime      = 250 * time.Millisecond
+)
+
+// endRecord is an end of a run as a worker listed it.
+type endRecord struct {
+	run    *liveRun
+	how    jobs.How
+	at     time.Duration
+	noted  bool       // it was acknowledged while the lease that it ended under was in force
+	voided bool       // the lease of its worker lapsed before it was acknowledged
+	starts []*liveRun // of the task after this end, before it was noted
+}
+
+// taskTruth is what became of a task, or of a gang.
+type taskTruth struct {
+	running     []*liveRun
+	done        []*endRecord
+	failed      []*endRecord
+	checkpoints map[string]bool
+}
+
+// jobTruth is what became of a job.
+type jobTruth struct {
+	job       *clientJob
+	tasks     map[jobs.TaskRef]*taskTruth
+	running   int           // runs on workers
+	idleFrom  time.Duration // since when it is idle although it could run; 0: it is not
+	disturbed time.Duration // until then a disruption of a worker may keep it from running
+	succeeded bool          // it was shown as succeeded
+}
+
+// oracle judges what workers and clients saw.
+type oracle struct {
+	s      *simulator
+	truth  map[string]*jobTruth
+	lastAt time.Duration // of the last start on a worker
+	lostAt time.Duration // last start before the lead was lost; 0: none
+	newest uint64        // term that was elected last
+	chosen time.Duration // when
+	first  bool          // its first start has not come yet
+}
+
+func newOracle(s *simulator) *oracle { return &oracle{s: s, truth: map[string]*jobTruth{}} }
+
+func (o *oracle) count(rule Rule) { o.s.report.Cases[rule]++ }
+
+func (o *oracle) breach(rule Rule, format string, args ...any) {
+	b := Breach{Rule: rule, At: o.s.now, What: fmt.Sprintf(format, args...)}
+	o.s.trace("BREACH %s: %s", rule, b.What)
+	o.s.report.Breaches = append(o.s.report.Breaches, b)
+}
+
+// require counts a case of a rule and notes a breach if it does not hold.
+func (o *oracle) require(rule Rule, holds bool, format string, args ...any) {
+	o.count(rule)
+	if !holds {
+		o.breach(rule, format, args...)
+	}
+}
+
+func (o *oracle) job(id string) *jobTruth {
+	j := o.truth[id]
+	if j == nil {
+		j = &jobTruth{job: o.s.clients.byID[id], tasks: map[jobs.TaskRef]*taskTruth{}}
+		o.truth[id] = j
+	}
+	return j
+}
+
+func (j *jobTruth) task(ref jobs.TaskRef) *taskTruth {
+	t := j.tasks[ref]
+	if t == nil {
+		t = &taskTruth{checkpoints: map[string]bool{}}
+		j.tasks[ref] = t
+	}
+	return t
+}
+
+// ending is the truth that counts for the end of a task: its own, or that of its gang's first member.
+func (j *jobTruth) ending(ref jobs.TaskRef) *taskTruth {
+	if j.job.spec.Steps[ref.Step].Gang {
+		ref.Index = 0
+	}
+	return j.task(ref)
+}
+
+func (r *liveRun) String() string {
+	k := r.key
+	return fmt.Sprintf("%s.%d.%d.%d run %d on %s", k.Task.Job, k.Task.Round, k.Task.Step, k.Task.Index, k.Number, r.on.id)
+}
+
+// unknownStart judges a start of a job that no client sent.
+func (o *oracle) unknownStart(order scheduler.StartOrder) {
+	o.breach(UnaskedRule, "start of %v, which no client sent", order.Key)
+}
+
+// started judges a start; the run is not among the worker's runs yet.
+func (o *oracle) started(r *liveRun, order scheduler.StartOrder) {
+	o.s.report.Starts++
+	o.s.trace("start %s token %d late %v", r, order.Token, r.order.late)
+	j := o.job(r.key.Task.Job)
+	o.judgeRoom(r)
+	o.judgeTwice(j, r)
+	o.judgeOrder(j, r)
+	o.judgeRoute(r)
+	o.judgeBudget(j, r)
+	o.judgeAsked(j, r, order)
+	o.judgePlace(r)
+	o.failover(r, order.Token)
+	t := j.task(r.key.Task)
+	t.running = append(t.running, r)
+	j.running++
+}
+
+func (o *oracle) judgeRoom(r *liveRun) {
+	if r.on.slot.guards {
+		return
+	}
+	used := plus(r.on.used(), r.step.Needs)
+	o.require(LimitRule, within(used, r.on.slot.capacity), "%s: %+v of %+v in use", r, used, r.on.slot.capacity)
+}
+
+func (o *oracle) judgeTwice(j *jobTruth, r *liveRun) {
+	t := j.task(r.key.Task)
+	if r.step.Speculative {
+		return
+	}
+	o.count(TwiceRule)
+	for _, other := range t.running {
+		o.breach(TwiceRule, "%s (late %v) beside %s", r, r.order.late, other)
+	}
+	for _, done := range j.ending(r.key.Task).done {
+		if done.noted {
+			o.breach(TwiceRule, "%s (late %v) after %s ended done", r, r.order.late, done.run)
+		}
+		done.starts = append(done.starts, r)
+	}
+}
+
+func (o *oracle) judgeOrder(j *jobTruth, r *liveRun) {
+	ref := r.key.Task
+	for _, before := range r.step.After {
+		o.require(OrderRule, j.stepDone(ref.Round, before), "%s before step %d is done", r, before)
+	}
+	if r.spec.Rounds > 0 {
+		due := r.spec.FirstRun.Add(time.Duration(ref.Round) * r.spec.Interval)
+		o.require(OrderRule, !o.s.wall().Before(due.Add(-earlyTime)), "%s is %s early", r, due.Sub(o.s.wall()))
+	}
+}
+
+// stepDone tells whether every task of a step of a round has ended done.
+func (j *jobTruth) stepDone(round, step int) bool {
+	for index := range j.job.spec.Steps[step].Count {
+		if len(j.ending(jobs.TaskRef{Job: j.job.spec.ID, Round: round, Step: step, Index: index}).done) == 0 {
+			return false
+		}
+	}
+	return true
+}
+
+func (o *oracle) judgeRoute(r *liveRun) {
+	queue := queueOf(o.s.clients.byID[r.spec.ID].prefix)
+	ever, now := false, false
+	for i, c := range o.s.operator.configs {
+		directed := c.services[queue] == r.on.slot.service
+		ever = ever || directed
+		over := false // a newer one was acknowledged long enough ago
+		for _, newer := range o.s.operator.configs[i+1:] {
+			over = over || newer.acked && o.s.now > newer.ackedAt+configApply
+		}
+		now = now || directed && !over
+	}
+	o.require(RouteRule, ever, "%s: no configuration directs %s to %s", r, queue, r.on.slot.service)
+	if !r.order.late && r.order.inTouch {
+		o.require(ConfigRule, now, "%s: no configuration in force directs %s to %s", r, queue, r.on.slot.service)
+	}
+	if r.step.Label != "" {
+		o.require(RouteRule, slices.Contains(r.on.slot.labels, r.step.Label), "%s: no label %s", r, r.step.Label)
+	}
+	if r.step.MostPerNode > 0 {
+		beside := 1
+		for _, other := range r.on.runs {
+			if a, b := other.key.Task, r.key.Task; a.Job == b.Job && a.Round == b.Round && a.Step == b.Step {
+				beside++
+			}
+		}
+		o.require(RouteRule, beside <= r.step.MostPerNode, "%s: %d of the step on the worker, at most %d", r, beside, r.step.MostPerNode)
+	}
+}
+
+func queueOf(prefix string) string { return prefix[1 : len(prefix)-1] }
+
+func (o *oracle) judgeBudget(j *jobTruth, r *liveRun) {
+	if r.step.Lasting {
+		return
+	}
+	noted := 0
+	for _, f := range j.ending(r.key.Task).failed {
+		if f.noted {
+			noted++
+		}
+		f.starts = append(f.starts, r)
+	}
+	o.require(BudgetRule, noted < maxAttempts, "%s after %d runs that failed", r, noted)
+}
+
+func (o *oracle) judgeAsked(j *jobTruth, r *liveRun, order scheduler.StartOrder) {
+	c := j.job
+	o.require(UnaskedRule, order.Payload == c.spec.Payload, "%s with another payload: %q", r, order.Payload)
+	if order.Checkpoint != "" {
+		o.require(UnaskedRule, j.ending(r.key.Task).checkpoints[order.Checkpoint], "%s with checkpoint %q, which is not the task's", r, order.Checkpoint)
+	}
+	o.require(RefusedRule, !c.rejected, "%s although its job was refused", r)
+	if c.cancelled && r.order.inTouch && !r.order.late {
+		o.require(UnaskedRule, o.s.now <= c.cancelAt+cancelTime, "%s %s after its cancelling", r, o.s.now-c.cancelAt)
+	}
+}
+
+// judgePlace judges starts on workers that drain and in zones that are evacuated.
+func (o *oracle) judgePlace(r *liveRun) {
+	if r.order.late || !r.order.inTouch {
+		return
+	}
+	if told := r.on.drainTold; r.on.draining && told != 0 {
+		o.require(DrainRule, o.s.now <= told+drainTimeout, "%s %s after its draining was acknowledged", r, o.s.now-told)
+	}
+	for _, e := range o.s.operator.evacuations {
+		if e.zone == r.on.slot.zone && e.acked && !e.finished {
+			o.require(EvacRule, o.s.now <= e.ackedAt+evacuationTime, "%s %s after the evacuation of %s", r, o.s.now-e.ackedAt, e.zone)
+		}
+	}
+}
+
+// ended takes in the end of a run.
+func (o *oracle) ended(r *liveRun, how jobs.How) *endRecord {
+	o.s.trace("end %s %s", r, how)
+	j := o.job(r.key.Task.Job)
+	o.leave(j, r)
+	e := &endRecord{run: r, how: how, at: o.s.now}
+	t := j.ending(r.key.Task)
+	switch how {
+	case jobs.EndDone:
+		t.done = append(t.done, e)
+	case jobs.EndFailed:
+		t.failed = append(t.failed, e)
+	case jobs.EndAlone:
+		o.judgeAlone(j, r)
+	case jobs.EndLapsed:
+		j.disturbed = max(j.disturbed, o.s.now+contactTimeout)
+	}
+	return e
+}
+
+// judgeAlone judges a member of a gang that waited in vain.
+func (o *oracle) judgeAlone(j *jobTruth, r *liveRun) {
+	calm := r.order.inTouch && !r.order.late && o.s.calmSince(r.began) && !j.job.cancelSent
+	if calm {
+		o.breach(GangRule, "%s ended alone", r)
+	}
+}
+
+// leave takes a run out of those that run.
+func (o *oracle) leave(j *jobTruth, r *liveRun) {
+	t := j.task(r.key.Task)
+	before := len(t.running)
+	t.running = slices.DeleteFunc(t.running, func(other *liveRun) bool { return other == r })
+	if len(t.running) < before {
+		j.running--
+	}
+	if r.gang != nil && r.order.inTouch && o.s.calmSince(r.began) {
+		o.count(GangRule)
+	}
+}
+
+// gone takes in that a run has vanished with its worker.
+func (o *oracle) gone(r *liveRun) {
+	j := o.job(r.key.Task.Job)
+	o.leave(j, r)
+	j.disturbed = max(j.disturbed, o.s.now+o.s.schedulerConfig().Lease+2*contactTimeout)
+}
+
+// lapsed takes in that the lease of a worker is over.
+func (o *oracle) lapsed(w *life) {
+	for _, e := range w.notes {
+		e.voided = true
+	}
+}
+
+// noted takes in that an end is acknowledged.
+func (o *oracle) noted(e *endRecord) {
+	if e == nil || e.voided {
+		return
+	}
+	e.noted = true
+	j := o.job(e.run.key.Task.Job)
+	for _, r := range e.starts {
+		if e.how == jobs.EndDone {
+			o.breach(TwiceRule, "%s began after %s ended done, which was acknowledged later", r, e.run)
+		} else if noted := j.failedBefore(r); noted >= maxAttempts {
+			o.breach(BudgetRule, "%s began after %d runs that failed, the last acknowledged later", r, noted)
+		}
+	}
+	e.starts = nil
+}
+
+// failedBefore counts the noted failures of a run's task before it began.
+func (j *jobTruth) failedBefore(r *liveRun) int {
+	count := 0
+	for _, f := range j.ending(r.key.Task).failed {
+		if f.noted && f.at <= r.began && !r.step.Lasting {
+			count++
+		}
+	}
+	return count
+}
+
+// savedAs notes a checkpoint that a worker told.
+func (o *oracle) savedAs(r *liveRun, text string) {
+	o.job(r.key.Task.Job).ending(r.key.Task).checkpoints[text] = true
+}
+
+// lost and elected measure the time from the last start of a leader to the first of the next one.
+func (o *oracle) lost(uint64) {}
+
+func (o *oracle) elected(term uint64) {
+	o.newest, o.chosen, o.first = term, o.s.now, true
+	o.lostAt = o.lastAt
+}
+
+func (o *oracle) failover(r *liveRun, token uint64) {
+	if r.order.late {
+		return
+	}
+	if token == o.newest && o.first {
+		o.first = false
+		if o.lostAt > 0 {
+			o.s.report.Failovers = append(o.s.report.Failovers, o.s.now-o.lostAt)
+			o.s.report.Takeovers = append(o.s.report.Takeovers, o.s.now-o.chosen)
+		}
+	}
+	o.lastAt = o.s.now
+}
--- /dev/null
+++ b/internal/rig/fleetsim/orders.go
@@ -0,0 +1,134 @@
+package fleetsim
+
+import (
+	"time"
+
+	"crosstide/internal/jobs"
+	"crosstide/internal/scheduler"
+)
+
+// callTimeout bounds start and stop orders and the part of a hold call beyond its wait, as the controller's does.
+const callTimeout = 700 * time.Millisecond
+
+// carryOut does what a pass wants done, as controller.Leader.carryOut.
+func (n *node) carryOut(term uint64, out scheduler.Out) {
+	if out.Progress != nil {
+		n.commit(term, out.Progress)
+	}
+	for _, start := range out.Starts {
+		n.do(n.dispatch(), func() { n.start(term, start) })
+	}
+	for _, stop := range out.Stops {
+		n.do(n.dispatch(), func() { n.stop(term, stop) })
+	}
+	for _, hold := range out.Holds {
+		n.do(n.dispatch(), func() { n.hold(term, hold) })
+	}
+}
+
+// dispatch is how long an order waits for its goroutine: orders of a pass leave in any order.
+func (n *node) dispatch() time.Duration {
+	if n.s.chance(0.01) {
+		return n.s.between(0, 30*time.Millisecond)
+	}
+	return n.s.between(0, 500*time.Microsecond)
+}
+
+func (n *node) commit(term uint64, progress *jobs.Progress) {
+	if n.s.opt.Break == StartBeforeCommit {
+		n.startAhead(term, progress)
+	}
+	n.s.log.propose(n, term, *progress, func(answer any, err error) {
+		started, _ := answer.(jobs.Started)
+		n.tell(func(c *scheduler.Core, now time.Duration) { c.Committed(now, progress, started, err) })
+	})
+}
+
+func (n *node) start(term uint64, start scheduler.StartOut) {
+	id, key := start.Worker.ID, start.Order.Key
+	answered := func(answer scheduler.StartAnswer, failure scheduler.StartError) {
+		if failure == scheduler.StartUnknown {
+			failure = n.doubted(term, start)
+		}
+		n.tell(func(c *scheduler.Core, now time.Duration) { c.StartAnswered(now, id, key, answer, failure) })
+	}
+	if !n.leads(term) {
+		answered(scheduler.StartAnswer{}, scheduler.StartUnsent)
+		return
+	}
+	order := order{from: n, sent: n.s.now, inTouch: n.s.inTouch()}
+	n.s.exchange(n, start.Worker, callTimeout, func(w *life, late bool, reply func(any)) {
+		order.late = late
+		reply(w.start(order, start.Order))
+	}, func(answer any, failure failure) {
+		told, _ := answer.(scheduler.StartAnswer)
+		answered(told, startError(failure))
+	})
+}
+
+func startError(f failure) scheduler.StartError {
+	switch f {
+	case answered:
+		return scheduler.StartOK
+	case otherLife:
+		return scheduler.StartOtherLife
+	case unsent:
+		return scheduler.StartUnsent
+	}
+	return scheduler.StartUnknown
+}
+
+func (n *node) stop(term uint64, stop scheduler.StopOut) {
+	id, key := stop.Worker.ID, stop.Order.Key
+	answeredOK := func(ok bool) {
+		n.tell(func(c *scheduler.Core, now time.Duration) { c.StopAnswered(now, id, key, ok) })
+	}
+	if !n.leads(term) {
+		answeredOK(false)
+		return
+	}
+	n.s.exchange(n, stop.Worker, callTimeout, func(w *life, _ bool, reply func(any)) {
+		reply(w.stop(stop.Order))
+	}, func(answer any, f failure) {
+		taken, _ := answer.(bool)
+		answeredOK(f == answered && taken)
+	})
+}
+
+// holdReply is a worker's answer to a hold call.
+type holdReply struct {
+	answer scheduler.HoldAnswer
+	fenced bool
+}
+
+func (n *node) hold(term uint64, hold scheduler.HoldOut) {
+	id, number, call := hold.Worker.ID, hold.Number, hold.Call
+	told := func(answer scheduler.HoldAnswer, failure scheduler.HoldError) {
+		for _, e := range answer.Ended {
+			n.ends[id] = max(n.ends[id], e.Sequence)
+		}
+		n.tell(func(c *scheduler.Core, now time.Duration) { c.HoldAnswered(now, id, number, answer, failure) })
+	}
+	if !n.leads(term) {
+		told(scheduler.HoldAnswer{}, scheduler.HoldFailed)
+		return
+	}
+	if n.s.opt.Break == EarlyAcknowledgement {
+		call.SeenUpTo = max(call.SeenUpTo, n.ends[id])
+	}
+	n.s.exchange(n, hold.Worker, call.Wait+callTimeout, func(w *life, _ bool, reply func(any)) {
+		w.hold(call, func(r holdReply) { reply(r) })
+	}, func(answer any, f failure) {
+		r, _ := answer.(holdReply)
+		switch {
+		case f == otherLife:
+			told(scheduler.HoldAnswer{}, scheduler.HoldOtherLife)
+		case f != answered:
+			told(scheduler.HoldAnswer{}, scheduler.HoldFailed)
+		case r.fenced:
+			told(scheduler.HoldAnswer{}, scheduler.HoldFenced)
+		default:
+			told(r.answer, scheduler.HoldOK)
+		}
+	})
+}
--- /dev/null
+++ b/internal/rig/fleetsim/promises.go
@@ -0,0 +1,226 @@
+package fleetsim
+
+import (
+	"time"
+
+	"crosstide/internal/jobs"
+)
+
+// accepted takes in that a job was accepted.
+func (o *oracle) accepted(j *clientJob) { o.job(j.spec.ID) }
+
+// rejected takes in that every attempt to hand a job in was rejected.
+func (o *oracle) rejected(j *clientJob) {
+	t := o.job(j.spec.ID)
+	started := t.running > 0 || len(t.tasks) > 0
+	o.require(RefusedRule, !started, "job %s was refused and has started", j.spec.ID)
+}
+
+// shown judges what a client is told of its job.
+func (o *oracle) shown(c *clientJob, a jobAnswer) {
+	j := o.job(c.spec.ID)
+	if a.gone {
+		if c.accepted && !c.cancelSent {
+			o.require(LostRule, o.s.now <= c.acceptedAt+visibleTime || !o.s.inTouch(), "job %s is accepted and not known", c.spec.ID)
+		}
+		return
+	}
+	switch a.state {
+	case jobs.Succeeded:
+		o.require(MixedRule, j.allDone(), "job %s is shown as succeeded and is not done", c.spec.ID)
+		j.succeeded = true
+	case jobs.Failed:
+		o.require(LostRule, j.spent(), "job %s is shown as failed without cause", c.spec.ID)
+	case jobs.Cancelled:
+		o.require(LostRule, c.cancelSent, "job %s is shown as cancelled without cause", c.spec.ID)
+	default:
+		o.count(LostRule)
+		if c.shown.Over() {
+			o.breach(LostRule, "job %s is shown as %s after %s", c.spec.ID, a.state, c.shown)
+		}
+	}
+}
+
+// rounds is how many times the steps of a job are run.
+func rounds(spec *jobs.Spec) int { return max(1, spec.Rounds) }
+
+// allDone tells whether every task has ended done.
+func (j *jobTruth) allDone() bool {
+	for round := range rounds(&j.job.spec) {
+		for step := range j.job.spec.Steps {
+			if !j.stepDone(round, step) {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// spent tells whether a task has failed as often as it may.
+func (j *jobTruth) spent() bool {
+	for ref, t := range j.tasks {
+		if !j.job.spec.Steps[ref.Step].Lasting && len(t.failed) >= maxAttempts {
+			return true
+		}
+	}
+	return false
+}
+
+// cancelled takes in that a job's cancelling was acknowledged.
+func (o *oracle) cancelled(c *clientJob) {
+	since := o.s.now
+	o.s.after(cancelTime+stopMost, func() {
+		if !o.s.calmSince(since) {
+			return
+		}
+		for _, sl := range o.s.slots {
+			if sl.current == nil {
+				continue
+			}
+			for _, r := range sl.current.runs {
+				if r.spec.ID == c.spec.ID {
+					o.breach(UnaskedRule, "%s runs on after its cancelling", r)
+				}
+			}
+		}
+		o.count(UnaskedRule)
+	})
+}
+
+const (
+	idleMost  = 3 * time.Second
+	idleCheck = 250 * time.Millisecond
+)
+
+// watch looks for idle jobs again and again.
+func (o *oracle) watch() {
+	o.s.after(idleCheck, func() {
+		o.findIdle()
+		o.watch()
+	})
+}
+
+// findIdle finds jobs that could run and do not.
+func (o *oracle) findIdle() {
+	for _, c := range o.s.clients.jobs {
+		if !c.accepted || c.shown.Over() || c.cancelSent {
+			continue
+		}
+		j := o.job(c.spec.ID)
+		if !o.couldRun(j) {
+			j.idleFrom = 0
+			continue
+		}
+		if j.idleFrom == 0 {
+			j.idleFrom = o.s.now
+			continue
+		}
+		if o.s.now-j.idleFrom > idleMost {
+			o.breach(LostRule, "job %s has been idle since %s", c.spec.ID, j.idleFrom)
+			j.idleFrom = o.s.now
+		}
+		o.count("idle looked at")
+	}
+}
+
+// couldRun tells whether nothing of a job runs although a task's turn has come and there is room twice over.
+func (o *oracle) couldRun(j *jobTruth) bool {
+	if j.running > 0 || !o.s.inTouch() || o.s.now < j.disturbed || j.spent() {
+		return false
+	}
+	configs := o.s.operator.configs
+	newest := configs[len(configs)-1]
+	if !newest.acked || o.s.now < newest.ackedAt+configApply {
+		return false
+	}
+	service := newest.services[queueOf(j.job.prefix)]
+	if service == "" {
+		return false
+	}
+	for round := range rounds(&j.job.spec) {
+		spec := &j.job.spec
+		if spec.Rounds > 0 && o.s.wall().Before(spec.FirstRun.Add(time.Duration(round)*spec.Interval+200*time.Millisecond)) {
+			continue
+		}
+		for number := range spec.Steps {
+			if o.turnHasCome(j, round, number) && o.roomTwice(&spec.Steps[number], service) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// turnHasCome tells whether a task of a step of a round is not done, and all steps before are.
+func (o *oracle) turnHasCome(j *jobTruth, round, number int) bool {
+	if j.stepDone(round, number) {
+		return false
+	}
+	for _, before := range j.job.spec.Steps[number].After {
+		if !j.stepDone(round, before) {
+			return false
+		}
+	}
+	return true
+}
+
+// roomTwice tells whether sound workers of a service have room for a task, or a gang, twice over, and whether under
+// half of the service is in use.
+func (o *oracle) roomTwice(step *jobs.Step, service string) bool {
+	wanted, could := 2, 0
+	if step.Gang {
+		wanted = 2 * step.Count
+	}
+	var capacity, used jobs.Resources
+	for _, sl := range o.s.slots {
+		w := sl.current
+		if sl.service != service || w == nil {
+			continue
+		}
+		capacity, used = plus(capacity, sl.capacity), plus(used, w.used())
+		if !o.sound(sl) || step.Label != "" && !labelled(sl, step.Label) {
+			continue
+		}
+		here, free := 0, plus(w.used(), step.Needs)
+		for within(free, sl.capacity) && (step.MostPerNode == 0 || here < step.MostPerNode) && here < wanted {
+			here++
+			free = plus(free, step.Needs)
+		}
+		could += here
+	}
+	return could >= wanted && 2*used.MilliCPU < capacity.MilliCPU && 2*used.MemoryMB < capacity.MemoryMB && 2*used.GPUs <= capacity.GPUs
+}
+
+// sound tells whether a worker could be given starts by any scheduler.
+func (o *oracle) sound(sl *slot) bool {
+	w := sl.current
+	if w.draining || w.grey || w.hungSince > 0 || sl.cut || len(sl.cutFrom) > 0 || o.s.now < sl.troubled || o.s.now-w.born < contactTimeout {
+		return false
+	}
+	for _, e := range o.s.operator.evacuations {
+		if e.zone == sl.zone && !(e.finished && o.s.now > e.ackedAt+evacuationTime+contactTimeout) {
+			return false
+		}
+	}
+	return true
+}
+
+func labelled(sl *slot, label string) bool {
+	for _, l := range sl.labels {
+		if l == label {
+			return true
+		}
+	}
+	return false
+}
+
+// finish judges what is left when a run is over.
+func (o *oracle) finish() {
+	for _, c := range o.s.clients.jobs {
+		if !c.accepted {
+			continue
+		}
+		o.require(EndRule, c.shown.Over(), "job %s was accepted and is %q at the end", c.spec.ID, c.shown)
+	}
+	o.s.compareReplicas()
+}
--- /dev/null
+++ b/internal/rig/fleetsim/run.go
@@ -0,0 +1,316 @@
+package fleetsim
+
+import (
+	"fmt"
+	"hash/fnv"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"crosstide/internal/jobs"
+	"crosstide/internal/scheduler"
+)
+
+// order is what is known of the order that began a run.
+type order struct {
+	from    *node
+	sent    time.Duration
+	inTouch bool // its sender was in touch when it left
+	late    bool // the worker carried it out late
+}
+
+// liveRun is a run on a worker.
+type liveRun struct {
+	key      jobs.RunKey
+	order    order
+	spec     *jobs.Spec
+	step     *jobs.Step
+	on       *life
+	began    time.Duration
+	work     time.Duration // what is left to do here, checkpoint counted in
+	saved    time.Duration // work done before, by its checkpoint
+	workedAt time.Duration // the life's time of work when it began to work; -1: it waits for its gang
+	factor   float64       // how many times as long the work takes here
+	fails    bool
+	stopping bool
+	gang     *gang
+}
+
+// begin starts a run.
+func (w *life) begin(from order, o scheduler.StartOrder, spec *jobs.Spec, step *jobs.Step) {
+	s := w.slot.s
+	r := &liveRun{key: o.Key, order: from, spec: spec, step: step, on: w, began: s.now, workedAt: -1}
+	s.oracle.started(r, o)
+	w.runs = append(w.runs, r)
+	r.saved = checkpointWork(o.Checkpoint)
+	whole := workOf(spec, o.Key.Task)
+	r.fails = w.grey || failsItself(spec, o.Key)
+	factor := w.slot.speed * w.slow
+	if step.Near != "" && !slices.Contains(w.slot.labels, step.Near) {
+		factor *= spreadFactor
+	}
+	r.factor = factor
+	r.work = time.Duration(float64(max(0, whole-r.saved)) * factor)
+	if o.Checkpoint != "" {
+		r.work += restoreTime
+	}
+	if w.grey {
+		r.work = min(r.work, 50*time.Millisecond)
+	}
+	if step.Lasting {
+		r.work, r.fails = s.between(8*time.Second, 5*time.Minute), true
+	}
+	if step.Gang {
+		s.joinGang(r)
+		return
+	}
+	r.run()
+}
+
+// run begins the work.
+func (r *liveRun) run() {
+	r.workedAt = r.on.worked()
+	r.expect(r.work)
+}
+
+// expect looks again when the work may be done.
+func (r *liveRun) expect(d time.Duration) {
+	r.on.slot.s.after(d, func() {
+		if !r.on.present(r) || r.stopping {
+			return
+		}
+		if left := r.work - (r.on.worked() - r.workedAt); left > 0 {
+			r.expect(max(left, 100*time.Millisecond))
+			return
+		}
+		if r.fails {
+			r.on.finish(r, jobs.EndFailed)
+		} else {
+			r.on.finish(r, jobs.EndDone)
+		}
+	})
+}
+
+func (w *life) present(r *liveRun) bool { return w.up() && slices.Contains(w.runs, r) }
+
+// finish ends a run that is here and lists its end.
+func (w *life) finish(r *liveRun, how jobs.How) {
+	if !w.present(r) {
+		return
+	}
+	checkpoint := r.checkpoint()
+	if how == jobs.EndStopped && r.step.Checkpoints {
+		checkpoint = r.saveNow()
+	}
+	w.listEnd(r, how, checkpoint)
+	if r.gang != nil {
+		r.gang.left(r, how)
+	}
+}
+
+// listEnd takes a run out and lists its end, the rest of its gang apart.
+func (w *life) listEnd(r *liveRun, how jobs.How, checkpoint string) {
+	w.runs = slices.DeleteFunc(w.runs, func(other *liveRun) bool { return other == r })
+	w.last++
+	w.floor[r.key.Task] = max(w.floor[r.key.Task], r.key.Number)
+	if how == jobs.EndDone {
+		checkpoint = ""
+	}
+	w.ends = append(w.ends, scheduler.Ended{Sequence: w.last, Key: r.key, How: how, Checkpoint: checkpoint})
+	w.notes[w.last] = w.slot.s.oracle.ended(r, how)
+	holds := w.holds
+	w.holds = nil
+	for _, h := range holds {
+		h.reply()
+	}
+}
+
+// remove takes a run out without an end.
+func (w *life) remove(r *liveRun) {
+	w.runs = slices.DeleteFunc(w.runs, func(other *liveRun) bool { return other == r })
+	if r.gang != nil {
+		r.gang.left(r, jobs.EndLost)
+	}
+}
+
+// progress is the work done, what was saved before included.
+func (r *liveRun) progress() time.Duration {
+	if r.workedAt < 0 {
+		return r.saved
+	}
+	return r.saved + time.Duration(float64(r.on.worked()-r.workedAt)/r.factor)
+}
+
+// checkpoint is the newest saved progress as it is listed.
+func (r *liveRun) checkpoint() string {
+	if !r.step.Checkpoints {
+		return ""
+	}
+	saved := r.progress().Truncate(checkpointInterval)
+	return r.checkpointAt(max(saved, r.saved))
+}
+
+// saveNow saves the progress, as a stop does.
+func (r *liveRun) saveNow() string { return r.checkpointAt(r.progress()) }
+
+func (r *liveRun) checkpointAt(done time.Duration) string {
+	if done <= 0 {
+		return ""
+	}
+	text := fmt.Sprintf("%08x-%s", done.Milliseconds(), checkpointOwner(r.key.Task, r.step.Gang))
+	r.on.slot.s.oracle.savedAs(r, text)
+	return text
+}
+
+// checkpointOwner names the task, or the gang, that a checkpoint is of.
+func checkpointOwner(ref jobs.TaskRef, gang bool) string {
+	if gang {
+		ref.Index = 0
+	}
+	return fmt.Sprintf("%s.%d.%d.%d", ref.Job, ref.Round, ref.Step, ref.Index)
+}
+
+// checkpointWork is the work that a checkpoint stands for.
+func checkpointWork(checkpoint string) time.Duration {
+	text, _, _ := strings.Cut(checkpoint, "-")
+	ms, err := strconv.ParseInt(text, 16, 64)
+	if err != nil {
+		return 0
+	}
+	return time.Duration(ms) * time.Millisecond
+}
+
+// draw gives a number in [0, 1) that depends on what is named alone.
+func draw(parts ...any) float64 {
+	h := fnv.New64a()
+	_, _ = fmt.Fprint(h, parts...)
+	return float64(h.Sum64()%100003) / 100003
+}
+
+// workOf is how long a task takes on a sound worker.
+func workOf(spec *jobs.Spec, ref jobs.TaskRef) time.Duration {
+	step := &spec.Steps[ref.Step]
+	if step.Gang {
+		ref.Index = 0
+	}
+	factor := 0.5 + draw("work", ref.Job, ref.Round, ref.Step, ref.Index)
+	return time.Duration(float64(step.Estimate) * factor)
+}
+
+// Payloads that tell the stand-in how a job's tasks behave.
+const (
+	payloadSound  = "sound"
+	payloadFlaky  = "flaky"  // a fifth of the runs fail
+	payloadPoison = "poison" // every run of the first task fails
+)
+
+// failsItself tells whether a run fails through its own fault.
+func failsItself(spec *jobs.Spec, key jobs.RunKey) bool {
+	kind, _, _ := strings.Cut(spec.Payload, " ")
+	switch kind {
+	case payloadFlaky:
+		return key.Number == 1 && draw("fail", key.Task.Job, key.Task.Round, key.Task.Step, key.Task.Index) < 0.2
+	case payloadPoison:
+		return key.Task.Step == 0 && key.Task.Index == 0
+	}
+	return false
+}
+
+// gangKey names one run of a gang.
+type gangKey struct {
+	job                 string
+	round, step, number int
+}
+
+// gang is one run of a gang: its members can work only together.
+type gang struct {
+	s       *simulator
+	members []*liveRun
+	count   int
+	working bool
+	over    bool
+}
+
+// joinGang lets a run wait for the other members, or begin with them.
+func (s *simulator) joinGang(r *liveRun) {
+	key := gangKey{r.key.Task.Job, r.key.Task.Round, r.key.Task.Step, r.key.Number}
+	g := s.gangs[key]
+	if g == nil || g.over {
+		g = &gang{s: s, count: r.step.Count}
+		s.gangs[key] = g
+	}
+	r.gang = g
+	g.members = append(g.members, r)
+	if len(g.members) == g.count {
+		g.begin()
+		return
+	}
+	s.after(gangTimeout, func() {
+		if !g.working && r.on.present(r) {
+			r.on.finish(r, jobs.EndAlone)
+		}
+	})
+}
+
+// begin is called when all members are present.
+func (g *gang) begin() {
+	g.working = true
+	var work time.Duration
+	racks := map[string]bool{}
+	for _, m := range g.members {
+		m.workedAt = m.on.worked()
+		work = max(work, m.work)
+		racks[m.on.slot.rack] = true
+	}
+	if g.members[0].step.SameRack && len(racks) > 1 {
+		work = time.Duration(float64(work) * spreadFactor)
+	}
+	g.expect(work)
+}
+
+func (g *gang) expect(d time.Duration) {
+	g.s.after(d, func() {
+		if g.over {
+			return
+		}
+		for _, m := range g.members {
+			if m.on.hungSince > 0 {
+				g.expect(200 * time.Millisecond)
+				return
+			}
+		}
+		g.done()
+	})
+}
+
+// done ends all members together, or one as failed and the rest as broken.
+func (g *gang) done() {
+	for _, m := range g.members {
+		if m.fails && m.on.present(m) {
+			m.on.finish(m, jobs.EndFailed)
+			return
+		}
+	}
+	g.over = true
+	for _, m := range slices.Clone(g.members) {
+		if m.on.present(m) {
+			m.on.listEnd(m, jobs.EndDone, "")
+		}
+	}
+}
+
+// left is called when a member has ended: the others are broken if they were at work.
+func (g *gang) left(r *liveRun, how jobs.How) {
+	g.members = slices.DeleteFunc(g.members, func(m *liveRun) bool { return m == r })
+	if g.over || !g.working {
+		return
+	}
+	g.over = true
+	for _, m := range slices.Clone(g.members) {
+		if m.on.present(m) {
+			checkpoint := m.checkpoint()
+			m.on.listEnd(m, jobs.EndBroken, checkpoint)
+		}
+	}
+}
--- /dev/null
+++ b/internal/rig/fleetsim/shapes.go
@@ -0,0 +1,92 @@
+package fleetsim
+
+import (
+	"fmt"
+	"time"
+
+	"crosstide/internal/jobs"
+)
+
+// shortJob draws a job of one short task.
+func (c *clients) shortJob() (jobs.Spec, string) {
+	return jobs.Spec{ID: c.newID(), Payload: payloadSound, Steps: []jobs.Step{{Count: 1,
+		Needs: jobs.Resources{MilliCPU: 1000, MemoryMB: 256}, Estimate: 300 * time.Millisecond}}}, "/urgent/"
+}
+
+// anyJob draws a job of any shape, and the prefix of its queue.
+func (c *clients) anyJob() (jobs.Spec, string) {
+	s := c.s
+	spec := jobs.Spec{ID: c.newID()}
+	spec.Payload = payloadSound
+	switch {
+	case s.chance(0.15):
+		spec.Payload = payloadFlaky
+	case s.chance(0.08):
+		spec.Payload = payloadPoison
+	}
+	spec.Payload = fmt.Sprintf("%s %s", spec.Payload, spec.ID[:4])
+	for number := range 1 + s.rng.IntN(3) {
+		spec.Steps = append(spec.Steps, c.anyStep(number))
+	}
+	prefixes := []string{"/urgent/", "/bulk/", "/moving/", "/side/"}
+	prefix := prefixes[s.rng.IntN(len(prefixes))]
+	switch {
+	case s.chance(0.1):
+		spec.Rounds = 1 + s.rng.IntN(4)
+		spec.FirstRun = s.wall().Add(s.between(-time.Second, 4*time.Second))
+		spec.Interval = s.between(500*time.Millisecond, 3*time.Second)
+	case s.chance(0.06):
+		spec.Steps = []jobs.Step{{Count: 1 + s.rng.IntN(5), Needs: c.anyNeeds(), Estimate: time.Second, Lasting: true}}
+	}
+	return spec, prefix
+}
+
+func (c *clients) anyNeeds() jobs.Resources {
+	s := c.s
+	needs := jobs.Resources{MilliCPU: 500 * (1 + s.rng.IntN(6)), MemoryMB: 256 << s.rng.IntN(5)}
+	if s.chance(0.06) {
+		needs.GPUs = 1
+	}
+	return needs
+}
+
+func (c *clients) anyStep(number int) jobs.Step {
+	s := c.s
+	step := jobs.Step{Count: 1 + s.rng.IntN(8), Needs: c.anyNeeds(), Estimate: s.between(100*time.Millisecond, 4*time.Second)}
+	if number > 0 && s.chance(0.7) {
+		step.After = []int{number - 1}
+		if number > 1 && s.chance(0.5) {
+			step.After = []int{0, number - 1}
+		}
+	}
+	if s.chance(0.15) {
+		step.Label = []string{"kinda", "kindb"}[s.rng.IntN(2)]
+	}
+	if s.chance(0.2) {
+		step.Near = fmt.Sprintf("r%d", s.rng.IntN(rackCount))
+	}
+	if s.chance(0.15) {
+		step.MostPerNode = 1 + s.rng.IntN(2)
+	}
+	step.Checkpoints = s.chance(0.3)
+	step.Speculative = s.chance(0.08)
+	if s.chance(0.2) {
+		step.Gang, step.Count = true, 2+s.rng.IntN(4)
+		step.SameRack = s.chance(0.3)
+		step.Speculative = false
+		if step.MostPerNode > 0 {
+			step.MostPerNode = 2
+		}
+	}
+	return step
+}
+
+// burst hands in a few wide jobs at once.
+func (c *clients) burst() {
+	for range 3 {
+		spec, _ := c.anyJob()
+		spec.Rounds, spec.Steps = 0, []jobs.Step{{Count: 60 + c.s.rng.IntN(60), Needs: jobs.Resources{MilliCPU: 1500, MemoryMB: 512},
+			Estimate: c.s.between(300*time.Millisecond, 2*time.Second), Checkpoints: c.s.chance(0.5)}}
+		c.hand(spec, "/bulk/")
+	}
+}
--- /dev/null
+++ b/internal/rig/fleetsim/sim.go
@@ -0,0 +1,164 @@
+// Package fleetsim runs the scheduler on the core against stand-ins of workers, clients and an operator, on one thread
+// under a virtual clock, from one seed.
+//
+// What decides is the product's own code: scheduler.Core over jobs.Table. The loop round it mirrors
+// controller.Leader: the same check of the lease before each order, the same notes and events. The replicated log, the
+// links and the workers are stand-ins that do whatever the platform allows. The oracle judges only what workers and
+// clients saw. The same seed gives the same run, event by event.
+package fleetsim
+
+import (
+	"container/heap"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"time"
+)
+
+// Options of a run.
+type Options struct {
+	Seed   uint64
+	For    time.Duration // disruptions and fresh jobs come so long; default 32 s
+	Settle time.Duration // most time after it until every job has ended; default 45 s
+	Break  Guard         // a guard that is taken out; empty: none
+	Load   Load          // which jobs come; default Mixed
+	Kinds  []Disruption  // which disruptions come; nil: all
+	Trace  io.Writer     // gets a line per event of note; nil: none
+}
+
+// Report is what a run showed.
+type Report struct {
+	Seed        uint64
+	Breaches    []Breach
+	Cases       map[Rule]int       // situations judged, by rule
+	Disruptions map[Disruption]int // disruptions made, by kind
+	Failovers   []time.Duration    // from the last start of a leader to the first of the next one
+	Takeovers   []time.Duration    // from the election of a leader to its first start
+	Starts      int                // starts on workers
+	Jobs        int                // jobs accepted
+	Events      int
+	Virtual     time.Duration
+}
+
+// Breach is a broken rule.
+type Breach struct {
+	Rule Rule
+	At   time.Duration
+	What string
+}
+
+// mostBreaches ends a run.
+const mostBreaches = 5
+
+// event is a call that is due at a time.
+type event struct {
+	at     time.Duration
+	number uint64
+	call   func()
+}
+
+// eventQueue is a heap of events by time, then by number.
+type eventQueue []event
+
+func (q eventQueue) Len() int      { return len(q) }
+func (q eventQueue) Swap(i, k int) { q[i], q[k] = q[k], q[i] }
+func (q eventQueue) Less(i, k int) bool {
+	return q[i].at < q[k].at || q[i].at == q[k].at && q[i].number < q[k].number
+}
+
+// Push is for package heap.
+func (q *eventQueue) Push(e any) { *q = append(*q, e.(event)) }
+
+// Pop is for package heap.
+func (q *eventQueue) Pop() any {
+	last := len(*q) - 1
+	e := (*q)[last]
+	(*q)[last] = event{}
+	*q = (*q)[:last]
+	return e
+}
+
+// simulator is one run.
+type simulator struct {
+	opt    Options
+	rng    *rand.Rand
+	now    time.Duration
+	queue  eventQueue
+	number uint64
+	report Report
+
+	log      *replicatedLog
+	nodes    []*node
+	slots    []*slot
+	gangs    map[gangKey]*gang
+	clients  *clients
+	operator *operator
+	oracle   *oracle
+	quiet    quiet
+	lives    int
+}
+
+// epoch is the time of day at which each run begins.
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// Run plays one seed.
+func Run(opt Options) Report {
+	if opt.For == 0 {
+		opt.For = 32 * time.Second
+	}
+	if opt.Settle == 0 {
+		opt.Settle = 45 * time.Second
+	}
+	s := &simulator{opt: opt, rng: rand.New(rand.NewPCG(opt.Seed, 7)), gangs: map[gangKey]*gang{}}
+	s.report = Report{Seed: opt.Seed, Cases: map[Rule]int{}, Disruptions: map[Disruption]int{}}
+	s.oracle = newOracle(s)
+	s.buildCore()
+	s.buildWorkers()
+	s.buildOperator()
+	s.buildClients()
+	s.planDisruptions()
+	s.oracle.watch()
+	s.loop()
+	s.report.Virtual = s.now
+	return s.report
+}
+
+// loop carries out events until all jobs have ended or time is up.
+func (s *simulator) loop() {
+	end := s.opt.For + s.opt.Settle
+	for len(s.queue) > 0 && len(s.report.Breaches) < mostBreaches {
+		e := heap.Pop(&s.queue).(event)
+		if e.at > end || s.now > s.opt.For && s.clients.settled() {
+			break
+		}
+		s.now = e.at
+		s.report.Events++
+		e.call()
+	}
+	if len(s.report.Breaches) < mostBreaches {
+		s.oracle.finish()
+	}
+}
+
+// after plans a call.
+func (s *simulator) after(d time.Duration, call func()) {
+	s.number++
+	heap.Push(&s.queue, event{at: s.now + max(0, d), number: s.number, call: call})
+}
+
+// between draws a duration.
+func (s *simulator) between(least, most time.Duration) time.Duration {
+	return least + time.Duration(s.rng.Int64N(int64(most-least)+1))
+}
+
+// chance draws true with a probability.
+func (s *simulator) chance(p float64) bool { return s.rng.Float64() < p }
+
+// wall is the true time of day.
+func (s *simulator) wall() time.Time { return epoch.Add(s.now) }
+
+func (s *simulator) trace(format string, args ...any) {
+	if s.opt.Trace != nil {
+		_, _ = fmt.Fprintf(s.opt.Trace, "%9.4f %s\n", s.now.Seconds(), fmt.Sprintf(format, args...))
+	}
+}
--- /dev/null
+++ b/internal/rig/fleetsim/sim_test.go
@@ -0,0 +1,46 @@
+package fleetsim
+
+import (
+	"bytes"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// seeds is how many runs the ordinary test makes.
+const seeds = 40
+
+func TestSeeds(t *testing.T) {
+	Convey("No rule breaks in a fixed set of seeds with all disruptions", t, func() {
+		cases, disruptions := map[Rule]int{}, map[Disruption]int{}
+		for seed := uint64(1); seed <= seeds; seed++ {
+			report := Run(Options{Seed: seed})
+			for _, b := range report.Breaches {
+				t.Errorf("seed %d breaks %s at %s: %s", seed, b.Rule, b.At, b.What)
+			}
+			for rule, count := range report.Cases {
+				cases[rule] += count
+			}
+			for kind, count := range report.Disruptions {
+				disruptions[kind] += count
+			}
+		}
+		t.Log(cases, disruptions)
+		for _, rule := range Rules() {
+			So(cases[rule], ShouldBeGreaterThan, 0)
+		}
+		for _, kind := range Disruptions() {
+			So(disruptions[kind], ShouldBeGreaterThan, 0)
+		}
+	})
+}
+
+func TestTrace(t *testing.T) {
+	Convey("The same seed gives the same run", t, func() {
+		var first, again bytes.Buffer
+		Run(Options{Seed: 3, Trace: &first})
+		Run(Options{Seed: 3, Trace: &again})
+		So(first.Len(), ShouldBeGreaterThan, 1000)
+		So(bytes.Equal(first.Bytes(), again.Bytes()), ShouldBeTrue)
+	})
+}
--- /dev/null
+++ b/internal/rig/fleetsim/worker.go
@@ -0,0 +1,272 @@
+package fleetsim
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"crosstide/internal/jobs"
+	"crosstide/internal/scheduler"
+)
+
+// What the platform's settings say of workers.
+const (
+	maxHold            = 10 * time.Second
+	stopMost           = 400 * time.Millisecond
+	gangTimeout        = 3 * time.Second
+	checkpointInterval = time.Second
+	restoreTime        = 100 * time.Millisecond
+	drainTimeout       = 2 * time.Second
+	spreadFactor       = 1.5
+	slowestClock       = 0.98
+)
+
+// slot is a machine of workers: one life of a worker after another at one address.
+type slot struct {
+	s        *simulator
+	address  string
+	service  string
+	guards   bool
+	zone     string
+	rack     string
+	labels   []string
+	capacity jobs.Resources
+	speed    float64 // how many times as long a task takes here
+	current  *life   // nil: nothing runs here
+
+	cut        bool           // from the whole core
+	cutFrom    map[*node]bool // from single nodes
+	lateUntil  time.Duration  // until then it carries many orders out late
+	mutedUntil time.Duration  // until then it loses answers
+	troubled   time.Duration  // when it was last disrupted
+}
+
+// cutOff tells whether nothing passes between the slot and a node.
+func (sl *slot) cutOff(n *node) bool { return sl.cut || sl.cutFrom[n] }
+
+// life is one life of a worker, under an ID of its own.
+type life struct {
+	slot  *slot
+	id    string
+	born  time.Duration
+	base  time.Duration // its clock when it began
+	rate  float64       // of its clock
+	token uint64        // highest fencing token seen
+	lease time.Duration // on its clock
+	runs  []*liveRun    // in the order they came
+	ends  []scheduler.Ended
+	last  uint64                // number of the newest end
+	floor map[jobs.TaskRef]int  // highest run of a task that was stopped or ended here
+	notes map[uint64]*endRecord // the oracle's records of the ends that are listed
+	holds []*waitingHold
+
+	hungSince time.Duration // tasks stand still since; 0: they work
+	hungFor   time.Duration // how long they stood still before
+	grey      bool          // fails all it starts
+	slow      float64       // on top of the slot's speed
+	draining  bool
+	drainTold time.Duration // when the core first acknowledged it; 0: not yet
+	beat      uint64
+	leaseNo   int
+}
+
+// waitingHold is a hold call whose answer waits for an end.
+type waitingHold struct{ reply func() }
+
+// newLife starts a worker.
+func (sl *slot) newLife() {
+	s := sl.s
+	s.lives++
+	w := &life{slot: sl, id: fmt.Sprintf("w%03d", s.lives), born: s.now, base: s.between(time.Second, 500*time.Second),
+		rate: slowestClock + (1-slowestClock)*s.rng.Float64(), slow: 1,
+		floor: map[jobs.TaskRef]int{}, notes: map[uint64]*endRecord{}}
+	sl.current = w
+	w.beatLoop()
+}
+
+// clock is what the worker's own clock shows.
+func (w *life) clock() time.Duration {
+	return w.base + time.Duration(float64(w.slot.s.now-w.born)*w.rate)
+}
+
+// up tells whether this life still runs.
+func (w *life) up() bool { return w.slot.current == w }
+
+// worked is the time its tasks had for work since it began.
+func (w *life) worked() time.Duration {
+	t := w.slot.s.now - w.born - w.hungFor
+	if w.hungSince > 0 {
+		t -= w.slot.s.now - w.hungSince
+	}
+	return t
+}
+
+// fenced tells whether an order carries a lower token than one seen before.
+func (w *life) fenced(token uint64) bool {
+	if token < w.token {
+		return true
+	}
+	w.token = token
+	return false
+}
+
+// extend renews the lease of everything that runs.
+func (w *life) extend(deadline time.Duration) {
+	deadline = min(deadline, w.clock()+maxHold)
+	if deadline <= w.lease {
+		return
+	}
+	w.lease = deadline
+	w.leaseNo++
+	number := w.leaseNo
+	real := time.Duration(float64(deadline-w.clock())/w.rate) + time.Millisecond
+	w.slot.s.after(real, func() {
+		if w.up() && number == w.leaseNo && w.clock() >= w.lease {
+			w.lapse()
+		}
+	})
+}
+
+// lapse kills everything that runs.
+func (w *life) lapse() {
+	w.slot.s.oracle.lapsed(w)
+	for _, r := range slices.Clone(w.runs) {
+		w.finish(r, jobs.EndLapsed)
+	}
+}
+
+// start carries a start order out.
+func (w *life) start(from order, o scheduler.StartOrder) scheduler.StartAnswer {
+	refuse := func(why scheduler.Refusal) scheduler.StartAnswer {
+		return scheduler.StartAnswer{Clock: w.clock(), Refusal: why}
+	}
+	if w.fenced(o.Token) {
+		return refuse(scheduler.RefusedFence)
+	}
+	if w.find(o.Key) != nil {
+		w.extend(o.Deadline)
+		return scheduler.StartAnswer{Clock: w.clock()}
+	}
+	if o.Deadline <= w.clock() {
+		return refuse(scheduler.RefusedLate)
+	}
+	if w.slot.s.chance(0.002) {
+		return refuse(scheduler.RefusedUnhealthy)
+	}
+	w.extend(o.Deadline)
+	if o.Key.Number <= w.floor[o.Key.Task] {
+		return refuse(scheduler.RefusedOld)
+	}
+	spec := w.slot.s.clients.spec(o.Key.Task.Job)
+	if spec == nil {
+		w.slot.s.oracle.unknownStart(o)
+		return refuse(scheduler.RefusedInvalid)
+	}
+	step := &spec.Steps[o.Key.Task.Step]
+	if w.slot.guards && !within(plus(w.used(), step.Needs), w.slot.capacity) {
+		w.slot.s.report.Cases["refused for room"]++
+		return refuse(scheduler.RefusedRoom)
+	}
+	w.begin(from, o, spec, step)
+	return scheduler.StartAnswer{Clock: w.clock()}
+}
+
+// stop carries a stop order out; it tells whether it was taken.
+func (w *life) stop(o scheduler.StopOrder) bool {
+	if w.fenced(o.Token) {
+		return false
+	}
+	w.floor[o.Key.Task] = max(w.floor[o.Key.Task], o.Key.Number)
+	if r := w.find(o.Key); r != nil && !r.stopping {
+		r.stopping = true
+		w.slot.s.after(w.slot.s.between(0, stopMost), func() { w.finish(r, jobs.EndStopped) })
+	}
+	return true
+}
+
+// hold carries a hold call out; the answer may wait for an end.
+func (w *life) hold(call scheduler.HoldCall, reply func(holdReply)) {
+	if w.fenced(call.Token) {
+		reply(holdReply{fenced: true})
+		return
+	}
+	w.acknowledge(call.SeenUpTo)
+	if call.Deadline > 0 {
+		w.extend(call.Deadline)
+	}
+	if call.Wait <= 0 || len(w.ends) > 0 {
+		reply(w.lists())
+		return
+	}
+	done := false
+	answer := func() {
+		if !done && w.up() {
+			done = true
+			reply(w.lists())
+		}
+	}
+	w.holds = append(w.holds, &waitingHold{reply: answer})
+	w.slot.s.after(call.Wait, answer)
+}
+
+// acknowledge forgets ends.
+func (w *life) acknowledge(upTo uint64) {
+	for len(w.ends) > 0 && w.ends[0].Sequence <= upTo {
+		w.slot.s.oracle.noted(w.notes[w.ends[0].Sequence])
+		delete(w.notes, w.ends[0].Sequence)
+		w.ends = w.ends[1:]
+	}
+}
+
+// endsInAnswer is how many ends an answer holds.
+const endsInAnswer = 12
+
+// lists gives the answer to a hold call.
+func (w *life) lists() holdReply {
+	a := scheduler.HoldAnswer{Clock: w.clock()}
+	for _, r := range w.runs {
+		a.Running = append(a.Running, scheduler.Listed{Key: r.key, Checkpoint: r.checkpoint()})
+	}
+	a.Ended = slices.Clone(w.ends[:min(endsInAnswer, len(w.ends))])
+	a.Full = len(w.ends) > endsInAnswer
+	return holdReply{answer: a}
+}
+
+// used is what everything here takes, what is being stopped included.
+func (w *life) used() jobs.Resources {
+	var sum jobs.Resources
+	for _, r := range w.runs {
+		sum = plus(sum, r.step.Needs)
+	}
+	return sum
+}
+
+func (w *life) find(key jobs.RunKey) *liveRun {
+	for _, r := range w.runs {
+		if r.key == key {
+			return r
+		}
+	}
+	return nil
+}
+
+// die ends this life: everything on it is gone without an end.
+func (w *life) die() {
+	if !w.up() {
+		return
+	}
+	w.slot.current = nil
+	w.slot.s.trace("%s dies", w.id)
+	for _, r := range slices.Clone(w.runs) {
+		w.remove(r)
+		w.slot.s.oracle.gone(r)
+	}
+}
+
+func plus(a, b jobs.Resources) jobs.Resources {
+	return jobs.Resources{MilliCPU: a.MilliCPU + b.MilliCPU, MemoryMB: a.MemoryMB + b.MemoryMB, GPUs: a.GPUs + b.GPUs}
+}
+
+func within(a, b jobs.Resources) bool {
+	return a.MilliCPU <= b.MilliCPU && a.MemoryMB <= b.MemoryMB && a.GPUs <= b.GPUs
+}
