--- a/internal/wire/server.go
+++ b/internal/wire/server.go
@@ -32,6 +32,11 @@
 	MaxBody  int64                 // bound on bodies of pairs in bytes, default MaxBody
 	Clock    alarm.Clock           // default alarm.Real
 	Registry prometheus.Registerer // default: the counters are not shown
+	// Descriptors bounds the file descriptors that the process has, if the system tells no lower bound: a table of
+	// that length is kept for each server. The lowest one given holds for the whole process; 0 leaves it as it is.
+	Descriptors int
+	// Loops is the number of event loops; 0: nbio's default.
+	Loops int
 }
 
 // Server answers pairs and raw routes. Every request runs on a goroutine of its own, so any number of them may
@@ -48,9 +53,10 @@
 	accepted atomic.Int64
 
 	mu       sync.Mutex
-	running  int
+	running  int // requests from their last byte read until their answer is written
 	stopping bool
 	idle     chan struct{} // closed when stopping and nothing runs
+	idleTold bool
 }
 
 // NewServer makes a server that does not listen yet. Example:
@@ -72,6 +78,7 @@
 		opt.Clock = alarm.Real{}
 	}
 	routeLogs(opt.Logger)
+	boundDescriptors(opt.Descriptors)
 	s := &Server{
 		opt: opt, mux: http.NewServeMux(), work: spawn.New(context.Background()),
 		meter: newMeter("server", opt.Registry), idle: make(chan struct{}),
@@ -80,11 +87,11 @@
 	s.engine = nbhttp.NewEngine(nbhttp.Config{
 		Name: "wire", Network: "tcp", Addrs: []string{opt.Addr}, Listen: s.listen,
 		MaxLoad: 100_000, MaxHTTPBodySize: bound, ReadLimit: 2 * bound,
-		SupportServerOnly: true,
-		Handler:           http.HandlerFunc(s.serve),
-		ServerExecutor:    func(f func()) { s.work.Go(func(context.Context) { f() }) },
-		Context:           s.work.Context(),
-		Cancel:            s.work.Cancel,
+		SupportServerOnly: true, NPoller: opt.Loops,
+		Handler:        http.HandlerFunc(s.serve),
+		ServerExecutor: s.execute,
+		Context:        s.work.Context(),
+		Cancel:         s.work.Cancel,
 	})
 	s.engine.OnOpen(func(net.Conn) { s.accepted.Add(1) })
 	s.engine.Engine.OnData(func(c *nbio.Conn, data []byte) {
@@ -188,23 +195,42 @@
 	return n, nil
 }
 
+// execute runs the handling of a request, with the writing of its answer.
+func (s *Server) execute(handle func()) {
+	s.mu.Lock()
+	s.running++
+	s.mu.Unlock()
+	s.work.Go(func(context.Context) {
+		defer s.executed()
+		handle()
+	})
+}
+
+func (s *Server) executed() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.running--
+	s.tellIdle()
+}
+
+// tellIdle closes idle once, when the server stops and nothing runs. The mutex is held.
+func (s *Server) tellIdle() {
+	if s.running > 0 || !s.stopping || s.idleTold {
+		return
+	}
+	s.idleTold = true
+	close(s.idle)
+}
+
 // serve lets a request in, unless the server stops, and finds its route.
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
-	if s.stopping {
-		s.mu.Unlock()
+	stopping := s.stopping
+	s.mu.Unlock()
+	if stopping {
 		WriteFault(w, fault.New(fault.Stopped, "the server is stopping"))
 		return
 	}
-	s.running++
-	s.mu.Unlock()
-	defer func() {
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		if s.running--; s.running == 0 && s.stopping {
-			close(s.idle)
-		}
-	}()
 	if h, pattern := s.mux.Handler(r); pattern == "" {
 		seen := &probe{head: w.Header()}
 		h.ServeHTTP(seen, r) // the mux's own refusal; ours is JSON
@@ -240,6 +266,9 @@
 // Stop would wait for it forever. Each loop gets one end of a local connection and has to see it close.
 func (s *Server) warm() error {
 	loops := s.engine.Engine.NPoller
+	if loops == 1 {
+		return fault.Pass(s.warmOne(), "the only event loop")
+	}
 	gone := make(chan struct{}, loops)
 	s.engine.OnClose(func(c net.Conn, _ error) {
 		if _, local := c.RemoteAddr().(*net.UnixAddr); local {
@@ -257,6 +286,27 @@
 	return nil
 }
 
+// warmOne is warm for a single loop, which any connection reaches: one to the server's own address, as not every
+// machine has local socket pairs.
+func (s *Server) warmOne() error {
+	gone := make(chan struct{}, 1)
+	s.engine.OnClose(func(net.Conn, error) {
+		select {
+		case gone <- struct{}{}:
+		default:
+		}
+	})
+	c, err := net.Dial("tcp", s.Addr())
+	if err != nil {
+		return fault.Wrap(err, fault.Internal, "reach the own address")
+	}
+	if err := c.Close(); err != nil {
+		return fault.Wrap(err, fault.Internal, "close")
+	}
+	<-gone
+	return nil
+}
+
 // nudge gives one loop a connection that is closed at its other end. nbio picks the loop by the descriptor, so
 // copies are made until one has a number that fits. All others are closed before that one is handed over: epoll
 // goes on telling of a connection as long as a copy is open, by a number that may be another's by then.
@@ -303,9 +353,7 @@
 	s.ln.quiet()
 	s.mu.Lock()
 	s.stopping = true
-	if s.running == 0 {
-		close(s.idle)
-	}
+	s.tellIdle()
 	s.mu.Unlock()
 	over := make(chan struct{})
 	ring := s.opt.Clock.Set(grace, func() { close(over) })
@@ -368,6 +416,17 @@
 	return nil
 }
 
+// boundDescriptors bounds nbio's tables of connections, which it makes as long as there may be descriptors.
+func boundDescriptors(n int) {
+	descriptorsMu.Lock()
+	defer descriptorsMu.Unlock()
+	if n > 0 && n < nbio.MaxOpenFiles {
+		nbio.MaxOpenFiles = n
+	}
+}
+
+var descriptorsMu sync.Mutex
+
 // routeLogs sends nbio's own lines, which have one logger per process, to the latest server's logger.
 func routeLogs(to log.Logger) {
 	logTo.Store(&to)
