Count a failed run as an attempt also while it was being stopped

Cause: when the end of another member of a gang was listed first, the scheduler stopped the rest and turned the member's end failed into stopped; the gang was tried beyond its most attempts (BUDGET). Ruled out: the table's count of gangs. Change: an end is recorded as it was listed. The test is red without it.

--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -249,11 +249,7 @@
 			continue
 		}
 		c.speeds.ended(c, w, r, e.How)
-		if e.How != jobs.EndFailed || !r.stop {
-			c.end(r, e.How, e.Checkpoint)
-		} else {
-			c.end(r, jobs.EndStopped, e.Checkpoint)
-		}
+		c.end(r, e.How, e.Checkpoint) // also a failure of a run that was being stopped: it counts as an attempt
 	}
 }
 
