Look at all jobs again when the configuration changes

Cause: a job whose queue no configuration had lost its due units and got them back only with its next change, so it stood still for good after the queue came back (LOST). Ruled out: placement, which did not see the job at all. Change: the note of a configuration marks all jobs. The test is red without it.

--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -140,6 +140,10 @@
 		c.dirty[note.Name] = true
 	case jobs.WorkerChanged:
 		c.meet(note.Name)
+	case jobs.ConfigChanged: // a queue may have gone, come back or moved to another service
+		for id := range c.queue {
+			c.dirty[id] = true
+		}
 	case jobs.WorkerGone:
 		delete(c.workers, note.Name)
 		c.names = slices.DeleteFunc(c.names, func(id string) bool { return id == note.Name })
