Give a job up when a task is to start beyond its attempts

Cause: the most attempts were held against the failures only when a run failed; while no configuration had the queue, or when a later one allowed fewer, the task was started again (BUDGET). Ruled out: ends that were not committed. Change: the commit of a start checks it too and fails the job.

--- a/internal/jobs/progress.go
+++ b/internal/jobs/progress.go
@@ -19,7 +19,7 @@
 			changed.add(end.Key.Task.Job)
 		}
 	}
-	recorded := t.recordStarts(p.Term, p.Starts)
+	recorded := t.recordStarts(p.Term, p.At, p.Starts)
 	for i := range recorded {
 		if recorded[i] {
 			changed.add(p.Starts[i].Task.Job)
--- a/internal/jobs/start.go
+++ b/internal/jobs/start.go
@@ -1,6 +1,9 @@
 package jobs
 
-import "slices"
+import (
+	"slices"
+	"time"
+)
 
 // gangRun names one run of a gang.
 type gangRun struct {
@@ -8,8 +11,9 @@
 	number int
 }
 
-// recordStarts records the starts whose preconditions hold, and tells which: those of a gang together or not at all.
-func (t *Table) recordStarts(term uint64, starts []Start) []bool {
+// recordStarts records the starts whose preconditions hold, and tells which: those of a gang together or not at all. A
+// job that may not be tried again is given up.
+func (t *Table) recordStarts(term uint64, at time.Time, starts []Start) []bool {
 	if len(starts) == 0 {
 		return nil
 	}
@@ -17,7 +21,7 @@
 	gangs := t.gangRuns(starts)
 	for i, start := range starts {
 		job, task := t.find(start.Task)
-		if task == nil {
+		if task == nil || t.giveUp(job, start.Task, at) {
 			continue
 		}
 		group := []int{i}
@@ -34,6 +38,19 @@
 	return recorded
 }
 
+// giveUp ends a job of which a task, or a gang, has failed as often as its queue allows. That is found when the last
+// run fails, except while no configuration had the queue, or when a later one allows fewer attempts.
+func (t *Table) giveUp(job *Job, ref TaskRef, at time.Time) bool {
+	queue := t.Config.Queue(job.Spec.Queue)
+	failures := job.members(ref)[0].Failures
+	if queue == nil || failures == 0 || failures < queue.MaxAttempts || job.State.Over() {
+		return false
+	}
+	t.finish(job, Failed, at)
+	t.tell(JobChanged, job.Spec.ID)
+	return true
+}
+
 // gangRuns gives the positions of the starts of each run of a gang.
 func (t *Table) gangRuns(starts []Start) map[gangRun][]int {
 	var gangs map[gangRun][]int
