--- a/internal/rig/fleetsim/clients.go
+++ b/internal/rig/fleetsim/clients.go
@@ -85,6 +85,7 @@
 	j := &clientJob{spec: spec, prefix: prefix, sentAt: c.s.now}
 	c.jobs = append(c.jobs, j)
 	c.byID[spec.ID] = j
+	c.s.trace("job %s %s steps %+v", spec.ID, prefix, spec.Steps)
 	c.submit(j)
 	return j
 }
@@ -255,10 +256,11 @@
 // cancelLasting ends the lasting jobs, so that a run can settle.
 func (c *clients) cancelLasting() {
 	for _, j := range c.jobs {
-		if lasts(&j.spec) && j.accepted {
+		if lasts(&j.spec) && j.accepted && !j.cancelSent {
 			c.cancel(j)
 		}
 	}
+	c.s.after(time.Second, c.cancelLasting)
 }
 
 func lasts(spec *jobs.Spec) bool {
--- a/internal/rig/fleetsim/operator.go
+++ b/internal/rig/fleetsim/operator.go
@@ -148,7 +148,10 @@
 	}
 	e := &evacuation{zone: fmt.Sprintf("zone%d", o.s.rng.IntN(zoneCount))}
 	o.evacuations = append(o.evacuations, e)
-	o.order(jobs.Evacuate{Zone: e.zone, Start: true}, func() { e.acked, e.ackedAt = true, o.s.now })
+	o.order(jobs.Evacuate{Zone: e.zone, Start: true}, func() {
+		e.acked, e.ackedAt = true, o.s.now
+		o.s.oracle.count(EvacRule)
+	})
 	o.s.after(o.s.between(6*time.Second, 12*time.Second), func() { o.finishEvacuation(e) })
 }
 
--- a/internal/rig/fleetsim/oracle.go
+++ b/internal/rig/fleetsim/oracle.go
@@ -276,11 +276,28 @@
 	}
 }
 
+// sent takes in that a start order leaves. One to a worker that is disrupted may be in doubt until the lease there is
+// over: nothing else proves that it was not carried out.
+func (o *oracle) sent(start scheduler.StartOut) {
+	sl := o.s.slotOf(start.Worker.Address)
+	if o.s.now < sl.troubled || sl.current == nil || sl.current.id != start.Worker.ID {
+		o.doubt(o.job(start.Order.Key.Task.Job))
+	}
+}
+
+// doubt excuses a job from running for as long as a run of it may be in doubt.
+func (o *oracle) doubt(j *jobTruth) {
+	j.disturbed = max(j.disturbed, o.s.now+o.s.schedulerConfig().Lease+2*contactTimeout)
+}
+
 // ended takes in the end of a run.
 func (o *oracle) ended(r *liveRun, how jobs.How) *endRecord {
 	o.s.trace("end %s %s", r, how)
 	j := o.job(r.key.Task.Job)
 	o.leave(j, r)
+	if o.s.now < r.on.slot.troubled {
+		o.doubt(j)
+	}
 	e := &endRecord{run: r, how: how, at: o.s.now}
 	t := j.ending(r.key.Task)
 	switch how {
@@ -321,11 +338,12 @@
 func (o *oracle) gone(r *liveRun) {
 	j := o.job(r.key.Task.Job)
 	o.leave(j, r)
-	j.disturbed = max(j.disturbed, o.s.now+o.s.schedulerConfig().Lease+2*contactTimeout)
+	o.doubt(j)
 }
 
 // lapsed takes in that the lease of a worker is over.
 func (o *oracle) lapsed(w *life) {
+	o.s.trace("lease of %s is over", w.id)
 	for _, e := range w.notes {
 		e.voided = true
 	}
@@ -337,6 +355,7 @@
 		return
 	}
 	e.noted = true
+	o.s.trace("noted %s %s", e.run, e.how)
 	j := o.job(e.run.key.Task.Job)
 	for _, r := range e.starts {
 		if e.how == jobs.EndDone {
--- a/internal/rig/fleetsim/orders.go
+++ b/internal/rig/fleetsim/orders.go
@@ -40,6 +40,9 @@
 	}
 	n.s.log.propose(n, term, *progress, func(answer any, err error) {
 		started, _ := answer.(jobs.Started)
+		for _, e := range progress.Ends {
+			n.s.trace("%s commits end of %v on %s: %s (error %v)", n.name, e.Key, e.Worker, e.How, err)
+		}
 		n.tell(func(c *scheduler.Core, now time.Duration) { c.Committed(now, progress, started, err) })
 	})
 }
@@ -56,6 +59,7 @@
 		answered(scheduler.StartAnswer{}, scheduler.StartUnsent)
 		return
 	}
+	n.s.oracle.sent(start)
 	order := order{from: n, sent: n.s.now, inTouch: n.s.inTouch()}
 	n.s.exchange(n, start.Worker, callTimeout, func(w *life, late bool, reply func(any)) {
 		order.late = late
