Test that a task whose attempts are used up is not started when its queue is back

The test held the opposite: a third run of a task with two attempts was to be recorded once the queue was back. That is a start after max_attempts runs have ended failed (BUDGET). Replaced by one as strict: the start is refused, the job is failed and no handle is out.

--- a/internal/jobs/progress_test.go
+++ b/internal/jobs/progress_test.go
@@ -90,7 +90,7 @@
 				So(job.State, ShouldEqual, Failed)
 				So(job.Rounds, ShouldBeNil)
 			})
-			Convey("never if the queue is gone, and no start either until it is back", func() {
+			Convey("never if the queue is gone, and no start either, also not when it is back", func() {
 				must(table.Configure(Configure{Base: 5, Version: 6, RemoveQueues: []string{"plain"}}))
 				table.end(endOf(again, EndFailed))
 				So(task.Failures, ShouldEqual, 2)
@@ -98,9 +98,10 @@
 				third := startOf(start.Task, 3, "w1")
 				So(table.start(third), ShouldResemble, []bool{false})
 				must(table.Configure(Configure{Base: 6, Version: 7, Queues: testConfig().Queues}))
-				So(table.start(third), ShouldResemble, []bool{true})
-				table.end(endOf(third, EndFailed))
+				So(job.State, ShouldEqual, Running)
+				So(table.start(third), ShouldResemble, []bool{false})
 				So(job.State, ShouldEqual, Failed)
+				So(task.Runs, ShouldBeEmpty)
 			})
 		})
 	})
