Keep the room that preemption frees for the unit it was freed for

Cause: runs that were stopped for an urgent task gave their room back one by one, and less urgent tasks took each piece at once, so that the next pass stopped more; tasks were stopped and started again up to six times and the urgent one waited for seconds. Room of runs whose ends waited for their commit counted nowhere. Ruled out: the bound on preempted runs. Change: the promised part of a node's room is kept in the pass, and runs that are ending count as room on the way.

--- a/internal/scheduler/harness_test.go
+++ b/internal/scheduler/harness_test.go
@@ -31,19 +31,26 @@
 	return h
 }
 
+// harnessConfig has a queue q and a more urgent one.
 func harnessConfig(version uint64) jobs.Configure {
+	q := jobs.Queue{Name: "q", Service: "s", Priority: 1, MaxAttempts: 3, Stretch: 2, Target: time.Second, Timeout: time.Second}
+	urgent := q
+	urgent.Name, urgent.Prefix, urgent.Priority = "urgent", "/urgent/", 0
 	return jobs.Configure{Base: version - 1, Version: version, Replace: true, Services: []jobs.Service{{Name: "s"}},
-		Queues: []jobs.Queue{{Name: "q", Service: "s", MaxAttempts: 3, Stretch: 2, Target: time.Second, Timeout: time.Second}}}
+		Queues: []jobs.Queue{q, urgent}}
 }
 
-func (h *harness) submit(steps ...jobs.Step) {
-	_, err := h.table.Submit(jobs.Submit{Spec: jobs.Spec{ID: "j", Queue: "q", Steps: steps}})
+// submit accepts job j in queue q.
+func (h *harness) submit(steps ...jobs.Step) { h.submitTo("q", "j", steps...) }
+
+func (h *harness) submitTo(queue, id string, steps ...jobs.Step) {
+	_, err := h.table.Submit(jobs.Submit{Spec: jobs.Spec{ID: id, Queue: queue, Steps: steps}, At: time.Time{}.Add(h.now)})
 	So(err, ShouldBeNil)
 }
 
 // pass makes passes until nothing is to be committed any more.
 func (h *harness) pass() {
-	h.sent, h.holds, h.stops = nil, nil, nil
+	h.sent, h.stops = nil, nil
 	for {
 		h.now += 10 * time.Millisecond
 		out := h.core.Pass(h.now, time.Time{}.Add(h.now))
@@ -56,11 +63,12 @@
 	}
 }
 
-// answer answers the newest hold call.
+// answer answers the newest hold call that waits.
 func (h *harness) answer(a HoldAnswer) {
 	So(h.holds, ShouldNotBeEmpty)
 	a.Clock = time.Minute + h.now
 	h.core.HoldAnswered(h.now, "w", h.holds[len(h.holds)-1].Number, a, HoldOK)
+	h.holds = nil
 }
 
 func (h *harness) accept() {
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -13,7 +13,7 @@
 	w       *worker
 	rec     *jobs.Worker
 	free    jobs.Resources
-	freeing jobs.Resources // what runs that are being stopped give back
+	freeing jobs.Resources // what runs give back that are being stopped, or whose ends wait to be committed
 	held    bool           // kept free for a more urgent unit
 	factor  float64        // how many times as long a task takes here
 }
@@ -76,7 +76,7 @@
 		}
 		n := &node{w: w, rec: rec, free: minus(rec.Capacity, p.c.table.Used(id)), factor: p.c.speeds.factor(id)}
 		for _, r := range w.runs {
-			if r.stop && !r.ending {
+			if r.stop || r.ending {
 				n.freeing = plus(n.freeing, r.needs)
 			}
 		}
--- a/internal/scheduler/preempt.go
+++ b/internal/scheduler/preempt.go
@@ -30,7 +30,7 @@
 			continue
 		}
 		if fits(plus(n.free, n.freeing), u.step.Needs) { // room is on the way here
-			n.freeing = minus(n.freeing, u.step.Needs)
+			n.promise(u.step.Needs)
 			return true
 		}
 		stop, waste, ok := p.victims(u, n)
@@ -48,10 +48,19 @@
 	}
 	p.preempted += len(victims)
 	p.c.moved = true
-	chosen.freeing = minus(chosen.freeing, u.step.Needs)
+	chosen.promise(u.step.Needs)
 	return true
 }
 
+// promise keeps room for a task that waits until runs here have stopped: less urgent units of this pass must not take
+// what is free of it already, else more runs would be stopped again and again.
+func (n *node) promise(needs jobs.Resources) {
+	left := minus(plus(n.free, n.freeing), needs)
+	free := jobs.Resources{MilliCPU: min(n.free.MilliCPU, left.MilliCPU), MemoryMB: min(n.free.MemoryMB, left.MemoryMB),
+		GPUs: min(n.free.GPUs, left.GPUs)}
+	n.free, n.freeing = free, minus(left, free)
+}
+
 // victims gives the runs to stop on a node for one task of a unit, and the work thrown away in core-seconds.
 func (p *placement) victims(u *unit, n *node) (stop []*run, waste float64, ok bool) {
 	var candidates []*run
