--- a/internal/rig/fleetsim/oracle.go
+++ b/internal/rig/fleetsim/oracle.go
@@ -323,6 +323,9 @@
 		o.doubt(j)
 	}
 	o.s.report.Seen["end: "+string(how)]++
+	if how == jobs.EndStopped && !j.job.cancelSent && !j.spent() {
+		o.s.report.Seen["stopped for other work"]++
+	}
 	e := &endRecord{run: r, how: how, at: o.s.now}
 	t := j.ending(r.key.Task)
 	switch how {
