Do not renew the lease of a worker that does not answer

Cause: every call to a silent worker granted a new lease, so its lease was never proved over while the leader went on calling it once a second: runs on a dead worker whose address nobody took stayed in the table for good (LOST). And a new leader took the runs of a worker that had not answered it for dead after the old leader's lease alone, although its own unanswered calls may have renewed it (TWICE). Ruled out: the clock's slack. Change: no deadline goes to a worker whose last call failed, and the proof waits for all that was granted.

--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -112,8 +112,12 @@
 	if now-w.heardAt < c.cfg.Lease && w.heardAt > 0 && w.answered {
 		return false
 	}
-	if !w.answered { // an earlier leader may have granted a whole lease just before this term began
-		return time.Duration(float64(now-c.since)*(1-c.cfg.ClockSlack)) > c.cfg.Lease+2*c.cfg.LapseMargin
+	// An earlier leader may have granted a whole lease just before this term began.
+	if !w.answered && time.Duration(float64(now-c.since)*(1-c.cfg.ClockSlack)) <= c.cfg.Lease+2*c.cfg.LapseMargin {
+		return false
+	}
+	if !w.answered && w.granted == 0 {
+		return true
 	}
 	return w.clockLeast(c, now) > w.granted+c.cfg.LapseMargin
 }
@@ -182,7 +186,7 @@
 func (c *Core) hold(w *worker, rec *jobs.Worker, wait time.Duration, out *Out) uint64 {
 	c.sequence++
 	call := HoldCall{Token: c.term, SeenUpTo: w.seen, Wait: wait}
-	if len(w.runs) > 0 {
+	if len(w.runs) > 0 && w.failures == 0 { // each call to a silent worker would put off the proof that its lease is over
 		call.Deadline = w.grant(c, c.now)
 	}
 	out.Holds = append(out.Holds, HoldOut{Worker: *rec, Number: c.sequence, Call: call})
