Prove a lease over whatever heartbeats say

Cause: a worker whose heartbeats arrive (by way of another node) while the leader's calls do not was never taken for lapsed, so its runs stayed and their jobs stood still (LOST). Change: only the clock and what was granted decide. The test is red without it.

--- a/internal/scheduler/lapse_test.go
+++ b/internal/scheduler/lapse_test.go
@@ -10,30 +10,36 @@
 )
 
 // failHolds lets all calls that wait fail, pass by pass, for a while.
-func (h *harness) failHolds(d time.Duration) {
+func (h *harness) failHolds(d time.Duration, beats bool) {
 	for end := h.now + d; h.now < end; h.now += 200 * time.Millisecond {
 		for _, hold := range h.holds {
 			h.core.HoldAnswered(h.now, "w", hold.Number, HoldAnswer{}, HoldFailed)
 		}
 		h.holds = nil
+		if beats {
+			h.core.Beat(h.now, "w", time.Minute+h.now, 0)
+		}
 		h.pass()
 	}
 }
 
 func TestSilentWorker(t *testing.T) {
-	Convey("The lease of a worker that answers no more ends, however often it is called", t, func() {
-		h := newHarness()
-		h.submit(jobs.Step{Count: 1, Estimate: time.Hour})
-		h.pass()
-		h.accept()
-		h.answer(HoldAnswer{Running: []Listed{{Key: h.sent[0].Order.Key}}})
-		h.pass()
-		So(h.table.RunsOn("w"), ShouldHaveLength, 1)
-		h.failHolds(Defaults().Lease)
-		So(h.table.RunsOn("w"), ShouldHaveLength, 1)
-		h.failHolds(2 * time.Second)
-		So(h.table.RunsOn("w"), ShouldBeEmpty)
-	})
+	Convey("The lease of a worker that answers no more ends, however often it is called", t, func() { silentWorker(false) })
+	Convey("The same while its heartbeats go on", t, func() { silentWorker(true) })
+}
+
+func silentWorker(beats bool) {
+	h := newHarness()
+	h.submit(jobs.Step{Count: 1, Estimate: time.Hour})
+	h.pass()
+	h.accept()
+	h.answer(HoldAnswer{Running: []Listed{{Key: h.sent[0].Order.Key}}})
+	h.pass()
+	So(h.table.RunsOn("w"), ShouldHaveLength, 1)
+	h.failHolds(Defaults().Lease, beats)
+	So(h.table.RunsOn("w"), ShouldHaveLength, 1)
+	h.failHolds(2*time.Second, beats)
+	So(h.table.RunsOn("w"), ShouldBeEmpty)
 }
 
 func TestSilentSinceElection(t *testing.T) {
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -107,11 +107,9 @@
 	return w.clock + time.Duration(float64(now-w.clockAt)*(1-c.cfg.ClockSlack))
 }
 
-// lapsed tells whether every lease that may have been given to the worker is surely over.
+// lapsed tells whether every lease that may have been given to the worker is surely over. Heartbeats say nothing of it:
+// they may come by way of another node while no call gets through.
 func (w *worker) lapsed(c *Core, now time.Duration) bool {
-	if now-w.heardAt < c.cfg.Lease && w.heardAt > 0 && w.answered {
-		return false
-	}
 	// An earlier leader may have granted a whole lease just before this term began.
 	if !w.answered && time.Duration(float64(now-c.since)*(1-c.cfg.ClockSlack)) <= c.cfg.Lease+2*c.cfg.LapseMargin {
 		return false
