--- a/internal/rig/fleetsim/log.go
+++ b/internal/rig/fleetsim/log.go
@@ -145,20 +145,22 @@
 }
 
 // apply makes a change in a table.
-func apply(t *jobs.Table, e entry) (any, error) {
+func apply(t *jobs.Table, e entry) (answer any, err error) {
 	switch c := e.change.(type) {
 	case jobs.Submit:
-		return t.Submit(c)
+		answer, err = t.Submit(c)
 	case jobs.Cancel:
-		return t.Cancel(c)
+		answer, err = t.Cancel(c)
 	case jobs.Configure:
-		return nil, t.Configure(c)
+		err = t.Configure(c)
 	case jobs.Evacuate:
-		return nil, t.Evacuate(c)
+		err = t.Evacuate(c)
 	case jobs.Register:
-		return nil, t.Register(c)
+		err = t.Register(c)
 	case jobs.Progress:
-		return t.Progress(e.term, c)
+		answer, err = t.Progress(e.term, c)
+	default:
+		err = fault.New(fault.Internal, "unknown change %T", e.change)
 	}
-	return nil, fault.New(fault.Internal, "unknown change %T", e.change)
+	return answer, fault.Pass(err, "apply %T", e.change)
 }
