--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -107,13 +107,15 @@
 	return w.clock + time.Duration(float64(now-w.clockAt)*(1-c.cfg.ClockSlack))
 }
 
-// lapsed tells whether every lease that may have been given to the worker is surely over.
+// lapsed tells whether every lease that may have been given to the worker is surely over. Heartbeats say nothing of it:
+// they may come by way of another node while no call gets through.
 func (w *worker) lapsed(c *Core, now time.Duration) bool {
-	if now-w.heardAt < c.cfg.Lease && w.heardAt > 0 && w.answered {
+	// An earlier leader may have granted a whole lease just before this term began.
+	if !w.answered && time.Duration(float64(now-c.since)*(1-c.cfg.ClockSlack)) <= c.cfg.Lease+2*c.cfg.LapseMargin {
 		return false
 	}
-	if !w.answered { // an earlier leader may have granted a whole lease just before this term began
-		return time.Duration(float64(now-c.since)*(1-c.cfg.ClockSlack)) > c.cfg.Lease+2*c.cfg.LapseMargin
+	if !w.answered && w.granted == 0 {
+		return true
 	}
 	return w.clockLeast(c, now) > w.granted+c.cfg.LapseMargin
 }
