--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -50,7 +50,7 @@
 
 // Counts are what a Core counted since it was made.
 type Counts struct {
-	Started, Done, Failed, Lost, Lapsed, Refused, Doubted, Stopped, Preempted uint64
+	Started, Done, Failed, Lost, Lapsed, Refused, Doubted, Stopped, Preempted, Moved uint64
 }
 
 // flight is the Progress under way.
@@ -147,6 +147,10 @@
 		c.dirty[note.Name] = true
 	case jobs.WorkerChanged:
 		c.meet(note.Name)
+	case jobs.ConfigChanged: // a queue may have gone, come back or moved to another service
+		for id := range c.queue {
+			c.dirty[id] = true
+		}
 	case jobs.WorkerGone:
 		delete(c.workers, note.Name)
 		c.names = slices.DeleteFunc(c.names, func(id string) bool { return id == note.Name })
