--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -95,7 +95,7 @@
 	frozen  bool // a snapshot is being installed: nothing goes into the core or out of it
 	broken  bool // a write failed: nothing leaves any more
 
-	pending   []*waiter // not in the log yet
+	pending   []*waiter      // not in the log yet
 	unapplied []quorum.Entry // committed, not in the live state yet
 	waiters   map[uint64]*waiter
 	waiting   int // both, and their bytes
