--- a/internal/scheduler/crowd_test.go
+++ b/internal/scheduler/crowd_test.go
@@ -15,13 +15,16 @@
 	*bench
 	random *rand.Rand
 	later  map[time.Duration][]func() // by time in milliseconds
-	lists  map[string]map[jobs.RunKey]bool
+	lists  map[string]map[jobs.RunKey]span
 	ended  map[string][]Ended
 	counts map[string]uint64
 	waits  map[string]*HoldOut
 	passes int
 }
 
+// span is when a run began and how long it takes.
+type span struct{ from, long time.Duration }
+
 const (
 	crowdWorkers = 350
 	commitTime   = 20 * time.Millisecond
@@ -30,7 +33,7 @@
 
 func newCrowd() *crowd {
 	w := &crowd{bench: newBench(3), random: rand.New(rand.NewPCG(1, 2)), later: map[time.Duration][]func(){},
-		lists: map[string]map[jobs.RunKey]bool{}, ended: map[string][]Ended{}, counts: map[string]uint64{}, waits: map[string]*HoldOut{}}
+		lists: map[string]map[jobs.RunKey]span{}, ended: map[string][]Ended{}, counts: map[string]uint64{}, waits: map[string]*HoldOut{}}
 	must(w.table.Configure(jobs.Configure{Base: 1, Version: 2, Digest: "second", Queues: []jobs.Queue{
 		{Name: "slow", Host: "h", Prefix: "/s/", Service: "s", Priority: 2, MaxAttempts: 2, Stretch: 4, Target: 3 * time.Second, Timeout: time.Second}}}))
 	for i := range crowdWorkers {
@@ -38,7 +41,7 @@
 		rack := fmt.Sprintf("r%d", i/12)
 		must(w.table.Register(jobs.Register{Workers: []jobs.Worker{{ID: id, Address: id + ":1", Service: "s", Zone: "z", Rack: rack,
 			Labels: []string{"a", rack}, Capacity: jobs.Resources{MilliCPU: 16000, MemoryMB: 65536}}}}))
-		w.lists[id] = map[jobs.RunKey]bool{}
+		w.lists[id] = map[jobs.RunKey]span{}
 	}
 	return w
 }
@@ -100,18 +103,18 @@
 
 func (w *crowd) start(s StartOut) {
 	key := s.Order.Key
-	w.lists[s.Worker.ID][key] = true
 	w.core.StartAnswered(w.now, s.Worker.ID, key, StartAnswer{Clock: w.now}, StartOK)
 	j := w.table.Jobs[key.Task.Job]
 	if j == nil || key.Task.Step >= len(j.Spec.Steps) {
 		return
 	}
 	took := time.Duration(float64(j.Spec.Steps[key.Task.Step].Estimate) * (0.7 + 0.6*w.random.Float64()))
+	w.lists[s.Worker.ID][key] = span{from: w.now, long: took}
 	w.after(took, func() { w.end(s.Worker.ID, key, jobs.EndDone) })
 }
 
 func (w *crowd) end(id string, key jobs.RunKey, how jobs.How) {
-	if !w.lists[id][key] {
+	if _, runs := w.lists[id][key]; !runs {
 		return
 	}
 	delete(w.lists[id], key)
@@ -143,8 +146,8 @@
 
 func (w *crowd) answer(h HoldOut) {
 	a := HoldAnswer{Clock: w.now, Ended: w.ended[h.Worker.ID]}
-	for key := range w.lists[h.Worker.ID] {
-		a.Running = append(a.Running, Listed{Key: key})
+	for key, at := range w.lists[h.Worker.ID] {
+		a.Running = append(a.Running, Listed{Key: key, Percent: int(100 * (w.now - at.from) / at.long)})
 	}
 	w.core.HoldAnswered(w.now, h.Worker.ID, h.Number, a, HoldOK)
 }
--- a/internal/scheduler/move.go
+++ b/internal/scheduler/move.go
@@ -63,8 +63,7 @@
 		return false
 	}
 	u := &unit{job: j, step: &j.Spec.Steps[r.key.Task.Step], queue: q, round: r.key.Task.Round, number: r.key.Task.Step}
-	others := slices.DeleteFunc(slices.Clone(p.usable(q.Service)), func(n *node) bool { return n.rec.ID == r.worker })
-	n := p.best(u, others, "")
+	n := p.bestElsewhere(u, p.usable(q.Service), r.worker)
 	if n == nil {
 		return false
 	}
@@ -76,3 +75,16 @@
 	p.c.Counts.Moved++
 	return true
 }
+
+// bestElsewhere is best among all nodes but one.
+func (p *placement) bestElsewhere(u *unit, nodes []*node, except string) *node {
+	at := slices.IndexFunc(nodes, func(n *node) bool { return n.rec.ID == except })
+	if at < 0 {
+		return p.best(u, nodes, "")
+	}
+	own := nodes[at]
+	held := own.held
+	own.held = true
+	defer func() { own.held = held }()
+	return p.best(u, nodes, "")
+}
