Bound moves by the task's length; spread gangs that no rack holds; let old jobs go

Progress is told in percent: a task of over 150 s would have counted as standing still for ever. A gang that no rack could hold waited 2 s for one. Jobs that were over stayed in the table for good. Change: a run stands still only if that is a twentieth of its expected time too, and is moved at most twice; such gangs spread at once; jobs leave the table after twice the time for which their state is owed.

--- a/cmd/cplane/platform.go
+++ b/cmd/cplane/platform.go
@@ -125,7 +125,7 @@
 	}
 	node.leader = controller.NewLeader(controller.LeaderOptions{Store: node.store,
 		Workers: platform.NewWorkers(exchanger{caller}, 0), Config: schedulerSettings(core.Scheduler),
-		Control: core.ControlAddress, Clock: alarm.Real{}, Logger: daemon.Part(logger, "controller")})
+		Control: core.ControlAddress, KeepOver: 2 * core.Scheduler.KeepStateFor, Clock: alarm.Real{}, Logger: daemon.Part(logger, "controller")})
 	node.client = controller.NewClient(controller.ClientOptions{Caller: caller, Seeds: core.Seeds, Self: core.InternalAddress,
 		Logger: daemon.Part(logger, "client")})
 	node.inner = wire.NewServer(wire.ServerOptions{Addr: core.InternalAddress, Loops: 1, Descriptors: descriptors, Logger: daemon.Part(logger, "wire")})
--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -39,10 +39,15 @@
 	Workers scheduler.Workers
 	Config  scheduler.Config
 	Control string // address at which this node takes heartbeats
-	Clock   alarm.Clock
-	Logger  log.Logger
+	// KeepOver is how long a job that is over stays in the table; 0 takes DefaultKeepOver.
+	KeepOver time.Duration
+	Clock    alarm.Clock
+	Logger   log.Logger
 }
 
+// DefaultKeepOver is how long a job that is over can be asked for by default.
+const DefaultKeepOver = 10 * time.Minute
+
 // Leader serves calls and runs the scheduler on the node that leads the store; on any other node it answers
 // fault.NotLeader.
 type Leader struct {
@@ -52,6 +57,8 @@
 	group *spawn.Group
 	core  *scheduler.Core // of the loop alone
 
+	tidyAt time.Duration // of the loop alone
+
 	mu     sync.Mutex
 	events []func(*scheduler.Core, time.Duration)
 	notes  []jobs.Note
@@ -61,6 +68,9 @@
 
 // NewLeader makes a controller that does nothing before Start.
 func NewLeader(opt LeaderOptions) *Leader {
+	if opt.KeepOver <= 0 {
+		opt.KeepOver = DefaultKeepOver
+	}
 	return &Leader{opt: opt, clock: opt.Clock, log: opt.Logger, group: spawn.New(context.Background()),
 		core: scheduler.New(opt.Config), wake: make(chan struct{}, 1), beats: map[string]uint64{}}
 }
@@ -147,13 +157,32 @@
 		out = l.core.Pass(now, l.clock.Wall())
 	})
 	l.carryOut(term, out)
+	l.tidy(now, term)
 	return out.Next
 }
 
+// tidyEvery is the pause between two looks for jobs that are over for long.
+const tidyEvery = 20 * time.Second
+
+// tidy lets jobs go that are over for longer than they have to be known.
+func (l *Leader) tidy(now time.Duration, term uint64) {
+	if now < l.tidyAt {
+		return
+	}
+	l.tidyAt = now + tidyEvery
+	before := l.clock.Wall().Add(-l.opt.KeepOver)
+	l.group.Go(func(ctx context.Context) {
+		if _, _, err := l.opt.Store.ProposeIn(ctx, term, &command.JobTidy{Before: before}); err != nil {
+			_ = level.Debug(l.log).Log("msg", "tidy", "err", err)
+		}
+	})
+}
+
 func (l *Leader) lead(now time.Duration, term uint64, table *jobs.Table) {
 	l.take()
 	table.Watch = l.watch
 	l.core.Lead(now, term, table)
+	l.tidyAt = now + tidyEvery
 	_ = level.Info(l.log).Log("msg", "scheduling", "term", term, "jobs", len(table.Jobs), "workers", len(table.Workers))
 }
 
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -83,8 +83,9 @@
 	moved  bool // something changed that may let a due task be placed
 
 	sweepAt time.Duration
-	dueAt   time.Time // the next round that falls due
-	avoid   map[jobs.TaskRef]string
+	dueAt   time.Time               // the next round that falls due
+	avoid   map[jobs.TaskRef]string // workers that tasks failed on or were moved away from
+	moves   map[jobs.TaskRef]int    // how often tasks were moved away from slow workers
 	speeds  speeds
 
 	// Counts are for metrics and tests.
@@ -102,7 +103,7 @@
 	c.workers, c.names, c.runs = map[string]*worker{}, nil, map[jobs.RunKey]*run{}
 	c.queue, c.dirty, c.seen = map[string]*job{}, map[string]bool{}, map[string]uint64{}
 	c.ends, c.starts, c.flight = nil, nil, nil
-	c.avoid, c.speeds = map[jobs.TaskRef]string{}, newSpeeds()
+	c.avoid, c.moves, c.speeds = map[jobs.TaskRef]string{}, map[jobs.TaskRef]int{}, newSpeeds()
 	c.dueAt = time.Time{}
 }
 
--- a/internal/scheduler/move.go
+++ b/internal/scheduler/move.go
@@ -9,6 +9,8 @@
 const (
 	slowFactor   = 2.0                     // a run is looked at once it took so many times as long as its peers
 	standstill   = 1500 * time.Millisecond // a run without any progress for so long stands still
+	stillShare   = 0.05                    // if it is also so large a part of its expected time: progress is told in percent
+	mostMoved    = 2                       // times that one task is moved by a leader
 	moveCost     = 500 * time.Millisecond  // a stop, two commits and a start
 	gainFactor   = 1.5                     // what is left must be so many times as long as beginning anew elsewhere
 	freshListing = 2 * time.Second         // progress that was listed longer ago says nothing
@@ -33,16 +35,25 @@
 	}
 }
 
+// expected is how long a run should take on an average worker, by its client's guess.
+func (c *Core) expected(estimate time.Duration) time.Duration {
+	ratio := max(c.speeds.mean, 1)
+	return time.Duration(float64(max(estimate, leastEstimate)) * ratio)
+}
+
 // slow tells whether what is left of a run takes far longer than beginning it anew elsewhere: it stands still, or other
 // tasks of its step took a fraction of its time.
 func (p *placement) slow(r *run) bool {
 	if r.lasting || r.gang || !r.listed || r.stop || r.ending || !r.mine || p.now-r.percentAt > freshListing {
 		return false
 	}
-	if r.percentAt-r.advancedAt >= standstill {
-		return true
+	if p.c.moves[r.key.Task] >= mostMoved {
+		return false
 	}
 	peers, known := p.c.speeds.peers(r.key.Task)
+	if still := r.percentAt - r.advancedAt; still >= standstill {
+		return still >= time.Duration(stillShare*float64(max(p.c.expected(r.estimate), peers)))
+	}
 	elapsed := r.percentAt - r.sentAt
 	if !known || elapsed < time.Duration(slowFactor*float64(peers)) {
 		return false
@@ -70,6 +81,7 @@
 	n.free = minus(n.free, u.step.Needs)
 	r.stop = true
 	p.c.avoid[r.key.Task] = r.worker
+	p.c.moves[r.key.Task]++
 	p.c.speeds.slow(r.worker)
 	p.c.Counts.Moved++
 	return true
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -204,7 +204,7 @@
 	groups := [][]*node{nodes}
 	if u.step.SameRack {
 		groups = byRack(nodes)
-		if p.now-u.since > 4*p.c.cfg.GangHold {
+		if p.now-u.since > 4*p.c.cfg.GangHold || !p.anyRackCould(u, groups) {
 			groups = append(groups, nodes) // slower over several racks, but not waiting
 		}
 	}
@@ -216,6 +216,11 @@
 	p.wait(u, nodes, len(u.indexes))
 }
 
+// anyRackCould tells whether some rack, were it empty, would hold the whole gang.
+func (p *placement) anyRackCould(u *unit, racks [][]*node) bool {
+	return slices.ContainsFunc(racks, func(rack []*node) bool { return p.couldTake(u, rack) >= len(u.indexes) })
+}
+
 func (p *placement) tryGang(u *unit, nodes []*node) bool {
 	number := 0
 	for _, task := range u.tasks() {
--- a/internal/scheduler/queue.go
+++ b/internal/scheduler/queue.go
@@ -82,6 +82,11 @@
 			delete(c.avoid, ref)
 		}
 	}
+	for ref := range c.moves {
+		if ref.Job == id {
+			delete(c.moves, ref)
+		}
+	}
 }
 
 // refreshRuns brings the run records of a job in line with its handles and gives how many there are.
