--- a/internal/scheduler/move.go
+++ b/internal/scheduler/move.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"crosstide/internal/jobs"
 )
 
 // Bounds of what is moved away from a slow worker.
@@ -20,17 +22,16 @@
 // moveSlow stops runs that stand still or go on far slower than elsewhere, where another worker has room for them. They
 // are due again once their end is listed, and shun the worker that they come from.
 func (p *placement) moveSlow() {
-	moved := 0
-	for _, id := range p.c.names {
-		w := p.c.workers[id]
-		if w.failures > 0 {
-			continue // nothing is known of its runs
+	slow := map[jobs.RunKey]*run{} // few of all runs: only these are put in order
+	for key, r := range p.c.runs {
+		if w := p.c.workers[r.worker]; w != nil && w.failures == 0 && p.slow(r) { // else nothing is known of it
+			slow[key] = r
 		}
-		for _, key := range sortedRuns(w.runs) {
-			r := w.runs[key]
-			if moved < mostMoves && p.slow(r) && p.moveOne(r) {
-				moved++
-			}
+	}
+	moved := 0
+	for _, key := range sortedRuns(slow) {
+		if moved < mostMoves && p.moveOne(slow[key]) {
+			moved++
 		}
 	}
 }
@@ -80,6 +81,7 @@
 	}
 	n.free = minus(n.free, u.step.Needs)
 	r.stop = true
+	p.c.askStop(r)
 	p.c.avoid[r.key.Task] = r.worker
 	p.c.moves[r.key.Task]++
 	p.c.speeds.slow(r.worker)
