Ask at once about orders without an answer; hold calls wait 1 s

Change: 300 ms for orders, the worker is asked at once, and only a run that it does not list is stopped; hold calls wait 1 s and fail 0.4 s later; a worker with an open doubt gets no new starts.

--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -256,15 +256,12 @@
 	return held && current == term
 }
 
-// callTimeout bounds start and stop orders and the part of a hold call beyond its wait.
-const callTimeout = 700 * time.Millisecond
-
 func (l *Leader) start(ctx context.Context, term uint64, start scheduler.StartOut) {
 	id, key := start.Worker.ID, start.Order.Key
 	failure := scheduler.StartUnsent
 	var answer scheduler.StartAnswer
 	if l.leads(term) {
-		bounded, cancel := l.within(ctx, callTimeout)
+		bounded, cancel := l.within(ctx, l.opt.Config.OrderTimeout)
 		var err error
 		answer, err = l.opt.Workers.Start(bounded, start.Worker, start.Order)
 		cancel()
@@ -289,7 +286,7 @@
 	id, key := stop.Worker.ID, stop.Order.Key
 	ok := false
 	if l.leads(term) {
-		bounded, cancel := l.within(ctx, callTimeout)
+		bounded, cancel := l.within(ctx, l.opt.Config.OrderTimeout)
 		err := l.opt.Workers.Stop(bounded, stop.Worker, stop.Order)
 		cancel()
 		ok = err == nil
@@ -302,7 +299,7 @@
 	failure := scheduler.HoldFailed
 	var answer scheduler.HoldAnswer
 	if l.leads(term) {
-		bounded, cancel := l.within(ctx, hold.Call.Wait+callTimeout)
+		bounded, cancel := l.within(ctx, hold.Call.Wait+l.opt.Config.HoldMargin)
 		var err error
 		answer, err = l.opt.Workers.Hold(bounded, hold.Worker, hold.Call)
 		cancel()
--- a/internal/scheduler/config.go
+++ b/internal/scheduler/config.go
@@ -7,7 +7,8 @@
 	Lease         time.Duration // lease of everything on a worker, renewed by every hold call
 	HoldWait      time.Duration // how long a worker may keep a hold call waiting
 	Silence       time.Duration // no starts on a worker unheard for this long
-	StartTimeout  time.Duration // a start without an answer is in doubt after it
+	OrderTimeout  time.Duration // a start or stop without an answer is in doubt after it
+	HoldMargin    time.Duration // a hold call without an answer has failed so long after its wait
 	RetryMin      time.Duration // pause after the first call that failed; it doubles
 	RetryMax      time.Duration // longest pause between calls to a worker that does not answer
 	LapseMargin   time.Duration // from the end of a lease to the certainty that everything is killed
@@ -23,8 +24,8 @@
 // Defaults are the starting values.
 func Defaults() Config {
 	return Config{
-		Lease: 5 * time.Second, HoldWait: 1500 * time.Millisecond,
-		Silence: 4 * time.Second, StartTimeout: 600 * time.Millisecond,
+		Lease: 5 * time.Second, HoldWait: time.Second,
+		Silence: 4 * time.Second, OrderTimeout: 300 * time.Millisecond, HoldMargin: 400 * time.Millisecond,
 		RetryMin: 200 * time.Millisecond, RetryMax: time.Second, LapseMargin: 600 * time.Millisecond,
 		ClockSlack: 0.02, EarlyStart: 0, SpreadFactor: 1.5, GangHold: 500 * time.Millisecond,
 		ForgetAfter: 15 * time.Second, MostStarts: 512, MostPreempted: 32,
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -103,7 +103,7 @@
 	switch {
 	case rec.Draining || rec.Left || c.table.Evacuated[rec.Zone]:
 		return false
-	case !w.clockOK || w.heardAt == 0 || now-w.heardAt > c.cfg.Silence || w.failures > 0:
+	case !w.clockOK || w.heardAt == 0 || now-w.heardAt > c.cfg.Silence || w.failures > 0 || w.suspect:
 		return false
 	case !w.answered:
 		return false
--- a/internal/scheduler/runs.go
+++ b/internal/scheduler/runs.go
@@ -18,6 +18,10 @@
 	// accepted is the sequence at which its start was answered well; 0: not.
 	accepted uint64
 	doubted  bool // its start got no answer
+	// doubtedAt is the sequence at which that was known.
+	doubtedAt uint64
+	// missing: a hold call sent after that did not list it, so it is stopped, lest it start late.
+	missing  bool
 	listed   bool // the worker listed it as running
 	listedAt time.Duration
 	saved    string
@@ -136,7 +140,7 @@
 
 // wantsStop tells whether a stop order is wanted for the run and was not answered yet.
 func (r *run) wantsStop() bool {
-	return (r.stop || r.doubted && !r.listed) && !r.ending && r.stopped == 0
+	return (r.stop || r.missing && !r.listed) && !r.ending && r.stopped == 0
 }
 
 // sendStops gives the stop orders that are due. It looks only at the runs and workers on its lists: most runs are never
@@ -200,11 +204,9 @@
 		}
 		return
 	case StartUnknown:
-		w.failed(c, now)
+		w.suspect, w.probe = true, true
 		if r != nil && !r.listed {
-			r.doubted = true
-			c.askStop(r)
-			w.probe = true
+			r.doubted, r.doubtedAt = true, c.sequence
 			c.Counts.Doubted++
 		}
 		return
@@ -256,7 +258,7 @@
 	}
 	r.stopping = false
 	if !ok {
-		w.failed(c, now)
+		w.suspect, w.probe = true, true
 		r.retryAt = retry
 		return
 	}
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -28,6 +28,7 @@
 	noted    uint64 // highest end taken in
 	seen     uint64 // highest end that is durable
 	failures int
+	suspect  bool // an order got no answer, and nothing was heard since
 	retryAt  time.Duration
 	starting int           // start orders under way
 	fullAt   time.Duration // it refused for room then: our account of it is wrong for a moment
@@ -68,7 +69,7 @@
 // heard notes a sign of life, with the worker's clock if it was told.
 func (w *worker) heard(c *Core, now, clock time.Duration) {
 	w.heardAt = max(now, 1)
-	w.failures, w.retryAt = 0, 0
+	w.failures, w.retryAt, w.suspect = 0, 0, false
 	if clock > 0 && (!w.clockOK || clock > w.clock) {
 		w.clock, w.clockAt, w.clockOK = clock, now, true
 	}
@@ -288,8 +289,14 @@
 		return
 	}
 	for _, key := range sortedRuns(w.runs) {
-		if r := w.runs[key]; !present[key] && !r.ending && r.provedAbsent(number) {
+		r := w.runs[key]
+		switch {
+		case present[key] || r.ending:
+		case r.provedAbsent(number):
 			c.end(r, jobs.EndLost, "")
+		case r.doubted && r.doubtedAt < number:
+			r.missing = true
+			c.askStop(r)
 		}
 	}
 }
