Leases of 3 s at least, so that work outlives a restart of the core

Ruled out: processor time (0.3 of 0.64 cores), elections (the first one wins). Change: a floor of 3 s, under the longest lease.

--- a/cmd/cplane/platform.go
+++ b/cmd/cplane/platform.go
@@ -194,11 +194,16 @@
 // leaseShare is the lease of workers as a share of the longest one.
 const leaseShare = 0.35
 
+// leastLease is the shortest lease, unless the longest one is shorter. After a loss of power at all core nodes nothing is
+// renewed for a second and a half, and a worker's last renewal may be a hold call ago: shorter leases end all work then.
+const leastLease = 3 * time.Second
+
 // schedulerSettings maps the platform's bounds to the scheduler's settings.
 func schedulerSettings(bounds platform.SchedulerSettings) scheduler.Config {
 	config := scheduler.Defaults()
 	if bounds.LongestLease > 0 {
-		config.Lease = time.Duration(float64(bounds.LongestLease) * leaseShare)
+		share := time.Duration(float64(bounds.LongestLease) * leaseShare)
+		config.Lease = min(max(share, leastLease), bounds.LongestLease)
 	}
 	config.HoldWait = min(config.HoldWait, config.Lease/3)
 	if bounds.StopTime > 0 {
