Fast workers for urgent work, even room in every rack

Change: speed counts in steps of an eighth and only for urgent queues; lasting work goes to slower workers; ties go to the emptier node, for accelerators to the fuller one.

--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -136,9 +137,30 @@
 	return counts[id]
 }
 
+// Bounds of how much the speed of a worker counts.
+const (
+	speedSteps = 8   // speeds that differ by less than one part in so many count as equal
+	sickSpeed  = 1.6 // from this factor on a worker is too slow for anything that could run elsewhere
+)
+
+// speedCost is how much the speed of a node counts against it for a unit. The fast nodes are left to urgent work: work
+// that is not urgent goes by room alone, and lasting work, which no speed makes shorter, to the slower ones.
+func (u *unit) speedCost(n *node) float64 {
+	rounded := math.Round(n.factor*speedSteps) / speedSteps
+	switch {
+	case n.factor >= sickSpeed:
+		return n.factor
+	case u.step.Lasting:
+		return 1 + 1/max(rounded, 0.1)
+	case u.queue.Priority > 0:
+		return 1
+	}
+	return rounded
+}
+
 // cost is how long a unit's task takes on a node, by what is known.
 func (p *placement) cost(u *unit, n *node) float64 {
-	cost := n.factor
+	cost := u.speedCost(n)
 	if u.step.Near != "" && !slices.Contains(n.rec.Labels, u.step.Near) {
 		cost *= p.c.cfg.SpreadFactor
 	}
@@ -157,13 +179,23 @@
 		if n.rec.ID == shun {
 			cost *= 4 // better there again than not at all
 		}
-		if found == nil || cost < least || cost == least && n.free.MilliCPU < found.free.MilliCPU {
+		if found == nil || cost < least || cost == least && u.roomier(n, found) {
 			found, least = n, cost
 		}
 	}
 	return found
 }
 
+// roomier tells whether a node is to be preferred to another of the same cost: the emptier one, so that every rack keeps
+// room for tasks whose data is there; for tasks on accelerators the fuller one, so that whole nodes stay free for those
+// that need several.
+func (u *unit) roomier(n, other *node) bool {
+	if u.step.Needs.GPUs > 0 {
+		return n.free.GPUs < other.free.GPUs
+	}
+	return n.free.MilliCPU > other.free.MilliCPU
+}
+
 // take plans a start of one task on a node.
 func (p *placement) take(u *unit, n *node, index, number int) {
 	n.free = minus(n.free, u.step.Needs)
