Leader logs silent workers by zone and runs that ended without their worker's word

Ruled out: a line per worker or run (a zone's loss would be hundreds of lines); one line a second at most.

--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -46,11 +46,12 @@
 // Leader serves calls and runs the scheduler on the node that leads the store; on any other node it answers
 // fault.NotLeader.
 type Leader struct {
-	opt   LeaderOptions
-	clock alarm.Clock
-	log   log.Logger
-	group *spawn.Group
-	core  *scheduler.Core // of the loop alone
+	opt    LeaderOptions
+	clock  alarm.Clock
+	log    log.Logger
+	group  *spawn.Group
+	core   *scheduler.Core // of the loop alone
+	health healthLog       // of the loop alone
 
 	mu     sync.Mutex
 	events []func(*scheduler.Core, time.Duration)
@@ -62,7 +63,7 @@
 // NewLeader makes a controller that does nothing before Start.
 func NewLeader(opt LeaderOptions) *Leader {
 	return &Leader{opt: opt, clock: opt.Clock, log: opt.Logger, group: spawn.New(context.Background()),
-		core: scheduler.New(opt.Config), wake: make(chan struct{}, 1), beats: map[string]uint64{}}
+		core: scheduler.New(opt.Config), health: healthLog{log: opt.Logger}, wake: make(chan struct{}, 1), beats: map[string]uint64{}}
 }
 
 // Start begins to schedule whenever this node leads. It returns at once.
@@ -145,6 +146,9 @@
 			event(l.core, now)
 		}
 		out = l.core.Pass(now, l.clock.Wall())
+		if l.health.due(now) {
+			l.health.note(now, l.core.Health(now))
+		}
 	})
 	l.carryOut(term, out)
 	return out.Next
--- /dev/null
+++ b/internal/scheduler/health.go
@@ -0,0 +1,27 @@
+package scheduler
+
+import "time"
+
+// Health is what an operator wants to know of the workers under the present term.
+type Health struct {
+	Silent  map[string]int // by zone: workers that were not heard for Config.Silence
+	Workers int
+	Counts  Counts
+}
+
+// Health tells how the workers are at now. The table must not change meanwhile.
+func (c *Core) Health(now time.Duration) Health {
+	health := Health{Silent: map[string]int{}, Counts: c.Counts}
+	for _, id := range c.names {
+		w := c.workers[id]
+		rec := w.record()
+		if rec == nil {
+			continue
+		}
+		health.Workers++
+		if now-max(w.heardAt, c.since) > c.cfg.Silence {
+			health.Silent[rec.Zone]++
+		}
+	}
+	return health
+}
