Orders with the answers to heartbeats, where the settings ask for it

Ruled out: another scheduler (Mailboxes carries the same orders and answers the same questions); withdrawing a start once an answer carried it: it goes again with each answer until the worker lists it.

--- a/cmd/cplane/platform.go
+++ b/cmd/cplane/platform.go
@@ -123,9 +123,14 @@
 	if err != nil {
 		return nil, fault.Pass(err, "open the store")
 	}
-	node.leader = controller.NewLeader(controller.LeaderOptions{Store: node.store,
+	options := controller.LeaderOptions{Store: node.store,
 		Workers: platform.NewWorkers(exchanger{caller}, 0), Config: schedulerSettings(core.Scheduler),
-		Control: core.ControlAddress, Clock: alarm.Real{}, Logger: daemon.Part(logger, "controller")})
+		Control: core.ControlAddress, Clock: alarm.Real{}, Logger: daemon.Part(logger, "controller")}
+	if core.OrdersByBeat {
+		options.Mailboxes = controller.NewMailboxes()
+		options.Workers = options.Mailboxes
+	}
+	node.leader = controller.NewLeader(options)
 	node.client = controller.NewClient(controller.ClientOptions{Caller: caller, Seeds: core.Seeds, Self: core.InternalAddress,
 		Logger: daemon.Part(logger, "client")})
 	node.inner = wire.NewServer(wire.ServerOptions{Addr: core.InternalAddress, Loops: 1, Descriptors: descriptors, Logger: daemon.Part(logger, "wire")})
--- a/internal/controller/api.go
+++ b/internal/controller/api.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"crosstide/internal/jobs"
+	"crosstide/internal/scheduler"
 	"crosstide/internal/wire"
 )
 
@@ -57,11 +58,24 @@
 	Remaining time.Duration `json:"remaining,omitempty"` // while draining: the least time it has left
 	Cold      time.Duration `json:"cold,omitempty"`
 	Leaving   bool          `json:"leaving,omitempty"`
+	// Listing is what runs and what has ended, where orders go with the answers to heartbeats.
+	Listing *scheduler.HoldAnswer `json:"listing,omitempty"`
 }
 
 // BeatAnswer acknowledges a heartbeat: what it told is known to the scheduler and durable.
 type BeatAnswer struct {
-	Leader string `json:"leader,omitempty"` // control address that later heartbeats are best sent to
+	Leader string      `json:"leader,omitempty"` // control address that later heartbeats are best sent to
+	Orders *BeatOrders `json:"orders,omitempty"` // where orders go with the answers to heartbeats
+}
+
+// BeatOrders are the orders in the answer to a heartbeat.
+type BeatOrders struct {
+	Lease    time.Duration          `json:"lease"` // of everything on the worker, from the arrival of the answer
+	SeenUpTo uint64                 `json:"seen"`  // ends numbered up to it are durable here
+	Token    uint64                 `json:"token"` // fencing token
+	Starts   []scheduler.StartOrder `json:"starts,omitempty"`
+	Stops    []jobs.RunKey          `json:"stops,omitempty"`
+	Again    time.Duration          `json:"again"` // pause before the next heartbeat
 }
 
 // ConfigCall asks for the configuration in force.
--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -37,10 +38,12 @@
 type LeaderOptions struct {
 	Store   Store
 	Workers scheduler.Workers
-	Config  scheduler.Config
-	Control string // address at which this node takes heartbeats
-	Clock   alarm.Clock
-	Logger  log.Logger
+	// Mailboxes are the Workers where orders go with the answers to heartbeats; nil otherwise.
+	Mailboxes *Mailboxes
+	Config    scheduler.Config
+	Control   string // address at which this node takes heartbeats
+	Clock     alarm.Clock
+	Logger    log.Logger
 }
 
 // Leader serves calls and runs the scheduler on the node that leads the store; on any other node it answers
@@ -213,12 +216,22 @@
 // callTimeout bounds start and stop orders and the part of a hold call beyond its wait.
 const callTimeout = 700 * time.Millisecond
 
+// beatTimeout is callTimeout where an order waits for the worker's heartbeat.
+const beatTimeout = 3 * time.Second
+
+func (l *Leader) callTimeout() time.Duration {
+	if l.opt.Mailboxes != nil {
+		return beatTimeout
+	}
+	return callTimeout
+}
+
 func (l *Leader) start(ctx context.Context, term uint64, start scheduler.StartOut) {
 	id, key := start.Worker.ID, start.Order.Key
 	failure := scheduler.StartUnsent
 	var answer scheduler.StartAnswer
 	if l.leads(term) {
-		bounded, cancel := l.within(ctx, callTimeout)
+		bounded, cancel := l.within(ctx, l.callTimeout())
 		var err error
 		answer, err = l.opt.Workers.Start(bounded, start.Worker, start.Order)
 		cancel()
@@ -233,7 +246,7 @@
 		return scheduler.StartOK
 	case fault.Is(err, fault.Unknown):
 		return scheduler.StartOtherLife
-	case wire.Unsent(err):
+	case wire.Unsent(err), errors.Is(err, errNeverLeft):
 		return scheduler.StartUnsent
 	}
 	return scheduler.StartUnknown
@@ -243,7 +256,7 @@
 	id, key := stop.Worker.ID, stop.Order.Key
 	ok := false
 	if l.leads(term) {
-		bounded, cancel := l.within(ctx, callTimeout)
+		bounded, cancel := l.within(ctx, l.callTimeout())
 		err := l.opt.Workers.Stop(bounded, stop.Worker, stop.Order)
 		cancel()
 		ok = err == nil
@@ -256,7 +269,7 @@
 	failure := scheduler.HoldFailed
 	var answer scheduler.HoldAnswer
 	if l.leads(term) {
-		bounded, cancel := l.within(ctx, hold.Call.Wait+callTimeout)
+		bounded, cancel := l.within(ctx, hold.Call.Wait+l.callTimeout())
 		var err error
 		answer, err = l.opt.Workers.Hold(bounded, hold.Worker, hold.Call)
 		cancel()
