--- /dev/null
+++ b/internal/controller/mailbox_test.go
@@ -0,0 +1,151 @@
+package controller
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"crosstide/internal/fault"
+	"crosstide/internal/jobs"
+	"crosstide/internal/scheduler"
+	"crosstide/internal/spawn"
+)
+
+const mailTerm = 3
+
+// mailBench is the mailbox of one worker, under term 3.
+type mailBench struct {
+	boxes *Mailboxes
+	group *spawn.Group
+	leads bool
+}
+
+func newMailBench() *mailBench {
+	return &mailBench{boxes: NewMailboxes(), group: spawn.New(context.Background()), leads: true}
+}
+
+// beat is one heartbeat; a worker with nothing to do would wait for orders, so it lists one foreign run.
+func (b *mailBench) beat(sequence uint64, running ...jobs.RunKey) *BeatOrders {
+	listing := scheduler.HoldAnswer{Clock: time.Minute, Running: []scheduler.Listed{{Key: runKey(99)}}}
+	for _, key := range running {
+		listing.Running = append(listing.Running, scheduler.Listed{Key: key})
+	}
+	return b.boxes.Exchange(context.Background(), "w", sequence, mailTerm, listing, func() bool { return b.leads })
+}
+
+// posted waits until count letters are in the worker's box.
+func (b *mailBench) posted(count int) {
+	for {
+		b.boxes.mu.Lock()
+		box := b.boxes.box("w")
+		filled, have := box.filled, len(box.starts)+len(box.stops)+len(box.holds)
+		b.boxes.mu.Unlock()
+		if have >= count {
+			return
+		}
+		<-filled
+	}
+}
+
+func runKey(index int) jobs.RunKey {
+	return jobs.RunKey{Task: jobs.TaskRef{Job: "j", Index: index}, Number: 1}
+}
+
+// outcome of one order.
+type posted struct {
+	clock time.Duration
+	err   error
+}
+
+func (b *mailBench) start(ctx context.Context, index int) chan posted {
+	done := make(chan posted, 1)
+	b.group.Go(func(context.Context) {
+		answer, err := b.boxes.Start(ctx, jobs.Worker{ID: "w"}, scheduler.StartOrder{Key: runKey(index), Token: mailTerm, Deadline: time.Minute + 5*time.Second})
+		done <- posted{answer.Clock, err}
+	})
+	b.posted(1)
+	return done
+}
+
+func TestMailboxStart(t *testing.T) {
+	Convey("Given a start for a worker", t, func() {
+		b := newMailBench()
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		done := b.start(ctx, 1)
+		Convey("it goes with every answer until the worker lists the run", func() {
+			first, second := b.beat(1), b.beat(2)
+			So(len(first.Starts), ShouldEqual, 1)
+			So(len(second.Starts), ShouldEqual, 1)
+			third := b.beat(3, runKey(1))
+			So(third.Starts, ShouldBeEmpty)
+			So((<-done).clock, ShouldEqual, time.Minute)
+			Convey("and every answer has a higher token of the same term", func() {
+				So(first.Token, ShouldBeGreaterThan, uint64(mailTerm*tokensPerTerm))
+				So(second.Token, ShouldBeGreaterThan, first.Token)
+				So(third.Token, ShouldBeLessThan, uint64((mailTerm+1)*tokensPerTerm))
+			})
+			Convey("and the lease leaves room for the way of the answer", func() {
+				So(first.Lease, ShouldEqual, 5*time.Second-answerLife)
+			})
+		})
+		Convey("taken back before a heartbeat came, it never left", func() {
+			cancel()
+			So(errors.Is((<-done).err, errNeverLeft), ShouldBeTrue)
+			So(b.beat(1).Starts, ShouldBeEmpty)
+		})
+		Convey("taken back after an answer carried it, it may be carried out", func() {
+			b.beat(1)
+			cancel()
+			So(fault.KindOf((<-done).err), ShouldEqual, fault.Timeout)
+		})
+		Convey("a node that does not lead any more gives no orders", func() {
+			b.leads = false
+			So(b.beat(1), ShouldBeNil)
+		})
+	})
+}
+
+func TestMailboxProofs(t *testing.T) {
+	Convey("Given a stop for a worker", t, func() {
+		b := newMailBench()
+		done := make(chan error, 1)
+		b.group.Go(func(ctx context.Context) {
+			done <- b.boxes.Stop(ctx, jobs.Worker{ID: "w"}, scheduler.StopOrder{Key: runKey(1), Token: mailTerm})
+		})
+		b.posted(1)
+		Convey("it is settled by a heartbeat that does not list the run, after two answers carried it", func() {
+			So(b.beat(1, runKey(1)).Stops, ShouldResemble, []jobs.RunKey{runKey(1)})
+			So(len(b.beat(2).Stops), ShouldEqual, 1)
+			So(len(b.beat(3).Stops), ShouldEqual, 0)
+			So(<-done, ShouldBeNil)
+		})
+		Convey("a run that is listed still is not stopped yet", func() {
+			for sequence := uint64(1); sequence < 5; sequence++ {
+				So(len(b.beat(sequence, runKey(1)).Stops), ShouldEqual, 1)
+			}
+			So(len(b.beat(5).Stops), ShouldEqual, 0)
+			So(<-done, ShouldBeNil)
+		})
+	})
+	Convey("Given a call whose answer is a proof", t, func() {
+		b := newMailBench()
+		done := make(chan scheduler.HoldAnswer, 1)
+		b.group.Go(func(ctx context.Context) {
+			answer, _ := b.boxes.Hold(ctx, jobs.Worker{ID: "w"}, scheduler.HoldCall{Token: mailTerm, SeenUpTo: 4})
+			done <- answer
+		})
+		b.posted(1)
+		Convey("it takes the lists of a heartbeat after two answers, and no earlier one", func() {
+			So(b.beat(1, runKey(1)).SeenUpTo, ShouldEqual, 4)
+			b.beat(2, runKey(1))
+			b.beat(2, runKey(1)) // the same heartbeat again proves nothing
+			b.beat(3, runKey(2))
+			answer := <-done
+			So(answer.Running[1].Key, ShouldResemble, runKey(2))
+		})
+	})
+}
