Heartbeats with orders come at a pace that one leader can answer

Cause: half of the first starts waited 123 ms for the worker's next heartbeat. Ruled out: a fixed pause, which thousands of workers would turn into more heartbeats than a leader answers.

--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -144,6 +144,9 @@
 		events, notes := l.take()
 		for _, note := range notes {
 			l.core.Note(note)
+			if note.Kind == jobs.WorkerGone && l.opt.Mailboxes != nil {
+				l.opt.Mailboxes.Forget(note.Name)
+			}
 		}
 		for _, event := range events {
 			event(l.core, now)
--- a/internal/controller/mailbox.go
+++ b/internal/controller/mailbox.go
@@ -16,9 +16,11 @@
 	answerLife = time.Second
 	// idleHold is how long the answer to an idle worker's heartbeat is held until there are orders.
 	idleHold = 500 * time.Millisecond
-	// busyAgain and idleAgain are the pauses before a worker's next heartbeat.
-	busyAgain = 200 * time.Millisecond
-	idleAgain = 400 * time.Millisecond
+	// leastAgain and mostAgain bound the pause before a worker's next heartbeat; beatShare of it is for each worker, so
+	// that the heartbeats of all of them stay within what one leader can answer.
+	leastAgain = 100 * time.Millisecond
+	mostAgain  = time.Second
+	beatShare  = 1500 * time.Microsecond
 	// tokensPerTerm is how many fencing tokens, one for each answer, a term has for a worker.
 	tokensPerTerm = 1 << 20
 	// confirmations is how many answers must have carried a stop, or the first call under a term, before a heartbeat
@@ -180,7 +182,16 @@
 	if !leads() {
 		return nil
 	}
-	return b.orders(sequence, term, listing.Clock, idle)
+	out := b.orders(sequence, term, listing.Clock)
+	out.Again = min(max(leastAgain, time.Duration(len(m.boxes))*beatShare), mostAgain)
+	return out
+}
+
+// Forget drops the box of a worker that is gone. Orders in it are settled by their time-outs.
+func (m *Mailboxes) Forget(id string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	delete(m.boxes, id)
 }
 
 func (b *mailbox) empty() bool { return len(b.starts)+len(b.stops)+len(b.holds) == 0 }
@@ -218,9 +229,9 @@
 
 // orders gives what the answer to the heartbeat of a sequence carries, under a token of its own: a worker that has taken
 // it does nothing for an earlier answer any more.
-func (b *mailbox) orders(sequence, term uint64, clock time.Duration, idle bool) *BeatOrders {
+func (b *mailbox) orders(sequence, term uint64, clock time.Duration) *BeatOrders {
 	b.tokens = min(b.tokens+1, tokensPerTerm-1)
-	out := &BeatOrders{Token: term*tokensPerTerm + b.tokens, SeenUpTo: b.seen, Again: busyAgain}
+	out := &BeatOrders{Token: term*tokensPerTerm + b.tokens, SeenUpTo: b.seen}
 	out.Lease = max(0, b.deadline-clock-answerLife)
 	for _, l := range b.starts {
 		if l.term == term {
@@ -239,9 +250,6 @@
 			l.carry(sequence, holdConfirmations(l.order))
 		}
 	}
-	if idle && b.empty() {
-		out.Again = idleAgain
-	}
 	return out
 }
 
