A start refused on a heartbeat is no mistake of the heartbeat

Cause: workers that take orders from heartbeats list a refused start among the ended runs, as "refused".

--- a/internal/controller/mailbox.go
+++ b/internal/controller/mailbox.go
@@ -198,16 +198,21 @@
 
 // settle ends the letters of which the heartbeat of a sequence is the proof.
 func (b *mailbox) settle(sequence uint64, listing scheduler.HoldAnswer) {
-	running, ended := map[jobs.RunKey]bool{}, map[jobs.RunKey]bool{}
+	running, begun, refused := map[jobs.RunKey]bool{}, map[jobs.RunKey]bool{}, map[jobs.RunKey]bool{}
 	for _, r := range listing.Running {
-		running[r.Key] = true
+		running[r.Key], begun[r.Key] = true, true
 	}
 	for _, e := range listing.Ended {
-		ended[e.Key] = true
+		if e.How == jobs.EndLost {
+			refused[e.Key] = true
+		} else {
+			begun[e.Key] = true
+		}
 	}
-	b.starts = settleAll(b.starts, scheduler.StartAnswer{Clock: listing.Clock}, func(l *letter[scheduler.StartOrder, scheduler.StartAnswer]) bool {
-		return running[l.order.Key] || ended[l.order.Key]
-	})
+	taken := scheduler.StartAnswer{Clock: listing.Clock}
+	b.starts = settleAll(b.starts, taken, func(l *letter[scheduler.StartOrder, scheduler.StartAnswer]) bool { return begun[l.order.Key] })
+	refusal := scheduler.StartAnswer{Clock: listing.Clock, Refusal: scheduler.RefusedRoom}
+	b.starts = settleAll(b.starts, refusal, func(l *letter[scheduler.StartOrder, scheduler.StartAnswer]) bool { return refused[l.order.Key] })
 	b.stops = settleAll(b.stops, struct{}{}, func(l *letter[scheduler.StopOrder, struct{}]) bool {
 		return l.before(sequence) && !running[l.order.Key]
 	})
--- a/internal/controller/mailbox_test.go
+++ b/internal/controller/mailbox_test.go
@@ -56,15 +56,16 @@
 
 // outcome of one order.
 type posted struct {
-	clock time.Duration
-	err   error
+	clock   time.Duration
+	refusal scheduler.Refusal
+	err     error
 }
 
 func (b *mailBench) start(ctx context.Context, index int) chan posted {
 	done := make(chan posted, 1)
 	b.group.Go(func(context.Context) {
 		answer, err := b.boxes.Start(ctx, jobs.Worker{ID: "w"}, scheduler.StartOrder{Key: runKey(index), Token: mailTerm, Deadline: time.Minute + 5*time.Second})
-		done <- posted{answer.Clock, err}
+		done <- posted{answer.Clock, answer.Refusal, err}
 	})
 	b.posted(1)
 	return done
@@ -92,6 +93,12 @@
 				So(first.Lease, ShouldEqual, 5*time.Second-answerLife)
 			})
 		})
+		Convey("a worker that lists it as refused has not taken it", func() {
+			b.beat(1)
+			listing := scheduler.HoldAnswer{Clock: time.Minute, Ended: []scheduler.Ended{{Sequence: 1, Key: runKey(1), How: jobs.EndLost}}}
+			b.boxes.Exchange(context.Background(), "w", 2, mailTerm, listing, func() bool { return true })
+			So((<-done).refusal, ShouldEqual, scheduler.RefusedRoom)
+		})
 		Convey("taken back before a heartbeat came, it never left", func() {
 			cancel()
 			So(errors.Is((<-done).err, errNeverLeft), ShouldBeTrue)
