--- a/cmd/cplane/platform.go
+++ b/cmd/cplane/platform.go
@@ -125,7 +125,7 @@
 	}
 	options := controller.LeaderOptions{Store: node.store,
 		Workers: platform.NewWorkers(exchanger{caller}, 0), Config: schedulerSettings(core.Scheduler),
-		Control: core.ControlAddress, Clock: alarm.Real{}, Logger: daemon.Part(logger, "controller")}
+		Control: core.ControlAddress, KeepOver: 2 * core.Scheduler.KeepStateFor, Clock: alarm.Real{}, Logger: daemon.Part(logger, "controller")}
 	if core.OrdersByBeat {
 		options.Mailboxes = controller.NewMailboxes()
 		options.Workers = options.Mailboxes
@@ -197,7 +197,7 @@
 }
 
 // leaseShare is the lease of workers as a share of the longest one.
-const leaseShare = 0.5
+const leaseShare = 0.35
 
 // schedulerSettings maps the platform's bounds to the scheduler's settings.
 func schedulerSettings(bounds platform.SchedulerSettings) scheduler.Config {
--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -42,10 +42,15 @@
 	Mailboxes *Mailboxes
 	Config    scheduler.Config
 	Control   string // address at which this node takes heartbeats
-	Clock     alarm.Clock
-	Logger    log.Logger
+	// KeepOver is how long a job that is over stays in the table; 0 takes DefaultKeepOver.
+	KeepOver time.Duration
+	Clock    alarm.Clock
+	Logger   log.Logger
 }
 
+// DefaultKeepOver is how long a job that is over can be asked for by default.
+const DefaultKeepOver = 10 * time.Minute
+
 // Leader serves calls and runs the scheduler on the node that leads the store; on any other node it answers
 // fault.NotLeader.
 type Leader struct {
@@ -56,6 +61,8 @@
 	core   *scheduler.Core // of the loop alone
 	health healthLog       // of the loop alone
 
+	tidyAt time.Duration // of the loop alone
+
 	mu     sync.Mutex
 	events []func(*scheduler.Core, time.Duration)
 	notes  []jobs.Note
@@ -65,6 +72,12 @@
 
 // NewLeader makes a controller that does nothing before Start.
 func NewLeader(opt LeaderOptions) *Leader {
+	if opt.KeepOver <= 0 {
+		opt.KeepOver = DefaultKeepOver
+	}
+	if opt.Mailboxes != nil {
+		opt.Config.OrderTimeout, opt.Config.HoldMargin = beatTimeout, beatTimeout
+	}
 	return &Leader{opt: opt, clock: opt.Clock, log: opt.Logger, group: spawn.New(context.Background()),
 		core: scheduler.New(opt.Config), health: healthLog{log: opt.Logger}, wake: make(chan struct{}, 1), beats: map[string]uint64{}}
 }
@@ -101,6 +114,7 @@
 func (l *Leader) loop(ctx context.Context) {
 	for {
 		changed := l.opt.Store.Changed()
+		begin := l.clock.Now()
 		next := l.pass()
 		timer := l.clock.Set(max(time.Millisecond, next-l.clock.Now()), l.nudge)
 		if l.core.Term() != 0 {
@@ -114,6 +128,26 @@
 		case <-changed:
 		}
 		timer.Stop()
+		l.gather(ctx, begin+passGap)
+	}
+}
+
+// passGap is the least time from one pass to the next. Answers of workers come by the thousand a second; what comes in
+// the meantime is taken in together.
+const passGap = 2 * time.Millisecond
+
+// gather waits until a time.
+func (l *Leader) gather(ctx context.Context, until time.Duration) {
+	pause := until - l.clock.Now()
+	if pause <= 0 {
+		return
+	}
+	over := make(chan struct{})
+	timer := l.clock.Set(pause, func() { close(over) })
+	defer timer.Stop()
+	select {
+	case <-over:
+	case <-ctx.Done():
 	}
 }
 
@@ -157,13 +191,32 @@
 		}
 	})
 	l.carryOut(term, out)
+	l.tidy(now, term)
 	return out.Next
 }
 
+// tidyEvery is the pause between two looks for jobs that are over for long.
+const tidyEvery = 20 * time.Second
+
+// tidy lets jobs go that are over for longer than they have to be known.
+func (l *Leader) tidy(now time.Duration, term uint64) {
+	if now < l.tidyAt {
+		return
+	}
+	l.tidyAt = now + tidyEvery
+	before := l.clock.Wall().Add(-l.opt.KeepOver)
+	l.group.Go(func(ctx context.Context) {
+		if _, _, err := l.opt.Store.ProposeIn(ctx, term, &command.JobTidy{Before: before}); err != nil {
+			_ = level.Debug(l.log).Log("msg", "tidy", "err", err)
+		}
+	})
+}
+
 func (l *Leader) lead(now time.Duration, term uint64, table *jobs.Table) {
 	l.take()
 	table.Watch = l.watch
 	l.core.Lead(now, term, table)
+	l.tidyAt = now + tidyEvery
 	_ = level.Info(l.log).Log("msg", "scheduling", "term", term, "jobs", len(table.Jobs), "workers", len(table.Workers))
 }
 
@@ -216,25 +269,15 @@
 	return held && current == term
 }
 
-// callTimeout bounds start and stop orders and the part of a hold call beyond its wait.
-const callTimeout = 700 * time.Millisecond
-
-// beatTimeout is callTimeout where an order waits for the worker's heartbeat.
+// beatTimeout bounds an order that waits for the worker's heartbeat.
 const beatTimeout = 3 * time.Second
 
-func (l *Leader) callTimeout() time.Duration {
-	if l.opt.Mailboxes != nil {
-		return beatTimeout
-	}
-	return callTimeout
-}
-
 func (l *Leader) start(ctx context.Context, term uint64, start scheduler.StartOut) {
 	id, key := start.Worker.ID, start.Order.Key
 	failure := scheduler.StartUnsent
 	var answer scheduler.StartAnswer
 	if l.leads(term) {
-		bounded, cancel := l.within(ctx, l.callTimeout())
+		bounded, cancel := l.within(ctx, l.opt.Config.OrderTimeout)
 		var err error
 		answer, err = l.opt.Workers.Start(bounded, start.Worker, start.Order)
 		cancel()
@@ -259,7 +302,7 @@
 	id, key := stop.Worker.ID, stop.Order.Key
 	ok := false
 	if l.leads(term) {
-		bounded, cancel := l.within(ctx, l.callTimeout())
+		bounded, cancel := l.within(ctx, l.opt.Config.OrderTimeout)
 		err := l.opt.Workers.Stop(bounded, stop.Worker, stop.Order)
 		cancel()
 		ok = err == nil
@@ -272,7 +315,7 @@
 	failure := scheduler.HoldFailed
 	var answer scheduler.HoldAnswer
 	if l.leads(term) {
-		bounded, cancel := l.within(ctx, hold.Call.Wait+l.callTimeout())
+		bounded, cancel := l.within(ctx, hold.Call.Wait+l.opt.Config.HoldMargin)
 		var err error
 		answer, err = l.opt.Workers.Hold(bounded, hold.Worker, hold.Call)
 		cancel()
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -71,21 +71,27 @@
 	sequence uint64
 
 	workers map[string]*worker
-	names   []string // of workers, in the order they were met
+	names   []string  // of workers, in the order they were met
+	order   []*worker // the same workers, for looks at all of them
 	runs    map[jobs.RunKey]*run
 	queue   map[string]*job // jobs that are not over or have handles out
 	dirty   map[string]bool // jobs to look at again
 
+	unwanted map[jobs.RunKey]*run // runs to be stopped
+	straying map[string]bool      // workers with runs that the table does not have
+
 	ends   []jobs.End
 	seen   map[string]uint64 // by worker: highest end in ends
 	starts []jobs.RunKey     // recorded, to be sent
 	flight *flight
 	moved  bool // something changed that may let a due task be placed
 
-	sweepAt time.Duration
-	dueAt   time.Time // the next round that falls due
-	avoid   map[jobs.TaskRef]string
-	speeds  speeds
+	sweepAt  time.Duration
+	forgetAt time.Duration           // the next look for workers to forget
+	dueAt    time.Time               // the next round that falls due
+	avoid    map[jobs.TaskRef]string // workers that tasks failed on or were moved away from
+	moves    map[jobs.TaskRef]int    // how often tasks were moved away from slow workers
+	speeds   speeds
 
 	// Counts are for metrics and tests.
 	Counts Counts
@@ -99,10 +105,12 @@
 }
 
 func (c *Core) clear() {
-	c.workers, c.names, c.runs = map[string]*worker{}, nil, map[jobs.RunKey]*run{}
+	c.workers, c.names, c.order, c.runs = map[string]*worker{}, nil, nil, map[jobs.RunKey]*run{}
 	c.queue, c.dirty, c.seen = map[string]*job{}, map[string]bool{}, map[string]uint64{}
+	c.unwanted, c.straying = map[jobs.RunKey]*run{}, map[string]bool{}
 	c.ends, c.starts, c.flight = nil, nil, nil
-	c.avoid, c.speeds = map[jobs.TaskRef]string{}, newSpeeds()
+	c.forgetAt = 0
+	c.avoid, c.moves, c.speeds = map[jobs.TaskRef]string{}, map[jobs.TaskRef]int{}, newSpeeds()
 	c.dueAt = time.Time{}
 }
 
@@ -140,9 +148,14 @@
 		c.dirty[note.Name] = true
 	case jobs.WorkerChanged:
 		c.meet(note.Name)
+	case jobs.ConfigChanged: // a queue may have gone, come back or moved to another service
+		for id := range c.queue {
+			c.dirty[id] = true
+		}
 	case jobs.WorkerGone:
 		delete(c.workers, note.Name)
 		c.names = slices.DeleteFunc(c.names, func(id string) bool { return id == note.Name })
+		c.order = slices.DeleteFunc(c.order, func(w *worker) bool { return w.id == note.Name })
 	}
 }
 
@@ -189,8 +202,7 @@
 // sweep looks at everything that time alone changes.
 func (c *Core) sweep(now time.Duration) {
 	c.sweepAt = now + sweepEvery
-	for _, id := range c.names {
-		w := c.workers[id]
+	for _, w := range c.order {
 		if w.lapsed(c, now) {
 			for _, key := range sortedRuns(w.runs) {
 				if r := w.runs[key]; r.sent && !r.ending {
@@ -200,6 +212,11 @@
 			}
 		}
 	}
+	for _, r := range c.runs {
+		if r.wantsStop() {
+			c.askStop(r)
+		}
+	}
 	c.moved = true
 }
 
@@ -213,7 +230,10 @@
 		c.moved = false
 		starts = c.place(now, wall)
 	}
-	forget := c.forgotten(now)
+	var forget []string
+	if now >= c.forgetAt {
+		forget, c.forgetAt = c.forgotten(now), now+sweepEvery
+	}
 	if len(c.ends) == 0 && len(starts) == 0 && len(forget) == 0 && len(c.seen) == 0 {
 		return
 	}
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -13,9 +13,11 @@
 	w       *worker
 	rec     *jobs.Worker
 	free    jobs.Resources
-	freeing jobs.Resources // what runs that are being stopped give back
+	freeing jobs.Resources // what runs give back that are being stopped, or whose ends wait to be committed
 	held    bool           // kept free for a more urgent unit
 	factor  float64        // how many times as long a task takes here
+	// lowest is the priority of the least urgent run here that may be stopped for a more urgent one; -1: none.
+	lowest int
 }
 
 func fits(free, needs jobs.Resources) bool {
@@ -38,13 +40,15 @@
 	nodes     map[string][]*node // by service
 	starts    []jobs.Start
 	perNode   map[jobs.TaskRef]map[string]int // planned tasks of a unit on a worker
+	byFree    map[string][]*node              // by service: the nodes with most free room first; gone with each start
 	preempted int
 }
 
 // place chooses workers for due tasks.
 func (c *Core) place(now time.Duration, wall time.Time) []jobs.Start {
 	units := c.dueUnits(wall)
-	p := &placement{c: c, now: now, wall: wall, nodes: map[string][]*node{}, perNode: map[jobs.TaskRef]map[string]int{}}
+	p := &placement{c: c, now: now, wall: wall, nodes: map[string][]*node{}, perNode: map[jobs.TaskRef]map[string]int{},
+		byFree: map[string][]*node{}}
 	for _, u := range units {
 		if len(p.starts) >= c.cfg.MostStarts {
 			c.moved = true
@@ -72,11 +76,14 @@
 		if rec == nil || rec.Service != service || !w.takesStarts(p.c, p.now) {
 			continue
 		}
-		n := &node{w: w, rec: rec, free: minus(rec.Capacity, p.c.table.Used(id)), factor: p.c.speeds.factor(id)}
+		n := &node{w: w, rec: rec, free: minus(rec.Capacity, p.c.table.Used(id)), factor: p.c.speeds.factor(id), lowest: -1}
 		for _, r := range w.runs {
-			if r.stop && !r.ending {
+			if r.stop || r.ending {
 				n.freeing = plus(n.freeing, r.needs)
 			}
+			if r.mayYield() {
+				n.lowest = max(n.lowest, r.priority)
+			}
 		}
 		nodes = append(nodes, n)
 	}
@@ -96,7 +103,7 @@
 	switch {
 	case rec.Draining || rec.Left || c.table.Evacuated[rec.Zone]:
 		return false
-	case !w.clockOK || w.heardAt == 0 || now-w.heardAt > c.cfg.Silence || w.failures > 0:
+	case !w.clockOK || w.heardAt == 0 || now-w.heardAt > c.cfg.Silence || w.failures > 0 || w.suspect:
 		return false
 	case !w.answered:
 		return false
@@ -160,6 +167,7 @@
 // take plans a start of one task on a node.
 func (p *placement) take(u *unit, n *node, index, number int) {
 	n.free = minus(n.free, u.step.Needs)
+	clear(p.byFree)
 	p.onNode(u, n.rec.ID)
 	p.perNode[u.key()][n.rec.ID]++
 	ref := u.key()
@@ -169,6 +177,7 @@
 
 // untake undoes the newest starts, down to a length of the list.
 func (p *placement) untake(u *unit, nodes []*node, length int) {
+	clear(p.byFree)
 	for _, s := range p.starts[length:] {
 		for _, n := range nodes {
 			if n.rec.ID == s.Worker {
@@ -204,7 +213,7 @@
 	groups := [][]*node{nodes}
 	if u.step.SameRack {
 		groups = byRack(nodes)
-		if p.now-u.since > 4*p.c.cfg.GangHold {
+		if p.now-u.since > 4*p.c.cfg.GangHold || !p.anyRackCould(u, groups) {
 			groups = append(groups, nodes) // slower over several racks, but not waiting
 		}
 	}
@@ -216,6 +225,11 @@
 	p.wait(u, nodes, len(u.indexes))
 }
 
+// anyRackCould tells whether some rack, were it empty, would hold the whole gang.
+func (p *placement) anyRackCould(u *unit, racks [][]*node) bool {
+	return slices.ContainsFunc(racks, func(rack []*node) bool { return p.couldTake(u, rack) >= len(u.indexes) })
+}
+
 func (p *placement) tryGang(u *unit, nodes []*node) bool {
 	number := 0
 	for _, task := range u.tasks() {
@@ -270,7 +284,7 @@
 
 // reserve keeps the nodes that would take the unit soonest from less urgent units of this pass.
 func (p *placement) reserve(u *unit, nodes []*node, count int) {
-	group := nodes
+	group := p.mostFree(u.queue.Service, nodes)
 	if u.step.SameRack {
 		group = nil
 		for _, rack := range byRack(nodes) {
@@ -278,9 +292,8 @@
 				group = rack
 			}
 		}
+		group = sortByFree(group)
 	}
-	group = slices.Clone(group)
-	slices.SortStableFunc(group, func(a, b *node) int { return cmp.Compare(b.free.MilliCPU, a.free.MilliCPU) })
 	for _, n := range group {
 		if count <= 0 {
 			return
@@ -292,6 +305,23 @@
 	}
 }
 
+// mostFree gives all nodes of a service, those with most free room first. Units that wait follow one another without a
+// start in between, so the order is kept until the next start.
+func (p *placement) mostFree(service string, nodes []*node) []*node {
+	sorted, ok := p.byFree[service]
+	if !ok {
+		sorted = sortByFree(nodes)
+		p.byFree[service] = sorted
+	}
+	return sorted
+}
+
+func sortByFree(nodes []*node) []*node {
+	sorted := slices.Clone(nodes)
+	slices.SortStableFunc(sorted, func(a, b *node) int { return cmp.Compare(b.free.MilliCPU, a.free.MilliCPU) })
+	return sorted
+}
+
 func (p *placement) couldTake(u *unit, nodes []*node) int {
 	sum := 0
 	for _, n := range nodes {
--- a/internal/scheduler/preempt.go
+++ b/internal/scheduler/preempt.go
@@ -30,9 +30,12 @@
 			continue
 		}
 		if fits(plus(n.free, n.freeing), u.step.Needs) { // room is on the way here
-			n.freeing = minus(n.freeing, u.step.Needs)
+			n.promise(u.step.Needs)
 			return true
 		}
+		if n.lowest <= u.queue.Priority || p.preempted >= p.c.cfg.MostPreempted {
+			continue // nothing to stop here, or no more may be stopped in this pass
+		}
 		stop, waste, ok := p.victims(u, n)
 		if ok && (chosen == nil || waste < least) {
 			chosen, victims, least = n, stop, waste
@@ -43,20 +46,30 @@
 	}
 	for _, r := range victims {
 		r.stop = true
+		p.c.askStop(r)
 		chosen.freeing = plus(chosen.freeing, r.needs)
 		p.c.Counts.Preempted++
 	}
 	p.preempted += len(victims)
 	p.c.moved = true
-	chosen.freeing = minus(chosen.freeing, u.step.Needs)
+	chosen.promise(u.step.Needs)
 	return true
 }
 
+// promise keeps room for a task that waits until runs here have stopped: less urgent units of this pass must not take
+// what is free of it already, else more runs would be stopped again and again.
+func (n *node) promise(needs jobs.Resources) {
+	left := minus(plus(n.free, n.freeing), needs)
+	free := jobs.Resources{MilliCPU: min(n.free.MilliCPU, left.MilliCPU), MemoryMB: min(n.free.MemoryMB, left.MemoryMB),
+		GPUs: min(n.free.GPUs, left.GPUs)}
+	n.free, n.freeing = free, minus(left, free)
+}
+
 // victims gives the runs to stop on a node for one task of a unit, and the work thrown away in core-seconds.
 func (p *placement) victims(u *unit, n *node) (stop []*run, waste float64, ok bool) {
 	var candidates []*run
 	for _, r := range n.w.runs {
-		if r.priority > u.queue.Priority && r.sent && r.listed && !r.stop && !r.ending && !r.gang {
+		if r.priority > u.queue.Priority && r.mayYield() {
 			candidates = append(candidates, r)
 		}
 	}
@@ -75,6 +88,9 @@
 	return stop, waste, fits(room, u.step.Needs)
 }
 
+// mayYield tells whether a run may be stopped for a more urgent one.
+func (r *run) mayYield() bool { return r.sent && r.listed && !r.stop && !r.ending && !r.gang }
+
 // wasteOf is the work that a stop of a run throws away, in core-seconds; a saved run loses little.
 func (p *placement) wasteOf(r *run) float64 {
 	waste := (p.now - r.sentAt).Seconds() * coresOf(r.needs)
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -28,6 +28,7 @@
 	noted    uint64 // highest end taken in
 	seen     uint64 // highest end that is durable
 	failures int
+	suspect  bool // an order got no answer, and nothing was heard since
 	retryAt  time.Duration
 	starting int           // start orders under way
 	fullAt   time.Duration // it refused for room then: our account of it is wrong for a moment
@@ -46,7 +47,7 @@
 	if w == nil {
 		w = &worker{id: id, table: c.table, runs: map[jobs.RunKey]*run{}, strays: map[jobs.RunKey]*stray{}, probe: true}
 		c.workers[id] = w
-		c.names = append(c.names, id)
+		c.names, c.order = append(c.names, id), append(c.order, w)
 	}
 	return w
 }
@@ -68,7 +69,7 @@
 // heard notes a sign of life, with the worker's clock if it was told.
 func (w *worker) heard(c *Core, now, clock time.Duration) {
 	w.heardAt = max(now, 1)
-	w.failures, w.retryAt = 0, 0
+	w.failures, w.retryAt, w.suspect = 0, 0, false
 	if clock > 0 && (!w.clockOK || clock > w.clock) {
 		w.clock, w.clockAt, w.clockOK = clock, now, true
 	}
@@ -107,13 +108,15 @@
 	return w.clock + time.Duration(float64(now-w.clockAt)*(1-c.cfg.ClockSlack))
 }
 
-// lapsed tells whether every lease that may have been given to the worker is surely over.
+// lapsed tells whether every lease that may have been given to the worker is surely over. Heartbeats say nothing of it:
+// they may come by way of another node while no call gets through.
 func (w *worker) lapsed(c *Core, now time.Duration) bool {
-	if now-w.heardAt < c.cfg.Lease && w.heardAt > 0 && w.answered {
+	// An earlier leader may have granted a whole lease just before this term began.
+	if !w.answered && time.Duration(float64(now-c.since)*(1-c.cfg.ClockSlack)) <= c.cfg.Lease+2*c.cfg.LapseMargin {
 		return false
 	}
-	if !w.answered { // an earlier leader may have granted a whole lease just before this term began
-		return time.Duration(float64(now-c.since)*(1-c.cfg.ClockSlack)) > c.cfg.Lease+2*c.cfg.LapseMargin
+	if !w.answered && w.granted == 0 {
+		return true
 	}
 	return w.clockLeast(c, now) > w.granted+c.cfg.LapseMargin
 }
@@ -159,10 +162,12 @@
 
 // sendHolds gives the hold calls that are due.
 func (c *Core) sendHolds(now time.Duration, out *Out) {
-	for _, id := range c.names {
-		w := c.workers[id]
+	for _, w := range c.order {
+		if !w.probe && (w.holding != 0 || len(w.runs) == 0) || now < w.retryAt {
+			continue // nothing to ask: the rule for most workers in most passes
+		}
 		rec := w.record()
-		if rec == nil || now < w.retryAt {
+		if rec == nil {
 			continue
 		}
 		if w.probe && w.probing == 0 {
@@ -170,8 +175,8 @@
 			w.probing = c.hold(w, rec, 0, out)
 			continue
 		}
-		_, pending := c.seen[id]
-		committing := c.flight != nil && c.flight.seen[id] > 0
+		_, pending := c.seen[w.id]
+		committing := c.flight != nil && c.flight.seen[w.id] > 0
 		if w.holding == 0 && len(w.runs) > 0 && w.answered && !pending && !committing {
 			w.holding = c.hold(w, rec, c.cfg.HoldWait, out)
 		}
@@ -263,6 +268,7 @@
 		if r == nil {
 			if w.strays[l.Key] == nil && c.runs[l.Key] == nil && !c.inFlight(l.Key) {
 				w.strays[l.Key] = &stray{}
+				c.straying[w.id] = true
 			}
 			continue
 		}
@@ -283,8 +289,14 @@
 		return
 	}
 	for _, key := range sortedRuns(w.runs) {
-		if r := w.runs[key]; !present[key] && !r.ending && r.provedAbsent(number) {
+		r := w.runs[key]
+		switch {
+		case present[key] || r.ending:
+		case r.provedAbsent(number):
 			c.end(r, jobs.EndLost, "")
+		case r.doubted && r.doubtedAt < number:
+			r.missing = true
+			c.askStop(r)
 		}
 	}
 }
@@ -309,15 +321,14 @@
 // forgotten gives the workers without runs that are gone.
 func (c *Core) forgotten(now time.Duration) []string {
 	var out []string
-	for _, id := range c.names {
-		w := c.workers[id]
+	for _, w := range c.order {
 		rec := w.record()
 		if rec == nil || len(w.runs) > 0 || w.starting > 0 {
 			continue
 		}
 		silent := now-max(w.heardAt, c.since) > c.cfg.ForgetAfter
 		if silent || rec.Left && w.failures > 0 {
-			out = append(out, id)
+			out = append(out, w.id)
 		}
 	}
 	return out
