--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -37,8 +38,10 @@
 type LeaderOptions struct {
 	Store   Store
 	Workers scheduler.Workers
-	Config  scheduler.Config
-	Control string // address at which this node takes heartbeats
+	// Mailboxes are the Workers where orders go with the answers to heartbeats; nil otherwise.
+	Mailboxes *Mailboxes
+	Config    scheduler.Config
+	Control   string // address at which this node takes heartbeats
 	// KeepOver is how long a job that is over stays in the table; 0 takes DefaultKeepOver.
 	KeepOver time.Duration
 	Clock    alarm.Clock
@@ -51,11 +54,12 @@
 // Leader serves calls and runs the scheduler on the node that leads the store; on any other node it answers
 // fault.NotLeader.
 type Leader struct {
-	opt   LeaderOptions
-	clock alarm.Clock
-	log   log.Logger
-	group *spawn.Group
-	core  *scheduler.Core // of the loop alone
+	opt    LeaderOptions
+	clock  alarm.Clock
+	log    log.Logger
+	group  *spawn.Group
+	core   *scheduler.Core // of the loop alone
+	health healthLog       // of the loop alone
 
 	tidyAt time.Duration // of the loop alone
 
@@ -71,8 +75,11 @@
 	if opt.KeepOver <= 0 {
 		opt.KeepOver = DefaultKeepOver
 	}
+	if opt.Mailboxes != nil {
+		opt.Config.OrderTimeout, opt.Config.HoldMargin = beatTimeout, beatTimeout
+	}
 	return &Leader{opt: opt, clock: opt.Clock, log: opt.Logger, group: spawn.New(context.Background()),
-		core: scheduler.New(opt.Config), wake: make(chan struct{}, 1), beats: map[string]uint64{}}
+		core: scheduler.New(opt.Config), health: healthLog{log: opt.Logger}, wake: make(chan struct{}, 1), beats: map[string]uint64{}}
 }
 
 // Start begins to schedule whenever this node leads. It returns at once.
@@ -171,11 +178,17 @@
 		events, notes := l.take()
 		for _, note := range notes {
 			l.core.Note(note)
+			if note.Kind == jobs.WorkerGone && l.opt.Mailboxes != nil {
+				l.opt.Mailboxes.Forget(note.Name)
+			}
 		}
 		for _, event := range events {
 			event(l.core, now)
 		}
 		out = l.core.Pass(now, l.clock.Wall())
+		if l.health.due(now) {
+			l.health.note(now, l.core.Health(now))
+		}
 	})
 	l.carryOut(term, out)
 	l.tidy(now, term)
@@ -256,6 +269,9 @@
 	return held && current == term
 }
 
+// beatTimeout bounds an order that waits for the worker's heartbeat.
+const beatTimeout = 3 * time.Second
+
 func (l *Leader) start(ctx context.Context, term uint64, start scheduler.StartOut) {
 	id, key := start.Worker.ID, start.Order.Key
 	failure := scheduler.StartUnsent
@@ -276,7 +292,7 @@
 		return scheduler.StartOK
 	case fault.Is(err, fault.Unknown):
 		return scheduler.StartOtherLife
-	case wire.Unsent(err):
+	case wire.Unsent(err), errors.Is(err, errNeverLeft):
 		return scheduler.StartUnsent
 	}
 	return scheduler.StartUnknown
