--- /dev/null
+++ b/internal/rig/fleetsim/hunt_test.go
@@ -0,0 +1,49 @@
+package fleetsim
+
+import (
+	"os"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+)
+
+// TestHunt plays as many seeds as FLEETSIM_SEEDS says, from FLEETSIM_FROM on; without it, none. FLEETSIM_KINDS are the
+// disruptions (separated by commas), FLEETSIM_PACE how often they come, FLEETSIM_TRACE is a file for the trace.
+func TestHunt(t *testing.T) {
+	count, _ := strconv.ParseUint(os.Getenv("FLEETSIM_SEEDS"), 10, 64)
+	from, _ := strconv.ParseUint(os.Getenv("FLEETSIM_FROM"), 10, 64)
+	opt := Options{Break: Guard(os.Getenv("FLEETSIM_BREAK")), Load: Load(os.Getenv("FLEETSIM_LOAD"))}
+	opt.Pace, _ = strconv.ParseFloat(os.Getenv("FLEETSIM_PACE"), 64)
+	if kinds := os.Getenv("FLEETSIM_KINDS"); kinds != "" {
+		for kind := range strings.SplitSeq(kinds, ",") {
+			opt.Kinds = append(opt.Kinds, Disruption(kind))
+		}
+	}
+	if path := os.Getenv("FLEETSIM_TRACE"); path != "" {
+		file, err := os.Create(path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = file.Close() }()
+		opt.Trace = file
+	}
+	cases, seen, spells, longest := map[Rule]int{}, map[string]int{}, 0, time.Duration(0)
+	for seed := from; seed < from+count; seed++ {
+		opt.Seed = seed
+		report := Run(opt)
+		for _, b := range report.Breaches {
+			t.Errorf("seed %d breaks %s at %s: %s", seed, b.Rule, b.At, b.What)
+		}
+		for rule, n := range report.Cases {
+			cases[rule] += n
+		}
+		for what, n := range report.Seen {
+			seen[what] += n
+		}
+		spells += report.IdleSpells
+		longest = max(longest, report.LongestIdle)
+	}
+	t.Log(cases)
+	t.Log(seen, "idle spells", spells, "longest", longest)
+}
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -13,7 +13,7 @@
 	w       *worker
 	rec     *jobs.Worker
 	free    jobs.Resources
-	freeing jobs.Resources // what runs that are being stopped give back
+	freeing jobs.Resources // what runs give back that are being stopped, or whose ends wait to be committed
 	held    bool           // kept free for a more urgent unit
 	factor  float64        // how many times as long a task takes here
 	// lowest is the priority of the least urgent run here that may be stopped for a more urgent one; -1: none.
@@ -47,9 +47,6 @@
 // place chooses workers for due tasks.
 func (c *Core) place(now time.Duration, wall time.Time) []jobs.Start {
 	units := c.dueUnits(wall)
-	if len(units) == 0 {
-		return nil
-	}
 	p := &placement{c: c, now: now, wall: wall, nodes: map[string][]*node{}, perNode: map[jobs.TaskRef]map[string]int{},
 		byFree: map[string][]*node{}}
 	for _, u := range units {
@@ -63,6 +60,7 @@
 			p.placeTasks(u)
 		}
 	}
+	p.moveSlow()
 	return p.starts
 }
 
@@ -80,7 +78,7 @@
 		}
 		n := &node{w: w, rec: rec, free: minus(rec.Capacity, p.c.table.Used(id)), factor: p.c.speeds.factor(id), lowest: -1}
 		for _, r := range w.runs {
-			if r.stop && !r.ending {
+			if r.stop || r.ending {
 				n.freeing = plus(n.freeing, r.needs)
 			}
 			if r.mayYield() {
