--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -87,9 +87,10 @@
 	moved  bool // something changed that may let a due task be placed
 
 	sweepAt  time.Duration
-	forgetAt time.Duration // the next look for workers to forget
-	dueAt    time.Time     // the next round that falls due
-	avoid    map[jobs.TaskRef]string
+	forgetAt time.Duration           // the next look for workers to forget
+	dueAt    time.Time               // the next round that falls due
+	avoid    map[jobs.TaskRef]string // workers that tasks failed on or were moved away from
+	moves    map[jobs.TaskRef]int    // how often tasks were moved away from slow workers
 	speeds   speeds
 
 	// Counts are for metrics and tests.
@@ -109,7 +110,7 @@
 	c.unwanted, c.straying = map[jobs.RunKey]*run{}, map[string]bool{}
 	c.ends, c.starts, c.flight = nil, nil, nil
 	c.forgetAt = 0
-	c.avoid, c.speeds = map[jobs.TaskRef]string{}, newSpeeds()
+	c.avoid, c.moves, c.speeds = map[jobs.TaskRef]string{}, map[jobs.TaskRef]int{}, newSpeeds()
 	c.dueAt = time.Time{}
 }
 
