Count a good end that is heard after its handle was let go, and ask before a lapse

Cause (product). The holder's lease was gone for about 20 s while the store had no leader. The ends went into the next plan, after the release, where the store dropped them as they named no handle, and that very plan brought the new tickets.

Ruled out: the oracle (the log shows the end planned beside the second ticket), a second holder (one epoch all the time), the minion (it listed its end until it was acknowledged), the fence.

A run lapses only once its minion was called in vain since the lease came back. An end names its task, and the store takes a good one without a handle as long as its task is due under that same ticket, before the starts of the plan.

--- a/internal/sched/again_test.go
+++ b/internal/sched/again_test.go
@@ -131,3 +131,86 @@
 		So(d.st.Jobs["j1"].Phase, ShouldEqual, state.JobDone)
 	})
 }
+
+// lapsed is a desk with a run that ended while its holder, which had no lease, asked nobody. At the holder's return
+// the hold has lapsed by the clock.
+func lapsed() *desk {
+	d := newDesk("check", "m1")
+	d.greet("check")
+	d.submit("j1", state.StepSpec{})
+	d.answer(*order(d.settle()), "check", pair.HoldAnswer{Running: []uint64{1}})
+	d.settle()
+	d.core.Lease(d.now)
+	d.core.Pass(d.now)
+	d.core.Fault(d.now, "m1", false, d.wait["m1"].Call, true)
+	d.now += 30 * time.Second
+	d.core.Pass(d.now)
+	d.core.Lease(d.now + time.Hour)
+	return d
+}
+
+func TestAskBeforeLapse(t *testing.T) {
+	ended := pair.HoldAnswer{Ended: []pair.EndNote{{Ticket: 1, How: pair.EndWell}}}
+	Convey("A holder whose lease was gone for longer than a hold asks the minion before it lets its runs go", t, func() {
+		d := lapsed()
+		d.settle()
+		So(d.st.Handles[1], ShouldNotBeNil)
+		d.answer(d.wait["m1"], "check", ended)
+		d.settle()
+		So(d.st.Jobs["j1"].Phase, ShouldEqual, state.JobDone)
+		So(d.st.Ticket, ShouldEqual, 1)
+	})
+	Convey("It lets them go once the minion was asked in vain", t, func() {
+		d := lapsed()
+		d.settle()
+		d.core.Fault(d.now, "m1", false, d.wait["m1"].Call, true)
+		d.now += time.Second
+		d.settle()
+		So(d.st.Handles[1], ShouldBeNil)
+	})
+}
+
+func TestEndWhileProofIsCommitted(t *testing.T) {
+	ended := pair.HoldAnswer{Ended: []pair.EndNote{{Ticket: 1, How: pair.EndWell}}}
+	Convey("With the proof of a lapse under way to the store", t, func() {
+		d := lapsed()
+		d.settle()
+		d.core.Fault(d.now, "m1", false, d.wait["m1"].Call, true)
+		d.now += time.Second
+		out := d.core.Pass(d.now)
+		So(out.Plan.Dead, ShouldHaveLength, 1)
+		So(out.Calls, ShouldHaveLength, 1)
+
+		Convey("an end that is heard before it is committed counts, and the task gets no second ticket", func() {
+			d.answer(out.Calls[0], "check", ended)
+			d.commit(out.Plan)
+			d.settle()
+			So(d.st.Jobs["j1"].Phase, ShouldEqual, state.JobDone)
+			So(d.st.Ticket, ShouldEqual, 1)
+		})
+		Convey("so does one that is heard after it, and the minion may forget it only then", func() {
+			d.commit(out.Plan)
+			So(taskOf(d, "j1").Phase, ShouldEqual, state.TaskDue)
+			d.answer(out.Calls[0], "check", ended)
+			again := d.core.Pass(d.now)
+			So(again.Calls[0].Call.Acked, ShouldBeEmpty)
+			d.answer(again.Calls[0], "check", ended)
+			So(again.Plan.Ends, ShouldHaveLength, 1)
+			d.commit(again.Plan)
+			d.settle()
+			So(d.st.Jobs["j1"].Phase, ShouldEqual, state.JobDone)
+			So(d.st.Ticket, ShouldEqual, 1)
+			d.answer(d.wait["m1"], "check", ended)
+			So(d.core.Pass(d.now).Calls[0].Call.Acked, ShouldResemble, []uint64{1})
+		})
+		Convey("it counts also if the holder takes a snapshot in between", func() {
+			d.answer(out.Calls[0], "check", ended)
+			d.do(out.Plan)
+			d.core.Reset(d.now, d.st)
+			d.core.Planned(d.now, out.Plan.Epoch, command.Planned{}, nil)
+			d.settle()
+			So(d.st.Jobs["j1"].Phase, ShouldEqual, state.JobDone)
+			So(d.st.Ticket, ShouldEqual, 1)
+		})
+	})
+}
--- a/internal/sched/hold.go
+++ b/internal/sched/hold.go
@@ -165,6 +165,7 @@
 	}
 	c.Counts.CallFaults++
 	m.faults++
+	m.vain = m.vain || call.Call > m.before
 	m.retry = now + c.cfg.Retry
 	m.acks = append(call.Acked, m.acks...)
 	for _, s := range call.Starts {
@@ -257,7 +258,7 @@
 		m.past[m.boot] = true
 	}
 	m.taken = call.Call
-	m.faults = 0
+	m.faults, m.vain = 0, false
 	m.boot, m.kind, m.drain = a.Boot, a.Kind, a.Draining
 	m.heard, m.clock, m.told = now, a.Clock, a.Floor
 	c.hear(m, a)
@@ -285,7 +286,7 @@
 	for _, e := range ended {
 		r := m.runs[e.Ticket]
 		if r == nil {
-			m.acks = append(m.acks, e.Ticket) // its end is durable
+			c.lateEnd(m, e)
 			continue
 		}
 		well := e.How == pair.EndWell || e.How == pair.EndFault
@@ -296,7 +297,7 @@
 		switch e.How {
 		case pair.EndWell, pair.EndFault:
 			r.gone = true
-			c.ends = append(c.ends, command.End{Ticket: e.Ticket, OK: e.How == pair.EndWell, Reason: e.Reason})
+			c.ends = append(c.ends, command.End{Ticket: e.Ticket, Ref: r.h.Ref, OK: e.How == pair.EndWell, Reason: e.Reason})
 			c.Counts.Ended++
 			c.health.ended(now, r.h, e.How == pair.EndWell)
 			if e.How == pair.EndFault {
@@ -311,6 +312,20 @@
 	}
 }
 
+// lateEnd takes in a listed end of a ticket without a handle. One that was let go by a proof has ended well all the
+// same if its task has no newer ticket; all others may be forgotten.
+func (c *Core) lateEnd(m *minion, e pair.EndNote) {
+	r := c.late(e.Ticket)
+	switch {
+	case r == nil || e.How != pair.EndWell:
+		m.acks = append(m.acks, e.Ticket)
+	case !r.ended:
+		r.ended = true
+		c.ends = append(c.ends, command.End{Ticket: e.Ticket, Ref: r.ref, OK: true})
+		c.Counts.Ended++
+	}
+}
+
 // listing holds what runs and what ended there against the handles, both ways.
 func (c *Core) listing(now time.Duration, m *minion, call pair.HoldCall, a pair.HoldAnswer) {
 	seen := make(map[uint64]bool, len(a.Running)+len(a.Ended))
--- a/internal/sched/plan.go
+++ b/internal/sched/plan.go
@@ -141,13 +141,16 @@
 
 // due puts a task that fell due into the backlog.
 func (c *Core) due(ref state.TaskRef) {
-	if c.backlog.in[ref] {
-		return
-	}
 	_, t := c.st.TaskOf(ref)
 	if t == nil || t.Phase != state.TaskDue {
 		return
 	}
+	if t.Ticket > 0 && c.released[t.Ticket] == nil {
+		c.released[t.Ticket] = &release{ref: ref}
+	}
+	if c.backlog.in[ref] {
+		return
+	}
 	c.backlog.in[ref] = true
 	if wait := t.Due.Sub(c.st.At); !t.Due.IsZero() && wait > 0 {
 		heap.Push(&c.backlog.later, waiter{c.now + wait, ref})
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -79,19 +79,21 @@
 	// Where this node takes the same epoch up anew, it may have sent orders for tickets up to old; its calls go on
 	// counting from called.
 	old, called uint64
-
-	runs    map[uint64]*run
-	minions map[string]*minion
-	ring    []string // minion names, for placement in turn
-	turn    int
-	dirty   map[string]bool // minions with something to send
-	said    map[string]bool // minions with a report for the next plan
-	fresh   map[string]bool // minions that may take what they could not when placement last looked
-	wide    bool            // placement is to hold every class against all minions
-	backlog backlog
-	health  health
-	tally   map[string]int
-	teams   map[string]int // handles out by team
+	paused      bool // the lease did not let this node act when it last looked
+
+	runs     map[uint64]*run
+	released map[uint64]*release // by ticket
+	minions  map[string]*minion
+	ring     []string // minion names, for placement in turn
+	turn     int
+	dirty    map[string]bool // minions with something to send
+	said     map[string]bool // minions with a report for the next plan
+	fresh    map[string]bool // minions that may take what they could not when placement last looked
+	wide     bool            // placement is to hold every class against all minions
+	backlog  backlog
+	health   health
+	tally    map[string]int
+	teams    map[string]int // handles out by team
 
 	plan    *flight
 	running []uint64
@@ -131,6 +133,13 @@
 	ended  bool // its end does
 }
 
+// release is the record of a due task whose newest ticket was let go without a good end. That end may still be heard,
+// and counts until a newer ticket is given.
+type release struct {
+	ref   state.TaskRef
+	ended bool // its end waits in the next plan
+}
+
 // minion is the record of a minion: what its answers tell under this epoch.
 type minion struct {
 	name    string
@@ -146,6 +155,8 @@
 	order   uint64        // the call on the order line; 0: none
 	faults  int
 	retry   time.Duration
+	before  uint64 // calls up to this one left before the newest pause of the lease
+	vain    bool   // a later one got no answer, and none did since
 	floor   uint64
 	told    uint64 // the floor it is known to have
 	runs    map[uint64]*run
@@ -165,6 +176,7 @@
 }
 
 func (c *Core) clear() {
+	c.released = map[uint64]*release{}
 	c.runs, c.minions, c.dirty, c.tally = map[uint64]*run{}, map[string]*minion{}, map[string]bool{}, map[string]int{}
 	c.teams, c.said, c.fresh, c.wide = map[string]int{}, map[string]bool{}, map[string]bool{}, true
 	c.ring = nil
@@ -214,13 +226,6 @@
 	for _, t := range slices.Sorted(maps.Keys(c.st.Handles)) {
 		c.opened(c.st.Handles[t])
 	}
-	c.ends = slices.DeleteFunc(c.ends, func(e command.End) bool {
-		r := c.runs[e.Ticket]
-		if r != nil {
-			r.gone, r.ended = true, true
-		}
-		return r == nil
-	})
 	for _, j := range slices.SortedFunc(maps.Values(c.st.Jobs), func(a, b *state.Job) int { return cmp.Compare(a.Seq, b.Seq) }) {
 		for i := range j.Tasks {
 			for k := range j.Tasks[i] {
@@ -230,9 +235,38 @@
 			}
 		}
 	}
+	c.ends = slices.DeleteFunc(c.ends, func(e command.End) bool { return !c.keep(e) })
 	c.phase = Ready
 }
 
+// keep notes that an end heard before this node took the duty up anew is still to be committed; false if it says
+// nothing any more.
+func (c *Core) keep(e command.End) bool {
+	if r := c.runs[e.Ticket]; r != nil {
+		r.gone, r.ended = true, true
+		return true
+	}
+	r := c.late(e.Ticket)
+	if r == nil || !e.OK {
+		return false
+	}
+	r.ended = true
+	return true
+}
+
+// late finds the due task whose newest ticket this is; nil if there is none.
+func (c *Core) late(ticket uint64) *release {
+	r := c.released[ticket]
+	if r == nil {
+		return nil
+	}
+	if _, t := c.st.TaskOf(r.ref); t == nil || t.Phase != state.TaskDue || t.Ticket != ticket {
+		delete(c.released, ticket)
+		return nil
+	}
+	return r
+}
+
 // Lease says until when the duty is held.
 func (c *Core) Lease(until time.Duration) { c.lease = until }
 
@@ -291,7 +325,7 @@
 	m := c.minions[name]
 	if m == nil {
 		m = &minion{name: name, runs: map[uint64]*run{}, strays: map[uint64]string{}, floor: c.st.Ticket,
-			call: c.called}
+			call: c.called, before: c.called}
 		c.minions[name] = m
 		c.ring = append(c.ring, name)
 		c.dirty[name] = true
@@ -387,8 +421,12 @@
 func (c *Core) Pass(now time.Duration) Out {
 	c.now = now
 	if !c.Live(now) {
+		c.paused = true
 		return Out{}
 	}
+	if c.paused {
+		c.resume()
+	}
 	if now >= c.sweepAt {
 		c.sweepAt = now + c.cfg.Sweep
 		c.sweep(now)
@@ -401,6 +439,15 @@
 	return out
 }
 
+// resume takes in that the lease lets this node act again. It asked nobody meanwhile, so that a minion was not heard
+// since says nothing about the minion.
+func (c *Core) resume() {
+	c.paused = false
+	for _, m := range c.minions {
+		m.before, m.vain = m.call, false
+	}
+}
+
 // sweep is the pass over all records: lapses, orphans, silent minions, the tally.
 func (c *Core) sweep(now time.Duration) {
 	old := len(c.dead)
@@ -423,6 +470,9 @@
 	c.swept, c.wide = false, true
 	if now >= c.tidyAt {
 		c.tidyAt = now + 10*time.Second
+		for ticket := range c.released {
+			c.late(ticket) // lets go of what is over
+		}
 		c.health.forget(func(job string) bool { j := c.st.Jobs[job]; return j != nil && !j.Phase.Over() })
 	}
 }
@@ -436,9 +486,10 @@
 // drift allows for a minion's clock that runs a little slow against ours.
 func drift(d time.Duration) time.Duration { return d - d/500 }
 
-// lapse proves a run dead whose hold has surely run out.
+// lapse proves a run dead whose hold has surely run out. The minion must have been asked in vain: one that answers
+// tells what became of the run.
 func (c *Core) lapse(now time.Duration, m *minion, r *run) {
-	if r.gone || r.out || r.flying {
+	if r.gone || r.out || r.flying || !m.vain {
 		return
 	}
 	margin := 200 * time.Millisecond
--- a/internal/state/command/plan.go
+++ b/internal/state/command/plan.go
@@ -24,11 +24,12 @@
 	Hold time.Duration `json:"h,omitempty"`
 }
 
-// End is a listed end of a run.
+// End is a listed end of a run. Ref is its task, by which an end is known whose handle was released meanwhile.
 type End struct {
-	Ticket uint64 `json:"t"`
-	OK     bool   `json:"ok"`
-	Reason string `json:"w,omitempty"`
+	Ticket uint64        `json:"t"`
+	Ref    state.TaskRef `json:"f,omitzero"`
+	OK     bool          `json:"ok"`
+	Reason string        `json:"w,omitempty"`
 }
 
 // Proof kinds: why a handle without a listed end is surely dead.
@@ -188,6 +189,7 @@
 func end(s *state.State, e End) {
 	h := s.Handles[e.Ticket]
 	if h == nil {
+		lateEnd(s, e)
 		return
 	}
 	j, t := s.TaskOf(h.Ref)
@@ -212,6 +214,14 @@
 	again(s, h, e.Reason, s.At.Add(wait))
 }
 
+// lateEnd takes in that a run ended well whose handle was released by a proof before its end was heard. It counts as
+// long as no newer ticket was given for its task.
+func lateEnd(s *state.State, e End) {
+	if _, t := s.TaskOf(e.Ref); e.OK && t != nil && t.Ticket == e.Ticket && t.Phase == state.TaskDue {
+		drop(s.Move(e.Ref, state.TaskDone, nil))
+	}
+}
+
 // again releases a handle without an end that counts: the task is due again, or skipped when its job stops.
 func again(s *state.State, h *state.Handle, reason string, due time.Time) {
 	j, t := s.TaskOf(h.Ref)
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -422,7 +422,7 @@
 // moves is the table of the changes of a task's phase that exist.
 var moves = map[TaskPhase][]TaskPhase{
 	TaskWaiting:  {TaskDue, TaskSkipped},
-	TaskDue:      {TaskHeld, TaskSkipped},
+	TaskDue:      {TaskHeld, TaskDone, TaskSkipped}, // done: its end was heard after a proof had released its handle
 	TaskHeld:     {TaskRunning, TaskDoubtful, TaskDone, TaskDue, TaskSpent, TaskSkipped},
 	TaskRunning:  {TaskDoubtful, TaskDone, TaskDue, TaskSpent, TaskSkipped},
 	TaskDoubtful: {TaskRunning, TaskDone, TaskDue, TaskSpent, TaskSkipped},
