Keep old jobs and wide tasks from being passed over for ever

(1) A full fleet gives a task of two cores, or a gang, nothing: each run that ends leaves room for one narrow task, and a narrow task takes it, however young. (2) A class queued its tasks by the time they fell due, not by the age of their jobs as its comment says: each retry and each next step of an old job went behind the whole queue.

Ruled out: lost jobs (every one stands in the log), lost ends, tasks that no minion may take (labels, drain, zone, sick minions: none at the ends), a holder that does not place (10 starts a second until the end).

Tasks of a class stand by the age of their jobs. A class that younger ones passed over for 5 s gets what comes free on a few minions for 1.5 s at most, one class at a time, with a rest of 1 s; see docs/design/placement.md.

--- a/internal/sched/plan.go
+++ b/internal/sched/plan.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"cmp"
 	"container/heap"
 	"fmt"
 	"maps"
@@ -102,9 +103,39 @@
 	queue string
 	team  string
 	gang  bool
-	stuck bool // fitted nowhere when it was last held against all minions
-	refs  []state.TaskRef
+	stuck bool     // fitted nowhere when it was last held against all minions
+	refs  []queued // by age of their jobs, from head on
 	head  int
+	// passed is since when younger tasks have been started while none of it fitted; 0: they were not.
+	passed time.Duration
+	retry  time.Duration // no reservation for it before
+}
+
+// queued is a due task in its class.
+type queued struct {
+	state.TaskRef
+	seq uint64 // of its job
+}
+
+// put lets a task in behind those of its job and of older ones: one that falls due again keeps its place. What is
+// fewer moves: most tasks come last, and those that come again belong near the head.
+func (k *class) put(q queued) {
+	at, _ := slices.BinarySearchFunc(k.refs[k.head:], q.seq+1, func(e queued, seq uint64) int { return cmp.Compare(e.seq, seq) })
+	if k.head > 0 && at < len(k.refs)-k.head-at {
+		k.head--
+		copy(k.refs[k.head:], k.refs[k.head+1:k.head+1+at])
+		k.refs[k.head+at] = q
+		return
+	}
+	k.refs = slices.Insert(k.refs, k.head+at, q)
+}
+
+// next is how many tasks of it are placed together.
+func (k *class) next() int {
+	if k.gang {
+		return len(k.refs) - k.head
+	}
+	return 1
 }
 
 type waiter struct {
@@ -179,13 +210,13 @@
 		k = &class{key: key.String(), kind: step.Type, queue: j.Spec.Queue, team: j.Spec.Team, gang: step.Gang}
 		c.backlog.classes[k.key] = k
 	}
-	k.refs = append(k.refs, ref)
+	k.put(queued{ref, j.Seq})
 }
 
 // peek gives the oldest task of a class that is still due, nil if none is left.
 func (c *Core) peek(k *class) (*state.Job, *state.TaskRef) {
 	for k.head < len(k.refs) {
-		ref := &k.refs[k.head]
+		ref := &k.refs[k.head].TaskRef
 		if j, t := c.st.TaskOf(*ref); t != nil && t.Phase == state.TaskDue && j.Phase == state.JobRunning {
 			return j, ref
 		}
@@ -195,13 +226,13 @@
 }
 
 func (c *Core) pop(k *class) {
-	delete(c.backlog.in, k.refs[k.head])
+	delete(c.backlog.in, k.refs[k.head].TaskRef)
 	k.head++
 	switch {
 	case k.head == len(k.refs):
 		k.refs, k.head = nil, 0
 	case k.head > 1024 && k.head > len(k.refs)/2:
-		k.refs = append([]state.TaskRef(nil), k.refs[k.head:]...)
+		k.refs = append([]queued(nil), k.refs[k.head:]...)
 		k.head = 0
 	}
 }
@@ -232,8 +263,8 @@
 
 // place puts starts for due tasks into a plan. Urgent queues go first, then types under their limit, then those
 // over it; in each the team first that has least out for its weight, if the bundle gives weights, then the oldest.
-// A class that fits nowhere now holds up no other: no limit and no large task leaves room idle that another due
-// task may use.
+// A class that fits nowhere now holds up no other, but for short reservations (see reserve): no limit and no large
+// task leaves room idle for long that another due task may use.
 func (c *Core) place(now time.Duration, p *command.Plan) {
 	for len(c.backlog.later) > 0 && c.backlog.later[0].at <= now {
 		c.enlist(heap.Pop(&c.backlog.later).(waiter).ref)
@@ -241,6 +272,9 @@
 	if len(c.backlog.in) == len(c.backlog.later) || len(c.ring) == 0 {
 		return
 	}
+	if c.wide {
+		c.reserve(now)
+	}
 	all, near, stuck := c.screen(now)
 	if len(all)+len(near) == 0 {
 		clear(c.fresh)
@@ -253,10 +287,7 @@
 		if k == nil {
 			break
 		}
-		n := 1
-		if k.gang {
-			n = len(k.refs) - k.head
-		}
+		n := k.next()
 		spots, from := all, &next
 		if k.stuck && !k.gang || len(all) == 0 {
 			spots, from = near, &nearNext
@@ -269,6 +300,9 @@
 		for range n {
 			c.pop(k)
 		}
+		if k.passed = 0; c.reserved != nil && c.reserved.class == k.key {
+			c.unreserve(now)
+		}
 		if k.gang {
 			delete(c.backlog.classes, k.key)
 			for i := range starts {
@@ -279,6 +313,7 @@
 		pending[k.kind] += n
 		teams[k.team] += n
 	}
+	c.noteStarts(now, p.Starts, stuck, pending)
 	c.turn = (c.turn + next) % len(c.ring)
 	if len(p.Starts) < c.cfg.Batch {
 		clear(c.fresh)
@@ -329,7 +364,7 @@
 	}
 	step := &j.Spec.Steps[ref.Step]
 	return slices.ContainsFunc(spots, func(s *spot) bool {
-		return s.cores >= step.Cores && s.gpus >= step.GPUs && c.st.Fits(&j.Spec, step, s.rec) == ""
+		return c.open(k, s.rec.Name) && s.cores >= step.Cores && s.gpus >= step.GPUs && c.st.Fits(&j.Spec, step, s.rec) == ""
 	})
 }
 
@@ -337,7 +372,7 @@
 func (c *Core) choose(pending, teams map[string]int, stuck map[string]bool) (*class, *state.Job) {
 	var best *class
 	var owner *state.Job
-	rank, least := 0, 0.0
+	first, least := rankUrgent, 0.0
 	for key, k := range c.backlog.classes {
 		if stuck[key] {
 			continue
@@ -347,16 +382,10 @@
 			delete(c.backlog.classes, key)
 			continue
 		}
-		r := 1
-		if limit, ok := c.st.Bundle.Limits[k.kind]; ok && c.tally[k.kind]+pending[k.kind] >= limit {
-			r = 2
-		}
-		if c.st.Bundle.Queues[k.queue].Urgent {
-			r = 0
-		}
+		r := c.rankOf(k, pending[k.kind])
 		share := c.share(k.team, teams)
-		if best == nil || r < rank || r == rank && (share < least || share == least && (j.Seq < owner.Seq || j.Seq == owner.Seq && key < best.key)) {
-			best, owner, rank, least = k, j, r, share
+		if best == nil || r < first || r == first && (share < least || share == least && (j.Seq < owner.Seq || j.Seq == owner.Seq && key < best.key)) {
+			best, owner, first, least = k, j, r, share
 		}
 	}
 	return best, owner
@@ -375,13 +404,13 @@
 	var starts []command.Start
 	var taken []*spot
 	for i := range n {
-		ref := k.refs[k.head+i]
+		ref := k.refs[k.head+i].TaskRef
 		step := &j.Spec.Steps[ref.Step]
 		var found *spot
 		for range spots {
 			s := spots[*next%len(spots)]
 			*next++
-			if s.cores < step.Cores || s.gpus < step.GPUs || s.probe && n > 1 || c.st.Fits(&j.Spec, step, s.rec) != "" {
+			if !c.open(k, s.rec.Name) || s.cores < step.Cores || s.gpus < step.GPUs || s.probe && n > 1 || c.st.Fits(&j.Spec, step, s.rec) != "" {
 				continue
 			}
 			if !c.health.shuns(ref, s.rec.Name) {
--- /dev/null
+++ b/internal/sched/reserve.go
@@ -0,0 +1,168 @@
+package sched
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"time"
+
+	"crosstide/internal/state"
+	"crosstide/internal/state/command"
+)
+
+// reservation keeps what comes free on some minions for one class for a short while. A class whose tasks need more
+// than what a single run leaves when it ends would else be passed over for ever while narrower ones wait.
+//
+// It is short, and there is one at a time with a rest after it, as a due task must not wait long beside room.
+type reservation struct {
+	class   string
+	minions map[string]bool
+	until   time.Duration
+}
+
+// reserveRoom is how many times the room that it needs a class gets reserved, so that enough of it comes free in time.
+const reserveRoom = 3
+
+// rank orders classes: urgent queues, types under their limit, types over it.
+type rank int
+
+const (
+	rankUrgent rank = iota
+	rankUsual
+	rankOver
+	ranks
+)
+
+// rankOf gives the rank of a class; pending counts the starts of its type in the plan being made.
+func (c *Core) rankOf(k *class, pending int) rank {
+	if c.st.Bundle.Queues[k.queue].Urgent {
+		return rankUrgent
+	}
+	if limit, ok := c.st.Bundle.Limits[k.kind]; ok && c.tally[k.kind]+pending >= limit {
+		return rankOver
+	}
+	return rankUsual
+}
+
+// open tells whether a class may use a minion. Urgent queues do not wait for reservations.
+func (c *Core) open(k *class, minion string) bool {
+	r := c.reserved
+	return r == nil || r.class == k.key || !r.minions[minion] || c.st.Bundle.Queues[k.queue].Urgent
+}
+
+// reserve ends a reservation that is over, and makes the next one if some class was passed over for too long.
+func (c *Core) reserve(now time.Duration) {
+	if r := c.reserved; r != nil {
+		k := c.backlog.classes[r.class]
+		if now < r.until && k != nil {
+			return
+		}
+		if k != nil {
+			k.retry = now + c.cfg.ReserveRetry
+		}
+		c.unreserve(now)
+	}
+	if now < c.reserveAt {
+		return
+	}
+	if k, minions := c.passedOver(now); k != nil {
+		c.reserved = &reservation{k.key, minions, now + c.cfg.ReserveFor}
+	}
+}
+
+// unreserve opens the minions of the reservation to all.
+func (c *Core) unreserve(now time.Duration) {
+	c.reserved, c.reserveAt, c.wide = nil, now+c.cfg.ReserveRest, true
+}
+
+// passedOver gives the class with the oldest task of those that others passed over for too long, and minions for it;
+// nil if there is none. One that the fleet cannot hold now is looked at again later.
+func (c *Core) passedOver(now time.Duration) (*class, map[string]bool) {
+	type candidate struct {
+		k   *class
+		seq uint64
+	}
+	var waiting []candidate
+	for _, k := range c.backlog.classes {
+		if k.passed == 0 || now-k.passed < c.cfg.ReserveAfter || now < k.retry {
+			continue
+		}
+		if j, _ := c.peek(k); j != nil {
+			waiting = append(waiting, candidate{k, j.Seq})
+		}
+	}
+	slices.SortFunc(waiting, func(a, b candidate) int {
+		return cmp.Or(cmp.Compare(a.seq, b.seq), strings.Compare(a.k.key, b.k.key))
+	})
+	for _, w := range waiting {
+		if minions := c.reservable(w.k); minions != nil {
+			return w.k, minions
+		}
+		w.k.retry = now + c.cfg.ReserveRetry
+	}
+	return nil, nil
+}
+
+// reservable picks minions for a class, those first that have most free; nil if the fleet cannot hold its next tasks.
+func (c *Core) reservable(k *class) map[string]bool {
+	j, ref := c.peek(k)
+	if j == nil {
+		return nil
+	}
+	step := &j.Spec.Steps[ref.Step]
+	var fit []*state.Minion
+	for _, name := range c.ring {
+		rec, m := c.st.Minions[name], c.minions[name]
+		if rec != nil && m.heard > 0 && m.faults == 0 && c.health.sick[name] == nil && slots(rec, step) > 0 && c.st.Fits(&j.Spec, step, rec) == "" {
+			fit = append(fit, rec)
+		}
+	}
+	free := func(m *state.Minion) int { return m.Cores - c.st.Room(m.Name).Cores }
+	slices.SortStableFunc(fit, func(a, b *state.Minion) int { return free(b) - free(a) })
+	need, got, out := k.next(), 0, map[string]bool{}
+	for _, m := range fit {
+		if got >= reserveRoom*need {
+			break
+		}
+		out[m.Name] = true
+		got += slots(m, step)
+	}
+	if got < need {
+		return nil
+	}
+	return out
+}
+
+// slots is how many tasks of a step a minion can run at once.
+func slots(m *state.Minion, step *state.StepSpec) int {
+	n := m.Cores / max(step.Cores, 1)
+	if step.GPUs > 0 {
+		n = min(n, m.GPUs/step.GPUs)
+	}
+	return n
+}
+
+// noteStarts notes which classes the starts of a plan passed over: those with an older task that fitted nowhere.
+func (c *Core) noteStarts(now time.Duration, starts []command.Start, fitsNot map[string]bool, pending map[string]int) {
+	var newest [ranks]uint64
+	for _, s := range starts {
+		j, _ := c.st.TaskOf(s.Ref)
+		step := &j.Spec.Steps[s.Ref.Step]
+		r := c.rankOf(&class{queue: j.Spec.Queue, kind: step.Type}, 0)
+		newest[r] = max(newest[r], j.Seq)
+	}
+	for key, k := range c.backlog.classes {
+		if !fitsNot[key] || k.passed > 0 {
+			continue
+		}
+		j, _ := c.peek(k)
+		if j == nil {
+			continue
+		}
+		for r := c.rankOf(k, pending[k.kind]); r < ranks; r++ {
+			if newest[r] > j.Seq {
+				k.passed = now
+			}
+		}
+	}
+}
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -28,14 +28,19 @@
 	Silence     time.Duration // no new starts on a minion unheard for this long
 	Sweep       time.Duration // between passes over all records
 	Batch       int           // most starts in a plan
-	Health      HealthConfig
+	// A kind of task that younger ones passed over for ReserveAfter, as it fitted nowhere, gets minions reserved for
+	// ReserveFor; ReserveRest lies between two reservations, ReserveRetry between two for the same kind.
+	ReserveAfter, ReserveFor, ReserveRest, ReserveRetry time.Duration
+	Health                                              HealthConfig
 }
 
 // Defaults are our starting values.
 func Defaults() Config {
 	return Config{Hold: 20 * time.Second, HoldWait: time.Second, StartWindow: 500 * time.Millisecond,
 		PlanWindow: 1900 * time.Millisecond, Lateness: 2 * time.Second, LeaseMargin: 500 * time.Millisecond,
-		Retry: 500 * time.Millisecond, Silence: 2500 * time.Millisecond, Sweep: 100 * time.Millisecond, Batch: 1024, Health: HealthDefaults()}
+		Retry: 500 * time.Millisecond, Silence: 2500 * time.Millisecond, Sweep: 100 * time.Millisecond, Batch: 1024,
+		ReserveAfter: 5 * time.Second, ReserveFor: 1500 * time.Millisecond, ReserveRest: time.Second, ReserveRetry: 3 * time.Second,
+		Health: HealthDefaults()}
 }
 
 // Phase is where the duty stands on this node.
@@ -92,8 +97,11 @@
 	wide     bool            // placement is to hold every class against all minions
 	backlog  backlog
 	health   health
-	tally    map[string]int
-	teams    map[string]int // handles out by team
+	// What some class has for itself now, and from when on there may be another reservation.
+	reserved  *reservation
+	reserveAt time.Duration
+	tally     map[string]int
+	teams     map[string]int // handles out by team
 
 	plan    *flight
 	running []uint64
@@ -186,6 +194,7 @@
 	}
 	c.running, c.doubts, c.dead = nil, nil, nil // ends are facts, and their minions may forget them
 	c.backlog.clear()
+	c.reserved, c.reserveAt = nil, 0
 	c.health = newHealth(c.cfg.Health)
 }
 
