--- a/internal/controller/client_test.go
+++ b/internal/controller/client_test.go
@@ -20,7 +20,6 @@
 	clock *alarm.Virtual
 	nodes map[string]func(ctx context.Context, q query, answer any, within time.Duration) reply
 	asked []string // addresses in order
-	ended time.Duration
 }
 
 type node = func(ctx context.Context, q query, answer any, within time.Duration) reply
--- a/internal/rig/sim/dplane.go
+++ b/internal/rig/sim/dplane.go
@@ -30,7 +30,6 @@
 	leader  string
 	source  string
 	reaches []*reach
-	lines   map[string]int // life of the minion that a line is connected to
 	leaving bool
 }
 
--- a/internal/rig/sim/faults.go
+++ b/internal/rig/sim/faults.go
@@ -45,11 +45,10 @@
 }
 
 type mischief struct {
-	s      *sim
-	on     map[string]bool
-	pace   time.Duration
-	wiped  *cplane
-	serial int
+	s     *sim
+	on    map[string]bool
+	pace  time.Duration
+	wiped *cplane
 }
 
 func (f *mischief) start() {
--- a/internal/slot/slot_test.go
+++ b/internal/slot/slot_test.go
@@ -68,16 +68,6 @@
 	})
 }
 
-// fitsPrefix tells whether boot is m without its last few entries.
-func (m model) fitsPrefix(boot Boot) bool {
-	for n := range len(m.entries) + 1 {
-		if (model{m.hard, m.entries[:n]}).fits(boot) {
-			return true
-		}
-	}
-	return false
-}
-
 func must(s *Store, _ Boot, err error) *Store {
 	So(err, ShouldBeNil)
 	return s
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -103,7 +103,7 @@
 	leadTerm  uint64 // 0: not leading
 	book      *Book
 
-	told, level     uint64        // commit index the leader told, and when we were level with it
+	told            uint64        // commit index the leader told
 	toldAt, levelAt time.Duration // told at, level at
 	fetching        bool
 	queue           []work         // for the disk
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -37,7 +37,6 @@
 	work  *spawn.Group
 	acked map[string]uint64
 	seed  uint64          // of the nodes that start from now on, besides their names
-	keys  []seal.Key      // of the operators
 	slow  atomic.Int64    // nanoseconds that a sync takes on the virtual clock
 	cut   map[string]bool // addresses of nodes that are cut off from all others: calls to and from them time out
 }
