--- a/internal/controller/mailbox.go
+++ b/internal/controller/mailbox.go
@@ -98,10 +98,11 @@
 // Start hands over one run; it is settled when the worker lists the run.
 func (m *Mailboxes) Start(ctx context.Context, worker jobs.Worker, order scheduler.StartOrder) (scheduler.StartAnswer, error) {
 	l := newLetter[scheduler.StartOrder, scheduler.StartAnswer](order, order.Token)
-	return post(ctx, m, worker.ID, l, func(b *mailbox) *[]*letter[scheduler.StartOrder, scheduler.StartAnswer] {
+	answer, err := post(ctx, m, worker.ID, l, func(b *mailbox) *[]*letter[scheduler.StartOrder, scheduler.StartAnswer] {
 		b.deadline = max(b.deadline, order.Deadline)
 		return &b.starts
 	})
+	return answer, fault.Pass(err, "start")
 }
 
 // Stop stops a run; it is settled when the worker does not list the run any more.
@@ -114,10 +115,11 @@
 // Hold asks for the worker's lists.
 func (m *Mailboxes) Hold(ctx context.Context, worker jobs.Worker, call scheduler.HoldCall) (scheduler.HoldAnswer, error) {
 	l := newLetter[scheduler.HoldCall, scheduler.HoldAnswer](call, call.Token)
-	return post(ctx, m, worker.ID, l, func(b *mailbox) *[]*letter[scheduler.HoldCall, scheduler.HoldAnswer] {
+	answer, err := post(ctx, m, worker.ID, l, func(b *mailbox) *[]*letter[scheduler.HoldCall, scheduler.HoldAnswer] {
 		b.deadline, b.seen = max(b.deadline, call.Deadline), max(b.seen, call.SeenUpTo)
 		return &b.holds
 	})
+	return answer, fault.Pass(err, "hold")
 }
 
 // post puts a letter into a worker's box and waits until it is settled or ctx ends.
