Call a worker that did not answer with care, one order at a time

Connections of calls that were given up behind a cut, and of a leader that lost its power, stay open at the worker; it takes 64. Hold calls went through now and then and renewed the lease, so nothing lapsed; stop orders always met a reset, so a doubted run was never proved dead. Ruled out: the order of ends and acknowledgements, lost notes of the table, refused stops (all failures were resets or dial time-outs). Change: at most 10 orders under way to a worker; for 10 s after a call without an answer one at a time, hold calls that wait 250 ms and none while a stop is wanted, so that one live connection does for everything.

--- a/internal/scheduler/config.go
+++ b/internal/scheduler/config.go
@@ -4,21 +4,24 @@
 
 // Config holds the durations and factors that the scheduler goes by.
 type Config struct {
-	Lease         time.Duration // lease of everything on a worker, renewed by every hold call
-	HoldWait      time.Duration // how long a worker may keep a hold call waiting
-	Silence       time.Duration // no starts on a worker unheard for this long
-	OrderTimeout  time.Duration // a start or stop without an answer is in doubt after it
-	HoldMargin    time.Duration // a hold call without an answer has failed so long after its wait
-	RetryMin      time.Duration // pause after the first call that failed; it doubles
-	RetryMax      time.Duration // longest pause between calls to a worker that does not answer
-	LapseMargin   time.Duration // from the end of a lease to the certainty that everything is killed
-	ClockSlack    float64       // a worker's clock runs at least 1-ClockSlack times as fast as ours
-	EarlyStart    time.Duration // how much ahead of its time a round may start
-	SpreadFactor  float64       // how many times as long a task takes far from its data
-	GangHold      time.Duration // a gang that has waited so long keeps room free for itself
-	ForgetAfter   time.Duration // a worker without runs that was unheard for this long is forgotten
-	MostStarts    int           // most starts in one commit
-	MostPreempted int           // most runs that one pass stops for more urgent work
+	Lease        time.Duration // lease of everything on a worker, renewed by every hold call
+	HoldWait     time.Duration // how long a worker may keep a hold call waiting
+	Silence      time.Duration // no starts on a worker unheard for this long
+	OrderTimeout time.Duration // a start or stop without an answer is in doubt after it
+	HoldMargin   time.Duration // a hold call without an answer has failed so long after its wait
+	RetryMin     time.Duration // pause after the first call that failed; it doubles
+	RetryMax     time.Duration // longest pause between calls to a worker that does not answer
+	LapseMargin  time.Duration // from the end of a lease to the certainty that everything is killed
+	ClockSlack   float64       // a worker's clock runs at least 1-ClockSlack times as fast as ours
+	EarlyStart   time.Duration // how much ahead of its time a round may start
+	SpreadFactor float64       // how many times as long a task takes far from its data
+	GangHold     time.Duration // a gang that has waited so long keeps room free for itself
+	ForgetAfter  time.Duration // a worker without runs that was unheard for this long is forgotten
+	MostStarts   int           // most starts in one commit
+	// MostOrders is the most start and stop orders under way to a worker at once. Each needs a connection, a worker takes
+	// so many at most, and those of a leader that lost its power stay open there.
+	MostOrders    int
+	MostPreempted int // most runs that one pass stops for more urgent work
 }
 
 // Defaults are the starting values.
@@ -28,6 +31,6 @@
 		Silence: 4 * time.Second, OrderTimeout: 300 * time.Millisecond, HoldMargin: 400 * time.Millisecond,
 		RetryMin: 200 * time.Millisecond, RetryMax: time.Second, LapseMargin: 600 * time.Millisecond,
 		ClockSlack: 0.02, EarlyStart: 0, SpreadFactor: 1.5, GangHold: 500 * time.Millisecond,
-		ForgetAfter: 15 * time.Second, MostStarts: 512, MostPreempted: 32,
+		ForgetAfter: 15 * time.Second, MostStarts: 512, MostOrders: 10, MostPreempted: 32,
 	}
 }
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -298,6 +298,7 @@
 
 // sendStarts gives the start orders of the handles just recorded.
 func (c *Core) sendStarts(out *Out) {
+	var later []jobs.RunKey
 	for _, key := range c.starts {
 		r := c.runs[key]
 		if r == nil || r.sent || r.ending {
@@ -309,14 +310,18 @@
 			c.end(r, jobs.EndLost, "") // it never left
 			continue
 		}
+		if !w.mayOrder(c) {
+			later = append(later, key)
+			continue
+		}
 		r.sent, r.sentAt = true, c.now
-		w.starting++
+		w.orders++
 		task := j.Rounds[key.Task.Round][key.Task.Step][key.Task.Index]
 		out.Starts = append(out.Starts, StartOut{Worker: *w.record(), Order: StartOrder{
 			Key: key, Payload: j.Spec.Payload, Deadline: w.grant(c, c.now), Token: c.term, Checkpoint: task.Checkpoint}})
 		c.Counts.Started++
 	}
-	c.starts = nil
+	c.starts = later
 }
 
 func (c *Core) nextPass(now time.Duration, wall time.Time) time.Duration {
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -104,7 +104,7 @@
 	switch {
 	case rec.Draining || rec.Left || c.table.Evacuated[rec.Zone]:
 		return false
-	case !w.clockOK || w.heardAt == 0 || now-w.heardAt > c.cfg.Silence || w.failures > 0 || w.suspect:
+	case !w.clockOK || w.heardAt == 0 || now-w.heardAt > c.cfg.Silence || !w.reachable():
 		return false
 	case !w.answered:
 		return false
--- a/internal/scheduler/runs.go
+++ b/internal/scheduler/runs.go
@@ -154,10 +154,11 @@
 			continue
 		}
 		rec := w.record()
-		if rec == nil || !r.sent || r.stopping || c.now < r.retryAt {
+		if rec == nil || !r.sent || r.stopping || c.now < r.retryAt || !w.mayOrder(c) {
 			continue
 		}
 		r.stopping = true
+		w.orders++
 		out.Stops = append(out.Stops, StopOut{Worker: *rec, Order: StopOrder{Key: key, Token: c.term}})
 		c.Counts.Stopped++
 	}
@@ -177,8 +178,9 @@
 		return
 	}
 	for _, key := range w.strayKeys() {
-		if s := w.strays[key]; !s.stopping && c.now >= s.retryAt {
+		if s := w.strays[key]; !s.stopping && c.now >= s.retryAt && w.mayOrder(c) {
 			s.stopping = true
+			w.orders++
 			out.Stops = append(out.Stops, StopOut{Worker: *rec, Order: StopOrder{Key: key, Token: c.term}})
 		}
 	}
@@ -191,19 +193,21 @@
 	if c.term == 0 || w == nil {
 		return
 	}
-	w.starting = max(0, w.starting-1)
+	w.orders = max(0, w.orders-1)
 	c.sequence++
 	switch err {
 	case StartOtherLife:
 		c.gone(w)
 		return
 	case StartUnsent:
+		w.careful(now)
 		w.failed(c, now)
 		if r != nil && r.sent && !r.listed {
 			c.end(r, jobs.EndLost, "")
 		}
 		return
 	case StartUnknown:
+		w.careful(now)
 		w.suspect, w.probe = true, true
 		if r != nil && !r.listed {
 			r.doubted, r.doubtedAt = true, c.sequence
@@ -245,6 +249,7 @@
 	if c.term == 0 || w == nil {
 		return
 	}
+	w.orders = max(0, w.orders-1)
 	c.sequence++
 	retry := now + c.cfg.RetryMin
 	if s := w.strays[key]; s != nil {
@@ -258,6 +263,7 @@
 	}
 	r.stopping = false
 	if !ok {
+		w.careful(now)
 		w.suspect, w.probe = true, true
 		r.retryAt = retry
 		return
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -28,12 +28,14 @@
 	noted    uint64 // highest end taken in
 	seen     uint64 // highest end that is durable
 	failures int
-	suspect  bool // an order got no answer, and nothing was heard since
-	retryAt  time.Duration
-	starting int           // start orders under way
-	fullAt   time.Duration // it refused for room then: our account of it is wrong for a moment
-	sickAt   time.Duration // it refused as unhealthy then
-	leaving  time.Duration // while draining: when it may be gone, on our clock; 0: unknown
+	// carefulUntil is when the worker is called without care again.
+	carefulUntil time.Duration
+	suspect      bool // an order got no answer, and nothing was heard since
+	retryAt      time.Duration
+	orders       int           // start and stop orders under way
+	fullAt       time.Duration // it refused for room then: our account of it is wrong for a moment
+	sickAt       time.Duration // it refused as unhealthy then
+	leaving      time.Duration // while draining: when it may be gone, on our clock; 0: unknown
 }
 
 type stray struct {
@@ -82,6 +84,54 @@
 	w.retryAt = now + min(pause, c.cfg.RetryMax)
 }
 
+// careFor is how long after a call without an answer a worker is called with care.
+const careFor = 10 * time.Second
+
+// careful begins or prolongs the time in which the worker is called with care: one order at a time, and hold calls that
+// leave the connection free for it. A connection that is given up behind a cut, or whose leader lost its power, stays
+// open at the worker; it takes only so many and resets new ones, so that what is left must do for everything.
+func (w *worker) careful(now time.Duration) { w.carefulUntil = now + careFor }
+
+// mayOrder tells whether one more order may be under way to the worker.
+func (w *worker) mayOrder(c *Core) bool {
+	if c.now < w.carefulUntil {
+		return w.orders == 0
+	}
+	return w.orders < c.cfg.MostOrders
+}
+
+// mayWait tells whether a hold call that waits for an end may be sent.
+func (w *worker) mayWait(c *Core) bool {
+	if !w.reachable() || w.holding != 0 || len(w.runs) == 0 || !w.answered {
+		return false
+	}
+	return c.now >= w.carefulUntil || w.orders == 0 && w.probing == 0 && !w.stopWanted()
+}
+
+// stopWanted tells whether a run on the worker is to be stopped.
+func (w *worker) stopWanted() bool {
+	for _, r := range w.runs {
+		if r.wantsStop() {
+			return true
+		}
+	}
+	return len(w.strays) > 0
+}
+
+// carefulWait is how long a hold call waits at a worker that is called with care.
+const carefulWait = 250 * time.Millisecond
+
+// holdWait is how long the next hold call waits.
+func (w *worker) holdWait(c *Core) time.Duration {
+	if c.now < w.carefulUntil {
+		return min(c.cfg.HoldWait, carefulWait)
+	}
+	return c.cfg.HoldWait
+}
+
+// reachable tells whether the newest call to the worker was answered.
+func (w *worker) reachable() bool { return w.failures == 0 && !w.suspect }
+
 // refused notes why a worker did not take a start.
 func (w *worker) refused(c *Core, now time.Duration, why Refusal) {
 	switch why {
@@ -177,8 +227,8 @@
 		}
 		_, pending := c.seen[w.id]
 		committing := c.flight != nil && c.flight.seen[w.id] > 0
-		if w.holding == 0 && len(w.runs) > 0 && w.answered && !pending && !committing {
-			w.holding = c.hold(w, rec, c.cfg.HoldWait, out)
+		if w.mayWait(c) && !pending && !committing {
+			w.holding = c.hold(w, rec, w.holdWait(c), out)
 		}
 	}
 }
@@ -223,6 +273,7 @@
 		c.gone(w)
 		return
 	case HoldFailed, HoldFenced:
+		w.careful(now)
 		w.failed(c, now)
 		w.probe = w.probe || len(w.runs) > 0 || !w.answered
 		return
@@ -323,7 +374,7 @@
 	var out []string
 	for _, w := range c.order {
 		rec := w.record()
-		if rec == nil || len(w.runs) > 0 || w.starting > 0 {
+		if rec == nil || len(w.runs) > 0 || w.orders > 0 {
 			continue
 		}
 		silent := now-max(w.heardAt, c.since) > c.cfg.ForgetAfter
