Scheduler: order runs by jobs.RunKey.Compare; drop a field that nothing read

Cause: a last reading of the change. compareKeys was the job table's RunKey.Compare written again, field by field; run.listedAt was set and never read. Ruled out: any change of behaviour (the same order of the same fields).

--- a/internal/scheduler/preempt.go
+++ b/internal/scheduler/preempt.go
@@ -74,7 +74,7 @@
 		}
 	}
 	slices.SortFunc(candidates, func(a, b *run) int {
-		return cmp.Or(cmp.Compare(p.wasteOf(a), p.wasteOf(b)), compareKeys(a.key, b.key))
+		return cmp.Or(cmp.Compare(p.wasteOf(a), p.wasteOf(b)), a.key.Compare(b.key))
 	})
 	room := plus(n.free, n.freeing)
 	for _, r := range candidates {
--- a/internal/scheduler/runs.go
+++ b/internal/scheduler/runs.go
@@ -21,11 +21,10 @@
 	// doubtedAt is the sequence at which that was known.
 	doubtedAt uint64
 	// missing: a hold call sent after that did not list it, so it is stopped, lest it start late.
-	missing  bool
-	listed   bool // the worker listed it as running
-	listedAt time.Duration
-	saved    string
-	percent  int
+	missing bool
+	listed  bool // the worker listed it as running
+	saved   string
+	percent int
 	// percentAt is when the progress was listed.
 	percentAt time.Duration
 	// advancedAt is when it was first listed, or last listed with more progress than before.
@@ -42,17 +41,12 @@
 	needs      jobs.Resources
 }
 
-func compareKeys(a, b jobs.RunKey) int {
-	return cmp.Or(cmp.Compare(a.Task.Job, b.Task.Job), cmp.Compare(a.Task.Round, b.Task.Round),
-		cmp.Compare(a.Task.Step, b.Task.Step), cmp.Compare(a.Task.Index, b.Task.Index), cmp.Compare(a.Number, b.Number))
-}
-
 func sortedRuns(runs map[jobs.RunKey]*run) []jobs.RunKey {
 	keys := make([]jobs.RunKey, 0, len(runs))
 	for key := range runs {
 		keys = append(keys, key)
 	}
-	slices.SortFunc(keys, compareKeys)
+	slices.SortFunc(keys, jobs.RunKey.Compare)
 	return keys
 }
 
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -64,7 +64,7 @@
 	for key := range w.strays {
 		keys = append(keys, key)
 	}
-	slices.SortFunc(keys, compareKeys)
+	slices.SortFunc(keys, jobs.RunKey.Compare)
 	return keys
 }
 
@@ -324,7 +324,7 @@
 			continue
 		}
 		if !r.listed {
-			r.listed, r.listedAt, r.advancedAt = true, c.now, c.now
+			r.listed, r.advancedAt = true, c.now
 		}
 		if l.Percent > r.percent {
 			r.advancedAt = c.now
