--- a/cmd/cplane/bundle.go
+++ b/cmd/cplane/bundle.go
@@ -17,9 +17,9 @@
 	"github.com/urfave/cli/v3"
 
 	"crosstide/internal/bundle"
-	"crosstide/internal/fault"
+	"crosstide/internal/errs"
 	"crosstide/internal/operator"
-	"crosstide/internal/seal"
+	"crosstide/internal/signature"
 	"crosstide/internal/state"
 	"crosstide/internal/state/command"
 )
@@ -49,9 +49,9 @@
 		{Name: "bundle", Usage: "write, sign and read the bundle", Commands: []*cli.Command{
 			{Name: "check", Usage: "print all mistakes in the bundle FILE (- for standard input)", ArgsUsage: "FILE", Action: bundleCheck},
 			{Name: "put", Usage: "write FILE as a draft", ArgsUsage: "FILE", Flags: append(asked, keyFlag(), orderFlag(), base),
-				Action: write("/v1/bundles", seal.Put)},
+				Action: write("/v1/bundles", signature.Put)},
 			{Name: "patch", Usage: "write the base, changed by the JSON merge patch in FILE, as a draft", ArgsUsage: "FILE",
-				Flags: append(asked, keyFlag(), orderFlag(), base), Action: write("/v1/bundles/patch", seal.Patch)},
+				Flags: append(asked, keyFlag(), orderFlag(), base), Action: write("/v1/bundles/patch", signature.Patch)},
 			{Name: "sign", Usage: "sign VERSION; the second operator puts it in force", ArgsUsage: "VERSION", Action: bundleSign,
 				Flags: append(asked, keyFlag(), orderFlag(), &cli.StringFlag{Name: "sha", Usage: "refuse unless the bytes have this SHA-256"})},
 			{Name: "show", Usage: "print the exact bytes of VERSION (also: current, newest); with --json what is known of it",
@@ -74,7 +74,7 @@
 // one gives the arguments, which must be so many.
 func args(cmd *cli.Command, names ...string) ([]string, error) {
 	if cmd.NArg() != len(names) {
-		return nil, fault.Field(fault.Settings, strings.Join(names, " "), "%d arguments are needed, are %d", len(names), cmd.NArg())
+		return nil, errs.Field(errs.Settings, strings.Join(names, " "), "%d arguments are needed, are %d", len(names), cmd.NArg())
 	}
 	return cmd.Args().Slice(), nil
 }
@@ -82,72 +82,72 @@
 func keyNew(_ context.Context, cmd *cli.Command) error {
 	a, err := args(cmd, "NAME", "FILE")
 	if err != nil {
-		return fault.Pass(err, "key")
+		return errs.Pass(err, "key")
 	}
-	key, err := seal.New(a[0])
+	key, err := signature.New(a[0])
 	if err != nil {
-		return fault.Pass(err, "key")
+		return errs.Pass(err, "key")
 	}
 	if err := key.Save(a[1]); err != nil {
-		return fault.Pass(err, "key")
+		return errs.Pass(err, "key")
 	}
-	return fault.Pass(show(map[string]string{"name": key.Name, "key": key.Public()}), "key")
+	return errs.Pass(show(map[string]string{"name": key.Name, "key": key.Public()}), "key")
 }
 
 func keyShow(_ context.Context, cmd *cli.Command) error {
 	a, err := args(cmd, "FILE")
 	if err != nil {
-		return fault.Pass(err, "key")
+		return errs.Pass(err, "key")
 	}
-	key, err := seal.Load(a[0])
+	key, err := signature.Load(a[0])
 	if err != nil {
-		return fault.Pass(err, "key")
+		return errs.Pass(err, "key")
 	}
-	return fault.Pass(show(map[string]string{"name": key.Name, "key": key.Public()}), "key")
+	return errs.Pass(show(map[string]string{"name": key.Name, "key": key.Public()}), "key")
 }
 
 func show(v any) error {
 	raw, err := json.Marshal(v)
 	if err != nil {
-		return fault.Wrap(err, fault.Internal, "encode")
+		return errs.Wrap(err, errs.Internal, "encode")
 	}
 	_, err = fmt.Println(string(raw))
-	return fault.Wrap(err, fault.Internal, "print")
+	return errs.Wrap(err, errs.Internal, "print")
 }
 
 // text reads the one argument as a file.
 func text(cmd *cli.Command) ([]byte, error) {
 	a, err := args(cmd, "FILE")
 	if err != nil {
-		return nil, fault.Pass(err, "file")
+		return nil, errs.Pass(err, "file")
 	}
 	if a[0] == "-" {
 		data, err := io.ReadAll(os.Stdin)
-		return data, fault.Wrap(err, fault.Disk, "standard input")
+		return data, errs.Wrap(err, errs.Disk, "standard input")
 	}
 	data, err := os.ReadFile(a[0])
-	return data, fault.Wrap(err, fault.Disk, "file")
+	return data, errs.Wrap(err, errs.Disk, "file")
 }
 
 func bundleCheck(_ context.Context, cmd *cli.Command) error {
 	data, err := text(cmd)
 	if err != nil {
-		return fault.Pass(err, "check")
+		return errs.Pass(err, "check")
 	}
 	if _, err := bundle.Parse(data); err != nil {
-		return fault.Pass(err, "check")
+		return errs.Pass(err, "check")
 	}
 	fmt.Println("ok", bundle.Digest(data))
 	return nil
 }
 
 // signer gives the operator's key, nil if none is given: the store may know no operators yet.
-func signer(cmd *cli.Command) (*seal.Key, error) {
+func signer(cmd *cli.Command) (*signature.Key, error) {
 	if !cmd.IsSet("key") {
 		return nil, nil
 	}
-	key, err := seal.Load(cmd.String("key"))
-	return &key, fault.Pass(err, "key")
+	key, err := signature.Load(cmd.String("key"))
+	return &key, errs.Pass(err, "key")
 }
 
 // write makes the action of put and patch; what is signed is the order, the base and the digest of the text.
@@ -155,11 +155,11 @@
 	return func(ctx context.Context, cmd *cli.Command) error {
 		data, err := text(cmd)
 		if err != nil {
-			return fault.Pass(err, "write")
+			return errs.Pass(err, "write")
 		}
 		key, err := signer(cmd)
 		if err != nil {
-			return fault.Pass(err, "write")
+			return errs.Pass(err, "write")
 		}
 		id, base := orderID(cmd), cmd.Uint64("base")
 		q := url.Values{"order": {id}, "base": {strconv.FormatUint(base, 10)}}
@@ -169,10 +169,10 @@
 		}
 		raw, err := call(ctx, http.MethodPost, cmd.String("addr"), path+"?"+q.Encode(), data)
 		if err != nil {
-			return fault.Pass(err, "order %s", id)
+			return errs.Pass(err, "order %s", id)
 		}
 		var done command.Drafted
-		return fault.Pass(answer(cmd, raw, &done, func(w io.Writer) {
+		return errs.Pass(answer(cmd, raw, &done, func(w io.Writer) {
 			fmt.Fprintf(w, "version\t%d\nsha256\t%s\nstate\t%s\n", done.Version, done.Digest, done.Phase)
 		}), "write")
 	}
@@ -182,53 +182,53 @@
 func answer(cmd *cli.Command, raw []byte, into any, table func(w io.Writer)) error {
 	if cmd.Bool("json") {
 		_, err := os.Stdout.Write(append([]byte(strings.TrimSpace(string(raw))), '\n'))
-		return fault.Wrap(err, fault.Internal, "print")
+		return errs.Wrap(err, errs.Internal, "print")
 	}
 	if err := json.Unmarshal(raw, into); err != nil {
-		return fault.Wrap(err, fault.Malformed, "the answer")
+		return errs.Wrap(err, errs.Malformed, "the answer")
 	}
 	out := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
 	table(out)
-	return fault.Wrap(out.Flush(), fault.Internal, "print")
+	return errs.Wrap(out.Flush(), errs.Internal, "print")
 }
 
 // bundleSign reads the version, takes the digest of the very bytes it read, and signs that.
 func bundleSign(ctx context.Context, cmd *cli.Command) error {
 	a, err := args(cmd, "VERSION")
 	if err != nil {
-		return fault.Pass(err, "sign")
+		return errs.Pass(err, "sign")
 	}
 	version, err := strconv.ParseUint(a[0], 10, 64)
 	if err != nil {
-		return fault.Field(fault.Settings, "VERSION", "must be a number, is %q", a[0])
+		return errs.Field(errs.Settings, "VERSION", "must be a number, is %q", a[0])
 	}
 	key, err := signer(cmd)
 	if err != nil {
-		return fault.Pass(err, "sign")
+		return errs.Pass(err, "sign")
 	}
 	if key == nil {
-		return fault.Field(fault.Settings, "key", "must be given")
+		return errs.Field(errs.Settings, "key", "must be given")
 	}
 	addr, path := cmd.String("addr"), "/v1/bundles/"+strconv.FormatUint(version, 10)
 	body, err := call(ctx, http.MethodGet, addr, path+"/body", nil)
 	if err != nil {
-		return fault.Pass(err, "read version %d", version)
+		return errs.Pass(err, "read version %d", version)
 	}
 	digest := bundle.Digest(body)
 	if want := cmd.String("sha"); want != "" && !strings.EqualFold(want, digest) {
-		return fault.Field(fault.Conflict, "sha", "version %d has %s", version, digest)
+		return errs.Field(errs.Conflict, "sha", "version %d has %s", version, digest)
 	}
 	id := orderID(cmd)
-	in, err := json.Marshal(operator.Signing{Order: id, Digest: digest, By: key.Name, Sig: key.Sign(seal.Bundle(version, digest))})
+	in, err := json.Marshal(operator.Signing{Order: id, Digest: digest, By: key.Name, Sig: key.Sign(signature.Bundle(version, digest))})
 	if err != nil {
-		return fault.Wrap(err, fault.Internal, "encode the order")
+		return errs.Wrap(err, errs.Internal, "encode the order")
 	}
 	raw, err := call(ctx, http.MethodPost, addr, path+"/sign", in)
 	if err != nil {
-		return fault.Pass(err, "order %s", id)
+		return errs.Pass(err, "order %s", id)
 	}
 	var done command.Signed
-	return fault.Pass(answer(cmd, raw, &done, func(w io.Writer) {
+	return errs.Pass(answer(cmd, raw, &done, func(w io.Writer) {
 		fmt.Fprintf(w, "version\t%d\nsha256\t%s\nstate\t%s\nsigned\t%s\n", done.Version, done.Digest, done.Phase, strings.Join(done.Signed, " "))
 	}), "sign")
 }
@@ -236,7 +236,7 @@
 func bundleShow(ctx context.Context, cmd *cli.Command) error {
 	a, err := args(cmd, "VERSION")
 	if err != nil {
-		return fault.Pass(err, "show")
+		return errs.Pass(err, "show")
 	}
 	path := "/v1/bundles/" + url.PathEscape(a[0])
 	if !cmd.Bool("json") {
@@ -244,19 +244,19 @@
 	}
 	raw, err := call(ctx, http.MethodGet, cmd.String("addr"), path, nil)
 	if err != nil {
-		return fault.Pass(err, "show")
+		return errs.Pass(err, "show")
 	}
 	_, err = os.Stdout.Write(raw) // the exact bytes, no line end put to them
-	return fault.Wrap(err, fault.Internal, "print")
+	return errs.Wrap(err, errs.Internal, "print")
 }
 
 // ask gets path and prints it as a table, or as JSON.
 func ask(ctx context.Context, cmd *cli.Command, path string, into any, table func(w io.Writer)) error {
 	raw, err := call(ctx, http.MethodGet, cmd.String("addr"), path, nil)
 	if err != nil {
-		return fault.Pass(err, "ask")
+		return errs.Pass(err, "ask")
 	}
-	return fault.Pass(answer(cmd, raw, into, table), "ask")
+	return errs.Pass(answer(cmd, raw, into, table), "ask")
 }
 
 func when(t time.Time) string {
@@ -268,7 +268,7 @@
 
 func bundleLog(ctx context.Context, cmd *cli.Command) error {
 	var log operator.Log
-	return fault.Pass(ask(ctx, cmd, "/v1/bundles?limit="+strconv.Itoa(cmd.Int("limit")), &log, func(w io.Writer) {
+	return errs.Pass(ask(ctx, cmd, "/v1/bundles?limit="+strconv.Itoa(cmd.Int("limit")), &log, func(w io.Writer) {
 		fmt.Fprintln(w, "VERSION\tBASE\tSTATE\tWRITTEN\tBY\tSIGNED\tIN FORCE\tBYTES\tSHA256")
 		for _, v := range log.Versions {
 			fmt.Fprintf(w, "%d\t%d\t%s\t%s\t%s\t%s\t%s\t%d\t%s\n", v.Version, v.Base, v.Phase, when(v.At), dash(v.By),
@@ -295,10 +295,10 @@
 func bundleDiff(ctx context.Context, cmd *cli.Command) error {
 	a, err := args(cmd, "A", "B")
 	if err != nil {
-		return fault.Pass(err, "diff")
+		return errs.Pass(err, "diff")
 	}
 	var diff operator.Difference
-	return fault.Pass(ask(ctx, cmd, "/v1/bundles/"+url.PathEscape(a[0])+"/diff/"+url.PathEscape(a[1]), &diff, func(w io.Writer) {
+	return errs.Pass(ask(ctx, cmd, "/v1/bundles/"+url.PathEscape(a[0])+"/diff/"+url.PathEscape(a[1]), &diff, func(w io.Writer) {
 		fmt.Fprintf(w, "PATH\t%d\t%d\n", diff.From, diff.To)
 		for _, c := range diff.Changes {
 			fmt.Fprintf(w, "%s\t%s\t%s\n", c.Path, dash(c.From), dash(c.To))
@@ -308,7 +308,7 @@
 
 func rollout(ctx context.Context, cmd *cli.Command) error {
 	var out operator.Rollout
-	return fault.Pass(ask(ctx, cmd, "/v1/rollout", &out, func(w io.Writer) {
+	return errs.Pass(ask(ctx, cmd, "/v1/rollout", &out, func(w io.Writer) {
 		fmt.Fprintf(w, "version %d in force since %s\nKIND\tNODE\tVERSION\tSINCE\tTOOK\tHEARD\n", out.Version, when(out.Force))
 		for _, n := range out.Nodes {
 			took := "-"
@@ -328,34 +328,34 @@
 	return func(ctx context.Context, cmd *cli.Command) error {
 		a, err := args(cmd, "ZONE")
 		if err != nil {
-			return fault.Pass(err, "zone")
+			return errs.Pass(err, "zone")
 		}
 		key, err := signer(cmd)
 		if err != nil {
-			return fault.Pass(err, "zone")
+			return errs.Pass(err, "zone")
 		}
 		in := operator.Order{Order: orderID(cmd)}
-		word, signed := "evacuate", seal.Evacuate(in.Order, a[0])
+		word, signed := "evacuate", signature.Evacuate(in.Order, a[0])
 		if !out {
 			since, err := evacuated(ctx, cmd, a[0])
 			if err != nil {
-				return fault.Pass(err, "zone")
+				return errs.Pass(err, "zone")
 			}
-			word, signed = "lift", seal.Lift(a[0], since)
+			word, signed = "lift", signature.Lift(a[0], since)
 		}
 		if key != nil {
 			in.By, in.Sig = key.Name, key.Sign(signed)
 		}
 		body, err := json.Marshal(in)
 		if err != nil {
-			return fault.Wrap(err, fault.Internal, "encode the order")
+			return errs.Wrap(err, errs.Internal, "encode the order")
 		}
 		raw, err := call(ctx, http.MethodPost, cmd.String("addr"), "/v1/zones/"+url.PathEscape(a[0])+"/"+word, body)
 		if err != nil {
-			return fault.Pass(err, "order %s", in.Order)
+			return errs.Pass(err, "order %s", in.Order)
 		}
 		var done command.Zoned
-		return fault.Pass(answer(cmd, raw, &done, func(w io.Writer) {
+		return errs.Pass(answer(cmd, raw, &done, func(w io.Writer) {
 			fmt.Fprintf(w, "zone\t%s\nevacuated\t%t\nsigned\t%s\n", done.Zone, done.Evacuated, dash(strings.Join(done.Signed, " ")))
 		}), "zone")
 	}
@@ -365,11 +365,11 @@
 func evacuated(ctx context.Context, cmd *cli.Command, name string) (since time.Time, err error) {
 	raw, err := call(ctx, http.MethodGet, cmd.String("addr"), "/v1/zones", nil)
 	if err != nil {
-		return since, fault.Pass(err, "zones")
+		return since, errs.Pass(err, "zones")
 	}
 	var list operator.Zones
 	if err := json.Unmarshal(raw, &list); err != nil {
-		return since, fault.Wrap(err, fault.Malformed, "zones")
+		return since, errs.Wrap(err, errs.Malformed, "zones")
 	}
 	for _, z := range list.Zones {
 		if z.Zone == name {
@@ -381,7 +381,7 @@
 
 func zoneList(ctx context.Context, cmd *cli.Command) error {
 	var list operator.Zones
-	return fault.Pass(ask(ctx, cmd, "/v1/zones", &list, func(w io.Writer) {
+	return errs.Pass(ask(ctx, cmd, "/v1/zones", &list, func(w io.Writer) {
 		fmt.Fprintln(w, "ZONE\tEVACUATED\tLIFTING SIGNED")
 		for _, z := range list.Zones {
 			fmt.Fprintf(w, "%s\t%s\t%s\n", z.Zone, when(z.Since), dash(strings.Join(z.Signed, " ")))
--- a/cmd/cplane/exit.go
+++ b/cmd/cplane/exit.go
@@ -6,7 +6,7 @@
 
 	"github.com/urfave/cli/v3"
 
-	"crosstide/internal/fault"
+	"crosstide/internal/errs"
 )
 
 // Exit codes of the operators' commands, for scripts.
@@ -19,13 +19,13 @@
 )
 
 // exits is the table from kind to code; what is not in it is exitOther.
-var exits = map[fault.Kind]int{
-	fault.Conflict: exitConflict, fault.Stale: exitConflict,
-	fault.Malformed: exitRefused, fault.Invalid: exitRefused, fault.TooLarge: exitRefused, fault.Unknown: exitRefused,
-	fault.Forbidden: exitRefused,
-	fault.Pressure:  exitUnavailable, fault.Unavailable: exitUnavailable, fault.NotLeader: exitUnavailable,
-	fault.Timeout: exitUnavailable, fault.Stopped: exitUnavailable,
-	fault.Settings: exitUsage, fault.Disk: exitUsage,
+var exits = map[errs.Kind]int{
+	errs.Conflict: exitConflict, errs.Stale: exitConflict,
+	errs.Malformed: exitRefused, errs.Invalid: exitRefused, errs.TooLarge: exitRefused, errs.Unknown: exitRefused,
+	errs.Forbidden:  exitRefused,
+	errs.Overloaded: exitUnavailable, errs.Unavailable: exitUnavailable, errs.NotLeader: exitUnavailable,
+	errs.Timeout: exitUnavailable, errs.Stopped: exitUnavailable,
+	errs.Settings: exitUsage, errs.Disk: exitUsage,
 }
 
 // coded is an error with the program's exit code.
@@ -34,12 +34,12 @@
 	code int
 }
 
-// Unwrap gives the fault.
+// Unwrap gives the failure.
 func (c coded) Unwrap() error { return c.error }
 
 // Error is the field and the message: an operator needs no trace of where it came from.
 func (c coded) Error() string {
-	f := fault.Of(c.error)
+	f := errs.Of(c.error)
 	if f.Field != "" {
 		return string(f.Kind) + ": " + f.Field + ": " + f.Message
 	}
@@ -59,7 +59,7 @@
 			if err == nil {
 				return nil
 			}
-			code, ok := exits[fault.KindOf(err)]
+			code, ok := exits[errs.KindOf(err)]
 			if !ok {
 				code = exitOther
 			}
@@ -69,10 +69,10 @@
 	return commands
 }
 
-// exitOf gives the exit code of an error: an error that is no fault is cli's own word on the usage.
+// exitOf gives the exit code of an error: an error that is no failure is cli's own word on the usage.
 func exitOf(err error) int {
 	var c coded
-	var f *fault.Fault
+	var f *errs.Error
 	if errors.As(err, &c) {
 		return c.code
 	}
--- a/cmd/cplane/operate.go
+++ b/cmd/cplane/operate.go
@@ -15,7 +15,7 @@
 
 	"github.com/urfave/cli/v3"
 
-	"crosstide/internal/fault"
+	"crosstide/internal/errs"
 	"crosstide/internal/operator"
 )
 
@@ -40,16 +40,16 @@
 		Action: func(ctx context.Context, cmd *cli.Command) error {
 			a, err := args(cmd, strings.Fields(what)...)
 			if err != nil {
-				return fault.Pass(err, "%s", name)
+				return errs.Pass(err, "%s", name)
 			}
 			id := orderID(cmd)
 			body, err := json.Marshal(operator.Order{Order: id})
 			if err != nil {
-				return fault.Wrap(err, fault.Internal, "encode the order")
+				return errs.Wrap(err, errs.Internal, "encode the order")
 			}
 			raw, err := call(ctx, http.MethodPost, cmd.String("addr"), fmt.Sprintf(path, escaped(a)...), body)
 			if err != nil {
-				return fault.Pass(err, "order %s", id)
+				return errs.Pass(err, "order %s", id)
 			}
 			fmt.Println(string(bytes.TrimSpace(raw)))
 			return nil
@@ -71,28 +71,28 @@
 	defer over()
 	req, err := http.NewRequestWithContext(ctx, method, "http://"+addr+path, bytes.NewReader(body))
 	if err != nil {
-		return nil, fault.Wrap(err, fault.Invalid, "request")
+		return nil, errs.Wrap(err, errs.Invalid, "request")
 	}
 	res, err := http.DefaultClient.Do(req)
 	if err != nil {
-		return nil, fault.Wrap(err, fault.Unavailable, "ask %s", addr)
+		return nil, errs.Wrap(err, errs.Unavailable, "ask %s", addr)
 	}
 	defer func() { _ = res.Body.Close() }() // all of it was read
 	raw, err := io.ReadAll(res.Body)
 	if err != nil {
-		return nil, fault.Wrap(err, fault.Unavailable, "answer of %s", addr)
+		return nil, errs.Wrap(err, errs.Unavailable, "answer of %s", addr)
 	}
 	if res.StatusCode != http.StatusOK {
-		f := &fault.Fault{Kind: fault.Unavailable, Message: res.Status}
-		_ = json.Unmarshal(raw, f) // if it is no fault of ours, the status tells
-		return nil, fault.Field(f.Kind, f.Field, "%s", f.Message)
+		f := &errs.Error{Kind: errs.Unavailable, Message: res.Status}
+		_ = json.Unmarshal(raw, f) // if it is no failure of ours, the status tells
+		return nil, errs.Field(f.Kind, f.Field, "%s", f.Message)
 	}
 	return raw, nil
 }
 
 func who(ctx context.Context, cmd *cli.Command) error {
 	var w operator.Who
-	return fault.Pass(ask(ctx, cmd, "/v1/who", &w, func(out io.Writer) {
+	return errs.Pass(ask(ctx, cmd, "/v1/who", &w, func(out io.Writer) {
 		fmt.Fprintln(out, "store", w.Store)
 		fmt.Fprintln(out, "sched", w.Sched)
 		for _, m := range w.Members {
@@ -114,7 +114,7 @@
 // members prints the members of the store, with how far each has its log.
 func members(ctx context.Context, cmd *cli.Command) error {
 	var w operator.Who
-	return fault.Pass(ask(ctx, cmd, "/v1/who", &w, func(out io.Writer) {
+	return errs.Pass(ask(ctx, cmd, "/v1/who", &w, func(out io.Writer) {
 		fmt.Fprintln(out, "ID\tADDR\tZONE\tSTANDS\tMATCH")
 		for _, m := range w.Members {
 			stands := "voter"
@@ -135,14 +135,14 @@
 
 func minions(ctx context.Context, cmd *cli.Command) error {
 	var list operator.Minions
-	return fault.Pass(ask(ctx, cmd, "/v1/minions", &list, func(out io.Writer) {
+	return errs.Pass(ask(ctx, cmd, "/v1/minions", &list, func(out io.Writer) {
 		fmt.Fprintln(out, "NAME\tADDR\tZONE\tKIND\tBOOT\tTICKETS\tCORES\tGPUS\tSTATE")
 		for _, m := range list.Minions {
 			state := "open"
 			if m.Closed || m.Draining {
 				state = "drain"
 			}
-			fmt.Fprintf(out, "%s\t%s\t%s\t%s\t%s\t%d\t%d/%d\t%d/%d\t%s\n", m.Name, m.Addr, m.Zone, m.Kind, m.Boot, m.Tickets,
+			fmt.Fprintf(out, "%s\t%s\t%s\t%s\t%s\t%d\t%d/%d\t%d/%d\t%s\n", m.Name, m.Addr, m.Zone, m.Kind, m.Boot, m.RunIDs,
 				m.UsedCores, m.Cores, m.UsedGPUs, m.GPUs, state)
 		}
 	}), "minions")
--- a/cmd/cplane/platform.go
+++ b/cmd/cplane/platform.go
@@ -12,15 +12,15 @@
 	"github.com/go-kit/log/level"
 	"github.com/urfave/cli/v3"
 
-	"crosstide/internal/alarm"
-	"crosstide/internal/conf"
+	"crosstide/internal/clock"
+	"crosstide/internal/config"
 	"crosstide/internal/controller"
 	"crosstide/internal/daemon"
-	"crosstide/internal/fault"
+	"crosstide/internal/errs"
+	"crosstide/internal/routine"
+	"crosstide/internal/rpc"
 	"crosstide/internal/scheduler"
-	"crosstide/internal/spawn"
 	"crosstide/internal/store"
-	"crosstide/internal/wire"
 	"crosstide/platform"
 )
 
@@ -48,12 +48,12 @@
 			defer signal.Stop(changed)
 			settings, err := platform.LoadSettings()
 			if err != nil {
-				return fault.Pass(err, "platform")
+				return errs.Pass(err, "platform")
 			}
 			ctx, stop := daemon.Signals(ctx)
 			defer stop()
 			logger := log.With(daemon.Logger("info", os.Stderr), "node", settings.IP)
-			return fault.Pass(serveCore(ctx, settings, changed, logger), "platform")
+			return errs.Pass(serveCore(ctx, settings, changed, logger), "platform")
 		}}
 }
 
@@ -64,8 +64,8 @@
 	store    *store.Store
 	leader   *controller.Leader
 	client   *controller.Client // asks the leader where this node does not lead
-	inner    *wire.Server       // other nodes call it
-	control  *wire.Server       // workers and operators call it
+	inner    *rpc.Server        // other nodes call it
+	control  *rpc.Server        // workers and operators call it
 }
 
 // serveCore runs a core node until ctx ends, then hands the lead over and drains. changed tells that the settings have
@@ -73,18 +73,18 @@
 func serveCore(ctx context.Context, settings platform.Settings, changed <-chan os.Signal, logger log.Logger) error {
 	core := settings.Core()
 	daemon.LimitMemory(core.MemoryBytes)
-	caller := wire.NewCaller(wire.CallerOptions{DialTimeout: dialTimeout, UserTimeout: userTimeout, Idle: workerIdle,
+	caller := rpc.NewCaller(rpc.CallerOptions{DialTimeout: dialTimeout, UserTimeout: userTimeout, Idle: workerIdle,
 		Logger: daemon.Part(logger, "caller")})
 	defer caller.Close()
 	node, err := newCoreNode(core, settings.Limits.FileDescriptors, caller, logger)
 	if err != nil {
-		return fault.Pass(err, "make the node")
+		return errs.Pass(err, "make the node")
 	}
 	if err := node.start(); err != nil {
 		node.store.Stop()
-		return fault.Pass(err, "start")
+		return errs.Pass(err, "start")
 	}
-	reload := spawn.New(context.Background())
+	reload := routine.New(context.Background())
 	reload.Go(func(ctx context.Context) { node.followSettings(ctx, changed) })
 	<-ctx.Done()
 	reload.Stop()
@@ -111,7 +111,7 @@
 	}
 }
 
-func newCoreNode(core platform.CoreSettings, descriptors int, caller *wire.Caller, logger log.Logger) (*coreNode, error) {
+func newCoreNode(core platform.CoreSettings, descriptors int, caller *rpc.Caller, logger log.Logger) (*coreNode, error) {
 	set := storeSettings(core)
 	node := &coreNode{settings: core, logger: logger}
 	var err error
@@ -121,11 +121,11 @@
 			os.Exit(1)
 		}}, logger)
 	if err != nil {
-		return nil, fault.Pass(err, "open the store")
+		return nil, errs.Pass(err, "open the store")
 	}
 	options := controller.LeaderOptions{Store: node.store,
 		Workers: platform.NewWorkers(exchanger{caller}, 0), Config: schedulerSettings(core.Scheduler),
-		Control: core.ControlAddress, KeepOver: 2 * core.Scheduler.KeepStateFor, Clock: alarm.Real{}, Logger: daemon.Part(logger, "controller")}
+		Control: core.ControlAddress, KeepOver: 2 * core.Scheduler.KeepStateFor, Clock: clock.Real{}, Logger: daemon.Part(logger, "controller")}
 	if core.OrdersByBeat {
 		options.Mailboxes = controller.NewMailboxes()
 		options.Workers = options.Mailboxes
@@ -133,10 +133,10 @@
 	node.leader = controller.NewLeader(options)
 	node.client = controller.NewClient(controller.ClientOptions{Caller: caller, Seeds: core.Seeds, Self: core.InternalAddress,
 		Logger: daemon.Part(logger, "client")})
-	node.inner = wire.NewServer(wire.ServerOptions{Addr: core.InternalAddress, Loops: 1, Descriptors: descriptors, Logger: daemon.Part(logger, "wire")})
+	node.inner = rpc.NewServer(rpc.ServerOptions{Addr: core.InternalAddress, Loops: 1, Descriptors: descriptors, Logger: daemon.Part(logger, "wire")})
 	node.store.Serve(node.inner)
 	controller.Serve(node.inner, node.leader)
-	node.control = wire.NewServer(wire.ServerOptions{Addr: core.ControlAddress, Loops: 1, Descriptors: descriptors, Logger: daemon.Part(logger, "control")})
+	node.control = rpc.NewServer(rpc.ServerOptions{Addr: core.ControlAddress, Loops: 1, Descriptors: descriptors, Logger: daemon.Part(logger, "control")})
 	relay := controller.NewRelay(node.leader, node.client, core.InternalAddress)
 	platform.NewControlPlane(relay, core.ControlAddress).Routes(node.control)
 	return node, nil
@@ -144,11 +144,11 @@
 
 func (n *coreNode) start() error {
 	if err := n.inner.Start(); err != nil {
-		return fault.Pass(err, "serve other nodes")
+		return errs.Pass(err, "serve other nodes")
 	}
 	if err := n.control.Start(); err != nil {
 		_ = n.inner.Stop(0) // the start is given up: nobody has called yet
-		return fault.Pass(err, "serve workers and operators")
+		return errs.Pass(err, "serve workers and operators")
 	}
 	n.store.Start()
 	n.leader.Start()
@@ -176,8 +176,8 @@
 func (n *coreNode) grace() time.Duration { return max(n.settings.Grace-exitMargin, time.Second) }
 
 // storeSettings maps the platform's settings of a core node to the store's. The founders are the seeds.
-func storeSettings(core platform.CoreSettings) conf.Cplane {
-	set := conf.DefaultCplane()
+func storeSettings(core platform.CoreSettings) config.Cplane {
+	set := config.DefaultCplane()
 	set.Name, set.Zone, set.Region = core.Name, core.Zone, core.Region
 	set.Addr, set.Seeds, set.Data = core.InternalAddress, core.Seeds, core.DataFolder
 	set.Election, set.Heartbeat, set.Lease = platformElection, platformHeartbeat, platformLease
@@ -191,7 +191,7 @@
 		if err != nil {
 			continue // the settings were checked when they were read
 		}
-		set.Members = append(set.Members, conf.Member{ID: host, Addr: seed}) // zones of seeds are not told
+		set.Members = append(set.Members, config.Member{ID: host, Addr: seed}) // zones of seeds are not told
 	}
 	return set
 }
@@ -224,12 +224,12 @@
 }
 
 // exchanger carries the platform's requests to workers over a Caller.
-type exchanger struct{ caller *wire.Caller }
+type exchanger struct{ caller *rpc.Caller }
 
 var _ platform.Exchanger = exchanger{}
 
 // Exchange sends one request to addr and gives the answer.
 func (e exchanger) Exchange(ctx context.Context, addr string, request platform.Request, within time.Duration) (platform.Response, error) {
-	r, err := e.caller.Exchange(ctx, addr, wire.Request(request), within)
-	return platform.Response(r), fault.Pass(err, "exchange")
+	r, err := e.caller.Exchange(ctx, addr, rpc.Request(request), within)
+	return platform.Response(r), errs.Pass(err, "exchange")
 }
--- a/cmd/cplane/platform_test.go
+++ b/cmd/cplane/platform_test.go
@@ -8,8 +8,8 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"crosstide/internal/conf"
-	"crosstide/internal/wire"
+	"crosstide/internal/config"
+	"crosstide/internal/rpc"
 	"crosstide/platform"
 )
 
@@ -17,7 +17,7 @@
 	Convey("A core node's settings are the store's, with the seeds as founders", t, func() {
 		set := storeSettings(platform.CoreSettings{Name: "10.1.0.10", InternalAddress: "10.1.0.10:7720", Zone: "a", Region: "r",
 			DataFolder: "data", Seeds: []string{"10.1.0.10:7720", "10.2.0.10:7720"}, Grace: 6 * time.Second})
-		So(set.Members, ShouldResemble, []conf.Member{{ID: "10.1.0.10", Addr: "10.1.0.10:7720"}, {ID: "10.2.0.10", Addr: "10.2.0.10:7720"}})
+		So(set.Members, ShouldResemble, []config.Member{{ID: "10.1.0.10", Addr: "10.1.0.10:7720"}, {ID: "10.2.0.10", Addr: "10.2.0.10:7720"}})
 		So([]any{set.Name, set.Addr, set.Zone, set.Region, set.Data, set.Grace}, ShouldResemble,
 			[]any{"10.1.0.10", "10.1.0.10:7720", "a", "r", "data", 5500 * time.Millisecond})
 		So([]any{set.Lease, set.Election, set.Heartbeat, set.OpenMembership, set.Founding}, ShouldResemble,
@@ -28,13 +28,13 @@
 
 func TestExchanger(t *testing.T) {
 	Convey("A platform request goes out over the caller, and any status comes back with its head", t, func() {
-		s := wire.NewServer(wire.ServerOptions{Addr: "127.0.0.1:0"})
+		s := rpc.NewServer(rpc.ServerOptions{Addr: "127.0.0.1:0"})
 		s.Route("POST /work", func(w http.ResponseWriter, r *http.Request) {
 			w.Header().Set("X-Seen", r.Header.Get("X-Sent"))
-			wire.WriteJSON(w, http.StatusConflict, "no")
+			rpc.WriteJSON(w, http.StatusConflict, "no")
 		})
 		So(s.Start(), ShouldBeNil)
-		caller := wire.NewCaller(wire.CallerOptions{})
+		caller := rpc.NewCaller(rpc.CallerOptions{})
 		defer caller.Close()
 		r, err := exchanger{caller}.Exchange(context.Background(), s.Addr(), platform.Request{Method: "POST", Path: "/work",
 			Header: map[string]string{"X-Sent": "v"}, Body: []byte("{}")}, 5*time.Second)
--- a/cmd/cplane/run.go
+++ b/cmd/cplane/run.go
@@ -11,31 +11,31 @@
 	"github.com/go-kit/log/level"
 	"github.com/urfave/cli/v3"
 
-	"crosstide/internal/alarm"
-	"crosstide/internal/conf"
+	"crosstide/internal/api"
+	"crosstide/internal/clock"
+	"crosstide/internal/config"
 	"crosstide/internal/daemon"
-	"crosstide/internal/fault"
+	"crosstide/internal/errs"
+	"crosstide/internal/membership"
 	"crosstide/internal/operator"
-	"crosstide/internal/pair"
-	"crosstide/internal/slot"
+	"crosstide/internal/rpc"
+	"crosstide/internal/storage"
 	"crosstide/internal/store"
-	"crosstide/internal/view"
-	"crosstide/internal/wire"
 )
 
 // program is the daemon's own part of the command line.
-func program() daemon.Program[conf.Cplane] {
-	return daemon.Program[conf.Cplane]{
-		Version: version, Load: conf.LoadCplane, Check: conf.CheckCplane, Serve: serve,
-		Common: func(set *conf.Cplane) *conf.Common { return &set.Common },
-		Words:  map[string]func(*conf.Cplane) *string{"data": func(set *conf.Cplane) *string { return &set.Data }},
+func program() daemon.Program[config.Cplane] {
+	return daemon.Program[config.Cplane]{
+		Version: version, Load: config.LoadCplane, Check: config.CheckCplane, Serve: serve,
+		Common: func(set *config.Cplane) *config.Common { return &set.Common },
+		Words:  map[string]func(*config.Cplane) *string{"data": func(set *config.Cplane) *string { return &set.Data }},
 		Flags:  []cli.Flag{&cli.StringFlag{Name: "data", Usage: "`FOLDER` of the store, over the settings"}},
 	}
 }
 
-func serve(ctx context.Context, set conf.Cplane, profiles bool, logger log.Logger) error {
+func serve(ctx context.Context, set config.Cplane, profiles bool, logger log.Logger) error {
 	reg := daemon.Registry()
-	caller := wire.NewCaller(wire.CallerOptions{UserTimeout: 2 * set.Election, Via: set.Via, Logger: daemon.Part(logger, "caller"), Registry: reg})
+	caller := rpc.NewCaller(rpc.CallerOptions{UserTimeout: 2 * set.Election, Via: set.Via, Logger: daemon.Part(logger, "caller"), Registry: reg})
 	defer caller.Close()
 	opt := store.Options{
 		Settings: set, Net: store.Wire(caller, set), Logger: daemon.Part(logger, "store"), Registry: reg,
@@ -46,16 +46,16 @@
 	}
 	s, err := open(opt, logger)
 	if err != nil {
-		return fault.Pass(err, "open %s", set.Data)
+		return errs.Pass(err, "open %s", set.Data)
 	}
-	srv := wire.NewServer(wire.ServerOptions{Addr: set.Addr, Logger: daemon.Part(logger, "wire"), Registry: reg})
+	srv := rpc.NewServer(rpc.ServerOptions{Addr: set.Addr, Logger: daemon.Part(logger, "wire"), Registry: reg})
 	s.Serve(srv)
 	seeds := slices.Clone(set.Seeds)
 	for _, m := range set.Members {
 		seeds = append(seeds, m.Addr)
 	}
-	members := daemon.View(set.Common, view.Cplane, seeds, caller, logger, reg, nil)
-	wire.Handle(srv, pair.Shuffle, members.Serve)
+	members := daemon.View(set.Common, membership.Cplane, seeds, caller, logger, reg, nil)
+	rpc.Handle(srv, api.Shuffle, members.Serve)
 	operator.Serve(srv, s, store.NameOf, members.Nodes)
 	daemon.Routes(srv, reg, s.Ready)
 	if profiles {
@@ -63,7 +63,7 @@
 	}
 	if err := srv.Start(); err != nil {
 		s.Stop()
-		return fault.Pass(err, "serve")
+		return errs.Pass(err, "serve")
 	}
 	s.Start()
 	members.Start(context.Background())
@@ -85,34 +85,34 @@
 // membership its files are removed instead, and the node joins as a replaced machine.
 func open(opt store.Options, logger log.Logger) (*store.Store, error) {
 	dir := filepath.Clean(opt.Settings.Data)
-	disk, err := slot.OSDisk(dir)
+	disk, err := storage.OSDisk(dir)
 	if err != nil {
-		return nil, fault.Pass(err, "folder")
+		return nil, errs.Pass(err, "folder")
 	}
 	opt.Disk = disk
 	s, err := store.Open(opt)
-	if !fault.Is(err, fault.Damaged) {
-		return s, fault.Pass(err, "store")
+	if !errs.Is(err, errs.Damaged) {
+		return s, errs.Pass(err, "store")
 	}
 	if opt.Settings.OpenMembership {
 		_ = level.Error(logger).Log("msg", "the folder is damaged; its files are removed", "err", err)
 		if err := store.Discard(disk); err != nil {
-			return nil, fault.Pass(err, "discard the damaged folder")
+			return nil, errs.Pass(err, "discard the damaged folder")
 		}
 		s, err = store.Open(opt)
-		return s, fault.Pass(err, "store")
+		return s, errs.Pass(err, "store")
 	}
-	aside := dir + ".damaged-" + alarm.Real{}.Wall().UTC().Format("20060102T150405")
+	aside := dir + ".damaged-" + clock.Real{}.Wall().UTC().Format("20060102T150405")
 	_ = level.Error(logger).Log("msg", "the folder is damaged; set aside", "as", aside, "err", err)
 	if err := os.Rename(dir, aside); err != nil {
-		return nil, fault.Wrap(err, fault.Disk, "set the damaged folder aside")
+		return nil, errs.Wrap(err, errs.Disk, "set the damaged folder aside")
 	}
-	if opt.Disk, err = slot.OSDisk(dir); err != nil {
-		return nil, fault.Pass(err, "folder")
+	if opt.Disk, err = storage.OSDisk(dir); err != nil {
+		return nil, errs.Pass(err, "folder")
 	}
 	opt.Damaged = true
 	s, err = store.Open(opt)
-	return s, fault.Pass(err, "store")
+	return s, errs.Pass(err, "store")
 }
 
 // patience is how long an operator's command waits for an answer.
--- a/cmd/cplane/run_test.go
+++ b/cmd/cplane/run_test.go
@@ -9,21 +9,21 @@
 	"github.com/prometheus/client_golang/prometheus"
 	. "github.com/smartystreets/goconvey/convey"
 
-	"crosstide/internal/conf"
-	"crosstide/internal/fault"
-	"crosstide/internal/pair"
-	"crosstide/internal/slot"
+	"crosstide/internal/api"
+	"crosstide/internal/config"
+	"crosstide/internal/errs"
+	"crosstide/internal/storage"
 	"crosstide/internal/store"
 )
 
 // damaged makes a folder whose slots are there and whose log is gone.
 func damaged(t *testing.T) string {
 	dir := filepath.Join(t.TempDir(), "data")
-	disk, err := slot.OSDisk(dir)
+	disk, err := storage.OSDisk(dir)
 	So(err, ShouldBeNil)
-	s, _, err := slot.Open(disk, slot.Options{})
+	s, _, err := storage.Open(disk, storage.Options{})
 	So(err, ShouldBeNil)
-	So(s.WriteSlot(slot.Image{Index: 1, Term: 1, Meta: []byte("{}"), Body: []byte("{}")}, 0), ShouldBeNil)
+	So(s.WriteSlot(storage.Image{Index: 1, Term: 1, Meta: []byte("{}"), Body: []byte("{}")}, 0), ShouldBeNil)
 	So(s.Close(), ShouldBeNil)
 	logs, err := filepath.Glob(filepath.Join(dir, "log-*"))
 	So(err, ShouldBeNil)
@@ -38,12 +38,12 @@
 	for _, open := range []bool{false, true} {
 		Convey("A node with a damaged folder begins anew and never founds", t, func() {
 			dir := damaged(t)
-			set := conf.DefaultCplane()
+			set := config.DefaultCplane()
 			set.Name, set.Addr, set.Data, set.OpenMembership = "10.0.0.1", "10.0.0.1:7000", dir, open
-			set.Members = []conf.Member{{ID: "10.0.0.1", Addr: "10.0.0.1:7000", Zone: "a"}}
+			set.Members = []config.Member{{ID: "10.0.0.1", Addr: "10.0.0.1:7000", Zone: "a"}}
 			s, err := openStore(store.Options{Settings: set, Fatal: func(error) {}, Registry: prometheus.NewRegistry()})
 			So(err, ShouldBeNil)
-			a := s.Found(pair.FoundCall{})
+			a := s.Found(api.FoundCall{})
 			So(a.Fresh, ShouldBeFalse)
 			So(a.ID, ShouldStartWith, "10.0.0.1~")
 			s.Stop()
@@ -59,15 +59,15 @@
 			}
 			s, err = openStore(store.Options{Settings: set, Fatal: func(error) {}})
 			So(err, ShouldBeNil)
-			So(s.Found(pair.FoundCall{}).ID, ShouldEqual, a.ID)
+			So(s.Found(api.FoundCall{}).ID, ShouldEqual, a.ID)
 			s.Stop()
 		})
 	}
 	Convey("A folder that cannot be made is no damaged one", t, func() {
-		set := conf.DefaultCplane()
+		set := config.DefaultCplane()
 		set.Data = filepath.Join(damaged(t), "other", "data")
 		_, err := openStore(store.Options{Settings: set})
-		So(fault.KindOf(err), ShouldEqual, fault.Disk)
+		So(errs.KindOf(err), ShouldEqual, errs.Disk)
 	})
 }
 
--- a/cmd/dplane/jobs.go
+++ b/cmd/dplane/jobs.go
@@ -13,11 +13,11 @@
 
 	"github.com/urfave/cli/v3"
 
-	"crosstide/internal/fault"
+	"crosstide/internal/errs"
 	"crosstide/internal/state/command"
 )
 
-// jobCommands are the consumers' commands: they ask a dplane's API and print its answer.
+// jobCommands are the clients' commands: they ask a dplane's API and print its answer.
 func jobCommands() []*cli.Command {
 	addr := &cli.StringFlag{Name: "addr", Usage: "`IP:PORT` of any dplane", Required: true}
 	return []*cli.Command{{Name: "job", Usage: "hand in, show, list and cancel jobs", Commands: []*cli.Command{
@@ -27,17 +27,17 @@
 				if name := cmd.Args().First(); name != "-" {
 					f, err := os.Open(name)
 					if err != nil {
-						return fault.Wrap(err, fault.Invalid, "job file")
+						return errs.Wrap(err, errs.Invalid, "job file")
 					}
 					defer f.Close()
 					in = f
 				}
-				return fault.Pass(ask(ctx, http.MethodPost, cmd.String("addr"), "/v1/jobs", in), "hand in a job")
+				return errs.Pass(ask(ctx, http.MethodPost, cmd.String("addr"), "/v1/jobs", in), "hand in a job")
 			}},
 		{Name: "show", Usage: "print the job KEY", ArgsUsage: "KEY", Flags: []cli.Flag{addr},
 			Action: func(ctx context.Context, cmd *cli.Command) error {
 				key := cmd.Args().First()
-				return fault.Pass(ask(ctx, http.MethodGet, cmd.String("addr"), "/v1/jobs/"+url.PathEscape(key), nil), "show job %q", key)
+				return errs.Pass(ask(ctx, http.MethodGet, cmd.String("addr"), "/v1/jobs/"+url.PathEscape(key), nil), "show job %q", key)
 			}},
 		{Name: "cancel", Usage: "cancel the jobs KEY…, or all of a team or queue", ArgsUsage: "[KEY…]",
 			Flags: []cli.Flag{addr, &cli.StringFlag{Name: "team"}, &cli.StringFlag{Name: "queue"}},
@@ -45,12 +45,12 @@
 				if cmd.Args().Len() != 1 || cmd.IsSet("team") || cmd.IsSet("queue") {
 					body, err := json.Marshal(command.Cancels{Keys: cmd.Args().Slice(), Team: cmd.String("team"), Queue: cmd.String("queue")})
 					if err != nil {
-						return fault.Wrap(err, fault.Internal, "encode")
+						return errs.Wrap(err, errs.Internal, "encode")
 					}
-					return fault.Pass(ask(ctx, http.MethodPost, cmd.String("addr"), "/v1/jobs/cancel", bytes.NewReader(body)), "cancel")
+					return errs.Pass(ask(ctx, http.MethodPost, cmd.String("addr"), "/v1/jobs/cancel", bytes.NewReader(body)), "cancel")
 				}
 				key := cmd.Args().First()
-				return fault.Pass(ask(ctx, http.MethodDelete, cmd.String("addr"), "/v1/jobs/"+url.PathEscape(key), nil), "cancel job %q", key)
+				return errs.Pass(ask(ctx, http.MethodDelete, cmd.String("addr"), "/v1/jobs/"+url.PathEscape(key), nil), "cancel job %q", key)
 			}},
 		{Name: "list", Usage: "print jobs", Flags: []cli.Flag{addr, &cli.StringFlag{Name: "team"}, &cli.StringFlag{Name: "state"},
 			&cli.StringFlag{Name: "after", Usage: "page on after this `KEY`"}},
@@ -61,30 +61,30 @@
 						q.Set(name, cmd.String(name))
 					}
 				}
-				return fault.Pass(ask(ctx, http.MethodGet, cmd.String("addr"), "/v1/jobs?"+q.Encode(), nil), "list jobs")
+				return errs.Pass(ask(ctx, http.MethodGet, cmd.String("addr"), "/v1/jobs?"+q.Encode(), nil), "list jobs")
 			}},
 	}}}
 }
 
-// ask makes one request and prints the answer; a fault answer is an error.
+// ask makes one request and prints the answer; a failure answer is an error.
 func ask(ctx context.Context, method, addr, path string, body io.Reader) error {
 	ctx, stop := context.WithTimeout(ctx, 10*time.Second)
 	defer stop()
 	req, err := http.NewRequestWithContext(ctx, method, "http://"+addr+path, body)
 	if err != nil {
-		return fault.Wrap(err, fault.Invalid, "request")
+		return errs.Wrap(err, errs.Invalid, "request")
 	}
 	res, err := http.DefaultClient.Do(req)
 	if err != nil {
-		return fault.Wrap(err, fault.Unavailable, "%s", addr)
+		return errs.Wrap(err, errs.Unavailable, "%s", addr)
 	}
 	defer res.Body.Close()
 	data, err := io.ReadAll(res.Body)
 	if err != nil {
-		return fault.Wrap(err, fault.Unavailable, "answer of %s", addr)
+		return errs.Wrap(err, errs.Unavailable, "answer of %s", addr)
 	}
 	if res.StatusCode >= 300 {
-		return fault.New(fault.Invalid, "%s: %s", res.Status, bytes.TrimSpace(data))
+		return errs.New(errs.Invalid, "%s: %s", res.Status, bytes.TrimSpace(data))
 	}
 	fmt.Println(string(bytes.TrimSpace(data)))
 	return nil
--- a/cmd/dplane/main.go
+++ b/cmd/dplane/main.go
@@ -1,5 +1,5 @@
-// Program dplane is a front node: it takes consumers' jobs, follows the store and is a candidate for the duty
-// sched; it is the consumers' command too.
+// Program dplane is a front node: it takes clients' jobs, follows the store and is a candidate for the duty
+// sched; it is the clients' command too.
 package main
 
 import (
@@ -14,25 +14,25 @@
 	"github.com/go-kit/log/level"
 	"github.com/urfave/cli/v3"
 
-	"crosstide/internal/alarm"
-	"crosstide/internal/conf"
-	"crosstide/internal/consumer"
+	"crosstide/internal/api"
+	"crosstide/internal/clientapi"
+	"crosstide/internal/clock"
+	"crosstide/internal/config"
 	"crosstide/internal/daemon"
-	"crosstide/internal/fault"
-	"crosstide/internal/pair"
-	"crosstide/internal/plane"
+	"crosstide/internal/dataplane"
+	"crosstide/internal/errs"
+	"crosstide/internal/membership"
+	"crosstide/internal/rpc"
 	"crosstide/internal/sched"
-	"crosstide/internal/view"
-	"crosstide/internal/wire"
 )
 
 // version is set by the linker.
 var version = "dev"
 
 func main() {
-	program := daemon.Program[conf.Dplane]{
-		Version: version, Load: conf.LoadDplane, Check: conf.CheckDplane, Serve: serve,
-		Common: func(set *conf.Dplane) *conf.Common { return &set.Common },
+	program := daemon.Program[config.Dplane]{
+		Version: version, Load: config.LoadDplane, Check: config.CheckDplane, Serve: serve,
+		Common: func(set *config.Dplane) *config.Common { return &set.Common },
 	}
 	app := &cli.Command{Name: "dplane", Usage: "a front node of crosstide", Commands: append(append(program.Commands(), jobCommands()...), platformCommand())}
 	if err := app.Run(context.Background(), os.Args); err != nil {
@@ -41,7 +41,7 @@
 	}
 }
 
-func passes(set conf.Dplane) sched.Config {
+func passes(set config.Dplane) sched.Config {
 	cfg := sched.Defaults()
 	cfg.Hold, cfg.HoldWait, cfg.StartWindow = set.Hold, set.HoldWait, set.StartWindow
 	cfg.Lateness, cfg.LeaseMargin = set.Lateness, set.LeaseMargin
@@ -49,42 +49,42 @@
 	return cfg
 }
 
-func serve(ctx context.Context, set conf.Dplane, profiles bool, logger log.Logger) error {
+func serve(ctx context.Context, set config.Dplane, profiles bool, logger log.Logger) error {
 	reg := daemon.Registry()
 	boot := make([]byte, 8)
 	if _, err := rand.Read(boot); err != nil {
-		return fault.Wrap(err, fault.Internal, "boot id")
+		return errs.Wrap(err, errs.Internal, "boot id")
 	}
-	caller := wire.NewCaller(wire.CallerOptions{UserTimeout: set.CallTimeout, Via: set.Via, Logger: daemon.Part(logger, "caller"), Registry: reg})
+	caller := rpc.NewCaller(rpc.CallerOptions{UserTimeout: set.CallTimeout, Via: set.Via, Logger: daemon.Part(logger, "caller"), Registry: reg})
 	defer caller.Close()
 	// The kernel must not go on resending a start order when the lease is over: its time-out is well inside the margin.
-	minions := wire.NewCaller(wire.CallerOptions{UserTimeout: set.LeaseMargin / 2, Via: set.Via, DialTimeout: time.Second,
+	minions := rpc.NewCaller(rpc.CallerOptions{UserTimeout: set.LeaseMargin / 2, Via: set.Via, DialTimeout: time.Second,
 		Logger: daemon.Part(logger, "hold"), Registry: reg})
 	defer minions.Close()
 	core := set.Core
 	if len(core) == 0 {
 		core = set.Seeds // until the view tells of the cplanes
 	}
-	n := plane.New(plane.Options{Name: set.Name, Addr: set.Addr, Boot: hex.EncodeToString(boot), Core: core, Sched: passes(set),
-		CallTimeout: set.CallTimeout, Backlog: set.Backlog, Clock: alarm.Real{}, Logger: daemon.Part(logger, "plane"),
+	n := dataplane.New(dataplane.Options{Name: set.Name, Addr: set.Addr, Boot: hex.EncodeToString(boot), Core: core, Sched: passes(set),
+		CallTimeout: set.CallTimeout, QueueLimit: set.QueueLimit, Clock: clock.Real{}, Logger: daemon.Part(logger, "plane"),
 		Caller: caller, Minions: minions})
-	reg.MustRegister(plane.NewMeter(n))
+	reg.MustRegister(dataplane.NewMeter(n))
 	var learn func([]string)
 	if len(set.Core) == 0 {
 		learn = n.Cplanes
 	}
-	members := daemon.View(set.Common, view.Dplane, set.Seeds, caller, logger, reg, learn)
-	srv := wire.NewServer(wire.ServerOptions{Addr: set.Addr, Logger: daemon.Part(logger, "wire"), Registry: reg})
-	consumer.Register(srv, n, consumer.Options{Within: set.CallTimeout, Seed: uint64(boot[0])<<8 | uint64(boot[1])})
-	wire.Handle(srv, pair.Minions, n.Announce)
-	wire.Handle(srv, pair.Shuffle, members.Serve)
+	members := daemon.View(set.Common, membership.Dplane, set.Seeds, caller, logger, reg, learn)
+	srv := rpc.NewServer(rpc.ServerOptions{Addr: set.Addr, Logger: daemon.Part(logger, "wire"), Registry: reg})
+	clientapi.Register(srv, n, clientapi.Options{Within: set.CallTimeout, Seed: uint64(boot[0])<<8 | uint64(boot[1])})
+	rpc.Handle(srv, api.Minions, n.Announce)
+	rpc.Handle(srv, api.Shuffle, members.Serve)
 	n.Routes(srv)
 	daemon.Routes(srv, reg, n.Ready)
 	if profiles {
 		daemon.Profiles(srv)
 	}
 	if err := srv.Start(); err != nil {
-		return fault.Pass(err, "serve")
+		return errs.Pass(err, "serve")
 	}
 	members.Start(context.Background())
 	n.Start(context.Background())
--- a/cmd/dplane/platform.go
+++ b/cmd/dplane/platform.go
@@ -11,12 +11,12 @@
 	"github.com/go-kit/log/level"
 	"github.com/urfave/cli/v3"
 
-	"crosstide/internal/alarm"
+	"crosstide/internal/clock"
 	"crosstide/internal/controller"
 	"crosstide/internal/daemon"
-	"crosstide/internal/fault"
-	"crosstide/internal/spawn"
-	"crosstide/internal/wire"
+	"crosstide/internal/errs"
+	"crosstide/internal/routine"
+	"crosstide/internal/rpc"
 	"crosstide/platform"
 )
 
@@ -40,12 +40,12 @@
 			defer signal.Stop(changed)
 			settings, err := platform.LoadSettings()
 			if err != nil {
-				return fault.Pass(err, "platform")
+				return errs.Pass(err, "platform")
 			}
 			ctx, stop := daemon.Signals(ctx)
 			defer stop()
 			logger := log.With(daemon.Logger("info", os.Stderr), "node", settings.IP)
-			return fault.Pass(serveFront(ctx, settings, changed, logger), "platform")
+			return errs.Pass(serveFront(ctx, settings, changed, logger), "platform")
 		}}
 }
 
@@ -55,23 +55,23 @@
 	logger    log.Logger
 	load      func() (platform.Settings, error) // reads the settings anew
 	client    *controller.Client
-	clients   *wire.Server // clients call it
+	clients   *rpc.Server // clients call it
 	readiness readiness
-	asked     *wire.Server // it is asked for readiness
+	asked     *rpc.Server // it is asked for readiness
 }
 
 // serveFront runs a front node until ctx ends, then lets it drain. changed tells that the settings have changed.
 func serveFront(ctx context.Context, settings platform.Settings, changed <-chan os.Signal, logger log.Logger) error {
 	core := settings.Core()
 	daemon.LimitMemory(core.MemoryBytes)
-	caller := wire.NewCaller(wire.CallerOptions{DialTimeout: coreDialTimeout, UserTimeout: coreUserTimeout, Idle: coreIdle,
+	caller := rpc.NewCaller(rpc.CallerOptions{DialTimeout: coreDialTimeout, UserTimeout: coreUserTimeout, Idle: coreIdle,
 		Logger: daemon.Part(logger, "caller")})
 	defer caller.Close()
 	f := newFront(core, settings.Limits.FileDescriptors, caller, logger)
 	if err := f.start(); err != nil {
-		return fault.Pass(err, "start")
+		return errs.Pass(err, "start")
 	}
-	reload := spawn.New(context.Background())
+	reload := routine.New(context.Background())
 	reload.Go(func(ctx context.Context) { f.followSettings(ctx, changed) })
 	<-ctx.Done()
 	reload.Stop()
@@ -79,15 +79,15 @@
 	return nil
 }
 
-func newFront(core platform.CoreSettings, descriptors int, caller *wire.Caller, logger log.Logger) *front {
+func newFront(core platform.CoreSettings, descriptors int, caller *rpc.Caller, logger log.Logger) *front {
 	f := &front{settings: core, logger: logger, load: platform.LoadSettings}
 	f.client = controller.NewClient(controller.ClientOptions{Caller: caller, Seeds: core.Seeds,
 		Logger: daemon.Part(logger, "client")})
 	f.readiness.fresh, f.readiness.within = f.client.Ready, f.client.ReadyWithin
-	f.clients = wire.NewServer(wire.ServerOptions{Addr: core.ClientAddress, Loops: 1, Descriptors: descriptors,
+	f.clients = rpc.NewServer(rpc.ServerOptions{Addr: core.ClientAddress, Loops: 1, Descriptors: descriptors,
 		Logger: daemon.Part(logger, "wire")})
 	platform.NewIngress(f.client).Routes(f.clients)
-	f.asked = wire.NewServer(wire.ServerOptions{Addr: core.ReadyAddress, Loops: 1, Descriptors: descriptors,
+	f.asked = rpc.NewServer(rpc.ServerOptions{Addr: core.ReadyAddress, Loops: 1, Descriptors: descriptors,
 		Logger: daemon.Part(logger, "wire")})
 	platform.Readiness(f.asked, f.readiness.check)
 	return f
@@ -95,11 +95,11 @@
 
 func (f *front) start() error {
 	if err := f.clients.Start(); err != nil {
-		return fault.Pass(err, "serve clients")
+		return errs.Pass(err, "serve clients")
 	}
 	if err := f.asked.Start(); err != nil {
 		_ = f.clients.Stop(0) // the start is given up: nobody has called yet
-		return fault.Pass(err, "serve readiness")
+		return errs.Pass(err, "serve readiness")
 	}
 	f.client.Start()
 	_ = level.Info(f.logger).Log("msg", "serving", "addr", f.clients.Addr(), "zone", f.settings.Zone, "version", version)
@@ -111,7 +111,7 @@
 func (f *front) followSettings(ctx context.Context, changed <-chan os.Signal) {
 	for {
 		due := make(chan struct{})
-		ring := alarm.Real{}.Set(settingsEvery, func() { close(due) })
+		ring := clock.Real{}.Set(settingsEvery, func() { close(due) })
 		select {
 		case <-ctx.Done():
 			ring.Stop()
@@ -139,7 +139,7 @@
 // stop lets the node go: it is not ready any more, serves on while new clients may still come, then refuses new calls
 // and answers those that run.
 func (f *front) stop() {
-	clock := alarm.Real{}
+	clock := clock.Real{}
 	begin := clock.Now()
 	grace := f.settings.Grace
 	if grace <= 0 {
--- a/cmd/dplane/platform_test.go
+++ b/cmd/dplane/platform_test.go
@@ -16,18 +16,18 @@
 
 	"crosstide/internal/controller"
 	"crosstide/internal/jobs"
-	"crosstide/internal/spawn"
-	"crosstide/internal/wire"
+	"crosstide/internal/routine"
+	"crosstide/internal/rpc"
 	"crosstide/platform"
 )
 
 // startLeader starts a core of one node; a cancel is held until gate is closed.
 func startLeader(gate chan struct{}, entered chan<- struct{}) (addr string, end func()) {
-	s := wire.NewServer(wire.ServerOptions{Addr: "127.0.0.1:0"})
-	wire.Handle(s, controller.TopologyPair, func(context.Context, controller.TopologyCall) (controller.TopologyAnswer, error) {
+	s := rpc.NewServer(rpc.ServerOptions{Addr: "127.0.0.1:0"})
+	rpc.Handle(s, controller.TopologyPair, func(context.Context, controller.TopologyCall) (controller.TopologyAnswer, error) {
 		return controller.TopologyAnswer{Leader: s.Addr(), Members: []string{s.Addr()}}, nil
 	})
-	wire.Handle(s, controller.JobPair, func(context.Context, controller.JobCall) (controller.JobAnswer, error) {
+	rpc.Handle(s, controller.JobPair, func(context.Context, controller.JobCall) (controller.JobAnswer, error) {
 		entered <- struct{}{}
 		<-gate
 		return controller.JobAnswer{State: jobs.Cancelled}, nil
@@ -57,7 +57,7 @@
 		gate, entered := make(chan struct{}), make(chan struct{}, 10)
 		leader, end := startLeader(gate, entered)
 		defer end()
-		caller := wire.NewCaller(wire.CallerOptions{})
+		caller := rpc.NewCaller(rpc.CallerOptions{})
 		defer caller.Close()
 		f := newFront(platform.CoreSettings{ClientAddress: "127.0.0.1:0", ReadyAddress: "127.0.0.1:0", Seeds: []string{leader},
 			Grace: 3 * time.Second}, 4000, caller, log.NewNopLogger())
@@ -66,7 +66,7 @@
 			runtime.Gosched()
 		}
 		answers := make(chan int, 1)
-		work := spawn.New(context.Background())
+		work := routine.New(context.Background())
 		work.Go(func(context.Context) {
 			answers <- cancelJob(f.clients.Addr())
 		})
@@ -87,7 +87,7 @@
 		defer end()
 		at, err := netip.ParseAddrPort(leader)
 		So(err, ShouldBeNil)
-		caller := wire.NewCaller(wire.CallerOptions{})
+		caller := rpc.NewCaller(rpc.CallerOptions{})
 		defer caller.Close()
 		f := newFront(platform.CoreSettings{ClientAddress: "127.0.0.1:0", ReadyAddress: "127.0.0.1:0"}, 4000, caller, log.NewNopLogger())
 		f.load = func() (platform.Settings, error) {
@@ -98,7 +98,7 @@
 		_, err = f.client.Job(ctx, controller.JobCall{})
 		So(err, ShouldNotBeNil) // no seed at all
 		changed := make(chan os.Signal)
-		work := spawn.New(context.Background())
+		work := routine.New(context.Background())
 		work.Go(func(ctx context.Context) { f.followSettings(ctx, changed) })
 		changed <- syscall.SIGHUP
 		changed <- syscall.SIGHUP // taken once the first one is done with
--- a/cmd/dplane/readiness.go
+++ b/cmd/dplane/readiness.go
@@ -4,7 +4,7 @@
 	"sync"
 	"time"
 
-	"crosstide/internal/fault"
+	"crosstide/internal/errs"
 )
 
 // leaderlessGrace is how long a node that was ready stays so without an answer of the core's leader: a change of leader
@@ -27,14 +27,14 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.draining {
-		return fault.New(fault.Stopped, "the node is stopping")
+		return errs.New(errs.Stopped, "the node is stopping")
 	}
 	err := r.fresh()
 	if r.was {
 		err = r.within(leaderlessGrace)
 	}
 	r.was = err == nil
-	return fault.Pass(err, "not ready")
+	return errs.Pass(err, "not ready")
 }
 
 // drain makes the node not ready for good.
--- a/cmd/dplane/readiness_test.go
+++ b/cmd/dplane/readiness_test.go
@@ -6,7 +6,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"crosstide/internal/fault"
+	"crosstide/internal/errs"
 )
 
 func TestReadiness(t *testing.T) {
@@ -16,21 +16,21 @@
 			if silent <= d {
 				return nil
 			}
-			return fault.New(fault.Unavailable, "no leader")
+			return errs.New(errs.Unavailable, "no leader")
 		}
 		r := &readiness{fresh: func() error { return within(2500 * time.Millisecond) }, within: within}
-		So(fault.KindOf(r.check()), ShouldEqual, fault.Unavailable) // never was ready: the grace is not for it
+		So(errs.KindOf(r.check()), ShouldEqual, errs.Unavailable) // never was ready: the grace is not for it
 		silent = 0
 		So(r.check(), ShouldBeNil)
 		silent = leaderlessGrace
 		So(r.check(), ShouldBeNil)
 		silent++
-		So(fault.KindOf(r.check()), ShouldEqual, fault.Unavailable)
+		So(errs.KindOf(r.check()), ShouldEqual, errs.Unavailable)
 		silent = 3 * time.Second // an answer that came late; it is not fresh
-		So(fault.KindOf(r.check()), ShouldEqual, fault.Unavailable)
+		So(errs.KindOf(r.check()), ShouldEqual, errs.Unavailable)
 		silent = time.Second
 		So(r.check(), ShouldBeNil)
 		r.drain()
-		So(fault.KindOf(r.check()), ShouldEqual, fault.Stopped)
+		So(errs.KindOf(r.check()), ShouldEqual, errs.Stopped)
 	})
 }
--- a/cmd/drill/audit.go
+++ b/cmd/drill/audit.go
@@ -6,9 +6,9 @@
 
 	"github.com/urfave/cli/v3"
 
-	"crosstide/internal/fault"
-	"crosstide/internal/rig/audit"
-	"crosstide/internal/rig/fleet"
+	"crosstide/internal/errs"
+	"crosstide/internal/testbed/audit"
+	"crosstide/internal/testbed/fleet"
 )
 
 func init() {
@@ -25,11 +25,11 @@
 		},
 		Action: func(ctx context.Context, cmd *cli.Command) error {
 			if cmd.Args().Len() != 1 {
-				return exitCode{fault.Field(fault.Settings, "DIR", "one is needed"), 2}
+				return exitCode{errs.Field(errs.Settings, "DIR", "one is needed"), 2}
 			}
 			findings, err := findings(ctx, cmd.Args().First())
 			if err != nil {
-				return fault.Pass(err, "audit")
+				return errs.Pass(err, "audit")
 			}
 			if cmd.Bool("json") {
 				err = printJSON(cmd.Root().Writer, findings)
@@ -37,10 +37,10 @@
 				err = audit.Show(cmd.Root().Writer, findings, cmd.Int("shown"))
 			}
 			if err != nil {
-				return fault.Pass(err, "audit")
+				return errs.Pass(err, "audit")
 			}
 			if !audit.Clean(findings) {
-				return exitCode{fault.New(fault.Internal, "a promise is broken"), 1}
+				return exitCode{errs.New(errs.Internal, "a promise is broken"), 1}
 			}
 			return nil
 		},
@@ -51,7 +51,7 @@
 func findings(ctx context.Context, dir string) ([]audit.Finding, error) {
 	h, err := audit.Read(dir)
 	if err != nil {
-		return nil, fault.Pass(err, "journals of %s", dir)
+		return nil, errs.Pass(err, "journals of %s", dir)
 	}
 	answered := 0
 	if nodes, err := fleet.Read(dir); err == nil {
--- a/cmd/drill/bench.go
+++ b/cmd/drill/bench.go
@@ -9,11 +9,11 @@
 
 	"github.com/urfave/cli/v3"
 
-	"crosstide/internal/alarm"
-	"crosstide/internal/fault"
-	"crosstide/internal/rig/fleet"
-	"crosstide/internal/rig/load"
-	"crosstide/internal/slot"
+	"crosstide/internal/clock"
+	"crosstide/internal/errs"
+	"crosstide/internal/storage"
+	"crosstide/internal/testbed/fleet"
+	"crosstide/internal/testbed/load"
 )
 
 func init() {
@@ -40,12 +40,12 @@
 }
 
 // sample is what the two that matter have counted.
-type sample struct{ syncs, tickets, leaderCPU, holderCPU float64 }
+type sample struct{ syncs, runIDs, leaderCPU, holderCPU float64 }
 
 func take(ctx context.Context, c *fleet.Caller, nodes fleet.Nodes) (sample, error) {
 	who, err := fleet.Who(ctx, c, nodes)
 	if err != nil {
-		return sample{}, fault.Pass(err, "who holds what")
+		return sample{}, errs.Pass(err, "who holds what")
 	}
 	var s sample
 	for _, n := range append(nodes.CPlanes, nodes.DPlanes...) {
@@ -54,12 +54,12 @@
 		}
 		f, err := fleet.Scrape(ctx, c, n.Addr)
 		if err != nil {
-			return s, fault.Pass(err, "sample of %s", n.Name)
+			return s, errs.Pass(err, "sample of %s", n.Name)
 		}
 		if n.Name == who.Store {
 			s.syncs, s.leaderCPU = f.Sum("crosstide_store_sync_seconds_count"), f.Sum("process_cpu_seconds_total")
 		} else {
-			s.tickets, s.holderCPU = f.Sum("crosstide_sched_tickets_total"), f.Sum("process_cpu_seconds_total")
+			s.runIDs, s.holderCPU = f.Sum("crosstide_sched_tickets_total"), f.Sum("process_cpu_seconds_total")
 		}
 	}
 	return s, nil
@@ -70,7 +70,7 @@
 	defer stop()
 	nodes, err := fleet.Read(cmd.String("fleet"))
 	if err != nil {
-		return fault.Pass(err, "bench")
+		return errs.Pass(err, "bench")
 	}
 	caller := fleet.NewCaller(4)
 	out := cmd.Root().Writer
@@ -79,46 +79,46 @@
 	for i, rate := range cmd.FloatSlice("rates") {
 		before, err := take(ctx, caller, nodes)
 		if err != nil {
-			return fault.Pass(err, "bench")
+			return errs.Pass(err, "bench")
 		}
-		begun := alarm.Real{}.Now()
+		begun := clock.Real{}.Now()
 		r, err := load.Run(ctx, load.Options{Dir: cmd.String("fleet"), Rate: rate, For: cmd.Duration("for"), Seed: uint64(i + 1),
 			Tasks: cmd.Int("tasks"), Wait: cmd.Duration("wait"), Polls: 2000, Workers: 8, Retries: 3})
 		if err != nil {
-			return fault.Pass(err, "load at %g", rate)
+			return errs.Pass(err, "load at %g", rate)
 		}
-		took := (alarm.Real{}.Now() - begun).Seconds()
+		took := (clock.Real{}.Now() - begun).Seconds()
 		after, err := take(ctx, caller, nodes)
 		if err != nil {
-			return fault.Pass(err, "bench")
+			return errs.Pass(err, "bench")
 		}
-		syncs, tickets := after.syncs-before.syncs, after.tickets-before.tickets
+		syncs, runIDs := after.syncs-before.syncs, after.runIDs-before.runIDs
 		fmt.Fprintf(out, "| %.0f | %d | %d | %.0f | %.1f / %.1f | %.1f / %.1f | %.0f | %.1f | %.0f | %.0f |\n", rate, r.Accepted, r.Done,
-			r.StartsPerS, r.Accept.P50, r.Accept.P99, r.ToStart.P50, r.ToStart.P99, syncs/took, tickets/syncs,
+			r.StartsPerS, r.Accept.P50, r.Accept.P99, r.ToStart.P50, r.ToStart.P99, syncs/took, runIDs/syncs,
 			100*(after.leaderCPU-before.leaderCPU)/took, 100*(after.holderCPU-before.holderCPU)/took)
 	}
 	return nil
 }
 
 func disk(_ context.Context, cmd *cli.Command) error {
-	folder, err := slot.OSDisk(cmd.String("data"))
+	folder, err := storage.OSDisk(cmd.String("data"))
 	if err != nil {
-		return fault.Pass(err, "disk")
+		return errs.Pass(err, "disk")
 	}
-	s, _, err := slot.Open(folder, slot.Options{})
+	s, _, err := storage.Open(folder, storage.Options{})
 	if err != nil {
-		return fault.Pass(err, "disk")
+		return errs.Pass(err, "disk")
 	}
 	data := make([]byte, cmd.Int("bytes"))
-	clock := alarm.Real{}
+	clock := clock.Real{}
 	begun := clock.Now()
 	var n uint64
 	for clock.Now()-begun < cmd.Duration("for") {
 		n++
-		if err := s.Append([]slot.Record{{Term: 1, Index: n, Data: data}}); err != nil {
-			return fault.Pass(err, "disk")
+		if err := s.Append([]storage.Record{{Term: 1, Index: n, Data: data}}); err != nil {
+			return errs.Pass(err, "disk")
 		}
 	}
 	fmt.Fprintf(cmd.Root().Writer, "%.0f syncs/s of one record of %d bytes\n", float64(n)/(clock.Now()-begun).Seconds(), len(data))
-	return fault.Pass(s.Close(), "disk")
+	return errs.Pass(s.Close(), "disk")
 }
--- a/cmd/drill/blow.go
+++ b/cmd/drill/blow.go
@@ -10,15 +10,15 @@
 	"sync"
 	"time"
 
-	"crosstide/internal/alarm"
-	"crosstide/internal/fault"
+	"crosstide/internal/clock"
+	"crosstide/internal/errs"
 	"crosstide/internal/operator"
-	"crosstide/internal/rig/audit"
-	"crosstide/internal/rig/fleet"
-	"crosstide/internal/rig/journal"
-	"crosstide/internal/rig/link"
-	"crosstide/internal/seal"
-	"crosstide/internal/spawn"
+	"crosstide/internal/routine"
+	"crosstide/internal/signature"
+	"crosstide/internal/testbed/audit"
+	"crosstide/internal/testbed/fleet"
+	"crosstide/internal/testbed/journal"
+	"crosstide/internal/testbed/link"
 )
 
 // takeOut takes a zone with its nodes out, for d unless it is killed, and gives the nodes that it hit.
@@ -34,7 +34,7 @@
 	default:
 		err = evacuate(ctx, dir, zone, d)
 	}
-	return names, fault.Pass(err, "%s of %s", how, zone)
+	return names, errs.Pass(err, "%s of %s", how, zone)
 }
 
 // killAll sends SIGKILL to processes, all at once, and notes each in DIR/journal/drill-BOOK.jsonl with the time
@@ -42,21 +42,21 @@
 func killAll(dir, book string, names []string) ([]string, error) {
 	pen, err := journal.Open(filepath.Join(dir, "journal", "drill-"+book+".jsonl"))
 	if err != nil {
-		return nil, fault.Pass(err, "drill's journal")
+		return nil, errs.Pass(err, "drill's journal")
 	}
 	defer pen.Close()
 	var killed []string
 	for _, name := range names {
-		at := alarm.Real{}.Wall().UnixNano()
-		if err := fleet.Kill(dir, name); fault.Is(err, fault.Unknown) {
+		at := clock.Real{}.Wall().UnixNano()
+		if err := fleet.Kill(dir, name); errs.Is(err, errs.Unknown) {
 			continue
 		} else if err != nil {
-			return killed, fault.Pass(err, "kill all")
+			return killed, errs.Pass(err, "kill all")
 		}
 		killed = append(killed, name)
 		err := pen.Append(map[string]any{"at": at, "ev": audit.Kill, "node": name, "how": "SIGKILL"})
 		if err != nil {
-			return killed, fault.Pass(err, "drill's journal")
+			return killed, errs.Pass(err, "drill's journal")
 		}
 	}
 	return killed, nil
@@ -66,7 +66,7 @@
 func freezeAll(ctx context.Context, dir string, names []string, d time.Duration) error {
 	var mu sync.Mutex
 	var all []error
-	spawn.Each(len(names), len(names), func(i int) {
+	routine.Each(len(names), len(names), func(i int) {
 		err := freeze(ctx, dir, names[i], d)
 		mu.Lock()
 		defer mu.Unlock()
@@ -79,23 +79,23 @@
 func evacuate(ctx context.Context, dir, zone string, d time.Duration) error {
 	nodes, err := fleet.Read(dir)
 	if err != nil {
-		return fault.Pass(err, "evacuate")
+		return errs.Pass(err, "evacuate")
 	}
 	id := rand.Text()[:12]
 	pen, err := journal.Open(filepath.Join(dir, "journal", "operator-"+id+".jsonl"))
 	if err != nil {
-		return fault.Pass(err, "operator's journal")
+		return errs.Pass(err, "operator's journal")
 	}
 	defer pen.Close()
 	note := func(ev string) error {
-		err := pen.Append(map[string]any{"at": alarm.Real{}.Wall().UnixNano(), "ev": ev, "zone": zone, "order": id})
-		return fault.Pass(err, "operator's journal")
+		err := pen.Append(map[string]any{"at": clock.Real{}.Wall().UnixNano(), "ev": ev, "zone": zone, "order": id})
+		return errs.Pass(err, "operator's journal")
 	}
 	keys, err := fleet.Keys(dir)
 	if err != nil {
-		return fault.Pass(err, "evacuate")
+		return errs.Pass(err, "evacuate")
 	}
-	out := operator.Order{Order: id + "-out", By: keys[0].Name, Sig: keys[0].Sign(seal.Evacuate(id+"-out", zone))}
+	out := operator.Order{Order: id + "-out", By: keys[0].Name, Sig: keys[0].Sign(signature.Evacuate(id+"-out", zone))}
 	ordered := order(ctx, nodes.CPlanes, "/v1/zones/"+zone+"/evacuate", out)
 	if ordered == nil {
 		if ordered = note(audit.Evacuate); ordered == nil {
@@ -108,15 +108,15 @@
 }
 
 // lift lets every operator sign the lifting of a zone, which two must.
-func lift(ctx context.Context, cplanes []fleet.Node, zone, id string, keys []seal.Key) error {
+func lift(ctx context.Context, cplanes []fleet.Node, zone, id string, keys []signature.Key) error {
 	since, err := evacuatedSince(ctx, cplanes, zone)
 	if err != nil {
-		return fault.Pass(err, "lift %s", zone)
+		return errs.Pass(err, "lift %s", zone)
 	}
 	for _, key := range keys {
-		in := operator.Order{Order: id + "-lift-" + key.Name, By: key.Name, Sig: key.Sign(seal.Lift(zone, since))}
+		in := operator.Order{Order: id + "-lift-" + key.Name, By: key.Name, Sig: key.Sign(signature.Lift(zone, since))}
 		if err := order(ctx, cplanes, "/v1/zones/"+zone+"/lift", in); err != nil {
-			return fault.Pass(err, "lift %s", zone)
+			return errs.Pass(err, "lift %s", zone)
 		}
 	}
 	return nil
@@ -136,10 +136,10 @@
 					return z.Since, nil
 				}
 			}
-			return time.Time{}, fault.New(fault.Unknown, "zone %s is not evacuated", zone)
+			return time.Time{}, errs.New(errs.Unknown, "zone %s is not evacuated", zone)
 		}
 		if !pause(ctx, 200*time.Millisecond) {
-			return time.Time{}, fault.New(fault.Unavailable, "no cplane lists the zones: %v %s", err, reply.Body)
+			return time.Time{}, errs.New(errs.Unavailable, "no cplane lists the zones: %v %s", err, reply.Body)
 		}
 	}
 }
@@ -158,9 +158,9 @@
 			return nil
 		case err == nil && reply.Status < http.StatusInternalServerError && reply.Status != http.StatusTooManyRequests &&
 			reply.Status != http.StatusMisdirectedRequest:
-			return fault.New(fault.Internal, "order %s: %s refuses: %s", path, node.Name, reply.Body)
+			return errs.New(errs.Internal, "order %s: %s refuses: %s", path, node.Name, reply.Body)
 		case !pause(ctx, 200*time.Millisecond):
-			return fault.New(fault.Unavailable, "order %s: no cplane carried it out in time, the last one said %v %s", path, err, reply.Body)
+			return errs.New(errs.Unavailable, "order %s: no cplane carried it out in time, the last one said %v %s", path, err, reply.Body)
 		}
 	}
 }
--- a/cmd/drill/bundles.go
+++ b/cmd/drill/bundles.go
@@ -8,8 +8,8 @@
 
 	"github.com/urfave/cli/v3"
 
-	"crosstide/internal/fault"
-	"crosstide/internal/rig/bundles"
+	"crosstide/internal/errs"
+	"crosstide/internal/testbed/bundles"
 )
 
 func init() {
@@ -37,13 +37,13 @@
 				Every: cmd.Duration("every"), Race: cmd.Float("race"), Again: cmd.Float("again"),
 				Invalid: cmd.Float("invalid"), Evacuate: cmd.Float("evacuate")})
 			if err != nil {
-				return fault.Pass(err, "bundles")
+				return errs.Pass(err, "bundles")
 			}
 			if err := printJSON(cmd.Root().Writer, report); err != nil {
-				return fault.Pass(err, "bundles")
+				return errs.Pass(err, "bundles")
 			}
 			if !report.Held() {
-				return exitCode{fault.New(fault.Internal, "nothing was changed, or a promise to the operators was broken"), 1}
+				return exitCode{errs.New(errs.Internal, "nothing was changed, or a promise to the operators was broken"), 1}
 			}
 			return nil
 		},
--- a/cmd/drill/churn.go
+++ b/cmd/drill/churn.go
@@ -15,15 +15,15 @@
 	"github.com/urfave/cli/v3"
 	"golang.org/x/sys/unix"
 
-	"crosstide/internal/alarm"
-	"crosstide/internal/fault"
+	"crosstide/internal/clock"
+	"crosstide/internal/errs"
 	"crosstide/internal/operator"
-	"crosstide/internal/rig/audit"
-	"crosstide/internal/rig/bundles"
-	"crosstide/internal/rig/fleet"
-	"crosstide/internal/rig/journal"
-	"crosstide/internal/rig/load"
-	"crosstide/internal/spawn"
+	"crosstide/internal/routine"
+	"crosstide/internal/testbed/audit"
+	"crosstide/internal/testbed/bundles"
+	"crosstide/internal/testbed/fleet"
+	"crosstide/internal/testbed/journal"
+	"crosstide/internal/testbed/load"
 )
 
 func init() {
@@ -50,7 +50,7 @@
 		Action: func(_ context.Context, cmd *cli.Command) error {
 			h, err := audit.Read(cmd.Args().First())
 			if err != nil {
-				return fault.Pass(err, "lags")
+				return errs.Pass(err, "lags")
 			}
 			for _, l := range audit.Lags(h) {
 				fmt.Fprintf(cmd.Root().Writer, "%-32s %5d cases  p50 %7.1f ms  p99 %7.1f ms  max %7.1f ms\n", l.What, l.Cases,
@@ -82,12 +82,12 @@
 	defer stop()
 	set, err := stageOf(cmd)
 	if err != nil {
-		return fault.Pass(err, "churn")
+		return errs.Pass(err, "churn")
 	}
 	dir := set.dir
 	pen, err := journal.Open(filepath.Join(dir, "journal", "operator-churn.jsonl"))
 	if err != nil {
-		return fault.Pass(err, "churn")
+		return errs.Pass(err, "churn")
 	}
 	defer pen.Close()
 	c := &churner{stage: set, luck: rand.New(rand.NewPCG(cmd.Uint64("seed"), 7)), pen: pen, done: map[string]int{}}
@@ -99,10 +99,10 @@
 		mu.Lock()
 		defer mu.Unlock()
 		if err != nil {
-			broke = append(broke, fault.Pass(err, "%s", what))
+			broke = append(broke, errs.Pass(err, "%s", what))
 		}
 	}
-	group := spawn.New(ctx)
+	group := routine.New(ctx)
 	group.Go(func(ctx context.Context) {
 		work, err := load.RunProfile(ctx, cmd.String("profile"), cmd.Float("scale"),
 			load.Options{Dir: dir, For: lasts, Wait: cmd.Duration("wait"), Seed: seed})
@@ -121,30 +121,30 @@
 	})
 	group.Wait()
 	if err := errors.Join(broke...); err != nil {
-		return fault.Wrap(err, fault.Internal, "churn")
+		return errs.Wrap(err, errs.Internal, "churn")
 	}
 	if err := printJSON(cmd.Root().Writer, out); err != nil {
-		return fault.Pass(err, "churn")
+		return errs.Pass(err, "churn")
 	}
-	return fault.Pass(c.judge(ctx, out), "churn")
+	return errs.Pass(c.judge(ctx, out), "churn")
 }
 
 // judge audits, and looks for jobs that are not over.
 func (c *churner) judge(ctx context.Context, out churnReport) error {
 	findings, err := findings(ctx, c.dir)
 	if err != nil {
-		return fault.Pass(err, "audit")
+		return errs.Pass(err, "audit")
 	}
 	if err := audit.Show(os.Stderr, findings, 3); err != nil {
-		return fault.Pass(err, "audit")
+		return errs.Pass(err, "audit")
 	}
 	for kind, r := range out.Work {
 		if r.Unknown+r.Unfinished > 0 {
-			return exitCode{fault.New(fault.Internal, "%s: %d jobs unknown, %d unfinished", kind, r.Unknown, r.Unfinished), 1}
+			return exitCode{errs.New(errs.Internal, "%s: %d jobs unknown, %d unfinished", kind, r.Unknown, r.Unfinished), 1}
 		}
 	}
 	if !audit.Clean(findings) {
-		return exitCode{fault.New(fault.Internal, "a promise is broken"), 1}
+		return exitCode{errs.New(errs.Internal, "a promise is broken"), 1}
 	}
 	return nil
 }
@@ -158,17 +158,17 @@
 	}
 	for _, name := range only {
 		if kinds[name] == nil {
-			return fault.Field(fault.Invalid, "only", "no kind of fault is named %q", name)
+			return errs.Field(errs.Invalid, "only", "no kind of fault is named %q", name)
 		}
 	}
-	clock := alarm.Real{}
+	clock := clock.Real{}
 	for end := clock.Now() + d; clock.Now() < end; {
 		if !pause(ctx, time.Duration(c.luck.ExpFloat64()*float64(every))) {
 			return nil
 		}
 		kind := only[c.luck.IntN(len(only))]
 		if err := kinds[kind](ctx); err != nil && ctx.Err() == nil {
-			return fault.Pass(err, "%s", kind)
+			return errs.Pass(err, "%s", kind)
 		}
 		c.done[kind]++
 	}
@@ -185,14 +185,14 @@
 func (c *churner) killOne(ctx context.Context) error {
 	name := c.anyNode().Name
 	if err := c.kill(name); err != nil {
-		return fault.Pass(err, "kill")
+		return errs.Pass(err, "kill")
 	}
 	pause(ctx, time.Duration(c.luck.Int64N(int64(4*time.Second))))
-	return fault.Pass(c.restart(context.WithoutCancel(ctx), []string{name}), "back")
+	return errs.Pass(c.restart(context.WithoutCancel(ctx), []string{name}), "back")
 }
 
 func (c *churner) freezeOne(ctx context.Context) error {
-	return fault.Pass(freeze(ctx, c.dir, c.anyNode().Name, time.Duration(c.luck.Int64N(int64(6*time.Second)))), "freeze")
+	return errs.Pass(freeze(ctx, c.dir, c.anyNode().Name, time.Duration(c.luck.Int64N(int64(6*time.Second)))), "freeze")
 }
 
 // drainSome drains a few minions by an operator's order, and opens them again.
@@ -204,14 +204,14 @@
 	give := func(ctx context.Context, name, word, ev string, before bool) error {
 		c.n++
 		note := func() error {
-			return fault.Pass(c.pen.Append(map[string]any{"at": alarm.Real{}.Wall().UnixNano(), "ev": ev, "node": name}), "journal")
+			return errs.Pass(c.pen.Append(map[string]any{"at": clock.Real{}.Wall().UnixNano(), "ev": ev, "node": name}), "journal")
 		}
 		var first error
 		if before { // starts may come from its commit on
 			first = note()
 		}
 		err := order(ctx, c.nodes.CPlanes, "/v1/minions/"+name+"/"+word,
-			operator.Order{Order: fmt.Sprintf("churn-%d-%d", alarm.Real{}.Wall().UnixNano(), c.n)})
+			operator.Order{Order: fmt.Sprintf("churn-%d-%d", clock.Real{}.Wall().UnixNano(), c.n)})
 		if err == nil && !before {
 			first = note()
 		}
@@ -219,13 +219,13 @@
 	}
 	for _, m := range out {
 		if err := give(ctx, m.Name, "drain", audit.Drain, false); err != nil {
-			return fault.Pass(err, "drain %s", m.Name)
+			return errs.Pass(err, "drain %s", m.Name)
 		}
 	}
 	pause(ctx, 3*time.Second)
 	for _, m := range out {
 		if err := give(context.WithoutCancel(ctx), m.Name, "open", audit.Undrain, true); err != nil {
-			return fault.Pass(err, "open %s", m.Name)
+			return errs.Pass(err, "open %s", m.Name)
 		}
 	}
 	return nil
@@ -235,7 +235,7 @@
 func (c *churner) leaveOne(ctx context.Context) error {
 	name := c.one(c.nodes.Minions).Name
 	if err := fleet.Signal(c.dir, name, unix.SIGTERM); err != nil {
-		return fault.Pass(err, "leave")
+		return errs.Pass(err, "leave")
 	}
 	_, err := c.until(ctx, 15*time.Second, name+" gone", func() bool { _, err := fleet.Pid(c.dir, name); return err != nil })
 	return errors.Join(err, c.restart(context.WithoutCancel(ctx), []string{name}))
@@ -243,12 +243,12 @@
 
 func (c *churner) evacuateOne(ctx context.Context) error {
 	zone := c.one(c.nodes.CPlanes).Zone
-	return fault.Pass(evacuate(ctx, c.dir, zone, 6*time.Second), "zone %s", zone)
+	return errs.Pass(evacuate(ctx, c.dir, zone, 6*time.Second), "zone %s", zone)
 }
 
 // cancelMany hands in a crowd of jobs and cancels them one after the other at once.
 func (c *churner) cancelMany(ctx context.Context) error {
 	_, err := load.Run(ctx, load.Options{Dir: c.dir, Count: 20, For: time.Second, Run: 5 * time.Second, Cancel: 1, Team: "crowd",
-		Seed: c.luck.Uint64(), Workers: 2, Wait: 20 * time.Second, Prefix: fmt.Sprintf("x%d", alarm.Real{}.Wall().UnixNano())})
-	return fault.Pass(err, "crowd")
+		Seed: c.luck.Uint64(), Workers: 2, Wait: 20 * time.Second, Prefix: fmt.Sprintf("x%d", clock.Real{}.Wall().UnixNano())})
+	return errs.Pass(err, "crowd")
 }
--- a/cmd/drill/fleet.go
+++ b/cmd/drill/fleet.go
@@ -8,9 +8,9 @@
 
 	"github.com/urfave/cli/v3"
 
-	"crosstide/internal/alarm"
-	"crosstide/internal/fault"
-	"crosstide/internal/rig/fleet"
+	"crosstide/internal/clock"
+	"crosstide/internal/errs"
+	"crosstide/internal/testbed/fleet"
 )
 
 func init() {
@@ -24,7 +24,7 @@
 				for _, port := range ports {
 					fmt.Fprintln(cmd.Root().Writer, port)
 				}
-				return fault.Pass(err, "ports")
+				return errs.Pass(err, "ports")
 			},
 		},
 		&cli.Command{
@@ -53,11 +53,11 @@
 				var err error
 				if cmd.IsSet("profile") {
 					if shape, err = shape.WithProfile(cmd.String("profile")); err != nil {
-						return fault.Pass(err, "plan")
+						return errs.Pass(err, "plan")
 					}
 				}
 				_, err = fleet.Plan(cmd.String("fleet"), shape)
-				return fault.Pass(err, "plan")
+				return errs.Pass(err, "plan")
 			},
 		},
 		&cli.Command{
@@ -71,14 +71,14 @@
 			Action: func(ctx context.Context, cmd *cli.Command) error {
 				nodes, err := fleet.Read(cmd.String("fleet"))
 				if err != nil {
-					return fault.Pass(err, "who")
+					return errs.Pass(err, "who")
 				}
 				who, err := fleet.Who(ctx, fleet.NewCaller(1), nodes)
 				if err != nil {
-					return fault.Pass(err, "who")
+					return errs.Pass(err, "who")
 				}
 				_, err = fmt.Fprintf(cmd.Root().Writer, "store %s\nsched %s\n", who.Store, who.Sched)
-				return fault.Wrap(err, fault.Disk, "print")
+				return errs.Wrap(err, errs.Disk, "print")
 			},
 		},
 	)
@@ -103,23 +103,23 @@
 func ready(ctx context.Context, cmd *cli.Command) error {
 	nodes, err := fleet.Read(cmd.String("fleet"))
 	if err != nil {
-		return fault.Pass(err, "ready")
+		return errs.Pass(err, "ready")
 	}
-	caller, clock := fleet.NewCaller(2), alarm.Real{}
+	caller, clock := fleet.NewCaller(2), clock.Real{}
 	for end := clock.Now() + cmd.Duration("for"); ; {
 		late := fleet.Late(ctx, caller, nodes)
 		if len(late) == 0 {
 			return nil
 		}
 		if clock.Now() >= end {
-			return fault.New(fault.Unavailable, "not ready: %s", strings.Join(late, " "))
+			return errs.New(errs.Unavailable, "not ready: %s", strings.Join(late, " "))
 		}
 		rung := make(chan struct{})
 		clock.Set(200*time.Millisecond, func() { close(rung) })
 		select {
 		case <-rung:
 		case <-ctx.Done():
-			return fault.Wrap(ctx.Err(), fault.Stopped, "ready")
+			return errs.Wrap(ctx.Err(), errs.Stopped, "ready")
 		}
 	}
 }
--- a/cmd/drill/freeze.go
+++ b/cmd/drill/freeze.go
@@ -11,11 +11,11 @@
 	"github.com/urfave/cli/v3"
 	"golang.org/x/sys/unix"
 
-	"crosstide/internal/alarm"
-	"crosstide/internal/fault"
-	"crosstide/internal/rig/audit"
-	"crosstide/internal/rig/fleet"
-	"crosstide/internal/rig/journal"
+	"crosstide/internal/clock"
+	"crosstide/internal/errs"
+	"crosstide/internal/testbed/audit"
+	"crosstide/internal/testbed/fleet"
+	"crosstide/internal/testbed/journal"
 )
 
 func init() {
@@ -27,7 +27,7 @@
 		Action: func(ctx context.Context, cmd *cli.Command) error {
 			ctx, stop := signal.NotifyContext(ctx, syscall.SIGINT, syscall.SIGTERM)
 			defer stop()
-			return fault.Pass(freeze(ctx, cmd.String("fleet"), cmd.String("node"), cmd.Duration("for")), "freeze")
+			return errs.Pass(freeze(ctx, cmd.String("fleet"), cmd.String("node"), cmd.Duration("for")), "freeze")
 		},
 	})
 }
@@ -36,34 +36,34 @@
 func freeze(ctx context.Context, dir, name string, d time.Duration) error {
 	pid, err := fleet.Pid(dir, name)
 	if err != nil {
-		return fault.Pass(err, "freeze %s", name)
+		return errs.Pass(err, "freeze %s", name)
 	}
 	pen, err := journal.Open(filepath.Join(dir, "journal", "drill-freeze-"+name+".jsonl"))
 	if err != nil {
-		return fault.Pass(err, "drill's journal")
+		return errs.Pass(err, "drill's journal")
 	}
 	defer pen.Close()
 	if err := note(pen, audit.Freeze, name, "SIGSTOP"); err != nil {
-		return fault.Pass(err, "freeze %s", name)
+		return errs.Pass(err, "freeze %s", name)
 	}
 	if err := unix.Kill(pid, unix.SIGSTOP); err != nil {
-		return fault.Wrap(err, fault.Unknown, "freeze %s, pid %d", name, pid)
+		return errs.Wrap(err, errs.Unknown, "freeze %s, pid %d", name, pid)
 	}
 	pause(ctx, d)
-	woken := fault.Pass(fleet.Signal(dir, name, unix.SIGCONT), "thaw") // unless it was killed, and the pid is another's
+	woken := errs.Pass(fleet.Signal(dir, name, unix.SIGCONT), "thaw") // unless it was killed, and the pid is another's
 	return errors.Join(woken, note(pen, "thaw", name, "SIGCONT"))
 }
 
 // note writes what is done to a node into a journal of the drill, for the audit.
 func note(pen *journal.Writer, ev, node, how string) error {
-	err := pen.Append(map[string]any{"at": alarm.Real{}.Wall().UnixNano(), "ev": ev, "node": node, "how": how})
-	return fault.Pass(err, "drill's journal")
+	err := pen.Append(map[string]any{"at": clock.Real{}.Wall().UnixNano(), "ev": ev, "node": node, "how": how})
+	return errs.Pass(err, "drill's journal")
 }
 
 // pause waits for d, false if ctx ends before.
 func pause(ctx context.Context, d time.Duration) bool {
 	rung := make(chan struct{})
-	defer alarm.Real{}.Set(d, func() { close(rung) }).Stop()
+	defer clock.Real{}.Set(d, func() { close(rung) }).Stop()
 	select {
 	case <-rung:
 		return true
--- a/cmd/drill/link.go
+++ b/cmd/drill/link.go
@@ -13,10 +13,10 @@
 	"github.com/go-kit/log"
 	"github.com/urfave/cli/v3"
 
-	"crosstide/internal/alarm"
-	"crosstide/internal/fault"
-	"crosstide/internal/rig/fleet"
-	"crosstide/internal/rig/link"
+	"crosstide/internal/clock"
+	"crosstide/internal/errs"
+	"crosstide/internal/testbed/fleet"
+	"crosstide/internal/testbed/link"
 )
 
 func init() {
@@ -27,12 +27,12 @@
 			Action: func(ctx context.Context, cmd *cli.Command) error {
 				set, err := link.Load(cmd.String("settings"))
 				if err != nil {
-					return fault.Pass(err, "link")
+					return errs.Pass(err, "link")
 				}
 				ctx, stop := signal.NotifyContext(ctx, syscall.SIGINT, syscall.SIGTERM)
 				defer stop()
 				logger := log.With(log.NewLogfmtLogger(log.NewSyncWriter(os.Stderr)), "ts", log.DefaultTimestampUTC)
-				return fault.Pass(link.Run(ctx, set, alarm.Real{}, logger), "link")
+				return errs.Pass(link.Run(ctx, set, clock.Real{}, logger), "link")
 			},
 		},
 		&cli.Command{
@@ -62,15 +62,15 @@
 					}
 				}
 				if given > 1 {
-					return exitCode{fault.Field(fault.Settings, "how", "only one of them may be given"), 2}
+					return exitCode{errs.Field(errs.Settings, "how", "only one of them may be given"), 2}
 				}
 				c.Delay = cmd.Duration("slow")
 				links, err := cut(ctx, cmd.String("fleet"), c)
 				if err != nil {
-					return fault.Pass(err, "cut")
+					return errs.Pass(err, "cut")
 				}
 				_, err = fmt.Fprintf(cmd.Root().Writer, "%s cut of %s%s for %s, %d links\n", c.How, c.Node, c.Zone, c.For, links)
-				return fault.Wrap(err, fault.Disk, "print")
+				return errs.Wrap(err, errs.Disk, "print")
 			},
 		})
 }
@@ -78,22 +78,22 @@
 // cut gives the order to the fleet's links and tells how many it touched.
 func cut(ctx context.Context, dir string, c link.Cut) (int, error) {
 	if err := c.Check(); err != nil {
-		return 0, fault.Pass(err, "cut")
+		return 0, errs.Pass(err, "cut")
 	}
 	nodes, err := fleet.Read(dir)
 	if err != nil {
-		return 0, fault.Pass(err, "cut")
+		return 0, errs.Pass(err, "cut")
 	}
 	if nodes.Link == "" {
-		return 0, fault.New(fault.Settings, "the fleet has no links; it was brought up without --links")
+		return 0, errs.New(errs.Settings, "the fleet has no links; it was brought up without --links")
 	}
 	reply, err := fleet.NewCaller(1).Call(ctx, http.MethodPost, nodes.Link, link.Order.Path, c, 5*time.Second)
 	if err != nil {
-		return 0, fault.Pass(err, "links")
+		return 0, errs.Pass(err, "links")
 	}
 	var answer link.CutAnswer
 	if !reply.Good() || json.Unmarshal(reply.Body, &answer) != nil {
-		return 0, fault.New(fault.Internal, "the links refuse: %s", reply.Body)
+		return 0, errs.New(errs.Internal, "the links refuse: %s", reply.Body)
 	}
 	return answer.Links, nil
 }
--- a/cmd/drill/load.go
+++ b/cmd/drill/load.go
@@ -10,8 +10,8 @@
 
 	"github.com/urfave/cli/v3"
 
-	"crosstide/internal/fault"
-	"crosstide/internal/rig/load"
+	"crosstide/internal/errs"
+	"crosstide/internal/testbed/load"
 )
 
 func init() {
@@ -31,24 +31,24 @@
 			defer stop()
 			o, err := loadOptions(cmd)
 			if err != nil {
-				return fault.Pass(err, "load")
+				return errs.Pass(err, "load")
 			}
 			if cmd.IsSet("profile") {
 				reports, err := load.RunProfile(ctx, cmd.String("profile"), cmd.Float("scale"), o)
 				if err != nil {
-					return fault.Pass(err, "load")
+					return errs.Pass(err, "load")
 				}
-				return fault.Pass(printJSON(cmd.Root().Writer, reports), "load")
+				return errs.Pass(printJSON(cmd.Root().Writer, reports), "load")
 			}
 			report, err := load.Run(ctx, o)
 			if err != nil {
-				return fault.Pass(err, "load")
+				return errs.Pass(err, "load")
 			}
 			if err := printJSON(cmd.Root().Writer, report); err != nil {
-				return fault.Pass(err, "load")
+				return errs.Pass(err, "load")
 			}
 			if cmd.Bool("all-done") && !report.AllDone() {
-				return fault.New(fault.Internal, "not all that was accepted is done")
+				return errs.New(errs.Internal, "not all that was accepted is done")
 			}
 			return nil
 		},
@@ -92,10 +92,10 @@
 	if cmd.Bool("noop") {
 		o.Run = 0
 	}
-	return o, fault.Pass(o.Fill(), "flags")
+	return o, errs.Pass(o.Fill(), "flags")
 }
 
 func printJSON(w io.Writer, v any) error {
 	enc := json.NewEncoder(w)
-	return fault.Wrap(enc.Encode(v), fault.Disk, "print")
+	return errs.Wrap(enc.Encode(v), errs.Disk, "print")
 }
--- a/cmd/drill/main.go
+++ b/cmd/drill/main.go
@@ -1,4 +1,4 @@
-// Command drill is the rehearsal kit: stand-in minions and consumers, faulty links, load, audits and drills.
+// Command drill is the rehearsal kit: stand-in minions and clients, faulty links, load, audits and drills.
 package main
 
 import (
--- a/cmd/drill/minion.go
+++ b/cmd/drill/minion.go
@@ -11,10 +11,10 @@
 	"github.com/go-kit/log/level"
 	"github.com/urfave/cli/v3"
 
-	"crosstide/internal/alarm"
-	"crosstide/internal/fault"
-	"crosstide/internal/rig/minion"
-	"crosstide/internal/spawn"
+	"crosstide/internal/clock"
+	"crosstide/internal/errs"
+	"crosstide/internal/routine"
+	"crosstide/internal/testbed/minion"
 )
 
 func init() {
@@ -52,11 +52,11 @@
 func runMinion(ctx context.Context, cmd *cli.Command) error {
 	set, err := minionSettings(cmd)
 	if err != nil {
-		return fault.Pass(err, "minion")
+		return errs.Pass(err, "minion")
 	}
 	at, err := level.Parse(cmd.String("log"))
 	if err != nil {
-		return fault.Wrap(err, fault.Settings, "log")
+		return errs.Wrap(err, errs.Settings, "log")
 	}
 	logger := log.With(log.NewLogfmtLogger(log.NewSyncWriter(os.Stderr)), "ts", log.DefaultTimestampUTC, "minion", set.Name)
 	logger = level.NewFilter(logger, level.Allow(at))
@@ -64,11 +64,11 @@
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
 	defer signal.Stop(signals)
-	host, err := minion.Open(set, alarm.Real{}, logger)
+	host, err := minion.Open(set, clock.Real{}, logger)
 	if err != nil {
-		return fault.Pass(err, "minion")
+		return errs.Pass(err, "minion")
 	}
-	group := spawn.New(ctx)
+	group := routine.New(ctx)
 	defer group.Stop()
 	group.Go(func(ctx context.Context) {
 		on, leave := false, false
@@ -87,7 +87,7 @@
 			}
 		}
 	})
-	return fault.Pass(host.Run(group.Context()), "minion")
+	return errs.Pass(host.Run(group.Context()), "minion")
 }
 
 // minionSettings takes the defaults, then the file, then the flags that were given.
@@ -95,7 +95,7 @@
 	set := minion.Defaults()
 	if path := cmd.String("settings"); path != "" {
 		if err := set.Load(path); err != nil {
-			return set, fault.Pass(err, "settings")
+			return set, errs.Pass(err, "settings")
 		}
 	}
 	put(cmd, "name", &set.Name, cmd.String)
@@ -116,7 +116,7 @@
 	put(cmd, "fail", &set.Fail, cmd.Float)
 	put(cmd, "slow", &set.Slow, cmd.Float)
 	put(cmd, "seed", &set.Seed, cmd.Uint64)
-	return set, fault.Pass(set.Check(), "settings")
+	return set, errs.Pass(set.Check(), "settings")
 }
 
 // put sets *to from the flag name, if it was given.
--- a/cmd/drill/month.go
+++ b/cmd/drill/month.go
@@ -6,9 +6,9 @@
 
 	"github.com/urfave/cli/v3"
 
-	"crosstide/internal/conf"
-	"crosstide/internal/fault"
-	"crosstide/internal/rig/month"
+	"crosstide/internal/config"
+	"crosstide/internal/errs"
+	"crosstide/internal/testbed/month"
 )
 
 func init() {
@@ -27,9 +27,9 @@
 		},
 		Action: func(_ context.Context, cmd *cli.Command) error {
 			o := month.Options{Days: cmd.Int("days"), Jobs: cmd.Int("jobs"), Tasks: cmd.Int("tasks"), Last: cmd.Duration("last"),
-				Minions: cmd.Int("minions"), Orders: cmd.Int("orders"), Seed: cmd.Uint64("seed"), Keep: conf.DefaultCplane()}
-			return fault.Pass(month.Run(o, func(d month.Day) error {
-				return fault.Pass(printJSON(cmd.Root().Writer, d), "day")
+				Minions: cmd.Int("minions"), Orders: cmd.Int("orders"), Seed: cmd.Uint64("seed"), Keep: config.DefaultCplane()}
+			return errs.Pass(month.Run(o, func(d month.Day) error {
+				return errs.Pass(printJSON(cmd.Root().Writer, d), "day")
 			}), "month")
 		},
 	})
--- a/cmd/drill/rehearse.go
+++ b/cmd/drill/rehearse.go
@@ -14,12 +14,12 @@
 
 	"github.com/urfave/cli/v3"
 
-	"crosstide/internal/alarm"
-	"crosstide/internal/fault"
-	"crosstide/internal/rig/audit"
-	"crosstide/internal/rig/fleet"
-	"crosstide/internal/rig/load"
-	"crosstide/internal/spawn"
+	"crosstide/internal/clock"
+	"crosstide/internal/errs"
+	"crosstide/internal/routine"
+	"crosstide/internal/testbed/audit"
+	"crosstide/internal/testbed/fleet"
+	"crosstide/internal/testbed/load"
 )
 
 func init() {
@@ -75,11 +75,11 @@
 func stageOf(cmd *cli.Command) (stage, error) {
 	dir, err := filepath.Abs(cmd.String("fleet"))
 	if err != nil {
-		return stage{}, fault.Wrap(err, fault.Settings, "fleet")
+		return stage{}, errs.Wrap(err, errs.Settings, "fleet")
 	}
 	nodes, err := fleet.Read(dir)
 	if err != nil {
-		return stage{}, fault.Pass(err, "fleet")
+		return stage{}, errs.Pass(err, "fleet")
 	}
 	script := cmd.String("script")
 	if script == "" {
@@ -96,16 +96,16 @@
 }
 
 // now marks the moment of the blow.
-func (s *stage) now() { s.at = alarm.Real{}.Wall() }
+func (s *stage) now() { s.at = clock.Real{}.Wall() }
 
 func (s *stage) kill(names ...string) error {
 	s.now()
 	killed, err := killAll(s.dir, "rehearse", names)
 	s.note("%s killed", strings.Join(killed, " "))
 	if err == nil && len(killed) < len(names) {
-		err = fault.New(fault.Unknown, "only %d of %d were there to be killed", len(killed), len(names))
+		err = errs.New(errs.Unknown, "only %d of %d were there to be killed", len(killed), len(names))
 	}
-	return fault.Pass(err, "kill")
+	return errs.Pass(err, "kill")
 }
 
 // restart has the fleet's script start nodes again; flags are those of `fleet restart`.
@@ -113,7 +113,7 @@
 	for _, name := range names {
 		cmd := exec.CommandContext(ctx, s.script, append([]string{"restart", s.dir, name}, flags...)...)
 		if out, err := cmd.CombinedOutput(); err != nil {
-			return fault.Wrap(err, fault.Internal, "restart %s: %s", name, out)
+			return errs.Wrap(err, errs.Internal, "restart %s: %s", name, out)
 		}
 	}
 	return nil
@@ -121,11 +121,11 @@
 
 // until waits until ok, in seconds; a fault after the bound.
 func (s *stage) until(ctx context.Context, bound time.Duration, what string, ok func() bool) (float64, error) {
-	clock := alarm.Real{}
+	clock := clock.Real{}
 	began := clock.Now()
 	for !ok() {
 		if clock.Now()-began > bound || !pause(ctx, 100*time.Millisecond) {
-			return 0, fault.New(fault.Timeout, "%s not so within %s", what, bound)
+			return 0, errs.New(errs.Timeout, "%s not so within %s", what, bound)
 		}
 	}
 	return (clock.Now() - began).Seconds(), nil
@@ -136,17 +136,17 @@
 	defer stop()
 	set, err := stageOf(cmd)
 	if err != nil {
-		return fault.Pass(err, "rehearse")
+		return errs.Pass(err, "rehearse")
 	}
 	run, err := chosen(cmd.StringSlice("only"))
 	if err != nil {
-		return exitCode{fault.Pass(err, "only"), 2}
+		return exitCode{errs.Pass(err, "only"), 2}
 	}
 	seen := map[string]bool{}
 	broken := 0
 	for i, sc := range run {
 		if ctx.Err() != nil {
-			return fault.Wrap(ctx.Err(), fault.Stopped, "rehearse")
+			return errs.Wrap(ctx.Err(), errs.Stopped, "rehearse")
 		}
 		s := &stage{dir: set.dir, script: set.script, nodes: set.nodes, caller: fleet.NewCaller(16)}
 		line := s.play(ctx, sc, load.Options{Dir: set.dir, Rate: cmd.Float("rate"), For: sc.offer, Seed: cmd.Uint64("seed") + uint64(i),
@@ -162,7 +162,7 @@
 		}
 	}
 	if broken > 0 {
-		return exitCode{fault.New(fault.Internal, "%d of %d cases are broken", broken, len(run)), 1}
+		return exitCode{errs.New(errs.Internal, "%d of %d cases are broken", broken, len(run)), 1}
 	}
 	return nil
 }
@@ -185,7 +185,7 @@
 	for _, key := range keys {
 		i := slices.IndexFunc(scenes, func(sc scene) bool { return sc.key == strings.TrimSpace(key) })
 		if i < 0 {
-			return nil, fault.Field(fault.Settings, "only", "there is no case %q", key)
+			return nil, errs.Field(errs.Settings, "only", "there is no case %q", key)
 		}
 		out = append(out, scenes[i])
 	}
@@ -211,9 +211,9 @@
 	}
 	var report load.Report
 	var blown, loaded error
-	group := spawn.New(ctx)
+	group := routine.New(ctx)
 	group.Go(func(ctx context.Context) { report, loaded = load.Run(ctx, o) })
-	ended := alarm.Real{}.Wall().Add(o.For)
+	ended := clock.Real{}.Wall().Add(o.For)
 	if pause(ctx, lead) {
 		s.now()
 		blown = sc.blow(ctx, s)
@@ -273,7 +273,7 @@
 func (s *stage) away(ended time.Time) (audit.Outage, error) {
 	h, err := audit.Read(s.dir)
 	if err != nil {
-		return audit.Outage{}, fault.Pass(err, "away")
+		return audit.Outage{}, errs.Pass(err, "away")
 	}
 	h.Events = slices.DeleteFunc(h.Events, func(e audit.Event) bool { return e.At > ended.UnixNano() })
 	return audit.Away(h, s.at), nil
--- a/cmd/drill/scale.go
+++ b/cmd/drill/scale.go
@@ -9,9 +9,9 @@
 
 	"github.com/urfave/cli/v3"
 
-	"crosstide/internal/alarm"
-	"crosstide/internal/fault"
-	"crosstide/internal/rig/scale"
+	"crosstide/internal/clock"
+	"crosstide/internal/errs"
+	"crosstide/internal/testbed/scale"
 )
 
 func init() {
@@ -40,10 +40,10 @@
 			Action: func(_ context.Context, cmd *cli.Command) error {
 				rows, err := scale.Load(cmd.String("csv"))
 				if err != nil {
-					return fault.Pass(err, "plot")
+					return errs.Pass(err, "plot")
 				}
 				slopes(cmd, rows)
-				return fault.Pass(scale.Draw(cmd.String("png"), rows), "plot")
+				return errs.Pass(scale.Draw(cmd.String("png"), rows), "plot")
 			},
 		})
 }
@@ -51,22 +51,22 @@
 func runScale(ctx context.Context, cmd *cli.Command) error {
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
-	probe, err := scale.Open(cmd.String("fleet"), alarm.Real{})
+	probe, err := scale.Open(cmd.String("fleet"), clock.Real{})
 	if err != nil {
-		return fault.Pass(err, "scale")
+		return errs.Pass(err, "scale")
 	}
 	plan := scale.Plan{Dir: cmd.String("fleet"), Running: cmd.Int("running"), Fill: cmd.Duration("fill"), Rates: cmd.FloatSlice("rate"),
 		For: cmd.Duration("for"), Settle: cmd.Duration("settle"), Tasks: cmd.Int("tasks"),
 		Run: time.Duration(cmd.Int("ms")) * time.Millisecond, Bound: cmd.Duration("bound")}
 	if plan.Settle >= plan.For || plan.Tasks < 1 {
-		return exitCode{fault.Field(fault.Settings, "for", "must be over settle, and tasks at least 1"), 2}
+		return exitCode{errs.Field(errs.Settings, "for", "must be over settle, and tasks at least 1"), 2}
 	}
-	return fault.Pass(scale.Run(ctx, plan, probe, func(rows []scale.Row) error {
+	return errs.Pass(scale.Run(ctx, plan, probe, func(rows []scale.Row) error {
 		for _, r := range rows {
 			fmt.Fprintf(cmd.Root().Writer, "%5d minions %6.0f/s offered %6.0f/s given %6.0f out  %-15s cpu %7.3f%% %7.2f MB %8.2f msg/s %9.3f KB/s %6.1f syncs/s %8.2f logKB/s  p99 %.0f ms, machine %.1f cores %s\n",
 				r.Minions, r.Offered, r.Starts, r.Running, r.Role, r.CPU, r.MB, r.Msgs, r.Net, r.Syncs, r.LogKB, r.P99, r.Cores, r.Note)
 		}
-		return fault.Pass(scale.Append(cmd.String("csv"), rows), "scale")
+		return errs.Pass(scale.Append(cmd.String("csv"), rows), "scale")
 	}), "scale")
 }
 
--- a/cmd/drill/scenes.go
+++ b/cmd/drill/scenes.go
@@ -15,17 +15,17 @@
 
 	"golang.org/x/sys/unix"
 
-	"crosstide/internal/alarm"
-	"crosstide/internal/consumer"
-	"crosstide/internal/fault"
+	"crosstide/internal/clientapi"
+	"crosstide/internal/clock"
+	"crosstide/internal/errs"
 	"crosstide/internal/operator"
-	"crosstide/internal/rig/audit"
-	"crosstide/internal/rig/fleet"
-	"crosstide/internal/rig/journal"
-	"crosstide/internal/rig/link"
-	"crosstide/internal/rig/load"
-	"crosstide/internal/spawn"
+	"crosstide/internal/routine"
 	"crosstide/internal/state"
+	"crosstide/internal/testbed/audit"
+	"crosstide/internal/testbed/fleet"
+	"crosstide/internal/testbed/journal"
+	"crosstide/internal/testbed/link"
+	"crosstide/internal/testbed/load"
 )
 
 // long is how long a holder is frozen or cut off: over every lease, hold and time-out.
@@ -34,17 +34,17 @@
 // scenes are the cases of a rehearsal.
 var scenes = []scene{
 	{"a", "kill -9 of the holder of sched", 20 * time.Second, func(ctx context.Context, s *stage) error {
-		return fault.Pass(s.killAndBack(ctx, 6*time.Second, s.who.Sched), "kill")
+		return errs.Pass(s.killAndBack(ctx, 6*time.Second, s.who.Sched), "kill")
 	}},
 	{"b", "kill -9 of the store's leader", 20 * time.Second, func(ctx context.Context, s *stage) error {
-		return fault.Pass(s.killAndBack(ctx, 6*time.Second, s.who.Store), "kill")
+		return errs.Pass(s.killAndBack(ctx, 6*time.Second, s.who.Store), "kill")
 	}},
 	{"c", "kill -9 of all cplanes, started again", 20 * time.Second, func(ctx context.Context, s *stage) error {
-		return fault.Pass(s.killAndBack(ctx, time.Second, names(s.nodes.CPlanes)...), "kill")
+		return errs.Pass(s.killAndBack(ctx, time.Second, names(s.nodes.CPlanes)...), "kill")
 	}},
 	{"d", "holder of sched frozen 25 s, woken", 36 * time.Second, func(ctx context.Context, s *stage) error {
 		s.note("%s frozen", s.who.Sched)
-		return fault.Pass(freeze(ctx, s.dir, s.who.Sched, long), "freeze")
+		return errs.Pass(freeze(ctx, s.dir, s.who.Sched, long), "freeze")
 	}},
 	{"e", "holder of sched cut off silently 25 s, healed", 36 * time.Second, func(ctx context.Context, s *stage) error {
 		s.note("%s cut off", s.who.Sched)
@@ -52,16 +52,16 @@
 		if err == nil {
 			pause(ctx, long)
 		}
-		return fault.Pass(err, "cut")
+		return errs.Pass(err, "cut")
 	}},
 	{"f", "cplane wiped, repaired, then the leader killed", 30 * time.Second, wipe},
 	{"g", "kill -9 of the zone of the holder of sched", 24 * time.Second, func(ctx context.Context, s *stage) error {
 		zone := s.zoneOf(s.who.Sched)
 		s.note("zone %s", zone)
-		return fault.Pass(s.killAndBack(ctx, 8*time.Second, s.nodes.Zone(zone)...), "kill")
+		return errs.Pass(s.killAndBack(ctx, 8*time.Second, s.nodes.Zone(zone)...), "kill")
 	}},
 	{"h", "kill -9 of two minions, started again", 20 * time.Second, func(ctx context.Context, s *stage) error {
-		return fault.Pass(s.killAndBack(ctx, 3*time.Second, s.pick(0)...), "kill")
+		return errs.Pass(s.killAndBack(ctx, 3*time.Second, s.pick(0)...), "kill")
 	}},
 	{"i", "two minions told to leave (SIGTERM)", 20 * time.Second, leave},
 	{"j", "one job at three nodes, broken bodies and settings", 8 * time.Second, oddities},
@@ -109,11 +109,11 @@
 func wipe(ctx context.Context, s *stage) error {
 	i := slices.IndexFunc(s.nodes.CPlanes, func(n fleet.Node) bool { return n.Name != s.who.Store })
 	if i < 0 {
-		return fault.New(fault.Settings, "there is only one cplane")
+		return errs.New(errs.Settings, "there is only one cplane")
 	}
 	victim := s.nodes.CPlanes[i]
 	if err := s.restart(ctx, []string{victim.Name}, "--wipe"); err != nil {
-		return fault.Pass(err, "wipe %s", victim.Name)
+		return errs.Pass(err, "wipe %s", victim.Name)
 	}
 	leader := ""
 	took, err := s.until(ctx, 20*time.Second, victim.Name+" repaired", func() bool {
@@ -131,13 +131,13 @@
 		return false
 	})
 	if err != nil {
-		return fault.Pass(err, "wipe")
+		return errs.Pass(err, "wipe")
 	}
 	if leader == victim.Name {
-		return fault.New(fault.Internal, "%s leads already, it cannot be the second loss", leader)
+		return errs.New(errs.Internal, "%s leads already, it cannot be the second loss", leader)
 	}
 	s.note("%s wiped, repaired in %.1f s", victim.Name, took)
-	return fault.Pass(s.killAndBack(ctx, 6*time.Second, leader), "kill")
+	return errs.Pass(s.killAndBack(ctx, 6*time.Second, leader), "kill")
 }
 
 // leave tells minions to leave and waits until they have; their own grace is 10 s.
@@ -146,7 +146,7 @@
 	s.now()
 	for _, name := range nodes {
 		if err := fleet.Signal(s.dir, name, unix.SIGTERM); err != nil {
-			return fault.Pass(err, "leave")
+			return errs.Pass(err, "leave")
 		}
 	}
 	took, err := s.until(ctx, 12*time.Second, strings.Join(nodes, " ")+" gone", func() bool {
@@ -158,13 +158,13 @@
 	return errors.Join(err, s.restart(ctx, nodes))
 }
 
-// oddities hands in what consumers and operators get wrong, and one job at three nodes at once.
+// oddities hands in what clients and operators get wrong, and one job at three nodes at once.
 func oddities(ctx context.Context, s *stage) error {
 	if err := s.thrice(ctx); err != nil {
-		return fault.Pass(err, "one job at three nodes")
+		return errs.Pass(err, "one job at three nodes")
 	}
 	for _, n := range s.nodes.DPlanes {
-		big := `{"key":"` + strings.Repeat("x", consumer.MaxBody) + `"}`
+		big := `{"key":"` + strings.Repeat("x", clientapi.MaxBody) + `"}`
 		for body, want := range map[string]int{`{"key":`: http.StatusBadRequest, big: http.StatusRequestEntityTooLarge,
 			`{"key":"odd","team":"drill","queue":"default","steps":[]}`: http.StatusUnprocessableEntity} {
 			reply, err := s.caller.Send(ctx, http.MethodPost, n.Addr, "/v1/jobs", []byte(body), 5*time.Second)
@@ -175,7 +175,7 @@
 	}
 	for _, name := range []string{"cplane", "dplane"} {
 		if err := s.mistakes(ctx, name); err != nil {
-			return fault.Pass(err, "settings of a %s", name)
+			return errs.Pass(err, "settings of a %s", name)
 		}
 	}
 	s.note("3 bodies at %d nodes, 2 settings files with 3 mistakes", len(s.nodes.DPlanes))
@@ -184,23 +184,23 @@
 
 // thrice hands one job in at three nodes at once: one job, one start. Another job under its key is refused.
 func (s *stage) thrice(ctx context.Context) error {
-	key := fmt.Sprintf("thrice-%d", alarm.Real{}.Wall().UnixNano())
+	key := fmt.Sprintf("thrice-%d", clock.Real{}.Wall().UnixNano())
 	pen, err := journal.Open(filepath.Join(s.dir, "journal", "consumer-"+key+".jsonl"))
 	if err != nil {
-		return fault.Pass(err, "consumer's journal")
+		return errs.Pass(err, "consumer's journal")
 	}
 	defer pen.Close()
 	spec := state.Spec{Key: key, Team: "drill", Queue: "default", Steps: []state.StepSpec{{Name: "s1", Type: "scan", Tasks: 1,
 		Cores: 1, Run: json.RawMessage(`{"ms":100,"ok":true}`)}}}
 	write := func(ev, is string) error {
-		return fault.Pass(pen.Append(load.Entry{At: alarm.Real{}.Wall().UnixNano(), Ev: ev, Job: key, State: is,
+		return errs.Pass(pen.Append(load.Entry{At: clock.Real{}.Wall().UnixNano(), Ev: ev, Job: key, State: is,
 			Steps: []load.Step{{Name: "s1", Type: "scan", Tasks: 1, Cores: 1}}}), "consumer's journal")
 	}
 	if err := write(load.Submit, ""); err != nil {
-		return fault.Pass(err, "submit")
+		return errs.Pass(err, "submit")
 	}
 	statuses := make([]int, 3)
-	spawn.Each(3, 3, func(i int) {
+	routine.Each(3, 3, func(i int) {
 		n := s.nodes.DPlanes[i%len(s.nodes.DPlanes)]
 		if reply, err := s.caller.Call(ctx, http.MethodPost, n.Addr, "/v1/jobs", spec, 5*time.Second); err == nil {
 			statuses[i] = reply.Status
@@ -212,7 +212,7 @@
 		}
 	}
 	if err := write(load.Accepted, ""); err != nil {
-		return fault.Pass(err, "accepted")
+		return errs.Pass(err, "accepted")
 	}
 	_, err = s.until(ctx, 10*time.Second, key+" done", func() bool {
 		reply, err := s.caller.Call(ctx, http.MethodGet, s.nodes.DPlanes[0].Addr, "/v1/jobs/"+key, nil, 2*time.Second)
@@ -220,14 +220,14 @@
 		return err == nil && json.Unmarshal(reply.Body, &view) == nil && view.State == string(state.JobDone)
 	})
 	if err != nil {
-		return fault.Pass(err, "one job at three nodes")
+		return errs.Pass(err, "one job at three nodes")
 	}
 	if err := write(load.Poll, string(state.JobDone)); err != nil {
-		return fault.Pass(err, "poll")
+		return errs.Pass(err, "poll")
 	}
 	h, err := audit.Read(s.dir)
 	if err != nil {
-		return fault.Pass(err, "starts of %s", key)
+		return errs.Pass(err, "starts of %s", key)
 	}
 	starts := 0
 	for _, e := range h.Events {
@@ -251,19 +251,19 @@
 	of := map[string]string{"cplane": s.nodes.CPlanes[0].Name, "dplane": s.nodes.DPlanes[0].Name}[name]
 	raw, err := os.ReadFile(filepath.Join(s.dir, "settings", of+".json"))
 	if err != nil {
-		return fault.Wrap(err, fault.Disk, "settings of %s", of)
+		return errs.Wrap(err, errs.Disk, "settings of %s", of)
 	}
 	set := map[string]any{}
 	if err := json.Unmarshal(raw, &set); err != nil {
-		return fault.Wrap(err, fault.Malformed, "settings of %s", of)
+		return errs.Wrap(err, errs.Malformed, "settings of %s", of)
 	}
 	set["addr"], set["grace"], set["odd"] = "nowhere", "3 monkeys", 1
 	if raw, err = json.Marshal(set); err != nil {
-		return fault.Wrap(err, fault.Internal, "encode")
+		return errs.Wrap(err, errs.Internal, "encode")
 	}
 	path := filepath.Join(s.dir, "settings", "wrong-"+name+".json")
 	if err := os.WriteFile(path, raw, 0o600); err != nil {
-		return fault.Wrap(err, fault.Disk, "write settings")
+		return errs.Wrap(err, errs.Disk, "write settings")
 	}
 	out, err := exec.CommandContext(ctx, program(name), "check", "--settings", path).CombinedOutput()
 	exit := &exec.ExitError{}
--- a/cmd/drill/sim.go
+++ b/cmd/drill/sim.go
@@ -11,8 +11,8 @@
 
 	"github.com/urfave/cli/v3"
 
-	"crosstide/internal/fault"
-	"crosstide/internal/rig/sim"
+	"crosstide/internal/errs"
+	"crosstide/internal/testbed/sim"
 )
 
 func init() {
@@ -47,11 +47,11 @@
 	}
 	for _, f := range opt.Faults {
 		if !slices.Contains(sim.Faults, f) {
-			return exitCode{fault.Field(fault.Settings, "faults", "no fault %q", f), 2}
+			return exitCode{errs.Field(errs.Settings, "faults", "no fault %q", f), 2}
 		}
 	}
 	if opt.Break != "" && !slices.Contains(sim.Breaks, opt.Break) {
-		return exitCode{fault.Field(fault.Settings, "break", "no guard %q", opt.Break), 2}
+		return exitCode{errs.Field(errs.Settings, "break", "no guard %q", opt.Break), 2}
 	}
 	first, last, err := span(cmd.String("seeds"))
 	if err != nil {
@@ -79,15 +79,15 @@
 	if opt.Break != "" {
 		fmt.Fprintf(out, "without %s: found in %d of %d seeds\n", opt.Break, sum.Broken, sum.Seeds)
 		if sum.Broken == 0 {
-			return exitCode{fault.New(fault.Internal, "the missing guard was not found"), 1}
+			return exitCode{errs.New(errs.Internal, "the missing guard was not found"), 1}
 		}
 		return nil
 	}
 	if err := sum.Show(out); err != nil {
-		return fault.Pass(err, "sim")
+		return errs.Pass(err, "sim")
 	}
 	if sum.Broken > 0 || last > first && len(sum.PromiseZero)+len(sum.FaultsZero) > 0 {
-		return exitCode{fault.New(fault.Internal, "a promise is broken or was not exercised"), 1}
+		return exitCode{errs.New(errs.Internal, "a promise is broken or was not exercised"), 1}
 	}
 	return nil
 }
@@ -99,7 +99,7 @@
 		last, err = strconv.ParseUint(b, 10, 64)
 	}
 	if err != nil || last < first {
-		return 0, 0, fault.Field(fault.Settings, "seeds", "%q is not A..B", text)
+		return 0, 0, errs.Field(errs.Settings, "seeds", "%q is not A..B", text)
 	}
 	return first, last, nil
 }
--- a/cmd/drill/zone.go
+++ b/cmd/drill/zone.go
@@ -9,12 +9,12 @@
 
 	"github.com/urfave/cli/v3"
 
-	"crosstide/internal/alarm"
-	"crosstide/internal/fault"
-	"crosstide/internal/rig/audit"
-	"crosstide/internal/rig/fleet"
-	"crosstide/internal/rig/load"
-	"crosstide/internal/spawn"
+	"crosstide/internal/clock"
+	"crosstide/internal/errs"
+	"crosstide/internal/routine"
+	"crosstide/internal/testbed/audit"
+	"crosstide/internal/testbed/fleet"
+	"crosstide/internal/testbed/load"
 )
 
 func init() {
@@ -51,63 +51,63 @@
 	dir, zone := cmd.String("fleet"), cmd.String("zone")
 	how := cmd.String("how")
 	if !slices.Contains([]string{"kill", "evacuate", "cut", "freeze"}, how) {
-		return exitCode{fault.Field(fault.Settings, "how", "is %q", how), 2}
+		return exitCode{errs.Field(errs.Settings, "how", "is %q", how), 2}
 	}
 	o, err := loadOptions(cmd)
 	if err != nil {
-		return fault.Pass(err, "zone")
+		return errs.Pass(err, "zone")
 	}
 	nodes, err := fleet.Read(dir)
 	if err != nil {
-		return fault.Pass(err, "zone")
+		return errs.Pass(err, "zone")
 	}
 	names := nodes.Zone(zone)
 	if len(names) == 0 {
-		return exitCode{fault.Field(fault.Settings, "zone", "no node is in %q", zone), 2}
+		return exitCode{errs.Field(errs.Settings, "zone", "no node is in %q", zone), 2}
 	}
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
 
 	out := zoneReport{Zone: zone, How: how}
 	var outAt time.Time
-	var outFault, loadFault error
-	group := spawn.New(ctx)
+	var outputError, loadError error
+	group := routine.New(ctx)
 	rung := make(chan struct{})
-	defer alarm.Real{}.Set(cmd.Duration("after"), func() { close(rung) }).Stop()
+	defer clock.Real{}.Set(cmd.Duration("after"), func() { close(rung) }).Stop()
 	group.Go(func(ctx context.Context) {
 		select {
 		case <-rung:
-			outAt = alarm.Real{}.Wall()
-			out.Nodes, outFault = takeOut(ctx, dir, zone, how, names, cmd.Duration("out"))
+			outAt = clock.Real{}.Wall()
+			out.Nodes, outputError = takeOut(ctx, dir, zone, how, names, cmd.Duration("out"))
 		case <-ctx.Done():
 		}
 	})
-	group.Go(func(ctx context.Context) { out.Load, loadFault = load.Run(ctx, o) })
+	group.Go(func(ctx context.Context) { out.Load, loadError = load.Run(ctx, o) })
 	group.Wait()
-	for _, err := range []error{loadFault, outFault} {
+	for _, err := range []error{loadError, outputError} {
 		if err != nil {
-			return fault.Pass(err, "zone")
+			return errs.Pass(err, "zone")
 		}
 	}
 	if outAt.IsZero() {
-		return fault.New(fault.Stopped, "stopped before the zone was taken out")
+		return errs.New(errs.Stopped, "stopped before the zone was taken out")
 	}
 	if out.Audit, err = findings(ctx, dir); err != nil {
-		return fault.Pass(err, "zone")
+		return errs.Pass(err, "zone")
 	}
 	h, err := audit.Read(dir)
 	if err != nil {
-		return fault.Pass(err, "zone")
+		return errs.Pass(err, "zone")
 	}
 	out.Outage = audit.Away(h, outAt)
 	if err := printJSON(cmd.Root().Writer, out); err != nil {
-		return fault.Pass(err, "zone")
+		return errs.Pass(err, "zone")
 	}
 	if err := audit.Show(cmd.Root().ErrWriter, out.Audit, 10); err != nil {
-		return fault.Pass(err, "zone")
+		return errs.Pass(err, "zone")
 	}
 	if !audit.Clean(out.Audit) || out.Load.Unknown > 0 || out.Load.Unfinished > 0 {
-		return exitCode{fault.New(fault.Internal, "a promise is broken, or an accepted job is unknown or unfinished"), 1}
+		return exitCode{errs.New(errs.Internal, "a promise is broken, or an accepted job is unknown or unfinished"), 1}
 	}
 	return nil
 }
--- a/internal/pair/hold.go
+++ b/internal/api/hold.go
@@ -1,20 +1,20 @@
-// Package pair holds the calls between crosstide's processes and their answers, as pairs of types.
-package pair
+// Package api holds the calls between crosstide's processes and their answers, as pairs of types.
+package api
 
 import (
 	"encoding/json"
 	"time"
 
-	"crosstide/internal/wire"
+	"crosstide/internal/rpc"
 )
 
 // Hold is the call of the holder of sched to a minion: POST /v1/hold at the minion's address.
 //
 // Two connections lead to a minion. One carries calls without starts, which the minion may keep waiting up to
-// Wait until there is something to say. The other carries calls with starts, one at a time, in ticket order,
+// Wait until there is something to say. The other carries calls with starts, one at a time, in run ID order,
 // answered at once. The arrival of any call ends the wait of an older one. An answer names its call; the holder
 // drops an answer that is older than one it has already taken in.
-var Hold = wire.Pair[HoldCall, HoldAnswer]{Path: "/v1/hold"}
+var Hold = rpc.Pair[HoldCall, HoldAnswer]{Path: "/v1/hold"}
 
 // HoldCall tells a minion what to start, stop and forget. All clock values are readings of the minion's own
 // clock (HoldAnswer.Clock), in nanoseconds.
@@ -24,17 +24,17 @@
 	Minion string        `json:"minion"`          // whom the holder believes it is talking to
 	Boot   string        `json:"boot,omitempty"`  // the boot the holder knows; starts are void under another
 	Until  time.Duration `json:"until,omitempty"` // runs of Renew may go on until the minion's clock shows this
-	Renew  []uint64      `json:"renew,omitempty"` // tickets whose hold is renewed up to Until
+	Renew  []uint64      `json:"renew,omitempty"` // run IDs whose hold is renewed up to Until
 	Starts []StartOrder  `json:"starts,omitempty"`
 	Stops  []StopOrder   `json:"stops,omitempty"`
 	Acked  []uint64      `json:"acked,omitempty"` // ends that are durable: need not be listed any more
-	Floor  uint64        `json:"floor,omitempty"` // tickets at or below it that were not started are void
+	Floor  uint64        `json:"floor,omitempty"` // run IDs at or below it that were not started are void
 	Wait   time.Duration `json:"wait,omitempty"`  // how long the answer may wait for something to say
 }
 
 // StartOrder starts one run. It is never sent twice.
 type StartOrder struct {
-	Ticket uint64            `json:"ticket"`
+	RunID  uint64            `json:"ticket"`
 	Job    string            `json:"job"`
 	Step   string            `json:"step"`
 	Task   int               `json:"task"`
@@ -50,8 +50,8 @@
 
 // StopOrder stops a run. It may be sent again.
 type StopOrder struct {
-	Ticket uint64 `json:"ticket"`
-	Why    string `json:"why"`
+	RunID uint64 `json:"ticket"`
+	Why   string `json:"why"`
 }
 
 // HoldAnswer lists all that runs and all ends not yet acknowledged.
@@ -60,7 +60,7 @@
 	Epoch    uint64            `json:"epoch"` // the newest the minion has seen
 	Boot     string            `json:"boot"`
 	Clock    time.Duration     `json:"clock"` // the minion's own clock, counting suspension; starts anew with a boot
-	Seen     uint64            `json:"seen"`  // the highest ticket that came in an order
+	Seen     uint64            `json:"seen"`  // the highest run ID that came in an order
 	Floor    uint64            `json:"floor"` // the highest floor it was told
 	Running  []uint64          `json:"running,omitempty"`
 	Ended    []EndNote         `json:"ended,omitempty"`
@@ -76,27 +76,27 @@
 
 // How a run ended.
 const (
-	EndWell  = "ok"
-	EndFault = "fault"
-	EndStop  = "stop"  // stopped on an order
-	EndLapse = "lapse" // its hold lapsed
+	EndWell    = "ok"
+	EndFailure = "fault"
+	EndStop    = "stop"  // stopped on an order
+	EndLapse   = "lapse" // its hold lapsed
 )
 
 // EndNote is the end of a run; it is listed until it is acknowledged.
 type EndNote struct {
-	Ticket uint64 `json:"ticket"`
+	RunID  uint64 `json:"ticket"`
 	How    string `json:"how"`
 	Reason string `json:"reason,omitempty"`
 }
 
-// RefuseNote says why a start of this call was refused; a refused ticket will never run.
+// RefuseNote says why a start of this call was refused; a refused run ID will never run.
 type RefuseNote struct {
-	Ticket uint64 `json:"ticket"`
-	Why    string `json:"why"` // epoch, boot, ticket, floor, late, room, label, drain
+	RunID uint64 `json:"ticket"`
+	Why   string `json:"why"` // epoch, boot, run ID, floor, late, room, label, drain
 }
 
 // Minions is a minion's announcement to any dplane: POST /v1/minions. It is repeated every few seconds.
-var Minions = wire.Pair[MinionCall, MinionAnswer]{Path: "/v1/minions"}
+var Minions = rpc.Pair[MinionCall, MinionAnswer]{Path: "/v1/minions"}
 
 // MinionCall says where a minion is and what it is.
 type MinionCall struct {
--- a/internal/pair/rollout.go
+++ b/internal/api/rollout.go
@@ -1,13 +1,13 @@
-package pair
+package api
 
 import (
 	"time"
 
-	"crosstide/internal/wire"
+	"crosstide/internal/rpc"
 )
 
 // Rollout asks a cplane which bundle it has, and what the dplanes that follow it said of theirs.
-var Rollout = wire.Pair[RolloutCall, RolloutAnswer]{Path: "/x/rollout"}
+var Rollout = rpc.Pair[RolloutCall, RolloutAnswer]{Path: "/x/rollout"}
 
 // RolloutCall is empty.
 type RolloutCall struct{}
--- /dev/null
+++ b/internal/api/view.go
@@ -0,0 +1,9 @@
+package api
+
+import (
+	"crosstide/internal/membership"
+	"crosstide/internal/rpc"
+)
+
+// Shuffle exchanges parts of two nodes' views of the fleet. Every daemon asks and answers it.
+var Shuffle = rpc.Pair[membership.Message, membership.Message]{Path: "/x/shuffle"}
--- a/internal/bundle/bundle.go
+++ b/internal/bundle/bundle.go
@@ -1,4 +1,4 @@
-// Package bundle reads the operators' bundle: one JSON document with queues, their charters, limits, retries,
+// Package bundle reads the operators' bundle: one JSON document with queues, their placement policies, limits, retries,
 // holds and weights. What it says of a text depends on the text alone, for the store asks it while it applies.
 package bundle
 
@@ -11,9 +11,9 @@
 	"time"
 	"unicode/utf8"
 
-	"crosstide/internal/conf"
-	"crosstide/internal/fault"
-	"crosstide/internal/seal"
+	"crosstide/internal/config"
+	"crosstide/internal/errs"
+	"crosstide/internal/signature"
 	"crosstide/internal/state"
 )
 
@@ -53,40 +53,40 @@
 }
 
 // Parse reads a bundle. The Version of what it gives is 0. All mistakes are told at once, one a line with its
-// path, in the message of one fault.Invalid (Field: the first path); a text over MaxBytes is fault.TooLarge.
+// path, in the message of one errs.Invalid (Field: the first path); a text over MaxBytes is errs.TooLarge.
 // Example:
 //
 //	b, err := bundle.Parse([]byte(`{"queues":{"scan":{"charter":{"zones":["z1"]}}}}`))
 func Parse(data []byte) (state.Bundle, error) {
 	if len(data) > MaxBytes {
-		return state.Bundle{}, fault.New(fault.TooLarge, "the bundle has %d bytes, at most %d", len(data), MaxBytes)
+		return state.Bundle{}, errs.New(errs.TooLarge, "the bundle has %d bytes, at most %d", len(data), MaxBytes)
 	}
 	if !utf8.Valid(data) {
-		return state.Bundle{}, fault.New(fault.Invalid, "1 mistake in the bundle:\nmust be UTF-8")
+		return state.Bundle{}, errs.New(errs.Invalid, "1 mistake in the bundle:\nmust be UTF-8")
 	}
 	b := state.Bundle{Queues: map[string]state.Queue{}, Backoff: state.Backoff{Min: 200 * time.Millisecond, Max: 30 * time.Second}}
-	err := conf.Parse(data, func(r *conf.Reader) { read(r, &b) })
-	var wrong conf.Mistakes
+	err := config.Parse(data, func(r *config.Reader) { read(r, &b) })
+	var wrong config.Mistakes
 	if errors.As(err, &wrong) {
 		noun := "mistakes"
 		if len(wrong) == 1 {
 			noun = "mistake"
 		}
-		return state.Bundle{}, fault.Field(fault.Invalid, wrong[0].Field, "%d %s in the bundle:\n%s", len(wrong), noun, wrong.Error())
+		return state.Bundle{}, errs.Field(errs.Invalid, wrong[0].Field, "%d %s in the bundle:\n%s", len(wrong), noun, wrong.Error())
 	}
-	return b, fault.Pass(err, "bundle")
+	return b, errs.Pass(err, "bundle")
 }
 
 // Digest is the SHA-256 of the exact bytes, in hex.
-func Digest(data []byte) string { return seal.Digest(data) }
+func Digest(data []byte) string { return signature.Digest(data) }
 
-func read(r *conf.Reader, b *state.Bundle) {
+func read(r *config.Reader, b *state.Bundle) {
 	r.Need("queues")
-	r.Object("queues", func(r *conf.Reader) {
+	r.Object("queues", func(r *config.Reader) {
 		for _, name := range r.Names() {
 			key(r, name)
 			q := state.Queue{}
-			r.Object(name, func(r *conf.Reader) { queue(r, &q) })
+			r.Object(name, func(r *config.Reader) { queue(r, &q) })
 			b.Queues[name] = q
 		}
 		if len(b.Queues) == 0 {
@@ -96,7 +96,7 @@
 	b.Limits = counts(r, "limits", 0)
 	b.Weights = counts(r, "weights", 1)
 	b.Retries = retries(r)
-	r.Object("backoff", func(r *conf.Reader) {
+	r.Object("backoff", func(r *config.Reader) {
 		r.Duration("min", &b.Backoff.Min, time.Millisecond, longestWait)
 		r.Duration("max", &b.Backoff.Max, time.Millisecond, longestWait)
 		if b.Backoff.Min > b.Backoff.Max {
@@ -108,34 +108,34 @@
 }
 
 // key makes a name that is no name a mistake at its own place.
-func key(r *conf.Reader, name string) {
+func key(r *config.Reader, name string) {
 	if wrong := named(name); wrong != "" {
 		r.Wrong(name, "%s", wrong)
 	}
 }
 
-func queue(r *conf.Reader, q *state.Queue) {
+func queue(r *config.Reader, q *state.Queue) {
 	list(r, "types", &q.Types)
 	list(r, "teams", &q.Teams)
 	q.Labels = labels(r, "labels")
 	r.Bool("urgent", &q.Urgent)
 	r.Duration("hold", &q.Hold, shortestHold, longestHold)
 	q.Retries = retries(r)
-	r.Object("charter", func(r *conf.Reader) {
+	r.Object("charter", func(r *config.Reader) {
 		list(r, "minions", &q.Minions)
 		list(r, "zones", &q.Zones)
 		list(r, "racks", &q.Racks)
-		conf.List(r, "near", &q.Near, func(r *conf.Reader, n *state.Near) {
+		config.List(r, "near", &q.Near, func(r *config.Reader, n *state.Near) {
 			r.Need("label", "value", "within")
 			r.String("label", &n.Label, named)
 			r.String("value", &n.Value, worth)
-			r.String("within", &n.Within, conf.OneOf("rack", "zone"))
+			r.String("within", &n.Within, config.OneOf("rack", "zone"))
 		})
 	})
 }
 
 // list reads names. An empty list is a mistake: it would allow any, and may be meant to allow none.
-func list(r *conf.Reader, field string, to *[]string) {
+func list(r *config.Reader, field string, to *[]string) {
 	got := []string{""} // stays when there is nothing, or a mistake
 	switch r.Strings(field, &got, named); {
 	case len(got) == 0:
@@ -146,9 +146,9 @@
 	}
 }
 
-func labels(r *conf.Reader, field string) map[string]string {
+func labels(r *config.Reader, field string) map[string]string {
 	var out map[string]string
-	r.Object(field, func(r *conf.Reader) {
+	r.Object(field, func(r *config.Reader) {
 		for _, name := range r.Names() {
 			key(r, name)
 			value := ""
@@ -162,9 +162,9 @@
 	return out
 }
 
-func counts(r *conf.Reader, field string, least int) map[string]int {
+func counts(r *config.Reader, field string, least int) map[string]int {
 	var out map[string]int
-	r.Object(field, func(r *conf.Reader) {
+	r.Object(field, func(r *config.Reader) {
 		for _, name := range r.Names() {
 			key(r, name)
 			n := 0
@@ -178,7 +178,7 @@
 	return out
 }
 
-func retries(r *conf.Reader) *int {
+func retries(r *config.Reader) *int {
 	n := 0
 	if r.Int("retries", &n, 0, most); r.Has("retries") {
 		return &n
@@ -187,13 +187,13 @@
 }
 
 // operators reads who may sign from this version on: none listed leaves them as they are.
-func operators(r *conf.Reader, b *state.Bundle) {
+func operators(r *config.Reader, b *state.Bundle) {
 	type operator struct{ name, key string }
 	var list []operator
-	conf.List(r, "operators", &list, func(r *conf.Reader, o *operator) {
+	config.List(r, "operators", &list, func(r *config.Reader, o *operator) {
 		r.Need("name", "key")
 		r.String("name", &o.name, named)
-		r.String("key", &o.key, conf.Base64(ed25519.PublicKeySize))
+		r.String("key", &o.key, config.Base64(ed25519.PublicKeySize))
 	})
 	if !r.Has("operators") {
 		return
--- a/internal/bundle/bundle_test.go
+++ b/internal/bundle/bundle_test.go
@@ -8,8 +8,8 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"crosstide/internal/fault"
-	"crosstide/internal/seal"
+	"crosstide/internal/errs"
+	"crosstide/internal/signature"
 	"crosstide/internal/state"
 )
 
@@ -38,8 +38,8 @@
 		_, err := Parse([]byte(`{"queues":{"a b":{},"q":{"zones":["z1"],"types":[],"hold":"1ms","charter":{"racks":["r 1",7],
 			"near":[{"label":"x","within":"room"}]}}},"limits":{"scan":-1},"weights":{"t":0},"backoff":{"min":"2s","max":"1s"},
 			"operators":[{"name":"o","key":"QQ=="}],"limit":{}}`))
-		So(fault.KindOf(err), ShouldEqual, fault.Invalid)
-		lines := strings.Split(fault.Of(err).Message, "\n")
+		So(errs.KindOf(err), ShouldEqual, errs.Invalid)
+		lines := strings.Split(errs.Of(err).Message, "\n")
 		So(lines[0], ShouldEqual, "14 mistakes in the bundle:")
 		for i, want := range []string{"queues.a b: must be a name", "queues.q.types: must not be empty", "queues.q.hold: must be from 5s",
 			`queues.q.charter.racks[0]: must be a name`, "queues.q.charter.racks[1]: must be a string, is 7",
@@ -48,16 +48,16 @@
 			"backoff.max: must not be under min", "operators[0].key: must be the base64 of 32 bytes"} {
 			So(lines[i+1], ShouldStartWith, want)
 		}
-		So(fault.Of(err).Message, ShouldEndWith, "limit: is not a known field")
+		So(errs.Of(err).Message, ShouldEndWith, "limit: is not a known field")
 	})
 	Convey("What is no bundle at all is refused", t, func() {
 		for _, text := range []string{``, `[]`, `{}`, `{"queues":{}}`, `{"queues":{"q":{},"q":{}}}`, "{\"queues\":{\"q\":{\"teams\":[\"\xff\"]}}}",
 			`{"queues":{"q":{}},"operators":[]}`} {
 			_, err := Parse([]byte(text))
-			So(text+string(fault.KindOf(err)), ShouldEqual, text+string(fault.Invalid))
+			So(text+string(errs.KindOf(err)), ShouldEqual, text+string(errs.Invalid))
 		}
 		_, err := Parse(make([]byte, MaxBytes+1))
-		So(fault.KindOf(err), ShouldEqual, fault.TooLarge)
+		So(errs.KindOf(err), ShouldEqual, errs.TooLarge)
 	})
 }
 
@@ -78,23 +78,23 @@
 	Convey("A patch that is none, or says a thing twice, is refused", t, func() {
 		for _, patch := range []string{`{`, `[]`, `{"limits":{"a":1,"a":2}}`} {
 			_, err := Merge([]byte(full), []byte(patch))
-			So(fault.KindOf(err), ShouldEqual, fault.Invalid)
+			So(errs.KindOf(err), ShouldEqual, errs.Invalid)
 		}
 	})
 }
 
 func TestKeys(t *testing.T) {
 	Convey("A key survives its file, which is not written over, and signs what it signed", t, func() {
-		key, err := seal.New("ada")
+		key, err := signature.New("ada")
 		So(err, ShouldBeNil)
 		path := filepath.Join(t.TempDir(), "ada.json")
 		So(key.Save(path), ShouldBeNil)
-		So(fault.KindOf(key.Save(path)), ShouldEqual, fault.Disk)
-		back, err := seal.Load(path)
+		So(errs.KindOf(key.Save(path)), ShouldEqual, errs.Disk)
+		back, err := signature.Load(path)
 		So(err, ShouldBeNil)
 		So(back, ShouldResemble, key)
-		sig := back.Sign(seal.Bundle(2, "d"))
-		So(seal.Verify(key.Public(), seal.Bundle(2, "d"), sig), ShouldBeTrue)
-		So(seal.Verify(key.Public(), seal.Bundle(3, "d"), sig), ShouldBeFalse)
+		sig := back.Sign(signature.Bundle(2, "d"))
+		So(signature.Verify(key.Public(), signature.Bundle(2, "d"), sig), ShouldBeTrue)
+		So(signature.Verify(key.Public(), signature.Bundle(3, "d"), sig), ShouldBeFalse)
 	})
 }
--- a/internal/bundle/merge.go
+++ b/internal/bundle/merge.go
@@ -8,36 +8,36 @@
 
 	"github.com/valyala/fastjson"
 
-	"crosstide/internal/fault"
+	"crosstide/internal/errs"
 )
 
 // Merge changes a bundle's text by a JSON merge patch (RFC 7396): objects are merged, null takes away, all else
 // replaces. The result is indented by two spaces; the order of the names stays, new ones come last. It is not yet
-// checked as a bundle. Faults: Invalid, TooLarge. Example:
+// checked as a bundle. Failures: Invalid, TooLarge. Example:
 //
 //	next, err := bundle.Merge(body, []byte(`{"limits":{"scan":40}}`))
 func Merge(base, patch []byte) ([]byte, error) {
 	if len(patch) > MaxBytes {
-		return nil, fault.New(fault.TooLarge, "the patch has %d bytes, at most %d", len(patch), MaxBytes)
+		return nil, errs.New(errs.TooLarge, "the patch has %d bytes, at most %d", len(patch), MaxBytes)
 	}
 	var left, right fastjson.Parser
 	to, err := left.ParseBytes(base)
 	if err != nil {
-		return nil, fault.Wrap(err, fault.Invalid, "the base must be JSON")
+		return nil, errs.Wrap(err, errs.Invalid, "the base must be JSON")
 	}
 	from, err := right.ParseBytes(patch)
 	if err != nil {
-		return nil, fault.New(fault.Invalid, "1 mistake in the patch:\nmust be JSON: %v", err)
+		return nil, errs.New(errs.Invalid, "1 mistake in the patch:\nmust be JSON: %v", err)
 	}
 	if from.Type() != fastjson.TypeObject {
-		return nil, fault.New(fault.Invalid, "1 mistake in the patch:\nmust be an object, is %s", from.Type())
+		return nil, errs.New(errs.Invalid, "1 mistake in the patch:\nmust be an object, is %s", from.Type())
 	}
 	if path := twice("", from); path != "" {
-		return nil, fault.Field(fault.Invalid, path, "1 mistake in the patch:\n%s: is given more than once", path)
+		return nil, errs.Field(errs.Invalid, path, "1 mistake in the patch:\n%s: is given more than once", path)
 	}
 	var out bytes.Buffer
 	if err := json.Indent(&out, merged(to, from).MarshalTo(nil), "", "  "); err != nil {
-		return nil, fault.Wrap(err, fault.Invalid, "the result")
+		return nil, errs.Wrap(err, errs.Invalid, "the result")
 	}
 	out.WriteByte('\n')
 	return out.Bytes(), nil
@@ -88,16 +88,16 @@
 }
 
 // Diff gives what differs between two texts, by what they say and not by their spelling, in order of paths.
-// Fault: Invalid.
+// Failure: Invalid.
 func Diff(from, to []byte) ([]Change, error) {
 	var left, right fastjson.Parser
 	a, err := left.ParseBytes(from)
 	if err != nil {
-		return nil, fault.Wrap(err, fault.Invalid, "the first must be JSON")
+		return nil, errs.Wrap(err, errs.Invalid, "the first must be JSON")
 	}
 	b, err := right.ParseBytes(to)
 	if err != nil {
-		return nil, fault.Wrap(err, fault.Invalid, "the second must be JSON")
+		return nil, errs.Wrap(err, errs.Invalid, "the second must be JSON")
 	}
 	var out []Change
 	differ("", a, b, &out)
--- a/internal/consumer/consumer.go
+++ b/internal/clientapi/clientapi.go
@@ -1,6 +1,6 @@
-// Package consumer is the consumers' API of every dplane: hand in a job, ask for it, list jobs, cancel one.
+// Package clientapi is the clients' API of every dplane: hand in a job, ask for it, list jobs, cancel one.
 // What a node cannot confirm it answers with 503, never with 404.
-package consumer
+package clientapi
 
 import (
 	"bytes"
@@ -15,12 +15,12 @@
 	"sync/atomic"
 	"time"
 
-	"crosstide/internal/alarm"
-	"crosstide/internal/fault"
+	"crosstide/internal/clock"
+	"crosstide/internal/errs"
+	"crosstide/internal/rpc"
 	"crosstide/internal/state"
 	"crosstide/internal/state/command"
 	"crosstide/internal/state/query"
-	"crosstide/internal/wire"
 )
 
 // MaxBody bounds the body of a job, in bytes.
@@ -39,13 +39,13 @@
 	// do no harm: it may have been committed.
 	Propose(ctx context.Context, c command.Command) (json.RawMessage, error)
 	// Read runs do, before it returns, on a state at least as new as the call began. do must not keep the state.
-	// fault.Unavailable when that cannot be confirmed; do has not run then.
+	// errs.Unavailable when that cannot be confirmed; do has not run then.
 	Read(ctx context.Context, do func(s *state.State) error) error
 	// Backlog is the most jobs that may be open.
-	Backlog() int
+	QueueLimit() int
 }
 
-// Router is what the API needs of its server (*wire.Server).
+// Router is what the API needs of its server (*rpc.Server).
 type Router interface {
 	Route(pattern string, h func(w http.ResponseWriter, r *http.Request))
 }
@@ -53,9 +53,9 @@
 // Options are the settings of the API; the zero value takes the defaults.
 type Options struct {
 	Within   time.Duration // a call that takes longer is given up, default 2s
-	Inflight int           // submits worked on at once, default 2000; one more is fault.Pressure
+	Inflight int           // submits worked on at once, default 2000; one more is errs.Pressure
 	Seed     uint64        // of the spread of Retry-After
-	Clock    alarm.Clock   // default alarm.Real
+	Clock    clock.Clock   // default clock.Real
 }
 
 // Accepted answers POST /v1/jobs and DELETE /v1/jobs/{key}.
@@ -86,9 +86,9 @@
 //	DELETE /v1/jobs/{key}  202 {"key","state"} while runs are being stopped, 200 when the job is over
 //	GET    /v1/jobs        200 Listing; ?team= &state= &after= &limit= (1..1000, 200 if not given)
 //
-// Faults are answered by the table of package fault; 429 and 503 carry a Retry-After of 1 to 3 seconds. Example:
+// Failures are answered by the table of package failure; 429 and 503 carry a Retry-After of 1 to 3 seconds. Example:
 //
-//	consumer.Register(server, node, consumer.Options{Seed: seed})
+//	clientapi.Register(server, node, clientapi.Options{Seed: seed})
 func Register(s Router, b Book, opt Options) {
 	if opt.Within <= 0 {
 		opt.Within = 2 * time.Second
@@ -97,7 +97,7 @@
 		opt.Inflight = 2000
 	}
 	if opt.Clock == nil {
-		opt.Clock = alarm.Real{}
+		opt.Clock = clock.Real{}
 	}
 	a := &api{book: b, opt: opt, spread: rand.New(rand.NewPCG(opt.Seed, 0))}
 	for pattern, h := range map[string]func(context.Context, *http.Request) (int, any, error){
@@ -113,10 +113,10 @@
 			defer opt.Clock.Set(opt.Within, cancel).Stop()
 			status, answer, err := h(ctx, r)
 			if err != nil {
-				wire.WriteFault(w, a.outward(err))
+				rpc.WriteError(w, a.outward(err))
 				return
 			}
-			wire.WriteJSON(w, status, answer)
+			rpc.WriteJSON(w, status, answer)
 		})
 	}
 }
@@ -124,19 +124,19 @@
 func (a *api) submit(ctx context.Context, r *http.Request) (int, any, error) {
 	defer a.busy.Add(-1)
 	if n := a.busy.Add(1); n > int64(a.opt.Inflight) {
-		return 0, nil, fault.New(fault.Pressure, "%d jobs are being handed in here, the bound", a.opt.Inflight)
+		return 0, nil, errs.New(errs.Overloaded, "%d jobs are being handed in here, the bound", a.opt.Inflight)
 	}
-	data, err := wire.ReadBody(r, MaxBody)
+	data, err := rpc.ReadBody(r, MaxBody)
 	if err != nil {
-		return 0, nil, fault.Pass(err, "submit")
+		return 0, nil, errs.Pass(err, "submit")
 	}
 	spec, digest, err := Parse(data)
 	if err != nil {
-		return 0, nil, fault.Pass(err, "submit")
+		return 0, nil, errs.Pass(err, "submit")
 	}
 	var got command.Submitted
-	if err := a.propose(ctx, &command.Submit{Spec: spec, Digest: digest, Bound: a.book.Backlog()}, &got); err != nil {
-		return 0, nil, fault.Pass(err, "submit %s", spec.Key)
+	if err := a.propose(ctx, &command.Submit{Spec: spec, Digest: digest, Bound: a.book.QueueLimit()}, &got); err != nil {
+		return 0, nil, errs.Pass(err, "submit %s", spec.Key)
 	}
 	status := http.StatusOK
 	if got.Fresh {
@@ -148,11 +148,11 @@
 func (a *api) cancel(ctx context.Context, r *http.Request) (int, any, error) {
 	key, err := keyOf(r)
 	if err != nil {
-		return 0, nil, fault.Pass(err, "cancel")
+		return 0, nil, errs.Pass(err, "cancel")
 	}
 	var got command.Cancelled
 	if err := a.propose(ctx, &command.Cancel{Key: key}, &got); err != nil {
-		return 0, nil, fault.Pass(err, "cancel %s", key)
+		return 0, nil, errs.Pass(err, "cancel %s", key)
 	}
 	status := http.StatusAccepted
 	if got.Phase.Over() {
@@ -163,19 +163,19 @@
 
 // cancels stops many jobs: {"keys":[…]}, or {"team":…,"queue":…} with one of the two or both.
 func (a *api) cancels(ctx context.Context, r *http.Request) (int, any, error) {
-	data, err := wire.ReadBody(r, MaxBody)
+	data, err := rpc.ReadBody(r, MaxBody)
 	if err != nil {
-		return 0, nil, fault.Pass(err, "cancels")
+		return 0, nil, errs.Pass(err, "cancels")
 	}
 	var c command.Cancels
 	in := json.NewDecoder(bytes.NewReader(data))
 	in.DisallowUnknownFields()
 	if err := in.Decode(&c); err != nil {
-		return 0, nil, fault.Wrap(err, fault.Malformed, "the body is not {keys} or {team, queue}: %s", err)
+		return 0, nil, errs.Wrap(err, errs.Malformed, "the body is not {keys} or {team, queue}: %s", err)
 	}
 	var got command.CancelledAll
 	if err := a.propose(ctx, &c, &got); err != nil {
-		return 0, nil, fault.Pass(err, "cancels")
+		return 0, nil, errs.Pass(err, "cancels")
 	}
 	return http.StatusAccepted, got, nil
 }
@@ -183,15 +183,15 @@
 func (a *api) job(ctx context.Context, r *http.Request) (int, any, error) {
 	key, err := keyOf(r)
 	if err != nil {
-		return 0, nil, fault.Pass(err, "job")
+		return 0, nil, errs.Pass(err, "job")
 	}
 	var view query.JobView
 	var miss error // kept apart: only a confirmed state may say that a job is not there
 	if err := a.read(ctx, func(s *state.State) { view, miss = query.Job(s, key) }); err != nil {
-		return 0, nil, fault.Pass(err, "job %s", key)
+		return 0, nil, errs.Pass(err, "job %s", key)
 	}
 	if miss != nil {
-		return 0, nil, fault.Pass(miss, "job %s", key)
+		return 0, nil, errs.Pass(miss, "job %s", key)
 	}
 	return http.StatusOK, view, nil
 }
@@ -199,7 +199,7 @@
 func (a *api) list(ctx context.Context, r *http.Request) (int, any, error) {
 	q, err := filterOf(r)
 	if err != nil {
-		return 0, nil, fault.Pass(err, "list")
+		return 0, nil, errs.Pass(err, "list")
 	}
 	out := Listing{Jobs: []query.JobView{}}
 	err = a.read(ctx, func(s *state.State) {
@@ -210,7 +210,7 @@
 		}
 	})
 	if err != nil {
-		return 0, nil, fault.Pass(err, "list")
+		return 0, nil, errs.Pass(err, "list")
 	}
 	return http.StatusOK, out, nil
 }
@@ -218,9 +218,9 @@
 func (a *api) propose(ctx context.Context, c command.Command, answer any) error {
 	raw, err := a.book.Propose(ctx, c)
 	if err != nil {
-		return fault.Pass(err, "propose %s", c.Op())
+		return errs.Pass(err, "propose %s", c.Op())
 	}
-	return fault.Wrap(json.Unmarshal(raw, answer), fault.Internal, "answer of %s", c.Op())
+	return errs.Wrap(json.Unmarshal(raw, answer), errs.Internal, "answer of %s", c.Op())
 }
 
 func (a *api) read(ctx context.Context, do func(s *state.State)) error {
@@ -231,35 +231,35 @@
 		return nil
 	})
 	switch {
-	case fault.Is(err, fault.Unknown), err == nil && !ran:
-		return fault.New(fault.Unavailable, "nothing was read")
+	case errs.Is(err, errs.Unknown), err == nil && !ran:
+		return errs.New(errs.Unavailable, "nothing was read")
 	case err != nil:
-		return fault.Pass(err, "read")
+		return errs.Pass(err, "read")
 	}
 	return nil
 }
 
-// outward turns what only the inside can use into what a consumer can: kinds that mean "not confirmed" become
+// outward turns what only the inside can use into what a client can: kinds that mean "not confirmed" become
 // Unavailable, and those that come back later do so spread out.
 func (a *api) outward(err error) error {
-	f := *fault.Of(err)
+	f := *errs.Of(err)
 	ended := errors.Is(err, context.Canceled) || errors.Is(err, context.DeadlineExceeded)
 	switch {
-	case f.Kind == fault.Timeout, f.Kind == fault.NotLeader, f.Kind == fault.Stopped, f.Kind == fault.Internal && ended:
-		f = fault.Fault{Kind: fault.Unavailable, Message: "this cannot be confirmed now; send the same again, here or at another node"}
+	case f.Kind == errs.Timeout, f.Kind == errs.NotLeader, f.Kind == errs.Stopped, f.Kind == errs.Internal && ended:
+		f = errs.Error{Kind: errs.Unavailable, Message: "this cannot be confirmed now; send the same again, here or at another node"}
 	}
-	if f.Kind == fault.Unavailable || f.Kind == fault.Pressure {
+	if f.Kind == errs.Unavailable || f.Kind == errs.Overloaded {
 		a.mu.Lock()
 		f.After = time.Duration(1+a.spread.IntN(3)) * time.Second
 		a.mu.Unlock()
 	}
-	return fault.Pass(&f, "consumer")
+	return errs.Pass(&f, "consumer")
 }
 
 func keyOf(r *http.Request) (string, error) {
 	key := r.PathValue("key")
 	if !nameForm.MatchString(key) {
-		return "", fault.Field(fault.Invalid, "key", nameRule)
+		return "", errs.Field(errs.Invalid, "key", nameRule)
 	}
 	return key, nil
 }
@@ -272,36 +272,36 @@
 
 var phases = map[state.JobPhase]bool{
 	state.JobAccepted: true, state.JobRunning: true, state.JobStopping: true,
-	state.JobDone: true, state.JobFault: true, state.JobCancelled: true,
+	state.JobDone: true, state.JobFailed: true, state.JobCancelled: true,
 }
 
 func filterOf(r *http.Request) (filter, error) {
 	out := filter{limit: DefaultList}
 	values, err := url.ParseQuery(r.URL.RawQuery)
 	if err != nil {
-		return out, fault.Wrap(err, fault.Malformed, "the query")
+		return out, errs.Wrap(err, errs.Malformed, "the query")
 	}
 	for name, list := range values {
 		value := list[0]
 		switch {
 		case len(list) > 1:
-			return out, fault.Field(fault.Invalid, name, "is given twice")
+			return out, errs.Field(errs.Invalid, name, "is given twice")
 		case name == "team" && nameForm.MatchString(value):
 			out.team = value
 		case name == "after" && nameForm.MatchString(value):
 			out.after = value
 		case name == "team", name == "after":
-			return out, fault.Field(fault.Invalid, name, nameRule)
+			return out, errs.Field(errs.Invalid, name, nameRule)
 		case name == "state":
 			if out.phase = state.JobPhase(value); !phases[out.phase] {
-				return out, fault.Field(fault.Invalid, name, "is no state of a job")
+				return out, errs.Field(errs.Invalid, name, "is no state of a job")
 			}
 		case name == "limit":
 			if out.limit, err = strconv.Atoi(value); err != nil || out.limit < 1 || out.limit > MaxList {
-				return out, fault.Field(fault.Invalid, name, "must be a whole number of 1 to %d", MaxList)
+				return out, errs.Field(errs.Invalid, name, "must be a whole number of 1 to %d", MaxList)
 			}
 		default:
-			return out, fault.Field(fault.Invalid, join("", name), "there is no such parameter")
+			return out, errs.Field(errs.Invalid, join("", name), "there is no such parameter")
 		}
 	}
 	return out, nil
--- a/internal/consumer/consumer_test.go
+++ b/internal/clientapi/clientapi_test.go
@@ -1,4 +1,4 @@
-package consumer
+package clientapi
 
 import (
 	"context"
@@ -13,12 +13,12 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"crosstide/internal/alarm"
-	"crosstide/internal/fault"
-	"crosstide/internal/spawn"
+	"crosstide/internal/clock"
+	"crosstide/internal/errs"
+	"crosstide/internal/routine"
+	"crosstide/internal/rpc"
 	"crosstide/internal/state"
 	"crosstide/internal/state/command"
-	"crosstide/internal/wire"
 )
 
 const head = `{"key":"k","team":"depot","steps":`
@@ -36,50 +36,50 @@
 		many := func(n int, one string) string { return strings.TrimSuffix(strings.Repeat(one+",", n), ",") }
 		for _, c := range []struct {
 			body  string
-			kind  fault.Kind
+			kind  errs.Kind
 			field string
 			says  string
 		}{
-			{``, fault.Malformed, "", "JSON"},
-			{"{\n \"key\": nope}", fault.Malformed, "", "line 2, column 10"},
-			{"{\"key\":\"\xff\"}", fault.Malformed, "", "UTF-8"},
-			{step(`,"tasks":NaN`), fault.Malformed, "", "line 1"},
-			{step(`,"run":` + strings.Repeat("[", 400) + strings.Repeat("]", 400)), fault.Malformed, "", "depth"},
-			{`[]`, fault.Malformed, "", "must be an object"},
-			{`{}`, fault.Invalid, "key", "steps: is missing"},
-			{`{"key":"a b","team":"t","steps":[{"name":"a","type":"s"}]}`, fault.Invalid, "key", "must be 1 to 128"},
-			{`{"key":7,"team":"t","steps":[{"name":"a","type":"s"}]}`, fault.Malformed, "key", "must be a string"},
-			{strings.Replace(step(""), `"key":"k"`, `"key":"k","ke\u0079":"l"`, 1), fault.Invalid, "key", "twice"},
-			{strings.Replace(step(""), `"key"`, `"colour":1,"key"`, 1), fault.Invalid, "colour", "no such field"},
-			{head + `[]}`, fault.Invalid, "steps", "1 to 100"},
-			{head + `[` + many(101, `{}`) + `]}`, fault.Invalid, "steps", "has 101"},
-			{head + `[1]}`, fault.Malformed, "steps[0]", "must be an object"},
-			{head + `[{"name":"a"}]}`, fault.Invalid, "steps[0].type", "missing"},
-			{step(`,"tasks":0`), fault.Invalid, "steps[0].tasks", "must be 1 to 10000, is 0"},
-			{step(`,"tasks":10001`), fault.Invalid, "steps[0].tasks", "10001"},
-			{step(`,"tasks":1.5`), fault.Malformed, "steps[0].tasks", "whole number"},
-			{step(`,"tasks":99999999999999999999`), fault.Malformed, "steps[0].tasks", "whole number"},
-			{step(`,"cores":-1`), fault.Invalid, "steps[0].cores", "is -1"},
-			{step(`,"gpus":1025`), fault.Invalid, "steps[0].gpus", "0 to 1024"},
-			{step(`,"retries":101`), fault.Invalid, "steps[0].retries", "0 to 100"},
-			{step(`,"retries":"3"`), fault.Malformed, "steps[0].retries", "is string"},
-			{step(`,"gang":true,"tasks":65`), fault.Invalid, "steps[0].gang", "at most 64"},
-			{step(`,"standing":1`), fault.Malformed, "steps[0].standing", "true or false"},
-			{step(`,"labels":{"gpu":true}`), fault.Malformed, "steps[0].labels.gpu", "must be a string"},
-			{step(`,"labels":{"a":"b","a":"c"}`), fault.Invalid, "steps[0].labels.a", "twice"},
-			{step(`,"run":{"a":[{"b":1,"b":2}]}`), fault.Invalid, "steps[0].run.a[0].b", "twice"},
-			{step(`,"run":"` + strings.Repeat("x", MaxRun) + `"`), fault.Invalid, "steps[0].run", "65536"},
-			{step(`,"after":["b"]`), fault.Invalid, "steps[0].after[0]", `no step is named "b"`},
-			{step(`,"after":["a"]`), fault.Invalid, "steps[0].after[0]", "a after a"},
+			{``, errs.Malformed, "", "JSON"},
+			{"{\n \"key\": nope}", errs.Malformed, "", "line 2, column 10"},
+			{"{\"key\":\"\xff\"}", errs.Malformed, "", "UTF-8"},
+			{step(`,"tasks":NaN`), errs.Malformed, "", "line 1"},
+			{step(`,"run":` + strings.Repeat("[", 400) + strings.Repeat("]", 400)), errs.Malformed, "", "depth"},
+			{`[]`, errs.Malformed, "", "must be an object"},
+			{`{}`, errs.Invalid, "key", "steps: is missing"},
+			{`{"key":"a b","team":"t","steps":[{"name":"a","type":"s"}]}`, errs.Invalid, "key", "must be 1 to 128"},
+			{`{"key":7,"team":"t","steps":[{"name":"a","type":"s"}]}`, errs.Malformed, "key", "must be a string"},
+			{strings.Replace(step(""), `"key":"k"`, `"key":"k","ke\u0079":"l"`, 1), errs.Invalid, "key", "twice"},
+			{strings.Replace(step(""), `"key"`, `"colour":1,"key"`, 1), errs.Invalid, "colour", "no such field"},
+			{head + `[]}`, errs.Invalid, "steps", "1 to 100"},
+			{head + `[` + many(101, `{}`) + `]}`, errs.Invalid, "steps", "has 101"},
+			{head + `[1]}`, errs.Malformed, "steps[0]", "must be an object"},
+			{head + `[{"name":"a"}]}`, errs.Invalid, "steps[0].type", "missing"},
+			{step(`,"tasks":0`), errs.Invalid, "steps[0].tasks", "must be 1 to 10000, is 0"},
+			{step(`,"tasks":10001`), errs.Invalid, "steps[0].tasks", "10001"},
+			{step(`,"tasks":1.5`), errs.Malformed, "steps[0].tasks", "whole number"},
+			{step(`,"tasks":99999999999999999999`), errs.Malformed, "steps[0].tasks", "whole number"},
+			{step(`,"cores":-1`), errs.Invalid, "steps[0].cores", "is -1"},
+			{step(`,"gpus":1025`), errs.Invalid, "steps[0].gpus", "0 to 1024"},
+			{step(`,"retries":101`), errs.Invalid, "steps[0].retries", "0 to 100"},
+			{step(`,"retries":"3"`), errs.Malformed, "steps[0].retries", "is string"},
+			{step(`,"gang":true,"tasks":65`), errs.Invalid, "steps[0].gang", "at most 64"},
+			{step(`,"standing":1`), errs.Malformed, "steps[0].standing", "true or false"},
+			{step(`,"labels":{"gpu":true}`), errs.Malformed, "steps[0].labels.gpu", "must be a string"},
+			{step(`,"labels":{"a":"b","a":"c"}`), errs.Invalid, "steps[0].labels.a", "twice"},
+			{step(`,"run":{"a":[{"b":1,"b":2}]}`), errs.Invalid, "steps[0].run.a[0].b", "twice"},
+			{step(`,"run":"` + strings.Repeat("x", MaxRun) + `"`), errs.Invalid, "steps[0].run", "65536"},
+			{step(`,"after":["b"]`), errs.Invalid, "steps[0].after[0]", `no step is named "b"`},
+			{step(`,"after":["a"]`), errs.Invalid, "steps[0].after[0]", "a after a"},
 			{head + `[{"name":"z","type":"s","after":["a"]},{"name":"a","type":"s","after":["b"]},{"name":"b","type":"s","after":["a"]}]}`,
-				fault.Invalid, "steps[2].after[0]", "a after b after a"},
-			{head + `[{"name":"a","type":"s"},{"name":"a","type":"s"}]}`, fault.Invalid, "steps[1].name", "steps[0] too"},
+				errs.Invalid, "steps[2].after[0]", "a after b after a"},
+			{head + `[{"name":"a","type":"s"},{"name":"a","type":"s"}]}`, errs.Invalid, "steps[1].name", "steps[0] too"},
 			{head + `[{"name":"a","type":"s","tasks":10000},{"name":"b","type":"s","tasks":10000},{"name":"c","type":"s"}]}`,
-				fault.Invalid, "steps", "20001"},
-			{head + `[` + many(30, `{"name":"","type":"s"}`) + `]}`, fault.Invalid, "steps[0].name", "and 10 more"},
+				errs.Invalid, "steps", "20001"},
+			{head + `[` + many(30, `{"name":"","type":"s"}`) + `]}`, errs.Invalid, "steps[0].name", "and 10 more"},
 		} {
 			_, _, err := Parse([]byte(c.body))
-			f := fault.Of(err)
+			f := errs.Of(err)
 			So(f, ShouldNotBeNil)
 			So([]string{string(f.Kind), f.Field}, ShouldResemble, []string{string(c.kind), c.field})
 			So(f.Message, ShouldContainSubstring, c.says)
@@ -109,7 +109,7 @@
 	leave   chan struct{}
 }
 
-func (b *book) Backlog() int { return b.bound }
+func (b *book) QueueLimit() int { return b.bound }
 
 func (b *book) Read(_ context.Context, do func(*state.State) error) error {
 	if b.fail != nil {
@@ -150,7 +150,7 @@
 func TestRoutes(t *testing.T) {
 	Convey("Given the API before a node", t, func() {
 		b := &book{s: state.New(), bound: 10}
-		clock := &alarm.Virtual{}
+		clock := &clock.Virtual{}
 		m := mux{http.NewServeMux()}
 		Register(m, b, Options{Inflight: 1, Clock: clock, Seed: 7})
 		call := func(method, path, body string) (int, string, *httptest.ResponseRecorder) {
@@ -206,8 +206,8 @@
 			So(status("GET", "/v1/jobs/none", ""), ShouldEqual, 404)
 			So(status("DELETE", "/v1/jobs/none", ""), ShouldEqual, 404)
 			So(status("GET", "/v1/jobs/a%20b", ""), ShouldEqual, 422)
-			for _, kind := range []fault.Kind{fault.Unavailable, fault.Timeout, fault.NotLeader, fault.Stopped} {
-				b.fail = fault.New(kind, "no")
+			for _, kind := range []errs.Kind{errs.Unavailable, errs.Timeout, errs.NotLeader, errs.Stopped} {
+				b.fail = errs.New(kind, "no")
 				for _, c := range [][3]string{{"POST", "/v1/jobs", step("")}, {"GET", "/v1/jobs/k", ""},
 					{"GET", "/v1/jobs", ""}, {"DELETE", "/v1/jobs/k", ""}} {
 					code, _, w := call(c[0], c[1], c[2])
@@ -215,7 +215,7 @@
 					So(w.Header().Get("Retry-After"), ShouldBeIn, []string{"1", "2", "3"})
 				}
 			}
-			b.fail = fault.New(fault.Unknown, "a node that does not know")
+			b.fail = errs.New(errs.Unknown, "a node that does not know")
 			So(status("GET", "/v1/jobs/k", ""), ShouldEqual, 503)
 			b.fail = errors.New("odd")
 			So(status("GET", "/v1/jobs/k", ""), ShouldEqual, 500)
@@ -232,7 +232,7 @@
 		})
 		Convey("a call over its time is given up, one over the bound at the door is 429", func() {
 			b.entered, b.leave = make(chan struct{}), make(chan struct{})
-			g := spawn.New(context.Background())
+			g := routine.New(context.Background())
 			late := 0
 			g.Go(func(context.Context) { late = status("POST", "/v1/jobs", step("")) })
 			<-b.entered
@@ -243,7 +243,7 @@
 		})
 	})
 	Convey("Over the wire a body over its bound is 413 and bytes that are no JSON are 400", t, func() {
-		s := wire.NewServer(wire.ServerOptions{Addr: "127.0.0.1:0"})
+		s := rpc.NewServer(rpc.ServerOptions{Addr: "127.0.0.1:0"})
 		Register(s, &book{s: state.New(), bound: 10}, Options{})
 		So(s.Start(), ShouldBeNil)
 		defer func() { So(s.Stop(time.Second), ShouldBeNil) }()
--- a/internal/consumer/parse.go
+++ b/internal/clientapi/parse.go
@@ -1,4 +1,4 @@
-package consumer
+package clientapi
 
 import (
 	"bytes"
@@ -14,7 +14,7 @@
 
 	"github.com/valyala/fastjson"
 
-	"crosstide/internal/fault"
+	"crosstide/internal/errs"
 	"crosstide/internal/state"
 )
 
@@ -46,14 +46,14 @@
 
 // Parse reads the body of POST /v1/jobs, at most wire's bound of bytes, into a checked Spec with its defaults
 // filled in, and its digest: SHA-256 in hex over the Spec's JSON, the same whatever the order of fields and the
-// white space. Bytes that are no JSON are fault.Malformed with line and column. Otherwise the fault names the
-// first mistake's field (fault.Malformed for a wrong type, fault.Invalid for a refused value) and its message
+// white space. Bytes that are no JSON are errs.Malformed with line and column. Otherwise the failure names the
+// first mistake's field (errs.Malformed for a wrong type, errs.Invalid for a refused value) and its message
 // tells up to 20 mistakes. Example:
 //
-//	spec, digest, err := consumer.Parse([]byte(`{"key":"k-1","team":"depot","steps":[{"name":"scan","type":"scan"}]}`))
+//	spec, digest, err := clientapi.Parse([]byte(`{"key":"k-1","team":"depot","steps":[{"name":"scan","type":"scan"}]}`))
 func Parse(data []byte) (state.Spec, string, error) {
 	if !utf8.Valid(data) {
-		return state.Spec{}, "", fault.New(fault.Malformed, "the body is not UTF-8")
+		return state.Spec{}, "", errs.New(errs.Malformed, "the body is not UTF-8")
 	}
 	var parser fastjson.Parser
 	v, err := parser.ParseBytes(data) // bounds the nesting at fastjson.MaxDepth
@@ -61,16 +61,16 @@
 		err = fastjson.ValidateBytes(data) // refuses what the parser lets pass: NaN, bad escapes
 	}
 	if err != nil {
-		return state.Spec{}, "", fault.New(fault.Malformed, "%s", place(data, err))
+		return state.Spec{}, "", errs.New(errs.Malformed, "%s", place(data, err))
 	}
 	p := &reader{}
 	spec := p.spec(v)
-	if err := p.fault(); err != nil {
-		return state.Spec{}, "", fault.Pass(err, "job")
+	if err := p.failure(); err != nil {
+		return state.Spec{}, "", errs.Pass(err, "job")
 	}
 	canon, err := json.Marshal(spec)
 	if err != nil {
-		return state.Spec{}, "", fault.Wrap(err, fault.Internal, "encode job %s", spec.Key)
+		return state.Spec{}, "", errs.Wrap(err, errs.Internal, "encode job %s", spec.Key)
 	}
 	sum := sha256.Sum256(canon)
 	return spec, hex.EncodeToString(sum[:]), nil
@@ -91,13 +91,13 @@
 
 // reader collects the mistakes while it reads.
 type reader struct {
-	kind    fault.Kind // of the first mistake
+	kind    errs.Kind // of the first mistake
 	field   string
 	told    []string
 	skipped int
 }
 
-func (p *reader) no(kind fault.Kind, field, format string, args ...any) {
+func (p *reader) no(kind errs.Kind, field, format string, args ...any) {
 	message := fmt.Sprintf(format, args...)
 	switch {
 	case len(p.told) == 0:
@@ -110,7 +110,7 @@
 	}
 }
 
-func (p *reader) fault() error {
+func (p *reader) failure() error {
 	if len(p.told) == 0 {
 		return nil
 	}
@@ -118,7 +118,7 @@
 	if p.skipped > 0 {
 		message += fmt.Sprintf("; and %d more", p.skipped)
 	}
-	return fault.Field(p.kind, p.field, "%s", message)
+	return errs.Field(p.kind, p.field, "%s", message)
 }
 
 func (p *reader) spec(v *fastjson.Value) state.Spec {
@@ -137,7 +137,7 @@
 		spec.Steps = append(spec.Steps, step)
 	}
 	if tasks > MaxJobTasks {
-		p.no(fault.Invalid, "steps", "the job has %d tasks, at most %d", tasks, MaxJobTasks)
+		p.no(errs.Invalid, "steps", "the job has %d tasks, at most %d", tasks, MaxJobTasks)
 	}
 	p.order(spec.Steps)
 	return spec
@@ -159,7 +159,7 @@
 		"gang":     func(f string, v *fastjson.Value) { s.Gang = p.truth(f, v) },
 	}, "name", "type")
 	if s.Gang && s.Tasks > MaxGang {
-		p.no(fault.Invalid, path+".gang", "a gang has at most %d tasks, this step has %d", MaxGang, s.Tasks)
+		p.no(errs.Invalid, path+".gang", "a gang has at most %d tasks, this step has %d", MaxGang, s.Tasks)
 	}
 	return s
 }
@@ -168,7 +168,7 @@
 func (p *reader) object(path string, v *fastjson.Value, fields map[string]func(string, *fastjson.Value), need ...string) {
 	o, err := v.Object()
 	if err != nil {
-		p.no(fault.Malformed, path, "must be an object, is %s", v.Type())
+		p.no(errs.Malformed, path, "must be an object, is %s", v.Type())
 		return
 	}
 	seen := map[string]bool{}
@@ -177,9 +177,9 @@
 		field := join(path, name)
 		switch read := fields[name]; {
 		case read == nil:
-			p.no(fault.Invalid, field, "there is no such field")
+			p.no(errs.Invalid, field, "there is no such field")
 		case seen[name]:
-			p.no(fault.Invalid, field, "is given twice")
+			p.no(errs.Invalid, field, "is given twice")
 		default:
 			seen[name] = true
 			read(field, v)
@@ -187,7 +187,7 @@
 	})
 	for _, name := range need {
 		if !seen[name] {
-			p.no(fault.Invalid, join(path, name), "is missing")
+			p.no(errs.Invalid, join(path, name), "is missing")
 		}
 	}
 }
@@ -206,11 +206,11 @@
 func (p *reader) array(field string, v *fastjson.Value, least, most int) []*fastjson.Value {
 	list, err := v.Array()
 	if err != nil {
-		p.no(fault.Malformed, field, "must be an array, is %s", v.Type())
+		p.no(errs.Malformed, field, "must be an array, is %s", v.Type())
 		return nil
 	}
 	if len(list) < least || len(list) > most {
-		p.no(fault.Invalid, field, "must have %d to %d entries, has %d", least, most, len(list))
+		p.no(errs.Invalid, field, "must have %d to %d entries, has %d", least, most, len(list))
 		return nil
 	}
 	return list
@@ -219,11 +219,11 @@
 func (p *reader) name(field string, v *fastjson.Value) string {
 	raw, err := v.StringBytes()
 	if err != nil {
-		p.no(fault.Malformed, field, "must be a string, is %s", v.Type())
+		p.no(errs.Malformed, field, "must be a string, is %s", v.Type())
 		return ""
 	}
 	if !nameForm.Match(raw) {
-		p.no(fault.Invalid, field, nameRule)
+		p.no(errs.Invalid, field, nameRule)
 		return ""
 	}
 	return string(raw)
@@ -236,7 +236,7 @@
 		at := fmt.Sprintf("%s[%d]", field, i)
 		name := p.name(at, v)
 		if name != "" && seen[name] {
-			p.no(fault.Invalid, at, "names %q twice", name)
+			p.no(errs.Invalid, at, "names %q twice", name)
 		}
 		seen[name] = true
 		out = append(out, name)
@@ -246,16 +246,16 @@
 
 func (p *reader) number(field string, v *fastjson.Value, least, most int) int {
 	if v.Type() != fastjson.TypeNumber {
-		p.no(fault.Malformed, field, "must be a whole number, is %s", v.Type())
+		p.no(errs.Malformed, field, "must be a whole number, is %s", v.Type())
 		return 0
 	}
 	n, err := v.Int64()
 	switch {
 	case err != nil:
-		p.no(fault.Malformed, field, "must be a whole number of %d to %d", least, most)
+		p.no(errs.Malformed, field, "must be a whole number of %d to %d", least, most)
 		return 0
 	case n < int64(least) || n > int64(most):
-		p.no(fault.Invalid, field, "must be %d to %d, is %d", least, most, n)
+		p.no(errs.Invalid, field, "must be %d to %d, is %d", least, most, n)
 		return 0
 	}
 	return int(n)
@@ -264,7 +264,7 @@
 func (p *reader) truth(field string, v *fastjson.Value) bool {
 	b, err := v.Bool()
 	if err != nil {
-		p.no(fault.Malformed, field, "must be true or false, is %s", v.Type())
+		p.no(errs.Malformed, field, "must be true or false, is %s", v.Type())
 	}
 	return b
 }
@@ -272,11 +272,11 @@
 func (p *reader) labels(field string, v *fastjson.Value) map[string]string {
 	o, err := v.Object()
 	if err != nil {
-		p.no(fault.Malformed, field, "must be an object, is %s", v.Type())
+		p.no(errs.Malformed, field, "must be an object, is %s", v.Type())
 		return nil
 	}
 	if o.Len() > MaxLabels {
-		p.no(fault.Invalid, field, "must have at most %d entries, has %d", MaxLabels, o.Len())
+		p.no(errs.Invalid, field, "must have at most %d entries, has %d", MaxLabels, o.Len())
 		return nil
 	}
 	out := map[string]string{}
@@ -286,9 +286,9 @@
 		_, twice := out[name]
 		switch {
 		case !nameForm.MatchString(name):
-			p.no(fault.Invalid, at, "the label's name "+nameRule)
+			p.no(errs.Invalid, at, "the label's name "+nameRule)
 		case twice:
-			p.no(fault.Invalid, at, "is given twice")
+			p.no(errs.Invalid, at, "is given twice")
 		default:
 			out[name] = p.name(at, v)
 		}
@@ -303,16 +303,16 @@
 	decoder.UseNumber()
 	var value any
 	if err := decoder.Decode(&value); err != nil {
-		p.no(fault.Malformed, field, "%s", err)
+		p.no(errs.Malformed, field, "%s", err)
 		return nil
 	}
 	raw, err := json.Marshal(value)
 	if err != nil {
-		p.no(fault.Malformed, field, "%s", err)
+		p.no(errs.Malformed, field, "%s", err)
 		return nil
 	}
 	if len(raw) > MaxRun {
-		p.no(fault.Invalid, field, "must be at most %d bytes, is %d", MaxRun, len(raw))
+		p.no(errs.Invalid, field, "must be at most %d bytes, is %d", MaxRun, len(raw))
 		return nil
 	}
 	return raw
@@ -330,7 +330,7 @@
 		v.GetObject().Visit(func(raw []byte, v *fastjson.Value) {
 			name := string(raw)
 			if seen[name] {
-				p.no(fault.Invalid, join(path, name), "is given twice")
+				p.no(errs.Invalid, join(path, name), "is given twice")
 			}
 			seen[name] = true
 			p.single(join(path, name), v)
@@ -346,7 +346,7 @@
 			continue
 		}
 		if first, twice := index[s.Name]; twice {
-			p.no(fault.Invalid, fmt.Sprintf("steps[%d].name", i), "%q is the name of steps[%d] too", s.Name, first)
+			p.no(errs.Invalid, fmt.Sprintf("steps[%d].name", i), "%q is the name of steps[%d] too", s.Name, first)
 			continue
 		}
 		index[s.Name] = i
@@ -354,7 +354,7 @@
 	for i, s := range steps {
 		for k, name := range s.After {
 			if _, ok := index[name]; !ok && name != "" {
-				p.no(fault.Invalid, fmt.Sprintf("steps[%d].after[%d]", i, k), "no step is named %q", name)
+				p.no(errs.Invalid, fmt.Sprintf("steps[%d].after[%d]", i, k), "no step is named %q", name)
 			}
 		}
 	}
@@ -376,7 +376,7 @@
 					start++
 				}
 				circle := strings.Join(append(way[start:], name), " after ")
-				p.no(fault.Invalid, fmt.Sprintf("steps[%d].after[%d]", i, k), "steps wait for each other: %s", circle)
+				p.no(errs.Invalid, fmt.Sprintf("steps[%d].after[%d]", i, k), "steps wait for each other: %s", circle)
 				return false
 			}
 			if !walk(next) {
--- a/internal/alarm/alarm.go
+++ b/internal/clock/clock.go
@@ -1,5 +1,5 @@
-// Package alarm is the clock and the timers: real ones for the daemons, virtual ones for tests and the simulator.
-package alarm
+// Package clock is the clock and the timers: real ones for the daemons, virtual ones for tests and the simulator.
+package clock
 
 import (
 	"container/heap"
@@ -9,7 +9,7 @@
 	"golang.org/x/sys/unix"
 )
 
-// Clock tells time since an arbitrary start that counts suspension and never goes back, and sets alarms.
+// Clock tells time since an arbitrary start that counts suspension and never goes back, and sets timers.
 type Clock interface {
 	// Now is the time since the clock's start. It counts the time a machine was suspended.
 	Now() time.Duration
@@ -19,7 +19,7 @@
 	Set(d time.Duration, ring func()) Stopper
 }
 
-// Stopper calls an alarm off; it tells whether the alarm had not rung yet.
+// Stopper calls an timer off; it tells whether the timer had not rung yet.
 type Stopper interface{ Stop() bool }
 
 // Real is the machine's clock (CLOCK_BOOTTIME).
@@ -90,7 +90,7 @@
 // Wall is the Unix epoch plus Now.
 func (v *Virtual) Wall() time.Time { return time.Unix(0, 0).Add(v.Now()) }
 
-// Set puts an alarm at Now+d.
+// Set puts an timer at Now+d.
 func (v *Virtual) Set(d time.Duration, call func()) Stopper {
 	v.mu.Lock()
 	defer v.mu.Unlock()
--- a/internal/alarm/alarm_test.go
+++ b/internal/clock/clock_test.go
@@ -1,4 +1,4 @@
-package alarm
+package clock
 
 import (
 	"testing"
--- a/internal/conf/conf_test.go
+++ b/internal/config/config_test.go
@@ -1,4 +1,4 @@
-package conf
+package config
 
 import (
 	"errors"
@@ -11,7 +11,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"crosstide/internal/fault"
+	"crosstide/internal/errs"
 )
 
 const key = `"AAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAA="`
@@ -32,7 +32,7 @@
 
 func lines(err error) []string {
 	var m Mistakes
-	So(fault.KindOf(err), ShouldEqual, fault.Settings)
+	So(errs.KindOf(err), ShouldEqual, errs.Settings)
 	So(errors.As(err, &m), ShouldBeTrue)
 	So(err.Error(), ShouldContainSubstring, m.Error())
 	return strings.Split(m.Error(), "\n")
@@ -90,7 +90,7 @@
 	Convey("Sound files load, what is not set keeps its default, and a changed value is judged again", t, func() {
 		c, err := LoadCplane(file(t, cplane))
 		So(err, ShouldBeNil)
-		So([]any{c.Lease, c.Election, c.Backlog, c.KeepTombsFor, c.Grace, c.Members[1].Zone, len(c.OperatorKeys)}, ShouldResemble,
+		So([]any{c.Lease, c.Election, c.QueueLimit, c.KeepTombsFor, c.Grace, c.Members[1].Zone, len(c.OperatorKeys)}, ShouldResemble,
 			[]any{800 * time.Millisecond, time.Second, 7, 168 * time.Hour, 5 * time.Second, "b", 2})
 		So(CheckCplane(c), ShouldBeNil)
 		c.OperatorKeys = append(c.OperatorKeys, OperatorKey{"q", c.OperatorKeys[0].Key})
@@ -143,6 +143,6 @@
 			"heartbeat: must be under half of lease (150ms), is 100ms",
 		})
 		_, err = LoadCplane(filepath.Join(t.TempDir(), "none"))
-		So(fault.Is(err, fault.Settings), ShouldBeTrue)
+		So(errs.Is(err, errs.Settings), ShouldBeTrue)
 	})
 }
--- a/internal/conf/daemon.go
+++ b/internal/config/daemon.go
@@ -1,4 +1,4 @@
-package conf
+package config
 
 import (
 	"crypto/ed25519"
@@ -6,7 +6,7 @@
 	"os"
 	"time"
 
-	"crosstide/internal/fault"
+	"crosstide/internal/errs"
 )
 
 // Common is what both daemons are told.
@@ -38,7 +38,7 @@
 	Lease        time.Duration // lease: of the leader; default 700ms, under election
 	DutyLease    time.Duration // duty_lease; default 3s
 	SlotEvery    int           // slot_every: log entries between two slots; default 20000
-	Backlog      int           // backlog: jobs that may be open at most; default 60000
+	QueueLimit   int           // queue: jobs that may be open at most; default 60000
 	KeepEnded    int           // keep_ended: ended jobs kept at most; default 20000
 	KeepEndedFor time.Duration // keep_ended_for; default 1h
 	KeepTombs    int           // keep_tombs: tombstones kept at most; default 200000
@@ -58,20 +58,20 @@
 	Core        []string      // core: addresses of cplanes; this or seeds is needed
 	Hold        time.Duration // hold: how long a minion keeps its work without a leader; default 20s
 	HoldWait    time.Duration // hold_wait: how long a minion may wait with its answer; default 1s
-	StartWindow time.Duration // start_window: from the commit of a ticket to its start order; default 500ms
+	StartWindow time.Duration // start_window: from the commit of a run ID to its start order; default 500ms
 	Lateness    time.Duration // lateness: bound on the late carrying-out by obeying minions; default 2s
 	LeaseMargin time.Duration // lease_margin: the duty is laid down this long before its end; default 500ms
 	DutyLease   time.Duration // duty_lease: as the cplanes have it; default 3s, over lease_margin
 	CallTimeout time.Duration // call_timeout; default 2s
 	SickShare   int           // sick_share: percent of a zone's minions that may be held sick at once; default 30, 0: none
-	Backlog     int           // backlog: jobs that may be open at most; default 60000
+	QueueLimit  int           // queue: jobs that may be open at most; default 60000
 }
 
 // DefaultCplane has every default, and nothing that is needed.
 func DefaultCplane() Cplane {
 	return Cplane{
 		Common: defaultCommon(), Election: time.Second, Heartbeat: 100 * time.Millisecond, Lease: 700 * time.Millisecond,
-		DutyLease: 3 * time.Second, SlotEvery: 20000, Backlog: 60000, KeepEnded: 20000, KeepEndedFor: time.Hour,
+		DutyLease: 3 * time.Second, SlotEvery: 20000, QueueLimit: 60000, KeepEnded: 20000, KeepEndedFor: time.Hour,
 		KeepTombs: 200000, KeepTombsFor: 168 * time.Hour, Founding: true, RemoveAfter: 3 * time.Second,
 	}
 }
@@ -81,45 +81,45 @@
 	return Dplane{
 		Common: defaultCommon(), Hold: 20 * time.Second, HoldWait: time.Second, StartWindow: 500 * time.Millisecond,
 		Lateness: 2 * time.Second, LeaseMargin: 500 * time.Millisecond, DutyLease: 3 * time.Second,
-		CallTimeout: 2 * time.Second, SickShare: 30, Backlog: 60000,
+		CallTimeout: 2 * time.Second, SickShare: 30, QueueLimit: 60000,
 	}
 }
 
 func defaultCommon() Common { return Common{LogLevel: "info", Grace: 5 * time.Second} }
 
-// LoadCplane reads and checks a cplane's settings file. A file that cannot be read is fault.Settings, as are the
+// LoadCplane reads and checks a cplane's settings file. A file that cannot be read is errs.Settings, as are the
 // Mistakes in it (see Parse).
 func LoadCplane(path string) (Cplane, error) {
 	c := DefaultCplane()
 	err := load(path, c.read)
-	return c, fault.Pass(err, "cplane")
+	return c, errs.Pass(err, "cplane")
 }
 
 // LoadDplane is LoadCplane for a dplane.
 func LoadDplane(path string) (Dplane, error) {
 	d := DefaultDplane()
 	err := load(path, d.read)
-	return d, fault.Pass(err, "dplane")
+	return d, errs.Pass(err, "dplane")
 }
 
 // CheckCplane tells all mistakes in c as Parse does, for settings that flags have changed.
-func CheckCplane(c Cplane) error { return fault.Pass(judge(c.read), "cplane") }
+func CheckCplane(c Cplane) error { return errs.Pass(judge(c.read), "cplane") }
 
 // CheckDplane is CheckCplane for a dplane.
-func CheckDplane(d Dplane) error { return fault.Pass(judge(d.read), "dplane") }
+func CheckDplane(d Dplane) error { return errs.Pass(judge(d.read), "dplane") }
 
 func judge(into func(r *Reader)) error {
 	var out Mistakes
 	check(&out, into)
-	return fault.Wrap(out.orNil(), fault.Settings, "%s in the settings", out.count())
+	return errs.Wrap(out.orNil(), errs.Settings, "%s in the settings", out.count())
 }
 
 func load(path string, into func(r *Reader)) error {
 	data, err := os.ReadFile(path)
 	if err != nil {
-		return fault.Wrap(err, fault.Settings, "read the settings")
+		return errs.Wrap(err, errs.Settings, "read the settings")
 	}
-	return fault.Pass(Parse(data, into), "%s", path)
+	return errs.Pass(Parse(data, into), "%s", path)
 }
 
 // Bounds of what may be set, wide: they catch slips of the unit, not odd choices.
@@ -170,7 +170,7 @@
 	r.Duration("lease", &c.Lease, shortest, longest)
 	r.Duration("duty_lease", &c.DutyLease, shortest, longest)
 	r.Int("slot_every", &c.SlotEvery, 1, largest)
-	r.Int("backlog", &c.Backlog, 1, largest)
+	r.Int("backlog", &c.QueueLimit, 1, largest)
 	r.Int("keep_ended", &c.KeepEnded, 0, largest)
 	r.Duration("keep_ended_for", &c.KeepEndedFor, 0, oldest)
 	r.Int("keep_tombs", &c.KeepTombs, 0, largest)
@@ -240,7 +240,7 @@
 	r.Duration("duty_lease", &d.DutyLease, shortest, longest)
 	r.Duration("call_timeout", &d.CallTimeout, shortest, longest)
 	r.Int("sick_share", &d.SickShare, 0, 100)
-	r.Int("backlog", &d.Backlog, 1, largest)
+	r.Int("backlog", &d.QueueLimit, 1, largest)
 	if d.LeaseMargin >= d.DutyLease {
 		r.Wrong("lease_margin", "must be under duty_lease (%s), is %s", d.DutyLease, d.LeaseMargin)
 	}
--- a/internal/conf/reader.go
+++ b/internal/config/reader.go
@@ -1,5 +1,5 @@
-// Package conf reads the settings of the daemons: JSON, every value checked, all mistakes told at once.
-package conf
+// Package config reads the settings of the daemons: JSON, every value checked, all mistakes told at once.
+package config
 
 import (
 	"encoding/base64"
@@ -13,7 +13,7 @@
 
 	"github.com/valyala/fastjson"
 
-	"crosstide/internal/fault"
+	"crosstide/internal/errs"
 )
 
 // Mistake is one thing that is wrong in a settings file. Field is its path, such as members[2].addr.
@@ -87,21 +87,21 @@
 func (r *Reader) checking() bool { return r.obj == nil }
 
 // Parse reads data by into. Fields that into did not ask for and fields given twice are mistakes too. The error is
-// nil or a fault.Settings whose text lists all mistakes; errors.As finds the Mistakes in it. Example:
+// nil or a errs.Settings whose text lists all mistakes; errors.As finds the Mistakes in it. Example:
 //
 //	lease := 3 * time.Second
-//	err := conf.Parse(data, func(r *conf.Reader) {
-//		r.Object("sched", func(r *conf.Reader) { r.Duration("lease", &lease, time.Second, time.Minute) })
+//	err := config.Parse(data, func(r *config.Reader) {
+//		r.Object("sched", func(r *config.Reader) { r.Duration("lease", &lease, time.Second, time.Minute) })
 //	}) // sched.lease: must be a duration like "3s", is "3 monkeys"
 func Parse(data []byte, into func(r *Reader)) error {
 	var parser fastjson.Parser // its values live as long as it does
 	v, err := parser.ParseBytes(data)
 	if err != nil {
-		return fault.Wrap(Mistakes{{"", "must be JSON: " + err.Error()}}, fault.Settings, "1 mistake in the settings")
+		return errs.Wrap(Mistakes{{"", "must be JSON: " + err.Error()}}, errs.Settings, "1 mistake in the settings")
 	}
 	var out Mistakes
 	read("", v, &out, into)
-	return fault.Wrap(out.orNil(), fault.Settings, "%s in the settings", out.count())
+	return errs.Wrap(out.orNil(), errs.Settings, "%s in the settings", out.count())
 }
 
 // orNil is m as an error, nil if there are none.
--- a/internal/controller/api.go
+++ b/internal/controller/api.go
@@ -6,8 +6,8 @@
 	"time"
 
 	"crosstide/internal/jobs"
+	"crosstide/internal/rpc"
 	"crosstide/internal/scheduler"
-	"crosstide/internal/wire"
 )
 
 // Locate names the queue of a call: by host and path, as the configuration says.
@@ -96,16 +96,16 @@
 // EvacuateAnswer says that an evacuation is in force and durable.
 type EvacuateAnswer struct{}
 
-// The calls that the leader answers; any other node answers fault.NotLeader with the leader's address as hint. Faults:
-// fault.Unknown: no such queue; fault.Unavailable: surely not taken; fault.Timeout: it may or may not have been taken;
-// fault.Invalid with the field; fault.Stale: another version is in force.
+// The calls that the leader answers; any other node answers errs.NotLeader with the leader's address as hint. Failures:
+// errs.Unknown: no such queue; errs.Unavailable: surely not taken; errs.Timeout: it may or may not have been taken;
+// errs.Invalid with the field; errs.Stale: another version is in force.
 var (
-	SubmitPair    = wire.Pair[SubmitCall, SubmitAnswer]{Path: "/c/submit"}
-	JobPair       = wire.Pair[JobCall, JobAnswer]{Path: "/c/job"}
-	CountPair     = wire.Pair[CountCall, CountAnswer]{Path: "/c/count"}
-	BeatPair      = wire.Pair[BeatCall, BeatAnswer]{Path: "/c/beat"}
-	ConfigPair    = wire.Pair[ConfigCall, jobs.Config]{Path: "/c/config"}
-	ConfigurePair = wire.Pair[jobs.Configure, ConfigureAnswer]{Path: "/c/configure"}
-	EvacuatePair  = wire.Pair[jobs.Evacuate, EvacuateAnswer]{Path: "/c/evacuate"}
-	TopologyPair  = wire.Pair[TopologyCall, TopologyAnswer]{Path: "/c/topology"} // any node answers
+	SubmitPair    = rpc.Pair[SubmitCall, SubmitAnswer]{Path: "/c/submit"}
+	JobPair       = rpc.Pair[JobCall, JobAnswer]{Path: "/c/job"}
+	CountPair     = rpc.Pair[CountCall, CountAnswer]{Path: "/c/count"}
+	BeatPair      = rpc.Pair[BeatCall, BeatAnswer]{Path: "/c/beat"}
+	ConfigPair    = rpc.Pair[ConfigCall, jobs.Config]{Path: "/c/config"}
+	ConfigurePair = rpc.Pair[jobs.Configure, ConfigureAnswer]{Path: "/c/configure"}
+	EvacuatePair  = rpc.Pair[jobs.Evacuate, EvacuateAnswer]{Path: "/c/evacuate"}
+	TopologyPair  = rpc.Pair[TopologyCall, TopologyAnswer]{Path: "/c/topology"} // any node answers
 )
--- a/internal/controller/call.go
+++ b/internal/controller/call.go
@@ -4,8 +4,8 @@
 	"context"
 	"time"
 
-	"crosstide/internal/fault"
-	"crosstide/internal/wire"
+	"crosstide/internal/errs"
+	"crosstide/internal/rpc"
 )
 
 const (
@@ -34,17 +34,17 @@
 type reply struct {
 	answer   any
 	err      error
-	answered bool // the peer answered, with the answer or a fault
+	answered bool // the peer answered, with the answer or a failure
 	unsent   bool // no byte left
 }
 
 // callPair makes a call of the pair p.
-func callPair[C, A any](ctx context.Context, c *Client, p wire.Pair[C, A], call C, q query) (A, error) {
+func callPair[C, A any](ctx context.Context, c *Client, p rpc.Pair[C, A], call C, q query) (A, error) {
 	q.path, q.call, q.fresh = p.Path, call, func() any { return new(A) }
 	answer, err := c.run(ctx, q)
 	if err != nil {
 		var none A
-		return none, fault.Pass(err, "%s", p.Path)
+		return none, errs.Pass(err, "%s", p.Path)
 	}
 	return *answer.(*A), nil
 }
@@ -54,7 +54,7 @@
 
 const (
 	succeeded  outcome = iota
-	refused            // a fault that ends the call
+	refused            // a failure that ends the call
 	redirected         // the node does not lead; it did nothing
 	declined           // the attempt surely did nothing; another may
 	uncertain          // the attempt may have been carried out
@@ -69,12 +69,12 @@
 	case !r.answered:
 		return uncertain
 	}
-	switch fault.KindOf(r.err) {
-	case fault.Unknown, fault.Invalid, fault.Malformed, fault.TooLarge, fault.Conflict, fault.Stale, fault.Forbidden, fault.Pressure:
+	switch errs.KindOf(r.err) {
+	case errs.Unknown, errs.Invalid, errs.Malformed, errs.TooLarge, errs.Conflict, errs.Stale, errs.Forbidden, errs.Overloaded:
 		return refused
-	case fault.NotLeader:
+	case errs.NotLeader:
 		return redirected
-	case fault.Unavailable:
+	case errs.Unavailable:
 		return declined
 	}
 	// Stopped too: a server that stops refuses what it has not begun, but a handler may say it of what it has.
@@ -97,23 +97,23 @@
 	for {
 		now := c.opt.Clock.Now()
 		if ctx.Err() != nil || now >= a.end {
-			return nil, fault.Pass(a.over("time is up"), "call")
+			return nil, errs.Pass(a.over("time is up"), "call")
 		}
 		if !a.uncertain && now-c.unreachedSince(begin) >= giveUpAfter {
-			return nil, fault.Pass(a.over("the core cannot be reached"), "call")
+			return nil, errs.Pass(a.over("the core cannot be reached"), "call")
 		}
 		addr := c.directory.pick(now)
 		if addr == "" {
-			return nil, fault.Pass(a.over("no address of the core is known"), "call")
+			return nil, errs.Pass(a.over("no address of the core is known"), "call")
 		}
 		r := c.attempt(ctx, addr, q, min(c.attemptBound(q), a.end-now))
 		switch r.outcome() {
 		case succeeded:
 			return r.answer, nil
 		case refused:
-			return nil, fault.Pass(a.refusal(r.err), "answer of %s", addr)
+			return nil, errs.Pass(a.refusal(r.err), "answer of %s", addr)
 		case redirected:
-			if a.hops++; a.hops <= maxHops && c.directory.believes(fault.Of(r.err).Hint, c.opt.Clock.Now()) {
+			if a.hops++; a.hops <= maxHops && c.directory.believes(errs.Of(r.err).Hint, c.opt.Clock.Now()) {
 				continue
 			}
 		case uncertain:
@@ -148,23 +148,23 @@
 
 // over is the error of a call that ends without an answer.
 func (a *attempts) over(why string) error {
-	kind := fault.Unavailable
+	kind := errs.Unavailable
 	if a.uncertain {
-		kind = fault.Timeout
+		kind = errs.Timeout
 	}
 	if a.last != nil {
-		why += ", last: " + string(fault.KindOf(a.last)) // no more: clients see it
+		why += ", last: " + string(errs.KindOf(a.last)) // no more: clients see it
 	}
-	return &fault.Fault{Kind: kind, Message: why, After: retryAfter}
+	return &errs.Error{Kind: kind, Message: why, After: retryAfter}
 }
 
 // refusal is the error of a call that the leader refused. A node that takes nothing at the moment says nothing of an
 // earlier attempt.
 func (a *attempts) refusal(err error) error {
-	if a.uncertain && fault.Is(err, fault.Pressure) {
-		return fault.Wrap(err, fault.Timeout, "an earlier attempt may have been carried out")
+	if a.uncertain && errs.Is(err, errs.Overloaded) {
+		return errs.Wrap(err, errs.Timeout, "an earlier attempt may have been carried out")
 	}
-	return fault.Pass(err, "refused")
+	return errs.Pass(err, "refused")
 }
 
 // attempt asks the node at addr, and another one too when q may be hedged.
@@ -188,7 +188,7 @@
 	if t, ok := answer.(*TopologyAnswer); ok && q.topology {
 		c.directory.learn(t.Members, t.Leader == addr)
 		if t.Leader != addr {
-			r.err = &fault.Fault{Kind: fault.NotLeader, Message: "it does not lead", Hint: t.Leader}
+			r.err = &errs.Error{Kind: errs.NotLeader, Message: "it does not lead", Hint: t.Leader}
 			return r
 		}
 		c.stamp(&c.learnt)
@@ -207,10 +207,10 @@
 		c.directory.led(addr)
 		c.stamp(&c.led)
 	case o == redirected:
-		c.directory.follow(addr, fault.Of(r.err).Hint, now)
+		c.directory.follow(addr, errs.Of(r.err).Hint, now)
 	case r.answered:
 		c.directory.doubt(addr)
-	case fault.Is(r.err, fault.Timeout) && (ctx.Err() != nil || within < c.opt.Attempt):
+	case errs.Is(r.err, errs.Timeout) && (ctx.Err() != nil || within < c.opt.Attempt):
 		// the call's time was short: that says nothing of the node
 	default:
 		c.directory.lost(addr, now)
@@ -220,5 +220,5 @@
 // askWire is ask over the client's Caller.
 func (c *Client) askWire(ctx context.Context, addr string, q query, answer any, within time.Duration) reply {
 	err := c.opt.Caller.AskInto(ctx, addr, q.path, q.call, answer, within)
-	return reply{err: err, answered: err == nil || wire.Answered(err), unsent: wire.Unsent(err)}
+	return reply{err: err, answered: err == nil || rpc.Answered(err), unsent: rpc.Unsent(err)}
 }
--- a/internal/controller/client.go
+++ b/internal/controller/client.go
@@ -9,11 +9,11 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
-	"crosstide/internal/alarm"
-	"crosstide/internal/fault"
+	"crosstide/internal/clock"
+	"crosstide/internal/errs"
 	"crosstide/internal/jobs"
-	"crosstide/internal/spawn"
-	"crosstide/internal/wire"
+	"crosstide/internal/routine"
+	"crosstide/internal/rpc"
 )
 
 const (
@@ -26,10 +26,10 @@
 
 // ClientOptions are the settings of a Client; Caller and Seeds are needed.
 type ClientOptions struct {
-	Caller  *wire.Caller
+	Caller  *rpc.Caller
 	Seeds   []string      // internal addresses of nodes of the core to ask at first
 	Self    string        // own internal address when the client runs on a node of the core: it is not asked in turn
-	Clock   alarm.Clock   // default alarm.Real
+	Clock   clock.Clock   // default clock.Real
 	Logger  log.Logger    // default: none
 	Attempt time.Duration // bound of one attempt of a call, default 700ms
 }
@@ -37,16 +37,16 @@
 // Client asks the core's leader. It remembers the leader and the members, follows a node's hint to the leader and
 // tries the others in turn when a node fails, until the deadline of the call's ctx nears. Its errors are
 //
-//   - the leader's refusal, of kind fault.Unknown, Invalid, Malformed, TooLarge, Conflict, Stale, Forbidden or
+//   - the leader's refusal, of kind errs.Unknown, Invalid, Malformed, TooLarge, Conflict, Stale, Forbidden or
 //     Pressure: the call was surely not carried out;
-//   - fault.Unavailable: it was surely not carried out;
-//   - fault.Timeout: it may or may not have been carried out, or may be yet.
+//   - errs.Unavailable: it was surely not carried out;
+//   - errs.Timeout: it may or may not have been carried out, or may be yet.
 //
 // It is safe for any number of goroutines.
 type Client struct {
 	opt       ClientOptions
 	directory *directory
-	work      *spawn.Group
+	work      *routine.Group
 
 	ask   func(ctx context.Context, addr string, q query, answer any, within time.Duration) reply
 	sleep func(ctx context.Context, d time.Duration)
@@ -65,7 +65,7 @@
 //	answer, err := client.Submit(ctx, call)
 func NewClient(opt ClientOptions) *Client {
 	if opt.Clock == nil {
-		opt.Clock = alarm.Real{}
+		opt.Clock = clock.Real{}
 	}
 	if opt.Logger == nil {
 		opt.Logger = log.NewNopLogger()
@@ -73,7 +73,7 @@
 	if opt.Attempt <= 0 {
 		opt.Attempt = defaultAttempt
 	}
-	c := &Client{opt: opt, directory: newDirectory(opt.Self, opt.Seeds), work: spawn.New(context.Background())}
+	c := &Client{opt: opt, directory: newDirectory(opt.Self, opt.Seeds), work: routine.New(context.Background())}
 	c.ask, c.sleep = c.askWire, c.sleepClock
 	return c
 }
@@ -81,43 +81,43 @@
 // Submit hands a job in.
 func (c *Client) Submit(ctx context.Context, call SubmitCall) (SubmitAnswer, error) {
 	answer, err := callPair(ctx, c, SubmitPair, call, query{mutates: true})
-	return answer, fault.Pass(err, "submit")
+	return answer, errs.Pass(err, "submit")
 }
 
 // Job asks for a job or cancels it.
 func (c *Client) Job(ctx context.Context, call JobCall) (JobAnswer, error) {
 	answer, err := callPair(ctx, c, JobPair, call, query{mutates: call.Cancel, hedge: !call.Cancel})
-	return answer, fault.Pass(err, "job")
+	return answer, errs.Pass(err, "job")
 }
 
 // Count asks how many jobs of a queue wait.
 func (c *Client) Count(ctx context.Context, call CountCall) (CountAnswer, error) {
 	answer, err := callPair(ctx, c, CountPair, call, query{hedge: true})
-	return answer, fault.Pass(err, "count")
+	return answer, errs.Pass(err, "count")
 }
 
 // Beat passes a worker's heartbeat on.
 func (c *Client) Beat(ctx context.Context, call BeatCall) (BeatAnswer, error) {
 	answer, err := callPair(ctx, c, BeatPair, call, query{mutates: true})
-	return answer, fault.Pass(err, "heartbeat")
+	return answer, errs.Pass(err, "heartbeat")
 }
 
 // Config asks for the configuration in force.
 func (c *Client) Config(ctx context.Context, call ConfigCall) (jobs.Config, error) {
 	answer, err := callPair(ctx, c, ConfigPair, call, query{hedge: true, large: true})
-	return answer, fault.Pass(err, "read the configuration")
+	return answer, errs.Pass(err, "read the configuration")
 }
 
 // Configure changes the configuration.
 func (c *Client) Configure(ctx context.Context, call jobs.Configure) (ConfigureAnswer, error) {
 	answer, err := callPair(ctx, c, ConfigurePair, call, query{mutates: true, large: true})
-	return answer, fault.Pass(err, "configure")
+	return answer, errs.Pass(err, "configure")
 }
 
 // Evacuate starts or withdraws the evacuation of a zone.
 func (c *Client) Evacuate(ctx context.Context, call jobs.Evacuate) (EvacuateAnswer, error) {
 	answer, err := callPair(ctx, c, EvacuatePair, call, query{mutates: true})
-	return answer, fault.Pass(err, "evacuate")
+	return answer, errs.Pass(err, "evacuate")
 }
 
 // SetSeeds replaces the seeds.
@@ -132,15 +132,15 @@
 // Stop ends what Start began. Calls may go on.
 func (c *Client) Stop() { c.work.Stop() }
 
-// Ready is nil when a leader has answered lately, else fault.Unavailable.
-func (c *Client) Ready() error { return fault.Pass(c.ReadyWithin(readyFor), "core") }
+// Ready is nil when a leader has answered lately, else errs.Unavailable.
+func (c *Client) Ready() error { return errs.Pass(c.ReadyWithin(readyFor), "core") }
 
-// ReadyWithin is nil when a leader has answered within the last d, else fault.Unavailable.
+// ReadyWithin is nil when a leader has answered within the last d, else errs.Unavailable.
 func (c *Client) ReadyWithin(d time.Duration) error {
 	if c.within(&c.led, d) {
 		return nil
 	}
-	return fault.New(fault.Unavailable, "no leader of the core has answered for %s", d)
+	return errs.New(errs.Unavailable, "no leader of the core has answered for %s", d)
 }
 
 func (c *Client) watch(ctx context.Context) {
--- a/internal/controller/client_test.go
+++ b/internal/controller/client_test.go
@@ -8,8 +8,8 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"crosstide/internal/alarm"
-	"crosstide/internal/fault"
+	"crosstide/internal/clock"
+	"crosstide/internal/errs"
 	"crosstide/internal/jobs"
 )
 
@@ -17,7 +17,7 @@
 // move the virtual clock.
 type fakeCore struct {
 	*Client
-	clock *alarm.Virtual
+	clock *clock.Virtual
 	nodes map[string]func(ctx context.Context, q query, answer any, within time.Duration) reply
 	asked []string // addresses in order
 }
@@ -25,7 +25,7 @@
 type node = func(ctx context.Context, q query, answer any, within time.Duration) reply
 
 func newFakeCore(nodes map[string]node, seeds ...string) *fakeCore {
-	f := &fakeCore{clock: &alarm.Virtual{}, nodes: nodes}
+	f := &fakeCore{clock: &clock.Virtual{}, nodes: nodes}
 	f.Client = NewClient(ClientOptions{Seeds: seeds, Clock: f.clock})
 	f.directory.next = 0
 	f.ask = func(ctx context.Context, addr string, q query, answer any, within time.Duration) reply {
@@ -49,11 +49,11 @@
 func (d deadlineContext) Deadline() (time.Time, bool) { return d.deadline, true }
 
 // submit hands a job in and gives the kind of the error and how long it took.
-func (f *fakeCore) submit(within time.Duration) (fault.Kind, time.Duration) {
+func (f *fakeCore) submit(within time.Duration) (errs.Kind, time.Duration) {
 	begin := f.clock.Now()
 	f.asked = nil
 	_, err := f.Submit(f.until(within), SubmitCall{})
-	return fault.KindOf(err), f.clock.Now() - begin
+	return errs.KindOf(err), f.clock.Now() - begin
 }
 
 // leads answers as the leader.
@@ -67,41 +67,41 @@
 	return reply{answered: true}
 }
 
-// says answers a fault.
-func says(kind fault.Kind) node {
+// says answers a failure.
+func says(kind errs.Kind) node {
 	return func(context.Context, query, any, time.Duration) reply {
-		return reply{err: fault.New(kind, "on purpose"), answered: true}
+		return reply{err: errs.New(kind, "on purpose"), answered: true}
 	}
 }
 
 // hints names another node as the leader.
 func hints(leader string) node {
 	return func(context.Context, query, any, time.Duration) reply {
-		return reply{err: &fault.Fault{Kind: fault.NotLeader, Message: "on purpose", Hint: leader}, answered: true}
+		return reply{err: &errs.Error{Kind: errs.NotLeader, Message: "on purpose", Hint: leader}, answered: true}
 	}
 }
 
 // refuses is a machine without the process.
 func refuses(context.Context, query, any, time.Duration) reply {
-	return reply{err: fault.New(fault.Unavailable, "refused"), unsent: true}
+	return reply{err: errs.New(errs.Unavailable, "refused"), unsent: true}
 }
 
 // silent takes the call and says nothing; hangs takes no connection.
 func (f *fakeCore) silent(_ context.Context, _ query, _ any, within time.Duration) reply {
 	f.clock.Advance(within)
-	return reply{err: fault.New(fault.Timeout, "silent")}
+	return reply{err: errs.New(errs.Timeout, "silent")}
 }
 
 func (f *fakeCore) hangs(_ context.Context, _ query, _ any, within time.Duration) reply {
 	f.clock.Advance(within)
-	return reply{err: fault.New(fault.Timeout, "hangs"), unsent: true}
+	return reply{err: errs.New(errs.Timeout, "hangs"), unsent: true}
 }
 
 func TestClientFindsTheLeader(t *testing.T) {
 	Convey("A hint is followed at once, and the leader is remembered", t, func() {
 		f := newFakeCore(map[string]node{"a": hints("c"), "b": hints("c"), "c": leads}, "a", "b")
 		kind, took := f.submit(time.Second)
-		So([]any{kind, took, f.asked}, ShouldResemble, []any{fault.Kind(""), time.Duration(0), []string{"a", "c"}})
+		So([]any{kind, took, f.asked}, ShouldResemble, []any{errs.Kind(""), time.Duration(0), []string{"a", "c"}})
 		f.submit(time.Second)
 		So(f.asked, ShouldResemble, []string{"c"})
 	})
@@ -111,14 +111,14 @@
 		f.nodes["a"] = refuses
 		f.nodes["c"] = leads
 		kind, _ := f.submit(time.Second)
-		So([]any{kind, f.asked}, ShouldResemble, []any{fault.Kind(""), []string{"a", "b", "c"}})
+		So([]any{kind, f.asked}, ShouldResemble, []any{errs.Kind(""), []string{"a", "b", "c"}})
 		f.submit(time.Second)
 		So(f.asked, ShouldResemble, []string{"c"})
 	})
 	Convey("Two nodes that name each other are not asked without pauses", t, func() {
 		f := newFakeCore(map[string]node{"a": hints("b"), "b": hints("a")}, "a", "b")
 		kind, took := f.submit(time.Second)
-		So(kind, ShouldEqual, fault.Unavailable)
+		So(kind, ShouldEqual, errs.Unavailable)
 		So(took, ShouldBeGreaterThan, 900*time.Millisecond)
 		So(len(f.asked), ShouldBeLessThan, 60)
 	})
@@ -132,7 +132,7 @@
 		So(f.Ready(), ShouldBeNil)
 		f.nodes["a"] = refuses
 		kind, _ := f.submit(time.Second)
-		So([]any{kind, f.asked}, ShouldResemble, []any{fault.Kind(""), []string{"a", "b"}})
+		So([]any{kind, f.asked}, ShouldResemble, []any{errs.Kind(""), []string{"a", "b"}})
 		f.SetSeeds([]string{"z"})
 		So(f.directory.all(), ShouldResemble, []string{"a", "b", "z"})
 	})
@@ -140,24 +140,24 @@
 		f := newFakeCore(map[string]node{"b": hints("")}, "a", "b")
 		f.directory.self = "a"
 		kind, _ := f.submit(300 * time.Millisecond)
-		So(kind, ShouldEqual, fault.Unavailable)
+		So(kind, ShouldEqual, errs.Unavailable)
 		So(f.asked, ShouldNotContain, "a")
 		f.nodes["a"], f.nodes["b"] = leads, hints("a")
 		kind, _ = f.submit(300 * time.Millisecond)
-		So([]any{kind, f.asked}, ShouldResemble, []any{fault.Kind(""), []string{"b", "a"}})
+		So([]any{kind, f.asked}, ShouldResemble, []any{errs.Kind(""), []string{"b", "a"}})
 	})
 	Convey("A call whose own time was short does not make its node pass for lost", t, func() {
 		f := newFakeCore(map[string]node{"a": leads, "b": leads}, "a", "b")
 		f.submit(time.Second)
 		f.nodes["a"] = f.silent
 		kind, _ := f.submit(200 * time.Millisecond)
-		So(kind, ShouldEqual, fault.Timeout)
+		So(kind, ShouldEqual, errs.Timeout)
 		So(f.directory.pick(f.clock.Now()), ShouldEqual, "a")
 	})
 }
 
 func TestClientTellsWhatBecameOfACall(t *testing.T) {
-	final := []fault.Kind{fault.Unknown, fault.Invalid, fault.Malformed, fault.TooLarge, fault.Conflict, fault.Stale, fault.Forbidden, fault.Pressure}
+	final := []errs.Kind{errs.Unknown, errs.Invalid, errs.Malformed, errs.TooLarge, errs.Conflict, errs.Stale, errs.Forbidden, errs.Overloaded}
 	Convey("A refusal ends the call at once", t, func() {
 		for _, kind := range final {
 			f := newFakeCore(map[string]node{"a": says(kind)}, "a")
@@ -171,22 +171,22 @@
 			f.nodes["a"] = f.silent
 			got, _ := f.submit(3 * time.Second)
 			want := kind
-			if kind == fault.Pressure {
-				want = fault.Timeout
+			if kind == errs.Overloaded {
+				want = errs.Timeout
 			}
 			So([]any{got, f.asked}, ShouldResemble, []any{want, []string{"a", "b"}})
 		}
 	})
 	Convey("When time is up: Unavailable if surely nothing was done, else Timeout", t, func() {
 		for _, c := range []struct {
-			a, b fault.Kind
-			want fault.Kind
+			a, b errs.Kind
+			want errs.Kind
 		}{
-			{fault.Unavailable, fault.NotLeader, fault.Unavailable},
-			{fault.Unavailable, fault.Timeout, fault.Timeout},
-			{fault.Unavailable, fault.Stopped, fault.Timeout},
-			{fault.Unavailable, fault.Internal, fault.Timeout},
-			{fault.Disk, fault.Unavailable, fault.Timeout},
+			{errs.Unavailable, errs.NotLeader, errs.Unavailable},
+			{errs.Unavailable, errs.Timeout, errs.Timeout},
+			{errs.Unavailable, errs.Stopped, errs.Timeout},
+			{errs.Unavailable, errs.Internal, errs.Timeout},
+			{errs.Disk, errs.Unavailable, errs.Timeout},
 		} {
 			f := newFakeCore(map[string]node{"a": says(c.a), "b": says(c.b)}, "a", "b")
 			got, took := f.submit(2 * time.Second)
@@ -195,56 +195,56 @@
 		}
 	})
 	Convey("Reads are Unavailable whatever their attempts met", t, func() {
-		f := newFakeCore(map[string]node{"a": says(fault.Internal)}, "a")
+		f := newFakeCore(map[string]node{"a": says(errs.Internal)}, "a")
 		_, err := f.Job(f.until(time.Second), JobCall{})
-		So(fault.KindOf(err), ShouldEqual, fault.Unavailable)
+		So(errs.KindOf(err), ShouldEqual, errs.Unavailable)
 		_, err = f.Job(f.until(time.Second), JobCall{Cancel: true})
-		So(fault.KindOf(err), ShouldEqual, fault.Timeout)
+		So(errs.KindOf(err), ShouldEqual, errs.Timeout)
 	})
 	Convey("A core that cannot be reached is given up early, with the time to come back", t, func() {
 		f := newFakeCore(map[string]node{"a": refuses, "b": refuses}, "a", "b")
 		begin := f.clock.Now()
 		_, err := f.Submit(f.until(time.Minute), SubmitCall{})
-		So([]any{fault.KindOf(err), fault.Of(err).After}, ShouldResemble, []any{fault.Unavailable, retryAfter})
+		So([]any{errs.KindOf(err), errs.Of(err).After}, ShouldResemble, []any{errs.Unavailable, retryAfter})
 		So(f.clock.Now()-begin, ShouldBeBetween, giveUpAfter, giveUpAfter+longestPause)
 		f.nodes["a"], f.nodes["b"] = f.hangs, f.hangs
 		kind, took := f.submit(time.Minute)
-		So(kind, ShouldEqual, fault.Unavailable)
+		So(kind, ShouldEqual, errs.Unavailable)
 		So(took, ShouldBeBetween, giveUpAfter, giveUpAfter+defaultAttempt+longestPause)
 	})
 	Convey("It is not given up when a node answers, nor when the call may have been carried out", t, func() {
 		f := newFakeCore(map[string]node{"a": refuses, "b": hints("")}, "a", "b")
 		kind, took := f.submit(5 * time.Second)
-		So(kind, ShouldEqual, fault.Unavailable)
+		So(kind, ShouldEqual, errs.Unavailable)
 		So(took, ShouldBeGreaterThan, 4900*time.Millisecond)
 		f.nodes["a"], f.nodes["b"] = f.silent, refuses
 		kind, took = f.submit(5 * time.Second)
-		So(kind, ShouldEqual, fault.Timeout)
+		So(kind, ShouldEqual, errs.Timeout)
 		So(took, ShouldBeGreaterThan, 4900*time.Millisecond)
 	})
 	Convey("Without an address, or without time, nothing is asked", t, func() {
 		f := newFakeCore(nil)
 		kind, took := f.submit(time.Second)
-		So([]any{kind, took}, ShouldResemble, []any{fault.Unavailable, time.Duration(0)})
+		So([]any{kind, took}, ShouldResemble, []any{errs.Unavailable, time.Duration(0)})
 		f = newFakeCore(map[string]node{"a": leads}, "a")
 		kind, _ = f.submit(-time.Second)
-		So([]any{kind, len(f.asked)}, ShouldResemble, []any{fault.Unavailable, 0})
+		So([]any{kind, len(f.asked)}, ShouldResemble, []any{errs.Unavailable, 0})
 	})
 	Convey("A ctx that is cancelled ends the call", t, func() {
 		f := newFakeCore(nil, "a")
 		ctx, cancel := context.WithCancel(context.Background())
 		f.nodes = map[string]node{"a": func(context.Context, query, any, time.Duration) reply {
 			cancel()
-			return reply{err: fault.New(fault.Timeout, "cancelled")}
+			return reply{err: errs.New(errs.Timeout, "cancelled")}
 		}}
 		_, err := f.Submit(ctx, SubmitCall{})
-		So([]any{fault.KindOf(err), len(f.asked)}, ShouldResemble, []any{fault.Timeout, 1})
+		So([]any{errs.KindOf(err), len(f.asked)}, ShouldResemble, []any{errs.Timeout, 1})
 	})
 	Convey("Attempts are short, longer for large bodies, and never beyond the deadline", t, func() {
 		var bounds []time.Duration
 		f := newFakeCore(map[string]node{"a": func(_ context.Context, _ query, _ any, within time.Duration) reply {
 			bounds = append(bounds, within)
-			return reply{err: fault.New(fault.Invalid, "on purpose"), answered: true}
+			return reply{err: errs.New(errs.Invalid, "on purpose"), answered: true}
 		}}, "a")
 		_, _ = f.Submit(f.until(time.Minute), SubmitCall{})
 		_, _ = f.Configure(f.until(time.Minute), jobs.Configure{})
@@ -262,7 +262,7 @@
 				f.clock.Advance(hedgeAfter)
 				<-ctx.Done()
 				cut = true
-				return reply{err: fault.New(fault.Timeout, "cut")}
+				return reply{err: errs.New(errs.Timeout, "cut")}
 			},
 			"b": hints("c"), "c": leads,
 		}
@@ -300,15 +300,15 @@
 func TestClientReady(t *testing.T) {
 	Convey("A client is ready while a leader has answered lately, by whatever call", t, func() {
 		f := newFakeCore(map[string]node{"a": leads}, "a")
-		So(fault.KindOf(f.Ready()), ShouldEqual, fault.Unavailable)
+		So(errs.KindOf(f.Ready()), ShouldEqual, errs.Unavailable)
 		f.submit(time.Second)
 		So(f.Ready(), ShouldBeNil)
 		f.clock.Advance(readyFor)
 		So(f.Ready(), ShouldBeNil)
 		f.clock.Advance(1)
-		So(fault.KindOf(f.Ready()), ShouldEqual, fault.Unavailable)
+		So(errs.KindOf(f.Ready()), ShouldEqual, errs.Unavailable)
 		So(f.ReadyWithin(4*time.Second), ShouldBeNil)
-		f.nodes["a"] = says(fault.Unknown)
+		f.nodes["a"] = says(errs.Unknown)
 		f.submit(time.Second)
 		So(f.Ready(), ShouldBeNil)
 	})
@@ -319,7 +319,7 @@
 			return reply{answered: true}
 		}, "b": refuses}
 		f.probe(context.Background())
-		So(fault.KindOf(f.Ready()), ShouldEqual, fault.Unavailable)
+		So(errs.KindOf(f.Ready()), ShouldEqual, errs.Unavailable)
 		So(f.asked, ShouldContain, "b")
 		So(f.clock.Now(), ShouldBeLessThanOrEqualTo, probeEvery)
 	})
