--- a/internal/controller/forward.go
+++ b/internal/controller/forward.go
@@ -4,13 +4,13 @@
 	"context"
 	"time"
 
-	"crosstide/internal/fault"
+	"crosstide/internal/errs"
 	"crosstide/internal/jobs"
-	"crosstide/internal/wire"
+	"crosstide/internal/rpc"
 )
 
 // Local answers the calls on a node of the core, by the contract of the pairs: a node that does not lead gives
-// fault.NotLeader with the leader's internal address as hint and has done nothing. Topology is answered by any node; it
+// errs.NotLeader with the leader's internal address as hint and has done nothing. Topology is answered by any node; it
 // names this node as the leader only while its lease holds.
 type Local interface {
 	Submit(ctx context.Context, call SubmitCall) (SubmitAnswer, error)
@@ -29,7 +29,7 @@
 const serveWithin = 10 * time.Second
 
 // Serve answers all pairs of the core at s by local; nothing is passed on from there. Call it before s starts.
-func Serve(s *wire.Server, local Local) {
+func Serve(s *rpc.Server, local Local) {
 	handle(s, SubmitPair, local.Submit)
 	handle(s, JobPair, local.Job)
 	handle(s, CountPair, local.Count)
@@ -40,12 +40,12 @@
 	handle(s, TopologyPair, local.Topology)
 }
 
-func handle[C, A any](s *wire.Server, p wire.Pair[C, A], serve func(context.Context, C) (A, error)) {
-	wire.Handle(s, p, func(ctx context.Context, call C) (A, error) {
+func handle[C, A any](s *rpc.Server, p rpc.Pair[C, A], serve func(context.Context, C) (A, error)) {
+	rpc.Handle(s, p, func(ctx context.Context, call C) (A, error) {
 		ctx, cancel := context.WithTimeout(ctx, serveWithin)
 		defer cancel()
 		answer, err := serve(ctx, call)
-		return answer, fault.Pass(err, "%s", p.Path)
+		return answer, errs.Pass(err, "%s", p.Path)
 	})
 }
 
@@ -64,61 +64,61 @@
 // Submit hands a job in.
 func (r *Relay) Submit(ctx context.Context, call SubmitCall) (SubmitAnswer, error) {
 	answer, err := relay(ctx, r, call, r.local.Submit, r.remote.Submit)
-	return answer, fault.Pass(err, "relay")
+	return answer, errs.Pass(err, "relay")
 }
 
 // Job asks for a job or cancels it.
 func (r *Relay) Job(ctx context.Context, call JobCall) (JobAnswer, error) {
 	answer, err := relay(ctx, r, call, r.local.Job, r.remote.Job)
-	return answer, fault.Pass(err, "relay")
+	return answer, errs.Pass(err, "relay")
 }
 
 // Count asks how many jobs of a queue wait.
 func (r *Relay) Count(ctx context.Context, call CountCall) (CountAnswer, error) {
 	answer, err := relay(ctx, r, call, r.local.Count, r.remote.Count)
-	return answer, fault.Pass(err, "relay")
+	return answer, errs.Pass(err, "relay")
 }
 
 // Beat passes a worker's heartbeat on.
 func (r *Relay) Beat(ctx context.Context, call BeatCall) (BeatAnswer, error) {
 	answer, err := relay(ctx, r, call, r.local.Beat, r.remote.Beat)
-	return answer, fault.Pass(err, "relay")
+	return answer, errs.Pass(err, "relay")
 }
 
 // Config asks for the configuration in force.
 func (r *Relay) Config(ctx context.Context, call ConfigCall) (jobs.Config, error) {
 	answer, err := relay(ctx, r, call, r.local.Config, r.remote.Config)
-	return answer, fault.Pass(err, "relay")
+	return answer, errs.Pass(err, "relay")
 }
 
 // Configure changes the configuration.
 func (r *Relay) Configure(ctx context.Context, call jobs.Configure) (ConfigureAnswer, error) {
 	answer, err := relay(ctx, r, call, r.local.Configure, r.remote.Configure)
-	return answer, fault.Pass(err, "relay")
+	return answer, errs.Pass(err, "relay")
 }
 
 // Evacuate starts or withdraws the evacuation of a zone.
 func (r *Relay) Evacuate(ctx context.Context, call jobs.Evacuate) (EvacuateAnswer, error) {
 	answer, err := relay(ctx, r, call, r.local.Evacuate, r.remote.Evacuate)
-	return answer, fault.Pass(err, "relay")
+	return answer, errs.Pass(err, "relay")
 }
 
 func relay[C, A any](ctx context.Context, r *Relay, call C, local, remote func(context.Context, C) (A, error)) (A, error) {
 	answer, err := local(ctx, call)
 	if err == nil || !r.goesOn(ctx, err) {
-		return answer, fault.Pass(err, "this node")
+		return answer, errs.Pass(err, "this node")
 	}
 	answer, err = remote(ctx, call)
-	return answer, fault.Pass(err, "the leader")
+	return answer, errs.Pass(err, "the leader")
 }
 
 // goesOn tells whether a call that this node has not carried out, with err, may be another node's.
 func (r *Relay) goesOn(ctx context.Context, err error) bool {
-	switch fault.KindOf(err) {
-	case fault.NotLeader:
-		r.remote.Hint(fault.Of(err).Hint)
+	switch errs.KindOf(err) {
+	case errs.NotLeader:
+		r.remote.Hint(errs.Of(err).Hint)
 		return true
-	case fault.Unavailable:
+	case errs.Unavailable:
 		t, unknown := r.local.Topology(ctx, TopologyCall{})
 		return unknown != nil || t.Leader != r.self
 	}
--- a/internal/controller/forward_test.go
+++ b/internal/controller/forward_test.go
@@ -8,9 +8,9 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"crosstide/internal/fault"
+	"crosstide/internal/errs"
 	"crosstide/internal/jobs"
-	"crosstide/internal/wire"
+	"crosstide/internal/rpc"
 )
 
 // coreNode is a node of a core in which leader (an address) leads. It counts the calls that it carried out.
@@ -35,7 +35,7 @@
 		return n.refuse
 	}
 	if n.core.leader != n.addr {
-		return &fault.Fault{Kind: fault.NotLeader, Message: "on purpose", Hint: n.core.leader}
+		return &errs.Error{Kind: errs.NotLeader, Message: "on purpose", Hint: n.core.leader}
 	}
 	n.done = append(n.done, name)
 	return nil
@@ -50,10 +50,10 @@
 	return done
 }
 
-func (n *coreNode) refuses(kind fault.Kind) {
+func (n *coreNode) refuses(kind errs.Kind) {
 	n.core.mu.Lock()
 	defer n.core.mu.Unlock()
-	n.refuse = fault.New(kind, "on purpose")
+	n.refuse = errs.New(kind, "on purpose")
 }
 
 func (n *coreNode) Submit(_ context.Context, call SubmitCall) (SubmitAnswer, error) {
@@ -84,13 +84,13 @@
 }
 
 // startCore starts a core of n nodes on loopback; the last one leads.
-func startCore(n int) (nodes []*coreNode, caller *wire.Caller, end func()) {
+func startCore(n int) (nodes []*coreNode, caller *rpc.Caller, end func()) {
 	core := &coreNodes{}
-	caller = wire.NewCaller(wire.CallerOptions{})
-	var servers []*wire.Server
+	caller = rpc.NewCaller(rpc.CallerOptions{})
+	var servers []*rpc.Server
 	for range n {
 		one := &coreNode{core: core}
-		s := wire.NewServer(wire.ServerOptions{Addr: "127.0.0.1:0"})
+		s := rpc.NewServer(rpc.ServerOptions{Addr: "127.0.0.1:0"})
 		Serve(s, one)
 		So(s.Start(), ShouldBeNil)
 		core.mu.Lock()
@@ -108,7 +108,7 @@
 }
 
 // patient are the options of a client whose attempts a busy machine does not cut short.
-func patient(caller *wire.Caller, self string, seeds ...string) ClientOptions {
+func patient(caller *rpc.Caller, self string, seeds ...string) ClientOptions {
 	return ClientOptions{Caller: caller, Seeds: seeds, Self: self, Attempt: 30 * time.Second}
 }
 
@@ -164,9 +164,9 @@
 		defer cancel()
 		follower, leader := nodes[0], nodes[1]
 		for _, c := range []struct {
-			kind   fault.Kind
+			kind   errs.Kind
 			passed bool
-		}{{fault.Unavailable, true}, {fault.Timeout, false}, {fault.Stale, false}, {fault.Stopped, false}} {
+		}{{errs.Unavailable, true}, {errs.Timeout, false}, {errs.Stale, false}, {errs.Stopped, false}} {
 			follower.refuses(c.kind)
 			r := NewRelay(follower, NewClient(patient(k, follower.addr, leader.addr)), follower.addr)
 			_, err := r.Submit(ctx, SubmitCall{})
@@ -174,13 +174,13 @@
 			if c.passed {
 				want = ""
 			}
-			So(fault.KindOf(err), ShouldEqual, want)
+			So(errs.KindOf(err), ShouldEqual, want)
 		}
 		So(len(leader.taken()), ShouldEqual, 1)
-		leader.refuses(fault.Unavailable)
+		leader.refuses(errs.Unavailable)
 		r := NewRelay(leader, NewClient(patient(k, leader.addr, follower.addr)), leader.addr)
 		_, err := r.Submit(ctx, SubmitCall{})
-		So(fault.KindOf(err), ShouldEqual, fault.Unavailable)
+		So(errs.KindOf(err), ShouldEqual, errs.Unavailable)
 		So(len(follower.taken()), ShouldEqual, 0)
 	})
 	Convey("A client that is started gets ready, and a core that has gone is told as Unavailable", t, func() {
@@ -201,6 +201,6 @@
 		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 		defer cancel()
 		_, err := c.Submit(ctx, SubmitCall{})
-		So(fault.KindOf(err), ShouldEqual, fault.Unavailable)
+		So(errs.KindOf(err), ShouldEqual, errs.Unavailable)
 	})
 }
--- a/internal/controller/hedge.go
+++ b/internal/controller/hedge.go
@@ -4,8 +4,8 @@
 	"context"
 	"time"
 
-	"crosstide/internal/fault"
-	"crosstide/internal/spawn"
+	"crosstide/internal/errs"
+	"crosstide/internal/routine"
 )
 
 // hedgeAfter is how long a read waits for the first node before another one is asked too.
@@ -21,7 +21,7 @@
 	var second reply
 	over := make(chan struct{})
 	ring := c.opt.Clock.Set(hedgeAfter, func() {
-		spawn.New(secondCtx).Go(func(ctx context.Context) {
+		routine.New(secondCtx).Go(func(ctx context.Context) {
 			defer close(over)
 			if second = c.askOthers(ctx, addr, q, within-hedgeAfter); second.err == nil {
 				endFirst()
@@ -46,7 +46,7 @@
 func (c *Client) askOthers(ctx context.Context, except string, q query, within time.Duration) reply {
 	addr := c.directory.other(c.opt.Clock.Now(), except)
 	if addr == "" {
-		return reply{err: fault.New(fault.Unavailable, "there is no other node")}
+		return reply{err: errs.New(errs.Unavailable, "there is no other node")}
 	}
 	begin := c.opt.Clock.Now()
 	r := c.askOnce(ctx, addr, q, within)
@@ -55,7 +55,7 @@
 	if r.outcome() != redirected || left <= 0 {
 		return r
 	}
-	hint := fault.Of(r.err).Hint
+	hint := errs.Of(r.err).Hint
 	if hint == "" || hint == except || hint == addr {
 		return r
 	}
--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -9,14 +9,14 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
-	"crosstide/internal/alarm"
-	"crosstide/internal/fault"
+	"crosstide/internal/clock"
+	"crosstide/internal/errs"
 	"crosstide/internal/jobs"
+	"crosstide/internal/routine"
+	"crosstide/internal/rpc"
 	"crosstide/internal/scheduler"
-	"crosstide/internal/spawn"
 	"crosstide/internal/state"
 	"crosstide/internal/state/command"
-	"crosstide/internal/wire"
 )
 
 // Store is the replicated store as the controller needs it.
@@ -44,7 +44,7 @@
 	Control   string // address at which this node takes heartbeats
 	// KeepOver is how long a job that is over stays in the table; 0 takes DefaultKeepOver.
 	KeepOver time.Duration
-	Clock    alarm.Clock
+	Clock    clock.Clock
 	Logger   log.Logger
 }
 
@@ -52,12 +52,12 @@
 const DefaultKeepOver = 10 * time.Minute
 
 // Leader serves calls and runs the scheduler on the node that leads the store; on any other node it answers
-// fault.NotLeader.
+// errs.NotLeader.
 type Leader struct {
 	opt    LeaderOptions
-	clock  alarm.Clock
+	clock  clock.Clock
 	log    log.Logger
-	group  *spawn.Group
+	group  *routine.Group
 	core   *scheduler.Core // of the loop alone
 	health healthLog       // of the loop alone
 
@@ -78,7 +78,7 @@
 	if opt.Mailboxes != nil {
 		opt.Config.OrderTimeout, opt.Config.HoldMargin = beatTimeout, beatTimeout
 	}
-	return &Leader{opt: opt, clock: opt.Clock, log: opt.Logger, group: spawn.New(context.Background()),
+	return &Leader{opt: opt, clock: opt.Clock, log: opt.Logger, group: routine.New(context.Background()),
 		core: scheduler.New(opt.Config), health: healthLog{log: opt.Logger}, wake: make(chan struct{}, 1), beats: map[string]uint64{}}
 }
 
@@ -290,9 +290,9 @@
 	switch {
 	case err == nil:
 		return scheduler.StartOK
-	case fault.Is(err, fault.Unknown):
+	case errs.Is(err, errs.Unknown):
 		return scheduler.StartOtherLife
-	case wire.Unsent(err), errors.Is(err, errNeverLeft):
+	case rpc.Unsent(err), errors.Is(err, errNeverLeft):
 		return scheduler.StartUnsent
 	}
 	return scheduler.StartUnknown
@@ -328,9 +328,9 @@
 	switch {
 	case err == nil:
 		return scheduler.HoldOK
-	case fault.Is(err, fault.Unknown):
+	case errs.Is(err, errs.Unknown):
 		return scheduler.HoldOtherLife
-	case fault.Is(err, fault.Stale):
+	case errs.Is(err, errs.Stale):
 		return scheduler.HoldFenced
 	}
 	return scheduler.HoldFailed
--- a/internal/controller/mailbox.go
+++ b/internal/controller/mailbox.go
@@ -6,7 +6,7 @@
 	"sync"
 	"time"
 
-	"crosstide/internal/fault"
+	"crosstide/internal/errs"
 	"crosstide/internal/jobs"
 	"crosstide/internal/scheduler"
 )
@@ -102,14 +102,14 @@
 		b.deadline = max(b.deadline, order.Deadline)
 		return &b.starts
 	})
-	return answer, fault.Pass(err, "start")
+	return answer, errs.Pass(err, "start")
 }
 
 // Stop stops a run; it is settled when the worker does not list the run any more.
 func (m *Mailboxes) Stop(ctx context.Context, worker jobs.Worker, order scheduler.StopOrder) error {
 	l := newLetter[scheduler.StopOrder, struct{}](order, order.Token)
 	_, err := post(ctx, m, worker.ID, l, func(b *mailbox) *[]*letter[scheduler.StopOrder, struct{}] { return &b.stops })
-	return fault.Pass(err, "stop")
+	return errs.Pass(err, "stop")
 }
 
 // Hold asks for the worker's lists.
@@ -119,7 +119,7 @@
 		b.deadline, b.seen = max(b.deadline, call.Deadline), max(b.seen, call.SeenUpTo)
 		return &b.holds
 	})
-	return answer, fault.Pass(err, "hold")
+	return answer, errs.Pass(err, "hold")
 }
 
 // post puts a letter into a worker's box and waits until it is settled or ctx ends.
@@ -146,9 +146,9 @@
 	default:
 	}
 	if l.times == 0 {
-		return answer, fault.Wrap(errNeverLeft, fault.Unavailable, "worker %s", id)
+		return answer, errs.Wrap(errNeverLeft, errs.Unavailable, "worker %s", id)
 	}
-	return answer, fault.New(fault.Timeout, "worker %s has not confirmed the order", id)
+	return answer, errs.New(errs.Timeout, "worker %s has not confirmed the order", id)
 }
 
 func without[L comparable](list []L, one L) []L {
--- a/internal/controller/mailbox_test.go
+++ b/internal/controller/mailbox_test.go
@@ -8,10 +8,10 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"crosstide/internal/fault"
+	"crosstide/internal/errs"
 	"crosstide/internal/jobs"
+	"crosstide/internal/routine"
 	"crosstide/internal/scheduler"
-	"crosstide/internal/spawn"
 )
 
 const mailTerm = 3
@@ -19,12 +19,12 @@
 // mailBench is the mailbox of one worker, under term 3.
 type mailBench struct {
 	boxes *Mailboxes
-	group *spawn.Group
+	group *routine.Group
 	leads bool
 }
 
 func newMailBench() *mailBench {
-	return &mailBench{boxes: NewMailboxes(), group: spawn.New(context.Background()), leads: true}
+	return &mailBench{boxes: NewMailboxes(), group: routine.New(context.Background()), leads: true}
 }
 
 // beat is one heartbeat; a worker with nothing to do would wait for orders, so it lists one foreign run.
@@ -107,7 +107,7 @@
 		Convey("taken back after an answer carried it, it may be carried out", func() {
 			b.beat(1)
 			cancel()
-			So(fault.KindOf((<-done).err), ShouldEqual, fault.Timeout)
+			So(errs.KindOf((<-done).err), ShouldEqual, errs.Timeout)
 		})
 		Convey("a node that does not lead any more gives no orders", func() {
 			b.leads = false
--- a/internal/controller/serve.go
+++ b/internal/controller/serve.go
@@ -6,38 +6,38 @@
 	"strings"
 	"time"
 
-	"crosstide/internal/fault"
+	"crosstide/internal/errs"
 	"crosstide/internal/jobs"
 	"crosstide/internal/scheduler"
 	"crosstide/internal/state"
 	"crosstide/internal/state/command"
 )
 
-// look reads the job table if this node leads with its lease in force: then it has every commit. Faults: NotLeader with
+// look reads the job table if this node leads with its lease in force: then it has every commit. Failures: NotLeader with
 // the leader's address as hint, Unavailable.
 func (l *Leader) look(read func(*jobs.Table) error) (term uint64, err error) {
 	term, held := l.opt.Store.LeadTerm(l.clock.Now())
 	if term == 0 {
 		leader, _ := l.opt.Store.Members()
-		err := fault.New(fault.NotLeader, "this node does not lead")
-		fault.Of(err).Hint = leader
+		err := errs.New(errs.NotLeader, "this node does not lead")
+		errs.Of(err).Hint = leader
 		return 0, err
 	}
 	if !held {
-		return term, fault.New(fault.Unavailable, "the lead cannot be confirmed now")
+		return term, errs.New(errs.Unavailable, "the lead cannot be confirmed now")
 	}
 	l.opt.Store.View(func(s *state.State) { err = read(s.Table) })
-	return term, fault.Pass(err, "look")
+	return term, errs.Pass(err, "look")
 }
 
 // locate finds the queue of a call.
 func locate(table *jobs.Table, at Locate) (*jobs.Queue, error) {
 	if table.Config.Version == 0 {
-		return nil, fault.New(fault.Unavailable, "there is no configuration yet")
+		return nil, errs.New(errs.Unavailable, "there is no configuration yet")
 	}
 	q := table.QueueFor(at.Host, at.Path)
 	if q == nil {
-		return nil, fault.New(fault.Unknown, "no queue at %s%s", at.Host, at.Path)
+		return nil, errs.New(errs.Unknown, "no queue at %s%s", at.Host, at.Path)
 	}
 	return q, nil
 }
@@ -47,18 +47,18 @@
 	term, err := l.look(func(table *jobs.Table) error {
 		q, err := locate(table, call.Locate)
 		if err != nil {
-			return fault.Pass(err, "submit")
+			return errs.Pass(err, "submit")
 		}
 		call.Spec.Queue = q.Name
 		return nil
 	})
 	if err != nil {
-		return SubmitAnswer{}, fault.Pass(err, "submit")
+		return SubmitAnswer{}, errs.Pass(err, "submit")
 	}
 	change := command.JobSubmit{Submit: jobs.Submit{Spec: call.Spec, Digest: call.Digest, At: l.clock.Wall()}}
 	_, answer, err := l.opt.Store.ProposeIn(ctx, term, &change)
 	state, _ := answer.(jobs.JobState)
-	return SubmitAnswer{State: state}, fault.Pass(err, "submit")
+	return SubmitAnswer{State: state}, errs.Pass(err, "submit")
 }
 
 // Job tells a job's state, or cancels it.
@@ -67,7 +67,7 @@
 	id := call.Locate.Path[strings.LastIndexByte(call.Locate.Path, '/')+1:]
 	term, err := l.look(func(table *jobs.Table) error {
 		if _, err := locate(table, call.Locate); err != nil {
-			return fault.Pass(err, "job")
+			return errs.Pass(err, "job")
 		}
 		if j := table.Jobs[id]; j != nil {
 			answer.State = j.State
@@ -77,14 +77,14 @@
 		return nil
 	})
 	if err != nil || !call.Cancel || answer.Gone {
-		return answer, fault.Pass(err, "job")
+		return answer, errs.Pass(err, "job")
 	}
 	_, result, err := l.opt.Store.ProposeIn(ctx, term, &command.JobCancel{Cancel: jobs.Cancel{ID: id, At: l.clock.Wall()}})
-	if fault.Is(err, fault.Unknown) {
+	if errs.Is(err, errs.Unknown) {
 		return JobAnswer{Gone: true}, nil
 	}
 	answer.State, _ = result.(jobs.JobState)
-	return answer, fault.Pass(err, "cancel")
+	return answer, errs.Pass(err, "cancel")
 }
 
 // Count tells how many jobs of a queue wait.
@@ -94,9 +94,9 @@
 		if err == nil {
 			answer.Waiting = table.Waiting(q.Name)
 		}
-		return fault.Pass(err, "count")
+		return errs.Pass(err, "count")
 	})
-	return answer, fault.Pass(err, "count")
+	return answer, errs.Pass(err, "count")
 }
 
 // Config gives the configuration in force.
@@ -106,26 +106,26 @@
 		config.Queues, config.Services = slices.Clone(config.Queues), slices.Clone(config.Services)
 		return nil
 	})
-	return config, fault.Pass(err, "configuration")
+	return config, errs.Pass(err, "configuration")
 }
 
 // Configure changes the configuration.
 func (l *Leader) Configure(ctx context.Context, call jobs.Configure) (ConfigureAnswer, error) {
-	return ConfigureAnswer{}, fault.Pass(l.change(ctx, &command.JobConfigure{Configure: call}), "configure")
+	return ConfigureAnswer{}, errs.Pass(l.change(ctx, &command.JobConfigure{Configure: call}), "configure")
 }
 
 // Evacuate starts or withdraws the evacuation of a zone.
 func (l *Leader) Evacuate(ctx context.Context, call jobs.Evacuate) (EvacuateAnswer, error) {
-	return EvacuateAnswer{}, fault.Pass(l.change(ctx, &command.JobEvacuate{Evacuate: call}), "evacuate")
+	return EvacuateAnswer{}, errs.Pass(l.change(ctx, &command.JobEvacuate{Evacuate: call}), "evacuate")
 }
 
 func (l *Leader) change(ctx context.Context, c command.Command) error {
 	term, err := l.look(func(*jobs.Table) error { return nil })
 	if err != nil {
-		return fault.Pass(err, "change")
+		return errs.Pass(err, "change")
 	}
 	_, _, err = l.opt.Store.ProposeIn(ctx, term, c)
-	return fault.Pass(err, "change")
+	return errs.Pass(err, "change")
 }
 
 // Beat takes a worker's heartbeat. What it changes is durable, and known to the scheduler, before it is answered.
@@ -146,7 +146,7 @@
 		return nil
 	})
 	if err != nil {
-		return BeatAnswer{}, fault.Pass(err, "heartbeat")
+		return BeatAnswer{}, errs.Pass(err, "heartbeat")
 	}
 	if !l.newest(worker.ID, call) {
 		return answer, nil
@@ -154,7 +154,7 @@
 	if changed {
 		_, _, err := l.opt.Store.ProposeIn(ctx, term, &command.JobRegister{Register: jobs.Register{Workers: []jobs.Worker{worker}}})
 		if err != nil {
-			return BeatAnswer{}, fault.Pass(err, "heartbeat")
+			return BeatAnswer{}, errs.Pass(err, "heartbeat")
 		}
 	}
 	if !call.Leaving {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -19,9 +19,9 @@
 	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
-	"crosstide/internal/alarm"
-	"crosstide/internal/fault"
-	"crosstide/internal/wire"
+	"crosstide/internal/clock"
+	"crosstide/internal/errs"
+	"crosstide/internal/rpc"
 )
 
 // Logger writes logfmt lines of at least a level (debug, info, warn, error; else info) to w. Example:
@@ -44,19 +44,19 @@
 	return reg
 }
 
-// Routes adds GET /livez (200 while the process answers), GET /readyz (200, or the fault that ready gives) and
+// Routes adds GET /livez (200 while the process answers), GET /readyz (200, or the failure that ready gives) and
 // GET /metrics.
-func Routes(s *wire.Server, reg prometheus.Gatherer, ready func() error) {
+func Routes(s *rpc.Server, reg prometheus.Gatherer, ready func() error) {
 	type word struct {
 		OK bool `json:"ok"`
 	}
-	s.Route("GET /livez", func(w http.ResponseWriter, _ *http.Request) { wire.WriteJSON(w, http.StatusOK, word{true}) })
+	s.Route("GET /livez", func(w http.ResponseWriter, _ *http.Request) { rpc.WriteJSON(w, http.StatusOK, word{true}) })
 	s.Route("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
 		if err := ready(); err != nil {
-			wire.WriteFault(w, err)
+			rpc.WriteError(w, err)
 			return
 		}
-		wire.WriteJSON(w, http.StatusOK, word{true})
+		rpc.WriteJSON(w, http.StatusOK, word{true})
 	})
 	metrics := promhttp.HandlerFor(reg, promhttp.HandlerOpts{})
 	s.Route("GET /metrics", metrics.ServeHTTP)
@@ -64,7 +64,7 @@
 
 // Profiles adds GET /debug/pprof/cpu?seconds=N (1 to 60, default 5) and GET /debug/pprof/NAME for heap, goroutine
 // and the other profiles of the runtime. They cost when they are asked for; a daemon shows them only with --pprof.
-func Profiles(s *wire.Server) {
+func Profiles(s *rpc.Server) {
 	s.Route("GET /debug/pprof/cpu", func(w http.ResponseWriter, r *http.Request) {
 		n, err := strconv.Atoi(r.URL.Query().Get("seconds"))
 		if err != nil || n < 1 || n > 60 {
@@ -72,11 +72,11 @@
 		}
 		var out bytes.Buffer
 		if err := pprof.StartCPUProfile(&out); err != nil {
-			wire.WriteFault(w, fault.Wrap(err, fault.Conflict, "a profile is being taken"))
+			rpc.WriteError(w, errs.Wrap(err, errs.Conflict, "a profile is being taken"))
 			return
 		}
 		over := make(chan struct{})
-		alarm.Real{}.Set(time.Duration(n)*time.Second, func() { close(over) })
+		clock.Real{}.Set(time.Duration(n)*time.Second, func() { close(over) })
 		<-over
 		pprof.StopCPUProfile()
 		_, _ = w.Write(out.Bytes())
@@ -84,12 +84,12 @@
 	s.Route("GET /debug/pprof/{name}", func(w http.ResponseWriter, r *http.Request) {
 		p := pprof.Lookup(r.PathValue("name"))
 		if p == nil {
-			wire.WriteFault(w, fault.Field(fault.Unknown, "name", "no profile %q", r.PathValue("name")))
+			rpc.WriteError(w, errs.Field(errs.Unknown, "name", "no profile %q", r.PathValue("name")))
 			return
 		}
 		var out bytes.Buffer
 		if err := p.WriteTo(&out, 0); err != nil {
-			wire.WriteFault(w, fault.Wrap(err, fault.Internal, "profile"))
+			rpc.WriteError(w, errs.Wrap(err, errs.Internal, "profile"))
 			return
 		}
 		_, _ = w.Write(out.Bytes())
--- a/internal/daemon/program.go
+++ b/internal/daemon/program.go
@@ -9,8 +9,8 @@
 	"github.com/go-kit/log/level"
 	"github.com/urfave/cli/v3"
 
-	"crosstide/internal/conf"
-	"crosstide/internal/fault"
+	"crosstide/internal/config"
+	"crosstide/internal/errs"
 )
 
 // Program is a daemon's command line: run, check and version over settings of type S.
@@ -18,7 +18,7 @@
 	Version string
 	Load    func(path string) (S, error) // reads and checks a file
 	Check   func(S) error                // checks settings that flags have changed
-	Common  func(*S) *conf.Common
+	Common  func(*S) *config.Common
 	// Words are the flags of run beside the common ones that are put over a setting, by name.
 	Words map[string]func(*S) *string
 	Flags []cli.Flag // those of Words
@@ -42,7 +42,7 @@
 		{Name: "check", Usage: "print all mistakes in the settings; exit 1 if there are any", Flags: []cli.Flag{settings},
 			Action: func(_ context.Context, cmd *cli.Command) error {
 				if _, err := p.Load(cmd.String("settings")); err != nil {
-					return fault.Pass(err, "check") // its text lists all mistakes
+					return errs.Pass(err, "check") // its text lists all mistakes
 				}
 				fmt.Println("ok")
 				return nil
@@ -58,7 +58,7 @@
 func (p Program[S]) settings(cmd *cli.Command) (S, error) {
 	set, err := p.Load(cmd.String("settings"))
 	if err != nil {
-		return set, fault.Pass(err, "settings")
+		return set, errs.Pass(err, "settings")
 	}
 	common := p.Common(&set)
 	words := map[string]*string{"addr": &common.Addr, "zone": &common.Zone, "log-level": &common.LogLevel}
@@ -73,13 +73,13 @@
 	if cmd.IsSet("grace") {
 		common.Grace = cmd.Duration("grace")
 	}
-	return set, fault.Pass(p.Check(set), "settings with flags")
+	return set, errs.Pass(p.Check(set), "settings with flags")
 }
 
 func (p Program[S]) run(ctx context.Context, cmd *cli.Command) error {
 	set, err := p.settings(cmd)
 	if err != nil {
-		return fault.Pass(err, "run")
+		return errs.Pass(err, "run")
 	}
 	common := p.Common(&set)
 	logger := log.With(Logger(common.LogLevel, os.Stderr), "node", common.Name)
@@ -87,7 +87,7 @@
 	defer stop()
 	if err := p.Serve(ctx, set, cmd.Bool("pprof"), logger); err != nil {
 		_ = level.Error(logger).Log("msg", "end", "err", err)
-		return fault.Pass(err, "run")
+		return errs.Pass(err, "run")
 	}
 	_ = level.Info(logger).Log("msg", "end")
 	return nil
--- a/internal/daemon/view.go
+++ b/internal/daemon/view.go
@@ -8,27 +8,27 @@
 	"github.com/go-kit/log"
 	"github.com/prometheus/client_golang/prometheus"
 
-	"crosstide/internal/alarm"
-	"crosstide/internal/conf"
-	"crosstide/internal/fault"
-	"crosstide/internal/pair"
-	"crosstide/internal/view"
-	"crosstide/internal/wire"
+	"crosstide/internal/api"
+	"crosstide/internal/clock"
+	"crosstide/internal/config"
+	"crosstide/internal/errs"
+	"crosstide/internal/membership"
+	"crosstide/internal/rpc"
 )
 
 // shuffleWithin bounds one shuffle, and the word that a daemon leaves.
 const shuffleWithin = time.Second
 
 // View makes a daemon's part in the membership; the caller starts it, serves its shuffles and stops it. cplanes may
-// be nil, see view.Options.
-func View(set conf.Common, role string, seeds []string, k *wire.Caller, logger log.Logger, reg prometheus.Registerer,
-	cplanes func([]string)) *view.Node {
-	return view.NewNode(view.Options{
-		Self:  view.Note{Name: set.Name, Addr: set.Addr, Zone: set.Zone, Role: role},
-		Seeds: seeds, Rnd: rand.Uint64(), Clock: alarm.Real{}, Logger: Part(logger, "view"), Registry: reg, Cplanes: cplanes,
-		Ask: func(ctx context.Context, addr string, m view.Message) (view.Message, error) {
-			a, err := wire.Ask(ctx, k, addr, pair.Shuffle, m, shuffleWithin)
-			return a, fault.Pass(err, "shuffle")
+// be nil, see membership.Options.
+func View(set config.Common, role string, seeds []string, k *rpc.Caller, logger log.Logger, reg prometheus.Registerer,
+	cplanes func([]string)) *membership.Node {
+	return membership.NewNode(membership.Options{
+		Self:  membership.Note{Name: set.Name, Addr: set.Addr, Zone: set.Zone, Role: role},
+		Seeds: seeds, Rnd: rand.Uint64(), Clock: clock.Real{}, Logger: Part(logger, "view"), Registry: reg, Cplanes: cplanes,
+		Ask: func(ctx context.Context, addr string, m membership.Message) (membership.Message, error) {
+			a, err := rpc.Ask(ctx, k, addr, api.Shuffle, m, shuffleWithin)
+			return a, errs.Pass(err, "shuffle")
 		},
 	})
 }
--- a/internal/plane/confirm.go
+++ b/internal/dataplane/confirm.go
@@ -1,4 +1,4 @@
-package plane
+package dataplane
 
 import (
 	"context"
@@ -7,8 +7,8 @@
 
 	"github.com/go-kit/log/level"
 
-	"crosstide/internal/fault"
-	"crosstide/internal/pair"
+	"crosstide/internal/api"
+	"crosstide/internal/errs"
 )
 
 // confirmer asks the leader for a fresh index on behalf of all reads that wait, one call at a time: a read joins
@@ -45,9 +45,9 @@
 	r := c.join()
 	select {
 	case <-r.done:
-		return r.index, fault.Pass(r.err, "confirm")
+		return r.index, errs.Pass(r.err, "confirm")
 	case <-ctx.Done():
-		return 0, fault.Wrap(ctx.Err(), fault.Timeout, "waiting for a confirmation")
+		return 0, errs.Wrap(ctx.Err(), errs.Timeout, "waiting for a confirmation")
 	}
 }
 
@@ -75,7 +75,7 @@
 	n := c.node
 	ctx, cancel := context.WithTimeout(ctx, n.opt.CallTimeout)
 	defer cancel()
-	a, err := toLeader(ctx, n.core, n, pair.Confirm, pair.ConfirmCall{}, n.opt.CallTimeout/2, true)
+	a, err := toLeader(ctx, n.core, n, api.Confirm, api.ConfirmCall{}, n.opt.CallTimeout/2, true)
 	r.index, r.err = a.Index, err
 	close(r.done)
 	if err == nil {
--- a/internal/plane/confirm_test.go
+++ b/internal/dataplane/confirm_test.go
@@ -1,4 +1,4 @@
-package plane
+package dataplane
 
 import (
 	"context"
@@ -9,31 +9,31 @@
 	"github.com/go-kit/log"
 	. "github.com/smartystreets/goconvey/convey"
 
-	"crosstide/internal/alarm"
-	"crosstide/internal/pair"
+	"crosstide/internal/api"
+	"crosstide/internal/clock"
+	"crosstide/internal/routine"
+	"crosstide/internal/rpc"
 	"crosstide/internal/sched"
-	"crosstide/internal/spawn"
 	"crosstide/internal/state"
-	"crosstide/internal/wire"
 )
 
 func TestConfirm(t *testing.T) {
 	Convey("many reads at once are all confirmed, by few calls, and the loop never stands still", t, func() {
 		var calls atomic.Int64
-		srv := wire.NewServer(wire.ServerOptions{Addr: "127.0.0.1:0"})
-		wire.Handle(srv, pair.Confirm, func(context.Context, pair.ConfirmCall) (pair.ConfirmAnswer, error) {
+		srv := rpc.NewServer(rpc.ServerOptions{Addr: "127.0.0.1:0"})
+		rpc.Handle(srv, api.Confirm, func(context.Context, api.ConfirmCall) (api.ConfirmAnswer, error) {
 			calls.Add(1)
-			return pair.ConfirmAnswer{}, nil
+			return api.ConfirmAnswer{}, nil
 		})
 		So(srv.Start(), ShouldBeNil)
-		caller := wire.NewCaller(wire.CallerOptions{})
+		caller := rpc.NewCaller(rpc.CallerOptions{})
 		n := New(Options{Name: "d", Core: []string{srv.Addr()}, Sched: sched.Defaults(), CallTimeout: 20 * time.Second,
-			Clock: alarm.Real{}, Logger: log.NewNopLogger(), Caller: caller, Minions: caller})
-		loop := spawn.New(context.Background())
+			Clock: clock.Real{}, Logger: log.NewNopLogger(), Caller: caller, Minions: caller})
+		loop := routine.New(context.Background())
 		loop.Go(n.fresh.run)
 		var good atomic.Int64
 		const reads = 4000
-		spawn.Each(reads, 32, func(int) {
+		routine.Each(reads, 32, func(int) {
 			if n.Read(context.Background(), func(*state.State) error { return nil }) == nil {
 				good.Add(1)
 			}
--- a/internal/plane/meter.go
+++ b/internal/dataplane/meter.go
@@ -1,4 +1,4 @@
-package plane
+package dataplane
 
 import (
 	"github.com/prometheus/client_golang/prometheus"
@@ -58,7 +58,7 @@
 	gauge("replica_index", float64(f.Index))
 	gauge("sched_holder", holder)
 	gauge("sched_epoch", float64(f.Epoch))
-	gauge("sched_backlog", float64(f.Backlog))
+	gauge("sched_backlog", float64(f.QueueLimit))
 	gauge("state_jobs", float64(f.Jobs))
 	gauge("state_handles", float64(f.Handles))
 	gauge("state_minions", float64(f.Minions))
@@ -69,14 +69,14 @@
 	c := f.Counts
 	count("sched_plans_total", c.Plans)
 	count("sched_plan_faults_total", c.PlanFaults)
-	count("sched_tickets_total", c.Tickets)
+	count("sched_tickets_total", c.RunIDs)
 	count("sched_refused_total", c.Refused)
 	count("sched_sent_total", c.Sent)
 	count("sched_ends_total", c.Ended)
-	count("sched_end_faults_total", c.Faults)
+	count("sched_end_faults_total", c.Failures)
 	count("sched_doubts_total", c.Doubts)
 	count("sched_stops_total", c.Stops)
-	count("sched_call_faults_total", c.CallFaults)
+	count("sched_call_faults_total", c.CallFailures)
 	count("sched_crossed_total", c.Crossed)
 	for _, name := range f.Sick {
 		to <- prometheus.MustNewConstMetric(m.desc["sched_sick"], prometheus.GaugeValue, 1, name)
--- a/internal/plane/node.go
+++ b/internal/dataplane/node.go
@@ -1,6 +1,6 @@
-// Package plane is the runtime of a dplane: the replica of the store, the way to the cplanes, the duty sched with
-// its calls to the minions, and what the consumer API asks of the node.
-package plane
+// Package dataplane is the runtime of a dplane: the replica of the store, the way to the cplanes, the duty sched with
+// its calls to the minions, and what the client API asks of the node.
+package dataplane
 
 import (
 	"context"
@@ -11,15 +11,15 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
-	"crosstide/internal/alarm"
-	"crosstide/internal/fault"
-	"crosstide/internal/follow"
-	"crosstide/internal/pair"
+	"crosstide/internal/api"
+	"crosstide/internal/clock"
+	"crosstide/internal/errs"
+	"crosstide/internal/replica"
+	"crosstide/internal/routine"
+	"crosstide/internal/rpc"
 	"crosstide/internal/sched"
-	"crosstide/internal/spawn"
 	"crosstide/internal/state"
 	"crosstide/internal/state/command"
-	"crosstide/internal/wire"
 )
 
 // Options are what a node is made of.
@@ -28,22 +28,22 @@
 	Core             []string // cplane addresses
 	Sched            sched.Config
 	CallTimeout      time.Duration // of a call to a cplane, and of a minion's answer past its wait
-	Backlog          int           // bound of the inbox
-	Clock            alarm.Clock
+	QueueLimit       int           // bound of the inbox
+	Clock            clock.Clock
 	Logger           log.Logger
-	Caller           *wire.Caller // to cplanes
-	Minions          *wire.Caller // to minions: with TCP_USER_TIMEOUT well inside the lease's margin
+	Caller           *rpc.Caller // to cplanes
+	Minions          *rpc.Caller // to minions: with TCP_USER_TIMEOUT well inside the lease's margin
 }
 
 // Node is one dplane.
 type Node struct {
 	opt     Options
 	core    *core
-	replica *follow.Replica
+	replica *replica.Replica
 	sched   *sched.Core // under the replica's lock
 	leased  uint64      // epoch of the newest lease, and its end; under the replica's lock
 	until   time.Duration
-	group   *spawn.Group
+	group   *routine.Group
 	kick    chan struct{}
 	fresh   confirmer
 
@@ -57,14 +57,14 @@
 // lines are the two connections to a minion.
 type lines struct {
 	addr        string
-	wait, order *wire.Line
+	wait, order *rpc.Line
 }
 
 // New makes a node; Start sets it going.
 func New(opt Options) *Node {
 	n := &Node{opt: opt, kick: make(chan struct{}, 1), lines: map[string]*lines{}}
 	n.core = &core{caller: opt.Caller, within: opt.CallTimeout, addrs: opt.Core}
-	n.replica = follow.New(func(note state.Note) { n.sched.Note(note); n.wake() }, func(st *state.State) {
+	n.replica = replica.New(func(note state.Note) { n.sched.Note(note); n.wake() }, func(st *state.State) {
 		n.sched.Reset(opt.Clock.Now(), st)
 	})
 	st := n.replica.Lock()
@@ -79,7 +79,7 @@
 
 // Start sets the node's loops going.
 func (n *Node) Start(ctx context.Context) {
-	n.group = spawn.New(ctx)
+	n.group = routine.New(ctx)
 	n.group.Go(func(ctx context.Context) {
 		n.replica.Run(ctx, &puller{core: n.core, node: n}, n.opt.Clock, n.opt.Name, func(err error) {
 			_ = level.Debug(n.opt.Logger).Log("msg", "pull failed", "err", err)
@@ -104,7 +104,7 @@
 	n.replica.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, n.opt.CallTimeout)
 	defer cancel()
-	if _, err := toLeader(ctx, n.core, n, pair.Duty, n.claim(epoch, true), n.opt.CallTimeout, true); err != nil {
+	if _, err := toLeader(ctx, n.core, n, api.Duty, n.claim(epoch, true), n.opt.CallTimeout, true); err != nil {
 		_ = level.Warn(n.opt.Logger).Log("msg", "giving the duty up failed, its lease will run out", "err", err)
 	}
 }
@@ -112,7 +112,7 @@
 // Stop ends the loops.
 func (n *Node) Stop() { n.group.Stop() }
 
-// pause waits for d or for the end of ctx (fault.Timeout).
+// pause waits for d or for the end of ctx (errs.Timeout).
 func (n *Node) pause(ctx context.Context, d time.Duration) error {
 	woken := make(chan struct{})
 	ring := n.opt.Clock.Set(d, func() { close(woken) })
@@ -121,12 +121,12 @@
 		return nil
 	case <-ctx.Done():
 		ring.Stop()
-		return fault.Wrap(ctx.Err(), fault.Timeout, "over while pausing")
+		return errs.Wrap(ctx.Err(), errs.Timeout, "over while pausing")
 	}
 }
 
-func (n *Node) claim(epoch uint64, giveUp bool) pair.DutyCall {
-	return pair.DutyCall{Duty: "sched", Holder: n.opt.Name, Addr: n.opt.Addr, Boot: n.opt.Boot, Epoch: epoch, GiveUp: giveUp}
+func (n *Node) claim(epoch uint64, giveUp bool) api.DutyCall {
+	return api.DutyCall{Duty: "sched", Holder: n.opt.Name, Addr: n.opt.Addr, Boot: n.opt.Boot, Epoch: epoch, GiveUp: giveUp}
 }
 
 // claims is how many claims may be under way at once: a slow way to the leader must not let the lease run out
@@ -164,7 +164,7 @@
 	n.mu.Unlock()
 	for range 3 {
 		addr, sent := n.core.lead(), n.opt.Clock.Now()
-		a, err := wire.Ask(ctx, n.opt.Caller, addr, pair.Duty, n.claim(epoch, false), n.opt.CallTimeout)
+		a, err := rpc.Ask(ctx, n.opt.Caller, addr, api.Duty, n.claim(epoch, false), n.opt.CallTimeout)
 		n.core.learn(addr, err)
 		switch {
 		case err == nil && a.Mine:
@@ -175,7 +175,7 @@
 		case err == nil:
 			n.lose(a)
 			return
-		case !fault.Is(err, fault.NotLeader) && !wire.Unsent(err):
+		case !errs.Is(err, errs.NotLeader) && !rpc.Unsent(err):
 			_ = level.Debug(n.opt.Logger).Log("msg", "claiming the duty failed", "err", err)
 			return
 		}
@@ -183,7 +183,7 @@
 }
 
 // take makes a grant good: the replica is followed up to the grant's index first, then tallies are rebuilt.
-func (n *Node) take(ctx context.Context, a pair.DutyAnswer, sent time.Duration) error {
+func (n *Node) take(ctx context.Context, a api.DutyAnswer, sent time.Duration) error {
 	n.mu.Lock()
 	stale := a.Epoch < n.granted // answers of claims under way at once may cross
 	n.granted = max(n.granted, a.Epoch)
@@ -194,16 +194,16 @@
 	reach, cancel := context.WithTimeout(ctx, n.opt.CallTimeout)
 	defer cancel()
 	if err := n.replica.Reach(reach, a.Epoch); err != nil {
-		return fault.Pass(err, "grant %d", a.Epoch)
+		return errs.Pass(err, "grant %d", a.Epoch)
 	}
 	st := n.replica.Lock()
 	defer n.replica.Unlock()
 	if d := st.Duties["sched"]; d == nil || d.Epoch != a.Epoch || d.Boot != n.opt.Boot {
-		return fault.New(fault.Stale, "grant %d is over", a.Epoch)
+		return errs.New(errs.Stale, "grant %d is over", a.Epoch)
 	}
 	if n.sched.Epoch() != a.Epoch {
 		n.sched.Lead(n.opt.Clock.Now(), a.Epoch)
-		_ = level.Info(n.opt.Logger).Log("msg", "took up sched", "epoch", a.Epoch, "handles", len(st.Handles), "backlog", n.sched.Backlog())
+		_ = level.Info(n.opt.Logger).Log("msg", "took up sched", "epoch", a.Epoch, "handles", len(st.Handles), "backlog", n.sched.QueueLimit())
 	}
 	if until := sent + a.Lease; a.Epoch > n.leased || until > n.until {
 		n.leased, n.until = a.Epoch, until
@@ -215,7 +215,7 @@
 
 // lose takes in that the duty is another's. An answer that knows no newer epoch than the own grant crossed it, or
 // tells that the epoch ends: its lease runs out by itself.
-func (n *Node) lose(a pair.DutyAnswer) {
+func (n *Node) lose(a api.DutyAnswer) {
 	n.mu.Lock()
 	had := n.granted
 	if had == 0 || a.Epoch <= had {
@@ -271,7 +271,7 @@
 		cancel()
 	}
 	if err == nil {
-		err = fault.Wrap(json.Unmarshal(a.Answer, &done), fault.Malformed, "the answer to a plan")
+		err = errs.Wrap(json.Unmarshal(a.Answer, &done), errs.Malformed, "the answer to a plan")
 	}
 	if err != nil {
 		_ = level.Warn(n.opt.Logger).Log("msg", "a plan failed", "epoch", plan.Epoch, "err", err)
@@ -284,7 +284,7 @@
 }
 
 // line gives the connection for a call.
-func (n *Node) line(c sched.CallOut) *wire.Line {
+func (n *Node) line(c sched.CallOut) *rpc.Line {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	l := n.lines[c.Minion]
@@ -293,7 +293,7 @@
 			l.wait.Close()
 			l.order.Close()
 		}
-		l = &lines{addr: c.Addr, wait: wire.NewLine(n.opt.Minions, c.Addr), order: wire.NewLine(n.opt.Minions, c.Addr)}
+		l = &lines{addr: c.Addr, wait: rpc.NewLine(n.opt.Minions, c.Addr), order: rpc.NewLine(n.opt.Minions, c.Addr)}
 		n.lines[c.Minion] = l
 	}
 	if c.Order {
@@ -311,18 +311,18 @@
 		live := n.sched.Live(now) && n.sched.Epoch() == c.Call.Epoch
 		n.replica.Unlock()
 		if !live {
-			return fault.New(fault.Stale, "the duty's lease is over")
+			return errs.New(errs.Stale, "the duty's lease is over")
 		}
 		if c.Before > 0 && now >= c.Before {
-			return fault.New(fault.Stale, "the window of these starts is over")
+			return errs.New(errs.Stale, "the window of these starts is over")
 		}
 		return nil
 	}
-	a, err := wire.AskLine(ctx, n.line(c), pair.Hold, c.Call, c.Call.Wait+n.opt.CallTimeout/2, check)
+	a, err := rpc.AskLine(ctx, n.line(c), api.Hold, c.Call, c.Call.Wait+n.opt.CallTimeout/2, check)
 	now := n.opt.Clock.Now()
 	n.replica.Lock()
 	if err != nil {
-		n.sched.Fault(now, c.Minion, c.Order, c.Call, !wire.Unsent(err))
+		n.sched.Failure(now, c.Minion, c.Order, c.Call, !rpc.Unsent(err))
 	} else {
 		n.sched.Answer(now, c.Minion, c.Order, c.Call, a)
 	}
@@ -339,26 +339,26 @@
 	defer cancel()
 	a, err := n.core.propose(ctx, n, c, true)
 	if err != nil {
-		return nil, fault.Pass(err, "commit")
+		return nil, errs.Pass(err, "commit")
 	}
 	return a.Answer, nil
 }
 
-// Read runs do on a state that is at least as new as the call; fault.Unavailable when that cannot be confirmed.
+// Read runs do on a state that is at least as new as the call; errs.Unavailable when that cannot be confirmed.
 func (n *Node) Read(ctx context.Context, do func(s *state.State) error) error {
 	index, err := n.fresh.index(ctx)
 	if err != nil {
-		return fault.Wrap(err, fault.Unavailable, "cannot confirm the state")
+		return errs.Wrap(err, errs.Unavailable, "cannot confirm the state")
 	}
 	if err := n.replica.Reach(ctx, index); err != nil {
-		return fault.Pass(err, "read at %d", index)
+		return errs.Pass(err, "read at %d", index)
 	}
 	n.replica.View(func(s *state.State) { err = do(s) })
-	return fault.Pass(err, "read")
+	return errs.Pass(err, "read")
 }
 
 // Backlog is the bound of the inbox.
-func (n *Node) Backlog() int { return n.opt.Backlog }
+func (n *Node) QueueLimit() int { return n.opt.QueueLimit }
 
 // Ready says why the node could not serve now; nil if it could.
 func (n *Node) Ready() error {
@@ -366,11 +366,11 @@
 	defer n.mu.Unlock()
 	switch age := n.opt.Clock.Now() - n.confirmed; {
 	case n.stopping:
-		return fault.New(fault.Stopped, "stopping")
+		return errs.New(errs.Stopped, "stopping")
 	case n.confirmed == 0:
-		return fault.New(fault.Unavailable, "the replica is not confirmed yet")
+		return errs.New(errs.Unavailable, "the replica is not confirmed yet")
 	case age > 3*time.Second:
-		return fault.New(fault.Unavailable, "the replica was last confirmed %s ago", age.Round(time.Millisecond))
+		return errs.New(errs.Unavailable, "the replica was last confirmed %s ago", age.Round(time.Millisecond))
 	}
 	return nil
 }
@@ -380,7 +380,7 @@
 	Index, Changes, Bytes, Snapshots uint64
 	Phase                            sched.Phase
 	Epoch                            uint64
-	Backlog                          int
+	QueueLimit                       int
 	Counts                           sched.Counts
 	Tallies                          map[string]int
 	Jobs, Handles, Minions, Inbox    int
@@ -392,7 +392,7 @@
 	st := n.replica.Lock()
 	defer n.replica.Unlock()
 	f := Figures{Index: st.Index, Changes: n.replica.Changes, Bytes: n.replica.Bytes, Snapshots: n.replica.Snapshots,
-		Phase: n.sched.Phase(), Epoch: n.sched.Epoch(), Backlog: n.sched.Backlog(), Counts: n.sched.Counts, Tallies: st.Tallies(),
+		Phase: n.sched.Phase(), Epoch: n.sched.Epoch(), QueueLimit: n.sched.QueueLimit(), Counts: n.sched.Counts, Tallies: st.Tallies(),
 		Jobs: len(st.Jobs), Handles: len(st.Handles), Minions: len(st.Minions), Inbox: len(st.Inbox), Sick: n.sched.Sick()}
 	f.Counts.Dead = map[string]uint64{}
 	for k, v := range n.sched.Counts.Dead {
@@ -402,10 +402,10 @@
 }
 
 // Announce makes a minion known to the store, if it is not known as it is.
-func (n *Node) Announce(ctx context.Context, c pair.MinionCall) (pair.MinionAnswer, error) {
-	answer := pair.MinionAnswer{Again: 3 * time.Second}
+func (n *Node) Announce(ctx context.Context, c api.MinionCall) (api.MinionAnswer, error) {
+	answer := api.MinionAnswer{Again: 3 * time.Second}
 	if c.Name == "" || c.Addr == "" {
-		return answer, fault.Field(fault.Invalid, "name", "a minion needs a name and an address")
+		return answer, errs.Field(errs.Invalid, "name", "a minion needs a name and an address")
 	}
 	known := false
 	n.replica.View(func(s *state.State) {
@@ -417,5 +417,5 @@
 	}
 	_, err := n.Propose(ctx, &command.Announce{Minion: state.Minion{Name: c.Name, Addr: c.Addr, Kind: c.Kind, Zone: c.Zone,
 		Rack: c.Rack, Labels: c.Labels, Cores: c.Cores, GPUs: c.GPUs}})
-	return answer, fault.Pass(err, "announce %s", c.Name)
+	return answer, errs.Pass(err, "announce %s", c.Name)
 }
--- a/internal/plane/rollout.go
+++ b/internal/dataplane/rollout.go
@@ -1,14 +1,14 @@
-package plane
+package dataplane
 
 import (
 	"context"
 	"net/http"
 	"time"
 
-	"crosstide/internal/fault"
-	"crosstide/internal/pair"
+	"crosstide/internal/api"
+	"crosstide/internal/errs"
+	"crosstide/internal/rpc"
 	"crosstide/internal/state"
-	"crosstide/internal/wire"
 )
 
 // puller follows a cplane for the replica and tells it with each call which bundle the node has, and for how long.
@@ -20,14 +20,14 @@
 }
 
 // Follow is core's, with the node's bundle.
-func (p *puller) Follow(ctx context.Context, call pair.FollowCall) (pair.FollowAnswer, error) {
+func (p *puller) Follow(ctx context.Context, call api.FollowCall) (api.FollowAnswer, error) {
 	now := p.node.opt.Clock.Now()
 	if v := p.node.bundle(); v != p.version {
 		p.version, p.since = v, now
 	}
 	call.Bundle, call.Age = p.version, now-p.since
 	a, err := p.core.Follow(ctx, call)
-	return a, fault.Pass(err, "pull")
+	return a, errs.Pass(err, "pull")
 }
 
 // bundle is the version the node has, 0 before it has pulled.
@@ -38,7 +38,7 @@
 	return version
 }
 
-// Router is what the node needs of its server (*wire.Server).
+// Router is what the node needs of its server (*rpc.Server).
 type Router interface {
 	Route(pattern string, h func(w http.ResponseWriter, r *http.Request))
 }
@@ -55,7 +55,7 @@
 const bundleWithin = time.Second
 
 // Routes adds GET /v1/bundle. A node that is cut off, behind or just woken does not pass an old version off as the
-// one in force. Fault: Unavailable when it cannot confirm in a second.
+// one in force. Failure: Unavailable when it cannot confirm in a second.
 func (n *Node) Routes(srv Router) {
 	srv.Route("GET /v1/bundle", func(w http.ResponseWriter, r *http.Request) {
 		ctx, over := context.WithTimeout(r.Context(), bundleWithin)
@@ -69,9 +69,9 @@
 			return nil
 		})
 		if err != nil {
-			wire.WriteFault(w, fault.Wrap(err, fault.Unavailable, "this node cannot confirm its bundle now"))
+			rpc.WriteError(w, errs.Wrap(err, errs.Unavailable, "this node cannot confirm its bundle now"))
 			return
 		}
-		wire.WriteJSON(w, http.StatusOK, out)
+		rpc.WriteJSON(w, http.StatusOK, out)
 	})
 }
--- a/internal/fault/fault.go
+++ b/internal/errs/errs.go
@@ -1,5 +1,5 @@
-// Package fault holds the closed list of error kinds of crosstide and the table from kind to answer.
-package fault
+// Package errs holds the closed list of error kinds of crosstide and the table from kind to answer.
+package errs
 
 import (
 	"errors"
@@ -19,9 +19,9 @@
 	TooLarge    Kind = "too_large"   // the body is over its bound
 	Unknown     Kind = "unknown"     // surely not there
 	Conflict    Kind = "conflict"    // the key, version or order id is taken by something else
-	Stale       Kind = "stale"       // decided on an old view: epoch, charter version, boot or task state moved on
+	Stale       Kind = "stale"       // decided on an old view: epoch, placement policy version, boot or task state moved on
 	Forbidden   Kind = "forbidden"   // signature or right is missing
-	Pressure    Kind = "pressure"    // too much at the moment; come back after After
+	Overloaded  Kind = "pressure"    // too much at the moment; come back after After
 	Unavailable Kind = "unavailable" // cannot confirm now; come back after After
 	NotLeader   Kind = "not_leader"  // another node leads; Hint may carry its address
 	Timeout     Kind = "timeout"     // no answer in time; what was asked may or may not have happened
@@ -30,7 +30,7 @@
 	Disk        Kind = "disk"        // a read, write or sync failed
 	Settings    Kind = "settings"    // the settings file or flags are refused
 	Stopped     Kind = "stopped"     // the part is shutting down
-	Internal    Kind = "internal"    // a fault of ours
+	Internal    Kind = "internal"    // a failure of ours
 )
 
 // Reply is what a kind is answered with over HTTP.
@@ -49,7 +49,7 @@
 	Conflict:    {Status: http.StatusConflict},
 	Stale:       {Status: http.StatusPreconditionFailed},
 	Forbidden:   {Status: http.StatusForbidden},
-	Pressure:    {Status: http.StatusTooManyRequests, After: time.Second, Again: true},
+	Overloaded:  {Status: http.StatusTooManyRequests, After: time.Second, Again: true},
 	Unavailable: {Status: http.StatusServiceUnavailable, After: time.Second, Again: true},
 	NotLeader:   {Status: http.StatusMisdirectedRequest, After: time.Second, Again: true},
 	Timeout:     {Status: http.StatusGatewayTimeout, After: time.Second, Again: true},
@@ -78,8 +78,8 @@
 	return replies[Internal]
 }
 
-// Fault is an error with its kind. It travels between processes as JSON.
-type Fault struct {
+// Failure is an error with its kind. It travels between processes as JSON.
+type Error struct {
 	Kind    Kind   `json:"kind"`
 	Field   string `json:"field,omitempty"`
 	Message string `json:"message"`
@@ -90,7 +90,7 @@
 }
 
 // Error gives the field, the message and the cause in one short line.
-func (f *Fault) Error() string {
+func (f *Error) Error() string {
 	s := string(f.Kind) + ": "
 	if f.Field != "" {
 		s += f.Field + ": "
@@ -103,32 +103,32 @@
 }
 
 // Unwrap gives the cause.
-func (f *Fault) Unwrap() error { return f.cause }
+func (f *Error) Unwrap() error { return f.cause }
 
-// New makes a fault of kind k. Example:
+// New makes a failure of kind k. Example:
 //
-//	return fault.New(fault.Stale, "epoch %d is over, now %d", got, now)
+//	return errs.New(errs.Stale, "epoch %d is over, now %d", got, now)
 func New(k Kind, format string, args ...any) error {
-	return trace.Wrap(&Fault{Kind: k, Message: fmt.Sprintf(format, args...)})
+	return trace.Wrap(&Error{Kind: k, Message: fmt.Sprintf(format, args...)})
 }
 
-// Field makes a fault that names the field it is about. Example:
+// Field makes a failure that names the field it is about. Example:
 //
-//	return fault.Field(fault.Invalid, "steps[2].tasks", "must be at least 1, is %d", n)
+//	return errs.Field(errs.Invalid, "steps[2].tasks", "must be at least 1, is %d", n)
 func Field(k Kind, field, format string, args ...any) error {
-	return trace.Wrap(&Fault{Kind: k, Field: field, Message: fmt.Sprintf(format, args...)})
+	return trace.Wrap(&Error{Kind: k, Field: field, Message: fmt.Sprintf(format, args...)})
 }
 
 // Wrap names err with kind k and a message; nil stays nil. Example:
 //
 //	if err := file.Sync(); err != nil {
-//		return fault.Wrap(err, fault.Disk, "sync %s", file.Name())
+//		return errs.Wrap(err, errs.Disk, "sync %s", file.Name())
 //	}
 func Wrap(err error, k Kind, format string, args ...any) error {
 	if err == nil {
 		return nil
 	}
-	return trace.Wrap(&Fault{Kind: k, Message: fmt.Sprintf(format, args...), cause: err})
+	return trace.Wrap(&Error{Kind: k, Message: fmt.Sprintf(format, args...), cause: err})
 }
 
 // Pass wraps err with a message and keeps its kind, field and hint; nil stays nil.
@@ -139,16 +139,16 @@
 	return trace.Wrap(err, append([]any{format}, args...)...)
 }
 
-// Of finds the outermost Fault in err; an error without one becomes Internal. Of(nil) is nil.
-func Of(err error) *Fault {
+// Of finds the outermost Failure in err; an error without one becomes Internal. Of(nil) is nil.
+func Of(err error) *Error {
 	if err == nil {
 		return nil
 	}
-	var f *Fault
+	var f *Error
 	if errors.As(err, &f) {
 		return f
 	}
-	return &Fault{Kind: Internal, Message: err.Error()}
+	return &Error{Kind: Internal, Message: err.Error()}
 }
 
 // KindOf gives the kind of err, "" for nil.
--- a/internal/fault/fault_test.go
+++ b/internal/errs/errs_test.go
@@ -1,4 +1,4 @@
-package fault
+package errs
 
 import (
 	"errors"
--- a/internal/jobs/configure.go
+++ b/internal/jobs/configure.go
@@ -5,25 +5,25 @@
 	"slices"
 	"strings"
 
-	"crosstide/internal/fault"
+	"crosstide/internal/errs"
 )
 
 // Configure puts another configuration in force. An order that was taken before is answered alike, whatever is in
-// force by now. Faults: Stale: another version than Base is in force; Invalid with the field. A refused order changes
+// force by now. Failures: Stale: another version than Base is in force; Invalid with the field. A refused order changes
 // nothing.
 func (t *Table) Configure(c Configure) error {
 	if _, taken := t.orders[c.Digest]; taken {
 		return nil
 	}
 	if c.Base != t.Config.Version {
-		return fault.Field(fault.Stale, "base", "version %d is in force, not %d", t.Config.Version, c.Base)
+		return errs.Field(errs.Stale, "base", "version %d is in force, not %d", t.Config.Version, c.Base)
 	}
 	if c.Version <= t.Config.Version {
-		return fault.Field(fault.Invalid, "version", "must be above %d, is %d", t.Config.Version, c.Version)
+		return errs.Field(errs.Invalid, "version", "must be above %d, is %d", t.Config.Version, c.Version)
 	}
 	next := t.Config.changed(c)
 	if err := next.check(); err != nil {
-		return fault.Pass(err, "configuration %d", c.Version)
+		return errs.Pass(err, "configuration %d", c.Version)
 	}
 	t.Config = next
 	t.remember(c.Digest)
@@ -86,7 +86,7 @@
 // place is where clients find a queue.
 type place struct{ host, prefix string }
 
-// check refuses a configuration that cannot be in force. Fault: Invalid; the field names the queue by its place in the
+// check refuses a configuration that cannot be in force. Failure: Invalid; the field names the queue by its place in the
 // whole configuration.
 func (c *Config) check() error {
 	names, places := map[string]bool{}, map[place]string{}
@@ -104,7 +104,7 @@
 			err = invalidQueue(i, "timeout", "queue %q: must be above 0, is %s", q.Name, q.Timeout)
 		}
 		if err != nil {
-			return fault.Pass(err, "queues")
+			return errs.Pass(err, "queues")
 		}
 		names[q.Name], places[at] = true, q.Name
 	}
@@ -112,7 +112,7 @@
 }
 
 func invalidQueue(i int, field, format string, args ...any) error {
-	return fault.Field(fault.Invalid, fmt.Sprintf("queues[%d].%s", i, field), format, args...)
+	return errs.Field(errs.Invalid, fmt.Sprintf("queues[%d].%s", i, field), format, args...)
 }
 
 // Evacuate starts or withdraws the evacuation of a zone; said again it changes nothing.
--- a/internal/jobs/configure_test.go
+++ b/internal/jobs/configure_test.go
@@ -7,7 +7,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"crosstide/internal/fault"
+	"crosstide/internal/errs"
 )
 
 func TestConfigure(t *testing.T) {
@@ -21,28 +21,28 @@
 		}
 		cases := []struct {
 			order Configure
-			kind  fault.Kind
+			kind  errs.Kind
 			field string
 		}{
-			{Configure{Base: 4, Version: 6}, fault.Stale, "base"},
-			{Configure{Base: 6, Version: 7}, fault.Stale, "base"},
-			{Configure{Base: 4, Version: 4}, fault.Stale, "base"}, // stale goes before invalid
-			{Configure{Base: 5, Version: 5}, fault.Invalid, "version"},
-			{queue(func(q *Queue) { q.Service = "none" }), fault.Invalid, "queues[0].service"},
-			{queue(func(q *Queue) { q.Timeout = 0 }), fault.Invalid, "queues[0].timeout"},
-			{queue(func(q *Queue) { q.Name = "other" }), fault.Invalid, "queues[2].prefix"},
-			{queue(func(q *Queue) { q.Name, q.Host = "other", "A.example" }), fault.Invalid, "queues[2].prefix"},
-			{Configure{Base: 5, Version: 6, RemoveServices: []string{"guard"}}, fault.Invalid, "queues[1].service"},
-			{Configure{Base: 5, Version: 6, Replace: true, Queues: testConfig().Queues}, fault.Invalid, "queues[0].service"},
+			{Configure{Base: 4, Version: 6}, errs.Stale, "base"},
+			{Configure{Base: 6, Version: 7}, errs.Stale, "base"},
+			{Configure{Base: 4, Version: 4}, errs.Stale, "base"}, // stale goes before invalid
+			{Configure{Base: 5, Version: 5}, errs.Invalid, "version"},
+			{queue(func(q *Queue) { q.Service = "none" }), errs.Invalid, "queues[0].service"},
+			{queue(func(q *Queue) { q.Timeout = 0 }), errs.Invalid, "queues[0].timeout"},
+			{queue(func(q *Queue) { q.Name = "other" }), errs.Invalid, "queues[2].prefix"},
+			{queue(func(q *Queue) { q.Name, q.Host = "other", "A.example" }), errs.Invalid, "queues[2].prefix"},
+			{Configure{Base: 5, Version: 6, RemoveServices: []string{"guard"}}, errs.Invalid, "queues[1].service"},
+			{Configure{Base: 5, Version: 6, Replace: true, Queues: testConfig().Queues}, errs.Invalid, "queues[0].service"},
 		}
 		twice := testConfig()
 		twice.Base, twice.Version, twice.Digest, twice.Replace = 5, 6, "second", true
 		twice.Queues[1].Name = "plain"
 		cases = append(cases, struct {
 			order Configure
-			kind  fault.Kind
+			kind  errs.Kind
 			field string
-		}{twice, fault.Invalid, "queues[1].name"})
+		}{twice, errs.Invalid, "queues[1].name"})
 		for _, c := range cases {
 			err := table.Configure(c.order)
 			So(err, shouldBeFault, c.kind)
@@ -86,7 +86,7 @@
 			winner := orders[order[0]]
 			for _, i := range order {
 				err := table.Configure(orders[i])
-				if taken := orders[i].Digest == winner.Digest; taken != (err == nil) || !taken && !fault.Is(err, fault.Stale) {
+				if taken := orders[i].Digest == winner.Digest; taken != (err == nil) || !taken && !errs.Is(err, errs.Stale) {
 					panic(fmt.Sprint("order ", order, " at ", i, ": ", err))
 				}
 			}
@@ -107,7 +107,7 @@
 			before := each.bytes()
 			So(each.Configure(Configure{Base: 5, Version: 6, Digest: "0"}), ShouldBeNil)
 			So(each.Configure(Configure{Base: 99, Version: 1, Digest: "7"}), ShouldBeNil)
-			So(each.Configure(testConfig()), shouldBeFault, fault.Stale) // the oldest of 1,025
+			So(each.Configure(testConfig()), shouldBeFault, errs.Stale) // the oldest of 1,025
 			So(each.bytes(), ShouldEqual, before)
 		}
 	})
@@ -116,7 +116,7 @@
 		So(table.Configure(Configure{Base: 5, Version: 6}), ShouldBeNil)
 		So(table.Configure(Configure{Base: 6, Version: 7}), ShouldBeNil)
 		So(table.Config.Version, ShouldEqual, 7)
-		So(table.Configure(Configure{Base: 6, Version: 7}), shouldBeFault, fault.Stale)
+		So(table.Configure(Configure{Base: 6, Version: 7}), shouldBeFault, errs.Stale)
 	})
 }
 
--- a/internal/jobs/helpers_test.go
+++ b/internal/jobs/helpers_test.go
@@ -8,7 +8,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"crosstide/internal/fault"
+	"crosstide/internal/errs"
 )
 
 // The property tests draw the same cases in each run; -rapid.seed on the command line draws others.
@@ -106,7 +106,7 @@
 
 func shouldBeFault(actual any, expected ...any) string {
 	err, _ := actual.(error)
-	if fault.Is(err, expected[0].(fault.Kind)) {
+	if errs.Is(err, expected[0].(errs.Kind)) {
 		return ""
 	}
 	return fmt.Sprintf("want a fault %v, got %v", expected[0], err)
@@ -117,7 +117,7 @@
 	if err == nil {
 		return "got no fault"
 	}
-	return ShouldEqual(fault.Of(err).Field, expected[0])
+	return ShouldEqual(errs.Of(err).Field, expected[0])
 }
 
 // permutations calls do with every order of the numbers below n.
--- a/internal/jobs/lifecycle.go
+++ b/internal/jobs/lifecycle.go
@@ -5,23 +5,23 @@
 	"fmt"
 	"time"
 
-	"crosstide/internal/fault"
+	"crosstide/internal/errs"
 )
 
-// Submit accepts a job, or finds it if it was accepted before. Faults: Conflict: the ID is another job's; Unknown: no
+// Submit accepts a job, or finds it if it was accepted before. Failures: Conflict: the ID is another job's; Unknown: no
 // such queue; Invalid: a step cannot be built.
 func (t *Table) Submit(c Submit) (JobState, error) {
 	if job := t.Jobs[c.Spec.ID]; job != nil {
 		if job.Digest != c.Digest {
-			return "", fault.Field(fault.Conflict, "id", "%q is the ID of another job", c.Spec.ID)
+			return "", errs.Field(errs.Conflict, "id", "%q is the ID of another job", c.Spec.ID)
 		}
 		return job.State, nil
 	}
 	if t.Config.Queue(c.Spec.Queue) == nil {
-		return "", fault.Field(fault.Unknown, "queue", "no queue %q", c.Spec.Queue)
+		return "", errs.Field(errs.Unknown, "queue", "no queue %q", c.Spec.Queue)
 	}
 	if err := checkSteps(c.Spec.Steps); err != nil {
-		return "", fault.Pass(err, "job %q", c.Spec.ID)
+		return "", errs.Pass(err, "job %q", c.Spec.ID)
 	}
 	t.Sequence++
 	job := &Job{
@@ -39,11 +39,11 @@
 func checkSteps(steps []Step) error {
 	for i, step := range steps {
 		if step.Count < 0 {
-			return fault.Field(fault.Invalid, fmt.Sprintf("steps[%d].count", i), "must not be negative, is %d", step.Count)
+			return errs.Field(errs.Invalid, fmt.Sprintf("steps[%d].count", i), "must not be negative, is %d", step.Count)
 		}
 		for _, before := range step.After {
 			if before < 0 || before >= i {
-				return fault.Field(fault.Invalid, fmt.Sprintf("steps[%d].after", i), "%d is no earlier step", before)
+				return errs.Field(errs.Invalid, fmt.Sprintf("steps[%d].after", i), "%d is no earlier step", before)
 			}
 		}
 	}
@@ -61,11 +61,11 @@
 	return rounds
 }
 
-// Cancel ends a job that is not over. Its handles stay until their ends. Fault: Unknown.
+// Cancel ends a job that is not over. Its handles stay until their ends. Failure: Unknown.
 func (t *Table) Cancel(c Cancel) (JobState, error) {
 	job := t.Jobs[c.ID]
 	if job == nil {
-		return "", fault.New(fault.Unknown, "no job %q", c.ID)
+		return "", errs.New(errs.Unknown, "no job %q", c.ID)
 	}
 	if !job.State.Over() {
 		t.finish(job, Cancelled, c.At)
--- a/internal/jobs/progress.go
+++ b/internal/jobs/progress.go
@@ -3,14 +3,14 @@
 import (
 	"time"
 
-	"crosstide/internal/fault"
+	"crosstide/internal/errs"
 )
 
 // Progress records what the scheduler of a term has decided and heard: ends, then starts, then workers to forget.
-// entryTerm is the term of the log entry that carries it. Fault: Stale: another leader's; nothing is changed.
+// entryTerm is the term of the log entry that carries it. Failure: Stale: another leader's; nothing is changed.
 func (t *Table) Progress(entryTerm uint64, p Progress) (Started, error) {
 	if p.Term != entryTerm || p.Term < t.Term {
-		return Started{}, fault.New(fault.Stale, "progress of term %d in an entry of term %d, after one of term %d", p.Term, entryTerm, t.Term)
+		return Started{}, errs.New(errs.Stale, "progress of term %d in an entry of term %d, after one of term %d", p.Term, entryTerm, t.Term)
 	}
 	t.Term = p.Term
 	changed := changedJobs{known: map[string]bool{}}
--- a/internal/jobs/table.go
+++ b/internal/jobs/table.go
@@ -3,7 +3,7 @@
 import (
 	"encoding/json"
 
-	"crosstide/internal/fault"
+	"crosstide/internal/errs"
 )
 
 // MaxOrders is how many digests of configuration orders are remembered, the newest.
@@ -57,7 +57,7 @@
 func (t *Table) Encode() ([]byte, error) {
 	data, err := json.Marshal(t)
 	if err != nil {
-		return nil, fault.Wrap(err, fault.Internal, "encode job table")
+		return nil, errs.Wrap(err, errs.Internal, "encode job table")
 	}
 	return data, nil
 }
@@ -67,7 +67,7 @@
 	type plain Table // without this method
 	var decoded plain
 	if err := json.Unmarshal(data, &decoded); err != nil {
-		return fault.Wrap(err, fault.Damaged, "decode job table")
+		return errs.Wrap(err, errs.Damaged, "decode job table")
 	}
 	decoded.Watch = t.Watch
 	*t = Table(decoded)
--- a/internal/habit/habit.go
+++ b/internal/lint/lint.go
@@ -1,6 +1,6 @@
-// Package habit checks the house's habits on the syntax trees of the module. It knows no types: a rule is what
+// Package lint checks the house's habits on the syntax trees of the module. It knows no types: a rule is what
 // can be seen in one file.
-package habit
+package lint
 
 import (
 	"fmt"
@@ -17,11 +17,11 @@
 
 // Rules by name.
 const (
-	RuleGo    = "go"    // a goroutine is started outside of internal/spawn
+	RuleGo    = "go"    // a goroutine is started outside of internal/routine
 	RuleBare  = "bare"  // an error of a call is returned without going through fault or trace
 	RuleSleep = "sleep" // a test sleeps
 	RuleHTTP  = "http"  // an HTTP server other than nbhttp
-	RuleNow   = "now"   // the clock is read outside of internal/alarm and internal/rig
+	RuleNow   = "now"   // the clock is read outside of internal/clock and internal/testbed
 	RuleParse = "parse" // the file could not be read or parsed
 )
 
@@ -92,7 +92,7 @@
 	ast.Inspect(tree, func(n ast.Node) bool {
 		switch n := n.(type) {
 		case *ast.GoStmt:
-			if !f.in("internal/spawn") {
+			if !f.in("internal/routine") {
 				f.add(n, RuleGo, "go statement; use spawn")
 			}
 		case *ast.SelectorExpr:
@@ -130,7 +130,7 @@
 	if slices.ContainsFunc(servers, func(s string) bool { return strings.HasPrefix(where, s) }) {
 		f.add(imp, RuleHTTP, "import of "+where)
 	}
-	if where == "golang.org/x/sync/errgroup" && !f.in("internal/spawn") {
+	if where == "golang.org/x/sync/errgroup" && !f.in("internal/routine") {
 		f.add(imp, RuleGo, "errgroup starts goroutines; use spawn")
 	}
 	if local == "." && (where == "time" || where == "net/http") {
@@ -158,7 +158,7 @@
 			f.add(s, RuleSleep, name)
 		}
 	case "time.Now", "time.Since", "time.Until":
-		if !f.test && !f.in("internal/alarm", "internal/rig") {
+		if !f.test && !f.in("internal/clock", "internal/testbed") {
 			f.add(s, RuleNow, name+"; use alarm.Clock")
 		}
 	case "net/http.Server", "net/http.Serve", "net/http.ServeTLS", "net/http.ListenAndServe",
@@ -206,14 +206,14 @@
 // bare names the callee if its error is not one that was named: those of fault, trace and errors are.
 func (f *file) bare(c *ast.CallExpr) string {
 	name := f.named(c.Fun)
-	for _, p := range []string{"crosstide/internal/fault.", "github.com/gravitational/trace.", "errors."} {
+	for _, p := range []string{"crosstide/internal/errs.", "github.com/gravitational/trace.", "errors."} {
 		if strings.HasPrefix(name, p) {
 			return ""
 		}
 	}
 	switch fun := c.Fun.(type) {
 	case *ast.Ident:
-		if f.in("internal/fault") && slices.Contains([]string{"New", "Field", "Wrap", "Pass"}, fun.Name) {
+		if f.in("internal/errs") && slices.Contains([]string{"New", "Field", "Wrap", "Pass"}, fun.Name) {
 			return ""
 		}
 		return fun.Name
--- a/internal/habit/habit_test.go
+++ b/internal/lint/lint_test.go
@@ -1,4 +1,4 @@
-package habit
+package lint
 
 import (
 	"fmt"
@@ -8,7 +8,7 @@
 )
 
 const top = `package x
-import ("errors"; "net/http"; "time"; clock "time"; "crosstide/internal/fault")
+import ("errors"; "net/http"; "time"; clock "time"; "crosstide/internal/errs")
 `
 
 func TestRules(t *testing.T) {
@@ -16,12 +16,12 @@
 		for _, c := range []struct{ file, body, want string }{
 			{"internal/a/a.go", `func f() { go g() }`, "go"},
 			{"internal/a/a_test.go", `func f() { go g() }`, "go"},
-			{"internal/spawn/a.go", `func f() { go g() }`, ""},
+			{"internal/routine/a.go", `func f() { go g() }`, ""},
 			{"internal/a/a_test.go", `func f() { clock.Sleep(1) }`, "sleep"},
 			{"internal/a/a.go", `func f() { time.Sleep(1) }`, ""},
 			{"internal/a/a.go", `var t = time.Now()`, "now"},
 			{"cmd/a/a.go", `var t = time.Since`, "now"},
-			{"internal/alarm/a.go", `var t = time.Now()`, ""},
+			{"internal/clock/a.go", `var t = time.Now()`, ""},
 			{"internal/a/a_test.go", `var t = time.Now()`, ""},
 			{"internal/a/a.go", `func f(time T) { time.Now() }`, ""},
 			{"internal/a/a.go", `var s = http.Server{}`, "http"},
@@ -37,19 +37,19 @@
 			{"internal/a/a.go", `func f() (err error) { err = g(); return }`, "bare"},
 			{"internal/a/a.go", `var f = func() error { return g() }`, "bare"},
 			{"internal/a/a.go", `func f() error { var err = g(); return err }`, "bare"},
-			{"internal/a/a.go", `func f() error { err := g(); if a { err = fault.New("") }; return err }`, "bare"},
-			{"internal/a/a.go", `func f() error { err := fault.New(""); if a { err = g() }; return err }`, "bare"},
+			{"internal/a/a.go", `func f() error { err := g(); if a { err = errs.New("") }; return err }`, "bare"},
+			{"internal/a/a.go", `func f() error { err := errs.New(""); if a { err = g() }; return err }`, "bare"},
 			{"internal/a/a.go", `func f() error { var err error; switch { case a: err = g() }; return err }`, "bare"},
 			{"other/a.go", `func f() error { return g() }`, ""},
 			{"internal/a/a_test.go", `func f() error { return g() }`, ""},
 			{"internal/a/a.go", `func f() int { return g() }`, ""},
 			{"internal/a/a.go", `func (x X) Unwrap() error { return x.g() }`, ""},
 			{"internal/a/a.go", `func f(err error) error { return err }`, ""},
-			{"internal/a/a.go", `func f() error { err := g(); return fault.Wrap(err, "") }`, ""},
+			{"internal/a/a.go", `func f() error { err := g(); return errs.Wrap(err, "") }`, ""},
 			{"internal/a/a.go", `func f() error { return errors.Join(a, b) }`, ""},
-			{"internal/a/a.go", `func f() error { err := g(); err = fault.Pass(err, ""); return err }`, ""},
-			{"internal/a/a.go", `func f() error { err := g(); if err != nil { err = fault.Pass(err, "") }; return err }`, ""},
-			{"internal/a/a.go", `func f() error { if a { err := g(); use(err) }; err := fault.New(""); return err }`, ""},
+			{"internal/a/a.go", `func f() error { err := g(); err = errs.Pass(err, ""); return err }`, ""},
+			{"internal/a/a.go", `func f() error { err := g(); if err != nil { err = errs.Pass(err, "") }; return err }`, ""},
+			{"internal/a/a.go", `func f() error { if a { err := g(); use(err) }; err := errs.New(""); return err }`, ""},
 			{"internal/a/a.go", `func f() error { h(func() int { return g() }); return nil }`, ""},
 		} {
 			got := ""
--- a/internal/view/core.go
+++ b/internal/membership/core.go
@@ -1,4 +1,4 @@
-package view
+package membership
 
 import (
 	"maps"
@@ -31,7 +31,7 @@
 }
 
 // Counts only go up.
-type Counts struct{ Shuffles, Faults, Visits, Taken, Suspects, Dropped uint64 }
+type Counts struct{ Shuffles, Failures, Visits, Taken, Suspects, Dropped uint64 }
 
 type entry struct {
 	Note
@@ -54,7 +54,7 @@
 	at   time.Duration
 }
 
-// Call is a message to be sent to Addr; its end goes to Answer or Fault under ID.
+// Call is a message to be sent to Addr; its end goes to Answer or Failure under ID.
 type Call struct {
 	ID   uint64
 	Addr string
@@ -64,7 +64,7 @@
 // New makes the core of self, which knows nobody but the addresses of its seeds. The same rnd gives the same steps.
 // Example:
 //
-//	c := view.New(view.Defaults(), view.Note{Name: "d1", Addr: addr, Zone: "a", Role: view.Dplane, Boot: boot}, seeds, 1)
+//	c := membership.New(membership.Defaults(), membership.Note{Name: "d1", Addr: addr, Zone: "a", Role: membership.Dplane, Boot: boot}, seeds, 1)
 //	for _, call := range c.Tick(now) {
 //		if answer, err := send(call.Addr, call.Message); err != nil {
 //			c.Fault(now, call.ID)
@@ -102,7 +102,7 @@
 	joins := c.round <= len(c.seeds) // every seed is visited once: those that start together may have met elsewhere
 	if target == nil || joins || c.round >= c.visit {
 		c.visit = c.round + c.cfg.SeedTick
-		// In a large fleet only the few cplanes go on visiting seeds, so that the seeds' pressure does not grow with it.
+		// In a large fleet only the few cplanes go on visiting seeds, so that the seeds' overload does not grow with it.
 		if addr := c.nextSeed(); addr != "" && (target == nil || joins || c.self.Role == Cplane || len(c.core) == 0) {
 			c.Counts.Visits++
 			call := c.shuffle(now, addr, c.at(addr))
@@ -229,14 +229,14 @@
 	c.merge(now, a.at, m, a.sent, false)
 }
 
-// Fault tells that the call id had no good answer: the one asked is suspected.
-func (c *Core) Fault(now time.Duration, id uint64) {
+// Failure tells that the call id had no good answer: the one asked is suspected.
+func (c *Core) Failure(now time.Duration, id uint64) {
 	a := c.asked[id]
 	if a == nil {
 		return
 	}
 	delete(c.asked, id)
-	c.Counts.Faults++
+	c.Counts.Failures++
 	if a.seed {
 		// The next seed soon, but with neighbours in between: dead seeds must not keep a node from shuffling.
 		c.missed = min(c.missed+1, c.cfg.SeedTick)
--- a/internal/view/core_test.go
+++ b/internal/membership/core_test.go
@@ -1,4 +1,4 @@
-package view
+package membership
 
 import (
 	"encoding/json"
@@ -9,12 +9,12 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"crosstide/internal/alarm"
+	"crosstide/internal/clock"
 )
 
 // fleet runs pure cores on a virtual clock. Calls are made at once; lose is the part of answers that is lost.
 type fleet struct {
-	clock alarm.Virtual
+	clock clock.Virtual
 	rng   *rand.Rand
 	nodes []*Core // by place; nil: dead
 	side  []int   // nodes of different sides do not reach each other
@@ -69,7 +69,7 @@
 	for _, call := range calls {
 		to := f.at(call.Addr)
 		if to < 0 || f.side[to] != f.side[i] {
-			c.Fault(now, call.ID)
+			c.Failure(now, call.ID)
 			continue
 		}
 		answer := f.nodes[to].Call(now, call.Message)
@@ -79,7 +79,7 @@
 			f.bytes += len(a) + len(b) + head
 		}
 		if f.rng.Float64() < f.lose {
-			c.Fault(now, call.ID)
+			c.Failure(now, call.ID)
 		} else {
 			c.Answer(now, call.ID, answer)
 		}
@@ -242,10 +242,10 @@
 		}
 		c := f.nodes[4]
 		f.clock.Advance(time.Minute)
-		sent, faults := c.Counts.Shuffles, c.Counts.Faults
+		sent, failures := c.Counts.Shuffles, c.Counts.Failures
 		f.clock.Advance(time.Minute)
-		So(c.Counts.Faults-faults, ShouldBeGreaterThan, 0)
-		So(c.Counts.Faults-faults, ShouldBeLessThan, (c.Counts.Shuffles-sent)/5)
+		So(c.Counts.Failures-failures, ShouldBeGreaterThan, 0)
+		So(c.Counts.Failures-failures, ShouldBeLessThan, (c.Counts.Shuffles-sent)/5)
 	})
 }
 
@@ -307,7 +307,7 @@
 			c.Call(time.Millisecond, Message{From: peer})
 			call := c.Tick(time.Second)[0]
 			So(call.Addr, ShouldEqual, x(1, 1).Addr)
-			c.Fault(2*time.Second, call.ID)
+			c.Failure(2*time.Second, call.ID)
 			So(c.Nodes(2 * time.Second)[2].Suspect, ShouldBeTrue)
 			call = c.Tick(3 * time.Second)[0]
 			So([]any{call.Addr, call.Ask}, ShouldResemble, []any{peer.Addr, []string{"x"}})
--- a/internal/view/node.go
+++ b/internal/membership/node.go
@@ -1,4 +1,4 @@
-package view
+package membership
 
 import (
 	"context"
@@ -10,9 +10,9 @@
 	"github.com/go-kit/log/level"
 	"github.com/prometheus/client_golang/prometheus"
 
-	"crosstide/internal/alarm"
-	"crosstide/internal/fault"
-	"crosstide/internal/spawn"
+	"crosstide/internal/clock"
+	"crosstide/internal/errs"
+	"crosstide/internal/routine"
 )
 
 // Ask sends a message to an address and gives the answer; it ends by its own time-out.
@@ -25,7 +25,7 @@
 	Rnd      uint64
 	Config   *Config // default Defaults
 	Ask      Ask
-	Clock    alarm.Clock
+	Clock    clock.Clock
 	Logger   log.Logger
 	Registry prometheus.Registerer // default: not shown
 	// Cplanes is told the addresses of the cplanes whenever the directory of them changed.
@@ -35,7 +35,7 @@
 // Node runs a Core.
 type Node struct {
 	opt   Options
-	group *spawn.Group
+	group *routine.Group
 	mu    sync.Mutex
 	core  *Core
 	bytes prometheus.Counter
@@ -43,8 +43,8 @@
 
 // NewNode makes a node; Start sets it going. Example:
 //
-//	n := view.NewNode(view.Options{Self: self, Seeds: seeds, Ask: ask, Clock: alarm.Real{}})
-//	wire.Handle(srv, pair.Shuffle, n.Serve)
+//	n := membership.NewNode(membership.Options{Self: self, Seeds: seeds, Ask: ask, Clock: clock.Real{}})
+//	rpc.Handle(srv, api.Shuffle, n.Serve)
 //	n.Start(ctx)
 //	defer n.Stop(ctx)
 func NewNode(opt Options) *Node {
@@ -69,7 +69,7 @@
 
 // Start sets the node going.
 func (n *Node) Start(ctx context.Context) {
-	n.group = spawn.New(ctx)
+	n.group = routine.New(ctx)
 	n.group.Go(n.run)
 }
 
@@ -79,7 +79,7 @@
 	calls := n.core.Leave(n.opt.Clock.Now())
 	n.mu.Unlock()
 	n.group.Stop()
-	spawn.Each(len(calls), len(calls), func(i int) {
+	routine.Each(len(calls), len(calls), func(i int) {
 		n.count(calls[i].Message)
 		if _, err := n.opt.Ask(ctx, calls[i].Addr, calls[i].Message); err != nil {
 			_ = level.Debug(n.opt.Logger).Log("msg", "leaving was not heard", "addr", calls[i].Addr, "err", err)
@@ -114,7 +114,7 @@
 	answer, err := n.opt.Ask(ctx, call.Addr, call.Message)
 	n.mu.Lock()
 	if err != nil {
-		n.core.Fault(n.opt.Clock.Now(), call.ID)
+		n.core.Failure(n.opt.Clock.Now(), call.ID)
 	} else {
 		n.core.Answer(n.opt.Clock.Now(), call.ID, answer)
 	}
@@ -125,10 +125,10 @@
 	n.tell()
 }
 
-// Serve answers a shuffle. Fault: Invalid.
+// Serve answers a shuffle. Failure: Invalid.
 func (n *Node) Serve(_ context.Context, m Message) (Message, error) {
 	if !m.From.whole() {
-		return Message{}, fault.Field(fault.Invalid, "from", "must be a node with its name and address")
+		return Message{}, errs.Field(errs.Invalid, "from", "must be a node with its name and address")
 	}
 	n.mu.Lock()
 	answer := n.core.Call(n.opt.Clock.Now(), m)
@@ -194,7 +194,7 @@
 	for of, v := range map[string]int{"view": neighbours, "suspects": suspects, "core": cplanes} {
 		to <- prometheus.MustNewConstMetric(descSize, prometheus.GaugeValue, float64(v), of)
 	}
-	for how, v := range map[string]uint64{"sent": c.Shuffles, "taken": c.Taken, "fault": c.Faults, "seed": c.Visits} {
+	for how, v := range map[string]uint64{"sent": c.Shuffles, "taken": c.Taken, "fault": c.Failures, "seed": c.Visits} {
 		to <- prometheus.MustNewConstMetric(descShuffles, prometheus.CounterValue, float64(v), how)
 	}
 	for what, v := range map[string]uint64{"suspected": c.Suspects, "dropped": c.Dropped} {
--- a/internal/view/node_test.go
+++ b/internal/membership/node_test.go
@@ -1,4 +1,4 @@
-package view
+package membership
 
 import (
 	"context"
@@ -7,18 +7,18 @@
 	"github.com/prometheus/client_golang/prometheus"
 	. "github.com/smartystreets/goconvey/convey"
 
-	"crosstide/internal/alarm"
-	"crosstide/internal/fault"
+	"crosstide/internal/clock"
+	"crosstide/internal/errs"
 )
 
 func TestNode(t *testing.T) {
 	Convey("A shuffle that comes in is answered, counted, and its cplanes are handed on; one from nobody is refused", t, func() {
 		var got []string
 		reg := prometheus.NewRegistry()
-		n := NewNode(Options{Self: Note{Name: "d1", Addr: "10.0.0.7:7000", Role: Dplane, Boot: 1}, Clock: &alarm.Virtual{},
+		n := NewNode(Options{Self: Note{Name: "d1", Addr: "10.0.0.7:7000", Role: Dplane, Boot: 1}, Clock: &clock.Virtual{},
 			Registry: reg, Cplanes: func(addrs []string) { got = addrs }})
 		_, err := n.Serve(context.Background(), Message{})
-		So(fault.Is(err, fault.Invalid), ShouldBeTrue)
+		So(errs.Is(err, errs.Invalid), ShouldBeTrue)
 		a, err := n.Serve(context.Background(), Message{From: Note{Name: "c1", Addr: "10.0.0.1:7000", Role: Cplane, Boot: 4}})
 		So(err, ShouldBeNil)
 		So([]any{a.From.Name, got, len(n.Nodes())}, ShouldResemble, []any{"d1", []string{"10.0.0.1:7000"}, 2})
--- a/internal/view/note.go
+++ b/internal/membership/note.go
@@ -1,6 +1,6 @@
-// Package view is membership by partial views: each node knows a few others, and shuffles a part of what it knows
+// Package membership is membership by partial views: each node knows a few others, and shuffles a part of what it knows
 // with the neighbour it has not heard of for longest. Core is the pure step function, Node its runtime.
-package view
+package membership
 
 import (
 	"cmp"
--- a/internal/operator/bundle.go
+++ b/internal/operator/bundle.go
@@ -7,13 +7,13 @@
 	"strconv"
 	"time"
 
+	"crosstide/internal/api"
 	"crosstide/internal/bundle"
-	"crosstide/internal/fault"
-	"crosstide/internal/pair"
+	"crosstide/internal/errs"
+	"crosstide/internal/rpc"
 	"crosstide/internal/state"
 	"crosstide/internal/state/command"
 	"crosstide/internal/state/query"
-	"crosstide/internal/wire"
 )
 
 // Signing is the body of POST /v1/bundles/{version}/sign.
@@ -56,23 +56,23 @@
 // NodeRollout is one node. Took is from when the version came in force until the node had it, by the clocks of two
 // cplanes; 0 while the node has another one.
 type NodeRollout struct {
-	pair.NodeBundle
+	api.NodeBundle
 	Current bool          `json:"current"`
 	Took    time.Duration `json:"took,omitempty"`
 }
 
 // Roller tells which bundle every node has.
 type Roller interface {
-	Rollout(ctx context.Context) (nodes []pair.NodeBundle, silent []string)
+	Rollout(ctx context.Context) (nodes []api.NodeBundle, silent []string)
 }
 
 // serveBundles adds the routes of the bundle; see Serve.
-func serveBundles(srv *wire.Server, s Store) {
+func serveBundles(srv *rpc.Server, s Store) {
 	route := func(pattern string, do func(r *http.Request) (any, error)) {
 		srv.Route(pattern, func(w http.ResponseWriter, r *http.Request) {
 			answer, err := do(r)
 			if err != nil {
-				wire.WriteFault(w, err)
+				rpc.WriteError(w, err)
 				return
 			}
 			if raw, ok := answer.(exact); ok {
@@ -81,7 +81,7 @@
 				_, _ = w.Write(raw) // a caller that is gone hears nothing
 				return
 			}
-			wire.WriteJSON(w, http.StatusOK, answer)
+			rpc.WriteJSON(w, http.StatusOK, answer)
 		})
 	}
 	b := books{s}
@@ -91,17 +91,17 @@
 	route("GET /v1/bundles", b.log)
 	route("GET /v1/bundles/{version}", func(r *http.Request) (any, error) {
 		meta, _, err := b.revision(r, "version")
-		return meta, fault.Pass(err, "bundle")
+		return meta, errs.Pass(err, "bundle")
 	})
 	route("GET /v1/bundles/{version}/body", func(r *http.Request) (any, error) {
 		_, body, err := b.body(r, "version")
-		return exact(body), fault.Pass(err, "bundle")
+		return exact(body), errs.Pass(err, "bundle")
 	})
 	route("GET /v1/bundles/{version}/diff/{other}", b.diff)
 	route("GET /v1/zones", func(r *http.Request) (any, error) {
 		var out Zones
 		err := s.Read(r.Context(), func(st *state.State) { out.Zones = query.Zones(st) })
-		return out, fault.Pass(err, "zones")
+		return out, errs.Pass(err, "zones")
 	})
 	route("GET /v1/rollout", b.rollout)
 }
@@ -116,55 +116,55 @@
 	q := r.URL.Query()
 	order, by, sig = q.Get("order"), q.Get("by"), q.Get("sig")
 	if order == "" || len(order) > 200 {
-		return "", 0, "", "", nil, fault.Field(fault.Invalid, "order", "must be 1 to 200 bytes, is %d", len(order))
+		return "", 0, "", "", nil, errs.Field(errs.Invalid, "order", "must be 1 to 200 bytes, is %d", len(order))
 	}
 	base, err = strconv.ParseUint(q.Get("base"), 10, 64)
 	if err != nil {
-		return "", 0, "", "", nil, fault.Field(fault.Invalid, "base", "must be the version that this is written against, is %q", q.Get("base"))
+		return "", 0, "", "", nil, errs.Field(errs.Invalid, "base", "must be the version that this is written against, is %q", q.Get("base"))
 	}
-	text, err = wire.ReadBody(r, bundle.MaxBytes)
-	return order, base, by, sig, text, fault.Pass(err, "body")
+	text, err = rpc.ReadBody(r, bundle.MaxBytes)
+	return order, base, by, sig, text, errs.Pass(err, "body")
 }
 
 func (b books) put(r *http.Request) (any, error) {
 	order, base, by, sig, text, err := written(r)
 	if err != nil {
-		return nil, fault.Pass(err, "put")
+		return nil, errs.Pass(err, "put")
 	}
 	if _, err := bundle.Parse(text); err != nil { // the store would say the same, later
-		return nil, fault.Pass(err, "put")
+		return nil, errs.Pass(err, "put")
 	}
 	answer, err := b.store.Order(r.Context(), &command.Put{Order: order, Base: base, By: by, Sig: sig, Body: text})
-	return answer, fault.Pass(err, "put")
+	return answer, errs.Pass(err, "put")
 }
 
 func (b books) patch(r *http.Request) (any, error) {
 	order, base, by, sig, text, err := written(r)
 	if err != nil {
-		return nil, fault.Pass(err, "patch")
+		return nil, errs.Pass(err, "patch")
 	}
 	answer, err := b.store.Order(r.Context(), &command.Patch{Order: order, Base: base, By: by, Sig: sig, Patch: text})
-	return answer, fault.Pass(err, "patch")
+	return answer, errs.Pass(err, "patch")
 }
 
 func (b books) sign(r *http.Request) (any, error) {
 	version, err := strconv.ParseUint(r.PathValue("version"), 10, 64)
 	if err != nil {
-		return nil, fault.Field(fault.Invalid, "version", "must be a number, is %q", r.PathValue("version"))
+		return nil, errs.Field(errs.Invalid, "version", "must be a number, is %q", r.PathValue("version"))
 	}
-	raw, err := wire.ReadBody(r, maxBody)
+	raw, err := rpc.ReadBody(r, maxBody)
 	if err != nil {
-		return nil, fault.Pass(err, "sign")
+		return nil, errs.Pass(err, "sign")
 	}
 	var in Signing
 	if err := json.Unmarshal(raw, &in); err != nil {
-		return nil, fault.Wrap(err, fault.Malformed, "the body must be {\"order\",\"sha256\",\"by\",\"sig\"}")
+		return nil, errs.Wrap(err, errs.Malformed, "the body must be {\"order\",\"sha256\",\"by\",\"sig\"}")
 	}
 	if in.Order == "" || len(in.Order) > 200 {
-		return nil, fault.Field(fault.Invalid, "order", "must be 1 to 200 bytes, is %d", len(in.Order))
+		return nil, errs.Field(errs.Invalid, "order", "must be 1 to 200 bytes, is %d", len(in.Order))
 	}
 	answer, err := b.store.Order(r.Context(), &command.Sign{Order: in.Order, Version: version, Digest: in.Digest, By: in.By, Sig: in.Sig})
-	return answer, fault.Pass(err, "sign")
+	return answer, errs.Pass(err, "sign")
 }
 
 func (b books) log(r *http.Request) (any, error) {
@@ -172,7 +172,7 @@
 	if text := r.URL.Query().Get("limit"); text != "" {
 		n, err := strconv.Atoi(text)
 		if err != nil || n < 1 {
-			return nil, fault.Field(fault.Invalid, "limit", "must be a number from 1, is %q", text)
+			return nil, errs.Field(errs.Invalid, "limit", "must be a number from 1, is %q", text)
 		}
 		limit = n
 	}
@@ -180,7 +180,7 @@
 	err := b.store.Read(r.Context(), func(s *state.State) {
 		out = Log{s.Bundle.Version, s.Head().Version, query.Revisions(s, limit)}
 	})
-	return out, fault.Pass(err, "log")
+	return out, errs.Pass(err, "log")
 }
 
 // revision reads the version that a part of the path names.
@@ -188,7 +188,7 @@
 	word := r.PathValue(part)
 	version, wrong := strconv.ParseUint(word, 10, 64)
 	if wrong != nil && word != query.Current && word != query.Newest {
-		return meta, nil, fault.Field(fault.Invalid, part, "must be a number, %s or %s, is %q", query.Current, query.Newest, word)
+		return meta, nil, errs.Field(errs.Invalid, part, "must be a number, %s or %s, is %q", query.Current, query.Newest, word)
 	}
 	var miss error
 	err = b.store.Read(r.Context(), func(s *state.State) {
@@ -203,28 +203,28 @@
 	if err == nil {
 		err = miss
 	}
-	return meta, body, fault.Pass(err, "version %s", word)
+	return meta, body, errs.Pass(err, "version %s", word)
 }
 
 func (b books) body(r *http.Request, part string) (state.Revision, []byte, error) {
 	meta, body, err := b.revision(r, part)
 	if err == nil && body == nil {
-		err = fault.Field(fault.Unknown, part, "the bytes of version %d were let go; its sha256 is %s", meta.Version, meta.Digest)
+		err = errs.Field(errs.Unknown, part, "the bytes of version %d were let go; its sha256 is %s", meta.Version, meta.Digest)
 	}
-	return meta, body, fault.Pass(err, "body")
+	return meta, body, errs.Pass(err, "body")
 }
 
 func (b books) diff(r *http.Request) (any, error) {
 	from, a, err := b.body(r, "version")
 	if err != nil {
-		return nil, fault.Pass(err, "diff")
+		return nil, errs.Pass(err, "diff")
 	}
 	to, c, err := b.body(r, "other")
 	if err != nil {
-		return nil, fault.Pass(err, "diff")
+		return nil, errs.Pass(err, "diff")
 	}
 	changes, err := bundle.Diff(a, c)
-	return Difference{from.Version, to.Version, changes}, fault.Pass(err, "diff")
+	return Difference{from.Version, to.Version, changes}, errs.Pass(err, "diff")
 }
 
 func (b books) rollout(r *http.Request) (any, error) {
@@ -236,7 +236,7 @@
 		}
 	})
 	if err != nil {
-		return nil, fault.Pass(err, "rollout")
+		return nil, errs.Pass(err, "rollout")
 	}
 	nodes, silent := b.store.Rollout(r.Context())
 	out.Silent = silent
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -8,14 +8,14 @@
 	"net/http"
 	"slices"
 
-	"crosstide/internal/fault"
-	"crosstide/internal/pair"
+	"crosstide/internal/api"
+	"crosstide/internal/errs"
+	"crosstide/internal/membership"
 	"crosstide/internal/quorum"
+	"crosstide/internal/rpc"
 	"crosstide/internal/state"
 	"crosstide/internal/state/command"
 	"crosstide/internal/state/query"
-	"crosstide/internal/view"
-	"crosstide/internal/wire"
 )
 
 // Store is what the API needs of the control store.
@@ -24,7 +24,7 @@
 	Order(ctx context.Context, c command.Command) (json.RawMessage, error)
 	// Read looks at a state that has all that was committed before the call.
 	Read(ctx context.Context, read func(*state.State)) error
-	Status() pair.StatusAnswer
+	Status() api.StatusAnswer
 	Roller
 }
 
@@ -34,7 +34,7 @@
 type Order struct {
 	Order string `json:"order"`
 	By    string `json:"by,omitempty"`  // of evacuate and lift: the operator who signs
-	Sig   string `json:"sig,omitempty"` // over seal.Evacuate or seal.Lift, in base64
+	Sig   string `json:"sig,omitempty"` // over signature.Evacuate or signature.Lift, in base64
 }
 
 // Minions is the answer of GET /v1/minions.
@@ -44,12 +44,12 @@
 
 // Who is the answer of GET /v1/who: the names of the holders, "" if there is none, and the members of the store.
 type Who struct {
-	Store     string             `json:"store"`
-	Sched     string             `json:"sched"`
-	Members   []quorum.Member    `json:"members"`
-	Evacuated []string           `json:"evacuated,omitempty"`
-	Status    *pair.StatusAnswer `json:"status,omitempty"` // of the cplane that answers
-	Nodes     []view.Seen        `json:"nodes,omitempty"`  // as the cplane that answers knows them: all of a small fleet, else a part
+	Store     string            `json:"store"`
+	Sched     string            `json:"sched"`
+	Members   []quorum.Member   `json:"members"`
+	Evacuated []string          `json:"evacuated,omitempty"`
+	Status    *api.StatusAnswer `json:"status,omitempty"` // of the cplane that answers
+	Nodes     []membership.Seen `json:"nodes,omitempty"`  // as the cplane that answers knows them: all of a small fleet, else a part
 }
 
 // Serve adds the routes:
@@ -73,17 +73,17 @@
 //	GET  /v1/who
 //
 // Once the store knows operators, what needs a signature and has none is Forbidden; before that, zones take orders
-// without one. Faults: Malformed, TooLarge, Forbidden, Invalid, Unknown, Conflict, Pressure, Unavailable, Timeout
+// without one. Failures: Malformed, TooLarge, Forbidden, Invalid, Unknown, Conflict, Pressure, Unavailable, Timeout
 // (send the same order again).
-func Serve(srv *wire.Server, s Store, name func(id string) string, nodes func() []view.Seen) {
+func Serve(srv *rpc.Server, s Store, name func(id string) string, nodes func() []membership.Seen) {
 	order := func(pattern string, make func(r *http.Request, in Order) command.Command) {
 		srv.Route("POST "+pattern, func(w http.ResponseWriter, r *http.Request) {
 			answer, err := take(r, s, make)
 			if err != nil {
-				wire.WriteFault(w, err)
+				rpc.WriteError(w, err)
 				return
 			}
-			wire.WriteJSON(w, http.StatusOK, answer)
+			rpc.WriteJSON(w, http.StatusOK, answer)
 		})
 	}
 	order("/v1/zones/{zone}/evacuate", func(r *http.Request, in Order) command.Command {
@@ -108,10 +108,10 @@
 	srv.Route("GET /v1/minions", func(w http.ResponseWriter, r *http.Request) {
 		var out Minions
 		if err := s.Read(r.Context(), func(st *state.State) { out.Minions = query.Minions(st) }); err != nil {
-			wire.WriteFault(w, err)
+			rpc.WriteError(w, err)
 			return
 		}
-		wire.WriteJSON(w, http.StatusOK, out)
+		rpc.WriteJSON(w, http.StatusOK, out)
 	})
 	srv.Route("GET /v1/who", func(w http.ResponseWriter, r *http.Request) {
 		var out Who
@@ -125,28 +125,28 @@
 			slices.Sort(out.Evacuated)
 		})
 		if err != nil {
-			wire.WriteFault(w, err)
+			rpc.WriteError(w, err)
 			return
 		}
 		status := s.Status()
 		out.Store, out.Members, out.Status = name(status.Quorum.Leader), status.Quorum.Members, &status
 		out.Nodes = nodes()
-		wire.WriteJSON(w, http.StatusOK, out)
+		rpc.WriteJSON(w, http.StatusOK, out)
 	})
 }
 
 func take(r *http.Request, s Store, make func(r *http.Request, in Order) command.Command) (json.RawMessage, error) {
-	raw, err := wire.ReadBody(r, maxBody)
+	raw, err := rpc.ReadBody(r, maxBody)
 	if err != nil {
-		return nil, fault.Pass(err, "order")
+		return nil, errs.Pass(err, "order")
 	}
 	var body Order
 	if err := json.Unmarshal(raw, &body); err != nil {
-		return nil, fault.Wrap(err, fault.Malformed, "the body must be {\"order\":\"id\"}")
+		return nil, errs.Wrap(err, errs.Malformed, "the body must be {\"order\":\"id\"}")
 	}
 	if body.Order == "" || len(body.Order) > 200 {
-		return nil, fault.Field(fault.Invalid, "order", "must be 1 to 200 bytes, is %d", len(body.Order))
+		return nil, errs.Field(errs.Invalid, "order", "must be 1 to 200 bytes, is %d", len(body.Order))
 	}
 	answer, err := s.Order(r.Context(), make(r, body))
-	return answer, fault.Pass(err, "order %s", body.Order)
+	return answer, errs.Pass(err, "order %s", body.Order)
 }
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -13,12 +13,12 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"crosstide/internal/pair"
-	"crosstide/internal/seal"
+	"crosstide/internal/api"
+	"crosstide/internal/membership"
+	"crosstide/internal/rpc"
+	"crosstide/internal/signature"
 	"crosstide/internal/state"
 	"crosstide/internal/state/command"
-	"crosstide/internal/view"
-	"crosstide/internal/wire"
 )
 
 // desk is a store of one.
@@ -37,25 +37,25 @@
 }
 
 func (d *desk) Read(_ context.Context, read func(*state.State)) error { read(d.st); return nil }
-func (d *desk) Status() pair.StatusAnswer                             { return pair.StatusAnswer{} }
-func (d *desk) Rollout(context.Context) ([]pair.NodeBundle, []string) {
-	return []pair.NodeBundle{{Node: "c1", Version: 2, Since: time.Unix(60, 0)}, {Node: "d1", Version: 1}}, []string{"c2"}
+func (d *desk) Status() api.StatusAnswer                              { return api.StatusAnswer{} }
+func (d *desk) Rollout(context.Context) ([]api.NodeBundle, []string) {
+	return []api.NodeBundle{{Node: "c1", Version: 2, Since: time.Unix(60, 0)}, {Node: "d1", Version: 1}}, []string{"c2"}
 }
 
 func TestAPI(t *testing.T) {
 	Convey("A bundle is written, signed twice and read back byte for byte; what is not signed is 403", t, func() {
 		d := &desk{state.New()}
-		keys := map[string]seal.Key{}
+		keys := map[string]signature.Key{}
 		public := map[string]string{}
 		for _, name := range []string{"ada", "ben"} {
-			key, err := seal.New(name)
+			key, err := signature.New(name)
 			So(err, ShouldBeNil)
 			keys[name], public[name] = key, key.Public()
 		}
 		_, err := d.Order(t.Context(), &command.Keys{Operators: public})
 		So(err, ShouldBeNil)
-		srv := wire.NewServer(wire.ServerOptions{Addr: "127.0.0.1:0"})
-		Serve(srv, d, func(id string) string { return id }, func() []view.Seen { return nil })
+		srv := rpc.NewServer(rpc.ServerOptions{Addr: "127.0.0.1:0"})
+		Serve(srv, d, func(id string) string { return id }, func() []membership.Seen { return nil })
 		So(srv.Start(), ShouldBeNil)
 		defer func() { _ = srv.Stop(time.Second) }()
 		call := func(method, path string, body []byte) (int, string) {
@@ -71,7 +71,7 @@
 		put := func(by string, base uint64, text string) (int, string) {
 			order := fmt.Sprint("o", by, base, len(text))
 			q := url.Values{"order": {order}, "base": {fmt.Sprint(base)}, "by": {by},
-				"sig": {keys[by].Sign(seal.Put(order, base, seal.Digest([]byte(text))))}}
+				"sig": {keys[by].Sign(signature.Put(order, base, signature.Digest([]byte(text))))}}
 			return call("POST", "/v1/bundles?"+q.Encode(), []byte(text))
 		}
 		text := "{\"queues\":\t{\"default\":{ }}}\n\n"
@@ -86,7 +86,7 @@
 		So(fmt.Sprint(status, raw), ShouldContainSubstring, "someone else was first")
 		So(status, ShouldEqual, 409)
 		for _, by := range []string{"ada", "ben"} {
-			sig := Signing{Order: "s" + by, Digest: seal.Digest([]byte(text)), By: by, Sig: keys[by].Sign(seal.Bundle(2, seal.Digest([]byte(text))))}
+			sig := Signing{Order: "s" + by, Digest: signature.Digest([]byte(text)), By: by, Sig: keys[by].Sign(signature.Bundle(2, signature.Digest([]byte(text))))}
 			body, err := json.Marshal(sig)
 			So(err, ShouldBeNil)
 			status, raw = call("POST", "/v1/bundles/2/sign", body)
--- a/internal/quorum/core.go
+++ b/internal/quorum/core.go
@@ -6,7 +6,7 @@
 	"slices"
 	"time"
 
-	"crosstide/internal/fault"
+	"crosstide/internal/errs"
 )
 
 // never is before every time.
@@ -21,7 +21,7 @@
 	hard Hard
 	log  journal
 	// confs holds the newest committed member set and those after it; the last is in force.
-	confs           []conf
+	configurations  []configuration
 	snap            Meta // newest durable snapshot
 	commit, applied uint64
 	refused         uint64
@@ -47,7 +47,7 @@
 
 // New makes a core from what the disk had. now is the time on the runtime's clock; the node stays silent for one
 // Election at least, as it may have promised that to a leader before it was restarted.
-// Faults: Settings for a bad Config, Damaged for a Boot that no run could have stored.
+// Failures: Settings for a bad Config, Damaged for a Boot that no run could have stored.
 func New(cfg Config, boot Boot, now time.Duration) (*Core, error) {
 	cfg.Election = cmp.Or(cfg.Election, time.Second)
 	cfg.Heartbeat = cmp.Or(cfg.Heartbeat, cfg.Election/10)
@@ -56,7 +56,7 @@
 	cfg.MaxInflight = cmp.Or(cfg.MaxInflight, 64)
 	if cfg.ID == "" || cfg.Heartbeat <= 0 || cfg.Heartbeat >= cfg.Election || cfg.Lease < 0 || cfg.Lease >= cfg.Election ||
 		cfg.MaxBytes < 0 || cfg.MaxInflight < 0 {
-		return nil, fault.New(fault.Settings, "quorum needs an ID, 0 < Heartbeat < Election, 0 <= Lease < Election, limits above 0")
+		return nil, errs.New(errs.Settings, "quorum needs an ID, 0 < Heartbeat < Election, 0 <= Lease < Election, limits above 0")
 	}
 	s := boot.Snapshot
 	c := &Core{cfg: cfg, rnd: rand.New(rand.NewPCG(cfg.Seed, 0x9e3779b97f4a7c15)), now: now, role: Follower, hard: boot.Hard,
@@ -64,14 +64,14 @@
 	c.fresh = s.Index + 1
 	if len(s.Members) == 0 {
 		if s.Index != 0 || len(boot.Entries) != 0 {
-			return nil, fault.New(fault.Damaged, "a log without members")
+			return nil, errs.New(errs.Damaged, "a log without members")
 		}
 		c.hard.Blank, c.dirty = true, true
 	} else {
 		if err := valid(s.Members); err != nil {
-			return nil, fault.Wrap(err, fault.Damaged, "members of the snapshot at index %d", s.Index)
+			return nil, errs.Wrap(err, errs.Damaged, "members of the snapshot at index %d", s.Index)
 		}
-		c.confs = []conf{{s.Index, s.Members}}
+		c.configurations = []configuration{{s.Index, s.Members}}
 	}
 	ents := boot.Entries
 	if i := slices.IndexFunc(ents, func(e Entry) bool { return e.Index >= s.Index }); i < 0 {
@@ -86,15 +86,15 @@
 	term := s.Term
 	for n, e := range ents {
 		if e.Index != s.Index+1+uint64(n) || e.Term < term {
-			return nil, fault.New(fault.Damaged, "stored entry %d of term %d does not follow index %d, term %d", e.Index, e.Term, s.Index+uint64(n), term)
+			return nil, errs.New(errs.Damaged, "stored entry %d of term %d does not follow index %d, term %d", e.Index, e.Term, s.Index+uint64(n), term)
 		}
 		term = e.Term
 	}
-	cs, err := confsOf(ents)
+	cs, err := configurationsOf(ents)
 	if err != nil {
-		return nil, fault.Wrap(err, fault.Damaged, "stored log")
+		return nil, errs.Wrap(err, errs.Damaged, "stored log")
 	}
-	c.confs = append(c.confs, cs...)
+	c.configurations = append(c.configurations, cs...)
 	c.log.ents = slices.Clone(ents)
 	c.fresh = c.log.last() + 1
 	if c.hard.Term < term { // the vote of that term was never synced, so never given
@@ -106,13 +106,13 @@
 	return c, nil
 }
 
-// confsOf collects the member sets among entries.
-func confsOf(es []Entry) (out []conf, err error) {
+// configurationsOf collects the member sets among entries.
+func configurationsOf(es []Entry) (out []configuration, err error) {
 	for _, e := range es {
 		if e.Kind == Members {
-			f, err := confOf(e)
+			f, err := configurationOf(e)
 			if err != nil {
-				return nil, fault.Pass(err, "entries")
+				return nil, errs.Pass(err, "entries")
 			}
 			out = append(out, f)
 		}
@@ -124,17 +124,17 @@
 
 // members is the set in force.
 func (c *Core) members() []Member {
-	if len(c.confs) == 0 {
+	if len(c.configurations) == 0 {
 		return nil
 	}
-	return c.confs[len(c.confs)-1].members
+	return c.configurations[len(c.configurations)-1].members
 }
 
 // eligible tells whether the node may campaign: a voter of the set in force, or of one before it that may still be
 // the committed one. The latter matters when only this node has the entry that removes it: nobody else can win.
 // It counts by the set in force also then, that is without itself.
 func (c *Core) eligible() bool {
-	return !c.hard.Blank && slices.ContainsFunc(c.confs, func(f conf) bool { return voter(f.members, c.cfg.ID) })
+	return !c.hard.Blank && slices.ContainsFunc(c.configurations, func(f configuration) bool { return voter(f.members, c.cfg.ID) })
 }
 
 // trust ends blankness once a committed set names this node a learner.
@@ -406,7 +406,7 @@
 
 // extend puts entries into the log in place of what stood at and after the first.
 func (c *Core) extend(es []Entry) bool {
-	cs, err := confsOf(es)
+	cs, err := configurationsOf(es)
 	if err != nil {
 		c.refused++
 		return false
@@ -415,12 +415,12 @@
 	if from <= c.log.last() {
 		c.log.truncate(from)
 		c.fresh = min(c.fresh, from)
-		for len(c.confs) > 0 && c.confs[len(c.confs)-1].index >= from {
-			c.confs = c.confs[:len(c.confs)-1]
+		for len(c.configurations) > 0 && c.configurations[len(c.configurations)-1].index >= from {
+			c.configurations = c.configurations[:len(c.configurations)-1]
 		}
 	}
 	c.log.ents = append(c.log.ents, es...)
-	c.confs = append(c.confs, cs...)
+	c.configurations = append(c.configurations, cs...)
 	return true
 }
 
@@ -430,9 +430,9 @@
 		return
 	}
 	c.commit = to
-	for len(c.confs) > 1 && c.confs[1].index <= to {
-		c.confs = c.confs[1:]
-		c.trust(c.confs[0].members)
+	for len(c.configurations) > 1 && c.configurations[1].index <= to {
+		c.configurations = c.configurations[1:]
+		c.trust(c.configurations[0].members)
 	}
 }
 
@@ -471,12 +471,12 @@
 		c.log.compact(meta.Index)
 	} else {
 		c.log = journal{off: meta.Index, offTerm: meta.Term}
-		c.confs, c.reset = nil, true
+		c.configurations, c.reset = nil, true
 		c.fresh = meta.Index + 1
 	}
 	c.fresh = max(c.fresh, meta.Index+1)
-	c.confs = slices.DeleteFunc(c.confs, func(f conf) bool { return f.index <= meta.Index })
-	c.confs = slices.Insert(c.confs, 0, conf{meta.Index, meta.Members})
+	c.configurations = slices.DeleteFunc(c.configurations, func(f configuration) bool { return f.index <= meta.Index })
+	c.configurations = slices.Insert(c.configurations, 0, configuration{meta.Index, meta.Members})
 	c.commit, c.applied, c.snap = meta.Index, meta.Index, meta
 	if meta.Term > c.hard.Term {
 		c.follow(meta.Term, "")
@@ -518,12 +518,12 @@
 }
 
 // Entries gives committed entries from an index on, about limitBytes of them but one at least; none if from is
-// not committed yet. Fault: Unknown if they are compacted; take a snapshot then. Example:
+// not committed yet. Failure: Unknown if they are compacted; take a snapshot then. Example:
 //
 //	es, err := core.Entries(seen+1, 1<<20)
 func (c *Core) Entries(from uint64, limitBytes int) ([]Entry, error) {
 	if from <= c.log.off {
-		return nil, fault.New(fault.Unknown, "entry %d is compacted, the log begins at %d", from, c.log.off+1)
+		return nil, errs.New(errs.Unknown, "entry %d is compacted, the log begins at %d", from, c.log.off+1)
 	}
 	return c.log.limited(from, c.commit, limitBytes), nil
 }
@@ -545,15 +545,15 @@
 // CommittedMembers gives the newest member set that is known here to be committed, and the index of its entry;
 // none on a node that began empty and has not caught up.
 func (c *Core) CommittedMembers() (index uint64, members []Member) {
-	if len(c.confs) == 0 {
+	if len(c.configurations) == 0 {
 		return 0, nil
 	}
-	return c.confs[0].index, slices.Clone(c.confs[0].members)
+	return c.configurations[0].index, slices.Clone(c.configurations[0].members)
 }
 
 // MemberSince gives the index of the oldest set known here, committed or not, that has this node; 0 if none has.
 func (c *Core) MemberSince() uint64 {
-	for _, f := range c.confs {
+	for _, f := range c.configurations {
 		if _, ok := find(f.members, c.cfg.ID); ok {
 			return f.index
 		}
@@ -569,9 +569,9 @@
 	return c.leaderAddr
 }
 
-// follows gives the fault for a call that only the leader takes.
+// follows gives the failure for a call that only the leader takes.
 func (c *Core) follows() error {
-	err := fault.New(fault.NotLeader, "%s is %s in term %d", c.cfg.ID, c.role, c.hard.Term)
-	fault.Of(err).Hint = c.hint()
+	err := errs.New(errs.NotLeader, "%s is %s in term %d", c.cfg.ID, c.role, c.hard.Term)
+	errs.Of(err).Hint = c.hint()
 	return err
 }
--- a/internal/quorum/lead.go
+++ b/internal/quorum/lead.go
@@ -4,7 +4,7 @@
 	"encoding/json"
 	"time"
 
-	"crosstide/internal/fault"
+	"crosstide/internal/errs"
 )
 
 // silence is how many heartbeats without an answer end pipelining.
@@ -60,7 +60,7 @@
 
 // enlist makes the peers match the members in force.
 func (c *Core) enlist() {
-	for _, f := range c.confs {
+	for _, f := range c.configurations {
 		if m, ok := find(f.members, c.cfg.ID); ok {
 			c.leaderAddr = m.Addr // an older set has it while this leader commits its own removal
 		}
@@ -83,13 +83,13 @@
 }
 
 // Propose appends data as Normal entries first.. of term; they are committed once Ready hands them out with that
-// term. Faults: NotLeader (Hint: the leader's address), Unavailable while a handover runs. Example:
+// term. Failures: NotLeader (Hint: the leader's address), Unavailable while a handover runs. Example:
 //
 //	first, term, err := core.Propose(now, a, b) // a is entry first, b is first+1
 func (c *Core) Propose(now time.Duration, data ...json.RawMessage) (first, term uint64, err error) {
 	c.at(now)
 	if err := c.leads(); err != nil {
-		return 0, 0, fault.Pass(err, "propose")
+		return 0, 0, errs.Pass(err, "propose")
 	}
 	first = c.log.last() + 1
 	for _, d := range data {
@@ -100,10 +100,10 @@
 
 func (c *Core) leads() error {
 	if c.role != Leader {
-		return fault.Pass(c.follows(), "not the leader")
+		return errs.Pass(c.follows(), "not the leader")
 	}
 	if c.lead.to != "" {
-		return fault.New(fault.Unavailable, "handing over to %s", c.lead.to)
+		return errs.New(errs.Unavailable, "handing over to %s", c.lead.to)
 	}
 	return nil
 }
@@ -111,24 +111,24 @@
 // ProposeMembers appends a new member set. It may differ from the present one in one voter: a learner that is
 // caught up is promoted, or a voter is removed or made a learner. A new machine is added as a learner first.
 // Learners come and go freely. Status().Match tells how far they are.
-// Faults: NotLeader; Unavailable while another change is not committed, before the first commit of the term, or
+// Failures: NotLeader; Unavailable while another change is not committed, before the first commit of the term, or
 // when the promoted learner is not caught up; Invalid for a set that is refused.
 func (c *Core) ProposeMembers(now time.Duration, next []Member) (index, term uint64, err error) {
 	c.at(now)
 	if err := c.leads(); err != nil {
-		return 0, 0, fault.Pass(err, "propose members")
+		return 0, 0, errs.Pass(err, "propose members")
 	}
-	if c.confs[len(c.confs)-1].index > c.commit || c.commit < c.lead.first {
-		return 0, 0, fault.New(fault.Unavailable, "a change of members, or the first entry of the term, is not committed yet")
+	if c.configurations[len(c.configurations)-1].index > c.commit || c.commit < c.lead.first {
+		return 0, 0, errs.New(errs.Unavailable, "a change of members, or the first entry of the term, is not committed yet")
 	}
 	if err := valid(next); err != nil {
-		return 0, 0, fault.Pass(err, "propose members")
+		return 0, 0, errs.Pass(err, "propose members")
 	}
 	changed := 0
 	for _, m := range c.members() {
 		n, ok := find(next, m.ID)
 		if ok && n.Incarnation != m.Incarnation {
-			return 0, 0, fault.Field(fault.Invalid, "members", "%s keeps its ID but not its incarnation", m.ID)
+			return 0, 0, errs.Field(errs.Invalid, "members", "%s keeps its ID but not its incarnation", m.ID)
 		}
 		if !m.Learner && (!ok || n.Learner) {
 			changed++
@@ -141,36 +141,36 @@
 		changed++
 		p := c.lead.peers[n.ID]
 		if p == nil {
-			return 0, 0, fault.Field(fault.Invalid, "members", "%s must be a learner before it is a voter", n.ID)
+			return 0, 0, errs.Field(errs.Invalid, "members", "%s must be a learner before it is a voter", n.ID)
 		}
-		if p.blank || p.match < max(c.lead.behind, c.confs[len(c.confs)-1].index) {
-			return 0, 0, fault.New(fault.Unavailable, "learner %s is not caught up: at %d of %d", n.ID, p.match, c.commit)
+		if p.blank || p.match < max(c.lead.behind, c.configurations[len(c.configurations)-1].index) {
+			return 0, 0, errs.New(errs.Unavailable, "learner %s is not caught up: at %d of %d", n.ID, p.match, c.commit)
 		}
 	}
 	if changed > 1 {
-		return 0, 0, fault.Field(fault.Invalid, "members", "%d voters change, one may", changed)
+		return 0, 0, errs.Field(errs.Invalid, "members", "%d voters change, one may", changed)
 	}
 	data, err := json.Marshal(next)
 	if err != nil {
-		return 0, 0, fault.Wrap(err, fault.Internal, "members")
+		return 0, 0, errs.Wrap(err, errs.Internal, "members")
 	}
 	c.put(Members, data)
-	c.confs = append(c.confs, conf{c.log.last(), append([]Member(nil), next...)})
+	c.configurations = append(c.configurations, configuration{c.log.last(), append([]Member(nil), next...)})
 	c.enlist()
-	c.tally() // fewer voters may be a majority already
+	c.advanceCommit() // fewer voters may be a majority already
 	return c.log.last(), c.hard.Term, nil
 }
 
 // Handover lets the voter to take over, once it has the whole log. Until then proposals are refused; the leader
 // gives its lease up when it tells the other to campaign. It is given up after one Election.
-// Faults: NotLeader, Unavailable while one runs, Invalid if to is not another voter.
+// Failures: NotLeader, Unavailable while one runs, Invalid if to is not another voter.
 func (c *Core) Handover(now time.Duration, to string) error {
 	c.at(now)
 	if err := c.leads(); err != nil {
-		return fault.Pass(err, "handover")
+		return errs.Pass(err, "handover")
 	}
 	if to == c.cfg.ID || !voter(c.members(), to) {
-		return fault.Field(fault.Invalid, "to", "%s is not another voter", to)
+		return errs.Field(errs.Invalid, "to", "%s is not another voter", to)
 	}
 	c.lead.to, c.lead.toBy = to, c.now+c.cfg.Election
 	c.handover()
@@ -318,7 +318,7 @@
 	}
 	p.next = max(p.next, p.match+1)
 	if moved {
-		c.tally()
+		c.advanceCommit()
 		if c.role == Leader && m.From == c.lead.to && !c.lead.gave {
 			c.handover()
 		}
@@ -334,11 +334,11 @@
 	}
 	c.lead.synced = max(c.lead.synced, index)
 	c.lead.hold = false
-	c.tally()
+	c.advanceCommit()
 }
 
 // tally commits what a majority has, if it is of the own term. A leader that is no member any more steps down.
-func (c *Core) tally() {
+func (c *Core) advanceCommit() {
 	n := majority(c.members(), func(id string) uint64 {
 		if p := c.lead.peers[id]; p != nil {
 			return p.match
@@ -349,7 +349,7 @@
 		return
 	}
 	c.advance(n)
-	if f := c.confs[len(c.confs)-1]; f.index <= c.commit && !voter(f.members, c.cfg.ID) {
+	if f := c.configurations[len(c.configurations)-1]; f.index <= c.commit && !voter(f.members, c.cfg.ID) {
 		c.flush() // the others learn of the commit
 		for _, m := range f.members {
 			if p := c.lead.peers[m.ID]; !m.Learner && p != nil && p.match == c.log.last() {
--- a/internal/quorum/log.go
+++ b/internal/quorum/log.go
@@ -5,7 +5,7 @@
 	"slices"
 	"sort"
 
-	"crosstide/internal/fault"
+	"crosstide/internal/errs"
 )
 
 // journal is the log in memory: ents[0] has index off+1. Slots are never overwritten, slices of it may be kept.
@@ -76,24 +76,24 @@
 }
 
 // conf is the member set an entry (or snapshot) at Index brought.
-type conf struct {
+type configuration struct {
 	index   uint64
 	members []Member
 }
 
-// confOf decodes and checks the set of a Members entry.
-func confOf(e Entry) (conf, error) {
-	c := conf{index: e.Index}
+// configurationOf decodes and checks the set of a Members entry.
+func configurationOf(e Entry) (configuration, error) {
+	c := configuration{index: e.Index}
 	if err := json.Unmarshal(e.Data, &c.members); err != nil {
-		return c, fault.Wrap(err, fault.Damaged, "members at index %d", e.Index)
+		return c, errs.Wrap(err, errs.Damaged, "members at index %d", e.Index)
 	}
-	return c, fault.Pass(valid(c.members), "members at index %d", e.Index)
+	return c, errs.Pass(valid(c.members), "members at index %d", e.Index)
 }
 
 // DecodeMembers gives the member set that a Members entry brings.
 func DecodeMembers(e Entry) ([]Member, error) {
-	c, err := confOf(e)
-	return c.members, fault.Pass(err, "decode")
+	c, err := configurationOf(e)
+	return c.members, errs.Pass(err, "decode")
 }
 
 // valid checks a member set by itself.
@@ -102,7 +102,7 @@
 	voters := 0
 	for _, m := range ms {
 		if m.ID == "" || seen[m.ID] {
-			return fault.Field(fault.Invalid, "members", "ID %q is empty or doubled", m.ID)
+			return errs.Field(errs.Invalid, "members", "ID %q is empty or doubled", m.ID)
 		}
 		seen[m.ID] = true
 		if !m.Learner {
@@ -110,7 +110,7 @@
 		}
 	}
 	if voters == 0 {
-		return fault.Field(fault.Invalid, "members", "no voter is left")
+		return errs.Field(errs.Invalid, "members", "no voter is left")
 	}
 	return nil
 }
--- a/internal/quorum/quorum_test.go
+++ b/internal/quorum/quorum_test.go
@@ -10,7 +10,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"crosstide/internal/fault"
+	"crosstide/internal/errs"
 )
 
 // batch is one Ready, or a cut of the stored log, on its way to the disk.
@@ -47,10 +47,10 @@
 	committed []Entry // from index 2 on
 	leaders   map[uint64]string
 	reads     int
-	faults    []string
+	failures  []string
 }
 
-func (w *world) fail(f string, a ...any) { w.faults = append(w.faults, fmt.Sprintf(f, a...)) }
+func (w *world) fail(f string, a ...any) { w.failures = append(w.failures, fmt.Sprintf(f, a...)) }
 
 func team(ids ...string) (ms []Member) {
 	for _, id := range ids {
@@ -110,7 +110,7 @@
 	for _, e := range w.committed[:i-1] {
 		m.Term = e.Term
 		if e.Kind == Members {
-			f, _ := confOf(e)
+			f, _ := configurationOf(e)
 			m.Members = f.members
 		}
 	}
@@ -191,7 +191,7 @@
 // run lets time pass; do is called at each step.
 func (w *world) run(d time.Duration, do func()) {
 	const step = 20 * time.Millisecond
-	for end := w.now + d; w.now < end && len(w.faults) == 0; w.now += step {
+	for end := w.now + d; w.now < end && len(w.failures) == 0; w.now += step {
 		due := w.net
 		w.net = nil
 		for _, f := range due {
@@ -383,8 +383,8 @@
 				w.fail("nothing is committed once all is well")
 			}
 			entries, reads, terms = entries+len(w.committed), reads+w.reads, terms+len(w.leaders)
-			if len(w.faults) > 0 {
-				So(fmt.Sprint("seed ", seed, ": ", w.faults), ShouldEqual, "")
+			if len(w.failures) > 0 {
+				So(fmt.Sprint("seed ", seed, ": ", w.failures), ShouldEqual, "")
 			}
 		}
 		So(entries, ShouldBeGreaterThan, 30000)
@@ -402,11 +402,11 @@
 		w.crash(old)
 		now := func() time.Duration { return w.now + l.zero }
 		_, _, err := l.core.ProposeMembers(now(), append(team("a", "b", "c"), Member{ID: "x", Addr: "x"}))
-		So(fault.Is(err, fault.Invalid), ShouldBeTrue)
+		So(errs.Is(err, errs.Invalid), ShouldBeTrue)
 		_, _, err = l.core.ProposeMembers(now(), append(team("a", "b", "c"), Member{ID: "x", Addr: "x", Learner: true}))
 		So(err, ShouldBeNil)
 		_, _, err = l.core.ProposeMembers(now(), team("a", "b", "c"))
-		So(fault.Is(err, fault.Unavailable), ShouldBeTrue)
+		So(errs.Is(err, errs.Unavailable), ShouldBeTrue)
 		x := w.join("x", Boot{})
 		w.run(2*time.Second, nil)
 		So(x.core.Status().Voter, ShouldBeFalse)
@@ -423,7 +423,7 @@
 		w.crash(l) // the new one must carry the majority with the last
 		w.run(6*time.Second, nil)
 		So(w.leader(), ShouldNotBeNil)
-		So(w.faults, ShouldBeEmpty)
+		So(w.failures, ShouldBeEmpty)
 	})
 	Convey("A wiped machine under its old ID never votes, also once it was told the members", t, func() {
 		w := newWorld(8, "a", "b", "c")
@@ -440,7 +440,7 @@
 		w.run(5*time.Second, nil)
 		So(w.leader(), ShouldNotBeNil)
 		So(w.nodes[i].core.Status().Voter, ShouldBeFalse)
-		So(w.faults, ShouldBeEmpty)
+		So(w.failures, ShouldBeEmpty)
 	})
 }
 
@@ -463,7 +463,7 @@
 		So(l.core.Status().Match[l.id], ShouldBeLessThan, l.core.Status().Commit)
 		_, ok := l.core.Confirmed(w.now + l.zero)
 		So(ok, ShouldBeTrue)
-		So(w.faults, ShouldBeEmpty)
+		So(w.failures, ShouldBeEmpty)
 	})
 }
 
@@ -550,7 +550,7 @@
 		acks(c, 2)
 		So(c.Status().Commit, ShouldEqual, 1)
 		_, _, err := c.ProposeMembers(3*sec, team("a", "b"))
-		So(fault.Is(err, fault.Unavailable), ShouldBeTrue)
+		So(errs.Is(err, errs.Unavailable), ShouldBeTrue)
 		c.Synced(3*sec, 3, 3)
 		acks(c, 3)
 		So(c.Status().Commit, ShouldEqual, 3)
--- a/internal/follow/follow.go
+++ b/internal/replica/replica.go
@@ -1,6 +1,6 @@
-// Package follow keeps a replica of the store on a node without a disk: it pulls what the node lacks, by a vector
+// Package replica keeps a replica of the store on a node without a disk: it pulls what the node lacks, by a vector
 // of versions with one entry for each source, snapshot first where the changes are gone.
-package follow
+package replica
 
 import (
 	"context"
@@ -9,9 +9,9 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"crosstide/internal/alarm"
-	"crosstide/internal/fault"
-	"crosstide/internal/pair"
+	"crosstide/internal/api"
+	"crosstide/internal/clock"
+	"crosstide/internal/errs"
 	"crosstide/internal/quorum"
 	"crosstide/internal/state"
 	"crosstide/internal/state/command"
@@ -23,9 +23,9 @@
 // Core is what a replica asks of the cplanes.
 type Core interface {
 	// Follow asks any cplane; the same one while it answers well.
-	Follow(ctx context.Context, call pair.FollowCall) (pair.FollowAnswer, error)
+	Follow(ctx context.Context, call api.FollowCall) (api.FollowAnswer, error)
 	// Chunk asks the cplane that Follow asked last.
-	Chunk(ctx context.Context, call pair.ChunkCall) (pair.ChunkAnswer, error)
+	Chunk(ctx context.Context, call api.ChunkCall) (api.ChunkAnswer, error)
 }
 
 // Replica is the followed state under its lock. Watch is told of every change, under the lock.
@@ -77,7 +77,7 @@
 	return r.pulled
 }
 
-// Reach waits until the replica is at index or past it; fault.Unavailable when ctx ends before.
+// Reach waits until the replica is at index or past it; errs.Unavailable when ctx ends before.
 func (r *Replica) Reach(ctx context.Context, index uint64) error {
 	for {
 		r.mu.RLock()
@@ -89,7 +89,7 @@
 		select {
 		case <-moved:
 		case <-ctx.Done():
-			return fault.Wrap(ctx.Err(), fault.Unavailable, "the replica is at %d, not yet at %d", at, index)
+			return errs.Wrap(ctx.Err(), errs.Unavailable, "the replica is at %d, not yet at %d", at, index)
 		}
 	}
 }
@@ -97,20 +97,20 @@
 // Pull asks once for what the replica lacks and takes it in; wait is how long the answer may be kept waiting.
 func (r *Replica) Pull(ctx context.Context, core Core, node string, wait time.Duration) error {
 	from := r.Index()
-	a, err := core.Follow(ctx, pair.FollowCall{Node: node, Vector: map[string]uint64{Store: from}, Wait: wait, Max: 4 << 20})
+	a, err := core.Follow(ctx, api.FollowCall{Node: node, Vector: map[string]uint64{Store: from}, Wait: wait, Max: 4 << 20})
 	if err != nil {
-		return fault.Pass(err, "follow from %d", from)
+		return errs.Pass(err, "follow from %d", from)
 	}
 	lack := a.Lacks[Store]
 	if lack.Snapshot != nil {
 		if err := r.fetch(ctx, core, *lack.Snapshot); err != nil {
-			return fault.Pass(err, "snapshot at %d", lack.Snapshot.Index)
+			return errs.Pass(err, "snapshot at %d", lack.Snapshot.Index)
 		}
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.pulled = true
-	return fault.Pass(r.take(lack.Changes), "changes after %d", from)
+	return errs.Pass(r.take(lack.Changes), "changes after %d", from)
 }
 
 // take applies changes in order. A version never goes back: what is at or below the index is passed over.
@@ -121,7 +121,7 @@
 			continue
 		}
 		if e.Index != r.st.Index+1 {
-			return fault.New(fault.Stale, "changes skip from %d to %d", r.st.Index, e.Index)
+			return errs.New(errs.Stale, "changes skip from %d to %d", r.st.Index, e.Index)
 		}
 		data := e.Data
 		if e.Kind != quorum.Normal {
@@ -139,33 +139,33 @@
 }
 
 // fetch takes a snapshot in chunks. A chunk that is lost is asked for again, so that a cut costs no more than it.
-func (r *Replica) fetch(ctx context.Context, core Core, snap pair.Snapshot) error {
+func (r *Replica) fetch(ctx context.Context, core Core, snap api.Snapshot) error {
 	body := make([]byte, 0, snap.Size)
-	faults := 0
+	failures := 0
 	for int64(len(body)) < snap.Size {
-		c, err := core.Chunk(ctx, pair.ChunkCall{Number: snap.Number, From: int64(len(body)), Max: 1 << 20})
+		c, err := core.Chunk(ctx, api.ChunkCall{Number: snap.Number, From: int64(len(body)), Max: 1 << 20})
 		if err == nil && (c.Number != snap.Number || len(c.Data) == 0) {
-			return fault.New(fault.Stale, "slot %d is gone", snap.Number)
+			return errs.New(errs.Stale, "slot %d is gone", snap.Number)
 		}
 		if err != nil {
-			if faults++; faults > 5 || ctx.Err() != nil || fault.Is(err, fault.Unknown) {
-				return fault.Pass(err, "chunk at %d", len(body))
+			if failures++; failures > 5 || ctx.Err() != nil || errs.Is(err, errs.Unknown) {
+				return errs.Pass(err, "chunk at %d", len(body))
 			}
 			continue
 		}
 		body = append(body, c.Data...)
 		if int64(len(body)) == snap.Size && xxhash.Sum64(body) != c.Sum {
-			return fault.New(fault.Damaged, "snapshot %d fails its check", snap.Number)
+			return errs.New(errs.Damaged, "snapshot %d fails its check", snap.Number)
 		}
 	}
 	st, err := state.Decode(body)
 	if err != nil {
-		return fault.Pass(err, "snapshot %d", snap.Number)
+		return errs.Pass(err, "snapshot %d", snap.Number)
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if st.Index <= r.st.Index {
-		return fault.New(fault.Stale, "snapshot at %d is behind the replica at %d", st.Index, r.st.Index)
+		return errs.New(errs.Stale, "snapshot at %d is behind the replica at %d", st.Index, r.st.Index)
 	}
 	r.st.Watch = nil
 	r.st = st
@@ -180,8 +180,8 @@
 	return nil
 }
 
-// Run pulls until ctx ends. After a fault it backs off for a while.
-func (r *Replica) Run(ctx context.Context, core Core, clock alarm.Clock, node string, tell func(error)) {
+// Run pulls until ctx ends. After a failure it backs off for a while.
+func (r *Replica) Run(ctx context.Context, core Core, clock clock.Clock, node string, tell func(error)) {
 	for ctx.Err() == nil {
 		if err := r.Pull(ctx, core, node, time.Second); err != nil {
 			if ctx.Err() != nil {
--- a/internal/follow/follow_test.go
+++ b/internal/replica/replica_test.go
@@ -1,4 +1,4 @@
-package follow
+package replica
 
 import (
 	"context"
@@ -9,8 +9,8 @@
 	"github.com/cespare/xxhash/v2"
 	. "github.com/smartystreets/goconvey/convey"
 
-	"crosstide/internal/fault"
-	"crosstide/internal/pair"
+	"crosstide/internal/api"
+	"crosstide/internal/errs"
 	"crosstide/internal/quorum"
 	"crosstide/internal/state"
 	"crosstide/internal/state/command"
@@ -45,41 +45,41 @@
 func (h history) begin() *Replica {
 	r := New(nil, nil)
 	f := &fake{body: h.states[1], number: 1, size: 1 << 20}
-	f.answers = []pair.Lack{{Snapshot: f.snapshot(1)}}
+	f.answers = []api.Lack{{Snapshot: f.snapshot(1)}}
 	So(r.Pull(context.Background(), f, "d", 0), ShouldBeNil)
 	return r
 }
 
 func (h history) changes(from, to uint64) []quorum.Entry { return h.log[from-2 : to-1] }
 
-// fake answers what the test lays out: the answers in turn, chunks of a body with a fault before some.
+// fake answers what the test lays out: the answers in turn, chunks of a body with a failure before some.
 type fake struct {
-	answers []pair.Lack
-	body    []byte
-	number  uint64
-	faults  int // of the next chunks
-	size    int // of a chunk
-	asked   []uint64
+	answers  []api.Lack
+	body     []byte
+	number   uint64
+	failures int // of the next chunks
+	size     int // of a chunk
+	asked    []uint64
 }
 
-func (f *fake) Follow(_ context.Context, call pair.FollowCall) (pair.FollowAnswer, error) {
+func (f *fake) Follow(_ context.Context, call api.FollowCall) (api.FollowAnswer, error) {
 	f.asked = append(f.asked, call.Vector[Store])
 	a := f.answers[0]
 	f.answers = f.answers[1:]
-	return pair.FollowAnswer{Lacks: map[string]pair.Lack{Store: a}}, nil
+	return api.FollowAnswer{Lacks: map[string]api.Lack{Store: a}}, nil
 }
 
-func (f *fake) Chunk(_ context.Context, call pair.ChunkCall) (pair.ChunkAnswer, error) {
-	if f.faults > 0 {
-		f.faults--
-		return pair.ChunkAnswer{}, fault.New(fault.Unavailable, "cut")
+func (f *fake) Chunk(_ context.Context, call api.ChunkCall) (api.ChunkAnswer, error) {
+	if f.failures > 0 {
+		f.failures--
+		return api.ChunkAnswer{}, errs.New(errs.Unavailable, "cut")
 	}
 	end := min(int(call.From)+f.size, len(f.body))
-	return pair.ChunkAnswer{Snapshot: pair.Snapshot{Number: f.number, Size: int64(len(f.body))}, Data: f.body[call.From:end], Sum: xxhash.Sum64(f.body)}, nil
+	return api.ChunkAnswer{Snapshot: api.Snapshot{Number: f.number, Size: int64(len(f.body))}, Data: f.body[call.From:end], Sum: xxhash.Sum64(f.body)}, nil
 }
 
-func (f *fake) snapshot(index uint64) *pair.Snapshot {
-	return &pair.Snapshot{Number: f.number, Index: index, Term: 1, Size: int64(len(f.body))}
+func (f *fake) snapshot(index uint64) *api.Snapshot {
+	return &api.Snapshot{Number: f.number, Index: index, Term: 1, Size: int64(len(f.body))}
 }
 
 func TestPulls(t *testing.T) {
@@ -94,9 +94,9 @@
 				core := &fake{}
 				for _, i := range seq {
 					before := r.Index()
-					core.answers = append(core.answers, pair.Lack{Changes: answers[i]})
+					core.answers = append(core.answers, api.Lack{Changes: answers[i]})
 					err := r.Pull(context.Background(), core, "d", 0)
-					if err != nil && !fault.Is(err, fault.Stale) {
+					if err != nil && !errs.Is(err, errs.Stale) {
 						panic(err)
 					}
 					at := r.Index()
@@ -125,8 +125,8 @@
 	Convey("a snapshot comes in parts, a cut costs a part, and what follows is applied to it", t, func() {
 		h := newHistory(6)
 		for _, cuts := range []int{0, 1, 5} {
-			core := &fake{body: h.states[5], number: 3, size: 100, faults: cuts}
-			core.answers = []pair.Lack{{Snapshot: core.snapshot(5), Changes: h.changes(5, 7)}}
+			core := &fake{body: h.states[5], number: 3, size: 100, failures: cuts}
+			core.answers = []api.Lack{{Snapshot: core.snapshot(5), Changes: h.changes(5, 7)}}
 			resets := 0
 			r := New(nil, func(*state.State) { resets++ })
 			So(r.Pull(context.Background(), core, "d", 0), ShouldBeNil)
@@ -139,16 +139,16 @@
 		}
 		Convey("too many cuts, a spoilt body or an older snapshot leave the replica as it was", func() {
 			for _, spoil := range []func(f *fake){
-				func(f *fake) { f.faults = 6 },
+				func(f *fake) { f.failures = 6 },
 				func(f *fake) { f.body = append([]byte("x"), f.body[1:]...) },
 				func(f *fake) { f.body = h.states[3] },
 			} {
 				r := h.begin()
-				first := &fake{answers: []pair.Lack{{Changes: h.changes(2, 4)}}}
+				first := &fake{answers: []api.Lack{{Changes: h.changes(2, 4)}}}
 				So(r.Pull(context.Background(), first, "d", 0), ShouldBeNil)
 				core := &fake{body: h.states[5], number: 3, size: 1 << 20}
 				spoil(core)
-				core.answers = []pair.Lack{{Snapshot: core.snapshot(5)}}
+				core.answers = []api.Lack{{Snapshot: core.snapshot(5)}}
 				So(r.Pull(context.Background(), core, "d", 0), ShouldNotBeNil)
 				So(r.Index(), ShouldEqual, 4)
 			}
--- a/internal/spawn/spawn.go
+++ b/internal/routine/routine.go
@@ -1,5 +1,5 @@
-// Package spawn is the one place of crosstide that starts goroutines.
-package spawn
+// Package routine is the one place of crosstide that starts goroutines.
+package routine
 
 import (
 	"context"
@@ -15,7 +15,7 @@
 
 // New makes a group whose context ends with parent or with Stop. Example:
 //
-//	g := spawn.New(context.Background())
+//	g := routine.New(context.Background())
 //	g.Go(func(ctx context.Context) { <-ctx.Done() })
 //	g.Stop() // ends the context and waits for all
 func New(parent context.Context) *Group {
--- a/internal/wire/caller.go
+++ b/internal/rpc/caller.go
@@ -1,4 +1,4 @@
-package wire
+package rpc
 
 import (
 	"bufio"
@@ -18,13 +18,13 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"golang.org/x/sys/unix"
 
-	"crosstide/internal/alarm"
-	"crosstide/internal/fault"
+	"crosstide/internal/clock"
+	"crosstide/internal/errs"
 )
 
 // CallerOptions are the settings of a Caller; all have defaults.
 type CallerOptions struct {
-	Clock       alarm.Clock           // default alarm.Real
+	Clock       clock.Clock           // default clock.Real
 	UserTimeout time.Duration         // TCP_USER_TIMEOUT: how long the kernel may resend unconfirmed bytes; 0: its own
 	DialTimeout time.Duration         // default 2s
 	Via         map[string]string     // an address in it is reached by dialing the other one, as a rehearsal's links want
@@ -37,7 +37,7 @@
 }
 
 // Caller asks pairs over connections pooled per address, one call at a time on each. It is safe for any number
-// of goroutines. A call is never sent twice: a broken connection is the asker's fault.Unavailable.
+// of goroutines. A call is never sent twice: a broken connection is the asker's errs.Unavailable.
 type Caller struct {
 	opt    CallerOptions
 	dialer net.Dialer
@@ -52,7 +52,7 @@
 // NewCaller makes a caller. Close it in the end.
 func NewCaller(opt CallerOptions) *Caller {
 	if opt.Clock == nil {
-		opt.Clock = alarm.Real{}
+		opt.Clock = clock.Real{}
 	}
 	opt.DialTimeout = cmpOr(opt.DialTimeout, 2*time.Second)
 	opt.IdleFor = cmpOr(opt.IdleFor, time.Minute)
@@ -78,12 +78,12 @@
 			ms := int((opt.UserTimeout + time.Millisecond - 1) / time.Millisecond)
 			set = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, ms)
 		})
-		return fault.Wrap(errors.Join(err, set), fault.Internal, "set TCP_USER_TIMEOUT")
+		return errs.Wrap(errors.Join(err, set), errs.Internal, "set TCP_USER_TIMEOUT")
 	}}
 	return k
 }
 
-// Close resets every connection, those of lines too; calls that still run end as fault.Stopped.
+// Close resets every connection, those of lines too; calls that still run end as errs.Stopped.
 func (k *Caller) Close() {
 	k.mu.Lock()
 	k.closed = true
@@ -96,16 +96,16 @@
 }
 
 // Ask sends call to addr (host:port) and gives the answer. It ends at the latest after within, on the caller's
-// clock, or with ctx: the connection is closed with a reset and the error is fault.Timeout, also while dialing. A refused or
-// broken connection is fault.Unavailable, a closed caller fault.Stopped, an answer that is no JSON of A
-// fault.Malformed; a fault answered by the peer comes back with its kind, field, message, hint and After.
-// See Unsent for calls that surely were not made, Answered for faults that the peer gave. Example:
+// clock, or with ctx: the connection is closed with a reset and the error is errs.Timeout, also while dialing. A refused or
+// broken connection is errs.Unavailable, a closed caller errs.Stopped, an answer that is no JSON of A
+// errs.Malformed; a failure answered by the peer comes back with its kind, field, message, hint and After.
+// See Unsent for calls that surely were not made, Answered for failures that the peer gave. Example:
 //
-//	verdict, err := wire.Ask(ctx, caller, "10.0.0.7:7000", Vote, ballot, 500*time.Millisecond)
+//	verdict, err := rpc.Ask(ctx, caller, "10.0.0.7:7000", Vote, ballot, 500*time.Millisecond)
 func Ask[C, A any](ctx context.Context, k *Caller, addr string, p Pair[C, A], call C, within time.Duration) (A, error) {
 	var answer, none A
 	if err := k.AskInto(ctx, addr, p.Path, call, &answer, within); err != nil {
-		return none, fault.Pass(err, "shared connection")
+		return none, errs.Pass(err, "shared connection")
 	}
 	return answer, nil
 }
@@ -113,7 +113,7 @@
 // AskInto is Ask for callers that hold pairs of several types: answer is a pointer to the answer's type. After an
 // error it may hold a part of the answer.
 func (k *Caller) AskInto(ctx context.Context, addr, path string, call, answer any, within time.Duration) error {
-	return fault.Pass(k.ask(ctx, k, addr, path, call, answer, within, nil), "ask %s", path)
+	return errs.Pass(k.ask(ctx, k, addr, path, call, answer, within, nil), "ask %s", path)
 }
 
 // Line is a dedicated connection to one address: one call at a time, dialed at need, shared with nothing else.
@@ -138,19 +138,19 @@
 // Nothing ever waits in a user-space buffer. After any error but one answered by the peer the next call
 // dials anew. Example:
 //
-//	answer, err := wire.AskLine(ctx, line, Hold, orders, time.Second, lease.Check)
-//	if wire.Unsent(err) {
+//	answer, err := rpc.AskLine(ctx, line, Hold, orders, time.Second, lease.Check)
+//	if rpc.Unsent(err) {
 //		void(orders) // the minion surely has not seen them
 //	}
 func AskLine[C, A any](ctx context.Context, l *Line, p Pair[C, A], call C, within time.Duration, before func() error) (A, error) {
 	var answer, none A
 	if err := l.k.ask(ctx, l, l.addr, p.Path, call, &answer, within, before); err != nil {
-		return none, fault.Pass(err, "line, ask %s", p.Path)
+		return none, errs.Pass(err, "line, ask %s", p.Path)
 	}
 	return answer, nil
 }
 
-// Close resets the line's connection; a call that runs fails, later ones are fault.Stopped.
+// Close resets the line's connection; a call that runs fails, later ones are errs.Stopped.
 func (l *Line) Close() {
 	l.mu.Lock()
 	held := l.link
@@ -172,7 +172,7 @@
 func (u *unsent) Error() string { return "not sent: " + u.cause.Error() }
 func (u *unsent) Unwrap() error { return u.cause }
 
-// Answered tells that err is a fault that the peer's handler (or its server) gave as the answer.
+// Answered tells that err is a failure that the peer's handler (or its server) gave as the answer.
 func Answered(err error) bool {
 	var a *answered
 	return errors.As(err, &a)
@@ -202,28 +202,28 @@
 	if err == nil {
 		err = k.askFrame(ctx, h, addr, path, out.head(room, path, addr), &in.buf, within, before)
 	} else {
-		err = fault.Pass(&unsent{err}, "the call")
+		err = errs.Pass(&unsent{err}, "the call")
 	}
 	if err == nil {
-		err = fault.Wrap(json.Unmarshal(in.buf.Bytes(), answer), fault.Malformed, "the answer of %s at %s", path, addr)
+		err = errs.Wrap(json.Unmarshal(in.buf.Bytes(), answer), errs.Malformed, "the answer of %s at %s", path, addr)
 	}
 	if err != nil {
-		k.meter.faults.WithLabelValues(path, string(known(fault.KindOf(err)))).Inc()
+		k.meter.failures.WithLabelValues(path, string(known(errs.KindOf(err)))).Inc()
 	}
-	return fault.Pass(err, "call")
+	return errs.Pass(err, "call")
 }
 
-// askFrame makes one call of a pair: an answer other than 200 is the fault it tells of.
+// askFrame makes one call of a pair: an answer other than 200 is the failure it tells of.
 func (k *Caller) askFrame(ctx context.Context, h holder, addr, path string, out []byte, in *bytes.Buffer, within time.Duration, before func() error) error {
 	t := transfer{addr: addr, path: path, method: http.MethodPost, out: out, in: in, within: within, before: before}
 	res, err := k.transfer(ctx, h, t)
 	if err != nil {
-		return fault.Pass(err, "send")
+		return errs.Pass(err, "send")
 	}
 	if res.StatusCode == http.StatusOK {
 		return nil
 	}
-	return fault.Pass(decodeFault(res, in.Bytes()), "%s at %s", path, addr)
+	return errs.Pass(decodeError(res, in.Bytes()), "%s at %s", path, addr)
 }
 
 // head puts the request's head right before the body, into the room kept for it, and gives the whole request.
@@ -265,15 +265,15 @@
 		}
 		switch {
 		case context.Cause(ctx) != nil:
-			return fault.Wrap(errors.Join(context.Cause(ctx), err), fault.Timeout, "%s at %s: over after at most %s", t.path, t.addr, t.within)
+			return errs.Wrap(errors.Join(context.Cause(ctx), err), errs.Timeout, "%s at %s: over after at most %s", t.path, t.addr, t.within)
 		case h.ended():
-			return fault.Wrap(err, fault.Stopped, "%s at %s: closed on our side", t.path, t.addr)
+			return errs.Wrap(err, errs.Stopped, "%s at %s: closed on our side", t.path, t.addr)
 		}
-		return fault.Wrap(err, fault.Unavailable, "%s at %s", t.path, t.addr)
+		return errs.Wrap(err, errs.Unavailable, "%s at %s", t.path, t.addr)
 	}
 	l, err := h.take(ctx, t.addr)
 	if err != nil {
-		return nil, fault.Pass(explain(err), "connect")
+		return nil, errs.Pass(explain(err), "connect")
 	}
 	whole := false
 	stop := context.AfterFunc(ctx, l.reset)
@@ -282,13 +282,13 @@
 	var refused error
 	err = l.write(t.out, &sent, func() error {
 		if context.Cause(ctx) != nil {
-			return fault.Wrap(context.Cause(ctx), fault.Timeout, "before the write")
+			return errs.Wrap(context.Cause(ctx), errs.Timeout, "before the write")
 		}
 		if t.before == nil {
 			return nil
 		}
 		if refused = t.before(); refused != nil {
-			return fault.Pass(refused, "held back")
+			return errs.Pass(refused, "held back")
 		}
 		return nil
 	})
@@ -297,22 +297,22 @@
 		if sent == 0 {
 			refused = &unsent{refused}
 		}
-		return nil, fault.Pass(refused, "%s at %s: held back before the write", t.path, t.addr)
+		return nil, errs.Pass(refused, "%s at %s: held back before the write", t.path, t.addr)
 	}
 	if err != nil {
-		return nil, fault.Pass(explain(err), "write the call")
+		return nil, errs.Pass(explain(err), "write the call")
 	}
 	res, err := l.response(t.method)
 	if err != nil {
-		return nil, fault.Pass(explain(err), "read the answer's head")
+		return nil, errs.Pass(explain(err), "read the answer's head")
 	}
 	err = readInto(t.in, res.Body, res.ContentLength, k.opt.MaxBody)
 	k.meter.in.Add(float64(t.in.Len()))
-	if fault.Is(err, fault.TooLarge) {
-		return nil, fault.Pass(err, "the answer of %s at %s", t.path, t.addr)
+	if errs.Is(err, errs.TooLarge) {
+		return nil, errs.Pass(err, "the answer of %s at %s", t.path, t.addr)
 	}
 	if err != nil {
-		return nil, fault.Pass(explain(err), "read the answer")
+		return nil, errs.Pass(explain(err), "read the answer")
 	}
 	whole = !res.Close && l.read.Buffered() == 0
 	return res, nil
@@ -323,7 +323,7 @@
 	for {
 		res, err := http.ReadResponse(l.read, &http.Request{Method: method})
 		if err != nil {
-			return nil, fault.Wrap(err, fault.Unavailable, "response")
+			return nil, errs.Wrap(err, errs.Unavailable, "response")
 		}
 		if res.StatusCode >= http.StatusOK || res.StatusCode == http.StatusSwitchingProtocols {
 			return res, nil
@@ -331,17 +331,17 @@
 	}
 }
 
-// decodeFault makes the fault of an answer other than 200; a fault of ours is marked for Answered.
-func decodeFault(res *http.Response, body []byte) error {
+// decodeError makes the failure of an answer other than 200; a failure of ours is marked for Answered.
+func decodeError(res *http.Response, body []byte) error {
 	var r reply
 	if err := json.Unmarshal(body, &r); err != nil || r.Kind == "" {
-		kind := fault.Internal
+		kind := errs.Internal
 		if res.StatusCode >= http.StatusInternalServerError {
-			kind = fault.Unavailable
+			kind = errs.Unavailable
 		}
-		return fault.New(kind, "status %d without a fault of ours", res.StatusCode)
+		return errs.New(kind, "status %d without a fault of ours", res.StatusCode)
 	}
-	f := &fault.Fault{Kind: known(r.Kind), Field: r.Field, Message: r.Message, Hint: r.Hint}
+	f := &errs.Error{Kind: known(r.Kind), Field: r.Field, Message: r.Message, Hint: r.Hint}
 	if s, err := strconv.Atoi(res.Header.Get("Retry-After")); err == nil && s > 0 {
 		f.After = time.Duration(s) * time.Second
 	}
@@ -388,7 +388,7 @@
 	if failed == nil {
 		failed = err
 	}
-	return fault.Wrap(failed, fault.Unavailable, "write")
+	return errs.Wrap(failed, errs.Unavailable, "write")
 }
 
 // alive tells whether an idle connection is still open with nothing to be read.
@@ -411,20 +411,20 @@
 	c, err := k.dialer.DialContext(ctx, "tcp", by)
 	if err != nil {
 		_ = level.Debug(k.opt.Logger).Log("msg", "dial failed", "addr", addr, "err", err)
-		return nil, fault.Wrap(err, fault.Unavailable, "dial")
+		return nil, errs.Wrap(err, errs.Unavailable, "dial")
 	}
 	tcp := c.(*net.TCPConn)
 	raw, err := tcp.SyscallConn()
 	if err != nil {
 		_ = tcp.Close()
-		return nil, fault.Wrap(err, fault.Internal, "raw connection")
+		return nil, errs.Wrap(err, errs.Internal, "raw connection")
 	}
 	l := &link{TCPConn: tcp, raw: raw, read: bufio.NewReaderSize(tcp, k.opt.ReadBuffer), addr: addr}
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if k.closed {
 		l.reset()
-		return nil, fault.New(fault.Stopped, "the caller is closed")
+		return nil, errs.New(errs.Stopped, "the caller is closed")
 	}
 	k.live[l] = struct{}{}
 	return l, nil
@@ -445,7 +445,7 @@
 			k.mu.Unlock()
 			l, err := k.dial(ctx, addr)
 			if err != nil {
-				return nil, fault.Pass(err, "no idle connection to %s", addr)
+				return nil, errs.Pass(err, "no idle connection to %s", addr)
 			}
 			return l, nil
 		}
@@ -492,7 +492,7 @@
 	select {
 	case l.turn <- struct{}{}:
 	case <-ctx.Done():
-		return nil, fault.Wrap(ctx.Err(), fault.Timeout, "wait for the line")
+		return nil, errs.Wrap(ctx.Err(), errs.Timeout, "wait for the line")
 	}
 	l.mu.Lock()
 	held, closed := l.link, l.closed
@@ -504,7 +504,7 @@
 		l.k.drop(held)
 	}
 	var fresh *link
-	err := fault.New(fault.Stopped, "the line is closed")
+	err := errs.New(errs.Stopped, "the line is closed")
 	if !closed {
 		fresh, err = l.k.dial(ctx, l.addr)
 	}
@@ -516,10 +516,10 @@
 			return fresh, nil
 		}
 		l.k.drop(fresh)
-		err = fault.New(fault.Stopped, "the line was closed")
+		err = errs.New(errs.Stopped, "the line was closed")
 	}
 	<-l.turn
-	return nil, fault.Pass(err, "line to %s", l.addr)
+	return nil, errs.Pass(err, "line to %s", l.addr)
 }
 
 func (l *Line) give(used *link, whole bool) {
--- a/internal/wire/exchange.go
+++ b/internal/rpc/exchange.go
@@ -1,4 +1,4 @@
-package wire
+package rpc
 
 import (
 	"bytes"
@@ -10,7 +10,7 @@
 	"strings"
 	"time"
 
-	"crosstide/internal/fault"
+	"crosstide/internal/errs"
 )
 
 // Request is a plain HTTP/1.1 request to a peer that does not speak pairs.
@@ -33,11 +33,11 @@
 
 // Exchange sends r once to addr (host:port) over the pooled connections and gives the response; no status is an error.
 // It ends at the latest after within, or with ctx: the connection is closed with a reset and the error is
-// fault.Timeout. A refused or broken connection is fault.Unavailable, a closed caller fault.Stopped, a request that
-// cannot be put on the line fault.Invalid, a response over MaxBody fault.TooLarge. See Unsent for requests of which
+// errs.Timeout. A refused or broken connection is errs.Unavailable, a closed caller errs.Stopped, a request that
+// cannot be put on the line errs.Invalid, a response over MaxBody errs.TooLarge. See Unsent for requests of which
 // no byte was handed to the kernel. Example:
 //
-//	res, err := caller.Exchange(ctx, "10.0.0.7:7000", wire.Request{Method: "GET", Path: "/state"}, time.Second)
+//	res, err := caller.Exchange(ctx, "10.0.0.7:7000", rpc.Request{Method: "GET", Path: "/state"}, time.Second)
 func (k *Caller) Exchange(ctx context.Context, addr string, r Request, within time.Duration) (Response, error) {
 	k.meter.calls.WithLabelValues(exchangeLabel).Inc()
 	out, in := takeFrame(0), takeFrame(0)
@@ -45,33 +45,33 @@
 	defer in.free()
 	res, err := k.exchange(ctx, addr, r, within, &out.buf, &in.buf)
 	if err != nil {
-		k.meter.faults.WithLabelValues(exchangeLabel, string(known(fault.KindOf(err)))).Inc()
-		return Response{}, fault.Pass(err, "%s %s", r.Method, r.Path)
+		k.meter.failures.WithLabelValues(exchangeLabel, string(known(errs.KindOf(err)))).Inc()
+		return Response{}, errs.Pass(err, "%s %s", r.Method, r.Path)
 	}
 	return Response{Status: res.StatusCode, Header: res.Header, Body: bytes.Clone(in.buf.Bytes())}, nil
 }
 
 func (k *Caller) exchange(ctx context.Context, addr string, r Request, within time.Duration, out, in *bytes.Buffer) (*http.Response, error) {
 	if err := r.check(); err != nil {
-		return nil, fault.Pass(&unsent{err}, "the request")
+		return nil, errs.Pass(&unsent{err}, "the request")
 	}
 	r.encode(out, addr)
 	t := transfer{addr: addr, path: r.Path, method: r.Method, out: out.Bytes(), in: in, within: within}
 	res, err := k.transfer(ctx, k, t)
-	return res, fault.Pass(err, "exchange")
+	return res, errs.Pass(err, "exchange")
 }
 
 // check refuses what would break the request's head.
 func (r Request) check() error {
 	if r.Method == "" || strings.ContainsAny(r.Method, " \t\r\n") {
-		return fault.Field(fault.Invalid, "method", "%q is no method", r.Method)
+		return errs.Field(errs.Invalid, "method", "%q is no method", r.Method)
 	}
 	if !strings.HasPrefix(r.Path, "/") || strings.ContainsAny(r.Path, " \t\r\n") {
-		return fault.Field(fault.Invalid, "path", "%q is no path", r.Path)
+		return errs.Field(errs.Invalid, "path", "%q is no path", r.Path)
 	}
 	for name, value := range r.Header {
 		if name == "" || strings.ContainsAny(name, ": \t\r\n") || strings.ContainsAny(value, "\r\n") {
-			return fault.Field(fault.Invalid, "header", "%q cannot be sent", name)
+			return errs.Field(errs.Invalid, "header", "%q cannot be sent", name)
 		}
 	}
 	return nil
--- a/internal/wire/exchange_test.go
+++ b/internal/rpc/exchange_test.go
@@ -1,4 +1,4 @@
-package wire
+package rpc
 
 import (
 	"bufio"
@@ -14,16 +14,16 @@
 	. "github.com/smartystreets/goconvey/convey"
 	"golang.org/x/sys/unix"
 
-	"crosstide/internal/alarm"
-	"crosstide/internal/fault"
-	"crosstide/internal/spawn"
+	"crosstide/internal/clock"
+	"crosstide/internal/errs"
+	"crosstide/internal/routine"
 )
 
 // plainPeer listens and hands each connection to serve, with its number from 1.
 func plainPeer(serve func(n int, c net.Conn, in *bufio.Reader)) (addr string, end func()) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	So(err, ShouldBeNil)
-	work := spawn.New(ctx)
+	work := routine.New(ctx)
 	work.Go(func(context.Context) {
 		for n := 1; ; n++ {
 			c, err := ln.Accept()
@@ -85,7 +85,7 @@
 	})
 	Convey("Time that is over and a ctx that ends give Timeout and a reset", t, func() {
 		for _, byClock := range []bool{true, false} {
-			clock := &alarm.Virtual{}
+			clock := &clock.Virtual{}
 			k := NewCaller(CallerOptions{Clock: clock})
 			ctx, cancel := context.WithCancel(ctx)
 			broken := make(chan error, 1)
@@ -100,7 +100,7 @@
 				broken <- err
 			})
 			_, err := k.Exchange(ctx, addr, Request{Method: "POST", Path: "/"}, time.Second)
-			So([]any{fault.KindOf(err), Unsent(err), Answered(err)}, ShouldResemble, []any{fault.Timeout, false, false})
+			So([]any{errs.KindOf(err), Unsent(err), Answered(err)}, ShouldResemble, []any{errs.Timeout, false, false})
 			So(errors.Is(<-broken, unix.ECONNRESET), ShouldBeTrue)
 			cancel()
 			end()
@@ -112,17 +112,17 @@
 		end()
 		k := NewCaller(CallerOptions{})
 		_, err := k.Exchange(ctx, addr, Request{Method: "POST", Path: "/"}, time.Minute)
-		So([]any{fault.KindOf(err), Unsent(err)}, ShouldResemble, []any{fault.Unavailable, true})
+		So([]any{errs.KindOf(err), Unsent(err)}, ShouldResemble, []any{errs.Unavailable, true})
 		_, err = k.Exchange(ctx, addr, Request{Method: "POST", Path: "/"}, 0)
-		So([]any{fault.KindOf(err), Unsent(err)}, ShouldResemble, []any{fault.Timeout, true})
+		So([]any{errs.KindOf(err), Unsent(err)}, ShouldResemble, []any{errs.Timeout, true})
 		for _, r := range []Request{{Method: "", Path: "/"}, {Method: "GET", Path: "x"}, {Method: "GET", Path: "/ x"},
 			{Method: "GET", Path: "/", Header: map[string]string{"A": "b\r\nC: d"}}, {Method: "GET", Path: "/", Header: map[string]string{"A:": "b"}}} {
 			_, err = k.Exchange(ctx, addr, r, time.Minute)
-			So([]any{fault.KindOf(err), Unsent(err)}, ShouldResemble, []any{fault.Invalid, true})
+			So([]any{errs.KindOf(err), Unsent(err)}, ShouldResemble, []any{errs.Invalid, true})
 		}
 		k.Close()
 		_, err = k.Exchange(ctx, addr, Request{Method: "POST", Path: "/"}, time.Minute)
-		So([]any{fault.KindOf(err), Unsent(err)}, ShouldResemble, []any{fault.Stopped, true})
+		So([]any{errs.KindOf(err), Unsent(err)}, ShouldResemble, []any{errs.Stopped, true})
 	})
 	Convey("A kept connection that the peer closed is passed over; one that breaks under a request is an error, sent once", t, func() {
 		const answer = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
@@ -152,7 +152,7 @@
 		_, err = k.Exchange(ctx, addr, r, time.Minute)
 		So([]any{err, <-requests}, ShouldResemble, []any{nil, 2})
 		_, err = k.Exchange(ctx, addr, r, time.Minute)
-		So([]any{fault.KindOf(err), Unsent(err), <-requests}, ShouldResemble, []any{fault.Unavailable, false, 2})
+		So([]any{errs.KindOf(err), Unsent(err), <-requests}, ShouldResemble, []any{errs.Unavailable, false, 2})
 		_, err = k.Exchange(ctx, addr, r, time.Minute)
 		So([]any{err, <-requests, len(requests)}, ShouldResemble, []any{nil, 3, 0})
 	})
@@ -165,14 +165,14 @@
 		k := NewCaller(CallerOptions{MaxBody: 10})
 		defer k.Close()
 		_, err := k.Exchange(ctx, addr, Request{Method: "GET", Path: "/"}, time.Minute)
-		So([]any{fault.KindOf(err), Unsent(err), len(k.live)}, ShouldResemble, []any{fault.TooLarge, false, 0})
+		So([]any{errs.KindOf(err), Unsent(err), len(k.live)}, ShouldResemble, []any{errs.TooLarge, false, 0})
 	})
 	Convey("Answered tells the peer's faults from our own", t, func() {
-		b := rig()
+		b := newBench()
 		defer b.end()
 		_, err := Ask(ctx, b.Caller, b.Addr(), fail, note{}, time.Second)
 		So(Answered(err), ShouldBeTrue)
 		_, err = Ask(ctx, b.Caller, b.Addr(), Pair[note, int]{"/echo"}, note{}, time.Second)
-		So([]any{fault.KindOf(err), Answered(err)}, ShouldResemble, []any{fault.Malformed, false})
+		So([]any{errs.KindOf(err), Answered(err)}, ShouldResemble, []any{errs.Malformed, false})
 	})
 }
--- a/internal/wire/wire.go
+++ b/internal/rpc/rpc.go
@@ -1,8 +1,8 @@
-// Package wire is crosstide's HTTP/1.1 with JSON: pairs of call and answer types behind one generic handler,
+// Package rpc is crosstide's HTTP/1.1 with JSON: pairs of call and answer types behind one generic handler,
 // and the callers that ask them. The server is nbio's nbhttp. The callers are blocking TCP connections of the
 // standard library: nbhttp's client hands bytes to its event loop and may keep them in a user-space buffer,
 // and its Timeout still delivers a late answer; neither is fit for a lease check right before the write.
-package wire
+package rpc
 
 import (
 	"bytes"
@@ -17,7 +17,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
-	"crosstide/internal/fault"
+	"crosstide/internal/errs"
 )
 
 // MaxBody is the default bound on a body of an internal call or answer, in bytes.
@@ -26,30 +26,30 @@
 // Pair names a call by its path and gives it its types: POST Path, body the JSON of C, answer the JSON of A.
 // Fields that a side does not know are passed over, so that versions can be mixed. Example:
 //
-//	var Vote = wire.Pair[Ballot, Verdict]{Path: "/store/vote"}
+//	var Vote = rpc.Pair[Ballot, Verdict]{Path: "/store/vote"}
 type Pair[C, A any] struct{ Path string }
 
-// reply is the JSON body of a fault.
+// reply is the JSON body of a failure.
 type reply struct {
-	Kind    fault.Kind `json:"kind"`
-	Field   string     `json:"field"`
-	Message string     `json:"message"`
-	Hint    string     `json:"hint,omitempty"`
+	Kind    errs.Kind `json:"kind"`
+	Field   string    `json:"field"`
+	Message string    `json:"message"`
+	Hint    string    `json:"hint,omitempty"`
 }
 
-// WriteFault answers err: the status of its kind's row in fault's table, Retry-After in whole seconds (rounded up,
+// WriteError answers err: the status of its kind's row in failure's table, Retry-After in whole seconds (rounded up,
 // at least 1) where there is one, and the body {"kind","field","message"}, plus "hint" if set. Causes are not sent.
-func WriteFault(w http.ResponseWriter, err error) {
-	f := fault.Of(err)
+func WriteError(w http.ResponseWriter, err error) {
+	f := errs.Of(err)
 	if f == nil {
-		f = fault.Of(fault.New(fault.Internal, "no fault given"))
+		f = errs.Of(errs.New(errs.Internal, "no fault given"))
 	}
-	writeFault(w, f, fault.ReplyOf(f.Kind).Status)
+	writeError(w, f, errs.ReplyOf(f.Kind).Status)
 }
 
-func writeFault(w http.ResponseWriter, f *fault.Fault, status int) {
+func writeError(w http.ResponseWriter, f *errs.Error, status int) {
 	kind := known(f.Kind)
-	if after := cmpOr(f.After, fault.ReplyOf(kind).After); after > 0 {
+	if after := cmpOr(f.After, errs.ReplyOf(kind).After); after > 0 {
 		w.Header().Set("Retry-After", strconv.FormatInt(int64((after+time.Second-1)/time.Second), 10))
 	}
 	if t, ok := w.(*tap); ok {
@@ -65,22 +65,22 @@
 	return b
 }
 
-var kinds = fault.Kinds()
+var kinds = errs.Kinds()
 
 // known maps a kind outside of the closed list to Internal.
-func known(k fault.Kind) fault.Kind {
+func known(k errs.Kind) errs.Kind {
 	if slices.Contains(kinds, k) {
 		return k
 	}
-	return fault.Internal
+	return errs.Internal
 }
 
-// WriteJSON answers v as JSON with the given status. A v that cannot be encoded is answered as an internal fault.
+// WriteJSON answers v as JSON with the given status. A v that cannot be encoded is answered as an internal failure.
 func WriteJSON(w http.ResponseWriter, status int, v any) {
 	f := takeFrame(0)
 	defer f.free()
 	if err := f.encode(v); err != nil {
-		WriteFault(w, err) // a reply of strings always encodes: this does not come back here
+		WriteError(w, err) // a reply of strings always encodes: this does not come back here
 		return
 	}
 	writeBytes(w, status, f.buf.Bytes())
@@ -91,15 +91,15 @@
 	h.Set("Content-Type", "application/json")
 	h.Set("Content-Length", strconv.Itoa(len(body)))
 	w.WriteHeader(status)
-	_, _ = w.Write(body) // a caller that is gone hears nothing; its own alarm tells it
+	_, _ = w.Write(body) // a caller that is gone hears nothing; its own timer tells it
 }
 
 // ReadBody reads a body of at most limit bytes; the bytes are the caller's own. A declared or real length over
-// limit is fault.TooLarge, a broken body fault.Malformed.
+// limit is errs.TooLarge, a broken body errs.Malformed.
 func ReadBody(r *http.Request, limit int64) ([]byte, error) {
 	var buf bytes.Buffer
 	if err := readInto(&buf, r.Body, r.ContentLength, limit); err != nil {
-		return nil, fault.Pass(err, "request")
+		return nil, errs.Pass(err, "request")
 	}
 	return buf.Bytes(), nil
 }
@@ -107,7 +107,7 @@
 // readInto appends body to buf, up to limit bytes; length is the declared one, below 0 if there is none.
 func readInto(buf *bytes.Buffer, body io.Reader, length, limit int64) error {
 	if length > limit {
-		return fault.New(fault.TooLarge, "the body has %d bytes, at most %d are taken", length, limit)
+		return errs.New(errs.TooLarge, "the body has %d bytes, at most %d are taken", length, limit)
 	}
 	if body == nil {
 		return nil
@@ -115,10 +115,10 @@
 	buf.Grow(int(max(length, 0)) + bytes.MinRead)
 	n, err := buf.ReadFrom(io.LimitReader(body, limit+1))
 	if err != nil {
-		return fault.Wrap(err, fault.Malformed, "read the body")
+		return errs.Wrap(err, errs.Malformed, "read the body")
 	}
 	if n > limit {
-		return fault.New(fault.TooLarge, "the body has more than %d bytes", limit)
+		return errs.New(errs.TooLarge, "the body has more than %d bytes", limit)
 	}
 	return nil
 }
@@ -146,7 +146,7 @@
 }
 
 func (f *frame) encode(v any) error {
-	return fault.Wrap(f.enc.Encode(v), fault.Internal, "encode %T", v)
+	return errs.Wrap(f.enc.Encode(v), errs.Internal, "encode %T", v)
 }
 
 func (f *frame) free() {
@@ -157,8 +157,8 @@
 
 // meter counts for one side, "server" or "caller". Several meters may share a registry.
 type meter struct {
-	calls, faults *prometheus.CounterVec
-	in, out       prometheus.Counter
+	calls, failures *prometheus.CounterVec
+	in, out         prometheus.Counter
 }
 
 func newMeter(side string, to prometheus.Registerer) *meter {
@@ -177,9 +177,9 @@
 	}
 	size := counter("crosstide_wire_bytes_total", "Bytes of bodies, by direction.", "dir")
 	return &meter{
-		calls:  counter("crosstide_wire_calls_total", "Calls, by path.", "path"),
-		faults: counter("crosstide_wire_faults_total", "Calls that ended in a fault, by path and kind.", "path", "kind"),
-		in:     size.WithLabelValues("in"),
-		out:    size.WithLabelValues("out"),
+		calls:    counter("crosstide_wire_calls_total", "Calls, by path.", "path"),
+		failures: counter("crosstide_wire_faults_total", "Calls that ended in a fault, by path and kind.", "path", "kind"),
+		in:       size.WithLabelValues("in"),
+		out:      size.WithLabelValues("out"),
 	}
 }
--- a/internal/wire/wire_test.go
+++ b/internal/rpc/rpc_test.go
@@ -1,4 +1,4 @@
-package wire
+package rpc
 
 import (
 	"bufio"
@@ -18,9 +18,9 @@
 	. "github.com/smartystreets/goconvey/convey"
 	"golang.org/x/sys/unix"
 
-	"crosstide/internal/alarm"
-	"crosstide/internal/fault"
-	"crosstide/internal/spawn"
+	"crosstide/internal/clock"
+	"crosstide/internal/errs"
+	"crosstide/internal/routine"
 )
 
 type note struct {
@@ -38,21 +38,21 @@
 type bench struct {
 	*Server
 	*Caller
-	clock   *alarm.Virtual
+	clock   *clock.Virtual
 	entered chan struct{}
 	gate    chan struct{}
 	reg     *prometheus.Registry
 }
 
-func rig() *bench {
-	b := &bench{clock: &alarm.Virtual{}, entered: make(chan struct{}, 1000), gate: make(chan struct{}), reg: prometheus.NewRegistry()}
+func newBench() *bench {
+	b := &bench{clock: &clock.Virtual{}, entered: make(chan struct{}, 1000), gate: make(chan struct{}), reg: prometheus.NewRegistry()}
 	b.Server = NewServer(ServerOptions{Addr: "127.0.0.1:0", MaxBody: 1 << 20, Registry: b.reg, Clock: b.clock})
 	Handle(b.Server, echo, func(_ context.Context, n note) (note, error) { return n, nil })
 	Handle(b.Server, fail, func(_ context.Context, n note) (note, error) {
 		if n.Text == "panic" {
 			panic("on purpose")
 		}
-		return n, fault.Pass(&fault.Fault{Kind: fault.NotLeader, Field: "f", Message: "m", Hint: "h", After: 1500 * time.Millisecond}, "more")
+		return n, errs.Pass(&errs.Error{Kind: errs.NotLeader, Field: "f", Message: "m", Hint: "h", After: 1500 * time.Millisecond}, "more")
 	})
 	Handle(b.Server, block, func(ctx context.Context, n note) (note, error) {
 		b.entered <- struct{}{}
@@ -91,7 +91,7 @@
 
 func TestAsk(t *testing.T) {
 	Convey("Calls are answered over one kept connection, whatever their size, and counted", t, func() {
-		b := rig()
+		b := newBench()
 		defer b.end()
 		for _, text := range []string{"a<b>", strings.Repeat("x", 900_000), ""} {
 			got, err := Ask(ctx, b.Caller, b.Addr(), echo, note{text}, time.Second)
@@ -109,37 +109,37 @@
 		So(ms, ShouldEqual, 1500)
 	})
 	Convey("Faults come back with kind, field, message, hint and After, and are counted by kind", t, func() {
-		b := rig()
+		b := newBench()
 		defer b.end()
 		_, err := Ask(ctx, b.Caller, b.Addr(), fail, note{}, time.Second)
-		f := fault.Of(err)
-		So([]any{f.Kind, f.Field, f.Message, f.Hint, f.After}, ShouldResemble, []any{fault.NotLeader, "f", "m", "h", 2 * time.Second})
+		f := errs.Of(err)
+		So([]any{f.Kind, f.Field, f.Message, f.Hint, f.After}, ShouldResemble, []any{errs.NotLeader, "f", "m", "h", 2 * time.Second})
 		_, err = Ask(ctx, b.Caller, b.Addr(), fail, note{"panic"}, time.Second)
-		So(fault.KindOf(err), ShouldEqual, fault.Internal)
+		So(errs.KindOf(err), ShouldEqual, errs.Internal)
 		_, err = Ask(ctx, b.Caller, b.Addr(), echo, note{strings.Repeat("x", 1<<20)}, time.Second)
-		So(fault.KindOf(err), ShouldEqual, fault.TooLarge)
+		So(errs.KindOf(err), ShouldEqual, errs.TooLarge)
 		_, err = Ask(ctx, b.Caller, b.Addr(), Pair[note, note]{"/none"}, note{}, time.Second)
-		So(fault.KindOf(err), ShouldEqual, fault.Unknown)
+		So(errs.KindOf(err), ShouldEqual, errs.Unknown)
 		_, err = Ask(ctx, b.Caller, b.Addr(), Pair[int, note]{"/echo"}, 5, time.Second)
-		So(fault.KindOf(err), ShouldEqual, fault.Malformed)
+		So(errs.KindOf(err), ShouldEqual, errs.Malformed)
 		So(Unsent(err), ShouldBeFalse)
 		So(b.count("crosstide_wire_faults_total", "caller", "/fail", "not_leader"), ShouldEqual, 1)
 		So(len(b.live), ShouldEqual, 1)
 	})
 	Convey("An alarm that rings, and a context that ends, give Timeout and a reset", t, func() {
-		b := rig()
+		b := newBench()
 		defer b.end()
 		ln, err := net.Listen("tcp", "127.0.0.1:0")
 		So(err, ShouldBeNil)
 		defer ln.Close()
-		for _, byAlarm := range []bool{true, false} {
+		for _, byTimer := range []bool{true, false} {
 			ctx, cancel := context.WithCancel(ctx)
-			peer := spawn.New(ctx)
+			peer := routine.New(ctx)
 			var seen error
 			peer.Go(func(context.Context) {
 				c, _ := ln.Accept()
 				_, _ = http.ReadRequest(bufio.NewReader(c))
-				if byAlarm {
+				if byTimer {
 					b.clock.Advance(time.Second)
 				} else {
 					cancel()
@@ -147,7 +147,7 @@
 				_, seen = io.Copy(io.Discard, c)
 			})
 			_, err = Ask(ctx, b.Caller, ln.Addr().String(), echo, note{"x"}, time.Second)
-			So(fault.KindOf(err), ShouldEqual, fault.Timeout)
+			So(errs.KindOf(err), ShouldEqual, errs.Timeout)
 			So(Unsent(err), ShouldBeFalse)
 			peer.Wait()
 			cancel()
@@ -156,25 +156,25 @@
 		So(len(b.live), ShouldEqual, 0)
 	})
 	Convey("A refused connection is Unavailable and unsent; a kept one that the peer closed is not used", t, func() {
-		b := rig()
+		b := newBench()
 		_, err := Ask(ctx, b.Caller, b.Addr(), echo, note{}, time.Second)
 		So(err, ShouldBeNil)
 		So(b.Stop(0), ShouldBeNil)
 		held := b.Caller.idle[b.Addr()][0]
 		_, _ = held.Read(make([]byte, 1)) // until the peer's end is here
 		_, err = Ask(ctx, b.Caller, b.Addr(), echo, note{}, time.Second)
-		So(fault.KindOf(err), ShouldEqual, fault.Unavailable)
+		So(errs.KindOf(err), ShouldEqual, errs.Unavailable)
 		So(Unsent(err), ShouldBeTrue)
 		So(len(b.live), ShouldEqual, 0)
 		b.Caller.Close()
 		_, err = Ask(ctx, b.Caller, b.Addr(), echo, note{}, time.Second)
-		So(fault.KindOf(err), ShouldEqual, fault.Stopped)
+		So(errs.KindOf(err), ShouldEqual, errs.Stopped)
 	})
 }
 
 func TestLine(t *testing.T) {
 	Convey("before runs right before the write; its error keeps every byte back and keeps its kind", t, func() {
-		b := rig()
+		b := newBench()
 		defer b.end()
 		l := NewLine(b.Caller, b.Addr())
 		runs := 0
@@ -182,8 +182,8 @@
 		got, err := AskLine(ctx, l, echo, note{"x"}, time.Second, check)
 		So([]any{got.Text, err, runs}, ShouldResemble, []any{"x", nil, 1})
 		first := l.link
-		_, err = AskLine(ctx, l, echo, note{"y"}, time.Second, func() error { return fault.New(fault.Stale, "lease is over") })
-		So(fault.KindOf(err), ShouldEqual, fault.Stale)
+		_, err = AskLine(ctx, l, echo, note{"y"}, time.Second, func() error { return errs.New(errs.Stale, "lease is over") })
+		So(errs.KindOf(err), ShouldEqual, errs.Stale)
 		So(Unsent(err), ShouldBeTrue)
 		So(b.count("crosstide_wire_calls_total", "server", "/echo"), ShouldEqual, 1)
 		_, err = AskLine(ctx, l, echo, note{"z"}, time.Second, check)
@@ -191,16 +191,16 @@
 		So(l.link, ShouldNotEqual, first)
 		l.Close()
 		_, err = AskLine(ctx, l, echo, note{}, time.Second, check)
-		So(fault.KindOf(err), ShouldEqual, fault.Stopped)
+		So(errs.KindOf(err), ShouldEqual, errs.Stopped)
 		So(runs, ShouldEqual, 2)
 	})
 	Convey("When the socket takes only a part, the rest waits for before too, and is thrown away on its error", t, func() {
-		b := rig()
+		b := newBench()
 		defer b.end()
 		ln, err := net.Listen("tcp", "127.0.0.1:0")
 		So(err, ShouldBeNil)
 		defer ln.Close()
-		peer := spawn.New(ctx)
+		peer := routine.New(ctx)
 		var seen error
 		peer.Go(func(context.Context) {
 			c, _ := ln.Accept()
@@ -210,22 +210,22 @@
 		runs := 0
 		_, err = AskLine(ctx, NewLine(b.Caller, ln.Addr().String()), echo, note{strings.Repeat("x", 32<<20)}, time.Second, func() error {
 			if runs++; runs > 1 {
-				return fault.New(fault.Stale, "lease is over")
+				return errs.New(errs.Stale, "lease is over")
 			}
 			return nil
 		})
 		close(b.gate)
 		peer.Wait()
-		So([]any{fault.KindOf(err), Unsent(err), runs}, ShouldResemble, []any{fault.Stale, false, 2})
+		So([]any{errs.KindOf(err), Unsent(err), runs}, ShouldResemble, []any{errs.Stale, false, 2})
 		So(errors.Is(seen, unix.ECONNRESET), ShouldBeTrue)
 	})
 }
 
 func TestServer(t *testing.T) {
 	Convey("500 blocked handlers do not hold up another call, and Stop lets them finish", t, func() {
-		b := rig()
+		b := newBench()
 		defer b.Caller.Close()
-		work := spawn.New(ctx)
+		work := routine.New(ctx)
 		var mu sync.Mutex
 		well := 0
 		for range 500 {
@@ -250,8 +250,8 @@
 	})
 	Convey("Stop closes no connection before the answers of the handlers that it waited for are written", t, func() {
 		for range 20 {
-			b := rig()
-			work := spawn.New(ctx)
+			b := newBench()
+			work := routine.New(ctx)
 			failed := make(chan error, 100)
 			for range 100 {
 				work.Go(func(ctx context.Context) {
@@ -263,7 +263,7 @@
 			for range 100 {
 				<-b.entered
 			}
-			stopped := spawn.New(ctx)
+			stopped := routine.New(ctx)
 			stopped.Go(func(context.Context) { _ = b.Stop(time.Hour) })
 			for stopping := false; !stopping; runtime.Gosched() {
 				b.Server.mu.Lock()
@@ -279,31 +279,31 @@
 	})
 	Convey("A server that is stopped right after its start stops", t, func() {
 		for range 50 {
-			rig().end()
+			newBench().end()
 		}
 	})
 	Convey("Stop refuses new requests, and ends handlers that outlast grace", t, func() {
-		b := rig()
+		b := newBench()
 		defer b.Caller.Close()
-		work := spawn.New(ctx)
+		work := routine.New(ctx)
 		work.Go(func(ctx context.Context) { _, _ = Ask(ctx, b.Caller, b.Addr(), block, note{}, time.Hour) })
 		<-b.entered
 		_, err := Ask(ctx, b.Caller, b.Addr(), echo, note{}, time.Hour) // leaves a kept connection
 		So(err, ShouldBeNil)
 		stopped := make(chan error, 1)
-		spawn.New(ctx).Go(func(context.Context) { stopped <- b.Stop(time.Minute) })
+		routine.New(ctx).Go(func(context.Context) { stopped <- b.Stop(time.Minute) })
 		for err == nil { // until Stop has begun
 			_, err = Ask(ctx, b.Caller, b.Addr(), echo, note{}, time.Hour)
 		}
-		So(fault.KindOf(err), ShouldEqual, fault.Stopped)
+		So(errs.KindOf(err), ShouldEqual, errs.Stopped)
 		for b.work.Context().Err() == nil { // grace may not be set yet at the first turns
 			b.clock.Advance(time.Second)
 		}
-		So(fault.KindOf(<-stopped), ShouldEqual, fault.Timeout)
+		So(errs.KindOf(<-stopped), ShouldEqual, errs.Timeout)
 		work.Wait()
 	})
 	Convey("Raw routes and refusals are JSON with the table's head", t, func() {
-		b := rig()
+		b := newBench()
 		defer b.end()
 		res, err := http.Get("http://" + b.Addr() + "/echo")
 		So(err, ShouldBeNil)
--- a/internal/wire/server.go
+++ b/internal/rpc/server.go
@@ -1,4 +1,4 @@
-package wire
+package rpc
 
 import (
 	"context"
@@ -20,9 +20,9 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"golang.org/x/sys/unix"
 
-	"crosstide/internal/alarm"
-	"crosstide/internal/fault"
-	"crosstide/internal/spawn"
+	"crosstide/internal/clock"
+	"crosstide/internal/errs"
+	"crosstide/internal/routine"
 )
 
 // ServerOptions are the settings of a Server; only Addr is needed.
@@ -30,7 +30,7 @@
 	Addr     string                // host:port to listen at; port 0 takes a free one
 	Logger   log.Logger            // default: none
 	MaxBody  int64                 // bound on bodies of pairs in bytes, default MaxBody
-	Clock    alarm.Clock           // default alarm.Real
+	Clock    clock.Clock           // default clock.Real
 	Registry prometheus.Registerer // default: the counters are not shown
 	// Descriptors bounds the file descriptors that the process has, if the system tells no lower bound: a table of
 	// that length is kept for each server. The lowest one given holds for the whole process; 0 leaves it as it is.
@@ -45,7 +45,7 @@
 	opt    ServerOptions
 	mux    *http.ServeMux
 	engine *nbhttp.Engine
-	work   *spawn.Group
+	work   *routine.Group
 	meter  *meter
 	ln     *listener
 	// accepted orders the making of a connection before its first read: nbio hands it from the accepting goroutine
@@ -61,10 +61,10 @@
 
 // NewServer makes a server that does not listen yet. Example:
 //
-//	s := wire.NewServer(wire.ServerOptions{Addr: "127.0.0.1:0"})
-//	wire.Handle(s, Vote, func(ctx context.Context, b Ballot) (Verdict, error) { return store.Vote(ctx, b) })
+//	s := rpc.NewServer(rpc.ServerOptions{Addr: "127.0.0.1:0"})
+//	rpc.Handle(s, Vote, func(ctx context.Context, b Ballot) (Verdict, error) { return store.Vote(ctx, b) })
 //	if err := s.Start(); err != nil {
-//		return fault.Pass(err, "start the server")
+//		return errs.Pass(err, "start the server")
 //	}
 //	defer s.Stop(5 * time.Second)
 func NewServer(opt ServerOptions) *Server {
@@ -75,12 +75,12 @@
 		opt.MaxBody = MaxBody
 	}
 	if opt.Clock == nil {
-		opt.Clock = alarm.Real{}
+		opt.Clock = clock.Real{}
 	}
 	routeLogs(opt.Logger)
 	boundDescriptors(opt.Descriptors)
 	s := &Server{
-		opt: opt, mux: http.NewServeMux(), work: spawn.New(context.Background()),
+		opt: opt, mux: http.NewServeMux(), work: routine.New(context.Background()),
 		meter: newMeter("server", opt.Registry), idle: make(chan struct{}),
 	}
 	bound := int(max(2*opt.MaxBody, MaxBody)) // over it nbhttp cuts the connection without an answer
@@ -102,7 +102,7 @@
 }
 
 // Handle answers calls of p with serve. ctx ends when the server's grace is over. An error of serve is answered
-// as its fault, bytes that are no JSON of C as fault.Malformed, a method other than POST with 405.
+// as its failure, bytes that are no JSON of C as errs.Malformed, a method other than POST with 405.
 func Handle[C, A any](s *Server, p Pair[C, A], serve func(ctx context.Context, call C) (A, error)) {
 	s.Route(p.Path, func(w http.ResponseWriter, r *http.Request) {
 		if r.Method != http.MethodPost {
@@ -114,17 +114,17 @@
 		in := takeFrame(0)
 		err := readInto(&in.buf, r.Body, r.ContentLength, s.opt.MaxBody)
 		if err == nil {
-			err = fault.Wrap(json.Unmarshal(in.buf.Bytes(), &call), fault.Malformed, "the body of %s", p.Path)
+			err = errs.Wrap(json.Unmarshal(in.buf.Bytes(), &call), errs.Malformed, "the body of %s", p.Path)
 		}
 		in.free()
 		if err != nil {
-			WriteFault(w, err)
+			WriteError(w, err)
 			return
 		}
 		answer, err := serve(r.Context(), call)
 		if err != nil {
 			s.tell(p.Path, err)
-			WriteFault(w, err)
+			WriteError(w, err)
 			return
 		}
 		WriteJSON(w, http.StatusOK, answer)
@@ -132,19 +132,19 @@
 }
 
 func refuseMethod(w http.ResponseWriter, r *http.Request) {
-	f := &fault.Fault{Kind: fault.Invalid, Field: "method", Message: r.Method + " is not taken here"}
-	writeFault(w, f, http.StatusMethodNotAllowed)
+	f := &errs.Error{Kind: errs.Invalid, Field: "method", Message: r.Method + " is not taken here"}
+	writeError(w, f, http.StatusMethodNotAllowed)
 }
 
-// tell logs faults that are ours to mend, with their causes, which are not sent.
+// tell logs failures that are ours to mend, with their causes, which are not sent.
 func (s *Server) tell(path string, err error) {
-	switch fault.KindOf(err) {
-	case fault.Internal, fault.Disk, fault.Damaged, fault.Torn:
+	switch errs.KindOf(err) {
+	case errs.Internal, errs.Disk, errs.Damaged, errs.Torn:
 		_ = level.Error(s.opt.Logger).Log("msg", "call failed", "path", path, "err", err)
 	}
 }
 
-// Route answers pattern (as of http.ServeMux) with h, which may answer faults by WriteFault. r and w must not be
+// Route answers pattern (as of http.ServeMux) with h, which may answer failures by WriteError. r and w must not be
 // kept after h returns. Call it before Start; a pattern given twice panics.
 func (s *Server) Route(pattern string, h func(w http.ResponseWriter, r *http.Request)) {
 	calls := s.meter.calls.WithLabelValues(pattern)
@@ -153,16 +153,16 @@
 		t := &tap{ResponseWriter: w}
 		defer func() {
 			if p := recover(); p != nil {
-				err := fault.New(fault.Internal, "panic: %v", p)
+				err := errs.New(errs.Internal, "panic: %v", p)
 				s.tell(pattern, err)
 				if !t.begun {
-					WriteFault(t, fault.New(fault.Internal, "the handler failed"))
+					WriteError(t, errs.New(errs.Internal, "the handler failed"))
 				}
 			}
 			s.meter.in.Add(float64(max(r.ContentLength, 0)))
 			s.meter.out.Add(float64(t.out))
 			if t.kind != "" {
-				s.meter.faults.WithLabelValues(pattern, string(t.kind)).Inc()
+				s.meter.failures.WithLabelValues(pattern, string(t.kind)).Inc()
 			}
 		}()
 		h(t, r)
@@ -173,7 +173,7 @@
 type tap struct {
 	http.ResponseWriter
 	out   int
-	kind  fault.Kind
+	kind  errs.Kind
 	begun bool
 }
 
@@ -190,7 +190,7 @@
 	n, err := t.ResponseWriter.Write(b)
 	t.out += max(n, 0)
 	if err != nil {
-		return n, fault.Wrap(err, fault.Unavailable, "write the answer")
+		return n, errs.Wrap(err, errs.Unavailable, "write the answer")
 	}
 	return n, nil
 }
@@ -228,7 +228,7 @@
 	stopping := s.stopping
 	s.mu.Unlock()
 	if stopping {
-		WriteFault(w, fault.New(fault.Stopped, "the server is stopping"))
+		WriteError(w, errs.New(errs.Stopped, "the server is stopping"))
 		return
 	}
 	if h, pattern := s.mux.Handler(r); pattern == "" {
@@ -238,7 +238,7 @@
 			refuseMethod(w, r)
 			return
 		}
-		WriteFault(w, fault.New(fault.Unknown, "there is nothing at this path"))
+		WriteError(w, errs.New(errs.Unknown, "there is nothing at this path"))
 		return
 	}
 	s.mux.ServeHTTP(w, r)
@@ -254,12 +254,12 @@
 func (p *probe) Write(b []byte) (int, error) { return len(b), nil }
 func (p *probe) WriteHeader(status int)      { p.status = status }
 
-// Start listens and answers. An address that cannot be had is fault.Settings.
+// Start listens and answers. An address that cannot be had is errs.Settings.
 func (s *Server) Start() error {
 	if err := s.engine.Start(); err != nil {
-		return fault.Wrap(err, fault.Settings, "listen at %s", s.opt.Addr)
+		return errs.Wrap(err, errs.Settings, "listen at %s", s.opt.Addr)
 	}
-	return fault.Wrap(s.warm(), fault.Internal, "start the event loops")
+	return errs.Wrap(s.warm(), errs.Internal, "start the event loops")
 }
 
 // warm waits until every event loop of nbio runs: a stop that comes before is lost on the loop, and the engine's
@@ -267,7 +267,7 @@
 func (s *Server) warm() error {
 	loops := s.engine.Engine.NPoller
 	if loops == 1 {
-		return fault.Pass(s.warmOne(), "the only event loop")
+		return errs.Pass(s.warmOne(), "the only event loop")
 	}
 	gone := make(chan struct{}, loops)
 	s.engine.OnClose(func(c net.Conn, _ error) {
@@ -277,7 +277,7 @@
 	})
 	for loop := range loops {
 		if err := s.nudge(loop, loops); err != nil {
-			return fault.Pass(err, "event loop %d", loop)
+			return errs.Pass(err, "event loop %d", loop)
 		}
 	}
 	for range loops {
@@ -298,10 +298,10 @@
 	})
 	c, err := net.Dial("tcp", s.Addr())
 	if err != nil {
-		return fault.Wrap(err, fault.Internal, "reach the own address")
+		return errs.Wrap(err, errs.Internal, "reach the own address")
 	}
 	if err := c.Close(); err != nil {
-		return fault.Wrap(err, fault.Internal, "close")
+		return errs.Wrap(err, errs.Internal, "close")
 	}
 	<-gone
 	return nil
@@ -313,7 +313,7 @@
 func (s *Server) nudge(loop, loops int) error {
 	ends, err := unix.Socketpair(unix.AF_UNIX, unix.SOCK_STREAM|unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC, 0)
 	if err != nil {
-		return fault.Wrap(err, fault.Internal, "local connection")
+		return errs.Wrap(err, errs.Internal, "local connection")
 	}
 	here, there := os.NewFile(uintptr(ends[0]), "here"), os.NewFile(uintptr(ends[1]), "there")
 	defer there.Close()
@@ -337,14 +337,14 @@
 	if err == nil {
 		_, err = s.engine.AddConn(fits)
 	}
-	return fault.Wrap(err, fault.Internal, "local connection")
+	return errs.Wrap(err, errs.Internal, "local connection")
 }
 
 // Addr is the real host:port after Start.
 func (s *Server) Addr() string { return s.engine.Addrs[0] }
 
-// Stop closes the listener, refuses new requests as fault.Stopped, lets running handlers finish for up to grace,
-// then ends their context and closes all connections. Handlers left at the end of grace are fault.Timeout.
+// Stop closes the listener, refuses new requests as errs.Stopped, lets running handlers finish for up to grace,
+// then ends their context and closes all connections. Handlers left at the end of grace are errs.Timeout.
 // Call it once; without a Start it does nothing.
 func (s *Server) Stop(grace time.Duration) error {
 	if s.ln == nil {
@@ -366,7 +366,7 @@
 		left := s.running
 		s.mu.Unlock()
 		if left > 0 {
-			err = fault.New(fault.Timeout, "%d handlers still ran after %s", left, grace)
+			err = errs.New(errs.Timeout, "%d handlers still ran after %s", left, grace)
 		}
 	}
 	s.engine.Stop()
@@ -376,7 +376,7 @@
 func (s *Server) listen(network, addr string) (net.Listener, error) {
 	ln, err := net.Listen(network, addr)
 	if err != nil {
-		return nil, fault.Wrap(err, fault.Settings, "listen")
+		return nil, errs.Wrap(err, errs.Settings, "listen")
 	}
 	s.ln = &listener{Listener: ln, clock: s.opt.Clock, released: make(chan struct{})}
 	return s.ln, nil
@@ -385,7 +385,7 @@
 // listener keeps nbhttp from spinning: its loop calls Accept again at once after every error, until its own stop.
 type listener struct {
 	net.Listener
-	clock    alarm.Clock
+	clock    clock.Clock
 	once     sync.Once
 	released chan struct{}
 }
@@ -401,7 +401,7 @@
 		select {
 		case <-l.released:
 			ring.Stop()
-			return nil, fault.Wrap(err, fault.Stopped, "accept")
+			return nil, errs.Wrap(err, errs.Stopped, "accept")
 		case <-again:
 		}
 	}
--- a/internal/sched/again_test.go
+++ b/internal/sched/again_test.go
@@ -6,8 +6,8 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"crosstide/internal/fault"
-	"crosstide/internal/pair"
+	"crosstide/internal/api"
+	"crosstide/internal/errs"
 	"crosstide/internal/state"
 	"crosstide/internal/state/command"
 )
@@ -26,7 +26,7 @@
 			}
 		}
 		So(order.Call.Starts, ShouldHaveLength, 1)
-		ticket := order.Call.Starts[0].Ticket
+		runID := order.Call.Starts[0].RunID
 		d.submit("j2", state.StepSpec{Cores: 3})
 		d.commit(d.core.Pass(d.now).Plan) // lets it in
 		plan := d.core.Pass(d.now).Plan
@@ -47,10 +47,10 @@
 				So(out.Plan, ShouldBeNil) // the old one is still under way
 				for _, c := range out.Calls {
 					So(c.Call.Call, ShouldBeGreaterThan, order.Call.Call)
-					d.answer(c, "check", pair.HoldAnswer{Running: map[bool][]uint64{true: {ticket}}[c.Minion == order.Minion]})
+					d.answer(c, "check", api.HoldAnswer{Running: map[bool][]uint64{true: {runID}}[c.Minion == order.Minion]})
 				}
 			}
-			So(d.st.Handles[ticket], ShouldNotBeNil)
+			So(d.st.Handles[runID], ShouldNotBeNil)
 
 			Convey("Nor is the answer to the old plan taken for that of the next", func() {
 				d.submit("j3", state.StepSpec{})
@@ -58,11 +58,11 @@
 				calls := d.settle()
 				for _, c := range calls {
 					for _, s := range c.Call.Starts {
-						So(s.Ticket, ShouldBeGreaterThan, answer.Tickets[0])
+						So(s.RunID, ShouldBeGreaterThan, answer.RunIDs[0])
 					}
 				}
-				So(d.st.Handles[ticket], ShouldNotBeNil)
-				So(d.st.Handles[ticket].Phase, ShouldEqual, state.TaskRunning)
+				So(d.st.Handles[runID], ShouldNotBeNil)
+				So(d.st.Handles[runID].Phase, ShouldEqual, state.TaskRunning)
 			})
 		})
 	})
@@ -74,13 +74,13 @@
 		d.greet("check")
 		d.submit("j1", state.StepSpec{})
 		first := order(d.settle())
-		d.answer(*first, "check", pair.HoldAnswer{Running: []uint64{1}})
+		d.answer(*first, "check", api.HoldAnswer{Running: []uint64{1}})
 		d.submit("j2", state.StepSpec{})
 		second := order(d.settle())
 		waiting := d.wait["m1"] // sent before it
 		So(waiting.Call.Call, ShouldBeLessThan, second.Call.Call)
-		d.answer(*second, "check", pair.HoldAnswer{Running: []uint64{1, 2}})
-		d.answer(waiting, "check", pair.HoldAnswer{Running: []uint64{2}, Ended: []pair.EndNote{{Ticket: 1, How: pair.EndWell}}})
+		d.answer(*second, "check", api.HoldAnswer{Running: []uint64{1, 2}})
+		d.answer(waiting, "check", api.HoldAnswer{Running: []uint64{2}, Ended: []api.EndNote{{RunID: 1, How: api.EndWell}}})
 		d.settle()
 		So(d.st.Jobs["j1"].Phase, ShouldEqual, state.JobDone)
 	})
@@ -92,7 +92,7 @@
 		d.greet("check")
 		d.submit("j1", state.StepSpec{})
 		o := order(d.settle())
-		d.answer(*o, "check", pair.HoldAnswer{Ended: []pair.EndNote{{Ticket: 1, How: pair.EndWell}}})
+		d.answer(*o, "check", api.HoldAnswer{Ended: []api.EndNote{{RunID: 1, How: api.EndWell}}})
 		plan := d.core.Pass(d.now).Plan
 		So(plan.Ends, ShouldHaveLength, 1)
 		again := map[string]func(){
@@ -102,7 +102,7 @@
 		for name, do := range again {
 			Convey("After "+name, func() {
 				do()
-				d.core.Planned(d.now, plan.Epoch, command.Planned{}, fault.New(fault.Stale, "lost"))
+				d.core.Planned(d.now, plan.Epoch, command.Planned{}, errs.New(errs.Stale, "lost"))
 				d.core.Lead(d.now, d.st.Duties["sched"].Epoch)
 				d.settle()
 				So(d.st.Jobs["j1"].Phase, ShouldEqual, state.JobDone)
@@ -117,16 +117,16 @@
 		d.greet("check")
 		d.submit("j1", state.StepSpec{})
 		o := order(d.settle())
-		d.answer(*o, "check", pair.HoldAnswer{Running: []uint64{1}})
+		d.answer(*o, "check", api.HoldAnswer{Running: []uint64{1}})
 		d.settle()
 		w := d.wait["m1"]
-		d.core.Fault(d.now, "m1", false, w.Call, true)
+		d.core.Failure(d.now, "m1", false, w.Call, true)
 		d.now += 30 * time.Second
 		out := d.core.Pass(d.now)
 		So(out.Plan.Dead, ShouldHaveLength, 1)
 		So(out.Calls, ShouldHaveLength, 1)
-		d.answer(out.Calls[0], "check", pair.HoldAnswer{Ended: []pair.EndNote{{Ticket: 1, How: pair.EndWell}}})
-		d.core.Planned(d.now, out.Plan.Epoch, command.Planned{}, fault.New(fault.Timeout, "lost"))
+		d.answer(out.Calls[0], "check", api.HoldAnswer{Ended: []api.EndNote{{RunID: 1, How: api.EndWell}}})
+		d.core.Planned(d.now, out.Plan.Epoch, command.Planned{}, errs.New(errs.Timeout, "lost"))
 		d.settle()
 		So(d.st.Jobs["j1"].Phase, ShouldEqual, state.JobDone)
 	})
@@ -138,11 +138,11 @@
 	d := newDesk("check", "m1")
 	d.greet("check")
 	d.submit("j1", state.StepSpec{})
-	d.answer(*order(d.settle()), "check", pair.HoldAnswer{Running: []uint64{1}})
+	d.answer(*order(d.settle()), "check", api.HoldAnswer{Running: []uint64{1}})
 	d.settle()
 	d.core.Lease(d.now)
 	d.core.Pass(d.now)
-	d.core.Fault(d.now, "m1", false, d.wait["m1"].Call, true)
+	d.core.Failure(d.now, "m1", false, d.wait["m1"].Call, true)
 	d.now += 30 * time.Second
 	d.core.Pass(d.now)
 	d.core.Lease(d.now + time.Hour)
@@ -150,7 +150,7 @@
 }
 
 func TestAskBeforeLapse(t *testing.T) {
-	ended := pair.HoldAnswer{Ended: []pair.EndNote{{Ticket: 1, How: pair.EndWell}}}
+	ended := api.HoldAnswer{Ended: []api.EndNote{{RunID: 1, How: api.EndWell}}}
 	Convey("A holder whose lease was gone for longer than a hold asks the minion before it lets its runs go", t, func() {
 		d := lapsed()
 		d.settle()
@@ -158,12 +158,12 @@
 		d.answer(d.wait["m1"], "check", ended)
 		d.settle()
 		So(d.st.Jobs["j1"].Phase, ShouldEqual, state.JobDone)
-		So(d.st.Ticket, ShouldEqual, 1)
+		So(d.st.RunID, ShouldEqual, 1)
 	})
 	Convey("It lets them go once the minion was asked in vain", t, func() {
 		d := lapsed()
 		d.settle()
-		d.core.Fault(d.now, "m1", false, d.wait["m1"].Call, true)
+		d.core.Failure(d.now, "m1", false, d.wait["m1"].Call, true)
 		d.now += time.Second
 		d.settle()
 		So(d.st.Handles[1], ShouldBeNil)
@@ -171,11 +171,11 @@
 }
 
 func TestEndWhileProofIsCommitted(t *testing.T) {
-	ended := pair.HoldAnswer{Ended: []pair.EndNote{{Ticket: 1, How: pair.EndWell}}}
+	ended := api.HoldAnswer{Ended: []api.EndNote{{RunID: 1, How: api.EndWell}}}
 	Convey("With the proof of a lapse under way to the store", t, func() {
 		d := lapsed()
 		d.settle()
-		d.core.Fault(d.now, "m1", false, d.wait["m1"].Call, true)
+		d.core.Failure(d.now, "m1", false, d.wait["m1"].Call, true)
 		d.now += time.Second
 		out := d.core.Pass(d.now)
 		So(out.Plan.Dead, ShouldHaveLength, 1)
@@ -186,7 +186,7 @@
 			d.commit(out.Plan)
 			d.settle()
 			So(d.st.Jobs["j1"].Phase, ShouldEqual, state.JobDone)
-			So(d.st.Ticket, ShouldEqual, 1)
+			So(d.st.RunID, ShouldEqual, 1)
 		})
 		Convey("so does one that is heard after it, and the minion may forget it only then", func() {
 			d.commit(out.Plan)
@@ -199,7 +199,7 @@
 			d.commit(again.Plan)
 			d.settle()
 			So(d.st.Jobs["j1"].Phase, ShouldEqual, state.JobDone)
-			So(d.st.Ticket, ShouldEqual, 1)
+			So(d.st.RunID, ShouldEqual, 1)
 			d.answer(d.wait["m1"], "check", ended)
 			So(d.core.Pass(d.now).Calls[0].Call.Acked, ShouldResemble, []uint64{1})
 		})
@@ -210,7 +210,7 @@
 			d.core.Planned(d.now, out.Plan.Epoch, command.Planned{}, nil)
 			d.settle()
 			So(d.st.Jobs["j1"].Phase, ShouldEqual, state.JobDone)
-			So(d.st.Ticket, ShouldEqual, 1)
+			So(d.st.RunID, ShouldEqual, 1)
 		})
 	})
 }
--- a/internal/sched/bench_test.go
+++ b/internal/sched/bench_test.go
@@ -7,7 +7,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"crosstide/internal/pair"
+	"crosstide/internal/api"
 	"crosstide/internal/state"
 	"crosstide/internal/state/command"
 )
@@ -40,7 +40,7 @@
 			Steps: []state.StepSpec{{Name: "s", Type: "fill", Tasks: runs, Cores: 1}}}})
 	}
 	apply(&command.Grant{Duty: "sched", Holder: "d"})
-	plan := &command.Plan{Epoch: index, Charter: st.Bundle.Version, Seq: st.Seq}
+	plan := &command.Plan{Epoch: index, PlacementPolicy: st.Bundle.Version, Seq: st.Seq}
 	for _, name := range st.MinionNames() {
 		m := *st.Minions[name]
 		m.Boot = "b"
@@ -48,12 +48,12 @@
 	}
 	apply(plan)
 	epoch := plan.Epoch
-	give := &command.Plan{Epoch: epoch, Charter: st.Bundle.Version}
+	give := &command.Plan{Epoch: epoch, PlacementPolicy: st.Bundle.Version}
 	for i := range runs {
 		give.Starts = append(give.Starts, command.Start{Ref: state.TaskRef{Job: "fill", Task: i}, Minion: fmt.Sprintf("m%04d", i%minions), Boot: "b"})
 	}
 	apply(give)
-	ran := &command.Plan{Epoch: epoch, Charter: st.Bundle.Version}
+	ran := &command.Plan{Epoch: epoch, PlacementPolicy: st.Bundle.Version}
 	for i := range runs {
 		ran.Running = append(ran.Running, uint64(i+1))
 	}
@@ -74,14 +74,14 @@
 // settle answers a plan as refused whole.
 func settle(c *Core, now time.Duration, p *command.Plan) {
 	if p != nil {
-		c.Planned(now, p.Epoch, command.Planned{Tickets: make([]uint64, len(p.Starts))}, nil)
+		c.Planned(now, p.Epoch, command.Planned{RunIDs: make([]uint64, len(p.Starts))}, nil)
 	}
 }
 
 func answer(c *Core, st *state.State, now time.Duration, o CallOut) {
 	m := st.Minions[o.Minion]
-	a := pair.HoldAnswer{Call: o.Call.Call, Epoch: o.Call.Epoch, Boot: "b", Kind: m.Kind, Zone: m.Zone, Cores: m.Cores, Clock: now, Floor: o.Call.Floor}
-	a.Running = st.Tickets(m.Name)
+	a := api.HoldAnswer{Call: o.Call.Call, Epoch: o.Call.Epoch, Boot: "b", Kind: m.Kind, Zone: m.Zone, Cores: m.Cores, Clock: now, Floor: o.Call.Floor}
+	a.Running = st.RunIDs(m.Name)
 	c.Answer(now, o.Minion, o.Order, o.Call, a)
 }
 
@@ -98,7 +98,7 @@
 		}
 		settle(c, now, c.Pass(now).Plan)
 		So(c.Pass(now).Plan, ShouldBeNil)
-		apply(&command.Plan{Epoch: c.Epoch(), Ends: []command.End{{Ticket: 3, OK: true}}})
+		apply(&command.Plan{Epoch: c.Epoch(), Ends: []command.End{{RunID: 3, OK: true}}})
 		p := c.Pass(now).Plan
 		So(p, ShouldNotBeNil)
 		So(len(p.Starts), ShouldEqual, 1)
--- a/internal/sched/bundle_test.go
+++ b/internal/sched/bundle_test.go
@@ -7,8 +7,8 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"crosstide/internal/pair"
-	"crosstide/internal/seal"
+	"crosstide/internal/api"
+	"crosstide/internal/signature"
 	"crosstide/internal/state"
 	"crosstide/internal/state/command"
 	"crosstide/internal/state/query"
@@ -16,16 +16,16 @@
 
 // enact puts a text in force, signed by two.
 func (d *desk) enact(text string) {
-	ada, err := seal.New("ada")
+	ada, err := signature.New("ada")
 	So(err, ShouldBeNil)
-	ben, err := seal.New("ben")
+	ben, err := signature.New("ben")
 	So(err, ShouldBeNil)
 	d.st.Operators = map[string]string{"ada": ada.Public(), "ben": ben.Public()}
-	base, digest := d.st.Head().Version, seal.Digest([]byte(text))
+	base, digest := d.st.Head().Version, signature.Digest([]byte(text))
 	id := fmt.Sprint("o", base)
-	d.do(&command.Put{Order: id, Base: base, By: "ada", Body: []byte(text), Sig: ada.Sign(seal.Put(id, base, digest))})
-	for _, key := range []seal.Key{ada, ben} {
-		d.do(&command.Sign{Order: id + key.Name, Version: base + 1, Digest: digest, By: key.Name, Sig: key.Sign(seal.Bundle(base+1, digest))})
+	d.do(&command.Put{Order: id, Base: base, By: "ada", Body: []byte(text), Sig: ada.Sign(signature.Put(id, base, digest))})
+	for _, key := range []signature.Key{ada, ben} {
+		d.do(&command.Sign{Order: id + key.Name, Version: base + 1, Digest: digest, By: key.Name, Sig: key.Sign(signature.Bundle(base+1, digest))})
 	}
 }
 
@@ -48,7 +48,7 @@
 		d.greet("check")
 		d.submit("j", state.StepSpec{})
 		o := order(d.settle())
-		d.answer(*o, "check", pair.HoldAnswer{Running: []uint64{1}})
+		d.answer(*o, "check", api.HoldAnswer{Running: []uint64{1}})
 		d.settle()
 		d.enact(`{"queues":{"other":{}}}`)
 		d.now += time.Second
@@ -59,15 +59,15 @@
 			}
 		}
 		So(stop, ShouldNotBeNil)
-		So(stop.Call.Stops, ShouldResemble, []pair.StopOrder{{Ticket: 1, Why: "queue"}})
-		d.answer(*stop, "check", pair.HoldAnswer{Ended: []pair.EndNote{{Ticket: 1, How: pair.EndStop}}})
+		So(stop.Call.Stops, ShouldResemble, []api.StopOrder{{RunID: 1, Why: "queue"}})
+		d.answer(*stop, "check", api.HoldAnswer{Ended: []api.EndNote{{RunID: 1, How: api.EndStop}}})
 		So(order(d.settle()), ShouldBeNil)
 		So(taskOf(d, "j").Phase, ShouldEqual, state.TaskDue)
 		view, err := query.Job(d.st, "j")
 		So(err, ShouldBeNil)
 		So([]any{view.State, view.Waits}, ShouldResemble, []any{state.JobRunning, "no queue default in bundle 2"})
 		d.enact(`{"queues":{"default":{}}}`)
-		d.reply("check", "", pair.HoldAnswer{})
+		d.reply("check", "", api.HoldAnswer{})
 		So(order(d.settle()), ShouldNotBeNil)
 	})
 
@@ -83,8 +83,8 @@
 			until[s.Job] = s.Until - d.now
 		}
 		So(until, ShouldResemble, map[string]time.Duration{"j": 8 * time.Second, "k": Defaults().Hold})
-		ticket := map[string]uint64{"j": taskOf(d, "j").Ticket, "k": taskOf(d, "k").Ticket}
-		runs := pair.HoldAnswer{Running: []uint64{1, 2}}
+		runID := map[string]uint64{"j": taskOf(d, "j").RunID, "k": taskOf(d, "k").RunID}
+		runs := api.HoldAnswer{Running: []uint64{1, 2}}
 		d.answer(*o, "check", runs)
 		renewed := map[uint64]int{}
 		for range 30 { // seconds
@@ -94,15 +94,15 @@
 				for _, t := range c.Call.Renew {
 					renewed[t]++
 					want := 8 * time.Second
-					if t == ticket["k"] {
+					if t == runID["k"] {
 						want = Defaults().Hold
 					}
 					So(c.Call.Until-d.now, ShouldEqual, want)
 				}
 			}
 		}
-		So(renewed[ticket["j"]], ShouldBeGreaterThanOrEqualTo, 9) // each 3 s
-		So(renewed[ticket["k"]], ShouldBeGreaterThanOrEqualTo, 4) // each 6 s
+		So(renewed[runID["j"]], ShouldBeGreaterThanOrEqualTo, 9) // each 3 s
+		So(renewed[runID["k"]], ShouldBeGreaterThanOrEqualTo, 4) // each 6 s
 	})
 
 	Convey("Under contention teams share by their weights; without contention all room is used", t, func() {
--- a/internal/sched/health.go
+++ b/internal/sched/health.go
@@ -9,8 +9,8 @@
 
 // HealthConfig says when a minion counts as sick: it spoils tasks of a type that its peers end well.
 type HealthConfig struct {
-	Least    float64       // ends in fault of a type, recent ones counting more, before a minion is judged
-	Excess   float64       // its fault rate must be above its peers' by this much
+	Least    float64       // ends in failure of a type, recent ones counting more, before a minion is judged
+	Excess   float64       // its failure rate must be above its peers' by this much
 	HalfLife time.Duration // an end counts half after it
 	Share    float64       // of the minions of a zone that may be held sick at once, one at least; 0: none is
 	Probe    time.Duration // between two probes of a sick minion, doubled after each that fails
@@ -54,7 +54,7 @@
 	next   time.Duration // when the next probe may start
 	wait   time.Duration
 	cured  int
-	probes map[uint64]bool // tickets out as probes
+	probes map[uint64]bool // run IDs out as probes
 }
 
 // health judges minions by how the tasks end that they were given. It is the holder's own memory: a new holder
@@ -64,8 +64,8 @@
 	scores map[string]map[string]*score // by minion, by type
 	totals map[string]*score            // by type, over all minions
 	sick   map[string]*ward
-	spoilt map[state.TaskRef][]string // minions on which a task ended in fault, oldest first
-	jobs   map[string][]string        // minions on which a job's tasks ended in fault
+	spoilt map[state.TaskRef][]string // minions on which a task ended in failure, oldest first
+	jobs   map[string][]string        // minions on which a job's tasks ended in failure
 	Held   uint64                     // minions taken for sick so far
 }
 
@@ -91,10 +91,10 @@
 	return h.totals[kind]
 }
 
-// blames is how many minions a job may spoil before its ends in fault are held against itself, not against them.
+// blames is how many minions a job may spoil before its ends in failure are held against itself, not against them.
 const blames = 2
 
-// ended takes in how a run ended. A job that ends in fault on one minion after another is a job that cannot
+// ended takes in how a run ended. A job that ends in failure on one minion after another is a job that cannot
 // succeed: its ends tell nothing of the minions.
 func (h *health) ended(now time.Duration, hd *state.Handle, well bool) {
 	name, ref := hd.Minion, hd.Ref
@@ -121,10 +121,10 @@
 		}
 	}
 	w := h.sick[name]
-	if w == nil || !w.probes[hd.Ticket] {
+	if w == nil || !w.probes[hd.RunID] {
 		return
 	}
-	delete(w.probes, hd.Ticket)
+	delete(w.probes, hd.RunID)
 	if !well {
 		w.cured, w.wait = 0, min(2*w.wait, h.cfg.ProbeMax)
 		w.next = now + w.wait
@@ -138,13 +138,13 @@
 }
 
 // lost takes in that a run is over without an end that tells anything.
-func (h *health) lost(minion string, ticket uint64) {
+func (h *health) lost(minion string, runID uint64) {
 	if w := h.sick[minion]; w != nil {
-		delete(w.probes, ticket)
+		delete(w.probes, runID)
 	}
 }
 
-// judge tells whether a minion is to be held sick now, for a type: it ends clearly more of it in fault than its
+// judge tells whether a minion is to be held sick now, for a type: it ends clearly more of it in failure than its
 // peers do. zone counts the minions of its zone and those of them held sick.
 func (h *health) judge(now time.Duration, name, kind string, zone, held int) bool {
 	if h.cfg.Share == 0 || h.sick[name] != nil || float64(held+1) > max(1, h.cfg.Share*float64(zone)) {
@@ -157,7 +157,7 @@
 		return false
 	}
 	peers := score{well: max(all.well-one.well, 0), spoilt: max(all.spoilt-one.spoilt, 0)}
-	if peers.well < 1 { // nobody ends it well: the fault is not the minion's
+	if peers.well < 1 { // nobody ends it well: the failure is not the minion's
 		return false
 	}
 	if one.rate() < peers.rate()+h.cfg.Excess {
@@ -174,14 +174,14 @@
 	return w == nil || len(w.probes) == 0 && now >= w.next
 }
 
-// probe notes that a ticket was given on a minion; on a sick one it is a probe.
-func (h *health) probe(name string, ticket uint64) {
+// probe notes that a run ID was given on a minion; on a sick one it is a probe.
+func (h *health) probe(name string, runID uint64) {
 	if w := h.sick[name]; w != nil {
-		w.probes[ticket] = true
+		w.probes[runID] = true
 	}
 }
 
-// shuns tells whether a task had better not run on a minion again: it ended in fault there.
+// shuns tells whether a task had better not run on a minion again: it ended in failure there.
 func (h *health) shuns(ref state.TaskRef, name string) bool {
 	return slices.Contains(h.spoilt[ref], name)
 }
