--- a/internal/sched/health_test.go
+++ b/internal/sched/health_test.go
@@ -7,14 +7,14 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"crosstide/internal/pair"
+	"crosstide/internal/api"
 	"crosstide/internal/state"
 )
 
 // work runs the fleet of a desk for some rounds: every start ends at once, as ends says. It gives the starts by minion.
-func (d *desk) work(rounds int, ends func(minion string, s pair.StartOrder) bool) map[string]int {
+func (d *desk) work(rounds int, ends func(minion string, s api.StartOrder) bool) map[string]int {
 	starts := map[string]int{}
-	left := map[string][]pair.EndNote{}
+	left := map[string][]api.EndNote{}
 	for range rounds {
 		d.now += 100 * time.Millisecond
 		for _, c := range d.settle() {
@@ -23,22 +23,22 @@
 			}
 			for _, s := range c.Call.Starts {
 				starts[c.Minion]++
-				how := pair.EndFault
+				how := api.EndFailure
 				if ends(c.Minion, s) {
-					how = pair.EndWell
+					how = api.EndWell
 				}
-				left[c.Minion] = append(left[c.Minion], pair.EndNote{Ticket: s.Ticket, How: how, Reason: "x"})
+				left[c.Minion] = append(left[c.Minion], api.EndNote{RunID: s.RunID, How: how, Reason: "x"})
 			}
-			d.answer(c, "check", pair.HoldAnswer{Ended: left[c.Minion]})
+			d.answer(c, "check", api.HoldAnswer{Ended: left[c.Minion]})
 		}
 		for name, c := range d.wait {
 			delete(d.wait, name)
-			d.answer(c, "check", pair.HoldAnswer{Ended: left[name]})
+			d.answer(c, "check", api.HoldAnswer{Ended: left[name]})
 		}
 		for name, notes := range left {
 			kept := notes[:0:0]
 			for _, n := range notes {
-				if d.st.Handles[n.Ticket] != nil {
+				if d.st.Handles[n.RunID] != nil {
 					kept = append(kept, n)
 				}
 			}
@@ -57,7 +57,7 @@
 		d := newDesk("check", names...)
 		d.greet("check")
 		bad := true
-		ends := func(minion string, _ pair.StartOrder) bool { return minion != "m3" || !bad }
+		ends := func(minion string, _ api.StartOrder) bool { return minion != "m3" || !bad }
 		for i := range 60 {
 			d.submit(fmt.Sprintf("a%d", i), state.StepSpec{Tasks: 10, Retries: 3})
 		}
@@ -77,7 +77,7 @@
 				So(d.core.Sick(), ShouldBeEmpty)
 			})
 			Convey("and a probe that fails puts the next one off", func() {
-				before := d.core.Counts.Tickets
+				before := d.core.Counts.RunIDs
 				again := map[string]int{}
 				for i := range 100 { // 20 s
 					d.submit(fmt.Sprintf("b%d", i), state.StepSpec{Tasks: 5, Retries: 5})
@@ -85,7 +85,7 @@
 						again[name] += n
 					}
 				}
-				So(d.core.Counts.Tickets-before, ShouldBeGreaterThanOrEqualTo, 500)
+				So(d.core.Counts.RunIDs-before, ShouldBeGreaterThanOrEqualTo, 500)
 				So(again["m3"], ShouldBeBetween, 0, 5)
 			})
 		})
@@ -93,14 +93,14 @@
 	Convey("a job that can never succeed is given up and takes no minion with it", t, func() {
 		d := newDesk("check", "m1", "m2", "m3", "m4")
 		d.greet("check")
-		ends := func(_ string, s pair.StartOrder) bool { return s.Job != "never" }
+		ends := func(_ string, s api.StartOrder) bool { return s.Job != "never" }
 		d.submit("never", state.StepSpec{Tasks: 8, Retries: 5})
 		for i := range 40 {
 			d.submit(fmt.Sprintf("a%d", i), state.StepSpec{Tasks: 4})
 		}
 		d.work(400, ends)
 		So(d.core.Sick(), ShouldBeEmpty)
-		So(d.st.Jobs["never"].Phase, ShouldEqual, state.JobFault)
+		So(d.st.Jobs["never"].Phase, ShouldEqual, state.JobFailed)
 		So(d.st.Jobs["never"].Reason, ShouldContainSubstring, "gave up")
 		So(d.st.Jobs["a0"].Phase, ShouldEqual, state.JobDone)
 	})
--- a/internal/sched/hold.go
+++ b/internal/sched/hold.go
@@ -6,7 +6,7 @@
 	"slices"
 	"time"
 
-	"crosstide/internal/pair"
+	"crosstide/internal/api"
 	"crosstide/internal/state"
 	"crosstide/internal/state/command"
 )
@@ -27,14 +27,14 @@
 	if len(m.outbox) > 0 && (now > m.outBy || m.drain) {
 		c.unsend(m)
 	}
-	quiet := m.faults > 0 && now < m.retry
+	quiet := m.failures > 0 && now < m.retry
 	if m.order == 0 && !quiet && m.heard > 0 && (len(m.outbox) > 0 || m.urgent && m.waiting != 0) {
 		out = append(out, c.orderCall(now, m, rec))
 	}
 	if m.waiting == 0 && !quiet {
 		call := c.call(now, m)
 		call.Wait = c.cfg.HoldWait
-		if m.heard == 0 || m.faults > 0 || m.floor > m.told {
+		if m.heard == 0 || m.failures > 0 || m.floor > m.told {
 			call.Wait = 0
 		}
 		m.waiting = call.Call
@@ -44,27 +44,27 @@
 }
 
 // call makes a call with all but starts.
-func (c *Core) call(now time.Duration, m *minion) pair.HoldCall {
+func (c *Core) call(now time.Duration, m *minion) api.HoldCall {
 	m.call++
 	c.called = max(c.called, m.call)
 	m.urgent = false
-	call := pair.HoldCall{Call: m.call, Epoch: c.epoch, Minion: m.name, Boot: m.boot, Floor: m.floor, Acked: m.acks}
+	call := api.HoldCall{Call: m.call, Epoch: c.epoch, Minion: m.name, Boot: m.boot, Floor: m.floor, Acked: m.acks}
 	m.acks = nil
 	var due []*run
-	for _, t := range sortedTickets(m.runs) {
+	for _, t := range sortedRunIDs(m.runs) {
 		r := m.runs[t]
 		if r.stop != "" && r.listed {
-			call.Stops = append(call.Stops, pair.StopOrder{Ticket: t, Why: r.stop})
+			call.Stops = append(call.Stops, api.StopOrder{RunID: t, Why: r.stop})
 			c.Counts.Stops++
 			continue
 		}
-		if m.heard > 0 && m.faults == 0 && r.listed {
+		if m.heard > 0 && m.failures == 0 && r.listed {
 			due = append(due, r)
 		}
 	}
 	c.renew(now, m, due, &call)
 	for _, t := range slices.Sorted(maps.Keys(m.strays)) {
-		call.Stops = append(call.Stops, pair.StopOrder{Ticket: t, Why: m.strays[t]})
+		call.Stops = append(call.Stops, api.StopOrder{RunID: t, Why: m.strays[t]})
 		c.Counts.Stops++
 	}
 	clear(m.strays)
@@ -74,7 +74,7 @@
 // renew puts renewals into a call. A hold is renewed in its first quarter, and only while the minion answers: a call
 // that may or may not have arrived must not put the lapse off for ever. A call has one Until: of holds that differ
 // in length, those go first that have used up most.
-func (c *Core) renew(now time.Duration, m *minion, runs []*run, call *pair.HoldCall) {
+func (c *Core) renew(now time.Duration, m *minion, runs []*run, call *api.HoldCall) {
 	var pick time.Duration
 	worst := 0.0
 	spent := func(r *run) float64 {
@@ -94,13 +94,13 @@
 	call.Until = m.clockAt(now) + pick
 	for _, r := range runs {
 		if c.holdOf(r) == pick && spent(r) > 0.25 {
-			call.Renew = append(call.Renew, r.h.Ticket)
+			call.Renew = append(call.Renew, r.h.RunID)
 			r.until, r.boot = call.Until, m.boot
 		}
 	}
 }
 
-// holdOf is how long a run goes on unheard: as its charter had it when the ticket was given.
+// holdOf is how long a run goes on unheard: as its placement policy had it when the run ID was given.
 func (c *Core) holdOf(r *run) time.Duration { return cmp.Or(r.h.Hold, c.cfg.Hold) }
 
 // firstHold is the hold that a start order brings. A minion that starts whatever it is told looks at nothing else of
@@ -114,7 +114,7 @@
 	return c.holdOf(r)
 }
 
-// orderCall makes a call with all the starts of the outbox, in ticket order.
+// orderCall makes a call with all the starts of the outbox, in run ID order.
 func (c *Core) orderCall(now time.Duration, m *minion, rec *state.Minion) CallOut {
 	call := c.call(now, m)
 	void := m.clockAt(now) + c.cfg.StartWindow
@@ -124,14 +124,14 @@
 			continue
 		}
 		j, task := c.st.TaskOf(r.h.Ref)
-		if r.out = false; r.stop != "" || task == nil || task.Ticket != t || r.h.Boot != m.boot {
+		if r.out = false; r.stop != "" || task == nil || task.RunID != t || r.h.Boot != m.boot {
 			c.kill(r, command.ProofUnsent, "")
 			continue
 		}
 		step := &j.Spec.Steps[r.h.Ref.Step]
 		until := m.clockAt(now) + c.firstHold(m, r)
 		r.call, r.flying, r.until, r.boot = call.Call, true, until, m.boot
-		call.Starts = append(call.Starts, pair.StartOrder{Ticket: t, Job: r.h.Ref.Job, Step: step.Name, Task: r.h.Ref.Task,
+		call.Starts = append(call.Starts, api.StartOrder{RunID: t, Job: r.h.Ref.Job, Step: step.Name, Task: r.h.Ref.Task,
 			Type: step.Type, Queue: j.Spec.Queue, Cores: step.Cores, GPUs: step.GPUs, Labels: step.Labels, Run: step.Run,
 			Void: void, Until: until})
 		c.Counts.Sent++
@@ -156,20 +156,20 @@
 	m.outbox = nil
 }
 
-// Fault takes in that a call got no answer. sent tells whether any byte of it may have left.
-func (c *Core) Fault(now time.Duration, name string, order bool, call pair.HoldCall, sent bool) {
+// Failure takes in that a call got no answer. sent tells whether any byte of it may have left.
+func (c *Core) Failure(now time.Duration, name string, order bool, call api.HoldCall, sent bool) {
 	c.now = now
 	m := c.line(name, order, call)
 	if m == nil {
 		return
 	}
-	c.Counts.CallFaults++
-	m.faults++
+	c.Counts.CallFailures++
+	m.failures++
 	m.vain = m.vain || call.Call > m.before
 	m.retry = now + c.cfg.Retry
 	m.acks = append(call.Acked, m.acks...)
 	for _, s := range call.Starts {
-		r := m.runs[s.Ticket]
+		r := m.runs[s.RunID]
 		if r == nil {
 			continue
 		}
@@ -179,21 +179,21 @@
 			c.kill(r, command.ProofUnsent, "")
 			continue
 		}
-		m.floor = max(m.floor, s.Ticket)
+		m.floor = max(m.floor, s.RunID)
 		c.doubt(r)
 	}
 }
 
 func (c *Core) doubt(r *run) {
 	if !r.gone && !r.listed && r.h.Phase == state.TaskHeld {
-		c.doubts = append(c.doubts, r.h.Ticket)
+		c.doubts = append(c.doubts, r.h.RunID)
 		c.Counts.Doubts++
 	}
 }
 
 // line finds the minion whose call came back and frees the line it went on; nil if that call is none of this
 // epoch's or not the one under way.
-func (c *Core) line(name string, order bool, call pair.HoldCall) *minion {
+func (c *Core) line(name string, order bool, call api.HoldCall) *minion {
 	m := c.minions[name]
 	if m == nil || c.phase != Ready || call.Epoch != c.epoch {
 		return nil
@@ -213,11 +213,11 @@
 
 // Answer takes in the answer to a call. An answer that is older than one taken in already, or that names another
 // call, tells nothing any more.
-func (c *Core) Answer(now time.Duration, name string, order bool, call pair.HoldCall, a pair.HoldAnswer) {
+func (c *Core) Answer(now time.Duration, name string, order bool, call api.HoldCall, a api.HoldAnswer) {
 	c.now = now
 	if a.Call != call.Call {
 		c.Counts.Crossed++
-		c.Fault(now, name, order, call, true)
+		c.Failure(now, name, order, call, true)
 		return
 	}
 	m := c.line(name, order, call)
@@ -225,12 +225,12 @@
 		return
 	}
 	for _, s := range call.Starts {
-		if r := m.runs[s.Ticket]; r != nil {
+		if r := m.runs[s.RunID]; r != nil {
 			r.flying = false
 		}
 	}
 	for _, ref := range a.Refused {
-		if r := m.runs[ref.Ticket]; r != nil && r.call == call.Call {
+		if r := m.runs[ref.RunID]; r != nil && r.call == call.Call {
 			c.kill(r, command.ProofRefuse, "refused by "+name+": "+ref.Why)
 			c.Counts.Refused++
 		}
@@ -239,8 +239,8 @@
 		c.Counts.Crossed++
 		// Its starts are judged by a newer answer; that floor lets them be proved either way.
 		for _, s := range call.Starts {
-			if r := m.runs[s.Ticket]; r != nil && !r.listed {
-				m.floor = max(m.floor, s.Ticket)
+			if r := m.runs[s.RunID]; r != nil && !r.listed {
+				m.floor = max(m.floor, s.RunID)
 			}
 		}
 		c.endings(now, m, a.Ended)
@@ -258,7 +258,7 @@
 		m.past[m.boot] = true
 	}
 	m.taken = call.Call
-	m.faults, m.vain = 0, false
+	m.failures, m.vain = 0, false
 	m.boot, m.kind, m.drain = a.Boot, a.Kind, a.Draining
 	m.heard, m.clock, m.told = now, a.Clock, a.Floor
 	c.hear(m, a)
@@ -266,7 +266,7 @@
 }
 
 // hear takes in what the minion says of itself.
-func (c *Core) hear(m *minion, a pair.HoldAnswer) {
+func (c *Core) hear(m *minion, a api.HoldAnswer) {
 	rec := c.st.Minions[m.name]
 	if rec == nil {
 		return
@@ -282,29 +282,29 @@
 }
 
 // endings takes in listed ends. An end is a fact however old the answer is that lists it.
-func (c *Core) endings(now time.Duration, m *minion, ended []pair.EndNote) {
+func (c *Core) endings(now time.Duration, m *minion, ended []api.EndNote) {
 	for _, e := range ended {
-		r := m.runs[e.Ticket]
+		r := m.runs[e.RunID]
 		if r == nil {
 			c.lateEnd(m, e)
 			continue
 		}
-		well := e.How == pair.EndWell || e.How == pair.EndFault
+		well := e.How == api.EndWell || e.How == api.EndFailure
 		if r.ended || r.gone && !well {
 			continue // gone by a proof that is not committed yet: a true end still goes before it
 		}
 		r.ended = well
 		switch e.How {
-		case pair.EndWell, pair.EndFault:
+		case api.EndWell, api.EndFailure:
 			r.gone = true
-			c.ends = append(c.ends, command.End{Ticket: e.Ticket, Ref: r.h.Ref, OK: e.How == pair.EndWell, Reason: e.Reason})
+			c.ends = append(c.ends, command.End{RunID: e.RunID, Ref: r.h.Ref, OK: e.How == api.EndWell, Reason: e.Reason})
 			c.Counts.Ended++
-			c.health.ended(now, r.h, e.How == pair.EndWell)
-			if e.How == pair.EndFault {
-				c.Counts.Faults++
+			c.health.ended(now, r.h, e.How == api.EndWell)
+			if e.How == api.EndFailure {
+				c.Counts.Failures++
 				c.judge(now, m, r.h.Type)
 			}
-		case pair.EndLapse:
+		case api.EndLapse:
 			c.kill(r, command.ProofLapse, "its hold lapsed")
 		default:
 			c.kill(r, command.ProofStop, e.Reason)
@@ -312,22 +312,22 @@
 	}
 }
 
-// lateEnd takes in a listed end of a ticket without a handle. One that was let go by a proof has ended well all the
-// same if its task has no newer ticket; all others may be forgotten.
-func (c *Core) lateEnd(m *minion, e pair.EndNote) {
-	r := c.late(e.Ticket)
+// lateEnd takes in a listed end of a run ID without a handle. One that was let go by a proof has ended well all the
+// same if its task has no newer run ID; all others may be forgotten.
+func (c *Core) lateEnd(m *minion, e api.EndNote) {
+	r := c.late(e.RunID)
 	switch {
-	case r == nil || e.How != pair.EndWell:
-		m.acks = append(m.acks, e.Ticket)
+	case r == nil || e.How != api.EndWell:
+		m.acks = append(m.acks, e.RunID)
 	case !r.ended:
 		r.ended = true
-		c.ends = append(c.ends, command.End{Ticket: e.Ticket, Ref: r.ref, OK: true})
+		c.ends = append(c.ends, command.End{RunID: e.RunID, Ref: r.ref, OK: true})
 		c.Counts.Ended++
 	}
 }
 
 // listing holds what runs and what ended there against the handles, both ways.
-func (c *Core) listing(now time.Duration, m *minion, call pair.HoldCall, a pair.HoldAnswer) {
+func (c *Core) listing(now time.Duration, m *minion, call api.HoldCall, a api.HoldAnswer) {
 	seen := make(map[uint64]bool, len(a.Running)+len(a.Ended))
 	for _, t := range a.Running {
 		seen[t] = true
@@ -346,7 +346,7 @@
 		}
 	}
 	for _, e := range a.Ended {
-		seen[e.Ticket] = true
+		seen[e.RunID] = true
 	}
 	c.endings(now, m, a.Ended)
 	dead, doubts := len(c.dead), len(c.doubts)
@@ -380,4 +380,4 @@
 	c.dirty[m.name] = true
 }
 
-func sortedTickets(runs map[uint64]*run) []uint64 { return slices.Sorted(maps.Keys(runs)) }
+func sortedRunIDs(runs map[uint64]*run) []uint64 { return slices.Sorted(maps.Keys(runs)) }
--- a/internal/sched/plan.go
+++ b/internal/sched/plan.go
@@ -9,7 +9,7 @@
 	"strings"
 	"time"
 
-	"crosstide/internal/fault"
+	"crosstide/internal/errs"
 	"crosstide/internal/state"
 	"crosstide/internal/state/command"
 )
@@ -19,7 +19,7 @@
 	if c.plan != nil {
 		return nil
 	}
-	p := &command.Plan{Epoch: c.epoch, Charter: c.st.Bundle.Version, Hold: c.cfg.Hold,
+	p := &command.Plan{Epoch: c.epoch, PlacementPolicy: c.st.Bundle.Version, Hold: c.cfg.Hold,
 		Running: c.running, Doubt: c.doubts, Ends: c.ends, Dead: c.dead}
 	if len(c.st.Inbox) > 0 {
 		p.Seq = c.st.Seq
@@ -45,8 +45,8 @@
 }
 
 // Planned takes in the answer to the plan under way. The caller has followed the store up to the plan's index,
-// so that the handles of its tickets are in the replica. A plan without an answer may or may not have been
-// committed: what it said is said again, and tickets that it brought are never sent.
+// so that the handles of its run IDs are in the replica. A plan without an answer may or may not have been
+// committed: what it said is said again, and run IDs that it brought are never sent.
 func (c *Core) Planned(now time.Duration, epoch uint64, done command.Planned, err error) {
 	c.now = now
 	f := c.plan
@@ -62,7 +62,7 @@
 	if err != nil {
 		c.Counts.PlanFaults++
 		c.ends = append(f.plan.Ends, c.ends...)
-		if fault.Is(err, fault.Stale) {
+		if errs.Is(err, errs.Stale) {
 			c.Yield()
 			return
 		}
@@ -73,14 +73,14 @@
 		return
 	}
 	for i, s := range f.plan.Starts {
-		ticket := done.Tickets[i]
-		if ticket == 0 {
+		runID := done.RunIDs[i]
+		if runID == 0 {
 			c.Counts.Refused++
 			c.due(s.Ref)
 			continue
 		}
-		c.Counts.Tickets++
-		r, m := c.runs[ticket], c.minions[s.Minion]
+		c.Counts.RunIDs++
+		r, m := c.runs[runID], c.minions[s.Minion]
 		if r == nil || m == nil {
 			continue
 		}
@@ -90,7 +90,7 @@
 			continue
 		}
 		r.out = true
-		m.outbox = append(m.outbox, ticket)
+		m.outbox = append(m.outbox, runID)
 		m.outBy = by
 		c.dirty[m.name] = true
 	}
@@ -156,35 +156,35 @@
 	return x
 }
 
-// backlog holds the due tasks: those in back-off by time, the others by class, oldest first. Entries may be out
+// queue holds the due tasks: those in back-off by time, the others by class, oldest first. Entries may be out
 // of date; they are checked against the replica when they are taken.
-type backlog struct {
+type queue struct {
 	classes map[string]*class
 	later   waiters
 	in      map[state.TaskRef]bool
 }
 
-func (b *backlog) clear() {
+func (b *queue) clear() {
 	b.classes, b.later, b.in = map[string]*class{}, nil, map[state.TaskRef]bool{}
 }
 
-func (b *backlog) len() int { return len(b.in) }
+func (b *queue) len() int { return len(b.in) }
 
-// due puts a task that fell due into the backlog.
+// due puts a task that fell due into the queue.
 func (c *Core) due(ref state.TaskRef) {
 	_, t := c.st.TaskOf(ref)
 	if t == nil || t.Phase != state.TaskDue {
 		return
 	}
-	if t.Ticket > 0 && c.released[t.Ticket] == nil {
-		c.released[t.Ticket] = &release{ref: ref}
+	if t.RunID > 0 && c.released[t.RunID] == nil {
+		c.released[t.RunID] = &release{ref: ref}
 	}
-	if c.backlog.in[ref] {
+	if c.queue.in[ref] {
 		return
 	}
-	c.backlog.in[ref] = true
+	c.queue.in[ref] = true
 	if wait := t.Due.Sub(c.st.At); !t.Due.IsZero() && wait > 0 {
-		heap.Push(&c.backlog.later, waiter{c.now + wait, ref})
+		heap.Push(&c.queue.later, waiter{c.now + wait, ref})
 		return
 	}
 	c.enlist(ref)
@@ -193,7 +193,7 @@
 func (c *Core) enlist(ref state.TaskRef) {
 	j, _ := c.st.TaskOf(ref)
 	if j == nil {
-		delete(c.backlog.in, ref)
+		delete(c.queue.in, ref)
 		return
 	}
 	step := &j.Spec.Steps[ref.Step]
@@ -205,10 +205,10 @@
 	if step.Gang {
 		fmt.Fprintf(&key, "|gang|%s|%d", ref.Job, ref.Step)
 	}
-	k := c.backlog.classes[key.String()]
+	k := c.queue.classes[key.String()]
 	if k == nil {
 		k = &class{key: key.String(), kind: step.Type, queue: j.Spec.Queue, team: j.Spec.Team, gang: step.Gang}
-		c.backlog.classes[k.key] = k
+		c.queue.classes[k.key] = k
 	}
 	k.put(queued{ref, j.Seq})
 }
@@ -226,7 +226,7 @@
 }
 
 func (c *Core) pop(k *class) {
-	delete(c.backlog.in, k.refs[k.head].TaskRef)
+	delete(c.queue.in, k.refs[k.head].TaskRef)
 	k.head++
 	switch {
 	case k.head == len(k.refs):
@@ -249,7 +249,7 @@
 	out := make([]*spot, 0, len(names))
 	for _, name := range names {
 		m, rec := c.minions[name], c.st.Minions[name]
-		if m == nil || rec == nil || m.heard == 0 || m.faults > 0 || m.drain || m.order != 0 || len(m.outbox) > 0 || m.report != nil ||
+		if m == nil || rec == nil || m.heard == 0 || m.failures > 0 || m.drain || m.order != 0 || len(m.outbox) > 0 || m.report != nil ||
 			rec.Boot != m.boot || now-m.heard > c.cfg.Silence || !c.health.admits(now, m.name) {
 			continue
 		}
@@ -266,10 +266,10 @@
 // A class that fits nowhere now holds up no other, but for short reservations (see reserve): no limit and no large
 // task leaves room idle for long that another due task may use.
 func (c *Core) place(now time.Duration, p *command.Plan) {
-	for len(c.backlog.later) > 0 && c.backlog.later[0].at <= now {
-		c.enlist(heap.Pop(&c.backlog.later).(waiter).ref)
+	for len(c.queue.later) > 0 && c.queue.later[0].at <= now {
+		c.enlist(heap.Pop(&c.queue.later).(waiter).ref)
 	}
-	if len(c.backlog.in) == len(c.backlog.later) || len(c.ring) == 0 {
+	if len(c.queue.in) == len(c.queue.later) || len(c.ring) == 0 {
 		return
 	}
 	if c.wide {
@@ -304,7 +304,7 @@
 			c.unreserve(now)
 		}
 		if k.gang {
-			delete(c.backlog.classes, k.key)
+			delete(c.queue.classes, k.key)
 			for i := range starts {
 				starts[i].Group = len(p.Starts) + 1
 			}
@@ -326,7 +326,7 @@
 // which is empty when no class asks for it.
 func (c *Core) screen(now time.Duration) (all, near []*spot, stuck map[string]bool) {
 	wide := c.wide
-	for _, k := range c.backlog.classes {
+	for _, k := range c.queue.classes {
 		wide = wide || !k.stuck
 	}
 	if wide {
@@ -344,7 +344,7 @@
 		near = c.spots(now, sorted(c.fresh))
 	}
 	stuck = map[string]bool{}
-	for key, k := range c.backlog.classes {
+	for key, k := range c.queue.classes {
 		if c.wide || !k.stuck {
 			k.stuck = !c.hopes(k, all)
 			stuck[key] = k.stuck
@@ -373,13 +373,13 @@
 	var best *class
 	var owner *state.Job
 	first, least := rankUrgent, 0.0
-	for key, k := range c.backlog.classes {
+	for key, k := range c.queue.classes {
 		if stuck[key] {
 			continue
 		}
 		j, _ := c.peek(k)
 		if j == nil {
-			delete(c.backlog.classes, key)
+			delete(c.queue.classes, key)
 			continue
 		}
 		r := c.rankOf(k, pending[k.kind])
--- a/internal/sched/reserve.go
+++ b/internal/sched/reserve.go
@@ -38,7 +38,7 @@
 	if c.st.Bundle.Queues[k.queue].Urgent {
 		return rankUrgent
 	}
-	if limit, ok := c.st.Bundle.Limits[k.kind]; ok && c.tally[k.kind]+pending >= limit {
+	if limit, ok := c.st.Bundle.Limits[k.kind]; ok && c.runningCounts[k.kind]+pending >= limit {
 		return rankOver
 	}
 	return rankUsual
@@ -53,7 +53,7 @@
 // reserve ends a reservation that is over, and makes the next one if some class was passed over for too long.
 func (c *Core) reserve(now time.Duration) {
 	if r := c.reserved; r != nil {
-		k := c.backlog.classes[r.class]
+		k := c.queue.classes[r.class]
 		if now < r.until && k != nil {
 			return
 		}
@@ -83,7 +83,7 @@
 		seq uint64
 	}
 	var waiting []candidate
-	for _, k := range c.backlog.classes {
+	for _, k := range c.queue.classes {
 		if k.passed == 0 || now-k.passed < c.cfg.ReserveAfter || now < k.retry {
 			continue
 		}
@@ -113,7 +113,7 @@
 	var fit []*state.Minion
 	for _, name := range c.ring {
 		rec, m := c.st.Minions[name], c.minions[name]
-		if rec != nil && m.heard > 0 && m.faults == 0 && c.health.sick[name] == nil && slots(rec, step) > 0 && c.st.Fits(&j.Spec, step, rec) == "" {
+		if rec != nil && m.heard > 0 && m.failures == 0 && c.health.sick[name] == nil && slots(rec, step) > 0 && c.st.Fits(&j.Spec, step, rec) == "" {
 			fit = append(fit, rec)
 		}
 	}
@@ -151,7 +151,7 @@
 		r := c.rankOf(&class{queue: j.Spec.Queue, kind: step.Type}, 0)
 		newest[r] = max(newest[r], j.Seq)
 	}
-	for key, k := range c.backlog.classes {
+	for key, k := range c.queue.classes {
 		if !fitsNot[key] || k.passed > 0 {
 			continue
 		}
--- a/internal/sched/reserve_test.go
+++ b/internal/sched/reserve_test.go
@@ -9,7 +9,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"crosstide/internal/pair"
+	"crosstide/internal/api"
 	"crosstide/internal/state"
 )
 
@@ -18,7 +18,7 @@
 	*desk
 	minions []string
 	runs    map[uint64]time.Duration // when a run ends
-	began   map[string]time.Duration // when a job got its first ticket
+	began   map[string]time.Duration // when a job got its first run ID
 	serial  int
 }
 
@@ -42,10 +42,10 @@
 	c.submit(fmt.Sprintf("n%04d", c.serial), state.StepSpec{})
 }
 
-// step lets time pass: fresh tasks come, runs end, each minion answers its calls, tickets are given and ordered.
+// step lets time pass: fresh tasks come, runs end, each minion answers its calls, run IDs are given and ordered.
 func (c *crowd) step() {
 	c.now += crowdStep
-	for range crowdDue - c.core.Backlog() {
+	for range crowdDue - c.core.QueueLimit() {
 		c.narrow()
 	}
 	for _, name := range c.minions {
@@ -69,20 +69,20 @@
 		if c.began[s.Job] == 0 {
 			c.began[s.Job] = c.now
 		}
-		c.runs[s.Ticket] = c.now + crowdRun + time.Duration(s.Ticket*7%10)*crowdStep
+		c.runs[s.RunID] = c.now + crowdRun + time.Duration(s.RunID*7%10)*crowdStep
 	}
 	c.answer(call, "check", c.list(call.Minion))
 }
 
 // list is what runs and what has ended on a minion; its runs end one by one.
-func (c *crowd) list(name string) (a pair.HoldAnswer) {
+func (c *crowd) list(name string) (a api.HoldAnswer) {
 	for _, t := range slices.Sorted(maps.Keys(c.runs)) {
 		switch h := c.st.Handles[t]; {
 		case h == nil:
 			delete(c.runs, t)
 		case h.Minion != name:
 		case c.runs[t] <= c.now && len(a.Ended) == 0:
-			a.Ended = append(a.Ended, pair.EndNote{Ticket: t, How: pair.EndWell})
+			a.Ended = append(a.Ended, api.EndNote{RunID: t, How: api.EndWell})
 		default:
 			a.Running = append(a.Running, t)
 		}
@@ -90,7 +90,7 @@
 	return a
 }
 
-// serve lets time pass, with narrow tasks always due, until a job has its first ticket or a time is over.
+// serve lets time pass, with narrow tasks always due, until a job has its first run ID or a time is over.
 func (c *crowd) serve(job string, within time.Duration) bool {
 	for end := c.now + within; c.now < end && c.began[job] == 0; {
 		c.step()
@@ -129,8 +129,8 @@
 		c.submit("wide", state.StepSpec{Cores: 3})
 		So(c.serve("wide", Defaults().ReserveAfter+time.Second), ShouldBeFalse)
 		var longest, free time.Duration
-		for ticket := range c.runs {
-			c.runs[ticket] = c.now + time.Hour
+		for runID := range c.runs {
+			c.runs[runID] = c.now + time.Hour
 		}
 		c.runs[slices.Min(slices.Collect(maps.Keys(c.runs)))] = c.now
 		for range 200 {
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -1,7 +1,7 @@
-// Package sched is the duty `sched`: the type tally, placement, run tickets and the hold calls to the minions.
+// Package sched is the duty `sched`: the running counts, placement, run IDs and the hold calls to the minions.
 //
 // Core is a step function without clock, socket or goroutine: its owner feeds it notes of the replicated state,
-// answers, faults and the time, and carries out what Pass gives. Runs and minions are records in tables; a pass
+// answers, failures and the time, and carries out what Pass gives. Runs and minions are records in tables; a pass
 // runs over those that changed, and over all on every sweep.
 package sched
 
@@ -11,7 +11,7 @@
 	"slices"
 	"time"
 
-	"crosstide/internal/pair"
+	"crosstide/internal/api"
 	"crosstide/internal/state"
 	"crosstide/internal/state/command"
 )
@@ -20,7 +20,7 @@
 type Config struct {
 	Hold        time.Duration // how long a run goes on unheard
 	HoldWait    time.Duration // how long a minion may keep a call waiting
-	StartWindow time.Duration // from the answer of a ticket's commit to the write of its order
+	StartWindow time.Duration // from the answer of a run ID's commit to the write of its order
 	PlanWindow  time.Duration // from the sending of a plan to the write of its orders
 	Lateness    time.Duration // how late an obeying minion may carry out an order
 	LeaseMargin time.Duration // the duty's work stops this long before the lease ends
@@ -54,7 +54,7 @@
 // Out is what a pass wants done.
 type Out struct {
 	Plan  *command.Plan // to be committed; answered by Planned
-	Calls []CallOut     // to be sent; each answered by Answer or Fault
+	Calls []CallOut     // to be sent; each answered by Answer or Failure
 }
 
 // CallOut is one hold call to be sent.
@@ -62,15 +62,15 @@
 	Minion string
 	Addr   string
 	Order  bool // on the order line, else on the waiting line
-	Call   pair.HoldCall
+	Call   api.HoldCall
 	// Before is the time by which starts must have been written; 0 without starts.
 	Before time.Duration
 }
 
 // Counts are what a Core counted since it was made.
 type Counts struct {
-	Tickets, Refused, Sent, Ended, Faults, Doubts, Stops, Plans, PlanFaults, CallFaults, Crossed, Sick uint64
-	Dead                                                                                               map[string]uint64 // by proof
+	RunIDs, Refused, Sent, Ended, Failures, Doubts, Stops, Plans, PlanFaults, CallFailures, Crossed, Sick uint64
+	Dead                                                                                                  map[string]uint64 // by proof
 }
 
 // Core is the duty's record tables and the passes over them. One caller at a time.
@@ -81,13 +81,13 @@
 	epoch uint64
 	since time.Duration // when this node took up the duty
 	lease time.Duration // when its lease ends
-	// Where this node takes the same epoch up anew, it may have sent orders for tickets up to old; its calls go on
+	// Where this node takes the same epoch up anew, it may have sent orders for run IDs up to old; its calls go on
 	// counting from called.
 	old, called uint64
 	paused      bool // the lease did not let this node act when it last looked
 
 	runs     map[uint64]*run
-	released map[uint64]*release // by ticket
+	released map[uint64]*release // by run ID
 	minions  map[string]*minion
 	ring     []string // minion names, for placement in turn
 	turn     int
@@ -95,13 +95,13 @@
 	said     map[string]bool // minions with a report for the next plan
 	fresh    map[string]bool // minions that may take what they could not when placement last looked
 	wide     bool            // placement is to hold every class against all minions
-	backlog  backlog
+	queue    queue
 	health   health
 	// What some class has for itself now, and from when on there may be another reservation.
-	reserved  *reservation
-	reserveAt time.Duration
-	tally     map[string]int
-	teams     map[string]int // handles out by team
+	reserved      *reservation
+	reserveAt     time.Duration
+	runningCounts map[string]int
+	teams         map[string]int // handles out by team
 
 	plan    *flight
 	running []uint64
@@ -111,7 +111,7 @@
 	sweepAt time.Duration
 	tidyAt  time.Duration
 	now     time.Duration // of the newest input
-	swept   bool          // placement looked at the backlog since the last change
+	swept   bool          // placement looked at the queue since the last change
 
 	Counts Counts
 }
@@ -130,7 +130,7 @@
 	call   uint64        // the call its order went out with under this epoch; 0: not sent by this holder
 	out    bool          // waits in its minion's outbox
 	flying bool          // its order is under way, unanswered
-	mine   bool          // its ticket was given under this epoch
+	mine   bool          // its run ID was given under this epoch
 	until  time.Duration // the latest hold that may have been told, in the minion's clock; 0: unknown
 	boot   string        // the boot whose clock until is of
 	absent time.Duration // obeying minion: its clock when it was first found missing at or below the floor
@@ -141,8 +141,8 @@
 	ended  bool // its end does
 }
 
-// release is the record of a due task whose newest ticket was let go without a good end. That end may still be heard,
-// and counts until a newer ticket is given.
+// release is the record of a due task whose newest run ID was let go without a good end. That end may still be heard,
+// and counts until a newer run ID is given.
 type release struct {
 	ref   state.TaskRef
 	ended bool // its end waits in the next plan
@@ -150,30 +150,30 @@
 
 // minion is the record of a minion: what its answers tell under this epoch.
 type minion struct {
-	name    string
-	boot    string
-	past    map[string]bool // boots before it
-	kind    string
-	drain   bool
-	heard   time.Duration // when the newest answer came; 0: not under this epoch
-	clock   time.Duration // its clock in that answer
-	call    uint64        // number of the newest call
-	taken   uint64        // number of the newest call whose answer was taken in
-	waiting uint64        // the call on the waiting line; 0: none
-	order   uint64        // the call on the order line; 0: none
-	faults  int
-	retry   time.Duration
-	before  uint64 // calls up to this one left before the newest pause of the lease
-	vain    bool   // a later one got no answer, and none did since
-	floor   uint64
-	told    uint64 // the floor it is known to have
-	runs    map[uint64]*run
-	outbox  []uint64 // committed tickets to be ordered, ascending
-	outBy   time.Duration
-	acks    []uint64
-	strays  map[uint64]string // listed as running without a handle: to be stopped
-	urgent  bool              // something must go out before the waiting call comes back
-	report  *state.Minion     // to go into the next plan
+	name     string
+	boot     string
+	past     map[string]bool // boots before it
+	kind     string
+	drain    bool
+	heard    time.Duration // when the newest answer came; 0: not under this epoch
+	clock    time.Duration // its clock in that answer
+	call     uint64        // number of the newest call
+	taken    uint64        // number of the newest call whose answer was taken in
+	waiting  uint64        // the call on the waiting line; 0: none
+	order    uint64        // the call on the order line; 0: none
+	failures int
+	retry    time.Duration
+	before   uint64 // calls up to this one left before the newest pause of the lease
+	vain     bool   // a later one got no answer, and none did since
+	floor    uint64
+	told     uint64 // the floor it is known to have
+	runs     map[uint64]*run
+	outbox   []uint64 // committed run IDs to be ordered, ascending
+	outBy    time.Duration
+	acks     []uint64
+	strays   map[uint64]string // listed as running without a handle: to be stopped
+	urgent   bool              // something must go out before the waiting call comes back
+	report   *state.Minion     // to go into the next plan
 }
 
 // New makes a core that reads st, the node's replica. The owner passes st's notes to Note.
@@ -185,7 +185,7 @@
 
 func (c *Core) clear() {
 	c.released = map[uint64]*release{}
-	c.runs, c.minions, c.dirty, c.tally = map[uint64]*run{}, map[string]*minion{}, map[string]bool{}, map[string]int{}
+	c.runs, c.minions, c.dirty, c.runningCounts = map[uint64]*run{}, map[string]*minion{}, map[string]bool{}, map[string]int{}
 	c.teams, c.said, c.fresh, c.wide = map[string]int{}, map[string]bool{}, map[string]bool{}, true
 	c.ring = nil
 	if c.plan != nil && !c.plan.void {
@@ -193,7 +193,7 @@
 		c.ends = append(c.plan.plan.Ends, c.ends...)
 	}
 	c.running, c.doubts, c.dead = nil, nil, nil // ends are facts, and their minions may forget them
-	c.backlog.clear()
+	c.queue.clear()
 	c.reserved, c.reserveAt = nil, 0
 	c.health = newHealth(c.cfg.Health)
 }
@@ -225,7 +225,7 @@
 // up to there are those of another holder, to be proved dead as such; nothing is surely unsent.
 func (c *Core) Lead(now time.Duration, epoch uint64) {
 	c.clear()
-	if c.old = c.st.Ticket; epoch != c.epoch {
+	if c.old = c.st.RunID; epoch != c.epoch {
 		c.plan, c.old, c.called = nil, 0, 0
 	}
 	c.now, c.epoch, c.since, c.sweepAt = now, epoch, now, now
@@ -251,11 +251,11 @@
 // keep notes that an end heard before this node took the duty up anew is still to be committed; false if it says
 // nothing any more.
 func (c *Core) keep(e command.End) bool {
-	if r := c.runs[e.Ticket]; r != nil {
+	if r := c.runs[e.RunID]; r != nil {
 		r.gone, r.ended = true, true
 		return true
 	}
-	r := c.late(e.Ticket)
+	r := c.late(e.RunID)
 	if r == nil || !e.OK {
 		return false
 	}
@@ -263,14 +263,14 @@
 	return true
 }
 
-// late finds the due task whose newest ticket this is; nil if there is none.
-func (c *Core) late(ticket uint64) *release {
-	r := c.released[ticket]
+// late finds the due task whose newest run ID this is; nil if there is none.
+func (c *Core) late(runID uint64) *release {
+	r := c.released[runID]
 	if r == nil {
 		return nil
 	}
-	if _, t := c.st.TaskOf(r.ref); t == nil || t.Phase != state.TaskDue || t.Ticket != ticket {
-		delete(c.released, ticket)
+	if _, t := c.st.TaskOf(r.ref); t == nil || t.Phase != state.TaskDue || t.RunID != runID {
+		delete(c.released, runID)
 		return nil
 	}
 	return r
@@ -315,8 +315,8 @@
 		if j := c.st.Jobs[n.Name]; j != nil && j.Open() > 0 {
 			for i := range j.Tasks {
 				for k := range j.Tasks[i] {
-					if t := &j.Tasks[i][k]; t.Phase.Open() && c.runs[t.Ticket] != nil {
-						c.review(c.runs[t.Ticket])
+					if t := &j.Tasks[i][k]; t.Phase.Open() && c.runs[t.RunID] != nil {
+						c.review(c.runs[t.RunID])
 					}
 				}
 			}
@@ -333,7 +333,7 @@
 func (c *Core) meet(name string) *minion {
 	m := c.minions[name]
 	if m == nil {
-		m = &minion{name: name, runs: map[uint64]*run{}, strays: map[uint64]string{}, floor: c.st.Ticket,
+		m = &minion{name: name, runs: map[uint64]*run{}, strays: map[uint64]string{}, floor: c.st.RunID,
 			call: c.called, before: c.called}
 		c.minions[name] = m
 		c.ring = append(c.ring, name)
@@ -343,12 +343,12 @@
 }
 
 func (c *Core) opened(h *state.Handle) {
-	r := &run{h: h, mine: h.Epoch == c.epoch && h.Ticket > c.old}
-	c.runs[h.Ticket] = r
+	r := &run{h: h, mine: h.Epoch == c.epoch && h.RunID > c.old}
+	c.runs[h.RunID] = r
 	m := c.meet(h.Minion)
-	m.runs[h.Ticket] = r
-	c.tally[h.Type]++
-	c.health.probe(h.Minion, h.Ticket)
+	m.runs[h.RunID] = r
+	c.runningCounts[h.Type]++
+	c.health.probe(h.Minion, h.RunID)
 	if j, _ := c.st.TaskOf(h.Ref); j != nil {
 		r.team = j.Spec.Team
 	}
@@ -359,19 +359,19 @@
 }
 
 func (c *Core) closed(h *state.Handle) {
-	if r := c.runs[h.Ticket]; r != nil {
+	if r := c.runs[h.RunID]; r != nil {
 		if c.teams[r.team]--; c.teams[r.team] == 0 {
 			delete(c.teams, r.team)
 		}
 	}
-	delete(c.runs, h.Ticket)
+	delete(c.runs, h.RunID)
 	c.fresh[h.Minion] = true
-	c.health.lost(h.Minion, h.Ticket)
+	c.health.lost(h.Minion, h.RunID)
 	if m := c.minions[h.Minion]; m != nil {
-		delete(m.runs, h.Ticket)
+		delete(m.runs, h.RunID)
 	}
-	if c.tally[h.Type]--; c.tally[h.Type] == 0 {
-		delete(c.tally, h.Type)
+	if c.runningCounts[h.Type]--; c.runningCounts[h.Type] == 0 {
+		delete(c.runningCounts, h.Type)
 	}
 }
 
@@ -397,8 +397,8 @@
 	}
 }
 
-// Tally gives the tally of a type, as rebuilt and kept by this holder.
-func (c *Core) Tally(kind string) int { return c.tally[kind] }
+// RunningCount gives the tally of a type, as rebuilt and kept by this holder.
+func (c *Core) RunningCount(kind string) int { return c.runningCounts[kind] }
 
 // Sick gives the minions that are held sick, by name.
 func (c *Core) Sick() []string { return slices.Sorted(maps.Keys(c.health.sick)) }
@@ -423,8 +423,8 @@
 	}
 }
 
-// Backlog is how many due tasks wait for a ticket, those in back-off included.
-func (c *Core) Backlog() int { return c.backlog.len() }
+// Backlog is how many due tasks wait for a run ID, those in back-off included.
+func (c *Core) QueueLimit() int { return c.queue.len() }
 
 // Pass runs the passes and gives what is to be done at now.
 func (c *Core) Pass(now time.Duration) Out {
@@ -479,8 +479,8 @@
 	c.swept, c.wide = false, true
 	if now >= c.tidyAt {
 		c.tidyAt = now + 10*time.Second
-		for ticket := range c.released {
-			c.late(ticket) // lets go of what is over
+		for runID := range c.released {
+			c.late(runID) // lets go of what is over
 		}
 		c.health.forget(func(job string) bool { j := c.st.Jobs[job]; return j != nil && !j.Phase.Over() })
 	}
@@ -488,7 +488,7 @@
 
 // order sorts the proofs and doubts that a walk over a table has added, so that the same inputs give the same plan.
 func (c *Core) order(dead, doubts int) {
-	slices.SortFunc(c.dead[dead:], func(a, b command.Proof) int { return cmp.Compare(a.Ticket, b.Ticket) })
+	slices.SortFunc(c.dead[dead:], func(a, b command.Proof) int { return cmp.Compare(a.RunID, b.RunID) })
 	slices.Sort(c.doubts[doubts:])
 }
 
@@ -522,7 +522,7 @@
 		return
 	}
 	r.gone = true
-	c.dead = append(c.dead, command.Proof{Ticket: r.h.Ticket, Why: why, Reason: reason})
+	c.dead = append(c.dead, command.Proof{RunID: r.h.RunID, Why: why, Reason: reason})
 	c.Counts.Dead[why]++
 }
 
--- a/internal/sched/sched_test.go
+++ b/internal/sched/sched_test.go
@@ -10,7 +10,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"crosstide/internal/pair"
+	"crosstide/internal/api"
 	"crosstide/internal/state"
 	"crosstide/internal/state/command"
 )
@@ -88,7 +88,7 @@
 	}
 }
 
-func (d *desk) answer(c CallOut, kind string, a pair.HoldAnswer) {
+func (d *desk) answer(c CallOut, kind string, a api.HoldAnswer) {
 	a.Call, a.Epoch, a.Kind, a.Clock, a.Floor = c.Call.Call, c.Call.Epoch, kind, d.now, max(a.Floor, c.Call.Floor)
 	a.Cores, a.Zone = 4, "z1"
 	if a.Boot == "" {
@@ -101,13 +101,13 @@
 func (d *desk) greet(kind string) {
 	for range 2 {
 		d.settle()
-		d.reply(kind, "", pair.HoldAnswer{})
+		d.reply(kind, "", api.HoldAnswer{})
 	}
 	d.settle()
 }
 
 // reply answers the waiting calls that are out, but for those of the minion named.
-func (d *desk) reply(kind, but string, a pair.HoldAnswer) {
+func (d *desk) reply(kind, but string, a api.HoldAnswer) {
 	for _, name := range slices.Sorted(maps.Keys(d.wait)) {
 		if c := d.wait[name]; name != but {
 			delete(d.wait, name)
@@ -131,7 +131,7 @@
 	return t
 }
 
-func TestTicketBeforeOrder(t *testing.T) {
+func TestRunIDBeforeOrder(t *testing.T) {
 	Convey("an order leaves only after its ticket's commit was answered", t, func() {
 		d := newDesk("check", "m1")
 		d.greet("check")
@@ -149,7 +149,7 @@
 		So(d.st.Handles, ShouldHaveLength, 1)
 		o := order(d.core.Pass(d.now).Calls)
 		So(o, ShouldNotBeNil)
-		So(o.Call.Starts[0].Ticket, ShouldEqual, 1)
+		So(o.Call.Starts[0].RunID, ShouldEqual, 1)
 
 		Convey("and only inside its window", func() {
 			d = newDesk("check", "m1")
@@ -183,12 +183,12 @@
 		So(o, ShouldNotBeNil)
 		So(o.Call.Starts, ShouldHaveLength, 4) // all the room there is, though the limit of t is 1
 		So(o.Call.Starts[1].Type, ShouldEqual, "u")
-		So(d.core.Tally("t"), ShouldEqual, 3)
-		So(d.st.Tally("t"), ShouldEqual, 3)
+		So(d.core.RunningCount("t"), ShouldEqual, 3)
+		So(d.st.RunningCount("t"), ShouldEqual, 3)
 		Convey("and a new holder rebuilds the same tally before it releases anything", func() {
 			d.lead()
-			So(d.core.Tally("t"), ShouldEqual, 3)
-			So(d.core.Tally("u"), ShouldEqual, 1)
+			So(d.core.RunningCount("t"), ShouldEqual, 3)
+			So(d.core.RunningCount("u"), ShouldEqual, 1)
 			So(order(d.settle()), ShouldBeNil) // no minion has answered under the new epoch
 		})
 	})
@@ -210,8 +210,8 @@
 	running map[uint64]bool
 }
 
-func (w *world) listing() pair.HoldAnswer {
-	a := pair.HoldAnswer{Floor: w.floor}
+func (w *world) listing() api.HoldAnswer {
+	a := api.HoldAnswer{Floor: w.floor}
 	for t := range w.running {
 		a.Running = append(a.Running, t)
 	}
@@ -223,11 +223,11 @@
 	for _, s := range w.order.Call.Starts {
 		late := d.now > s.Until
 		if w.kind == "check" {
-			late = late || s.Ticket <= w.floor || d.now > s.Void
+			late = late || s.RunID <= w.floor || d.now > s.Void
 		}
 		if !late {
-			w.started[s.Ticket]++
-			w.running[s.Ticket] = true
+			w.started[s.RunID]++
+			w.running[s.RunID] = true
 		}
 	}
 	w.arrived = true
@@ -253,11 +253,11 @@
 
 // TestEveryOrder tries, one by one, every order of: the order's arrival, the loss of its answer, a waiting call
 // answered, a new leader, the lapse of time. Whatever the order, the task is never running twice, and a second
-// ticket is given only when the first can never run any more.
+// run ID is given only when the first can never run any more.
 func TestEveryOrder(t *testing.T) {
 	events := []event{
 		{"arrive", func(d *desk, w *world) { w.arrive(d) }},
-		{"lost", func(d *desk, w *world) { d.core.Fault(d.now, "m1", true, w.order.Call, true) }},
+		{"lost", func(d *desk, w *world) { d.core.Failure(d.now, "m1", true, w.order.Call, true) }},
 		{"listing", func(d *desk, w *world) { w.poll(d) }},
 		{"listing", func(d *desk, w *world) { w.poll(d) }},
 		{"leader", func(d *desk, w *world) { d.lead() }},
@@ -283,7 +283,7 @@
 					}
 					events[i].do(d, w)
 					for _, c := range d.settle() {
-						if len(c.Call.Starts) > 0 && c.Call.Starts[0].Ticket != 1 {
+						if len(c.Call.Starts) > 0 && c.Call.Starts[0].RunID != 1 {
 							seconds++
 							if w.running[1] {
 								panic(fmt.Sprintf("%s: a second ticket while the first runs: %s", kind, names))
@@ -312,7 +312,7 @@
 		delete(d.wait, "m1")
 		w.floor = max(w.floor, c.Call.Floor)
 		for _, s := range c.Call.Stops {
-			delete(w.running, s.Ticket)
+			delete(w.running, s.RunID)
 		}
 		d.answer(c, w.kind, w.listing())
 	}
@@ -326,8 +326,8 @@
 		d.submit("j", state.StepSpec{})
 		o := order(d.settle())
 		So(o, ShouldNotBeNil)
-		d.answer(*o, "check", pair.HoldAnswer{Running: []uint64{1}})
-		d.answer(wait, "check", pair.HoldAnswer{Floor: 9}) // made before the order arrived
+		d.answer(*o, "check", api.HoldAnswer{Running: []uint64{1}})
+		d.answer(wait, "check", api.HoldAnswer{Floor: 9}) // made before the order arrived
 		d.settle()
 		So(d.st.Handles[1], ShouldNotBeNil)
 		So(d.st.Handles[1].Phase, ShouldEqual, state.TaskRunning)
@@ -341,7 +341,7 @@
 		d.greet("check")
 		d.submit("j", state.StepSpec{Run: json.RawMessage(`{}`)})
 		o := order(d.settle())
-		d.answer(*o, "check", pair.HoldAnswer{Running: []uint64{1}})
+		d.answer(*o, "check", api.HoldAnswer{Running: []uint64{1}})
 		d.settle()
 		Convey("its task is due again only when the hold told last has run out on its clock", func() {
 			end := o.Call.Starts[0].Until
@@ -352,24 +352,24 @@
 				if c, ok := d.wait[o.Minion]; ok { // no renewal may go to a minion that does not answer
 					end = max(end, c.Call.Until)
 					delete(d.wait, o.Minion)
-					d.core.Fault(d.now, c.Minion, false, c.Call, true)
+					d.core.Failure(d.now, c.Minion, false, c.Call, true)
 				}
-				d.reply("check", o.Minion, pair.HoldAnswer{})
+				d.reply("check", o.Minion, api.HoldAnswer{})
 			}
 			for tick(); d.now+500*time.Millisecond < end+200*time.Millisecond; tick() {
 				d.now += 500 * time.Millisecond
 			}
-			So(taskOf(d, "j").Ticket, ShouldEqual, 1)
+			So(taskOf(d, "j").RunID, ShouldEqual, 1)
 			So(end, ShouldBeLessThanOrEqualTo, o.Call.Starts[0].Until+Defaults().Hold)
 			d.now += time.Second
 			d.settle()
 			d.settle()
-			So(taskOf(d, "j").Ticket, ShouldEqual, 2)
+			So(taskOf(d, "j").RunID, ShouldEqual, 2)
 			So(d.core.Counts.Dead[command.ProofLapse], ShouldEqual, 1)
 		})
 		Convey("a new boot proves it dead at once", func() {
 			for range 2 { // the first one is older than the order's answer and tells nothing
-				d.reply("check", "", pair.HoldAnswer{Boot: "b2"})
+				d.reply("check", "", api.HoldAnswer{Boot: "b2"})
 				d.settle()
 			}
 			So(d.st.Handles[1], ShouldBeNil)
@@ -387,9 +387,9 @@
 			d.submit("j", state.StepSpec{})
 			o := order(d.settle())
 			So(o.Call.Starts[0].Until-d.now, ShouldEqual, first)
-			d.answer(*o, kind, pair.HoldAnswer{Running: []uint64{1}})
+			d.answer(*o, kind, api.HoldAnswer{Running: []uint64{1}})
 			d.settle()
-			d.reply(kind, "", pair.HoldAnswer{Running: []uint64{1}})
+			d.reply(kind, "", api.HoldAnswer{Running: []uint64{1}})
 			d.settle()
 			So(d.core.runs[1].until-d.now, ShouldEqual, cfg.Hold)
 		}
--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -72,8 +72,8 @@
 	Full    bool // more ends wait than an answer holds: what is not listed may have ended
 }
 
-// Workers carries orders to workers. Faults: fault.Unknown: another life answers at the address, the worker is gone
-// for good; fault.Unavailable with wire.Unsent: nothing left; any other: the call may or may not be carried out, now
+// Workers carries orders to workers. Failures: errs.Unknown: another life answers at the address, the worker is gone
+// for good; errs.Unavailable with rpc.Unsent: nothing left; any other: the call may or may not be carried out, now
 // or later.
 type Workers interface {
 	Start(ctx context.Context, worker jobs.Worker, order StartOrder) (StartAnswer, error)
--- a/internal/seal/seal.go
+++ b/internal/signature/signature.go
@@ -1,5 +1,5 @@
-// Package seal is the operators' signatures: their Ed25519 keys, the texts that are signed, and the check of both.
-package seal
+// Package signature is the operators' signatures: their Ed25519 keys, the texts that are signed, and the check of both.
+package signature
 
 import (
 	"crypto/ed25519"
@@ -12,7 +12,7 @@
 	"os"
 	"time"
 
-	"crosstide/internal/fault"
+	"crosstide/internal/errs"
 )
 
 // Key is an operator's name and private key.
@@ -28,50 +28,50 @@
 	Private string `json:"private"`
 }
 
-// New draws a key for an operator. Faults: Invalid (no name), Internal.
+// New draws a key for an operator. Failures: Invalid (no name), Internal.
 func New(name string) (Key, error) {
 	if name == "" {
-		return Key{}, fault.Field(fault.Invalid, "name", "an operator needs a name")
+		return Key{}, errs.Field(errs.Invalid, "name", "an operator needs a name")
 	}
 	_, private, err := ed25519.GenerateKey(rand.Reader)
 	if err != nil {
-		return Key{}, fault.Wrap(err, fault.Internal, "draw a key")
+		return Key{}, errs.Wrap(err, errs.Internal, "draw a key")
 	}
 	return Key{name, private}, nil
 }
 
-// Load reads a key that Save wrote. Faults: Disk, Malformed.
+// Load reads a key that Save wrote. Failures: Disk, Malformed.
 func Load(path string) (Key, error) {
 	data, err := os.ReadFile(path)
 	if err != nil {
-		return Key{}, fault.Wrap(err, fault.Disk, "key file")
+		return Key{}, errs.Wrap(err, errs.Disk, "key file")
 	}
 	var f file
 	if err := json.Unmarshal(data, &f); err != nil {
-		return Key{}, fault.Wrap(err, fault.Malformed, "key file %s", path)
+		return Key{}, errs.Wrap(err, errs.Malformed, "key file %s", path)
 	}
 	seed, err := base64.StdEncoding.DecodeString(f.Private)
 	if err != nil || len(seed) != ed25519.SeedSize || f.Name == "" {
-		return Key{}, fault.New(fault.Malformed, "%s is no key file: it needs a name and a private key of %d bytes", path, ed25519.SeedSize)
+		return Key{}, errs.New(errs.Malformed, "%s is no key file: it needs a name and a private key of %d bytes", path, ed25519.SeedSize)
 	}
 	return Key{f.Name, ed25519.NewKeyFromSeed(seed)}, nil
 }
 
-// Save writes the key to a new file that only its owner may read. Fault: Disk, also when the file is there.
+// Save writes the key to a new file that only its owner may read. Failure: Disk, also when the file is there.
 func (k Key) Save(path string) error {
 	data, err := json.MarshalIndent(file{k.Name, k.Public(), base64.StdEncoding.EncodeToString(k.private.Seed())}, "", "  ")
 	if err != nil {
-		return fault.Wrap(err, fault.Internal, "encode the key")
+		return errs.Wrap(err, errs.Internal, "encode the key")
 	}
 	out, err := os.OpenFile(path, os.O_CREATE|os.O_EXCL|os.O_WRONLY, 0o600)
 	if err != nil {
-		return fault.Wrap(err, fault.Disk, "key file")
+		return errs.Wrap(err, errs.Disk, "key file")
 	}
 	if _, err := out.Write(append(data, '\n')); err != nil {
 		_ = out.Close()
-		return fault.Wrap(err, fault.Disk, "write %s", path)
+		return errs.Wrap(err, errs.Disk, "write %s", path)
 	}
-	return fault.Wrap(out.Close(), fault.Disk, "close %s", path)
+	return errs.Wrap(out.Close(), errs.Disk, "close %s", path)
 }
 
 // Public is the public key in base64, as settings and bundles hold it.
@@ -81,7 +81,7 @@
 
 // Sign gives the signature of a text in base64. Example:
 //
-//	sig := key.Sign(seal.Bundle(8, seal.Digest(body)))
+//	sig := key.Sign(signature.Bundle(8, signature.Digest(body)))
 func (k Key) Sign(text string) string {
 	return base64.StdEncoding.EncodeToString(ed25519.Sign(k.private, []byte(text)))
 }
--- a/internal/state/command/bundle.go
+++ b/internal/state/command/bundle.go
@@ -5,8 +5,8 @@
 	"strings"
 
 	"crosstide/internal/bundle"
-	"crosstide/internal/fault"
-	"crosstide/internal/seal"
+	"crosstide/internal/errs"
+	"crosstide/internal/signature"
 	"crosstide/internal/state"
 )
 
@@ -21,32 +21,32 @@
 
 func (c *Keys) apply(s *state.State, _ uint64) (any, error) {
 	if len(s.Operators) > 0 {
-		return nil, fault.New(fault.Conflict, "the store knows its operators already")
+		return nil, errs.New(errs.Conflict, "the store knows its operators already")
 	}
 	if why := bundle.Quorate(c.Operators, len(c.Operators)); why != "" {
-		return nil, fault.Field(fault.Invalid, "operators", "%s", why)
+		return nil, errs.Field(errs.Invalid, "operators", "%s", why)
 	}
 	s.Operators = c.Operators
 	return nil, nil
 }
 
-// verify is nil if sig is the signature of text by operator by. Fault: Forbidden.
+// verify is nil if sig is the signature of text by operator by. Failure: Forbidden.
 func verify(s *state.State, by, sig, text string) error {
 	key, ok := s.Operators[by]
 	switch {
 	case len(s.Operators) == 0:
-		return fault.Field(fault.Forbidden, "by", "the store knows no operators; list operator_keys in the cplanes' settings")
+		return errs.Field(errs.Forbidden, "by", "the store knows no operators; list operator_keys in the cplanes' settings")
 	case by == "":
-		return fault.Field(fault.Forbidden, "by", "an operator must sign this")
+		return errs.Field(errs.Forbidden, "by", "an operator must sign this")
 	case !ok:
-		return fault.Field(fault.Forbidden, "by", "%q is no operator", by)
-	case !seal.Verify(key, text, sig):
-		return fault.Field(fault.Forbidden, "sig", "is not %s's signature of this", by)
+		return errs.Field(errs.Forbidden, "by", "%q is no operator", by)
+	case !signature.Verify(key, text, sig):
+		return errs.Field(errs.Forbidden, "sig", "is not %s's signature of this", by)
 	}
 	return nil
 }
 
-// Put writes a version as a draft against Base, which must be the newest. By signs seal.Put.
+// Put writes a version as a draft against Base, which must be the newest. By signs signature.Put.
 type Put struct {
 	Order string `json:"order"`
 	Base  uint64 `json:"base"`
@@ -68,20 +68,20 @@
 
 func (c *Put) apply(s *state.State, _ uint64) (any, error) {
 	answer, err := once(s, c.Order, c, func() (any, error) {
-		if err := verify(s, c.By, c.Sig, seal.Put(c.Order, c.Base, bundle.Digest(c.Body))); err != nil {
-			return nil, fault.Pass(err, "put")
+		if err := verify(s, c.By, c.Sig, signature.Put(c.Order, c.Base, bundle.Digest(c.Body))); err != nil {
+			return nil, errs.Pass(err, "put")
 		}
 		if err := newest(s, c.Base); err != nil {
-			return nil, fault.Pass(err, "put")
+			return nil, errs.Pass(err, "put")
 		}
 		out, err := draft(s, c.Order, c.By, c.Body)
-		return out, fault.Pass(err, "put")
+		return out, errs.Pass(err, "put")
 	})
-	return answer, fault.Pass(err, "put")
+	return answer, errs.Pass(err, "put")
 }
 
 // Patch writes a version as a draft: Base, which must be the newest, changed by a JSON merge patch. The result is
-// checked as a whole. By signs seal.Patch.
+// checked as a whole. By signs signature.Patch.
 type Patch struct {
 	Order string `json:"order"`
 	Base  uint64 `json:"base"`
@@ -95,34 +95,34 @@
 
 func (c *Patch) apply(s *state.State, _ uint64) (any, error) {
 	answer, err := once(s, c.Order, c, func() (any, error) {
-		if err := verify(s, c.By, c.Sig, seal.Patch(c.Order, c.Base, bundle.Digest(c.Patch))); err != nil {
-			return nil, fault.Pass(err, "patch")
+		if err := verify(s, c.By, c.Sig, signature.Patch(c.Order, c.Base, bundle.Digest(c.Patch))); err != nil {
+			return nil, errs.Pass(err, "patch")
 		}
 		if err := newest(s, c.Base); err != nil {
-			return nil, fault.Pass(err, "patch")
+			return nil, errs.Pass(err, "patch")
 		}
 		body, err := bundle.Merge(s.Head().Body, c.Patch)
 		if err != nil {
-			return nil, fault.Pass(err, "patch")
+			return nil, errs.Pass(err, "patch")
 		}
 		out, err := draft(s, c.Order, c.By, body)
-		return out, fault.Pass(err, "patch")
+		return out, errs.Pass(err, "patch")
 	})
-	return answer, fault.Pass(err, "patch")
+	return answer, errs.Pass(err, "patch")
 }
 
-// newest is nil if base is the newest version, draft or not. Fault: Conflict.
+// newest is nil if base is the newest version, draft or not. Failure: Conflict.
 func newest(s *state.State, base uint64) error {
 	head := s.Head()
 	switch {
 	case base > head.Version:
-		return fault.Field(fault.Conflict, "base", "there is no version %d, the newest is %d", base, head.Version)
+		return errs.Field(errs.Conflict, "base", "there is no version %d, the newest is %d", base, head.Version)
 	case base < head.Version:
 		by := head.By
 		if next := s.Revision(base + 1); next != nil {
 			by = next.By
 		}
-		return fault.Field(fault.Conflict, "base", "someone else was first: version %d, by %s, was written against %d; the newest is %d",
+		return errs.Field(errs.Conflict, "base", "someone else was first: version %d, by %s, was written against %d; the newest is %d",
 			base+1, by, base, head.Version)
 	}
 	return nil
@@ -130,18 +130,18 @@
 
 func draft(s *state.State, order, by string, body []byte) (any, error) {
 	if _, err := bundle.Parse(body); err != nil {
-		return nil, fault.Pass(err, "draft")
+		return nil, errs.Pass(err, "draft")
 	}
 	base := s.Head().Version
 	r := &state.Revision{Version: base + 1, Base: base, Digest: bundle.Digest(body), Size: len(body), Order: order, By: by,
 		At: s.At, Phase: state.RevisionDraft, Body: body}
 	if err := s.Append(r); err != nil {
-		return nil, fault.Pass(err, "draft")
+		return nil, errs.Pass(err, "draft")
 	}
 	return Drafted{r.Version, r.Base, r.Digest, r.Phase}, nil
 }
 
-// Sign is an operator's word for a version: Sig is over seal.Bundle. The second one, by another operator, puts the
+// Sign is an operator's word for a version: Sig is over signature.Bundle. The second one, by another operator, puts the
 // version in force in this very step.
 type Sign struct {
 	Order   string `json:"order"`
@@ -167,21 +167,21 @@
 		r := s.Revision(c.Version)
 		switch {
 		case r == nil:
-			return nil, fault.Field(fault.Unknown, "version", "no version %d", c.Version)
+			return nil, errs.Field(errs.Unknown, "version", "no version %d", c.Version)
 		case !strings.EqualFold(r.Digest, c.Digest):
-			return nil, fault.Field(fault.Invalid, "sha256", "version %d has %s, not %s", r.Version, r.Digest, c.Digest)
+			return nil, errs.Field(errs.Invalid, "sha256", "version %d has %s, not %s", r.Version, r.Digest, c.Digest)
 		}
-		if err := verify(s, c.By, c.Sig, seal.Bundle(r.Version, r.Digest)); err != nil {
-			return nil, fault.Pass(err, "sign")
+		if err := verify(s, c.By, c.Sig, signature.Bundle(r.Version, r.Digest)); err != nil {
+			return nil, errs.Pass(err, "sign")
 		}
 		switch {
 		case r.Phase == state.RevisionForce:
-			return nil, fault.Field(fault.Conflict, "version", "version %d is in force already", r.Version)
+			return nil, errs.Field(errs.Conflict, "version", "version %d is in force already", r.Version)
 		case r.Phase == state.RevisionReplaced:
-			return nil, fault.Field(fault.Conflict, "version", "someone else was first: version %d was replaced, the newest is %d",
+			return nil, errs.Field(errs.Conflict, "version", "someone else was first: version %d was replaced, the newest is %d",
 				r.Version, s.Head().Version)
 		case slices.ContainsFunc(r.Signed, func(g state.Signature) bool { return g.By == c.By }):
-			return nil, fault.Field(fault.Forbidden, "by", "%s has signed version %d; another operator must sign too", c.By, r.Version)
+			return nil, errs.Field(errs.Forbidden, "by", "%s has signed version %d; another operator must sign too", c.By, r.Version)
 		}
 		r.Signed = append(r.Signed, state.Signature{By: c.By, At: s.At, Sig: c.Sig})
 		if len(r.Signed) == 1 {
@@ -197,11 +197,11 @@
 		}
 		return out, nil
 	})
-	return answer, fault.Pass(err, "sign")
+	return answer, errs.Pass(err, "sign")
 }
 
 // Zone evacuates a zone or lifts the evacuation. Once the store knows operators, one of them must sign an
-// evacuation (seal.Evacuate), and two its lifting (seal.Lift).
+// evacuation (signature.Evacuate), and two its lifting (signature.Lift).
 type Zone struct {
 	Order string `json:"order"`
 	Zone  string `json:"zone"`
@@ -223,8 +223,8 @@
 func (c *Zone) apply(s *state.State, _ uint64) (any, error) {
 	answer, err := once(s, c.Order, c, func() (any, error) {
 		if c.Out {
-			if err := c.signed(s, seal.Evacuate(c.Order, c.Zone)); err != nil {
-				return nil, fault.Pass(err, "evacuate")
+			if err := c.signed(s, signature.Evacuate(c.Order, c.Zone)); err != nil {
+				return nil, errs.Pass(err, "evacuate")
 			}
 			s.Evacuated[c.Zone] = s.At // signatures for lifting an earlier one are void
 			delete(s.Lifts, c.Zone)
@@ -233,13 +233,13 @@
 		}
 		since, out := s.Evacuated[c.Zone]
 		if !out && len(s.Operators) > 0 {
-			return nil, fault.Field(fault.Unknown, "zone", "zone %q is not evacuated", c.Zone)
+			return nil, errs.Field(errs.Unknown, "zone", "zone %q is not evacuated", c.Zone)
 		}
-		if err := c.signed(s, seal.Lift(c.Zone, since)); err != nil {
-			return nil, fault.Pass(err, "lift")
+		if err := c.signed(s, signature.Lift(c.Zone, since)); err != nil {
+			return nil, errs.Pass(err, "lift")
 		}
 		if slices.Contains(s.Lifts[c.Zone], c.By) {
-			return nil, fault.Field(fault.Forbidden, "by", "%s has signed this lifting; another operator must sign too", c.By)
+			return nil, errs.Field(errs.Forbidden, "by", "%s has signed this lifting; another operator must sign too", c.By)
 		}
 		var signed []string
 		if len(s.Operators) > 0 {
@@ -254,7 +254,7 @@
 		s.Changed(state.NotePlacement, c.Zone)
 		return Zoned{Zone: c.Zone, Signed: signed}, nil
 	})
-	return answer, fault.Pass(err, "zone %q", c.Zone)
+	return answer, errs.Pass(err, "zone %q", c.Zone)
 }
 
 // signed checks the signature, once there are operators who could give one.
@@ -262,5 +262,5 @@
 	if len(s.Operators) == 0 {
 		return nil
 	}
-	return fault.Pass(verify(s, c.By, c.Sig, text), "zone %q", c.Zone)
+	return errs.Pass(verify(s, c.By, c.Sig, text), "zone %q", c.Zone)
 }
--- a/internal/state/command/bundle_test.go
+++ b/internal/state/command/bundle_test.go
@@ -9,22 +9,22 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"crosstide/internal/bundle"
-	"crosstide/internal/fault"
-	"crosstide/internal/seal"
+	"crosstide/internal/errs"
+	"crosstide/internal/signature"
 	"crosstide/internal/state"
 )
 
 // office is a store of one with two operators, and a third who is none.
 type office struct {
 	st   *state.State
-	keys map[string]seal.Key
+	keys map[string]signature.Key
 }
 
 func newOffice() *office {
-	o := &office{st: state.New(), keys: map[string]seal.Key{}}
+	o := &office{st: state.New(), keys: map[string]signature.Key{}}
 	public := map[string]string{}
 	for _, name := range []string{"ada", "ben", "eve"} {
-		key, err := seal.New(name)
+		key, err := signature.New(name)
 		So(err, ShouldBeNil)
 		if o.keys[name] = key; name != "eve" {
 			public[name] = key.Public()
@@ -42,11 +42,11 @@
 }
 
 func (o *office) put(order, by string, base uint64, body string) *Put {
-	return &Put{Order: order, Base: base, By: by, Body: []byte(body), Sig: o.keys[by].Sign(seal.Put(order, base, bundle.Digest([]byte(body))))}
+	return &Put{Order: order, Base: base, By: by, Body: []byte(body), Sig: o.keys[by].Sign(signature.Put(order, base, bundle.Digest([]byte(body))))}
 }
 
 func (o *office) patch(order, by string, base uint64, patch string) *Patch {
-	return &Patch{Order: order, Base: base, By: by, Patch: []byte(patch), Sig: o.keys[by].Sign(seal.Patch(order, base, bundle.Digest([]byte(patch))))}
+	return &Patch{Order: order, Base: base, By: by, Patch: []byte(patch), Sig: o.keys[by].Sign(signature.Patch(order, base, bundle.Digest([]byte(patch))))}
 }
 
 func (o *office) sign(order, by string, version uint64) *Sign {
@@ -54,13 +54,13 @@
 	if r := o.st.Revision(version); r != nil {
 		digest = r.Digest
 	}
-	return &Sign{Order: order, Version: version, Digest: digest, By: by, Sig: o.keys[by].Sign(seal.Bundle(version, digest))}
+	return &Sign{Order: order, Version: version, Digest: digest, By: by, Sig: o.keys[by].Sign(signature.Bundle(version, digest))}
 }
 
 func (o *office) zone(order, by, zone string, out bool) *Zone {
-	text := seal.Evacuate(order, zone)
+	text := signature.Evacuate(order, zone)
 	if !out {
-		text = seal.Lift(zone, o.st.Evacuated[zone])
+		text = signature.Lift(zone, o.st.Evacuated[zone])
 	}
 	return &Zone{Order: order, Zone: zone, Out: out, By: by, Sig: o.keys[by].Sign(text)}
 }
@@ -82,7 +82,7 @@
 
 const zoned = ` {"queues": {"default":{"charter":{"zones":["%s"]}}} }` + "\n\n"
 
-func kinds(err error) fault.Kind { return fault.KindOf(err) }
+func kinds(err error) errs.Kind { return errs.KindOf(err) }
 
 func TestLine(t *testing.T) {
 	Convey("A version goes from draft over one signature into force, and its exact bytes stay", t, func() {
@@ -121,7 +121,7 @@
 		So(err, ShouldBeNil)
 		So(fmt.Sprintf("%s", same), ShouldEqual, fmt.Sprintf("%s", first))
 		_, err = o.do(o.put("o1", "ada", 2, text))
-		So(kinds(err), ShouldEqual, fault.Conflict)
+		So(kinds(err), ShouldEqual, errs.Conflict)
 		So(len(o.st.Line), ShouldEqual, 2)
 	})
 
@@ -135,27 +135,27 @@
 		So(err, ShouldBeNil)
 		index := o.st.Index
 		other, wrong := o.sign("o9", "ben", 2), o.sign("o9", "ben", 2)
-		other.Sig = o.keys["ada"].Sign(seal.Bundle(2, other.Digest))
+		other.Sig = o.keys["ada"].Sign(signature.Bundle(2, other.Digest))
 		wrong.Digest = bundle.Digest([]byte("x"))
-		wrong.Sig = o.keys["ben"].Sign(seal.Bundle(2, wrong.Digest))
+		wrong.Sig = o.keys["ben"].Sign(signature.Bundle(2, wrong.Digest))
 		stolen := o.put("o9", "ben", 2, fmt.Sprintf(zoned, "z2"))
 		stolen.Body = []byte(fmt.Sprintf(zoned, "z3"))
 		for i, c := range []struct {
 			order Command
-			kind  fault.Kind
+			kind  errs.Kind
 		}{
-			{o.sign("o9", "ada", 2), fault.Forbidden}, // twice the same operator
-			{o.sign("o9", "eve", 2), fault.Forbidden},
-			{other, fault.Forbidden},
-			{wrong, fault.Invalid},
-			{stolen, fault.Forbidden},
-			{o.put("o9", "eve", 2, fmt.Sprintf(zoned, "z2")), fault.Forbidden},
-			{o.put("o9", "ben", 2, `{"queues":{"q":{"zone":1}}}`), fault.Invalid},
-			{o.patch("o9", "ben", 2, `{"queues":{"default":{"charter":{"zones":[]}}}}`), fault.Invalid}, // fine alone, wrong as a whole
-			{o.put("o9", "ben", 3, fmt.Sprintf(zoned, "z2")), fault.Conflict},
-			{o.sign("o9", "ben", 3), fault.Unknown},
-			{o.sign("o9", "ben", 1), fault.Conflict},
-			{&Keys{Operators: map[string]string{"eve": o.keys["eve"].Public(), "ada": o.keys["ada"].Public()}}, fault.Conflict},
+			{o.sign("o9", "ada", 2), errs.Forbidden}, // twice the same operator
+			{o.sign("o9", "eve", 2), errs.Forbidden},
+			{other, errs.Forbidden},
+			{wrong, errs.Invalid},
+			{stolen, errs.Forbidden},
+			{o.put("o9", "eve", 2, fmt.Sprintf(zoned, "z2")), errs.Forbidden},
+			{o.put("o9", "ben", 2, `{"queues":{"q":{"zone":1}}}`), errs.Invalid},
+			{o.patch("o9", "ben", 2, `{"queues":{"default":{"charter":{"zones":[]}}}}`), errs.Invalid}, // fine alone, wrong as a whole
+			{o.put("o9", "ben", 3, fmt.Sprintf(zoned, "z2")), errs.Conflict},
+			{o.sign("o9", "ben", 3), errs.Unknown},
+			{o.sign("o9", "ben", 1), errs.Conflict},
+			{&Keys{Operators: map[string]string{"eve": o.keys["eve"].Public(), "ada": o.keys["ada"].Public()}}, errs.Conflict},
 		} {
 			_, err := o.do(c.order)
 			So(fmt.Sprint(i, kinds(err)), ShouldEqual, fmt.Sprint(i, c.kind))
@@ -194,7 +194,7 @@
 					case err == nil:
 						yes = append(yes, i)
 					default:
-						So(kinds(err), ShouldEqual, fault.Conflict)
+						So(kinds(err), ShouldEqual, errs.Conflict)
 						So(err.Error(), ShouldContainSubstring, "someone else was first")
 					}
 				}
@@ -216,7 +216,7 @@
 			_, err = o.do(o.put("o3", "ben", 2, fmt.Sprintf(zoned, "z2")))
 			So(err, ShouldBeNil)
 			_, err = o.do(o.sign("o4", "ben", 2))
-			So(kinds(err), ShouldEqual, fault.Conflict)
+			So(kinds(err), ShouldEqual, errs.Conflict)
 			So([]any{o.st.Bundle.Version, o.st.Revision(2).Phase}, ShouldResemble, []any{uint64(1), state.RevisionReplaced})
 		}
 	})
@@ -246,7 +246,7 @@
 		o.force(fmt.Sprintf(`{"queues":{"default":{}},"operators":[{"name":"eve","key":%q},{"name":"ada","key":%q}]}`,
 			o.keys["eve"].Public(), o.keys["ada"].Public()))
 		_, err := o.do(o.put("n1", "ben", 2, fmt.Sprintf(zoned, "z1")))
-		So(kinds(err), ShouldEqual, fault.Forbidden)
+		So(kinds(err), ShouldEqual, errs.Forbidden)
 		_, err = o.do(o.put("n1", "eve", 2, fmt.Sprintf(zoned, "z1")))
 		So(err, ShouldBeNil)
 	})
@@ -257,18 +257,18 @@
 		o := newOffice()
 		unsigned := &Zone{Order: "o0", Zone: "z1", Out: true}
 		_, err := o.do(unsigned)
-		So(kinds(err), ShouldEqual, fault.Forbidden)
+		So(kinds(err), ShouldEqual, errs.Forbidden)
 		_, err = o.do(o.zone("o1", "ada", "z1", true))
 		So(err, ShouldBeNil)
 		old := o.zone("o6", "ben", "z1", false)
 		for _, c := range []struct {
 			order Command
-			kind  fault.Kind
+			kind  errs.Kind
 			out   bool
-		}{{o.zone("o2", "ada", "z1", false), "", true}, {o.zone("o3", "ada", "z1", false), fault.Forbidden, true},
-			{o.zone("o2", "ada", "z1", false), "", true}, {o.zone("o4", "eve", "z1", false), fault.Forbidden, true},
-			{o.zone("o5", "ben", "z1", false), "", false}, {o.zone("o7", "ben", "z1", false), fault.Unknown, false},
-			{o.zone("o8", "ben", "z1", true), "", true}, {old, fault.Forbidden, true}} { // old was for the first evacuation
+		}{{o.zone("o2", "ada", "z1", false), "", true}, {o.zone("o3", "ada", "z1", false), errs.Forbidden, true},
+			{o.zone("o2", "ada", "z1", false), "", true}, {o.zone("o4", "eve", "z1", false), errs.Forbidden, true},
+			{o.zone("o5", "ben", "z1", false), "", false}, {o.zone("o7", "ben", "z1", false), errs.Unknown, false},
+			{o.zone("o8", "ben", "z1", true), "", true}, {old, errs.Forbidden, true}} { // old was for the first evacuation
 			_, err := o.do(c.order)
 			So(kinds(err), ShouldEqual, c.kind)
 			_, out := o.st.Evacuated["z1"]
@@ -283,7 +283,7 @@
 	})
 }
 
-func TestCharters(t *testing.T) {
+func TestPlacementPolicies(t *testing.T) {
 	Convey("What a bundle says is what Fits, holds, retries and the job's view go by", t, func() {
 		o := newOffice()
 		o.force(`{"queues":{"default":{"charter":{"near":[{"label":"data","value":"s","within":"rack"}]},"hold":"9s","retries":1}},"retries":7}`)
--- a/internal/state/command/command.go
+++ b/internal/state/command/command.go
@@ -8,7 +8,7 @@
 	"strings"
 	"time"
 
-	"crosstide/internal/fault"
+	"crosstide/internal/errs"
 	"crosstide/internal/state"
 )
 
@@ -57,11 +57,11 @@
 func Encode(at time.Time, c Command) (json.RawMessage, error) {
 	body, err := json.Marshal(c)
 	if err != nil {
-		return nil, fault.Wrap(err, fault.Malformed, "encode command %s", c.Op())
+		return nil, errs.Wrap(err, errs.Malformed, "encode command %s", c.Op())
 	}
 	data, err := json.Marshal(Entry{At: at, Op: c.Op(), Body: body})
 	if err != nil {
-		return nil, fault.Wrap(err, fault.Malformed, "encode entry %s", c.Op())
+		return nil, errs.Wrap(err, errs.Malformed, "encode entry %s", c.Op())
 	}
 	return data, nil
 }
@@ -70,7 +70,7 @@
 func Make(op string) (Command, error) {
 	m, ok := makers[op]
 	if !ok {
-		return nil, fault.Field(fault.Invalid, "op", "no command %q", op)
+		return nil, errs.Field(errs.Invalid, "op", "no command %q", op)
 	}
 	return m(), nil
 }
@@ -85,21 +85,21 @@
 	}
 	var e Entry
 	if err := json.Unmarshal(data, &e); err != nil {
-		return nil, fault.Wrap(err, fault.Malformed, "entry %d", index)
+		return nil, errs.Wrap(err, errs.Malformed, "entry %d", index)
 	}
 	if e.At.After(s.At) {
 		s.At = e.At
 	}
 	c, err := Make(e.Op)
 	if err != nil {
-		return nil, fault.Pass(err, "entry")
+		return nil, errs.Pass(err, "entry")
 	}
 	if err := json.Unmarshal(e.Body, c); err != nil {
-		return nil, fault.Wrap(err, fault.Malformed, "entry %d, %s", index, e.Op)
+		return nil, errs.Wrap(err, errs.Malformed, "entry %d, %s", index, e.Op)
 	}
 	answer, err := c.apply(s, index)
 	if err != nil {
-		return answer, fault.Pass(err, "apply")
+		return answer, errs.Pass(err, "apply")
 	}
 	return answer, nil
 }
@@ -127,30 +127,30 @@
 	key := c.Spec.Key
 	if j := s.Jobs[key]; j != nil {
 		if j.Digest != c.Digest {
-			return nil, fault.Field(fault.Conflict, "key", "%q is the key of another job", key)
+			return nil, errs.Field(errs.Conflict, "key", "%q is the key of another job", key)
 		}
 		return Submitted{Key: key, Phase: j.Phase, Reason: j.Reason}, nil
 	}
 	if t := s.Tombs[key]; t != nil {
 		if t.Digest != c.Digest {
-			return nil, fault.Field(fault.Conflict, "key", "%q was the key of another job", key)
+			return nil, errs.Field(errs.Conflict, "key", "%q was the key of another job", key)
 		}
 		return Submitted{Key: key, Phase: t.Phase, Reason: t.Reason}, nil
 	}
 	q, ok := s.Bundle.Queues[c.Spec.Queue]
 	if !ok {
-		return nil, fault.Field(fault.Invalid, "queue", "no queue %q in bundle %d", c.Spec.Queue, s.Bundle.Version)
+		return nil, errs.Field(errs.Invalid, "queue", "no queue %q in bundle %d", c.Spec.Queue, s.Bundle.Version)
 	}
 	if len(q.Teams) > 0 && !has(q.Teams, c.Spec.Team) {
-		return nil, fault.Field(fault.Forbidden, "team", "%q may not use queue %q", c.Spec.Team, c.Spec.Queue)
+		return nil, errs.Field(errs.Forbidden, "team", "%q may not use queue %q", c.Spec.Team, c.Spec.Queue)
 	}
 	for i, step := range c.Spec.Steps {
 		if len(q.Types) > 0 && !has(q.Types, step.Type) {
-			return nil, fault.Field(fault.Forbidden, at("steps", i, "type"), "%q may not use queue %q", step.Type, c.Spec.Queue)
+			return nil, errs.Field(errs.Forbidden, at("steps", i, "type"), "%q may not use queue %q", step.Type, c.Spec.Queue)
 		}
 	}
 	if why := s.Shed(c.Spec.Team, q.Urgent, c.Bound); why != "" {
-		return nil, fault.New(fault.Pressure, "%s", why)
+		return nil, errs.New(errs.Overloaded, "%s", why)
 	}
 	s.Seq++
 	j := &state.Job{Spec: c.Spec, Digest: c.Digest, Phase: state.JobAccepted, Seq: s.Seq, At: s.At}
@@ -180,7 +180,7 @@
 	if t := s.Tombs[c.Key]; t != nil {
 		return Cancelled{c.Key, t.Phase}, nil
 	}
-	return nil, fault.Field(fault.Unknown, "key", "no job %q", c.Key)
+	return nil, errs.Field(errs.Unknown, "key", "no job %q", c.Key)
 }
 
 // MaxCancels bounds the keys of one Cancels.
@@ -207,11 +207,11 @@
 	keys := c.Keys
 	switch {
 	case len(keys) > MaxCancels:
-		return nil, fault.Field(fault.Invalid, "keys", "%d keys, at most %d", len(keys), MaxCancels)
+		return nil, errs.Field(errs.Invalid, "keys", "%d keys, at most %d", len(keys), MaxCancels)
 	case len(keys) > 0 && c.Team+c.Queue != "":
-		return nil, fault.Field(fault.Invalid, "keys", "keys go without team and queue")
+		return nil, errs.Field(errs.Invalid, "keys", "keys go without team and queue")
 	case len(keys) == 0 && c.Team+c.Queue == "":
-		return nil, fault.Field(fault.Invalid, "keys", "keys, a team or a queue are needed")
+		return nil, errs.Field(errs.Invalid, "keys", "keys, a team or a queue are needed")
 	case len(keys) == 0:
 		for key, j := range s.Jobs {
 			if !j.Phase.Over() && (c.Team == "" || j.Spec.Team == c.Team) && (c.Queue == "" || j.Spec.Queue == c.Queue) {
@@ -276,7 +276,7 @@
 		d = &state.Duty{}
 	}
 	if d.Epoch != c.After {
-		return nil, fault.New(fault.Stale, "duty %s is at epoch %d, not %d", c.Duty, d.Epoch, c.After)
+		return nil, errs.New(errs.Stale, "duty %s is at epoch %d, not %d", c.Duty, d.Epoch, c.After)
 	}
 	next := &state.Duty{Holder: c.Holder, Addr: c.Addr, Boot: c.Boot, Epoch: index}
 	s.Duties[c.Duty] = next
@@ -296,7 +296,7 @@
 func (c *GiveUp) apply(s *state.State, index uint64) (any, error) {
 	d := s.Duties[c.Duty]
 	if d == nil || d.Epoch != c.Epoch {
-		return nil, fault.New(fault.Stale, "duty %s is not at epoch %d", c.Duty, c.Epoch)
+		return nil, errs.New(errs.Stale, "duty %s is not at epoch %d", c.Duty, c.Epoch)
 	}
 	s.Duties[c.Duty] = &state.Duty{Epoch: index}
 	s.Changed(state.NoteDuty, c.Duty)
@@ -318,11 +318,11 @@
 	answer, err := once(s, c.Order, c, func() (any, error) {
 		m := s.Minions[c.Minion]
 		if m == nil {
-			return nil, fault.Field(fault.Unknown, "minion", "no minion %q", c.Minion)
+			return nil, errs.Field(errs.Unknown, "minion", "no minion %q", c.Minion)
 		}
 		if c.Retire {
-			if n := len(s.Room(c.Minion).Tickets); n > 0 {
-				return nil, fault.Field(fault.Conflict, "minion", "%q has %d tickets out; drain it first", c.Minion, n)
+			if n := len(s.Room(c.Minion).RunIDs); n > 0 {
+				return nil, errs.Field(errs.Conflict, "minion", "%q has %d tickets out; drain it first", c.Minion, n)
 			}
 			s.DropMinion(c.Minion)
 			return map[string]any{"minion": c.Minion, "retired": true}, nil
@@ -332,7 +332,7 @@
 		s.PutMinion(&next)
 		return map[string]any{"minion": c.Minion, "closed": c.Closed}, nil
 	})
-	return answer, fault.Pass(err, "close minion %q", c.Minion)
+	return answer, errs.Pass(err, "close minion %q", c.Minion)
 }
 
 // Succeed lets the cplane New join in the place of Old, whose machine is gone. The store takes Old out when New has
@@ -350,12 +350,12 @@
 	answer, err := once(s, c.Order, c, func() (any, error) {
 		switch {
 		case c.Old == "" || c.New == "" || strings.Contains(c.Old+c.New, "~"):
-			return nil, fault.Field(fault.Invalid, "new", "the names of two machines are needed, without ~")
+			return nil, errs.Field(errs.Invalid, "new", "the names of two machines are needed, without ~")
 		case c.Old == c.New:
-			return nil, fault.Field(fault.Invalid, "new", "a machine of the same name joins by itself")
+			return nil, errs.Field(errs.Invalid, "new", "a machine of the same name joins by itself")
 		}
 		if old, ok := s.Successors[c.New]; ok && old != c.Old {
-			return nil, fault.Field(fault.Conflict, "new", "%q takes the place of %q already", c.New, old)
+			return nil, errs.Field(errs.Conflict, "new", "%q takes the place of %q already", c.New, old)
 		}
 		if s.Successors == nil {
 			s.Successors = map[string]string{}
@@ -363,7 +363,7 @@
 		s.Successors[c.New] = c.Old
 		return map[string]string{"old": c.Old, "new": c.New}, nil
 	})
-	return answer, fault.Pass(err, "succeed")
+	return answer, errs.Pass(err, "succeed")
 }
 
 // Tidy lets ended jobs, tombstones and remembered orders go, by age and by count.
--- a/internal/state/command/jobs.go
+++ b/internal/state/command/jobs.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"crosstide/internal/fault"
+	"crosstide/internal/errs"
 	"crosstide/internal/jobs"
 	"crosstide/internal/state"
 )
@@ -16,7 +16,7 @@
 
 func (c *JobSubmit) apply(s *state.State, _ uint64) (any, error) {
 	answer, err := s.Table.Submit(c.Submit)
-	return answer, fault.Pass(err, "submit")
+	return answer, errs.Pass(err, "submit")
 }
 
 // JobCancel cancels a job of the job table; the answer is its jobs.JobState.
@@ -27,7 +27,7 @@
 
 func (c *JobCancel) apply(s *state.State, _ uint64) (any, error) {
 	answer, err := s.Table.Cancel(c.Cancel)
-	return answer, fault.Pass(err, "cancel")
+	return answer, errs.Pass(err, "cancel")
 }
 
 // JobConfigure changes the configuration of the job table.
@@ -37,7 +37,7 @@
 func (c *JobConfigure) Op() string { return "job-configure" }
 
 func (c *JobConfigure) apply(s *state.State, _ uint64) (any, error) {
-	return nil, fault.Pass(s.Table.Configure(c.Configure), "configure")
+	return nil, errs.Pass(s.Table.Configure(c.Configure), "configure")
 }
 
 // JobEvacuate starts or withdraws the evacuation of a zone.
@@ -47,7 +47,7 @@
 func (c *JobEvacuate) Op() string { return "job-evacuate" }
 
 func (c *JobEvacuate) apply(s *state.State, _ uint64) (any, error) {
-	return nil, fault.Pass(s.Table.Evacuate(c.Evacuate), "evacuate")
+	return nil, errs.Pass(s.Table.Evacuate(c.Evacuate), "evacuate")
 }
 
 // JobRegister records workers that are new or have changed.
@@ -57,7 +57,7 @@
 func (c *JobRegister) Op() string { return "job-register" }
 
 func (c *JobRegister) apply(s *state.State, _ uint64) (any, error) {
-	return nil, fault.Pass(s.Table.Register(c.Register), "register")
+	return nil, errs.Pass(s.Table.Register(c.Register), "register")
 }
 
 // JobProgress records what the scheduler has decided and heard; the answer is jobs.Started. The term of its log entry
@@ -69,7 +69,7 @@
 
 func (c *JobProgress) apply(s *state.State, _ uint64) (any, error) {
 	answer, err := s.Table.Progress(s.Term, c.Progress)
-	return answer, fault.Pass(err, "progress")
+	return answer, errs.Pass(err, "progress")
 }
 
 // JobTidy drops the jobs of the job table that ended before a time.
--- a/internal/state/command/jobs_test.go
+++ b/internal/state/command/jobs_test.go
@@ -7,7 +7,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"crosstide/internal/fault"
+	"crosstide/internal/errs"
 	"crosstide/internal/jobs"
 	"crosstide/internal/state"
 )
@@ -56,9 +56,9 @@
 	Convey("Progress that another term's entry carries is stale, and an unknown job is unknown", t, func() {
 		b := book{state.New()}
 		_, err := b.do(&JobProgress{jobs.Progress{Term: 2}}) // the book's entries are of term 1
-		So(fault.KindOf(err), ShouldEqual, fault.Stale)
+		So(errs.KindOf(err), ShouldEqual, errs.Stale)
 		_, err = b.do(&JobCancel{jobs.Cancel{ID: "j"}})
-		So(fault.KindOf(err), ShouldEqual, fault.Unknown)
+		So(errs.KindOf(err), ShouldEqual, errs.Unknown)
 	})
 	Convey("A state from before there was a job table is read with an empty one", t, func() {
 		data, err := state.New().Encode()
@@ -73,7 +73,7 @@
 			So(err, ShouldBeNil)
 			So(string(back), ShouldEqual, string(data))
 			_, err = s.Table.Submit(jobs.Submit{})
-			So(fault.KindOf(err), ShouldEqual, fault.Unknown)
+			So(errs.KindOf(err), ShouldEqual, errs.Unknown)
 		}
 	})
 }
--- a/internal/state/command/late_test.go
+++ b/internal/state/command/late_test.go
@@ -9,20 +9,20 @@
 )
 
 // An end in good order that is heard after its handle was released by a proof counts as long as the task has no newer
-// ticket.
+// run ID.
 func TestLateEnd(t *testing.T) {
 	ref := state.TaskRef{Job: "j"}
-	late := End{Ticket: 1, Ref: ref, OK: true}
+	late := End{RunID: 1, Ref: ref, OK: true}
 	Convey("Given a task whose only ticket was let go as lapsed", t, func() {
 		b := newBook()
 		b.submit("j", state.StepSpec{Name: "s", Type: "t"}, state.StepSpec{Name: "u", Type: "t", After: []string{"s"}})
-		So(b.start(1, on("m1", "j", 0)).Tickets, ShouldResemble, []uint64{1})
-		b.do(&Plan{Epoch: 1, Dead: []Proof{{Ticket: 1, Why: ProofLapse}}})
+		So(b.start(1, on("m1", "j", 0)).RunIDs, ShouldResemble, []uint64{1})
+		b.do(&Plan{Epoch: 1, Dead: []Proof{{RunID: 1, Why: ProofLapse}}})
 		_, task := b.TaskOf(ref)
 		So(task.Phase, ShouldEqual, state.TaskDue)
 
 		Convey("its end makes it done, before the starts of the same plan, and the next step falls due", func() {
-			a, err := b.do(&Plan{Epoch: 1, Charter: b.Bundle.Version, Ends: []End{late}, Starts: []Start{on("m2", "j", 0)}})
+			a, err := b.do(&Plan{Epoch: 1, PlacementPolicy: b.Bundle.Version, Ends: []End{late}, Starts: []Start{on("m2", "j", 0)}})
 			So(err, ShouldBeNil)
 			So(a.(Planned).Refused, ShouldResemble, []string{"task"})
 			So(task.Phase, ShouldEqual, state.TaskDone)
@@ -31,15 +31,15 @@
 			So(b.Handles, ShouldBeEmpty)
 		})
 		Convey("its end under a newer ticket changes nothing", func() {
-			So(b.start(1, on("m2", "j", 0)).Tickets, ShouldResemble, []uint64{2})
+			So(b.start(1, on("m2", "j", 0)).RunIDs, ShouldResemble, []uint64{2})
 			b.do(&Plan{Epoch: 1, Ends: []End{late}})
 			So(task.Phase, ShouldEqual, state.TaskHeld)
-			b.do(&Plan{Epoch: 1, Dead: []Proof{{Ticket: 2, Why: ProofUnsent}}})
+			b.do(&Plan{Epoch: 1, Dead: []Proof{{RunID: 2, Why: ProofUnsent}}})
 			b.do(&Plan{Epoch: 1, Ends: []End{late}})
 			So(task.Phase, ShouldEqual, state.TaskDue)
 		})
 		Convey("an end in fault changes nothing", func() {
-			b.do(&Plan{Epoch: 1, Ends: []End{{Ticket: 1, Ref: ref}}})
+			b.do(&Plan{Epoch: 1, Ends: []End{{RunID: 1, Ref: ref}}})
 			So(task.Phase, ShouldEqual, state.TaskDue)
 			So(task.Tries, ShouldEqual, 0)
 		})
--- a/internal/state/command/plan.go
+++ b/internal/state/command/plan.go
@@ -3,30 +3,30 @@
 import (
 	"time"
 
-	"crosstide/internal/fault"
+	"crosstide/internal/errs"
 	"crosstide/internal/state"
 )
 
 // Plan is all that the holder of sched changes, in one commit: the inbox number written ahead, what minions
-// said, what was proved, and the tickets it wants. Every part is checked when it is applied, so a plan made on
+// said, what was proved, and the run IDs it wants. Every part is checked when it is applied, so a plan made on
 // an old view changes nothing that moved on.
 type Plan struct {
-	Epoch   uint64         `json:"e"`           // of the duty sched; a plan of another epoch is refused whole
-	Charter uint64         `json:"v"`           // bundle version decided on; starts are refused under another
-	Seq     uint64         `json:"q,omitempty"` // inbox messages up to it are taken in
-	Minions []state.Minion `json:"m,omitempty"` // as reported in answers
-	Running []uint64       `json:"r,omitempty"` // tickets listed as running
-	Doubt   []uint64       `json:"u,omitempty"` // tickets whose order or answer was lost
-	Ends    []End          `json:"x,omitempty"` // ends listed
-	Dead    []Proof        `json:"k,omitempty"` // handles proved dead
-	Starts  []Start        `json:"s,omitempty"`
+	Epoch           uint64         `json:"e"`           // of the duty sched; a plan of another epoch is refused whole
+	PlacementPolicy uint64         `json:"v"`           // bundle version decided on; starts are refused under another
+	Seq             uint64         `json:"q,omitempty"` // inbox messages up to it are taken in
+	Minions         []state.Minion `json:"m,omitempty"` // as reported in answers
+	Running         []uint64       `json:"r,omitempty"` // run IDs listed as running
+	Doubt           []uint64       `json:"u,omitempty"` // run IDs whose order or answer was lost
+	Ends            []End          `json:"x,omitempty"` // ends listed
+	Dead            []Proof        `json:"k,omitempty"` // handles proved dead
+	Starts          []Start        `json:"s,omitempty"`
 	// Hold is put into every handle of Starts: how long its minion may run on unheard.
 	Hold time.Duration `json:"h,omitempty"`
 }
 
 // End is a listed end of a run. Ref is its task, by which an end is known whose handle was released meanwhile.
 type End struct {
-	Ticket uint64        `json:"t"`
+	RunID  uint64        `json:"t"`
 	Ref    state.TaskRef `json:"f,omitzero"`
 	OK     bool          `json:"ok"`
 	Reason string        `json:"w,omitempty"`
@@ -44,12 +44,12 @@
 
 // Proof says that a handle is dead and why.
 type Proof struct {
-	Ticket uint64 `json:"t"`
+	RunID  uint64 `json:"t"`
 	Why    string `json:"w"`
 	Reason string `json:"r,omitempty"`
 }
 
-// Start wants a ticket for a due task on a minion. Starts with the same Group above 0 get theirs together or
+// Start wants a run ID for a due task on a minion. Starts with the same Group above 0 get theirs together or
 // not at all.
 type Start struct {
 	Ref    state.TaskRef `json:"r"`
@@ -58,9 +58,9 @@
 	Group  int           `json:"g,omitempty"`
 }
 
-// Planned answers Plan: a ticket or 0 for each of Starts, with a word on each refusal.
+// Planned answers Plan: a run ID or 0 for each of Starts, with a word on each refusal.
 type Planned struct {
-	Tickets []uint64 `json:"tickets,omitempty"`
+	RunIDs  []uint64 `json:"tickets,omitempty"`
 	Refused []string `json:"refused,omitempty"`
 }
 
@@ -70,7 +70,7 @@
 func (c *Plan) apply(s *state.State, index uint64) (any, error) {
 	d := s.Duties["sched"]
 	if d == nil || d.Epoch != c.Epoch || d.Holder == "" {
-		return nil, fault.New(fault.Stale, "plan of epoch %d, the duty sched has moved on", c.Epoch)
+		return nil, errs.New(errs.Stale, "plan of epoch %d, the duty sched has moved on", c.Epoch)
 	}
 	s.Admit(c.Seq)
 	for _, e := range c.Ends { // before the reports: a new boot lets go what did not end under the old one
@@ -90,13 +90,13 @@
 		}
 	}
 	for _, p := range c.Dead {
-		if h := s.Handles[p.Ticket]; h != nil {
+		if h := s.Handles[p.RunID]; h != nil {
 			again(s, h, p.Reason, time.Time{})
 		}
 	}
 	out := Planned{}
 	if len(c.Starts) > 0 {
-		out.Tickets = make([]uint64, len(c.Starts))
+		out.RunIDs = make([]uint64, len(c.Starts))
 		out.Refused = make([]string, len(c.Starts))
 	}
 	for i := 0; i < len(c.Starts); {
@@ -110,14 +110,14 @@
 	return out, nil
 }
 
-// start gives tickets to c.Starts[i:n], all or none.
+// start gives run IDs to c.Starts[i:n], all or none.
 func (c *Plan) start(s *state.State, i, n int, out *Planned) {
 	type need struct{ cores, gpus int }
 	taken := map[string]need{}
 	for k := i; k < n; k++ {
 		st := c.Starts[k]
 		why := ""
-		if c.Charter != s.Bundle.Version {
+		if c.PlacementPolicy != s.Bundle.Version {
 			why = "charter version"
 		} else {
 			why = refuse(s, st)
@@ -144,15 +144,15 @@
 		st := c.Starts[k]
 		j, _ := s.TaskOf(st.Ref)
 		step := &j.Spec.Steps[st.Ref.Step]
-		s.Ticket++
-		h := &state.Handle{Ticket: s.Ticket, Ref: st.Ref, Minion: st.Minion, Boot: st.Boot, Epoch: c.Epoch,
-			Charter: c.Charter, Type: step.Type, Cores: step.Cores, GPUs: step.GPUs, Hold: s.Bundle.HoldOf(j.Spec.Queue, c.Hold)}
+		s.RunID++
+		h := &state.Handle{RunID: s.RunID, Ref: st.Ref, Minion: st.Minion, Boot: st.Boot, Epoch: c.Epoch,
+			PlacementPolicy: c.PlacementPolicy, Type: step.Type, Cores: step.Cores, GPUs: step.GPUs, Hold: s.Bundle.HoldOf(j.Spec.Queue, c.Hold)}
 		drop(s.Move(st.Ref, state.TaskHeld, h))
-		out.Tickets[k] = s.Ticket
+		out.RunIDs[k] = s.RunID
 	}
 }
 
-// refuse checks the preconditions of one ticket against the state at this very entry; "" lets it pass.
+// refuse checks the preconditions of one run ID against the state at this very entry; "" lets it pass.
 func refuse(s *state.State, st Start) string {
 	j, t := s.TaskOf(st.Ref)
 	switch {
@@ -177,7 +177,7 @@
 	m.Closed, m.Addr = old.Closed, old.Addr
 	s.PutMinion(&m)
 	if m.Boot != old.Boot {
-		for _, t := range s.Tickets(m.Name) {
+		for _, t := range s.RunIDs(m.Name) {
 			if h := s.Handles[t]; h.Boot != m.Boot && (m.Kind != "obey" || h.Phase == state.TaskRunning) {
 				again(s, h, "the minion came back under a new boot", time.Time{})
 			}
@@ -185,9 +185,9 @@
 	}
 }
 
-// end takes in a listed end. An end in fault is tried again after a back-off, up to the step's retries.
+// end takes in a listed end. An end in failure is tried again after a back-off, up to the step's retries.
 func end(s *state.State, e End) {
-	h := s.Handles[e.Ticket]
+	h := s.Handles[e.RunID]
 	if h == nil {
 		lateEnd(s, e)
 		return
@@ -203,7 +203,7 @@
 	if t.Tries > s.Bundle.RetriesOf(j.Spec.Queue, step.Retries) && !step.Standing && j.Phase == state.JobRunning {
 		reason := "step " + step.Name + " gave up: " + e.Reason
 		drop(s.Move(h.Ref, state.TaskSpent, nil))
-		s.Stop(j, state.JobFault, reason)
+		s.Stop(j, state.JobFailed, reason)
 		return
 	}
 	b := s.Bundle.Backoff
@@ -215,9 +215,9 @@
 }
 
 // lateEnd takes in that a run ended well whose handle was released by a proof before its end was heard. It counts as
-// long as no newer ticket was given for its task.
+// long as no newer run ID was given for its task.
 func lateEnd(s *state.State, e End) {
-	if _, t := s.TaskOf(e.Ref); e.OK && t != nil && t.Ticket == e.Ticket && t.Phase == state.TaskDue {
+	if _, t := s.TaskOf(e.Ref); e.OK && t != nil && t.RunID == e.RunID && t.Phase == state.TaskDue {
 		drop(s.Move(e.Ref, state.TaskDone, nil))
 	}
 }
@@ -239,7 +239,7 @@
 	drop(s.Move(h.Ref, to, nil))
 }
 
-// drop is for moves whose table entry the caller has just checked: a refusal is a fault of ours and must not
+// drop is for moves whose table entry the caller has just checked: a refusal is a failure of ours and must not
 // leave nodes apart, so it stops the process.
 func drop(err error) {
 	if err != nil {
--- a/internal/state/command/plan_test.go
+++ b/internal/state/command/plan_test.go
@@ -7,7 +7,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"crosstide/internal/fault"
+	"crosstide/internal/errs"
 	"crosstide/internal/state"
 )
 
@@ -44,9 +44,9 @@
 }
 
 func (b book) start(epoch uint64, starts ...Start) Planned {
-	a, err := b.do(&Plan{Epoch: epoch, Charter: b.Bundle.Version, Seq: b.Seq, Starts: starts, Hold: time.Second})
+	a, err := b.do(&Plan{Epoch: epoch, PlacementPolicy: b.Bundle.Version, Seq: b.Seq, Starts: starts, Hold: time.Second})
 	if err != nil {
-		return Planned{Refused: []string{"epoch"}, Tickets: make([]uint64, len(starts))}
+		return Planned{Refused: []string{"epoch"}, RunIDs: make([]uint64, len(starts))}
 	}
 	return a.(Planned)
 }
@@ -55,9 +55,9 @@
 	return Start{Ref: state.TaskRef{Job: key, Task: task}, Minion: minion, Boot: "b"}
 }
 
-// TestTicketRaces tries every order of a ticket's commit and the things that forbid it: a ticket is given exactly
+// TestRunIDRaces tries every order of a run ID's commit and the things that forbid it: a run ID is given exactly
 // when none of those came before it, and a number is never given twice.
-func TestTicketRaces(t *testing.T) {
+func TestRunIDRaces(t *testing.T) {
 	bars := []struct {
 		name string
 		do   func(b book)
@@ -81,7 +81,7 @@
 		orders := 0
 		var walk func(b []int, used int)
 		walk = func(seq []int, used int) {
-			// The ticket's commit stands after every prefix of every order of the bars.
+			// The run ID's commit stands after every prefix of every order of the bars.
 			bk := newBook()
 			_, err := bk.submit("j", state.StepSpec{Name: "s", Type: "t"})
 			So(err, ShouldBeNil)
@@ -91,10 +91,10 @@
 				names += bars[i].name + ", "
 			}
 			got := bk.start(1, on("m1", "j", 0))
-			if given := got.Tickets[0] > 0; given != (len(seq) == 0) {
+			if given := got.RunIDs[0] > 0; given != (len(seq) == 0) {
 				panic(fmt.Sprintf("after %sa ticket was given: %v", names, given))
 			}
-			if len(bk.Handles) != int(bk.Ticket) {
+			if len(bk.Handles) != int(bk.RunID) {
 				panic("a refused ticket left a handle")
 			}
 			orders++
@@ -110,10 +110,10 @@
 	Convey("a cancel after the ticket fixes the outcome, and the task is not due again", t, func() {
 		b := newBook()
 		b.submit("j", state.StepSpec{Name: "s", Type: "t", Tasks: 2})
-		So(b.start(1, on("m1", "j", 0)).Tickets, ShouldResemble, []uint64{1})
+		So(b.start(1, on("m1", "j", 0)).RunIDs, ShouldResemble, []uint64{1})
 		b.do(&Cancel{Key: "j"})
 		So(b.Jobs["j"].Phase, ShouldEqual, state.JobStopping)
-		b.do(&Plan{Epoch: 1, Dead: []Proof{{Ticket: 1, Why: ProofStop}}})
+		b.do(&Plan{Epoch: 1, Dead: []Proof{{RunID: 1, Why: ProofStop}}})
 		So(b.Jobs["j"].Phase, ShouldEqual, state.JobCancelled)
 		So(b.Handles, ShouldBeEmpty)
 		So(b.Tallies(), ShouldBeEmpty)
@@ -126,30 +126,30 @@
 		b.submit("j", state.StepSpec{Name: "a", Type: "t", Tasks: 2, Retries: 1}, state.StepSpec{Name: "b", Type: "t", After: []string{"a"}})
 		second := Start{Ref: state.TaskRef{Job: "j", Step: 1}, Minion: "m2", Boot: "b"}
 		Convey("a task has one handle at most", func() {
-			So(b.start(1, on("m1", "j", 0), on("m2", "j", 0)), ShouldResemble, Planned{Tickets: []uint64{1, 0}, Refused: []string{"", "task"}})
+			So(b.start(1, on("m1", "j", 0), on("m2", "j", 0)), ShouldResemble, Planned{RunIDs: []uint64{1, 0}, Refused: []string{"", "task"}})
 		})
 		Convey("a step waits for the one before, and the job is done when all its tasks are", func() {
-			So(b.start(1, on("m1", "j", 0), on("m1", "j", 1), second).Tickets, ShouldResemble, []uint64{1, 2, 0})
-			So(b.Tally("t"), ShouldEqual, 2)
-			b.do(&Plan{Epoch: 1, Ends: []End{{Ticket: 1, OK: true}}})
-			So(b.start(1, second).Tickets[0], ShouldEqual, 0)
-			b.do(&Plan{Epoch: 1, Ends: []End{{Ticket: 2, OK: true}, {Ticket: 1, OK: true}}}) // said twice: once is enough
-			So(b.start(1, second).Tickets[0], ShouldEqual, 3)
+			So(b.start(1, on("m1", "j", 0), on("m1", "j", 1), second).RunIDs, ShouldResemble, []uint64{1, 2, 0})
+			So(b.RunningCount("t"), ShouldEqual, 2)
+			b.do(&Plan{Epoch: 1, Ends: []End{{RunID: 1, OK: true}}})
+			So(b.start(1, second).RunIDs[0], ShouldEqual, 0)
+			b.do(&Plan{Epoch: 1, Ends: []End{{RunID: 2, OK: true}, {RunID: 1, OK: true}}}) // said twice: once is enough
+			So(b.start(1, second).RunIDs[0], ShouldEqual, 3)
 			So(b.Jobs["j"].Phase, ShouldEqual, state.JobRunning)
-			b.do(&Plan{Epoch: 1, Ends: []End{{Ticket: 3, OK: true}}})
+			b.do(&Plan{Epoch: 1, Ends: []End{{RunID: 3, OK: true}}})
 			So(b.Jobs["j"].Phase, ShouldEqual, state.JobDone)
 			b.do(&Cancel{Key: "j"})
 			So(b.Jobs["j"].Phase, ShouldEqual, state.JobDone)
 		})
 		Convey("an end in fault is tried again after a back-off, up to its retries, under a new number", func() {
 			b.start(1, on("m1", "j", 0))
-			b.do(&Plan{Epoch: 1, Ends: []End{{Ticket: 1, Reason: "x"}}})
+			b.do(&Plan{Epoch: 1, Ends: []End{{RunID: 1, Reason: "x"}}})
 			task := &b.Jobs["j"].Tasks[0][0]
 			So(task.Phase, ShouldEqual, state.TaskDue)
 			So(task.Due.Sub(b.At), ShouldEqual, b.Bundle.Backoff.Min)
-			So(b.start(1, on("m1", "j", 0)).Tickets[0], ShouldEqual, 2)
-			b.do(&Plan{Epoch: 1, Ends: []End{{Ticket: 2, Reason: "x"}}})
-			So(b.Jobs["j"].Phase, ShouldEqual, state.JobFault)
+			So(b.start(1, on("m1", "j", 0)).RunIDs[0], ShouldEqual, 2)
+			b.do(&Plan{Epoch: 1, Ends: []End{{RunID: 2, Reason: "x"}}})
+			So(b.Jobs["j"].Phase, ShouldEqual, state.JobFailed)
 			So(b.Jobs["j"].Reason, ShouldContainSubstring, "step a gave up: x")
 		})
 		Convey("a gang gets its tickets together or not at all", func() {
@@ -159,7 +159,7 @@
 			b.start(1, on("m1", "k", 0)) // leaves room for one of the two
 			So(b.start(1, one, two).Refused, ShouldResemble, []string{"room", "room"})
 			two.Minion = "m2"
-			So(b.start(1, one, two).Tickets, ShouldResemble, []uint64{2, 3})
+			So(b.start(1, one, two).RunIDs, ShouldResemble, []uint64{2, 3})
 		})
 		Convey("the state comes back from its bytes as it was, and goes on the same", func() {
 			b.start(1, on("m1", "j", 0))
@@ -169,7 +169,7 @@
 			So(err, ShouldBeNil)
 			c := book{back}
 			for _, x := range []book{b, c} {
-				x.do(&Plan{Epoch: 1, Ends: []End{{Ticket: 1, OK: true}}})
+				x.do(&Plan{Epoch: 1, Ends: []End{{RunID: 1, OK: true}}})
 				x.do(&Cancel{Key: "j"})
 			}
 			one, _ := b.Encode()
@@ -187,12 +187,12 @@
 			So(err, ShouldBeNil)
 		}
 		_, err := b.submit("d", state.StepSpec{Name: "s", Type: "t"})
-		So(fault.KindOf(err), ShouldEqual, fault.Pressure)
+		So(errs.KindOf(err), ShouldEqual, errs.Overloaded)
 		again, err := b.submit("a", state.StepSpec{Name: "s", Type: "t"})
 		So(err, ShouldBeNil)
 		So(again.(Submitted).Fresh, ShouldBeFalse)
 		_, err = b.do(&Submit{Spec: b.Jobs["a"].Spec, Digest: "other", Bound: 3})
-		So(fault.KindOf(err), ShouldEqual, fault.Conflict)
+		So(errs.KindOf(err), ShouldEqual, errs.Conflict)
 		b.do(&Cancel{Key: "a"})
 		So(b.Inbox, ShouldResemble, []string{"b", "c"})
 		b.do(&Tidy{JobsKeep: 0, TombsKeep: 1, TombsBefore: time.Unix(0, 0)})
@@ -201,8 +201,8 @@
 		So(err, ShouldBeNil)
 		So(again.(Submitted).Phase, ShouldEqual, state.JobCancelled)
 		_, err = b.do(&Submit{Spec: state.Spec{Key: "a"}, Digest: "other", Bound: 3})
-		So(fault.KindOf(err), ShouldEqual, fault.Conflict)
-		So(b.start(1).Tickets, ShouldBeEmpty)
+		So(errs.KindOf(err), ShouldEqual, errs.Conflict)
+		So(b.start(1).RunIDs, ShouldBeEmpty)
 		So(b.InboxSeq, ShouldEqual, b.Seq)
 		So(b.Inbox, ShouldBeEmpty)
 	})
@@ -216,7 +216,7 @@
 				if _, err := b.do(&Submit{Spec: spec, Digest: "d", Bound: 100}); err == nil {
 					took++
 				} else {
-					So(fault.KindOf(err), ShouldEqual, fault.Pressure)
+					So(errs.KindOf(err), ShouldEqual, errs.Overloaded)
 				}
 			}
 			return took
@@ -248,7 +248,7 @@
 			So(got, ShouldResemble, CancelledAll{Cancelled: 10, Over: 1, Unknown: []string{"nobody"}})
 			for _, bad := range []*Cancels{{}, {Keys: keys, Team: "a"}} {
 				_, err = b.do(bad)
-				So(fault.KindOf(err), ShouldEqual, fault.Invalid)
+				So(errs.KindOf(err), ShouldEqual, errs.Invalid)
 			}
 		})
 	})
@@ -262,7 +262,7 @@
 		So(fmt.Sprint(again), ShouldEqual, fmt.Sprint(first))
 		So(b.Evacuated, ShouldBeEmpty) // not applied a second time
 		_, err = b.do(&Zone{Order: "o", Zone: "z2", Out: true})
-		So(fault.KindOf(err), ShouldEqual, fault.Conflict)
+		So(errs.KindOf(err), ShouldEqual, errs.Conflict)
 	})
 }
 
@@ -271,11 +271,11 @@
 		b := newBook()
 		b.submit("j", state.StepSpec{Name: "s", Type: "t"})
 		b.start(1)
-		ticket := b.start(1, on("m1", "j", 0)).Tickets[0]
-		So(ticket, ShouldNotEqual, 0)
+		runID := b.start(1, on("m1", "j", 0)).RunIDs[0]
+		So(runID, ShouldNotEqual, 0)
 		m := minion("m1")
 		m.Boot = "b2"
-		_, err := b.do(&Plan{Epoch: 1, Ends: []End{{Ticket: ticket, OK: true}}, Minions: []state.Minion{m}})
+		_, err := b.do(&Plan{Epoch: 1, Ends: []End{{RunID: runID, OK: true}}, Minions: []state.Minion{m}})
 		So(err, ShouldBeNil)
 		So(b.Jobs["j"].Tasks[0][0].Phase, ShouldEqual, state.TaskDone)
 		So(b.Jobs["j"].Phase, ShouldEqual, state.JobDone)
--- a/internal/state/command/util.go
+++ b/internal/state/command/util.go
@@ -7,7 +7,7 @@
 	"fmt"
 	"slices"
 
-	"crosstide/internal/fault"
+	"crosstide/internal/errs"
 	"crosstide/internal/state"
 )
 
@@ -19,27 +19,27 @@
 // again, with other content a conflict. A refusal is not remembered: nothing was done.
 func once(s *state.State, id string, c Command, do func() (any, error)) (any, error) {
 	if id == "" {
-		return nil, fault.Field(fault.Invalid, "order", "an order needs an id")
+		return nil, errs.Field(errs.Invalid, "order", "an order needs an id")
 	}
 	raw, err := json.Marshal(c)
 	if err != nil {
-		return nil, fault.Wrap(err, fault.Internal, "encode order %s", id)
+		return nil, errs.Wrap(err, errs.Internal, "encode order %s", id)
 	}
 	sum := sha256.Sum256(raw)
 	digest := c.Op() + ":" + hex.EncodeToString(sum[:])
 	if o := s.Orders[id]; o != nil {
 		if o.Digest != digest {
-			return nil, fault.Field(fault.Conflict, "order", "id %q is taken by another order", id)
+			return nil, errs.Field(errs.Conflict, "order", "id %q is taken by another order", id)
 		}
 		return o.Answer, nil
 	}
 	answer, err := do()
 	if err != nil {
-		return nil, fault.Pass(err, "order %s", id)
+		return nil, errs.Pass(err, "order %s", id)
 	}
 	raw, err = json.Marshal(answer)
 	if err != nil {
-		return nil, fault.Wrap(err, fault.Internal, "encode answer to order %s", id)
+		return nil, errs.Wrap(err, errs.Internal, "encode answer to order %s", id)
 	}
 	s.Orders[id] = &state.Order{Digest: digest, Answer: raw, At: s.At}
 	s.OrderKeys = append(s.OrderKeys, id)
--- a/internal/state/crowd.go
+++ b/internal/state/crowd.go
@@ -16,7 +16,7 @@
 // OpenOf is Open for one team.
 func (s *State) OpenOf(team string) int { return s.teams[team] }
 
-// Shed tells why a team's new job is turned away under pressure, "" if it is taken. bound is the most jobs that
+// Shed tells why a team's new job is turned away overloaded, "" if it is taken. bound is the most jobs that
 // may be open. Up to half of it anyone may hand in; from there a team may hold its share by weight among the teams
 // that have something open; the last twentieth is kept for urgent queues.
 func (s *State) Shed(team string, urgent bool, bound int) string {
--- a/internal/state/line.go
+++ b/internal/state/line.go
@@ -4,7 +4,7 @@
 	"slices"
 	"time"
 
-	"crosstide/internal/fault"
+	"crosstide/internal/errs"
 	"crosstide/internal/jobs"
 )
 
@@ -48,7 +48,7 @@
 	Body    []byte        `json:"body,omitempty"`
 }
 
-// Signature is an operator's word for a version: Sig, in base64, is over seal.Bundle of version and digest.
+// Signature is an operator's word for a version: Sig, in base64, is over signature.Bundle of version and digest.
 type Signature struct {
 	By  string    `json:"by"`
 	At  time.Time `json:"at"`
@@ -71,10 +71,10 @@
 	RevisionForce:  {RevisionReplaced},
 }
 
-// Turn is the one function that changes a version's phase. Fault: Stale.
+// Turn is the one function that changes a version's phase. Failure: Stale.
 func (s *State) Turn(r *Revision, to RevisionPhase) error {
 	if !slices.Contains(turns[r.Phase], to) {
-		return fault.New(fault.Stale, "version %d is %s, cannot become %s", r.Version, r.Phase, to)
+		return errs.New(errs.Stale, "version %d is %s, cannot become %s", r.Version, r.Phase, to)
 	}
 	r.Phase = to
 	switch to {
@@ -103,7 +103,7 @@
 func (s *State) Append(r *Revision) error {
 	if head := s.Head(); head.Phase == RevisionDraft || head.Phase == RevisionSigned {
 		if err := s.Turn(head, RevisionReplaced); err != nil {
-			return fault.Pass(err, "append")
+			return errs.Pass(err, "append")
 		}
 	}
 	s.Line = append(s.Line, r)
@@ -115,11 +115,11 @@
 func (s *State) Enforce(r *Revision, b Bundle) error {
 	if old := s.Revision(s.Bundle.Version); old != nil {
 		if err := s.Turn(old, RevisionReplaced); err != nil {
-			return fault.Pass(err, "enforce")
+			return errs.Pass(err, "enforce")
 		}
 	}
 	if err := s.Turn(r, RevisionForce); err != nil {
-		return fault.Pass(err, "enforce")
+		return errs.Pass(err, "enforce")
 	}
 	b.Version = r.Version
 	s.Bundle = b
--- a/internal/state/place.go
+++ b/internal/state/place.go
@@ -7,7 +7,7 @@
 )
 
 // Fits tells why a task of step may not run on m by bundle, labels, zone or drain; "" if it may.
-// Room is not looked at. The store asks it in the same step that commits a ticket.
+// Room is not looked at. The store asks it in the same step that commits a run ID.
 func (s *State) Fits(spec *Spec, step *StepSpec, m *Minion) string {
 	q, ok := s.Bundle.Queues[spec.Queue]
 	switch {
@@ -109,7 +109,7 @@
 	s.near(moved)
 }
 
-// near tells watchers that what is near to what has changed, if any charter asks for it.
+// near tells watchers that what is near to what has changed, if any placement policy asks for it.
 func (s *State) near(moved bool) {
 	if !moved {
 		return
--- a/internal/state/query/bundle.go
+++ b/internal/state/query/bundle.go
@@ -4,7 +4,7 @@
 	"slices"
 	"time"
 
-	"crosstide/internal/fault"
+	"crosstide/internal/errs"
 	"crosstide/internal/state"
 )
 
@@ -26,11 +26,11 @@
 	return out
 }
 
-// Revision gives a version without its body, and its exact bytes; those are nil if they were let go. Fault: Unknown.
+// Revision gives a version without its body, and its exact bytes; those are nil if they were let go. Failure: Unknown.
 func Revision(s *state.State, version uint64) (state.Revision, []byte, error) {
 	r := s.Revision(version)
 	if r == nil {
-		return state.Revision{}, nil, fault.Field(fault.Unknown, "version", "no version %d", version)
+		return state.Revision{}, nil, errs.Field(errs.Unknown, "version", "no version %d", version)
 	}
 	return *bare(r), r.Body, nil
 }
@@ -41,7 +41,7 @@
 	return &out
 }
 
-// ZoneView is an evacuated zone. Since stands in the text that lifts it (seal.Lift).
+// ZoneView is an evacuated zone. Since stands in the text that lifts it (signature.Lift).
 type ZoneView struct {
 	Zone   string    `json:"zone"`
 	Since  time.Time `json:"since"`
--- a/internal/state/query/query.go
+++ b/internal/state/query/query.go
@@ -5,11 +5,11 @@
 	"sort"
 	"time"
 
-	"crosstide/internal/fault"
+	"crosstide/internal/errs"
 	"crosstide/internal/state"
 )
 
-// JobView is a job as consumers see it. Its JSON is the answer of GET /v1/jobs/{key}.
+// JobView is a job as clients see it. Its JSON is the answer of GET /v1/jobs/{key}.
 type JobView struct {
 	Key       string         `json:"key"`
 	Team      string         `json:"team,omitempty"`
@@ -35,12 +35,12 @@
 	Done     int    `json:"done,omitempty"`
 	Spent    int    `json:"spent,omitempty"`
 	Skipped  int    `json:"skipped,omitempty"`
-	Faults   int    `json:"faults,omitempty"`
+	Failures int    `json:"faults,omitempty"`
 	Lost     int    `json:"lost,omitempty"`
-	Reason   string `json:"reason,omitempty"` // of the newest fault of a task that is not done
+	Reason   string `json:"reason,omitempty"` // of the newest failure of a task that is not done
 }
 
-// Job gives a job, or what its tombstone still tells; fault.Unknown if the store has neither.
+// Job gives a job, or what its tombstone still tells; errs.Unknown if the store has neither.
 func Job(s *state.State, key string) (JobView, error) {
 	if j := s.Jobs[key]; j != nil {
 		return view(s, j), nil
@@ -48,7 +48,7 @@
 	if t := s.Tombs[key]; t != nil {
 		return JobView{Key: key, Team: t.Team, State: t.Phase, Reason: t.Reason, Ended: t.Ended}, nil
 	}
-	return JobView{}, fault.Field(fault.Unknown, "key", "no job %q", key)
+	return JobView{}, errs.Field(errs.Unknown, "key", "no job %q", key)
 }
 
 func view(s *state.State, j *state.Job) JobView {
@@ -68,7 +68,7 @@
 		for k := range j.Tasks[i] {
 			t := &j.Tasks[i][k]
 			*slots[t.Phase]++
-			sv.Faults += t.Tries
+			sv.Failures += t.Tries
 			sv.Lost += t.Lost
 			if t.Reason != "" && t.Phase != state.TaskDone {
 				sv.Reason = t.Reason
@@ -113,7 +113,7 @@
 // MinionView is a minion with what is out on it.
 type MinionView struct {
 	state.Minion
-	Tickets   int `json:"tickets"`
+	RunIDs    int `json:"tickets"`
 	UsedCores int `json:"used_cores"`
 	UsedGPUs  int `json:"used_gpus"`
 }
@@ -123,7 +123,7 @@
 	out := make([]MinionView, 0, len(s.Minions))
 	for _, name := range s.MinionNames() {
 		r := s.Room(name)
-		out = append(out, MinionView{*s.Minions[name], len(r.Tickets), r.Cores, r.GPUs})
+		out = append(out, MinionView{*s.Minions[name], len(r.RunIDs), r.Cores, r.GPUs})
 	}
 	return out
 }
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -10,7 +10,7 @@
 	"sort"
 	"time"
 
-	"crosstide/internal/fault"
+	"crosstide/internal/errs"
 	"crosstide/internal/jobs"
 )
 
@@ -22,20 +22,20 @@
 	JobRunning   JobPhase = "running"   // admitted: its tasks fall due step by step
 	JobStopping  JobPhase = "stopping"  // its outcome is fixed, handles are still out
 	JobDone      JobPhase = "done"      // every task ended well
-	JobFault     JobPhase = "fault"     // a task was given up
-	JobCancelled JobPhase = "cancelled" // a consumer cancelled it and nothing of it runs any more
+	JobFailed    JobPhase = "fault"     // a task was given up
+	JobCancelled JobPhase = "cancelled" // a client cancelled it and nothing of it runs any more
 )
 
 // Over tells whether the phase is final.
-func (p JobPhase) Over() bool { return p == JobDone || p == JobFault || p == JobCancelled }
+func (p JobPhase) Over() bool { return p == JobDone || p == JobFailed || p == JobCancelled }
 
 // TaskPhase is where a task stands. Only State.move changes it.
 type TaskPhase string
 
 const (
 	TaskWaiting  TaskPhase = ""  // its step waits for others, or the job is in the inbox
-	TaskDue      TaskPhase = "d" // wants a ticket, from Task.Due on
-	TaskHeld     TaskPhase = "h" // has a ticket; not yet listed as running
+	TaskDue      TaskPhase = "d" // wants a run ID, from Task.Due on
+	TaskHeld     TaskPhase = "h" // has a run ID; not yet listed as running
 	TaskRunning  TaskPhase = "r" // listed as running
 	TaskDoubtful TaskPhase = "?" // an answer about it was lost; waits for proof
 	TaskDone     TaskPhase = "e" // ended well; final
@@ -52,14 +52,14 @@
 // Task is one task of a step.
 type Task struct {
 	Phase  TaskPhase `json:"p,omitempty"`
-	Tries  int       `json:"n,omitempty"` // ends in fault so far
+	Tries  int       `json:"n,omitempty"` // ends in failure so far
 	Lost   int       `json:"l,omitempty"` // handles proved dead without an end
-	Ticket uint64    `json:"t,omitempty"` // the newest ticket given
+	RunID  uint64    `json:"t,omitempty"` // the newest run ID given
 	Due    time.Time `json:"d,omitzero"`  // store time from which it may start
-	Reason string    `json:"w,omitempty"` // of the last fault
+	Reason string    `json:"w,omitempty"` // of the last failure
 }
 
-// Spec is what a consumer hands in. Its JSON is the body of POST /v1/jobs.
+// Spec is what a client hands in. Its JSON is the body of POST /v1/jobs.
 type Spec struct {
 	Key   string     `json:"key"`
 	Team  string     `json:"team"`
@@ -109,20 +109,20 @@
 	Task int    `json:"k"`
 }
 
-// Handle is a run handle: the durable record of a run ticket. It exists from the commit of the ticket to its
+// Handle is a run handle: the durable record of a run ID. It exists from the commit of the run ID to its
 // listed end or the proof that it is dead.
 type Handle struct {
-	Ticket  uint64        `json:"t"`
-	Ref     TaskRef       `json:"r"`
-	Minion  string        `json:"m"`
-	Boot    string        `json:"b"`
-	Epoch   uint64        `json:"e"`
-	Charter uint64        `json:"c"`
-	Type    string        `json:"y"`
-	Cores   int           `json:"n"`
-	GPUs    int           `json:"g,omitempty"`
-	Hold    time.Duration `json:"h"`
-	Phase   TaskPhase     `json:"p"`
+	RunID           uint64        `json:"t"`
+	Ref             TaskRef       `json:"r"`
+	Minion          string        `json:"m"`
+	Boot            string        `json:"b"`
+	Epoch           uint64        `json:"e"`
+	PlacementPolicy uint64        `json:"c"`
+	Type            string        `json:"y"`
+	Cores           int           `json:"n"`
+	GPUs            int           `json:"g,omitempty"`
+	Hold            time.Duration `json:"h"`
+	Phase           TaskPhase     `json:"p"`
 }
 
 // Minion is what the store knows of a minion.
@@ -152,7 +152,7 @@
 type Bundle struct {
 	Version uint64           `json:"version"`
 	Queues  map[string]Queue `json:"queues"`
-	Limits  map[string]int   `json:"limits,omitempty"` // type to tickets out; orders the backlog only
+	Limits  map[string]int   `json:"limits,omitempty"` // type to run IDs out; orders the queue only
 	Backoff Backoff          `json:"backoff"`
 	// Retries bounds what steps may ask for; nil: no bound.
 	Retries *int `json:"retries,omitempty"`
@@ -179,13 +179,13 @@
 	return asked
 }
 
-// Backoff bounds the wait before a task that ended in fault is due again.
+// Backoff bounds the wait before a task that ended in failure is due again.
 type Backoff struct {
 	Min time.Duration `json:"min"`
 	Max time.Duration `json:"max"`
 }
 
-// Queue is an operators' placement queue with its charter.
+// Queue is an operators' placement queue with its placement policy.
 type Queue struct {
 	Types   []string          `json:"types,omitempty"`  // empty: any
 	Teams   []string          `json:"teams,omitempty"`  // empty: any
@@ -247,10 +247,10 @@
 
 // State is the whole replicated state. It has no lock: its owner has.
 type State struct {
-	Index  uint64    `json:"index"` // of the last entry applied
-	Term   uint64    `json:"term"`
-	At     time.Time `json:"at"`     // store time: never goes back
-	Ticket uint64    `json:"ticket"` // the newest ticket given
+	Index uint64    `json:"index"` // of the last entry applied
+	Term  uint64    `json:"term"`
+	At    time.Time `json:"at"`     // store time: never goes back
+	RunID uint64    `json:"ticket"` // the newest run ID given
 	// Seq numbers the inbox messages; InboxSeq is the number written ahead by the holder of sched.
 	Seq       uint64               `json:"seq"`
 	InboxSeq  uint64               `json:"inbox_seq"`
@@ -277,17 +277,17 @@
 	// Watch is told of changes as they are applied; it must not change the state.
 	Watch func(Note) `json:"-"`
 
-	room  map[string]*Room
-	tally map[string]int
-	open  int            // jobs that are not over
-	teams map[string]int // the same by team
-	sites map[site]int
+	room          map[string]*Room
+	runningCounts map[string]int
+	open          int            // jobs that are not over
+	teams         map[string]int // the same by team
+	sites         map[site]int
 }
 
 // Room is what handles take on a minion.
 type Room struct {
 	Cores, GPUs int
-	Tickets     map[uint64]*Handle
+	RunIDs      map[uint64]*Handle
 }
 
 // New is the state before the first entry: one queue `default` that any minion may serve.
@@ -311,7 +311,7 @@
 func (s *State) Encode() ([]byte, error) {
 	data, err := json.Marshal(s)
 	if err != nil {
-		return nil, fault.Wrap(err, fault.Internal, "encode state at %d", s.Index)
+		return nil, errs.Wrap(err, errs.Internal, "encode state at %d", s.Index)
 	}
 	return data, nil
 }
@@ -321,7 +321,7 @@
 	s := New()
 	s.Bundle, s.Line = Bundle{}, nil
 	if err := json.Unmarshal(data, s); err != nil {
-		return nil, fault.Wrap(err, fault.Damaged, "decode state")
+		return nil, errs.Wrap(err, errs.Damaged, "decode state")
 	}
 	s.found()
 	s.index()
@@ -331,7 +331,7 @@
 // index makes anew what can be derived.
 func (s *State) index() {
 	s.room = map[string]*Room{}
-	s.tally = map[string]int{}
+	s.runningCounts = map[string]int{}
 	s.sites = map[site]int{}
 	s.open, s.teams = 0, map[string]int{}
 	for _, m := range s.Minions {
@@ -371,19 +371,19 @@
 func (s *State) Room(minion string) *Room {
 	r := s.room[minion]
 	if r == nil {
-		r = &Room{Tickets: map[uint64]*Handle{}}
+		r = &Room{RunIDs: map[uint64]*Handle{}}
 		s.room[minion] = r
 	}
 	return r
 }
 
-// Tally gives how many handles of a type are out.
-func (s *State) Tally(kind string) int { return s.tally[kind] }
+// RunningCount gives how many handles of a type are out.
+func (s *State) RunningCount(kind string) int { return s.runningCounts[kind] }
 
 // Tallies gives a copy of every tally.
 func (s *State) Tallies() map[string]int {
-	out := make(map[string]int, len(s.tally))
-	for k, n := range s.tally {
+	out := make(map[string]int, len(s.runningCounts))
+	for k, n := range s.runningCounts {
 		out[k] = n
 	}
 	return out
@@ -408,17 +408,17 @@
 	r := s.Room(h.Minion)
 	r.Cores += h.Cores
 	r.GPUs += h.GPUs
-	r.Tickets[h.Ticket] = h
-	s.tally[h.Type]++
+	r.RunIDs[h.RunID] = h
+	s.runningCounts[h.Type]++
 }
 
 func (s *State) give(h *Handle) {
 	r := s.Room(h.Minion)
 	r.Cores -= h.Cores
 	r.GPUs -= h.GPUs
-	delete(r.Tickets, h.Ticket)
-	if s.tally[h.Type]--; s.tally[h.Type] == 0 {
-		delete(s.tally, h.Type)
+	delete(r.RunIDs, h.RunID)
+	if s.runningCounts[h.Type]--; s.runningCounts[h.Type] == 0 {
+		delete(s.runningCounts, h.Type)
 	}
 }
 
@@ -432,26 +432,26 @@
 }
 
 // shift is the one function that changes a task's phase, and with it the handle, the room and the tally. h is the
-// handle on the way into TaskHeld, else nil. It refuses a change that is not in the table (fault.Stale).
+// handle on the way into TaskHeld, else nil. It refuses a change that is not in the table (errs.Stale).
 func (s *State) shift(j *Job, t *Task, ref TaskRef, to TaskPhase, h *Handle) error {
 	from := t.Phase
 	if !slices.Contains(moves[from], to) {
-		return fault.New(fault.Stale, "task %v is %q, cannot become %q", ref, from, to)
+		return errs.New(errs.Stale, "task %v is %q, cannot become %q", ref, from, to)
 	}
 	t.Phase = to
 	switch {
 	case to == TaskHeld:
-		t.Ticket = h.Ticket
+		t.RunID = h.RunID
 		h.Phase = TaskHeld
-		s.Handles[h.Ticket] = h
+		s.Handles[h.RunID] = h
 		s.take(h)
 		j.open++
 		s.tell(Note{Kind: NoteOpened, Handle: h, Ref: ref})
 	case from.Open() && to.Open():
-		s.Handles[t.Ticket].Phase = to
+		s.Handles[t.RunID].Phase = to
 	case from.Open():
-		old := s.Handles[t.Ticket]
-		delete(s.Handles, t.Ticket)
+		old := s.Handles[t.RunID]
+		delete(s.Handles, t.RunID)
 		s.give(old)
 		j.open--
 		s.tell(Note{Kind: NoteClosed, Handle: old, Ref: ref})
@@ -471,10 +471,10 @@
 func (s *State) Move(ref TaskRef, to TaskPhase, h *Handle) error {
 	j, t := s.TaskOf(ref)
 	if t == nil {
-		return fault.New(fault.Stale, "no task %v", ref)
+		return errs.New(errs.Stale, "no task %v", ref)
 	}
 	if err := s.shift(j, t, ref, to, h); err != nil {
-		return fault.Pass(err, "move")
+		return errs.Pass(err, "move")
 	}
 	if to == TaskDone && j.left[ref.Step] == 0 && j.Phase == JobRunning {
 		s.Advance(j)
@@ -483,7 +483,7 @@
 	return nil
 }
 
-// must is for changes that the caller has just checked: a refusal is a fault of ours, and going on would leave
+// must is for changes that the caller has just checked: a refusal is a failure of ours, and going on would leave
 // the nodes apart.
 func must(err error) {
 	if err != nil {
@@ -604,11 +604,11 @@
 	}
 }
 
-// Tickets gives the tickets out on a minion, oldest first.
-func (s *State) Tickets(minion string) []uint64 {
+// RunIDs gives the run IDs out on a minion, oldest first.
+func (s *State) RunIDs(minion string) []uint64 {
 	r := s.Room(minion)
-	out := make([]uint64, 0, len(r.Tickets))
-	for t := range r.Tickets {
+	out := make([]uint64, 0, len(r.RunIDs))
+	for t := range r.RunIDs {
 		out = append(out, t)
 	}
 	slices.Sort(out)
--- a/internal/slot/disk.go
+++ b/internal/storage/disk.go
@@ -1,4 +1,4 @@
-package slot
+package storage
 
 import (
 	"errors"
@@ -9,7 +9,7 @@
 
 	"golang.org/x/sys/unix"
 
-	"crosstide/internal/fault"
+	"crosstide/internal/errs"
 )
 
 // Disk is what slot needs of a folder. Names have no path. What is not synced may be lost, in any part.
@@ -34,20 +34,20 @@
 
 type osFile struct{ *os.File }
 
-// OSDisk gives the folder dir, created (and synced in its parent) if it is missing. Fault: Disk. Example:
+// OSDisk gives the folder dir, created (and synced in its parent) if it is missing. Failure: Disk. Example:
 //
-//	disk, err := slot.OSDisk(filepath.Join(data, "store"))
+//	disk, err := storage.OSDisk(filepath.Join(data, "store"))
 func OSDisk(dir string) (Disk, error) {
 	if _, err := os.Stat(dir); err == nil {
 		return osDisk{dir}, nil
 	} else if !errors.Is(err, fs.ErrNotExist) {
-		return nil, fault.Wrap(err, fault.Disk, "look at the folder")
+		return nil, errs.Wrap(err, errs.Disk, "look at the folder")
 	}
 	if err := os.MkdirAll(dir, 0o750); err != nil {
-		return nil, fault.Wrap(err, fault.Disk, "make the folder")
+		return nil, errs.Wrap(err, errs.Disk, "make the folder")
 	}
 	if err := (osDisk{filepath.Dir(dir)}).Sync(); err != nil {
-		return nil, fault.Pass(err, "sync the parent")
+		return nil, errs.Pass(err, "sync the parent")
 	}
 	return osDisk{dir}, nil
 }
@@ -57,7 +57,7 @@
 func (d osDisk) Create(name string) (File, error) {
 	f, err := os.OpenFile(d.at(name), os.O_CREATE|os.O_EXCL|os.O_WRONLY, 0o640)
 	if err != nil {
-		return nil, fault.Wrap(err, fault.Disk, "create %s", name)
+		return nil, errs.Wrap(err, errs.Disk, "create %s", name)
 	}
 	return osFile{f}, nil
 }
@@ -65,7 +65,7 @@
 func (d osDisk) Open(name string) (File, error) {
 	f, err := os.Open(d.at(name))
 	if err != nil {
-		return nil, fault.Wrap(err, fault.Disk, "open %s", name)
+		return nil, errs.Wrap(err, errs.Disk, "open %s", name)
 	}
 	return osFile{f}, nil
 }
@@ -73,7 +73,7 @@
 func (d osDisk) List() ([]string, error) {
 	all, err := os.ReadDir(d.dir)
 	if err != nil {
-		return nil, fault.Wrap(err, fault.Disk, "list the folder")
+		return nil, errs.Wrap(err, errs.Disk, "list the folder")
 	}
 	var out []string
 	for _, e := range all {
@@ -85,20 +85,20 @@
 }
 
 func (d osDisk) Remove(name string) error {
-	return fault.Wrap(os.Remove(d.at(name)), fault.Disk, "remove %s", name)
+	return errs.Wrap(os.Remove(d.at(name)), errs.Disk, "remove %s", name)
 }
 
 func (d osDisk) Rename(old, name string) error {
-	return fault.Wrap(os.Rename(d.at(old), d.at(name)), fault.Disk, "rename %s to %s", old, name)
+	return errs.Wrap(os.Rename(d.at(old), d.at(name)), errs.Disk, "rename %s to %s", old, name)
 }
 
 func (d osDisk) Sync() error {
 	f, err := os.Open(d.dir)
 	if err != nil {
-		return fault.Wrap(err, fault.Disk, "open the folder")
+		return errs.Wrap(err, errs.Disk, "open the folder")
 	}
 	defer f.Close()
-	return fault.Wrap(f.Sync(), fault.Disk, "sync the folder")
+	return errs.Wrap(f.Sync(), errs.Disk, "sync the folder")
 }
 
 // Sync is fdatasync, which also makes the length last. EINTR is no failed sync: the call did not run.
@@ -106,7 +106,7 @@
 	for {
 		err := unix.Fdatasync(int(f.Fd()))
 		if !errors.Is(err, unix.EINTR) {
-			return fault.Wrap(err, fault.Disk, "sync %s", filepath.Base(f.Name()))
+			return errs.Wrap(err, errs.Disk, "sync %s", filepath.Base(f.Name()))
 		}
 	}
 }
--- a/internal/slot/fuzz_test.go
+++ b/internal/storage/fuzz_test.go
@@ -1,10 +1,10 @@
-package slot
+package storage
 
 import (
 	"fmt"
 	"testing"
 
-	"crosstide/internal/fault"
+	"crosstide/internal/errs"
 )
 
 // FuzzOpen reads any bytes as files of the folder: no panic, only records whose sum is right, and what was
@@ -24,7 +24,7 @@
 		}
 		_, boot, err := Open(d, virtual)
 		if err != nil {
-			if !fault.Is(err, fault.Damaged) {
+			if !errs.Is(err, errs.Damaged) {
 				t.Fatalf("not damage: %v", err)
 			}
 			return
--- a/internal/slot/memdisk.go
+++ b/internal/storage/memdisk.go
@@ -1,4 +1,4 @@
-package slot
+package storage
 
 import (
 	"io"
@@ -7,7 +7,7 @@
 	"slices"
 	"sync"
 
-	"crosstide/internal/fault"
+	"crosstide/internal/errs"
 )
 
 // MemDisk is a Disk in memory that keeps what is synced apart from what is not, for tests and the simulator.
@@ -37,10 +37,10 @@
 
 // NewMemDisk makes an empty folder. Example:
 //
-//	d := slot.NewMemDisk()
-//	store, _, err := slot.Open(d, slot.Options{})
+//	d := storage.NewMemDisk()
+//	store, _, err := storage.Open(d, storage.Options{})
 //	d.Crash(rand.New(rand.NewSource(7)))
-//	store, boot, err := slot.Open(d, slot.Options{}) // all that was appended is in boot
+//	store, boot, err := storage.Open(d, storage.Options{}) // all that was appended is in boot
 func NewMemDisk() *MemDisk {
 	return &MemDisk{live: map[string]*inode{}, kept: map[string]*inode{}}
 }
@@ -125,10 +125,10 @@
 	if d.powerOff > 1 {
 		d.powerOff--
 	} else if d.powerOff == 1 {
-		return fault.New(fault.Disk, "power is off")
+		return errs.New(errs.Disk, "power is off")
 	}
 	if boot != d.boot {
-		return fault.New(fault.Disk, "file of an earlier boot")
+		return errs.New(errs.Disk, "file of an earlier boot")
 	}
 	return nil
 }
@@ -152,10 +152,10 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if err := d.change(d.boot); err != nil {
-		return nil, fault.Pass(err, "create %s", name)
+		return nil, errs.Pass(err, "create %s", name)
 	}
 	if d.live[name] != nil {
-		return nil, fault.New(fault.Disk, "%s is there already", name)
+		return nil, errs.New(errs.Disk, "%s is there already", name)
 	}
 	n := &inode{}
 	d.rename(func() { d.live[name] = n })
@@ -167,7 +167,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.live[name] == nil {
-		return nil, fault.New(fault.Disk, "%s is missing", name)
+		return nil, errs.New(errs.Disk, "%s is missing", name)
 	}
 	return &memFile{d: d, n: d.live[name], boot: d.boot}, nil
 }
@@ -184,10 +184,10 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if err := d.change(d.boot); err != nil {
-		return fault.Pass(err, "remove %s", name)
+		return errs.Pass(err, "remove %s", name)
 	}
 	if d.live[name] == nil {
-		return fault.New(fault.Disk, "%s is missing", name)
+		return errs.New(errs.Disk, "%s is missing", name)
 	}
 	d.rename(func() { delete(d.live, name) })
 	return nil
@@ -198,11 +198,11 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if err := d.change(d.boot); err != nil {
-		return fault.Pass(err, "rename %s", old)
+		return errs.Pass(err, "rename %s", old)
 	}
 	n := d.live[old]
 	if n == nil {
-		return fault.New(fault.Disk, "%s is missing", old)
+		return errs.New(errs.Disk, "%s is missing", old)
 	}
 	d.rename(func() { delete(d.live, old); d.live[name] = n })
 	return nil
@@ -213,10 +213,10 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if err := d.change(d.boot); err != nil {
-		return fault.Pass(err, "sync the folder")
+		return errs.Pass(err, "sync the folder")
 	}
 	if d.syncFails() {
-		return fault.New(fault.Disk, "sync of the folder failed")
+		return errs.New(errs.Disk, "sync of the folder failed")
 	}
 	d.kept, d.names = maps.Clone(d.live), nil
 	return nil
@@ -237,7 +237,7 @@
 	f.d.mu.Lock()
 	defer f.d.mu.Unlock()
 	if err := f.d.change(f.boot); err != nil {
-		return 0, fault.Pass(err, "write")
+		return 0, errs.Pass(err, "write")
 	}
 	f.n.data = append(f.n.data, p...)
 	return len(p), nil
@@ -247,11 +247,11 @@
 	f.d.mu.Lock()
 	defer f.d.mu.Unlock()
 	if err := f.d.change(f.boot); err != nil {
-		return fault.Pass(err, "sync")
+		return errs.Pass(err, "sync")
 	}
 	if f.d.syncFails() {
 		f.n.spoil = true
-		return fault.New(fault.Disk, "sync failed")
+		return errs.New(errs.Disk, "sync failed")
 	}
 	if !f.n.spoil {
 		f.n.kept = len(f.n.data)
--- a/internal/slot/record.go
+++ b/internal/storage/record.go
@@ -1,4 +1,4 @@
-package slot
+package storage
 
 import (
 	"bytes"
@@ -7,7 +7,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"crosstide/internal/fault"
+	"crosstide/internal/errs"
 )
 
 // KindHard is the kind of a record of the hard state; its Data (term and vote) is the caller's.
@@ -128,19 +128,19 @@
 	return head, order.AppendUint64(nil, sum.Sum64())
 }
 
-// readSlot checks a slot. Fault: Damaged.
+// readSlot checks a slot. Failure: Damaged.
 func readSlot(all []byte) (Image, error) {
 	if len(all) < slotSize+slotsDone || string(all[:8]) != slotMark {
-		return Image{}, fault.New(fault.Damaged, "no slot in %d bytes", len(all))
+		return Image{}, errs.New(errs.Damaged, "no slot in %d bytes", len(all))
 	}
 	cut := len(all) - slotsDone
 	if xxhash.Sum64(all[:cut]) != order.Uint64(all[cut:]) {
-		return Image{}, fault.New(fault.Damaged, "the slot's sum is wrong")
+		return Image{}, errs.New(errs.Damaged, "the slot's sum is wrong")
 	}
 	rest := all[slotSize:cut]
 	meta, body := order.Uint64(all[32:]), order.Uint64(all[40:])
 	if meta > uint64(len(rest)) || body != uint64(len(rest))-meta {
-		return Image{}, fault.New(fault.Damaged, "the slot's lengths are wrong")
+		return Image{}, errs.New(errs.Damaged, "the slot's lengths are wrong")
 	}
 	return Image{
 		Number: order.Uint64(all[8:]), Index: order.Uint64(all[16:]), Term: order.Uint64(all[24:]),
--- a/internal/slot/slot.go
+++ b/internal/storage/storage.go
@@ -1,7 +1,7 @@
-// Package slot is the durable storage of the control store: two slots written in turn, each with the whole
+// Package storage is the durable storage of the control store: two slots written in turn, each with the whole
 // state, and a short log between. Only what is synced counts. Every file gets its name after it is synced, and
 // the only file that is written under its name is the last segment of the log; so a torn write shows only there.
-package slot
+package storage
 
 import (
 	"fmt"
@@ -11,8 +11,8 @@
 	"sync"
 	"time"
 
-	"crosstide/internal/alarm"
-	"crosstide/internal/fault"
+	"crosstide/internal/clock"
+	"crosstide/internal/errs"
 )
 
 const (
@@ -24,7 +24,7 @@
 
 // Options of a store.
 type Options struct {
-	Clock alarm.Clock // times the syncs for Stats; nil takes alarm.Real
+	Clock clock.Clock // times the syncs for Stats; nil takes clock.Real
 }
 
 // Boot is what Open found.
@@ -44,7 +44,7 @@
 // Store is an open folder. Append, WriteSlot, NewestSlot and Stats may run at the same time.
 type Store struct {
 	disk  Disk
-	clock alarm.Clock
+	clock clock.Clock
 	slots sync.Mutex // held by one WriteSlot
 
 	mu       sync.Mutex // the log and all below; never held while a slot is written
@@ -75,22 +75,22 @@
 	}
 }
 
-// Open reads the folder, cuts a torn tail and makes the rest durable. Faults: Damaged when data that may have
+// Open reads the folder, cuts a torn tail and makes the rest durable. Failures: Damaged when data that may have
 // been synced is lost (nothing in the folder was changed; do not use it as a member's disk any more), Disk.
 // Example:
 //
-//	store, boot, err := slot.Open(disk, slot.Options{})
-//	if fault.Is(err, fault.Damaged) {
+//	store, boot, err := storage.Open(disk, storage.Options{})
+//	if errs.Is(err, errs.Damaged) {
 //		// rejoin as a replaced machine
 //	}
 func Open(d Disk, opt Options) (*Store, Boot, error) {
 	s := &Store{disk: d, clock: opt.Clock, at: 1}
 	if s.clock == nil {
-		s.clock = alarm.Real{}
+		s.clock = clock.Real{}
 	}
 	boot, err := s.open()
 	if err != nil {
-		return nil, Boot{}, fault.Pass(err, "open the store")
+		return nil, Boot{}, errs.Pass(err, "open the store")
 	}
 	return s, boot, nil
 }
@@ -108,7 +108,7 @@
 func (s *Store) look() (f found, err error) {
 	names, err := s.disk.List()
 	if err != nil {
-		return f, fault.Pass(err, "look at the folder")
+		return f, errs.Pass(err, "look at the folder")
 	}
 	slices.Sort(names)
 	for _, name := range names {
@@ -123,7 +123,7 @@
 		}
 		all, err := s.read(name)
 		if err != nil {
-			return f, fault.Pass(err, "look at %s", name)
+			return f, errs.Pass(err, "look at %s", name)
 		}
 		if isLog {
 			f.numbers, f.bytes = append(f.numbers, number), append(f.bytes, all)
@@ -149,11 +149,11 @@
 	return number, err == nil && segment{number: number}.name() == name
 }
 
-// Clear removes every file of a store from the folder, and only those, and makes it last. Fault: Disk.
+// Clear removes every file of a store from the folder, and only those, and makes it last. Failure: Disk.
 func Clear(d Disk) error {
 	names, err := d.List()
 	if err != nil {
-		return fault.Pass(err, "clear the folder")
+		return errs.Pass(err, "clear the folder")
 	}
 	for _, name := range names {
 		_, isLog := segmentNumber(name)
@@ -161,26 +161,26 @@
 			continue
 		}
 		if err := d.Remove(name); err != nil {
-			return fault.Pass(err, "clear the folder")
+			return errs.Pass(err, "clear the folder")
 		}
 	}
-	return fault.Pass(d.Sync(), "clear the folder")
+	return errs.Pass(d.Sync(), "clear the folder")
 }
 
 func (s *Store) read(name string) ([]byte, error) {
 	file, err := s.disk.Open(name)
 	if err != nil {
-		return nil, fault.Wrap(err, fault.Disk, "open %s", name)
+		return nil, errs.Wrap(err, errs.Disk, "open %s", name)
 	}
 	defer file.Close()
 	all, err := io.ReadAll(file)
-	return all, fault.Wrap(err, fault.Disk, "read %s", name)
+	return all, errs.Wrap(err, errs.Disk, "read %s", name)
 }
 
 func (s *Store) open() (boot Boot, err error) {
 	f, err := s.look()
 	if err != nil {
-		return boot, fault.Pass(err, "files of the store")
+		return boot, errs.Pass(err, "files of the store")
 	}
 	// Read the log up to its first bad byte, which may only be the torn end of it all.
 	var tail []Record // records of the last segment that counts
@@ -188,13 +188,13 @@
 	dropped := 0 // segments after it
 	for i, number := range f.numbers {
 		if i > 0 && number != f.numbers[i-1]+1 {
-			return boot, fault.New(fault.Damaged, "segment %d follows %d", number, f.numbers[i-1])
+			return boot, errs.New(errs.Damaged, "segment %d follows %d", number, f.numbers[i-1])
 		}
 		recs, end := readSegment(f.bytes[i], number)
 		g := segment{number: number}
 		for _, r := range recs {
 			if !told.add(r) {
-				return boot, fault.New(fault.Damaged, "segment %d: entry %d follows %d", number, r.Index, told.last())
+				return boot, errs.New(errs.Damaged, "segment %d: entry %d follows %d", number, r.Index, told.last())
 			}
 			g.note(r)
 		}
@@ -202,7 +202,7 @@
 		// The first records of a segment were synced before it got its name: no torn write takes them.
 		lost := len(recs) == 0 && f.slots > 0 || len(recs) == 1 && len(recs[0].Data) > 0
 		if i == 0 && lost || len(recs) > 0 && recs[0].Kind != kindBase {
-			return boot, fault.New(fault.Damaged, "segment %d lost its start", number)
+			return boot, errs.New(errs.Damaged, "segment %d lost its start", number)
 		}
 		if end == len(f.bytes[i]) && len(recs) > 0 {
 			continue
@@ -213,18 +213,18 @@
 			boot.Cut += int64(len(f.bytes[j]))
 		}
 		if boot.Cut -= int64(end); later {
-			return boot, fault.New(fault.Damaged, "segment %d is bad at byte %d, before valid records", number, end)
+			return boot, errs.New(errs.Damaged, "segment %d is bad at byte %d, before valid records", number, end)
 		}
 		dropped = len(f.numbers) - 1 - i
 		break
 	}
 	if len(f.numbers) == 0 && f.slots > 0 {
-		return boot, fault.New(fault.Damaged, "slots without a log")
+		return boot, errs.New(errs.Damaged, "slots without a log")
 	}
 	if err := s.choose(f, &told, &boot); err != nil {
-		return boot, fault.Pass(err, "newest slot")
+		return boot, errs.Pass(err, "newest slot")
 	}
-	return boot, fault.Pass(s.settle(f, dropped, tail, told), "end of the log")
+	return boot, errs.Pass(s.settle(f, dropped, tail, told), "end of the log")
 }
 
 // choose takes the newest image that the log follows.
@@ -244,7 +244,7 @@
 	if boot.Image == nil {
 		entries, ok := told.after(0)
 		if !ok || len(f.images) > 0 {
-			return fault.New(fault.Damaged, "the log does not follow any valid slot (%d of %d valid)", len(f.images), f.slots)
+			return errs.New(errs.Damaged, "the log does not follow any valid slot (%d of %d valid)", len(f.images), f.slots)
 		}
 		boot.Records = slices.Clone(entries)
 	}
@@ -260,7 +260,7 @@
 func (s *Store) settle(f found, dropped int, tail []Record, told tale) error {
 	for _, name := range f.loose {
 		if err := s.disk.Remove(name); err != nil {
-			return fault.Wrap(err, fault.Disk, "remove %s", name)
+			return errs.Wrap(err, errs.Disk, "remove %s", name)
 		}
 	}
 	if len(s.segments) == 0 {
@@ -284,12 +284,12 @@
 		s.tale.list[i].Data = nil
 	}
 	if err := s.start(last, head); err != nil {
-		return fault.Pass(err, "segment %d", last.number)
+		return errs.Pass(err, "segment %d", last.number)
 	}
 	for i := range dropped { // from the end, so that no gap can stay
 		number := f.numbers[len(f.numbers)-1-i]
 		if err := s.removeSegment(number); err != nil {
-			return fault.Pass(err, "drop segment %d", number)
+			return errs.Pass(err, "drop segment %d", number)
 		}
 	}
 	return nil
@@ -313,7 +313,7 @@
 	}
 	file, err := s.place(g.name(), buf)
 	if err != nil {
-		return fault.Pass(err, "segment to append to")
+		return errs.Pass(err, "segment to append to")
 	}
 	if s.file != nil {
 		_ = s.file.Close() // synced before
@@ -326,7 +326,7 @@
 func (s *Store) place(name string, parts ...[]byte) (File, error) {
 	file, err := s.disk.Create(name + loose)
 	if err != nil {
-		return nil, fault.Wrap(err, fault.Disk, "create %s", name)
+		return nil, errs.Wrap(err, errs.Disk, "create %s", name)
 	}
 	bytes := 0
 	for _, p := range parts {
@@ -346,7 +346,7 @@
 	}
 	if err != nil {
 		_ = file.Close()
-		return nil, fault.Wrap(err, fault.Disk, "write %s", name)
+		return nil, errs.Wrap(err, errs.Disk, "write %s", name)
 	}
 	s.count(func(c *Stats) { c.Syncs, c.Bytes = c.Syncs+2, c.Bytes+uint64(bytes) })
 	return file, nil
@@ -355,10 +355,10 @@
 func (s *Store) removeSegment(number uint64) error {
 	name := segment{number: number}.name()
 	if err := s.disk.Remove(name); err != nil {
-		return fault.Wrap(err, fault.Disk, "remove %s", name)
+		return errs.Wrap(err, errs.Disk, "remove %s", name)
 	}
 	s.count(func(c *Stats) { c.Syncs++ })
-	return fault.Wrap(s.disk.Sync(), fault.Disk, "sync the folder")
+	return errs.Wrap(s.disk.Sync(), errs.Disk, "sync the folder")
 }
 
 func (s *Store) count(add func(c *Stats)) {
@@ -370,10 +370,10 @@
 // usable tells, under mu, whether the store may still write.
 func (s *Store) usable() error {
 	if s.broken != nil {
-		return fault.Wrap(s.broken, fault.Disk, "the store failed before")
+		return errs.Wrap(s.broken, errs.Disk, "the store failed before")
 	}
 	if s.closed {
-		return fault.New(fault.Stopped, "the store is closed")
+		return errs.New(errs.Stopped, "the store is closed")
 	}
 	return nil
 }
@@ -383,20 +383,20 @@
 	if s.broken == nil {
 		s.broken = err
 	}
-	return fault.Wrap(err, fault.Disk, "the store failed")
+	return errs.Wrap(err, errs.Disk, "the store failed")
 }
 
 // Append writes recs with one write and one sync and returns when they last. An entry replaces the one of its
-// index and all after it; it must follow the last entry without a hole and lie past the newest image. Faults:
+// index and all after it; it must follow the last entry without a hole and lie past the newest image. Failures:
 // Invalid and TooLarge (nothing was written), Stopped, Disk (a write or sync failed, now or before: end the
 // process, what recs became is unknown). Example:
 //
-//	err := store.Append([]slot.Record{{Kind: slot.KindHard, Data: vote}, {Term: 2, Index: 9, Data: order}})
+//	err := store.Append([]storage.Record{{Kind: storage.KindHard, Data: vote}, {Term: 2, Index: 9, Data: order}})
 func (s *Store) Append(recs []Record) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if err := s.usable(); err != nil {
-		return fault.Pass(err, "append %d records", len(recs))
+		return errs.Pass(err, "append %d records", len(recs))
 	}
 	if len(recs) == 0 {
 		return nil
@@ -406,22 +406,22 @@
 	for _, r := range recs {
 		switch {
 		case len(r.Data) > MaxData:
-			return fault.New(fault.TooLarge, "a record of %d bytes, at most %d", len(r.Data), MaxData)
+			return errs.New(errs.TooLarge, "a record of %d bytes, at most %d", len(r.Data), MaxData)
 		case r.Kind == kindBase:
-			return fault.Field(fault.Invalid, "kind", "%d is the store's own", r.Kind)
+			return errs.Field(errs.Invalid, "kind", "%d is the store's own", r.Kind)
 		case r.Kind != KindHard && (r.Index > last+1 || r.Index <= s.newest.Index):
-			return fault.Field(fault.Invalid, "index", "entry %d after %d, image at %d", r.Index, last, s.newest.Index)
+			return errs.Field(errs.Invalid, "index", "entry %d after %d, image at %d", r.Index, last, s.newest.Index)
 		case r.Kind != KindHard:
 			last = r.Index
 		}
 		s.buf = appendRecord(s.buf, s.segments[len(s.segments)-1].number, s.size, r)
 	}
 	if _, err := s.file.Write(s.buf); err != nil {
-		return fault.Pass(s.fail(fault.Wrap(err, fault.Disk, "write the log")), "append %d records", len(recs))
+		return errs.Pass(s.fail(errs.Wrap(err, errs.Disk, "write the log")), "append %d records", len(recs))
 	}
 	from := s.clock.Now()
 	if err := s.file.Sync(); err != nil {
-		return fault.Pass(s.fail(fault.Wrap(err, fault.Disk, "sync the log")), "append %d records", len(recs))
+		return errs.Pass(s.fail(errs.Wrap(err, errs.Disk, "sync the log")), "append %d records", len(recs))
 	}
 	took := s.clock.Now() - from
 	s.size += len(s.buf)
@@ -446,9 +446,9 @@
 // whose entries all lie at or before the slot before it, and before keepFrom if that is not 0. Appends go on
 // meanwhile but for the change of segment. An image of the own log must have the Term of its entry; one that
 // came from another member must be written before the entries after it are appended: entries that it
-// contradicts fall. Faults: Invalid (older than the newest slot), Stopped, Disk (as with Append). Example:
+// contradicts fall. Failures: Invalid (older than the newest slot), Stopped, Disk (as with Append). Example:
 //
-//	err := store.WriteSlot(slot.Image{Index: applied, Term: term, Meta: members, Body: state}, 0)
+//	err := store.WriteSlot(storage.Image{Index: applied, Term: term, Meta: members, Body: state}, 0)
 func (s *Store) WriteSlot(img Image, keepFrom uint64) error {
 	s.slots.Lock()
 	defer s.slots.Unlock()
@@ -456,10 +456,10 @@
 	err, before, at := s.usable(), s.newest, 1-s.at
 	s.mu.Unlock()
 	if err != nil {
-		return fault.Pass(err, "slot %d", before.Number+1)
+		return errs.Pass(err, "slot %d", before.Number+1)
 	}
 	if img.Index < before.Index {
-		return fault.Field(fault.Invalid, "index", "image at %d, the newest slot is at %d", img.Index, before.Index)
+		return errs.Field(errs.Invalid, "index", "image at %d, the newest slot is at %d", img.Index, before.Index)
 	}
 	img.Number = before.Number + 1
 	head, tail := slotParts(img)
@@ -471,7 +471,7 @@
 	if err != nil {
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		return fault.Pass(s.fail(err), "slot %d", img.Number)
+		return errs.Pass(s.fail(err), "slot %d", img.Number)
 	}
 	s.count(func(c *Stats) { c.Slots++ })
 	return nil
@@ -506,27 +506,27 @@
 	for i := 0; i < n && err == nil; i++ { // oldest first, each synced, so that no gap can stay
 		err = s.removeSegment(old[i].number)
 	}
-	return fault.Pass(err, "change of segment")
+	return errs.Pass(err, "change of segment")
 }
 
-// NewestSlot reads the newest slot back and checks it. Faults: Unknown (none was written), Damaged, Disk.
+// NewestSlot reads the newest slot back and checks it. Failures: Unknown (none was written), Damaged, Disk.
 func (s *Store) NewestSlot() (Image, error) {
 	s.mu.Lock()
 	name, number := slotNames[s.at], s.newest.Number
 	s.mu.Unlock()
 	if number == 0 {
-		return Image{}, fault.New(fault.Unknown, "no slot was written yet")
+		return Image{}, errs.New(errs.Unknown, "no slot was written yet")
 	}
 	all, err := s.read(name)
 	if err != nil {
-		return Image{}, fault.Pass(err, "newest slot")
+		return Image{}, errs.Pass(err, "newest slot")
 	}
 	img, err := readSlot(all)
 	if err != nil {
-		return Image{}, fault.Pass(err, "read %s", name)
+		return Image{}, errs.Pass(err, "read %s", name)
 	}
 	if img.Number < number {
-		return Image{}, fault.New(fault.Damaged, "%s holds number %d, not %d", name, img.Number, number)
+		return Image{}, errs.New(errs.Damaged, "%s holds number %d, not %d", name, img.Number, number)
 	}
 	return img, nil
 }
@@ -553,5 +553,5 @@
 		return nil
 	}
 	s.closed = true
-	return fault.Wrap(s.file.Close(), fault.Disk, "close the log")
+	return errs.Wrap(s.file.Close(), errs.Disk, "close the log")
 }
--- a/internal/slot/slot_test.go
+++ b/internal/storage/storage_test.go
@@ -1,4 +1,4 @@
-package slot
+package storage
 
 import (
 	"bytes"
@@ -10,12 +10,12 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"crosstide/internal/alarm"
-	"crosstide/internal/fault"
-	"crosstide/internal/spawn"
+	"crosstide/internal/clock"
+	"crosstide/internal/errs"
+	"crosstide/internal/routine"
 )
 
-var virtual = Options{Clock: &alarm.Virtual{}}
+var virtual = Options{Clock: &clock.Virtual{}}
 
 func entry(term, index uint64) Record {
 	return Record{Kind: uint8(index % 3), Term: term, Index: index, Data: fmt.Appendf(nil, "%d/%d;", term, index)}
@@ -88,13 +88,13 @@
 		}
 	}
 	So(s.Close(), ShouldBeNil)
-	So(s.Append([]Record{hard(1)}), shouldBe, fault.Stopped)
+	So(s.Append([]Record{hard(1)}), shouldBe, errs.Stopped)
 	return d, m
 }
 
 func shouldBe(actual any, expected ...any) string {
 	err, _ := actual.(error)
-	return ShouldEqual(fault.KindOf(err), expected[0])
+	return ShouldEqual(errs.KindOf(err), expected[0])
 }
 
 func TestStore(t *testing.T) {
@@ -105,7 +105,7 @@
 		So(err, ShouldBeNil)
 		So(boot.Fresh, ShouldBeTrue)
 		_, err = s.NewestSlot()
-		So(err, shouldBe, fault.Unknown)
+		So(err, shouldBe, errs.Unknown)
 		m := model{}.with(hard(1), entry(1, 1), entry(1, 2), entry(1, 3))
 		So(s.Append(append(m.entries, hard(1))), ShouldBeNil)
 		So(s.WriteSlot(m.image(2), 0), ShouldBeNil)
@@ -116,9 +116,9 @@
 		So(s.Append([]Record{entry(2, 3), entry(2, 4)}), ShouldBeNil) // takes the place of 1/3
 		So(s.Stats().Records, ShouldEqual, 6)
 		So(s.Stats().Segments, ShouldEqual, 2)
-		So(s.Append([]Record{entry(2, 6)}), shouldBe, fault.Invalid)
-		So(s.Append([]Record{entry(2, 2)}), shouldBe, fault.Invalid)
-		So(s.WriteSlot(m.image(1), 0), shouldBe, fault.Invalid)
+		So(s.Append([]Record{entry(2, 6)}), shouldBe, errs.Invalid)
+		So(s.Append([]Record{entry(2, 2)}), shouldBe, errs.Invalid)
+		So(s.WriteSlot(m.image(1), 0), shouldBe, errs.Invalid)
 		So(s.Close(), ShouldBeNil)
 		s, boot, err = Open(d, Options{})
 		So(err, ShouldBeNil)
@@ -130,7 +130,7 @@
 		d, m := filled()
 		s := must(Open(d, virtual))
 		So(s.WriteSlot(Image{Index: 10, Term: 20, Body: []byte("theirs")}, 0), ShouldBeNil)
-		So(s.Append([]Record{entry(20, 12)}), shouldBe, fault.Invalid)
+		So(s.Append([]Record{entry(20, 12)}), shouldBe, errs.Invalid)
 		So(s.Append([]Record{entry(20, 11)}), ShouldBeNil)
 		_, boot, err := Open(d, virtual)
 		So(err, ShouldBeNil)
@@ -138,7 +138,7 @@
 		So(boot.Records, ShouldResemble, []Record{{Kind: KindHard, Data: m.hard}, entry(20, 11)})
 		d.Flip(slotNames[0], 60, 1) // theirs; the log cannot replace it
 		_, _, err = Open(d, virtual)
-		So(err, shouldBe, fault.Damaged)
+		So(err, shouldBe, errs.Damaged)
 	})
 	Convey("keepFrom keeps segments", t, func() {
 		d, m := filled()
@@ -196,7 +196,7 @@
 				_, boot, err := Open(c, virtual)
 				isTail := name == last && at >= tail
 				switch {
-				case fault.Is(err, fault.Damaged) && name[:4] == logTag && !isTail:
+				case errs.Is(err, errs.Damaged) && name[:4] == logTag && !isTail:
 					damaged++
 				case err == nil && isTail && boot.Cut > 0 && (model{m.hard, m.entries[:10]}).fits(boot):
 					cut++
@@ -211,7 +211,7 @@
 		So(damaged*cut*good, ShouldBeGreaterThan, 0)
 	})
 	Convey("Slots that are torn or missing", t, func() {
-		for broken, kind := range map[string]fault.Kind{"": "", "a": "", "b": "", "ab": fault.Damaged} {
+		for broken, kind := range map[string]errs.Kind{"": "", "a": "", "b": "", "ab": errs.Damaged} {
 			for _, missing := range []bool{false, true} {
 				d, m := filled()
 				for _, c := range broken {
@@ -230,7 +230,7 @@
 		So(d.Remove(names[0]), ShouldBeNil)
 		So(d.Remove(slotNames[1]), ShouldBeNil) // the older slot, and a hole after it
 		_, _, err := Open(d, virtual)
-		So(err, shouldBe, fault.Damaged)
+		So(err, shouldBe, errs.Damaged)
 	})
 }
 
@@ -247,7 +247,7 @@
 			}
 			d.Put(segment{number: 1}.name(), all)
 			_, _, err := Open(d, virtual)
-			So(fault.Is(err, fault.Damaged), ShouldEqual, c.then != 6)
+			So(errs.Is(err, errs.Damaged), ShouldEqual, c.then != 6)
 		}
 	})
 }
@@ -320,9 +320,9 @@
 						err = s.WriteSlot(m.image(11), 0)
 					}
 				}
-				So(err, shouldBe, fault.Disk)
-				So(s.Append([]Record{hard(13)}), shouldBe, fault.Disk)
-				So(s.WriteSlot(m.image(11), 0), shouldBe, fault.Disk)
+				So(err, shouldBe, errs.Disk)
+				So(s.Append([]Record{hard(13)}), shouldBe, errs.Disk)
+				So(s.WriteSlot(m.image(11), 0), shouldBe, errs.Disk)
 				_, before, err := Open(d, virtual) // the process starts again on the same machine
 				So(err, ShouldBeNil)
 				d.Crash(rand.New(rand.NewSource(int64(n))))
@@ -339,19 +339,19 @@
 		}
 		s := must(Open(d, virtual))
 		So(s.Append(m.entries[:100]), ShouldBeNil)
-		g, faults := spawn.New(context.Background()), make([]error, 2)
+		g, failures := routine.New(context.Background()), make([]error, 2)
 		g.Go(func(context.Context) {
-			for i := uint64(10); i <= 100 && faults[0] == nil; i += 10 {
-				faults[0] = s.WriteSlot(m.image(i), 0)
+			for i := uint64(10); i <= 100 && failures[0] == nil; i += 10 {
+				failures[0] = s.WriteSlot(m.image(i), 0)
 			}
 		})
 		g.Go(func(context.Context) {
-			for i := 100; i < 300 && faults[1] == nil; i++ {
-				faults[1] = s.Append(m.entries[i : i+1])
+			for i := 100; i < 300 && failures[1] == nil; i++ {
+				failures[1] = s.Append(m.entries[i : i+1])
 			}
 		})
 		g.Wait()
-		So(faults, ShouldResemble, make([]error, 2))
+		So(failures, ShouldResemble, make([]error, 2))
 		_, boot, err := Open(d, virtual)
 		So(err, ShouldBeNil)
 		So(boot.Image.Index, ShouldEqual, 100)
--- a/internal/store/discard.go
+++ b/internal/store/discard.go
@@ -6,8 +6,8 @@
 
 	"github.com/go-kit/log/level"
 
-	"crosstide/internal/fault"
-	"crosstide/internal/slot"
+	"crosstide/internal/errs"
+	"crosstide/internal/storage"
 )
 
 const (
@@ -21,16 +21,16 @@
 
 // Discard marks the contents of a folder as void, and makes that last: the next Open removes them and begins as a
 // new incarnation, which asks the nodes at the addresses to be taken in, besides its seeds. Use it on a folder
-// that is damaged, or of a member that was removed. Fault: Disk.
-func Discard(d slot.Disk, addresses ...string) error {
+// that is damaged, or of a member that was removed. Failure: Disk.
+func Discard(d storage.Disk, addresses ...string) error {
 	names, err := d.List()
 	if err != nil {
-		return fault.Pass(err, "discard")
+		return errs.Pass(err, "discard")
 	}
 	if slices.Contains(names, discardFile) {
-		return fault.Pass(d.Sync(), "discard") // the one that made it may not have got so far
+		return errs.Pass(d.Sync(), "discard") // the one that made it may not have got so far
 	}
-	return fault.Pass(writeFile(d, discardFile, strings.Join(addresses, "\n")), "discard")
+	return errs.Pass(writeFile(d, discardFile, strings.Join(addresses, "\n")), "discard")
 }
 
 // finishDiscard ends what Discard began, if it did: an empty folder with a new ID is left.
@@ -38,28 +38,28 @@
 	disk := s.opt.Disk
 	peers, marked, err := readFile(disk, discardFile)
 	if err != nil || !marked {
-		return fault.Pass(err, "read the mark")
+		return errs.Pass(err, "read the mark")
 	}
-	if err := slot.Clear(disk); err != nil {
-		return fault.Pass(err, "clear")
+	if err := storage.Clear(disk); err != nil {
+		return errs.Pass(err, "clear")
 	}
 	if err := writeFile(disk, peersFile, peers); err != nil {
-		return fault.Pass(err, "keep the addresses")
+		return errs.Pass(err, "keep the addresses")
 	}
 	id := s.newID()
 	if err := writeFile(disk, idFile, id); err != nil {
-		return fault.Pass(err, "take a new id")
+		return errs.Pass(err, "take a new id")
 	}
 	if err := disk.Remove(discardFile); err != nil {
-		return fault.Pass(err, "remove the mark")
+		return errs.Pass(err, "remove the mark")
 	}
 	_ = level.Warn(s.log).Log("msg", "old contents of the folder removed: joining anew", "id", id)
-	return fault.Pass(disk.Sync(), "sync")
+	return errs.Pass(disk.Sync(), "sync")
 }
 
 // loadPeers takes in the addresses that were known before the folder's contents were discarded.
 func (s *Store) loadPeers() error {
 	peers, _, err := readFile(s.opt.Disk, peersFile)
 	s.learn(strings.Fields(peers)...)
-	return fault.Pass(err, "addresses of other nodes")
+	return errs.Pass(err, "addresses of other nodes")
 }
--- a/internal/store/disk.go
+++ b/internal/store/disk.go
@@ -6,11 +6,11 @@
 
 	"github.com/go-kit/log/level"
 
-	"crosstide/internal/fault"
-	"crosstide/internal/pair"
+	"crosstide/internal/api"
+	"crosstide/internal/errs"
 	"crosstide/internal/quorum"
-	"crosstide/internal/slot"
 	"crosstide/internal/state"
+	"crosstide/internal/storage"
 )
 
 // entryRoom is what an entry takes beside its data.
@@ -37,7 +37,7 @@
 			continue
 		}
 		if err := s.write(batch); err != nil {
-			s.fatal(fault.Pass(err, "store the log"))
+			s.fatal(errs.Pass(err, "store the log"))
 			return
 		}
 		s.stored(batch)
@@ -64,20 +64,20 @@
 		err = s.slots.Append(records)
 		s.meter.syncs.Observe((s.clock.Now() - from).Seconds())
 	}
-	return fault.Pass(err, "append")
+	return errs.Pass(err, "append")
 }
 
-func recordsOf(batch []work) (out []slot.Record, err error) {
+func recordsOf(batch []work) (out []storage.Record, err error) {
 	for _, w := range batch {
 		if w.hard != nil {
 			data, err := json.Marshal(w.hard)
 			if err != nil {
-				return nil, fault.Wrap(err, fault.Internal, "encode the hard state")
+				return nil, errs.Wrap(err, errs.Internal, "encode the hard state")
 			}
-			out = append(out, slot.Record{Kind: slot.KindHard, Data: data})
+			out = append(out, storage.Record{Kind: storage.KindHard, Data: data})
 		}
 		for _, e := range w.append {
-			out = append(out, slot.Record{Kind: uint8(e.Kind), Term: e.Term, Index: e.Index, Data: e.Data})
+			out = append(out, storage.Record{Kind: uint8(e.Kind), Term: e.Term, Index: e.Index, Data: e.Data})
 		}
 	}
 	return out, nil
@@ -113,7 +113,7 @@
 
 // install is a snapshot of another member that takes the place of this node's state.
 type install struct {
-	image slot.Image
+	image storage.Image
 	meta  quorum.Meta
 	live  *state.State
 	done  chan struct{}
@@ -146,17 +146,17 @@
 	in := s.install
 	s.install = nil
 	n := 0
-	for n < len(s.backlog) && s.backlog[n].Index <= s.durable {
+	for n < len(s.committed) && s.committed[n].Index <= s.durable {
 		n++
 	}
-	batch := s.backlog[:n:n]
-	if s.backlog = s.backlog[n:]; len(s.backlog) == 0 {
-		s.backlog = nil
+	batch := s.committed[:n:n]
+	if s.committed = s.committed[n:]; len(s.committed) == 0 {
+		s.committed = nil
 	}
 	s.mu.Unlock()
 	for i := range batch {
 		if err := s.follow(batch[i]); err != nil {
-			return in, fault.Pass(err, "trail")
+			return in, errs.Pass(err, "trail")
 		}
 		batch[i].Data = nil
 	}
@@ -171,38 +171,38 @@
 	if e.Kind == quorum.Members {
 		s.shadowMembers = nil
 		if err := json.Unmarshal(e.Data, &s.shadowMembers); err != nil {
-			return fault.Wrap(err, fault.Damaged, "members at %d", e.Index)
+			return errs.Wrap(err, errs.Damaged, "members at %d", e.Index)
 		}
 	}
-	_, _ = applyTo(s.shadow, e) // a command's own fault is an outcome
+	_, _ = applyTo(s.shadow, e) // a command's own failure is an outcome
 	s.shadowSince++
 	s.shadowBytes += len(e.Data) + entryRoom
 	if s.shadowSince < s.set.SlotEvery && s.shadowBytes < maxBytes {
 		return nil
 	}
-	return fault.Pass(s.writeSlot(), "slot at %d", e.Index)
+	return errs.Pass(s.writeSlot(), "slot at %d", e.Index)
 }
 
 func (s *Store) writeSlot() error {
 	from := s.clock.Now()
 	body, err := s.shadow.Encode()
 	if err != nil {
-		return fault.Pass(err, "write a slot")
+		return errs.Pass(err, "write a slot")
 	}
 	meta := quorum.Meta{Index: s.shadow.Index, Term: s.shadow.Term, Members: s.shadowMembers}
 	raw, err := json.Marshal(meta)
 	if err != nil {
-		return fault.Wrap(err, fault.Internal, "encode the meta of a slot")
+		return errs.Wrap(err, errs.Internal, "encode the meta of a slot")
 	}
-	if err := s.slots.WriteSlot(slot.Image{Index: meta.Index, Term: meta.Term, Meta: raw, Body: body}, 0); err != nil {
-		return fault.Pass(err, "write a slot")
+	if err := s.slots.WriteSlot(storage.Image{Index: meta.Index, Term: meta.Term, Meta: raw, Body: body}, 0); err != nil {
+		return errs.Pass(err, "write a slot")
 	}
 	took := s.clock.Now() - from
 	s.meter.slots.Observe(took.Seconds())
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	before := s.newest.Index
-	s.newest = pair.Snapshot{Number: s.newest.Number + 1, Index: meta.Index, Term: meta.Term, Size: int64(len(body))}
+	s.newest = api.Snapshot{Number: s.newest.Number + 1, Index: meta.Index, Term: meta.Term, Size: int64(len(body))}
 	s.core.SnapshotAt(meta)
 	s.logTotal += s.shadowBytes
 	s.core.Compact(s.tail(before))
@@ -237,7 +237,7 @@
 			return nil
 		}
 	}
-	return fault.Pass(s.put(in), "adopt")
+	return errs.Pass(s.put(in), "adopt")
 }
 
 // freeze holds the core still if the image is newer than what is committed here.
@@ -265,18 +265,18 @@
 // put stores the image and puts it in the place of the own state.
 func (s *Store) put(in *install) error {
 	if err := s.slots.WriteSlot(in.image, 0); err != nil {
-		return fault.Pass(err, "write a fetched snapshot")
+		return errs.Pass(err, "write a fetched snapshot")
 	}
 	shadow, err := state.Decode(in.image.Body)
 	if err != nil {
-		return fault.Pass(err, "a fetched snapshot")
+		return errs.Pass(err, "a fetched snapshot")
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.newest = pair.Snapshot{Number: s.newest.Number + 1, Index: in.meta.Index, Term: in.meta.Term, Size: int64(len(in.image.Body))}
+	s.newest = api.Snapshot{Number: s.newest.Number + 1, Index: in.meta.Index, Term: in.meta.Term, Size: int64(len(in.image.Body))}
 	s.core.Installed(s.clock.Now(), in.meta)
 	s.shadow, s.shadowMembers, s.shadowSince, s.shadowBytes = shadow, in.meta.Members, 0, 0
-	s.backlog, s.behind, s.unapplied = nil, 0, nil
+	s.committed, s.behind, s.unapplied = nil, 0, nil
 	s.durable = max(s.durable, in.meta.Index)
 	s.replace(in.live)
 	_ = level.Info(s.log).Log("msg", "snapshot installed", "index", in.meta.Index, "bytes", len(in.image.Body))
--- a/internal/store/duty.go
+++ b/internal/store/duty.go
@@ -5,35 +5,35 @@
 
 	"github.com/go-kit/log/level"
 
-	"crosstide/internal/fault"
-	"crosstide/internal/pair"
+	"crosstide/internal/api"
+	"crosstide/internal/errs"
 	"crosstide/internal/state"
 	"crosstide/internal/state/command"
 )
 
 // Duty claims, renews or gives up a duty; only the confirmed leader answers. See Book for why no two hold one.
-// Faults: NotLeader (Hint), Unavailable, Timeout, Invalid.
-func (s *Store) Duty(ctx context.Context, call pair.DutyCall) (pair.DutyAnswer, error) {
+// Failures: NotLeader (Hint), Unavailable, Timeout, Invalid.
+func (s *Store) Duty(ctx context.Context, call api.DutyCall) (api.DutyAnswer, error) {
 	if call.Duty == "" || call.Holder == "" || call.Boot == "" {
-		return pair.DutyAnswer{}, fault.Field(fault.Invalid, "holder", "duty, holder and boot are needed")
+		return api.DutyAnswer{}, errs.Field(errs.Invalid, "holder", "duty, holder and boot are needed")
 	}
 	a, held, c, err := s.ask(call)
 	if err != nil || c == nil {
-		return a, fault.Pass(err, "duty %s", call.Duty)
+		return a, errs.Pass(err, "duty %s", call.Duty)
 	}
 	index, _, err := s.Propose(ctx, c)
 	a, err = s.granted(call, held, index, err)
-	return a, fault.Pass(err, "call")
+	return a, errs.Pass(err, "call")
 }
 
 // ask judges a call: the answer, or the command on the duty that is to be committed first.
-func (s *Store) ask(call pair.DutyCall) (a pair.DutyAnswer, held state.Duty, c command.Command, err error) {
+func (s *Store) ask(call api.DutyCall) (a api.DutyAnswer, held state.Duty, c command.Command, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	held, verdict, err := s.judge(call)
 	switch {
 	case err != nil:
-		return a, held, nil, fault.Pass(err, "ask")
+		return a, held, nil, errs.Pass(err, "ask")
 	case verdict == Mine || verdict == Theirs:
 		return s.tell(held, verdict == Mine), held, nil, nil
 	case call.GiveUp:
@@ -43,16 +43,16 @@
 }
 
 // granted takes in how the command of ask ended, and answers.
-func (s *Store) granted(call pair.DutyCall, held state.Duty, index uint64, err error) (pair.DutyAnswer, error) {
+func (s *Store) granted(call api.DutyCall, held state.Duty, index uint64, err error) (api.DutyAnswer, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.book.Settled(call.Duty, held.Epoch)
 	now := s.live.Duties[call.Duty]
 	switch {
-	case err != nil && !fault.Is(err, fault.Stale):
-		return pair.DutyAnswer{}, fault.Pass(err, "duty %s", call.Duty)
+	case err != nil && !errs.Is(err, errs.Stale):
+		return api.DutyAnswer{}, errs.Pass(err, "duty %s", call.Duty)
 	case now == nil:
-		return pair.DutyAnswer{}, nil
+		return api.DutyAnswer{}, nil
 	}
 	mine := err == nil && !call.GiveUp && now.Epoch == index
 	if mine {
@@ -62,13 +62,13 @@
 }
 
 // judge asks the book; called under the lock. On Free a proposal is to follow.
-func (s *Store) judge(call pair.DutyCall) (held state.Duty, v Verdict, err error) {
+func (s *Store) judge(call api.DutyCall) (held state.Duty, v Verdict, err error) {
 	if _, err := s.confirm(); err != nil {
-		return held, v, fault.Pass(err, "judge")
+		return held, v, errs.Pass(err, "judge")
 	}
 	now := s.clock.Now()
 	if !s.book.Open() {
-		return held, v, fault.New(fault.Unavailable, "what earlier leaders committed is not applied here yet")
+		return held, v, errs.New(errs.Unavailable, "what earlier leaders committed is not applied here yet")
 	}
 	if d := s.live.Duties[call.Duty]; d != nil {
 		held = *d
@@ -82,8 +82,8 @@
 	return held, s.book.Ask(now, held, call), nil
 }
 
-func (s *Store) tell(d state.Duty, mine bool) pair.DutyAnswer {
-	a := pair.DutyAnswer{Mine: mine, Epoch: d.Epoch, Holder: d.Holder, Addr: d.Addr}
+func (s *Store) tell(d state.Duty, mine bool) api.DutyAnswer {
+	a := api.DutyAnswer{Mine: mine, Epoch: d.Epoch, Holder: d.Holder, Addr: d.Addr}
 	if mine {
 		a.Lease = s.set.DutyLease
 	}
--- a/internal/store/follow.go
+++ b/internal/store/follow.go
@@ -9,11 +9,11 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/go-kit/log/level"
 
-	"crosstide/internal/fault"
-	"crosstide/internal/pair"
+	"crosstide/internal/api"
+	"crosstide/internal/errs"
 	"crosstide/internal/quorum"
-	"crosstide/internal/slot"
 	"crosstide/internal/state"
+	"crosstide/internal/storage"
 )
 
 const (
@@ -25,11 +25,11 @@
 )
 
 // Follow gives what the caller lacks, and waits up to call.Wait if that is nothing.
-func (s *Store) Follow(ctx context.Context, call pair.FollowCall) (pair.FollowAnswer, error) {
+func (s *Store) Follow(ctx context.Context, call api.FollowCall) (api.FollowAnswer, error) {
 	s.heard(call)
 	version, ok := call.Vector[source]
 	if !ok && len(call.Vector) > 0 {
-		return pair.FollowAnswer{}, nil
+		return api.FollowAnswer{}, nil
 	}
 	limit := min(max(call.Max, 64<<10), maxFollow)
 	over := make(chan struct{})
@@ -37,40 +37,40 @@
 	for {
 		lack, changed, err := s.lack(version, limit)
 		if err != nil {
-			return pair.FollowAnswer{}, fault.Pass(err, "follow")
+			return api.FollowAnswer{}, errs.Pass(err, "follow")
 		}
 		if lack != nil {
-			return pair.FollowAnswer{Lacks: map[string]pair.Lack{source: *lack}}, nil
+			return api.FollowAnswer{Lacks: map[string]api.Lack{source: *lack}}, nil
 		}
 		select {
 		case <-changed:
 		case <-over:
-			return pair.FollowAnswer{}, nil
+			return api.FollowAnswer{}, nil
 		case <-ctx.Done():
-			return pair.FollowAnswer{}, nil
+			return api.FollowAnswer{}, nil
 		case <-s.group.Context().Done():
-			return pair.FollowAnswer{}, fault.New(fault.Stopped, "the store is stopping")
+			return api.FollowAnswer{}, errs.New(errs.Stopped, "the store is stopping")
 		}
 	}
 }
 
 // lack gives what comes after version and is applied here, nil if that is nothing.
-func (s *Store) lack(version uint64, limit int) (*pair.Lack, chan struct{}, error) {
+func (s *Store) lack(version uint64, limit int) (*api.Lack, chan struct{}, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.core == nil {
-		return nil, nil, fault.New(fault.Unavailable, "not part of a fleet yet")
+		return nil, nil, errs.New(errs.Unavailable, "not part of a fleet yet")
 	}
 	if version >= s.live.Index {
 		return nil, s.changed, nil
 	}
 	entries, err := s.core.Entries(version+1, limit)
-	if fault.Is(err, fault.Unknown) {
+	if errs.Is(err, errs.Unknown) {
 		newest := s.newest
-		return &pair.Lack{Snapshot: &newest}, nil, nil
+		return &api.Lack{Snapshot: &newest}, nil, nil
 	}
 	if err != nil {
-		return nil, nil, fault.Pass(err, "entries after %d", version)
+		return nil, nil, errs.Pass(err, "entries after %d", version)
 	}
 	n := 0
 	for n < len(entries) && entries[n].Index <= s.live.Index {
@@ -79,36 +79,36 @@
 	if n == 0 {
 		return nil, s.changed, nil
 	}
-	return &pair.Lack{Changes: entries[:n:n]}, nil, nil
+	return &api.Lack{Changes: entries[:n:n]}, nil, nil
 }
 
 // chunks keeps the slots that are being fetched, two at most.
 type chunks struct{ list []*kept }
 
 type kept struct {
-	image slot.Image
+	image storage.Image
 	sum   uint64
 	used  time.Duration
 	total int // Store.logTotal as it was loaded
 }
 
-// Chunk gives a part of a slot. Fault: Unknown when there is no such slot any more; begin anew with Number 0.
-func (s *Store) Chunk(call pair.ChunkCall) (pair.ChunkAnswer, error) {
+// Chunk gives a part of a slot. Failure: Unknown when there is no such slot any more; begin anew with Number 0.
+func (s *Store) Chunk(call api.ChunkCall) (api.ChunkAnswer, error) {
 	k, err := s.keep(call.Number)
 	if err != nil {
-		return pair.ChunkAnswer{}, fault.Pass(err, "chunk")
+		return api.ChunkAnswer{}, errs.Pass(err, "chunk")
 	}
 	body := k.image.Body
 	if call.From < 0 || call.From > int64(len(body)) {
-		return pair.ChunkAnswer{}, fault.Field(fault.Invalid, "from", "%d of %d bytes", call.From, len(body))
+		return api.ChunkAnswer{}, errs.Field(errs.Invalid, "from", "%d of %d bytes", call.From, len(body))
 	}
 	limit := call.Max
 	if limit <= 0 || limit > maxChunk {
 		limit = maxChunk
 	}
 	end := min(call.From+int64(limit), int64(len(body)))
-	return pair.ChunkAnswer{
-		Snapshot: pair.Snapshot{Number: k.image.Number, Index: k.image.Index, Term: k.image.Term, Size: int64(len(body))},
+	return api.ChunkAnswer{
+		Snapshot: api.Snapshot{Number: k.image.Number, Index: k.image.Index, Term: k.image.Term, Size: int64(len(body))},
 		Meta:     json.RawMessage(k.image.Meta), Data: body[call.From:end], Sum: k.sum,
 	}, nil
 }
@@ -126,11 +126,11 @@
 		return k, nil
 	}
 	if number != newest || newest == 0 {
-		return nil, fault.New(fault.Unknown, "slot %d is gone, the newest is %d", number, newest)
+		return nil, errs.New(errs.Unknown, "slot %d is gone, the newest is %d", number, newest)
 	}
 	img, err := s.slots.NewestSlot()
 	if err != nil {
-		return nil, fault.Pass(err, "slot %d", number)
+		return nil, errs.Pass(err, "slot %d", number)
 	}
 	k = &kept{image: img, sum: xxhash.Sum64(img.Body), used: now}
 	s.mu.Lock()
@@ -187,10 +187,10 @@
 func (s *Store) fetchOne(ctx context.Context, want quorum.FetchSnapshot) error {
 	in, err := s.download(ctx, want)
 	if err != nil {
-		return fault.Pass(err, "download")
+		return errs.Pass(err, "download")
 	}
 	if in.live, err = state.Decode(in.image.Body); err != nil {
-		return fault.Pass(err, "decode")
+		return errs.Pass(err, "decode")
 	}
 	in.done = make(chan struct{})
 	s.mu.Lock()
@@ -204,23 +204,23 @@
 	return nil
 }
 
-// download gets the parts in order. After a fault it goes on at the byte it reached; it gives up after a few
+// download gets the parts in order. After a failure it goes on at the byte it reached; it gives up after a few
 // without progress.
 func (s *Store) download(ctx context.Context, want quorum.FetchSnapshot) (*install, error) {
 	const tries = 8
 	var body []byte
-	var head pair.ChunkAnswer
+	var head api.ChunkAnswer
 	for left := tries; ; {
-		a, err := s.opt.Net.Chunk(ctx, want.From, pair.ChunkCall{Number: head.Number, From: int64(len(body)), Max: 1 << 20})
+		a, err := s.opt.Net.Chunk(ctx, want.From, api.ChunkCall{Number: head.Number, From: int64(len(body)), Max: 1 << 20})
 		switch {
-		case fault.Is(err, fault.Unknown) && head.Number != 0: // a newer slot took its place
-			body, head, left = nil, pair.ChunkAnswer{}, left-1
+		case errs.Is(err, errs.Unknown) && head.Number != 0: // a newer slot took its place
+			body, head, left = nil, api.ChunkAnswer{}, left-1
 		case err != nil:
 			left--
 		case head.Number != 0 && (a.Number != head.Number || a.Sum != head.Sum || a.Size != head.Size):
-			body, head, left = nil, pair.ChunkAnswer{}, left-1
+			body, head, left = nil, api.ChunkAnswer{}, left-1
 		case len(a.Data) == 0 && int64(len(body)) < a.Size || a.Size > math.MaxInt32*16:
-			return nil, fault.New(fault.Malformed, "an empty part at %d of %d bytes", len(body), a.Size)
+			return nil, errs.New(errs.Malformed, "an empty part at %d of %d bytes", len(body), a.Size)
 		default:
 			body, head, left = append(body, a.Data...), a, tries
 		}
@@ -228,18 +228,18 @@
 			break
 		}
 		if left == 0 || err != nil && !s.rest(ctx, askEvery) {
-			return nil, fault.Pass(err, "no part after byte %d", len(body))
+			return nil, errs.Pass(err, "no part after byte %d", len(body))
 		}
 	}
 	meta, err := decodeMeta(head.Meta)
 	if err != nil {
-		return nil, fault.Pass(err, "slot of %s", want.From)
+		return nil, errs.Pass(err, "slot of %s", want.From)
 	}
 	if int64(len(body)) != head.Size || xxhash.Sum64(body) != head.Sum || meta.Index != head.Index || meta.Term != head.Term {
-		return nil, fault.New(fault.Damaged, "the snapshot of %s does not fit its sum", want.From)
+		return nil, errs.New(errs.Damaged, "the snapshot of %s does not fit its sum", want.From)
 	}
 	if meta.Index < want.Meta.Index {
-		return nil, fault.New(fault.Stale, "the snapshot of %s is at %d, before %d", want.From, meta.Index, want.Meta.Index)
+		return nil, errs.New(errs.Stale, "the snapshot of %s is at %d, before %d", want.From, meta.Index, want.Meta.Index)
 	}
-	return &install{image: slot.Image{Index: meta.Index, Term: meta.Term, Meta: head.Meta, Body: body}, meta: meta}, nil
+	return &install{image: storage.Image{Index: meta.Index, Term: meta.Term, Meta: head.Meta, Body: body}, meta: meta}, nil
 }
--- a/internal/store/found.go
+++ b/internal/store/found.go
@@ -12,13 +12,13 @@
 
 	"github.com/go-kit/log/level"
 
-	"crosstide/internal/conf"
-	"crosstide/internal/fault"
-	"crosstide/internal/pair"
+	"crosstide/internal/api"
+	"crosstide/internal/config"
+	"crosstide/internal/errs"
 	"crosstide/internal/quorum"
-	"crosstide/internal/slot"
-	"crosstide/internal/spawn"
+	"crosstide/internal/routine"
 	"crosstide/internal/state"
+	"crosstide/internal/storage"
 )
 
 const (
@@ -30,55 +30,55 @@
 // load reads the folder. If it tells who this node is, the core is made.
 func (s *Store) load() error {
 	if err := s.finishDiscard(); err != nil {
-		return fault.Pass(err, "discard")
+		return errs.Pass(err, "discard")
 	}
 	if err := s.loadPeers(); err != nil {
-		return fault.Pass(err, "load")
+		return errs.Pass(err, "load")
 	}
 	id, err := readID(s.opt.Disk)
 	if err != nil {
-		return fault.Pass(err, "read the id")
+		return errs.Pass(err, "read the id")
 	}
-	slots, boot, err := slot.Open(s.opt.Disk, slot.Options{Clock: s.clock})
+	slots, boot, err := storage.Open(s.opt.Disk, storage.Options{Clock: s.clock})
 	if err != nil {
-		return fault.Pass(err, "open the folder")
+		return errs.Pass(err, "open the folder")
 	}
 	s.slots = slots
 	switch {
 	case id != "":
 		s.id = id
 	case boot.Fresh && (s.opt.Damaged || !s.set.Founding):
-		return fault.Pass(s.rename(), "begin anew")
+		return errs.Pass(s.rename(), "begin anew")
 	case boot.Fresh:
 		return nil
 	default:
 		s.id = s.set.Name
 	}
-	return fault.Pass(s.begin(boot), "begin")
+	return errs.Pass(s.begin(boot), "begin")
 }
 
 // begin makes the core of what the disk had.
-func (s *Store) begin(boot slot.Boot) error {
+func (s *Store) begin(boot storage.Boot) error {
 	var b quorum.Boot
 	live, shadow := state.New(), state.New()
 	var err error
 	if img := boot.Image; img != nil {
 		if b.Snapshot, err = decodeMeta(img.Meta); err != nil {
-			return fault.Pass(err, "slot %d", img.Number)
+			return errs.Pass(err, "slot %d", img.Number)
 		}
 		if live, err = state.Decode(img.Body); err == nil {
 			shadow, err = state.Decode(img.Body)
 		}
 		if err != nil {
-			return fault.Pass(err, "slot %d", img.Number)
+			return errs.Pass(err, "slot %d", img.Number)
 		}
-		s.newest = pair.Snapshot{Number: img.Number, Index: img.Index, Term: img.Term, Size: int64(len(img.Body))}
+		s.newest = api.Snapshot{Number: img.Number, Index: img.Index, Term: img.Term, Size: int64(len(img.Body))}
 		s.durable = img.Index
 	}
 	for _, r := range boot.Records {
-		if r.Kind == slot.KindHard {
+		if r.Kind == storage.KindHard {
 			if err := json.Unmarshal(r.Data, &b.Hard); err != nil {
-				return fault.Wrap(err, fault.Damaged, "the hard state")
+				return errs.Wrap(err, errs.Damaged, "the hard state")
 			}
 			continue
 		}
@@ -88,7 +88,7 @@
 	core, err := quorum.New(quorum.Config{ID: s.id, Election: s.set.Election, Heartbeat: s.set.Heartbeat,
 		Lease: s.set.Lease, Seed: s.opt.Seed}, b, s.clock.Now())
 	if err != nil {
-		return fault.Pass(err, "start the core")
+		return errs.Pass(err, "start the core")
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -109,7 +109,7 @@
 	if s.set.OpenMembership {
 		return s.settleOpen(ctx)
 	}
-	member := slices.ContainsFunc(s.set.Members, func(m conf.Member) bool { return m.ID == s.set.Name })
+	member := slices.ContainsFunc(s.set.Members, func(m config.Member) bool { return m.ID == s.set.Name })
 	var boots map[string]string
 	for round := 0; ; round++ {
 		answers := s.askAll(ctx)
@@ -130,7 +130,7 @@
 			_ = level.Error(s.log).Log("msg", "members in the settings differ between nodes")
 		}
 		if err != nil {
-			s.fatal(fault.Pass(err, "settle"))
+			s.fatal(errs.Pass(err, "settle"))
 			return false
 		}
 		if s.core != nil {
@@ -158,7 +158,7 @@
 // what it gave in the last round. Two such rounds in a row are needed: the first shows that these very processes
 // run, the second that none of them had stood for leader by then. So no earlier life of any of them gave a vote,
 // and each may be told that it was a founder.
-func judge(name, boot, digest string, members int, answers map[string]pair.FoundAnswer, before map[string]string) (verdict, map[string]string) {
+func judge(name, boot, digest string, members int, answers map[string]api.FoundAnswer, before map[string]string) (verdict, map[string]string) {
 	founders, named, all := map[string]string{}, false, true
 	for who, a := range answers {
 		if a.Digest != digest {
@@ -185,16 +185,16 @@
 	return fresh, founders
 }
 
-func (s *Store) askAll(ctx context.Context) map[string]pair.FoundAnswer {
-	got := make([]*pair.FoundAnswer, len(s.set.Members))
-	spawn.Each(len(got), len(got), func(i int) {
+func (s *Store) askAll(ctx context.Context) map[string]api.FoundAnswer {
+	got := make([]*api.FoundAnswer, len(s.set.Members))
+	routine.Each(len(got), len(got), func(i int) {
 		if m := s.set.Members[i]; m.ID != s.set.Name {
-			if a, err := s.opt.Net.Found(ctx, m.Addr, pair.FoundCall{Name: s.set.Name, Boot: s.boot}); err == nil {
+			if a, err := s.opt.Net.Found(ctx, m.Addr, api.FoundCall{Name: s.set.Name, Boot: s.boot}); err == nil {
 				got[i] = &a
 			}
 		}
 	})
-	out := map[string]pair.FoundAnswer{}
+	out := map[string]api.FoundAnswer{}
 	for i, a := range got {
 		if a != nil {
 			out[s.set.Members[i].ID] = *a
@@ -204,10 +204,10 @@
 }
 
 // Found answers one that has an empty folder.
-func (s *Store) Found(pair.FoundCall) pair.FoundAnswer {
+func (s *Store) Found(api.FoundCall) api.FoundAnswer {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	out := pair.FoundAnswer{ID: s.id, Boot: s.boot, Founders: s.founders, Digest: s.digest(),
+	out := api.FoundAnswer{ID: s.id, Boot: s.boot, Founders: s.founders, Digest: s.digest(),
 		Fresh: s.core == nil && s.id == "" && s.set.Founding}
 	if s.core != nil {
 		st := s.core.Status()
@@ -225,7 +225,7 @@
 // digest is of the founding members in the settings; they must be the same everywhere.
 func (s *Store) digest() string { return digestOf(s.set.Members) }
 
-func digestOf(members []conf.Member) string {
+func digestOf(members []config.Member) string {
 	lines := make([]string, len(members))
 	for i, m := range members {
 		lines[i] = m.ID + " " + m.Addr + " " + m.Zone
@@ -246,15 +246,15 @@
 	first.Index, first.Term = b.Snapshot.Index, b.Snapshot.Term
 	body, err := first.Encode()
 	if err != nil {
-		return fault.Pass(err, "found")
+		return errs.Pass(err, "found")
 	}
 	meta, err := json.Marshal(b.Snapshot)
 	if err != nil {
-		return fault.Wrap(err, fault.Internal, "found")
+		return errs.Wrap(err, errs.Internal, "found")
 	}
-	img := slot.Image{Number: 1, Index: b.Snapshot.Index, Term: b.Snapshot.Term, Meta: meta, Body: body}
+	img := storage.Image{Number: 1, Index: b.Snapshot.Index, Term: b.Snapshot.Term, Meta: meta, Body: body}
 	if err := s.slots.WriteSlot(img, 0); err != nil {
-		return fault.Pass(err, "found")
+		return errs.Pass(err, "found")
 	}
 	s.mu.Lock()
 	s.id, s.founders = s.set.Name, founders
@@ -262,37 +262,37 @@
 	_ = level.Info(s.log).Log("msg", "founding the fleet", "members", len(members))
 	hard, err := json.Marshal(b.Hard)
 	if err != nil {
-		return fault.Wrap(err, fault.Internal, "found")
+		return errs.Wrap(err, errs.Internal, "found")
 	}
-	return fault.Pass(s.begin(slot.Boot{Image: &img, Records: []slot.Record{{Kind: slot.KindHard, Data: hard}}}), "found")
+	return errs.Pass(s.begin(storage.Boot{Image: &img, Records: []storage.Record{{Kind: storage.KindHard, Data: hard}}}), "found")
 }
 
 // rename gives an empty folder an ID of its own, synced before anything is done under it, and begins empty.
 func (s *Store) rename() error {
 	id := s.newID()
 	if err := writeFile(s.opt.Disk, idFile, id); err != nil {
-		return fault.Pass(err, "take a new id")
+		return errs.Pass(err, "take a new id")
 	}
 	s.mu.Lock()
 	s.id = id
 	s.mu.Unlock()
-	return fault.Pass(s.begin(slot.Boot{}), "begin empty")
+	return errs.Pass(s.begin(storage.Boot{}), "begin empty")
 }
 
 // newID draws an ID for a new life of this node's folder.
 func (s *Store) newID() string { return s.set.Name + "~" + strings.ToLower(s.opt.Draw()[:10]) }
 
-func readID(d slot.Disk) (string, error) {
+func readID(d storage.Disk) (string, error) {
 	id, ok, err := readFile(d, idFile)
 	if err == nil && ok && id == "" {
-		return "", fault.New(fault.Damaged, "the id file is empty")
+		return "", errs.New(errs.Damaged, "the id file is empty")
 	}
-	return id, fault.Pass(err, "id file")
+	return id, errs.Pass(err, "id file")
 }
 
 // join asks the leader, through any member, until this node is a voter.
 func (s *Store) join(ctx context.Context) {
-	call := pair.JoinCall{ID: s.id, Name: s.set.Name, Addr: s.set.Addr, Zone: s.set.Zone}
+	call := api.JoinCall{ID: s.id, Name: s.set.Name, Addr: s.set.Addr, Zone: s.set.Zone}
 	for i := 0; ; i++ {
 		s.mu.Lock()
 		addr, voter := s.leaderAddr(), s.status.Voter
@@ -307,8 +307,8 @@
 		again := askEvery
 		if addr != s.set.Addr {
 			a, err := s.opt.Net.Join(ctx, addr, call)
-			if fault.Is(err, fault.NotLeader) && fault.Of(err).Hint != "" {
-				a, err = s.opt.Net.Join(ctx, fault.Of(err).Hint, call)
+			if errs.Is(err, errs.NotLeader) && errs.Of(err).Hint != "" {
+				a, err = s.opt.Net.Join(ctx, errs.Of(err).Hint, call)
 			}
 			if err != nil {
 				_ = level.Debug(s.log).Log("msg", "join", "err", err)
@@ -327,10 +327,10 @@
 // it out of 5 leaves 4 that are all there and need 3, while promoting first makes 6 of which one is dead and 4
 // are needed. Both bear the loss of one more; the smaller set commits with fewer disks, and a newcomer that
 // falls again in between leaves no second dead voter behind.
-func (s *Store) Join(ctx context.Context, call pair.JoinCall) (pair.JoinAnswer, error) {
+func (s *Store) Join(ctx context.Context, call api.JoinCall) (api.JoinAnswer, error) {
 	name, incarnation, ok := strings.Cut(call.ID, "~")
 	if !ok || name != call.Name || name == "" || incarnation == "" || call.Addr == "" {
-		return pair.JoinAnswer{}, fault.Field(fault.Invalid, "id", "%q is not of %q with an incarnation", call.ID, call.Name)
+		return api.JoinAnswer{}, errs.Field(errs.Invalid, "id", "%q is not of %q with an incarnation", call.ID, call.Name)
 	}
 	s.mu.Lock()
 	err := s.leads()
@@ -338,20 +338,20 @@
 	place, named := s.live.Successors[name]
 	s.mu.Unlock()
 	if err != nil {
-		return pair.JoinAnswer{}, fault.Pass(err, "join")
+		return api.JoinAnswer{}, errs.Pass(err, "join")
 	}
 	if !named {
 		place = name
 	}
 	if !named && !s.set.OpenMembership {
 		known := func(m quorum.Member) bool { return nameOf(m.ID) == name }
-		first := func(m conf.Member) bool { return m.ID == name }
+		first := func(m config.Member) bool { return m.ID == name }
 		if !slices.ContainsFunc(st.Members, known) && !slices.ContainsFunc(s.set.Members, first) {
-			return pair.JoinAnswer{}, fault.Field(fault.Forbidden, "name",
+			return api.JoinAnswer{}, errs.Field(errs.Forbidden, "name",
 				"no member is named %s; an operator says whom it replaces: cplane member replace OLD %s", name, name)
 		}
 	}
-	out := pair.JoinAnswer{Again: askEvery, Members: addressesOf(st.Members)}
+	out := api.JoinAnswer{Again: askEvery, Members: addressesOf(st.Members)}
 	if s.set.OpenMembership {
 		out.Again = joinEvery
 	}
@@ -370,14 +370,14 @@
 		next = append(next, m)
 	}
 	if at >= 0 && !next[at].Learner {
-		return pair.JoinAnswer{Voter: true}, nil
+		return api.JoinAnswer{Voter: true}, nil
 	}
 	if at < 0 {
 		if err := s.checkNotRemoved(call); err != nil {
-			return pair.JoinAnswer{}, fault.Pass(err, "join")
+			return api.JoinAnswer{}, errs.Pass(err, "join")
 		}
 		next = append(next, quorum.Member{ID: call.ID, Addr: call.Addr, Zone: call.Zone, Incarnation: incarnation, Learner: true})
-		return out, fault.Pass(s.change(st.Members, next), "join as a learner")
+		return out, errs.Pass(s.change(st.Members, next), "join as a learner")
 	}
 	out.Learner = true
 	if match := st.Match[call.ID]; match == 0 || match+nearIndex < st.Last {
@@ -385,15 +385,15 @@
 	}
 	if old == nil {
 		if gone := s.silentVoter(st.Members); gone != "" {
-			return out, fault.Pass(s.change(st.Members, without(next, gone)), "take %s out before a new voter", gone)
+			return out, errs.Pass(s.change(st.Members, without(next, gone)), "take %s out before a new voter", gone)
 		}
 		next[at].Learner = false
-		return out, fault.Pass(s.change(st.Members, next), "join as a voter")
+		return out, errs.Pass(s.change(st.Members, next), "join as a voter")
 	}
-	if a, err := s.opt.Net.Found(ctx, old.Addr, pair.FoundCall{Name: s.set.Name, Boot: s.boot}); err == nil && a.ID == old.ID {
-		return out, fault.Field(fault.Conflict, "name", "%s is alive at %s", old.ID, old.Addr)
+	if a, err := s.opt.Net.Found(ctx, old.Addr, api.FoundCall{Name: s.set.Name, Boot: s.boot}); err == nil && a.ID == old.ID {
+		return out, errs.Field(errs.Conflict, "name", "%s is alive at %s", old.ID, old.Addr)
 	}
-	return out, fault.Pass(s.change(st.Members, without(next, old.ID)), "take %s out", old.ID)
+	return out, errs.Pass(s.change(st.Members, without(next, old.ID)), "take %s out", old.ID)
 }
 
 // change proposes the member set next, which was made from the set from; that it is committed shows in a later call.
@@ -401,10 +401,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if err := s.leads(); err != nil {
-		return fault.Pass(err, "members")
+		return errs.Pass(err, "members")
 	}
 	if err := s.proposeMembers(s.clock.Now(), from, next); err != nil {
-		return fault.Pass(err, "members")
+		return errs.Pass(err, "members")
 	}
 	nudge(s.kick)
 	return nil
@@ -414,10 +414,10 @@
 // undo what another change did. Called under the lock.
 func (s *Store) proposeMembers(now time.Duration, from, next []quorum.Member) error {
 	if !slices.Equal(from, s.core.Status().Members) {
-		return fault.New(fault.Unavailable, "the members changed meanwhile")
+		return errs.New(errs.Unavailable, "the members changed meanwhile")
 	}
 	if _, _, err := s.core.ProposeMembers(now, next); err != nil {
-		return fault.Pass(err, "propose")
+		return errs.Pass(err, "propose")
 	}
 	_ = level.Info(s.log).Log("msg", "changing members", "members", len(next))
 	return nil
--- a/internal/store/hand.go
+++ b/internal/store/hand.go
@@ -5,8 +5,8 @@
 	"maps"
 	"slices"
 
-	"crosstide/internal/fault"
-	"crosstide/internal/pair"
+	"crosstide/internal/api"
+	"crosstide/internal/errs"
 	"crosstide/internal/quorum"
 	"crosstide/internal/state"
 	"crosstide/internal/state/command"
@@ -40,33 +40,33 @@
 func (h *Hand) Member() bool { return h.s.core != nil }
 
 // Found begins a fleet as settle does once all members were found fresh.
-func (h *Hand) Found() error { return fault.Pass(h.s.found(nil), "found") }
+func (h *Hand) Found() error { return errs.Pass(h.s.found(nil), "found") }
 
 // Settle is one round of asking the other members what the empty folder means.
 func (h *Hand) Settle() error {
 	s := h.s
-	answers := map[string]pair.FoundAnswer{}
+	answers := map[string]api.FoundAnswer{}
 	for _, m := range s.set.Members {
 		if m.ID == s.set.Name {
 			continue
 		}
-		if a, err := s.opt.Net.Found(context.Background(), m.Addr, pair.FoundCall{Name: s.set.Name, Boot: s.boot}); err == nil {
+		if a, err := s.opt.Net.Found(context.Background(), m.Addr, api.FoundCall{Name: s.set.Name, Boot: s.boot}); err == nil {
 			answers[m.ID] = a
 		}
 	}
 	if v, _ := judge(s.set.Name, s.boot, s.digest(), len(s.set.Members), answers, nil); v == exists {
-		return fault.Pass(s.rename(), "settle")
+		return errs.Pass(s.rename(), "settle")
 	}
 	return nil
 }
 
 // Joins gives the call that takes this node in; false if it is a voter or never was another.
-func (h *Hand) Joins() (call pair.JoinCall, addr string, ok bool) {
+func (h *Hand) Joins() (call api.JoinCall, addr string, ok bool) {
 	s := h.s
 	if s.core == nil || s.id == s.set.Name || s.status.Voter {
 		return call, "", false
 	}
-	return pair.JoinCall{ID: s.id, Name: s.set.Name, Addr: s.set.Addr, Zone: s.set.Zone}, s.leaderAddr(), true
+	return api.JoinCall{ID: s.id, Name: s.set.Name, Addr: s.set.Addr, Zone: s.set.Zone}, s.leaderAddr(), true
 }
 
 // Pass is a turn of the loop.
@@ -79,7 +79,7 @@
 // Parcel is a call with replication messages.
 type Parcel struct {
 	Addr string
-	Call pair.QuorumCall
+	Call api.QuorumCall
 }
 
 // Out takes the messages to other members, in the order of their IDs.
@@ -89,8 +89,8 @@
 	}
 	for _, id := range slices.Sorted(maps.Keys(h.s.peers)) {
 		p := h.s.peers[id]
-		for len(p.backlog) > 0 {
-			out = append(out, Parcel{p.addr, pair.QuorumCall{From: h.s.set.Addr, Messages: p.take()}})
+		for len(p.queue) > 0 {
+			out = append(out, Parcel{p.addr, api.QuorumCall{From: h.s.set.Addr, Messages: p.take()}})
 		}
 	}
 	return out
@@ -114,7 +114,7 @@
 }
 
 // Write writes and syncs the batch; Stored must follow.
-func (b *Batch) Write() error { return fault.Pass(b.s.write(b.work), "write") }
+func (b *Batch) Write() error { return errs.Pass(b.s.write(b.work), "write") }
 
 // Stored takes in that the batch is synced.
 func (b *Batch) Stored() { b.s.stored(b.work) }
@@ -131,7 +131,7 @@
 func (h *Hand) Shade() error {
 	in, err := h.s.trail()
 	if err != nil {
-		return fault.Pass(err, "shade")
+		return errs.Pass(err, "shade")
 	}
 	if in != nil && h.s.freeze(in) {
 		h.in = in
@@ -141,7 +141,7 @@
 	}
 	in, h.in = h.in, nil
 	defer h.s.thaw()
-	return fault.Pass(h.s.put(in), "shade")
+	return errs.Pass(h.s.put(in), "shade")
 }
 
 // Fetch fetches the snapshot that the core asked for, at once; nothing if it asked for none.
@@ -161,7 +161,7 @@
 		in.done = make(chan struct{})
 		h.s.install = in
 	}
-	return fault.Pass(err, "fetch")
+	return errs.Pass(err, "fetch")
 }
 
 // Proposal is a command under way.
@@ -174,11 +174,11 @@
 func (h *Hand) Propose(c command.Command) (*Proposal, error) {
 	data, err := command.Encode(h.s.clock.Wall(), c)
 	if err != nil {
-		return nil, fault.Pass(err, "propose")
+		return nil, errs.Pass(err, "propose")
 	}
 	w := &waiter{data: data, done: make(chan outcome, 1)}
 	if err := h.s.enter(w); err != nil {
-		return nil, fault.Pass(err, "propose")
+		return nil, errs.Pass(err, "propose")
 	}
 	return &Proposal{h.s, w}, nil
 }
@@ -194,24 +194,24 @@
 }
 
 // Leave ends the wait, as Store.Propose does after 2 s.
-func (p *Proposal) Leave() error { return fault.Pass(p.s.leave(p.w).err, "propose") }
+func (p *Proposal) Leave() error { return errs.Pass(p.s.leave(p.w).err, "propose") }
 
 // Duty is Store.Duty up to its proposal: the answer, or a command to propose and then to tell Granted of.
-func (h *Hand) Duty(call pair.DutyCall) (a pair.DutyAnswer, held state.Duty, c command.Command, err error) {
+func (h *Hand) Duty(call api.DutyCall) (a api.DutyAnswer, held state.Duty, c command.Command, err error) {
 	a, held, c, err = h.s.ask(call)
-	return a, held, c, fault.Pass(err, "duty")
+	return a, held, c, errs.Pass(err, "duty")
 }
 
 // Granted ends what Duty began.
-func (h *Hand) Granted(call pair.DutyCall, held state.Duty, index uint64, err error) (pair.DutyAnswer, error) {
+func (h *Hand) Granted(call api.DutyCall, held state.Duty, index uint64, err error) (api.DutyAnswer, error) {
 	a, err := h.s.granted(call, held, index, err)
-	return a, fault.Pass(err, "duty")
+	return a, errs.Pass(err, "duty")
 }
 
 // Lack is Store.Follow without the wait: nil if the caller lacks nothing.
-func (h *Hand) Lack(version uint64) (*pair.Lack, error) {
+func (h *Hand) Lack(version uint64) (*api.Lack, error) {
 	l, _, err := h.s.lack(version, maxFollow)
-	return l, fault.Pass(err, "lack")
+	return l, errs.Pass(err, "lack")
 }
 
 // Tidy proposes the letting go of what is old, if this node leads.
--- a/internal/store/lease_test.go
+++ b/internal/store/lease_test.go
@@ -7,8 +7,8 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"crosstide/internal/alarm"
-	"crosstide/internal/pair"
+	"crosstide/internal/api"
+	"crosstide/internal/clock"
 	"crosstide/internal/state"
 )
 
@@ -19,13 +19,13 @@
 
 func TestBook(t *testing.T) {
 	Convey("Given an open book and a duty held by a", t, func() {
-		var clock alarm.Virtual
+		var clock clock.Virtual
 		book := NewBook(testLease, testMargin)
 		held := state.Duty{Holder: "a", Boot: "1", Epoch: 7}
 		duties := map[string]*state.Duty{"sched": &held}
-		a := pair.DutyCall{Duty: "sched", Holder: "a", Boot: "1", Epoch: 7}
-		b := pair.DutyCall{Duty: "sched", Holder: "b", Boot: "1"}
-		ask := func(c pair.DutyCall) Verdict { return book.Ask(clock.Now(), held, c) }
+		a := api.DutyCall{Duty: "sched", Holder: "a", Boot: "1", Epoch: 7}
+		b := api.DutyCall{Duty: "sched", Holder: "b", Boot: "1"}
+		ask := func(c api.DutyCall) Verdict { return book.Ask(clock.Now(), held, c) }
 		So(ask(a), ShouldEqual, Theirs)
 		book.Lead(clock.Now(), duties)
 
@@ -81,7 +81,7 @@
 		worst, grants := 0, 0
 		for seed := range uint64(400) {
 			rnd := rand.New(rand.NewPCG(seed, 1))
-			var clock alarm.Virtual
+			var clock clock.Virtual
 			book := NewBook(testLease, testMargin)
 			var held state.Duty
 			type node struct {
@@ -95,7 +95,7 @@
 				i := rnd.IntN(len(nodes))
 				sent := clock.Now()
 				clock.Advance(time.Duration(rnd.Int64N(int64(2 * testLease / 3))))
-				call := pair.DutyCall{Duty: "sched", Holder: string(rune('a' + i)), Boot: "1", Epoch: nodes[i].epoch}
+				call := api.DutyCall{Duty: "sched", Holder: string(rune('a' + i)), Boot: "1", Epoch: nodes[i].epoch}
 				lost := rnd.IntN(4) == 0
 				switch rnd.IntN(12) {
 				case 0: // the leader falls; the next one knows only the state
--- a/internal/store/members.go
+++ b/internal/store/members.go
@@ -7,7 +7,7 @@
 
 	"github.com/go-kit/log/level"
 
-	"crosstide/internal/conf"
+	"crosstide/internal/config"
 	"crosstide/internal/quorum"
 )
 
@@ -38,10 +38,10 @@
 }
 
 // seedsOf gives members in the form of the settings.
-func seedsOf(members []quorum.Member) []conf.Member {
-	out := make([]conf.Member, len(members))
+func seedsOf(members []quorum.Member) []config.Member {
+	out := make([]config.Member, len(members))
 	for i, m := range members {
-		out[i] = conf.Member{ID: m.ID, Addr: m.Addr, Zone: m.Zone}
+		out[i] = config.Member{ID: m.ID, Addr: m.Addr, Zone: m.Zone}
 	}
 	return out
 }
--- a/internal/store/meter.go
+++ b/internal/store/meter.go
@@ -4,8 +4,8 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"crosstide/internal/quorum"
-	"crosstide/internal/slot"
 	"crosstide/internal/state/query"
+	"crosstide/internal/storage"
 )
 
 // meter is what the store shows of itself.
@@ -67,7 +67,7 @@
 	s.mu.Lock()
 	st, applied, waiting := s.status, s.live.Index, s.waiting
 	figures := query.Count(s.live)
-	var disk slot.Stats
+	var disk storage.Stats
 	slots := s.slots
 	s.mu.Unlock()
 	if slots != nil {
