--- a/internal/store/open.go
+++ b/internal/store/open.go
@@ -10,11 +10,11 @@
 
 	"github.com/go-kit/log/level"
 
-	"crosstide/internal/conf"
-	"crosstide/internal/fault"
-	"crosstide/internal/pair"
+	"crosstide/internal/api"
+	"crosstide/internal/config"
+	"crosstide/internal/errs"
 	"crosstide/internal/quorum"
-	"crosstide/internal/spawn"
+	"crosstide/internal/routine"
 )
 
 // Intervals of an open fleet; each is spread by a quarter, so that nodes started together do not ask in step.
@@ -30,11 +30,11 @@
 // settleOpen is settle where members are only seeds: a seed may found with the others, all other nodes wait until
 // somebody tells them that the fleet exists.
 func (s *Store) settleOpen(ctx context.Context) bool {
-	founder := slices.ContainsFunc(s.set.Members, func(m conf.Member) bool { return m.ID == s.set.Name })
+	founder := slices.ContainsFunc(s.set.Members, func(m config.Member) bool { return m.ID == s.set.Name })
 	var boots map[string]string
 	for round := 0; ; round++ {
 		// A founder waits for all answers: one that names it among the founders weighs most.
-		answers := s.survey(ctx, func(a pair.FoundAnswer) bool { return !founder && a.Commit > 1 })
+		answers := s.survey(ctx, func(a api.FoundAnswer) bool { return !founder && a.Commit > 1 })
 		v, founders := s.judgeOpen(answers, boots)
 		boots = founders
 		var err error
@@ -49,7 +49,7 @@
 			_ = level.Error(s.log).Log("msg", "founding members in the settings differ between nodes")
 		}
 		if err != nil {
-			s.fatal(fault.Pass(err, "settle"))
+			s.fatal(errs.Pass(err, "settle"))
 			return false
 		}
 		if s.core != nil {
@@ -66,9 +66,9 @@
 
 // judgeOpen is judge where settings may differ between nodes: only those who may found together must have the same
 // founders. answers are by address.
-func (s *Store) judgeOpen(answers map[string]pair.FoundAnswer, before map[string]string) (verdict, map[string]string) {
+func (s *Store) judgeOpen(answers map[string]api.FoundAnswer, before map[string]string) (verdict, map[string]string) {
 	digest := s.digest()
-	founders := map[string]pair.FoundAnswer{}
+	founders := map[string]api.FoundAnswer{}
 	for _, m := range s.set.Members {
 		a, ok := answers[m.Addr]
 		if !ok {
@@ -96,14 +96,14 @@
 
 // survey asks all nodes whose address is known how they stand, at once, until enough holds for an answer or all
 // have answered or failed. It gives the answers by address, and learns the addresses in them.
-func (s *Store) survey(ctx context.Context, enough func(pair.FoundAnswer) bool) map[string]pair.FoundAnswer {
+func (s *Store) survey(ctx context.Context, enough func(api.FoundAnswer) bool) map[string]api.FoundAnswer {
 	addresses := s.addresses()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	var mu sync.Mutex
-	answers := map[string]pair.FoundAnswer{}
-	spawn.Each(len(addresses), len(addresses), func(i int) {
-		a, err := s.opt.Net.Found(ctx, addresses[i], pair.FoundCall{Name: s.set.Name, Boot: s.boot})
+	answers := map[string]api.FoundAnswer{}
+	routine.Each(len(addresses), len(addresses), func(i int) {
+		a, err := s.opt.Net.Found(ctx, addresses[i], api.FoundCall{Name: s.set.Name, Boot: s.boot})
 		if err != nil {
 			return
 		}
@@ -125,7 +125,7 @@
 
 // joinOpen asks the leader until this node is a voter.
 func (s *Store) joinOpen(ctx context.Context) {
-	call := pair.JoinCall{ID: s.id, Name: s.set.Name, Addr: s.set.Addr, Zone: s.set.Zone}
+	call := api.JoinCall{ID: s.id, Name: s.set.Name, Addr: s.set.Addr, Zone: s.set.Zone}
 	leader := ""
 	for {
 		s.mu.Lock()
@@ -141,7 +141,7 @@
 		}
 		if leader != "" && !uncommitted {
 			err := s.askToJoin(ctx, leader, call)
-			if fault.Is(err, fault.Stale) {
+			if errs.Is(err, errs.Stale) {
 				s.endRemoved(leader)
 				return
 			}
@@ -163,11 +163,11 @@
 	return slices.ContainsFunc(members, func(m quorum.Member) bool { return m.ID == s.id && !m.Learner })
 }
 
-// askToJoin moves this node one step towards being a voter. Fault Stale: it was removed, its folder is void.
-func (s *Store) askToJoin(ctx context.Context, leader string, call pair.JoinCall) error {
+// askToJoin moves this node one step towards being a voter. Failure Stale: it was removed, its folder is void.
+func (s *Store) askToJoin(ctx context.Context, leader string, call api.JoinCall) error {
 	a, err := s.opt.Net.Join(ctx, leader, call)
 	if err != nil {
-		return fault.Pass(err, "ask to join")
+		return errs.Pass(err, "ask to join")
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -176,8 +176,8 @@
 }
 
 // checkNotRemoved refuses one that is no member although its folder says that it is one: it was removed since, and
-// must come back as a new incarnation. Fault: Stale; Unavailable while that is not committed.
-func (s *Store) checkNotRemoved(call pair.JoinCall) error {
+// must come back as a new incarnation. Failure: Stale; Unavailable while that is not committed.
+func (s *Store) checkNotRemoved(call api.JoinCall) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	at, members := s.core.CommittedMembers()
@@ -185,9 +185,9 @@
 	case call.Since == 0:
 		return nil
 	case slices.ContainsFunc(members, func(m quorum.Member) bool { return m.ID == call.ID }):
-		return fault.New(fault.Unavailable, "%s is being removed", call.ID)
+		return errs.New(errs.Unavailable, "%s is being removed", call.ID)
 	case at > call.Since:
-		return fault.New(fault.Stale, "%s was a member at %d and is none at %d", call.ID, call.Since, at)
+		return errs.New(errs.Stale, "%s was a member at %d and is none at %d", call.ID, call.Since, at)
 	}
 	return nil // the set that had it was never committed
 }
@@ -195,7 +195,7 @@
 // findLeader asks other nodes for the leader's address; "" if nobody knows one. Of two the newer term counts.
 func (s *Store) findLeader(ctx context.Context) (leader string) {
 	newest := uint64(0)
-	knows := func(a pair.FoundAnswer) bool { return a.Leader != "" && a.Leader != s.set.Addr }
+	knows := func(a api.FoundAnswer) bool { return a.Leader != "" && a.Leader != s.set.Addr }
 	for _, a := range s.survey(ctx, knows) {
 		if knows(a) && (leader == "" || a.Term > newest) {
 			leader, newest = a.Leader, a.Term
@@ -226,9 +226,9 @@
 	_ = level.Warn(s.log).Log("msg", "removed from the members while away: this process ends, the next one joins anew", "id", s.id, "told by", address)
 	err := Discard(s.opt.Disk, s.addresses()...)
 	if err == nil {
-		err = fault.New(fault.Stale, "%s is no member any more; it joins anew at the next start", s.id)
+		err = errs.New(errs.Stale, "%s is no member any more; it joins anew at the next start", s.id)
 	}
-	s.fatal(fault.Pass(err, "removed"))
+	s.fatal(errs.Pass(err, "removed"))
 }
 
 // leaderless tells whether this node neither leads nor heard of a leader for two Elections.
@@ -241,7 +241,7 @@
 // removedBy tells whether an answer proves that this node is no member any more: a set that was committed after the
 // oldest one here with this node in it is without it. That oldest one need not be committed: if it never was, the
 // node did not become a member by it. Who was removed does not come back under its ID, see checkNotRemoved.
-func (s *Store) removedBy(a pair.FoundAnswer) bool {
+func (s *Store) removedBy(a api.FoundAnswer) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	since := s.core.MemberSince()
--- a/internal/store/open_test.go
+++ b/internal/store/open_test.go
@@ -13,27 +13,27 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"crosstide/internal/alarm"
-	"crosstide/internal/conf"
-	"crosstide/internal/fault"
-	"crosstide/internal/pair"
+	"crosstide/internal/api"
+	"crosstide/internal/clock"
+	"crosstide/internal/config"
+	"crosstide/internal/errs"
 	"crosstide/internal/quorum"
-	"crosstide/internal/slot"
 	"crosstide/internal/state"
+	"crosstide/internal/storage"
 )
 
 // withinOpen runs a test in a bubble, with a rig of an open fleet of n nodes, c1 to c3 its seeds, at the
 // platform's settings. None is started; there are slots, and so syncs must take no time (see slowSyncs).
-func withinOpen(t *testing.T, n int, do func(r *rig)) {
+func withinOpen(t *testing.T, n int, do func(r *testStores)) {
 	synctest.Test(t, func(t *testing.T) {
 		Convey("Given machines of an open fleet", t, func() {
-			r := newRig(0, 40)
+			r := newTestStores(0, 40)
 			defer r.close()
 			r.set.OpenMembership = true
 			r.set.Election, r.set.Heartbeat, r.set.Lease = 600*time.Millisecond, 120*time.Millisecond, 400*time.Millisecond
 			r.seeds([]string{"c1", "c2", "c3"})
 			for i := range n {
-				r.disks[name(i)] = slot.NewMemDisk()
+				r.disks[name(i)] = storage.NewMemDisk()
 			}
 			do(r)
 		})
@@ -42,7 +42,7 @@
 
 // slowSyncs gives syncs a time to take, and does without slots: a slot and the log take turns under a mutex, which
 // a bubble cannot wait for.
-func (r *rig) slowSyncs() {
+func (r *testStores) slowSyncs() {
 	r.set.SlotEvery = 1 << 20
 	r.slow.Store(int64(3 * time.Millisecond))
 }
@@ -50,7 +50,7 @@
 func name(i int) string { return fmt.Sprintf("c%d", i+1) }
 
 // startAll starts the nodes that have a disk and do not run.
-func (r *rig) startAll() {
+func (r *testStores) startAll() {
 	for _, n := range slices.Sorted(func(yield func(string) bool) {
 		for n := range r.disks {
 			if r.nodes[n] == nil && !yield(n) {
@@ -63,14 +63,14 @@
 }
 
 // fresh gives a node an empty disk, the settings that a replaced machine has, and starts it.
-func (r *rig) fresh(name string) {
-	r.disks[name] = slot.NewMemDisk()
+func (r *testStores) fresh(name string) {
+	r.disks[name] = storage.NewMemDisk()
 	r.set.Founding = false
 	r.start(name)
 }
 
 // voters waits until the members are just these, each by the newest ID of its folder, all of them voters.
-func (r *rig) voters(names ...string) {
+func (r *testStores) voters(names ...string) {
 	r.until("voters "+strings.Join(names, " "), func() bool {
 		for _, n := range names {
 			s := r.nodes[n]
@@ -82,7 +82,7 @@
 	})
 }
 
-func (r *rig) idsOf(names []string) (out []string) {
+func (r *testStores) idsOf(names []string) (out []string) {
 	for _, n := range names {
 		out = append(out, r.nodes[n].Status().Quorum.ID)
 	}
@@ -102,20 +102,20 @@
 }
 
 // run moves the clock on by d, a little at a time.
-func (r *rig) run(d time.Duration) {
+func (r *testStores) run(d time.Duration) {
 	end := r.clock.Now() + d
 	r.until("the end of a time", func() bool { return r.clock.Now() >= end })
 }
 
 // took tells how long do took on the clock.
-func (r *rig) took(do func()) time.Duration {
+func (r *testStores) took(do func()) time.Duration {
 	from := r.clock.Now()
 	do()
 	return r.clock.Now() - from
 }
 
 // setCut cuts nodes off, or heals that.
-func (r *rig) setCut(cut bool, names ...string) {
+func (r *testStores) setCut(cut bool, names ...string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, n := range names {
@@ -124,7 +124,7 @@
 }
 
 // others are the running nodes but those named.
-func (r *rig) others(but ...string) (out []string) {
+func (r *testStores) others(but ...string) (out []string) {
 	for n := range r.nodes {
 		if !slices.Contains(but, n) {
 			out = append(out, n)
@@ -135,14 +135,14 @@
 }
 
 // ended tells whether a node ended itself because it was removed.
-func (r *rig) ended(name string) bool {
+func (r *testStores) ended(name string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return fault.Is(r.died[name], fault.Stale)
+	return errs.Is(r.died[name], errs.Stale)
 }
 
 // again restarts a node that ended itself.
-func (r *rig) again(name string) {
+func (r *testStores) again(name string) {
 	r.kill(name)
 	r.mu.Lock()
 	delete(r.died, name)
@@ -151,7 +151,7 @@
 }
 
 func TestOpenFounding(t *testing.T) {
-	withinOpen(t, 5, func(r *rig) {
+	withinOpen(t, 5, func(r *testStores) {
 		took := r.took(func() {
 			r.startAll()
 			r.voters("c1", "c2", "c3", "c4", "c5")
@@ -179,13 +179,13 @@
 }
 
 func TestOpenFoundingWithoutASeed(t *testing.T) {
-	withinOpen(t, 5, func(r *rig) {
+	withinOpen(t, 5, func(r *testStores) {
 		for _, n := range []string{"c1", "c2", "c4", "c5"} { // c3 is late
 			r.start(n)
 		}
 		r.run(10 * time.Second)
 		for n, s := range r.nodes {
-			So(fmt.Sprint(n, s.Found(pair.FoundCall{}).Commit), ShouldEqual, n+"0")
+			So(fmt.Sprint(n, s.Found(api.FoundCall{}).Commit), ShouldEqual, n+"0")
 		}
 		r.start("c3")
 		r.voters("c1", "c2", "c3", "c4", "c5")
@@ -193,32 +193,32 @@
 }
 
 func TestNoFounding(t *testing.T) {
-	withinOpen(t, 5, func(r *rig) {
+	withinOpen(t, 5, func(r *testStores) {
 		r.set.Founding = false
 		r.startAll()
 		r.run(20 * time.Second)
 		for _, s := range r.nodes {
-			a := s.Found(pair.FoundCall{})
+			a := s.Found(api.FoundCall{})
 			So(a.Fresh, ShouldBeFalse)
 			So(a.Commit, ShouldEqual, 0)
 			So(a.ID, ShouldStartWith, s.set.Name+"~")
 			So(s.Ready(), ShouldNotBeNil)
 		}
 	})
-	withinOpen(t, 3, func(r *rig) { // one seed has lost its folder: the others must not found without its word
+	withinOpen(t, 3, func(r *testStores) { // one seed has lost its folder: the others must not found without its word
 		r.start("c1")
 		r.start("c2")
 		r.set.Founding = false
 		r.start("c3")
 		r.run(20 * time.Second)
 		for _, s := range r.nodes {
-			So(s.Found(pair.FoundCall{}).Commit, ShouldEqual, 0)
+			So(s.Found(api.FoundCall{}).Commit, ShouldEqual, 0)
 		}
 	})
 }
 
 func TestOpenWiped(t *testing.T) {
-	withinOpen(t, 5, func(r *rig) {
+	withinOpen(t, 5, func(r *testStores) {
 		r.startAll()
 		r.voters("c1", "c2", "c3", "c4", "c5")
 		r.load("a", 200)
@@ -226,7 +226,7 @@
 			for _, gone := range []string{"c1", "c5", r.leader().set.Name} {
 				r.kill(gone)
 				before := r.others()
-				r.disks[gone] = slot.NewMemDisk()
+				r.disks[gone] = storage.NewMemDisk()
 				took := r.took(func() {
 					r.set.Founding = founding
 					r.start(gone)
@@ -242,7 +242,7 @@
 }
 
 func TestOpenReplaced(t *testing.T) {
-	withinOpen(t, 5, func(r *rig) {
+	withinOpen(t, 5, func(r *testStores) {
 		r.startAll()
 		r.voters("c1", "c2", "c3", "c4", "c5")
 		r.load("a", 100)
@@ -276,7 +276,7 @@
 }
 
 func TestRemovalBounds(t *testing.T) {
-	withinOpen(t, 4, func(r *rig) {
+	withinOpen(t, 4, func(r *testStores) {
 		r.startAll()
 		r.voters("c1", "c2", "c3", "c4")
 		gone := r.follower(r.leader()).set.Name
@@ -308,30 +308,30 @@
 }
 
 func TestLearnerDropped(t *testing.T) {
-	withinOpen(t, 3, func(r *rig) {
+	withinOpen(t, 3, func(r *testStores) {
 		r.startAll()
 		r.voters("c1", "c2", "c3")
 		lead := r.leader()
-		_, err := lead.Join(context.Background(), pair.JoinCall{ID: "c9~x", Name: "c9", Addr: "c9"})
+		_, err := lead.Join(context.Background(), api.JoinCall{ID: "c9~x", Name: "c9", Addr: "c9"})
 		So(err, ShouldBeNil)
 		r.until("a learner", func() bool { return len(lead.Status().Quorum.Members) == 4 })
 		r.run(dropLearner - time.Second)
 		So(lead.Status().Quorum.Members, ShouldHaveLength, 4)
-		since := lead.Found(pair.FoundCall{}).MembersAt
+		since := lead.Found(api.FoundCall{}).MembersAt
 		r.voters("c1", "c2", "c3")
-		r.until("the removal is committed", func() bool { return lead.Found(pair.FoundCall{}).MembersAt > since })
+		r.until("the removal is committed", func() bool { return lead.Found(api.FoundCall{}).MembersAt > since })
 
 		// It does not come back under its ID, as its folder says that it was a member.
-		_, err = lead.Join(context.Background(), pair.JoinCall{ID: "c9~x", Name: "c9", Addr: "c9", Since: since})
-		So(fault.KindOf(err), ShouldEqual, fault.Stale)
+		_, err = lead.Join(context.Background(), api.JoinCall{ID: "c9~x", Name: "c9", Addr: "c9", Since: since})
+		So(errs.KindOf(err), ShouldEqual, errs.Stale)
 		// A folder whose membership was never committed is no such one.
-		_, err = lead.Join(context.Background(), pair.JoinCall{ID: "c9~x", Name: "c9", Addr: "c9", Since: since + 100})
+		_, err = lead.Join(context.Background(), api.JoinCall{ID: "c9~x", Name: "c9", Addr: "c9", Since: since + 100})
 		So(err, ShouldBeNil)
 	})
 }
 
 func TestRemovedComesBack(t *testing.T) {
-	withinOpen(t, 6, func(r *rig) {
+	withinOpen(t, 6, func(r *testStores) {
 		r.set.SlotEvery = 1 << 20 // a slot would tell a restarted node that its membership was committed
 		r.startAll()
 		all := []string{"c1", "c2", "c3", "c4", "c5", "c6"}
@@ -371,14 +371,14 @@
 }
 
 // leaderBut lets another lead if the one named does.
-func (r *rig) leaderBut(name string) {
+func (r *testStores) leaderBut(name string) {
 	for r.leader().set.Name == name {
 		r.call(func(ctx context.Context) { r.nodes[name].Handover(ctx) })
 	}
 }
 
 func TestSeedsDown(t *testing.T) {
-	withinOpen(t, 8, func(r *rig) {
+	withinOpen(t, 8, func(r *testStores) {
 		r.startAll()
 		all := []string{"c1", "c2", "c3", "c4", "c5", "c6", "c7", "c8"}
 		r.voters(all...)
@@ -419,7 +419,7 @@
 }
 
 // leaderOf waits until one of the nodes leads, and gives it.
-func (r *rig) leaderOf(names ...string) (lead *Store) {
+func (r *testStores) leaderOf(names ...string) (lead *Store) {
 	r.until("a leader of some", func() bool {
 		for _, n := range names {
 			if s := r.nodes[n]; s != nil {
@@ -435,7 +435,7 @@
 }
 
 func TestFailoverSpeed(t *testing.T) {
-	withinOpen(t, 5, func(r *rig) {
+	withinOpen(t, 5, func(r *testStores) {
 		r.slowSyncs()
 		r.startAll()
 		r.voters("c1", "c2", "c3", "c4", "c5")
@@ -479,7 +479,7 @@
 }
 
 func TestHandoverPassesTheDead(t *testing.T) {
-	withinOpen(t, 5, func(r *rig) {
+	withinOpen(t, 5, func(r *testStores) {
 		r.slowSyncs()
 		r.startAll()
 		r.voters("c1", "c2", "c3", "c4", "c5")
@@ -496,7 +496,7 @@
 }
 
 func TestLeadTerm(t *testing.T) {
-	withinOpen(t, 3, func(r *rig) {
+	withinOpen(t, 3, func(r *testStores) {
 		r.startAll()
 		r.voters("c1", "c2", "c3")
 		lead := r.leader()
@@ -517,9 +517,9 @@
 		default:
 			So("changed", ShouldEqual, "closed")
 		}
-		So(fault.KindOf(propose(lead, term-1, "b")), ShouldEqual, fault.Stale)
-		So(fault.KindOf(propose(lead, 0, "b")), ShouldEqual, fault.Stale)
-		So(fault.KindOf(propose(r.follower(lead), term, "b")), ShouldEqual, fault.NotLeader)
+		So(errs.KindOf(propose(lead, term-1, "b")), ShouldEqual, errs.Stale)
+		So(errs.KindOf(propose(lead, 0, "b")), ShouldEqual, errs.Stale)
+		So(errs.KindOf(propose(r.follower(lead), term, "b")), ShouldEqual, errs.NotLeader)
 
 		// Cut off, the lease ends before another can lead.
 		r.setCut(true, lead.set.Name)
@@ -530,24 +530,24 @@
 		newer, held := next.LeadTerm(r.clock.Now())
 		So(held, ShouldBeTrue)
 		So(newer, ShouldBeGreaterThan, term)
-		So(fault.KindOf(propose(next, term, "b")), ShouldEqual, fault.Stale)
+		So(errs.KindOf(propose(next, term, "b")), ShouldEqual, errs.Stale)
 		next.View(func(st *state.State) { So(st.Jobs["b"], ShouldBeNil) })
 	})
 }
 
-// counting counts the alarms that a node sets.
+// counting counts the timers that a node sets.
 type counting struct {
-	alarm.Clock
+	clock.Clock
 	set *atomic.Int64
 }
 
-func (c counting) Set(d time.Duration, ring func()) alarm.Stopper {
+func (c counting) Set(d time.Duration, ring func()) clock.Stopper {
 	c.set.Add(1)
 	return c.Clock.Set(d, ring)
 }
 
 func TestIdleWakeUps(t *testing.T) {
-	withinOpen(t, 3, func(r *rig) {
+	withinOpen(t, 3, func(r *testStores) {
 		sets := map[string]*atomic.Int64{}
 		for i := range 3 {
 			n := name(i)
@@ -583,19 +583,19 @@
 
 func TestDiscard(t *testing.T) {
 	Convey("A discarded folder never founds and never keeps its ID, wherever the power goes on the way", t, func() {
-		full := func() *slot.MemDisk {
-			d := slot.NewMemDisk()
+		full := func() *storage.MemDisk {
+			d := storage.NewMemDisk()
 			So(writeFile(d, idFile, "c1~old"), ShouldBeNil)
-			s, _, err := slot.Open(d, slot.Options{})
+			s, _, err := storage.Open(d, storage.Options{})
 			So(err, ShouldBeNil)
-			So(s.Append([]slot.Record{{Kind: slot.KindHard, Data: []byte(`{"t":7,"v":"c2"}`)}}), ShouldBeNil)
+			So(s.Append([]storage.Record{{Kind: storage.KindHard, Data: []byte(`{"t":7,"v":"c2"}`)}}), ShouldBeNil)
 			So(s.Close(), ShouldBeNil)
 			return d
 		}
-		set := conf.DefaultCplane()
+		set := config.DefaultCplane()
 		set.Name, set.Addr, set.OpenMembership = "c1", "c1", true
-		set.Members = []conf.Member{{ID: "c1", Addr: "c1"}, {ID: "c2", Addr: "c2"}}
-		open := func(d slot.Disk) (*Store, error) {
+		set.Members = []config.Member{{ID: "c1", Addr: "c1"}, {ID: "c2", Addr: "c2"}}
+		open := func(d storage.Disk) (*Store, error) {
 			return Open(Options{Settings: set, Disk: d, Net: net{}, Fatal: func(error) {}})
 		}
 		for at := 1; ; at++ {
@@ -610,7 +610,7 @@
 			So(s.id, ShouldNotEqual, "c1~old")
 			So(s.status.Term, ShouldEqual, 0)
 			So(s.addresses(), ShouldResemble, []string{"c2", "c7", "c8"})
-			So(s.Found(pair.FoundCall{}).Fresh, ShouldBeFalse)
+			So(s.Found(api.FoundCall{}).Fresh, ShouldBeFalse)
 			if err == nil {
 				So(at, ShouldBeGreaterThan, 8)
 				break
@@ -635,12 +635,12 @@
 	Convey("Only seeds with the same seeds found together, and only where nobody knows a fleet", t, func() {
 		s := &Store{boot: "boot"}
 		s.set.Name, s.set.Addr = "c1", "c1"
-		s.set.Members = []conf.Member{{ID: "c1", Addr: "c1"}, {ID: "c2", Addr: "c2"}, {ID: "c3", Addr: "c3"}}
-		empty := pair.FoundAnswer{Fresh: true, Boot: "p", Digest: s.digest()}
-		other := pair.FoundAnswer{Fresh: true, Boot: "p", Digest: "other"}
+		s.set.Members = []config.Member{{ID: "c1", Addr: "c1"}, {ID: "c2", Addr: "c2"}, {ID: "c3", Addr: "c3"}}
+		empty := api.FoundAnswer{Fresh: true, Boot: "p", Digest: s.digest()}
+		other := api.FoundAnswer{Fresh: true, Boot: "p", Digest: "other"}
 		before := map[string]string{"c2": "p", "c3": "p"}
-		say := func(c2, c3 pair.FoundAnswer, more ...pair.FoundAnswer) verdict {
-			answers := map[string]pair.FoundAnswer{"c2": c2, "c3": c3}
+		say := func(c2, c3 api.FoundAnswer, more ...api.FoundAnswer) verdict {
+			answers := map[string]api.FoundAnswer{"c2": c2, "c3": c3}
 			for i, a := range more {
 				answers[fmt.Sprint("c", i+4)] = a
 			}
@@ -649,16 +649,16 @@
 		}
 		So(say(empty, empty), ShouldEqual, fresh)
 		So(say(empty, other), ShouldEqual, differs)
-		So(say(empty, pair.FoundAnswer{Commit: 9}), ShouldEqual, exists) // its seeds are not compared
-		So(say(other, pair.FoundAnswer{Commit: 9}), ShouldEqual, exists)
-		So(say(empty, empty, pair.FoundAnswer{Commit: 9}), ShouldEqual, exists) // one that is no seed
-		So(say(empty, pair.FoundAnswer{Digest: "other"}), ShouldEqual, unsure)  // empty, and must not found
-		So(say(empty, pair.FoundAnswer{Commit: 1, Digest: s.digest()}), ShouldEqual, unsure)
-		named := pair.FoundAnswer{Commit: 9, Digest: s.digest(), Founders: map[string]string{"c1": "boot"}}
+		So(say(empty, api.FoundAnswer{Commit: 9}), ShouldEqual, exists) // its seeds are not compared
+		So(say(other, api.FoundAnswer{Commit: 9}), ShouldEqual, exists)
+		So(say(empty, empty, api.FoundAnswer{Commit: 9}), ShouldEqual, exists) // one that is no seed
+		So(say(empty, api.FoundAnswer{Digest: "other"}), ShouldEqual, unsure)  // empty, and must not found
+		So(say(empty, api.FoundAnswer{Commit: 1, Digest: s.digest()}), ShouldEqual, unsure)
+		named := api.FoundAnswer{Commit: 9, Digest: s.digest(), Founders: map[string]string{"c1": "boot"}}
 		So(say(empty, named), ShouldEqual, fresh)
 		named.Digest = "other"
 		So(say(empty, named), ShouldEqual, exists)
-		v, _ := s.judgeOpen(map[string]pair.FoundAnswer{"c2": empty, "c3": empty}, nil)
+		v, _ := s.judgeOpen(map[string]api.FoundAnswer{"c2": empty, "c3": empty}, nil)
 		So(v, ShouldEqual, unsure) // the first such round
 	})
 }
@@ -667,7 +667,7 @@
 // was acknowledged is lost. A disk is wiped only while all others are there: more losses at once lose data.
 func TestOpenUnrest(t *testing.T) {
 	for seed := range int64(6) {
-		withinOpen(t, 5, func(r *rig) {
+		withinOpen(t, 5, func(r *testStores) {
 			rnd := rand.New(rand.NewSource(seed))
 			r.startAll()
 			r.voters("c1", "c2", "c3", "c4", "c5")
@@ -718,15 +718,15 @@
 }
 
 // seeds are told to the nodes that start from now on.
-func (r *rig) seeds(names []string) {
+func (r *testStores) seeds(names []string) {
 	r.set.Members = nil
 	for _, n := range names {
-		r.set.Members = append(r.set.Members, conf.Member{ID: n, Addr: n, Zone: "z"})
+		r.set.Members = append(r.set.Members, config.Member{ID: n, Addr: n, Zone: "z"})
 	}
 }
 
 // revive restarts the nodes that ended themselves.
-func (r *rig) revive() {
+func (r *testStores) revive() {
 	for n := range r.nodes {
 		if r.ended(n) {
 			r.again(n)
@@ -735,7 +735,7 @@
 }
 
 // heal ends all cuts, starts what is down and waits until all are voters, and the only ones.
-func (r *rig) heal(names []string) {
+func (r *testStores) heal(names []string) {
 	r.setCut(false, names...)
 	r.startAll()
 	r.until("healed", func() bool {
@@ -751,7 +751,7 @@
 }
 
 // majority tells whether some node leads, or will, with those that run and are not cut off.
-func (r *rig) majority() bool {
+func (r *testStores) majority() bool {
 	for _, s := range r.nodes {
 		members, there := memberIDs(s), 0
 		for _, id := range members {
--- a/internal/store/propose.go
+++ b/internal/store/propose.go
@@ -5,8 +5,8 @@
 	"encoding/json"
 	"time"
 
-	"crosstide/internal/fault"
-	"crosstide/internal/pair"
+	"crosstide/internal/api"
+	"crosstide/internal/errs"
 	"crosstide/internal/quorum"
 	"crosstide/internal/state"
 	"crosstide/internal/state/command"
@@ -52,32 +52,32 @@
 //	index, answer, err := s.Propose(ctx, &command.Cancel{Key: "k-1"})
 func (s *Store) Propose(ctx context.Context, c command.Command) (index uint64, answer any, err error) {
 	index, answer, err = s.commit(ctx, c, 0)
-	return index, answer, fault.Pass(err, "any term")
+	return index, answer, errs.Pass(err, "any term")
 }
 
 // ProposeIn is Propose by what was decided in one term of this node's lead, such as LeadTerm gave: the command
-// enters the log in that term or not at all. Fault, besides those of Propose: Stale if this node leads in
+// enters the log in that term or not at all. Failure, besides those of Propose: Stale if this node leads in
 // another term by then; nothing happened.
 func (s *Store) ProposeIn(ctx context.Context, term uint64, c command.Command) (index uint64, answer any, err error) {
 	if term == 0 {
-		return 0, nil, fault.Field(fault.Stale, "term", "no leader has term 0")
+		return 0, nil, errs.Field(errs.Stale, "term", "no leader has term 0")
 	}
 	index, answer, err = s.commit(ctx, c, term)
-	return index, answer, fault.Pass(err, "term %d", term)
+	return index, answer, errs.Pass(err, "term %d", term)
 }
 
 // commit proposes c, in the term only if that is not 0, and waits for the outcome.
 func (s *Store) commit(ctx context.Context, c command.Command, term uint64) (index uint64, answer any, err error) {
 	data, err := command.Encode(s.clock.Wall(), c)
 	if err != nil {
-		return 0, nil, fault.Pass(err, "propose")
+		return 0, nil, errs.Pass(err, "propose")
 	}
 	if len(data) > maxCommand {
-		return 0, nil, fault.New(fault.TooLarge, "the command has %d bytes, at most %d", len(data), maxCommand)
+		return 0, nil, errs.New(errs.TooLarge, "the command has %d bytes, at most %d", len(data), maxCommand)
 	}
 	w := &waiter{data: data, only: term, done: make(chan outcome, 1)}
 	if err := s.enter(w); err != nil {
-		return 0, nil, fault.Pass(err, "propose %s", c.Op())
+		return 0, nil, errs.Pass(err, "propose %s", c.Op())
 	}
 	nudge(s.kick)
 	late := make(chan struct{})
@@ -90,7 +90,7 @@
 	case <-ctx.Done():
 		o = s.leave(w)
 	}
-	return o.index, o.answer, fault.Pass(o.err, "propose %s", c.Op())
+	return o.index, o.answer, errs.Pass(o.err, "propose %s", c.Op())
 }
 
 // enter lets a proposal wait for its turn, within the bounds.
@@ -98,10 +98,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if err := s.leads(); err != nil {
-		return fault.Pass(err, "enter")
+		return errs.Pass(err, "enter")
 	}
 	if s.waiting >= maxWaiting || s.waitBytes+len(w.data) > maxBytes || s.behind > maxBehind {
-		return fault.New(fault.Pressure, "%d proposals wait, %d bytes; %d bytes of log since the last slot", s.waiting, s.waitBytes, s.behind)
+		return errs.New(errs.Overloaded, "%d proposals wait, %d bytes; %d bytes of log since the last slot", s.waiting, s.waitBytes, s.behind)
 	}
 	s.waiting++
 	s.waitBytes += len(w.data)
@@ -114,12 +114,12 @@
 func (s *Store) leads() error {
 	switch {
 	case s.core == nil:
-		return fault.New(fault.Unavailable, "not part of a fleet yet")
+		return errs.New(errs.Unavailable, "not part of a fleet yet")
 	case s.broken:
-		return fault.New(fault.Stopped, "the disk failed")
+		return errs.New(errs.Stopped, "the disk failed")
 	case s.status.Role != quorum.Leader:
-		err := fault.New(fault.NotLeader, "%s is %s in term %d", s.id, s.status.Role, s.status.Term)
-		fault.Of(err).Hint = s.leaderAddr()
+		err := errs.New(errs.NotLeader, "%s is %s in term %d", s.id, s.status.Role, s.status.Term)
+		errs.Of(err).Hint = s.leaderAddr()
 		return err
 	}
 	return nil
@@ -134,9 +134,9 @@
 	if w.over {
 		return <-w.done
 	}
-	err := fault.New(fault.Timeout, "not committed in time; it may or may not be yet")
+	err := errs.New(errs.Timeout, "not committed in time; it may or may not be yet")
 	if w.term == 0 {
-		err = fault.New(fault.Unavailable, "the proposal found no way into the log in time")
+		err = errs.New(errs.Unavailable, "the proposal found no way into the log in time")
 	} else {
 		delete(s.waiters, w.index)
 	}
@@ -153,7 +153,7 @@
 	lead, _ := s.core.Leads()
 	for _, w := range s.pending {
 		if w.only != 0 && w.only != lead {
-			w.end(s, outcome{err: fault.New(fault.Stale, "decided in term %d, it is %d now", w.only, lead)})
+			w.end(s, outcome{err: errs.New(errs.Stale, "decided in term %d, it is %d now", w.only, lead)})
 		}
 		if !w.over {
 			batch = append(batch, w)
@@ -186,7 +186,7 @@
 		w.end(s, outcome{err: why})
 	}
 	for _, w := range s.pending {
-		w.end(s, outcome{err: fault.New(fault.Unavailable, "the leader changed before the proposal was in the log")})
+		w.end(s, outcome{err: errs.New(errs.Unavailable, "the leader changed before the proposal was in the log")})
 	}
 	s.pending = nil
 }
@@ -195,12 +195,12 @@
 // only for a moment after each of their answers.
 const confirmWait = 600 * time.Millisecond
 
-// Confirm gives an index that every earlier commit is at or below. Faults: NotLeader (Hint), Unavailable.
+// Confirm gives an index that every earlier commit is at or below. Failures: NotLeader (Hint), Unavailable.
 func (s *Store) Confirm() (uint64, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	index, err := s.confirm()
-	return index, fault.Pass(err, "index")
+	return index, errs.Pass(err, "index")
 }
 
 // confirm is called under the lock, which it lets go while it waits.
@@ -208,7 +208,7 @@
 	end := s.clock.Now() + confirmWait
 	for {
 		if err := s.leads(); err != nil {
-			return 0, fault.Pass(err, "confirm")
+			return 0, errs.Pass(err, "confirm")
 		}
 		now := s.clock.Now()
 		commit, ok := s.core.Confirmed(now)
@@ -216,7 +216,7 @@
 			return commit, nil
 		}
 		if now >= end || s.hand != nil || s.group.Context().Err() != nil {
-			return 0, fault.New(fault.Unavailable, "the lead cannot be confirmed now")
+			return 0, errs.New(errs.Unavailable, "the lead cannot be confirmed now")
 		}
 		s.mu.Unlock()
 		s.rest(s.group.Context(), pollEvery)
@@ -224,7 +224,7 @@
 	}
 }
 
-// Await waits until the live state is at index or past it. Fault: Timeout.
+// Await waits until the live state is at index or past it. Failure: Timeout.
 func (s *Store) Await(ctx context.Context, index uint64) error {
 	over := make(chan struct{})
 	defer s.clock.Set(proposeWait, func() { close(over) }).Stop()
@@ -238,82 +238,82 @@
 		select {
 		case <-changed:
 		case <-over:
-			return fault.New(fault.Timeout, "at %d, not at %d in time", at, index)
+			return errs.New(errs.Timeout, "at %d, not at %d in time", at, index)
 		case <-ctx.Done():
-			return fault.Wrap(ctx.Err(), fault.Timeout, "at %d, not yet at %d", at, index)
+			return errs.Wrap(ctx.Err(), errs.Timeout, "at %d, not yet at %d", at, index)
 		}
 	}
 }
 
 // Read looks at a state that has all that was committed before the call, at any node: the leader, one hop away
-// at most, confirms the index. Faults: Unavailable, Timeout.
+// at most, confirms the index. Failures: Unavailable, Timeout.
 func (s *Store) Read(ctx context.Context, read func(*state.State)) error {
 	index, err := s.Confirm()
-	if fault.Is(err, fault.NotLeader) && fault.Of(err).Hint != "" {
-		var a pair.ConfirmAnswer
-		a, err = s.opt.Net.Confirm(ctx, fault.Of(err).Hint)
+	if errs.Is(err, errs.NotLeader) && errs.Of(err).Hint != "" {
+		var a api.ConfirmAnswer
+		a, err = s.opt.Net.Confirm(ctx, errs.Of(err).Hint)
 		index = a.Index
 	}
 	if err == nil {
 		err = s.Await(ctx, index)
 	}
 	if err != nil {
-		return fault.Pass(veil(err), "read")
+		return errs.Pass(veil(err), "read")
 	}
 	s.View(read)
 	return nil
 }
 
-// Order is Propose at any node, one hop away at most; the answer is JSON. Faults as Propose, but for NotLeader,
+// Order is Propose at any node, one hop away at most; the answer is JSON. Failures as Propose, but for NotLeader,
 // which is Unavailable here. An order that ended in Timeout may have been carried out: send the same again.
 func (s *Store) Order(ctx context.Context, c command.Command) (json.RawMessage, error) {
 	_, answer, err := s.Propose(ctx, c)
-	if fault.Is(err, fault.NotLeader) && fault.Of(err).Hint != "" {
+	if errs.Is(err, errs.NotLeader) && errs.Of(err).Hint != "" {
 		body, bad := json.Marshal(c)
 		if bad != nil {
-			return nil, fault.Wrap(bad, fault.Malformed, "encode %s", c.Op())
+			return nil, errs.Wrap(bad, errs.Malformed, "encode %s", c.Op())
 		}
-		a, err := s.opt.Net.Propose(ctx, fault.Of(err).Hint, pair.ProposeCall{Op: c.Op(), Body: body})
-		return a.Answer, fault.Pass(veil(err), "order")
+		a, err := s.opt.Net.Propose(ctx, errs.Of(err).Hint, api.ProposeCall{Op: c.Op(), Body: body})
+		return a.Answer, errs.Pass(veil(err), "order")
 	}
 	if err != nil {
-		return nil, fault.Pass(veil(err), "order")
+		return nil, errs.Pass(veil(err), "order")
 	}
 	raw, err := json.Marshal(answer)
-	return raw, fault.Wrap(err, fault.Internal, "encode the answer to %s", c.Op())
+	return raw, errs.Wrap(err, errs.Internal, "encode the answer to %s", c.Op())
 }
 
 // veil makes NotLeader, which is no answer for an outside caller, Unavailable.
 func veil(err error) error {
-	if fault.Is(err, fault.NotLeader) {
-		return fault.Wrap(err, fault.Unavailable, "no leader is known here at the moment")
+	if errs.Is(err, errs.NotLeader) {
+		return errs.Wrap(err, errs.Unavailable, "no leader is known here at the moment")
 	}
 	return err
 }
 
-// propose is the answer to pair.Propose.
-func (s *Store) propose(ctx context.Context, call pair.ProposeCall) (pair.ProposeAnswer, error) {
+// propose is the answer to api.Propose.
+func (s *Store) propose(ctx context.Context, call api.ProposeCall) (api.ProposeAnswer, error) {
 	s.mu.Lock()
 	err := s.leads() // before the work of decoding
 	s.mu.Unlock()
 	if err != nil {
-		return pair.ProposeAnswer{}, fault.Pass(err, "propose")
+		return api.ProposeAnswer{}, errs.Pass(err, "propose")
 	}
 	c, err := command.Make(call.Op)
 	if err != nil {
-		return pair.ProposeAnswer{}, fault.Pass(err, "propose")
+		return api.ProposeAnswer{}, errs.Pass(err, "propose")
 	}
 	if err := json.Unmarshal(call.Body, c); err != nil {
-		return pair.ProposeAnswer{}, fault.Wrap(err, fault.Malformed, "command %s", call.Op)
+		return api.ProposeAnswer{}, errs.Wrap(err, errs.Malformed, "command %s", call.Op)
 	}
 	index, answer, err := s.Propose(ctx, c)
 	if err != nil {
-		return pair.ProposeAnswer{}, fault.Pass(err, "call")
+		return api.ProposeAnswer{}, errs.Pass(err, "call")
 	}
-	out := pair.ProposeAnswer{Index: index}
+	out := api.ProposeAnswer{Index: index}
 	if answer != nil {
 		if out.Answer, err = json.Marshal(answer); err != nil {
-			return out, fault.Wrap(err, fault.Internal, "encode the answer to %s", call.Op)
+			return out, errs.Wrap(err, errs.Internal, "encode the answer to %s", call.Op)
 		}
 	}
 	return out, nil
--- a/internal/store/rollout_test.go
+++ b/internal/store/rollout_test.go
@@ -8,21 +8,21 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"crosstide/internal/pair"
-	"crosstide/internal/seal"
+	"crosstide/internal/api"
+	"crosstide/internal/signature"
 	"crosstide/internal/state"
 	"crosstide/internal/state/command"
 )
 
 func TestBundles(t *testing.T) {
-	keys := make([]seal.Key, 2)
+	keys := make([]signature.Key, 2)
 	for i, name := range []string{"ada", "ben"} {
 		var err error
-		if keys[i], err = seal.New(name); err != nil {
+		if keys[i], err = signature.New(name); err != nil {
 			t.Fatal(err)
 		}
 	}
-	within(t, 30, func(r *rig) {
+	within(t, 30, func(r *testStores) {
 		lead := r.leader()
 		r.until("the operators' keys", func() bool {
 			n := 0
@@ -37,10 +37,10 @@
 		text := ""
 		for v := uint64(1); v < 40; v++ { // over several slots
 			text = fmt.Sprintf("{\"queues\": {\"q%d\":{}} }\t\n", v)
-			id, digest := fmt.Sprint("o", v), seal.Digest([]byte(text))
-			order(&command.Put{Order: id, Base: v, By: "ada", Body: []byte(text), Sig: keys[0].Sign(seal.Put(id, v, digest))})
+			id, digest := fmt.Sprint("o", v), signature.Digest([]byte(text))
+			order(&command.Put{Order: id, Base: v, By: "ada", Body: []byte(text), Sig: keys[0].Sign(signature.Put(id, v, digest))})
 			for i, by := range []string{"ada", "ben"} {
-				order(&command.Sign{Order: id + by, Version: v + 1, Digest: digest, By: by, Sig: keys[i].Sign(seal.Bundle(v+1, digest))})
+				order(&command.Sign{Order: id + by, Version: v + 1, Digest: digest, By: by, Sig: keys[i].Sign(signature.Bundle(v+1, digest))})
 			}
 		}
 
@@ -78,10 +78,10 @@
 		// What followers say of their bundle is known at every member, the newest word first.
 		for i, name := range []string{"c1", "c2"} {
 			r.call(func(ctx context.Context) {
-				_, _ = r.nodes[name].Follow(ctx, pair.FollowCall{Node: "d1", Vector: map[string]uint64{}, Bundle: uint64(39 + i)})
+				_, _ = r.nodes[name].Follow(ctx, api.FollowCall{Node: "d1", Vector: map[string]uint64{}, Bundle: uint64(39 + i)})
 			})
 		}
-		var nodes []pair.NodeBundle
+		var nodes []api.NodeBundle
 		var silent []string
 		r.kill("c2")
 		r.call(func(ctx context.Context) { nodes, silent = r.nodes["c3"].Rollout(ctx) })
@@ -95,7 +95,7 @@
 		r.until("c2 again", level)
 		r.clock.Advance(time.Second) // a newer word is one at a later time
 		r.call(func(ctx context.Context) {
-			_, _ = r.nodes["c2"].Follow(ctx, pair.FollowCall{Node: "d1", Vector: map[string]uint64{}, Bundle: 40})
+			_, _ = r.nodes["c2"].Follow(ctx, api.FollowCall{Node: "d1", Vector: map[string]uint64{}, Bundle: 40})
 		})
 		r.call(func(ctx context.Context) { nodes, silent = r.nodes["c1"].Rollout(ctx) })
 		So([]any{nodes[3].Node, nodes[3].Version, len(silent)}, ShouldResemble, []any{"d1", uint64(40), 0})
--- a/internal/store/send.go
+++ b/internal/store/send.go
@@ -3,12 +3,12 @@
 import (
 	"context"
 
-	"crosstide/internal/pair"
+	"crosstide/internal/api"
 	"crosstide/internal/quorum"
 )
 
 const (
-	peerMessages = 4096     // a peer's backlog; the oldest fall
+	peerMessages = 4096     // a peer's queue; the oldest fall
 	peerBytes    = 32 << 20 // likewise
 	callBytes    = 8 << 20  // of one call, about
 	flights      = 8        // calls to a peer that may be under way at once, over a slow way
@@ -16,11 +16,11 @@
 
 // peer is the way to another member: its pending messages go as one call, one call after the other, see post.
 type peer struct {
-	addr    string
-	backlog []quorum.Message
-	bytes   int
-	kick    chan struct{}
-	stop    context.CancelFunc
+	addr  string
+	queue []quorum.Message
+	bytes int
+	kick  chan struct{}
+	stop  context.CancelFunc
 }
 
 func sizeOf(m quorum.Message) int {
@@ -43,11 +43,11 @@
 				continue
 			}
 		}
-		p.backlog = append(p.backlog, m)
+		p.queue = append(p.queue, m)
 		p.bytes += sizeOf(m)
-		for len(p.backlog) > peerMessages || p.bytes > peerBytes && len(p.backlog) > 1 {
-			p.bytes -= sizeOf(p.backlog[0])
-			p.backlog = p.backlog[1:]
+		for len(p.queue) > peerMessages || p.bytes > peerBytes && len(p.queue) > 1 {
+			p.bytes -= sizeOf(p.queue[0])
+			p.queue = p.queue[1:]
 			s.meter.dropped.Inc()
 		}
 		nudge(p.kick)
@@ -95,12 +95,12 @@
 // take gives the messages of the next call.
 func (p *peer) take() []quorum.Message {
 	n, bytes := 0, 0
-	for n < len(p.backlog) && (n == 0 || bytes+sizeOf(p.backlog[n]) <= callBytes) {
-		bytes += sizeOf(p.backlog[n])
+	for n < len(p.queue) && (n == 0 || bytes+sizeOf(p.queue[n]) <= callBytes) {
+		bytes += sizeOf(p.queue[n])
 		n++
 	}
-	batch := p.backlog[:n:n]
-	p.backlog, p.bytes = p.backlog[n:], p.bytes-bytes
+	batch := p.queue[:n:n]
+	p.queue, p.bytes = p.queue[n:], p.bytes-bytes
 	return batch
 }
 
@@ -114,7 +114,7 @@
 		}
 		s.mu.Lock()
 		batch := p.take()
-		more := len(p.backlog) > 0
+		more := len(p.queue) > 0
 		broken := s.broken
 		s.mu.Unlock()
 		if len(batch) == 0 || broken {
@@ -141,8 +141,8 @@
 	done, late := make(chan struct{}), make(chan struct{})
 	s.group.Go(func(context.Context) {
 		defer func() { <-slots; close(done) }()
-		// A fault costs these messages only; the core makes up for what is lost.
-		if err := s.opt.Net.Quorum(ctx, p.addr, pair.QuorumCall{From: s.set.Addr, Messages: batch}); err != nil {
+		// A failure costs these messages only; the core makes up for what is lost.
+		if err := s.opt.Net.Quorum(ctx, p.addr, api.QuorumCall{From: s.set.Addr, Messages: batch}); err != nil {
 			s.meter.dropped.Add(float64(len(batch)))
 		}
 	})
@@ -158,7 +158,7 @@
 
 // Step takes in messages of another member. From of the call is the sender's address, by which a node that has
 // no members yet can answer.
-func (s *Store) Step(call pair.QuorumCall) {
+func (s *Store) Step(call api.QuorumCall) {
 	s.mu.Lock()
 	s.learn(call.From)
 	if s.core == nil || s.frozen || s.broken {
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -19,15 +19,15 @@
 	"github.com/go-kit/log/level"
 	"github.com/prometheus/client_golang/prometheus"
 
-	"crosstide/internal/alarm"
-	"crosstide/internal/conf"
-	"crosstide/internal/fault"
-	"crosstide/internal/pair"
+	"crosstide/internal/api"
+	"crosstide/internal/clock"
+	"crosstide/internal/config"
+	"crosstide/internal/errs"
 	"crosstide/internal/quorum"
-	"crosstide/internal/slot"
-	"crosstide/internal/spawn"
+	"crosstide/internal/routine"
 	"crosstide/internal/state"
 	"crosstide/internal/state/command"
+	"crosstide/internal/storage"
 )
 
 const (
@@ -44,26 +44,26 @@
 
 // Net carries the calls to other cplanes at an address; all end by their own time-out.
 type Net interface {
-	Quorum(ctx context.Context, addr string, call pair.QuorumCall) error
-	Chunk(ctx context.Context, addr string, call pair.ChunkCall) (pair.ChunkAnswer, error)
-	Found(ctx context.Context, addr string, call pair.FoundCall) (pair.FoundAnswer, error)
-	Join(ctx context.Context, addr string, call pair.JoinCall) (pair.JoinAnswer, error)
-	Propose(ctx context.Context, addr string, call pair.ProposeCall) (pair.ProposeAnswer, error)
-	Confirm(ctx context.Context, addr string) (pair.ConfirmAnswer, error)
-	Rollout(ctx context.Context, addr string) (pair.RolloutAnswer, error)
+	Quorum(ctx context.Context, addr string, call api.QuorumCall) error
+	Chunk(ctx context.Context, addr string, call api.ChunkCall) (api.ChunkAnswer, error)
+	Found(ctx context.Context, addr string, call api.FoundCall) (api.FoundAnswer, error)
+	Join(ctx context.Context, addr string, call api.JoinCall) (api.JoinAnswer, error)
+	Propose(ctx context.Context, addr string, call api.ProposeCall) (api.ProposeAnswer, error)
+	Confirm(ctx context.Context, addr string) (api.ConfirmAnswer, error)
+	Rollout(ctx context.Context, addr string) (api.RolloutAnswer, error)
 }
 
 // Options of a store; Settings, Disk, Net and Fatal are needed.
 type Options struct {
-	Settings conf.Cplane
-	Disk     slot.Disk
+	Settings config.Cplane
+	Disk     storage.Disk
 	Net      Net
 	// Fatal is told of a failed write or sync, of a state that cannot be trusted. It must end the process.
 	Fatal    func(error)
 	Damaged  bool                  // an earlier folder was set aside as damaged: never found a fleet
 	Seed     uint64                // of the election time-outs; 0 draws one
 	Draw     func() string         // of names that no other process has; default crypto/rand.Text
-	Clock    alarm.Clock           // default alarm.Real
+	Clock    clock.Clock           // default clock.Real
 	Logger   log.Logger            // default: none
 	Registry prometheus.Registerer // default: not shown
 }
@@ -71,13 +71,13 @@
 // Store is a running cplane's part in the control store.
 type Store struct {
 	opt   Options
-	set   conf.Cplane
-	clock alarm.Clock
+	set   config.Cplane
+	clock clock.Clock
 	log   log.Logger
-	group *spawn.Group
+	group *routine.Group
 	hand  *Hand // who drives the store in place of its goroutines; nil in a daemon
 	meter *meter
-	slots *slot.Store
+	slots *storage.Store
 	boot  string // of this process
 	id    string // in the quorum; fixed before core is set
 
@@ -109,22 +109,22 @@
 	queue           []work         // for the disk
 	diskBusy        time.Duration  // since when the disk works on one batch, 0 when idle
 	durable         uint64         // the stored log equals the core's up to here
-	backlog         []quorum.Entry // committed, for the shadow
+	committed       []quorum.Entry // committed, for the shadow
 	behind          int            // their bytes, and of those the shadow applied since its last slot
 	shadow          *state.State   // the shadow goroutine's own
 	shadowMembers   []quorum.Member
 	shadowSince     int
 	shadowBytes     int
-	newest          pair.Snapshot // the newest slot
-	logTotal        int           // bytes of log that slots took the place of
+	newest          api.Snapshot // the newest slot
+	logTotal        int          // bytes of log that slots took the place of
 	founders        map[string]string
 	install         *install
 	chunks          chunks
-	own             pair.NodeBundle            // the bundle of the live state
-	followers       map[string]pair.NodeBundle // by node
+	own             api.NodeBundle            // the bundle of the live state
+	followers       map[string]api.NodeBundle // by node
 }
 
-// Open reads the folder and makes a store that takes part in nothing yet. Faults: Disk, Damaged (see Options).
+// Open reads the folder and makes a store that takes part in nothing yet. Failures: Disk, Damaged (see Options).
 // Example:
 //
 //	s, err := store.Open(store.Options{Settings: settings, Disk: disk, Net: store.Wire(caller, settings), Fatal: die})
@@ -133,7 +133,7 @@
 //	defer s.Stop()
 func Open(opt Options) (*Store, error) {
 	if opt.Clock == nil {
-		opt.Clock = alarm.Real{}
+		opt.Clock = clock.Real{}
 	}
 	if opt.Logger == nil {
 		opt.Logger = log.NewNopLogger()
@@ -145,21 +145,21 @@
 		opt.Seed = new(maphash.Hash).Sum64()
 	}
 	if strings.Contains(opt.Settings.Name, "~") {
-		return nil, fault.Field(fault.Settings, "name", "must not hold ~, which sets the incarnation of a folder apart")
+		return nil, errs.Field(errs.Settings, "name", "must not hold ~, which sets the incarnation of a folder apart")
 	}
 	s := &Store{
-		opt: opt, set: opt.Settings, clock: opt.Clock, log: opt.Logger, group: spawn.New(context.Background()),
+		opt: opt, set: opt.Settings, clock: opt.Clock, log: opt.Logger, group: routine.New(context.Background()),
 		boot: opt.Draw()[:12],
 		kick: make(chan struct{}, 1), diskKick: make(chan struct{}, 1), shadowKick: make(chan struct{}, 1),
 		live: state.New(), peers: map[string]*peer{}, learnt: map[string]string{}, known: map[string]bool{}, changed: make(chan struct{}),
-		waiters: map[uint64]*waiter{}, followers: map[string]pair.NodeBundle{}, book: NewBook(opt.Settings.DutyLease, opt.Settings.DutyLease/10),
+		waiters: map[uint64]*waiter{}, followers: map[string]api.NodeBundle{}, book: NewBook(opt.Settings.DutyLease, opt.Settings.DutyLease/10),
 		levelAt: -readyWithin * 2,
 	}
 	s.meter = newMeter()
 	if err := s.load(); err != nil {
-		return nil, fault.Pass(err, "open the store")
+		return nil, errs.Pass(err, "open the store")
 	}
-	s.meter.show(s, opt.Registry) // only now: after a fault Open is called again
+	s.meter.show(s, opt.Registry) // only now: after a failure Open is called again
 	return s, nil
 }
 
@@ -215,7 +215,7 @@
 }
 
 func (s *Store) loop(ctx context.Context) {
-	var ring alarm.Stopper
+	var ring clock.Stopper
 	wake := func() { nudge(s.kick) }
 	for {
 		due := s.pass()
@@ -227,7 +227,7 @@
 		case <-ctx.Done():
 			ring.Stop()
 			s.mu.Lock()
-			s.flush(fault.New(fault.Stopped, "the store is stopping; the proposal may or may not be committed"))
+			s.flush(errs.New(errs.Stopped, "the store is stopping; the proposal may or may not be committed"))
 			s.mu.Unlock()
 			return
 		case <-s.kick:
@@ -304,12 +304,12 @@
 		}
 		delete(s.waiters, e.Index)
 		if w.term != e.Term {
-			w.end(s, outcome{err: fault.New(fault.Unavailable, "another leader's entry took the place %d", e.Index)})
+			w.end(s, outcome{err: errs.New(errs.Unavailable, "another leader's entry took the place %d", e.Index)})
 			continue
 		}
 		w.end(s, outcome{index: e.Index, answer: answer, err: err})
 	}
-	s.backlog = append(s.backlog, batch...)
+	s.committed = append(s.committed, batch...)
 	nudge(s.shadowKick)
 	s.took()
 	close(s.changed)
@@ -346,7 +346,7 @@
 		data = nil
 	}
 	answer, err := command.Apply(to, e.Index, e.Term, data)
-	return answer, fault.Pass(err, "entry %d", e.Index)
+	return answer, errs.Pass(err, "entry %d", e.Index)
 }
 
 // roles does what a change of leader or members asks for.
@@ -360,7 +360,7 @@
 		lead = st.Term
 	}
 	if lead != s.leadTerm {
-		s.flush(fault.New(fault.Timeout, "the leader changed; the proposal may or may not be committed"))
+		s.flush(errs.New(errs.Timeout, "the leader changed; the proposal may or may not be committed"))
 		s.book.Lose()
 		s.leadTerm = lead
 	}
@@ -468,35 +468,35 @@
 func (s *Store) Ready() error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return fault.Pass(s.readyNow(s.clock.Now()), "ready")
+	return errs.Pass(s.readyNow(s.clock.Now()), "ready")
 }
 
 func (s *Store) readyNow(now time.Duration) error {
 	switch {
 	case s.core == nil:
-		return fault.New(fault.Unavailable, "not part of a fleet yet")
+		return errs.New(errs.Unavailable, "not part of a fleet yet")
 	case s.status.Leader == "":
-		return fault.New(fault.Unavailable, "no leader is known")
+		return errs.New(errs.Unavailable, "no leader is known")
 	case s.status.Role == quorum.Leader:
 		if commit, ok := s.core.Confirmed(now); !ok || s.live.Index < commit {
-			return fault.New(fault.Unavailable, "the lead is not confirmed")
+			return errs.New(errs.Unavailable, "the lead is not confirmed")
 		}
 	case now-s.levelAt > readyWithin:
-		return fault.New(fault.Unavailable, "behind the leader: at %d of %d", s.live.Index, s.told)
+		return errs.New(errs.Unavailable, "behind the leader: at %d of %d", s.live.Index, s.told)
 	}
 	return nil
 }
 
 // Status tells how this node stands.
-func (s *Store) Status() pair.StatusAnswer {
+func (s *Store) Status() api.StatusAnswer {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	out := pair.StatusAnswer{Applied: s.live.Index, Ready: s.readyNow(s.clock.Now()) == nil, Duties: map[string]pair.DutyAnswer{}}
+	out := api.StatusAnswer{Applied: s.live.Index, Ready: s.readyNow(s.clock.Now()) == nil, Duties: map[string]api.DutyAnswer{}}
 	if s.core != nil {
 		out.Quorum = s.core.Status()
 	}
 	for name, d := range s.live.Duties {
-		out.Duties[name] = pair.DutyAnswer{Epoch: d.Epoch, Holder: d.Holder, Addr: d.Addr}
+		out.Duties[name] = api.DutyAnswer{Epoch: d.Epoch, Holder: d.Holder, Addr: d.Addr}
 	}
 	return out
 }
@@ -523,5 +523,5 @@
 func NameOf(id string) string { return nameOf(id) }
 
 func decodeMeta(raw []byte) (m quorum.Meta, err error) {
-	return m, fault.Wrap(json.Unmarshal(raw, &m), fault.Damaged, "meta of a slot")
+	return m, errs.Wrap(json.Unmarshal(raw, &m), errs.Damaged, "meta of a slot")
 }
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -13,28 +13,28 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"crosstide/internal/alarm"
-	"crosstide/internal/conf"
-	"crosstide/internal/fault"
-	"crosstide/internal/pair"
+	"crosstide/internal/api"
+	"crosstide/internal/clock"
+	"crosstide/internal/config"
+	"crosstide/internal/errs"
 	"crosstide/internal/quorum"
-	"crosstide/internal/seal"
-	"crosstide/internal/slot"
-	"crosstide/internal/spawn"
+	"crosstide/internal/routine"
+	"crosstide/internal/signature"
 	"crosstide/internal/state"
 	"crosstide/internal/state/command"
+	"crosstide/internal/storage"
 )
 
 // rig is a fleet of stores in one process, over memory disks and a virtual clock. It lives in a synctest bubble:
 // the clock moves only when every goroutine waits.
-type rig struct {
-	clock alarm.Virtual
-	set   conf.Cplane
-	disks map[string]*slot.MemDisk
+type testStores struct {
+	clock clock.Virtual
+	set   config.Cplane
+	disks map[string]*storage.MemDisk
 	mu    sync.Mutex
 	nodes map[string]*Store // by address; nil while it is down
 	died  map[string]error
-	work  *spawn.Group
+	work  *routine.Group
 	acked map[string]uint64
 	seed  uint64          // of the nodes that start from now on, besides their names
 	slow  atomic.Int64    // nanoseconds that a sync takes on the virtual clock
@@ -43,16 +43,16 @@
 
 // paced is a disk whose syncs take the rig's time.
 type paced struct {
-	slot.Disk
-	r *rig
+	storage.Disk
+	r *testStores
 }
 
 type pacedFile struct {
-	slot.File
-	r *rig
+	storage.File
+	r *testStores
 }
 
-func (d paced) Create(name string) (slot.File, error) {
+func (d paced) Create(name string) (storage.File, error) {
 	f, err := d.Disk.Create(name)
 	return pacedFile{f, d.r}, err
 }
@@ -66,17 +66,17 @@
 	return f.File.Sync()
 }
 
-func newRig(n, slotEvery int, operators ...seal.Key) *rig {
-	r := &rig{set: conf.DefaultCplane(), disks: map[string]*slot.MemDisk{}, nodes: map[string]*Store{},
-		died: map[string]error{}, work: spawn.New(context.Background()), acked: map[string]uint64{}, cut: map[string]bool{}}
+func newTestStores(n, slotEvery int, operators ...signature.Key) *testStores {
+	r := &testStores{set: config.DefaultCplane(), disks: map[string]*storage.MemDisk{}, nodes: map[string]*Store{},
+		died: map[string]error{}, work: routine.New(context.Background()), acked: map[string]uint64{}, cut: map[string]bool{}}
 	r.set.SlotEvery = slotEvery
 	for _, key := range operators {
-		r.set.OperatorKeys = append(r.set.OperatorKeys, conf.OperatorKey{Name: key.Name, Key: key.Public()})
+		r.set.OperatorKeys = append(r.set.OperatorKeys, config.OperatorKey{Name: key.Name, Key: key.Public()})
 	}
 	for i := range n {
 		name := fmt.Sprintf("c%d", i+1)
-		r.set.Members = append(r.set.Members, conf.Member{ID: name, Addr: name, Zone: "z"})
-		r.disks[name] = slot.NewMemDisk()
+		r.set.Members = append(r.set.Members, config.Member{ID: name, Addr: name, Zone: "z"})
+		r.disks[name] = storage.NewMemDisk()
 	}
 	for _, m := range r.set.Members {
 		r.start(m.ID)
@@ -84,7 +84,7 @@
 	return r
 }
 
-func (r *rig) start(name string) {
+func (r *testStores) start(name string) {
 	set := r.set
 	set.Name, set.Addr, set.Zone = name, name, "z"
 	var s *Store
@@ -101,7 +101,7 @@
 }
 
 // kill ends a node; what its disk had not synced may be gone.
-func (r *rig) kill(name string) {
+func (r *testStores) kill(name string) {
 	s := r.nodes[name]
 	r.mu.Lock()
 	delete(r.nodes, name)
@@ -110,16 +110,16 @@
 	r.disks[name].Crash(rand.New(rand.NewSource(int64(name[1]))))
 }
 
-func (r *rig) close() {
+func (r *testStores) close() {
 	for name := range r.nodes {
 		r.kill(name)
 	}
-	r.clock.Advance(time.Minute) // alarms that are still set, such as those of proposals
+	r.clock.Advance(time.Minute) // timers that are still set, such as those of proposals
 	r.work.Stop()
 }
 
 // until moves the clock on, a little at a time, until cond holds.
-func (r *rig) until(what string, cond func() bool) {
+func (r *testStores) until(what string, cond func() bool) {
 	for range 20000 {
 		synctest.Wait()
 		if cond() {
@@ -130,7 +130,7 @@
 	So("not reached", ShouldEqual, what)
 }
 
-func (r *rig) leader() *Store {
+func (r *testStores) leader() *Store {
 	var found *Store
 	r.until("a ready leader", func() bool {
 		for _, s := range r.nodes {
@@ -145,7 +145,7 @@
 }
 
 // call runs what waits on the stores while the clock moves.
-func (r *rig) call(do func(ctx context.Context)) {
+func (r *testStores) call(do func(ctx context.Context)) {
 	done := false
 	r.work.Go(func(ctx context.Context) { do(ctx); done = true })
 	r.until("the end of a call", func() bool { return done })
@@ -157,27 +157,27 @@
 }
 
 // load submits n jobs at once at the leader and notes what was acknowledged.
-func (r *rig) load(label string, n int) (faults []fault.Kind) {
+func (r *testStores) load(label string, n int) (failures []errs.Kind) {
 	s := r.leader()
-	keys, got, errs := make([]string, n), make([]uint64, n), make([]error, n)
+	keys, got, outcomes := make([]string, n), make([]uint64, n), make([]error, n)
 	r.call(func(ctx context.Context) {
-		spawn.Each(n, n, func(i int) {
+		routine.Each(n, n, func(i int) {
 			keys[i] = fmt.Sprintf("%s-%d", label, i)
-			got[i], _, errs[i] = s.Propose(ctx, job(keys[i]))
+			got[i], _, outcomes[i] = s.Propose(ctx, job(keys[i]))
 		})
 	})
-	for i, err := range errs {
+	for i, err := range outcomes {
 		if err == nil {
 			r.acked[keys[i]] = got[i]
 		} else {
-			faults = append(faults, fault.KindOf(err))
+			failures = append(failures, errs.KindOf(err))
 		}
 	}
-	return faults
+	return failures
 }
 
 // level waits until every node has applied the same, and checks that all that was acknowledged is there.
-func (r *rig) level() {
+func (r *testStores) level() {
 	lead := r.leader()
 	r.until("all nodes level", func() bool {
 		for _, s := range r.nodes {
@@ -210,7 +210,7 @@
 
 // net carries the calls of one node straight to the other store.
 type net struct {
-	r    *rig
+	r    *testStores
 	from string
 }
 
@@ -226,53 +226,53 @@
 		case <-late:
 		case <-ctx.Done():
 		}
-		return none, fault.New(fault.Timeout, "%s does not answer", addr)
+		return none, errs.New(errs.Timeout, "%s does not answer", addr)
 	}
 	if s == nil {
-		return none, fault.New(fault.Unavailable, "%s is down", addr)
+		return none, errs.New(errs.Unavailable, "%s is down", addr)
 	}
 	return do(s)
 }
 
-func (n net) Quorum(ctx context.Context, addr string, c pair.QuorumCall) error {
+func (n net) Quorum(ctx context.Context, addr string, c api.QuorumCall) error {
 	_, err := to(ctx, n, addr, func(s *Store) (int, error) { s.Step(c); return 0, nil })
 	return err
 }
-func (n net) Chunk(ctx context.Context, addr string, c pair.ChunkCall) (pair.ChunkAnswer, error) {
+func (n net) Chunk(ctx context.Context, addr string, c api.ChunkCall) (api.ChunkAnswer, error) {
 	c.Max = 1000 // many parts
-	return to(ctx, n, addr, func(s *Store) (pair.ChunkAnswer, error) { return s.Chunk(c) })
+	return to(ctx, n, addr, func(s *Store) (api.ChunkAnswer, error) { return s.Chunk(c) })
 }
-func (n net) Found(ctx context.Context, addr string, c pair.FoundCall) (pair.FoundAnswer, error) {
-	return to(ctx, n, addr, func(s *Store) (pair.FoundAnswer, error) { return s.Found(c), nil })
+func (n net) Found(ctx context.Context, addr string, c api.FoundCall) (api.FoundAnswer, error) {
+	return to(ctx, n, addr, func(s *Store) (api.FoundAnswer, error) { return s.Found(c), nil })
 }
-func (n net) Join(ctx context.Context, addr string, c pair.JoinCall) (pair.JoinAnswer, error) {
-	return to(ctx, n, addr, func(s *Store) (pair.JoinAnswer, error) { return s.Join(ctx, c) })
+func (n net) Join(ctx context.Context, addr string, c api.JoinCall) (api.JoinAnswer, error) {
+	return to(ctx, n, addr, func(s *Store) (api.JoinAnswer, error) { return s.Join(ctx, c) })
 }
-func (n net) Propose(ctx context.Context, addr string, c pair.ProposeCall) (pair.ProposeAnswer, error) {
-	return to(ctx, n, addr, func(s *Store) (pair.ProposeAnswer, error) { return s.propose(ctx, c) })
+func (n net) Propose(ctx context.Context, addr string, c api.ProposeCall) (api.ProposeAnswer, error) {
+	return to(ctx, n, addr, func(s *Store) (api.ProposeAnswer, error) { return s.propose(ctx, c) })
 }
-func (n net) Rollout(ctx context.Context, addr string) (pair.RolloutAnswer, error) {
-	return to(ctx, n, addr, func(s *Store) (pair.RolloutAnswer, error) { return s.rollout(), nil })
+func (n net) Rollout(ctx context.Context, addr string) (api.RolloutAnswer, error) {
+	return to(ctx, n, addr, func(s *Store) (api.RolloutAnswer, error) { return s.rollout(), nil })
 }
-func (n net) Confirm(ctx context.Context, addr string) (pair.ConfirmAnswer, error) {
-	return to(ctx, n, addr, func(s *Store) (pair.ConfirmAnswer, error) {
+func (n net) Confirm(ctx context.Context, addr string) (api.ConfirmAnswer, error) {
+	return to(ctx, n, addr, func(s *Store) (api.ConfirmAnswer, error) {
 		i, err := s.Confirm()
-		return pair.ConfirmAnswer{Index: i}, err
+		return api.ConfirmAnswer{Index: i}, err
 	})
 }
 
 // within runs a test in a bubble, with a rig of 3 nodes.
-func within(t *testing.T, slotEvery int, do func(r *rig), operators ...seal.Key) {
+func within(t *testing.T, slotEvery int, do func(r *testStores), operators ...signature.Key) {
 	synctest.Test(t, func(t *testing.T) {
 		Convey("Given a fleet", t, func() {
-			r := newRig(3, slotEvery, operators...)
+			r := newTestStores(3, slotEvery, operators...)
 			defer r.close()
 			do(r)
 		})
 	})
 }
 
-func (r *rig) follower(of *Store) *Store {
+func (r *testStores) follower(of *Store) *Store {
 	for _, m := range r.set.Members {
 		if s := r.nodes[m.ID]; s != nil && s != of {
 			return s
@@ -282,14 +282,14 @@
 }
 
 func TestCommit(t *testing.T) {
-	within(t, 40, func(r *rig) {
+	within(t, 40, func(r *testStores) {
 		lead := r.leader()
 		other := r.follower(lead)
 		So(r.load("a", 300), ShouldBeEmpty)
 		r.level()
 		_, _, err := other.Propose(context.Background(), job("x"))
-		So(fault.KindOf(err), ShouldEqual, fault.NotLeader)
-		So(fault.Of(err).Hint, ShouldEqual, lead.set.Addr)
+		So(errs.KindOf(err), ShouldEqual, errs.NotLeader)
+		So(errs.Of(err).Hint, ShouldEqual, lead.set.Addr)
 
 		// Orders and reads work at any node.
 		var raw []byte
@@ -303,16 +303,16 @@
 		So(string(raw), ShouldContainSubstring, `"fresh":true`)
 		So(seen, ShouldBeTrue)
 		r.call(func(ctx context.Context) { _, err = other.Order(ctx, &command.Cancel{Key: "nobody"}) })
-		So(fault.KindOf(err), ShouldEqual, fault.Unknown)
+		So(errs.KindOf(err), ShouldEqual, errs.Unknown)
 
 		// Followers get changes, a snapshot where those are gone, and wait for what comes.
 		at := other.Status().Applied
-		follow := func(from uint64, wait time.Duration, during func(ctx context.Context)) pair.Lack {
-			var a pair.FollowAnswer
+		follow := func(from uint64, wait time.Duration, during func(ctx context.Context)) api.Lack {
+			var a api.FollowAnswer
 			r.call(func(ctx context.Context) {
-				waiting := spawn.New(ctx)
+				waiting := routine.New(ctx)
 				waiting.Go(func(ctx context.Context) {
-					a, err = other.Follow(ctx, pair.FollowCall{Vector: map[string]uint64{source: from}, Wait: wait, Max: 1 << 20})
+					a, err = other.Follow(ctx, api.FollowCall{Vector: map[string]uint64{source: from}, Wait: wait, Max: 1 << 20})
 				})
 				during(ctx)
 				waiting.Wait()
@@ -323,14 +323,14 @@
 		idle := func(context.Context) {}
 		So(len(follow(at-3, 0, idle).Changes), ShouldEqual, 3)
 		So(follow(0, 0, idle).Snapshot.Number, ShouldBeGreaterThan, 1)
-		So(follow(at, time.Second, idle), ShouldResemble, pair.Lack{})
+		So(follow(at, time.Second, idle), ShouldResemble, api.Lack{})
 		news := follow(at, 20*time.Second, func(ctx context.Context) { _, _ = other.Order(ctx, job("news")) }) // shows in what follows
 		So(len(news.Changes), ShouldEqual, 1)
 	})
 }
 
 func TestGroupCommit(t *testing.T) {
-	within(t, 1<<20, func(r *rig) { // no slots: they sync too
+	within(t, 1<<20, func(r *testStores) { // no slots: they sync too
 		lead := r.leader()
 		r.slow.Store(int64(5 * time.Millisecond)) // a disk without a delay would leave the grouping to the scheduler
 		before := lead.slots.Stats().Syncs
@@ -342,7 +342,7 @@
 }
 
 func TestCrashes(t *testing.T) {
-	within(t, 40, func(r *rig) {
+	within(t, 40, func(r *testStores) {
 		r.load("a", 100)
 		lead := r.leader()
 		r.kill(lead.set.Name)
@@ -370,17 +370,17 @@
 		}
 		var err error
 		r.call(func(ctx context.Context) { _, _, err = lead.Propose(ctx, job("alone")) })
-		So(fault.KindOf(err), ShouldEqual, fault.Timeout)
+		So(errs.KindOf(err), ShouldEqual, errs.Timeout)
 	})
 }
 
 func TestLostDisk(t *testing.T) {
-	within(t, 40, func(r *rig) {
+	within(t, 40, func(r *testStores) {
 		r.load("a", 200)
 		lead := r.leader()
 		gone := r.follower(lead).set.Name
 		r.kill(gone)
-		r.disks[gone] = slot.NewMemDisk()
+		r.disks[gone] = storage.NewMemDisk()
 		r.start(gone)
 		fresh := r.nodes[gone]
 		r.until("the newcomer is a voter", func() bool { return fresh.Status().Quorum.Voter })
@@ -402,18 +402,18 @@
 }
 
 func TestSuccessor(t *testing.T) {
-	within(t, 40, func(r *rig) {
+	within(t, 40, func(r *testStores) {
 		r.load("a", 100)
 		lead := r.leader()
 		gone := r.follower(lead).set.Name
 		r.kill(gone)
-		r.disks["c9"] = slot.NewMemDisk()
+		r.disks["c9"] = storage.NewMemDisk()
 		r.start("c9")
 		fresh := r.nodes["c9"]
 		var err error
 		r.until("the leader turns a stranger away", func() bool {
-			_, err = lead.Join(context.Background(), pair.JoinCall{ID: fresh.id, Name: "c9", Addr: "c9"})
-			return fault.Is(err, fault.Forbidden)
+			_, err = lead.Join(context.Background(), api.JoinCall{ID: fresh.id, Name: "c9", Addr: "c9"})
+			return errs.Is(err, errs.Forbidden)
 		})
 		So(err.Error(), ShouldContainSubstring, "cplane member replace OLD c9")
 		r.call(func(ctx context.Context) {
@@ -431,15 +431,15 @@
 }
 
 func TestFailedSync(t *testing.T) {
-	within(t, 40, func(r *rig) {
+	within(t, 40, func(r *testStores) {
 		lead := r.leader()
 		r.disks[lead.set.Name].FailSync(1)
 		var err error
 		r.call(func(ctx context.Context) { _, _, err = lead.Propose(ctx, job("a")) })
-		if err == nil { // the two others had it synced before the fault showed: it must stay
+		if err == nil { // the two others had it synced before the failure showed: it must stay
 			r.acked["a"] = 1
 		} else {
-			So(fault.KindOf(err), ShouldEqual, fault.Timeout)
+			So(errs.KindOf(err), ShouldEqual, errs.Timeout)
 		}
 		So(r.died[lead.set.Name], ShouldNotBeNil)
 		So(r.died, ShouldHaveLength, 1)
@@ -451,12 +451,12 @@
 }
 
 func TestDuty(t *testing.T) {
-	within(t, 40, func(r *rig) {
-		ask := func(holder string, epoch uint64, giveUp bool) (a pair.DutyAnswer) {
+	within(t, 40, func(r *testStores) {
+		ask := func(holder string, epoch uint64, giveUp bool) (a api.DutyAnswer) {
 			s := r.leader()
 			var err error
 			r.call(func(ctx context.Context) {
-				a, err = s.Duty(ctx, pair.DutyCall{Duty: "sched", Holder: holder, Addr: holder, Boot: "1", Epoch: epoch, GiveUp: giveUp})
+				a, err = s.Duty(ctx, api.DutyCall{Duty: "sched", Holder: holder, Addr: holder, Boot: "1", Epoch: epoch, GiveUp: giveUp})
 			})
 			So(err, ShouldBeNil)
 			return a
@@ -469,7 +469,7 @@
 		r.kill(lead.set.Name)
 		So(ask("b", 0, false).Mine, ShouldBeFalse)
 		So(ask("a", first.Epoch, false).Mine, ShouldBeTrue)
-		var second pair.DutyAnswer
+		var second api.DutyAnswer
 		began, tries := r.clock.Now(), 0
 		for ; !second.Mine; tries++ {
 			second = ask("b", 0, false)
@@ -485,27 +485,27 @@
 
 func TestJudge(t *testing.T) {
 	Convey("An empty folder founds only when it is sure to have no earlier life", t, func() {
-		say := func(a ...pair.FoundAnswer) verdict {
-			all := map[string]pair.FoundAnswer{}
+		say := func(a ...api.FoundAnswer) verdict {
+			all := map[string]api.FoundAnswer{}
 			for i, one := range a {
 				one.Digest = "d"
 				all[fmt.Sprint("c", i+2)] = one
 			}
 			v, vouched := judge("c1", "boot", "d", 3, all, map[string]string{"c2": "p", "c3": "p"})
-			named := slices.ContainsFunc(a, func(one pair.FoundAnswer) bool { return one.Founders != nil })
+			named := slices.ContainsFunc(a, func(one api.FoundAnswer) bool { return one.Founders != nil })
 			So(v == fresh && !named, ShouldEqual, vouched != nil)
 			return v
 		}
-		empty := pair.FoundAnswer{Fresh: true, Boot: "p"}
+		empty := api.FoundAnswer{Fresh: true, Boot: "p"}
 		So(say(), ShouldEqual, unsure)
 		So(say(empty), ShouldEqual, unsure)
 		So(say(empty, empty), ShouldEqual, fresh)
-		So(say(empty, pair.FoundAnswer{Commit: 2}), ShouldEqual, exists)
-		So(say(pair.FoundAnswer{Commit: 900}), ShouldEqual, exists)
-		So(say(empty, pair.FoundAnswer{Commit: 1}), ShouldEqual, unsure) // has voted, perhaps for us
-		So(say(pair.FoundAnswer{Commit: 9, Founders: map[string]string{"c1": "boot"}}), ShouldEqual, fresh)
-		So(say(pair.FoundAnswer{Commit: 9, Founders: map[string]string{"c1": "earlier"}}), ShouldEqual, exists)
-		one := map[string]pair.FoundAnswer{"c2": {Fresh: true, Digest: "d", Boot: "p"}}
+		So(say(empty, api.FoundAnswer{Commit: 2}), ShouldEqual, exists)
+		So(say(api.FoundAnswer{Commit: 900}), ShouldEqual, exists)
+		So(say(empty, api.FoundAnswer{Commit: 1}), ShouldEqual, unsure) // has voted, perhaps for us
+		So(say(api.FoundAnswer{Commit: 9, Founders: map[string]string{"c1": "boot"}}), ShouldEqual, fresh)
+		So(say(api.FoundAnswer{Commit: 9, Founders: map[string]string{"c1": "earlier"}}), ShouldEqual, exists)
+		one := map[string]api.FoundAnswer{"c2": {Fresh: true, Digest: "d", Boot: "p"}}
 		v, _ := judge("c1", "boot", "other", 3, one, nil)
 		So(v, ShouldEqual, differs)
 		v, boots := judge("c1", "boot", "d", 2, one, nil) // the first such round
--- a/internal/store/wire.go
+++ b/internal/store/wire.go
@@ -4,74 +4,74 @@
 	"context"
 	"time"
 
-	"crosstide/internal/conf"
-	"crosstide/internal/fault"
-	"crosstide/internal/pair"
-	"crosstide/internal/wire"
+	"crosstide/internal/api"
+	"crosstide/internal/config"
+	"crosstide/internal/errs"
+	"crosstide/internal/rpc"
 )
 
 // Serve answers the calls of the other cplanes and of the dplanes at srv; call it before srv starts.
-func (s *Store) Serve(srv *wire.Server) {
-	wire.Handle(srv, pair.Quorum, func(_ context.Context, c pair.QuorumCall) (pair.QuorumAnswer, error) {
+func (s *Store) Serve(srv *rpc.Server) {
+	rpc.Handle(srv, api.Quorum, func(_ context.Context, c api.QuorumCall) (api.QuorumAnswer, error) {
 		s.Step(c)
-		return pair.QuorumAnswer{}, nil
+		return api.QuorumAnswer{}, nil
 	})
-	wire.Handle(srv, pair.Propose, s.propose)
-	wire.Handle(srv, pair.Confirm, func(context.Context, pair.ConfirmCall) (pair.ConfirmAnswer, error) {
+	rpc.Handle(srv, api.Propose, s.propose)
+	rpc.Handle(srv, api.Confirm, func(context.Context, api.ConfirmCall) (api.ConfirmAnswer, error) {
 		index, err := s.Confirm()
-		return pair.ConfirmAnswer{Index: index}, fault.Pass(err, "call")
+		return api.ConfirmAnswer{Index: index}, errs.Pass(err, "call")
 	})
-	wire.Handle(srv, pair.Follow, s.Follow)
-	wire.Handle(srv, pair.Chunk, func(_ context.Context, c pair.ChunkCall) (pair.ChunkAnswer, error) {
+	rpc.Handle(srv, api.Follow, s.Follow)
+	rpc.Handle(srv, api.Chunk, func(_ context.Context, c api.ChunkCall) (api.ChunkAnswer, error) {
 		a, err := s.Chunk(c)
-		return a, fault.Pass(err, "call")
+		return a, errs.Pass(err, "call")
 	})
-	wire.Handle(srv, pair.Duty, s.Duty)
-	wire.Handle(srv, pair.Status, func(context.Context, pair.StatusCall) (pair.StatusAnswer, error) { return s.Status(), nil })
-	wire.Handle(srv, pair.Found, func(_ context.Context, c pair.FoundCall) (pair.FoundAnswer, error) { return s.Found(c), nil })
-	wire.Handle(srv, pair.Join, s.Join)
-	wire.Handle(srv, pair.Rollout, func(context.Context, pair.RolloutCall) (pair.RolloutAnswer, error) { return s.rollout(), nil })
+	rpc.Handle(srv, api.Duty, s.Duty)
+	rpc.Handle(srv, api.Status, func(context.Context, api.StatusCall) (api.StatusAnswer, error) { return s.Status(), nil })
+	rpc.Handle(srv, api.Found, func(_ context.Context, c api.FoundCall) (api.FoundAnswer, error) { return s.Found(c), nil })
+	rpc.Handle(srv, api.Join, s.Join)
+	rpc.Handle(srv, api.Rollout, func(context.Context, api.RolloutCall) (api.RolloutAnswer, error) { return s.rollout(), nil })
 }
 
 // Wire is the Net of a daemon.
-func Wire(k *wire.Caller, set conf.Cplane) Net { return wired{k, set.Election} }
+func Wire(k *rpc.Caller, set config.Cplane) Net { return wired{k, set.Election} }
 
 type wired struct {
-	k        *wire.Caller
+	k        *rpc.Caller
 	election time.Duration
 }
 
-func (w wired) Quorum(ctx context.Context, addr string, call pair.QuorumCall) error {
-	_, err := wire.Ask(ctx, w.k, addr, pair.Quorum, call, w.election/2)
-	return fault.Pass(err, "quorum")
+func (w wired) Quorum(ctx context.Context, addr string, call api.QuorumCall) error {
+	_, err := rpc.Ask(ctx, w.k, addr, api.Quorum, call, w.election/2)
+	return errs.Pass(err, "quorum")
 }
 
-func (w wired) Chunk(ctx context.Context, addr string, call pair.ChunkCall) (pair.ChunkAnswer, error) {
-	a, err := wire.Ask(ctx, w.k, addr, pair.Chunk, call, 2*time.Second)
-	return a, fault.Pass(err, "chunk")
+func (w wired) Chunk(ctx context.Context, addr string, call api.ChunkCall) (api.ChunkAnswer, error) {
+	a, err := rpc.Ask(ctx, w.k, addr, api.Chunk, call, 2*time.Second)
+	return a, errs.Pass(err, "chunk")
 }
 
-func (w wired) Found(ctx context.Context, addr string, call pair.FoundCall) (pair.FoundAnswer, error) {
-	a, err := wire.Ask(ctx, w.k, addr, pair.Found, call, w.election/2)
-	return a, fault.Pass(err, "found")
+func (w wired) Found(ctx context.Context, addr string, call api.FoundCall) (api.FoundAnswer, error) {
+	a, err := rpc.Ask(ctx, w.k, addr, api.Found, call, w.election/2)
+	return a, errs.Pass(err, "found")
 }
 
-func (w wired) Join(ctx context.Context, addr string, call pair.JoinCall) (pair.JoinAnswer, error) {
-	a, err := wire.Ask(ctx, w.k, addr, pair.Join, call, 2*w.election)
-	return a, fault.Pass(err, "join")
+func (w wired) Join(ctx context.Context, addr string, call api.JoinCall) (api.JoinAnswer, error) {
+	a, err := rpc.Ask(ctx, w.k, addr, api.Join, call, 2*w.election)
+	return a, errs.Pass(err, "join")
 }
 
-func (w wired) Propose(ctx context.Context, addr string, call pair.ProposeCall) (pair.ProposeAnswer, error) {
-	a, err := wire.Ask(ctx, w.k, addr, pair.Propose, call, proposeWait+w.election)
-	return a, fault.Pass(err, "propose")
+func (w wired) Propose(ctx context.Context, addr string, call api.ProposeCall) (api.ProposeAnswer, error) {
+	a, err := rpc.Ask(ctx, w.k, addr, api.Propose, call, proposeWait+w.election)
+	return a, errs.Pass(err, "propose")
 }
 
-func (w wired) Confirm(ctx context.Context, addr string) (pair.ConfirmAnswer, error) {
-	a, err := wire.Ask(ctx, w.k, addr, pair.Confirm, pair.ConfirmCall{}, w.election)
-	return a, fault.Pass(err, "confirm")
+func (w wired) Confirm(ctx context.Context, addr string) (api.ConfirmAnswer, error) {
+	a, err := rpc.Ask(ctx, w.k, addr, api.Confirm, api.ConfirmCall{}, w.election)
+	return a, errs.Pass(err, "confirm")
 }
 
-func (w wired) Rollout(ctx context.Context, addr string) (pair.RolloutAnswer, error) {
-	a, err := wire.Ask(ctx, w.k, addr, pair.Rollout, pair.RolloutCall{}, w.election/2)
-	return a, fault.Pass(err, "rollout")
+func (w wired) Rollout(ctx context.Context, addr string) (api.RolloutAnswer, error) {
+	a, err := rpc.Ask(ctx, w.k, addr, api.Rollout, api.RolloutCall{}, w.election/2)
+	return a, errs.Pass(err, "rollout")
 }
--- a/internal/rig/audit/audit.go
+++ b/internal/testbed/audit/audit.go
@@ -1,4 +1,4 @@
-// Package audit checks the promises of crosstide against what the minions, consumers and operators of a rehearsal
+// Package audit checks the promises of crosstide against what the minions, clients and operators of a rehearsal
 // witnessed. It trusts no daemon: its checks are pure functions over a History of journal lines, to which Probe
 // may add what the public API tells at the end.
 package audit
@@ -11,10 +11,10 @@
 	"strings"
 	"time"
 
-	"crosstide/internal/fault"
-	"crosstide/internal/rig/bundles"
-	"crosstide/internal/rig/journal"
-	"crosstide/internal/rig/load"
+	"crosstide/internal/errs"
+	"crosstide/internal/testbed/bundles"
+	"crosstide/internal/testbed/journal"
+	"crosstide/internal/testbed/load"
 )
 
 // What the audit grants, as the promises have it.
@@ -40,10 +40,10 @@
 // Source says whose journal a line is of.
 type Source string
 
-// Sources, by the names of the journals: consumer-*, operator-*, drill-*; any other is a minion's.
+// Sources, by the names of the journals: client-*, operator-*, drill-*; any other is a minion's.
 const (
 	Minion   Source = "minion"
-	Consumer Source = "consumer"
+	Client   Source = "consumer"
 	Operator Source = "operator"
 	Drill    Source = "drill"
 )
@@ -109,16 +109,16 @@
 	var h History
 	for line, err := range journal.Lines(dir) {
 		if err != nil {
-			return h, fault.Pass(err, "audit")
+			return h, errs.Pass(err, "audit")
 		}
 		e, err := Parse(line)
 		if err != nil {
-			return h, fault.Pass(err, "audit")
+			return h, errs.Pass(err, "audit")
 		}
 		h.Events = append(h.Events, e)
 	}
 	if len(h.Events) == 0 {
-		return h, fault.New(fault.Unknown, "%s holds no journals", dir)
+		return h, errs.New(errs.Unknown, "%s holds no journals", dir)
 	}
 	return h, nil
 }
@@ -132,21 +132,21 @@
 		Steps []load.Step
 	}
 	e := Event{From: Minion, File: line.File, Line: line.Number, Raw: string(line.Raw)}
-	for _, from := range []Source{Consumer, Operator, Drill} {
+	for _, from := range []Source{Client, Operator, Drill} {
 		if strings.HasPrefix(line.File, string(from)+"-") {
 			e.From = from
 		}
 	}
 	if err := json.Unmarshal(line.Raw, &e.Entry); err != nil {
-		return e, fault.Wrap(err, fault.Damaged, "journal %s line %d", line.File, line.Number)
+		return e, errs.Wrap(err, errs.Damaged, "journal %s line %d", line.File, line.Number)
 	}
 	if err := json.Unmarshal(line.Raw, &own); err != nil {
-		return e, fault.Wrap(err, fault.Damaged, "journal %s line %d", line.File, line.Number)
+		return e, errs.Wrap(err, errs.Damaged, "journal %s line %d", line.File, line.Number)
 	}
 	e.State, e.Node, e.Team, e.Steps = own.State, own.Node, own.Team, own.Steps
 	if e.From == Operator {
 		if err := json.Unmarshal(line.Raw, &e.Op); err != nil {
-			return e, fault.Wrap(err, fault.Damaged, "journal %s line %d", line.File, line.Number)
+			return e, errs.Wrap(err, errs.Damaged, "journal %s line %d", line.File, line.Number)
 		}
 	}
 	return e, nil
@@ -247,7 +247,7 @@
 			s += "\n    " + line
 		}
 		if _, err := fmt.Fprintln(w, s); err != nil {
-			return fault.Wrap(err, fault.Disk, "print the audit")
+			return errs.Wrap(err, errs.Disk, "print the audit")
 		}
 	}
 	return nil
--- a/internal/rig/audit/audit_test.go
+++ b/internal/testbed/audit/audit_test.go
@@ -7,7 +7,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"crosstide/internal/rig/journal"
+	"crosstide/internal/testbed/journal"
 )
 
 // history reads hand-written lines: "FILE SECONDS JSON-WITHOUT-BRACES".
--- a/internal/rig/audit/away.go
+++ b/internal/testbed/audit/away.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
-	"crosstide/internal/rig/journal"
-	"crosstide/internal/rig/load"
+	"crosstide/internal/testbed/journal"
+	"crosstide/internal/testbed/load"
 )
 
 // Outage tells how long the service was away after a blow, in seconds; below 0: it was not seen to come back.
@@ -21,10 +21,10 @@
 func Away(h History, blow time.Time) Outage {
 	at := blow.UnixNano()
 	fresh := map[string]bool{}
-	for _, e := range h.by(Consumer, load.Submit) {
+	for _, e := range h.by(Client, load.Submit) {
 		fresh[e.Job] = e.At > at
 	}
-	yes := h.by(Consumer, load.Accepted)
+	yes := h.by(Client, load.Accepted)
 	starts := h.by(Minion, journal.Start)
 	out := Outage{FirstAccept: -1}
 	for _, e := range yes {
--- a/internal/rig/audit/bundles.go
+++ b/internal/testbed/audit/bundles.go
@@ -6,10 +6,10 @@
 	"slices"
 
 	"crosstide/internal/bundle"
-	"crosstide/internal/rig/bundles"
-	"crosstide/internal/rig/journal"
-	"crosstide/internal/rig/load"
 	"crosstide/internal/state"
+	"crosstide/internal/testbed/bundles"
+	"crosstide/internal/testbed/journal"
+	"crosstide/internal/testbed/load"
 )
 
 // reign is the time in which a version may have been in force: from the sending of the signature that put it there
@@ -53,15 +53,15 @@
 	return out, blind
 }
 
-// charter: each start fits a version that may have been in force then.
-func charter(h History, f *Finding) {
+// placement policy: each start fits a version that may have been in force then.
+func policy(h History, f *Finding) {
 	if len(h.by(Operator, bundles.Force)) == 0 {
 		f.Note = "labels; no bundle was changed"
 		return
 	}
 	all, blind := reigns(h)
 	teams, boots, unseen := map[string]string{}, map[[2]string]Event{}, 0
-	for _, e := range h.by(Consumer, load.Accepted) {
+	for _, e := range h.by(Client, load.Accepted) {
 		teams[e.Job] = e.Team
 	}
 	for _, e := range h.by(Minion, journal.Boot) {
--- a/internal/rig/audit/checks.go
+++ b/internal/testbed/audit/checks.go
@@ -8,9 +8,9 @@
 	"slices"
 	"time"
 
-	"crosstide/internal/rig/journal"
-	"crosstide/internal/rig/load"
 	"crosstide/internal/state"
+	"crosstide/internal/testbed/journal"
+	"crosstide/internal/testbed/load"
 )
 
 // span is the time a run surely ran.
@@ -46,13 +46,13 @@
 			last[e.Boot] = max(last[e.Boot], e.At)
 		}
 		type key struct {
-			boot   string
-			ticket uint64
+			boot  string
+			runID uint64
 		}
 		closed := map[key]Event{}
-		for i := len(events) - 1; i >= 0; i-- { // from the end, so that a ticket started twice closes twice
+		for i := len(events) - 1; i >= 0; i-- { // from the end, so that a run ID started twice closes twice
 			e := events[i]
-			k := key{e.Boot, e.Ticket}
+			k := key{e.Boot, e.RunID}
 			switch e.Ev {
 			case journal.End, journal.Stop, journal.Lapse:
 				closed[k] = e
@@ -89,7 +89,7 @@
 	return events[i], true
 }
 
-// once: no two runs of a task at once, none after one that ended well, no ticket started twice.
+// once: no two runs of a task at once, none after one that ended well, no run ID started twice.
 func once(h History, f *Finding) {
 	all := spans(h)
 	well := ends(h)
@@ -112,10 +112,10 @@
 	}
 	started := map[uint64]Event{}
 	for _, e := range h.by(Minion, journal.Start) {
-		if prev, twice := started[e.Ticket]; twice {
+		if prev, twice := started[e.RunID]; twice {
 			f.broken("one ticket, two starts", prev, e)
 		}
-		started[e.Ticket] = e
+		started[e.RunID] = e
 	}
 	if cut > 0 {
 		f.Note = fmt.Sprintf("%d runs without an end, taken up to their minion's last line", cut)
@@ -133,8 +133,8 @@
 	return out
 }
 
-// newer: every start carries a ticket above all that its minion was ordered to start before, also under older
-// boots, for a ticket is given for one boot only.
+// newer: every start carries a run ID above all that its minion was ordered to start before, also under older
+// boots, for a run ID is given for one boot only.
 func newer(h History, f *Finding) {
 	for _, events := range h.minions() {
 		var top Event
@@ -142,11 +142,11 @@
 			switch e.Ev {
 			case journal.Start:
 				f.Cases++
-				if e.Ticket < top.Ticket {
+				if e.RunID < top.RunID {
 					f.broken("a start with a ticket older than one seen", top, e)
 				}
 			case journal.Order:
-				if e.Ticket > top.Ticket {
+				if e.RunID > top.RunID {
 					top = e
 				}
 			}
@@ -174,11 +174,11 @@
 	}
 }
 
-// place: a run's minion bears the labels that the consumer asked for (by the accepted job, else by the order), and
-// the start is within the charter of its queue.
+// place: a run's minion bears the labels that the client asked for (by the accepted job, else by the order), and
+// the start is within the placement policy of its queue.
 func place(h History, f *Finding) {
 	asked := map[[2]string]map[string]string{}
-	for _, e := range h.by(Consumer, load.Accepted) {
+	for _, e := range h.by(Client, load.Accepted) {
 		for _, s := range e.Steps {
 			asked[[2]string{e.Job, s.Name}] = s.Labels
 		}
@@ -206,7 +206,7 @@
 			}
 		}
 	}
-	charter(h, f)
+	policy(h, f)
 }
 
 // window is a time in which nothing may start; to is open unless lifted.
@@ -287,7 +287,7 @@
 // cancel: no start of a job later than the grace after its cancel was acknowledged.
 func cancel(h History, f *Finding) {
 	acked := map[string]Event{}
-	for _, e := range h.by(Consumer, load.Cancelled) {
+	for _, e := range h.by(Client, load.Cancelled) {
 		if _, ok := acked[e.Job]; !ok {
 			acked[e.Job] = e
 			f.Cases++
@@ -306,7 +306,7 @@
 	yes := accepted(h)
 	polled := map[string]bool{}
 	early := 0
-	for _, e := range h.by(Consumer, load.Poll) {
+	for _, e := range h.by(Client, load.Poll) {
 		a, ok := yes[e.Job]
 		if !ok {
 			continue
@@ -328,7 +328,7 @@
 
 func accepted(h History) map[string]Event {
 	out := map[string]Event{}
-	for _, e := range h.by(Consumer, load.Accepted) {
+	for _, e := range h.by(Client, load.Accepted) {
 		if _, ok := out[e.Job]; !ok {
 			out[e.Job] = e
 		}
@@ -340,7 +340,7 @@
 func done(h History, f *Finding) {
 	yes, well := accepted(h), ends(h)
 	seen := map[string]bool{}
-	for _, e := range h.by(Consumer, load.Poll) {
+	for _, e := range h.by(Client, load.Poll) {
 		a, ok := yes[e.Job]
 		if !ok || e.State != string(state.JobDone) || seen[e.Job] {
 			continue
@@ -361,7 +361,7 @@
 // repair: after a disk was wiped and another core machine was killed, all that was accepted before is still
 // known. Cases are wipes with a later kill of another node and a poll after that.
 func repair(h History, f *Finding) {
-	polls, yes := h.by(Consumer, load.Poll), accepted(h)
+	polls, yes := h.by(Client, load.Poll), accepted(h)
 	for _, w := range h.by(Drill, Wipe) {
 		for _, k := range h.by(Drill, Kill) {
 			if k.Node == w.Node || k.At < w.At || len(k.Node) == 0 || k.Node[0] != w.Node[0] {
--- a/internal/rig/audit/lags.go
+++ b/internal/testbed/audit/lags.go
@@ -6,8 +6,8 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
-	"crosstide/internal/rig/journal"
-	"crosstide/internal/rig/load"
+	"crosstide/internal/testbed/journal"
+	"crosstide/internal/testbed/load"
 )
 
 // Lag is how long the fleet took to follow what it was told, over all cases of a kind. A case that nothing had to
@@ -61,7 +61,7 @@
 		out = append(out, lagOf(what+" to last start", starts), lagOf(what+" to last end", ends))
 	}
 	var starts, ends []time.Duration
-	for _, e := range h.by(Consumer, load.Cancelled) {
+	for _, e := range h.by(Client, load.Cancelled) {
 		s, t := last(byJob[e.Job], window{from: e.At, to: 1<<63 - 1}, func(Event) bool { return true })
 		starts, ends = append(starts, s), append(ends, t)
 	}
--- a/internal/rig/audit/probe.go
+++ b/internal/testbed/audit/probe.go
@@ -10,9 +10,9 @@
 	"sync"
 	"time"
 
-	"crosstide/internal/rig/fleet"
-	"crosstide/internal/rig/load"
-	"crosstide/internal/spawn"
+	"crosstide/internal/routine"
+	"crosstide/internal/testbed/fleet"
+	"crosstide/internal/testbed/load"
 )
 
 // probed bounds how many accepted jobs are asked for.
@@ -34,13 +34,13 @@
 	var mu sync.Mutex
 	out := History{Events: slices.Clone(h.Events)}
 	got := 0
-	spawn.Each((len(jobs)+step-1)/step, 16, func(i int) {
+	routine.Each((len(jobs)+step-1)/step, 16, func(i int) {
 		node := nodes[i%len(nodes)]
 		reply, err := c.Call(ctx, http.MethodGet, node.Addr, "/v1/jobs/"+jobs[i*step], nil, 2*time.Second)
 		if err != nil || !reply.Good() && reply.Status != http.StatusNotFound {
 			return
 		}
-		e := Event{From: Consumer, File: "probe", Line: i + 1, Node: node.Name, State: load.Missing}
+		e := Event{From: Client, File: "probe", Line: i + 1, Node: node.Name, State: load.Missing}
 		e.Ev, e.Job, e.At = load.Poll, jobs[i*step], time.Now().UnixNano()
 		if reply.Good() {
 			var view struct{ State string }
--- a/internal/rig/bundles/bundles.go
+++ b/internal/testbed/bundles/bundles.go
@@ -14,14 +14,14 @@
 	"sync"
 	"time"
 
-	"crosstide/internal/alarm"
-	"crosstide/internal/fault"
-	"crosstide/internal/rig/fleet"
-	"crosstide/internal/rig/journal"
-	"crosstide/internal/seal"
-	"crosstide/internal/spawn"
+	"crosstide/internal/clock"
+	"crosstide/internal/errs"
+	"crosstide/internal/routine"
+	"crosstide/internal/signature"
 	"crosstide/internal/state"
 	"crosstide/internal/state/command"
+	"crosstide/internal/testbed/fleet"
+	"crosstide/internal/testbed/journal"
 )
 
 // Bounds of the operators.
@@ -50,38 +50,38 @@
 // office is the two operators at work.
 type office struct {
 	Options
-	keys   []seal.Key
+	keys   []signature.Key
 	nodes  fleet.Nodes
 	zones  []string
 	caller *fleet.Caller
-	clock  alarm.Clock
+	clock  clock.Clock
 	luck   *rand.Rand
 	book   *journal.Writer
 	prefix string
 	out    evacuated
 
-	mu    sync.Mutex
-	tally Report
-	all   *pressure // per change
-	each  *pressure // per node
-	force *pressure // per node, from the commit
-	acks  *pressure
-	broke error
-	spare *rand.Rand // for calls at once, under mu
+	mu     sync.Mutex
+	counts Report
+	all    *latencies // per change
+	each   *latencies // per node
+	force  *latencies // per node, from the commit
+	acks   *latencies
+	broke  error
+	spare  *rand.Rand // for calls at once, under mu
 }
 
 // Run lets the operators work on the fleet. Faults: Disk, Malformed, Settings. Example:
 //
 //	report, err := bundles.Run(ctx, bundles.Options{Dir: dir, For: time.Minute, Seed: 1, Every: 300 * time.Millisecond})
 func Run(ctx context.Context, opt Options) (Report, error) {
-	o := &office{Options: opt, caller: fleet.NewCaller(8), clock: alarm.Real{}, luck: rand.New(rand.NewPCG(opt.Seed, 3)),
-		tally: Report{Refused: map[string]int{}}, spare: rand.New(rand.NewPCG(opt.Seed, 4)), all: newPressure(), each: newPressure(), force: newPressure(), acks: newPressure()}
+	o := &office{Options: opt, caller: fleet.NewCaller(8), clock: clock.Real{}, luck: rand.New(rand.NewPCG(opt.Seed, 3)),
+		counts: Report{Refused: map[string]int{}}, spare: rand.New(rand.NewPCG(opt.Seed, 4)), all: newLatencies(), each: newLatencies(), force: newLatencies(), acks: newLatencies()}
 	var err error
 	if o.nodes, err = fleet.Read(opt.Dir); err != nil {
-		return Report{}, fault.Pass(err, "bundles")
+		return Report{}, errs.Pass(err, "bundles")
 	}
 	if o.keys, err = fleet.Keys(opt.Dir); err != nil {
-		return Report{}, fault.Pass(err, "bundles")
+		return Report{}, errs.Pass(err, "bundles")
 	}
 	seen := map[string]bool{}
 	for _, m := range o.nodes.Minions {
@@ -91,11 +91,11 @@
 		}
 	}
 	if len(o.zones) == 0 || len(o.nodes.CPlanes) == 0 {
-		return Report{}, fault.New(fault.Settings, "the fleet has no minion or no cplane")
+		return Report{}, errs.New(errs.Settings, "the fleet has no minion or no cplane")
 	}
 	o.prefix = "b" + strconv.FormatInt(o.clock.Wall().UnixMilli(), 36)
 	if o.book, err = journal.Open(filepath.Join(opt.Dir, "journal", "operator-bundles-"+o.prefix+".jsonl")); err != nil {
-		return Report{}, fault.Pass(err, "bundles")
+		return Report{}, errs.Pass(err, "bundles")
 	}
 	defer o.book.Close()
 	end := o.clock.Now() + opt.For
@@ -112,9 +112,9 @@
 	for i := 0; o.out.zone != "" && i < 10 && ctx.Err() == nil; i++ { // no zone is left out
 		o.lift(ctx, -1-i)
 	}
-	o.tally.Seed = opt.Seed
-	o.tally.Acks, o.tally.Everywhere, o.tally.Node, o.tally.FromForce = o.acks.spread(), o.all.spread(), o.each.spread(), o.force.spread()
-	return o.tally, fault.Pass(o.broke, "operators' journal")
+	o.counts.Seed = opt.Seed
+	o.counts.Acks, o.counts.Everywhere, o.counts.Node, o.counts.FromForce = o.acks.spread(), o.all.spread(), o.each.spread(), o.force.spread()
+	return o.counts, errs.Pass(o.broke, "operators' journal")
 }
 
 // draft is a text that was written.
@@ -134,7 +134,7 @@
 	authors := []int{o.luck.IntN(2)}
 	if o.luck.Float64() < o.Race {
 		authors = []int{0, 1}
-		o.tally.Races++
+		o.counts.Races++
 	}
 	texts := make([][]byte, len(authors))
 	for k := range texts {
@@ -142,7 +142,7 @@
 	}
 	patch := len(authors) == 1 && o.luck.IntN(3) == 0
 	drafts := make([]*draft, len(authors))
-	spawn.Each(len(authors), 2, func(k int) {
+	routine.Each(len(authors), 2, func(k int) {
 		id := fmt.Sprintf("%s-%d-%d", o.prefix, i, authors[k])
 		if patch {
 			drafts[k] = o.patch(ctx, id, o.keys[authors[k]], base)
@@ -153,7 +153,7 @@
 	var won *draft
 	for _, d := range drafts {
 		if d != nil && won != nil {
-			o.tally.BothWon++
+			o.counts.BothWon++
 		}
 		if d != nil {
 			won = d
@@ -165,7 +165,7 @@
 	order := o.luck.Perm(2)
 	width := 1 + o.luck.IntN(2) // one after the other, or both at once
 	ends := make([]signed, 2)
-	spawn.Each(2, width, func(k int) {
+	routine.Each(2, width, func(k int) {
 		ends[k] = o.sign(ctx, fmt.Sprintf("%s-%d-s%d", o.prefix, i, order[k]), o.keys[order[k]], won)
 	})
 	for _, e := range ends {
@@ -184,10 +184,10 @@
 	text := []byte(`{"queues":{"default":{"charter":{"zones":[]},"hold":"soon"}},"limits":{"scan":-1},"nope":1}`)
 	id, key := fmt.Sprintf("%s-%d-i", o.prefix, i), o.keys[o.luck.IntN(2)]
 	q := url.Values{"order": {id}, "base": {strconv.FormatUint(base, 10)}, "by": {key.Name},
-		"sig": {key.Sign(seal.Put(id, base, seal.Digest(text)))}}
+		"sig": {key.Sign(signature.Put(id, base, signature.Digest(text)))}}
 	t, err := o.insist(ctx, "/v1/bundles?"+q.Encode(), text)
-	if o.tally.Invalid++; err == nil && (t.reply.Status != http.StatusUnprocessableEntity || !strings.Contains(string(t.reply.Body), "4 mistakes")) {
-		o.tally.InvalidTaken++
+	if o.counts.Invalid++; err == nil && (t.reply.Status != http.StatusUnprocessableEntity || !strings.Contains(string(t.reply.Body), "4 mistakes")) {
+		o.counts.InvalidTaken++
 	}
 }
 
@@ -195,7 +195,7 @@
 func (o *office) inForce(ctx context.Context, d *draft, e signed) {
 	o.note(Entry{Ev: Force, Sent: e.sent, Node: e.node, Order: e.order, By: e.by, Base: d.version - 1, Version: d.version,
 		SHA: d.digest, OK: true, Bundle: d.text})
-	o.tally.Changes++
+	o.counts.Changes++
 	o.acks.record(time.Duration(e.at - e.sent))
 	o.look(ctx, d.version, e.at)
 	for range 1 + o.luck.IntN(2) {
@@ -211,12 +211,12 @@
 	var log struct{ Newest uint64 }
 	reply, err := o.caller.Call(ctx, http.MethodGet, o.anyCore().Addr, "/v1/bundles?limit=1", nil, callBound)
 	if err != nil {
-		return 0, fault.Pass(err, "newest")
+		return 0, errs.Pass(err, "newest")
 	}
 	if !reply.Good() {
-		return 0, fault.New(fault.Unavailable, "%s", reply.Kind())
+		return 0, errs.New(errs.Unavailable, "%s", reply.Kind())
 	}
-	return log.Newest, fault.Wrap(json.Unmarshal(reply.Body, &log), fault.Malformed, "log")
+	return log.Newest, errs.Wrap(json.Unmarshal(reply.Body, &log), errs.Malformed, "log")
 }
 
 func (o *office) anyCore() fleet.Node {
@@ -251,7 +251,7 @@
 		}
 		o.count(func(r *Report) { r.Tries++ })
 		if o.clock.Now() > end || o.rest(ctx, backOff) != nil {
-			return t, fault.New(fault.Timeout, "no answer to an order in %s", giveUp)
+			return t, errs.New(errs.Timeout, "no answer to an order in %s", giveUp)
 		}
 	}
 }
@@ -296,20 +296,20 @@
 	return first, yes
 }
 
-func (o *office) put(ctx context.Context, id string, key seal.Key, base uint64, text []byte) *draft {
+func (o *office) put(ctx context.Context, id string, key signature.Key, base uint64, text []byte) *draft {
 	q := url.Values{"order": {id}, "base": {strconv.FormatUint(base, 10)}, "by": {key.Name},
-		"sig": {key.Sign(seal.Put(id, base, seal.Digest(text)))}}
+		"sig": {key.Sign(signature.Put(id, base, signature.Digest(text)))}}
 	return o.write(ctx, "/v1/bundles?"+q.Encode(), text, text, Entry{Ev: Put, Order: id, By: key.Name, Base: base})
 }
 
 // patch moves one queue; the text is what the fleet made of it, read before anyone signs.
-func (o *office) patch(ctx context.Context, id string, key seal.Key, base uint64) *draft {
+func (o *office) patch(ctx context.Context, id string, key signature.Key, base uint64) *draft {
 	raw, err := json.Marshal(map[string]any{"queues": map[string]any{"default": o.queue()}})
 	if err != nil {
 		return nil
 	}
 	q := url.Values{"order": {id}, "base": {strconv.FormatUint(base, 10)}, "by": {key.Name},
-		"sig": {key.Sign(seal.Patch(id, base, seal.Digest(raw)))}}
+		"sig": {key.Sign(signature.Patch(id, base, signature.Digest(raw)))}}
 	return o.write(ctx, "/v1/bundles/patch?"+q.Encode(), raw, nil, Entry{Ev: Put, Order: id, By: key.Name, Base: base})
 }
 
@@ -331,7 +331,7 @@
 	if text == nil {
 		return nil
 	}
-	return &draft{done.Version, seal.Digest(text), text}
+	return &draft{done.Version, signature.Digest(text), text}
 }
 
 func encoded(body map[string]string) []byte {
@@ -349,8 +349,8 @@
 	force     bool // it put the version in force
 }
 
-func (o *office) sign(ctx context.Context, id string, key seal.Key, d *draft) signed {
-	body := encoded(map[string]string{"order": id, "sha256": d.digest, "by": key.Name, "sig": key.Sign(seal.Bundle(d.version, d.digest))})
+func (o *office) sign(ctx context.Context, id string, key signature.Key, d *draft) signed {
+	body := encoded(map[string]string{"order": id, "sha256": d.digest, "by": key.Name, "sig": key.Sign(signature.Bundle(d.version, d.digest))})
 	var done command.Signed
 	e := Entry{Ev: Sign, Order: id, By: key.Name, Version: d.version, SHA: d.digest}
 	t, yes := o.order(ctx, fmt.Sprintf("/v1/bundles/%d/sign", d.version), body, e, &done, func(*Entry) {})
@@ -412,9 +412,9 @@
 	if err != nil || !body.Good() {
 		return
 	}
-	o.note(Entry{Ev: Read, Sent: sent, Node: node.Name, Version: rev.Version, SHA: seal.Digest(body.Body), OK: true})
-	if o.tally.ReadBacks++; rev.Version == d.version && string(body.Body) != string(d.text) || rev.Version < d.version {
-		o.tally.ReadBacksDiffer++
+	o.note(Entry{Ev: Read, Sent: sent, Node: node.Name, Version: rev.Version, SHA: signature.Digest(body.Body), OK: true})
+	if o.counts.ReadBacks++; rev.Version == d.version && string(body.Body) != string(d.text) || rev.Version < d.version {
+		o.counts.ReadBacksDiffer++
 	}
 }
 
@@ -424,7 +424,7 @@
 	reply, err := o.caller.Call(ctx, http.MethodGet, node.Addr, "/v1/bundle", nil, callBound)
 	var is struct{ Version uint64 }
 	if err != nil || !reply.Good() || json.Unmarshal(reply.Body, &is) != nil {
-		o.tally.Mute++
+		o.counts.Mute++
 		o.note(Entry{Ev: Has, Sent: sent, Node: node.Name, Why: reply.Kind()})
 		return
 	}
@@ -441,7 +441,7 @@
 func (o *office) count(do func(r *Report)) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	do(&o.tally)
+	do(&o.counts)
 }
 
 // rest waits; a fault if ctx ends first.
@@ -452,6 +452,6 @@
 	case <-rung:
 		return nil
 	case <-ctx.Done():
-		return fault.Wrap(ctx.Err(), fault.Stopped, "the operators are done")
+		return errs.Wrap(ctx.Err(), errs.Stopped, "the operators are done")
 	}
 }
--- a/internal/rig/bundles/report.go
+++ b/internal/testbed/bundles/report.go
@@ -47,23 +47,23 @@
 	Count int64   `json:"count"`
 }
 
-// pressure records durations in microseconds up to an hour at three significant digits.
-type pressure struct{ h *hdrhistogram.Histogram }
+// overload records durations in microseconds up to an hour at three significant digits.
+type latencies struct{ h *hdrhistogram.Histogram }
 
-func newPressure() *pressure { return &pressure{hdrhistogram.New(1, time.Hour.Microseconds(), 3)} }
+func newLatencies() *latencies { return &latencies{hdrhistogram.New(1, time.Hour.Microseconds(), 3)} }
 
-func (p *pressure) record(d time.Duration) {
+func (p *latencies) record(d time.Duration) {
 	if err := p.h.RecordValue(min(max(d.Microseconds(), 0), time.Hour.Microseconds())); err != nil {
 		panic(err) // it is within the bounds
 	}
 }
 
-func (p *pressure) spread() Spread {
+func (p *latencies) spread() Spread {
 	ms := func(us int64) float64 { return float64(us) / 1000 }
 	return Spread{ms(p.h.ValueAtPercentile(50)), ms(p.h.ValueAtPercentile(99)), ms(p.h.Max()), p.h.TotalCount()}
 }
 
-// queue is a charter for the queue that the load uses: some zones, now and then with more.
+// queue is a placement policy for the queue that the load uses: some zones, now and then with more.
 func (o *office) queue() map[string]any {
 	zones := []string{}
 	for _, k := range o.luck.Perm(len(o.zones))[:1+o.luck.IntN(len(o.zones))] {
--- a/internal/rig/bundles/zone.go
+++ b/internal/testbed/bundles/zone.go
@@ -7,7 +7,7 @@
 	"net/http"
 	"time"
 
-	"crosstide/internal/seal"
+	"crosstide/internal/signature"
 	"crosstide/internal/state/command"
 	"crosstide/internal/state/query"
 )
@@ -32,11 +32,11 @@
 	zone, key := o.zones[o.luck.IntN(len(o.zones))], o.keys[o.luck.IntN(2)]
 	id := fmt.Sprintf("%s-%d-e", o.prefix, i)
 	var done command.Zoned
-	body := encoded(map[string]string{"order": id, "by": key.Name, "sig": key.Sign(seal.Evacuate(id, zone))})
+	body := encoded(map[string]string{"order": id, "by": key.Name, "sig": key.Sign(signature.Evacuate(id, zone))})
 	e := Entry{Ev: "evacuation", Order: id, By: key.Name}
 	if _, yes := o.order(ctx, "/v1/zones/"+zone+"/evacuate", body, e, &done, func(*Entry) {}); yes {
 		o.note(Entry{Ev: Evacuate, Zone: zone, Order: id, By: key.Name, OK: true})
-		o.tally.Evacuations++
+		o.counts.Evacuations++
 		o.out = evacuated{zone, o.clock.Now() + 6*time.Second + time.Duration(o.luck.IntN(4000))*time.Millisecond}
 	}
 }
@@ -66,10 +66,10 @@
 			o.note(Entry{Ev: Lift, Zone: zone, Order: id, By: key.Name})
 		}
 		var done command.Zoned
-		body := encoded(map[string]string{"order": id, "by": key.Name, "sig": key.Sign(seal.Lift(zone, since))})
+		body := encoded(map[string]string{"order": id, "by": key.Name, "sig": key.Sign(signature.Lift(zone, since))})
 		_, yes := o.order(ctx, "/v1/zones/"+zone+"/lift", body, Entry{Ev: "lifting", Order: id, By: key.Name}, &done, func(*Entry) {})
 		if yes && done.Evacuated != (k == 0) {
-			o.tally.LiftsWrong++
+			o.counts.LiftsWrong++
 		}
 		if yes && k == 1 {
 			o.out = evacuated{}
--- a/internal/rig/fleet/call.go
+++ b/internal/testbed/fleet/call.go
@@ -9,7 +9,7 @@
 	"strconv"
 	"time"
 
-	"crosstide/internal/fault"
+	"crosstide/internal/errs"
 )
 
 // maxAnswer bounds what is read of an answer, in bytes.
@@ -27,7 +27,7 @@
 
 // Kind is the fault kind in the body; without one it is "status N".
 func (r Reply) Kind() string {
-	var f fault.Fault
+	var f errs.Error
 	if json.Unmarshal(r.Body, &f) == nil && f.Kind != "" {
 		return string(f.Kind)
 	}
@@ -56,11 +56,11 @@
 	if in != nil {
 		var err error
 		if body, err = json.Marshal(in); err != nil {
-			return Reply{}, fault.Wrap(err, fault.Internal, "body for %s", path)
+			return Reply{}, errs.Wrap(err, errs.Internal, "body for %s", path)
 		}
 	}
 	reply, err := c.Send(ctx, method, addr, path, body, bound)
-	return reply, fault.Pass(err, "call")
+	return reply, errs.Pass(err, "call")
 }
 
 // Send is Call with the bytes of the body as they are, JSON or not.
@@ -69,19 +69,19 @@
 	defer stop()
 	req, err := http.NewRequestWithContext(ctx, method, "http://"+addr+path, bytes.NewReader(body))
 	if err != nil {
-		return Reply{}, fault.Wrap(err, fault.Internal, "request to %s%s", addr, path)
+		return Reply{}, errs.Wrap(err, errs.Internal, "request to %s%s", addr, path)
 	}
 	if len(body) > 0 {
 		req.Header.Set("Content-Type", "application/json")
 	}
 	resp, err := c.client.Do(req)
 	if err != nil {
-		return Reply{}, fault.Wrap(err, fault.Timeout, "%s %s%s", method, addr, path)
+		return Reply{}, errs.Wrap(err, errs.Timeout, "%s %s%s", method, addr, path)
 	}
 	defer resp.Body.Close()
 	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
 	if err != nil {
-		return Reply{}, fault.Wrap(err, fault.Timeout, "answer of %s%s", addr, path)
+		return Reply{}, errs.Wrap(err, errs.Timeout, "answer of %s%s", addr, path)
 	}
 	out := Reply{Status: resp.StatusCode, Body: data}
 	if s, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64); err == nil && s > 0 {
--- a/internal/rig/fleet/fleet.go
+++ b/internal/testbed/fleet/fleet.go
@@ -18,7 +18,7 @@
 
 	"golang.org/x/sys/unix"
 
-	"crosstide/internal/fault"
+	"crosstide/internal/errs"
 )
 
 // Node is one process of the fleet.
@@ -70,23 +70,23 @@
 	var out Nodes
 	data, err := os.ReadFile(filepath.Join(dir, "nodes.json"))
 	if err != nil {
-		return out, fault.Wrap(err, fault.Disk, "nodes of the fleet")
+		return out, errs.Wrap(err, errs.Disk, "nodes of the fleet")
 	}
-	return out, fault.Wrap(json.Unmarshal(data, &out), fault.Malformed, "nodes.json")
+	return out, errs.Wrap(json.Unmarshal(data, &out), errs.Malformed, "nodes.json")
 }
 
 // Pids reads DIR/pids: pid by name. Faults: Disk, Malformed.
 func Pids(dir string) (map[string]int, error) {
 	data, err := os.ReadFile(filepath.Join(dir, "pids"))
 	if err != nil {
-		return nil, fault.Wrap(err, fault.Disk, "pids of the fleet")
+		return nil, errs.Wrap(err, errs.Disk, "pids of the fleet")
 	}
 	out := map[string]int{}
 	for line := range strings.Lines(string(data)) {
 		var name string
 		var pid int
 		if _, err := fmt.Sscan(line, &name, &pid); err != nil || pid < 2 {
-			return nil, fault.New(fault.Malformed, "pids: line %q", strings.TrimSpace(line))
+			return nil, errs.New(errs.Malformed, "pids: line %q", strings.TrimSpace(line))
 		}
 		out[name] = pid
 	}
@@ -94,15 +94,15 @@
 }
 
 // Kill is Signal with SIGKILL.
-func Kill(dir, name string) error { return fault.Pass(Signal(dir, name, unix.SIGKILL), "kill") }
+func Kill(dir, name string) error { return errs.Pass(Signal(dir, name, unix.SIGKILL), "kill") }
 
 // Signal sends a signal to the named process of the fleet, if the pid still is that process. Faults: as of Pid.
 func Signal(dir, name string, sig unix.Signal) error {
 	pid, err := Pid(dir, name)
 	if err != nil {
-		return fault.Pass(err, "signal %s", name)
+		return errs.Pass(err, "signal %s", name)
 	}
-	return fault.Wrap(unix.Kill(pid, sig), fault.Unknown, "signal %s, pid %d", name, pid)
+	return errs.Wrap(unix.Kill(pid, sig), errs.Unknown, "signal %s, pid %d", name, pid)
 }
 
 // Pid gives the pid of a node that runs: the process with the pid of DIR/pids must have the command line of
@@ -110,23 +110,23 @@
 func Pid(dir, name string) (int, error) {
 	pids, err := Pids(dir)
 	if err != nil {
-		return 0, fault.Pass(err, "pid of %s", name)
+		return 0, errs.Pass(err, "pid of %s", name)
 	}
 	pid, ok := pids[name]
 	if !ok {
-		return 0, fault.New(fault.Unknown, "%s has no pid", name)
+		return 0, errs.New(errs.Unknown, "%s has no pid", name)
 	}
 	starts, err := os.ReadFile(filepath.Join(dir, "start"))
 	if err != nil {
-		return 0, fault.Wrap(err, fault.Disk, "start lines of the fleet")
+		return 0, errs.Wrap(err, errs.Disk, "start lines of the fleet")
 	}
 	argv, err := os.ReadFile("/proc/" + strconv.Itoa(pid) + "/cmdline")
 	if err != nil {
-		return 0, fault.Wrap(err, fault.Unknown, "%s, pid %d", name, pid)
+		return 0, errs.Wrap(err, errs.Unknown, "%s, pid %d", name, pid)
 	}
 	line := name + " " + strings.Join(strings.Split(strings.TrimRight(string(argv), "\x00"), "\x00"), " ")
 	if !strings.Contains("\n"+string(starts), "\n"+line+"\n") {
-		return 0, fault.New(fault.Unknown, "pid %d is not %s any more", pid, name)
+		return 0, errs.New(errs.Unknown, "pid %d is not %s any more", pid, name)
 	}
 	return pid, nil
 }
@@ -141,7 +141,7 @@
 // Fault: Unavailable, if none answers.
 func Who(ctx context.Context, c *Caller, n Nodes) (Holders, error) {
 	var best Holders
-	err := fault.New(fault.Unavailable, "no cplane tells who leads")
+	err := errs.New(errs.Unavailable, "no cplane tells who leads")
 	for _, node := range n.CPlanes {
 		reply, fail := c.Call(ctx, http.MethodGet, node.Addr, "/v1/who", nil, 2*time.Second)
 		var got Holders
--- a/internal/rig/fleet/fleet_test.go
+++ b/internal/testbed/fleet/fleet_test.go
@@ -9,8 +9,8 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"crosstide/internal/fault"
-	"crosstide/internal/rig/link"
+	"crosstide/internal/errs"
+	"crosstide/internal/testbed/link"
 )
 
 func TestPlan(t *testing.T) {
@@ -33,7 +33,7 @@
 		So(err, ShouldBeNil)
 		So(strings.Count(string(lines), "\n"), ShouldEqual, 38)
 		_, err = Plan(dir, s)
-		So(fault.KindOf(err), ShouldEqual, fault.Conflict)
+		So(errs.KindOf(err), ShouldEqual, errs.Conflict)
 	})
 	Convey("Hollow minions share processes: one port, line, zone and journal for each", t, func() {
 		dir := filepath.Join(t.TempDir(), "f")
@@ -48,7 +48,7 @@
 		So(strings.Count(string(lines), "\n"), ShouldEqual, 6)
 		So(string(lines), ShouldContainSubstring, "/journal/h1.jsonl --count 3\n")
 		_, err = Plan(filepath.Join(t.TempDir(), "g"), Shape{CPlanes: 1, DPlanes: 1, Zones: 1, Cores: 1, Kind: "check", Hollow: 3, Hosts: 2})
-		So(fault.KindOf(err), ShouldEqual, fault.Invalid)
+		So(errs.KindOf(err), ShouldEqual, errs.Invalid)
 	})
 	Convey("With links, every address that a node dials leads over a link of its own", t, func() {
 		dir := t.TempDir()
@@ -77,8 +77,8 @@
 		dir := t.TempDir()
 		So(os.WriteFile(filepath.Join(dir, "pids"), []byte("c1 "+strconv.Itoa(os.Getpid())+"\n"), 0o644), ShouldBeNil)
 		So(os.WriteFile(filepath.Join(dir, "start"), []byte("c1 bin/cplane run\n"), 0o644), ShouldBeNil)
-		So(fault.KindOf(Kill(dir, "c1")), ShouldEqual, fault.Unknown)
-		So(fault.KindOf(Kill(dir, "c2")), ShouldEqual, fault.Unknown)
+		So(errs.KindOf(Kill(dir, "c1")), ShouldEqual, errs.Unknown)
+		So(errs.KindOf(Kill(dir, "c2")), ShouldEqual, errs.Unknown)
 	})
 	Convey("Minions are read from a list or a page", t, func() {
 		for _, body := range []string{`[{"name":"m1","boot":"b"},{"name":"m2"}]`, `{"minions":[{"name":"m1","boot":"b"},{"name":"m2"}]}`} {
--- a/internal/rig/fleet/plan.go
+++ b/internal/testbed/fleet/plan.go
@@ -12,9 +12,9 @@
 	"strconv"
 	"strings"
 
-	"crosstide/internal/fault"
-	"crosstide/internal/rig/link"
-	"crosstide/internal/seal"
+	"crosstide/internal/errs"
+	"crosstide/internal/signature"
+	"crosstide/internal/testbed/link"
 )
 
 // rackSize is how many minions share a rack.
@@ -35,15 +35,15 @@
 func (s Shape) Check() error {
 	switch {
 	case s.CPlanes < 1 || s.DPlanes < 1 || s.Minions < 0:
-		return fault.Field(fault.Invalid, "nodes", "at least one cplane and one dplane are needed")
+		return errs.Field(errs.Invalid, "nodes", "at least one cplane and one dplane are needed")
 	case s.Zones < 1 || s.Cores < 1:
-		return fault.Field(fault.Invalid, "zones", "zones and cores must be at least 1")
+		return errs.Field(errs.Invalid, "zones", "zones and cores must be at least 1")
 	case s.Hollow < 0 || s.Hollow > 0 && (s.Hosts < 1 || s.Hollow < 2*s.Hosts):
-		return fault.Field(fault.Invalid, "hollow", "%d hollow minions cannot share %d processes", s.Hollow, s.Hosts)
+		return errs.Field(errs.Invalid, "hollow", "%d hollow minions cannot share %d processes", s.Hollow, s.Hosts)
 	case s.Hollow > 0 && s.Links:
-		return fault.Field(fault.Invalid, "hollow", "hollow minions take no links")
+		return errs.Field(errs.Invalid, "hollow", "hollow minions take no links")
 	case s.Kind != "obey" && s.Kind != "check" && s.Kind != "mixed":
-		return fault.Field(fault.Invalid, "kind", "is %q, must be obey, check or mixed", s.Kind)
+		return errs.Field(errs.Invalid, "kind", "is %q, must be obey, check or mixed", s.Kind)
 	}
 	return nil
 }
@@ -162,12 +162,12 @@
 var Operators = []string{"ada", "ben"}
 
 // Keys reads the operators' keys of the fleet in dir. Faults: Disk, Malformed.
-func Keys(dir string) ([]seal.Key, error) {
-	var out []seal.Key
+func Keys(dir string) ([]signature.Key, error) {
+	var out []signature.Key
 	for _, name := range Operators {
-		key, err := seal.Load(filepath.Join(dir, "keys", name+".json"))
+		key, err := signature.Load(filepath.Join(dir, "keys", name+".json"))
 		if err != nil {
-			return nil, fault.Pass(err, "operator %s", name)
+			return nil, errs.Pass(err, "operator %s", name)
 		}
 		out = append(out, key)
 	}
@@ -177,16 +177,16 @@
 // drawKeys writes the operators' keys to DIR/keys and gives their public part.
 func drawKeys(dir string) ([]operator, error) {
 	if err := os.MkdirAll(filepath.Join(dir, "keys"), 0o700); err != nil {
-		return nil, fault.Wrap(err, fault.Disk, "folder keys")
+		return nil, errs.Wrap(err, errs.Disk, "folder keys")
 	}
 	var out []operator
 	for _, name := range Operators {
-		key, err := seal.New(name)
+		key, err := signature.New(name)
 		if err != nil {
-			return nil, fault.Pass(err, "operator %s", name)
+			return nil, errs.Pass(err, "operator %s", name)
 		}
 		if err := key.Save(filepath.Join(dir, "keys", name+".json")); err != nil {
-			return nil, fault.Pass(err, "operator %s", name)
+			return nil, errs.Pass(err, "operator %s", name)
 		}
 		out = append(out, operator{name, key.Public()})
 	}
@@ -214,26 +214,26 @@
 //	nodes, err := fleet.Plan(dir, fleet.Shape{CPlanes: 5, DPlanes: 3, Minions: 12, Zones: 3, Cores: 16, Kind: "check", Bin: "bin"})
 func Plan(dir string, s Shape) (Nodes, error) {
 	if err := s.Check(); err != nil {
-		return Nodes{}, fault.Pass(err, "plan")
+		return Nodes{}, errs.Pass(err, "plan")
 	}
 	dir, err := filepath.Abs(dir)
 	if err != nil {
-		return Nodes{}, fault.Wrap(err, fault.Disk, "folder of the fleet")
+		return Nodes{}, errs.Wrap(err, errs.Disk, "folder of the fleet")
 	}
 	if strings.ContainsAny(dir+s.Bin, " \t\n") {
-		return Nodes{}, fault.Field(fault.Invalid, "dir", "must hold no blanks: %q, %q", dir, s.Bin)
+		return Nodes{}, errs.Field(errs.Invalid, "dir", "must hold no blanks: %q, %q", dir, s.Bin)
 	}
 	if _, err := os.Stat(filepath.Join(dir, "nodes.json")); err == nil {
-		return Nodes{}, fault.New(fault.Conflict, "%s holds a fleet already", dir)
+		return Nodes{}, errs.New(errs.Conflict, "%s holds a fleet already", dir)
 	}
 	nodes := s.processes()
 	ports, err := Ports(nodes + s.ways() + 1)
 	if err != nil {
-		return Nodes{}, fault.Pass(err, "plan")
+		return Nodes{}, errs.Pass(err, "plan")
 	}
 	operators, err := drawKeys(dir)
 	if err != nil {
-		return Nodes{}, fault.Pass(err, "plan")
+		return Nodes{}, errs.Pass(err, "plan")
 	}
 	n := Lay(s, ports)
 	files := map[string]any{}
@@ -297,19 +297,19 @@
 	}
 	for _, sub := range []string{"settings", "log", "journal", "data"} {
 		if err := os.MkdirAll(filepath.Join(dir, sub), 0o755); err != nil {
-			return n, fault.Wrap(err, fault.Disk, "folder %s", sub)
+			return n, errs.Wrap(err, errs.Disk, "folder %s", sub)
 		}
 	}
 	for name, value := range files {
 		data, err := json.MarshalIndent(value, "", " ")
 		if err != nil {
-			return n, fault.Wrap(err, fault.Internal, "encode %s", name)
+			return n, errs.Wrap(err, errs.Internal, "encode %s", name)
 		}
 		if err := os.WriteFile(filepath.Join(dir, name), append(data, '\n'), 0o644); err != nil {
-			return n, fault.Wrap(err, fault.Disk, "write %s", name)
+			return n, errs.Wrap(err, errs.Disk, "write %s", name)
 		}
 	}
-	return n, fault.Wrap(os.WriteFile(filepath.Join(dir, "start"), []byte(start.String()), 0o644), fault.Disk, "write start")
+	return n, errs.Wrap(os.WriteFile(filepath.Join(dir, "start"), []byte(start.String()), 0o644), errs.Disk, "write start")
 }
 
 // seeds gives up to three addresses of others, beginning after the node's own place.
@@ -344,7 +344,7 @@
 	const floor = 10240
 	span := low - floor
 	if span < 4*n {
-		return nil, fault.New(fault.Unavailable, "ports %d to %d are too few for %d nodes", floor, low, n)
+		return nil, errs.New(errs.Unavailable, "ports %d to %d are too few for %d nodes", floor, low, n)
 	}
 	from := rand.IntN(span)
 	var out []int
@@ -359,7 +359,7 @@
 		}
 	}
 	if len(out) < n {
-		return nil, fault.New(fault.Unavailable, "only %d of %d ports are free", len(out), n)
+		return nil, errs.New(errs.Unavailable, "only %d of %d ports are free", len(out), n)
 	}
 	return out, nil
 }
--- a/internal/rig/fleet/profile.go
+++ b/internal/testbed/fleet/profile.go
@@ -1,6 +1,6 @@
 package fleet
 
-import "crosstide/internal/fault"
+import "crosstide/internal/errs"
 
 // Profiles are the two deployments of the brief at their own sizes.
 var profiles = map[string]Shape{
@@ -16,7 +16,7 @@
 func (s Shape) WithProfile(name string) (Shape, error) {
 	p, ok := profiles[name]
 	if !ok {
-		return s, fault.Field(fault.Invalid, "profile", "is %q, must be lubra or mamlaka", name)
+		return s, errs.Field(errs.Invalid, "profile", "is %q, must be lubra or mamlaka", name)
 	}
 	p.Profile, p.Bin, p.Links, p.Sick, p.Hosts = name, s.Bin, s.Links, s.Sick, s.Hosts
 	return p, nil
--- a/internal/rig/fleet/scrape.go
+++ b/internal/testbed/fleet/scrape.go
@@ -10,7 +10,7 @@
 	"github.com/prometheus/common/expfmt"
 	"github.com/prometheus/common/model"
 
-	"crosstide/internal/fault"
+	"crosstide/internal/errs"
 )
 
 // Figures are a node's metrics: by name, and by name{label="value",…} with the labels in order of their names. A
@@ -43,15 +43,15 @@
 func Scrape(ctx context.Context, c *Caller, addr string) (Figures, error) {
 	reply, err := c.Call(ctx, http.MethodGet, addr, "/metrics", nil, 5*time.Second)
 	if err != nil {
-		return nil, fault.Pass(err, "metrics of %s", addr)
+		return nil, errs.Pass(err, "metrics of %s", addr)
 	}
 	if !reply.Good() {
-		return nil, fault.New(fault.Malformed, "metrics of %s: status %d", addr, reply.Status)
+		return nil, errs.New(errs.Malformed, "metrics of %s: status %d", addr, reply.Status)
 	}
 	parser := expfmt.NewTextParser(model.LegacyValidation)
 	families, err := parser.TextToMetricFamilies(bytes.NewReader(reply.Body))
 	if err != nil {
-		return nil, fault.Wrap(err, fault.Malformed, "metrics of %s", addr)
+		return nil, errs.Wrap(err, errs.Malformed, "metrics of %s", addr)
 	}
 	out := Figures{}
 	for name, family := range families {
--- a/internal/rig/fleetsim/beats.go
+++ b/internal/testbed/fleetsim/beats.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"time"
 
-	"crosstide/internal/fault"
+	"crosstide/internal/errs"
 	"crosstide/internal/jobs"
 	"crosstide/internal/scheduler"
 )
@@ -153,9 +153,9 @@
 	}
 	switch {
 	case term == 0:
-		return nil, 0, fault.New(fault.NotLeader, "this node does not lead")
+		return nil, 0, errs.New(errs.NotLeader, "this node does not lead")
 	case !held:
-		return nil, term, fault.New(fault.Unavailable, "the lead cannot be confirmed now")
+		return nil, term, errs.New(errs.Unavailable, "the lead cannot be confirmed now")
 	}
 	return n.table, term, nil
 }
--- a/internal/rig/fleetsim/clients.go
+++ b/internal/testbed/fleetsim/clients.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"time"
 
-	"crosstide/internal/fault"
+	"crosstide/internal/errs"
 	"crosstide/internal/jobs"
 )
 
@@ -102,10 +102,10 @@
 	}
 	n := s.anyLeader()
 	if n == nil {
-		s.after(s.link(), func() { finish(nil, fault.New(fault.Unavailable, "no leader")) })
+		s.after(s.link(), func() { finish(nil, errs.New(errs.Unavailable, "no leader")) })
 		return
 	}
-	s.after(answerLimit, func() { finish(nil, fault.New(fault.Timeout, "no answer")) })
+	s.after(answerLimit, func() { finish(nil, errs.New(errs.Timeout, "no answer")) })
 	s.after(s.link(), func() {
 		n.do(0, func() {
 			make(n, func(answer any, err error) { s.after(s.link(), func() { finish(answer, err) }) })
@@ -116,7 +116,7 @@
 // surelyNotTaken tells whether an error says that a job was not taken.
 func surelyNotTaken(err error) bool {
 	switch errorKind(err) {
-	case fault.Unavailable, fault.NotLeader, fault.Unknown:
+	case errs.Unavailable, errs.NotLeader, errs.Unknown:
 		return true
 	}
 	return false
@@ -154,12 +154,12 @@
 		return
 	}
 	if table.Config.Version == 0 {
-		done(nil, fault.New(fault.Unavailable, "there is no configuration yet"))
+		done(nil, errs.New(errs.Unavailable, "there is no configuration yet"))
 		return
 	}
 	q := table.QueueFor(queueHost, j.prefix+j.spec.ID)
 	if q == nil {
-		done(nil, fault.New(fault.Unknown, "no queue"))
+		done(nil, errs.New(errs.Unknown, "no queue"))
 		return
 	}
 	spec := j.spec
@@ -227,7 +227,7 @@
 		return
 	}
 	if table.QueueFor(queueHost, j.prefix+j.spec.ID) == nil {
-		done(nil, fault.New(fault.Unknown, "no queue"))
+		done(nil, errs.New(errs.Unknown, "no queue"))
 		return
 	}
 	known := table.Jobs[j.spec.ID]
--- a/internal/rig/fleetsim/log.go
+++ b/internal/testbed/fleetsim/log.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"crosstide/internal/fault"
+	"crosstide/internal/errs"
 	"crosstide/internal/jobs"
 )
 
@@ -45,11 +45,11 @@
 // propose is the store's ProposeIn: done is called on the node with the answer or with an error.
 func (l *replicatedLog) propose(n *node, term uint64, change any, done func(any, error)) {
 	if n.term != term {
-		n.do(0, func() { done(nil, fault.New(fault.Unavailable, "another term")) })
+		n.do(0, func() { done(nil, errs.New(errs.Unavailable, "another term")) })
 		return
 	}
 	if l.leader != n || n.cut {
-		n.do(proposalTimeout, func() { done(nil, fault.New(fault.Timeout, "no majority")) })
+		n.do(proposalTimeout, func() { done(nil, errs.New(errs.Timeout, "no majority")) })
 		return
 	}
 	p := &proposal{entry: entry{term: term, change: change}, node: n, done: done}
@@ -73,7 +73,7 @@
 	done := p.done
 	p.done = func(any, error) {}
 	p.node.do(l.s.between(10*time.Millisecond, 200*time.Millisecond), func() {
-		done(nil, fault.New(fault.Timeout, "outcome unknown"))
+		done(nil, errs.New(errs.Timeout, "outcome unknown"))
 	})
 	p.dropped = l.s.chance(0.5)
 	return delay + l.s.between(0, time.Second)
@@ -101,7 +101,7 @@
 	for i, p := range l.pending {
 		p.dropped = true
 		done := p.done
-		old.do(proposalTimeout, func() { done(nil, fault.New(fault.Timeout, "leadership lost")) })
+		old.do(proposalTimeout, func() { done(nil, errs.New(errs.Timeout, "leadership lost")) })
 		if i < kept {
 			l.entries = append(l.entries, p.entry)
 		}
@@ -160,7 +160,7 @@
 	case jobs.Progress:
 		answer, err = t.Progress(e.term, c)
 	default:
-		err = fault.New(fault.Internal, "unknown change %T", e.change)
+		err = errs.New(errs.Internal, "unknown change %T", e.change)
 	}
-	return answer, fault.Pass(err, "apply %T", e.change)
+	return answer, errs.Pass(err, "apply %T", e.change)
 }
--- a/internal/rig/fleetsim/node.go
+++ b/internal/testbed/fleetsim/node.go
@@ -5,7 +5,7 @@
 	"fmt"
 	"time"
 
-	"crosstide/internal/fault"
+	"crosstide/internal/errs"
 	"crosstide/internal/jobs"
 	"crosstide/internal/scheduler"
 )
@@ -130,7 +130,7 @@
 		answer, err = apply(n.table, n.s.log.entries[n.applied])
 		n.applied++
 	}
-	return answer, fault.Pass(err, "entry %d", n.applied)
+	return answer, errs.Pass(err, "entry %d", n.applied)
 }
 
 func (n *node) catchUp() { _, _ = n.applyAll() }
@@ -264,4 +264,4 @@
 }
 
 // errorKind gives the class of an error of a proposal or a look.
-func errorKind(err error) fault.Kind { return fault.KindOf(err) }
+func errorKind(err error) errs.Kind { return errs.KindOf(err) }
--- a/internal/rig/fleetsim/operator.go
+++ b/internal/testbed/fleetsim/operator.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"time"
 
-	"crosstide/internal/fault"
+	"crosstide/internal/errs"
 	"crosstide/internal/jobs"
 )
 
@@ -95,7 +95,7 @@
 			return
 		}
 		switch errorKind(err) {
-		case fault.Unavailable, fault.NotLeader, fault.Timeout:
+		case errs.Unavailable, errs.NotLeader, errs.Timeout:
 		default:
 			o.s.oracle.breach(ConfigRule, "order refused: %v", err)
 			return
--- a/internal/rig/journal/journal.go
+++ b/internal/testbed/journal/journal.go
@@ -12,7 +12,7 @@
 	"path/filepath"
 	"sync"
 
-	"crosstide/internal/fault"
+	"crosstide/internal/errs"
 )
 
 // What an Entry of a minion tells.
@@ -35,7 +35,7 @@
 	Boot   string            `json:"boot"`
 	Job    string            `json:"job"`
 	Task   int               `json:"task"`
-	Ticket uint64            `json:"ticket"`
+	RunID  uint64            `json:"ticket"`
 	Epoch  uint64            `json:"epoch"` // of the call that brought the order
 	Type   string            `json:"type"`
 	Zone   string            `json:"zone"`
@@ -60,18 +60,18 @@
 // Faults: Disk.
 func Open(path string) (*Writer, error) {
 	if err := os.MkdirAll(filepath.Dir(path), 0o755); err != nil {
-		return nil, fault.Wrap(err, fault.Disk, "folder of journal %s", path)
+		return nil, errs.Wrap(err, errs.Disk, "folder of journal %s", path)
 	}
 	whole, err := wholeLines(path)
 	if err != nil {
-		return nil, fault.Pass(err, "whole lines")
+		return nil, errs.Pass(err, "whole lines")
 	}
 	file, err := os.OpenFile(path, os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o644)
 	if err != nil {
-		return nil, fault.Wrap(err, fault.Disk, "open journal %s", path)
+		return nil, errs.Wrap(err, errs.Disk, "open journal %s", path)
 	}
 	if err := file.Truncate(whole); err != nil {
-		return nil, fault.Wrap(errors.Join(err, file.Close()), fault.Disk, "cut torn end of journal %s", path)
+		return nil, errs.Wrap(errors.Join(err, file.Close()), errs.Disk, "cut torn end of journal %s", path)
 	}
 	return &Writer{file: file}, nil
 }
@@ -80,7 +80,7 @@
 func wholeLines(path string) (int64, error) {
 	data, err := os.ReadFile(path)
 	if err != nil && !errors.Is(err, os.ErrNotExist) {
-		return 0, fault.Wrap(err, fault.Disk, "read journal %s", path)
+		return 0, errs.Wrap(err, errs.Disk, "read journal %s", path)
 	}
 	return int64(bytes.LastIndexByte(data, '\n') + 1), nil
 }
@@ -92,17 +92,17 @@
 func (w *Writer) Append(v any) error {
 	line, err := json.Marshal(v)
 	if err != nil {
-		return fault.Wrap(err, fault.Internal, "journal line")
+		return errs.Wrap(err, errs.Internal, "journal line")
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	_, err = w.file.Write(append(line, '\n'))
-	return fault.Wrap(err, fault.Disk, "append to journal")
+	return errs.Wrap(err, errs.Disk, "append to journal")
 }
 
 // Close closes the file.
 func (w *Writer) Close() error {
-	return fault.Wrap(w.file.Close(), fault.Disk, "close journal")
+	return errs.Wrap(w.file.Close(), errs.Disk, "close journal")
 }
 
 // Line is one line as found: the file's base name, the line's number from 1, and its bytes.
@@ -116,7 +116,7 @@
 func (l Line) Entry() (Entry, error) {
 	var e Entry
 	err := json.Unmarshal(l.Raw, &e)
-	return e, fault.Wrap(err, fault.Damaged, "journal %s line %d", l.File, l.Number)
+	return e, errs.Wrap(err, errs.Damaged, "journal %s line %d", l.File, l.Number)
 }
 
 // Lines goes over all lines of dir/journal/*.jsonl, by file name and then in order of writing. A last line
@@ -125,7 +125,7 @@
 //
 //	for line, err := range journal.Lines(dir) {
 //		if err != nil {
-//			return fault.Pass(err, "audit")
+//			return errs.Pass(err, "audit")
 //		}
 //		entry, err := line.Entry()
 //		…
@@ -134,7 +134,7 @@
 	return func(yield func(Line, error) bool) {
 		paths, err := filepath.Glob(filepath.Join(dir, "journal", "*.jsonl"))
 		if err != nil {
-			yield(Line{}, fault.Wrap(err, fault.Settings, "folder %s", dir))
+			yield(Line{}, errs.Wrap(err, errs.Settings, "folder %s", dir))
 			return
 		}
 		for _, path := range paths {
@@ -149,7 +149,7 @@
 	line := Line{File: filepath.Base(path)}
 	file, err := os.Open(path)
 	if err != nil {
-		return yield(line, fault.Wrap(err, fault.Disk, "open journal %s", path))
+		return yield(line, errs.Wrap(err, errs.Disk, "open journal %s", path))
 	}
 	defer file.Close()
 	for in := bufio.NewReader(file); ; {
@@ -158,12 +158,12 @@
 			return true // what raw still holds is torn
 		}
 		if err != nil {
-			return yield(line, fault.Wrap(err, fault.Disk, "read journal %s", path))
+			return yield(line, errs.Wrap(err, errs.Disk, "read journal %s", path))
 		}
 		line.Number++
 		line.Raw = bytes.TrimSuffix(raw, []byte("\n"))
 		if !json.Valid(line.Raw) {
-			err = fault.New(fault.Damaged, "journal %s line %d is no JSON", line.File, line.Number)
+			err = errs.New(errs.Damaged, "journal %s line %d is no JSON", line.File, line.Number)
 		}
 		if !yield(line, err) {
 			return false
--- a/internal/rig/journal/journal_test.go
+++ b/internal/testbed/journal/journal_test.go
@@ -7,20 +7,20 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"crosstide/internal/fault"
+	"crosstide/internal/errs"
 )
 
-func read(dir string) (tickets []uint64, kinds []fault.Kind) {
+func read(dir string) (runIDs []uint64, kinds []errs.Kind) {
 	for line, err := range Lines(dir) {
 		if err != nil {
-			kinds = append(kinds, fault.KindOf(err))
+			kinds = append(kinds, errs.KindOf(err))
 			continue
 		}
 		e, err := line.Entry()
 		So(err, ShouldBeNil)
-		tickets = append(tickets, e.Ticket)
+		runIDs = append(runIDs, e.RunID)
 	}
-	return tickets, kinds
+	return runIDs, kinds
 }
 
 func TestJournal(t *testing.T) {
@@ -30,23 +30,23 @@
 		w, err := Open(path)
 		So(err, ShouldBeNil)
 		for n := range uint64(3) {
-			So(w.Append(Entry{Ev: Start, Ticket: n + 1}), ShouldBeNil)
+			So(w.Append(Entry{Ev: Start, RunID: n + 1}), ShouldBeNil)
 		}
 		So(w.Close(), ShouldBeNil)
 
 		data, err := os.ReadFile(path)
 		So(err, ShouldBeNil)
 		So(os.WriteFile(path, append(data, `{"ev":"sta`...), 0o644), ShouldBeNil)
-		tickets, kinds := read(dir)
-		So(tickets, ShouldResemble, []uint64{1, 2, 3})
+		runIDs, kinds := read(dir)
+		So(runIDs, ShouldResemble, []uint64{1, 2, 3})
 		So(kinds, ShouldBeEmpty)
 
 		w, err = Open(path)
 		So(err, ShouldBeNil)
-		So(w.Append(Entry{Ev: Boot, Ticket: 4}), ShouldBeNil)
+		So(w.Append(Entry{Ev: Boot, RunID: 4}), ShouldBeNil)
 		So(w.Close(), ShouldBeNil)
-		tickets, kinds = read(dir)
-		So(tickets, ShouldResemble, []uint64{1, 2, 3, 4})
+		runIDs, kinds = read(dir)
+		So(runIDs, ShouldResemble, []uint64{1, 2, 3, 4})
 		So(kinds, ShouldBeEmpty)
 	})
 
@@ -54,8 +54,8 @@
 		dir := t.TempDir()
 		So(os.Mkdir(filepath.Join(dir, "journal"), 0o755), ShouldBeNil)
 		So(os.WriteFile(filepath.Join(dir, "journal", "m.jsonl"), []byte("{\"ticket\":1}\n{\"ti\n{\"ticket\":2}\n"), 0o644), ShouldBeNil)
-		tickets, kinds := read(dir)
-		So(tickets, ShouldResemble, []uint64{1, 2})
-		So(kinds, ShouldResemble, []fault.Kind{fault.Damaged})
+		runIDs, kinds := read(dir)
+		So(runIDs, ShouldResemble, []uint64{1, 2})
+		So(kinds, ShouldResemble, []errs.Kind{errs.Damaged})
 	})
 }
--- a/internal/rig/link/gate.go
+++ b/internal/testbed/link/gate.go
@@ -7,8 +7,8 @@
 	"sync"
 	"time"
 
-	"crosstide/internal/fault"
-	"crosstide/internal/wire"
+	"crosstide/internal/errs"
+	"crosstide/internal/rpc"
 )
 
 // Way is one link: From dials Listen to reach To at Dial.
@@ -45,19 +45,19 @@
 }
 
 // Order is the call of the control port.
-var Order = wire.Pair[Cut, CutAnswer]{Path: "/v1/cut"}
+var Order = rpc.Pair[Cut, CutAnswer]{Path: "/v1/cut"}
 
 // Check tells what is wrong with an order. Fault: Invalid.
 func (c Cut) Check() error {
 	switch {
 	case (c.Node == "") == (c.Zone == ""):
-		return fault.Field(fault.Invalid, "node", "either a node or a zone must be given")
+		return errs.Field(errs.Invalid, "node", "either a node or a zone must be given")
 	case c.For <= 0 || c.For > time.Hour:
-		return fault.Field(fault.Invalid, "for", "must be up to 1h, is %s", c.For)
+		return errs.Field(errs.Invalid, "for", "must be up to 1h, is %s", c.For)
 	case !slices.Contains([]string{Silent, Oneway, Slow, Late}, c.How):
-		return fault.Field(fault.Invalid, "how", "is %q", c.How)
+		return errs.Field(errs.Invalid, "how", "is %q", c.How)
 	case (c.How == Slow) != (c.Delay > 0):
-		return fault.Field(fault.Invalid, "delay", "goes with slow, is %s", c.Delay)
+		return errs.Field(errs.Invalid, "delay", "goes with slow, is %s", c.Delay)
 	}
 	return nil
 }
--- a/internal/rig/link/link.go
+++ b/internal/testbed/link/link.go
@@ -13,11 +13,11 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
-	"crosstide/internal/alarm"
-	"crosstide/internal/fault"
-	"crosstide/internal/rig/journal"
-	"crosstide/internal/spawn"
-	"crosstide/internal/wire"
+	"crosstide/internal/clock"
+	"crosstide/internal/errs"
+	"crosstide/internal/routine"
+	"crosstide/internal/rpc"
+	"crosstide/internal/testbed/journal"
 )
 
 const (
@@ -38,58 +38,58 @@
 	var s Settings
 	raw, err := os.ReadFile(path)
 	if err != nil {
-		return s, fault.Wrap(err, fault.Settings, "read %s", path)
+		return s, errs.Wrap(err, errs.Settings, "read %s", path)
 	}
-	return s, fault.Wrap(json.Unmarshal(raw, &s), fault.Settings, "%s", path)
+	return s, errs.Wrap(json.Unmarshal(raw, &s), errs.Settings, "%s", path)
 }
 
 // Links is a process's links.
 type Links struct {
 	set    Settings
-	clock  alarm.Clock
+	clock  clock.Clock
 	logger log.Logger
 	pen    *journal.Writer
-	group  *spawn.Group
+	group  *routine.Group
 	gate   gate
 }
 
 // Run opens the links and takes orders until ctx ends. Faults: Settings, Disk. Example:
 //
-//	err := link.Run(ctx, set, alarm.Real{}, logger)
-func Run(ctx context.Context, set Settings, clock alarm.Clock, logger log.Logger) error {
+//	err := link.Run(ctx, set, clock.Real{}, logger)
+func Run(ctx context.Context, set Settings, clock clock.Clock, logger log.Logger) error {
 	pen, err := journal.Open(set.Journal)
 	if err != nil {
-		return fault.Pass(err, "links")
+		return errs.Pass(err, "links")
 	}
 	defer pen.Close()
-	l := &Links{set: set, clock: clock, logger: logger, pen: pen, group: spawn.New(ctx)}
+	l := &Links{set: set, clock: clock, logger: logger, pen: pen, group: routine.New(ctx)}
 	defer l.group.Stop()
 	for _, w := range set.Ways {
 		ln, err := net.Listen("tcp", w.Listen)
 		if err != nil {
-			return fault.Wrap(err, fault.Settings, "link from %s to %s", w.From, w.To)
+			return errs.Wrap(err, errs.Settings, "link from %s to %s", w.From, w.To)
 		}
 		context.AfterFunc(l.group.Context(), func() { _ = ln.Close() })
 		l.group.Go(func(ctx context.Context) { l.accept(ctx, ln, w) })
 	}
-	srv := wire.NewServer(wire.ServerOptions{Addr: set.Control, Logger: logger})
-	wire.Handle(srv, Order, func(_ context.Context, c Cut) (CutAnswer, error) {
+	srv := rpc.NewServer(rpc.ServerOptions{Addr: set.Control, Logger: logger})
+	rpc.Handle(srv, Order, func(_ context.Context, c Cut) (CutAnswer, error) {
 		a, err := l.cut(c)
-		return a, fault.Pass(err, "order")
+		return a, errs.Pass(err, "order")
 	})
 	if err := srv.Start(); err != nil {
-		return fault.Pass(err, "control port of the links")
+		return errs.Pass(err, "control port of the links")
 	}
 	_ = level.Info(logger).Log("msg", "links are up", "links", len(set.Ways), "control", srv.Addr())
 	<-ctx.Done()
-	return fault.Pass(srv.Stop(time.Second), "links")
+	return errs.Pass(srv.Stop(time.Second), "links")
 }
 
 // cut carries out an order, after it is in the journal, and journals when it is over.
 func (l *Links) cut(c Cut) (CutAnswer, error) {
 	var answer CutAnswer
 	if err := c.Check(); err != nil {
-		return answer, fault.Pass(err, "cut")
+		return answer, errs.Pass(err, "cut")
 	}
 	for _, w := range l.set.Ways {
 		if yes, _ := c.crosses(w); yes {
@@ -97,15 +97,15 @@
 		}
 	}
 	if answer.Links == 0 {
-		return answer, fault.New(fault.Unknown, "no link leads to %s%s", c.Node, c.Zone)
+		return answer, errs.New(errs.Unknown, "no link leads to %s%s", c.Node, c.Zone)
 	}
 	note := func(ev string) error {
 		err := l.pen.Append(map[string]any{"at": l.clock.Wall().UnixNano(), "ev": ev, "node": c.Node, "zone": c.Zone,
 			"how": c.How, "for": c.For.String(), "delay": c.Delay.String()})
-		return fault.Pass(err, "links' journal")
+		return errs.Pass(err, "links' journal")
 	}
 	if err := note("cut"); err != nil {
-		return answer, fault.Pass(err, "cut")
+		return answer, errs.Pass(err, "cut")
 	}
 	l.gate.add(l.clock.Now(), c)
 	l.clock.Set(c.For, func() {
@@ -134,12 +134,12 @@
 type tie struct {
 	*Links
 	Way
-	group *spawn.Group
+	group *routine.Group
 }
 
 // serve leads one connection. The opening of it is judged as its bytes are: held back, or never answered.
 func (l *Links) serve(ctx context.Context, w Way, in *net.TCPConn) {
-	t := &tie{l, w, spawn.New(ctx)}
+	t := &tie{l, w, routine.New(ctx)}
 	defer t.group.Stop()
 	closing(t.group, in)
 	to := make(chan piece, held)
@@ -170,7 +170,7 @@
 }
 
 // closing resets c when the group ends.
-func closing(g *spawn.Group, c *net.TCPConn) {
+func closing(g *routine.Group, c *net.TCPConn) {
 	context.AfterFunc(g.Context(), func() {
 		_ = c.SetLinger(0)
 		_ = c.Close()
--- a/internal/rig/link/link_test.go
+++ b/internal/testbed/link/link_test.go
@@ -11,9 +11,9 @@
 	"github.com/go-kit/log"
 	. "github.com/smartystreets/goconvey/convey"
 
-	"crosstide/internal/alarm"
-	"crosstide/internal/rig/journal"
-	"crosstide/internal/spawn"
+	"crosstide/internal/clock"
+	"crosstide/internal/routine"
+	"crosstide/internal/testbed/journal"
 )
 
 var way = Way{From: "d1", FromZone: "z1", To: "c2", ToZone: "z2"}
@@ -48,13 +48,13 @@
 	})
 }
 
-// counted tells of every alarm that is set.
+// counted tells of every timer that is set.
 type counted struct {
-	alarm.Virtual
+	clock.Virtual
 	sets chan struct{}
 }
 
-func (c *counted) Set(d time.Duration, ring func()) alarm.Stopper {
+func (c *counted) Set(d time.Duration, ring func()) clock.Stopper {
 	defer func() { c.sets <- struct{}{} }()
 	return c.Virtual.Set(d, ring)
 }
@@ -67,7 +67,7 @@
 
 // pipe is a link to a peer that answers every byte with the next one.
 func pipe(t *testing.T) (*Links, *counted, func() net.Conn) {
-	clock, group := &counted{sets: make(chan struct{}, 100)}, spawn.New(context.Background())
+	clock, group := &counted{sets: make(chan struct{}, 100)}, routine.New(context.Background())
 	pen, err := journal.Open(filepath.Join(t.TempDir(), "j"))
 	So(err, ShouldBeNil)
 	listen := func() net.Listener {
--- a/internal/rig/load/load.go
+++ b/internal/testbed/load/load.go
@@ -1,4 +1,4 @@
-// Package load is the stand-in consumers of the rehearsal kit: an open loop of jobs at a rate, each handed in,
+// Package load is the stand-in clients of the rehearsal kit: an open loop of jobs at a rate, each handed in,
 // handed in again after a lost answer, polled to its end, and journaled.
 package load
 
@@ -15,15 +15,15 @@
 
 	"golang.org/x/time/rate"
 
-	"crosstide/internal/alarm"
-	"crosstide/internal/fault"
-	"crosstide/internal/rig/fleet"
-	"crosstide/internal/rig/journal"
-	"crosstide/internal/spawn"
+	"crosstide/internal/clock"
+	"crosstide/internal/errs"
+	"crosstide/internal/routine"
 	"crosstide/internal/state"
+	"crosstide/internal/testbed/fleet"
+	"crosstide/internal/testbed/journal"
 )
 
-// Bounds of the consumers.
+// Bounds of the clients.
 const (
 	callBound = 5 * time.Second        // of one call
 	pollFirst = 200 * time.Millisecond // wait before the first poll
@@ -42,13 +42,13 @@
 	opt    Options
 	caller Caller
 	nodes  []fleet.Node
-	clock  alarm.Clock
+	clock  clock.Clock
 	polls  *rate.Limiter
 	books  []*journal.Writer
 
 	mu     sync.Mutex
-	tally  Report
-	accept *pressure
+	counts Report
+	accept *latencies
 	yes    map[string]int64 // when a job was acknowledged, Unix ns
 	broke  error            // the first journal fault
 }
@@ -59,32 +59,32 @@
 //	report, err := load.Run(ctx, load.Options{Dir: dir, Rate: 20, For: 20 * time.Second, Run: 100 * time.Millisecond})
 func Run(ctx context.Context, o Options) (Report, error) {
 	if err := o.Fill(); err != nil {
-		return Report{}, fault.Pass(err, "load")
+		return Report{}, errs.Pass(err, "load")
 	}
 	if o.Prefix == "" {
 		o.Prefix = stamp()
 	}
 	nodes, err := fleet.Read(o.Dir)
 	if err != nil {
-		return Report{}, fault.Pass(err, "load")
+		return Report{}, errs.Pass(err, "load")
 	}
 	if len(nodes.DPlanes) == 0 {
-		return Report{}, fault.New(fault.Settings, "the fleet has no dplane")
+		return Report{}, errs.New(errs.Settings, "the fleet has no dplane")
 	}
-	l := &load{opt: o, caller: fleet.NewCaller(conns), nodes: nodes.DPlanes, clock: alarm.Real{},
-		polls: rate.NewLimiter(rate.Limit(o.Polls), 50), accept: newPressure(), yes: map[string]int64{}}
-	l.tally.Refused, l.tally.Pressure = map[string]int{}, map[string]int{}
+	l := &load{opt: o, caller: fleet.NewCaller(conns), nodes: nodes.DPlanes, clock: clock.Real{},
+		polls: rate.NewLimiter(rate.Limit(o.Polls), 50), accept: newLatencies(), yes: map[string]int64{}}
+	l.counts.Refused, l.counts.Overloaded = map[string]int{}, map[string]int{}
 	for i := range o.Workers {
 		book, err := journal.Open(filepath.Join(o.Dir, "journal", fmt.Sprintf("consumer-%s-%d.jsonl", o.Prefix, i+1)))
 		if err != nil {
-			return Report{}, fault.Pass(err, "load")
+			return Report{}, errs.Pass(err, "load")
 		}
 		defer book.Close()
 		l.books = append(l.books, book)
 	}
 	l.offer(ctx, plan(o))
 	report, err := l.report()
-	return report, fault.Pass(err, "load")
+	return report, errs.Pass(err, "load")
 }
 
 // stamp gives a prefix of keys that no earlier load had.
@@ -96,7 +96,7 @@
 	ctx, stop := context.WithCancel(ctx)
 	defer l.clock.Set(l.opt.For+l.opt.Wait, stop).Stop()
 	defer stop()
-	group := spawn.New(ctx)
+	group := routine.New(ctx)
 	for i, of := range offers {
 		if l.sleep(ctx, began+of.at-l.clock.Now()) != nil {
 			break
@@ -222,7 +222,7 @@
 				return reply, why
 			}
 		}
-		j.count(func(r *Report) { r.Pressure[why]++ })
+		j.count(func(r *Report) { r.Overloaded[why]++ })
 		wait := time.Duration((0.5 + j.luck.Float64()) * float64(back))
 		if err == nil && got.After > 0 {
 			wait = min(got.After, backMost)
@@ -259,7 +259,7 @@
 		j.mu.Lock()
 		defer j.mu.Unlock()
 		if j.broke == nil {
-			j.broke = fault.Pass(err, "consumer's journal")
+			j.broke = errs.Pass(err, "consumer's journal")
 		}
 	}
 	return e.At
@@ -268,7 +268,7 @@
 func (l *load) count(do func(r *Report)) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	do(&l.tally)
+	do(&l.counts)
 }
 
 // sleep waits for d on the clock; a fault if ctx ends first.
@@ -282,7 +282,7 @@
 	case <-rung:
 		return nil
 	case <-ctx.Done():
-		return fault.Wrap(ctx.Err(), fault.Stopped, "the load's time is over")
+		return errs.Wrap(ctx.Err(), errs.Stopped, "the load's time is over")
 	}
 }
 
--- a/internal/rig/load/load_test.go
+++ b/internal/testbed/load/load_test.go
@@ -11,19 +11,19 @@
 	. "github.com/smartystreets/goconvey/convey"
 	"golang.org/x/time/rate"
 
-	"crosstide/internal/alarm"
-	"crosstide/internal/fault"
-	"crosstide/internal/rig/fleet"
-	"crosstide/internal/rig/journal"
+	"crosstide/internal/clock"
+	"crosstide/internal/errs"
 	"crosstide/internal/state"
+	"crosstide/internal/testbed/fleet"
+	"crosstide/internal/testbed/journal"
 )
 
-// leap is a clock on which every alarm rings at once, its time having passed.
+// leap is a clock on which every timer rings at once, its time having passed.
 type leap struct{ now time.Duration }
 
 func (l *leap) Now() time.Duration { return l.now }
 func (l *leap) Wall() time.Time    { return time.Unix(0, int64(l.now)) }
-func (l *leap) Set(d time.Duration, ring func()) alarm.Stopper {
+func (l *leap) Set(d time.Duration, ring func()) clock.Stopper {
 	l.now += max(d, 0)
 	ring()
 	return time.NewTimer(0)
@@ -39,7 +39,7 @@
 	s.calls = append(s.calls, method+" "+addr+path)
 	a := s.answers[min(len(s.calls), len(s.answers))-1]
 	if a == nil {
-		return fleet.Reply{}, fault.New(fault.Timeout, "lost")
+		return fleet.Reply{}, errs.New(errs.Timeout, "lost")
 	}
 	return *a, nil
 }
@@ -58,9 +58,9 @@
 		So(err, ShouldBeNil)
 		defer book.Close()
 		caller, clock := &script{answers: answers}, &leap{}
-		l := &load{opt: o, caller: caller, clock: clock, polls: rate.NewLimiter(rate.Inf, 1), accept: newPressure(),
+		l := &load{opt: o, caller: caller, clock: clock, polls: rate.NewLimiter(rate.Inf, 1), accept: newLatencies(),
 			nodes: []fleet.Node{{Name: "d1", Addr: "1"}, {Name: "d2", Addr: "2"}}, yes: map[string]int64{}}
-		l.tally.Refused, l.tally.Pressure = map[string]int{}, map[string]int{}
+		l.counts.Refused, l.counts.Overloaded = map[string]int{}, map[string]int{}
 		of.spec = state.Spec{Key: "k"}
 		l.follow(context.Background(), book, of, 0)
 		var evs []string
@@ -90,18 +90,18 @@
 		So(caller.calls[0], ShouldNotEqual, caller.calls[1])
 		So(caller.calls[1], ShouldNotEqual, caller.calls[2])
 		So(clock.now, ShouldBeGreaterThan, 2*time.Second)
-		r := l.tally
+		r := l.counts
 		So([]int{r.Accepted, r.Done, r.Unknown, r.Tries, r.Polls}, ShouldResemble, []int{1, 1, 1, 2, 5})
-		So(r.Pressure, ShouldResemble, map[string]int{"lost": 1, "status 503": 1})
+		So(r.Overloaded, ShouldResemble, map[string]int{"lost": 1, "status 503": 1})
 	})
 
 	Convey("A refusal for good is not repeated; one for now is given up in time", t, func() {
 		l, caller, _, evs := follow(offer{cancel: -1}, says(422, 0, ""))
 		So(len(caller.calls), ShouldEqual, 1)
 		So(evs, ShouldResemble, []string{"submit ", "refused "})
-		So(l.tally.Refused, ShouldResemble, map[string]int{"status 422": 1})
+		So(l.counts.Refused, ShouldResemble, map[string]int{"status 422": 1})
 		l, _, clock, _ := follow(offer{cancel: -1}, nil)
-		So(l.tally.Refused, ShouldResemble, map[string]int{"lost": 1})
+		So(l.counts.Refused, ShouldResemble, map[string]int{"lost": 1})
 		So(clock.now, ShouldBeBetween, 20*time.Second, 31*time.Second)
 	})
 
@@ -112,6 +112,6 @@
 			"cancelled stopping", "poll cancelled"})
 		So(caller.calls[0], ShouldNotEqual, caller.calls[1])
 		So(caller.calls[2][:7], ShouldEqual, http.MethodDelete+" ")
-		So([]int{l.tally.Cancels, l.tally.Cancelled, l.tally.Dups, l.tally.DupsRefused}, ShouldResemble, []int{1, 1, 1, 0})
+		So([]int{l.counts.Cancels, l.counts.Cancelled, l.counts.Dups, l.counts.DupsRefused}, ShouldResemble, []int{1, 1, 1, 0})
 	})
 }
--- a/internal/rig/load/offer.go
+++ b/internal/testbed/load/offer.go
@@ -6,14 +6,14 @@
 	"math/rand/v2"
 	"time"
 
-	"crosstide/internal/fault"
+	"crosstide/internal/errs"
 	"crosstide/internal/state"
 )
 
 // Options are what a load is made of. Zero values take the defaults of Fill.
 type Options struct {
 	Dir   string        // of the fleet
-	Rate  float64       // jobs per second on average, arrivals as of many independent consumers
+	Rate  float64       // jobs per second on average, arrivals as of many independent clients
 	For   time.Duration // how long jobs are offered
 	Seed  uint64
 	Tasks int           // tasks per step, default 1
@@ -33,8 +33,8 @@
 	Cancel   float64       // probability that a job is cancelled some time after its yes
 	Dup      float64       // probability that a job is handed in once more at another node
 	Prefix   string        // of the keys; default is new with each load
-	Workers  int           // consumers, each with its own journal, default 4
-	Polls    float64       // polls per second of all consumers, at most, default 1000
+	Workers  int           // clients, each with its own journal, default 4
+	Polls    float64       // polls per second of all clients, at most, default 1000
 	Wait     time.Duration // after For, until every accepted job has ended, default 60s
 	GiveUp   time.Duration // how long a job is offered to one node after another, default 30s
 }
@@ -62,11 +62,11 @@
 	}
 	switch {
 	case o.Rate <= 0 && o.Count <= 0 || o.For <= 0:
-		return fault.Field(fault.Invalid, "rate", "rate and duration must be above 0")
+		return errs.Field(errs.Invalid, "rate", "rate and duration must be above 0")
 	case o.Cancel < 0 || o.Cancel > 1 || o.Dup < 0 || o.Dup > 1:
-		return fault.Field(fault.Invalid, "cancel", "cancel and dup are probabilities")
+		return errs.Field(errs.Invalid, "cancel", "cancel and dup are probabilities")
 	case o.Run < 0 || o.Wait < 0 || o.GiveUp < 0:
-		return fault.Field(fault.Invalid, "wait", "durations must not be below 0")
+		return errs.Field(errs.Invalid, "wait", "durations must not be below 0")
 	}
 	return nil
 }
--- a/internal/rig/load/profile.go
+++ b/internal/testbed/load/profile.go
@@ -7,8 +7,8 @@
 	"sync"
 	"time"
 
-	"crosstide/internal/fault"
-	"crosstide/internal/spawn"
+	"crosstide/internal/errs"
+	"crosstide/internal/routine"
 )
 
 // profiles are the kinds of work of the brief's two deployments, at their rates.
@@ -35,10 +35,10 @@
 func RunProfile(ctx context.Context, name string, scale float64, o Options) (map[string]Report, error) {
 	kinds, ok := profiles[name]
 	if !ok {
-		return nil, fault.Field(fault.Invalid, "profile", "is %q, must be one of %v", name, slices.Sorted(maps.Keys(profiles)))
+		return nil, errs.Field(errs.Invalid, "profile", "is %q, must be one of %v", name, slices.Sorted(maps.Keys(profiles)))
 	}
 	if scale <= 0 {
-		return nil, fault.Field(fault.Invalid, "scale", "must be above 0, is %g", scale)
+		return nil, errs.Field(errs.Invalid, "scale", "must be above 0, is %g", scale)
 	}
 	if o.Prefix == "" {
 		o.Prefix = stamp()
@@ -47,7 +47,7 @@
 	var mu sync.Mutex
 	var broke error
 	out := map[string]Report{}
-	spawn.Each(len(names), len(names), func(i int) {
+	routine.Each(len(names), len(names), func(i int) {
 		k := kinds[names[i]]
 		k.Dir, k.For, k.Wait, k.GiveUp, k.Seed, k.Prefix = o.Dir, o.For, o.Wait, o.GiveUp, o.Seed+uint64(i), o.Prefix+"-"+names[i]
 		k.Workers, k.Rate = 2, k.Rate*scale
@@ -56,7 +56,7 @@
 		defer mu.Unlock()
 		out[names[i]] = r
 		if err != nil && broke == nil {
-			broke = fault.Pass(err, "%s", names[i])
+			broke = errs.Pass(err, "%s", names[i])
 		}
 	})
 	return out, broke
--- a/internal/rig/load/report.go
+++ b/internal/testbed/load/report.go
@@ -5,9 +5,9 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
-	"crosstide/internal/fault"
-	"crosstide/internal/rig/journal"
+	"crosstide/internal/errs"
 	"crosstide/internal/state"
+	"crosstide/internal/testbed/journal"
 )
 
 // Report is what a load came to; its JSON is what `drill load` prints.
@@ -22,7 +22,7 @@
 	Unknown     int            `json:"unknown"`    // accepted, and answered 404 at least once
 	Unfinished  int            `json:"unfinished"` // accepted, and not seen over
 	Refused     map[string]int `json:"refused"`    // given up, by the last refusal; "lost": without any answer
-	Pressure    map[string]int `json:"pressure"`   // answers that sent a consumer to another node, by kind
+	Overloaded  map[string]int `json:"pressure"`   // answers that sent a client to another node, by kind
 	Tries       int            `json:"retries"`
 	Polls       int            `json:"polls"`
 	Cancels     int            `json:"cancels"` // acknowledged
@@ -54,7 +54,7 @@
 	switch phase {
 	case state.JobDone:
 		r.Done++
-	case state.JobFault:
+	case state.JobFailed:
 		r.Fault++
 	case state.JobCancelled:
 		r.Cancelled++
@@ -66,21 +66,21 @@
 	}
 }
 
-// pressure records durations from a microsecond to an hour at three significant digits.
-type pressure struct{ h *hdrhistogram.Histogram }
+// overload records durations from a microsecond to an hour at three significant digits.
+type latencies struct{ h *hdrhistogram.Histogram }
 
-func newPressure() *pressure {
-	return &pressure{hdrhistogram.New(1, time.Hour.Microseconds(), 3)}
+func newLatencies() *latencies {
+	return &latencies{hdrhistogram.New(1, time.Hour.Microseconds(), 3)}
 }
 
-func (p *pressure) record(d time.Duration) {
+func (p *latencies) record(d time.Duration) {
 	us := min(max(d.Microseconds(), 1), time.Hour.Microseconds())
 	if err := p.h.RecordValue(us); err != nil {
 		panic(err) // us is within the bounds
 	}
 }
 
-func (p *pressure) spread() Spread {
+func (p *latencies) spread() Spread {
 	ms := func(us int64) float64 { return float64(us) / 1000 }
 	if p.h.TotalCount() == 0 {
 		return Spread{}
@@ -94,13 +94,13 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.broke != nil {
-		return l.tally, l.broke
+		return l.counts, l.broke
 	}
 	first := map[string]int64{}
 	var from, to int64
 	for line, err := range journal.Lines(l.opt.Dir) {
 		if err != nil {
-			return l.tally, fault.Pass(err, "starts")
+			return l.counts, errs.Pass(err, "starts")
 		}
 		e, err := line.Entry()
 		if err != nil || e.Ev != journal.Start {
@@ -109,7 +109,7 @@
 		if _, ours := l.yes[e.Job]; !ours {
 			continue
 		}
-		l.tally.Starts++
+		l.counts.Starts++
 		if at, ok := first[e.Job]; !ok || e.At < at {
 			first[e.Job] = e.At
 		}
@@ -118,11 +118,11 @@
 		}
 		to = max(to, e.At)
 	}
-	starts := newPressure()
+	starts := newLatencies()
 	for job, at := range first {
 		starts.record(time.Duration(at - l.yes[job]))
 	}
-	r := &l.tally
+	r := &l.counts
 	r.Seed, r.Prefix = l.opt.Seed, l.opt.Prefix
 	r.Accept, r.ToStart = l.accept.spread(), starts.spread()
 	if to > from {
--- a/internal/rig/minion/core.go
+++ b/internal/testbed/minion/core.go
@@ -8,9 +8,9 @@
 	"slices"
 	"time"
 
-	"crosstide/internal/fault"
-	"crosstide/internal/pair"
-	"crosstide/internal/rig/journal"
+	"crosstide/internal/api"
+	"crosstide/internal/errs"
+	"crosstide/internal/testbed/journal"
 )
 
 // Kinds of minions.
@@ -33,13 +33,13 @@
 	Grace      time.Duration // how long a leaving minion waits for its runs and for its ends to be acknowledged
 	Fail       float64       // probability that a run ends in a fault
 	Slow       float64       // runs take up to this many times as long; at most 1: as long as they say
-	Seed       uint64        // of Fail and Slow; what a ticket meets does not depend on the order of calls
+	Seed       uint64        // of Fail and Slow; what a run ID meets does not depend on the order of calls
 }
 
 // Reply answers the call that came with Tag.
 type Reply struct {
 	Tag    uint64
-	Answer pair.HoldAnswer
+	Answer api.HoldAnswer
 	Err    error
 }
 
@@ -57,15 +57,15 @@
 //
 //	core := minion.NewCore(minion.Traits{Name: "m1", Boot: "b1", Kind: minion.Check, Zone: "z1", Cores: 4})
 //	core.Start()
-//	step := core.Call(5*time.Millisecond, 1, pair.HoldCall{Call: 1, Epoch: 7, Minion: "m1", Boot: "b1"})
+//	step := core.Call(5*time.Millisecond, 1, api.HoldCall{Call: 1, Epoch: 7, Minion: "m1", Boot: "b1"})
 //	// step.Replies[0].Tag is 1
 type Core struct {
 	t      Traits
 	epoch  uint64 // newest seen
-	seen   uint64 // highest ticket seen in a start order
+	seen   uint64 // highest run ID seen in a start order
 	floor  uint64
 	runs   []*run // in order of starting
-	ends   []pair.EndNote
+	ends   []api.EndNote
 	cores  int // taken by runs
 	gpus   int
 	drains bool
@@ -80,7 +80,7 @@
 }
 
 type run struct {
-	order pair.StartOrder
+	order api.StartOrder
 	epoch uint64
 	due   time.Duration // Never for a standing run
 	until time.Duration
@@ -102,34 +102,34 @@
 
 // Call takes in a hold call; tag names it in Step.Replies, in this step or in a later one. The arrival of a call
 // answers a parked one first, with what was known before.
-func (c *Core) Call(now time.Duration, tag uint64, call pair.HoldCall) Step {
+func (c *Core) Call(now time.Duration, tag uint64, call api.HoldCall) Step {
 	return c.input(now, func() {
 		c.unpark()
 		if call.Minion != c.t.Name {
-			c.refuse(tag, fault.Field(fault.Unknown, "minion", "this is %s", c.t.Name))
+			c.refuse(tag, errs.Field(errs.Unknown, "minion", "this is %s", c.t.Name))
 			return
 		}
 		if c.t.Kind == Check && call.Epoch < c.epoch {
-			c.refuse(tag, fault.Field(fault.Stale, "epoch", "epoch %d is over, %d was seen", call.Epoch, c.epoch))
+			c.refuse(tag, errs.Field(errs.Stale, "epoch", "epoch %d is over, %d was seen", call.Epoch, c.epoch))
 			return
 		}
 		c.news = c.news || call.Epoch > c.epoch || call.Floor > c.floor || call.Boot != "" && call.Boot != c.t.Boot
 		c.epoch, c.floor = max(c.epoch, call.Epoch), max(c.floor, call.Floor)
-		c.ends = slices.DeleteFunc(c.ends, func(e pair.EndNote) bool { return slices.Contains(call.Acked, e.Ticket) })
+		c.ends = slices.DeleteFunc(c.ends, func(e api.EndNote) bool { return slices.Contains(call.Acked, e.RunID) })
 		if call.Boot == c.t.Boot || call.Boot == "" { // Until is a reading of that boot's clock
 			for _, r := range c.runs {
-				if slices.Contains(call.Renew, r.order.Ticket) {
+				if slices.Contains(call.Renew, r.order.RunID) {
 					r.until = max(r.until, call.Until)
 				}
 			}
 		}
 		for _, s := range call.Stops {
-			c.end(func(r *run) bool { return r.order.Ticket == s.Ticket }, journal.Stop, pair.EndStop, s.Why)
+			c.end(func(r *run) bool { return r.order.RunID == s.RunID }, journal.Stop, api.EndStop, s.Why)
 		}
-		var refused []pair.RefuseNote
+		var refused []api.RefuseNote
 		for _, o := range call.Starts {
 			if why := c.order(call, o); why != "" {
-				refused = append(refused, pair.RefuseNote{Ticket: o.Ticket, Why: why})
+				refused = append(refused, api.RefuseNote{RunID: o.RunID, Why: why})
 			}
 		}
 		c.settle() // runs that end at once are told at once
@@ -151,7 +151,7 @@
 		on = on || leave || c.leaves != Never
 		if on != c.drains {
 			c.drains, c.news = on, true
-			c.note(journal.Drain, &run{how: map[bool]string{true: pair.EndWell}[on]}, "")
+			c.note(journal.Drain, &run{how: map[bool]string{true: api.EndWell}[on]}, "")
 		}
 		if leave && c.leaves == Never {
 			c.leaves = later(c.now, c.t.Grace)
@@ -173,7 +173,7 @@
 	c.settle()
 	work()
 	if c.leaves <= c.now {
-		c.end(func(*run) bool { return true }, journal.Stop, pair.EndStop, "the minion leaves")
+		c.end(func(*run) bool { return true }, journal.Stop, api.EndStop, "the minion leaves")
 	}
 	idle := len(c.runs) == 0 && len(c.ends) == 0
 	c.gone = c.gone || c.leaves <= c.now || c.leaves != Never && idle
@@ -195,7 +195,7 @@
 
 // settle ends what time has ended: lapses first, so that a run that outlived its hold never counts as well done.
 func (c *Core) settle() {
-	c.end(func(r *run) bool { return r.until <= c.now }, journal.Lapse, pair.EndLapse, "the hold lapsed")
+	c.end(func(r *run) bool { return r.until <= c.now }, journal.Lapse, api.EndLapse, "the hold lapsed")
 	c.end(func(r *run) bool { return r.due <= c.now }, journal.End, "", "")
 }
 
@@ -215,32 +215,32 @@
 	})
 }
 
-// close journals an end and lists it, once per ticket: an obeying minion may run a ticket twice.
+// close journals an end and lists it, once per run ID: an obeying minion may run a run ID twice.
 func (c *Core) close(ev string, r *run) {
-	listed := slices.ContainsFunc(c.ends, func(e pair.EndNote) bool { return e.Ticket == r.order.Ticket })
+	listed := slices.ContainsFunc(c.ends, func(e api.EndNote) bool { return e.RunID == r.order.RunID })
 	if !listed {
-		c.ends = append(c.ends, pair.EndNote{Ticket: r.order.Ticket, How: r.how, Reason: r.why})
+		c.ends = append(c.ends, api.EndNote{RunID: r.order.RunID, How: r.how, Reason: r.why})
 	}
 	c.news = true
 	c.note(ev, r, r.why)
 }
 
 // order carries out a start order, or tells why not.
-func (c *Core) order(call pair.HoldCall, o pair.StartOrder) (refused string) {
+func (c *Core) order(call api.HoldCall, o api.StartOrder) (refused string) {
 	r := &run{order: o, epoch: call.Epoch, until: o.Until}
 	c.note(journal.Order, r, "")
 	if c.t.Kind == Check {
 		refused = c.unfit(call, o)
 	}
-	c.seen = max(c.seen, o.Ticket)
+	c.seen = max(c.seen, o.RunID)
 	c.news = true
 	if refused != "" {
 		c.note(journal.Refuse, r, refused)
 		return refused
 	}
 	if o.Until <= c.now { // a hold that is over already: even an obeying minion does not run past it
-		r.how, r.why = pair.EndLapse, "the hold had lapsed before the start"
-		if c.runsTicket(o.Ticket) {
+		r.how, r.why = api.EndLapse, "the hold had lapsed before the start"
+		if c.runsID(o.RunID) {
 			c.note(journal.Lapse, r, r.why)
 		} else {
 			c.close(journal.Lapse, r)
@@ -256,13 +256,13 @@
 }
 
 // unfit gives the first reason for which a checking minion refuses o; "" if there is none.
-func (c *Core) unfit(call pair.HoldCall, o pair.StartOrder) string {
+func (c *Core) unfit(call api.HoldCall, o api.StartOrder) string {
 	switch {
 	case call.Boot != c.t.Boot:
 		return "boot"
-	case o.Ticket <= c.seen:
+	case o.RunID <= c.seen:
 		return "ticket"
-	case o.Ticket <= c.floor:
+	case o.RunID <= c.floor:
 		return "floor"
 	case c.now > o.Void, c.now >= o.Until:
 		return "late"
@@ -285,28 +285,28 @@
 	return true
 }
 
-func (c *Core) runsTicket(t uint64) bool {
-	return slices.ContainsFunc(c.runs, func(r *run) bool { return r.order.Ticket == t })
+func (c *Core) runsID(t uint64) bool {
+	return slices.ContainsFunc(c.runs, func(r *run) bool { return r.order.RunID == t })
 }
 
 // plan sets when and how r will end by itself.
 func (c *Core) plan(r *run) {
 	spec, err := parseSpec(r.order.Run)
 	if err != nil {
-		r.due, r.how, r.why = c.now, pair.EndFault, fault.Of(err).Message
+		r.due, r.how, r.why = c.now, api.EndFailure, errs.Of(err).Message
 		return
 	}
-	luck := rand.New(rand.NewPCG(c.t.Seed, r.order.Ticket))
+	luck := rand.New(rand.NewPCG(c.t.Seed, r.order.RunID))
 	fails, factor := luck.Float64() < c.t.Fail, 1+luck.Float64()*max(c.t.Slow-1, 0)
-	r.due, r.how = Never, pair.EndWell
+	r.due, r.how = Never, api.EndWell
 	if spec.last >= 0 {
 		r.due = later(c.now, time.Duration(float64(spec.last)*factor))
 	}
 	switch {
 	case !spec.well:
-		r.how, r.why = pair.EndFault, "the run is not ok"
+		r.how, r.why = api.EndFailure, "the run is not ok"
 	case fails:
-		r.how, r.why = pair.EndFault, "failed by chance"
+		r.how, r.why = api.EndFailure, "failed by chance"
 	}
 }
 
@@ -321,17 +321,17 @@
 	c.step.Replies = append(c.step.Replies, Reply{Tag: tag, Err: err})
 }
 
-func (c *Core) reply(tag, call uint64, refused []pair.RefuseNote) {
+func (c *Core) reply(tag, call uint64, refused []api.RefuseNote) {
 	var running []uint64
 	for _, r := range c.runs {
-		running = append(running, r.order.Ticket)
+		running = append(running, r.order.RunID)
 	}
 	slices.Sort(running)
 	ended := slices.Clone(c.ends)
-	// A listed end is proof that nothing of the ticket runs.
-	ended = slices.DeleteFunc(ended, func(e pair.EndNote) bool { return c.runsTicket(e.Ticket) })
+	// A listed end is proof that nothing of the run ID runs.
+	ended = slices.DeleteFunc(ended, func(e api.EndNote) bool { return c.runsID(e.RunID) })
 	c.news = false
-	c.step.Replies = append(c.step.Replies, Reply{Tag: tag, Answer: pair.HoldAnswer{
+	c.step.Replies = append(c.step.Replies, Reply{Tag: tag, Answer: api.HoldAnswer{
 		Call: call, Epoch: c.epoch, Boot: c.t.Boot, Clock: c.now, Seen: c.seen, Floor: c.floor,
 		Running: slices.Compact(running), Ended: ended, Refused: refused,
 		Kind: c.t.Kind, Zone: c.t.Zone, Rack: c.t.Rack, Labels: c.t.Labels, Cores: c.t.Cores, GPUs: c.t.GPUs,
@@ -347,9 +347,9 @@
 	}
 	if r != nil {
 		o := r.order
-		e.Job, e.Step, e.Task, e.Ticket, e.Type, e.Queue = o.Job, o.Step, o.Task, o.Ticket, o.Type, o.Queue
+		e.Job, e.Step, e.Task, e.RunID, e.Type, e.Queue = o.Job, o.Step, o.Task, o.RunID, o.Type, o.Queue
 		e.Labels, e.Cores, e.GPUs = o.Labels, o.Cores, o.GPUs
-		e.OK = (ev == journal.End || ev == journal.Drain) && r.how == pair.EndWell
+		e.OK = (ev == journal.End || ev == journal.Drain) && r.how == api.EndWell
 		if r.epoch > 0 {
 			e.Epoch = r.epoch
 		}
--- a/internal/rig/minion/host.go
+++ b/internal/testbed/minion/host.go
@@ -15,13 +15,13 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
-	"crosstide/internal/alarm"
+	"crosstide/internal/api"
+	"crosstide/internal/clock"
 	"crosstide/internal/daemon"
-	"crosstide/internal/fault"
-	"crosstide/internal/pair"
-	"crosstide/internal/rig/journal"
-	"crosstide/internal/spawn"
-	"crosstide/internal/wire"
+	"crosstide/internal/errs"
+	"crosstide/internal/routine"
+	"crosstide/internal/rpc"
+	"crosstide/internal/testbed/journal"
 )
 
 const (
@@ -33,13 +33,13 @@
 // led to the minion that it names.
 type Host struct {
 	set    Settings
-	clock  alarm.Clock
+	clock  clock.Clock
 	logger log.Logger
-	server *wire.Server
-	caller *wire.Caller
+	server *rpc.Server
+	caller *rpc.Caller
 	bodies map[string]*body
 	pens   map[string]*journal.Writer
-	group  *spawn.Group
+	group  *routine.Group
 
 	mu    sync.Mutex
 	stays int // minions that have not left
@@ -50,33 +50,33 @@
 // Open makes the minions of set and their journals, and listens. Nothing is answered for a minion before its
 // boot is in its journal. Faults: Settings, Disk. Example:
 //
-//	host, err := minion.Open(set, alarm.Real{}, logger)
+//	host, err := minion.Open(set, clock.Real{}, logger)
 //	if err != nil {
-//		return fault.Pass(err, "minion")
+//		return errs.Pass(err, "minion")
 //	}
 //	return host.Run(ctx) // until ctx ends, or a drain has led to the end
-func Open(set Settings, clock alarm.Clock, logger log.Logger) (*Host, error) {
+func Open(set Settings, clock clock.Clock, logger log.Logger) (*Host, error) {
 	if err := set.Check(); err != nil {
-		return nil, fault.Pass(err, "minion")
+		return nil, errs.Pass(err, "minion")
 	}
 	reg := daemon.Registry()
 	h := &Host{
 		set: set, clock: clock, logger: logger, bodies: map[string]*body{}, pens: map[string]*journal.Writer{},
-		server: wire.NewServer(wire.ServerOptions{Addr: set.Addr, Logger: logger, Clock: clock, Registry: reg}),
-		caller: wire.NewCaller(wire.CallerOptions{Logger: logger, Clock: clock, Via: set.Via, Registry: reg}),
-		group:  spawn.New(context.Background()), stays: set.Count, over: make(chan struct{}),
+		server: rpc.NewServer(rpc.ServerOptions{Addr: set.Addr, Logger: logger, Clock: clock, Registry: reg}),
+		caller: rpc.NewCaller(rpc.CallerOptions{Logger: logger, Clock: clock, Via: set.Via, Registry: reg}),
+		group:  routine.New(context.Background()), stays: set.Count, over: make(chan struct{}),
 	}
 	for _, name := range set.names() {
 		if err := h.add(name); err != nil {
 			h.Close()
-			return nil, fault.Pass(err, "minion %s", name)
+			return nil, errs.Pass(err, "minion %s", name)
 		}
 	}
-	h.server.Route(pair.Hold.Path, h.serve)
-	daemon.Routes(h.server, reg, func() error { return fault.Pass(h.fault(), "journal") })
+	h.server.Route(api.Hold.Path, h.serve)
+	daemon.Routes(h.server, reg, func() error { return errs.Pass(h.fault(), "journal") })
 	if err := h.server.Start(); err != nil {
 		h.Close()
-		return nil, fault.Pass(err, "minion")
+		return nil, errs.Pass(err, "minion")
 	}
 	return h, nil
 }
@@ -87,7 +87,7 @@
 	if !ok {
 		var err error
 		if pen, err = journal.Open(path); err != nil {
-			return fault.Pass(err, "journal")
+			return errs.Pass(err, "journal")
 		}
 		h.pens[path] = pen
 	}
@@ -100,7 +100,7 @@
 	}
 	h.bodies[name] = b
 	b.do(func(time.Duration) Step { return b.core.Start() })
-	return fault.Pass(h.fault(), "start")
+	return errs.Pass(h.fault(), "start")
 }
 
 // Addr is the host:port that all minions of the host are reached at.
@@ -118,7 +118,7 @@
 	case <-h.over:
 	}
 	h.Close()
-	return fault.Pass(h.fault(), "minions at %s", h.Addr())
+	return errs.Pass(h.fault(), "minions at %s", h.Addr())
 }
 
 // Drain switches draining of all minions. With leave it is final: Run returns once nothing runs and the ends
@@ -174,22 +174,22 @@
 func (h *Host) serve(w http.ResponseWriter, r *http.Request) {
 	if r.Method != http.MethodPost {
 		w.Header().Set("Allow", http.MethodPost)
-		wire.WriteFault(w, fault.Field(fault.Invalid, "method", "%s is not taken here", r.Method))
+		rpc.WriteError(w, errs.Field(errs.Invalid, "method", "%s is not taken here", r.Method))
 		return
 	}
-	raw, err := wire.ReadBody(r, wire.MaxBody)
+	raw, err := rpc.ReadBody(r, rpc.MaxBody)
 	if err != nil {
-		wire.WriteFault(w, fault.Pass(err, "hold"))
+		rpc.WriteError(w, errs.Pass(err, "hold"))
 		return
 	}
 	call, err := decodeCall(raw)
 	if err != nil {
-		wire.WriteFault(w, fault.Pass(err, "hold"))
+		rpc.WriteError(w, errs.Pass(err, "hold"))
 		return
 	}
 	b := h.bodies[call.Minion]
 	if b == nil {
-		wire.WriteFault(w, fault.Field(fault.Unknown, "minion", "%q is not here", call.Minion))
+		rpc.WriteError(w, errs.Field(errs.Unknown, "minion", "%q is not here", call.Minion))
 		return
 	}
 	answer, lost, err := b.hold(r.Context(), call)
@@ -197,9 +197,9 @@
 	case lost:
 		h.cut(w)
 	case err != nil:
-		wire.WriteFault(w, err)
+		rpc.WriteError(w, err)
 	default:
-		wire.WriteJSON(w, http.StatusOK, answer)
+		rpc.WriteJSON(w, http.StatusOK, answer)
 	}
 }
 
@@ -216,7 +216,7 @@
 	_ = conn.Close()
 }
 
-// body is the process's side of one minion: its clock, alarms, journal and waiting calls.
+// body is the process's side of one minion: its clock, timers, journal and waiting calls.
 type body struct {
 	host   *Host
 	traits Traits
@@ -228,7 +228,7 @@
 	luck  *rnd.Rand
 	tag   uint64
 	waits map[uint64]chan Reply
-	ring  alarm.Stopper
+	ring  clock.Stopper
 	gone  bool
 }
 
@@ -247,7 +247,7 @@
 		e.At = b.host.clock.Wall().UnixNano()
 		if err := b.pen.Append(e); err != nil {
 			b.shut()
-			b.host.left(fault.Pass(err, "minion %s has lost its witness", b.traits.Name))
+			b.host.left(errs.Pass(err, "minion %s has lost its witness", b.traits.Name))
 			return
 		}
 	}
@@ -279,7 +279,7 @@
 	}
 	for tag, wait := range b.waits {
 		delete(b.waits, tag)
-		wait <- Reply{Tag: tag, Err: fault.New(fault.Stopped, "minion %s has left", b.traits.Name)}
+		wait <- Reply{Tag: tag, Err: errs.New(errs.Stopped, "minion %s has left", b.traits.Name)}
 	}
 }
 
@@ -292,7 +292,7 @@
 }
 
 // hold takes in a call and waits for its answer; lost tells that the answer is to be dropped.
-func (b *body) hold(ctx context.Context, call pair.HoldCall) (answer pair.HoldAnswer, lost bool, err error) {
+func (b *body) hold(ctx context.Context, call api.HoldCall) (answer api.HoldAnswer, lost bool, err error) {
 	late, lost := b.fate(len(call.Starts) > 0)
 	if late > 0 { // the order is carried out even if nobody waits for the answer any more
 		rung := make(chan struct{})
@@ -312,13 +312,13 @@
 		return b.core.Call(now, tag, call)
 	})
 	if tag == 0 {
-		return answer, false, fault.New(fault.Stopped, "minion %s has left", b.traits.Name)
+		return answer, false, errs.New(errs.Stopped, "minion %s has left", b.traits.Name)
 	}
 	select {
 	case r := <-wait:
 		answer, err = r.Answer, r.Err
 	case <-ctx.Done():
-		lost, err = true, fault.Wrap(ctx.Err(), fault.Stopped, "the call is over")
+		lost, err = true, errs.Wrap(ctx.Err(), errs.Stopped, "the call is over")
 	}
 	if lost {
 		b.mu.Lock()
@@ -345,7 +345,7 @@
 // announce tells one dplane after another where the minion is, until ctx ends.
 func (b *body) announce(ctx context.Context) {
 	h, t := b.host, b.traits
-	call := pair.MinionCall{
+	call := api.MinionCall{
 		Name: t.Name, Addr: h.Addr(), Boot: t.Boot, Kind: t.Kind, Zone: t.Zone, Rack: t.Rack,
 		Labels: t.Labels, Cores: t.Cores, GPUs: t.GPUs,
 	}
@@ -354,7 +354,7 @@
 	}
 	for at := int(xxhash.Sum64String(t.Name) % uint64(len(h.set.Dplanes))); ctx.Err() == nil; {
 		again := announceEvery
-		answer, err := wire.Ask(ctx, h.caller, h.set.Dplanes[at], pair.Minions, call, announceBound)
+		answer, err := rpc.Ask(ctx, h.caller, h.set.Dplanes[at], api.Minions, call, announceBound)
 		switch {
 		case err != nil:
 			_ = level.Debug(h.logger).Log("msg", "announcement failed", "minion", t.Name, "dplane", h.set.Dplanes[at], "err", err)
--- a/internal/rig/minion/host_test.go
+++ b/internal/testbed/minion/host_test.go
@@ -10,12 +10,12 @@
 	"github.com/go-kit/log"
 	. "github.com/smartystreets/goconvey/convey"
 
-	"crosstide/internal/alarm"
-	"crosstide/internal/fault"
-	"crosstide/internal/pair"
-	"crosstide/internal/rig/journal"
-	"crosstide/internal/spawn"
-	"crosstide/internal/wire"
+	"crosstide/internal/api"
+	"crosstide/internal/clock"
+	"crosstide/internal/errs"
+	"crosstide/internal/routine"
+	"crosstide/internal/rpc"
+	"crosstide/internal/testbed/journal"
 )
 
 func TestHost(t *testing.T) {
@@ -23,17 +23,17 @@
 		dir, set := t.TempDir(), Defaults()
 		set.Name, set.Zone, set.Journal = "m", "z1", filepath.Join(dir, "journal", "{name}.jsonl")
 		change(&set)
-		h, err := Open(set, alarm.Real{}, log.NewNopLogger())
+		h, err := Open(set, clock.Real{}, log.NewNopLogger())
 		So(err, ShouldBeNil)
 		return h, dir
 	}
-	caller := wire.NewCaller(wire.CallerOptions{})
+	caller := rpc.NewCaller(rpc.CallerOptions{})
 	defer caller.Close()
-	ask := func(h *Host, c pair.HoldCall) (pair.HoldAnswer, error) {
-		return wire.Ask(context.Background(), caller, h.Addr(), pair.Hold, c, time.Minute)
+	ask := func(h *Host, c api.HoldCall) (api.HoldAnswer, error) {
+		return rpc.Ask(context.Background(), caller, h.Addr(), api.Hold, c, time.Minute)
 	}
-	start := func(ticket uint64) []pair.StartOrder {
-		return []pair.StartOrder{{Ticket: ticket, Job: "j", Step: "s", Type: "t", Cores: 1, Run: json.RawMessage(`{}`),
+	start := func(runID uint64) []api.StartOrder {
+		return []api.StartOrder{{RunID: runID, Job: "j", Step: "s", Type: "t", Cores: 1, Run: json.RawMessage(`{}`),
 			Void: time.Hour, Until: time.Hour}}
 	}
 	events := func(dir string) (out []string) {
@@ -47,16 +47,16 @@
 	}
 
 	Convey("Hollow minions share an address, and each announces, runs, drains and leaves under its own name", t, func() {
-		heard := make(chan pair.MinionCall, 8)
-		dplane := wire.NewServer(wire.ServerOptions{Addr: "127.0.0.1:0"})
-		wire.Handle(dplane, pair.Minions, func(_ context.Context, c pair.MinionCall) (pair.MinionAnswer, error) {
+		heard := make(chan api.MinionCall, 8)
+		dplane := rpc.NewServer(rpc.ServerOptions{Addr: "127.0.0.1:0"})
+		rpc.Handle(dplane, api.Minions, func(_ context.Context, c api.MinionCall) (api.MinionAnswer, error) {
 			heard <- c
-			return pair.MinionAnswer{Again: time.Hour}, nil
+			return api.MinionAnswer{Again: time.Hour}, nil
 		})
 		So(dplane.Start(), ShouldBeNil)
 		defer func() { So(dplane.Stop(time.Minute), ShouldBeNil) }()
 		h, dir := open(func(s *Settings) { s.Count, s.Dplanes = 2, []string{dplane.Addr()} })
-		group, over := spawn.New(context.Background()), make(chan error, 1)
+		group, over := routine.New(context.Background()), make(chan error, 1)
 		defer group.Stop()
 		group.Go(func(ctx context.Context) { over <- h.Run(ctx) })
 		boots := map[string]string{}
@@ -66,16 +66,16 @@
 			boots[c.Name] = c.Boot
 		}
 		So(boots, ShouldHaveLength, 2)
-		a, err := ask(h, pair.HoldCall{Call: 3, Epoch: 4, Minion: "m-1", Boot: boots["m-1"], Starts: start(7)})
+		a, err := ask(h, api.HoldCall{Call: 3, Epoch: 4, Minion: "m-1", Boot: boots["m-1"], Starts: start(7)})
 		So(err, ShouldBeNil)
 		So([]any{a.Call, a.Epoch, a.Boot, a.Seen}, ShouldResemble, []any{uint64(3), uint64(4), boots["m-1"], uint64(7)})
-		So(a.Ended, ShouldResemble, []pair.EndNote{{Ticket: 7, How: pair.EndWell}})
-		_, err = ask(h, pair.HoldCall{Minion: "other"})
-		So(fault.KindOf(err), ShouldEqual, fault.Unknown)
-		_, err = ask(h, pair.HoldCall{Minion: "m-1", Epoch: 3})
-		So(fault.KindOf(err), ShouldEqual, fault.Stale)
+		So(a.Ended, ShouldResemble, []api.EndNote{{RunID: 7, How: api.EndWell}})
+		_, err = ask(h, api.HoldCall{Minion: "other"})
+		So(errs.KindOf(err), ShouldEqual, errs.Unknown)
+		_, err = ask(h, api.HoldCall{Minion: "m-1", Epoch: 3})
+		So(errs.KindOf(err), ShouldEqual, errs.Stale)
 		h.Drain(true, true)
-		_, err = ask(h, pair.HoldCall{Minion: "m-1", Epoch: 4, Acked: []uint64{7}})
+		_, err = ask(h, api.HoldCall{Minion: "m-1", Epoch: 4, Acked: []uint64{7}})
 		So(err, ShouldBeNil)
 		So(<-over, ShouldBeNil)
 		So(events(dir), ShouldResemble, []string{"m-0 boot", "m-0 drain", "m-1 boot", "m-1 order", "m-1 start", "m-1 end", "m-1 drain"})
@@ -84,15 +84,15 @@
 	Convey("A lost answer ends the connection after the call was carried out, a late call is carried out too", t, func() {
 		h, dir := open(func(s *Settings) { s.Kind, s.Lose, s.Late = Obey, 1, Span(time.Millisecond) })
 		defer h.Close()
-		_, err := ask(h, pair.HoldCall{Minion: "m", Starts: start(7)})
-		So(fault.KindOf(err), ShouldEqual, fault.Unavailable)
-		So(wire.Unsent(err), ShouldBeFalse)
+		_, err := ask(h, api.HoldCall{Minion: "m", Starts: start(7)})
+		So(errs.KindOf(err), ShouldEqual, errs.Unavailable)
+		So(rpc.Unsent(err), ShouldBeFalse)
 		So(events(dir), ShouldResemble, []string{"m boot", "m order", "m start", "m end"})
 	})
 
 	Convey("All mistakes of the settings are told at once", t, func() {
 		err := Settings{Addr: "x", Kind: "y"}.Check()
-		So(fault.KindOf(err), ShouldEqual, fault.Settings)
+		So(errs.KindOf(err), ShouldEqual, errs.Settings)
 		for _, field := range []string{"name", "addr", "kind", "zone", "journal", "count", "slow"} {
 			So(err.Error(), ShouldContainSubstring, "settings: "+field+": ")
 		}
--- a/internal/rig/minion/settings.go
+++ b/internal/testbed/minion/settings.go
@@ -9,8 +9,8 @@
 	"strconv"
 	"time"
 
-	"crosstide/internal/fault"
-	"crosstide/internal/pair"
+	"crosstide/internal/api"
+	"crosstide/internal/errs"
 )
 
 // Span is a time.Duration that is written as "1.5s" in settings.
@@ -20,7 +20,7 @@
 func (s *Span) UnmarshalText(text []byte) error {
 	d, err := time.ParseDuration(string(text))
 	*s = Span(d)
-	return fault.Wrap(err, fault.Settings, "duration")
+	return errs.Wrap(err, errs.Settings, "duration")
 }
 
 // MarshalText writes "1.5s".
@@ -58,11 +58,11 @@
 func (s *Settings) Load(path string) error {
 	raw, err := os.ReadFile(path)
 	if err != nil {
-		return fault.Wrap(err, fault.Settings, "read %s", path)
+		return errs.Wrap(err, errs.Settings, "read %s", path)
 	}
 	dec := json.NewDecoder(bytes.NewReader(raw))
 	dec.DisallowUnknownFields()
-	return fault.Wrap(dec.Decode(s), fault.Settings, "%s", path)
+	return errs.Wrap(dec.Decode(s), errs.Settings, "%s", path)
 }
 
 // Check tells all mistakes at once. Fault: Settings.
@@ -70,7 +70,7 @@
 	var wrong []error
 	need := func(ok bool, field, format string, args ...any) {
 		if !ok {
-			wrong = append(wrong, fault.Field(fault.Settings, field, format, args...))
+			wrong = append(wrong, errs.Field(errs.Settings, field, format, args...))
 		}
 	}
 	_, _, err := net.SplitHostPort(s.Addr)
@@ -88,7 +88,7 @@
 		_, _, err := net.SplitHostPort(d)
 		need(err == nil, "dplanes", "%q is not host:port", d)
 	}
-	return fault.Wrap(errors.Join(wrong...), fault.Settings, "settings of the minion")
+	return errs.Wrap(errors.Join(wrong...), errs.Settings, "settings of the minion")
 }
 
 func (s Settings) names() []string {
@@ -109,8 +109,8 @@
 	}
 }
 
-func decodeCall(raw []byte) (pair.HoldCall, error) {
-	var call pair.HoldCall
+func decodeCall(raw []byte) (api.HoldCall, error) {
+	var call api.HoldCall
 	err := json.Unmarshal(raw, &call)
-	return call, fault.Wrap(err, fault.Malformed, "the body is no hold call")
+	return call, errs.Wrap(err, errs.Malformed, "the body is no hold call")
 }
--- a/internal/rig/minion/spec.go
+++ b/internal/testbed/minion/spec.go
@@ -5,7 +5,7 @@
 
 	"github.com/valyala/fastjson"
 
-	"crosstide/internal/fault"
+	"crosstide/internal/errs"
 )
 
 // spec is a task's run as the stand-in takes it: {"ms":100,"ok":true}.
@@ -24,21 +24,21 @@
 	}
 	v, err := fastjson.ParseBytes(raw)
 	if err != nil {
-		return s, fault.Wrap(err, fault.Malformed, "the run is no JSON")
+		return s, errs.Wrap(err, errs.Malformed, "the run is no JSON")
 	}
 	if v.Type() != fastjson.TypeObject {
-		return s, fault.New(fault.Malformed, "the run is no object")
+		return s, errs.New(errs.Malformed, "the run is no object")
 	}
 	if ms := v.Get("ms"); ms != nil {
 		n, err := ms.Int64()
 		if err != nil || n > maxMS {
-			return s, fault.New(fault.Malformed, "ms of the run is no whole number up to a year")
+			return s, errs.New(errs.Malformed, "ms of the run is no whole number up to a year")
 		}
 		s.last = time.Duration(max(n, -1)) * time.Millisecond
 	}
 	if ok := v.Get("ok"); ok != nil {
 		if s.well, err = ok.Bool(); err != nil {
-			return s, fault.New(fault.Malformed, "ok of the run is neither true nor false")
+			return s, errs.New(errs.Malformed, "ok of the run is neither true nor false")
 		}
 	}
 	return s, nil
--- a/internal/rig/month/month.go
+++ b/internal/testbed/month/month.go
@@ -12,8 +12,8 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"crosstide/internal/conf"
-	"crosstide/internal/fault"
+	"crosstide/internal/config"
+	"crosstide/internal/errs"
 	"crosstide/internal/state"
 	"crosstide/internal/state/command"
 )
@@ -27,7 +27,7 @@
 	Minions int
 	Orders  int // operators' orders a day
 	Seed    uint64
-	Keep    conf.Cplane // keep_ended and keep_tombs, as the cplanes have them
+	Keep    config.Cplane // keep_ended and keep_tombs, as the cplanes have them
 }
 
 // Day is the state at the end of a day.
@@ -59,8 +59,8 @@
 }
 
 type run struct {
-	ticket uint64
-	ends   time.Time
+	runID uint64
+	ends  time.Time
 }
 
 // step is how far time goes at once: what falls into it is one plan.
@@ -69,15 +69,15 @@
 // Run lives through the days and gives each day's end to tell. The same options give the same days. Faults: Invalid,
 // those of the commands, those of tell. Example:
 //
-//	err := month.Run(month.Options{Days: 30, Jobs: 21000, Tasks: 20, Last: time.Minute, Minions: 1600, Keep: conf.DefaultCplane()}, print)
+//	err := month.Run(month.Options{Days: 30, Jobs: 21000, Tasks: 20, Last: time.Minute, Minions: 1600, Keep: config.DefaultCplane()}, print)
 func Run(o Options, tell func(Day) error) error {
 	if o.Days < 1 || o.Jobs < 1 || o.Tasks < 1 || o.Minions < 1 || o.Last <= 0 {
-		return fault.Field(fault.Invalid, "days", "days, jobs, tasks, minions and the length of a task must be above 0")
+		return errs.Field(errs.Invalid, "days", "days, jobs, tasks, minions and the length of a task must be above 0")
 	}
 	s := &sim{o: o, st: state.New(), luck: rand.New(rand.NewPCG(o.Seed, 1))}
 	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 	if err := s.found(now); err != nil {
-		return fault.Pass(err, "begin")
+		return errs.Pass(err, "begin")
 	}
 	perStep, perOrder := float64(o.Jobs)*step.Hours()/24, float64(o.Orders)*step.Hours()/24
 	jobs, orders, nth := 0.0, 0.0, 0
@@ -87,23 +87,23 @@
 			for jobs += perStep; jobs >= 1; jobs-- {
 				nth++
 				if err := s.submit(now, nth); err != nil {
-					return fault.Pass(err, "day %d", day)
+					return errs.Pass(err, "day %d", day)
 				}
 			}
 			for orders += perOrder; orders >= 1; orders-- {
 				nth++
 				m := s.minions[s.luck.IntN(len(s.minions))]
 				if _, err := s.apply(now, &command.Close{Order: "o-" + strconv.Itoa(nth), Minion: m}); err != nil {
-					return fault.Pass(err, "day %d", day)
+					return errs.Pass(err, "day %d", day)
 				}
 			}
 			if err := s.pass(now); err != nil {
-				return fault.Pass(err, "day %d", day)
+				return errs.Pass(err, "day %d", day)
 			}
 		}
 		data, err := s.st.Encode()
 		if err != nil {
-			return fault.Pass(err, "day %d", day)
+			return errs.Pass(err, "day %d", day)
 		}
 		var mem runtime.MemStats
 		runtime.GC()
@@ -111,7 +111,7 @@
 		d := Day{Day: day, Jobs: len(s.st.Jobs), Open: len(s.st.Jobs) - len(s.st.Ended), Ended: len(s.st.Ended), Tombs: len(s.st.Tombs),
 			Handles: len(s.st.Handles), Orders: len(s.st.Orders), Line: len(s.st.Line), Bytes: len(data), HeapMB: int((mem.HeapAlloc - uint64(cap(data))) / 1e6), Entries: s.entries, LogKB: s.bytes / 1000}
 		if err := tell(d); err != nil {
-			return fault.Pass(err, "tell")
+			return errs.Pass(err, "tell")
 		}
 	}
 	return nil
@@ -120,12 +120,12 @@
 func (s *sim) apply(now time.Time, c command.Command) (any, error) {
 	data, err := command.Encode(now, c)
 	if err != nil {
-		return nil, fault.Pass(err, "month")
+		return nil, errs.Pass(err, "month")
 	}
 	s.bytes += len(data)
 	s.entries++
 	answer, err := command.Apply(s.st, s.st.Index+1, 1, data)
-	return answer, fault.Pass(err, "%s", c.Op())
+	return answer, errs.Pass(err, "%s", c.Op())
 }
 
 func (s *sim) found(now time.Time) error {
@@ -133,33 +133,33 @@
 		m := state.Minion{Name: fmt.Sprintf("m%04d", i), Addr: "10.0.0.1:7000", Kind: "check", Zone: "z" + strconv.Itoa(i%8), Cores: 1 << 20}
 		s.minions = append(s.minions, m.Name)
 		if _, err := s.apply(now, &command.Announce{Minion: m}); err != nil {
-			return fault.Pass(err, "found")
+			return errs.Pass(err, "found")
 		}
 	}
 	if _, err := s.apply(now, &command.Grant{Duty: "sched", Holder: "d1"}); err != nil {
-		return fault.Pass(err, "found")
+		return errs.Pass(err, "found")
 	}
 	s.epoch = s.st.Index
-	p := &command.Plan{Epoch: s.epoch, Charter: s.st.Bundle.Version}
+	p := &command.Plan{Epoch: s.epoch, PlacementPolicy: s.st.Bundle.Version}
 	for _, name := range s.minions {
 		m := *s.st.Minions[name]
 		m.Boot = "b"
 		p.Minions = append(p.Minions, m)
 	}
 	_, err := s.apply(now, p)
-	return fault.Pass(err, "found")
+	return errs.Pass(err, "found")
 }
 
 func (s *sim) submit(now time.Time, nth int) error {
 	spec := state.Spec{Key: "job-" + strconv.Itoa(nth), Team: "team-" + strconv.Itoa(nth%20), Queue: "default", Steps: []state.StepSpec{
 		{Name: "s1", Type: "scan", Tasks: s.o.Tasks, Cores: 1, Retries: 3, Run: json.RawMessage(`{"ms":60000,"ok":true}`)}}}
-	_, err := s.apply(now, &command.Submit{Spec: spec, Digest: fmt.Sprintf("%064x", xxhash.Sum64String(spec.Key)), Bound: s.o.Keep.Backlog})
-	return fault.Pass(err, "submit")
+	_, err := s.apply(now, &command.Submit{Spec: spec, Digest: fmt.Sprintf("%064x", xxhash.Sum64String(spec.Key)), Bound: s.o.Keep.QueueLimit})
+	return errs.Pass(err, "submit")
 }
 
 // pass is a plan as the holder of sched makes it, and the letting go as the leader does it.
 func (s *sim) pass(now time.Time) error {
-	p := &command.Plan{Epoch: s.epoch, Charter: s.st.Bundle.Version, Hold: 20 * time.Second, Seq: s.st.Seq}
+	p := &command.Plan{Epoch: s.epoch, PlacementPolicy: s.st.Bundle.Version, Hold: 20 * time.Second, Seq: s.st.Seq}
 	fresh := append([]string(nil), s.st.Inbox...)
 	var left []run
 	for _, r := range s.runs {
@@ -167,13 +167,13 @@
 			left = append(left, r)
 			continue
 		}
-		p.Ends = append(p.Ends, command.End{Ticket: r.ticket, OK: true})
+		p.Ends = append(p.Ends, command.End{RunID: r.runID, OK: true})
 	}
 	s.runs = left
 	if _, err := s.apply(now, p); err != nil {
-		return fault.Pass(err, "ends")
+		return errs.Pass(err, "ends")
 	}
-	p = &command.Plan{Epoch: s.epoch, Charter: s.st.Bundle.Version, Hold: 20 * time.Second}
+	p = &command.Plan{Epoch: s.epoch, PlacementPolicy: s.st.Bundle.Version, Hold: 20 * time.Second}
 	for _, key := range fresh {
 		for i := range s.st.Jobs[key].Tasks[0] {
 			p.Starts = append(p.Starts, command.Start{Ref: state.TaskRef{Job: key, Task: i}, Minion: s.minions[s.luck.IntN(len(s.minions))], Boot: "b"})
@@ -181,21 +181,21 @@
 	}
 	answer, err := s.apply(now, p)
 	if err != nil {
-		return fault.Pass(err, "starts")
+		return errs.Pass(err, "starts")
 	}
-	running := &command.Plan{Epoch: s.epoch, Charter: s.st.Bundle.Version}
-	for i, t := range answer.(command.Planned).Tickets {
+	running := &command.Plan{Epoch: s.epoch, PlacementPolicy: s.st.Bundle.Version}
+	for i, t := range answer.(command.Planned).RunIDs {
 		if t == 0 {
-			return fault.New(fault.Internal, "a start is refused: %s", answer.(command.Planned).Refused[i])
+			return errs.New(errs.Internal, "a start is refused: %s", answer.(command.Planned).Refused[i])
 		}
 		running.Running = append(running.Running, t)
 		s.runs = append(s.runs, run{t, now.Add(time.Duration(s.luck.ExpFloat64() * float64(s.o.Last)))})
 	}
 	if _, err := s.apply(now, running); err != nil {
-		return fault.Pass(err, "running")
+		return errs.Pass(err, "running")
 	}
 	k := s.o.Keep
 	_, err = s.apply(now, &command.Tidy{JobsBefore: now.Add(-k.KeepEndedFor), JobsKeep: k.KeepEnded, TombsBefore: now.Add(-k.KeepTombsFor),
 		TombsKeep: k.KeepTombs, OrdersBefore: now.Add(-k.KeepTombsFor)})
-	return fault.Pass(err, "tidy")
+	return errs.Pass(err, "tidy")
 }
--- a/internal/rig/month/month_test.go
+++ b/internal/testbed/month/month_test.go
@@ -6,12 +6,12 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"crosstide/internal/conf"
+	"crosstide/internal/config"
 )
 
 func TestMonth(t *testing.T) {
 	Convey("A state stays within its bounds: past the horizon a day adds nothing, and what ended leaves no handle", t, func() {
-		keep := conf.DefaultCplane()
+		keep := config.DefaultCplane()
 		keep.KeepTombsFor = 48 * time.Hour
 		var days []Day
 		o := Options{Days: 5, Jobs: 300, Tasks: 3, Last: 10 * time.Minute, Minions: 5, Orders: 20, Seed: 1, Keep: keep}
--- a/internal/rig/scale/plot.go
+++ b/internal/testbed/scale/plot.go
@@ -11,7 +11,7 @@
 	"gonum.org/v1/plot/vg/draw"
 	"gonum.org/v1/plot/vg/vgimg"
 
-	"crosstide/internal/fault"
+	"crosstide/internal/errs"
 )
 
 // Draw writes a PNG of processor time, memory and traffic of each role: above against minions at idle, below against
@@ -22,7 +22,7 @@
 		most = max(most, r.Minions)
 	}
 	if most == 0 {
-		return fault.New(fault.Invalid, "nothing to draw")
+		return errs.New(errs.Invalid, "nothing to draw")
 	}
 	idle := func(r Row) bool { return r.Offered == 0 && r.Running == 0 }
 	loaded := func(r Row) bool { return r.Minions == most && r.Offered > 0 && !strings.HasPrefix(r.Note, fillNote) }
@@ -42,7 +42,7 @@
 			{"KB a second", func(r Row) float64 { return r.Net }}} {
 			p, err := panel(rows, line.take, line.at, of.at)
 			if err != nil {
-				return fault.Pass(err, "draw %s", of.y)
+				return errs.Pass(err, "draw %s", of.y)
 			}
 			p.X.Label.Text, p.Y.Label.Text = line.x, of.y
 			across = append(across, p)
@@ -59,11 +59,11 @@
 	}
 	file, err := os.Create(path)
 	if err != nil {
-		return fault.Wrap(err, fault.Disk, "create %s", path)
+		return errs.Wrap(err, errs.Disk, "create %s", path)
 	}
 	defer file.Close()
 	_, err = vgimg.PngCanvas{Canvas: img}.WriteTo(file)
-	return fault.Wrap(err, fault.Disk, "write %s", path)
+	return errs.Wrap(err, errs.Disk, "write %s", path)
 }
 
 func panel(rows []Row, take func(Row) bool, x, y func(Row) float64) (*plot.Plot, error) {
@@ -82,7 +82,7 @@
 		}
 		line, points, err := plotter.NewLinePoints(at)
 		if err != nil {
-			return nil, fault.Wrap(err, fault.Internal, "%s", role)
+			return nil, errs.Wrap(err, errs.Internal, "%s", role)
 		}
 		line.Color, points.Color, points.Shape = plotutil.Color(i), plotutil.Color(i), plotutil.Shape(i)
 		p.Add(line, points)
--- a/internal/rig/scale/probe.go
+++ b/internal/testbed/scale/probe.go
@@ -17,10 +17,10 @@
 	"github.com/prometheus/common/model"
 	"github.com/prometheus/procfs"
 
-	"crosstide/internal/alarm"
-	"crosstide/internal/fault"
-	"crosstide/internal/rig/fleet"
-	"crosstide/internal/spawn"
+	"crosstide/internal/clock"
+	"crosstide/internal/errs"
+	"crosstide/internal/routine"
+	"crosstide/internal/testbed/fleet"
 )
 
 // Roles of a process.
@@ -47,8 +47,8 @@
 	Probed  float64       // Stream after the reading itself, whose answer is large
 	Syncs   float64       // of the log
 	Log     float64       // bytes to the log and slots
-	Tickets float64       // given by this holder of sched
-	Handles float64       // tickets out, as this dplane's replica has them
+	RunIDs  float64       // given by this holder of sched
+	Handles float64       // run IDs out, as this dplane's replica has them
 	State   float64       // bytes of the newest slot's body; 0 before the first
 }
 
@@ -66,16 +66,16 @@
 	dir    string
 	nodes  fleet.Nodes
 	caller *fleet.Caller
-	clock  alarm.Clock
+	clock  clock.Clock
 }
 
 // Open makes a probe of the fleet in dir. Faults: Disk, Malformed. Example:
 //
-//	probe, err := scale.Open(dir, alarm.Real{})
+//	probe, err := scale.Open(dir, clock.Real{})
 //	snap, err := probe.Read(ctx)
-func Open(dir string, clock alarm.Clock) (*Probe, error) {
+func Open(dir string, clock clock.Clock) (*Probe, error) {
 	nodes, err := fleet.Read(dir)
-	return &Probe{dir: dir, nodes: nodes, caller: fleet.NewCaller(2), clock: clock}, fault.Pass(err, "probe")
+	return &Probe{dir: dir, nodes: nodes, caller: fleet.NewCaller(2), clock: clock}, errs.Pass(err, "probe")
 }
 
 // Minions is how many minions the fleet has.
@@ -85,7 +85,7 @@
 func (p *Probe) Read(ctx context.Context) (Snap, error) {
 	pids, err := fleet.Pids(p.dir)
 	if err != nil {
-		return Snap{}, fault.Pass(err, "probe")
+		return Snap{}, errs.Pass(err, "probe")
 	}
 	addrs, count := map[string]string{}, map[string]float64{}
 	for _, n := range p.nodes.All() {
@@ -97,34 +97,34 @@
 		names = append(names, name)
 	}
 	out := Snap{Procs: map[string]Reading{}}
-	got, errs := make([]Reading, len(names)), make([]error, len(names))
-	spawn.Each(len(names), 8, func(i int) {
-		got[i], errs[i] = p.process(ctx, names[i], pids[names[i]], addrs[names[i]], count[names[i]])
+	got, failures := make([]Reading, len(names)), make([]error, len(names))
+	routine.Each(len(names), 8, func(i int) {
+		got[i], failures[i] = p.process(ctx, names[i], pids[names[i]], addrs[names[i]], count[names[i]])
 	})
 	for i, r := range got {
-		if errs[i] != nil {
-			return out, fault.Pass(errs[i], "%s", names[i])
+		if failures[i] != nil {
+			return out, errs.Pass(failures[i], "%s", names[i])
 		}
 		out.Procs[r.Name] = r
 	}
 	out.At = p.clock.Now()
-	return out, fault.Pass(out.machine(), "probe")
+	return out, errs.Pass(out.machine(), "probe")
 }
 
 func (s *Snap) machine() error {
 	proc, err := procfs.NewDefaultFS()
 	if err != nil {
-		return fault.Wrap(err, fault.Disk, "proc")
+		return errs.Wrap(err, errs.Disk, "proc")
 	}
 	stat, err := proc.Stat()
 	if err != nil {
-		return fault.Wrap(err, fault.Disk, "processor time")
+		return errs.Wrap(err, errs.Disk, "processor time")
 	}
 	c := stat.CPUTotal
 	s.Busy = c.User + c.Nice + c.System + c.IRQ + c.SoftIRQ + c.Steal
 	net, err := proc.NetDev()
 	if err != nil {
-		return fault.Wrap(err, fault.Disk, "loopback")
+		return errs.Wrap(err, errs.Disk, "loopback")
 	}
 	s.Loop, s.Packets = float64(net["lo"].RxBytes), float64(net["lo"].RxPackets)
 	return nil
@@ -134,30 +134,30 @@
 	r := Reading{Name: name, Count: count}
 	proc, err := procfs.NewProc(pid)
 	if err != nil {
-		return r, fault.Wrap(err, fault.Unknown, "pid %d", pid)
+		return r, errs.Wrap(err, errs.Unknown, "pid %d", pid)
 	}
 	stat, err := proc.Stat()
 	if err != nil {
-		return r, fault.Wrap(err, fault.Unknown, "pid %d", pid)
+		return r, errs.Wrap(err, errs.Unknown, "pid %d", pid)
 	}
 	r.CPU, r.RSS = time.Duration(stat.CPUTime()*float64(time.Second)), float64(stat.ResidentMemory())
 	io, err := proc.IO()
 	if err != nil {
-		return r, fault.Wrap(err, fault.Unknown, "pid %d", pid)
+		return r, errs.Wrap(err, errs.Unknown, "pid %d", pid)
 	}
 	reply, err := p.caller.Call(ctx, http.MethodGet, addr, "/metrics", nil, 5*time.Second)
 	if err != nil {
-		return r, fault.Pass(err, "metrics")
+		return r, errs.Pass(err, "metrics")
 	}
 	parser := expfmt.NewTextParser(model.LegacyValidation)
 	all, err := parser.TextToMetricFamilies(bytes.NewReader(reply.Body))
 	if err != nil {
-		return r, fault.Wrap(err, fault.Malformed, "metrics")
+		return r, errs.Wrap(err, errs.Malformed, "metrics")
 	}
 	m := families(all)
 	r.Bytes, r.Msgs, r.Told = m.sum("crosstide_wire_bytes_total"), m.sum("crosstide_wire_calls_total"), float64(len(reply.Body))
 	r.Syncs, r.Log = m.sum("crosstide_store_sync_seconds"), m.sum("crosstide_store_log_bytes_total")
-	r.Tickets, r.Handles = m.sum("crosstide_sched_tickets_total"), m.sum("crosstide_state_handles")
+	r.RunIDs, r.Handles = m.sum("crosstide_sched_tickets_total"), m.sum("crosstide_state_handles")
 	r.Role = m.role(name)
 	own := r.Log
 	if r.Role == Minion && count == 1 {
@@ -170,7 +170,7 @@
 	}
 	after, err := proc.IO()
 	if err != nil {
-		return r, fault.Wrap(err, fault.Unknown, "pid %d", pid)
+		return r, errs.Wrap(err, errs.Unknown, "pid %d", pid)
 	}
 	r.Stream, r.Probed = max(0, float64(io.RChar+io.WChar)-own), max(0, float64(after.RChar+after.WChar)-own)
 	return r, nil
--- a/internal/rig/scale/row.go
+++ b/internal/testbed/scale/row.go
@@ -9,15 +9,15 @@
 	"slices"
 	"strconv"
 
-	"crosstide/internal/fault"
+	"crosstide/internal/errs"
 )
 
 // Step is what a fleet was under while it was measured.
 type Step struct {
 	Minions int     // known to the fleet
 	Offered float64 // task starts a second that the load asked for
-	Starts  float64 // tickets a second that were given
-	Running float64 // tickets out at the end
+	Starts  float64 // run IDs a second that were given
+	Running float64 // run IDs out at the end
 	P50     float64 // from a job's yes to its first start, ms; 0 without a load
 	P99     float64
 	Left    int     // accepted jobs that were not seen over, of the load
@@ -57,14 +57,14 @@
 	for name, b := range to.Procs {
 		a, ok := from.Procs[name]
 		if !ok || b.CPU < a.CPU {
-			return nil, fault.New(fault.Unknown, "%s was started anew meanwhile", name)
+			return nil, errs.New(errs.Unknown, "%s was started anew meanwhile", name)
 		}
 		r := sums[b.Role]
 		if r == nil {
 			r = &Row{Role: b.Role}
 			sums[b.Role] = r
 		}
-		step.Starts += (b.Tickets - a.Tickets) / s
+		step.Starts += (b.RunIDs - a.RunIDs) / s
 		step.Running = max(step.Running, b.Handles)
 		r.Procs += b.Count
 		r.CPU += 100 * (b.CPU - a.CPU).Seconds() / s
@@ -94,7 +94,7 @@
 	fresh := errors.Is(err, fs.ErrNotExist)
 	file, err := os.OpenFile(path, os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o644)
 	if err != nil {
-		return fault.Wrap(err, fault.Disk, "open %s", path)
+		return errs.Wrap(err, errs.Disk, "open %s", path)
 	}
 	w := csv.NewWriter(file)
 	if fresh {
@@ -107,14 +107,14 @@
 			f(r.Syncs), f(r.LogKB), r.Note})
 	}
 	w.Flush()
-	return fault.Wrap(errors.Join(w.Error(), file.Close()), fault.Disk, "write %s", path)
+	return errs.Wrap(errors.Join(w.Error(), file.Close()), errs.Disk, "write %s", path)
 }
 
 // Load reads what Append wrote. Faults: Disk, Malformed.
 func Load(path string) ([]Row, error) {
 	file, err := os.Open(path)
 	if err != nil {
-		return nil, fault.Wrap(err, fault.Disk, "open %s", path)
+		return nil, errs.Wrap(err, errs.Disk, "open %s", path)
 	}
 	defer file.Close()
 	var out []Row
@@ -124,11 +124,11 @@
 			return out, nil
 		}
 		if err != nil {
-			return nil, fault.Wrap(err, fault.Malformed, "%s", path)
+			return nil, errs.Wrap(err, errs.Malformed, "%s", path)
 		}
 		if n == 0 {
 			if !slices.Equal(cell, head) {
-				return nil, fault.New(fault.Malformed, "%s has other columns", path)
+				return nil, errs.New(errs.Malformed, "%s has other columns", path)
 			}
 			continue
 		}
@@ -139,7 +139,7 @@
 				continue
 			}
 			if v[i], err = strconv.ParseFloat(cell[i], 64); err != nil {
-				return nil, fault.Wrap(err, fault.Malformed, "%s, row %d, %s", path, n, head[i])
+				return nil, errs.Wrap(err, errs.Malformed, "%s, row %d, %s", path, n, head[i])
 			}
 		}
 		row.Step = Step{int(v[0]), v[1], v[2], v[3], v[4], v[5], int(v[6]), v[7], v[8], v[9], cell[19]}
