--- a/internal/rig/scale/run.go
+++ b/internal/testbed/scale/run.go
@@ -6,10 +6,10 @@
 	"net/http"
 	"time"
 
-	"crosstide/internal/fault"
-	"crosstide/internal/rig/load"
-	"crosstide/internal/spawn"
+	"crosstide/internal/errs"
+	"crosstide/internal/routine"
 	"crosstide/internal/state"
+	"crosstide/internal/testbed/load"
 )
 
 // fillNote begins the note of the burst that puts the long tasks out: no steady step.
@@ -34,19 +34,19 @@
 	if p.Running > 0 {
 		rows, err := probe.fill(ctx, p)
 		if err != nil {
-			return fault.Pass(err, "fill")
+			return errs.Pass(err, "fill")
 		}
 		if err := tell(rows); err != nil {
-			return fault.Pass(err, "fill")
+			return errs.Pass(err, "fill")
 		}
 	}
 	for i, rate := range p.Rates {
 		rows, stop, err := probe.step(ctx, p, i, rate)
 		if err != nil {
-			return fault.Pass(err, "%g starts a second", rate)
+			return errs.Pass(err, "%g starts a second", rate)
 		}
 		if err := tell(rows); err != nil || stop {
-			return fault.Pass(err, "step")
+			return errs.Pass(err, "step")
 		}
 	}
 	return nil
@@ -57,7 +57,7 @@
 	const most = 1000 // tasks of a job
 	from, err := p.Read(ctx)
 	if err != nil {
-		return nil, fault.Pass(err, "before")
+		return nil, errs.Pass(err, "before")
 	}
 	for left, n := plan.Running, 0; left > 0; n++ {
 		spec := state.Spec{Key: fmt.Sprintf("fill-%d-%d", p.clock.Wall().UnixMilli(), n), Team: fmt.Sprintf("t%d", n%20), Queue: "default",
@@ -65,25 +65,25 @@
 		left -= most
 		reply, err := p.caller.Call(ctx, http.MethodPost, p.nodes.DPlanes[n%len(p.nodes.DPlanes)].Addr, "/v1/jobs", spec, 5*time.Second)
 		if err != nil || !reply.Good() {
-			return nil, fault.New(fault.Unavailable, "job %d is not taken: %s %v", n, reply.Body, err)
+			return nil, errs.New(errs.Unavailable, "job %d is not taken: %s %v", n, reply.Body, err)
 		}
 	}
 	step := Step{Minions: p.Minions(), Offered: float64(plan.Running)}
 	began, snap := p.clock.Now(), from
 	for p.clock.Now() < began+plan.Fill && out(snap) < float64(plan.Running) {
 		if err := p.pause(ctx, 500*time.Millisecond); err != nil {
-			return nil, fault.Pass(err, "fill")
+			return nil, errs.Pass(err, "fill")
 		}
 		if snap, err = p.Read(ctx); err != nil {
-			return nil, fault.Pass(err, "fill")
+			return nil, errs.Pass(err, "fill")
 		}
 	}
 	step.Note = fmt.Sprintf(fillNote+"%.0f of %d out after %.1f s", out(snap), plan.Running, (snap.At - from.At).Seconds())
 	rows, err := Rows(from, snap, step)
-	return rows, fault.Pass(err, "fill")
+	return rows, errs.Pass(err, "fill")
 }
 
-// out is how many tickets are out as the holder of sched has them.
+// out is how many run IDs are out as the holder of sched has them.
 func out(s Snap) float64 {
 	for _, r := range s.Procs {
 		if r.Role == Sched {
@@ -96,7 +96,7 @@
 func (p *Probe) step(ctx context.Context, plan Plan, nth int, rate float64) (rows []Row, stop bool, err error) {
 	var report load.Report
 	var loadErr error
-	group := spawn.New(ctx)
+	group := routine.New(ctx)
 	defer group.Stop()
 	if rate > 0 {
 		group.Go(func(ctx context.Context) {
@@ -105,22 +105,22 @@
 		})
 	}
 	if err := p.pause(ctx, plan.Settle); err != nil {
-		return nil, true, fault.Pass(err, "settle")
+		return nil, true, errs.Pass(err, "settle")
 	}
 	from, err := p.Read(ctx)
 	if err != nil {
-		return nil, true, fault.Pass(err, "from")
+		return nil, true, errs.Pass(err, "from")
 	}
 	if err := p.pause(ctx, plan.For-plan.Settle); err != nil {
-		return nil, true, fault.Pass(err, "step")
+		return nil, true, errs.Pass(err, "step")
 	}
 	to, err := p.Read(ctx)
 	if err != nil {
-		return nil, true, fault.Pass(err, "to")
+		return nil, true, errs.Pass(err, "to")
 	}
 	group.Wait()
 	if loadErr != nil {
-		return nil, true, fault.Pass(loadErr, "load")
+		return nil, true, errs.Pass(loadErr, "load")
 	}
 	step := Step{Minions: p.Minions(), Offered: rate, P50: report.ToStart.P50, P99: report.ToStart.P99,
 		Left: report.Unfinished + report.Offered - report.Accepted}
@@ -131,7 +131,7 @@
 		step.Note, stop = fmt.Sprintf("stopped here: p99 to the first start over %s", plan.Bound), true
 	}
 	rows, err = Rows(from, to, step)
-	return rows, stop, fault.Pass(err, "step")
+	return rows, stop, errs.Pass(err, "step")
 }
 
 func (p *Probe) pause(ctx context.Context, d time.Duration) error {
@@ -141,6 +141,6 @@
 	case <-rung:
 		return nil
 	case <-ctx.Done():
-		return fault.Wrap(ctx.Err(), fault.Stopped, "stopped")
+		return errs.Wrap(ctx.Err(), errs.Stopped, "stopped")
 	}
 }
--- a/internal/rig/scale/scale_test.go
+++ b/internal/testbed/scale/scale_test.go
@@ -8,7 +8,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"crosstide/internal/fault"
+	"crosstide/internal/errs"
 )
 
 func TestRows(t *testing.T) {
@@ -18,7 +18,7 @@
 		b := Snap{At: 10 * time.Second, Busy: 20, Loop: 1e6, Procs: map[string]Reading{
 			"c1": {Role: Follower, Count: 1, CPU: time.Second, RSS: 4e6, Syncs: 100},
 			"c2": {Role: Leader, Count: 1, CPU: 2 * time.Second}, "c3": {Role: Follower, Count: 1, CPU: 3 * time.Second, RSS: 2e6},
-			"d1": {Role: Sched, Count: 1, Tickets: 500, Handles: 7}, "h1": {Role: Minion, Count: 50, Stream: 1e6, Msgs: 500}}}
+			"d1": {Role: Sched, Count: 1, RunIDs: 500, Handles: 7}, "h1": {Role: Minion, Count: 50, Stream: 1e6, Msgs: 500}}}
 		rows, err := Rows(a, b, Step{Minions: 50, Offered: 60})
 		So(err, ShouldBeNil)
 		So(len(rows), ShouldEqual, 4)
@@ -37,11 +37,11 @@
 			info, err := os.Stat(path + ".png")
 			So(err, ShouldBeNil)
 			So(info.Size(), ShouldBeGreaterThan, 1000)
-			So(fault.KindOf(Draw(path, nil)), ShouldEqual, fault.Invalid)
+			So(errs.KindOf(Draw(path, nil)), ShouldEqual, errs.Invalid)
 		})
 		Convey("a process that was started anew is no measurement", func() {
 			_, err := Rows(b, a, Step{})
-			So(fault.KindOf(err), ShouldEqual, fault.Unknown)
+			So(errs.KindOf(err), ShouldEqual, errs.Unknown)
 		})
 	})
 	Convey("A line is fitted", t, func() {
--- a/internal/rig/sim/build.go
+++ b/internal/testbed/sim/build.go
@@ -3,15 +3,15 @@
 import (
 	"fmt"
 
-	"crosstide/internal/rig/minion"
-	"crosstide/internal/slot"
+	"crosstide/internal/storage"
+	"crosstide/internal/testbed/minion"
 )
 
 // build makes the fleet: 5 cplanes, 3 dplanes, 6 minions in 3 zones, and the people.
 func (s *sim) build() {
 	s.people = &people{proc: s.proc("people", "")}
 	for i, m := range s.members() {
-		s.cplanes = append(s.cplanes, &cplane{proc: s.proc(m.Addr, zone(i)), disk: slot.NewMemDisk()})
+		s.cplanes = append(s.cplanes, &cplane{proc: s.proc(m.Addr, zone(i)), disk: storage.NewMemDisk()})
 	}
 	for i := range 3 {
 		s.dplanes = append(s.dplanes, &dplane{proc: s.proc(fmt.Sprintf("d%d", i), zone(i))})
--- a/internal/rig/sim/cplane.go
+++ b/internal/testbed/sim/cplane.go
@@ -7,18 +7,18 @@
 	mathrand "math/rand"
 	"time"
 
-	"crosstide/internal/conf"
-	"crosstide/internal/fault"
-	"crosstide/internal/pair"
-	"crosstide/internal/slot"
+	"crosstide/internal/api"
+	"crosstide/internal/config"
+	"crosstide/internal/errs"
 	"crosstide/internal/state/command"
+	"crosstide/internal/storage"
 	"crosstide/internal/store"
 )
 
 // cplane is a machine with a disk that runs the store by hand.
 type cplane struct {
 	*proc
-	disk    *slot.MemDisk
+	disk    *storage.MemDisk
 	store   *store.Store
 	hand    *store.Hand
 	batch   *store.Batch // on its way to the disk
@@ -52,9 +52,9 @@
 	reply   func(any, error)
 }
 
-func (s *sim) members() (out []conf.Member) {
+func (s *sim) members() (out []config.Member) {
 	for i := range 5 {
-		out = append(out, conf.Member{ID: fmt.Sprintf("c%d", i), Addr: fmt.Sprintf("c%d", i), Zone: zone(i)})
+		out = append(out, config.Member{ID: fmt.Sprintf("c%d", i), Addr: fmt.Sprintf("c%d", i), Zone: zone(i)})
 	}
 	return out
 }
@@ -65,21 +65,21 @@
 func (c *cplane) open(found bool) {
 	s := c.s
 	c.begin()
-	set := conf.DefaultCplane()
+	set := config.DefaultCplane()
 	set.Name, set.Addr, set.Zone, set.Members = c.addr, c.addr, c.zone, s.members()
 	set.SlotEvery, set.KeepEnded, set.KeepEndedFor = 40+s.rnd.IntN(100), 10, 20*time.Second
 	gen := c.gen
 	st, err := store.Open(store.Options{Settings: set, Disk: c.disk, Net: direct{c: c}, Seed: s.rnd.Uint64() | 1, Clock: c.proc,
 		Fatal: func(err error) { s.on(0, func() { c.fell(gen, err) }) },
 		Draw:  func() string { return fmt.Sprintf("%010X%010X", s.rnd.Uint32(), s.rnd.Uint32()) }})
-	if fault.Is(err, fault.Disk) { // the process ends, as after any sync that fails
-		s.tell("%s cannot open its folder: %v", c.addr, fault.Of(err))
+	if errs.Is(err, errs.Disk) { // the process ends, as after any sync that fails
+		s.tell("%s cannot open its folder: %v", c.addr, errs.Of(err))
 		c.die()
 		s.on(500*time.Millisecond, c.up)
 		return
 	}
 	if err != nil {
-		s.broke("disk", "%s cannot read its folder: %v", c.addr, fault.Of(err))
+		s.broke("disk", "%s cannot read its folder: %v", c.addr, errs.Of(err))
 		return
 	}
 	c.store, c.hand = st, st.ByHand()
@@ -100,14 +100,14 @@
 // look reads on a copy of the disk what the folder has.
 func (c *cplane) look() {
 	c.floor, c.top, c.terms = 0, 0, map[uint64]uint64{}
-	_, boot, err := slot.Open(c.disk.Clone(), slot.Options{})
+	_, boot, err := storage.Open(c.disk.Clone(), storage.Options{})
 	must(err)
 	if boot.Image != nil {
 		c.floor = boot.Image.Index
 	}
 	c.top = c.floor
 	for _, r := range boot.Records {
-		if r.Kind != slot.KindHard {
+		if r.Kind != storage.KindHard {
 			c.terms[r.Index], c.top = r.Term, r.Index
 		}
 	}
@@ -123,7 +123,7 @@
 	if c.gen != gen || !c.alive {
 		return
 	}
-	c.s.tell("%s falls: %v", c.addr, fault.Of(err).Kind)
+	c.s.tell("%s falls: %v", c.addr, errs.Of(err).Kind)
 	c.crash(true)
 	c.s.on(c.s.between(100*time.Millisecond, 5*time.Second), func() { c.up() })
 }
@@ -321,9 +321,9 @@
 		case err != nil:
 			do = append(do, func() { f.reply(nil, err) })
 		case lack != nil:
-			do = append(do, func() { f.reply(pair.FollowAnswer{Lacks: map[string]pair.Lack{"store": *lack}}, nil) })
+			do = append(do, func() { f.reply(api.FollowAnswer{Lacks: map[string]api.Lack{"store": *lack}}, nil) })
 		case c.Now() >= f.by:
-			do = append(do, func() { f.reply(pair.FollowAnswer{}, nil) })
+			do = append(do, func() { f.reply(api.FollowAnswer{}, nil) })
 		default:
 			left = append(left, f)
 		}
@@ -334,7 +334,7 @@
 	}
 }
 
-// propose is the answer to pair.Propose.
+// propose is the answer to api.Propose.
 func (c *cplane) propose(cmd command.Command, done func(index uint64, answer any, err error)) {
 	first := cmd
 	if p, ok := cmd.(*command.Plan); ok && c.s.opt.Break == "epoch" {
@@ -362,7 +362,7 @@
 	c.pump()
 }
 
-func (c *cplane) duty(call pair.DutyCall, reply func(any, error)) {
+func (c *cplane) duty(call api.DutyCall, reply func(any, error)) {
 	a, held, cmd, err := c.hand.Duty(call)
 	if err != nil || cmd == nil {
 		reply(c.lend(a), err)
@@ -375,7 +375,7 @@
 }
 
 // lend takes a guard out: leases longer than the granter waits.
-func (c *cplane) lend(a pair.DutyAnswer) pair.DutyAnswer {
+func (c *cplane) lend(a api.DutyAnswer) api.DutyAnswer {
 	if c.s.opt.Break == "lease" {
 		a.Lease *= 8
 	}
@@ -404,29 +404,29 @@
 	s := d.c.s
 	p := s.byAddr[addr]
 	if p == nil || !p.alive || p.frozen || s.blocked(d.c.proc, p) || s.blocked(p, d.c.proc) || s.chance(s.net.lose) {
-		return nil, fault.New(fault.Unavailable, "%s does not answer", addr)
+		return nil, errs.New(errs.Unavailable, "%s does not answer", addr)
 	}
 	return s.cplaneAt(p), nil
 }
 
-func (d direct) Chunk(_ context.Context, addr string, call pair.ChunkCall) (pair.ChunkAnswer, error) {
+func (d direct) Chunk(_ context.Context, addr string, call api.ChunkCall) (api.ChunkAnswer, error) {
 	c, err := d.to(addr)
 	if err != nil {
-		return pair.ChunkAnswer{}, fault.Pass(err, "chunk")
+		return api.ChunkAnswer{}, errs.Pass(err, "chunk")
 	}
 	a, err := c.store.Chunk(call)
-	return a, fault.Pass(err, "chunk")
+	return a, errs.Pass(err, "chunk")
 }
 
-func (d direct) Found(_ context.Context, addr string, call pair.FoundCall) (pair.FoundAnswer, error) {
+func (d direct) Found(_ context.Context, addr string, call api.FoundCall) (api.FoundAnswer, error) {
 	c, err := d.to(addr)
 	if err != nil {
-		return pair.FoundAnswer{}, fault.Pass(err, "found")
+		return api.FoundAnswer{}, errs.Pass(err, "found")
 	}
 	return c.store.Found(call), nil
 }
 
-func (c *cplane) join(call pair.JoinCall) (pair.JoinAnswer, error) {
+func (c *cplane) join(call api.JoinCall) (api.JoinAnswer, error) {
 	a, err := c.store.Join(context.Background(), call)
-	return a, fault.Pass(err, "join")
+	return a, errs.Pass(err, "join")
 }
--- a/internal/rig/sim/dplane.go
+++ b/internal/testbed/sim/dplane.go
@@ -6,23 +6,23 @@
 	"fmt"
 	"time"
 
-	"crosstide/internal/fault"
-	"crosstide/internal/follow"
-	"crosstide/internal/pair"
-	"crosstide/internal/rig/minion"
+	"crosstide/internal/api"
+	"crosstide/internal/errs"
+	"crosstide/internal/replica"
 	"crosstide/internal/sched"
 	"crosstide/internal/state"
 	"crosstide/internal/state/command"
 	"crosstide/internal/state/query"
+	"crosstide/internal/testbed/minion"
 )
 
 const callTimeout = 2 * time.Second
 
-// dplane is plane.Node without goroutines: the same steps, as events.
+// dplane is dataplane.Node without goroutines: the same steps, as events.
 type dplane struct {
 	*proc
 	boot    string
-	replica *follow.Replica
+	replica *replica.Replica
 	sched   *sched.Core
 	granted uint64
 	ready   bool // led once and not yielded, for the trace
@@ -42,7 +42,7 @@
 func (d *dplane) open() {
 	d.begin()
 	d.boot = fmt.Sprintf("%s-%d", d.addr, d.gen)
-	d.replica = follow.New(func(n state.Note) { d.sched.Note(n); d.wake() }, func(st *state.State) {
+	d.replica = replica.New(func(n state.Note) { d.sched.Note(n); d.wake() }, func(st *state.State) {
 		if d.sched.Phase() == sched.Ready {
 			d.s.report.Counts["holders that took a snapshot"]++
 			d.s.tell("%s, which holds sched, takes a snapshot at %d", d.addr, st.Index)
@@ -71,20 +71,20 @@
 // canned gives one answer that came already.
 type canned struct {
 	d      *dplane
-	answer pair.FollowAnswer
+	answer api.FollowAnswer
 	from   *cplane
 }
 
-func (c canned) Follow(context.Context, pair.FollowCall) (pair.FollowAnswer, error) {
+func (c canned) Follow(context.Context, api.FollowCall) (api.FollowAnswer, error) {
 	return c.answer, nil
 }
 
-func (c canned) Chunk(_ context.Context, call pair.ChunkCall) (pair.ChunkAnswer, error) {
+func (c canned) Chunk(_ context.Context, call api.ChunkCall) (api.ChunkAnswer, error) {
 	if c.from.hand == nil || !c.from.alive || c.d.s.blocked(c.d.proc, c.from.proc) {
-		return pair.ChunkAnswer{}, fault.New(fault.Unknown, "gone")
+		return api.ChunkAnswer{}, errs.New(errs.Unknown, "gone")
 	}
 	a, err := c.from.store.Chunk(call)
-	return a, fault.Pass(err, "chunk")
+	return a, errs.Pass(err, "chunk")
 }
 
 // pull is a turn of Replica.Run.
@@ -99,7 +99,7 @@
 		serve: func(to *proc, reply func(any, error)) { s.cplaneAt(to).follow(version, time.Second, reply) },
 		back: func(a any, err error, _ bool) {
 			if err == nil {
-				err = d.replica.Pull(context.Background(), canned{d, a.(pair.FollowAnswer), from}, d.addr, time.Second)
+				err = d.replica.Pull(context.Background(), canned{d, a.(api.FollowAnswer), from}, d.addr, time.Second)
 			}
 			d.reached()
 			if err != nil {
@@ -127,7 +127,7 @@
 		case d.replica.Index() >= r.index:
 			do = append(do, func() { r.done(nil) })
 		case d.Now() >= r.by:
-			do = append(do, func() { r.done(fault.New(fault.Unavailable, "not at %d in time", r.index)) })
+			do = append(do, func() { r.done(errs.New(errs.Unavailable, "not at %d in time", r.index)) })
 		default:
 			rest = append(rest, r)
 		}
@@ -149,19 +149,19 @@
 		d.s.ask(ask{from: d.proc, addr: addr, within: within, keep: callTimeout, twice: again,
 			serve: func(to *proc, reply func(any, error)) { serve(d.s.cplaneAt(to), reply) },
 			back: func(a any, err error, sent bool) {
-				f := fault.Of(err)
+				f := errs.Of(err)
 				switch {
 				case f == nil:
 					d.leader = addr
 					back(a, nil)
 					return
-				case f.Kind == fault.NotLeader && f.Hint != "" && f.Hint != addr:
+				case f.Kind == errs.NotLeader && f.Hint != "" && f.Hint != addr:
 					d.leader = f.Hint
-				case d.leader == addr && (f.Kind == fault.NotLeader || f.Kind == fault.Unavailable || f.Kind == fault.Timeout || f.Kind == fault.Stopped):
+				case d.leader == addr && (f.Kind == errs.NotLeader || f.Kind == errs.Unavailable || f.Kind == errs.Timeout || f.Kind == errs.Stopped):
 					d.leader = ""
 				}
-				elsewhere := f.Kind == fault.NotLeader ||
-					(f.Kind == fault.Unavailable || f.Kind == fault.Stopped || f.Kind == fault.Timeout) && (again || !sent)
+				elsewhere := f.Kind == errs.NotLeader ||
+					(f.Kind == errs.Unavailable || f.Kind == errs.Stopped || f.Kind == errs.Timeout) && (again || !sent)
 				if by > 0 && d.Now() >= by || !elsewhere {
 					back(nil, err)
 					return
@@ -179,7 +179,7 @@
 func (d *dplane) propose(cmd command.Command, again bool, by time.Duration, back func(index uint64, answer json.RawMessage, err error)) {
 	d.toLeader(callTimeout, again, by, func(c *cplane, reply func(any, error)) {
 		c.propose(cmd, func(index uint64, a any, err error) {
-			out := pair.ProposeAnswer{Index: index}
+			out := api.ProposeAnswer{Index: index}
 			if err == nil && a != nil {
 				out.Answer = jsonOf(a)
 			}
@@ -190,13 +190,13 @@
 			back(0, nil, err)
 			return
 		}
-		p := a.(pair.ProposeAnswer)
+		p := a.(api.ProposeAnswer)
 		back(p.Index, p.Answer, nil)
 	})
 }
 
-func (d *dplane) call(epoch uint64, up bool) pair.DutyCall {
-	return pair.DutyCall{Duty: "sched", Holder: d.addr, Addr: d.addr, Boot: d.boot, Epoch: epoch, GiveUp: up}
+func (d *dplane) call(epoch uint64, up bool) api.DutyCall {
+	return api.DutyCall{Duty: "sched", Holder: d.addr, Addr: d.addr, Boot: d.boot, Epoch: epoch, GiveUp: up}
 }
 
 // claim is a turn of the duty loop.
@@ -211,7 +211,7 @@
 			again()
 			return
 		}
-		if got := a.(pair.DutyAnswer); got.Mine {
+		if got := a.(api.DutyAnswer); got.Mine {
 			d.take(got, sent, again)
 			return
 		}
@@ -224,7 +224,7 @@
 	})
 }
 
-func (d *dplane) take(a pair.DutyAnswer, sent time.Duration, again func()) {
+func (d *dplane) take(a api.DutyAnswer, sent time.Duration, again func()) {
 	d.granted = a.Epoch
 	lead := func(err error) {
 		defer again()
@@ -296,7 +296,7 @@
 	}
 	failed := func(err error) {
 		d.s.report.Counts["plans without a good answer"]++
-		d.s.tell("%s has no good answer to a plan: %v", d.addr, fault.KindOf(err))
+		d.s.tell("%s has no good answer to a plan: %v", d.addr, errs.KindOf(err))
 		d.after(20*time.Millisecond, func() { end(command.Planned{}, err) })
 	}
 	d.s.tell("%s plans under epoch %d: to %d, %d reports, running %v, doubt %v, ends %v, dead %v, %d starts", d.addr, plan.Epoch, plan.Seq,
@@ -325,7 +325,7 @@
 func (d *dplane) send(c sched.CallOut) {
 	s, now := d.s, d.Now()
 	fail := func(err error, sent bool) {
-		d.sched.Fault(d.Now(), c.Minion, c.Order, c.Call, sent)
+		d.sched.Failure(d.Now(), c.Minion, c.Order, c.Call, sent)
 		d.wake()
 	}
 	if !d.sched.Live(now) || d.sched.Epoch() != c.Call.Epoch || c.Before > 0 && now >= c.Before {
@@ -343,7 +343,7 @@
 				fail(err, sent)
 				return
 			}
-			got := a.(pair.HoldAnswer)
+			got := a.(api.HoldAnswer)
 			if s.chance(s.net.cross) {
 				s.report.Faults["cross"]++
 				got.Call--
@@ -362,7 +362,7 @@
 		reply(index, err)
 	}, func(a any, err error) {
 		if err != nil {
-			back(query.JobView{}, fault.Wrap(err, fault.Unavailable, "cannot confirm"))
+			back(query.JobView{}, errs.Wrap(err, errs.Unavailable, "cannot confirm"))
 			return
 		}
 		d.reach(a.(uint64), callTimeout, func(err error) {
@@ -378,10 +378,10 @@
 // announce makes a minion known to the store.
 func (d *dplane) announce(m *node, reply func(any, error)) {
 	if k := d.state().Minions[m.addr]; k != nil && k.Addr == m.addr {
-		reply(pair.MinionAnswer{}, nil)
+		reply(api.MinionAnswer{}, nil)
 		return
 	}
 	t := m.traits
 	d.propose(&command.Announce{Minion: state.Minion{Name: t.Name, Addr: m.addr, Kind: t.Kind, Zone: t.Zone, Labels: t.Labels,
-		Cores: t.Cores, GPUs: t.GPUs}}, true, d.Now()+callTimeout, func(_ uint64, _ json.RawMessage, err error) { reply(pair.MinionAnswer{}, err) })
+		Cores: t.Cores, GPUs: t.GPUs}}, true, d.Now()+callTimeout, func(_ uint64, _ json.RawMessage, err error) { reply(api.MinionAnswer{}, err) })
 }
--- a/internal/rig/sim/each.go
+++ b/internal/testbed/sim/each.go
@@ -6,8 +6,8 @@
 	"maps"
 	"slices"
 
-	"crosstide/internal/fault"
-	"crosstide/internal/spawn"
+	"crosstide/internal/errs"
+	"crosstide/internal/routine"
 )
 
 // Each runs the seeds from..to, width at once, each on one thread, and gives their reports in order of seeds. After
@@ -15,7 +15,7 @@
 func Each(opt Options, from, to uint64, width, many int) []Report {
 	out := make([]Report, to-from+1)
 	bad := make(chan struct{}, len(out))
-	spawn.Each(len(out), width, func(i int) {
+	routine.Each(len(out), width, func(i int) {
 		o := opt
 		o.Seed = from + uint64(i)
 		if many > 0 && len(bad) >= many {
@@ -97,7 +97,7 @@
 	for _, f := range s.FaultsZero {
 		line("NOT EXERCISED fault %s", f)
 	}
-	return fault.Wrap(err, fault.Disk, "print")
+	return errs.Wrap(err, errs.Disk, "print")
 }
 
 // Promises are the names that the oracle uses.
--- a/internal/rig/sim/faults.go
+++ b/internal/testbed/sim/faults.go
@@ -4,7 +4,7 @@
 	"slices"
 	"time"
 
-	"crosstide/internal/slot"
+	"crosstide/internal/storage"
 )
 
 // Faults are the names that Options.Faults takes.
@@ -30,7 +30,7 @@
 	"lost",     // minions lose answers
 	"drain",    // a minion drains for a while
 	"zone",     // operators evacuate a zone and lift it
-	"cancel",   // consumers cancel
+	"cancel",   // clients cancel
 }
 
 // Breaks are the guards that Options.Break takes out.
@@ -154,7 +154,7 @@
 		if c.hand.Core() != nil {
 			c.wiped, c.had, c.hadTo = c.hand.Core().Status().ID, c.terms, c.floor
 		}
-		c.disk = slot.NewMemDisk()
+		c.disk = storage.NewMemDisk()
 		c.floor, c.top, c.terms = 0, 0, nil
 		s.on(s.between(10*time.Millisecond, 3*time.Second), c.up)
 	case "sync":
--- a/internal/rig/sim/linear.go
+++ b/internal/testbed/sim/linear.go
@@ -8,12 +8,12 @@
 
 	"github.com/anishathalye/porcupine"
 
-	"crosstide/internal/fault"
+	"crosstide/internal/errs"
 	"crosstide/internal/state"
 	"crosstide/internal/state/command"
 )
 
-// act is what a consumer does.
+// act is what a client does.
 type act string
 
 const (
@@ -26,15 +26,15 @@
 type answer string
 
 const (
-	ansFresh    answer = "fresh"    // submit: accepted, the key was free
-	ansSame     answer = "same"     // submit: accepted before, with the same body
-	ansConflict answer = "conflict" // submit: the key is taken by another body
-	ansPressure answer = "pressure" // submit: not now
-	ansPhase    answer = "phase"    // poll, cancel: the job is known
-	ansUnknown  answer = "unknown"  // poll, cancel: no such job
+	ansFresh         answer = "fresh"    // submit: accepted, the key was free
+	ansSame          answer = "same"     // submit: accepted before, with the same body
+	ansConflict      answer = "conflict" // submit: the key is taken by another body
+	answerOverloaded answer = "pressure" // submit: not now
+	ansPhase         answer = "phase"    // poll, cancel: the job is known
+	ansUnknown       answer = "unknown"  // poll, cancel: no such job
 )
 
-// move is an operation of a consumer on a key, from its call to its answer in virtual time.
+// move is an operation of a client on a key, from its call to its answer in virtual time.
 type move struct {
 	key    string
 	act    act
@@ -49,7 +49,7 @@
 	return fmt.Sprintf("%v..%v %s %s: %s %s", m.call, m.back, m.act, m.digest, m.answer, m.phase)
 }
 
-// linear keeps what consumers did and were told. It draws no chance and makes no event.
+// linear keeps what clients did and were told. It draws no chance and makes no event.
 type linear struct{ moves []*move }
 
 // called notes a call; it has no certain answer until told is called.
@@ -63,12 +63,12 @@
 func (m *move) told(at time.Duration, a any, err error) {
 	raw, _ := a.(json.RawMessage)
 	switch {
-	case fault.Is(err, fault.Unknown):
+	case errs.Is(err, errs.Unknown):
 		m.seen(at, ansUnknown, "")
-	case fault.Is(err, fault.Conflict):
+	case errs.Is(err, errs.Conflict):
 		m.seen(at, ansConflict, "")
-	case fault.Is(err, fault.Pressure):
-		m.seen(at, ansPressure, "")
+	case errs.Is(err, errs.Overloaded):
+		m.seen(at, answerOverloaded, "")
 	case err == nil && m.act == actSubmit:
 		var s command.Submitted
 		must(json.Unmarshal(raw, &s))
@@ -121,7 +121,7 @@
 }
 
 var rank = map[state.JobPhase]int{state.JobAccepted: 0, state.JobRunning: 1, state.JobStopping: 2, "": 2, state.JobDone: 3,
-	state.JobFault: 3, state.JobCancelled: 3}
+	state.JobFailed: 3, state.JobCancelled: 3}
 
 // shows tells whether a job may stand at p now, and what is known then.
 func (k known) shows(p state.JobPhase) (bool, known) {
@@ -174,7 +174,7 @@
 			return k.shows(m.phase)
 		case ansConflict:
 			return k.digest != "" && k.digest != m.digest, k
-		case ansPressure:
+		case answerOverloaded:
 			return k.digest == "", k
 		}
 	case actPoll:
@@ -229,7 +229,7 @@
 	return ""
 }
 
-// judge holds what consumers were told against the model.
+// judge holds what clients were told against the model.
 func (l *linear) judge(s *sim) {
 	for _, m := range l.moves {
 		if m.answer == "" {
--- a/internal/rig/sim/net.go
+++ b/internal/testbed/sim/net.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
-	"crosstide/internal/alarm"
-	"crosstide/internal/fault"
+	"crosstide/internal/clock"
+	"crosstide/internal/errs"
 )
 
 // proc is a process on a machine of its own. Its clock has its own zero and goes on while it is frozen.
@@ -52,7 +52,7 @@
 	}
 }
 
-// after is an alarm of this life.
+// after is an timer of this life.
 func (p *proc) after(d time.Duration, do func()) {
 	gen := p.gen
 	p.s.on(d, func() { p.run(gen, do) })
@@ -85,8 +85,8 @@
 
 func (r *ring) Stop() bool { was := !r.off; r.off = true; return was }
 
-// Set is an alarm of the process.
-func (p *proc) Set(d time.Duration, call func()) alarm.Stopper {
+// Set is an timer of the process.
+func (p *proc) Set(d time.Duration, call func()) clock.Stopper {
 	r := &ring{}
 	p.after(d, func() {
 		if !r.off {
@@ -192,11 +192,11 @@
 	to := s.byAddr[q.addr]
 	if to == nil || !to.alive {
 		if s.chance(0.7) {
-			s.on(s.way(), func() { finish(nil, fault.New(fault.Unavailable, "%s refuses the connection", q.addr), false) })
+			s.on(s.way(), func() { finish(nil, errs.New(errs.Unavailable, "%s refuses the connection", q.addr), false) })
 			return
 		}
 	}
-	q.from.after(q.within, func() { finish(nil, fault.New(fault.Timeout, "no answer of %s", q.addr), true) })
+	q.from.after(q.within, func() { finish(nil, errs.New(errs.Timeout, "no answer of %s", q.addr), true) })
 	if to == nil || !to.alive {
 		return
 	}
@@ -207,7 +207,7 @@
 			return
 		}
 		if !to.alive || to.gen != life {
-			s.offer(to, q.from, s.now, open, func() { finish(nil, fault.New(fault.Unavailable, "%s reset the connection", q.addr), true) })
+			s.offer(to, q.from, s.now, open, func() { finish(nil, errs.New(errs.Unavailable, "%s reset the connection", q.addr), true) })
 			return
 		}
 		to.run(life, func() {
--- a/internal/rig/sim/oracle.go
+++ b/internal/testbed/sim/oracle.go
@@ -7,13 +7,13 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"crosstide/internal/pair"
+	"crosstide/internal/api"
 	"crosstide/internal/quorum"
-	"crosstide/internal/rig/journal"
-	"crosstide/internal/rig/minion"
 	"crosstide/internal/sched"
 	"crosstide/internal/state"
 	"crosstide/internal/state/command"
+	"crosstide/internal/testbed/journal"
+	"crosstide/internal/testbed/minion"
 )
 
 // bound is how long after the faults everything must have ended: the longest hold, then retries and long runs.
@@ -25,12 +25,12 @@
 	zoneWithin   = 5 * time.Second
 	idleWithin   = 3 * time.Second
 	calmAfter    = 30 * time.Second // from the end of faults until a due task must not be idle any more
-	passedWithin = 20 * time.Second // the longest run, and then the oldest due task must have got its ticket
+	passedWithin = 20 * time.Second // the longest run, and then the oldest due task must have got its run ID
 	gangWithin   = 45 * time.Second // the same for a gang, which needs room on several minions at one moment
 )
 
 // oracle holds the promises against what really happened: what was written to minions, what minions started and
-// ended, what consumers and operators were told, and what disks have. Of the daemons it believes only the log, of
+// ended, what clients and operators were told, and what disks have. Of the daemons it believes only the log, of
 // which it keeps a copy from the first cplane that shows an entry as committed.
 type oracle struct {
 	s       *sim
@@ -40,7 +40,7 @@
 	members []quorum.Member
 	jobs    map[string]*job
 
-	tickets   map[uint64]*ticket
+	runIDs    map[uint64]*runID
 	grants    []uint64
 	ended     map[state.TaskRef][]*ending
 	runs      []*onerun
@@ -49,7 +49,7 @@
 	idle      map[state.TaskRef]time.Duration
 	oldest    state.TaskRef    // the oldest due task that some minion could hold
 	oldestAt  time.Duration    // when it came to be that
-	orders    map[*node]uint64 // newest ticket that arrived at a minion
+	orders    map[*node]uint64 // newest run ID that arrived at a minion
 }
 
 type record struct {
@@ -57,8 +57,8 @@
 	sum  uint64
 }
 
-// ticket is all that became of a ticket.
-type ticket struct {
+// run ID is all that became of a run ID.
+type runID struct {
 	h       state.Handle
 	index   uint64 // of its commit
 	term    uint64
@@ -71,24 +71,24 @@
 
 // ending is a run that ended well at its minion.
 type ending struct {
-	ticket uint64
-	m      *node
-	gen    int
-	told   map[uint64]time.Duration // the epochs whose holder was told, and when first
+	runID uint64
+	m     *node
+	gen   int
+	told  map[uint64]time.Duration // the epochs whose holder was told, and when first
 }
 
 // onerun is a run at a minion.
 type onerun struct {
-	ref    state.TaskRef
-	ticket uint64
-	m      *node
-	gen    int
-	cores  int
-	until  time.Duration // virtual time at which its hold lapses
+	ref   state.TaskRef
+	runID uint64
+	m     *node
+	gen   int
+	cores int
+	until time.Duration // virtual time at which its hold lapses
 }
 
 func (s *sim) newOracle() *oracle {
-	o := &oracle{s: s, ref: state.New(), seen: map[*cplane]uint64{}, jobs: map[string]*job{}, tickets: map[uint64]*ticket{},
+	o := &oracle{s: s, ref: state.New(), seen: map[*cplane]uint64{}, jobs: map[string]*job{}, runIDs: map[uint64]*runID{},
 		ended: map[state.TaskRef][]*ending{}, evacuated: map[string]time.Duration{}, dueAt: map[state.TaskRef]time.Duration{},
 		idle: map[state.TaskRef]time.Duration{}, orders: map[*node]uint64{}}
 	for _, m := range s.members() {
@@ -98,10 +98,10 @@
 	o.ref.Watch = func(n state.Note) {
 		switch n.Kind {
 		case state.NoteOpened:
-			o.tickets[n.Handle.Ticket] = &ticket{h: *n.Handle, index: o.ref.Index, term: o.ref.Term, at: s.now}
+			o.runIDs[n.Handle.RunID] = &runID{h: *n.Handle, index: o.ref.Index, term: o.ref.Term, at: s.now}
 		case state.NoteClosed:
-			o.tickets[n.Handle.Ticket].closed = s.now
-			s.tell("ticket %d of %v is closed", n.Handle.Ticket, n.Ref)
+			o.runIDs[n.Handle.RunID].closed = s.now
+			s.tell("ticket %d of %v is closed", n.Handle.RunID, n.Ref)
 		case state.NoteDuty:
 			if d := o.ref.Duties[n.Name]; d.Holder != "" {
 				o.grants = append(o.grants, d.Epoch)
@@ -268,58 +268,58 @@
 		s.broke("fence", "%s writes to %s under epoch %d, %d was granted", d.addr, c.Minion, c.Call.Epoch, now)
 	}
 	for _, st := range c.Call.Starts {
-		t := o.tickets[st.Ticket]
+		t := o.runIDs[st.RunID]
 		if t == nil {
-			s.broke("durable", "the order of ticket %d leaves %s before it is committed", st.Ticket, d.addr)
+			s.broke("durable", "the order of ticket %d leaves %s before it is committed", st.RunID, d.addr)
 			return
 		}
 		s.held("ordered once")
 		if t.written != 0 {
-			s.broke("ordered once", "ticket %d was ordered at %v already", st.Ticket, t.written)
+			s.broke("ordered once", "ticket %d was ordered at %v already", st.RunID, t.written)
 		}
 		t.written, t.by = s.now, d
-		s.tell("%s orders ticket %d (%s/%s/%d) at %s, epoch %d, call %d", d.addr, st.Ticket, st.Job, st.Step, st.Task, c.Minion, c.Call.Epoch, c.Call.Call)
+		s.tell("%s orders ticket %d (%s/%s/%d) at %s, epoch %d, call %d", d.addr, st.RunID, st.Job, st.Step, st.Task, c.Minion, c.Call.Epoch, c.Call.Call)
 	}
 }
 
 // arrived takes in that start orders are at a minion.
-func (o *oracle) arrived(m *node, call pair.HoldCall) {
+func (o *oracle) arrived(m *node, call api.HoldCall) {
 	for _, st := range call.Starts {
-		if t := o.tickets[st.Ticket]; t != nil {
+		if t := o.runIDs[st.RunID]; t != nil {
 			t.until = m.zero + st.Until
 		}
 		o.s.held("newer ticket")
-		if st.Ticket <= o.orders[m] && m.kind == minion.Obey {
-			o.s.broke("newer ticket", "ticket %d reaches %s, which has seen %d", st.Ticket, m.addr, o.orders[m])
+		if st.RunID <= o.orders[m] && m.kind == minion.Obey {
+			o.s.broke("newer ticket", "ticket %d reaches %s, which has seen %d", st.RunID, m.addr, o.orders[m])
 		}
-		o.orders[m] = max(o.orders[m], st.Ticket)
+		o.orders[m] = max(o.orders[m], st.RunID)
 	}
 }
 
 // renewed takes in what a call does to holds; the minion has carried it out.
-func (o *oracle) renewed(m *node, call pair.HoldCall) {
+func (o *oracle) renewed(m *node, call api.HoldCall) {
 	if call.Boot != m.traits.Boot && call.Boot != "" {
 		return
 	}
 	for _, r := range o.runs {
-		if r.m == m && r.gen == m.gen && slices.Contains(call.Renew, r.ticket) {
+		if r.m == m && r.gen == m.gen && slices.Contains(call.Renew, r.runID) {
 			r.until = max(r.until, m.zero+call.Until)
 		}
 	}
 }
 
 // heard takes in that a holder is told something.
-func (o *oracle) heard(d *dplane, c sched.CallOut, a pair.HoldAnswer) {
+func (o *oracle) heard(d *dplane, c sched.CallOut, a api.HoldAnswer) {
 	if a.Call != c.Call.Call || c.Call.Epoch != d.sched.Epoch() {
 		return
 	}
 	for _, e := range a.Ended {
-		t := o.tickets[e.Ticket]
-		if t == nil || e.How != pair.EndWell {
+		t := o.runIDs[e.RunID]
+		if t == nil || e.How != api.EndWell {
 			continue
 		}
 		for _, end := range o.ended[t.h.Ref] {
-			if end.ticket == e.Ticket {
+			if end.runID == e.RunID {
 				if _, ok := end.told[c.Call.Epoch]; !ok {
 					end.told[c.Call.Epoch] = o.s.now
 				}
@@ -341,7 +341,7 @@
 	if e.Ev == journal.Boot {
 		return
 	}
-	o.s.tell("%s %s ticket %d %s/%s/%d ok=%v %s", m.addr, e.Ev, e.Ticket, e.Job, e.Step, e.Task, e.OK, e.Why)
+	o.s.tell("%s %s ticket %d %s/%s/%d ok=%v %s", m.addr, e.Ev, e.RunID, e.Job, e.Step, e.Task, e.OK, e.Why)
 	switch e.Ev {
 	case journal.Start:
 		o.started(m, e)
@@ -352,9 +352,9 @@
 			o.s.report.Counts["lapsed"]++
 		}
 		n := len(o.runs)
-		o.runs = slices.DeleteFunc(o.runs, func(r *onerun) bool { return r.m == m && r.ticket == e.Ticket })
-		if t := o.tickets[e.Ticket]; e.Ev == journal.End && e.OK && t != nil && n > len(o.runs) {
-			o.ended[t.h.Ref] = append(o.ended[t.h.Ref], &ending{e.Ticket, m, m.gen, map[uint64]time.Duration{}})
+		o.runs = slices.DeleteFunc(o.runs, func(r *onerun) bool { return r.m == m && r.runID == e.RunID })
+		if t := o.runIDs[e.RunID]; e.Ev == journal.End && e.OK && t != nil && n > len(o.runs) {
+			o.ended[t.h.Ref] = append(o.ended[t.h.Ref], &ending{e.RunID, m, m.gen, map[uint64]time.Duration{}})
 		}
 	}
 }
@@ -362,16 +362,16 @@
 // started judges a start, the one event that must never be wrong.
 func (o *oracle) started(m *node, e journal.Entry) {
 	s := o.s
-	t := o.tickets[e.Ticket]
+	t := o.runIDs[e.RunID]
 	if t == nil || t.written == 0 || t.h.Minion != m.addr {
-		s.broke("durable", "%s starts ticket %d, which was not ordered there", m.addr, e.Ticket)
+		s.broke("durable", "%s starts ticket %d, which was not ordered there", m.addr, e.RunID)
 		return
 	}
 	ref := t.h.Ref
 	s.held("once at a time")
 	for _, r := range o.runs {
 		if r.ref == ref && s.now < r.until {
-			s.broke("once at a time", "%v starts as ticket %d on %s while ticket %d runs on %s", ref, e.Ticket, m.addr, r.ticket, r.m.addr)
+			s.broke("once at a time", "%v starts as ticket %d on %s while ticket %d runs on %s", ref, e.RunID, m.addr, r.runID, r.m.addr)
 		}
 	}
 	s.held("not after it ended well")
@@ -381,7 +381,7 @@
 	j := o.jobs[ref.Job]
 	if j.cancel > 0 {
 		if s.now > j.cancel+cancelWithin {
-			s.broke("cancelled starts nothing", "ticket %d of %s, cancelled at %v", e.Ticket, ref.Job, j.cancel)
+			s.broke("cancelled starts nothing", "ticket %d of %s, cancelled at %v", e.RunID, ref.Job, j.cancel)
 		}
 	}
 	s.held("not late")
@@ -390,27 +390,27 @@
 		late = callTimeout/2 + lateness + 100*time.Millisecond // it was under way until its connection was closed at most
 	}
 	if s.now-max(t.written, m.woke) > late { // what lay in the kernel of a frozen machine is carried out when it wakes
-		s.broke("not late", "ticket %d was written at %v and starts on %s (%s)", e.Ticket, t.written, m.addr, m.kind)
+		s.broke("not late", "ticket %d was written at %v and starts on %s (%s)", e.RunID, t.written, m.addr, m.kind)
 	}
 	if at, out := o.evacuated[m.zone]; out {
 		if s.now > at+zoneWithin {
-			s.broke("evacuated", "ticket %d starts on %s, %s is evacuated since %v", e.Ticket, m.addr, m.zone, at)
+			s.broke("evacuated", "ticket %d starts on %s, %s is evacuated since %v", e.RunID, m.addr, m.zone, at)
 		}
 	}
 	if m.draining {
 		s.held("draining")
 		if t.written > m.drains+drainWithin {
-			s.broke("draining", "ticket %d was written at %v for %s, which drains since %v", e.Ticket, t.written, m.addr, m.drains)
+			s.broke("draining", "ticket %d was written at %v for %s, which drains since %v", e.RunID, t.written, m.addr, m.drains)
 		}
 	}
 	s.held("fits")
 	step := j.spec.Steps[ref.Step]
 	for k, v := range step.Labels {
 		if m.lab[k] != v {
-			s.broke("fits", "ticket %d wants %s=%s, %s has not", e.Ticket, k, v, m.addr)
+			s.broke("fits", "ticket %d wants %s=%s, %s has not", e.RunID, k, v, m.addr)
 		}
 	}
-	run := &onerun{ref, e.Ticket, m, m.gen, step.Cores, 0}
+	run := &onerun{ref, e.RunID, m, m.gen, step.Cores, 0}
 	run.until = t.until
 	o.runs = append(o.runs, run)
 	taken := 0
@@ -424,22 +424,22 @@
 	}
 }
 
-// repeats judges the start of a ticket for a task that ended well before. The end is known to the scheduler once a
+// repeats judges the start of a run ID for a task that ended well before. The end is known to the scheduler once a
 // holder was told; until then nobody can know it, and a task must not wait for ever for a minion that is gone. So
-// it is a breach if the store has it as done, or if the holder that gave the new ticket was told before the old
+// it is a breach if the store has it as done, or if the holder that gave the new run ID was told before the old
 // handle was closed. Else it is counted apart.
-func (o *oracle) repeats(t *ticket, end *ending) {
+func (o *oracle) repeats(t *runID, end *ending) {
 	s := o.s
-	old := o.tickets[end.ticket]
-	if end.ticket >= t.h.Ticket {
+	old := o.runIDs[end.runID]
+	if end.runID >= t.h.RunID {
 		return
 	}
-	if _, task := o.ref.TaskOf(t.h.Ref); task == nil || task.Phase == state.TaskDone && task.Ticket != t.h.Ticket {
-		s.broke("not after it ended well", "ticket %d starts %v, which the store has as done", t.h.Ticket, t.h.Ref)
+	if _, task := o.ref.TaskOf(t.h.Ref); task == nil || task.Phase == state.TaskDone && task.RunID != t.h.RunID {
+		s.broke("not after it ended well", "ticket %d starts %v, which the store has as done", t.h.RunID, t.h.Ref)
 	}
 	if at, ok := end.told[t.h.Epoch]; ok && at+time.Second < old.closed {
 		s.broke("not after it ended well", "ticket %d starts %v; its holder was told at %v that ticket %d ended well, which was closed at %v",
-			t.h.Ticket, t.h.Ref, at, end.ticket, old.closed)
+			t.h.RunID, t.h.Ref, at, end.runID, old.closed)
 	}
 	if end.m.gen != end.gen {
 		s.report.Counts["ran again: the minion forgot the end with its boot"]++
@@ -452,13 +452,13 @@
 func (o *oracle) rebuilt(d *dplane) {
 	want := d.state().Tallies()
 	for kind, n := range want {
-		if got := d.sched.Tally(kind); got != n {
+		if got := d.sched.RunningCount(kind); got != n {
 			o.s.broke("rebuilt", "%s has a tally of %d for %s, %d handles are out", d.addr, got, kind, n)
 		}
 	}
 }
 
-// done judges the end of a job as its consumer sees it.
+// done judges the end of a job as its client sees it.
 func (o *oracle) done(j *job) {
 	if j.over != state.JobDone {
 		return
--- a/internal/rig/sim/people.go
+++ b/internal/testbed/sim/people.go
@@ -6,13 +6,13 @@
 	"fmt"
 	"time"
 
-	"crosstide/internal/fault"
+	"crosstide/internal/errs"
 	"crosstide/internal/state"
 	"crosstide/internal/state/command"
 	"crosstide/internal/state/query"
 )
 
-// people are the consumers and the operators. They stand outside of all cuts.
+// people are the clients and the operators. They stand outside of all cuts.
 type people struct {
 	*proc
 	jobs []*job
@@ -23,7 +23,7 @@
 	seen linear
 }
 
-// job is what its consumer knows.
+// job is what its client knows.
 type job struct {
 	spec     state.Spec
 	sent     time.Duration
@@ -42,11 +42,11 @@
 	p.after(4*time.Second, p.again)
 }
 
-// mostOpen is how many jobs the consumers have open at most. Under faults the fleet does far less than they would ask
+// mostOpen is how many jobs the clients have open at most. Under faults the fleet does far less than they would ask
 // for: without a bound the queue of some minutes takes longer to work off than the quiet tail of a run lasts.
 const mostOpen = 100
 
-// offer hands a job in, again and again until it is accepted or its consumer loses patience.
+// offer hands a job in, again and again until it is accepted or its client loses patience.
 func (p *people) offer() {
 	s := p.s
 	if s.calm {
@@ -115,7 +115,7 @@
 				j.accepted = s.now
 				s.tell("%s accepted", j.spec.Key)
 				p.after(s.between(100*time.Millisecond, time.Second), func() { p.poll(j) })
-				if s.chance(0.05) { // its answer was lost on the way to the consumer: the same again
+				if s.chance(0.05) { // its answer was lost on the way to the client: the same again
 					p.submit(j, 0)
 				}
 				if s.faults.on["cancel"] && s.chance(0.12) {
@@ -137,7 +137,7 @@
 		back: func(a any, err error, _ bool) {
 			m.told(s.now, a, err)
 			if err != nil {
-				if fault.Is(err, fault.Unknown) {
+				if errs.Is(err, errs.Unknown) {
 					s.broke("known", "cancel of %s, accepted at %v: %v", j.spec.Key, j.accepted, err)
 				}
 				p.after(s.between(50*time.Millisecond, time.Second), func() { p.cancel(j) })
@@ -163,7 +163,7 @@
 			d.read(j.spec.Key, func(v query.JobView, err error) { reply(v, err) })
 		},
 		back: func(a any, err error, _ bool) {
-			if fault.Is(err, fault.Unknown) {
+			if errs.Is(err, errs.Unknown) {
 				m.seen(s.now, ansUnknown, "")
 				s.broke("known", "%s, accepted at %v, is unknown at %s", j.spec.Key, j.accepted, d.addr)
 			}
@@ -185,7 +185,7 @@
 		}})
 }
 
-// jobsOpen is how many jobs have not ended in their consumers' eyes.
+// jobsOpen is how many jobs have not ended in their clients' eyes.
 func (p *people) jobsOpen() int {
 	n := 0
 	for _, j := range p.jobs {
@@ -196,7 +196,7 @@
 	return n
 }
 
-// over tells whether every accepted job has ended in its consumer's eyes.
+// over tells whether every accepted job has ended in its client's eyes.
 func (p *people) over() bool { return p.jobsOpen() == 0 }
 
 // order sends an operator's order until it is acknowledged, and then now and then once more.
--- a/internal/rig/sim/sim.go
+++ b/internal/testbed/sim/sim.go
@@ -1,9 +1,9 @@
 // Package sim runs a whole fleet on one thread under a virtual clock, from one seed: cplanes on disks that lose what
-// is not synced, dplanes, minions of both kinds, consumers and an operator, with faults on every side, and an oracle
+// is not synced, dplanes, minions of both kinds, clients and an operator, with faults on every side, and an oracle
 // that looks at what was really started, written and answered after every event.
 //
-// What decides is the daemons' own code: quorum.Core, the store (by hand, see store.Hand), slot.Store over
-// slot.MemDisk, state and command, follow.Replica, sched.Core, minion.Core. Only the glue of plane.Node and of the
+// What decides is the daemons' own code: quorum.Core, the store (by hand, see store.Hand), storage.Store over
+// storage.MemDisk, state and command, replica.Replica, sched.Core, minion.Core. Only the glue of dataplane.Node and of the
 // minion's host is written anew here, without goroutines. The same seed gives the same trace, byte for byte.
 package sim
 
@@ -16,7 +16,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"crosstide/internal/fault"
+	"crosstide/internal/errs"
 )
 
 // Options of a run.
@@ -184,6 +184,6 @@
 // must is for what cannot fail in the simulator; a panic names the seed in Run's caller.
 func must(err error) {
 	if err != nil {
-		panic(fault.Of(err))
+		panic(errs.Of(err))
 	}
 }
