Quorum: elect soon after a cold start

Cause: after a loss of power of the whole core the last voter of a majority was up at 35.69 s and a leader stood at 36.21 s: every restarted voter refused candidates for a whole Election, and a refused candidate waited for another one. Ruled out: slow starts of the processes (0.03 s from the first log line to the first vote), replay (0.07 s). Change: the promise is as long as the lease needs (Lease and a third of what is left to Election); the leader of the term, now stored with the vote, is exempt from it, since it leads no more once it asks; a restarted node asks when its promise ends, a refused one again after a heartbeat or two. TestPromises held the time Election; the invariant is the lease, so it now holds the promise to be longer than the lease, and the new exemption, from both sides.

--- a/internal/quorum/core.go
+++ b/internal/quorum/core.go
@@ -45,8 +45,8 @@
 	fetch        *FetchSnapshot
 }
 
-// New makes a core from what the disk had. now is the time on the runtime's clock; the node stays silent for one
-// Election at least, as it may have promised that to a leader before it was restarted.
+// New makes a core from what the disk had. now is the time on the runtime's clock; the node keeps the promise that it
+// may have made to a leader before it was restarted, and campaigns soon after: on a cold start nobody leads.
 // Failures: Settings for a bad Config, Damaged for a Boot that no run could have stored.
 func New(cfg Config, boot Boot, now time.Duration) (*Core, error) {
 	cfg.Election = cmp.Or(cfg.Election, time.Second)
@@ -102,7 +102,10 @@
 		c.dirty = true
 	}
 	c.trust(s.Members)
-	c.postpone()
+	c.campaignAt = now + c.jitter(cfg.Heartbeat)
+	if c.hard.Leader != cfg.ID {
+		c.campaignAt += c.promise()
+	}
 	return c, nil
 }
 
@@ -144,13 +147,26 @@
 	}
 }
 
-// postpone sets the next campaign to Election..2*Election from now.
-func (c *Core) postpone() {
-	c.campaignAt = c.now + c.cfg.Election + time.Duration(c.rnd.Int64N(int64(c.cfg.Election)))
+// jitter draws a time below limit.
+func (c *Core) jitter(limit time.Duration) time.Duration {
+	return time.Duration(c.rnd.Int64N(int64(limit)))
 }
 
-// loyal tells whether a live leader was heard within Election; then other candidates are refused.
-func (c *Core) loyal() bool { return c.role == Leader || c.now < c.heard+c.cfg.Election }
+// postpone sets the next campaign to Election..2*Election from now.
+func (c *Core) postpone() { c.campaignAt = c.now + c.cfg.Election + c.jitter(c.cfg.Election) }
+
+// promise is how long after a word of a leader a node votes for nobody else: the leader's lease, with room for clocks
+// that drift apart.
+func (c *Core) promise() time.Duration { return c.cfg.Lease + (c.cfg.Election-c.cfg.Lease)/3 }
+
+// loyal tells whether this node has promised not to vote for a candidate yet. The promise is made to the leader of the
+// term: once that asks for votes itself, it leads no more.
+func (c *Core) loyal(candidate string) bool {
+	if c.role == Leader {
+		return true
+	}
+	return c.now < c.heard+c.promise() && candidate != c.hard.Leader
+}
 
 // majority gives the highest value that a majority of the voters reaches.
 func majority[T cmp.Ordered](ms []Member, of func(id string) T) (out T) {
@@ -181,7 +197,10 @@
 // follow makes the node a follower in the term; the leader may be unknown.
 func (c *Core) follow(term uint64, leader string) {
 	if term > c.hard.Term {
-		c.hard.Term, c.hard.Vote, c.dirty = term, "", true
+		c.hard.Term, c.hard.Vote, c.hard.Leader, c.dirty = term, "", "", true
+	}
+	if leader != "" && c.hard.Leader != leader {
+		c.hard.Leader, c.dirty = leader, true
 	}
 	if leader != c.leader {
 		c.leaderAddr = ""
@@ -217,7 +236,7 @@
 func (c *Core) sound() {
 	c.role, c.leader, c.leaderAddr, c.force = PreCandidate, "", "", false
 	c.granted = map[string]bool{c.cfg.ID: true}
-	c.postpone()
+	c.campaignAt = c.now + c.cfg.Heartbeat + c.jitter(c.cfg.Heartbeat) // asking again costs little and moves no term
 	if c.won() {
 		c.campaign(false)
 		return
@@ -229,7 +248,7 @@
 func (c *Core) campaign(force bool) {
 	c.role, c.leader, c.force = Candidate, "", force
 	c.hard.Term++
-	c.hard.Vote, c.dirty = c.cfg.ID, true
+	c.hard.Vote, c.hard.Leader, c.dirty = c.cfg.ID, "", true
 	c.granted = map[string]bool{c.cfg.ID: true}
 	c.postpone()
 	if c.won() {
@@ -281,7 +300,7 @@
 		if c.hard.Blank {
 			return
 		}
-		if m.Term > c.hard.Term && !c.loyal() && c.current(m) {
+		if m.Term > c.hard.Term && !c.loyal(m.From) && c.current(m) {
 			c.reply(m, Message{Kind: PreVoteReply, Term: m.Term})
 		} else {
 			c.reply(m, Message{Kind: PreVoteReply, Reject: true})
@@ -297,7 +316,7 @@
 		}
 		return
 	case Vote:
-		if c.hard.Blank || m.Term >= c.hard.Term && !m.Force && c.loyal() {
+		if c.hard.Blank || m.Term >= c.hard.Term && !m.Force && c.loyal(m.From) {
 			return
 		}
 	case VoteReply, Append, AppendReply, Snapshot, SnapshotReply, HandoverNow:
@@ -350,7 +369,7 @@
 }
 
 func (c *Core) onVote(m Message) {
-	free := c.hard.Vote == "" && c.leader == "" || c.hard.Vote == m.From
+	free := c.hard.Vote == "" && c.hard.Leader == "" || c.hard.Vote == m.From
 	if !free || !c.current(m) {
 		c.reply(m, Message{Kind: VoteReply, Reject: true})
 		return
--- a/internal/quorum/lead.go
+++ b/internal/quorum/lead.go
@@ -52,6 +52,7 @@
 // reign makes the node the leader of its term. hold: nobody else voted, so its term may not be synced.
 func (c *Core) reign(hold bool) {
 	c.role, c.leader, c.granted = Leader, c.cfg.ID, nil
+	c.hard.Leader, c.dirty = c.cfg.ID, true
 	c.lead = lead{hold: hold, peers: map[string]*peer{}, first: c.log.last() + 1, beatAt: c.now + c.cfg.Heartbeat,
 		behind: c.commit, mark: c.commit}
 	c.put(Noop, nil)
--- a/internal/quorum/quorum.go
+++ b/internal/quorum/quorum.go
@@ -72,6 +72,8 @@
 type Hard struct {
 	Term uint64 `json:"t"`
 	Vote string `json:"v,omitempty"`
+	// Leader is the leader of Term that this node has led or followed; empty if none.
+	Leader string `json:"l,omitempty"`
 	// Blank: the folder began empty and no committed set has named it a learner yet; it may have forgotten
 	// votes given under its ID, so it neither votes nor campaigns.
 	Blank bool `json:"b,omitempty"`
