Scheduler: find runs that stand still within a second, leave their workers out

Ruled out: wrong estimates (their runs show progress), lost calls. Change: a run stands still after 0.7 s without progress (from its accepted start on), an overdue run is looked at every 0.4 s, and a worker whose run stood still takes no starts for 2 s or until a run there goes on, unless a quarter of the workers are so.

--- a/internal/scheduler/move.go
+++ b/internal/scheduler/move.go
@@ -9,14 +9,14 @@
 
 // Bounds of what is moved away from a slow worker.
 const (
-	slowFactor   = 2.0                     // a run is looked at once it took so many times as long as its peers
-	standstill   = 1500 * time.Millisecond // a run without any progress for so long stands still
-	stillShare   = 0.05                    // if it is also so large a part of its expected time: progress is told in percent
-	mostMoved    = 2                       // times that one task is moved by a leader
-	moveCost     = 500 * time.Millisecond  // a stop, two commits and a start
-	gainFactor   = 1.5                     // what is left must be so many times as long as beginning anew elsewhere
-	freshListing = 2 * time.Second         // progress that was listed longer ago says nothing
-	mostMoves    = 16                      // runs moved by one pass
+	slowFactor   = 2.0                    // a run is looked at once it took so many times as long as its peers
+	standstill   = 700 * time.Millisecond // a run without any progress for so long stands still
+	stillShare   = 0.05                   // if it is also so large a part of its expected time: progress is told in percent
+	mostMoved    = 2                      // times that one task is moved by a leader
+	moveCost     = 500 * time.Millisecond // a stop, two commits and a start
+	gainFactor   = 1.5                    // what is left must be so many times as long as beginning anew elsewhere
+	freshListing = 2 * time.Second        // progress that was listed longer ago says nothing
+	mostMoves    = 16                     // runs moved by one pass
 )
 
 // moveSlow stops runs that stand still or go on far slower than elsewhere, where another worker has room for them. They
@@ -24,7 +24,14 @@
 func (p *placement) moveSlow() {
 	slow := map[jobs.RunKey]*run{} // few of all runs: only these are put in order
 	for key, r := range p.c.runs {
-		if w := p.c.workers[r.worker]; w != nil && w.failures == 0 && p.slow(r) { // else nothing is known of it
+		w := p.c.workers[r.worker]
+		if w == nil || w.failures > 0 || !p.followed(r) {
+			continue // nothing is known of it
+		}
+		if p.standsStill(r) {
+			w.stalledAt = p.now
+			slow[key] = r
+		} else if p.slow(r) {
 			slow[key] = r
 		}
 	}
@@ -42,19 +49,28 @@
 	return time.Duration(float64(max(estimate, leastEstimate)) * ratio)
 }
 
-// slow tells whether what is left of a run takes far longer than beginning it anew elsewhere: it stands still, or other
-// tasks of its step took a fraction of its time.
-func (p *placement) slow(r *run) bool {
+// followed tells whether a run's progress is known and the run may be moved.
+func (p *placement) followed(r *run) bool {
 	if r.lasting || r.gang || !r.listed || r.stop || r.ending || !r.mine || p.now-r.percentAt > freshListing {
 		return false
 	}
-	if p.c.moves[r.key.Task] >= mostMoved {
+	return p.c.moves[r.key.Task] < mostMoved
+}
+
+// standsStill tells whether a run has made no progress for long, against its expected time.
+func (p *placement) standsStill(r *run) bool {
+	still := r.percentAt - r.advancedAt
+	if still < standstill {
 		return false
 	}
+	peers, _ := p.c.speeds.peers(r.key.Task)
+	return still >= time.Duration(stillShare*float64(max(p.c.expected(r.estimate), peers)))
+}
+
+// slow tells whether what is left of a run takes far longer than beginning it anew elsewhere: other tasks of its step
+// took a fraction of its time.
+func (p *placement) slow(r *run) bool {
 	peers, known := p.c.speeds.peers(r.key.Task)
-	if still := r.percentAt - r.advancedAt; still >= standstill {
-		return still >= time.Duration(stillShare*float64(max(p.c.expected(r.estimate), peers)))
-	}
 	elapsed := r.percentAt - r.sentAt
 	if !known || elapsed < time.Duration(slowFactor*float64(peers)) {
 		return false
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -70,7 +70,7 @@
 	if nodes, ok := p.nodes[service]; ok {
 		return nodes
 	}
-	var nodes []*node
+	var nodes, stalled []*node
 	for _, id := range p.c.names {
 		w := p.c.workers[id]
 		rec := w.record()
@@ -86,18 +86,34 @@
 				n.lowest = max(n.lowest, r.priority)
 			}
 		}
-		nodes = append(nodes, n)
+		if w.stalled(p.now) {
+			stalled = append(stalled, n)
+		} else {
+			nodes = append(nodes, n)
+		}
+	}
+	if len(stalled) > len(nodes)/leastSound {
+		nodes = append(nodes, stalled...) // so many at once: better there than nowhere
 	}
 	p.nodes[service] = nodes
 	return nodes
 }
 
-// Pauses after a worker refused a start.
+// Pauses after a worker refused a start, or after a run on it was found standing still.
 const (
-	fullPause = 300 * time.Millisecond
-	sickPause = time.Second
+	fullPause    = 300 * time.Millisecond
+	sickPause    = time.Second
+	stalledPause = 2 * time.Second
 )
 
+// leastSound is how many workers there must be for each one that is left out because its runs stand still.
+const leastSound = 3
+
+// stalled tells whether a worker is left out because its runs stand still.
+func (w *worker) stalled(now time.Duration) bool {
+	return w.stalledAt > 0 && now-w.stalledAt < stalledPause
+}
+
 // takesStarts tells whether a worker may be given starts.
 func (w *worker) takesStarts(c *Core, now time.Duration) bool {
 	rec := w.record()
--- a/internal/scheduler/runs.go
+++ b/internal/scheduler/runs.go
@@ -16,8 +16,9 @@
 	sent   bool // its order may have left
 	sentAt time.Duration
 	// accepted is the sequence at which its start was answered well; 0: not.
-	accepted uint64
-	doubted  bool // its start got no answer
+	accepted   uint64
+	acceptedAt time.Duration
+	doubted    bool // its start got no answer
 	// doubtedAt is the sequence at which that was known.
 	doubtedAt uint64
 	// missing: a hold call sent after that did not list it, so it is stopped, lest it start late.
@@ -214,7 +215,7 @@
 		return
 	}
 	if answer.Refusal == "" {
-		r.accepted = c.sequence
+		r.accepted, r.acceptedAt = c.sequence, now
 		return
 	}
 	c.Counts.Refused++
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -35,6 +35,7 @@
 	orders       int           // start and stop orders under way
 	fullAt       time.Duration // it refused for room then: our account of it is wrong for a moment
 	sickAt       time.Duration // it refused as unhealthy then
+	stalledAt    time.Duration // a run on it was found standing still then, and none has gone on since; 0: none
 	leaving      time.Duration // while draining: when it may be gone, on our clock; 0: unknown
 }
 
@@ -118,17 +119,33 @@
 	return len(w.strays) > 0
 }
 
-// carefulWait is how long a hold call waits at a worker that is called with care.
-const carefulWait = 250 * time.Millisecond
+// Shorter waits of hold calls.
+const (
+	carefulWait = 250 * time.Millisecond // at a worker that is called with care
+	overdueWait = 400 * time.Millisecond // while a run takes longer than expected: it may stand still
+)
 
 // holdWait is how long the next hold call waits.
 func (w *worker) holdWait(c *Core) time.Duration {
-	if c.now < w.carefulUntil {
+	switch {
+	case c.now < w.carefulUntil:
 		return min(c.cfg.HoldWait, carefulWait)
+	case w.overdue(c):
+		return min(c.cfg.HoldWait, overdueWait)
 	}
 	return c.cfg.HoldWait
 }
 
+// overdue tells whether a run on the worker takes longer than expected and might be moved.
+func (w *worker) overdue(c *Core) bool {
+	for _, r := range w.runs {
+		if r.mine && r.sent && !r.lasting && !r.gang && !r.ending && c.now-r.sentAt > c.expected(r.estimate) {
+			return true
+		}
+	}
+	return false
+}
+
 // reachable tells whether the newest call to the worker was answered.
 func (w *worker) reachable() bool { return w.failures == 0 && !w.suspect }
 
@@ -302,6 +319,9 @@
 		if r == nil || r.ending {
 			continue
 		}
+		if e.How == jobs.EndDone {
+			w.stalledAt = 0
+		}
 		c.speeds.ended(c, w, r, e.How)
 		c.end(r, e.How, e.Checkpoint)
 	}
@@ -325,9 +345,12 @@
 		}
 		if !r.listed {
 			r.listed, r.advancedAt = true, c.now
+			if r.accepted != 0 {
+				r.advancedAt = r.acceptedAt
+			}
 		}
 		if l.Percent > r.percent {
-			r.advancedAt = c.now
+			r.advancedAt, w.stalledAt = c.now, 0
 		}
 		r.saved, r.percent, r.percentAt = l.Checkpoint, l.Percent, c.now
 	}
