--- a/cmd/cplane/platform.go
+++ b/cmd/cplane/platform.go
@@ -36,7 +36,7 @@
 	dialTimeout = 700 * time.Millisecond  // a connection to a machine that is gone hangs
 	userTimeout = 1500 * time.Millisecond // how long the kernel resends bytes that nobody confirms
 	exitMargin  = 500 * time.Millisecond  // left of the grace for the process's own end
-	workerIdle  = 4                       // idle connections kept to each worker and node
+	workerIdle  = 5                       // idle connections kept to each worker and node
 )
 
 // platformCommand runs a core node on the users' platform.
