Scheduler: ask a whole zone when several of its workers stop answering

A worker is found silent only by its own calls. Ruled out: shorter leases (the time without a proof is the same for runs begun before). Change: when three workers of a zone are found without an answer within a second, the others are asked at once and take no starts before they answer; a recorded start that waits for others to its worker goes elsewhere as soon as that worker does not answer. Tests: TestLostZone, TestUnsentStart.

--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -306,7 +306,7 @@
 		}
 		w := c.workers[r.worker]
 		j := c.table.Jobs[key.Task.Job]
-		if w == nil || w.record() == nil || j == nil || j.State.Over() || r.stop {
+		if w == nil || w.record() == nil || !w.reachable() || j == nil || j.State.Over() || r.stop {
 			c.end(r, jobs.EndLost, "") // it never left
 			continue
 		}
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -122,7 +122,7 @@
 		return false
 	case !w.clockOK || w.heardAt == 0 || now-w.heardAt > c.cfg.Silence || !w.reachable():
 		return false
-	case !w.answered:
+	case !w.answered || w.answeredAt < w.verifyAt:
 		return false
 	case w.fullAt > 0 && now-w.fullAt < fullPause || w.sickAt > 0 && now-w.sickAt < sickPause:
 		return false
--- a/internal/scheduler/runs.go
+++ b/internal/scheduler/runs.go
@@ -195,14 +195,14 @@
 		c.gone(w)
 		return
 	case StartUnsent:
-		w.careful(now)
+		c.unanswered(w, now)
 		w.failed(c, now)
 		if r != nil && r.sent && !r.listed {
 			c.end(r, jobs.EndLost, "")
 		}
 		return
 	case StartUnknown:
-		w.careful(now)
+		c.unanswered(w, now)
 		w.suspect, w.probe = true, true
 		if r != nil && !r.listed {
 			r.doubted, r.doubtedAt = true, c.sequence
@@ -258,7 +258,7 @@
 	}
 	r.stopping = false
 	if !ok {
-		w.careful(now)
+		c.unanswered(w, now)
 		w.suspect, w.probe = true, true
 		r.retryAt = retry
 		return
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -17,10 +17,13 @@
 
 	heardAt  time.Duration // when it last answered or sent a heartbeat; 0: not under this term
 	answered bool          // it answered a hold call under this term: no older token counts there any more
-	clock    time.Duration // its clock at clockAt
-	clockAt  time.Duration
-	clockOK  bool
-	granted  time.Duration // the latest lease that may be in force there, on its clock; 0: unknown
+	// answeredAt is when it last answered a call; verifyAt, when an answer newer than that began to be needed.
+	answeredAt, verifyAt time.Duration
+	unansweredAt         time.Duration // when the first call since answeredAt was found to be without an answer; 0: never
+	clock                time.Duration // its clock at clockAt
+	clockAt              time.Duration
+	clockOK              bool
+	granted              time.Duration // the latest lease that may be in force there, on its clock; 0: unknown
 
 	holding  uint64 // the hold call that waits; 0: none
 	probing  uint64 // the hold call that asks at once; 0: none
@@ -71,7 +74,7 @@
 
 // heard notes a sign of life, with the worker's clock if it was told.
 func (w *worker) heard(c *Core, now, clock time.Duration) {
-	w.heardAt = max(now, 1)
+	w.heardAt, w.answeredAt = max(now, 1), max(now, 1)
 	w.failures, w.retryAt, w.suspect = 0, 0, false
 	if clock > 0 && (!w.clockOK || clock > w.clock) {
 		w.clock, w.clockAt, w.clockOK = clock, now, true
@@ -88,10 +91,53 @@
 // careFor is how long after a call without an answer a worker is called with care.
 const careFor = 10 * time.Second
 
-// careful begins or prolongs the time in which the worker is called with care: one order at a time, and hold calls that
-// leave the connection free for it. A connection that is given up behind a cut, or whose leader lost its power, stays
-// open at the worker; it takes only so many and resets new ones, so that what is left must do for everything.
-func (w *worker) careful(now time.Duration) { w.carefulUntil = now + careFor }
+// unanswered notes that a call to the worker got no answer.
+//
+// From then on the worker is called with care for a while: one order at a time, and hold calls that leave the connection
+// free for it. A connection that is given up behind a cut, or whose leader lost its power, stays open at the worker; it
+// takes only so many and resets new ones, so that what is left must do for everything.
+func (c *Core) unanswered(w *worker, now time.Duration) {
+	w.carefulUntil = now + careFor
+	if w.unansweredAt <= w.answeredAt {
+		w.unansweredAt = max(now, 1)
+		c.verifyZone(w, now)
+	}
+}
+
+// Bounds of the suspicion that a whole zone is lost.
+const (
+	zoneLosses   = 3                     // workers of a zone without an answer
+	zoneLossSpan = time.Second           // within which they were found
+	freshAnswer  = 50 * time.Millisecond // an answer that is younger needs no other
+)
+
+// verifyZone asks all workers of a worker's zone at once, if several of them have stopped answering. None takes starts
+// before it has answered: a start that is sent into a lost zone is stuck until the worker's lease ends.
+func (c *Core) verifyZone(w *worker, now time.Duration) {
+	rec := w.record()
+	if rec == nil {
+		return
+	}
+	var others []*worker
+	losses := 0
+	for _, other := range c.order {
+		otherRec := other.record()
+		if otherRec == nil || otherRec.Zone != rec.Zone {
+			continue
+		}
+		if other.unansweredAt > other.answeredAt && now-other.unansweredAt <= zoneLossSpan {
+			losses++
+		} else if now-other.answeredAt > freshAnswer {
+			others = append(others, other)
+		}
+	}
+	if losses < zoneLosses {
+		return
+	}
+	for _, other := range others {
+		other.verifyAt, other.probe = now, true
+	}
+}
 
 // mayOrder tells whether one more order may be under way to the worker.
 func (w *worker) mayOrder(c *Core) bool {
@@ -290,7 +336,7 @@
 		c.gone(w)
 		return
 	case HoldFailed, HoldFenced:
-		w.careful(now)
+		c.unanswered(w, now)
 		w.failed(c, now)
 		w.probe = w.probe || len(w.runs) > 0 || !w.answered
 		return
--- /dev/null
+++ b/internal/scheduler/zone_test.go
@@ -0,0 +1,104 @@
+package scheduler
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"crosstide/internal/jobs"
+)
+
+// newZones makes a core with four workers in each of the zones east and west; all have answered.
+func newZones() *harness {
+	h := newHarness()
+	for _, zone := range []string{"east", "west"} {
+		for i := range 4 {
+			worker := jobs.Worker{ID: fmt.Sprint(zone, i), Service: "s", Zone: zone, Capacity: jobs.Resources{MilliCPU: 4000}}
+			So(h.table.Register(jobs.Register{Workers: []jobs.Worker{worker}}), ShouldBeNil)
+		}
+	}
+	h.pass()
+	h.answerAll(nil)
+	h.pass()
+	h.now += time.Second
+	return h
+}
+
+// loseStarts lets the start orders of the newest passes to some workers go without an answer.
+func (h *harness) loseStarts(workers ...string) {
+	for _, s := range h.sent {
+		for _, id := range workers {
+			if s.Worker.ID == id {
+				h.core.StartAnswered(h.now, id, s.Order.Key, StartAnswer{}, StartUnknown)
+			}
+		}
+	}
+}
+
+func (h *harness) startedOn() map[string]int {
+	on := map[string]int{}
+	for _, s := range h.sent {
+		on[s.Worker.ID]++
+	}
+	return on
+}
+
+func TestLostZone(t *testing.T) {
+	wide := jobs.Step{Count: 9, Estimate: time.Hour, Needs: jobs.Resources{MilliCPU: 1500}}
+	Convey("When several workers of a zone answer no more, its others get no starts before they have answered", t, func() {
+		h := newZones()
+		h.submit(wide)
+		h.pass()
+		So(h.startedOn(), ShouldHaveLength, 9)
+		h.loseStarts("east0", "east1", "east2")
+		h.submitTo("q", "more", jobs.Step{Count: 6, Estimate: time.Hour, Needs: jobs.Resources{MilliCPU: 1500}})
+		h.pass()
+		So(h.startedOn()["east3"], ShouldEqual, 0)
+		So(h.startedOn()["west0"], ShouldEqual, 1)
+		Convey("which they are asked for at once", func() {
+			asked := false
+			for _, hold := range h.holds {
+				if hold.Worker.ID == "east3" {
+					asked = true
+					h.core.HoldAnswered(h.now, "east3", hold.Number, HoldAnswer{Clock: time.Minute + h.now}, HoldOK)
+				}
+			}
+			So(asked, ShouldBeTrue)
+			h.pass()
+			So(h.startedOn()["east3"], ShouldEqual, 1)
+		})
+	})
+	Convey("Two workers without an answer say nothing of their zone", t, func() {
+		h := newZones()
+		h.submit(wide)
+		h.pass()
+		h.loseStarts("east0", "east1")
+		h.submitTo("q", "more", jobs.Step{Count: 7, Estimate: time.Hour, Needs: jobs.Resources{MilliCPU: 1500}})
+		h.pass()
+		So(h.startedOn()["east3"], ShouldEqual, 1)
+	})
+}
+
+func TestUnsentStart(t *testing.T) {
+	Convey("A start that waits for others to a worker goes elsewhere once the worker does not answer", t, func() {
+		h := newHarness()
+		h.core.cfg.MostOrders = 1
+		h.submit(jobs.Step{Count: 3, Estimate: time.Hour, Needs: jobs.Resources{MilliCPU: 1000}})
+		h.pass()
+		So(h.sent, ShouldHaveLength, 1)
+		So(h.table.RunsOn("w"), ShouldHaveLength, 3)
+		h.loseStarts("w")
+		So(h.table.Register(jobs.Register{Workers: []jobs.Worker{{ID: "x", Service: "s", Capacity: jobs.Resources{MilliCPU: 4000}}}}), ShouldBeNil)
+		h.pass()
+		So(h.table.RunsOn("w"), ShouldHaveLength, 1)
+		for _, hold := range h.holds {
+			if hold.Worker.ID == "x" {
+				h.core.HoldAnswered(h.now, "x", hold.Number, HoldAnswer{Clock: time.Minute + h.now}, HoldOK)
+			}
+		}
+		h.pass()
+		So(h.table.RunsOn("x"), ShouldHaveLength, 2)
+	})
+}
