Store: a member whose disk is full stays up, acknowledges nothing and tries again

Ruled out: going on after a failed sync (what it left behind is unknown; stays fatal); cutting the file back to its synced length (a second way of recovery beside the start). Change: storage marks writes, creates and renames refused with ENOSPC or EDQUOT (IsFull); Resume reads the folder as a start does, so what counts is decided in one place. The store retries with a pause of 0.1 to 2 s and logs; the lead is handed over as with a hanging disk. A start on a full disk waits too. Tests: every amount of room left, byte by byte, for an append, a replacing append, a slot and a start; leader full for 30 s, no process ended and the node counts for the majority afterwards; disks that hang, one after the other. Without the retry TestFullDiskOfLeader fails.

--- a/cmd/cplane/platform.go
+++ b/cmd/cplane/platform.go
@@ -76,7 +76,7 @@
 	caller := rpc.NewCaller(rpc.CallerOptions{DialTimeout: dialTimeout, UserTimeout: userTimeout, Idle: workerIdle,
 		Logger: daemon.Part(logger, "caller")})
 	defer caller.Close()
-	node, err := newCoreNode(core, settings.Limits.FileDescriptors, caller, logger)
+	node, err := newCoreNode(ctx, core, settings.Limits.FileDescriptors, caller, logger)
 	if err != nil {
 		return errs.Pass(err, "make the node")
 	}
@@ -111,11 +111,11 @@
 	}
 }
 
-func newCoreNode(core platform.CoreSettings, descriptors int, caller *rpc.Caller, logger log.Logger) (*coreNode, error) {
+func newCoreNode(ctx context.Context, core platform.CoreSettings, descriptors int, caller *rpc.Caller, logger log.Logger) (*coreNode, error) {
 	set := storeSettings(core)
 	node := &coreNode{settings: core, logger: logger}
 	var err error
-	node.store, err = open(store.Options{Settings: set, Net: store.Wire(caller, set), Logger: daemon.Part(logger, "store"),
+	node.store, err = open(ctx, store.Options{Settings: set, Net: store.Wire(caller, set), Logger: daemon.Part(logger, "store"),
 		Fatal: func(err error) {
 			_ = level.Error(logger).Log("msg", "the process ends", "err", err)
 			os.Exit(1)
--- a/cmd/cplane/run.go
+++ b/cmd/cplane/run.go
@@ -44,7 +44,7 @@
 			os.Exit(1)
 		},
 	}
-	s, err := open(opt, logger)
+	s, err := open(ctx, opt, logger)
 	if err != nil {
 		return errs.Pass(err, "open %s", set.Data)
 	}
@@ -82,15 +82,15 @@
 }
 
 // open opens the store's folder. A damaged one is no member's disk any more: it is set aside, with an open
-// membership its files are removed instead, and the node joins as a replaced machine.
-func open(opt store.Options, logger log.Logger) (*store.Store, error) {
+// membership its files are removed instead, and the node joins as a replaced machine. While the disk is full it waits.
+func open(ctx context.Context, opt store.Options, logger log.Logger) (*store.Store, error) {
 	dir := filepath.Clean(opt.Settings.Data)
 	disk, err := storage.OSDisk(dir)
 	if err != nil {
 		return nil, errs.Pass(err, "folder")
 	}
 	opt.Disk = disk
-	s, err := store.Open(opt)
+	s, err := store.OpenWhenRoom(ctx, opt)
 	if !errs.Is(err, errs.Damaged) {
 		return s, errs.Pass(err, "store")
 	}
@@ -99,7 +99,7 @@
 		if err := store.Discard(disk); err != nil {
 			return nil, errs.Pass(err, "discard the damaged folder")
 		}
-		s, err = store.Open(opt)
+		s, err = store.OpenWhenRoom(ctx, opt)
 		return s, errs.Pass(err, "store")
 	}
 	aside := dir + ".damaged-" + clock.Real{}.Wall().UTC().Format("20060102T150405")
@@ -111,7 +111,7 @@
 		return nil, errs.Pass(err, "folder")
 	}
 	opt.Damaged = true
-	s, err = store.Open(opt)
+	s, err = store.OpenWhenRoom(ctx, opt)
 	return s, errs.Pass(err, "store")
 }
 
--- a/cmd/cplane/run_test.go
+++ b/cmd/cplane/run_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"os"
 	"path/filepath"
 	"testing"
@@ -71,4 +72,6 @@
 	})
 }
 
-func openStore(opt store.Options) (*store.Store, error) { return open(opt, log.NewNopLogger()) }
+func openStore(opt store.Options) (*store.Store, error) {
+	return open(context.Background(), opt, log.NewNopLogger())
+}
--- /dev/null
+++ b/internal/storage/full_test.go
@@ -0,0 +1,141 @@
+package storage
+
+import (
+	"math/rand"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"golang.org/x/sys/unix"
+
+	"crosstide/internal/errs"
+)
+
+// limited is a disk with room for so many more bytes and names; a write beyond it keeps what fits and is refused.
+type limited struct {
+	Disk
+	room *int
+}
+
+type limitedFile struct {
+	File
+	room *int
+}
+
+// nameCost is what a new name takes.
+const nameCost = 8
+
+func (d limited) Create(name string) (File, error) {
+	if *d.room < nameCost {
+		return nil, unix.ENOSPC
+	}
+	*d.room -= nameCost
+	file, err := d.Disk.Create(name)
+	return limitedFile{file, d.room}, errs.Pass(err, "create")
+}
+
+func (f limitedFile) Write(p []byte) (int, error) {
+	if fits := *f.room; fits < len(p) {
+		*f.room = 0
+		n, err := f.File.Write(p[:fits])
+		if err != nil {
+			return n, errs.Pass(err, "write")
+		}
+		return n, unix.ENOSPC
+	}
+	*f.room -= len(p)
+	n, err := f.File.Write(p)
+	return n, errs.Pass(err, "write")
+}
+
+const plenty = 1 << 20
+
+func TestFullDisk(t *testing.T) {
+	// step does one thing with a store whose disk may be full, and gives the records that count when it succeeds.
+	type step struct {
+		name string
+		do   func(s *Store, m model) error
+		then func(m model) model
+	}
+	steps := []step{
+		{"append", func(s *Store, _ model) error { return s.Append([]Record{hard(12), entry(12, 12)}) },
+			func(m model) model { return m.with(hard(12), entry(12, 12)) }},
+		{"append that replaces", func(s *Store, _ model) error { return s.Append([]Record{entry(12, 10)}) },
+			func(m model) model { m = m.with(entry(12, 10)); m.entries = m.entries[:10]; return m }},
+		{"slot", func(s *Store, m model) error { return s.WriteSlot(m.image(11), 0) },
+			func(m model) model { return m }},
+	}
+	for _, step := range steps {
+		Convey("However little room is left, nothing synced is lost and the store goes on once there is room: "+step.name, t, func() {
+			refusals := 0
+			for room := 0; room < 2000; room++ {
+				full, done := playFull(room, step.do, step.then)
+				if done {
+					break
+				}
+				refusals += full
+			}
+			So(refusals, ShouldBeGreaterThan, 20)
+		})
+	}
+	Convey("A failed sync stays fatal: Resume refuses", t, func() {
+		d, _ := filled()
+		s := must(Open(d, virtual))
+		d.FailSync(1)
+		err := s.Append([]Record{entry(12, 12)})
+		So(err, shouldBe, errs.Disk)
+		So(IsFull(err), ShouldBeFalse)
+		So(s.Resume(), shouldBe, errs.Disk)
+		So(s.Append([]Record{entry(12, 12)}), shouldBe, errs.Disk)
+	})
+	Convey("A start on a full disk is refused, changes nothing that counts, and can be tried again", t, func() {
+		for room := 0; room < 400; room++ {
+			d, m := filled()
+			left := room
+			s, _, err := Open(limited{d, &left}, virtual)
+			if err == nil {
+				So(s.Close(), ShouldBeNil)
+				So(room, ShouldBeGreaterThan, 20)
+				return
+			}
+			So(IsFull(err), ShouldBeTrue)
+			left = plenty
+			_, boot, err := Open(limited{d, &left}, virtual)
+			So(err, ShouldBeNil)
+			So(m.fits(boot), ShouldBeTrue)
+		}
+		So("a start that fits", ShouldEqual, "")
+	})
+}
+
+// playFull does a step on a disk with so much room, looks after a loss of power at what lasts, and then does it again
+// with room. It gives whether the first try found the disk full, and whether it succeeded.
+func playFull(room int, do func(*Store, model) error, then func(model) model) (full int, done bool) {
+	d, m := filled()
+	left := plenty
+	s := must(Open(limited{d, &left}, virtual))
+	left = room
+	err := do(s, m)
+	if err == nil {
+		return 0, true
+	}
+	So(IsFull(err), ShouldBeTrue)
+	lasts := d.Clone()
+	lasts.Crash(rand.New(rand.NewSource(int64(room))))
+	_, boot, err := Open(lasts, virtual)
+	So(err, ShouldBeNil)
+	So(m.fits(boot) || then(m).fits(boot) || m.with(hard(12)).fits(boot), ShouldBeTrue)
+
+	left = 0
+	if err := s.Resume(); err != nil { // a slot that found no room has broken nothing
+		So(IsFull(err), ShouldBeTrue)
+		So(IsFull(s.Append([]Record{hard(13)})), ShouldBeTrue)
+	}
+	left = plenty
+	So(s.Resume(), ShouldBeNil)
+	So(do(s, m), ShouldBeNil)
+	d.Crash(rand.New(rand.NewSource(int64(room))))
+	_, boot, err = Open(d, virtual)
+	So(err, ShouldBeNil)
+	So(then(m).fits(boot), ShouldBeTrue)
+	return 1, false
+}
--- a/internal/storage/storage.go
+++ b/internal/storage/storage.go
@@ -326,11 +326,12 @@
 func (s *Store) place(name string, parts ...[]byte) (File, error) {
 	file, err := s.disk.Create(name + loose)
 	if err != nil {
-		return nil, errs.Wrap(err, errs.Disk, "create %s", name)
+		return nil, errs.Wrap(refused(err), errs.Disk, "create %s", name)
 	}
 	bytes := 0
 	for _, p := range parts {
 		if _, err = file.Write(p); err != nil {
+			err = refused(err)
 			break
 		}
 		bytes += len(p)
@@ -339,7 +340,7 @@
 		err = file.Sync()
 	}
 	if err == nil {
-		err = s.disk.Rename(name+loose, name)
+		err = refused(s.disk.Rename(name+loose, name))
 	}
 	if err == nil {
 		err = s.disk.Sync()
@@ -389,7 +390,7 @@
 // Append writes recs with one write and one sync and returns when they last. An entry replaces the one of its
 // index and all after it; it must follow the last entry without a hole and lie past the newest image. Failures:
 // Invalid and TooLarge (nothing was written), Stopped, Disk (a write or sync failed, now or before: end the
-// process, what recs became is unknown). Example:
+// process, or call Resume if IsFull; what recs became is unknown). Example:
 //
 //	err := store.Append([]storage.Record{{Kind: storage.KindHard, Data: vote}, {Term: 2, Index: 9, Data: order}})
 func (s *Store) Append(recs []Record) error {
@@ -417,7 +418,7 @@
 		s.buf = appendRecord(s.buf, s.segments[len(s.segments)-1].number, s.size, r)
 	}
 	if _, err := s.file.Write(s.buf); err != nil {
-		return errs.Pass(s.fail(errs.Wrap(err, errs.Disk, "write the log")), "append %d records", len(recs))
+		return errs.Pass(s.fail(errs.Wrap(refused(err), errs.Disk, "write the log")), "append %d records", len(recs))
 	}
 	from := s.clock.Now()
 	if err := s.file.Sync(); err != nil {
@@ -446,7 +447,8 @@
 // whose entries all lie at or before the slot before it, and before keepFrom if that is not 0. Appends go on
 // meanwhile but for the change of segment. An image of the own log must have the Term of its entry; one that
 // came from another member must be written before the entries after it are appended: entries that it
-// contradicts fall. Failures: Invalid (older than the newest slot), Stopped, Disk (as with Append). Example:
+// contradicts fall. Failures: Invalid (older than the newest slot), Stopped, Disk (as with Append; after IsFull the
+// slot may be written again). Example:
 //
 //	err := store.WriteSlot(storage.Image{Index: applied, Term: term, Meta: members, Body: state}, 0)
 func (s *Store) WriteSlot(img Image, keepFrom uint64) error {
@@ -464,6 +466,11 @@
 	img.Number = before.Number + 1
 	head, tail := slotParts(img)
 	file, err := s.place(slotNames[at], head, img.Body, tail)
+	if IsFull(err) {
+		if loose := s.dropLoose(slotNames[at]); loose == nil {
+			return errs.Pass(err, "slot %d", img.Number) // nothing has changed
+		}
+	}
 	if err == nil {
 		_ = file.Close() // synced before
 		err = s.rotate(img, at, before.Index, keepFrom)
--- a/internal/store/disk.go
+++ b/internal/store/disk.go
@@ -36,8 +36,12 @@
 		if len(batch) == 0 {
 			continue
 		}
-		if err := s.write(batch); err != nil {
-			s.fatal(errs.Pass(err, "store the log"))
+		err := s.whenRoom(ctx, "store the log", func() error { return errs.Pass(s.write(batch), "batch") })
+		if errs.Is(err, errs.Stopped) {
+			return
+		}
+		if err != nil {
+			s.fatal(err)
 			return
 		}
 		s.stored(batch)
@@ -128,11 +132,14 @@
 			return
 		case <-s.shadowKick:
 		}
-		in, err := s.trail()
+		in, err := s.trail(ctx)
 		if err == nil && in != nil {
 			err = s.adopt(ctx, in)
 			close(in.done)
 		}
+		if errs.Is(err, errs.Stopped) {
+			return
+		}
 		if err != nil {
 			s.fatal(err)
 			return
@@ -141,7 +148,7 @@
 }
 
 // trail brings the shadow up to what is stored here and gives the image that waits to be adopted, if any.
-func (s *Store) trail() (*install, error) {
+func (s *Store) trail(ctx context.Context) (*install, error) {
 	s.mu.Lock()
 	in := s.install
 	s.install = nil
@@ -155,7 +162,7 @@
 	}
 	s.mu.Unlock()
 	for i := range batch {
-		if err := s.follow(batch[i]); err != nil {
+		if err := s.follow(ctx, batch[i]); err != nil {
 			return in, errs.Pass(err, "trail")
 		}
 		batch[i].Data = nil
@@ -164,7 +171,7 @@
 }
 
 // follow applies an entry to the shadow, and writes a slot when one is due.
-func (s *Store) follow(e quorum.Entry) error {
+func (s *Store) follow(ctx context.Context, e quorum.Entry) error {
 	if e.Index <= s.shadow.Index {
 		return nil // an image that was adopted has it
 	}
@@ -180,10 +187,10 @@
 	if s.shadowSince < s.set.SlotEvery && s.shadowBytes < maxBytes {
 		return nil
 	}
-	return errs.Pass(s.writeSlot(), "slot at %d", e.Index)
+	return errs.Pass(s.writeSlot(ctx), "slot at %d", e.Index)
 }
 
-func (s *Store) writeSlot() error {
+func (s *Store) writeSlot(ctx context.Context) error {
 	from := s.clock.Now()
 	body, err := s.shadow.Encode()
 	if err != nil {
@@ -194,8 +201,9 @@
 	if err != nil {
 		return errs.Wrap(err, errs.Internal, "encode the meta of a slot")
 	}
-	if err := s.slots.WriteSlot(storage.Image{Index: meta.Index, Term: meta.Term, Meta: raw, Body: body}, 0); err != nil {
-		return errs.Pass(err, "write a slot")
+	image := storage.Image{Index: meta.Index, Term: meta.Term, Meta: raw, Body: body}
+	if err := s.whenRoom(ctx, "write a slot", func() error { return errs.Pass(s.slots.WriteSlot(image, 0), "own state") }); err != nil {
+		return errs.Pass(err, "slot")
 	}
 	took := s.clock.Now() - from
 	s.meter.slots.Observe(took.Seconds())
@@ -237,7 +245,7 @@
 			return nil
 		}
 	}
-	return errs.Pass(s.put(in), "adopt")
+	return errs.Pass(s.put(ctx, in), "adopt")
 }
 
 // freeze holds the core still if the image is newer than what is committed here.
@@ -263,9 +271,9 @@
 }
 
 // put stores the image and puts it in the place of the own state.
-func (s *Store) put(in *install) error {
-	if err := s.slots.WriteSlot(in.image, 0); err != nil {
-		return errs.Pass(err, "write a fetched snapshot")
+func (s *Store) put(ctx context.Context, in *install) error {
+	if err := s.whenRoom(ctx, "write a fetched snapshot", func() error { return errs.Pass(s.slots.WriteSlot(in.image, 0), "image") }); err != nil {
+		return errs.Pass(err, "put")
 	}
 	shadow, err := state.Decode(in.image.Body)
 	if err != nil {
--- a/internal/store/hand.go
+++ b/internal/store/hand.go
@@ -129,7 +129,7 @@
 
 // Shade brings the shadow up and adopts a fetched image once the disk is idle.
 func (h *Hand) Shade() error {
-	in, err := h.s.trail()
+	in, err := h.s.trail(context.Background())
 	if err != nil {
 		return errs.Pass(err, "shade")
 	}
@@ -141,7 +141,7 @@
 	}
 	in, h.in = h.in, nil
 	defer h.s.thaw()
-	return errs.Pass(h.s.put(in), "shade")
+	return errs.Pass(h.s.put(context.Background(), in), "shade")
 }
 
 // Fetch fetches the snapshot that the core asked for, at once; nothing if it asked for none.
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -132,18 +132,7 @@
 //	s.Start()
 //	defer s.Stop()
 func Open(opt Options) (*Store, error) {
-	if opt.Clock == nil {
-		opt.Clock = clock.Real{}
-	}
-	if opt.Logger == nil {
-		opt.Logger = log.NewNopLogger()
-	}
-	if opt.Draw == nil {
-		opt.Draw = rand.Text
-	}
-	if opt.Seed == 0 {
-		opt.Seed = new(maphash.Hash).Sum64()
-	}
+	opt = opt.withDefaults()
 	if strings.Contains(opt.Settings.Name, "~") {
 		return nil, errs.Field(errs.Settings, "name", "must not hold ~, which sets the incarnation of a folder apart")
 	}
@@ -163,6 +152,23 @@
 	return s, nil
 }
 
+// withDefaults fills in what the caller left out.
+func (opt Options) withDefaults() Options {
+	if opt.Clock == nil {
+		opt.Clock = clock.Real{}
+	}
+	if opt.Logger == nil {
+		opt.Logger = log.NewNopLogger()
+	}
+	if opt.Draw == nil {
+		opt.Draw = rand.Text
+	}
+	if opt.Seed == 0 {
+		opt.Seed = new(maphash.Hash).Sum64()
+	}
+	return opt
+}
+
 // Start lets the store take part. It returns at once.
 func (s *Store) Start() { s.group.Go(s.run) }
 
@@ -203,9 +209,11 @@
 }
 
 // rest waits for d; false if ctx ended first.
-func (s *Store) rest(ctx context.Context, d time.Duration) bool {
+func (s *Store) rest(ctx context.Context, d time.Duration) bool { return rest(ctx, s.clock, d) }
+
+func rest(ctx context.Context, by clock.Clock, d time.Duration) bool {
 	over := make(chan struct{})
-	defer s.clock.Set(d, func() { close(over) }).Stop()
+	defer by.Set(d, func() { close(over) }).Stop()
 	select {
 	case <-over:
 		return true
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -1,6 +1,7 @@
 package store
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math/rand"
@@ -12,6 +13,7 @@
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
+	"golang.org/x/sys/unix"
 
 	"crosstide/internal/api"
 	"crosstide/internal/clock"
@@ -39,36 +41,85 @@
 	seed  uint64          // of the nodes that start from now on, besides their names
 	slow  atomic.Int64    // nanoseconds that a sync takes on the virtual clock
 	cut   map[string]bool // addresses of nodes that are cut off from all others: calls to and from them time out
+	full  map[string]bool // names of nodes whose disks refuse writes
+	hangs map[string]bool // names of nodes whose disks end no sync
 }
 
-// paced is a disk whose syncs take the rig's time.
+// paced is a disk whose syncs take the rig's time, and that is full when the rig says so.
 type paced struct {
 	storage.Disk
-	r *testStores
+	r    *testStores
+	name string
 }
 
 type pacedFile struct {
 	storage.File
-	r *testStores
+	r    *testStores
+	name string
 }
 
 func (d paced) Create(name string) (storage.File, error) {
+	if d.r.isFull(d.name) {
+		return nil, unix.ENOSPC
+	}
 	f, err := d.Disk.Create(name)
-	return pacedFile{f, d.r}, err
+	return pacedFile{f, d.r, d.name}, err
+}
+
+func (f pacedFile) Write(p []byte) (int, error) {
+	if !f.r.isFull(f.name) {
+		return f.File.Write(p)
+	}
+	n, err := f.File.Write(p[:len(p)/2])
+	return n, cmp.Or(err, error(unix.ENOSPC))
 }
 
 func (f pacedFile) Sync() error {
+	for f.r.doesHang(f.name) {
+		f.r.sleep(10 * time.Millisecond)
+	}
 	if took := time.Duration(f.r.slow.Load()); took > 0 {
-		over := make(chan struct{})
-		f.r.clock.Set(took, func() { close(over) })
-		<-over
+		f.r.sleep(took)
 	}
 	return f.File.Sync()
 }
 
+// sleep waits on the rig's clock.
+func (r *testStores) sleep(d time.Duration) {
+	over := make(chan struct{})
+	r.clock.Set(d, func() { close(over) })
+	<-over
+}
+
+func (r *testStores) isFull(name string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.full[name]
+}
+
+// fill makes a node's disk refuse writes, or take them again.
+func (r *testStores) fill(name string, full bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.full[name] = full
+}
+
+func (r *testStores) doesHang(name string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.hangs[name]
+}
+
+// hang makes syncs of a node's disk wait, or end again.
+func (r *testStores) hang(name string, hangs bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.hangs[name] = hangs
+}
+
 func newTestStores(n, slotEvery int, operators ...signature.Key) *testStores {
 	r := &testStores{set: config.DefaultCplane(), disks: map[string]*storage.MemDisk{}, nodes: map[string]*Store{},
-		died: map[string]error{}, work: routine.New(context.Background()), acked: map[string]uint64{}, cut: map[string]bool{}}
+		died: map[string]error{}, work: routine.New(context.Background()), acked: map[string]uint64{}, cut: map[string]bool{}, full: map[string]bool{}, hangs: map[string]bool{}}
 	r.set.SlotEvery = slotEvery
 	for _, key := range operators {
 		r.set.OperatorKeys = append(r.set.OperatorKeys, config.OperatorKey{Name: key.Name, Key: key.Public()})
@@ -84,15 +135,18 @@
 	return r
 }
 
-func (r *testStores) start(name string) {
+// options are those that a node starts with.
+func (r *testStores) options(name string) Options {
 	set := r.set
 	set.Name, set.Addr, set.Zone = name, name, "z"
+	return Options{Settings: set, Disk: paced{r.disks[name], r, name}, Net: net{r, name}, Clock: &r.clock, Seed: uint64(name[1]) + r.seed,
+		Fatal: func(err error) { r.mu.Lock(); r.died[name] = err; r.mu.Unlock() }}
+}
+
+func (r *testStores) start(name string) {
 	var s *Store
 	var err error
-	r.call(func(context.Context) { // its syncs may take time
-		s, err = Open(Options{Settings: set, Disk: paced{r.disks[name], r}, Net: net{r, name}, Clock: &r.clock, Seed: uint64(name[1]) + r.seed,
-			Fatal: func(err error) { r.mu.Lock(); r.died[name] = err; r.mu.Unlock() }})
-	})
+	r.call(func(context.Context) { s, err = Open(r.options(name)) }) // its syncs may take time
 	So(err, ShouldBeNil)
 	r.mu.Lock()
 	r.nodes[name] = s
