Scheduler: a worker that has deregistered is kept until it was silent for long

Cause: a worker without runs that had said that it ends was forgotten after one call that failed. Some workers deregister first and serve on for seconds; a heartbeat that came late, or the next one, then registered it as a new worker in state ready, and it was given starts until it ended. Ruled out: remembering the IDs of those that left at the leader (the next leader would not have them). Change: forgotten like any other worker, after ForgetAfter without a sign of life; those that have left are not counted among the silent ones in the log. Its runs were kept before and are kept now. Test: TestDeregisteredWorkerServesOn, the last part of which failed before.

--- a/internal/scheduler/health.go
+++ b/internal/scheduler/health.go
@@ -4,7 +4,7 @@
 
 // Health is what an operator wants to know of the workers under the present term.
 type Health struct {
-	Silent  map[string]int // by zone: workers that were not heard for Config.Silence
+	Silent  map[string]int // by zone: workers that were not heard for Config.Silence; those that have left are not counted
 	Workers int
 	Counts  Counts
 }
@@ -15,7 +15,7 @@
 	for _, id := range c.names {
 		w := c.workers[id]
 		rec := w.record()
-		if rec == nil {
+		if rec == nil || rec.Left {
 			continue
 		}
 		health.Workers++
--- /dev/null
+++ b/internal/scheduler/leaving_test.go
@@ -0,0 +1,80 @@
+package scheduler
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"crosstide/internal/jobs"
+)
+
+// deregister records that the worker says that it ends.
+func (h *harness) deregister() {
+	worker := *h.table.Workers["w"]
+	worker.Left = true
+	So(h.table.Register(jobs.Register{Workers: []jobs.Worker{worker}}), ShouldBeNil)
+}
+
+// TestDeregisteredWorkerServesOn is a worker that never says that it drains: it deregisters, serves on, and ends.
+func TestDeregisteredWorkerServesOn(t *testing.T) {
+	Convey("Given a run on a worker that has deregistered and serves on", t, func() {
+		h := newHarness()
+		h.submit(jobs.Step{Count: 2, Needs: jobs.Resources{MilliCPU: 1000}, Estimate: time.Second, MostPerNode: 1})
+		h.pass()
+		h.accept()
+		So(h.sent, ShouldHaveLength, 1)
+		key := h.sent[0].Order.Key
+		h.answer(HoldAnswer{Running: []Listed{{Key: key}}})
+		h.pass()
+		h.deregister()
+		h.submitTo("urgent", "k", jobs.Step{Count: 1, Needs: jobs.Resources{MilliCPU: 1000}, Estimate: time.Second})
+		Convey("its lease is renewed, nothing more starts there, and its end is taken in", func() {
+			for range 20 {
+				h.now += 200 * time.Millisecond
+				h.core.Beat(h.now, "w", time.Minute+h.now, 0)
+				h.pass()
+				So(h.sent, ShouldBeEmpty)
+				if len(h.holds) > 0 {
+					So(h.holds[len(h.holds)-1].Call.Deadline, ShouldBeGreaterThan, time.Minute+h.now)
+					h.answer(HoldAnswer{Running: []Listed{{Key: key}}})
+				}
+			}
+			So(h.table.RunsOn("w"), ShouldHaveLength, 1)
+			h.pass()
+			h.answer(HoldAnswer{Ended: []Ended{{Sequence: 1, Key: key, How: jobs.EndDone}}})
+			h.pass()
+			So(h.table.Jobs["j"].Rounds[0][0][key.Task.Index].Done, ShouldBeTrue)
+			So(h.sent, ShouldBeEmpty)
+		})
+		Convey("when it has ended, its run is dead once the lease is surely over, not before", func() {
+			h.failHolds(Defaults().Lease-time.Second, false)
+			So(h.table.RunsOn("w"), ShouldHaveLength, 1)
+			h.failHolds(4*time.Second, false)
+			So(h.table.RunsOn("w"), ShouldBeEmpty)
+		})
+		Convey("when another life answers in its place, its run is dead at once", func() {
+			h.core.HoldAnswered(h.now, "w", h.holds[len(h.holds)-1].Number, HoldAnswer{}, HoldOtherLife)
+			h.pass()
+			So(h.table.RunsOn("w"), ShouldBeEmpty)
+		})
+	})
+	Convey("A deregistered worker without runs is not forgotten over one call that failed: a late heartbeat would make it "+
+		"pass for a new one", t, func() {
+		h := newHarness()
+		h.submit(jobs.Step{Count: 1, Needs: jobs.Resources{MilliCPU: 1000}, Estimate: time.Second})
+		h.pass()
+		h.deregister()
+		h.core.StartAnswered(h.now, "w", h.sent[0].Order.Key, StartAnswer{}, StartUnsent)
+		for range 10 {
+			h.now += time.Second
+			h.core.Beat(h.now, "w", time.Minute+h.now, 0) // it serves on
+			h.pass()
+			So(h.table.Workers["w"], ShouldNotBeNil)
+			So(h.sent, ShouldBeEmpty)
+		}
+		h.now += Defaults().ForgetAfter
+		h.pass()
+		So(h.table.Workers["w"], ShouldBeNil)
+	})
+}
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -369,7 +369,8 @@
 	return r.accepted != 0 && r.accepted < number
 }
 
-// forgotten gives the workers without runs that are gone.
+// forgotten gives the workers without runs that are gone: silent for long. One that said that it ends serves on for a
+// while, and heartbeats that it sent before may come late; forgotten too soon, it would come back as a new one.
 func (c *Core) forgotten(now time.Duration) []string {
 	var out []string
 	for _, w := range c.order {
@@ -377,8 +378,7 @@
 		if rec == nil || len(w.runs) > 0 || w.orders > 0 {
 			continue
 		}
-		silent := now-max(w.heardAt, c.since) > c.cfg.ForgetAfter
-		if silent || rec.Left && w.failures > 0 {
+		if now-max(w.heardAt, c.since) > c.cfg.ForgetAfter {
 			out = append(out, w.id)
 		}
 	}
