--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -178,8 +178,8 @@
 		events, notes := l.take()
 		for _, note := range notes {
 			l.core.Note(note)
-			if note.Kind == jobs.WorkerGone && l.opt.Mailboxes != nil {
-				l.opt.Mailboxes.Forget(note.Name)
+			if note.Kind == jobs.WorkerGone {
+				l.forget(note.Name)
 			}
 		}
 		for _, event := range events {
@@ -195,6 +195,16 @@
 	return out.Next
 }
 
+// forget lets go of what is kept of a worker beside the table.
+func (l *Leader) forget(worker string) {
+	l.mu.Lock()
+	delete(l.beats, worker)
+	l.mu.Unlock()
+	if l.opt.Mailboxes != nil {
+		l.opt.Mailboxes.Forget(worker)
+	}
+}
+
 // tidyEvery is the pause between two looks for jobs that are over for long.
 const tidyEvery = 20 * time.Second
 
