Scheduler: let go of the speeds of workers that are forgotten

Cause: what the ends of runs tell of a worker was kept after the worker was forgotten, for as long as the leader led.

--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -154,6 +154,7 @@
 		}
 	case jobs.WorkerGone:
 		delete(c.workers, note.Name)
+		delete(c.speeds.byWorker, note.Name)
 		c.names = slices.DeleteFunc(c.names, func(id string) bool { return id == note.Name })
 		c.order = slices.DeleteFunc(c.order, func(w *worker) bool { return w.id == note.Name })
 	}
--- /dev/null
+++ b/internal/scheduler/month_test.go
@@ -0,0 +1,198 @@
+package scheduler
+
+import (
+	"fmt"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"crosstide/internal/jobs"
+)
+
+// month is a scheduler under one term for a simulated month, in spells of work with pauses between them.
+type month struct {
+	*bench
+	workers []string // those that are up
+	lives   int
+	lists   map[string][]jobs.RunKey
+	ended   map[string][]Ended
+	counts  map[string]uint64
+	jobs    int
+}
+
+const (
+	monthWorkers = 6
+	monthPause   = 20 * time.Minute // from one spell to the next
+	monthPasses  = 40               // passes of a spell
+	monthDay     = int(24 * time.Hour / monthPause)
+	monthKeep    = 10 * time.Minute
+)
+
+func newMonth() *month {
+	m := &month{bench: newBench(2), lists: map[string][]jobs.RunKey{}, ended: map[string][]Ended{}, counts: map[string]uint64{}}
+	for range monthWorkers {
+		m.bear()
+	}
+	return m
+}
+
+// bear starts a worker under an ID that was never used.
+func (m *month) bear() {
+	m.lives++
+	id := fmt.Sprintf("w%d", m.lives)
+	m.workers = append(m.workers, id)
+	must(m.table.Register(jobs.Register{Workers: []jobs.Worker{{ID: id, Address: id + ":1", Service: "s", Zone: "z",
+		Capacity: jobs.Resources{MilliCPU: 4000, MemoryMB: 4000}}}}))
+}
+
+// crash ends the oldest worker without a word.
+func (m *month) crash() {
+	id := m.workers[0]
+	m.workers = m.workers[1:]
+	delete(m.lists, id)
+	delete(m.ended, id)
+	delete(m.counts, id)
+}
+
+// hand submits a job whose ID tells how its runs end.
+func (m *month) hand(kind string) string {
+	m.jobs++
+	id := fmt.Sprintf("%s%d", kind, m.jobs)
+	m.submit(id, jobs.Step{Count: 2, Needs: jobs.Resources{MilliCPU: 500}, Estimate: time.Second})
+	return id
+}
+
+// spell hands jobs in, works on them, and lets jobs go that are over for long.
+func (m *month) spell() {
+	m.now, m.wall = m.now+monthPause, m.wall.Add(monthPause)
+	m.hand("done")
+	m.hand("fails")
+	cancelled := m.hand("stays")
+	for pass := range monthPasses {
+		for _, id := range m.workers {
+			m.core.Beat(m.now, id, m.now, 0)
+		}
+		m.carryOut(m.pass(100 * time.Millisecond))
+		if pass == monthPasses/2 {
+			_, err := m.table.Cancel(jobs.Cancel{ID: cancelled, At: m.wall})
+			must(err)
+		}
+	}
+	m.table.Tidy(m.wall.Add(-monthKeep))
+}
+
+func (m *month) up(id string) bool {
+	for _, other := range m.workers {
+		if other == id {
+			return true
+		}
+	}
+	return false
+}
+
+// carryOut answers what a pass wants as workers do that are up.
+func (m *month) carryOut(out Out) {
+	for _, s := range out.Starts {
+		if !m.up(s.Worker.ID) {
+			m.core.StartAnswered(m.now, s.Worker.ID, s.Order.Key, StartAnswer{}, StartUnknown)
+			continue
+		}
+		m.lists[s.Worker.ID] = append(m.lists[s.Worker.ID], s.Order.Key)
+		m.core.StartAnswered(m.now, s.Worker.ID, s.Order.Key, StartAnswer{Clock: m.now}, StartOK)
+	}
+	for _, s := range out.Stops {
+		m.finish(s.Worker.ID, s.Order.Key, jobs.EndStopped)
+		m.core.StopAnswered(m.now, s.Worker.ID, s.Order.Key, m.up(s.Worker.ID))
+	}
+	for _, h := range out.Holds {
+		m.answer(h)
+	}
+}
+
+func (m *month) answer(h HoldOut) {
+	id := h.Worker.ID
+	if !m.up(id) {
+		m.core.HoldAnswered(m.now, id, h.Number, HoldAnswer{}, HoldFailed)
+		return
+	}
+	for len(m.ended[id]) > 0 && m.ended[id][0].Sequence <= h.Call.SeenUpTo {
+		m.ended[id] = m.ended[id][1:]
+	}
+	for _, key := range append([]jobs.RunKey{}, m.lists[id]...) {
+		switch {
+		case strings.HasPrefix(key.Task.Job, "done"):
+			m.finish(id, key, jobs.EndDone)
+		case strings.HasPrefix(key.Task.Job, "fails"):
+			m.finish(id, key, jobs.EndFailed)
+		}
+	}
+	answer := HoldAnswer{Clock: m.now, Ended: m.ended[id]}
+	for _, key := range m.lists[id] {
+		answer.Running = append(answer.Running, Listed{Key: key})
+	}
+	m.core.HoldAnswered(m.now, id, h.Number, answer, HoldOK)
+}
+
+func (m *month) finish(id string, key jobs.RunKey, how jobs.How) {
+	for i, other := range m.lists[id] {
+		if other == key {
+			m.lists[id] = append(append([]jobs.RunKey{}, m.lists[id][:i]...), m.lists[id][i+1:]...)
+			m.counts[id]++
+			m.ended[id] = append(m.ended[id], Ended{Sequence: m.counts[id], Key: key, How: how})
+			return
+		}
+	}
+}
+
+// sizes gives the lengths of all maps and lists of a value, by name, and those of the structs in it.
+func sizes(name string, v reflect.Value, into map[string]int) {
+	switch v.Kind() {
+	case reflect.Map, reflect.Slice:
+		into[name] = v.Len()
+	case reflect.Struct:
+		for i := range v.NumField() {
+			sizes(name+"."+v.Type().Field(i).Name, v.Field(i), into)
+		}
+	}
+}
+
+// size is all that grows with what the scheduler and its table have seen.
+func (m *month) size() map[string]int {
+	out := map[string]int{}
+	sizes("core", reflect.ValueOf(m.core).Elem(), out)
+	sizes("table", reflect.ValueOf(m.table).Elem(), out)
+	data, err := m.table.Encode()
+	must(err)
+	out["bytes/1000"] = len(data) / 1000
+	return out
+}
+
+func TestMonth(t *testing.T) {
+	Convey("Nothing that the scheduler and its table keep grows from the third day of a month to the last", t, func() {
+		m := newMonth()
+		var early map[string]int
+		for day := 1; day <= 30; day++ {
+			for spell := range monthDay {
+				if spell%12 == 0 {
+					m.crash()
+					m.bear()
+				}
+				m.spell()
+			}
+			if day == 3 {
+				early = m.size()
+			}
+		}
+		late := m.size()
+		t.Log(m.jobs, "jobs,", m.lives, "lives of workers:", late)
+		So(m.core.Counts.Done, ShouldBeGreaterThan, 3000)
+		So(m.core.Counts.Failed, ShouldBeGreaterThan, 3000)
+		So(m.core.Counts.Lost, ShouldBeGreaterThan, 0)
+		for name, n := range late {
+			So(fmt.Sprint(name, " grows: ", n > early[name]+monthWorkers), ShouldEqual, name+" grows: false")
+		}
+	})
+}
