--- /dev/null
+++ b/internal/jobs/month_test.go
@@ -0,0 +1,159 @@
+package jobs
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// monthTable is a table through a simulated month of jobs that end in every way, of workers that come and go, of
+// configurations and of evacuations.
+type monthTable struct {
+	*Table
+	at    time.Time
+	jobs  int
+	lives int
+	// The guards that can be taken out: what is over, and workers that are gone, is let go.
+	noTidy, noForget bool
+}
+
+const (
+	monthHourJobs  = 20
+	monthKeepOver  = 4 * time.Minute // twice as long as a client may ask for
+	monthHourLives = 2
+	monthConfigs   = 3 // an hour: more in a month than orders are remembered
+	monthPayload   = 4000
+)
+
+func newMonthTable() *monthTable {
+	m := &monthTable{Table: NewTable(), at: noon}
+	must(m.Configure(testConfig()))
+	return m
+}
+
+// hour is an hour of the month.
+func (m *monthTable) hour() {
+	var gone []string
+	for range monthHourLives {
+		m.lives++
+		worker := testWorker(fmt.Sprintf("w%d", m.lives), "open")
+		must(m.Register(Register{Workers: []Worker{worker}}))
+		m.work(worker.ID)
+		worker.Left = true
+		must(m.Register(Register{Workers: []Worker{worker}}))
+		gone = append(gone, worker.ID)
+	}
+	for range monthConfigs {
+		order := testConfig()
+		order.Base, order.Version, order.Replace = m.Config.Version, m.Config.Version+1, true
+		order.Digest = fmt.Sprintf("%064d", order.Version)
+		must(m.Configure(order))
+	}
+	for _, start := range []bool{true, false} {
+		must(m.Evacuate(Evacuate{Zone: "zone-9", Start: start}))
+	}
+	m.at = m.at.Add(time.Hour)
+	if !m.noForget {
+		m.progress(Progress{Forget: gone})
+	}
+	if !m.noTidy {
+		m.Tidy(m.at.Add(-monthKeepOver))
+	}
+}
+
+// work runs jobs on a worker; each kind ends in its own way.
+func (m *monthTable) work(worker string) {
+	for i := range monthHourJobs / monthHourLives {
+		m.jobs++
+		id := fmt.Sprintf("%016x", m.jobs)
+		job := testJob(id, Step{Count: 2, Gang: i%5 == 0})
+		job.At, job.Spec.Payload = m.at, strings.Repeat("p", monthPayload)
+		m.mustSubmit(job)
+		starts := []Start{startOf(taskOf(id, 0, 0), 1, worker), startOf(taskOf(id, 0, 1), 1, worker)}
+		m.progress(Progress{Starts: starts})
+		switch how := []How{EndDone, EndFailed, EndLost}[i%3]; how {
+		case EndDone:
+			m.progress(Progress{Ends: []End{endOf(starts[0], how), endOf(starts[1], how)}})
+		case EndFailed:
+			m.progress(Progress{Ends: []End{endOf(starts[0], how), endOf(starts[1], EndStopped)}})
+			again := startOf(taskOf(id, 0, 0), 2, worker)
+			m.progress(Progress{Starts: []Start{again}})
+			m.progress(Progress{Ends: []End{endOf(again, how)}})
+			m.cancel(id) // a gang's one try of two is left
+		default:
+			m.cancel(id)
+			m.progress(Progress{Ends: []End{endOf(starts[0], how), endOf(starts[1], how)}})
+		}
+	}
+}
+
+func (m *monthTable) cancel(id string) {
+	_, err := m.Cancel(Cancel{ID: id, At: m.at})
+	must(err)
+}
+
+func (m *monthTable) progress(p Progress) {
+	p.Term, p.At = testTerm, m.at
+	_, err := m.Progress(testTerm, p)
+	must(err)
+}
+
+// size is the length of the table as it is written to a slot.
+func (m *monthTable) size() int {
+	data, err := m.Encode()
+	must(err)
+	return len(data)
+}
+
+// month plays days, and gives the size at the end of each.
+func (m *monthTable) month(days int) (sizes []int) {
+	for range days {
+		for range 24 {
+			m.hour()
+		}
+		sizes = append(sizes, m.size())
+	}
+	return sizes
+}
+
+func TestMonth(t *testing.T) {
+	const days = 30
+	Convey("The table is no larger at the end of a month than when the remembered orders were first full", t, func() {
+		m := newMonthTable()
+		sizes := m.month(days)
+		full := MaxOrders/(24*monthConfigs) + 1 // the day from which on the oldest orders are forgotten
+		t.Log(m.jobs, "jobs,", m.lives, "workers; bytes by day", sizes)
+		So(sizes[days-1], ShouldBeLessThan, sizes[full]*101/100)
+		So(sizes[days-1], ShouldBeLessThan, 100_000)
+		So(len(m.Jobs), ShouldBeLessThanOrEqualTo, monthHourJobs)
+		So(m.Workers, ShouldBeEmpty)
+		So(m.Orders, ShouldHaveLength, MaxOrders)
+		So(m.orders, ShouldHaveLength, MaxOrders)
+		So(m.Evacuated, ShouldBeEmpty)
+		So(m.waiting, ShouldBeEmpty)
+		So(m.occupancy, ShouldBeEmpty)
+		So(len(m.retired), ShouldEqual, len(m.Jobs))
+	})
+	Convey("Without the letting go of what is over, or of workers that are gone, it grows day by day", t, func() {
+		for _, m := range []*monthTable{{noTidy: true}, {noForget: true}} {
+			m.Table, m.at = NewTable(), noon
+			must(m.Configure(testConfig()))
+			sizes := m.month(6)
+			t.Log(sizes)
+			So(sizes[5], ShouldBeGreaterThan, sizes[2]*3/2)
+		}
+	})
+	Convey("A job that is over holds nothing of what its client handed in but its name", t, func() {
+		m := newMonthTable()
+		m.noTidy = true
+		m.hour()
+		So(m.Jobs, ShouldHaveLength, monthHourJobs)
+		for _, job := range m.Jobs {
+			So(job.State.Over(), ShouldBeTrue)
+			So([]any{job.Spec.Payload, job.Spec.Steps, job.Rounds}, ShouldResemble, []any{"", []Step(nil), [][][]Task(nil)})
+		}
+	})
+}
