Scheduler: starts that have not left for a worker that answers no more are taken back at once

Cause: a worker that did not answer is called with care, one order at a time. Handles committed for it while it passed for sound stayed, their orders leaving one by one, each after the time-out of the one before: up to 12 s in which their jobs stood still (LOST: over 3 s with nothing running and room elsewhere), and each order that left was one more doubt. Ruled out: ending the run only after a bound of time (an order that has not left is surely not carried out; there is nothing to wait for). Change: before an order leaves its worker must be reachable; else the run is ended as lost and its task is due again. Test: TestUnsentStartsOfSilentWorker (the three other starts left one by one before).

--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -297,7 +297,8 @@
 	}
 }
 
-// sendStarts gives the start orders of the handles just recorded.
+// sendStarts gives the start orders of the handles just recorded. One for a worker that has stopped answering meanwhile
+// never leaves: its task is due again at once, and no doubt can come of it.
 func (c *Core) sendStarts(out *Out) {
 	var later []jobs.RunKey
 	for _, key := range c.starts {
@@ -307,7 +308,7 @@
 		}
 		w := c.workers[r.worker]
 		j := c.table.Jobs[key.Task.Job]
-		if w == nil || w.record() == nil || j == nil || j.State.Over() || r.stop {
+		if w == nil || w.record() == nil || !w.reachable() || j == nil || j.State.Over() || r.stop {
 			c.end(r, jobs.EndLost, "") // it never left
 			continue
 		}
