--- a/internal/testbed/fleetsim/disruptions.go
+++ b/internal/testbed/fleetsim/disruptions.go
@@ -336,11 +336,7 @@
 // replace starts another life once the present one has ended as planned.
 func (sl *slot) replace() {
 	s := sl.s
-	s.after(plannedEnd+time.Second+s.between(100*time.Millisecond, 2*time.Second), func() {
-		if sl.current == nil {
-			sl.newLife()
-		}
-	})
+	s.after(plannedEnd+time.Second+s.between(100*time.Millisecond, 2*time.Second), sl.newLife)
 }
 
 // hang lets the tasks of a worker stand still.
--- a/internal/testbed/fleetsim/disruptions_core.go
+++ b/internal/testbed/fleetsim/disruptions_core.go
@@ -76,11 +76,7 @@
 	sl.troubled = max(sl.troubled, s.now+back)
 	s.disturbed(s.now + back)
 	w.die()
-	s.after(back+s.between(0, 500*time.Millisecond), func() {
-		if sl.current == nil {
-			sl.newLife()
-		}
-	})
+	s.after(back+s.between(0, 500*time.Millisecond), sl.newLife)
 }
 
 // loseRack cuts all workers of a rack off, or takes their power.
--- a/internal/testbed/fleetsim/worker.go
+++ b/internal/testbed/fleetsim/worker.go
@@ -79,8 +79,11 @@
 // waitingHold is a hold call whose answer waits for an end.
 type waitingHold struct{ reply func() }
 
-// newLife starts a worker.
+// newLife starts a worker, if none runs here.
 func (sl *slot) newLife() {
+	if sl.current != nil {
+		return
+	}
 	s := sl.s
 	s.lives++
 	w := &life{slot: sl, id: fmt.Sprintf("w%03d", s.lives), born: s.now, base: s.between(time.Second, 500*time.Second),
