--- a/internal/testbed/fleetsim/baddays.go
+++ b/internal/testbed/fleetsim/baddays.go
@@ -15,8 +15,8 @@
 		{"sick, slow, late and leaving workers", strayWorkers(),
 			[]Guard{DoubtIsDead, DoubtTakesNoRoom, NoDrainMark, NoLeaveMark, LateBeatsCount}},
 		{"lost, frozen, wiped and killed machines, slow disks", lostMachines(),
-			[]Guard{EarlyAcknowledgement, StartBeforeCommit, EarlyAnswers, NoLeaseCheck}},
-		{"a split or powerless core", splitCore(), []Guard{NoFencingWait, OldLeadersAnswer}},
+			[]Guard{EarlyAcknowledgement, StartBeforeCommit, EarlyAnswers}},
+		{"a split or powerless core", splitCore(), []Guard{NoLeaseCheck, NoFencingWait, OldLeadersAnswer}},
 		{"lost, racing and invalid orders", strayOrders(), []Guard{NoBaseCheck, NoOrderMemory, NoConfigCheck, NoEvacuationMark}},
 	}
 }
--- a/internal/testbed/fleetsim/guards.go
+++ b/internal/testbed/fleetsim/guards.go
@@ -26,8 +26,8 @@
 	EarlyAcknowledgement Guard = "early acknowledgement" // ends are acknowledged before their commit
 	StartBeforeCommit    Guard = "start before commit"   // starts leave before their handles are committed
 	EarlyAnswers         Guard = "early answers"         // clients and operators are answered before the commit
-	NoLeaseCheck         Guard = "no lease check"        // a leader goes on after its lease
 
+	NoLeaseCheck     Guard = "no lease check"     // a leader goes on after its lease
 	NoFencingWait    Guard = "no fencing wait"    // a new leader takes all runs of earlier terms for dead
 	OldLeadersAnswer Guard = "old leaders answer" // a leader answers for its table after its lease
 
@@ -41,8 +41,8 @@
 func Guards() []Guard {
 	return []Guard{NoAttemptBound, NoRoomCheck, NoIdentity,
 		DoubtIsDead, DoubtTakesNoRoom, NoDrainMark, NoLeaveMark, LateBeatsCount,
-		EarlyAcknowledgement, StartBeforeCommit, EarlyAnswers, NoLeaseCheck,
-		NoFencingWait, OldLeadersAnswer,
+		EarlyAcknowledgement, StartBeforeCommit, EarlyAnswers,
+		NoLeaseCheck, NoFencingWait, OldLeadersAnswer,
 		NoBaseCheck, NoOrderMemory, NoConfigCheck, NoEvacuationMark}
 }
 
