--- a/internal/testbed/fleetsim/hunt_test.go
+++ b/internal/testbed/fleetsim/hunt_test.go
@@ -9,7 +9,8 @@
 )
 
 // TestHunt plays as many seeds as FLEETSIM_SEEDS says, from FLEETSIM_FROM on; without it, none. FLEETSIM_KINDS are the
-// disruptions (separated by commas), FLEETSIM_PACE how often they come, FLEETSIM_TRACE is a file for the trace.
+// disruptions (separated by commas), or FLEETSIM_DAY is the number of a kind of bad day, from 1; FLEETSIM_BREAK takes a
+// guard out, FLEETSIM_PACE says how often they come, FLEETSIM_TRACE is a file for the trace.
 func TestHunt(t *testing.T) {
 	count, _ := strconv.ParseUint(os.Getenv("FLEETSIM_SEEDS"), 10, 64)
 	from, _ := strconv.ParseUint(os.Getenv("FLEETSIM_FROM"), 10, 64)
@@ -20,6 +21,9 @@
 			opt.Kinds = append(opt.Kinds, Disruption(kind))
 		}
 	}
+	if day, err := strconv.Atoi(os.Getenv("FLEETSIM_DAY")); err == nil {
+		opt.Kinds = BadDays()[day-1].Disruptions
+	}
 	if path := os.Getenv("FLEETSIM_TRACE"); path != "" {
 		file, err := os.Create(path)
 		if err != nil {
