--- a/internal/testbed/fleetsim/hunt_test.go
+++ b/internal/testbed/fleetsim/hunt_test.go
@@ -10,12 +10,14 @@
 
 // TestHunt plays as many seeds as FLEETSIM_SEEDS says, from FLEETSIM_FROM on; without it, none. FLEETSIM_KINDS are the
 // disruptions (separated by commas), or FLEETSIM_DAY is the number of a kind of bad day, from 1; FLEETSIM_BREAK takes a
-// guard out, FLEETSIM_PACE says how often they come, FLEETSIM_TRACE is a file for the trace.
+// guard out, FLEETSIM_PACE says how often they come, FLEETSIM_FOR for
+// how long, FLEETSIM_TRACE is a file for the trace.
 func TestHunt(t *testing.T) {
 	count, _ := strconv.ParseUint(os.Getenv("FLEETSIM_SEEDS"), 10, 64)
 	from, _ := strconv.ParseUint(os.Getenv("FLEETSIM_FROM"), 10, 64)
 	opt := Options{Break: Guard(os.Getenv("FLEETSIM_BREAK")), Load: Load(os.Getenv("FLEETSIM_LOAD"))}
 	opt.Pace, _ = strconv.ParseFloat(os.Getenv("FLEETSIM_PACE"), 64)
+	opt.For, _ = time.ParseDuration(os.Getenv("FLEETSIM_FOR"))
 	if kinds := os.Getenv("FLEETSIM_KINDS"); kinds != "" {
 		for kind := range strings.SplitSeq(kinds, ",") {
 			opt.Kinds = append(opt.Kinds, Disruption(kind))
