Controller: a new leader lets go of what it kept of workers that were forgotten meanwhile

Cause: notes of forgotten workers reach the leading node alone; sequence numbers and mailboxes from an earlier lead stayed, and the pace of heartbeats goes by the number of mailboxes. Test: TestDeregisterFirst, last part.

--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"sync"
 	"time"
 
@@ -205,6 +206,17 @@
 	}
 }
 
+// retain lets go of what is kept of workers that were forgotten while another node led.
+func (l *Leader) retain(workers map[string]*jobs.Worker) {
+	gone := func(id string) bool { return workers[id] == nil }
+	l.mu.Lock()
+	maps.DeleteFunc(l.beats, func(id string, _ uint64) bool { return gone(id) })
+	l.mu.Unlock()
+	if l.opt.Mailboxes != nil {
+		l.opt.Mailboxes.ForgetAll(gone)
+	}
+}
+
 // tidyEvery is the pause between two looks for jobs that are over for long.
 const tidyEvery = 20 * time.Second
 
@@ -224,6 +236,7 @@
 
 func (l *Leader) lead(now time.Duration, term uint64, table *jobs.Table) {
 	l.take()
+	l.retain(table.Workers)
 	table.Watch = l.watch
 	l.core.Lead(now, term, table)
 	l.tidyAt = now + tidyEvery
--- a/internal/controller/leader_test.go
+++ b/internal/controller/leader_test.go
@@ -170,6 +170,22 @@
 		l.pass()
 		So(l.beats, ShouldBeEmpty)
 	})
+	Convey("Also those of workers that were forgotten while another node led", t, func() {
+		store, by := newFakeStore(), &clock.Virtual{}
+		l := fakeLeader(store, by)
+		l.opt.Mailboxes = NewMailboxes()
+		l.opt.Mailboxes.box("w1")
+		beatOf(l, heartbeat(1))
+		lead := store.term
+		store.term = 0
+		l.pass()
+		store.term = lead + 1
+		_, err := store.commit(&command.JobProgress{Progress: jobs.Progress{Term: store.term, Forget: []string{"w1"}}})
+		So(err, ShouldBeNil)
+		l.pass()
+		So(l.beats, ShouldBeEmpty)
+		So(l.opt.Mailboxes.boxes, ShouldBeEmpty)
+	})
 }
 
 // submitCall hands in job j of queue q.
--- a/internal/controller/mailbox.go
+++ b/internal/controller/mailbox.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"sync"
 	"time"
 
@@ -196,6 +197,13 @@
 	delete(m.boxes, id)
 }
 
+// ForgetAll drops the boxes of all workers that are gone.
+func (m *Mailboxes) ForgetAll(gone func(id string) bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	maps.DeleteFunc(m.boxes, func(id string, _ *mailbox) bool { return gone(id) })
+}
+
 func (b *mailbox) empty() bool { return len(b.starts)+len(b.stops)+len(b.holds) == 0 }
 
 // settle ends the letters of which the heartbeat of a sequence is the proof.
--- a/internal/testbed/fleetsim/hunt_test.go
+++ b/internal/testbed/fleetsim/hunt_test.go
@@ -10,8 +10,7 @@
 
 // TestHunt plays as many seeds as FLEETSIM_SEEDS says, from FLEETSIM_FROM on; without it, none. FLEETSIM_KINDS are the
 // disruptions (separated by commas), or FLEETSIM_DAY is the number of a kind of bad day, from 1; FLEETSIM_BREAK takes a
-// guard out, FLEETSIM_PACE says how often they come, FLEETSIM_FOR for
-// how long, FLEETSIM_TRACE is a file for the trace.
+// guard out, FLEETSIM_PACE says how often they come, FLEETSIM_FOR for how long, FLEETSIM_TRACE is a file for the trace.
 func TestHunt(t *testing.T) {
 	count, _ := strconv.ParseUint(os.Getenv("FLEETSIM_SEEDS"), 10, 64)
 	from, _ := strconv.ParseUint(os.Getenv("FLEETSIM_FROM"), 10, 64)
