Scheduler: a worker is forgotten so long after it was met; one that left idle is not called

Cause: silence was counted from the begin of the term. In a term of over 15 s a worker whose record had come, and whose heartbeat the scheduler had not been told of yet, was dropped by the pass in between; it had to register again. Workers that have left and run nothing were called until they were forgotten: looks that nobody needs. Change: silence counts from when the worker's record was first seen under the term. Test: TestDeregisteredWorkerServesOn, 'is not called any more' and 'kept for as long as heartbeats may come late'.

--- a/internal/scheduler/leaving_test.go
+++ b/internal/scheduler/leaving_test.go
@@ -59,6 +59,29 @@
 			So(h.table.RunsOn("w"), ShouldBeEmpty)
 		})
 	})
+	Convey("A worker that has left and runs nothing is not called any more", t, func() {
+		h := newHarness()
+		So(h.table.Register(jobs.Register{Workers: []jobs.Worker{{ID: "unknown", Left: true}}}), ShouldBeNil)
+		h.deregister()
+		h.holds = nil
+		for range 10 {
+			h.now += time.Second
+			h.core.Beat(h.now, "w", time.Minute+h.now, 0)
+			h.pass()
+		}
+		So(h.holds, ShouldBeEmpty)
+		Convey("one that was never heard is kept for as long as heartbeats may come late, whatever the age of the term", func() {
+			h.now += time.Hour
+			h.pass()
+			So(h.table.Workers["unknown"], ShouldBeNil)
+			So(h.table.Register(jobs.Register{Workers: []jobs.Worker{{ID: "another", Left: true}}}), ShouldBeNil)
+			for range 10 {
+				h.now += time.Second
+				h.pass()
+			}
+			So(h.table.Workers["another"], ShouldNotBeNil)
+		})
+	})
 	Convey("A deregistered worker without runs is not forgotten over one call that failed: a late heartbeat would make it "+
 		"pass for a new one", t, func() {
 		h := newHarness()
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -15,6 +15,7 @@
 	// strays are runs that the worker lists and the table does not have: to be stopped.
 	strays map[jobs.RunKey]*stray
 
+	metAt    time.Duration // when its record was first seen under this term
 	heardAt  time.Duration // when it last answered or sent a heartbeat; 0: not under this term
 	answered bool          // it answered a hold call under this term: no older token counts there any more
 	clock    time.Duration // its clock at clockAt
@@ -47,7 +48,7 @@
 func (c *Core) meet(id string) *worker {
 	w := c.workers[id]
 	if w == nil {
-		w = &worker{id: id, table: c.table, runs: map[jobs.RunKey]*run{}, strays: map[jobs.RunKey]*stray{}, probe: true}
+		w = &worker{id: id, table: c.table, metAt: c.now, runs: map[jobs.RunKey]*run{}, strays: map[jobs.RunKey]*stray{}, probe: true}
 		c.workers[id] = w
 		c.names, c.order = append(c.names, id), append(c.order, w)
 	}
@@ -217,8 +218,8 @@
 			continue // nothing to ask: the rule for most workers in most passes
 		}
 		rec := w.record()
-		if rec == nil {
-			continue
+		if rec == nil || rec.Left && len(w.runs) == 0 {
+			continue // it takes no starts any more, and nothing of it is waited for
 		}
 		if w.probe && w.probing == 0 {
 			w.probe = false
@@ -378,7 +379,7 @@
 		if rec == nil || len(w.runs) > 0 || w.orders > 0 {
 			continue
 		}
-		if now-max(w.heardAt, c.since) > c.cfg.ForgetAfter {
+		if now-max(w.heardAt, w.metAt) > c.cfg.ForgetAfter {
 			out = append(out, w.id)
 		}
 	}
