Controller: the end of a worker that is not known yet is recorded

Cause: a worker whose first heartbeat was lost with the leader, or came late, and that deregistered first, was acknowledged without a record. Its next heartbeat made it a worker that takes starts, until it ended (DRAIN: a start 4.8 s after its leaving was acknowledged). Ruled out: refusing the call (the worker ends all the same, and its end would be one without an acknowledgement).

--- a/internal/controller/serve.go
+++ b/internal/controller/serve.go
@@ -136,11 +136,7 @@
 	term, err := l.look(func(table *jobs.Table) error {
 		known := table.Workers[worker.ID]
 		if call.Leaving {
-			if known == nil || known.Left {
-				return nil
-			}
-			worker = *known
-			worker.Left = true
+			worker = leaving(known, worker.ID)
 		}
 		changed = known == nil || !sameWorker(known, &worker)
 		return nil
@@ -167,6 +163,17 @@
 	return answer, nil
 }
 
+// leaving is the record of a worker that says that it ends. One that is not known is recorded too: its first heartbeat
+// may have been lost with a leader, or come late, and must not make it pass for a worker that takes starts.
+func leaving(known *jobs.Worker, id string) jobs.Worker {
+	worker := jobs.Worker{ID: id}
+	if known != nil {
+		worker = *known
+	}
+	worker.Left = true
+	return worker
+}
+
 // newest tells whether a heartbeat is newer than those taken before. One that announces the worker's end always is.
 func (l *Leader) newest(id string, call BeatCall) bool {
 	l.mu.Lock()
