Scheduler: no room is kept for a gang that does not fit on the workers there are

Cause: a gang that has waited for half a second keeps the workers with most free room from other units. With most of a service's workers lost or silent the gang could not fit on those that are left, were they empty, and they stood idle until others came back (LOST: jobs idle for over 3 s, two workers of 16 cores with nothing on them). Ruled out: a bound on how long room is kept (a gang that would fit waits longer than that on a full service). Change: room is kept for a gang only if the workers that it is kept on would do for it, were they empty.

--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -314,7 +314,8 @@
 // smallTask is a task, in thousandths of a core, for which room turns up by itself.
 const smallTask = 2000
 
-// reserve keeps the nodes that would take the unit soonest from less urgent units of this pass.
+// reserve keeps the nodes that would take the unit soonest from less urgent units of this pass. A gang for which all of
+// them, were they empty, would not do waits for other workers: room kept for it would only stand idle.
 func (p *placement) reserve(u *unit, nodes []*node, count int) {
 	group := p.mostFree(u.queue.Service, nodes)
 	if u.step.SameRack {
@@ -326,6 +327,9 @@
 		}
 		group = sortByFree(group)
 	}
+	if u.step.Gang && p.couldTake(u, group) < count {
+		return
+	}
 	for _, n := range group {
 		if count <= 0 {
 			return
