--- a/internal/testbed/fleetsim/beats.go
+++ b/internal/testbed/fleetsim/beats.go
@@ -12,6 +12,7 @@
 const (
 	beatEvery   = 500 * time.Millisecond
 	beatTimeout = time.Second
+	beatLatest  = 4 * time.Second // how late a heartbeat may come
 )
 
 // buildWorkers makes the machines of both services.
@@ -80,8 +81,8 @@
 		return
 	}
 	late := time.Duration(0)
-	if s.chance(0.01) {
-		late = s.between(0, 3*time.Second)
+	if s.chance(0.01) || s.now < w.slot.beatsLateUntil && s.chance(0.7) {
+		late = s.between(0, beatLatest)
 	}
 	s.after(s.link()+late, func() {
 		n.do(0, func() {
@@ -102,10 +103,42 @@
 	if !call.worker.Draining || w.drainTold != 0 || !w.up() {
 		return
 	}
+	s := w.slot.s
+	w.leavingTold()
+	s.after(drainTimeout+s.between(100*time.Millisecond, 4*time.Second), w.leave)
+}
+
+// deregister says that the worker ends, without saying that it drains, serves on for a while and ends.
+func (w *life) deregister() {
+	w.leaving, w.leaveFrom = true, w.slot.s.now
+	w.slot.s.trace("%s deregisters first", w.id)
+	w.tellLeaving()
+	w.slot.s.after(plannedEnd, w.die) // also without an acknowledgement
+}
+
+func (w *life) tellLeaving() {
+	if !w.up() || w.drainTold != 0 {
+		return
+	}
+	s := w.slot.s
+	w.sendBeat(true, func(bool) {
+		if !w.up() || w.drainTold != 0 {
+			return
+		}
+		w.leavingTold()
+		s.after(drainTimeout+s.between(100*time.Millisecond, 4*time.Second), w.die)
+	})
+	s.after(beatTimeout, w.tellLeaving)
+}
+
+// leavingTold takes in the acknowledgement of the worker's leaving.
+func (w *life) leavingTold() {
 	s := w.slot.s
 	w.drainTold = s.now
 	s.oracle.count(DrainRule)
-	s.after(drainTimeout+s.between(100*time.Millisecond, 4*time.Second), w.leave)
+	if w.leaveFrom >= w.slot.unheardUntil {
+		s.oracle.acknowledged("the leaving of a worker", w.leaveFrom)
+	}
 }
 
 // leave says that the worker ends, and ends it.
@@ -119,9 +152,12 @@
 
 // drain begins a planned end.
 func (w *life) drain() {
-	w.draining = true
+	if w.draining || w.leaving || !w.up() {
+		return
+	}
+	w.draining, w.leaveFrom = true, w.slot.s.now
 	w.slot.s.trace("%s drains", w.id)
-	w.slot.s.after(10*time.Second, w.leave) // also without an acknowledgement
+	w.slot.s.after(plannedEnd, w.leave) // also without an acknowledgement
 }
 
 // record is what the worker tells of itself.
@@ -148,7 +184,7 @@
 // look reads the table if this node may answer for it, as controller.Leader.look.
 func (n *node) look() (table *jobs.Table, term uint64, err error) {
 	term, held := n.leadTerm()
-	if n.s.opt.Break == NoLeaseCheck && n.core.Term() != 0 {
+	if without := n.s.opt.Break; (without == NoLeaseCheck || without == OldLeadersAnswer) && n.core.Term() != 0 {
 		term, held = n.core.Term(), true
 	}
 	switch {
@@ -170,13 +206,16 @@
 	worker := call.worker
 	known := table.Workers[worker.ID]
 	if call.leaving {
-		if known == nil || known.Left {
+		if known != nil && known.Left {
 			done(nil)
 			return
 		}
-		worker = *known
+		worker = jobs.Worker{ID: worker.ID}
+		if known != nil {
+			worker = *known
+		}
 		worker.Left = true
-	} else if call.sequence < n.beats[worker.ID] {
+	} else if call.sequence < n.beats[worker.ID] && n.s.opt.Break != LateBeatsCount {
 		done(nil)
 		return
 	} else {
@@ -188,7 +227,7 @@
 		}
 		done(err)
 	}
-	if known != nil && !changedWorker(known, &worker) {
+	if known != nil && !changedWorker(known, &worker) && (n.s.opt.Break != LateBeatsCount || known.Draining == worker.Draining) {
 		finish(nil)
 		return
 	}
--- a/internal/testbed/fleetsim/worker.go
+++ b/internal/testbed/fleetsim/worker.go
@@ -40,6 +40,9 @@
 	mutedUntil time.Duration  // until then it loses answers
 	muted      float64        // the share that it loses
 	troubled   time.Duration  // when it was last disrupted
+
+	beatsLateUntil time.Duration // until then its heartbeats come late and out of order
+	unheardUntil   time.Duration // until then heartbeats may not come, or their answers do not count
 }
 
 // cutOff tells whether nothing passes between the slot and a node.
@@ -64,9 +67,13 @@
 	hungSince time.Duration // tasks stand still since; 0: they work
 	hungFor   time.Duration // how long they stood still before
 	grey      bool          // fails all it starts
+	failing   float64       // share of what it starts that fails
+	refuses   bool          // it refuses starts as if it were sick
 	slow      float64       // on top of the slot's speed
 	draining  bool
 	drainTold time.Duration // when the core first acknowledged it; 0: not yet
+	leaving   bool          // it deregisters first and serves on
+	leaveFrom time.Duration // when it first said that it drains or ends
 	beat      uint64
 	leaseNo   int
 }
@@ -74,8 +81,11 @@
 // waitingHold is a hold call whose answer waits for an end.
 type waitingHold struct{ reply func() }
 
-// newLife starts a worker.
+// newLife starts a worker, if none runs here.
 func (sl *slot) newLife() {
+	if sl.current != nil {
+		return
+	}
 	s := sl.s
 	s.lives++
 	w := &life{slot: sl, id: fmt.Sprintf("w%03d", s.lives), born: s.now, base: s.between(time.Second, 500*time.Second),
@@ -152,7 +162,7 @@
 	if o.Deadline <= w.clock() {
 		return refuse(scheduler.RefusedLate)
 	}
-	if w.slot.s.chance(0.002) {
+	if w.refuses || w.slot.s.chance(0.002) {
 		return refuse(scheduler.RefusedUnhealthy)
 	}
 	w.extend(o.Deadline)
