Lint: no withdrawn word in a Go name, a doc comment on each exported item

Change: internal/lint gets two rules on the syntax trees. 'name' reports the withdrawn words (alarm, pressure, backlog, consumer, ticket, tally, charter, habit, spawn, and fault outside internal/testbed and cmd/drill), also as plurals, in each name that a file declares, in package names and in file names; tests are included. 'doc' reports packages, exported top-level items and exported methods without a doc comment. Fixtures give both verdicts of each; one older fixture (Unwrap) takes a doc comment, as the new rule would report it besides. Found and mended: 6 names (Tallies, PlanFaults, shouldBeFault) and 74 missing comments, most of them methods of heap.Interface.

--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -15,11 +15,11 @@
 	Now() time.Duration
 	// Wall is the time of day, for people and for ages of records, never for leases.
 	Wall() time.Time
-	// Set calls ring once after d, on a goroutine of the clock. Stop of the result calls it off.
-	Set(d time.Duration, ring func()) Stopper
+	// Set calls call once after d, on a goroutine of the clock. Stop of the result cancels it.
+	Set(d time.Duration, call func()) Stopper
 }
 
-// Stopper calls an timer off; it tells whether the timer had not rung yet.
+// Stopper cancels a timer. Stop tells whether the timer had not fired yet.
 type Stopper interface{ Stop() bool }
 
 // Real is the machine's clock (CLOCK_BOOTTIME).
@@ -29,7 +29,7 @@
 func (Real) Now() time.Duration {
 	var ts unix.Timespec
 	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts); err != nil {
-		panic("alarm: CLOCK_BOOTTIME cannot be read: " + err.Error())
+		panic("clock: CLOCK_BOOTTIME cannot be read: " + err.Error())
 	}
 	return time.Duration(ts.Nano())
 }
@@ -38,18 +38,18 @@
 func (Real) Wall() time.Time { return time.Now() }
 
 // Set is time.AfterFunc.
-func (Real) Set(d time.Duration, ring func()) Stopper { return time.AfterFunc(d, ring) }
+func (Real) Set(d time.Duration, call func()) Stopper { return time.AfterFunc(d, call) }
 
-// Virtual is a clock that moves only when it is told to. Alarms ring in order of time, then of setting.
+// Virtual is a clock that moves only by Advance. Timers fire in order of time, then of setting.
 // The zero value starts at 0.
 type Virtual struct {
 	mu    sync.Mutex
 	now   time.Duration
 	next  uint64
-	queue rings
+	queue timerHeap
 }
 
-type ring struct {
+type timer struct {
 	at   time.Duration
 	seq  uint64
 	call func()
@@ -57,7 +57,8 @@
 	host *Virtual
 }
 
-func (r *ring) Stop() bool {
+// Stop keeps the timer from firing and tells whether it was still to fire.
+func (r *timer) Stop() bool {
 	r.host.mu.Lock()
 	defer r.host.mu.Unlock()
 	was := !r.off
@@ -65,15 +66,24 @@
 	return was
 }
 
-type rings []*ring
+type timerHeap []*timer
 
-func (q rings) Len() int { return len(q) }
-func (q rings) Less(i, j int) bool {
+// Len is part of heap.Interface.
+func (q timerHeap) Len() int { return len(q) }
+
+// Less orders timers by time, then by the order in which they were set; part of heap.Interface.
+func (q timerHeap) Less(i, j int) bool {
 	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].seq < q[j].seq
 }
-func (q rings) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q *rings) Push(x any)   { *q = append(*q, x.(*ring)) }
-func (q *rings) Pop() any {
+
+// Swap is part of heap.Interface.
+func (q timerHeap) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+
+// Push is part of heap.Interface.
+func (q *timerHeap) Push(x any) { *q = append(*q, x.(*timer)) }
+
+// Pop is part of heap.Interface.
+func (q *timerHeap) Pop() any {
 	old := *q
 	last := old[len(old)-1]
 	*q = old[:len(old)-1]
@@ -90,22 +100,22 @@
 // Wall is the Unix epoch plus Now.
 func (v *Virtual) Wall() time.Time { return time.Unix(0, 0).Add(v.Now()) }
 
-// Set puts an timer at Now+d.
+// Set adds a timer at Now+d.
 func (v *Virtual) Set(d time.Duration, call func()) Stopper {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.next++
-	r := &ring{at: v.now + max(d, 0), seq: v.next, call: call, host: v}
+	r := &timer{at: v.now + max(d, 0), seq: v.next, call: call, host: v}
 	heap.Push(&v.queue, r)
 	return r
 }
 
-// Advance moves the clock by d and rings, in order, all that falls due on the way.
+// Advance moves the clock by d and fires, in order, the timers that become due.
 func (v *Virtual) Advance(d time.Duration) {
 	v.mu.Lock()
 	end := v.now + d
 	for len(v.queue) > 0 && v.queue[0].at <= end {
-		r := heap.Pop(&v.queue).(*ring)
+		r := heap.Pop(&v.queue).(*timer)
 		if r.off {
 			continue
 		}
--- a/internal/clock/clock_test.go
+++ b/internal/clock/clock_test.go
@@ -8,20 +8,20 @@
 )
 
 func TestVirtual(t *testing.T) {
-	Convey("alarms ring in order of time, then of setting; one called off does not; one set on the way does", t, func() {
+	Convey("timers fire in order of time, then of setting; a cancelled one does not; one set on the way does", t, func() {
 		var v Virtual
 		var rang []string
-		ring := func(name string) func() { return func() { rang = append(rang, name) } }
-		v.Set(2*time.Second, ring("c"))
+		timer := func(name string) func() { return func() { rang = append(rang, name) } }
+		v.Set(2*time.Second, timer("c"))
 		v.Set(time.Second, func() {
 			rang = append(rang, "a")
-			v.Set(500*time.Millisecond, ring("b"))
+			v.Set(500*time.Millisecond, timer("b"))
 		})
-		v.Set(2*time.Second, ring("d"))
-		off := v.Set(time.Second, ring("never"))
+		v.Set(2*time.Second, timer("d"))
+		off := v.Set(time.Second, timer("never"))
 		So(off.Stop(), ShouldBeTrue)
 		So(off.Stop(), ShouldBeFalse)
-		v.Set(5*time.Second, ring("later"))
+		v.Set(5*time.Second, timer("later"))
 		v.Advance(3 * time.Second)
 		So(rang, ShouldResemble, []string{"a", "b", "c", "d"})
 		So(v.Now(), ShouldEqual, 3*time.Second)
--- a/internal/dataplane/meter.go
+++ b/internal/dataplane/meter.go
@@ -68,7 +68,7 @@
 	count("replica_snapshots_total", f.Snapshots)
 	c := f.Counts
 	count("sched_plans_total", c.Plans)
-	count("sched_plan_faults_total", c.PlanFaults)
+	count("sched_plan_faults_total", c.PlanFailures)
 	count("sched_tickets_total", c.RunIDs)
 	count("sched_refused_total", c.Refused)
 	count("sched_sent_total", c.Sent)
@@ -84,7 +84,7 @@
 	for why, n := range c.Dead {
 		to <- prometheus.MustNewConstMetric(m.desc["dead"], prometheus.CounterValue, float64(n), why)
 	}
-	for kind, n := range f.Tallies {
+	for kind, n := range f.RunningCounts {
 		to <- prometheus.MustNewConstMetric(m.desc["tally"], prometheus.GaugeValue, float64(n), kind)
 	}
 }
--- a/internal/dataplane/node.go
+++ b/internal/dataplane/node.go
@@ -382,7 +382,7 @@
 	Epoch                            uint64
 	QueueLimit                       int
 	Counts                           sched.Counts
-	Tallies                          map[string]int
+	RunningCounts                    map[string]int
 	Jobs, Handles, Minions, Inbox    int
 	Sick                             []string // minions held sick
 }
@@ -392,7 +392,7 @@
 	st := n.replica.Lock()
 	defer n.replica.Unlock()
 	f := Figures{Index: st.Index, Changes: n.replica.Changes, Bytes: n.replica.Bytes, Snapshots: n.replica.Snapshots,
-		Phase: n.sched.Phase(), Epoch: n.sched.Epoch(), QueueLimit: n.sched.QueueLimit(), Counts: n.sched.Counts, Tallies: st.Tallies(),
+		Phase: n.sched.Phase(), Epoch: n.sched.Epoch(), QueueLimit: n.sched.QueueLimit(), Counts: n.sched.Counts, RunningCounts: st.RunningCounts(),
 		Jobs: len(st.Jobs), Handles: len(st.Handles), Minions: len(st.Minions), Inbox: len(st.Inbox), Sick: n.sched.Sick()}
 	f.Counts.Dead = map[string]uint64{}
 	for k, v := range n.sched.Counts.Dead {
--- a/internal/jobs/configure_test.go
+++ b/internal/jobs/configure_test.go
@@ -45,7 +45,7 @@
 		}{twice, errs.Invalid, "queues[1].name"})
 		for _, c := range cases {
 			err := table.Configure(c.order)
-			So(err, shouldBeFault, c.kind)
+			So(err, shouldBeKind, c.kind)
 			So(err, shouldNameField, c.field)
 			So(table.bytes(), ShouldEqual, before)
 		}
@@ -107,7 +107,7 @@
 			before := each.bytes()
 			So(each.Configure(Configure{Base: 5, Version: 6, Digest: "0"}), ShouldBeNil)
 			So(each.Configure(Configure{Base: 99, Version: 1, Digest: "7"}), ShouldBeNil)
-			So(each.Configure(testConfig()), shouldBeFault, errs.Stale) // the oldest of 1,025
+			So(each.Configure(testConfig()), shouldBeKind, errs.Stale) // the oldest of 1,025
 			So(each.bytes(), ShouldEqual, before)
 		}
 	})
@@ -116,7 +116,7 @@
 		So(table.Configure(Configure{Base: 5, Version: 6}), ShouldBeNil)
 		So(table.Configure(Configure{Base: 6, Version: 7}), ShouldBeNil)
 		So(table.Config.Version, ShouldEqual, 7)
-		So(table.Configure(Configure{Base: 6, Version: 7}), shouldBeFault, errs.Stale)
+		So(table.Configure(Configure{Base: 6, Version: 7}), shouldBeKind, errs.Stale)
 	})
 }
 
--- a/internal/jobs/helpers_test.go
+++ b/internal/jobs/helpers_test.go
@@ -104,7 +104,7 @@
 	return back
 }
 
-func shouldBeFault(actual any, expected ...any) string {
+func shouldBeKind(actual any, expected ...any) string {
 	err, _ := actual.(error)
 	if errs.Is(err, expected[0].(errs.Kind)) {
 		return ""
--- a/internal/jobs/index.go
+++ b/internal/jobs/index.go
@@ -122,8 +122,13 @@
 // retiredJobs is a heap of jobs by end, then by acceptance.
 type retiredJobs []*Job
 
-func (r retiredJobs) Len() int      { return len(r) }
+// Len is part of heap.Interface.
+func (r retiredJobs) Len() int { return len(r) }
+
+// Swap is part of heap.Interface.
 func (r retiredJobs) Swap(i, k int) { r[i], r[k] = r[k], r[i] }
+
+// Less orders jobs by their end, then by their acceptance; part of heap.Interface.
 func (r retiredJobs) Less(i, k int) bool {
 	if r[i].Ended.Equal(r[k].Ended) {
 		return r[i].Sequence < r[k].Sequence
--- a/internal/jobs/lifecycle_test.go
+++ b/internal/jobs/lifecycle_test.go
@@ -30,11 +30,11 @@
 			other := testJob("j")
 			other.Digest = "other"
 			_, err := table.Submit(other)
-			So(err, shouldBeFault, errs.Conflict)
+			So(err, shouldBeKind, errs.Conflict)
 			_, err = table.Cancel(Cancel{ID: "j", At: noon})
 			So(err, ShouldBeNil)
 			_, err = table.Submit(other)
-			So(err, shouldBeFault, errs.Conflict)
+			So(err, shouldBeKind, errs.Conflict)
 			state, err := table.Submit(testJob("j", oneCore(2)))
 			So(err, ShouldBeNil)
 			So(state, ShouldEqual, Cancelled)
@@ -45,7 +45,7 @@
 			So(err, ShouldBeNil)
 			So(state, ShouldEqual, Queued)
 			_, err = table.Submit(testJob("k"))
-			So(err, shouldBeFault, errs.Unknown)
+			So(err, shouldBeKind, errs.Unknown)
 		})
 	})
 	Convey("What cannot be built is refused and takes no number", t, func() {
@@ -53,12 +53,12 @@
 		before := table.bytes()
 		for _, steps := range [][]Step{{{Count: -1}}, {{Count: 1, After: []int{0}}}, {oneCore(1), {Count: 1, After: []int{-1}}}} {
 			_, err := table.Submit(testJob("j", steps...))
-			So(err, shouldBeFault, errs.Invalid)
+			So(err, shouldBeKind, errs.Invalid)
 		}
 		unknown := testJob("j")
 		unknown.Spec.Queue = "none"
 		_, err := table.Submit(unknown)
-		So(err, shouldBeFault, errs.Unknown)
+		So(err, shouldBeKind, errs.Unknown)
 		So(table.bytes(), ShouldEqual, before)
 	})
 	Convey("Rounds are built as often as asked, and a job without tasks has succeeded", t, func() {
@@ -100,7 +100,7 @@
 		table.Tidy(noon.Add(time.Second + 1))
 		So(table.Jobs["j"], ShouldBeNil)
 		_, err = table.Cancel(Cancel{ID: "j", At: noon})
-		So(err, shouldBeFault, errs.Unknown)
+		So(err, shouldBeKind, errs.Unknown)
 	})
 	Convey("A cancelled job does not become failed at the last attempt of a task that still ran", t, func() {
 		table := testTable()
--- a/internal/jobs/progress_test.go
+++ b/internal/jobs/progress_test.go
@@ -19,7 +19,7 @@
 		starts := []Start{startOf(taskOf("j", 0, 0), 1, "w1")}
 		for _, terms := range [][2]uint64{{testTerm, testTerm + 1}, {testTerm + 1, testTerm}, {testTerm - 1, testTerm - 1}} {
 			started, err := table.Progress(terms[0], Progress{Term: terms[1], Starts: starts, Forget: []string{"w2"}})
-			So(err, shouldBeFault, errs.Stale)
+			So(err, shouldBeKind, errs.Stale)
 			So(started.Recorded, ShouldBeEmpty)
 			So(table.bytes(), ShouldEqual, before)
 		}
--- a/internal/lint/lint_test.go
+++ b/internal/lint/lint_test.go
@@ -27,6 +27,40 @@
 			{"internal/a/a.go", `var s = http.Server{}`, "http"},
 			{"internal/a/a.go", `var s http.Handler`, ""},
 			{"internal/a/a.go", `func f( {`, "parse"},
+			// withdrawn words
+			{"internal/a/a.go", `var alarmClock int`, "name"},
+			{"internal/a/a.go", `type t struct { MaxBacklog int }`, "name"},
+			{"internal/a/a.go", `func f(consumers int) { for _, ticketID := range g { use(ticketID) } }`, "namename"},
+			{"internal/a/a_test.go", `func f() { tallies := g(); use(tallies) }`, "name"},
+			{"internal/a/a.go", `func f() { use(x.Alarm, spawn.Fault) }`, ""},
+			{"internal/a/a.go", `var respawned, alarming, asphalt, defaults int`, ""},
+			{"internal/a/a.go", `var fault int`, "name"},
+			{"internal/a/a.go", `const HTTPFaults_2 = "" // two of them`, "name"},
+			{"internal/testbed/a/a.go", `var fault int`, ""},
+			{"cmd/drill/a.go", `var fault int`, ""},
+			{"internal/testbed/a/a.go", `var ticket int`, "name"},
+			{"internal/a/charter.go", `var x int`, "name"},
+			{"internal/a/charterhouse.go", `var x int`, ""},
+			// doc comments
+			{"internal/a/a.go", `func F() {}`, "doc"},
+			{"internal/a/a.go", `// F does it.
+func F() {}`, ""},
+			{"internal/a/a.go", `func (t T) F() {}`, "doc"},
+			{"internal/a/a.go", `// F does it.
+func (t T) F() {}`, ""},
+			{"internal/a/a.go", `type T struct{}`, "doc"},
+			{"internal/a/a.go", `const (
+A = 1
+B = 2 // two
+c = 3
+)`, "doc"},
+			{"internal/a/a.go", `// Numbers.
+const (
+A = 1
+B = 2
+)`, ""},
+			{"internal/a/a.go", `func f() {}; type t int; var v int`, ""},
+			{"internal/a/a_test.go", `func F() {}`, ""},
 			// errors
 			{"internal/a/a.go", `func f() error { err := g(); return err }`, "bare"},
 			{"internal/a/a.go", `func f() error { if err := g(); err != nil { return err }; return nil }`, "bare"},
@@ -43,7 +77,8 @@
 			{"other/a.go", `func f() error { return g() }`, ""},
 			{"internal/a/a_test.go", `func f() error { return g() }`, ""},
 			{"internal/a/a.go", `func f() int { return g() }`, ""},
-			{"internal/a/a.go", `func (x X) Unwrap() error { return x.g() }`, ""},
+			{"internal/a/a.go", `// Unwrap is needed by errors.Is.
+func (x X) Unwrap() error { return x.g() }`, ""},
 			{"internal/a/a.go", `func f(err error) error { return err }`, ""},
 			{"internal/a/a.go", `func f() error { err := g(); return errs.Wrap(err, "") }`, ""},
 			{"internal/a/a.go", `func f() error { return errors.Join(a, b) }`, ""},
@@ -53,17 +88,28 @@
 			{"internal/a/a.go", `func f() error { h(func() int { return g() }); return nil }`, ""},
 		} {
 			got := ""
-			for _, f := range scanFile(c.file, c.file, top+c.body) {
+			for _, f := range scanFile(c.file, c.file, top+c.body, packageDocs{}) {
 				got += f.Rule
 			}
 			So(fmt.Sprint(c.file, " ", c.body, " -> ", got), ShouldEqual, fmt.Sprint(c.file, " ", c.body, " -> ", c.want))
 		}
-		other := scanFile("a.go", "a.go", `package x; import "github.com/valyala/fasthttp"; import "golang.org/x/sync/errgroup"`)
+		other := scanFile("a.go", "a.go", `package x; import "github.com/valyala/fasthttp"; import "golang.org/x/sync/errgroup"`, packageDocs{})
 		So(len(other), ShouldEqual, 2)
 		So(other[0].String(), ShouldEqual, "a.go:1: http: import of github.com/valyala/fasthttp")
 	})
 }
 
+func TestPackageComment(t *testing.T) {
+	Convey("A package needs a comment in one of its files that are no tests", t, func() {
+		docs := packageDocs{}
+		scanFile("a/a.go", "a/a.go", "package a", docs)
+		scanFile("a/b.go", "a/b.go", "// Package a is described.\npackage a", docs)
+		scanFile("b/b.go", "b/b.go", "// Detached.\n\npackage b", docs)
+		scanFile("b/b_test.go", "b/b_test.go", "// Package b is described.\npackage b", docs)
+		So(docs.findings(), ShouldResemble, []Finding{{File: "b", Rule: RuleDoc, Text: "the package has no doc comment"}})
+	})
+}
+
 func TestModule(t *testing.T) {
 	for _, f := range Scan("../..") {
 		t.Error(f)
--- a/internal/quorum/quorum.go
+++ b/internal/quorum/quorum.go
@@ -32,6 +32,7 @@
 // Role is what a node does in its term.
 type Role string
 
+// The roles of a node. A pre-candidate asks whether it would win before it raises its term.
 const (
 	Follower     Role = "follower"
 	PreCandidate Role = "precandidate"
@@ -87,6 +88,7 @@
 // Kind names a message.
 type Kind string
 
+// The kinds of messages. Those named Reply answer the kind before them.
 const (
 	PreVote       Kind = "prevote"
 	PreVoteReply  Kind = "prevote_reply"
--- a/internal/rpc/caller.go
+++ b/internal/rpc/caller.go
@@ -169,7 +169,10 @@
 
 type unsent struct{ cause error }
 
+// Error says what kept the call from being sent.
 func (u *unsent) Error() string { return "not sent: " + u.cause.Error() }
+
+// Unwrap returns the error under the mark.
 func (u *unsent) Unwrap() error { return u.cause }
 
 // Answered tells that err is a failure that the peer's handler (or its server) gave as the answer.
@@ -180,7 +183,10 @@
 
 type answered struct{ cause error }
 
+// Error says with which error the peer answered.
 func (a *answered) Error() string { return "answered: " + a.cause.Error() }
+
+// Unwrap returns the error under the mark.
 func (a *answered) Unwrap() error { return a.cause }
 
 // holder lends connections to calls.
--- a/internal/rpc/server.go
+++ b/internal/rpc/server.go
@@ -180,11 +180,13 @@
 // Unwrap lets http.ResponseController reach the connection.
 func (t *tap) Unwrap() http.ResponseWriter { return t.ResponseWriter }
 
+// WriteHeader records that the answer has begun and passes the status on.
 func (t *tap) WriteHeader(status int) {
 	t.begun = true
 	t.ResponseWriter.WriteHeader(status)
 }
 
+// Write counts the bytes of the answer and passes them on.
 func (t *tap) Write(b []byte) (int, error) {
 	t.begun = true
 	n, err := t.ResponseWriter.Write(b)
@@ -250,9 +252,14 @@
 	status int
 }
 
-func (p *probe) Header() http.Header         { return p.head }
+// Header is part of http.ResponseWriter.
+func (p *probe) Header() http.Header { return p.head }
+
+// Write discards the body.
 func (p *probe) Write(b []byte) (int, error) { return len(b), nil }
-func (p *probe) WriteHeader(status int)      { p.status = status }
+
+// WriteHeader records the status.
+func (p *probe) WriteHeader(status int) { p.status = status }
 
 // Start listens and answers. An address that cannot be had is errs.Settings.
 func (s *Server) Start() error {
@@ -390,6 +397,8 @@
 	released chan struct{}
 }
 
+// Accept returns the next connection. After a failure it waits before it tries again; once the listener is closed
+// it returns errs.Stopped.
 func (l *listener) Accept() (net.Conn, error) {
 	for {
 		c, err := l.Listener.Accept()
@@ -410,6 +419,7 @@
 // quiet stops the taking of connections, Close also lets Accept return.
 func (l *listener) quiet() { _ = l.Listener.Close() }
 
+// Close closes the socket and ends a waiting Accept.
 func (l *listener) Close() error {
 	l.quiet()
 	l.once.Do(func() { close(l.released) })
@@ -444,7 +454,14 @@
 	_ = at(*logTo.Load()).Log("part", "nbio", "msg", fmt.Sprintf(format, v...))
 }
 
+// Debug logs a line of nbio at the level debug.
 func (n nbioLog) Debug(format string, v ...any) { n.put(level.Debug, format, v) }
-func (n nbioLog) Info(format string, v ...any)  { n.put(level.Debug, format, v) } // its start and stop lines
-func (n nbioLog) Warn(format string, v ...any)  { n.put(level.Warn, format, v) }
+
+// Info logs at the level debug, as nbio's lines on its start and stop are of no use to operators.
+func (n nbioLog) Info(format string, v ...any) { n.put(level.Debug, format, v) } // its start and stop lines
+
+// Warn logs a line of nbio at the level warn.
+func (n nbioLog) Warn(format string, v ...any) { n.put(level.Warn, format, v) }
+
+// Error logs a line of nbio at the level error.
 func (n nbioLog) Error(format string, v ...any) { n.put(level.Error, format, v) }
--- a/internal/sched/plan.go
+++ b/internal/sched/plan.go
@@ -60,7 +60,7 @@
 		c.fresh[s.Minion] = true
 	}
 	if err != nil {
-		c.Counts.PlanFaults++
+		c.Counts.PlanFailures++
 		c.ends = append(f.plan.Ends, c.ends...)
 		if errs.Is(err, errs.Stale) {
 			c.Yield()
@@ -145,10 +145,19 @@
 
 type waiters []waiter
 
-func (w waiters) Len() int           { return len(w) }
+// Len is part of heap.Interface.
+func (w waiters) Len() int { return len(w) }
+
+// Less orders the tasks by the time they become due; part of heap.Interface.
 func (w waiters) Less(i, j int) bool { return w[i].at < w[j].at }
-func (w waiters) Swap(i, j int)      { w[i], w[j] = w[j], w[i] }
-func (w *waiters) Push(x any)        { *w = append(*w, x.(waiter)) }
+
+// Swap is part of heap.Interface.
+func (w waiters) Swap(i, j int) { w[i], w[j] = w[j], w[i] }
+
+// Push is part of heap.Interface.
+func (w *waiters) Push(x any) { *w = append(*w, x.(waiter)) }
+
+// Pop is part of heap.Interface.
 func (w *waiters) Pop() any {
 	old := *w
 	x := old[len(old)-1]
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -69,8 +69,8 @@
 
 // Counts are what a Core counted since it was made.
 type Counts struct {
-	RunIDs, Refused, Sent, Ended, Failures, Doubts, Stops, Plans, PlanFaults, CallFailures, Crossed, Sick uint64
-	Dead                                                                                                  map[string]uint64 // by proof
+	RunIDs, Refused, Sent, Ended, Failures, Doubts, Stops, Plans, PlanFailures, CallFailures, Crossed, Sick uint64
+	Dead                                                                                                    map[string]uint64 // by proof
 }
 
 // Core is the duty's record tables and the passes over them. One caller at a time.
--- a/internal/state/command/plan_test.go
+++ b/internal/state/command/plan_test.go
@@ -116,7 +116,7 @@
 		b.do(&Plan{Epoch: 1, Dead: []Proof{{RunID: 1, Why: ProofStop}}})
 		So(b.Jobs["j"].Phase, ShouldEqual, state.JobCancelled)
 		So(b.Handles, ShouldBeEmpty)
-		So(b.Tallies(), ShouldBeEmpty)
+		So(b.RunningCounts(), ShouldBeEmpty)
 	})
 }
 
--- a/internal/state/line.go
+++ b/internal/state/line.go
@@ -28,8 +28,8 @@
 const (
 	RevisionDraft    RevisionPhase = "draft"       // written, unsigned
 	RevisionSigned   RevisionPhase = "signed once" // by one operator
-	RevisionForce    RevisionPhase = "in force"
-	RevisionReplaced RevisionPhase = "replaced" // by a newer version, after or without having been in force; final
+	RevisionForce    RevisionPhase = "in force"    // the version that holds
+	RevisionReplaced RevisionPhase = "replaced"    // by a newer version, after or without having been in force; final
 )
 
 // Revision is one version of the bundle in the operators' line. Body is its exact bytes, nil once it was let go.
--- a/internal/state/query/query.go
+++ b/internal/state/query/query.go
@@ -102,12 +102,12 @@
 // Figures counts what is in the store.
 type Figures struct {
 	Jobs, Inbox, Tombs, Handles, Minions int
-	Tallies                              map[string]int
+	RunningCounts                        map[string]int
 }
 
 // Count gives the Figures of s.
 func Count(s *state.State) Figures {
-	return Figures{len(s.Jobs), len(s.Inbox), len(s.Tombs), len(s.Handles), len(s.Minions), s.Tallies()}
+	return Figures{len(s.Jobs), len(s.Inbox), len(s.Tombs), len(s.Handles), len(s.Minions), s.RunningCounts()}
 }
 
 // MinionView is a minion with what is out on it.
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -380,8 +380,8 @@
 // RunningCount gives how many handles of a type are out.
 func (s *State) RunningCount(kind string) int { return s.runningCounts[kind] }
 
-// Tallies gives a copy of every tally.
-func (s *State) Tallies() map[string]int {
+// RunningCounts returns a copy of the running counts, by type.
+func (s *State) RunningCounts() map[string]int {
 	out := make(map[string]int, len(s.runningCounts))
 	for k, n := range s.runningCounts {
 		out[k] = n
--- a/internal/storage/disk.go
+++ b/internal/storage/disk.go
@@ -54,6 +54,7 @@
 
 func (d osDisk) at(name string) string { return filepath.Join(d.dir, name) }
 
+// Create makes a new file for writing; a name that is taken is errs.Disk.
 func (d osDisk) Create(name string) (File, error) {
 	f, err := os.OpenFile(d.at(name), os.O_CREATE|os.O_EXCL|os.O_WRONLY, 0o640)
 	if err != nil {
@@ -62,6 +63,7 @@
 	return osFile{f}, nil
 }
 
+// Open opens a file for reading.
 func (d osDisk) Open(name string) (File, error) {
 	f, err := os.Open(d.at(name))
 	if err != nil {
@@ -70,6 +72,7 @@
 	return osFile{f}, nil
 }
 
+// List returns the names of the regular files, in order.
 func (d osDisk) List() ([]string, error) {
 	all, err := os.ReadDir(d.dir)
 	if err != nil {
@@ -84,14 +87,17 @@
 	return out, nil
 }
 
+// Remove deletes a file.
 func (d osDisk) Remove(name string) error {
 	return errs.Wrap(os.Remove(d.at(name)), errs.Disk, "remove %s", name)
 }
 
+// Rename renames a file, in place of one that has the new name.
 func (d osDisk) Rename(old, name string) error {
 	return errs.Wrap(os.Rename(d.at(old), d.at(name)), errs.Disk, "rename %s to %s", old, name)
 }
 
+// Sync makes the creations, removals and renames in the folder durable.
 func (d osDisk) Sync() error {
 	f, err := os.Open(d.dir)
 	if err != nil {
--- a/internal/storage/memdisk.go
+++ b/internal/storage/memdisk.go
@@ -222,6 +222,7 @@
 	return nil
 }
 
+// Read is io.Reader.
 func (f *memFile) Read(p []byte) (int, error) {
 	f.d.mu.Lock()
 	defer f.d.mu.Unlock()
@@ -233,6 +234,7 @@
 	return n, nil
 }
 
+// Write appends to the file. It is errs.Disk after the disk was crashed or cut off.
 func (f *memFile) Write(p []byte) (int, error) {
 	f.d.mu.Lock()
 	defer f.d.mu.Unlock()
@@ -243,6 +245,8 @@
 	return len(p), nil
 }
 
+// Sync makes what was written durable, unless the disk is to fail this sync: then nothing of the file becomes
+// durable any more.
 func (f *memFile) Sync() error {
 	f.d.mu.Lock()
 	defer f.d.mu.Unlock()
@@ -259,4 +263,5 @@
 	return nil
 }
 
+// Close does nothing.
 func (f *memFile) Close() error { return nil }
--- a/internal/store/meter.go
+++ b/internal/store/meter.go
@@ -95,7 +95,7 @@
 	gauge(descState, float64(figures.Tombs), "tombs")
 	gauge(descState, float64(figures.Handles), "handles")
 	gauge(descState, float64(figures.Minions), "minions")
-	for kind, n := range figures.Tallies {
+	for kind, n := range figures.RunningCounts {
 		gauge(descType, float64(n), kind)
 	}
 }
--- a/internal/testbed/fleetsim/oracle.go
+++ b/internal/testbed/fleetsim/oracle.go
@@ -134,6 +134,7 @@
 	return j.task(ref)
 }
 
+// String names the run and its worker for a report.
 func (r *liveRun) String() string {
 	k := r.key
 	return fmt.Sprintf("%s.%d.%d.%d run %d on %s", k.Task.Job, k.Task.Round, k.Task.Step, k.Task.Index, k.Number, r.on.id)
--- a/internal/testbed/fleetsim/sim.go
+++ b/internal/testbed/fleetsim/sim.go
@@ -64,8 +64,13 @@
 // eventQueue is a heap of events by time, then by number.
 type eventQueue []event
 
-func (q eventQueue) Len() int      { return len(q) }
+// Len is part of heap.Interface.
+func (q eventQueue) Len() int { return len(q) }
+
+// Swap is part of heap.Interface.
 func (q eventQueue) Swap(i, k int) { q[i], q[k] = q[k], q[i] }
+
+// Less orders events by time, then by number; part of heap.Interface.
 func (q eventQueue) Less(i, k int) bool {
 	return q[i].at < q[k].at || q[i].at == q[k].at && q[i].number < q[k].number
 }
--- a/internal/testbed/sim/cplane.go
+++ b/internal/testbed/sim/cplane.go
@@ -409,6 +409,7 @@
 	return s.cplaneAt(p), nil
 }
 
+// Chunk reads a part of a peer's snapshot.
 func (d direct) Chunk(_ context.Context, addr string, call api.ChunkCall) (api.ChunkAnswer, error) {
 	c, err := d.to(addr)
 	if err != nil {
@@ -418,6 +419,7 @@
 	return a, errs.Pass(err, "chunk")
 }
 
+// Found asks a peer how it stands with the founding.
 func (d direct) Found(_ context.Context, addr string, call api.FoundCall) (api.FoundAnswer, error) {
 	c, err := d.to(addr)
 	if err != nil {
--- a/internal/testbed/sim/dplane.go
+++ b/internal/testbed/sim/dplane.go
@@ -75,10 +75,12 @@
 	from   *cplane
 }
 
+// Follow returns the answer that has arrived.
 func (c canned) Follow(context.Context, api.FollowCall) (api.FollowAnswer, error) {
 	return c.answer, nil
 }
 
+// Chunk reads a part of the snapshot from the cplane that answered.
 func (c canned) Chunk(_ context.Context, call api.ChunkCall) (api.ChunkAnswer, error) {
 	if c.from.hand == nil || !c.from.alive || c.d.s.blocked(c.d.proc, c.from.proc) {
 		return api.ChunkAnswer{}, errs.New(errs.Unknown, "gone")
--- a/internal/testbed/sim/linear.go
+++ b/internal/testbed/sim/linear.go
@@ -45,6 +45,7 @@
 	phase  state.JobPhase // as told with fresh, same and phase
 }
 
+// String describes the call and its answer for a report.
 func (m *move) String() string {
 	return fmt.Sprintf("%v..%v %s %s: %s %s", m.call, m.back, m.act, m.digest, m.answer, m.phase)
 }
--- a/internal/testbed/sim/net.go
+++ b/internal/testbed/sim/net.go
@@ -83,6 +83,7 @@
 
 type ring struct{ off bool }
 
+// Stop keeps the timer from firing and tells whether it was still to fire.
 func (r *ring) Stop() bool { was := !r.off; r.off = true; return was }
 
 // Set is an timer of the process.
--- a/internal/testbed/sim/oracle.go
+++ b/internal/testbed/sim/oracle.go
@@ -450,7 +450,7 @@
 
 // rebuilt checks the tallies of a fresh holder against the handles of the log up to its grant.
 func (o *oracle) rebuilt(d *dplane) {
-	want := d.state().Tallies()
+	want := d.state().RunningCounts()
 	for kind, n := range want {
 		if got := d.sched.RunningCount(kind); got != n {
 			o.s.broke("rebuilt", "%s has a tally of %d for %s, %d handles are out", d.addr, got, kind, n)
--- a/internal/testbed/sim/sim.go
+++ b/internal/testbed/sim/sim.go
@@ -56,12 +56,21 @@
 
 type events []event
 
+// Len is part of heap.Interface.
 func (q events) Len() int { return len(q) }
+
+// Less orders events by time, then by number; part of heap.Interface.
 func (q events) Less(i, j int) bool {
 	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].seq < q[j].seq
 }
+
+// Swap is part of heap.Interface.
 func (q events) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q *events) Push(x any)   { *q = append(*q, x.(event)) }
+
+// Push is part of heap.Interface.
+func (q *events) Push(x any) { *q = append(*q, x.(event)) }
+
+// Pop is part of heap.Interface.
 func (q *events) Pop() any {
 	old := *q
 	x := old[len(old)-1]
