Rename settings keys, metrics, log parts and one error kind to the field's terms

Change: settings backlog -> queue_limit, slot_every -> snapshot_every; bundles' charter -> placement. An old key is refused with 'is now named ...' (config.Reader.Renamed, a test in config and one in bundle). Log parts plane, wire, view -> dataplane, rpc, membership. Error kind and load report's key pressure -> overloaded. Kept: the minions' contract (field ticket) and the product's words for users in its documents.

--- a/cmd/cplane/platform.go
+++ b/cmd/cplane/platform.go
@@ -30,8 +30,8 @@
 	platformHeartbeat = 70 * time.Millisecond
 	platformLease     = 235 * time.Millisecond
 
-	// platformSlotEvery is the number of log entries between two slots: a restart replays no more than about twice as many.
-	platformSlotEvery = 1000
+	// platformSnapshotEvery is the number of log entries between two snapshots: a restart replays no more than about twice as many.
+	platformSnapshotEvery = 1000
 
 	dialTimeout = 700 * time.Millisecond  // a connection to a machine that is gone hangs
 	userTimeout = 1500 * time.Millisecond // how long the kernel resends bytes that nobody confirms
@@ -133,7 +133,7 @@
 	node.leader = controller.NewLeader(options)
 	node.client = controller.NewClient(controller.ClientOptions{Caller: caller, Seeds: core.Seeds, Self: core.InternalAddress,
 		Logger: daemon.Part(logger, "client")})
-	node.inner = rpc.NewServer(rpc.ServerOptions{Addr: core.InternalAddress, Loops: 1, Descriptors: descriptors, Logger: daemon.Part(logger, "wire")})
+	node.inner = rpc.NewServer(rpc.ServerOptions{Addr: core.InternalAddress, Loops: 1, Descriptors: descriptors, Logger: daemon.Part(logger, "rpc")})
 	node.store.Serve(node.inner)
 	controller.Serve(node.inner, node.leader)
 	node.control = rpc.NewServer(rpc.ServerOptions{Addr: core.ControlAddress, Loops: 1, Descriptors: descriptors, Logger: daemon.Part(logger, "control")})
@@ -181,7 +181,7 @@
 	set.Name, set.Zone, set.Region = core.Name, core.Zone, core.Region
 	set.Addr, set.Seeds, set.Data = core.InternalAddress, core.Seeds, core.DataFolder
 	set.Election, set.Heartbeat, set.Lease = platformElection, platformHeartbeat, platformLease
-	set.SlotEvery = platformSlotEvery
+	set.SnapshotEvery = platformSnapshotEvery
 	set.OpenMembership, set.Founding = true, core.Bootstrap
 	if core.Grace > 0 {
 		set.Grace = max(core.Grace-exitMargin, core.Grace/2)
--- a/cmd/cplane/run.go
+++ b/cmd/cplane/run.go
@@ -48,7 +48,7 @@
 	if err != nil {
 		return errs.Pass(err, "open %s", set.Data)
 	}
-	srv := rpc.NewServer(rpc.ServerOptions{Addr: set.Addr, Logger: daemon.Part(logger, "wire"), Registry: reg})
+	srv := rpc.NewServer(rpc.ServerOptions{Addr: set.Addr, Logger: daemon.Part(logger, "rpc"), Registry: reg})
 	s.Serve(srv)
 	seeds := slices.Clone(set.Seeds)
 	for _, m := range set.Members {
--- a/cmd/dplane/main.go
+++ b/cmd/dplane/main.go
@@ -66,7 +66,7 @@
 		core = set.Seeds // until the view tells of the cplanes
 	}
 	n := dataplane.New(dataplane.Options{Name: set.Name, Addr: set.Addr, Boot: hex.EncodeToString(boot), Core: core, Sched: passes(set),
-		CallTimeout: set.CallTimeout, QueueLimit: set.QueueLimit, Clock: clock.Real{}, Logger: daemon.Part(logger, "plane"),
+		CallTimeout: set.CallTimeout, QueueLimit: set.QueueLimit, Clock: clock.Real{}, Logger: daemon.Part(logger, "dataplane"),
 		Caller: caller, Minions: minions})
 	reg.MustRegister(dataplane.NewMeter(n))
 	var learn func([]string)
@@ -74,7 +74,7 @@
 		learn = n.Cplanes
 	}
 	members := daemon.View(set.Common, membership.Dplane, set.Seeds, caller, logger, reg, learn)
-	srv := rpc.NewServer(rpc.ServerOptions{Addr: set.Addr, Logger: daemon.Part(logger, "wire"), Registry: reg})
+	srv := rpc.NewServer(rpc.ServerOptions{Addr: set.Addr, Logger: daemon.Part(logger, "rpc"), Registry: reg})
 	clientapi.Register(srv, n, clientapi.Options{Within: set.CallTimeout, Seed: uint64(boot[0])<<8 | uint64(boot[1])})
 	rpc.Handle(srv, api.Minions, n.Announce)
 	rpc.Handle(srv, api.Shuffle, members.Serve)
--- a/cmd/dplane/platform.go
+++ b/cmd/dplane/platform.go
@@ -85,10 +85,10 @@
 		Logger: daemon.Part(logger, "client")})
 	f.readiness.fresh, f.readiness.within = f.client.Ready, f.client.ReadyWithin
 	f.clients = rpc.NewServer(rpc.ServerOptions{Addr: core.ClientAddress, Loops: 1, Descriptors: descriptors,
-		Logger: daemon.Part(logger, "wire")})
+		Logger: daemon.Part(logger, "rpc")})
 	platform.NewIngress(f.client).Routes(f.clients)
 	f.asked = rpc.NewServer(rpc.ServerOptions{Addr: core.ReadyAddress, Loops: 1, Descriptors: descriptors,
-		Logger: daemon.Part(logger, "wire")})
+		Logger: daemon.Part(logger, "rpc")})
 	platform.Readiness(f.asked, f.readiness.check)
 	return f
 }
--- a/cmd/drill/bench.go
+++ b/cmd/drill/bench.go
@@ -59,7 +59,7 @@
 		if n.Name == who.Store {
 			s.syncs, s.leaderCPU = f.Sum("crosstide_store_sync_seconds_count"), f.Sum("process_cpu_seconds_total")
 		} else {
-			s.runIDs, s.holderCPU = f.Sum("crosstide_sched_tickets_total"), f.Sum("process_cpu_seconds_total")
+			s.runIDs, s.holderCPU = f.Sum("crosstide_sched_run_ids_total"), f.Sum("process_cpu_seconds_total")
 		}
 	}
 	return s, nil
--- a/internal/bundle/bundle.go
+++ b/internal/bundle/bundle.go
@@ -56,7 +56,7 @@
 // path, in the message of one errs.Invalid (Field: the first path); a text over MaxBytes is errs.TooLarge.
 // Example:
 //
-//	b, err := bundle.Parse([]byte(`{"queues":{"scan":{"charter":{"zones":["z1"]}}}}`))
+//	b, err := bundle.Parse([]byte(`{"queues":{"scan":{"placement":{"zones":["z1"]}}}}`))
 func Parse(data []byte) (state.Bundle, error) {
 	if len(data) > MaxBytes {
 		return state.Bundle{}, errs.New(errs.TooLarge, "the bundle has %d bytes, at most %d", len(data), MaxBytes)
@@ -121,7 +121,8 @@
 	r.Bool("urgent", &q.Urgent)
 	r.Duration("hold", &q.Hold, shortestHold, longestHold)
 	q.Retries = retries(r)
-	r.Object("charter", func(r *config.Reader) {
+	r.Renamed("charter", "placement")
+	r.Object("placement", func(r *config.Reader) {
 		list(r, "minions", &q.Minions)
 		list(r, "zones", &q.Zones)
 		list(r, "racks", &q.Racks)
--- a/internal/bundle/bundle_test.go
+++ b/internal/bundle/bundle_test.go
@@ -14,7 +14,7 @@
 )
 
 const full = `{"queues":{"scan":{"types":["scan","route"],"teams":["parcel"],"labels":{"disk":"ssd"},"urgent":true,"hold":"10s",
-"retries":2,"charter":{"minions":["m2","m1"],"zones":["z1"],"racks":["r1"],"near":[{"label":"data","value":"scans","within":"rack"}]}}},
+"retries":2,"placement":{"minions":["m2","m1"],"zones":["z1"],"racks":["r1"],"near":[{"label":"data","value":"scans","within":"rack"}]}}},
 "limits":{"scan":40},"weights":{"parcel":3},"retries":5,"backoff":{"min":"1s","max":"1m"},"hold":"30s"}`
 
 func TestParse(t *testing.T) {
@@ -35,21 +35,26 @@
 		So(state.New().Head().Digest, ShouldEqual, Digest([]byte(state.First)))
 	})
 	Convey("All mistakes are told at once, with their paths", t, func() {
-		_, err := Parse([]byte(`{"queues":{"a b":{},"q":{"zones":["z1"],"types":[],"hold":"1ms","charter":{"racks":["r 1",7],
+		_, err := Parse([]byte(`{"queues":{"a b":{},"q":{"zones":["z1"],"types":[],"hold":"1ms","placement":{"racks":["r 1",7],
 			"near":[{"label":"x","within":"room"}]}}},"limits":{"scan":-1},"weights":{"t":0},"backoff":{"min":"2s","max":"1s"},
 			"operators":[{"name":"o","key":"QQ=="}],"limit":{}}`))
 		So(errs.KindOf(err), ShouldEqual, errs.Invalid)
 		lines := strings.Split(errs.Of(err).Message, "\n")
 		So(lines[0], ShouldEqual, "14 mistakes in the bundle:")
 		for i, want := range []string{"queues.a b: must be a name", "queues.q.types: must not be empty", "queues.q.hold: must be from 5s",
-			`queues.q.charter.racks[0]: must be a name`, "queues.q.charter.racks[1]: must be a string, is 7",
-			"queues.q.charter.near[0].value: must be given", "queues.q.charter.near[0].within: must be one of rack, zone",
+			`queues.q.placement.racks[0]: must be a name`, "queues.q.placement.racks[1]: must be a string, is 7",
+			"queues.q.placement.near[0].value: must be given", "queues.q.placement.near[0].within: must be one of rack, zone",
 			"queues.q.zones: is not a known field", "limits.scan: must be from 0", "weights.t: must be from 1",
 			"backoff.max: must not be under min", "operators[0].key: must be the base64 of 32 bytes"} {
 			So(lines[i+1], ShouldStartWith, want)
 		}
 		So(errs.Of(err).Message, ShouldEndWith, "limit: is not a known field")
 	})
+	Convey("A field under its former name is refused with the name it has now", t, func() {
+		_, err := Parse([]byte(`{"queues":{"q":{"charter":{"zones":["z1"]}}}}`))
+		So(errs.KindOf(err), ShouldEqual, errs.Invalid)
+		So(errs.Of(err).Message, ShouldEndWith, "queues.q.charter: is now named placement")
+	})
 	Convey("What is no bundle at all is refused", t, func() {
 		for _, text := range []string{``, `[]`, `{}`, `{"queues":{}}`, `{"queues":{"q":{},"q":{}}}`, "{\"queues\":{\"q\":{\"teams\":[\"\xff\"]}}}",
 			`{"queues":{"q":{}},"operators":[]}`} {
@@ -63,7 +68,7 @@
 
 func TestMerge(t *testing.T) {
 	Convey("A merge patch sets, replaces and takes away, and the difference is told by paths", t, func() {
-		next, err := Merge([]byte(full), []byte(`{"queues":{"scan":{"charter":{"zones":["z2"],"racks":null},"teams":null},"new":{}},"limits":null}`))
+		next, err := Merge([]byte(full), []byte(`{"queues":{"scan":{"placement":{"zones":["z2"],"racks":null},"teams":null},"new":{}},"limits":null}`))
 		So(err, ShouldBeNil)
 		b, err := Parse(next)
 		So(err, ShouldBeNil)
@@ -72,7 +77,7 @@
 		changes, err := Diff([]byte(full), next)
 		So(err, ShouldBeNil)
 		So(changes, ShouldResemble, []Change{{"limits", `{"scan":40}`, ""}, {"queues.new", "", "{}"},
-			{"queues.scan.charter.racks", `["r1"]`, ""}, {"queues.scan.charter.zones", `["z1"]`, `["z2"]`},
+			{"queues.scan.placement.racks", `["r1"]`, ""}, {"queues.scan.placement.zones", `["z1"]`, `["z2"]`},
 			{"queues.scan.teams", `["parcel"]`, ""}})
 	})
 	Convey("A patch that is none, or says a thing twice, is refused", t, func() {
--- a/internal/clientapi/clientapi.go
+++ b/internal/clientapi/clientapi.go
@@ -41,7 +41,7 @@
 	// Read runs do, before it returns, on a state at least as new as the call began. do must not keep the state.
 	// errs.Unavailable when that cannot be confirmed; do has not run then.
 	Read(ctx context.Context, do func(s *state.State) error) error
-	// Backlog is the most jobs that may be open.
+	// QueueLimit is the most jobs that may be open.
 	QueueLimit() int
 }
 
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -20,7 +20,7 @@
 
 const cplane = `{"name":"c1","zone":"a","region":"r","addr":"10.0.0.1:7000","seeds":["10.0.0.2:7000"],"data":"d",
 "members":[{"id":"c1","addr":"10.0.0.1:7000","zone":"a"},{"id":"c2","addr":"10.0.0.2:7000","zone":"b"}],
-"lease":"800ms","backlog":7,"operator_keys":[{"name":"o","key":` + key + `},{"name":"p","key":` + other + `}]}`
+"lease":"800ms","queue_limit":7,"operator_keys":[{"name":"o","key":` + key + `},{"name":"p","key":` + other + `}]}`
 
 const dplane = `{"name":"d1","zone":"a","region":"r","addr":"10.0.1.1:7000","core":["10.0.0.1:7000"],"sick_share":9}`
 
@@ -134,14 +134,16 @@
 		So(lines(CheckCplane(c))[0], ShouldEqual, "members: must be at most 3 with open_membership, are 4")
 	})
 	Convey("The mistakes of a cplane's file come together", t, func() {
-		text := strings.NewReplacer(`"800ms"`, `"150ms"`, `"backlog":7`, `"backlog":-1`, key, `"QQ=="`, `"seeds":["10.0.0.2:7000"]`, `"seeds":[]`).Replace(cplane)
+		text := strings.NewReplacer(`"800ms"`, `"150ms"`, `"queue_limit":7`, `"queue_limit":-1`, key, `"QQ=="`, `"seeds":["10.0.0.2:7000"]`, `"seeds":[]`).Replace(cplane)
 		_, err := LoadCplane(file(t, text))
 		So(lines(err), ShouldResemble, []string{
 			"seeds: must be 1 to 3 addresses, are 0",
-			"backlog: must be from 1 to 1073741824, is -1",
+			"queue_limit: must be from 1 to 1073741824, is -1",
 			`operator_keys[0].key: must be the base64 of 32 bytes, is "QQ=="`,
 			"heartbeat: must be under half of lease (150ms), is 100ms",
 		})
+		_, err = LoadCplane(file(t, strings.Replace(cplane, `"queue_limit":7`, `"backlog":7,"slot_every":9`, 1)))
+		So(lines(err), ShouldResemble, []string{"slot_every: is now named snapshot_every", "backlog: is now named queue_limit"})
 		_, err = LoadCplane(filepath.Join(t.TempDir(), "none"))
 		So(errs.Is(err, errs.Settings), ShouldBeTrue)
 	})
--- a/internal/config/daemon.go
+++ b/internal/config/daemon.go
@@ -31,19 +31,19 @@
 // Cplane is the settings of a cplane.
 type Cplane struct {
 	Common
-	Data         string        // data: the folder of the store, needed
-	Members      []Member      // members: the first members of the store, needed
-	Election     time.Duration // election: silence after which one stands for leader; default 1s
-	Heartbeat    time.Duration // heartbeat: of the leader; default 100ms, under half of lease
-	Lease        time.Duration // lease: of the leader; default 700ms, under election
-	DutyLease    time.Duration // duty_lease; default 3s
-	SlotEvery    int           // slot_every: log entries between two slots; default 20000
-	QueueLimit   int           // queue: jobs that may be open at most; default 60000
-	KeepEnded    int           // keep_ended: ended jobs kept at most; default 20000
-	KeepEndedFor time.Duration // keep_ended_for; default 1h
-	KeepTombs    int           // keep_tombs: tombstones kept at most; default 200000
-	KeepTombsFor time.Duration // keep_tombs_for; default 168h
-	OperatorKeys []OperatorKey // operator_keys: who may sign from the founding on; none, or two at least
+	Data          string        // data: the folder of the store, needed
+	Members       []Member      // members: the first members of the store, needed
+	Election      time.Duration // election: silence after which one stands for leader; default 1s
+	Heartbeat     time.Duration // heartbeat: of the leader; default 100ms, under half of lease
+	Lease         time.Duration // lease: of the leader; default 700ms, under election
+	DutyLease     time.Duration // duty_lease; default 3s
+	SnapshotEvery int           // snapshot_every: log entries between two snapshots; default 20000
+	QueueLimit    int           // queue_limit: jobs that may be open at most; default 60000
+	KeepEnded     int           // keep_ended: ended jobs kept at most; default 20000
+	KeepEndedFor  time.Duration // keep_ended_for; default 1h
+	KeepTombs     int           // keep_tombs: tombstones kept at most; default 200000
+	KeepTombsFor  time.Duration // keep_tombs_for; default 168h
+	OperatorKeys  []OperatorKey // operator_keys: who may sign from the founding on; none, or two at least
 
 	// OpenMembership, open_membership: members are only seeds, which may differ between nodes and starts; any node
 	// may join, and the leader removes voters that are silent. Default false.
@@ -64,14 +64,14 @@
 	DutyLease   time.Duration // duty_lease: as the cplanes have it; default 3s, over lease_margin
 	CallTimeout time.Duration // call_timeout; default 2s
 	SickShare   int           // sick_share: percent of a zone's minions that may be held sick at once; default 30, 0: none
-	QueueLimit  int           // queue: jobs that may be open at most; default 60000
+	QueueLimit  int           // queue_limit: jobs that may be open at most; default 60000
 }
 
 // DefaultCplane has every default, and nothing that is needed.
 func DefaultCplane() Cplane {
 	return Cplane{
 		Common: defaultCommon(), Election: time.Second, Heartbeat: 100 * time.Millisecond, Lease: 700 * time.Millisecond,
-		DutyLease: 3 * time.Second, SlotEvery: 20000, QueueLimit: 60000, KeepEnded: 20000, KeepEndedFor: time.Hour,
+		DutyLease: 3 * time.Second, SnapshotEvery: 20000, QueueLimit: 60000, KeepEnded: 20000, KeepEndedFor: time.Hour,
 		KeepTombs: 200000, KeepTombsFor: 168 * time.Hour, Founding: true, RemoveAfter: 3 * time.Second,
 	}
 }
@@ -169,8 +169,10 @@
 	r.Duration("heartbeat", &c.Heartbeat, shortest, longest)
 	r.Duration("lease", &c.Lease, shortest, longest)
 	r.Duration("duty_lease", &c.DutyLease, shortest, longest)
-	r.Int("slot_every", &c.SlotEvery, 1, largest)
-	r.Int("backlog", &c.QueueLimit, 1, largest)
+	r.Renamed("slot_every", "snapshot_every")
+	r.Int("snapshot_every", &c.SnapshotEvery, 1, largest)
+	r.Renamed("backlog", "queue_limit")
+	r.Int("queue_limit", &c.QueueLimit, 1, largest)
 	r.Int("keep_ended", &c.KeepEnded, 0, largest)
 	r.Duration("keep_ended_for", &c.KeepEndedFor, 0, oldest)
 	r.Int("keep_tombs", &c.KeepTombs, 0, largest)
@@ -240,7 +242,8 @@
 	r.Duration("duty_lease", &d.DutyLease, shortest, longest)
 	r.Duration("call_timeout", &d.CallTimeout, shortest, longest)
 	r.Int("sick_share", &d.SickShare, 0, 100)
-	r.Int("backlog", &d.QueueLimit, 1, largest)
+	r.Renamed("backlog", "queue_limit")
+	r.Int("queue_limit", &d.QueueLimit, 1, largest)
 	if d.LeaseMargin >= d.DutyLease {
 		r.Wrong("lease_margin", "must be under duty_lease (%s), is %s", d.DutyLease, d.LeaseMargin)
 	}
--- a/internal/config/reader.go
+++ b/internal/config/reader.go
@@ -187,6 +187,13 @@
 	return out
 }
 
+// Renamed makes a field under its former name a mistake whose text gives the name it has now.
+func (r *Reader) Renamed(old, now string) {
+	if r.Has(old) {
+		r.Wrong(old, "is now named %s", now)
+	}
+}
+
 // Need makes the absence of fields a mistake.
 func (r *Reader) Need(fields ...string) {
 	for _, field := range fields {
--- a/internal/daemon/view.go
+++ b/internal/daemon/view.go
@@ -25,7 +25,7 @@
 	cplanes func([]string)) *membership.Node {
 	return membership.NewNode(membership.Options{
 		Self:  membership.Note{Name: set.Name, Addr: set.Addr, Zone: set.Zone, Role: role},
-		Seeds: seeds, Rnd: rand.Uint64(), Clock: clock.Real{}, Logger: Part(logger, "view"), Registry: reg, Cplanes: cplanes,
+		Seeds: seeds, Rnd: rand.Uint64(), Clock: clock.Real{}, Logger: Part(logger, "membership"), Registry: reg, Cplanes: cplanes,
 		Ask: func(ctx context.Context, addr string, m membership.Message) (membership.Message, error) {
 			a, err := rpc.Ask(ctx, k, addr, api.Shuffle, m, shuffleWithin)
 			return a, errs.Pass(err, "shuffle")
--- a/internal/dataplane/meter.go
+++ b/internal/dataplane/meter.go
@@ -19,11 +19,11 @@
 		"replica_index": "Log index the replica is at.", "replica_changes_total": "Changes applied.",
 		"replica_bytes_total": "Bytes of changes and snapshots taken in.", "replica_snapshots_total": "Snapshots taken in.",
 		"sched_holder": "1 while this node holds sched.", "sched_epoch": "Epoch of the duty held, else 0.",
-		"sched_backlog": "Due tasks waiting for a ticket.", "sched_plans_total": "Plans proposed.",
-		"sched_plan_faults_total": "Plans without a good answer.", "sched_tickets_total": "Tickets given.",
+		"sched_queue_length": "Due tasks waiting for a run ID.", "sched_plans_total": "Plans proposed.",
+		"sched_plan_failures_total": "Plans without a good answer.", "sched_run_ids_total": "Run IDs given.",
 		"sched_refused_total": "Starts refused by the store or a minion.", "sched_sent_total": "Start orders written.",
-		"sched_ends_total": "Ends listed.", "sched_end_faults_total": "Ends in fault listed.", "sched_doubts_total": "Handles in doubt.",
-		"sched_stops_total": "Stop orders sent.", "sched_call_faults_total": "Hold calls without an answer.",
+		"sched_ends_total": "Ends listed.", "sched_end_failures_total": "Ends in failure listed.", "sched_doubts_total": "Handles in doubt.",
+		"sched_stops_total": "Stop orders sent.", "sched_call_failures_total": "Hold calls without an answer.",
 		"sched_crossed_total": "Answers dropped as crossed.", "state_jobs": "Jobs kept.", "state_handles": "Handles out.",
 		"state_minions": "Minions known.", "state_inbox": "Jobs in the inbox.",
 	} {
@@ -31,7 +31,7 @@
 	}
 	m.desc["sched_sick"] = prometheus.NewDesc("crosstide_sched_sick", "1 for each minion held sick.", []string{"minion"}, nil)
 	m.desc["dead"] = prometheus.NewDesc("crosstide_sched_dead_total", "Handles proved dead, by proof.", []string{"proof"}, nil)
-	m.desc["tally"] = prometheus.NewDesc("crosstide_sched_tally", "Handles out, by type of job.", []string{"type"}, nil)
+	m.desc["running"] = prometheus.NewDesc("crosstide_sched_running", "Handles out, by type of job.", []string{"type"}, nil)
 	return m
 }
 
@@ -58,7 +58,7 @@
 	gauge("replica_index", float64(f.Index))
 	gauge("sched_holder", holder)
 	gauge("sched_epoch", float64(f.Epoch))
-	gauge("sched_backlog", float64(f.QueueLimit))
+	gauge("sched_queue_length", float64(f.QueueLength))
 	gauge("state_jobs", float64(f.Jobs))
 	gauge("state_handles", float64(f.Handles))
 	gauge("state_minions", float64(f.Minions))
@@ -68,15 +68,15 @@
 	count("replica_snapshots_total", f.Snapshots)
 	c := f.Counts
 	count("sched_plans_total", c.Plans)
-	count("sched_plan_faults_total", c.PlanFailures)
-	count("sched_tickets_total", c.RunIDs)
+	count("sched_plan_failures_total", c.PlanFailures)
+	count("sched_run_ids_total", c.RunIDs)
 	count("sched_refused_total", c.Refused)
 	count("sched_sent_total", c.Sent)
 	count("sched_ends_total", c.Ended)
-	count("sched_end_faults_total", c.Failures)
+	count("sched_end_failures_total", c.Failures)
 	count("sched_doubts_total", c.Doubts)
 	count("sched_stops_total", c.Stops)
-	count("sched_call_faults_total", c.CallFailures)
+	count("sched_call_failures_total", c.CallFailures)
 	count("sched_crossed_total", c.Crossed)
 	for _, name := range f.Sick {
 		to <- prometheus.MustNewConstMetric(m.desc["sched_sick"], prometheus.GaugeValue, 1, name)
@@ -85,6 +85,6 @@
 		to <- prometheus.MustNewConstMetric(m.desc["dead"], prometheus.CounterValue, float64(n), why)
 	}
 	for kind, n := range f.RunningCounts {
-		to <- prometheus.MustNewConstMetric(m.desc["tally"], prometheus.GaugeValue, float64(n), kind)
+		to <- prometheus.MustNewConstMetric(m.desc["running"], prometheus.GaugeValue, float64(n), kind)
 	}
 }
--- a/internal/dataplane/node.go
+++ b/internal/dataplane/node.go
@@ -203,7 +203,7 @@
 	}
 	if n.sched.Epoch() != a.Epoch {
 		n.sched.Lead(n.opt.Clock.Now(), a.Epoch)
-		_ = level.Info(n.opt.Logger).Log("msg", "took up sched", "epoch", a.Epoch, "handles", len(st.Handles), "backlog", n.sched.QueueLimit())
+		_ = level.Info(n.opt.Logger).Log("msg", "took up sched", "epoch", a.Epoch, "handles", len(st.Handles), "queue", n.sched.QueueLength())
 	}
 	if until := sent + a.Lease; a.Epoch > n.leased || until > n.until {
 		n.leased, n.until = a.Epoch, until
@@ -380,7 +380,7 @@
 	Index, Changes, Bytes, Snapshots uint64
 	Phase                            sched.Phase
 	Epoch                            uint64
-	QueueLimit                       int
+	QueueLength                      int
 	Counts                           sched.Counts
 	RunningCounts                    map[string]int
 	Jobs, Handles, Minions, Inbox    int
@@ -392,7 +392,7 @@
 	st := n.replica.Lock()
 	defer n.replica.Unlock()
 	f := Figures{Index: st.Index, Changes: n.replica.Changes, Bytes: n.replica.Bytes, Snapshots: n.replica.Snapshots,
-		Phase: n.sched.Phase(), Epoch: n.sched.Epoch(), QueueLimit: n.sched.QueueLimit(), Counts: n.sched.Counts, RunningCounts: st.RunningCounts(),
+		Phase: n.sched.Phase(), Epoch: n.sched.Epoch(), QueueLength: n.sched.QueueLength(), Counts: n.sched.Counts, RunningCounts: st.RunningCounts(),
 		Jobs: len(st.Jobs), Handles: len(st.Handles), Minions: len(st.Minions), Inbox: len(st.Inbox), Sick: n.sched.Sick()}
 	f.Counts.Dead = map[string]uint64{}
 	for k, v := range n.sched.Counts.Dead {
--- a/internal/errs/errs.go
+++ b/internal/errs/errs.go
@@ -21,7 +21,7 @@
 	Conflict    Kind = "conflict"    // the key, version or order id is taken by something else
 	Stale       Kind = "stale"       // decided on an old view: epoch, placement policy version, boot or task state moved on
 	Forbidden   Kind = "forbidden"   // signature or right is missing
-	Overloaded  Kind = "pressure"    // too much at the moment; come back after After
+	Overloaded  Kind = "overloaded"  // too much at the moment; come back after After
 	Unavailable Kind = "unavailable" // cannot confirm now; come back after After
 	NotLeader   Kind = "not_leader"  // another node leads; Hint may carry its address
 	Timeout     Kind = "timeout"     // no answer in time; what was asked may or may not have happened
--- a/internal/membership/node.go
+++ b/internal/membership/node.go
@@ -59,7 +59,7 @@
 		cfg = *opt.Config
 	}
 	n := &Node{opt: opt, core: New(cfg, opt.Self, opt.Seeds, opt.Rnd)}
-	n.bytes = prometheus.NewCounter(prometheus.CounterOpts{Name: "crosstide_view_bytes_total",
+	n.bytes = prometheus.NewCounter(prometheus.CounterOpts{Name: "crosstide_membership_bytes_total",
 		Help: "Bytes of JSON sent in shuffles, calls and answers; heads are not counted."})
 	if opt.Registry != nil {
 		opt.Registry.MustRegister(n.bytes, &gauges{n})
@@ -168,9 +168,9 @@
 type gauges struct{ n *Node }
 
 var (
-	descSize     = prometheus.NewDesc("crosstide_view_nodes", "Nodes known: neighbours, suspects among them, cplanes in the directory.", []string{"of"}, nil)
-	descShuffles = prometheus.NewDesc("crosstide_view_shuffles_total", "Shuffles: sent, taken, without an answer, and sent to seeds.", []string{"how"}, nil)
-	descSuspects = prometheus.NewDesc("crosstide_view_suspects_total", "Neighbours that were suspected, and of those dropped.", []string{"what"}, nil)
+	descSize     = prometheus.NewDesc("crosstide_membership_nodes", "Nodes known: neighbours, suspects among them, cplanes in the directory.", []string{"of"}, nil)
+	descShuffles = prometheus.NewDesc("crosstide_membership_shuffles_total", "Shuffles: sent, taken, without an answer, and sent to seeds.", []string{"how"}, nil)
+	descSuspects = prometheus.NewDesc("crosstide_membership_suspects_total", "Neighbours that were suspected, and of those dropped.", []string{"what"}, nil)
 )
 
 // Describe sends the descriptions.
@@ -194,7 +194,7 @@
 	for of, v := range map[string]int{"view": neighbours, "suspects": suspects, "core": cplanes} {
 		to <- prometheus.MustNewConstMetric(descSize, prometheus.GaugeValue, float64(v), of)
 	}
-	for how, v := range map[string]uint64{"sent": c.Shuffles, "taken": c.Taken, "fault": c.Failures, "seed": c.Visits} {
+	for how, v := range map[string]uint64{"sent": c.Shuffles, "taken": c.Taken, "failed": c.Failures, "seed": c.Visits} {
 		to <- prometheus.MustNewConstMetric(descShuffles, prometheus.CounterValue, float64(v), how)
 	}
 	for what, v := range map[string]uint64{"suspected": c.Suspects, "dropped": c.Dropped} {
--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -175,10 +175,10 @@
 		}
 		return c.MustCurryWith(prometheus.Labels{"side": side})
 	}
-	size := counter("crosstide_wire_bytes_total", "Bytes of bodies, by direction.", "dir")
+	size := counter("crosstide_rpc_bytes_total", "Bytes of bodies, by direction.", "dir")
 	return &meter{
-		calls:    counter("crosstide_wire_calls_total", "Calls, by path.", "path"),
-		failures: counter("crosstide_wire_faults_total", "Calls that ended in a fault, by path and kind.", "path", "kind"),
+		calls:    counter("crosstide_rpc_calls_total", "Calls, by path.", "path"),
+		failures: counter("crosstide_rpc_failures_total", "Calls that ended in a failure, by path and kind.", "path", "kind"),
 		in:       size.WithLabelValues("in"),
 		out:      size.WithLabelValues("out"),
 	}
--- a/internal/rpc/rpc_test.go
+++ b/internal/rpc/rpc_test.go
@@ -100,8 +100,8 @@
 		}
 		So(len(b.Caller.idle[b.Addr()]), ShouldEqual, 1)
 		So(len(b.live), ShouldEqual, 1)
-		So(b.count("crosstide_wire_calls_total", "server", "/echo"), ShouldEqual, 3)
-		So(b.count("crosstide_wire_bytes_total", "caller", "out"), ShouldBeGreaterThan, 900_000)
+		So(b.count("crosstide_rpc_calls_total", "server", "/echo"), ShouldEqual, 3)
+		So(b.count("crosstide_rpc_bytes_total", "caller", "out"), ShouldBeGreaterThan, 900_000)
 		ms := 0
 		So(b.Caller.idle[b.Addr()][0].raw.Control(func(fd uintptr) {
 			ms, _ = unix.GetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT)
@@ -123,7 +123,7 @@
 		_, err = Ask(ctx, b.Caller, b.Addr(), Pair[int, note]{"/echo"}, 5, time.Second)
 		So(errs.KindOf(err), ShouldEqual, errs.Malformed)
 		So(Unsent(err), ShouldBeFalse)
-		So(b.count("crosstide_wire_faults_total", "caller", "/fail", "not_leader"), ShouldEqual, 1)
+		So(b.count("crosstide_rpc_failures_total", "caller", "/fail", "not_leader"), ShouldEqual, 1)
 		So(len(b.live), ShouldEqual, 1)
 	})
 	Convey("An alarm that rings, and a context that ends, give Timeout and a reset", t, func() {
@@ -185,7 +185,7 @@
 		_, err = AskLine(ctx, l, echo, note{"y"}, time.Second, func() error { return errs.New(errs.Stale, "lease is over") })
 		So(errs.KindOf(err), ShouldEqual, errs.Stale)
 		So(Unsent(err), ShouldBeTrue)
-		So(b.count("crosstide_wire_calls_total", "server", "/echo"), ShouldEqual, 1)
+		So(b.count("crosstide_rpc_calls_total", "server", "/echo"), ShouldEqual, 1)
 		_, err = AskLine(ctx, l, echo, note{"z"}, time.Second, check)
 		So(err, ShouldBeNil)
 		So(l.link, ShouldNotEqual, first)
--- a/internal/sched/bundle_test.go
+++ b/internal/sched/bundle_test.go
@@ -71,7 +71,7 @@
 		So(order(d.settle()), ShouldNotBeNil)
 	})
 
-	Convey("A charter's hold goes into the order, and each length of hold is renewed by its own", t, func() {
+	Convey("A queue's hold goes into the order, and each length of hold is renewed by its own", t, func() {
 		d := newDesk("check", "m1")
 		d.greet("check")
 		d.enact(`{"queues":{"default":{"hold":"8s"},"slow":{}}}`)
--- a/internal/sched/reserve_test.go
+++ b/internal/sched/reserve_test.go
@@ -45,7 +45,7 @@
 // step lets time pass: fresh tasks come, runs end, each minion answers its calls, run IDs are given and ordered.
 func (c *crowd) step() {
 	c.now += crowdStep
-	for range crowdDue - c.core.QueueLimit() {
+	for range crowdDue - c.core.QueueLength() {
 		c.narrow()
 	}
 	for _, name := range c.minions {
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -423,8 +423,8 @@
 	}
 }
 
-// Backlog is how many due tasks wait for a run ID, those in back-off included.
-func (c *Core) QueueLimit() int { return c.queue.len() }
+// QueueLength is how many due tasks wait for a run ID, those in back-off included.
+func (c *Core) QueueLength() int { return c.queue.len() }
 
 // Pass runs the passes and gives what is to be done at now.
 func (c *Core) Pass(now time.Duration) Out {
--- a/internal/state/command/bundle_test.go
+++ b/internal/state/command/bundle_test.go
@@ -80,7 +80,7 @@
 	return base + 1
 }
 
-const zoned = ` {"queues": {"default":{"charter":{"zones":["%s"]}}} }` + "\n\n"
+const zoned = ` {"queues": {"default":{"placement":{"zones":["%s"]}}} }` + "\n\n"
 
 func kinds(err error) errs.Kind { return errs.KindOf(err) }
 
@@ -151,7 +151,7 @@
 			{stolen, errs.Forbidden},
 			{o.put("o9", "eve", 2, fmt.Sprintf(zoned, "z2")), errs.Forbidden},
 			{o.put("o9", "ben", 2, `{"queues":{"q":{"zone":1}}}`), errs.Invalid},
-			{o.patch("o9", "ben", 2, `{"queues":{"default":{"charter":{"zones":[]}}}}`), errs.Invalid}, // fine alone, wrong as a whole
+			{o.patch("o9", "ben", 2, `{"queues":{"default":{"placement":{"zones":[]}}}}`), errs.Invalid}, // fine alone, wrong as a whole
 			{o.put("o9", "ben", 3, fmt.Sprintf(zoned, "z2")), errs.Conflict},
 			{o.sign("o9", "ben", 3), errs.Unknown},
 			{o.sign("o9", "ben", 1), errs.Conflict},
@@ -286,7 +286,7 @@
 func TestPlacementPolicies(t *testing.T) {
 	Convey("What a bundle says is what Fits, holds, retries and the job's view go by", t, func() {
 		o := newOffice()
-		o.force(`{"queues":{"default":{"charter":{"near":[{"label":"data","value":"s","within":"rack"}]},"hold":"9s","retries":1}},"retries":7}`)
+		o.force(`{"queues":{"default":{"placement":{"near":[{"label":"data","value":"s","within":"rack"}]},"hold":"9s","retries":1}},"retries":7}`)
 		for _, m := range []state.Minion{{Name: "m1", Zone: "z1", Rack: "r1"}, {Name: "m2", Zone: "z1", Rack: "r1", Labels: map[string]string{"data": "s"}},
 			{Name: "m3", Zone: "z2", Rack: "r1"}} {
 			_, err := o.do(&Announce{Minion: m})
--- a/internal/store/disk.go
+++ b/internal/store/disk.go
@@ -177,7 +177,7 @@
 	_, _ = applyTo(s.shadow, e) // a command's own failure is an outcome
 	s.shadowSince++
 	s.shadowBytes += len(e.Data) + entryRoom
-	if s.shadowSince < s.set.SlotEvery && s.shadowBytes < maxBytes {
+	if s.shadowSince < s.set.SnapshotEvery && s.shadowBytes < maxBytes {
 		return nil
 	}
 	return errs.Pass(s.writeSlot(), "slot at %d", e.Index)
--- a/internal/store/meter.go
+++ b/internal/store/meter.go
@@ -27,7 +27,7 @@
 		dropped:   counter("messages_dropped_total", "Messages to peers that fell or failed."),
 		syncs:     seconds("sync_seconds", "Syncs of the log; its count is the count of group commits."),
 		commits:   seconds("commit_seconds", "From a proposal to its answer, where it was committed."),
-		slots:     seconds("slot_seconds", "Encoding and writing of a slot."),
+		slots:     seconds("snapshot_seconds", "Encoding and writing of a snapshot."),
 	}
 }
 
@@ -53,9 +53,9 @@
 	descWaiting = describe("waiting", "Proposals that wait.")
 	descRefused = describe("refused_total", "Messages that contradict what is committed here; must stay 0.")
 	descLog     = describe("log_bytes_total", "Bytes written to disk.")
-	descWrites  = describe("slots_total", "Slots written.")
+	descWrites  = describe("snapshots_total", "Snapshots written.")
 	descState   = describe("state", "What is in the state.", "of")
-	descType    = describe("tickets", "Tickets out, by task type.", "type")
+	descType    = describe("running", "Handles out, by type of job.", "type")
 )
 
 // Describe tells nothing in advance: the labels come with the state.
--- a/internal/store/open_test.go
+++ b/internal/store/open_test.go
@@ -43,7 +43,7 @@
 // slowSyncs gives syncs a time to take, and does without slots: a slot and the log take turns under a mutex, which
 // a bubble cannot wait for.
 func (r *testStores) slowSyncs() {
-	r.set.SlotEvery = 1 << 20
+	r.set.SnapshotEvery = 1 << 20
 	r.slow.Store(int64(3 * time.Millisecond))
 }
 
@@ -332,7 +332,7 @@
 
 func TestRemovedComesBack(t *testing.T) {
 	withinOpen(t, 6, func(r *testStores) {
-		r.set.SlotEvery = 1 << 20 // a slot would tell a restarted node that its membership was committed
+		r.set.SnapshotEvery = 1 << 20 // a slot would tell a restarted node that its membership was committed
 		r.startAll()
 		all := []string{"c1", "c2", "c3", "c4", "c5", "c6"}
 		r.voters(all...)
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -66,10 +66,10 @@
 	return f.File.Sync()
 }
 
-func newTestStores(n, slotEvery int, operators ...signature.Key) *testStores {
+func newTestStores(n, snapshotEvery int, operators ...signature.Key) *testStores {
 	r := &testStores{set: config.DefaultCplane(), disks: map[string]*storage.MemDisk{}, nodes: map[string]*Store{},
 		died: map[string]error{}, work: routine.New(context.Background()), acked: map[string]uint64{}, cut: map[string]bool{}}
-	r.set.SlotEvery = slotEvery
+	r.set.SnapshotEvery = snapshotEvery
 	for _, key := range operators {
 		r.set.OperatorKeys = append(r.set.OperatorKeys, config.OperatorKey{Name: key.Name, Key: key.Public()})
 	}
@@ -262,10 +262,10 @@
 }
 
 // within runs a test in a bubble, with a rig of 3 nodes.
-func within(t *testing.T, slotEvery int, do func(r *testStores), operators ...signature.Key) {
+func within(t *testing.T, snapshotEvery int, do func(r *testStores), operators ...signature.Key) {
 	synctest.Test(t, func(t *testing.T) {
 		Convey("Given a fleet", t, func() {
-			r := newTestStores(3, slotEvery, operators...)
+			r := newTestStores(3, snapshotEvery, operators...)
 			defer r.close()
 			do(r)
 		})
--- a/internal/testbed/audit/audit_test.go
+++ b/internal/testbed/audit/audit_test.go
@@ -75,7 +75,7 @@
 		`operator-2 0.5 "ev":"put","sent":400000000,"order":"o2","base":1,"ok":false,"why":"conflict"`,
 		`operator-2 0.7 "ev":"put","sent":600000000,"order":"o1","base":1,"version":2,"sha":"A","ok":true`,
 		`operator-2 1.8 "ev":"sign","sent":1700000000,"order":"s1","version":2,"sha":"A","ok":true`,
-		`operator-2 2 "ev":"bundle","sent":1900000000,"order":"s2","base":1,"version":2,"sha":"A","ok":true,"bundle":{"queues":{"q":{"labels":{"disk":"ssd"},"charter":{"zones":["z7"],"racks":["r1"],"near":[{"label":"data","value":"s","within":"rack"}]}}}}`,
+		`operator-2 2 "ev":"bundle","sent":1900000000,"order":"s2","base":1,"version":2,"sha":"A","ok":true,"bundle":{"queues":{"q":{"labels":{"disk":"ssd"},"placement":{"zones":["z7"],"racks":["r1"],"near":[{"label":"data","value":"s","within":"rack"}]}}}}`,
 		`operator-2 2.2 "ev":"has","sent":2100000000,"node":"d1","version":1,"ok":true`,
 		`operator-2 2.6 "ev":"read","sent":2500000000,"node":"c1","version":2,"sha":"A"`,
 		`operator-2 4.6 "ev":"has","sent":4500000000,"node":"d1","version":2,"ok":true`,
@@ -109,7 +109,7 @@
 		}
 	})
 
-	Convey("While a signature's fate is unsure, starts are not judged by charters", t, func() {
+	Convey("While a signature's fate is unsure, starts are not judged by placement policies", t, func() {
 		late := `m7 4.2 "ev":"start","boot":"b1","zone":"z7","queue":"default","job":"p2","step":"s","task":0,"ticket":40,"epoch":5`
 		unsure := `operator-3 34 "ev":"unsure","sent":4000000000,"order":"s3","version":3`
 		So(verdicts(history(append(clean(), late)...))["place"], ShouldEqual, Broken)
--- a/internal/testbed/audit/bundles.go
+++ b/internal/testbed/audit/bundles.go
@@ -90,7 +90,7 @@
 			f.broken(why, last, e)
 		}
 	}
-	f.Note = fmt.Sprintf("labels, and charters of %d versions", len(all))
+	f.Note = fmt.Sprintf("labels, and placement policies of %d versions", len(all))
 	if unseen > 0 {
 		f.Note += fmt.Sprintf("; %d starts not judged, the version was unsure", unseen)
 	}
@@ -104,7 +104,7 @@
 	case !ok:
 		return fmt.Sprintf("queue %s is not in bundle %d", e.Queue, b.Version)
 	case !allows(q.Zones, e.Zone) || !allows(q.Racks, boot.Rack) || !allows(q.Minions, e.Minion):
-		return fmt.Sprintf("outside of the charter of %s in bundle %d", e.Queue, b.Version)
+		return fmt.Sprintf("outside of the placement policy of %s in bundle %d", e.Queue, b.Version)
 	case !allows(q.Types, e.Type) || team != "" && !allows(q.Teams, team):
 		return fmt.Sprintf("type or team may not use %s in bundle %d", e.Queue, b.Version)
 	}
--- a/internal/testbed/bundles/bundles.go
+++ b/internal/testbed/bundles/bundles.go
@@ -181,7 +181,7 @@
 	if err != nil {
 		return
 	}
-	text := []byte(`{"queues":{"default":{"charter":{"zones":[]},"hold":"soon"}},"limits":{"scan":-1},"nope":1}`)
+	text := []byte(`{"queues":{"default":{"placement":{"zones":[]},"hold":"soon"}},"limits":{"scan":-1},"nope":1}`)
 	id, key := fmt.Sprintf("%s-%d-i", o.prefix, i), o.keys[o.luck.IntN(2)]
 	q := url.Values{"order": {id}, "base": {strconv.FormatUint(base, 10)}, "by": {key.Name},
 		"sig": {key.Sign(signature.Put(id, base, signature.Digest(text)))}}
--- a/internal/testbed/bundles/report.go
+++ b/internal/testbed/bundles/report.go
@@ -69,7 +69,7 @@
 	for _, k := range o.luck.Perm(len(o.zones))[:1+o.luck.IntN(len(o.zones))] {
 		zones = append(zones, o.zones[k])
 	}
-	q := map[string]any{"charter": map[string]any{"zones": zones}, "urgent": o.luck.IntN(2) == 0}
+	q := map[string]any{"placement": map[string]any{"zones": zones}, "urgent": o.luck.IntN(2) == 0}
 	if o.luck.IntN(3) == 0 {
 		q["hold"] = "15s"
 	}
--- a/internal/testbed/load/report.go
+++ b/internal/testbed/load/report.go
@@ -22,7 +22,7 @@
 	Unknown     int            `json:"unknown"`    // accepted, and answered 404 at least once
 	Unfinished  int            `json:"unfinished"` // accepted, and not seen over
 	Refused     map[string]int `json:"refused"`    // given up, by the last refusal; "lost": without any answer
-	Overloaded  map[string]int `json:"pressure"`   // answers that sent a client to another node, by kind
+	Overloaded  map[string]int `json:"overloaded"` // answers that sent a client to another node, by kind
 	Tries       int            `json:"retries"`
 	Polls       int            `json:"polls"`
 	Cancels     int            `json:"cancels"` // acknowledged
--- a/internal/testbed/scale/probe.go
+++ b/internal/testbed/scale/probe.go
@@ -155,9 +155,9 @@
 		return r, errs.Wrap(err, errs.Malformed, "metrics")
 	}
 	m := families(all)
-	r.Bytes, r.Msgs, r.Told = m.sum("crosstide_wire_bytes_total"), m.sum("crosstide_wire_calls_total"), float64(len(reply.Body))
+	r.Bytes, r.Msgs, r.Told = m.sum("crosstide_rpc_bytes_total"), m.sum("crosstide_rpc_calls_total"), float64(len(reply.Body))
 	r.Syncs, r.Log = m.sum("crosstide_store_sync_seconds"), m.sum("crosstide_store_log_bytes_total")
-	r.RunIDs, r.Handles = m.sum("crosstide_sched_tickets_total"), m.sum("crosstide_state_handles")
+	r.RunIDs, r.Handles = m.sum("crosstide_sched_run_ids_total"), m.sum("crosstide_state_handles")
 	r.Role = m.role(name)
 	own := r.Log
 	if r.Role == Minion && count == 1 {
--- a/internal/testbed/sim/cplane.go
+++ b/internal/testbed/sim/cplane.go
@@ -67,7 +67,7 @@
 	c.begin()
 	set := config.DefaultCplane()
 	set.Name, set.Addr, set.Zone, set.Members = c.addr, c.addr, c.zone, s.members()
-	set.SlotEvery, set.KeepEnded, set.KeepEndedFor = 40+s.rnd.IntN(100), 10, 20*time.Second
+	set.SnapshotEvery, set.KeepEnded, set.KeepEndedFor = 40+s.rnd.IntN(100), 10, 20*time.Second
 	gen := c.gen
 	st, err := store.Open(store.Options{Settings: set, Disk: c.disk, Net: direct{c: c}, Seed: s.rnd.Uint64() | 1, Clock: c.proc,
 		Fatal: func(err error) { s.on(0, func() { c.fell(gen, err) }) },
