--- /dev/null
+++ b/internal/membership/gauges.go
@@ -0,0 +1,41 @@
+package membership
+
+import "github.com/prometheus/client_golang/prometheus"
+
+// gauges are read when they are asked for.
+type gauges struct{ n *Node }
+
+var (
+	descSize     = prometheus.NewDesc("crosstide_membership_nodes", "Nodes known: neighbours, suspects among them, cplanes in the directory.", []string{"of"}, nil)
+	descShuffles = prometheus.NewDesc("crosstide_membership_shuffles_total", "Shuffles: sent, taken, without an answer, and sent to seeds.", []string{"how"}, nil)
+	descSuspects = prometheus.NewDesc("crosstide_membership_suspects_total", "Neighbours that were suspected, and of those dropped.", []string{"what"}, nil)
+)
+
+// Describe sends the descriptions.
+func (g *gauges) Describe(to chan<- *prometheus.Desc) {
+	to <- descSize
+	to <- descShuffles
+	to <- descSuspects
+}
+
+// Collect gives the figures of now.
+func (g *gauges) Collect(to chan<- prometheus.Metric) {
+	g.n.mu.Lock()
+	neighbours, cplanes := g.n.core.Size()
+	c, suspects := g.n.core.Counts, 0
+	for _, e := range g.n.core.view {
+		if e.doubt {
+			suspects++
+		}
+	}
+	g.n.mu.Unlock()
+	for of, v := range map[string]int{"view": neighbours, "suspects": suspects, "core": cplanes} {
+		to <- prometheus.MustNewConstMetric(descSize, prometheus.GaugeValue, float64(v), of)
+	}
+	for how, v := range map[string]uint64{"sent": c.Shuffles, "taken": c.Taken, "failed": c.Failures, "seed": c.Visits} {
+		to <- prometheus.MustNewConstMetric(descShuffles, prometheus.CounterValue, float64(v), how)
+	}
+	for what, v := range map[string]uint64{"suspected": c.Suspects, "dropped": c.Dropped} {
+		to <- prometheus.MustNewConstMetric(descSuspects, prometheus.CounterValue, float64(v), what)
+	}
+}
--- a/internal/quorum/log.go
+++ b/internal/quorum/log.go
@@ -1,11 +1,8 @@
 package quorum
 
 import (
-	"encoding/json"
 	"slices"
 	"sort"
-
-	"crosstide/internal/errs"
 )
 
 // journal is the log in memory: ents[0] has index off+1. Slots are never overwritten, slices of it may be kept.
@@ -74,56 +71,3 @@
 	t, _ := l.term(i)
 	return l.off + uint64(sort.Search(len(l.ents), func(n int) bool { return l.ents[n].Term >= t }))
 }
-
-// conf is the member set an entry (or snapshot) at Index brought.
-type configuration struct {
-	index   uint64
-	members []Member
-}
-
-// configurationOf decodes and checks the set of a Members entry.
-func configurationOf(e Entry) (configuration, error) {
-	c := configuration{index: e.Index}
-	if err := json.Unmarshal(e.Data, &c.members); err != nil {
-		return c, errs.Wrap(err, errs.Damaged, "members at index %d", e.Index)
-	}
-	return c, errs.Pass(valid(c.members), "members at index %d", e.Index)
-}
-
-// DecodeMembers gives the member set that a Members entry brings.
-func DecodeMembers(e Entry) ([]Member, error) {
-	c, err := configurationOf(e)
-	return c.members, errs.Pass(err, "decode")
-}
-
-// valid checks a member set by itself.
-func valid(ms []Member) error {
-	seen := make(map[string]bool, len(ms))
-	voters := 0
-	for _, m := range ms {
-		if m.ID == "" || seen[m.ID] {
-			return errs.Field(errs.Invalid, "members", "ID %q is empty or doubled", m.ID)
-		}
-		seen[m.ID] = true
-		if !m.Learner {
-			voters++
-		}
-	}
-	if voters == 0 {
-		return errs.Field(errs.Invalid, "members", "no voter is left")
-	}
-	return nil
-}
-
-// find gives the member with the ID.
-func find(ms []Member, id string) (Member, bool) {
-	if i := slices.IndexFunc(ms, func(m Member) bool { return m.ID == id }); i >= 0 {
-		return ms[i], true
-	}
-	return Member{}, false
-}
-
-func voter(ms []Member, id string) bool {
-	m, ok := find(ms, id)
-	return ok && !m.Learner
-}
--- /dev/null
+++ b/internal/quorum/propose.go
@@ -0,0 +1,110 @@
+package quorum
+
+import (
+	"crosstide/internal/errs"
+	"encoding/json"
+	"time"
+)
+
+// Propose appends data as Normal entries first.. of term; they are committed once Ready hands them out with that
+// term. Failures: NotLeader (Hint: the leader's address), Unavailable while a handover runs. Example:
+//
+//	first, term, err := core.Propose(now, a, b) // a is entry first, b is first+1
+func (c *Core) Propose(now time.Duration, data ...json.RawMessage) (first, term uint64, err error) {
+	c.at(now)
+	if err := c.leads(); err != nil {
+		return 0, 0, errs.Pass(err, "propose")
+	}
+	first = c.log.last() + 1
+	for _, d := range data {
+		c.put(Normal, d)
+	}
+	return first, c.hard.Term, nil
+}
+
+func (c *Core) leads() error {
+	if c.role != Leader {
+		return errs.Pass(c.follows(), "not the leader")
+	}
+	if c.lead.to != "" {
+		return errs.New(errs.Unavailable, "handing over to %s", c.lead.to)
+	}
+	return nil
+}
+
+// ProposeMembers appends a new member set. It may differ from the present one in one voter: a learner that is
+// caught up is promoted, or a voter is removed or made a learner. A new machine is added as a learner first.
+// Learners come and go freely. Status().Match tells how far they are.
+// Failures: NotLeader; Unavailable while another change is not committed, before the first commit of the term, or
+// when the promoted learner is not caught up; Invalid for a set that is refused.
+func (c *Core) ProposeMembers(now time.Duration, next []Member) (index, term uint64, err error) {
+	c.at(now)
+	if err := c.leads(); err != nil {
+		return 0, 0, errs.Pass(err, "propose members")
+	}
+	if c.configurations[len(c.configurations)-1].index > c.commit || c.commit < c.lead.first {
+		return 0, 0, errs.New(errs.Unavailable, "a change of members, or the first entry of the term, is not committed yet")
+	}
+	if err := valid(next); err != nil {
+		return 0, 0, errs.Pass(err, "propose members")
+	}
+	changed := 0
+	for _, m := range c.members() {
+		n, ok := find(next, m.ID)
+		if ok && n.Incarnation != m.Incarnation {
+			return 0, 0, errs.Field(errs.Invalid, "members", "%s keeps its ID but not its incarnation", m.ID)
+		}
+		if !m.Learner && (!ok || n.Learner) {
+			changed++
+		}
+	}
+	for _, n := range next {
+		if n.Learner || voter(c.members(), n.ID) {
+			continue
+		}
+		changed++
+		p := c.lead.peers[n.ID]
+		if p == nil {
+			return 0, 0, errs.Field(errs.Invalid, "members", "%s must be a learner before it is a voter", n.ID)
+		}
+		if p.blank || p.match < max(c.lead.behind, c.configurations[len(c.configurations)-1].index) {
+			return 0, 0, errs.New(errs.Unavailable, "learner %s is not caught up: at %d of %d", n.ID, p.match, c.commit)
+		}
+	}
+	if changed > 1 {
+		return 0, 0, errs.Field(errs.Invalid, "members", "%d voters change, one may", changed)
+	}
+	data, err := json.Marshal(next)
+	if err != nil {
+		return 0, 0, errs.Wrap(err, errs.Internal, "members")
+	}
+	c.put(Members, data)
+	c.configurations = append(c.configurations, configuration{c.log.last(), append([]Member(nil), next...)})
+	c.enlist()
+	c.advanceCommit() // fewer voters may be a majority already
+	return c.log.last(), c.hard.Term, nil
+}
+
+// Handover lets the voter to take over, once it has the whole log. Until then proposals are refused; the leader
+// gives its lease up when it tells the other to campaign. It is given up after one Election.
+// Failures: NotLeader, Unavailable while one runs, Invalid if to is not another voter.
+func (c *Core) Handover(now time.Duration, to string) error {
+	c.at(now)
+	if err := c.leads(); err != nil {
+		return errs.Pass(err, "handover")
+	}
+	if to == c.cfg.ID || !voter(c.members(), to) {
+		return errs.Field(errs.Invalid, "to", "%s is not another voter", to)
+	}
+	c.lead.to, c.lead.toBy = to, c.now+c.cfg.Election
+	c.handover()
+	return nil
+}
+
+// handover tells the successor to campaign if it has the whole log.
+func (c *Core) handover() {
+	if p := c.lead.peers[c.lead.to]; p != nil && p.match == c.log.last() && !p.blank {
+		c.lead.gave = true
+		c.out = append(c.out, Message{Kind: HandoverNow, From: c.cfg.ID, To: c.lead.to, Term: c.hard.Term})
+	}
+}
--- /dev/null
+++ b/internal/quorum/step.go
@@ -0,0 +1,169 @@
+package quorum
+
+import (
+	"cmp"
+	"time"
+)
+
+// Step takes a message of another core. What is malformed or not for this node is dropped.
+func (c *Core) Step(now time.Duration, m Message) {
+	c.at(now)
+	if m.To != c.cfg.ID || m.From == c.cfg.ID || m.From == "" {
+		return
+	}
+	switch m.Kind {
+	case PreVote:
+		if c.hard.Blank {
+			return
+		}
+		if m.Term > c.hard.Term && !c.loyal() && c.current(m) {
+			c.reply(m, Message{Kind: PreVoteReply, Term: m.Term})
+		} else {
+			c.reply(m, Message{Kind: PreVoteReply, Reject: true})
+		}
+		return
+	case PreVoteReply:
+		if m.Reject && m.Term > c.hard.Term {
+			c.follow(m.Term, "")
+		} else if !m.Reject && c.role == PreCandidate && m.Term == c.hard.Term+1 {
+			if c.granted[m.From] = true; c.won() {
+				c.campaign(false)
+			}
+		}
+		return
+	case Vote:
+		if c.hard.Blank || m.Term >= c.hard.Term && !m.Force && c.loyal() {
+			return
+		}
+	case VoteReply, Append, AppendReply, Snapshot, SnapshotReply, HandoverNow:
+	default:
+		return
+	}
+	if m.Term > c.hard.Term {
+		c.follow(m.Term, "")
+	}
+	if m.Term < c.hard.Term {
+		switch m.Kind { // tell a leader or candidate of the past
+		case Append, Snapshot:
+			c.reply(m, Message{Kind: AppendReply, Reject: true})
+		case Vote:
+			c.reply(m, Message{Kind: VoteReply, Reject: true})
+		}
+		return
+	}
+	switch m.Kind {
+	case Vote:
+		c.onVote(m)
+	case VoteReply:
+		if c.role == Candidate && !m.Reject {
+			if c.granted[m.From] = true; c.won() {
+				c.reign(false)
+			}
+		}
+	case Append, Snapshot:
+		if c.role == Leader { // a term has one leader
+			c.refused++
+			return
+		}
+		c.follow(m.Term, m.From)
+		c.heard = c.now
+		c.postpone()
+		if m.Kind == Append {
+			c.onAppend(m)
+		} else {
+			c.onSnapshot(m)
+		}
+	case AppendReply, SnapshotReply:
+		if c.role == Leader {
+			c.onReply(m)
+		}
+	case HandoverNow:
+		if c.role == Follower && c.eligible() && c.leader == m.From {
+			c.campaign(true)
+		}
+	}
+}
+
+// reply answers m after the sync.
+func (c *Core) reply(m Message, r Message) {
+	r.From, r.To, r.Sent, r.Blank = c.cfg.ID, m.From, m.Sent, c.hard.Blank
+	r.Term = cmp.Or(r.Term, c.hard.Term)
+	if r.Kind == PreVoteReply {
+		c.out = append(c.out, r)
+	} else {
+		c.after = append(c.after, r)
+	}
+}
+
+func (c *Core) onAppend(m Message) {
+	term := m.PrevTerm
+	for n, e := range m.Entries {
+		if e.Index != m.PrevIndex+1+uint64(n) || e.Term < term || e.Term > m.Term {
+			return
+		}
+		term = e.Term
+	}
+	match := m.PrevIndex + uint64(len(m.Entries))
+	if m.PrevIndex < c.commit { // what is committed is the same in every leader's log
+		if match <= c.commit {
+			c.reply(m, Message{Kind: AppendReply, Match: c.commit, PrevIndex: m.PrevIndex})
+			return
+		}
+		n := c.commit - m.PrevIndex
+		m.PrevIndex, m.PrevTerm, m.Entries = c.commit, m.Entries[n-1].Term, m.Entries[n:]
+	}
+	if t, ok := c.log.term(m.PrevIndex); !ok || t != m.PrevTerm {
+		hint := c.log.last()
+		if ok {
+			hint = c.log.before(m.PrevIndex)
+		}
+		if m.PrevIndex == c.commit && m.PrevIndex > 0 {
+			c.refused++
+			return
+		}
+		c.reply(m, Message{Kind: AppendReply, Reject: true, PrevIndex: m.PrevIndex, Hint: max(hint, c.commit)})
+		return
+	}
+	for n, e := range m.Entries {
+		if t, ok := c.log.term(e.Index); !ok || t != e.Term {
+			if !c.extend(m.Entries[n:]) {
+				return
+			}
+			break
+		}
+	}
+	c.advance(min(m.Commit, match))
+	c.reply(m, Message{Kind: AppendReply, Match: match, PrevIndex: m.PrevIndex})
+}
+
+// extend puts entries into the log in place of what stood at and after the first.
+func (c *Core) extend(es []Entry) bool {
+	cs, err := configurationsOf(es)
+	if err != nil {
+		c.refused++
+		return false
+	}
+	from := es[0].Index
+	if from <= c.log.last() {
+		c.log.truncate(from)
+		c.fresh = min(c.fresh, from)
+		for len(c.configurations) > 0 && c.configurations[len(c.configurations)-1].index >= from {
+			c.configurations = c.configurations[:len(c.configurations)-1]
+		}
+	}
+	c.log.ents = append(c.log.ents, es...)
+	c.configurations = append(c.configurations, cs...)
+	return true
+}
+
+// advance moves the commit index up.
+func (c *Core) advance(to uint64) {
+	if to <= c.commit {
+		return
+	}
+	c.commit = to
+	for len(c.configurations) > 1 && c.configurations[1].index <= to {
+		c.configurations = c.configurations[1:]
+		c.trust(c.configurations[0].members)
+	}
+}
--- /dev/null
+++ b/internal/rpc/callerrors.go
@@ -0,0 +1,31 @@
+package rpc
+
+import "errors"
+
+// Unsent tells that a call surely failed before its first byte was handed to the kernel.
+func Unsent(err error) bool {
+	var u *unsent
+	return errors.As(err, &u)
+}
+
+type unsent struct{ cause error }
+
+// Error says what kept the call from being sent.
+func (u *unsent) Error() string { return "not sent: " + u.cause.Error() }
+
+// Unwrap returns the error under the mark.
+func (u *unsent) Unwrap() error { return u.cause }
+
+// Answered tells that err is a failure that the peer's handler (or its server) gave as the answer.
+func Answered(err error) bool {
+	var a *answered
+	return errors.As(err, &a)
+}
+
+type answered struct{ cause error }
+
+// Error says with which error the peer answered.
+func (a *answered) Error() string { return "answered: " + a.cause.Error() }
+
+// Unwrap returns the error under the mark.
+func (a *answered) Unwrap() error { return a.cause }
--- /dev/null
+++ b/internal/rpc/eventloops.go
@@ -0,0 +1,89 @@
+package rpc
+
+import (
+	"crosstide/internal/errs"
+	"io"
+	"net"
+	"os"
+
+	"github.com/lesismal/nbio"
+	"golang.org/x/sys/unix"
+)
+
+// warm waits until every event loop of nbio runs: a stop that comes before is lost on the loop, and the engine's
+// Stop would wait for it forever. Each loop gets one end of a local connection and has to see it close.
+func (s *Server) warm() error {
+	loops := s.engine.Engine.NPoller
+	if loops == 1 {
+		return errs.Pass(s.warmOne(), "the only event loop")
+	}
+	gone := make(chan struct{}, loops)
+	s.engine.OnClose(func(c net.Conn, _ error) {
+		if _, local := c.RemoteAddr().(*net.UnixAddr); local {
+			gone <- struct{}{}
+		}
+	})
+	for loop := range loops {
+		if err := s.nudge(loop, loops); err != nil {
+			return errs.Pass(err, "event loop %d", loop)
+		}
+	}
+	for range loops {
+		<-gone
+	}
+	return nil
+}
+
+// warmOne is warm for a single loop, which any connection reaches: one to the server's own address, as not every
+// machine has local socket pairs.
+func (s *Server) warmOne() error {
+	gone := make(chan struct{}, 1)
+	s.engine.OnClose(func(net.Conn, error) {
+		select {
+		case gone <- struct{}{}:
+		default:
+		}
+	})
+	c, err := net.Dial("tcp", s.Addr())
+	if err != nil {
+		return errs.Wrap(err, errs.Internal, "reach the own address")
+	}
+	if err := c.Close(); err != nil {
+		return errs.Wrap(err, errs.Internal, "close")
+	}
+	<-gone
+	return nil
+}
+
+// nudge gives one loop a connection that is closed at its other end. nbio picks the loop by the descriptor, so
+// copies are made until one has a number that fits. All others are closed before that one is handed over: epoll
+// goes on telling of a connection as long as a copy is open, by a number that may be another's by then.
+func (s *Server) nudge(loop, loops int) error {
+	ends, err := unix.Socketpair(unix.AF_UNIX, unix.SOCK_STREAM|unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC, 0)
+	if err != nil {
+		return errs.Wrap(err, errs.Internal, "local connection")
+	}
+	here, there := os.NewFile(uintptr(ends[0]), "here"), os.NewFile(uintptr(ends[1]), "there")
+	defer there.Close()
+	spare := []io.Closer{here}
+	var fits *nbio.Conn
+	for err == nil && fits == nil {
+		var c net.Conn
+		var end *nbio.Conn
+		if c, err = net.FileConn(here); err == nil {
+			end, err = nbio.NBConn(c) // closes c
+		}
+		if err == nil && end.Hash()%loops == loop {
+			fits = end
+		} else if err == nil {
+			spare = append(spare, end)
+		}
+	}
+	for _, one := range spare {
+		_ = one.Close()
+	}
+	if err == nil {
+		_, err = s.engine.AddConn(fits)
+	}
+	return errs.Wrap(err, errs.Internal, "local connection")
+}
--- /dev/null
+++ b/internal/rpc/frame.go
@@ -0,0 +1,40 @@
+package rpc
+
+import (
+	"bytes"
+	"crosstide/internal/errs"
+	"encoding/json"
+	"sync"
+)
+
+// frame is a pooled buffer with its JSON encoder.
+type frame struct {
+	buf bytes.Buffer
+	enc *json.Encoder
+}
+
+var frames = sync.Pool{New: func() any {
+	f := &frame{}
+	f.enc = json.NewEncoder(&f.buf)
+	f.enc.SetEscapeHTML(false)
+	return f
+}}
+
+// takeFrame gives an empty frame that starts with room for a head of that many bytes.
+func takeFrame(room int) *frame {
+	f := frames.Get().(*frame)
+	f.buf.Reset()
+	f.buf.Grow(room)
+	f.buf.Write(f.buf.AvailableBuffer()[:room])
+	return f
+}
+
+func (f *frame) encode(v any) error {
+	return errs.Wrap(f.enc.Encode(v), errs.Internal, "encode %T", v)
+}
+
+func (f *frame) free() {
+	if f.buf.Cap() <= 1<<20 {
+		frames.Put(f)
+	}
+}
--- /dev/null
+++ b/internal/rpc/listener.go
@@ -0,0 +1,55 @@
+package rpc
+
+import (
+	"crosstide/internal/clock"
+	"crosstide/internal/errs"
+	"net"
+	"sync"
+	"time"
+)
+
+func (s *Server) listen(network, addr string) (net.Listener, error) {
+	ln, err := net.Listen(network, addr)
+	if err != nil {
+		return nil, errs.Wrap(err, errs.Settings, "listen")
+	}
+	s.ln = &listener{Listener: ln, clock: s.opt.Clock, released: make(chan struct{})}
+	return s.ln, nil
+}
+
+// listener keeps nbhttp from spinning: its loop calls Accept again at once after every error, until its own stop.
+type listener struct {
+	net.Listener
+	clock    clock.Clock
+	once     sync.Once
+	released chan struct{}
+}
+
+// Accept returns the next connection. After a failure it waits before it tries again; once the listener is closed
+// it returns errs.Stopped.
+func (l *listener) Accept() (net.Conn, error) {
+	for {
+		c, err := l.Listener.Accept()
+		if err == nil {
+			return c, nil
+		}
+		again := make(chan struct{})
+		ring := l.clock.Set(50*time.Millisecond, func() { close(again) })
+		select {
+		case <-l.released:
+			ring.Stop()
+			return nil, errs.Wrap(err, errs.Stopped, "accept")
+		case <-again:
+		}
+	}
+}
+
+// quiet stops the taking of connections, Close also lets Accept return.
+func (l *listener) quiet() { _ = l.Listener.Close() }
+
+// Close closes the socket and ends a waiting Accept.
+func (l *listener) Close() error {
+	l.quiet()
+	l.once.Do(func() { close(l.released) })
+	return nil
+}
--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -6,17 +6,12 @@
 
 import (
 	"bytes"
-	"encoding/json"
-	"errors"
 	"io"
 	"net/http"
 	"slices"
 	"strconv"
-	"sync"
 	"time"
 
-	"github.com/prometheus/client_golang/prometheus"
-
 	"crosstide/internal/errs"
 )
 
@@ -122,64 +117,3 @@
 	}
 	return nil
 }
-
-// frame is a pooled buffer with its JSON encoder.
-type frame struct {
-	buf bytes.Buffer
-	enc *json.Encoder
-}
-
-var frames = sync.Pool{New: func() any {
-	f := &frame{}
-	f.enc = json.NewEncoder(&f.buf)
-	f.enc.SetEscapeHTML(false)
-	return f
-}}
-
-// takeFrame gives an empty frame that starts with room for a head of that many bytes.
-func takeFrame(room int) *frame {
-	f := frames.Get().(*frame)
-	f.buf.Reset()
-	f.buf.Grow(room)
-	f.buf.Write(f.buf.AvailableBuffer()[:room])
-	return f
-}
-
-func (f *frame) encode(v any) error {
-	return errs.Wrap(f.enc.Encode(v), errs.Internal, "encode %T", v)
-}
-
-func (f *frame) free() {
-	if f.buf.Cap() <= 1<<20 {
-		frames.Put(f)
-	}
-}
-
-// meter counts for one side, "server" or "caller". Several meters may share a registry.
-type meter struct {
-	calls, failures *prometheus.CounterVec
-	in, out         prometheus.Counter
-}
-
-func newMeter(side string, to prometheus.Registerer) *meter {
-	counter := func(name, help string, labels ...string) *prometheus.CounterVec {
-		c := prometheus.NewCounterVec(prometheus.CounterOpts{Name: name, Help: help}, append([]string{"side"}, labels...))
-		if to != nil {
-			if err := to.Register(c); err != nil {
-				var have prometheus.AlreadyRegisteredError
-				if !errors.As(err, &have) {
-					panic("wire: register " + name + ": " + err.Error())
-				}
-				c = have.ExistingCollector.(*prometheus.CounterVec)
-			}
-		}
-		return c.MustCurryWith(prometheus.Labels{"side": side})
-	}
-	size := counter("crosstide_rpc_bytes_total", "Bytes of bodies, by direction.", "dir")
-	return &meter{
-		calls:    counter("crosstide_rpc_calls_total", "Calls, by path.", "path"),
-		failures: counter("crosstide_rpc_failures_total", "Calls that ended in a failure, by path and kind.", "path", "kind"),
-		in:       size.WithLabelValues("in"),
-		out:      size.WithLabelValues("out"),
-	}
-}
--- a/internal/rpc/server.go
+++ b/internal/rpc/server.go
@@ -3,11 +3,8 @@
 import (
 	"context"
 	"encoding/json"
-	"fmt"
-	"io"
 	"net"
 	"net/http"
-	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -15,10 +12,8 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 	"github.com/lesismal/nbio"
-	"github.com/lesismal/nbio/logging"
 	"github.com/lesismal/nbio/nbhttp"
 	"github.com/prometheus/client_golang/prometheus"
-	"golang.org/x/sys/unix"
 
 	"crosstide/internal/clock"
 	"crosstide/internal/errs"
@@ -169,34 +164,6 @@
 	})
 }
 
-// tap counts what an answer carries.
-type tap struct {
-	http.ResponseWriter
-	out   int
-	kind  errs.Kind
-	begun bool
-}
-
-// Unwrap lets http.ResponseController reach the connection.
-func (t *tap) Unwrap() http.ResponseWriter { return t.ResponseWriter }
-
-// WriteHeader records that the answer has begun and passes the status on.
-func (t *tap) WriteHeader(status int) {
-	t.begun = true
-	t.ResponseWriter.WriteHeader(status)
-}
-
-// Write counts the bytes of the answer and passes them on.
-func (t *tap) Write(b []byte) (int, error) {
-	t.begun = true
-	n, err := t.ResponseWriter.Write(b)
-	t.out += max(n, 0)
-	if err != nil {
-		return n, errs.Wrap(err, errs.Unavailable, "write the answer")
-	}
-	return n, nil
-}
-
 // execute runs the handling of a request, with the writing of its answer.
 func (s *Server) execute(handle func()) {
 	s.mu.Lock()
@@ -246,21 +213,6 @@
 	s.mux.ServeHTTP(w, r)
 }
 
-// probe takes an answer's head only.
-type probe struct {
-	head   http.Header
-	status int
-}
-
-// Header is part of http.ResponseWriter.
-func (p *probe) Header() http.Header { return p.head }
-
-// Write discards the body.
-func (p *probe) Write(b []byte) (int, error) { return len(b), nil }
-
-// WriteHeader records the status.
-func (p *probe) WriteHeader(status int) { p.status = status }
-
 // Start listens and answers. An address that cannot be had is errs.Settings.
 func (s *Server) Start() error {
 	if err := s.engine.Start(); err != nil {
@@ -269,84 +221,6 @@
 	return errs.Wrap(s.warm(), errs.Internal, "start the event loops")
 }
 
-// warm waits until every event loop of nbio runs: a stop that comes before is lost on the loop, and the engine's
-// Stop would wait for it forever. Each loop gets one end of a local connection and has to see it close.
-func (s *Server) warm() error {
-	loops := s.engine.Engine.NPoller
-	if loops == 1 {
-		return errs.Pass(s.warmOne(), "the only event loop")
-	}
-	gone := make(chan struct{}, loops)
-	s.engine.OnClose(func(c net.Conn, _ error) {
-		if _, local := c.RemoteAddr().(*net.UnixAddr); local {
-			gone <- struct{}{}
-		}
-	})
-	for loop := range loops {
-		if err := s.nudge(loop, loops); err != nil {
-			return errs.Pass(err, "event loop %d", loop)
-		}
-	}
-	for range loops {
-		<-gone
-	}
-	return nil
-}
-
-// warmOne is warm for a single loop, which any connection reaches: one to the server's own address, as not every
-// machine has local socket pairs.
-func (s *Server) warmOne() error {
-	gone := make(chan struct{}, 1)
-	s.engine.OnClose(func(net.Conn, error) {
-		select {
-		case gone <- struct{}{}:
-		default:
-		}
-	})
-	c, err := net.Dial("tcp", s.Addr())
-	if err != nil {
-		return errs.Wrap(err, errs.Internal, "reach the own address")
-	}
-	if err := c.Close(); err != nil {
-		return errs.Wrap(err, errs.Internal, "close")
-	}
-	<-gone
-	return nil
-}
-
-// nudge gives one loop a connection that is closed at its other end. nbio picks the loop by the descriptor, so
-// copies are made until one has a number that fits. All others are closed before that one is handed over: epoll
-// goes on telling of a connection as long as a copy is open, by a number that may be another's by then.
-func (s *Server) nudge(loop, loops int) error {
-	ends, err := unix.Socketpair(unix.AF_UNIX, unix.SOCK_STREAM|unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC, 0)
-	if err != nil {
-		return errs.Wrap(err, errs.Internal, "local connection")
-	}
-	here, there := os.NewFile(uintptr(ends[0]), "here"), os.NewFile(uintptr(ends[1]), "there")
-	defer there.Close()
-	spare := []io.Closer{here}
-	var fits *nbio.Conn
-	for err == nil && fits == nil {
-		var c net.Conn
-		var end *nbio.Conn
-		if c, err = net.FileConn(here); err == nil {
-			end, err = nbio.NBConn(c) // closes c
-		}
-		if err == nil && end.Hash()%loops == loop {
-			fits = end
-		} else if err == nil {
-			spare = append(spare, end)
-		}
-	}
-	for _, one := range spare {
-		_ = one.Close()
-	}
-	if err == nil {
-		_, err = s.engine.AddConn(fits)
-	}
-	return errs.Wrap(err, errs.Internal, "local connection")
-}
-
 // Addr is the real host:port after Start.
 func (s *Server) Addr() string { return s.engine.Addrs[0] }
 
@@ -379,89 +253,3 @@
 	s.engine.Stop()
 	return err
 }
-
-func (s *Server) listen(network, addr string) (net.Listener, error) {
-	ln, err := net.Listen(network, addr)
-	if err != nil {
-		return nil, errs.Wrap(err, errs.Settings, "listen")
-	}
-	s.ln = &listener{Listener: ln, clock: s.opt.Clock, released: make(chan struct{})}
-	return s.ln, nil
-}
-
-// listener keeps nbhttp from spinning: its loop calls Accept again at once after every error, until its own stop.
-type listener struct {
-	net.Listener
-	clock    clock.Clock
-	once     sync.Once
-	released chan struct{}
-}
-
-// Accept returns the next connection. After a failure it waits before it tries again; once the listener is closed
-// it returns errs.Stopped.
-func (l *listener) Accept() (net.Conn, error) {
-	for {
-		c, err := l.Listener.Accept()
-		if err == nil {
-			return c, nil
-		}
-		again := make(chan struct{})
-		ring := l.clock.Set(50*time.Millisecond, func() { close(again) })
-		select {
-		case <-l.released:
-			ring.Stop()
-			return nil, errs.Wrap(err, errs.Stopped, "accept")
-		case <-again:
-		}
-	}
-}
-
-// quiet stops the taking of connections, Close also lets Accept return.
-func (l *listener) quiet() { _ = l.Listener.Close() }
-
-// Close closes the socket and ends a waiting Accept.
-func (l *listener) Close() error {
-	l.quiet()
-	l.once.Do(func() { close(l.released) })
-	return nil
-}
-
-// boundDescriptors bounds nbio's tables of connections, which it makes as long as there may be descriptors.
-func boundDescriptors(n int) {
-	descriptorsMu.Lock()
-	defer descriptorsMu.Unlock()
-	if n > 0 && n < nbio.MaxOpenFiles {
-		nbio.MaxOpenFiles = n
-	}
-}
-
-var descriptorsMu sync.Mutex
-
-// routeLogs sends nbio's own lines, which have one logger per process, to the latest server's logger.
-func routeLogs(to log.Logger) {
-	logTo.Store(&to)
-	logOnce.Do(func() { logging.SetLogger(nbioLog{}) })
-}
-
-var (
-	logTo   atomic.Pointer[log.Logger]
-	logOnce sync.Once
-)
-
-type nbioLog struct{}
-
-func (nbioLog) put(at func(log.Logger) log.Logger, format string, v []any) {
-	_ = at(*logTo.Load()).Log("part", "nbio", "msg", fmt.Sprintf(format, v...))
-}
-
-// Debug logs a line of nbio at the level debug.
-func (n nbioLog) Debug(format string, v ...any) { n.put(level.Debug, format, v) }
-
-// Info logs at the level debug, as nbio's lines on its start and stop are of no use to operators.
-func (n nbioLog) Info(format string, v ...any) { n.put(level.Debug, format, v) } // its start and stop lines
-
-// Warn logs a line of nbio at the level warn.
-func (n nbioLog) Warn(format string, v ...any) { n.put(level.Warn, format, v) }
-
-// Error logs a line of nbio at the level error.
-func (n nbioLog) Error(format string, v ...any) { n.put(level.Error, format, v) }
--- /dev/null
+++ b/internal/rpc/transfer.go
@@ -0,0 +1,164 @@
+package rpc
+
+import (
+	"bytes"
+	"context"
+	"crosstide/internal/errs"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// holder lends connections to calls.
+type holder interface {
+	take(ctx context.Context, addr string) (*link, error)
+	give(l *link, whole bool) // whole: the call went well to its last byte
+	ended() bool
+}
+
+var errLate = errors.New("no answer in time")
+
+func (k *Caller) ask(ctx context.Context, h holder, addr, path string, call, answer any, within time.Duration, before func() error) error {
+	k.meter.calls.WithLabelValues(path).Inc()
+	room := len(path) + len(addr) + 160
+	out, in := takeFrame(room), takeFrame(0)
+	defer out.free()
+	defer in.free()
+	err := out.encode(call)
+	if err == nil {
+		err = k.askFrame(ctx, h, addr, path, out.head(room, path, addr), &in.buf, within, before)
+	} else {
+		err = errs.Pass(&unsent{err}, "the call")
+	}
+	if err == nil {
+		err = errs.Wrap(json.Unmarshal(in.buf.Bytes(), answer), errs.Malformed, "the answer of %s at %s", path, addr)
+	}
+	if err != nil {
+		k.meter.failures.WithLabelValues(path, string(known(errs.KindOf(err)))).Inc()
+	}
+	return errs.Pass(err, "call")
+}
+
+// askFrame makes one call of a pair: an answer other than 200 is the failure it tells of.
+func (k *Caller) askFrame(ctx context.Context, h holder, addr, path string, out []byte, in *bytes.Buffer, within time.Duration, before func() error) error {
+	t := transfer{addr: addr, path: path, method: http.MethodPost, out: out, in: in, within: within, before: before}
+	res, err := k.transfer(ctx, h, t)
+	if err != nil {
+		return errs.Pass(err, "send")
+	}
+	if res.StatusCode == http.StatusOK {
+		return nil
+	}
+	return errs.Pass(decodeError(res, in.Bytes()), "%s at %s", path, addr)
+}
+
+// head puts the request's head right before the body, into the room kept for it, and gives the whole request.
+func (f *frame) head(room int, path, addr string) []byte {
+	whole := f.buf.Bytes()
+	b := make([]byte, 0, room)
+	b = append(append(b, "POST "...), path...)
+	b = append(append(b, " HTTP/1.1\r\nHost: "...), addr...)
+	b = append(b, "\r\nContent-Type: application/json\r\nContent-Length: "...)
+	b = strconv.AppendInt(b, int64(len(whole)-room), 10)
+	b = append(b, "\r\n\r\n"...)
+	start := room - len(b)
+	copy(whole[start:], b)
+	return whole[start:]
+}
+
+// transfer is one request as it goes out, and the buffer that takes the body of its response.
+type transfer struct {
+	addr, path, method string
+	out                []byte // head and body
+	in                 *bytes.Buffer
+	within             time.Duration
+	before             func() error // before each write; nil: none
+}
+
+// transfer sends a request once and reads the whole response, of any status, over a connection of h.
+func (k *Caller) transfer(ctx context.Context, h holder, t transfer) (*http.Response, error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	if t.within <= 0 {
+		cancel(errLate)
+	} else {
+		defer k.opt.Clock.Set(t.within, func() { cancel(errLate) }).Stop()
+	}
+	sent := 0
+	explain := func(err error) error {
+		if sent == 0 {
+			err = &unsent{err}
+		}
+		switch {
+		case context.Cause(ctx) != nil:
+			return errs.Wrap(errors.Join(context.Cause(ctx), err), errs.Timeout, "%s at %s: over after at most %s", t.path, t.addr, t.within)
+		case h.ended():
+			return errs.Wrap(err, errs.Stopped, "%s at %s: closed on our side", t.path, t.addr)
+		}
+		return errs.Wrap(err, errs.Unavailable, "%s at %s", t.path, t.addr)
+	}
+	l, err := h.take(ctx, t.addr)
+	if err != nil {
+		return nil, errs.Pass(explain(err), "connect")
+	}
+	whole := false
+	stop := context.AfterFunc(ctx, l.reset)
+	defer func() { h.give(l, stop() && whole) }()
+
+	var refused error
+	err = l.write(t.out, &sent, func() error {
+		if context.Cause(ctx) != nil {
+			return errs.Wrap(context.Cause(ctx), errs.Timeout, "before the write")
+		}
+		if t.before == nil {
+			return nil
+		}
+		if refused = t.before(); refused != nil {
+			return errs.Pass(refused, "held back")
+		}
+		return nil
+	})
+	k.meter.out.Add(float64(sent))
+	if refused != nil {
+		if sent == 0 {
+			refused = &unsent{refused}
+		}
+		return nil, errs.Pass(refused, "%s at %s: held back before the write", t.path, t.addr)
+	}
+	if err != nil {
+		return nil, errs.Pass(explain(err), "write the call")
+	}
+	res, err := l.response(t.method)
+	if err != nil {
+		return nil, errs.Pass(explain(err), "read the answer's head")
+	}
+	err = readInto(t.in, res.Body, res.ContentLength, k.opt.MaxBody)
+	k.meter.in.Add(float64(t.in.Len()))
+	if errs.Is(err, errs.TooLarge) {
+		return nil, errs.Pass(err, "the answer of %s at %s", t.path, t.addr)
+	}
+	if err != nil {
+		return nil, errs.Pass(explain(err), "read the answer")
+	}
+	whole = !res.Close && l.read.Buffered() == 0
+	return res, nil
+}
+
+// decodeError makes the failure of an answer other than 200; a failure of ours is marked for Answered.
+func decodeError(res *http.Response, body []byte) error {
+	var r reply
+	if err := json.Unmarshal(body, &r); err != nil || r.Kind == "" {
+		kind := errs.Internal
+		if res.StatusCode >= http.StatusInternalServerError {
+			kind = errs.Unavailable
+		}
+		return errs.New(kind, "status %d without a fault of ours", res.StatusCode)
+	}
+	f := &errs.Error{Kind: known(r.Kind), Field: r.Field, Message: r.Message, Hint: r.Hint}
+	if s, err := strconv.Atoi(res.Header.Get("Retry-After")); err == nil && s > 0 {
+		f.After = time.Duration(s) * time.Second
+	}
+	return &answered{f}
+}
--- /dev/null
+++ b/internal/storage/append.go
@@ -0,0 +1,62 @@
+package storage
+
+import (
+	"crosstide/internal/errs"
+	"slices"
+)
+
+// Append writes recs with one write and one sync and returns when they last. An entry replaces the one of its
+// index and all after it; it must follow the last entry without a hole and lie past the newest image. Failures:
+// Invalid and TooLarge (nothing was written), Stopped, Disk (a write or sync failed, now or before: end the
+// process, what recs became is unknown). Example:
+//
+//	err := store.Append([]storage.Record{{Kind: storage.KindHard, Data: vote}, {Term: 2, Index: 9, Data: order}})
+func (s *Store) Append(recs []Record) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err := s.usable(); err != nil {
+		return errs.Pass(err, "append %d records", len(recs))
+	}
+	if len(recs) == 0 {
+		return nil
+	}
+	last := max(s.tale.last(), s.newest.Index)
+	s.buf = s.buf[:0]
+	for _, r := range recs {
+		switch {
+		case len(r.Data) > MaxData:
+			return errs.New(errs.TooLarge, "a record of %d bytes, at most %d", len(r.Data), MaxData)
+		case r.Kind == kindBase:
+			return errs.Field(errs.Invalid, "kind", "%d is the store's own", r.Kind)
+		case r.Kind != KindHard && (r.Index > last+1 || r.Index <= s.newest.Index):
+			return errs.Field(errs.Invalid, "index", "entry %d after %d, image at %d", r.Index, last, s.newest.Index)
+		case r.Kind != KindHard:
+			last = r.Index
+		}
+		s.buf = appendRecord(s.buf, s.segments[len(s.segments)-1].number, s.size, r)
+	}
+	if _, err := s.file.Write(s.buf); err != nil {
+		return errs.Pass(s.fail(errs.Wrap(err, errs.Disk, "write the log")), "append %d records", len(recs))
+	}
+	from := s.clock.Now()
+	if err := s.file.Sync(); err != nil {
+		return errs.Pass(s.fail(errs.Wrap(err, errs.Disk, "sync the log")), "append %d records", len(recs))
+	}
+	took := s.clock.Now() - from
+	s.size += len(s.buf)
+	for _, r := range recs {
+		s.segments[len(s.segments)-1].note(r)
+		if r.Data = slices.Clone(r.Data); r.Kind != KindHard {
+			r.Data = nil
+		}
+		s.tale.add(r)
+	}
+	s.count(func(c *Stats) {
+		c.Syncs, c.Bytes, c.Records = c.Syncs+1, c.Bytes+uint64(len(s.buf)), c.Records+uint64(len(recs))
+		c.LastSync, c.LongestSync = took, max(c.LongestSync, took)
+	})
+	if cap(s.buf) > MaxData/16 {
+		s.buf = nil
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/storage/open.go
@@ -0,0 +1,212 @@
+package storage
+
+import (
+	"crosstide/internal/clock"
+	"crosstide/internal/errs"
+	"slices"
+	"strings"
+)
+
+// Open reads the folder, cuts a torn tail and makes the rest durable. Failures: Damaged when data that may have
+// been synced is lost (nothing in the folder was changed; do not use it as a member's disk any more), Disk.
+// Example:
+//
+//	store, boot, err := storage.Open(disk, storage.Options{})
+//	if errs.Is(err, errs.Damaged) {
+//		// rejoin as a replaced machine
+//	}
+func Open(d Disk, opt Options) (*Store, Boot, error) {
+	s := &Store{disk: d, clock: opt.Clock, at: 1}
+	if s.clock == nil {
+		s.clock = clock.Real{}
+	}
+	boot, err := s.open()
+	if err != nil {
+		return nil, Boot{}, errs.Pass(err, "open the store")
+	}
+	return s, boot, nil
+}
+
+// found is the folder as it is read.
+type found struct {
+	images  []Image // valid slots, newest first
+	places  []int   // their places in slotNames
+	slots   int     // slot files, valid or not
+	loose   []string
+	numbers []uint64 // of the segments
+	bytes   [][]byte
+}
+
+func (s *Store) look() (f found, err error) {
+	names, err := s.disk.List()
+	if err != nil {
+		return f, errs.Pass(err, "look at the folder")
+	}
+	slices.Sort(names)
+	for _, name := range names {
+		place := slices.Index(slotNames[:], name)
+		number, isLog := segmentNumber(name)
+		switch {
+		case strings.HasSuffix(name, loose):
+			f.loose = append(f.loose, name)
+			continue
+		case place < 0 && !isLog:
+			continue // not ours
+		}
+		all, err := s.read(name)
+		if err != nil {
+			return f, errs.Pass(err, "look at %s", name)
+		}
+		if isLog {
+			f.numbers, f.bytes = append(f.numbers, number), append(f.bytes, all)
+			continue
+		}
+		f.slots++
+		img, err := readSlot(all)
+		if err != nil {
+			continue // the other slot and the log decide
+		}
+		i := 0
+		if len(f.images) > 0 && f.images[0].Number > img.Number {
+			i = 1
+		}
+		f.images, f.places = slices.Insert(f.images, i, img), slices.Insert(f.places, i, place)
+	}
+	return f, nil
+}
+
+func (s *Store) open() (boot Boot, err error) {
+	f, err := s.look()
+	if err != nil {
+		return boot, errs.Pass(err, "files of the store")
+	}
+	// Read the log up to its first bad byte, which may only be the torn end of it all.
+	var tail []Record // records of the last segment that counts
+	var told tale
+	dropped := 0 // segments after it
+	for i, number := range f.numbers {
+		if i > 0 && number != f.numbers[i-1]+1 {
+			return boot, errs.New(errs.Damaged, "segment %d follows %d", number, f.numbers[i-1])
+		}
+		recs, end := readSegment(f.bytes[i], number)
+		g := segment{number: number}
+		for _, r := range recs {
+			if !told.add(r) {
+				return boot, errs.New(errs.Damaged, "segment %d: entry %d follows %d", number, r.Index, told.last())
+			}
+			g.note(r)
+		}
+		s.segments, tail = append(s.segments, g), recs
+		// The first records of a segment were synced before it got its name: no torn write takes them.
+		lost := len(recs) == 0 && f.slots > 0 || len(recs) == 1 && len(recs[0].Data) > 0
+		if i == 0 && lost || len(recs) > 0 && recs[0].Kind != kindBase {
+			return boot, errs.New(errs.Damaged, "segment %d lost its start", number)
+		}
+		if end == len(f.bytes[i]) && len(recs) > 0 {
+			continue
+		}
+		later := anyRecord(f.bytes[i], number, end)
+		for j := i; j < len(f.numbers); j++ {
+			later = later || j > i && anyRecord(f.bytes[j], f.numbers[j], 0)
+			boot.Cut += int64(len(f.bytes[j]))
+		}
+		if boot.Cut -= int64(end); later {
+			return boot, errs.New(errs.Damaged, "segment %d is bad at byte %d, before valid records", number, end)
+		}
+		dropped = len(f.numbers) - 1 - i
+		break
+	}
+	if len(f.numbers) == 0 && f.slots > 0 {
+		return boot, errs.New(errs.Damaged, "slots without a log")
+	}
+	if err := s.choose(f, &told, &boot); err != nil {
+		return boot, errs.Pass(err, "newest slot")
+	}
+	return boot, errs.Pass(s.settle(f, dropped, tail, told), "end of the log")
+}
+
+// choose takes the newest image that the log follows.
+func (s *Store) choose(f found, told *tale, boot *Boot) error {
+	for i := range f.images {
+		img, t := f.images[i], *told
+		if t.base.Index != img.Index || t.base.Term != img.Term {
+			t.rebase(Record{Kind: kindBase, Index: img.Index, Term: img.Term})
+		}
+		if entries, ok := t.after(img.Index); ok {
+			*told, s.at, boot.Image = t, f.places[i], &img
+			s.newest = Image{Number: img.Number, Index: img.Index, Term: img.Term}
+			boot.Records = slices.Clone(entries)
+			break
+		}
+	}
+	if boot.Image == nil {
+		entries, ok := told.after(0)
+		if !ok || len(f.images) > 0 {
+			return errs.New(errs.Damaged, "the log does not follow any valid slot (%d of %d valid)", len(f.images), f.slots)
+		}
+		boot.Records = slices.Clone(entries)
+	}
+	if told.hard != nil {
+		boot.Records = slices.Insert(boot.Records, 0, *told.hard)
+	}
+	boot.Fresh = boot.Image == nil && len(boot.Records) == 0
+	return nil
+}
+
+// settle writes the last segment anew, so that what Open gives lasts even if it was read from the memory of the
+// machine after a failed sync or a kill, and removes what does not count.
+func (s *Store) settle(f found, dropped int, tail []Record, told tale) error {
+	for _, name := range f.loose {
+		if err := s.disk.Remove(name); err != nil {
+			return errs.Wrap(err, errs.Disk, "remove %s", name)
+		}
+	}
+	if len(s.segments) == 0 {
+		s.segments = []segment{{number: 1}}
+	}
+	last := s.segments[len(s.segments)-1]
+	s.tale = tale{list: told.list, hard: told.hard, floor: told.floor, base: told.base}
+	head := slices.Clone(tail)
+	if len(tail) == 0 {
+		head = s.head()
+	} else if told.hard != nil && !slices.ContainsFunc(tail, func(r Record) bool { return r.Kind == KindHard }) {
+		head = append(s.head(), tail[1:]...)
+	}
+	if s.newest.Number > 0 && !slices.ContainsFunc(head, func(r Record) bool {
+		return r.Kind == kindBase && r.Index == s.newest.Index && r.Term == s.newest.Term
+	}) {
+		head = append(head, Record{Kind: kindBase, Index: s.newest.Index, Term: s.newest.Term})
+	}
+	s.tale.list = slices.Clone(told.list)
+	for i := range s.tale.list {
+		s.tale.list[i].Data = nil
+	}
+	if err := s.start(last, head); err != nil {
+		return errs.Pass(err, "segment %d", last.number)
+	}
+	for i := range dropped { // from the end, so that no gap can stay
+		number := f.numbers[len(f.numbers)-1-i]
+		if err := s.removeSegment(number); err != nil {
+			return errs.Pass(err, "drop segment %d", number)
+		}
+	}
+	return nil
+}
+
+// Clear removes every file of a store from the folder, and only those, and makes it last. Failure: Disk.
+func Clear(d Disk) error {
+	names, err := d.List()
+	if err != nil {
+		return errs.Pass(err, "clear the folder")
+	}
+	for _, name := range names {
+		_, isLog := segmentNumber(name)
+		if !isLog && !slices.Contains(slotNames[:], name) && !strings.HasSuffix(name, loose) {
+			continue
+		}
+		if err := d.Remove(name); err != nil {
+			return errs.Pass(err, "clear the folder")
+		}
+	}
+	return errs.Pass(d.Sync(), "clear the folder")
+}
--- a/internal/storage/record.go
+++ b/internal/storage/record.go
@@ -4,10 +4,6 @@
 	"bytes"
 	"encoding/binary"
 	"hash/crc32"
-
-	"github.com/cespare/xxhash/v2"
-
-	"crosstide/internal/errs"
 )
 
 // KindHard is the kind of a record of the hard state; its Data (term and vote) is the caller's.
@@ -26,14 +22,6 @@
 	Data        []byte
 }
 
-// Image is the whole state as of the entry Index of term Term.
-type Image struct {
-	Number      uint64 // of the slot's writing, from 1; given by the store
-	Index, Term uint64
-	Meta        []byte // members and the like
-	Body        []byte // the state
-}
-
 const (
 	mark      = "\xc7\x1dRc"     // starts each record, so that a reader can find one again after damage
 	headSize  = 29               // mark 4, sum 4, length 4, kind 1, term 8, index 8
@@ -114,101 +102,3 @@
 	}
 	return false
 }
-
-// slotParts gives what stands before and after the body in a slot.
-func slotParts(img Image) (head, tail []byte) {
-	head = append(head, slotMark...)
-	for _, v := range []uint64{img.Number, img.Index, img.Term, uint64(len(img.Meta)), uint64(len(img.Body))} {
-		head = order.AppendUint64(head, v)
-	}
-	head = append(head, img.Meta...)
-	sum := xxhash.New()
-	_, _ = sum.Write(head) // never fails
-	_, _ = sum.Write(img.Body)
-	return head, order.AppendUint64(nil, sum.Sum64())
-}
-
-// readSlot checks a slot. Failure: Damaged.
-func readSlot(all []byte) (Image, error) {
-	if len(all) < slotSize+slotsDone || string(all[:8]) != slotMark {
-		return Image{}, errs.New(errs.Damaged, "no slot in %d bytes", len(all))
-	}
-	cut := len(all) - slotsDone
-	if xxhash.Sum64(all[:cut]) != order.Uint64(all[cut:]) {
-		return Image{}, errs.New(errs.Damaged, "the slot's sum is wrong")
-	}
-	rest := all[slotSize:cut]
-	meta, body := order.Uint64(all[32:]), order.Uint64(all[40:])
-	if meta > uint64(len(rest)) || body != uint64(len(rest))-meta {
-		return Image{}, errs.New(errs.Damaged, "the slot's lengths are wrong")
-	}
-	return Image{
-		Number: order.Uint64(all[8:]), Index: order.Uint64(all[16:]), Term: order.Uint64(all[24:]),
-		Meta: rest[:meta], Body: rest[meta:],
-	}, nil
-}
-
-// tale is what a sequence of records comes to.
-type tale struct {
-	list  []Record // the entries that stand, indexes without a hole
-	hard  *Record
-	floor uint64 // the list says nothing of entries up to here; only an image does
-	base  Record // the last kindBase
-}
-
-// last is the index of the newest entry.
-func (t *tale) last() uint64 {
-	if n := len(t.list); n > 0 {
-		return max(t.list[n-1].Index, t.floor)
-	}
-	return t.floor
-}
-
-// add takes the next record in; false is a hole in the indexes.
-func (t *tale) add(r Record) bool {
-	switch r.Kind {
-	case KindHard:
-		t.hard = &r
-	case kindBase:
-		t.rebase(r)
-	default:
-		n := len(t.list)
-		if n > 0 && r.Index > t.list[n-1].Index+1 || r.Index == 0 {
-			return false
-		}
-		for n > 0 && t.list[n-1].Index >= r.Index {
-			n--
-		}
-		t.list = append(t.list[:n], r)
-	}
-	return true
-}
-
-// rebase takes in that an image was written. Entries that lead up to it and past it stand; entries that the
-// image contradicts, or that end before it, fall (the image came from another member).
-func (t *tale) rebase(b Record) {
-	t.base = b
-	if len(t.list) > 0 {
-		first := t.list[0].Index
-		if first > b.Index {
-			return
-		}
-		if at := b.Index - first; at < uint64(len(t.list)) && t.list[at].Term == b.Term {
-			return
-		}
-	}
-	t.list, t.floor = nil, max(t.floor, b.Index)
-}
-
-// after gives the entries after an image of index; false if the log does not follow it without a hole.
-func (t *tale) after(index uint64) ([]Record, bool) {
-	if t.floor > index {
-		return nil, false
-	}
-	for i, r := range t.list {
-		if r.Index > index {
-			return t.list[i:], r.Index == index+1
-		}
-	}
-	return nil, true
-}
--- /dev/null
+++ b/internal/storage/segment.go
@@ -0,0 +1,91 @@
+package storage
+
+import (
+	"crosstide/internal/errs"
+	"fmt"
+)
+
+type segment struct {
+	number uint64
+	top    uint64 // highest index of an entry
+}
+
+func (g segment) name() string { return fmt.Sprintf("%s%016d", logTag, g.number) }
+
+func (g *segment) note(r Record) {
+	if r.Kind < kindBase {
+		g.top = max(g.top, r.Index)
+	}
+}
+
+// segmentNumber gives the number of the log segment that has the name; false if none has.
+func segmentNumber(name string) (number uint64, ok bool) {
+	_, err := fmt.Sscanf(name, logTag+"%d", &number)
+	return number, err == nil && segment{number: number}.name() == name
+}
+
+// head is what each segment starts with. Data in the first record says that the hard state follows.
+func (s *Store) head() []Record {
+	out := []Record{{Kind: kindBase, Index: s.newest.Index, Term: s.newest.Term}}
+	if s.tale.hard != nil {
+		out[0].Data = []byte{1}
+		out = append(out, *s.tale.hard)
+	}
+	return out
+}
+
+// start makes g, with recs in it, the segment to append to.
+func (s *Store) start(g segment, recs []Record) error {
+	var buf []byte
+	for _, r := range recs {
+		buf = appendRecord(buf, g.number, 0, r)
+	}
+	file, err := s.place(g.name(), buf)
+	if err != nil {
+		return errs.Pass(err, "segment to append to")
+	}
+	if s.file != nil {
+		_ = s.file.Close() // synced before
+	}
+	s.file, s.size = file, len(buf)
+	return nil
+}
+
+// place writes a file under a loose name, syncs it, gives it its name and syncs the folder.
+func (s *Store) place(name string, parts ...[]byte) (File, error) {
+	file, err := s.disk.Create(name + loose)
+	if err != nil {
+		return nil, errs.Wrap(err, errs.Disk, "create %s", name)
+	}
+	bytes := 0
+	for _, p := range parts {
+		if _, err = file.Write(p); err != nil {
+			break
+		}
+		bytes += len(p)
+	}
+	if err == nil {
+		err = file.Sync()
+	}
+	if err == nil {
+		err = s.disk.Rename(name+loose, name)
+	}
+	if err == nil {
+		err = s.disk.Sync()
+	}
+	if err != nil {
+		_ = file.Close()
+		return nil, errs.Wrap(err, errs.Disk, "write %s", name)
+	}
+	s.count(func(c *Stats) { c.Syncs, c.Bytes = c.Syncs+2, c.Bytes+uint64(bytes) })
+	return file, nil
+}
+
+func (s *Store) removeSegment(number uint64) error {
+	name := segment{number: number}.name()
+	if err := s.disk.Remove(name); err != nil {
+		return errs.Wrap(err, errs.Disk, "remove %s", name)
+	}
+	s.count(func(c *Stats) { c.Syncs++ })
+	return errs.Wrap(s.disk.Sync(), errs.Disk, "sync the folder")
+}
--- /dev/null
+++ b/internal/storage/snapshot.go
@@ -0,0 +1,95 @@
+package storage
+
+import (
+	"crosstide/internal/errs"
+	"slices"
+)
+
+// WriteSlot makes img the newest slot (its Number is given here), starts a new segment and removes the segments
+// whose entries all lie at or before the slot before it, and before keepFrom if that is not 0. Appends go on
+// meanwhile but for the change of segment. An image of the own log must have the Term of its entry; one that
+// came from another member must be written before the entries after it are appended: entries that it
+// contradicts fall. Failures: Invalid (older than the newest slot), Stopped, Disk (as with Append). Example:
+//
+//	err := store.WriteSlot(storage.Image{Index: applied, Term: term, Meta: members, Body: state}, 0)
+func (s *Store) WriteSlot(img Image, keepFrom uint64) error {
+	s.slots.Lock()
+	defer s.slots.Unlock()
+	s.mu.Lock()
+	err, before, at := s.usable(), s.newest, 1-s.at
+	s.mu.Unlock()
+	if err != nil {
+		return errs.Pass(err, "slot %d", before.Number+1)
+	}
+	if img.Index < before.Index {
+		return errs.Field(errs.Invalid, "index", "image at %d, the newest slot is at %d", img.Index, before.Index)
+	}
+	img.Number = before.Number + 1
+	head, tail := slotParts(img)
+	file, err := s.place(slotNames[at], head, img.Body, tail)
+	if err == nil {
+		_ = file.Close() // synced before
+		err = s.rotate(img, at, before.Index, keepFrom)
+	}
+	if err != nil {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return errs.Pass(s.fail(err), "slot %d", img.Number)
+	}
+	s.count(func(c *Stats) { c.Slots++ })
+	return nil
+}
+
+// rotate starts a segment after the slot img is durable, and removes those that are not needed.
+func (s *Store) rotate(img Image, at int, before, keepFrom uint64) error {
+	s.mu.Lock()
+	err := s.usable()
+	if err == nil {
+		s.newest, s.at = Image{Number: img.Number, Index: img.Index, Term: img.Term}, at
+		head := s.head()
+		s.tale.rebase(head[0])
+		g := segment{number: s.segments[len(s.segments)-1].number + 1}
+		if err = s.start(g, head); err == nil {
+			s.segments = append(s.segments, g)
+		}
+	}
+	n := 0
+	for n < len(s.segments)-1 && s.segments[n].top <= before && (keepFrom == 0 || s.segments[n].top < keepFrom) {
+		n++
+	}
+	old := s.segments[:n]
+	s.segments = slices.Clone(s.segments[n:])
+	if n > 0 {
+		s.tale.list = slices.DeleteFunc(s.tale.list, func(r Record) bool { return r.Index <= before && r.Index <= img.Index })
+		if len(s.tale.list) == 0 {
+			s.tale.floor = max(s.tale.floor, img.Index)
+		}
+	}
+	s.mu.Unlock()
+	for i := 0; i < n && err == nil; i++ { // oldest first, each synced, so that no gap can stay
+		err = s.removeSegment(old[i].number)
+	}
+	return errs.Pass(err, "change of segment")
+}
+
+// NewestSlot reads the newest slot back and checks it. Failures: Unknown (none was written), Damaged, Disk.
+func (s *Store) NewestSlot() (Image, error) {
+	s.mu.Lock()
+	name, number := slotNames[s.at], s.newest.Number
+	s.mu.Unlock()
+	if number == 0 {
+		return Image{}, errs.New(errs.Unknown, "no slot was written yet")
+	}
+	all, err := s.read(name)
+	if err != nil {
+		return Image{}, errs.Pass(err, "newest slot")
+	}
+	img, err := readSlot(all)
+	if err != nil {
+		return Image{}, errs.Pass(err, "read %s", name)
+	}
+	if img.Number < number {
+		return Image{}, errs.New(errs.Damaged, "%s holds number %d, not %d", name, img.Number, number)
+	}
+	return img, nil
+}
--- /dev/null
+++ b/internal/storage/snapshotfile.go
@@ -0,0 +1,48 @@
+package storage
+
+import (
+	"crosstide/internal/errs"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Image is the whole state as of the entry Index of term Term.
+type Image struct {
+	Number      uint64 // of the slot's writing, from 1; given by the store
+	Index, Term uint64
+	Meta        []byte // members and the like
+	Body        []byte // the state
+}
+
+// slotParts gives what stands before and after the body in a slot.
+func slotParts(img Image) (head, tail []byte) {
+	head = append(head, slotMark...)
+	for _, v := range []uint64{img.Number, img.Index, img.Term, uint64(len(img.Meta)), uint64(len(img.Body))} {
+		head = order.AppendUint64(head, v)
+	}
+	head = append(head, img.Meta...)
+	sum := xxhash.New()
+	_, _ = sum.Write(head) // never fails
+	_, _ = sum.Write(img.Body)
+	return head, order.AppendUint64(nil, sum.Sum64())
+}
+
+// readSlot checks a slot. Failure: Damaged.
+func readSlot(all []byte) (Image, error) {
+	if len(all) < slotSize+slotsDone || string(all[:8]) != slotMark {
+		return Image{}, errs.New(errs.Damaged, "no slot in %d bytes", len(all))
+	}
+	cut := len(all) - slotsDone
+	if xxhash.Sum64(all[:cut]) != order.Uint64(all[cut:]) {
+		return Image{}, errs.New(errs.Damaged, "the slot's sum is wrong")
+	}
+	rest := all[slotSize:cut]
+	meta, body := order.Uint64(all[32:]), order.Uint64(all[40:])
+	if meta > uint64(len(rest)) || body != uint64(len(rest))-meta {
+		return Image{}, errs.New(errs.Damaged, "the slot's lengths are wrong")
+	}
+	return Image{
+		Number: order.Uint64(all[8:]), Index: order.Uint64(all[16:]), Term: order.Uint64(all[24:]),
+		Meta: rest[:meta], Body: rest[meta:],
+	}, nil
+}
