--- a/internal/dataplane/node.go
+++ b/internal/dataplane/node.go
@@ -57,7 +57,7 @@
 // lines are the two connections to a minion.
 type lines struct {
 	addr        string
-	wait, order *rpc.Line
+	wait, order *rpc.DedicatedConn
 }
 
 // New makes a node; Start sets it going.
@@ -284,7 +284,7 @@
 }
 
 // line gives the connection for a call.
-func (n *Node) line(c sched.CallOut) *rpc.Line {
+func (n *Node) line(c sched.CallOut) *rpc.DedicatedConn {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	l := n.lines[c.Minion]
@@ -293,7 +293,7 @@
 			l.wait.Close()
 			l.order.Close()
 		}
-		l = &lines{addr: c.Addr, wait: rpc.NewLine(n.opt.Minions, c.Addr), order: rpc.NewLine(n.opt.Minions, c.Addr)}
+		l = &lines{addr: c.Addr, wait: rpc.NewDedicatedConn(n.opt.Minions, c.Addr), order: rpc.NewDedicatedConn(n.opt.Minions, c.Addr)}
 		n.lines[c.Minion] = l
 	}
 	if c.Order {
@@ -318,7 +318,7 @@
 		}
 		return nil
 	}
-	a, err := rpc.AskLine(ctx, n.line(c), api.Hold, c.Call, c.Call.Wait+n.opt.CallTimeout/2, check)
+	a, err := rpc.AskDedicated(ctx, n.line(c), api.Hold, c.Call, c.Call.Wait+n.opt.CallTimeout/2, check)
 	now := n.opt.Clock.Now()
 	n.replica.Lock()
 	if err != nil {
--- a/internal/membership/core_test.go
+++ b/internal/membership/core_test.go
@@ -112,11 +112,11 @@
 		if c == nil {
 			continue
 		}
-		for k, e := range append(append([]*entry{}, c.view...), c.core...) {
+		for k, e := range append(append([]*neighbour{}, c.neighbours...), c.directory...) {
 			to := f.at(e.Addr)
 			if to < 0 {
 				dead++
-			} else if k < len(c.view) {
+			} else if k < len(c.neighbours) {
 				degree[to]++
 				root[top(to)] = top(i)
 			}
@@ -174,7 +174,7 @@
 			// a new cplane is learnt by all
 			f.cplane = n
 			name := f.join(n, 1).self.Name
-			r := f.rounds(21, f.all(func(c *Core) bool { return c.self.Name == name || find(c.core, name) != nil }))
+			r := f.rounds(21, f.all(func(c *Core) bool { return c.self.Name == name || findByName(c.directory, name) != nil }))
 			t.Logf("%d nodes: a new cplane known by all after %d s", n, r)
 			So(r, ShouldBeLessThanOrEqualTo, 20)
 
@@ -227,7 +227,7 @@
 		for _, i := range []int{0, 1, 3, 4} {
 			f.join(i, 1)
 		}
-		r := f.rounds(16, f.all(func(c *Core) bool { return len(c.view) == 7 }))
+		r := f.rounds(16, f.all(func(c *Core) bool { return len(c.neighbours) == 7 }))
 		t.Logf("all eight know each other after %d s", r)
 		So(r, ShouldBeLessThanOrEqualTo, 15)
 	})
@@ -277,7 +277,7 @@
 			for k, i := range order {
 				c.Call(time.Duration(k)*time.Second, messages[i])
 				left = left || messages[i].Left || len(messages[i].Gone) > 0
-				v, d := find(c.view, "x"), find(c.core, "x")
+				v, d := findByName(c.neighbours, "x"), findByName(c.directory, "x")
 				if (v == nil) != (d == nil) || v != nil && (v.Boot != d.Boot || v.Boot < boot || v.Boot == 1 && left) || boot == 2 && v == nil {
 					t.Fatalf("after %v of %v: view %+v, directory %+v", order[:k+1], order, v, d)
 				}
@@ -285,7 +285,7 @@
 					boot = v.Boot
 				}
 			}
-			if e := c.known("x"); e == nil || e.Boot != 2 || e.Beat != 1 {
+			if e := c.newest("x"); e == nil || e.Boot != 2 || e.Beat != 1 {
 				t.Fatalf("after %v: %+v", order, e)
 			}
 		}
@@ -317,11 +317,11 @@
 			}
 			c.Answer(4*time.Second, call.ID, answer)
 			c.Tick(8 * time.Second)
-			So(find(c.view, "x") != nil, ShouldEqual, heard)
+			So(findByName(c.neighbours, "x") != nil, ShouldEqual, heard)
 			c.Call(9*time.Second, Message{From: peer, Some: []Note{x(1, 1)}})
-			So(find(c.view, "x") != nil, ShouldEqual, heard)
+			So(findByName(c.neighbours, "x") != nil, ShouldEqual, heard)
 			c.Call(10*time.Second, Message{From: x(1, 3)})
-			So(find(c.view, "x"), ShouldNotBeNil)
+			So(findByName(c.neighbours, "x"), ShouldNotBeNil)
 		}
 	})
 }
--- a/internal/membership/directory.go
+++ b/internal/membership/directory.go
@@ -7,10 +7,10 @@
 	"time"
 )
 
-// known is the newest that is known of a node, nil for nothing.
-func (c *Core) known(name string) *entry {
-	e, d := find(c.view, name), find(c.core, name)
-	if e == nil || d != nil && older(e.Note, d.Note) < 0 {
+// newest is the newest that is known of a node, nil for nothing.
+func (c *Core) newest(name string) *neighbour {
+	e, d := findByName(c.neighbours, name), findByName(c.directory, name)
+	if e == nil || d != nil && compareVersions(e.Note, d.Note) < 0 {
 		return d
 	}
 	return e
@@ -18,14 +18,14 @@
 
 // Changes gives the changes of the directory of cplanes since the last time.
 func (c *Core) Changes() []Change {
-	out := c.change
-	c.change = nil
+	out := c.changes
+	c.changes = nil
 	return out
 }
 
 // Cplanes gives the addresses of all cplanes known, in order of their names, this node not counted.
 func (c *Core) Cplanes() []string {
-	list := slices.Clone(c.core)
+	list := slices.Clone(c.directory)
 	slices.SortFunc(list, byName)
 	out := make([]string, len(list))
 	for i, e := range list {
@@ -36,27 +36,27 @@
 
 // Nodes gives all nodes known at now, in order of their names: this one, its neighbours and the directory of cplanes.
 func (c *Core) Nodes(now time.Duration) []Seen {
-	list := []*entry{{Note: c.self, at: now}}
-	for _, e := range append(slices.Clone(c.view), c.core...) {
-		if find(list, e.Name) == nil && now-e.at < c.cfg.Fade {
-			list = append(list, c.known(e.Name))
+	list := []*neighbour{{Note: c.self, sentAt: now}}
+	for _, e := range append(slices.Clone(c.neighbours), c.directory...) {
+		if findByName(list, e.Name) == nil && now-e.sentAt < c.cfg.Fade {
+			list = append(list, c.newest(e.Name))
 		}
 	}
 	slices.SortFunc(list, byName)
 	out := make([]Seen, len(list))
 	for i, e := range list {
-		v := find(c.view, e.Name)
-		out[i] = Seen{e.Name, e.Role, e.Zone, e.Addr, e.Boot, now - e.at, v != nil && v.doubt}
+		v := findByName(c.neighbours, e.Name)
+		out[i] = Seen{e.Name, e.Role, e.Zone, e.Addr, e.Boot, now - e.sentAt, v != nil && v.suspected}
 	}
 	return out
 }
 
 // Size gives the number of neighbours and of cplanes in the directory.
-func (c *Core) Size() (view, core int) { return len(c.view), len(c.core) }
+func (c *Core) Size() (view, core int) { return len(c.neighbours), len(c.directory) }
 
-func byName(a, b *entry) int { return strings.Compare(a.Name, b.Name) }
+func byName(a, b *neighbour) int { return strings.Compare(a.Name, b.Name) }
 
-func find(list []*entry, name string) *entry {
+func findByName(list []*neighbour, name string) *neighbour {
 	for _, e := range list {
 		if e.Name == name {
 			return e
@@ -65,4 +65,4 @@
 	return nil
 }
 
-func sorted(m map[string]*tomb) []string { return slices.Sorted(maps.Keys(m)) }
+func sortedNames(m map[string]*tombstone) []string { return slices.Sorted(maps.Keys(m)) }
--- a/internal/membership/gauges.go
+++ b/internal/membership/gauges.go
@@ -3,7 +3,7 @@
 import "github.com/prometheus/client_golang/prometheus"
 
 // gauges are read when they are asked for.
-type gauges struct{ n *Node }
+type gauges struct{ node *Node }
 
 var (
 	descSize     = prometheus.NewDesc("crosstide_membership_nodes", "Nodes known: neighbours, suspects among them, cplanes in the directory.", []string{"of"}, nil)
@@ -20,15 +20,15 @@
 
 // Collect gives the figures of now.
 func (g *gauges) Collect(to chan<- prometheus.Metric) {
-	g.n.mu.Lock()
-	neighbours, cplanes := g.n.core.Size()
-	c, suspects := g.n.core.Counts, 0
-	for _, e := range g.n.core.view {
-		if e.doubt {
+	g.node.mu.Lock()
+	neighbours, cplanes := g.node.core.Size()
+	c, suspects := g.node.core.Counts, 0
+	for _, e := range g.node.core.neighbours {
+		if e.suspected {
 			suspects++
 		}
 	}
-	g.n.mu.Unlock()
+	g.node.mu.Unlock()
 	for of, v := range map[string]int{"view": neighbours, "suspects": suspects, "core": cplanes} {
 		to <- prometheus.MustNewConstMetric(descSize, prometheus.GaugeValue, float64(v), of)
 	}
--- a/internal/membership/merge.go
+++ b/internal/membership/merge.go
@@ -9,30 +9,30 @@
 // always gets a place if one can be given; one who answers only if there is room.
 func (c *Core) merge(now, at time.Duration, m Message, sent []string, caller bool) {
 	for _, n := range m.Gone[:min(len(m.Gone), c.cfg.Tombs)] {
-		c.left(now, at, n)
+		c.markLeft(now, at, n)
 	}
 	from := m.From
 	from.Age = 0
 	if m.Left {
-		c.left(now, at, from)
+		c.markLeft(now, at, from)
 	} else if caller {
-		c.take(now, at, from, &sent)
+		c.addNeighbour(now, at, from, &sent)
 	}
 	for _, n := range m.Some[:min(len(m.Some), 2*c.cfg.Part)] {
-		c.take(now, at, n, &sent)
+		c.addNeighbour(now, at, n, &sent)
 	}
 	if !m.Left && !caller {
-		c.take(now, at, from, nil)
+		c.addNeighbour(now, at, from, nil)
 	}
 	for _, n := range m.Core[:min(len(m.Core), c.cfg.Core)] {
-		c.learn(now, at, n)
+		c.addCplane(now, at, n)
 	}
 }
 
-// fresh tells whether n can be taken in, and when it was sent. News of this node's own name from another life of
+// admit tells whether n can be taken in, and when it was sent. News of this node's own name from another life of
 // it make this one the newer.
-func (c *Core) fresh(now, at time.Duration, n Note) (time.Duration, bool) {
-	if !n.whole() {
+func (c *Core) admit(now, at time.Duration, n Note) (time.Duration, bool) {
+	if !n.valid() {
 		return 0, false
 	}
 	if n.Name == c.self.Name {
@@ -45,153 +45,153 @@
 	if now-at >= c.cfg.Fade {
 		return 0, false
 	}
-	if t := c.tombs[n.Name]; t != nil && (n.Boot < t.Boot || n.Boot == t.Boot && (t.left || n.Beat <= t.Beat)) {
+	if t := c.tombstones[n.Name]; t != nil && (n.Boot < t.Boot || n.Boot == t.Boot && (t.left || n.Beat <= t.Beat)) {
 		return 0, false
 	}
 	return at, true
 }
 
-// renew brings a newer version into e.
-func (e *entry) renew(n Note, at time.Duration) {
-	switch order := older(e.Note, n); {
+// update brings a newer version into e.
+func (e *neighbour) update(n Note, at time.Duration) {
+	switch order := compareVersions(e.Note, n); {
 	case order < 0:
-		*e = entry{Note: n, at: at}
+		*e = neighbour{Note: n, sentAt: at}
 	case order == 0:
-		e.at = min(e.at, at) // the way here is not counted in an age: the greater one is nearer
+		e.sentAt = min(e.sentAt, at) // the way here is not counted in an age: the greater one is nearer
 	}
 }
 
-// take takes a note into the view, and into the directory if it is a cplane's. sent are places that may be given away.
-func (c *Core) take(now, at time.Duration, n Note, sent *[]string) {
-	at, ok := c.fresh(now, at, n)
+// addNeighbour takes a note into the view, and into the directory if it is a cplane's. sent are places that may be given away.
+func (c *Core) addNeighbour(now, at time.Duration, n Note, sent *[]string) {
+	at, ok := c.admit(now, at, n)
 	if !ok {
 		return
 	}
 	n.Age = 0
-	c.direct(now, n, at)
-	if k := find(c.core, n.Name); k != nil && n.Boot < k.Boot {
-		n, at = k.Note, k.at
+	c.updateDirectory(now, n, at)
+	if k := findByName(c.directory, n.Name); k != nil && n.Boot < k.Boot {
+		n, at = k.Note, k.sentAt
 	}
-	if e := find(c.view, n.Name); e != nil {
-		e.renew(n, at)
+	if e := findByName(c.neighbours, n.Name); e != nil {
+		e.update(n, at)
 		return
 	}
-	if len(c.view) < c.cfg.View {
-		c.view = append(c.view, &entry{Note: n, at: at})
+	if len(c.neighbours) < c.cfg.View {
+		c.neighbours = append(c.neighbours, &neighbour{Note: n, sentAt: at})
 		return
 	}
 	for sent != nil && len(*sent) > 0 {
-		out := find(c.view, (*sent)[0])
+		out := findByName(c.neighbours, (*sent)[0])
 		if *sent = (*sent)[1:]; out != nil {
-			*out = entry{Note: n, at: at}
+			*out = neighbour{Note: n, sentAt: at}
 			return
 		}
 	}
 }
 
-// learn takes a note of a cplane into the directory. The neighbour it is gets renewed only at need: the directory's
+// addCplane takes a note of a cplane into the directory. The neighbour it is gets renewed only at need: the directory's
 // news is always young, and a neighbour kept young by it would never be the oldest, and have a place in most views.
-func (c *Core) learn(now, at time.Duration, n Note) {
-	at, ok := c.fresh(now, at, n)
+func (c *Core) addCplane(now, at time.Duration, n Note) {
+	at, ok := c.admit(now, at, n)
 	if !ok {
 		return
 	}
 	n.Age = 0
-	c.direct(now, n, at)
-	if e := find(c.view, n.Name); e != nil && (e.doubt || e.Boot < n.Boot) {
-		e.renew(n, at)
+	c.updateDirectory(now, n, at)
+	if e := findByName(c.neighbours, n.Name); e != nil && (e.suspected || e.Boot < n.Boot) {
+		e.update(n, at)
 	}
 }
 
-func (c *Core) direct(now time.Duration, n Note, at time.Duration) {
+func (c *Core) updateDirectory(now time.Duration, n Note, at time.Duration) {
 	if n.Role != Cplane || now-at >= c.cfg.CoreFade {
 		return
 	}
-	if v := find(c.view, n.Name); v != nil && older(n, v.Note) < 0 {
-		n, at = v.Note, v.at
+	if v := findByName(c.neighbours, n.Name); v != nil && compareVersions(n, v.Note) < 0 {
+		n, at = v.Note, v.sentAt
 	}
-	e := find(c.core, n.Name)
+	e := findByName(c.directory, n.Name)
 	if e == nil {
-		if len(c.core) < c.cfg.Core {
-			c.core = append(c.core, &entry{Note: n, at: at})
-			c.change = append(c.change, Change{Came, n})
+		if len(c.directory) < c.cfg.Core {
+			c.directory = append(c.directory, &neighbour{Note: n, sentAt: at})
+			c.changes = append(c.changes, Change{Came, n})
 		}
 		return
 	}
 	was := e.Note
-	e.renew(n, at)
+	e.update(n, at)
 	switch {
 	case e.Boot != was.Boot:
-		c.change = append(c.change, Change{Again, e.Note})
+		c.changes = append(c.changes, Change{Again, e.Note})
 	case e.Addr != was.Addr:
-		c.change = append(c.change, Change{Moved, e.Note})
+		c.changes = append(c.changes, Change{Moved, e.Note})
 	}
 }
 
-// left takes in that the incarnation of n is over.
-func (c *Core) left(now, at time.Duration, n Note) {
-	if n.Name == c.self.Name && n.Boot >= c.self.Boot && !c.leave {
+// markLeft takes in that the incarnation of n is over.
+func (c *Core) markLeft(now, at time.Duration, n Note) {
+	if n.Name == c.self.Name && n.Boot >= c.self.Boot && !c.leaving {
 		c.self.Boot, c.self.Beat = n.Boot+1, 0
 	}
-	at, ok := c.fresh(now, at, n)
+	at, ok := c.admit(now, at, n)
 	if !ok {
 		return
 	}
 	n.Age = 0
-	if e := c.known(n.Name); e != nil && e.Boot > n.Boot {
+	if e := c.newest(n.Name); e != nil && e.Boot > n.Boot {
 		return
 	}
-	if e := find(c.core, n.Name); e != nil {
-		c.change = append(c.change, Change{Left, e.Note})
+	if e := findByName(c.directory, n.Name); e != nil {
+		c.changes = append(c.changes, Change{Left, e.Note})
 	}
-	c.bury(&entry{Note: n, at: at}, true)
-	ours := func(e *entry) bool { return e.Name == n.Name }
-	c.view, c.core = slices.DeleteFunc(c.view, ours), slices.DeleteFunc(c.core, ours)
+	c.addTombstone(&neighbour{Note: n, sentAt: at}, true)
+	ours := func(e *neighbour) bool { return e.Name == n.Name }
+	c.neighbours, c.directory = slices.DeleteFunc(c.neighbours, ours), slices.DeleteFunc(c.directory, ours)
 }
 
-// bury remembers a version as over, until all copies of it have faded; of too many, the oldest goes.
-func (c *Core) bury(e *entry, left bool) {
-	if t := c.tombs[e.Name]; t != nil && (older(t.Note, e.Note) > 0 || t.left && t.Boot == e.Boot) {
+// addTombstone remembers a version as over, until all copies of it have faded; of too many, the oldest goes.
+func (c *Core) addTombstone(e *neighbour, left bool) {
+	if t := c.tombstones[e.Name]; t != nil && (compareVersions(t.Note, e.Note) > 0 || t.left && t.Boot == e.Boot) {
 		return
 	}
-	c.tombs[e.Name] = &tomb{e.Note, e.at, left}
-	if len(c.tombs) <= c.cfg.Tombs {
+	c.tombstones[e.Name] = &tombstone{e.Note, e.sentAt, left}
+	if len(c.tombstones) <= c.cfg.Tombs {
 		return
 	}
 	first := ""
-	for _, name := range sorted(c.tombs) {
-		if first == "" || c.tombs[name].at < c.tombs[first].at {
+	for _, name := range sortedNames(c.tombstones) {
+		if first == "" || c.tombstones[name].sentAt < c.tombstones[first].sentAt {
 			first = name
 		}
 	}
-	delete(c.tombs, first)
+	delete(c.tombstones, first)
 }
 
-// forget drops what has faded, and the suspects that nobody heard of in time.
-func (c *Core) forget(now time.Duration) {
-	c.view = slices.DeleteFunc(c.view, func(e *entry) bool {
-		out := e.doubt && now-e.suspect >= c.cfg.Suspect
+// expire drops what has faded, and the suspects that nobody heard of in time.
+func (c *Core) expire(now time.Duration) {
+	c.neighbours = slices.DeleteFunc(c.neighbours, func(e *neighbour) bool {
+		out := e.suspected && now-e.suspectSince >= c.cfg.Suspect
 		if out {
-			c.bury(e, false)
+			c.addTombstone(e, false)
 			c.Counts.Dropped++
 		}
-		return out || now-e.at >= c.cfg.Fade
+		return out || now-e.sentAt >= c.cfg.Fade
 	})
-	c.core = slices.DeleteFunc(c.core, func(e *entry) bool {
-		out := now-e.at >= c.cfg.CoreFade
+	c.directory = slices.DeleteFunc(c.directory, func(e *neighbour) bool {
+		out := now-e.sentAt >= c.cfg.CoreFade
 		if out {
-			c.change = append(c.change, Change{Lost, e.Note})
+			c.changes = append(c.changes, Change{Lost, e.Note})
 		}
 		return out
 	})
-	for name, t := range c.tombs {
-		if now-t.at >= 2*c.cfg.Fade {
-			delete(c.tombs, name)
+	for name, t := range c.tombstones {
+		if now-t.sentAt >= 2*c.cfg.Fade {
+			delete(c.tombstones, name)
 		}
 	}
-	for id, a := range c.asked {
-		if now-a.at >= c.cfg.Fade {
-			delete(c.asked, id)
+	for id, a := range c.pending {
+		if now-a.sentAt >= c.cfg.Fade {
+			delete(c.pending, id)
 		}
 	}
 }
--- a/internal/membership/node.go
+++ b/internal/membership/node.go
@@ -80,7 +80,7 @@
 	n.mu.Unlock()
 	n.group.Stop()
 	routine.Each(len(calls), len(calls), func(i int) {
-		n.count(calls[i].Message)
+		n.countBytes(calls[i].Message)
 		if _, err := n.opt.Ask(ctx, calls[i].Addr, calls[i].Message); err != nil {
 			_ = level.Debug(n.opt.Logger).Log("msg", "leaving was not heard", "addr", calls[i].Addr, "err", err)
 		}
@@ -94,23 +94,23 @@
 		calls := n.core.Tick(now)
 		due := n.core.Next() - now
 		n.mu.Unlock()
-		n.tell()
+		n.reportChanges()
 		for _, call := range calls {
-			n.group.Go(func(ctx context.Context) { n.send(ctx, call) })
+			n.group.Go(func(ctx context.Context) { n.shuffle(ctx, call) })
 		}
-		rung := make(chan struct{})
-		ring := n.opt.Clock.Set(max(due, time.Millisecond), func() { close(rung) })
+		fired := make(chan struct{})
+		timer := n.opt.Clock.Set(max(due, time.Millisecond), func() { close(fired) })
 		select {
-		case <-rung:
+		case <-fired:
 		case <-ctx.Done():
-			ring.Stop()
+			timer.Stop()
 			return
 		}
 	}
 }
 
-func (n *Node) send(ctx context.Context, call Call) {
-	n.count(call.Message)
+func (n *Node) shuffle(ctx context.Context, call Call) {
+	n.countBytes(call.Message)
 	answer, err := n.opt.Ask(ctx, call.Addr, call.Message)
 	n.mu.Lock()
 	if err != nil {
@@ -122,24 +122,24 @@
 	if err != nil {
 		_ = level.Debug(n.opt.Logger).Log("msg", "a shuffle failed", "addr", call.Addr, "err", err)
 	}
-	n.tell()
+	n.reportChanges()
 }
 
 // Serve answers a shuffle. Failure: Invalid.
 func (n *Node) Serve(_ context.Context, m Message) (Message, error) {
-	if !m.From.whole() {
+	if !m.From.valid() {
 		return Message{}, errs.Field(errs.Invalid, "from", "must be a node with its name and address")
 	}
 	n.mu.Lock()
 	answer := n.core.Call(n.opt.Clock.Now(), m)
 	n.mu.Unlock()
-	n.count(answer)
-	n.tell()
+	n.countBytes(answer)
+	n.reportChanges()
 	return answer, nil
 }
 
-// tell logs the changes of the directory and hands its addresses on.
-func (n *Node) tell() {
+// reportChanges logs the changes of the directory and hands its addresses on.
+func (n *Node) reportChanges() {
 	n.mu.Lock()
 	defer n.mu.Unlock() // the order of two changes is kept
 	changes := n.core.Changes()
@@ -151,7 +151,7 @@
 	}
 }
 
-func (n *Node) count(m Message) {
+func (n *Node) countBytes(m Message) {
 	if raw, err := json.Marshal(m); err == nil {
 		n.bytes.Add(float64(len(raw)))
 	}
--- a/internal/membership/note.go
+++ b/internal/membership/note.go
@@ -36,11 +36,13 @@
 	Ask  []string `json:"ask,omitempty"`  // names it suspects: who has heard of them since?
 }
 
-// older orders versions of one node: below 0 if a is older than b.
-func older(a, b Note) int { return cmp.Or(cmp.Compare(a.Boot, b.Boot), cmp.Compare(a.Beat, b.Beat)) }
+// compareVersions orders versions of one node: below 0 if a is older than b.
+func compareVersions(a, b Note) int {
+	return cmp.Or(cmp.Compare(a.Boot, b.Boot), cmp.Compare(a.Beat, b.Beat))
+}
 
-// whole tells whether a note that came in can be kept.
-func (n Note) whole() bool {
+// valid tells whether a note that came in can be kept.
+func (n Note) valid() bool {
 	const most = 200
 	return n.Name != "" && n.Addr != "" && len(n.Name) <= most && len(n.Addr) <= most && len(n.Zone) <= most && len(n.Role) <= most
 }
--- a/internal/quorum/core.go
+++ b/internal/quorum/core.go
@@ -14,35 +14,35 @@
 
 // Core is one node's part in the replication. Make it with New.
 type Core struct {
-	cfg  Config
-	rnd  *rand.Rand
-	now  time.Duration
-	role Role
-	hard Hard
-	log  journal
+	cfg    Config
+	random *rand.Rand
+	now    time.Duration
+	role   Role
+	hard   Hard
+	log    memoryLog
 	// confs holds the newest committed member set and those after it; the last is in force.
 	configurations  []configuration
-	snap            Meta // newest durable snapshot
+	snapshot        Meta // newest durable snapshot
 	commit, applied uint64
 	refused         uint64
 
 	leader, leaderAddr string
-	heard              time.Duration // last word of a live leader; boot counts as one, we may have forgotten it
+	heardLeaderAt      time.Duration // last word of a live leader; boot counts as one, we may have forgotten it
 	campaignAt         time.Duration
 	granted            map[string]bool
-	force              bool // the campaign follows a handover
+	afterHandover      bool // the campaign follows a handover
 
 	fetching  Meta
 	fetchFrom string
 	fetchAt   time.Duration
 
-	lead lead // of a leader
+	leadership leadership // of a leader
 
 	// output
-	dirty, reset bool
-	fresh        uint64 // first index not handed out for storing
-	out, after   []Message
-	fetch        *FetchSnapshot
+	hardChanged, logReset bool
+	firstUnstored         uint64 // first index not handed out for storing
+	outgoing, afterSync   []Message
+	fetch                 *FetchSnapshot
 }
 
 // New makes a core from what the disk had. now is the time on the runtime's clock; the node stays silent for one
@@ -59,28 +59,28 @@
 		return nil, errs.New(errs.Settings, "quorum needs an ID, 0 < Heartbeat < Election, 0 <= Lease < Election, limits above 0")
 	}
 	s := boot.Snapshot
-	c := &Core{cfg: cfg, rnd: rand.New(rand.NewPCG(cfg.Seed, 0x9e3779b97f4a7c15)), now: now, role: Follower, hard: boot.Hard,
-		snap: s, commit: s.Index, applied: s.Index, heard: now, log: journal{off: s.Index, offTerm: s.Term}}
-	c.fresh = s.Index + 1
+	c := &Core{cfg: cfg, random: rand.New(rand.NewPCG(cfg.Seed, 0x9e3779b97f4a7c15)), now: now, role: Follower, hard: boot.Hard,
+		snapshot: s, commit: s.Index, applied: s.Index, heardLeaderAt: now, log: memoryLog{offset: s.Index, offsetTerm: s.Term}}
+	c.firstUnstored = s.Index + 1
 	if len(s.Members) == 0 {
 		if s.Index != 0 || len(boot.Entries) != 0 {
 			return nil, errs.New(errs.Damaged, "a log without members")
 		}
-		c.hard.Blank, c.dirty = true, true
+		c.hard.Blank, c.hardChanged = true, true
 	} else {
-		if err := valid(s.Members); err != nil {
+		if err := validateMembers(s.Members); err != nil {
 			return nil, errs.Wrap(err, errs.Damaged, "members of the snapshot at index %d", s.Index)
 		}
 		c.configurations = []configuration{{s.Index, s.Members}}
 	}
 	ents := boot.Entries
 	if i := slices.IndexFunc(ents, func(e Entry) bool { return e.Index >= s.Index }); i < 0 {
-		c.reset, ents = len(ents) > 0, nil // all of it lies before the snapshot
+		c.logReset, ents = len(ents) > 0, nil // all of it lies before the snapshot
 	} else if ents[i].Index == s.Index {
 		if ents[i].Term == s.Term {
 			ents = ents[i+1:]
 		} else {
-			c.reset, ents = true, nil
+			c.logReset, ents = true, nil
 		}
 	}
 	term := s.Term
@@ -95,18 +95,18 @@
 		return nil, errs.Wrap(err, errs.Damaged, "stored log")
 	}
 	c.configurations = append(c.configurations, cs...)
-	c.log.ents = slices.Clone(ents)
-	c.fresh = c.log.last() + 1
+	c.log.entries = slices.Clone(ents)
+	c.firstUnstored = c.log.last() + 1
 	if c.hard.Term < term { // the vote of that term was never synced, so never given
 		c.hard = Hard{Term: term, Blank: c.hard.Blank}
-		c.dirty = true
+		c.hardChanged = true
 	}
-	c.trust(s.Members)
-	c.postpone()
+	c.endBlankness(s.Members)
+	c.resetElectionTimer()
 	return c, nil
 }
 
-func (c *Core) at(now time.Duration) { c.now = max(c.now, now) }
+func (c *Core) advanceClock(now time.Duration) { c.now = max(c.now, now) }
 
 // members is the set in force.
 func (c *Core) members() []Member {
@@ -116,36 +116,36 @@
 	return c.configurations[len(c.configurations)-1].members
 }
 
-// trust ends blankness once a committed set names this node a learner.
-func (c *Core) trust(ms []Member) {
-	if m, ok := find(ms, c.cfg.ID); ok && m.Learner && c.hard.Blank {
-		c.hard.Blank, c.dirty = false, true
+// endBlankness ends blankness once a committed set names this node a learner.
+func (c *Core) endBlankness(ms []Member) {
+	if m, ok := findMember(ms, c.cfg.ID); ok && m.Learner && c.hard.Blank {
+		c.hard.Blank, c.hardChanged = false, true
 	}
 }
 
-// postpone sets the next campaign to Election..2*Election from now.
-func (c *Core) postpone() {
-	c.campaignAt = c.now + c.cfg.Election + time.Duration(c.rnd.Int64N(int64(c.cfg.Election)))
+// resetElectionTimer sets the next campaign to Election..2*Election from now.
+func (c *Core) resetElectionTimer() {
+	c.campaignAt = c.now + c.cfg.Election + time.Duration(c.random.Int64N(int64(c.cfg.Election)))
 }
 
-// follow makes the node a follower in the term; the leader may be unknown.
-func (c *Core) follow(term uint64, leader string) {
+// becomeFollower makes the node a follower in the term; the leader may be unknown.
+func (c *Core) becomeFollower(term uint64, leader string) {
 	if term > c.hard.Term {
-		c.hard.Term, c.hard.Vote, c.dirty = term, "", true
+		c.hard.Term, c.hard.Vote, c.hardChanged = term, "", true
 	}
 	if leader != c.leader {
 		c.leaderAddr = ""
 	}
 	if c.role != Follower {
-		c.postpone()
+		c.resetElectionTimer()
 	}
-	c.role, c.leader, c.granted, c.lead = Follower, leader, nil, lead{}
+	c.role, c.leader, c.granted, c.leadership = Follower, leader, nil, leadership{}
 }
 
 // Tick moves the time on: heartbeats, check-quorum and campaigns. Call it four times a Heartbeat: all it does may
 // be late by one such step, which the lease must have room for.
 func (c *Core) Tick(now time.Duration) {
-	c.at(now)
+	c.advanceClock(now)
 	if c.role == Leader {
 		c.tickLeader()
 		return
@@ -154,9 +154,9 @@
 		return
 	}
 	if c.eligible() {
-		c.sound()
+		c.startPreVote()
 	} else {
-		c.postpone()
+		c.resetElectionTimer()
 	}
 }
 
@@ -166,16 +166,16 @@
 // Ready takes all pending output. Call it after each burst of calls.
 func (c *Core) Ready() Ready {
 	if c.role == Leader {
-		c.flush()
+		c.sendAppends()
 	}
-	r := Ready{Reset: c.reset, Commit: c.commit, Now: c.out, AfterSync: c.after, Fetch: c.fetch}
-	if c.dirty {
+	r := Ready{Reset: c.logReset, Commit: c.commit, Now: c.outgoing, AfterSync: c.afterSync, Fetch: c.fetch}
+	if c.hardChanged {
 		h := c.hard
 		r.Hard = &h
 	}
-	r.Append = c.log.cut(c.fresh, c.log.last())
-	r.Committed = c.log.cut(c.applied+1, c.commit)
-	c.fresh, c.applied = c.log.last()+1, c.commit
-	c.dirty, c.reset, c.out, c.after, c.fetch = false, false, nil, nil, nil
+	r.Append = c.log.slice(c.firstUnstored, c.log.last())
+	r.Committed = c.log.slice(c.applied+1, c.commit)
+	c.firstUnstored, c.applied = c.log.last()+1, c.commit
+	c.hardChanged, c.logReset, c.outgoing, c.afterSync, c.fetch = false, false, nil, nil, nil
 	return r
 }
--- a/internal/quorum/election.go
+++ b/internal/quorum/election.go
@@ -9,11 +9,13 @@
 // the committed one. The latter matters when only this node has the entry that removes it: nobody else can win.
 // It counts by the set in force also then, that is without itself.
 func (c *Core) eligible() bool {
-	return !c.hard.Blank && slices.ContainsFunc(c.configurations, func(f configuration) bool { return voter(f.members, c.cfg.ID) })
+	return !c.hard.Blank && slices.ContainsFunc(c.configurations, func(f configuration) bool { return isVoter(f.members, c.cfg.ID) })
 }
 
-// loyal tells whether a live leader was heard within Election; then other candidates are refused.
-func (c *Core) loyal() bool { return c.role == Leader || c.now < c.heard+c.cfg.Election }
+// hasLiveLeader tells whether a live leader was heard within Election; then other candidates are refused.
+func (c *Core) hasLiveLeader() bool {
+	return c.role == Leader || c.now < c.heardLeaderAt+c.cfg.Election
+}
 
 // majority gives the highest value that a majority of the voters reaches.
 func majority[T cmp.Ordered](ms []Member, of func(id string) T) (out T) {
@@ -31,8 +33,8 @@
 	return vs[(len(vs)-1)/2]
 }
 
-// won tells whether a majority granted.
-func (c *Core) won() bool {
+// hasMajority tells whether a majority granted.
+func (c *Core) hasMajority() bool {
 	return majority(c.members(), func(id string) int {
 		if c.granted[id] {
 			return 1
@@ -41,62 +43,62 @@
 	}) == 1
 }
 
-// sound asks who would vote for this node.
-func (c *Core) sound() {
-	c.role, c.leader, c.leaderAddr, c.force = PreCandidate, "", "", false
+// startPreVote asks who would vote for this node.
+func (c *Core) startPreVote() {
+	c.role, c.leader, c.leaderAddr, c.afterHandover = PreCandidate, "", "", false
 	c.granted = map[string]bool{c.cfg.ID: true}
-	c.postpone()
-	if c.won() {
-		c.campaign(false)
+	c.resetElectionTimer()
+	if c.hasMajority() {
+		c.startElection(false)
 		return
 	}
-	c.canvass(PreVote, c.hard.Term+1)
+	c.requestVotes(PreVote, c.hard.Term+1)
 }
 
-// campaign opens a term. The requests leave after the vote for itself is synced.
-func (c *Core) campaign(force bool) {
-	c.role, c.leader, c.force = Candidate, "", force
+// startElection opens a term. The requests leave after the vote for itself is synced.
+func (c *Core) startElection(force bool) {
+	c.role, c.leader, c.afterHandover = Candidate, "", force
 	c.hard.Term++
-	c.hard.Vote, c.dirty = c.cfg.ID, true
+	c.hard.Vote, c.hardChanged = c.cfg.ID, true
 	c.granted = map[string]bool{c.cfg.ID: true}
-	c.postpone()
-	if c.won() {
-		c.reign(true)
+	c.resetElectionTimer()
+	if c.hasMajority() {
+		c.becomeLeader(true)
 		return
 	}
-	c.canvass(Vote, c.hard.Term)
+	c.requestVotes(Vote, c.hard.Term)
 }
 
-func (c *Core) canvass(k Kind, term uint64) {
+func (c *Core) requestVotes(k Kind, term uint64) {
 	for _, m := range c.members() {
 		if m.ID == c.cfg.ID || m.Learner {
 			continue
 		}
-		msg := Message{Kind: k, From: c.cfg.ID, To: m.ID, Term: term, PrevIndex: c.log.last(), PrevTerm: c.log.lastTerm(), Force: c.force}
+		msg := Message{Kind: k, From: c.cfg.ID, To: m.ID, Term: term, PrevIndex: c.log.last(), PrevTerm: c.log.lastTerm(), Force: c.afterHandover}
 		if k == Vote {
-			c.after = append(c.after, msg)
+			c.afterSync = append(c.afterSync, msg)
 		} else {
-			c.out = append(c.out, msg)
+			c.outgoing = append(c.outgoing, msg)
 		}
 	}
 }
 
-// current tells whether the log of the sender of a (pre)vote holds at least ours.
-func (c *Core) current(m Message) bool {
+// isUpToDate tells whether the log of the sender of a (pre)vote holds at least ours.
+func (c *Core) isUpToDate(m Message) bool {
 	t := c.log.lastTerm()
 	return m.PrevTerm > t || m.PrevTerm == t && m.PrevIndex >= c.log.last()
 }
 
 func (c *Core) onVote(m Message) {
 	free := c.hard.Vote == "" && c.leader == "" || c.hard.Vote == m.From
-	if !free || !c.current(m) {
+	if !free || !c.isUpToDate(m) {
 		c.reply(m, Message{Kind: VoteReply, Reject: true})
 		return
 	}
-	c.follow(c.hard.Term, c.leader)
+	c.becomeFollower(c.hard.Term, c.leader)
 	if c.hard.Vote != m.From {
-		c.hard.Vote, c.dirty = m.From, true
+		c.hard.Vote, c.hardChanged = m.From, true
 	}
-	c.postpone()
+	c.resetElectionTimer()
 	c.reply(m, Message{Kind: VoteReply})
 }
--- a/internal/quorum/lead.go
+++ b/internal/quorum/lead.go
@@ -5,80 +5,80 @@
 	"time"
 )
 
-// lead is the state of a leader.
-type lead struct {
-	peers  map[string]*peer
-	synced uint64 // own entries of the term synced here
-	first  uint64 // its Noop
-	beatAt time.Duration
-	// behind is the commit index two heartbeats ago at least: who has it is caught up.
-	behind, mark uint64
-	hold         bool // the vote for itself may not be synced: send nothing
-	to           string
-	toBy         time.Duration // the handover is over then
-	gave         bool          // the handover was sent: no lease any more in this term
+// leadership is the state of a leader.
+type leadership struct {
+	peers         map[string]*peer
+	synced        uint64 // own entries of the term synced here
+	firstIndex    uint64 // its Noop
+	nextHeartbeat time.Duration
+	// caughtUpIndex is the commit index two heartbeats ago at least: who has it is caught up.
+	caughtUpIndex, commitAtHeartbeat uint64
+	awaitOwnSync                     bool // the vote for itself may not be synced: send nothing
+	handoverTo                       string
+	handoverUntil                    time.Duration // the handover is over then
+	handoverSent                     bool          // the handover was sent: no lease any more in this term
 }
 
-// reign makes the node the leader of its term. hold: nobody else voted, so its term may not be synced.
-func (c *Core) reign(hold bool) {
+// becomeLeader makes the node the leader of its term. hold: nobody else voted, so its term may not be synced.
+func (c *Core) becomeLeader(hold bool) {
 	c.role, c.leader, c.granted = Leader, c.cfg.ID, nil
-	c.lead = lead{hold: hold, peers: map[string]*peer{}, first: c.log.last() + 1, beatAt: c.now + c.cfg.Heartbeat,
-		behind: c.commit, mark: c.commit}
-	c.put(Noop, nil)
-	c.enlist()
+	c.leadership = leadership{awaitOwnSync: hold, peers: map[string]*peer{}, firstIndex: c.log.last() + 1, nextHeartbeat: c.now + c.cfg.Heartbeat,
+		caughtUpIndex: c.commit, commitAtHeartbeat: c.commit}
+	c.appendOwn(Noop, nil)
+	c.updatePeers()
 }
 
-// enlist makes the peers match the members in force.
-func (c *Core) enlist() {
+// updatePeers makes the peers match the members in force.
+func (c *Core) updatePeers() {
 	for _, f := range c.configurations {
-		if m, ok := find(f.members, c.cfg.ID); ok {
+		if m, ok := findMember(f.members, c.cfg.ID); ok {
 			c.leaderAddr = m.Addr // an older set has it while this leader commits its own removal
 		}
 	}
-	for id := range c.lead.peers {
-		if _, ok := find(c.members(), id); !ok {
-			delete(c.lead.peers, id)
+	for id := range c.leadership.peers {
+		if _, ok := findMember(c.members(), id); !ok {
+			delete(c.leadership.peers, id)
 		}
 	}
 	for _, m := range c.members() {
-		if m.ID != c.cfg.ID && c.lead.peers[m.ID] == nil {
-			c.lead.peers[m.ID] = &peer{next: c.lead.first, heard: c.now, acked: never, blank: true}
+		if m.ID != c.cfg.ID && c.leadership.peers[m.ID] == nil {
+			c.leadership.peers[m.ID] = &peer{next: c.leadership.firstIndex, heardAt: c.now, ackedSentAt: never, blank: true}
 		}
 	}
 }
 
-// put appends an entry of the own term.
-func (c *Core) put(k EntryKind, data json.RawMessage) {
-	c.log.ents = append(c.log.ents, Entry{Term: c.hard.Term, Index: c.log.last() + 1, Kind: k, Data: data})
+// appendOwn appends an entry of the own term.
+func (c *Core) appendOwn(k EntryKind, data json.RawMessage) {
+	c.log.entries = append(c.log.entries, Entry{Term: c.hard.Term, Index: c.log.last() + 1, Kind: k, Data: data})
 }
 
 func (c *Core) tickLeader() {
-	l := &c.lead
+	l := &c.leadership
 	heard := majority(c.members(), func(id string) time.Duration {
 		if p := l.peers[id]; p != nil {
-			return p.heard
+			return p.heardAt
 		}
 		return c.now
 	})
-	if c.now >= heard+c.cfg.Election || l.gave && c.now >= l.toBy {
-		c.follow(c.hard.Term, "")
+	if c.now >= heard+c.cfg.Election || l.handoverSent && c.now >= l.handoverUntil {
+		c.becomeFollower(c.hard.Term, "")
 		return
 	}
-	if l.to != "" && c.now >= l.toBy {
-		l.to = ""
+	if l.handoverTo != "" && c.now >= l.handoverUntil {
+		l.handoverTo = ""
 	}
-	if c.now < l.beatAt {
+	if c.now < l.nextHeartbeat {
 		return
 	}
-	l.beatAt = c.now + c.cfg.Heartbeat
-	l.behind, l.mark = l.mark, c.commit
-	if l.to != "" {
+	l.nextHeartbeat = c.now + c.cfg.Heartbeat
+	l.caughtUpIndex, l.commitAtHeartbeat = l.commitAtHeartbeat, c.commit
+	if l.handoverTo != "" {
 		c.handover()
 	}
 	for _, p := range l.peers {
-		p.beat = true
-		if p.phase == pipe && len(p.flying) > 0 && c.now >= p.heard+silence*c.cfg.Heartbeat {
-			p.toProbe(0)
+		p.heartbeatDue = true
+		if p.phase == pipeline && len(p.inflight) > 0 && c.now >= p.heardAt+silentHeartbeats*c.cfg.Heartbeat {
+			p.startProbe(0)
 		}
 	}
 }
@@ -89,86 +89,86 @@
 // Heard tells when this leader last heard of a member; of one it has not heard of, when it began to send to it.
 // ok is false on a node that does not lead and for one that is no member.
 func (c *Core) Heard(now time.Duration, id string) (at time.Duration, ok bool) {
-	c.at(now)
+	c.advanceClock(now)
 	if c.role != Leader {
 		return 0, false
 	}
 	if id == c.cfg.ID {
 		return c.now, true
 	}
-	p := c.lead.peers[id]
+	p := c.leadership.peers[id]
 	if p == nil {
 		return 0, false
 	}
-	return p.heard, true
+	return p.heardAt, true
 }
 
-// flush makes the appends that are due. Everything proposed since the last one goes together.
-func (c *Core) flush() {
-	if c.lead.hold {
+// sendAppends makes the appends that are due. Everything proposed since the last one goes together.
+func (c *Core) sendAppends() {
+	if c.leadership.awaitOwnSync {
 		return
 	}
 	for _, m := range c.members() {
-		if p := c.lead.peers[m.ID]; p != nil {
-			c.feed(m.ID, p)
+		if p := c.leadership.peers[m.ID]; p != nil {
+			c.sendTo(m.ID, p)
 		}
 	}
 }
 
-func (c *Core) feed(id string, p *peer) {
-	if p.phase == pipe && p.next <= c.log.off { // compacted under way
-		p.toProbe(p.next)
+func (c *Core) sendTo(id string, p *peer) {
+	if p.phase == pipeline && p.next <= c.log.offset { // compacted under way
+		p.startProbe(p.next)
 	}
-	for p.phase == pipe && p.next <= c.log.last() && len(p.flying) < c.cfg.MaxInflight {
-		n := c.send(id, p, c.cfg.MaxBytes)
+	for p.phase == pipeline && p.next <= c.log.last() && len(p.inflight) < c.cfg.MaxInflight {
+		n := c.sendAppend(id, p, c.cfg.MaxBytes)
 		p.next += n
-		p.flying = append(p.flying, p.next-1)
+		p.inflight = append(p.inflight, p.next-1)
 	}
 	switch {
-	case p.phase == pipe:
-		if p.beat || p.told < c.commit && len(p.flying) < c.cfg.MaxInflight {
-			c.send(id, p, 0)
+	case p.phase == pipeline:
+		if p.heartbeatDue || p.sentCommit < c.commit && len(p.inflight) < c.cfg.MaxInflight {
+			c.sendAppend(id, p, 0)
 		}
-	case p.wait && !p.beat:
-	case p.next <= c.log.off:
-		s := c.snap
-		c.out = append(c.out, Message{Kind: Snapshot, From: c.cfg.ID, To: id, Term: c.hard.Term, Sent: c.now, Meta: &s, Addr: c.leaderAddr})
-		p.phase, p.wait = fetch, true
+	case p.awaiting && !p.heartbeatDue:
+	case p.next <= c.log.offset:
+		s := c.snapshot
+		c.outgoing = append(c.outgoing, Message{Kind: Snapshot, From: c.cfg.ID, To: id, Term: c.hard.Term, Sent: c.now, Meta: &s, Addr: c.leaderAddr})
+		p.phase, p.awaiting = fetch, true
 	default:
 		bytes := c.cfg.MaxBytes
-		if c.now >= p.heard+c.cfg.Election { // away: do not ship the same entries at every heartbeat
+		if c.now >= p.heardAt+c.cfg.Election { // away: do not ship the same entries at every heartbeat
 			bytes = 0
 		}
 		p.phase = probe
-		c.send(id, p, bytes)
-		p.wait = true
+		c.sendAppend(id, p, bytes)
+		p.awaiting = true
 	}
-	p.beat = false
+	p.heartbeatDue = false
 }
 
-// send makes one append from p.next on, empty if bytes is 0, and gives the number of entries.
-func (c *Core) send(id string, p *peer, bytes int) uint64 {
+// sendAppend makes one append from p.next on, empty if bytes is 0, and gives the number of entries.
+func (c *Core) sendAppend(id string, p *peer, bytes int) uint64 {
 	m := Message{Kind: Append, From: c.cfg.ID, To: id, Term: c.hard.Term, PrevIndex: p.next - 1, Commit: c.commit, Sent: c.now}
 	m.PrevTerm, _ = c.log.term(m.PrevIndex)
 	if bytes > 0 {
-		m.Entries = c.log.limited(p.next, c.log.last(), bytes)
+		m.Entries = c.log.sliceUpTo(p.next, c.log.last(), bytes)
 	}
-	p.told, p.beat = c.commit, false
-	c.out = append(c.out, m)
+	p.sentCommit, p.heartbeatDue = c.commit, false
+	c.outgoing = append(c.outgoing, m)
 	return uint64(len(m.Entries))
 }
 
 // onReply takes the answer to an append or snapshot of this term.
 func (c *Core) onReply(m Message) {
-	p := c.lead.peers[m.From]
+	p := c.leadership.peers[m.From]
 	if p == nil || m.Match > c.log.last() {
 		return
 	}
-	p.heard, p.acked, p.blank = c.now, max(p.acked, min(m.Sent, c.now)), m.Blank
+	p.heardAt, p.ackedSentAt, p.blank = c.now, max(p.ackedSentAt, min(m.Sent, c.now)), m.Blank
 	if m.Reject {
 		// One that arrived out of order, or whose place was settled since, is old.
-		if m.PrevIndex > p.match && (p.phase == pipe && m.PrevIndex < p.next || p.phase == probe && m.PrevIndex == p.next-1) {
-			p.toProbe(min(m.Hint+1, m.PrevIndex))
+		if m.PrevIndex > p.match && (p.phase == pipeline && m.PrevIndex < p.next || p.phase == probe && m.PrevIndex == p.next-1) {
+			p.startProbe(min(m.Hint+1, m.PrevIndex))
 		}
 		return
 	}
@@ -177,16 +177,16 @@
 	}
 	moved := m.Match > p.match
 	p.match = m.Match
-	for len(p.flying) > 0 && p.flying[0] <= p.match {
-		p.flying = p.flying[1:]
+	for len(p.inflight) > 0 && p.inflight[0] <= p.match {
+		p.inflight = p.inflight[1:]
 	}
-	if p.phase != pipe && p.match >= c.log.off && (p.phase == probe || moved) {
-		p.phase, p.flying, p.wait, p.next = pipe, nil, false, p.match+1
+	if p.phase != pipeline && p.match >= c.log.offset && (p.phase == probe || moved) {
+		p.phase, p.inflight, p.awaiting, p.next = pipeline, nil, false, p.match+1
 	}
 	p.next = max(p.next, p.match+1)
 	if moved {
 		c.advanceCommit()
-		if c.role == Leader && m.From == c.lead.to && !c.lead.gave {
+		if c.role == Leader && m.From == c.leadership.handoverTo && !c.leadership.handoverSent {
 			c.handover()
 		}
 	}
@@ -195,36 +195,36 @@
 // Synced reports that the entries up to index, the last one of term, are synced here. Only then does a leader
 // count itself. Entries of an older term need no count: they are committed through one of the leader's own.
 func (c *Core) Synced(now time.Duration, index, term uint64) {
-	c.at(now)
-	if c.role != Leader || term != c.hard.Term || index > c.log.last() || index < c.lead.first {
+	c.advanceClock(now)
+	if c.role != Leader || term != c.hard.Term || index > c.log.last() || index < c.leadership.firstIndex {
 		return
 	}
-	c.lead.synced = max(c.lead.synced, index)
-	c.lead.hold = false
+	c.leadership.synced = max(c.leadership.synced, index)
+	c.leadership.awaitOwnSync = false
 	c.advanceCommit()
 }
 
 // tally commits what a majority has, if it is of the own term. A leader that is no member any more steps down.
 func (c *Core) advanceCommit() {
 	n := majority(c.members(), func(id string) uint64 {
-		if p := c.lead.peers[id]; p != nil {
+		if p := c.leadership.peers[id]; p != nil {
 			return p.match
 		}
-		return c.lead.synced
+		return c.leadership.synced
 	})
-	if n <= c.commit || n < c.lead.first {
+	if n <= c.commit || n < c.leadership.firstIndex {
 		return
 	}
-	c.advance(n)
-	if f := c.configurations[len(c.configurations)-1]; f.index <= c.commit && !voter(f.members, c.cfg.ID) {
-		c.flush() // the others learn of the commit
+	c.commitTo(n)
+	if f := c.configurations[len(c.configurations)-1]; f.index <= c.commit && !isVoter(f.members, c.cfg.ID) {
+		c.sendAppends() // the others learn of the commit
 		for _, m := range f.members {
-			if p := c.lead.peers[m.ID]; !m.Learner && p != nil && p.match == c.log.last() {
-				c.lead.to = m.ID
+			if p := c.leadership.peers[m.ID]; !m.Learner && p != nil && p.match == c.log.last() {
+				c.leadership.handoverTo = m.ID
 				c.handover()
 				break
 			}
 		}
-		c.follow(c.hard.Term, "")
+		c.becomeFollower(c.hard.Term, "")
 	}
 }
--- a/internal/quorum/lease.go
+++ b/internal/quorum/lease.go
@@ -4,12 +4,12 @@
 
 // leaseUntil is the end of the lease, never if there is none.
 func (c *Core) leaseUntil() time.Duration {
-	if c.lead.gave {
+	if c.leadership.handoverSent {
 		return never
 	}
 	from := majority(c.members(), func(id string) time.Duration {
-		if p := c.lead.peers[id]; p != nil {
-			return p.acked
+		if p := c.leadership.peers[id]; p != nil {
+			return p.ackedSentAt
 		}
 		return c.now
 	})
@@ -25,8 +25,8 @@
 //
 //	if commit, ok := core.Confirmed(now); ok && applied >= commit { answer() }
 func (c *Core) Confirmed(now time.Duration) (commit uint64, ok bool) {
-	c.at(now)
-	if c.role != Leader || c.commit < c.lead.first || c.now >= c.leaseUntil() {
+	c.advanceClock(now)
+	if c.role != Leader || c.commit < c.leadership.firstIndex || c.now >= c.leaseUntil() {
 		return 0, false
 	}
 	return c.commit, true
--- a/internal/quorum/members.go
+++ b/internal/quorum/members.go
@@ -18,7 +18,7 @@
 	if err := json.Unmarshal(e.Data, &c.members); err != nil {
 		return c, errs.Wrap(err, errs.Damaged, "members at index %d", e.Index)
 	}
-	return c, errs.Pass(valid(c.members), "members at index %d", e.Index)
+	return c, errs.Pass(validateMembers(c.members), "members at index %d", e.Index)
 }
 
 // DecodeMembers gives the member set that a Members entry brings.
@@ -27,8 +27,8 @@
 	return c.members, errs.Pass(err, "decode")
 }
 
-// valid checks a member set by itself.
-func valid(ms []Member) error {
+// validateMembers checks a member set by itself.
+func validateMembers(ms []Member) error {
 	seen := make(map[string]bool, len(ms))
 	voters := 0
 	for _, m := range ms {
@@ -46,16 +46,16 @@
 	return nil
 }
 
-// find gives the member with the ID.
-func find(ms []Member, id string) (Member, bool) {
+// findMember gives the member with the ID.
+func findMember(ms []Member, id string) (Member, bool) {
 	if i := slices.IndexFunc(ms, func(m Member) bool { return m.ID == id }); i >= 0 {
 		return ms[i], true
 	}
 	return Member{}, false
 }
 
-func voter(ms []Member, id string) bool {
-	m, ok := find(ms, id)
+func isVoter(ms []Member, id string) bool {
+	m, ok := findMember(ms, id)
 	return ok && !m.Learner
 }
 
--- a/internal/quorum/propose.go
+++ b/internal/quorum/propose.go
@@ -11,23 +11,23 @@
 //
 //	first, term, err := core.Propose(now, a, b) // a is entry first, b is first+1
 func (c *Core) Propose(now time.Duration, data ...json.RawMessage) (first, term uint64, err error) {
-	c.at(now)
-	if err := c.leads(); err != nil {
+	c.advanceClock(now)
+	if err := c.checkLeading(); err != nil {
 		return 0, 0, errs.Pass(err, "propose")
 	}
 	first = c.log.last() + 1
 	for _, d := range data {
-		c.put(Normal, d)
+		c.appendOwn(Normal, d)
 	}
 	return first, c.hard.Term, nil
 }
 
-func (c *Core) leads() error {
+func (c *Core) checkLeading() error {
 	if c.role != Leader {
-		return errs.Pass(c.follows(), "not the leader")
+		return errs.Pass(c.notLeader(), "not the leader")
 	}
-	if c.lead.to != "" {
-		return errs.New(errs.Unavailable, "handing over to %s", c.lead.to)
+	if c.leadership.handoverTo != "" {
+		return errs.New(errs.Unavailable, "handing over to %s", c.leadership.handoverTo)
 	}
 	return nil
 }
@@ -38,19 +38,19 @@
 // Failures: NotLeader; Unavailable while another change is not committed, before the first commit of the term, or
 // when the promoted learner is not caught up; Invalid for a set that is refused.
 func (c *Core) ProposeMembers(now time.Duration, next []Member) (index, term uint64, err error) {
-	c.at(now)
-	if err := c.leads(); err != nil {
+	c.advanceClock(now)
+	if err := c.checkLeading(); err != nil {
 		return 0, 0, errs.Pass(err, "propose members")
 	}
-	if c.configurations[len(c.configurations)-1].index > c.commit || c.commit < c.lead.first {
+	if c.configurations[len(c.configurations)-1].index > c.commit || c.commit < c.leadership.firstIndex {
 		return 0, 0, errs.New(errs.Unavailable, "a change of members, or the first entry of the term, is not committed yet")
 	}
-	if err := valid(next); err != nil {
+	if err := validateMembers(next); err != nil {
 		return 0, 0, errs.Pass(err, "propose members")
 	}
 	changed := 0
 	for _, m := range c.members() {
-		n, ok := find(next, m.ID)
+		n, ok := findMember(next, m.ID)
 		if ok && n.Incarnation != m.Incarnation {
 			return 0, 0, errs.Field(errs.Invalid, "members", "%s keeps its ID but not its incarnation", m.ID)
 		}
@@ -59,15 +59,15 @@
 		}
 	}
 	for _, n := range next {
-		if n.Learner || voter(c.members(), n.ID) {
+		if n.Learner || isVoter(c.members(), n.ID) {
 			continue
 		}
 		changed++
-		p := c.lead.peers[n.ID]
+		p := c.leadership.peers[n.ID]
 		if p == nil {
 			return 0, 0, errs.Field(errs.Invalid, "members", "%s must be a learner before it is a voter", n.ID)
 		}
-		if p.blank || p.match < max(c.lead.behind, c.configurations[len(c.configurations)-1].index) {
+		if p.blank || p.match < max(c.leadership.caughtUpIndex, c.configurations[len(c.configurations)-1].index) {
 			return 0, 0, errs.New(errs.Unavailable, "learner %s is not caught up: at %d of %d", n.ID, p.match, c.commit)
 		}
 	}
@@ -78,9 +78,9 @@
 	if err != nil {
 		return 0, 0, errs.Wrap(err, errs.Internal, "members")
 	}
-	c.put(Members, data)
+	c.appendOwn(Members, data)
 	c.configurations = append(c.configurations, configuration{c.log.last(), append([]Member(nil), next...)})
-	c.enlist()
+	c.updatePeers()
 	c.advanceCommit() // fewer voters may be a majority already
 	return c.log.last(), c.hard.Term, nil
 }
@@ -89,22 +89,22 @@
 // gives its lease up when it tells the other to campaign. It is given up after one Election.
 // Failures: NotLeader, Unavailable while one runs, Invalid if to is not another voter.
 func (c *Core) Handover(now time.Duration, to string) error {
-	c.at(now)
-	if err := c.leads(); err != nil {
+	c.advanceClock(now)
+	if err := c.checkLeading(); err != nil {
 		return errs.Pass(err, "handover")
 	}
-	if to == c.cfg.ID || !voter(c.members(), to) {
+	if to == c.cfg.ID || !isVoter(c.members(), to) {
 		return errs.Field(errs.Invalid, "to", "%s is not another voter", to)
 	}
-	c.lead.to, c.lead.toBy = to, c.now+c.cfg.Election
+	c.leadership.handoverTo, c.leadership.handoverUntil = to, c.now+c.cfg.Election
 	c.handover()
 	return nil
 }
 
 // handover tells the successor to campaign if it has the whole log.
 func (c *Core) handover() {
-	if p := c.lead.peers[c.lead.to]; p != nil && p.match == c.log.last() && !p.blank {
-		c.lead.gave = true
-		c.out = append(c.out, Message{Kind: HandoverNow, From: c.cfg.ID, To: c.lead.to, Term: c.hard.Term})
+	if p := c.leadership.peers[c.leadership.handoverTo]; p != nil && p.match == c.log.last() && !p.blank {
+		c.leadership.handoverSent = true
+		c.outgoing = append(c.outgoing, Message{Kind: HandoverNow, From: c.cfg.ID, To: c.leadership.handoverTo, Term: c.hard.Term})
 	}
 }
--- a/internal/quorum/quorum_test.go
+++ b/internal/quorum/quorum_test.go
@@ -300,7 +300,7 @@
 		for _, y := range w.nodes {
 			match := false // from an entry of the same term down, all must be equal
 			for i := min(x.core.log.last(), y.core.log.last()); i > 1; i-- {
-				p, q := x.core.log.ents[i-2], y.core.log.ents[i-2]
+				p, q := x.core.log.entries[i-2], y.core.log.entries[i-2]
 				match = match || p.Term == q.Term || i <= min(x.core.commit, y.core.commit)
 				if match && (p.Term != q.Term || string(p.Data) != string(q.Data)) {
 					bad = "logs differ"
@@ -455,9 +455,9 @@
 			_, _, err := l.core.Propose(w.now+l.zero, json.RawMessage(`1`))
 			So(err, ShouldBeNil)
 		}
-		l.core.flush()
-		So(len(l.core.out), ShouldEqual, 2)
-		So(len(l.core.out[0].Entries), ShouldEqual, 500)
+		l.core.sendAppends()
+		So(len(l.core.outgoing), ShouldEqual, 2)
+		So(len(l.core.outgoing[0].Entries), ShouldEqual, 500)
 		w.run(500*time.Millisecond, nil)
 		So(l.core.Status().Commit, ShouldEqual, l.core.Status().Last)
 		So(l.core.Status().Match[l.id], ShouldBeLessThan, l.core.Status().Commit)
@@ -546,7 +546,7 @@
 	Convey("An entry of an older term is committed only through one of the own, and members wait for that", t, func() {
 		old := Boot{Hard: Hard{Term: 2}, Snapshot: founded.Snapshot, Entries: []Entry{{Term: 2, Index: 2, Kind: Noop}}}
 		c := elect(old)
-		c.lead.synced = 2 // as if counted
+		c.leadership.synced = 2 // as if counted
 		acks(c, 2)
 		So(c.Status().Commit, ShouldEqual, 1)
 		_, _, err := c.ProposeMembers(3*sec, team("a", "b"))
--- a/internal/quorum/snapshot.go
+++ b/internal/quorum/snapshot.go
@@ -6,13 +6,13 @@
 )
 
 func (c *Core) onSnapshot(m Message) {
-	if m.Meta == nil || valid(m.Meta.Members) != nil {
+	if m.Meta == nil || validateMembers(m.Meta.Members) != nil {
 		return
 	}
 	s := *m.Meta
 	c.leaderAddr = m.Addr
 	if t, ok := c.log.term(s.Index); ok && t == s.Term && s.Index > c.commit {
-		c.advance(s.Index)
+		c.commitTo(s.Index)
 	}
 	if s.Index <= c.commit {
 		c.reply(m, Message{Kind: SnapshotReply, Match: c.commit})
@@ -28,29 +28,29 @@
 // Installed reports that the snapshot meta is synced and applied here in place of the state before.
 // One at or before the commit index changes nothing: the runtime must then not apply it.
 func (c *Core) Installed(now time.Duration, meta Meta) {
-	c.at(now)
+	c.advanceClock(now)
 	c.fetching, c.fetchFrom, c.fetch = Meta{}, "", nil
-	if meta.Index <= c.commit || valid(meta.Members) != nil {
+	if meta.Index <= c.commit || validateMembers(meta.Members) != nil {
 		return
 	}
 	if c.role != Follower {
-		c.follow(c.hard.Term, "")
+		c.becomeFollower(c.hard.Term, "")
 	}
 	if t, ok := c.log.term(meta.Index); ok && t == meta.Term {
 		c.log.compact(meta.Index)
 	} else {
-		c.log = journal{off: meta.Index, offTerm: meta.Term}
-		c.configurations, c.reset = nil, true
-		c.fresh = meta.Index + 1
+		c.log = memoryLog{offset: meta.Index, offsetTerm: meta.Term}
+		c.configurations, c.logReset = nil, true
+		c.firstUnstored = meta.Index + 1
 	}
-	c.fresh = max(c.fresh, meta.Index+1)
+	c.firstUnstored = max(c.firstUnstored, meta.Index+1)
 	c.configurations = slices.DeleteFunc(c.configurations, func(f configuration) bool { return f.index <= meta.Index })
 	c.configurations = slices.Insert(c.configurations, 0, configuration{meta.Index, meta.Members})
-	c.commit, c.applied, c.snap = meta.Index, meta.Index, meta
+	c.commit, c.applied, c.snapshot = meta.Index, meta.Index, meta
 	if meta.Term > c.hard.Term {
-		c.follow(meta.Term, "")
+		c.becomeFollower(meta.Term, "")
 	}
-	c.trust(meta.Members)
+	c.endBlankness(meta.Members)
 	if c.leader != "" {
 		c.reply(Message{From: c.leader, Sent: never}, Message{Kind: SnapshotReply, Match: meta.Index})
 	}
@@ -58,13 +58,13 @@
 
 // SnapshotAt tells the newest durable snapshot of this node; it is offered to followers behind the log.
 func (c *Core) SnapshotAt(meta Meta) {
-	if meta.Index > c.snap.Index && meta.Index <= c.applied && valid(meta.Members) == nil {
-		c.snap = meta
+	if meta.Index > c.snapshot.Index && meta.Index <= c.applied && validateMembers(meta.Members) == nil {
+		c.snapshot = meta
 	}
 }
 
 // Compact lets the log up to index go from memory, never beyond the newest durable snapshot. Keep a tail (call
 // it with less than the snapshot's index), so that followers a little behind need no snapshot.
 func (c *Core) Compact(index uint64) {
-	c.log.compact(min(index, c.snap.Index, c.applied, c.fresh-1))
+	c.log.compact(min(index, c.snapshot.Index, c.applied, c.firstUnstored-1))
 }
--- a/internal/quorum/status.go
+++ b/internal/quorum/status.go
@@ -8,10 +8,10 @@
 // Status gives a view of the node.
 func (c *Core) Status() Status {
 	s := Status{ID: c.cfg.ID, Role: c.role, Term: c.hard.Term, Leader: c.leader, Commit: c.commit, Last: c.log.last(),
-		First: c.log.off + 1, Members: slices.Clone(c.members()), Voter: !c.hard.Blank && voter(c.members(), c.cfg.ID), Refused: c.refused, LeaderAddr: c.hint()}
+		First: c.log.offset + 1, Members: slices.Clone(c.members()), Voter: !c.hard.Blank && isVoter(c.members(), c.cfg.ID), Refused: c.refused, LeaderAddr: c.leaderAddress()}
 	if c.role == Leader {
-		s.Match = map[string]uint64{c.cfg.ID: c.lead.synced}
-		for id, p := range c.lead.peers {
+		s.Match = map[string]uint64{c.cfg.ID: c.leadership.synced}
+		for id, p := range c.leadership.peers {
 			s.Match[id] = p.match
 		}
 		s.LeaseUntil = max(0, c.leaseUntil())
@@ -31,25 +31,25 @@
 // MemberSince gives the index of the oldest set known here, committed or not, that has this node; 0 if none has.
 func (c *Core) MemberSince() uint64 {
 	for _, f := range c.configurations {
-		if _, ok := find(f.members, c.cfg.ID); ok {
+		if _, ok := findMember(f.members, c.cfg.ID); ok {
 			return f.index
 		}
 	}
 	return 0
 }
 
-// hint is the address of the leader, if known.
-func (c *Core) hint() string {
-	if m, ok := find(c.members(), c.leader); ok && c.leader != "" {
+// leaderAddress is the address of the leader, if known.
+func (c *Core) leaderAddress() string {
+	if m, ok := findMember(c.members(), c.leader); ok && c.leader != "" {
 		return m.Addr
 	}
 	return c.leaderAddr
 }
 
-// follows gives the failure for a call that only the leader takes.
-func (c *Core) follows() error {
+// notLeader gives the failure for a call that only the leader takes.
+func (c *Core) notLeader() error {
 	err := errs.New(errs.NotLeader, "%s is %s in term %d", c.cfg.ID, c.role, c.hard.Term)
-	errs.Of(err).Hint = c.hint()
+	errs.Of(err).Hint = c.leaderAddress()
 	return err
 }
 
@@ -58,8 +58,8 @@
 //
 //	es, err := core.Entries(seen+1, 1<<20)
 func (c *Core) Entries(from uint64, limitBytes int) ([]Entry, error) {
-	if from <= c.log.off {
-		return nil, errs.New(errs.Unknown, "entry %d is compacted, the log begins at %d", from, c.log.off+1)
+	if from <= c.log.offset {
+		return nil, errs.New(errs.Unknown, "entry %d is compacted, the log begins at %d", from, c.log.offset+1)
 	}
-	return c.log.limited(from, c.commit, limitBytes), nil
+	return c.log.sliceUpTo(from, c.commit, limitBytes), nil
 }
--- a/internal/quorum/step.go
+++ b/internal/quorum/step.go
@@ -7,7 +7,7 @@
 
 // Step takes a message of another core. What is malformed or not for this node is dropped.
 func (c *Core) Step(now time.Duration, m Message) {
-	c.at(now)
+	c.advanceClock(now)
 	if m.To != c.cfg.ID || m.From == c.cfg.ID || m.From == "" {
 		return
 	}
@@ -16,7 +16,7 @@
 		if c.hard.Blank {
 			return
 		}
-		if m.Term > c.hard.Term && !c.loyal() && c.current(m) {
+		if m.Term > c.hard.Term && !c.hasLiveLeader() && c.isUpToDate(m) {
 			c.reply(m, Message{Kind: PreVoteReply, Term: m.Term})
 		} else {
 			c.reply(m, Message{Kind: PreVoteReply, Reject: true})
@@ -24,15 +24,15 @@
 		return
 	case PreVoteReply:
 		if m.Reject && m.Term > c.hard.Term {
-			c.follow(m.Term, "")
+			c.becomeFollower(m.Term, "")
 		} else if !m.Reject && c.role == PreCandidate && m.Term == c.hard.Term+1 {
-			if c.granted[m.From] = true; c.won() {
-				c.campaign(false)
+			if c.granted[m.From] = true; c.hasMajority() {
+				c.startElection(false)
 			}
 		}
 		return
 	case Vote:
-		if c.hard.Blank || m.Term >= c.hard.Term && !m.Force && c.loyal() {
+		if c.hard.Blank || m.Term >= c.hard.Term && !m.Force && c.hasLiveLeader() {
 			return
 		}
 	case VoteReply, Append, AppendReply, Snapshot, SnapshotReply, HandoverNow:
@@ -40,7 +40,7 @@
 		return
 	}
 	if m.Term > c.hard.Term {
-		c.follow(m.Term, "")
+		c.becomeFollower(m.Term, "")
 	}
 	if m.Term < c.hard.Term {
 		switch m.Kind { // tell a leader or candidate of the past
@@ -56,8 +56,8 @@
 		c.onVote(m)
 	case VoteReply:
 		if c.role == Candidate && !m.Reject {
-			if c.granted[m.From] = true; c.won() {
-				c.reign(false)
+			if c.granted[m.From] = true; c.hasMajority() {
+				c.becomeLeader(false)
 			}
 		}
 	case Append, Snapshot:
@@ -65,9 +65,9 @@
 			c.refused++
 			return
 		}
-		c.follow(m.Term, m.From)
-		c.heard = c.now
-		c.postpone()
+		c.becomeFollower(m.Term, m.From)
+		c.heardLeaderAt = c.now
+		c.resetElectionTimer()
 		if m.Kind == Append {
 			c.onAppend(m)
 		} else {
@@ -79,7 +79,7 @@
 		}
 	case HandoverNow:
 		if c.role == Follower && c.eligible() && c.leader == m.From {
-			c.campaign(true)
+			c.startElection(true)
 		}
 	}
 }
@@ -89,9 +89,9 @@
 	r.From, r.To, r.Sent, r.Blank = c.cfg.ID, m.From, m.Sent, c.hard.Blank
 	r.Term = cmp.Or(r.Term, c.hard.Term)
 	if r.Kind == PreVoteReply {
-		c.out = append(c.out, r)
+		c.outgoing = append(c.outgoing, r)
 	} else {
-		c.after = append(c.after, r)
+		c.afterSync = append(c.afterSync, r)
 	}
 }
 
@@ -115,7 +115,7 @@
 	if t, ok := c.log.term(m.PrevIndex); !ok || t != m.PrevTerm {
 		hint := c.log.last()
 		if ok {
-			hint = c.log.before(m.PrevIndex)
+			hint = c.log.lastOfLowerTerm(m.PrevIndex)
 		}
 		if m.PrevIndex == c.commit && m.PrevIndex > 0 {
 			c.refused++
@@ -126,18 +126,18 @@
 	}
 	for n, e := range m.Entries {
 		if t, ok := c.log.term(e.Index); !ok || t != e.Term {
-			if !c.extend(m.Entries[n:]) {
+			if !c.replaceEntries(m.Entries[n:]) {
 				return
 			}
 			break
 		}
 	}
-	c.advance(min(m.Commit, match))
+	c.commitTo(min(m.Commit, match))
 	c.reply(m, Message{Kind: AppendReply, Match: match, PrevIndex: m.PrevIndex})
 }
 
-// extend puts entries into the log in place of what stood at and after the first.
-func (c *Core) extend(es []Entry) bool {
+// replaceEntries puts entries into the log in place of what stood at and after the first.
+func (c *Core) replaceEntries(es []Entry) bool {
 	cs, err := configurationsOf(es)
 	if err != nil {
 		c.refused++
@@ -146,24 +146,24 @@
 	from := es[0].Index
 	if from <= c.log.last() {
 		c.log.truncate(from)
-		c.fresh = min(c.fresh, from)
+		c.firstUnstored = min(c.firstUnstored, from)
 		for len(c.configurations) > 0 && c.configurations[len(c.configurations)-1].index >= from {
 			c.configurations = c.configurations[:len(c.configurations)-1]
 		}
 	}
-	c.log.ents = append(c.log.ents, es...)
+	c.log.entries = append(c.log.entries, es...)
 	c.configurations = append(c.configurations, cs...)
 	return true
 }
 
-// advance moves the commit index up.
-func (c *Core) advance(to uint64) {
+// commitTo moves the commit index up.
+func (c *Core) commitTo(to uint64) {
 	if to <= c.commit {
 		return
 	}
 	c.commit = to
 	for len(c.configurations) > 1 && c.configurations[1].index <= to {
 		c.configurations = c.configurations[1:]
-		c.trust(c.configurations[0].members)
+		c.endBlankness(c.configurations[0].members)
 	}
 }
--- a/internal/rpc/caller.go
+++ b/internal/rpc/caller.go
@@ -40,8 +40,8 @@
 	meter  *meter
 
 	mu     sync.Mutex
-	idle   map[string][]*link
-	live   map[*link]struct{}
+	idle   map[string][]*connection
+	live   map[*connection]struct{}
 	closed bool
 }
 
@@ -50,8 +50,8 @@
 	if opt.Clock == nil {
 		opt.Clock = clock.Real{}
 	}
-	opt.DialTimeout = cmpOr(opt.DialTimeout, 2*time.Second)
-	opt.IdleFor = cmpOr(opt.IdleFor, time.Minute)
+	opt.DialTimeout = firstPositive(opt.DialTimeout, 2*time.Second)
+	opt.IdleFor = firstPositive(opt.IdleFor, time.Minute)
 	if opt.Idle <= 0 {
 		opt.Idle = 16
 	}
@@ -64,7 +64,7 @@
 	if opt.Logger == nil {
 		opt.Logger = log.NewNopLogger()
 	}
-	k := &Caller{opt: opt, meter: newMeter("caller", opt.Registry), idle: map[string][]*link{}, live: map[*link]struct{}{}}
+	k := &Caller{opt: opt, meter: newMeter("caller", opt.Registry), idle: map[string][]*connection{}, live: map[*connection]struct{}{}}
 	k.dialer = net.Dialer{Timeout: opt.DialTimeout, Control: func(_, _ string, c syscall.RawConn) error {
 		if opt.UserTimeout <= 0 {
 			return nil
@@ -84,7 +84,7 @@
 	k.mu.Lock()
 	k.closed = true
 	live := k.live
-	k.live, k.idle = map[*link]struct{}{}, map[string][]*link{}
+	k.live, k.idle = map[*connection]struct{}{}, map[string][]*connection{}
 	k.mu.Unlock()
 	for l := range live {
 		l.reset()
@@ -112,7 +112,7 @@
 	return errs.Pass(k.ask(ctx, k, addr, path, call, answer, within, nil), "ask %s", path)
 }
 
-func (k *Caller) dial(ctx context.Context, addr string) (*link, error) {
+func (k *Caller) dial(ctx context.Context, addr string) (*connection, error) {
 	by := addr
 	if link := k.opt.Via[addr]; link != "" {
 		by = link
@@ -128,7 +128,7 @@
 		_ = tcp.Close()
 		return nil, errs.Wrap(err, errs.Internal, "raw connection")
 	}
-	l := &link{TCPConn: tcp, raw: raw, read: bufio.NewReaderSize(tcp, k.opt.ReadBuffer), addr: addr}
+	l := &connection{TCPConn: tcp, raw: raw, reader: bufio.NewReaderSize(tcp, k.opt.ReadBuffer), addr: addr}
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if k.closed {
@@ -139,14 +139,14 @@
 	return l, nil
 }
 
-func (k *Caller) drop(l *link) {
+func (k *Caller) drop(l *connection) {
 	k.mu.Lock()
 	delete(k.live, l)
 	k.mu.Unlock()
 	l.reset()
 }
 
-func (k *Caller) take(ctx context.Context, addr string) (*link, error) {
+func (k *Caller) take(ctx context.Context, addr string) (*connection, error) {
 	for {
 		k.mu.Lock()
 		list := k.idle[addr]
@@ -161,25 +161,25 @@
 		l := list[len(list)-1]
 		k.idle[addr] = list[:len(list)-1]
 		k.mu.Unlock()
-		if k.opt.Clock.Now()-l.since < k.opt.IdleFor && l.alive() {
+		if k.opt.Clock.Now()-l.idleSince < k.opt.IdleFor && l.alive() {
 			return l, nil
 		}
 		k.drop(l)
 	}
 }
 
-func (k *Caller) give(l *link, whole bool) {
+func (k *Caller) release(l *connection, whole bool) {
 	if !whole {
 		k.drop(l)
 		return
 	}
-	l.since = k.opt.Clock.Now()
+	l.idleSince = k.opt.Clock.Now()
 	old := l
 	k.mu.Lock()
 	list := append(k.idle[l.addr], l)
 	if k.closed {
 		list = nil
-	} else if len(list) > k.opt.Idle || l.since-list[0].since >= k.opt.IdleFor {
+	} else if len(list) > k.opt.Idle || l.idleSince-list[0].idleSince >= k.opt.IdleFor {
 		old, list = list[0], append(list[:0], list[1:]...)
 	} else {
 		old = nil
@@ -191,7 +191,7 @@
 	}
 }
 
-func (k *Caller) ended() bool {
+func (k *Caller) isClosed() bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	return k.closed
--- a/internal/rpc/connection.go
+++ b/internal/rpc/connection.go
@@ -11,23 +11,23 @@
 	"golang.org/x/sys/unix"
 )
 
-// link is one connection.
-type link struct {
+// connection is one connection.
+type connection struct {
 	*net.TCPConn
-	raw   syscall.RawConn
-	read  *bufio.Reader
-	addr  string
-	since time.Duration // idle since, on the caller's clock
+	raw       syscall.RawConn
+	reader    *bufio.Reader
+	addr      string
+	idleSince time.Duration // idle since, on the caller's clock
 }
 
 // reset closes at once: unsent and unconfirmed bytes are thrown away, the peer gets a reset.
-func (l *link) reset() {
+func (l *connection) reset() {
 	_ = l.SetLinger(0)
 	_ = l.Close()
 }
 
 // write hands b to the kernel straight, calling check immediately before each write(2); sent counts.
-func (l *link) write(b []byte, sent *int, check func() error) error {
+func (l *connection) write(b []byte, sent *int, check func() error) error {
 	var failed error
 	err := l.raw.Write(func(fd uintptr) bool {
 		for *sent < len(b) {
@@ -55,7 +55,7 @@
 }
 
 // alive tells whether an idle connection is still open with nothing to be read.
-func (l *link) alive() bool {
+func (l *connection) alive() bool {
 	open := false
 	err := l.raw.Read(func(fd uintptr) bool {
 		var one [1]byte
@@ -63,13 +63,13 @@
 		open = err == unix.EAGAIN
 		return true
 	})
-	return err == nil && open && l.read.Buffered() == 0
+	return err == nil && open && l.reader.Buffered() == 0
 }
 
 // response reads the head of the final response; interim ones (1xx) are passed over.
-func (l *link) response(method string) (*http.Response, error) {
+func (l *connection) response(method string) (*http.Response, error) {
 	for {
-		res, err := http.ReadResponse(l.read, &http.Request{Method: method})
+		res, err := http.ReadResponse(l.reader, &http.Request{Method: method})
 		if err != nil {
 			return nil, errs.Wrap(err, errs.Unavailable, "response")
 		}
--- a/internal/rpc/eventloops.go
+++ b/internal/rpc/eventloops.go
@@ -10,12 +10,12 @@
 	"golang.org/x/sys/unix"
 )
 
-// warm waits until every event loop of nbio runs: a stop that comes before is lost on the loop, and the engine's
+// waitForLoops waits until every event loop of nbio runs: a stop that comes before is lost on the loop, and the engine's
 // Stop would wait for it forever. Each loop gets one end of a local connection and has to see it close.
-func (s *Server) warm() error {
+func (s *Server) waitForLoops() error {
 	loops := s.engine.Engine.NPoller
 	if loops == 1 {
-		return errs.Pass(s.warmOne(), "the only event loop")
+		return errs.Pass(s.waitForOnlyLoop(), "the only event loop")
 	}
 	gone := make(chan struct{}, loops)
 	s.engine.OnClose(func(c net.Conn, _ error) {
@@ -24,7 +24,7 @@
 		}
 	})
 	for loop := range loops {
-		if err := s.nudge(loop, loops); err != nil {
+		if err := s.connectToLoop(loop, loops); err != nil {
 			return errs.Pass(err, "event loop %d", loop)
 		}
 	}
@@ -34,9 +34,9 @@
 	return nil
 }
 
-// warmOne is warm for a single loop, which any connection reaches: one to the server's own address, as not every
+// waitForOnlyLoop is warm for a single loop, which any connection reaches: one to the server's own address, as not every
 // machine has local socket pairs.
-func (s *Server) warmOne() error {
+func (s *Server) waitForOnlyLoop() error {
 	gone := make(chan struct{}, 1)
 	s.engine.OnClose(func(net.Conn, error) {
 		select {
@@ -55,10 +55,10 @@
 	return nil
 }
 
-// nudge gives one loop a connection that is closed at its other end. nbio picks the loop by the descriptor, so
+// connectToLoop gives one loop a connection that is closed at its other end. nbio picks the loop by the descriptor, so
 // copies are made until one has a number that fits. All others are closed before that one is handed over: epoll
 // goes on telling of a connection as long as a copy is open, by a number that may be another's by then.
-func (s *Server) nudge(loop, loops int) error {
+func (s *Server) connectToLoop(loop, loops int) error {
 	ends, err := unix.Socketpair(unix.AF_UNIX, unix.SOCK_STREAM|unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC, 0)
 	if err != nil {
 		return errs.Wrap(err, errs.Internal, "local connection")
--- a/internal/rpc/exchange.go
+++ b/internal/rpc/exchange.go
@@ -45,7 +45,7 @@
 	defer in.free()
 	res, err := k.exchange(ctx, addr, r, within, &out.buf, &in.buf)
 	if err != nil {
-		k.meter.failures.WithLabelValues(exchangeLabel, string(known(errs.KindOf(err)))).Inc()
+		k.meter.failures.WithLabelValues(exchangeLabel, string(knownKind(errs.KindOf(err)))).Inc()
 		return Response{}, errs.Pass(err, "%s %s", r.Method, r.Path)
 	}
 	return Response{Status: res.StatusCode, Header: res.Header, Body: bytes.Clone(in.buf.Bytes())}, nil
@@ -56,7 +56,7 @@
 		return nil, errs.Pass(&unsent{err}, "the request")
 	}
 	r.encode(out, addr)
-	t := transfer{addr: addr, path: r.Path, method: r.Method, out: out.Bytes(), in: in, within: within}
+	t := transfer{addr: addr, path: r.Path, method: r.Method, request: out.Bytes(), response: in, within: within}
 	res, err := k.transfer(ctx, k, t)
 	return res, errs.Pass(err, "exchange")
 }
--- a/internal/rpc/listener.go
+++ b/internal/rpc/listener.go
@@ -13,8 +13,8 @@
 	if err != nil {
 		return nil, errs.Wrap(err, errs.Settings, "listen")
 	}
-	s.ln = &listener{Listener: ln, clock: s.opt.Clock, released: make(chan struct{})}
-	return s.ln, nil
+	s.listener = &listener{Listener: ln, clock: s.opt.Clock, released: make(chan struct{})}
+	return s.listener, nil
 }
 
 // listener keeps nbhttp from spinning: its loop calls Accept again at once after every error, until its own stop.
@@ -34,22 +34,22 @@
 			return c, nil
 		}
 		again := make(chan struct{})
-		ring := l.clock.Set(50*time.Millisecond, func() { close(again) })
+		timer := l.clock.Set(50*time.Millisecond, func() { close(again) })
 		select {
 		case <-l.released:
-			ring.Stop()
+			timer.Stop()
 			return nil, errs.Wrap(err, errs.Stopped, "accept")
 		case <-again:
 		}
 	}
 }
 
-// quiet stops the taking of connections, Close also lets Accept return.
-func (l *listener) quiet() { _ = l.Listener.Close() }
+// stopAccepting stops the taking of connections, Close also lets Accept return.
+func (l *listener) stopAccepting() { _ = l.Listener.Close() }
 
 // Close closes the socket and ends a waiting Accept.
 func (l *listener) Close() error {
-	l.quiet()
+	l.stopAccepting()
 	l.once.Do(func() { close(l.released) })
 	return nil
 }
--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -24,8 +24,8 @@
 //	var Vote = rpc.Pair[Ballot, Verdict]{Path: "/store/vote"}
 type Pair[C, A any] struct{ Path string }
 
-// reply is the JSON body of a failure.
-type reply struct {
+// errorBody is the JSON body of a failure.
+type errorBody struct {
 	Kind    errs.Kind `json:"kind"`
 	Field   string    `json:"field"`
 	Message string    `json:"message"`
@@ -43,17 +43,17 @@
 }
 
 func writeError(w http.ResponseWriter, f *errs.Error, status int) {
-	kind := known(f.Kind)
-	if after := cmpOr(f.After, errs.ReplyOf(kind).After); after > 0 {
+	kind := knownKind(f.Kind)
+	if after := firstPositive(f.After, errs.ReplyOf(kind).After); after > 0 {
 		w.Header().Set("Retry-After", strconv.FormatInt(int64((after+time.Second-1)/time.Second), 10))
 	}
-	if t, ok := w.(*tap); ok {
+	if t, ok := w.(*answerRecorder); ok {
 		t.kind = kind
 	}
-	WriteJSON(w, status, reply{Kind: kind, Field: f.Field, Message: f.Message, Hint: f.Hint})
+	WriteJSON(w, status, errorBody{Kind: kind, Field: f.Field, Message: f.Message, Hint: f.Hint})
 }
 
-func cmpOr(a, b time.Duration) time.Duration {
+func firstPositive(a, b time.Duration) time.Duration {
 	if a > 0 {
 		return a
 	}
@@ -62,8 +62,8 @@
 
 var kinds = errs.Kinds()
 
-// known maps a kind outside of the closed list to Internal.
-func known(k errs.Kind) errs.Kind {
+// knownKind maps a kind outside of the closed list to Internal.
+func knownKind(k errs.Kind) errs.Kind {
 	if slices.Contains(kinds, k) {
 		return k
 	}
--- a/internal/rpc/rpc_test.go
+++ b/internal/rpc/rpc_test.go
@@ -176,21 +176,21 @@
 	Convey("before runs right before the write; its error keeps every byte back and keeps its kind", t, func() {
 		b := newBench()
 		defer b.end()
-		l := NewLine(b.Caller, b.Addr())
+		l := NewDedicatedConn(b.Caller, b.Addr())
 		runs := 0
 		check := func() error { runs++; return nil }
-		got, err := AskLine(ctx, l, echo, note{"x"}, time.Second, check)
+		got, err := AskDedicated(ctx, l, echo, note{"x"}, time.Second, check)
 		So([]any{got.Text, err, runs}, ShouldResemble, []any{"x", nil, 1})
-		first := l.link
-		_, err = AskLine(ctx, l, echo, note{"y"}, time.Second, func() error { return errs.New(errs.Stale, "lease is over") })
+		first := l.connection
+		_, err = AskDedicated(ctx, l, echo, note{"y"}, time.Second, func() error { return errs.New(errs.Stale, "lease is over") })
 		So(errs.KindOf(err), ShouldEqual, errs.Stale)
 		So(Unsent(err), ShouldBeTrue)
 		So(b.count("crosstide_rpc_calls_total", "server", "/echo"), ShouldEqual, 1)
-		_, err = AskLine(ctx, l, echo, note{"z"}, time.Second, check)
+		_, err = AskDedicated(ctx, l, echo, note{"z"}, time.Second, check)
 		So(err, ShouldBeNil)
-		So(l.link, ShouldNotEqual, first)
+		So(l.connection, ShouldNotEqual, first)
 		l.Close()
-		_, err = AskLine(ctx, l, echo, note{}, time.Second, check)
+		_, err = AskDedicated(ctx, l, echo, note{}, time.Second, check)
 		So(errs.KindOf(err), ShouldEqual, errs.Stopped)
 		So(runs, ShouldEqual, 2)
 	})
@@ -208,7 +208,7 @@
 			_, seen = io.Copy(io.Discard, c)
 		})
 		runs := 0
-		_, err = AskLine(ctx, NewLine(b.Caller, ln.Addr().String()), echo, note{strings.Repeat("x", 32<<20)}, time.Second, func() error {
+		_, err = AskDedicated(ctx, NewDedicatedConn(b.Caller, ln.Addr().String()), echo, note{strings.Repeat("x", 32<<20)}, time.Second, func() error {
 			if runs++; runs > 1 {
 				return errs.New(errs.Stale, "lease is over")
 			}
@@ -296,7 +296,7 @@
 			_, err = Ask(ctx, b.Caller, b.Addr(), echo, note{}, time.Hour)
 		}
 		So(errs.KindOf(err), ShouldEqual, errs.Stopped)
-		for b.work.Context().Err() == nil { // grace may not be set yet at the first turns
+		for b.requests.Context().Err() == nil { // grace may not be set yet at the first turns
 			b.clock.Advance(time.Second)
 		}
 		So(errs.KindOf(<-stopped), ShouldEqual, errs.Timeout)
--- a/internal/rpc/server.go
+++ b/internal/rpc/server.go
@@ -37,21 +37,21 @@
 // Server answers pairs and raw routes. Every request runs on a goroutine of its own, so any number of them may
 // block (long polls) without holding up others. A connection takes one request at a time.
 type Server struct {
-	opt    ServerOptions
-	mux    *http.ServeMux
-	engine *nbhttp.Engine
-	work   *routine.Group
-	meter  *meter
-	ln     *listener
+	opt      ServerOptions
+	mux      *http.ServeMux
+	engine   *nbhttp.Engine
+	requests *routine.Group
+	meter    *meter
+	listener *listener
 	// accepted orders the making of a connection before its first read: nbio hands it from the accepting goroutine
 	// to the event loop by epoll alone, which is no order in Go's memory model.
 	accepted atomic.Int64
 
-	mu       sync.Mutex
-	running  int // requests from their last byte read until their answer is written
-	stopping bool
-	idle     chan struct{} // closed when stopping and nothing runs
-	idleTold bool
+	mu            sync.Mutex
+	running       int // requests from their last byte read until their answer is written
+	stopping      bool
+	idle          chan struct{} // closed when stopping and nothing runs
+	idleSignalled bool
 }
 
 // NewServer makes a server that does not listen yet. Example:
@@ -75,7 +75,7 @@
 	routeLogs(opt.Logger)
 	boundDescriptors(opt.Descriptors)
 	s := &Server{
-		opt: opt, mux: http.NewServeMux(), work: routine.New(context.Background()),
+		opt: opt, mux: http.NewServeMux(), requests: routine.New(context.Background()),
 		meter: newMeter("server", opt.Registry), idle: make(chan struct{}),
 	}
 	bound := int(max(2*opt.MaxBody, MaxBody)) // over it nbhttp cuts the connection without an answer
@@ -85,8 +85,8 @@
 		SupportServerOnly: true, NPoller: opt.Loops,
 		Handler:        http.HandlerFunc(s.serve),
 		ServerExecutor: s.execute,
-		Context:        s.work.Context(),
-		Cancel:         s.work.Cancel,
+		Context:        s.requests.Context(),
+		Cancel:         s.requests.Cancel,
 	})
 	s.engine.OnOpen(func(net.Conn) { s.accepted.Add(1) })
 	s.engine.Engine.OnData(func(c *nbio.Conn, data []byte) {
@@ -118,7 +118,7 @@
 		}
 		answer, err := serve(r.Context(), call)
 		if err != nil {
-			s.tell(p.Path, err)
+			s.logFailure(p.Path, err)
 			WriteError(w, err)
 			return
 		}
@@ -131,8 +131,8 @@
 	writeError(w, f, http.StatusMethodNotAllowed)
 }
 
-// tell logs failures that are ours to mend, with their causes, which are not sent.
-func (s *Server) tell(path string, err error) {
+// logFailure logs failures that are ours to mend, with their causes, which are not sent.
+func (s *Server) logFailure(path string, err error) {
 	switch errs.KindOf(err) {
 	case errs.Internal, errs.Disk, errs.Damaged, errs.Torn:
 		_ = level.Error(s.opt.Logger).Log("msg", "call failed", "path", path, "err", err)
@@ -145,17 +145,17 @@
 	calls := s.meter.calls.WithLabelValues(pattern)
 	s.mux.HandleFunc(pattern, func(w http.ResponseWriter, r *http.Request) {
 		calls.Inc()
-		t := &tap{ResponseWriter: w}
+		t := &answerRecorder{ResponseWriter: w}
 		defer func() {
 			if p := recover(); p != nil {
 				err := errs.New(errs.Internal, "panic: %v", p)
-				s.tell(pattern, err)
+				s.logFailure(pattern, err)
 				if !t.begun {
 					WriteError(t, errs.New(errs.Internal, "the handler failed"))
 				}
 			}
 			s.meter.in.Add(float64(max(r.ContentLength, 0)))
-			s.meter.out.Add(float64(t.out))
+			s.meter.out.Add(float64(t.bodyBytes))
 			if t.kind != "" {
 				s.meter.failures.WithLabelValues(pattern, string(t.kind)).Inc()
 			}
@@ -169,7 +169,7 @@
 	s.mu.Lock()
 	s.running++
 	s.mu.Unlock()
-	s.work.Go(func(context.Context) {
+	s.requests.Go(func(context.Context) {
 		defer s.executed()
 		handle()
 	})
@@ -179,15 +179,15 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.running--
-	s.tellIdle()
+	s.signalIdle()
 }
 
-// tellIdle closes idle once, when the server stops and nothing runs. The mutex is held.
-func (s *Server) tellIdle() {
-	if s.running > 0 || !s.stopping || s.idleTold {
+// signalIdle closes idle once, when the server stops and nothing runs. The mutex is held.
+func (s *Server) signalIdle() {
+	if s.running > 0 || !s.stopping || s.idleSignalled {
 		return
 	}
-	s.idleTold = true
+	s.idleSignalled = true
 	close(s.idle)
 }
 
@@ -201,7 +201,7 @@
 		return
 	}
 	if h, pattern := s.mux.Handler(r); pattern == "" {
-		seen := &probe{head: w.Header()}
+		seen := &headRecorder{head: w.Header()}
 		h.ServeHTTP(seen, r) // the mux's own refusal; ours is JSON
 		if seen.status == http.StatusMethodNotAllowed {
 			refuseMethod(w, r)
@@ -218,7 +218,7 @@
 	if err := s.engine.Start(); err != nil {
 		return errs.Wrap(err, errs.Settings, "listen at %s", s.opt.Addr)
 	}
-	return errs.Wrap(s.warm(), errs.Internal, "start the event loops")
+	return errs.Wrap(s.waitForLoops(), errs.Internal, "start the event loops")
 }
 
 // Addr is the real host:port after Start.
@@ -228,17 +228,17 @@
 // then ends their context and closes all connections. Handlers left at the end of grace are errs.Timeout.
 // Call it once; without a Start it does nothing.
 func (s *Server) Stop(grace time.Duration) error {
-	if s.ln == nil {
+	if s.listener == nil {
 		return nil
 	}
-	s.ln.quiet()
+	s.listener.stopAccepting()
 	s.mu.Lock()
 	s.stopping = true
-	s.tellIdle()
+	s.signalIdle()
 	s.mu.Unlock()
 	over := make(chan struct{})
-	ring := s.opt.Clock.Set(grace, func() { close(over) })
-	defer ring.Stop()
+	timer := s.opt.Clock.Set(grace, func() { close(over) })
+	defer timer.Stop()
 	var err error
 	select {
 	case <-s.idle:
--- a/internal/rpc/transfer.go
+++ b/internal/rpc/transfer.go
@@ -11,16 +11,16 @@
 	"time"
 )
 
-// holder lends connections to calls.
-type holder interface {
-	take(ctx context.Context, addr string) (*link, error)
-	give(l *link, whole bool) // whole: the call went well to its last byte
-	ended() bool
+// connectionSource lends connections to calls.
+type connectionSource interface {
+	take(ctx context.Context, addr string) (*connection, error)
+	release(l *connection, whole bool) // whole: the call went well to its last byte
+	isClosed() bool
 }
 
-var errLate = errors.New("no answer in time")
+var errTimeout = errors.New("no answer in time")
 
-func (k *Caller) ask(ctx context.Context, h holder, addr, path string, call, answer any, within time.Duration, before func() error) error {
+func (k *Caller) ask(ctx context.Context, h connectionSource, addr, path string, call, answer any, within time.Duration, before func() error) error {
 	k.meter.calls.WithLabelValues(path).Inc()
 	room := len(path) + len(addr) + 160
 	out, in := takeFrame(room), takeFrame(0)
@@ -36,14 +36,14 @@
 		err = errs.Wrap(json.Unmarshal(in.buf.Bytes(), answer), errs.Malformed, "the answer of %s at %s", path, addr)
 	}
 	if err != nil {
-		k.meter.failures.WithLabelValues(path, string(known(errs.KindOf(err)))).Inc()
+		k.meter.failures.WithLabelValues(path, string(knownKind(errs.KindOf(err)))).Inc()
 	}
 	return errs.Pass(err, "call")
 }
 
 // askFrame makes one call of a pair: an answer other than 200 is the failure it tells of.
-func (k *Caller) askFrame(ctx context.Context, h holder, addr, path string, out []byte, in *bytes.Buffer, within time.Duration, before func() error) error {
-	t := transfer{addr: addr, path: path, method: http.MethodPost, out: out, in: in, within: within, before: before}
+func (k *Caller) askFrame(ctx context.Context, h connectionSource, addr, path string, out []byte, in *bytes.Buffer, within time.Duration, before func() error) error {
+	t := transfer{addr: addr, path: path, method: http.MethodPost, request: out, response: in, within: within, before: before}
 	res, err := k.transfer(ctx, h, t)
 	if err != nil {
 		return errs.Pass(err, "send")
@@ -71,20 +71,20 @@
 // transfer is one request as it goes out, and the buffer that takes the body of its response.
 type transfer struct {
 	addr, path, method string
-	out                []byte // head and body
-	in                 *bytes.Buffer
+	request            []byte // head and body
+	response           *bytes.Buffer
 	within             time.Duration
 	before             func() error // before each write; nil: none
 }
 
 // transfer sends a request once and reads the whole response, of any status, over a connection of h.
-func (k *Caller) transfer(ctx context.Context, h holder, t transfer) (*http.Response, error) {
+func (k *Caller) transfer(ctx context.Context, h connectionSource, t transfer) (*http.Response, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	if t.within <= 0 {
-		cancel(errLate)
+		cancel(errTimeout)
 	} else {
-		defer k.opt.Clock.Set(t.within, func() { cancel(errLate) }).Stop()
+		defer k.opt.Clock.Set(t.within, func() { cancel(errTimeout) }).Stop()
 	}
 	sent := 0
 	explain := func(err error) error {
@@ -94,7 +94,7 @@
 		switch {
 		case context.Cause(ctx) != nil:
 			return errs.Wrap(errors.Join(context.Cause(ctx), err), errs.Timeout, "%s at %s: over after at most %s", t.path, t.addr, t.within)
-		case h.ended():
+		case h.isClosed():
 			return errs.Wrap(err, errs.Stopped, "%s at %s: closed on our side", t.path, t.addr)
 		}
 		return errs.Wrap(err, errs.Unavailable, "%s at %s", t.path, t.addr)
@@ -105,10 +105,10 @@
 	}
 	whole := false
 	stop := context.AfterFunc(ctx, l.reset)
-	defer func() { h.give(l, stop() && whole) }()
+	defer func() { h.release(l, stop() && whole) }()
 
 	var refused error
-	err = l.write(t.out, &sent, func() error {
+	err = l.write(t.request, &sent, func() error {
 		if context.Cause(ctx) != nil {
 			return errs.Wrap(context.Cause(ctx), errs.Timeout, "before the write")
 		}
@@ -134,21 +134,21 @@
 	if err != nil {
 		return nil, errs.Pass(explain(err), "read the answer's head")
 	}
-	err = readInto(t.in, res.Body, res.ContentLength, k.opt.MaxBody)
-	k.meter.in.Add(float64(t.in.Len()))
+	err = readInto(t.response, res.Body, res.ContentLength, k.opt.MaxBody)
+	k.meter.in.Add(float64(t.response.Len()))
 	if errs.Is(err, errs.TooLarge) {
 		return nil, errs.Pass(err, "the answer of %s at %s", t.path, t.addr)
 	}
 	if err != nil {
 		return nil, errs.Pass(explain(err), "read the answer")
 	}
-	whole = !res.Close && l.read.Buffered() == 0
+	whole = !res.Close && l.reader.Buffered() == 0
 	return res, nil
 }
 
 // decodeError makes the failure of an answer other than 200; a failure of ours is marked for Answered.
 func decodeError(res *http.Response, body []byte) error {
-	var r reply
+	var r errorBody
 	if err := json.Unmarshal(body, &r); err != nil || r.Kind == "" {
 		kind := errs.Internal
 		if res.StatusCode >= http.StatusInternalServerError {
@@ -156,7 +156,7 @@
 		}
 		return errs.New(kind, "status %d without a fault of ours", res.StatusCode)
 	}
-	f := &errs.Error{Kind: known(r.Kind), Field: r.Field, Message: r.Message, Hint: r.Hint}
+	f := &errs.Error{Kind: knownKind(r.Kind), Field: r.Field, Message: r.Message, Hint: r.Hint}
 	if s, err := strconv.Atoi(res.Header.Get("Retry-After")); err == nil && s > 0 {
 		f.After = time.Duration(s) * time.Second
 	}
--- a/internal/storage/append.go
+++ b/internal/storage/append.go
@@ -20,7 +20,7 @@
 	if len(recs) == 0 {
 		return nil
 	}
-	last := max(s.tale.last(), s.newest.Index)
+	last := max(s.log.lastIndex(), s.newest.Index)
 	s.buf = s.buf[:0]
 	for _, r := range recs {
 		switch {
@@ -49,9 +49,9 @@
 		if r.Data = slices.Clone(r.Data); r.Kind != KindHard {
 			r.Data = nil
 		}
-		s.tale.add(r)
+		s.log.add(r)
 	}
-	s.count(func(c *Stats) {
+	s.updateStats(func(c *Stats) {
 		c.Syncs, c.Bytes, c.Records = c.Syncs+1, c.Bytes+uint64(len(s.buf)), c.Records+uint64(len(recs))
 		c.LastSync, c.LongestSync = took, max(c.LongestSync, took)
 	})
--- a/internal/storage/memdisk.go
+++ b/internal/storage/memdisk.go
@@ -13,26 +13,26 @@
 // MemDisk is a Disk in memory that keeps what is synced apart from what is not, for tests and the simulator.
 // It is safe for use from many goroutines.
 type MemDisk struct {
-	mu       sync.Mutex
-	live     map[string]*inode
-	kept     map[string]*inode   // the names as last synced
-	names    []map[string]*inode // the names after each change since then
-	boot     int
-	failSync int
-	powerOff int
+	mu            sync.Mutex
+	live          map[string]*inode
+	durable       map[string]*inode   // the names as last synced
+	unsyncedNames []map[string]*inode // the names after each change since then
+	boot          int
+	failSync      int
+	powerOff      int
 }
 
 type inode struct {
-	data  []byte
-	kept  int  // bytes that last
-	spoil bool // a sync failed: what was written before never lasts, though reads give it
+	data       []byte
+	durable    int  // bytes that last
+	syncFailed bool // a sync failed: what was written before never lasts, though reads give it
 }
 
 type memFile struct {
-	d    *MemDisk
-	n    *inode
-	boot int
-	pos  int
+	disk   *MemDisk
+	inode  *inode
+	boot   int
+	offset int
 }
 
 // NewMemDisk makes an empty folder. Example:
@@ -42,7 +42,7 @@
 //	d.Crash(rand.New(rand.NewSource(7)))
 //	store, boot, err := storage.Open(d, storage.Options{}) // all that was appended is in boot
 func NewMemDisk() *MemDisk {
-	return &MemDisk{live: map[string]*inode{}, kept: map[string]*inode{}}
+	return &MemDisk{live: map[string]*inode{}, durable: map[string]*inode{}}
 }
 
 // FailSync makes the n-th sync from now fail (1: the next), of a file or of the folder; 0 calls it off.
@@ -59,24 +59,24 @@
 	defer d.mu.Unlock()
 	d.boot++
 	d.failSync, d.powerOff = 0, 0
-	if n := r.Intn(len(d.names) + 1); n > 0 {
-		d.kept = d.names[n-1]
+	if n := r.Intn(len(d.unsyncedNames) + 1); n > 0 {
+		d.durable = d.unsyncedNames[n-1]
 	}
-	d.names, d.live = nil, maps.Clone(d.kept)
+	d.unsyncedNames, d.live = nil, maps.Clone(d.durable)
 	for _, name := range slices.Sorted(maps.Keys(d.live)) {
 		n := d.live[name]
-		loose := len(n.data) - n.kept
-		if n.spoil {
+		loose := len(n.data) - n.durable
+		if n.syncFailed {
 			loose = 0
 		}
-		stay := n.kept + r.Intn(loose+1)
+		stay := n.durable + r.Intn(loose+1)
 		data := slices.Clone(n.data[:stay])
 		if r.Intn(3) == 0 {
 			data = append(data, make([]byte, len(n.data)-stay)...)
 		}
-		d.live[name] = &inode{data: data, kept: len(data)}
+		d.live[name] = &inode{data: data, durable: len(data)}
 	}
-	d.kept = maps.Clone(d.live)
+	d.durable = maps.Clone(d.live)
 }
 
 // Flip turns over the bits of mask in one byte of a file; nothing happens past its end.
@@ -102,9 +102,9 @@
 func (d *MemDisk) Put(name string, data []byte) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	n := &inode{data: slices.Clone(data), kept: len(data)}
-	d.live[name], d.kept[name] = n, n
-	for _, m := range d.names {
+	n := &inode{data: slices.Clone(data), durable: len(data)}
+	d.live[name], d.durable[name] = n, n
+	for _, m := range d.unsyncedNames {
 		m[name] = n
 	}
 }
@@ -120,8 +120,8 @@
 	return out
 }
 
-// change counts a changing call and tells whether the power is off.
-func (d *MemDisk) change(boot int) error {
+// checkWritable counts a changing call and tells whether the power is off.
+func (d *MemDisk) checkWritable(boot int) error {
 	if d.powerOff > 1 {
 		d.powerOff--
 	} else if d.powerOff == 1 {
@@ -141,25 +141,25 @@
 	return d.failSync == 0
 }
 
-// rename does edit on the live names and notes the outcome.
-func (d *MemDisk) rename(edit func()) {
+// changeNames does edit on the live names and notes the outcome.
+func (d *MemDisk) changeNames(edit func()) {
 	edit()
-	d.names = append(d.names, maps.Clone(d.live))
+	d.unsyncedNames = append(d.unsyncedNames, maps.Clone(d.live))
 }
 
 // Create makes a new file.
 func (d *MemDisk) Create(name string) (File, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if err := d.change(d.boot); err != nil {
+	if err := d.checkWritable(d.boot); err != nil {
 		return nil, errs.Pass(err, "create %s", name)
 	}
 	if d.live[name] != nil {
 		return nil, errs.New(errs.Disk, "%s is there already", name)
 	}
 	n := &inode{}
-	d.rename(func() { d.live[name] = n })
-	return &memFile{d: d, n: n, boot: d.boot}, nil
+	d.changeNames(func() { d.live[name] = n })
+	return &memFile{disk: d, inode: n, boot: d.boot}, nil
 }
 
 // Open opens a file to read.
@@ -169,7 +169,7 @@
 	if d.live[name] == nil {
 		return nil, errs.New(errs.Disk, "%s is missing", name)
 	}
-	return &memFile{d: d, n: d.live[name], boot: d.boot}, nil
+	return &memFile{disk: d, inode: d.live[name], boot: d.boot}, nil
 }
 
 // List gives the names in order.
@@ -183,13 +183,13 @@
 func (d *MemDisk) Remove(name string) error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if err := d.change(d.boot); err != nil {
+	if err := d.checkWritable(d.boot); err != nil {
 		return errs.Pass(err, "remove %s", name)
 	}
 	if d.live[name] == nil {
 		return errs.New(errs.Disk, "%s is missing", name)
 	}
-	d.rename(func() { delete(d.live, name) })
+	d.changeNames(func() { delete(d.live, name) })
 	return nil
 }
 
@@ -197,14 +197,14 @@
 func (d *MemDisk) Rename(old, name string) error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if err := d.change(d.boot); err != nil {
+	if err := d.checkWritable(d.boot); err != nil {
 		return errs.Pass(err, "rename %s", old)
 	}
 	n := d.live[old]
 	if n == nil {
 		return errs.New(errs.Disk, "%s is missing", old)
 	}
-	d.rename(func() { delete(d.live, old); d.live[name] = n })
+	d.changeNames(func() { delete(d.live, old); d.live[name] = n })
 	return nil
 }
 
@@ -212,53 +212,53 @@
 func (d *MemDisk) Sync() error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if err := d.change(d.boot); err != nil {
+	if err := d.checkWritable(d.boot); err != nil {
 		return errs.Pass(err, "sync the folder")
 	}
 	if d.syncFails() {
 		return errs.New(errs.Disk, "sync of the folder failed")
 	}
-	d.kept, d.names = maps.Clone(d.live), nil
+	d.durable, d.unsyncedNames = maps.Clone(d.live), nil
 	return nil
 }
 
 // Read is io.Reader.
 func (f *memFile) Read(p []byte) (int, error) {
-	f.d.mu.Lock()
-	defer f.d.mu.Unlock()
-	if f.pos >= len(f.n.data) {
+	f.disk.mu.Lock()
+	defer f.disk.mu.Unlock()
+	if f.offset >= len(f.inode.data) {
 		return 0, io.EOF
 	}
-	n := copy(p, f.n.data[f.pos:])
-	f.pos += n
+	n := copy(p, f.inode.data[f.offset:])
+	f.offset += n
 	return n, nil
 }
 
 // Write appends to the file. It is errs.Disk after the disk was crashed or cut off.
 func (f *memFile) Write(p []byte) (int, error) {
-	f.d.mu.Lock()
-	defer f.d.mu.Unlock()
-	if err := f.d.change(f.boot); err != nil {
+	f.disk.mu.Lock()
+	defer f.disk.mu.Unlock()
+	if err := f.disk.checkWritable(f.boot); err != nil {
 		return 0, errs.Pass(err, "write")
 	}
-	f.n.data = append(f.n.data, p...)
+	f.inode.data = append(f.inode.data, p...)
 	return len(p), nil
 }
 
 // Sync makes what was written durable, unless the disk is to fail this sync: then nothing of the file becomes
 // durable any more.
 func (f *memFile) Sync() error {
-	f.d.mu.Lock()
-	defer f.d.mu.Unlock()
-	if err := f.d.change(f.boot); err != nil {
+	f.disk.mu.Lock()
+	defer f.disk.mu.Unlock()
+	if err := f.disk.checkWritable(f.boot); err != nil {
 		return errs.Pass(err, "sync")
 	}
-	if f.d.syncFails() {
-		f.n.spoil = true
+	if f.disk.syncFails() {
+		f.inode.syncFailed = true
 		return errs.New(errs.Disk, "sync failed")
 	}
-	if !f.n.spoil {
-		f.n.kept = len(f.n.data)
+	if !f.inode.syncFailed {
+		f.inode.durable = len(f.inode.data)
 	}
 	return nil
 }
--- a/internal/storage/open.go
+++ b/internal/storage/open.go
@@ -16,7 +16,7 @@
 //		// rejoin as a replaced machine
 //	}
 func Open(d Disk, opt Options) (*Store, Boot, error) {
-	s := &Store{disk: d, clock: opt.Clock, at: 1}
+	s := &Store{disk: d, clock: opt.Clock, newestPlace: 1}
 	if s.clock == nil {
 		s.clock = clock.Real{}
 	}
@@ -27,17 +27,17 @@
 	return s, boot, nil
 }
 
-// found is the folder as it is read.
-type found struct {
-	images  []Image // valid slots, newest first
-	places  []int   // their places in slotNames
-	slots   int     // slot files, valid or not
-	loose   []string
-	numbers []uint64 // of the segments
-	bytes   [][]byte
+// folder is the folder as it is read.
+type folder struct {
+	images         []Image // valid slots, newest first
+	places         []int   // their places in slotNames
+	slots          int     // slot files, valid or not
+	unfinished     []string
+	segmentNumbers []uint64 // of the segments
+	segmentBytes   [][]byte
 }
 
-func (s *Store) look() (f found, err error) {
+func (s *Store) scan() (f folder, err error) {
 	names, err := s.disk.List()
 	if err != nil {
 		return f, errs.Pass(err, "look at the folder")
@@ -47,18 +47,18 @@
 		place := slices.Index(slotNames[:], name)
 		number, isLog := segmentNumber(name)
 		switch {
-		case strings.HasSuffix(name, loose):
-			f.loose = append(f.loose, name)
+		case strings.HasSuffix(name, unfinishedSuffix):
+			f.unfinished = append(f.unfinished, name)
 			continue
 		case place < 0 && !isLog:
 			continue // not ours
 		}
-		all, err := s.read(name)
+		all, err := s.readFile(name)
 		if err != nil {
 			return f, errs.Pass(err, "look at %s", name)
 		}
 		if isLog {
-			f.numbers, f.bytes = append(f.numbers, number), append(f.bytes, all)
+			f.segmentNumbers, f.segmentBytes = append(f.segmentNumbers, number), append(f.segmentBytes, all)
 			continue
 		}
 		f.slots++
@@ -76,23 +76,23 @@
 }
 
 func (s *Store) open() (boot Boot, err error) {
-	f, err := s.look()
+	f, err := s.scan()
 	if err != nil {
 		return boot, errs.Pass(err, "files of the store")
 	}
 	// Read the log up to its first bad byte, which may only be the torn end of it all.
 	var tail []Record // records of the last segment that counts
-	var told tale
+	var told logView
 	dropped := 0 // segments after it
-	for i, number := range f.numbers {
-		if i > 0 && number != f.numbers[i-1]+1 {
-			return boot, errs.New(errs.Damaged, "segment %d follows %d", number, f.numbers[i-1])
+	for i, number := range f.segmentNumbers {
+		if i > 0 && number != f.segmentNumbers[i-1]+1 {
+			return boot, errs.New(errs.Damaged, "segment %d follows %d", number, f.segmentNumbers[i-1])
 		}
-		recs, end := readSegment(f.bytes[i], number)
+		recs, end := readSegment(f.segmentBytes[i], number)
 		g := segment{number: number}
 		for _, r := range recs {
 			if !told.add(r) {
-				return boot, errs.New(errs.Damaged, "segment %d: entry %d follows %d", number, r.Index, told.last())
+				return boot, errs.New(errs.Damaged, "segment %d: entry %d follows %d", number, r.Index, told.lastIndex())
 			}
 			g.note(r)
 		}
@@ -102,45 +102,45 @@
 		if i == 0 && lost || len(recs) > 0 && recs[0].Kind != kindBase {
 			return boot, errs.New(errs.Damaged, "segment %d lost its start", number)
 		}
-		if end == len(f.bytes[i]) && len(recs) > 0 {
+		if end == len(f.segmentBytes[i]) && len(recs) > 0 {
 			continue
 		}
-		later := anyRecord(f.bytes[i], number, end)
-		for j := i; j < len(f.numbers); j++ {
-			later = later || j > i && anyRecord(f.bytes[j], f.numbers[j], 0)
-			boot.Cut += int64(len(f.bytes[j]))
+		later := anyRecord(f.segmentBytes[i], number, end)
+		for j := i; j < len(f.segmentNumbers); j++ {
+			later = later || j > i && anyRecord(f.segmentBytes[j], f.segmentNumbers[j], 0)
+			boot.Cut += int64(len(f.segmentBytes[j]))
 		}
 		if boot.Cut -= int64(end); later {
 			return boot, errs.New(errs.Damaged, "segment %d is bad at byte %d, before valid records", number, end)
 		}
-		dropped = len(f.numbers) - 1 - i
+		dropped = len(f.segmentNumbers) - 1 - i
 		break
 	}
-	if len(f.numbers) == 0 && f.slots > 0 {
+	if len(f.segmentNumbers) == 0 && f.slots > 0 {
 		return boot, errs.New(errs.Damaged, "slots without a log")
 	}
-	if err := s.choose(f, &told, &boot); err != nil {
+	if err := s.chooseSnapshot(f, &told, &boot); err != nil {
 		return boot, errs.Pass(err, "newest slot")
 	}
-	return boot, errs.Pass(s.settle(f, dropped, tail, told), "end of the log")
+	return boot, errs.Pass(s.rewriteTail(f, dropped, tail, told), "end of the log")
 }
 
-// choose takes the newest image that the log follows.
-func (s *Store) choose(f found, told *tale, boot *Boot) error {
+// chooseSnapshot takes the newest image that the log follows.
+func (s *Store) chooseSnapshot(f folder, told *logView, boot *Boot) error {
 	for i := range f.images {
 		img, t := f.images[i], *told
 		if t.base.Index != img.Index || t.base.Term != img.Term {
 			t.rebase(Record{Kind: kindBase, Index: img.Index, Term: img.Term})
 		}
-		if entries, ok := t.after(img.Index); ok {
-			*told, s.at, boot.Image = t, f.places[i], &img
+		if entries, ok := t.entriesAfter(img.Index); ok {
+			*told, s.newestPlace, boot.Image = t, f.places[i], &img
 			s.newest = Image{Number: img.Number, Index: img.Index, Term: img.Term}
 			boot.Records = slices.Clone(entries)
 			break
 		}
 	}
 	if boot.Image == nil {
-		entries, ok := told.after(0)
+		entries, ok := told.entriesAfter(0)
 		if !ok || len(f.images) > 0 {
 			return errs.New(errs.Damaged, "the log does not follow any valid slot (%d of %d valid)", len(f.images), f.slots)
 		}
@@ -153,10 +153,10 @@
 	return nil
 }
 
-// settle writes the last segment anew, so that what Open gives lasts even if it was read from the memory of the
+// rewriteTail writes the last segment anew, so that what Open gives lasts even if it was read from the memory of the
 // machine after a failed sync or a kill, and removes what does not count.
-func (s *Store) settle(f found, dropped int, tail []Record, told tale) error {
-	for _, name := range f.loose {
+func (s *Store) rewriteTail(f folder, dropped int, tail []Record, told logView) error {
+	for _, name := range f.unfinished {
 		if err := s.disk.Remove(name); err != nil {
 			return errs.Wrap(err, errs.Disk, "remove %s", name)
 		}
@@ -165,27 +165,27 @@
 		s.segments = []segment{{number: 1}}
 	}
 	last := s.segments[len(s.segments)-1]
-	s.tale = tale{list: told.list, hard: told.hard, floor: told.floor, base: told.base}
+	s.log = logView{entries: told.entries, hard: told.hard, floor: told.floor, base: told.base}
 	head := slices.Clone(tail)
 	if len(tail) == 0 {
-		head = s.head()
+		head = s.segmentHead()
 	} else if told.hard != nil && !slices.ContainsFunc(tail, func(r Record) bool { return r.Kind == KindHard }) {
-		head = append(s.head(), tail[1:]...)
+		head = append(s.segmentHead(), tail[1:]...)
 	}
 	if s.newest.Number > 0 && !slices.ContainsFunc(head, func(r Record) bool {
 		return r.Kind == kindBase && r.Index == s.newest.Index && r.Term == s.newest.Term
 	}) {
 		head = append(head, Record{Kind: kindBase, Index: s.newest.Index, Term: s.newest.Term})
 	}
-	s.tale.list = slices.Clone(told.list)
-	for i := range s.tale.list {
-		s.tale.list[i].Data = nil
+	s.log.entries = slices.Clone(told.entries)
+	for i := range s.log.entries {
+		s.log.entries[i].Data = nil
 	}
-	if err := s.start(last, head); err != nil {
+	if err := s.startSegment(last, head); err != nil {
 		return errs.Pass(err, "segment %d", last.number)
 	}
 	for i := range dropped { // from the end, so that no gap can stay
-		number := f.numbers[len(f.numbers)-1-i]
+		number := f.segmentNumbers[len(f.segmentNumbers)-1-i]
 		if err := s.removeSegment(number); err != nil {
 			return errs.Pass(err, "drop segment %d", number)
 		}
@@ -201,7 +201,7 @@
 	}
 	for _, name := range names {
 		_, isLog := segmentNumber(name)
-		if !isLog && !slices.Contains(slotNames[:], name) && !strings.HasSuffix(name, loose) {
+		if !isLog && !slices.Contains(slotNames[:], name) && !strings.HasSuffix(name, unfinishedSuffix) {
 			continue
 		}
 		if err := d.Remove(name); err != nil {
--- a/internal/storage/record.go
+++ b/internal/storage/record.go
@@ -23,37 +23,37 @@
 }
 
 const (
-	mark      = "\xc7\x1dRc"     // starts each record, so that a reader can find one again after damage
-	headSize  = 29               // mark 4, sum 4, length 4, kind 1, term 8, index 8
-	slotMark  = "ctslot\x00\x01" // starts a slot
-	slotSize  = 48               // mark 8, number 8, index 8, term 8, meta length 8, body length 8
-	slotsDone = 8                // the sum at the end
+	recordMark     = "\xc7\x1dRc"     // starts each record, so that a reader can find one again after damage
+	recordHeadSize = 29               // mark 4, sum 4, length 4, kind 1, term 8, index 8
+	slotMark       = "ctslot\x00\x01" // starts a slot
+	slotHeadSize   = 48               // mark 8, number 8, index 8, term 8, meta length 8, body length 8
+	slotSumSize    = 8                // the sum at the end
 )
 
 var (
 	castagnoli = crc32.MakeTable(crc32.Castagnoli)
-	order      = binary.LittleEndian
+	byteOrder  = binary.LittleEndian
 )
 
-// sumOf covers where the record stands (segment, offset), its length, kind, term, index and data.
-func sumOf(segment uint64, offset int, rest []byte) uint32 {
+// recordSum covers where the record stands (segment, offset), its length, kind, term, index and data.
+func recordSum(segment uint64, offset int, rest []byte) uint32 {
 	var at [16]byte
-	order.PutUint64(at[:], segment)
-	order.PutUint64(at[8:], uint64(offset))
+	byteOrder.PutUint64(at[:], segment)
+	byteOrder.PutUint64(at[8:], uint64(offset))
 	return crc32.Update(crc32.Checksum(at[:], castagnoli), castagnoli, rest)
 }
 
 // appendRecord adds r to buf; buf[0] will stand at offset start of the segment.
 func appendRecord(buf []byte, segment uint64, start int, r Record) []byte {
 	at := len(buf)
-	buf = append(buf, mark...)
+	buf = append(buf, recordMark...)
 	buf = append(buf, 0, 0, 0, 0)
-	buf = order.AppendUint32(buf, uint32(len(r.Data)))
+	buf = byteOrder.AppendUint32(buf, uint32(len(r.Data)))
 	buf = append(buf, r.Kind)
-	buf = order.AppendUint64(buf, r.Term)
-	buf = order.AppendUint64(buf, r.Index)
+	buf = byteOrder.AppendUint64(buf, r.Term)
+	buf = byteOrder.AppendUint64(buf, r.Index)
 	buf = append(buf, r.Data...)
-	order.PutUint32(buf[at+4:], sumOf(segment, start+at, buf[at+8:]))
+	byteOrder.PutUint32(buf[at+4:], recordSum(segment, start+at, buf[at+8:]))
 	return buf
 }
 
@@ -61,18 +61,18 @@
 // Data is a part of all.
 func recordAt(all []byte, segment uint64, offset int) (r Record, end int, ok bool) {
 	b := all[offset:]
-	if len(b) < headSize || string(b[:4]) != mark {
+	if len(b) < recordHeadSize || string(b[:4]) != recordMark {
 		return r, offset, false
 	}
-	size := order.Uint32(b[8:])
-	if size > MaxData || int(size) > len(b)-headSize {
+	size := byteOrder.Uint32(b[8:])
+	if size > MaxData || int(size) > len(b)-recordHeadSize {
 		return r, offset, false
 	}
-	b = b[:headSize+int(size)]
-	if sumOf(segment, offset, b[8:]) != order.Uint32(b[4:]) {
+	b = b[:recordHeadSize+int(size)]
+	if recordSum(segment, offset, b[8:]) != byteOrder.Uint32(b[4:]) {
 		return r, offset, false
 	}
-	r = Record{Kind: b[12], Term: order.Uint64(b[13:]), Index: order.Uint64(b[21:]), Data: b[headSize:]}
+	r = Record{Kind: b[12], Term: byteOrder.Uint64(b[13:]), Index: byteOrder.Uint64(b[21:]), Data: b[recordHeadSize:]}
 	return r, offset + len(b), true
 }
 
@@ -91,7 +91,7 @@
 // anyRecord tells whether a valid record starts at offset or later.
 func anyRecord(all []byte, segment uint64, offset int) bool {
 	for offset < len(all) {
-		i := bytes.Index(all[offset:], []byte(mark))
+		i := bytes.Index(all[offset:], []byte(recordMark))
 		if i < 0 {
 			return false
 		}
--- a/internal/storage/segment.go
+++ b/internal/storage/segment.go
@@ -6,41 +6,41 @@
 )
 
 type segment struct {
-	number uint64
-	top    uint64 // highest index of an entry
+	number    uint64
+	lastEntry uint64 // highest index of an entry
 }
 
-func (g segment) name() string { return fmt.Sprintf("%s%016d", logTag, g.number) }
+func (g segment) name() string { return fmt.Sprintf("%s%016d", segmentPrefix, g.number) }
 
 func (g *segment) note(r Record) {
 	if r.Kind < kindBase {
-		g.top = max(g.top, r.Index)
+		g.lastEntry = max(g.lastEntry, r.Index)
 	}
 }
 
 // segmentNumber gives the number of the log segment that has the name; false if none has.
 func segmentNumber(name string) (number uint64, ok bool) {
-	_, err := fmt.Sscanf(name, logTag+"%d", &number)
+	_, err := fmt.Sscanf(name, segmentPrefix+"%d", &number)
 	return number, err == nil && segment{number: number}.name() == name
 }
 
-// head is what each segment starts with. Data in the first record says that the hard state follows.
-func (s *Store) head() []Record {
+// segmentHead is what each segment starts with. Data in the first record says that the hard state follows.
+func (s *Store) segmentHead() []Record {
 	out := []Record{{Kind: kindBase, Index: s.newest.Index, Term: s.newest.Term}}
-	if s.tale.hard != nil {
+	if s.log.hard != nil {
 		out[0].Data = []byte{1}
-		out = append(out, *s.tale.hard)
+		out = append(out, *s.log.hard)
 	}
 	return out
 }
 
-// start makes g, with recs in it, the segment to append to.
-func (s *Store) start(g segment, recs []Record) error {
+// startSegment makes g, with recs in it, the segment to append to.
+func (s *Store) startSegment(g segment, recs []Record) error {
 	var buf []byte
 	for _, r := range recs {
 		buf = appendRecord(buf, g.number, 0, r)
 	}
-	file, err := s.place(g.name(), buf)
+	file, err := s.writeFile(g.name(), buf)
 	if err != nil {
 		return errs.Pass(err, "segment to append to")
 	}
@@ -51,9 +51,9 @@
 	return nil
 }
 
-// place writes a file under a loose name, syncs it, gives it its name and syncs the folder.
-func (s *Store) place(name string, parts ...[]byte) (File, error) {
-	file, err := s.disk.Create(name + loose)
+// writeFile writes a file under a loose name, syncs it, gives it its name and syncs the folder.
+func (s *Store) writeFile(name string, parts ...[]byte) (File, error) {
+	file, err := s.disk.Create(name + unfinishedSuffix)
 	if err != nil {
 		return nil, errs.Wrap(err, errs.Disk, "create %s", name)
 	}
@@ -68,7 +68,7 @@
 		err = file.Sync()
 	}
 	if err == nil {
-		err = s.disk.Rename(name+loose, name)
+		err = s.disk.Rename(name+unfinishedSuffix, name)
 	}
 	if err == nil {
 		err = s.disk.Sync()
@@ -77,7 +77,7 @@
 		_ = file.Close()
 		return nil, errs.Wrap(err, errs.Disk, "write %s", name)
 	}
-	s.count(func(c *Stats) { c.Syncs, c.Bytes = c.Syncs+2, c.Bytes+uint64(bytes) })
+	s.updateStats(func(c *Stats) { c.Syncs, c.Bytes = c.Syncs+2, c.Bytes+uint64(bytes) })
 	return file, nil
 }
 
@@ -86,6 +86,6 @@
 	if err := s.disk.Remove(name); err != nil {
 		return errs.Wrap(err, errs.Disk, "remove %s", name)
 	}
-	s.count(func(c *Stats) { c.Syncs++ })
+	s.updateStats(func(c *Stats) { c.Syncs++ })
 	return errs.Wrap(s.disk.Sync(), errs.Disk, "sync the folder")
 }
--- a/internal/storage/snapshot.go
+++ b/internal/storage/snapshot.go
@@ -13,10 +13,10 @@
 //
 //	err := store.WriteSlot(storage.Image{Index: applied, Term: term, Meta: members, Body: state}, 0)
 func (s *Store) WriteSlot(img Image, keepFrom uint64) error {
-	s.slots.Lock()
-	defer s.slots.Unlock()
+	s.writingSlot.Lock()
+	defer s.writingSlot.Unlock()
 	s.mu.Lock()
-	err, before, at := s.usable(), s.newest, 1-s.at
+	err, before, at := s.usable(), s.newest, 1-s.newestPlace
 	s.mu.Unlock()
 	if err != nil {
 		return errs.Pass(err, "slot %d", before.Number+1)
@@ -26,7 +26,7 @@
 	}
 	img.Number = before.Number + 1
 	head, tail := slotParts(img)
-	file, err := s.place(slotNames[at], head, img.Body, tail)
+	file, err := s.writeFile(slotNames[at], head, img.Body, tail)
 	if err == nil {
 		_ = file.Close() // synced before
 		err = s.rotate(img, at, before.Index, keepFrom)
@@ -36,7 +36,7 @@
 		defer s.mu.Unlock()
 		return errs.Pass(s.fail(err), "slot %d", img.Number)
 	}
-	s.count(func(c *Stats) { c.Slots++ })
+	s.updateStats(func(c *Stats) { c.Slots++ })
 	return nil
 }
 
@@ -45,24 +45,24 @@
 	s.mu.Lock()
 	err := s.usable()
 	if err == nil {
-		s.newest, s.at = Image{Number: img.Number, Index: img.Index, Term: img.Term}, at
-		head := s.head()
-		s.tale.rebase(head[0])
+		s.newest, s.newestPlace = Image{Number: img.Number, Index: img.Index, Term: img.Term}, at
+		head := s.segmentHead()
+		s.log.rebase(head[0])
 		g := segment{number: s.segments[len(s.segments)-1].number + 1}
-		if err = s.start(g, head); err == nil {
+		if err = s.startSegment(g, head); err == nil {
 			s.segments = append(s.segments, g)
 		}
 	}
 	n := 0
-	for n < len(s.segments)-1 && s.segments[n].top <= before && (keepFrom == 0 || s.segments[n].top < keepFrom) {
+	for n < len(s.segments)-1 && s.segments[n].lastEntry <= before && (keepFrom == 0 || s.segments[n].lastEntry < keepFrom) {
 		n++
 	}
 	old := s.segments[:n]
 	s.segments = slices.Clone(s.segments[n:])
 	if n > 0 {
-		s.tale.list = slices.DeleteFunc(s.tale.list, func(r Record) bool { return r.Index <= before && r.Index <= img.Index })
-		if len(s.tale.list) == 0 {
-			s.tale.floor = max(s.tale.floor, img.Index)
+		s.log.entries = slices.DeleteFunc(s.log.entries, func(r Record) bool { return r.Index <= before && r.Index <= img.Index })
+		if len(s.log.entries) == 0 {
+			s.log.floor = max(s.log.floor, img.Index)
 		}
 	}
 	s.mu.Unlock()
@@ -75,12 +75,12 @@
 // NewestSlot reads the newest slot back and checks it. Failures: Unknown (none was written), Damaged, Disk.
 func (s *Store) NewestSlot() (Image, error) {
 	s.mu.Lock()
-	name, number := slotNames[s.at], s.newest.Number
+	name, number := slotNames[s.newestPlace], s.newest.Number
 	s.mu.Unlock()
 	if number == 0 {
 		return Image{}, errs.New(errs.Unknown, "no slot was written yet")
 	}
-	all, err := s.read(name)
+	all, err := s.readFile(name)
 	if err != nil {
 		return Image{}, errs.Pass(err, "newest slot")
 	}
--- a/internal/storage/snapshotfile.go
+++ b/internal/storage/snapshotfile.go
@@ -18,31 +18,31 @@
 func slotParts(img Image) (head, tail []byte) {
 	head = append(head, slotMark...)
 	for _, v := range []uint64{img.Number, img.Index, img.Term, uint64(len(img.Meta)), uint64(len(img.Body))} {
-		head = order.AppendUint64(head, v)
+		head = byteOrder.AppendUint64(head, v)
 	}
 	head = append(head, img.Meta...)
 	sum := xxhash.New()
 	_, _ = sum.Write(head) // never fails
 	_, _ = sum.Write(img.Body)
-	return head, order.AppendUint64(nil, sum.Sum64())
+	return head, byteOrder.AppendUint64(nil, sum.Sum64())
 }
 
 // readSlot checks a slot. Failure: Damaged.
 func readSlot(all []byte) (Image, error) {
-	if len(all) < slotSize+slotsDone || string(all[:8]) != slotMark {
+	if len(all) < slotHeadSize+slotSumSize || string(all[:8]) != slotMark {
 		return Image{}, errs.New(errs.Damaged, "no slot in %d bytes", len(all))
 	}
-	cut := len(all) - slotsDone
-	if xxhash.Sum64(all[:cut]) != order.Uint64(all[cut:]) {
+	cut := len(all) - slotSumSize
+	if xxhash.Sum64(all[:cut]) != byteOrder.Uint64(all[cut:]) {
 		return Image{}, errs.New(errs.Damaged, "the slot's sum is wrong")
 	}
-	rest := all[slotSize:cut]
-	meta, body := order.Uint64(all[32:]), order.Uint64(all[40:])
+	rest := all[slotHeadSize:cut]
+	meta, body := byteOrder.Uint64(all[32:]), byteOrder.Uint64(all[40:])
 	if meta > uint64(len(rest)) || body != uint64(len(rest))-meta {
 		return Image{}, errs.New(errs.Damaged, "the slot's lengths are wrong")
 	}
 	return Image{
-		Number: order.Uint64(all[8:]), Index: order.Uint64(all[16:]), Term: order.Uint64(all[24:]),
+		Number: byteOrder.Uint64(all[8:]), Index: byteOrder.Uint64(all[16:]), Term: byteOrder.Uint64(all[24:]),
 		Meta: rest[:meta], Body: rest[meta:],
 	}, nil
 }
--- a/internal/storage/storage.go
+++ b/internal/storage/storage.go
@@ -13,8 +13,8 @@
 )
 
 const (
-	loose  = ".tmp" // ends the name of a file that is not synced yet
-	logTag = "log-"
+	unfinishedSuffix = ".tmp" // ends the name of a file that is not synced yet
+	segmentPrefix    = "log-"
 )
 
 var slotNames = [2]string{"slot-a", "slot-b"}
@@ -40,26 +40,26 @@
 
 // Store is an open folder. Append, WriteSlot, NewestSlot and Stats may run at the same time.
 type Store struct {
-	disk  Disk
-	clock clock.Clock
-	slots sync.Mutex // held by one WriteSlot
-
-	mu       sync.Mutex // the log and all below; never held while a slot is written
-	file     File       // the last segment
-	size     int
-	buf      []byte
-	segments []segment
-	tale     tale // entries without Data
-	broken   error
-	newest   Image // without Meta and Body
-	at       int   // the newest slot's place in slotNames
-	closed   bool
+	disk        Disk
+	clock       clock.Clock
+	writingSlot sync.Mutex // held by one WriteSlot
+
+	mu          sync.Mutex // the log and all below; never held while a slot is written
+	file        File       // the last segment
+	size        int
+	buf         []byte
+	segments    []segment
+	log         logView // entries without Data
+	broken      error
+	newest      Image // without Meta and Body
+	newestPlace int   // the newest slot's place in slotNames
+	closed      bool
 
 	countMu sync.Mutex
 	stats   Stats
 }
 
-func (s *Store) read(name string) ([]byte, error) {
+func (s *Store) readFile(name string) ([]byte, error) {
 	file, err := s.disk.Open(name)
 	if err != nil {
 		return nil, errs.Wrap(err, errs.Disk, "open %s", name)
@@ -69,7 +69,7 @@
 	return all, errs.Wrap(err, errs.Disk, "read %s", name)
 }
 
-func (s *Store) count(add func(c *Stats)) {
+func (s *Store) updateStats(add func(c *Stats)) {
 	s.countMu.Lock()
 	defer s.countMu.Unlock()
 	add(&s.stats)
@@ -108,8 +108,8 @@
 
 // Close ends the use of the store, after a WriteSlot that is under way. All that was appended lasts already.
 func (s *Store) Close() error {
-	s.slots.Lock()
-	defer s.slots.Unlock()
+	s.writingSlot.Lock()
+	defer s.writingSlot.Unlock()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.closed {
--- a/internal/storage/storage_test.go
+++ b/internal/storage/storage_test.go
@@ -187,7 +187,7 @@
 		names, _ := d.List()
 		So(names, ShouldHaveLength, 4)
 		last := names[1]
-		tail := len(d.Bytes(last)) - headSize - len(m.entries[10].Data)
+		tail := len(d.Bytes(last)) - recordHeadSize - len(m.entries[10].Data)
 		damaged, cut, good, wrong := 0, 0, 0, 0
 		for _, name := range names {
 			for at := range d.Bytes(name) {
@@ -196,11 +196,11 @@
 				_, boot, err := Open(c, virtual)
 				isTail := name == last && at >= tail
 				switch {
-				case errs.Is(err, errs.Damaged) && name[:4] == logTag && !isTail:
+				case errs.Is(err, errs.Damaged) && name[:4] == segmentPrefix && !isTail:
 					damaged++
 				case err == nil && isTail && boot.Cut > 0 && (model{m.hard, m.entries[:10]}).fits(boot):
 					cut++
-				case err == nil && name[:4] != logTag && m.fits(boot):
+				case err == nil && name[:4] != segmentPrefix && m.fits(boot):
 					good++
 				default:
 					wrong++
