--- a/cmd/cplane/bundle.go
+++ b/cmd/cplane/bundle.go
@@ -71,7 +71,7 @@
 	}
 }
 
-// one gives the arguments, which must be so many.
+// one returns the arguments, which must be so many.
 func args(cmd *cli.Command, names ...string) ([]string, error) {
 	if cmd.NArg() != len(names) {
 		return nil, errs.Field(errs.Settings, strings.Join(names, " "), "%d arguments are needed, are %d", len(names), cmd.NArg())
@@ -141,7 +141,7 @@
 	return nil
 }
 
-// signer gives the operator's key, nil if none is given: the store may know no operators yet.
+// signer returns the operator's key, nil if none is given: the store may know no operators yet.
 func signer(cmd *cli.Command) (*signature.Key, error) {
 	if !cmd.IsSet("key") {
 		return nil, nil
@@ -361,7 +361,7 @@
 	}
 }
 
-// evacuated gives since when a zone is; the zero time if it is not.
+// evacuated returns since when a zone is; the zero time if it is not.
 func evacuated(ctx context.Context, cmd *cli.Command, name string) (since time.Time, err error) {
 	raw, err := call(ctx, http.MethodGet, cmd.String("addr"), "/v1/zones", nil)
 	if err != nil {
--- a/cmd/cplane/exit.go
+++ b/cmd/cplane/exit.go
@@ -34,7 +34,7 @@
 	code int
 }
 
-// Unwrap gives the failure.
+// Unwrap returns the failure.
 func (c coded) Unwrap() error { return c.error }
 
 // Error is the field and the message: an operator needs no trace of where it came from.
@@ -46,7 +46,7 @@
 	return string(f.Kind) + ": " + f.Message
 }
 
-// codes gives every command of a tree exit codes of the table.
+// codes returns every command of a tree exit codes of the table.
 func codes(commands ...*cli.Command) []*cli.Command {
 	for _, c := range commands {
 		codes(c.Commands...)
@@ -69,7 +69,7 @@
 	return commands
 }
 
-// exitOf gives the exit code of an error: an error that is no failure is cli's own word on the usage.
+// exitOf returns the exit code of an error: an error that is no failure is cli's own word on the usage.
 func exitOf(err error) int {
 	var c coded
 	var f *errs.Error
--- a/cmd/dplane/readiness.go
+++ b/cmd/dplane/readiness.go
@@ -11,7 +11,7 @@
 // must not take all front nodes out at once.
 const leaderlessGrace = 4 * time.Second
 
-// readiness tells whether the node takes clients.
+// readiness reports whether the node takes clients.
 type readiness struct {
 	fresh  func() error                // the leader has answered just now
 	within func(d time.Duration) error // the leader has answered within d
--- a/cmd/drill/fleet.go
+++ b/cmd/drill/fleet.go
@@ -93,7 +93,7 @@
 // ExitCode is what cli asks for.
 func (e exitCode) ExitCode() int { return e.code }
 
-// Unwrap gives the fault.
+// Unwrap returns the fault.
 func (e exitCode) Unwrap() error { return e.error }
 
 func dirFlag() cli.Flag {
--- a/cmd/drill/rehearse.go
+++ b/cmd/drill/rehearse.go
@@ -167,7 +167,7 @@
 	return nil
 }
 
-// program gives the path of a program beside this one.
+// program returns the path of a program beside this one.
 func program(name string) string {
 	self, err := os.Executable()
 	if err != nil {
@@ -176,7 +176,7 @@
 	return filepath.Join(filepath.Dir(self), name)
 }
 
-// chosen gives the scenes of keys in their order, all without keys. Fault: Settings.
+// chosen returns the scenes of keys in their order, all without keys. Fault: Settings.
 func chosen(keys []string) ([]scene, error) {
 	if len(keys) == 0 {
 		return scenes, nil
--- a/cmd/drill/scenes.go
+++ b/cmd/drill/scenes.go
@@ -84,7 +84,7 @@
 	return ""
 }
 
-// pick gives a minion of either kind, or two of the one there is; from is the first to look at.
+// pick returns a minion of either kind, or two of the one there is; from is the first to look at.
 func (s *stage) pick(from int) []string {
 	var out []string
 	kinds := map[string]bool{}
@@ -140,7 +140,7 @@
 	return errs.Pass(s.killAndBack(ctx, 6*time.Second, leader), "kill")
 }
 
-// leave tells minions to leave and waits until they have; their own grace is 10 s.
+// leave reports minions to leave and waits until they have; their own grace is 10 s.
 func leave(ctx context.Context, s *stage) error {
 	nodes := s.pick(2)
 	s.now()
--- a/internal/api/core.go
+++ b/internal/api/core.go
@@ -48,7 +48,7 @@
 	Index uint64 `json:"index"`
 }
 
-// Follow gives committed changes past the caller's vector, from any cplane; waits up to Wait for the first.
+// Follow returns committed changes past the caller's vector, from any cplane; waits up to Wait for the first.
 var Follow = rpc.Pair[FollowCall, FollowAnswer]{Path: "/x/follow"}
 
 // FollowCall names, for each source, the version the caller has.
@@ -112,7 +112,7 @@
 	GiveUp bool   `json:"give_up,omitempty"`
 }
 
-// DutyAnswer tells who holds the duty. If Mine, the lease runs for Lease from the moment the call was sent.
+// DutyAnswer reports who holds the duty. If Mine, the lease runs for Lease from the moment the call was sent.
 type DutyAnswer struct {
 	Mine   bool          `json:"mine"`
 	Epoch  uint64        `json:"epoch"`
@@ -121,7 +121,7 @@
 	Lease  time.Duration `json:"lease"`
 }
 
-// Status tells how a cplane stands.
+// Status reports how a cplane stands.
 var Status = rpc.Pair[StatusCall, StatusAnswer]{Path: "/x/status"}
 
 // StatusCall is empty.
--- a/internal/api/hold.go
+++ b/internal/api/hold.go
@@ -16,7 +16,7 @@
 // drops an answer that is older than one it has already taken in.
 var Hold = rpc.Pair[HoldCall, HoldAnswer]{Path: "/v1/hold"}
 
-// HoldCall tells a minion what to start, stop and forget. All clock values are readings of the minion's own
+// HoldCall reports a minion what to start, stop and forget. All clock values are readings of the minion's own
 // clock (HoldAnswer.Clock), in nanoseconds.
 type HoldCall struct {
 	Call   uint64        `json:"call"`            // goes up with every call to this minion under Epoch
@@ -111,7 +111,7 @@
 	GPUs   int               `json:"gpus,omitempty"`
 }
 
-// MinionAnswer tells how long to wait before announcing again.
+// MinionAnswer reports how long to wait before announcing again.
 type MinionAnswer struct {
 	Again time.Duration `json:"again"`
 }
--- a/internal/api/join.go
+++ b/internal/api/join.go
@@ -16,7 +16,7 @@
 	Boot string `json:"boot"`
 }
 
-// FoundAnswer tells how the asked one stands.
+// FoundAnswer reports how the asked one stands.
 type FoundAnswer struct {
 	ID    string `json:"id"` // in the quorum; "" while it has none
 	Boot  string `json:"boot"`
@@ -50,7 +50,7 @@
 	Since uint64 `json:"since,omitempty"`
 }
 
-// JoinAnswer tells how far it is.
+// JoinAnswer reports how far it is.
 type JoinAnswer struct {
 	Learner bool          `json:"learner"`
 	Voter   bool          `json:"voter"`
--- a/internal/bundle/bundle.go
+++ b/internal/bundle/bundle.go
@@ -208,7 +208,7 @@
 	}
 }
 
-// Quorate tells what is wrong with a set of operators that was listed in so many lines: two of them must be able
+// Quorate reports what is wrong with a set of operators that was listed in so many lines: two of them must be able
 // to sign, and none may sign under two names. "" if it is well.
 func Quorate(operators map[string]string, listed int) string {
 	keys := slices.Sorted(maps.Values(operators))
--- a/internal/bundle/merge.go
+++ b/internal/bundle/merge.go
@@ -61,7 +61,7 @@
 	return to
 }
 
-// twice gives the path of a name that an object in v has more than once.
+// twice returns the path of a name that an object in v has more than once.
 func twice(path string, v *fastjson.Value) (found string) {
 	if v.Type() != fastjson.TypeObject {
 		return ""
@@ -87,7 +87,7 @@
 	To   string `json:"to,omitempty"`
 }
 
-// Diff gives what differs between two texts, by what they say and not by their spelling, in order of paths.
+// Diff returns what differs between two texts, by what they say and not by their spelling, in order of paths.
 // Failure: Invalid.
 func Diff(from, to []byte) ([]Change, error) {
 	var left, right fastjson.Parser
--- a/internal/clientapi/clientapi.go
+++ b/internal/clientapi/clientapi.go
@@ -35,7 +35,7 @@
 // Book is what the API needs of its node: confirmed reads and commits. Propose and Read must return at once
 // when ctx ends.
 type Book interface {
-	// Propose commits c at the leader and gives the command's answer. A command sent again after an error must
+	// Propose commits c at the leader and returns the command's answer. A command sent again after an error must
 	// do no harm: it may have been committed.
 	Propose(ctx context.Context, c command.Command) (json.RawMessage, error)
 	// Read runs do, before it returns, on a state at least as new as the call began. do must not keep the state.
@@ -52,7 +52,7 @@
 
 // Options are the settings of the API; the zero value takes the defaults.
 type Options struct {
-	Within   time.Duration // a call that takes longer is given up, default 2s
+	Within   time.Duration // a call that takes longer is abandoned, default 2s
 	Inflight int           // submits worked on at once, default 2000; one more is errs.Pressure
 	Seed     uint64        // of the spread of Retry-After
 	Clock    clock.Clock   // default clock.Real
--- a/internal/clientapi/parse.go
+++ b/internal/clientapi/parse.go
@@ -29,7 +29,7 @@
 	MaxLabels   = 32
 	MaxGang     = 64       // tasks of a step that start together
 	MaxRun      = 64 << 10 // bytes of `run`, without white space
-	maxTold     = 20       // mistakes told at once
+	maxTold     = 20       // mistakes reported at once
 )
 
 // What a job that does not say gets.
@@ -48,7 +48,7 @@
 // filled in, and its digest: SHA-256 in hex over the Spec's JSON, the same whatever the order of fields and the
 // white space. Bytes that are no JSON are errs.Malformed with line and column. Otherwise the failure names the
 // first mistake's field (errs.Malformed for a wrong type, errs.Invalid for a refused value) and its message
-// tells up to 20 mistakes. Example:
+// lists up to 20 mistakes. Example:
 //
 //	spec, digest, err := clientapi.Parse([]byte(`{"key":"k-1","team":"depot","steps":[{"name":"scan","type":"scan"}]}`))
 func Parse(data []byte) (state.Spec, string, error) {
@@ -76,7 +76,7 @@
 	return spec, hex.EncodeToString(sum[:]), nil
 }
 
-// place tells where data stops being JSON.
+// place reports where data stops being JSON.
 func place(data []byte, cause error) string {
 	var raw json.RawMessage
 	var syntax *json.SyntaxError
@@ -164,7 +164,7 @@
 	return s
 }
 
-// object gives each field of v to its reader; unknown, double and missing ones are mistakes.
+// object returns each field of v to its reader; unknown, double and missing ones are mistakes.
 func (p *reader) object(path string, v *fastjson.Value, fields map[string]func(string, *fastjson.Value), need ...string) {
 	o, err := v.Object()
 	if err != nil {
--- a/internal/config/daemon.go
+++ b/internal/config/daemon.go
@@ -9,7 +9,7 @@
 	"crosstide/internal/errs"
 )
 
-// Common is what both daemons are told.
+// Common are the settings that both daemons have.
 type Common struct {
 	Name     string        // name: of this node, needed
 	Zone     string        // zone, needed
@@ -33,7 +33,7 @@
 	Common
 	Data          string        // data: the folder of the store, needed
 	Members       []Member      // members: the first members of the store, needed
-	Election      time.Duration // election: silence after which one stands for leader; default 1s
+	Election      time.Duration // election: silence after which a node campaigns to lead; default 1s
 	Heartbeat     time.Duration // heartbeat: of the leader; default 100ms, under half of lease
 	Lease         time.Duration // lease: of the leader; default 700ms, under election
 	DutyLease     time.Duration // duty_lease; default 3s
@@ -102,7 +102,7 @@
 	return d, errs.Pass(err, "dplane")
 }
 
-// CheckCplane tells all mistakes in c as Parse does, for settings that flags have changed.
+// CheckCplane returns all mistakes in c as Parse does, for settings that flags have changed.
 func CheckCplane(c Cplane) error { return errs.Pass(judge(c.read), "cplane") }
 
 // CheckDplane is CheckCplane for a dplane.
@@ -219,7 +219,7 @@
 	}
 }
 
-// hostOf gives the IP of an address, "" if it is none.
+// hostOf returns the IP of an address, "" if it is none.
 func hostOf(addr string) string {
 	a, err := netip.ParseAddrPort(addr)
 	if err != nil {
--- a/internal/config/reader.go
+++ b/internal/config/reader.go
@@ -1,4 +1,4 @@
-// Package config reads the settings of the daemons: JSON, every value checked, all mistakes told at once.
+// Package config reads the settings of the daemons: JSON, every value checked, all mistakes reported at once.
 package config
 
 import (
@@ -22,7 +22,7 @@
 // Mistakes is all that is wrong in one file, in the order in which it was found.
 type Mistakes []Mistake
 
-// Error gives one line per mistake, "field: message".
+// Error returns one line per mistake, "field: message".
 func (m Mistakes) Error() string {
 	lines := make([]string, len(m))
 	for i, one := range m {
@@ -31,7 +31,7 @@
 	return strings.Join(lines, "\n")
 }
 
-// Rule checks a value and tells what it must be, or "" when it is well.
+// Rule checks a value and returns what it must be, or "" when it is valid.
 type Rule func(value string) string
 
 // Filled refuses the empty string.
@@ -150,7 +150,7 @@
 }
 
 // Wrong collects a mistake at field of this object; field "" is the object itself. Only the first mistake of a
-// field is told.
+// field is reported.
 func (r *Reader) Wrong(field, format string, args ...any) {
 	path := r.join(field)
 	if slices.ContainsFunc(*r.out, func(m Mistake) bool { return m.Field == path }) {
@@ -174,11 +174,11 @@
 	return r.obj.Get(field)
 }
 
-// Has tells whether a field is given; a reader without an object has none.
+// Has reports whether a field is given; a reader without an object has none.
 func (r *Reader) Has(field string) bool { return !r.checking() && r.obj.Get(field) != nil }
 
-// Names gives the names of this object's fields in the order of the text, for objects whose names are the
-// operator's own. A name given twice is there twice, and a mistake.
+// Names returns the names of this object's fields in the order of the text, for objects whose names the
+// operator chooses. A name given twice is there twice, and a mistake.
 func (r *Reader) Names() []string {
 	var out []string
 	if !r.checking() {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -96,7 +96,7 @@
 	})
 }
 
-// Signals gives a context that ends with SIGTERM or SIGINT; a second one ends the process.
+// Signals returns a context that ends with SIGTERM or SIGINT; a second one ends the process.
 func Signals(ctx context.Context) (context.Context, context.CancelFunc) {
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
 	context.AfterFunc(ctx, stop)
--- a/internal/daemon/program.go
+++ b/internal/daemon/program.go
@@ -26,7 +26,7 @@
 	Serve func(ctx context.Context, set S, profiles bool, logger log.Logger) error
 }
 
-// Commands gives the subcommands. Example:
+// Commands returns the subcommands. Example:
 //
 //	app.Commands = program.Commands()
 func (p Program[S]) Commands() []*cli.Command {
--- a/internal/daemon/view.go
+++ b/internal/daemon/view.go
@@ -16,7 +16,7 @@
 	"crosstide/internal/rpc"
 )
 
-// shuffleWithin bounds one shuffle, and the word that a daemon leaves.
+// shuffleWithin bounds one shuffle, and the announcement that a daemon leaves.
 const shuffleWithin = time.Second
 
 // View makes a daemon's part in the membership; the caller starts it, serves its shuffles and stops it. cplanes may
--- a/internal/dataplane/confirm.go
+++ b/internal/dataplane/confirm.go
@@ -40,7 +40,7 @@
 	return c.next
 }
 
-// index gives an index that every commit answered before the call is at or below.
+// index returns an index that every commit answered before the call is at or below.
 func (c *confirmer) index(ctx context.Context) (uint64, error) {
 	r := c.join()
 	select {
--- a/internal/dataplane/core.go
+++ b/internal/dataplane/core.go
@@ -58,7 +58,7 @@
 	}
 }
 
-// elsewhere tells whether a call that ended in err may be tried at another cplane: it surely did nothing, or it may
+// elsewhere reports whether a call that ended in err may be tried at another cplane: it surely did nothing, or it may
 // be repeated.
 func elsewhere(err error, again bool) bool {
 	switch errs.KindOf(err) {
--- a/internal/dataplane/node.go
+++ b/internal/dataplane/node.go
@@ -115,12 +115,12 @@
 // pause waits for d or for the end of ctx (errs.Timeout).
 func (n *Node) pause(ctx context.Context, d time.Duration) error {
 	woken := make(chan struct{})
-	ring := n.opt.Clock.Set(d, func() { close(woken) })
+	timer := n.opt.Clock.Set(d, func() { close(woken) })
 	select {
 	case <-woken:
 		return nil
 	case <-ctx.Done():
-		ring.Stop()
+		timer.Stop()
 		return errs.Wrap(ctx.Err(), errs.Timeout, "over while pausing")
 	}
 }
@@ -241,12 +241,12 @@
 // passes runs the passes when something came in, and every few milliseconds in any case.
 func (n *Node) passes(ctx context.Context) {
 	for ctx.Err() == nil {
-		ring := n.opt.Clock.Set(20*time.Millisecond, n.wake)
+		timer := n.opt.Clock.Set(20*time.Millisecond, n.wake)
 		select {
 		case <-n.kick:
-			ring.Stop()
+			timer.Stop()
 		case <-ctx.Done():
-			ring.Stop()
+			timer.Stop()
 			return
 		}
 		n.replica.Lock()
@@ -283,7 +283,7 @@
 	n.wake()
 }
 
-// line gives the connection for a call.
+// line returns the connection for a call.
 func (n *Node) line(c sched.CallOut) *rpc.DedicatedConn {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -387,7 +387,7 @@
 	Sick                             []string // minions held sick
 }
 
-// Figures gives a snapshot of the node's figures.
+// Figures returns a snapshot of the node's figures.
 func (n *Node) Figures() Figures {
 	st := n.replica.Lock()
 	defer n.replica.Unlock()
--- a/internal/errs/errs.go
+++ b/internal/errs/errs.go
@@ -70,7 +70,7 @@
 	return out
 }
 
-// ReplyOf gives the table's row for k; an unlisted kind answers as Internal.
+// ReplyOf returns the table's row for k; an unlisted kind answers as Internal.
 func ReplyOf(k Kind) Reply {
 	if r, ok := replies[k]; ok {
 		return r
@@ -84,12 +84,12 @@
 	Field   string `json:"field,omitempty"`
 	Message string `json:"message"`
 	Hint    string `json:"hint,omitempty"` // NotLeader: address of the leader, if known
-	// After tells when to come back, in nanoseconds; 0 takes the table's value.
+	// After reports when to come back, in nanoseconds; 0 takes the table's value.
 	After time.Duration `json:"after,omitempty"`
 	cause error
 }
 
-// Error gives the field, the message and the cause in one short line.
+// Error returns the field, the message and the cause in one short line.
 func (f *Error) Error() string {
 	s := string(f.Kind) + ": "
 	if f.Field != "" {
@@ -102,7 +102,7 @@
 	return s
 }
 
-// Unwrap gives the cause.
+// Unwrap returns the cause.
 func (f *Error) Unwrap() error { return f.cause }
 
 // New makes a failure of kind k. Example:
@@ -151,7 +151,7 @@
 	return &Error{Kind: Internal, Message: err.Error()}
 }
 
-// KindOf gives the kind of err, "" for nil.
+// KindOf returns the kind of err, "" for nil.
 func KindOf(err error) Kind {
 	if f := Of(err); f != nil {
 		return f.Kind
@@ -159,5 +159,5 @@
 	return ""
 }
 
-// Is tells whether err is of kind k.
+// Is reports whether err is of kind k.
 func Is(err error, k Kind) bool { return err != nil && KindOf(err) == k }
--- a/internal/lint/lint.go
+++ b/internal/lint/lint.go
@@ -69,7 +69,7 @@
 	return append(out, docs.findings()...)
 }
 
-// skipped tells whether a folder of this name holds no source of the module.
+// skipped reports whether a folder of this name holds no source of the module.
 func skipped(name string) bool {
 	return strings.HasPrefix(name, ".") || name == "testdata" || name == "vendor"
 }
@@ -126,7 +126,7 @@
 	return f.out
 }
 
-// in tells whether the file is below one of the folders.
+// in reports whether the file is below one of the folders.
 func (f *file) in(dirs ...string) bool {
 	return slices.ContainsFunc(dirs, func(d string) bool { return strings.HasPrefix(f.rel, d+"/") })
 }
--- a/internal/lint/returns.go
+++ b/internal/lint/returns.go
@@ -78,8 +78,8 @@
 	start, end token.Pos
 }
 
-// origin finds a bare call whose error may stand in id at ret: from the nearest assignment that surely came
-// before ret, or from one on a branch since. An assignment under `if id != nil` counts as sure: without it the
+// origin finds a bare call whose error id may hold at ret: in the nearest assignment that certainly comes before
+// ret, or in one on a branch since. An assignment under `if id != nil` counts as sure: without it the
 // value is nil.
 func (f *file) origin(body *ast.BlockStmt, id *ast.Ident, ret ast.Node) string {
 	if id.Obj == nil || id.Name == "nil" {
@@ -161,7 +161,7 @@
 	}
 }
 
-// notNil tells whether cond is just `id != nil`.
+// notNil reports whether cond is just `id != nil`.
 func notNil(cond ast.Expr, id *ast.Ident) bool {
 	b, ok := cond.(*ast.BinaryExpr)
 	if !ok || b.Op != token.NEQ {
--- a/internal/membership/core.go
+++ b/internal/membership/core.go
@@ -13,8 +13,8 @@
 	self         Note
 	seeds        []string
 	rng          *rand.Rand
-	neighbours   []*neighbour // neighbours
-	directory    []*neighbour // directory of cplanes, this node not counted
+	neighbours   []*neighbour // the partial view
+	directory    []*neighbour // all cplanes known, this node not counted
 	tombstones   map[string]*tombstone
 	pending      map[uint64]*pendingCall // calls without an answer yet
 	lastCallID   uint64
@@ -31,41 +31,43 @@
 // Counts only go up.
 type Counts struct{ Shuffles, Failures, Visits, Taken, Suspects, Dropped uint64 }
 
+// neighbour is a node that this one knows, with the newest version of its note.
 type neighbour struct {
 	Note
 	sentAt       time.Duration // when the node sent this version, on this node's clock
-	suspectSince time.Duration // since when
+	suspectSince time.Duration // valid while suspected
 	suspected    bool
 }
 
-// tombstone is a version that is over. If left, its whole incarnation is.
+// tombstone marks a version as ended; with left set, the whole incarnation has ended.
 type tombstone struct {
 	Note
 	sentAt time.Duration
 	left   bool
 }
 
+// pendingCall is a call that has no answer yet.
 type pendingCall struct {
-	name       string // "" for a seed that is no neighbour
+	name       string // of the neighbour called, "" for a seed that is no neighbour
 	seed       bool
-	neighbours []string
+	neighbours []string // the neighbours whose notes it carried
 	sentAt     time.Duration
 }
 
-// Call is a message to be sent to Addr; its end goes to Answer or Failure under ID.
+// Call is a message to be sent to Addr. Its outcome is passed to Answer or Failure under ID.
 type Call struct {
 	ID   uint64
 	Addr string
 	Message
 }
 
-// New makes the core of self, which knows nobody but the addresses of its seeds. The same rnd gives the same steps.
+// New makes the core of self, which knows nothing but the addresses of its seeds. The same rnd leads to the same steps.
 // Example:
 //
 //	c := membership.New(membership.Defaults(), membership.Note{Name: "d1", Addr: addr, Zone: "a", Role: membership.Dplane, Boot: boot}, seeds, 1)
 //	for _, call := range c.Tick(now) {
 //		if answer, err := send(call.Addr, call.Message); err != nil {
-//			c.Fault(now, call.ID)
+//			c.Failure(now, call.ID)
 //		} else {
 //			c.Answer(now, call.ID, answer)
 //		}
@@ -88,7 +90,7 @@
 // Next is when the next Tick has something to do.
 func (c *Core) Next() time.Duration { return c.nextShuffle }
 
-// Tick forgets what is over and, when a shuffle is due, gives the call for it.
+// Tick drops what has expired and, when a shuffle is due, returns the call for it.
 func (c *Core) Tick(now time.Duration) []Call {
 	if now < c.nextShuffle || c.leaving {
 		return nil
@@ -122,7 +124,8 @@
 	return c.seeds[c.lastSeed]
 }
 
-// oldestNeighbour is the neighbour not heard of for longest; suspects and those that are being asked do not count.
+// oldestNeighbour returns the neighbour with the oldest version, nil if there is none. Suspected neighbours and those
+// with a call under way are left out.
 func (c *Core) oldestNeighbour() (out *neighbour) {
 	busy := map[string]bool{}
 	for _, a := range c.pending {
@@ -163,7 +166,7 @@
 	return Call{c.lastCallID, addr, m}
 }
 
-// newMessage gives a message for the node named to, and which neighbours it tells of.
+// newMessage returns a message for the node named to, and the names of the neighbours in it.
 func (c *Core) newMessage(now time.Duration, to string) (Message, []string) {
 	c.self.Beat++
 	m := Message{From: c.self, Left: c.leaving}
@@ -193,7 +196,7 @@
 	return n
 }
 
-// Call takes a message that came in and gives the answer.
+// Call handles an incoming message and returns the answer.
 func (c *Core) Call(now time.Duration, m Message) Message {
 	c.Counts.Taken++
 	c.expire(now)
@@ -221,13 +224,13 @@
 		if m.From.Name != a.name {
 			c.addTombstone(e, false) // another node lives at its address
 		}
-		// its place goes to what it told us; it has ours now
+		// Its place is freed for the nodes in its answer: it has just received some of ours.
 		c.neighbours = slices.DeleteFunc(c.neighbours, func(one *neighbour) bool { return one == e })
 	}
 	c.merge(now, a.sentAt, m, a.neighbours, false)
 }
 
-// Failure tells that the call id had no good answer: the one asked is suspected.
+// Failure records that the call id failed: the node that was called is suspected.
 func (c *Core) Failure(now time.Duration, id uint64) {
 	a := c.pending[id]
 	if a == nil {
@@ -240,15 +243,15 @@
 		c.missedVisits = min(c.missedVisits+1, c.cfg.SeedTick)
 		c.nextVisit = min(c.nextVisit, c.round+1+c.missedVisits)
 	}
-	// unless it was heard of since the call
+	// A version sent since the call clears it.
 	if e := findByName(c.neighbours, a.name); e != nil && !e.suspected && e.sentAt < a.sentAt {
 		e.suspected, e.suspectSince = true, now
 		c.Counts.Suspects++
 	}
 }
 
-// Leave gives the last calls of this node: it tells a part of its neighbours and its cplanes, and takes part no
-// more. Their ends need not be told.
+// Leave returns the last calls of this node, which announce its departure to some cplanes and neighbours. Their
+// outcomes need not be passed on; Tick returns no calls any more.
 func (c *Core) Leave(now time.Duration) (out []Call) {
 	c.leaving = true
 	m, _ := c.newMessage(now, "")
--- a/internal/membership/core_test.go
+++ b/internal/membership/core_test.go
@@ -93,7 +93,7 @@
 	return -1
 }
 
-// shape gives the number of live nodes, the size of the greatest connected part of the union graph, the least and
+// shape returns the number of live nodes, the size of the greatest connected part of the union graph, the least and
 // the greatest in-degree, and how many entries of views and directories are of dead nodes.
 func (f *fleet) shape() (live, part, least, most, dead int) {
 	root := make([]int, len(f.nodes))
--- a/internal/membership/directory.go
+++ b/internal/membership/directory.go
@@ -7,7 +7,7 @@
 	"time"
 )
 
-// newest is the newest that is known of a node, nil for nothing.
+// newest returns the newest version known of a node, nil if there is none.
 func (c *Core) newest(name string) *neighbour {
 	e, d := findByName(c.neighbours, name), findByName(c.directory, name)
 	if e == nil || d != nil && compareVersions(e.Note, d.Note) < 0 {
@@ -16,14 +16,14 @@
 	return e
 }
 
-// Changes gives the changes of the directory of cplanes since the last time.
+// Changes returns the changes of the directory of cplanes since the last call.
 func (c *Core) Changes() []Change {
 	out := c.changes
 	c.changes = nil
 	return out
 }
 
-// Cplanes gives the addresses of all cplanes known, in order of their names, this node not counted.
+// Cplanes returns the addresses of all cplanes known, in order of their names, this node not counted.
 func (c *Core) Cplanes() []string {
 	list := slices.Clone(c.directory)
 	slices.SortFunc(list, byName)
@@ -34,7 +34,7 @@
 	return out
 }
 
-// Nodes gives all nodes known at now, in order of their names: this one, its neighbours and the directory of cplanes.
+// Nodes returns all nodes known at now, in order of their names: this one, its neighbours and the directory of cplanes.
 func (c *Core) Nodes(now time.Duration) []Seen {
 	list := []*neighbour{{Note: c.self, sentAt: now}}
 	for _, e := range append(slices.Clone(c.neighbours), c.directory...) {
@@ -51,7 +51,7 @@
 	return out
 }
 
-// Size gives the number of neighbours and of cplanes in the directory.
+// Size returns the number of neighbours and of cplanes in the directory.
 func (c *Core) Size() (view, core int) { return len(c.neighbours), len(c.directory) }
 
 func byName(a, b *neighbour) int { return strings.Compare(a.Name, b.Name) }
--- a/internal/membership/gauges.go
+++ b/internal/membership/gauges.go
@@ -18,7 +18,7 @@
 	to <- descSuspects
 }
 
-// Collect gives the figures of now.
+// Collect returns the figures of now.
 func (g *gauges) Collect(to chan<- prometheus.Metric) {
 	g.node.mu.Lock()
 	neighbours, cplanes := g.node.core.Size()
--- a/internal/membership/merge.go
+++ b/internal/membership/merge.go
@@ -5,8 +5,8 @@
 	"time"
 )
 
-// merge takes in a message; at is when its ages counted. sent are neighbours whose places may be given away. A caller
-// always gets a place if one can be given; one who answers only if there is room.
+// merge applies a message; its ages count back from at. sent are neighbours whose places may be reused. The sender of
+// a call takes the first place that is free or may be reused; the sender of an answer only a free one.
 func (c *Core) merge(now, at time.Duration, m Message, sent []string, caller bool) {
 	for _, n := range m.Gone[:min(len(m.Gone), c.cfg.Tombs)] {
 		c.markLeft(now, at, n)
@@ -29,8 +29,8 @@
 	}
 }
 
-// admit tells whether n can be taken in, and when it was sent. News of this node's own name from another life of
-// it make this one the newer.
+// admit reports whether n may be stored, and when it was sent. A note with this node's own name from another process
+// makes this node raise its incarnation above it.
 func (c *Core) admit(now, at time.Duration, n Note) (time.Duration, bool) {
 	if !n.valid() {
 		return 0, false
@@ -51,17 +51,18 @@
 	return at, true
 }
 
-// update brings a newer version into e.
+// update replaces e by n if that is the newer version.
 func (e *neighbour) update(n Note, at time.Duration) {
 	switch order := compareVersions(e.Note, n); {
 	case order < 0:
 		*e = neighbour{Note: n, sentAt: at}
 	case order == 0:
-		e.sentAt = min(e.sentAt, at) // the way here is not counted in an age: the greater one is nearer
+		e.sentAt = min(e.sentAt, at) // an age leaves out the time in transit: the greater one is closer to the truth
 	}
 }
 
-// addNeighbour takes a note into the view, and into the directory if it is a cplane's. sent are places that may be given away.
+// addNeighbour stores a note among the neighbours, and in the directory if it is a cplane's. sent are neighbours
+// whose places may be reused.
 func (c *Core) addNeighbour(now, at time.Duration, n Note, sent *[]string) {
 	at, ok := c.admit(now, at, n)
 	if !ok {
@@ -89,8 +90,9 @@
 	}
 }
 
-// addCplane takes a note of a cplane into the directory. The neighbour it is gets renewed only at need: the directory's
-// news is always young, and a neighbour kept young by it would never be the oldest, and have a place in most views.
+// addCplane stores a note of a cplane in the directory. A neighbour of that name is updated only when it is suspected
+// or restarted: the directory is always recent, and a neighbour kept recent by it would never be the oldest one, and
+// would stay a neighbour of most nodes.
 func (c *Core) addCplane(now, at time.Duration, n Note) {
 	at, ok := c.admit(now, at, n)
 	if !ok {
@@ -103,6 +105,7 @@
 	}
 }
 
+// updateDirectory stores a note in the directory if it is a cplane's, and records the change.
 func (c *Core) updateDirectory(now time.Duration, n Note, at time.Duration) {
 	if n.Role != Cplane || now-at >= c.cfg.CoreFade {
 		return
@@ -128,7 +131,7 @@
 	}
 }
 
-// markLeft takes in that the incarnation of n is over.
+// markLeft records that the incarnation of n has left.
 func (c *Core) markLeft(now, at time.Duration, n Note) {
 	if n.Name == c.self.Name && n.Boot >= c.self.Boot && !c.leaving {
 		c.self.Boot, c.self.Beat = n.Boot+1, 0
@@ -149,7 +152,7 @@
 	c.neighbours, c.directory = slices.DeleteFunc(c.neighbours, ours), slices.DeleteFunc(c.directory, ours)
 }
 
-// addTombstone remembers a version as over, until all copies of it have faded; of too many, the oldest goes.
+// addTombstone records a version as ended until all copies of it have expired. Over the bound the oldest is dropped.
 func (c *Core) addTombstone(e *neighbour, left bool) {
 	if t := c.tombstones[e.Name]; t != nil && (compareVersions(t.Note, e.Note) > 0 || t.left && t.Boot == e.Boot) {
 		return
@@ -167,7 +170,7 @@
 	delete(c.tombstones, first)
 }
 
-// expire drops what has faded, and the suspects that nobody heard of in time.
+// expire drops what has expired, and the suspects of which no newer version came in time.
 func (c *Core) expire(now time.Duration) {
 	c.neighbours = slices.DeleteFunc(c.neighbours, func(e *neighbour) bool {
 		out := e.suspected && now-e.suspectSince >= c.cfg.Suspect
--- a/internal/membership/node.go
+++ b/internal/membership/node.go
@@ -15,7 +15,7 @@
 	"crosstide/internal/routine"
 )
 
-// Ask sends a message to an address and gives the answer; it ends by its own time-out.
+// Ask sends a message to an address and returns the answer; it has its own time-out.
 type Ask func(ctx context.Context, addr string, m Message) (Message, error)
 
 // Options are what a node is made of; Self, Ask and Clock are needed.
@@ -28,7 +28,7 @@
 	Clock    clock.Clock
 	Logger   log.Logger
 	Registry prometheus.Registerer // default: not shown
-	// Cplanes is told the addresses of the cplanes whenever the directory of them changed.
+	// Cplanes is called with the addresses of the cplanes after each change of their directory.
 	Cplanes func(addrs []string)
 }
 
@@ -41,7 +41,7 @@
 	bytes prometheus.Counter
 }
 
-// NewNode makes a node; Start sets it going. Example:
+// NewNode makes a node; Start runs it. Example:
 //
 //	n := membership.NewNode(membership.Options{Self: self, Seeds: seeds, Ask: ask, Clock: clock.Real{}})
 //	rpc.Handle(srv, api.Shuffle, n.Serve)
@@ -67,13 +67,13 @@
 	return n
 }
 
-// Start sets the node going.
+// Start runs the node until Stop.
 func (n *Node) Start(ctx context.Context) {
 	n.group = routine.New(ctx)
 	n.group.Go(n.run)
 }
 
-// Stop tells some neighbours that the node leaves, until ctx ends, and ends it.
+// Stop ends the node and announces its departure to some neighbours, until ctx ends at the latest.
 func (n *Node) Stop(ctx context.Context) {
 	n.mu.Lock()
 	calls := n.core.Leave(n.opt.Clock.Now())
@@ -138,7 +138,7 @@
 	return answer, nil
 }
 
-// reportChanges logs the changes of the directory and hands its addresses on.
+// reportChanges logs the changes of the directory and passes its addresses to Options.Cplanes.
 func (n *Node) reportChanges() {
 	n.mu.Lock()
 	defer n.mu.Unlock() // the order of two changes is kept
@@ -157,7 +157,7 @@
 	}
 }
 
-// Nodes gives the nodes known, as Core.Nodes does.
+// Nodes returns the nodes known, as Core.Nodes does.
 func (n *Node) Nodes() []Seen {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/internal/membership/note.go
+++ b/internal/membership/note.go
@@ -1,5 +1,6 @@
-// Package membership is membership by partial views: each node knows a few others, and shuffles a part of what it knows
-// with the neighbour it has not heard of for longest. Core is the pure step function, Node its runtime.
+// Package membership finds the fleet's nodes by gossip over partial views: each node knows a few others, its
+// neighbours, and exchanges a part of them with the neighbour whose version is the oldest. Core is the pure step
+// function, Node runs it on a clock and the network.
 package membership
 
 import (
@@ -13,9 +14,9 @@
 	Dplane = "dplane"
 )
 
-// Note is what is told of a node. Only the node itself makes a new version of it: Boot goes up with each of its
-// processes, Beat with each message of a process. So the age of a version only ever grows, and what is told of a
-// dead node fades everywhere within Config.Fade, however often it is passed on.
+// Note describes a node. Only the node itself makes a new version of it: Boot rises with each of its processes, Beat
+// with each message of a process. So the age of a version only grows, and the notes of a dead node expire everywhere
+// within Config.Fade, however often they are passed on.
 type Note struct {
 	Name string `json:"n"`
 	Addr string `json:"a"`
@@ -33,7 +34,7 @@
 	Some []Note   `json:"some,omitempty"` // a random part of its view, and what it was asked for
 	Core []Note   `json:"core,omitempty"` // cplanes it knows
 	Gone []Note   `json:"gone,omitempty"` // incarnations that left
-	Ask  []string `json:"ask,omitempty"`  // names it suspects: who has heard of them since?
+	Ask  []string `json:"ask,omitempty"`  // names it suspects: the receiver answers with newer versions
 }
 
 // compareVersions orders versions of one node: below 0 if a is older than b.
@@ -41,7 +42,7 @@
 	return cmp.Or(cmp.Compare(a.Boot, b.Boot), cmp.Compare(a.Beat, b.Beat))
 }
 
-// valid tells whether a note that came in can be kept.
+// valid reports whether a note that came in can be kept.
 func (n Note) valid() bool {
 	const most = 200
 	return n.Name != "" && n.Addr != "" && len(n.Name) <= most && len(n.Addr) <= most && len(n.Zone) <= most && len(n.Role) <= most
@@ -63,8 +64,8 @@
 	Came  = "came"
 	Again = "again" // under a new incarnation
 	Moved = "moved" // to another address
-	Left  = "left"  // by its own word
-	Lost  = "lost"  // not heard of for Config.CoreFade
+	Left  = "left"  // announced by the node itself
+	Lost  = "lost"  // no newer version for Config.CoreFade
 )
 
 // Change is a change in the directory of cplanes.
@@ -78,12 +79,12 @@
 	Every    time.Duration // between two shuffles of a node, a tenth more or less
 	View     int           // neighbours at most
 	Part     int           // notes of a shuffle, the sender's own counted
-	Core     int           // cplanes kept and told at most
-	Gone     int           // departures told at most, and suspects asked for at most
-	Tombs    int           // ended versions remembered at most
+	Core     int           // cplanes kept, and sent, at most
+	Gone     int           // departures sent at most, and suspects asked for at most
+	Tombs    int           // tombstones kept at most
 	Suspect  time.Duration // a suspect is dropped after it
 	Fade     time.Duration // a version older than it is forgotten everywhere
-	CoreFade time.Duration // and this much is enough in the directory of cplanes, whose news is never older than some shuffles
+	CoreFade time.Duration // the same for the directory of cplanes, whose entries are refreshed within some shuffles
 	SeedTick int           // shuffles between two visits of a cplane (or of a node that knows none) to a seed
 }
 
--- a/internal/operator/bundle.go
+++ b/internal/operator/bundle.go
@@ -61,7 +61,7 @@
 	Took    time.Duration `json:"took,omitempty"`
 }
 
-// Roller tells which bundle every node has.
+// Roller reports which bundle every node has.
 type Roller interface {
 	Rollout(ctx context.Context) (nodes []api.NodeBundle, silent []string)
 }
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -20,7 +20,7 @@
 
 // Store is what the API needs of the control store.
 type Store interface {
-	// Order commits a command at the leader, wherever that is, and gives its answer.
+	// Order commits a command at the leader, wherever that is, and returns its answer.
 	Order(ctx context.Context, c command.Command) (json.RawMessage, error)
 	// Read looks at a state that has all that was committed before the call.
 	Read(ctx context.Context, read func(*state.State)) error
--- a/internal/quorum/core.go
+++ b/internal/quorum/core.go
@@ -20,14 +20,14 @@
 	role   Role
 	hard   Hard
 	log    memoryLog
-	// confs holds the newest committed member set and those after it; the last is in force.
+	// configurations holds the newest committed member set and those after it; the last is in force.
 	configurations  []configuration
 	snapshot        Meta // newest durable snapshot
 	commit, applied uint64
 	refused         uint64
 
 	leader, leaderAddr string
-	heardLeaderAt      time.Duration // last word of a live leader; boot counts as one, we may have forgotten it
+	heardLeaderAt      time.Duration // when a live leader was last heard; a start counts as well, as a promise made before it may be forgotten
 	campaignAt         time.Duration
 	granted            map[string]bool
 	afterHandover      bool // the campaign follows a handover
@@ -97,7 +97,7 @@
 	c.configurations = append(c.configurations, cs...)
 	c.log.entries = slices.Clone(ents)
 	c.firstUnstored = c.log.last() + 1
-	if c.hard.Term < term { // the vote of that term was never synced, so never given
+	if c.hard.Term < term { // the vote of that term was never synced, so it was never sent
 		c.hard = Hard{Term: term, Blank: c.hard.Blank}
 		c.hardChanged = true
 	}
--- a/internal/quorum/election.go
+++ b/internal/quorum/election.go
@@ -5,19 +5,19 @@
 	"slices"
 )
 
-// eligible tells whether the node may campaign: a voter of the set in force, or of one before it that may still be
+// eligible reports whether the node may campaign: a voter of the set in force, or of one before it that may still be
 // the committed one. The latter matters when only this node has the entry that removes it: nobody else can win.
 // It counts by the set in force also then, that is without itself.
 func (c *Core) eligible() bool {
 	return !c.hard.Blank && slices.ContainsFunc(c.configurations, func(f configuration) bool { return isVoter(f.members, c.cfg.ID) })
 }
 
-// hasLiveLeader tells whether a live leader was heard within Election; then other candidates are refused.
+// hasLiveLeader reports whether a live leader was heard within Election; then other candidates are refused.
 func (c *Core) hasLiveLeader() bool {
 	return c.role == Leader || c.now < c.heardLeaderAt+c.cfg.Election
 }
 
-// majority gives the highest value that a majority of the voters reaches.
+// majority returns the highest value that a majority of the voters reaches.
 func majority[T cmp.Ordered](ms []Member, of func(id string) T) (out T) {
 	var room [9]T
 	vs := room[:0]
@@ -33,7 +33,7 @@
 	return vs[(len(vs)-1)/2]
 }
 
-// hasMajority tells whether a majority granted.
+// hasMajority reports whether a majority granted its vote.
 func (c *Core) hasMajority() bool {
 	return majority(c.members(), func(id string) int {
 		if c.granted[id] {
@@ -43,7 +43,7 @@
 	}) == 1
 }
 
-// startPreVote asks who would vote for this node.
+// startPreVote asks the voters whether they would vote for this node.
 func (c *Core) startPreVote() {
 	c.role, c.leader, c.leaderAddr, c.afterHandover = PreCandidate, "", "", false
 	c.granted = map[string]bool{c.cfg.ID: true}
@@ -55,7 +55,7 @@
 	c.requestVotes(PreVote, c.hard.Term+1)
 }
 
-// startElection opens a term. The requests leave after the vote for itself is synced.
+// startElection starts a campaign in a new term. The requests are sent once the vote for itself is synced.
 func (c *Core) startElection(force bool) {
 	c.role, c.leader, c.afterHandover = Candidate, "", force
 	c.hard.Term++
@@ -83,7 +83,7 @@
 	}
 }
 
-// isUpToDate tells whether the log of the sender of a (pre)vote holds at least ours.
+// isUpToDate reports whether the log of the sender of a (pre)vote holds at least ours.
 func (c *Core) isUpToDate(m Message) bool {
 	t := c.log.lastTerm()
 	return m.PrevTerm > t || m.PrevTerm == t && m.PrevIndex >= c.log.last()
--- a/internal/quorum/lead.go
+++ b/internal/quorum/lead.go
@@ -19,7 +19,8 @@
 	handoverSent                     bool          // the handover was sent: no lease any more in this term
 }
 
-// becomeLeader makes the node the leader of its term. hold: nobody else voted, so its term may not be synced.
+// becomeLeader makes the node the leader of its term. With hold it sends nothing before its own sync: no other node
+// voted, so its term may not be durable yet.
 func (c *Core) becomeLeader(hold bool) {
 	c.role, c.leader, c.granted = Leader, c.cfg.ID, nil
 	c.leadership = leadership{awaitOwnSync: hold, peers: map[string]*peer{}, firstIndex: c.log.last() + 1, nextHeartbeat: c.now + c.cfg.Heartbeat,
@@ -83,10 +84,10 @@
 	}
 }
 
-// Leads tells whether this node leads, and in which term.
+// Leads reports whether this node leads, and in which term.
 func (c *Core) Leads() (term uint64, ok bool) { return c.hard.Term, c.role == Leader }
 
-// Heard tells when this leader last heard of a member; of one it has not heard of, when it began to send to it.
+// Heard returns when this leader last received a message of a member; of one without any, when it began to send to it.
 // ok is false on a node that does not lead and for one that is no member.
 func (c *Core) Heard(now time.Duration, id string) (at time.Duration, ok bool) {
 	c.advanceClock(now)
@@ -116,7 +117,7 @@
 }
 
 func (c *Core) sendTo(id string, p *peer) {
-	if p.phase == pipeline && p.next <= c.log.offset { // compacted under way
+	if p.phase == pipeline && p.next <= c.log.offset { // compacted meanwhile
 		p.startProbe(p.next)
 	}
 	for p.phase == pipeline && p.next <= c.log.last() && len(p.inflight) < c.cfg.MaxInflight {
@@ -146,7 +147,7 @@
 	p.heartbeatDue = false
 }
 
-// sendAppend makes one append from p.next on, empty if bytes is 0, and gives the number of entries.
+// sendAppend makes one append from p.next on, empty if bytes is 0, and returns the number of entries.
 func (c *Core) sendAppend(id string, p *peer, bytes int) uint64 {
 	m := Message{Kind: Append, From: c.cfg.ID, To: id, Term: c.hard.Term, PrevIndex: p.next - 1, Commit: c.commit, Sent: c.now}
 	m.PrevTerm, _ = c.log.term(m.PrevIndex)
@@ -204,7 +205,8 @@
 	c.advanceCommit()
 }
 
-// tally commits what a majority has, if it is of the own term. A leader that is no member any more steps down.
+// advanceCommit commits the entries that a majority has stored, if they are of the leader's own term. A leader that is
+// no member any more steps down.
 func (c *Core) advanceCommit() {
 	n := majority(c.members(), func(id string) uint64 {
 		if p := c.leadership.peers[id]; p != nil {
--- a/internal/quorum/lease.go
+++ b/internal/quorum/lease.go
@@ -19,7 +19,7 @@
 	return from + c.cfg.Lease
 }
 
-// Confirmed gives the commit index that is safe to read at: no other leader can have committed more at the time
+// Confirmed returns the commit index that is safe to read at: no other leader can have committed more at the time
 // now. ok is false unless this node leads, holds its lease at now and has committed an entry of its own term.
 // Example:
 //
--- a/internal/quorum/log.go
+++ b/internal/quorum/log.go
@@ -13,7 +13,7 @@
 
 func (l *memoryLog) last() uint64 { return l.offset + uint64(len(l.entries)) }
 
-// term gives the term of index i, false if it is not known here.
+// term returns the term of index i, false if it is not known here.
 func (l *memoryLog) term(i uint64) (uint64, bool) {
 	switch {
 	case i == l.offset:
@@ -26,7 +26,7 @@
 
 func (l *memoryLog) lastTerm() uint64 { t, _ := l.term(l.last()); return t }
 
-// slice gives the entries from..to, both included.
+// slice returns the entries from..to, both included.
 func (l *memoryLog) slice(from, to uint64) []Entry {
 	if from > to {
 		return nil
@@ -66,7 +66,7 @@
 	l.entries, l.offset = rest, i
 }
 
-// lastOfLowerTerm gives the newest index under i of a term lower than that of i.
+// lastOfLowerTerm returns the newest index under i of a term lower than that of i.
 func (l *memoryLog) lastOfLowerTerm(i uint64) uint64 {
 	t, _ := l.term(i)
 	return l.offset + uint64(sort.Search(len(l.entries), func(n int) bool { return l.entries[n].Term >= t }))
--- a/internal/quorum/members.go
+++ b/internal/quorum/members.go
@@ -21,7 +21,7 @@
 	return c, errs.Pass(validateMembers(c.members), "members at index %d", e.Index)
 }
 
-// DecodeMembers gives the member set that a Members entry brings.
+// DecodeMembers returns the member set that a Members entry brings.
 func DecodeMembers(e Entry) ([]Member, error) {
 	c, err := configurationOf(e)
 	return c.members, errs.Pass(err, "decode")
@@ -46,7 +46,7 @@
 	return nil
 }
 
-// findMember gives the member with the ID.
+// findMember returns the member with the ID.
 func findMember(ms []Member, id string) (Member, bool) {
 	if i := slices.IndexFunc(ms, func(m Member) bool { return m.ID == id }); i >= 0 {
 		return ms[i], true
--- a/internal/quorum/propose.go
+++ b/internal/quorum/propose.go
@@ -34,7 +34,7 @@
 
 // ProposeMembers appends a new member set. It may differ from the present one in one voter: a learner that is
 // caught up is promoted, or a voter is removed or made a learner. A new machine is added as a learner first.
-// Learners come and go freely. Status().Match tells how far they are.
+// Learners come and go freely. Status().Match shows their progress.
 // Failures: NotLeader; Unavailable while another change is not committed, before the first commit of the term, or
 // when the promoted learner is not caught up; Invalid for a set that is refused.
 func (c *Core) ProposeMembers(now time.Duration, next []Member) (index, term uint64, err error) {
@@ -86,7 +86,7 @@
 }
 
 // Handover lets the voter to take over, once it has the whole log. Until then proposals are refused; the leader
-// gives its lease up when it tells the other to campaign. It is given up after one Election.
+// gives up its lease when it asks the other to campaign. The handover is abandoned after one Election.
 // Failures: NotLeader, Unavailable while one runs, Invalid if to is not another voter.
 func (c *Core) Handover(now time.Duration, to string) error {
 	c.advanceClock(now)
@@ -101,7 +101,7 @@
 	return nil
 }
 
-// handover tells the successor to campaign if it has the whole log.
+// handover asks the successor to campaign if it has the whole log.
 func (c *Core) handover() {
 	if p := c.leadership.peers[c.leadership.handoverTo]; p != nil && p.match == c.log.last() && !p.blank {
 		c.leadership.handoverSent = true
--- a/internal/quorum/quorum.go
+++ b/internal/quorum/quorum.go
@@ -1,7 +1,7 @@
 // Package quorum is the replication core of the control store: Raft with pre-vote, check-quorum, a leader lease,
-// learners, member changes one at a time, snapshots and pipelined appends. It is a pure step function: it takes
-// the time and messages, and gives out what is to be stored, sent and applied. It owns no clock, socket, disk or
-// goroutine and is not safe for concurrent use.
+// learners, member changes one at a time, snapshots and pipelined appends. It is a pure step function: its
+// input is the time and messages, its output what is to be stored, sent and applied. It has no clock, socket, disk or
+// goroutine of its own and is not safe for concurrent use.
 //
 // The runtime loops:
 //
@@ -12,7 +12,7 @@
 //	onSync: send(r.AfterSync); core.Synced(now, last.Index, last.Term) // last of r.Append, if any
 //	apply(r.Committed); fetch(r.Fetch)
 //
-// What the runtime owes for safety:
+// The runtime must ensure, for safety:
 //   - now never runs backwards within a process and counts suspension; each process has its own zero;
 //   - Readys reach the disk in their order; a later one is never durable without the earlier ones;
 //   - the stored log is cut at its front (up to a durable snapshot) only in that same order, behind the Readys
@@ -29,7 +29,7 @@
 	"time"
 )
 
-// Role is what a node does in its term.
+// Role is the role of a node in its term.
 type Role string
 
 // The roles of a node. A pre-candidate asks whether it would win before it raises its term.
@@ -49,7 +49,7 @@
 	Learner     bool   `json:"learner,omitempty"` // gets entries, does not count
 }
 
-// EntryKind tells what an entry's Data is.
+// EntryKind reports what an entry's Data is.
 type EntryKind uint8
 
 const (
@@ -139,7 +139,7 @@
 	Entries  []Entry
 }
 
-// Founding gives the Boot of every founder at the first boot of a fleet: the snapshot of the empty state at
+// Founding returns the Boot of every founder at the first boot of a fleet: the snapshot of the empty state at
 // index 1, term 1, with the members in order of ID; the log begins at index 2. All founders must pass the same
 // set; the runtime stores it as its first durable snapshot (the body is the empty state), so a later node can
 // fetch it. Example:
--- a/internal/quorum/quorum_test.go
+++ b/internal/quorum/quorum_test.go
@@ -217,7 +217,7 @@
 	}
 }
 
-// leader gives the leader of the newest term.
+// leader returns the leader of the newest term.
 func (w *world) leader() (out *node) {
 	for _, n := range w.nodes {
 		if !n.down && n.core.role == Leader && (out == nil || n.core.hard.Term > out.core.hard.Term) {
@@ -478,7 +478,7 @@
 		c.Ready()
 		return c
 	}
-	// granted gives whom the core votes for in answer to m.
+	// granted returns whom the core votes for in answer to m.
 	granted := func(c *Core, now time.Duration, m Message) bool {
 		c.Step(now, m)
 		r := c.Ready()
--- a/internal/quorum/snapshot.go
+++ b/internal/quorum/snapshot.go
@@ -56,7 +56,7 @@
 	}
 }
 
-// SnapshotAt tells the newest durable snapshot of this node; it is offered to followers behind the log.
+// SnapshotAt sets the newest durable snapshot of this node; it is offered to followers behind the log.
 func (c *Core) SnapshotAt(meta Meta) {
 	if meta.Index > c.snapshot.Index && meta.Index <= c.applied && validateMembers(meta.Members) == nil {
 		c.snapshot = meta
--- a/internal/quorum/status.go
+++ b/internal/quorum/status.go
@@ -5,7 +5,7 @@
 	"slices"
 )
 
-// Status gives a view of the node.
+// Status returns a view of the node.
 func (c *Core) Status() Status {
 	s := Status{ID: c.cfg.ID, Role: c.role, Term: c.hard.Term, Leader: c.leader, Commit: c.commit, Last: c.log.last(),
 		First: c.log.offset + 1, Members: slices.Clone(c.members()), Voter: !c.hard.Blank && isVoter(c.members(), c.cfg.ID), Refused: c.refused, LeaderAddr: c.leaderAddress()}
@@ -19,7 +19,7 @@
 	return s
 }
 
-// CommittedMembers gives the newest member set that is known here to be committed, and the index of its entry;
+// CommittedMembers returns the newest member set that is known here to be committed, and the index of its entry;
 // none on a node that began empty and has not caught up.
 func (c *Core) CommittedMembers() (index uint64, members []Member) {
 	if len(c.configurations) == 0 {
@@ -28,7 +28,7 @@
 	return c.configurations[0].index, slices.Clone(c.configurations[0].members)
 }
 
-// MemberSince gives the index of the oldest set known here, committed or not, that has this node; 0 if none has.
+// MemberSince returns the index of the oldest set known here, committed or not, that has this node; 0 if none has.
 func (c *Core) MemberSince() uint64 {
 	for _, f := range c.configurations {
 		if _, ok := findMember(f.members, c.cfg.ID); ok {
@@ -46,14 +46,14 @@
 	return c.leaderAddr
 }
 
-// notLeader gives the failure for a call that only the leader takes.
+// notLeader returns the failure for a call that only the leader takes.
 func (c *Core) notLeader() error {
 	err := errs.New(errs.NotLeader, "%s is %s in term %d", c.cfg.ID, c.role, c.hard.Term)
 	errs.Of(err).Hint = c.leaderAddress()
 	return err
 }
 
-// Entries gives committed entries from an index on, about limitBytes of them but one at least; none if from is
+// Entries returns committed entries from an index on, about limitBytes of them but one at least; none if from is
 // not committed yet. Failure: Unknown if they are compacted; take a snapshot then. Example:
 //
 //	es, err := core.Entries(seen+1, 1<<20)
--- a/internal/quorum/step.go
+++ b/internal/quorum/step.go
@@ -43,7 +43,7 @@
 		c.becomeFollower(m.Term, "")
 	}
 	if m.Term < c.hard.Term {
-		switch m.Kind { // tell a leader or candidate of the past
+		switch m.Kind { // answer a leader or candidate of an older term
 		case Append, Snapshot:
 			c.reply(m, Message{Kind: AppendReply, Reject: true})
 		case Vote:
@@ -136,7 +136,7 @@
 	c.reply(m, Message{Kind: AppendReply, Match: match, PrevIndex: m.PrevIndex})
 }
 
-// replaceEntries puts entries into the log in place of what stood at and after the first.
+// replaceEntries stores entries in the log in place of those at and after the first one's index.
 func (c *Core) replaceEntries(es []Entry) bool {
 	cs, err := configurationsOf(es)
 	if err != nil {
@@ -156,7 +156,7 @@
 	return true
 }
 
-// commitTo moves the commit index up.
+// commitTo raises the commit index.
 func (c *Core) commitTo(to uint64) {
 	if to <= c.commit {
 		return
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -28,7 +28,7 @@
 	Chunk(ctx context.Context, call api.ChunkCall) (api.ChunkAnswer, error)
 }
 
-// Replica is the followed state under its lock. Watch is told of every change, under the lock.
+// Replica is the followed state under its lock. Watch is called with every change, under the lock.
 type Replica struct {
 	mu     sync.RWMutex
 	st     *state.State
@@ -40,7 +40,7 @@
 	Bytes, Changes, Snapshots uint64 // since the start, under the lock
 }
 
-// New makes a replica at version 0. watch is told of changes and reset of a new state after a snapshot; both run
+// New makes a replica at version 0. watch is called with changes and reset with a new state after a snapshot; both run
 // under the replica's lock.
 func New(watch func(state.Note), reset func(*state.State)) *Replica {
 	r := &Replica{st: state.New(), moved: make(chan struct{}), watch: watch, reset: reset}
@@ -48,7 +48,7 @@
 	return r
 }
 
-// Lock gives the state for changing what hangs on it; Unlock ends that.
+// Lock returns the state for changing what hangs on it; Unlock ends that.
 func (r *Replica) Lock() *state.State { r.mu.Lock(); return r.st }
 
 // Unlock ends what Lock began.
@@ -70,7 +70,7 @@
 	return r.st.Index
 }
 
-// Pulled tells whether the replica ever heard from a cplane since the start.
+// Pulled reports whether the replica ever heard from a cplane since the start.
 func (r *Replica) Pulled() bool {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
@@ -189,11 +189,11 @@
 			}
 			tell(err)
 			woken := make(chan struct{})
-			ring := clock.Set(100*time.Millisecond, func() { close(woken) })
+			timer := clock.Set(100*time.Millisecond, func() { close(woken) })
 			select {
 			case <-woken:
 			case <-ctx.Done():
-				ring.Stop()
+				timer.Stop()
 			}
 		}
 	}
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -41,7 +41,7 @@
 	return h
 }
 
-// begin gives a replica at the founding's snapshot.
+// begin returns a replica at the founding's snapshot.
 func (h history) begin() *Replica {
 	r := New(nil, nil)
 	f := &fake{body: h.states[1], number: 1, size: 1 << 20}
--- a/internal/routine/routine.go
+++ b/internal/routine/routine.go
@@ -32,7 +32,7 @@
 	}()
 }
 
-// Context gives the group's context.
+// Context returns the group's context.
 func (g *Group) Context() context.Context { return g.ctx }
 
 // Cancel ends the group's context and does not wait.
--- a/internal/rpc/caller.go
+++ b/internal/rpc/caller.go
@@ -91,11 +91,11 @@
 	}
 }
 
-// Ask sends call to addr (host:port) and gives the answer. It ends at the latest after within, on the caller's
+// Ask sends call to addr (host:port) and returns the answer. It ends at the latest after within, on the caller's
 // clock, or with ctx: the connection is closed with a reset and the error is errs.Timeout, also while dialing. A refused or
 // broken connection is errs.Unavailable, a closed caller errs.Stopped, an answer that is no JSON of A
 // errs.Malformed; a failure answered by the peer comes back with its kind, field, message, hint and After.
-// See Unsent for calls that surely were not made, Answered for failures that the peer gave. Example:
+// See Unsent for calls of which nothing was sent, Answered for failures that the peer returned. Example:
 //
 //	verdict, err := rpc.Ask(ctx, caller, "10.0.0.7:7000", Vote, ballot, 500*time.Millisecond)
 func Ask[C, A any](ctx context.Context, k *Caller, addr string, p Pair[C, A], call C, within time.Duration) (A, error) {
--- a/internal/rpc/connection.go
+++ b/internal/rpc/connection.go
@@ -54,7 +54,7 @@
 	return errs.Wrap(failed, errs.Unavailable, "write")
 }
 
-// alive tells whether an idle connection is still open with nothing to be read.
+// alive reports whether an idle connection is still open with nothing to be read.
 func (l *connection) alive() bool {
 	open := false
 	err := l.raw.Read(func(fd uintptr) bool {
--- a/internal/rpc/dedicated.go
+++ b/internal/rpc/dedicated.go
@@ -7,7 +7,8 @@
 	"time"
 )
 
-// DedicatedConn is a dedicated connection to one address: one call at a time, dialed at need, shared with nothing else.
+// DedicatedConn is a connection to one address that is shared with nothing else. It carries one call at a time and is
+// dialed when a call needs it.
 type DedicatedConn struct {
 	caller *Caller
 	addr   string
@@ -18,7 +19,8 @@
 	closed     bool
 }
 
-// NewDedicatedConn makes a line to addr that is not dialed yet; k gives its options, counters and end.
+// NewDedicatedConn makes a connection to addr that is not dialed yet. It takes the options and counters of k and is
+// closed with k.
 func NewDedicatedConn(k *Caller, addr string) *DedicatedConn {
 	return &DedicatedConn{caller: k, addr: addr, turn: make(chan struct{}, 1)}
 }
@@ -29,7 +31,7 @@
 // Nothing ever waits in a user-space buffer. After any error but one answered by the peer the next call
 // dials anew. Example:
 //
-//	answer, err := rpc.AskLine(ctx, line, Hold, orders, time.Second, lease.Check)
+//	answer, err := rpc.AskDedicated(ctx, conn, Hold, orders, time.Second, lease.Check)
 //	if rpc.Unsent(err) {
 //		void(orders) // the minion surely has not seen them
 //	}
@@ -41,7 +43,7 @@
 	return answer, nil
 }
 
-// Close resets the line's connection; a call that runs fails, later ones are errs.Stopped.
+// Close resets the connection; a call that runs fails, later ones are errs.Stopped.
 func (l *DedicatedConn) Close() {
 	l.mu.Lock()
 	held := l.connection
--- a/internal/rpc/eventloops.go
+++ b/internal/rpc/eventloops.go
@@ -34,7 +34,7 @@
 	return nil
 }
 
-// waitForOnlyLoop is warm for a single loop, which any connection reaches: one to the server's own address, as not every
+// waitForOnlyLoop is waitForLoops for a single loop, which any connection reaches: one to the server's own address, as not every
 // machine has local socket pairs.
 func (s *Server) waitForOnlyLoop() error {
 	gone := make(chan struct{}, 1)
@@ -55,7 +55,7 @@
 	return nil
 }
 
-// connectToLoop gives one loop a connection that is closed at its other end. nbio picks the loop by the descriptor, so
+// connectToLoop returns one loop a connection that is closed at its other end. nbio picks the loop by the descriptor, so
 // copies are made until one has a number that fits. All others are closed before that one is handed over: epoll
 // goes on telling of a connection as long as a copy is open, by a number that may be another's by then.
 func (s *Server) connectToLoop(loop, loops int) error {
--- a/internal/rpc/exchange.go
+++ b/internal/rpc/exchange.go
@@ -13,10 +13,10 @@
 	"crosstide/internal/errs"
 )
 
-// Request is a plain HTTP/1.1 request to a peer that does not speak pairs.
+// Request is a plain HTTP/1.1 request to a peer that does not use pairs of types.
 type Request struct {
 	Method string
-	Path   string // with its query, as it goes onto the line
+	Path   string // with its query, as it is sent
 	Header map[string]string
 	Body   []byte
 }
@@ -28,13 +28,13 @@
 	Body   []byte
 }
 
-// exchangeLabel stands for the path in the counters: paths of plain requests are not a closed list.
+// exchangeLabel replaces the path in the counters: paths of plain requests are not a closed list.
 const exchangeLabel = "exchange"
 
-// Exchange sends r once to addr (host:port) over the pooled connections and gives the response; no status is an error.
+// Exchange sends r once to addr (host:port) over the pooled connections and returns the response; no status is an error.
 // It ends at the latest after within, or with ctx: the connection is closed with a reset and the error is
 // errs.Timeout. A refused or broken connection is errs.Unavailable, a closed caller errs.Stopped, a request that
-// cannot be put on the line errs.Invalid, a response over MaxBody errs.TooLarge. See Unsent for requests of which
+// cannot be sent errs.Invalid, a response over MaxBody errs.TooLarge. See Unsent for requests of which
 // no byte was handed to the kernel. Example:
 //
 //	res, err := caller.Exchange(ctx, "10.0.0.7:7000", rpc.Request{Method: "GET", Path: "/state"}, time.Second)
--- a/internal/rpc/frame.go
+++ b/internal/rpc/frame.go
@@ -20,7 +20,7 @@
 	return f
 }}
 
-// takeFrame gives an empty frame that starts with room for a head of that many bytes.
+// takeFrame returns an empty frame that starts with room for a head of that many bytes.
 func takeFrame(room int) *frame {
 	f := frames.Get().(*frame)
 	f.buf.Reset()
--- a/internal/rpc/listener.go
+++ b/internal/rpc/listener.go
@@ -17,7 +17,7 @@
 	return s.listener, nil
 }
 
-// listener keeps nbhttp from spinning: its loop calls Accept again at once after every error, until its own stop.
+// listener keeps nbhttp from spinning: nbhttp calls Accept again at once after every error, until it is stopped.
 type listener struct {
 	net.Listener
 	clock    clock.Clock
@@ -44,7 +44,7 @@
 	}
 }
 
-// stopAccepting stops the taking of connections, Close also lets Accept return.
+// stopAccepting closes the socket; Close also makes a waiting Accept return.
 func (l *listener) stopAccepting() { _ = l.Listener.Close() }
 
 // Close closes the socket and ends a waiting Accept.
--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -18,7 +18,7 @@
 // MaxBody is the default bound on a body of an internal call or answer, in bytes.
 const MaxBody = 64 << 20
 
-// Pair names a call by its path and gives it its types: POST Path, body the JSON of C, answer the JSON of A.
+// Pair names a call by its path and fixes its types: POST Path, body the JSON of C, answer the JSON of A.
 // Fields that a side does not know are passed over, so that versions can be mixed. Example:
 //
 //	var Vote = rpc.Pair[Ballot, Verdict]{Path: "/store/vote"}
@@ -32,7 +32,7 @@
 	Hint    string    `json:"hint,omitempty"`
 }
 
-// WriteError answers err: the status of its kind's row in failure's table, Retry-After in whole seconds (rounded up,
+// WriteError answers err: the status of its kind in the table of errs, Retry-After in whole seconds (rounded up,
 // at least 1) where there is one, and the body {"kind","field","message"}, plus "hint" if set. Causes are not sent.
 func WriteError(w http.ResponseWriter, err error) {
 	f := errs.Of(err)
@@ -86,7 +86,7 @@
 	h.Set("Content-Type", "application/json")
 	h.Set("Content-Length", strconv.Itoa(len(body)))
 	w.WriteHeader(status)
-	_, _ = w.Write(body) // a caller that is gone hears nothing; its own timer tells it
+	_, _ = w.Write(body) // a caller that is gone runs into its own time-out
 }
 
 // ReadBody reads a body of at most limit bytes; the bytes are the caller's own. A declared or real length over
--- a/internal/rpc/server.go
+++ b/internal/rpc/server.go
@@ -131,7 +131,7 @@
 	writeError(w, f, http.StatusMethodNotAllowed)
 }
 
-// logFailure logs failures that are ours to mend, with their causes, which are not sent.
+// logFailure logs failures of this node, with their causes, which are not sent.
 func (s *Server) logFailure(path string, err error) {
 	switch errs.KindOf(err) {
 	case errs.Internal, errs.Disk, errs.Damaged, errs.Torn:
@@ -140,7 +140,7 @@
 }
 
 // Route answers pattern (as of http.ServeMux) with h, which may answer failures by WriteError. r and w must not be
-// kept after h returns. Call it before Start; a pattern given twice panics.
+// kept after h returns. Call it before Start; a pattern used twice panics.
 func (s *Server) Route(pattern string, h func(w http.ResponseWriter, r *http.Request)) {
 	calls := s.meter.calls.WithLabelValues(pattern)
 	s.mux.HandleFunc(pattern, func(w http.ResponseWriter, r *http.Request) {
@@ -191,7 +191,7 @@
 	close(s.idle)
 }
 
-// serve lets a request in, unless the server stops, and finds its route.
+// serve passes a request to its route, unless the server is stopping.
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	stopping := s.stopping
@@ -202,7 +202,7 @@
 	}
 	if h, pattern := s.mux.Handler(r); pattern == "" {
 		seen := &headRecorder{head: w.Header()}
-		h.ServeHTTP(seen, r) // the mux's own refusal; ours is JSON
+		h.ServeHTTP(seen, r) // the mux's own refusal is not JSON
 		if seen.status == http.StatusMethodNotAllowed {
 			refuseMethod(w, r)
 			return
--- a/internal/rpc/transfer.go
+++ b/internal/rpc/transfer.go
@@ -14,7 +14,7 @@
 // connectionSource lends connections to calls.
 type connectionSource interface {
 	take(ctx context.Context, addr string) (*connection, error)
-	release(l *connection, whole bool) // whole: the call went well to its last byte
+	release(l *connection, whole bool) // whole: the call succeeded up to its last byte, so the connection may be used again
 	isClosed() bool
 }
 
@@ -41,7 +41,7 @@
 	return errs.Pass(err, "call")
 }
 
-// askFrame makes one call of a pair: an answer other than 200 is the failure it tells of.
+// askFrame makes one call of a pair: an answer other than 200 is returned as the failure in it.
 func (k *Caller) askFrame(ctx context.Context, h connectionSource, addr, path string, out []byte, in *bytes.Buffer, within time.Duration, before func() error) error {
 	t := transfer{addr: addr, path: path, method: http.MethodPost, request: out, response: in, within: within, before: before}
 	res, err := k.transfer(ctx, h, t)
@@ -54,7 +54,7 @@
 	return errs.Pass(decodeError(res, in.Bytes()), "%s at %s", path, addr)
 }
 
-// head puts the request's head right before the body, into the room kept for it, and gives the whole request.
+// head writes the request's head right before the body, into the room kept for it, and returns the whole request.
 func (f *frame) head(room int, path, addr string) []byte {
 	whole := f.buf.Bytes()
 	b := make([]byte, 0, room)
--- a/internal/signature/signature.go
+++ b/internal/signature/signature.go
@@ -79,14 +79,14 @@
 	return base64.StdEncoding.EncodeToString(k.private.Public().(ed25519.PublicKey))
 }
 
-// Sign gives the signature of a text in base64. Example:
+// Sign returns the signature of a text in base64. Example:
 //
 //	sig := key.Sign(signature.Bundle(8, signature.Digest(body)))
 func (k Key) Sign(text string) string {
 	return base64.StdEncoding.EncodeToString(ed25519.Sign(k.private, []byte(text)))
 }
 
-// Verify tells whether sig is the signature of text by the owner of a public key; both are base64.
+// Verify reports whether sig is the signature of text by the owner of a public key; both are base64.
 func Verify(public, text, sig string) bool {
 	key, err := base64.StdEncoding.DecodeString(public)
 	if err != nil || len(key) != ed25519.PublicKeySize {
--- a/internal/storage/append.go
+++ b/internal/storage/append.go
@@ -5,8 +5,8 @@
 	"slices"
 )
 
-// Append writes recs with one write and one sync and returns when they last. An entry replaces the one of its
-// index and all after it; it must follow the last entry without a hole and lie past the newest image. Failures:
+// Append writes recs with one write and one sync and returns when they are durable. An entry replaces the one of its
+// index and all after it; it must follow the last entry without a gap and lie past the newest snapshot. Failures:
 // Invalid and TooLarge (nothing was written), Stopped, Disk (a write or sync failed, now or before: end the
 // process, what recs became is unknown). Example:
 //
--- a/internal/storage/disk.go
+++ b/internal/storage/disk.go
@@ -12,21 +12,21 @@
 	"crosstide/internal/errs"
 )
 
-// Disk is what slot needs of a folder. Names have no path. What is not synced may be lost, in any part.
+// Disk is a folder. Names have no path. Unsynced changes may be lost, any part of them.
 type Disk interface {
 	Create(name string) (File, error) // a new empty file to write; fails when the name is taken
 	Open(name string) (File, error)   // to read from the start
 	List() ([]string, error)
 	Remove(name string) error
-	Rename(old, name string) error // takes the place of name
-	Sync() error                   // makes creates, removes and renames last
+	Rename(old, name string) error // replaces name
+	Sync() error                   // makes creations, removals and renames durable
 }
 
 // File is a file that is either read or written from its start to its end.
 type File interface {
 	io.Reader
 	io.Writer
-	Sync() error // makes the bytes and the length last
+	Sync() error // makes the bytes and the length durable
 	Close() error
 }
 
@@ -34,7 +34,7 @@
 
 type osFile struct{ *os.File }
 
-// OSDisk gives the folder dir, created (and synced in its parent) if it is missing. Failure: Disk. Example:
+// OSDisk returns the folder dir, created (and synced in its parent) if it is missing. Failure: Disk. Example:
 //
 //	disk, err := storage.OSDisk(filepath.Join(data, "store"))
 func OSDisk(dir string) (Disk, error) {
@@ -107,7 +107,7 @@
 	return errs.Wrap(f.Sync(), errs.Disk, "sync the folder")
 }
 
-// Sync is fdatasync, which also makes the length last. EINTR is no failed sync: the call did not run.
+// Sync calls fdatasync, which makes the length durable too. After EINTR, which is no failed sync, it is called again.
 func (f osFile) Sync() error {
 	for {
 		err := unix.Fdatasync(int(f.Fd()))
--- a/internal/storage/logview.go
+++ b/internal/storage/logview.go
@@ -1,10 +1,10 @@
 package storage
 
-// logView is what a sequence of records comes to.
+// logView is the outcome of a sequence of records.
 type logView struct {
-	entries []Record // the entries that stand, indexes without a hole
+	entries []Record // the entries that were not replaced, indexes without a gap
 	hard    *Record
-	floor   uint64 // the list says nothing of entries up to here; only an image does
+	floor   uint64 // entries up to here are known only through a snapshot
 	base    Record // the last kindBase
 }
 
@@ -16,7 +16,7 @@
 	return t.floor
 }
 
-// add takes the next record in; false is a hole in the indexes.
+// add applies the next record; false means a gap in the indexes.
 func (t *logView) add(r Record) bool {
 	switch r.Kind {
 	case KindHard:
@@ -36,8 +36,8 @@
 	return true
 }
 
-// rebase takes in that an image was written. Entries that lead up to it and past it stand; entries that the
-// image contradicts, or that end before it, fall (the image came from another member).
+// rebase records that a snapshot was written. Entries that include its index with its term stay. Entries that the
+// snapshot contradicts, or that end before it, are dropped: it came from another member.
 func (t *logView) rebase(b Record) {
 	t.base = b
 	if len(t.entries) > 0 {
@@ -52,7 +52,7 @@
 	t.entries, t.floor = nil, max(t.floor, b.Index)
 }
 
-// entriesAfter gives the entries after an image of index; false if the log does not follow it without a hole.
+// entriesAfter returns the entries after an image of index; false if the log does not follow it without a gap.
 func (t *logView) entriesAfter(index uint64) ([]Record, bool) {
 	if t.floor > index {
 		return nil, false
--- a/internal/storage/memdisk.go
+++ b/internal/storage/memdisk.go
@@ -15,8 +15,8 @@
 type MemDisk struct {
 	mu            sync.Mutex
 	live          map[string]*inode
-	durable       map[string]*inode   // the names as last synced
-	unsyncedNames []map[string]*inode // the names after each change since then
+	durable       map[string]*inode   // the files by name, as last synced
+	unsyncedNames []map[string]*inode // the files by name after each change since then
 	boot          int
 	failSync      int
 	powerOff      int
@@ -24,8 +24,8 @@
 
 type inode struct {
 	data       []byte
-	durable    int  // bytes that last
-	syncFailed bool // a sync failed: what was written before never lasts, though reads give it
+	durable    int  // bytes that survive a crash
+	syncFailed bool // a sync failed: bytes written before it are never durable, though they can be read
 }
 
 type memFile struct {
@@ -45,11 +45,11 @@
 	return &MemDisk{live: map[string]*inode{}, durable: map[string]*inode{}}
 }
 
-// FailSync makes the n-th sync from now fail (1: the next), of a file or of the folder; 0 calls it off.
-// As on Linux, later syncs of that file succeed, yet what it held does not last.
+// FailSync makes the n-th sync from now fail (1: the next), of a file or of the folder; 0 cancels it.
+// As on Linux, later syncs of that file succeed, yet the bytes it held are not durable.
 func (d *MemDisk) FailSync(n int) { d.mu.Lock(); defer d.mu.Unlock(); d.failSync = n }
 
-// PowerOff makes the n-th changing call from now and all after it fail until Crash; 0 calls it off.
+// PowerOff makes the n-th changing call from now and all after it fail until Crash; 0 cancels it.
 func (d *MemDisk) PowerOff(n int) { d.mu.Lock(); defer d.mu.Unlock(); d.powerOff = n }
 
 // Crash is a power loss: of unsynced bytes a random prefix stays, now and then followed by zeros; of unsynced
@@ -88,7 +88,7 @@
 	}
 }
 
-// Bytes gives a copy of a file, nil if it is missing.
+// Bytes returns a copy of a file, nil if it is missing.
 func (d *MemDisk) Bytes(name string) []byte {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -120,7 +120,7 @@
 	return out
 }
 
-// checkWritable counts a changing call and tells whether the power is off.
+// checkWritable counts a changing call; it fails while the power is off and for files opened before a crash.
 func (d *MemDisk) checkWritable(boot int) error {
 	if d.powerOff > 1 {
 		d.powerOff--
@@ -141,7 +141,7 @@
 	return d.failSync == 0
 }
 
-// changeNames does edit on the live names and notes the outcome.
+// changeNames runs edit on the live names and records the outcome.
 func (d *MemDisk) changeNames(edit func()) {
 	edit()
 	d.unsyncedNames = append(d.unsyncedNames, maps.Clone(d.live))
@@ -172,7 +172,7 @@
 	return &memFile{disk: d, inode: d.live[name], boot: d.boot}, nil
 }
 
-// List gives the names in order.
+// List returns the names in order.
 func (d *MemDisk) List() ([]string, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -208,7 +208,7 @@
 	return nil
 }
 
-// Sync makes the names last.
+// Sync makes the names durable.
 func (d *MemDisk) Sync() error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/storage/open.go
+++ b/internal/storage/open.go
@@ -81,7 +81,7 @@
 		return boot, errs.Pass(err, "files of the store")
 	}
 	// Read the log up to its first bad byte, which may only be the torn end of it all.
-	var tail []Record // records of the last segment that counts
+	var tail []Record // records of the last valid segment
 	var told logView
 	dropped := 0 // segments after it
 	for i, number := range f.segmentNumbers {
@@ -153,8 +153,8 @@
 	return nil
 }
 
-// rewriteTail writes the last segment anew, so that what Open gives lasts even if it was read from the memory of the
-// machine after a failed sync or a kill, and removes what does not count.
+// rewriteTail writes the last segment again, so that what Open returns is durable even if it was read from the page
+// cache after a failed sync or a kill, and removes the files that are not used.
 func (s *Store) rewriteTail(f folder, dropped int, tail []Record, told logView) error {
 	for _, name := range f.unfinished {
 		if err := s.disk.Remove(name); err != nil {
@@ -193,7 +193,7 @@
 	return nil
 }
 
-// Clear removes every file of a store from the folder, and only those, and makes it last. Failure: Disk.
+// Clear removes every file of a store from the folder, and only those, and syncs the folder. Failure: Disk.
 func Clear(d Disk) error {
 	names, err := d.List()
 	if err != nil {
--- a/internal/storage/record.go
+++ b/internal/storage/record.go
@@ -9,7 +9,8 @@
 // KindHard is the kind of a record of the hard state; its Data (term and vote) is the caller's.
 const KindHard uint8 = 255
 
-// kindBase says, at its place in the log, which image was newest; the store writes it itself.
+// kindBase is the kind of a record that says which snapshot was the newest at that place of the log. Only the store
+// writes it.
 const kindBase uint8 = 254
 
 // MaxData bounds the Data of one record, in bytes.
@@ -35,7 +36,7 @@
 	byteOrder  = binary.LittleEndian
 )
 
-// recordSum covers where the record stands (segment, offset), its length, kind, term, index and data.
+// recordSum is the checksum over the record's place (segment, offset), length, kind, term, index and data.
 func recordSum(segment uint64, offset int, rest []byte) uint32 {
 	var at [16]byte
 	byteOrder.PutUint64(at[:], segment)
@@ -43,7 +44,7 @@
 	return crc32.Update(crc32.Checksum(at[:], castagnoli), castagnoli, rest)
 }
 
-// appendRecord adds r to buf; buf[0] will stand at offset start of the segment.
+// appendRecord adds r to buf; buf[0] will be written at offset start of the segment.
 func appendRecord(buf []byte, segment uint64, start int, r Record) []byte {
 	at := len(buf)
 	buf = append(buf, recordMark...)
@@ -76,7 +77,7 @@
 	return r, offset + len(b), true
 }
 
-// readSegment gives the records up to the first bad byte, and that offset.
+// readSegment returns the records up to the first bad byte, and that offset.
 func readSegment(all []byte, segment uint64) (out []Record, end int) {
 	for end < len(all) {
 		r, next, ok := recordAt(all, segment, end)
@@ -88,7 +89,7 @@
 	return out, end
 }
 
-// anyRecord tells whether a valid record starts at offset or later.
+// anyRecord reports whether a valid record starts at offset or later.
 func anyRecord(all []byte, segment uint64, offset int) bool {
 	for offset < len(all) {
 		i := bytes.Index(all[offset:], []byte(recordMark))
--- a/internal/storage/segment.go
+++ b/internal/storage/segment.go
@@ -18,13 +18,13 @@
 	}
 }
 
-// segmentNumber gives the number of the log segment that has the name; false if none has.
+// segmentNumber returns the number of the log segment that has the name; false if none has.
 func segmentNumber(name string) (number uint64, ok bool) {
 	_, err := fmt.Sscanf(name, segmentPrefix+"%d", &number)
 	return number, err == nil && segment{number: number}.name() == name
 }
 
-// segmentHead is what each segment starts with. Data in the first record says that the hard state follows.
+// segmentHead returns the first records of a segment. Data in the first one means that the hard state follows.
 func (s *Store) segmentHead() []Record {
 	out := []Record{{Kind: kindBase, Index: s.newest.Index, Term: s.newest.Term}}
 	if s.log.hard != nil {
@@ -51,7 +51,7 @@
 	return nil
 }
 
-// writeFile writes a file under a loose name, syncs it, gives it its name and syncs the folder.
+// writeFile writes a file under a temporary name, syncs it, renames it and syncs the folder.
 func (s *Store) writeFile(name string, parts ...[]byte) (File, error) {
 	file, err := s.disk.Create(name + unfinishedSuffix)
 	if err != nil {
--- a/internal/storage/snapshot.go
+++ b/internal/storage/snapshot.go
@@ -5,9 +5,9 @@
 	"slices"
 )
 
-// WriteSlot makes img the newest slot (its Number is given here), starts a new segment and removes the segments
-// whose entries all lie at or before the slot before it, and before keepFrom if that is not 0. Appends go on
-// meanwhile but for the change of segment. An image of the own log must have the Term of its entry; one that
+// WriteSlot makes img the newest snapshot (it sets its Number), starts a new segment and removes the segments whose
+// entries all lie at or before the previous snapshot, and before keepFrom if that is not 0. Appends continue
+// meanwhile, except while the segment changes. An image of the own log must have the Term of its entry; one that
 // came from another member must be written before the entries after it are appended: entries that it
 // contradicts fall. Failures: Invalid (older than the newest slot), Stopped, Disk (as with Append). Example:
 //
--- a/internal/storage/snapshotfile.go
+++ b/internal/storage/snapshotfile.go
@@ -8,13 +8,13 @@
 
 // Image is the whole state as of the entry Index of term Term.
 type Image struct {
-	Number      uint64 // of the slot's writing, from 1; given by the store
+	Number      uint64 // counts the snapshots written, from 1; set by the store
 	Index, Term uint64
 	Meta        []byte // members and the like
 	Body        []byte // the state
 }
 
-// slotParts gives what stands before and after the body in a slot.
+// slotParts returns the bytes before and after the body in a snapshot's file.
 func slotParts(img Image) (head, tail []byte) {
 	head = append(head, slotMark...)
 	for _, v := range []uint64{img.Number, img.Index, img.Term, uint64(len(img.Meta)), uint64(len(img.Body))} {
@@ -27,7 +27,7 @@
 	return head, byteOrder.AppendUint64(nil, sum.Sum64())
 }
 
-// readSlot checks a slot. Failure: Damaged.
+// readSlot decodes and checks a snapshot's file. Failure: Damaged.
 func readSlot(all []byte) (Image, error) {
 	if len(all) < slotHeadSize+slotSumSize || string(all[:8]) != slotMark {
 		return Image{}, errs.New(errs.Damaged, "no slot in %d bytes", len(all))
--- a/internal/storage/storage.go
+++ b/internal/storage/storage.go
@@ -1,6 +1,10 @@
-// Package storage is the durable storage of the control store: two slots written in turn, each with the whole
-// state, and a short log between. Only what is synced counts. Every file gets its name after it is synced, and
-// the only file that is written under its name is the last segment of the log; so a torn write shows only there.
+// Package storage is the durable storage of the control store: a snapshot of the whole state in one of two files
+// (slots) that are written in turn, and a write-ahead log in segments. Only synced data counts. Each file is written
+// and synced under a temporary name and then renamed; only the last segment of the log is written in place, so a
+// torn write can be found only there.
+//
+// open.go reads a folder, append.go writes the log, snapshot.go and snapshotfile.go the snapshots; record.go has the
+// log's format, logview.go the meaning of a sequence of records. disk.go and memdisk.go are the folders.
 package storage
 
 import (
@@ -13,21 +17,22 @@
 )
 
 const (
-	unfinishedSuffix = ".tmp" // ends the name of a file that is not synced yet
-	segmentPrefix    = "log-"
+	unfinishedSuffix = ".tmp" // of the name of a file that may not be synced yet
+	segmentPrefix    = "log-" // of the name of a segment, before its number
 )
 
+// slotNames are the files of the two snapshots.
 var slotNames = [2]string{"slot-a", "slot-b"}
 
-// Options of a store.
+// Options are the settings of a Store.
 type Options struct {
 	Clock clock.Clock // times the syncs for Stats; nil takes clock.Real
 }
 
-// Boot is what Open found.
+// Boot is what Open read.
 type Boot struct {
-	Image   *Image   // the newest slot that the log follows; nil if none was ever written
-	Records []Record // the last KindHard if there is one, then the entries after Image, without a hole
+	Image   *Image   // the newest snapshot that the log follows; nil if none was ever written
+	Records []Record // the last KindHard if there is one, then the entries after Image, without a gap
 	Fresh   bool     // the folder holds no image, no hard state and no entry
 	Cut     int64    // bytes of torn tail that were cut
 }
@@ -44,7 +49,7 @@
 	clock       clock.Clock
 	writingSlot sync.Mutex // held by one WriteSlot
 
-	mu          sync.Mutex // the log and all below; never held while a slot is written
+	mu          sync.Mutex // guards the log and the fields below; never held while a snapshot is written
 	file        File       // the last segment
 	size        int
 	buf         []byte
@@ -75,7 +80,7 @@
 	add(&s.stats)
 }
 
-// usable tells, under mu, whether the store may still write.
+// usable returns why the store may not write any more, nil if it may. The caller holds mu.
 func (s *Store) usable() error {
 	if s.broken != nil {
 		return errs.Wrap(s.broken, errs.Disk, "the store failed before")
@@ -94,7 +99,7 @@
 	return errs.Wrap(err, errs.Disk, "the store failed")
 }
 
-// Stats gives the counters since Open.
+// Stats returns the counters since Open.
 func (s *Store) Stats() Stats {
 	s.mu.Lock()
 	segments := uint64(len(s.segments))
@@ -106,7 +111,7 @@
 	return out
 }
 
-// Close ends the use of the store, after a WriteSlot that is under way. All that was appended lasts already.
+// Close ends the use of the store, after a WriteSlot that is under way. All that was appended is durable already.
 func (s *Store) Close() error {
 	s.writingSlot.Lock()
 	defer s.writingSlot.Unlock()
--- a/internal/storage/storage_test.go
+++ b/internal/storage/storage_test.go
@@ -49,7 +49,7 @@
 	return img
 }
 
-// fits tells whether boot is m.
+// fits reports whether boot is m.
 func (m model) fits(boot Boot) bool {
 	recs, from := boot.Records, uint64(0)
 	if m.hard != nil {
--- a/internal/testbed/audit/audit.go
+++ b/internal/testbed/audit/audit.go
@@ -66,7 +66,7 @@
 // String is where the line stands, and the line.
 func (e Event) String() string { return fmt.Sprintf("%s:%d %s", e.File, e.Line, e.Raw) }
 
-// after tells how long after at e is.
+// after reports how long after at e is.
 func (e Event) after(at int64) time.Duration { return time.Duration(e.At - at) }
 
 // task names a task for good.
@@ -80,7 +80,7 @@
 // History is all lines: those of each file in order of writing.
 type History struct{ Events []Event }
 
-// by gives the events of a source in order of time; equal times keep the order of the files.
+// by returns the events of a source in order of time; equal times keep the order of the files.
 func (h History) by(from Source, evs ...string) []Event {
 	var out []Event
 	for _, e := range h.Events {
@@ -92,7 +92,7 @@
 	return out
 }
 
-// minions gives each minion's events in order of writing.
+// minions returns each minion's events in order of writing.
 func (h History) minions() map[string][]Event {
 	out := map[string][]Event{}
 	for _, e := range h.Events {
@@ -224,7 +224,7 @@
 	return out
 }
 
-// Clean tells whether nothing is broken.
+// Clean reports whether nothing is broken.
 func Clean(findings []Finding) bool {
 	return !slices.ContainsFunc(findings, func(f Finding) bool { return f.Verdict == Broken })
 }
--- a/internal/testbed/audit/away.go
+++ b/internal/testbed/audit/away.go
@@ -7,7 +7,7 @@
 	"crosstide/internal/testbed/load"
 )
 
-// Outage tells how long the service was away after a blow, in seconds; below 0: it was not seen to come back.
+// Outage reports how long the service was away after a blow, in seconds; below 0: it was not seen to come back.
 type Outage struct {
 	FirstAccept float64 `json:"first_accept_s"` // until the yes to a job that was first handed in after the blow
 	FirstStart  float64 `json:"first_start_s"`  // until a run started after the blow
@@ -38,7 +38,7 @@
 	return out
 }
 
-// gaps gives the time from at to the first of events in order, and the longest between two; below 0: none came.
+// gaps returns the time from at to the first of events in order, and the longest between two; below 0: none came.
 func gaps(events []Event, at int64) (first, longest float64) {
 	first, longest = -1, -1
 	last := at
--- a/internal/testbed/audit/bundles.go
+++ b/internal/testbed/audit/bundles.go
@@ -20,7 +20,7 @@
 	bundle   state.Bundle
 }
 
-// reigns gives every version that was acknowledged as in force, the first one in front. blind is from when on an
+// reigns returns every version that was acknowledged as in force, the first one in front. blind is from when on an
 // order without an answer may have put an unknown version in force, until the next acknowledgement.
 func reigns(h History) (out []reign, blind []window) {
 	first, err := bundle.Parse([]byte(state.First))
@@ -96,7 +96,7 @@
 	}
 }
 
-// misfit tells why a start is not within a bundle; "" if it is.
+// misfit reports why a start is not within a bundle; "" if it is.
 func misfit(b state.Bundle, e, boot Event, team string, boots map[[2]string]Event) string {
 	q, ok := b.Queues[e.Queue]
 	allows := func(list []string, name string) bool { return len(list) == 0 || slices.Contains(list, name) }
--- a/internal/testbed/audit/checks.go
+++ b/internal/testbed/audit/checks.go
@@ -20,7 +20,7 @@
 	sure  bool  // false: it was never seen to end, to is its minion's last sign of life
 }
 
-// spans gives the run of every start. A run ends with its end, stop or lapse line. One without such a line is
+// spans returns the run of every start. A run ends with its end, stop or lapse line. One without such a line is
 // taken to have run up to the first of:
 //
 //   - the drill's note that it killed the minion (it is written just before, and only for a live process), if the
@@ -80,7 +80,7 @@
 	return out
 }
 
-// firstOf gives the first of events about a node from a time on.
+// firstOf returns the first of events about a node from a time on.
 func firstOf(events []Event, node string, from int64) (Event, bool) {
 	i := slices.IndexFunc(events, func(e Event) bool { return e.Node == node && e.At >= from })
 	if i < 0 {
@@ -122,7 +122,7 @@
 	}
 }
 
-// ends gives the first good end of every task.
+// ends returns the first good end of every task.
 func ends(h History) map[task]Event {
 	out := map[task]Event{}
 	for _, e := range h.by(Minion, journal.End) {
--- a/internal/testbed/bundles/bundles.go
+++ b/internal/testbed/bundles/bundles.go
@@ -446,10 +446,10 @@
 
 // rest waits; a fault if ctx ends first.
 func (o *office) rest(ctx context.Context, d time.Duration) error {
-	rung := make(chan struct{})
-	defer o.clock.Set(d, func() { close(rung) }).Stop()
+	fired := make(chan struct{})
+	defer o.clock.Set(d, func() { close(fired) }).Stop()
 	select {
-	case <-rung:
+	case <-fired:
 		return nil
 	case <-ctx.Done():
 		return errs.Wrap(ctx.Err(), errs.Stopped, "the operators are done")
--- a/internal/testbed/bundles/report.go
+++ b/internal/testbed/bundles/report.go
@@ -34,7 +34,7 @@
 	FromForce       Spread         `json:"commit_to_node_ms"`    // from the commit's store time to each node
 }
 
-// Held tells whether something changed and nothing was amiss.
+// Held reports whether something changed and nothing was amiss.
 func (r Report) Held() bool {
 	return r.Changes > 0 && r.BothWon+r.RepeatsDiffer+r.ReadBacksDiffer+r.NotEverywhere+r.InvalidTaken+r.LiftsWrong == 0
 }
--- a/internal/testbed/fleet/call.go
+++ b/internal/testbed/fleet/call.go
@@ -22,7 +22,7 @@
 	Body   []byte
 }
 
-// Good tells whether the status is 2xx.
+// Good reports whether the status is 2xx.
 func (r Reply) Good() bool { return r.Status >= 200 && r.Status < 300 }
 
 // Kind is the fault kind in the body; without one it is "status N".
--- a/internal/testbed/fleet/fleet.go
+++ b/internal/testbed/fleet/fleet.go
@@ -35,7 +35,7 @@
 	Labels map[string]string `json:"labels,omitempty"`
 }
 
-// Process gives the name that the node's process has in DIR/pids.
+// Process returns the name that the node's process has in DIR/pids.
 func (n Node) Process() string { return cmp.Or(n.Host, n.Name) }
 
 // Nodes is DIR/nodes.json.
@@ -46,13 +46,13 @@
 	Link    string `json:"link,omitempty"` // where the process of the faulty links takes orders
 }
 
-// All gives every node.
+// All returns every node.
 func (n Nodes) All() []Node {
 	out := make([]Node, 0, len(n.CPlanes)+len(n.DPlanes)+len(n.Minions))
 	return append(append(append(out, n.CPlanes...), n.DPlanes...), n.Minions...)
 }
 
-// Zone gives the names of all processes in a zone.
+// Zone returns the names of all processes in a zone.
 func (n Nodes) Zone(zone string) []string {
 	var out []string
 	for _, node := range n.All() {
@@ -105,7 +105,7 @@
 	return errs.Wrap(unix.Kill(pid, sig), errs.Unknown, "signal %s, pid %d", name, pid)
 }
 
-// Pid gives the pid of a node that runs: the process with the pid of DIR/pids must have the command line of
+// Pid returns the pid of a node that runs: the process with the pid of DIR/pids must have the command line of
 // DIR/start. Faults: Disk, Malformed, Unknown (no such process any more).
 func Pid(dir, name string) (int, error) {
 	pids, err := Pids(dir)
--- a/internal/testbed/fleet/plan.go
+++ b/internal/testbed/fleet/plan.go
@@ -31,7 +31,7 @@
 	Sick                                    int    // of the minions: the first ones end every run in a fault
 }
 
-// Check tells what is wrong with a shape. Fault: Invalid.
+// Check reports what is wrong with a shape. Fault: Invalid.
 func (s Shape) Check() error {
 	switch {
 	case s.CPlanes < 1 || s.DPlanes < 1 || s.Minions < 0:
@@ -57,7 +57,7 @@
 	return daemons*(daemons-1) + 2*s.DPlanes*s.Minions
 }
 
-// Lace gives a link for each way that some node dials another, one port each, and for each node by name the
+// Lace returns a link for each way that some node dials another, one port each, and for each node by name the
 // address to dial by the address to reach.
 func Lace(n Nodes, ports []int) ([]link.Way, map[string]map[string]string) {
 	var out []link.Way
@@ -102,7 +102,7 @@
 	return n
 }
 
-// Lay gives the nodes of a shape: zones round robin, racks of eight minions within each zone. One port per process;
+// Lay returns the nodes of a shape: zones round robin, racks of eight minions within each zone. One port per process;
 // the hollow minions of a process share its zone, rack and port, and are named after it: h1-0, h1-1 and on.
 func Lay(s Shape, ports []int) Nodes {
 	var n Nodes
@@ -312,7 +312,7 @@
 	return n, errs.Wrap(os.WriteFile(filepath.Join(dir, "start"), []byte(start.String()), 0o644), errs.Disk, "write start")
 }
 
-// seeds gives up to three addresses of others, beginning after the node's own place.
+// seeds returns up to three addresses of others, beginning after the node's own place.
 func seeds(self Node, addrs []string) []string {
 	from := 0
 	for i, a := range addrs {
--- a/internal/testbed/fleet/profile.go
+++ b/internal/testbed/fleet/profile.go
@@ -12,7 +12,7 @@
 	"mamlaka": {CPlanes: 5, DPlanes: 8, Minions: 48, Zones: 4, Cores: 16, Kind: "check"},
 }
 
-// WithProfile gives the shape of a deployment by name, in place of s but for what is no matter of size. Fault: Invalid.
+// WithProfile returns the shape of a deployment by name, in place of s but for what is no matter of size. Fault: Invalid.
 func (s Shape) WithProfile(name string) (Shape, error) {
 	p, ok := profiles[name]
 	if !ok {
@@ -22,7 +22,7 @@
 	return p, nil
 }
 
-// equip gives minion i of a profile its size and labels.
+// equip returns minion i of a profile its size and labels.
 func (s Shape) equip(i int, m *Node) {
 	m.Cores = s.Cores
 	if s.Profile != "mamlaka" {
--- a/internal/testbed/journal/journal.go
+++ b/internal/testbed/journal/journal.go
@@ -76,7 +76,7 @@
 	return &Writer{file: file}, nil
 }
 
-// wholeLines gives the size of path up to its last line end, 0 if there is no such file.
+// wholeLines returns the size of path up to its last line end, 0 if there is no such file.
 func wholeLines(path string) (int64, error) {
 	data, err := os.ReadFile(path)
 	if err != nil && !errors.Is(err, os.ErrNotExist) {
--- a/internal/testbed/link/gate.go
+++ b/internal/testbed/link/gate.go
@@ -39,7 +39,7 @@
 	Delay time.Duration `json:"delay,omitempty"` // ns, of slow
 }
 
-// CutAnswer tells how many links are touched.
+// CutAnswer reports how many links are touched.
 type CutAnswer struct {
 	Links int `json:"links"`
 }
@@ -47,7 +47,7 @@
 // Order is the call of the control port.
 var Order = rpc.Pair[Cut, CutAnswer]{Path: "/v1/cut"}
 
-// Check tells what is wrong with an order. Fault: Invalid.
+// Check reports what is wrong with an order. Fault: Invalid.
 func (c Cut) Check() error {
 	switch {
 	case (c.Node == "") == (c.Zone == ""):
@@ -66,7 +66,7 @@
 	return c.Node != "" && node == c.Node || c.Zone != "" && zone == c.Zone
 }
 
-// crosses tells whether a way leads over the cut; out: what From sends to To leaves the node or zone.
+// crosses reports whether a way leads over the cut; out: what From sends to To leaves the node or zone.
 func (c Cut) crosses(w Way) (yes, out bool) {
 	from, to := c.inside(w.From, w.FromZone), c.inside(w.To, w.ToZone)
 	return from != to, from
--- a/internal/testbed/link/link.go
+++ b/internal/testbed/link/link.go
@@ -177,7 +177,7 @@
 	})
 }
 
-// judge gives the fate of what comes now; what is lost dooms the connection: a stream with a gap cannot go on.
+// judge returns the fate of what comes now; what is lost dooms the connection: a stream with a gap cannot go on.
 func (t *tie) judge(forward bool) fate {
 	now := t.clock.Now()
 	f := t.gate.fate(now, t.Way, forward)
--- a/internal/testbed/link/link_test.go
+++ b/internal/testbed/link/link_test.go
@@ -48,7 +48,7 @@
 	})
 }
 
-// counted tells of every timer that is set.
+// counted reports of every timer that is set.
 type counted struct {
 	clock.Virtual
 	sets chan struct{}
--- a/internal/testbed/load/entry.go
+++ b/internal/testbed/load/entry.go
@@ -40,5 +40,5 @@
 	Labels map[string]string `json:"labels,omitempty"`
 }
 
-// Time gives At.
+// Time returns At.
 func (e Entry) Time() time.Time { return time.Unix(0, e.At) }
--- a/internal/testbed/load/load.go
+++ b/internal/testbed/load/load.go
@@ -87,7 +87,7 @@
 	return report, errs.Pass(err, "load")
 }
 
-// stamp gives a prefix of keys that no earlier load had.
+// stamp returns a prefix of keys that no earlier load had.
 func stamp() string { return "l" + strconv.FormatInt(time.Now().UnixMilli(), 36) }
 
 // offer starts every job at its time, whatever became of those before, and waits for all.
@@ -235,7 +235,7 @@
 	}
 }
 
-// passing tells whether the same call may well be answered otherwise at another time or node.
+// passing reports whether the same call may well be answered otherwise at another time or node.
 func passing(status int) bool {
 	switch status {
 	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusBadGateway,
@@ -276,10 +276,10 @@
 	if d <= 0 && ctx.Err() == nil {
 		return nil
 	}
-	rung := make(chan struct{})
-	defer l.clock.Set(d, func() { close(rung) }).Stop()
+	fired := make(chan struct{})
+	defer l.clock.Set(d, func() { close(fired) }).Stop()
 	select {
-	case <-rung:
+	case <-fired:
 		return nil
 	case <-ctx.Done():
 		return errs.Wrap(ctx.Err(), errs.Stopped, "the load's time is over")
--- a/internal/testbed/load/offer.go
+++ b/internal/testbed/load/offer.go
@@ -80,7 +80,7 @@
 	seed   uint64 // of the choice of nodes
 }
 
-// plan gives the offers of o in order: the same seed gives the same ones.
+// plan returns the offers of o in order: the same seed gives the same ones.
 func plan(o Options) []offer {
 	luck := rand.New(rand.NewPCG(o.Seed, 1))
 	ms := o.Run.Milliseconds()
--- a/internal/testbed/load/report.go
+++ b/internal/testbed/load/report.go
@@ -45,7 +45,7 @@
 	Count int64   `json:"count"`
 }
 
-// AllDone tells whether something was accepted, all of it is done, and none was ever unknown.
+// AllDone reports whether something was accepted, all of it is done, and none was ever unknown.
 func (r Report) AllDone() bool {
 	return r.Accepted > 0 && r.Done == r.Accepted && r.Unknown == 0
 }
--- a/internal/testbed/minion/core.go
+++ b/internal/testbed/minion/core.go
@@ -159,7 +159,7 @@
 	})
 }
 
-// Lost tells that the answer to the call tagged tag did not get out: what it said is news again.
+// Lost reports that the answer to the call tagged tag did not get out: what it said is news again.
 func (c *Core) Lost(tag uint64) {
 	c.news = true
 	if c.parked != nil && c.parked.tag == tag {
@@ -255,7 +255,7 @@
 	return ""
 }
 
-// unfit gives the first reason for which a checking minion refuses o; "" if there is none.
+// unfit returns the first reason for which a checking minion refuses o; "" if there is none.
 func (c *Core) unfit(call api.HoldCall, o api.StartOrder) string {
 	switch {
 	case call.Boot != c.t.Boot:
--- a/internal/testbed/minion/core_test.go
+++ b/internal/testbed/minion/core_test.go
@@ -62,7 +62,7 @@
 
 const standing = `{"ms":-1}`
 
-// orders gives every order of 0..n-1.
+// orders returns every order of 0..n-1.
 func orders(n int) (out [][]int) {
 	if n == 0 {
 		return [][]int{nil}
--- a/internal/testbed/minion/host.go
+++ b/internal/testbed/minion/host.go
@@ -232,7 +232,7 @@
 	gone  bool
 }
 
-// do gives the core an input at the present clock and carries out what it asks for: journal first, then answers.
+// do returns the core an input at the present clock and carries out what it asks for: journal first, then answers.
 func (b *body) do(input func(now time.Duration) Step) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -342,7 +342,7 @@
 	return late, lost
 }
 
-// announce tells one dplane after another where the minion is, until ctx ends.
+// announce reports one dplane after another where the minion is, until ctx ends.
 func (b *body) announce(ctx context.Context) {
 	h, t := b.host, b.traits
 	call := api.MinionCall{
--- a/internal/testbed/minion/settings.go
+++ b/internal/testbed/minion/settings.go
@@ -65,7 +65,7 @@
 	return errs.Wrap(dec.Decode(s), errs.Settings, "%s", path)
 }
 
-// Check tells all mistakes at once. Fault: Settings.
+// Check reports all mistakes at once. Fault: Settings.
 func (s Settings) Check() error {
 	var wrong []error
 	need := func(ok bool, field, format string, args ...any) {
--- a/internal/testbed/scale/probe.go
+++ b/internal/testbed/scale/probe.go
@@ -190,7 +190,7 @@
 	return sum
 }
 
-// role tells a process's role by what it shows of itself.
+// role reports a process's role by what it shows of itself.
 func (f families) role(name string) string {
 	for _, m := range f["crosstide_store_role"].GetMetric() {
 		if m.GetGauge().GetValue() == 1 && m.GetLabel()[0].GetValue() == "leader" {
--- a/internal/testbed/scale/row.go
+++ b/internal/testbed/scale/row.go
@@ -48,7 +48,7 @@
 // Roles is the order of rows.
 var Roles = []string{Leader, Follower, Sched, Dplane, Minion, Agent}
 
-// Rows gives the cost of each role between two readings. A process that changed its role between them counts for
+// Rows returns the cost of each role between two readings. A process that changed its role between them counts for
 // the newer one; counters that went back (a process that was started anew) are a fault. Fault: Unknown.
 func Rows(from, to Snap, step Step) ([]Row, error) {
 	s := (to.At - from.At).Seconds()
