--- a/cmd/drill/churn.go
+++ b/cmd/drill/churn.go
@@ -231,7 +231,7 @@
 	return nil
 }
 
-// leaveOne reports a minion to leave, as the platform does, and starts it again.
+// leaveOne asks a minion to leave, as the platform does, and starts it again.
 func (c *churner) leaveOne(ctx context.Context) error {
 	name := c.one(c.nodes.Minions).Name
 	if err := fleet.Signal(c.dir, name, unix.SIGTERM); err != nil {
--- a/cmd/drill/scenes.go
+++ b/cmd/drill/scenes.go
@@ -140,7 +140,7 @@
 	return errs.Pass(s.killAndBack(ctx, 6*time.Second, leader), "kill")
 }
 
-// leave reports minions to leave and waits until they have; their own grace is 10 s.
+// leave asks minions to leave and waits until they have; their own grace is 10 s.
 func leave(ctx context.Context, s *stage) error {
 	nodes := s.pick(2)
 	s.now()
--- a/internal/api/hold.go
+++ b/internal/api/hold.go
@@ -16,7 +16,7 @@
 // drops an answer that is older than one it has already taken in.
 var Hold = rpc.Pair[HoldCall, HoldAnswer]{Path: "/v1/hold"}
 
-// HoldCall reports a minion what to start, stop and forget. All clock values are readings of the minion's own
+// HoldCall tells a minion what to start, stop and forget. All clock values are readings of the minion's own
 // clock (HoldAnswer.Clock), in nanoseconds.
 type HoldCall struct {
 	Call   uint64        `json:"call"`            // goes up with every call to this minion under Epoch
--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -9,7 +9,7 @@
 	"golang.org/x/sys/unix"
 )
 
-// Clock reports time since an arbitrary start that counts suspension and never goes back, and sets timers.
+// Clock returns the time since an arbitrary start that counts suspension and never goes back, and sets timers.
 type Clock interface {
 	// Now is the time since the clock's start. It counts the time a machine was suspended.
 	Now() time.Duration
--- a/internal/quorum/quorum.go
+++ b/internal/quorum/quorum.go
@@ -49,7 +49,7 @@
 	Learner     bool   `json:"learner,omitempty"` // gets entries, does not count
 }
 
-// EntryKind reports what an entry's Data is.
+// EntryKind says what an entry's Data is.
 type EntryKind uint8
 
 const (
--- a/internal/rpc/callerrors.go
+++ b/internal/rpc/callerrors.go
@@ -2,7 +2,7 @@
 
 import "errors"
 
-// Unsent reports that a call surely failed before its first byte was handed to the kernel.
+// Unsent reports whether a call certainly failed before its first byte was handed to the kernel.
 func Unsent(err error) bool {
 	var u *unsent
 	return errors.As(err, &u)
@@ -16,7 +16,7 @@
 // Unwrap returns the error under the mark.
 func (u *unsent) Unwrap() error { return u.cause }
 
-// Answered reports that err is a failure that the peer's handler (or its server) gave as the answer.
+// Answered reports whether err is a failure that the peer's handler (or its server) returned as the answer.
 func Answered(err error) bool {
 	var a *answered
 	return errors.As(err, &a)
--- a/internal/testbed/link/link_test.go
+++ b/internal/testbed/link/link_test.go
@@ -48,7 +48,7 @@
 	})
 }
 
-// counted reports of every timer that is set.
+// counted records every timer that is set.
 type counted struct {
 	clock.Virtual
 	sets chan struct{}
--- a/internal/testbed/minion/host.go
+++ b/internal/testbed/minion/host.go
@@ -342,7 +342,7 @@
 	return late, lost
 }
 
-// announce reports one dplane after another where the minion is, until ctx ends.
+// announce tells one dplane after another where the minion is, until ctx ends.
 func (b *body) announce(ctx context.Context) {
 	h, t := b.host, b.traits
 	call := api.MinionCall{
