Cut quorum's Step and the caller's transfer into steps; no change of behaviour

Change: Step hands pre-votes, older terms and messages of the term to functions of their own; transfer takes its write, the naming of its errors and the mark for Unsent from methods. Texts of errors lose the word fault.

--- a/cmd/cplane/exit_test.go
+++ b/cmd/cplane/exit_test.go
@@ -12,7 +12,7 @@
 )
 
 func TestExit(t *testing.T) {
-	Convey("A command's fault gives its code, and its message without a trace; usage is 2, all else 1", t, func() {
+	Convey("A command's error sets the exit code, and its message without a trace; usage is 2, all else 1", t, func() {
 		for kind, code := range map[errs.Kind]int{errs.Conflict: 3, errs.Invalid: 4, errs.Forbidden: 4, errs.Unknown: 4,
 			errs.Unavailable: 5, errs.Timeout: 5, errs.Settings: 2, errs.Internal: 1} {
 			c := codes(&cli.Command{Name: "x", Commands: []*cli.Command{{Name: "y", Action: func(context.Context, *cli.Command) error {
--- a/cmd/drill/rehearse.go
+++ b/cmd/drill/rehearse.go
@@ -176,7 +176,7 @@
 	return filepath.Join(filepath.Dir(self), name)
 }
 
-// chosen returns the scenes of keys in their order, all without keys. Fault: Settings.
+// chosen returns the scenes of keys in their order, all without keys. Failure: Settings.
 func chosen(keys []string) ([]scene, error) {
 	if len(keys) == 0 {
 		return scenes, nil
--- a/internal/quorum/election.go
+++ b/internal/quorum/election.go
@@ -89,6 +89,30 @@
 	return m.PrevTerm > t || m.PrevTerm == t && m.PrevIndex >= c.log.last()
 }
 
+// onPreVote answers whether this node would vote for the sender.
+func (c *Core) onPreVote(m Message) {
+	if c.hard.Blank {
+		return
+	}
+	if m.Term > c.hard.Term && !c.hasLiveLeader() && c.isUpToDate(m) {
+		c.reply(m, Message{Kind: PreVoteReply, Term: m.Term})
+	} else {
+		c.reply(m, Message{Kind: PreVoteReply, Reject: true})
+	}
+}
+
+// onPreVoteReply counts a pre-vote, and starts the election with a majority of them.
+func (c *Core) onPreVoteReply(m Message) {
+	if m.Reject && m.Term > c.hard.Term {
+		c.becomeFollower(m.Term, "")
+	} else if !m.Reject && c.role == PreCandidate && m.Term == c.hard.Term+1 {
+		if c.granted[m.From] = true; c.hasMajority() {
+			c.startElection(false)
+		}
+	}
+}
+
+// onVote votes for the sender, unless this node voted otherwise in the term or has the newer log.
 func (c *Core) onVote(m Message) {
 	free := c.hard.Vote == "" && c.leader == "" || c.hard.Vote == m.From
 	if !free || !c.isUpToDate(m) {
--- a/internal/quorum/step.go
+++ b/internal/quorum/step.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-// Step takes a message of another core. What is malformed or not for this node is dropped.
+// Step handles a message of another core. What is malformed or not for this node is dropped.
 func (c *Core) Step(now time.Duration, m Message) {
 	c.advanceClock(now)
 	if m.To != c.cfg.ID || m.From == c.cfg.ID || m.From == "" {
@@ -13,23 +13,10 @@
 	}
 	switch m.Kind {
 	case PreVote:
-		if c.hard.Blank {
-			return
-		}
-		if m.Term > c.hard.Term && !c.hasLiveLeader() && c.isUpToDate(m) {
-			c.reply(m, Message{Kind: PreVoteReply, Term: m.Term})
-		} else {
-			c.reply(m, Message{Kind: PreVoteReply, Reject: true})
-		}
+		c.onPreVote(m)
 		return
 	case PreVoteReply:
-		if m.Reject && m.Term > c.hard.Term {
-			c.becomeFollower(m.Term, "")
-		} else if !m.Reject && c.role == PreCandidate && m.Term == c.hard.Term+1 {
-			if c.granted[m.From] = true; c.hasMajority() {
-				c.startElection(false)
-			}
-		}
+		c.onPreVoteReply(m)
 		return
 	case Vote:
 		if c.hard.Blank || m.Term >= c.hard.Term && !m.Force && c.hasLiveLeader() {
@@ -43,14 +30,24 @@
 		c.becomeFollower(m.Term, "")
 	}
 	if m.Term < c.hard.Term {
-		switch m.Kind { // answer a leader or candidate of an older term
-		case Append, Snapshot:
-			c.reply(m, Message{Kind: AppendReply, Reject: true})
-		case Vote:
-			c.reply(m, Message{Kind: VoteReply, Reject: true})
-		}
+		c.rejectOldTerm(m)
 		return
 	}
+	c.stepInTerm(m)
+}
+
+// rejectOldTerm answers a leader or candidate of an older term, so that it learns the newer one.
+func (c *Core) rejectOldTerm(m Message) {
+	switch m.Kind {
+	case Append, Snapshot:
+		c.reply(m, Message{Kind: AppendReply, Reject: true})
+	case Vote:
+		c.reply(m, Message{Kind: VoteReply, Reject: true})
+	}
+}
+
+// stepInTerm handles a message of this node's term.
+func (c *Core) stepInTerm(m Message) {
 	switch m.Kind {
 	case Vote:
 		c.onVote(m)
@@ -61,18 +58,7 @@
 			}
 		}
 	case Append, Snapshot:
-		if c.role == Leader { // a term has one leader
-			c.refused++
-			return
-		}
-		c.becomeFollower(m.Term, m.From)
-		c.heardLeaderAt = c.now
-		c.resetElectionTimer()
-		if m.Kind == Append {
-			c.onAppend(m)
-		} else {
-			c.onSnapshot(m)
-		}
+		c.onLeaderMessage(m)
 	case AppendReply, SnapshotReply:
 		if c.role == Leader {
 			c.onReply(m)
@@ -84,7 +70,23 @@
 	}
 }
 
-// reply answers m after the sync.
+// onLeaderMessage handles an append or snapshot of the term's leader.
+func (c *Core) onLeaderMessage(m Message) {
+	if c.role == Leader { // a term has one leader
+		c.refused++
+		return
+	}
+	c.becomeFollower(m.Term, m.From)
+	c.heardLeaderAt = c.now
+	c.resetElectionTimer()
+	if m.Kind == Append {
+		c.onAppend(m)
+	} else {
+		c.onSnapshot(m)
+	}
+}
+
+// reply answers m: once the pending changes are synced, or at once for a pre-vote, which promises nothing.
 func (c *Core) reply(m Message, r Message) {
 	r.From, r.To, r.Sent, r.Blank = c.cfg.ID, m.From, m.Sent, c.hard.Blank
 	r.Term = cmp.Or(r.Term, c.hard.Term)
@@ -95,14 +97,23 @@
 	}
 }
 
-func (c *Core) onAppend(m Message) {
+// wellFormed reports whether the entries of an append follow each other without a gap, in terms that do not go back.
+func (m Message) wellFormed() bool {
 	term := m.PrevTerm
 	for n, e := range m.Entries {
 		if e.Index != m.PrevIndex+1+uint64(n) || e.Term < term || e.Term > m.Term {
-			return
+			return false
 		}
 		term = e.Term
 	}
+	return true
+}
+
+// onAppend stores the entries of an append and answers how far the log now equals the leader's.
+func (c *Core) onAppend(m Message) {
+	if !m.wellFormed() {
+		return
+	}
 	match := m.PrevIndex + uint64(len(m.Entries))
 	if m.PrevIndex < c.commit { // what is committed is the same in every leader's log
 		if match <= c.commit {
--- a/internal/rpc/exchange_test.go
+++ b/internal/rpc/exchange_test.go
@@ -167,7 +167,7 @@
 		_, err := k.Exchange(ctx, addr, Request{Method: "GET", Path: "/"}, time.Minute)
 		So([]any{errs.KindOf(err), Unsent(err), len(k.live)}, ShouldResemble, []any{errs.TooLarge, false, 0})
 	})
-	Convey("Answered tells the peer's faults from our own", t, func() {
+	Convey("Answered tells the peer's errors from our own", t, func() {
 		b := newBench()
 		defer b.end()
 		_, err := Ask(ctx, b.Caller, b.Addr(), fail, note{}, time.Second)
--- a/internal/rpc/meter.go
+++ b/internal/rpc/meter.go
@@ -19,7 +19,7 @@
 			if err := to.Register(c); err != nil {
 				var have prometheus.AlreadyRegisteredError
 				if !errors.As(err, &have) {
-					panic("wire: register " + name + ": " + err.Error())
+					panic("rpc: register " + name + ": " + err.Error())
 				}
 				c = have.ExistingCollector.(*prometheus.CounterVec)
 			}
--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -37,7 +37,7 @@
 func WriteError(w http.ResponseWriter, err error) {
 	f := errs.Of(err)
 	if f == nil {
-		f = errs.Of(errs.New(errs.Internal, "no fault given"))
+		f = errs.Of(errs.New(errs.Internal, "no error given"))
 	}
 	writeError(w, f, errs.ReplyOf(f.Kind).Status)
 }
--- a/internal/rpc/transfer.go
+++ b/internal/rpc/transfer.go
@@ -77,8 +77,8 @@
 	before             func() error // before each write; nil: none
 }
 
-// transfer sends a request once and reads the whole response, of any status, over a connection of h.
-func (k *Caller) transfer(ctx context.Context, h connectionSource, t transfer) (*http.Response, error) {
+// transfer sends a request once and reads the whole response, of any status, over a connection of source.
+func (k *Caller) transfer(ctx context.Context, source connectionSource, t transfer) (*http.Response, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	if t.within <= 0 {
@@ -86,53 +86,25 @@
 	} else {
 		defer k.opt.Clock.Set(t.within, func() { cancel(errTimeout) }).Stop()
 	}
-	sent := 0
-	explain := func(err error) error {
-		if sent == 0 {
-			err = &unsent{err}
-		}
-		switch {
-		case context.Cause(ctx) != nil:
-			return errs.Wrap(errors.Join(context.Cause(ctx), err), errs.Timeout, "%s at %s: over after at most %s", t.path, t.addr, t.within)
-		case h.isClosed():
-			return errs.Wrap(err, errs.Stopped, "%s at %s: closed on our side", t.path, t.addr)
-		}
-		return errs.Wrap(err, errs.Unavailable, "%s at %s", t.path, t.addr)
-	}
-	l, err := h.take(ctx, t.addr)
+	conn, err := source.take(ctx, t.addr)
 	if err != nil {
-		return nil, errs.Pass(explain(err), "connect")
+		return nil, errs.Pass(t.explain(ctx, source, &unsent{err}), "connect")
 	}
 	whole := false
-	stop := context.AfterFunc(ctx, l.reset)
-	defer func() { h.release(l, stop() && whole) }()
+	stop := context.AfterFunc(ctx, conn.reset)
+	defer func() { source.release(conn, stop() && whole) }()
 
-	var refused error
-	err = l.write(t.request, &sent, func() error {
-		if context.Cause(ctx) != nil {
-			return errs.Wrap(context.Cause(ctx), errs.Timeout, "before the write")
-		}
-		if t.before == nil {
-			return nil
-		}
-		if refused = t.before(); refused != nil {
-			return errs.Pass(refused, "held back")
-		}
-		return nil
-	})
+	sent, refused, err := t.write(ctx, conn)
 	k.meter.out.Add(float64(sent))
 	if refused != nil {
-		if sent == 0 {
-			refused = &unsent{refused}
-		}
-		return nil, errs.Pass(refused, "%s at %s: held back before the write", t.path, t.addr)
+		return nil, errs.Pass(markUnsent(refused, sent), "%s at %s: held back before the write", t.path, t.addr)
 	}
 	if err != nil {
-		return nil, errs.Pass(explain(err), "write the call")
+		return nil, errs.Pass(t.explain(ctx, source, markUnsent(err, sent)), "write the call")
 	}
-	res, err := l.response(t.method)
+	res, err := conn.response(t.method)
 	if err != nil {
-		return nil, errs.Pass(explain(err), "read the answer's head")
+		return nil, errs.Pass(t.explain(ctx, source, err), "read the answer's head")
 	}
 	err = readInto(t.response, res.Body, res.ContentLength, k.opt.MaxBody)
 	k.meter.in.Add(float64(t.response.Len()))
@@ -140,12 +112,49 @@
 		return nil, errs.Pass(err, "the answer of %s at %s", t.path, t.addr)
 	}
 	if err != nil {
-		return nil, errs.Pass(explain(err), "read the answer")
+		return nil, errs.Pass(t.explain(ctx, source, err), "read the answer")
 	}
-	whole = !res.Close && l.reader.Buffered() == 0
+	whole = !res.Close && conn.reader.Buffered() == 0
 	return res, nil
 }
 
+// write writes the request and returns the number of bytes that the kernel took. refused is the error by which
+// t.before stopped the writing, nil if it did not.
+func (t transfer) write(ctx context.Context, conn *connection) (sent int, refused, err error) {
+	err = conn.write(t.request, &sent, func() error {
+		if context.Cause(ctx) != nil {
+			return errs.Wrap(context.Cause(ctx), errs.Timeout, "before the write")
+		}
+		if t.before == nil {
+			return nil
+		}
+		if refused = t.before(); refused != nil {
+			return errs.Pass(refused, "held back")
+		}
+		return nil
+	})
+	return sent, refused, errs.Pass(err, "request")
+}
+
+// explain gives an error of the connection its kind: Timeout, Stopped or Unavailable.
+func (t transfer) explain(ctx context.Context, source connectionSource, err error) error {
+	switch {
+	case context.Cause(ctx) != nil:
+		return errs.Wrap(errors.Join(context.Cause(ctx), err), errs.Timeout, "%s at %s: over after at most %s", t.path, t.addr, t.within)
+	case source.isClosed():
+		return errs.Wrap(err, errs.Stopped, "%s at %s: closed on our side", t.path, t.addr)
+	}
+	return errs.Wrap(err, errs.Unavailable, "%s at %s", t.path, t.addr)
+}
+
+// markUnsent marks err for Unsent if not one byte was sent.
+func markUnsent(err error, sent int) error {
+	if sent == 0 {
+		return &unsent{err}
+	}
+	return err
+}
+
 // decodeError makes the failure of an answer other than 200; a failure of ours is marked for Answered.
 func decodeError(res *http.Response, body []byte) error {
 	var r errorBody
@@ -154,7 +163,7 @@
 		if res.StatusCode >= http.StatusInternalServerError {
 			kind = errs.Unavailable
 		}
-		return errs.New(kind, "status %d without a fault of ours", res.StatusCode)
+		return errs.New(kind, "status %d without an error body", res.StatusCode)
 	}
 	f := &errs.Error{Kind: knownKind(r.Kind), Field: r.Field, Message: r.Message, Hint: r.Hint}
 	if s, err := strconv.Atoi(res.Header.Get("Retry-After")); err == nil && s > 0 {
--- a/internal/testbed/audit/audit.go
+++ b/internal/testbed/audit/audit.go
@@ -123,7 +123,7 @@
 	return h, nil
 }
 
-// Parse reads one line of any journal. Fault: Damaged.
+// Parse reads one line of any journal. Failure: Damaged.
 func Parse(line journal.Line) (Event, error) {
 	var own struct {
 		State string
--- a/internal/testbed/bundles/bundles.go
+++ b/internal/testbed/bundles/bundles.go
@@ -238,7 +238,7 @@
 	sent, at int64
 }
 
-// insist sends an order to one cplane after another until it is answered for good. Fault: Timeout.
+// insist sends an order to one cplane after another until it is answered for good. Failure: Timeout.
 func (o *office) insist(ctx context.Context, path string, body []byte) (told, error) {
 	for end := o.clock.Now() + giveUp; ; {
 		node := o.anyCore()
--- a/internal/testbed/fleet/fleet.go
+++ b/internal/testbed/fleet/fleet.go
@@ -138,7 +138,7 @@
 }
 
 // Who asks the cplanes in turn and takes the first answer that names both holders, else the best one.
-// Fault: Unavailable, if none answers.
+// Failure: Unavailable, if none answers.
 func Who(ctx context.Context, c *Caller, n Nodes) (Holders, error) {
 	var best Holders
 	err := errs.New(errs.Unavailable, "no cplane tells who leads")
--- a/internal/testbed/fleet/plan.go
+++ b/internal/testbed/fleet/plan.go
@@ -31,7 +31,7 @@
 	Sick                                    int    // of the minions: the first ones end every run in a fault
 }
 
-// Check reports what is wrong with a shape. Fault: Invalid.
+// Check reports what is wrong with a shape. Failure: Invalid.
 func (s Shape) Check() error {
 	switch {
 	case s.CPlanes < 1 || s.DPlanes < 1 || s.Minions < 0:
--- a/internal/testbed/fleet/profile.go
+++ b/internal/testbed/fleet/profile.go
@@ -12,7 +12,7 @@
 	"mamlaka": {CPlanes: 5, DPlanes: 8, Minions: 48, Zones: 4, Cores: 16, Kind: "check"},
 }
 
-// WithProfile returns the shape of a deployment by name, in place of s but for what is no matter of size. Fault: Invalid.
+// WithProfile returns the shape of a deployment by name, in place of s but for what is no matter of size. Failure: Invalid.
 func (s Shape) WithProfile(name string) (Shape, error) {
 	p, ok := profiles[name]
 	if !ok {
--- a/internal/testbed/journal/journal.go
+++ b/internal/testbed/journal/journal.go
@@ -112,7 +112,7 @@
 	Raw    []byte // valid JSON, kept by nobody else
 }
 
-// Entry decodes the line as a minion's. Fault: Damaged.
+// Entry decodes the line as a minion's. Failure: Damaged.
 func (l Line) Entry() (Entry, error) {
 	var e Entry
 	err := json.Unmarshal(l.Raw, &e)
--- a/internal/testbed/link/link.go
+++ b/internal/testbed/link/link.go
@@ -33,7 +33,7 @@
 	Ways    []Way  `json:"ways"`
 }
 
-// Load reads a settings file. Fault: Settings.
+// Load reads a settings file. Failure: Settings.
 func Load(path string) (Settings, error) {
 	var s Settings
 	raw, err := os.ReadFile(path)
--- a/internal/testbed/load/offer.go
+++ b/internal/testbed/load/offer.go
@@ -39,7 +39,7 @@
 	GiveUp   time.Duration // how long a job is offered to one node after another, default 30s
 }
 
-// Fill puts the defaults in and tells what is wrong. Fault: Invalid.
+// Fill puts the defaults in and tells what is wrong. Failure: Invalid.
 func (o *Options) Fill() error {
 	for _, n := range []*int{&o.Tasks, &o.Steps, &o.Cores} {
 		*n = max(*n, 1)
--- a/internal/testbed/load/profile.go
+++ b/internal/testbed/load/profile.go
@@ -29,7 +29,7 @@
 }
 
 // RunProfile runs all kinds of work of a deployment at once, at scale times the brief's rates, with the bounds of o
-// (Dir, For, Wait, GiveUp, Seed, Prefix). It gives a report by kind. Fault: Invalid. Example:
+// (Dir, For, Wait, GiveUp, Seed, Prefix). It gives a report by kind. Failure: Invalid. Example:
 //
 //	reports, err := load.RunProfile(ctx, "lubra", 1, load.Options{Dir: dir, For: time.Minute})
 func RunProfile(ctx context.Context, name string, scale float64, o Options) (map[string]Report, error) {
--- a/internal/testbed/minion/settings.go
+++ b/internal/testbed/minion/settings.go
@@ -54,7 +54,7 @@
 	return Settings{Addr: "127.0.0.1:0", Kind: Check, Cores: 4, Count: 1, Grace: Span(10 * time.Second), Slow: 1}
 }
 
-// Load reads settings from a JSON file over those in s; keys that are not known are refused. Fault: Settings.
+// Load reads settings from a JSON file over those in s; keys that are not known are refused. Failure: Settings.
 func (s *Settings) Load(path string) error {
 	raw, err := os.ReadFile(path)
 	if err != nil {
@@ -65,7 +65,7 @@
 	return errs.Wrap(dec.Decode(s), errs.Settings, "%s", path)
 }
 
-// Check reports all mistakes at once. Fault: Settings.
+// Check reports all mistakes at once. Failure: Settings.
 func (s Settings) Check() error {
 	var wrong []error
 	need := func(ok bool, field, format string, args ...any) {
--- a/internal/testbed/scale/row.go
+++ b/internal/testbed/scale/row.go
@@ -49,7 +49,7 @@
 var Roles = []string{Leader, Follower, Sched, Dplane, Minion, Agent}
 
 // Rows returns the cost of each role between two readings. A process that changed its role between them counts for
-// the newer one; counters that went back (a process that was started anew) are a fault. Fault: Unknown.
+// the newer one; counters that went back (a process that was started anew) are a fault. Failure: Unknown.
 func Rows(from, to Snap, step Step) ([]Row, error) {
 	s := (to.At - from.At).Seconds()
 	step.Cores, step.LoopKB, step.LoopPk = (to.Busy-from.Busy)/s, (to.Loop-from.Loop)/s/1000, (to.Packets-from.Packets)/s
@@ -88,7 +88,7 @@
 	return out, nil
 }
 
-// Append adds rows to a CSV file, with a head if it is new. Fault: Disk.
+// Append adds rows to a CSV file, with a head if it is new. Failure: Disk.
 func Append(path string, rows []Row) error {
 	_, err := os.Stat(path)
 	fresh := errors.Is(err, fs.ErrNotExist)
