Make the twin openings and endings of the two daemons one: daemon.Service, Lifecycle

Change: daemon.Service is the command that loads settings and hears SIGHUP, daemon.RunUntilDone the reading of changed settings beside it, daemon.Lifecycle the order of start, serving, leaving and end. The order of each daemon's steps is as it was. Tests of the order and of a server that cannot listen.

--- a/cmd/cplane/platform.go
+++ b/cmd/cplane/platform.go
@@ -4,8 +4,6 @@
 	"context"
 	"net"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/go-kit/log"
@@ -17,7 +15,6 @@
 	"crosstide/internal/controller"
 	"crosstide/internal/daemon"
 	"crosstide/internal/errs"
-	"crosstide/internal/routine"
 	"crosstide/internal/rpc"
 	"crosstide/internal/scheduler"
 	"crosstide/internal/store"
@@ -41,23 +38,12 @@
 
 // platformCommand runs a core node on the users' platform.
 func platformCommand() *cli.Command {
-	return &cli.Command{Name: "platform", Usage: "serve as a core node of the users' platform",
-		Action: func(ctx context.Context, _ *cli.Command) error {
-			changed := make(chan os.Signal, 1) // SIGHUP would end the process else
-			signal.Notify(changed, syscall.SIGHUP)
-			defer signal.Stop(changed)
-			settings, err := platform.LoadSettings()
-			if err != nil {
-				return errs.Pass(err, "platform")
-			}
-			ctx, stop := daemon.Signals(ctx)
-			defer stop()
-			logger := log.With(daemon.Logger("info", os.Stderr), "node", settings.IP)
-			return errs.Pass(serveCore(ctx, settings, changed, logger), "platform")
-		}}
+	return daemon.Service[platform.Settings]{Name: "platform", Usage: "serve as a core node of the users' platform",
+		Load: platform.LoadSettings, Serve: serveCore,
+		NodeName: func(settings platform.Settings) string { return settings.IP }}.Command()
 }
 
-// coreNode is a core node: a member of the store, the leader's controller, and the doors for workers and operators.
+// coreNode is a core node: a member of the store, the leader's controller, and the servers for workers and operators.
 type coreNode struct {
 	settings platform.CoreSettings
 	logger   log.Logger
@@ -68,8 +54,8 @@
 	control  *rpc.Server        // workers and operators call it
 }
 
-// serveCore runs a core node until ctx ends, then hands the lead over and drains. changed tells that the settings have
-// changed.
+// serveCore runs a core node until ctx ends, then hands the lead over and drains. changed has a value whenever the
+// settings were changed.
 func serveCore(ctx context.Context, settings platform.Settings, changed <-chan os.Signal, logger log.Logger) error {
 	core := settings.Core()
 	daemon.LimitMemory(core.MemoryBytes)
@@ -84,15 +70,12 @@
 		node.store.Stop()
 		return errs.Pass(err, "start")
 	}
-	reload := routine.New(context.Background())
-	reload.Go(func(ctx context.Context) { node.followSettings(ctx, changed) })
-	<-ctx.Done()
-	reload.Stop()
+	daemon.RunUntilDone(ctx, func(ctx context.Context) { node.followSettings(ctx, changed) })
 	node.stop()
 	return nil
 }
 
-// followSettings takes new seeds from the settings whenever the process is told that they changed.
+// followSettings reads the seeds again whenever the settings were changed.
 func (n *coreNode) followSettings(ctx context.Context, changed <-chan os.Signal) {
 	for {
 		select {
@@ -191,7 +174,7 @@
 		if err != nil {
 			continue // the settings were checked when they were read
 		}
-		set.Members = append(set.Members, config.Member{ID: host, Addr: seed}) // zones of seeds are not told
+		set.Members = append(set.Members, config.Member{ID: host, Addr: seed}) // the zones of seeds are not in the settings
 	}
 	return set
 }
@@ -228,7 +211,7 @@
 
 var _ platform.Exchanger = exchanger{}
 
-// Exchange sends one request to addr and gives the answer.
+// Exchange sends one request to addr and returns the answer.
 func (e exchanger) Exchange(ctx context.Context, addr string, request platform.Request, within time.Duration) (platform.Response, error) {
 	r, err := e.caller.Exchange(ctx, addr, rpc.Request(request), within)
 	return platform.Response(r), errs.Pass(err, "exchange")
--- a/cmd/cplane/run.go
+++ b/cmd/cplane/run.go
@@ -61,22 +61,20 @@
 	if profiles {
 		daemon.Profiles(srv)
 	}
-	if err := srv.Start(); err != nil {
-		s.Stop()
-		return errs.Pass(err, "serve")
+	life := daemon.Lifecycle{Server: srv, Logger: logger, Zone: set.Zone, Grace: set.Grace, Version: version,
+		Start: func() {
+			s.Start()
+			members.Start(context.Background())
+		},
+		Leave: func(leave context.Context) {
+			s.Handover(leave)
+			members.Stop(leave)
+		},
+		Stop: s.Stop,
 	}
-	s.Start()
-	members.Start(context.Background())
-	_ = level.Info(logger).Log("msg", "serving", "addr", srv.Addr(), "zone", set.Zone, "version", version)
-	<-ctx.Done()
-	leave, over := context.WithTimeout(context.Background(), set.Grace)
-	defer over()
-	s.Handover(leave)
-	members.Stop(leave)
-	err = srv.Stop(set.Grace)
-	s.Stop()
-	if err != nil {
-		_ = level.Warn(logger).Log("msg", "calls were cut off", "err", err)
+	if err := life.Run(ctx); err != nil {
+		s.Stop()
+		return errs.Pass(err, "run")
 	}
 	return nil
 }
--- a/cmd/dplane/main.go
+++ b/cmd/dplane/main.go
@@ -11,7 +11,6 @@
 	"time"
 
 	"github.com/go-kit/log"
-	"github.com/go-kit/log/level"
 	"github.com/urfave/cli/v3"
 
 	"crosstide/internal/api"
@@ -83,21 +82,16 @@
 	if profiles {
 		daemon.Profiles(srv)
 	}
-	if err := srv.Start(); err != nil {
-		return errs.Pass(err, "serve")
+	life := daemon.Lifecycle{Server: srv, Logger: logger, Zone: set.Zone, Grace: set.Grace, Version: version,
+		Start: func() {
+			members.Start(context.Background())
+			n.Start(context.Background())
+		},
+		Leave: func(leave context.Context) {
+			n.Leave(leave)
+			members.Stop(leave)
+		},
+		Stop: n.Stop,
 	}
-	members.Start(context.Background())
-	n.Start(context.Background())
-	_ = level.Info(logger).Log("msg", "serving", "addr", srv.Addr(), "zone", set.Zone, "version", version)
-	<-ctx.Done()
-	leave, over := context.WithTimeout(context.Background(), set.Grace)
-	defer over()
-	n.Leave(leave)
-	members.Stop(leave)
-	err := srv.Stop(set.Grace)
-	n.Stop()
-	if err != nil {
-		_ = level.Warn(logger).Log("msg", "calls were cut off", "err", err)
-	}
-	return nil
+	return errs.Pass(life.Run(ctx), "run")
 }
--- a/cmd/dplane/platform.go
+++ b/cmd/dplane/platform.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/go-kit/log"
@@ -15,7 +13,6 @@
 	"crosstide/internal/controller"
 	"crosstide/internal/daemon"
 	"crosstide/internal/errs"
-	"crosstide/internal/routine"
 	"crosstide/internal/rpc"
 	"crosstide/platform"
 )
@@ -33,20 +30,9 @@
 
 // platformCommand runs a front node on the users' platform.
 func platformCommand() *cli.Command {
-	return &cli.Command{Name: "platform", Usage: "serve as a front node of the users' platform",
-		Action: func(ctx context.Context, _ *cli.Command) error {
-			changed := make(chan os.Signal, 1) // from the start: SIGHUP would end the process else
-			signal.Notify(changed, syscall.SIGHUP)
-			defer signal.Stop(changed)
-			settings, err := platform.LoadSettings()
-			if err != nil {
-				return errs.Pass(err, "platform")
-			}
-			ctx, stop := daemon.Signals(ctx)
-			defer stop()
-			logger := log.With(daemon.Logger("info", os.Stderr), "node", settings.IP)
-			return errs.Pass(serveFront(ctx, settings, changed, logger), "platform")
-		}}
+	return daemon.Service[platform.Settings]{Name: "platform", Usage: "serve as a front node of the users' platform",
+		Load: platform.LoadSettings, Serve: serveFront,
+		NodeName: func(settings platform.Settings) string { return settings.IP }}.Command()
 }
 
 // front is a front node: it takes clients' calls and passes them to the core.
@@ -57,10 +43,10 @@
 	client    *controller.Client
 	clients   *rpc.Server // clients call it
 	readiness readiness
-	asked     *rpc.Server // it is asked for readiness
+	probes    *rpc.Server // load balancers ask it for readiness
 }
 
-// serveFront runs a front node until ctx ends, then lets it drain. changed tells that the settings have changed.
+// serveFront runs a front node until ctx ends, then drains it. changed has a value whenever the settings were changed.
 func serveFront(ctx context.Context, settings platform.Settings, changed <-chan os.Signal, logger log.Logger) error {
 	core := settings.Core()
 	daemon.LimitMemory(core.MemoryBytes)
@@ -71,10 +57,7 @@
 	if err := f.start(); err != nil {
 		return errs.Pass(err, "start")
 	}
-	reload := routine.New(context.Background())
-	reload.Go(func(ctx context.Context) { f.followSettings(ctx, changed) })
-	<-ctx.Done()
-	reload.Stop()
+	daemon.RunUntilDone(ctx, func(ctx context.Context) { f.followSettings(ctx, changed) })
 	f.stop()
 	return nil
 }
@@ -87,9 +70,9 @@
 	f.clients = rpc.NewServer(rpc.ServerOptions{Addr: core.ClientAddress, Loops: 1, Descriptors: descriptors,
 		Logger: daemon.Part(logger, "rpc")})
 	platform.NewIngress(f.client).Routes(f.clients)
-	f.asked = rpc.NewServer(rpc.ServerOptions{Addr: core.ReadyAddress, Loops: 1, Descriptors: descriptors,
+	f.probes = rpc.NewServer(rpc.ServerOptions{Addr: core.ReadyAddress, Loops: 1, Descriptors: descriptors,
 		Logger: daemon.Part(logger, "rpc")})
-	platform.Readiness(f.asked, f.readiness.check)
+	platform.Readiness(f.probes, f.readiness.check)
 	return f
 }
 
@@ -97,7 +80,7 @@
 	if err := f.clients.Start(); err != nil {
 		return errs.Pass(err, "serve clients")
 	}
-	if err := f.asked.Start(); err != nil {
+	if err := f.probes.Start(); err != nil {
 		_ = f.clients.Stop(0) // the start is given up: nobody has called yet
 		return errs.Pass(err, "serve readiness")
 	}
@@ -106,15 +89,15 @@
 	return nil
 }
 
-// followSettings takes new seeds from the settings: when the process is told that they changed, and now and again while
-// no leader is found, for they may change without a word.
+// followSettings reads the seeds again: when the settings were changed, and every settingsEvery while no leader is
+// found, as a change may not be signalled.
 func (f *front) followSettings(ctx context.Context, changed <-chan os.Signal) {
 	for {
 		due := make(chan struct{})
-		ring := clock.Real{}.Set(settingsEvery, func() { close(due) })
+		timer := clock.Real{}.Set(settingsEvery, func() { close(due) })
 		select {
 		case <-ctx.Done():
-			ring.Stop()
+			timer.Stop()
 			return
 		case <-changed:
 			f.readSeeds()
@@ -123,7 +106,7 @@
 				f.readSeeds()
 			}
 		}
-		ring.Stop()
+		timer.Stop()
 	}
 }
 
@@ -136,8 +119,8 @@
 	f.client.SetSeeds(settings.Core().Seeds)
 }
 
-// stop lets the node go: it is not ready any more, serves on while new clients may still come, then refuses new calls
-// and answers those that run.
+// stop ends the node: it becomes not ready, serves on while new clients may still come, then refuses new calls and
+// answers those that run.
 func (f *front) stop() {
 	clock := clock.Real{}
 	begin := clock.Now()
@@ -154,7 +137,7 @@
 		_ = level.Warn(f.logger).Log("msg", "calls were cut off", "err", err)
 	}
 	f.client.Stop()
-	if err := f.asked.Stop(0); err != nil {
+	if err := f.probes.Stop(0); err != nil {
 		_ = level.Debug(f.logger).Log("msg", "a question for readiness was cut off", "err", err)
 	}
 	_ = level.Info(f.logger).Log("msg", "end")
--- /dev/null
+++ b/internal/daemon/service_test.go
@@ -0,0 +1,58 @@
+package daemon
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	. "github.com/smartystreets/goconvey/convey"
+
+	"crosstide/internal/errs"
+	"crosstide/internal/rpc"
+)
+
+func TestLifecycle(t *testing.T) {
+	Convey("A daemon starts its parts once its server listens, and ends them after the server", t, func() {
+		server := rpc.NewServer(rpc.ServerOptions{Addr: "127.0.0.1:0"})
+		ctx, cancel := context.WithCancel(context.Background())
+		var steps []string
+		life := Lifecycle{Server: server, Logger: log.NewNopLogger(), Grace: time.Second,
+			Start: func() {
+				steps = append(steps, "start at "+server.Addr())
+				cancel()
+			},
+			Leave: func(leave context.Context) {
+				_, bounded := leave.Deadline()
+				So(bounded, ShouldBeTrue)
+				So(leave.Err(), ShouldBeNil)
+				steps = append(steps, "leave")
+			},
+			Stop: func() { steps = append(steps, "stop") },
+		}
+		So(life.Run(ctx), ShouldBeNil)
+		So(steps, ShouldResemble, []string{"start at " + server.Addr(), "leave", "stop"})
+	})
+	Convey("A server that cannot listen is a failure, and no part is started", t, func() {
+		taken := rpc.NewServer(rpc.ServerOptions{Addr: "127.0.0.1:0"})
+		So(taken.Start(), ShouldBeNil)
+		defer func() { So(taken.Stop(0), ShouldBeNil) }()
+		called := func() { t.Error("called") }
+		life := Lifecycle{Server: rpc.NewServer(rpc.ServerOptions{Addr: taken.Addr()}), Logger: log.NewNopLogger(),
+			Start: called, Leave: func(context.Context) { called() }, Stop: called}
+		So(errs.Is(life.Run(context.Background()), errs.Settings), ShouldBeTrue)
+	})
+}
+
+func TestRunUntilDone(t *testing.T) {
+	Convey("The background function ends with the context, before the return", t, func() {
+		ctx, cancel := context.WithCancel(context.Background())
+		ended := false
+		RunUntilDone(ctx, func(background context.Context) {
+			cancel()
+			<-background.Done()
+			ended = true
+		})
+		So(ended, ShouldBeTrue)
+	})
+}
