--- a/cmd/drill/churn.go
+++ b/cmd/drill/churn.go
@@ -61,16 +61,16 @@
 	})
 }
 
-// churner deals the faults.
+// churner injects the faults.
 type churner struct {
 	stage
-	luck *rand.Rand
-	pen  *journal.Writer // an operator's, for drains by order
-	n    int
-	done map[string]int
+	luck   *rand.Rand
+	pen    *journal.Writer // an operator's, for drains by order
+	orders int             // given so far, for their IDs
+	done   map[string]int
 }
 
-// churnReport is what a churn came to.
+// churnReport is the result of a churn.
 type churnReport struct {
 	Faults  map[string]int         `json:"faults"`
 	Work    map[string]load.Report `json:"work"`
@@ -117,7 +117,7 @@
 		})
 	}
 	group.Go(func(ctx context.Context) {
-		failed("faults", c.deal(ctx, lasts, cmd.Duration("every"), cmd.StringSlice("only")))
+		failed("faults", c.injectFaults(ctx, lasts, cmd.Duration("every"), cmd.StringSlice("only")))
 	})
 	group.Wait()
 	if err := errors.Join(broke...); err != nil {
@@ -149,8 +149,8 @@
 	return nil
 }
 
-// deal deals faults until d is over; the last one is healed before it returns.
-func (c *churner) deal(ctx context.Context, d, every time.Duration, only []string) error {
+// injectFaults injects faults until d is over; the last one is healed before it returns.
+func (c *churner) injectFaults(ctx context.Context, d, every time.Duration, only []string) error {
 	kinds := map[string]func(context.Context) error{"kill": c.killOne, "freeze": c.freezeOne, "drain": c.drainSome,
 		"leave": c.leaveOne, "evacuate": c.evacuateOne, "cancel": c.cancelMany}
 	if len(only) == 0 {
@@ -202,7 +202,7 @@
 		out = append(out, c.one(c.nodes.Minions))
 	}
 	give := func(ctx context.Context, name, word, ev string, before bool) error {
-		c.n++
+		c.orders++
 		note := func() error {
 			return errs.Pass(c.pen.Append(map[string]any{"at": clock.Real{}.Wall().UnixNano(), "ev": ev, "node": name}), "journal")
 		}
@@ -211,7 +211,7 @@
 			first = note()
 		}
 		err := order(ctx, c.nodes.CPlanes, "/v1/minions/"+name+"/"+word,
-			operator.Order{Order: fmt.Sprintf("churn-%d-%d", clock.Real{}.Wall().UnixNano(), c.n)})
+			operator.Order{Order: fmt.Sprintf("churn-%d-%d", clock.Real{}.Wall().UnixNano(), c.orders)})
 		if err == nil && !before {
 			first = note()
 		}
--- a/cmd/drill/scenes.go
+++ b/cmd/drill/scenes.go
@@ -160,7 +160,7 @@
 
 // oddities hands in what clients and operators get wrong, and one job at three nodes at once.
 func oddities(ctx context.Context, s *stage) error {
-	if err := s.thrice(ctx); err != nil {
+	if err := s.submitAtThreeNodes(ctx); err != nil {
 		return errs.Pass(err, "one job at three nodes")
 	}
 	for _, n := range s.nodes.DPlanes {
@@ -182,27 +182,57 @@
 	return nil
 }
 
-// thrice hands one job in at three nodes at once: one job, one start. Another job under its key is refused.
-func (s *stage) thrice(ctx context.Context) error {
+// threefoldJob is a job that is submitted at three nodes at once.
+type threefoldJob struct {
+	stage   *stage
+	spec    state.Spec
+	journal *journal.Writer // of its client
+}
+
+// submitAtThreeNodes submits one job at three nodes at once, which must make one job and one start. Another job
+// under its key must be refused.
+func (s *stage) submitAtThreeNodes(ctx context.Context) error {
 	key := fmt.Sprintf("thrice-%d", clock.Real{}.Wall().UnixNano())
-	pen, err := journal.Open(filepath.Join(s.dir, "journal", "consumer-"+key+".jsonl"))
+	writer, err := journal.Open(filepath.Join(s.dir, "journal", "consumer-"+key+".jsonl"))
 	if err != nil {
-		return errs.Pass(err, "consumer's journal")
+		return errs.Pass(err, "client's journal")
+	}
+	defer writer.Close()
+	job := threefoldJob{stage: s, journal: writer, spec: state.Spec{Key: key, Team: "drill", Queue: "default",
+		Steps: []state.StepSpec{{Name: "s1", Type: "scan", Tasks: 1, Cores: 1, Run: json.RawMessage(`{"ms":100,"ok":true}`)}}}}
+	if err := job.submit(ctx); err != nil {
+		return errs.Pass(err, "submit")
 	}
-	defer pen.Close()
-	spec := state.Spec{Key: key, Team: "drill", Queue: "default", Steps: []state.StepSpec{{Name: "s1", Type: "scan", Tasks: 1,
-		Cores: 1, Run: json.RawMessage(`{"ms":100,"ok":true}`)}}}
-	write := func(ev, is string) error {
-		return errs.Pass(pen.Append(load.Entry{At: clock.Real{}.Wall().UnixNano(), Ev: ev, Job: key, State: is,
-			Steps: []load.Step{{Name: "s1", Type: "scan", Tasks: 1, Cores: 1}}}), "consumer's journal")
+	if err := job.awaitDone(ctx); err != nil {
+		return errs.Pass(err, "one job at three nodes")
+	}
+	if err := job.checkOneStart(); err != nil {
+		return errs.Pass(err, "starts of %s", key)
 	}
-	if err := write(load.Submit, ""); err != nil {
+	job.spec.Team = "other"
+	reply, err := s.caller.Call(ctx, http.MethodPost, s.nodes.DPlanes[0].Addr, "/v1/jobs", job.spec, 5*time.Second)
+	if err != nil || reply.Status != http.StatusConflict {
+		s.blame("another job under the key is answered %d (%v), not 409", reply.Status, err)
+	}
+	return nil
+}
+
+// record writes an event of the job into the client's journal.
+func (j *threefoldJob) record(event, phase string) error {
+	return errs.Pass(j.journal.Append(load.Entry{At: clock.Real{}.Wall().UnixNano(), Ev: event, Job: j.spec.Key, State: phase,
+		Steps: []load.Step{{Name: "s1", Type: "scan", Tasks: 1, Cores: 1}}}), "client's journal")
+}
+
+// submit sends the job to three nodes at once; each must accept it.
+func (j *threefoldJob) submit(ctx context.Context) error {
+	if err := j.record(load.Submit, ""); err != nil {
 		return errs.Pass(err, "submit")
 	}
+	s := j.stage
 	statuses := make([]int, 3)
 	routine.Each(3, 3, func(i int) {
 		n := s.nodes.DPlanes[i%len(s.nodes.DPlanes)]
-		if reply, err := s.caller.Call(ctx, http.MethodPost, n.Addr, "/v1/jobs", spec, 5*time.Second); err == nil {
+		if reply, err := s.caller.Call(ctx, http.MethodPost, n.Addr, "/v1/jobs", j.spec, 5*time.Second); err == nil {
 			statuses[i] = reply.Status
 		}
 	})
@@ -211,37 +241,37 @@
 			s.blame("one job at three nodes is answered %v", statuses)
 		}
 	}
-	if err := write(load.Accepted, ""); err != nil {
-		return errs.Pass(err, "accepted")
-	}
-	_, err = s.until(ctx, 10*time.Second, key+" done", func() bool {
-		reply, err := s.caller.Call(ctx, http.MethodGet, s.nodes.DPlanes[0].Addr, "/v1/jobs/"+key, nil, 2*time.Second)
+	return errs.Pass(j.record(load.Accepted, ""), "accepted")
+}
+
+// awaitDone polls the job until it is done.
+func (j *threefoldJob) awaitDone(ctx context.Context) error {
+	s := j.stage
+	_, err := s.until(ctx, 10*time.Second, j.spec.Key+" done", func() bool {
+		reply, err := s.caller.Call(ctx, http.MethodGet, s.nodes.DPlanes[0].Addr, "/v1/jobs/"+j.spec.Key, nil, 2*time.Second)
 		var view struct{ State string }
 		return err == nil && json.Unmarshal(reply.Body, &view) == nil && view.State == string(state.JobDone)
 	})
 	if err != nil {
-		return errs.Pass(err, "one job at three nodes")
-	}
-	if err := write(load.Poll, string(state.JobDone)); err != nil {
-		return errs.Pass(err, "poll")
+		return errs.Pass(err, "await the end")
 	}
-	h, err := audit.Read(s.dir)
+	return errs.Pass(j.record(load.Poll, string(state.JobDone)), "poll")
+}
+
+// checkOneStart counts the starts in the minions' journals.
+func (j *threefoldJob) checkOneStart() error {
+	history, err := audit.Read(j.stage.dir)
 	if err != nil {
-		return errs.Pass(err, "starts of %s", key)
+		return errs.Pass(err, "journals")
 	}
 	starts := 0
-	for _, e := range h.Events {
-		if e.Ev == journal.Start && e.Job == key {
+	for _, e := range history.Events {
+		if e.Ev == journal.Start && e.Job == j.spec.Key {
 			starts++
 		}
 	}
 	if starts != 1 {
-		s.blame("one job at three nodes had %d starts", starts)
-	}
-	spec.Team = "other"
-	reply, err := s.caller.Call(ctx, http.MethodPost, s.nodes.DPlanes[0].Addr, "/v1/jobs", spec, 5*time.Second)
-	if err != nil || reply.Status != http.StatusConflict {
-		s.blame("another job under the key is answered %d (%v), not 409", reply.Status, err)
+		j.stage.blame("one job at three nodes had %d starts", starts)
 	}
 	return nil
 }
--- a/cmd/drill/zone.go
+++ b/cmd/drill/zone.go
@@ -37,7 +37,7 @@
 	})
 }
 
-// zoneReport is what a zone drill came to. Times are in seconds from the moment the zone was taken out.
+// zoneReport is the result of a zone drill. Times are in seconds from the moment the zone was taken out.
 type zoneReport struct {
 	Zone  string   `json:"zone"`
 	How   string   `json:"how"`
@@ -47,13 +47,13 @@
 	Audit []audit.Finding `json:"audit"`
 }
 
+// runZone takes a zone out under load, waits for the load's end, audits and prints the report.
 func runZone(ctx context.Context, cmd *cli.Command) error {
-	dir, zone := cmd.String("fleet"), cmd.String("zone")
-	how := cmd.String("how")
+	dir, zone, how := cmd.String("fleet"), cmd.String("zone"), cmd.String("how")
 	if !slices.Contains([]string{"kill", "evacuate", "cut", "freeze"}, how) {
 		return exitCode{errs.Field(errs.Settings, "how", "is %q", how), 2}
 	}
-	o, err := loadOptions(cmd)
+	options, err := loadOptions(cmd)
 	if err != nil {
 		return errs.Pass(err, "zone")
 	}
@@ -68,45 +68,59 @@
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
 
-	out := zoneReport{Zone: zone, How: how}
+	report := zoneReport{Zone: zone, How: how}
+	outAt, err := report.loadAndTakeOut(ctx, cmd, names, options)
+	if err != nil {
+		return errs.Pass(err, "zone")
+	}
+	if report.Audit, err = findings(ctx, dir); err != nil {
+		return errs.Pass(err, "zone")
+	}
+	history, err := audit.Read(dir)
+	if err != nil {
+		return errs.Pass(err, "zone")
+	}
+	report.Outage = audit.Away(history, outAt)
+	return errs.Pass(report.print(cmd), "zone")
+}
+
+// loadAndTakeOut runs the load and, some time after its start, takes the zone out. It returns when that was.
+func (r *zoneReport) loadAndTakeOut(ctx context.Context, cmd *cli.Command, names []string, options load.Options) (time.Time, error) {
 	var outAt time.Time
 	var outputError, loadError error
 	group := routine.New(ctx)
-	rung := make(chan struct{})
-	defer clock.Real{}.Set(cmd.Duration("after"), func() { close(rung) }).Stop()
+	due := make(chan struct{})
+	defer clock.Real{}.Set(cmd.Duration("after"), func() { close(due) }).Stop()
 	group.Go(func(ctx context.Context) {
 		select {
-		case <-rung:
+		case <-due:
 			outAt = clock.Real{}.Wall()
-			out.Nodes, outputError = takeOut(ctx, dir, zone, how, names, cmd.Duration("out"))
+			r.Nodes, outputError = takeOut(ctx, options.Dir, r.Zone, r.How, names, cmd.Duration("out"))
 		case <-ctx.Done():
 		}
 	})
-	group.Go(func(ctx context.Context) { out.Load, loadError = load.Run(ctx, o) })
+	group.Go(func(ctx context.Context) { r.Load, loadError = load.Run(ctx, options) })
 	group.Wait()
 	for _, err := range []error{loadError, outputError} {
 		if err != nil {
-			return errs.Pass(err, "zone")
+			return outAt, errs.Pass(err, "load and outage")
 		}
 	}
 	if outAt.IsZero() {
-		return errs.New(errs.Stopped, "stopped before the zone was taken out")
+		return outAt, errs.New(errs.Stopped, "stopped before the zone was taken out")
 	}
-	if out.Audit, err = findings(ctx, dir); err != nil {
-		return errs.Pass(err, "zone")
-	}
-	h, err := audit.Read(dir)
-	if err != nil {
-		return errs.Pass(err, "zone")
-	}
-	out.Outage = audit.Away(h, outAt)
-	if err := printJSON(cmd.Root().Writer, out); err != nil {
-		return errs.Pass(err, "zone")
+	return outAt, nil
+}
+
+// print prints the report and the audit; a broken promise or a lost job is exit code 1.
+func (r *zoneReport) print(cmd *cli.Command) error {
+	if err := printJSON(cmd.Root().Writer, r); err != nil {
+		return errs.Pass(err, "report")
 	}
-	if err := audit.Show(cmd.Root().ErrWriter, out.Audit, 10); err != nil {
-		return errs.Pass(err, "zone")
+	if err := audit.Show(cmd.Root().ErrWriter, r.Audit, 10); err != nil {
+		return errs.Pass(err, "audit")
 	}
-	if !audit.Clean(out.Audit) || out.Load.Unknown > 0 || out.Load.Unfinished > 0 {
+	if !audit.Clean(r.Audit) || r.Load.Unknown > 0 || r.Load.Unfinished > 0 {
 		return exitCode{errs.New(errs.Internal, "a promise is broken, or an accepted job is unknown or unfinished"), 1}
 	}
 	return nil
