--- a/internal/testbed/audit/audit.go
+++ b/internal/testbed/audit/audit.go
@@ -72,7 +72,7 @@
 // task names a task for good.
 type task struct {
 	job, step string
-	n         int
+	index     int
 }
 
 func (e Event) task() task { return task{e.Job, e.Step, e.Task} }
--- a/internal/testbed/bundles/report.go
+++ b/internal/testbed/bundles/report.go
@@ -48,19 +48,19 @@
 }
 
 // overload records durations in microseconds up to an hour at three significant digits.
-type latencies struct{ h *hdrhistogram.Histogram }
+type latencies struct{ histogram *hdrhistogram.Histogram }
 
 func newLatencies() *latencies { return &latencies{hdrhistogram.New(1, time.Hour.Microseconds(), 3)} }
 
 func (p *latencies) record(d time.Duration) {
-	if err := p.h.RecordValue(min(max(d.Microseconds(), 0), time.Hour.Microseconds())); err != nil {
+	if err := p.histogram.RecordValue(min(max(d.Microseconds(), 0), time.Hour.Microseconds())); err != nil {
 		panic(err) // it is within the bounds
 	}
 }
 
 func (p *latencies) spread() Spread {
 	ms := func(us int64) float64 { return float64(us) / 1000 }
-	return Spread{ms(p.h.ValueAtPercentile(50)), ms(p.h.ValueAtPercentile(99)), ms(p.h.Max()), p.h.TotalCount()}
+	return Spread{ms(p.histogram.ValueAtPercentile(50)), ms(p.histogram.ValueAtPercentile(99)), ms(p.histogram.Max()), p.histogram.TotalCount()}
 }
 
 // queue is a placement policy for the queue that the load uses: some zones, now and then with more.
--- a/internal/testbed/fleet/plan.go
+++ b/internal/testbed/fleet/plan.go
@@ -209,25 +209,16 @@
 }
 
 // Plan writes DIR/nodes.json, DIR/settings/NAME.json, DIR/keys and DIR/start (lines `name program args...`). The folder
-// must not hold a fleet yet. Faults: Invalid, Conflict, Disk. Example:
+// must not hold a fleet yet. Failures: Invalid, Conflict, Disk. Example:
 //
 //	nodes, err := fleet.Plan(dir, fleet.Shape{CPlanes: 5, DPlanes: 3, Minions: 12, Zones: 3, Cores: 16, Kind: "check", Bin: "bin"})
 func Plan(dir string, s Shape) (Nodes, error) {
-	if err := s.Check(); err != nil {
-		return Nodes{}, errs.Pass(err, "plan")
-	}
-	dir, err := filepath.Abs(dir)
+	dir, err := emptyFolder(dir, s)
 	if err != nil {
-		return Nodes{}, errs.Wrap(err, errs.Disk, "folder of the fleet")
-	}
-	if strings.ContainsAny(dir+s.Bin, " \t\n") {
-		return Nodes{}, errs.Field(errs.Invalid, "dir", "must hold no blanks: %q, %q", dir, s.Bin)
-	}
-	if _, err := os.Stat(filepath.Join(dir, "nodes.json")); err == nil {
-		return Nodes{}, errs.New(errs.Conflict, "%s holds a fleet already", dir)
+		return Nodes{}, errs.Pass(err, "plan")
 	}
-	nodes := s.processes()
-	ports, err := Ports(nodes + s.ways() + 1)
+	processes := s.processes()
+	ports, err := Ports(processes + s.ways() + 1)
 	if err != nil {
 		return Nodes{}, errs.Pass(err, "plan")
 	}
@@ -235,81 +226,139 @@
 	if err != nil {
 		return Nodes{}, errs.Pass(err, "plan")
 	}
-	n := Lay(s, ports)
-	files := map[string]any{}
-	var start strings.Builder
-	var via map[string]map[string]string
+	p := &plan{dir: dir, shape: s, nodes: Lay(s, ports), files: map[string]any{}}
 	if s.Links {
-		set := link.Settings{Control: "127.0.0.1:" + strconv.Itoa(ports[nodes]), Journal: dir + "/journal/drill-cut.jsonl"}
-		set.Ways, via = Lace(n, ports[nodes+1:])
-		n.Link, files["settings/link.json"] = set.Control, set
-		fmt.Fprintf(&start, "link %s/drill link --settings %s/settings/link.json\n", s.Bin, dir)
+		p.addLinks(ports[processes:])
 	}
-	files["nodes.json"] = n
-	var members []member
-	var core, front []string
-	for _, c := range n.CPlanes {
-		members, core = append(members, member{c.Name, c.Addr, c.Zone}), append(core, c.Addr)
+	p.files["nodes.json"] = p.nodes
+	p.addPlanes(operators)
+	p.addMinions()
+	return p.nodes, errs.Pass(p.write(), "plan")
+}
+
+// emptyFolder checks the shape and the folder, and returns the folder's absolute path.
+func emptyFolder(dir string, s Shape) (string, error) {
+	if err := s.Check(); err != nil {
+		return "", errs.Pass(err, "shape")
 	}
-	for _, d := range n.DPlanes {
-		front = append(front, d.Addr)
+	dir, err := filepath.Abs(dir)
+	if err != nil {
+		return "", errs.Wrap(err, errs.Disk, "folder of the fleet")
+	}
+	if strings.ContainsAny(dir+s.Bin, " \t\n") {
+		return "", errs.Field(errs.Invalid, "dir", "must hold no blanks: %q, %q", dir, s.Bin)
 	}
-	for _, c := range n.CPlanes {
-		files["settings/"+c.Name+".json"] = settings{c.Name, c.Zone, "local", c.Addr, seeds(c, core),
-			filepath.Join(dir, "data", c.Name), members, nil, operators, via[c.Name]}
-		fmt.Fprintf(&start, "%s %s/cplane run --settings %s/settings/%s.json\n", c.Name, s.Bin, dir, c.Name)
+	if _, err := os.Stat(filepath.Join(dir, "nodes.json")); err == nil {
+		return "", errs.New(errs.Conflict, "%s holds a fleet already", dir)
+	}
+	return dir, nil
+}
+
+// plan is a fleet whose files are being made.
+type plan struct {
+	dir   string
+	shape Shape
+	nodes Nodes
+	files map[string]any               // by path below dir, encoded as JSON
+	start strings.Builder              // the file start
+	via   map[string]map[string]string // by node: the address to dial in place of another; nil without links
+}
+
+// addLinks plans the process that runs the faulty links. ports are its own one and those of the links.
+func (p *plan) addLinks(ports []int) {
+	set := link.Settings{Control: "127.0.0.1:" + strconv.Itoa(ports[0]), Journal: p.dir + "/journal/drill-cut.jsonl"}
+	set.Ways, p.via = Lace(p.nodes, ports[1:])
+	p.nodes.Link, p.files["settings/link.json"] = set.Control, set
+	fmt.Fprintf(&p.start, "link %s/drill link --settings %s/settings/link.json\n", p.shape.Bin, p.dir)
+}
+
+// addPlanes plans the cplanes and the dplanes.
+func (p *plan) addPlanes(operators []operator) {
+	var members []member
+	var core []string
+	for _, c := range p.nodes.CPlanes {
+		members, core = append(members, member{c.Name, c.Addr, c.Zone}), append(core, c.Addr)
 	}
-	for _, d := range n.DPlanes {
-		files["settings/"+d.Name+".json"] = settings{d.Name, d.Zone, "local", d.Addr, seeds(d, core), "", nil, core, nil, via[d.Name]}
-		fmt.Fprintf(&start, "%s %s/dplane run --settings %s/settings/%s.json\n", d.Name, s.Bin, dir, d.Name)
+	for _, c := range p.nodes.CPlanes {
+		p.addDaemon("cplane", settings{Name: c.Name, Zone: c.Zone, Region: "local", Addr: c.Addr, Seeds: seeds(c, core),
+			Data: filepath.Join(p.dir, "data", c.Name), Members: members, Operators: operators, Via: p.via[c.Name]})
 	}
-	host, hosted := "", map[string]int{}
-	for _, m := range n.Minions {
-		hosted[m.Host]++
+	for _, d := range p.nodes.DPlanes {
+		p.addDaemon("dplane", settings{Name: d.Name, Zone: d.Zone, Region: "local", Addr: d.Addr, Seeds: seeds(d, core),
+			Core: core, Via: p.via[d.Name]})
 	}
-	for i, m := range n.Minions {
+}
+
+// addDaemon plans one daemon with its settings.
+func (p *plan) addDaemon(program string, set settings) {
+	p.files["settings/"+set.Name+".json"] = set
+	fmt.Fprintf(&p.start, "%s %s/%s run --settings %s/settings/%s.json\n", set.Name, p.shape.Bin, program, p.dir, set.Name)
+}
+
+// addMinions plans the processes of the minions: one line for all minions that share a process.
+func (p *plan) addMinions() {
+	sharing := map[string]int{} // minions by host
+	for _, m := range p.nodes.Minions {
+		sharing[m.Host]++
+	}
+	host := ""
+	for i, m := range p.nodes.Minions {
 		if m.Host != "" && m.Host == host {
-			continue // one line for all that share a process
+			continue
 		}
 		host = m.Host
 		m.Name = m.Process()
-		fmt.Fprintf(&start, "%s %s/drill minion --name %s --addr %s --kind %s --zone %s --rack %s --cores %d"+
-			" --dplanes %s --journal %s/journal/%s.jsonl", m.Name, s.Bin, m.Name, m.Addr, m.Kind, m.Zone, m.Rack,
-			m.Cores, strings.Join(front, ","), dir, m.Name)
-		if m.GPUs > 0 {
-			fmt.Fprintf(&start, " --gpus %d", m.GPUs)
-		}
-		for _, k := range slices.Sorted(maps.Keys(m.Labels)) {
-			fmt.Fprintf(&start, " --label %s=%s", k, m.Labels[k])
-		}
-		for _, addr := range front {
-			if by := via[m.Name][addr]; by != "" {
-				fmt.Fprintf(&start, " --via %s=%s", addr, by)
-			}
-		}
-		if i < s.Sick {
-			start.WriteString(" --fail 1")
-		}
-		if host != "" {
-			fmt.Fprintf(&start, " --count %d", hosted[host])
+		p.addMinion(m, i < p.shape.Sick, sharing[host])
+	}
+}
+
+// addMinion plans the process of a minion; sharing is the number of minions in it if it has a host.
+func (p *plan) addMinion(m Node, sick bool, sharing int) {
+	var front []string
+	for _, d := range p.nodes.DPlanes {
+		front = append(front, d.Addr)
+	}
+	fmt.Fprintf(&p.start, "%s %s/drill minion --name %s --addr %s --kind %s --zone %s --rack %s --cores %d"+
+		" --dplanes %s --journal %s/journal/%s.jsonl", m.Name, p.shape.Bin, m.Name, m.Addr, m.Kind, m.Zone, m.Rack,
+		m.Cores, strings.Join(front, ","), p.dir, m.Name)
+	if m.GPUs > 0 {
+		fmt.Fprintf(&p.start, " --gpus %d", m.GPUs)
+	}
+	for _, k := range slices.Sorted(maps.Keys(m.Labels)) {
+		fmt.Fprintf(&p.start, " --label %s=%s", k, m.Labels[k])
+	}
+	for _, addr := range front {
+		if by := p.via[m.Name][addr]; by != "" {
+			fmt.Fprintf(&p.start, " --via %s=%s", addr, by)
 		}
-		start.WriteString("\n")
 	}
+	if sick {
+		p.start.WriteString(" --fail 1")
+	}
+	if m.Host != "" {
+		fmt.Fprintf(&p.start, " --count %d", sharing)
+	}
+	p.start.WriteString("\n")
+}
+
+// write makes the folders and writes the files.
+func (p *plan) write() error {
 	for _, sub := range []string{"settings", "log", "journal", "data"} {
-		if err := os.MkdirAll(filepath.Join(dir, sub), 0o755); err != nil {
-			return n, errs.Wrap(err, errs.Disk, "folder %s", sub)
+		if err := os.MkdirAll(filepath.Join(p.dir, sub), 0o755); err != nil {
+			return errs.Wrap(err, errs.Disk, "folder %s", sub)
 		}
 	}
-	for name, value := range files {
+	for name, value := range p.files {
 		data, err := json.MarshalIndent(value, "", " ")
 		if err != nil {
-			return n, errs.Wrap(err, errs.Internal, "encode %s", name)
+			return errs.Wrap(err, errs.Internal, "encode %s", name)
 		}
-		if err := os.WriteFile(filepath.Join(dir, name), append(data, '\n'), 0o644); err != nil {
-			return n, errs.Wrap(err, errs.Disk, "write %s", name)
+		if err := os.WriteFile(filepath.Join(p.dir, name), append(data, '\n'), 0o644); err != nil {
+			return errs.Wrap(err, errs.Disk, "write %s", name)
 		}
 	}
-	return n, errs.Wrap(os.WriteFile(filepath.Join(dir, "start"), []byte(start.String()), 0o644), errs.Disk, "write start")
+	start := []byte(p.start.String())
+	return errs.Wrap(os.WriteFile(filepath.Join(p.dir, "start"), start, 0o644), errs.Disk, "write start")
 }
 
 // seeds returns up to three addresses of others, beginning after the node's own place.
--- a/internal/testbed/load/report.go
+++ b/internal/testbed/load/report.go
@@ -67,7 +67,7 @@
 }
 
 // overload records durations from a microsecond to an hour at three significant digits.
-type latencies struct{ h *hdrhistogram.Histogram }
+type latencies struct{ histogram *hdrhistogram.Histogram }
 
 func newLatencies() *latencies {
 	return &latencies{hdrhistogram.New(1, time.Hour.Microseconds(), 3)}
@@ -75,18 +75,18 @@
 
 func (p *latencies) record(d time.Duration) {
 	us := min(max(d.Microseconds(), 1), time.Hour.Microseconds())
-	if err := p.h.RecordValue(us); err != nil {
+	if err := p.histogram.RecordValue(us); err != nil {
 		panic(err) // us is within the bounds
 	}
 }
 
 func (p *latencies) spread() Spread {
 	ms := func(us int64) float64 { return float64(us) / 1000 }
-	if p.h.TotalCount() == 0 {
+	if p.histogram.TotalCount() == 0 {
 		return Spread{}
 	}
-	return Spread{ms(p.h.ValueAtPercentile(50)), ms(p.h.ValueAtPercentile(90)), ms(p.h.ValueAtPercentile(99)),
-		ms(p.h.Max()), p.h.TotalCount()}
+	return Spread{ms(p.histogram.ValueAtPercentile(50)), ms(p.histogram.ValueAtPercentile(90)), ms(p.histogram.ValueAtPercentile(99)),
+		ms(p.histogram.Max()), p.histogram.TotalCount()}
 }
 
 // report puts the figures together, with the starts as the minions' journals tell them.
--- a/internal/testbed/minion/core.go
+++ b/internal/testbed/minion/core.go
@@ -60,7 +60,7 @@
 //	step := core.Call(5*time.Millisecond, 1, api.HoldCall{Call: 1, Epoch: 7, Minion: "m1", Boot: "b1"})
 //	// step.Replies[0].Tag is 1
 type Core struct {
-	t      Traits
+	traits Traits
 	epoch  uint64 // newest seen
 	seen   uint64 // highest run ID seen in a start order
 	floor  uint64
@@ -95,28 +95,28 @@
 }
 
 // NewCore makes a core that has not started.
-func NewCore(t Traits) *Core { return &Core{t: t, leaves: Never, news: true} }
+func NewCore(t Traits) *Core { return &Core{traits: t, leaves: Never, news: true} }
 
 // Start journals the boot, at clock 0.
-func (c *Core) Start() Step { return c.input(0, func() { c.note(journal.Boot, nil, c.t.Kind) }) }
+func (c *Core) Start() Step { return c.input(0, func() { c.note(journal.Boot, nil, c.traits.Kind) }) }
 
 // Call takes in a hold call; tag names it in Step.Replies, in this step or in a later one. The arrival of a call
 // answers a parked one first, with what was known before.
 func (c *Core) Call(now time.Duration, tag uint64, call api.HoldCall) Step {
 	return c.input(now, func() {
 		c.unpark()
-		if call.Minion != c.t.Name {
-			c.refuse(tag, errs.Field(errs.Unknown, "minion", "this is %s", c.t.Name))
+		if call.Minion != c.traits.Name {
+			c.refuse(tag, errs.Field(errs.Unknown, "minion", "this is %s", c.traits.Name))
 			return
 		}
-		if c.t.Kind == Check && call.Epoch < c.epoch {
+		if c.traits.Kind == Check && call.Epoch < c.epoch {
 			c.refuse(tag, errs.Field(errs.Stale, "epoch", "epoch %d is over, %d was seen", call.Epoch, c.epoch))
 			return
 		}
-		c.news = c.news || call.Epoch > c.epoch || call.Floor > c.floor || call.Boot != "" && call.Boot != c.t.Boot
+		c.news = c.news || call.Epoch > c.epoch || call.Floor > c.floor || call.Boot != "" && call.Boot != c.traits.Boot
 		c.epoch, c.floor = max(c.epoch, call.Epoch), max(c.floor, call.Floor)
 		c.ends = slices.DeleteFunc(c.ends, func(e api.EndNote) bool { return slices.Contains(call.Acked, e.RunID) })
-		if call.Boot == c.t.Boot || call.Boot == "" { // Until is a reading of that boot's clock
+		if call.Boot == c.traits.Boot || call.Boot == "" { // Until is a reading of that boot's clock
 			for _, r := range c.runs {
 				if slices.Contains(call.Renew, r.order.RunID) {
 					r.until = max(r.until, call.Until)
@@ -154,7 +154,7 @@
 			c.note(journal.Drain, &run{how: map[bool]string{true: api.EndWell}[on]}, "")
 		}
 		if leave && c.leaves == Never {
-			c.leaves = later(c.now, c.t.Grace)
+			c.leaves = later(c.now, c.traits.Grace)
 		}
 	})
 }
@@ -229,7 +229,7 @@
 func (c *Core) order(call api.HoldCall, o api.StartOrder) (refused string) {
 	r := &run{order: o, epoch: call.Epoch, until: o.Until}
 	c.note(journal.Order, r, "")
-	if c.t.Kind == Check {
+	if c.traits.Kind == Check {
 		refused = c.unfit(call, o)
 	}
 	c.seen = max(c.seen, o.RunID)
@@ -258,7 +258,7 @@
 // unfit returns the first reason for which a checking minion refuses o; "" if there is none.
 func (c *Core) unfit(call api.HoldCall, o api.StartOrder) string {
 	switch {
-	case call.Boot != c.t.Boot:
+	case call.Boot != c.traits.Boot:
 		return "boot"
 	case o.RunID <= c.seen:
 		return "ticket"
@@ -266,7 +266,7 @@
 		return "floor"
 	case c.now > o.Void, c.now >= o.Until:
 		return "late"
-	case c.cores+o.Cores > c.t.Cores, c.gpus+o.GPUs > c.t.GPUs:
+	case c.cores+o.Cores > c.traits.Cores, c.gpus+o.GPUs > c.traits.GPUs:
 		return "room"
 	case !c.bears(o.Labels):
 		return "label"
@@ -278,7 +278,7 @@
 
 func (c *Core) bears(labels map[string]string) bool {
 	for k, v := range labels {
-		if have, ok := c.t.Labels[k]; !ok || have != v {
+		if have, ok := c.traits.Labels[k]; !ok || have != v {
 			return false
 		}
 	}
@@ -296,8 +296,8 @@
 		r.due, r.how, r.why = c.now, api.EndFailure, errs.Of(err).Message
 		return
 	}
-	luck := rand.New(rand.NewPCG(c.t.Seed, r.order.RunID))
-	fails, factor := luck.Float64() < c.t.Fail, 1+luck.Float64()*max(c.t.Slow-1, 0)
+	luck := rand.New(rand.NewPCG(c.traits.Seed, r.order.RunID))
+	fails, factor := luck.Float64() < c.traits.Fail, 1+luck.Float64()*max(c.traits.Slow-1, 0)
 	r.due, r.how = Never, api.EndWell
 	if spec.last >= 0 {
 		r.due = later(c.now, time.Duration(float64(spec.last)*factor))
@@ -332,18 +332,18 @@
 	ended = slices.DeleteFunc(ended, func(e api.EndNote) bool { return c.runsID(e.RunID) })
 	c.news = false
 	c.step.Replies = append(c.step.Replies, Reply{Tag: tag, Answer: api.HoldAnswer{
-		Call: call, Epoch: c.epoch, Boot: c.t.Boot, Clock: c.now, Seen: c.seen, Floor: c.floor,
+		Call: call, Epoch: c.epoch, Boot: c.traits.Boot, Clock: c.now, Seen: c.seen, Floor: c.floor,
 		Running: slices.Compact(running), Ended: ended, Refused: refused,
-		Kind: c.t.Kind, Zone: c.t.Zone, Rack: c.t.Rack, Labels: c.t.Labels, Cores: c.t.Cores, GPUs: c.t.GPUs,
+		Kind: c.traits.Kind, Zone: c.traits.Zone, Rack: c.traits.Rack, Labels: c.traits.Labels, Cores: c.traits.Cores, GPUs: c.traits.GPUs,
 		Draining: c.drains,
 	}})
 }
 
 // note journals ev about r, nil for the minion itself.
 func (c *Core) note(ev string, r *run, why string) {
-	e := journal.Entry{Ev: ev, Minion: c.t.Name, Boot: c.t.Boot, Zone: c.t.Zone, Clock: int64(c.now), Why: why, Epoch: c.epoch}
+	e := journal.Entry{Ev: ev, Minion: c.traits.Name, Boot: c.traits.Boot, Zone: c.traits.Zone, Clock: int64(c.now), Why: why, Epoch: c.epoch}
 	if ev == journal.Boot {
-		e.Rack, e.Labels, e.Cores, e.GPUs = c.t.Rack, c.t.Labels, c.t.Cores, c.t.GPUs
+		e.Rack, e.Labels, e.Cores, e.GPUs = c.traits.Rack, c.traits.Labels, c.traits.Cores, c.traits.GPUs
 	}
 	if r != nil {
 		o := r.order
--- a/internal/testbed/month/month.go
+++ b/internal/testbed/month/month.go
@@ -48,7 +48,7 @@
 
 // sim is the state with the work that is to come.
 type sim struct {
-	o       Options
+	options Options
 	st      *state.State
 	luck    *rand.Rand
 	minions []string
@@ -74,7 +74,7 @@
 	if o.Days < 1 || o.Jobs < 1 || o.Tasks < 1 || o.Minions < 1 || o.Last <= 0 {
 		return errs.Field(errs.Invalid, "days", "days, jobs, tasks, minions and the length of a task must be above 0")
 	}
-	s := &sim{o: o, st: state.New(), luck: rand.New(rand.NewPCG(o.Seed, 1))}
+	s := &sim{options: o, st: state.New(), luck: rand.New(rand.NewPCG(o.Seed, 1))}
 	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 	if err := s.found(now); err != nil {
 		return errs.Pass(err, "begin")
@@ -129,7 +129,7 @@
 }
 
 func (s *sim) found(now time.Time) error {
-	for i := range s.o.Minions {
+	for i := range s.options.Minions {
 		m := state.Minion{Name: fmt.Sprintf("m%04d", i), Addr: "10.0.0.1:7000", Kind: "check", Zone: "z" + strconv.Itoa(i%8), Cores: 1 << 20}
 		s.minions = append(s.minions, m.Name)
 		if _, err := s.apply(now, &command.Announce{Minion: m}); err != nil {
@@ -152,8 +152,8 @@
 
 func (s *sim) submit(now time.Time, nth int) error {
 	spec := state.Spec{Key: "job-" + strconv.Itoa(nth), Team: "team-" + strconv.Itoa(nth%20), Queue: "default", Steps: []state.StepSpec{
-		{Name: "s1", Type: "scan", Tasks: s.o.Tasks, Cores: 1, Retries: 3, Run: json.RawMessage(`{"ms":60000,"ok":true}`)}}}
-	_, err := s.apply(now, &command.Submit{Spec: spec, Digest: fmt.Sprintf("%064x", xxhash.Sum64String(spec.Key)), Bound: s.o.Keep.QueueLimit})
+		{Name: "s1", Type: "scan", Tasks: s.options.Tasks, Cores: 1, Retries: 3, Run: json.RawMessage(`{"ms":60000,"ok":true}`)}}}
+	_, err := s.apply(now, &command.Submit{Spec: spec, Digest: fmt.Sprintf("%064x", xxhash.Sum64String(spec.Key)), Bound: s.options.Keep.QueueLimit})
 	return errs.Pass(err, "submit")
 }
 
@@ -189,12 +189,12 @@
 			return errs.New(errs.Internal, "a start is refused: %s", answer.(command.Planned).Refused[i])
 		}
 		running.Running = append(running.Running, t)
-		s.runs = append(s.runs, run{t, now.Add(time.Duration(s.luck.ExpFloat64() * float64(s.o.Last)))})
+		s.runs = append(s.runs, run{t, now.Add(time.Duration(s.luck.ExpFloat64() * float64(s.options.Last)))})
 	}
 	if _, err := s.apply(now, running); err != nil {
 		return errs.Pass(err, "running")
 	}
-	k := s.o.Keep
+	k := s.options.Keep
 	_, err = s.apply(now, &command.Tidy{JobsBefore: now.Add(-k.KeepEndedFor), JobsKeep: k.KeepEnded, TombsBefore: now.Add(-k.KeepTombsFor),
 		TombsKeep: k.KeepTombs, OrdersBefore: now.Add(-k.KeepTombsFor)})
 	return errs.Pass(err, "tidy")
