Type the operators' written order, share its checks, name the parts of the two APIs

Change: operator: writtenOrder, checkOrderID, write; Serve in routes, orders and who. clientapi: the search for a cycle of steps apart from the check of their names; mistakes, reject, listJobs and so on. replica and config: names and comments.

--- a/cmd/drill/blow.go
+++ b/cmd/drill/blow.go
@@ -144,7 +144,7 @@
 	}
 }
 
-// order returns an operator's order to one cplane after another until one has carried it out, for 30 s; its id makes
+// order sends an operator's order to one cplane after another until one has carried it out, for 30 s; its id makes
 // it one order.
 func order(ctx context.Context, cplanes []fleet.Node, path string, in operator.Order) error {
 	ctx, stop := context.WithTimeout(ctx, 30*time.Second)
--- a/cmd/drill/link.go
+++ b/cmd/drill/link.go
@@ -75,7 +75,7 @@
 		})
 }
 
-// cut returns the order to the fleet's links and tells how many it touched.
+// cut sends the order to the fleet's links and returns how many it touched.
 func cut(ctx context.Context, dir string, c link.Cut) (int, error) {
 	if err := c.Check(); err != nil {
 		return 0, errs.Pass(err, "cut")
--- a/internal/clientapi/clientapi.go
+++ b/internal/clientapi/clientapi.go
@@ -1,4 +1,4 @@
-// Package clientapi is the clients' API of every dplane: hand in a job, ask for it, list jobs, cancel one.
+// Package clientapi is the clients' API of every dplane: submit a job, read one, list jobs, cancel one.
 // What a node cannot confirm it answers with 503, never with 404.
 package clientapi
 
@@ -53,7 +53,7 @@
 // Options are the settings of the API; the zero value takes the defaults.
 type Options struct {
 	Within   time.Duration // a call that takes longer is abandoned, default 2s
-	Inflight int           // submits worked on at once, default 2000; one more is errs.Pressure
+	Inflight int           // submits worked on at once, default 2000; one more is errs.Overloaded
 	Seed     uint64        // of the spread of Retry-After
 	Clock    clock.Clock   // default clock.Real
 }
@@ -72,11 +72,11 @@
 }
 
 type api struct {
-	book   Book
-	opt    Options
-	busy   atomic.Int64
-	mu     sync.Mutex
-	spread *rand.Rand
+	book        Book
+	opt         Options
+	submitting  atomic.Int64
+	mu          sync.Mutex
+	retrySpread *rand.Rand
 }
 
 // Register puts the API's routes on s:
@@ -86,7 +86,7 @@
 //	DELETE /v1/jobs/{key}  202 {"key","state"} while runs are being stopped, 200 when the job is over
 //	GET    /v1/jobs        200 Listing; ?team= &state= &after= &limit= (1..1000, 200 if not given)
 //
-// Failures are answered by the table of package failure; 429 and 503 carry a Retry-After of 1 to 3 seconds. Example:
+// Failures are answered by the table of package errs; 429 and 503 carry a Retry-After of 1 to 3 seconds. Example:
 //
 //	clientapi.Register(server, node, clientapi.Options{Seed: seed})
 func Register(s Router, b Book, opt Options) {
@@ -99,13 +99,13 @@
 	if opt.Clock == nil {
 		opt.Clock = clock.Real{}
 	}
-	a := &api{book: b, opt: opt, spread: rand.New(rand.NewPCG(opt.Seed, 0))}
+	a := &api{book: b, opt: opt, retrySpread: rand.New(rand.NewPCG(opt.Seed, 0))}
 	for pattern, h := range map[string]func(context.Context, *http.Request) (int, any, error){
 		"POST /v1/jobs":         a.submit,
-		"GET /v1/jobs":          a.list,
-		"GET /v1/jobs/{key}":    a.job,
-		"DELETE /v1/jobs/{key}": a.cancel,
-		"POST /v1/jobs/cancel":  a.cancels,
+		"GET /v1/jobs":          a.listJobs,
+		"GET /v1/jobs/{key}":    a.getJob,
+		"DELETE /v1/jobs/{key}": a.cancelJob,
+		"POST /v1/jobs/cancel":  a.cancelJobs,
 	} {
 		s.Route(pattern, func(w http.ResponseWriter, r *http.Request) {
 			ctx, cancel := context.WithCancel(r.Context())
@@ -113,7 +113,7 @@
 			defer opt.Clock.Set(opt.Within, cancel).Stop()
 			status, answer, err := h(ctx, r)
 			if err != nil {
-				rpc.WriteError(w, a.outward(err))
+				rpc.WriteError(w, a.clientError(err))
 				return
 			}
 			rpc.WriteJSON(w, status, answer)
@@ -122,8 +122,8 @@
 }
 
 func (a *api) submit(ctx context.Context, r *http.Request) (int, any, error) {
-	defer a.busy.Add(-1)
-	if n := a.busy.Add(1); n > int64(a.opt.Inflight) {
+	defer a.submitting.Add(-1)
+	if n := a.submitting.Add(1); n > int64(a.opt.Inflight) {
 		return 0, nil, errs.New(errs.Overloaded, "%d jobs are being handed in here, the bound", a.opt.Inflight)
 	}
 	data, err := rpc.ReadBody(r, MaxBody)
@@ -145,7 +145,7 @@
 	return status, Accepted{got.Key, got.Phase, got.Reason}, nil
 }
 
-func (a *api) cancel(ctx context.Context, r *http.Request) (int, any, error) {
+func (a *api) cancelJob(ctx context.Context, r *http.Request) (int, any, error) {
 	key, err := keyOf(r)
 	if err != nil {
 		return 0, nil, errs.Pass(err, "cancel")
@@ -161,8 +161,8 @@
 	return status, Accepted{Key: got.Key, State: got.Phase}, nil
 }
 
-// cancels stops many jobs: {"keys":[…]}, or {"team":…,"queue":…} with one of the two or both.
-func (a *api) cancels(ctx context.Context, r *http.Request) (int, any, error) {
+// cancelJobs stops many jobs: {"keys":[…]}, or {"team":…,"queue":…} with one of the two or both.
+func (a *api) cancelJobs(ctx context.Context, r *http.Request) (int, any, error) {
 	data, err := rpc.ReadBody(r, MaxBody)
 	if err != nil {
 		return 0, nil, errs.Pass(err, "cancels")
@@ -180,7 +180,7 @@
 	return http.StatusAccepted, got, nil
 }
 
-func (a *api) job(ctx context.Context, r *http.Request) (int, any, error) {
+func (a *api) getJob(ctx context.Context, r *http.Request) (int, any, error) {
 	key, err := keyOf(r)
 	if err != nil {
 		return 0, nil, errs.Pass(err, "job")
@@ -196,7 +196,7 @@
 	return http.StatusOK, view, nil
 }
 
-func (a *api) list(ctx context.Context, r *http.Request) (int, any, error) {
+func (a *api) listJobs(ctx context.Context, r *http.Request) (int, any, error) {
 	q, err := filterOf(r)
 	if err != nil {
 		return 0, nil, errs.Pass(err, "list")
@@ -239,9 +239,9 @@
 	return nil
 }
 
-// outward turns what only the inside can use into what a client can: kinds that mean "not confirmed" become
-// Unavailable, and those that come back later do so spread out.
-func (a *api) outward(err error) error {
+// clientError turns kinds that concern the node alone, and mean "not confirmed", into Unavailable. Retry-After of
+// Unavailable and Overloaded is spread at random.
+func (a *api) clientError(err error) error {
 	f := *errs.Of(err)
 	ended := errors.Is(err, context.Canceled) || errors.Is(err, context.DeadlineExceeded)
 	switch {
@@ -250,10 +250,10 @@
 	}
 	if f.Kind == errs.Unavailable || f.Kind == errs.Overloaded {
 		a.mu.Lock()
-		f.After = time.Duration(1+a.spread.IntN(3)) * time.Second
+		f.After = time.Duration(1+a.retrySpread.IntN(3)) * time.Second
 		a.mu.Unlock()
 	}
-	return errs.Pass(&f, "consumer")
+	return errs.Pass(&f, "client")
 }
 
 func keyOf(r *http.Request) (string, error) {
--- a/internal/clientapi/parse.go
+++ b/internal/clientapi/parse.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"regexp"
+	"slices"
 	"strconv"
 	"strings"
 	"unicode/utf8"
@@ -29,7 +30,7 @@
 	MaxLabels   = 32
 	MaxGang     = 64       // tasks of a step that start together
 	MaxRun      = 64 << 10 // bytes of `run`, without white space
-	maxTold     = 20       // mistakes reported at once
+	maxMistakes = 20       // mistakes reported at once
 )
 
 // What a job that does not say gets.
@@ -44,7 +45,7 @@
 
 const nameRule = "must be 1 to 128 of A-Z a-z 0-9 . _ : -"
 
-// Parse reads the body of POST /v1/jobs, at most wire's bound of bytes, into a checked Spec with its defaults
+// Parse reads the body of POST /v1/jobs, at most MaxBody bytes, into a checked Spec with its defaults
 // filled in, and its digest: SHA-256 in hex over the Spec's JSON, the same whatever the order of fields and the
 // white space. Bytes that are no JSON are errs.Malformed with line and column. Otherwise the failure names the
 // first mistake's field (errs.Malformed for a wrong type, errs.Invalid for a refused value) and its message
@@ -61,7 +62,7 @@
 		err = fastjson.ValidateBytes(data) // refuses what the parser lets pass: NaN, bad escapes
 	}
 	if err != nil {
-		return state.Spec{}, "", errs.New(errs.Malformed, "%s", place(data, err))
+		return state.Spec{}, "", errs.New(errs.Malformed, "%s", syntaxErrorAt(data, err))
 	}
 	p := &reader{}
 	spec := p.spec(v)
@@ -76,8 +77,8 @@
 	return spec, hex.EncodeToString(sum[:]), nil
 }
 
-// place reports where data stops being JSON.
-func place(data []byte, cause error) string {
+// syntaxErrorAt reports where data stops being JSON.
+func syntaxErrorAt(data []byte, cause error) string {
 	var raw json.RawMessage
 	var syntax *json.SyntaxError
 	if !errors.As(json.Unmarshal(data, &raw), &syntax) {
@@ -91,30 +92,30 @@
 
 // reader collects the mistakes while it reads.
 type reader struct {
-	kind    errs.Kind // of the first mistake
-	field   string
-	told    []string
-	skipped int
+	kind     errs.Kind // of the first mistake
+	field    string
+	mistakes []string
+	skipped  int
 }
 
-func (p *reader) no(kind errs.Kind, field, format string, args ...any) {
+func (p *reader) reject(kind errs.Kind, field, format string, args ...any) {
 	message := fmt.Sprintf(format, args...)
 	switch {
-	case len(p.told) == 0:
+	case len(p.mistakes) == 0:
 		p.kind, p.field = kind, field
-		p.told = append(p.told, message)
-	case len(p.told) < maxTold:
-		p.told = append(p.told, field+": "+message)
+		p.mistakes = append(p.mistakes, message)
+	case len(p.mistakes) < maxMistakes:
+		p.mistakes = append(p.mistakes, field+": "+message)
 	default:
 		p.skipped++
 	}
 }
 
 func (p *reader) failure() error {
-	if len(p.told) == 0 {
+	if len(p.mistakes) == 0 {
 		return nil
 	}
-	message := strings.Join(p.told, "; ")
+	message := strings.Join(p.mistakes, "; ")
 	if p.skipped > 0 {
 		message += fmt.Sprintf("; and %d more", p.skipped)
 	}
@@ -137,9 +138,9 @@
 		spec.Steps = append(spec.Steps, step)
 	}
 	if tasks > MaxJobTasks {
-		p.no(errs.Invalid, "steps", "the job has %d tasks, at most %d", tasks, MaxJobTasks)
+		p.reject(errs.Invalid, "steps", "the job has %d tasks, at most %d", tasks, MaxJobTasks)
 	}
-	p.order(spec.Steps)
+	p.checkSteps(spec.Steps)
 	return spec
 }
 
@@ -155,20 +156,20 @@
 		"labels":   func(f string, v *fastjson.Value) { s.Labels = p.labels(f, v) },
 		"retries":  func(f string, v *fastjson.Value) { s.Retries = p.number(f, v, 0, MaxRetries) },
 		"run":      func(f string, v *fastjson.Value) { s.Run = p.run(f, v) },
-		"standing": func(f string, v *fastjson.Value) { s.Standing = p.truth(f, v) },
-		"gang":     func(f string, v *fastjson.Value) { s.Gang = p.truth(f, v) },
+		"standing": func(f string, v *fastjson.Value) { s.Standing = p.boolean(f, v) },
+		"gang":     func(f string, v *fastjson.Value) { s.Gang = p.boolean(f, v) },
 	}, "name", "type")
 	if s.Gang && s.Tasks > MaxGang {
-		p.no(errs.Invalid, path+".gang", "a gang has at most %d tasks, this step has %d", MaxGang, s.Tasks)
+		p.reject(errs.Invalid, path+".gang", "a gang has at most %d tasks, this step has %d", MaxGang, s.Tasks)
 	}
 	return s
 }
 
-// object returns each field of v to its reader; unknown, double and missing ones are mistakes.
+// object passes each field of v to its reader; unknown, double and missing ones are mistakes.
 func (p *reader) object(path string, v *fastjson.Value, fields map[string]func(string, *fastjson.Value), need ...string) {
 	o, err := v.Object()
 	if err != nil {
-		p.no(errs.Malformed, path, "must be an object, is %s", v.Type())
+		p.reject(errs.Malformed, path, "must be an object, is %s", v.Type())
 		return
 	}
 	seen := map[string]bool{}
@@ -177,9 +178,9 @@
 		field := join(path, name)
 		switch read := fields[name]; {
 		case read == nil:
-			p.no(errs.Invalid, field, "there is no such field")
+			p.reject(errs.Invalid, field, "there is no such field")
 		case seen[name]:
-			p.no(errs.Invalid, field, "is given twice")
+			p.reject(errs.Invalid, field, "is given twice")
 		default:
 			seen[name] = true
 			read(field, v)
@@ -187,7 +188,7 @@
 	})
 	for _, name := range need {
 		if !seen[name] {
-			p.no(errs.Invalid, join(path, name), "is missing")
+			p.reject(errs.Invalid, join(path, name), "is missing")
 		}
 	}
 }
@@ -206,11 +207,11 @@
 func (p *reader) array(field string, v *fastjson.Value, least, most int) []*fastjson.Value {
 	list, err := v.Array()
 	if err != nil {
-		p.no(errs.Malformed, field, "must be an array, is %s", v.Type())
+		p.reject(errs.Malformed, field, "must be an array, is %s", v.Type())
 		return nil
 	}
 	if len(list) < least || len(list) > most {
-		p.no(errs.Invalid, field, "must have %d to %d entries, has %d", least, most, len(list))
+		p.reject(errs.Invalid, field, "must have %d to %d entries, has %d", least, most, len(list))
 		return nil
 	}
 	return list
@@ -219,11 +220,11 @@
 func (p *reader) name(field string, v *fastjson.Value) string {
 	raw, err := v.StringBytes()
 	if err != nil {
-		p.no(errs.Malformed, field, "must be a string, is %s", v.Type())
+		p.reject(errs.Malformed, field, "must be a string, is %s", v.Type())
 		return ""
 	}
 	if !nameForm.Match(raw) {
-		p.no(errs.Invalid, field, nameRule)
+		p.reject(errs.Invalid, field, nameRule)
 		return ""
 	}
 	return string(raw)
@@ -236,7 +237,7 @@
 		at := fmt.Sprintf("%s[%d]", field, i)
 		name := p.name(at, v)
 		if name != "" && seen[name] {
-			p.no(errs.Invalid, at, "names %q twice", name)
+			p.reject(errs.Invalid, at, "names %q twice", name)
 		}
 		seen[name] = true
 		out = append(out, name)
@@ -246,25 +247,25 @@
 
 func (p *reader) number(field string, v *fastjson.Value, least, most int) int {
 	if v.Type() != fastjson.TypeNumber {
-		p.no(errs.Malformed, field, "must be a whole number, is %s", v.Type())
+		p.reject(errs.Malformed, field, "must be a whole number, is %s", v.Type())
 		return 0
 	}
 	n, err := v.Int64()
 	switch {
 	case err != nil:
-		p.no(errs.Malformed, field, "must be a whole number of %d to %d", least, most)
+		p.reject(errs.Malformed, field, "must be a whole number of %d to %d", least, most)
 		return 0
 	case n < int64(least) || n > int64(most):
-		p.no(errs.Invalid, field, "must be %d to %d, is %d", least, most, n)
+		p.reject(errs.Invalid, field, "must be %d to %d, is %d", least, most, n)
 		return 0
 	}
 	return int(n)
 }
 
-func (p *reader) truth(field string, v *fastjson.Value) bool {
+func (p *reader) boolean(field string, v *fastjson.Value) bool {
 	b, err := v.Bool()
 	if err != nil {
-		p.no(errs.Malformed, field, "must be true or false, is %s", v.Type())
+		p.reject(errs.Malformed, field, "must be true or false, is %s", v.Type())
 	}
 	return b
 }
@@ -272,11 +273,11 @@
 func (p *reader) labels(field string, v *fastjson.Value) map[string]string {
 	o, err := v.Object()
 	if err != nil {
-		p.no(errs.Malformed, field, "must be an object, is %s", v.Type())
+		p.reject(errs.Malformed, field, "must be an object, is %s", v.Type())
 		return nil
 	}
 	if o.Len() > MaxLabels {
-		p.no(errs.Invalid, field, "must have at most %d entries, has %d", MaxLabels, o.Len())
+		p.reject(errs.Invalid, field, "must have at most %d entries, has %d", MaxLabels, o.Len())
 		return nil
 	}
 	out := map[string]string{}
@@ -286,9 +287,9 @@
 		_, twice := out[name]
 		switch {
 		case !nameForm.MatchString(name):
-			p.no(errs.Invalid, at, "the label's name "+nameRule)
+			p.reject(errs.Invalid, at, "the label's name "+nameRule)
 		case twice:
-			p.no(errs.Invalid, at, "is given twice")
+			p.reject(errs.Invalid, at, "is given twice")
 		default:
 			out[name] = p.name(at, v)
 		}
@@ -298,55 +299,55 @@
 
 // run keeps any JSON in one form: no white space, fields in order of names, numbers as they were written.
 func (p *reader) run(field string, v *fastjson.Value) json.RawMessage {
-	p.single(field, v)
+	p.rejectDuplicates(field, v)
 	decoder := json.NewDecoder(bytes.NewReader(v.MarshalTo(nil)))
 	decoder.UseNumber()
 	var value any
 	if err := decoder.Decode(&value); err != nil {
-		p.no(errs.Malformed, field, "%s", err)
+		p.reject(errs.Malformed, field, "%s", err)
 		return nil
 	}
 	raw, err := json.Marshal(value)
 	if err != nil {
-		p.no(errs.Malformed, field, "%s", err)
+		p.reject(errs.Malformed, field, "%s", err)
 		return nil
 	}
 	if len(raw) > MaxRun {
-		p.no(errs.Invalid, field, "must be at most %d bytes, is %d", MaxRun, len(raw))
+		p.reject(errs.Invalid, field, "must be at most %d bytes, is %d", MaxRun, len(raw))
 		return nil
 	}
 	return raw
 }
 
-// single refuses a field given twice at any depth.
-func (p *reader) single(path string, v *fastjson.Value) {
+// rejectDuplicates refuses a field given twice at any depth.
+func (p *reader) rejectDuplicates(path string, v *fastjson.Value) {
 	switch v.Type() {
 	case fastjson.TypeArray:
 		for i, v := range v.GetArray() {
-			p.single(fmt.Sprintf("%s[%d]", path, i), v)
+			p.rejectDuplicates(fmt.Sprintf("%s[%d]", path, i), v)
 		}
 	case fastjson.TypeObject:
 		seen := map[string]bool{}
 		v.GetObject().Visit(func(raw []byte, v *fastjson.Value) {
 			name := string(raw)
 			if seen[name] {
-				p.no(errs.Invalid, join(path, name), "is given twice")
+				p.reject(errs.Invalid, join(path, name), "is given twice")
 			}
 			seen[name] = true
-			p.single(join(path, name), v)
+			p.rejectDuplicates(join(path, name), v)
 		})
 	}
 }
 
-// order checks how steps name each other: once each, only steps that are there, no circle.
-func (p *reader) order(steps []state.StepSpec) {
+// checkSteps checks how steps name each other: once each, only steps that exist, no cycle.
+func (p *reader) checkSteps(steps []state.StepSpec) {
 	index := map[string]int{}
 	for i, s := range steps {
 		if s.Name == "" {
 			continue
 		}
 		if first, twice := index[s.Name]; twice {
-			p.no(errs.Invalid, fmt.Sprintf("steps[%d].name", i), "%q is the name of steps[%d] too", s.Name, first)
+			p.reject(errs.Invalid, fmt.Sprintf("steps[%d].name", i), "%q is the name of steps[%d] too", s.Name, first)
 			continue
 		}
 		index[s.Name] = i
@@ -354,41 +355,42 @@
 	for i, s := range steps {
 		for k, name := range s.After {
 			if _, ok := index[name]; !ok && name != "" {
-				p.no(errs.Invalid, fmt.Sprintf("steps[%d].after[%d]", i, k), "no step is named %q", name)
+				p.reject(errs.Invalid, fmt.Sprintf("steps[%d].after[%d]", i, k), "no step is named %q", name)
 			}
 		}
 	}
-	const onWay, cleared = 1, 2
+	p.checkCycles(steps, index)
+}
+
+// checkCycles refuses steps that wait for each other. index has the places of the steps by name.
+func (p *reader) checkCycles(steps []state.StepSpec, index map[string]int) {
+	const onPath, cleared = 1, 2
 	mark := make([]int, len(steps))
-	var way []string
-	var walk func(i int) bool
-	walk = func(i int) bool {
-		mark[i] = onWay
-		way = append(way, steps[i].Name)
+	var path []string
+	var visit func(i int) bool
+	visit = func(i int) bool {
+		mark[i] = onPath
+		path = append(path, steps[i].Name)
 		for k, name := range steps[i].After {
 			next, ok := index[name]
 			if !ok || mark[next] == cleared {
 				continue
 			}
-			if mark[next] == onWay {
-				start := 0
-				for way[start] != name {
-					start++
-				}
-				circle := strings.Join(append(way[start:], name), " after ")
-				p.no(errs.Invalid, fmt.Sprintf("steps[%d].after[%d]", i, k), "steps wait for each other: %s", circle)
+			if mark[next] == onPath {
+				cycle := strings.Join(append(path[slices.Index(path, name):], name), " after ")
+				p.reject(errs.Invalid, fmt.Sprintf("steps[%d].after[%d]", i, k), "steps wait for each other: %s", cycle)
 				return false
 			}
-			if !walk(next) {
+			if !visit(next) {
 				return false
 			}
 		}
 		mark[i] = cleared
-		way = way[:len(way)-1]
+		path = path[:len(path)-1]
 		return true
 	}
 	for i := range steps {
-		if mark[i] == 0 && !walk(i) {
+		if mark[i] == 0 && !visit(i) {
 			return
 		}
 	}
--- a/internal/config/daemon.go
+++ b/internal/config/daemon.go
@@ -103,14 +103,14 @@
 }
 
 // CheckCplane returns all mistakes in c as Parse does, for settings that flags have changed.
-func CheckCplane(c Cplane) error { return errs.Pass(judge(c.read), "cplane") }
+func CheckCplane(c Cplane) error { return errs.Pass(checkSettings(c.read), "cplane") }
 
 // CheckDplane is CheckCplane for a dplane.
-func CheckDplane(d Dplane) error { return errs.Pass(judge(d.read), "dplane") }
+func CheckDplane(d Dplane) error { return errs.Pass(checkSettings(d.read), "dplane") }
 
-func judge(into func(r *Reader)) error {
+func checkSettings(into func(r *Reader)) error {
 	var out Mistakes
-	check(&out, into)
+	checkTargets(&out, into)
 	return errs.Wrap(out.orNil(), errs.Settings, "%s in the settings", out.count())
 }
 
@@ -163,8 +163,8 @@
 	if len(c.Members) == 0 {
 		r.Wrong("members", "must be at least one")
 	}
-	once(r, "members", "id", c.Members, func(m Member) string { return m.ID })
-	once(r, "members", "addr", c.Members, func(m Member) string { return m.Addr })
+	checkUnique(r, "members", "id", c.Members, func(m Member) string { return m.ID })
+	checkUnique(r, "members", "addr", c.Members, func(m Member) string { return m.Addr })
 	r.Duration("election", &c.Election, shortest, longest)
 	r.Duration("heartbeat", &c.Heartbeat, shortest, longest)
 	r.Duration("lease", &c.Lease, shortest, longest)
@@ -182,8 +182,8 @@
 		r.String("name", &k.Name, Filled)
 		r.String("key", &k.Key, Base64(ed25519.PublicKeySize))
 	})
-	once(r, "operator_keys", "name", c.OperatorKeys, func(k OperatorKey) string { return k.Name })
-	once(r, "operator_keys", "key", c.OperatorKeys, func(k OperatorKey) string { return k.Key })
+	checkUnique(r, "operator_keys", "name", c.OperatorKeys, func(k OperatorKey) string { return k.Name })
+	checkUnique(r, "operator_keys", "key", c.OperatorKeys, func(k OperatorKey) string { return k.Key })
 	if len(c.OperatorKeys) == 1 {
 		r.Wrong("operator_keys", "must be none, or two at least: two operators sign each bundle")
 	}
@@ -211,7 +211,7 @@
 	}
 	for i, m := range c.Members {
 		if host := hostOf(m.Addr); host != "" && m.ID != host {
-			r.Wrong(item("members", i)+".id", "must be the IP of addr (%s) with open_membership, is %q", host, m.ID)
+			r.Wrong(itemPath("members", i)+".id", "must be the IP of addr (%s) with open_membership, is %q", host, m.ID)
 		}
 	}
 	if c.RemoveAfter <= c.Election {
@@ -249,13 +249,13 @@
 	}
 }
 
-// once makes it a mistake when two items have the same key.
-func once[T any](r *Reader, list, field string, items []T, key func(T) string) {
+// checkUnique makes it a mistake when two items have the same key.
+func checkUnique[T any](r *Reader, list, field string, items []T, key func(T) string) {
 	first := map[string]int{}
 	for i, one := range items {
 		k := key(one)
 		if j, twice := first[k]; twice && k != "" {
-			r.Wrong(item(list, i)+"."+field, "must differ from %s, both are %q", item(list, j), k)
+			r.Wrong(itemPath(list, i)+"."+field, "must differ from %s, both are %q", itemPath(list, j), k)
 			continue
 		}
 		first[k] = i
--- a/internal/config/reader.go
+++ b/internal/config/reader.go
@@ -75,14 +75,16 @@
 //
 // A reader without an object checks the targets themselves by the same rules, see check.
 type Reader struct {
-	path string
-	obj  *fastjson.Object
-	seen map[string]bool
-	out  *Mistakes
+	path     string
+	obj      *fastjson.Object
+	seen     map[string]bool
+	mistakes *Mistakes
 }
 
-// check runs into on a reader that judges the values already in the targets.
-func check(out *Mistakes, into func(r *Reader)) { into(&Reader{out: out, seen: map[string]bool{}}) }
+// checkTargets runs into on a reader that judges the values already in the targets.
+func checkTargets(out *Mistakes, into func(r *Reader)) {
+	into(&Reader{mistakes: out, seen: map[string]bool{}})
+}
 
 func (r *Reader) checking() bool { return r.obj == nil }
 
@@ -100,7 +102,7 @@
 		return errs.Wrap(Mistakes{{"", "must be JSON: " + err.Error()}}, errs.Settings, "1 mistake in the settings")
 	}
 	var out Mistakes
-	read("", v, &out, into)
+	readObject("", v, &out, into)
 	return errs.Wrap(out.orNil(), errs.Settings, "%s in the settings", out.count())
 }
 
@@ -119,13 +121,13 @@
 	return fmt.Sprintf("%d mistakes", len(m))
 }
 
-func read(path string, v *fastjson.Value, out *Mistakes, into func(r *Reader)) {
+func readObject(path string, v *fastjson.Value, out *Mistakes, into func(r *Reader)) {
 	obj, err := v.Object()
 	if err != nil {
 		*out = append(*out, Mistake{path, "must be an object, is " + text(v)})
 		return
 	}
-	r := &Reader{path: path, obj: obj, seen: map[string]bool{}, out: out}
+	r := &Reader{path: path, obj: obj, seen: map[string]bool{}, mistakes: out}
 	into(r)
 	times := map[string]int{}
 	obj.Visit(func(key []byte, _ *fastjson.Value) {
@@ -153,10 +155,10 @@
 // field is reported.
 func (r *Reader) Wrong(field, format string, args ...any) {
 	path := r.join(field)
-	if slices.ContainsFunc(*r.out, func(m Mistake) bool { return m.Field == path }) {
+	if slices.ContainsFunc(*r.mistakes, func(m Mistake) bool { return m.Field == path }) {
 		return
 	}
-	*r.out = append(*r.out, Mistake{path, fmt.Sprintf(format, args...)})
+	*r.mistakes = append(*r.mistakes, Mistake{path, fmt.Sprintf(format, args...)})
 }
 
 func (r *Reader) join(field string) string {
@@ -206,24 +208,24 @@
 // String reads a string that every rule allows.
 func (r *Reader) String(field string, to *string, rules ...Rule) {
 	if v := r.get(field); v != nil {
-		r.str(field, v, to, rules)
+		r.readString(field, v, to, rules)
 	} else if r.checking() {
-		r.allowed(field, *to, rules)
+		r.checkRules(field, *to, rules)
 	}
 }
 
-func (r *Reader) str(field string, v *fastjson.Value, to *string, rules []Rule) {
+func (r *Reader) readString(field string, v *fastjson.Value, to *string, rules []Rule) {
 	b, err := v.StringBytes()
 	if err != nil {
 		r.Wrong(field, "must be a string, is %s", text(v))
 		return
 	}
-	if r.allowed(field, string(b), rules) {
+	if r.checkRules(field, string(b), rules) {
 		*to = string(b)
 	}
 }
 
-func (r *Reader) allowed(field, value string, rules []Rule) bool {
+func (r *Reader) checkRules(field, value string, rules []Rule) bool {
 	for _, rule := range rules {
 		if wrong := rule(value); wrong != "" {
 			r.Wrong(field, "%s", wrong)
@@ -295,42 +297,42 @@
 func (r *Reader) Strings(field string, to *[]string, rules ...Rule) {
 	if r.checking() {
 		for i, one := range *to {
-			r.allowed(item(field, i), one, rules)
+			r.checkRules(itemPath(field, i), one, rules)
 		}
 		return
 	}
-	had := len(*r.out)
+	had := len(*r.mistakes)
 	var list []string
-	there := r.items(field, func(at string, v *fastjson.Value) {
+	there := r.readItems(field, func(at string, v *fastjson.Value) {
 		var one string
-		r.str(at, v, &one, rules)
+		r.readString(at, v, &one, rules)
 		list = append(list, one)
 	})
-	if there && len(*r.out) == had {
+	if there && len(*r.mistakes) == had {
 		*to = list
 	}
 }
 
 // Map reads an object of strings; every rule must allow its keys and values.
 func (r *Reader) Map(field string, to *map[string]string, rules ...Rule) {
-	out, had := *to, len(*r.out)
+	out, had := *to, len(*r.mistakes)
 	if v := r.get(field); v != nil {
 		out = map[string]string{}
-		read(r.join(field), v, r.out, func(r *Reader) {
+		readObject(r.join(field), v, r.mistakes, func(r *Reader) {
 			r.obj.Visit(func(key []byte, v *fastjson.Value) {
 				var one string
 				r.seen[string(key)] = true
-				r.str(string(key), v, &one, rules)
+				r.readString(string(key), v, &one, rules)
 				out[string(key)] = one
 			})
 		})
 	}
 	for _, key := range slices.Sorted(maps.Keys(out)) {
-		if r.allowed(field, key, rules) && r.checking() {
-			r.allowed(field+"."+key, out[key], rules)
+		if r.checkRules(field, key, rules) && r.checking() {
+			r.checkRules(field+"."+key, out[key], rules)
 		}
 	}
-	if len(*r.out) == had {
+	if len(*r.mistakes) == had {
 		*to = out
 	}
 }
@@ -338,9 +340,9 @@
 // Object reads a nested object.
 func (r *Reader) Object(field string, into func(r *Reader)) {
 	if v := r.get(field); v != nil {
-		read(r.join(field), v, r.out, into)
+		readObject(r.join(field), v, r.mistakes, into)
 	} else if r.checking() {
-		into(&Reader{path: r.join(field), out: r.out, seen: map[string]bool{}})
+		into(&Reader{path: r.join(field), mistakes: r.mistakes, seen: map[string]bool{}})
 	}
 }
 
@@ -348,7 +350,7 @@
 func List[T any](r *Reader, field string, to *[]T, into func(r *Reader, one *T)) {
 	if r.checking() {
 		for i := range *to {
-			into(&Reader{path: r.join(item(field, i)), out: r.out, seen: map[string]bool{}}, &(*to)[i])
+			into(&Reader{path: r.join(itemPath(field, i)), mistakes: r.mistakes, seen: map[string]bool{}}, &(*to)[i])
 		}
 		return
 	}
@@ -366,13 +368,13 @@
 // Each reads an array of objects, into(0..) for each.
 func (r *Reader) Each(field string, into func(i int, r *Reader)) {
 	i := 0
-	r.items(field, func(at string, v *fastjson.Value) {
-		read(r.join(at), v, r.out, func(r *Reader) { into(i, r) })
+	r.readItems(field, func(at string, v *fastjson.Value) {
+		readObject(r.join(at), v, r.mistakes, func(r *Reader) { into(i, r) })
 		i++
 	})
 }
 
-func (r *Reader) items(field string, each func(at string, v *fastjson.Value)) bool {
+func (r *Reader) readItems(field string, each func(at string, v *fastjson.Value)) bool {
 	v := r.get(field)
 	if v == nil {
 		return false
@@ -383,9 +385,9 @@
 		return false
 	}
 	for i, one := range list {
-		each(item(field, i), one)
+		each(itemPath(field, i), one)
 	}
 	return true
 }
 
-func item(field string, i int) string { return field + "[" + strconv.Itoa(i) + "]" }
+func itemPath(field string, i int) string { return field + "[" + strconv.Itoa(i) + "]" }
--- a/internal/operator/bundle.go
+++ b/internal/operator/bundle.go
@@ -75,16 +75,16 @@
 				rpc.WriteError(w, err)
 				return
 			}
-			if raw, ok := answer.(exact); ok {
+			if raw, ok := answer.(exactBytes); ok {
 				w.Header().Set("Content-Type", "application/json")
 				w.Header().Set("Content-Length", strconv.Itoa(len(raw)))
-				_, _ = w.Write(raw) // a caller that is gone hears nothing
+				_, _ = w.Write(raw) // a caller that is gone runs into its own time-out
 				return
 			}
 			rpc.WriteJSON(w, http.StatusOK, answer)
 		})
 	}
-	b := books{s}
+	b := bundleRoutes{s}
 	route("POST /v1/bundles", b.put)
 	route("POST /v1/bundles/patch", b.patch)
 	route("POST /v1/bundles/{version}/sign", b.sign)
@@ -95,7 +95,7 @@
 	})
 	route("GET /v1/bundles/{version}/body", func(r *http.Request) (any, error) {
 		_, body, err := b.body(r, "version")
-		return exact(body), errs.Pass(err, "bundle")
+		return exactBytes(body), errs.Pass(err, "bundle")
 	})
 	route("GET /v1/bundles/{version}/diff/{other}", b.diff)
 	route("GET /v1/zones", func(r *http.Request) (any, error) {
@@ -106,48 +106,58 @@
 	route("GET /v1/rollout", b.rollout)
 }
 
-// exact is an answer that is sent byte for byte.
-type exact []byte
+// exactBytes is an answer that is sent byte for byte.
+type exactBytes []byte
 
-type books struct{ store Store }
+// bundleRoutes are the handlers of the bundle.
+type bundleRoutes struct{ store Store }
 
-// written is what the query of a written order says.
-func written(r *http.Request) (order string, base uint64, by, sig string, text []byte, err error) {
+// writtenOrder is an order whose text is the request's body; the rest is in its query.
+type writtenOrder struct {
+	id   string
+	base uint64 // the version that it is written against
+	by   string // the operator who signs
+	sig  string
+	text []byte
+}
+
+// readWritten reads a written order. Failures: Invalid, TooLarge, Malformed.
+func readWritten(r *http.Request) (writtenOrder, error) {
 	q := r.URL.Query()
-	order, by, sig = q.Get("order"), q.Get("by"), q.Get("sig")
-	if order == "" || len(order) > 200 {
-		return "", 0, "", "", nil, errs.Field(errs.Invalid, "order", "must be 1 to 200 bytes, is %d", len(order))
+	order := writtenOrder{id: q.Get("order"), by: q.Get("by"), sig: q.Get("sig")}
+	if err := checkOrderID(order.id); err != nil {
+		return order, errs.Pass(err, "query")
 	}
-	base, err = strconv.ParseUint(q.Get("base"), 10, 64)
-	if err != nil {
-		return "", 0, "", "", nil, errs.Field(errs.Invalid, "base", "must be the version that this is written against, is %q", q.Get("base"))
+	var err error
+	if order.base, err = strconv.ParseUint(q.Get("base"), 10, 64); err != nil {
+		return order, errs.Field(errs.Invalid, "base", "must be the version that this is written against, is %q", q.Get("base"))
 	}
-	text, err = rpc.ReadBody(r, bundle.MaxBytes)
-	return order, base, by, sig, text, errs.Pass(err, "body")
+	order.text, err = rpc.ReadBody(r, bundle.MaxBytes)
+	return order, errs.Pass(err, "body")
 }
 
-func (b books) put(r *http.Request) (any, error) {
-	order, base, by, sig, text, err := written(r)
+func (b bundleRoutes) put(r *http.Request) (any, error) {
+	order, err := readWritten(r)
 	if err != nil {
 		return nil, errs.Pass(err, "put")
 	}
-	if _, err := bundle.Parse(text); err != nil { // the store would say the same, later
+	if _, err := bundle.Parse(order.text); err != nil { // the store would refuse it too, later
 		return nil, errs.Pass(err, "put")
 	}
-	answer, err := b.store.Order(r.Context(), &command.Put{Order: order, Base: base, By: by, Sig: sig, Body: text})
+	answer, err := b.store.Order(r.Context(), &command.Put{Order: order.id, Base: order.base, By: order.by, Sig: order.sig, Body: order.text})
 	return answer, errs.Pass(err, "put")
 }
 
-func (b books) patch(r *http.Request) (any, error) {
-	order, base, by, sig, text, err := written(r)
+func (b bundleRoutes) patch(r *http.Request) (any, error) {
+	order, err := readWritten(r)
 	if err != nil {
 		return nil, errs.Pass(err, "patch")
 	}
-	answer, err := b.store.Order(r.Context(), &command.Patch{Order: order, Base: base, By: by, Sig: sig, Patch: text})
+	answer, err := b.store.Order(r.Context(), &command.Patch{Order: order.id, Base: order.base, By: order.by, Sig: order.sig, Patch: order.text})
 	return answer, errs.Pass(err, "patch")
 }
 
-func (b books) sign(r *http.Request) (any, error) {
+func (b bundleRoutes) sign(r *http.Request) (any, error) {
 	version, err := strconv.ParseUint(r.PathValue("version"), 10, 64)
 	if err != nil {
 		return nil, errs.Field(errs.Invalid, "version", "must be a number, is %q", r.PathValue("version"))
@@ -160,14 +170,14 @@
 	if err := json.Unmarshal(raw, &in); err != nil {
 		return nil, errs.Wrap(err, errs.Malformed, "the body must be {\"order\",\"sha256\",\"by\",\"sig\"}")
 	}
-	if in.Order == "" || len(in.Order) > 200 {
-		return nil, errs.Field(errs.Invalid, "order", "must be 1 to 200 bytes, is %d", len(in.Order))
+	if err := checkOrderID(in.Order); err != nil {
+		return nil, errs.Pass(err, "sign")
 	}
 	answer, err := b.store.Order(r.Context(), &command.Sign{Order: in.Order, Version: version, Digest: in.Digest, By: in.By, Sig: in.Sig})
 	return answer, errs.Pass(err, "sign")
 }
 
-func (b books) log(r *http.Request) (any, error) {
+func (b bundleRoutes) log(r *http.Request) (any, error) {
 	limit := state.KeepRevisions
 	if text := r.URL.Query().Get("limit"); text != "" {
 		n, err := strconv.Atoi(text)
@@ -184,7 +194,7 @@
 }
 
 // revision reads the version that a part of the path names.
-func (b books) revision(r *http.Request, part string) (meta state.Revision, body []byte, err error) {
+func (b bundleRoutes) revision(r *http.Request, part string) (meta state.Revision, body []byte, err error) {
 	word := r.PathValue(part)
 	version, wrong := strconv.ParseUint(word, 10, 64)
 	if wrong != nil && word != query.Current && word != query.Newest {
@@ -206,7 +216,7 @@
 	return meta, body, errs.Pass(err, "version %s", word)
 }
 
-func (b books) body(r *http.Request, part string) (state.Revision, []byte, error) {
+func (b bundleRoutes) body(r *http.Request, part string) (state.Revision, []byte, error) {
 	meta, body, err := b.revision(r, part)
 	if err == nil && body == nil {
 		err = errs.Field(errs.Unknown, part, "the bytes of version %d were let go; its sha256 is %s", meta.Version, meta.Digest)
@@ -214,7 +224,7 @@
 	return meta, body, errs.Pass(err, "body")
 }
 
-func (b books) diff(r *http.Request) (any, error) {
+func (b bundleRoutes) diff(r *http.Request) (any, error) {
 	from, a, err := b.body(r, "version")
 	if err != nil {
 		return nil, errs.Pass(err, "diff")
@@ -227,7 +237,7 @@
 	return Difference{from.Version, to.Version, changes}, errs.Pass(err, "diff")
 }
 
-func (b books) rollout(r *http.Request) (any, error) {
+func (b bundleRoutes) rollout(r *http.Request) (any, error) {
 	var out Rollout
 	err := b.store.Read(r.Context(), func(s *state.State) {
 		out.Version = s.Bundle.Version
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -28,7 +28,18 @@
 	Roller
 }
 
-const maxBody = 64 << 10
+const (
+	maxBody    = 64 << 10
+	maxOrderID = 200 // bytes
+)
+
+// checkOrderID refuses an order without an id, or with one that is too long.
+func checkOrderID(id string) error {
+	if id == "" || len(id) > maxOrderID {
+		return errs.Field(errs.Invalid, "order", "must be 1 to %d bytes, is %d", maxOrderID, len(id))
+	}
+	return nil
+}
 
 // Order is the body of every order. The same id with the same content is carried out once and answered alike.
 type Order struct {
@@ -57,7 +68,7 @@
 //	POST /v1/bundles?order=ID&base=V&by=NAME&sig=S        body: the exact bytes; a draft against the newest version V
 //	POST /v1/bundles/patch?order=ID&base=V&by=NAME&sig=S  body: a JSON merge patch on V
 //	POST /v1/bundles/{version}/sign  {"order","sha256","by","sig"}  the second operator puts it in force
-//	GET  /v1/bundles?limit=N         the line, newest first, without bodies
+//	GET  /v1/bundles?limit=N         the versions, newest first, without bodies
 //	GET  /v1/bundles/{version}       one version without its body; also "current" and "newest"
 //	GET  /v1/bundles/{version}/body  the exact bytes
 //	GET  /v1/bundles/{version}/diff/{other}
@@ -73,17 +84,55 @@
 //	GET  /v1/who
 //
 // Once the store knows operators, what needs a signature and has none is Forbidden; before that, zones take orders
-// without one. Failures: Malformed, TooLarge, Forbidden, Invalid, Unknown, Conflict, Pressure, Unavailable, Timeout
+// without one. Failures: Malformed, TooLarge, Forbidden, Invalid, Unknown, Conflict, Overloaded, Unavailable, Timeout
 // (send the same order again).
 func Serve(srv *rpc.Server, s Store, name func(id string) string, nodes func() []membership.Seen) {
+	serveOrders(srv, s)
+	serveBundles(srv, s)
+	srv.Route("GET /v1/minions", func(w http.ResponseWriter, r *http.Request) {
+		var out Minions
+		err := s.Read(r.Context(), func(st *state.State) { out.Minions = query.Minions(st) })
+		write(w, out, err)
+	})
+	srv.Route("GET /v1/who", func(w http.ResponseWriter, r *http.Request) {
+		out, err := who(r.Context(), s)
+		out.Store, out.Nodes = name(out.Status.Quorum.Leader), nodes()
+		write(w, out, err)
+	})
+}
+
+// write answers v, or the failure if there is one.
+func write(w http.ResponseWriter, v any, err error) {
+	if err != nil {
+		rpc.WriteError(w, err)
+		return
+	}
+	rpc.WriteJSON(w, http.StatusOK, v)
+}
+
+// who returns the holder of sched, the evacuated zones and the members of the store.
+func who(ctx context.Context, s Store) (Who, error) {
+	var out Who
+	err := s.Read(ctx, func(st *state.State) {
+		if d := st.Duties["sched"]; d != nil {
+			out.Sched = d.Holder
+		}
+		for zone := range st.Evacuated {
+			out.Evacuated = append(out.Evacuated, zone)
+		}
+		slices.Sort(out.Evacuated)
+	})
+	status := s.Status()
+	out.Members, out.Status = status.Quorum.Members, &status
+	return out, errs.Pass(err, "who")
+}
+
+// serveOrders adds the routes of the orders that name their object in the path.
+func serveOrders(srv *rpc.Server, s Store) {
 	order := func(pattern string, make func(r *http.Request, in Order) command.Command) {
 		srv.Route("POST "+pattern, func(w http.ResponseWriter, r *http.Request) {
-			answer, err := take(r, s, make)
-			if err != nil {
-				rpc.WriteError(w, err)
-				return
-			}
-			rpc.WriteJSON(w, http.StatusOK, answer)
+			answer, err := readOrder(r, s, make)
+			write(w, answer, err)
 		})
 	}
 	order("/v1/zones/{zone}/evacuate", func(r *http.Request, in Order) command.Command {
@@ -104,38 +153,10 @@
 	order("/v1/members/{old}/replace/{new}", func(r *http.Request, in Order) command.Command {
 		return &command.Succeed{Order: in.Order, Old: r.PathValue("old"), New: r.PathValue("new")}
 	})
-	serveBundles(srv, s)
-	srv.Route("GET /v1/minions", func(w http.ResponseWriter, r *http.Request) {
-		var out Minions
-		if err := s.Read(r.Context(), func(st *state.State) { out.Minions = query.Minions(st) }); err != nil {
-			rpc.WriteError(w, err)
-			return
-		}
-		rpc.WriteJSON(w, http.StatusOK, out)
-	})
-	srv.Route("GET /v1/who", func(w http.ResponseWriter, r *http.Request) {
-		var out Who
-		err := s.Read(r.Context(), func(st *state.State) {
-			if d := st.Duties["sched"]; d != nil {
-				out.Sched = d.Holder
-			}
-			for zone := range st.Evacuated {
-				out.Evacuated = append(out.Evacuated, zone)
-			}
-			slices.Sort(out.Evacuated)
-		})
-		if err != nil {
-			rpc.WriteError(w, err)
-			return
-		}
-		status := s.Status()
-		out.Store, out.Members, out.Status = name(status.Quorum.Leader), status.Quorum.Members, &status
-		out.Nodes = nodes()
-		rpc.WriteJSON(w, http.StatusOK, out)
-	})
 }
 
-func take(r *http.Request, s Store, make func(r *http.Request, in Order) command.Command) (json.RawMessage, error) {
+// readOrder reads an order and commits the command that make makes of it.
+func readOrder(r *http.Request, s Store, make func(r *http.Request, in Order) command.Command) (json.RawMessage, error) {
 	raw, err := rpc.ReadBody(r, maxBody)
 	if err != nil {
 		return nil, errs.Pass(err, "order")
@@ -144,8 +165,8 @@
 	if err := json.Unmarshal(raw, &body); err != nil {
 		return nil, errs.Wrap(err, errs.Malformed, "the body must be {\"order\":\"id\"}")
 	}
-	if body.Order == "" || len(body.Order) > 200 {
-		return nil, errs.Field(errs.Invalid, "order", "must be 1 to 200 bytes, is %d", len(body.Order))
+	if err := checkOrderID(body.Order); err != nil {
+		return nil, errs.Pass(err, "order")
 	}
 	answer, err := s.Order(r.Context(), make(r, body))
 	return answer, errs.Pass(err, "order %s", body.Order)
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -30,12 +30,12 @@
 
 // Replica is the followed state under its lock. Watch is called with every change, under the lock.
 type Replica struct {
-	mu     sync.RWMutex
-	st     *state.State
-	moved  chan struct{} // closed and made anew at every change of the index
-	watch  func(state.Note)
-	reset  func(*state.State)
-	pulled bool
+	mu           sync.RWMutex
+	st           *state.State
+	indexChanged chan struct{} // closed and made anew at every change of the index
+	watch        func(state.Note)
+	reset        func(*state.State)
+	pulled       bool
 
 	Bytes, Changes, Snapshots uint64 // since the start, under the lock
 }
@@ -43,12 +43,12 @@
 // New makes a replica at version 0. watch is called with changes and reset with a new state after a snapshot; both run
 // under the replica's lock.
 func New(watch func(state.Note), reset func(*state.State)) *Replica {
-	r := &Replica{st: state.New(), moved: make(chan struct{}), watch: watch, reset: reset}
+	r := &Replica{st: state.New(), indexChanged: make(chan struct{}), watch: watch, reset: reset}
 	r.st.Watch = watch
 	return r
 }
 
-// Lock returns the state for changing what hangs on it; Unlock ends that.
+// Lock locks the replica and returns its state; Unlock ends that.
 func (r *Replica) Lock() *state.State { r.mu.Lock(); return r.st }
 
 // Unlock ends what Lock began.
@@ -81,7 +81,7 @@
 func (r *Replica) Reach(ctx context.Context, index uint64) error {
 	for {
 		r.mu.RLock()
-		at, moved := r.st.Index, r.moved
+		at, moved := r.st.Index, r.indexChanged
 		r.mu.RUnlock()
 		if at >= index {
 			return nil
@@ -94,7 +94,7 @@
 	}
 }
 
-// Pull asks once for what the replica lacks and takes it in; wait is how long the answer may be kept waiting.
+// Pull asks once for what the replica lacks and applies it; wait is how long the cplane may wait for changes.
 func (r *Replica) Pull(ctx context.Context, core Core, node string, wait time.Duration) error {
 	from := r.Index()
 	a, err := core.Follow(ctx, api.FollowCall{Node: node, Vector: map[string]uint64{Store: from}, Wait: wait, Max: 4 << 20})
@@ -103,18 +103,18 @@
 	}
 	lack := a.Lacks[Store]
 	if lack.Snapshot != nil {
-		if err := r.fetch(ctx, core, *lack.Snapshot); err != nil {
+		if err := r.fetchSnapshot(ctx, core, *lack.Snapshot); err != nil {
 			return errs.Pass(err, "snapshot at %d", lack.Snapshot.Index)
 		}
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.pulled = true
-	return errs.Pass(r.take(lack.Changes), "changes after %d", from)
+	return errs.Pass(r.applyChanges(lack.Changes), "changes after %d", from)
 }
 
-// take applies changes in order. A version never goes back: what is at or below the index is passed over.
-func (r *Replica) take(changes []quorum.Entry) error {
+// applyChanges applies changes in order. A version never goes back: what is at or below the index is passed over.
+func (r *Replica) applyChanges(changes []quorum.Entry) error {
 	before := r.st.Index
 	for _, e := range changes {
 		if e.Index <= r.st.Index {
@@ -132,20 +132,20 @@
 		r.Changes++
 	}
 	if r.st.Index != before {
-		close(r.moved)
-		r.moved = make(chan struct{})
+		close(r.indexChanged)
+		r.indexChanged = make(chan struct{})
 	}
 	return nil
 }
 
-// fetch takes a snapshot in chunks. A chunk that is lost is asked for again, so that a cut costs no more than it.
-func (r *Replica) fetch(ctx context.Context, core Core, snap api.Snapshot) error {
+// fetchSnapshot takes a snapshot in chunks. A chunk that is lost is requested again alone.
+func (r *Replica) fetchSnapshot(ctx context.Context, core Core, snap api.Snapshot) error {
 	body := make([]byte, 0, snap.Size)
 	failures := 0
 	for int64(len(body)) < snap.Size {
 		c, err := core.Chunk(ctx, api.ChunkCall{Number: snap.Number, From: int64(len(body)), Max: 1 << 20})
 		if err == nil && (c.Number != snap.Number || len(c.Data) == 0) {
-			return errs.New(errs.Stale, "slot %d is gone", snap.Number)
+			return errs.New(errs.Stale, "snapshot %d is gone", snap.Number)
 		}
 		if err != nil {
 			if failures++; failures > 5 || ctx.Err() != nil || errs.Is(err, errs.Unknown) {
@@ -175,8 +175,8 @@
 	if r.reset != nil {
 		r.reset(st)
 	}
-	close(r.moved)
-	r.moved = make(chan struct{})
+	close(r.indexChanged)
+	r.indexChanged = make(chan struct{})
 	return nil
 }
 
