Plain names and comments in dataplane, daemon, api and the commands; group imports

Change: names (minionConns, coreClient, dutyLost, NewMembership) and comments; imports of the files that were split are grouped as in the rest.

--- a/cmd/cplane/bundle.go
+++ b/cmd/cplane/bundle.go
@@ -246,7 +246,7 @@
 	if err != nil {
 		return errs.Pass(err, "show")
 	}
-	_, err = os.Stdout.Write(raw) // the exact bytes, no line end put to them
+	_, err = os.Stdout.Write(raw) // the exact bytes, without a line end
 	return errs.Wrap(err, errs.Internal, "print")
 }
 
--- a/cmd/cplane/exit.go
+++ b/cmd/cplane/exit.go
@@ -69,7 +69,7 @@
 	return commands
 }
 
-// exitOf returns the exit code of an error: an error that is no failure is cli's own word on the usage.
+// exitOf returns the exit code of an error: an error without a kind is cli's message on wrong usage.
 func exitOf(err error) int {
 	var c coded
 	var f *errs.Error
--- a/cmd/cplane/operate.go
+++ b/cmd/cplane/operate.go
@@ -23,7 +23,8 @@
 	return []cli.Flag{&cli.StringFlag{Name: "addr", Usage: "`IP:PORT` of any cplane", Required: true}}
 }
 
-// orderID is the order's id: given, or drawn and told on standard error, so that it can be sent again.
+// orderID returns the order's id: the flag's, or a random one that is printed on standard error, so that the order
+// can be sent again.
 func orderID(cmd *cli.Command) string {
 	id := cmd.String("order")
 	if id == "" {
@@ -84,7 +85,7 @@
 	}
 	if res.StatusCode != http.StatusOK {
 		f := &errs.Error{Kind: errs.Unavailable, Message: res.Status}
-		_ = json.Unmarshal(raw, f) // if it is no failure of ours, the status tells
+		_ = json.Unmarshal(raw, f) // without an error body the status says enough
 		return nil, errs.Field(f.Kind, f.Field, "%s", f.Message)
 	}
 	return raw, nil
--- a/cmd/cplane/platform.go
+++ b/cmd/cplane/platform.go
@@ -130,7 +130,7 @@
 		return errs.Pass(err, "serve other nodes")
 	}
 	if err := n.control.Start(); err != nil {
-		_ = n.inner.Stop(0) // the start is given up: nobody has called yet
+		_ = n.inner.Stop(0) // the start has failed: no call is running yet
 		return errs.Pass(err, "serve workers and operators")
 	}
 	n.store.Start()
--- a/cmd/cplane/run.go
+++ b/cmd/cplane/run.go
@@ -54,7 +54,7 @@
 	for _, m := range set.Members {
 		seeds = append(seeds, m.Addr)
 	}
-	members := daemon.View(set.Common, membership.Cplane, seeds, caller, logger, reg, nil)
+	members := daemon.NewMembership(set.Common, membership.Cplane, seeds, caller, logger, reg, nil)
 	rpc.Handle(srv, api.Shuffle, members.Serve)
 	operator.Serve(srv, s, store.NameOf, members.Nodes)
 	daemon.Routes(srv, reg, s.Ready)
--- a/cmd/dplane/main.go
+++ b/cmd/dplane/main.go
@@ -62,7 +62,7 @@
 	defer minions.Close()
 	core := set.Core
 	if len(core) == 0 {
-		core = set.Seeds // until the view tells of the cplanes
+		core = set.Seeds // until the membership has found the cplanes
 	}
 	n := dataplane.New(dataplane.Options{Name: set.Name, Addr: set.Addr, Boot: hex.EncodeToString(boot), Core: core, Sched: passes(set),
 		CallTimeout: set.CallTimeout, QueueLimit: set.QueueLimit, Clock: clock.Real{}, Logger: daemon.Part(logger, "dataplane"),
@@ -72,7 +72,7 @@
 	if len(set.Core) == 0 {
 		learn = n.Cplanes
 	}
-	members := daemon.View(set.Common, membership.Dplane, set.Seeds, caller, logger, reg, learn)
+	members := daemon.NewMembership(set.Common, membership.Dplane, set.Seeds, caller, logger, reg, learn)
 	srv := rpc.NewServer(rpc.ServerOptions{Addr: set.Addr, Logger: daemon.Part(logger, "rpc"), Registry: reg})
 	clientapi.Register(srv, n, clientapi.Options{Within: set.CallTimeout, Seed: uint64(boot[0])<<8 | uint64(boot[1])})
 	rpc.Handle(srv, api.Minions, n.Announce)
--- a/cmd/dplane/platform.go
+++ b/cmd/dplane/platform.go
@@ -81,7 +81,7 @@
 		return errs.Pass(err, "serve clients")
 	}
 	if err := f.probes.Start(); err != nil {
-		_ = f.clients.Stop(0) // the start is given up: nobody has called yet
+		_ = f.clients.Stop(0) // the start has failed: no call is running yet
 		return errs.Pass(err, "serve readiness")
 	}
 	f.client.Start()
--- a/cmd/dplane/readiness.go
+++ b/cmd/dplane/readiness.go
@@ -17,7 +17,7 @@
 	within func(d time.Duration) error // the leader has answered within d
 
 	mu       sync.Mutex
-	was      bool // ready at the last question
+	was      bool // ready at the last check
 	draining bool
 }
 
--- a/cmd/drill/audit.go
+++ b/cmd/drill/audit.go
@@ -47,7 +47,7 @@
 	})
 }
 
-// findings audits the fleet in dir, with the public API's word where there is one.
+// findings audits the fleet in dir, with the public API's answers where there are any.
 func findings(ctx context.Context, dir string) ([]audit.Finding, error) {
 	h, err := audit.Read(dir)
 	if err != nil {
--- a/cmd/drill/blow.go
+++ b/cmd/drill/blow.go
@@ -21,7 +21,7 @@
 	"crosstide/internal/testbed/link"
 )
 
-// takeOut takes a zone with its nodes out, for d unless it is killed, and gives the nodes that it hit.
+// takeOut takes a zone with its nodes out, for d unless it is killed, and returns the nodes that it hit.
 func takeOut(ctx context.Context, dir, zone, how string, names []string, d time.Duration) ([]string, error) {
 	var err error
 	switch how {
--- a/cmd/drill/rehearse.go
+++ b/cmd/drill/rehearse.go
@@ -60,7 +60,7 @@
 	return out.String()
 }
 
-// stage is what a scene works on, and what it tells.
+// stage is what a scene works on, and its findings.
 type stage struct {
 	dir, script string
 	nodes       fleet.Nodes
@@ -193,7 +193,7 @@
 }
 
 // play runs one scene under load, audits, and waits until the fleet is whole again. seen are the broken lines that
-// earlier scenes have told.
+// earlier scenes have reported.
 func (s *stage) play(ctx context.Context, sc scene, o load.Options, seen map[string]bool) string {
 	late := func() bool { return len(fleet.Late(ctx, s.caller, s.nodes)) == 0 }
 	if _, err := s.until(ctx, 30*time.Second, "ready before the case", late); err != nil {
@@ -245,7 +245,7 @@
 		report.Cancelled, report.Fault, report.Offered-report.Accepted)
 }
 
-// audit blames what is broken and was not told before.
+// audit reports what is broken and was not reported before.
 func (s *stage) audit(ctx context.Context, seen map[string]bool) {
 	all, err := findings(ctx, s.dir)
 	if err != nil {
--- a/internal/api/core.go
+++ b/internal/api/core.go
@@ -121,7 +121,7 @@
 	Lease  time.Duration `json:"lease"`
 }
 
-// Status reports how a cplane stands.
+// Status asks a cplane for its state.
 var Status = rpc.Pair[StatusCall, StatusAnswer]{Path: "/x/status"}
 
 // StatusCall is empty.
--- a/internal/api/hold.go
+++ b/internal/api/hold.go
@@ -13,7 +13,7 @@
 // Two connections lead to a minion. One carries calls without starts, which the minion may keep waiting up to
 // Wait until there is something to say. The other carries calls with starts, one at a time, in run ID order,
 // answered at once. The arrival of any call ends the wait of an older one. An answer names its call; the holder
-// drops an answer that is older than one it has already taken in.
+// drops an answer that is older than one it has already handled.
 var Hold = rpc.Pair[HoldCall, HoldAnswer]{Path: "/v1/hold"}
 
 // HoldCall tells a minion what to start, stop and forget. All clock values are readings of the minion's own
@@ -61,7 +61,7 @@
 	Boot     string            `json:"boot"`
 	Clock    time.Duration     `json:"clock"` // the minion's own clock, counting suspension; starts anew with a boot
 	Seen     uint64            `json:"seen"`  // the highest run ID that came in an order
-	Floor    uint64            `json:"floor"` // the highest floor it was told
+	Floor    uint64            `json:"floor"` // the highest floor it received
 	Running  []uint64          `json:"running,omitempty"`
 	Ended    []EndNote         `json:"ended,omitempty"`
 	Refused  []RefuseNote      `json:"refused,omitempty"` // of the starts of this very call
--- a/internal/api/join.go
+++ b/internal/api/join.go
@@ -16,14 +16,14 @@
 	Boot string `json:"boot"`
 }
 
-// FoundAnswer reports how the asked one stands.
+// FoundAnswer is the state of the node that was asked.
 type FoundAnswer struct {
 	ID    string `json:"id"` // in the quorum; "" while it has none
 	Boot  string `json:"boot"`
 	Fresh bool   `json:"fresh"` // its folder is empty, or founded and without any vote or entry yet
 	// Commit is the highest index it knows to be committed; 1 is the founding itself.
 	Commit uint64 `json:"commit"`
-	// Founders are the boots of the others, by name, that told it they were fresh before it founded. A process
+	// Founders are the boots of the others, by name, that reported to it that they were fresh before it founded. A process
 	// that finds its own boot here has no earlier life in this fleet.
 	Founders map[string]string `json:"founders,omitempty"`
 	Digest   string            `json:"digest"` // of the members in its settings
--- a/internal/api/rollout.go
+++ b/internal/api/rollout.go
@@ -17,12 +17,12 @@
 	Nodes []NodeBundle `json:"nodes"`
 }
 
-// NodeBundle is the bundle version a node has. Since is by the clock of the cplane that tells it: a dplane says how
+// NodeBundle is the bundle version a node has. Since is by the clock of the cplane that reports it: a dplane says how
 // long it has had the version, not when it got it.
 type NodeBundle struct {
 	Node    string    `json:"node"`
 	Kind    string    `json:"kind"` // cplane or dplane
 	Version uint64    `json:"version"`
 	Since   time.Time `json:"since"`
-	Heard   time.Time `json:"heard"` // when it last said so
+	Heard   time.Time `json:"heard"` // when it last reported it
 }
--- a/internal/bundle/bundle.go
+++ b/internal/bundle/bundle.go
@@ -52,7 +52,7 @@
 	return `"` + value + `"`
 }
 
-// Parse reads a bundle. The Version of what it gives is 0. All mistakes are told at once, one a line with its
+// Parse reads a bundle. The Version of its result is 0. All mistakes are reported at once, one a line with its
 // path, in the message of one errs.Invalid (Field: the first path); a text over MaxBytes is errs.TooLarge.
 // Example:
 //
@@ -107,7 +107,7 @@
 	operators(r, b)
 }
 
-// key makes a name that is no name a mistake at its own place.
+// key refuses a field name that is no valid name.
 func key(r *config.Reader, name string) {
 	if wrong := named(name); wrong != "" {
 		r.Wrong(name, "%s", wrong)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -44,7 +44,7 @@
 	return reg
 }
 
-// Routes adds GET /livez (200 while the process answers), GET /readyz (200, or the failure that ready gives) and
+// Routes adds GET /livez (200 while the process answers), GET /readyz (200, or the failure that ready returns) and
 // GET /metrics.
 func Routes(s *rpc.Server, reg prometheus.Gatherer, ready func() error) {
 	type word struct {
--- a/internal/daemon/view.go
+++ b/internal/daemon/membership.go
@@ -19,9 +19,9 @@
 // shuffleWithin bounds one shuffle, and the announcement that a daemon leaves.
 const shuffleWithin = time.Second
 
-// View makes a daemon's part in the membership; the caller starts it, serves its shuffles and stops it. cplanes may
+// NewMembership makes a daemon's membership node; the caller starts it, serves its shuffles and stops it. cplanes may
 // be nil, see membership.Options.
-func View(set config.Common, role string, seeds []string, k *rpc.Caller, logger log.Logger, reg prometheus.Registerer,
+func NewMembership(set config.Common, role string, seeds []string, k *rpc.Caller, logger log.Logger, reg prometheus.Registerer,
 	cplanes func([]string)) *membership.Node {
 	return membership.NewNode(membership.Options{
 		Self:  membership.Note{Name: set.Name, Addr: set.Addr, Zone: set.Zone, Role: role},
--- a/internal/daemon/service.go
+++ b/internal/daemon/service.go
@@ -21,7 +21,7 @@
 type Service[S any] struct {
 	Name, Usage string
 	Load        func() (S, error)
-	NodeName    func(S) string // as it stands in log lines
+	NodeName    func(S) string // the value of node in log lines
 	// Serve runs the daemon until ctx ends, then drains it. changed has a value whenever the settings were changed
 	// (SIGHUP).
 	Serve func(ctx context.Context, settings S, changed <-chan os.Signal, logger log.Logger) error
--- a/internal/dataplane/confirm_test.go
+++ b/internal/dataplane/confirm_test.go
@@ -30,7 +30,7 @@
 		n := New(Options{Name: "d", Core: []string{srv.Addr()}, Sched: sched.Defaults(), CallTimeout: 20 * time.Second,
 			Clock: clock.Real{}, Logger: log.NewNopLogger(), Caller: caller, Minions: caller})
 		loop := routine.New(context.Background())
-		loop.Go(n.fresh.run)
+		loop.Go(n.confirmer.run)
 		var good atomic.Int64
 		const reads = 4000
 		routine.Each(reads, 32, func(int) {
--- a/internal/dataplane/core.go
+++ b/internal/dataplane/core.go
@@ -12,8 +12,8 @@
 	"crosstide/internal/state/command"
 )
 
-// core is the way to the cplanes: it knows their addresses, who led last, and whom the replica follows.
-type core struct {
+// coreClient calls the cplanes: it knows their addresses, the last leader, and the one that the replica follows.
+type coreClient struct {
 	caller *rpc.Caller
 	within time.Duration
 
@@ -24,8 +24,8 @@
 	source string
 }
 
-// know replaces the addresses; none given leaves them as they are.
-func (c *core) know(addrs []string) {
+// setAddresses replaces the addresses; an empty list leaves them as they are.
+func (c *coreClient) setAddresses(addrs []string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if len(addrs) > 0 {
@@ -33,7 +33,7 @@
 	}
 }
 
-func (c *core) lead() string {
+func (c *coreClient) lead() string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.leader == "" {
@@ -44,7 +44,7 @@
 }
 
 // learn takes the hint of a failure, or forgets the leader that did not answer.
-func (c *core) learn(asked string, err error) {
+func (c *coreClient) learn(asked string, err error) {
 	f := errs.Of(err)
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -71,7 +71,7 @@
 }
 
 // toLeader asks the leader, wherever it is, until ctx ends. again: the call may be repeated.
-func toLeader[C, A any](ctx context.Context, c *core, n *Node, p rpc.Pair[C, A], call C, within time.Duration, again bool) (A, error) {
+func toLeader[C, A any](ctx context.Context, c *coreClient, n *Node, p rpc.Pair[C, A], call C, within time.Duration, again bool) (A, error) {
 	for try := 0; ; try++ {
 		addr := c.lead()
 		a, err := rpc.Ask(ctx, c.caller, addr, p, call, within)
@@ -90,7 +90,7 @@
 	}
 }
 
-func (c *core) propose(ctx context.Context, n *Node, cmd command.Command, again bool) (api.ProposeAnswer, error) {
+func (c *coreClient) propose(ctx context.Context, n *Node, cmd command.Command, again bool) (api.ProposeAnswer, error) {
 	body, err := json.Marshal(cmd)
 	if err != nil {
 		return api.ProposeAnswer{}, errs.Wrap(err, errs.Malformed, "encode %s", cmd.Op())
@@ -100,7 +100,7 @@
 }
 
 // Follow asks the cplane it asked last, and another one after a failure.
-func (c *core) Follow(ctx context.Context, call api.FollowCall) (api.FollowAnswer, error) {
+func (c *coreClient) Follow(ctx context.Context, call api.FollowCall) (api.FollowAnswer, error) {
 	c.mu.Lock()
 	if c.source == "" {
 		c.next++
@@ -118,7 +118,7 @@
 }
 
 // Chunk asks the cplane that is followed.
-func (c *core) Chunk(ctx context.Context, call api.ChunkCall) (api.ChunkAnswer, error) {
+func (c *coreClient) Chunk(ctx context.Context, call api.ChunkCall) (api.ChunkAnswer, error) {
 	c.mu.Lock()
 	addr := c.source
 	c.mu.Unlock()
--- a/internal/dataplane/node.go
+++ b/internal/dataplane/node.go
@@ -1,5 +1,5 @@
-// Package dataplane is the runtime of a dplane: the replica of the store, the way to the cplanes, the duty sched with
-// its calls to the minions, and what the client API asks of the node.
+// Package dataplane is the runtime of a dplane: the replica of the store, the calls to the cplanes, the duty sched
+// with its calls to the minions, and the reads and commits of the client API.
 package dataplane
 
 import (
@@ -37,60 +37,60 @@
 
 // Node is one dplane.
 type Node struct {
-	opt     Options
-	core    *core
-	replica *replica.Replica
-	sched   *sched.Core // under the replica's lock
-	leased  uint64      // epoch of the newest lease, and its end; under the replica's lock
-	until   time.Duration
-	group   *routine.Group
-	kick    chan struct{}
-	fresh   confirmer
+	opt        Options
+	core       *coreClient
+	replica    *replica.Replica
+	sched      *sched.Core // under the replica's lock
+	leaseEpoch uint64      // epoch of the newest lease, and its end; under the replica's lock
+	leaseUntil time.Duration
+	group      *routine.Group
+	kick       chan struct{}
+	confirmer  confirmer
 
-	mu        sync.Mutex
-	lines     map[string]*lines
-	confirmed time.Duration // when an index was last confirmed and reached
-	granted   uint64        // epoch of the own grant, 0 if none
-	stopping  bool
+	mu          sync.Mutex
+	minionConns map[string]*minionConns
+	confirmed   time.Duration // when an index was last confirmed and reached
+	granted     uint64        // epoch of the own grant, 0 if none
+	stopping    bool
 }
 
-// lines are the two connections to a minion.
-type lines struct {
-	addr        string
-	wait, order *rpc.DedicatedConn
+// minionConns are the two connections to a minion: one for calls that may wait, one for calls with starts.
+type minionConns struct {
+	addr                string
+	holdConn, orderConn *rpc.DedicatedConn
 }
 
-// New makes a node; Start sets it going.
+// New makes a node; Start runs it.
 func New(opt Options) *Node {
-	n := &Node{opt: opt, kick: make(chan struct{}, 1), lines: map[string]*lines{}}
-	n.core = &core{caller: opt.Caller, within: opt.CallTimeout, addrs: opt.Core}
+	n := &Node{opt: opt, kick: make(chan struct{}, 1), minionConns: map[string]*minionConns{}}
+	n.core = &coreClient{caller: opt.Caller, within: opt.CallTimeout, addrs: opt.Core}
 	n.replica = replica.New(func(note state.Note) { n.sched.Note(note); n.wake() }, func(st *state.State) {
 		n.sched.Reset(opt.Clock.Now(), st)
 	})
 	st := n.replica.Lock()
 	n.sched = sched.New(opt.Sched, st)
 	n.replica.Unlock()
-	n.fresh.node, n.fresh.work = n, make(chan struct{}, 1)
+	n.confirmer.node, n.confirmer.work = n, make(chan struct{}, 1)
 	return n
 }
 
-// Cplanes replaces the addresses of the cplanes; none given leaves them as they are.
-func (n *Node) Cplanes(addrs []string) { n.core.know(addrs) }
+// Cplanes replaces the addresses of the cplanes; an empty list leaves them as they are.
+func (n *Node) Cplanes(addrs []string) { n.core.setAddresses(addrs) }
 
-// Start sets the node's loops going.
+// Start starts the node's loops.
 func (n *Node) Start(ctx context.Context) {
 	n.group = routine.New(ctx)
 	n.group.Go(func(ctx context.Context) {
-		n.replica.Run(ctx, &puller{core: n.core, node: n}, n.opt.Clock, n.opt.Name, func(err error) {
+		n.replica.Run(ctx, &puller{coreClient: n.core, node: n}, n.opt.Clock, n.opt.Name, func(err error) {
 			_ = level.Debug(n.opt.Logger).Log("msg", "pull failed", "err", err)
 		})
 	})
 	n.group.Go(n.duty)
 	n.group.Go(n.passes)
-	n.group.Go(n.fresh.run)
+	n.group.Go(n.confirmer.run)
 }
 
-// Leave makes the node unready and lays the duty down, so that another node can take it up at once.
+// Leave makes the node unready and gives up the duty, so that another node can take it at once.
 func (n *Node) Leave(ctx context.Context) {
 	n.mu.Lock()
 	n.stopping = true
@@ -129,13 +129,13 @@
 	return api.DutyCall{Duty: "sched", Holder: n.opt.Name, Addr: n.opt.Addr, Boot: n.opt.Boot, Epoch: epoch, GiveUp: giveUp}
 }
 
-// claims is how many claims may be under way at once: a slow way to the leader must not let the lease run out
+// maxClaims is how many claims may be under way at once: a slow path to the leader must not let the lease run out
 // between two answers, and a dead one must not keep the next claim from finding its successor.
-const claims = 4
+const maxClaims = 4
 
 // duty claims or renews the duty again and again. The lease counts from before the call was sent.
 func (n *Node) duty(ctx context.Context) {
-	slots := make(chan struct{}, claims)
+	slots := make(chan struct{}, maxClaims)
 	for ctx.Err() == nil {
 		n.mu.Lock()
 		stopping := n.stopping
@@ -173,7 +173,7 @@
 			}
 			return
 		case err == nil:
-			n.lose(a)
+			n.dutyLost(a)
 			return
 		case !errs.Is(err, errs.NotLeader) && !rpc.Unsent(err):
 			_ = level.Debug(n.opt.Logger).Log("msg", "claiming the duty failed", "err", err)
@@ -205,17 +205,17 @@
 		n.sched.Lead(n.opt.Clock.Now(), a.Epoch)
 		_ = level.Info(n.opt.Logger).Log("msg", "took up sched", "epoch", a.Epoch, "handles", len(st.Handles), "queue", n.sched.QueueLength())
 	}
-	if until := sent + a.Lease; a.Epoch > n.leased || until > n.until {
-		n.leased, n.until = a.Epoch, until
+	if until := sent + a.Lease; a.Epoch > n.leaseEpoch || until > n.leaseUntil {
+		n.leaseEpoch, n.leaseUntil = a.Epoch, until
 		n.sched.Lease(until)
 	}
 	n.wake()
 	return nil
 }
 
-// lose takes in that the duty is another's. An answer that knows no newer epoch than the own grant crossed it, or
-// tells that the epoch ends: its lease runs out by itself.
-func (n *Node) lose(a api.DutyAnswer) {
+// dutyLost records that another node has the duty. An answer with no newer epoch than the own grant crossed it, or
+// says that the epoch ends: its lease runs out by itself.
+func (n *Node) dutyLost(a api.DutyAnswer) {
 	n.mu.Lock()
 	had := n.granted
 	if had == 0 || a.Epoch <= had {
@@ -283,23 +283,23 @@
 	n.wake()
 }
 
-// line returns the connection for a call.
-func (n *Node) line(c sched.CallOut) *rpc.DedicatedConn {
+// connTo returns the connection for a call.
+func (n *Node) connTo(c sched.CallOut) *rpc.DedicatedConn {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	l := n.lines[c.Minion]
+	l := n.minionConns[c.Minion]
 	if l == nil || l.addr != c.Addr {
 		if l != nil {
-			l.wait.Close()
-			l.order.Close()
+			l.holdConn.Close()
+			l.orderConn.Close()
 		}
-		l = &lines{addr: c.Addr, wait: rpc.NewDedicatedConn(n.opt.Minions, c.Addr), order: rpc.NewDedicatedConn(n.opt.Minions, c.Addr)}
-		n.lines[c.Minion] = l
+		l = &minionConns{addr: c.Addr, holdConn: rpc.NewDedicatedConn(n.opt.Minions, c.Addr), orderConn: rpc.NewDedicatedConn(n.opt.Minions, c.Addr)}
+		n.minionConns[c.Minion] = l
 	}
 	if c.Order {
-		return l.order
+		return l.orderConn
 	}
-	return l.wait
+	return l.holdConn
 }
 
 // send makes one hold call. Immediately before its bytes are written the lease is checked again, and for starts
@@ -318,7 +318,7 @@
 		}
 		return nil
 	}
-	a, err := rpc.AskDedicated(ctx, n.line(c), api.Hold, c.Call, c.Call.Wait+n.opt.CallTimeout/2, check)
+	a, err := rpc.AskDedicated(ctx, n.connTo(c), api.Hold, c.Call, c.Call.Wait+n.opt.CallTimeout/2, check)
 	now := n.opt.Clock.Now()
 	n.replica.Lock()
 	if err != nil {
@@ -333,7 +333,7 @@
 	n.wake()
 }
 
-// Propose commits a command that may be repeated (submit, cancel, announce) and gives its answer.
+// Propose commits a command that may be repeated (submit, cancel, announce) and returns its answer.
 func (n *Node) Propose(ctx context.Context, c command.Command) (json.RawMessage, error) {
 	ctx, cancel := context.WithTimeout(ctx, n.opt.CallTimeout)
 	defer cancel()
@@ -346,7 +346,7 @@
 
 // Read runs do on a state that is at least as new as the call; errs.Unavailable when that cannot be confirmed.
 func (n *Node) Read(ctx context.Context, do func(s *state.State) error) error {
-	index, err := n.fresh.index(ctx)
+	index, err := n.confirmer.index(ctx)
 	if err != nil {
 		return errs.Wrap(err, errs.Unavailable, "cannot confirm the state")
 	}
--- a/internal/dataplane/rollout.go
+++ b/internal/dataplane/rollout.go
@@ -11,11 +11,11 @@
 	"crosstide/internal/state"
 )
 
-// puller follows a cplane for the replica and tells it with each call which bundle the node has, and for how long.
+// puller follows a cplane for the replica. Each call says which bundle the node has, and since when.
 type puller struct {
-	*core
+	*coreClient
 	node    *Node
-	version uint64        // told last; 0 until the first pull
+	version uint64        // sent last; 0 until the first pull
 	since   time.Duration // when the node was first seen to have it
 }
 
@@ -26,7 +26,7 @@
 		p.version, p.since = v, now
 	}
 	call.Bundle, call.Age = p.version, now-p.since
-	a, err := p.core.Follow(ctx, call)
+	a, err := p.coreClient.Follow(ctx, call)
 	return a, errs.Pass(err, "pull")
 }
 
--- a/internal/quorum/members.go
+++ b/internal/quorum/members.go
@@ -1,9 +1,10 @@
 package quorum
 
 import (
-	"crosstide/internal/errs"
 	"encoding/json"
 	"slices"
+
+	"crosstide/internal/errs"
 )
 
 // conf is the member set an entry (or snapshot) at Index brought.
--- a/internal/quorum/propose.go
+++ b/internal/quorum/propose.go
@@ -1,9 +1,10 @@
 package quorum
 
 import (
-	"crosstide/internal/errs"
 	"encoding/json"
 	"time"
+
+	"crosstide/internal/errs"
 )
 
 // Propose appends data as Normal entries first.. of term; they are committed once Ready hands them out with that
--- a/internal/quorum/status.go
+++ b/internal/quorum/status.go
@@ -1,8 +1,9 @@
 package quorum
 
 import (
-	"crosstide/internal/errs"
 	"slices"
+
+	"crosstide/internal/errs"
 )
 
 // Status returns a view of the node.
--- a/internal/rpc/connection.go
+++ b/internal/rpc/connection.go
@@ -2,13 +2,14 @@
 
 import (
 	"bufio"
-	"crosstide/internal/errs"
 	"net"
 	"net/http"
 	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"crosstide/internal/errs"
 )
 
 // connection is one connection.
--- a/internal/rpc/dedicated.go
+++ b/internal/rpc/dedicated.go
@@ -2,9 +2,10 @@
 
 import (
 	"context"
-	"crosstide/internal/errs"
 	"sync"
 	"time"
+
+	"crosstide/internal/errs"
 )
 
 // DedicatedConn is a connection to one address that is shared with nothing else. It carries one call at a time and is
--- a/internal/rpc/eventloops.go
+++ b/internal/rpc/eventloops.go
@@ -1,13 +1,14 @@
 package rpc
 
 import (
-	"crosstide/internal/errs"
 	"io"
 	"net"
 	"os"
 
 	"github.com/lesismal/nbio"
 	"golang.org/x/sys/unix"
+
+	"crosstide/internal/errs"
 )
 
 // waitForLoops waits until every event loop of nbio runs: a stop that comes before is lost on the loop, and the engine's
--- a/internal/rpc/frame.go
+++ b/internal/rpc/frame.go
@@ -2,9 +2,10 @@
 
 import (
 	"bytes"
-	"crosstide/internal/errs"
 	"encoding/json"
 	"sync"
+
+	"crosstide/internal/errs"
 )
 
 // frame is a pooled buffer with its JSON encoder.
--- a/internal/rpc/listener.go
+++ b/internal/rpc/listener.go
@@ -1,11 +1,12 @@
 package rpc
 
 import (
-	"crosstide/internal/clock"
-	"crosstide/internal/errs"
 	"net"
 	"sync"
 	"time"
+
+	"crosstide/internal/clock"
+	"crosstide/internal/errs"
 )
 
 func (s *Server) listen(network, addr string) (net.Listener, error) {
--- a/internal/rpc/response.go
+++ b/internal/rpc/response.go
@@ -1,8 +1,9 @@
 package rpc
 
 import (
-	"crosstide/internal/errs"
 	"net/http"
+
+	"crosstide/internal/errs"
 )
 
 // answerRecorder counts what an answer carries.
--- a/internal/rpc/transfer.go
+++ b/internal/rpc/transfer.go
@@ -3,12 +3,13 @@
 import (
 	"bytes"
 	"context"
-	"crosstide/internal/errs"
 	"encoding/json"
 	"errors"
 	"net/http"
 	"strconv"
 	"time"
+
+	"crosstide/internal/errs"
 )
 
 // connectionSource lends connections to calls.
--- a/internal/storage/append.go
+++ b/internal/storage/append.go
@@ -1,8 +1,9 @@
 package storage
 
 import (
-	"crosstide/internal/errs"
 	"slices"
+
+	"crosstide/internal/errs"
 )
 
 // Append writes recs with one write and one sync and returns when they are durable. An entry replaces the one of its
--- a/internal/storage/open.go
+++ b/internal/storage/open.go
@@ -1,10 +1,11 @@
 package storage
 
 import (
-	"crosstide/internal/clock"
-	"crosstide/internal/errs"
 	"slices"
 	"strings"
+
+	"crosstide/internal/clock"
+	"crosstide/internal/errs"
 )
 
 // Open reads the folder, cuts a torn tail and makes the rest durable. Failures: Damaged when data that may have
--- a/internal/storage/segment.go
+++ b/internal/storage/segment.go
@@ -1,8 +1,9 @@
 package storage
 
 import (
-	"crosstide/internal/errs"
 	"fmt"
+
+	"crosstide/internal/errs"
 )
 
 type segment struct {
--- a/internal/storage/snapshot.go
+++ b/internal/storage/snapshot.go
@@ -1,8 +1,9 @@
 package storage
 
 import (
-	"crosstide/internal/errs"
 	"slices"
+
+	"crosstide/internal/errs"
 )
 
 // WriteSlot makes img the newest snapshot (it sets its Number), starts a new segment and removes the segments whose
--- a/internal/storage/snapshotfile.go
+++ b/internal/storage/snapshotfile.go
@@ -1,9 +1,9 @@
 package storage
 
 import (
-	"crosstide/internal/errs"
-
 	"github.com/cespare/xxhash/v2"
+
+	"crosstide/internal/errs"
 )
 
 // Image is the whole state as of the entry Index of term Term.
