--- a/cmd/cplane/run.go
+++ b/cmd/cplane/run.go
@@ -48,35 +48,33 @@
 	if err != nil {
 		return errs.Pass(err, "open %s", set.Data)
 	}
-	srv := rpc.NewServer(rpc.ServerOptions{Addr: set.Addr, Logger: daemon.Part(logger, "wire"), Registry: reg})
+	srv := rpc.NewServer(rpc.ServerOptions{Addr: set.Addr, Logger: daemon.Part(logger, "rpc"), Registry: reg})
 	s.Serve(srv)
 	seeds := slices.Clone(set.Seeds)
 	for _, m := range set.Members {
 		seeds = append(seeds, m.Addr)
 	}
-	members := daemon.View(set.Common, membership.Cplane, seeds, caller, logger, reg, nil)
+	members := daemon.NewMembership(set.Common, membership.Cplane, seeds, caller, logger, reg, nil)
 	rpc.Handle(srv, api.Shuffle, members.Serve)
 	operator.Serve(srv, s, store.NameOf, members.Nodes)
 	daemon.Routes(srv, reg, s.Ready)
 	if profiles {
 		daemon.Profiles(srv)
 	}
-	if err := srv.Start(); err != nil {
-		s.Stop()
-		return errs.Pass(err, "serve")
+	life := daemon.Lifecycle{Server: srv, Logger: logger, Zone: set.Zone, Grace: set.Grace, Version: version,
+		Start: func() {
+			s.Start()
+			members.Start(context.Background())
+		},
+		Leave: func(leave context.Context) {
+			s.Handover(leave)
+			members.Stop(leave)
+		},
+		Stop: s.Stop,
 	}
-	s.Start()
-	members.Start(context.Background())
-	_ = level.Info(logger).Log("msg", "serving", "addr", srv.Addr(), "zone", set.Zone, "version", version)
-	<-ctx.Done()
-	leave, over := context.WithTimeout(context.Background(), set.Grace)
-	defer over()
-	s.Handover(leave)
-	members.Stop(leave)
-	err = srv.Stop(set.Grace)
-	s.Stop()
-	if err != nil {
-		_ = level.Warn(logger).Log("msg", "calls were cut off", "err", err)
+	if err := life.Run(ctx); err != nil {
+		s.Stop()
+		return errs.Pass(err, "run")
 	}
 	return nil
 }
--- a/cmd/dplane/main.go
+++ b/cmd/dplane/main.go
@@ -11,7 +11,6 @@
 	"time"
 
 	"github.com/go-kit/log"
-	"github.com/go-kit/log/level"
 	"github.com/urfave/cli/v3"
 
 	"crosstide/internal/api"
@@ -63,18 +62,18 @@
 	defer minions.Close()
 	core := set.Core
 	if len(core) == 0 {
-		core = set.Seeds // until the view tells of the cplanes
+		core = set.Seeds // until the membership has found the cplanes
 	}
 	n := dataplane.New(dataplane.Options{Name: set.Name, Addr: set.Addr, Boot: hex.EncodeToString(boot), Core: core, Sched: passes(set),
-		CallTimeout: set.CallTimeout, QueueLimit: set.QueueLimit, Clock: clock.Real{}, Logger: daemon.Part(logger, "plane"),
+		CallTimeout: set.CallTimeout, QueueLimit: set.QueueLimit, Clock: clock.Real{}, Logger: daemon.Part(logger, "dataplane"),
 		Caller: caller, Minions: minions})
 	reg.MustRegister(dataplane.NewMeter(n))
 	var learn func([]string)
 	if len(set.Core) == 0 {
 		learn = n.Cplanes
 	}
-	members := daemon.View(set.Common, membership.Dplane, set.Seeds, caller, logger, reg, learn)
-	srv := rpc.NewServer(rpc.ServerOptions{Addr: set.Addr, Logger: daemon.Part(logger, "wire"), Registry: reg})
+	members := daemon.NewMembership(set.Common, membership.Dplane, set.Seeds, caller, logger, reg, learn)
+	srv := rpc.NewServer(rpc.ServerOptions{Addr: set.Addr, Logger: daemon.Part(logger, "rpc"), Registry: reg})
 	clientapi.Register(srv, n, clientapi.Options{Within: set.CallTimeout, Seed: uint64(boot[0])<<8 | uint64(boot[1])})
 	rpc.Handle(srv, api.Minions, n.Announce)
 	rpc.Handle(srv, api.Shuffle, members.Serve)
@@ -83,21 +82,16 @@
 	if profiles {
 		daemon.Profiles(srv)
 	}
-	if err := srv.Start(); err != nil {
-		return errs.Pass(err, "serve")
+	life := daemon.Lifecycle{Server: srv, Logger: logger, Zone: set.Zone, Grace: set.Grace, Version: version,
+		Start: func() {
+			members.Start(context.Background())
+			n.Start(context.Background())
+		},
+		Leave: func(leave context.Context) {
+			n.Leave(leave)
+			members.Stop(leave)
+		},
+		Stop: n.Stop,
 	}
-	members.Start(context.Background())
-	n.Start(context.Background())
-	_ = level.Info(logger).Log("msg", "serving", "addr", srv.Addr(), "zone", set.Zone, "version", version)
-	<-ctx.Done()
-	leave, over := context.WithTimeout(context.Background(), set.Grace)
-	defer over()
-	n.Leave(leave)
-	members.Stop(leave)
-	err := srv.Stop(set.Grace)
-	n.Stop()
-	if err != nil {
-		_ = level.Warn(logger).Log("msg", "calls were cut off", "err", err)
-	}
-	return nil
+	return errs.Pass(life.Run(ctx), "run")
 }
--- a/cmd/drill/blow.go
+++ b/cmd/drill/blow.go
@@ -21,7 +21,7 @@
 	"crosstide/internal/testbed/link"
 )
 
-// takeOut takes a zone with its nodes out, for d unless it is killed, and gives the nodes that it hit.
+// takeOut takes a zone with its nodes out, for d unless it is killed, and returns the nodes that it hit.
 func takeOut(ctx context.Context, dir, zone, how string, names []string, d time.Duration) ([]string, error) {
 	var err error
 	switch how {
@@ -144,7 +144,7 @@
 	}
 }
 
-// order gives an operator's order to one cplane after another until one has carried it out, for 30 s; its id makes
+// order sends an operator's order to one cplane after another until one has carried it out, for 30 s; its id makes
 // it one order.
 func order(ctx context.Context, cplanes []fleet.Node, path string, in operator.Order) error {
 	ctx, stop := context.WithTimeout(ctx, 30*time.Second)
--- a/internal/bundle/bundle.go
+++ b/internal/bundle/bundle.go
@@ -52,11 +52,11 @@
 	return `"` + value + `"`
 }
 
-// Parse reads a bundle. The Version of what it gives is 0. All mistakes are told at once, one a line with its
+// Parse reads a bundle. The Version of its result is 0. All mistakes are reported at once, one a line with its
 // path, in the message of one errs.Invalid (Field: the first path); a text over MaxBytes is errs.TooLarge.
 // Example:
 //
-//	b, err := bundle.Parse([]byte(`{"queues":{"scan":{"charter":{"zones":["z1"]}}}}`))
+//	b, err := bundle.Parse([]byte(`{"queues":{"scan":{"placement":{"zones":["z1"]}}}}`))
 func Parse(data []byte) (state.Bundle, error) {
 	if len(data) > MaxBytes {
 		return state.Bundle{}, errs.New(errs.TooLarge, "the bundle has %d bytes, at most %d", len(data), MaxBytes)
@@ -107,7 +107,7 @@
 	operators(r, b)
 }
 
-// key makes a name that is no name a mistake at its own place.
+// key refuses a field name that is no valid name.
 func key(r *config.Reader, name string) {
 	if wrong := named(name); wrong != "" {
 		r.Wrong(name, "%s", wrong)
@@ -121,7 +121,8 @@
 	r.Bool("urgent", &q.Urgent)
 	r.Duration("hold", &q.Hold, shortestHold, longestHold)
 	q.Retries = retries(r)
-	r.Object("charter", func(r *config.Reader) {
+	r.Renamed("charter", "placement")
+	r.Object("placement", func(r *config.Reader) {
 		list(r, "minions", &q.Minions)
 		list(r, "zones", &q.Zones)
 		list(r, "racks", &q.Racks)
@@ -207,7 +208,7 @@
 	}
 }
 
-// Quorate tells what is wrong with a set of operators that was listed in so many lines: two of them must be able
+// Quorate reports what is wrong with a set of operators that was listed in so many lines: two of them must be able
 // to sign, and none may sign under two names. "" if it is well.
 func Quorate(operators map[string]string, listed int) string {
 	keys := slices.Sorted(maps.Values(operators))
--- a/internal/config/daemon.go
+++ b/internal/config/daemon.go
@@ -9,7 +9,7 @@
 	"crosstide/internal/errs"
 )
 
-// Common is what both daemons are told.
+// Common are the settings that both daemons have.
 type Common struct {
 	Name     string        // name: of this node, needed
 	Zone     string        // zone, needed
@@ -31,19 +31,19 @@
 // Cplane is the settings of a cplane.
 type Cplane struct {
 	Common
-	Data         string        // data: the folder of the store, needed
-	Members      []Member      // members: the first members of the store, needed
-	Election     time.Duration // election: silence after which one stands for leader; default 1s
-	Heartbeat    time.Duration // heartbeat: of the leader; default 100ms, under half of lease
-	Lease        time.Duration // lease: of the leader; default 700ms, under election
-	DutyLease    time.Duration // duty_lease; default 3s
-	SlotEvery    int           // slot_every: log entries between two slots; default 20000
-	QueueLimit   int           // queue: jobs that may be open at most; default 60000
-	KeepEnded    int           // keep_ended: ended jobs kept at most; default 20000
-	KeepEndedFor time.Duration // keep_ended_for; default 1h
-	KeepTombs    int           // keep_tombs: tombstones kept at most; default 200000
-	KeepTombsFor time.Duration // keep_tombs_for; default 168h
-	OperatorKeys []OperatorKey // operator_keys: who may sign from the founding on; none, or two at least
+	Data          string        // data: the folder of the store, needed
+	Members       []Member      // members: the first members of the store, needed
+	Election      time.Duration // election: silence after which a node campaigns to lead; default 1s
+	Heartbeat     time.Duration // heartbeat: of the leader; default 100ms, under half of lease
+	Lease         time.Duration // lease: of the leader; default 700ms, under election
+	DutyLease     time.Duration // duty_lease; default 3s
+	SnapshotEvery int           // snapshot_every: log entries between two snapshots; default 20000
+	QueueLimit    int           // queue_limit: jobs that may be open at most; default 60000
+	KeepEnded     int           // keep_ended: ended jobs kept at most; default 20000
+	KeepEndedFor  time.Duration // keep_ended_for; default 1h
+	KeepTombs     int           // keep_tombs: tombstones kept at most; default 200000
+	KeepTombsFor  time.Duration // keep_tombs_for; default 168h
+	OperatorKeys  []OperatorKey // operator_keys: who may sign from the founding on; none, or two at least
 
 	// OpenMembership, open_membership: members are only seeds, which may differ between nodes and starts; any node
 	// may join, and the leader removes voters that are silent. Default false.
@@ -64,14 +64,14 @@
 	DutyLease   time.Duration // duty_lease: as the cplanes have it; default 3s, over lease_margin
 	CallTimeout time.Duration // call_timeout; default 2s
 	SickShare   int           // sick_share: percent of a zone's minions that may be held sick at once; default 30, 0: none
-	QueueLimit  int           // queue: jobs that may be open at most; default 60000
+	QueueLimit  int           // queue_limit: jobs that may be open at most; default 60000
 }
 
 // DefaultCplane has every default, and nothing that is needed.
 func DefaultCplane() Cplane {
 	return Cplane{
 		Common: defaultCommon(), Election: time.Second, Heartbeat: 100 * time.Millisecond, Lease: 700 * time.Millisecond,
-		DutyLease: 3 * time.Second, SlotEvery: 20000, QueueLimit: 60000, KeepEnded: 20000, KeepEndedFor: time.Hour,
+		DutyLease: 3 * time.Second, SnapshotEvery: 20000, QueueLimit: 60000, KeepEnded: 20000, KeepEndedFor: time.Hour,
 		KeepTombs: 200000, KeepTombsFor: 168 * time.Hour, Founding: true, RemoveAfter: 3 * time.Second,
 	}
 }
@@ -102,15 +102,15 @@
 	return d, errs.Pass(err, "dplane")
 }
 
-// CheckCplane tells all mistakes in c as Parse does, for settings that flags have changed.
-func CheckCplane(c Cplane) error { return errs.Pass(judge(c.read), "cplane") }
+// CheckCplane returns all mistakes in c as Parse does, for settings that flags have changed.
+func CheckCplane(c Cplane) error { return errs.Pass(checkSettings(c.read), "cplane") }
 
 // CheckDplane is CheckCplane for a dplane.
-func CheckDplane(d Dplane) error { return errs.Pass(judge(d.read), "dplane") }
+func CheckDplane(d Dplane) error { return errs.Pass(checkSettings(d.read), "dplane") }
 
-func judge(into func(r *Reader)) error {
+func checkSettings(into func(r *Reader)) error {
 	var out Mistakes
-	check(&out, into)
+	checkTargets(&out, into)
 	return errs.Wrap(out.orNil(), errs.Settings, "%s in the settings", out.count())
 }
 
@@ -163,14 +163,16 @@
 	if len(c.Members) == 0 {
 		r.Wrong("members", "must be at least one")
 	}
-	once(r, "members", "id", c.Members, func(m Member) string { return m.ID })
-	once(r, "members", "addr", c.Members, func(m Member) string { return m.Addr })
+	checkUnique(r, "members", "id", c.Members, func(m Member) string { return m.ID })
+	checkUnique(r, "members", "addr", c.Members, func(m Member) string { return m.Addr })
 	r.Duration("election", &c.Election, shortest, longest)
 	r.Duration("heartbeat", &c.Heartbeat, shortest, longest)
 	r.Duration("lease", &c.Lease, shortest, longest)
 	r.Duration("duty_lease", &c.DutyLease, shortest, longest)
-	r.Int("slot_every", &c.SlotEvery, 1, largest)
-	r.Int("backlog", &c.QueueLimit, 1, largest)
+	r.Renamed("slot_every", "snapshot_every")
+	r.Int("snapshot_every", &c.SnapshotEvery, 1, largest)
+	r.Renamed("backlog", "queue_limit")
+	r.Int("queue_limit", &c.QueueLimit, 1, largest)
 	r.Int("keep_ended", &c.KeepEnded, 0, largest)
 	r.Duration("keep_ended_for", &c.KeepEndedFor, 0, oldest)
 	r.Int("keep_tombs", &c.KeepTombs, 0, largest)
@@ -180,8 +182,8 @@
 		r.String("name", &k.Name, Filled)
 		r.String("key", &k.Key, Base64(ed25519.PublicKeySize))
 	})
-	once(r, "operator_keys", "name", c.OperatorKeys, func(k OperatorKey) string { return k.Name })
-	once(r, "operator_keys", "key", c.OperatorKeys, func(k OperatorKey) string { return k.Key })
+	checkUnique(r, "operator_keys", "name", c.OperatorKeys, func(k OperatorKey) string { return k.Name })
+	checkUnique(r, "operator_keys", "key", c.OperatorKeys, func(k OperatorKey) string { return k.Key })
 	if len(c.OperatorKeys) == 1 {
 		r.Wrong("operator_keys", "must be none, or two at least: two operators sign each bundle")
 	}
@@ -209,7 +211,7 @@
 	}
 	for i, m := range c.Members {
 		if host := hostOf(m.Addr); host != "" && m.ID != host {
-			r.Wrong(item("members", i)+".id", "must be the IP of addr (%s) with open_membership, is %q", host, m.ID)
+			r.Wrong(itemPath("members", i)+".id", "must be the IP of addr (%s) with open_membership, is %q", host, m.ID)
 		}
 	}
 	if c.RemoveAfter <= c.Election {
@@ -217,7 +219,7 @@
 	}
 }
 
-// hostOf gives the IP of an address, "" if it is none.
+// hostOf returns the IP of an address, "" if it is none.
 func hostOf(addr string) string {
 	a, err := netip.ParseAddrPort(addr)
 	if err != nil {
@@ -240,19 +242,20 @@
 	r.Duration("duty_lease", &d.DutyLease, shortest, longest)
 	r.Duration("call_timeout", &d.CallTimeout, shortest, longest)
 	r.Int("sick_share", &d.SickShare, 0, 100)
-	r.Int("backlog", &d.QueueLimit, 1, largest)
+	r.Renamed("backlog", "queue_limit")
+	r.Int("queue_limit", &d.QueueLimit, 1, largest)
 	if d.LeaseMargin >= d.DutyLease {
 		r.Wrong("lease_margin", "must be under duty_lease (%s), is %s", d.DutyLease, d.LeaseMargin)
 	}
 }
 
-// once makes it a mistake when two items have the same key.
-func once[T any](r *Reader, list, field string, items []T, key func(T) string) {
+// checkUnique makes it a mistake when two items have the same key.
+func checkUnique[T any](r *Reader, list, field string, items []T, key func(T) string) {
 	first := map[string]int{}
 	for i, one := range items {
 		k := key(one)
 		if j, twice := first[k]; twice && k != "" {
-			r.Wrong(item(list, i)+"."+field, "must differ from %s, both are %q", item(list, j), k)
+			r.Wrong(itemPath(list, i)+"."+field, "must differ from %s, both are %q", itemPath(list, j), k)
 			continue
 		}
 		first[k] = i
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -44,7 +44,7 @@
 	return reg
 }
 
-// Routes adds GET /livez (200 while the process answers), GET /readyz (200, or the failure that ready gives) and
+// Routes adds GET /livez (200 while the process answers), GET /readyz (200, or the failure that ready returns) and
 // GET /metrics.
 func Routes(s *rpc.Server, reg prometheus.Gatherer, ready func() error) {
 	type word struct {
@@ -96,7 +96,7 @@
 	})
 }
 
-// Signals gives a context that ends with SIGTERM or SIGINT; a second one ends the process.
+// Signals returns a context that ends with SIGTERM or SIGINT; a second one ends the process.
 func Signals(ctx context.Context) (context.Context, context.CancelFunc) {
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
 	context.AfterFunc(ctx, stop)
--- a/internal/daemon/view.go
+++ b/internal/daemon/membership.go
@@ -16,16 +16,16 @@
 	"crosstide/internal/rpc"
 )
 
-// shuffleWithin bounds one shuffle, and the word that a daemon leaves.
+// shuffleWithin bounds one shuffle, and the announcement that a daemon leaves.
 const shuffleWithin = time.Second
 
-// View makes a daemon's part in the membership; the caller starts it, serves its shuffles and stops it. cplanes may
+// NewMembership makes a daemon's membership node; the caller starts it, serves its shuffles and stops it. cplanes may
 // be nil, see membership.Options.
-func View(set config.Common, role string, seeds []string, k *rpc.Caller, logger log.Logger, reg prometheus.Registerer,
+func NewMembership(set config.Common, role string, seeds []string, k *rpc.Caller, logger log.Logger, reg prometheus.Registerer,
 	cplanes func([]string)) *membership.Node {
 	return membership.NewNode(membership.Options{
 		Self:  membership.Note{Name: set.Name, Addr: set.Addr, Zone: set.Zone, Role: role},
-		Seeds: seeds, Rnd: rand.Uint64(), Clock: clock.Real{}, Logger: Part(logger, "view"), Registry: reg, Cplanes: cplanes,
+		Seeds: seeds, Rnd: rand.Uint64(), Clock: clock.Real{}, Logger: Part(logger, "membership"), Registry: reg, Cplanes: cplanes,
 		Ask: func(ctx context.Context, addr string, m membership.Message) (membership.Message, error) {
 			a, err := rpc.Ask(ctx, k, addr, api.Shuffle, m, shuffleWithin)
 			return a, errs.Pass(err, "shuffle")
--- a/internal/membership/node.go
+++ b/internal/membership/node.go
@@ -15,7 +15,7 @@
 	"crosstide/internal/routine"
 )
 
-// Ask sends a message to an address and gives the answer; it ends by its own time-out.
+// Ask sends a message to an address and returns the answer; it has its own time-out.
 type Ask func(ctx context.Context, addr string, m Message) (Message, error)
 
 // Options are what a node is made of; Self, Ask and Clock are needed.
@@ -28,7 +28,7 @@
 	Clock    clock.Clock
 	Logger   log.Logger
 	Registry prometheus.Registerer // default: not shown
-	// Cplanes is told the addresses of the cplanes whenever the directory of them changed.
+	// Cplanes is called with the addresses of the cplanes after each change of their directory.
 	Cplanes func(addrs []string)
 }
 
@@ -41,7 +41,7 @@
 	bytes prometheus.Counter
 }
 
-// NewNode makes a node; Start sets it going. Example:
+// NewNode makes a node; Start runs it. Example:
 //
 //	n := membership.NewNode(membership.Options{Self: self, Seeds: seeds, Ask: ask, Clock: clock.Real{}})
 //	rpc.Handle(srv, api.Shuffle, n.Serve)
@@ -59,7 +59,7 @@
 		cfg = *opt.Config
 	}
 	n := &Node{opt: opt, core: New(cfg, opt.Self, opt.Seeds, opt.Rnd)}
-	n.bytes = prometheus.NewCounter(prometheus.CounterOpts{Name: "crosstide_view_bytes_total",
+	n.bytes = prometheus.NewCounter(prometheus.CounterOpts{Name: "crosstide_membership_bytes_total",
 		Help: "Bytes of JSON sent in shuffles, calls and answers; heads are not counted."})
 	if opt.Registry != nil {
 		opt.Registry.MustRegister(n.bytes, &gauges{n})
@@ -67,20 +67,20 @@
 	return n
 }
 
-// Start sets the node going.
+// Start runs the node until Stop.
 func (n *Node) Start(ctx context.Context) {
 	n.group = routine.New(ctx)
 	n.group.Go(n.run)
 }
 
-// Stop tells some neighbours that the node leaves, until ctx ends, and ends it.
+// Stop ends the node and announces its departure to some neighbours, until ctx ends at the latest.
 func (n *Node) Stop(ctx context.Context) {
 	n.mu.Lock()
 	calls := n.core.Leave(n.opt.Clock.Now())
 	n.mu.Unlock()
 	n.group.Stop()
 	routine.Each(len(calls), len(calls), func(i int) {
-		n.count(calls[i].Message)
+		n.countBytes(calls[i].Message)
 		if _, err := n.opt.Ask(ctx, calls[i].Addr, calls[i].Message); err != nil {
 			_ = level.Debug(n.opt.Logger).Log("msg", "leaving was not heard", "addr", calls[i].Addr, "err", err)
 		}
@@ -94,23 +94,23 @@
 		calls := n.core.Tick(now)
 		due := n.core.Next() - now
 		n.mu.Unlock()
-		n.tell()
+		n.reportChanges()
 		for _, call := range calls {
-			n.group.Go(func(ctx context.Context) { n.send(ctx, call) })
+			n.group.Go(func(ctx context.Context) { n.shuffle(ctx, call) })
 		}
-		rung := make(chan struct{})
-		ring := n.opt.Clock.Set(max(due, time.Millisecond), func() { close(rung) })
+		fired := make(chan struct{})
+		timer := n.opt.Clock.Set(max(due, time.Millisecond), func() { close(fired) })
 		select {
-		case <-rung:
+		case <-fired:
 		case <-ctx.Done():
-			ring.Stop()
+			timer.Stop()
 			return
 		}
 	}
 }
 
-func (n *Node) send(ctx context.Context, call Call) {
-	n.count(call.Message)
+func (n *Node) shuffle(ctx context.Context, call Call) {
+	n.countBytes(call.Message)
 	answer, err := n.opt.Ask(ctx, call.Addr, call.Message)
 	n.mu.Lock()
 	if err != nil {
@@ -122,24 +122,24 @@
 	if err != nil {
 		_ = level.Debug(n.opt.Logger).Log("msg", "a shuffle failed", "addr", call.Addr, "err", err)
 	}
-	n.tell()
+	n.reportChanges()
 }
 
 // Serve answers a shuffle. Failure: Invalid.
 func (n *Node) Serve(_ context.Context, m Message) (Message, error) {
-	if !m.From.whole() {
+	if !m.From.valid() {
 		return Message{}, errs.Field(errs.Invalid, "from", "must be a node with its name and address")
 	}
 	n.mu.Lock()
 	answer := n.core.Call(n.opt.Clock.Now(), m)
 	n.mu.Unlock()
-	n.count(answer)
-	n.tell()
+	n.countBytes(answer)
+	n.reportChanges()
 	return answer, nil
 }
 
-// tell logs the changes of the directory and hands its addresses on.
-func (n *Node) tell() {
+// reportChanges logs the changes of the directory and passes its addresses to Options.Cplanes.
+func (n *Node) reportChanges() {
 	n.mu.Lock()
 	defer n.mu.Unlock() // the order of two changes is kept
 	changes := n.core.Changes()
@@ -151,53 +151,15 @@
 	}
 }
 
-func (n *Node) count(m Message) {
+func (n *Node) countBytes(m Message) {
 	if raw, err := json.Marshal(m); err == nil {
 		n.bytes.Add(float64(len(raw)))
 	}
 }
 
-// Nodes gives the nodes known, as Core.Nodes does.
+// Nodes returns the nodes known, as Core.Nodes does.
 func (n *Node) Nodes() []Seen {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	return n.core.Nodes(n.opt.Clock.Now())
 }
-
-// gauges are read when they are asked for.
-type gauges struct{ n *Node }
-
-var (
-	descSize     = prometheus.NewDesc("crosstide_view_nodes", "Nodes known: neighbours, suspects among them, cplanes in the directory.", []string{"of"}, nil)
-	descShuffles = prometheus.NewDesc("crosstide_view_shuffles_total", "Shuffles: sent, taken, without an answer, and sent to seeds.", []string{"how"}, nil)
-	descSuspects = prometheus.NewDesc("crosstide_view_suspects_total", "Neighbours that were suspected, and of those dropped.", []string{"what"}, nil)
-)
-
-// Describe sends the descriptions.
-func (g *gauges) Describe(to chan<- *prometheus.Desc) {
-	to <- descSize
-	to <- descShuffles
-	to <- descSuspects
-}
-
-// Collect gives the figures of now.
-func (g *gauges) Collect(to chan<- prometheus.Metric) {
-	g.n.mu.Lock()
-	neighbours, cplanes := g.n.core.Size()
-	c, suspects := g.n.core.Counts, 0
-	for _, e := range g.n.core.view {
-		if e.doubt {
-			suspects++
-		}
-	}
-	g.n.mu.Unlock()
-	for of, v := range map[string]int{"view": neighbours, "suspects": suspects, "core": cplanes} {
-		to <- prometheus.MustNewConstMetric(descSize, prometheus.GaugeValue, float64(v), of)
-	}
-	for how, v := range map[string]uint64{"sent": c.Shuffles, "taken": c.Taken, "fault": c.Failures, "seed": c.Visits} {
-		to <- prometheus.MustNewConstMetric(descShuffles, prometheus.CounterValue, float64(v), how)
-	}
-	for what, v := range map[string]uint64{"suspected": c.Suspects, "dropped": c.Dropped} {
-		to <- prometheus.MustNewConstMetric(descSuspects, prometheus.CounterValue, float64(v), what)
-	}
-}
--- /dev/null
+++ b/internal/quorum/election.go
@@ -0,0 +1,137 @@
+package quorum
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// eligible reports whether the node may campaign: a voter of the set in force, or of one before it that may still be
+// the committed one. The latter matters when only this node has the entry that removes it: nobody else can win.
+// It counts by the set in force also then, that is without itself.
+func (c *Core) eligible() bool {
+	return !c.hard.Blank && slices.ContainsFunc(c.configurations, func(f configuration) bool { return isVoter(f.members, c.cfg.ID) })
+}
+
+// promise is how long after a message of a leader a node votes for nobody else: the leader's lease, with room for clocks
+// that drift apart.
+func (c *Core) promise() time.Duration { return c.cfg.Lease + (c.cfg.Election-c.cfg.Lease)/3 }
+
+// hasPromised reports whether this node has promised not to vote for a candidate yet. The promise is made to the leader
+// of the term: once that asks for votes itself, it leads no more.
+func (c *Core) hasPromised(candidate string) bool {
+	if c.role == Leader {
+		return true
+	}
+	return c.now < c.heardLeaderAt+c.promise() && candidate != c.hard.Leader
+}
+
+// majority returns the highest value that a majority of the voters reaches.
+func majority[T cmp.Ordered](ms []Member, of func(id string) T) (out T) {
+	var room [9]T
+	vs := room[:0]
+	for _, m := range ms {
+		if !m.Learner {
+			vs = append(vs, of(m.ID))
+		}
+	}
+	if len(vs) == 0 {
+		return out
+	}
+	slices.Sort(vs)
+	return vs[(len(vs)-1)/2]
+}
+
+// hasMajority reports whether a majority granted its vote.
+func (c *Core) hasMajority() bool {
+	return majority(c.members(), func(id string) int {
+		if c.granted[id] {
+			return 1
+		}
+		return 0
+	}) == 1
+}
+
+// startPreVote asks the voters whether they would vote for this node.
+func (c *Core) startPreVote() {
+	c.role, c.leader, c.leaderAddr, c.afterHandover = PreCandidate, "", "", false
+	c.granted = map[string]bool{c.cfg.ID: true}
+	c.campaignAt = c.now + c.cfg.Heartbeat + c.jitter(c.cfg.Heartbeat) // asking again costs little and starts no term
+	if c.hasMajority() {
+		c.startElection(false)
+		return
+	}
+	c.requestVotes(PreVote, c.hard.Term+1)
+}
+
+// startElection starts a campaign in a new term. The requests are sent once the vote for itself is synced.
+func (c *Core) startElection(force bool) {
+	c.role, c.leader, c.afterHandover = Candidate, "", force
+	c.hard.Term++
+	c.hard.Vote, c.hard.Leader, c.hardChanged = c.cfg.ID, "", true
+	c.granted = map[string]bool{c.cfg.ID: true}
+	c.resetElectionTimer()
+	if c.hasMajority() {
+		c.becomeLeader(true)
+		return
+	}
+	c.requestVotes(Vote, c.hard.Term)
+}
+
+func (c *Core) requestVotes(k Kind, term uint64) {
+	for _, m := range c.members() {
+		if m.ID == c.cfg.ID || m.Learner {
+			continue
+		}
+		msg := Message{Kind: k, From: c.cfg.ID, To: m.ID, Term: term, PrevIndex: c.log.last(), PrevTerm: c.log.lastTerm(), Force: c.afterHandover}
+		if k == Vote {
+			c.afterSync = append(c.afterSync, msg)
+		} else {
+			c.outgoing = append(c.outgoing, msg)
+		}
+	}
+}
+
+// isUpToDate reports whether the log of the sender of a (pre)vote holds at least ours.
+func (c *Core) isUpToDate(m Message) bool {
+	t := c.log.lastTerm()
+	return m.PrevTerm > t || m.PrevTerm == t && m.PrevIndex >= c.log.last()
+}
+
+// onPreVote answers whether this node would vote for the sender.
+func (c *Core) onPreVote(m Message) {
+	if c.hard.Blank {
+		return
+	}
+	if m.Term > c.hard.Term && !c.hasPromised(m.From) && c.isUpToDate(m) {
+		c.reply(m, Message{Kind: PreVoteReply, Term: m.Term})
+	} else {
+		c.reply(m, Message{Kind: PreVoteReply, Reject: true})
+	}
+}
+
+// onPreVoteReply counts a pre-vote, and starts the election with a majority of them.
+func (c *Core) onPreVoteReply(m Message) {
+	if m.Reject && m.Term > c.hard.Term {
+		c.becomeFollower(m.Term, "")
+	} else if !m.Reject && c.role == PreCandidate && m.Term == c.hard.Term+1 {
+		if c.granted[m.From] = true; c.hasMajority() {
+			c.startElection(false)
+		}
+	}
+}
+
+// onVote votes for the sender, unless this node voted otherwise in the term or has the newer log.
+func (c *Core) onVote(m Message) {
+	free := c.hard.Vote == "" && c.hard.Leader == "" || c.hard.Vote == m.From
+	if !free || !c.isUpToDate(m) {
+		c.reply(m, Message{Kind: VoteReply, Reject: true})
+		return
+	}
+	c.becomeFollower(c.hard.Term, c.leader)
+	if c.hard.Vote != m.From {
+		c.hard.Vote, c.hardChanged = m.From, true
+	}
+	c.resetElectionTimer()
+	c.reply(m, Message{Kind: VoteReply})
+}
--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -6,59 +6,54 @@
 
 import (
 	"bytes"
-	"encoding/json"
-	"errors"
 	"io"
 	"net/http"
 	"slices"
 	"strconv"
-	"sync"
 	"time"
 
-	"github.com/prometheus/client_golang/prometheus"
-
 	"crosstide/internal/errs"
 )
 
 // MaxBody is the default bound on a body of an internal call or answer, in bytes.
 const MaxBody = 64 << 20
 
-// Pair names a call by its path and gives it its types: POST Path, body the JSON of C, answer the JSON of A.
+// Pair names a call by its path and fixes its types: POST Path, body the JSON of C, answer the JSON of A.
 // Fields that a side does not know are passed over, so that versions can be mixed. Example:
 //
 //	var Vote = rpc.Pair[Ballot, Verdict]{Path: "/store/vote"}
 type Pair[C, A any] struct{ Path string }
 
-// reply is the JSON body of a failure.
-type reply struct {
+// errorBody is the JSON body of a failure.
+type errorBody struct {
 	Kind    errs.Kind `json:"kind"`
 	Field   string    `json:"field"`
 	Message string    `json:"message"`
 	Hint    string    `json:"hint,omitempty"`
 }
 
-// WriteError answers err: the status of its kind's row in failure's table, Retry-After in whole seconds (rounded up,
+// WriteError answers err: the status of its kind in the table of errs, Retry-After in whole seconds (rounded up,
 // at least 1) where there is one, and the body {"kind","field","message"}, plus "hint" if set. Causes are not sent.
 func WriteError(w http.ResponseWriter, err error) {
 	f := errs.Of(err)
 	if f == nil {
-		f = errs.Of(errs.New(errs.Internal, "no fault given"))
+		f = errs.Of(errs.New(errs.Internal, "no error given"))
 	}
 	writeError(w, f, errs.ReplyOf(f.Kind).Status)
 }
 
 func writeError(w http.ResponseWriter, f *errs.Error, status int) {
-	kind := known(f.Kind)
-	if after := cmpOr(f.After, errs.ReplyOf(kind).After); after > 0 {
+	kind := knownKind(f.Kind)
+	if after := firstPositive(f.After, errs.ReplyOf(kind).After); after > 0 {
 		w.Header().Set("Retry-After", strconv.FormatInt(int64((after+time.Second-1)/time.Second), 10))
 	}
-	if t, ok := w.(*tap); ok {
+	if t, ok := w.(*answerRecorder); ok {
 		t.kind = kind
 	}
-	WriteJSON(w, status, reply{Kind: kind, Field: f.Field, Message: f.Message, Hint: f.Hint})
+	WriteJSON(w, status, errorBody{Kind: kind, Field: f.Field, Message: f.Message, Hint: f.Hint})
 }
 
-func cmpOr(a, b time.Duration) time.Duration {
+func firstPositive(a, b time.Duration) time.Duration {
 	if a > 0 {
 		return a
 	}
@@ -67,8 +62,8 @@
 
 var kinds = errs.Kinds()
 
-// known maps a kind outside of the closed list to Internal.
-func known(k errs.Kind) errs.Kind {
+// knownKind maps a kind outside of the closed list to Internal.
+func knownKind(k errs.Kind) errs.Kind {
 	if slices.Contains(kinds, k) {
 		return k
 	}
@@ -91,7 +86,7 @@
 	h.Set("Content-Type", "application/json")
 	h.Set("Content-Length", strconv.Itoa(len(body)))
 	w.WriteHeader(status)
-	_, _ = w.Write(body) // a caller that is gone hears nothing; its own timer tells it
+	_, _ = w.Write(body) // a caller that is gone runs into its own time-out
 }
 
 // ReadBody reads a body of at most limit bytes; the bytes are the caller's own. A declared or real length over
@@ -122,64 +117,3 @@
 	}
 	return nil
 }
-
-// frame is a pooled buffer with its JSON encoder.
-type frame struct {
-	buf bytes.Buffer
-	enc *json.Encoder
-}
-
-var frames = sync.Pool{New: func() any {
-	f := &frame{}
-	f.enc = json.NewEncoder(&f.buf)
-	f.enc.SetEscapeHTML(false)
-	return f
-}}
-
-// takeFrame gives an empty frame that starts with room for a head of that many bytes.
-func takeFrame(room int) *frame {
-	f := frames.Get().(*frame)
-	f.buf.Reset()
-	f.buf.Grow(room)
-	f.buf.Write(f.buf.AvailableBuffer()[:room])
-	return f
-}
-
-func (f *frame) encode(v any) error {
-	return errs.Wrap(f.enc.Encode(v), errs.Internal, "encode %T", v)
-}
-
-func (f *frame) free() {
-	if f.buf.Cap() <= 1<<20 {
-		frames.Put(f)
-	}
-}
-
-// meter counts for one side, "server" or "caller". Several meters may share a registry.
-type meter struct {
-	calls, failures *prometheus.CounterVec
-	in, out         prometheus.Counter
-}
-
-func newMeter(side string, to prometheus.Registerer) *meter {
-	counter := func(name, help string, labels ...string) *prometheus.CounterVec {
-		c := prometheus.NewCounterVec(prometheus.CounterOpts{Name: name, Help: help}, append([]string{"side"}, labels...))
-		if to != nil {
-			if err := to.Register(c); err != nil {
-				var have prometheus.AlreadyRegisteredError
-				if !errors.As(err, &have) {
-					panic("wire: register " + name + ": " + err.Error())
-				}
-				c = have.ExistingCollector.(*prometheus.CounterVec)
-			}
-		}
-		return c.MustCurryWith(prometheus.Labels{"side": side})
-	}
-	size := counter("crosstide_wire_bytes_total", "Bytes of bodies, by direction.", "dir")
-	return &meter{
-		calls:    counter("crosstide_wire_calls_total", "Calls, by path.", "path"),
-		failures: counter("crosstide_wire_faults_total", "Calls that ended in a fault, by path and kind.", "path", "kind"),
-		in:       size.WithLabelValues("in"),
-		out:      size.WithLabelValues("out"),
-	}
-}
--- a/internal/rpc/server.go
+++ b/internal/rpc/server.go
@@ -3,11 +3,8 @@
 import (
 	"context"
 	"encoding/json"
-	"fmt"
-	"io"
 	"net"
 	"net/http"
-	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -15,10 +12,8 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 	"github.com/lesismal/nbio"
-	"github.com/lesismal/nbio/logging"
 	"github.com/lesismal/nbio/nbhttp"
 	"github.com/prometheus/client_golang/prometheus"
-	"golang.org/x/sys/unix"
 
 	"crosstide/internal/clock"
 	"crosstide/internal/errs"
@@ -42,21 +37,21 @@
 // Server answers pairs and raw routes. Every request runs on a goroutine of its own, so any number of them may
 // block (long polls) without holding up others. A connection takes one request at a time.
 type Server struct {
-	opt    ServerOptions
-	mux    *http.ServeMux
-	engine *nbhttp.Engine
-	work   *routine.Group
-	meter  *meter
-	ln     *listener
+	opt      ServerOptions
+	mux      *http.ServeMux
+	engine   *nbhttp.Engine
+	requests *routine.Group
+	meter    *meter
+	listener *listener
 	// accepted orders the making of a connection before its first read: nbio hands it from the accepting goroutine
 	// to the event loop by epoll alone, which is no order in Go's memory model.
 	accepted atomic.Int64
 
-	mu       sync.Mutex
-	running  int // requests from their last byte read until their answer is written
-	stopping bool
-	idle     chan struct{} // closed when stopping and nothing runs
-	idleTold bool
+	mu            sync.Mutex
+	running       int // requests from their last byte read until their answer is written
+	stopping      bool
+	idle          chan struct{} // closed when stopping and nothing runs
+	idleSignalled bool
 }
 
 // NewServer makes a server that does not listen yet. Example:
@@ -80,7 +75,7 @@
 	routeLogs(opt.Logger)
 	boundDescriptors(opt.Descriptors)
 	s := &Server{
-		opt: opt, mux: http.NewServeMux(), work: routine.New(context.Background()),
+		opt: opt, mux: http.NewServeMux(), requests: routine.New(context.Background()),
 		meter: newMeter("server", opt.Registry), idle: make(chan struct{}),
 	}
 	bound := int(max(2*opt.MaxBody, MaxBody)) // over it nbhttp cuts the connection without an answer
@@ -90,8 +85,8 @@
 		SupportServerOnly: true, NPoller: opt.Loops,
 		Handler:        http.HandlerFunc(s.serve),
 		ServerExecutor: s.execute,
-		Context:        s.work.Context(),
-		Cancel:         s.work.Cancel,
+		Context:        s.requests.Context(),
+		Cancel:         s.requests.Cancel,
 	})
 	s.engine.OnOpen(func(net.Conn) { s.accepted.Add(1) })
 	s.engine.Engine.OnData(func(c *nbio.Conn, data []byte) {
@@ -123,7 +118,7 @@
 		}
 		answer, err := serve(r.Context(), call)
 		if err != nil {
-			s.tell(p.Path, err)
+			s.logFailure(p.Path, err)
 			WriteError(w, err)
 			return
 		}
@@ -136,8 +131,8 @@
 	writeError(w, f, http.StatusMethodNotAllowed)
 }
 
-// tell logs failures that are ours to mend, with their causes, which are not sent.
-func (s *Server) tell(path string, err error) {
+// logFailure logs failures of this node, with their causes, which are not sent.
+func (s *Server) logFailure(path string, err error) {
 	switch errs.KindOf(err) {
 	case errs.Internal, errs.Disk, errs.Damaged, errs.Torn:
 		_ = level.Error(s.opt.Logger).Log("msg", "call failed", "path", path, "err", err)
@@ -145,22 +140,22 @@
 }
 
 // Route answers pattern (as of http.ServeMux) with h, which may answer failures by WriteError. r and w must not be
-// kept after h returns. Call it before Start; a pattern given twice panics.
+// kept after h returns. Call it before Start; a pattern used twice panics.
 func (s *Server) Route(pattern string, h func(w http.ResponseWriter, r *http.Request)) {
 	calls := s.meter.calls.WithLabelValues(pattern)
 	s.mux.HandleFunc(pattern, func(w http.ResponseWriter, r *http.Request) {
 		calls.Inc()
-		t := &tap{ResponseWriter: w}
+		t := &answerRecorder{ResponseWriter: w}
 		defer func() {
 			if p := recover(); p != nil {
 				err := errs.New(errs.Internal, "panic: %v", p)
-				s.tell(pattern, err)
+				s.logFailure(pattern, err)
 				if !t.begun {
 					WriteError(t, errs.New(errs.Internal, "the handler failed"))
 				}
 			}
 			s.meter.in.Add(float64(max(r.ContentLength, 0)))
-			s.meter.out.Add(float64(t.out))
+			s.meter.out.Add(float64(t.bodyBytes))
 			if t.kind != "" {
 				s.meter.failures.WithLabelValues(pattern, string(t.kind)).Inc()
 			}
@@ -169,38 +164,12 @@
 	})
 }
 
-// tap counts what an answer carries.
-type tap struct {
-	http.ResponseWriter
-	out   int
-	kind  errs.Kind
-	begun bool
-}
-
-// Unwrap lets http.ResponseController reach the connection.
-func (t *tap) Unwrap() http.ResponseWriter { return t.ResponseWriter }
-
-func (t *tap) WriteHeader(status int) {
-	t.begun = true
-	t.ResponseWriter.WriteHeader(status)
-}
-
-func (t *tap) Write(b []byte) (int, error) {
-	t.begun = true
-	n, err := t.ResponseWriter.Write(b)
-	t.out += max(n, 0)
-	if err != nil {
-		return n, errs.Wrap(err, errs.Unavailable, "write the answer")
-	}
-	return n, nil
-}
-
 // execute runs the handling of a request, with the writing of its answer.
 func (s *Server) execute(handle func()) {
 	s.mu.Lock()
 	s.running++
 	s.mu.Unlock()
-	s.work.Go(func(context.Context) {
+	s.requests.Go(func(context.Context) {
 		defer s.executed()
 		handle()
 	})
@@ -210,19 +179,19 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.running--
-	s.tellIdle()
+	s.signalIdle()
 }
 
-// tellIdle closes idle once, when the server stops and nothing runs. The mutex is held.
-func (s *Server) tellIdle() {
-	if s.running > 0 || !s.stopping || s.idleTold {
+// signalIdle closes idle once, when the server stops and nothing runs. The mutex is held.
+func (s *Server) signalIdle() {
+	if s.running > 0 || !s.stopping || s.idleSignalled {
 		return
 	}
-	s.idleTold = true
+	s.idleSignalled = true
 	close(s.idle)
 }
 
-// serve lets a request in, unless the server stops, and finds its route.
+// serve passes a request to its route, unless the server is stopping.
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	stopping := s.stopping
@@ -232,8 +201,8 @@
 		return
 	}
 	if h, pattern := s.mux.Handler(r); pattern == "" {
-		seen := &probe{head: w.Header()}
-		h.ServeHTTP(seen, r) // the mux's own refusal; ours is JSON
+		seen := &headRecorder{head: w.Header()}
+		h.ServeHTTP(seen, r) // the mux's own refusal is not JSON
 		if seen.status == http.StatusMethodNotAllowed {
 			refuseMethod(w, r)
 			return
@@ -244,100 +213,12 @@
 	s.mux.ServeHTTP(w, r)
 }
 
-// probe takes an answer's head only.
-type probe struct {
-	head   http.Header
-	status int
-}
-
-func (p *probe) Header() http.Header         { return p.head }
-func (p *probe) Write(b []byte) (int, error) { return len(b), nil }
-func (p *probe) WriteHeader(status int)      { p.status = status }
-
 // Start listens and answers. An address that cannot be had is errs.Settings.
 func (s *Server) Start() error {
 	if err := s.engine.Start(); err != nil {
 		return errs.Wrap(err, errs.Settings, "listen at %s", s.opt.Addr)
 	}
-	return errs.Wrap(s.warm(), errs.Internal, "start the event loops")
-}
-
-// warm waits until every event loop of nbio runs: a stop that comes before is lost on the loop, and the engine's
-// Stop would wait for it forever. Each loop gets one end of a local connection and has to see it close.
-func (s *Server) warm() error {
-	loops := s.engine.Engine.NPoller
-	if loops == 1 {
-		return errs.Pass(s.warmOne(), "the only event loop")
-	}
-	gone := make(chan struct{}, loops)
-	s.engine.OnClose(func(c net.Conn, _ error) {
-		if _, local := c.RemoteAddr().(*net.UnixAddr); local {
-			gone <- struct{}{}
-		}
-	})
-	for loop := range loops {
-		if err := s.nudge(loop, loops); err != nil {
-			return errs.Pass(err, "event loop %d", loop)
-		}
-	}
-	for range loops {
-		<-gone
-	}
-	return nil
-}
-
-// warmOne is warm for a single loop, which any connection reaches: one to the server's own address, as not every
-// machine has local socket pairs.
-func (s *Server) warmOne() error {
-	gone := make(chan struct{}, 1)
-	s.engine.OnClose(func(net.Conn, error) {
-		select {
-		case gone <- struct{}{}:
-		default:
-		}
-	})
-	c, err := net.Dial("tcp", s.Addr())
-	if err != nil {
-		return errs.Wrap(err, errs.Internal, "reach the own address")
-	}
-	if err := c.Close(); err != nil {
-		return errs.Wrap(err, errs.Internal, "close")
-	}
-	<-gone
-	return nil
-}
-
-// nudge gives one loop a connection that is closed at its other end. nbio picks the loop by the descriptor, so
-// copies are made until one has a number that fits. All others are closed before that one is handed over: epoll
-// goes on telling of a connection as long as a copy is open, by a number that may be another's by then.
-func (s *Server) nudge(loop, loops int) error {
-	ends, err := unix.Socketpair(unix.AF_UNIX, unix.SOCK_STREAM|unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC, 0)
-	if err != nil {
-		return errs.Wrap(err, errs.Internal, "local connection")
-	}
-	here, there := os.NewFile(uintptr(ends[0]), "here"), os.NewFile(uintptr(ends[1]), "there")
-	defer there.Close()
-	spare := []io.Closer{here}
-	var fits *nbio.Conn
-	for err == nil && fits == nil {
-		var c net.Conn
-		var end *nbio.Conn
-		if c, err = net.FileConn(here); err == nil {
-			end, err = nbio.NBConn(c) // closes c
-		}
-		if err == nil && end.Hash()%loops == loop {
-			fits = end
-		} else if err == nil {
-			spare = append(spare, end)
-		}
-	}
-	for _, one := range spare {
-		_ = one.Close()
-	}
-	if err == nil {
-		_, err = s.engine.AddConn(fits)
-	}
-	return errs.Wrap(err, errs.Internal, "local connection")
+	return errs.Wrap(s.waitForLoops(), errs.Internal, "start the event loops")
 }
 
 // Addr is the real host:port after Start.
@@ -347,17 +228,17 @@
 // then ends their context and closes all connections. Handlers left at the end of grace are errs.Timeout.
 // Call it once; without a Start it does nothing.
 func (s *Server) Stop(grace time.Duration) error {
-	if s.ln == nil {
+	if s.listener == nil {
 		return nil
 	}
-	s.ln.quiet()
+	s.listener.stopAccepting()
 	s.mu.Lock()
 	s.stopping = true
-	s.tellIdle()
+	s.signalIdle()
 	s.mu.Unlock()
 	over := make(chan struct{})
-	ring := s.opt.Clock.Set(grace, func() { close(over) })
-	defer ring.Stop()
+	timer := s.opt.Clock.Set(grace, func() { close(over) })
+	defer timer.Stop()
 	var err error
 	select {
 	case <-s.idle:
@@ -372,79 +253,3 @@
 	s.engine.Stop()
 	return err
 }
-
-func (s *Server) listen(network, addr string) (net.Listener, error) {
-	ln, err := net.Listen(network, addr)
-	if err != nil {
-		return nil, errs.Wrap(err, errs.Settings, "listen")
-	}
-	s.ln = &listener{Listener: ln, clock: s.opt.Clock, released: make(chan struct{})}
-	return s.ln, nil
-}
-
-// listener keeps nbhttp from spinning: its loop calls Accept again at once after every error, until its own stop.
-type listener struct {
-	net.Listener
-	clock    clock.Clock
-	once     sync.Once
-	released chan struct{}
-}
-
-func (l *listener) Accept() (net.Conn, error) {
-	for {
-		c, err := l.Listener.Accept()
-		if err == nil {
-			return c, nil
-		}
-		again := make(chan struct{})
-		ring := l.clock.Set(50*time.Millisecond, func() { close(again) })
-		select {
-		case <-l.released:
-			ring.Stop()
-			return nil, errs.Wrap(err, errs.Stopped, "accept")
-		case <-again:
-		}
-	}
-}
-
-// quiet stops the taking of connections, Close also lets Accept return.
-func (l *listener) quiet() { _ = l.Listener.Close() }
-
-func (l *listener) Close() error {
-	l.quiet()
-	l.once.Do(func() { close(l.released) })
-	return nil
-}
-
-// boundDescriptors bounds nbio's tables of connections, which it makes as long as there may be descriptors.
-func boundDescriptors(n int) {
-	descriptorsMu.Lock()
-	defer descriptorsMu.Unlock()
-	if n > 0 && n < nbio.MaxOpenFiles {
-		nbio.MaxOpenFiles = n
-	}
-}
-
-var descriptorsMu sync.Mutex
-
-// routeLogs sends nbio's own lines, which have one logger per process, to the latest server's logger.
-func routeLogs(to log.Logger) {
-	logTo.Store(&to)
-	logOnce.Do(func() { logging.SetLogger(nbioLog{}) })
-}
-
-var (
-	logTo   atomic.Pointer[log.Logger]
-	logOnce sync.Once
-)
-
-type nbioLog struct{}
-
-func (nbioLog) put(at func(log.Logger) log.Logger, format string, v []any) {
-	_ = at(*logTo.Load()).Log("part", "nbio", "msg", fmt.Sprintf(format, v...))
-}
-
-func (n nbioLog) Debug(format string, v ...any) { n.put(level.Debug, format, v) }
-func (n nbioLog) Info(format string, v ...any)  { n.put(level.Debug, format, v) } // its start and stop lines
-func (n nbioLog) Warn(format string, v ...any)  { n.put(level.Warn, format, v) }
-func (n nbioLog) Error(format string, v ...any) { n.put(level.Error, format, v) }
--- /dev/null
+++ b/internal/rpc/transfer.go
@@ -0,0 +1,174 @@
+package rpc
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"strconv"
+	"time"
+
+	"crosstide/internal/errs"
+)
+
+// connectionSource lends connections to calls.
+type connectionSource interface {
+	take(ctx context.Context, addr string) (*connection, error)
+	release(l *connection, whole bool) // whole: the call succeeded up to its last byte, so the connection may be used again
+	isClosed() bool
+}
+
+var errTimeout = errors.New("no answer in time")
+
+func (k *Caller) ask(ctx context.Context, h connectionSource, addr, path string, call, answer any, within time.Duration, before func() error) error {
+	k.meter.calls.WithLabelValues(path).Inc()
+	room := len(path) + len(addr) + 160
+	out, in := takeFrame(room), takeFrame(0)
+	defer out.free()
+	defer in.free()
+	err := out.encode(call)
+	if err == nil {
+		err = k.askFrame(ctx, h, addr, path, out.head(room, path, addr), &in.buf, within, before)
+	} else {
+		err = errs.Pass(&unsent{err}, "the call")
+	}
+	if err == nil {
+		err = errs.Wrap(json.Unmarshal(in.buf.Bytes(), answer), errs.Malformed, "the answer of %s at %s", path, addr)
+	}
+	if err != nil {
+		k.meter.failures.WithLabelValues(path, string(knownKind(errs.KindOf(err)))).Inc()
+	}
+	return errs.Pass(err, "call")
+}
+
+// askFrame makes one call of a pair: an answer other than 200 is returned as the failure in it.
+func (k *Caller) askFrame(ctx context.Context, h connectionSource, addr, path string, out []byte, in *bytes.Buffer, within time.Duration, before func() error) error {
+	t := transfer{addr: addr, path: path, method: http.MethodPost, request: out, response: in, within: within, before: before}
+	res, err := k.transfer(ctx, h, t)
+	if err != nil {
+		return errs.Pass(err, "send")
+	}
+	if res.StatusCode == http.StatusOK {
+		return nil
+	}
+	return errs.Pass(decodeError(res, in.Bytes()), "%s at %s", path, addr)
+}
+
+// head writes the request's head right before the body, into the room kept for it, and returns the whole request.
+func (f *frame) head(room int, path, addr string) []byte {
+	whole := f.buf.Bytes()
+	b := make([]byte, 0, room)
+	b = append(append(b, "POST "...), path...)
+	b = append(append(b, " HTTP/1.1\r\nHost: "...), addr...)
+	b = append(b, "\r\nContent-Type: application/json\r\nContent-Length: "...)
+	b = strconv.AppendInt(b, int64(len(whole)-room), 10)
+	b = append(b, "\r\n\r\n"...)
+	start := room - len(b)
+	copy(whole[start:], b)
+	return whole[start:]
+}
+
+// transfer is one request as it goes out, and the buffer that takes the body of its response.
+type transfer struct {
+	addr, path, method string
+	request            []byte // head and body
+	response           *bytes.Buffer
+	within             time.Duration
+	before             func() error // before each write; nil: none
+}
+
+// transfer sends a request once and reads the whole response, of any status, over a connection of source.
+func (k *Caller) transfer(ctx context.Context, source connectionSource, t transfer) (*http.Response, error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	if t.within <= 0 {
+		cancel(errTimeout)
+	} else {
+		defer k.opt.Clock.Set(t.within, func() { cancel(errTimeout) }).Stop()
+	}
+	conn, err := source.take(ctx, t.addr)
+	if err != nil {
+		return nil, errs.Pass(t.explain(ctx, source, &unsent{err}), "connect")
+	}
+	whole := false
+	stop := context.AfterFunc(ctx, conn.reset)
+	defer func() { source.release(conn, stop() && whole) }()
+
+	sent, refused, err := t.write(ctx, conn)
+	k.meter.out.Add(float64(sent))
+	if refused != nil {
+		return nil, errs.Pass(markUnsent(refused, sent), "%s at %s: held back before the write", t.path, t.addr)
+	}
+	if err != nil {
+		return nil, errs.Pass(t.explain(ctx, source, markUnsent(err, sent)), "write the call")
+	}
+	res, err := conn.response(t.method)
+	if err != nil {
+		return nil, errs.Pass(t.explain(ctx, source, err), "read the answer's head")
+	}
+	err = readInto(t.response, res.Body, res.ContentLength, k.opt.MaxBody)
+	k.meter.in.Add(float64(t.response.Len()))
+	if errs.Is(err, errs.TooLarge) {
+		return nil, errs.Pass(err, "the answer of %s at %s", t.path, t.addr)
+	}
+	if err != nil {
+		return nil, errs.Pass(t.explain(ctx, source, err), "read the answer")
+	}
+	whole = !res.Close && conn.reader.Buffered() == 0
+	return res, nil
+}
+
+// write writes the request and returns the number of bytes that the kernel took. refused is the error by which
+// t.before stopped the writing, nil if it did not.
+func (t transfer) write(ctx context.Context, conn *connection) (sent int, refused, err error) {
+	err = conn.write(t.request, &sent, func() error {
+		if context.Cause(ctx) != nil {
+			return errs.Wrap(context.Cause(ctx), errs.Timeout, "before the write")
+		}
+		if t.before == nil {
+			return nil
+		}
+		if refused = t.before(); refused != nil {
+			return errs.Pass(refused, "held back")
+		}
+		return nil
+	})
+	return sent, refused, errs.Pass(err, "request")
+}
+
+// explain gives an error of the connection its kind: Timeout, Stopped or Unavailable.
+func (t transfer) explain(ctx context.Context, source connectionSource, err error) error {
+	switch {
+	case context.Cause(ctx) != nil:
+		return errs.Wrap(errors.Join(context.Cause(ctx), err), errs.Timeout, "%s at %s: over after at most %s", t.path, t.addr, t.within)
+	case source.isClosed():
+		return errs.Wrap(err, errs.Stopped, "%s at %s: closed on our side", t.path, t.addr)
+	}
+	return errs.Wrap(err, errs.Unavailable, "%s at %s", t.path, t.addr)
+}
+
+// markUnsent marks err for Unsent if not one byte was sent.
+func markUnsent(err error, sent int) error {
+	if sent == 0 {
+		return &unsent{err}
+	}
+	return err
+}
+
+// decodeError makes the failure of an answer other than 200; a failure of ours is marked for Answered.
+func decodeError(res *http.Response, body []byte) error {
+	var r errorBody
+	if err := json.Unmarshal(body, &r); err != nil || r.Kind == "" {
+		kind := errs.Internal
+		if res.StatusCode >= http.StatusInternalServerError {
+			kind = errs.Unavailable
+		}
+		return errs.New(kind, "status %d without an error body", res.StatusCode)
+	}
+	f := &errs.Error{Kind: knownKind(r.Kind), Field: r.Field, Message: r.Message, Hint: r.Hint}
+	if s, err := strconv.Atoi(res.Header.Get("Retry-After")); err == nil && s > 0 {
+		f.After = time.Duration(s) * time.Second
+	}
+	return &answered{f}
+}
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -69,8 +69,8 @@
 
 // Counts are what a Core counted since it was made.
 type Counts struct {
-	RunIDs, Refused, Sent, Ended, Failures, Doubts, Stops, Plans, PlanFaults, CallFailures, Crossed, Sick uint64
-	Dead                                                                                                  map[string]uint64 // by proof
+	RunIDs, Refused, Sent, Ended, Failures, Doubts, Stops, Plans, PlanFailures, CallFailures, Crossed, Sick uint64
+	Dead                                                                                                    map[string]uint64 // by proof
 }
 
 // Core is the duty's record tables and the passes over them. One caller at a time.
@@ -423,8 +423,8 @@
 	}
 }
 
-// Backlog is how many due tasks wait for a run ID, those in back-off included.
-func (c *Core) QueueLimit() int { return c.queue.len() }
+// QueueLength is how many due tasks wait for a run ID, those in back-off included.
+func (c *Core) QueueLength() int { return c.queue.len() }
 
 // Pass runs the passes and gives what is to be done at now.
 func (c *Core) Pass(now time.Duration) Out {
--- a/internal/scheduler/month_test.go
+++ b/internal/scheduler/month_test.go
@@ -20,6 +20,7 @@
 	lists   map[string][]jobs.RunKey
 	ended   map[string][]Ended
 	counts  map[string]uint64
+	percent map[jobs.RunKey]int
 	jobs    int
 }
 
@@ -32,7 +33,7 @@
 )
 
 func newMonth() *month {
-	m := &month{bench: newBench(2), lists: map[string][]jobs.RunKey{}, ended: map[string][]Ended{}, counts: map[string]uint64{}}
+	m := &month{bench: newBench(2), lists: map[string][]jobs.RunKey{}, ended: map[string][]Ended{}, counts: map[string]uint64{}, percent: map[jobs.RunKey]int{}}
 	for range monthWorkers {
 		m.bear()
 	}
@@ -65,8 +66,8 @@
 	return id
 }
 
-// spell hands jobs in, works on them, and lets jobs go that are over for long.
-func (m *month) spell() {
+// spell hands jobs in, works on them, and lets jobs go that are over for long. crashes: a worker crashes with runs on it.
+func (m *month) spell(crashes bool) {
 	m.now, m.wall = m.now+monthPause, m.wall.Add(monthPause)
 	m.hand("done")
 	m.hand("fails")
@@ -76,6 +77,10 @@
 			m.core.Beat(m.now, id, m.now, 0)
 		}
 		m.carryOut(m.pass(100 * time.Millisecond))
+		if crashes && pass == monthPasses/4 {
+			m.crash()
+			m.bear()
+		}
 		if pass == monthPasses/2 {
 			_, err := m.table.Cancel(jobs.Cancel{ID: cancelled, At: m.wall})
 			must(err)
@@ -131,7 +136,8 @@
 	}
 	answer := HoldAnswer{Clock: m.now, Ended: m.ended[id]}
 	for _, key := range m.lists[id] {
-		answer.Running = append(answer.Running, Listed{Key: key})
+		m.percent[key] = min(m.percent[key]+1, 99) // a run that stays goes on: else it is moved away
+		answer.Running = append(answer.Running, Listed{Key: key, Percent: m.percent[key]})
 	}
 	m.core.HoldAnswered(m.now, id, h.Number, answer, HoldOK)
 }
@@ -140,6 +146,7 @@
 	for i, other := range m.lists[id] {
 		if other == key {
 			m.lists[id] = append(append([]jobs.RunKey{}, m.lists[id][:i]...), m.lists[id][i+1:]...)
+			delete(m.percent, key)
 			m.counts[id]++
 			m.ended[id] = append(m.ended[id], Ended{Sequence: m.counts[id], Key: key, How: how})
 			return
@@ -176,11 +183,7 @@
 		var early map[string]int
 		for day := 1; day <= 30; day++ {
 			for spell := range monthDay {
-				if spell%12 == 0 {
-					m.crash()
-					m.bear()
-				}
-				m.spell()
+				m.spell(spell%12 == 0)
 			}
 			if day == 3 {
 				early = m.size()
--- a/internal/storage/full.go
+++ b/internal/storage/full.go
@@ -35,8 +35,8 @@
 // Records of the refused Append may or may not be in the log afterwards; the caller appends them again. Failures: Disk
 // (IsFull: there is still no room, call it again later), Damaged, Stopped.
 func (s *Store) Resume() error {
-	s.slots.Lock()
-	defer s.slots.Unlock()
+	s.writingSlot.Lock()
+	defer s.writingSlot.Unlock()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.closed || s.broken != nil && !IsFull(s.broken) {
@@ -45,7 +45,7 @@
 	if s.broken == nil {
 		return nil
 	}
-	next := &Store{disk: s.disk, clock: s.clock, at: 1}
+	next := &Store{disk: s.disk, clock: s.clock, newestPlace: 1}
 	if _, err := next.open(); err != nil {
 		return errs.Pass(err, "resume")
 	}
@@ -54,19 +54,19 @@
 	}
 	_ = s.file.Close() // what counts of it is in the new file
 	s.file, s.size, s.segments = next.file, next.size, next.segments
-	s.tale, s.newest, s.at, s.broken = next.tale, next.newest, next.at, nil
+	s.log, s.newest, s.newestPlace, s.broken = next.log, next.newest, next.newestPlace, nil
 	return nil
 }
 
-// dropLoose removes what a refused write left of a file that has no name yet, so that it takes no room.
-func (s *Store) dropLoose(name string) error {
+// removeUnfinished removes what a refused write left of a file that has no name yet, so that it takes no room.
+func (s *Store) removeUnfinished(name string) error {
 	names, err := s.disk.List()
 	if err != nil {
-		return errs.Pass(err, "drop a loose file")
+		return errs.Pass(err, "remove an unfinished file")
 	}
 	for _, other := range names {
-		if other == name+loose {
-			return errs.Pass(s.disk.Remove(other), "drop a loose file")
+		if other == name+unfinishedSuffix {
+			return errs.Pass(s.disk.Remove(other), "remove an unfinished file")
 		}
 	}
 	return nil
--- /dev/null
+++ b/internal/storage/snapshot.go
@@ -0,0 +1,102 @@
+package storage
+
+import (
+	"slices"
+
+	"crosstide/internal/errs"
+)
+
+// WriteSlot makes img the newest snapshot (it sets its Number), starts a new segment and removes the segments whose
+// entries all lie at or before the previous snapshot, and before keepFrom if that is not 0. Appends continue
+// meanwhile, except while the segment changes. An image of the own log must have the Term of its entry; one that
+// came from another member must be written before the entries after it are appended: entries that it
+// contradicts fall. Failures: Invalid (older than the newest slot), Stopped, Disk (as with Append; after IsFull the
+// slot may be written again). Example:
+//
+//	err := store.WriteSlot(storage.Image{Index: applied, Term: term, Meta: members, Body: state}, 0)
+func (s *Store) WriteSlot(img Image, keepFrom uint64) error {
+	s.writingSlot.Lock()
+	defer s.writingSlot.Unlock()
+	s.mu.Lock()
+	err, before, at := s.usable(), s.newest, 1-s.newestPlace
+	s.mu.Unlock()
+	if err != nil {
+		return errs.Pass(err, "slot %d", before.Number+1)
+	}
+	if img.Index < before.Index {
+		return errs.Field(errs.Invalid, "index", "image at %d, the newest slot is at %d", img.Index, before.Index)
+	}
+	img.Number = before.Number + 1
+	head, tail := slotParts(img)
+	file, err := s.writeFile(slotNames[at], head, img.Body, tail)
+	if IsFull(err) {
+		if unfinished := s.removeUnfinished(slotNames[at]); unfinished == nil {
+			return errs.Pass(err, "slot %d", img.Number) // nothing has changed
+		}
+	}
+	if err == nil {
+		_ = file.Close() // synced before
+		err = s.rotate(img, at, before.Index, keepFrom)
+	}
+	if err != nil {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return errs.Pass(s.fail(err), "slot %d", img.Number)
+	}
+	s.updateStats(func(c *Stats) { c.Slots++ })
+	return nil
+}
+
+// rotate starts a segment after the slot img is durable, and removes those that are not needed.
+func (s *Store) rotate(img Image, at int, before, keepFrom uint64) error {
+	s.mu.Lock()
+	err := s.usable()
+	if err == nil {
+		s.newest, s.newestPlace = Image{Number: img.Number, Index: img.Index, Term: img.Term}, at
+		head := s.segmentHead()
+		s.log.rebase(head[0])
+		g := segment{number: s.segments[len(s.segments)-1].number + 1}
+		if err = s.startSegment(g, head); err == nil {
+			s.segments = append(s.segments, g)
+		}
+	}
+	n := 0
+	for n < len(s.segments)-1 && s.segments[n].lastEntry <= before && (keepFrom == 0 || s.segments[n].lastEntry < keepFrom) {
+		n++
+	}
+	old := s.segments[:n]
+	s.segments = slices.Clone(s.segments[n:])
+	if n > 0 {
+		s.log.entries = slices.DeleteFunc(s.log.entries, func(r Record) bool { return r.Index <= before && r.Index <= img.Index })
+		if len(s.log.entries) == 0 {
+			s.log.floor = max(s.log.floor, img.Index)
+		}
+	}
+	s.mu.Unlock()
+	for i := 0; i < n && err == nil; i++ { // oldest first, each synced, so that no gap can stay
+		err = s.removeSegment(old[i].number)
+	}
+	return errs.Pass(err, "change of segment")
+}
+
+// NewestSlot reads the newest slot back and checks it. Failures: Unknown (none was written), Damaged, Disk.
+func (s *Store) NewestSlot() (Image, error) {
+	s.mu.Lock()
+	name, number := slotNames[s.newestPlace], s.newest.Number
+	s.mu.Unlock()
+	if number == 0 {
+		return Image{}, errs.New(errs.Unknown, "no slot was written yet")
+	}
+	all, err := s.readFile(name)
+	if err != nil {
+		return Image{}, errs.Pass(err, "newest slot")
+	}
+	img, err := readSlot(all)
+	if err != nil {
+		return Image{}, errs.Pass(err, "read %s", name)
+	}
+	if img.Number < number {
+		return Image{}, errs.New(errs.Damaged, "%s holds number %d, not %d", name, img.Number, number)
+	}
+	return img, nil
+}
--- /dev/null
+++ b/internal/storage/snapshotfile.go
@@ -0,0 +1,48 @@
+package storage
+
+import (
+	"github.com/cespare/xxhash/v2"
+
+	"crosstide/internal/errs"
+)
+
+// Image is the whole state as of the entry Index of term Term.
+type Image struct {
+	Number      uint64 // counts the snapshots written, from 1; set by the store
+	Index, Term uint64
+	Meta        []byte // members and the like
+	Body        []byte // the state
+}
+
+// slotParts returns the bytes before and after the body in a snapshot's file.
+func slotParts(img Image) (head, tail []byte) {
+	head = append(head, slotMark...)
+	for _, v := range []uint64{img.Number, img.Index, img.Term, uint64(len(img.Meta)), uint64(len(img.Body))} {
+		head = byteOrder.AppendUint64(head, v)
+	}
+	head = append(head, img.Meta...)
+	sum := xxhash.New()
+	_, _ = sum.Write(head) // never fails
+	_, _ = sum.Write(img.Body)
+	return head, byteOrder.AppendUint64(nil, sum.Sum64())
+}
+
+// readSlot decodes and checks a snapshot's file. Failure: Damaged.
+func readSlot(all []byte) (Image, error) {
+	if len(all) < slotHeadSize+slotSumSize || string(all[:8]) != slotMark {
+		return Image{}, errs.New(errs.Damaged, "no slot in %d bytes", len(all))
+	}
+	cut := len(all) - slotSumSize
+	if xxhash.Sum64(all[:cut]) != byteOrder.Uint64(all[cut:]) {
+		return Image{}, errs.New(errs.Damaged, "the slot's sum is wrong")
+	}
+	rest := all[slotHeadSize:cut]
+	meta, body := byteOrder.Uint64(all[32:]), byteOrder.Uint64(all[40:])
+	if meta > uint64(len(rest)) || body != uint64(len(rest))-meta {
+		return Image{}, errs.New(errs.Damaged, "the slot's lengths are wrong")
+	}
+	return Image{
+		Number: byteOrder.Uint64(all[8:]), Index: byteOrder.Uint64(all[16:]), Term: byteOrder.Uint64(all[24:]),
+		Meta: rest[:meta], Body: rest[meta:],
+	}, nil
+}
--- a/internal/testbed/audit/bundles.go
+++ b/internal/testbed/audit/bundles.go
@@ -20,7 +20,7 @@
 	bundle   state.Bundle
 }
 
-// reigns gives every version that was acknowledged as in force, the first one in front. blind is from when on an
+// reigns returns every version that was acknowledged as in force, the first one in front. blind is from when on an
 // order without an answer may have put an unknown version in force, until the next acknowledgement.
 func reigns(h History) (out []reign, blind []window) {
 	first, err := bundle.Parse([]byte(state.First))
@@ -90,13 +90,13 @@
 			f.broken(why, last, e)
 		}
 	}
-	f.Note = fmt.Sprintf("labels, and charters of %d versions", len(all))
+	f.Note = fmt.Sprintf("labels, and placement policies of %d versions", len(all))
 	if unseen > 0 {
 		f.Note += fmt.Sprintf("; %d starts not judged, the version was unsure", unseen)
 	}
 }
 
-// misfit tells why a start is not within a bundle; "" if it is.
+// misfit reports why a start is not within a bundle; "" if it is.
 func misfit(b state.Bundle, e, boot Event, team string, boots map[[2]string]Event) string {
 	q, ok := b.Queues[e.Queue]
 	allows := func(list []string, name string) bool { return len(list) == 0 || slices.Contains(list, name) }
@@ -104,7 +104,7 @@
 	case !ok:
 		return fmt.Sprintf("queue %s is not in bundle %d", e.Queue, b.Version)
 	case !allows(q.Zones, e.Zone) || !allows(q.Racks, boot.Rack) || !allows(q.Minions, e.Minion):
-		return fmt.Sprintf("outside of the charter of %s in bundle %d", e.Queue, b.Version)
+		return fmt.Sprintf("outside of the placement policy of %s in bundle %d", e.Queue, b.Version)
 	case !allows(q.Types, e.Type) || team != "" && !allows(q.Teams, team):
 		return fmt.Sprintf("type or team may not use %s in bundle %d", e.Queue, b.Version)
 	}
--- a/internal/testbed/bundles/bundles.go
+++ b/internal/testbed/bundles/bundles.go
@@ -181,7 +181,7 @@
 	if err != nil {
 		return
 	}
-	text := []byte(`{"queues":{"default":{"charter":{"zones":[]},"hold":"soon"}},"limits":{"scan":-1},"nope":1}`)
+	text := []byte(`{"queues":{"default":{"placement":{"zones":[]},"hold":"soon"}},"limits":{"scan":-1},"nope":1}`)
 	id, key := fmt.Sprintf("%s-%d-i", o.prefix, i), o.keys[o.luck.IntN(2)]
 	q := url.Values{"order": {id}, "base": {strconv.FormatUint(base, 10)}, "by": {key.Name},
 		"sig": {key.Sign(signature.Put(id, base, signature.Digest(text)))}}
@@ -238,7 +238,7 @@
 	sent, at int64
 }
 
-// insist sends an order to one cplane after another until it is answered for good. Fault: Timeout.
+// insist sends an order to one cplane after another until it is answered for good. Failure: Timeout.
 func (o *office) insist(ctx context.Context, path string, body []byte) (told, error) {
 	for end := o.clock.Now() + giveUp; ; {
 		node := o.anyCore()
@@ -446,10 +446,10 @@
 
 // rest waits; a fault if ctx ends first.
 func (o *office) rest(ctx context.Context, d time.Duration) error {
-	rung := make(chan struct{})
-	defer o.clock.Set(d, func() { close(rung) }).Stop()
+	fired := make(chan struct{})
+	defer o.clock.Set(d, func() { close(fired) }).Stop()
 	select {
-	case <-rung:
+	case <-fired:
 		return nil
 	case <-ctx.Done():
 		return errs.Wrap(ctx.Err(), errs.Stopped, "the operators are done")
--- a/internal/testbed/bundles/report.go
+++ b/internal/testbed/bundles/report.go
@@ -34,7 +34,7 @@
 	FromForce       Spread         `json:"commit_to_node_ms"`    // from the commit's store time to each node
 }
 
-// Held tells whether something changed and nothing was amiss.
+// Held reports whether something changed and nothing was amiss.
 func (r Report) Held() bool {
 	return r.Changes > 0 && r.BothWon+r.RepeatsDiffer+r.ReadBacksDiffer+r.NotEverywhere+r.InvalidTaken+r.LiftsWrong == 0
 }
@@ -48,19 +48,19 @@
 }
 
 // overload records durations in microseconds up to an hour at three significant digits.
-type latencies struct{ h *hdrhistogram.Histogram }
+type latencies struct{ histogram *hdrhistogram.Histogram }
 
 func newLatencies() *latencies { return &latencies{hdrhistogram.New(1, time.Hour.Microseconds(), 3)} }
 
 func (p *latencies) record(d time.Duration) {
-	if err := p.h.RecordValue(min(max(d.Microseconds(), 0), time.Hour.Microseconds())); err != nil {
+	if err := p.histogram.RecordValue(min(max(d.Microseconds(), 0), time.Hour.Microseconds())); err != nil {
 		panic(err) // it is within the bounds
 	}
 }
 
 func (p *latencies) spread() Spread {
 	ms := func(us int64) float64 { return float64(us) / 1000 }
-	return Spread{ms(p.h.ValueAtPercentile(50)), ms(p.h.ValueAtPercentile(99)), ms(p.h.Max()), p.h.TotalCount()}
+	return Spread{ms(p.histogram.ValueAtPercentile(50)), ms(p.histogram.ValueAtPercentile(99)), ms(p.histogram.Max()), p.histogram.TotalCount()}
 }
 
 // queue is a placement policy for the queue that the load uses: some zones, now and then with more.
@@ -69,7 +69,7 @@
 	for _, k := range o.luck.Perm(len(o.zones))[:1+o.luck.IntN(len(o.zones))] {
 		zones = append(zones, o.zones[k])
 	}
-	q := map[string]any{"charter": map[string]any{"zones": zones}, "urgent": o.luck.IntN(2) == 0}
+	q := map[string]any{"placement": map[string]any{"zones": zones}, "urgent": o.luck.IntN(2) == 0}
 	if o.luck.IntN(3) == 0 {
 		q["hold"] = "15s"
 	}
--- a/internal/testbed/journal/journal.go
+++ b/internal/testbed/journal/journal.go
@@ -76,7 +76,7 @@
 	return &Writer{file: file}, nil
 }
 
-// wholeLines gives the size of path up to its last line end, 0 if there is no such file.
+// wholeLines returns the size of path up to its last line end, 0 if there is no such file.
 func wholeLines(path string) (int64, error) {
 	data, err := os.ReadFile(path)
 	if err != nil && !errors.Is(err, os.ErrNotExist) {
@@ -112,7 +112,7 @@
 	Raw    []byte // valid JSON, kept by nobody else
 }
 
-// Entry decodes the line as a minion's. Fault: Damaged.
+// Entry decodes the line as a minion's. Failure: Damaged.
 func (l Line) Entry() (Entry, error) {
 	var e Entry
 	err := json.Unmarshal(l.Raw, &e)
--- a/internal/testbed/link/link.go
+++ b/internal/testbed/link/link.go
@@ -33,7 +33,7 @@
 	Ways    []Way  `json:"ways"`
 }
 
-// Load reads a settings file. Fault: Settings.
+// Load reads a settings file. Failure: Settings.
 func Load(path string) (Settings, error) {
 	var s Settings
 	raw, err := os.ReadFile(path)
@@ -177,7 +177,7 @@
 	})
 }
 
-// judge gives the fate of what comes now; what is lost dooms the connection: a stream with a gap cannot go on.
+// judge returns the fate of what comes now; what is lost dooms the connection: a stream with a gap cannot go on.
 func (t *tie) judge(forward bool) fate {
 	now := t.clock.Now()
 	f := t.gate.fate(now, t.Way, forward)
--- a/internal/testbed/load/offer.go
+++ b/internal/testbed/load/offer.go
@@ -39,7 +39,7 @@
 	GiveUp   time.Duration // how long a job is offered to one node after another, default 30s
 }
 
-// Fill puts the defaults in and tells what is wrong. Fault: Invalid.
+// Fill puts the defaults in and tells what is wrong. Failure: Invalid.
 func (o *Options) Fill() error {
 	for _, n := range []*int{&o.Tasks, &o.Steps, &o.Cores} {
 		*n = max(*n, 1)
@@ -80,7 +80,7 @@
 	seed   uint64 // of the choice of nodes
 }
 
-// plan gives the offers of o in order: the same seed gives the same ones.
+// plan returns the offers of o in order: the same seed gives the same ones.
 func plan(o Options) []offer {
 	luck := rand.New(rand.NewPCG(o.Seed, 1))
 	ms := o.Run.Milliseconds()
--- a/internal/testbed/load/report.go
+++ b/internal/testbed/load/report.go
@@ -22,7 +22,7 @@
 	Unknown     int            `json:"unknown"`    // accepted, and answered 404 at least once
 	Unfinished  int            `json:"unfinished"` // accepted, and not seen over
 	Refused     map[string]int `json:"refused"`    // given up, by the last refusal; "lost": without any answer
-	Overloaded  map[string]int `json:"pressure"`   // answers that sent a client to another node, by kind
+	Overloaded  map[string]int `json:"overloaded"` // answers that sent a client to another node, by kind
 	Tries       int            `json:"retries"`
 	Polls       int            `json:"polls"`
 	Cancels     int            `json:"cancels"` // acknowledged
@@ -45,7 +45,7 @@
 	Count int64   `json:"count"`
 }
 
-// AllDone tells whether something was accepted, all of it is done, and none was ever unknown.
+// AllDone reports whether something was accepted, all of it is done, and none was ever unknown.
 func (r Report) AllDone() bool {
 	return r.Accepted > 0 && r.Done == r.Accepted && r.Unknown == 0
 }
@@ -67,7 +67,7 @@
 }
 
 // overload records durations from a microsecond to an hour at three significant digits.
-type latencies struct{ h *hdrhistogram.Histogram }
+type latencies struct{ histogram *hdrhistogram.Histogram }
 
 func newLatencies() *latencies {
 	return &latencies{hdrhistogram.New(1, time.Hour.Microseconds(), 3)}
@@ -75,18 +75,18 @@
 
 func (p *latencies) record(d time.Duration) {
 	us := min(max(d.Microseconds(), 1), time.Hour.Microseconds())
-	if err := p.h.RecordValue(us); err != nil {
+	if err := p.histogram.RecordValue(us); err != nil {
 		panic(err) // us is within the bounds
 	}
 }
 
 func (p *latencies) spread() Spread {
 	ms := func(us int64) float64 { return float64(us) / 1000 }
-	if p.h.TotalCount() == 0 {
+	if p.histogram.TotalCount() == 0 {
 		return Spread{}
 	}
-	return Spread{ms(p.h.ValueAtPercentile(50)), ms(p.h.ValueAtPercentile(90)), ms(p.h.ValueAtPercentile(99)),
-		ms(p.h.Max()), p.h.TotalCount()}
+	return Spread{ms(p.histogram.ValueAtPercentile(50)), ms(p.histogram.ValueAtPercentile(90)), ms(p.histogram.ValueAtPercentile(99)),
+		ms(p.histogram.Max()), p.histogram.TotalCount()}
 }
 
 // report puts the figures together, with the starts as the minions' journals tell them.
--- a/internal/testbed/minion/host.go
+++ b/internal/testbed/minion/host.go
@@ -232,7 +232,7 @@
 	gone  bool
 }
 
-// do gives the core an input at the present clock and carries out what it asks for: journal first, then answers.
+// do returns the core an input at the present clock and carries out what it asks for: journal first, then answers.
 func (b *body) do(input func(now time.Duration) Step) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
