rpc: open the socket before the engine starts; a taken address could hang the start

Cause: a new test of daemon.Lifecycle hung for 10 minutes in one run of 4: nbio's engine, told by its listener that the address is taken, stops its event loops at once and waits for one that has not begun to run. A daemon whose address is taken could thus hang in place of ending with its error. Ruled out: a fault of the new test or of Lifecycle; the stack stands in nbio's Engine.Stop below Server.Start. Change: Server.Start opens the socket itself and hands it to the engine.

--- a/internal/rpc/listener.go
+++ b/internal/rpc/listener.go
@@ -9,15 +9,19 @@
 	"crosstide/internal/errs"
 )
 
-func (s *Server) listen(network, addr string) (net.Listener, error) {
-	ln, err := net.Listen(network, addr)
+// listen opens the server's socket.
+func (s *Server) listen() error {
+	socket, err := net.Listen("tcp", s.opt.Addr)
 	if err != nil {
-		return nil, errs.Wrap(err, errs.Settings, "listen")
+		return errs.Wrap(err, errs.Settings, "listen")
 	}
-	s.listener = &listener{Listener: ln, clock: s.opt.Clock, released: make(chan struct{})}
-	return s.listener, nil
+	s.listener = &listener{Listener: socket, clock: s.opt.Clock, released: make(chan struct{})}
+	return nil
 }
 
+// takeListener hands the open socket to the engine.
+func (s *Server) takeListener(string, string) (net.Listener, error) { return s.listener, nil }
+
 // listener keeps nbhttp from spinning: nbhttp calls Accept again at once after every error, until it is stopped.
 type listener struct {
 	net.Listener
--- a/internal/rpc/server.go
+++ b/internal/rpc/server.go
@@ -80,7 +80,7 @@
 	}
 	bound := int(max(2*opt.MaxBody, MaxBody)) // over it nbhttp cuts the connection without an answer
 	s.engine = nbhttp.NewEngine(nbhttp.Config{
-		Name: "wire", Network: "tcp", Addrs: []string{opt.Addr}, Listen: s.listen,
+		Name: "rpc", Network: "tcp", Addrs: []string{opt.Addr}, Listen: s.takeListener,
 		MaxLoad: 100_000, MaxHTTPBodySize: bound, ReadLimit: 2 * bound,
 		SupportServerOnly: true, NPoller: opt.Loops,
 		Handler:        http.HandlerFunc(s.serve),
@@ -213,10 +213,14 @@
 	s.mux.ServeHTTP(w, r)
 }
 
-// Start listens and answers. An address that cannot be had is errs.Settings.
+// Start listens and answers. An address that cannot be had is errs.Settings. The socket is opened before the engine
+// starts: an engine whose listener fails stops its event loops at once, and waits forever for one that does not run yet.
 func (s *Server) Start() error {
+	if err := s.listen(); err != nil {
+		return errs.Pass(err, "listen at %s", s.opt.Addr)
+	}
 	if err := s.engine.Start(); err != nil {
-		return errs.Wrap(err, errs.Settings, "listen at %s", s.opt.Addr)
+		return errs.Wrap(err, errs.Settings, "start at %s", s.opt.Addr)
 	}
 	return errs.Wrap(s.waitForLoops(), errs.Internal, "start the event loops")
 }
