--- a/cmd/drill/link.go
+++ b/cmd/drill/link.go
@@ -38,7 +38,7 @@
 		&cli.Command{
 			Name: "cut", Usage: "make the links to a node or a zone lose, slow down or hold back what they carry",
 			Description: "drill cut --fleet DIR (--node NAME|--zone Z) --for 25s [--silent|--oneway|--slow 300ms|--late]\n\n" +
-				"Only the links between the node (or zone) and all others are touched; consumers and operators still reach\n" +
+				"Only the links between the node (or zone) and all others are touched; clients and operators still reach\n" +
 				"it. The cut heals by itself, this command does not wait for it. No connection is reset before it heals.\n" +
 				"With --late, held back orders of one that has gone on since arrive at the end: a minion that obeys late\n" +
 				"orders is promised that none is later than `lateness` of the dplanes' settings.",
--- a/cmd/drill/load.go
+++ b/cmd/drill/load.go
@@ -77,8 +77,8 @@
 		&cli.FloatFlag{Name: "cancel", Usage: "cancel a job soon after its yes with probability `P`"},
 		&cli.FloatFlag{Name: "dup", Usage: "hand a job in once more at another node with probability `P`"},
 		&cli.StringFlag{Name: "key-prefix", Usage: "of the jobs' keys (default: new each time)"},
-		&cli.IntFlag{Name: "workers", Value: 4, Usage: "consumers, each with its own journal"},
-		&cli.FloatFlag{Name: "polls", Value: 1000, Usage: "polls per second of all consumers, at most"},
+		&cli.IntFlag{Name: "workers", Value: 4, Usage: "clients, each with its own journal"},
+		&cli.FloatFlag{Name: "polls", Value: 1000, Usage: "polls per second of all clients, at most"},
 	}
 }
 
