--- a/internal/quorum/core.go
+++ b/internal/quorum/core.go
@@ -45,23 +45,34 @@
 	fetch                 *FetchSnapshot
 }
 
-// New makes a core from what the disk had. now is the time on the runtime's clock; the node stays silent for one
-// Election at least, as it may have promised that to a leader before it was restarted.
-// Failures: Settings for a bad Config, Damaged for a Boot that no run could have stored.
-func New(cfg Config, boot Boot, now time.Duration) (*Core, error) {
+// defaultMaxInflight is how many appends may be under way to one follower.
+const defaultMaxInflight = 64
+
+// withDefaults fills in the defaults and checks the settings. Failure: Settings.
+func (cfg Config) withDefaults() (Config, error) {
 	cfg.Election = cmp.Or(cfg.Election, time.Second)
 	cfg.Heartbeat = cmp.Or(cfg.Heartbeat, cfg.Election/10)
 	cfg.Lease = cmp.Or(cfg.Lease, cfg.Election*7/10)
 	cfg.MaxBytes = cmp.Or(cfg.MaxBytes, 1<<20)
-	cfg.MaxInflight = cmp.Or(cfg.MaxInflight, 64)
+	cfg.MaxInflight = cmp.Or(cfg.MaxInflight, defaultMaxInflight)
 	if cfg.ID == "" || cfg.Heartbeat <= 0 || cfg.Heartbeat >= cfg.Election || cfg.Lease < 0 || cfg.Lease >= cfg.Election ||
 		cfg.MaxBytes < 0 || cfg.MaxInflight < 0 {
-		return nil, errs.New(errs.Settings, "quorum needs an ID, 0 < Heartbeat < Election, 0 <= Lease < Election, limits above 0")
+		return cfg, errs.New(errs.Settings, "quorum needs an ID, 0 < Heartbeat < Election, 0 <= Lease < Election, limits above 0")
+	}
+	return cfg, nil
+}
+
+// New makes a core from what the disk had. now is the time on the runtime's clock; the node stays silent for one
+// Election at least, as it may have promised that to a leader before it was restarted.
+// Failures: Settings for a bad Config, Damaged for a Boot that no run could have stored.
+func New(cfg Config, boot Boot, now time.Duration) (*Core, error) {
+	cfg, err := cfg.withDefaults()
+	if err != nil {
+		return nil, errs.Pass(err, "config")
 	}
 	s := boot.Snapshot
 	c := &Core{cfg: cfg, random: rand.New(rand.NewPCG(cfg.Seed, 0x9e3779b97f4a7c15)), now: now, role: Follower, hard: boot.Hard,
 		snapshot: s, commit: s.Index, applied: s.Index, heardLeaderAt: now, log: memoryLog{offset: s.Index, offsetTerm: s.Term}}
-	c.firstUnstored = s.Index + 1
 	if len(s.Members) == 0 {
 		if s.Index != 0 || len(boot.Entries) != 0 {
 			return nil, errs.New(errs.Damaged, "a log without members")
@@ -73,37 +84,46 @@
 		}
 		c.configurations = []configuration{{s.Index, s.Members}}
 	}
-	ents := boot.Entries
-	if i := slices.IndexFunc(ents, func(e Entry) bool { return e.Index >= s.Index }); i < 0 {
-		c.logReset, ents = len(ents) > 0, nil // all of it lies before the snapshot
-	} else if ents[i].Index == s.Index {
-		if ents[i].Term == s.Term {
-			ents = ents[i+1:]
+	if err := c.loadEntries(boot.Entries); err != nil {
+		return nil, errs.Pass(err, "stored log")
+	}
+	c.endBlankness(s.Members)
+	c.resetElectionTimer()
+	return c, nil
+}
+
+// loadEntries puts the stored entries after the snapshot into the log. Entries that the snapshot contradicts are void.
+// Failure: Damaged.
+func (c *Core) loadEntries(entries []Entry) error {
+	s := c.snapshot
+	if i := slices.IndexFunc(entries, func(e Entry) bool { return e.Index >= s.Index }); i < 0 {
+		c.logReset, entries = len(entries) > 0, nil // all of them lie before the snapshot
+	} else if entries[i].Index == s.Index {
+		if entries[i].Term == s.Term {
+			entries = entries[i+1:]
 		} else {
-			c.logReset, ents = true, nil
+			c.logReset, entries = true, nil
 		}
 	}
 	term := s.Term
-	for n, e := range ents {
+	for n, e := range entries {
 		if e.Index != s.Index+1+uint64(n) || e.Term < term {
-			return nil, errs.New(errs.Damaged, "stored entry %d of term %d does not follow index %d, term %d", e.Index, e.Term, s.Index+uint64(n), term)
+			return errs.New(errs.Damaged, "stored entry %d of term %d does not follow index %d, term %d", e.Index, e.Term, s.Index+uint64(n), term)
 		}
 		term = e.Term
 	}
-	cs, err := configurationsOf(ents)
+	configurations, err := configurationsOf(entries)
 	if err != nil {
-		return nil, errs.Wrap(err, errs.Damaged, "stored log")
+		return errs.Wrap(err, errs.Damaged, "members")
 	}
-	c.configurations = append(c.configurations, cs...)
-	c.log.entries = slices.Clone(ents)
+	c.configurations = append(c.configurations, configurations...)
+	c.log.entries = slices.Clone(entries)
 	c.firstUnstored = c.log.last() + 1
 	if c.hard.Term < term { // the vote of that term was never synced, so it was never sent
 		c.hard = Hard{Term: term, Blank: c.hard.Blank}
 		c.hardChanged = true
 	}
-	c.endBlankness(s.Members)
-	c.resetElectionTimer()
-	return c, nil
+	return nil
 }
 
 func (c *Core) advanceClock(now time.Duration) { c.now = max(c.now, now) }
--- a/internal/storage/open.go
+++ b/internal/storage/open.go
@@ -76,79 +76,101 @@
 	return f, nil
 }
 
+// openedLog is the log as it was read.
+type openedLog struct {
+	view    logView
+	tail    []Record // records of the last valid segment
+	dropped int      // segments after it
+	cut     int64    // bytes after the last valid record
+}
+
+// open reads the folder and makes it ready for appends.
 func (s *Store) open() (boot Boot, err error) {
 	f, err := s.scan()
 	if err != nil {
 		return boot, errs.Pass(err, "files of the store")
 	}
-	// Read the log up to its first bad byte, which may only be the torn end of it all.
-	var tail []Record // records of the last valid segment
-	var told logView
-	dropped := 0 // segments after it
+	log, err := s.readLog(f)
+	if err != nil {
+		return boot, errs.Pass(err, "log")
+	}
+	boot.Cut = log.cut
+	if len(f.segmentNumbers) == 0 && f.slots > 0 {
+		return boot, errs.New(errs.Damaged, "slots without a log")
+	}
+	if err := s.chooseSnapshot(f, &log.view, &boot); err != nil {
+		return boot, errs.Pass(err, "newest slot")
+	}
+	return boot, errs.Pass(s.rewriteTail(f, log), "end of the log")
+}
+
+// readLog reads the log up to its first bad byte, which may only be the torn end of the whole log.
+func (s *Store) readLog(f folder) (openedLog, error) {
+	var log openedLog
 	for i, number := range f.segmentNumbers {
 		if i > 0 && number != f.segmentNumbers[i-1]+1 {
-			return boot, errs.New(errs.Damaged, "segment %d follows %d", number, f.segmentNumbers[i-1])
+			return log, errs.New(errs.Damaged, "segment %d follows %d", number, f.segmentNumbers[i-1])
 		}
-		recs, end := readSegment(f.segmentBytes[i], number)
+		records, end := readSegment(f.segmentBytes[i], number)
 		g := segment{number: number}
-		for _, r := range recs {
-			if !told.add(r) {
-				return boot, errs.New(errs.Damaged, "segment %d: entry %d follows %d", number, r.Index, told.lastIndex())
+		for _, r := range records {
+			if !log.view.add(r) {
+				return log, errs.New(errs.Damaged, "segment %d: entry %d follows %d", number, r.Index, log.view.lastIndex())
 			}
 			g.note(r)
 		}
-		s.segments, tail = append(s.segments, g), recs
+		s.segments, log.tail = append(s.segments, g), records
 		// The first records of a segment were synced before it got its name: no torn write takes them.
-		lost := len(recs) == 0 && f.slots > 0 || len(recs) == 1 && len(recs[0].Data) > 0
-		if i == 0 && lost || len(recs) > 0 && recs[0].Kind != kindBase {
-			return boot, errs.New(errs.Damaged, "segment %d lost its start", number)
+		lost := len(records) == 0 && f.slots > 0 || len(records) == 1 && len(records[0].Data) > 0
+		if i == 0 && lost || len(records) > 0 && records[0].Kind != kindBase {
+			return log, errs.New(errs.Damaged, "segment %d lost its start", number)
 		}
-		if end == len(f.segmentBytes[i]) && len(recs) > 0 {
-			continue
-		}
-		later := anyRecord(f.segmentBytes[i], number, end)
-		for j := i; j < len(f.segmentNumbers); j++ {
-			later = later || j > i && anyRecord(f.segmentBytes[j], f.segmentNumbers[j], 0)
-			boot.Cut += int64(len(f.segmentBytes[j]))
-		}
-		if boot.Cut -= int64(end); later {
-			return boot, errs.New(errs.Damaged, "segment %d is bad at byte %d, before valid records", number, end)
+		if end < len(f.segmentBytes[i]) || len(records) == 0 {
+			return log, errs.Pass(log.cutAt(f, i, end), "torn end")
 		}
-		dropped = len(f.segmentNumbers) - 1 - i
-		break
-	}
-	if len(f.segmentNumbers) == 0 && f.slots > 0 {
-		return boot, errs.New(errs.Damaged, "slots without a log")
 	}
-	if err := s.chooseSnapshot(f, &told, &boot); err != nil {
-		return boot, errs.Pass(err, "newest slot")
-	}
-	return boot, errs.Pass(s.rewriteTail(f, dropped, tail, told), "end of the log")
+	return log, nil
+}
+
+// cutAt ends the log at a byte of segment i. A valid record after it is errs.Damaged: a torn write leaves none.
+func (l *openedLog) cutAt(f folder, i, end int) error {
+	number := f.segmentNumbers[i]
+	later := anyRecord(f.segmentBytes[i], number, end)
+	l.cut = int64(len(f.segmentBytes[i]) - end)
+	for j := i + 1; j < len(f.segmentNumbers); j++ {
+		later = later || anyRecord(f.segmentBytes[j], f.segmentNumbers[j], 0)
+		l.cut += int64(len(f.segmentBytes[j]))
+	}
+	if later {
+		return errs.New(errs.Damaged, "segment %d is bad at byte %d, before valid records", number, end)
+	}
+	l.dropped = len(f.segmentNumbers) - 1 - i
+	return nil
 }
 
 // chooseSnapshot takes the newest image that the log follows.
-func (s *Store) chooseSnapshot(f folder, told *logView, boot *Boot) error {
+func (s *Store) chooseSnapshot(f folder, view *logView, boot *Boot) error {
 	for i := range f.images {
-		img, t := f.images[i], *told
+		img, t := f.images[i], *view
 		if t.base.Index != img.Index || t.base.Term != img.Term {
 			t.rebase(Record{Kind: kindBase, Index: img.Index, Term: img.Term})
 		}
 		if entries, ok := t.entriesAfter(img.Index); ok {
-			*told, s.newestPlace, boot.Image = t, f.places[i], &img
+			*view, s.newestPlace, boot.Image = t, f.places[i], &img
 			s.newest = Image{Number: img.Number, Index: img.Index, Term: img.Term}
 			boot.Records = slices.Clone(entries)
 			break
 		}
 	}
 	if boot.Image == nil {
-		entries, ok := told.entriesAfter(0)
+		entries, ok := view.entriesAfter(0)
 		if !ok || len(f.images) > 0 {
 			return errs.New(errs.Damaged, "the log does not follow any valid slot (%d of %d valid)", len(f.images), f.slots)
 		}
 		boot.Records = slices.Clone(entries)
 	}
-	if told.hard != nil {
-		boot.Records = slices.Insert(boot.Records, 0, *told.hard)
+	if view.hard != nil {
+		boot.Records = slices.Insert(boot.Records, 0, *view.hard)
 	}
 	boot.Fresh = boot.Image == nil && len(boot.Records) == 0
 	return nil
@@ -156,7 +178,7 @@
 
 // rewriteTail writes the last segment again, so that what Open returns is durable even if it was read from the page
 // cache after a failed sync or a kill, and removes the files that are not used.
-func (s *Store) rewriteTail(f folder, dropped int, tail []Record, told logView) error {
+func (s *Store) rewriteTail(f folder, log openedLog) error {
 	for _, name := range f.unfinished {
 		if err := s.disk.Remove(name); err != nil {
 			return errs.Wrap(err, errs.Disk, "remove %s", name)
@@ -166,26 +188,26 @@
 		s.segments = []segment{{number: 1}}
 	}
 	last := s.segments[len(s.segments)-1]
-	s.log = logView{entries: told.entries, hard: told.hard, floor: told.floor, base: told.base}
-	head := slices.Clone(tail)
-	if len(tail) == 0 {
+	s.log = logView{entries: log.view.entries, hard: log.view.hard, floor: log.view.floor, base: log.view.base}
+	head := slices.Clone(log.tail)
+	if len(log.tail) == 0 {
 		head = s.segmentHead()
-	} else if told.hard != nil && !slices.ContainsFunc(tail, func(r Record) bool { return r.Kind == KindHard }) {
-		head = append(s.segmentHead(), tail[1:]...)
+	} else if log.view.hard != nil && !slices.ContainsFunc(log.tail, func(r Record) bool { return r.Kind == KindHard }) {
+		head = append(s.segmentHead(), log.tail[1:]...)
 	}
 	if s.newest.Number > 0 && !slices.ContainsFunc(head, func(r Record) bool {
 		return r.Kind == kindBase && r.Index == s.newest.Index && r.Term == s.newest.Term
 	}) {
 		head = append(head, Record{Kind: kindBase, Index: s.newest.Index, Term: s.newest.Term})
 	}
-	s.log.entries = slices.Clone(told.entries)
+	s.log.entries = slices.Clone(log.view.entries)
 	for i := range s.log.entries {
 		s.log.entries[i].Data = nil
 	}
 	if err := s.startSegment(last, head); err != nil {
 		return errs.Pass(err, "segment %d", last.number)
 	}
-	for i := range dropped { // from the end, so that no gap can stay
+	for i := range log.dropped { // from the end, so that no gap can stay
 		number := f.segmentNumbers[len(f.segmentNumbers)-1-i]
 		if err := s.removeSegment(number); err != nil {
 			return errs.Pass(err, "drop segment %d", number)
