--- a/internal/api/core.go
+++ b/internal/api/core.go
@@ -75,7 +75,7 @@
 
 // Snapshot names a snapshot to be fetched in chunks.
 type Snapshot struct {
-	Number uint64 `json:"number"` // of the slot
+	Number uint64 `json:"number"` // of the snapshot
 	Index  uint64 `json:"index"`
 	Term   uint64 `json:"term"`
 	Size   int64  `json:"size"`
@@ -84,17 +84,17 @@
 // Chunk fetches a part of a snapshot, so that a cut in the middle costs no more than the part.
 var Chunk = rpc.Pair[ChunkCall, ChunkAnswer]{Path: "/x/chunk"}
 
-// ChunkCall wants Max bytes from From on of slot Number (0: the newest).
+// ChunkCall wants Max bytes from From on of snapshot Number (0: the newest).
 type ChunkCall struct {
 	Number uint64 `json:"number"`
 	From   int64  `json:"from"`
 	Max    int    `json:"max"`
 }
 
-// ChunkAnswer is the part, with what slot it is of. Sum is xxhash64 of the whole body.
+// ChunkAnswer is the part, with the snapshot that it belongs to. Sum is xxhash64 of the whole body.
 type ChunkAnswer struct {
 	Snapshot
-	Meta json.RawMessage `json:"meta"` // quorum.Meta of the slot
+	Meta json.RawMessage `json:"meta"` // quorum.Meta of the snapshot
 	Data []byte          `json:"data"`
 	Sum  uint64          `json:"sum"`
 }
--- a/internal/dataplane/node.go
+++ b/internal/dataplane/node.go
@@ -182,7 +182,7 @@
 	}
 }
 
-// take makes a grant good: the replica is followed up to the grant's index first, then tallies are rebuilt.
+// take makes a grant good: the replica is followed up to the grant's index first, then the running counts are rebuilt.
 func (n *Node) take(ctx context.Context, a api.DutyAnswer, sent time.Duration) error {
 	n.mu.Lock()
 	stale := a.Epoch < n.granted // answers of claims under way at once may cross
@@ -357,7 +357,7 @@
 	return errs.Pass(err, "read")
 }
 
-// Backlog is the bound of the inbox.
+// QueueLimit is the bound of the inbox.
 func (n *Node) QueueLimit() int { return n.opt.QueueLimit }
 
 // Ready says why the node could not serve now; nil if it could.
--- a/internal/quorum/log.go
+++ b/internal/quorum/log.go
@@ -5,7 +5,7 @@
 	"sort"
 )
 
-// memoryLog is the log in memory: ents[0] has index off+1. Slots are never overwritten, slices of it may be kept.
+// memoryLog is the log in memory: entries[0] has index offset+1. Elements are never overwritten, so slices of it may be kept.
 type memoryLog struct {
 	offset, offsetTerm uint64
 	entries            []Entry
--- a/internal/quorum/members.go
+++ b/internal/quorum/members.go
@@ -7,7 +7,7 @@
 	"crosstide/internal/errs"
 )
 
-// conf is the member set an entry (or snapshot) at Index brought.
+// configuration is the member set an entry (or snapshot) at Index brought.
 type configuration struct {
 	index   uint64
 	members []Member
--- a/internal/rpc/rpc_test.go
+++ b/internal/rpc/rpc_test.go
@@ -126,7 +126,7 @@
 		So(b.count("crosstide_rpc_failures_total", "caller", "/fail", "not_leader"), ShouldEqual, 1)
 		So(len(b.live), ShouldEqual, 1)
 	})
-	Convey("An alarm that rings, and a context that ends, give Timeout and a reset", t, func() {
+	Convey("A timer that fires, and a context that ends, give Timeout and a reset", t, func() {
 		b := newBench()
 		defer b.end()
 		ln, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/storage/open.go
+++ b/internal/storage/open.go
@@ -30,9 +30,9 @@
 
 // folder is the folder as it is read.
 type folder struct {
-	images         []Image // valid slots, newest first
+	images         []Image // valid snapshots, newest first
 	places         []int   // their places in slotNames
-	slots          int     // slot files, valid or not
+	slots          int     // snapshot files, valid or not
 	unfinished     []string
 	segmentNumbers []uint64 // of the segments
 	segmentBytes   [][]byte
@@ -65,7 +65,7 @@
 		f.slots++
 		img, err := readSlot(all)
 		if err != nil {
-			continue // the other slot and the log decide
+			continue // the other snapshot and the log decide
 		}
 		i := 0
 		if len(f.images) > 0 && f.images[0].Number > img.Number {
@@ -96,10 +96,10 @@
 	}
 	boot.Cut = log.cut
 	if len(f.segmentNumbers) == 0 && f.slots > 0 {
-		return boot, errs.New(errs.Damaged, "slots without a log")
+		return boot, errs.New(errs.Damaged, "snapshots without a log")
 	}
 	if err := s.chooseSnapshot(f, &log.view, &boot); err != nil {
-		return boot, errs.Pass(err, "newest slot")
+		return boot, errs.Pass(err, "newest snapshot")
 	}
 	return boot, errs.Pass(s.rewriteTail(f, log), "end of the log")
 }
@@ -148,7 +148,7 @@
 	return nil
 }
 
-// chooseSnapshot takes the newest image that the log follows.
+// chooseSnapshot takes the newest snapshot that the log follows.
 func (s *Store) chooseSnapshot(f folder, view *logView, boot *Boot) error {
 	for i := range f.images {
 		img, t := f.images[i], *view
@@ -165,7 +165,7 @@
 	if boot.Image == nil {
 		entries, ok := view.entriesAfter(0)
 		if !ok || len(f.images) > 0 {
-			return errs.New(errs.Damaged, "the log does not follow any valid slot (%d of %d valid)", len(f.images), f.slots)
+			return errs.New(errs.Damaged, "the log does not follow any valid snapshot (%d of %d valid)", len(f.images), f.slots)
 		}
 		boot.Records = slices.Clone(entries)
 	}
--- a/internal/storage/snapshot.go
+++ b/internal/storage/snapshot.go
@@ -10,7 +10,7 @@
 // entries all lie at or before the previous snapshot, and before keepFrom if that is not 0. Appends continue
 // meanwhile, except while the segment changes. An image of the own log must have the Term of its entry; one that
 // came from another member must be written before the entries after it are appended: entries that it
-// contradicts fall. Failures: Invalid (older than the newest slot), Stopped, Disk (as with Append). Example:
+// contradicts fall. Failures: Invalid (older than the newest snapshot), Stopped, Disk (as with Append). Example:
 //
 //	err := store.WriteSlot(storage.Image{Index: applied, Term: term, Meta: members, Body: state}, 0)
 func (s *Store) WriteSlot(img Image, keepFrom uint64) error {
@@ -20,10 +20,10 @@
 	err, before, at := s.usable(), s.newest, 1-s.newestPlace
 	s.mu.Unlock()
 	if err != nil {
-		return errs.Pass(err, "slot %d", before.Number+1)
+		return errs.Pass(err, "snapshot %d", before.Number+1)
 	}
 	if img.Index < before.Index {
-		return errs.Field(errs.Invalid, "index", "image at %d, the newest slot is at %d", img.Index, before.Index)
+		return errs.Field(errs.Invalid, "index", "image at %d, the newest snapshot is at %d", img.Index, before.Index)
 	}
 	img.Number = before.Number + 1
 	head, tail := slotParts(img)
@@ -35,13 +35,13 @@
 	if err != nil {
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		return errs.Pass(s.fail(err), "slot %d", img.Number)
+		return errs.Pass(s.fail(err), "snapshot %d", img.Number)
 	}
 	s.updateStats(func(c *Stats) { c.Slots++ })
 	return nil
 }
 
-// rotate starts a segment after the slot img is durable, and removes those that are not needed.
+// rotate starts a segment after the snapshot img is durable, and removes those that are not needed.
 func (s *Store) rotate(img Image, at int, before, keepFrom uint64) error {
 	s.mu.Lock()
 	err := s.usable()
@@ -73,17 +73,17 @@
 	return errs.Pass(err, "change of segment")
 }
 
-// NewestSlot reads the newest slot back and checks it. Failures: Unknown (none was written), Damaged, Disk.
+// NewestSlot reads the newest snapshot back and checks it. Failures: Unknown (none was written), Damaged, Disk.
 func (s *Store) NewestSlot() (Image, error) {
 	s.mu.Lock()
 	name, number := slotNames[s.newestPlace], s.newest.Number
 	s.mu.Unlock()
 	if number == 0 {
-		return Image{}, errs.New(errs.Unknown, "no slot was written yet")
+		return Image{}, errs.New(errs.Unknown, "no snapshot was written yet")
 	}
 	all, err := s.readFile(name)
 	if err != nil {
-		return Image{}, errs.Pass(err, "newest slot")
+		return Image{}, errs.Pass(err, "newest snapshot")
 	}
 	img, err := readSlot(all)
 	if err != nil {
--- a/internal/testbed/load/load.go
+++ b/internal/testbed/load/load.go
@@ -259,7 +259,7 @@
 		j.mu.Lock()
 		defer j.mu.Unlock()
 		if j.broke == nil {
-			j.broke = errs.Pass(err, "consumer's journal")
+			j.broke = errs.Pass(err, "client's journal")
 		}
 	}
 	return e.At
