--- a/internal/scheduler/month_test.go
+++ b/internal/scheduler/month_test.go
@@ -65,8 +65,8 @@
 	return id
 }
 
-// spell hands jobs in, works on them, and lets jobs go that are over for long.
-func (m *month) spell() {
+// spell hands jobs in, works on them, and lets jobs go that are over for long. A worker may crash in the middle of it.
+func (m *month) spell(crash bool) {
 	m.now, m.wall = m.now+monthPause, m.wall.Add(monthPause)
 	m.hand("done")
 	m.hand("fails")
@@ -76,6 +76,10 @@
 			m.core.Beat(m.now, id, m.now, 0)
 		}
 		m.carryOut(m.pass(100 * time.Millisecond))
+		if crash && pass == monthPasses/4 {
+			m.crash()
+			m.bear()
+		}
 		if pass == monthPasses/2 {
 			_, err := m.table.Cancel(jobs.Cancel{ID: cancelled, At: m.wall})
 			must(err)
@@ -176,11 +180,7 @@
 		var early map[string]int
 		for day := 1; day <= 30; day++ {
 			for spell := range monthDay {
-				if spell%12 == 0 {
-					m.crash()
-					m.bear()
-				}
-				m.spell()
+				m.spell(spell%12 == 0)
 			}
 			if day == 3 {
 				early = m.size()
