--- a/internal/store/full_test.go
+++ b/internal/store/full_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
+	"golang.org/x/sys/unix"
 
 	"crosstide/internal/errs"
 	"crosstide/internal/quorum"
@@ -62,6 +63,23 @@
 	})
 }
 
+// TestOtherRefusalIsFatal: without the mark of a full disk a refused write ends the process, as a failed sync does.
+func TestOtherRefusalIsFatal(t *testing.T) {
+	within(t, 40, func(r *testStores) {
+		r.loadAll("before", 20)
+		lead := r.leader()
+		r.refuse(lead.set.Name, unix.EIO)
+		r.call(func(ctx context.Context) { _, _, _ = lead.Propose(ctx, job("a")) })
+		r.until("the end of the process", func() bool { return r.died[lead.set.Name] != nil })
+		So(r.died, ShouldHaveLength, 1)
+		r.kill(lead.set.Name)
+		r.refuse(lead.set.Name, nil)
+		r.start(lead.set.Name)
+		r.loadAll("after", 20)
+		r.level()
+	})
+}
+
 func TestFullDiskAtStart(t *testing.T) {
 	within(t, 40, func(r *testStores) {
 		r.loadAll("before", 50)
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -38,11 +38,11 @@
 	died  map[string]error
 	work  *routine.Group
 	acked map[string]uint64
-	seed  uint64          // of the nodes that start from now on, besides their names
-	slow  atomic.Int64    // nanoseconds that a sync takes on the virtual clock
-	cut   map[string]bool // addresses of nodes that are cut off from all others: calls to and from them time out
-	full  map[string]bool // names of nodes whose disks refuse writes
-	hangs map[string]bool // names of nodes whose disks end no sync
+	seed  uint64           // of the nodes that start from now on, besides their names
+	slow  atomic.Int64     // nanoseconds that a sync takes on the virtual clock
+	cut   map[string]bool  // addresses of nodes that are cut off from all others: calls to and from them time out
+	full  map[string]error // what disks refuse writes with, by the names of their nodes
+	hangs map[string]bool  // names of nodes whose disks end no sync
 }
 
 // paced is a disk whose syncs take the rig's time, and that is full when the rig says so.
@@ -59,19 +59,20 @@
 }
 
 func (d paced) Create(name string) (storage.File, error) {
-	if d.r.isFull(d.name) {
-		return nil, unix.ENOSPC
+	if err := d.r.refusal(d.name); err != nil {
+		return nil, err
 	}
 	f, err := d.Disk.Create(name)
 	return pacedFile{f, d.r, d.name}, err
 }
 
 func (f pacedFile) Write(p []byte) (int, error) {
-	if !f.r.isFull(f.name) {
+	refusal := f.r.refusal(f.name)
+	if refusal == nil {
 		return f.File.Write(p)
 	}
 	n, err := f.File.Write(p[:len(p)/2])
-	return n, cmp.Or(err, error(unix.ENOSPC))
+	return n, cmp.Or(err, refusal)
 }
 
 func (f pacedFile) Sync() error {
@@ -91,17 +92,26 @@
 	<-over
 }
 
-func (r *testStores) isFull(name string) bool {
+func (r *testStores) refusal(name string) error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.full[name]
 }
 
-// fill makes a node's disk refuse writes, or take them again.
-func (r *testStores) fill(name string, full bool) {
+// refuse makes a node's disk refuse writes with an error, or take them again.
+func (r *testStores) refuse(name string, with error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.full[name] = full
+	r.full[name] = with
+}
+
+// fill makes a node's disk full, or gives it room again.
+func (r *testStores) fill(name string, full bool) {
+	if full {
+		r.refuse(name, unix.ENOSPC)
+	} else {
+		r.refuse(name, nil)
+	}
 }
 
 func (r *testStores) doesHang(name string) bool {
@@ -119,7 +129,7 @@
 
 func newTestStores(n, slotEvery int, operators ...signature.Key) *testStores {
 	r := &testStores{set: config.DefaultCplane(), disks: map[string]*storage.MemDisk{}, nodes: map[string]*Store{},
-		died: map[string]error{}, work: routine.New(context.Background()), acked: map[string]uint64{}, cut: map[string]bool{}, full: map[string]bool{}, hangs: map[string]bool{}}
+		died: map[string]error{}, work: routine.New(context.Background()), acked: map[string]uint64{}, cut: map[string]bool{}, full: map[string]error{}, hangs: map[string]bool{}}
 	r.set.SlotEvery = slotEvery
 	for _, key := range operators {
 		r.set.OperatorKeys = append(r.set.OperatorKeys, config.OperatorKey{Name: key.Name, Key: key.Public()})
