--- a/internal/scheduler/month_test.go
+++ b/internal/scheduler/month_test.go
@@ -20,7 +20,6 @@
 	lists   map[string][]jobs.RunKey
 	ended   map[string][]Ended
 	counts  map[string]uint64
-	percent map[jobs.RunKey]int
 	jobs    int
 }
 
@@ -33,7 +32,7 @@
 )
 
 func newMonth() *month {
-	m := &month{bench: newBench(2), lists: map[string][]jobs.RunKey{}, ended: map[string][]Ended{}, counts: map[string]uint64{}, percent: map[jobs.RunKey]int{}}
+	m := &month{bench: newBench(2), lists: map[string][]jobs.RunKey{}, ended: map[string][]Ended{}, counts: map[string]uint64{}}
 	for range monthWorkers {
 		m.bear()
 	}
@@ -66,8 +65,8 @@
 	return id
 }
 
-// spell hands jobs in, works on them, and lets jobs go that are over for long. crashes: a worker crashes with runs on it.
-func (m *month) spell(crashes bool) {
+// spell hands jobs in, works on them, and lets jobs go that are over for long. A worker may crash in the middle of it.
+func (m *month) spell(crash bool) {
 	m.now, m.wall = m.now+monthPause, m.wall.Add(monthPause)
 	m.hand("done")
 	m.hand("fails")
@@ -77,7 +76,7 @@
 			m.core.Beat(m.now, id, m.now, 0)
 		}
 		m.carryOut(m.pass(100 * time.Millisecond))
-		if crashes && pass == monthPasses/4 {
+		if crash && pass == monthPasses/4 {
 			m.crash()
 			m.bear()
 		}
@@ -136,8 +135,7 @@
 	}
 	answer := HoldAnswer{Clock: m.now, Ended: m.ended[id]}
 	for _, key := range m.lists[id] {
-		m.percent[key] = min(m.percent[key]+1, 99) // a run that stays goes on: else it is moved away
-		answer.Running = append(answer.Running, Listed{Key: key, Percent: m.percent[key]})
+		answer.Running = append(answer.Running, Listed{Key: key})
 	}
 	m.core.HoldAnswered(m.now, id, h.Number, answer, HoldOK)
 }
@@ -146,7 +144,6 @@
 	for i, other := range m.lists[id] {
 		if other == key {
 			m.lists[id] = append(append([]jobs.RunKey{}, m.lists[id][:i]...), m.lists[id][i+1:]...)
-			delete(m.percent, key)
 			m.counts[id]++
 			m.ended[id] = append(m.ended[id], Ended{Sequence: m.counts[id], Key: key, How: how})
 			return
