Controller: jobs by ID, lists, queues, workers; a worker contract of the product's own

Cause: only the adapter reached the second job model; the product has no calls of its own to it. Ruled out: a second path from client to leader, as the calls of the controller settle leaders and races already. Change: the leader answers show, cancel, list, queues and workers by ID alone, and takes a spec that names its queue. internal/workerapi is the contract start, stop, hold as typed pairs and its client, a scheduler.Workers. A start order tells what its run takes, so that a worker can guard its room.

--- a/internal/controller/api.go
+++ b/internal/controller/api.go
@@ -16,7 +16,8 @@
 	Path string `json:"path"`
 }
 
-// SubmitCall hands a job in. Spec.ID is what follows the queue's prefix in the path; Spec.Queue is found by the leader.
+// SubmitCall hands a job in. Spec.ID is what follows the queue's prefix in the path; Spec.Queue is found by the leader,
+// unless it is given.
 type SubmitCall struct {
 	Locate Locate    `json:"at"`
 	Spec   jobs.Spec `json:"spec"`
--- a/internal/controller/forward.go
+++ b/internal/controller/forward.go
@@ -21,6 +21,11 @@
 	Configure(ctx context.Context, call jobs.Configure) (ConfigureAnswer, error)
 	Evacuate(ctx context.Context, call jobs.Evacuate) (EvacuateAnswer, error)
 	Topology(ctx context.Context, call TopologyCall) (TopologyAnswer, error)
+	Show(ctx context.Context, call ShowCall) (JobView, error)
+	Cancel(ctx context.Context, call CancelCall) (JobAnswer, error)
+	List(ctx context.Context, call ListCall) (ListAnswer, error)
+	Queues(ctx context.Context, call QueuesCall) (QueuesAnswer, error)
+	Workers(ctx context.Context, call WorkersCall) (WorkersAnswer, error)
 }
 
 var _ Local = (*Leader)(nil)
@@ -38,6 +43,11 @@
 	handle(s, ConfigurePair, local.Configure)
 	handle(s, EvacuatePair, local.Evacuate)
 	handle(s, TopologyPair, local.Topology)
+	handle(s, ShowPair, local.Show)
+	handle(s, CancelPair, local.Cancel)
+	handle(s, ListPair, local.List)
+	handle(s, QueuesPair, local.Queues)
+	handle(s, WorkersPair, local.Workers)
 }
 
 func handle[C, A any](s *rpc.Server, p rpc.Pair[C, A], serve func(context.Context, C) (A, error)) {
@@ -103,6 +113,18 @@
 	return answer, errs.Pass(err, "relay")
 }
 
+// Workers lists the workers.
+func (r *Relay) Workers(ctx context.Context, call WorkersCall) (WorkersAnswer, error) {
+	answer, err := relay(ctx, r, call, r.local.Workers, r.remote.Workers)
+	return answer, errs.Pass(err, "relay")
+}
+
+// Topology tells the leader and the members of the core, as this node knows them.
+func (r *Relay) Topology(ctx context.Context, call TopologyCall) (TopologyAnswer, error) {
+	answer, err := r.local.Topology(ctx, call)
+	return answer, errs.Pass(err, "relay")
+}
+
 func relay[C, A any](ctx context.Context, r *Relay, call C, local, remote func(context.Context, C) (A, error)) (A, error) {
 	answer, err := local(ctx, call)
 	if err == nil || !r.goesOn(ctx, err) {
--- /dev/null
+++ b/internal/controller/query_test.go
@@ -0,0 +1,166 @@
+package controller
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	. "github.com/smartystreets/goconvey/convey"
+
+	"crosstide/internal/clock"
+	"crosstide/internal/errs"
+	"crosstide/internal/jobs"
+	"crosstide/internal/scheduler"
+	"crosstide/internal/state"
+	"crosstide/internal/state/command"
+)
+
+func (n *coreNode) Show(_ context.Context, call ShowCall) (JobView, error) {
+	return JobView{ID: call.ID}, n.carryOut("show " + call.ID)
+}
+func (n *coreNode) Cancel(_ context.Context, call CancelCall) (JobAnswer, error) {
+	return JobAnswer{State: jobs.Cancelled}, n.carryOut("cancel " + call.ID)
+}
+func (n *coreNode) List(_ context.Context, call ListCall) (ListAnswer, error) {
+	return ListAnswer{More: true}, n.carryOut("list " + call.Queue)
+}
+func (n *coreNode) Queues(context.Context, QueuesCall) (QueuesAnswer, error) {
+	return QueuesAnswer{Queues: []QueueView{{Name: "q"}}}, n.carryOut("queues")
+}
+func (n *coreNode) Workers(context.Context, WorkersCall) (WorkersAnswer, error) {
+	return WorkersAnswer{Evacuated: []string{"z"}}, n.carryOut("workers")
+}
+
+func TestQueriesReachTheLeader(t *testing.T) {
+	Convey("Calls by ID reach the leader from a client, once, and those of operators from any node", t, func() {
+		nodes, k, end := startCore(2)
+		defer end()
+		ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+		defer cancel()
+		follower, leader := nodes[0], nodes[1]
+		client := NewClient(patient(k, "", follower.addr))
+		view, err := client.Show(ctx, ShowCall{ID: "a"})
+		So([]any{view.ID, err}, ShouldResemble, []any{"a", nil})
+		answer, err := client.Cancel(ctx, CancelCall{ID: "b"})
+		So([]any{answer.State, err}, ShouldResemble, []any{jobs.Cancelled, nil})
+		list, err := client.List(ctx, ListCall{Queue: "q"})
+		So([]any{list.More, err}, ShouldResemble, []any{true, nil})
+		queues, err := client.Queues(ctx, QueuesCall{})
+		So([]any{queues.Queues[0].Name, err}, ShouldResemble, []any{"q", nil})
+		So(leader.taken(), ShouldResemble, []string{"show a", "cancel b", "list q", "queues"})
+		relay := NewRelay(follower, NewClient(patient(k, follower.addr, leader.addr)), follower.addr)
+		workers, err := relay.Workers(ctx, WorkersCall{})
+		So([]any{workers.Evacuated, err}, ShouldResemble, []any{[]string{"z"}, nil})
+		topology, err := relay.Topology(ctx, TopologyCall{})
+		So([]any{topology.Leader, err}, ShouldResemble, []any{leader.addr, nil})
+		So(leader.taken(), ShouldResemble, []string{"workers"})
+		So(len(follower.taken()), ShouldEqual, 0)
+	})
+}
+
+// oneStore is a store of one node, which leads in term 1.
+type oneStore struct {
+	state *state.State
+	index uint64
+}
+
+func newOneStore() *oneStore { return &oneStore{state: state.New()} }
+
+func (s *oneStore) View(read func(*state.State))           { read(s.state) }
+func (s *oneStore) LeadTerm(time.Duration) (uint64, bool)  { return 1, true }
+func (s *oneStore) Changed() <-chan struct{}               { return nil }
+func (s *oneStore) Members() (leader string, all []string) { return "here", []string{"here"} }
+func (s *oneStore) ProposeIn(_ context.Context, term uint64, c command.Command) (uint64, any, error) {
+	s.index++
+	data, err := command.Encode(time.Unix(0, 0), c)
+	if err != nil {
+		return 0, nil, errs.Pass(err, "encode")
+	}
+	answer, err := command.Apply(s.state, s.index, term, data)
+	return s.index, answer, errs.Pass(err, "apply")
+}
+
+func TestLeaderQueries(t *testing.T) {
+	Convey("Given a leader with two queues and a worker", t, func() {
+		store := newOneStore()
+		clock := &clock.Virtual{}
+		leader := NewLeader(LeaderOptions{Store: store, Config: scheduler.Defaults(), Clock: clock, Logger: log.NewNopLogger()})
+		ctx := context.Background()
+		submit := func(id, queue string) error {
+			spec := jobs.Spec{ID: id, Queue: queue, Steps: []jobs.Step{{Count: 3, Needs: jobs.Resources{MilliCPU: 100}}}}
+			_, err := leader.Submit(ctx, SubmitCall{Spec: spec, Digest: id})
+			return err
+		}
+		So(errs.KindOf(submit("early", "a")), ShouldEqual, errs.Unavailable) // no configuration yet
+		_, err := leader.Configure(ctx, jobs.Configure{Version: 1, Replace: true,
+			Services: []jobs.Service{{Name: "s"}}, Queues: []jobs.Queue{
+				{Name: "a", Prefix: "/a/", Service: "s", MaxAttempts: 2, Timeout: time.Hour},
+				{Name: "b", Prefix: "/b/", Service: "s", Priority: 3, MaxAttempts: 2, Timeout: time.Hour}}})
+		So(err, ShouldBeNil)
+		So(submit("j2", "a"), ShouldBeNil)
+		So(submit("j1", "b"), ShouldBeNil)
+		So(submit("j3", "a"), ShouldBeNil)
+		_, err = leader.Beat(ctx, BeatCall{Sequence: 1, Worker: jobs.Worker{ID: "w", Service: "s", Zone: "z", Capacity: jobs.Resources{MilliCPU: 1000}}})
+		So(err, ShouldBeNil)
+		key := jobs.RunKey{Task: jobs.TaskRef{Job: "j2", Index: 1}, Number: 1}
+		_, _, err = store.ProposeIn(ctx, 1, &command.JobProgress{Progress: jobs.Progress{Term: 1,
+			Starts: []jobs.Start{{Task: key.Task, Number: 1, Worker: "w"}}}})
+		So(err, ShouldBeNil)
+
+		Convey("a queue that a spec names must be there", func() {
+			err := submit("j4", "c")
+			So([]any{errs.KindOf(err), errs.Of(err).Field}, ShouldResemble, []any{errs.Unknown, "queue"})
+		})
+		Convey("a job is shown with how far it is", func() {
+			view, err := leader.Show(ctx, ShowCall{ID: "j2"})
+			So(err, ShouldBeNil)
+			So([]any{view.Queue, view.State, view.Steps}, ShouldResemble, []any{"a", jobs.Running, []StepView{{Tasks: 3, Running: 1}}})
+			_, err = leader.Show(ctx, ShowCall{ID: "none"})
+			So(errs.KindOf(err), ShouldEqual, errs.Unknown)
+		})
+		Convey("a job is cancelled by its ID, again too", func() {
+			for range 2 {
+				answer, err := leader.Cancel(ctx, CancelCall{ID: "j1"})
+				So([]any{answer.State, err}, ShouldResemble, []any{jobs.Cancelled, nil})
+			}
+			_, err := leader.Cancel(ctx, CancelCall{ID: "none"})
+			So(errs.KindOf(err), ShouldEqual, errs.Unknown)
+		})
+		Convey("lists go by ID, page by page, filtered", func() {
+			for _, c := range []struct {
+				call ListCall
+				want []string
+				more bool
+			}{
+				{ListCall{Limit: 9}, []string{"j1", "j2", "j3"}, false},
+				{ListCall{Limit: 2}, []string{"j1", "j2"}, true},
+				{ListCall{Limit: 2, After: "j2"}, []string{"j3"}, false},
+				{ListCall{Limit: 9, Queue: "a"}, []string{"j2", "j3"}, false},
+				{ListCall{Limit: 9, State: jobs.Running}, []string{"j2"}, false},
+				{ListCall{Limit: 9, State: jobs.Failed}, nil, false},
+			} {
+				answer, err := leader.List(ctx, c.call)
+				So(err, ShouldBeNil)
+				var got []string
+				for _, job := range answer.Jobs {
+					got = append(got, job.ID)
+				}
+				So([]any{got, answer.More}, ShouldResemble, []any{c.want, c.more})
+			}
+		})
+		Convey("queues tell how many jobs wait", func() {
+			answer, err := leader.Queues(ctx, QueuesCall{})
+			So(err, ShouldBeNil)
+			So(answer.Queues, ShouldResemble, []QueueView{{Name: "a", Service: "s", Waiting: 1}, {Name: "b", Service: "s", Priority: 3, Waiting: 1}})
+		})
+		Convey("workers tell what runs on them", func() {
+			_, err := leader.Evacuate(ctx, jobs.Evacuate{Zone: "z", Start: true})
+			So(err, ShouldBeNil)
+			answer, err := leader.Workers(ctx, WorkersCall{})
+			So(err, ShouldBeNil)
+			So([]any{answer.Workers[0].ID, answer.Workers[0].Used, answer.Workers[0].Runs, answer.Evacuated}, ShouldResemble,
+				[]any{"w", jobs.Resources{MilliCPU: 100}, 1, []string{"z"}})
+		})
+	})
+}
--- a/internal/controller/serve.go
+++ b/internal/controller/serve.go
@@ -42,9 +42,12 @@
 	return q, nil
 }
 
-// Submit accepts a job.
+// Submit accepts a job. A spec that names its queue needs no place.
 func (l *Leader) Submit(ctx context.Context, call SubmitCall) (SubmitAnswer, error) {
 	term, err := l.look(func(table *jobs.Table) error {
+		if call.Spec.Queue != "" && table.Config.Version > 0 {
+			return nil // the table refuses a queue that it does not have
+		}
 		q, err := locate(table, call.Locate)
 		if err != nil {
 			return errs.Pass(err, "submit")
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -318,7 +318,7 @@
 		w.orders++
 		task := j.Rounds[key.Task.Round][key.Task.Step][key.Task.Index]
 		out.Starts = append(out.Starts, StartOut{Worker: *w.record(), Order: StartOrder{
-			Key: key, Payload: j.Spec.Payload, Deadline: w.grant(c, c.now), Token: c.term, Checkpoint: task.Checkpoint}})
+			Key: key, Payload: j.Spec.Payload, Needs: r.needs, Deadline: w.grant(c, c.now), Token: c.term, Checkpoint: task.Checkpoint}})
 		c.Counts.Started++
 	}
 	c.starts = later
--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -11,9 +11,10 @@
 type StartOrder struct {
 	Key        jobs.RunKey
 	Payload    string
-	Deadline   time.Duration // the lease of everything on the worker, on the worker's clock
-	Token      uint64        // fencing token: the term of the leader
-	Checkpoint string        // progress to go on from; empty: from the beginning
+	Needs      jobs.Resources // what the run takes of the worker
+	Deadline   time.Duration  // the lease of everything on the worker, on the worker's clock
+	Token      uint64         // fencing token: the term of the leader
+	Checkpoint string         // progress to go on from; empty: from the beginning
 }
 
 // StopOrder tells a worker to stop one run, and never to start it later.
--- /dev/null
+++ b/internal/workerapi/client.go
@@ -0,0 +1,122 @@
+package workerapi
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"crosstide/internal/errs"
+	"crosstide/internal/jobs"
+	"crosstide/internal/rpc"
+	"crosstide/internal/scheduler"
+)
+
+const (
+	defaultWithin = 2 * time.Second // bound of a call, besides the time that its answer may be kept back
+	longestWait   = 30 * time.Second
+)
+
+// Client carries the scheduler's orders to workers.
+type Client struct {
+	caller *rpc.Caller
+	within time.Duration
+}
+
+var _ scheduler.Workers = (*Client)(nil)
+
+// NewClient makes a client. within bounds each call, besides the time that a hold call may wait; 0 takes a default.
+func NewClient(caller *rpc.Caller, within time.Duration) *Client {
+	if within <= 0 {
+		within = defaultWithin
+	}
+	return &Client{caller: caller, within: within}
+}
+
+// Start tells worker to start one run.
+func (c *Client) Start(ctx context.Context, worker jobs.Worker, order scheduler.StartOrder) (scheduler.StartAnswer, error) {
+	call := StartCall{Worker: worker.ID, Run: RunOf(order.Key), Needs: NeedsOf(order.Needs), Payload: order.Payload,
+		Checkpoint: order.Checkpoint, Deadline: order.Deadline, Token: order.Token}
+	answer, err := rpc.Ask(ctx, c.caller, worker.Address, StartPair, call, c.within)
+	if errs.Is(err, errs.Malformed) && rpc.Answered(err) {
+		return scheduler.StartAnswer{Refusal: scheduler.RefusedInvalid}, nil
+	}
+	if err != nil {
+		return scheduler.StartAnswer{}, errs.Pass(err, "start on %s", worker.ID)
+	}
+	if err := checkStart(worker.ID, answer); err != nil {
+		return scheduler.StartAnswer{}, errs.Pass(err, "start on %s", worker.ID)
+	}
+	return scheduler.StartAnswer{Clock: answer.Clock, Refusal: answer.Refused}, nil
+}
+
+// refusals are the reasons that a worker may give.
+var refusals = []scheduler.Refusal{"", scheduler.RefusedFence, scheduler.RefusedOld, scheduler.RefusedLate, scheduler.RefusedRoom,
+	scheduler.RefusedInvalid, scheduler.RefusedUnhealthy}
+
+func checkStart(worker string, answer StartAnswer) error {
+	if err := checkAnswer(worker, answer.Worker, answer.Clock); err != nil {
+		return errs.Pass(err, "answer")
+	}
+	if !slices.Contains(refusals, answer.Refused) {
+		return errs.Field(errs.Malformed, "refused", "%q is not known", answer.Refused)
+	}
+	return nil
+}
+
+// Stop tells worker to stop one run.
+func (c *Client) Stop(ctx context.Context, worker jobs.Worker, order scheduler.StopOrder) error {
+	call := StopCall{Worker: worker.ID, Run: RunOf(order.Key), Token: order.Token}
+	answer, err := rpc.Ask(ctx, c.caller, worker.Address, StopPair, call, c.within)
+	if err != nil {
+		return errs.Pass(err, "stop on %s", worker.ID)
+	}
+	return errs.Pass(checkAnswer(worker.ID, answer.Worker, 0), "stop on %s", worker.ID)
+}
+
+// Hold renews the lease of worker and asks for its lists.
+func (c *Client) Hold(ctx context.Context, worker jobs.Worker, call scheduler.HoldCall) (scheduler.HoldAnswer, error) {
+	wait := min(max(call.Wait, 0), longestWait)
+	sent := HoldCall{Worker: worker.ID, Token: call.Token, SeenUpTo: call.SeenUpTo, Deadline: call.Deadline, Wait: wait}
+	answer, err := rpc.Ask(ctx, c.caller, worker.Address, HoldPair, sent, c.within+wait)
+	if err != nil {
+		return scheduler.HoldAnswer{}, errs.Pass(err, "hold on %s", worker.ID)
+	}
+	lists, err := listsOf(worker.ID, answer)
+	return lists, errs.Pass(err, "hold on %s", worker.ID)
+}
+
+// listsOf checks an answer and gives its lists. A run that is not listed counts as over: an answer that does not name
+// the worker, or has no lists, is none.
+func listsOf(worker string, answer HoldAnswer) (scheduler.HoldAnswer, error) {
+	if err := checkAnswer(worker, answer.Worker, answer.Clock); err != nil {
+		return scheduler.HoldAnswer{}, errs.Pass(err, "answer")
+	}
+	if answer.Running == nil || answer.Ended == nil {
+		return scheduler.HoldAnswer{}, errs.Field(errs.Malformed, "running", "both lists must be given")
+	}
+	lists := scheduler.HoldAnswer{Clock: answer.Clock, Full: answer.More}
+	for _, r := range answer.Running {
+		lists.Running = append(lists.Running, scheduler.Listed{Key: r.Run.Key(), Checkpoint: r.Checkpoint, Percent: r.Percent})
+	}
+	for _, e := range answer.Ended {
+		if !slices.Contains(hows, e.How) {
+			return scheduler.HoldAnswer{}, errs.Field(errs.Malformed, "ended", "%q is not known", e.How)
+		}
+		lists.Ended = append(lists.Ended, scheduler.Ended{Sequence: e.Sequence, Key: e.Run.Key(), How: e.How, Checkpoint: e.Checkpoint})
+	}
+	return lists, nil
+}
+
+// hows are the ends that a worker may tell.
+var hows = []jobs.How{jobs.EndDone, jobs.EndFailed, jobs.EndStopped, jobs.EndLapsed, jobs.EndBroken, jobs.EndAlone}
+
+// checkAnswer refuses an answer that is not the worker's own.
+func checkAnswer(worker, answers string, clock time.Duration) error {
+	if answers != worker {
+		return errs.Field(errs.Malformed, "worker", "must be %q, is %q", worker, answers)
+	}
+	if clock < 0 {
+		return errs.Field(errs.Malformed, "clock", "must not be negative, is %s", clock)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/workerapi/workerapi.go
@@ -0,0 +1,121 @@
+// Package workerapi is the contract between the leader of the core and a worker: three calls, start, stop and hold, as
+// JSON over HTTP/1.1. A worker is one life of a process, under an ID that is never used again. Durations are whole
+// nanoseconds; deadlines are readings of the worker's own clock, so that no two clocks are compared.
+package workerapi
+
+import (
+	"time"
+
+	"crosstide/internal/jobs"
+	"crosstide/internal/rpc"
+	"crosstide/internal/scheduler"
+)
+
+// Run names one run of a task: round, step and index count from 0, number from 1.
+type Run struct {
+	Job    string `json:"job"`
+	Round  int    `json:"round"`
+	Step   int    `json:"step"`
+	Index  int    `json:"index"`
+	Number int    `json:"number"`
+}
+
+// RunOf gives the name of a run on the wire.
+func RunOf(key jobs.RunKey) Run {
+	return Run{Job: key.Task.Job, Round: key.Task.Round, Step: key.Task.Step, Index: key.Task.Index, Number: key.Number}
+}
+
+// Key gives the run's name in the job table.
+func (r Run) Key() jobs.RunKey {
+	return jobs.RunKey{Task: jobs.TaskRef{Job: r.Job, Round: r.Round, Step: r.Step, Index: r.Index}, Number: r.Number}
+}
+
+// StartCall tells a worker to start one run. Token is the leader's term: a worker refuses what is under a lower one than
+// it has seen.
+type StartCall struct {
+	Worker     string        `json:"worker"`
+	Run        Run           `json:"run"`
+	Needs      Needs         `json:"needs"`
+	Payload    string        `json:"payload,omitempty"`
+	Checkpoint string        `json:"checkpoint,omitempty"` // saved progress to go on from
+	Deadline   time.Duration `json:"deadline"`             // new end of the lease of all that runs on the worker
+	Token      uint64        `json:"token"`
+}
+
+// Needs is what a run takes of a worker.
+type Needs struct {
+	MilliCPU int `json:"milli_cpu,omitempty"`
+	MemoryMB int `json:"memory_mb,omitempty"`
+	GPUs     int `json:"gpus,omitempty"`
+}
+
+// NeedsOf gives needs as they stand on the wire.
+func NeedsOf(needs jobs.Resources) Needs {
+	return Needs{MilliCPU: needs.MilliCPU, MemoryMB: needs.MemoryMB, GPUs: needs.GPUs}
+}
+
+// Resources gives needs as they stand in the job table.
+func (n Needs) Resources() jobs.Resources {
+	return jobs.Resources{MilliCPU: n.MilliCPU, MemoryMB: n.MemoryMB, GPUs: n.GPUs}
+}
+
+// StartAnswer tells whether a run was started, and why not. A refused order never starts its run later.
+type StartAnswer struct {
+	Worker  string            `json:"worker"`
+	Clock   time.Duration     `json:"clock"`
+	Refused scheduler.Refusal `json:"refused,omitempty"`
+}
+
+// StopCall tells a worker to end one run, and never to start it later.
+type StopCall struct {
+	Worker string `json:"worker"`
+	Run    Run    `json:"run"`
+	Token  uint64 `json:"token"`
+}
+
+// StopAnswer says that the order was taken. The run's end is listed once it is over.
+type StopAnswer struct {
+	Worker string `json:"worker"`
+}
+
+// HoldCall renews a worker's lease and asks what runs and what has ended.
+type HoldCall struct {
+	Worker   string        `json:"worker"`
+	Token    uint64        `json:"token"`
+	SeenUpTo uint64        `json:"seen"`               // ends numbered up to it are durable: the worker forgets them
+	Deadline time.Duration `json:"deadline,omitempty"` // new end of the lease; 0: none
+	Wait     time.Duration `json:"wait,omitempty"`     // how long the answer may be kept back until a run ends
+}
+
+// RunningRun is a run that is not over.
+type RunningRun struct {
+	Run        Run    `json:"run"`
+	Checkpoint string `json:"checkpoint,omitempty"`
+	Percent    int    `json:"percent,omitempty"`
+}
+
+// EndedRun is a run that is over. It is listed until a hold call acknowledges it.
+type EndedRun struct {
+	Sequence   uint64   `json:"sequence"` // from 1, rising within the worker's life
+	Run        Run      `json:"run"`
+	How        jobs.How `json:"how"` // done, failed, stopped, lapsed, broken or alone
+	Checkpoint string   `json:"checkpoint,omitempty"`
+}
+
+// HoldAnswer lists all that runs on a worker and the ends that are not acknowledged yet, oldest first. More: there are
+// further ends, so that a run that is not listed may be over.
+type HoldAnswer struct {
+	Worker  string        `json:"worker"`
+	Clock   time.Duration `json:"clock"`
+	Running []RunningRun  `json:"running"`
+	Ended   []EndedRun    `json:"ended"`
+	More    bool          `json:"more,omitempty"`
+}
+
+// The calls that a worker answers. Failures: errs.Unknown: another life answers, the named one is gone for good;
+// errs.Stale: the worker has seen a higher token, nothing was done; errs.Malformed: the call cannot be read.
+var (
+	StartPair = rpc.Pair[StartCall, StartAnswer]{Path: "/v2/start"}
+	StopPair  = rpc.Pair[StopCall, StopAnswer]{Path: "/v2/stop"}
+	HoldPair  = rpc.Pair[HoldCall, HoldAnswer]{Path: "/v2/hold"}
+)
