jobsapi: calls of clients, operators and workers for the second job model, read strictly

Cause: users without the platform had no calls to hand in gangs, timed or lasting jobs, nor to change the configuration. Ruled out: the adapter's lenient readers, which pass unknown fields over.

--- /dev/null
+++ b/internal/jobsapi/clients.go
@@ -0,0 +1,204 @@
+package jobsapi
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"strconv"
+	"time"
+
+	"crosstide/internal/controller"
+	"crosstide/internal/errs"
+	"crosstide/internal/jobs"
+	"crosstide/internal/rpc"
+)
+
+// Bounds of calls.
+const (
+	maxJobBody    = 4 << 20
+	defaultWithin = 3 * time.Second
+
+	defaultPage = 200
+	maxPage     = 1000
+)
+
+// Jobs answers the clients' calls. Each call returns when its ctx ends. A failure of the kinds errs.Unavailable,
+// errs.Stopped, errs.NotLeader and errs.Overloaded says that a call was surely not carried out; errs.Timeout leaves it
+// open.
+type Jobs interface {
+	Submit(ctx context.Context, call controller.SubmitCall) (controller.SubmitAnswer, error)
+	Show(ctx context.Context, call controller.ShowCall) (controller.JobView, error)
+	Cancel(ctx context.Context, call controller.CancelCall) (controller.JobAnswer, error)
+	List(ctx context.Context, call controller.ListCall) (controller.ListAnswer, error)
+	Queues(ctx context.Context, call controller.QueuesCall) (controller.QueuesAnswer, error)
+}
+
+// Router is what the API needs of its server (*rpc.Server).
+type Router interface {
+	Route(pattern string, serve func(w http.ResponseWriter, r *http.Request))
+}
+
+// JobState answers a submission or a cancellation.
+type JobState struct {
+	ID    string        `json:"id"`
+	State jobs.JobState `json:"state"`
+}
+
+// Page answers GET /v2/jobs. Next, if there is one, is the `after` of the next page.
+type Page struct {
+	Jobs []controller.JobSummary `json:"jobs"`
+	Next string                  `json:"next,omitempty"`
+}
+
+// ServeClients adds the clients' calls to server; a call that takes longer than within, 0 for a default, is given up.
+// Call it before the server starts.
+//
+//	POST   /v2/jobs       200 JobState; sent again it is the same job
+//	GET    /v2/jobs/{id}  200 controller.JobView
+//	DELETE /v2/jobs/{id}  200 JobState
+//	GET    /v2/jobs       200 Page; ?queue= &state= &after= &limit= (1 to 1000, 200 if not given)
+//	GET    /v2/queues     200 controller.QueuesAnswer
+func ServeClients(server Router, to Jobs, within time.Duration) {
+	c := clients{to: to}
+	add(server, "POST /v2/jobs", within, c.submit)
+	add(server, "GET /v2/jobs", within, c.list)
+	add(server, "GET /v2/jobs/{id}", within, c.show)
+	add(server, "DELETE /v2/jobs/{id}", within, c.cancel)
+	add(server, "GET /v2/queues", within, c.queues)
+}
+
+// add answers pattern by serve within a time.
+func add(server Router, pattern string, within time.Duration, serve func(ctx context.Context, r *http.Request) (any, error)) {
+	if within <= 0 {
+		within = defaultWithin
+	}
+	server.Route(pattern, func(w http.ResponseWriter, r *http.Request) {
+		ctx, cancel := context.WithTimeout(r.Context(), within)
+		defer cancel()
+		answer, err := serve(ctx, r)
+		if err != nil {
+			rpc.WriteError(w, outward(ctx, err))
+			return
+		}
+		rpc.WriteJSON(w, http.StatusOK, answer)
+	})
+}
+
+// outward gives a failure as a caller from outside sees it: which node leads is no matter of its, and an internal
+// failure at the end of the call's time is the time's.
+func outward(ctx context.Context, err error) error {
+	switch {
+	case errs.Is(err, errs.NotLeader):
+		return errs.New(errs.Unavailable, "no leader can be reached now")
+	case errs.Is(err, errs.Internal) && ctx.Err() != nil:
+		return errs.Wrap(err, errs.Timeout, "the call's time is over")
+	}
+	return errs.Pass(err, "call")
+}
+
+type clients struct{ to Jobs }
+
+func (c clients) submit(ctx context.Context, r *http.Request) (any, error) {
+	body, err := rpc.ReadBody(r, maxJobBody)
+	if err != nil {
+		return nil, errs.Pass(err, "submit")
+	}
+	spec, digest, err := ParseJob(body)
+	if err != nil {
+		return nil, errs.Pass(err, "submit")
+	}
+	answer, err := c.to.Submit(ctx, controller.SubmitCall{Spec: spec, Digest: digest})
+	return JobState{ID: spec.ID, State: answer.State}, errs.Pass(err, "submit")
+}
+
+// jobID reads the ID in a call's path.
+func jobID(r *http.Request) (string, error) {
+	id := r.PathValue("id")
+	if wrong := name(id); wrong != "" {
+		return "", errs.Field(errs.Invalid, "id", "%s", wrong)
+	}
+	return id, nil
+}
+
+func (c clients) show(ctx context.Context, r *http.Request) (any, error) {
+	id, err := jobID(r)
+	if err != nil {
+		return nil, errs.Pass(err, "show")
+	}
+	answer, err := c.to.Show(ctx, controller.ShowCall{ID: id})
+	return answer, errs.Pass(err, "show")
+}
+
+func (c clients) cancel(ctx context.Context, r *http.Request) (any, error) {
+	id, err := jobID(r)
+	if err != nil {
+		return nil, errs.Pass(err, "cancel")
+	}
+	answer, err := c.to.Cancel(ctx, controller.CancelCall{ID: id})
+	return JobState{ID: id, State: answer.State}, errs.Pass(err, "cancel")
+}
+
+func (c clients) list(ctx context.Context, r *http.Request) (any, error) {
+	call, err := parseList(r)
+	if err != nil {
+		return nil, errs.Pass(err, "list")
+	}
+	answer, err := c.to.List(ctx, call)
+	if err != nil {
+		return nil, errs.Pass(err, "list")
+	}
+	page := Page{Jobs: answer.Jobs}
+	if answer.More && len(answer.Jobs) > 0 {
+		page.Next = answer.Jobs[len(answer.Jobs)-1].ID
+	}
+	return page, nil
+}
+
+func (c clients) queues(ctx context.Context, _ *http.Request) (any, error) {
+	answer, err := c.to.Queues(ctx, controller.QueuesCall{})
+	return answer, errs.Pass(err, "queues")
+}
+
+var states = []jobs.JobState{jobs.Queued, jobs.Running, jobs.Succeeded, jobs.Failed, jobs.Cancelled}
+
+// parseList reads the query of a list.
+func parseList(r *http.Request) (controller.ListCall, error) {
+	call := controller.ListCall{Limit: defaultPage}
+	for field, values := range r.URL.Query() {
+		if len(values) != 1 {
+			return call, errs.Field(errs.Invalid, field, "is given more than once")
+		}
+		if err := setListField(&call, field, values[0]); err != nil {
+			return call, errs.Pass(err, "query")
+		}
+	}
+	return call, nil
+}
+
+func setListField(call *controller.ListCall, field, value string) error {
+	switch field {
+	case "queue":
+		call.Queue = value
+	case "after":
+		call.After = value
+	case "state":
+		call.State = jobs.JobState(value)
+		if !slices.Contains(states, call.State) {
+			return errs.Field(errs.Invalid, field, "must be one of %v, is %q", states, value)
+		}
+		return nil
+	case "limit":
+		limit, err := strconv.Atoi(value)
+		if err != nil || limit < 1 || limit > maxPage {
+			return errs.Field(errs.Invalid, field, "must be from 1 to %d, is %q", maxPage, value)
+		}
+		call.Limit = limit
+		return nil
+	default:
+		return errs.Field(errs.Invalid, field, "is not a known field")
+	}
+	if wrong := name(value); wrong != "" {
+		return errs.Field(errs.Invalid, field, "%s", wrong)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/jobsapi/configuration_test.go
@@ -0,0 +1,86 @@
+package jobsapi
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"crosstide/internal/errs"
+	"crosstide/internal/jobs"
+)
+
+func TestParsePut(t *testing.T) {
+	Convey("A whole configuration is read, with the defaults of a queue", t, func() {
+		order, err := parsePut([]byte(`{"base":3,"services":[{"name":"s","guards_room":true}],"queues":[
+			{"name":"a","service":"s","priority":2,"attempts":5,"stretch":1.5,"target":"30s","timeout":"1h"},
+			{"name":"b","service":"s","timeout":"1m"}]}`))
+		So(err, ShouldBeNil)
+		So([]any{order.Base, order.Version, order.Replace, len(order.Digest)}, ShouldResemble, []any{uint64(3), uint64(4), true, 64})
+		a, b := order.Queues[0], order.Queues[1]
+		So(string(a.Document), ShouldEqual, `{"name":"a","service":"s","priority":2,"attempts":5,"stretch":1.5,"target":"30s","timeout":"1h0m0s"}`)
+		a.Document, b.Document = nil, nil
+		So(a, ShouldResemble, jobs.Queue{Name: "a", Prefix: "/a/", Service: "s", Priority: 2, MaxAttempts: 5, Stretch: 1.5, Target: 30 * time.Second, Timeout: time.Hour})
+		So(b, ShouldResemble, jobs.Queue{Name: "b", Prefix: "/b/", Service: "s", MaxAttempts: 1, Stretch: 1, Timeout: time.Minute})
+		So([]any{order.Services[0].Name, order.Services[0].GuardsRoom}, ShouldResemble, []any{"s", true})
+	})
+	Convey("What is wrong is refused with its field", t, func() {
+		queue := func(fields string) string {
+			return `{"base":0,"services":[],"queues":[{"name":"a","service":"s","timeout":"1m"` + fields + `}]}`
+		}
+		shouldRefuse(func(body []byte) error { _, err := parsePut(body); return errs.Pass(err, "put") }, []refused{
+			{queue(""), "", ""},
+			{`x`, errs.Malformed, ""},
+			{`{"queues":[],"services":[]}`, errs.Invalid, "base"},
+			{`{"base":-1,"queues":[],"services":[]}`, errs.Invalid, "base"},
+			{`{"base":"1","queues":[],"services":[]}`, errs.Invalid, "base"},
+			{`{"base":1,"services":[]}`, errs.Invalid, "queues"},
+			{`{"base":1,"queues":[]}`, errs.Invalid, "services"},
+			{`{"base":1,"queues":{},"services":[]}`, errs.Invalid, "queues"},
+			{`{"base":1,"queues":[],"services":[],"version":2}`, errs.Invalid, "version"},
+			{`{"base":1,"queues":[{}],"services":[]}`, errs.Invalid, "queues[0].name"},
+			{queue(`,"priority":-1`), errs.Invalid, "queues[0].priority"},
+			{queue(`,"attempts":0`), errs.Invalid, "queues[0].attempts"},
+			{queue(`,"stretch":"2"`), errs.Invalid, "queues[0].stretch"},
+			{queue(`,"stretch":-2`), errs.Invalid, "queues[0].stretch"},
+			{queue(`,"target":5`), errs.Invalid, "queues[0].target"},
+			{queue(`,"host":"h"`), errs.Invalid, "queues[0].host"},
+			{`{"base":1,"queues":[{"name":"a","service":"s","timeout":"0s"}],"services":[]}`, errs.Invalid, "queues[0].timeout"},
+			{`{"base":1,"queues":[{"name":"a b","service":"s","timeout":"1s"}],"services":[]}`, errs.Invalid, "queues[0].name"},
+			{`{"base":1,"queues":[],"services":[{"name":"s"},{"name":"s"}]}`, errs.Invalid, "services[1].name"},
+			{`{"base":1,"queues":[],"services":[{"name":"s","guards_room":1}]}`, errs.Invalid, "services[0].guards_room"},
+			{`{"base":1,"queues":[],"services":[{}]}`, errs.Invalid, "services[0].name"},
+		})
+	})
+}
+
+func TestParsePatch(t *testing.T) {
+	Convey("Items are read, and the names to remove", t, func() {
+		order, err := parsePatch([]byte(`{"base":3,"put":{"services":[{"name":"s"}]},"remove":{"queues":["a"],"services":["t"]}}`))
+		So(err, ShouldBeNil)
+		So([]any{order.Base, order.Version, order.Replace, order.Services[0].Name, order.RemoveQueues, order.RemoveServices},
+			ShouldResemble, []any{uint64(3), uint64(4), false, "s", []string{"a"}, []string{"t"}})
+	})
+	Convey("The same text as a patch and as a put are two orders, and so are two texts", t, func() {
+		one, _ := parsePatch([]byte(`{"base":3,"remove":{"queues":["a"]}}`))
+		again, _ := parsePatch([]byte(`{"base":3,"remove":{"queues":["a"]}}`))
+		other, _ := parsePatch([]byte(`{"base":3,"remove":{"queues":["b"]}}`))
+		So(one.Digest, ShouldEqual, again.Digest)
+		So(one.Digest, ShouldNotEqual, other.Digest)
+		So(digest([]byte("a"), []byte("b")), ShouldNotEqual, digest([]byte("ab")))
+	})
+	Convey("What is wrong is refused with its field", t, func() {
+		shouldRefuse(func(body []byte) error { _, err := parsePatch(body); return errs.Pass(err, "patch") }, []refused{
+			{`{"base":1,"remove":{"queues":["a"]}}`, "", ""},
+			{`{"base":1}`, errs.Invalid, "put"},
+			{`{"base":1,"put":{},"remove":{}}`, errs.Invalid, "put"},
+			{`{"remove":{"queues":["a"]}}`, errs.Invalid, "base"},
+			{`{"base":1,"remove":{"queues":"a"}}`, errs.Invalid, "remove.queues"},
+			{`{"base":1,"remove":{"queues":[""]}}`, errs.Invalid, "remove.queues[0]"},
+			{`{"base":1,"remove":{"zones":["a"]}}`, errs.Invalid, "remove.zones"},
+			{`{"base":1,"put":{"queues":[{"name":"a"}]}}`, errs.Invalid, "put.queues[0].service"},
+			{`{"base":1,"put":{"limits":{}}}`, errs.Invalid, "put.limits"},
+			{`{"base":1,"queues":[]}`, errs.Invalid, "put"},
+		})
+	})
+}
--- /dev/null
+++ b/internal/jobsapi/control.go
@@ -0,0 +1,173 @@
+package jobsapi
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"crosstide/internal/controller"
+	"crosstide/internal/errs"
+	"crosstide/internal/jobs"
+	"crosstide/internal/rpc"
+)
+
+const (
+	maxHeartbeatBody = 64 << 10
+	maxConfigBody    = 16 << 20
+	heartbeatWithin  = time.Second // a worker goes on to another node after it
+)
+
+// Control answers the operators' calls and the workers' heartbeats. Each call returns when its ctx ends.
+type Control interface {
+	Beat(ctx context.Context, call controller.BeatCall) (controller.BeatAnswer, error)
+	Config(ctx context.Context, call controller.ConfigCall) (jobs.Config, error)
+	Configure(ctx context.Context, order jobs.Configure) (controller.ConfigureAnswer, error)
+	Evacuate(ctx context.Context, order jobs.Evacuate) (controller.EvacuateAnswer, error)
+	Topology(ctx context.Context, call controller.TopologyCall) (controller.TopologyAnswer, error)
+	Workers(ctx context.Context, call controller.WorkersCall) (controller.WorkersAnswer, error)
+}
+
+// ConfigVersion answers a change of the configuration.
+type ConfigVersion struct {
+	Version uint64 `json:"version"`
+}
+
+// ZoneState answers an evacuation or its withdrawal.
+type ZoneState struct {
+	Zone      string `json:"zone"`
+	Evacuated bool   `json:"evacuated"`
+}
+
+// Heartbeat answers a worker: Leader, if known, is the address that later heartbeats are best sent to.
+type Heartbeat struct {
+	Leader string `json:"leader,omitempty"`
+}
+
+// Worker is a worker as operators see it.
+type Worker struct {
+	ID       string    `json:"id"`
+	Address  string    `json:"address"`
+	Service  string    `json:"service"`
+	Zone     string    `json:"zone"`
+	Rack     string    `json:"rack,omitempty"`
+	Labels   []string  `json:"labels,omitempty"`
+	Capacity Resources `json:"capacity"`
+	Used     Resources `json:"used"`
+	Runs     int       `json:"runs"`
+	State    string    `json:"state"` // ready, draining or leaving
+}
+
+// Resources are amounts of each kind.
+type Resources struct {
+	MilliCPU int `json:"milli_cpu"`
+	MemoryMB int `json:"memory_mb"`
+	GPUs     int `json:"gpus"`
+}
+
+// Workers lists the workers, and the zones that are evacuated.
+type Workers struct {
+	Workers   []Worker `json:"workers"`
+	Evacuated []string `json:"evacuated"`
+}
+
+// ServeControl adds the operators' calls and the workers' heartbeats to server; a call of an operator that takes longer
+// than within, 0 for a default, is given up. Call it before the server starts.
+//
+//	GET   /v2/config                    200 Configuration
+//	PUT   /v2/config                    200 ConfigVersion; the whole configuration on top of a version
+//	PATCH /v2/config                    200 ConfigVersion; single items on top of a version
+//	POST  /v2/zones/{zone}/evacuate     200 ZoneState
+//	POST  /v2/zones/{zone}/restore      200 ZoneState
+//	GET   /v2/topology                  200 controller.TopologyAnswer
+//	GET   /v2/workers                   200 Workers
+//	POST  /v2/workers/{id}/heartbeat    200 Heartbeat
+func ServeControl(server Router, to Control, within time.Duration) {
+	o := operators{to: to}
+	add(server, "GET /v2/config", within, o.config)
+	add(server, "PUT /v2/config", within, o.configure(parsePut))
+	add(server, "PATCH /v2/config", within, o.configure(parsePatch))
+	add(server, "POST /v2/zones/{zone}/evacuate", within, o.evacuate(true))
+	add(server, "POST /v2/zones/{zone}/restore", within, o.evacuate(false))
+	add(server, "GET /v2/topology", within, o.topology)
+	add(server, "GET /v2/workers", within, o.workers)
+	add(server, "POST /v2/workers/{id}/heartbeat", heartbeatWithin, o.heartbeat)
+}
+
+type operators struct{ to Control }
+
+func (o operators) config(ctx context.Context, _ *http.Request) (any, error) {
+	config, err := o.to.Config(ctx, controller.ConfigCall{})
+	return configurationOf(config), errs.Pass(err, "configuration")
+}
+
+func (o operators) configure(parse func(body []byte) (jobs.Configure, error)) func(context.Context, *http.Request) (any, error) {
+	return func(ctx context.Context, r *http.Request) (any, error) {
+		body, err := rpc.ReadBody(r, maxConfigBody)
+		if err != nil {
+			return nil, errs.Pass(err, "configure")
+		}
+		order, err := parse(body)
+		if err != nil {
+			return nil, errs.Pass(err, "configure")
+		}
+		_, err = o.to.Configure(ctx, order)
+		return ConfigVersion{Version: order.Version}, errs.Pass(err, "configure")
+	}
+}
+
+func (o operators) evacuate(start bool) func(context.Context, *http.Request) (any, error) {
+	return func(ctx context.Context, r *http.Request) (any, error) {
+		zone := r.PathValue("zone")
+		if wrong := name(zone); wrong != "" {
+			return nil, errs.Field(errs.Invalid, "zone", "%s", wrong)
+		}
+		_, err := o.to.Evacuate(ctx, jobs.Evacuate{Zone: zone, Start: start})
+		return ZoneState{Zone: zone, Evacuated: start}, errs.Pass(err, "evacuate")
+	}
+}
+
+func (o operators) topology(ctx context.Context, _ *http.Request) (any, error) {
+	answer, err := o.to.Topology(ctx, controller.TopologyCall{})
+	return answer, errs.Pass(err, "topology")
+}
+
+func (o operators) workers(ctx context.Context, _ *http.Request) (any, error) {
+	answer, err := o.to.Workers(ctx, controller.WorkersCall{})
+	if err != nil {
+		return nil, errs.Pass(err, "workers")
+	}
+	out := Workers{Workers: []Worker{}, Evacuated: answer.Evacuated}
+	for _, w := range answer.Workers {
+		out.Workers = append(out.Workers, workerOf(w))
+	}
+	return out, nil
+}
+
+func workerOf(w controller.WorkerView) Worker {
+	state := StateReady
+	switch {
+	case w.Left:
+		state = StateLeaving
+	case w.Draining:
+		state = StateDraining
+	}
+	return Worker{ID: w.ID, Address: w.Address, Service: w.Service, Zone: w.Zone, Rack: w.Rack, Labels: w.Labels,
+		Capacity: resourcesOf(w.Capacity), Used: resourcesOf(w.Used), Runs: w.Runs, State: state}
+}
+
+func resourcesOf(r jobs.Resources) Resources {
+	return Resources{MilliCPU: r.MilliCPU, MemoryMB: r.MemoryMB, GPUs: r.GPUs}
+}
+
+func (o operators) heartbeat(ctx context.Context, r *http.Request) (any, error) {
+	body, err := rpc.ReadBody(r, maxHeartbeatBody)
+	if err != nil {
+		return nil, errs.Pass(err, "heartbeat")
+	}
+	call, err := parseHeartbeat(r.PathValue("id"), body)
+	if err != nil {
+		return nil, errs.Pass(err, "heartbeat")
+	}
+	answer, err := o.to.Beat(ctx, call)
+	return Heartbeat{Leader: answer.Leader}, errs.Pass(err, "heartbeat")
+}
--- /dev/null
+++ b/internal/jobsapi/heartbeat.go
@@ -0,0 +1,65 @@
+package jobsapi
+
+import (
+	"math"
+	"time"
+
+	"crosstide/internal/config"
+	"crosstide/internal/controller"
+	"crosstide/internal/errs"
+	"crosstide/internal/jobs"
+)
+
+// The states that a worker tells with its heartbeats.
+const (
+	StateReady    = "ready"
+	StateDraining = "draining" // nothing new is to start there
+	StateLeaving  = "leaving"  // it ends now, and all that runs there with it
+)
+
+// maxLabels is the most labels of a worker.
+const maxLabels = 64
+
+// parseHeartbeat reads the heartbeat of the worker id. Durations are whole nanoseconds.
+func parseHeartbeat(id string, body []byte) (controller.BeatCall, error) {
+	call := controller.BeatCall{Worker: jobs.Worker{ID: id}}
+	err := parse(body, func(r *config.Reader) { readHeartbeat(r, &call) })
+	if wrong := name(id); wrong != "" {
+		return controller.BeatCall{}, errs.Field(errs.Invalid, "id", "%s", wrong)
+	}
+	return call, errs.Pass(err, "heartbeat")
+}
+
+func readHeartbeat(r *config.Reader, call *controller.BeatCall) {
+	var state string
+	worker := &call.Worker
+	r.Need("state")
+	r.String("state", &state, config.OneOf(StateReady, StateDraining, StateLeaving))
+	call.Leaving, worker.Draining = state == StateLeaving, state == StateDraining
+	if !call.Leaving {
+		r.Need("sequence", "clock", "address", "service", "zone", "capacity")
+	}
+	sequence := 0
+	r.Int("sequence", &sequence, 1, math.MaxInt64)
+	call.Sequence = uint64(sequence)
+	readNanoseconds(r, "clock", &call.Clock)
+	readNanoseconds(r, "remaining", &call.Remaining)
+	r.Addr("address", &worker.Address)
+	r.String("service", &worker.Service, name)
+	r.String("zone", &worker.Zone, name)
+	r.String("rack", &worker.Rack, name)
+	r.Strings("labels", &worker.Labels, name)
+	if len(worker.Labels) > maxLabels {
+		r.Wrong("labels", "must be at most %d, are %d", maxLabels, len(worker.Labels))
+	}
+	r.Object("capacity", func(r *config.Reader) {
+		r.Need("milli_cpu", "memory_mb")
+		readResources(r, &worker.Capacity)
+	})
+}
+
+func readNanoseconds(r *config.Reader, field string, to *time.Duration) {
+	n := 0
+	r.Int(field, &n, 0, math.MaxInt64)
+	*to = time.Duration(n)
+}
--- /dev/null
+++ b/internal/jobsapi/job.go
@@ -0,0 +1,125 @@
+package jobsapi
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"time"
+
+	"crosstide/internal/config"
+	"crosstide/internal/errs"
+	"crosstide/internal/jobs"
+)
+
+// Bounds of a job.
+const (
+	MaxSteps    = 1000
+	MaxJobTasks = 100_000 // over all rounds
+	MaxAmount   = 1 << 30 // of any resource of a task
+	MaxPayload  = 16 << 10
+	longest     = 10 * 365 * 24 * time.Hour
+)
+
+// ParseJob reads the body of POST /v2/jobs into a job and its digest, which is the same whatever the order of the fields
+// and the white space. Failures: Malformed, Invalid with the field. Example:
+//
+//	spec, digest, err := jobsapi.ParseJob([]byte(`{"id":"j-1","queue":"nightly","steps":[{"milli_cpu":500}]}`))
+func ParseJob(body []byte) (jobs.Spec, string, error) {
+	var spec jobs.Spec
+	if err := parse(body, func(r *config.Reader) { readSpec(r, &spec) }); err != nil {
+		return jobs.Spec{}, "", errs.Pass(err, "job")
+	}
+	canonical, err := json.Marshal(spec)
+	if err != nil {
+		return jobs.Spec{}, "", errs.Wrap(err, errs.Internal, "encode job %s", spec.ID)
+	}
+	return spec, digest(canonical), nil
+}
+
+func readSpec(r *config.Reader, spec *jobs.Spec) {
+	r.Need("id", "queue", "steps")
+	r.String("id", &spec.ID, name)
+	r.String("queue", &spec.Queue, name)
+	r.String("payload", &spec.Payload, payload)
+	r.Object("times", func(r *config.Reader) { readTimes(r, spec) })
+	config.List(r, "steps", &spec.Steps, readStep)
+	checkSteps(r, spec)
+}
+
+func payload(value string) string {
+	if len(value) > MaxPayload {
+		return fmt.Sprintf("must be at most %d bytes, is %d", MaxPayload, len(value))
+	}
+	return ""
+}
+
+// readTimes reads when the rounds of a job are due.
+func readTimes(r *config.Reader, spec *jobs.Spec) {
+	spec.Rounds = 1
+	r.Need("first")
+	r.Time("first", &spec.FirstRun)
+	r.Int("rounds", &spec.Rounds, 1, MaxJobTasks)
+	r.Duration("every", &spec.Interval, time.Millisecond, longest)
+	if spec.Rounds > 1 && spec.Interval == 0 {
+		r.Wrong("every", "must be given with more than one round")
+	}
+}
+
+func readStep(r *config.Reader, step *jobs.Step) {
+	step.Count = 1
+	r.Int("tasks", &step.Count, 1, MaxJobTasks)
+	readResources(r, &step.Needs)
+	r.Duration("estimate", &step.Estimate, 0, longest)
+	r.Ints("after", &step.After, 0, MaxSteps-1)
+	r.String("label", &step.Label, name)
+	r.String("near", &step.Near, name)
+	r.Int("most_per_worker", &step.MostPerNode, 1, MaxJobTasks)
+	r.Bool("checkpoints", &step.Checkpoints)
+	r.Bool("gang", &step.Gang)
+	r.Bool("one_rack", &step.SameRack)
+	r.Bool("speculative", &step.Speculative)
+	r.Bool("lasting", &step.Lasting)
+	if step.SameRack && !step.Gang {
+		r.Wrong("one_rack", "is for gangs only")
+	}
+	if step.Speculative && (step.Gang || step.Lasting) {
+		r.Wrong("speculative", "goes with neither gang nor lasting")
+	}
+}
+
+func readResources(r *config.Reader, needs *jobs.Resources) {
+	r.Int("milli_cpu", &needs.MilliCPU, 0, MaxAmount)
+	r.Int("memory_mb", &needs.MemoryMB, 0, MaxAmount)
+	r.Int("gpus", &needs.GPUs, 0, MaxAmount)
+}
+
+// checkSteps checks what the steps of a job are among themselves.
+func checkSteps(r *config.Reader, spec *jobs.Spec) {
+	if len(spec.Steps) < 1 || len(spec.Steps) > MaxSteps {
+		r.Wrong("steps", "must be 1 to %d, are %d", MaxSteps, len(spec.Steps))
+		return
+	}
+	total := 0
+	for i, step := range spec.Steps {
+		total += step.Count
+		checkAfter(r, spec, i)
+	}
+	if total *= max(spec.Rounds, 1); total > MaxJobTasks {
+		r.Wrong("steps", "must have at most %d tasks over all rounds, have %d", MaxJobTasks, total)
+	}
+}
+
+func checkAfter(r *config.Reader, spec *jobs.Spec, i int) {
+	after := spec.Steps[i].After
+	for at, before := range after {
+		field := fmt.Sprintf("steps[%d].after[%d]", i, at)
+		switch {
+		case before >= i:
+			r.Wrong(field, "must be the number of an earlier step, is %d", before)
+		case spec.Steps[before].Lasting:
+			r.Wrong(field, "step %d lasts until the job is cancelled", before)
+		case slices.Contains(after[:at], before):
+			r.Wrong(field, "step %d is given twice", before)
+		}
+	}
+}
