node: one place that builds core and front nodes; settings of the product's own

Cause: a third pair of commands was to come, next to the twins of the users' platform. Change: internal/node builds a core node and a front node from typed options; the platform commands map their settings to these and are otherwise as they were. The tests of the front node's drain and of its seeds moved with the code; the commands' tests check the mapping. internal/config reads the settings of core and front nodes that serve jobs. Ruled out: a builder in internal/daemon, which knows nothing of stores and controllers.

--- a/cmd/cplane/platform.go
+++ b/cmd/cplane/platform.go
@@ -12,15 +12,13 @@
 	"github.com/go-kit/log/level"
 	"github.com/urfave/cli/v3"
 
-	"crosstide/internal/clock"
 	"crosstide/internal/config"
 	"crosstide/internal/controller"
 	"crosstide/internal/daemon"
 	"crosstide/internal/errs"
-	"crosstide/internal/routine"
+	"crosstide/internal/node"
 	"crosstide/internal/rpc"
 	"crosstide/internal/scheduler"
-	"crosstide/internal/store"
 	"crosstide/platform"
 )
 
@@ -33,10 +31,7 @@
 	// platformSlotEvery is the number of log entries between two slots: a restart replays no more than about twice as many.
 	platformSlotEvery = 1000
 
-	dialTimeout = 700 * time.Millisecond  // a connection to a machine that is gone hangs
-	userTimeout = 1500 * time.Millisecond // how long the kernel resends bytes that nobody confirms
-	exitMargin  = 500 * time.Millisecond  // left of the grace for the process's own end
-	workerIdle  = 4                       // idle connections kept to each worker and node
+	exitMargin = 500 * time.Millisecond // left of the grace for the process's own end
 )
 
 // platformCommand runs a core node on the users' platform.
@@ -57,43 +52,35 @@
 		}}
 }
 
-// coreNode is a core node: a member of the store, the leader's controller, and the doors for workers and operators.
-type coreNode struct {
-	settings platform.CoreSettings
-	logger   log.Logger
-	store    *store.Store
-	leader   *controller.Leader
-	client   *controller.Client // asks the leader where this node does not lead
-	inner    *rpc.Server        // other nodes call it
-	control  *rpc.Server        // workers and operators call it
-}
-
 // serveCore runs a core node until ctx ends, then hands the lead over and drains. changed tells that the settings have
 // changed.
 func serveCore(ctx context.Context, settings platform.Settings, changed <-chan os.Signal, logger log.Logger) error {
 	core := settings.Core()
 	daemon.LimitMemory(core.MemoryBytes)
-	caller := rpc.NewCaller(rpc.CallerOptions{DialTimeout: dialTimeout, UserTimeout: userTimeout, Idle: workerIdle,
-		Logger: daemon.Part(logger, "caller")})
-	defer caller.Close()
-	node, err := newCoreNode(core, settings.Limits.FileDescriptors, caller, logger)
+	served, err := node.NewCore(coreOptions(core, settings.Limits.FileDescriptors, logger))
 	if err != nil {
 		return errs.Pass(err, "make the node")
 	}
-	if err := node.start(); err != nil {
-		node.store.Stop()
-		return errs.Pass(err, "start")
+	err = served.Run(ctx, func(ctx context.Context) { followSettings(ctx, served, changed, logger) })
+	return errs.Pass(err, "serve")
+}
+
+// coreOptions maps the platform's settings to a core node's options.
+func coreOptions(core platform.CoreSettings, descriptors int, logger log.Logger) node.CoreOptions {
+	return node.CoreOptions{
+		Store: storeSettings(core), Open: open,
+		Scheduler: schedulerSettings(core.Scheduler), KeepOver: 2 * core.Scheduler.KeepStateFor,
+		Workers:      func(caller *rpc.Caller) scheduler.Workers { return platform.NewWorkers(exchanger{caller}, 0) },
+		OrdersByBeat: core.OrdersByBeat, Control: core.ControlAddress,
+		ServeControl: func(control *rpc.Server, relay *controller.Relay) {
+			platform.NewControlPlane(relay, core.ControlAddress).Routes(control)
+		},
+		Descriptors: descriptors, Grace: core.Grace - exitMargin, Logger: logger, Version: version,
 	}
-	reload := routine.New(context.Background())
-	reload.Go(func(ctx context.Context) { node.followSettings(ctx, changed) })
-	<-ctx.Done()
-	reload.Stop()
-	node.stop()
-	return nil
 }
 
 // followSettings takes new seeds from the settings whenever the process is told that they changed.
-func (n *coreNode) followSettings(ctx context.Context, changed <-chan os.Signal) {
+func followSettings(ctx context.Context, core *node.Core, changed <-chan os.Signal, logger log.Logger) {
 	for {
 		select {
 		case <-ctx.Done():
@@ -102,79 +89,13 @@
 		}
 		settings, err := platform.LoadSettings()
 		if err != nil {
-			_ = level.Warn(n.logger).Log("msg", "the settings cannot be read; the old seeds stay", "err", err)
+			_ = level.Warn(logger).Log("msg", "the settings cannot be read; the old seeds stay", "err", err)
 			continue
 		}
-		seeds := settings.Core().Seeds
-		n.client.SetSeeds(seeds)
-		n.store.LearnAddresses(seeds...)
-	}
-}
-
-func newCoreNode(core platform.CoreSettings, descriptors int, caller *rpc.Caller, logger log.Logger) (*coreNode, error) {
-	set := storeSettings(core)
-	node := &coreNode{settings: core, logger: logger}
-	var err error
-	node.store, err = open(store.Options{Settings: set, Net: store.Wire(caller, set), Logger: daemon.Part(logger, "store"),
-		Fatal: func(err error) {
-			_ = level.Error(logger).Log("msg", "the process ends", "err", err)
-			os.Exit(1)
-		}}, logger)
-	if err != nil {
-		return nil, errs.Pass(err, "open the store")
-	}
-	options := controller.LeaderOptions{Store: node.store,
-		Workers: platform.NewWorkers(exchanger{caller}, 0), Config: schedulerSettings(core.Scheduler),
-		Control: core.ControlAddress, KeepOver: 2 * core.Scheduler.KeepStateFor, Clock: clock.Real{}, Logger: daemon.Part(logger, "controller")}
-	if core.OrdersByBeat {
-		options.Mailboxes = controller.NewMailboxes()
-		options.Workers = options.Mailboxes
+		core.SetSeeds(settings.Core().Seeds)
 	}
-	node.leader = controller.NewLeader(options)
-	node.client = controller.NewClient(controller.ClientOptions{Caller: caller, Seeds: core.Seeds, Self: core.InternalAddress,
-		Logger: daemon.Part(logger, "client")})
-	node.inner = rpc.NewServer(rpc.ServerOptions{Addr: core.InternalAddress, Loops: 1, Descriptors: descriptors, Logger: daemon.Part(logger, "wire")})
-	node.store.Serve(node.inner)
-	controller.Serve(node.inner, node.leader)
-	node.control = rpc.NewServer(rpc.ServerOptions{Addr: core.ControlAddress, Loops: 1, Descriptors: descriptors, Logger: daemon.Part(logger, "control")})
-	relay := controller.NewRelay(node.leader, node.client, core.InternalAddress)
-	platform.NewControlPlane(relay, core.ControlAddress).Routes(node.control)
-	return node, nil
 }
 
-func (n *coreNode) start() error {
-	if err := n.inner.Start(); err != nil {
-		return errs.Pass(err, "serve other nodes")
-	}
-	if err := n.control.Start(); err != nil {
-		_ = n.inner.Stop(0) // the start is given up: nobody has called yet
-		return errs.Pass(err, "serve workers and operators")
-	}
-	n.store.Start()
-	n.leader.Start()
-	n.client.Start()
-	_ = level.Info(n.logger).Log("msg", "serving", "addr", n.inner.Addr(), "zone", n.settings.Zone, "version", version)
-	return nil
-}
-
-// stop hands the lead over first, so that the next leader begins while this one still answers.
-func (n *coreNode) stop() {
-	leave, over := context.WithTimeout(context.Background(), n.grace())
-	defer over()
-	n.store.Handover(leave)
-	if err := n.control.Stop(time.Second); err != nil {
-		_ = level.Warn(n.logger).Log("msg", "calls were cut off", "err", err)
-	}
-	n.client.Stop()
-	n.leader.Stop()
-	if err := n.inner.Stop(time.Second); err != nil {
-		_ = level.Debug(n.logger).Log("msg", "calls of nodes were cut off", "err", err)
-	}
-	n.store.Stop()
-}
-
-func (n *coreNode) grace() time.Duration { return max(n.settings.Grace-exitMargin, time.Second) }
-
 // storeSettings maps the platform's settings of a core node to the store's. The founders are the seeds.
 func storeSettings(core platform.CoreSettings) config.Cplane {
 	set := config.DefaultCplane()
--- a/cmd/cplane/platform_test.go
+++ b/cmd/cplane/platform_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/go-kit/log"
 	. "github.com/smartystreets/goconvey/convey"
 
 	"crosstide/internal/config"
@@ -26,6 +27,17 @@
 	})
 }
 
+func TestCoreOptions(t *testing.T) {
+	Convey("The platform's settings make a core node's options", t, func() {
+		core := platform.CoreSettings{Name: "10.1.0.10", InternalAddress: "10.1.0.10:7720", ControlAddress: "10.1.0.10:7800",
+			Grace: 6 * time.Second, OrdersByBeat: true, Scheduler: platform.SchedulerSettings{KeepStateFor: time.Minute}}
+		options := coreOptions(core, 4000, log.NewNopLogger())
+		So([]any{options.Store.Addr, options.Control, options.Grace, options.KeepOver, options.OrdersByBeat, options.Descriptors}, ShouldResemble,
+			[]any{"10.1.0.10:7720", "10.1.0.10:7800", 5500 * time.Millisecond, 2 * time.Minute, true, 4000})
+		So(options.Workers(nil), ShouldHaveSameTypeAs, &platform.Workers{})
+	})
+}
+
 func TestExchanger(t *testing.T) {
 	Convey("A platform request goes out over the caller, and any status comes back with its head", t, func() {
 		s := rpc.NewServer(rpc.ServerOptions{Addr: "127.0.0.1:0"})
--- a/cmd/dplane/platform.go
+++ b/cmd/dplane/platform.go
@@ -5,32 +5,18 @@
 	"os"
 	"os/signal"
 	"syscall"
-	"time"
 
 	"github.com/go-kit/log"
-	"github.com/go-kit/log/level"
 	"github.com/urfave/cli/v3"
 
-	"crosstide/internal/clock"
 	"crosstide/internal/controller"
 	"crosstide/internal/daemon"
 	"crosstide/internal/errs"
-	"crosstide/internal/routine"
+	"crosstide/internal/node"
 	"crosstide/internal/rpc"
 	"crosstide/platform"
 )
 
-const (
-	coreDialTimeout = 700 * time.Millisecond // a connection to a machine that is gone hangs
-	coreUserTimeout = 1500 * time.Millisecond
-	coreIdle        = 64 // idle connections kept to each core node
-
-	leaveFor      = 2500 * time.Millisecond // new clients still come so long after the node says that it is not ready
-	exitMargin    = 500 * time.Millisecond  // left of the grace for the process's own end
-	defaultGrace  = 5 * time.Second
-	settingsEvery = 10 * time.Second // the settings are read again so often while no leader is found
-)
-
 // platformCommand runs a front node on the users' platform.
 func platformCommand() *cli.Command {
 	return &cli.Command{Name: "platform", Usage: "serve as a front node of the users' platform",
@@ -49,113 +35,24 @@
 		}}
 }
 
-// front is a front node: it takes clients' calls and passes them to the core.
-type front struct {
-	settings  platform.CoreSettings
-	logger    log.Logger
-	load      func() (platform.Settings, error) // reads the settings anew
-	client    *controller.Client
-	clients   *rpc.Server // clients call it
-	readiness readiness
-	asked     *rpc.Server // it is asked for readiness
-}
-
 // serveFront runs a front node until ctx ends, then lets it drain. changed tells that the settings have changed.
 func serveFront(ctx context.Context, settings platform.Settings, changed <-chan os.Signal, logger log.Logger) error {
 	core := settings.Core()
 	daemon.LimitMemory(core.MemoryBytes)
-	caller := rpc.NewCaller(rpc.CallerOptions{DialTimeout: coreDialTimeout, UserTimeout: coreUserTimeout, Idle: coreIdle,
-		Logger: daemon.Part(logger, "caller")})
-	defer caller.Close()
-	f := newFront(core, settings.Limits.FileDescriptors, caller, logger)
-	if err := f.start(); err != nil {
-		return errs.Pass(err, "start")
-	}
-	reload := routine.New(context.Background())
-	reload.Go(func(ctx context.Context) { f.followSettings(ctx, changed) })
-	<-ctx.Done()
-	reload.Stop()
-	f.stop()
-	return nil
-}
-
-func newFront(core platform.CoreSettings, descriptors int, caller *rpc.Caller, logger log.Logger) *front {
-	f := &front{settings: core, logger: logger, load: platform.LoadSettings}
-	f.client = controller.NewClient(controller.ClientOptions{Caller: caller, Seeds: core.Seeds,
-		Logger: daemon.Part(logger, "client")})
-	f.readiness.fresh, f.readiness.within = f.client.Ready, f.client.ReadyWithin
-	f.clients = rpc.NewServer(rpc.ServerOptions{Addr: core.ClientAddress, Loops: 1, Descriptors: descriptors,
-		Logger: daemon.Part(logger, "wire")})
-	platform.NewIngress(f.client).Routes(f.clients)
-	f.asked = rpc.NewServer(rpc.ServerOptions{Addr: core.ReadyAddress, Loops: 1, Descriptors: descriptors,
-		Logger: daemon.Part(logger, "wire")})
-	platform.Readiness(f.asked, f.readiness.check)
-	return f
-}
-
-func (f *front) start() error {
-	if err := f.clients.Start(); err != nil {
-		return errs.Pass(err, "serve clients")
-	}
-	if err := f.asked.Start(); err != nil {
-		_ = f.clients.Stop(0) // the start is given up: nobody has called yet
-		return errs.Pass(err, "serve readiness")
-	}
-	f.client.Start()
-	_ = level.Info(f.logger).Log("msg", "serving", "addr", f.clients.Addr(), "zone", f.settings.Zone, "version", version)
-	return nil
-}
-
-// followSettings takes new seeds from the settings: when the process is told that they changed, and now and again while
-// no leader is found, for they may change without a word.
-func (f *front) followSettings(ctx context.Context, changed <-chan os.Signal) {
-	for {
-		due := make(chan struct{})
-		ring := clock.Real{}.Set(settingsEvery, func() { close(due) })
-		select {
-		case <-ctx.Done():
-			ring.Stop()
-			return
-		case <-changed:
-			f.readSeeds()
-		case <-due:
-			if f.client.Ready() != nil {
-				f.readSeeds()
-			}
-		}
-		ring.Stop()
-	}
+	front := node.NewFront(frontOptions(core, settings.Limits.FileDescriptors, logger))
+	return errs.Pass(front.Run(ctx, changed), "serve")
 }
 
-func (f *front) readSeeds() {
-	settings, err := f.load()
-	if err != nil {
-		_ = level.Warn(f.logger).Log("msg", "the settings cannot be read; the old seeds stay", "err", err)
-		return
-	}
-	f.client.SetSeeds(settings.Core().Seeds)
-}
-
-// stop lets the node go: it is not ready any more, serves on while new clients may still come, then refuses new calls
-// and answers those that run.
-func (f *front) stop() {
-	clock := clock.Real{}
-	begin := clock.Now()
-	grace := f.settings.Grace
-	if grace <= 0 {
-		grace = defaultGrace
-	}
-	grace = max(grace-exitMargin, grace/2)
-	f.readiness.drain()
-	gone := make(chan struct{})
-	clock.Set(min(leaveFor, grace/2), func() { close(gone) })
-	<-gone
-	if err := f.clients.Stop(max(grace-(clock.Now()-begin), 0)); err != nil {
-		_ = level.Warn(f.logger).Log("msg", "calls were cut off", "err", err)
-	}
-	f.client.Stop()
-	if err := f.asked.Stop(0); err != nil {
-		_ = level.Debug(f.logger).Log("msg", "a question for readiness was cut off", "err", err)
+// frontOptions maps the platform's settings to a front node's options.
+func frontOptions(core platform.CoreSettings, descriptors int, logger log.Logger) node.FrontOptions {
+	return node.FrontOptions{
+		Core: core.Seeds, Address: core.ClientAddress, ReadyAddress: core.ReadyAddress,
+		ServeClients: func(clients *rpc.Server, client *controller.Client) { platform.NewIngress(client).Routes(clients) },
+		ServeReady:   platform.Readiness,
+		ReadSeeds: func() ([]string, error) {
+			settings, err := platform.LoadSettings()
+			return settings.Core().Seeds, errs.Pass(err, "seeds")
+		},
+		Descriptors: descriptors, Grace: core.Grace, Logger: logger, Zone: core.Zone, Version: version,
 	}
-	_ = level.Info(f.logger).Log("msg", "end")
 }
--- a/cmd/dplane/platform_test.go
+++ b/cmd/dplane/platform_test.go
@@ -2,12 +2,7 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
-	"net/netip"
-	"os"
-	"runtime"
-	"syscall"
 	"testing"
 	"time"
 
@@ -15,95 +10,58 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"crosstide/internal/controller"
+	"crosstide/internal/errs"
 	"crosstide/internal/jobs"
-	"crosstide/internal/routine"
 	"crosstide/internal/rpc"
 	"crosstide/platform"
 )
 
-// startLeader starts a core of one node; a cancel is held until gate is closed.
-func startLeader(gate chan struct{}, entered chan<- struct{}) (addr string, end func()) {
+// startLeader starts a core of one node that cancels every job.
+func startLeader() *rpc.Server {
 	s := rpc.NewServer(rpc.ServerOptions{Addr: "127.0.0.1:0"})
-	rpc.Handle(s, controller.TopologyPair, func(context.Context, controller.TopologyCall) (controller.TopologyAnswer, error) {
-		return controller.TopologyAnswer{Leader: s.Addr(), Members: []string{s.Addr()}}, nil
-	})
 	rpc.Handle(s, controller.JobPair, func(context.Context, controller.JobCall) (controller.JobAnswer, error) {
-		entered <- struct{}{}
-		<-gate
 		return controller.JobAnswer{State: jobs.Cancelled}, nil
 	})
 	So(s.Start(), ShouldBeNil)
-	return s.Addr(), func() { So(s.Stop(time.Minute), ShouldBeNil) }
+	return s
 }
 
-// cancelJob cancels a job at a front node and gives the answer's status, 0 for none.
-func cancelJob(addr string) int {
-	req, err := http.NewRequest(http.MethodDelete, "http://"+addr+"/queue/00000000000000a1", nil)
-	if err != nil {
-		return 0
-	}
-	req.Close = true
-	res, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return 0
-	}
-	defer res.Body.Close()
-	_, _ = io.Copy(io.Discard, res.Body)
-	return res.StatusCode
+// send makes a request and gives the answer's status.
+func send(method, url string) int {
+	request, err := http.NewRequest(method, url, nil)
+	So(err, ShouldBeNil)
+	request.Close = true
+	response, err := http.DefaultClient.Do(request)
+	So(err, ShouldBeNil)
+	So(response.Body.Close(), ShouldBeNil)
+	return response.StatusCode
 }
 
-func TestFront(t *testing.T) {
-	Convey("A front node serves clients, says that it is not ready once it stops, and still answers what runs", t, func() {
-		gate, entered := make(chan struct{}), make(chan struct{}, 10)
-		leader, end := startLeader(gate, entered)
-		defer end()
+func TestFrontOptions(t *testing.T) {
+	Convey("The platform's settings make a front node that passes clients' calls on and tells its readiness", t, func() {
+		leader := startLeader()
+		core := platform.CoreSettings{ClientAddress: "10.0.0.1:80", ReadyAddress: "10.0.0.1:81", Seeds: []string{leader.Addr()},
+			Zone: "z", Grace: 3 * time.Second}
+		options := frontOptions(core, 4000, log.NewNopLogger())
+		So([]any{options.Core, options.Address, options.ReadyAddress, options.Descriptors, options.Grace, options.Zone}, ShouldResemble,
+			[]any{core.Seeds, core.ClientAddress, core.ReadyAddress, 4000, core.Grace, core.Zone})
+		server := rpc.NewServer(rpc.ServerOptions{Addr: "127.0.0.1:0"})
 		caller := rpc.NewCaller(rpc.CallerOptions{})
-		defer caller.Close()
-		f := newFront(platform.CoreSettings{ClientAddress: "127.0.0.1:0", ReadyAddress: "127.0.0.1:0", Seeds: []string{leader},
-			Grace: 3 * time.Second}, 4000, caller, log.NewNopLogger())
-		So(f.start(), ShouldBeNil)
-		for f.readiness.check() != nil { // until the first probe is answered
-			runtime.Gosched()
-		}
-		answers := make(chan int, 1)
-		work := routine.New(context.Background())
-		work.Go(func(context.Context) {
-			answers <- cancelJob(f.clients.Addr())
-		})
-		<-entered
-		work.Go(func(context.Context) { f.stop() })
-		for f.readiness.check() == nil {
-			runtime.Gosched()
-		}
-		close(gate)
-		So(<-answers, ShouldEqual, http.StatusOK)
-		work.Wait()
-		So(cancelJob(f.clients.Addr()), ShouldEqual, 0)
+		options.ServeClients(server, controller.NewClient(controller.ClientOptions{Caller: caller, Seeds: options.Core}))
+		ready := errs.New(errs.Unavailable, "not yet")
+		options.ServeReady(server, func() error { return ready })
+		So(server.Start(), ShouldBeNil)
+		So(send(http.MethodDelete, "http://"+server.Addr()+"/queue/00000000000000a1"), ShouldEqual, http.StatusOK)
+		So(send(http.MethodGet, "http://"+server.Addr()+"/readiness"), ShouldEqual, http.StatusServiceUnavailable)
+		ready = nil
+		So(send(http.MethodGet, "http://"+server.Addr()+"/readiness"), ShouldEqual, http.StatusOK)
+		caller.Close()
+		So(server.Stop(time.Minute), ShouldBeNil)
+		So(leader.Stop(time.Minute), ShouldBeNil)
 	})
-	Convey("New seeds are read when the settings change", t, func() {
-		gate, entered := make(chan struct{}), make(chan struct{}, 10)
-		close(gate)
-		leader, end := startLeader(gate, entered)
-		defer end()
-		at, err := netip.ParseAddrPort(leader)
-		So(err, ShouldBeNil)
-		caller := rpc.NewCaller(rpc.CallerOptions{})
-		defer caller.Close()
-		f := newFront(platform.CoreSettings{ClientAddress: "127.0.0.1:0", ReadyAddress: "127.0.0.1:0"}, 4000, caller, log.NewNopLogger())
-		f.load = func() (platform.Settings, error) {
-			return platform.Settings{InternalPorts: [2]int{int(at.Port()), int(at.Port())}, Seeds: []string{"127.0.0.1:1"}}, nil
-		}
-		ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
-		defer cancel()
-		_, err = f.client.Job(ctx, controller.JobCall{})
-		So(err, ShouldNotBeNil) // no seed at all
-		changed := make(chan os.Signal)
-		work := routine.New(context.Background())
-		work.Go(func(ctx context.Context) { f.followSettings(ctx, changed) })
-		changed <- syscall.SIGHUP
-		changed <- syscall.SIGHUP // taken once the first one is done with
-		_, err = f.client.Job(ctx, controller.JobCall{})
-		So(err, ShouldBeNil)
-		work.Stop()
+	Convey("Settings that cannot be read leave the seeds", t, func() {
+		t.Setenv("CROSSTIDE_SETTINGS", "")
+		_, err := frontOptions(platform.CoreSettings{}, 0, log.NewNopLogger()).ReadSeeds()
+		So(errs.KindOf(err), ShouldEqual, errs.Settings)
 	})
 }
--- /dev/null
+++ b/internal/config/jobs_test.go
@@ -0,0 +1,86 @@
+package config
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// writeSettings writes a settings file and gives its path.
+func writeSettings(t *testing.T, text string) string {
+	path := filepath.Join(t.TempDir(), "settings.json")
+	So(os.WriteFile(path, []byte(text), 0o600), ShouldBeNil)
+	return path
+}
+
+// mistakenFields gives the fields of all mistakes in err.
+func mistakenFields(err error) string {
+	var mistakes Mistakes
+	if !errors.As(err, &mistakes) {
+		return ""
+	}
+	var fields []string
+	for _, one := range mistakes {
+		fields = append(fields, one.Field)
+	}
+	return strings.Join(fields, " ")
+}
+
+func jobsCore(section string) string {
+	return `{"name":"c1","zone":"z","region":"r","addr":"127.0.0.1:7101","seeds":["127.0.0.1:7102"],"data":"d",
+		"members":[{"id":"c1","addr":"127.0.0.1:7101","zone":"z"}]` + section + `}`
+}
+
+func TestJobsCore(t *testing.T) {
+	Convey("A core node's settings are a cplane's and the section jobs", t, func() {
+		set, err := LoadJobsCore(writeSettings(t, jobsCore(`,"election":"2s","jobs":{"control":"127.0.0.1:7201","lease":"6s","remote_factor":2}`)))
+		So(err, ShouldBeNil)
+		So([]any{set.Name, set.Election, set.Control, set.Scheduler.Lease, set.Scheduler.HoldWait, set.Scheduler.RemoteFactor, set.KeepOver}, ShouldResemble,
+			[]any{"c1", 2 * time.Second, "127.0.0.1:7201", 6 * time.Second, time.Second, 2.0, 10 * time.Minute})
+		So(CheckJobsCore(set), ShouldBeNil)
+		set.Control = set.Addr
+		So(mistakenFields(CheckJobsCore(set)), ShouldEqual, "jobs.control")
+	})
+	Convey("Every mistake is told with its field, all at once", t, func() {
+		for section, fields := range map[string]string{
+			``:                                     "jobs",
+			`,"jobs":7`:                            "jobs",
+			`,"jobs":{}`:                           "jobs.control",
+			`,"jobs":{"control":"here"}`:           "jobs.control",
+			`,"jobs":{"control":"127.0.0.1:7101"}`: "jobs.control",
+			`,"jobs":{"control":"127.0.0.1:7201","lease":"2s"}`:                                            "jobs.hold_wait",
+			`,"jobs":{"control":"127.0.0.1:7201","forget_after":"5s"}`:                                     "jobs.forget_after",
+			`,"jobs":{"control":"127.0.0.1:7201","color":1,"silence":4,"remote_factor":0.5}`:               "jobs.silence jobs.remote_factor jobs.color",
+			`,"jobs":{"control":"127.0.0.1:7201","keep_over":"-1s","call_timeout":"0s","early_start":"x"}`: "jobs.call_timeout jobs.keep_over jobs.early_start",
+			`,"lease":"9s","jobs":{"control":"127.0.0.1:7201","lapse_margin":"2h"}`:                        "lease jobs.lapse_margin",
+		} {
+			_, err := LoadJobsCore(writeSettings(t, jobsCore(section)))
+			So(section+" "+mistakenFields(err), ShouldEqual, section+" "+fields)
+		}
+	})
+}
+
+func TestJobsFront(t *testing.T) {
+	Convey("A front node's settings", t, func() {
+		const needed = `"name":"d1","zone":"z","region":"r","addr":"127.0.0.1:7001"`
+		set, err := LoadJobsFront(writeSettings(t, `{`+needed+`,"core":["127.0.0.1:7101"],"call_timeout":"5s"}`))
+		So(err, ShouldBeNil)
+		So([]any{set.CoreAddresses(), set.CallTimeout}, ShouldResemble, []any{[]string{"127.0.0.1:7101"}, 5 * time.Second})
+		So(CheckJobsFront(set), ShouldBeNil)
+		set, err = LoadJobsFront(writeSettings(t, `{`+needed+`,"seeds":["127.0.0.1:7102"]}`))
+		So([]any{set.CoreAddresses(), err}, ShouldResemble, []any{[]string{"127.0.0.1:7102"}, nil})
+		for text, fields := range map[string]string{
+			`{` + needed + `}`:                                        "core",
+			`{"core":["127.0.0.1:7101"]}`:                             "name zone region addr",
+			`{` + needed + `,"core":["x"],"call_timeout":1,"hold":1}`: "core[0] core call_timeout hold",
+		} {
+			_, err := LoadJobsFront(writeSettings(t, text))
+			So(text+" "+mistakenFields(err), ShouldEqual, text+" "+fields)
+		}
+	})
+}
--- /dev/null
+++ b/internal/node/core.go
@@ -0,0 +1,174 @@
+// Package node builds the two kinds of nodes that serve jobs, from typed options: a core node is a member of the
+// replicated store with the leader's controller, a front node takes clients' calls and passes them on. What is said to
+// clients, workers and operators is the caller's to add.
+package node
+
+import (
+	"context"
+	"os"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"crosstide/internal/clock"
+	"crosstide/internal/config"
+	"crosstide/internal/controller"
+	"crosstide/internal/daemon"
+	"crosstide/internal/errs"
+	"crosstide/internal/routine"
+	"crosstide/internal/rpc"
+	"crosstide/internal/scheduler"
+	"crosstide/internal/store"
+)
+
+const (
+	dialTimeout = 700 * time.Millisecond  // a connection to a machine that is gone hangs
+	userTimeout = 1500 * time.Millisecond // how long the kernel resends bytes that nobody confirms
+	workerIdle  = 4                       // idle connections that a core node keeps to each worker and node
+	leastGrace  = time.Second             // for handing the lead over
+	drainWithin = time.Second             // for calls that run at the end
+)
+
+// CoreOptions are the parts of a core node.
+type CoreOptions struct {
+	Store config.Cplane // settings of the store; its seeds are the nodes to ask at first
+	// Open opens the store.
+	Open      func(opt store.Options, logger log.Logger) (*store.Store, error)
+	Scheduler scheduler.Config
+	KeepOver  time.Duration // how long a job that is over stays; 0 takes a default
+	// Workers carries orders to workers. It is not asked with OrdersByBeat.
+	Workers      func(caller *rpc.Caller) scheduler.Workers
+	OrdersByBeat bool   // orders go with the answers to workers' heartbeats
+	Control      string // address for workers and operators
+	// ServeControl adds the calls of workers and operators.
+	ServeControl func(control *rpc.Server, relay *controller.Relay)
+	// ServeNodes adds further calls at the address of Store; nil adds none.
+	ServeNodes  func(inner *rpc.Server, store *store.Store)
+	Descriptors int                   // bound on file descriptors; 0: the system's
+	Grace       time.Duration         // for handing the lead over, a second at least
+	Registry    prometheus.Registerer // nil: metrics are not shown
+	Logger      log.Logger
+	Version     string
+}
+
+// Core is a core node.
+type Core struct {
+	opt     CoreOptions
+	caller  *rpc.Caller
+	store   *store.Store
+	leader  *controller.Leader
+	client  *controller.Client // asks the leader where this node does not lead
+	inner   *rpc.Server        // other nodes call it
+	control *rpc.Server        // workers and operators call it
+}
+
+// NewCore makes a core node and opens its store. Example:
+//
+//	core, err := node.NewCore(options)
+//	if err != nil {
+//		return errs.Pass(err, "core node")
+//	}
+//	return core.Run(ctx)
+func NewCore(opt CoreOptions) (*Core, error) {
+	part := func(name string) log.Logger { return daemon.Part(opt.Logger, name) }
+	n := &Core{opt: opt}
+	n.caller = rpc.NewCaller(rpc.CallerOptions{DialTimeout: dialTimeout, UserTimeout: userTimeout, Idle: workerIdle,
+		Via: opt.Store.Via, Registry: opt.Registry, Logger: part("caller")})
+	var err error
+	n.store, err = opt.Open(store.Options{Settings: opt.Store, Net: store.Wire(n.caller, opt.Store), Logger: part("store"),
+		Registry: opt.Registry, Fatal: n.fatal}, opt.Logger)
+	if err != nil {
+		n.caller.Close()
+		return nil, errs.Pass(err, "open the store")
+	}
+	n.leader = controller.NewLeader(n.leaderOptions())
+	n.client = controller.NewClient(controller.ClientOptions{Caller: n.caller, Seeds: opt.Store.Seeds, Self: opt.Store.Addr,
+		Logger: part("client")})
+	n.inner = n.server(opt.Store.Addr, "wire")
+	n.store.Serve(n.inner)
+	controller.Serve(n.inner, n.leader)
+	if opt.ServeNodes != nil {
+		opt.ServeNodes(n.inner, n.store)
+	}
+	n.control = n.server(opt.Control, "control")
+	opt.ServeControl(n.control, controller.NewRelay(n.leader, n.client, opt.Store.Addr))
+	return n, nil
+}
+
+func (n *Core) server(addr, part string) *rpc.Server {
+	return rpc.NewServer(rpc.ServerOptions{Addr: addr, Loops: 1, Descriptors: n.opt.Descriptors, Registry: n.opt.Registry,
+		Logger: daemon.Part(n.opt.Logger, part)})
+}
+
+func (n *Core) leaderOptions() controller.LeaderOptions {
+	options := controller.LeaderOptions{Store: n.store, Config: n.opt.Scheduler, Control: n.opt.Control, KeepOver: n.opt.KeepOver,
+		Clock: clock.Real{}, Logger: daemon.Part(n.opt.Logger, "controller")}
+	if n.opt.OrdersByBeat {
+		options.Mailboxes = controller.NewMailboxes()
+		options.Workers = options.Mailboxes
+	} else {
+		options.Workers = n.opt.Workers(n.caller)
+	}
+	return options
+}
+
+func (n *Core) fatal(err error) {
+	_ = level.Error(n.opt.Logger).Log("msg", "the process ends", "err", err)
+	os.Exit(1)
+}
+
+// Run serves until ctx ends, then hands the lead over and drains. background runs meanwhile.
+func (n *Core) Run(ctx context.Context, background ...func(ctx context.Context)) error {
+	defer n.caller.Close()
+	if err := n.start(); err != nil {
+		n.store.Stop()
+		return errs.Pass(err, "start")
+	}
+	work := routine.New(context.Background())
+	for _, one := range background {
+		work.Go(one)
+	}
+	<-ctx.Done()
+	work.Stop()
+	n.stop()
+	return nil
+}
+
+// SetSeeds replaces the nodes to ask at first.
+func (n *Core) SetSeeds(seeds []string) {
+	n.client.SetSeeds(seeds)
+	n.store.LearnAddresses(seeds...)
+}
+
+func (n *Core) start() error {
+	if err := n.inner.Start(); err != nil {
+		return errs.Pass(err, "serve other nodes")
+	}
+	if err := n.control.Start(); err != nil {
+		_ = n.inner.Stop(0) // the start is given up: nobody has called yet
+		return errs.Pass(err, "serve workers and operators")
+	}
+	n.store.Start()
+	n.leader.Start()
+	n.client.Start()
+	_ = level.Info(n.opt.Logger).Log("msg", "serving", "addr", n.inner.Addr(), "zone", n.opt.Store.Zone, "version", n.opt.Version)
+	return nil
+}
+
+// stop hands the lead over first, so that the next leader begins while this one still answers.
+func (n *Core) stop() {
+	leave, over := context.WithTimeout(context.Background(), max(n.opt.Grace, leastGrace))
+	defer over()
+	n.store.Handover(leave)
+	if err := n.control.Stop(drainWithin); err != nil {
+		_ = level.Warn(n.opt.Logger).Log("msg", "calls were cut off", "err", err)
+	}
+	n.client.Stop()
+	n.leader.Stop()
+	if err := n.inner.Stop(drainWithin); err != nil {
+		_ = level.Debug(n.opt.Logger).Log("msg", "calls of nodes were cut off", "err", err)
+	}
+	n.store.Stop()
+}
--- /dev/null
+++ b/internal/node/front_test.go
@@ -0,0 +1,130 @@
+package node
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"os"
+	"runtime"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	. "github.com/smartystreets/goconvey/convey"
+
+	"crosstide/internal/controller"
+	"crosstide/internal/jobs"
+	"crosstide/internal/routine"
+	"crosstide/internal/rpc"
+)
+
+// startLeader starts a core of one node; a cancel is held until gate is closed.
+func startLeader(gate chan struct{}, entered chan<- struct{}) (addr string, end func()) {
+	s := rpc.NewServer(rpc.ServerOptions{Addr: "127.0.0.1:0"})
+	rpc.Handle(s, controller.TopologyPair, func(context.Context, controller.TopologyCall) (controller.TopologyAnswer, error) {
+		return controller.TopologyAnswer{Leader: s.Addr(), Members: []string{s.Addr()}}, nil
+	})
+	rpc.Handle(s, controller.JobPair, func(context.Context, controller.JobCall) (controller.JobAnswer, error) {
+		entered <- struct{}{}
+		<-gate
+		return controller.JobAnswer{State: jobs.Cancelled}, nil
+	})
+	So(s.Start(), ShouldBeNil)
+	return s.Addr(), func() { So(s.Stop(time.Minute), ShouldBeNil) }
+}
+
+// serveCancel answers a client's DELETE by a cancel at the leader.
+func serveCancel(clients *rpc.Server, client *controller.Client) {
+	clients.Route("DELETE /job", func(w http.ResponseWriter, r *http.Request) {
+		answer, err := client.Job(r.Context(), controller.JobCall{Cancel: true})
+		if err != nil {
+			rpc.WriteError(w, err)
+			return
+		}
+		rpc.WriteJSON(w, http.StatusOK, answer)
+	})
+}
+
+// serveReady answers GET /ready.
+func serveReady(asked *rpc.Server, check func() error) {
+	asked.Route("GET /ready", func(w http.ResponseWriter, _ *http.Request) {
+		if err := check(); err != nil {
+			rpc.WriteError(w, err)
+			return
+		}
+		rpc.WriteJSON(w, http.StatusOK, struct{}{})
+	})
+}
+
+// frontOf are the options of a front node of a core.
+func frontOf(core ...string) FrontOptions {
+	return FrontOptions{Core: core, Address: "127.0.0.1:0", ReadyAddress: "127.0.0.1:0", ServeClients: serveCancel, ServeReady: serveReady,
+		Descriptors: 4000, Grace: 3 * time.Second, Logger: log.NewNopLogger()}
+}
+
+// cancelJob cancels a job at a front node and gives the answer's status, 0 for none.
+func cancelJob(addr string) int {
+	req, err := http.NewRequest(http.MethodDelete, "http://"+addr+"/job", nil)
+	if err != nil {
+		return 0
+	}
+	req.Close = true
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0
+	}
+	defer res.Body.Close()
+	_, _ = io.Copy(io.Discard, res.Body)
+	return res.StatusCode
+}
+
+func TestFront(t *testing.T) {
+	Convey("A front node serves clients, says that it is not ready once it stops, and still answers what runs", t, func() {
+		gate, entered := make(chan struct{}), make(chan struct{}, 10)
+		leader, end := startLeader(gate, entered)
+		defer end()
+		f := NewFront(frontOf(leader))
+		defer f.caller.Close()
+		So(f.start(), ShouldBeNil)
+		for f.readiness.check() != nil { // until the first probe is answered
+			runtime.Gosched()
+		}
+		answers := make(chan int, 1)
+		work := routine.New(context.Background())
+		work.Go(func(context.Context) {
+			answers <- cancelJob(f.clients.Addr())
+		})
+		<-entered
+		work.Go(func(context.Context) { f.stop() })
+		for f.readiness.check() == nil {
+			runtime.Gosched()
+		}
+		close(gate)
+		So(<-answers, ShouldEqual, http.StatusOK)
+		work.Wait()
+		So(cancelJob(f.clients.Addr()), ShouldEqual, 0)
+	})
+	Convey("New seeds are read when the settings change", t, func() {
+		gate, entered := make(chan struct{}), make(chan struct{}, 10)
+		close(gate)
+		leader, end := startLeader(gate, entered)
+		defer end()
+		options := frontOf()
+		options.ReadSeeds = func() ([]string, error) { return []string{leader}, nil }
+		f := NewFront(options)
+		defer f.caller.Close()
+		ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+		defer cancel()
+		_, err := f.client.Job(ctx, controller.JobCall{})
+		So(err, ShouldNotBeNil) // no seed at all
+		changed := make(chan os.Signal)
+		work := routine.New(context.Background())
+		work.Go(func(ctx context.Context) { f.followSeeds(ctx, changed) })
+		changed <- syscall.SIGHUP
+		changed <- syscall.SIGHUP // taken once the first one is done with
+		_, err = f.client.Job(ctx, controller.JobCall{})
+		So(err, ShouldBeNil)
+		work.Stop()
+	})
+}
--- a/cmd/dplane/readiness_test.go
+++ b/internal/node/readiness_test.go
@@ -1,4 +1,4 @@
-package main
+package node
 
 import (
 	"testing"
