cplane jobs, dplane jobs: the product's own interface as commands

Change: jobs run|check|version serve jobs by settings files; cplane jobs config|evacuate|restore|topology|workers are the operators' calls, dplane jobs submit|show|cancel|list|queues the clients'.

--- /dev/null
+++ b/cmd/cplane/jobscore.go
@@ -0,0 +1,160 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strings"
+
+	"github.com/go-kit/log"
+	"github.com/urfave/cli/v3"
+
+	"crosstide/internal/config"
+	"crosstide/internal/controller"
+	"crosstide/internal/daemon"
+	"crosstide/internal/errs"
+	"crosstide/internal/jobsapi"
+	"crosstide/internal/membership"
+	"crosstide/internal/node"
+	"crosstide/internal/operator"
+	"crosstide/internal/rpc"
+	"crosstide/internal/scheduler"
+	"crosstide/internal/store"
+	"crosstide/internal/workerapi"
+)
+
+// jobsCommand serves jobs as a core node, and has the operators' commands for such nodes.
+func jobsCommand() *cli.Command {
+	control := []cli.Flag{&cli.StringFlag{Name: "addr", Usage: "`IP:PORT` where any core node takes workers and operators", Required: true}}
+	orders := []*cli.Command{
+		{Name: "config", Usage: "read or change the configuration of queues and services", Commands: []*cli.Command{
+			{Name: "get", Usage: "print the configuration in force", Flags: control, Action: getConfig},
+			{Name: "put", Usage: "put the whole configuration in FILE (- for standard input) in force", ArgsUsage: "FILE", Flags: control,
+				Action: sendConfig(http.MethodPut)},
+			{Name: "patch", Usage: "put and remove the items in FILE (- for standard input)", ArgsUsage: "FILE", Flags: control,
+				Action: sendConfig(http.MethodPatch)},
+		}},
+		{Name: "evacuate", Usage: "no new starts in ZONE, and what runs there goes on elsewhere", ArgsUsage: "ZONE", Flags: control,
+			Action: zoneOrder("evacuate")},
+		{Name: "restore", Usage: "ZONE may be used again", ArgsUsage: "ZONE", Flags: control, Action: zoneOrder("restore")},
+		{Name: "topology", Usage: "print the leader and the members of the core", Flags: append(control, jsonFlag()), Action: topology},
+		{Name: "workers", Usage: "print every worker", Flags: append(control, jsonFlag()), Action: jobWorkers},
+	}
+	return &cli.Command{Name: "jobs", Usage: "serve jobs as a core node; operators' commands for such nodes",
+		Commands: append(jobsProgram().Commands(), codes(orders...)...)}
+}
+
+// jobsProgram is the daemon's own part of the command line.
+func jobsProgram() daemon.Program[config.JobsCore] {
+	return daemon.Program[config.JobsCore]{
+		Version: version, Load: config.LoadJobsCore, Check: config.CheckJobsCore, Serve: serveJobs,
+		Common: func(set *config.JobsCore) *config.Common { return &set.Common },
+		Words:  map[string]func(*config.JobsCore) *string{"data": func(set *config.JobsCore) *string { return &set.Data }},
+		Flags:  []cli.Flag{&cli.StringFlag{Name: "data", Usage: "`FOLDER` of the store, over the settings"}},
+	}
+}
+
+func serveJobs(ctx context.Context, set config.JobsCore, profiles bool, logger log.Logger) error {
+	core, err := node.NewCore(jobsOptions(set, profiles, logger))
+	if err != nil {
+		return errs.Pass(err, "make the node")
+	}
+	return errs.Pass(core.Run(ctx), "serve")
+}
+
+// jobsOptions maps settings to a core node's options.
+func jobsOptions(set config.JobsCore, profiles bool, logger log.Logger) node.CoreOptions {
+	registry := daemon.Registry()
+	return node.CoreOptions{
+		Store: set.Cplane, Open: open, Scheduler: jobsScheduler(set.Scheduler), KeepOver: set.KeepOver,
+		Workers: func(caller *rpc.Caller) scheduler.Workers { return workerapi.NewClient(caller, 0) },
+		Control: set.Control,
+		ServeControl: func(control *rpc.Server, relay *controller.Relay) {
+			jobsapi.ServeControl(control, relay, set.Within)
+		},
+		ServeNodes: func(inner *rpc.Server, store *store.Store) {
+			serveOperators(inner, store)
+			daemon.Routes(inner, registry, store.Ready)
+			if profiles {
+				daemon.Profiles(inner)
+			}
+		},
+		Grace: set.Grace, Registry: registry, Logger: logger, Version: version,
+	}
+}
+
+// serveOperators adds the operators' calls for the members of the store. No view of the fleet is kept here.
+func serveOperators(inner *rpc.Server, members *store.Store) {
+	operator.Serve(inner, members, store.NameOf, func() []membership.Seen { return nil })
+}
+
+// jobsScheduler maps settings to the scheduler's.
+func jobsScheduler(set config.JobsScheduler) scheduler.Config {
+	cfg := scheduler.Defaults()
+	cfg.Lease, cfg.HoldWait, cfg.Silence = set.Lease, set.HoldWait, set.Silence
+	cfg.LapseMargin, cfg.EarlyStart = set.LapseMargin, set.EarlyStart
+	cfg.SpreadFactor, cfg.ForgetAfter = set.RemoteFactor, set.ForgetAfter
+	return cfg
+}
+
+// order sends one call to a core node and prints its answer.
+func order(ctx context.Context, cmd *cli.Command, method, path string, body []byte) error {
+	raw, err := call(ctx, method, cmd.String("addr"), path, body)
+	if err != nil {
+		return errs.Pass(err, "order")
+	}
+	fmt.Println(string(bytes.TrimSpace(raw)))
+	return nil
+}
+
+func getConfig(ctx context.Context, cmd *cli.Command) error {
+	return errs.Pass(order(ctx, cmd, http.MethodGet, "/v2/config", nil), "config get")
+}
+
+func sendConfig(method string) cli.ActionFunc {
+	return func(ctx context.Context, cmd *cli.Command) error {
+		body, err := text(cmd)
+		if err != nil {
+			return errs.Pass(err, "configuration")
+		}
+		return errs.Pass(order(ctx, cmd, method, "/v2/config", body), "configuration")
+	}
+}
+
+func zoneOrder(verb string) cli.ActionFunc {
+	return func(ctx context.Context, cmd *cli.Command) error {
+		zone, err := args(cmd, "ZONE")
+		if err != nil {
+			return errs.Pass(err, "%s", verb)
+		}
+		return errs.Pass(order(ctx, cmd, http.MethodPost, "/v2/zones/"+url.PathEscape(zone[0])+"/"+verb, nil), "%s", verb)
+	}
+}
+
+func topology(ctx context.Context, cmd *cli.Command) error {
+	var answer controller.TopologyAnswer
+	return errs.Pass(ask(ctx, cmd, "/v2/topology", &answer, func(out io.Writer) {
+		fmt.Fprintln(out, "leader", dash(answer.Leader))
+		for _, member := range answer.Members {
+			fmt.Fprintln(out, "member", member)
+		}
+	}), "topology")
+}
+
+func jobWorkers(ctx context.Context, cmd *cli.Command) error {
+	var list jobsapi.Workers
+	return errs.Pass(ask(ctx, cmd, "/v2/workers", &list, func(out io.Writer) {
+		fmt.Fprintln(out, "ID\tADDRESS\tSERVICE\tZONE\tRACK\tLABELS\tMILLI_CPU\tMEMORY_MB\tGPUS\tRUNS\tSTATE")
+		for _, w := range list.Workers {
+			fmt.Fprintf(out, "%s\t%s\t%s\t%s\t%s\t%s\t%d/%d\t%d/%d\t%d/%d\t%d\t%s\n", w.ID, w.Address, w.Service, w.Zone, dash(w.Rack),
+				dash(strings.Join(w.Labels, ",")), w.Used.MilliCPU, w.Capacity.MilliCPU, w.Used.MemoryMB, w.Capacity.MemoryMB,
+				w.Used.GPUs, w.Capacity.GPUs, w.Runs, w.State)
+		}
+		for _, zone := range list.Evacuated {
+			fmt.Fprintln(out, "evacuated", zone)
+		}
+	}), "workers")
+}
--- a/cmd/cplane/main.go
+++ b/cmd/cplane/main.go
@@ -16,7 +16,7 @@
 	app := &cli.Command{
 		Name:     "cplane",
 		Usage:    "a member of the control store",
-		Commands: append(program().Commands(), platformCommand()),
+		Commands: append(program().Commands(), platformCommand(), jobsCommand()),
 	}
 	app.Commands = append(app.Commands, codes(append(bundleCommands(),
 		&cli.Command{Name: "who", Usage: "print who holds what", Action: who, Flags: append(addrFlags(), jsonFlag())},
--- /dev/null
+++ b/cmd/dplane/jobsfront.go
@@ -0,0 +1,98 @@
+package main
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/url"
+	"os"
+	"strconv"
+
+	"github.com/go-kit/log"
+	"github.com/urfave/cli/v3"
+
+	"crosstide/internal/config"
+	"crosstide/internal/controller"
+	"crosstide/internal/daemon"
+	"crosstide/internal/errs"
+	"crosstide/internal/jobsapi"
+	"crosstide/internal/node"
+	"crosstide/internal/rpc"
+)
+
+// jobsCommand serves jobs as a front node, and has the clients' commands for such nodes.
+func jobsCommand() *cli.Command {
+	addr := &cli.StringFlag{Name: "addr", Usage: "`IP:PORT` of any front node", Required: true}
+	program := daemon.Program[config.JobsFront]{
+		Version: version, Load: config.LoadJobsFront, Check: config.CheckJobsFront, Serve: serveJobs,
+		Common: func(set *config.JobsFront) *config.Common { return &set.Common },
+	}
+	calls := []*cli.Command{
+		{Name: "submit", Usage: "hand in the job in FILE (- for standard input)", ArgsUsage: "FILE", Flags: []cli.Flag{addr}, Action: submitJob},
+		{Name: "show", Usage: "print the job ID", ArgsUsage: "ID", Flags: []cli.Flag{addr}, Action: oneJob(http.MethodGet)},
+		{Name: "cancel", Usage: "cancel the job ID", ArgsUsage: "ID", Flags: []cli.Flag{addr}, Action: oneJob(http.MethodDelete)},
+		{Name: "list", Usage: "print jobs by ID", Flags: []cli.Flag{addr, &cli.StringFlag{Name: "queue"}, &cli.StringFlag{Name: "state"},
+			&cli.StringFlag{Name: "after", Usage: "page on after this `ID`"}, &cli.IntFlag{Name: "limit", Usage: "most jobs of a page"}},
+			Action: listJobs},
+		{Name: "queues", Usage: "print the queues, and how many jobs wait in each", Flags: []cli.Flag{addr},
+			Action: func(ctx context.Context, cmd *cli.Command) error {
+				return errs.Pass(ask(ctx, http.MethodGet, cmd.String("addr"), "/v2/queues", nil), "queues")
+			}},
+	}
+	return &cli.Command{Name: "jobs", Usage: "serve jobs as a front node; clients' commands for such nodes",
+		Commands: append(program.Commands(), calls...)}
+}
+
+func serveJobs(ctx context.Context, set config.JobsFront, profiles bool, logger log.Logger) error {
+	front := node.NewFront(jobsOptions(set, profiles, logger))
+	return errs.Pass(front.Run(ctx, nil), "serve")
+}
+
+// jobsOptions maps settings to a front node's options.
+func jobsOptions(set config.JobsFront, profiles bool, logger log.Logger) node.FrontOptions {
+	registry := daemon.Registry()
+	return node.FrontOptions{
+		Core: set.CoreAddresses(), Via: set.Via, Address: set.Addr,
+		ServeClients: func(clients *rpc.Server, client *controller.Client) {
+			jobsapi.ServeClients(clients, client, set.CallTimeout)
+			if profiles {
+				daemon.Profiles(clients)
+			}
+		},
+		ServeReady: func(asked *rpc.Server, check func() error) { daemon.Routes(asked, registry, check) },
+		Grace:      set.Grace, Registry: registry, Logger: logger, Zone: set.Zone, Version: version,
+	}
+}
+
+func submitJob(ctx context.Context, cmd *cli.Command) error {
+	in := io.Reader(os.Stdin)
+	if name := cmd.Args().First(); name != "-" {
+		file, err := os.Open(name)
+		if err != nil {
+			return errs.Wrap(err, errs.Invalid, "job file")
+		}
+		defer file.Close()
+		in = file
+	}
+	return errs.Pass(ask(ctx, http.MethodPost, cmd.String("addr"), "/v2/jobs", in), "hand in a job")
+}
+
+func oneJob(method string) cli.ActionFunc {
+	return func(ctx context.Context, cmd *cli.Command) error {
+		id := cmd.Args().First()
+		return errs.Pass(ask(ctx, method, cmd.String("addr"), "/v2/jobs/"+url.PathEscape(id), nil), "job %q", id)
+	}
+}
+
+func listJobs(ctx context.Context, cmd *cli.Command) error {
+	query := url.Values{}
+	for _, name := range []string{"queue", "state", "after"} {
+		if cmd.IsSet(name) {
+			query.Set(name, cmd.String(name))
+		}
+	}
+	if cmd.IsSet("limit") {
+		query.Set("limit", strconv.Itoa(cmd.Int("limit")))
+	}
+	return errs.Pass(ask(ctx, http.MethodGet, cmd.String("addr"), "/v2/jobs?"+query.Encode(), nil), "list jobs")
+}
--- a/cmd/dplane/main.go
+++ b/cmd/dplane/main.go
@@ -34,7 +34,7 @@
 		Version: version, Load: config.LoadDplane, Check: config.CheckDplane, Serve: serve,
 		Common: func(set *config.Dplane) *config.Common { return &set.Common },
 	}
-	app := &cli.Command{Name: "dplane", Usage: "a front node of crosstide", Commands: append(append(program.Commands(), jobCommands()...), platformCommand())}
+	app := &cli.Command{Name: "dplane", Usage: "a front node of crosstide", Commands: append(append(program.Commands(), jobCommands()...), platformCommand(), jobsCommand())}
 	if err := app.Run(context.Background(), os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, "dplane:", err)
 		os.Exit(1)
