--- /dev/null
+++ b/internal/testbed/jobsdrill/audit.go
@@ -0,0 +1,270 @@
+package jobsdrill
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+
+	"crosstide/internal/errs"
+	"crosstide/internal/jobs"
+	"crosstide/internal/testbed/worker"
+)
+
+// Report is what an audit found.
+type Report struct {
+	Runs    int              // runs that began
+	Ends    map[jobs.How]int // runs that ended, by how
+	Refused map[string]int   // starts that workers refused, by reason
+	Wrong   []string         // broken promises
+}
+
+// audit is the state of an audit.
+type audit struct {
+	report  Report
+	specs   map[string]jobs.Spec
+	program map[string]worker.Program
+	workers map[string]worker.Event // by ID: the event of its birth
+	tasks   map[jobs.TaskRef]*history
+	live    map[string][]*span // by worker: runs that go on
+	token   map[string]uint64  // by worker: newest token of a start
+}
+
+// span is one run as its worker journaled it.
+type span struct {
+	worker     string
+	number     int
+	needs      jobs.Resources
+	task       jobs.TaskRef
+	began      time.Time
+	ended      time.Time
+	how        jobs.How
+	resumed    string // checkpoint that its start told
+	checkpoint string // checkpoint at its end
+}
+
+func (s *span) over() bool { return s.how != "" }
+
+// history is all runs of one task, in the order they began.
+type history struct{ spans []*span }
+
+// Audit checks the journals of all workers against the jobs that were accepted. All workers' clocks are one machine's.
+//
+//   - nothing lost: every task of a job that succeeded has a run that ended done;
+//   - nothing twice: no two runs of a task overlap, none begins after one that ended done, no worker starts under a lower
+//     token than before;
+//   - order: a step begins after the steps before it, a round not before its time;
+//   - room and place: no worker runs more than it has room for, labels and the most per worker hold;
+//   - a gang's run begins whole; a run goes on from the progress that the last one saved; a job that failed used its
+//     attempts, no more.
+func Audit(accepted []Job, events []worker.Event) (Report, error) {
+	a := &audit{specs: map[string]jobs.Spec{}, program: map[string]worker.Program{}, workers: map[string]worker.Event{},
+		tasks: map[jobs.TaskRef]*history{}, live: map[string][]*span{}, token: map[string]uint64{}}
+	a.report.Ends, a.report.Refused = map[jobs.How]int{}, map[string]int{}
+	for _, job := range accepted {
+		spec, err := job.spec()
+		if err != nil {
+			return Report{}, errs.Pass(err, "audit")
+		}
+		a.specs[job.ID], a.program[job.ID] = spec, job.Program
+	}
+	events = slices.Clone(events)
+	slices.SortStableFunc(events, func(x, y worker.Event) int { return x.At.Compare(y.At) })
+	for _, e := range events {
+		a.take(e)
+	}
+	for _, job := range accepted {
+		a.judge(job)
+	}
+	return a.report, nil
+}
+
+func (a *audit) blame(format string, args ...any) {
+	a.report.Wrong = append(a.report.Wrong, fmt.Sprintf(format, args...))
+}
+
+func (a *audit) take(e worker.Event) {
+	switch e.Event {
+	case worker.EventBorn:
+		a.workers[e.Worker] = e
+	case worker.EventStart:
+		a.began(e)
+	case worker.EventEnd:
+		a.ended(e)
+	case worker.EventRefuse:
+		a.report.Refused[e.Why]++
+	}
+}
+
+func (a *audit) began(e worker.Event) {
+	a.report.Runs++
+	key := e.Run.Key()
+	s := &span{worker: e.Worker, number: key.Number, needs: e.Needs, task: key.Task, began: e.At, resumed: e.Checkpoint}
+	if _, known := a.specs[key.Task.Job]; !known {
+		a.blame("%v began on %s: no such job was accepted", key, e.Worker)
+		return
+	}
+	if e.Token < a.token[e.Worker] {
+		a.blame("%v began on %s under token %d after %d", key, e.Worker, e.Token, a.token[e.Worker])
+	}
+	a.token[e.Worker] = max(a.token[e.Worker], e.Token)
+	past := a.tasks[key.Task]
+	if past == nil {
+		past = &history{}
+		a.tasks[key.Task] = past
+	}
+	a.checkOnce(s, past)
+	past.spans = append(past.spans, s)
+	a.live[e.Worker] = append(a.live[e.Worker], s)
+	a.checkPlace(s)
+	a.checkOrder(s)
+}
+
+// checkOnce checks a run against those of its task before it.
+func (a *audit) checkOnce(s *span, past *history) {
+	for _, before := range past.spans {
+		switch {
+		case !before.over():
+			a.blame("%v: run %d began on %s while run %d goes on at %s", s.task, s.number, s.worker, before.number, before.worker)
+		case before.how == jobs.EndDone && !a.step(s.task).Lasting:
+			a.blame("%v: run %d began on %s after run %d was done", s.task, s.number, s.worker, before.number)
+		case before.number >= s.number:
+			a.blame("%v: run %d began on %s after run %d", s.task, s.number, s.worker, before.number)
+		}
+	}
+	if step := a.step(s.task); len(past.spans) > 0 && step.Checkpoints && !step.Gang {
+		if last := past.spans[len(past.spans)-1]; last.over() && last.checkpoint != s.resumed {
+			a.blame("%v: run %d goes on from %q, run %d had saved %q", s.task, s.number, s.resumed, last.number, last.checkpoint)
+		}
+	}
+}
+
+func (a *audit) step(task jobs.TaskRef) jobs.Step { return a.specs[task.Job].Steps[task.Step] }
+
+// checkPlace checks that a run's worker may have it, with all that goes on there.
+func (a *audit) checkPlace(s *span) {
+	born, step := a.workers[s.worker], a.step(s.task)
+	if step.Label != "" && !slices.Contains(born.Labels, step.Label) {
+		a.blame("%v began on %s, which has no label %s", s.task, s.worker, step.Label)
+	}
+	var used jobs.Resources
+	same := 0
+	for _, other := range a.live[s.worker] {
+		used.MilliCPU += other.needs.MilliCPU
+		used.MemoryMB += other.needs.MemoryMB
+		used.GPUs += other.needs.GPUs
+		if other.task.Job == s.task.Job && other.task.Round == s.task.Round && other.task.Step == s.task.Step {
+			same++
+		}
+	}
+	if room := born.Needs; used.MilliCPU > room.MilliCPU || used.MemoryMB > room.MemoryMB || used.GPUs > room.GPUs {
+		a.blame("%s runs %+v, it has %+v", s.worker, used, room)
+	}
+	if step.MostPerNode > 0 && same > step.MostPerNode {
+		a.blame("%v: %d tasks of the step run on %s", s.task, same, s.worker)
+	}
+}
+
+// checkOrder checks that a run's time and the steps before it have come.
+func (a *audit) checkOrder(s *span) {
+	spec := a.specs[s.task.Job]
+	if due := spec.FirstRun.Add(time.Duration(s.task.Round) * spec.Interval); spec.Rounds > 0 && s.began.Before(due) {
+		a.blame("%v began %s before its time", s.task, due.Sub(s.began))
+	}
+	for _, before := range spec.Steps[s.task.Step].After {
+		if done, tasks := a.done(s.task.Job, s.task.Round, before), spec.Steps[before].Count; done < tasks {
+			a.blame("%v began with %d of %d tasks of step %d done", s.task, done, tasks, before)
+		}
+	}
+}
+
+// done counts the tasks of a step of a round that are done. Those of a gang are done together.
+func (a *audit) done(job string, round, step int) int {
+	count := 0
+	for index := range a.specs[job].Steps[step].Count {
+		if a.taskDone(jobs.TaskRef{Job: job, Round: round, Step: step, Index: index}) {
+			count++
+		}
+	}
+	if a.specs[job].Steps[step].Gang && count > 0 {
+		return a.specs[job].Steps[step].Count
+	}
+	return count
+}
+
+func (a *audit) taskDone(task jobs.TaskRef) bool {
+	past := a.tasks[task]
+	return past != nil && slices.ContainsFunc(past.spans, func(s *span) bool { return s.how == jobs.EndDone })
+}
+
+func (a *audit) ended(e worker.Event) {
+	a.report.Ends[jobs.How(e.Why)]++
+	key := e.Run.Key()
+	for i, s := range a.live[e.Worker] {
+		if s.task == key.Task && s.number == key.Number {
+			s.ended, s.how, s.checkpoint = e.At, jobs.How(e.Why), cmp.Or(e.Checkpoint, s.resumed)
+			a.live[e.Worker] = slices.Delete(a.live[e.Worker], i, i+1)
+			return
+		}
+	}
+	a.blame("%v ended on %s: it did not run there", key, e.Worker)
+}
+
+// judge checks a job as a whole.
+func (a *audit) judge(job Job) {
+	spec := a.specs[job.ID]
+	for round := range max(spec.Rounds, 1) {
+		for step := range spec.Steps {
+			if done, tasks := a.done(job.ID, round, step), spec.Steps[step].Count; job.Comes == jobs.Succeeded && done != tasks {
+				a.blame("%s: %d of %d tasks of step %d, round %d, were done", job.ID, done, tasks, step, round)
+			}
+			if spec.Steps[step].Gang {
+				a.judgeGang(job.ID, round, step)
+			}
+		}
+	}
+	if job.Comes == jobs.Failed {
+		a.judgeAttempts(job.ID)
+	}
+}
+
+// judgeGang checks that a run that was done had begun on all members.
+func (a *audit) judgeGang(job string, round, step int) {
+	count := a.specs[job].Steps[step].Count
+	began, done := map[int]int{}, map[int]bool{}
+	for index := range count {
+		past := a.tasks[jobs.TaskRef{Job: job, Round: round, Step: step, Index: index}]
+		if past == nil {
+			continue
+		}
+		for _, s := range past.spans {
+			began[s.number]++
+			done[s.number] = done[s.number] || s.how == jobs.EndDone
+		}
+	}
+	for number, is := range done {
+		if is && began[number] != count {
+			a.blame("%s: run %d of the gang of step %d was done with %d of %d members", job, number, step, began[number], count)
+		}
+	}
+}
+
+// judgeAttempts checks that some task of a failed job has used its attempts, and none more.
+func (a *audit) judgeAttempts(job string) {
+	most := 0
+	for task, past := range a.tasks {
+		if task.Job != job {
+			continue
+		}
+		failed := 0
+		for _, s := range past.spans {
+			if s.how == jobs.EndFailed {
+				failed++
+			}
+		}
+		most = max(most, failed)
+	}
+	if most != Attempts {
+		a.blame("%s failed after %d failed runs of a task, not %d", job, most, Attempts)
+	}
+}
--- /dev/null
+++ b/internal/testbed/jobsdrill/audit_test.go
@@ -0,0 +1,169 @@
+package jobsdrill
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"crosstide/internal/jobs"
+	"crosstide/internal/testbed/worker"
+	"crosstide/internal/workerapi"
+)
+
+// story is a journal that is written one millisecond after the other.
+type story struct {
+	events []worker.Event
+	at     time.Time
+}
+
+func newStory() *story {
+	s := &story{at: time.Unix(1000, 0)}
+	s.add(worker.Event{Event: worker.EventBorn, Worker: "a", Needs: jobs.Resources{MilliCPU: 400, MemoryMB: 100}, Labels: []string{"ssd"}})
+	s.add(worker.Event{Event: worker.EventBorn, Worker: "b", Needs: jobs.Resources{MilliCPU: 400, MemoryMB: 100}})
+	return s
+}
+
+func (s *story) add(e worker.Event) {
+	s.at = s.at.Add(time.Millisecond)
+	e.At = s.at
+	s.events = append(s.events, e)
+}
+
+// run names run number of a task of job j.
+func run(step, index, number int) workerapi.Run {
+	return workerapi.Run{Job: "j", Step: step, Index: index, Number: number}
+}
+
+func (s *story) start(on string, r workerapi.Run, change ...func(*worker.Event)) {
+	e := worker.Event{Event: worker.EventStart, Worker: on, Run: r, Token: 1, Needs: jobs.Resources{MilliCPU: 200, MemoryMB: 32}}
+	for _, one := range change {
+		one(&e)
+	}
+	s.add(e)
+}
+
+func (s *story) end(on string, r workerapi.Run, how jobs.How) { s.ends(on, r, how, "") }
+
+func (s *story) ends(on string, r workerapi.Run, how jobs.How, checkpoint string) {
+	s.add(worker.Event{Event: worker.EventEnd, Worker: on, Run: r, Why: string(how), Checkpoint: checkpoint})
+}
+
+// good runs a task once.
+func (s *story) good(on string, r workerapi.Run) {
+	s.start(on, r)
+	s.end(on, r, jobs.EndDone)
+}
+
+func job(comes jobs.JobState, steps ...Step) Job {
+	return newJob("j", Urgent, comes, worker.Program{MS: 1}, steps...)
+}
+
+func TestAudit(t *testing.T) {
+	one, two := job(jobs.Succeeded, small(1)), job(jobs.Succeeded, small(2))
+	chain := job(jobs.Succeeded, small(1), small(1).with(func(s *Step) { s.After = []int{0} }))
+	gang := job(jobs.Succeeded, small(2).with(func(s *Step) { s.Gang = true }))
+	labelled := job(jobs.Succeeded, small(1).with(func(s *Step) { s.Label = "ssd" }))
+	apart := job(jobs.Succeeded, small(2).with(func(s *Step) { s.MostPerWorker = 1 }))
+	saving := job(jobs.Succeeded, small(1).with(func(s *Step) { s.Checkpoints = true }))
+	timed := one
+	timed.Times = &Times{First: time.Unix(1001, 0), Every: "1s", Rounds: 1}
+	cases := []struct {
+		name  string
+		job   Job
+		tell  func(s *story)
+		wrong string // part of the one thing that is wrong; empty: nothing is
+	}{
+		{"all is well", one, func(s *story) { s.good("a", run(0, 0, 1)) }, ""},
+		{"a task is lost", two, func(s *story) { s.good("a", run(0, 0, 1)) }, "1 of 2 tasks"},
+		{"a task was stopped and not tried again", one, func(s *story) { s.start("a", run(0, 0, 1)); s.end("a", run(0, 0, 1), jobs.EndStopped) }, "0 of 1 tasks"},
+		{"a task is done twice", one, func(s *story) { s.good("a", run(0, 0, 1)); s.good("b", run(0, 0, 2)) }, "was done"},
+		{"a task runs twice at once", one, func(s *story) { s.start("a", run(0, 0, 1)); s.good("b", run(0, 0, 2)) }, "goes on at a"},
+		{"a run number comes again", one, func(s *story) {
+			s.start("a", run(0, 0, 1))
+			s.end("a", run(0, 0, 1), jobs.EndStopped)
+			s.good("b", run(0, 0, 1))
+		}, "after run 1"},
+		{"a task is tried again", one, func(s *story) {
+			s.start("a", run(0, 0, 1))
+			s.end("a", run(0, 0, 1), jobs.EndStopped)
+			s.good("b", run(0, 0, 2))
+		}, ""},
+		{"a job that nobody handed in", one, func(s *story) { s.good("a", run(0, 0, 1)); s.start("a", workerapi.Run{Job: "k", Number: 1}) }, "no such job"},
+		{"an end without a run", one, func(s *story) { s.good("a", run(0, 0, 1)); s.end("b", run(0, 0, 2), jobs.EndDone) }, "did not run there"},
+		{"a lower token", two, func(s *story) {
+			s.start("a", run(0, 0, 1), func(e *worker.Event) { e.Token = 2 })
+			s.end("a", run(0, 0, 1), jobs.EndDone)
+			s.good("a", run(0, 1, 1))
+		}, "under token 1 after 2"},
+		{"steps in order", chain, func(s *story) { s.good("a", run(0, 0, 1)); s.good("b", run(1, 0, 1)) }, ""},
+		{"a step comes too early", chain, func(s *story) {
+			s.start("a", run(0, 0, 1))
+			s.good("b", run(1, 0, 1))
+			s.end("a", run(0, 0, 1), jobs.EndDone)
+		}, "0 of 1 tasks of step 0 done"},
+		{"a round comes too early", timed, func(s *story) { s.good("a", run(0, 0, 1)) }, "before its time"},
+		{"a round comes at its time", timed, func(s *story) { s.at = time.Unix(1001, 0); s.good("a", run(0, 0, 1)) }, ""},
+		{"a label is not there", labelled, func(s *story) { s.good("b", run(0, 0, 1)) }, "no label ssd"},
+		{"a label is there", labelled, func(s *story) { s.good("a", run(0, 0, 1)) }, ""},
+		{"no room", two, func(s *story) {
+			s.start("a", run(0, 0, 1))
+			s.start("a", run(0, 1, 1), func(e *worker.Event) { e.Needs.MilliCPU = 201 })
+			s.end("a", run(0, 0, 1), jobs.EndDone)
+			s.end("a", run(0, 1, 1), jobs.EndDone)
+		}, "MilliCPU:401"},
+		{"two on one worker", apart, func(s *story) {
+			s.start("a", run(0, 0, 1))
+			s.start("a", run(0, 1, 1))
+			s.end("a", run(0, 0, 1), jobs.EndDone)
+			s.end("a", run(0, 1, 1), jobs.EndDone)
+		}, "2 tasks of the step run on a"},
+		{"one after the other on one worker", apart, func(s *story) { s.good("a", run(0, 0, 1)); s.good("a", run(0, 1, 1)) }, ""},
+		{"a whole gang", gang, func(s *story) {
+			s.start("a", run(0, 0, 1))
+			s.start("b", run(0, 1, 1))
+			s.end("a", run(0, 0, 1), jobs.EndDone)
+			s.end("b", run(0, 1, 1), jobs.EndStopped)
+		}, ""},
+		{"half a gang", gang, func(s *story) { s.good("a", run(0, 0, 1)) }, "1 of 2 members"},
+		{"progress is kept", saving, func(s *story) {
+			s.start("a", run(0, 0, 1))
+			s.ends("a", run(0, 0, 1), jobs.EndStopped, "300")
+			s.start("b", run(0, 0, 2), func(e *worker.Event) { e.Checkpoint = "300" })
+			s.end("b", run(0, 0, 2), jobs.EndDone)
+		}, ""},
+		{"progress is lost", saving, func(s *story) {
+			s.start("a", run(0, 0, 1))
+			s.ends("a", run(0, 0, 1), jobs.EndStopped, "300")
+			s.good("b", run(0, 0, 2))
+		}, `goes on from ""`},
+		{"too few attempts", job(jobs.Failed, small(1)), func(s *story) {
+			s.start("a", run(0, 0, 1))
+			s.end("a", run(0, 0, 1), jobs.EndFailed)
+		}, "after 1 failed runs"},
+	}
+	Convey("Each broken promise is found, and nothing else", t, func() {
+		for _, c := range cases {
+			s := newStory()
+			c.tell(s)
+			report, err := Audit([]Job{c.job}, s.events)
+			So(err, ShouldBeNil)
+			found := strings.Join(report.Wrong, "\n")
+			if c.wrong == "" {
+				So(c.name+": "+found, ShouldEqual, c.name+": ")
+				continue
+			}
+			So(c.name+": "+found, ShouldContainSubstring, c.wrong)
+			So(len(report.Wrong), ShouldEqual, 1)
+		}
+	})
+	Convey("Runs, ends and refusals are counted", t, func() {
+		s := newStory()
+		s.good("a", run(0, 0, 1))
+		s.add(worker.Event{Event: worker.EventRefuse, Worker: "a", Run: run(0, 0, 2), Why: "room"})
+		report, err := Audit([]Job{one}, s.events)
+		So(err, ShouldBeNil)
+		So([]any{report.Runs, report.Ends[jobs.EndDone], report.Refused["room"]}, ShouldResemble, []any{1, 1, 1})
+	})
+}
--- /dev/null
+++ b/internal/testbed/jobsdrill/client.go
@@ -0,0 +1,153 @@
+// Package jobsdrill rehearses the product's own interface to jobs: it puts a configuration in force, hands in a mix of
+// jobs of every kind, and audits what the stand-in workers have journaled against what was promised.
+package jobsdrill
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/url"
+	"time"
+
+	"crosstide/internal/clock"
+	"crosstide/internal/controller"
+	"crosstide/internal/errs"
+	"crosstide/internal/jobs"
+	"crosstide/internal/jobsapi"
+	"crosstide/internal/rpc"
+)
+
+const (
+	callWithin = 4 * time.Second
+	retryPause = 50 * time.Millisecond
+)
+
+// Client makes clients' and operators' calls; a call that may be sent again is sent again, to the next node, until its
+// ctx ends.
+type Client struct {
+	caller  *rpc.Caller
+	clock   clock.Clock
+	fronts  []string // addresses of front nodes
+	control []string // control addresses of core nodes
+}
+
+// NewClient makes a client.
+func NewClient(caller *rpc.Caller, clock clock.Clock, fronts, control []string) *Client {
+	return &Client{caller: caller, clock: clock, fronts: fronts, control: control}
+}
+
+// Submit hands a job in.
+func (c *Client) Submit(ctx context.Context, job any) error {
+	return errs.Pass(c.call(ctx, c.fronts, http.MethodPost, "/v2/jobs", job, nil), "submit")
+}
+
+// Show asks for a job.
+func (c *Client) Show(ctx context.Context, id string) (view controller.JobView, err error) {
+	err = c.call(ctx, c.fronts, http.MethodGet, "/v2/jobs/"+url.PathEscape(id), nil, &view)
+	return view, errs.Pass(err, "show %s", id)
+}
+
+// Cancel cancels a job.
+func (c *Client) Cancel(ctx context.Context, id string) error {
+	return errs.Pass(c.call(ctx, c.fronts, http.MethodDelete, "/v2/jobs/"+url.PathEscape(id), nil, nil), "cancel %s", id)
+}
+
+// Until asks for a job until it is in a state.
+func (c *Client) Until(ctx context.Context, id string, state jobs.JobState) error {
+	for {
+		view, err := c.Show(ctx, id)
+		if err != nil {
+			return errs.Pass(err, "until %s", state)
+		}
+		if view.State == state {
+			return nil
+		}
+		if view.State.Over() {
+			return errs.New(errs.Conflict, "job %s is %s, not %s", id, view.State, state)
+		}
+		if !c.pause(ctx) {
+			return errs.New(errs.Timeout, "job %s is %s, not %s", id, view.State, state)
+		}
+	}
+}
+
+// Config reads the configuration in force.
+func (c *Client) Config(ctx context.Context) (config jobsapi.Configuration, err error) {
+	err = c.call(ctx, c.control, http.MethodGet, "/v2/config", nil, &config)
+	return config, errs.Pass(err, "configuration")
+}
+
+// Configure puts a whole configuration in force, or patches it.
+func (c *Client) Configure(ctx context.Context, method string, order any) error {
+	return errs.Pass(c.call(ctx, c.control, method, "/v2/config", order, nil), "configure")
+}
+
+// Zone evacuates or restores a zone.
+func (c *Client) Zone(ctx context.Context, zone, verb string) error {
+	return errs.Pass(c.call(ctx, c.control, http.MethodPost, "/v2/zones/"+url.PathEscape(zone)+"/"+verb, nil, nil), "%s", verb)
+}
+
+// Workers lists the workers.
+func (c *Client) Workers(ctx context.Context) (workers jobsapi.Workers, err error) {
+	err = c.call(ctx, c.control, http.MethodGet, "/v2/workers", nil, &workers)
+	return workers, errs.Pass(err, "workers")
+}
+
+// Topology asks for the leader and the members.
+func (c *Client) Topology(ctx context.Context) (topology controller.TopologyAnswer, err error) {
+	err = c.call(ctx, c.control, http.MethodGet, "/v2/topology", nil, &topology)
+	return topology, errs.Pass(err, "topology")
+}
+
+// call sends a call to each of addrs in turn until one answers it for good.
+func (c *Client) call(ctx context.Context, addrs []string, method, path string, body, answer any) error {
+	request := rpc.Request{Method: method, Path: path, Header: map[string]string{"Content-Type": "application/json"}}
+	if body != nil {
+		data, err := json.Marshal(body)
+		if err != nil {
+			return errs.Wrap(err, errs.Internal, "encode")
+		}
+		request.Body = data
+	}
+	for i := 0; ; i++ {
+		again, err := c.attempt(ctx, addrs[i%len(addrs)], request, answer)
+		if err == nil {
+			return nil
+		}
+		if !again || !c.pause(ctx) {
+			return errs.Pass(err, "%s %s", method, path)
+		}
+	}
+}
+
+// attempt sends a call once and tells whether it may be sent again.
+func (c *Client) attempt(ctx context.Context, addr string, request rpc.Request, answer any) (again bool, err error) {
+	response, err := c.caller.Exchange(ctx, addr, request, callWithin)
+	if err != nil {
+		return true, errs.Pass(err, "%s", addr)
+	}
+	if response.Status != http.StatusOK {
+		failure := errs.Error{Kind: errs.Internal}
+		if err := json.Unmarshal(response.Body, &failure); err != nil {
+			return false, errs.Wrap(err, errs.Malformed, "status %d of %s", response.Status, addr)
+		}
+		return errs.ReplyOf(failure.Kind).Again, errs.Field(failure.Kind, failure.Field, "%s", failure.Message)
+	}
+	if answer == nil {
+		return false, nil
+	}
+	return false, errs.Wrap(json.Unmarshal(response.Body, answer), errs.Malformed, "answer of %s", addr)
+}
+
+// pause waits a little; false when ctx has ended.
+func (c *Client) pause(ctx context.Context) bool {
+	over := make(chan struct{})
+	ring := c.clock.Set(retryPause, func() { close(over) })
+	defer ring.Stop()
+	select {
+	case <-over:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/internal/testbed/jobsdrill/mix.go
@@ -0,0 +1,139 @@
+package jobsdrill
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"crosstide/internal/errs"
+	"crosstide/internal/jobs"
+	"crosstide/internal/jobsapi"
+	"crosstide/internal/testbed/worker"
+)
+
+// What the configuration of the drill has.
+const (
+	Service  = "batch"
+	Urgent   = "urgent" // the queue that goes first
+	Normal   = "normal"
+	Attempts = 3 // of a task in either queue
+)
+
+// putOrder is the body that puts a whole configuration in force.
+type putOrder struct {
+	Base     uint64            `json:"base"`
+	Queues   []jobsapi.Queue   `json:"queues"`
+	Services []jobsapi.Service `json:"services"`
+}
+
+// Configuration is the order that puts the drill's configuration in force on top of a version.
+func Configuration(base uint64) any {
+	queue := func(name string, priority int) jobsapi.Queue {
+		return jobsapi.Queue{Name: name, Service: Service, Priority: priority, Attempts: Attempts, Stretch: 1, Target: "1s", Timeout: "1h"}
+	}
+	return putOrder{Base: base, Services: []jobsapi.Service{{Name: Service}}, Queues: []jobsapi.Queue{queue(Urgent, 0), queue(Normal, 5)}}
+}
+
+// Job is a job of the mix, and the state that it must come to.
+type Job struct {
+	ID      string         `json:"id"`
+	Queue   string         `json:"queue"`
+	Payload string         `json:"payload"`
+	Times   *Times         `json:"times,omitempty"`
+	Steps   []Step         `json:"steps"`
+	Comes   jobs.JobState  `json:"-"`
+	Program worker.Program `json:"-"`
+}
+
+// Times is when the rounds of a job are due.
+type Times struct {
+	First  time.Time `json:"first"`
+	Every  string    `json:"every"`
+	Rounds int       `json:"rounds"`
+}
+
+// Step is a step of a job as a client writes it.
+type Step struct {
+	Tasks         int    `json:"tasks"`
+	MilliCPU      int    `json:"milli_cpu"`
+	MemoryMB      int    `json:"memory_mb"`
+	GPUs          int    `json:"gpus,omitempty"`
+	Estimate      string `json:"estimate,omitempty"`
+	After         []int  `json:"after,omitempty"`
+	Label         string `json:"label,omitempty"`
+	Near          string `json:"near,omitempty"`
+	MostPerWorker int    `json:"most_per_worker,omitempty"`
+	Checkpoints   bool   `json:"checkpoints,omitempty"`
+	Gang          bool   `json:"gang,omitempty"`
+	OneRack       bool   `json:"one_rack,omitempty"`
+	Lasting       bool   `json:"lasting,omitempty"`
+}
+
+// spec is the job as the product reads it.
+func (j Job) spec() (jobs.Spec, error) {
+	body, err := json.Marshal(j)
+	if err != nil {
+		return jobs.Spec{}, errs.Wrap(err, errs.Internal, "encode job %s", j.ID)
+	}
+	spec, _, err := jobsapi.ParseJob(body)
+	return spec, errs.Pass(err, "job %s", j.ID)
+}
+
+// small is a step of equal tasks that take little.
+func small(tasks int) Step {
+	return Step{Tasks: tasks, MilliCPU: 200, MemoryMB: 32, Estimate: "100ms"}
+}
+
+// with gives the step changed.
+func (s Step) with(change func(*Step)) Step {
+	change(&s)
+	return s
+}
+
+func newJob(id, queue string, comes jobs.JobState, program worker.Program, steps ...Step) Job {
+	payload, err := json.Marshal(program)
+	if err != nil {
+		panic("a program of numbers always encodes: " + err.Error())
+	}
+	return Job{ID: id, Queue: queue, Payload: string(payload), Steps: steps, Comes: comes, Program: program}
+}
+
+// Bulk is the low-priority work that fills the workers and saves its progress: more urgent work preempts it.
+func Bulk(workers int) Job {
+	step := Step{Tasks: 4 * workers, MilliCPU: 1000, MemoryMB: 64, Estimate: "4s", Checkpoints: true}
+	return newJob("bulk", Normal, jobs.Succeeded, worker.Program{MS: 4000, SaveMS: 100}, step)
+}
+
+// Lasting is a job that runs until it is cancelled.
+func Lasting() Job {
+	return newJob("lasting", Urgent, jobs.Cancelled, worker.Program{MS: -1}, small(1).with(func(s *Step) { s.Lasting = true }))
+}
+
+// Mix gives jobs of every kind that ends by itself; first is when the timed one is due.
+func Mix(first time.Time) []Job {
+	quick := worker.Program{MS: 60}
+	timed := newJob("timed", Urgent, jobs.Succeeded, quick, small(2))
+	timed.Times = &Times{First: first.UTC(), Every: "400ms", Rounds: 3}
+	return []Job{
+		newJob("plain", Normal, jobs.Succeeded, quick, small(10)),
+		newJob("chain", Urgent, jobs.Succeeded, quick, small(4),
+			small(3).with(func(s *Step) { s.After = []int{0} }), small(2).with(func(s *Step) { s.After = []int{0, 1} })),
+		newJob("gang", Urgent, jobs.Succeeded, worker.Program{MS: 300}, small(4).with(func(s *Step) { s.Gang, s.OneRack = true, true })),
+		newJob("labelled", Urgent, jobs.Succeeded, quick, small(4).with(func(s *Step) { s.Label = "ssd" })),
+		newJob("gpu", Urgent, jobs.Succeeded, quick, small(3).with(func(s *Step) { s.GPUs = 1 })),
+		newJob("near", Urgent, jobs.Succeeded, quick, small(3).with(func(s *Step) { s.Near = "r2" })),
+		newJob("apart", Urgent, jobs.Succeeded, worker.Program{MS: 300}, small(3).with(func(s *Step) { s.MostPerWorker = 1 })),
+		newJob("retried", Urgent, jobs.Succeeded, worker.Program{MS: 60, Fails: Attempts - 1}, small(1)),
+		newJob("hopeless", Urgent, jobs.Failed, worker.Program{MS: 60, Fails: 1000}, small(1)),
+		timed,
+	}
+}
+
+// Later gives the jobs that are handed in while the core has no leader.
+func Later(count int) []Job {
+	var out []Job
+	for i := range count {
+		out = append(out, newJob(fmt.Sprintf("later-%d", i), Urgent, jobs.Succeeded, worker.Program{MS: 60}, small(2)))
+	}
+	return out
+}
--- /dev/null
+++ b/internal/testbed/jobsdrill/run_test.go
@@ -0,0 +1,156 @@
+package jobsdrill
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	. "github.com/smartystreets/goconvey/convey"
+
+	"crosstide/internal/clock"
+	"crosstide/internal/config"
+	"crosstide/internal/controller"
+	"crosstide/internal/errs"
+	"crosstide/internal/jobs"
+	"crosstide/internal/jobsapi"
+	"crosstide/internal/node"
+	"crosstide/internal/routine"
+	"crosstide/internal/rpc"
+	"crosstide/internal/scheduler"
+	"crosstide/internal/storage"
+	"crosstide/internal/store"
+	"crosstide/internal/testbed/fleet"
+	"crosstide/internal/testbed/worker"
+	"crosstide/internal/workerapi"
+)
+
+// small system: one core node, one front node and workers, all in this process on loopback.
+type testSystem struct {
+	client  *Client
+	workers []*worker.Host
+	stop    []func() // of each worker
+	dir     string
+	group   *routine.Group
+	end     context.CancelFunc
+	caller  *rpc.Caller
+}
+
+func local(port int) string { return fmt.Sprintf("127.0.0.1:%d", port) }
+
+func startSystem(dir string, shapes []Shape) *testSystem {
+	ports, err := fleet.Ports(3)
+	So(err, ShouldBeNil)
+	inner, control, front := local(ports[0]), local(ports[1]), local(ports[2])
+	set := config.DefaultCplane()
+	set.Name, set.Zone, set.Region, set.Addr, set.Data = "c1", "z1", "r", inner, dir
+	set.Seeds, set.Members = []string{inner}, []config.Member{{ID: "c1", Addr: inner, Zone: "z1"}}
+	logger := log.NewNopLogger()
+	core, err := node.NewCore(node.CoreOptions{
+		Store: set, Scheduler: scheduler.Defaults(), Control: control, Logger: logger,
+		Open: func(opt store.Options, _ log.Logger) (*store.Store, error) {
+			disk, err := storage.OSDisk(filepath.Join(dir, "store"))
+			if err != nil {
+				return nil, errs.Pass(err, "disk")
+			}
+			opt.Disk = disk
+			opened, err := store.Open(opt)
+			return opened, errs.Pass(err, "store")
+		},
+		Workers:      func(caller *rpc.Caller) scheduler.Workers { return workerapi.NewClient(caller, 0) },
+		ServeControl: func(s *rpc.Server, relay *controller.Relay) { jobsapi.ServeControl(s, relay, 0) },
+	})
+	So(err, ShouldBeNil)
+	fronts := node.NewFront(node.FrontOptions{Core: []string{inner}, Address: front, Logger: logger, Grace: time.Second,
+		ServeClients: func(s *rpc.Server, client *controller.Client) { jobsapi.ServeClients(s, client, 0) },
+		ServeReady:   func(*rpc.Server, func() error) {}})
+	ctx, end := context.WithCancel(context.Background())
+	s := &testSystem{dir: dir, group: routine.New(context.Background()), end: end, caller: rpc.NewCaller(rpc.CallerOptions{})}
+	s.client = NewClient(s.caller, clock.Real{}, []string{front}, []string{control})
+	s.group.Go(func(context.Context) { _ = core.Run(ctx) })
+	s.group.Go(func(context.Context) { _ = fronts.Run(ctx, nil) })
+	for _, shape := range shapes {
+		s.startWorker(shape, control)
+	}
+	return s
+}
+
+func (s *testSystem) startWorker(shape Shape, control string) {
+	settings := shape.settings("127.0.0.1:0", []string{control}, filepath.Join(s.dir, "journal", shape.Name+".jsonl"))
+	settings.Every, settings.Grace = 200*time.Millisecond, time.Second
+	host, err := worker.Open(settings, clock.Real{}, log.NewNopLogger())
+	So(err, ShouldBeNil)
+	ctx, stop := context.WithCancel(context.Background())
+	s.group.Go(func(context.Context) { _ = host.Run(ctx) })
+	s.workers, s.stop = append(s.workers, host), append(s.stop, stop)
+}
+
+// close ends the workers, then the nodes, and audits.
+func (s *testSystem) close(accepted []Job) Report {
+	for _, stop := range s.stop {
+		stop()
+	}
+	s.end()
+	s.group.Wait()
+	s.caller.Close()
+	events, err := Events(s.dir)
+	So(err, ShouldBeNil)
+	report, err := Audit(accepted, events)
+	So(err, ShouldBeNil)
+	return report
+}
+
+func TestSystem(t *testing.T) {
+	Convey("A mix of jobs comes through one core node, one front node and workers, and the audit finds nothing", t, func() {
+		s := startSystem(t.TempDir(), Shapes(4))
+		ctx, cancel := context.WithTimeout(context.Background(), 2*time.Minute)
+		defer cancel()
+		client := s.client
+
+		So(client.Configure(ctx, http.MethodPut, Configuration(0)), ShouldBeNil)
+		So(client.Configure(ctx, http.MethodPut, Configuration(0)), ShouldBeNil) // the same order again
+		other := Configuration(0).(putOrder)
+		other.Queues = other.Queues[:1]
+		So(errs.KindOf(client.Configure(ctx, http.MethodPut, other)), ShouldEqual, errs.Stale)
+		patch := map[string]any{"base": 1, "remove": map[string]any{"queues": []string{"none"}}}
+		So(client.Configure(ctx, http.MethodPatch, patch), ShouldBeNil)
+		read, err := client.Config(ctx)
+		So([]any{read.Version, len(read.Queues), err}, ShouldResemble, []any{uint64(2), 2, nil})
+
+		accepted := append(Mix(clock.Real{}.Wall().Add(500*time.Millisecond)), Lasting())
+		for _, job := range accepted {
+			So(client.Submit(ctx, job), ShouldBeNil)
+			So(client.Submit(ctx, job), ShouldBeNil) // it is the same job
+		}
+		changed := accepted[0]
+		changed.Payload = `{"ms":1}`
+		So(errs.KindOf(client.Submit(ctx, changed)), ShouldEqual, errs.Conflict)
+		for _, job := range accepted {
+			if job.Comes != jobs.Cancelled {
+				So(client.Until(ctx, job.ID, job.Comes), ShouldBeNil)
+			}
+		}
+		So(client.Until(ctx, "lasting", jobs.Running), ShouldBeNil)
+		So(client.Cancel(ctx, "lasting"), ShouldBeNil)
+		So(client.Until(ctx, "lasting", jobs.Cancelled), ShouldBeNil)
+
+		// An evacuated zone gets nothing; once it is restored, its label finds a worker again.
+		So(client.Zone(ctx, "z1", "evacuate"), ShouldBeNil)
+		labelled := newJob("waits", Urgent, jobs.Succeeded, worker.Program{MS: 10}, small(1).with(func(s *Step) { s.Label = "z1-only" }))
+		So(client.Submit(ctx, labelled), ShouldBeNil)
+		free := newJob("elsewhere", Urgent, jobs.Succeeded, worker.Program{MS: 10}, small(6))
+		So(client.Submit(ctx, free), ShouldBeNil)
+		So(client.Until(ctx, free.ID, jobs.Succeeded), ShouldBeNil)
+		view, err := client.Show(ctx, labelled.ID)
+		So([]any{view.State, err}, ShouldResemble, []any{jobs.Queued, nil})
+		So(client.Zone(ctx, "z1", "restore"), ShouldBeNil)
+		So(client.Until(ctx, labelled.ID, jobs.Succeeded), ShouldBeNil)
+
+		report := s.close(append(accepted, labelled, free))
+		So(report.Wrong, ShouldBeEmpty)
+		So(report.Ends[jobs.EndFailed], ShouldEqual, 2*Attempts-1)
+	})
+}
--- /dev/null
+++ b/internal/testbed/jobsdrill/shape.go
@@ -0,0 +1,60 @@
+package jobsdrill
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"crosstide/internal/errs"
+	"crosstide/internal/jobs"
+	"crosstide/internal/testbed/journal"
+	"crosstide/internal/testbed/worker"
+)
+
+// Shape is one worker of the drill.
+type Shape struct {
+	Name     string
+	Zone     string
+	Rack     string
+	Labels   []string
+	Capacity jobs.Resources
+}
+
+// Shapes gives count workers: two zones and two racks in turn, every other one with a label, the first two with GPUs.
+func Shapes(count int) []Shape {
+	var out []Shape
+	for i := range count {
+		s := Shape{Name: fmt.Sprintf("w%d", i+1), Zone: fmt.Sprintf("z%d", i%2+1), Rack: fmt.Sprintf("r%d", i%2+1),
+			Capacity: jobs.Resources{MilliCPU: 4000, MemoryMB: 1024}}
+		s.Labels = append(s.Labels, s.Zone+"-only")
+		if i/2%2 == 0 {
+			s.Labels = append(s.Labels, "ssd")
+		}
+		if i < 2 {
+			s.Capacity.GPUs = 2
+		}
+		out = append(out, s)
+	}
+	return out
+}
+
+// settings are those of the shape's process.
+func (s Shape) settings(address string, core []string, journal string) worker.Settings {
+	return worker.Settings{Name: s.Name, Address: address, Service: Service, Zone: s.Zone, Rack: s.Rack, Labels: s.Labels,
+		Capacity: s.Capacity, Core: core, Journal: journal}
+}
+
+// Events reads the journals of the workers in DIR/journal.
+func Events(dir string) ([]worker.Event, error) {
+	var out []worker.Event
+	for line, err := range journal.Lines(dir) {
+		if err != nil {
+			return nil, errs.Pass(err, "journals")
+		}
+		var e worker.Event
+		if err := json.Unmarshal(line.Raw, &e); err != nil {
+			return nil, errs.Wrap(err, errs.Damaged, "journal %s line %d", line.File, line.Number)
+		}
+		out = append(out, e)
+	}
+	return out, nil
+}
