drill jobs: the jobs interface end to end with real processes, the leader killed

Change: drill jobs starts cplanes, dplanes and workers on loopback, hands in a mix, tells a worker to leave, kills the leader with jobs handed in meanwhile, evacuates a zone and audits the journals; drill worker is one stand-in worker. Found by it: an evacuated zone takes no new starts, but what runs there ends there; the commands say so now.

--- a/cmd/cplane/jobscore.go
+++ b/cmd/cplane/jobscore.go
@@ -37,7 +37,7 @@
 			{Name: "patch", Usage: "put and remove the items in FILE (- for standard input)", ArgsUsage: "FILE", Flags: control,
 				Action: sendConfig(http.MethodPatch)},
 		}},
-		{Name: "evacuate", Usage: "no new starts in ZONE, and what runs there goes on elsewhere", ArgsUsage: "ZONE", Flags: control,
+		{Name: "evacuate", Usage: "no new starts in ZONE; what runs there ends there", ArgsUsage: "ZONE", Flags: control,
 			Action: zoneOrder("evacuate")},
 		{Name: "restore", Usage: "ZONE may be used again", ArgsUsage: "ZONE", Flags: control, Action: zoneOrder("restore")},
 		{Name: "topology", Usage: "print the leader and the members of the core", Flags: append(control, jsonFlag()), Action: topology},
--- /dev/null
+++ b/cmd/drill/worker.go
@@ -0,0 +1,57 @@
+package main
+
+import (
+	"context"
+	"os"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"github.com/urfave/cli/v3"
+
+	"crosstide/internal/clock"
+	"crosstide/internal/daemon"
+	"crosstide/internal/errs"
+	"crosstide/internal/jobs"
+	"crosstide/internal/testbed/worker"
+)
+
+func init() {
+	commands = append(commands, &cli.Command{
+		Name: "worker", Usage: "a stand-in worker for the jobs interface; SIGTERM drains it and lets it leave",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "name", Required: true},
+			&cli.StringFlag{Name: "addr", Usage: "`IP:PORT` to listen at", Required: true},
+			&cli.StringFlag{Name: "service", Required: true},
+			&cli.StringFlag{Name: "zone", Required: true},
+			&cli.StringFlag{Name: "rack"},
+			&cli.StringSliceFlag{Name: "label", Usage: "a `LABEL`; may be given again"},
+			&cli.IntFlag{Name: "milli-cpu", Value: 4000},
+			&cli.IntFlag{Name: "memory-mb", Value: 1024},
+			&cli.IntFlag{Name: "gpus"},
+			&cli.StringSliceFlag{Name: "core", Usage: "control addresses of core nodes, `IP:PORT,...`", Required: true},
+			&cli.DurationFlag{Name: "every", Usage: "from heartbeat to heartbeat (default 1s)"},
+			&cli.DurationFlag{Name: "grace", Usage: "for what runs when the worker is told to leave (default 5s)"},
+			&cli.StringFlag{Name: "journal", Usage: "`FILE`"},
+			&cli.StringFlag{Name: "log", Value: "info", Usage: "`LEVEL`: debug, info, warn or error"},
+		},
+		Action: runWorker,
+	})
+}
+
+func runWorker(ctx context.Context, cmd *cli.Command) error {
+	set := worker.Settings{
+		Name: cmd.String("name"), Address: cmd.String("addr"), Service: cmd.String("service"), Zone: cmd.String("zone"),
+		Rack: cmd.String("rack"), Labels: cmd.StringSlice("label"), Core: cmd.StringSlice("core"), Journal: cmd.String("journal"),
+		Every: cmd.Duration("every"), Grace: cmd.Duration("grace"),
+		Capacity: jobs.Resources{MilliCPU: cmd.Int("milli-cpu"), MemoryMB: cmd.Int("memory-mb"), GPUs: cmd.Int("gpus")},
+	}
+	ctx, stop := daemon.Signals(ctx)
+	defer stop()
+	logger := log.With(daemon.Logger(cmd.String("log"), os.Stderr), "worker", set.Name)
+	host, err := worker.Open(set, clock.Real{}, logger)
+	if err != nil {
+		return errs.Pass(err, "worker")
+	}
+	_ = level.Info(logger).Log("msg", "the worker is up", "id", host.ID(), "addr", set.Address)
+	return errs.Pass(host.Run(ctx), "worker")
+}
--- a/internal/testbed/jobsdrill/mix.go
+++ b/internal/testbed/jobsdrill/mix.go
@@ -129,11 +129,11 @@
 	}
 }
 
-// Later gives the jobs that are handed in while the core has no leader.
-func Later(count int) []Job {
+// Numbered gives small jobs with IDs of a common beginning.
+func Numbered(prefix string, count int) []Job {
 	var out []Job
 	for i := range count {
-		out = append(out, newJob(fmt.Sprintf("later-%d", i), Urgent, jobs.Succeeded, worker.Program{MS: 60}, small(2)))
+		out = append(out, newJob(fmt.Sprintf("%s-%d", prefix, i), Urgent, jobs.Succeeded, worker.Program{MS: 60}, small(2)))
 	}
 	return out
 }
--- a/internal/testbed/worker/host.go
+++ b/internal/testbed/worker/host.go
@@ -28,6 +28,7 @@
 	heartbeatWithin = time.Second
 	serverGrace     = time.Second
 	idlePause       = time.Minute // between looks at the clock while nothing runs
+	idleLook        = 50 * time.Millisecond
 )
 
 // Settings are those of one worker process; Name, Address, Service, Zone and Core are needed.
@@ -41,7 +42,7 @@
 	Capacity jobs.Resources
 	Core     []string      // control addresses of core nodes
 	Every    time.Duration // from heartbeat to heartbeat, default 1s
-	Grace    time.Duration // for what runs when the worker is told to leave, default 5s
+	Grace    time.Duration // for what runs when the worker is told to leave, and for its ends to be known; default 5s
 	Journal  string        // file; empty: none
 }
 
@@ -344,20 +345,28 @@
 	h.beat(ctx, jobsapi.StateDraining)
 }
 
-// leave drains, waits for what runs, and says that the worker ends.
+// leave drains, gives what runs the grace to end, stops the rest, and says that the worker ends once the core knows of
+// all ends.
 func (h *Host) leave() {
 	ctx := h.group.Context()
 	h.Drain(ctx)
-	for until := h.now() + h.set.Grace; h.now() < until; {
-		h.mu.Lock()
-		idle, changed := h.core.Idle(), h.ended
-		h.mu.Unlock()
-		if idle || !h.pause(ctx, min(until-h.now(), 100*time.Millisecond), changed) {
-			break
-		}
-	}
+	h.awaitIdle(ctx, h.set.Grace)
 	h.mu.Lock()
 	h.core.StopAll(h.now())
+	h.tell()
 	h.mu.Unlock()
+	h.awaitIdle(ctx, h.set.Grace)
 	h.beat(ctx, jobsapi.StateLeaving)
 }
+
+// awaitIdle waits until nothing runs and all ends were acknowledged, or for a time.
+func (h *Host) awaitIdle(ctx context.Context, within time.Duration) {
+	for until := h.now() + within; h.now() < until; {
+		h.mu.Lock()
+		idle := h.core.Idle()
+		h.mu.Unlock()
+		if idle || !h.pause(ctx, idleLook, nil) {
+			return
+		}
+	}
+}
