--- /dev/null
+++ b/internal/controller/metrics.go
@@ -0,0 +1,99 @@
+package controller
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+
+	"crosstide/internal/jobs"
+)
+
+// Metrics are the figures of the job table, as a prometheus.Collector. Only the leader shows more than whether it leads.
+type Metrics struct {
+	leader  *Leader
+	leads   *prometheus.Desc
+	waiting *prometheus.Desc
+	workers *prometheus.Desc
+	runs    *prometheus.Desc
+	version *prometheus.Desc
+}
+
+var _ prometheus.Collector = (*Metrics)(nil)
+
+// NewMetrics makes the figures of a leader. Example:
+//
+//	registry.MustRegister(controller.NewMetrics(leader))
+func NewMetrics(leader *Leader) *Metrics {
+	desc := func(name, help string, labels ...string) *prometheus.Desc {
+		return prometheus.NewDesc("crosstide_jobs_"+name, help, labels, nil)
+	}
+	return &Metrics{
+		leader:  leader,
+		leads:   desc("leads", "1 on the node that schedules jobs, 0 on the others."),
+		waiting: desc("waiting", "Jobs of which nothing was started yet, by queue.", "queue"),
+		workers: desc("workers", "Workers, by zone and state.", "zone", "state"),
+		runs:    desc("runs", "Runs that are not over, by zone of their worker.", "zone"),
+		version: desc("config_version", "Version of the configuration in force."),
+	}
+}
+
+// Describe tells the figures there are.
+func (m *Metrics) Describe(out chan<- *prometheus.Desc) {
+	for _, desc := range []*prometheus.Desc{m.leads, m.waiting, m.workers, m.runs, m.version} {
+		out <- desc
+	}
+}
+
+// workerGroup is what workers are counted by.
+type workerGroup struct{ zone, state string }
+
+// figures are what one look at the table counts.
+type figures struct {
+	version uint64
+	waiting map[string]int // by queue
+	workers map[workerGroup]int
+	runs    map[string]int // by zone
+}
+
+// Collect counts now.
+func (m *Metrics) Collect(out chan<- prometheus.Metric) {
+	gauge := func(desc *prometheus.Desc, value float64, labels ...string) {
+		out <- prometheus.MustNewConstMetric(desc, prometheus.GaugeValue, value, labels...)
+	}
+	counted := figures{waiting: map[string]int{}, workers: map[workerGroup]int{}, runs: map[string]int{}}
+	_, err := m.leader.look(func(table *jobs.Table) error {
+		counted.count(table)
+		return nil
+	})
+	if err != nil {
+		gauge(m.leads, 0)
+		return
+	}
+	gauge(m.leads, 1)
+	gauge(m.version, float64(counted.version))
+	for queue, count := range counted.waiting {
+		gauge(m.waiting, float64(count), queue)
+	}
+	for group, count := range counted.workers {
+		gauge(m.workers, float64(count), group.zone, group.state)
+	}
+	for zone, count := range counted.runs {
+		gauge(m.runs, float64(count), zone)
+	}
+}
+
+func (f *figures) count(table *jobs.Table) {
+	f.version = table.Config.Version
+	for _, queue := range table.Config.Queues {
+		f.waiting[queue.Name] = table.Waiting(queue.Name)
+	}
+	for id, worker := range table.Workers {
+		state := "ready"
+		switch {
+		case worker.Left:
+			state = "leaving"
+		case worker.Draining:
+			state = "draining"
+		}
+		f.workers[workerGroup{worker.Zone, state}]++
+		f.runs[worker.Zone] += table.RunCount(id)
+	}
+}
--- a/internal/controller/query.go
+++ b/internal/controller/query.go
@@ -198,7 +198,7 @@
 	answer := WorkersAnswer{Workers: []WorkerView{}, Evacuated: []string{}}
 	_, err := l.look(func(table *jobs.Table) error {
 		for id, worker := range table.Workers {
-			answer.Workers = append(answer.Workers, WorkerView{Worker: *worker, Used: table.Used(id), Runs: len(table.RunsOn(id))})
+			answer.Workers = append(answer.Workers, WorkerView{Worker: *worker, Used: table.Used(id), Runs: table.RunCount(id)})
 		}
 		for zone := range table.Evacuated {
 			answer.Evacuated = append(answer.Evacuated, zone)
--- a/internal/controller/query_test.go
+++ b/internal/controller/query_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
 	"github.com/go-kit/log"
+	"github.com/prometheus/client_golang/prometheus"
 	. "github.com/smartystreets/goconvey/convey"
 
 	"crosstide/internal/clock"
@@ -63,12 +65,19 @@
 type oneStore struct {
 	state *state.State
 	index uint64
+
+	follows bool // another node leads
 }
 
 func newOneStore() *oneStore { return &oneStore{state: state.New()} }
 
-func (s *oneStore) View(read func(*state.State))           { read(s.state) }
-func (s *oneStore) LeadTerm(time.Duration) (uint64, bool)  { return 1, true }
+func (s *oneStore) View(read func(*state.State)) { read(s.state) }
+func (s *oneStore) LeadTerm(time.Duration) (uint64, bool) {
+	if s.follows {
+		return 0, false
+	}
+	return 1, true
+}
 func (s *oneStore) Changed() <-chan struct{}               { return nil }
 func (s *oneStore) Members() (leader string, all []string) { return "here", []string{"here"} }
 func (s *oneStore) ProposeIn(_ context.Context, term uint64, c command.Command) (uint64, any, error) {
@@ -81,6 +90,23 @@
 	return s.index, answer, errs.Pass(err, "apply")
 }
 
+// gathered gives the figures of a registry: name, labels, value.
+func gathered(registry *prometheus.Registry) []string {
+	families, err := registry.Gather()
+	So(err, ShouldBeNil)
+	var out []string
+	for _, family := range families {
+		for _, metric := range family.GetMetric() {
+			line := family.GetName()
+			for _, label := range metric.GetLabel() {
+				line += " " + label.GetName() + "=" + label.GetValue()
+			}
+			out = append(out, fmt.Sprintf("%s %g", line, metric.GetGauge().GetValue()))
+		}
+	}
+	return out
+}
+
 func TestLeaderQueries(t *testing.T) {
 	Convey("Given a leader with two queues and a worker", t, func() {
 		store := newOneStore()
@@ -154,6 +180,15 @@
 			So(err, ShouldBeNil)
 			So(answer.Queues, ShouldResemble, []QueueView{{Name: "a", Service: "s", Waiting: 1}, {Name: "b", Service: "s", Priority: 3, Waiting: 1}})
 		})
+		Convey("the metrics tell of queues, workers and runs", func() {
+			registry := prometheus.NewRegistry()
+			registry.MustRegister(NewMetrics(leader))
+			So(gathered(registry), ShouldResemble, []string{
+				"crosstide_jobs_config_version 1", "crosstide_jobs_leads 1", "crosstide_jobs_runs zone=z 1",
+				"crosstide_jobs_waiting queue=a 1", "crosstide_jobs_waiting queue=b 1", "crosstide_jobs_workers state=ready zone=z 1"})
+			store.follows = true
+			So(gathered(registry), ShouldResemble, []string{"crosstide_jobs_leads 0"})
+		})
 		Convey("workers tell what runs on them", func() {
 			_, err := leader.Evacuate(ctx, jobs.Evacuate{Zone: "z", Start: true})
 			So(err, ShouldBeNil)
--- a/internal/jobs/query.go
+++ b/internal/jobs/query.go
@@ -51,6 +51,14 @@
 	return Resources{}
 }
 
+// RunCount counts the runs whose handles are on a worker.
+func (t *Table) RunCount(worker string) int {
+	if o := t.occupancy[worker]; o != nil {
+		return len(o.runs)
+	}
+	return 0
+}
+
 // RunsOn lists the runs whose handles are on a worker, by job, round, step, index and number.
 func (t *Table) RunsOn(worker string) []RunKey {
 	o := t.occupancy[worker]
--- a/internal/node/core.go
+++ b/internal/node/core.go
@@ -84,6 +84,9 @@
 		return nil, errs.Pass(err, "open the store")
 	}
 	n.leader = controller.NewLeader(n.leaderOptions())
+	if opt.Registry != nil {
+		opt.Registry.MustRegister(controller.NewMetrics(n.leader))
+	}
 	n.client = controller.NewClient(controller.ClientOptions{Caller: n.caller, Seeds: opt.Store.Seeds, Self: opt.Store.Addr,
 		Logger: part("client")})
 	n.inner = n.server(opt.Store.Addr, "wire")
