--- /dev/null
+++ b/cmd/cplane/jobscore_test.go
@@ -0,0 +1,33 @@
+package main
+
+import (
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	. "github.com/smartystreets/goconvey/convey"
+
+	"crosstide/internal/config"
+	"crosstide/internal/scheduler"
+	"crosstide/internal/workerapi"
+)
+
+func TestJobsOptions(t *testing.T) {
+	Convey("The settings of a core node make its options, and the scheduler's settings", t, func() {
+		set := config.DefaultJobsCore()
+		set.Addr, set.Control, set.Grace, set.KeepOver = "10.0.0.1:7100", "10.0.0.1:7200", 7*time.Second, time.Hour
+		set.Scheduler = config.JobsScheduler{Lease: 9 * time.Second, HoldWait: 2 * time.Second, Silence: 3 * time.Second,
+			LapseMargin: 4 * time.Second, EarlyStart: 5 * time.Second, RemoteFactor: 2.5, ForgetAfter: 40 * time.Second}
+		options := jobsOptions(set, false, log.NewNopLogger())
+		So([]any{options.Store.Addr, options.Control, options.Grace, options.KeepOver, options.OrdersByBeat}, ShouldResemble,
+			[]any{"10.0.0.1:7100", "10.0.0.1:7200", 7 * time.Second, time.Hour, false})
+		So(options.Workers(nil), ShouldHaveSameTypeAs, &workerapi.Client{})
+		want := scheduler.Defaults()
+		want.Lease, want.HoldWait, want.Silence, want.LapseMargin = 9*time.Second, 2*time.Second, 3*time.Second, 4*time.Second
+		want.EarlyStart, want.SpreadFactor, want.ForgetAfter = 5*time.Second, 2.5, 40*time.Second
+		So(options.Scheduler, ShouldResemble, want)
+	})
+	Convey("The defaults of the settings are the scheduler's", t, func() {
+		So(jobsScheduler(config.DefaultJobsCore().Scheduler), ShouldResemble, scheduler.Defaults())
+	})
+}
--- /dev/null
+++ b/internal/testbed/worker/host_test.go
@@ -0,0 +1,138 @@
+package worker
+
+import (
+	"context"
+	"net/http"
+	"path/filepath"
+	"runtime"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	. "github.com/smartystreets/goconvey/convey"
+
+	"crosstide/internal/clock"
+	"crosstide/internal/controller"
+	"crosstide/internal/errs"
+	"crosstide/internal/jobs"
+	"crosstide/internal/jobsapi"
+	"crosstide/internal/routine"
+	"crosstide/internal/rpc"
+	"crosstide/internal/scheduler"
+	"crosstide/internal/workerapi"
+)
+
+// fakeCore takes heartbeats at two addresses; the first one refuses them.
+type fakeCore struct {
+	jobsapi.Control
+	mu     sync.Mutex
+	beats  []controller.BeatCall
+	leader string
+}
+
+// Beat keeps a heartbeat.
+func (f *fakeCore) Beat(_ context.Context, call controller.BeatCall) (controller.BeatAnswer, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.beats = append(f.beats, call)
+	return controller.BeatAnswer{Leader: f.leader}, nil
+}
+
+// await gives the first heartbeat that is as wanted, once there is one.
+func (f *fakeCore) await(wanted func(controller.BeatCall) bool) controller.BeatCall {
+	for {
+		f.mu.Lock()
+		at := slices.IndexFunc(f.beats, wanted)
+		if at >= 0 {
+			defer f.mu.Unlock()
+			return f.beats[at]
+		}
+		f.mu.Unlock()
+		runtime.Gosched()
+	}
+}
+
+func serve(routes func(*rpc.Server)) *rpc.Server {
+	server := rpc.NewServer(rpc.ServerOptions{Addr: "127.0.0.1:0"})
+	routes(server)
+	So(server.Start(), ShouldBeNil)
+	return server
+}
+
+func TestHost(t *testing.T) {
+	Convey("Given a worker, a core node that takes its heartbeats, and one that does not", t, func() {
+		core := &fakeCore{}
+		down := serve(func(s *rpc.Server) {
+			s.Route("/", func(w http.ResponseWriter, _ *http.Request) {
+				rpc.WriteError(w, errs.New(errs.Unavailable, "on purpose"))
+			})
+		})
+		up := serve(func(s *rpc.Server) { jobsapi.ServeControl(s, core, 0) })
+		core.leader = up.Addr()
+		host, err := Open(Settings{Name: "w", Address: "127.0.0.1:0", Service: "s", Zone: "z", Rack: "r", Labels: []string{"l"},
+			Capacity: jobs.Resources{MilliCPU: 1000, MemoryMB: 10, GPUs: 1}, Core: []string{down.Addr(), up.Addr()},
+			Every: 10 * time.Millisecond, Grace: 20 * time.Millisecond, Journal: filepath.Join(t.TempDir(), "w.jsonl")},
+			clock.Real{}, log.NewNopLogger())
+		So(err, ShouldBeNil)
+		ctx, leave := context.WithCancel(context.Background())
+		work := routine.New(context.Background())
+		work.Go(func(context.Context) { _ = host.Run(ctx) })
+		caller := rpc.NewCaller(rpc.CallerOptions{})
+		defer func() {
+			leave()
+			work.Wait()
+			caller.Close()
+			So(down.Stop(time.Minute), ShouldBeNil)
+			So(up.Stop(time.Minute), ShouldBeNil)
+		}()
+		first := func(controller.BeatCall) bool { return true }
+		beat := core.await(first)
+		worker := beat.Worker
+		So(worker, ShouldResemble, jobs.Worker{ID: host.ID(), Address: worker.Address, Service: "s", Zone: "z", Rack: "r",
+			Labels: []string{"l"}, Capacity: jobs.Resources{MilliCPU: 1000, MemoryMB: 10, GPUs: 1}})
+		client := workerapi.NewClient(caller, time.Minute)
+		call := context.Background()
+		order := scheduler.StartOrder{Key: jobs.RunKey{Task: jobs.TaskRef{Job: "j"}, Number: 1}, Payload: `{"ms":30}`, Token: 1, Deadline: time.Hour}
+
+		Convey("it carries orders out, and a hold call waits for the end", func() {
+			answer, err := client.Start(call, worker, order)
+			So([]any{answer.Refusal, err}, ShouldResemble, []any{scheduler.Refusal(""), nil})
+			lists, err := client.Hold(call, worker, scheduler.HoldCall{Token: 1, Wait: 20 * time.Second})
+			So(err, ShouldBeNil)
+			So(lists.Ended, ShouldResemble, []scheduler.Ended{{Sequence: 1, Key: order.Key, How: jobs.EndDone}})
+		})
+		Convey("another life is not here, and a lower token does nothing", func() {
+			other := worker
+			other.ID = "w-0"
+			_, err := client.Start(call, other, order)
+			So(errs.KindOf(err), ShouldEqual, errs.Unknown)
+			_, err = client.Hold(call, worker, scheduler.HoldCall{Token: 2})
+			So(err, ShouldBeNil)
+			So(errs.KindOf(client.Stop(call, worker, scheduler.StopOrder{Key: order.Key, Token: 1})), ShouldEqual, errs.Stale)
+		})
+		Convey("told to leave it says that it drains, stops what runs, and leaves", func() {
+			order.Payload = `{"ms":-1}`
+			_, err := client.Start(call, worker, order)
+			So(err, ShouldBeNil)
+			leave()
+			core.await(func(c controller.BeatCall) bool { return c.Worker.Draining && c.Remaining > 0 })
+			core.await(func(c controller.BeatCall) bool { return c.Leaving })
+			work.Wait()
+		})
+	})
+	Convey("Settings that are wrong are refused with their field", t, func() {
+		whole := Settings{Name: "w", Address: "127.0.0.1:0", Service: "s", Zone: "z", Core: []string{"127.0.0.1:1"}}
+		So(whole.Check(), ShouldBeNil)
+		for field, change := range map[string]func(*Settings){
+			"address": func(s *Settings) { s.Address = "here" }, "name": func(s *Settings) { s.Name = "" },
+			"service": func(s *Settings) { s.Service = "" }, "zone": func(s *Settings) { s.Zone = "" }, "core": func(s *Settings) { s.Core = nil },
+		} {
+			set := whole
+			change(&set)
+			err := set.Check()
+			So([]any{errs.KindOf(err), errs.Of(err).Field}, ShouldResemble, []any{errs.Settings, field})
+		}
+	})
+}
