--- a/internal/testbed/jobsdrill/mix.go
+++ b/internal/testbed/jobsdrill/mix.go
@@ -66,6 +66,7 @@
 	Checkpoints   bool   `json:"checkpoints,omitempty"`
 	Gang          bool   `json:"gang,omitempty"`
 	OneRack       bool   `json:"one_rack,omitempty"`
+	Speculative   bool   `json:"speculative,omitempty"`
 	Lasting       bool   `json:"lasting,omitempty"`
 }
 
@@ -119,6 +120,8 @@
 		newJob("chain", Urgent, jobs.Succeeded, quick, small(4),
 			small(3).with(func(s *Step) { s.After = []int{0} }), small(2).with(func(s *Step) { s.After = []int{0, 1} })),
 		newJob("gang", Urgent, jobs.Succeeded, worker.Program{MS: 300}, small(4).with(func(s *Step) { s.Gang, s.OneRack = true, true })),
+		newJob("gang-retried", Urgent, jobs.Succeeded, worker.Program{MS: 100, Fails: 1}, small(3).with(func(s *Step) { s.Gang = true })),
+		newJob("speculative", Urgent, jobs.Succeeded, quick, small(3).with(func(s *Step) { s.Speculative = true })),
 		newJob("labelled", Urgent, jobs.Succeeded, quick, small(4).with(func(s *Step) { s.Label = "ssd" })),
 		newJob("gpu", Urgent, jobs.Succeeded, quick, small(3).with(func(s *Step) { s.GPUs = 1 })),
 		newJob("near", Urgent, jobs.Succeeded, quick, small(3).with(func(s *Step) { s.Near = "r2" })),
