--- /dev/null
+++ b/internal/testbed/jobsdrill/processes_test.go
@@ -0,0 +1,66 @@
+package jobsdrill
+
+import (
+	"context"
+	"path/filepath"
+	"slices"
+	"syscall"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"crosstide/internal/config"
+	"crosstide/internal/errs"
+)
+
+func TestPlan(t *testing.T) {
+	Convey("A plan's settings are taken by the daemons, and every process has a line", t, func() {
+		dir := t.TempDir()
+		plan, err := MakePlan(dir, "/bin/of", Size{Cplanes: 3, Dplanes: 2, Workers: 4})
+		So(err, ShouldBeNil)
+		var names []string
+		for _, line := range plan.Lines {
+			names = append(names, line.Name)
+			settings := filepath.Join(dir, "settings", line.Name+".json")
+			switch filepath.Base(line.Args[0]) {
+			case "cplane":
+				set, err := config.LoadJobsCore(settings)
+				So(err, ShouldBeNil)
+				So(slices.Contains(plan.Control, set.Control), ShouldBeTrue)
+				So([]any{plan.Inner[set.Addr], len(set.Members)}, ShouldResemble, []any{line.Name, 3})
+			case "dplane":
+				set, err := config.LoadJobsFront(settings)
+				So(err, ShouldBeNil)
+				So(slices.Contains(plan.Fronts, set.Addr), ShouldBeTrue)
+			}
+		}
+		So(names, ShouldResemble, []string{"c1", "c2", "c3", "d1", "d2", "w1", "w2", "w3", "w4"})
+		_, err = MakePlan(dir, "/bin/of", Size{Cplanes: 3, Dplanes: 2, Workers: 4})
+		So(errs.KindOf(err), ShouldEqual, errs.Conflict)
+		_, err = MakePlan(t.TempDir(), "/bin/of", Size{Cplanes: 3, Dplanes: 2, Workers: 3})
+		So(errs.KindOf(err), ShouldEqual, errs.Invalid)
+	})
+}
+
+func TestProcesses(t *testing.T) {
+	Convey("Processes are started, signalled, waited for, started again and stopped", t, func() {
+		plan := Plan{Dir: t.TempDir(), Lines: []Line{{Name: "a", Args: []string{"/bin/sleep", "1000"}}}}
+		_, err := Start(plan)
+		So(errs.KindOf(err), ShouldEqual, errs.Disk) // there is no folder for logs
+		plan, err = MakePlan(t.TempDir(), "/bin/of", Size{Cplanes: 1, Dplanes: 1, Workers: 4})
+		So(err, ShouldBeNil)
+		plan.Lines = []Line{{Name: "a", Args: []string{"/bin/sleep", "1000"}}}
+		processes, err := Start(plan)
+		So(err, ShouldBeNil)
+		defer processes.Stop()
+		ctx := context.Background()
+		So(errs.KindOf(processes.Signal("b", syscall.SIGTERM)), ShouldEqual, errs.Unknown)
+		So(errs.KindOf(processes.Launch("b")), ShouldEqual, errs.Unknown)
+		So(processes.Signal("a", syscall.SIGKILL), ShouldBeNil)
+		So(processes.Wait(ctx, "a"), ShouldBeTrue)
+		So(processes.Launch("a"), ShouldBeNil)
+		over, cancel := context.WithCancel(ctx)
+		cancel()
+		So(processes.Wait(over, "a"), ShouldBeFalse)
+	})
+}
