--- a/cmd/cplane/jobscore.go
+++ b/cmd/cplane/jobscore.go
@@ -58,7 +58,7 @@
 }
 
 func serveJobs(ctx context.Context, set config.JobsCore, profiles bool, logger log.Logger) error {
-	core, err := node.NewCore(jobsOptions(set, profiles, logger))
+	core, err := node.NewCore(ctx, jobsOptions(set, profiles, logger))
 	if err != nil {
 		return errs.Pass(err, "make the node")
 	}
--- a/cmd/cplane/platform.go
+++ b/cmd/cplane/platform.go
@@ -57,7 +57,7 @@
 func serveCore(ctx context.Context, settings platform.Settings, changed <-chan os.Signal, logger log.Logger) error {
 	core := settings.Core()
 	daemon.LimitMemory(core.MemoryBytes)
-	served, err := node.NewCore(coreOptions(core, settings.Limits.FileDescriptors, logger))
+	served, err := node.NewCore(ctx, coreOptions(core, settings.Limits.FileDescriptors, logger))
 	if err != nil {
 		return errs.Pass(err, "make the node")
 	}
--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"sync"
 	"time"
 
@@ -178,8 +179,8 @@
 		events, notes := l.take()
 		for _, note := range notes {
 			l.core.Note(note)
-			if note.Kind == jobs.WorkerGone && l.opt.Mailboxes != nil {
-				l.opt.Mailboxes.Forget(note.Name)
+			if note.Kind == jobs.WorkerGone {
+				l.forget(note.Name)
 			}
 		}
 		for _, event := range events {
@@ -195,6 +196,27 @@
 	return out.Next
 }
 
+// forget lets go of what is kept of a worker beside the table.
+func (l *Leader) forget(worker string) {
+	l.mu.Lock()
+	delete(l.beats, worker)
+	l.mu.Unlock()
+	if l.opt.Mailboxes != nil {
+		l.opt.Mailboxes.Forget(worker)
+	}
+}
+
+// retain lets go of what is kept of workers that were forgotten while another node led.
+func (l *Leader) retain(workers map[string]*jobs.Worker) {
+	gone := func(id string) bool { return workers[id] == nil }
+	l.mu.Lock()
+	maps.DeleteFunc(l.beats, func(id string, _ uint64) bool { return gone(id) })
+	l.mu.Unlock()
+	if l.opt.Mailboxes != nil {
+		l.opt.Mailboxes.ForgetAll(gone)
+	}
+}
+
 // tidyEvery is the pause between two looks for jobs that are over for long.
 const tidyEvery = 20 * time.Second
 
@@ -214,6 +236,7 @@
 
 func (l *Leader) lead(now time.Duration, term uint64, table *jobs.Table) {
 	l.take()
+	l.retain(table.Workers)
 	table.Watch = l.watch
 	l.core.Lead(now, term, table)
 	l.tidyAt = now + tidyEvery
--- a/internal/node/core.go
+++ b/internal/node/core.go
@@ -26,7 +26,7 @@
 const (
 	dialTimeout = 700 * time.Millisecond  // a connection to a machine that is gone hangs
 	userTimeout = 1500 * time.Millisecond // how long the kernel resends bytes that nobody confirms
-	workerIdle  = 4                       // idle connections that a core node keeps to each worker and node
+	workerIdle  = 5                       // idle connections that a core node keeps to each worker and node
 	leastGrace  = time.Second             // for handing the lead over
 	drainWithin = time.Second             // for calls that run at the end
 )
@@ -34,8 +34,8 @@
 // CoreOptions are the parts of a core node.
 type CoreOptions struct {
 	Store config.Cplane // settings of the store; its seeds are the nodes to ask at first
-	// Open opens the store.
-	Open      func(opt store.Options, logger log.Logger) (*store.Store, error)
+	// Open opens the store; it may wait until ctx ends.
+	Open      func(ctx context.Context, opt store.Options, logger log.Logger) (*store.Store, error)
 	Scheduler scheduler.Config
 	KeepOver  time.Duration // how long a job that is over stays; 0 takes a default
 	// Workers carries orders to workers. It is not asked with OrdersByBeat.
@@ -64,20 +64,20 @@
 	control *rpc.Server        // workers and operators call it
 }
 
-// NewCore makes a core node and opens its store. Example:
+// NewCore makes a core node and opens its store, which may wait until ctx ends. Example:
 //
-//	core, err := node.NewCore(options)
+//	core, err := node.NewCore(ctx, options)
 //	if err != nil {
 //		return errs.Pass(err, "core node")
 //	}
 //	return core.Run(ctx)
-func NewCore(opt CoreOptions) (*Core, error) {
+func NewCore(ctx context.Context, opt CoreOptions) (*Core, error) {
 	part := func(name string) log.Logger { return daemon.Part(opt.Logger, name) }
 	n := &Core{opt: opt}
 	n.caller = rpc.NewCaller(rpc.CallerOptions{DialTimeout: dialTimeout, UserTimeout: userTimeout, Idle: workerIdle,
 		Via: opt.Store.Via, Registry: opt.Registry, Logger: part("caller")})
 	var err error
-	n.store, err = opt.Open(store.Options{Settings: opt.Store, Net: store.Wire(n.caller, opt.Store), Logger: part("store"),
+	n.store, err = opt.Open(ctx, store.Options{Settings: opt.Store, Net: store.Wire(n.caller, opt.Store), Logger: part("store"),
 		Registry: opt.Registry, Fatal: n.fatal}, opt.Logger)
 	if err != nil {
 		n.caller.Close()
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -15,12 +15,16 @@
 	// strays are runs that the worker lists and the table does not have: to be stopped.
 	strays map[jobs.RunKey]*stray
 
+	metAt    time.Duration // when its record was first seen under this term
 	heardAt  time.Duration // when it last answered or sent a heartbeat; 0: not under this term
 	answered bool          // it answered a hold call under this term: no older token counts there any more
-	clock    time.Duration // its clock at clockAt
-	clockAt  time.Duration
-	clockOK  bool
-	granted  time.Duration // the latest lease that may be in force there, on its clock; 0: unknown
+	// answeredAt is when it last answered a call; verifyAt, when an answer newer than that began to be needed.
+	answeredAt, verifyAt time.Duration
+	unansweredAt         time.Duration // when the first call since answeredAt was found to be without an answer; 0: never
+	clock                time.Duration // its clock at clockAt
+	clockAt              time.Duration
+	clockOK              bool
+	granted              time.Duration // the latest lease that may be in force there, on its clock; 0: unknown
 
 	holding  uint64 // the hold call that waits; 0: none
 	probing  uint64 // the hold call that asks at once; 0: none
@@ -35,6 +39,7 @@
 	orders       int           // start and stop orders under way
 	fullAt       time.Duration // it refused for room then: our account of it is wrong for a moment
 	sickAt       time.Duration // it refused as unhealthy then
+	stalledAt    time.Duration // a run on it was found standing still then, and none has gone on since; 0: none
 	leaving      time.Duration // while draining: when it may be gone, on our clock; 0: unknown
 }
 
@@ -47,7 +52,7 @@
 func (c *Core) meet(id string) *worker {
 	w := c.workers[id]
 	if w == nil {
-		w = &worker{id: id, table: c.table, runs: map[jobs.RunKey]*run{}, strays: map[jobs.RunKey]*stray{}, probe: true}
+		w = &worker{id: id, table: c.table, metAt: c.now, runs: map[jobs.RunKey]*run{}, strays: map[jobs.RunKey]*stray{}, probe: true}
 		c.workers[id] = w
 		c.names, c.order = append(c.names, id), append(c.order, w)
 	}
@@ -70,7 +75,7 @@
 
 // heard notes a sign of life, with the worker's clock if it was told.
 func (w *worker) heard(c *Core, now, clock time.Duration) {
-	w.heardAt = max(now, 1)
+	w.heardAt, w.answeredAt = max(now, 1), max(now, 1)
 	w.failures, w.retryAt, w.suspect = 0, 0, false
 	if clock > 0 && (!w.clockOK || clock > w.clock) {
 		w.clock, w.clockAt, w.clockOK = clock, now, true
@@ -87,10 +92,53 @@
 // careFor is how long after a call without an answer a worker is called with care.
 const careFor = 10 * time.Second
 
-// careful begins or prolongs the time in which the worker is called with care: one order at a time, and hold calls that
-// leave the connection free for it. A connection that is given up behind a cut, or whose leader lost its power, stays
-// open at the worker; it takes only so many and resets new ones, so that what is left must do for everything.
-func (w *worker) careful(now time.Duration) { w.carefulUntil = now + careFor }
+// unanswered notes that a call to the worker got no answer.
+//
+// From then on the worker is called with care for a while: one order at a time, and hold calls that leave the connection
+// free for it. A connection that is given up behind a cut, or whose leader lost its power, stays open at the worker; it
+// takes only so many and resets new ones, so that what is left must do for everything.
+func (c *Core) unanswered(w *worker, now time.Duration) {
+	w.carefulUntil = now + careFor
+	if w.unansweredAt <= w.answeredAt {
+		w.unansweredAt = max(now, 1)
+		c.verifyZone(w, now)
+	}
+}
+
+// Bounds of the suspicion that a whole zone is lost.
+const (
+	zoneLosses   = 3                     // workers of a zone without an answer
+	zoneLossSpan = time.Second           // within which they were found
+	freshAnswer  = 50 * time.Millisecond // an answer that is younger needs no other
+)
+
+// verifyZone asks all workers of a worker's zone at once, if several of them have stopped answering. None takes starts
+// before it has answered: a start that is sent into a lost zone is stuck until the worker's lease ends.
+func (c *Core) verifyZone(w *worker, now time.Duration) {
+	rec := w.record()
+	if rec == nil {
+		return
+	}
+	var others []*worker
+	losses := 0
+	for _, other := range c.order {
+		otherRec := other.record()
+		if otherRec == nil || otherRec.Zone != rec.Zone {
+			continue
+		}
+		if other.unansweredAt > other.answeredAt && now-other.unansweredAt <= zoneLossSpan {
+			losses++
+		} else if now-other.answeredAt > freshAnswer {
+			others = append(others, other)
+		}
+	}
+	if losses < zoneLosses {
+		return
+	}
+	for _, other := range others {
+		other.verifyAt, other.probe = now, true
+	}
+}
 
 // mayOrder tells whether one more order may be under way to the worker.
 func (w *worker) mayOrder(c *Core) bool {
@@ -118,17 +166,33 @@
 	return len(w.strays) > 0
 }
 
-// carefulWait is how long a hold call waits at a worker that is called with care.
-const carefulWait = 250 * time.Millisecond
+// Shorter waits of hold calls.
+const (
+	carefulWait = 250 * time.Millisecond // at a worker that is called with care
+	overdueWait = 400 * time.Millisecond // while a run takes longer than expected: it may stand still
+)
 
 // holdWait is how long the next hold call waits.
 func (w *worker) holdWait(c *Core) time.Duration {
-	if c.now < w.carefulUntil {
+	switch {
+	case c.now < w.carefulUntil:
 		return min(c.cfg.HoldWait, carefulWait)
+	case w.overdue(c):
+		return min(c.cfg.HoldWait, overdueWait)
 	}
 	return c.cfg.HoldWait
 }
 
+// overdue tells whether a run on the worker takes longer than expected and might be moved.
+func (w *worker) overdue(c *Core) bool {
+	for _, r := range w.runs {
+		if r.mine && r.sent && !r.lasting && !r.gang && !r.ending && c.now-r.sentAt > c.expected(r.estimate) {
+			return true
+		}
+	}
+	return false
+}
+
 // reachable tells whether the newest call to the worker was answered.
 func (w *worker) reachable() bool { return w.failures == 0 && !w.suspect }
 
@@ -217,8 +281,8 @@
 			continue // nothing to ask: the rule for most workers in most passes
 		}
 		rec := w.record()
-		if rec == nil {
-			continue
+		if rec == nil || rec.Left && len(w.runs) == 0 {
+			continue // it takes no starts any more, and nothing of it is waited for
 		}
 		if w.probe && w.probing == 0 {
 			w.probe = false
@@ -273,7 +337,7 @@
 		c.gone(w)
 		return
 	case HoldFailed, HoldFenced:
-		w.careful(now)
+		c.unanswered(w, now)
 		w.failed(c, now)
 		w.probe = w.probe || len(w.runs) > 0 || !w.answered
 		return
@@ -302,6 +366,9 @@
 		if r == nil || r.ending {
 			continue
 		}
+		if e.How == jobs.EndDone {
+			w.stalledAt = 0
+		}
 		c.speeds.ended(c, w, r, e.How)
 		c.end(r, e.How, e.Checkpoint)
 	}
@@ -325,9 +392,12 @@
 		}
 		if !r.listed {
 			r.listed, r.advancedAt = true, c.now
+			if r.accepted != 0 {
+				r.advancedAt = r.acceptedAt
+			}
 		}
 		if l.Percent > r.percent {
-			r.advancedAt = c.now
+			r.advancedAt, w.stalledAt = c.now, 0
 		}
 		r.saved, r.percent, r.percentAt = l.Checkpoint, l.Percent, c.now
 	}
@@ -369,7 +439,8 @@
 	return r.accepted != 0 && r.accepted < number
 }
 
-// forgotten gives the workers without runs that are gone.
+// forgotten gives the workers without runs that are gone: silent for long. One that said that it ends serves on for a
+// while, and heartbeats that it sent before may come late; forgotten too soon, it would come back as a new one.
 func (c *Core) forgotten(now time.Duration) []string {
 	var out []string
 	for _, w := range c.order {
@@ -377,8 +448,7 @@
 		if rec == nil || len(w.runs) > 0 || w.orders > 0 {
 			continue
 		}
-		silent := now-max(w.heardAt, c.since) > c.cfg.ForgetAfter
-		if silent || rec.Left && w.failures > 0 {
+		if now-max(w.heardAt, w.metAt) > c.cfg.ForgetAfter {
 			out = append(out, w.id)
 		}
 	}
--- a/internal/testbed/jobsdrill/run_test.go
+++ b/internal/testbed/jobsdrill/run_test.go
@@ -49,15 +49,16 @@
 	set.Name, set.Zone, set.Region, set.Addr, set.Data = "c1", "z1", "r", inner, dir
 	set.Seeds, set.Members = []string{inner}, []config.Member{{ID: "c1", Addr: inner, Zone: "z1"}}
 	logger := log.NewNopLogger()
-	core, err := node.NewCore(node.CoreOptions{
+	ctx, end := context.WithCancel(context.Background())
+	core, err := node.NewCore(ctx, node.CoreOptions{
 		Store: set, Scheduler: scheduler.Defaults(), Control: control, Logger: logger,
-		Open: func(opt store.Options, _ log.Logger) (*store.Store, error) {
+		Open: func(ctx context.Context, opt store.Options, _ log.Logger) (*store.Store, error) {
 			disk, err := storage.OSDisk(filepath.Join(dir, "store"))
 			if err != nil {
 				return nil, errs.Pass(err, "disk")
 			}
 			opt.Disk = disk
-			opened, err := store.Open(opt)
+			opened, err := store.OpenWhenRoom(ctx, opt)
 			return opened, errs.Pass(err, "store")
 		},
 		Workers:      func(caller *rpc.Caller) scheduler.Workers { return workerapi.NewClient(caller, 0) },
@@ -67,7 +68,6 @@
 	fronts := node.NewFront(node.FrontOptions{Core: []string{inner}, Address: front, Logger: logger, Grace: time.Second,
 		ServeClients: func(s *rpc.Server, client *controller.Client) { jobsapi.ServeClients(s, client, 0) },
 		ServeReady:   func(*rpc.Server, func() error) {}})
-	ctx, end := context.WithCancel(context.Background())
 	s := &testSystem{dir: dir, group: routine.New(context.Background()), end: end, caller: rpc.NewCaller(rpc.CallerOptions{})}
 	s.client = NewClient(s.caller, clock.Real{}, []string{front}, []string{control})
 	s.group.Go(func(context.Context) { _ = core.Run(ctx) })
