--- a/internal/config/values.go
+++ b/internal/config/values.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"fmt"
 	"math"
 	"time"
 )
@@ -52,19 +53,18 @@
 		r.Wrong(field, "must be an array, is %s", text(v))
 		return
 	}
-	had := len(*r.out)
-	out := make([]int, 0, len(list))
+	out, well := make([]int, 0, len(list)), true
 	for i, one := range list {
 		n, err := one.Int()
-		switch {
-		case err != nil:
-			r.Wrong(item(field, i), "must be a whole number, is %s", text(one))
-		case n < least || n > most:
-			r.Wrong(item(field, i), "must be from %d to %d, is %d", least, most, n)
+		if err != nil {
+			r.Wrong(fmt.Sprintf("%s[%d]", field, i), "must be a whole number, is %s", text(one))
+		} else if n < least || n > most {
+			r.Wrong(fmt.Sprintf("%s[%d]", field, i), "must be from %d to %d, is %d", least, most, n)
 		}
+		well = well && err == nil && n >= least && n <= most
 		out = append(out, n)
 	}
-	if len(*r.out) == had {
+	if well {
 		*to = out
 	}
 }
