internal/account: a deterministic book of accounts, reservations and a chained ledger

Book keeps accounts, top-ups by idempotency key, reservations by run and a ledger whose entries are chained by hash; old entries fold into a checkpoint. Conservation is checked in every change. Tests: drawn histories (rapid) with an encode and decode between every two events, exact arithmetic against math/big, every kind of tampering with the ledger.

--- /dev/null
+++ b/internal/account/account_test.go
@@ -0,0 +1,391 @@
+package account
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"math/big"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"pgregory.net/rapid"
+
+	"crosstide/internal/errs"
+)
+
+// start is when the tests' clocks begin.
+var start = time.Unix(1_700_000_000, 0).UTC()
+
+// after gives the time so many milliseconds after the start.
+func after(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+
+// funded is a book with one account, "acme", of so many units.
+func funded(amount int64) *Book {
+	b := NewBook()
+	So(b.Create("acme", 0), ShouldBeNil)
+	_, err := b.TopUp("acme", "first", amount, start)
+	So(err, ShouldBeNil)
+	return b
+}
+
+// charge asks for a run of 10 units per second with a window of 10 s: 100 units.
+func charge(run string) Charge {
+	return Charge{Run: run, Account: "acme", Rate: 10_000, Window: 10 * time.Second}
+}
+
+// figures are balance, reserved and spent.
+func figures(b *Book) [3]int64 {
+	a := b.Accounts["acme"]
+	return [3]int64{a.Balance, a.Reserved, a.Spent}
+}
+
+func TestRun(t *testing.T) {
+	Convey("A run reserves its window and pays its time, rounded up once", t, func() {
+		b := funded(250)
+		So(b.Reserve(charge("1"), start), ShouldBeNil)
+		So(figures(b), ShouldEqual, [3]int64{150, 100, 0})
+		So(errs.KindOf(b.Reserve(charge("1"), start)), ShouldEqual, errs.Conflict)
+		So(b.Reserve(charge("2"), start), ShouldBeNil)
+		err := b.Reserve(charge("3"), start)
+		So(errs.KindOf(err), ShouldEqual, errs.Conflict)
+		So(err.Error(), ShouldContainSubstring, "has 50, a start reserves 100")
+		b.Settle("1", after(1201)) // 12.01 units
+		So(figures(b), ShouldEqual, [3]int64{137, 100, 13})
+		So(b.Reserve(charge("3"), after(1300)), ShouldBeNil)
+		b.Return("2")
+		b.Settle("2", after(9000)) // it is gone: nothing
+		b.Return("nobody")
+		So(figures(b), ShouldEqual, [3]int64{137, 100, 13})
+		So(b.Check(), ShouldBeNil)
+	})
+	Convey("A run that outlives its window has it drawn and the next one reserved, also below zero", t, func() {
+		b := funded(150)
+		So(b.Reserve(charge("1"), start), ShouldBeNil)
+		b.Renew(after(9_999))
+		So(figures(b), ShouldEqual, [3]int64{50, 100, 0})
+		b.Renew(after(10_000))
+		So(figures(b), ShouldEqual, [3]int64{-50, 100, 100})
+		b.Renew(after(35_000)) // two windows at once
+		So(figures(b), ShouldEqual, [3]int64{-250, 100, 300})
+		So(b.Accounts["acme"].Ledger.Head.Number, ShouldEqual, 3)
+		b.Return("1") // lost: what was drawn stays drawn
+		So(figures(b), ShouldEqual, [3]int64{-150, 0, 300})
+		So(b.Covers("acme", 0), ShouldBeFalse)
+		_, err := b.TopUp("acme", "second", 250, after(40_000))
+		So(err, ShouldBeNil)
+		So(b.Covers("acme", 100), ShouldBeTrue)
+		So(b.Covers("acme", 101), ShouldBeFalse)
+		So(b.Check(), ShouldBeNil)
+	})
+	Convey("A lasting task that ran before is reserved whatever the balance is; without an account nothing is", t, func() {
+		b := funded(50)
+		again := charge("1")
+		again.Attached = true
+		So(b.Reserve(again, start), ShouldBeNil)
+		So(figures(b), ShouldEqual, [3]int64{-50, 100, 0})
+		again.Account = "other"
+		So(errs.KindOf(b.Reserve(again, start)), ShouldEqual, errs.Unknown)
+		var none *Book
+		So(none.Covers("acme", 0), ShouldBeFalse)
+		So(none.Check(), ShouldBeNil)
+		none.Settle("1", start)
+		none.Renew(start)
+	})
+	Convey("A credit lets starts reserve so far below zero", t, func() {
+		b := NewBook()
+		So(b.Create("acme", 100), ShouldBeNil)
+		So(b.Reserve(charge("1"), start), ShouldBeNil)
+		So(errs.KindOf(b.Reserve(charge("2"), start)), ShouldEqual, errs.Conflict)
+		So(errs.KindOf(b.Create("acme", 0)), ShouldEqual, errs.Conflict)
+		So(errs.KindOf(b.Create("", 0)), ShouldEqual, errs.Invalid)
+		So(errs.KindOf(b.Create("x", -1)), ShouldEqual, errs.Invalid)
+	})
+	Convey("The forecast goes by what runs now", t, func() {
+		b := funded(300)
+		_, draws := b.Accounts["acme"].DryIn()
+		So(draws, ShouldBeFalse)
+		So(b.Reserve(charge("1"), start), ShouldBeNil)
+		in, draws := b.Accounts["acme"].DryIn()
+		So([]any{in, draws}, ShouldResemble, []any{20 * time.Second, true})
+	})
+}
+
+func TestTopUp(t *testing.T) {
+	Convey("A top-up counts once for each key, and its answer stays the same", t, func() {
+		b := funded(100)
+		first, err := b.TopUp("acme", "k", 7, after(1))
+		So(err, ShouldBeNil)
+		So(first.Balance, ShouldEqual, 107)
+		So(b.Reserve(charge("1"), after(2)), ShouldBeNil)
+		again, err := b.TopUp("acme", "k", 7, after(3))
+		So(err, ShouldBeNil)
+		So(again, ShouldResemble, first)
+		So(b.Accounts["acme"].ToppedUp, ShouldEqual, 107)
+		for _, bad := range []struct {
+			name, key string
+			amount    int64
+			kind      errs.Kind
+		}{
+			{"acme", "k", 8, errs.Conflict}, {"other", "k", 7, errs.Unknown}, {"acme", "", 7, errs.Invalid},
+			{"acme", "l", 0, errs.Invalid}, {"acme", "l", -1, errs.Invalid}, {"acme", "l", MaxAmount - 106, errs.Invalid},
+		} {
+			_, err := b.TopUp(bad.name, bad.key, bad.amount, after(4))
+			So(errs.KindOf(err), ShouldEqual, bad.kind)
+		}
+		So(b.Accounts["acme"].ToppedUp, ShouldEqual, 107)
+	})
+	Convey("So many keys are remembered, no more", t, func() {
+		b := funded(1)
+		for i := range MaxTopUpKeys {
+			_, err := b.TopUp("acme", fmt.Sprint(i), 1, start)
+			So(err, ShouldBeNil)
+		}
+		So(len(b.Accounts["acme"].TopUps), ShouldEqual, MaxTopUpKeys)
+		_, known := b.Accounts["acme"].TopUps["first"]
+		So(known, ShouldBeFalse)
+		So(b.Check(), ShouldBeNil)
+	})
+}
+
+func TestLedger(t *testing.T) {
+	Convey("given an account of many entries", t, func() {
+		b := funded(1)
+		for i := range 3 * KeepEntries {
+			_, err := b.TopUp("acme", fmt.Sprint(i), 2, after(i))
+			So(err, ShouldBeNil)
+		}
+		l := &b.Accounts["acme"].Ledger
+		Convey("the oldest are folded into the base, and the sum still holds", func() {
+			So(len(l.Entries), ShouldBeBetween, KeepEntries-1, 2*KeepEntries)
+			So(l.Head.Number, ShouldEqual, 3*KeepEntries+1)
+			So(l.Base.Number+uint64(len(l.Entries)), ShouldEqual, l.Head.Number)
+			So(l.Head.ToppedUp, ShouldEqual, 6*KeepEntries+1)
+			So(l.Verify(), ShouldBeNil)
+		})
+		Convey("an entry that was changed, left out or doubled is found", func() {
+			for name, change := range map[string]func(){
+				"amount": func() { l.Entries[3].Amount++ },
+				"two amounts, the same sum": func() {
+					l.Entries[3].Amount++
+					l.Entries[4].Amount--
+				},
+				"key":      func() { l.Entries[3].Key = "x" },
+				"time":     func() { l.Entries[3].At = after(-1) },
+				"left out": func() { l.Entries = append(l.Entries[:3:3], l.Entries[4:]...) },
+				"doubled":  func() { l.Entries = append(l.Entries[:4:4], l.Entries[3:]...) },
+				"base":     func() { l.Base.Spent++ },
+				"kind":     func() { l.Entries[3].Kind = "gift" },
+			} {
+				before := *l
+				before.Entries = append([]Entry(nil), l.Entries...)
+				change()
+				So(fmt.Sprint(name, errs.KindOf(l.Verify())), ShouldEqual, fmt.Sprint(name, errs.Damaged))
+				*l = before
+			}
+			So(l.Verify(), ShouldBeNil)
+		})
+		Convey("the export has a row for each entry, the base and the head", func() {
+			var out bytes.Buffer
+			So(l.WriteCSV(&out), ShouldBeNil)
+			rows := strings.Split(strings.TrimSpace(out.String()), "\n")
+			So(len(rows), ShouldEqual, len(l.Entries)+3)
+			So(rows[1], ShouldContainSubstring, ",base,")
+			last := strings.Split(rows[len(rows)-2], ",")
+			head := strings.Split(rows[len(rows)-1], ",")
+			So(head[len(head)-3:], ShouldResemble, last[len(last)-3:])
+		})
+		Convey("a part of it is read by numbers", func() {
+			part := l.Since(l.Head.Number-3, 2)
+			So([]uint64{part[0].Number, part[1].Number}, ShouldResemble, []uint64{l.Head.Number - 2, l.Head.Number - 1})
+			So(l.Since(l.Head.Number, 5), ShouldBeEmpty)
+			So(l.Since(0, 1)[0].Number, ShouldEqual, l.Base.Number+1)
+		})
+	})
+}
+
+func TestCost(t *testing.T) {
+	Convey("A price is what exact arithmetic gives, rounded up", t, func() {
+		So(Price{Core: 3, GPU: 50, Memory: 2}.Rate(Needs{MilliCPU: 1500, MemoryMB: 500, GPUs: 1}), ShouldEqual, 4500+50_000+1000)
+		So(Rate(MaxAmount).Cost(1<<62), ShouldEqual, MaxAmount)
+		So(Rate(5).Cost(-time.Second), ShouldEqual, 0)
+		rapid.Check(t, func(t *rapid.T) {
+			rate, length := rapid.Int64Range(0, 1<<50).Draw(t, "rate"), rapid.Int64Range(0, 1<<55).Draw(t, "length")
+			want := new(big.Int).Mul(big.NewInt(rate), big.NewInt(length))
+			want.Add(want, big.NewInt(1e12-1))
+			want.Div(want, big.NewInt(1e12))
+			if !want.IsInt64() || want.Int64() > MaxAmount {
+				want = big.NewInt(MaxAmount)
+			}
+			if got := Rate(rate).Cost(time.Duration(length)); got != want.Int64() {
+				t.Fatalf("%d, want %d", got, want)
+			}
+		})
+	})
+}
+
+// history drives a book by drawn events and keeps its own sums.
+type history struct {
+	*rapid.T
+	book   *Book
+	now    time.Time
+	topUps map[string]int64 // by account and key
+	runs   map[string]Charge
+	began  map[string]time.Time
+	next   int
+}
+
+func (h *history) event() {
+	h.now = h.now.Add(time.Duration(rapid.IntRange(0, 4000).Draw(h.T, "ms")) * time.Millisecond)
+	h.book.Renew(h.now)
+	name := rapid.SampledFrom([]string{"a", "b", "none"}).Draw(h.T, "account")
+	switch rapid.IntRange(0, 5).Draw(h.T, "event") {
+	case 0:
+		h.topUp(name)
+	case 1, 2, 3:
+		h.reserve(name)
+	case 4:
+		if run := h.anyRun(); run != "" {
+			h.settle(run)
+		}
+	default:
+		if run := h.anyRun(); run != "" {
+			h.book.Return(run)
+			delete(h.runs, run)
+		}
+	}
+}
+
+func (h *history) topUp(name string) {
+	key := fmt.Sprint("k", rapid.IntRange(0, 20).Draw(h.T, "key"))
+	amount := rapid.Int64Range(1, 3).Draw(h.T, "amount") * 100
+	_, err := h.book.TopUp(name, key, amount, h.now)
+	before, known := h.topUps[name+key]
+	switch {
+	case name == "none":
+		if errs.KindOf(err) != errs.Unknown {
+			h.Fatalf("%v", err)
+		}
+	case known && before != amount:
+		if errs.KindOf(err) != errs.Conflict {
+			h.Fatalf("key %s of %d again with %d: %v", key, before, amount, err)
+		}
+	case err != nil:
+		h.Fatalf("%v", err)
+	default:
+		h.topUps[name+key] = amount
+	}
+}
+
+func (h *history) reserve(name string) {
+	h.next++
+	c := Charge{Run: fmt.Sprint("r", h.next), Account: name, Rate: Rate(rapid.Int64Range(0, 20_000).Draw(h.T, "rate")),
+		Window: time.Duration(rapid.IntRange(1, 8000).Draw(h.T, "window")) * time.Millisecond, Attached: rapid.IntRange(0, 9).Draw(h.T, "attached") == 0}
+	covered := name != "none" && h.book.Accounts[name].Balance >= c.Rate.Cost(c.Window)
+	err := h.book.Reserve(c, h.now)
+	if (err == nil) != (covered || c.Attached && name != "none") {
+		h.Fatalf("covered %v, attached %v: %v", covered, c.Attached, err)
+	}
+	if err == nil {
+		h.runs[c.Run], h.began[c.Run] = c, h.now
+		if !c.Attached && h.book.Accounts[name].Balance < 0 {
+			h.Fatalf("a start drew account %s to %d", name, h.book.Accounts[name].Balance)
+		}
+	}
+}
+
+// settle checks that a run pays exactly its time.
+func (h *history) settle(run string) {
+	c := h.runs[run]
+	a := h.book.Accounts[c.Account]
+	drawn := h.book.Reservations[run].Drawn
+	spent := a.Spent
+	h.book.Settle(run, h.now)
+	if paid, want := drawn+a.Spent-spent, c.Rate.Cost(h.now.Sub(h.began[run])); paid != want {
+		h.Fatalf("%s paid %d for %s, want %d", run, paid, h.now.Sub(h.began[run]), want)
+	}
+	delete(h.runs, run)
+}
+
+// anyRun draws one of those that are out.
+func (h *history) anyRun() string {
+	var open []string
+	for i := 1; i <= h.next; i++ {
+		if _, ok := h.runs[fmt.Sprint("r", i)]; ok {
+			open = append(open, fmt.Sprint("r", i))
+		}
+	}
+	if len(open) == 0 {
+		return ""
+	}
+	return rapid.SampledFrom(open).Draw(h.T, "run")
+}
+
+// judge checks what must hold after every event.
+func (h *history) judge() {
+	if err := h.book.Check(); err != nil {
+		h.Fatalf("%v", err)
+	}
+	sums := map[string]int64{}
+	for key, amount := range h.topUps {
+		sums[key[:1]] += amount
+	}
+	for name, a := range h.book.Accounts {
+		if a.ToppedUp != sums[name] {
+			h.Fatalf("account %s was topped up with %d, has %d", name, sums[name], a.ToppedUp)
+		}
+	}
+	for run, r := range h.book.Reservations {
+		if _, out := h.runs[run]; !out || !r.Until.After(h.now) || r.Until.Sub(h.now) > r.Window {
+			h.Fatalf("reservation of %s until %s at %s", run, r.Until, h.now)
+		}
+	}
+	if len(h.runs) != len(h.book.Reservations) {
+		h.Fatalf("%d runs, %d reservations", len(h.runs), len(h.book.Reservations))
+	}
+}
+
+func TestDrawnHistories(t *testing.T) {
+	Convey("Whatever happens in whatever order, nothing is lost or doubled, and a copy goes on the same", t, func() {
+		rapid.Check(t, func(t *rapid.T) {
+			h := &history{T: t, book: NewBook(), now: start, topUps: map[string]int64{}, runs: map[string]Charge{}, began: map[string]time.Time{}}
+			must(h.book.Create("a", 0))
+			must(h.book.Create("b", 0))
+			for range rapid.IntRange(1, 80).Draw(t, "events") {
+				h.event()
+				h.judge()
+				h.book = copied(t, h.book) // the next event is applied to what came from its bytes
+			}
+		})
+	})
+}
+
+// copied gives the book that comes from a book's bytes; its own bytes must be the same.
+func copied(t *rapid.T, b *Book) *Book {
+	data, err := json.Marshal(b)
+	must(err)
+	back := &Book{}
+	must(json.Unmarshal(data, back))
+	back.Rebuild()
+	again, err := json.Marshal(back)
+	must(err)
+	if !bytes.Equal(data, again) {
+		t.Fatalf("%s\n%s", data, again)
+	}
+	return back
+}
+
+func BenchmarkRun(b *testing.B) {
+	book := NewBook()
+	must(book.Create("acme", 0))
+	if _, err := book.TopUp("acme", "k", MaxAmount, start); err != nil {
+		b.Fatal(err)
+	}
+	for i := range b.N {
+		c := charge(fmt.Sprint(i))
+		must(book.Reserve(c, start))
+		book.Renew(start)
+		book.Settle(c.Run, after(1200))
+	}
+}
--- /dev/null
+++ b/internal/account/ledger.go
@@ -0,0 +1,153 @@
+package account
+
+import (
+	"crypto/sha256"
+	"encoding/csv"
+	"encoding/hex"
+	"fmt"
+	"io"
+	"slices"
+	"strconv"
+	"time"
+
+	"crosstide/internal/errs"
+)
+
+// KeepEntries is how many of the newest entries of an account a compaction leaves. It is made at twice as many.
+const KeepEntries = 256
+
+// EntryKind says what an entry of a ledger is about.
+type EntryKind string
+
+// The kinds of entries.
+const (
+	EntryTopUp EntryKind = "top-up" // Amount was added; Key is its idempotency key
+	EntryDraw  EntryKind = "draw"   // Amount was spent; Key is the run, Part counts the draws of it from 0
+)
+
+// Entry is one entry of an account's ledger. Key and Part stand in one entry at most.
+type Entry struct {
+	Number uint64    `json:"n"` // from 1 on, without gaps
+	At     time.Time `json:"at"`
+	Kind   EntryKind `json:"k"`
+	Key    string    `json:"key"`
+	Part   int       `json:"p,omitempty"`
+	Amount int64     `json:"u"`
+}
+
+// hash is the hash of the chain up to this entry, in hex; before is that up to the entry before.
+func (e *Entry) hash(before string) string {
+	text := fmt.Sprintf("%s\n%d %d %s %q %d %d\n", before, e.Number, e.At.UnixNano(), e.Kind, e.Key, e.Part, e.Amount)
+	sum := sha256.Sum256([]byte(text))
+	return hex.EncodeToString(sum[:])
+}
+
+// Checkpoint is the sum of all entries up to Number.
+type Checkpoint struct {
+	Number   uint64 `json:"n"`
+	ToppedUp int64  `json:"topped_up"`
+	Spent    int64  `json:"spent"`
+	Hash     string `json:"hash,omitempty"` // of the chain, in hex; "" before the first entry
+}
+
+// add gives the sum with one more entry. Failure: Damaged, if it does not follow.
+func (c Checkpoint) add(e *Entry) (Checkpoint, error) {
+	if e.Number != c.Number+1 {
+		return c, errs.New(errs.Damaged, "entry %d follows entry %d", e.Number, c.Number)
+	}
+	switch e.Kind {
+	case EntryTopUp:
+		c.ToppedUp += e.Amount
+	case EntryDraw:
+		c.Spent += e.Amount
+	default:
+		return c, errs.New(errs.Damaged, "entry %d is a %q", e.Number, e.Kind)
+	}
+	c.Number, c.Hash = e.Number, e.hash(c.Hash)
+	return c, nil
+}
+
+// Ledger is an account's entries: Base stands for those that were compacted, Head sums up all.
+type Ledger struct {
+	Base    Checkpoint `json:"base"`
+	Entries []Entry    `json:"entries,omitempty"` // oldest first
+	Head    Checkpoint `json:"head"`
+}
+
+// append writes an entry under the next number.
+func (l *Ledger) append(e Entry) {
+	e.Number = l.Head.Number + 1
+	head, err := l.Head.add(&e)
+	must(err)
+	l.Head = head
+	l.Entries = append(l.Entries, e)
+	if len(l.Entries) >= 2*KeepEntries {
+		l.compact(len(l.Entries) - KeepEntries)
+	}
+}
+
+// compact folds the oldest entries into the base.
+func (l *Ledger) compact(n int) {
+	for i := range l.Entries[:n] {
+		base, err := l.Base.add(&l.Entries[i])
+		must(err)
+		l.Base = base
+	}
+	l.Entries = slices.Clone(l.Entries[n:])
+}
+
+// Verify adds the entries up from the base; what comes out must be the head. Failure: Damaged.
+func (l *Ledger) Verify() error {
+	sum := l.Base
+	for i := range l.Entries {
+		next, err := sum.add(&l.Entries[i])
+		if err != nil {
+			return errs.Pass(err, "ledger")
+		}
+		sum = next
+	}
+	if sum != l.Head {
+		return errs.New(errs.Damaged, "the entries add up to %+v, the head says %+v", sum, l.Head)
+	}
+	return nil
+}
+
+// Since gives the entries after a number, oldest first, at most limit; those that were compacted are left out.
+func (l *Ledger) Since(number uint64, limit int) []Entry {
+	from := len(l.Entries)
+	for i := range l.Entries {
+		if l.Entries[i].Number > number {
+			from = i
+			break
+		}
+	}
+	return slices.Clone(l.Entries[from:min(len(l.Entries), from+limit)])
+}
+
+// WriteCSV writes the ledger: a row for the base, one for each entry, one for the head. Failure: Disk.
+func (l *Ledger) WriteCSV(to io.Writer) error {
+	out := csv.NewWriter(to)
+	rows := [][]string{{"number", "at", "kind", "key", "part", "amount", "topped_up", "spent", "hash"}}
+	sum := l.Base
+	rows = append(rows, sum.row("base"))
+	for i := range l.Entries {
+		e := &l.Entries[i]
+		next, err := sum.add(e)
+		if err != nil {
+			return errs.Pass(err, "export")
+		}
+		sum = next
+		rows = append(rows, []string{number(e.Number), e.At.UTC().Format(time.RFC3339Nano), string(e.Kind), e.Key,
+			strconv.Itoa(e.Part), units(e.Amount), units(sum.ToppedUp), units(sum.Spent), sum.Hash})
+	}
+	rows = append(rows, l.Head.row("head"))
+	return errs.Wrap(out.WriteAll(rows), errs.Disk, "write the ledger")
+}
+
+func (c Checkpoint) row(kind string) []string {
+	return []string{number(c.Number), "", kind, "", "", "", units(c.ToppedUp), units(c.Spent), c.Hash}
+}
+
+func number(n uint64) string { return strconv.FormatUint(n, 10) }
+
+func units(n int64) string { return strconv.FormatInt(n, 10) }
