Balances in the replicated state: starts reserve in their own commit, ends settle

State.Accounts is one Book; State.shift reserves when a handle opens and settles when it goes, Plan refuses a start (or gang) that the balance does not cover, lost runs give their open window back, and every entry of a later time first renews windows that are over. The bundle's parties map queues and teams to accounts. The scheduler plans within the balances, keeps a balance for the party's first waiting task, and restarts lasting tasks also when dry. Ruled out: a check in the scheduler alone (an older view could pass).

--- a/internal/account/account.go
+++ b/internal/account/account.go
@@ -309,6 +309,9 @@
 	return nil
 }
 
+// Open tells whether runs hold reservations: their windows want entries of the log to be renewed by.
+func (b *Book) Open() bool { return b != nil && len(b.Reservations) > 0 }
+
 // Rate is what all runs of an account that are out cost together.
 func (a *Account) Rate() Rate { return a.rate }
 
--- a/internal/bundle/bundle.go
+++ b/internal/bundle/bundle.go
@@ -105,6 +105,7 @@
 	})
 	r.Duration("hold", &b.Hold, shortestHold, longestHold)
 	operators(r, b)
+	parties(r, b)
 }
 
 // key makes a name that is no name a mistake at its own place.
--- /dev/null
+++ b/internal/sched/balance_test.go
@@ -0,0 +1,159 @@
+package sched
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"crosstide/internal/account"
+	"crosstide/internal/api"
+	"crosstide/internal/state"
+	"crosstide/internal/state/command"
+)
+
+// paid is a desk with a party that pays for team "a": a core costs 10 a second, a start of one core 100.
+type paid struct {
+	*desk
+	topUps int
+}
+
+func newPaid(units int64, minions ...string) *paid {
+	p := &paid{desk: newDesk("check", minions...)}
+	p.st.Bundle.SetParties(map[string]state.Party{"acme": {Teams: []string{"a"}, Price: account.Price{Core: 10}, Reserve: 10 * time.Second}})
+	p.do(&command.AccountCreate{Order: "open", Account: "acme"})
+	if units > 0 {
+		p.topUp(units)
+	}
+	p.greet("check")
+	return p
+}
+
+func (p *paid) topUp(units int64) {
+	p.topUps++
+	p.do(&command.AccountTopUp{Account: "acme", Key: fmt.Sprint("k", p.topUps), Amount: units})
+}
+
+// free hands in a job of a team that nobody pays for.
+func (p *paid) free(key string) {
+	p.do(&command.Submit{Spec: state.Spec{Key: key, Team: "free", Queue: "default",
+		Steps: []state.StepSpec{{Name: "s", Type: "t", Tasks: 1, Cores: 1}}}, Digest: key, Bound: 100})
+}
+
+// serve lets a time pass in steps; minions answer with what they were told, and starts are taken.
+func (p *paid) serve(length time.Duration) {
+	for end := p.now + length; p.now < end; {
+		p.now += 50 * time.Millisecond
+		for _, call := range p.settle() {
+			if call.Order {
+				p.answer(call, "check", p.list(call.Minion))
+			}
+		}
+		for name, call := range p.wait {
+			delete(p.wait, name)
+			p.answer(call, "check", p.list(name))
+		}
+	}
+}
+
+// list is what runs on a minion.
+func (p *paid) list(name string) (a api.HoldAnswer) {
+	a.Running = p.st.RunIDs(name)
+	a.Floor = p.st.RunID
+	return a
+}
+
+// started are those of the keys whose first task has a run ID.
+func (p *paid) started(keys ...string) (out []string) {
+	for _, key := range keys {
+		if taskOf(p.desk, key).RunID > 0 {
+			out = append(out, key)
+		}
+	}
+	return out
+}
+
+func TestDryParty(t *testing.T) {
+	Convey("A dry party waits without commits, others go on, and a top-up is used at once and in order", t, func() {
+		p := newPaid(200, "m1", "m2")
+		for i := range 6 {
+			p.submit(fmt.Sprint("j", i), state.StepSpec{})
+		}
+		p.free("f1")
+		p.serve(time.Second)
+		So(p.started("j0", "j1", "j2", "j3", "j4", "j5", "f1"), ShouldResemble, []string{"j0", "j1", "f1"})
+		So(p.core.DryTasks(), ShouldResemble, map[string]int{"acme": 4})
+		plans, index := p.core.Counts.Plans, p.st.Index
+		p.serve(20 * time.Second)
+		So(p.core.Counts.Plans, ShouldEqual, plans)
+		So(p.st.Index, ShouldEqual, index)
+		So(p.core.Counts.Refused, ShouldEqual, 0)
+		p.free("f2")
+		p.serve(100 * time.Millisecond)
+		So(p.started("f2"), ShouldResemble, []string{"f2"})
+		p.topUp(1000)
+		p.settle()
+		So(p.started("j2", "j3", "j4", "j5"), ShouldResemble, []string{"j2", "j3", "j4", "j5"})
+		So(taskOf(p.desk, "j2").RunID, ShouldBeLessThan, taskOf(p.desk, "j3").RunID)
+		So(taskOf(p.desk, "j3").RunID, ShouldBeLessThan, taskOf(p.desk, "j4").RunID)
+		So(p.core.DryTasks(), ShouldBeEmpty)
+		So(p.core.Counts.Refused, ShouldEqual, 0)
+		So(p.st.Accounts.Check(), ShouldBeNil)
+	})
+	Convey("A new holder of the duty knows as much: it starts nothing before the top-up, all after it", t, func() {
+		p := newPaid(0, "m1")
+		p.submit("j0", state.StepSpec{})
+		p.serve(time.Second)
+		p.lead()
+		p.serve(time.Second)
+		So(p.started("j0"), ShouldBeEmpty)
+		p.lead()
+		p.topUp(100)
+		p.serve(time.Second)
+		So(p.started("j0"), ShouldResemble, []string{"j0"})
+	})
+	Convey("The balance is kept for the oldest job: a cheaper one that came later waits behind it", t, func() {
+		p := newPaid(150, "m1")
+		p.submit("wide", state.StepSpec{Cores: 3})
+		p.submit("narrow", state.StepSpec{})
+		p.serve(time.Second)
+		So(p.started("wide", "narrow"), ShouldBeEmpty)
+		p.topUp(150)
+		p.serve(100 * time.Millisecond)
+		So(p.started("wide", "narrow"), ShouldResemble, []string{"wide"})
+		p.topUp(100)
+		p.serve(100 * time.Millisecond)
+		So(p.started("wide", "narrow"), ShouldResemble, []string{"wide", "narrow"})
+	})
+	Convey("A lasting task that ran before starts again though the party is dry and an older one waits", t, func() {
+		p := newPaid(100, "m1")
+		p.submit("listener", state.StepSpec{Standing: true})
+		p.serve(200 * time.Millisecond)
+		p.submit("older", state.StepSpec{Standing: true})
+		p.submit("j0", state.StepSpec{})
+		p.serve(200 * time.Millisecond)
+		So(p.started("listener", "older", "j0"), ShouldResemble, []string{"listener"})
+		first := taskOf(p.desk, "listener").RunID
+		p.do(&command.Plan{Epoch: p.core.Epoch(), Dead: []command.Proof{{RunID: first, Why: command.ProofLapse}}})
+		p.serve(200 * time.Millisecond)
+		So(taskOf(p.desk, "listener").RunID, ShouldBeGreaterThan, first)
+		p.do(&command.Plan{Epoch: p.core.Epoch(), Ends: []command.End{{RunID: taskOf(p.desk, "listener").RunID, Reason: "x"}}})
+		p.serve(time.Second)
+		So(taskOf(p.desk, "listener").RunID, ShouldBeGreaterThan, first+1)
+		So(p.started("older", "j0"), ShouldBeEmpty)
+	})
+	Convey("No minion is kept for a task that waits for money", t, func() {
+		p := newPaid(0, "m1")
+		p.submit("wide", state.StepSpec{Cores: 4})
+		for i := range 200 {
+			p.free(fmt.Sprint("f", i))
+			p.serve(50 * time.Millisecond)
+			So(p.core.reserved, ShouldBeNil)
+			if h := p.st.Handles[p.st.RunID]; h != nil {
+				p.do(&command.Plan{Epoch: p.core.Epoch(), Ends: []command.End{{RunID: h.RunID, OK: true}}})
+			}
+		}
+		So(p.now, ShouldBeGreaterThan, time.Minute+Defaults().ReserveAfter)
+	})
+}
--- a/internal/sched/plan.go
+++ b/internal/sched/plan.go
@@ -205,6 +205,9 @@
 	if step.Gang {
 		fmt.Fprintf(&key, "|gang|%s|%d", ref.Job, ref.Step)
 	}
+	if c.st.Attached(ref) { // not to wait behind one that its party's balance does not cover
+		key.WriteString("|attached")
+	}
 	k := c.queue.classes[key.String()]
 	if k == nil {
 		k = &class{key: key.String(), kind: step.Type, queue: j.Spec.Queue, team: j.Spec.Team, gang: step.Gang}
@@ -272,6 +275,7 @@
 	if len(c.queue.in) == len(c.queue.later) || len(c.ring) == 0 {
 		return
 	}
+	c.resetPayment()
 	if c.wide {
 		c.reserve(now)
 	}
@@ -292,11 +296,15 @@
 		if k.stuck && !k.gang || len(all) == 0 {
 			spots, from = near, &nearNext
 		}
-		starts := c.fit(spots, from, j, k, n)
+		var starts []command.Start
+		if c.covered(k, j) {
+			starts = c.fit(spots, from, j, k, n)
+		}
 		if starts == nil {
 			stuck[k.key], k.stuck = true, true
 			continue
 		}
+		c.promise(k, j)
 		for range n {
 			c.pop(k)
 		}
@@ -314,6 +322,7 @@
 		teams[k.team] += n
 	}
 	c.noteStarts(now, p.Starts, stuck, pending)
+	clear(c.payment.promised)
 	c.turn = (c.turn + next) % len(c.ring)
 	if len(p.Starts) < c.cfg.Batch {
 		clear(c.fresh)
@@ -362,6 +371,9 @@
 	if j == nil {
 		return true // choose lets it go
 	}
+	if c.dry(k) {
+		return false
+	}
 	step := &j.Spec.Steps[ref.Step]
 	return slices.ContainsFunc(spots, func(s *spot) bool {
 		return c.open(k, s.rec.Name) && s.cores >= step.Cores && s.gpus >= step.GPUs && c.st.Fits(&j.Spec, step, s.rec) == ""
--- a/internal/sched/reserve.go
+++ b/internal/sched/reserve.go
@@ -54,7 +54,7 @@
 func (c *Core) reserve(now time.Duration) {
 	if r := c.reserved; r != nil {
 		k := c.queue.classes[r.class]
-		if now < r.until && k != nil {
+		if now < r.until && k != nil && !c.dry(k) {
 			return
 		}
 		if k != nil {
@@ -87,7 +87,7 @@
 		if k.passed == 0 || now-k.passed < c.cfg.ReserveAfter || now < k.retry {
 			continue
 		}
-		if j, _ := c.peek(k); j != nil {
+		if j, _ := c.peek(k); j != nil && !c.dry(k) {
 			waiting = append(waiting, candidate{k, j.Seq})
 		}
 	}
@@ -152,6 +152,10 @@
 		newest[r] = max(newest[r], j.Seq)
 	}
 	for key, k := range c.queue.classes {
+		if c.dry(k) {
+			k.passed = 0 // what waits for money is passed over by nobody
+			continue
+		}
 		if !fitsNot[key] || k.passed > 0 {
 			continue
 		}
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -102,6 +102,7 @@
 	reserveAt     time.Duration
 	runningCounts map[string]int
 	teams         map[string]int // handles out by team
+	payment       payment
 
 	plan    *flight
 	running []uint64
@@ -321,6 +322,8 @@
 				}
 			}
 		}
+	case state.NoteAccount:
+		c.wide = true
 	case state.NotePlacement:
 		c.wide = true
 		for _, r := range c.runs {
--- a/internal/state/command/command.go
+++ b/internal/state/command/command.go
@@ -42,6 +42,9 @@
 	"patch":    func() Command { return &Patch{} },
 	"sign":     func() Command { return &Sign{} },
 
+	"account-create": func() Command { return &AccountCreate{} },
+	"account-top-up": func() Command { return &AccountTopUp{} },
+
 	"job-submit":    func() Command { return &JobSubmit{} },
 	"job-cancel":    func() Command { return &JobCancel{} },
 	"job-configure": func() Command { return &JobConfigure{} },
@@ -89,6 +92,7 @@
 	}
 	if e.At.After(s.At) {
 		s.At = e.At
+		s.Accounts.Renew(s.At) // before anything else of that time
 	}
 	c, err := Make(e.Op)
 	if err != nil {
--- a/internal/state/command/plan.go
+++ b/internal/state/command/plan.go
@@ -91,6 +91,9 @@
 	}
 	for _, p := range c.Dead {
 		if h := s.Handles[p.RunID]; h != nil {
+			if p.Why != ProofStop {
+				s.Lost(h.RunID)
+			}
 			again(s, h, p.Reason, time.Time{})
 		}
 	}
@@ -114,6 +117,7 @@
 func (c *Plan) start(s *state.State, i, n int, out *Planned) {
 	type need struct{ cores, gpus int }
 	taken := map[string]need{}
+	var paid fees
 	for k := i; k < n; k++ {
 		st := c.Starts[k]
 		why := ""
@@ -131,6 +135,8 @@
 			taken[st.Minion] = t
 			if r.Cores+t.cores > m.Cores || r.GPUs+t.gpus > m.GPUs {
 				why = "room"
+			} else {
+				why = paid.refuse(s, st.Ref)
 			}
 		}
 		if why != "" {
@@ -179,6 +185,7 @@
 	if m.Boot != old.Boot {
 		for _, t := range s.RunIDs(m.Name) {
 			if h := s.Handles[t]; h.Boot != m.Boot && (m.Kind != "obey" || h.Phase == state.TaskRunning) {
+				s.Lost(h.RunID)
 				again(s, h, "the minion came back under a new boot", time.Time{})
 			}
 		}
--- a/internal/state/query/query.go
+++ b/internal/state/query/query.go
@@ -16,7 +16,7 @@
 	Queue     string         `json:"queue,omitempty"`
 	State     state.JobPhase `json:"state"`
 	Reason    string         `json:"reason,omitempty"`
-	Waits     string         `json:"waits,omitempty"` // why the bundle in force lets nothing of it start
+	Waits     string         `json:"waits,omitempty"` // why bundle or balance let nothing of it start
 	Submitted time.Time      `json:"submitted,omitzero"`
 	Ended     time.Time      `json:"ended,omitzero"`
 	Steps     []StepView     `json:"steps,omitempty"`
@@ -55,7 +55,9 @@
 	v := JobView{Key: j.Spec.Key, Team: j.Spec.Team, Queue: j.Spec.Queue, State: j.Phase, Reason: j.Reason,
 		Submitted: j.At, Ended: j.Ended, Steps: make([]StepView, len(j.Spec.Steps))}
 	if !j.Phase.Over() && j.Phase != state.JobStopping {
-		v.Waits = s.Waits(&j.Spec)
+		if v.Waits = s.Waits(&j.Spec); v.Waits == "" {
+			v.Waits = s.Unpaid(j)
+		}
 	}
 	for i, step := range j.Spec.Steps {
 		sv := &v.Steps[i]
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -10,6 +10,7 @@
 	"sort"
 	"time"
 
+	"crosstide/internal/account"
 	"crosstide/internal/errs"
 	"crosstide/internal/jobs"
 )
@@ -162,6 +163,10 @@
 	Weights map[string]int `json:"weights,omitempty"`
 	// Operators, if any are listed, are the operators from this version on: name to public key.
 	Operators map[string]string `json:"operators,omitempty"`
+	// Parties pay for runs; the other two name the party of a queue or team. See SetParties.
+	Parties      map[string]Party  `json:"parties,omitempty"`
+	PayingQueues map[string]string `json:"paying_queues,omitempty"`
+	PayingTeams  map[string]string `json:"paying_teams,omitempty"`
 }
 
 // HoldOf gives the hold of a queue's runs; own is the holder's setting.
@@ -243,6 +248,7 @@
 	NoteStopping                  // a job's running handles are to be stopped (Name)
 	NoteDuty                      // a duty changed hands (Name)
 	NotePlacement                 // bundle or evacuated zones changed
+	NoteAccount                   // an account was opened or topped up (Name)
 )
 
 // State is the whole replicated state. It has no lock: its owner has.
@@ -273,6 +279,8 @@
 	OrderKeys  []string            `json:"order_keys"` // oldest first
 	// Table holds jobs, workers and configuration of the platform; never nil.
 	Table *jobs.Table `json:"table,omitempty"`
+	// Accounts are the parties' prepaid balances; nil until the first one is opened.
+	Accounts *account.Book `json:"accounts,omitempty"`
 
 	// Watch is told of changes as they are applied; it must not change the state.
 	Watch func(Note) `json:"-"`
@@ -346,6 +354,9 @@
 	for _, h := range s.Handles {
 		s.take(h)
 	}
+	if s.Accounts != nil {
+		s.Accounts.Rebuild()
+	}
 }
 
 func (j *Job) derive() {
@@ -438,6 +449,11 @@
 	if !slices.Contains(moves[from], to) {
 		return errs.New(errs.Stale, "task %v is %q, cannot become %q", ref, from, to)
 	}
+	if to == TaskHeld {
+		if err := s.reserve(j, ref, h.RunID); err != nil {
+			return errs.Pass(err, "task %v", ref)
+		}
+	}
 	t.Phase = to
 	switch {
 	case to == TaskHeld:
@@ -453,6 +469,7 @@
 		old := s.Handles[t.RunID]
 		delete(s.Handles, t.RunID)
 		s.give(old)
+		s.settleRun(old.RunID)
 		j.open--
 		s.tell(Note{Kind: NoteClosed, Handle: old, Ref: ref})
 	}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -446,7 +446,7 @@
 func (s *Store) tidying() command.Command {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.leadTerm == 0 || len(s.live.Ended)+len(s.live.TombOrder)+len(s.live.OrderKeys) == 0 {
+	if s.leadTerm == 0 || len(s.live.Ended)+len(s.live.TombOrder)+len(s.live.OrderKeys) == 0 && !s.live.Accounts.Open() {
 		return nil
 	}
 	at := s.clock.Wall()
