cplane account: create, top-up, show, list, ledger, export; metrics, warnings, waits

Typed calls in internal/api, routes in internal/operator, a view with a forecast from the rate of what runs, gauges on the cplanes, a log line from the leader when an account runs dry, dry tasks on the holder of sched.

--- a/cmd/cplane/main.go
+++ b/cmd/cplane/main.go
@@ -29,7 +29,7 @@
 			orderCommand("drain", "no new starts on MINION", "MINION", "/v1/minions/%s/drain"),
 			orderCommand("open", "MINION may be used again", "MINION", "/v1/minions/%s/open"),
 			orderCommand("retire", "forget MINION, which must be empty", "MINION", "/v1/minions/%s/retire"),
-		}})...)...)
+		}}, accountCommand())...)...)
 	app.ExitErrHandler = func(context.Context, *cli.Command, error) {} // the codes are ours, see exit.go
 	if err := app.Run(context.Background(), os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, "cplane:", err)
--- a/internal/dataplane/meter.go
+++ b/internal/dataplane/meter.go
@@ -30,6 +30,7 @@
 		m.desc[name] = prometheus.NewDesc("crosstide_"+name, help, nil, nil)
 	}
 	m.desc["sched_sick"] = prometheus.NewDesc("crosstide_sched_sick", "1 for each minion held sick.", []string{"minion"}, nil)
+	m.desc["sched_dry"] = prometheus.NewDesc("crosstide_sched_dry_tasks", "Due tasks that wait for a top-up, by party.", []string{"party"}, nil)
 	m.desc["dead"] = prometheus.NewDesc("crosstide_sched_dead_total", "Handles proved dead, by proof.", []string{"proof"}, nil)
 	m.desc["tally"] = prometheus.NewDesc("crosstide_sched_tally", "Handles out, by type of job.", []string{"type"}, nil)
 	return m
@@ -81,6 +82,9 @@
 	for _, name := range f.Sick {
 		to <- prometheus.MustNewConstMetric(m.desc["sched_sick"], prometheus.GaugeValue, 1, name)
 	}
+	for party, n := range f.Dry {
+		to <- prometheus.MustNewConstMetric(m.desc["sched_dry"], prometheus.GaugeValue, float64(n), party)
+	}
 	for why, n := range c.Dead {
 		to <- prometheus.MustNewConstMetric(m.desc["dead"], prometheus.CounterValue, float64(n), why)
 	}
--- a/internal/dataplane/node.go
+++ b/internal/dataplane/node.go
@@ -384,7 +384,8 @@
 	Counts                           sched.Counts
 	Tallies                          map[string]int
 	Jobs, Handles, Minions, Inbox    int
-	Sick                             []string // minions held sick
+	Sick                             []string       // minions held sick
+	Dry                              map[string]int // due tasks that wait for a top-up, by party
 }
 
 // Figures gives a snapshot of the node's figures.
@@ -393,7 +394,7 @@
 	defer n.replica.Unlock()
 	f := Figures{Index: st.Index, Changes: n.replica.Changes, Bytes: n.replica.Bytes, Snapshots: n.replica.Snapshots,
 		Phase: n.sched.Phase(), Epoch: n.sched.Epoch(), QueueLimit: n.sched.QueueLimit(), Counts: n.sched.Counts, Tallies: st.Tallies(),
-		Jobs: len(st.Jobs), Handles: len(st.Handles), Minions: len(st.Minions), Inbox: len(st.Inbox), Sick: n.sched.Sick()}
+		Jobs: len(st.Jobs), Handles: len(st.Handles), Minions: len(st.Minions), Inbox: len(st.Inbox), Sick: n.sched.Sick(), Dry: n.sched.DryTasks()}
 	f.Counts.Dead = map[string]uint64{}
 	for k, v := range n.sched.Counts.Dead {
 		f.Counts.Dead[k] = v
--- /dev/null
+++ b/internal/operator/account.go
@@ -0,0 +1,163 @@
+package operator
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+
+	"crosstide/internal/api"
+	"crosstide/internal/errs"
+	"crosstide/internal/rpc"
+	"crosstide/internal/state"
+	"crosstide/internal/state/command"
+	"crosstide/internal/state/query"
+)
+
+// mostEntries bounds the entries of one answer.
+const mostEntries = 1000
+
+// serveAccounts adds the routes of the parties' accounts:
+//
+//	POST /v1/accounts/{name}/create   {"order","credit","by","sig"}
+//	POST /v1/accounts/{name}/top-up   {"key","amount","by","sig"}   counts once for each key
+//	GET  /v1/accounts
+//	GET  /v1/accounts/{name}
+//	GET  /v1/accounts/{name}/ledger?after=N&limit=M
+//	GET  /v1/accounts/{name}/export   CSV
+//
+// Failures: Malformed, TooLarge, Forbidden, Invalid, Unknown, Conflict, Unavailable, Timeout (send the same again).
+func serveAccounts(srv *rpc.Server, s Store) {
+	a := accounts{s}
+	route := func(pattern string, do func(r *http.Request) (any, error)) {
+		srv.Route(pattern, func(w http.ResponseWriter, r *http.Request) {
+			answer, err := do(r)
+			if err != nil {
+				rpc.WriteError(w, err)
+				return
+			}
+			rpc.WriteJSON(w, http.StatusOK, answer)
+		})
+	}
+	route("POST /v1/accounts/{name}/create", a.create)
+	route("POST /v1/accounts/{name}/top-up", a.topUp)
+	route("GET /v1/accounts", a.list)
+	route("GET /v1/accounts/{name}", a.show)
+	route("GET /v1/accounts/{name}/ledger", a.ledger)
+	srv.Route("GET /v1/accounts/{name}/export", a.export)
+}
+
+type accounts struct{ store Store }
+
+// decode reads the body of an order into a call.
+func decode(r *http.Request, into any) error {
+	raw, err := rpc.ReadBody(r, maxBody)
+	if err != nil {
+		return errs.Pass(err, "order")
+	}
+	if err := json.Unmarshal(raw, into); err != nil {
+		return errs.Wrap(err, errs.Malformed, "the body must be a JSON object of the order")
+	}
+	return nil
+}
+
+// checkID refuses an order's id or a top-up's key that the store would not keep.
+func checkID(field, id string) error {
+	if id == "" || len(id) > 200 {
+		return errs.Field(errs.Invalid, field, "must be 1 to 200 bytes, is %d", len(id))
+	}
+	return nil
+}
+
+func (a accounts) create(r *http.Request) (any, error) {
+	var in api.AccountCreateCall
+	if err := decode(r, &in); err != nil {
+		return nil, errs.Pass(err, "create")
+	}
+	if err := checkID("order", in.Order); err != nil {
+		return nil, errs.Pass(err, "create")
+	}
+	answer, err := a.store.Order(r.Context(), &command.AccountCreate{Order: in.Order, Account: r.PathValue("name"), Credit: in.Credit,
+		By: in.By, Sig: in.Sig})
+	return answer, errs.Pass(err, "create")
+}
+
+func (a accounts) topUp(r *http.Request) (any, error) {
+	var in api.TopUpCall
+	if err := decode(r, &in); err != nil {
+		return nil, errs.Pass(err, "top-up")
+	}
+	if err := checkID("key", in.Key); err != nil {
+		return nil, errs.Pass(err, "top-up")
+	}
+	answer, err := a.store.Order(r.Context(), &command.AccountTopUp{Account: r.PathValue("name"), Key: in.Key, Amount: in.Amount,
+		By: in.By, Sig: in.Sig})
+	return answer, errs.Pass(err, "top-up")
+}
+
+func (a accounts) list(r *http.Request) (any, error) {
+	var out api.AccountsAnswer
+	err := a.store.Read(r.Context(), func(s *state.State) { out.Accounts = query.Accounts(s) })
+	return out, errs.Pass(err, "accounts")
+}
+
+// read looks at an account; the failure is the store's, or that of the look.
+func (a accounts) read(r *http.Request, look func(s *state.State, name string) error) error {
+	var wrong error
+	if err := a.store.Read(r.Context(), func(s *state.State) { wrong = look(s, r.PathValue("name")) }); err != nil {
+		return errs.Pass(err, "account")
+	}
+	return errs.Pass(wrong, "account")
+}
+
+func (a accounts) show(r *http.Request) (any, error) {
+	var out api.AccountView
+	err := a.read(r, func(s *state.State, name string) (err error) {
+		out, err = query.Account(s, name)
+		return errs.Pass(err, "show")
+	})
+	return out, errs.Pass(err, "show")
+}
+
+func (a accounts) ledger(r *http.Request) (any, error) {
+	after, limit, err := page(r)
+	if err != nil {
+		return nil, errs.Pass(err, "ledger")
+	}
+	var out api.LedgerAnswer
+	err = a.read(r, func(s *state.State, name string) (err error) {
+		out, err = query.Ledger(s, name, after, limit)
+		return errs.Pass(err, "ledger")
+	})
+	return out, errs.Pass(err, "ledger")
+}
+
+// page reads after and limit, 0 and the most if they are not given.
+func page(r *http.Request) (after uint64, limit int, err error) {
+	limit = mostEntries
+	if text := r.URL.Query().Get("after"); text != "" {
+		if after, err = strconv.ParseUint(text, 10, 64); err != nil {
+			return 0, 0, errs.Field(errs.Invalid, "after", "must be a number, is %q", text)
+		}
+	}
+	if text := r.URL.Query().Get("limit"); text != "" {
+		if limit, err = strconv.Atoi(text); err != nil || limit < 1 || limit > mostEntries {
+			return 0, 0, errs.Field(errs.Invalid, "limit", "must be 1 to %d, is %q", mostEntries, text)
+		}
+	}
+	return after, limit, nil
+}
+
+func (a accounts) export(w http.ResponseWriter, r *http.Request) {
+	var out []byte
+	err := a.read(r, func(s *state.State, name string) (err error) {
+		out, err = query.ExportLedger(s, name)
+		return errs.Pass(err, "export")
+	})
+	if err != nil {
+		rpc.WriteError(w, err)
+		return
+	}
+	w.Header().Set("Content-Type", "text/csv")
+	w.Header().Set("Content-Length", strconv.Itoa(len(out)))
+	_, _ = w.Write(out) // a caller that is gone hears nothing
+}
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -71,6 +71,7 @@
 //	POST /v1/members/{old}/replace/{new}  {"order":"id"}   the cplane new may join in the place of old
 //	GET  /v1/minions
 //	GET  /v1/who
+//	/v1/accounts…                   see serveAccounts
 //
 // Once the store knows operators, what needs a signature and has none is Forbidden; before that, zones take orders
 // without one. Failures: Malformed, TooLarge, Forbidden, Invalid, Unknown, Conflict, Pressure, Unavailable, Timeout
@@ -105,6 +106,7 @@
 		return &command.Succeed{Order: in.Order, Old: r.PathValue("old"), New: r.PathValue("new")}
 	})
 	serveBundles(srv, s)
+	serveAccounts(srv, s)
 	srv.Route("GET /v1/minions", func(w http.ResponseWriter, r *http.Request) {
 		var out Minions
 		if err := s.Read(r.Context(), func(st *state.State) { out.Minions = query.Minions(st) }); err != nil {
--- /dev/null
+++ b/internal/state/query/account.go
@@ -0,0 +1,104 @@
+package query
+
+import (
+	"bytes"
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"crosstide/internal/account"
+	"crosstide/internal/api"
+	"crosstide/internal/errs"
+	"crosstide/internal/state"
+)
+
+// Accounts gives every account in order of names.
+func Accounts(s *state.State) []api.AccountView {
+	if s.Accounts == nil {
+		return []api.AccountView{}
+	}
+	runs, waiting := runsByAccount(s), waitingByParty(s)
+	out := make([]api.AccountView, 0, len(s.Accounts.Accounts))
+	for _, name := range slices.Sorted(maps.Keys(s.Accounts.Accounts)) {
+		out = append(out, accountView(s, name, runs[name], waiting[name]))
+	}
+	return out
+}
+
+// Account gives one account. Failure: Unknown.
+func Account(s *state.State, name string) (api.AccountView, error) {
+	if _, err := find(s, name); err != nil {
+		return api.AccountView{}, errs.Pass(err, "show")
+	}
+	return accountView(s, name, runsByAccount(s)[name], waitingByParty(s)[name]), nil
+}
+
+// Ledger gives entries of an account after a number, at most limit. Failure: Unknown.
+func Ledger(s *state.State, name string, after uint64, limit int) (api.LedgerAnswer, error) {
+	a, err := find(s, name)
+	if err != nil {
+		return api.LedgerAnswer{}, errs.Pass(err, "ledger")
+	}
+	return api.LedgerAnswer{Account: name, Base: a.Ledger.Base, Head: a.Ledger.Head, Entries: a.Ledger.Since(after, limit)}, nil
+}
+
+// ExportLedger gives an account's ledger as CSV. Failures: Unknown, Damaged.
+func ExportLedger(s *state.State, name string) ([]byte, error) {
+	a, err := find(s, name)
+	if err != nil {
+		return nil, errs.Pass(err, "export")
+	}
+	var out bytes.Buffer
+	err = a.Ledger.WriteCSV(&out)
+	return out.Bytes(), errs.Pass(err, "export")
+}
+
+func find(s *state.State, name string) (*account.Account, error) {
+	if s.Accounts == nil || s.Accounts.Accounts[name] == nil {
+		return nil, errs.Field(errs.Unknown, "account", "no account %q", name)
+	}
+	return s.Accounts.Accounts[name], nil
+}
+
+func accountView(s *state.State, name string, runs, waiting int) api.AccountView {
+	a, p := s.Accounts.Accounts[name], s.Bundle.Parties[name]
+	v := api.AccountView{Name: name, Balance: a.Balance, Reserved: a.Reserved, Spent: a.Spent, ToppedUp: a.ToppedUp, Credit: a.Credit,
+		Runs: runs, Rate: a.Rate(), Teams: p.Teams, Queues: p.Queues, Waiting: waiting}
+	v.DryIn, v.Draws = a.DryIn()
+	v.Warning = warning(&v, p)
+	return v
+}
+
+// warning tells that an account is dry, or soon will be; "" if neither.
+func warning(v *api.AccountView, p state.Party) string {
+	switch {
+	case v.Waiting > 0:
+		return fmt.Sprintf("dry: %d jobs wait for a top-up", v.Waiting)
+	case v.Draws && v.DryIn < p.WarnBefore():
+		return fmt.Sprintf("dry in about %s at the rate of now", v.DryIn.Round(time.Second))
+	}
+	return ""
+}
+
+func runsByAccount(s *state.State) map[string]int {
+	out := map[string]int{}
+	for _, r := range s.Accounts.Reservations {
+		out[r.Account]++
+	}
+	return out
+}
+
+// waitingByParty counts the jobs that wait for a top-up.
+func waitingByParty(s *state.State) map[string]int {
+	out := map[string]int{}
+	if len(s.Bundle.Parties) == 0 {
+		return out
+	}
+	for _, j := range s.Jobs {
+		if j.Phase == state.JobRunning && s.Unpaid(j) != "" {
+			out[s.Bundle.PartyOf(j.Spec.Queue, j.Spec.Team)]++
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/store/accounts.go
@@ -0,0 +1,67 @@
+package store
+
+import (
+	"github.com/go-kit/log/level"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"crosstide/internal/api"
+	"crosstide/internal/state/query"
+)
+
+var (
+	descAccount = describe("account_units", "Units of an account: balance, reserved, spent, topped_up.", "account", "of")
+	descRate    = describe("account_units_per_second", "What the runs of an account cost now.", "account")
+	descDryIn   = describe("account_dry_in_seconds", "Forecast until an account is dry, at the rate of now; none if nothing draws.", "account")
+	descUnpaid  = describe("account_waiting_jobs", "Jobs that wait for a top-up.", "account")
+	descWarning = describe("account_warning", "1 for an account that is dry or soon will be.", "account")
+)
+
+// collectAccounts gives the figures of accounts.
+func collectAccounts(accounts []api.AccountView, to chan<- prometheus.Metric) {
+	gauge := func(d *prometheus.Desc, v float64, labels ...string) {
+		to <- prometheus.MustNewConstMetric(d, prometheus.GaugeValue, v, labels...)
+	}
+	for _, v := range accounts {
+		gauge(descAccount, float64(v.Balance), v.Name, "balance")
+		gauge(descAccount, float64(v.Reserved), v.Name, "reserved")
+		gauge(descAccount, float64(v.Spent), v.Name, "spent")
+		gauge(descAccount, float64(v.ToppedUp), v.Name, "topped_up")
+		gauge(descRate, float64(v.Rate)/1000, v.Name)
+		gauge(descUnpaid, float64(v.Waiting), v.Name)
+		if v.Draws {
+			gauge(descDryIn, v.DryIn.Seconds(), v.Name)
+		}
+		warning := 0.0
+		if v.Warning != "" {
+			warning = 1
+		}
+		gauge(descWarning, warning, v.Name)
+	}
+}
+
+// warnings remembers which accounts the leader has warned of.
+type warnings map[string]bool
+
+// look logs a line for each account that is dry, or soon will be, once until it is well again. Only the leader does.
+func (w warnings) look(s *Store) {
+	s.mu.Lock()
+	leads, accounts := s.leadTerm != 0, []api.AccountView(nil)
+	if leads {
+		accounts = query.Accounts(s.live)
+	}
+	s.mu.Unlock()
+	if !leads {
+		clear(w)
+		return
+	}
+	for _, v := range accounts {
+		if v.Warning == "" {
+			delete(w, v.Name)
+			continue
+		}
+		if !w[v.Name] {
+			w[v.Name] = true
+			_ = level.Warn(s.log).Log("msg", "account runs dry", "account", v.Name, "balance", v.Balance, "why", v.Warning)
+		}
+	}
+}
--- a/internal/store/meter.go
+++ b/internal/store/meter.go
@@ -66,7 +66,7 @@
 	s := g.s
 	s.mu.Lock()
 	st, applied, waiting := s.status, s.live.Index, s.waiting
-	figures := query.Count(s.live)
+	figures, accounts := query.Count(s.live), query.Accounts(s.live)
 	var disk storage.Stats
 	slots := s.slots
 	s.mu.Unlock()
@@ -98,4 +98,5 @@
 	for kind, n := range figures.Tallies {
 		gauge(descType, float64(n), kind)
 	}
+	collectAccounts(accounts, to)
 }
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -431,7 +431,9 @@
 
 // tidy lets the leader propose the letting go of what is old.
 func (s *Store) tidy(ctx context.Context) {
+	warned := warnings{}
 	for s.rest(ctx, tidyEvery) {
+		warned.look(s)
 		c := s.tidying()
 		if c == nil {
 			continue
