Simulator: parties that run dry, with an oracle that keeps accounts of its own

The oracle keeps accounts from the log's commands and from when handles open and go, and judges after every entry: conserved, paid for, bounded below zero, resumes in time, attached.

--- a/cmd/drill/sim.go
+++ b/cmd/drill/sim.go
@@ -19,7 +19,7 @@
 	commands = append(commands, &cli.Command{
 		Name:  "sim",
 		Usage: "run a whole fleet in the deterministic simulator",
-		Description: "drill sim --seeds A..B [--for D] [--faults LIST] [--break GUARD]\ndrill sim --seed N --trace\n\n" +
+		Description: "drill sim --seeds A..B [--for D] [--faults LIST] [--break GUARD] [--parties]\ndrill sim --seed N --trace\n\n" +
 			"Each seed is a fleet of 5 cplanes, 3 dplanes and 6 minions under its own faults, on one thread. Prints the\n" +
 			"cases seen of every promise and fault. Exit 1 if a promise is broken, or one was not exercised; with --break\n" +
 			"exit 1 if no seed found the missing guard.\n\nfaults: " + strings.Join(sim.Faults, " ") + "\nguards: " + strings.Join(sim.Breaks, " "),
@@ -29,6 +29,7 @@
 			&cli.DurationFlag{Name: "for", Value: 40 * time.Second, Usage: "virtual time with faults and fresh jobs"},
 			&cli.StringFlag{Name: "faults", Usage: "names with commas, `none`, or all if empty"},
 			&cli.StringFlag{Name: "break", Usage: "take a guard out"},
+			&cli.BoolFlag{Name: "parties", Usage: "parties pay for some of the jobs, and one runs dry again and again"},
 			&cli.BoolFlag{Name: "trace", Usage: "print every line of the trace"},
 			&cli.IntFlag{Name: "width", Value: 4, Usage: "seeds at once"},
 			&cli.IntFlag{Name: "many", Value: 3, Usage: "stop after so many broken seeds; 0: run all"},
@@ -38,7 +39,7 @@
 }
 
 func runSim(_ context.Context, cmd *cli.Command) error {
-	opt := sim.Options{For: cmd.Duration("for"), Break: cmd.String("break")}
+	opt := sim.Options{For: cmd.Duration("for"), Break: cmd.String("break"), Parties: cmd.Bool("parties")}
 	opt.Faults = slices.Clone(sim.Faults)
 	if list := cmd.String("faults"); list == "none" {
 		opt.Faults = []string{}
@@ -70,6 +71,9 @@
 		many = 0
 	}
 	sum := sim.Add(sim.Each(opt, first, last, cmd.Int("width"), many), opt.Faults)
+	if opt.Parties {
+		sum.Want(sim.MoneyPromises)
+	}
 	for i, r := range sum.Breaches {
 		fmt.Fprintf(out, "seed %d breaks %q at %s: %s\n", r.Seed, r.Breach.Promise, r.Breach.At, r.Breach.What)
 		if i < 2 && opt.Break == "" && opt.Trace == nil {
--- /dev/null
+++ b/internal/testbed/sim/balances.go
@@ -0,0 +1,343 @@
+package sim
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"crosstide/internal/errs"
+	"crosstide/internal/quorum"
+	"crosstide/internal/signature"
+	"crosstide/internal/state"
+	"crosstide/internal/state/command"
+)
+
+// The two parties of a run with balances: payer runs dry again and again, rich never does. Team freeTeam is paid for by
+// nobody.
+const (
+	payer     = "acme"
+	rich      = "blue"
+	payerTeam = "a"
+	richTeam  = "b"
+	freeTeam  = "t"
+)
+
+// What the parties pay, in units.
+const (
+	corePrice  = 10 // a second of a core
+	paidWindow = 5 * time.Second
+	muchMoney  = 1_000_000_000
+	mostLasts  = 2 // lasting jobs of the payer at once
+)
+
+const partiesBundle = `{"queues":{"default":{}},"backoff":{"min":"200ms","max":"30s"},"parties":{` +
+	`"acme":{"teams":["a"],"price":{"core":10},"reserve":"5s"},"blue":{"teams":["b"],"price":{"core":10},"reserve":"5s"}}}`
+
+const (
+	resumeWithin   = time.Second      // from the yes to a top-up until work goes on, once the faults are over
+	attachedWithin = 10 * time.Second // from the loss of a lasting task's minion until it runs again, the same
+)
+
+// balances is what the people do with balances.
+type balances struct {
+	s     *sim
+	keys  map[string]signature.Key
+	ready bool // parties are in force and their accounts open
+	next  int
+	lasts []*job
+	*moneyOracle
+}
+
+func newBalances(s *sim) *balances {
+	b := &balances{s: s, keys: map[string]signature.Key{}, moneyOracle: newMoneyOracle(s)}
+	for _, name := range []string{"ada", "ben"} {
+		key, err := signature.New(name)
+		must(err)
+		b.keys[name] = key
+	}
+	return b
+}
+
+// start makes the operators known, puts the parties in force and opens their accounts.
+func (b *balances) start() {
+	if b == nil {
+		return
+	}
+	p := b.s.people
+	public := map[string]string{}
+	for name, key := range b.keys {
+		public[name] = key.Public()
+	}
+	body := []byte(partiesBundle)
+	digest := signature.Digest(body)
+	credit := int64(0)
+	if b.s.opt.Break == "balance" {
+		credit = muchMoney
+	}
+	orders := []command.Command{
+		&command.Put{Order: "put", Base: 1, By: "ada", Sig: b.keys["ada"].Sign(signature.Put("put", 1, digest)), Body: body},
+		&command.Sign{Order: "sign1", Version: 2, Digest: digest, By: "ada", Sig: b.keys["ada"].Sign(signature.Bundle(2, digest))},
+		b.open(payer, credit), b.open(rich, 0), b.topUp(rich, muchMoney), b.topUp(payer, 300),
+		&command.Sign{Order: "sign2", Version: 2, Digest: digest, By: "ben", Sig: b.keys["ben"].Sign(signature.Bundle(2, digest))},
+	}
+	b.known(&command.Keys{Operators: public}, func() {
+		p.inOrder(orders, func() {
+			b.ready = true
+			b.s.tell("parties are in force")
+			b.offerLasting()
+			b.pay()
+		})
+	})
+	b.s.on(100*time.Millisecond, b.look)
+	b.s.on(b.s.opt.For+calmAfter, b.quiet)
+}
+
+// known makes the operators known; a second time it is a conflict.
+func (b *balances) known(keys command.Command, done func()) {
+	p := b.s.people
+	p.op.propose(keys, true, p.Now()+5*time.Second, func(_ uint64, _ json.RawMessage, err error) {
+		if err == nil || errs.Is(err, errs.Conflict) {
+			done()
+			return
+		}
+		p.after(200*time.Millisecond, func() { b.known(keys, done) })
+	})
+}
+
+// inOrder sends orders one after another, each when the one before is acknowledged.
+func (p *people) inOrder(orders []command.Command, done func()) {
+	if len(orders) == 0 {
+		done()
+		return
+	}
+	p.order(orders[0], nil, func() { p.inOrder(orders[1:], done) })
+}
+
+func (b *balances) open(name string, credit int64) command.Command {
+	order := "open-" + name
+	return &command.AccountCreate{Order: order, Account: name, Credit: credit, By: "ada",
+		Sig: b.keys["ada"].Sign(signature.AccountCreate(order, name, credit))}
+}
+
+func (b *balances) topUp(name string, amount int64) command.Command {
+	b.next++
+	key := fmt.Sprintf("top-up-%d", b.next)
+	return &command.AccountTopUp{Account: name, Key: key, Amount: amount, By: "ben", Sig: b.keys["ben"].Sign(signature.AccountTopUp(key, name, amount))}
+}
+
+// signed makes the commands that evacuate a zone or lift that: once there are operators they sign.
+func (b *balances) signed(z command.Zone) []command.Command {
+	if b == nil {
+		return []command.Command{&z}
+	}
+	if z.Out {
+		z.By, z.Sig = "ada", b.keys["ada"].Sign(signature.Evacuate(z.Order, z.Zone))
+		return []command.Command{&z}
+	}
+	text := signature.Lift(z.Zone, b.s.oracle.ref.Evacuated[z.Zone])
+	first, second := z, z
+	first.Order += "a"
+	first.By, first.Sig = "ada", b.keys["ada"].Sign(text)
+	second.By, second.Sig = "ben", b.keys["ben"].Sign(text)
+	return []command.Command{&first, &second}
+}
+
+// team draws whose the next job is.
+func (b *balances) team() string {
+	if b == nil || !b.ready {
+		return freeTeam
+	}
+	switch n := b.s.rnd.IntN(10); {
+	case n < 6:
+		return payerTeam
+	case n < 8:
+		return richTeam
+	}
+	return freeTeam
+}
+
+// pay tops the payer up now and then with about what it needs, so that it is dry for a good part of the time.
+func (b *balances) pay() {
+	s := b.s
+	if s.calm {
+		return
+	}
+	b.add(int64(50 + s.rnd.IntN(350)))
+	s.people.after(s.between(time.Second, 9*time.Second), b.pay)
+}
+
+// add tops the payer up; now and then the leader is killed meanwhile.
+func (b *balances) add(amount int64) {
+	s := b.s
+	if s.chance(0.25) {
+		b.killLeader("leader killed at a top-up", s.between(0, 20*time.Millisecond))
+	}
+	cmd := b.topUp(payer, amount)
+	s.people.order(cmd, nil, func() { b.acknowledged(cmd.(*command.AccountTopUp)) })
+}
+
+// killLeader ends the leader of the store, and starts it again.
+func (b *balances) killLeader(what string, in time.Duration) {
+	s := b.s
+	if s.calm || !s.faults.on["kill"] {
+		return
+	}
+	s.on(in, func() {
+		for _, c := range s.cplanes {
+			if c.alive && c.hand != nil && c.hand.Core() != nil && c.hand.Core().Status().Role == quorum.Leader {
+				s.report.Faults[what]++
+				s.tell("fault %s: %s", what, c.addr)
+				c.crash(s.chance(0.5))
+				s.on(s.faults.span(), c.up)
+				return
+			}
+		}
+	})
+}
+
+// offerLasting hands lasting jobs in, and cancels them after a while.
+func (b *balances) offerLasting() {
+	s := b.s
+	if s.calm {
+		return
+	}
+	b.lasts = slices.DeleteFunc(b.lasts, func(j *job) bool { return j.gave || j.over != "" })
+	if len(b.lasts) < mostLasts {
+		b.next++
+		j := &job{sent: s.now, spec: state.Spec{Key: fmt.Sprintf("lasting-%d", b.next), Team: payerTeam, Queue: "default",
+			Steps: []state.StepSpec{{Name: "s0", Type: "feed", Tasks: 1, Cores: 1, Standing: true, Run: json.RawMessage(`{"ms":-1}`)}}}}
+		s.people.jobs = append(s.people.jobs, j)
+		s.oracle.jobs[j.spec.Key] = j
+		b.lasts = append(b.lasts, j)
+		s.people.submit(j, 0)
+		if s.chance(0.5) {
+			s.people.after(s.between(5*time.Second, 25*time.Second), func() { b.cancel(j) })
+		}
+	}
+	s.people.after(s.between(time.Second, 5*time.Second), b.offerLasting)
+}
+
+// cancel cancels a job once it is accepted.
+func (b *balances) cancel(j *job) {
+	switch {
+	case j.gave || j.wanted:
+	case j.accepted == 0:
+		b.s.people.after(200*time.Millisecond, func() { b.cancel(j) })
+	default:
+		b.s.people.cancel(j)
+	}
+}
+
+// quiet plays the end when nothing else goes wrong any more: the payer is dry, a lasting task's minion is lost, two
+// top-ups come that do not last, then one that does; at last the lasting jobs are cancelled.
+func (b *balances) quiet() {
+	s := b.s
+	for _, step := range []struct {
+		in time.Duration
+		do func()
+	}{
+		{time.Second, b.loseLasting},
+		{12 * time.Second, func() { b.addAbove(600) }},
+		{17 * time.Second, func() { b.addAbove(400) }},
+		{22 * time.Second, func() { b.add(muchMoney) }},
+		{30 * time.Second, func() {
+			for _, j := range b.lasts {
+				b.cancel(j)
+			}
+		}},
+	} {
+		s.people.after(step.in, step.do)
+	}
+}
+
+// addAbove tops the payer up to about so much above zero.
+func (b *balances) addAbove(amount int64) {
+	if a := b.account(payer); a != nil {
+		b.add(max(0, -a.Balance) + amount)
+	}
+}
+
+// loseLasting ends the minion of a lasting run; it comes back soon.
+func (b *balances) loseLasting() {
+	s := b.s
+	for _, r := range s.oracle.runs {
+		j := s.oracle.ref.Jobs[r.ref.Job]
+		if j == nil || j.Phase != state.JobRunning || !j.Spec.Steps[r.ref.Step].Standing || !r.m.alive {
+			continue
+		}
+		s.tell("%s, which runs %v, is ended", r.m.addr, r.ref)
+		b.wanted = append(b.wanted, attachment{ref: r.ref, after: r.runID, since: s.now, dry: !b.covers(payer, corePrice*5)})
+		m := r.m
+		m.kill()
+		s.on(500*time.Millisecond, func() {
+			if !m.alive {
+				m.open()
+			}
+		})
+		return
+	}
+}
+
+func (b *balances) covers(name string, cost int64) bool {
+	return b.s.oracle.ref.Accounts.Covers(name, cost)
+}
+
+// look judges what must happen in time.
+func (b *balances) look() {
+	b.s.on(100*time.Millisecond, b.look)
+	b.judgeResume()
+	b.judgeAttached()
+}
+
+// payable tells whether a due task needs no top-up: nobody pays for it, or the balance covers it and is not kept for one
+// that comes before it.
+func (b *balances) payable(j *state.Job, ref state.TaskRef) bool {
+	if b == nil {
+		return true
+	}
+	ref0 := b.s.oracle.ref
+	fee := ref0.Fee(j, ref)
+	if fee.Party == "" {
+		return true
+	}
+	if step := &j.Spec.Steps[ref.Step]; step.Gang {
+		fee.Cost *= int64(step.Tasks)
+	}
+	if !ref0.Covers(fee) {
+		return false
+	}
+	for _, key := range b.s.oracle.keys() {
+		if older := ref0.Jobs[key]; older.Seq < j.Seq && b.uncovered(older, fee.Party) {
+			return false
+		}
+	}
+	return true
+}
+
+// uncovered tells whether a job has a due task that its party's balance does not cover.
+func (b *balances) uncovered(j *state.Job, party string) bool {
+	o := b.s.oracle
+	if o.ref.Bundle.PartyOf(j.Spec.Queue, j.Spec.Team) != party {
+		return false
+	}
+	for i := range j.Tasks {
+		for k := range j.Tasks[i] {
+			ref := state.TaskRef{Job: j.Spec.Key, Step: i, Task: k}
+			if j.Tasks[i][k].Phase != state.TaskDue || b.s.now < o.dueAt[ref] {
+				continue
+			}
+			fee := o.ref.Fee(j, ref)
+			if j.Spec.Steps[i].Gang {
+				fee.Cost *= int64(j.Spec.Steps[i].Tasks)
+			}
+			if !o.ref.Covers(fee) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func sortedNames[V any](m map[string]V) []string { return slices.Sorted(maps.Keys(m)) }
--- a/internal/testbed/sim/build.go
+++ b/internal/testbed/sim/build.go
@@ -27,6 +27,9 @@
 		s.minions = append(s.minions, m)
 	}
 	s.oracle = s.newOracle()
+	if s.opt.Parties || s.opt.Break == "balance" {
+		s.money = newBalances(s)
+	}
 	s.people.start()
 	for _, c := range s.cplanes {
 		c.open(true)
@@ -39,4 +42,5 @@
 	}
 	s.faults = &mischief{s: s}
 	s.faults.start()
+	s.money.start()
 }
--- a/internal/testbed/sim/each.go
+++ b/internal/testbed/sim/each.go
@@ -5,6 +5,7 @@
 	"io"
 	"maps"
 	"slices"
+	"time"
 
 	"crosstide/internal/errs"
 	"crosstide/internal/routine"
@@ -31,11 +32,12 @@
 
 // Sum is what a set of runs showed together.
 type Sum struct {
-	Seeds, Broken           int
-	Events                  uint64
-	Promise, Faults, Counts map[string]uint64
-	Breaches                []Report
-	PromiseZero, FaultsZero []string
+	Seeds, Broken                  int
+	Events                         uint64
+	Promise, Faults, Counts        map[string]uint64
+	Breaches                       []Report
+	PromiseZero, FaultsZero        []string
+	Resumes, CalmResumes, Attached []time.Duration // see Report
 }
 
 // Add sums up reports. wanted are the faults that must have been made.
@@ -56,6 +58,8 @@
 		for k, n := range r.Counts {
 			s.Counts[k] += n
 		}
+		s.Resumes, s.CalmResumes = append(s.Resumes, r.Resumes...), append(s.CalmResumes, r.CalmResumes...)
+		s.Attached = append(s.Attached, r.Attached...)
 		if r.Breach != nil {
 			s.Broken++
 			s.Breaches = append(s.Breaches, r)
@@ -74,6 +78,15 @@
 	return s
 }
 
+// Want adds promises that must have been exercised.
+func (s *Sum) Want(promises []string) {
+	for _, p := range promises {
+		if s.Promise[p] == 0 {
+			s.PromiseZero = append(s.PromiseZero, p)
+		}
+	}
+}
+
 // Show prints a sum: a line for each promise, fault and count, with how many cases there were.
 func (s Sum) Show(w io.Writer) error {
 	var err error
@@ -91,6 +104,16 @@
 	part("promise", s.Promise)
 	part("fault", s.Faults)
 	part("count", s.Counts)
+	for _, t := range []struct {
+		name  string
+		times []time.Duration
+	}{{"resumed after a top-up, under faults", s.Resumes}, {"resumed after a top-up, faults over", s.CalmResumes},
+		{"lasting task attached again", s.Attached}} {
+		if n := len(t.times); n > 0 {
+			slices.Sort(t.times)
+			line("time     %9d  %s: p50 %s, max %s", n, t.name, t.times[n/2], t.times[n-1])
+		}
+	}
 	for _, p := range s.PromiseZero {
 		line("NOT EXERCISED promise %s", p)
 	}
--- a/internal/testbed/sim/faults.go
+++ b/internal/testbed/sim/faults.go
@@ -41,6 +41,7 @@
 	"sync",    // a cplane answers before its log is synced
 	"learner", // a wiped cplane votes under its old name
 	"reserve", // the scheduler keeps no room for what fits nowhere
+	"balance", // accounts have a credit that no draw reaches, so that the check in the commit of a start lets all pass
 	"lease",   // holders think that leases last longer than the granter waits
 }
 
--- a/internal/testbed/sim/oracle.go
+++ b/internal/testbed/sim/oracle.go
@@ -173,7 +173,9 @@
 	if e.Kind != quorum.Normal {
 		data = nil
 	}
-	_, _ = command.Apply(o.ref, e.Index, e.Term, data) // its fault is an outcome
+	s.money.apply(data, func() {
+		_, _ = command.Apply(o.ref, e.Index, e.Term, data) // its fault is an outcome
+	})
 }
 
 func ids(ms []quorum.Member) (out []string) {
@@ -345,6 +347,9 @@
 	switch e.Ev {
 	case journal.Start:
 		o.started(m, e)
+		if t := o.runIDs[e.RunID]; t != nil && o.s.money != nil {
+			o.s.money.started(t.h.Ref, e.RunID)
+		}
 	case journal.Refuse:
 		o.s.report.Counts["refused: "+e.Why]++
 	case journal.End, journal.Stop, journal.Lapse:
@@ -577,7 +582,7 @@
 	for i, tasks := range j.Tasks {
 		for k := range tasks {
 			ref := state.TaskRef{Job: j.Spec.Key, Step: i, Task: k}
-			if tasks[k].Phase == state.TaskDue && o.s.now >= o.dueAt[ref] && o.holds(j, i) {
+			if tasks[k].Phase == state.TaskDue && o.s.now >= o.dueAt[ref] && o.s.money.payable(j, ref) && o.holds(j, i) {
 				return ref, true
 			}
 		}
@@ -613,6 +618,11 @@
 
 // waits tells whether a task is due and a minion could run it now.
 func (o *oracle) waits(j *state.Job, ref state.TaskRef) bool {
+	return o.room(j, ref) && o.s.money.payable(j, ref)
+}
+
+// room tells whether a task is due and a minion has room for it now.
+func (o *oracle) room(j *state.Job, ref state.TaskRef) bool {
 	step := &j.Spec.Steps[ref.Step]
 	if j.Tasks[ref.Step][ref.Task].Phase != state.TaskDue || step.Gang || o.s.now < o.dueAt[ref] {
 		return false
--- a/internal/testbed/sim/people.go
+++ b/internal/testbed/sim/people.go
@@ -68,7 +68,7 @@
 func (p *people) spec() state.Spec {
 	s := p.s
 	p.next++
-	out := state.Spec{Key: fmt.Sprintf("j%03d", p.next), Team: "t", Queue: "default"}
+	out := state.Spec{Key: fmt.Sprintf("j%03d", p.next), Team: s.money.team(), Queue: "default"}
 	for i := range 1 + s.rnd.IntN(3) {
 		step := state.StepSpec{Name: fmt.Sprintf("s%d", i), Type: fmt.Sprintf("k%d", s.rnd.IntN(3)), Tasks: 1 + s.rnd.IntN(3),
 			Cores: 1 + s.rnd.IntN(2), Retries: 4}
@@ -228,7 +228,7 @@
 	s := p.s
 	p.acts++
 	p.out[zone] = true
-	p.order(&command.Zone{Order: fmt.Sprintf("o%d", p.acts), Zone: zone, Out: true}, nil, func() {
+	p.inOrder(s.money.signed(command.Zone{Order: fmt.Sprintf("o%d", p.acts), Zone: zone, Out: true}), func() {
 		s.tell("operator: %s is evacuated", zone)
 		s.oracle.evacuated[zone] = s.now
 		s.held("evacuated")
@@ -241,7 +241,7 @@
 	s := p.s
 	p.acts++
 	delete(s.oracle.evacuated, zone) // from the sending on it may be open
-	p.order(&command.Zone{Order: fmt.Sprintf("o%d", p.acts), Zone: zone, Out: false}, nil, func() {
+	p.inOrder(s.money.signed(command.Zone{Order: fmt.Sprintf("o%d", p.acts), Zone: zone, Out: false}), func() {
 		s.tell("operator: %s is open", zone)
 		delete(p.out, zone)
 	})
--- a/internal/testbed/sim/sim.go
+++ b/internal/testbed/sim/sim.go
@@ -26,6 +26,8 @@
 	Faults []string      // default: all of Faults
 	Break  string        // a guard to be taken out, of Breaks; "" for none
 	Trace  io.Writer     // gets every line; nil for none
+	// Parties lets two parties pay for some of the jobs, of which one runs dry again and again.
+	Parties bool
 }
 
 // Report is what a run showed.
@@ -38,6 +40,9 @@
 	Events  uint64
 	Virtual time.Duration
 	Trace   uint64 // xxhash64 of all lines
+	// With Parties: from the yes to a top-up until work went on, under faults and after them, and from the loss of a
+	// lasting task's minion until it ran again.
+	Resumes, CalmResumes, Attached []time.Duration
 }
 
 // Breach is a broken promise.
@@ -88,6 +93,7 @@
 	people  *people
 	faults  *mischief
 	oracle  *oracle
+	money   *balances // nil without Options.Parties
 
 	calm   bool // no faults any more
 	report Report
