--- /dev/null
+++ b/internal/testbed/paying/paying_test.go
@@ -0,0 +1,44 @@
+package paying
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"crosstide/internal/account"
+	"crosstide/internal/errs"
+)
+
+func TestAdd(t *testing.T) {
+	Convey("An export adds up to its head; one that was changed does not", t, func() {
+		at := time.Unix(1_700_000_000, 0).UTC()
+		book := account.NewBook()
+		So(book.Create("acme", 0), ShouldBeNil)
+		for _, key := range []string{"k1", "k2"} {
+			_, err := book.TopUp("acme", key, 100, at)
+			So(err, ShouldBeNil)
+		}
+		So(book.Reserve(account.Charge{Run: "r1", Account: "acme", Rate: 1000, Window: 10 * time.Second}, at), ShouldBeNil)
+		book.Settle("r1", at.Add(3*time.Second))
+		var out bytes.Buffer
+		So(book.Accounts["acme"].Ledger.WriteCSV(&out), ShouldBeNil)
+		sums, err := Add(out.Bytes())
+		So(err, ShouldBeNil)
+		So(sums, ShouldResemble, Sums{ToppedUp: 200, Spent: 3, TopUps: map[string]int64{"k1": 100, "k2": 100}, Entries: 3})
+		text := out.String()
+		lines := strings.SplitAfter(text, "\n")
+		for what, changed := range map[string]string{
+			"an amount":    strings.Replace(text, ",draw,r1,0,3,", ",draw,r1,0,4,", 1),
+			"left out":     strings.Join(append(append([]string{}, lines[:2]...), lines[3:]...), ""),
+			"doubled":      strings.Join(append(append([]string{}, lines[:3]...), lines[2:]...), ""),
+			"no number":    strings.Replace(text, ",draw,r1,0,3,", ",draw,r1,0,x,", 1),
+			"nothing else": lines[0],
+		} {
+			_, err := Add([]byte(changed))
+			So(what+" "+string(errs.KindOf(err)), ShouldEqual, what+" "+string(errs.Damaged))
+		}
+	})
+}
