Scheduler: count what waits for money also before the first placement; tests of the warnings

Cause: read in review: DryTasks (metrics) on a holder without minions wrote to a map that the first placement made, which would have ended the process. The maps are made with the core; a test holds it. Tests of the leader's warnings and of the gauges.

--- a/internal/sched/balance.go
+++ b/internal/sched/balance.go
@@ -13,6 +13,10 @@
 	first    map[string]turn  // the first of a party's due tasks that its balance does not cover; later ones wait behind it
 }
 
+func newPayment() payment {
+	return payment{promised: map[string]int64{}, first: map[string]turn{}}
+}
+
 // turn orders a party's due tasks: urgent queues first, then by age of the job.
 type turn struct {
 	rank rank
@@ -30,9 +34,6 @@
 	if len(c.st.Bundle.Parties) == 0 {
 		return
 	}
-	if c.payment.first == nil {
-		c.payment = payment{promised: map[string]int64{}, first: map[string]turn{}}
-	}
 	for _, k := range c.queue.classes {
 		if j, _ := c.peek(k); j != nil {
 			c.covered(k, j)
--- a/internal/sched/balance_test.go
+++ b/internal/sched/balance_test.go
@@ -143,6 +143,12 @@
 		So(taskOf(p.desk, "listener").RunID, ShouldBeGreaterThan, first+1)
 		So(p.started("older", "j0"), ShouldBeEmpty)
 	})
+	Convey("What waits for money is counted also where there is no minion", t, func() {
+		p := newPaid(0)
+		p.submit("j0", state.StepSpec{Tasks: 2})
+		p.settle()
+		So(p.core.DryTasks(), ShouldResemble, map[string]int{"acme": 2})
+	})
 	Convey("No minion is kept for a task that waits for money", t, func() {
 		p := newPaid(0, "m1")
 		p.submit("wide", state.StepSpec{Cores: 4})
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -179,7 +179,7 @@
 
 // New makes a core that reads st, the node's replica. The owner passes st's notes to Note.
 func New(cfg Config, st *state.State) *Core {
-	c := &Core{cfg: cfg, st: st, phase: Idle, Counts: Counts{Dead: map[string]uint64{}}}
+	c := &Core{cfg: cfg, st: st, phase: Idle, Counts: Counts{Dead: map[string]uint64{}}, payment: newPayment()}
 	c.clear()
 	return c
 }
--- /dev/null
+++ b/internal/store/accounts_test.go
@@ -0,0 +1,50 @@
+package store
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/prometheus/client_golang/prometheus"
+	. "github.com/smartystreets/goconvey/convey"
+
+	"crosstide/internal/account"
+	"crosstide/internal/api"
+	"crosstide/internal/state"
+)
+
+func TestAccountWarnings(t *testing.T) {
+	Convey("The leader warns of an account once, until it is well again", t, func() {
+		var lines bytes.Buffer
+		s := &Store{live: state.New(), log: log.NewLogfmtLogger(&lines)}
+		at := time.Unix(1_700_000_000, 0).UTC()
+		book := account.NewBook()
+		So(book.Create("acme", 0), ShouldBeNil)
+		_, err := book.TopUp("acme", "k1", 200, at)
+		So(err, ShouldBeNil)
+		So(book.Reserve(account.Charge{Run: "r", Account: "acme", Rate: 1000, Window: 100 * time.Second}, at), ShouldBeNil)
+		s.live.UseAccounts(book)
+		warned := warnings{}
+		look := func() int {
+			warned.look(s)
+			return strings.Count(lines.String(), "account runs dry")
+		}
+		So(look(), ShouldEqual, 0) // it does not lead
+		s.leadTerm = 1
+		So(look(), ShouldEqual, 1)
+		So(look(), ShouldEqual, 1)
+		_, err = book.TopUp("acme", "k2", 10_000, at)
+		So(err, ShouldBeNil)
+		So(look(), ShouldEqual, 1)
+		book.Renew(at.Add(9_900 * time.Second))
+		So(look(), ShouldEqual, 2)
+	})
+	Convey("Each account has its gauges; a forecast only while something draws", t, func() {
+		views := []api.AccountView{{Name: "a", Balance: 1, Draws: true, DryIn: time.Second, Warning: "dry"}, {Name: "b"}}
+		to := make(chan prometheus.Metric, 100)
+		collectAccounts(views, to)
+		So(len(to), ShouldEqual, 8+7)
+	})
+}
--- a/internal/testbed/sim/money.go
+++ b/internal/testbed/sim/money.go
@@ -215,7 +215,7 @@
 	} else {
 		o.s.held("paid for")
 		if _, balance, _, _ := o.sums(party, o.at()); balance < price(rate, paidWindow) {
-			o.s.broke("paid for", "ticket %d of %v is given at a balance of %d, it needs %d", h.RunID, h.Ref, balance, price(rate, paidWindow))
+			o.s.broke("paid for", "run ID %d of %v is given at a balance of %d, it needs %d", h.RunID, h.Ref, balance, price(rate, paidWindow))
 		}
 	}
 	o.ran[h.Ref] = lasting
