Accounts: a group found covered is reserved whole; bounds of names and prices

Cause: found in review. The members of a gang are checked together but were reserved one by one with the check again: a lasting gang with one member that ran before (reserved unchecked) and one that never ran would be refused after it had passed, which stops the process on every node. The check stands in the commit of the group alone now; the test stopped with that panic on the code before. Names are bounded to 128 bytes, prices also in the job table.

--- a/internal/account/account.go
+++ b/internal/account/account.go
@@ -14,6 +14,9 @@
 // MaxTopUpKeys is how many idempotency keys of an account are remembered, the newest.
 const MaxTopUpKeys = 4096
 
+// longestName bounds the name of an account, in bytes.
+const longestName = 128
+
 // Account is a party's money. Balance + Reserved + Spent is ToppedUp after every change.
 type Account struct {
 	Name     string           `json:"name"`
@@ -55,11 +58,13 @@
 
 // Charge asks for a reservation.
 type Charge struct {
-	Run      string // its name, never used again
-	Account  string
-	Rate     Rate
-	Window   time.Duration // at least 1 ms
-	Attached bool          // a lasting task that ran before: reserved also when the balance does not cover it
+	Run     string // its name, never used again
+	Account string
+	Rate    Rate
+	Window  time.Duration // at least 1 ms
+	// Granted reserves also when the balance does not cover it: the caller has found the starts of a group covered
+	// together, or it is a lasting task that ran before.
+	Granted bool
 }
 
 // cost is what the first window takes.
@@ -105,8 +110,8 @@
 // Create opens an account. Failures: Conflict (there is one of that name), Invalid.
 func (b *Book) Create(name string, credit int64) error {
 	switch {
-	case name == "":
-		return errs.Field(errs.Invalid, "account", "must have a name")
+	case name == "" || len(name) > longestName:
+		return errs.Field(errs.Invalid, "account", "must be a name of 1 to %d bytes", longestName)
 	case credit < 0 || credit > MaxAmount:
 		return errs.Field(errs.Invalid, "credit", "must be 0 to %d, is %d", MaxAmount, credit)
 	case b.Accounts[name] != nil:
@@ -177,7 +182,7 @@
 		return errs.Field(errs.Unknown, "account", "no account %q", c.Account)
 	case b.Reservations[c.Run] != nil:
 		return errs.Field(errs.Conflict, "run", "%q has a reservation", c.Run)
-	case !c.Attached && !b.Covers(c.Account, c.cost()):
+	case !c.Granted && !b.Covers(c.Account, c.cost()):
 		return errs.Field(errs.Conflict, "balance", "account %q has %d, a start reserves %d", c.Account, a.Balance, c.cost())
 	}
 	r := &Reservation{Account: c.Account, Rate: c.Rate, Window: max(c.Window, time.Millisecond), Start: at}
--- a/internal/account/price.go
+++ b/internal/account/price.go
@@ -8,6 +8,9 @@
 // MaxAmount bounds what an account may be topped up with in all, in units. It is exact in a JSON number of any reader.
 const MaxAmount int64 = 1<<53 - 1
 
+// MaxPrice bounds each part of a price: a rate must not overflow.
+const MaxPrice = 1_000_000
+
 // Price is what a party pays, in whole units: for a second of a core, of an accelerator, and of a GB of memory.
 type Price struct {
 	Core   int64 `json:"core,omitempty"`
@@ -25,6 +28,11 @@
 // Rate is what a run costs in thousandths of a unit per second.
 type Rate int64
 
+// Valid tells whether every part of a price is within its bounds.
+func (p Price) Valid() bool {
+	return min(p.Core, p.GPU, p.Memory) >= 0 && max(p.Core, p.GPU, p.Memory) <= MaxPrice
+}
+
 // Rate gives what a run with these needs costs.
 func (p Price) Rate(n Needs) Rate {
 	return Rate(int64(n.MilliCPU)*p.Core + int64(n.GPUs)*1000*p.GPU + int64(n.MemoryMB)*p.Memory)
--- a/internal/bundle/parties.go
+++ b/internal/bundle/parties.go
@@ -5,13 +5,13 @@
 	"slices"
 	"time"
 
+	"crosstide/internal/account"
 	"crosstide/internal/config"
 	"crosstide/internal/state"
 )
 
 // Bounds of a party's settings.
 const (
-	highestPrice    = 1_000_000
 	shortestReserve = 100 * time.Millisecond
 	longestReserve  = 24 * time.Hour
 )
@@ -59,7 +59,7 @@
 
 func price(r *config.Reader, field string) int64 {
 	n := 0
-	r.Int(field, &n, 0, highestPrice)
+	r.Int(field, &n, 0, account.MaxPrice)
 	return int64(n)
 }
 
--- a/internal/jobs/payment.go
+++ b/internal/jobs/payment.go
@@ -43,8 +43,8 @@
 			return errs.Field(errs.Invalid, at+".name", "must not be empty")
 		case p.Window < time.Millisecond:
 			return errs.Field(errs.Invalid, at+".window", "must be 1 ms at least, is %s", p.Window)
-		case p.Price.Core < 0 || p.Price.GPU < 0 || p.Price.Memory < 0:
-			return errs.Field(errs.Invalid, at+".price", "must not be below 0")
+		case !p.Price.Valid():
+			return errs.Field(errs.Invalid, at+".price", "each part must be 0 to %d", account.MaxPrice)
 		}
 		for _, queue := range p.Queues {
 			if other, taken := queues[queue]; taken {
@@ -118,18 +118,17 @@
 	return fmt.Sprintf("j%q/%d/%d/%d#%d", k.Task.Job, k.Task.Round, k.Task.Step, k.Task.Index, k.Number)
 }
 
-// reserve sets the first window of a run aside that was just found covered. A lasting task that ran before runs for
-// nothing if its party has no account. To be called before the run is noted in its task.
+// reserve sets the first window of a run aside that was just found covered, with the others of its group. What needs no
+// balance, as a lasting task that ran before, runs for nothing if its party has no account.
 func (t *Table) reserve(job *Job, key RunKey) {
 	party := t.PartyOf(job)
 	if party == nil || t.Payments == nil {
 		return
 	}
-	attached := job.attached(key.Task)
 	err := t.Payments.Reserve(account.Charge{Run: key.RunName(), Account: party.Name,
-		Rate: party.rate(&job.Spec.Steps[key.Task.Step]), Window: party.Window, Attached: attached})
-	if err != nil && !attached && t.Fee(job, key.Task) > 0 {
-		panic(err) // it was covered in this very step
+		Rate: party.rate(&job.Spec.Steps[key.Task.Step]), Window: party.Window, Granted: true})
+	if err != nil && !errs.Is(err, errs.Unknown) {
+		panic(err) // the run has a reservation: run numbers are never given twice
 	}
 }
 
--- a/internal/jobs/payment_test.go
+++ b/internal/jobs/payment_test.go
@@ -82,6 +82,15 @@
 		So(table.start(other), ShouldResemble, []bool{true})
 		So(a.sums(), ShouldEqual, [3]int64{-100, 200, 0})
 	})
+	Convey("Of a lasting gang a member that never ran is paid for beside one that did", t, func() {
+		table, a := paidTable(100)
+		gang := oneCore(2)
+		gang.Gang, gang.Lasting = true, true
+		job := table.mustSubmit(testJob("j", gang))
+		job.Rounds[0][0][0].LastRun = 1
+		So(table.start(startOf(taskOf("j", 0, 0), 2, "w1"), startOf(taskOf("j", 0, 1), 2, "w2")), ShouldResemble, []bool{true, true})
+		So(a.sums(), ShouldEqual, [3]int64{-100, 200, 0})
+	})
 	Convey("Queues that nobody pays for, and tables where nobody does, take no account", t, func() {
 		table, a := paidTable(0)
 		guarded := testJob("g", oneCore(1))
--- a/internal/state/account.go
+++ b/internal/state/account.go
@@ -105,7 +105,7 @@
 	}
 	p := s.Bundle.Parties[party]
 	c := account.Charge{Run: RunName(runID), Account: party, Rate: p.Price.Rate(needs(&j.Spec.Steps[ref.Step])), Window: p.Window(),
-		Attached: attached}
+		Granted: true} // Plan found it covered with the others of its group, or it is attached
 	return errs.Pass(s.Accounts.Reserve(c, s.At), "reserve")
 }
 
--- a/internal/state/command/account_test.go
+++ b/internal/state/command/account_test.go
@@ -282,3 +282,21 @@
 		So(start(1), ShouldBeTrue)
 	})
 }
+
+func TestPaidStandingGang(t *testing.T) {
+	Convey("Of a lasting gang a member that never ran is paid for beside one that did, below zero if need be", t, func() {
+		b := newPaid(200)
+		b.submit("j", state.StepSpec{Name: "s", Type: "t", Tasks: 2, Standing: true})
+		b.start(1, on("m1", "j", 0))
+		b.plan(Plan{Dead: []Proof{{RunID: 1, Why: ProofLapse}}})
+		b.start(1, on("m1", "j", 0))
+		b.plan(Plan{Dead: []Proof{{RunID: 2, Why: ProofLapse}}})
+		b.Accounts.Accounts["acme"].Balance -= 100 // as if something else ran
+		b.Accounts.Accounts["acme"].ToppedUp -= 100
+		b.Accounts.Accounts["acme"].Ledger.Head.ToppedUp -= 100
+		one, two := on("m1", "j", 0), on("m2", "j", 1)
+		one.Group, two.Group = 7, 7
+		So(b.start(1, one, two).RunIDs, ShouldResemble, []uint64{3, 4})
+		So(b.Accounts.Accounts["acme"].Balance, ShouldEqual, -100)
+	})
+}
