Scheduler: a gang stays one class also when some members ran before; its fee is that of its members

Cause: found in review. The class of attached tasks split a lasting gang, also where nobody pays, and a fee taken from its first member alone could make plans that the store refuses again and again. Test: such a gang waits 10 s without a commit and starts whole.

--- a/internal/sched/balance.go
+++ b/internal/sched/balance.go
@@ -43,9 +43,14 @@
 
 // feeOf gives what the next tasks of a class need, all that are placed together.
 func (c *Core) feeOf(k *class, j *state.Job) state.Fee {
-	fee := c.st.Fee(j, k.refs[k.head].TaskRef)
-	fee.Cost *= int64(k.next())
-	return fee
+	var sum state.Fee
+	for _, q := range k.refs[k.head : k.head+k.next()] {
+		if fee := c.st.Fee(j, q.TaskRef); fee.Party != "" {
+			sum.Party = fee.Party
+			sum.Cost += fee.Cost
+		}
+	}
+	return sum
 }
 
 // covered tells whether a balance holds the fee of a class beside what the plan needs already. If not, the balance is
--- a/internal/sched/balance_test.go
+++ b/internal/sched/balance_test.go
@@ -143,6 +143,22 @@
 		So(taskOf(p.desk, "listener").RunID, ShouldBeGreaterThan, first+1)
 		So(p.started("older", "j0"), ShouldBeEmpty)
 	})
+	Convey("A lasting gang of which one member ran before stays one gang, and waits without commits", t, func() {
+		p := newPaid(150, "m1")
+		p.submit("gang", state.StepSpec{Tasks: 2, Gang: true, Standing: true})
+		_, first := p.st.TaskOf(state.TaskRef{Job: "gang"})
+		first.RunID = 1 << 40 // as if it ran before
+		p.st.Accounts.Accounts["acme"].Credit = -60 // so that one more start is not covered
+		p.serve(time.Second)
+		plans := p.core.Counts.Plans
+		p.serve(10 * time.Second)
+		So(p.core.Counts.Plans, ShouldEqual, plans)
+		So(p.core.Counts.Refused, ShouldEqual, 0)
+		So(p.st.Handles, ShouldBeEmpty)
+		p.st.Accounts.Accounts["acme"].Credit = 0
+		p.serve(time.Second)
+		So(len(p.st.Handles), ShouldEqual, 2)
+	})
 	Convey("What waits for money is counted also where there is no minion", t, func() {
 		p := newPaid(0)
 		p.submit("j0", state.StepSpec{Tasks: 2})
--- a/internal/sched/plan.go
+++ b/internal/sched/plan.go
@@ -205,7 +205,7 @@
 	if step.Gang {
 		fmt.Fprintf(&key, "|gang|%s|%d", ref.Job, ref.Step)
 	}
-	if c.st.Attached(ref) { // not to wait behind one that its party's balance does not cover
+	if !step.Gang && c.st.Attached(ref) { // not to wait behind one that its party's balance does not cover
 		key.WriteString("|attached")
 	}
 	k := c.queue.classes[key.String()]
--- a/internal/testbed/sim/balances.go
+++ b/internal/testbed/sim/balances.go
@@ -302,9 +302,7 @@
 	if fee.Party == "" {
 		return true
 	}
-	if step := &j.Spec.Steps[ref.Step]; step.Gang {
-		fee.Cost *= int64(step.Tasks)
-	}
+	fee.Cost *= together(j, ref.Step)
 	if !ref0.Covers(fee) {
 		return false
 	}
@@ -316,6 +314,20 @@
 	return true
 }
 
+// together is how many due tasks of a step start together.
+func together(j *state.Job, step int) int64 {
+	if !j.Spec.Steps[step].Gang {
+		return 1
+	}
+	due := int64(0)
+	for i := range j.Tasks[step] {
+		if j.Tasks[step][i].Phase == state.TaskDue {
+			due++
+		}
+	}
+	return due
+}
+
 // uncovered tells whether a job has a due task that its party's balance does not cover.
 func (b *balances) uncovered(j *state.Job, party string) bool {
 	o := b.s.oracle
@@ -329,9 +341,7 @@
 				continue
 			}
 			fee := o.ref.Fee(j, ref)
-			if j.Spec.Steps[i].Gang {
-				fee.Cost *= int64(j.Spec.Steps[i].Tasks)
-			}
+			fee.Cost *= together(j, i)
 			if !o.ref.Covers(fee) {
 				return true
 			}
