--- a/internal/sched/balance_test.go
+++ b/internal/sched/balance_test.go
@@ -147,7 +147,7 @@
 		p := newPaid(150, "m1")
 		p.submit("gang", state.StepSpec{Tasks: 2, Gang: true, Standing: true})
 		_, first := p.st.TaskOf(state.TaskRef{Job: "gang"})
-		first.RunID = 1 << 40 // as if it ran before
+		first.RunID = 1 << 40                       // as if it ran before
 		p.st.Accounts.Accounts["acme"].Credit = -60 // so that one more start is not covered
 		p.serve(time.Second)
 		plans := p.core.Counts.Plans
