--- a/internal/operator/account_test.go
+++ b/internal/operator/account_test.go
@@ -148,7 +148,16 @@
 			job, err = query.Job(d.st, "j0")
 			So(err, ShouldBeNil)
 			So(job.Waits, ShouldEqual, "")
+			c.order(&command.Submit{Spec: state.Spec{Key: "cheap", Team: "a", Queue: "default",
+				Steps: []state.StepSpec{{Name: "s", Type: "t", Tasks: 1}}}, Digest: "cheap", Bound: 9})
+			c.order(&command.Plan{Epoch: epoch, Seq: 4})
+			job, err = query.Job(d.st, "cheap") // a task without cores costs nothing
+			So(err, ShouldBeNil)
+			So(job.Waits, ShouldEqual, "party acme is dry for a job that goes before this one; the job goes on by itself after a top-up")
 			c.order(&command.Cancel{Key: "j2"})
+			job, err = query.Job(d.st, "cheap")
+			So(err, ShouldBeNil)
+			So(job.Waits, ShouldEqual, "")
 			v, err = query.Account(d.st, "acme")
 			So(err, ShouldBeNil)
 			So(v.Warning, ShouldStartWith, "dry in about 3s")
--- a/internal/state/query/account.go
+++ b/internal/state/query/account.go
@@ -102,3 +102,37 @@
 	}
 	return out
 }
+
+// waitsBehind tells that a job's due tasks wait as the balance of their party is kept for a job that goes before it; ""
+// if they do not. It looks at all jobs of the party.
+func waitsBehind(s *state.State, j *state.Job) string {
+	party := s.Bundle.PartyOf(j.Spec.Queue, j.Spec.Team)
+	if party == "" || j.Phase != state.JobRunning || !hasDue(j) {
+		return ""
+	}
+	for _, other := range s.Jobs {
+		if other.Phase == state.JobRunning && s.Bundle.PartyOf(other.Spec.Queue, other.Spec.Team) == party && goesBefore(s, other, j) &&
+			s.Unpaid(other) != "" {
+			return fmt.Sprintf("party %s is dry for a job that goes before this one; the job goes on by itself after a top-up", party)
+		}
+	}
+	return ""
+}
+
+// goesBefore tells whether the tasks of one job are paid for before those of another.
+func goesBefore(s *state.State, one, other *state.Job) bool {
+	first, second := s.Bundle.Queues[one.Spec.Queue].Urgent, s.Bundle.Queues[other.Spec.Queue].Urgent
+	if first != second {
+		return first
+	}
+	return one.Seq < other.Seq
+}
+
+func hasDue(j *state.Job) bool {
+	for _, tasks := range j.Tasks {
+		if slices.ContainsFunc(tasks, func(t state.Task) bool { return t.Phase == state.TaskDue }) {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/state/query/query.go
+++ b/internal/state/query/query.go
@@ -43,7 +43,11 @@
 // Job gives a job, or what its tombstone still tells; errs.Unknown if the store has neither.
 func Job(s *state.State, key string) (JobView, error) {
 	if j := s.Jobs[key]; j != nil {
-		return view(s, j), nil
+		v := view(s, j)
+		if v.Waits == "" {
+			v.Waits = waitsBehind(s, j)
+		}
+		return v, nil
 	}
 	if t := s.Tombs[key]; t != nil {
 		return JobView{Key: key, Team: t.Team, State: t.Phase, Reason: t.Reason, Ended: t.Ended}, nil
