--- a/internal/bundle/bundle.go
+++ b/internal/bundle/bundle.go
@@ -105,6 +105,7 @@
 	})
 	r.Duration("hold", &b.Hold, shortestHold, longestHold)
 	operators(r, b)
+	parties(r, b)
 }
 
 // key refuses a field name that is no valid name.
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -82,6 +82,7 @@
 //	POST /v1/members/{old}/replace/{new}  {"order":"id"}   the cplane new may join in the place of old
 //	GET  /v1/minions
 //	GET  /v1/who
+//	/v1/accounts…                   see serveAccounts
 //
 // Once the store knows operators, what needs a signature and has none is Forbidden; before that, zones take orders
 // without one. Failures: Malformed, TooLarge, Forbidden, Invalid, Unknown, Conflict, Overloaded, Unavailable, Timeout
@@ -89,6 +90,7 @@
 func Serve(srv *rpc.Server, s Store, name func(id string) string, nodes func() []membership.Seen) {
 	serveOrders(srv, s)
 	serveBundles(srv, s)
+	serveAccounts(srv, s)
 	srv.Route("GET /v1/minions", func(w http.ResponseWriter, r *http.Request) {
 		var out Minions
 		err := s.Read(r.Context(), func(st *state.State) { out.Minions = query.Minions(st) })
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -102,6 +102,7 @@
 	reserveAt     time.Duration
 	runningCounts map[string]int
 	teams         map[string]int // handles out by team
+	payment       payment
 
 	plan    *flight
 	running []uint64
@@ -178,7 +179,7 @@
 
 // New makes a core that reads st, the node's replica. The owner passes st's notes to Note.
 func New(cfg Config, st *state.State) *Core {
-	c := &Core{cfg: cfg, st: st, phase: Idle, Counts: Counts{Dead: map[string]uint64{}}}
+	c := &Core{cfg: cfg, st: st, phase: Idle, Counts: Counts{Dead: map[string]uint64{}}, payment: newPayment()}
 	c.clear()
 	return c
 }
@@ -321,6 +322,8 @@
 				}
 			}
 		}
+	case state.NoteAccount:
+		c.wide = true
 	case state.NotePlacement:
 		c.wide = true
 		for _, r := range c.runs {
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -439,7 +439,9 @@
 
 // tidy lets the leader propose the letting go of what is old.
 func (s *Store) tidy(ctx context.Context) {
+	warned := warnings{}
 	for s.rest(ctx, tidyEvery) {
+		warned.look(s)
 		c := s.tidying()
 		if c == nil {
 			continue
@@ -454,7 +456,7 @@
 func (s *Store) tidying() command.Command {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.leadTerm == 0 || len(s.live.Ended)+len(s.live.TombOrder)+len(s.live.OrderKeys) == 0 {
+	if s.leadTerm == 0 || len(s.live.Ended)+len(s.live.TombOrder)+len(s.live.OrderKeys) == 0 && !s.live.Accounts.Open() {
 		return nil
 	}
 	at := s.clock.Wall()
