--- a/internal/account/account.go
+++ b/internal/account/account.go
@@ -351,8 +351,13 @@
 // renewals is a heap of windows by end, then by run. Entries of runs that have ended stay until they come up.
 type renewals []renewal
 
-func (r renewals) Len() int      { return len(r) }
+// Len is the number of windows.
+func (r renewals) Len() int { return len(r) }
+
+// Swap exchanges two windows.
 func (r renewals) Swap(i, k int) { r[i], r[k] = r[k], r[i] }
+
+// Less orders windows by end, then by run.
 func (r renewals) Less(i, k int) bool {
 	if r[i].until.Equal(r[k].until) {
 		return r[i].run < r[k].run
