A node that was removed while away joins anew in the same process

Cause: a core node that was cut off or down for longer than remove_after finds out, once it is back, that it was removed from the members. It voided its folder and ended the process with code 1, for its supervisor to start it again.

Change: the store tells Options.Removed instead of Fatal; serveLives stops the node (calls that run are drained) and serves another life of it, with the seeds that the settings name then. Both the product's cplane and the platform's.

--- a/cmd/cplane/platform.go
+++ b/cmd/cplane/platform.go
@@ -68,15 +68,38 @@
 	control  *rpc.Server        // workers and operators call it
 }
 
-// serveCore runs a core node until ctx ends, then hands the lead over and drains. changed tells that the settings have
-// changed.
+// serveCore runs a core node until ctx ends. changed tells that the settings have changed.
 func serveCore(ctx context.Context, settings platform.Settings, changed <-chan os.Signal, logger log.Logger) error {
-	core := settings.Core()
-	daemon.LimitMemory(core.MemoryBytes)
+	daemon.LimitMemory(settings.Core().MemoryBytes)
 	caller := rpc.NewCaller(rpc.CallerOptions{DialTimeout: dialTimeout, UserTimeout: userTimeout, Idle: workerIdle,
 		Logger: daemon.Part(logger, "caller")})
 	defer caller.Close()
-	node, err := newCoreNode(core, settings.Limits.FileDescriptors, caller, logger)
+	core, first := settings.Core(), true
+	return serveLives(ctx, func(ctx context.Context, removed func()) error {
+		if !first {
+			core = newestSettings(core, logger)
+		}
+		first = false
+		return serveCoreLife(ctx, core, settings.Limits.FileDescriptors, caller, changed, removed, logger)
+	})
+}
+
+// newestSettings gives the settings as they are now, for a node that begins anew; the old ones if they cannot be read.
+func newestSettings(old platform.CoreSettings, logger log.Logger) platform.CoreSettings {
+	settings, err := platform.LoadSettings()
+	if err != nil {
+		_ = level.Warn(logger).Log("msg", "the settings cannot be read; the old ones stay", "err", err)
+		return old
+	}
+	core := settings.Core()
+	core.Bootstrap = false // whoever was removed knows that the fleet exists
+	return core
+}
+
+// serveCoreLife runs one life of a core node until ctx ends, then hands the lead over and drains.
+func serveCoreLife(ctx context.Context, core platform.CoreSettings, descriptors int, caller *rpc.Caller, changed <-chan os.Signal,
+	removed func(), logger log.Logger) error {
+	node, err := newCoreNode(core, descriptors, caller, removed, logger)
 	if err != nil {
 		return errs.Pass(err, "make the node")
 	}
@@ -111,7 +134,7 @@
 	}
 }
 
-func newCoreNode(core platform.CoreSettings, descriptors int, caller *rpc.Caller, logger log.Logger) (*coreNode, error) {
+func newCoreNode(core platform.CoreSettings, descriptors int, caller *rpc.Caller, removed func(), logger log.Logger) (*coreNode, error) {
 	set := storeSettings(core)
 	node := &coreNode{settings: core, logger: logger}
 	var err error
@@ -119,7 +142,7 @@
 		Fatal: func(err error) {
 			_ = level.Error(logger).Log("msg", "the process ends", "err", err)
 			os.Exit(1)
-		}}, logger)
+		}, Removed: removed}, logger)
 	if err != nil {
 		return nil, errs.Pass(err, "open the store")
 	}
--- a/cmd/cplane/run.go
+++ b/cmd/cplane/run.go
@@ -33,7 +33,15 @@
 	}
 }
 
+// serve runs a cplane until ctx ends.
 func serve(ctx context.Context, set config.Cplane, profiles bool, logger log.Logger) error {
+	return serveLives(ctx, func(ctx context.Context, removed func()) error {
+		return serveLife(ctx, set, profiles, removed, logger)
+	})
+}
+
+// serveLife runs one life of a cplane until ctx ends, then hands the lead over and drains.
+func serveLife(ctx context.Context, set config.Cplane, profiles bool, removed func(), logger log.Logger) error {
 	reg := daemon.Registry()
 	caller := rpc.NewCaller(rpc.CallerOptions{UserTimeout: 2 * set.Election, Via: set.Via, Logger: daemon.Part(logger, "caller"), Registry: reg})
 	defer caller.Close()
@@ -43,6 +51,7 @@
 			_ = level.Error(logger).Log("msg", "the process ends", "err", err)
 			os.Exit(1)
 		},
+		Removed: removed,
 	}
 	s, err := open(opt, logger)
 	if err != nil {
--- a/internal/store/open.go
+++ b/internal/store/open.go
@@ -205,7 +205,7 @@
 }
 
 // watchRemoval finds out whether this node was removed while it was down or cut off. Its contents are void then:
-// it ends the process, and the next one begins as a new incarnation.
+// it begins anew as another incarnation.
 func (s *Store) watchRemoval(ctx context.Context) {
 	for s.rest(ctx, spread(removalEvery)) {
 		if !s.leaderless() {
@@ -221,14 +221,17 @@
 	}
 }
 
-// endRemoved voids the folder and ends the process, after the node at the address told that this one was removed.
+// endRemoved voids the folder and ends the use of the store, after the node at the address told that this one was
+// removed.
 func (s *Store) endRemoved(address string) {
-	_ = level.Warn(s.log).Log("msg", "removed from the members while away: this process ends, the next one joins anew", "id", s.id, "told by", address)
-	err := Discard(s.opt.Disk, s.addresses()...)
-	if err == nil {
-		err = errs.New(errs.Stale, "%s is no member any more; it joins anew at the next start", s.id)
+	_ = level.Warn(s.log).Log("msg", "removed from the members while away: joining anew", "id", s.id, "told by", address)
+	if err := Discard(s.opt.Disk, s.addresses()...); err != nil {
+		s.fatal(errs.Pass(err, "removed"))
+		return
+	}
+	if s.breakOff() {
+		s.opt.Removed()
 	}
-	s.fatal(errs.Pass(err, "removed"))
 }
 
 // leaderless tells whether this node neither leads nor heard of a leader for two Elections.
--- a/internal/store/open_test.go
+++ b/internal/store/open_test.go
@@ -134,18 +134,18 @@
 	return out
 }
 
-// ended tells whether a node ended itself because it was removed.
+// ended tells whether a node ended the use of its store because it was removed.
 func (r *testStores) ended(name string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return errs.Is(r.died[name], errs.Stale)
+	return r.removed[name]
 }
 
-// again restarts a node that ended itself.
+// again opens the folder of a node that was removed anew, in the same process.
 func (r *testStores) again(name string) {
 	r.kill(name)
 	r.mu.Lock()
-	delete(r.died, name)
+	delete(r.removed, name)
 	r.mu.Unlock()
 	r.start(name)
 }
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -53,13 +53,17 @@
 	Rollout(ctx context.Context, addr string) (api.RolloutAnswer, error)
 }
 
-// Options of a store; Settings, Disk, Net and Fatal are needed.
+// Options of a store; Settings, Disk, Net and Fatal are needed, with an open membership Removed too.
 type Options struct {
 	Settings config.Cplane
 	Disk     storage.Disk
 	Net      Net
 	// Fatal is told of a failed write or sync, of a state that cannot be trusted. It must end the process.
-	Fatal    func(error)
+	Fatal func(error)
+	// Removed is told, once, that this node was removed from the members while it was away: its folder is void. It
+	// must see to it that the store is stopped and its folder opened anew; the node joins as a new incarnation then.
+	// Needed with an open membership.
+	Removed  func()
 	Damaged  bool                  // an earlier folder was set aside as damaged: never found a fleet
 	Seed     uint64                // of the election time-outs; 0 draws one
 	Draw     func() string         // of names that no other process has; default crypto/rand.Text
@@ -501,18 +505,23 @@
 	return out
 }
 
-// fatal ends the use of the store for good: nothing leaves it any more, and the process is to end.
+// fatal ends the use of the store for good, and the process is to end.
 func (s *Store) fatal(err error) {
-	s.mu.Lock()
-	was := s.broken
-	s.broken = true
-	s.mu.Unlock()
-	if !was {
+	if s.breakOff() {
 		_ = level.Error(s.log).Log("msg", "fatal", "err", err)
 		s.opt.Fatal(err)
 	}
 }
 
+// breakOff ends the use of the store for good: nothing leaves it any more. It tells whether it was in use until now.
+func (s *Store) breakOff() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	was := s.broken
+	s.broken = true
+	return !was
+}
+
 // nameOf gives the name in a quorum ID: what stands before the incarnation.
 func nameOf(id string) string {
 	name, _, _ := strings.Cut(id, "~")
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -28,17 +28,18 @@
 // rig is a fleet of stores in one process, over memory disks and a virtual clock. It lives in a synctest bubble:
 // the clock moves only when every goroutine waits.
 type testStores struct {
-	clock clock.Virtual
-	set   config.Cplane
-	disks map[string]*storage.MemDisk
-	mu    sync.Mutex
-	nodes map[string]*Store // by address; nil while it is down
-	died  map[string]error
-	work  *routine.Group
-	acked map[string]uint64
-	seed  uint64          // of the nodes that start from now on, besides their names
-	slow  atomic.Int64    // nanoseconds that a sync takes on the virtual clock
-	cut   map[string]bool // addresses of nodes that are cut off from all others: calls to and from them time out
+	clock   clock.Virtual
+	set     config.Cplane
+	disks   map[string]*storage.MemDisk
+	mu      sync.Mutex
+	nodes   map[string]*Store // by address; nil while it is down
+	died    map[string]error
+	removed map[string]bool // nodes that were told that they are no members any more
+	work    *routine.Group
+	acked   map[string]uint64
+	seed    uint64          // of the nodes that start from now on, besides their names
+	slow    atomic.Int64    // nanoseconds that a sync takes on the virtual clock
+	cut     map[string]bool // addresses of nodes that are cut off from all others: calls to and from them time out
 }
 
 // paced is a disk whose syncs take the rig's time.
@@ -68,7 +69,7 @@
 
 func newTestStores(n, slotEvery int, operators ...signature.Key) *testStores {
 	r := &testStores{set: config.DefaultCplane(), disks: map[string]*storage.MemDisk{}, nodes: map[string]*Store{},
-		died: map[string]error{}, work: routine.New(context.Background()), acked: map[string]uint64{}, cut: map[string]bool{}}
+		died: map[string]error{}, removed: map[string]bool{}, work: routine.New(context.Background()), acked: map[string]uint64{}, cut: map[string]bool{}}
 	r.set.SlotEvery = slotEvery
 	for _, key := range operators {
 		r.set.OperatorKeys = append(r.set.OperatorKeys, config.OperatorKey{Name: key.Name, Key: key.Public()})
@@ -91,7 +92,8 @@
 	var err error
 	r.call(func(context.Context) { // its syncs may take time
 		s, err = Open(Options{Settings: set, Disk: paced{r.disks[name], r}, Net: net{r, name}, Clock: &r.clock, Seed: uint64(name[1]) + r.seed,
-			Fatal: func(err error) { r.mu.Lock(); r.died[name] = err; r.mu.Unlock() }})
+			Fatal:   func(err error) { r.mu.Lock(); r.died[name] = err; r.mu.Unlock() },
+			Removed: func() { r.mu.Lock(); r.removed[name] = true; r.mu.Unlock() }})
 	})
 	So(err, ShouldBeNil)
 	r.mu.Lock()
