--- a/cmd/cplane/lives.go
+++ b/cmd/cplane/lives.go
@@ -15,7 +15,7 @@
 		err := live(life, end)
 		end()
 		if err != nil || ctx.Err() != nil {
-			return errs.Pass(err, "serve")
+			return errs.Pass(err, "lives")
 		}
 	}
 }
--- a/cmd/cplane/platform.go
+++ b/cmd/cplane/platform.go
@@ -75,13 +75,15 @@
 		Logger: daemon.Part(logger, "caller")})
 	defer caller.Close()
 	core, first := settings.Core(), true
-	return serveLives(ctx, func(ctx context.Context, removed func()) error {
+	err := serveLives(ctx, func(ctx context.Context, removed func()) error {
 		if !first {
 			core = newestSettings(core, logger)
 		}
 		first = false
-		return serveCoreLife(ctx, core, settings.Limits.FileDescriptors, caller, changed, removed, logger)
+		err := serveCoreLife(ctx, core, settings.Limits.FileDescriptors, caller, changed, removed, logger)
+		return errs.Pass(err, "a life")
 	})
+	return errs.Pass(err, "serve the core")
 }
 
 // newestSettings gives the settings as they are now, for a node that begins anew; the old ones if they cannot be read.
--- a/cmd/cplane/run.go
+++ b/cmd/cplane/run.go
@@ -35,9 +35,10 @@
 
 // serve runs a cplane until ctx ends.
 func serve(ctx context.Context, set config.Cplane, profiles bool, logger log.Logger) error {
-	return serveLives(ctx, func(ctx context.Context, removed func()) error {
-		return serveLife(ctx, set, profiles, removed, logger)
+	err := serveLives(ctx, func(ctx context.Context, removed func()) error {
+		return errs.Pass(serveLife(ctx, set, profiles, removed, logger), "a life")
 	})
+	return errs.Pass(err, "serve")
 }
 
 // serveLife runs one life of a cplane until ctx ends, then hands the lead over and drains.
