Heartbeats: workers with orders by heartbeat beat three times as often

Cause: with orders by heartbeat every start waits for a worker's next heartbeat, and every end too. The pause between them was 1.5 ms for each worker, 655 ms with 437 workers, chosen without a measurement of what a heartbeat costs the leader.

Change: 0.5 ms for each worker, and the time that the answer of an idle worker was held counts as part of the pause.

Tests: TestPauseAfter; internal/controller and internal/lint pass.

--- a/internal/controller/mailbox.go
+++ b/internal/controller/mailbox.go
@@ -17,10 +17,11 @@
 	// idleHold is how long the answer to an idle worker's heartbeat is held until there are orders.
 	idleHold = 500 * time.Millisecond
 	// leastAgain and mostAgain bound the pause before a worker's next heartbeat; beatShare of it is for each worker, so
-	// that the heartbeats of all of them stay within what one leader can answer.
+	// that the heartbeats of all of them stay within what one leader can answer. The time that an answer was held counts
+	// as part of the pause.
 	leastAgain = 100 * time.Millisecond
 	mostAgain  = time.Second
-	beatShare  = 1500 * time.Microsecond
+	beatShare  = 500 * time.Microsecond
 	// tokensPerTerm is how many fencing tokens, one for each answer, a term has for a worker.
 	tokensPerTerm = 1 << 20
 	// confirmations is how many answers must have carried a stop, or the first call under a term, before a heartbeat
@@ -185,10 +186,20 @@
 		return nil
 	}
 	out := b.orders(sequence, term, listing.Clock)
-	out.Again = min(max(leastAgain, time.Duration(len(m.boxes))*beatShare), mostAgain)
+	out.Again = pauseAfter(wait, len(m.boxes))
 	return out
 }
 
+// pauseAfter gives the pause before a worker's next heartbeat, by whether this answer was held and by how many workers
+// there are.
+func pauseAfter(held bool, workers int) time.Duration {
+	pause := time.Duration(workers) * beatShare
+	if held {
+		pause -= idleHold
+	}
+	return min(max(leastAgain, pause), mostAgain)
+}
+
 // Forget drops the box of a worker that is gone. Orders in it are settled by their time-outs.
 func (m *Mailboxes) Forget(id string) {
 	m.mu.Lock()
--- a/internal/controller/mailbox_test.go
+++ b/internal/controller/mailbox_test.go
@@ -156,3 +156,16 @@
 		})
 	})
 }
+
+func TestPauseAfter(t *testing.T) {
+	Convey("A worker that runs something beats as often as one leader can answer all of them", t, func() {
+		for workers, pause := range map[int]time.Duration{1: leastAgain, 48: leastAgain, 400: 200 * time.Millisecond, 5000: mostAgain} {
+			So(pauseAfter(false, workers), ShouldEqual, pause)
+		}
+	})
+	Convey("The time that an answer was held is part of the pause", t, func() {
+		for workers, pause := range map[int]time.Duration{1: leastAgain, 400: leastAgain, 1000: leastAgain, 1500: 250 * time.Millisecond, 5000: mostAgain} {
+			So(pauseAfter(true, workers), ShouldEqual, pause)
+		}
+	})
+}
