--- a/cmd/cplane/jobscore.go
+++ b/cmd/cplane/jobscore.go
@@ -58,11 +58,16 @@
 }
 
 func serveJobs(ctx context.Context, set config.JobsCore, profiles bool, logger log.Logger) error {
-	core, err := node.NewCore(ctx, jobsOptions(set, profiles, logger))
-	if err != nil {
-		return errs.Pass(err, "make the node")
-	}
-	return errs.Pass(core.Run(ctx), "serve")
+	err := serveLives(ctx, func(ctx context.Context, removed func()) error {
+		options := jobsOptions(set, profiles, logger)
+		options.Removed = removed
+		core, err := node.NewCore(ctx, options)
+		if err != nil {
+			return errs.Pass(err, "make the node")
+		}
+		return errs.Pass(core.Run(ctx), "a life")
+	})
+	return errs.Pass(err, "serve")
 }
 
 // jobsOptions maps settings to a core node's options.
--- a/cmd/cplane/platform.go
+++ b/cmd/cplane/platform.go
@@ -39,17 +39,37 @@
 		NodeName: func(settings platform.Settings) string { return settings.IP }}.Command()
 }
 
-// serveCore runs a core node until ctx ends, then hands the lead over and drains. changed tells that the settings have
-// changed.
+// serveCore runs a core node until ctx ends. changed tells that the settings have changed.
 func serveCore(ctx context.Context, settings platform.Settings, changed <-chan os.Signal, logger log.Logger) error {
-	core := settings.Core()
+	core, first := settings.Core(), true
 	daemon.LimitMemory(core.MemoryBytes)
-	served, err := node.NewCore(ctx, coreOptions(core, settings.Limits.FileDescriptors, logger))
+	err := serveLives(ctx, func(ctx context.Context, removed func()) error {
+		if !first {
+			core = newestSettings(core, logger)
+		}
+		first = false
+		options := coreOptions(core, settings.Limits.FileDescriptors, logger)
+		options.Removed = removed
+		served, err := node.NewCore(ctx, options)
+		if err != nil {
+			return errs.Pass(err, "make the node")
+		}
+		err = served.Run(ctx, func(ctx context.Context) { followSettings(ctx, served, changed, logger) })
+		return errs.Pass(err, "a life")
+	})
+	return errs.Pass(err, "serve")
+}
+
+// newestSettings gives the settings as they are now, for a node that begins anew; the old ones if they cannot be read.
+func newestSettings(old platform.CoreSettings, logger log.Logger) platform.CoreSettings {
+	settings, err := platform.LoadSettings()
 	if err != nil {
-		return errs.Pass(err, "make the node")
+		_ = level.Warn(logger).Log("msg", "the settings cannot be read; the old ones stay", "err", err)
+		return old
 	}
-	err = served.Run(ctx, func(ctx context.Context) { followSettings(ctx, served, changed, logger) })
-	return errs.Pass(err, "serve")
+	core := settings.Core()
+	core.Bootstrap = false // whoever was removed knows that the fleet exists
+	return core
 }
 
 // coreOptions maps the platform's settings to a core node's options.
--- a/cmd/cplane/run.go
+++ b/cmd/cplane/run.go
@@ -33,7 +33,16 @@
 	}
 }
 
+// serve runs a cplane until ctx ends.
 func serve(ctx context.Context, set config.Cplane, profiles bool, logger log.Logger) error {
+	err := serveLives(ctx, func(ctx context.Context, removed func()) error {
+		return errs.Pass(serveLife(ctx, set, profiles, removed, logger), "a life")
+	})
+	return errs.Pass(err, "serve")
+}
+
+// serveLife runs one life of a cplane until ctx ends, then hands the lead over and drains.
+func serveLife(ctx context.Context, set config.Cplane, profiles bool, removed func(), logger log.Logger) error {
 	reg := daemon.Registry()
 	caller := rpc.NewCaller(rpc.CallerOptions{UserTimeout: 2 * set.Election, Via: set.Via, Logger: daemon.Part(logger, "caller"), Registry: reg})
 	defer caller.Close()
@@ -43,6 +52,7 @@
 			_ = level.Error(logger).Log("msg", "the process ends", "err", err)
 			os.Exit(1)
 		},
+		Removed: removed,
 	}
 	s, err := open(ctx, opt, logger)
 	if err != nil {
--- a/internal/node/core.go
+++ b/internal/node/core.go
@@ -46,6 +46,7 @@
 	ServeControl func(control *rpc.Server, relay *controller.Relay)
 	// ServeNodes adds further calls at the address of Store; nil adds none.
 	ServeNodes  func(inner *rpc.Server, store *store.Store)
+	Removed     func()                // told when this node was removed from the members while it was away; see store.Options
 	Descriptors int                   // bound on file descriptors; 0: the system's
 	Grace       time.Duration         // for handing the lead over, a second at least
 	Registry    prometheus.Registerer // nil: metrics are not shown
@@ -78,7 +79,7 @@
 		Via: opt.Store.Via, Registry: opt.Registry, Logger: part("caller")})
 	var err error
 	n.store, err = opt.Open(ctx, store.Options{Settings: opt.Store, Net: store.Wire(n.caller, opt.Store), Logger: part("store"),
-		Registry: opt.Registry, Fatal: n.fatal}, opt.Logger)
+		Registry: opt.Registry, Fatal: n.fatal, Removed: opt.Removed}, opt.Logger)
 	if err != nil {
 		n.caller.Close()
 		return nil, errs.Pass(err, "open the store")
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -30,19 +30,20 @@
 // rig is a fleet of stores in one process, over memory disks and a virtual clock. It lives in a synctest bubble:
 // the clock moves only when every goroutine waits.
 type testStores struct {
-	clock clock.Virtual
-	set   config.Cplane
-	disks map[string]*storage.MemDisk
-	mu    sync.Mutex
-	nodes map[string]*Store // by address; nil while it is down
-	died  map[string]error
-	work  *routine.Group
-	acked map[string]uint64
-	seed  uint64           // of the nodes that start from now on, besides their names
-	slow  atomic.Int64     // nanoseconds that a sync takes on the virtual clock
-	cut   map[string]bool  // addresses of nodes that are cut off from all others: calls to and from them time out
-	full  map[string]error // what disks refuse writes with, by the names of their nodes
-	hangs map[string]bool  // names of nodes whose disks end no sync
+	clock   clock.Virtual
+	set     config.Cplane
+	disks   map[string]*storage.MemDisk
+	mu      sync.Mutex
+	nodes   map[string]*Store // by address; nil while it is down
+	died    map[string]error
+	work    *routine.Group
+	acked   map[string]uint64
+	seed    uint64           // of the nodes that start from now on, besides their names
+	slow    atomic.Int64     // nanoseconds that a sync takes on the virtual clock
+	cut     map[string]bool  // addresses of nodes that are cut off from all others: calls to and from them time out
+	full    map[string]error // what disks refuse writes with, by the names of their nodes
+	hangs   map[string]bool  // names of nodes whose disks end no sync
+	removed map[string]bool  // nodes that were told that they are no members any more
 }
 
 // paced is a disk whose syncs take the rig's time, and that is full when the rig says so.
@@ -129,7 +130,7 @@
 
 func newTestStores(n, snapshotEvery int, operators ...signature.Key) *testStores {
 	r := &testStores{set: config.DefaultCplane(), disks: map[string]*storage.MemDisk{}, nodes: map[string]*Store{},
-		died: map[string]error{}, work: routine.New(context.Background()), acked: map[string]uint64{}, cut: map[string]bool{}, full: map[string]error{}, hangs: map[string]bool{}}
+		died: map[string]error{}, removed: map[string]bool{}, work: routine.New(context.Background()), acked: map[string]uint64{}, cut: map[string]bool{}, full: map[string]error{}, hangs: map[string]bool{}}
 	r.set.SnapshotEvery = snapshotEvery
 	for _, key := range operators {
 		r.set.OperatorKeys = append(r.set.OperatorKeys, config.OperatorKey{Name: key.Name, Key: key.Public()})
@@ -150,7 +151,8 @@
 	set := r.set
 	set.Name, set.Addr, set.Zone = name, name, "z"
 	return Options{Settings: set, Disk: paced{r.disks[name], r, name}, Net: net{r, name}, Clock: &r.clock, Seed: uint64(name[1]) + r.seed,
-		Fatal: func(err error) { r.mu.Lock(); r.died[name] = err; r.mu.Unlock() }}
+		Fatal:   func(err error) { r.mu.Lock(); r.died[name] = err; r.mu.Unlock() },
+		Removed: func() { r.mu.Lock(); r.removed[name] = true; r.mu.Unlock() }}
 }
 
 func (r *testStores) start(name string) {
