Scheduler: longer reservations for what short ones did not help for 10 s

A gang of 3 tasks of 2 cores needs three of four minions of 2, 2, 3 and 3 cores almost empty at one moment. Its minions were reserved for 1.5 s in every 4.5 s; in the open 3 s they filled up again, with runs of 15 s among the short ones.

A class passed over for 10 s now gets 2.2 s at a time, one reservation after the other with the rest of 1 s between; overdue classes take turns.

TestReservationIsShort holds its bound for the first 5 s as before, and the longer one from ReserveLongAfter on, over 20 s.

--- /dev/null
+++ b/internal/sched/gang_test.go
@@ -0,0 +1,64 @@
+package sched
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"crosstide/internal/state"
+)
+
+const (
+	gangSeeds  = 30               // before long reservations, three of them took more than gangWithin
+	gangWithin = 45 * time.Second // as the oracle of internal/testbed/sim has it
+	gangWarmUp = 30 * time.Second // until as many long runs are out as there are going to be
+)
+
+// mixed gives lengths of which most are short and one in twenty is long, so that about half of the cores are in long
+// runs at any moment.
+func mixed(seed uint64) func(runID uint64) time.Duration {
+	rnd := rand.New(rand.NewPCG(seed, 1))
+	return func(uint64) time.Duration {
+		if rnd.IntN(20) == 0 {
+			return 15 * time.Second
+		}
+		return time.Duration(rnd.IntN(1500)) * time.Millisecond
+	}
+}
+
+// newMixedCrowd is a full fleet of two minions of 2 cores and two of 3, with mixed runs.
+func newMixedCrowd(seed uint64) *crowd {
+	names := []string{"m1", "m2", "m3", "m4"}
+	d := newDesk("check", names...)
+	d.room = map[string]int{"m1": 2, "m2": 2, "m3": 3, "m4": 3}
+	c := newCrowdOf(d, names)
+	c.length = mixed(seed)
+	for range gangWarmUp / crowdStep {
+		c.step()
+	}
+	return c
+}
+
+func TestGangBesideLongRuns(t *testing.T) {
+	Convey("A gang that needs three of four minions almost empty gets run IDs, though some runs take 15 s", t, func() {
+		for seed := range uint64(gangSeeds) {
+			c := newMixedCrowd(seed)
+			c.submit("gang", state.StepSpec{Cores: 2, Tasks: 3, Gang: true})
+			if !c.serve("gang", gangWithin) {
+				t.Errorf("seed %d: a gang has no run IDs after %s", seed, gangWithin)
+			}
+		}
+	})
+	Convey("Two such gangs take turns", t, func() {
+		for seed := range uint64(gangSeeds) {
+			c := newMixedCrowd(seed)
+			c.submit("first", state.StepSpec{Cores: 2, Tasks: 3, Gang: true})
+			c.submit("second", state.StepSpec{Cores: 2, Tasks: 3, Gang: true})
+			if !c.serve("first", 2*gangWithin) || !c.serve("second", 2*gangWithin) {
+				t.Errorf("seed %d: a gang has no run IDs", seed)
+			}
+		}
+	})
+}
--- a/internal/sched/reserve.go
+++ b/internal/sched/reserve.go
@@ -57,17 +57,39 @@
 		if now < r.until && k != nil {
 			return
 		}
+		c.unreserve(now)
 		if k != nil {
-			k.retry = now + c.cfg.ReserveRetry
+			k.retry = c.retryAt(now, k)
 		}
-		c.unreserve(now)
 	}
 	if now < c.reserveAt {
 		return
 	}
 	if k, minions := c.passedOver(now); k != nil {
-		c.reserved = &reservation{k.key, minions, now + c.cfg.ReserveFor}
+		c.reserved = &reservation{k.key, minions, now + c.reserveFor(now, k)}
+	}
+}
+
+// overdue tells whether short reservations did not help a class for too long.
+func (c *Core) overdue(now time.Duration, k *class) bool {
+	return k.passed > 0 && now-k.passed >= c.cfg.ReserveLongAfter
+}
+
+// reserveFor is how long a reservation of a class lasts.
+func (c *Core) reserveFor(now time.Duration, k *class) time.Duration {
+	if c.overdue(now, k) {
+		return c.cfg.ReserveLong
+	}
+	return c.cfg.ReserveFor
+}
+
+// retryAt is when a class may get its next reservation. One that is overdue gets it after the rest, or after that of
+// another class if one waits.
+func (c *Core) retryAt(now time.Duration, k *class) time.Duration {
+	if c.overdue(now, k) {
+		return c.reserveAt + 1
 	}
+	return now + c.cfg.ReserveRetry
 }
 
 // unreserve opens the minions of the reservation to all.
--- a/internal/sched/reserve_test.go
+++ b/internal/sched/reserve_test.go
@@ -20,6 +20,8 @@
 	runs    map[uint64]time.Duration // when a run ends
 	began   map[string]time.Duration // when a job got its first run ID
 	serial  int
+	// length gives how long the run of a run ID takes.
+	length func(runID uint64) time.Duration
 }
 
 const (
@@ -29,7 +31,11 @@
 )
 
 func newCrowd(minions ...string) *crowd {
-	c := &crowd{newDesk("check", minions...), minions, map[uint64]time.Duration{}, map[string]time.Duration{}, 0}
+	return newCrowdOf(newDesk("check", minions...), minions)
+}
+
+func newCrowdOf(d *desk, minions []string) *crowd {
+	c := &crowd{desk: d, minions: minions, runs: map[uint64]time.Duration{}, began: map[string]time.Duration{}, length: alike}
 	c.greet("check")
 	for range 4 * len(minions) {
 		c.narrow()
@@ -37,6 +43,9 @@
 	return c
 }
 
+// alike gives lengths that are nearly the same.
+func alike(runID uint64) time.Duration { return crowdRun + time.Duration(runID*7%10)*crowdStep }
+
 func (c *crowd) narrow() {
 	c.serial++
 	c.submit(fmt.Sprintf("n%04d", c.serial), state.StepSpec{})
@@ -69,7 +78,7 @@
 		if c.began[s.Job] == 0 {
 			c.began[s.Job] = c.now
 		}
-		c.runs[s.RunID] = c.now + crowdRun + time.Duration(s.RunID*7%10)*crowdStep
+		c.runs[s.RunID] = c.now + c.length(s.RunID)
 	}
 	c.answer(call, "check", c.list(call.Minion))
 }
@@ -128,23 +137,35 @@
 		}
 		c.submit("wide", state.StepSpec{Cores: 3})
 		So(c.serve("wide", Defaults().ReserveAfter+time.Second), ShouldBeFalse)
-		var longest, free time.Duration
 		for runID := range c.runs {
 			c.runs[runID] = c.now + time.Hour
 		}
 		c.runs[slices.Min(slices.Collect(maps.Keys(c.runs)))] = c.now
-		for range 200 {
-			c.step()
-			if c.st.Room("m1").Cores < 4 {
-				free += crowdStep
-			} else {
-				free = 0
-			}
-			longest = max(longest, free)
-		}
+		longest := c.longestFree("m1", c.now+5*time.Second)
 		Convey("the free core is left for it, but not for long", func() {
 			So(longest, ShouldBeGreaterThan, 3*crowdStep)
 			So(longest, ShouldBeLessThanOrEqualTo, Defaults().ReserveFor+4*crowdStep)
 		})
+		Convey("nor for much longer once it has waited for ReserveLongAfter", func() {
+			c.longestFree("m1", c.now+Defaults().ReserveLongAfter)
+			longest := c.longestFree("m1", c.now+20*time.Second)
+			So(longest, ShouldBeGreaterThan, Defaults().ReserveFor)
+			So(longest, ShouldBeLessThanOrEqualTo, Defaults().ReserveLong+4*crowdStep)
+		})
 	})
 }
+
+// longestFree lets time pass and gives the longest time for which a core of a minion stood free without a break.
+func (c *crowd) longestFree(minion string, until time.Duration) (longest time.Duration) {
+	var free time.Duration
+	for c.now < until {
+		c.step()
+		if c.st.Room(minion).Cores < 4 {
+			free += crowdStep
+		} else {
+			free = 0
+		}
+		longest = max(longest, free)
+	}
+	return longest
+}
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -31,7 +31,9 @@
 	// A kind of task that younger ones passed over for ReserveAfter, as it fitted nowhere, gets minions reserved for
 	// ReserveFor; ReserveRest lies between two reservations, ReserveRetry between two for the same kind.
 	ReserveAfter, ReserveFor, ReserveRest, ReserveRetry time.Duration
-	Health                                              HealthConfig
+	// From ReserveLongAfter on its reservations last ReserveLong, and one follows the other after ReserveRest.
+	ReserveLongAfter, ReserveLong time.Duration
+	Health                        HealthConfig
 }
 
 // Defaults are our starting values.
@@ -40,6 +42,7 @@
 		PlanWindow: 1900 * time.Millisecond, Lateness: 2 * time.Second, LeaseMargin: 500 * time.Millisecond,
 		Retry: 500 * time.Millisecond, Silence: 2500 * time.Millisecond, Sweep: 100 * time.Millisecond, Batch: 1024,
 		ReserveAfter: 5 * time.Second, ReserveFor: 1500 * time.Millisecond, ReserveRest: time.Second, ReserveRetry: 3 * time.Second,
+		ReserveLongAfter: 10 * time.Second, ReserveLong: 2200 * time.Millisecond,
 		Health: HealthDefaults()}
 }
 
--- a/internal/sched/sched_test.go
+++ b/internal/sched/sched_test.go
@@ -21,6 +21,8 @@
 	core *Core
 	now  time.Duration
 	wait map[string]CallOut // waiting calls that are out, by minion
+	// room is the cores that a minion tells of, by name; 4 if it is not in it.
+	room map[string]int
 }
 
 func newDesk(kind string, minions ...string) *desk {
@@ -91,6 +93,9 @@
 func (d *desk) answer(c CallOut, kind string, a api.HoldAnswer) {
 	a.Call, a.Epoch, a.Kind, a.Clock, a.Floor = c.Call.Call, c.Call.Epoch, kind, d.now, max(a.Floor, c.Call.Floor)
 	a.Cores, a.Zone = 4, "z1"
+	if cores, ok := d.room[c.Minion]; ok {
+		a.Cores = cores
+	}
 	if a.Boot == "" {
 		a.Boot = "b1"
 	}
