Simulator: bound the open jobs by the fleet, and count those given up

From 10 s into the tail of 150 s on its minions were full, or (from 125 s on) only tasks of 2 cores were due beside minions with 1 core free; 22 running jobs were left. Ruled out: a scheduler that stands still (751 runs ended in the tail), and faults beyond their end.

The bound is 4 jobs a core (48 to 120 in all), and jobs given up count while the store has them open. The tail, and what is judged at its end, stay as they were. New: TestOpenJobsAreBounded, red with the old count (61 jobs for 60).

--- a/internal/testbed/sim/people.go
+++ b/internal/testbed/sim/people.go
@@ -42,9 +42,19 @@
 	p.after(4*time.Second, p.again)
 }
 
-// mostOpen is how many jobs the clients have open at most. Under faults the fleet does far less than they would ask
-// for: without a bound the queue of some minutes takes longer to work off than the quiet tail of a run lasts.
-const mostOpen = 100
+// jobsPerCore is how many jobs may be open for each core of the fleet. Under faults the fleet does far less than its
+// clients would ask for: without a bound the queue of some minutes takes longer to work off than the quiet tail of a
+// run lasts. A job is about 10 core-seconds of work, so what may be open is worked off in about 40 s.
+const jobsPerCore = 4
+
+// mostOpen is how many jobs the clients have open at most.
+func (p *people) mostOpen() int {
+	cores := 0
+	for _, m := range p.s.minions {
+		cores += m.cores
+	}
+	return jobsPerCore * cores
+}
 
 // offer hands a job in, again and again until it is accepted or its client loses patience.
 func (p *people) offer() {
@@ -56,7 +66,7 @@
 	if s.chance(0.03) { // a crowd
 		n = 8
 	}
-	for range min(n, mostOpen-p.jobsOpen()) {
+	for range min(n, p.mostOpen()-p.jobsOpen()-p.abandonedOpen()) {
 		j := &job{spec: p.spec(), sent: s.now}
 		p.jobs = append(p.jobs, j)
 		s.oracle.jobs[j.spec.Key] = j
@@ -196,6 +206,17 @@
 	return n
 }
 
+// abandonedOpen is how many jobs the store works on though their clients have given them up: no yes ever reached them.
+func (p *people) abandonedOpen() int {
+	n := 0
+	for _, j := range p.jobs {
+		if k := p.s.oracle.ref.Jobs[j.spec.Key]; j.gave && k != nil && !k.Phase.Over() {
+			n++
+		}
+	}
+	return n
+}
+
 // over tells whether every accepted job has ended in its client's eyes.
 func (p *people) over() bool { return p.jobsOpen() == 0 }
 
--- /dev/null
+++ b/internal/testbed/sim/people_test.go
@@ -0,0 +1,31 @@
+package sim
+
+import (
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"crosstide/internal/state"
+)
+
+func TestOpenJobsAreBounded(t *testing.T) {
+	Convey("Clients hand in no more jobs than the fleet works off in the quiet tail", t, func() {
+		s := newSim(Options{Seed: 9, Faults: []string{}})
+		most := s.people.mostOpen()
+		So(most, ShouldEqual, 15*jobsPerCore) // the minions of this seed have 15 cores
+		Convey("also counting those that they gave up and that the store has still", func() {
+			for range most {
+				j := &job{spec: s.people.spec(), gave: true}
+				s.people.jobs = append(s.people.jobs, j)
+				s.oracle.ref.Jobs[j.spec.Key] = &state.Job{Spec: j.spec, Phase: state.JobRunning}
+			}
+			s.people.offer()
+			So(s.people.jobs, ShouldHaveLength, most)
+			Convey("until the store has worked one off", func() {
+				s.oracle.ref.Jobs[s.people.jobs[0].spec.Key].Phase = state.JobDone
+				s.people.offer()
+				So(s.people.jobs, ShouldHaveLength, most+1)
+			})
+		})
+	})
+}
--- a/internal/testbed/sim/sim.go
+++ b/internal/testbed/sim/sim.go
@@ -103,16 +103,8 @@
 //		fmt.Println(r.Seed, r.Breach.Promise, r.Breach.What)
 //	}
 func Run(opt Options) Report {
-	if opt.For <= 0 {
-		opt.For = 40 * time.Second
-	}
-	if opt.Faults == nil {
-		opt.Faults = Faults
-	}
-	s := &sim{opt: opt, rnd: rand.New(rand.NewPCG(opt.Seed, 0x7469646563726f73)), byAddr: map[string]*proc{}, hash: xxhash.New(),
-		report: Report{Seed: opt.Seed, Promise: map[string]uint64{}, Faults: map[string]uint64{}, Counts: map[string]uint64{}}}
-	s.build()
-	end := opt.For + bound
+	s := newSim(opt)
+	end := s.opt.For + bound
 	for s.queue.Len() > 0 && s.report.Breach == nil {
 		e := heap.Pop(&s.queue).(event)
 		if s.now = e.at; s.now > end {
@@ -132,6 +124,20 @@
 	return s.report
 }
 
+// newSim builds the fleet of a seed at time 0.
+func newSim(opt Options) *sim {
+	if opt.For <= 0 {
+		opt.For = 40 * time.Second
+	}
+	if opt.Faults == nil {
+		opt.Faults = Faults
+	}
+	s := &sim{opt: opt, rnd: rand.New(rand.NewPCG(opt.Seed, 0x7469646563726f73)), byAddr: map[string]*proc{}, hash: xxhash.New(),
+		report: Report{Seed: opt.Seed, Promise: map[string]uint64{}, Faults: map[string]uint64{}, Counts: map[string]uint64{}}}
+	s.build()
+	return s
+}
+
 // on puts an event d from now.
 func (s *sim) on(d time.Duration, do func()) {
 	s.seq++
