--- a/internal/sched/reserve_test.go
+++ b/internal/sched/reserve_test.go
@@ -117,6 +117,11 @@
 			c.submit("wide", state.StepSpec{Cores: 2})
 			So(c.serve("wide", 20*time.Second), ShouldBeTrue)
 		})
+		Convey("but waits for ever where there are no reservations", func() {
+			c.core.cfg.ReserveAfter = time.Hour
+			c.submit("wide", state.StepSpec{Cores: 2})
+			So(c.serve("wide", time.Minute), ShouldBeFalse)
+		})
 		Convey("so does one of a whole minion", func() {
 			c.submit("wide", state.StepSpec{Cores: 4})
 			So(c.serve("wide", time.Minute), ShouldBeTrue)
--- /dev/null
+++ b/internal/testbed/sim/directed.go
@@ -0,0 +1,140 @@
+package sim
+
+import (
+	"time"
+
+	"crosstide/internal/storage"
+)
+
+// Directed faults are several faults in an order that chance hardly ever draws. Each makes the moment for which one
+// guard of the product is there; see docs/design/simulator.md.
+
+const (
+	lagLead     = 2 * time.Second        // for which replicas lag before their holder ends
+	lagLasts    = 10 * time.Second       // over the lease of a duty, with its margin
+	apart       = 2 * time.Second        // for which the majority commits without the rest
+	emptyApart  = 10 * time.Second       // for which the rest has the emptied member to itself
+	planWithin  = 2 * time.Second        // a holder has a plan under way by then; under the lease of a duty
+	staleWithin = 30 * time.Second       // another holder has been granted the duty by then
+	lookEvery   = 20 * time.Millisecond  // how often a directed fault looks for its moment
+	soon        = 100 * time.Millisecond // as good as at once
+)
+
+// lag lets the replicas of all dplanes but the holder's stand still, and ends the holder: its successor is granted the
+// duty before its replica has the grant.
+func (f *mischief) lag(count func(*proc, string)) {
+	s := f.s
+	holder := s.holder()
+	if holder == nil {
+		return
+	}
+	s.report.Faults["lag"]++
+	for _, d := range s.dplanes {
+		if d != holder {
+			d.lagUntil = s.now + lagLead + lagLasts
+		}
+	}
+	s.tell("fault lag, all replicas but that of %s", holder.addr)
+	s.on(lagLead, func() { f.end(holder, count) })
+}
+
+// rejoin cuts two cplanes off until they lack entries, takes the disk of a third, and leaves these three to themselves:
+// they are a majority by their names, but none of them has the newest entries.
+func (f *mischief) rejoin() {
+	s := f.s
+	if f.wiped != nil && !s.oracle.repaired(f.wiped) {
+		return
+	}
+	order := s.rnd.Perm(len(s.cplanes))
+	late := []*proc{s.cplanes[order[0]].proc, s.cplanes[order[1]].proc}
+	empty := s.cplanes[order[2]]
+	rest := []*proc{s.cplanes[order[3]].proc, s.cplanes[order[4]].proc}
+	s.report.Faults["rejoin"]++
+	s.tell("fault rejoin, %v lag, %s is wiped", names(late), empty.addr)
+	heal := f.part(late, true)
+	s.on(apart, func() {
+		if s.calm || f.wiped != nil && !s.oracle.repaired(f.wiped) {
+			heal()
+			return
+		}
+		f.wipe(empty, soon)
+		healRest := f.part(rest, true)
+		s.on(soon, heal)
+		s.on(emptyApart, healRest)
+	})
+}
+
+// wipe ends a cplane and takes its disk; it comes back empty after a while.
+func (f *mischief) wipe(c *cplane, back time.Duration) {
+	f.wiped = c
+	c.crash(false)
+	if c.hand.Core() != nil {
+		c.wiped, c.had, c.hadTo = c.hand.Core().Status().ID, c.terms, c.floor
+	}
+	c.disk = storage.NewMemDisk()
+	c.floor, c.top, c.terms = 0, 0, nil
+	f.s.on(back, c.up)
+}
+
+// stalePlan ends the leader of the store, freezes the holder while a plan of it is under way, and wakes it once another
+// was granted the duty: it sends the plan again, to the new leader.
+func (f *mischief) stalePlan() {
+	s := f.s
+	holder, leader := s.holder(), s.leader()
+	if holder == nil || leader == nil {
+		return
+	}
+	s.report.Faults["staleplan"]++
+	s.tell("fault staleplan, leader %s, holder %s", leader.addr, holder.addr)
+	leader.crash(false)
+	s.on(f.span(), leader.up)
+	gen, until := holder.gen, s.now+planWithin
+	s.watch(until, func() bool { return holder.gen != gen || holder.planning }, func() {
+		if holder.gen == gen && !holder.frozen && !s.calm {
+			f.freezeUntilReplaced(holder)
+		}
+	})
+}
+
+// freezeUntilReplaced freezes the holder until another one has been granted its duty.
+func (f *mischief) freezeUntilReplaced(holder *dplane) {
+	s := f.s
+	gen, epoch := holder.gen, holder.sched.Epoch()
+	s.tell("%s freezes with a plan under way: %v", holder.addr, holder.planning)
+	holder.freeze()
+	s.watch(s.now+staleWithin, func() bool { return s.calm || s.oracle.newest(s.oracle.ref.Index) > epoch }, func() {
+		if holder.gen == gen {
+			s.tell("%s wakes", holder.addr)
+			holder.proc.wake()
+		}
+	})
+}
+
+// watch looks again and again until something is so, or a time is over, and then does what is to be done.
+func (s *sim) watch(until time.Duration, so func() bool, do func()) {
+	if so() || s.now >= until {
+		do()
+		return
+	}
+	s.on(lookEvery, func() { s.watch(until, so, do) })
+}
+
+// holder is the dplane that acts under the duty now; nil if there is none.
+func (s *sim) holder() *dplane {
+	for _, d := range s.dplanes {
+		if d.alive && !d.frozen && d.sched.Live(d.Now()) {
+			return d
+		}
+	}
+	return nil
+}
+
+// leader is a cplane that leads the store in its own eyes; nil if there is none.
+func (s *sim) leader() *cplane {
+	for _, c := range s.cplanes {
+		if c.alive && !c.frozen && c.hand.Core() != nil && c.hand.Core().Status().Role == "leader" {
+			return c
+		}
+	}
+	return nil
+}
--- a/internal/testbed/sim/dplane.go
+++ b/internal/testbed/sim/dplane.go
@@ -31,6 +31,9 @@
 	source  string
 	reaches []*reach
 	leaving bool
+
+	lagUntil time.Duration // its replica does not follow the store before
+	planning bool          // a plan is under way to the store
 }
 
 type reach struct {
@@ -56,6 +59,7 @@
 	d.sched = sched.New(cfg, d.replica.Lock())
 	d.replica.Unlock()
 	d.granted, d.ready, d.passing, d.leader, d.source, d.reaches, d.leaving = 0, false, false, "", "", nil, false
+	d.lagUntil, d.planning = 0, false
 	d.s.tell("%s up", d.addr)
 	d.pull()
 	d.claim()
@@ -90,6 +94,10 @@
 // pull is a turn of Replica.Run.
 func (d *dplane) pull() {
 	s := d.s
+	if s.now < d.lagUntil {
+		d.after(lookEvery, func() { d.reached(); d.pull() })
+		return
+	}
 	if d.source == "" {
 		d.source = s.cplanes[s.rnd.IntN(5)].addr
 	}
@@ -302,7 +310,9 @@
 	d.s.tell("%s plans under epoch %d: to %d, %d reports, running %v, doubt %v, ends %v, dead %v, %d starts", d.addr, plan.Epoch, plan.Seq,
 		len(plan.Minions), plan.Running, plan.Doubt, plan.Ends, plan.Dead, len(plan.Starts))
 	d.s.oracle.decided(d, plan)
+	d.planning = true
 	d.propose(plan, false, 0, func(index uint64, answer json.RawMessage, err error) {
+		d.planning = false
 		if err != nil {
 			failed(err)
 			return
--- a/internal/testbed/sim/each.go
+++ b/internal/testbed/sim/each.go
@@ -109,4 +109,4 @@
 var made = map[string]string{"net": "lose", "kill": "kill", "power": "power", "blackout": "blackout", "wipe": "wipe", "sync": "sync failed",
 	"slow": "slow", "freeze": "freeze", "holder": "holder", "dkill": "dkill", "leave": "leave", "split": "split", "oneway": "oneway",
 	"cut": "cut", "stall": "stall", "boot": "boot", "late": "late order", "lost": "lost at the minion", "drain": "drain", "zone": "zone",
-	"cancel": "cancel", "island": "island"}
+	"cancel": "cancel", "island": "island", "lag": "lag", "rejoin": "rejoin", "staleplan": "staleplan"}
--- a/internal/testbed/sim/faults.go
+++ b/internal/testbed/sim/faults.go
@@ -3,8 +3,6 @@
 import (
 	"slices"
 	"time"
-
-	"crosstide/internal/storage"
 )
 
 // Faults are the names that Options.Faults takes.
@@ -31,6 +29,10 @@
 	"drain",    // a minion drains for a while
 	"zone",     // operators evacuate a zone and lift it
 	"cancel",   // clients cancel
+
+	"lag",       // replicas stand still, and then the holder of sched ends
+	"rejoin",    // a member that lost its disk comes back among two that lack entries
+	"staleplan", // the holder of sched freezes with a plan under way and wakes when it is replaced
 }
 
 // Breaks are the guards that Options.Break takes out.
@@ -91,6 +93,7 @@
 		c.wake()
 	}
 	for _, d := range s.dplanes {
+		d.lagUntil = 0
 		d.wake2()
 	}
 	s.people.lift()
@@ -149,14 +152,7 @@
 			return
 		}
 		count(c.proc, name)
-		f.wiped = c
-		c.crash(false)
-		if c.hand.Core() != nil {
-			c.wiped, c.had, c.hadTo = c.hand.Core().Status().ID, c.terms, c.floor
-		}
-		c.disk = storage.NewMemDisk()
-		c.floor, c.top, c.terms = 0, 0, nil
-		s.on(s.between(10*time.Millisecond, 3*time.Second), c.up)
+		f.wipe(c, s.between(10*time.Millisecond, 3*time.Second))
 	case "sync":
 		if c.alive {
 			c.failing = true
@@ -243,6 +239,12 @@
 			m.drain(true)
 			s.on(s.between(time.Second, 10*time.Second), func() { m.drain(false) })
 		}
+	case "lag":
+		f.lag(count)
+	case "rejoin":
+		f.rejoin()
+	case "staleplan":
+		f.stalePlan()
 	case "zone":
 		if s.people.evacuate(zone(s.rnd.IntN(3))) {
 			s.report.Faults[name]++
@@ -280,6 +282,11 @@
 
 // cut parts a set from all others for a while.
 func (f *mischief) cut(side []*proc, both bool) {
+	f.s.on(f.span(), f.part(side, both))
+}
+
+// part parts a set from all others until what it gives is called.
+func (f *mischief) part(side []*proc, both bool) (heal func()) {
 	s := f.s
 	c := &cut{from: map[*proc]bool{}, to: map[*proc]bool{}, both: both}
 	for _, p := range s.procs {
@@ -290,10 +297,10 @@
 		}
 	}
 	s.net.cuts = append(s.net.cuts, c)
-	s.on(f.span(), func() {
+	return func() {
 		s.tell("a cut heals")
 		s.net.cuts = slices.DeleteFunc(s.net.cuts, func(x *cut) bool { return x == c })
-	})
+	}
 }
 
 func names(list []*proc) (out []string) {
--- a/internal/testbed/sim/oracle.go
+++ b/internal/testbed/sim/oracle.go
@@ -246,15 +246,16 @@
 	}
 }
 
-// decided takes in that a holder makes a plan.
+// decided takes in that a holder makes a plan. Also ends and proofs are judged by the handles, so no plan may come from
+// a replica that has not followed the store up to the grant; only those with starts are counted.
 func (o *oracle) decided(d *dplane, p *command.Plan) {
+	if d.state().Index < p.Epoch {
+		o.s.broke("rebuilt", "%s makes a plan of %d starts under epoch %d with its replica at %d", d.addr, len(p.Starts), p.Epoch, d.state().Index)
+	}
 	if len(p.Starts) == 0 {
 		return
 	}
 	o.s.held("rebuilt")
-	if d.state().Index < p.Epoch {
-		o.s.broke("rebuilt", "%s decides starts under epoch %d with its replica at %d", d.addr, p.Epoch, d.state().Index)
-	}
 	if h := len(d.state().Handles); h > 0 && d.sched.Epoch() == p.Epoch {
 		o.rebuilt(d)
 	}
