--- a/cmd/drill/sim.go
+++ b/cmd/drill/sim.go
@@ -19,7 +19,7 @@
 	commands = append(commands, &cli.Command{
 		Name:  "sim",
 		Usage: "run a whole fleet in the deterministic simulator",
-		Description: "drill sim --seeds A..B [--for D] [--faults LIST] [--break GUARD]\ndrill sim --seed N --trace\n\n" +
+		Description: "drill sim --seeds A..B [--for D] [--pace D] [--faults LIST] [--break GUARD]\ndrill sim --seed N --trace\n\n" +
 			"Each seed is a fleet of 5 cplanes, 3 dplanes and 6 minions under its own faults, on one thread. Prints the\n" +
 			"cases seen of every promise and fault. Exit 1 if a promise is broken, or one was not exercised; with --break\n" +
 			"exit 1 if no seed found the missing guard.\n\nfaults: " + strings.Join(sim.Faults, " ") + "\nguards: " + strings.Join(sim.Breaks, " "),
@@ -27,6 +27,7 @@
 			&cli.StringFlag{Name: "seeds", Value: "1..20", Usage: "first and last seed"},
 			&cli.Uint64Flag{Name: "seed", Usage: "one seed"},
 			&cli.DurationFlag{Name: "for", Value: 40 * time.Second, Usage: "virtual time with faults and fresh jobs"},
+			&cli.DurationFlag{Name: "pace", Usage: "mean time between two faults; drawn by the seed if 0 (200ms to 2.5s)"},
 			&cli.StringFlag{Name: "faults", Usage: "names with commas, `none`, or all if empty"},
 			&cli.StringFlag{Name: "break", Usage: "take a guard out"},
 			&cli.BoolFlag{Name: "trace", Usage: "print every line of the trace"},
@@ -38,7 +39,7 @@
 }
 
 func runSim(_ context.Context, cmd *cli.Command) error {
-	opt := sim.Options{For: cmd.Duration("for"), Break: cmd.String("break")}
+	opt := sim.Options{For: cmd.Duration("for"), Pace: cmd.Duration("pace"), Break: cmd.String("break")}
 	opt.Faults = slices.Clone(sim.Faults)
 	if list := cmd.String("faults"); list == "none" {
 		opt.Faults = []string{}
--- a/internal/testbed/sim/faults.go
+++ b/internal/testbed/sim/faults.go
@@ -56,6 +56,9 @@
 func (f *mischief) start() {
 	s := f.s
 	f.pace = s.between(200*time.Millisecond, 2500*time.Millisecond)
+	if s.opt.Pace > 0 {
+		f.pace = s.opt.Pace
+	}
 	f.on = map[string]bool{}
 	for _, name := range s.opt.Faults {
 		f.on[name] = true
--- a/internal/testbed/sim/oracle.go
+++ b/internal/testbed/sim/oracle.go
@@ -369,6 +369,9 @@
 		return
 	}
 	ref := t.h.Ref
+	if !s.calm {
+		s.report.Counts["starts under faults"]++
+	}
 	s.held("once at a time")
 	for _, r := range o.runs {
 		if r.ref == ref && s.now < r.until {
--- a/internal/testbed/sim/sim.go
+++ b/internal/testbed/sim/sim.go
@@ -25,6 +25,7 @@
 	For    time.Duration // faults and fresh jobs come so long; default 40s
 	Faults []string      // default: all of Faults
 	Break  string        // a guard to be taken out, of Breaks; "" for none
+	Pace   time.Duration // mean time between two faults; default: drawn, 200 ms to 2.5 s
 	Trace  io.Writer     // gets every line; nil for none
 }
 
--- a/internal/testbed/sim/sim_test.go
+++ b/internal/testbed/sim/sim_test.go
@@ -44,3 +44,15 @@
 		So(sum.Promise["all ends"], ShouldEqual, 4)
 	})
 }
+
+// With faults every few hundred milliseconds hardly anything starts until they end; with pauses between them most does.
+func TestMinutesWithPauses(t *testing.T) {
+	Convey("No promise breaks in two seeds of two minutes with a fault every 5 s", t, func() {
+		sum := Add(Each(Options{For: 2 * time.Minute, Pace: 5 * time.Second}, 641000, 641001, 2, 0), nil)
+		for _, r := range sum.Breaches {
+			t.Errorf("seed %d breaks %q at %s: %s", r.Seed, r.Breach.Promise, r.Breach.At, r.Breach.What)
+		}
+		So(sum.Broken, ShouldEqual, 0)
+		So(sum.Counts["starts under faults"], ShouldBeGreaterThan, 300)
+	})
+}
