--- a/internal/testbed/sim/sim_test.go
+++ b/internal/testbed/sim/sim_test.go
@@ -45,7 +45,7 @@
 	})
 }
 
-// With faults every few hundred milliseconds hardly anything starts until they end; with pauses between them most does.
+// Where faults come every few hundred milliseconds little starts until they end; with pauses between them most does.
 func TestMinutesWithPauses(t *testing.T) {
 	Convey("No promise breaks in two seeds of two minutes with a fault every 5 s", t, func() {
 		sum := Add(Each(Options{For: 2 * time.Minute, Pace: 5 * time.Second}, 641000, 641001, 2, 0), nil)
