--- a/cmd/cplane/run.go
+++ b/cmd/cplane/run.go
@@ -47,7 +47,7 @@
 	caller := rpc.NewCaller(rpc.CallerOptions{UserTimeout: 2 * set.Election, Via: set.Via, Logger: daemon.Part(logger, "caller"), Registry: reg})
 	defer caller.Close()
 	opt := store.Options{
-		Settings: set, Net: store.Wire(caller, set), Logger: daemon.Part(logger, "store"), Registry: reg,
+		Settings: set, Net: store.NetworkOf(caller, set), Logger: daemon.Part(logger, "store"), Registry: reg,
 		Fatal: func(err error) {
 			_ = level.Error(logger).Log("msg", "the process ends", "err", err)
 			os.Exit(1)
--- a/cmd/cplane/run_test.go
+++ b/cmd/cplane/run_test.go
@@ -24,7 +24,7 @@
 	So(err, ShouldBeNil)
 	s, _, err := storage.Open(disk, storage.Options{})
 	So(err, ShouldBeNil)
-	So(s.WriteSlot(storage.Image{Index: 1, Term: 1, Meta: []byte("{}"), Body: []byte("{}")}, 0), ShouldBeNil)
+	So(s.WriteSnapshot(storage.Snapshot{Index: 1, Term: 1, Meta: []byte("{}"), Body: []byte("{}")}, 0), ShouldBeNil)
 	So(s.Close(), ShouldBeNil)
 	logs, err := filepath.Glob(filepath.Join(dir, "log-*"))
 	So(err, ShouldBeNil)
--- a/internal/controller/client.go
+++ b/internal/controller/client.go
@@ -38,7 +38,7 @@
 // tries the others in turn when a node fails, until the deadline of the call's ctx nears. Its errors are
 //
 //   - the leader's refusal, of kind errs.Unknown, Invalid, Malformed, TooLarge, Conflict, Stale, Forbidden or
-//     Pressure: the call was surely not carried out;
+//     Overloaded: the call was surely not carried out;
 //   - errs.Unavailable: it was surely not carried out;
 //   - errs.Timeout: it may or may not have been carried out, or may be yet.
 //
--- a/internal/node/core.go
+++ b/internal/node/core.go
@@ -78,7 +78,7 @@
 	n.caller = rpc.NewCaller(rpc.CallerOptions{DialTimeout: dialTimeout, UserTimeout: userTimeout, Idle: workerIdle,
 		Via: opt.Store.Via, Registry: opt.Registry, Logger: part("caller")})
 	var err error
-	n.store, err = opt.Open(ctx, store.Options{Settings: opt.Store, Net: store.Wire(n.caller, opt.Store), Logger: part("store"),
+	n.store, err = opt.Open(ctx, store.Options{Settings: opt.Store, Net: store.NetworkOf(n.caller, opt.Store), Logger: part("store"),
 		Registry: opt.Registry, Fatal: n.fatal, Removed: opt.Removed}, opt.Logger)
 	if err != nil {
 		n.caller.Close()
--- a/internal/sched/hold.go
+++ b/internal/sched/hold.go
@@ -94,14 +94,14 @@
 	call.Until = m.clockAt(now) + pick
 	for _, r := range runs {
 		if c.holdOf(r) == pick && spent(r) > 0.25 {
-			call.Renew = append(call.Renew, r.h.RunID)
+			call.Renew = append(call.Renew, r.handle.RunID)
 			r.until, r.boot = call.Until, m.boot
 		}
 	}
 }
 
 // holdOf is how long a run goes on unheard: as its placement policy had it when the run ID was given.
-func (c *Core) holdOf(r *run) time.Duration { return cmp.Or(r.h.Hold, c.cfg.Hold) }
+func (c *Core) holdOf(r *run) time.Duration { return cmp.Or(r.handle.Hold, c.cfg.Hold) }
 
 // firstHold is the hold that a start order brings. A minion that starts whatever it is told looks at nothing else of
 // an order but its hold: one that stood still with the order unread must not carry it out long after its job was
@@ -123,15 +123,15 @@
 		if r == nil || r.gone {
 			continue
 		}
-		j, task := c.st.TaskOf(r.h.Ref)
-		if r.out = false; r.stop != "" || task == nil || task.RunID != t || r.h.Boot != m.boot {
+		j, task := c.st.TaskOf(r.handle.Ref)
+		if r.out = false; r.stop != "" || task == nil || task.RunID != t || r.handle.Boot != m.boot {
 			c.kill(r, command.ProofUnsent, "")
 			continue
 		}
-		step := &j.Spec.Steps[r.h.Ref.Step]
+		step := &j.Spec.Steps[r.handle.Ref.Step]
 		until := m.clockAt(now) + c.firstHold(m, r)
-		r.call, r.flying, r.until, r.boot = call.Call, true, until, m.boot
-		call.Starts = append(call.Starts, api.StartOrder{RunID: t, Job: r.h.Ref.Job, Step: step.Name, Task: r.h.Ref.Task,
+		r.call, r.inFlight, r.until, r.boot = call.Call, true, until, m.boot
+		call.Starts = append(call.Starts, api.StartOrder{RunID: t, Job: r.handle.Ref.Job, Step: step.Name, Task: r.handle.Ref.Task,
 			Type: step.Type, Queue: j.Spec.Queue, Cores: step.Cores, GPUs: step.GPUs, Labels: step.Labels, Run: step.Run,
 			Void: void, Until: until})
 		c.Counts.Sent++
@@ -173,7 +173,7 @@
 		if r == nil {
 			continue
 		}
-		r.flying = false
+		r.inFlight = false
 		if !sent {
 			r.call = 0
 			c.kill(r, command.ProofUnsent, "")
@@ -185,8 +185,8 @@
 }
 
 func (c *Core) doubt(r *run) {
-	if !r.gone && !r.listed && r.h.Phase == state.TaskHeld {
-		c.doubts = append(c.doubts, r.h.RunID)
+	if !r.gone && !r.listed && r.handle.Phase == state.TaskHeld {
+		c.doubts = append(c.doubts, r.handle.RunID)
 		c.Counts.Doubts++
 	}
 }
@@ -226,7 +226,7 @@
 	}
 	for _, s := range call.Starts {
 		if r := m.runs[s.RunID]; r != nil {
-			r.flying = false
+			r.inFlight = false
 		}
 	}
 	for _, ref := range a.Refused {
@@ -297,12 +297,12 @@
 		switch e.How {
 		case api.EndWell, api.EndFailure:
 			r.gone = true
-			c.ends = append(c.ends, command.End{RunID: e.RunID, Ref: r.h.Ref, OK: e.How == api.EndWell, Reason: e.Reason})
+			c.ends = append(c.ends, command.End{RunID: e.RunID, Ref: r.handle.Ref, OK: e.How == api.EndWell, Reason: e.Reason})
 			c.Counts.Ended++
-			c.health.ended(now, r.h, e.How == api.EndWell)
+			c.health.ended(now, r.handle, e.How == api.EndWell)
 			if e.How == api.EndFailure {
 				c.Counts.Failures++
-				c.judge(now, m, r.h.Type)
+				c.judge(now, m, r.handle.Type)
 			}
 		case api.EndLapse:
 			c.kill(r, command.ProofLapse, "its hold lapsed")
@@ -338,7 +338,7 @@
 			continue
 		}
 		r.listed, r.absent = true, 0
-		if r.h.Phase != state.TaskRunning && !r.gone {
+		if r.handle.Phase != state.TaskRunning && !r.gone {
 			c.running = append(c.running, t)
 		}
 		if r.stop != "" {
@@ -351,7 +351,7 @@
 	c.endings(now, m, a.Ended)
 	dead, doubts := len(c.dead), len(c.doubts)
 	for t, r := range m.runs {
-		if seen[t] || r.gone || r.out || r.flying || r.mine && (r.call == 0 || r.call > call.Call) {
+		if seen[t] || r.gone || r.out || r.inFlight || r.mine && (r.call == 0 || r.call > call.Call) {
 			continue
 		}
 		r.listed = false
--- a/internal/sched/plan.go
+++ b/internal/sched/plan.go
@@ -138,27 +138,27 @@
 	return 1
 }
 
-type waiter struct {
+type waitingTask struct {
 	at  time.Duration
 	ref state.TaskRef
 }
 
-type waiters []waiter
+type waitingHeap []waitingTask
 
 // Len is part of heap.Interface.
-func (w waiters) Len() int { return len(w) }
+func (w waitingHeap) Len() int { return len(w) }
 
 // Less orders the tasks by the time they become due; part of heap.Interface.
-func (w waiters) Less(i, j int) bool { return w[i].at < w[j].at }
+func (w waitingHeap) Less(i, j int) bool { return w[i].at < w[j].at }
 
 // Swap is part of heap.Interface.
-func (w waiters) Swap(i, j int) { w[i], w[j] = w[j], w[i] }
+func (w waitingHeap) Swap(i, j int) { w[i], w[j] = w[j], w[i] }
 
 // Push is part of heap.Interface.
-func (w *waiters) Push(x any) { *w = append(*w, x.(waiter)) }
+func (w *waitingHeap) Push(x any) { *w = append(*w, x.(waitingTask)) }
 
 // Pop is part of heap.Interface.
-func (w *waiters) Pop() any {
+func (w *waitingHeap) Pop() any {
 	old := *w
 	x := old[len(old)-1]
 	*w = old[:len(old)-1]
@@ -169,7 +169,7 @@
 // of date; they are checked against the replica when they are taken.
 type queue struct {
 	classes map[string]*class
-	later   waiters
+	later   waitingHeap
 	in      map[state.TaskRef]bool
 }
 
@@ -193,7 +193,7 @@
 	}
 	c.queue.in[ref] = true
 	if wait := t.Due.Sub(c.st.At); !t.Due.IsZero() && wait > 0 {
-		heap.Push(&c.queue.later, waiter{c.now + wait, ref})
+		heap.Push(&c.queue.later, waitingTask{c.now + wait, ref})
 		return
 	}
 	c.enlist(ref)
@@ -279,7 +279,7 @@
 // task leaves room idle for long that another due task may use.
 func (c *Core) place(now time.Duration, p *command.Plan) {
 	for len(c.queue.later) > 0 && c.queue.later[0].at <= now {
-		c.enlist(heap.Pop(&c.queue.later).(waiter).ref)
+		c.enlist(heap.Pop(&c.queue.later).(waitingTask).ref)
 	}
 	if len(c.queue.in) == len(c.queue.later) || len(c.ring) == 0 {
 		return
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -129,20 +129,20 @@
 
 // run is the record of a handle.
 type run struct {
-	h      *state.Handle
-	team   string
-	call   uint64        // the call its order went out with under this epoch; 0: not sent by this holder
-	out    bool          // waits in its minion's outbox
-	flying bool          // its order is under way, unanswered
-	mine   bool          // its run ID was given under this epoch
-	until  time.Duration // the latest hold that may have been told, in the minion's clock; 0: unknown
-	boot   string        // the boot whose clock until is of
-	absent time.Duration // obeying minion: its clock when it was first found missing at or below the floor
-	missed string        // under this boot
-	stop   string        // why it is to be stopped; "" if it is not
-	listed bool
-	gone   bool // its end or proof waits in the next plan
-	ended  bool // its end does
+	handle   *state.Handle
+	team     string
+	call     uint64        // the call its order went out with under this epoch; 0: not sent by this holder
+	out      bool          // waits in its minion's outbox
+	inFlight bool          // its order is under way, unanswered
+	mine     bool          // its run ID was given under this epoch
+	until    time.Duration // the latest hold that may have been told, in the minion's clock; 0: unknown
+	boot     string        // the boot whose clock until is of
+	absent   time.Duration // obeying minion: its clock when it was first found missing at or below the floor
+	missed   string        // under this boot
+	stop     string        // why it is to be stopped; "" if it is not
+	listed   bool
+	gone     bool // its end or proof waits in the next plan
+	ended    bool // its end does
 }
 
 // release is the record of a due task whose newest run ID was let go without a good end. That end may still be heard,
@@ -349,7 +349,7 @@
 }
 
 func (c *Core) opened(h *state.Handle) {
-	r := &run{h: h, mine: h.Epoch == c.epoch && h.RunID > c.old}
+	r := &run{handle: h, mine: h.Epoch == c.epoch && h.RunID > c.old}
 	c.runs[h.RunID] = r
 	m := c.meet(h.Minion)
 	m.runs[h.RunID] = r
@@ -383,20 +383,20 @@
 
 // review notes whether a run is to be stopped: its job stops, or bundle, zone or drain do not allow it any more.
 func (c *Core) review(r *run) {
-	j, _ := c.st.TaskOf(r.h.Ref)
+	j, _ := c.st.TaskOf(r.handle.Ref)
 	why := ""
-	switch m := c.st.Minions[r.h.Minion]; {
+	switch m := c.st.Minions[r.handle.Minion]; {
 	case j == nil:
 		why = "job"
 	case j.Phase != state.JobRunning:
 		why = string(j.Outcome)
 	case m != nil:
-		if why = c.st.Fits(&j.Spec, &j.Spec.Steps[r.h.Ref.Step], m); why == "boot" {
+		if why = c.st.Fits(&j.Spec, &j.Spec.Steps[r.handle.Ref.Step], m); why == "boot" {
 			why = ""
 		}
 	}
 	if r.stop = why; why != "" {
-		if m := c.minions[r.h.Minion]; m != nil {
+		if m := c.minions[r.handle.Minion]; m != nil {
 			m.urgent = true
 			c.dirty[m.name] = true
 		}
@@ -504,7 +504,7 @@
 // lapse proves a run dead whose hold has surely run out. The minion must have been asked in vain: one that answers
 // tells what became of the run.
 func (c *Core) lapse(now time.Duration, m *minion, r *run) {
-	if r.gone || r.out || r.flying || !m.vain {
+	if r.gone || r.out || r.inFlight || !m.vain {
 		return
 	}
 	margin := 200 * time.Millisecond
@@ -515,7 +515,7 @@
 	if r.until > 0 && r.boot == m.boot && m.heard > 0 {
 		over = m.clock+drift(now-m.heard) > r.until+margin
 	} else {
-		over = drift(now-c.since) > max(r.h.Hold, c.cfg.Hold)+margin && drift(now-m.heard) > max(r.h.Hold, c.cfg.Hold)+margin
+		over = drift(now-c.since) > max(r.handle.Hold, c.cfg.Hold)+margin && drift(now-m.heard) > max(r.handle.Hold, c.cfg.Hold)+margin
 	}
 	if over {
 		c.kill(r, command.ProofLapse, "its hold lapsed unheard")
@@ -528,7 +528,7 @@
 		return
 	}
 	r.gone = true
-	c.dead = append(c.dead, command.Proof{RunID: r.h.RunID, Why: why, Reason: reason})
+	c.dead = append(c.dead, command.Proof{RunID: r.handle.RunID, Why: why, Reason: reason})
 	c.Counts.Dead[why]++
 }
 
--- a/internal/scheduler/move.go
+++ b/internal/scheduler/move.go
@@ -23,8 +23,8 @@
 // are due again once their end is listed, and shun the worker that they come from.
 func (p *placement) moveSlow() {
 	slow := map[jobs.RunKey]*run{} // few of all runs: only these are put in order
-	for key, r := range p.c.runs {
-		w := p.c.workers[r.worker]
+	for key, r := range p.core.runs {
+		w := p.core.workers[r.worker]
 		if w == nil || w.failures > 0 || !p.followed(r) {
 			continue // nothing is known of it
 		}
@@ -54,7 +54,7 @@
 	if r.lasting || r.gang || !r.listed || r.stop || r.ending || !r.mine || p.now-r.percentAt > freshListing {
 		return false
 	}
-	return p.c.moves[r.key.Task] < mostMoved
+	return p.core.moves[r.key.Task] < mostMoved
 }
 
 // standsStill tells whether a run has made no progress for long, against its expected time.
@@ -63,14 +63,14 @@
 	if still < standstill {
 		return false
 	}
-	peers, _ := p.c.speeds.peers(r.key.Task)
-	return still >= time.Duration(stillShare*float64(max(p.c.expected(r.estimate), peers)))
+	peers, _ := p.core.speeds.peers(r.key.Task)
+	return still >= time.Duration(stillShare*float64(max(p.core.expected(r.estimate), peers)))
 }
 
 // slow tells whether what is left of a run takes far longer than beginning it anew elsewhere: other tasks of its step
 // took a fraction of its time.
 func (p *placement) slow(r *run) bool {
-	peers, known := p.c.speeds.peers(r.key.Task)
+	peers, known := p.core.speeds.peers(r.key.Task)
 	elapsed := r.percentAt - r.sentAt
 	if !known || elapsed < time.Duration(slowFactor*float64(peers)) {
 		return false
@@ -81,11 +81,11 @@
 
 // moveOne stops a run if another worker has room for its task.
 func (p *placement) moveOne(r *run) bool {
-	j := p.c.table.Jobs[r.key.Task.Job]
+	j := p.core.table.Jobs[r.key.Task.Job]
 	if j == nil || j.State.Over() || r.key.Task.Step >= len(j.Spec.Steps) {
 		return false
 	}
-	q := p.c.table.Config.Queue(j.Spec.Queue)
+	q := p.core.table.Config.Queue(j.Spec.Queue)
 	if q == nil {
 		return false
 	}
@@ -96,17 +96,17 @@
 	}
 	n.free = minus(n.free, u.step.Needs)
 	r.stop = true
-	p.c.askStop(r)
-	p.c.avoid[r.key.Task] = r.worker
-	p.c.moves[r.key.Task]++
-	p.c.speeds.slow(r.worker)
-	p.c.Counts.Moved++
+	p.core.askStop(r)
+	p.core.avoid[r.key.Task] = r.worker
+	p.core.moves[r.key.Task]++
+	p.core.speeds.slow(r.worker)
+	p.core.Counts.Moved++
 	return true
 }
 
 // bestElsewhere is best among all nodes but one.
 func (p *placement) bestElsewhere(u *unit, nodes []*node, except string) *node {
-	at := slices.IndexFunc(nodes, func(n *node) bool { return n.rec.ID == except })
+	at := slices.IndexFunc(nodes, func(n *node) bool { return n.record.ID == except })
 	if at < 0 {
 		return p.best(u, nodes, "")
 	}
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -11,8 +11,8 @@
 
 // node is a worker that may take starts in this pass, with the room it has left.
 type node struct {
-	w       *worker
-	rec     *jobs.Worker
+	worker  *worker
+	record  *jobs.Worker
 	free    jobs.Resources
 	freeing jobs.Resources // what runs give back that are being stopped, or whose ends wait to be committed
 	held    bool           // kept free for a more urgent unit
@@ -35,7 +35,7 @@
 
 // placement is the work of one pass.
 type placement struct {
-	c         *Core
+	core      *Core
 	now       time.Duration
 	wall      time.Time
 	nodes     map[string][]*node // by service
@@ -48,7 +48,7 @@
 // place chooses workers for due tasks.
 func (c *Core) place(now time.Duration, wall time.Time) []jobs.Start {
 	units := c.dueUnits(wall)
-	p := &placement{c: c, now: now, wall: wall, nodes: map[string][]*node{}, perNode: map[jobs.TaskRef]map[string]int{},
+	p := &placement{core: c, now: now, wall: wall, nodes: map[string][]*node{}, perNode: map[jobs.TaskRef]map[string]int{},
 		byFree: map[string][]*node{}}
 	paid := newPayment(c.table)
 	for _, u := range units {
@@ -77,13 +77,13 @@
 		return nodes
 	}
 	var nodes, stalled []*node
-	for _, id := range p.c.names {
-		w := p.c.workers[id]
+	for _, id := range p.core.names {
+		w := p.core.workers[id]
 		rec := w.record()
-		if rec == nil || rec.Service != service || !w.takesStarts(p.c, p.now) {
+		if rec == nil || rec.Service != service || !w.takesStarts(p.core, p.now) {
 			continue
 		}
-		n := &node{w: w, rec: rec, free: minus(rec.Capacity, p.c.table.Used(id)), factor: p.c.speeds.factor(id), lowest: -1}
+		n := &node{worker: w, record: rec, free: minus(rec.Capacity, p.core.table.Used(id)), factor: p.core.speeds.factor(id), lowest: -1}
 		for _, r := range w.runs {
 			if r.stop || r.ending {
 				n.freeing = plus(n.freeing, r.needs)
@@ -138,10 +138,10 @@
 
 // allowed tells whether a unit's tasks may run on a node at all, room apart.
 func (p *placement) allowed(u *unit, n *node) bool {
-	if u.step.Label != "" && !slices.Contains(n.rec.Labels, u.step.Label) {
+	if u.step.Label != "" && !slices.Contains(n.record.Labels, u.step.Label) {
 		return false
 	}
-	return u.step.MostPerNode == 0 || p.onNode(u, n.rec.ID) < u.step.MostPerNode
+	return u.step.MostPerNode == 0 || p.onNode(u, n.record.ID) < u.step.MostPerNode
 }
 
 // onNode counts a unit's tasks on a worker, those planned in this pass included.
@@ -183,8 +183,8 @@
 // cost is how long a unit's task takes on a node, by what is known.
 func (p *placement) cost(u *unit, n *node) float64 {
 	cost := u.speedCost(n)
-	if u.step.Near != "" && !slices.Contains(n.rec.Labels, u.step.Near) {
-		cost *= p.c.cfg.SpreadFactor
+	if u.step.Near != "" && !slices.Contains(n.record.Labels, u.step.Near) {
+		cost *= p.core.cfg.SpreadFactor
 	}
 	return cost
 }
@@ -198,7 +198,7 @@
 			continue
 		}
 		cost := p.cost(u, n)
-		if n.rec.ID == shun {
+		if n.record.ID == shun {
 			cost *= 4 // better there again than not at all
 		}
 		if found == nil || cost < least || cost == least && u.roomier(n, found) {
@@ -222,11 +222,11 @@
 func (p *placement) take(u *unit, n *node, index, number int) {
 	n.free = minus(n.free, u.step.Needs)
 	clear(p.byFree)
-	p.onNode(u, n.rec.ID)
-	p.perNode[u.key()][n.rec.ID]++
+	p.onNode(u, n.record.ID)
+	p.perNode[u.key()][n.record.ID]++
 	ref := u.key()
 	ref.Index = index
-	p.starts = append(p.starts, jobs.Start{Task: ref, Number: number, Worker: n.rec.ID})
+	p.starts = append(p.starts, jobs.Start{Task: ref, Number: number, Worker: n.record.ID})
 }
 
 // untake undoes the newest starts, down to a length of the list.
@@ -234,7 +234,7 @@
 	clear(p.byFree)
 	for _, s := range p.starts[length:] {
 		for _, n := range nodes {
-			if n.rec.ID == s.Worker {
+			if n.record.ID == s.Worker {
 				n.free = plus(n.free, u.step.Needs)
 			}
 		}
@@ -252,7 +252,7 @@
 	for position, index := range u.indexes {
 		ref := u.key()
 		ref.Index = index
-		n := p.best(u, nodes, p.c.avoid[ref])
+		n := p.best(u, nodes, p.core.avoid[ref])
 		if n == nil {
 			p.wait(u, nodes, len(u.indexes)-position)
 			return
@@ -267,7 +267,7 @@
 	groups := [][]*node{nodes}
 	if u.step.SameRack {
 		groups = byRack(nodes)
-		if p.now-u.since > 4*p.c.cfg.GangHold || !p.anyRackCould(u, groups) {
+		if p.now-u.since > 4*p.core.cfg.GangHold || !p.anyRackCould(u, groups) {
 			groups = append(groups, nodes) // slower over several racks, but not waiting
 		}
 	}
@@ -306,8 +306,8 @@
 	racks := map[string][]*node{}
 	free := map[string]int{}
 	for _, n := range nodes {
-		racks[n.rec.Rack] = append(racks[n.rec.Rack], n)
-		free[n.rec.Rack] += n.free.MilliCPU
+		racks[n.record.Rack] = append(racks[n.record.Rack], n)
+		free[n.record.Rack] += n.free.MilliCPU
 	}
 	names := sortedKeys(racks)
 	slices.SortStableFunc(names, func(a, b string) int { return cmp.Compare(free[b], free[a]) })
@@ -327,7 +327,7 @@
 	if p.preempt(u, nodes, count) {
 		return
 	}
-	if p.now-u.since < p.c.cfg.GangHold || !u.step.Gang && u.step.Needs.MilliCPU <= smallTask {
+	if p.now-u.since < p.core.cfg.GangHold || !u.step.Gang && u.step.Needs.MilliCPU <= smallTask {
 		return
 	}
 	p.reserve(u, nodes, count)
@@ -393,7 +393,7 @@
 	if !p.allowed(u, n) {
 		return 0
 	}
-	needs, has := u.step.Needs, n.rec.Capacity
+	needs, has := u.step.Needs, n.record.Capacity
 	most := 1 << 10
 	if needs.MilliCPU > 0 {
 		most = min(most, has.MilliCPU/needs.MilliCPU)
--- a/internal/scheduler/preempt.go
+++ b/internal/scheduler/preempt.go
@@ -26,14 +26,14 @@
 	var victims []*run
 	least := 0.0
 	for _, n := range nodes {
-		if n.held || !p.allowed(u, n) || !fits(n.rec.Capacity, u.step.Needs) {
+		if n.held || !p.allowed(u, n) || !fits(n.record.Capacity, u.step.Needs) {
 			continue
 		}
 		if fits(plus(n.free, n.freeing), u.step.Needs) { // room is on the way here
 			n.promise(u.step.Needs)
 			return true
 		}
-		if n.lowest <= u.queue.Priority || p.preempted >= p.c.cfg.MostPreempted {
+		if n.lowest <= u.queue.Priority || p.preempted >= p.core.cfg.MostPreempted {
 			continue // nothing to stop here, or no more may be stopped in this pass
 		}
 		stop, waste, ok := p.victims(u, n)
@@ -41,17 +41,17 @@
 			chosen, victims, least = n, stop, waste
 		}
 	}
-	if chosen == nil || p.preempted+len(victims) > p.c.cfg.MostPreempted {
+	if chosen == nil || p.preempted+len(victims) > p.core.cfg.MostPreempted {
 		return false
 	}
 	for _, r := range victims {
 		r.stop = true
-		p.c.askStop(r)
+		p.core.askStop(r)
 		chosen.freeing = plus(chosen.freeing, r.needs)
-		p.c.Counts.Preempted++
+		p.core.Counts.Preempted++
 	}
 	p.preempted += len(victims)
-	p.c.moved = true
+	p.core.moved = true
 	chosen.promise(u.step.Needs)
 	return true
 }
@@ -68,7 +68,7 @@
 // victims gives the runs to stop on a node for one task of a unit, and the work thrown away in core-seconds.
 func (p *placement) victims(u *unit, n *node) (stop []*run, waste float64, ok bool) {
 	var candidates []*run
-	for _, r := range n.w.runs {
+	for _, r := range n.worker.runs {
 		if r.priority > u.queue.Priority && r.mayYield() {
 			candidates = append(candidates, r)
 		}
--- a/internal/storage/crashpoints_test.go
+++ b/internal/storage/crashpoints_test.go
@@ -175,7 +175,7 @@
 	}
 	slot := func(index, keepFrom uint64) {
 		img := m.image(index)
-		steps = append(steps, crashStep{func(s *Store) error { return errs.Pass(s.WriteSlot(img, keepFrom), "slot") }, nil, m})
+		steps = append(steps, crashStep{func(s *Store) error { return errs.Pass(s.WriteSnapshot(img, keepFrom), "slot") }, nil, m})
 	}
 	add(hard(1), entry(1, 1), entry(1, 2), entry(1, 3))
 	add(entry(1, 4))
--- a/internal/storage/full_test.go
+++ b/internal/storage/full_test.go
@@ -61,7 +61,7 @@
 			func(m model) model { return m.with(hard(12), entry(12, 12)) }},
 		{"append that replaces", func(s *Store, _ model) error { return s.Append([]Record{entry(12, 10)}) },
 			func(m model) model { m = m.with(entry(12, 10)); m.entries = m.entries[:10]; return m }},
-		{"slot", func(s *Store, m model) error { return s.WriteSlot(m.image(11), 0) },
+		{"slot", func(s *Store, m model) error { return s.WriteSnapshot(m.image(11), 0) },
 			func(m model) model { return m }},
 	}
 	for _, step := range steps {
--- a/internal/storage/open.go
+++ b/internal/storage/open.go
@@ -30,9 +30,9 @@
 
 // folder is the folder as it is read.
 type folder struct {
-	images         []Image // valid snapshots, newest first
-	places         []int   // their places in slotNames
-	slots          int     // snapshot files, valid or not
+	images         []Snapshot // valid snapshots, newest first
+	places         []int      // their places in slotNames
+	slots          int        // snapshot files, valid or not
 	unfinished     []string
 	segmentNumbers []uint64 // of the segments
 	segmentBytes   [][]byte
@@ -156,13 +156,13 @@
 			t.rebase(Record{Kind: kindBase, Index: img.Index, Term: img.Term})
 		}
 		if entries, ok := t.entriesAfter(img.Index); ok {
-			*view, s.newestPlace, boot.Image = t, f.places[i], &img
-			s.newest = Image{Number: img.Number, Index: img.Index, Term: img.Term}
+			*view, s.newestPlace, boot.Snapshot = t, f.places[i], &img
+			s.newest = Snapshot{Number: img.Number, Index: img.Index, Term: img.Term}
 			boot.Records = slices.Clone(entries)
 			break
 		}
 	}
-	if boot.Image == nil {
+	if boot.Snapshot == nil {
 		entries, ok := view.entriesAfter(0)
 		if !ok || len(f.images) > 0 {
 			return errs.New(errs.Damaged, "the log does not follow any valid snapshot (%d of %d valid)", len(f.images), f.slots)
@@ -172,7 +172,7 @@
 	if view.hard != nil {
 		boot.Records = slices.Insert(boot.Records, 0, *view.hard)
 	}
-	boot.Fresh = boot.Image == nil && len(boot.Records) == 0
+	boot.Fresh = boot.Snapshot == nil && len(boot.Records) == 0
 	return nil
 }
 
--- a/internal/storage/snapshot.go
+++ b/internal/storage/snapshot.go
@@ -6,7 +6,7 @@
 	"crosstide/internal/errs"
 )
 
-// WriteSlot makes img the newest snapshot (it sets its Number), starts a new segment and removes the segments whose
+// WriteSnapshot makes img the newest snapshot (it sets its Number), starts a new segment and removes the segments whose
 // entries all lie at or before the previous snapshot, and before keepFrom if that is not 0. Appends continue
 // meanwhile, except while the segment changes. An image of the own log must have the Term of its entry; one that
 // came from another member must be written before the entries after it are appended: entries that it
@@ -14,7 +14,7 @@
 // snapshot may be written again). Example:
 //
 //	err := store.WriteSlot(storage.Image{Index: applied, Term: term, Meta: members, Body: state}, 0)
-func (s *Store) WriteSlot(img Image, keepFrom uint64) error {
+func (s *Store) WriteSnapshot(img Snapshot, keepFrom uint64) error {
 	s.writingSlot.Lock()
 	defer s.writingSlot.Unlock()
 	s.mu.Lock()
@@ -43,16 +43,16 @@
 		defer s.mu.Unlock()
 		return errs.Pass(s.fail(err), "snapshot %d", img.Number)
 	}
-	s.updateStats(func(c *Stats) { c.Slots++ })
+	s.updateStats(func(c *Stats) { c.Snapshots++ })
 	return nil
 }
 
 // rotate starts a segment after the snapshot img is durable, and removes those that are not needed.
-func (s *Store) rotate(img Image, at int, before, keepFrom uint64) error {
+func (s *Store) rotate(img Snapshot, at int, before, keepFrom uint64) error {
 	s.mu.Lock()
 	err := s.usable()
 	if err == nil {
-		s.newest, s.newestPlace = Image{Number: img.Number, Index: img.Index, Term: img.Term}, at
+		s.newest, s.newestPlace = Snapshot{Number: img.Number, Index: img.Index, Term: img.Term}, at
 		head := s.segmentHead()
 		s.log.rebase(head[0])
 		g := segment{number: s.segments[len(s.segments)-1].number + 1}
@@ -79,24 +79,24 @@
 	return errs.Pass(err, "change of segment")
 }
 
-// NewestSlot reads the newest snapshot back and checks it. Failures: Unknown (none was written), Damaged, Disk.
-func (s *Store) NewestSlot() (Image, error) {
+// NewestSnapshot reads the newest snapshot back and checks it. Failures: Unknown (none was written), Damaged, Disk.
+func (s *Store) NewestSnapshot() (Snapshot, error) {
 	s.mu.Lock()
 	name, number := slotNames[s.newestPlace], s.newest.Number
 	s.mu.Unlock()
 	if number == 0 {
-		return Image{}, errs.New(errs.Unknown, "no snapshot was written yet")
+		return Snapshot{}, errs.New(errs.Unknown, "no snapshot was written yet")
 	}
 	all, err := s.readFile(name)
 	if err != nil {
-		return Image{}, errs.Pass(err, "newest snapshot")
+		return Snapshot{}, errs.Pass(err, "newest snapshot")
 	}
 	img, err := readSlot(all)
 	if err != nil {
-		return Image{}, errs.Pass(err, "read %s", name)
+		return Snapshot{}, errs.Pass(err, "read %s", name)
 	}
 	if img.Number < number {
-		return Image{}, errs.New(errs.Damaged, "%s holds number %d, not %d", name, img.Number, number)
+		return Snapshot{}, errs.New(errs.Damaged, "%s holds number %d, not %d", name, img.Number, number)
 	}
 	return img, nil
 }
--- a/internal/storage/snapshotfile.go
+++ b/internal/storage/snapshotfile.go
@@ -6,8 +6,8 @@
 	"crosstide/internal/errs"
 )
 
-// Image is the whole state as of the entry Index of term Term.
-type Image struct {
+// Snapshot is the whole state as of the entry Index of term Term.
+type Snapshot struct {
 	Number      uint64 // counts the snapshots written, from 1; set by the store
 	Index, Term uint64
 	Meta        []byte // members and the like
@@ -15,7 +15,7 @@
 }
 
 // slotParts returns the bytes before and after the body in a snapshot's file.
-func slotParts(img Image) (head, tail []byte) {
+func slotParts(img Snapshot) (head, tail []byte) {
 	head = append(head, slotMark...)
 	for _, v := range []uint64{img.Number, img.Index, img.Term, uint64(len(img.Meta)), uint64(len(img.Body))} {
 		head = byteOrder.AppendUint64(head, v)
@@ -28,20 +28,20 @@
 }
 
 // readSlot decodes and checks a snapshot's file. Failure: Damaged.
-func readSlot(all []byte) (Image, error) {
+func readSlot(all []byte) (Snapshot, error) {
 	if len(all) < slotHeadSize+slotSumSize || string(all[:8]) != slotMark {
-		return Image{}, errs.New(errs.Damaged, "no slot in %d bytes", len(all))
+		return Snapshot{}, errs.New(errs.Damaged, "no slot in %d bytes", len(all))
 	}
 	cut := len(all) - slotSumSize
 	if xxhash.Sum64(all[:cut]) != byteOrder.Uint64(all[cut:]) {
-		return Image{}, errs.New(errs.Damaged, "the slot's sum is wrong")
+		return Snapshot{}, errs.New(errs.Damaged, "the slot's sum is wrong")
 	}
 	rest := all[slotHeadSize:cut]
 	meta, body := byteOrder.Uint64(all[32:]), byteOrder.Uint64(all[40:])
 	if meta > uint64(len(rest)) || body != uint64(len(rest))-meta {
-		return Image{}, errs.New(errs.Damaged, "the slot's lengths are wrong")
+		return Snapshot{}, errs.New(errs.Damaged, "the slot's lengths are wrong")
 	}
-	return Image{
+	return Snapshot{
 		Number: byteOrder.Uint64(all[8:]), Index: byteOrder.Uint64(all[16:]), Term: byteOrder.Uint64(all[24:]),
 		Meta: rest[:meta], Body: rest[meta:],
 	}, nil
--- a/internal/storage/storage.go
+++ b/internal/storage/storage.go
@@ -31,16 +31,16 @@
 
 // Boot is what Open read.
 type Boot struct {
-	Image   *Image   // the newest snapshot that the log follows; nil if none was ever written
-	Records []Record // the last KindHard if there is one, then the entries after Image, without a gap
-	Fresh   bool     // the folder holds no image, no hard state and no entry
-	Cut     int64    // bytes of torn tail that were cut
+	Snapshot *Snapshot // the newest snapshot that the log follows; nil if none was ever written
+	Records  []Record  // the last KindHard if there is one, then the entries after Image, without a gap
+	Fresh    bool      // the folder holds no image, no hard state and no entry
+	Cut      int64     // bytes of torn tail that were cut
 }
 
 // Stats counts since Open.
 type Stats struct {
-	Syncs, Bytes, Records, Slots, Segments uint64        // Bytes are all bytes written; Segments those in the folder
-	LastSync, LongestSync                  time.Duration // of Append
+	Syncs, Bytes, Records, Snapshots, Segments uint64        // Bytes are all bytes written; Segments those in the folder
+	LastSync, LongestSync                      time.Duration // of Append
 }
 
 // Store is an open folder. Append, WriteSlot, NewestSlot and Stats may run at the same time.
@@ -56,8 +56,8 @@
 	segments    []segment
 	log         logView // entries without Data
 	broken      error
-	newest      Image // without Meta and Body
-	newestPlace int   // the newest slot's place in slotNames
+	newest      Snapshot // without Meta and Body
+	newestPlace int      // the newest slot's place in slotNames
 	closed      bool
 
 	countMu sync.Mutex
--- a/internal/storage/storage_test.go
+++ b/internal/storage/storage_test.go
@@ -41,8 +41,8 @@
 	return m
 }
 
-func (m model) image(index uint64) Image {
-	img := Image{Index: index, Meta: []byte("members")}
+func (m model) image(index uint64) Snapshot {
+	img := Snapshot{Index: index, Meta: []byte("members")}
 	for _, r := range m.entries[:index] {
 		img.Term, img.Body = r.Term, append(img.Body, r.Data...)
 	}
@@ -58,8 +58,8 @@
 		}
 		recs = recs[1:]
 	}
-	if boot.Image != nil {
-		if from = boot.Image.Index; from > uint64(len(m.entries)) || !bytes.Equal(boot.Image.Body, m.image(from).Body) {
+	if boot.Snapshot != nil {
+		if from = boot.Snapshot.Index; from > uint64(len(m.entries)) || !bytes.Equal(boot.Snapshot.Body, m.image(from).Body) {
 			return false
 		}
 	}
@@ -84,7 +84,7 @@
 		}
 		So(s.Append(recs), ShouldBeNil)
 		if m = m.with(recs...); at < 9 {
-			So(s.WriteSlot(m.image(at+3), 0), ShouldBeNil)
+			So(s.WriteSnapshot(m.image(at+3), 0), ShouldBeNil)
 		}
 	}
 	So(s.Close(), ShouldBeNil)
@@ -104,12 +104,12 @@
 		s, boot, err := Open(d, Options{})
 		So(err, ShouldBeNil)
 		So(boot.Fresh, ShouldBeTrue)
-		_, err = s.NewestSlot()
+		_, err = s.NewestSnapshot()
 		So(err, shouldBe, errs.Unknown)
 		m := model{}.with(hard(1), entry(1, 1), entry(1, 2), entry(1, 3))
 		So(s.Append(append(m.entries, hard(1))), ShouldBeNil)
-		So(s.WriteSlot(m.image(2), 0), ShouldBeNil)
-		img, err := s.NewestSlot()
+		So(s.WriteSnapshot(m.image(2), 0), ShouldBeNil)
+		img, err := s.NewestSnapshot()
 		So(err, ShouldBeNil)
 		So(string(img.Body), ShouldEqual, "1/1;1/2;")
 		So(string(img.Meta), ShouldEqual, "members")
@@ -118,7 +118,7 @@
 		So(s.Stats().Segments, ShouldEqual, 2)
 		So(s.Append([]Record{entry(2, 6)}), shouldBe, errs.Invalid)
 		So(s.Append([]Record{entry(2, 2)}), shouldBe, errs.Invalid)
-		So(s.WriteSlot(m.image(1), 0), shouldBe, errs.Invalid)
+		So(s.WriteSnapshot(m.image(1), 0), shouldBe, errs.Invalid)
 		So(s.Close(), ShouldBeNil)
 		s, boot, err = Open(d, Options{})
 		So(err, ShouldBeNil)
@@ -129,12 +129,12 @@
 	Convey("An image from another member fells what it contradicts, and only that", t, func() {
 		d, m := filled()
 		s := must(Open(d, virtual))
-		So(s.WriteSlot(Image{Index: 10, Term: 20, Body: []byte("theirs")}, 0), ShouldBeNil)
+		So(s.WriteSnapshot(Snapshot{Index: 10, Term: 20, Body: []byte("theirs")}, 0), ShouldBeNil)
 		So(s.Append([]Record{entry(20, 12)}), shouldBe, errs.Invalid)
 		So(s.Append([]Record{entry(20, 11)}), ShouldBeNil)
 		_, boot, err := Open(d, virtual)
 		So(err, ShouldBeNil)
-		So(boot.Image.Number, ShouldEqual, 3)
+		So(boot.Snapshot.Number, ShouldEqual, 3)
 		So(boot.Records, ShouldResemble, []Record{{Kind: KindHard, Data: m.hard}, entry(20, 11)})
 		d.Flip(slotNames[0], 60, 1) // theirs; the log cannot replace it
 		_, _, err = Open(d, virtual)
@@ -143,9 +143,9 @@
 	Convey("keepFrom keeps segments", t, func() {
 		d, m := filled()
 		s := must(Open(d, virtual))
-		So(s.WriteSlot(m.image(11), 6), ShouldBeNil)
+		So(s.WriteSnapshot(m.image(11), 6), ShouldBeNil)
 		So(s.Stats().Segments, ShouldEqual, 3)
-		So(s.WriteSlot(m.image(11), 0), ShouldBeNil)
+		So(s.WriteSnapshot(m.image(11), 0), ShouldBeNil)
 		So(s.Stats().Segments, ShouldEqual, 1)
 	})
 }
@@ -238,7 +238,7 @@
 	Convey("Entries that do not follow the start, the image or each other are damage", t, func() {
 		for _, c := range []struct{ base, first, then uint64 }{{0, 2, 3}, {0, 1, 3}, {4, 6, 7}, {4, 5, 7}, {4, 5, 6}} {
 			d, all := NewMemDisk(), []byte(nil)
-			head, tail := slotParts(Image{Number: 1, Index: c.base, Term: 1})
+			head, tail := slotParts(Snapshot{Number: 1, Index: c.base, Term: 1})
 			if c.base > 0 {
 				d.Put(slotNames[0], append(head, tail...))
 			}
@@ -264,7 +264,7 @@
 				s, _, err := Open(d, virtual)
 				for err == nil {
 					if at := commit; r.Intn(5) == 0 && at > 0 {
-						if err = s.WriteSlot(m.image(at), uint64(r.Intn(3))*at/2); err == nil {
+						if err = s.WriteSnapshot(m.image(at), uint64(r.Intn(3))*at/2); err == nil {
 							slots++
 						}
 						continue
@@ -317,12 +317,12 @@
 					if !slot {
 						err = s.Append([]Record{entry(12, 12)})
 					} else {
-						err = s.WriteSlot(m.image(11), 0)
+						err = s.WriteSnapshot(m.image(11), 0)
 					}
 				}
 				So(err, shouldBe, errs.Disk)
 				So(s.Append([]Record{hard(13)}), shouldBe, errs.Disk)
-				So(s.WriteSlot(m.image(11), 0), shouldBe, errs.Disk)
+				So(s.WriteSnapshot(m.image(11), 0), shouldBe, errs.Disk)
 				_, before, err := Open(d, virtual) // the process starts again on the same machine
 				So(err, ShouldBeNil)
 				d.Crash(rand.New(rand.NewSource(int64(n))))
@@ -342,7 +342,7 @@
 		g, failures := routine.New(context.Background()), make([]error, 2)
 		g.Go(func(context.Context) {
 			for i := uint64(10); i <= 100 && failures[0] == nil; i += 10 {
-				failures[0] = s.WriteSlot(m.image(i), 0)
+				failures[0] = s.WriteSnapshot(m.image(i), 0)
 			}
 		})
 		g.Go(func(context.Context) {
@@ -354,7 +354,7 @@
 		So(failures, ShouldResemble, make([]error, 2))
 		_, boot, err := Open(d, virtual)
 		So(err, ShouldBeNil)
-		So(boot.Image.Index, ShouldEqual, 100)
+		So(boot.Snapshot.Index, ShouldEqual, 100)
 		So(m.fits(boot), ShouldBeTrue)
 	})
 }
--- a/internal/store/apply_test.go
+++ b/internal/store/apply_test.go
@@ -38,7 +38,7 @@
 			So(len(s.nextApplied()), ShouldEqual, 1)
 		})
 		Convey("Then a store that is driven by hand applies all at once", func() {
-			s.hand = &Hand{}
+			s.hand = &ManualDriver{}
 			So(len(s.nextApplied()), ShouldEqual, 2*applyEntries+8)
 		})
 	})
--- a/internal/store/disk.go
+++ b/internal/store/disk.go
@@ -65,7 +65,7 @@
 	records, err := recordsOf(batch)
 	if err == nil && len(records) > 0 {
 		from := s.clock.Now()
-		err = s.slots.Append(records)
+		err = s.storage.Append(records)
 		s.meter.syncs.Observe((s.clock.Now() - from).Seconds())
 	}
 	return errs.Pass(err, "append")
@@ -117,7 +117,7 @@
 
 // install is a snapshot of another member that takes the place of this node's state.
 type install struct {
-	image storage.Image
+	image storage.Snapshot
 	meta  quorum.Meta
 	live  *state.State
 	done  chan struct{}
@@ -201,12 +201,12 @@
 	if err != nil {
 		return errs.Wrap(err, errs.Internal, "encode the meta of a slot")
 	}
-	image := storage.Image{Index: meta.Index, Term: meta.Term, Meta: raw, Body: body}
-	if err := s.whenRoom(ctx, "write a slot", func() error { return errs.Pass(s.slots.WriteSlot(image, 0), "own state") }); err != nil {
+	image := storage.Snapshot{Index: meta.Index, Term: meta.Term, Meta: raw, Body: body}
+	if err := s.whenRoom(ctx, "write a slot", func() error { return errs.Pass(s.storage.WriteSnapshot(image, 0), "own state") }); err != nil {
 		return errs.Pass(err, "slot")
 	}
 	took := s.clock.Now() - from
-	s.meter.slots.Observe(took.Seconds())
+	s.meter.snapshots.Observe(took.Seconds())
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	before := s.newest.Index
@@ -272,7 +272,7 @@
 
 // put stores the image and puts it in the place of the own state.
 func (s *Store) put(ctx context.Context, in *install) error {
-	if err := s.whenRoom(ctx, "write a fetched snapshot", func() error { return errs.Pass(s.slots.WriteSlot(in.image, 0), "image") }); err != nil {
+	if err := s.whenRoom(ctx, "write a fetched snapshot", func() error { return errs.Pass(s.storage.WriteSnapshot(in.image, 0), "image") }); err != nil {
 		return errs.Pass(err, "put")
 	}
 	shadow, err := state.Decode(in.image.Body)
--- a/internal/store/follow.go
+++ b/internal/store/follow.go
@@ -86,7 +86,7 @@
 type chunks struct{ list []*kept }
 
 type kept struct {
-	image storage.Image
+	image storage.Snapshot
 	sum   uint64
 	used  time.Duration
 	total int // Store.logTotal as it was loaded
@@ -128,7 +128,7 @@
 	if number != newest || newest == 0 {
 		return nil, errs.New(errs.Unknown, "slot %d is gone, the newest is %d", number, newest)
 	}
-	img, err := s.slots.NewestSlot()
+	img, err := s.storage.NewestSnapshot()
 	if err != nil {
 		return nil, errs.Pass(err, "slot %d", number)
 	}
@@ -241,5 +241,5 @@
 	if meta.Index < want.Meta.Index {
 		return nil, errs.New(errs.Stale, "the snapshot of %s is at %d, before %d", want.From, meta.Index, want.Meta.Index)
 	}
-	return &install{image: storage.Image{Index: meta.Index, Term: meta.Term, Meta: head.Meta, Body: body}, meta: meta}, nil
+	return &install{image: storage.Snapshot{Index: meta.Index, Term: meta.Term, Meta: head.Meta, Body: body}, meta: meta}, nil
 }
--- a/internal/store/found.go
+++ b/internal/store/found.go
@@ -43,7 +43,7 @@
 	if err != nil {
 		return errs.Pass(err, "open the folder")
 	}
-	s.slots = slots
+	s.storage = slots
 	switch {
 	case id != "":
 		s.id = id
@@ -62,7 +62,7 @@
 	var b quorum.Boot
 	live, shadow := state.New(), state.New()
 	var err error
-	if img := boot.Image; img != nil {
+	if img := boot.Snapshot; img != nil {
 		if b.Snapshot, err = decodeMeta(img.Meta); err != nil {
 			return errs.Pass(err, "slot %d", img.Number)
 		}
@@ -252,8 +252,8 @@
 	if err != nil {
 		return errs.Wrap(err, errs.Internal, "found")
 	}
-	img := storage.Image{Number: 1, Index: b.Snapshot.Index, Term: b.Snapshot.Term, Meta: meta, Body: body}
-	if err := s.slots.WriteSlot(img, 0); err != nil {
+	img := storage.Snapshot{Number: 1, Index: b.Snapshot.Index, Term: b.Snapshot.Term, Meta: meta, Body: body}
+	if err := s.storage.WriteSnapshot(img, 0); err != nil {
 		return errs.Pass(err, "found")
 	}
 	s.mu.Lock()
@@ -264,7 +264,7 @@
 	if err != nil {
 		return errs.Wrap(err, errs.Internal, "found")
 	}
-	return errs.Pass(s.begin(storage.Boot{Image: &img, Records: []storage.Record{{Kind: storage.KindHard, Data: hard}}}), "found")
+	return errs.Pass(s.begin(storage.Boot{Snapshot: &img, Records: []storage.Record{{Kind: storage.KindHard, Data: hard}}}), "found")
 }
 
 // rename gives an empty folder an ID of its own, synced before anything is done under it, and begins empty.
--- a/internal/store/full.go
+++ b/internal/store/full.go
@@ -28,7 +28,7 @@
 		if !s.rest(ctx, pause) {
 			return errs.New(errs.Stopped, "the store is stopping")
 		}
-		if err := s.slots.Resume(); err != nil && !storage.IsFull(err) {
+		if err := s.storage.Resume(); err != nil && !storage.IsFull(err) {
 			return errs.Pass(err, "%s", what)
 		}
 	}
--- a/internal/store/meter.go
+++ b/internal/store/meter.go
@@ -10,8 +10,8 @@
 
 // meter is what the store shows of itself.
 type meter struct {
-	proposals, dropped    prometheus.Counter
-	syncs, commits, slots prometheus.Histogram
+	proposals, dropped        prometheus.Counter
+	syncs, commits, snapshots prometheus.Histogram
 }
 
 func newMeter() *meter {
@@ -27,19 +27,19 @@
 		dropped:   counter("messages_dropped_total", "Messages to peers that fell or failed."),
 		syncs:     seconds("sync_seconds", "Syncs of the log; its count is the count of group commits."),
 		commits:   seconds("commit_seconds", "From a proposal to its answer, where it was committed."),
-		slots:     seconds("snapshot_seconds", "Encoding and writing of a snapshot."),
+		snapshots: seconds("snapshot_seconds", "Encoding and writing of a snapshot."),
 	}
 }
 
 // show registers all that the meter shows; nil does nothing.
 func (m *meter) show(s *Store, to prometheus.Registerer) {
 	if to != nil {
-		to.MustRegister(m.proposals, m.dropped, m.syncs, m.commits, m.slots, &gauges{s: s})
+		to.MustRegister(m.proposals, m.dropped, m.syncs, m.commits, m.snapshots, &gauges{store: s})
 	}
 }
 
 // gauges are read when they are asked for.
-type gauges struct{ s *Store }
+type gauges struct{ store *Store }
 
 func describe(name, help string, labels ...string) *prometheus.Desc {
 	return prometheus.NewDesc("crosstide_store_"+name, help, labels, nil)
@@ -63,12 +63,12 @@
 
 // Collect gives the figures of now.
 func (g *gauges) Collect(to chan<- prometheus.Metric) {
-	s := g.s
+	s := g.store
 	s.mu.Lock()
 	st, applied, waiting := s.status, s.live.Index, s.waiting
 	figures, accounts := query.Count(s.live), query.Accounts(s.live)
 	var disk storage.Stats
-	slots := s.slots
+	slots := s.storage
 	s.mu.Unlock()
 	if slots != nil {
 		disk = slots.Stats()
@@ -89,7 +89,7 @@
 	gauge(descWaiting, float64(waiting))
 	to <- prometheus.MustNewConstMetric(descRefused, prometheus.CounterValue, float64(st.Refused))
 	to <- prometheus.MustNewConstMetric(descLog, prometheus.CounterValue, float64(disk.Bytes))
-	to <- prometheus.MustNewConstMetric(descWrites, prometheus.CounterValue, float64(disk.Slots))
+	to <- prometheus.MustNewConstMetric(descWrites, prometheus.CounterValue, float64(disk.Snapshots))
 	gauge(descState, float64(figures.Jobs), "jobs")
 	gauge(descState, float64(figures.Inbox), "inbox")
 	gauge(descState, float64(figures.Tombs), "tombs")
--- a/internal/store/propose.go
+++ b/internal/store/propose.go
@@ -45,7 +45,7 @@
 }
 
 // Propose commits c and applies it here; index is its entry's. The error is the command's own, or: NotLeader
-// (Hint: the leader's address), Pressure (too many wait), Unavailable and Stopped (surely nothing happened but for
+// (Hint: the leader's address), Overloaded (too many wait), Unavailable and Stopped (surely nothing happened but for
 // a Stopped that says otherwise), Timeout (it may or may not be committed; ask again with the same content).
 // It waits 2 s at most. Example:
 //
--- a/internal/store/send.go
+++ b/internal/store/send.go
@@ -31,7 +31,7 @@
 	return n
 }
 
-// route puts messages into the backlogs of those they are for; called under the lock.
+// route puts messages into the queues of those they are for; called under the lock.
 func (s *Store) route(messages []quorum.Message) {
 	if s.broken {
 		return
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -74,16 +74,16 @@
 
 // Store is a running cplane's part in the control store.
 type Store struct {
-	opt   Options
-	set   config.Cplane
-	clock clock.Clock
-	log   log.Logger
-	group *routine.Group
-	hand  *Hand // who drives the store in place of its goroutines; nil in a daemon
-	meter *meter
-	slots *storage.Store
-	boot  string // of this process
-	id    string // in the quorum; fixed before core is set
+	opt     Options
+	set     config.Cplane
+	clock   clock.Clock
+	log     log.Logger
+	group   *routine.Group
+	hand    *ManualDriver // who drives the store in place of its goroutines; nil in a daemon
+	meter   *meter
+	storage *storage.Store
+	boot    string // of this process
+	id      string // in the quorum; fixed before core is set
 
 	kick, diskKick, shadowKick chan struct{}
 
@@ -179,7 +179,7 @@
 // Stop ends all of the store's goroutines. Nothing that was acknowledged is lost by it.
 func (s *Store) Stop() {
 	s.group.Stop()
-	if err := s.slots.Close(); err != nil {
+	if err := s.storage.Close(); err != nil {
 		_ = level.Error(s.log).Log("msg", "close the store", "err", err)
 	}
 }
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -399,9 +399,9 @@
 	within(t, 1<<20, func(r *testStores) { // no slots: they sync too
 		lead := r.leader()
 		r.slow.Store(int64(5 * time.Millisecond)) // a disk without a delay would leave the grouping to the scheduler
-		before := lead.slots.Stats().Syncs
+		before := lead.storage.Stats().Syncs
 		So(r.load("a", 300), ShouldBeEmpty)
-		So(300/(lead.slots.Stats().Syncs-before), ShouldBeGreaterThan, 10)
+		So(300/(lead.storage.Stats().Syncs-before), ShouldBeGreaterThan, 10)
 		r.slow.Store(0)
 		r.clock.Advance(time.Second) // lets the syncs under way end
 	})
--- a/internal/store/wire.go
+++ b/internal/store/wire.go
@@ -33,52 +33,52 @@
 	rpc.Handle(srv, api.Rollout, func(context.Context, api.RolloutCall) (api.RolloutAnswer, error) { return s.rollout(), nil })
 }
 
-// Wire is the Net of a daemon.
-func Wire(k *rpc.Caller, set config.Cplane) Net { return wired{k, set.Election} }
+// NetworkOf is the Net of a daemon.
+func NetworkOf(k *rpc.Caller, set config.Cplane) Net { return networkCalls{k, set.Election} }
 
-type wired struct {
-	k        *rpc.Caller
+type networkCalls struct {
+	caller   *rpc.Caller
 	election time.Duration
 }
 
 // Quorum sends a message of the agreement.
-func (w wired) Quorum(ctx context.Context, addr string, call api.QuorumCall) error {
-	_, err := rpc.Ask(ctx, w.k, addr, api.Quorum, call, w.election/2)
+func (w networkCalls) Quorum(ctx context.Context, addr string, call api.QuorumCall) error {
+	_, err := rpc.Ask(ctx, w.caller, addr, api.Quorum, call, w.election/2)
 	return errs.Pass(err, "quorum")
 }
 
 // Chunk reads a part of a peer's snapshot.
-func (w wired) Chunk(ctx context.Context, addr string, call api.ChunkCall) (api.ChunkAnswer, error) {
-	a, err := rpc.Ask(ctx, w.k, addr, api.Chunk, call, 2*time.Second)
+func (w networkCalls) Chunk(ctx context.Context, addr string, call api.ChunkCall) (api.ChunkAnswer, error) {
+	a, err := rpc.Ask(ctx, w.caller, addr, api.Chunk, call, 2*time.Second)
 	return a, errs.Pass(err, "chunk")
 }
 
 // Found asks a peer how it stands with the founding.
-func (w wired) Found(ctx context.Context, addr string, call api.FoundCall) (api.FoundAnswer, error) {
-	a, err := rpc.Ask(ctx, w.k, addr, api.Found, call, w.election/2)
+func (w networkCalls) Found(ctx context.Context, addr string, call api.FoundCall) (api.FoundAnswer, error) {
+	a, err := rpc.Ask(ctx, w.caller, addr, api.Found, call, w.election/2)
 	return a, errs.Pass(err, "found")
 }
 
 // Join asks a member to add this node.
-func (w wired) Join(ctx context.Context, addr string, call api.JoinCall) (api.JoinAnswer, error) {
-	a, err := rpc.Ask(ctx, w.k, addr, api.Join, call, 2*w.election)
+func (w networkCalls) Join(ctx context.Context, addr string, call api.JoinCall) (api.JoinAnswer, error) {
+	a, err := rpc.Ask(ctx, w.caller, addr, api.Join, call, 2*w.election)
 	return a, errs.Pass(err, "join")
 }
 
 // Propose passes a command to the leader and waits for its result.
-func (w wired) Propose(ctx context.Context, addr string, call api.ProposeCall) (api.ProposeAnswer, error) {
-	a, err := rpc.Ask(ctx, w.k, addr, api.Propose, call, proposeWait+w.election)
+func (w networkCalls) Propose(ctx context.Context, addr string, call api.ProposeCall) (api.ProposeAnswer, error) {
+	a, err := rpc.Ask(ctx, w.caller, addr, api.Propose, call, proposeWait+w.election)
 	return a, errs.Pass(err, "propose")
 }
 
 // Confirm asks the leader for an index at which a read is current.
-func (w wired) Confirm(ctx context.Context, addr string) (api.ConfirmAnswer, error) {
-	a, err := rpc.Ask(ctx, w.k, addr, api.Confirm, api.ConfirmCall{}, w.election)
+func (w networkCalls) Confirm(ctx context.Context, addr string) (api.ConfirmAnswer, error) {
+	a, err := rpc.Ask(ctx, w.caller, addr, api.Confirm, api.ConfirmCall{}, w.election)
 	return a, errs.Pass(err, "confirm")
 }
 
 // Rollout asks a peer how far the versions of the bundle have come.
-func (w wired) Rollout(ctx context.Context, addr string) (api.RolloutAnswer, error) {
-	a, err := rpc.Ask(ctx, w.k, addr, api.Rollout, api.RolloutCall{}, w.election/2)
+func (w networkCalls) Rollout(ctx context.Context, addr string) (api.RolloutAnswer, error) {
+	a, err := rpc.Ask(ctx, w.caller, addr, api.Rollout, api.RolloutCall{}, w.election/2)
 	return a, errs.Pass(err, "rollout")
 }
--- a/internal/testbed/fleetsim/beats.go
+++ b/internal/testbed/fleetsim/beats.go
@@ -20,7 +20,7 @@
 	for i := range workersPerService * 2 {
 		guards := i%2 == 0
 		place := i / 2
-		sl := &slot{s: s, address: fmt.Sprintf("10.0.0.%d:80", i+1), service: serviceOpen, guards: guards,
+		sl := &slot{sim: s, address: fmt.Sprintf("10.0.0.%d:80", i+1), service: serviceOpen, guards: guards,
 			zone: fmt.Sprintf("zone%d", place%zoneCount), rack: fmt.Sprintf("r%d", place%rackCount),
 			capacity: jobs.Resources{MilliCPU: 16000, MemoryMB: 65536, GPUs: 2},
 			speed:    0.8 + 0.5*s.rng.Float64(), cutFrom: map[*node]bool{}, troubled: -time.Minute}
@@ -56,7 +56,7 @@
 		return
 	}
 	w.sendBeat(false, func(bool) {})
-	w.slot.s.after(w.slot.s.between(beatEvery*9/10, beatEvery*11/10), w.beatLoop)
+	w.slot.sim.after(w.slot.sim.between(beatEvery*9/10, beatEvery*11/10), w.beatLoop)
 }
 
 // beatCall is a heartbeat as it was sent.
@@ -70,7 +70,7 @@
 
 // sendBeat sends one heartbeat to a node that may lead.
 func (w *life) sendBeat(leaving bool, done func(ok bool)) {
-	s := w.slot.s
+	s := w.slot.sim
 	w.beat++
 	call := beatCall{worker: w.record(), sequence: w.beat, clock: w.clock(), leaving: leaving}
 	if w.draining {
@@ -103,24 +103,24 @@
 	if !call.worker.Draining || w.drainTold != 0 || !w.up() {
 		return
 	}
-	s := w.slot.s
+	s := w.slot.sim
 	w.leavingTold()
 	s.after(drainTimeout+s.between(100*time.Millisecond, 4*time.Second), w.leave)
 }
 
 // deregister says that the worker ends, without saying that it drains, serves on for a while and ends.
 func (w *life) deregister() {
-	w.leaving, w.leaveFrom = true, w.slot.s.now
-	w.slot.s.trace("%s deregisters first", w.id)
+	w.leaving, w.leaveFrom = true, w.slot.sim.now
+	w.slot.sim.trace("%s deregisters first", w.id)
 	w.tellLeaving()
-	w.slot.s.after(plannedEnd, w.die) // also without an acknowledgement
+	w.slot.sim.after(plannedEnd, w.die) // also without an acknowledgement
 }
 
 func (w *life) tellLeaving() {
 	if !w.up() || w.drainTold != 0 {
 		return
 	}
-	s := w.slot.s
+	s := w.slot.sim
 	w.sendBeat(true, func(bool) {
 		if !w.up() || w.drainTold != 0 {
 			return
@@ -133,7 +133,7 @@
 
 // leavingTold takes in the acknowledgement of the worker's leaving.
 func (w *life) leavingTold() {
-	s := w.slot.s
+	s := w.slot.sim
 	w.drainTold = s.now
 	s.oracle.count(DrainRule)
 	if w.leaveFrom >= w.slot.unheardUntil {
@@ -147,7 +147,7 @@
 		return
 	}
 	w.sendBeat(true, func(bool) {})
-	w.slot.s.after(w.slot.s.between(5*time.Millisecond, 50*time.Millisecond), w.die)
+	w.slot.sim.after(w.slot.sim.between(5*time.Millisecond, 50*time.Millisecond), w.die)
 }
 
 // drain begins a planned end.
@@ -155,9 +155,9 @@
 	if w.draining || w.leaving || !w.up() {
 		return
 	}
-	w.draining, w.leaveFrom = true, w.slot.s.now
-	w.slot.s.trace("%s drains", w.id)
-	w.slot.s.after(plannedEnd, w.leave) // also without an acknowledgement
+	w.draining, w.leaveFrom = true, w.slot.sim.now
+	w.slot.sim.trace("%s drains", w.id)
+	w.slot.sim.after(plannedEnd, w.leave) // also without an acknowledgement
 }
 
 // record is what the worker tells of itself.
@@ -184,7 +184,7 @@
 // look reads the table if this node may answer for it, as controller.Leader.look.
 func (n *node) look() (table *jobs.Table, term uint64, err error) {
 	term, held := n.leadTerm()
-	if without := n.s.opt.Break; (without == NoLeaseCheck || without == OldLeadersAnswer) && n.core.Term() != 0 {
+	if without := n.sim.opt.Break; (without == NoLeaseCheck || without == OldLeadersAnswer) && n.core.Term() != 0 {
 		term, held = n.core.Term(), true
 	}
 	switch {
@@ -215,7 +215,7 @@
 			worker = *known
 		}
 		worker.Left = true
-	} else if call.sequence < n.beats[worker.ID] && n.s.opt.Break != LateBeatsCount {
+	} else if call.sequence < n.beats[worker.ID] && n.sim.opt.Break != LateBeatsCount {
 		done(nil)
 		return
 	} else {
@@ -227,11 +227,11 @@
 		}
 		done(err)
 	}
-	if known != nil && !changedWorker(known, &worker) && (n.s.opt.Break != LateBeatsCount || known.Draining == worker.Draining) {
+	if known != nil && !changedWorker(known, &worker) && (n.sim.opt.Break != LateBeatsCount || known.Draining == worker.Draining) {
 		finish(nil)
 		return
 	}
-	n.s.log.propose(n, term, jobs.Register{Workers: []jobs.Worker{worker}}, func(_ any, err error) { finish(err) })
+	n.sim.log.propose(n, term, jobs.Register{Workers: []jobs.Worker{worker}}, func(_ any, err error) { finish(err) })
 }
 
 func changedWorker(known, told *jobs.Worker) bool {
--- a/internal/testbed/fleetsim/clients.go
+++ b/internal/testbed/fleetsim/clients.go
@@ -38,7 +38,7 @@
 
 // clients hand jobs in, ask for them and cancel some.
 type clients struct {
-	s    *simulator
+	sim  *simulator
 	jobs []*clientJob
 	byID map[string]*clientJob
 	// faultPending tells that the final fault, or the jobs that are handed in after it, are still to come.
@@ -55,7 +55,7 @@
 )
 
 func (s *simulator) buildClients() {
-	s.clients = &clients{s: s, byID: map[string]*clientJob{}}
+	s.clients = &clients{sim: s, byID: map[string]*clientJob{}}
 	s.after(2*time.Second, s.clients.arrive)
 	s.after(s.opt.For+time.Second, s.clients.cancelLasting)
 }
@@ -70,7 +70,7 @@
 
 // arrive hands one job in and plans the next.
 func (c *clients) arrive() {
-	s := c.s
+	s := c.sim
 	if s.now >= s.opt.For {
 		return
 	}
@@ -86,17 +86,17 @@
 
 // hand begins to hand a job in.
 func (c *clients) hand(spec jobs.Spec, prefix string) *clientJob {
-	j := &clientJob{spec: spec, prefix: prefix, sentAt: c.s.now}
+	j := &clientJob{spec: spec, prefix: prefix, sentAt: c.sim.now}
 	c.jobs = append(c.jobs, j)
 	c.byID[spec.ID] = j
-	c.s.trace("job %s %s steps %+v", spec.ID, prefix, spec.Steps)
+	c.sim.trace("job %s %s steps %+v", spec.ID, prefix, spec.Steps)
 	c.submit(j)
 	return j
 }
 
 // call makes a call to a node that may lead; done is told once, with a Timeout if no answer comes.
 func (c *clients) call(make func(n *node, done func(any, error)), done func(any, error)) {
-	s := c.s
+	s := c.sim
 	over := false
 	finish := func(answer any, err error) {
 		if !over {
@@ -132,12 +132,12 @@
 		switch {
 		case err == nil:
 			if !j.accepted {
-				j.accepted, j.acceptedAt = true, c.s.now
-				c.s.report.Jobs++
-				c.s.oracle.accepted(j)
+				j.accepted, j.acceptedAt = true, c.sim.now
+				c.sim.report.Jobs++
+				c.sim.oracle.accepted(j)
 				c.follow(j)
-				if c.s.chance(0.1) {
-					c.s.after(c.s.between(0, 6*time.Second), func() { c.submitAgain(j) })
+				if c.sim.chance(0.1) {
+					c.sim.after(c.sim.between(0, 6*time.Second), func() { c.submitAgain(j) })
 				}
 			}
 			return
@@ -145,22 +145,22 @@
 			j.unclear = true
 		}
 		if j.attempts < submitAttempts {
-			c.s.after(c.s.between(retryPause/2, retryPause*3/2), func() { c.submit(j) })
+			c.sim.after(c.sim.between(retryPause/2, retryPause*3/2), func() { c.submit(j) })
 		} else if !j.unclear {
 			j.rejected = true
-			c.s.oracle.rejected(j)
+			c.sim.oracle.rejected(j)
 		}
 	})
 }
 
 // submitAgain hands a job in once more that was accepted, at whatever node leads by then.
 func (c *clients) submitAgain(j *clientJob) {
-	c.s.report.Seen["handed in again after its acceptance"]++
+	c.sim.report.Seen["handed in again after its acceptance"]++
 	c.call(func(n *node, done func(any, error)) { n.submit(j, done) }, func(_ any, err error) {
 		switch errorKind(err) {
 		case "", errs.Unavailable, errs.NotLeader, errs.Timeout, errs.Unknown:
 		default:
-			c.s.oracle.breach(LostRule, "job %s was accepted and is refused when it is handed in again: %v", j.spec.ID, err)
+			c.sim.oracle.breach(LostRule, "job %s was accepted and is refused when it is handed in again: %v", j.spec.ID, err)
 		}
 	})
 }
@@ -188,10 +188,10 @@
 
 // follow asks for an accepted job until it is over, and a little longer; some are cancelled on the way.
 func (c *clients) follow(j *clientJob) {
-	if !j.cancelSent && c.s.chance(0.06) {
-		c.s.after(c.s.between(0, 4*time.Second), func() { c.cancel(j) })
+	if !j.cancelSent && c.sim.chance(0.06) {
+		c.sim.after(c.sim.between(0, 4*time.Second), func() { c.cancel(j) })
 	}
-	c.s.after(c.s.between(pollLeast, pollMost), func() {
+	c.sim.after(c.sim.between(pollLeast, pollMost), func() {
 		c.poll(j)
 		if j.polls < pollsAfterEnd {
 			c.follow(j)
@@ -211,7 +211,7 @@
 			return
 		}
 		told := answer.(jobAnswer)
-		c.s.oracle.shown(j, told)
+		c.sim.oracle.shown(j, told)
 		j.shown = told.state
 		if told.state.Over() {
 			j.polls++
@@ -225,21 +225,21 @@
 		return
 	}
 	if !j.cancelSent {
-		j.cancelSent, j.cancelFrom = true, c.s.now
+		j.cancelSent, j.cancelFrom = true, c.sim.now
 	}
 	c.call(func(n *node, done func(any, error)) { n.job(j, true, done) }, func(answer any, err error) {
 		if err != nil {
 			if errorKind(err) == errs.Unknown {
-				j.cancelFrom = c.s.now // its queue is not there at the moment: that is an answer
+				j.cancelFrom = c.sim.now // its queue is not there at the moment: that is an answer
 			}
-			c.s.after(c.s.between(retryPause/2, retryPause), func() { c.cancel(j) })
+			c.sim.after(c.sim.between(retryPause/2, retryPause), func() { c.cancel(j) })
 			return
 		}
-		c.s.oracle.acknowledged("a cancel", j.cancelFrom)
-		c.s.oracle.shown(j, answer.(jobAnswer))
+		c.sim.oracle.acknowledged("a cancel", j.cancelFrom)
+		c.sim.oracle.shown(j, answer.(jobAnswer))
 		if answer.(jobAnswer).state == jobs.Cancelled {
-			j.cancelled, j.cancelAt = true, c.s.now
-			c.s.oracle.cancelled(j)
+			j.cancelled, j.cancelAt = true, c.sim.now
+			c.sim.oracle.cancelled(j)
 		}
 	})
 }
@@ -262,7 +262,7 @@
 	case !cancel:
 		done(jobAnswer{state: known.State}, nil)
 	default:
-		n.s.log.propose(n, term, jobs.Cancel{ID: j.spec.ID, At: n.wall()}, func(answer any, err error) {
+		n.sim.log.propose(n, term, jobs.Cancel{ID: j.spec.ID, At: n.wall()}, func(answer any, err error) {
 			state, _ := answer.(jobs.JobState)
 			done(jobAnswer{state: state}, err)
 		})
@@ -272,7 +272,7 @@
 // cancelMany cancels most of the jobs that are not over.
 func (c *clients) cancelMany() {
 	for _, j := range c.jobs {
-		if j.accepted && !j.shown.Over() && !j.cancelSent && c.s.chance(0.5) {
+		if j.accepted && !j.shown.Over() && !j.cancelSent && c.sim.chance(0.5) {
 			c.cancel(j)
 		}
 	}
@@ -285,7 +285,7 @@
 			c.cancel(j)
 		}
 	}
-	c.s.after(time.Second, c.cancelLasting)
+	c.sim.after(time.Second, c.cancelLasting)
 }
 
 func lasts(spec *jobs.Spec) bool {
@@ -310,4 +310,4 @@
 	return true
 }
 
-func (c *clients) newID() string { return fmt.Sprintf("%016x", c.s.rng.Uint64()) }
+func (c *clients) newID() string { return fmt.Sprintf("%016x", c.sim.rng.Uint64()) }
--- a/internal/testbed/fleetsim/disruptions.go
+++ b/internal/testbed/fleetsim/disruptions.go
@@ -225,7 +225,7 @@
 
 // learn lets a node that led hear of the newer term.
 func (n *node) learn() {
-	if n.s.log.leader != n {
+	if n.sim.log.leader != n {
 		n.stepDown()
 	}
 }
@@ -332,7 +332,7 @@
 
 // cutFor cuts the slot off from the whole core for a while.
 func (sl *slot) cutFor(d time.Duration) {
-	s := sl.s
+	s := sl.sim
 	sl.cut = true
 	sl.unheardUntil = max(sl.unheardUntil, s.now+d)
 	s.after(d, func() { sl.cut = false })
@@ -343,20 +343,20 @@
 
 // replace starts another life once the present one has ended as planned.
 func (sl *slot) replace() {
-	s := sl.s
+	s := sl.sim
 	s.after(plannedEnd+time.Second+s.between(100*time.Millisecond, 2*time.Second), sl.newLife)
 }
 
 // hang lets the tasks of a worker stand still.
 func (w *life) hang() {
 	if w.hungSince == 0 {
-		w.hungSince = w.slot.s.now
+		w.hungSince = w.slot.sim.now
 	}
 }
 
 func (w *life) wake() {
 	if w.hungSince > 0 {
-		w.hungFor += w.slot.s.now - w.hungSince
+		w.hungFor += w.slot.sim.now - w.hungSince
 		w.hungSince = 0
 	}
 }
--- a/internal/testbed/fleetsim/disruptions_core.go
+++ b/internal/testbed/fleetsim/disruptions_core.go
@@ -123,7 +123,7 @@
 
 // flap lets the lives at a slot end and begin by turns.
 func (sl *slot) flap(until time.Duration) {
-	s := sl.s
+	s := sl.sim
 	if s.now >= until || s.now >= s.opt.For {
 		return
 	}
--- a/internal/testbed/fleetsim/guards.go
+++ b/internal/testbed/fleetsim/guards.go
@@ -48,7 +48,7 @@
 
 // doubted gives what the scheduler is told of a start without an answer.
 func (n *node) doubted(term uint64, start scheduler.StartOut) scheduler.StartError {
-	switch n.s.opt.Break {
+	switch n.sim.opt.Break {
 	case DoubtIsDead:
 		return scheduler.StartUnsent
 	case DoubtTakesNoRoom:
@@ -59,12 +59,12 @@
 
 // answer commits a change of a client or an operator and tells the outcome.
 func (n *node) answer(term uint64, change any, done func(any, error)) {
-	if n.s.opt.Break == EarlyAnswers && n.s.log.leader == n {
+	if n.sim.opt.Break == EarlyAnswers && n.sim.log.leader == n {
 		answered := done
 		answered(nil, nil)
 		done = func(any, error) {}
 	}
-	n.s.log.propose(n, term, change, done)
+	n.sim.log.propose(n, term, change, done)
 }
 
 // widen records a worker with the room of a run on top of its capacity.
@@ -76,7 +76,7 @@
 	worker := *known
 	needs := j.Spec.Steps[start.Order.Key.Task.Step].Needs
 	worker.Capacity = plus(worker.Capacity, needs)
-	n.s.log.propose(n, term, jobs.Register{Workers: []jobs.Worker{worker}}, func(any, error) {})
+	n.sim.log.propose(n, term, jobs.Register{Workers: []jobs.Worker{worker}}, func(any, error) {})
 }
 
 // startAhead sends the starts of a Progress that is not committed.
@@ -86,13 +86,13 @@
 		if worker == nil || j == nil || j.Rounds == nil {
 			continue
 		}
-		sl := n.s.slotOf(worker.Address)
+		sl := n.sim.slotOf(worker.Address)
 		if sl == nil || sl.current == nil {
 			continue
 		}
 		n.start(term, scheduler.StartOut{Worker: *worker, Order: scheduler.StartOrder{
 			Key: jobs.RunKey{Task: s.Task, Number: s.Number}, Payload: j.Spec.Payload,
-			Deadline: sl.current.clock() + n.s.schedulerConfig().Lease, Token: term,
+			Deadline: sl.current.clock() + n.sim.schedulerConfig().Lease, Token: term,
 			Checkpoint: j.Rounds[s.Task.Round][s.Task.Step][s.Task.Index].Checkpoint}})
 	}
 }
@@ -106,5 +106,5 @@
 		}
 	}
 	slices.SortFunc(progress.Ends, func(a, b jobs.End) int { return cmp.Or(a.Key.Compare(b.Key), cmp.Compare(a.Worker, b.Worker)) })
-	n.s.log.propose(n, term, progress, func(any, error) {})
+	n.sim.log.propose(n, term, progress, func(any, error) {})
 }
--- a/internal/testbed/fleetsim/log.go
+++ b/internal/testbed/fleetsim/log.go
@@ -24,7 +24,7 @@
 // replicatedLog is the log of the core: it commits in the order of proposing, and only what the leader of the newest
 // term proposes while a majority is there.
 type replicatedLog struct {
-	s       *simulator
+	sim     *simulator
 	entries []entry
 	term    uint64
 	leader  *node // nil while there is none
@@ -53,30 +53,30 @@
 		return
 	}
 	p := &proposal{entry: entry{term: term, change: change}, node: n, done: done}
-	delay := l.s.between(commitLeast, commitMost)
-	if l.s.now < l.slowUntil {
-		delay = l.s.between(commitMost, slowCommit)
+	delay := l.sim.between(commitLeast, commitMost)
+	if l.sim.now < l.slowUntil {
+		delay = l.sim.between(commitMost, slowCommit)
 	}
-	if l.s.disrupting() && l.s.chance(unknownOutcome) {
+	if l.sim.disrupting() && l.sim.chance(unknownOutcome) {
 		delay = l.loseOutcome(p, delay)
 		if p.dropped {
 			return
 		}
 	}
 	l.pending = append(l.pending, p)
-	l.last = max(l.last, l.s.now+delay)
-	l.s.after(l.last-l.s.now, func() { l.commit(p) })
+	l.last = max(l.last, l.sim.now+delay)
+	l.sim.after(l.last-l.sim.now, func() { l.commit(p) })
 }
 
 // loseOutcome answers a proposal with an error and lets it be committed later or never; it gives the new delay.
 func (l *replicatedLog) loseOutcome(p *proposal, delay time.Duration) time.Duration {
 	done := p.done
 	p.done = func(any, error) {}
-	p.node.do(l.s.between(10*time.Millisecond, 200*time.Millisecond), func() {
+	p.node.do(l.sim.between(10*time.Millisecond, 200*time.Millisecond), func() {
 		done(nil, errs.New(errs.Timeout, "outcome unknown"))
 	})
-	p.dropped = l.s.chance(0.5)
-	return delay + l.s.between(0, time.Second)
+	p.dropped = l.sim.chance(0.5)
+	return delay + l.sim.between(0, time.Second)
 }
 
 // commit appends a proposal, applies it at the leader and answers it.
@@ -96,8 +96,8 @@
 	if old == nil {
 		return
 	}
-	old.leaseUntil = l.s.now + l.s.between(100*time.Millisecond, leaderLease)
-	kept := l.s.rng.IntN(len(l.pending) + 1)
+	old.leaseUntil = l.sim.now + l.sim.between(100*time.Millisecond, leaderLease)
+	kept := l.sim.rng.IntN(len(l.pending) + 1)
 	for i, p := range l.pending {
 		p.dropped = true
 		done := p.done
@@ -123,24 +123,24 @@
 		return
 	}
 	var able []*node
-	for _, n := range l.s.nodes {
+	for _, n := range l.sim.nodes {
 		if n.able() {
 			able = append(able, n)
 		}
 	}
-	if len(able) <= len(l.s.nodes)/2 {
-		l.s.after(electionRetry, l.elect)
+	if len(able) <= len(l.sim.nodes)/2 {
+		l.sim.after(electionRetry, l.elect)
 		return
 	}
-	n := able[l.s.rng.IntN(len(able))]
+	n := able[l.sim.rng.IntN(len(able))]
 	n.stepDown()
-	l.term += 1 + uint64(l.s.rng.IntN(termStepsAtMost))
+	l.term += 1 + uint64(l.sim.rng.IntN(termStepsAtMost))
 	l.leader = n
-	l.last = l.s.now
+	l.last = l.sim.now
 	n.catchUp()
 	n.term = l.term
-	l.s.trace("elected %s term %d", n.name, l.term)
-	l.s.oracle.elected(l.term)
+	l.sim.trace("elected %s term %d", n.name, l.term)
+	l.sim.oracle.elected(l.term)
 	n.nudge()
 }
 
--- a/internal/testbed/fleetsim/node.go
+++ b/internal/testbed/fleetsim/node.go
@@ -12,7 +12,7 @@
 
 // node is a machine of the core: a replica of the table, and the loop of controller.Leader round a scheduler.Core.
 type node struct {
-	s       *simulator
+	sim     *simulator
 	name    string
 	table   *jobs.Table
 	applied int
@@ -39,9 +39,9 @@
 const coreSize = 5
 
 func (s *simulator) buildCore() {
-	s.log = &replicatedLog{s: s}
+	s.log = &replicatedLog{sim: s}
 	for i := range coreSize {
-		n := &node{s: s, name: fmt.Sprintf("core%d", i), table: jobs.NewTable(),
+		n := &node{sim: s, name: fmt.Sprintf("core%d", i), table: jobs.NewTable(),
 			skew: s.between(-100*time.Millisecond, 100*time.Millisecond)}
 		n.boot()
 		s.nodes = append(s.nodes, n)
@@ -78,7 +78,7 @@
 	}
 	n.life++
 	n.down, n.term, n.planned = false, 0, false
-	n.core = scheduler.New(n.s.schedulerConfig())
+	n.core = scheduler.New(n.sim.schedulerConfig())
 	n.events, n.notes = nil, nil
 	n.beats, n.ends = map[string]uint64{}, map[string]uint64{}
 	if n.applied > 0 {
@@ -94,7 +94,7 @@
 		err = table.UnmarshalJSON(data)
 	}
 	if err != nil {
-		n.s.oracle.breach(ReplicaRule, "%s cannot read its snapshot: %v", n.name, err)
+		n.sim.oracle.breach(ReplicaRule, "%s cannot read its snapshot: %v", n.name, err)
 		return
 	}
 	n.table = table
@@ -109,7 +109,7 @@
 }
 
 // able tells whether it can be a member of a majority now.
-func (n *node) able() bool { return !n.down && !n.cut && n.s.now >= n.frozenUntil }
+func (n *node) able() bool { return !n.down && !n.cut && n.sim.now >= n.frozenUntil }
 
 // do plans a call on this life of the node; a frozen node makes it after it wakes.
 func (n *node) do(d time.Duration, call func()) {
@@ -118,19 +118,19 @@
 	fire = func() {
 		switch {
 		case n.life != life:
-		case n.s.now < n.frozenUntil:
-			n.s.after(n.frozenUntil-n.s.now+n.s.between(0, time.Millisecond), fire)
+		case n.sim.now < n.frozenUntil:
+			n.sim.after(n.frozenUntil-n.sim.now+n.sim.between(0, time.Millisecond), fire)
 		default:
 			call()
 		}
 	}
-	n.s.after(d, fire)
+	n.sim.after(d, fire)
 }
 
 // applyAll applies what is committed and gives the answer of the newest entry.
 func (n *node) applyAll() (answer any, err error) {
-	for n.applied < len(n.s.log.entries) {
-		answer, err = n.s.apply(n.table, n.s.log.entries[n.applied])
+	for n.applied < len(n.sim.log.entries) {
+		answer, err = n.sim.apply(n.table, n.sim.log.entries[n.applied])
 		n.applied++
 	}
 	return answer, errs.Pass(err, "entry %d", n.applied)
@@ -148,12 +148,12 @@
 
 // leadTerm is the store's LeadTerm.
 func (n *node) leadTerm() (term uint64, held bool) {
-	return n.term, n.term != 0 && (n.s.log.leader == n && !n.cut || n.s.now < n.leaseUntil)
+	return n.term, n.term != 0 && (n.sim.log.leader == n && !n.cut || n.sim.now < n.leaseUntil)
 }
 
 // leads tells whether an order may be sent under a term now.
 func (n *node) leads(term uint64) bool {
-	if n.s.opt.Break == NoLeaseCheck {
+	if n.sim.opt.Break == NoLeaseCheck {
 		return true
 	}
 	current, held := n.leadTerm()
@@ -171,16 +171,16 @@
 	n.nudge()
 }
 
-func (n *node) nudge() { n.passIn(n.s.between(0, time.Millisecond)) }
+func (n *node) nudge() { n.passIn(n.sim.between(0, time.Millisecond)) }
 
 // passIn plans the next pass; an earlier one takes the place of a later one.
 func (n *node) passIn(d time.Duration) {
-	if at := n.s.now + d; n.planned && n.passAt <= at && n.passAt >= n.s.now {
+	if at := n.sim.now + d; n.planned && n.passAt <= at && n.passAt >= n.sim.now {
 		return
 	}
 	n.passNo++
 	number := n.passNo
-	n.planned, n.passAt = true, n.s.now+d
+	n.planned, n.passAt = true, n.sim.now+d
 	n.do(d, func() {
 		if number == n.passNo {
 			n.planned = false
@@ -196,9 +196,9 @@
 
 // pass is one turn of the loop, as controller.Leader.pass.
 func (n *node) pass() {
-	now := n.s.now
+	now := n.sim.now
 	term, held := n.leadTerm()
-	if n.s.opt.Break == NoLeaseCheck && n.core.Term() != 0 && (term == 0 || term == n.core.Term()) {
+	if n.sim.opt.Break == NoLeaseCheck && n.core.Term() != 0 && (term == 0 || term == n.core.Term()) {
 		term, held = n.core.Term(), true
 	}
 	if term == 0 || term != n.core.Term() && n.core.Term() != 0 {
@@ -228,15 +228,15 @@
 	n.passIn(max(time.Millisecond, out.Next-now))
 }
 
-func (n *node) wall() time.Time { return n.s.wall().Add(n.skew) }
+func (n *node) wall() time.Time { return n.sim.wall().Add(n.skew) }
 
 func (n *node) lead(term uint64) {
 	n.events, n.notes = nil, nil
-	if n.s.opt.Break == NoFencingWait {
+	if n.sim.opt.Break == NoFencingWait {
 		n.forgetHandles(term)
 	}
 	n.table.Watch = n.watch
-	n.core.Lead(n.s.now, term, n.table)
+	n.core.Lead(n.sim.now, term, n.table)
 }
 
 func (n *node) yield() {
--- a/internal/testbed/fleetsim/operator.go
+++ b/internal/testbed/fleetsim/operator.go
@@ -39,7 +39,7 @@
 
 // operator changes the configuration and evacuates zones. It stands for two operators when they race.
 type operator struct {
-	s           *simulator
+	sim         *simulator
 	configs     []*sentConfig // those that may be in force or were, the newest last
 	evacuations []*evacuation
 	moved       bool // the moving queue is on the open service
@@ -49,7 +49,7 @@
 }
 
 func (s *simulator) buildOperator() {
-	s.operator = &operator{s: s}
+	s.operator = &operator{sim: s}
 	s.after(50*time.Millisecond, s.operator.configure)
 }
 
@@ -74,8 +74,8 @@
 
 // build makes a configuration on top of a version.
 func (o *operator) build(base uint64, moved, without bool) *sentConfig {
-	version := base + 1 + uint64(o.s.rng.IntN(3))
-	c := &sentConfig{sentAt: o.s.now, moved: moved, without: without, services: map[string]string{}, change: jobs.Configure{
+	version := base + 1 + uint64(o.sim.rng.IntN(3))
+	c := &sentConfig{sentAt: o.sim.now, moved: moved, without: without, services: map[string]string{}, change: jobs.Configure{
 		Base: base, Version: version, Replace: true,
 		Digest:   fmt.Sprintf("config %d on %d moved %v without %v", version, base, moved, without),
 		Services: []jobs.Service{{Name: serviceGuards, GuardsRoom: true}, {Name: serviceOpen}}}}
@@ -106,18 +106,18 @@
 	if c.acked {
 		return
 	}
-	c.acked, c.ackedAt = true, o.s.now
+	c.acked, c.ackedAt = true, o.sim.now
 	o.moved, o.without = c.moved, c.without
-	o.s.oracle.acknowledged("a configuration", c.sentAt)
+	o.sim.oracle.acknowledged("a configuration", c.sentAt)
 	if c.rival != nil {
-		o.s.oracle.require(ConfigRule, !c.rival.acked, "versions %d and %d on top of %d are both acknowledged",
+		o.sim.oracle.require(ConfigRule, !c.rival.acked, "versions %d and %d on top of %d are both acknowledged",
 			c.change.Version, c.rival.change.Version, c.change.Base)
 		if !c.rival.lost {
 			return // the other one has no answer yet
 		}
 	}
 	o.busy = false
-	if o.s.chance(0.2) {
+	if o.sim.chance(0.2) {
 		o.sendAgain(c)
 	}
 }
@@ -126,17 +126,17 @@
 func (o *operator) sendAgain(c *sentConfig) {
 	o.busy = true
 	o.order(c.change, func() {
-		o.s.oracle.count(ConfigRule)
+		o.sim.oracle.count(ConfigRule)
 		o.busy = false
 	}, func(err error) {
-		o.s.oracle.breach(ConfigRule, "version %d was acknowledged and is refused when it is sent again: %v", c.change.Version, err)
+		o.sim.oracle.breach(ConfigRule, "version %d was acknowledged and is refused when it is sent again: %v", c.change.Version, err)
 	})
 }
 
 // refusedConfig takes in that a configuration was refused: only the loser of a race may be.
 func (o *operator) refusedConfig(c *sentConfig, err error) {
 	rival := c.rival
-	o.s.oracle.require(ConfigRule, rival != nil && !rival.lost && !c.acked && errorKind(err) == errs.Stale,
+	o.sim.oracle.require(ConfigRule, rival != nil && !rival.lost && !c.acked && errorKind(err) == errs.Stale,
 		"version %d is refused: %v", c.change.Version, err)
 	c.lost = true
 	o.configs = slices.DeleteFunc(o.configs, func(other *sentConfig) bool { return other == c })
@@ -147,9 +147,9 @@
 
 // order sends a change until it is acknowledged or refused.
 func (o *operator) order(change any, acknowledged func(), refused func(error)) {
-	o.s.clients.call(func(n *node, done func(any, error)) { n.change(change, done) }, func(_ any, err error) {
-		if o.s.now < o.deafUntil && o.s.chance(0.6) {
-			o.s.report.Seen["acknowledgement to the operator lost"]++
+	o.sim.clients.call(func(n *node, done func(any, error)) { n.change(change, done) }, func(_ any, err error) {
+		if o.sim.now < o.deafUntil && o.sim.chance(0.6) {
+			o.sim.report.Seen["acknowledgement to the operator lost"]++
 			err = errs.New(errs.Timeout, "the answer is lost")
 		}
 		if err == nil {
@@ -158,7 +158,7 @@
 		}
 		switch errorKind(err) {
 		case errs.Unavailable, errs.NotLeader, errs.Timeout:
-			o.s.after(o.s.between(retryPause/2, retryPause), func() { o.order(change, acknowledged, refused) })
+			o.sim.after(o.sim.between(retryPause/2, retryPause), func() { o.order(change, acknowledged, refused) })
 		default:
 			refused(err)
 		}
@@ -166,7 +166,7 @@
 }
 
 // neverRefused is for orders that are always valid.
-func (o *operator) neverRefused(err error) { o.s.oracle.breach(ConfigRule, "order refused: %v", err) }
+func (o *operator) neverRefused(err error) { o.sim.oracle.breach(ConfigRule, "order refused: %v", err) }
 
 // race lets two operators send different changes on top of the same version at once.
 func (o *operator) race() bool {
@@ -179,8 +179,8 @@
 	one.rival, other.rival = other, one
 	o.configs = append(o.configs, one, other)
 	o.send(one)
-	o.s.after(o.s.between(0, 20*time.Millisecond), func() { o.send(other) })
-	o.s.after(o.s.between(2*time.Second, 6*time.Second), o.restoreQueue)
+	o.sim.after(o.sim.between(0, 20*time.Millisecond), func() { o.send(other) })
+	o.sim.after(o.sim.between(2*time.Second, 6*time.Second), o.restoreQueue)
 	return true
 }
 
@@ -191,7 +191,7 @@
 	}
 	c := o.build(o.base(), o.moved, o.without)
 	what := ""
-	switch o.s.rng.IntN(4) {
+	switch o.sim.rng.IntN(4) {
 	case 0:
 		what, c.change.Queues[0].Service = "names an unknown service", "nowhere"
 	case 1:
@@ -203,8 +203,8 @@
 	}
 	c.change.Digest += " invalid: " + what
 	o.order(c.change, func() {
-		o.s.oracle.breach(ConfigRule, "a configuration that %s is acknowledged", what)
-	}, func(error) { o.s.oracle.count(ConfigRule) })
+		o.sim.oracle.breach(ConfigRule, "a configuration that %s is acknowledged", what)
+	}, func(error) { o.sim.oracle.count(ConfigRule) })
 }
 
 // change is controller.Leader.change.
@@ -222,11 +222,11 @@
 	if o.busy {
 		return
 	}
-	if o.s.chance(0.5) {
+	if o.sim.chance(0.5) {
 		o.moved = !o.moved
 	} else {
 		o.without = true
-		o.s.after(o.s.between(2*time.Second, 6*time.Second), o.restoreQueue)
+		o.sim.after(o.sim.between(2*time.Second, 6*time.Second), o.restoreQueue)
 	}
 	o.configure()
 }
@@ -234,7 +234,7 @@
 // restoreQueue brings the side queue back.
 func (o *operator) restoreQueue() {
 	if o.busy {
-		o.s.after(200*time.Millisecond, o.restoreQueue)
+		o.sim.after(200*time.Millisecond, o.restoreQueue)
 		return
 	}
 	if o.without {
@@ -250,20 +250,20 @@
 			return
 		}
 	}
-	e := &evacuation{zone: fmt.Sprintf("zone%d", o.s.rng.IntN(zoneCount))}
+	e := &evacuation{zone: fmt.Sprintf("zone%d", o.sim.rng.IntN(zoneCount))}
 	o.evacuations = append(o.evacuations, e)
-	sent := o.s.now
+	sent := o.sim.now
 	o.order(jobs.Evacuate{Zone: e.zone, Start: true}, func() {
-		e.acked, e.ackedAt = true, o.s.now
-		o.s.oracle.count(EvacRule)
-		o.s.oracle.acknowledged("an evacuation", sent)
+		e.acked, e.ackedAt = true, o.sim.now
+		o.sim.oracle.count(EvacRule)
+		o.sim.oracle.acknowledged("an evacuation", sent)
 	}, o.neverRefused)
-	o.s.after(o.s.between(6*time.Second, 12*time.Second), func() { o.finishEvacuation(e) })
+	o.sim.after(o.sim.between(6*time.Second, 12*time.Second), func() { o.finishEvacuation(e) })
 }
 
 func (o *operator) finishEvacuation(e *evacuation) {
 	if !e.acked {
-		o.s.after(200*time.Millisecond, func() { o.finishEvacuation(e) })
+		o.sim.after(200*time.Millisecond, func() { o.finishEvacuation(e) })
 		return
 	}
 	e.finished = true
--- a/internal/testbed/fleetsim/oracle.go
+++ b/internal/testbed/fleetsim/oracle.go
@@ -81,7 +81,7 @@
 
 // oracle judges what workers and clients saw.
 type oracle struct {
-	s       *simulator
+	sim     *simulator
 	truth   map[string]*jobTruth
 	brought map[gangKey]string  // checkpoints by run of a gang
 	sentTo  map[gangKey][]*slot // where the members of a run of a gang were sent
@@ -93,15 +93,15 @@
 }
 
 func newOracle(s *simulator) *oracle {
-	return &oracle{s: s, truth: map[string]*jobTruth{}, brought: map[gangKey]string{}, sentTo: map[gangKey][]*slot{}}
+	return &oracle{sim: s, truth: map[string]*jobTruth{}, brought: map[gangKey]string{}, sentTo: map[gangKey][]*slot{}}
 }
 
-func (o *oracle) count(rule Rule) { o.s.report.Cases[rule]++ }
+func (o *oracle) count(rule Rule) { o.sim.report.Cases[rule]++ }
 
 func (o *oracle) breach(rule Rule, format string, args ...any) {
-	b := Breach{Rule: rule, At: o.s.now, What: fmt.Sprintf(format, args...)}
-	o.s.trace("BREACH %s: %s", rule, b.What)
-	o.s.report.Breaches = append(o.s.report.Breaches, b)
+	b := Breach{Rule: rule, At: o.sim.now, What: fmt.Sprintf(format, args...)}
+	o.sim.trace("BREACH %s: %s", rule, b.What)
+	o.sim.report.Breaches = append(o.sim.report.Breaches, b)
 }
 
 // require counts a case of a rule and notes a breach if it does not hold.
@@ -115,7 +115,7 @@
 func (o *oracle) job(id string) *jobTruth {
 	j := o.truth[id]
 	if j == nil {
-		j = &jobTruth{job: o.s.clients.byID[id], tasks: map[jobs.TaskRef]*taskTruth{}}
+		j = &jobTruth{job: o.sim.clients.byID[id], tasks: map[jobs.TaskRef]*taskTruth{}}
 		o.truth[id] = j
 	}
 	return j
@@ -151,8 +151,8 @@
 
 // started judges a start; the run is not among the worker's runs yet.
 func (o *oracle) started(r *liveRun, order scheduler.StartOrder) {
-	o.s.report.Starts++
-	o.s.trace("start %s token %d late %v", r, order.Token, r.order.late)
+	o.sim.report.Starts++
+	o.sim.trace("start %s token %d late %v", r, order.Token, r.order.late)
 	j := o.job(r.key.Task.Job)
 	o.judgeRoom(r)
 	o.judgeTwice(j, r)
@@ -199,7 +199,7 @@
 	}
 	if r.spec.Rounds > 0 {
 		due := r.spec.FirstRun.Add(time.Duration(ref.Round) * r.spec.Interval)
-		o.require(OrderRule, !o.s.wall().Before(due.Add(-earlyTime)), "%s is %s early", r, due.Sub(o.s.wall()))
+		o.require(OrderRule, !o.sim.wall().Before(due.Add(-earlyTime)), "%s is %s early", r, due.Sub(o.sim.wall()))
 	}
 }
 
@@ -214,14 +214,14 @@
 }
 
 func (o *oracle) judgeRoute(r *liveRun) {
-	queue := queueOf(o.s.clients.byID[r.spec.ID].prefix)
+	queue := queueOf(o.sim.clients.byID[r.spec.ID].prefix)
 	ever, now := false, false
-	for i, c := range o.s.operator.configs {
+	for i, c := range o.sim.operator.configs {
 		directed := c.services[queue] == r.on.slot.service
 		ever = ever || directed
 		over := false // a newer one was acknowledged long enough ago
-		for _, newer := range o.s.operator.configs[i+1:] {
-			over = over || newer.acked && o.s.now > newer.ackedAt+configApply
+		for _, newer := range o.sim.operator.configs[i+1:] {
+			over = over || newer.acked && o.sim.now > newer.ackedAt+configApply
 		}
 		now = now || directed && !over
 	}
@@ -270,7 +270,7 @@
 	}
 	o.require(RefusedRule, !c.rejected, "%s although its job was refused", r)
 	if c.cancelled && r.order.inTouch && !r.order.late {
-		o.require(UnaskedRule, o.s.now <= c.cancelAt+cancelTime, "%s %s after its cancelling", r, o.s.now-c.cancelAt)
+		o.require(UnaskedRule, o.sim.now <= c.cancelAt+cancelTime, "%s %s after its cancelling", r, o.sim.now-c.cancelAt)
 	}
 }
 
@@ -291,11 +291,11 @@
 		return
 	}
 	if told := r.on.drainTold; told != 0 {
-		o.require(DrainRule, o.s.now <= told+drainTimeout, "%s %s after its leaving was acknowledged", r, o.s.now-told)
+		o.require(DrainRule, o.sim.now <= told+drainTimeout, "%s %s after its leaving was acknowledged", r, o.sim.now-told)
 	}
-	for _, e := range o.s.operator.evacuations {
+	for _, e := range o.sim.operator.evacuations {
 		if e.zone == r.on.slot.zone && e.acked && !e.finished {
-			o.require(EvacRule, o.s.now <= e.ackedAt+evacuationTime, "%s %s after the evacuation of %s", r, o.s.now-e.ackedAt, e.zone)
+			o.require(EvacRule, o.sim.now <= e.ackedAt+evacuationTime, "%s %s after the evacuation of %s", r, o.sim.now-e.ackedAt, e.zone)
 		}
 	}
 }
@@ -303,35 +303,35 @@
 // sent takes in that a start order leaves. One to a worker that is disrupted may be in doubt until the lease there is
 // over: nothing else proves that it was not carried out.
 func (o *oracle) sent(start scheduler.StartOut) {
-	sl := o.s.slotOf(start.Worker.Address)
-	ref, spec := start.Order.Key.Task, o.s.clients.spec(start.Order.Key.Task.Job)
+	sl := o.sim.slotOf(start.Worker.Address)
+	ref, spec := start.Order.Key.Task, o.sim.clients.spec(start.Order.Key.Task.Job)
 	if spec != nil && spec.Steps[ref.Step].Gang {
 		key := gangKey{ref.Job, ref.Round, ref.Step, start.Order.Key.Number}
 		o.sentTo[key] = append(o.sentTo[key], sl)
 	}
-	if o.s.now < sl.troubled || sl.current == nil || sl.current.id != start.Worker.ID {
+	if o.sim.now < sl.troubled || sl.current == nil || sl.current.id != start.Worker.ID {
 		o.doubt(o.job(start.Order.Key.Task.Job))
 	}
 }
 
 // doubt excuses a job from running for as long as a run of it may be in doubt.
 func (o *oracle) doubt(j *jobTruth) {
-	j.disturbed = max(j.disturbed, o.s.now+o.s.schedulerConfig().Lease+2*contactTimeout)
+	j.disturbed = max(j.disturbed, o.sim.now+o.sim.schedulerConfig().Lease+2*contactTimeout)
 }
 
 // ended takes in the end of a run.
 func (o *oracle) ended(r *liveRun, how jobs.How) *endRecord {
-	o.s.trace("end %s %s", r, how)
+	o.sim.trace("end %s %s", r, how)
 	j := o.job(r.key.Task.Job)
 	o.leave(j, r)
-	if o.s.now < r.on.slot.troubled {
+	if o.sim.now < r.on.slot.troubled {
 		o.doubt(j)
 	}
-	o.s.report.Seen["end: "+string(how)]++
+	o.sim.report.Seen["end: "+string(how)]++
 	if how == jobs.EndStopped && !j.job.cancelSent && !j.spent() {
-		o.s.report.Seen["stopped for other work"]++
+		o.sim.report.Seen["stopped for other work"]++
 	}
-	e := &endRecord{run: r, how: how, at: o.s.now}
+	e := &endRecord{run: r, how: how, at: o.sim.now}
 	t := j.ending(r.key.Task)
 	switch how {
 	case jobs.EndDone:
@@ -341,7 +341,7 @@
 	case jobs.EndAlone:
 		o.judgeAlone(j, r)
 	case jobs.EndLapsed:
-		j.disturbed = max(j.disturbed, o.s.now+contactTimeout)
+		j.disturbed = max(j.disturbed, o.sim.now+contactTimeout)
 	}
 	return e
 }
@@ -356,7 +356,7 @@
 // calmGang tells whether no disruption is near a run of a gang: neither of the core nor of a worker that a member was
 // sent to.
 func (o *oracle) calmGang(r *liveRun) bool {
-	if !r.order.inTouch || r.order.late || !o.s.inTouch() {
+	if !r.order.inTouch || r.order.late || !o.sim.inTouch() {
 		return false
 	}
 	for _, sl := range o.sentTo[r.gangKey()] {
@@ -396,7 +396,7 @@
 
 // lapsed takes in that the lease of a worker is over.
 func (o *oracle) lapsed(w *life) {
-	o.s.trace("lease of %s is over", w.id)
+	o.sim.trace("lease of %s is over", w.id)
 	for _, e := range w.notes {
 		e.voided = true
 	}
@@ -408,7 +408,7 @@
 		return
 	}
 	e.noted = true
-	o.s.trace("noted %s %s", e.run, e.how)
+	o.sim.trace("noted %s %s", e.run, e.how)
 	j := o.job(e.run.key.Task.Job)
 	for _, r := range e.starts {
 		if e.how == jobs.EndDone {
@@ -442,9 +442,9 @@
 	if o.first {
 		o.lostAt = 0 // the leader before was lost before it started anything: two losses in one
 	}
-	o.newest, o.chosen, o.first = term, o.s.now, true
+	o.newest, o.chosen, o.first = term, o.sim.now, true
 	for _, j := range o.truth {
-		if j.disturbed > o.s.now-2*contactTimeout { // the doubt begins anew for a leader that did not see how it came
+		if j.disturbed > o.sim.now-2*contactTimeout { // the doubt begins anew for a leader that did not see how it came
 			o.doubt(j)
 		}
 	}
@@ -457,9 +457,9 @@
 	if token == o.newest && o.first {
 		o.first = false
 		if o.lostAt > 0 {
-			o.s.report.Failovers = append(o.s.report.Failovers, o.s.now-o.lostAt)
-			o.s.report.Takeovers = append(o.s.report.Takeovers, o.s.now-o.chosen)
+			o.sim.report.Failovers = append(o.sim.report.Failovers, o.sim.now-o.lostAt)
+			o.sim.report.Takeovers = append(o.sim.report.Takeovers, o.sim.now-o.chosen)
 		}
 	}
-	o.lastAt = o.s.now
+	o.lastAt = o.sim.now
 }
--- a/internal/testbed/fleetsim/orders.go
+++ b/internal/testbed/fleetsim/orders.go
@@ -28,20 +28,20 @@
 
 // dispatch is how long an order waits for its goroutine: orders of a pass leave in any order.
 func (n *node) dispatch() time.Duration {
-	if n.s.chance(0.01) {
-		return n.s.between(0, 30*time.Millisecond)
+	if n.sim.chance(0.01) {
+		return n.sim.between(0, 30*time.Millisecond)
 	}
-	return n.s.between(0, 500*time.Microsecond)
+	return n.sim.between(0, 500*time.Microsecond)
 }
 
 func (n *node) commit(term uint64, progress *jobs.Progress) {
-	if n.s.opt.Break == StartBeforeCommit {
+	if n.sim.opt.Break == StartBeforeCommit {
 		n.startAhead(term, progress)
 	}
-	n.s.log.propose(n, term, *progress, func(answer any, err error) {
+	n.sim.log.propose(n, term, *progress, func(answer any, err error) {
 		started, _ := answer.(jobs.Started)
 		for _, e := range progress.Ends {
-			n.s.trace("%s commits end of %v on %s: %s (error %v)", n.name, e.Key, e.Worker, e.How, err)
+			n.sim.trace("%s commits end of %v on %s: %s (error %v)", n.name, e.Key, e.Worker, e.How, err)
 		}
 		n.tell(func(c *scheduler.Core, now time.Duration) { c.Committed(now, progress, started, err) })
 	})
@@ -59,9 +59,9 @@
 		answered(scheduler.StartAnswer{}, scheduler.StartUnsent)
 		return
 	}
-	n.s.oracle.sent(start)
-	order := order{from: n, sent: n.s.now, inTouch: n.s.inTouch()}
-	n.s.exchange(n, start.Worker, callTimeout, func(w *life, late bool, reply func(any)) {
+	n.sim.oracle.sent(start)
+	order := order{from: n, sent: n.sim.now, inTouch: n.sim.inTouch()}
+	n.sim.exchange(n, start.Worker, callTimeout, func(w *life, late bool, reply func(any)) {
 		order.late = late
 		reply(w.start(order, start.Order))
 	}, func(answer any, failure failure) {
@@ -91,7 +91,7 @@
 		answeredOK(false)
 		return
 	}
-	n.s.exchange(n, stop.Worker, callTimeout, func(w *life, _ bool, reply func(any)) {
+	n.sim.exchange(n, stop.Worker, callTimeout, func(w *life, _ bool, reply func(any)) {
 		reply(w.stop(stop.Order))
 	}, func(answer any, f failure) {
 		taken, _ := answer.(bool)
@@ -107,9 +107,9 @@
 
 func (n *node) hold(term uint64, hold scheduler.HoldOut) {
 	id, number, call := hold.Worker.ID, hold.Number, hold.Call
-	n.s.trace("hold %d to %s wait %s", number, id, call.Wait)
+	n.sim.trace("hold %d to %s wait %s", number, id, call.Wait)
 	told := func(answer scheduler.HoldAnswer, failure scheduler.HoldError) {
-		n.s.trace("hold %d to %s answered: %d running, %d ended, failure %d", number, id, len(answer.Running), len(answer.Ended), failure)
+		n.sim.trace("hold %d to %s answered: %d running, %d ended, failure %d", number, id, len(answer.Running), len(answer.Ended), failure)
 		for _, e := range answer.Ended {
 			n.ends[id] = max(n.ends[id], e.Sequence)
 		}
@@ -119,10 +119,10 @@
 		told(scheduler.HoldAnswer{}, scheduler.HoldFailed)
 		return
 	}
-	if n.s.opt.Break == EarlyAcknowledgement {
+	if n.sim.opt.Break == EarlyAcknowledgement {
 		call.SeenUpTo = max(call.SeenUpTo, n.ends[id])
 	}
-	n.s.exchange(n, hold.Worker, call.Wait+callTimeout, func(w *life, _ bool, reply func(any)) {
+	n.sim.exchange(n, hold.Worker, call.Wait+callTimeout, func(w *life, _ bool, reply func(any)) {
 		w.hold(call, func(r holdReply) { reply(r) })
 	}, func(answer any, f failure) {
 		r, _ := answer.(holdReply)
--- a/internal/testbed/fleetsim/promises.go
+++ b/internal/testbed/fleetsim/promises.go
@@ -22,7 +22,7 @@
 	j := o.job(c.spec.ID)
 	if a.gone {
 		if c.accepted && !c.cancelSent {
-			o.require(LostRule, o.s.now <= c.acceptedAt+visibleTime || !o.s.inTouch(), "job %s is accepted and not known", c.spec.ID)
+			o.require(LostRule, o.sim.now <= c.acceptedAt+visibleTime || !o.sim.inTouch(), "job %s is accepted and not known", c.spec.ID)
 		}
 		return
 	}
@@ -69,12 +69,12 @@
 
 // cancelled takes in that a job's cancelling was acknowledged.
 func (o *oracle) cancelled(c *clientJob) {
-	since := o.s.now
-	o.s.after(cancelTime+stopMost, func() {
-		if !o.s.calmSince(since) {
+	since := o.sim.now
+	o.sim.after(cancelTime+stopMost, func() {
+		if !o.sim.calmSince(since) {
 			return
 		}
-		for _, sl := range o.s.slots {
+		for _, sl := range o.sim.slots {
 			if sl.current == nil {
 				continue
 			}
@@ -90,8 +90,8 @@
 
 // acknowledged judges how long an order waited for its acknowledgement in the newest stretch in which the core was stable.
 func (o *oracle) acknowledged(what string, sent time.Duration) {
-	stable := max(sent, o.s.quiet.core+contactTimeout)
-	o.require(AckRule, o.s.now-stable <= ackTime, "%s waited %s for its acknowledgement, the core being stable", what, o.s.now-stable)
+	stable := max(sent, o.sim.quiet.core+contactTimeout)
+	o.require(AckRule, o.sim.now-stable <= ackTime, "%s waited %s for its acknowledgement, the core being stable", what, o.sim.now-stable)
 }
 
 const (
@@ -101,7 +101,7 @@
 
 // watch looks for idle jobs again and again.
 func (o *oracle) watch() {
-	o.s.after(idleCheck, func() {
+	o.sim.after(idleCheck, func() {
 		o.findIdle()
 		o.watch()
 	})
@@ -109,7 +109,7 @@
 
 // findIdle finds jobs that could run and do not.
 func (o *oracle) findIdle() {
-	for _, c := range o.s.clients.jobs {
+	for _, c := range o.sim.clients.jobs {
 		if !c.accepted || c.shown.Over() || c.cancelSent {
 			continue
 		}
@@ -119,17 +119,17 @@
 			continue
 		}
 		o.noteSpell(j)
-		if o.s.now < j.disturbed {
+		if o.sim.now < j.disturbed {
 			j.idleFrom = 0
 			continue
 		}
 		if j.idleFrom == 0 {
-			j.idleFrom = o.s.now
+			j.idleFrom = o.sim.now
 			continue
 		}
-		if o.s.now-j.idleFrom > idleMost {
+		if o.sim.now-j.idleFrom > idleMost {
 			o.breach(LostRule, "job %s has been idle since %s: %s", c.spec.ID, j.idleFrom, o.describe(queueOf(c.prefix)))
-			j.idleFrom = o.s.now
+			j.idleFrom = o.sim.now
 		}
 		o.count(LostRule)
 	}
@@ -138,22 +138,22 @@
 // noteSpell keeps account of how long a job is idle, whatever the cause.
 func (o *oracle) noteSpell(j *jobTruth) {
 	if j.idleAll == 0 {
-		j.idleAll = o.s.now
+		j.idleAll = o.sim.now
 	}
-	spell := o.s.now - j.idleAll
+	spell := o.sim.now - j.idleAll
 	if spell > idleMost && spell <= idleMost+idleCheck {
-		o.s.report.IdleSpells++
-		o.s.trace("job %s has been idle for %s", j.job.spec.ID, spell)
+		o.sim.report.IdleSpells++
+		o.sim.trace("job %s has been idle for %s", j.job.spec.ID, spell)
 	}
-	o.s.report.LongestIdle = max(o.s.report.LongestIdle, spell)
+	o.sim.report.LongestIdle = max(o.sim.report.LongestIdle, spell)
 }
 
 // describe lists the workers of the service of a queue.
 func (o *oracle) describe(queue string) string {
-	configs := o.s.operator.configs
+	configs := o.sim.operator.configs
 	service := configs[len(configs)-1].services[queue]
 	text := service
-	for _, sl := range o.s.slots {
+	for _, sl := range o.sim.slots {
 		if sl.service == service && sl.current != nil {
 			text += fmt.Sprintf(" %s(sound %v, used %v)", sl.current.id, o.sound(sl), sl.current.used())
 		}
@@ -163,12 +163,12 @@
 
 // couldRun tells whether nothing of a job runs although a task's turn has come and there is room twice over.
 func (o *oracle) couldRun(j *jobTruth) bool {
-	if j.running > 0 || !o.s.inTouch() || j.spent() {
+	if j.running > 0 || !o.sim.inTouch() || j.spent() {
 		return false
 	}
-	configs := o.s.operator.configs
+	configs := o.sim.operator.configs
 	newest := configs[len(configs)-1]
-	if !newest.acked || o.s.now < newest.ackedAt+configApply {
+	if !newest.acked || o.sim.now < newest.ackedAt+configApply {
 		return false
 	}
 	service := newest.services[queueOf(j.job.prefix)]
@@ -177,7 +177,7 @@
 	}
 	for round := range rounds(&j.job.spec) {
 		spec := &j.job.spec
-		if spec.Rounds > 0 && o.s.wall().Before(spec.FirstRun.Add(time.Duration(round)*spec.Interval+200*time.Millisecond)) {
+		if spec.Rounds > 0 && o.sim.wall().Before(spec.FirstRun.Add(time.Duration(round)*spec.Interval+200*time.Millisecond)) {
 			continue
 		}
 		for number := range spec.Steps {
@@ -210,7 +210,7 @@
 		wanted = 2 * step.Count
 	}
 	var capacity, used jobs.Resources
-	for _, sl := range o.s.slots {
+	for _, sl := range o.sim.slots {
 		w := sl.current
 		if sl.service != service || w == nil {
 			continue
@@ -235,11 +235,11 @@
 // sound tells whether a worker could be given starts by any scheduler.
 func (o *oracle) sound(sl *slot) bool {
 	w := sl.current
-	if w.draining || w.leaving || w.refuses || w.failing > 0 || w.grey || w.hungSince > 0 || sl.cut || len(sl.cutFrom) > 0 || o.s.now < sl.troubled || o.s.now-w.born < contactTimeout {
+	if w.draining || w.leaving || w.refuses || w.failing > 0 || w.grey || w.hungSince > 0 || sl.cut || len(sl.cutFrom) > 0 || o.sim.now < sl.troubled || o.sim.now-w.born < contactTimeout {
 		return false
 	}
-	for _, e := range o.s.operator.evacuations {
-		if e.zone == sl.zone && !(e.finished && o.s.now > e.ackedAt+evacuationTime+contactTimeout) {
+	for _, e := range o.sim.operator.evacuations {
+		if e.zone == sl.zone && !(e.finished && o.sim.now > e.ackedAt+evacuationTime+contactTimeout) {
 			return false
 		}
 	}
@@ -257,7 +257,7 @@
 
 // finish judges what is left when a run is over.
 func (o *oracle) finish() {
-	for _, c := range o.s.clients.jobs {
+	for _, c := range o.sim.clients.jobs {
 		if !c.accepted {
 			continue
 		}
@@ -265,13 +265,13 @@
 	}
 	o.recovered()
 	o.finishConfig()
-	o.s.compareReplicas()
+	o.sim.compareReplicas()
 }
 
 // recovered judges the jobs that were handed in after the final fault, when the machines had been back for long enough.
 func (o *oracle) recovered() {
 	served, all := 0, 0
-	for _, c := range o.s.clients.jobs {
+	for _, c := range o.sim.clients.jobs {
 		if c.afterFault {
 			all++
 			if c.accepted {
@@ -286,14 +286,14 @@
 
 // finishConfig holds what is in force at the end against what was acknowledged.
 func (o *oracle) finishConfig() {
-	n := o.s.log.leader
+	n := o.sim.log.leader
 	if n == nil {
 		o.breach(EndRule, "there is no leader at the end")
 		return
 	}
 	n.catchUp()
 	at, newest := -1, -1
-	for i, c := range o.s.operator.configs {
+	for i, c := range o.sim.operator.configs {
 		if c.change.Version == n.table.Config.Version && (c.acked || !c.lost) {
 			at = i
 		}
@@ -303,7 +303,7 @@
 	}
 	o.require(ConfigRule, at >= newest && at >= 0, "version %d is in force at the end, older than what was acknowledged or never sent",
 		n.table.Config.Version)
-	for _, e := range o.s.operator.evacuations {
+	for _, e := range o.sim.operator.evacuations {
 		if e.acked && !e.finished {
 			o.require(LostRule, n.table.Evacuated[e.zone], "the evacuation of %s is gone", e.zone)
 		}
--- a/internal/testbed/fleetsim/run.go
+++ b/internal/testbed/fleetsim/run.go
@@ -39,7 +39,7 @@
 
 // begin starts a run.
 func (w *life) begin(from order, o scheduler.StartOrder, spec *jobs.Spec, step *jobs.Step) {
-	s := w.slot.s
+	s := w.slot.sim
 	r := &liveRun{key: o.Key, order: from, spec: spec, step: step, on: w, began: s.now, workedAt: -1}
 	s.oracle.started(r, o)
 	w.runs = append(w.runs, r)
@@ -76,7 +76,7 @@
 
 // expect looks again when the work may be done.
 func (r *liveRun) expect(d time.Duration) {
-	r.on.slot.s.after(d, func() {
+	r.on.slot.sim.after(d, func() {
 		if !r.on.present(r) || r.stopping {
 			return
 		}
@@ -118,7 +118,7 @@
 		checkpoint = ""
 	}
 	w.ends = append(w.ends, scheduler.Ended{Sequence: w.last, Key: r.key, How: how, Checkpoint: checkpoint})
-	w.notes[w.last] = w.slot.s.oracle.ended(r, how)
+	w.notes[w.last] = w.slot.sim.oracle.ended(r, how)
 	holds := w.holds
 	w.holds = nil
 	for _, h := range holds {
@@ -168,7 +168,7 @@
 		return ""
 	}
 	text := fmt.Sprintf("%08x-%s", done.Milliseconds(), checkpointOwner(r.key.Task, r.step.Gang))
-	r.on.slot.s.oracle.savedAs(r, text)
+	r.on.slot.sim.oracle.savedAs(r, text)
 	return text
 }
 
@@ -238,7 +238,7 @@
 
 // gang is one run of a gang: its members can work only together.
 type gang struct {
-	s       *simulator
+	sim     *simulator
 	members []*liveRun
 	count   int
 	working bool
@@ -250,7 +250,7 @@
 	key := r.gangKey()
 	g := s.gangs[key]
 	if g == nil || g.over {
-		g = &gang{s: s, count: r.step.Count}
+		g = &gang{sim: s, count: r.step.Count}
 		s.gangs[key] = g
 	}
 	r.gang = g
@@ -283,7 +283,7 @@
 }
 
 func (g *gang) expect(d time.Duration) {
-	g.s.after(d, func() {
+	g.sim.after(d, func() {
 		if g.over {
 			return
 		}
--- a/internal/testbed/fleetsim/shapes.go
+++ b/internal/testbed/fleetsim/shapes.go
@@ -15,7 +15,7 @@
 
 // anyJob draws a job of any shape, and the prefix of its queue.
 func (c *clients) anyJob() (jobs.Spec, string) {
-	s := c.s
+	s := c.sim
 	spec := jobs.Spec{ID: c.newID()}
 	spec.Payload = payloadSound
 	switch {
@@ -42,7 +42,7 @@
 }
 
 func (c *clients) anyNeeds() jobs.Resources {
-	s := c.s
+	s := c.sim
 	needs := jobs.Resources{MilliCPU: 500 * (1 + s.rng.IntN(6)), MemoryMB: 256 << s.rng.IntN(5)}
 	if s.chance(0.06) {
 		needs.GPUs = 1
@@ -51,7 +51,7 @@
 }
 
 func (c *clients) anyStep(number int) jobs.Step {
-	s := c.s
+	s := c.sim
 	step := jobs.Step{Count: 1 + s.rng.IntN(8), Needs: c.anyNeeds(), Estimate: s.between(100*time.Millisecond, 4*time.Second)}
 	if number > 0 && s.chance(0.7) {
 		step.After = []int{number - 1}
@@ -85,7 +85,7 @@
 func (c *clients) urgentStorm() {
 	for range 40 {
 		spec, prefix := c.shortJob()
-		spec.Steps[0].Count = 1 + c.s.rng.IntN(4)
+		spec.Steps[0].Count = 1 + c.sim.rng.IntN(4)
 		c.hand(spec, prefix)
 	}
 }
@@ -95,7 +95,7 @@
 	for range 10 {
 		spec, prefix := c.shortJob()
 		spec.Payload = payloadPoison + " " + spec.ID[:4]
-		spec.Steps[0].Gang, spec.Steps[0].Count = c.s.chance(0.3), 1+c.s.rng.IntN(4)
+		spec.Steps[0].Gang, spec.Steps[0].Count = c.sim.chance(0.3), 1+c.sim.rng.IntN(4)
 		c.hand(spec, prefix)
 	}
 }
@@ -104,8 +104,8 @@
 func (c *clients) burst() {
 	for range 3 {
 		spec, _ := c.anyJob()
-		spec.Rounds, spec.Steps = 0, []jobs.Step{{Count: 60 + c.s.rng.IntN(60), Needs: jobs.Resources{MilliCPU: 1500, MemoryMB: 512},
-			Estimate: c.s.between(300*time.Millisecond, 2*time.Second), Checkpoints: c.s.chance(0.5)}}
+		spec.Rounds, spec.Steps = 0, []jobs.Step{{Count: 60 + c.sim.rng.IntN(60), Needs: jobs.Resources{MilliCPU: 1500, MemoryMB: 512},
+			Estimate: c.sim.between(300*time.Millisecond, 2*time.Second), Checkpoints: c.sim.chance(0.5)}}
 		c.hand(spec, "/bulk/")
 	}
 }
--- a/internal/testbed/fleetsim/worker.go
+++ b/internal/testbed/fleetsim/worker.go
@@ -23,7 +23,7 @@
 
 // slot is a machine of workers: one life of a worker after another at one address.
 type slot struct {
-	s        *simulator
+	sim      *simulator
 	address  string
 	service  string
 	guards   bool
@@ -86,7 +86,7 @@
 	if sl.current != nil {
 		return
 	}
-	s := sl.s
+	s := sl.sim
 	s.lives++
 	w := &life{slot: sl, id: fmt.Sprintf("w%03d", s.lives), born: s.now, base: s.between(time.Second, 500*time.Second),
 		rate: slowestClock + (1-slowestClock)*s.rng.Float64(), slow: 1,
@@ -97,7 +97,7 @@
 
 // clock is what the worker's own clock shows.
 func (w *life) clock() time.Duration {
-	return w.base + time.Duration(float64(w.slot.s.now-w.born)*w.rate)
+	return w.base + time.Duration(float64(w.slot.sim.now-w.born)*w.rate)
 }
 
 // up tells whether this life still runs.
@@ -105,9 +105,9 @@
 
 // worked is the time its tasks had for work since it began.
 func (w *life) worked() time.Duration {
-	t := w.slot.s.now - w.born - w.hungFor
+	t := w.slot.sim.now - w.born - w.hungFor
 	if w.hungSince > 0 {
-		t -= w.slot.s.now - w.hungSince
+		t -= w.slot.sim.now - w.hungSince
 	}
 	return t
 }
@@ -131,7 +131,7 @@
 	w.leaseNo++
 	number := w.leaseNo
 	real := time.Duration(float64(deadline-w.clock())/w.rate) + time.Millisecond
-	w.slot.s.after(real, func() {
+	w.slot.sim.after(real, func() {
 		if w.up() && number == w.leaseNo && w.clock() >= w.lease {
 			w.lapse()
 		}
@@ -140,7 +140,7 @@
 
 // lapse kills everything that runs.
 func (w *life) lapse() {
-	w.slot.s.oracle.lapsed(w)
+	w.slot.sim.oracle.lapsed(w)
 	for _, r := range slices.Clone(w.runs) {
 		w.finish(r, jobs.EndLapsed)
 	}
@@ -149,7 +149,7 @@
 // start carries a start order out.
 func (w *life) start(from order, o scheduler.StartOrder) scheduler.StartAnswer {
 	refuse := func(why scheduler.Refusal) scheduler.StartAnswer {
-		w.slot.s.report.Seen["start refused: "+string(why)]++
+		w.slot.sim.report.Seen["start refused: "+string(why)]++
 		return scheduler.StartAnswer{Clock: w.clock(), Refusal: why}
 	}
 	if w.fenced(o.Token) {
@@ -162,16 +162,16 @@
 	if o.Deadline <= w.clock() {
 		return refuse(scheduler.RefusedLate)
 	}
-	if w.refuses || w.slot.s.chance(0.002) {
+	if w.refuses || w.slot.sim.chance(0.002) {
 		return refuse(scheduler.RefusedUnhealthy)
 	}
 	w.extend(o.Deadline)
 	if o.Key.Number <= w.floor[o.Key.Task] {
 		return refuse(scheduler.RefusedOld)
 	}
-	spec := w.slot.s.clients.spec(o.Key.Task.Job)
+	spec := w.slot.sim.clients.spec(o.Key.Task.Job)
 	if spec == nil {
-		w.slot.s.oracle.unknownStart(o)
+		w.slot.sim.oracle.unknownStart(o)
 		return refuse(scheduler.RefusedInvalid)
 	}
 	step := &spec.Steps[o.Key.Task.Step]
@@ -190,7 +190,7 @@
 	w.floor[o.Key.Task] = max(w.floor[o.Key.Task], o.Key.Number)
 	if r := w.find(o.Key); r != nil && !r.stopping {
 		r.stopping = true
-		w.slot.s.after(w.slot.s.between(0, stopMost), func() { w.finish(r, jobs.EndStopped) })
+		w.slot.sim.after(w.slot.sim.between(0, stopMost), func() { w.finish(r, jobs.EndStopped) })
 	}
 	return true
 }
@@ -217,13 +217,13 @@
 		}
 	}
 	w.holds = append(w.holds, &waitingHold{reply: answer})
-	w.slot.s.after(call.Wait, answer)
+	w.slot.sim.after(call.Wait, answer)
 }
 
 // acknowledge forgets ends.
 func (w *life) acknowledge(upTo uint64) {
 	for len(w.ends) > 0 && w.ends[0].Sequence <= upTo {
-		w.slot.s.oracle.noted(w.notes[w.ends[0].Sequence])
+		w.slot.sim.oracle.noted(w.notes[w.ends[0].Sequence])
 		delete(w.notes, w.ends[0].Sequence)
 		w.ends = w.ends[1:]
 	}
@@ -240,7 +240,7 @@
 	}
 	a.Ended = slices.Clone(w.ends[:min(endsInAnswer, len(w.ends))])
 	if a.Full = len(w.ends) > endsInAnswer; a.Full {
-		w.slot.s.report.Seen["answer full of ends"]++
+		w.slot.sim.report.Seen["answer full of ends"]++
 	}
 	return holdReply{answer: a}
 }
@@ -269,11 +269,11 @@
 		return
 	}
 	w.slot.current = nil
-	w.slot.s.trace("%s dies", w.id)
-	w.slot.s.oracle.died(w)
+	w.slot.sim.trace("%s dies", w.id)
+	w.slot.sim.oracle.died(w)
 	for _, r := range slices.Clone(w.runs) {
 		w.remove(r)
-		w.slot.s.oracle.gone(r)
+		w.slot.sim.oracle.gone(r)
 	}
 }
 
--- a/internal/testbed/sim/balances.go
+++ b/internal/testbed/sim/balances.go
@@ -275,12 +275,12 @@
 	s := b.s
 	for _, r := range s.oracle.runs {
 		j := s.oracle.ref.Jobs[r.ref.Job]
-		if j == nil || j.Phase != state.JobRunning || !j.Spec.Steps[r.ref.Step].Standing || !r.m.alive {
+		if j == nil || j.Phase != state.JobRunning || !j.Spec.Steps[r.ref.Step].Standing || !r.minion.alive {
 			continue
 		}
-		s.tell("%s, which runs %v, is ended", r.m.addr, r.ref)
+		s.tell("%s, which runs %v, is ended", r.minion.addr, r.ref)
 		b.wanted = append(b.wanted, attachment{ref: r.ref, after: r.runID, since: s.now, dry: !b.covers(payer, corePrice*5)})
-		m := r.m
+		m := r.minion
 		m.kill()
 		s.on(500*time.Millisecond, func() {
 			if !m.alive {
--- a/internal/testbed/sim/build.go
+++ b/internal/testbed/sim/build.go
@@ -40,7 +40,7 @@
 	for _, m := range s.minions {
 		m.open()
 	}
-	s.faults = &mischief{s: s}
+	s.faults = &faultInjector{sim: s}
 	s.faults.start()
 	s.money.start()
 }
--- a/internal/testbed/sim/cplane.go
+++ b/internal/testbed/sim/cplane.go
@@ -20,7 +20,7 @@
 	*proc
 	disk    *storage.MemDisk
 	store   *store.Store
-	hand    *store.Hand
+	hand    *store.ManualDriver
 	batch   *store.Batch // on its way to the disk
 	slow    time.Duration
 	failing bool
@@ -41,9 +41,9 @@
 }
 
 type proposal struct {
-	p    *store.Proposal
-	by   time.Duration
-	done func(index uint64, answer any, err error)
+	proposal *store.Proposal
+	by       time.Duration
+	done     func(index uint64, answer any, err error)
 }
 
 type follower struct {
@@ -63,13 +63,13 @@
 
 // open starts a life on what the disk has.
 func (c *cplane) open(found bool) {
-	s := c.s
+	s := c.sim
 	c.begin()
 	set := config.DefaultCplane()
 	set.Name, set.Addr, set.Zone, set.Members = c.addr, c.addr, c.zone, s.members()
 	set.SnapshotEvery, set.KeepEnded, set.KeepEndedFor = 40+s.rnd.IntN(100), 10, 20*time.Second
 	gen := c.gen
-	st, err := store.Open(store.Options{Settings: set, Disk: c.disk, Net: direct{c: c}, Seed: s.rnd.Uint64() | 1, Clock: c.proc,
+	st, err := store.Open(store.Options{Settings: set, Disk: c.disk, Net: direct{cplane: c}, Seed: s.rnd.Uint64() | 1, Clock: c.proc,
 		Fatal: func(err error) { s.on(0, func() { c.fell(gen, err) }) },
 		Draw:  func() string { return fmt.Sprintf("%010X%010X", s.rnd.Uint32(), s.rnd.Uint32()) }})
 	if errs.Is(err, errs.Disk) { // the process ends, as after any sync that fails
@@ -82,7 +82,7 @@
 		s.broke("disk", "%s cannot read its folder: %v", c.addr, errs.Of(err))
 		return
 	}
-	c.store, c.hand = st, st.ByHand()
+	c.store, c.hand = st, st.Manual()
 	c.batch, c.waits, c.follows, c.role = nil, nil, nil, ""
 	if found {
 		must(c.hand.Found())
@@ -102,8 +102,8 @@
 	c.floor, c.top, c.terms = 0, 0, map[uint64]uint64{}
 	_, boot, err := storage.Open(c.disk.Clone(), storage.Options{})
 	must(err)
-	if boot.Image != nil {
-		c.floor = boot.Image.Index
+	if boot.Snapshot != nil {
+		c.floor = boot.Snapshot.Index
 	}
 	c.top = c.floor
 	for _, r := range boot.Records {
@@ -123,9 +123,9 @@
 	if c.gen != gen || !c.alive {
 		return
 	}
-	c.s.tell("%s falls: %v", c.addr, errs.Of(err).Kind)
+	c.sim.tell("%s falls: %v", c.addr, errs.Of(err).Kind)
 	c.crash(true)
-	c.s.on(c.s.between(100*time.Millisecond, 5*time.Second), func() { c.up() })
+	c.sim.on(c.sim.between(100*time.Millisecond, 5*time.Second), func() { c.up() })
 }
 
 func (c *cplane) up() {
@@ -139,7 +139,7 @@
 	if !c.alive {
 		return
 	}
-	s := c.s
+	s := c.sim
 	c.die()
 	if power && c.batch != nil && s.chance(0.5) { // in the middle of a write
 		c.disk.PowerOff(1 + s.rnd.IntN(2))
@@ -154,7 +154,7 @@
 // settle asks what an empty folder means, and then to be let in, until this node is a voter.
 func (c *cplane) settle() {
 	if !c.hand.Member() {
-		if c.s.opt.Break == "learner" {
+		if c.sim.opt.Break == "learner" {
 			must(c.hand.Found())
 			c.turn()
 			return
@@ -164,17 +164,17 @@
 	if c.hand.Member() {
 		call, addr, ok := c.hand.Joins()
 		if !ok {
-			c.s.tell("%s is a voter again", c.addr)
+			c.sim.tell("%s is a voter again", c.addr)
 			return
 		}
 		if addr == "" || addr == c.addr {
-			addr = c.s.cplanes[c.s.rnd.IntN(5)].addr
+			addr = c.sim.cplanes[c.sim.rnd.IntN(5)].addr
 		}
-		if to := c.s.byAddr[addr]; to != c.proc {
-			c.s.ask(ask{from: c.proc, addr: addr, within: 2 * time.Second, keep: time.Second,
+		if to := c.sim.byAddr[addr]; to != c.proc {
+			c.sim.ask(ask{from: c.proc, addr: addr, within: 2 * time.Second, keep: time.Second,
 				serve: func(to *proc, reply func(any, error)) {
-					a, err := c.s.cplaneAt(to).join(call)
-					c.s.cplaneAt(to).pump()
+					a, err := c.sim.cplaneAt(to).join(call)
+					c.sim.cplaneAt(to).pump()
 					reply(a, err)
 				},
 				back: func(any, error, bool) {}})
@@ -206,7 +206,7 @@
 
 // pump takes all output of the store to where it goes.
 func (c *cplane) pump() {
-	s := c.s
+	s := c.sim
 	if !c.alive || c.hand == nil {
 		return
 	}
@@ -279,7 +279,7 @@
 		c.disk.FailSync(1)
 	}
 	if err := b.Write(); err != nil {
-		c.s.report.Faults["sync failed"]++
+		c.sim.report.Faults["sync failed"]++
 		c.batch = nil
 		c.fell(c.gen, err)
 		return
@@ -302,12 +302,12 @@
 	rest := c.waits[:0:0]
 	var do []func()
 	for _, w := range c.waits {
-		index, a, err, ok := w.p.Done()
+		index, a, err, ok := w.proposal.Done()
 		switch {
 		case ok:
 			do = append(do, func() { w.done(index, a, err) })
 		case c.Now() >= w.by:
-			err := w.p.Leave()
+			err := w.proposal.Leave()
 			do = append(do, func() { w.done(0, nil, err) })
 		default:
 			rest = append(rest, w)
@@ -337,7 +337,7 @@
 // propose is the answer to api.Propose.
 func (c *cplane) propose(cmd command.Command, done func(index uint64, answer any, err error)) {
 	first := cmd
-	if p, ok := cmd.(*command.Plan); ok && c.s.opt.Break == "epoch" {
+	if p, ok := cmd.(*command.Plan); ok && c.sim.opt.Break == "epoch" {
 		if d := c.hand.State().Duties["sched"]; d != nil {
 			next := *p
 			next.Epoch = d.Epoch
@@ -348,7 +348,7 @@
 		epoch, then := p.Epoch, done
 		done = func(index uint64, answer any, err error) {
 			if err == nil {
-				c.s.oracle.planned(epoch, index)
+				c.sim.oracle.planned(epoch, index)
 			}
 			then(index, answer, err)
 		}
@@ -376,7 +376,7 @@
 
 // lend takes a guard out: leases longer than the granter waits.
 func (c *cplane) lend(a api.DutyAnswer) api.DutyAnswer {
-	if c.s.opt.Break == "lease" {
+	if c.sim.opt.Break == "lease" {
 		a.Lease *= 8
 	}
 	return a
@@ -397,13 +397,13 @@
 // direct is the store's way to others for the calls that are made within one event; they are lost like others.
 type direct struct {
 	store.Net // the other calls are not made here
-	c         *cplane
+	cplane    *cplane
 }
 
 func (d direct) to(addr string) (*cplane, error) {
-	s := d.c.s
+	s := d.cplane.sim
 	p := s.byAddr[addr]
-	if p == nil || !p.alive || p.frozen || s.blocked(d.c.proc, p) || s.blocked(p, d.c.proc) || s.chance(s.net.lose) {
+	if p == nil || !p.alive || p.frozen || s.blocked(d.cplane.proc, p) || s.blocked(p, d.cplane.proc) || s.chance(s.net.lose) {
 		return nil, errs.New(errs.Unavailable, "%s does not answer", addr)
 	}
 	return s.cplaneAt(p), nil
--- a/internal/testbed/sim/directed.go
+++ b/internal/testbed/sim/directed.go
@@ -22,8 +22,8 @@
 
 // lag lets the replicas of all dplanes but the holder's stand still, and ends the holder: its successor is granted the
 // duty before its replica has the grant.
-func (f *mischief) lag(count func(*proc, string)) {
-	s := f.s
+func (f *faultInjector) lag(count func(*proc, string)) {
+	s := f.sim
 	holder := s.holder()
 	if holder == nil {
 		return
@@ -40,8 +40,8 @@
 
 // rejoin cuts two cplanes off until they lack entries, takes the disk of a third, and leaves these three to themselves:
 // they are a majority by their names, but none of them has the newest entries.
-func (f *mischief) rejoin() {
-	s := f.s
+func (f *faultInjector) rejoin() {
+	s := f.sim
 	if f.wiped != nil && !s.oracle.repaired(f.wiped) {
 		return
 	}
@@ -65,7 +65,7 @@
 }
 
 // wipe ends a cplane and takes its disk; it comes back empty after a while.
-func (f *mischief) wipe(c *cplane, back time.Duration) {
+func (f *faultInjector) wipe(c *cplane, back time.Duration) {
 	f.wiped = c
 	c.crash(false)
 	if c.hand.Core() != nil {
@@ -73,13 +73,13 @@
 	}
 	c.disk = storage.NewMemDisk()
 	c.floor, c.top, c.terms = 0, 0, nil
-	f.s.on(back, c.up)
+	f.sim.on(back, c.up)
 }
 
 // stalePlan ends the leader of the store, freezes the holder while a plan of it is under way, and wakes it once another
 // was granted the duty: it sends the plan again, to the new leader.
-func (f *mischief) stalePlan() {
-	s := f.s
+func (f *faultInjector) stalePlan() {
+	s := f.sim
 	holder, leader := s.holder(), s.leader()
 	if holder == nil || leader == nil {
 		return
@@ -97,8 +97,8 @@
 }
 
 // freezeUntilReplaced freezes the holder until another one has been granted its duty.
-func (f *mischief) freezeUntilReplaced(holder *dplane) {
-	s := f.s
+func (f *faultInjector) freezeUntilReplaced(holder *dplane) {
+	s := f.sim
 	gen, epoch := holder.gen, holder.sched.Epoch()
 	s.tell("%s freezes with a plan under way: %v", holder.addr, holder.planning)
 	holder.freeze()
--- a/internal/testbed/sim/dplane.go
+++ b/internal/testbed/sim/dplane.go
@@ -47,20 +47,20 @@
 	d.boot = fmt.Sprintf("%s-%d", d.addr, d.gen)
 	d.replica = replica.New(func(n state.Note) { d.sched.Note(n); d.wake() }, func(st *state.State) {
 		if d.sched.Phase() == sched.Ready {
-			d.s.report.Counts["holders that took a snapshot"]++
-			d.s.tell("%s, which holds sched, takes a snapshot at %d", d.addr, st.Index)
+			d.sim.report.Counts["holders that took a snapshot"]++
+			d.sim.tell("%s, which holds sched, takes a snapshot at %d", d.addr, st.Index)
 		}
 		d.sched.Reset(d.Now(), st)
 	})
 	cfg := sched.Defaults()
-	if d.s.opt.Break == "reserve" {
+	if d.sim.opt.Break == "reserve" {
 		cfg.ReserveAfter = minion.Never
 	}
 	d.sched = sched.New(cfg, d.replica.Lock())
 	d.replica.Unlock()
 	d.granted, d.ready, d.passing, d.leader, d.source, d.reaches, d.leaving = 0, false, false, "", "", nil, false
 	d.lagUntil, d.planning = 0, false
-	d.s.tell("%s up", d.addr)
+	d.sim.tell("%s up", d.addr)
 	d.pull()
 	d.claim()
 	d.pass()
@@ -72,21 +72,21 @@
 	return st
 }
 
-// canned gives one answer that came already.
-type canned struct {
-	d      *dplane
+// receivedAnswer gives one answer that came already.
+type receivedAnswer struct {
+	dplane *dplane
 	answer api.FollowAnswer
 	from   *cplane
 }
 
 // Follow returns the answer that has arrived.
-func (c canned) Follow(context.Context, api.FollowCall) (api.FollowAnswer, error) {
+func (c receivedAnswer) Follow(context.Context, api.FollowCall) (api.FollowAnswer, error) {
 	return c.answer, nil
 }
 
 // Chunk reads a part of the snapshot from the cplane that answered.
-func (c canned) Chunk(_ context.Context, call api.ChunkCall) (api.ChunkAnswer, error) {
-	if c.from.hand == nil || !c.from.alive || c.d.s.blocked(c.d.proc, c.from.proc) {
+func (c receivedAnswer) Chunk(_ context.Context, call api.ChunkCall) (api.ChunkAnswer, error) {
+	if c.from.hand == nil || !c.from.alive || c.dplane.sim.blocked(c.dplane.proc, c.from.proc) {
 		return api.ChunkAnswer{}, errs.New(errs.Unknown, "gone")
 	}
 	a, err := c.from.store.Chunk(call)
@@ -95,7 +95,7 @@
 
 // pull is a turn of Replica.Run.
 func (d *dplane) pull() {
-	s := d.s
+	s := d.sim
 	if s.now < d.lagUntil {
 		d.after(lookEvery, func() { d.reached(); d.pull() })
 		return
@@ -109,7 +109,7 @@
 		serve: func(to *proc, reply func(any, error)) { s.cplaneAt(to).follow(version, time.Second, reply) },
 		back: func(a any, err error, _ bool) {
 			if err == nil {
-				err = d.replica.Pull(context.Background(), canned{d, a.(api.FollowAnswer), from}, d.addr, time.Second)
+				err = d.replica.Pull(context.Background(), receivedAnswer{d, a.(api.FollowAnswer), from}, d.addr, time.Second)
 			}
 			d.reached()
 			if err != nil {
@@ -154,10 +154,10 @@
 	try = func(n int) {
 		addr := d.leader
 		if addr == "" {
-			addr = d.s.cplanes[d.s.rnd.IntN(5)].addr
+			addr = d.sim.cplanes[d.sim.rnd.IntN(5)].addr
 		}
-		d.s.ask(ask{from: d.proc, addr: addr, within: within, keep: callTimeout, twice: again,
-			serve: func(to *proc, reply func(any, error)) { serve(d.s.cplaneAt(to), reply) },
+		d.sim.ask(ask{from: d.proc, addr: addr, within: within, keep: callTimeout, twice: again,
+			serve: func(to *proc, reply func(any, error)) { serve(d.sim.cplaneAt(to), reply) },
 			back: func(a any, err error, sent bool) {
 				f := errs.Of(err)
 				switch {
@@ -226,7 +226,7 @@
 			return
 		}
 		if d.granted != 0 {
-			d.s.tell("%s lost sched", d.addr)
+			d.sim.tell("%s lost sched", d.addr)
 			d.granted = 0
 			d.sched.Yield()
 		}
@@ -241,22 +241,22 @@
 		if err != nil || d.leaving {
 			return
 		}
-		if duty := d.state().Duties["sched"]; d.s.opt.Break != "rebuild" && (duty == nil || duty.Epoch != a.Epoch || duty.Boot != d.boot) {
+		if duty := d.state().Duties["sched"]; d.sim.opt.Break != "rebuild" && (duty == nil || duty.Epoch != a.Epoch || duty.Boot != d.boot) {
 			return
 		}
 		if d.sched.Epoch() != a.Epoch {
 			d.sched.Lead(d.Now(), a.Epoch)
-			d.s.tell("%s takes up sched, epoch %d, replica at %d, %d handles", d.addr, a.Epoch, d.replica.Index(), len(d.state().Handles))
-			d.s.report.Counts["grants taken up"]++
+			d.sim.tell("%s takes up sched, epoch %d, replica at %d, %d handles", d.addr, a.Epoch, d.replica.Index(), len(d.state().Handles))
+			d.sim.report.Counts["grants taken up"]++
 			if d.state().Index >= a.Epoch && len(d.state().Handles) > 0 {
-				d.s.held("rebuilt")
+				d.sim.held("rebuilt")
 			}
-			d.s.oracle.rebuilt(d)
+			d.sim.oracle.rebuilt(d)
 		}
 		d.sched.Lease(sent + a.Lease)
 		d.wake()
 	}
-	if d.s.opt.Break == "rebuild" {
+	if d.sim.opt.Break == "rebuild" {
 		lead(nil)
 		return
 	}
@@ -279,7 +279,7 @@
 func (d *dplane) wake() {
 	if !d.passing {
 		d.passing = true
-		d.after(d.s.between(0, 200*time.Microsecond), func() { d.passing = false; d.run1() })
+		d.after(d.sim.between(0, 200*time.Microsecond), func() { d.passing = false; d.run1() })
 	}
 }
 
@@ -295,7 +295,7 @@
 		d.commit(out.Plan)
 	}
 	for _, c := range out.Calls {
-		d.after(d.s.between(0, 300*time.Microsecond), func() { d.send(c) })
+		d.after(d.sim.between(0, 300*time.Microsecond), func() { d.send(c) })
 	}
 }
 
@@ -305,13 +305,13 @@
 		d.wake()
 	}
 	failed := func(err error) {
-		d.s.report.Counts["plans without a good answer"]++
-		d.s.tell("%s has no good answer to a plan: %v", d.addr, errs.KindOf(err))
+		d.sim.report.Counts["plans without a good answer"]++
+		d.sim.tell("%s has no good answer to a plan: %v", d.addr, errs.KindOf(err))
 		d.after(20*time.Millisecond, func() { end(command.Planned{}, err) })
 	}
-	d.s.tell("%s plans under epoch %d: to %d, %d reports, running %v, doubt %v, ends %v, dead %v, %d starts", d.addr, plan.Epoch, plan.Seq,
+	d.sim.tell("%s plans under epoch %d: to %d, %d reports, running %v, doubt %v, ends %v, dead %v, %d starts", d.addr, plan.Epoch, plan.Seq,
 		len(plan.Minions), plan.Running, plan.Doubt, plan.Ends, plan.Dead, len(plan.Starts))
-	d.s.oracle.decided(d, plan)
+	d.sim.oracle.decided(d, plan)
 	d.planning = true
 	d.propose(plan, false, 0, func(index uint64, answer json.RawMessage, err error) {
 		d.planning = false
@@ -335,7 +335,7 @@
 
 // send makes one hold call; the lease is looked at immediately before the write.
 func (d *dplane) send(c sched.CallOut) {
-	s, now := d.s, d.Now()
+	s, now := d.sim, d.Now()
 	fail := func(err error, sent bool) {
 		d.sched.Failure(d.Now(), c.Minion, c.Order, c.Call, sent)
 		d.wake()
--- a/internal/testbed/sim/faults.go
+++ b/internal/testbed/sim/faults.go
@@ -47,15 +47,15 @@
 	"lease",   // holders think that leases last longer than the granter waits
 }
 
-type mischief struct {
-	s     *sim
+type faultInjector struct {
+	sim   *sim
 	on    map[string]bool
 	pace  time.Duration
 	wiped *cplane
 }
 
-func (f *mischief) start() {
-	s := f.s
+func (f *faultInjector) start() {
+	s := f.sim
 	f.pace = s.between(200*time.Millisecond, 2500*time.Millisecond)
 	if s.opt.Pace > 0 {
 		f.pace = s.opt.Pace
@@ -82,8 +82,8 @@
 }
 
 // stop ends all faults.
-func (f *mischief) stop() {
-	s := f.s
+func (f *faultInjector) stop() {
+	s := f.sim
 	s.tell("faults end")
 	s.calm = true
 	s.net = net{}
@@ -105,8 +105,8 @@
 
 func (d *dplane) wake2() { d.proc.wake() }
 
-func (f *mischief) next() {
-	s := f.s
+func (f *faultInjector) next() {
+	s := f.sim
 	if s.calm {
 		return
 	}
@@ -117,8 +117,8 @@
 }
 
 // span draws how long a fault lasts: mostly short, now and then past every lease and hold.
-func (f *mischief) span() time.Duration {
-	s := f.s
+func (f *faultInjector) span() time.Duration {
+	s := f.sim
 	switch s.rnd.IntN(4) {
 	case 0:
 		return s.between(10*time.Millisecond, 600*time.Millisecond)
@@ -130,8 +130,8 @@
 
 func pick[T any](s *sim, list []T) T { return list[s.rnd.IntN(len(list))] }
 
-func (f *mischief) strike(name string) {
-	s := f.s
+func (f *faultInjector) strike(name string) {
+	s := f.sim
 	count := func(p *proc, what string) {
 		s.report.Faults[name]++
 		s.tell("fault %s %s", what, p.addr)
@@ -262,22 +262,22 @@
 	}
 }
 
-func (f *mischief) end(d *dplane, count func(*proc, string)) {
+func (f *faultInjector) end(d *dplane, count func(*proc, string)) {
 	if d.alive {
 		count(d.proc, "kill")
 		d.die()
-		f.s.on(f.span(), d.up)
+		f.sim.on(f.span(), d.up)
 	}
 }
 
-func (f *mischief) still(p *proc, count func(*proc, string)) {
+func (f *faultInjector) still(p *proc, count func(*proc, string)) {
 	if p.alive && !p.frozen {
 		count(p, "freeze")
 		gen := p.gen
 		p.freeze()
-		f.s.on(f.span(), func() {
+		f.sim.on(f.span(), func() {
 			if p.gen == gen {
-				f.s.tell("%s wakes", p.addr)
+				f.sim.tell("%s wakes", p.addr)
 				p.wake()
 			}
 		})
@@ -285,13 +285,13 @@
 }
 
 // cut parts a set from all others for a while.
-func (f *mischief) cut(side []*proc, both bool) {
-	f.s.on(f.span(), f.part(side, both))
+func (f *faultInjector) cut(side []*proc, both bool) {
+	f.sim.on(f.span(), f.part(side, both))
 }
 
 // part parts a set from all others until what it gives is called.
-func (f *mischief) part(side []*proc, both bool) (heal func()) {
-	s := f.s
+func (f *faultInjector) part(side []*proc, both bool) (heal func()) {
+	s := f.sim
 	c := &cut{from: map[*proc]bool{}, to: map[*proc]bool{}, both: both}
 	for _, p := range s.procs {
 		if slices.Contains(side, p) {
--- a/internal/testbed/sim/minion.go
+++ b/internal/testbed/sim/minion.go
@@ -36,7 +36,7 @@
 }
 
 func (m *node) open() {
-	s := m.s
+	s := m.sim
 	m.begin()
 	m.traits = minion.Traits{Name: m.addr, Boot: fmt.Sprintf("%s-%d", m.addr, m.gen), Kind: m.kind, Zone: m.zone, Labels: m.lab,
 		Cores: m.cores, GPUs: m.gpus, Grace: 5 * time.Second, Fail: 0.03, Slow: 1.2, Seed: s.rnd.Uint64()}
@@ -48,7 +48,7 @@
 }
 
 func (m *node) announce() {
-	s := m.s
+	s := m.sim
 	d := s.dplanes[s.rnd.IntN(len(s.dplanes))]
 	s.ask(ask{from: m.proc, addr: d.addr, within: 2 * time.Second, keep: 2 * time.Second, twice: true,
 		serve: func(to *proc, reply func(any, error)) { s.dplaneAt(to).announce(m, reply) },
@@ -64,12 +64,12 @@
 // carry does what a step asks for: the witness first, then the answers.
 func (m *node) carry(step minion.Step) {
 	for _, e := range step.Journal {
-		m.s.oracle.witness(m, e)
+		m.sim.oracle.witness(m, e)
 	}
 	for _, r := range step.Replies {
 		if w := m.waits[r.Tag]; w != nil {
 			delete(m.waits, r.Tag)
-			if m.s.opt.Break == "floor" {
+			if m.sim.opt.Break == "floor" {
 				r.Answer.Floor = max(r.Answer.Floor, m.floor)
 			}
 			w(r.Answer, r.Err)
@@ -82,7 +82,7 @@
 
 // hold takes in a call, perhaps late, and answers, perhaps not.
 func (m *node) hold(call api.HoldCall, reply func(any, error)) {
-	s := m.s
+	s := m.sim
 	lost, late := s.chance(m.lose), time.Duration(0)
 	if len(call.Starts) > 0 {
 		s.oracle.arrived(m, call)
@@ -126,7 +126,7 @@
 func (m *node) drain(on bool) {
 	if m.alive && !m.frozen && m.draining != on {
 		m.draining = on
-		m.drains = m.s.now
+		m.drains = m.sim.now
 		m.carry(m.core.Drain(m.Now(), on, false))
 	}
 }
@@ -135,7 +135,7 @@
 func (m *node) kill() {
 	if m.alive {
 		m.die()
-		m.s.oracle.orphaned(m)
+		m.sim.oracle.orphaned(m)
 	}
 }
 
--- a/internal/testbed/sim/net.go
+++ b/internal/testbed/sim/net.go
@@ -9,7 +9,7 @@
 
 // proc is a process on a machine of its own. Its clock has its own zero and goes on while it is frozen.
 type proc struct {
-	s      *sim
+	sim    *sim
 	addr   string
 	zone   string
 	gen    int // goes up with every start and end
@@ -22,7 +22,7 @@
 }
 
 func (s *sim) proc(addr, zone string) *proc {
-	p := &proc{s: s, addr: addr, zone: zone, skew: s.between(-2*time.Second, 2*time.Second)}
+	p := &proc{sim: s, addr: addr, zone: zone, skew: s.between(-2*time.Second, 2*time.Second)}
 	s.procs = append(s.procs, p)
 	s.byAddr[addr] = p
 	return p
@@ -32,7 +32,7 @@
 func (p *proc) begin() {
 	p.gen++
 	p.alive, p.frozen, p.parked = true, false, nil
-	p.zero = p.s.now - p.s.between(time.Second, time.Hour)
+	p.zero = p.sim.now - p.sim.between(time.Second, time.Hour)
 }
 
 // die ends it.
@@ -55,7 +55,7 @@
 // after is an timer of this life.
 func (p *proc) after(d time.Duration, do func()) {
 	gen := p.gen
-	p.s.on(d, func() { p.run(gen, do) })
+	p.sim.on(d, func() { p.run(gen, do) })
 }
 
 func (p *proc) freeze() { p.frozen = p.alive }
@@ -66,29 +66,29 @@
 		return
 	}
 	parked := p.parked
-	p.frozen, p.parked, p.woke = false, nil, p.s.now
-	if p.s.chance(0.5) {
-		p.s.rnd.Shuffle(len(parked), func(i, j int) { parked[i], parked[j] = parked[j], parked[i] })
+	p.frozen, p.parked, p.woke = false, nil, p.sim.now
+	if p.sim.chance(0.5) {
+		p.sim.rnd.Shuffle(len(parked), func(i, j int) { parked[i], parked[j] = parked[j], parked[i] })
 	}
 	for _, do := range parked {
-		p.after(p.s.between(0, time.Millisecond), do)
+		p.after(p.sim.between(0, time.Millisecond), do)
 	}
 }
 
 // Now is the process's clock.
-func (p *proc) Now() time.Duration { return p.s.now - p.zero }
+func (p *proc) Now() time.Duration { return p.sim.now - p.zero }
 
 // Wall is the time of day as this machine has it.
-func (p *proc) Wall() time.Time { return time.Unix(1_700_000_000, 0).Add(p.s.now + p.skew) }
+func (p *proc) Wall() time.Time { return time.Unix(1_700_000_000, 0).Add(p.sim.now + p.skew) }
 
-type ring struct{ off bool }
+type timer struct{ off bool }
 
 // Stop keeps the timer from firing and tells whether it was still to fire.
-func (r *ring) Stop() bool { was := !r.off; r.off = true; return was }
+func (r *timer) Stop() bool { was := !r.off; r.off = true; return was }
 
 // Set is an timer of the process.
 func (p *proc) Set(d time.Duration, call func()) clock.Stopper {
-	r := &ring{}
+	r := &timer{}
 	p.after(d, func() {
 		if !r.off {
 			r.off = true
--- a/internal/testbed/sim/oracle.go
+++ b/internal/testbed/sim/oracle.go
@@ -33,7 +33,7 @@
 // ended, what clients and operators were told, and what disks have. Of the daemons it believes only the log, of
 // which it keeps a copy from the first cplane that shows an entry as committed.
 type oracle struct {
-	s       *sim
+	sim     *sim
 	ref     *state.State
 	log     []record // from index 2 on
 	seen    map[*cplane]uint64
@@ -43,7 +43,7 @@
 	runIDs    map[uint64]*runID
 	grants    []uint64
 	ended     map[state.TaskRef][]*ending
-	runs      []*onerun
+	runs      []*runWitness
 	evacuated map[string]time.Duration
 	dueAt     map[state.TaskRef]time.Duration
 	idle      map[state.TaskRef]time.Duration
@@ -59,7 +59,7 @@
 
 // run ID is all that became of a run ID.
 type runID struct {
-	h       state.Handle
+	handle  state.Handle
 	index   uint64 // of its commit
 	term    uint64
 	at      time.Duration // of its commit
@@ -71,24 +71,24 @@
 
 // ending is a run that ended well at its minion.
 type ending struct {
-	runID uint64
-	m     *node
-	gen   int
-	told  map[uint64]time.Duration // the epochs whose holder was told, and when first
+	runID  uint64
+	minion *node
+	gen    int
+	told   map[uint64]time.Duration // the epochs whose holder was told, and when first
 }
 
-// onerun is a run at a minion.
-type onerun struct {
-	ref   state.TaskRef
-	runID uint64
-	m     *node
-	gen   int
-	cores int
-	until time.Duration // virtual time at which its hold lapses
+// runWitness is a run at a minion.
+type runWitness struct {
+	ref    state.TaskRef
+	runID  uint64
+	minion *node
+	gen    int
+	cores  int
+	until  time.Duration // virtual time at which its hold lapses
 }
 
 func (s *sim) newOracle() *oracle {
-	o := &oracle{s: s, ref: state.New(), seen: map[*cplane]uint64{}, jobs: map[string]*job{}, runIDs: map[uint64]*runID{},
+	o := &oracle{sim: s, ref: state.New(), seen: map[*cplane]uint64{}, jobs: map[string]*job{}, runIDs: map[uint64]*runID{},
 		ended: map[state.TaskRef][]*ending{}, evacuated: map[string]time.Duration{}, dueAt: map[state.TaskRef]time.Duration{},
 		idle: map[state.TaskRef]time.Duration{}, orders: map[*node]uint64{}}
 	for _, m := range s.members() {
@@ -98,7 +98,7 @@
 	o.ref.Watch = func(n state.Note) {
 		switch n.Kind {
 		case state.NoteOpened:
-			o.runIDs[n.Handle.RunID] = &runID{h: *n.Handle, index: o.ref.Index, term: o.ref.Term, at: s.now}
+			o.runIDs[n.Handle.RunID] = &runID{handle: *n.Handle, index: o.ref.Index, term: o.ref.Term, at: s.now}
 		case state.NoteClosed:
 			o.runIDs[n.Handle.RunID].closed = s.now
 			s.tell("ticket %d of %v is closed", n.Handle.RunID, n.Ref)
@@ -145,7 +145,7 @@
 }
 
 func (o *oracle) entry(c *cplane, e quorum.Entry) {
-	s := o.s
+	s := o.sim
 	r := record{e.Term, xxhash.Sum64(e.Data)}
 	if at := int(e.Index) - 2; at < len(o.log) {
 		s.held("same log")
@@ -202,7 +202,7 @@
 func (o *oracle) durable(index, term uint64) bool {
 	have := map[string]bool{}
 	sets := [][]quorum.Member{o.members}
-	for _, c := range o.s.cplanes {
+	for _, c := range o.sim.cplanes {
 		if c.wiped != "" { // it may have said that it has it before it lost it
 			have[c.wiped] = have[c.wiped] || index <= c.hadTo || c.had[index] == term
 		}
@@ -242,9 +242,9 @@
 
 // planned takes in that a plan decided under an epoch was committed and counted.
 func (o *oracle) planned(epoch, index uint64) {
-	o.s.held("decided in office")
+	o.sim.held("decided in office")
 	if now := o.newest(index); now != epoch {
-		o.s.broke("decided in office", "a plan of epoch %d counts at %d, where %d was granted", epoch, index, now)
+		o.sim.broke("decided in office", "a plan of epoch %d counts at %d, where %d was granted", epoch, index, now)
 	}
 }
 
@@ -252,12 +252,12 @@
 // a replica that has not followed the store up to the grant; only those with starts are counted.
 func (o *oracle) decided(d *dplane, p *command.Plan) {
 	if d.state().Index < p.Epoch {
-		o.s.broke("rebuilt", "%s makes a plan of %d starts under epoch %d with its replica at %d", d.addr, len(p.Starts), p.Epoch, d.state().Index)
+		o.sim.broke("rebuilt", "%s makes a plan of %d starts under epoch %d with its replica at %d", d.addr, len(p.Starts), p.Epoch, d.state().Index)
 	}
 	if len(p.Starts) == 0 {
 		return
 	}
-	o.s.held("rebuilt")
+	o.sim.held("rebuilt")
 	if h := len(d.state().Handles); h > 0 && d.sched.Epoch() == p.Epoch {
 		o.rebuilt(d)
 	}
@@ -265,7 +265,7 @@
 
 // written takes in that a hold call leaves a dplane.
 func (o *oracle) written(d *dplane, c sched.CallOut) {
-	s := o.s
+	s := o.sim
 	s.held("fence")
 	if now := o.newest(o.ref.Index); c.Call.Epoch < now {
 		s.broke("fence", "%s writes to %s under epoch %d, %d was granted", d.addr, c.Minion, c.Call.Epoch, now)
@@ -291,9 +291,9 @@
 		if t := o.runIDs[st.RunID]; t != nil {
 			t.until = m.zero + st.Until
 		}
-		o.s.held("newer ticket")
+		o.sim.held("newer ticket")
 		if st.RunID <= o.orders[m] && m.kind == minion.Obey {
-			o.s.broke("newer ticket", "ticket %d reaches %s, which has seen %d", st.RunID, m.addr, o.orders[m])
+			o.sim.broke("newer ticket", "ticket %d reaches %s, which has seen %d", st.RunID, m.addr, o.orders[m])
 		}
 		o.orders[m] = max(o.orders[m], st.RunID)
 	}
@@ -305,7 +305,7 @@
 		return
 	}
 	for _, r := range o.runs {
-		if r.m == m && r.gen == m.gen && slices.Contains(call.Renew, r.runID) {
+		if r.minion == m && r.gen == m.gen && slices.Contains(call.Renew, r.runID) {
 			r.until = max(r.until, m.zero+call.Until)
 		}
 	}
@@ -321,10 +321,10 @@
 		if t == nil || e.How != api.EndWell {
 			continue
 		}
-		for _, end := range o.ended[t.h.Ref] {
+		for _, end := range o.ended[t.handle.Ref] {
 			if end.runID == e.RunID {
 				if _, ok := end.told[c.Call.Epoch]; !ok {
-					end.told[c.Call.Epoch] = o.s.now
+					end.told[c.Call.Epoch] = o.sim.now
 				}
 			}
 		}
@@ -333,54 +333,54 @@
 
 // booted takes in that a minion begins a life: nothing of an older one runs any more.
 func (o *oracle) booted(m *node) {
-	o.runs = slices.DeleteFunc(o.runs, func(r *onerun) bool { return r.m == m })
-	o.s.tell("%s boots as %s", m.addr, m.traits.Boot)
+	o.runs = slices.DeleteFunc(o.runs, func(r *runWitness) bool { return r.minion == m })
+	o.sim.tell("%s boots as %s", m.addr, m.traits.Boot)
 }
 
-func (o *oracle) orphaned(m *node) { o.s.tell("%s is killed", m.addr) }
+func (o *oracle) orphaned(m *node) { o.sim.tell("%s is killed", m.addr) }
 
 // witness takes in what a minion did.
 func (o *oracle) witness(m *node, e journal.Entry) {
 	if e.Ev == journal.Boot {
 		return
 	}
-	o.s.tell("%s %s ticket %d %s/%s/%d ok=%v %s", m.addr, e.Ev, e.RunID, e.Job, e.Step, e.Task, e.OK, e.Why)
+	o.sim.tell("%s %s ticket %d %s/%s/%d ok=%v %s", m.addr, e.Ev, e.RunID, e.Job, e.Step, e.Task, e.OK, e.Why)
 	switch e.Ev {
 	case journal.Start:
 		o.started(m, e)
-		if t := o.runIDs[e.RunID]; t != nil && o.s.money != nil {
-			o.s.money.started(t.h.Ref, e.RunID)
+		if t := o.runIDs[e.RunID]; t != nil && o.sim.money != nil {
+			o.sim.money.started(t.handle.Ref, e.RunID)
 		}
 	case journal.Refuse:
-		o.s.report.Counts["refused: "+e.Why]++
+		o.sim.report.Counts["refused: "+e.Why]++
 	case journal.End, journal.Stop, journal.Lapse:
 		if e.Ev == journal.Lapse {
-			o.s.report.Counts["lapsed"]++
+			o.sim.report.Counts["lapsed"]++
 		}
 		n := len(o.runs)
-		o.runs = slices.DeleteFunc(o.runs, func(r *onerun) bool { return r.m == m && r.runID == e.RunID })
+		o.runs = slices.DeleteFunc(o.runs, func(r *runWitness) bool { return r.minion == m && r.runID == e.RunID })
 		if t := o.runIDs[e.RunID]; e.Ev == journal.End && e.OK && t != nil && n > len(o.runs) {
-			o.ended[t.h.Ref] = append(o.ended[t.h.Ref], &ending{e.RunID, m, m.gen, map[uint64]time.Duration{}})
+			o.ended[t.handle.Ref] = append(o.ended[t.handle.Ref], &ending{e.RunID, m, m.gen, map[uint64]time.Duration{}})
 		}
 	}
 }
 
 // started judges a start, the one event that must never be wrong.
 func (o *oracle) started(m *node, e journal.Entry) {
-	s := o.s
+	s := o.sim
 	t := o.runIDs[e.RunID]
-	if t == nil || t.written == 0 || t.h.Minion != m.addr {
+	if t == nil || t.written == 0 || t.handle.Minion != m.addr {
 		s.broke("durable", "%s starts ticket %d, which was not ordered there", m.addr, e.RunID)
 		return
 	}
-	ref := t.h.Ref
+	ref := t.handle.Ref
 	if !s.calm {
 		s.report.Counts["starts under faults"]++
 	}
 	s.held("once at a time")
 	for _, r := range o.runs {
 		if r.ref == ref && s.now < r.until {
-			s.broke("once at a time", "%v starts as ticket %d on %s while ticket %d runs on %s", ref, e.RunID, m.addr, r.runID, r.m.addr)
+			s.broke("once at a time", "%v starts as ticket %d on %s while ticket %d runs on %s", ref, e.RunID, m.addr, r.runID, r.minion.addr)
 		}
 	}
 	s.held("not after it ended well")
@@ -419,12 +419,12 @@
 			s.broke("fits", "ticket %d wants %s=%s, %s has not", e.RunID, k, v, m.addr)
 		}
 	}
-	run := &onerun{ref, e.RunID, m, m.gen, step.Cores, 0}
+	run := &runWitness{ref, e.RunID, m, m.gen, step.Cores, 0}
 	run.until = t.until
 	o.runs = append(o.runs, run)
 	taken := 0
 	for _, r := range o.runs {
-		if r.m == m && s.now < r.until {
+		if r.minion == m && s.now < r.until {
 			taken += r.cores
 		}
 	}
@@ -438,19 +438,19 @@
 // it is a breach if the store has it as done, or if the holder that gave the new run ID was told before the old
 // handle was closed. Else it is counted apart.
 func (o *oracle) repeats(t *runID, end *ending) {
-	s := o.s
+	s := o.sim
 	old := o.runIDs[end.runID]
-	if end.runID >= t.h.RunID {
+	if end.runID >= t.handle.RunID {
 		return
 	}
-	if _, task := o.ref.TaskOf(t.h.Ref); task == nil || task.Phase == state.TaskDone && task.RunID != t.h.RunID {
-		s.broke("not after it ended well", "ticket %d starts %v, which the store has as done", t.h.RunID, t.h.Ref)
+	if _, task := o.ref.TaskOf(t.handle.Ref); task == nil || task.Phase == state.TaskDone && task.RunID != t.handle.RunID {
+		s.broke("not after it ended well", "ticket %d starts %v, which the store has as done", t.handle.RunID, t.handle.Ref)
 	}
-	if at, ok := end.told[t.h.Epoch]; ok && at+time.Second < old.closed {
+	if at, ok := end.told[t.handle.Epoch]; ok && at+time.Second < old.closed {
 		s.broke("not after it ended well", "ticket %d starts %v; its holder was told at %v that ticket %d ended well, which was closed at %v",
-			t.h.RunID, t.h.Ref, at, end.runID, old.closed)
+			t.handle.RunID, t.handle.Ref, at, end.runID, old.closed)
 	}
-	if end.m.gen != end.gen {
+	if end.minion.gen != end.gen {
 		s.report.Counts["ran again: the minion forgot the end with its boot"]++
 	} else {
 		s.report.Counts["ran again: the end was not heard until the hold had lapsed"]++
@@ -462,7 +462,7 @@
 	want := d.state().RunningCounts()
 	for kind, n := range want {
 		if got := d.sched.RunningCount(kind); got != n {
-			o.s.broke("rebuilt", "%s has a tally of %d for %s, %d handles are out", d.addr, got, kind, n)
+			o.sim.broke("rebuilt", "%s has a tally of %d for %s, %d handles are out", d.addr, got, kind, n)
 		}
 	}
 }
@@ -472,11 +472,11 @@
 	if j.over != state.JobDone {
 		return
 	}
-	o.s.held("done")
+	o.sim.held("done")
 	for i, step := range j.spec.Steps {
 		for k := range step.Tasks {
 			if len(o.ended[state.TaskRef{Job: j.spec.Key, Step: i, Task: k}]) == 0 {
-				o.s.broke("done", "%s is shown as done, task %d of step %d never ended well", j.spec.Key, k, i)
+				o.sim.broke("done", "%s is shown as done, task %d of step %d never ended well", j.spec.Key, k, i)
 			}
 		}
 	}
@@ -484,7 +484,7 @@
 
 // compare holds the states of all nodes at the same index against each other.
 func (o *oracle) compare() {
-	s := o.s
+	s := o.sim
 	first := map[uint64][]byte{}
 	look := func(name string, st *state.State) {
 		raw, err := st.Encode()
@@ -514,7 +514,7 @@
 
 // idling looks for due tasks beside room, once the faults are over.
 func (o *oracle) idling() {
-	s := o.s
+	s := o.sim
 	s.on(250*time.Millisecond, o.idling)
 	if !s.calm {
 		return
@@ -548,7 +548,7 @@
 // go before it only for a while. The time counts while the fleet can give run IDs at all: a process that faults ended
 // may be down for up to calmAfter beyond them.
 func (o *oracle) passing() {
-	s := o.s
+	s := o.sim
 	ref, found := o.first()
 	switch {
 	case !found || !o.serving():
@@ -570,7 +570,7 @@
 // serving tells whether a majority of the store's voters and a dplane are up.
 func (o *oracle) serving() bool {
 	up := map[string]bool{}
-	for _, c := range o.s.cplanes {
+	for _, c := range o.sim.cplanes {
 		if c.alive && !c.frozen && c.hand.Core() != nil {
 			up[c.hand.Core().Status().ID] = true
 		}
@@ -584,7 +584,7 @@
 			}
 		}
 	}
-	return 2*there > voters && slices.ContainsFunc(o.s.dplanes, func(d *dplane) bool { return d.alive && !d.frozen })
+	return 2*there > voters && slices.ContainsFunc(o.sim.dplanes, func(d *dplane) bool { return d.alive && !d.frozen })
 }
 
 // first gives the oldest due task that some minion could hold.
@@ -607,7 +607,7 @@
 	for i, tasks := range j.Tasks {
 		for k := range tasks {
 			ref := state.TaskRef{Job: j.Spec.Key, Step: i, Task: k}
-			if tasks[k].Phase == state.TaskDue && o.s.now >= o.dueAt[ref] && o.s.money.payable(j, ref) && o.holds(j, i) {
+			if tasks[k].Phase == state.TaskDue && o.sim.now >= o.dueAt[ref] && o.sim.money.payable(j, ref) && o.holds(j, i) {
 				return ref, true
 			}
 		}
@@ -643,13 +643,13 @@
 
 // waits tells whether a task is due and a minion could run it now.
 func (o *oracle) waits(j *state.Job, ref state.TaskRef) bool {
-	return o.room(j, ref) && o.s.money.payable(j, ref)
+	return o.room(j, ref) && o.sim.money.payable(j, ref)
 }
 
 // room tells whether a task is due and a minion has room for it now.
 func (o *oracle) room(j *state.Job, ref state.TaskRef) bool {
 	step := &j.Spec.Steps[ref.Step]
-	if j.Tasks[ref.Step][ref.Task].Phase != state.TaskDue || step.Gang || o.s.now < o.dueAt[ref] {
+	if j.Tasks[ref.Step][ref.Task].Phase != state.TaskDue || step.Gang || o.sim.now < o.dueAt[ref] {
 		return false
 	}
 	return slices.ContainsFunc(o.usable(), func(m *node) bool {
@@ -660,13 +660,13 @@
 // usable gives the minions that are there and not held back, as sick ones are, which spoil what they are given.
 func (o *oracle) usable() []*node {
 	var sick []string
-	for _, d := range o.s.dplanes {
+	for _, d := range o.sim.dplanes {
 		if d.alive && d.sched.Epoch() > 0 {
 			sick = d.sched.Sick()
 		}
 	}
 	var out []*node
-	for _, m := range o.s.minions {
+	for _, m := range o.sim.minions {
 		if o.ref.Minions[m.addr] != nil && m.alive && !m.frozen && !m.draining && !slices.Contains(sick, m.addr) {
 			out = append(out, m)
 		}
@@ -676,7 +676,7 @@
 
 // end judges what must hold when all is over.
 func (o *oracle) end() {
-	s := o.s
+	s := o.sim
 	s.held("all ends")
 	for _, j := range s.people.jobs {
 		if !j.gave && j.over == "" {
--- a/internal/testbed/sim/oracle_test.go
+++ b/internal/testbed/sim/oracle_test.go
@@ -11,7 +11,7 @@
 
 // waitFor lets the oracle look at the oldest due task every quarter of a second, and nothing else happen.
 func (o *oracle) waitFor(d time.Duration) {
-	for end := o.s.now + d; o.s.now < end; o.s.now += 250 * time.Millisecond {
+	for end := o.sim.now + d; o.sim.now < end; o.sim.now += 250 * time.Millisecond {
 		o.passing()
 	}
 }
--- a/internal/testbed/sim/people.go
+++ b/internal/testbed/sim/people.go
@@ -50,7 +50,7 @@
 // mostOpen is how many jobs the clients have open at most.
 func (p *people) mostOpen() int {
 	cores := 0
-	for _, m := range p.s.minions {
+	for _, m := range p.sim.minions {
 		cores += m.cores
 	}
 	return jobsPerCore * cores
@@ -58,7 +58,7 @@
 
 // offer hands a job in, again and again until it is accepted or its client loses patience.
 func (p *people) offer() {
-	s := p.s
+	s := p.sim
 	if s.calm {
 		return
 	}
@@ -76,7 +76,7 @@
 }
 
 func (p *people) spec() state.Spec {
-	s := p.s
+	s := p.sim
 	p.next++
 	out := state.Spec{Key: fmt.Sprintf("j%03d", p.next), Team: s.money.team(), Queue: "default"}
 	for i := range 1 + s.rnd.IntN(3) {
@@ -99,10 +99,10 @@
 	return out
 }
 
-func (p *people) at() *dplane { return pick(p.s, p.s.dplanes) }
+func (p *people) at() *dplane { return pick(p.sim, p.sim.dplanes) }
 
 func (p *people) submit(j *job, try int) {
-	s := p.s
+	s := p.sim
 	d := p.at()
 	cmd := &command.Submit{Spec: j.spec, Digest: "d-" + j.spec.Key, Bound: 10000}
 	m := p.seen.called(s.now, j.spec.Key, actSubmit, cmd.Digest)
@@ -136,7 +136,7 @@
 }
 
 func (p *people) cancel(j *job) {
-	s := p.s
+	s := p.sim
 	j.wanted = true
 	d := p.at()
 	m := p.seen.called(s.now, j.spec.Key, actCancel, "")
@@ -165,7 +165,7 @@
 }
 
 func (p *people) poll(j *job) {
-	s := p.s
+	s := p.sim
 	d := p.at()
 	m := p.seen.called(s.now, j.spec.Key, actPoll, "")
 	s.ask(ask{from: p.proc, addr: d.addr, within: 3 * time.Second, keep: 3 * time.Second, twice: true,
@@ -210,7 +210,7 @@
 func (p *people) abandonedOpen() int {
 	n := 0
 	for _, j := range p.jobs {
-		if k := p.s.oracle.ref.Jobs[j.spec.Key]; j.gave && k != nil && !k.Phase.Over() {
+		if k := p.sim.oracle.ref.Jobs[j.spec.Key]; j.gave && k != nil && !k.Phase.Over() {
 			n++
 		}
 	}
@@ -223,7 +223,7 @@
 // order sends an operator's order until it is acknowledged, and then now and then once more.
 func (p *people) order(cmd command.Command, first json.RawMessage, done func()) {
 	p.op.propose(cmd, true, p.Now()+5*time.Second, func(_ uint64, a json.RawMessage, err error) {
-		s := p.s
+		s := p.sim
 		switch {
 		case err != nil:
 			p.after(200*time.Millisecond, func() { p.order(cmd, first, done) })
@@ -246,7 +246,7 @@
 	if p.out[zone] || len(p.out) > 0 {
 		return false
 	}
-	s := p.s
+	s := p.sim
 	p.acts++
 	p.out[zone] = true
 	p.inOrder(s.money.signed(command.Zone{Order: fmt.Sprintf("o%d", p.acts), Zone: zone, Out: true}), func() {
@@ -259,7 +259,7 @@
 }
 
 func (p *people) open(zone string) {
-	s := p.s
+	s := p.sim
 	p.acts++
 	delete(s.oracle.evacuated, zone) // from the sending on it may be open
 	p.inOrder(s.money.signed(command.Zone{Order: fmt.Sprintf("o%d", p.acts), Zone: zone, Out: false}), func() {
@@ -273,11 +273,11 @@
 // again hands a job in that was accepted long ago: it stays one job.
 func (p *people) again() {
 	if len(p.jobs) > 0 {
-		if j := pick(p.s, p.jobs); j.accepted > 0 {
+		if j := pick(p.sim, p.jobs); j.accepted > 0 {
 			p.submit(j, 0)
 		}
 	}
-	if !p.s.calm {
-		p.after(p.s.between(time.Second, 4*time.Second), p.again)
+	if !p.sim.calm {
+		p.after(p.sim.between(time.Second, 4*time.Second), p.again)
 	}
 }
--- a/internal/testbed/sim/sim.go
+++ b/internal/testbed/sim/sim.go
@@ -60,24 +60,24 @@
 	do  func()
 }
 
-type events []event
+type eventHeap []event
 
 // Len is part of heap.Interface.
-func (q events) Len() int { return len(q) }
+func (q eventHeap) Len() int { return len(q) }
 
 // Less orders events by time, then by number; part of heap.Interface.
-func (q events) Less(i, j int) bool {
+func (q eventHeap) Less(i, j int) bool {
 	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].seq < q[j].seq
 }
 
 // Swap is part of heap.Interface.
-func (q events) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q eventHeap) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
 
 // Push is part of heap.Interface.
-func (q *events) Push(x any) { *q = append(*q, x.(event)) }
+func (q *eventHeap) Push(x any) { *q = append(*q, x.(event)) }
 
 // Pop is part of heap.Interface.
-func (q *events) Pop() any {
+func (q *eventHeap) Pop() any {
 	old := *q
 	x := old[len(old)-1]
 	old[len(old)-1] = event{}
@@ -92,7 +92,7 @@
 	rnd   *rand.Rand
 	now   time.Duration
 	seq   uint64
-	queue events
+	queue eventHeap
 
 	net     net
 	procs   []*proc
@@ -101,7 +101,7 @@
 	dplanes []*dplane
 	minions []*node
 	people  *people
-	faults  *mischief
+	faults  *faultInjector
 	oracle  *oracle
 	money   *balances // nil without Options.Parties
 
