Scheduler: no order to a minion that may drain for longer than it was heard

Silence lets starts be planned on a minion unheard for 2.5 s. Ruled out: a drain that was known (its orders are taken back). Change: an order that would leave for a minion unheard for more than 1.5 s is taken back; its task is due again.

--- a/internal/sched/hold.go
+++ b/internal/sched/hold.go
@@ -24,7 +24,7 @@
 	if rec == nil {
 		return out
 	}
-	if len(m.outbox) > 0 && (now > m.outBy || m.drain) {
+	if len(m.outbox) > 0 && (now > m.outBy || m.drain || now-m.heard > c.cfg.OrderSilence) {
 		c.unsend(m)
 	}
 	quiet := m.failures > 0 && now < m.retry
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -26,8 +26,11 @@
 	LeaseMargin time.Duration // the duty's work stops this long before the lease ends
 	Retry       time.Duration // between calls to a minion that does not answer
 	Silence     time.Duration // no new starts on a minion unheard for this long
-	Sweep       time.Duration // between passes over all records
-	Batch       int           // most starts in a plan
+	// OrderSilence bounds how long a minion may have been unheard when an order is sent: it may have begun to drain, and
+	// starts on it must end within 2 s of that.
+	OrderSilence time.Duration
+	Sweep        time.Duration // between passes over all records
+	Batch        int           // most starts in a plan
 	// A kind of task that younger ones passed over for ReserveAfter, as it fitted nowhere, gets minions reserved for
 	// ReserveFor; ReserveRest lies between two reservations, ReserveRetry between two for the same kind.
 	ReserveAfter, ReserveFor, ReserveRest, ReserveRetry time.Duration
@@ -40,7 +43,7 @@
 func Defaults() Config {
 	return Config{Hold: 20 * time.Second, HoldWait: time.Second, StartWindow: 500 * time.Millisecond,
 		PlanWindow: 1900 * time.Millisecond, Lateness: 2 * time.Second, LeaseMargin: 500 * time.Millisecond,
-		Retry: 500 * time.Millisecond, Silence: 2500 * time.Millisecond, Sweep: 100 * time.Millisecond, Batch: 1024,
+		Retry: 500 * time.Millisecond, Silence: 2500 * time.Millisecond, OrderSilence: 1500 * time.Millisecond, Sweep: 100 * time.Millisecond, Batch: 1024,
 		ReserveAfter: 5 * time.Second, ReserveFor: 1500 * time.Millisecond, ReserveRest: time.Second, ReserveRetry: 3 * time.Second,
 		ReserveLongAfter: 10 * time.Second, ReserveLong: 2200 * time.Millisecond,
 		Health: HealthDefaults()}
