One digest of a call, one wait for background work, one check of unbroken seeds

Change: rpc.Digest; RunUntilDone takes several; playUnbroken keeps the tests' assertions; platform.ReadinessPath, whose value platform's own test states. No behaviour changes. Ruled out: digest in internal/jobs, whose functions platform may not call (TestPlatformDecidesNothing).

--- a/cmd/dplane/platform_test.go
+++ b/cmd/dplane/platform_test.go
@@ -52,9 +52,9 @@
 		options.ServeReady(server, func() error { return ready })
 		So(server.Start(), ShouldBeNil)
 		So(send(http.MethodDelete, "http://"+server.Addr()+"/queue/00000000000000a1"), ShouldEqual, http.StatusOK)
-		So(send(http.MethodGet, "http://"+server.Addr()+"/readiness"), ShouldEqual, http.StatusServiceUnavailable)
+		So(send(http.MethodGet, "http://"+server.Addr()+platform.ReadinessPath), ShouldEqual, http.StatusServiceUnavailable)
 		ready = nil
-		So(send(http.MethodGet, "http://"+server.Addr()+"/readiness"), ShouldEqual, http.StatusOK)
+		So(send(http.MethodGet, "http://"+server.Addr()+platform.ReadinessPath), ShouldEqual, http.StatusOK)
 		caller.Close()
 		So(server.Stop(time.Minute), ShouldBeNil)
 		So(leader.Stop(time.Minute), ShouldBeNil)
--- a/internal/daemon/service.go
+++ b/internal/daemon/service.go
@@ -44,10 +44,12 @@
 	}}
 }
 
-// RunUntilDone runs background until ctx ends, and returns when it has returned.
-func RunUntilDone(ctx context.Context, background func(ctx context.Context)) {
+// RunUntilDone runs all of background until ctx ends, and returns when they have returned.
+func RunUntilDone(ctx context.Context, background ...func(ctx context.Context)) {
 	group := routine.New(context.Background())
-	group.Go(background)
+	for _, one := range background {
+		group.Go(one)
+	}
 	<-ctx.Done()
 	group.Stop()
 }
--- a/internal/jobsapi/configuration.go
+++ b/internal/jobsapi/configuration.go
@@ -8,6 +8,7 @@
 	"crosstide/internal/config"
 	"crosstide/internal/errs"
 	"crosstide/internal/jobs"
+	"crosstide/internal/rpc"
 )
 
 const (
@@ -100,7 +101,7 @@
 // finish gives an order its version, which is the one after its base, its digest and its items' documents.
 func finish(order jobs.Configure, body []byte) (jobs.Configure, error) {
 	order.Version = order.Base + 1
-	order.Digest = digest(fmt.Appendf(nil, "replace %t", order.Replace), body)
+	order.Digest = rpc.Digest(fmt.Appendf(nil, "replace %t", order.Replace), body)
 	for i := range order.Queues {
 		q := &order.Queues[i]
 		if err := document(&q.Document, queueOf(*q)); err != nil {
--- a/internal/jobsapi/configuration_test.go
+++ b/internal/jobsapi/configuration_test.go
@@ -8,6 +8,7 @@
 
 	"crosstide/internal/errs"
 	"crosstide/internal/jobs"
+	"crosstide/internal/rpc"
 )
 
 func TestParsePut(t *testing.T) {
@@ -67,7 +68,7 @@
 		other, _ := parsePatch([]byte(`{"base":3,"remove":{"queues":["b"]}}`))
 		So(one.Digest, ShouldEqual, again.Digest)
 		So(one.Digest, ShouldNotEqual, other.Digest)
-		So(digest([]byte("a"), []byte("b")), ShouldNotEqual, digest([]byte("ab")))
+		So(rpc.Digest([]byte("a"), []byte("b")), ShouldNotEqual, rpc.Digest([]byte("ab")))
 	})
 	Convey("What is wrong is refused with its field", t, func() {
 		shouldRefuse(func(body []byte) error { _, err := parsePatch(body); return errs.Pass(err, "patch") }, []refused{
--- a/internal/jobsapi/job.go
+++ b/internal/jobsapi/job.go
@@ -9,6 +9,7 @@
 	"crosstide/internal/config"
 	"crosstide/internal/errs"
 	"crosstide/internal/jobs"
+	"crosstide/internal/rpc"
 )
 
 // Bounds of a job.
@@ -33,7 +34,7 @@
 	if err != nil {
 		return jobs.Spec{}, "", errs.Wrap(err, errs.Internal, "encode job %s", spec.ID)
 	}
-	return spec, digest(canonical), nil
+	return spec, rpc.Digest(canonical), nil
 }
 
 func readSpec(r *config.Reader, spec *jobs.Spec) {
--- a/internal/jobsapi/strict.go
+++ b/internal/jobsapi/strict.go
@@ -4,8 +4,6 @@
 package jobsapi
 
 import (
-	"crypto/sha256"
-	"encoding/hex"
 	"errors"
 	"regexp"
 	"strconv"
@@ -61,14 +59,3 @@
 	}
 	return errs.Field(errs.Invalid, first.Field, "%s", strings.Join(told, "; "))
 }
-
-// digest gives the SHA-256 of parts, each with its length before it.
-func digest(parts ...[]byte) string {
-	sum := sha256.New()
-	for _, part := range parts {
-		sum.Write(strconv.AppendInt(nil, int64(len(part)), 10))
-		sum.Write([]byte{'\n'})
-		sum.Write(part)
-	}
-	return hex.EncodeToString(sum.Sum(nil))
-}
--- a/internal/node/core.go
+++ b/internal/node/core.go
@@ -17,7 +17,6 @@
 	"crosstide/internal/controller"
 	"crosstide/internal/daemon"
 	"crosstide/internal/errs"
-	"crosstide/internal/routine"
 	"crosstide/internal/rpc"
 	"crosstide/internal/scheduler"
 	"crosstide/internal/store"
@@ -130,12 +129,7 @@
 		n.store.Stop()
 		return errs.Pass(err, "start")
 	}
-	work := routine.New(context.Background())
-	for _, one := range background {
-		work.Go(one)
-	}
-	<-ctx.Done()
-	work.Stop()
+	daemon.RunUntilDone(ctx, background...)
 	n.stop()
 	return nil
 }
--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -13,7 +13,6 @@
 	"crosstide/internal/controller"
 	"crosstide/internal/daemon"
 	"crosstide/internal/errs"
-	"crosstide/internal/routine"
 	"crosstide/internal/rpc"
 )
 
@@ -86,12 +85,11 @@
 	if err := f.start(); err != nil {
 		return errs.Pass(err, "start")
 	}
-	reload := routine.New(context.Background())
+	var background []func(ctx context.Context)
 	if f.opt.ReadSeeds != nil {
-		reload.Go(func(ctx context.Context) { f.followSeeds(ctx, changed) })
+		background = append(background, func(ctx context.Context) { f.followSeeds(ctx, changed) })
 	}
-	<-ctx.Done()
-	reload.Stop()
+	daemon.RunUntilDone(ctx, background...)
 	f.stop()
 	return nil
 }
--- a/internal/testbed/sim/balances_test.go
+++ b/internal/testbed/sim/balances_test.go
@@ -10,11 +10,7 @@
 
 func TestDrySpells(t *testing.T) {
 	Convey("Where parties pay and one runs dry again and again, no promise breaks in a fixed set of seeds with all faults", t, func() {
-		sum := Add(Each(Options{For: 20 * time.Second, Parties: true}, 1, 6, 2, 0), nil)
-		for _, r := range sum.Breaches {
-			t.Errorf("seed %d breaks %q at %s: %s", r.Seed, r.Breach.Promise, r.Breach.At, r.Breach.What)
-		}
-		So(sum.Broken, ShouldEqual, 0)
+		sum := playUnbroken(t, Options{For: 20 * time.Second, Parties: true}, 1, 6)
 		for promise, least := range map[string]uint64{"conserved": 3000, "paid for": 500, "bounded below zero": 100, "resumes in time": 6, "attached": 1} {
 			So(sum.Promise[promise], ShouldBeGreaterThanOrEqualTo, least)
 		}
--- a/internal/testbed/sim/sim_test.go
+++ b/internal/testbed/sim/sim_test.go
@@ -8,13 +8,19 @@
 	. "github.com/smartystreets/goconvey/convey"
 )
 
+// playUnbroken runs seeds two at a time, wants no promise broken in any, and gives what they showed together.
+func playUnbroken(t *testing.T, opt Options, first, last uint64) Sum {
+	sum := Add(Each(opt, first, last, 2, 0), nil)
+	for _, r := range sum.Breaches {
+		t.Errorf("seed %d breaks %q at %s: %s", r.Seed, r.Breach.Promise, r.Breach.At, r.Breach.What)
+	}
+	So(sum.Broken, ShouldEqual, 0)
+	return sum
+}
+
 func TestSeeds(t *testing.T) {
 	Convey("No promise breaks in a fixed set of seeds with all faults", t, func() {
-		sum := Add(Each(Options{For: 20 * time.Second}, 1, 4, 2, 0), nil)
-		for _, r := range sum.Breaches {
-			t.Errorf("seed %d breaks %q at %s: %s", r.Seed, r.Breach.Promise, r.Breach.At, r.Breach.What)
-		}
-		So(sum.Broken, ShouldEqual, 0)
+		sum := playUnbroken(t, Options{For: 20 * time.Second}, 1, 4)
 		So(sum.Promise["once at a time"], ShouldBeGreaterThan, 200)
 		So(sum.Promise["linear"], ShouldBeGreaterThan, 200)
 	})
@@ -35,11 +41,7 @@
 // Minutes reach what seconds do not: lost leases longer than a hold, long queues, jobs of many tries.
 func TestMinutes(t *testing.T) {
 	Convey("No promise breaks in a few seeds of five minutes with all faults", t, func() {
-		sum := Add(Each(Options{For: 5 * time.Minute}, 641000, 641003, 2, 0), nil)
-		for _, r := range sum.Breaches {
-			t.Errorf("seed %d breaks %q at %s: %s", r.Seed, r.Breach.Promise, r.Breach.At, r.Breach.What)
-		}
-		So(sum.Broken, ShouldEqual, 0)
+		sum := playUnbroken(t, Options{For: 5 * time.Minute}, 641000, 641003)
 		So(sum.Promise["not passed over"], ShouldBeGreaterThan, 100)
 		So(sum.Promise["all ends"], ShouldEqual, 4)
 	})
@@ -48,11 +50,7 @@
 // Where faults come every few hundred milliseconds little starts until they end; with pauses between them most does.
 func TestMinutesWithPauses(t *testing.T) {
 	Convey("No promise breaks in two seeds of two minutes with a fault every 5 s", t, func() {
-		sum := Add(Each(Options{For: 2 * time.Minute, Pace: 5 * time.Second}, 641000, 641001, 2, 0), nil)
-		for _, r := range sum.Breaches {
-			t.Errorf("seed %d breaks %q at %s: %s", r.Seed, r.Breach.Promise, r.Breach.At, r.Breach.What)
-		}
-		So(sum.Broken, ShouldEqual, 0)
+		sum := playUnbroken(t, Options{For: 2 * time.Minute, Pace: 5 * time.Second}, 641000, 641001)
 		So(sum.Counts["starts under faults"], ShouldBeGreaterThan, 300)
 	})
 }
