Scheduler: one way to name a task of a unit

Cause: placement made a task's name from its unit's twice, and payment a third time in another way. Change: unit.task. No behaviour changes; tests of scheduler and fleetsim green.

--- a/internal/scheduler/payment.go
+++ b/internal/scheduler/payment.go
@@ -30,7 +30,7 @@
 	}
 	covered, cost := []int(nil), p.promised[party.Name]
 	for _, index := range u.indexes {
-		fee := p.table.Fee(u.job, p.ref(u, index))
+		fee := p.table.Fee(u.job, u.task(index))
 		if fee > 0 && (p.waits[party.Name] || !p.table.Covers(party, cost+fee)) {
 			p.waits[party.Name] = true
 			continue
@@ -57,7 +57,3 @@
 		}
 	}
 }
-
-func (p *payment) ref(u *unit, index int) jobs.TaskRef {
-	return jobs.TaskRef{Job: u.job.Spec.ID, Round: u.round, Step: u.number, Index: index}
-}
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -224,9 +224,7 @@
 	clear(p.byFree)
 	p.onNode(u, n.record.ID)
 	p.perNode[u.key()][n.record.ID]++
-	ref := u.key()
-	ref.Index = index
-	p.starts = append(p.starts, jobs.Start{Task: ref, Number: number, Worker: n.record.ID})
+	p.starts = append(p.starts, jobs.Start{Task: u.task(index), Number: number, Worker: n.record.ID})
 }
 
 // untake undoes the newest starts, down to a length of the list.
@@ -250,9 +248,7 @@
 	nodes := p.usable(u.queue.Service)
 	tasks := u.tasks()
 	for position, index := range u.indexes {
-		ref := u.key()
-		ref.Index = index
-		n := p.best(u, nodes, p.core.avoid[ref])
+		n := p.best(u, nodes, p.core.avoid[u.task(index)])
 		if n == nil {
 			p.wait(u, nodes, len(u.indexes)-position)
 			return
--- a/internal/scheduler/queue.go
+++ b/internal/scheduler/queue.go
@@ -34,6 +34,13 @@
 	return jobs.TaskRef{Job: u.job.Spec.ID, Round: u.round, Step: u.number}
 }
 
+// task names the unit's task of an index.
+func (u *unit) task(index int) jobs.TaskRef {
+	ref := u.key()
+	ref.Index = index
+	return ref
+}
+
 func (c *Core) refresh(id string) { c.dirty[id] = true }
 
 // refreshAt makes a job's record anew from the table.
