--- a/cmd/cplane/account.go
+++ b/cmd/cplane/account.go
@@ -167,5 +167,5 @@
 		return errs.Pass(err, "export")
 	}
 	_, err = os.Stdout.Write(raw)
-	return errs.Wrap(err, errs.Internal, "print")
+	return errs.Wrap(err, errs.Disk, "print the ledger of %s", a[0])
 }
--- a/cmd/cplane/operate.go
+++ b/cmd/cplane/operate.go
@@ -5,6 +5,7 @@
 	"context"
 	"crypto/rand"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -76,6 +77,10 @@
 	}
 	res, err := http.DefaultClient.Do(req)
 	if err != nil {
+		var failed *url.Error // its text is the whole URL, whose query may hold a signature
+		if errors.As(err, &failed) {
+			err = failed.Err
+		}
 		return nil, errs.Wrap(err, errs.Unavailable, "ask %s", addr)
 	}
 	defer func() { _ = res.Body.Close() }() // all of it was read
--- a/cmd/drill/balances.go
+++ b/cmd/drill/balances.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"os"
 	"os/signal"
@@ -175,7 +176,7 @@
 			return nil
 		}
 		if !pause(ctx, lookInterval) {
-			return errs.New(errs.Stopped, "dry")
+			return errs.New(errs.Stopped, "stopped before %s was dry", p.party)
 		}
 	}
 	return errs.New(errs.Timeout, "the party is not dry within %s", dryWithin)
@@ -247,7 +248,7 @@
 	at, err := p.topUp(ctx, amount+max(0, -v.Balance))
 	if err != nil {
 		group.Wait()
-		return errs.Pass(err, "resume")
+		return errs.Pass(errors.Join(err, blown), "resume")
 	}
 	var first time.Time
 	_, err = p.until(ctx, 10*time.Second, "work after the top-up", func() bool {
@@ -265,7 +266,7 @@
 	})
 	group.Wait()
 	if err != nil || blown != nil {
-		return errs.New(errs.Timeout, "work %v, blow %v", err, blown)
+		return errs.Pass(errors.Join(err, blown), "resume")
 	}
 	took := max(0, first.Sub(at))
 	p.out.Resumed = append(p.out.Resumed, took.Seconds())
@@ -313,8 +314,11 @@
 // loseLasting kills the minion of a lasting task while the party is dry: the task must run again.
 func (p *payingStage) loseLasting(ctx context.Context) error {
 	started, err := p.starts(p.party+"-lasting", time.Time{})
-	if err != nil || len(started) == 0 {
-		return errs.New(errs.Unknown, "no lasting task has started (%v)", err)
+	if err != nil {
+		return errs.Pass(err, "lasting task")
+	}
+	if len(started) == 0 {
+		return errs.New(errs.Unknown, "no lasting task of %s has started", p.party)
 	}
 	last := slices.MaxFunc(started, func(a, b audit.Event) int { return int(min(max(a.At-b.At, -1), 1)) })
 	before := clock.Real{}.Wall()
--- a/cmd/drill/jobs.go
+++ b/cmd/drill/jobs.go
@@ -55,7 +55,7 @@
 	}
 	printResult(cmd, result)
 	if len(result.Wrong) > 0 {
-		return errs.New(errs.Conflict, "%d promises are broken; logs and journals are in %s", len(result.Wrong), dir)
+		return errs.New(errs.Internal, "%d promises are broken; logs and journals are in %s", len(result.Wrong), dir)
 	}
 	if made {
 		return errs.Wrap(os.RemoveAll(dir), errs.Disk, "remove %s", dir)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -79,7 +79,7 @@
 		clock.Real{}.Set(time.Duration(n)*time.Second, func() { close(over) })
 		<-over
 		pprof.StopCPUProfile()
-		_, _ = w.Write(out.Bytes())
+		_, _ = w.Write(out.Bytes()) // a caller that is gone hears nothing
 	})
 	s.Route("GET /debug/pprof/{name}", func(w http.ResponseWriter, r *http.Request) {
 		p := pprof.Lookup(r.PathValue("name"))
@@ -92,7 +92,7 @@
 			rpc.WriteError(w, errs.Wrap(err, errs.Internal, "profile"))
 			return
 		}
-		_, _ = w.Write(out.Bytes())
+		_, _ = w.Write(out.Bytes()) // a caller that is gone hears nothing
 	})
 }
 
--- a/internal/jobsapi/clients.go
+++ b/internal/jobsapi/clients.go
@@ -89,7 +89,7 @@
 func outward(ctx context.Context, err error) error {
 	switch {
 	case errs.Is(err, errs.NotLeader):
-		return errs.New(errs.Unavailable, "no leader can be reached now")
+		return errs.Wrap(err, errs.Unavailable, "no leader can be reached now")
 	case errs.Is(err, errs.Internal) && ctx.Err() != nil:
 		return errs.Wrap(err, errs.Timeout, "the call's time is over")
 	}
--- a/internal/jobsapi/strict.go
+++ b/internal/jobsapi/strict.go
@@ -40,7 +40,7 @@
 		return errs.New(errs.Malformed, "the body is not UTF-8")
 	}
 	if err := fastjson.ValidateBytes(body); err != nil { // the parser lets more pass
-		return errs.New(errs.Malformed, "the body is no JSON: %s", err)
+		return errs.Wrap(err, errs.Malformed, "the body is no JSON") // the cause quotes the body, and is not sent
 	}
 	err := config.Parse(body, into)
 	var mistakes config.Mistakes
--- a/internal/rpc/connection.go
+++ b/internal/rpc/connection.go
@@ -23,8 +23,8 @@
 
 // reset closes at once: unsent and unconfirmed bytes are thrown away, the peer gets a reset.
 func (l *connection) reset() {
-	_ = l.SetLinger(0)
-	_ = l.Close()
+	_ = l.SetLinger(0) // without it the close is an ordinary one
+	_ = l.Close()      // nothing on it counts any more
 }
 
 // write hands b to the kernel straight, calling check immediately before each write(2); sent counts.
--- a/internal/rpc/eventloops.go
+++ b/internal/rpc/eventloops.go
@@ -81,7 +81,7 @@
 		}
 	}
 	for _, one := range spare {
-		_ = one.Close()
+		_ = one.Close() // nothing was sent on it
 	}
 	if err == nil {
 		_, err = s.engine.AddConn(fits)
--- a/internal/rpc/listener.go
+++ b/internal/rpc/listener.go
@@ -50,7 +50,7 @@
 }
 
 // stopAccepting closes the socket; Close also makes a waiting Accept return.
-func (l *listener) stopAccepting() { _ = l.Listener.Close() }
+func (l *listener) stopAccepting() { _ = l.Listener.Close() } // a listener that is closed already is well
 
 // Close closes the socket and ends a waiting Accept.
 func (l *listener) Close() error {
--- a/internal/storage/segment.go
+++ b/internal/storage/segment.go
@@ -76,7 +76,7 @@
 		err = s.disk.Sync()
 	}
 	if err != nil {
-		_ = file.Close()
+		_ = file.Close() // the write has failed already
 		return nil, errs.Wrap(err, errs.Disk, "write %s", name)
 	}
 	s.updateStats(func(c *Stats) { c.Syncs, c.Bytes = c.Syncs+2, c.Bytes+uint64(bytes) })
--- a/internal/storage/snapshotfile.go
+++ b/internal/storage/snapshotfile.go
@@ -22,8 +22,8 @@
 	}
 	head = append(head, img.Meta...)
 	sum := xxhash.New()
-	_, _ = sum.Write(head) // never fails
-	_, _ = sum.Write(img.Body)
+	_, _ = sum.Write(head)     // never fails
+	_, _ = sum.Write(img.Body) // never fails
 	return head, byteOrder.AppendUint64(nil, sum.Sum64())
 }
 
--- a/internal/testbed/fleet/call.go
+++ b/internal/testbed/fleet/call.go
@@ -4,8 +4,10 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"net/http"
+	"net/url"
 	"strconv"
 	"time"
 
@@ -76,12 +78,16 @@
 	}
 	resp, err := c.client.Do(req)
 	if err != nil {
-		return Reply{}, errs.Wrap(err, errs.Timeout, "%s %s%s", method, addr, path)
+		var failed *url.Error // its text is the whole URL, whose query may hold a signature
+		if errors.As(err, &failed) {
+			err = failed.Err
+		}
+		return Reply{}, errs.Wrap(err, errs.Timeout, "%s %s%s", method, addr, req.URL.Path)
 	}
 	defer resp.Body.Close()
 	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
 	if err != nil {
-		return Reply{}, errs.Wrap(err, errs.Timeout, "answer of %s%s", addr, path)
+		return Reply{}, errs.Wrap(err, errs.Timeout, "answer of %s%s", addr, req.URL.Path)
 	}
 	out := Reply{Status: resp.StatusCode, Body: data}
 	if s, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64); err == nil && s > 0 {
--- a/internal/testbed/fleetsim/node.go
+++ b/internal/testbed/fleetsim/node.go
@@ -136,7 +136,7 @@
 	return answer, errs.Pass(err, "entry %d", n.applied)
 }
 
-func (n *node) catchUp() { _, _ = n.applyAll() }
+func (n *node) catchUp() { _, _ = n.applyAll() } // a refused entry is an outcome
 
 // stepDown lets the node learn that it leads no more.
 func (n *node) stepDown() {
--- a/internal/testbed/fleetsim/run.go
+++ b/internal/testbed/fleetsim/run.go
@@ -193,7 +193,7 @@
 // draw gives a number in [0, 1) that depends on what is named alone.
 func draw(parts ...any) float64 {
 	h := fnv.New64a()
-	_, _ = fmt.Fprint(h, parts...)
+	_, _ = fmt.Fprint(h, parts...) // never fails
 	return float64(h.Sum64()%100003) / 100003
 }
 
--- a/internal/testbed/fleetsim/sim.go
+++ b/internal/testbed/fleetsim/sim.go
@@ -171,6 +171,7 @@
 
 func (s *simulator) trace(format string, args ...any) {
 	if s.opt.Trace != nil {
+		// A trace that nobody reads changes no run.
 		_, _ = fmt.Fprintf(s.opt.Trace, "%9.4f %s\n", s.now.Seconds(), fmt.Sprintf(format, args...))
 	}
 }
--- a/internal/testbed/jobsdrill/processes.go
+++ b/internal/testbed/jobsdrill/processes.go
@@ -191,7 +191,7 @@
 	return p, nil
 }
 
-// Launch starts the process of a name, which must not run. Failures: Unknown, Disk, Internal.
+// Launch starts the process of a name, which must not run. Failures: Unknown, Disk, Settings.
 func (p *Processes) Launch(name string) error {
 	for _, line := range p.plan.Lines {
 		if line.Name == name {
@@ -204,13 +204,13 @@
 func (p *Processes) launch(line Line) error {
 	out, err := os.OpenFile(filepath.Join(p.plan.Dir, "log", line.Name+".log"), os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o644)
 	if err != nil {
-		return errs.Wrap(err, errs.Disk, "log")
+		return errs.Wrap(err, errs.Disk, "log of %s", line.Name)
 	}
 	defer out.Close() // the process has its own descriptor
 	one := &process{cmd: exec.Command(line.Args[0], line.Args[1:]...), gone: make(chan struct{})}
 	one.cmd.Stdout, one.cmd.Stderr = out, out
 	if err := one.cmd.Start(); err != nil {
-		return errs.Wrap(err, errs.Internal, "start")
+		return errs.Wrap(err, errs.Settings, "start %s", line.Args[0])
 	}
 	p.mu.Lock()
 	p.running[line.Name] = one
@@ -275,7 +275,7 @@
 
 // end waits for a process that was told to end, and kills it after the grace.
 func (o *process) end() {
-	ring := clock.Real{}.Set(stopGrace, func() { _ = o.cmd.Process.Kill() })
+	ring := clock.Real{}.Set(stopGrace, func() { _ = o.cmd.Process.Kill() }) // one that has ended already is well
 	<-o.gone
 	ring.Stop()
 }
--- a/internal/testbed/paying/paying.go
+++ b/internal/testbed/paying/paying.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"net/url"
 	"strconv"
+	"strings"
 	"time"
 
 	"crosstide/internal/account"
@@ -67,6 +68,7 @@
 
 // send sends one call to one cplane after another until it is answered for good. Failures: the answer's own, Timeout.
 func (o *Operator) send(ctx context.Context, method, path string, body []byte) ([]byte, error) {
+	place, _, _ := strings.Cut(path, "?") // the query may hold a signature
 	for end := o.clock.Now() + giveUp; ; {
 		node := o.nodes.CPlanes[o.first%len(o.nodes.CPlanes)]
 		reply, err := o.caller.Send(ctx, method, node.Addr, path, body, callBound)
@@ -75,10 +77,13 @@
 		}
 		if err == nil && reply.Status < http.StatusInternalServerError && reply.Status != http.StatusMisdirectedRequest &&
 			reply.Status != http.StatusTooManyRequests {
-			return nil, errs.New(errs.Kind(reply.Kind()), "%s %s: %s", method, path, reply.Body)
+			return nil, errs.New(errs.Kind(reply.Kind()), "%s %s: %s", method, place, reply.Body)
 		}
 		if ctx.Err() != nil || o.clock.Now() > end {
-			return nil, errs.New(errs.Timeout, "%s %s: no good answer within %s", method, path, giveUp)
+			if err != nil {
+				return nil, errs.Wrap(err, errs.Timeout, "%s %s: no good answer within %s", method, place, giveUp)
+			}
+			return nil, errs.New(errs.Timeout, "%s %s: status %d, no good answer within %s", method, place, reply.Status, giveUp)
 		}
 		o.first++
 		wait := make(chan struct{})
@@ -201,8 +206,11 @@
 // Add adds an export up from its base row; the sum must be its head row's. Failure: Damaged.
 func Add(export []byte) (Sums, error) {
 	rows, err := csv.NewReader(bytes.NewReader(export)).ReadAll()
-	if err != nil || len(rows) < 3 {
-		return Sums{}, errs.New(errs.Damaged, "the export has %d rows (%v)", len(rows), err)
+	if err != nil {
+		return Sums{}, errs.Wrap(err, errs.Damaged, "the export is no CSV")
+	}
+	if len(rows) < 3 {
+		return Sums{}, errs.New(errs.Damaged, "the export has %d rows", len(rows))
 	}
 	base, head := rows[1], rows[len(rows)-1]
 	sums := Sums{ToppedUp: number(base[columnTopUps]), Spent: number(base[columnSpent]), TopUps: map[string]int64{}}
--- a/internal/testbed/sim/sim.go
+++ b/internal/testbed/sim/sim.go
@@ -163,9 +163,9 @@
 // tell writes a line of the trace.
 func (s *sim) tell(format string, args ...any) {
 	line := fmt.Sprintf("%12.6f ", s.now.Seconds()) + fmt.Sprintf(format, args...)
-	_, _ = s.hash.WriteString(line)
+	_, _ = s.hash.WriteString(line) // never fails
 	if s.opt.Trace != nil {
-		_, _ = io.WriteString(s.opt.Trace, line+"\n")
+		_, _ = io.WriteString(s.opt.Trace, line+"\n") // a trace that nobody reads changes no run
 	}
 	if len(s.ring) < kept {
 		s.ring = append(s.ring, line)
