--- a/internal/jobsapi/job_test.go
+++ b/internal/jobsapi/job_test.go
@@ -63,6 +63,7 @@
 			{"", errs.Malformed, ""},
 			{"{", errs.Malformed, ""},
 			{"\xff", errs.Malformed, ""},
+			{strings.Repeat("[", 1<<20), errs.Malformed, ""},
 			{`{"id":NaN}`, errs.Malformed, ""},
 			{`[]`, errs.Invalid, ""},
 			{job(`,"color":"red"`), errs.Invalid, "color"},
--- a/internal/jobsapi/strict.go
+++ b/internal/jobsapi/strict.go
@@ -8,12 +8,12 @@
 	"regexp"
 	"strconv"
 	"strings"
-	"unicode/utf8"
 
 	"github.com/valyala/fastjson"
 
 	"crosstide/internal/config"
 	"crosstide/internal/errs"
+	"crosstide/internal/rpc"
 )
 
 // maxTold is how many mistakes of a body are told at once.
@@ -34,11 +34,9 @@
 // parse reads a body by into. Failures: Malformed: no JSON; Invalid: a field is refused. The failure has the first
 // mistake's field, its message tells the others too.
 func parse(body []byte, into func(r *config.Reader)) error {
-	if !utf8.Valid(body) {
-		return errs.New(errs.Malformed, "the body is not UTF-8")
-	}
-	if err := fastjson.ValidateBytes(body); err != nil { // the parser lets more pass
-		return errs.Wrap(err, errs.Malformed, "the body is no JSON") // the cause quotes the body, and is not sent
+	var parser fastjson.Parser
+	if _, err := rpc.ParseJSON(&parser, body); err != nil {
+		return errs.Pass(err, "body")
 	}
 	err := config.Parse(body, into)
 	var mistakes config.Mistakes
