--- a/internal/jobs/table.go
+++ b/internal/jobs/table.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 
+	"crosstide/internal/codec"
 	"crosstide/internal/errs"
 )
 
@@ -71,7 +72,7 @@
 func (t *Table) UnmarshalJSON(data []byte) error {
 	type plain Table // without this method
 	var decoded plain
-	if err := json.Unmarshal(data, &decoded); err != nil {
+	if err := codec.Decode(data, &decoded); err != nil {
 		return errs.Wrap(err, errs.Damaged, "decode job table")
 	}
 	decoded.Watch, decoded.Payments = t.Watch, t.Payments
--- a/internal/rpc/server.go
+++ b/internal/rpc/server.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net"
 	"net/http"
 	"sync"
@@ -16,6 +15,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"crosstide/internal/clock"
+	"crosstide/internal/codec"
 	"crosstide/internal/errs"
 	"crosstide/internal/routine"
 )
@@ -109,7 +109,7 @@
 		in := takeFrame(0)
 		err := readInto(&in.buf, r.Body, r.ContentLength, s.opt.MaxBody)
 		if err == nil {
-			err = errs.Wrap(json.Unmarshal(in.buf.Bytes(), &call), errs.Malformed, "the body of %s", p.Path)
+			err = errs.Wrap(codec.Decode(in.buf.Bytes(), &call), errs.Malformed, "the body of %s", p.Path)
 		}
 		in.free()
 		if err != nil {
--- a/internal/rpc/transfer.go
+++ b/internal/rpc/transfer.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"time"
 
+	"crosstide/internal/codec"
 	"crosstide/internal/errs"
 )
 
@@ -34,7 +35,7 @@
 		err = errs.Pass(&unsent{err}, "the call")
 	}
 	if err == nil {
-		err = errs.Wrap(json.Unmarshal(in.buf.Bytes(), answer), errs.Malformed, "the answer of %s at %s", path, addr)
+		err = errs.Wrap(codec.Decode(in.buf.Bytes(), answer), errs.Malformed, "the answer of %s at %s", path, addr)
 	}
 	if err != nil {
 		k.meter.failures.WithLabelValues(path, string(knownKind(errs.KindOf(err)))).Inc()
--- a/internal/scheduler/config.go
+++ b/internal/scheduler/config.go
@@ -22,6 +22,7 @@
 	// so many at most, and those of a leader that lost its power stay open there.
 	MostOrders    int
 	MostPreempted int // most runs that one pass stops for more urgent work
+	MostProbes    int // most workers that are asked at once and have not answered
 }
 
 // Defaults are the starting values.
@@ -31,6 +32,6 @@
 		Silence: 4 * time.Second, OrderTimeout: 300 * time.Millisecond, HoldMargin: 400 * time.Millisecond,
 		RetryMin: 200 * time.Millisecond, RetryMax: time.Second, LapseMargin: 600 * time.Millisecond,
 		ClockSlack: 0.02, EarlyStart: 0, SpreadFactor: 1.5, GangHold: 500 * time.Millisecond,
-		ForgetAfter: 15 * time.Second, MostStarts: 512, MostOrders: 4, MostPreempted: 32,
+		ForgetAfter: 15 * time.Second, MostStarts: 512, MostOrders: 4, MostPreempted: 32, MostProbes: 32,
 	}
 }
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -174,8 +174,11 @@
 	c.sendStarts(&out)
 	c.sendStops(&out)
 	c.decide(now, wall, &out)
-	c.sendHolds(now, &out)
+	waiting := c.sendHolds(now, &out)
 	out.Next = c.nextPass(now, wall)
+	if waiting {
+		out.Next = min(out.Next, now+probeSpan)
+	}
 	return out
 }
 
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -26,11 +26,12 @@
 	clockOK              bool
 	granted              time.Duration // the latest lease that may be in force there, on its clock; 0: unknown
 
-	holding  uint64 // the hold call that waits; 0: none
-	probing  uint64 // the hold call that asks at once; 0: none
-	probe    bool   // something must be asked at once
-	noted    uint64 // highest end taken in
-	seen     uint64 // highest end that is durable
+	holding  uint64        // the hold call that waits; 0: none
+	probing  uint64        // the hold call that asks at once; 0: none
+	probedAt time.Duration // when it was sent
+	probe    bool          // something must be asked at once
+	noted    uint64        // highest end taken in
+	seen     uint64        // highest end that is durable
 	failures int
 	// carefulUntil is when the worker is called without care again.
 	carefulUntil time.Duration
@@ -274,8 +275,25 @@
 	}
 }
 
-// sendHolds gives the hold calls that are due.
-func (c *Core) sendHolds(now time.Duration, out *Out) {
+// probeSpan is how long a hold call that asks at once counts as under way for Config.MostProbes: a worker that is there
+// answers within it, and those that are not must not keep the leader from asking the others.
+const probeSpan = 50 * time.Millisecond
+
+// probes counts the workers that were asked at once just now and have not answered.
+func (c *Core) probes(now time.Duration) int {
+	count := 0
+	for _, w := range c.order {
+		if w.probing != 0 && now-w.probedAt < probeSpan {
+			count++
+		}
+	}
+	return count
+}
+
+// sendHolds gives the hold calls that are due. A new leader asks every worker at once; it does so a few at a time, as the
+// store's heartbeats share its processor. It tells whether some must wait for that.
+func (c *Core) sendHolds(now time.Duration, out *Out) (waiting bool) {
+	probes := c.probes(now)
 	for _, w := range c.order {
 		if !w.probe && (w.holding != 0 || len(w.runs) == 0) || now < w.retryAt {
 			continue // nothing to ask: the rule for most workers in most passes
@@ -285,8 +303,13 @@
 			continue // it takes no starts any more, and nothing of it is waited for
 		}
 		if w.probe && w.probing == 0 {
-			w.probe = false
-			w.probing = c.hold(w, rec, 0, out)
+			if probes < c.cfg.MostProbes {
+				w.probe, w.probedAt = false, now
+				w.probing = c.hold(w, rec, 0, out)
+				probes++
+			} else {
+				waiting = true
+			}
 			continue
 		}
 		_, pending := c.seen[w.id]
@@ -295,6 +318,7 @@
 			w.holding = c.hold(w, rec, w.holdWait(c), out)
 		}
 	}
+	return waiting
 }
 
 // hold makes one hold call and gives its number. A worker that did not answer the call before gets no new lease: a call
--- a/internal/state/command/command.go
+++ b/internal/state/command/command.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"crosstide/internal/codec"
 	"crosstide/internal/errs"
 	"crosstide/internal/state"
 )
@@ -88,7 +89,7 @@
 		return nil, nil
 	}
 	var e Entry
-	if err := json.Unmarshal(data, &e); err != nil {
+	if err := codec.Decode(data, &e); err != nil {
 		return nil, errs.Wrap(err, errs.Malformed, "entry %d", index)
 	}
 	if e.At.After(s.At) {
@@ -99,7 +100,7 @@
 	if err != nil {
 		return nil, errs.Pass(err, "entry")
 	}
-	if err := json.Unmarshal(e.Body, c); err != nil {
+	if err := codec.Decode(e.Body, c); err != nil {
 		return nil, errs.Wrap(err, errs.Malformed, "entry %d, %s", index, e.Op)
 	}
 	answer, err := c.apply(s, index)
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"crosstide/internal/account"
+	"crosstide/internal/codec"
 	"crosstide/internal/errs"
 	"crosstide/internal/jobs"
 )
@@ -328,7 +329,7 @@
 func Decode(data []byte) (*State, error) {
 	s := New()
 	s.Bundle, s.Line = Bundle{}, nil
-	if err := json.Unmarshal(data, s); err != nil {
+	if err := codec.Decode(data, s); err != nil {
 		return nil, errs.Wrap(err, errs.Damaged, "decode state")
 	}
 	s.found()
--- /dev/null
+++ b/internal/store/catchup_test.go
@@ -0,0 +1,47 @@
+package store
+
+import (
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"crosstide/internal/quorum"
+)
+
+func TestCatchUpBeforeTheShadow(t *testing.T) {
+	Convey("The shadow takes no entries while the live state has some to catch up on", t, func() {
+		s := &Store{durable: 9, committed: []quorum.Entry{{Index: 8}, {Index: 9}, {Index: 10}}, unapplied: []quorum.Entry{{Index: 11}}}
+		_, batch := s.takeStored()
+		So(batch, ShouldBeEmpty)
+		s.unapplied = nil
+		_, batch = s.takeStored()
+		So(batch, ShouldHaveLength, 2) // entry 10 is not stored here yet
+		So(s.committed, ShouldHaveLength, 1)
+	})
+	Convey("An image that is to be adopted does not wait for that", t, func() {
+		s := &Store{unapplied: []quorum.Entry{{Index: 11}}, install: &install{}}
+		in, _ := s.takeStored()
+		So(in, ShouldNotBeNil)
+	})
+}
+
+func TestNoSnapshotWhileTakingOver(t *testing.T) {
+	within(t, 40, func(r *testStores) {
+		s := r.leader()
+		began := r.clock.Now()
+		r.load("a", 60)
+		r.level()
+		So(r.clock.Now()-began, ShouldBeLessThan, takeOver)
+		So(s.Status().Quorum.Role, ShouldEqual, quorum.Leader)
+		So(newestSnapshot(s), ShouldBeLessThan, 40)
+		r.until("the end of the take-over", func() bool { return r.clock.Now()-began > takeOver })
+		r.load("b", 1)
+		r.until("the snapshot that was due", func() bool { return newestSnapshot(s) > 40 })
+	})
+}
+
+func newestSnapshot(s *Store) uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.newest.Index
+}
--- a/internal/store/disk.go
+++ b/internal/store/disk.go
@@ -149,9 +149,26 @@
 
 // trail brings the shadow up to what is stored here and gives the image that waits to be adopted, if any.
 func (s *Store) trail(ctx context.Context) (*install, error) {
+	in, batch := s.takeStored()
+	for i := range batch {
+		if err := s.follow(ctx, batch[i]); err != nil {
+			return in, errs.Pass(err, "trail")
+		}
+		batch[i].Data = nil
+	}
+	return in, nil
+}
+
+// takeStored takes the image that waits to be adopted, if any, and the entries that the shadow may apply. While the live
+// state has entries to catch up on it takes none: a node that came back serves the sooner, and each later pass asks again.
+func (s *Store) takeStored() (*install, []quorum.Entry) {
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	in := s.install
 	s.install = nil
+	if len(s.unapplied) > 0 && in == nil {
+		return nil, nil
+	}
 	n := 0
 	for n < len(s.committed) && s.committed[n].Index <= s.durable {
 		n++
@@ -160,14 +177,7 @@
 	if s.committed = s.committed[n:]; len(s.committed) == 0 {
 		s.committed = nil
 	}
-	s.mu.Unlock()
-	for i := range batch {
-		if err := s.follow(ctx, batch[i]); err != nil {
-			return in, errs.Pass(err, "trail")
-		}
-		batch[i].Data = nil
-	}
-	return in, nil
+	return in, batch
 }
 
 // follow applies an entry to the shadow, and writes a slot when one is due.
@@ -184,12 +194,28 @@
 	_, _ = applyTo(s.shadow, e) // a command's own failure is an outcome
 	s.shadowSince++
 	s.shadowBytes += len(e.Data) + entryRoom
-	if s.shadowSince < s.set.SnapshotEvery && s.shadowBytes < maxBytes {
+	if !s.snapshotDue() {
 		return nil
 	}
 	return errs.Pass(s.writeSlot(ctx), "slot at %d", e.Index)
 }
 
+// snapshotDue tells whether the shadow has applied enough since the newest snapshot. One that falls due just after this
+// node began to lead waits: the node then has its hands full with taking over.
+func (s *Store) snapshotDue() bool {
+	if s.shadowBytes >= maxBytes {
+		return true
+	}
+	return s.shadowSince >= s.set.SnapshotEvery && !s.takingOver()
+}
+
+// takingOver tells whether this node has led for a short time only.
+func (s *Store) takingOver() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.leadTerm != 0 && s.clock.Now()-s.leadSince < takeOver
+}
+
 func (s *Store) writeSlot(ctx context.Context) error {
 	from := s.clock.Now()
 	body, err := s.shadow.Encode()
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -36,9 +36,10 @@
 	proposeWait  = 2 * time.Second       // a proposal waits no longer
 	readyWithin  = 2 * time.Second       // a ready node was level with its leader within it
 	tidyEvery    = 10 * time.Second
-	maxCommand   = 8 << 20  // bytes of one encoded command
-	maxWaiting   = 16384    // proposals that wait
-	maxBytes     = 64 << 20 // bytes of proposals that wait; of log between two slots
+	takeOver     = 2 * time.Second // of a new leader: no snapshot is written meanwhile
+	maxCommand   = 8 << 20         // bytes of one encoded command
+	maxWaiting   = 16384           // proposals that wait
+	maxBytes     = 64 << 20        // bytes of proposals that wait; of log between two slots
 	maxBehind    = 256 << 20
 )
 
@@ -105,6 +106,7 @@
 	waiting   int // both, and their bytes
 	waitBytes int
 	leadTerm  uint64 // 0: not leading
+	leadSince time.Duration
 	book      *Book
 
 	told            uint64        // commit index the leader told
@@ -374,7 +376,7 @@
 	if lead != s.leadTerm {
 		s.flush(errs.New(errs.Timeout, "the leader changed; the proposal may or may not be committed"))
 		s.book.Lose()
-		s.leadTerm = lead
+		s.leadTerm, s.leadSince = lead, now
 	}
 	if lead != 0 && !s.book.Open() {
 		if commit, ok := s.core.Confirmed(now); ok && s.live.Index >= commit {
