Leases of workers ride out a loss of contact: its time-out and a hold call

Cause: on Jadran leases were 3 s. Change: lease = contact time-out + hold wait, at least 3 s, at most the longest one.

--- a/cmd/cplane/platform.go
+++ b/cmd/cplane/platform.go
@@ -76,7 +76,7 @@
 func coreOptions(core platform.CoreSettings, descriptors int, logger log.Logger) node.CoreOptions {
 	return node.CoreOptions{
 		Store: storeSettings(core), Open: open,
-		Scheduler: schedulerSettings(core.Scheduler), KeepOver: 2 * core.Scheduler.KeepStateFor,
+		Scheduler: schedulerSettings(core.Scheduler, core.ContactTimeout), KeepOver: 2 * core.Scheduler.KeepStateFor,
 		Workers:      func(caller *rpc.Caller) scheduler.Workers { return platform.NewWorkers(exchanger{caller}, 0) },
 		OrdersByBeat: core.OrdersByBeat, Control: core.ControlAddress,
 		ServeControl: func(control *rpc.Server, relay *controller.Relay) {
@@ -124,19 +124,22 @@
 	return set
 }
 
-// leaseShare is the lease of workers as a share of the longest one.
-const leaseShare = 0.35
-
 // leastLease is the shortest lease, unless the longest one is shorter. After a loss of power at all core nodes nothing is
 // renewed for a second and a half, and a worker's last renewal may be a hold call ago: shorter leases end all work then.
 const leastLease = 3 * time.Second
 
+// workerLease gives the lease of workers. It rides out a loss of contact that is as long as the operators count a machine
+// as out of touch, plus the hold call that may have been under way when contact was lost: what runs on a worker that is
+// back within that time goes on. Longer ones would keep back the tasks of workers that are gone for good.
+func workerLease(contactTimeout, holdWait, longest time.Duration) time.Duration {
+	return min(max(contactTimeout+holdWait, leastLease), longest)
+}
+
 // schedulerSettings maps the platform's bounds to the scheduler's settings.
-func schedulerSettings(bounds platform.SchedulerSettings) scheduler.Config {
+func schedulerSettings(bounds platform.SchedulerSettings, contactTimeout time.Duration) scheduler.Config {
 	config := scheduler.Defaults()
 	if bounds.LongestLease > 0 {
-		share := time.Duration(float64(bounds.LongestLease) * leaseShare)
-		config.Lease = min(max(share, leastLease), bounds.LongestLease)
+		config.Lease = workerLease(contactTimeout, config.HoldWait, bounds.LongestLease)
 	}
 	config.HoldWait = min(config.HoldWait, config.Lease/3)
 	if bounds.StopTime > 0 {
