--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -5,6 +5,7 @@
 	"errors"
 	"maps"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
@@ -64,6 +65,8 @@
 
 	tidyAt time.Duration // of the loop alone
 
+	latest atomic.Pointer[scheduler.Health] // nil before the first look
+
 	mu     sync.Mutex
 	events []func(*scheduler.Core, time.Duration)
 	notes  []jobs.Note
@@ -188,7 +191,9 @@
 		}
 		out = l.core.Pass(now, l.clock.Wall())
 		if l.health.due(now) {
-			l.health.note(now, l.core.Health(now))
+			health := l.core.Health(now)
+			l.health.note(now, health)
+			l.latest.Store(&health)
 		}
 	})
 	l.carryOut(term, out)
--- a/internal/controller/metrics.go
+++ b/internal/controller/metrics.go
@@ -14,6 +14,8 @@
 	workers *prometheus.Desc
 	runs    *prometheus.Desc
 	version *prometheus.Desc
+
+	discardedRuns, discardedWork *prometheus.Desc
 }
 
 var _ prometheus.Collector = (*Metrics)(nil)
@@ -32,12 +34,15 @@
 		workers: desc("workers", "Workers, by zone and state.", "zone", "state"),
 		runs:    desc("runs", "Runs that are not over, by zone of their worker.", "zone"),
 		version: desc("config_version", "Version of the configuration in force."),
+
+		discardedRuns: desc("discarded_runs_total", "Runs that ended neither well nor by their own fault, by cause.", "cause"),
+		discardedWork: desc("discarded_core_seconds_total", "Work of such runs that had no checkpoint, by cause.", "cause"),
 	}
 }
 
 // Describe tells the figures there are.
 func (m *Metrics) Describe(out chan<- *prometheus.Desc) {
-	for _, desc := range []*prometheus.Desc{m.leads, m.waiting, m.workers, m.runs, m.version} {
+	for _, desc := range []*prometheus.Desc{m.leads, m.waiting, m.workers, m.runs, m.version, m.discardedRuns, m.discardedWork} {
 		out <- desc
 	}
 }
@@ -68,6 +73,7 @@
 		return
 	}
 	gauge(m.leads, 1)
+	m.collectDiscarded(out)
 	gauge(m.version, float64(counted.version))
 	for queue, count := range counted.waiting {
 		gauge(m.waiting, float64(count), queue)
@@ -80,6 +86,18 @@
 	}
 }
 
+// collectDiscarded tells the work thrown away, as of the leader's last look.
+func (m *Metrics) collectDiscarded(out chan<- prometheus.Metric) {
+	health := m.leader.latest.Load()
+	if health == nil {
+		return
+	}
+	for cause, sum := range health.Discarded {
+		out <- prometheus.MustNewConstMetric(m.discardedRuns, prometheus.CounterValue, float64(sum.Runs), string(cause))
+		out <- prometheus.MustNewConstMetric(m.discardedWork, prometheus.CounterValue, sum.CoreSeconds, string(cause))
+	}
+}
+
 func (f *figures) count(table *jobs.Table) {
 	f.version = table.Config.Version
 	for _, queue := range table.Config.Queues {
--- a/internal/controller/query_test.go
+++ b/internal/controller/query_test.go
@@ -186,6 +186,9 @@
 			So(gathered(registry), ShouldResemble, []string{
 				"crosstide_jobs_config_version 1", "crosstide_jobs_leads 1", "crosstide_jobs_runs zone=z 1",
 				"crosstide_jobs_waiting queue=a 1", "crosstide_jobs_waiting queue=b 1", "crosstide_jobs_workers state=ready zone=z 1"})
+			leader.latest.Store(&scheduler.Health{Discarded: map[scheduler.Cause]scheduler.Discarded{scheduler.CauseMoved: {Runs: 2, CoreSeconds: 7}}})
+			So(gathered(registry), ShouldContain, "crosstide_jobs_discarded_runs_total cause=moved 2")
+			So(gathered(registry), ShouldContain, "crosstide_jobs_discarded_core_seconds_total cause=moved 7")
 			store.follows = true
 			So(gathered(registry), ShouldResemble, []string{"crosstide_jobs_leads 0"})
 		})
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -93,13 +93,15 @@
 	moves    map[jobs.TaskRef]int    // how often tasks were moved away from slow workers
 	speeds   speeds
 
+	discarded map[Cause]Discarded // since this core was made
+
 	// Counts are for metrics and tests.
 	Counts Counts
 }
 
 // New makes a core that does not lead.
 func New(cfg Config) *Core {
-	c := &Core{cfg: cfg}
+	c := &Core{cfg: cfg, discarded: map[Cause]Discarded{}}
 	c.clear()
 	return c
 }
--- /dev/null
+++ b/internal/scheduler/discard_test.go
@@ -0,0 +1,66 @@
+package scheduler
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"crosstide/internal/jobs"
+)
+
+// runningTask starts one task of two cores, which the worker lists with a checkpoint, and lets a second pass.
+func (h *harness) runningTask(step jobs.Step, checkpoint string) jobs.RunKey {
+	step.Count, step.Needs = 1, jobs.Resources{MilliCPU: 2000}
+	h.submit(step)
+	h.pass()
+	So(h.sent, ShouldHaveLength, 1)
+	h.accept()
+	key := h.sent[0].Order.Key
+	h.pass()
+	h.answer(HoldAnswer{Running: []Listed{{Key: key, Checkpoint: checkpoint, Percent: 1}}})
+	h.pass()
+	h.core.runs[key].sentAt = h.now - time.Second
+	return key
+}
+
+func (h *harness) endAs(key jobs.RunKey, how jobs.How) {
+	h.answer(HoldAnswer{Ended: []Ended{{Sequence: 1, Key: key, How: how}}})
+}
+
+func TestDiscardedWork(t *testing.T) {
+	Convey("Work is counted by why it was thrown away", t, func() {
+		causes := map[jobs.How]Cause{jobs.EndLapsed: CauseLapsed, jobs.EndBroken: CauseGang, jobs.EndAlone: CauseAlone, jobs.EndLost: CauseLost}
+		for how, cause := range causes {
+			h := newHarness()
+			key := h.runningTask(jobs.Step{}, "")
+			h.endAs(key, how)
+			got := h.core.Health(h.now).Discarded
+			So(got, ShouldHaveLength, 1)
+			So(got[cause].Runs, ShouldEqual, 1)
+			So(got[cause].CoreSeconds, ShouldAlmostEqual, 2, 0.1)
+		}
+	})
+	Convey("The reason of a stop goes before the way it ended", t, func() {
+		h := newHarness()
+		key := h.runningTask(jobs.Step{}, "")
+		_, err := h.table.Cancel(jobs.Cancel{ID: "j"})
+		So(err, ShouldBeNil)
+		h.pass()
+		h.endAs(key, jobs.EndStopped)
+		So(h.core.Health(h.now).Discarded[CauseJobOver].Runs, ShouldEqual, 1)
+	})
+	Convey("Good ends and failures throw nothing away; work that was saved, and lasting work, costs no core-seconds", t, func() {
+		for _, how := range []jobs.How{jobs.EndDone, jobs.EndFailed} {
+			h := newHarness()
+			h.endAs(h.runningTask(jobs.Step{}, ""), how)
+			So(h.core.Health(h.now).Discarded, ShouldBeEmpty)
+		}
+		h := newHarness()
+		h.endAs(h.runningTask(jobs.Step{Checkpoints: true}, "c"), jobs.EndLapsed)
+		So(h.core.Health(h.now).Discarded[CauseLapsed], ShouldResemble, Discarded{Runs: 1})
+		h = newHarness()
+		h.endAs(h.runningTask(jobs.Step{Lasting: true}, ""), jobs.EndLapsed)
+		So(h.core.Health(h.now).Discarded[CauseLapsed], ShouldResemble, Discarded{Runs: 1})
+	})
+}
--- a/internal/scheduler/move.go
+++ b/internal/scheduler/move.go
@@ -136,8 +136,7 @@
 		return false
 	}
 	n.free = minus(n.free, u.step.Needs)
-	r.stop = true
-	p.core.askStop(r)
+	p.core.stopFor(r, CauseMoved)
 	p.core.avoid[r.key.Task] = r.worker
 	p.core.moves[r.key.Task]++
 	p.core.speeds.slow(r.worker)
--- a/internal/scheduler/preempt.go
+++ b/internal/scheduler/preempt.go
@@ -45,8 +45,7 @@
 		return false
 	}
 	for _, r := range victims {
-		r.stop = true
-		p.core.askStop(r)
+		p.core.stopFor(r, CausePreempted)
 		chosen.freeing = plus(chosen.freeing, r.needs)
 		p.core.Counts.Preempted++
 	}
--- a/internal/scheduler/queue.go
+++ b/internal/scheduler/queue.go
@@ -132,8 +132,7 @@
 			}
 		}
 		if r != nil && (task.Done || j.State.Over()) && !r.stop {
-			r.stop = true
-			c.askStop(r)
+			c.stopFor(r, CauseJobOver)
 		}
 	}
 }
--- a/internal/scheduler/runs.go
+++ b/internal/scheduler/runs.go
@@ -31,6 +31,7 @@
 	// advancedAt is when it was first listed, or last listed with more progress than before.
 	advancedAt time.Duration
 	stop       bool   // it is to be stopped
+	cause      Cause  // why; empty: not stopped
 	stopping   bool   // a stop order is under way
 	stopped    uint64 // sequence at which a stop order was answered; 0: not
 	retryAt    time.Duration
@@ -98,6 +99,7 @@
 	}
 	r.ending = true
 	c.moved = true
+	c.discard(r, how, checkpoint)
 	c.ends = append(c.ends, jobs.End{Key: r.key, Worker: r.worker, How: how, Checkpoint: cmp.Or(checkpoint, r.saved)})
 	switch how {
 	case jobs.EndDone:
@@ -123,8 +125,7 @@
 	for i := range j.Rounds[key.Task.Round][key.Task.Step] {
 		key.Task.Index = i
 		if r := c.runs[key]; r != nil && !r.ending {
-			r.stop = true
-			c.askStop(r)
+			c.stopFor(r, CauseGang)
 		}
 	}
 }
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -440,7 +441,7 @@
 		case r.provedAbsent(number):
 			c.end(r, jobs.EndLost, "")
 		case r.doubted && r.doubtedAt < number:
-			r.missing = true
+			r.missing, r.cause = true, cmp.Or(r.cause, CauseUnanswered)
 			c.askStop(r)
 		}
 	}
