--- a/internal/controller/query_test.go
+++ b/internal/controller/query_test.go
@@ -101,7 +101,7 @@
 			for _, label := range metric.GetLabel() {
 				line += " " + label.GetName() + "=" + label.GetValue()
 			}
-			out = append(out, fmt.Sprintf("%s %g", line, metric.GetGauge().GetValue()))
+			out = append(out, fmt.Sprintf("%s %g", line, metric.GetGauge().GetValue()+metric.GetCounter().GetValue()))
 		}
 	}
 	return out
