--- a/cmd/cplane/platform.go
+++ b/cmd/cplane/platform.go
@@ -129,17 +129,18 @@
 const leastLease = 3 * time.Second
 
 // workerLease gives the lease of workers. It rides out a loss of contact that is as long as the operators count a machine
-// as out of touch, plus the hold call that may have been under way when contact was lost: what runs on a worker that is
-// back within that time goes on. Longer ones would keep back the tasks of workers that are gone for good.
-func workerLease(contactTimeout, holdWait, longest time.Duration) time.Duration {
-	return min(max(contactTimeout+holdWait, leastLease), longest)
+// as out of touch, plus the hold call that may have been under way when contact was lost and the pause before the next
+// call after it: what runs on a worker that is back within that time goes on. Longer ones would keep back the tasks of
+// workers that are gone for good.
+func workerLease(contactTimeout, longest time.Duration, config scheduler.Config) time.Duration {
+	return min(max(contactTimeout+config.HoldWait+config.RetryMax, leastLease), longest)
 }
 
 // schedulerSettings maps the platform's bounds to the scheduler's settings.
 func schedulerSettings(bounds platform.SchedulerSettings, contactTimeout time.Duration) scheduler.Config {
 	config := scheduler.Defaults()
 	if bounds.LongestLease > 0 {
-		config.Lease = workerLease(contactTimeout, config.HoldWait, bounds.LongestLease)
+		config.Lease = workerLease(contactTimeout, bounds.LongestLease, config)
 	}
 	config.HoldWait = min(config.HoldWait, config.Lease/3)
 	if bounds.StopTime > 0 {
--- a/internal/scheduler/config.go
+++ b/internal/scheduler/config.go
@@ -30,7 +30,7 @@
 	return Config{
 		Lease: 5 * time.Second, HoldWait: time.Second,
 		Silence: 4 * time.Second, OrderTimeout: 300 * time.Millisecond, HoldMargin: 400 * time.Millisecond,
-		RetryMin: 200 * time.Millisecond, RetryMax: time.Second, LapseMargin: 600 * time.Millisecond,
+		RetryMin: 200 * time.Millisecond, RetryMax: 500 * time.Millisecond, LapseMargin: 600 * time.Millisecond,
 		ClockSlack: 0.02, EarlyStart: 0, SpreadFactor: 1.5, GangHold: 500 * time.Millisecond,
 		ForgetAfter: 15 * time.Second, MostStarts: 512, MostOrders: 4, MostPreempted: 32, MostProbes: 32,
 	}
