Connections within a budget of shares; none is lost when an idle one is closed

Cause: `release` evaluated list[0] after append had moved the list: the second idle connection was closed and stayed in the pool, the first left the pool and stayed open. Change: the pool of a caller stands by itself, with one list by address and one by age. A Budget cuts a process's connections into shares; a share at its bound closes its oldest idle connection, then waits its turn, and hold calls go before orders. Hold calls and orders have callers of their own. A call that found no room says nothing of the worker (NoRoom): its start is due again at once. Servers answer 503 with the time to come back beyond their share. No starts are planned beyond 512 orders.

--- a/cmd/cplane/jobscore_test.go
+++ b/cmd/cplane/jobscore_test.go
@@ -21,7 +21,7 @@
 		options := jobsOptions(set, false, log.NewNopLogger())
 		So([]any{options.Store.Addr, options.Control, options.Grace, options.KeepOver, options.OrdersByBeat}, ShouldResemble,
 			[]any{"10.0.0.1:7100", "10.0.0.1:7200", 7 * time.Second, time.Hour, false})
-		So(options.Workers(nil), ShouldHaveSameTypeAs, &workerapi.Client{})
+		So(options.Workers(nil, nil), ShouldHaveSameTypeAs, &workerapi.Client{})
 		want := scheduler.Defaults()
 		want.Lease, want.HoldWait, want.Silence, want.LapseMargin = 9*time.Second, 2*time.Second, 3*time.Second, 4*time.Second
 		want.EarlyStart, want.SpreadFactor, want.ForgetAfter = 5*time.Second, 2.5, 40*time.Second
--- a/cmd/cplane/platform.go
+++ b/cmd/cplane/platform.go
@@ -48,7 +48,7 @@
 			core = newestSettings(core, logger)
 		}
 		first = false
-		options := coreOptions(core, settings.Limits.FileDescriptors, logger)
+		options := coreOptions(core, logger)
 		options.Removed = removed
 		served, err := node.NewCore(ctx, options)
 		if err != nil {
@@ -73,16 +73,18 @@
 }
 
 // coreOptions maps the platform's settings to a core node's options.
-func coreOptions(core platform.CoreSettings, descriptors int, logger log.Logger) node.CoreOptions {
+func coreOptions(core platform.CoreSettings, logger log.Logger) node.CoreOptions {
 	return node.CoreOptions{
 		Store: storeSettings(core), Open: open,
 		Scheduler: schedulerSettings(core.Scheduler, core.ContactTimeout), KeepOver: 2 * core.Scheduler.KeepStateFor,
-		Workers:      func(caller *rpc.Caller) scheduler.Workers { return platform.NewWorkers(exchanger{caller}, 0) },
+		Workers: func(holds, orders *rpc.Caller) scheduler.Workers {
+			return platform.NewWorkers(exchanger{holds}, exchanger{orders}, 0)
+		},
 		OrdersByBeat: core.OrdersByBeat, Control: core.ControlAddress,
 		ServeControl: func(control *rpc.Server, relay *controller.Relay) {
 			platform.NewControlPlane(relay, core.ControlAddress).Routes(control)
 		},
-		Descriptors: descriptors, Grace: core.Grace - exitMargin, Logger: logger, Version: version,
+		Descriptors: core.Descriptors, Grace: core.Grace - exitMargin, Logger: logger, Version: version,
 	}
 }
 
--- a/cmd/dplane/platform.go
+++ b/cmd/dplane/platform.go
@@ -26,12 +26,12 @@
 func serveFront(ctx context.Context, settings platform.Settings, changed <-chan os.Signal, logger log.Logger) error {
 	core := settings.Core()
 	daemon.LimitMemory(core.MemoryBytes)
-	front := node.NewFront(frontOptions(core, settings.Limits.FileDescriptors, logger))
+	front := node.NewFront(frontOptions(core, logger))
 	return errs.Pass(front.Run(ctx, changed), "serve")
 }
 
 // frontOptions maps the platform's settings to a front node's options.
-func frontOptions(core platform.CoreSettings, descriptors int, logger log.Logger) node.FrontOptions {
+func frontOptions(core platform.CoreSettings, logger log.Logger) node.FrontOptions {
 	return node.FrontOptions{
 		Core: core.Seeds, Address: core.ClientAddress, ReadyAddress: core.ReadyAddress,
 		ServeClients: func(clients *rpc.Server, client *controller.Client) { platform.NewIngress(client).Routes(clients) },
@@ -40,6 +40,6 @@
 			settings, err := platform.LoadSettings()
 			return settings.Core().Seeds, errs.Pass(err, "seeds")
 		},
-		Descriptors: descriptors, Grace: core.Grace, Logger: logger, Zone: core.Zone, Version: version,
+		Descriptors: core.Descriptors, Grace: core.Grace, Logger: logger, Zone: core.Zone, Version: version,
 	}
 }
--- a/cmd/dplane/platform_test.go
+++ b/cmd/dplane/platform_test.go
@@ -41,8 +41,8 @@
 	Convey("The platform's settings make a front node that passes clients' calls on and tells its readiness", t, func() {
 		leader := startLeader()
 		core := platform.CoreSettings{ClientAddress: "10.0.0.1:80", ReadyAddress: "10.0.0.1:81", Seeds: []string{leader.Addr()},
-			Zone: "z", Grace: 3 * time.Second}
-		options := frontOptions(core, 4000, log.NewNopLogger())
+			Zone: "z", Grace: 3 * time.Second, Descriptors: 4000}
+		options := frontOptions(core, log.NewNopLogger())
 		So([]any{options.Core, options.Address, options.ReadyAddress, options.Descriptors, options.Grace, options.Zone}, ShouldResemble,
 			[]any{core.Seeds, core.ClientAddress, core.ReadyAddress, 4000, core.Grace, core.Zone})
 		server := rpc.NewServer(rpc.ServerOptions{Addr: "127.0.0.1:0"})
@@ -61,7 +61,7 @@
 	})
 	Convey("Settings that cannot be read leave the seeds", t, func() {
 		t.Setenv("CROSSTIDE_SETTINGS", "")
-		_, err := frontOptions(platform.CoreSettings{}, 0, log.NewNopLogger()).ReadSeeds()
+		_, err := frontOptions(platform.CoreSettings{}, log.NewNopLogger()).ReadSeeds()
 		So(errs.KindOf(err), ShouldEqual, errs.Settings)
 	})
 }
--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -320,6 +320,8 @@
 		return scheduler.StartOK
 	case errs.Is(err, errs.Unknown):
 		return scheduler.StartOtherLife
+	case rpc.NoRoom(err):
+		return scheduler.StartNoRoom
 	case rpc.Unsent(err), errors.Is(err, errNeverLeft):
 		return scheduler.StartUnsent
 	}
@@ -328,14 +330,23 @@
 
 func (l *Leader) stop(ctx context.Context, term uint64, stop scheduler.StopOut) {
 	id, key := stop.Worker.ID, stop.Order.Key
-	ok := false
+	failure := scheduler.StopFailed
 	if l.leads(term) {
 		bounded, cancel := l.within(ctx, l.opt.Config.OrderTimeout)
-		err := l.opt.Workers.Stop(bounded, stop.Worker, stop.Order)
+		failure = stopError(l.opt.Workers.Stop(bounded, stop.Worker, stop.Order))
 		cancel()
-		ok = err == nil
 	}
-	l.tell(func(c *scheduler.Core, now time.Duration) { c.StopAnswered(now, id, key, ok) })
+	l.tell(func(c *scheduler.Core, now time.Duration) { c.StopAnswered(now, id, key, failure) })
+}
+
+func stopError(err error) scheduler.StopError {
+	switch {
+	case err == nil:
+		return scheduler.StopOK
+	case rpc.NoRoom(err):
+		return scheduler.StopNoRoom
+	}
+	return scheduler.StopFailed
 }
 
 func (l *Leader) hold(ctx context.Context, term uint64, hold scheduler.HoldOut) {
@@ -360,6 +371,8 @@
 		return scheduler.HoldOtherLife
 	case errs.Is(err, errs.Stale):
 		return scheduler.HoldFenced
+	case rpc.NoRoom(err):
+		return scheduler.HoldNoRoom
 	}
 	return scheduler.HoldFailed
 }
--- a/internal/node/core.go
+++ b/internal/node/core.go
@@ -25,7 +25,9 @@
 const (
 	dialTimeout = 700 * time.Millisecond  // a connection to a machine that is gone hangs
 	userTimeout = 1500 * time.Millisecond // how long the kernel resends bytes that nobody confirms
-	workerIdle  = 5                       // idle connections that a core node keeps to each worker and node
+	nodeIdle    = 5                       // idle connections that a core node keeps to each other node
+	holdIdle    = 1                       // and to each worker for hold calls, of which one waits at a time
+	orderIdle   = 2                       // and for orders
 	leastGrace  = time.Second             // for handing the lead over
 	drainWithin = time.Second             // for calls that run at the end
 )
@@ -37,8 +39,8 @@
 	Open      func(ctx context.Context, opt store.Options, logger log.Logger) (*store.Store, error)
 	Scheduler scheduler.Config
 	KeepOver  time.Duration // how long a job that is over stays; 0 takes a default
-	// Workers carries orders to workers. It is not asked with OrdersByBeat.
-	Workers      func(caller *rpc.Caller) scheduler.Workers
+	// Workers carries hold calls and orders to workers. It is not asked with OrdersByBeat.
+	Workers      func(holds, orders *rpc.Caller) scheduler.Workers
 	OrdersByBeat bool   // orders go with the answers to workers' heartbeats
 	Control      string // address for workers and operators
 	// ServeControl adds the calls of workers and operators.
@@ -56,7 +58,10 @@
 // Core is a core node.
 type Core struct {
 	opt     CoreOptions
-	caller  *rpc.Caller
+	shares  *coreShares
+	peers   *rpc.Caller // asks other nodes
+	holds   *rpc.Caller // makes hold calls to workers
+	orders  *rpc.Caller // carries start and stop orders to workers
 	store   *store.Store
 	leader  *controller.Leader
 	client  *controller.Client // asks the leader where this node does not lead
@@ -74,35 +79,53 @@
 func NewCore(ctx context.Context, opt CoreOptions) (*Core, error) {
 	part := func(name string) log.Logger { return daemon.Part(opt.Logger, name) }
 	n := &Core{opt: opt}
-	n.caller = rpc.NewCaller(rpc.CallerOptions{DialTimeout: dialTimeout, UserTimeout: userTimeout, Idle: workerIdle,
-		Via: opt.Store.Via, Registry: opt.Registry, Logger: part("caller")})
 	var err error
-	n.store, err = opt.Open(ctx, store.Options{Settings: opt.Store, Net: store.NetworkOf(n.caller, opt.Store), Logger: part("store"),
+	if n.shares, err = newCoreShares(opt.Descriptors); err != nil {
+		return nil, errs.Pass(err, "connections")
+	}
+	if opt.Registry != nil {
+		opt.Registry.MustRegister(rpc.NewBudgetMetrics(n.shares.budget))
+	}
+	n.peers = n.newCaller("caller", nodeIdle, n.shares.peers)
+	n.holds = n.newCaller("holds", holdIdle, n.shares.holds)
+	n.orders = n.newCaller("orders", orderIdle, n.shares.orders)
+	n.store, err = opt.Open(ctx, store.Options{Settings: opt.Store, Net: store.NetworkOf(n.peers, opt.Store), Logger: part("store"),
 		Registry: opt.Registry, Fatal: n.fatal, Removed: opt.Removed}, opt.Logger)
 	if err != nil {
-		n.caller.Close()
+		n.closeCallers()
 		return nil, errs.Pass(err, "open the store")
 	}
 	n.leader = controller.NewLeader(n.leaderOptions())
 	if opt.Registry != nil {
 		opt.Registry.MustRegister(controller.NewMetrics(n.leader))
 	}
-	n.client = controller.NewClient(controller.ClientOptions{Caller: n.caller, Seeds: opt.Store.Seeds, Self: opt.Store.Addr,
+	n.client = controller.NewClient(controller.ClientOptions{Caller: n.peers, Seeds: opt.Store.Seeds, Self: opt.Store.Addr,
 		Logger: part("client")})
-	n.inner = n.server(opt.Store.Addr, "wire")
+	n.inner = n.server(opt.Store.Addr, "wire", n.shares.nodes)
 	n.store.Serve(n.inner)
 	controller.Serve(n.inner, n.leader)
 	if opt.ServeNodes != nil {
 		opt.ServeNodes(n.inner, n.store)
 	}
-	n.control = n.server(opt.Control, "control")
+	n.control = n.server(opt.Control, "control", n.shares.control)
 	opt.ServeControl(n.control, controller.NewRelay(n.leader, n.client, opt.Store.Addr))
 	return n, nil
 }
 
-func (n *Core) server(addr, part string) *rpc.Server {
+func (n *Core) newCaller(part string, idle int, share *rpc.Share) *rpc.Caller {
+	return rpc.NewCaller(rpc.CallerOptions{DialTimeout: dialTimeout, UserTimeout: userTimeout, Idle: idle, Via: n.opt.Store.Via,
+		Registry: n.opt.Registry, Logger: daemon.Part(n.opt.Logger, part), Share: share})
+}
+
+func (n *Core) closeCallers() {
+	for _, caller := range []*rpc.Caller{n.peers, n.holds, n.orders} {
+		caller.Close()
+	}
+}
+
+func (n *Core) server(addr, part string, share *rpc.Share) *rpc.Server {
 	return rpc.NewServer(rpc.ServerOptions{Addr: addr, Loops: 1, Descriptors: n.opt.Descriptors, Registry: n.opt.Registry,
-		Logger: daemon.Part(n.opt.Logger, part)})
+		Logger: daemon.Part(n.opt.Logger, part), Share: share})
 }
 
 func (n *Core) leaderOptions() controller.LeaderOptions {
@@ -112,7 +135,7 @@
 		options.Mailboxes = controller.NewMailboxes()
 		options.Workers = options.Mailboxes
 	} else {
-		options.Workers = n.opt.Workers(n.caller)
+		options.Workers = n.opt.Workers(n.holds, n.orders)
 	}
 	return options
 }
@@ -124,7 +147,7 @@
 
 // Run serves until ctx ends, then hands the lead over and drains. background runs meanwhile.
 func (n *Core) Run(ctx context.Context, background ...func(ctx context.Context)) error {
-	defer n.caller.Close()
+	defer n.closeCallers()
 	if err := n.start(); err != nil {
 		n.store.Stop()
 		return errs.Pass(err, "start")
--- /dev/null
+++ b/internal/node/shares.go
@@ -0,0 +1,63 @@
+package node
+
+import (
+	"golang.org/x/sys/unix"
+
+	"crosstide/internal/errs"
+	"crosstide/internal/rpc"
+)
+
+// reservedDescriptors are left to the store's files, the listeners and the runtime: no connection takes them.
+const reservedDescriptors = 64
+
+// Parts of a core node's connections that each use has for itself, as one in so many. What is left over goes to whoever
+// needs it.
+const (
+	peersPart   = 16 // calls to other nodes
+	nodesPart   = 8  // calls of other nodes
+	controlPart = 4  // heartbeats of workers, operators
+	holdsPart   = 4  // hold calls to workers
+	ordersPart  = 8  // start and stop orders to workers
+)
+
+// coreShares are the uses of a core node's connections. Where room comes up, hold calls go before orders: a lease that is
+// not renewed ends work that runs.
+type coreShares struct {
+	budget                               *rpc.Budget
+	peers, nodes, control, holds, orders *rpc.Share
+}
+
+// newCoreShares cuts up the connections of a process that may have so many descriptors; 0: as many as the system allows.
+func newCoreShares(descriptors int) (*coreShares, error) {
+	total, err := connections(descriptors)
+	if err != nil {
+		return nil, errs.Pass(err, "descriptors")
+	}
+	s := &coreShares{budget: rpc.NewBudget(total)}
+	for _, use := range []struct {
+		name string
+		part int
+		at   **rpc.Share
+	}{{"peers", peersPart, &s.peers}, {"nodes", nodesPart, &s.nodes}, {"control", controlPart, &s.control},
+		{"holds", holdsPart, &s.holds}, {"orders", ordersPart, &s.orders}} {
+		if *use.at, err = s.budget.Share(use.name, total/use.part); err != nil {
+			return nil, errs.Pass(err, "shares")
+		}
+	}
+	return s, nil
+}
+
+// connections is how many connections fit into so many descriptors; 0: those that the system allows.
+func connections(descriptors int) (int, error) {
+	var limit unix.Rlimit
+	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &limit); err != nil {
+		return 0, errs.Wrap(err, errs.Internal, "read the limit of descriptors")
+	}
+	if allowed := int(min(limit.Cur, 1<<20)); descriptors <= 0 || allowed < descriptors {
+		descriptors = allowed
+	}
+	if descriptors <= 2*reservedDescriptors {
+		return 0, errs.Field(errs.Settings, "descriptors", "%d are too few, %d are needed", descriptors, 2*reservedDescriptors+1)
+	}
+	return descriptors - reservedDescriptors, nil
+}
--- /dev/null
+++ b/internal/node/shares_test.go
@@ -0,0 +1,30 @@
+package node
+
+import (
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"crosstide/internal/errs"
+)
+
+func TestCoreShares(t *testing.T) {
+	Convey("A core node's shares leave room for the store's files, and something for whoever needs it", t, func() {
+		shares, err := newCoreShares(1000)
+		So(err, ShouldBeNil)
+		reserved, names := 0, []string{}
+		for _, use := range shares.budget.Use() {
+			reserved += use.Least
+			names = append(names, use.Name)
+		}
+		So(names, ShouldResemble, []string{"peers", "nodes", "control", "holds", "orders"})
+		So(reserved, ShouldBeBetween, (1000-reservedDescriptors)*3/4, 1000-reservedDescriptors)
+	})
+	Convey("Too few descriptors are refused by name; none told takes what the system allows", t, func() {
+		_, err := newCoreShares(2 * reservedDescriptors)
+		So([]any{errs.KindOf(err), errs.Of(err).Field}, ShouldResemble, []any{errs.Settings, "descriptors"})
+		shares, err := newCoreShares(0)
+		So(err, ShouldBeNil)
+		So(shares.budget.Use()[0].Least, ShouldBeGreaterThan, 0)
+	})
+}
--- a/internal/rpc/caller.go
+++ b/internal/rpc/caller.go
@@ -5,7 +5,6 @@
 	"context"
 	"errors"
 	"net"
-	"sync"
 	"syscall"
 	"time"
 
@@ -30,6 +29,9 @@
 	ReadBuffer  int                   // bytes of the read buffer of each connection, default 4096
 	Logger      log.Logger            // default: none
 	Registry    prometheus.Registerer // default: the counters are not shown
+	// Share bounds the open connections: a call that needs one more waits its turn, and fails as NoRoom when its time is
+	// over. Default: nothing bounds them.
+	Share *Share
 }
 
 // Caller asks pairs over connections pooled per address, one call at a time on each. It is safe for any number
@@ -38,11 +40,7 @@
 	opt    CallerOptions
 	dialer net.Dialer
 	meter  *meter
-
-	mu     sync.Mutex
-	idle   map[string][]*connection
-	live   map[*connection]struct{}
-	closed bool
+	pool   *pool
 }
 
 // NewCaller makes a caller. Close it in the end.
@@ -64,7 +62,8 @@
 	if opt.Logger == nil {
 		opt.Logger = log.NewNopLogger()
 	}
-	k := &Caller{opt: opt, meter: newMeter("caller", opt.Registry), idle: map[string][]*connection{}, live: map[*connection]struct{}{}}
+	k := &Caller{opt: opt, meter: newMeter("caller", opt.Registry),
+		pool: newPool(opt.Clock, opt.Idle, opt.IdleFor, opt.Share)}
 	k.dialer = net.Dialer{Timeout: opt.DialTimeout, Control: func(_, _ string, c syscall.RawConn) error {
 		if opt.UserTimeout <= 0 {
 			return nil
@@ -80,16 +79,7 @@
 }
 
 // Close resets every connection, those of lines too; calls that still run end as errs.Stopped.
-func (k *Caller) Close() {
-	k.mu.Lock()
-	k.closed = true
-	live := k.live
-	k.live, k.idle = map[*connection]struct{}{}, map[string][]*connection{}
-	k.mu.Unlock()
-	for l := range live {
-		l.reset()
-	}
-}
+func (k *Caller) Close() { k.pool.close() }
 
 // Ask sends call to addr (host:port) and returns the answer. It ends at the latest after within, on the caller's
 // clock, or with ctx: the connection is closed with a reset and the error is errs.Timeout, also while dialing. A refused or
@@ -112,7 +102,25 @@
 	return errs.Pass(k.ask(ctx, k, addr, path, call, answer, within, nil), "ask %s", path)
 }
 
+// dial opens a connection within the caller's share.
 func (k *Caller) dial(ctx context.Context, addr string) (*connection, error) {
+	if err := k.opt.Share.acquire(ctx); err != nil {
+		return nil, errs.Pass(&noRoom{err}, "dial")
+	}
+	l, err := k.connect(ctx, addr)
+	if err != nil {
+		k.opt.Share.release()
+		return nil, errs.Pass(err, "dial")
+	}
+	if !k.pool.add(l) {
+		l.reset()
+		k.opt.Share.release()
+		return nil, errs.New(errs.Stopped, "the caller is closed")
+	}
+	return l, nil
+}
+
+func (k *Caller) connect(ctx context.Context, addr string) (*connection, error) {
 	by := addr
 	if link := k.opt.Via[addr]; link != "" {
 		by = link
@@ -120,7 +128,7 @@
 	c, err := k.dialer.DialContext(ctx, "tcp", by)
 	if err != nil {
 		_ = level.Debug(k.opt.Logger).Log("msg", "dial failed", "addr", addr, "err", err)
-		return nil, errs.Wrap(err, errs.Unavailable, "dial")
+		return nil, errs.Wrap(err, errs.Unavailable, "connect")
 	}
 	tcp := c.(*net.TCPConn)
 	raw, err := tcp.SyscallConn()
@@ -128,71 +136,27 @@
 		_ = tcp.Close()
 		return nil, errs.Wrap(err, errs.Internal, "raw connection")
 	}
-	l := &connection{TCPConn: tcp, raw: raw, reader: bufio.NewReaderSize(tcp, k.opt.ReadBuffer), addr: addr}
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	if k.closed {
-		l.reset()
-		return nil, errs.New(errs.Stopped, "the caller is closed")
-	}
-	k.live[l] = struct{}{}
-	return l, nil
-}
-
-func (k *Caller) drop(l *connection) {
-	k.mu.Lock()
-	delete(k.live, l)
-	k.mu.Unlock()
-	l.reset()
+	return &connection{TCPConn: tcp, raw: raw, reader: bufio.NewReaderSize(tcp, k.opt.ReadBuffer), addr: addr}, nil
 }
 
+// take gives a connection to addr: an idle one, or a new one once the caller's share has room for it.
 func (k *Caller) take(ctx context.Context, addr string) (*connection, error) {
-	for {
-		k.mu.Lock()
-		list := k.idle[addr]
-		if k.closed || len(list) == 0 {
-			k.mu.Unlock()
-			l, err := k.dial(ctx, addr)
-			if err != nil {
-				return nil, errs.Pass(err, "no idle connection to %s", addr)
-			}
-			return l, nil
-		}
-		l := list[len(list)-1]
-		k.idle[addr] = list[:len(list)-1]
-		k.mu.Unlock()
-		if k.opt.Clock.Now()-l.idleSince < k.opt.IdleFor && l.alive() {
-			return l, nil
-		}
-		k.drop(l)
+	if l := k.pool.take(addr); l != nil {
+		return l, nil
 	}
+	l, err := k.dial(ctx, addr)
+	if err != nil {
+		return nil, errs.Pass(err, "no idle connection to %s", addr)
+	}
+	return l, nil
 }
 
 func (k *Caller) release(l *connection, whole bool) {
-	if !whole {
-		k.drop(l)
-		return
-	}
-	l.idleSince = k.opt.Clock.Now()
-	old := l
-	k.mu.Lock()
-	list := append(k.idle[l.addr], l)
-	if k.closed {
-		list = nil
-	} else if len(list) > k.opt.Idle || l.idleSince-list[0].idleSince >= k.opt.IdleFor {
-		old, list = list[0], append(list[:0], list[1:]...)
+	if whole {
+		k.pool.put(l)
 	} else {
-		old = nil
-	}
-	k.idle[l.addr] = list
-	k.mu.Unlock()
-	if old != nil {
-		k.drop(old)
+		k.pool.drop(l)
 	}
 }
 
-func (k *Caller) isClosed() bool {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	return k.closed
-}
+func (k *Caller) isClosed() bool { return k.pool.isClosed() }
--- a/internal/rpc/connection.go
+++ b/internal/rpc/connection.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"container/list"
 	"net"
 	"net/http"
 	"syscall"
@@ -19,6 +20,7 @@
 	reader    *bufio.Reader
 	addr      string
 	idleSince time.Duration // idle since, on the caller's clock
+	aged      *list.Element // of the pool's list of idle connections; nil while in use
 }
 
 // reset closes at once: unsent and unconfirmed bytes are thrown away, the peer gets a reset.
--- a/internal/rpc/dedicated.go
+++ b/internal/rpc/dedicated.go
@@ -51,7 +51,7 @@
 	l.connection, l.closed = nil, true
 	l.mu.Unlock()
 	if held != nil {
-		l.caller.drop(held)
+		l.caller.pool.drop(held)
 	}
 }
 
@@ -68,7 +68,7 @@
 		if l.caller.opt.Clock.Now()-held.idleSince < l.caller.opt.IdleFor && held.alive() {
 			return held, nil
 		}
-		l.caller.drop(held)
+		l.caller.pool.drop(held)
 	}
 	var fresh *connection
 	err := errs.New(errs.Stopped, "the line is closed")
@@ -82,7 +82,7 @@
 		if !closed {
 			return fresh, nil
 		}
-		l.caller.drop(fresh)
+		l.caller.pool.drop(fresh)
 		err = errs.New(errs.Stopped, "the line was closed")
 	}
 	<-l.turn
@@ -97,7 +97,7 @@
 	}
 	l.mu.Unlock()
 	if !whole {
-		l.caller.drop(used)
+		l.caller.pool.drop(used)
 	}
 	<-l.turn
 }
--- a/internal/rpc/eventloops.go
+++ b/internal/rpc/eventloops.go
@@ -20,6 +20,7 @@
 	}
 	gone := make(chan struct{}, loops)
 	s.engine.OnClose(func(c net.Conn, _ error) {
+		s.admission.closed(c)
 		if _, local := c.RemoteAddr().(*net.UnixAddr); local {
 			gone <- struct{}{}
 		}
@@ -39,7 +40,8 @@
 // machine has local socket pairs.
 func (s *Server) waitForOnlyLoop() error {
 	gone := make(chan struct{}, 1)
-	s.engine.OnClose(func(net.Conn, error) {
+	s.engine.OnClose(func(c net.Conn, _ error) {
+		s.admission.closed(c)
 		select {
 		case gone <- struct{}{}:
 		default:
--- a/internal/rpc/exchange_test.go
+++ b/internal/rpc/exchange_test.go
@@ -104,7 +104,7 @@
 			So(errors.Is(<-broken, unix.ECONNRESET), ShouldBeTrue)
 			cancel()
 			end()
-			So(len(k.live), ShouldEqual, 0)
+			So(len(k.pool.live), ShouldEqual, 0)
 		}
 	})
 	Convey("What surely did not leave is Unsent: a refused connection, no time, a request that cannot be sent", t, func() {
@@ -148,7 +148,7 @@
 		r := Request{Method: "POST", Path: "/"}
 		_, err := k.Exchange(ctx, addr, r, time.Minute)
 		So([]any{err, <-requests}, ShouldResemble, []any{nil, 1})
-		_, _ = k.idle[addr][0].Read(make([]byte, 1)) // until the peer's end is here
+		_, _ = k.pool.idle[addr][0].Read(make([]byte, 1)) // until the peer's end is here
 		_, err = k.Exchange(ctx, addr, r, time.Minute)
 		So([]any{err, <-requests}, ShouldResemble, []any{nil, 2})
 		_, err = k.Exchange(ctx, addr, r, time.Minute)
@@ -165,7 +165,7 @@
 		k := NewCaller(CallerOptions{MaxBody: 10})
 		defer k.Close()
 		_, err := k.Exchange(ctx, addr, Request{Method: "GET", Path: "/"}, time.Minute)
-		So([]any{errs.KindOf(err), Unsent(err), len(k.live)}, ShouldResemble, []any{errs.TooLarge, false, 0})
+		So([]any{errs.KindOf(err), Unsent(err), len(k.pool.live)}, ShouldResemble, []any{errs.TooLarge, false, 0})
 	})
 	Convey("Answered tells the peer's errors from our own", t, func() {
 		b := newBench()
--- a/internal/rpc/rpc_test.go
+++ b/internal/rpc/rpc_test.go
@@ -98,12 +98,12 @@
 			So(err, ShouldBeNil)
 			So(got.Text == text, ShouldBeTrue)
 		}
-		So(len(b.Caller.idle[b.Addr()]), ShouldEqual, 1)
-		So(len(b.live), ShouldEqual, 1)
+		So(len(b.Caller.pool.idle[b.Addr()]), ShouldEqual, 1)
+		So(len(b.Caller.pool.live), ShouldEqual, 1)
 		So(b.count("crosstide_rpc_calls_total", "server", "/echo"), ShouldEqual, 3)
 		So(b.count("crosstide_rpc_bytes_total", "caller", "out"), ShouldBeGreaterThan, 900_000)
 		ms := 0
-		So(b.Caller.idle[b.Addr()][0].raw.Control(func(fd uintptr) {
+		So(b.Caller.pool.idle[b.Addr()][0].raw.Control(func(fd uintptr) {
 			ms, _ = unix.GetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT)
 		}), ShouldBeNil)
 		So(ms, ShouldEqual, 1500)
@@ -124,7 +124,7 @@
 		So(errs.KindOf(err), ShouldEqual, errs.Malformed)
 		So(Unsent(err), ShouldBeFalse)
 		So(b.count("crosstide_rpc_failures_total", "caller", "/fail", "not_leader"), ShouldEqual, 1)
-		So(len(b.live), ShouldEqual, 1)
+		So(len(b.Caller.pool.live), ShouldEqual, 1)
 	})
 	Convey("A timer that fires, and a context that ends, give Timeout and a reset", t, func() {
 		b := newBench()
@@ -153,19 +153,19 @@
 			cancel()
 			So(errors.Is(seen, unix.ECONNRESET), ShouldBeTrue)
 		}
-		So(len(b.live), ShouldEqual, 0)
+		So(len(b.Caller.pool.live), ShouldEqual, 0)
 	})
 	Convey("A refused connection is Unavailable and unsent; a kept one that the peer closed is not used", t, func() {
 		b := newBench()
 		_, err := Ask(ctx, b.Caller, b.Addr(), echo, note{}, time.Second)
 		So(err, ShouldBeNil)
 		So(b.Stop(0), ShouldBeNil)
-		held := b.Caller.idle[b.Addr()][0]
+		held := b.Caller.pool.idle[b.Addr()][0]
 		_, _ = held.Read(make([]byte, 1)) // until the peer's end is here
 		_, err = Ask(ctx, b.Caller, b.Addr(), echo, note{}, time.Second)
 		So(errs.KindOf(err), ShouldEqual, errs.Unavailable)
 		So(Unsent(err), ShouldBeTrue)
-		So(len(b.live), ShouldEqual, 0)
+		So(len(b.Caller.pool.live), ShouldEqual, 0)
 		b.Caller.Close()
 		_, err = Ask(ctx, b.Caller, b.Addr(), echo, note{}, time.Second)
 		So(errs.KindOf(err), ShouldEqual, errs.Stopped)
@@ -245,7 +245,7 @@
 		close(b.gate)
 		work.Wait()
 		So(well, ShouldEqual, 500)
-		So(len(b.Caller.idle[b.Addr()]), ShouldEqual, b.Caller.opt.Idle)
+		So(len(b.Caller.pool.idle[b.Addr()]), ShouldEqual, b.Caller.opt.Idle)
 		So(b.Stop(time.Hour), ShouldBeNil)
 	})
 	Convey("Stop closes no connection before the answers of the handlers that it waited for are written", t, func() {
--- a/internal/rpc/server.go
+++ b/internal/rpc/server.go
@@ -32,6 +32,9 @@
 	Descriptors int
 	// Loops is the number of event loops; 0: nbio's default.
 	Loops int
+	// Share bounds the connections: a request on one that found no room is answered errs.Unavailable, with the time to come
+	// back, and the connection is closed. Default: nothing bounds them.
+	Share *Share
 }
 
 // Server answers pairs and raw routes. Every request runs on a goroutine of its own, so any number of them may
@@ -45,7 +48,8 @@
 	listener *listener
 	// accepted orders the making of a connection before its first read: nbio hands it from the accepting goroutine
 	// to the event loop by epoll alone, which is no order in Go's memory model.
-	accepted atomic.Int64
+	accepted  atomic.Int64
+	admission admission
 
 	mu            sync.Mutex
 	running       int // requests from their last byte read until their answer is written
@@ -88,7 +92,12 @@
 		Context:        s.requests.Context(),
 		Cancel:         s.requests.Cancel,
 	})
-	s.engine.OnOpen(func(net.Conn) { s.accepted.Add(1) })
+	s.admission = newAdmission(opt.Share)
+	s.engine.OnOpen(func(c net.Conn) {
+		s.accepted.Add(1)
+		s.admission.opened(c)
+	})
+	s.engine.OnClose(func(c net.Conn, _ error) { s.admission.closed(c) })
 	s.engine.Engine.OnData(func(c *nbio.Conn, data []byte) {
 		s.accepted.Load()
 		c.DataHandler()(c, data)
@@ -200,6 +209,11 @@
 		WriteError(w, errs.New(errs.Stopped, "the server is stopping"))
 		return
 	}
+	if err := s.admission.check(r.RemoteAddr); err != nil {
+		w.Header().Set("Connection", "close")
+		WriteError(w, err)
+		return
+	}
 	if h, pattern := s.mux.Handler(r); pattern == "" {
 		seen := &headRecorder{head: w.Header()}
 		h.ServeHTTP(seen, r) // the mux's own refusal is not JSON
--- a/internal/scheduler/config.go
+++ b/internal/scheduler/config.go
@@ -20,7 +20,10 @@
 	MostStarts   int           // most starts in one commit
 	// MostOrders is the most start and stop orders under way to a worker at once. Each needs a connection, a worker takes
 	// so many at most, and those of a leader that lost its power stay open there.
-	MostOrders    int
+	MostOrders int
+	// MostOrdersOut bounds the start and stop orders under way to all workers. No starts are planned beyond it: what cannot
+	// leave at once waits better where it may still be placed elsewhere.
+	MostOrdersOut int
 	MostPreempted int // most runs that one pass stops for more urgent work
 	MostProbes    int // most workers that are asked at once and have not answered
 }
@@ -32,6 +35,6 @@
 		Silence: 4 * time.Second, OrderTimeout: 300 * time.Millisecond, HoldMargin: 400 * time.Millisecond,
 		RetryMin: 200 * time.Millisecond, RetryMax: 500 * time.Millisecond, LapseMargin: 600 * time.Millisecond,
 		ClockSlack: 0.02, EarlyStart: 0, SpreadFactor: 1.5, GangHold: 500 * time.Millisecond,
-		ForgetAfter: 15 * time.Second, MostStarts: 512, MostOrders: 4, MostPreempted: 32, MostProbes: 32,
+		ForgetAfter: 15 * time.Second, MostStarts: 512, MostOrders: 4, MostOrdersOut: 512, MostPreempted: 32, MostProbes: 32,
 	}
 }
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -86,12 +86,14 @@
 	flight *flight
 	moved  bool // something changed that may let a due task be placed
 
-	sweepAt  time.Duration
-	forgetAt time.Duration           // the next look for workers to forget
-	dueAt    time.Time               // the next round that falls due
-	avoid    map[jobs.TaskRef]string // workers that tasks failed on or were moved away from
-	moves    map[jobs.TaskRef]int    // how often tasks were moved away from slow workers
-	speeds   speeds
+	sweepAt   time.Duration
+	forgetAt  time.Duration           // the next look for workers to forget
+	dueAt     time.Time               // the next round that falls due
+	ordersOut int                     // start and stop orders under way to all workers
+	shortage  shortage                // of connections, here
+	avoid     map[jobs.TaskRef]string // workers that tasks failed on or were moved away from
+	moves     map[jobs.TaskRef]int    // how often tasks were moved away from slow workers
+	speeds    speeds
 
 	discarded map[Cause]Discarded // since this core was made
 
@@ -111,7 +113,7 @@
 	c.queue, c.dirty, c.seen = map[string]*job{}, map[string]bool{}, map[string]uint64{}
 	c.unwanted, c.straying = map[jobs.RunKey]*run{}, map[string]bool{}
 	c.ends, c.starts, c.flight = nil, nil, nil
-	c.forgetAt = 0
+	c.forgetAt, c.ordersOut, c.shortage = 0, 0, shortage{}
 	c.avoid, c.moves, c.speeds = map[jobs.TaskRef]string{}, map[jobs.TaskRef]int{}, newSpeeds()
 	c.dueAt = time.Time{}
 }
@@ -155,6 +157,9 @@
 			c.dirty[id] = true
 		}
 	case jobs.WorkerGone:
+		if w := c.workers[note.Name]; w != nil {
+			c.ordersOut -= w.orders
+		}
 		delete(c.workers, note.Name)
 		delete(c.speeds.byWorker, note.Name)
 		c.names = slices.DeleteFunc(c.names, func(id string) bool { return id == note.Name })
@@ -322,7 +327,7 @@
 			continue
 		}
 		r.sent, r.sentAt = true, c.now
-		w.orders++
+		c.ordered(w)
 		task := j.Rounds[key.Task.Round][key.Task.Step][key.Task.Index]
 		out.Starts = append(out.Starts, StartOut{Worker: *w.record(), Order: StartOrder{
 			Key: key, Payload: j.Spec.Payload, Needs: r.needs, Deadline: w.grant(c, c.now), Token: c.term, Checkpoint: task.Checkpoint}})
--- a/internal/scheduler/crowd_test.go
+++ b/internal/scheduler/crowd_test.go
@@ -93,7 +93,7 @@
 	for _, s := range out.Stops {
 		w.after(answerTime, func() {
 			w.end(s.Worker.ID, s.Order.Key, jobs.EndStopped)
-			w.core.StopAnswered(w.now, s.Worker.ID, s.Order.Key, true)
+			w.core.StopAnswered(w.now, s.Worker.ID, s.Order.Key, StopOK)
 		})
 	}
 	for _, h := range out.Holds {
--- a/internal/scheduler/harness_test.go
+++ b/internal/scheduler/harness_test.go
@@ -76,3 +76,11 @@
 		h.core.StartAnswered(h.now, "w", s.Order.Key, StartAnswer{Clock: time.Minute + h.now}, StartOK)
 	}
 }
+
+// stopOutcome is the outcome of a stop order that was answered, or was not.
+func stopOutcome(answered bool) StopError {
+	if answered {
+		return StopOK
+	}
+	return StopFailed
+}
--- a/internal/scheduler/month_test.go
+++ b/internal/scheduler/month_test.go
@@ -109,7 +109,7 @@
 	}
 	for _, s := range out.Stops {
 		m.finish(s.Worker.ID, s.Order.Key, jobs.EndStopped)
-		m.core.StopAnswered(m.now, s.Worker.ID, s.Order.Key, m.up(s.Worker.ID))
+		m.core.StopAnswered(m.now, s.Worker.ID, s.Order.Key, stopOutcome(m.up(s.Worker.ID)))
 	}
 	for _, h := range out.Holds {
 		m.answer(h)
--- a/internal/scheduler/orders_test.go
+++ b/internal/scheduler/orders_test.go
@@ -54,7 +54,7 @@
 				}
 				for _, s := range out.Stops {
 					calls++
-					h.core.StopAnswered(h.now, "w", s.Order.Key, calls == 1)
+					h.core.StopAnswered(h.now, "w", s.Order.Key, stopOutcome(calls == 1))
 				}
 				for _, hold := range out.Holds {
 					calls++
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -47,12 +47,17 @@
 
 // place chooses workers for due tasks.
 func (c *Core) place(now time.Duration, wall time.Time) []jobs.Start {
+	room := min(c.cfg.MostStarts, c.orderRoom())
+	if now < c.shortage.until || room <= 0 {
+		c.moved = true
+		return nil
+	}
 	units := c.dueUnits(wall)
 	p := &placement{core: c, now: now, wall: wall, nodes: map[string][]*node{}, perNode: map[jobs.TaskRef]map[string]int{},
 		byFree: map[string][]*node{}}
 	paid := newPayment(c.table)
 	for _, u := range units {
-		if len(p.starts) >= c.cfg.MostStarts {
+		if len(p.starts) >= room {
 			c.moved = true
 			break
 		}
--- a/internal/scheduler/runs.go
+++ b/internal/scheduler/runs.go
@@ -154,7 +154,7 @@
 			continue
 		}
 		r.stopping = true
-		w.orders++
+		c.ordered(w)
 		out.Stops = append(out.Stops, StopOut{Worker: *rec, Order: StopOrder{Key: key, Token: c.term}})
 		c.Counts.Stopped++
 	}
@@ -176,7 +176,7 @@
 	for _, key := range w.strayKeys() {
 		if s := w.strays[key]; !s.stopping && c.now >= s.retryAt && w.mayOrder(c) {
 			s.stopping = true
-			w.orders++
+			c.ordered(w)
 			out.Stops = append(out.Stops, StopOut{Worker: *rec, Order: StopOrder{Key: key, Token: c.term}})
 		}
 	}
@@ -189,9 +189,15 @@
 	if c.term == 0 || w == nil {
 		return
 	}
-	w.orders = max(0, w.orders-1)
+	c.orderOver(w)
 	c.sequence++
 	switch err {
+	case StartNoRoom:
+		c.shortage.found(c.cfg, now)
+		if r != nil && r.sent && !r.listed {
+			c.end(r, jobs.EndLost, "")
+		}
+		return
 	case StartOtherLife:
 		c.gone(w)
 		return
@@ -212,6 +218,7 @@
 		return
 	}
 	w.heard(c, now, answer.Clock)
+	c.shortage.over()
 	if r == nil {
 		return
 	}
@@ -236,20 +243,31 @@
 	StartUnsent                      // no byte of it left: it never starts
 	StartUnknown                     // it may be carried out, now or later
 	StartOtherLife                   // another life answered: the worker is gone for good
+	StartNoRoom                      // no byte of it left, for want of a connection here: it says nothing of the worker
 )
 
-// StopAnswered takes in the answer to a stop order; ok tells that the worker answered it.
-func (c *Core) StopAnswered(now time.Duration, workerID string, key jobs.RunKey, ok bool) {
+// StopError says how a stop order without an answer failed.
+type StopError int
+
+// The failures of a stop order.
+const (
+	StopOK     StopError = iota // it was answered
+	StopFailed                  // no answer
+	StopNoRoom                  // it never left, for want of a connection here: it says nothing of the worker
+)
+
+// StopAnswered takes in the answer to a stop order.
+func (c *Core) StopAnswered(now time.Duration, workerID string, key jobs.RunKey, err StopError) {
 	c.now = now
 	w := c.workers[workerID]
 	if c.term == 0 || w == nil {
 		return
 	}
-	w.orders = max(0, w.orders-1)
+	c.orderOver(w)
 	c.sequence++
 	retry := now + c.cfg.RetryMin
 	if s := w.strays[key]; s != nil {
-		if s.stopping, s.retryAt = false, retry; ok {
+		if s.stopping, s.retryAt = false, retry; err == StopOK {
 			delete(w.strays, key)
 		}
 	}
@@ -258,7 +276,11 @@
 		return
 	}
 	r.stopping = false
-	if !ok {
+	switch err {
+	case StopNoRoom:
+		r.retryAt = retry
+		return
+	case StopFailed:
 		c.unanswered(w, now)
 		w.suspect, w.probe = true, true
 		r.retryAt = retry
--- a/internal/scheduler/stops_test.go
+++ b/internal/scheduler/stops_test.go
@@ -37,7 +37,7 @@
 			So(b.pass(time.Millisecond).Stops, ShouldBeEmpty)
 			Convey("and again after a pause if the order got no answer, but not once it was answered", func() {
 				for key, r := range b.core.runs {
-					b.core.StopAnswered(b.now, r.worker, key, key.Task.Index > 0)
+					b.core.StopAnswered(b.now, r.worker, key, stopOutcome(key.Task.Index > 0))
 				}
 				So(b.pass(time.Millisecond).Stops, ShouldBeEmpty)
 				again := b.pass(b.core.cfg.RetryMin).Stops
@@ -63,7 +63,7 @@
 			stops := b.pass(time.Millisecond).Stops
 			So(len(stops), ShouldEqual, 1)
 			So(stops[0].Order.Key, ShouldResemble, key)
-			b.core.StopAnswered(b.now, "w1", key, true)
+			b.core.StopAnswered(b.now, "w1", key, StopOK)
 			So(b.pass(time.Second).Stops, ShouldBeEmpty)
 			So(b.core.straying, ShouldBeEmpty)
 		})
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -343,6 +343,7 @@
 	HoldFailed                     // no answer
 	HoldOtherLife                  // another life answered: the worker is gone for good
 	HoldFenced                     // the worker has seen a higher token: this leader is an old one
+	HoldNoRoom                     // it never left, for want of a connection here: it says nothing of the worker
 )
 
 // HoldAnswered takes in the answer to the hold call of a number.
@@ -358,6 +359,11 @@
 		w.probing = 0
 	}
 	switch err {
+	case HoldNoRoom:
+		c.shortage.found(c.cfg, now)
+		w.retryAt = max(w.retryAt, c.shortage.until)
+		w.probe = w.probe || !w.answered
+		return
 	case HoldOtherLife:
 		c.gone(w)
 		return
--- a/internal/storage/disk.go
+++ b/internal/storage/disk.go
@@ -30,7 +30,12 @@
 	Close() error
 }
 
-type osDisk struct{ dir string }
+// osDisk is a folder of the system. The folder is opened ahead, so that a process that is out of descriptors can still make
+// the renaming of a written file durable.
+type osDisk struct {
+	dir    string
+	folder *os.File
+}
 
 type osFile struct{ *os.File }
 
@@ -38,18 +43,37 @@
 //
 //	disk, err := storage.OSDisk(filepath.Join(data, "store"))
 func OSDisk(dir string) (Disk, error) {
+	if err := makeFolder(dir); err != nil {
+		return nil, errs.Pass(err, "folder")
+	}
+	disk, err := openDisk(dir)
+	return disk, errs.Pass(err, "folder")
+}
+
+// makeFolder makes the folder, if it is missing, and makes that durable.
+func makeFolder(dir string) error {
 	if _, err := os.Stat(dir); err == nil {
-		return osDisk{dir}, nil
+		return nil
 	} else if !errors.Is(err, fs.ErrNotExist) {
-		return nil, errs.Wrap(err, errs.Disk, "look at the folder")
+		return errs.Wrap(err, errs.Disk, "look at the folder")
 	}
 	if err := os.MkdirAll(dir, 0o750); err != nil {
-		return nil, errs.Wrap(err, errs.Disk, "make the folder")
+		return errs.Wrap(err, errs.Disk, "make the folder")
 	}
-	if err := (osDisk{filepath.Dir(dir)}).Sync(); err != nil {
-		return nil, errs.Pass(err, "sync the parent")
+	parent, err := openDisk(filepath.Dir(dir))
+	if err != nil {
+		return errs.Pass(err, "the parent")
 	}
-	return osDisk{dir}, nil
+	defer parent.folder.Close()
+	return errs.Pass(parent.Sync(), "the parent")
+}
+
+func openDisk(dir string) (osDisk, error) {
+	folder, err := os.Open(dir)
+	if err != nil {
+		return osDisk{}, errs.Wrap(err, errs.Disk, "open the folder")
+	}
+	return osDisk{dir: dir, folder: folder}, nil
 }
 
 func (d osDisk) at(name string) string { return filepath.Join(d.dir, name) }
@@ -99,12 +123,7 @@
 
 // Sync makes the creations, removals and renames in the folder durable.
 func (d osDisk) Sync() error {
-	f, err := os.Open(d.dir)
-	if err != nil {
-		return errs.Wrap(err, errs.Disk, "open the folder")
-	}
-	defer f.Close()
-	return errs.Wrap(f.Sync(), errs.Disk, "sync the folder")
+	return errs.Wrap(d.folder.Sync(), errs.Disk, "sync the folder")
 }
 
 // Sync calls fdatasync, which makes the length durable too. After EINTR, which is no failed sync, it is called again.
--- a/internal/storage/full.go
+++ b/internal/storage/full.go
@@ -2,19 +2,21 @@
 
 import (
 	"errors"
+	"slices"
 
 	"golang.org/x/sys/unix"
 
 	"crosstide/internal/errs"
 )
 
-// fullError marks a write that the disk refused because there is no room. What was synced before is as it was.
+// fullError marks a write that was refused because there is no room. What was synced before is as it was.
 type fullError struct{ error }
 
 // Unwrap gives the refused write's own error.
 func (f fullError) Unwrap() error { return f.error }
 
-// IsFull tells whether a failure of Open, Append or WriteSlot is a write that was refused because the disk is full. The
+// IsFull tells whether a failure of Open, Append or WriteSnapshot is a write that was refused for want of room on the disk or
+// of descriptors. The
 // process can go on after it: Resume makes the store usable again once there is room. A failed sync is never one: nobody
 // knows what it left behind, so it ends the use of the store for good.
 func IsFull(err error) bool {
@@ -22,9 +24,13 @@
 	return errors.As(err, &full)
 }
 
-// refused marks the error of a write, not of a sync, if it says that there is no room.
+// refusals are the errors of writes that leave all that was synced as it was: there is no room on the disk, or the process
+// is out of descriptors for the file.
+var refusals = []error{unix.ENOSPC, unix.EDQUOT, unix.EMFILE, unix.ENFILE}
+
+// refused marks the error of a write, not of a sync, if it is one of refusals.
 func refused(err error) error {
-	if errors.Is(err, unix.ENOSPC) || errors.Is(err, unix.EDQUOT) {
+	if slices.ContainsFunc(refusals, func(refusal error) bool { return errors.Is(err, refusal) }) {
 		return fullError{err}
 	}
 	return errs.Pass(err, "write")
--- a/internal/storage/full_test.go
+++ b/internal/storage/full_test.go
@@ -139,3 +139,50 @@
 	So(then(m).fits(boot), ShouldBeTrue)
 	return 1, false
 }
+
+// crowded is a disk whose process is out of descriptors while none is left.
+type crowded struct {
+	Disk
+	left *int
+}
+
+func (d crowded) Create(name string) (File, error) {
+	if *d.left <= 0 {
+		return nil, unix.EMFILE
+	}
+	file, err := d.Disk.Create(name)
+	return file, errs.Pass(err, "create")
+}
+
+func TestOutOfDescriptors(t *testing.T) {
+	Convey("A snapshot that finds no descriptor is refused as for want of room, and written once there is one", t, func() {
+		left := 10
+		disk := NewMemDisk()
+		store, _, err := Open(crowded{disk, &left}, Options{})
+		So(err, ShouldBeNil)
+		So(store.Append([]Record{hard(1), entry(1, 1)}), ShouldBeNil)
+		left = 0
+		image := Snapshot{Index: 1, Term: 1, Body: []byte("state")}
+		err = store.WriteSnapshot(image, 0)
+		So([]any{IsFull(err), errs.KindOf(err)}, ShouldResemble, []any{true, errs.Disk})
+		So(IsFull(store.WriteSnapshot(image, 0)), ShouldBeTrue)
+		left = 10
+		So(store.Resume(), ShouldBeNil)
+		So(store.WriteSnapshot(image, 0), ShouldBeNil)
+		So(store.Append([]Record{entry(1, 2)}), ShouldBeNil)
+		So(store.Close(), ShouldBeNil)
+	})
+	Convey("The folder is opened ahead: making a rename durable needs no descriptor", t, func() {
+		disk, err := OSDisk(t.TempDir())
+		So(err, ShouldBeNil)
+		var limit unix.Rlimit
+		So(unix.Getrlimit(unix.RLIMIT_NOFILE, &limit), ShouldBeNil)
+		none := unix.Rlimit{Cur: 0, Max: limit.Max}
+		So(unix.Setrlimit(unix.RLIMIT_NOFILE, &none), ShouldBeNil)
+		failed := disk.Sync()
+		_, refusal := disk.Create("a")
+		So(unix.Setrlimit(unix.RLIMIT_NOFILE, &limit), ShouldBeNil)
+		So(failed, ShouldBeNil)
+		So(IsFull(refused(refusal)), ShouldBeTrue)
+	})
+}
--- a/internal/store/full.go
+++ b/internal/store/full.go
@@ -24,7 +24,7 @@
 		if !storage.IsFull(err) {
 			return errs.Pass(err, "%s", what)
 		}
-		_ = level.Error(s.log).Log("msg", "the disk is full: nothing is acknowledged", "write", what, "again", pause, "err", err)
+		_ = level.Error(s.log).Log("msg", "no room for a write: nothing is acknowledged", "write", what, "again", pause, "err", err)
 		if !s.rest(ctx, pause) {
 			return errs.New(errs.Stopped, "the store is stopping")
 		}
@@ -42,7 +42,7 @@
 		if !storage.IsFull(err) {
 			return s, errs.Pass(err, "open")
 		}
-		_ = level.Error(opt.Logger).Log("msg", "the disk is full: not started yet", "again", pause, "err", err)
+		_ = level.Error(opt.Logger).Log("msg", "no room for a write: not started yet", "again", pause, "err", err)
 		if !rest(ctx, opt.Clock, pause) {
 			return nil, errs.Wrap(err, errs.Stopped, "the start was called off")
 		}
--- a/internal/testbed/fleetsim/orders.go
+++ b/internal/testbed/fleetsim/orders.go
@@ -84,18 +84,21 @@
 
 func (n *node) stop(term uint64, stop scheduler.StopOut) {
 	id, key := stop.Worker.ID, stop.Order.Key
-	answeredOK := func(ok bool) {
-		n.tell(func(c *scheduler.Core, now time.Duration) { c.StopAnswered(now, id, key, ok) })
+	told := func(failure scheduler.StopError) {
+		n.tell(func(c *scheduler.Core, now time.Duration) { c.StopAnswered(now, id, key, failure) })
 	}
 	if !n.leads(term) {
-		answeredOK(false)
+		told(scheduler.StopFailed)
 		return
 	}
 	n.sim.exchange(n, stop.Worker, callTimeout, func(w *life, _ bool, reply func(any)) {
 		reply(w.stop(stop.Order))
 	}, func(answer any, f failure) {
-		taken, _ := answer.(bool)
-		answeredOK(f == answered && taken)
+		if taken, _ := answer.(bool); f != answered || !taken {
+			told(scheduler.StopFailed)
+			return
+		}
+		told(scheduler.StopOK)
 	})
 }
 
--- a/internal/testbed/worker/host_test.go
+++ b/internal/testbed/worker/host_test.go
@@ -92,7 +92,7 @@
 		worker := beat.Worker
 		So(worker, ShouldResemble, jobs.Worker{ID: host.ID(), Address: worker.Address, Service: "s", Zone: "z", Rack: "r",
 			Labels: []string{"l"}, Capacity: jobs.Resources{MilliCPU: 1000, MemoryMB: 10, GPUs: 1}})
-		client := workerapi.NewClient(caller, time.Minute)
+		client := workerapi.NewClient(caller, caller, time.Minute)
 		call := context.Background()
 		order := scheduler.StartOrder{Key: jobs.RunKey{Task: jobs.TaskRef{Job: "j"}, Number: 1}, Payload: `{"ms":30}`, Token: 1, Deadline: time.Hour}
 
