--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -14,6 +14,7 @@
 package scheduler
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -217,6 +218,7 @@
 		if w.lapsed(c, now) {
 			for _, key := range sortedRuns(w.runs) {
 				if r := w.runs[key]; r.sent && !r.ending {
+					r.cause = cmp.Or(r.cause, CauseLapsed)
 					c.end(r, jobs.EndLost, "")
 					c.Counts.Lapsed++
 				}
--- a/internal/scheduler/discard_test.go
+++ b/internal/scheduler/discard_test.go
@@ -63,4 +63,37 @@
 		h.endAs(h.runningTask(jobs.Step{Lasting: true}, ""), jobs.EndLapsed)
 		So(h.core.Health(h.now).Discarded[CauseLapsed], ShouldResemble, Discarded{Runs: 1})
 	})
+	Convey("A lease that this leader finds over counts as lapsed, a run that its worker does not list as lost", t, func() {
+		h := newHarness()
+		h.runningTask(jobs.Step{}, "")
+		for range 60 { // nothing is heard of the worker
+			h.now += sweepEvery
+			h.pass()
+		}
+		So(h.core.Counts.Lapsed, ShouldEqual, 1)
+		So(h.core.Health(h.now).Discarded, ShouldHaveLength, 1)
+		So(h.core.Health(h.now).Discarded[CauseLapsed].Runs, ShouldEqual, 1)
+
+		h = newHarness()
+		h.runningTask(jobs.Step{}, "")
+		h.answer(HoldAnswer{})
+		So(h.core.Health(h.now).Discarded, ShouldHaveLength, 1)
+		So(h.core.Health(h.now).Discarded[CauseLost].Runs, ShouldEqual, 1)
+	})
+	Convey("A start without an answer that is stopped counts as unanswered", t, func() {
+		h := newHarness()
+		h.submit(jobs.Step{Count: 1, Needs: jobs.Resources{MilliCPU: 1000}, Estimate: time.Minute})
+		h.pass()
+		key := h.sent[0].Order.Key
+		h.core.StartAnswered(h.now, "w", key, StartAnswer{}, StartUnknown)
+		h.now += time.Second
+		h.pass()
+		h.answer(HoldAnswer{})
+		h.pass()
+		h.core.StopAnswered(h.now, "w", key, StopOK)
+		h.pass()
+		h.answer(HoldAnswer{})
+		So(h.core.Health(h.now).Discarded, ShouldHaveLength, 1)
+		So(h.core.Health(h.now).Discarded[CauseUnanswered].Runs, ShouldEqual, 1)
+	})
 }
