A core whose power is back leads sooner; orders to a worker go one after the other

Ruled out: a shorter promise, as it is the lease's; believing the disk's whole log. Change: a pre-vote asked by the leader of the term voids what was promised to it, and who has a newer log campaigns within two heartbeats. The hard state carries the commit index, below the entries that it is stored with, and a start applies up to it. Callers may bound the calls to one address: orders take turns on one connection to a worker.

--- a/internal/node/core.go
+++ b/internal/node/core.go
@@ -26,8 +26,8 @@
 	dialTimeout = 700 * time.Millisecond  // a connection to a machine that is gone hangs
 	userTimeout = 1500 * time.Millisecond // how long the kernel resends bytes that nobody confirms
 	nodeIdle    = 5                       // idle connections that a core node keeps to each other node
-	holdIdle    = 1                       // and to each worker for hold calls, of which one waits at a time
-	orderIdle   = 2                       // and for orders
+	holdIdle    = 2                       // and to each worker for hold calls: one that waits, and one that asks at once
+	orderIdle   = 1                       // and for orders, which go one after the other
 	leastGrace  = time.Second             // for handing the lead over
 	drainWithin = time.Second             // for calls that run at the end
 )
@@ -86,9 +86,9 @@
 	if opt.Registry != nil {
 		opt.Registry.MustRegister(rpc.NewBudgetMetrics(n.shares.budget))
 	}
-	n.peers = n.newCaller("caller", nodeIdle, n.shares.peers)
-	n.holds = n.newCaller("holds", holdIdle, n.shares.holds)
-	n.orders = n.newCaller("orders", orderIdle, n.shares.orders)
+	n.peers = n.newCaller("caller", n.shares.peers, rpc.CallerOptions{Idle: nodeIdle})
+	n.holds = n.newCaller("holds", n.shares.holds, rpc.CallerOptions{Idle: holdIdle})
+	n.orders = n.newCaller("orders", n.shares.orders, rpc.CallerOptions{Idle: orderIdle, PerAddress: orderIdle})
 	n.store, err = opt.Open(ctx, store.Options{Settings: opt.Store, Net: store.NetworkOf(n.peers, opt.Store), Logger: part("store"),
 		Registry: opt.Registry, Fatal: n.fatal, Removed: opt.Removed}, opt.Logger)
 	if err != nil {
@@ -112,9 +112,11 @@
 	return n, nil
 }
 
-func (n *Core) newCaller(part string, idle int, share *rpc.Share) *rpc.Caller {
-	return rpc.NewCaller(rpc.CallerOptions{DialTimeout: dialTimeout, UserTimeout: userTimeout, Idle: idle, Via: n.opt.Store.Via,
-		Registry: n.opt.Registry, Logger: daemon.Part(n.opt.Logger, part), Share: share})
+// newCaller makes a caller within a share; options holds what is its own.
+func (n *Core) newCaller(part string, share *rpc.Share, options rpc.CallerOptions) *rpc.Caller {
+	options.DialTimeout, options.UserTimeout, options.Via = dialTimeout, userTimeout, n.opt.Store.Via
+	options.Registry, options.Logger, options.Share = n.opt.Registry, daemon.Part(n.opt.Logger, part), share
+	return rpc.NewCaller(options)
 }
 
 func (n *Core) closeCallers() {
--- a/internal/quorum/core.go
+++ b/internal/quorum/core.go
@@ -88,6 +88,7 @@
 		return nil, errs.Pass(err, "stored log")
 	}
 	c.endBlankness(s.Members)
+	c.commitTo(min(c.hard.Commit, c.log.last()))
 	c.campaignAt = now + c.jitter(cfg.Heartbeat)
 	if c.hard.Leader != cfg.ID {
 		c.campaignAt += c.promise()
@@ -191,6 +192,17 @@
 	}
 }
 
+// noteCommit puts the commit index into the hard state that is stored with entries, as they are synced anyway. It stays below
+// them: were they torn, older ones that were never committed would stand in their place.
+func (c *Core) noteCommit(stored []Entry) {
+	if len(stored) == 0 {
+		return
+	}
+	if known := min(c.commit, stored[0].Index-1); known > c.hard.Commit {
+		c.hard.Commit, c.hardChanged = known, true
+	}
+}
+
 // CampaignAt is when a node that does not lead needs its next Tick, unless a message puts that off.
 func (c *Core) CampaignAt() time.Duration { return c.campaignAt }
 
@@ -200,11 +212,12 @@
 		c.sendAppends()
 	}
 	r := Ready{Reset: c.logReset, Commit: c.commit, Now: c.outgoing, AfterSync: c.afterSync, Fetch: c.fetch}
+	r.Append = c.log.slice(c.firstUnstored, c.log.last())
+	c.noteCommit(r.Append)
 	if c.hardChanged {
 		h := c.hard
 		r.Hard = &h
 	}
-	r.Append = c.log.slice(c.firstUnstored, c.log.last())
 	r.Committed = c.log.slice(c.applied+1, c.commit)
 	c.firstUnstored, c.applied = c.log.last()+1, c.commit
 	c.hardChanged, c.logReset, c.outgoing, c.afterSync, c.fetch = false, false, nil, nil, nil
--- a/internal/quorum/election.go
+++ b/internal/quorum/election.go
@@ -26,6 +26,19 @@
 	return c.now < c.heardLeaderAt+c.promise() && candidate != c.hard.Leader
 }
 
+// releasePromise takes in a request for a pre-vote by the leader of the term, who leads no more: whatever was promised to it
+// is void. It was restarted, mostly with everybody else, and cannot win if it had not stored its newest entries yet; who
+// has them campaigns soon.
+func (c *Core) releasePromise(m Message) {
+	if m.Term <= c.hard.Term || m.From != c.hard.Leader || c.role == Leader {
+		return
+	}
+	c.heardLeaderAt = never
+	if c.role == Follower && c.eligible() && !c.isUpToDate(m) {
+		c.campaignAt = min(c.campaignAt, c.now+c.jitter(2*c.cfg.Heartbeat))
+	}
+}
+
 // majority returns the highest value that a majority of the voters reaches.
 func majority[T cmp.Ordered](ms []Member, of func(id string) T) (out T) {
 	var room [9]T
@@ -103,6 +116,7 @@
 	if c.hard.Blank {
 		return
 	}
+	c.releasePromise(m)
 	if m.Term > c.hard.Term && !c.hasPromised(m.From) && c.isUpToDate(m) {
 		c.reply(m, Message{Kind: PreVoteReply, Term: m.Term})
 	} else {
--- a/internal/quorum/quorum.go
+++ b/internal/quorum/quorum.go
@@ -78,6 +78,9 @@
 	// Blank: the folder began empty and no committed set has named it a learner yet; it may have forgotten
 	// votes given under its ID, so it neither votes nor campaigns.
 	Blank bool `json:"b,omitempty"`
+	// Commit is an index up to which the stored log is known to be committed; there may be more. It is stored along with
+	// entries, so that a node that starts can apply them before it hears of a leader.
+	Commit uint64 `json:"c,omitempty"`
 }
 
 // Meta describes a snapshot: the state after the entry Index of Term, and the members in force there.
--- a/internal/quorum/quorum_test.go
+++ b/internal/quorum/quorum_test.go
@@ -510,6 +510,67 @@
 	})
 }
 
+func TestColdStartBehindTheLeader(t *testing.T) {
+	Convey("A leader that lost its newest entries with its power names itself over: who has them leads soon", t, func() {
+		const plays = 40
+		soon := 0
+		for seed := range uint64(plays) {
+			w := newWorld(seed, "a", "b", "c", "d", "e")
+			w.run(5*time.Second, nil)
+			old := w.leader()
+			So(old, ShouldNotBeNil)
+			old.slow = time.Hour // its own writes are never synced
+			w.propose()
+			w.run(200*time.Millisecond, nil)
+			old.queue, old.slow = nil, 0
+			held := old.disk.Entries
+			took := coldStart(w, w.nodes, 0)
+			So(w.failures, ShouldBeEmpty)
+			So(held[len(held)-1].Index, ShouldBeLessThan, w.leader().core.log.last())
+			if took < 450*time.Millisecond {
+				soon++
+			}
+		}
+		So(soon, ShouldBeGreaterThanOrEqualTo, plays*9/10) // votes are split now and then, as in any election
+	})
+}
+
+func TestCommitKnownAtStart(t *testing.T) {
+	Convey("A node that starts applies what it knew to be committed before it hears of anybody", t, func() {
+		w := newWorld(1, "a", "b", "c")
+		w.run(3*time.Second, nil)
+		for range 20 {
+			w.propose()
+			w.run(100*time.Millisecond, nil)
+		}
+		n := w.nodes[1]
+		w.sync(n, true)
+		known := n.disk.Hard.Commit
+		So(known, ShouldBeGreaterThan, 15)
+		So(known, ShouldBeLessThanOrEqualTo, n.disk.Entries[len(n.disk.Entries)-1].Index)
+		c, err := New(Config{ID: n.id}, n.disk, 0)
+		So(err, ShouldBeNil)
+		r := c.Ready()
+		So(r.Commit, ShouldEqual, known)
+		So(r.Committed[len(r.Committed)-1].Index, ShouldEqual, known)
+		_, ok := c.Confirmed(time.Hour)
+		So(ok, ShouldBeFalse)
+	})
+	Convey("What is stored with entries never covers them, nor is more of it believed than the log has", t, func() {
+		founded := Founding(team("a", "b", "c"))
+		c, err := New(Config{ID: "a"}, founded, 0)
+		So(err, ShouldBeNil)
+		c.Step(0, Message{Kind: Append, From: "b", To: "a", Term: 2, PrevIndex: 1, PrevTerm: 1, Commit: 3,
+			Entries: []Entry{{Term: 2, Index: 2, Kind: Noop}, {Term: 2, Index: 3}}})
+		r := c.Ready()
+		So([]uint64{r.Commit, r.Hard.Commit}, ShouldResemble, []uint64{3, 1})
+		torn := Boot{Hard: Hard{Term: 2, Commit: 9}, Snapshot: founded.Snapshot, Entries: []Entry{{Term: 2, Index: 2, Kind: Noop}}}
+		c, err = New(Config{ID: "a"}, torn, 0)
+		So(err, ShouldBeNil)
+		So(c.Status().Commit, ShouldEqual, 2)
+	})
+}
+
 func TestPromises(t *testing.T) {
 	const sec = time.Second
 	from := func(k Kind, id string, term uint64) Message {
@@ -578,6 +639,27 @@
 		c.Step(3*sec, Message{Kind: VoteReply, From: "b", To: "a", Term: 5, Reject: true})
 		So(c.Ready().Hard.Leader, ShouldBeEmpty) // who led an older term says nothing of this one
 	})
+	Convey("The leader of the term that asks for a pre-vote voids what was promised to it, though its log is behind", t, func() {
+		ahead := []Entry{{Term: 2, Index: 2, Kind: Noop}, {Term: 2, Index: 3}}
+		hard := Hard{Term: 2, Leader: "b"}
+		ask := func(id string, term uint64) Message {
+			return Message{Kind: PreVote, From: id, To: "a", Term: term, PrevIndex: 2, PrevTerm: 2}
+		}
+		for _, voids := range []Message{ask("b", 3), ask("b", 2), ask("c", 3)} {
+			c := start(Boot{Hard: hard, Snapshot: founded.Snapshot, Entries: ahead})
+			c.Step(1, voids)
+			answer := c.Ready().Now
+			So(answer, ShouldHaveLength, 1)
+			So(answer[0].Reject, ShouldBeTrue)
+			void := voids.From == "b" && voids.Term == 3 // not an old request of before it led, nor another's
+			So(granted(c, 2, from(Vote, "c", 3)), ShouldEqual, void)
+			if void {
+				c = start(Boot{Hard: hard, Snapshot: founded.Snapshot, Entries: ahead})
+				c.Step(1, voids)
+				So(c.CampaignAt(), ShouldBeLessThanOrEqualTo, 1+2*c.cfg.Heartbeat)
+			}
+		}
+	})
 	Convey("An empty disk does not vote, told to be a voter or not", t, func() {
 		c := start(Boot{})
 		So(granted(c, 5*sec, from(Vote, "b", 2)), ShouldBeFalse)
--- a/internal/rpc/caller.go
+++ b/internal/rpc/caller.go
@@ -32,6 +32,9 @@
 	// Share bounds the open connections: a call that needs one more waits its turn, and fails as NoRoom when its time is
 	// over. Default: nothing bounds them.
 	Share *Share
+	// PerAddress is how many calls to an address run at a time. Others wait their turn within their time; one whose turn
+	// never came is Unsent. Default: any number.
+	PerAddress int
 }
 
 // Caller asks pairs over connections pooled per address, one call at a time on each. It is safe for any number
@@ -41,6 +44,7 @@
 	dialer net.Dialer
 	meter  *meter
 	pool   *pool
+	turns  *turns
 }
 
 // NewCaller makes a caller. Close it in the end.
@@ -63,7 +67,7 @@
 		opt.Logger = log.NewNopLogger()
 	}
 	k := &Caller{opt: opt, meter: newMeter("caller", opt.Registry),
-		pool: newPool(opt.Clock, opt.Idle, opt.IdleFor, opt.Share)}
+		pool: newPool(opt.Clock, opt.Idle, opt.IdleFor, opt.Share), turns: newTurns(opt.PerAddress)}
 	k.dialer = net.Dialer{Timeout: opt.DialTimeout, Control: func(_, _ string, c syscall.RawConn) error {
 		if opt.UserTimeout <= 0 {
 			return nil
@@ -139,19 +143,25 @@
 	return &connection{TCPConn: tcp, raw: raw, reader: bufio.NewReaderSize(tcp, k.opt.ReadBuffer), addr: addr}, nil
 }
 
-// take gives a connection to addr: an idle one, or a new one once the caller's share has room for it.
+// take gives a connection to addr, once it is the call's turn there: an idle one, or a new one once the caller's share has
+// room for it.
 func (k *Caller) take(ctx context.Context, addr string) (*connection, error) {
+	if err := k.turns.acquire(ctx, addr); err != nil {
+		return nil, errs.Pass(err, "wait for a turn")
+	}
 	if l := k.pool.take(addr); l != nil {
 		return l, nil
 	}
 	l, err := k.dial(ctx, addr)
 	if err != nil {
+		k.turns.release(addr)
 		return nil, errs.Pass(err, "no idle connection to %s", addr)
 	}
 	return l, nil
 }
 
 func (k *Caller) release(l *connection, whole bool) {
+	defer k.turns.release(l.addr)
 	if whole {
 		k.pool.put(l)
 	} else {
--- a/internal/rpc/pool_test.go
+++ b/internal/rpc/pool_test.go
@@ -144,3 +144,42 @@
 		m.clock.Advance(time.Duration(rapid.IntRange(0, 8).Draw(t, "seconds")) * time.Second)
 	}
 }
+
+func TestTurns(t *testing.T) {
+	Convey("Calls to one address take turns in order, others do not wait, and one whose time is over is Unsent", t, func() {
+		addresses, end := quietPeers(2)
+		defer end()
+		virtual := &clock.Virtual{}
+		k := NewCaller(CallerOptions{Clock: virtual, PerAddress: 1})
+		defer k.Close()
+		first, err := k.take(ctx, addresses[0])
+		So(err, ShouldBeNil)
+		other, err := k.take(ctx, addresses[1])
+		So(err, ShouldBeNil)
+		waiting := func() int {
+			k.turns.mu.Lock()
+			defer k.turns.mu.Unlock()
+			return len(k.turns.waiting[addresses[0]])
+		}
+		work, failed, taken := routine.New(ctx), make(chan error, 1), make(chan *connection, 1)
+		work.Go(func(context.Context) {
+			_, err := k.Exchange(ctx, addresses[0], Request{Method: "GET", Path: "/"}, time.Second)
+			failed <- err
+		})
+		waitFor(func() bool { return waiting() == 1 })
+		work.Go(func(context.Context) {
+			l, _ := k.take(ctx, addresses[0])
+			taken <- l
+		})
+		waitFor(func() bool { return waiting() == 2 })
+		virtual.Advance(time.Second)
+		err = <-failed
+		So([]bool{Unsent(err), NoRoom(err)}, ShouldResemble, []bool{true, false})
+		k.release(first, true)
+		So(<-taken == first, ShouldBeTrue) // the idle connection goes to the next in turn
+		k.release(first, true)
+		k.release(other, true)
+		So([]int{len(k.turns.running), len(k.turns.waiting)}, ShouldResemble, []int{0, 0})
+		work.Wait()
+	})
+}
