A restarted core node answers while it catches up; leaving workers tell nothing of their zone

And 55 workers that were emptied and ended made the leader ask whole zones (183 workers each) again and again, for three of them were without an answer within a second. Ruled out: applying less at a start; a longer wait before the first request.

--- a/internal/quorum/election.go
+++ b/internal/quorum/election.go
@@ -69,7 +69,7 @@
 func (c *Core) startPreVote() {
 	c.role, c.leader, c.leaderAddr, c.afterHandover = PreCandidate, "", "", false
 	c.granted = map[string]bool{c.cfg.ID: true}
-	c.campaignAt = c.now + c.cfg.Heartbeat + c.jitter(c.cfg.Heartbeat) // asking again costs little and starts no term
+	c.campaignAt = c.now + c.cfg.Heartbeat/2 + c.jitter(c.cfg.Heartbeat/2) // asking again costs little and starts no term
 	if c.hasMajority() {
 		c.startElection(false)
 		return
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -129,7 +129,7 @@
 func (w *worker) takesStarts(c *Core, now time.Duration) bool {
 	rec := w.record()
 	switch {
-	case rec.Draining || rec.Left || c.table.Evacuated[rec.Zone]:
+	case isLeaving(rec) || c.table.Evacuated[rec.Zone]:
 		return false
 	case !w.clockOK || w.heardAt == 0 || now-w.heardAt > c.cfg.Silence || !w.reachable():
 		return false
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -109,32 +109,38 @@
 
 // Bounds of the suspicion that a whole zone is lost.
 const (
-	zoneLosses   = 3                     // workers of a zone without an answer
+	zoneLosses   = 3                     // workers of a zone without an answer, at least
+	zonePart     = 16                    // and one in so many of its workers
 	zoneLossSpan = time.Second           // within which they were found
 	freshAnswer  = 50 * time.Millisecond // an answer that is younger needs no other
 )
 
+// isLeaving tells whether a worker has said that it ends.
+func isLeaving(rec *jobs.Worker) bool { return rec.Draining || rec.Left }
+
 // verifyZone asks all workers of a worker's zone at once, if several of them have stopped answering. None takes starts
-// before it has answered: a start that is sent into a lost zone is stuck until the worker's lease ends.
+// before it has answered: a start that is sent into a lost zone is stuck until the worker's lease ends. Workers that have
+// said that they end tell nothing of their zone when they do.
 func (c *Core) verifyZone(w *worker, now time.Duration) {
 	rec := w.record()
-	if rec == nil {
+	if rec == nil || isLeaving(rec) {
 		return
 	}
 	var others []*worker
-	losses := 0
+	losses, members := 0, 0
 	for _, other := range c.order {
 		otherRec := other.record()
-		if otherRec == nil || otherRec.Zone != rec.Zone {
+		if otherRec == nil || otherRec.Zone != rec.Zone || isLeaving(otherRec) {
 			continue
 		}
+		members++
 		if other.unansweredAt > other.answeredAt && now-other.unansweredAt <= zoneLossSpan {
 			losses++
 		} else if now-other.answeredAt > freshAnswer {
 			others = append(others, other)
 		}
 	}
-	if losses < zoneLosses {
+	if losses < max(zoneLosses, members/zonePart) {
 		return
 	}
 	for _, other := range others {
--- a/internal/scheduler/zone_test.go
+++ b/internal/scheduler/zone_test.go
@@ -102,3 +102,42 @@
 		So(h.table.RunsOn("x"), ShouldHaveLength, 2)
 	})
 }
+
+func TestLossesThatTellNothing(t *testing.T) {
+	zone := func(count int) *harness {
+		h := newHarness()
+		for i := range count {
+			worker := jobs.Worker{ID: fmt.Sprint("east", i), Service: "s", Zone: "east", Capacity: jobs.Resources{MilliCPU: 4000}}
+			So(h.table.Register(jobs.Register{Workers: []jobs.Worker{worker}}), ShouldBeNil)
+		}
+		h.pass()
+		h.answerAll(nil)
+		h.pass()
+		h.now += time.Second
+		return h
+	}
+	lose := func(h *harness, count int) {
+		for i := range count {
+			h.core.unanswered(h.core.workers[fmt.Sprint("east", i)], h.now)
+		}
+	}
+	verifying := func(h *harness) bool { return h.core.workers["east30"].verifyAt > 0 }
+	Convey("In a large zone a few workers without an answer tell nothing of it, a part of all does", t, func() {
+		h := zone(100)
+		lose(h, 100/zonePart-1)
+		So(verifying(h), ShouldBeFalse)
+		lose(h, 100/zonePart)
+		So(verifying(h), ShouldBeTrue)
+	})
+	Convey("Workers that said that they end tell nothing of their zone when they do", t, func() {
+		h := zone(40)
+		for i := range 20 {
+			leaving := *h.table.Workers[fmt.Sprint("east", i)]
+			leaving.Left = true
+			So(h.table.Register(jobs.Register{Workers: []jobs.Worker{leaving}}), ShouldBeNil)
+		}
+		h.pass()
+		lose(h, 20)
+		So(verifying(h), ShouldBeFalse)
+	})
+}
--- a/internal/store/disk.go
+++ b/internal/store/disk.go
@@ -150,6 +150,11 @@
 // trail brings the shadow up to what is stored here and gives the image that waits to be adopted, if any.
 func (s *Store) trail(ctx context.Context) (*install, error) {
 	in, batch := s.takeStored()
+	if len(batch) > 0 {
+		if err := s.loadShadow(); err != nil {
+			return in, errs.Pass(err, "trail")
+		}
+	}
 	for i := range batch {
 		if err := s.follow(ctx, batch[i]); err != nil {
 			return in, errs.Pass(err, "trail")
@@ -159,6 +164,24 @@
 	return in, nil
 }
 
+// loadShadow decodes the snapshot that the store began with into the shadow. It is done here, not at the start: a node that
+// came back serves the sooner.
+func (s *Store) loadShadow() error {
+	if s.shadow != nil {
+		return nil
+	}
+	s.shadow = state.New()
+	if s.shadowImage == nil {
+		return nil
+	}
+	shadow, err := state.Decode(s.shadowImage)
+	if err != nil {
+		return errs.Pass(err, "the snapshot of the start")
+	}
+	s.shadow, s.shadowImage = shadow, nil
+	return nil
+}
+
 // takeStored takes the image that waits to be adopted, if any, and the entries that the shadow may apply. While the live
 // state has entries to catch up on it takes none: a node that came back serves the sooner, and each later pass asks again.
 func (s *Store) takeStored() (*install, []quorum.Entry) {
@@ -310,6 +333,7 @@
 	s.newest = api.Snapshot{Number: s.newest.Number + 1, Index: in.meta.Index, Term: in.meta.Term, Size: int64(len(in.image.Body))}
 	s.core.Installed(s.clock.Now(), in.meta)
 	s.shadow, s.shadowMembers, s.shadowSince, s.shadowBytes = shadow, in.meta.Members, 0, 0
+	s.shadowImage = nil
 	s.committed, s.behind, s.unapplied = nil, 0, nil
 	s.durable = max(s.durable, in.meta.Index)
 	s.replace(in.live)
--- a/internal/store/found.go
+++ b/internal/store/found.go
@@ -60,16 +60,13 @@
 // begin makes the core of what the disk had.
 func (s *Store) begin(boot storage.Boot) error {
 	var b quorum.Boot
-	live, shadow := state.New(), state.New()
+	live := state.New()
 	var err error
 	if img := boot.Snapshot; img != nil {
 		if b.Snapshot, err = decodeMeta(img.Meta); err != nil {
 			return errs.Pass(err, "slot %d", img.Number)
 		}
-		if live, err = state.Decode(img.Body); err == nil {
-			shadow, err = state.Decode(img.Body)
-		}
-		if err != nil {
+		if live, err = state.Decode(img.Body); err != nil {
 			return errs.Pass(err, "slot %d", img.Number)
 		}
 		s.newest = api.Snapshot{Number: img.Number, Index: img.Index, Term: img.Term, Size: int64(len(img.Body))}
@@ -92,7 +89,10 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.shadow, s.shadowMembers = shadow, b.Snapshot.Members
+	s.shadow, s.shadowImage, s.shadowMembers = nil, nil, b.Snapshot.Members
+	if img := boot.Snapshot; img != nil {
+		s.shadowImage = img.Body
+	}
 	s.replace(live)
 	s.core, s.status = core, core.Status()
 	_ = level.Info(s.log).Log("msg", "begin", "id", s.id, "slot", s.newest.Index, "entries", len(b.Entries), "term", s.status.Term, "cut", boot.Cut)
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -117,7 +117,8 @@
 	durable         uint64         // the stored log equals the core's up to here
 	committed       []quorum.Entry // committed, for the shadow
 	behind          int            // their bytes, and of those the shadow applied since its last slot
-	shadow          *state.State   // the shadow goroutine's own
+	shadow          *state.State   // the shadow goroutine's own; nil before it has something to apply
+	shadowImage     []byte         // the snapshot that the store began with, for the shadow to begin with; nil: none
 	shadowMembers   []quorum.Member
 	shadowSince     int
 	shadowBytes     int
@@ -233,6 +234,9 @@
 	wake := func() { nudge(s.kick) }
 	for {
 		due := s.pass()
+		if s.catchingUp() {
+			s.rest(ctx, applyPause)
+		}
 		if ring != nil {
 			ring.Stop()
 		}
@@ -335,8 +339,17 @@
 const (
 	applyEntries = 64
 	applyBytes   = 256 << 10
+	// applyPause is left to everything else between two such passes: on one processor, messages would wait for all of them.
+	applyPause = time.Millisecond
 )
 
+// catchingUp tells whether committed entries wait to be applied.
+func (s *Store) catchingUp() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.unapplied) > 0
+}
+
 // nextApplied takes the committed entries that this pass applies. A store that is driven by hand applies all.
 func (s *Store) nextApplied() []quorum.Entry {
 	n, bytes := 0, 0
