A front node's connections are within a budget too

Cause: nothing bounded a front node's connections: clients could take the descriptors that its calls to the core need. Change: `reserve` cuts up the connections of either kind of node; a front keeps an eighth for the core and one for the questions for readiness, clients may have the rest. Too few descriptors are a mistake in the settings that names them. Ruled out: a bound for clients alone, as readiness goes over a server of its own.

--- a/cmd/dplane/jobsfront.go
+++ b/cmd/dplane/jobsfront.go
@@ -44,7 +44,10 @@
 }
 
 func serveJobs(ctx context.Context, set config.JobsFront, profiles bool, logger log.Logger) error {
-	front := node.NewFront(jobsOptions(set, profiles, logger))
+	front, err := node.NewFront(jobsOptions(set, profiles, logger))
+	if err != nil {
+		return errs.Pass(err, "make the node")
+	}
 	return errs.Pass(front.Run(ctx, nil), "serve")
 }
 
--- a/cmd/dplane/platform.go
+++ b/cmd/dplane/platform.go
@@ -26,7 +26,10 @@
 func serveFront(ctx context.Context, settings platform.Settings, changed <-chan os.Signal, logger log.Logger) error {
 	core := settings.Core()
 	daemon.LimitMemory(core.MemoryBytes)
-	front := node.NewFront(frontOptions(core, logger))
+	front, err := node.NewFront(frontOptions(core, logger))
+	if err != nil {
+		return errs.Pass(err, "make the node")
+	}
 	return errs.Pass(front.Run(ctx, changed), "serve")
 }
 
--- a/internal/node/core.go
+++ b/internal/node/core.go
@@ -58,7 +58,7 @@
 // Core is a core node.
 type Core struct {
 	opt     CoreOptions
-	shares  *coreShares
+	shares  coreShares
 	peers   *rpc.Caller // asks other nodes
 	holds   *rpc.Caller // makes hold calls to workers
 	orders  *rpc.Caller // carries start and stop orders to workers
--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -47,6 +47,7 @@
 // Front is a front node: it takes clients' calls and passes them to the core.
 type Front struct {
 	opt       FrontOptions
+	shares    frontShares
 	caller    *rpc.Caller
 	client    *controller.Client
 	clients   *rpc.Server // clients call it
@@ -54,29 +55,40 @@
 	readiness readiness
 }
 
-// NewFront makes a front node. Example:
+// NewFront makes a front node. Too few descriptors are errs.Settings. Example:
 //
-//	return node.NewFront(options).Run(ctx, changed)
-func NewFront(opt FrontOptions) *Front {
+//	front, err := node.NewFront(options)
+//	if err != nil {
+//		return errs.Pass(err, "front node")
+//	}
+//	return front.Run(ctx, changed)
+func NewFront(opt FrontOptions) (*Front, error) {
 	part := func(name string) log.Logger { return daemon.Part(opt.Logger, name) }
 	f := &Front{opt: opt}
+	var err error
+	if f.shares, err = newFrontShares(opt.Descriptors); err != nil {
+		return nil, errs.Pass(err, "connections")
+	}
+	if opt.Registry != nil {
+		opt.Registry.MustRegister(rpc.NewBudgetMetrics(f.shares.budget))
+	}
 	f.caller = rpc.NewCaller(rpc.CallerOptions{DialTimeout: dialTimeout, UserTimeout: userTimeout, Idle: coreIdle, Via: opt.Via,
-		Registry: opt.Registry, Logger: part("caller")})
+		Registry: opt.Registry, Logger: part("caller"), Share: f.shares.core})
 	f.client = controller.NewClient(controller.ClientOptions{Caller: f.caller, Seeds: opt.Core, Logger: part("client")})
 	f.readiness.fresh, f.readiness.within = f.client.Ready, f.client.ReadyWithin
-	f.clients = f.server(opt.Address)
+	f.clients = f.server(opt.Address, f.shares.clients)
 	opt.ServeClients(f.clients, f.client)
 	f.asked = f.clients
 	if opt.ReadyAddress != "" {
-		f.asked = f.server(opt.ReadyAddress)
+		f.asked = f.server(opt.ReadyAddress, f.shares.asked)
 	}
 	opt.ServeReady(f.asked, f.readiness.check)
-	return f
+	return f, nil
 }
 
-func (f *Front) server(addr string) *rpc.Server {
+func (f *Front) server(addr string, share *rpc.Share) *rpc.Server {
 	return rpc.NewServer(rpc.ServerOptions{Addr: addr, Loops: 1, Descriptors: f.opt.Descriptors, Registry: f.opt.Registry,
-		Logger: daemon.Part(f.opt.Logger, "wire")})
+		Logger: daemon.Part(f.opt.Logger, "wire"), Share: share})
 }
 
 // Run serves until ctx ends, then lets the node drain. changed, which may be nil, tells that the seeds may have changed.
--- a/internal/node/front_test.go
+++ b/internal/node/front_test.go
@@ -84,7 +84,8 @@
 		gate, entered := make(chan struct{}), make(chan struct{}, 10)
 		leader, end := startLeader(gate, entered)
 		defer end()
-		f := NewFront(frontOf(leader))
+		f, err := NewFront(frontOf(leader))
+		So(err, ShouldBeNil)
 		defer f.caller.Close()
 		So(f.start(), ShouldBeNil)
 		for f.readiness.check() != nil { // until the first probe is answered
@@ -112,11 +113,12 @@
 		defer end()
 		options := frontOf()
 		options.ReadSeeds = func() ([]string, error) { return []string{leader}, nil }
-		f := NewFront(options)
+		f, err := NewFront(options)
+		So(err, ShouldBeNil)
 		defer f.caller.Close()
 		ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
 		defer cancel()
-		_, err := f.client.Job(ctx, controller.JobCall{})
+		_, err = f.client.Job(ctx, controller.JobCall{})
 		So(err, ShouldNotBeNil) // no seed at all
 		changed := make(chan os.Signal)
 		work := routine.New(context.Background())
--- a/internal/node/shares.go
+++ b/internal/node/shares.go
@@ -20,31 +20,59 @@
 	ordersPart  = 8  // start and stop orders to workers
 )
 
-// coreShares are the uses of a core node's connections. Where room comes up, hold calls go before orders: a lease that is
-// not renewed ends work that runs.
-type coreShares struct {
-	budget                               *rpc.Budget
-	peers, nodes, control, holds, orders *rpc.Share
+// Parts of a front node's connections. Clients may have all that is left over.
+const (
+	corePart    = 8 // calls to the core
+	askedPart   = 8 // questions for readiness
+	clientsPart = 2 // clients' calls
+)
+
+// reservation is a use of connections and the part that is reserved to it.
+type reservation struct {
+	name string
+	part int
+	at   **rpc.Share
 }
 
-// newCoreShares cuts up the connections of a process that may have so many descriptors; 0: as many as the system allows.
-func newCoreShares(descriptors int) (*coreShares, error) {
+// reserve cuts up the connections of a process that may have so many descriptors; 0: as many as the system allows.
+func reserve(descriptors int, uses ...reservation) (*rpc.Budget, error) {
 	total, err := connections(descriptors)
 	if err != nil {
 		return nil, errs.Pass(err, "descriptors")
 	}
-	s := &coreShares{budget: rpc.NewBudget(total)}
-	for _, use := range []struct {
-		name string
-		part int
-		at   **rpc.Share
-	}{{"peers", peersPart, &s.peers}, {"nodes", nodesPart, &s.nodes}, {"control", controlPart, &s.control},
-		{"holds", holdsPart, &s.holds}, {"orders", ordersPart, &s.orders}} {
-		if *use.at, err = s.budget.Share(use.name, total/use.part); err != nil {
+	budget := rpc.NewBudget(total)
+	for _, use := range uses {
+		if *use.at, err = budget.Share(use.name, total/use.part); err != nil {
 			return nil, errs.Pass(err, "shares")
 		}
 	}
-	return s, nil
+	return budget, nil
+}
+
+// coreShares are the uses of a core node's connections. Where room comes up, hold calls go before orders: a lease that is
+// not renewed ends work that runs.
+type coreShares struct {
+	budget                               *rpc.Budget
+	peers, nodes, control, holds, orders *rpc.Share
+}
+
+func newCoreShares(descriptors int) (s coreShares, err error) {
+	s.budget, err = reserve(descriptors, reservation{"peers", peersPart, &s.peers}, reservation{"nodes", nodesPart, &s.nodes},
+		reservation{"control", controlPart, &s.control}, reservation{"holds", holdsPart, &s.holds},
+		reservation{"orders", ordersPart, &s.orders})
+	return s, errs.Pass(err, "core node")
+}
+
+// frontShares are the uses of a front node's connections.
+type frontShares struct {
+	budget               *rpc.Budget
+	core, asked, clients *rpc.Share
+}
+
+func newFrontShares(descriptors int) (s frontShares, err error) {
+	s.budget, err = reserve(descriptors, reservation{"core", corePart, &s.core}, reservation{"asked", askedPart, &s.asked},
+		reservation{"clients", clientsPart, &s.clients})
+	return s, errs.Pass(err, "front node")
 }
 
 // connections is how many connections fit into so many descriptors; 0: those that the system allows.
--- a/internal/node/shares_test.go
+++ b/internal/node/shares_test.go
@@ -28,3 +28,20 @@
 		So(shares.budget.Use()[0].Least, ShouldBeGreaterThan, 0)
 	})
 }
+
+func TestFrontShares(t *testing.T) {
+	Convey("Clients may take what a front node's other connections leave, and cannot take those", t, func() {
+		shares, err := newFrontShares(1000)
+		So(err, ShouldBeNil)
+		reserved := 0
+		for _, use := range shares.budget.Use() {
+			if use.Name != "clients" {
+				So(use.Least, ShouldBeGreaterThan, 100)
+				reserved += use.Least
+			}
+		}
+		So(reserved, ShouldBeLessThan, 300)
+		_, err = NewFront(FrontOptions{Descriptors: 1})
+		So(errs.KindOf(err), ShouldEqual, errs.Settings)
+	})
+}
--- a/internal/testbed/jobsdrill/run_test.go
+++ b/internal/testbed/jobsdrill/run_test.go
@@ -65,9 +65,10 @@
 		ServeControl: func(s *rpc.Server, relay *controller.Relay) { jobsapi.ServeControl(s, relay, 0) },
 	})
 	So(err, ShouldBeNil)
-	fronts := node.NewFront(node.FrontOptions{Core: []string{inner}, Address: front, Logger: logger, Grace: time.Second,
+	fronts, err := node.NewFront(node.FrontOptions{Core: []string{inner}, Address: front, Logger: logger, Grace: time.Second,
 		ServeClients: func(s *rpc.Server, client *controller.Client) { jobsapi.ServeClients(s, client, 0) },
 		ServeReady:   func(*rpc.Server, func() error) {}})
+	So(err, ShouldBeNil)
 	s := &testSystem{dir: dir, group: routine.New(context.Background()), end: end, caller: rpc.NewCaller(rpc.CallerOptions{})}
 	s.client = NewClient(s.caller, clock.Real{}, []string{front}, []string{control})
 	s.group.Go(func(context.Context) { _ = core.Run(ctx) })
