Workers are spread over the core's nodes for their heartbeats

Cause: every worker sent its heartbeats to the leader: 1,100 of its 4,124 descriptors on the large deployments, and each change of leader moved all of them at once, while the new leader takes over. At 3,000 workers one node cannot have them. Ruled out: a relay of orders and hold calls too (a relay that is cut off, frozen or stale could still send starts); sending them to learners, whose servers may not be up. Change: the answer to a heartbeat names the worker's home, by rendezvous hashing (a library) over the voters that the leader has heard of within an election time; the home passes heartbeats on, as any node did already. Where orders go with heartbeats the leader stays the home.

--- a/cmd/cplane/platform.go
+++ b/cmd/cplane/platform.go
@@ -80,7 +80,7 @@
 		Workers: func(holds, orders *rpc.Caller) scheduler.Workers {
 			return platform.NewWorkers(exchanger{holds}, exchanger{orders}, 0)
 		},
-		OrdersByBeat: core.OrdersByBeat, Control: core.ControlAddress,
+		OrdersByBeat: core.OrdersByBeat, Control: core.ControlAddress, ControlOf: core.ControlOf,
 		ServeControl: func(control *rpc.Server, relay *controller.Relay) {
 			platform.NewControlPlane(relay, core.ControlAddress).Routes(control)
 		},
--- a/internal/controller/api.go
+++ b/internal/controller/api.go
@@ -65,7 +65,7 @@
 
 // BeatAnswer acknowledges a heartbeat: what it told is known to the scheduler and durable.
 type BeatAnswer struct {
-	Leader string      `json:"leader,omitempty"` // control address that later heartbeats are best sent to
+	Home   string      `json:"home,omitempty"`   // control address that later heartbeats are best sent to
 	Orders *BeatOrders `json:"orders,omitempty"` // where orders go with the answers to heartbeats
 }
 
--- a/internal/controller/forward_test.go
+++ b/internal/controller/forward_test.go
@@ -66,7 +66,7 @@
 	return CountAnswer{Waiting: 7}, n.carryOut("count " + call.Locate.Host)
 }
 func (n *coreNode) Beat(_ context.Context, call BeatCall) (BeatAnswer, error) {
-	return BeatAnswer{Leader: n.addr}, n.carryOut("beat " + call.Worker.ID)
+	return BeatAnswer{Home: n.addr}, n.carryOut("beat " + call.Worker.ID)
 }
 func (n *coreNode) Config(context.Context, ConfigCall) (jobs.Config, error) {
 	return jobs.Config{Version: 3}, n.carryOut("config")
@@ -131,7 +131,7 @@
 	count, err := c.Count(ctx, CountCall{Locate: Locate{Host: "h"}})
 	So([]any{count.Waiting, err}, ShouldResemble, []any{7, nil})
 	beat, err := c.Beat(ctx, BeatCall{Worker: jobs.Worker{ID: "w"}})
-	So([]any{beat.Leader, err}, ShouldResemble, []any{leader, nil})
+	So([]any{beat.Home, err}, ShouldResemble, []any{leader, nil})
 	config, err := c.Config(ctx, ConfigCall{})
 	So([]any{config.Version, err}, ShouldResemble, []any{uint64(3), nil})
 	_, err = c.Configure(ctx, jobs.Configure{Digest: "d"})
--- /dev/null
+++ b/internal/controller/homes_test.go
@@ -0,0 +1,72 @@
+package controller
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/go-kit/log"
+	. "github.com/smartystreets/goconvey/convey"
+
+	"crosstide/internal/clock"
+)
+
+func TestHomes(t *testing.T) {
+	Convey("Workers are spread over the members that are there; one that is lost moves its own workers only", t, func() {
+		members := []string{"a:1", "b:1", "c:1", "d:1", "e:1"}
+		looks := 0
+		h := &homes{reached: func() []string { looks++; return members }}
+		const workers = 1000
+		all := func() map[string]string {
+			out := map[string]string{}
+			for i := range workers {
+				id := fmt.Sprint("w", i)
+				out[id] = h.of(0, id)
+			}
+			return out
+		}
+		before, counts := all(), map[string]int{}
+		for _, home := range before {
+			counts[home]++
+		}
+		So(counts, ShouldHaveLength, len(members))
+		for _, count := range counts {
+			So(count, ShouldBeBetween, workers/len(members)/2, workers/len(members)*2)
+		}
+		So(looks, ShouldEqual, 1)
+		members = []string{"e:1", "d:1", "b:1", "a:1"}
+		h.of(homesEvery, "w")
+		So(looks, ShouldEqual, 2)
+		for id, home := range all() {
+			if before[id] == "c:1" {
+				So(home, ShouldNotEqual, "c:1")
+			} else {
+				So(home, ShouldEqual, before[id])
+			}
+		}
+	})
+	Convey("Without members there is no home", t, func() {
+		h := &homes{reached: func() []string { return nil }}
+		So(h.of(0, "w"), ShouldBeEmpty)
+	})
+}
+
+func TestHomeInTheAnswer(t *testing.T) {
+	Convey("The answer to a heartbeat names the worker's home where workers are spread, else the leader", t, func() {
+		spread := func(internal string) string { return "control of " + internal }
+		for _, c := range []struct {
+			options LeaderOptions
+			reached []string
+			want    string
+		}{
+			{LeaderOptions{ControlOf: spread}, []string{"b:1"}, "control of b:1"},
+			{LeaderOptions{ControlOf: spread}, nil, "own"},
+			{LeaderOptions{}, []string{"b:1"}, "own"},
+			{LeaderOptions{ControlOf: spread, Mailboxes: NewMailboxes()}, []string{"b:1"}, "own"},
+		} {
+			store := newFakeStore()
+			store.reached = c.reached
+			c.options.Store, c.options.Control, c.options.Clock, c.options.Logger = store, "own", &clock.Virtual{}, log.NewNopLogger()
+			So(NewLeader(c.options).home("w"), ShouldEqual, c.want)
+		}
+	})
+}
--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -34,6 +34,8 @@
 	Changed() <-chan struct{}
 	// Members gives the leader's address, if one is known, and those of all members.
 	Members() (leader string, addresses []string)
+	// Reached gives the addresses of the voters that this leader has lately heard of, its own among them.
+	Reached() []string
 }
 
 // LeaderOptions are the parts of a Leader.
@@ -44,6 +46,9 @@
 	Mailboxes *Mailboxes
 	Config    scheduler.Config
 	Control   string // address at which this node takes heartbeats
+	// ControlOf gives the address at which the node with an internal address takes heartbeats; then workers are spread over
+	// all members. nil: all heartbeats go to the leader. With Mailboxes they always do, as orders go with them.
+	ControlOf func(internal string) string
 	// KeepOver is how long a job that is over stays in the table; 0 takes DefaultKeepOver.
 	KeepOver time.Duration
 	Clock    clock.Clock
@@ -65,6 +70,8 @@
 
 	tidyAt time.Duration // of the loop alone
 
+	homes *homes // nil: all heartbeats go to the leader
+
 	latest atomic.Pointer[scheduler.Health] // nil before the first look
 
 	mu     sync.Mutex
@@ -82,8 +89,23 @@
 	if opt.Mailboxes != nil {
 		opt.Config.OrderTimeout, opt.Config.HoldMargin = beatTimeout, beatTimeout
 	}
-	return &Leader{opt: opt, clock: opt.Clock, log: opt.Logger, group: routine.New(context.Background()),
+	l := &Leader{opt: opt, clock: opt.Clock, log: opt.Logger, group: routine.New(context.Background()),
 		core: scheduler.New(opt.Config), health: healthLog{log: opt.Logger}, wake: make(chan struct{}, 1), beats: map[string]uint64{}}
+	if opt.ControlOf != nil && opt.Mailboxes == nil {
+		l.homes = &homes{reached: opt.Store.Reached}
+	}
+	return l
+}
+
+// home gives the address to which a worker is to send its heartbeats.
+func (l *Leader) home(worker string) string {
+	if l.homes == nil {
+		return l.opt.Control
+	}
+	if at := l.homes.of(l.clock.Now(), worker); at != "" {
+		return l.opt.ControlOf(at)
+	}
+	return l.opt.Control
 }
 
 // Start begins to schedule whenever this node leads. It returns at once.
--- a/internal/controller/leader_test.go
+++ b/internal/controller/leader_test.go
@@ -23,6 +23,7 @@
 	index   uint64
 	refuses errs.Kind // of every proposal; "": none
 	late    bool      // a refused proposal is committed all the same
+	reached []string
 }
 
 func newFakeStore() *fakeStore { return &fakeStore{state: state.New(), term: 3} }
@@ -30,6 +31,8 @@
 func (f *fakeStore) View(read func(*state.State))          { read(f.state) }
 func (f *fakeStore) LeadTerm(time.Duration) (uint64, bool) { return f.term, f.term != 0 }
 func (f *fakeStore) Changed() <-chan struct{}              { return nil }
+func (f *fakeStore) Reached() []string                     { return f.reached }
+
 func (f *fakeStore) Members() (leader string, addresses []string) {
 	return "lead:1", []string{"lead:1"}
 }
@@ -88,7 +91,7 @@
 func beatOf(l *Leader, call BeatCall) {
 	answer, err := l.Beat(context.Background(), call)
 	So(err, ShouldBeNil)
-	So(answer.Leader, ShouldEqual, "lead:2")
+	So(answer.Home, ShouldEqual, "lead:2")
 }
 
 func draining(call BeatCall) BeatCall {
--- a/internal/controller/query_test.go
+++ b/internal/controller/query_test.go
@@ -79,6 +79,7 @@
 	return 1, true
 }
 func (s *oneStore) Changed() <-chan struct{}               { return nil }
+func (s *oneStore) Reached() []string                      { return []string{"here"} }
 func (s *oneStore) Members() (leader string, all []string) { return "here", []string{"here"} }
 func (s *oneStore) ProposeIn(_ context.Context, term uint64, c command.Command) (uint64, any, error) {
 	s.index++
--- a/internal/controller/serve.go
+++ b/internal/controller/serve.go
@@ -133,7 +133,7 @@
 
 // Beat takes a worker's heartbeat. What it changes is durable, and known to the scheduler, before it is answered.
 func (l *Leader) Beat(ctx context.Context, call BeatCall) (BeatAnswer, error) {
-	answer := BeatAnswer{Leader: l.opt.Control}
+	answer := BeatAnswer{Home: l.home(call.Worker.ID)}
 	worker := call.Worker
 	changed := false
 	term, err := l.look(func(table *jobs.Table) error {
--- a/internal/jobsapi/control.go
+++ b/internal/jobsapi/control.go
@@ -169,5 +169,5 @@
 		return nil, errs.Pass(err, "heartbeat")
 	}
 	answer, err := o.to.Beat(ctx, call)
-	return Heartbeat{Leader: answer.Leader}, errs.Pass(err, "heartbeat")
+	return Heartbeat{Leader: answer.Home}, errs.Pass(err, "heartbeat")
 }
--- a/internal/jobsapi/serve_test.go
+++ b/internal/jobsapi/serve_test.go
@@ -44,7 +44,7 @@
 }
 func (f *fakeCore) Beat(_ context.Context, call controller.BeatCall) (controller.BeatAnswer, error) {
 	f.call = call
-	return controller.BeatAnswer{Leader: "10.0.0.1:7200"}, f.err
+	return controller.BeatAnswer{Home: "10.0.0.1:7200"}, f.err
 }
 func (f *fakeCore) Config(context.Context, controller.ConfigCall) (jobs.Config, error) {
 	return jobs.Config{Version: 3, Services: []jobs.Service{{Name: "s"}},
--- a/internal/node/core.go
+++ b/internal/node/core.go
@@ -43,6 +43,9 @@
 	Workers      func(holds, orders *rpc.Caller) scheduler.Workers
 	OrdersByBeat bool   // orders go with the answers to workers' heartbeats
 	Control      string // address for workers and operators
+	// ControlOf gives the control address of the node with an internal address; then workers are spread over all nodes for
+	// their heartbeats. nil: all go to the leader.
+	ControlOf func(internal string) string
 	// ServeControl adds the calls of workers and operators.
 	ServeControl func(control *rpc.Server, relay *controller.Relay)
 	// ServeNodes adds further calls at the address of Store; nil adds none.
@@ -131,7 +134,7 @@
 }
 
 func (n *Core) leaderOptions() controller.LeaderOptions {
-	options := controller.LeaderOptions{Store: n.store, Config: n.opt.Scheduler, Control: n.opt.Control, KeepOver: n.opt.KeepOver,
+	options := controller.LeaderOptions{Store: n.store, Config: n.opt.Scheduler, Control: n.opt.Control, ControlOf: n.opt.ControlOf, KeepOver: n.opt.KeepOver,
 		Clock: clock.Real{}, Logger: daemon.Part(n.opt.Logger, "controller")}
 	if n.opt.OrdersByBeat {
 		options.Mailboxes = controller.NewMailboxes()
--- a/internal/store/members.go
+++ b/internal/store/members.go
@@ -25,6 +25,23 @@
 	return s.leaderAddr(), addressesOf(s.status.Members)
 }
 
+// Reached gives the addresses of the voters that this leader has heard of within an election time, its own among them; none
+// on a node that does not lead.
+func (s *Store) Reached() (addresses []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.core == nil {
+		return nil
+	}
+	now := s.clock.Now()
+	for _, m := range s.status.Members {
+		if heard, ok := s.core.Heard(now, m.ID); !m.Learner && ok && now-heard < s.set.Election {
+			addresses = append(addresses, m.Addr)
+		}
+	}
+	return addresses
+}
+
 // addressesOf gives the addresses of members, voters first.
 func addressesOf(members []quorum.Member) (out []string) {
 	for _, learner := range []bool{false, true} {
--- a/internal/testbed/worker/host_test.go
+++ b/internal/testbed/worker/host_test.go
@@ -37,7 +37,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.beats = append(f.beats, call)
-	return controller.BeatAnswer{Leader: f.leader}, nil
+	return controller.BeatAnswer{Home: f.leader}, nil
 }
 
 // await gives the first heartbeat that is as wanted, once there is one.
