Stops go with the hold calls; a shortage of connections is played in the simulator

Ruled out: the scheduler's retry of stops, which is 0.2 s; a third caller for stops alone. Change: starts have a caller and a share of their own, stops go with hold calls.

--- a/cmd/cplane/jobscore.go
+++ b/cmd/cplane/jobscore.go
@@ -75,7 +75,7 @@
 	registry := daemon.Registry()
 	return node.CoreOptions{
 		Store: set.Cplane, Open: open, Scheduler: jobsScheduler(set.Scheduler), KeepOver: set.KeepOver,
-		Workers: func(holds, orders *rpc.Caller) scheduler.Workers { return workerapi.NewClient(holds, orders, 0) },
+		Workers: func(holds, starts *rpc.Caller) scheduler.Workers { return workerapi.NewClient(holds, starts, 0) },
 		Control: set.Control,
 		ServeControl: func(control *rpc.Server, relay *controller.Relay) {
 			jobsapi.ServeControl(control, relay, set.Within)
--- a/cmd/cplane/platform.go
+++ b/cmd/cplane/platform.go
@@ -77,8 +77,8 @@
 	return node.CoreOptions{
 		Store: storeSettings(core), Open: open,
 		Scheduler: schedulerSettings(core.Scheduler, core.ContactTimeout), KeepOver: 2 * core.Scheduler.KeepStateFor,
-		Workers: func(holds, orders *rpc.Caller) scheduler.Workers {
-			return platform.NewWorkers(exchanger{holds}, exchanger{orders}, 0)
+		Workers: func(holds, starts *rpc.Caller) scheduler.Workers {
+			return platform.NewWorkers(exchanger{holds}, exchanger{starts}, 0)
 		},
 		OrdersByBeat: core.OrdersByBeat, Control: core.ControlAddress, ControlOf: core.ControlOf,
 		ServeControl: func(control *rpc.Server, relay *controller.Relay) {
--- a/internal/node/core.go
+++ b/internal/node/core.go
@@ -26,8 +26,8 @@
 	dialTimeout = 700 * time.Millisecond  // a connection to a machine that is gone hangs
 	userTimeout = 1500 * time.Millisecond // how long the kernel resends bytes that nobody confirms
 	nodeIdle    = 5                       // idle connections that a core node keeps to each other node
-	holdIdle    = 2                       // and to each worker for hold calls: one that waits, and one that asks at once
-	orderIdle   = 1                       // and for orders, which go one after the other
+	holdIdle    = 2                       // and to each worker: one for a hold call that waits, one for what is asked at once
+	startIdle   = 1                       // and for starts, which go one after the other
 	leastGrace  = time.Second             // for handing the lead over
 	drainWithin = time.Second             // for calls that run at the end
 )
@@ -39,8 +39,8 @@
 	Open      func(ctx context.Context, opt store.Options, logger log.Logger) (*store.Store, error)
 	Scheduler scheduler.Config
 	KeepOver  time.Duration // how long a job that is over stays; 0 takes a default
-	// Workers carries hold calls and orders to workers. It is not asked with OrdersByBeat.
-	Workers      func(holds, orders *rpc.Caller) scheduler.Workers
+	// Workers carries hold calls, stops and starts to workers. It is not asked with OrdersByBeat.
+	Workers      func(holds, starts *rpc.Caller) scheduler.Workers
 	OrdersByBeat bool   // orders go with the answers to workers' heartbeats
 	Control      string // address for workers and operators
 	// ControlOf gives the control address of the node with an internal address; then workers are spread over all nodes for
@@ -63,8 +63,8 @@
 	opt     CoreOptions
 	shares  coreShares
 	peers   *rpc.Caller // asks other nodes
-	holds   *rpc.Caller // makes hold calls to workers
-	orders  *rpc.Caller // carries start and stop orders to workers
+	holds   *rpc.Caller // carries hold calls and stops to workers
+	starts  *rpc.Caller // carries starts to workers
 	store   *store.Store
 	leader  *controller.Leader
 	client  *controller.Client // asks the leader where this node does not lead
@@ -91,7 +91,7 @@
 	}
 	n.peers = n.newCaller("caller", n.shares.peers, rpc.CallerOptions{Idle: nodeIdle})
 	n.holds = n.newCaller("holds", n.shares.holds, rpc.CallerOptions{Idle: holdIdle})
-	n.orders = n.newCaller("orders", n.shares.orders, rpc.CallerOptions{Idle: orderIdle, PerAddress: orderIdle})
+	n.starts = n.newCaller("starts", n.shares.starts, rpc.CallerOptions{Idle: startIdle, PerAddress: startIdle})
 	n.store, err = opt.Open(ctx, store.Options{Settings: opt.Store, Net: store.NetworkOf(n.peers, opt.Store), Logger: part("store"),
 		Registry: opt.Registry, Fatal: n.fatal, Removed: opt.Removed}, opt.Logger)
 	if err != nil {
@@ -123,7 +123,7 @@
 }
 
 func (n *Core) closeCallers() {
-	for _, caller := range []*rpc.Caller{n.peers, n.holds, n.orders} {
+	for _, caller := range []*rpc.Caller{n.peers, n.holds, n.starts} {
 		caller.Close()
 	}
 }
@@ -140,7 +140,7 @@
 		options.Mailboxes = controller.NewMailboxes()
 		options.Workers = options.Mailboxes
 	} else {
-		options.Workers = n.opt.Workers(n.holds, n.orders)
+		options.Workers = n.opt.Workers(n.holds, n.starts)
 	}
 	return options
 }
--- a/internal/node/shares.go
+++ b/internal/node/shares.go
@@ -16,8 +16,8 @@
 	peersPart   = 16 // calls to other nodes
 	nodesPart   = 8  // calls of other nodes
 	controlPart = 4  // heartbeats of workers, operators
-	holdsPart   = 4  // hold calls to workers
-	ordersPart  = 8  // start and stop orders to workers
+	holdsPart   = 4  // hold calls and stops to workers
+	startsPart  = 8  // starts to workers
 )
 
 // Parts of a front node's connections. Clients may have all that is left over.
@@ -49,17 +49,17 @@
 	return budget, nil
 }
 
-// coreShares are the uses of a core node's connections. Where room comes up, hold calls go before orders: a lease that is
-// not renewed ends work that runs.
+// coreShares are the uses of a core node's connections. Where room comes up, hold calls and stops go before starts: a lease
+// that is not renewed ends work that runs, and a gang that cannot be stopped waits for members that never come.
 type coreShares struct {
 	budget                               *rpc.Budget
-	peers, nodes, control, holds, orders *rpc.Share
+	peers, nodes, control, holds, starts *rpc.Share
 }
 
 func newCoreShares(descriptors int) (s coreShares, err error) {
 	s.budget, err = reserve(descriptors, reservation{"peers", peersPart, &s.peers}, reservation{"nodes", nodesPart, &s.nodes},
 		reservation{"control", controlPart, &s.control}, reservation{"holds", holdsPart, &s.holds},
-		reservation{"orders", ordersPart, &s.orders})
+		reservation{"starts", startsPart, &s.starts})
 	return s, errs.Pass(err, "core node")
 }
 
--- a/internal/node/shares_test.go
+++ b/internal/node/shares_test.go
@@ -17,7 +17,7 @@
 			reserved += use.Least
 			names = append(names, use.Name)
 		}
-		So(names, ShouldResemble, []string{"peers", "nodes", "control", "holds", "orders"})
+		So(names, ShouldResemble, []string{"peers", "nodes", "control", "holds", "starts"})
 		So(reserved, ShouldBeBetween, (1000-reservedDescriptors)*3/4, 1000-reservedDescriptors)
 	})
 	Convey("Too few descriptors are refused by name; none told takes what the system allows", t, func() {
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -64,6 +64,10 @@
 		if u = paid.within(u); u == nil {
 			continue
 		}
+		if u.step.Gang && len(p.starts)+len(u.indexes) > room && room < c.cfg.MostOrdersOut {
+			c.moved = true // its orders leave together, once fewer are under way
+			continue
+		}
 		before := len(p.starts)
 		if u.step.Gang {
 			p.placeGang(u)
--- a/internal/testbed/fleetsim/baddays.go
+++ b/internal/testbed/fleetsim/baddays.go
@@ -8,7 +8,7 @@
 	Guards      []Guard
 }
 
-// BadDays lists the five kinds. Every disruption and every guard is in one of them.
+// BadDays lists the six kinds. Every disruption and every guard is in one of them.
 func BadDays() []BadDay {
 	return []BadDay{
 		{"crowds and hopeless work", crowds(), []Guard{NoAttemptBound, NoRoomCheck, NoIdentity}},
@@ -18,5 +18,6 @@
 			[]Guard{EarlyAcknowledgement, StartBeforeCommit, EarlyAnswers}},
 		{"a split or powerless core", splitCore(), []Guard{NoLeaseCheck, NoFencingWait, OldLeadersAnswer}},
 		{"lost, racing and invalid orders", strayOrders(), []Guard{NoBaseCheck, NoOrderMemory, NoConfigCheck, NoEvacuationMark}},
+		{"a leader short of connections", shortages(), []Guard{UnsentStopsCount}},
 	}
 }
--- a/internal/testbed/fleetsim/beats.go
+++ b/internal/testbed/fleetsim/beats.go
@@ -28,6 +28,7 @@
 			sl.service = serviceGuards
 		}
 		sl.labels = []string{"kind" + string(rune('a'+place%2)), sl.rack}
+		sl.kinds = [2]string{sl.labels[0], "kind" + string(rune('a'+(place+1)%2))}
 		s.slots = append(s.slots, sl)
 		s.after(s.between(0, beatEvery), sl.newLife)
 	}
--- a/internal/testbed/fleetsim/disruptions.go
+++ b/internal/testbed/fleetsim/disruptions.go
@@ -42,6 +42,7 @@
 	Burst        Disruption = "wide jobs come at once"
 	UrgentStorm  Disruption = "urgent jobs come at once"
 	Hopeless     Disruption = "jobs that can never be done come at once"
+	Shortage     Disruption = "calls of the leader find no connection"
 )
 
 // The disruptions by kind of bad day, each once.
@@ -59,13 +60,15 @@
 
 func splitCore() []Disruption { return []Disruption{LeaderCut, CoreOutage, NodeLinkCut} }
 
+func shortages() []Disruption { return []Disruption{Shortage} }
+
 func strayOrders() []Disruption {
 	return []Disruption{Reconfigure, ConfigRace, BadConfig, AckLost, Evacuation}
 }
 
 // Disruptions lists all kinds.
 func Disruptions() []Disruption {
-	return slices.Concat(crowds(), strayWorkers(), lostMachines(), splitCore(), strayOrders())
+	return slices.Concat(crowds(), strayWorkers(), lostMachines(), splitCore(), strayOrders(), shortages())
 }
 
 // contactTimeout is how long after a disruption a machine is in touch again.
@@ -186,6 +189,8 @@
 		s.clients.urgentStorm()
 	case Hopeless:
 		s.clients.hopeless()
+	case Shortage:
+		made = s.beginShortage()
 	default:
 		made = s.disruptWorker(kind, sl)
 	}
--- a/internal/testbed/fleetsim/guards.go
+++ b/internal/testbed/fleetsim/guards.go
@@ -35,6 +35,8 @@
 	NoOrderMemory    Guard = "no order memory"    // orders that were taken are not remembered
 	NoConfigCheck    Guard = "no config check"    // a configuration is put right where it is invalid, and taken
 	NoEvacuationMark Guard = "no evacuation mark" // an evacuation is acknowledged and not recorded
+
+	UnsentStopsCount Guard = "unsent stops count" // a stop that found no connection is taken for answered
 )
 
 // Guards lists all guards that can be taken out.
@@ -43,7 +45,7 @@
 		DoubtIsDead, DoubtTakesNoRoom, NoDrainMark, NoLeaveMark, LateBeatsCount,
 		EarlyAcknowledgement, StartBeforeCommit, EarlyAnswers,
 		NoLeaseCheck, NoFencingWait, OldLeadersAnswer,
-		NoBaseCheck, NoOrderMemory, NoConfigCheck, NoEvacuationMark}
+		NoBaseCheck, NoOrderMemory, NoConfigCheck, NoEvacuationMark, UnsentStopsCount}
 }
 
 // doubted gives what the scheduler is told of a start without an answer.
--- a/internal/testbed/fleetsim/orders.go
+++ b/internal/testbed/fleetsim/orders.go
@@ -59,6 +59,10 @@
 		answered(scheduler.StartAnswer{}, scheduler.StartUnsent)
 		return
 	}
+	if n.sim.findsNoRoom() {
+		n.shortStart(answered)
+		return
+	}
 	n.sim.oracle.sent(start)
 	order := order{from: n, sent: n.sim.now, inTouch: n.sim.inTouch()}
 	n.sim.exchange(n, start.Worker, callTimeout, func(w *life, late bool, reply func(any)) {
@@ -91,6 +95,10 @@
 		told(scheduler.StopFailed)
 		return
 	}
+	if n.sim.urgentFindsNoRoom() {
+		n.shortStop(told)
+		return
+	}
 	n.sim.exchange(n, stop.Worker, callTimeout, func(w *life, _ bool, reply func(any)) {
 		reply(w.stop(stop.Order))
 	}, func(answer any, f failure) {
@@ -122,6 +130,10 @@
 		told(scheduler.HoldAnswer{}, scheduler.HoldFailed)
 		return
 	}
+	if n.sim.urgentFindsNoRoom() {
+		n.shortHold(told)
+		return
+	}
 	if n.sim.opt.Break == EarlyAcknowledgement {
 		call.SeenUpTo = max(call.SeenUpTo, n.ends[id])
 	}
--- a/internal/testbed/fleetsim/sim.go
+++ b/internal/testbed/fleetsim/sim.go
@@ -104,6 +104,7 @@
 	operator *operator
 	oracle   *oracle
 	quiet    quiet
+	shortage shortage
 	lives    int
 }
 
--- a/internal/testbed/fleetsim/worker.go
+++ b/internal/testbed/fleetsim/worker.go
@@ -30,6 +30,7 @@
 	zone     string
 	rack     string
 	labels   []string
+	kinds    [2]string // of the present life, and the other one
 	capacity jobs.Resources
 	speed    float64 // how many times as long a task takes here
 	current  *life   // nil: nothing runs here
@@ -88,6 +89,9 @@
 	}
 	s := sl.sim
 	s.lives++
+	if s.lives%otherKindEvery == 0 {
+		sl.changeKind()
+	}
 	w := &life{slot: sl, id: fmt.Sprintf("w%03d", s.lives), born: s.now, base: s.between(time.Second, 500*time.Second),
 		rate: slowestClock + (1-slowestClock)*s.rng.Float64(), slow: 1,
 		floor: map[jobs.TaskRef]int{}, notes: map[uint64]*endRecord{}}
@@ -95,6 +99,15 @@
 	w.beatLoop()
 }
 
+// otherKindEvery is how often a new life at an address is of another kind than the one before.
+const otherKindEvery = 5
+
+func (sl *slot) changeKind() {
+	sl.kinds[0], sl.kinds[1] = sl.kinds[1], sl.kinds[0]
+	sl.labels = []string{sl.kinds[0], sl.rack}
+	sl.sim.report.Seen["life of another kind"]++
+}
+
 // clock is what the worker's own clock shows.
 func (w *life) clock() time.Duration {
 	return w.base + time.Duration(float64(w.slot.sim.now-w.born)*w.rate)
--- a/internal/testbed/jobsdrill/run_test.go
+++ b/internal/testbed/jobsdrill/run_test.go
@@ -61,7 +61,7 @@
 			opened, err := store.OpenWhenRoom(ctx, opt)
 			return opened, errs.Pass(err, "store")
 		},
-		Workers:      func(holds, orders *rpc.Caller) scheduler.Workers { return workerapi.NewClient(holds, orders, 0) },
+		Workers:      func(holds, starts *rpc.Caller) scheduler.Workers { return workerapi.NewClient(holds, starts, 0) },
 		ServeControl: func(s *rpc.Server, relay *controller.Relay) { jobsapi.ServeControl(s, relay, 0) },
 	})
 	So(err, ShouldBeNil)
--- a/internal/workerapi/client.go
+++ b/internal/workerapi/client.go
@@ -18,26 +18,26 @@
 
 // Client carries the scheduler's orders to workers.
 type Client struct {
-	holds, orders *rpc.Caller
+	holds, starts *rpc.Caller
 	within        time.Duration
 }
 
 var _ scheduler.Workers = (*Client)(nil)
 
-// NewClient makes a client whose hold calls and orders are carried by callers of their own, so that neither waits for the
-// other's connections. within bounds each call, besides the time that a hold call may wait; 0 takes a default.
-func NewClient(holds, orders *rpc.Caller, within time.Duration) *Client {
+// NewClient makes a client whose starts are carried by a caller of their own: hold calls and stops, which keep work alive or end
+// it, wait for no start's connection. within bounds each call, besides the time that a hold call may wait; 0 takes a default.
+func NewClient(holds, starts *rpc.Caller, within time.Duration) *Client {
 	if within <= 0 {
 		within = defaultWithin
 	}
-	return &Client{holds: holds, orders: orders, within: within}
+	return &Client{holds: holds, starts: starts, within: within}
 }
 
 // Start tells worker to start one run.
 func (c *Client) Start(ctx context.Context, worker jobs.Worker, order scheduler.StartOrder) (scheduler.StartAnswer, error) {
 	call := StartCall{Worker: worker.ID, Run: RunOf(order.Key), Needs: NeedsOf(order.Needs), Payload: order.Payload,
 		Checkpoint: order.Checkpoint, Deadline: order.Deadline, Token: order.Token}
-	answer, err := rpc.Ask(ctx, c.orders, worker.Address, StartPair, call, c.within)
+	answer, err := rpc.Ask(ctx, c.starts, worker.Address, StartPair, call, c.within)
 	if errs.Is(err, errs.Malformed) && rpc.Answered(err) {
 		return scheduler.StartAnswer{Refusal: scheduler.RefusedInvalid}, nil
 	}
@@ -67,7 +67,7 @@
 // Stop tells worker to stop one run.
 func (c *Client) Stop(ctx context.Context, worker jobs.Worker, order scheduler.StopOrder) error {
 	call := StopCall{Worker: worker.ID, Run: RunOf(order.Key), Token: order.Token}
-	answer, err := rpc.Ask(ctx, c.orders, worker.Address, StopPair, call, c.within)
+	answer, err := rpc.Ask(ctx, c.holds, worker.Address, StopPair, call, c.within)
 	if err != nil {
 		return errs.Pass(err, "stop on %s", worker.ID)
 	}
