Connections to idle workers are closed after three seconds; smaller read buffers

Ruled out: one connection for hold calls (a stop and a waiting hold call to one worker need two). Change: idle connections of hold calls and stops are closed after 3 s; connections to workers have read buffers of 1 KB.

--- a/internal/node/core.go
+++ b/internal/node/core.go
@@ -27,7 +27,9 @@
 	userTimeout = 1500 * time.Millisecond // how long the kernel resends bytes that nobody confirms
 	nodeIdle    = 5                       // idle connections that a core node keeps to each other node
 	holdIdle    = 2                       // and to each worker: one for a hold call that waits, one for what is asked at once
+	holdIdleFor = 3 * time.Second         // hold calls to a worker that runs something follow one another sooner
 	startIdle   = 1                       // and for starts, which go one after the other
+	workerRead  = 1 << 10                 // bytes of the read buffer of a connection to a worker, whose answers are short
 	leastGrace  = time.Second             // for handing the lead over
 	drainWithin = time.Second             // for calls that run at the end
 )
@@ -90,8 +92,10 @@
 		opt.Registry.MustRegister(rpc.NewBudgetMetrics(n.shares.budget))
 	}
 	n.peers = n.newCaller("caller", n.shares.peers, rpc.CallerOptions{Idle: nodeIdle})
-	n.holds = n.newCaller("holds", n.shares.holds, rpc.CallerOptions{Idle: holdIdle})
-	n.starts = n.newCaller("starts", n.shares.starts, rpc.CallerOptions{Idle: startIdle, PerAddress: startIdle})
+	n.holds = n.newCaller("holds", n.shares.holds,
+		rpc.CallerOptions{Idle: holdIdle, IdleFor: holdIdleFor, ReadBuffer: workerRead})
+	n.starts = n.newCaller("starts", n.shares.starts,
+		rpc.CallerOptions{Idle: startIdle, PerAddress: startIdle, ReadBuffer: workerRead})
 	n.store, err = opt.Open(ctx, store.Options{Settings: opt.Store, Net: store.NetworkOf(n.peers, opt.Store), Logger: part("store"),
 		Registry: opt.Registry, Fatal: n.fatal, Removed: opt.Removed}, opt.Logger)
 	if err != nil {
