--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -215,6 +215,7 @@
 func (c *Core) sweep(now time.Duration) {
 	c.sweepAt = now + sweepEvery
 	for _, w := range c.order {
+		w.probe = w.probe || w.untold(now)
 		if w.lapsed(c, now) {
 			for _, key := range sortedRuns(w.runs) {
 				if r := w.runs[key]; r.sent && !r.ending {
@@ -294,8 +295,8 @@
 
 func (c *Core) acknowledge(seen map[string]uint64) {
 	for id, sequence := range seen {
-		if w := c.workers[id]; w != nil {
-			w.seen = max(w.seen, sequence)
+		if w := c.workers[id]; w != nil && sequence > w.seen {
+			w.seen, w.seenAt = sequence, c.now
 		}
 	}
 }
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -27,13 +27,16 @@
 	clockOK              bool
 	granted              time.Duration // the latest lease that may be in force there, on its clock; 0: unknown
 
-	holding  uint64        // the hold call that waits; 0: none
-	probing  uint64        // the hold call that asks at once; 0: none
-	probedAt time.Duration // when it was sent
-	probe    bool          // something must be asked at once
-	noted    uint64        // highest end taken in
-	seen     uint64        // highest end that is durable
-	failures int
+	holding                    uint64        // the hold call that waits; 0: none
+	probing                    uint64        // the hold call that asks at once; 0: none
+	probedAt                   time.Duration // when it was sent
+	probe                      bool          // something must be asked at once
+	noted                      uint64        // highest end taken in
+	seen                       uint64        // highest end that is durable
+	seenAt                     time.Duration // when it became so
+	told                       uint64        // highest end that the worker surely knows to be durable
+	holdingTells, probingTells uint64        // what the calls under way tell of it
+	failures                   int
 	// carefulUntil is when the worker is called without care again.
 	carefulUntil time.Duration
 	suspect      bool // an order got no answer, and nothing was heard since
@@ -282,6 +285,15 @@
 	}
 }
 
+// tellAfter is how long an end that is durable may wait for a call that tells the worker so. Mostly the next run brings one.
+const tellAfter = 1500 * time.Millisecond
+
+// untold tells whether a worker on which nothing runs waits to hear that its last ends are durable.
+func (w *worker) untold(now time.Duration) bool {
+	calling := w.holding != 0 || w.probing != 0
+	return w.seen > w.told && len(w.runs) == 0 && !calling && now-w.seenAt >= tellAfter
+}
+
 // probeSpan is how long a hold call that asks at once counts as under way for Config.MostProbes: a worker that is there
 // answers within it, and those that are not must not keep the leader from asking the others.
 const probeSpan = 50 * time.Millisecond
@@ -306,12 +318,12 @@
 			continue // nothing to ask: the rule for most workers in most passes
 		}
 		rec := w.record()
-		if rec == nil || rec.Left && len(w.runs) == 0 {
+		if rec == nil || rec.Left && len(w.runs) == 0 && w.told >= w.seen {
 			continue // it takes no starts any more, and nothing of it is waited for
 		}
 		if w.probe && w.probing == 0 {
 			if probes < c.cfg.MostProbes {
-				w.probe, w.probedAt = false, now
+				w.probe, w.probedAt, w.probingTells = false, now, w.seen
 				w.probing = c.hold(w, rec, 0, out)
 				probes++
 			} else {
@@ -322,7 +334,7 @@
 		_, pending := c.seen[w.id]
 		committing := c.flight != nil && c.flight.seen[w.id] > 0
 		if w.mayWait(c) && !pending && !committing {
-			w.holding = c.hold(w, rec, w.holdWait(c), out)
+			w.holding, w.holdingTells = c.hold(w, rec, w.holdWait(c), out), w.seen
 		}
 	}
 	return waiting
@@ -359,8 +371,9 @@
 	if c.term == 0 || w == nil || number != w.holding && number != w.probing {
 		return
 	}
+	tells := w.probingTells
 	if number == w.holding {
-		w.holding = 0
+		w.holding, tells = 0, w.holdingTells
 	} else {
 		w.probing = 0
 	}
@@ -380,6 +393,7 @@
 		return
 	}
 	w.heard(c, now, answer.Clock)
+	w.told = max(w.told, tells)
 	if !w.answered {
 		w.answered = true
 		// No earlier leader can renew from here on; what one granted ends by then, as all go by the same settings.
--- a/internal/testbed/fleetsim/oracle.go
+++ b/internal/testbed/fleetsim/oracle.go
@@ -29,6 +29,8 @@
 	ConfigRule  Rule = "CONFIG"
 	AckRule     Rule = "ACKS"
 	RecoverRule Rule = "RECOVER"
+	LastingRule Rule = "LASTING" // LOST, of tasks that last
+	NotedRule   Rule = "NOTED"   // ACKS, of the ends that workers list
 	ReplicaRule Rule = "REPLICA" // all nodes have the same table
 	EndRule     Rule = "END"     // every job ends within a bound once disruptions are over
 )
@@ -36,7 +38,7 @@
 // Rules lists all rules.
 func Rules() []Rule {
 	return []Rule{LimitRule, TwiceRule, OrderRule, RouteRule, BudgetRule, GangRule, UnaskedRule, RefusedRule, DrainRule,
-		EvacRule, MixedRule, LostRule, ConfigRule, AckRule, RecoverRule, ReplicaRule, EndRule}
+		EvacRule, MixedRule, LostRule, ConfigRule, AckRule, RecoverRule, LastingRule, NotedRule, ReplicaRule, EndRule}
 }
 
 // Bounds of the rules.
@@ -85,15 +87,17 @@
 	truth   map[string]*jobTruth
 	brought map[gangKey]string  // checkpoints by run of a gang
 	sentTo  map[gangKey][]*slot // where the members of a run of a gang were sent
-	lastAt  time.Duration       // of the last start on a worker
-	lostAt  time.Duration       // last start before the lead was lost; 0: none
-	newest  uint64              // term that was elected last
-	chosen  time.Duration       // when
-	first   bool                // its first start has not come yet
+	lasting map[jobs.TaskRef]*lastingTask
+	lastAt  time.Duration // of the last start on a worker
+	lostAt  time.Duration // last start before the lead was lost; 0: none
+	newest  uint64        // term that was elected last
+	chosen  time.Duration // when
+	first   bool          // its first start has not come yet
 }
 
 func newOracle(s *simulator) *oracle {
-	return &oracle{sim: s, truth: map[string]*jobTruth{}, brought: map[gangKey]string{}, sentTo: map[gangKey][]*slot{}}
+	return &oracle{sim: s, truth: map[string]*jobTruth{}, brought: map[gangKey]string{}, sentTo: map[gangKey][]*slot{},
+		lasting: map[jobs.TaskRef]*lastingTask{}}
 }
 
 func (o *oracle) count(rule Rule) { o.sim.report.Cases[rule]++ }
@@ -332,6 +336,7 @@
 		o.sim.report.Seen["stopped for other work"]++
 	}
 	e := &endRecord{run: r, how: how, at: o.sim.now}
+	o.listed(r.on, e)
 	t := j.ending(r.key.Task)
 	switch how {
 	case jobs.EndDone:
--- a/internal/testbed/fleetsim/promises.go
+++ b/internal/testbed/fleetsim/promises.go
@@ -103,6 +103,7 @@
 func (o *oracle) watch() {
 	o.sim.after(idleCheck, func() {
 		o.findIdle()
+		o.findDetached()
 		o.watch()
 	})
 }
