--- a/internal/scheduler/zone_test.go
+++ b/internal/scheduler/zone_test.go
@@ -11,10 +11,13 @@
 )
 
 // newZones makes a core with four workers in each of the zones east and west; all have answered.
-func newZones() *harness {
+func newZones() *harness { return newZonesOf(4, "east", "west") }
+
+// newZonesOf makes a core with so many workers in each of the zones; all have answered.
+func newZonesOf(count int, zones ...string) *harness {
 	h := newHarness()
-	for _, zone := range []string{"east", "west"} {
-		for i := range 4 {
+	for _, zone := range zones {
+		for i := range count {
 			worker := jobs.Worker{ID: fmt.Sprint(zone, i), Service: "s", Zone: zone, Capacity: jobs.Resources{MilliCPU: 4000}}
 			So(h.table.Register(jobs.Register{Workers: []jobs.Worker{worker}}), ShouldBeNil)
 		}
@@ -104,18 +107,6 @@
 }
 
 func TestLossesThatTellNothing(t *testing.T) {
-	zone := func(count int) *harness {
-		h := newHarness()
-		for i := range count {
-			worker := jobs.Worker{ID: fmt.Sprint("east", i), Service: "s", Zone: "east", Capacity: jobs.Resources{MilliCPU: 4000}}
-			So(h.table.Register(jobs.Register{Workers: []jobs.Worker{worker}}), ShouldBeNil)
-		}
-		h.pass()
-		h.answerAll(nil)
-		h.pass()
-		h.now += time.Second
-		return h
-	}
 	lose := func(h *harness, count int) {
 		for i := range count {
 			h.core.unanswered(h.core.workers[fmt.Sprint("east", i)], h.now)
@@ -123,14 +114,14 @@
 	}
 	verifying := func(h *harness) bool { return h.core.workers["east30"].verifyAt > 0 }
 	Convey("In a large zone a few workers without an answer tell nothing of it, a part of all does", t, func() {
-		h := zone(100)
+		h := newZonesOf(100, "east")
 		lose(h, 100/zonePart-1)
 		So(verifying(h), ShouldBeFalse)
 		lose(h, 100/zonePart)
 		So(verifying(h), ShouldBeTrue)
 	})
 	Convey("Workers that said that they end tell nothing of their zone when they do", t, func() {
-		h := zone(40)
+		h := newZonesOf(40, "east")
 		for i := range 20 {
 			leaving := *h.table.Workers[fmt.Sprint("east", i)]
 			leaving.Left = true
--- a/internal/testbed/fleetsim/attachment.go
+++ b/internal/testbed/fleetsim/attachment.go
@@ -71,12 +71,7 @@
 	if !o.sim.inTouch() || !o.sim.calmSince(o.sim.now-calmBefore) || o.sim.now < j.disturbed {
 		return false
 	}
-	configs := o.sim.operator.configs
-	newest := configs[len(configs)-1]
-	if !newest.acked || o.sim.now < newest.ackedAt+configApply {
-		return false
-	}
-	service := newest.services[queueOf(j.job.prefix)]
+	service := o.serviceOf(j)
 	return service != "" && o.roomTwice(step, service)
 }
 
--- a/internal/testbed/fleetsim/promises.go
+++ b/internal/testbed/fleetsim/promises.go
@@ -167,12 +167,7 @@
 	if j.running > 0 || !o.sim.inTouch() || j.spent() {
 		return false
 	}
-	configs := o.sim.operator.configs
-	newest := configs[len(configs)-1]
-	if !newest.acked || o.sim.now < newest.ackedAt+configApply {
-		return false
-	}
-	service := newest.services[queueOf(j.job.prefix)]
+	service := o.serviceOf(j)
 	if service == "" {
 		return false
 	}
@@ -190,6 +185,17 @@
 	return false
 }
 
+// serviceOf is the service to which the newest configuration directs a job; empty if none, or if that one need not be in
+// force yet.
+func (o *oracle) serviceOf(j *jobTruth) string {
+	configs := o.sim.operator.configs
+	newest := configs[len(configs)-1]
+	if !newest.acked || o.sim.now < newest.ackedAt+configApply {
+		return ""
+	}
+	return newest.services[queueOf(j.job.prefix)]
+}
+
 // turnHasCome tells whether a task of a step of a round is not done, and all steps before are.
 func (o *oracle) turnHasCome(j *jobTruth, round, number int) bool {
 	if j.stepDone(round, number) {
