--- a/review/rig/evac.go
+++ b/review/rig/evac.go
@@ -8,9 +8,13 @@
 	"crosstide/internal/errs"
 )
 
+// rethinkTime is the time between the acknowledged withdrawal of the evacuation and the next evacuation.
+const rethinkTime = 1300 * time.Millisecond
+
 // playEvacuation lets a control-plane node freeze. The operator withdraws the evacuation of a zone: the frozen node
 // does not answer, the next one acknowledges. Then the operator evacuates the zone again, which is acknowledged. The
-// rule EVAC is broken if a task starts in the zone more than evacuation_ms after that, by a fleet that is in touch.
+// rule EVAC is broken if a task starts in the zone more than evacuation_ms + max_stretch_ms after that, once the whole
+// fleet is in touch.
 func playEvacuation(ctx context.Context, f *fleet, trouble bool) (bool, error) {
 	zone := zoneNames[1]
 	start, finish := "/evacuation/"+zone+"/start", "/evacuation/"+zone+"/finish"
@@ -32,7 +36,7 @@
 	if err := f.operate(ctx, append([]*process{frozen}, others...), finish, nil, nil); err != nil {
 		return false, errs.Pass(err, "withdrawal")
 	}
-	pause(ctx, retryPause)
+	pause(ctx, rethinkTime)
 	if err := f.operate(ctx, others, start, nil, nil); err != nil {
 		return false, errs.Pass(err, "second evacuation")
 	}
@@ -40,7 +44,7 @@
 	f.log.add("operator: the evacuation of %s is in force again", zone)
 	pause(ctx, begin+freezeTime-f.log.now())
 	pause(ctx, 15*time.Second)
-	after := max(acknowledged+evacuationBound, begin+freezeTime+contactBound)
+	after := max(acknowledged+evacuationBound+stretchBound, begin+freezeTime+contactBound)
 	inZone := 0
 	for _, s := range f.startsOf("", after) {
 		if s.zone != zone {
@@ -51,7 +55,7 @@
 				(s.at - acknowledged).Seconds())
 		}
 	}
-	f.log.add("%d starts in %s later than %s after the acknowledgement", inZone, zone, evacuationBound)
+	f.log.add("%d starts in %s later than %s after the acknowledgement", inZone, zone, after-acknowledged)
 	return inZone > 0, nil
 }
 
--- a/review/rig/fleet.go
+++ b/review/rig/fleet.go
@@ -61,7 +61,7 @@
 	mu     sync.Mutex
 	starts []taskStart
 	needs  map[string]int // thousandths of a core by job
-	inUse  int            // thousandths of a core
+	inUse  map[string]int // thousandths of a core by minion
 }
 
 // taskStart is the start of a run at a minion.
@@ -79,7 +79,7 @@
 		return nil, errs.Wrap(err, errs.Disk, "temporary folder")
 	}
 	f := &fleet{log: log, group: routine.New(context.Background()), folder: folder, root: root, needs: map[string]int{},
-		client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}}
+		inUse: map[string]int{}, client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}}
 	if err := f.startAll(ctx, s); err != nil {
 		f.stop()
 		return nil, errs.Pass(err, "fleet")
@@ -281,13 +281,13 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.starts = append(f.starts, taskStart{at: f.log.now(), task: task, zone: m.zone, number: number})
-	f.inUse += f.needs[jobOf(task)]
+	f.inUse[m.id] += f.needs[jobOf(task)]
 }
 
-func (f *fleet) taskEnded(_ *minion, task string, _ int) {
+func (f *fleet) taskEnded(m *minion, task string, _ int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.inUse -= f.needs[jobOf(task)]
+	f.inUse[m.id] -= f.needs[jobOf(task)]
 }
 
 // startsOf returns the starts of a job's tasks, of all jobs if job is empty, that came after a time.
@@ -303,11 +303,17 @@
 	return found
 }
 
-// share returns the part of the service's processors that running tasks use.
-func (f *fleet) share() float64 {
+// usage returns the part of the service's processors that running tasks use, and how many tasks of a size, in
+// thousandths of a core, would find room beside them.
+func (f *fleet) usage(size int) (share float64, room int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return float64(f.inUse) / float64(workerCPU*len(f.minions))
+	used := 0
+	for _, m := range f.minions {
+		used += f.inUse[m.id]
+		room += (m.cpu - f.inUse[m.id]) / size
+	}
+	return float64(used) / float64(workerCPU*len(f.minions)), room
 }
 
 // stop ends all processes that the rig has started, by their IDs, and removes the temporary folder.
