--- a/review/rig/evac.go
+++ b/review/rig/evac.go
@@ -2,26 +2,29 @@
 
 import (
 	"context"
+	"slices"
 	"syscall"
 	"time"
 
 	"crosstide/internal/errs"
 )
 
-// rethinkTime is the time between the acknowledged withdrawal of the evacuation and the next evacuation.
-const rethinkTime = 1300 * time.Millisecond
+const (
+	rethinkTime = 1300 * time.Millisecond // between the acknowledged withdrawal and the next evacuation
+	watchTime   = 15 * time.Second        // for which starts are watched after the frozen node wakes
+)
+
+// evacuatedZones are the zones that the operator empties; one stays in use.
+var evacuatedZones = zoneNames[1:]
 
-// playEvacuation lets a control-plane node freeze. The operator withdraws the evacuation of a zone: the frozen node
-// does not answer, the next one acknowledges. Then the operator evacuates the zone again, which is acknowledged. The
-// rule EVAC is broken if a task starts in the zone more than evacuation_ms + max_stretch_ms after that, once the whole
+// playEvacuation lets a control-plane node freeze. The operator withdraws the evacuation of two zones: the frozen node
+// does not answer, the next one acknowledges. Then the operator evacuates both again, which is acknowledged. The rule
+// EVAC is broken if a task starts in one of them more than evacuation_ms + max_stretch_ms after that, once the whole
 // fleet is in touch.
 func playEvacuation(ctx context.Context, f *fleet, trouble bool) (bool, error) {
-	zone := zoneNames[1]
-	start, finish := "/evacuation/"+zone+"/start", "/evacuation/"+zone+"/finish"
-	frozen := f.cores[len(f.cores)-1]
-	others := f.cores[:len(f.cores)-1]
+	frozen, others := f.cores[len(f.cores)-1], f.cores[:len(f.cores)-1]
 	f.group.Go(func(ctx context.Context) { f.sendScans(ctx) })
-	if err := f.operate(ctx, others, start, nil, nil); err != nil {
+	if err := f.operateZones(ctx, others, "start"); err != nil {
 		return false, errs.Pass(err, "first evacuation")
 	}
 	pause(ctx, evacuationBound)
@@ -33,30 +36,47 @@
 			f.signal(frozen, syscall.SIGCONT)
 		})
 	}
-	if err := f.operate(ctx, append([]*process{frozen}, others...), finish, nil, nil); err != nil {
+	if err := f.operateZones(ctx, append([]*process{frozen}, others...), "finish"); err != nil {
 		return false, errs.Pass(err, "withdrawal")
 	}
 	pause(ctx, rethinkTime)
-	if err := f.operate(ctx, others, start, nil, nil); err != nil {
+	if err := f.operateZones(ctx, others, "start"); err != nil {
 		return false, errs.Pass(err, "second evacuation")
 	}
 	acknowledged := f.log.now()
-	f.log.add("operator: the evacuation of %s is in force again", zone)
-	pause(ctx, begin+freezeTime-f.log.now())
-	pause(ctx, 15*time.Second)
+	f.log.add("operator: the evacuations are in force again")
+	pause(ctx, begin+freezeTime+watchTime-f.log.now())
 	after := max(acknowledged+evacuationBound+stretchBound, begin+freezeTime+contactBound)
-	inZone := 0
+	broken := 0
 	for _, s := range f.startsOf("", after) {
-		if s.zone != zone {
+		if !slices.Contains(evacuatedZones, s.zone) {
 			continue
 		}
-		if inZone++; inZone <= 5 {
-			f.log.add("EVAC: %s started in %s %.3f s after its evacuation was acknowledged", s.task, zone,
+		if broken++; broken <= 5 {
+			f.log.add("EVAC: %s began in %s %.3f s after its evacuation was acknowledged", s.task, s.zone,
 				(s.at - acknowledged).Seconds())
 		}
 	}
-	f.log.add("%d starts in %s later than %s after the acknowledgement", inZone, zone, after-acknowledged)
-	return inZone > 0, nil
+	f.log.add("%d tasks began in %v later than %s after that", broken, evacuatedZones, after-acknowledged)
+	return broken > 0, nil
+}
+
+// operateZones sends the same order for all evacuatedZones at once, each to the control-plane nodes in the order of
+// cores, and returns when all are acknowledged.
+func (f *fleet) operateZones(ctx context.Context, cores []*process, order string) error {
+	results := make(chan error, len(evacuatedZones))
+	for _, zone := range evacuatedZones {
+		f.group.Go(func(context.Context) {
+			results <- f.operate(ctx, cores, "/evacuation/"+zone+"/"+order, nil, nil)
+		})
+	}
+	var failure error
+	for range evacuatedZones {
+		if err := <-results; err != nil {
+			failure = err
+		}
+	}
+	return errs.Pass(failure, "%s", order)
 }
 
 // sendScans hands in small jobs until ctx ends.
