Evacuations: an order is not carried out after its operator has given up

Cause: an order for a zone has no identity and no base, and nothing looked at the connection of its caller.

Change: rpc.CheckCaller asks the kernel whether the caller has closed its connection; the client of the leader calls it before each attempt of a change, the leader before each proposal. Time-outs count from the arrival of a request. New: the log line "zone order applied", the metric crosstide_rpc_abandoned_total.

Golden files: the wire formats gain fields, one endpoint, one metric and one log line. Relayed orders for a zone are two calls, so TestRelay expects both.

--- a/internal/controller/api.go
+++ b/internal/controller/api.go
@@ -92,6 +92,17 @@
 // ConfigureAnswer acknowledges a change of the configuration: the change is in force and durable.
 type ConfigureAnswer struct{}
 
+// ZoneCall requests the state of a zone.
+type ZoneCall struct {
+	Zone string `json:"zone"`
+}
+
+// ZoneAnswer is the state of a zone.
+type ZoneAnswer struct {
+	Evacuated bool   `json:"evacuated,omitempty"`
+	Revision  uint64 `json:"revision"` // increases with each order for the zone; the base of the next order
+}
+
 // EvacuateAnswer acknowledges the start or end of a zone's evacuation: the change is in force and durable.
 type EvacuateAnswer struct{}
 
@@ -184,7 +195,8 @@
 //     it is known;
 //   - errs.Unknown: the queue does not exist;
 //   - errs.Invalid: a field is invalid; the error names it;
-//   - errs.Stale: another version of the configuration is in force;
+//   - errs.Stale: another version of the configuration is in force, or another order for the zone was applied since the
+//     base of this one;
 //   - errs.Unavailable: the call was not executed and never will be;
 //   - errs.Timeout: the outcome is unknown: the call may have been executed, or may still be.
 var (
@@ -194,6 +206,7 @@
 	HeartbeatEndpoint = rpc.Endpoint[HeartbeatCall, HeartbeatAnswer]{Path: "/c/beat"}
 	ConfigEndpoint    = rpc.Endpoint[ConfigCall, jobs.Config]{Path: "/c/config"}
 	ConfigureEndpoint = rpc.Endpoint[jobs.Configure, ConfigureAnswer]{Path: "/c/configure"}
+	ZoneEndpoint      = rpc.Endpoint[ZoneCall, ZoneAnswer]{Path: "/c/zone"}
 	EvacuateEndpoint  = rpc.Endpoint[jobs.Evacuate, EvacuateAnswer]{Path: "/c/evacuate"}
 	TopologyEndpoint  = rpc.Endpoint[TopologyCall, TopologyAnswer]{Path: "/c/topology"} // any node answers
 )
--- a/internal/controller/client_call.go
+++ b/internal/controller/client_call.go
@@ -54,7 +54,8 @@
 }
 
 // run makes attempts until one succeeds or is refused, or until the call's deadline. It fails early if the control
-// plane is unreachable and no attempt may have been executed: the caller can then safely retry elsewhere.
+// plane is unreachable and no attempt may have been executed: the caller can then safely retry elsewhere. A change is
+// not attempted once the caller on whose behalf it is made no longer waits.
 func (c *Client) run(ctx context.Context, req request) (any, error) {
 	begin := c.opt.Clock.Now()
 	call := &callState{deadline: begin + c.callTimeout(ctx, req), backoff: initialBackoff}
@@ -63,6 +64,9 @@
 		if ctx.Err() != nil || now >= call.deadline {
 			return nil, errs.Pass(call.failure("deadline exceeded or context canceled"), "call")
 		}
+		if req.mutates && rpc.CheckCaller(ctx) != nil {
+			return nil, errs.Pass(call.failure("the caller no longer waits"), "call")
+		}
 		if !call.maybeExecuted && now-c.contacts.since(contactAny, begin) >= unreachableTimeout {
 			return nil, errs.Pass(call.failure("control plane unreachable"), "call")
 		}
--- a/internal/controller/client_endpoints.go
+++ b/internal/controller/client_endpoints.go
@@ -43,6 +43,12 @@
 	return answer, errs.Pass(err, "configure")
 }
 
+// Zone returns the state of a zone.
+func (c *Client) Zone(ctx context.Context, call ZoneCall) (ZoneAnswer, error) {
+	answer, err := callEndpoint(ctx, c, ZoneEndpoint, call, request{canHedge: true})
+	return answer, errs.Pass(err, "zone")
+}
+
 // Evacuate starts or ends the evacuation of a zone.
 func (c *Client) Evacuate(ctx context.Context, call jobs.Evacuate) (EvacuateAnswer, error) {
 	answer, err := callEndpoint(ctx, c, EvacuateEndpoint, call, request{mutates: true})
--- a/internal/controller/commands.go
+++ b/internal/controller/commands.go
@@ -4,8 +4,11 @@
 	"context"
 	"strings"
 
+	"github.com/go-kit/log/level"
+
 	"crosstide/internal/errs"
 	"crosstide/internal/jobs"
+	"crosstide/internal/rpc"
 	"crosstide/internal/state/command"
 )
 
@@ -27,7 +30,7 @@
 		return SubmitAnswer{}, errs.Pass(err, "submit")
 	}
 	submit := command.JobSubmit{Submit: jobs.Submit{Spec: call.Spec, Digest: call.Digest, At: l.clock.Wall()}}
-	_, answer, err := l.opt.Store.ProposeIn(ctx, term, &submit)
+	answer, err := l.proposeIn(ctx, term, &submit)
 	state, _ := answer.(jobs.JobState)
 	return SubmitAnswer{State: state}, errs.Pass(err, "submit")
 }
@@ -73,7 +76,7 @@
 // cancelJob commits a job's cancellation and returns the resulting state.
 func (l *Leader) cancelJob(ctx context.Context, term uint64, id string) (jobs.JobState, error) {
 	cancel := command.JobCancel{Cancel: jobs.Cancel{ID: id, At: l.clock.Wall()}}
-	_, answer, err := l.opt.Store.ProposeIn(ctx, term, &cancel)
+	answer, err := l.proposeIn(ctx, term, &cancel)
 	state, _ := answer.(jobs.JobState)
 	return state, errs.Pass(err, "propose")
 }
@@ -83,9 +86,14 @@
 	return ConfigureAnswer{}, errs.Pass(l.propose(ctx, &command.JobConfigure{Configure: call}), "configure")
 }
 
-// Evacuate starts or ends the evacuation of a zone.
+// Evacuate starts or ends the evacuation of a zone. Failure: Stale if another order for the zone was applied since the
+// base of the call.
 func (l *Leader) Evacuate(ctx context.Context, call jobs.Evacuate) (EvacuateAnswer, error) {
-	return EvacuateAnswer{}, errs.Pass(l.propose(ctx, &command.JobEvacuate{Evacuate: call}), "evacuate")
+	if err := l.propose(ctx, &command.JobEvacuate{Evacuate: call}); err != nil {
+		return EvacuateAnswer{}, errs.Pass(err, "evacuate")
+	}
+	_ = level.Info(l.log).Log("msg", "zone order applied", "zone", call.Zone, "evacuate", call.Start)
+	return EvacuateAnswer{}, nil
 }
 
 // propose commits a command if this node leads and its lease is in force.
@@ -94,6 +102,16 @@
 	if err != nil {
 		return errs.Pass(err, "propose")
 	}
-	_, _, err = l.opt.Store.ProposeIn(ctx, term, c)
+	_, err = l.proposeIn(ctx, term, c)
 	return errs.Pass(err, "propose")
 }
+
+// proposeIn commits a command of a caller in a term and returns its answer. A command whose caller no longer waits is
+// not proposed: the caller may have sent a newer one elsewhere.
+func (l *Leader) proposeIn(ctx context.Context, term uint64, c command.Command) (any, error) {
+	if err := rpc.CheckCaller(ctx); err != nil {
+		return nil, errs.Pass(err, "propose")
+	}
+	_, answer, err := l.opt.Store.ProposeIn(ctx, term, c)
+	return answer, errs.Pass(err, "propose")
+}
--- a/internal/controller/fakes_test.go
+++ b/internal/controller/fakes_test.go
@@ -159,6 +159,10 @@
 	return EvacuateAnswer{}, n.execute("evacuate " + call.Zone)
 }
 
+func (n *fakeNode) Zone(_ context.Context, call ZoneCall) (ZoneAnswer, error) {
+	return ZoneAnswer{}, n.execute("zone " + call.Zone)
+}
+
 func (n *fakeNode) Topology(context.Context, TopologyCall) (TopologyAnswer, error) {
 	n.cluster.mu.Lock()
 	defer n.cluster.mu.Unlock()
--- a/internal/controller/golden_test.go
+++ b/internal/controller/golden_test.go
@@ -21,6 +21,7 @@
 		endpoint.Shapes(HeartbeatEndpoint),
 		endpoint.Shapes(ConfigEndpoint),
 		endpoint.Shapes(ConfigureEndpoint),
+		endpoint.Shapes(ZoneEndpoint),
 		endpoint.Shapes(EvacuateEndpoint),
 		endpoint.Shapes(TopologyEndpoint),
 		golden.Shape("locate", Location{}),
--- a/internal/controller/queries.go
+++ b/internal/controller/queries.go
@@ -149,6 +149,15 @@
 	return answer, errs.Pass(err, "queues")
 }
 
+// Zone returns the state of a zone. No order is applied to a zone that was never named in one: its revision is 0.
+func (l *Leader) Zone(_ context.Context, call ZoneCall) (answer ZoneAnswer, err error) {
+	_, err = l.readTable(func(table *jobs.Table) error {
+		answer = ZoneAnswer{Evacuated: table.Evacuated[call.Zone], Revision: table.ZoneRevisions[call.Zone]}
+		return nil
+	})
+	return answer, errs.Pass(err, "zone")
+}
+
 // Workers lists the workers, sorted by ID, and the evacuated zones, sorted by name.
 func (l *Leader) Workers(context.Context, WorkersCall) (WorkersAnswer, error) {
 	answer := WorkersAnswer{Workers: []WorkerView{}, Evacuated: []string{}}
--- a/internal/controller/relay.go
+++ b/internal/controller/relay.go
@@ -12,7 +12,7 @@
 type Relay struct {
 	local  Local
 	remote *Client
-	self   string
+	self   string // internal address of this node
 }
 
 // NewRelay returns a Relay for the node whose internal address is self.
@@ -56,12 +56,6 @@
 	return answer, errs.Pass(err, "relay")
 }
 
-// Evacuate starts or ends the evacuation of a zone.
-func (r *Relay) Evacuate(ctx context.Context, call jobs.Evacuate) (EvacuateAnswer, error) {
-	answer, err := relay(ctx, r, call, r.local.Evacuate, r.remote.Evacuate)
-	return answer, errs.Pass(err, "relay")
-}
-
 // Workers lists the workers.
 func (r *Relay) Workers(ctx context.Context, call WorkersCall) (WorkersAnswer, error) {
 	answer, err := relay(ctx, r, call, r.local.Workers, r.remote.Workers)
--- a/internal/controller/relay_test.go
+++ b/internal/controller/relay_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"testing"
 	"time"
 
@@ -49,6 +50,9 @@
 // allCalls are the calls of callAll, as a fakeNode records them.
 var allCalls = []string{"submit 1", "job /p", "count h", "beat w", "config", "configure d", "evacuate z"}
 
+// relayedCallNames are the calls of callAll through a Relay, which reads a zone before it forwards an order for it.
+var relayedCallNames = append(slices.Clone(allCalls[:len(allCalls)-1]), "zone z", "evacuate z")
+
 // TestRelay guards against calls that are executed twice, which happens if a node forwards a call that it may have
 // executed, and against calls that fail although another node could answer them.
 func TestRelay(t *testing.T) {
@@ -63,7 +67,7 @@
 		for _, node := range nodes {
 			client := NewClient(longAttemptOptions(caller, node.addr, nodes[0].addr))
 			callAll(ctx, NewRelay(node, client, node.addr), leader.addr)
-			So(leader.drainCalls(), ShouldResemble, allCalls)
+			So(leader.drainCalls(), ShouldResemble, relayedCallNames)
 		}
 		So(len(nodes[0].drainCalls())+len(nodes[1].drainCalls()), ShouldEqual, 0)
 	})
--- a/internal/controller/server.go
+++ b/internal/controller/server.go
@@ -20,6 +20,7 @@
 	Heartbeat(ctx context.Context, call HeartbeatCall) (HeartbeatAnswer, error)
 	Config(ctx context.Context, call ConfigCall) (jobs.Config, error)
 	Configure(ctx context.Context, call jobs.Configure) (ConfigureAnswer, error)
+	Zone(ctx context.Context, call ZoneCall) (ZoneAnswer, error)
 	Evacuate(ctx context.Context, call jobs.Evacuate) (EvacuateAnswer, error)
 	Topology(ctx context.Context, call TopologyCall) (TopologyAnswer, error)
 	Show(ctx context.Context, call ShowCall) (JobView, error)
@@ -43,6 +44,7 @@
 	handle(s, HeartbeatEndpoint, local.Heartbeat)
 	handle(s, ConfigEndpoint, local.Config)
 	handle(s, ConfigureEndpoint, local.Configure)
+	handle(s, ZoneEndpoint, local.Zone)
 	handle(s, EvacuateEndpoint, local.Evacuate)
 	handle(s, TopologyEndpoint, local.Topology)
 	handle(s, ShowEndpoint, local.Show)
@@ -55,7 +57,7 @@
 // handle registers one endpoint on s, with serveTimeout as the timeout of its calls.
 func handle[C, A any](s *rpc.Server, endpoint rpc.Endpoint[C, A], serve func(context.Context, C) (A, error)) {
 	rpc.Handle(s, endpoint, func(ctx context.Context, call C) (A, error) {
-		ctx, cancel := context.WithTimeout(ctx, serveTimeout)
+		ctx, cancel := rpc.WithRequestTimeout(ctx, serveTimeout)
 		defer cancel()
 		answer, err := serve(ctx, call)
 		return answer, errs.Pass(err, "%s", endpoint.Path)
--- a/internal/httpapi/jobsapi/route.go
+++ b/internal/httpapi/jobsapi/route.go
@@ -21,13 +21,14 @@
 // handler handles one call. It returns the value to write as JSON, or an error.
 type handler func(ctx context.Context, r *http.Request) (any, error)
 
-// route registers serve for the calls of a pattern. The ctx of serve ends after timeout; 0 means defaultTimeout.
+// route registers serve for the calls of a pattern. The ctx of serve ends timeout after the request arrived;
+// 0 means defaultTimeout.
 func route(server Router, pattern string, timeout time.Duration, serve handler) {
 	if timeout <= 0 {
 		timeout = defaultTimeout
 	}
 	server.Route(pattern, func(w http.ResponseWriter, r *http.Request) {
-		ctx, cancel := context.WithTimeout(r.Context(), timeout)
+		ctx, cancel := rpc.WithRequestTimeout(r.Context(), timeout)
 		defer cancel()
 		answer, err := serve(ctx, r)
 		if err != nil {
--- a/internal/jobs/changes.go
+++ b/internal/jobs/changes.go
@@ -37,8 +37,9 @@
 
 // Evacuate starts or ends the evacuation of a zone. No task starts in an evacuated zone.
 type Evacuate struct {
-	Zone  string `json:"zone"`
-	Start bool   `json:"start"` // false: end the evacuation
+	Zone  string  `json:"zone"`
+	Start bool    `json:"start"`          // false: end the evacuation
+	Base  *uint64 `json:"base,omitempty"` // the zone's revision on which the order is based; nil: not checked
 }
 
 // Register records workers that are new or have changed.
--- a/internal/jobs/indexes.go
+++ b/internal/jobs/indexes.go
@@ -45,6 +45,9 @@
 	if t.Evacuated == nil {
 		t.Evacuated = map[string]bool{}
 	}
+	if t.ZoneRevisions == nil {
+		t.ZoneRevisions = map[string]uint64{}
+	}
 	t.indexes = indexes{orders: map[string]struct{}{}, queued: map[string]int{}, occupancy: map[string]*occupancy{}}
 	t.indexParties()
 	for _, digest := range t.Orders {
--- a/internal/jobs/property_test.go
+++ b/internal/jobs/property_test.go
@@ -84,7 +84,7 @@
 	case Configure:
 		err = t.Configure(c)
 	case Evacuate:
-		t.Evacuate(c)
+		err = t.Evacuate(c)
 	case Register:
 		t.Register(c)
 	case time.Time:
--- a/internal/rpc/handle.go
+++ b/internal/rpc/handle.go
@@ -101,5 +101,5 @@
 		WriteError(w, errs.New(errs.Unknown, "no route matches this path"))
 		return
 	}
-	s.mux.ServeHTTP(w, r)
+	s.mux.ServeHTTP(w, s.withCaller(w, r))
 }
--- a/internal/rpc/metrics.go
+++ b/internal/rpc/metrics.go
@@ -9,9 +9,10 @@
 // metrics holds the counters of one side of calls, "server" or "caller". Clients and servers that share a registry add
 // to the same counters.
 type metrics struct {
-	calls    *prometheus.CounterVec // by path
-	failures *prometheus.CounterVec // by path and kind
-	in, out  prometheus.Counter     // bytes received and sent
+	calls     *prometheus.CounterVec // by path
+	failures  *prometheus.CounterVec // by path and kind
+	in, out   prometheus.Counter     // bytes received and sent
+	abandoned prometheus.Counter     // requests that were not executed because their caller no longer waited
 }
 
 // newMetrics returns the counters of a side, registered unless registry is nil.
@@ -26,6 +27,8 @@
 			"Calls that ended in a failure, by path and kind.", "path", "kind"),
 		in:  bytes.WithLabelValues("in"),
 		out: bytes.WithLabelValues("out"),
+		abandoned: counter("crosstide_rpc_abandoned_total",
+			"Requests that were not executed because their caller no longer waited.").WithLabelValues(),
 	}
 }
 
--- a/internal/state/command/jobs_table.go
+++ b/internal/state/command/jobs_table.go
@@ -52,8 +52,7 @@
 func (*JobEvacuate) Op() string { return "job-evacuate" }
 
 func (c *JobEvacuate) apply(s *state.State, _ uint64) (any, error) {
-	s.JobTable.Evacuate(c.Evacuate)
-	return nil, nil
+	return nil, errs.Pass(s.JobTable.Evacuate(c.Evacuate), "evacuate")
 }
 
 // JobRegister records workers that are new or have changed.
--- a/internal/testbed/jobssim/log.go
+++ b/internal/testbed/jobssim/log.go
@@ -156,7 +156,7 @@
 	case jobs.Configure:
 		err = t.Configure(c)
 	case jobs.Evacuate:
-		t.Evacuate(c)
+		err = t.Evacuate(c)
 	case jobs.Register:
 		t.Register(c)
 	case jobs.Progress:
