Jobs: a cancelled job does not run when its submission arrives later

Cause: the front carried out a submission whose deadline had passed and whose client had closed the connection, and a cancellation left no trace if no job had its ID.

Change: the cancellation of an ID without a job is committed before it is answered with 410, and kept as long as an ended job. A submission that is applied after it is accepted as a cancelled job. Cancellations that are already in a log do not have the new field and have the same effect as before.

Why it works: wherever the submission is held up, and whether or not the close of its connection has arrived, it is applied either before the cancellation, which then cancels it, or after it.

--- a/internal/controller/commands.go
+++ b/internal/controller/commands.go
@@ -35,7 +35,9 @@
 	return SubmitAnswer{State: state}, errs.Pass(err, "submit")
 }
 
-// Job reads or cancels a job. The job's ID is the last segment of the location's path.
+// Job reads or cancels a job. The job's ID is the last segment of the location's path. The cancellation of a job that
+// does not exist is committed too, before it is answered with NotFound: a submission that was sent earlier may still
+// arrive.
 func (l *Leader) Job(ctx context.Context, call JobCall) (JobAnswer, error) {
 	var answer JobAnswer
 	id := call.Location.Path[strings.LastIndexByte(call.Location.Path, '/')+1:]
@@ -50,32 +52,32 @@
 		}
 		return nil
 	})
-	if err != nil || !call.Cancel || answer.NotFound {
+	if err != nil || !call.Cancel {
 		return answer, errs.Pass(err, "job")
 	}
-	answer.State, err = l.cancelJob(ctx, term, id)
-	if errs.Is(err, errs.Unknown) {
-		return JobAnswer{NotFound: true}, nil // deleted since it was read
+	state, err := l.cancelJob(ctx, term, id)
+	if err != nil {
+		return JobAnswer{}, errs.Pass(err, "cancel")
 	}
-	return answer, errs.Pass(err, "cancel")
+	return JobAnswer{State: state, NotFound: state == ""}, nil
 }
 
-// Cancel cancels a job by ID.
+// Cancel cancels a job by ID. A job that does not exist is errs.Unknown once that is committed, as by Job.
 func (l *Leader) Cancel(ctx context.Context, call CancelCall) (JobAnswer, error) {
-	term, err := l.readTable(func(table *jobs.Table) error {
-		_, err := jobByID(table, call.ID)
-		return errs.Pass(err, "cancel")
-	})
+	term, err := l.readTable(func(*jobs.Table) error { return nil })
 	if err != nil {
 		return JobAnswer{}, errs.Pass(err, "cancel")
 	}
 	state, err := l.cancelJob(ctx, term, call.ID)
+	if err == nil && state == "" {
+		err = errs.Field(errs.Unknown, "id", "job %q does not exist", call.ID)
+	}
 	return JobAnswer{State: state}, errs.Pass(err, "cancel")
 }
 
-// cancelJob commits a job's cancellation and returns the resulting state.
+// cancelJob commits a job's cancellation and returns the resulting state, which is empty if the job does not exist.
 func (l *Leader) cancelJob(ctx context.Context, term uint64, id string) (jobs.JobState, error) {
-	cancel := command.JobCancel{Cancel: jobs.Cancel{ID: id, At: l.clock.Wall()}}
+	cancel := command.JobCancel{Cancel: jobs.Cancel{ID: id, At: l.clock.Wall(), Remember: true}}
 	answer, err := l.proposeIn(ctx, term, &cancel)
 	state, _ := answer.(jobs.JobState)
 	return state, errs.Pass(err, "propose")
--- a/internal/jobs/changes.go
+++ b/internal/jobs/changes.go
@@ -18,6 +18,8 @@
 type Cancel struct {
 	ID string    `json:"id"`
 	At time.Time `json:"at"`
+	// Remember makes the cancellation of an ID without a job hold for a submission that is applied later.
+	Remember bool `json:"remember,omitempty"`
 }
 
 // Configure changes the configuration of version Base. With Replace, Queues, Services and Limits are the complete new
--- a/internal/jobs/indexes.go
+++ b/internal/jobs/indexes.go
@@ -7,6 +7,7 @@
 type indexes struct {
 	partyByQueue map[string]*Party     // into Table.Parties
 	orders       map[string]struct{}   // Table.Orders as a set
+	earlyCancels map[string]struct{}   // the IDs of Table.EarlyCancels
 	queued       map[string]int        // number of Queued jobs by queue; no zeros
 	occupancy    map[string]*occupancy // by worker ID; only workers with handles
 	retired      retiredJobs           // terminal jobs without handles
@@ -48,11 +49,17 @@
 	if t.ZoneRevisions == nil {
 		t.ZoneRevisions = map[string]uint64{}
 	}
-	t.indexes = indexes{orders: map[string]struct{}{}, queued: map[string]int{}, occupancy: map[string]*occupancy{}}
+	t.indexes = indexes{
+		orders: map[string]struct{}{}, earlyCancels: map[string]struct{}{}, queued: map[string]int{},
+		occupancy: map[string]*occupancy{},
+	}
 	t.indexParties()
 	for _, digest := range t.Orders {
 		t.indexes.orders[digest] = struct{}{}
 	}
+	for _, cancel := range t.EarlyCancels {
+		t.indexes.earlyCancels[cancel.ID] = struct{}{}
+	}
 	for _, job := range t.Jobs {
 		t.indexJob(job)
 	}
--- a/internal/jobs/lifecycle.go
+++ b/internal/jobs/lifecycle.go
@@ -8,9 +8,14 @@
 )
 
 // Cancel cancels a job, and returns its state; a terminal job keeps its state. The job's handles stay until their runs
-// have ended. Failure: Unknown.
+// have ended. If no job has the ID and c.Remember is set, a later submission under the ID is accepted as a cancelled job,
+// and the state is empty. Failure: Unknown, without c.Remember.
 func (t *Table) Cancel(c Cancel) (JobState, error) {
 	job := t.Jobs[c.ID]
+	if job == nil && c.Remember {
+		t.rememberCancel(c.ID, c.At)
+		return "", nil
+	}
 	if job == nil {
 		return "", errs.New(errs.Unknown, "no job %q", c.ID)
 	}
@@ -21,8 +26,10 @@
 	return job.State, nil
 }
 
-// Purge deletes the terminal jobs that ended before a time and have no handles.
+// Purge deletes the terminal jobs that ended before a time and have no handles, and the early cancellations from before
+// that time.
 func (t *Table) Purge(before time.Time) {
+	t.purgeCancels(before)
 	retired := &t.indexes.retired
 	for len(*retired) > 0 && (*retired)[0].EndedAt.Before(before) {
 		job := heap.Pop(retired).(*Job)
--- a/internal/jobs/submit.go
+++ b/internal/jobs/submit.go
@@ -6,8 +6,9 @@
 	"crosstide/internal/errs"
 )
 
-// Submit accepts a job. For a repetition of an accepted job it returns the job's current state. Failures: Conflict (the
-// ID belongs to another job), Unknown (no such queue), Invalid (invalid steps).
+// Submit accepts a job. For a repetition of an accepted job it returns the job's current state. A job whose ID was
+// cancelled early is accepted as a cancelled job. Failures: Conflict (the ID belongs to another job), Unknown (no such
+// queue), Invalid (invalid steps).
 func (t *Table) Submit(c Submit) (JobState, error) {
 	if job := t.Jobs[c.Spec.ID]; job != nil {
 		if job.Digest != c.Digest {
@@ -28,6 +29,10 @@
 	}
 	t.Jobs[c.Spec.ID] = job
 	t.indexJob(job)
+	if t.isCancelledEarly(c.Spec.ID) {
+		t.forgetCancel(c.Spec.ID)
+		t.finish(job, Cancelled, c.At)
+	}
 	t.succeedIfDone(job, c.At) // true only of a job without tasks
 	t.notify(JobChanged, c.Spec.ID)
 	return job.State, nil
--- a/internal/jobs/table.go
+++ b/internal/jobs/table.go
@@ -16,10 +16,12 @@
 	Evacuated map[string]bool    `json:"evacuated,omitempty"` // zones being evacuated; no false values
 	// ZoneRevisions counts the orders with a base that were applied to a zone. It never decreases.
 	ZoneRevisions map[string]uint64 `json:"zoneRevisions,omitempty"`
-	Sequence      uint64            `json:"seq"`               // of the newest accepted job
-	Term          uint64            `json:"term"`              // of the newest Progress; never decreases
-	Orders        []string          `json:"orders,omitempty"`  // digests of accepted Configure orders, oldest first
-	Parties       []Party           `json:"parties,omitempty"` // if empty, all runs are free
+	// EarlyCancels are the cancellations of IDs that had no job, oldest first; deleted by Submit and Purge.
+	EarlyCancels []EarlyCancel `json:"earlyCancels,omitempty"`
+	Sequence     uint64        `json:"seq"`               // of the newest accepted job
+	Term         uint64        `json:"term"`              // of the newest Progress; never decreases
+	Orders       []string      `json:"orders,omitempty"`  // digests of accepted Configure orders, oldest first
+	Parties      []Party       `json:"parties,omitempty"` // if empty, all runs are free
 
 	// OnEvent is called after each change, on the goroutine that applies the entry. It must not change the table. If it
 	// is nil, events are dropped.
--- a/internal/state/command/jobs_table.go
+++ b/internal/state/command/jobs_table.go
@@ -24,7 +24,8 @@
 	return answer, errs.Pass(err, "submit")
 }
 
-// JobCancel cancels a job of the job table; the answer is its jobs.JobState.
+// JobCancel cancels a job of the job table; the answer is its jobs.JobState, which is empty if the cancellation was only
+// remembered.
 type JobCancel struct{ jobs.Cancel }
 
 // Op returns "job-cancel".
