Scheduler: no start order after a drain or an evacuation that came behind its placement

A worker that is throttled, or has many starts in flight, gets the later ones when the earlier ones are answered.

Cause: sendStarts looked again at the job and at the worker's reachability before it sent an order, but not at a drain or an evacuation that was acknowledged after the placement.

Change: the start of a worker that drains or is in an evacuated zone is ended as never sent; its task is due again.

Measured: TestUnsentStartsLeaveZone fails without the change in both cases (one order is sent), and passes with it.

--- a/internal/controller/scheduler/start.go
+++ b/internal/controller/scheduler/start.go
@@ -22,8 +22,8 @@
 }
 
 // sendStarts adds the start orders of handles that were committed. A run is ended instead if, since its placement, its
-// worker has become unreachable or was deleted, its job has ended, or its stop was requested. As its order was never
-// sent, no start is unconfirmed, and the task of a job that goes on is due again at once.
+// worker has become unreachable, drains, was evacuated or deleted, its job has ended, or its stop was requested. As its
+// order was never sent, no start is unconfirmed, and the task of a job that goes on is due again at once.
 func (c *Core) sendStarts(actions *Actions) {
 	var unsent []jobs.RunKey
 	for _, key := range c.unsentStarts {
@@ -33,8 +33,7 @@
 		}
 		w := c.workers[r.worker]
 		j := c.table.Jobs[key.Task.Job]
-		if w == nil || w.record() == nil || !w.contact.isReachable() ||
-			j == nil || j.State.IsTerminal() || r.stop.requested {
+		if w == nil || !c.acceptsStarts(w) || j == nil || j.State.IsTerminal() || r.stop.requested {
 			c.endRun(r, jobs.EndLost, "")
 			continue
 		}
@@ -57,6 +56,12 @@
 	c.unsentStarts = unsent
 }
 
+// acceptsStarts reports whether a start order may be sent to a worker now.
+func (c *Core) acceptsStarts(w *worker) bool {
+	rec := w.record()
+	return rec != nil && w.contact.isReachable() && !isLeaving(rec) && !c.table.Evacuated[rec.Zone]
+}
+
 // StartOutcome is the outcome of a start order.
 type StartOutcome int
 
--- a/internal/controller/scheduler/start_test.go
+++ b/internal/controller/scheduler/start_test.go
@@ -56,3 +56,31 @@
 		So(c.table.RunsOn("x"), ShouldHaveLength, 2)
 	})
 }
+
+// TestUnsentStartsLeaveZone guards against a start order that waits for a throttled worker and is sent long after the
+// worker's drain, or the evacuation of its zone, was acknowledged.
+func TestUnsentStartsLeaveZone(t *testing.T) {
+	for name, change := range map[string]func(c *cluster){
+		"its zone is evacuated": func(c *cluster) {
+			So(c.table.Evacuate(jobs.Evacuate{Zone: c.table.Workers["w"].Zone, Start: true}), ShouldBeNil)
+		},
+		"it drains": func(c *cluster) {
+			draining := *c.table.Workers["w"]
+			draining.Draining = true
+			c.table.Register(jobs.Register{Workers: []jobs.Worker{draining}})
+		},
+	} {
+		Convey("Starts that are not sent yet to a worker are dropped when "+name, t, func() {
+			c := newReadyCluster()
+			c.core.cfg.MaxOrdersPerWorker = 1
+			c.submit("j", jobs.Step{Count: 3, Estimate: time.Hour, Needs: jobs.Resources{MilliCPU: 1000}})
+			c.runPasses()
+			So(c.starts, ShouldHaveLength, 1)
+			change(c)
+			c.accept()
+			c.runPasses()
+			So(c.starts, ShouldBeEmpty)
+			So(c.table.RunsOn("w"), ShouldHaveLength, 1)
+		})
+	}
+}
