--- a/internal/jobs/earlycancel.go
+++ b/internal/jobs/earlycancel.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-// maxEarlyCancels is the number of cancellations of IDs without a job that are remembered; the oldest are dropped first.
+// maxEarlyCancels is the maximum number of early cancellations; the oldest are dropped first.
 const maxEarlyCancels = 16384
 
 // EarlyCancel is a cancellation that was acknowledged while no job had its ID. The submission that it was meant for may
--- a/internal/jobs/lifecycle.go
+++ b/internal/jobs/lifecycle.go
@@ -8,8 +8,8 @@
 )
 
 // Cancel cancels a job, and returns its state; a terminal job keeps its state. The job's handles stay until their runs
-// have ended. If no job has the ID and c.Remember is set, a later submission under the ID is accepted as a cancelled job,
-// and the state is empty. Failure: Unknown, without c.Remember.
+// have ended. If no job has the ID and c.Remember is set, the state is empty, and a later submission under the ID is
+// accepted as a cancelled job. Failure: Unknown, without c.Remember.
 func (t *Table) Cancel(c Cancel) (JobState, error) {
 	job := t.Jobs[c.ID]
 	if job == nil && c.Remember {
--- a/internal/state/command/jobs_table.go
+++ b/internal/state/command/jobs_table.go
@@ -24,8 +24,8 @@
 	return answer, errs.Pass(err, "submit")
 }
 
-// JobCancel cancels a job of the job table; the answer is its jobs.JobState, which is empty if the cancellation was only
-// remembered.
+// JobCancel cancels a job of the job table; the answer is its jobs.JobState. It is empty if no job has the ID and the
+// cancellation was remembered.
 type JobCancel struct{ jobs.Cancel }
 
 // Op returns "job-cancel".
--- a/internal/testbed/jobssim/clients.go
+++ b/internal/testbed/jobssim/clients.go
@@ -262,15 +262,16 @@
 	}
 	known := table.Jobs[j.spec.ID]
 	switch {
+	case cancel:
+		change := jobs.Cancel{ID: j.spec.ID, At: n.wall(), Remember: true}
+		n.sim.log.propose(n, term, change, func(answer any, err error) {
+			state, _ := answer.(jobs.JobState)
+			done(jobAnswer{state: state, notFound: err == nil && state == ""}, err)
+		})
 	case known == nil:
 		done(jobAnswer{notFound: true}, nil)
-	case !cancel:
-		done(jobAnswer{state: known.State}, nil)
 	default:
-		n.sim.log.propose(n, term, jobs.Cancel{ID: j.spec.ID, At: n.wall()}, func(answer any, err error) {
-			state, _ := answer.(jobs.JobState)
-			done(jobAnswer{state: state}, err)
-		})
+		done(jobAnswer{state: known.State}, nil)
 	}
 }
 
--- a/internal/testbed/jobssim/operator.go
+++ b/internal/testbed/jobssim/operator.go
@@ -224,14 +224,27 @@
 	}, func(error) { o.sim.checker.countCase(ConfigInvariant) })
 }
 
-// proposeChange handles a change sent by an operator, as controller.Leader does.
+// proposeChange handles a change sent by an operator, as controller.Leader does. It bases an order for a zone on the
+// zone's revision, as controller.Relay does; an order that competes with an earlier attempt is tried again.
 func (n *node) proposeChange(change any, done func(any, error)) {
-	_, term, err := n.readTable()
+	table, term, err := n.readTable()
 	if err != nil {
 		done(nil, err)
 		return
 	}
-	n.proposeAndAnswer(term, change, done)
+	order, isZoneOrder := change.(jobs.Evacuate)
+	if !isZoneOrder {
+		n.proposeAndAnswer(term, change, done)
+		return
+	}
+	base := table.ZoneRevisions[order.Zone]
+	order.Base = &base
+	n.proposeAndAnswer(term, order, func(answer any, err error) {
+		if errs.Is(err, errs.Stale) {
+			err = errs.Wrap(err, errs.Unavailable, "try again")
+		}
+		done(answer, err)
+	})
 }
 
 // reconfigure either moves the queue "moving" to the other service or removes the queue "side" for a while.
