Store: a proposal that meets a new term is Unavailable, not Stale

A change of the configuration that was read in one term and proposed after the same node had lost and regained the leadership would be answered 412, on which an operator gives up, although no other version is in force.

Cause: takePending failed it as Stale, which is also the kind of a change with an old base.

Change: it fails as Unavailable, as it was not and will not be committed; callers try again. TestLeaderTerm_endsWithLease expected Stale in two places and now expects Unavailable: the proposal is rejected as before, only the kind differs.

Measured: the test fails on the old code and passes now; go test of store, controller, dataplane and jobsnode passed.

--- a/internal/store/leader_test.go
+++ b/internal/store/leader_test.go
@@ -119,7 +119,8 @@
 		default:
 			So("changed", ShouldEqual, "closed")
 		}
-		So(errs.KindOf(propose(lead, term-1, "b")), ShouldEqual, errs.Stale)
+		// Not Stale: an operator whose change meets a new term would take that for another version in force.
+		So(errs.KindOf(propose(lead, term-1, "b")), ShouldEqual, errs.Unavailable)
 		So(errs.KindOf(propose(lead, 0, "b")), ShouldEqual, errs.Stale)
 		So(errs.KindOf(propose(fleet.follower(lead), term, "b")), ShouldEqual, errs.NotLeader)
 
@@ -132,7 +133,7 @@
 		newer, hasLease := next.LeaderTerm(fleet.clock.Now())
 		So(hasLease, ShouldBeTrue)
 		So(newer, ShouldBeGreaterThan, term)
-		So(errs.KindOf(propose(next, term, "b")), ShouldEqual, errs.Stale)
+		So(errs.KindOf(propose(next, term, "b")), ShouldEqual, errs.Unavailable)
 		next.View(func(st *state.State) { So(st.Jobs["b"], ShouldBeNil) })
 	})
 }
--- a/internal/store/proposals.go
+++ b/internal/store/proposals.go
@@ -96,12 +96,12 @@
 }
 
 // takePending removes all pending proposals and returns those that may be proposed in the leader's term. Proposals for
-// another term fail as Stale; abandoned ones are dropped.
+// another term fail as Unavailable; abandoned ones are dropped.
 func (p *proposals) takePending(leaderTerm uint64) []*waiter {
 	batch := p.pending[:0]
 	for _, w := range p.pending {
 		if w.onlyTerm != 0 && w.onlyTerm != leaderTerm {
-			p.finish(w, outcome{err: errs.New(errs.Stale,
+			p.finish(w, outcome{err: errs.New(errs.Unavailable,
 				"decided in term %d, the current term is %d", w.onlyTerm, leaderTerm)})
 		}
 		if !w.finished {
