Scheduler: a task reserves no node on which it can never fit

Cause: a waiting unit reserved each node on which a task would fit if the node were empty, also where long-running runs, which it can't preempt, left no room.

Change: capacityFor leaves out what such runs use. A unit that preempts still counts the less urgent ones as free.

--- a/internal/controller/scheduler/feasible.go
+++ b/internal/controller/scheduler/feasible.go
@@ -15,6 +15,8 @@
 	freeing  jobs.Resources // held by runs that are being stopped, or whose ends are not committed yet
 	reserved bool           // for a more urgent unit: the node gets no more starts in this pass
 	slowdown float64        // task duration on this worker relative to the average worker
+	// longRunning are the runs on the worker that end only if their job is cancelled or they are preempted.
+	longRunning []*run
 	// lowestPriority is the priority of the least urgent preemptible run on the worker, which is the highest number;
 	// -1: no run is preemptible.
 	lowestPriority int
@@ -57,6 +59,8 @@
 	for _, r := range w.runs {
 		if r.stop.requested || r.ending {
 			n.freeing = plus(n.freeing, r.needs)
+		} else if r.longRunning {
+			n.longRunning = append(n.longRunning, r)
 		}
 		if r.isPreemptible() {
 			n.lowestPriority = max(n.lowestPriority, r.priority)
@@ -126,7 +130,7 @@
 	return u.step.MaxPerWorker == 0 || p.tasksOn(u)[n.record.ID] < u.step.MaxPerWorker
 }
 
-// totalCapacity returns how many of a unit's tasks would fit on the nodes if they were empty.
+// totalCapacity returns how many of a unit's tasks would fit on the nodes, as capacityFor counts them.
 func (p *placement) totalCapacity(u *unit, nodes []*node) int {
 	total := 0
 	for _, n := range nodes {
@@ -138,12 +142,18 @@
 // maxTasksPerNode bounds the capacity of a node for tasks that need no resources.
 const maxTasksPerNode = 1 << 10
 
-// capacityFor returns how many of a unit's tasks would fit on a node if it were empty.
+// capacityFor returns how many of a unit's tasks would fit on a node once all runs there have ended, but for the
+// long-running ones that the unit can't preempt.
 func (p *placement) capacityFor(u *unit, n *node) int {
 	if !p.isFeasible(u, n) {
 		return 0
 	}
 	needs, capacity := u.step.Needs, n.record.Capacity
+	for _, r := range n.longRunning {
+		if !u.mayPreempt(r) {
+			capacity = minus(capacity, r.needs)
+		}
+	}
 	count := maxTasksPerNode
 	if needs.MilliCPU > 0 {
 		count = min(count, capacity.MilliCPU/needs.MilliCPU)
@@ -157,5 +167,5 @@
 	if u.step.MaxPerWorker > 0 {
 		count = min(count, u.step.MaxPerWorker)
 	}
-	return count
+	return max(count, 0)
 }
--- a/internal/controller/scheduler/place.go
+++ b/internal/controller/scheduler/place.go
@@ -101,7 +101,7 @@
 	p.freeCapacity(u, nodes, len(u.taskIndexes))
 }
 
-// someRackFits reports whether at least one rack would hold the whole gang if the rack were empty.
+// someRackFits reports whether at least one rack would hold the whole gang, as capacityFor counts its capacity.
 func (p *placement) someRackFits(u *unit, racks [][]*node) bool {
 	return slices.ContainsFunc(racks, func(rack []*node) bool { return p.totalCapacity(u, rack) >= len(u.taskIndexes) })
 }
--- a/internal/controller/scheduler/preempt.go
+++ b/internal/controller/scheduler/preempt.go
@@ -10,7 +10,7 @@
 // preempt stops less urgent runs to free capacity for count tasks of a unit. It reports whether capacity for all of
 // them is becoming free. Gangs and long-running tasks don't preempt: they wait or get a reservation.
 func (p *placement) preempt(u *unit, nodes []*node, count int) bool {
-	if u.step.Gang || u.step.LongRunning {
+	if !u.preempts() {
 		return false
 	}
 	for range count {
@@ -74,7 +74,7 @@
 func (p *placement) victims(u *unit, n *node) (victims []*run, waste float64, ok bool) {
 	var candidates []*run
 	for _, r := range n.worker.runs {
-		if r.priority > u.queue.Priority && r.isPreemptible() {
+		if u.mayPreempt(r) {
 			candidates = append(candidates, r)
 		}
 	}
@@ -93,6 +93,14 @@
 	return victims, waste, fits(capacity, u.step.Needs)
 }
 
+// preempts reports whether less urgent runs may be stopped for a unit.
+func (u *unit) preempts() bool { return !u.step.Gang && !u.step.LongRunning }
+
+// mayPreempt reports whether a run may be stopped for a unit.
+func (u *unit) mayPreempt(r *run) bool {
+	return u.preempts() && r.priority > u.queue.Priority && r.isPreemptible()
+}
+
 // isPreemptible reports whether a run may be stopped for a more urgent one. Members of a gang are not preemptible, as
 // all other members would have to be stopped too.
 func (r *run) isPreemptible() bool {
--- a/internal/controller/scheduler/reserve.go
+++ b/internal/controller/scheduler/reserve.go
@@ -4,8 +4,9 @@
 const smallTaskMilliCPU = 2000
 
 // reserve reserves enough nodes for count tasks of a unit, those with the most free processors first: less urgent units
-// of this pass get no starts there. Nothing is reserved for a gang that wouldn't fit even if all nodes were empty. Such
-// a gang waits for more workers, and nodes reserved for it would only be idle.
+// of this pass get no starts there. A node on which no task fits even after its runs have ended is not reserved, nor is
+// any node for a gang that doesn't fit on all of them. Such a unit waits for more workers, or for long-running runs to be
+// cancelled, and nodes reserved for it would only be idle.
 func (p *placement) reserve(u *unit, nodes []*node, count int) {
 	group := p.nodesByFree(u.queue.Service, nodes)
 	if u.step.SameRack {
@@ -25,7 +26,7 @@
 	}
 }
 
-// largestRack returns the nodes of the rack on which most tasks of a unit would fit if it were empty.
+// largestRack returns the nodes of the rack on which most tasks of a unit would fit, as capacityFor counts them.
 func (p *placement) largestRack(u *unit, nodes []*node) []*node {
 	var largest []*node
 	for _, rack := range byRack(nodes) {
--- a/internal/controller/scheduler/reserve_test.go
+++ b/internal/controller/scheduler/reserve_test.go
@@ -42,3 +42,39 @@
 		So(c.starts[0].Order.Key.Task.Job, ShouldEqual, "small")
 	})
 }
+
+// TestNoReservationBesideLongRunning guards against a task that reserves nodes on which it can never fit, as long-running
+// runs use them, and so keeps all less urgent work from starting there.
+func TestNoReservationBesideLongRunning(t *testing.T) {
+	// smallStarts returns the number of starts of a small task, submitted once a large one has waited for ReserveAfter
+	// beside a run that uses three of the worker's four cores.
+	smallStarts := func(busy, large jobs.Step) int {
+		c := newReadyCluster()
+		busy.Count, busy.Needs.MilliCPU = 1, 3000
+		c.submit("busy", busy)
+		c.runPasses()
+		c.accept()
+		large.Count, large.Needs.MilliCPU = 2, 3000
+		c.submit("large", large)
+		c.runPasses()
+		for range 10 {
+			c.now += Defaults().ReserveAfter / 5
+			c.core.Heartbeat(c.now, "w", c.workerClock())
+			c.runPasses()
+		}
+		So(c.starts, ShouldBeEmpty)
+		c.submit("small", jobs.Step{Count: 1, Needs: jobs.Resources{MilliCPU: 1000}, Estimate: time.Second})
+		c.runPasses()
+		return len(c.starts)
+	}
+	long, short, lasting := jobs.Step{Estimate: time.Hour}, jobs.Step{Estimate: time.Second}, jobs.Step{LongRunning: true}
+	Convey("Beside a long-running run, a waiting task or gang for which there is no room reserves nothing", t, func() {
+		So(smallStarts(lasting, lasting), ShouldEqual, 1)
+		So(smallStarts(lasting, short), ShouldEqual, 1)
+		So(smallStarts(lasting, jobs.Step{Gang: true, Estimate: time.Second}), ShouldEqual, 1)
+	})
+	Convey("Beside a run that ends, a waiting task reserves the node", t, func() {
+		So(smallStarts(long, lasting), ShouldEqual, 0)
+		So(smallStarts(long, short), ShouldEqual, 0)
+	})
+}
