--- a/internal/controller/scheduler/reserve.go
+++ b/internal/controller/scheduler/reserve.go
@@ -5,8 +5,8 @@
 
 // reserve reserves enough nodes for count tasks of a unit, those with the most free processors first: less urgent units
 // of this pass get no starts there. A node on which no task fits even after its runs have ended is not reserved, nor is
-// any node for a gang that doesn't fit on all of them. Such a unit waits for more workers, or for long-running runs to be
-// cancelled, and nodes reserved for it would only be idle.
+// any node for a gang that doesn't fit on all of them. Such a unit waits for more workers, or for the cancellation of
+// long-running runs, and nodes reserved for it would only be idle.
 func (p *placement) reserve(u *unit, nodes []*node, count int) {
 	group := p.nodesByFree(u.queue.Service, nodes)
 	if u.step.SameRack {
--- a/internal/store/propose.go
+++ b/internal/store/propose.go
@@ -30,8 +30,8 @@
 }
 
 // ProposeIn is Propose for a command that this node decided as the leader in the given term (see LeaderTerm): the
-// command enters the log in that term or not at all. Failures: those of Propose; Unavailable also if this node now leads
-// in another term. A change of term says nothing about c, so it is not Stale, which callers take for a refusal of c.
+// command enters the log in that term or not at all. Failures: those of Propose; Unavailable also if this node now
+// leads in another term. That says nothing about c, so it is not Stale, which callers take for a refusal of c.
 func (s *Store) ProposeIn(ctx context.Context, term uint64, c command.Command) (index uint64, answer any, err error) {
 	if term == 0 {
 		return 0, nil, errs.Field(errs.Stale, "term", "must not be 0")
