rpc: only the event loop closes descriptors, so no answer gets lost to a late event

What callers saw: callers that send Connection: close lose their answer now and then; the connection ends instead. Cause: nbhttp closes a connection in the goroutine of its request. The event loop may then still have an event of it, the caller's own close; the accepting goroutine reuses the number of the descriptor, and the event loop applies the event to the new connection: it reads the request, and closes. Change: serverConn stands between nbhttp and nbio's connection. It shuts the connection down, lingers for up to a second, and the event loop closes the descriptor; idle connections end the same way after two minutes. Suspected: a write that fails right after a partial write still closes in nbio, in the goroutine of the request.

--- a/internal/rpc/caller.go
+++ b/internal/rpc/caller.go
@@ -80,7 +80,7 @@
 // event loop may not have read that yet.
 func (c *caller) isConnected() bool {
 	isOpen := false
-	c.withDescriptor(func(fd int) {
+	withDescriptor(c.connection, func(fd int) {
 		var buffer [1]byte
 		n, _, err := unix.Recvfrom(fd, buffer[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
 		isOpen = err == unix.EAGAIN || err == unix.EINTR || err == nil && n > 0
@@ -90,7 +90,7 @@
 
 // timeInSocket returns how long ago the kernel received the last bytes of the connection, or 0 if it cannot tell.
 func (c *caller) timeInSocket() (age time.Duration) {
-	c.withDescriptor(func(fd int) {
+	withDescriptor(c.connection, func(fd int) {
 		if info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
 			age = time.Duration(info.Last_data_recv) * time.Millisecond
 		}
@@ -98,19 +98,24 @@
 	return age
 }
 
-// withDescriptor calls use with the connection's file descriptor unless the connection is closed. The connection's lock
-// prevents that it is closed, and the descriptor reused, during the call.
-func (c *caller) withDescriptor(use func(fd int)) {
-	c.connection.Lock()
-	defer c.connection.Unlock()
-	if isClosed, _ := c.connection.IsClosed(); isClosed {
-		return
+// withDescriptor calls use with the connection's file descriptor and reports true, unless the connection is closed. The
+// connection's lock prevents that it is closed, and the descriptor reused, during the call.
+func withDescriptor(connection *nbio.Conn, use func(fd int)) bool {
+	connection.Lock()
+	defer connection.Unlock()
+	return useDescriptor(connection, use)
+}
+
+// useDescriptor is withDescriptor for a caller that holds the connection's lock.
+func useDescriptor(connection *nbio.Conn, use func(fd int)) bool {
+	if isClosed, _ := connection.IsClosed(); isClosed {
+		return false
 	}
-	raw, err := c.connection.SyscallConn()
+	raw, err := connection.SyscallConn()
 	if err != nil {
-		return
+		return false
 	}
-	_ = raw.Control(func(fd uintptr) { use(int(fd)) }) // never fails
+	return raw.Control(func(fd uintptr) { use(int(fd)) }) == nil
 }
 
 // withCaller returns the request with its caller in its context.
@@ -131,10 +136,9 @@
 	if !isResponse {
 		return nil
 	}
-	wrapper, isWrapped := response.Parser.Conn.(*nbhttp.Conn)
-	if !isWrapped {
+	conn, isAttached := response.Parser.Conn.(*serverConn)
+	if !isAttached {
 		return nil
 	}
-	connection, _ := wrapper.Conn.(*nbio.Conn)
-	return connection
+	return conn.Conn
 }
--- a/internal/rpc/eventloops.go
+++ b/internal/rpc/eventloops.go
@@ -21,7 +21,7 @@
 	}
 	closed := make(chan struct{}, loops)
 	s.engine.OnClose(func(c net.Conn, _ error) {
-		s.admission.onClose(c)
+		s.onClose(c)
 		if _, local := c.RemoteAddr().(*net.UnixAddr); local {
 			closed <- struct{}{}
 		}
@@ -42,7 +42,7 @@
 func (s *Server) waitForOnlyLoop() error {
 	closed := make(chan struct{}, 1)
 	s.engine.OnClose(func(c net.Conn, _ error) {
-		s.admission.onClose(c)
+		s.onClose(c)
 		select {
 		case closed <- struct{}{}:
 		default:
--- a/internal/rpc/server.go
+++ b/internal/rpc/server.go
@@ -110,19 +110,43 @@
 		ServerExecutor:    s.execute,
 		Context:           s.requests.Context(),
 		Cancel:            s.requests.Cancel,
+		KeepaliveTime:     nbioDeadline,
 	})
-	engine.OnOpen(func(c net.Conn) {
+	engine.OnOpen(s.admission.onOpen)
+	engine.OnClose(func(c net.Conn, _ error) { s.onClose(c) })
+	engine.Engine.OnOpen(func(c *nbio.Conn) {
+		s.attachConn(c)
 		s.accepted.Add(1)
-		s.admission.onOpen(c)
 	})
-	engine.OnClose(func(c net.Conn, _ error) { s.admission.onClose(c) })
-	engine.Engine.OnData(func(c *nbio.Conn, data []byte) {
-		s.accepted.Load()
-		c.DataHandler()(c, data)
+	engine.Engine.OnData(s.onData)
+	engine.Engine.OnWrittenSize(func(c *nbio.Conn, _ []byte, n int) {
+		if conn := serverConnOf(c); conn != nil {
+			conn.onWritten(n)
+		}
 	})
 	return engine
 }
 
+// onData parses bytes that a connection has received. nbio calls it in the event loop.
+func (s *Server) onData(c *nbio.Conn, data []byte) {
+	s.accepted.Load()
+	if conn := serverConnOf(c); conn != nil {
+		if conn.isEnding() {
+			return
+		}
+		conn.touch()
+	}
+	c.DataHandler()(c, data)
+}
+
+// onClose releases what a closed connection holds.
+func (s *Server) onClose(c net.Conn) {
+	s.admission.onClose(c)
+	if conn := serverConnOf(c); conn != nil {
+		conn.onClosed()
+	}
+}
+
 // execute runs handle, which handles a request and writes its response, on a new goroutine.
 func (s *Server) execute(handle func()) {
 	s.mu.Lock()
--- /dev/null
+++ b/internal/rpc/serverconn.go
@@ -0,0 +1,201 @@
+package rpc
+
+import (
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/lesismal/nbio"
+	"github.com/lesismal/nbio/nbhttp"
+	"golang.org/x/sys/unix"
+
+	"crosstide/internal/clock"
+	"crosstide/internal/errs"
+)
+
+const (
+	// idleTimeout is how long a server keeps a connection without a request. Clients close theirs earlier.
+	idleTimeout = 2 * time.Minute
+	// lingerTimeout is how long a server waits, after its last response on a connection, for the peer to close it.
+	lingerTimeout = time.Second
+	// nbioDeadline is nbio's own read deadline, which never applies: serverConn has its own.
+	nbioDeadline = 10 * 365 * 24 * time.Hour
+)
+
+// serverConn is an open connection of a server. nbhttp writes responses to it and closes it in the goroutines of
+// requests.
+//
+// A serverConn never closes its descriptor: it shuts the connection down, and the event loop closes the descriptor when
+// it sees the end of the stream. If another goroutine closed it, the accepting goroutine could reuse its number while
+// the event loop still has an event of the old connection, and the event loop would apply that event to the new one.
+type serverConn struct {
+	*nbio.Conn
+	clock clock.Clock
+
+	phase  atomic.Int32 // a connPhase; it only increases
+	unsent atomic.Int64 // bytes of responses that nbio holds until the socket accepts them
+
+	mu          sync.Mutex    // guards the fields below
+	requests    int           // requests that are not answered yet
+	quietSince  time.Duration // when the last bytes arrived, or the last request ended
+	lingerUntil time.Duration // when the connection ends in phase connLingering
+	timer       clock.Stopper // calls checkDeadline
+	timerAt     time.Duration // when it does
+}
+
+// connPhase is the phase of the end of a connection.
+type connPhase = int32
+
+const (
+	connOpen       connPhase = iota
+	connFlushing             // no more responses: once those of before are sent, lingering begins
+	connLingering            // the write side is shut down, the peer is expected to close
+	connTerminated           // both sides are shut down, or the descriptor is closed
+)
+
+// attachConn makes nbhttp use a serverConn for a new connection. Connections that nbhttp did not accept, such as the
+// server's own local ones, have no parser and are ignored.
+func (s *Server) attachConn(connection *nbio.Conn) {
+	parser, isParser := connection.Session().(*nbhttp.Parser)
+	if !isParser {
+		return
+	}
+	c := &serverConn{Conn: connection, clock: s.opt.Clock}
+	parser.Conn = c
+	execute := parser.Execute
+	parser.Execute = func(handle func()) bool { return c.execute(execute, handle) }
+	c.touch()
+}
+
+// execute lets nbio handle a request after the earlier ones of the connection.
+func (c *serverConn) execute(queue func(func()) bool, handle func()) bool {
+	c.addRequests(1)
+	isQueued := queue(func() {
+		defer c.addRequests(-1)
+		handle()
+	})
+	if !isQueued {
+		c.addRequests(-1)
+	}
+	return isQueued
+}
+
+func (c *serverConn) addRequests(n int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.requests += n
+	c.quietSince = c.clock.Now()
+}
+
+// serverConnOf returns the serverConn of a connection, or nil if it has none.
+func serverConnOf(c net.Conn) *serverConn {
+	connection, isNbio := c.(*nbio.Conn)
+	if !isNbio {
+		return nil
+	}
+	parser, isParser := connection.Session().(*nbhttp.Parser)
+	if !isParser {
+		return nil
+	}
+	conn, _ := parser.Conn.(*serverConn)
+	return conn
+}
+
+// Write sends bytes of a response, or lets nbio hold what the socket does not accept now. It is called by one goroutine
+// at a time. Failure: Unavailable if the connection is broken or shut down.
+func (c *serverConn) Write(b []byte) (int, error) {
+	if c.isEnding() {
+		return 0, errs.New(errs.Unavailable, "the connection is shut down")
+	}
+	sent := 0
+	if c.unsent.Load() == 0 {
+		var err error
+		if sent, err = c.writeNow(b); err != nil {
+			c.terminate()
+			return 0, errs.Pass(err, "response")
+		}
+	}
+	rest := b[sent:]
+	if len(rest) == 0 {
+		return len(b), nil
+	}
+	c.unsent.Add(int64(len(rest)))
+	if _, err := c.Conn.Write(rest); err != nil {
+		return 0, errs.Wrap(err, errs.Unavailable, "write to the connection")
+	}
+	return len(b), nil
+}
+
+// writeNow writes as much as the socket accepts now. nbio must hold no earlier bytes. nbio's Write would do the same,
+// but would close the descriptor in this goroutine after an error. Failure: Unavailable.
+func (c *serverConn) writeNow(b []byte) (sent int, err error) {
+	isOpen := withDescriptor(c.Conn, func(fd int) {
+		for sent < len(b) && (err == nil || err == unix.EINTR) {
+			var n int
+			n, err = unix.Write(fd, b[sent:])
+			sent += max(n, 0)
+		}
+	})
+	switch {
+	case !isOpen:
+		return 0, errs.New(errs.Unavailable, "the connection is closed")
+	case err == unix.EAGAIN:
+		return sent, nil
+	}
+	return sent, errs.Wrap(err, errs.Unavailable, "write to the connection")
+}
+
+// onWritten records that the socket has accepted n bytes that nbio held. nbio calls it with the connection's lock.
+func (c *serverConn) onWritten(n int) {
+	if c.unsent.Add(-int64(n)) == 0 && c.phase.CompareAndSwap(connFlushing, connLingering) {
+		c.shutDownLocked(unix.SHUT_WR)
+		c.startLingering()
+	}
+}
+
+// isEnding reports whether no more responses are written and further bytes of the peer are ignored.
+func (c *serverConn) isEnding() bool { return c.phase.Load() != connOpen }
+
+// Close ends the connection once all responses are sent: it shuts down the write side and waits for the peer to close.
+func (c *serverConn) Close() error {
+	c.phase.CompareAndSwap(connOpen, connFlushing)
+	if c.unsent.Load() == 0 && c.phase.CompareAndSwap(connFlushing, connLingering) {
+		c.shutDown(unix.SHUT_WR)
+		c.startLingering()
+	}
+	return nil
+}
+
+// terminate ends the connection at once.
+func (c *serverConn) terminate() {
+	if c.phase.Swap(connTerminated) != connTerminated {
+		c.shutDown(unix.SHUT_RDWR)
+	}
+}
+
+// shutDown shuts down one or both sides of the connection, unless its descriptor is closed.
+func (c *serverConn) shutDown(how int) {
+	withDescriptor(c.Conn, func(fd int) { _ = unix.Shutdown(fd, how) }) // fails if the peer has closed
+}
+
+// shutDownLocked is shutDown for a caller that holds the connection's lock.
+func (c *serverConn) shutDownLocked(how int) {
+	useDescriptor(c.Conn, func(fd int) { _ = unix.Shutdown(fd, how) }) // fails if the peer has closed
+}
+
+// onClosed stops the timer. The descriptor is closed.
+func (c *serverConn) onClosed() {
+	c.phase.Store(connTerminated)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.timer != nil {
+		c.timer.Stop()
+	}
+}
+
+// SetReadDeadline does nothing: nbio would close the descriptor in the goroutine of a timer.
+func (*serverConn) SetReadDeadline(time.Time) error { return nil }
+
+// SetWriteDeadline does nothing, for the same reason.
+func (*serverConn) SetWriteDeadline(time.Time) error { return nil }
