rpc: limits for each connection of a server

What callers saw: a head, a body, a chunk or a trailer without end, requests ahead and answers that nobody reads made a process exceed its memory; a body over 128 MB ended the connection without a response. Cause: nbhttp's limits were 128 and 256 MB a connection, for a body and for half a message; heads, requests ahead and unsent responses had none, and nothing ended half a head. Change: the bytes of a connection are passed to the parser piece by piece, none of them in two parts of a request, so that the length of each part is known exactly. Beyond a limit the server answers 431, 413, 400 or 503 behind the earlier responses, ignores what follows, and ends the connection. Why it works: what the parser holds is at most a head, a body and its framing; a proper request of exactly the allowed head and body passes (TestLimits_message), in one piece and in chunks of one byte.

--- a/internal/jobsnode/controlplane.go
+++ b/internal/jobsnode/controlplane.go
@@ -139,20 +139,20 @@
 
 // makeServers creates the servers and adds their endpoints.
 func (n *ControlPlaneNode) makeServers() {
-	n.peerServer = n.newServer(n.opt.Store.Addr, "wire", n.quotas.nodes)
+	n.peerServer = n.newServer(n.opt.Store.Addr, "wire", n.quotas.nodes, nodeLimits)
 	n.store.Serve(n.peerServer)
 	controller.Serve(n.peerServer, n.leader)
 	if n.opt.ServeNodes != nil {
 		n.opt.ServeNodes(n.peerServer, n.store)
 	}
-	n.controlServer = n.newServer(n.opt.ControlAddress, "control", n.quotas.control)
+	n.controlServer = n.newServer(n.opt.ControlAddress, "control", n.quotas.control, controlLimits)
 	n.opt.ServeControl(n.controlServer, controller.NewRelay(n.leader, n.client, n.opt.Store.Addr))
 }
 
-func (n *ControlPlaneNode) newServer(addr, part string, quota *rpc.ConnQuota) *rpc.Server {
+func (n *ControlPlaneNode) newServer(addr, part string, quota *rpc.ConnQuota, limits rpc.Limits) *rpc.Server {
 	return rpc.NewServer(rpc.ServerOptions{
 		Addr: addr, Loops: 1, Descriptors: n.opt.Descriptors, Registry: n.opt.Registry, Logger: n.logger(part),
-		Quota: quota,
+		Quota: quota, Limits: limits,
 	})
 }
 
--- a/internal/jobsnode/dataplane.go
+++ b/internal/jobsnode/dataplane.go
@@ -81,11 +81,11 @@
 		Caller: n.caller, Seeds: opt.ControlPlaneAddresses, Logger: n.logger("client"),
 	})
 	n.readiness.leaderReady, n.readiness.leaderAnswered = n.client.Ready, n.client.CheckLeader
-	n.clientServer = n.newServer(opt.Address, n.quotas.clients)
+	n.clientServer = n.newServer(opt.Address, n.quotas.clients, clientLimits)
 	opt.ServeClients(n.clientServer, n.client)
 	n.readyServer = n.clientServer
 	if opt.ReadyAddress != "" {
-		n.readyServer = n.newServer(opt.ReadyAddress, n.quotas.ready)
+		n.readyServer = n.newServer(opt.ReadyAddress, n.quotas.ready, readyLimits)
 	}
 	opt.ServeReady(n.readyServer, n.readiness.check)
 	return n, nil
@@ -93,10 +93,10 @@
 
 func (n *DataPlaneNode) logger(part string) log.Logger { return daemon.Part(n.opt.Logger, part) }
 
-func (n *DataPlaneNode) newServer(addr string, quota *rpc.ConnQuota) *rpc.Server {
+func (n *DataPlaneNode) newServer(addr string, quota *rpc.ConnQuota, limits rpc.Limits) *rpc.Server {
 	return rpc.NewServer(rpc.ServerOptions{
 		Addr: addr, Loops: 1, Descriptors: n.opt.Descriptors, Registry: n.opt.Registry, Logger: n.logger("wire"),
-		Quota: quota,
+		Quota: quota, Limits: limits,
 	})
 }
 
--- a/internal/rpc/handle.go
+++ b/internal/rpc/handle.go
@@ -22,7 +22,7 @@
 		}
 		var call C
 		requestFrame := takeFrame(0)
-		err := readInto(&requestFrame.buf, r.Body, r.ContentLength, s.opt.MaxBody)
+		err := readInto(&requestFrame.buf, r.Body, r.ContentLength, s.limits().BodyBytes)
 		if err == nil {
 			err = errs.Wrap(codec.Decode(requestFrame.buf.Bytes(), &call), errs.Malformed, "the body of %s", e.Path)
 		}
--- a/internal/rpc/harness_test.go
+++ b/internal/rpc/harness_test.go
@@ -48,7 +48,7 @@
 		entered:  make(chan struct{}, 1000),
 		gate:     make(chan struct{}),
 	}
-	h.Server = NewServer(ServerOptions{Addr: "127.0.0.1:0", MaxBody: 1 << 20, Registry: h.registry, Clock: h.clock})
+	h.Server = NewServer(ServerOptions{Addr: "127.0.0.1:0", Limits: Limits{BodyBytes: 1 << 20}, Registry: h.registry, Clock: h.clock})
 	Handle(h.Server, echo, func(_ context.Context, m message) (message, error) { return m, nil })
 	Handle(h.Server, fail, func(_ context.Context, m message) (message, error) {
 		if m.Text == "panic" {
@@ -82,7 +82,12 @@
 // count returns the sum of the counters called name that have all of the label values.
 func (h *harness) count(t *testing.T, name string, labels ...string) (sum float64) {
 	t.Helper()
-	families, err := h.registry.Gather()
+	return countIn(h.registry, name, labels...)
+}
+
+// countIn is count for any registry.
+func countIn(registry *prometheus.Registry, name string, labels ...string) (sum float64) {
+	families, err := registry.Gather()
 	So(err, ShouldBeNil)
 	for _, family := range families {
 		if family.GetName() != name {
--- a/internal/rpc/listener.go
+++ b/internal/rpc/listener.go
@@ -1,17 +1,22 @@
 package rpc
 
 import (
+	"errors"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"crosstide/internal/clock"
 	"crosstide/internal/errs"
 )
 
 // listen opens the server's socket. Failure: Settings.
 func (s *Server) listen() error {
-	socket, err := net.Listen("tcp", s.opt.Addr)
+	config := net.ListenConfig{Control: setBufferSizes(s.limits())}
+	socket, err := config.Listen(s.requests.Context(), "tcp", s.opt.Addr)
 	if err != nil {
 		return errs.Wrap(err, errs.Settings, "listen")
 	}
@@ -19,6 +24,24 @@
 	return nil
 }
 
+// setBufferSizes returns a net.ListenConfig's Control that sets the sizes of the kernel's buffers. Accepted connections
+// inherit them.
+func setBufferSizes(limits Limits) func(network, addr string, c syscall.RawConn) error {
+	return func(_, _ string, c syscall.RawConn) error {
+		var setErr error
+		set := func(fd, option, size int) {
+			if size > 0 {
+				setErr = errors.Join(setErr, unix.SetsockoptInt(fd, unix.SOL_SOCKET, option, size))
+			}
+		}
+		err := c.Control(func(fd uintptr) {
+			set(int(fd), unix.SO_RCVBUF, limits.SocketReadBytes)
+			set(int(fd), unix.SO_SNDBUF, limits.SocketWriteBytes)
+		})
+		return errs.Wrap(errors.Join(err, setErr), errs.Internal, "set the sizes of the socket's buffers")
+	}
+}
+
 // takeListener is the engine's Listen function. It returns the socket that listen opened.
 func (s *Server) takeListener(string, string) (net.Listener, error) { return s.listener, nil }
 
--- a/internal/rpc/metrics.go
+++ b/internal/rpc/metrics.go
@@ -13,6 +13,7 @@
 	failures  *prometheus.CounterVec // by path and kind
 	in, out   prometheus.Counter     // bytes received and sent
 	abandoned prometheus.Counter     // requests that were not executed because their caller no longer waited
+	refused   *prometheus.CounterVec // requests and connections that exceeded a limit, by cause
 }
 
 // newMetrics returns the counters of a side, registered unless registry is nil.
@@ -29,6 +30,8 @@
 		out: bytes.WithLabelValues("out"),
 		abandoned: counter("crosstide_rpc_abandoned_total",
 			"Requests that were not executed because their caller no longer waited.").WithLabelValues(),
+		refused: counter("crosstide_rpc_refused_total",
+			"Requests and connections that exceeded a limit, by cause.", "cause"),
 	}
 }
 
--- a/internal/rpc/server.go
+++ b/internal/rpc/server.go
@@ -22,7 +22,7 @@
 type ServerOptions struct {
 	Addr     string                // host:port to listen at; port 0: a free one
 	Logger   log.Logger            // default: none
-	MaxBody  int64                 // limit of the body of a call in bytes, default MaxBody
+	Limits   Limits                // of each connection; see SetLimits
 	Clock    clock.Clock           // default clock.Real
 	Registry prometheus.Registerer // default: the counters are not registered
 	// Descriptors is an upper bound on the file descriptors of the process: each server has a table of that length. The
@@ -40,7 +40,7 @@
 	if opt.Logger == nil {
 		opt.Logger = log.NewNopLogger()
 	}
-	opt.MaxBody = firstPositive(opt.MaxBody, MaxBody)
+	opt.Limits = opt.Limits.withDefaults()
 	if opt.Clock == nil {
 		opt.Clock = clock.Real{}
 	}
@@ -61,6 +61,9 @@
 	// synchronization.
 	accepted  atomic.Int64
 	admission admission
+	current   atomic.Pointer[Limits] // the limits in force
+	// refusalLoggedAt is when a refusal was last logged, on the clock of the options; 0: never.
+	refusalLoggedAt atomic.Int64
 
 	mu             sync.Mutex    // guards the fields below
 	activeRequests int           // requests that were read completely and are not answered yet
@@ -89,28 +92,40 @@
 		admission: newAdmission(opt.Quota),
 		drained:   make(chan struct{}),
 	}
+	s.SetLimits(opt.Limits)
 	s.engine = s.newEngine()
 	return s
 }
 
+// SetLimits replaces the limits of each connection. They apply to requests that arrive from then on; the sizes of the
+// kernel's buffers apply to connections that are opened from then on.
+func (s *Server) SetLimits(limits Limits) {
+	limits = limits.withDefaults()
+	s.current.Store(&limits)
+}
+
+func (s *Server) limits() Limits { return *s.current.Load() }
+
 // newEngine returns nbio's engine with the server's callbacks.
 func (s *Server) newEngine() *nbhttp.Engine {
-	maxBody := int(max(2*s.opt.MaxBody, MaxBody)) // beyond it nbhttp closes the connection without a response
+	// The server's own limits are lower and count each connection's bytes; these are the last resort.
+	const lastResort = 2 * MaxBody
 	engine := nbhttp.NewEngine(nbhttp.Config{
-		Name:              "rpc",
-		Network:           "tcp",
-		Addrs:             []string{s.opt.Addr},
-		Listen:            s.takeListener,
-		MaxLoad:           100_000,
-		MaxHTTPBodySize:   maxBody,
-		ReadLimit:         2 * maxBody,
-		SupportServerOnly: true,
-		NPoller:           s.opt.Loops,
-		Handler:           http.HandlerFunc(s.serve),
-		ServerExecutor:    s.execute,
-		Context:           s.requests.Context(),
-		Cancel:            s.requests.Cancel,
-		KeepaliveTime:     nbioDeadline,
+		Name:               "rpc",
+		Network:            "tcp",
+		Addrs:              []string{s.opt.Addr},
+		Listen:             s.takeListener,
+		MaxLoad:            100_000,
+		MaxHTTPBodySize:    lastResort,
+		ReadLimit:          lastResort,
+		MaxWriteBufferSize: lastResort,
+		SupportServerOnly:  true,
+		NPoller:            s.opt.Loops,
+		Handler:            http.HandlerFunc(s.serve),
+		ServerExecutor:     s.execute,
+		Context:            s.requests.Context(),
+		Cancel:             s.requests.Cancel,
+		KeepaliveTime:      nbioDeadline,
 	})
 	engine.OnOpen(s.admission.onOpen)
 	engine.OnClose(func(c net.Conn, _ error) { s.onClose(c) })
@@ -127,18 +142,6 @@
 	return engine
 }
 
-// onData parses bytes that a connection has received. nbio calls it in the event loop.
-func (s *Server) onData(c *nbio.Conn, data []byte) {
-	s.accepted.Load()
-	if conn := serverConnOf(c); conn != nil {
-		if conn.isEnding() {
-			return
-		}
-		conn.touch()
-	}
-	c.DataHandler()(c, data)
-}
-
 // onClose releases what a closed connection holds.
 func (s *Server) onClose(c net.Conn) {
 	s.admission.onClose(c)
--- a/internal/rpc/serverconn.go
+++ b/internal/rpc/serverconn.go
@@ -15,8 +15,6 @@
 )
 
 const (
-	// idleTimeout is how long a server keeps a connection without a request. Clients close theirs earlier.
-	idleTimeout = 2 * time.Minute
 	// lingerTimeout is how long a server waits, after its last response on a connection, for the peer to close it.
 	lingerTimeout = time.Second
 	// nbioDeadline is nbio's own read deadline, which never applies: serverConn has its own.
@@ -31,17 +29,21 @@
 // the event loop still has an event of the old connection, and the event loop would apply that event to the new one.
 type serverConn struct {
 	*nbio.Conn
-	clock clock.Clock
+	server *Server
+	parser *nbhttp.Parser
 
-	phase  atomic.Int32 // a connPhase; it only increases
-	unsent atomic.Int64 // bytes of responses that nbio holds until the socket accepts them
+	incoming *incoming // only the event loop uses it
+	ignored  int       // bytes that arrived after the end of the last request; only the event loop uses it
 
-	mu          sync.Mutex    // guards the fields below
-	requests    int           // requests that are not answered yet
-	quietSince  time.Duration // when the last bytes arrived, or the last request ended
-	lingerUntil time.Duration // when the connection ends in phase connLingering
-	timer       clock.Stopper // calls checkDeadline
-	timerAt     time.Duration // when it does
+	phase      atomic.Int32 // a connPhase; it only increases
+	isIgnoring atomic.Bool  // a request was refused: further bytes are ignored
+	unsent     atomic.Int64 // bytes of responses that nbio holds until the socket accepts them
+
+	mu       sync.Mutex    // guards the fields below
+	requests int           // requests that are not answered yet
+	waiting  waiting       // for what the connection waits while it has no requests
+	timer    clock.Stopper // calls checkDeadline
+	timerAt  time.Duration // when it does
 }
 
 // connPhase is the phase of the end of a connection.
@@ -61,11 +63,12 @@
 	if !isParser {
 		return
 	}
-	c := &serverConn{Conn: connection, clock: s.opt.Clock}
+	c := &serverConn{Conn: connection, server: s, parser: parser, incoming: &incoming{}}
 	parser.Conn = c
+	parser.Processor = &limitedProcessor{Processor: parser.Processor, incoming: c.incoming, limits: s.limits}
 	execute := parser.Execute
 	parser.Execute = func(handle func()) bool { return c.execute(execute, handle) }
-	c.touch()
+	c.updateDeadline(s.limits())
 }
 
 // execute lets nbio handle a request after the earlier ones of the connection.
@@ -85,7 +88,13 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.requests += n
-	c.quietSince = c.clock.Now()
+	c.waiting.since = c.server.opt.Clock.Now()
+}
+
+func (c *serverConn) requestCount() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.requests
 }
 
 // serverConnOf returns the serverConn of a connection, or nil if it has none.
@@ -120,13 +129,32 @@
 	if len(rest) == 0 {
 		return len(b), nil
 	}
-	c.unsent.Add(int64(len(rest)))
+	if r := c.hold(int64(len(rest))); r != nil {
+		return 0, errs.Pass(c.endUnread(r), "response")
+	}
 	if _, err := c.Conn.Write(rest); err != nil {
 		return 0, errs.Wrap(err, errs.Unavailable, "write to the connection")
 	}
 	return len(b), nil
 }
 
+// endUnread ends the connection because its responses cannot be held, and returns the error of the write.
+func (c *serverConn) endUnread(r *refusal) error {
+	c.countRefusal(r)
+	c.terminate()
+	return errs.New(errs.Unavailable, "%s: the peer does not read", r.cause)
+}
+
+// hold counts bytes of a response that the socket did not accept. It returns the reason why they cannot be held, or
+// nil.
+func (c *serverConn) hold(n int64) *refusal {
+	if before := c.unsent.Load(); before > 0 && before+n > c.server.limits().UnsentBytes {
+		return &answersUnread
+	}
+	c.unsent.Add(n)
+	return nil
+}
+
 // writeNow writes as much as the socket accepts now. nbio must hold no earlier bytes. nbio's Write would do the same,
 // but would close the descriptor in this goroutine after an error. Failure: Unavailable.
 func (c *serverConn) writeNow(b []byte) (sent int, err error) {
