rpc: a budget of memory for all callers of a process

What callers saw: with limits for each connection, crowds still make a process exceed its memory: the limit times the number of connections counts. Cause: no place where bytes wait had a bound that follows from the machine's memory. Change: MemoryBudget is a quarter of memory_mb, with a reserved share for each server and a part for small holdings only. Connections, requests as they arrive, header lines, requests that wait, and responses that the socket doesn't accept or the peer doesn't acknowledge are reserved before they are stored, and released when they are gone. Without room a request gets 503 with Retry-After. nbio's buffers are pooled by size: its own pool gave a connection with a few bytes the buffer of a large body.

--- a/cmd/crosstide-controlplane/platform.go
+++ b/cmd/crosstide-controlplane/platform.go
@@ -73,7 +73,8 @@
 		ServeControl: func(control *rpc.Server, relay *controller.Relay) {
 			platform.NewControlPlane(relay, node.ControlAddress).Routes(control)
 		},
-		Descriptors: node.MaxDescriptors, Grace: node.StopGracePeriod - exitMargin, Logger: logger, Version: version,
+		Descriptors: node.MaxDescriptors, MemoryBytes: node.MemoryBytes, Grace: node.StopGracePeriod - exitMargin,
+		Logger: logger, Version: version,
 	}
 }
 
--- a/cmd/crosstide-dataplane/platform.go
+++ b/cmd/crosstide-dataplane/platform.go
@@ -46,7 +46,7 @@
 			settings, err := platform.LoadSettings()
 			return settings.Node().Seeds, errs.Pass(err, "seeds")
 		},
-		Descriptors: node.MaxDescriptors, Grace: node.StopGracePeriod, Logger: logger,
+		Descriptors: node.MaxDescriptors, MemoryBytes: node.MemoryBytes, Grace: node.StopGracePeriod, Logger: logger,
 		Zone: node.Zone, Version: version,
 	}
 }
--- a/internal/jobsnode/controlplane.go
+++ b/internal/jobsnode/controlplane.go
@@ -56,6 +56,7 @@
 	ServeNodes  func(server *rpc.Server, store *store.Store)
 	OnRemoved   func()                // called if this node is removed from the members; see store.Options
 	Descriptors int                   // limit of file descriptors; 0: the system's limit
+	MemoryBytes int64                 // memory of the process, of which callers get a part; 0: no limit
 	Grace       time.Duration         // for the leadership transfer, at least minGrace
 	Registry    prometheus.Registerer // nil: no metrics
 	Logger      log.Logger
@@ -66,6 +67,7 @@
 type ControlPlaneNode struct {
 	opt           ControlPlaneOptions
 	quotas        controlPlaneQuotas
+	memory        controlPlaneMemory
 	peers         *rpc.Client // calls other nodes
 	renewals      *rpc.Client // carries lease renewals and stops to workers
 	starts        *rpc.Client // carries starts to workers
@@ -90,8 +92,12 @@
 	if n.quotas, err = newControlPlaneQuotas(opt.Descriptors); err != nil {
 		return nil, errs.Pass(err, "connections")
 	}
+	if n.memory, err = newControlPlaneMemory(opt.MemoryBytes); err != nil {
+		return nil, errs.Pass(err, "memory")
+	}
 	if opt.Registry != nil {
-		opt.Registry.MustRegister(rpc.NewConnLimiterMetrics(n.quotas.limiter))
+		opt.Registry.MustRegister(rpc.NewConnLimiterMetrics(n.quotas.limiter),
+			rpc.NewMemoryBudgetMetrics(n.memory.budget))
 	}
 	n.makeClients()
 	n.store, err = opt.OpenStore(ctx, n.storeOptions(), opt.Logger)
@@ -139,20 +145,22 @@
 
 // makeServers creates the servers and adds their endpoints.
 func (n *ControlPlaneNode) makeServers() {
-	n.peerServer = n.newServer(n.opt.Store.Addr, "wire", n.quotas.nodes, nodeLimits)
+	n.peerServer = n.newServer(n.opt.Store.Addr, "wire", n.quotas.nodes, n.memory.nodes, nodeLimits)
 	n.store.Serve(n.peerServer)
 	controller.Serve(n.peerServer, n.leader)
 	if n.opt.ServeNodes != nil {
 		n.opt.ServeNodes(n.peerServer, n.store)
 	}
-	n.controlServer = n.newServer(n.opt.ControlAddress, "control", n.quotas.control, controlLimits)
+	n.controlServer = n.newServer(n.opt.ControlAddress, "control", n.quotas.control, n.memory.control, controlLimits)
 	n.opt.ServeControl(n.controlServer, controller.NewRelay(n.leader, n.client, n.opt.Store.Addr))
 }
 
-func (n *ControlPlaneNode) newServer(addr, part string, quota *rpc.ConnQuota, limits rpc.Limits) *rpc.Server {
+func (n *ControlPlaneNode) newServer(
+	addr, part string, quota *rpc.ConnQuota, memory *rpc.MemoryShare, limits rpc.Limits,
+) *rpc.Server {
 	return rpc.NewServer(rpc.ServerOptions{
 		Addr: addr, Loops: 1, Descriptors: n.opt.Descriptors, Registry: n.opt.Registry, Logger: n.logger(part),
-		Quota: quota, Limits: limits,
+		Quota: quota, Memory: memory, Limits: limits,
 	})
 }
 
--- a/internal/jobsnode/dataplane.go
+++ b/internal/jobsnode/dataplane.go
@@ -37,6 +37,7 @@
 	// ReadSeeds returns seeds that replace ControlPlaneAddresses. If it is nil, ControlPlaneAddresses stay in use.
 	ReadSeeds   func() ([]string, error)
 	Descriptors int                   // limit of file descriptors; 0: the system's limit
+	MemoryBytes int64                 // memory of the process, of which callers get a part; 0: no limit
 	Grace       time.Duration         // from the stop signal to the exit; 0: defaultGrace
 	Registry    prometheus.Registerer // nil: no metrics
 	Logger      log.Logger
@@ -49,6 +50,7 @@
 type DataPlaneNode struct {
 	opt          DataPlaneOptions
 	quotas       dataPlaneQuotas
+	memory       dataPlaneMemory
 	caller       *rpc.Client
 	client       *controller.Client
 	clientServer *rpc.Server
@@ -70,8 +72,12 @@
 	if n.quotas, err = newDataPlaneQuotas(opt.Descriptors); err != nil {
 		return nil, errs.Pass(err, "connections")
 	}
+	if n.memory, err = newDataPlaneMemory(opt.MemoryBytes); err != nil {
+		return nil, errs.Pass(err, "memory")
+	}
 	if opt.Registry != nil {
-		opt.Registry.MustRegister(rpc.NewConnLimiterMetrics(n.quotas.limiter))
+		opt.Registry.MustRegister(rpc.NewConnLimiterMetrics(n.quotas.limiter),
+			rpc.NewMemoryBudgetMetrics(n.memory.budget))
 	}
 	n.caller = rpc.NewClient(rpc.ClientOptions{
 		DialTimeout: dialTimeout, UserTimeout: userTimeout, MaxIdlePerAddress: controlPlaneIdleConns,
@@ -81,11 +87,11 @@
 		Caller: n.caller, Seeds: opt.ControlPlaneAddresses, Logger: n.logger("client"),
 	})
 	n.readiness.leaderReady, n.readiness.leaderAnswered = n.client.Ready, n.client.CheckLeader
-	n.clientServer = n.newServer(opt.Address, n.quotas.clients, clientLimits)
+	n.clientServer = n.newServer(opt.Address, n.quotas.clients, n.memory.clients, clientLimits)
 	opt.ServeClients(n.clientServer, n.client)
 	n.readyServer = n.clientServer
 	if opt.ReadyAddress != "" {
-		n.readyServer = n.newServer(opt.ReadyAddress, n.quotas.ready, readyLimits)
+		n.readyServer = n.newServer(opt.ReadyAddress, n.quotas.ready, n.memory.ready, readyLimits)
 	}
 	opt.ServeReady(n.readyServer, n.readiness.check)
 	return n, nil
@@ -93,10 +99,12 @@
 
 func (n *DataPlaneNode) logger(part string) log.Logger { return daemon.Part(n.opt.Logger, part) }
 
-func (n *DataPlaneNode) newServer(addr string, quota *rpc.ConnQuota, limits rpc.Limits) *rpc.Server {
+func (n *DataPlaneNode) newServer(
+	addr string, quota *rpc.ConnQuota, memory *rpc.MemoryShare, limits rpc.Limits,
+) *rpc.Server {
 	return rpc.NewServer(rpc.ServerOptions{
 		Addr: addr, Loops: 1, Descriptors: n.opt.Descriptors, Registry: n.opt.Registry, Logger: n.logger("wire"),
-		Quota: quota, Limits: limits,
+		Quota: quota, Memory: memory, Limits: limits,
 	})
 }
 
--- a/internal/rpc/frame.go
+++ b/internal/rpc/frame.go
@@ -38,7 +38,7 @@
 }
 
 // maxPooledBytes is the capacity up to which a frame returns to the pool: a few large bodies must not retain memory.
-const maxPooledBytes = 1 << 20
+const maxPooledBytes = 64 << 10
 
 // free returns the frame to the pool. Neither it nor its bytes may be used afterwards.
 func (f *frame) free() {
--- a/internal/rpc/golden_test.go
+++ b/internal/rpc/golden_test.go
@@ -18,7 +18,8 @@
 func TestGoldenMetrics(t *testing.T) {
 	var registry golden.Registry
 	newMetrics("server", &registry)
-	golden.Compare(t, "metrics", golden.Metrics("rpc", append(registry.Collectors, NewConnLimiterMetrics(nil))...))
+	golden.Compare(t, "metrics", golden.Metrics("rpc", append(registry.Collectors,
+		NewConnLimiterMetrics(nil), NewMemoryBudgetMetrics(nil))...))
 }
 
 // TestGoldenDigests pins the encoding that Digest hashes, by the digest of fixed parts.
--- /dev/null
+++ b/internal/rpc/memorybudget.go
@@ -0,0 +1,149 @@
+package rpc
+
+import (
+	"sync"
+
+	"crosstide/internal/errs"
+)
+
+// MemoryBudget limits the memory that callers make a process hold: the requests that arrive, wait or are handled, the
+// responses that are not read, and the connections themselves, for all servers of the process together. Each server has
+// a share with reserved bytes that no other share can use. It is safe for concurrent use.
+//
+// A part of the budget is only for small holdings, which are those of ordinary callers: a crowd of callers with large
+// requests cannot take it.
+type MemoryBudget struct {
+	limit int64
+
+	mu     sync.Mutex // guards shares, and the fields of each
+	shares []*MemoryShare
+}
+
+// Divisors of a process's memory.
+const (
+	budgetDivisor = 4 // for what callers make the process hold
+	smallDivisor  = 8 // of the budget: for small holdings only
+)
+
+// smallHolding is what an ordinary caller makes a process hold at most, in bytes.
+const smallHolding = 64 << 10
+
+// NewMemoryBudget returns a budget for a process that may use a number of bytes of memory, or nil, which limits
+// nothing, if that number is 0.
+func NewMemoryBudget(processBytes int64) *MemoryBudget {
+	if processBytes <= 0 {
+		return nil
+	}
+	return &MemoryBudget{limit: processBytes / budgetDivisor}
+}
+
+// MemoryShare is a server's share of a MemoryBudget. A nil MemoryShare has no limit. The budget's mutex guards used and
+// refused.
+type MemoryShare struct {
+	budget   *MemoryBudget
+	name     string
+	reserved int64 // bytes that no other share can use
+	used     int64
+	refused  uint64 // reservations that failed
+}
+
+// NewShare adds a share for which one part in divisor of the budget is reserved. A nil budget returns a nil share.
+// Failure: Settings if the reservations exceed the budget.
+func (b *MemoryBudget) NewShare(name string, divisor int64) (*MemoryShare, error) {
+	if b == nil {
+		return nil, nil
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	reserved, unreserved := b.limit/divisor, b.limit-b.limit/smallDivisor
+	for _, share := range b.shares {
+		unreserved -= share.reserved
+	}
+	if reserved > unreserved {
+		return nil, errs.Field(errs.Settings, name, "cannot reserve %d bytes, %d are unreserved", reserved, unreserved)
+	}
+	share := &MemoryShare{budget: b, name: name, reserved: reserved}
+	b.shares = append(b.shares, share)
+	return share, nil
+}
+
+// reserve takes n bytes for a holder that then holds held bytes, and reports whether there was room.
+func (s *MemoryShare) reserve(n, held int64) bool {
+	if s == nil {
+		return true
+	}
+	s.budget.mu.Lock()
+	defer s.budget.mu.Unlock()
+	if !s.hasRoom(n, held <= smallHolding) {
+		s.refused++
+		return false
+	}
+	s.used += n
+	return true
+}
+
+// hasRoom reports whether the share may grow by n bytes. The caller holds the budget's mutex.
+func (s *MemoryShare) hasRoom(n int64, isSmall bool) bool {
+	own, limit := s.reserved, s.budget.limit
+	if !isSmall {
+		own -= s.reserved / smallDivisor
+		limit -= s.budget.limit / smallDivisor
+	}
+	if s.used+n <= own {
+		return true
+	}
+	total := max(s.used+n, s.reserved)
+	for _, other := range s.budget.shares {
+		if other != s {
+			total += max(other.used, other.reserved)
+		}
+	}
+	return total <= limit
+}
+
+// release returns n reserved bytes.
+func (s *MemoryShare) release(n int64) {
+	if s == nil {
+		return
+	}
+	s.budget.mu.Lock()
+	defer s.budget.mu.Unlock()
+	s.used -= n
+}
+
+// MemoryUsage is the state of a share, for metrics and operators.
+type MemoryUsage struct {
+	Name     string
+	Used     int64 // bytes
+	Reserved int64 // bytes that no other share can use
+	Refused  uint64
+}
+
+// Usage returns the state of each share, in the order in which they were added.
+func (b *MemoryBudget) Usage() []MemoryUsage {
+	if b == nil {
+		return nil
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	usages := make([]MemoryUsage, 0, len(b.shares))
+	for _, share := range b.shares {
+		usages = append(usages, MemoryUsage{
+			Name: share.name, Used: share.used, Reserved: share.reserved, Refused: share.refused,
+		})
+	}
+	return usages
+}
+
+// Sizes of what the servers hold, in bytes.
+const (
+	connectionBytes = 4 << 10 // of an open connection
+	requestBytes    = 8 << 10 // of a request that waits or is handled, without its head and body
+	headerLineBytes = 160     // of a header line, beside its text
+	// arrivalFactor is the memory for each byte of a request: in the parser, in the body and in the handler's copy.
+	arrivalFactor = 4
+	// socketBytes is what may be in a socket, sent but not acknowledged by the peer, without being reserved.
+	socketBytes = 4 << 10
+	// unsentFactor is the memory for each byte of a response that the socket does not accept.
+	unsentFactor = 2
+)
--- a/internal/rpc/receive.go
+++ b/internal/rpc/receive.go
@@ -19,6 +19,9 @@
 // receive passes bytes to the parser, piece by piece, as far as the limits allow.
 func (c *serverConn) receive(data []byte) {
 	limits := c.server.limits()
+	if c.sinceAsked.Load() > socketBytes {
+		_ = c.updateInSocket() // releases what the peer has read meanwhile
+	}
 	for len(data) > 0 {
 		if c.isEnding() || c.isIgnoring.Load() {
 			c.ignore(len(data))
@@ -42,7 +45,30 @@
 	if c.requestCount() > limits.RequestsAhead {
 		return &tooFarAhead
 	}
-	return c.incoming.check(n, limits)
+	if r := c.incoming.check(n, limits); r != nil {
+		return r
+	}
+	if !c.reserveArrival(n) {
+		return &outOfMemory
+	}
+	return nil
+}
+
+// reserveArrival reserves memory for n more bytes of the request that is being received. A piece of a head has one
+// header line at most.
+func (c *serverConn) reserveArrival(n int) bool {
+	memory := int64(n) * arrivalFactor
+	if c.incoming.isEmpty() {
+		memory += requestBytes
+	}
+	if c.incoming.part == partHead {
+		memory += headerLineBytes
+	}
+	if !c.reserve(memory) {
+		return false
+	}
+	c.arrived += memory
+	return true
 }
 
 // parse passes a piece to the parser. It returns the reason to refuse the request, or nil.
--- a/internal/rpc/refusal.go
+++ b/internal/rpc/refusal.go
@@ -29,8 +29,10 @@
 	tooFarAhead = refusal{"requests_ahead", http.StatusServiceUnavailable, errs.Unavailable,
 		"too many requests wait on this connection"}
 	malformedRequest = refusal{"malformed", http.StatusBadRequest, errs.Malformed, "the request is not valid HTTP"}
-	answersUnread    = refusal{cause: "answers_unread"}
-	timedOut         = refusal{cause: "timeout"}
+	outOfMemory      = refusal{"memory", http.StatusServiceUnavailable, errs.Unavailable,
+		"this node has no memory for the request now"}
+	answersUnread = refusal{cause: "answers_unread"}
+	timedOut      = refusal{cause: "timeout"}
 )
 
 // text returns the response to the refused request.
@@ -58,6 +60,8 @@
 	c.isIgnoring.Store(true)
 	c.parser.CloseAndClean(nil) // frees what the parser holds of the request
 	*c.incoming = incoming{}
+	c.release(c.arrived)
+	c.arrived = 0
 	if r.status == 0 {
 		c.terminate()
 		return
--- a/internal/rpc/server.go
+++ b/internal/rpc/server.go
@@ -33,6 +33,8 @@
 	// Quota limits the connections. A request on a connection beyond it is answered with errs.Unavailable and
 	// Retry-After, and the connection is closed. Default: no limit.
 	Quota *ConnQuota
+	// Memory limits what callers make the process hold. Default: no limit.
+	Memory *MemoryShare
 }
 
 // withDefaults returns the options with their defaults filled in.
@@ -56,9 +58,9 @@
 	requests *routine.Group // goroutines of the requests; its context is the context of each request
 	metrics  *metrics
 	listener *listener // nil before Start
-	// accepted synchronizes the opening of a connection with its first read: nbio passes a connection from the
-	// accepting goroutine to an event loop only through epoll, which Go's memory model does not count as
-	// synchronization.
+	// accepted synchronizes the opening of a connection with its first read, or its close without one: nbio passes a
+	// connection from the accepting goroutine to an event loop only through epoll, which Go's memory model does not
+	// count as synchronization.
 	accepted  atomic.Int64
 	admission admission
 	current   atomic.Pointer[Limits] // the limits in force
@@ -83,6 +85,7 @@
 func NewServer(opt ServerOptions) *Server {
 	opt = opt.withDefaults()
 	redirectLogs(opt.Logger)
+	useBufferAllocator()
 	boundDescriptors(opt.Descriptors)
 	s := &Server{
 		opt:       opt,
@@ -152,6 +155,7 @@
 
 // execute runs handle, which handles a request and writes its response, on a new goroutine.
 func (s *Server) execute(handle func()) {
+	s.accepted.Load()
 	s.mu.Lock()
 	s.activeRequests++
 	s.mu.Unlock()
--- a/internal/rpc/serverconn.go
+++ b/internal/rpc/serverconn.go
@@ -35,12 +35,18 @@
 	incoming *incoming // only the event loop uses it
 	ignored  int       // bytes that arrived after the end of the last request; only the event loop uses it
 
+	arrived int64 // memory held for the request that is being received; only the event loop uses it
+
 	phase      atomic.Int32 // a connPhase; it only increases
 	isIgnoring atomic.Bool  // a request was refused: further bytes are ignored
 	unsent     atomic.Int64 // bytes of responses that nbio holds until the socket accepts them
+	sinceAsked atomic.Int64 // upper bound on the bytes in the socket that the peer has not acknowledged
 
 	mu       sync.Mutex    // guards the fields below
 	requests int           // requests that are not answered yet
+	held     int64         // memory reserved in the server's share
+	inSocket int64         // of it, for bytes that the socket has accepted and the peer has not acknowledged
+	isClosed bool          // the descriptor is closed, and held was released
 	waiting  waiting       // for what the connection waits while it has no requests
 	timer    clock.Stopper // calls checkDeadline
 	timerAt  time.Duration // when it does
@@ -69,28 +75,64 @@
 	execute := parser.Execute
 	parser.Execute = func(handle func()) bool { return c.execute(execute, handle) }
 	c.updateDeadline(s.limits())
+	if !c.reserve(connectionBytes) {
+		c.countRefusal(&outOfMemory)
+		c.terminate()
+	}
 }
 
-// execute lets nbio handle a request after the earlier ones of the connection.
+// execute lets nbio handle a request after the earlier ones of the connection. The request takes over the memory that
+// was reserved for its arrival.
 func (c *serverConn) execute(queue func(func()) bool, handle func()) bool {
-	c.addRequests(1)
+	memory := c.arrived
+	c.arrived = 0
+	c.beginRequest()
 	isQueued := queue(func() {
-		defer c.addRequests(-1)
+		defer c.endRequest(memory)
 		handle()
 	})
 	if !isQueued {
-		c.addRequests(-1)
+		c.endRequest(memory)
 	}
 	return isQueued
 }
 
-func (c *serverConn) addRequests(n int) {
+func (c *serverConn) beginRequest() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.requests++
+}
+
+func (c *serverConn) endRequest(memory int64) {
+	c.release(memory)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.requests += n
+	c.requests--
 	c.waiting.since = c.server.opt.Clock.Now()
 }
 
+// reserve reserves memory for the connection, and reports whether there was room.
+func (c *serverConn) reserve(n int64) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.isClosed || !c.server.opt.Memory.reserve(n, c.held+n) {
+		return false
+	}
+	c.held += n
+	return true
+}
+
+// release returns reserved memory.
+func (c *serverConn) release(n int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.isClosed {
+		return
+	}
+	c.held -= n
+	c.server.opt.Memory.release(n)
+}
+
 func (c *serverConn) requestCount() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -125,6 +167,9 @@
 			return 0, errs.Pass(err, "response")
 		}
 	}
+	if r := c.countSent(sent); r != nil {
+		return 0, errs.Pass(c.endUnread(r), "response")
+	}
 	rest := b[sent:]
 	if len(rest) == 0 {
 		return len(b), nil
@@ -151,6 +196,9 @@
 	if before := c.unsent.Load(); before > 0 && before+n > c.server.limits().UnsentBytes {
 		return &answersUnread
 	}
+	if !c.reserve(n * unsentFactor) {
+		return &outOfMemory
+	}
 	c.unsent.Add(n)
 	return nil
 }
@@ -176,6 +224,7 @@
 
 // onWritten records that the socket has accepted n bytes that nbio held. nbio calls it with the connection's lock.
 func (c *serverConn) onWritten(n int) {
+	c.release(int64(n) * unsentFactor)
 	if c.unsent.Add(-int64(n)) == 0 && c.phase.CompareAndSwap(connFlushing, connLingering) {
 		c.shutDownLocked(unix.SHUT_WR)
 		c.startLingering()
@@ -212,11 +261,14 @@
 	useDescriptor(c.Conn, func(fd int) { _ = unix.Shutdown(fd, how) }) // fails if the peer has closed
 }
 
-// onClosed stops the timer. The descriptor is closed.
+// onClosed releases what the connection holds. The descriptor is closed, and all requests have ended.
 func (c *serverConn) onClosed() {
 	c.phase.Store(connTerminated)
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.isClosed = true
+	c.server.opt.Memory.release(c.held)
+	c.held = 0
 	if c.timer != nil {
 		c.timer.Stop()
 	}
