rpc: connections that wait make room for callers, and rejected ones end by themselves

What callers saw: 800 connections that send nothing, half a head or half a body keep ordinary callers out. Cause: a connection beyond the quota stayed open until its first request, as long as its client liked; nbio closes connections whose descriptor is beyond its table without an answer, whoever comes last. Change: for a new connection beyond the quota up to 16 others are ended: those without any request yet first, of the address with the most connections, those that wait longest; of connections that have had a request only one that is unused for a second. If there are none, the new one gets 503 as before; there are 16 of these at most, for a second. A request for which there is no memory ends the connections that hold most for half a request. Why it works: what is open is at most the quota and 16; a caller that sends its request at once is not evicted.

--- a/internal/rpc/caller.go
+++ b/internal/rpc/caller.go
@@ -120,25 +120,22 @@
 
 // withCaller returns the request with its caller in its context.
 func (s *Server) withCaller(w http.ResponseWriter, r *http.Request) *http.Request {
-	connection := connectionOf(w)
-	if connection == nil {
+	conn := attachedConn(w)
+	if conn == nil {
 		return r
 	}
 	c := &caller{
-		connection: connection, clock: s.opt.Clock, handledAt: s.opt.Clock.Now(), abandoned: s.metrics.abandoned,
+		connection: conn.Conn, clock: s.opt.Clock, handledAt: s.opt.Clock.Now(), abandoned: s.metrics.abandoned,
 	}
 	return r.WithContext(context.WithValue(r.Context(), callerKey{}, c))
 }
 
-// connectionOf returns the connection to which a response is written, or nil if it is not one of nbio's.
-func connectionOf(w http.ResponseWriter) *nbio.Conn {
+// attachedConn returns the connection to which a response is written, or nil if it is not one of a server.
+func attachedConn(w http.ResponseWriter) *serverConn {
 	response, isResponse := w.(*nbhttp.Response)
 	if !isResponse {
 		return nil
 	}
-	conn, isAttached := response.Parser.Conn.(*serverConn)
-	if !isAttached {
-		return nil
-	}
-	return conn.Conn
+	conn, _ := response.Parser.Conn.(*serverConn)
+	return conn
 }
--- a/internal/rpc/deadline.go
+++ b/internal/rpc/deadline.go
@@ -91,7 +91,11 @@
 	if c.phase.Load() == connTerminated {
 		return
 	}
-	remaining := current.since + current.timeout(limits) - c.server.opt.Clock.Now()
+	allowed := current.timeout(limits)
+	if quotaState(c.quota.Load()) == quotaRejected {
+		allowed = lingerTimeout
+	}
+	remaining := current.since + allowed - c.server.opt.Clock.Now()
 	switch {
 	case isBusy:
 		remaining = limits.IdleTimeout
--- a/internal/rpc/handle.go
+++ b/internal/rpc/handle.go
@@ -86,8 +86,8 @@
 		WriteError(w, errs.New(errs.Stopped, "the server is stopping"))
 		return
 	}
-	if err := s.admission.check(r.RemoteAddr); err != nil {
-		w.Header().Set("Connection", "close")
+	if err := s.admission.check(attachedConn(w)); err != nil {
+		r.Close = true // nbhttp then closes the connection behind the response
 		WriteError(w, err)
 		return
 	}
--- a/internal/rpc/memorybudget_test.go
+++ b/internal/rpc/memorybudget_test.go
@@ -50,7 +50,8 @@
 	Convey("Large holdings leave room for small ones in each share", t, func() {
 		_, half, quarter := newShares()
 		const step = 1 << 10
-		for half.reserve(step, smallHolding+1) || quarter.reserve(step, smallHolding+1) {
+		for hasRoom := true; hasRoom; {
+			hasRoom = half.reserve(step, smallHolding+1) || quarter.reserve(step, smallHolding+1)
 		}
 		So(half.reserve(step, step), ShouldBeTrue)
 		So(quarter.reserve(step, step), ShouldBeTrue)
--- a/internal/rpc/receive.go
+++ b/internal/rpc/receive.go
@@ -49,6 +49,7 @@
 		return r
 	}
 	if !c.reserveArrival(n) {
+		c.server.admission.evictHolders(c)
 		return &outOfMemory
 	}
 	return nil
--- a/internal/rpc/refusal.go
+++ b/internal/rpc/refusal.go
@@ -31,8 +31,10 @@
 	malformedRequest = refusal{"malformed", http.StatusBadRequest, errs.Malformed, "the request is not valid HTTP"}
 	outOfMemory      = refusal{"memory", http.StatusServiceUnavailable, errs.Unavailable,
 		"this node has no memory for the request now"}
-	answersUnread = refusal{cause: "answers_unread"}
-	timedOut      = refusal{cause: "timeout"}
+	connectionRefused = refusal{cause: "connections"}
+	evicted           = refusal{cause: "evicted"}
+	answersUnread     = refusal{cause: "answers_unread"}
+	timedOut          = refusal{cause: "timeout"}
 )
 
 // text returns the response to the refused request.
--- a/internal/rpc/server.go
+++ b/internal/rpc/server.go
@@ -30,8 +30,8 @@
 	Descriptors int
 	// Loops is the number of event loops. Default: nbio's.
 	Loops int
-	// Quota limits the connections. A request on a connection beyond it is answered with errs.Unavailable and
-	// Retry-After, and the connection is closed. Default: no limit.
+	// Quota limits the connections. For a connection beyond it, others that wait without a request are closed; if there
+	// are none, its first request is answered with errs.Unavailable and Retry-After. Default: no limit.
 	Quota *ConnQuota
 	// Memory limits what callers make the process hold. Default: no limit.
 	Memory *MemoryShare
@@ -62,7 +62,7 @@
 	// connection from the accepting goroutine to an event loop only through epoll, which Go's memory model does not
 	// count as synchronization.
 	accepted  atomic.Int64
-	admission admission
+	admission *admission
 	current   atomic.Pointer[Limits] // the limits in force
 	// refusalLoggedAt is when a refusal was last logged, on the clock of the options; 0: never.
 	refusalLoggedAt atomic.Int64
@@ -130,7 +130,6 @@
 		Cancel:             s.requests.Cancel,
 		KeepaliveTime:      nbioDeadline,
 	})
-	engine.OnOpen(s.admission.onOpen)
 	engine.OnClose(func(c net.Conn, _ error) { s.onClose(c) })
 	engine.Engine.OnOpen(func(c *nbio.Conn) {
 		s.attachConn(c)
@@ -147,9 +146,9 @@
 
 // onClose releases what a closed connection holds.
 func (s *Server) onClose(c net.Conn) {
-	s.admission.onClose(c)
 	if conn := serverConnOf(c); conn != nil {
 		conn.onClosed()
+		s.admission.onClose(conn)
 	}
 }
 
--- a/internal/rpc/serverconn.go
+++ b/internal/rpc/serverconn.go
@@ -38,12 +38,14 @@
 	arrived int64 // memory held for the request that is being received; only the event loop uses it
 
 	phase      atomic.Int32 // a connPhase; it only increases
+	quota      atomic.Int32 // a quotaState
 	isIgnoring atomic.Bool  // a request was refused: further bytes are ignored
 	unsent     atomic.Int64 // bytes of responses that nbio holds until the socket accepts them
 	sinceAsked atomic.Int64 // upper bound on the bytes in the socket that the peer has not acknowledged
 
 	mu       sync.Mutex    // guards the fields below
 	requests int           // requests that are not answered yet
+	served   bool          // a request has arrived
 	held     int64         // memory reserved in the server's share
 	inSocket int64         // of it, for bytes that the socket has accepted and the peer has not acknowledged
 	isClosed bool          // the descriptor is closed, and held was released
@@ -75,6 +77,7 @@
 	execute := parser.Execute
 	parser.Execute = func(handle func()) bool { return c.execute(execute, handle) }
 	c.updateDeadline(s.limits())
+	s.admission.onOpen(c)
 	if !c.reserve(connectionBytes) {
 		c.countRefusal(&outOfMemory)
 		c.terminate()
@@ -101,6 +104,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.requests++
+	c.served = true
 }
 
 func (c *serverConn) endRequest(memory int64) {
