rpc: large documents are decoded within a limit of memory

What callers saw: bodies inside the limits that hold very many small values make a process exceed its memory. Cause: the decoded values take up to 400 bytes for each byte or two of text, and each request decoded at once; the pool of parsers kept the largest tables. Change: a document of more than 8 KiB waits until its values, counted in its text, fit into a sixth of the memory; one that needs more is decoded alone, up to a third; beyond that it is refused before it is decoded.

--- a/internal/rpc/admission.go
+++ b/internal/rpc/admission.go
@@ -4,9 +4,11 @@
 	"cmp"
 	"net"
 	"slices"
-	"sync"
+	"sync/atomic"
 	"time"
 
+	"github.com/puzpuzpuz/xsync/v4"
+
 	"crosstide/internal/errs"
 )
 
@@ -18,11 +20,9 @@
 // its first request has been answered with errs.Unavailable. If it were closed without a response, the client would
 // conclude that the node is down. Only maxRejected connections are open for that.
 type admission struct {
-	quota *ConnQuota // nil: every connection is admitted and not counted
-
-	mu       sync.Mutex // guards the fields below
-	open     map[*serverConn]struct{}
-	rejected int // open connections beyond the quota
+	quota    *ConnQuota // nil: every connection is admitted and not counted
+	open     *xsync.Map[*serverConn, struct{}]
+	rejected atomic.Int32 // open connections beyond the quota
 }
 
 const (
@@ -37,7 +37,7 @@
 )
 
 func newAdmission(quota *ConnQuota) *admission {
-	return &admission{quota: quota, open: map[*serverConn]struct{}{}}
+	return &admission{quota: quota, open: xsync.NewMap[*serverConn, struct{}]()}
 }
 
 // onOpen admits a new connection, rejects its requests, or ends it.
@@ -46,13 +46,7 @@
 	if !isAdmitted && a.evict() {
 		isAdmitted = a.quota.tryAcquire()
 	}
-	a.mu.Lock()
-	a.open[c] = struct{}{}
-	if !isAdmitted {
-		a.rejected++
-	}
-	isSurplus := a.rejected > maxRejected
-	a.mu.Unlock()
+	a.open.Store(c, struct{}{})
 	if isAdmitted {
 		c.quota.Store(int32(quotaHeld))
 		return
@@ -60,7 +54,7 @@
 	a.quota.countRejected()
 	c.quota.Store(int32(quotaRejected))
 	c.setTimer(lingerTimeout)
-	if isSurplus {
+	if a.rejected.Add(1) > maxRejected {
 		c.countRefusal(&connectionRefused)
 		c.terminate()
 	}
@@ -68,12 +62,10 @@
 
 // onClose releases the quota of a connection.
 func (a *admission) onClose(c *serverConn) {
-	a.mu.Lock()
-	delete(a.open, c)
+	a.open.Delete(c)
 	if quotaState(c.quota.Load()) == quotaRejected {
-		a.rejected--
+		a.rejected.Add(-1)
 	}
-	a.mu.Unlock()
 	a.releaseQuota(c)
 }
 
@@ -114,20 +106,19 @@
 
 // candidates returns the connections that can be evicted, and the number of open connections by address.
 func (a *admission) candidates() (found []candidate, byAddress map[string]int) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
 	byAddress = map[string]int{}
-	for c := range a.open {
+	a.open.Range(func(c *serverConn, _ struct{}) bool {
 		address := c.address()
 		byAddress[address]++
 		if quotaState(c.quota.Load()) != quotaHeld {
-			continue
+			return true
 		}
 		if item, canEvict := c.evictable(); canEvict {
 			item.address = address
 			found = append(found, item)
 		}
-	}
+		return true
+	})
 	return found, byAddress
 }
 
--- a/internal/rpc/caller.go
+++ b/internal/rpc/caller.go
@@ -22,6 +22,7 @@
 	clock      clock.Clock
 	handledAt  time.Duration      // when the server began to handle the request
 	abandoned  prometheus.Counter // requests that CheckCaller rejected
+	memory     *MemoryBudget      // of the process
 }
 
 // callerKey is the key of a request's caller in its context.
@@ -69,6 +70,19 @@
 	return max(c.timeInSocket(), c.clock.Now()-c.handledAt)
 }
 
+// AcquireDecoding waits until the body of the request with the context ctx may be decoded as JSON, and returns the
+// function to call when the decoded values are no longer used. All large documents of a process together are limited by
+// its MemoryBudget. It returns at once for a context without a request. Failures: TooLarge if the document has more
+// values than the budget ever allows, Unavailable if ctx ends first.
+func AcquireDecoding(ctx context.Context, document []byte) (release func(), err error) {
+	c := callerOf(ctx)
+	if c == nil {
+		return func() {}, nil
+	}
+	release, err = c.memory.acquireDecoding(ctx, document)
+	return release, errs.Pass(err, "decode")
+}
+
 // WithRequestTimeout returns a context that ends timeout after the request with the context ctx arrived at the machine,
 // even if this process did not run then. For a context without a request it is context.WithTimeout. The close of the
 // connection does not end the context; CheckCaller reports that.
@@ -126,6 +140,7 @@
 	}
 	c := &caller{
 		connection: conn.Conn, clock: s.opt.Clock, handledAt: s.opt.Clock.Now(), abandoned: s.metrics.abandoned,
+		memory: s.opt.Memory.budgetOf(),
 	}
 	return r.WithContext(context.WithValue(r.Context(), callerKey{}, c))
 }
--- a/internal/rpc/handle.go
+++ b/internal/rpc/handle.go
@@ -20,17 +20,12 @@
 			writeMethodRejected(w, r)
 			return
 		}
-		var call C
-		requestFrame := takeFrame(0)
-		err := readInto(&requestFrame.buf, r.Body, r.ContentLength, s.limits().BodyBytes)
-		if err == nil {
-			err = errs.Wrap(codec.Decode(requestFrame.buf.Bytes(), &call), errs.Malformed, "the body of %s", e.Path)
-		}
-		requestFrame.free()
+		call, release, err := readCall[C](r, e.Path, s.limits().BodyBytes)
 		if err != nil {
 			WriteError(w, err)
 			return
 		}
+		defer release()
 		answer, err := serve(r.Context(), call)
 		if err != nil {
 			s.logFailure(e.Path, err)
@@ -41,6 +36,24 @@
 	})
 }
 
+// readCall reads and decodes the body of a call. The caller must call release when it no longer uses the call.
+func readCall[C any](r *http.Request, path string, limit int64) (call C, release func(), err error) {
+	requestFrame := takeFrame(0)
+	defer requestFrame.free()
+	if err := readInto(&requestFrame.buf, r.Body, r.ContentLength, limit); err != nil {
+		return call, nil, errs.Pass(err, "read the call")
+	}
+	body := requestFrame.buf.Bytes()
+	if release, err = AcquireDecoding(r.Context(), body); err != nil {
+		return call, nil, errs.Pass(err, "call")
+	}
+	if err := codec.Decode(body, &call); err != nil {
+		release()
+		return call, nil, errs.Wrap(err, errs.Malformed, "the body of %s", path)
+	}
+	return call, release, nil
+}
+
 // logFailure logs err if its kind is an error of this node itself, such as Disk. The line has the causes of err, which
 // are not sent to the caller.
 func (s *Server) logFailure(path string, err error) {
--- a/internal/rpc/memorybudget.go
+++ b/internal/rpc/memorybudget.go
@@ -1,8 +1,11 @@
 package rpc
 
 import (
+	"context"
 	"sync"
 
+	"golang.org/x/sync/semaphore"
+
 	"crosstide/internal/errs"
 )
 
@@ -13,7 +16,10 @@
 // A part of the budget is only for small holdings, which are those of ordinary callers: a crowd of callers with large
 // requests cannot take it.
 type MemoryBudget struct {
-	limit int64
+	limit    int64
+	decoding *semaphore.Weighted
+	// decodingLimit is the capacity of decoding.
+	decodingLimit int64
 
 	mu     sync.Mutex // guards shares, and the fields of each
 	shares []*MemoryShare
@@ -21,8 +27,9 @@
 
 // Divisors of a process's memory.
 const (
-	budgetDivisor = 4 // for what callers make the process hold
-	smallDivisor  = 8 // of the budget: for small holdings only
+	budgetDivisor   = 4 // for what callers make the process hold
+	decodingDivisor = 6 // for values that are being decoded
+	smallDivisor    = 8 // of the budget: for small holdings only
 )
 
 // smallHolding is what an ordinary caller makes a process hold at most, in bytes.
@@ -34,7 +41,10 @@
 	if processBytes <= 0 {
 		return nil
 	}
-	return &MemoryBudget{limit: processBytes / budgetDivisor}
+	decoding := processBytes / decodingDivisor
+	return &MemoryBudget{
+		limit: processBytes / budgetDivisor, decodingLimit: decoding, decoding: semaphore.NewWeighted(decoding),
+	}
 }
 
 // MemoryShare is a server's share of a MemoryBudget. A nil MemoryShare has no limit. The budget's mutex guards used and
@@ -67,6 +77,14 @@
 	return share, nil
 }
 
+// budgetOf returns the budget of which s is a share; nil for a nil share.
+func (s *MemoryShare) budgetOf() *MemoryBudget {
+	if s == nil {
+		return nil
+	}
+	return s.budget
+}
+
 // reserve takes n bytes for a holder that then holds held bytes, and reports whether there was room.
 func (s *MemoryShare) reserve(n, held int64) bool {
 	if s == nil {
@@ -146,4 +164,40 @@
 	socketBytes = 4 << 10
 	// unsentFactor is the memory for each byte of a response that the socket does not accept.
 	unsentFactor = 2
+	// valueBytes is the memory for each value of a JSON document while it is decoded, with the copies made as the
+	// decoder's tables grow.
+	valueBytes = 400
 )
+
+// acquireDecoding waits until a JSON document may be decoded, and returns the function that ends this. Failures:
+// TooLarge if the document has more values than ever fit, Unavailable if ctx ends first.
+func (b *MemoryBudget) acquireDecoding(ctx context.Context, document []byte) (release func(), err error) {
+	if b == nil || len(document) <= smallDocument {
+		return func() {}, nil
+	}
+	weight := int64(len(document)) + valueBytes*countValues(document)
+	if weight > 2*b.decodingLimit {
+		return nil, errs.New(errs.TooLarge, "the document has too many values")
+	}
+	weight = min(weight, b.decodingLimit) // beyond that it is decoded alone
+	if err := b.decoding.Acquire(ctx, weight); err != nil {
+		return nil, errs.Wrap(err, errs.Unavailable, "wait for other documents to be decoded: not executed")
+	}
+	return func() { b.decoding.Release(weight) }, nil
+}
+
+// smallDocument is the length of a document that is decoded without waiting, in bytes: longer than the body of an
+// ordinary request.
+const smallDocument = 8 << 10
+
+// countValues returns an upper bound on the number of values in a JSON document, without those of nested documents that
+// are texts.
+func countValues(document []byte) (count int64) {
+	for _, c := range document {
+		switch c {
+		case ',', ':', '[', '{':
+			count++
+		}
+	}
+	return count + 1
+}
