Data plane: the configuration's limits raise those of clients

What callers saw: nothing was taken from the configuration's limits; now that a server has limits, a configuration that allows more than the defaults would not be obeyed. Change: the leader's list of members carries the limits of the configuration, and a data-plane node raises those of its clients' connections to them.

--- a/internal/controller/api.go
+++ b/internal/controller/api.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"encoding/json"
 	"time"
 
 	"crosstide/internal/controller/scheduler"
@@ -83,10 +84,12 @@
 // TopologyCall requests the members of the store and the leader.
 type TopologyCall struct{}
 
-// TopologyAnswer lists the internal addresses of the leader and the members.
+// TopologyAnswer lists the internal addresses of the leader and the members. An answer of the leader has the limits of
+// the configuration, as the operator sent them.
 type TopologyAnswer struct {
-	Leader  string   `json:"leader,omitempty"`
-	Members []string `json:"members"`
+	Leader  string          `json:"leader,omitempty"`
+	Members []string        `json:"members"`
+	Limits  json.RawMessage `json:"limits,omitempty"`
 }
 
 // ConfigureAnswer acknowledges a change of the configuration: the change is in force and durable.
--- a/internal/controller/client.go
+++ b/internal/controller/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"time"
 
 	"github.com/go-kit/log"
@@ -28,6 +29,9 @@
 	Clock          clock.Clock   // default clock.Real
 	Logger         log.Logger    // default: no logging
 	AttemptTimeout time.Duration // timeout of one attempt of a call, default 700ms
+	// OnLimits is called with the limits of the configuration each time when the leader has listed the members; nil: no
+	// calls.
+	OnLimits func(limits json.RawMessage)
 }
 
 // Client calls the store's leader. It caches the leader and the members, follows a node's hint to the leader and, if a
@@ -63,6 +67,9 @@
 	if opt.Logger == nil {
 		opt.Logger = log.NewNopLogger()
 	}
+	if opt.OnLimits == nil {
+		opt.OnLimits = func(json.RawMessage) {}
+	}
 	if opt.AttemptTimeout <= 0 {
 		opt.AttemptTimeout = defaultAttemptTimeout
 	}
--- a/internal/controller/client_attempt.go
+++ b/internal/controller/client_attempt.go
@@ -75,6 +75,7 @@
 			return r
 		}
 		c.contacts.record(contactMembers)
+		c.opt.OnLimits(t.Limits)
 	}
 	return r
 }
--- a/internal/controller/queries.go
+++ b/internal/controller/queries.go
@@ -176,11 +176,17 @@
 	return answer, errs.Pass(err, "workers")
 }
 
-// Topology returns the leader and the members of the store known to this node.
+// Topology returns the leader and the members of the store known to this node, and the limits of the configuration if
+// it is the leader.
 func (l *Leader) Topology(context.Context, TopologyCall) (TopologyAnswer, error) {
 	leader, members := l.opt.Store.Members()
 	if term, hasLease := l.opt.Store.LeaderTerm(l.clock.Now()); term != 0 && !hasLease {
 		leader = "" // without a valid lease, another node may already be the leader
 	}
-	return TopologyAnswer{Leader: leader, Members: members}, nil
+	answer := TopologyAnswer{Leader: leader, Members: members}
+	_, _ = l.readTable(func(table *jobs.Table) error { // fails if this node is not the leader: no limits then
+		answer.Limits = table.Config.Limits
+		return nil
+	})
+	return answer, nil
 }
--- a/internal/jobsnode/dataplane.go
+++ b/internal/jobsnode/dataplane.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"os"
 	"time"
 
@@ -31,6 +32,9 @@
 	Address               string            // listening address for clients
 	// RegisterClients adds the endpoints for clients to the server clients; client forwards their calls.
 	ServeClients func(clients *rpc.Server, client *controller.Client)
+	// RaiseLimits returns the limits of clients' connections under the limits of a configuration, which may raise the
+	// defaults; nil: the defaults are in force.
+	RaiseLimits  func(defaults rpc.Limits, configured json.RawMessage) (rpc.Limits, error)
 	ReadyAddress string // listening address for readiness checks; empty: Address
 	// ServeReady adds the readiness endpoint to server; check returns nil if the node is ready.
 	ServeReady func(server *rpc.Server, check func() error)
@@ -84,7 +88,7 @@
 		DialOverrides: opt.Via, Registry: opt.Registry, Logger: n.logger("caller"), Quota: n.quotas.controlPlane,
 	})
 	n.client = controller.NewClient(controller.ClientOptions{
-		Caller: n.caller, Seeds: opt.ControlPlaneAddresses, Logger: n.logger("client"),
+		Caller: n.caller, Seeds: opt.ControlPlaneAddresses, Logger: n.logger("client"), OnLimits: n.applyLimits,
 	})
 	n.readiness.leaderReady, n.readiness.leaderAnswered = n.client.Ready, n.client.CheckLeader
 	n.clientServer = n.newServer(opt.Address, n.quotas.clients, n.memory.clients, clientLimits)
@@ -108,6 +112,19 @@
 	})
 }
 
+// applyLimits puts the limits of the configuration in force. Limits that cannot be read change nothing.
+func (n *DataPlaneNode) applyLimits(configured json.RawMessage) {
+	if n.opt.RaiseLimits == nil || len(configured) == 0 {
+		return
+	}
+	limits, err := n.opt.RaiseLimits(clientLimits.WithDefaults(), configured)
+	if err != nil {
+		_ = level.Warn(n.opt.Logger).Log("msg", "limits of the configuration not applied", "err", err)
+		return
+	}
+	n.clientServer.SetLimits(limits)
+}
+
 // Run serves until ctx ends, then drains the node. changed, which may be nil, signals that the seeds may have changed.
 // Run fails only if a server cannot start.
 func (n *DataPlaneNode) Run(ctx context.Context, changed <-chan os.Signal) error {
--- a/internal/rpc/limits.go
+++ b/internal/rpc/limits.go
@@ -29,8 +29,8 @@
 	defaultUnsentBytes   = 256 << 10
 )
 
-// withDefaults returns the limits with their defaults filled in.
-func (l Limits) withDefaults() Limits {
+// WithDefaults returns the limits with their defaults filled in.
+func (l Limits) WithDefaults() Limits {
 	l.HeadBytes = firstPositive(l.HeadBytes, defaultHeadBytes)
 	l.BodyBytes = firstPositive(l.BodyBytes, MaxBody)
 	l.HeadTimeout = firstPositive(l.HeadTimeout, defaultHeadTimeout)
--- a/internal/rpc/server.go
+++ b/internal/rpc/server.go
@@ -42,7 +42,7 @@
 	if opt.Logger == nil {
 		opt.Logger = log.NewNopLogger()
 	}
-	opt.Limits = opt.Limits.withDefaults()
+	opt.Limits = opt.Limits.WithDefaults()
 	if opt.Clock == nil {
 		opt.Clock = clock.Real{}
 	}
@@ -103,10 +103,13 @@
 // SetLimits replaces the limits of each connection. They apply to requests that arrive from then on; the sizes of the
 // kernel's buffers apply to connections that are opened from then on.
 func (s *Server) SetLimits(limits Limits) {
-	limits = limits.withDefaults()
+	limits = limits.WithDefaults()
 	s.current.Store(&limits)
 }
 
+// BodyLimit returns the limit of the length of a body that is in force, in bytes.
+func (s *Server) BodyLimit() int64 { return s.limits().BodyBytes }
+
 func (s *Server) limits() Limits { return *s.current.Load() }
 
 // newEngine returns nbio's engine with the server's callbacks.
