rpc: long responses are encoded two at a time

What callers saw: nothing yet; found by going through all places where bytes wait. Cause: the size of a response is known only once it is encoded, and nothing limited how many are encoded together. Change: two at a time. Encoding needs only the processor, and no write waits for the peer.

--- a/internal/rpc/respond.go
+++ b/internal/rpc/respond.go
@@ -37,15 +37,31 @@
 	writeFailure(w, failure, http.StatusMethodNotAllowed)
 }
 
+// maxEncodings is the number of responses that a process encodes at the same time.
+const maxEncodings = 2
+
+// encodings has an element for each response that is being encoded. Encoding needs only the processor, so more at the
+// same time would not be faster; each holds its response twice until the connection has reserved memory for it.
+var encodings = make(chan struct{}, maxEncodings)
+
 // WriteJSON writes a response with a status and v as JSON, or with errs.Internal if v cannot be encoded.
 func WriteJSON(w http.ResponseWriter, status int, v any) {
+	if err := encodeTo(w, status, v); err != nil {
+		WriteError(w, err) // no endless recursion: an error body can always be encoded
+	}
+}
+
+// encodeTo encodes v and writes it, and returns the error if it cannot be encoded. Nothing in it waits for the peer.
+func encodeTo(w http.ResponseWriter, status int, v any) error {
+	encodings <- struct{}{}
+	defer func() { <-encodings }()
 	f := takeFrame(0)
 	defer f.free()
 	if err := f.encode(v); err != nil {
-		WriteError(w, err) // no endless recursion: an error body can always be encoded
-		return
+		return errs.Pass(err, "response")
 	}
 	writeBytes(w, status, f.buf.Bytes())
+	return nil
 }
 
 // writeBytes writes a response with a status and a body that is JSON.
--- a/internal/store/servesnapshot.go
+++ b/internal/store/servesnapshot.go
@@ -12,7 +12,7 @@
 )
 
 const (
-	maxChunkBytes        = 4 << 20
+	maxChunkBytes        = 1 << 20
 	snapshotCacheTimeout = 30 * time.Second // a cached snapshot that was not used for this long is dropped
 	snapshotCacheSize    = 2
 )
