--- a/internal/rpc/limits_test.go
+++ b/internal/rpc/limits_test.go
@@ -31,7 +31,7 @@
 
 const longAnswerBytes = 200 << 10
 
-func newLimitedServer(t *testing.T, opt ServerOptions) *limitedServer {
+func newLimitedServer(t testing.TB, opt ServerOptions) *limitedServer {
 	t.Helper()
 	s := &limitedServer{clock: &clock.Virtual{}, registry: prometheus.NewRegistry(), gate: make(chan struct{})}
 	opt.Addr, opt.Limits, opt.Clock, opt.Loops = "127.0.0.1:0", testLimits, s.clock, 1
