Jobs deployment: its own limits of bodies, and a setting for the memory

What callers saw: the limits of one connection, added for the users' platform, would have refused jobs of 1 to 4 MiB and configurations of 4 to 16 MiB in the jobs deployment, which its pages allow. Cause: both deployments use jobsnode, which had the platform's values. Change: the options of a node set the limit of the bodies; the platform sets its own. The new setting memory_mb of jobs run (jobs.memory_mb on the control plane) gives it the limits of a process, and its bodies are decoded within them. Measured: TestJobsOptions and TestJobsControlPlane_load have the setting; go vet and the tests of the packages pass.

--- a/cmd/crosstide-controlplane/jobs.go
+++ b/cmd/crosstide-controlplane/jobs.go
@@ -40,6 +40,7 @@
 
 // serveJobs runs a control-plane node until ctx ends.
 func serveJobs(ctx context.Context, settings config.JobsControlPlane, profiles bool, logger log.Logger) error {
+	daemon.LimitMemory(int64(settings.MemoryMB) << 20)
 	err := runIncarnations(ctx, func(ctx context.Context, removed func()) error {
 		options := jobsOptions(settings, profiles, logger)
 		options.OnRemoved = removed
@@ -61,7 +62,7 @@
 		Workers: func(renewals, starts *rpc.Client) scheduler.Workers {
 			return workerapi.NewClient(renewals, starts, 0)
 		},
-		ControlAddress: settings.Control,
+		ControlAddress: settings.Control, MemoryBytes: int64(settings.MemoryMB) << 20,
 		ServeControl: func(control *rpc.Server, relay *controller.Relay) {
 			jobsapi.RegisterControl(control, relay, settings.CallTimeout)
 		},
--- a/cmd/crosstide-controlplane/platform.go
+++ b/cmd/crosstide-controlplane/platform.go
@@ -69,6 +69,7 @@
 			return platform.NewWorkers(exchanger{renewals}, exchanger{starts}, 0)
 		},
 		OrdersByHeartbeat: node.OrdersByHeartbeat,
+		MaxControlBody:    platform.MaxConfigBody,
 		ControlAddress:    node.ControlAddress, ControlAddressOf: node.ControlAddressOf,
 		ServeControl: func(control *rpc.Server, relay *controller.Relay) {
 			platform.NewControlPlane(relay, node.ControlAddress).Routes(control)
--- a/cmd/crosstide-dataplane/jobs.go
+++ b/cmd/crosstide-dataplane/jobs.go
@@ -31,6 +31,7 @@
 
 // serveJobs runs a data-plane node until ctx ends.
 func serveJobs(ctx context.Context, settings config.JobsDataPlane, profiles bool, logger log.Logger) error {
+	daemon.LimitMemory(int64(settings.MemoryMB) << 20)
 	node, err := jobsnode.NewDataPlaneNode(jobsOptions(settings, profiles, logger))
 	if err != nil {
 		return errs.Pass(err, "create the node")
@@ -49,7 +50,8 @@
 				daemon.Profiles(server)
 			}
 		},
-		ServeReady: func(server *rpc.Server, check func() error) { daemon.Routes(server, registry, check) },
-		Grace:      settings.Grace, Registry: registry, Logger: logger, Zone: settings.Zone, Version: version,
+		ServeReady:  func(server *rpc.Server, check func() error) { daemon.Routes(server, registry, check) },
+		MemoryBytes: int64(settings.MemoryMB) << 20,
+		Grace:       settings.Grace, Registry: registry, Logger: logger, Zone: settings.Zone, Version: version,
 	}
 }
--- a/cmd/crosstide-dataplane/jobs_test.go
+++ b/cmd/crosstide-dataplane/jobs_test.go
@@ -18,12 +18,13 @@
 	Convey("A data-plane node's settings are mapped to its options; one address serves calls and readiness", t, func() {
 		settings := config.DefaultJobsDataPlane()
 		settings.Addr, settings.Zone, settings.Grace = "10.0.0.1:7000", "z", 7*time.Second
-		settings.Seeds = []string{"10.0.1.1:7100"}
+		settings.Seeds, settings.MemoryMB = []string{"10.0.1.1:7100"}, 3
 		options := jobsOptions(settings, true, log.NewNopLogger())
 		So(options.ControlPlaneAddresses, ShouldResemble, settings.Seeds)
 		So(options.Address, ShouldEqual, settings.Addr)
 		So(options.ReadyAddress, ShouldEqual, "")
 		So(options.Grace, ShouldEqual, settings.Grace)
+		So(options.MemoryBytes, ShouldEqual, 3<<20)
 		So(options.Zone, ShouldEqual, "z")
 		server := rpc.NewServer(rpc.ServerOptions{Addr: "127.0.0.1:0"})
 		caller := rpc.NewClient(rpc.ClientOptions{})
--- a/cmd/crosstide-dataplane/platform.go
+++ b/cmd/crosstide-dataplane/platform.go
@@ -41,8 +41,9 @@
 		ServeClients: func(server *rpc.Server, client *controller.Client) {
 			platform.NewIngress(client).Routes(server)
 		},
-		RaiseLimits: platform.RaiseLimits,
-		ServeReady:  platform.Readiness,
+		MaxClientBody: platform.MaxJobBody,
+		RaiseLimits:   platform.RaiseLimits,
+		ServeReady:    platform.Readiness,
 		ReadSeeds: func() ([]string, error) {
 			settings, err := platform.LoadSettings()
 			return settings.Node().Seeds, errs.Pass(err, "seeds")
--- a/internal/config/jobs.go
+++ b/internal/config/jobs.go
@@ -14,6 +14,7 @@
 	CallTimeout time.Duration // jobs.call_timeout: timeout of an operator's call; default 3s
 	// KeepFinished, jobs.keep_over: how long a finished job can be read; default 10m.
 	KeepFinished time.Duration
+	MemoryMB     int // jobs.memory_mb: memory of the machine in MiB, from which limits follow; default 0: none
 	Scheduler    JobsScheduler
 }
 
@@ -33,6 +34,7 @@
 	Common
 	ControlPlanes []string      // core: addresses of control-plane nodes; required without seeds
 	CallTimeout   time.Duration // call_timeout: timeout of a client's call; default 3s
+	MemoryMB      int           // memory_mb: memory of the machine in MiB, from which limits follow; default 0: none
 }
 
 // renewalsPerLease is the minimum number of renewals in the duration of a lease.
@@ -98,6 +100,7 @@
 	r.Addr("control", &c.Control)
 	r.Duration("call_timeout", &c.CallTimeout, minDuration, maxDuration)
 	r.Duration("keep_over", &c.KeepFinished, 0, maxRetention)
+	r.Int("memory_mb", &c.MemoryMB, 0, maxCount)
 	c.Scheduler.read(r)
 }
 
@@ -125,6 +128,7 @@
 		r.Reject("core", "must be given if there are no seeds")
 	}
 	r.Duration("call_timeout", &d.CallTimeout, minDuration, maxDuration)
+	r.Int("memory_mb", &d.MemoryMB, 0, maxCount)
 }
 
 // ControlPlaneAddresses returns the addresses in core, or the seeds if core is empty.
--- a/internal/config/jobs_test.go
+++ b/internal/config/jobs_test.go
@@ -40,13 +40,13 @@
 
 func TestJobsControlPlane_load(t *testing.T) {
 	Convey("A control-plane node's settings are those of the policy deployment and the section jobs", t, func() {
-		section := `,"election":"2s","jobs":{"control":"127.0.0.1:7201","lease":"6s","remote_factor":2}`
+		section := `,"election":"2s","jobs":{"control":"127.0.0.1:7201","lease":"6s","remote_factor":2,"memory_mb":64}`
 		set, err := LoadJobsControlPlane(writeSettings(t, jobsControlPlaneJSON(section)))
 		So(err, ShouldBeNil)
 		got := []any{set.Name, set.ElectionTimeout, set.Control, set.Scheduler.Lease, set.Scheduler.PollWait,
-			set.Scheduler.RemoteFactor, set.KeepFinished}
+			set.Scheduler.RemoteFactor, set.KeepFinished, set.MemoryMB}
 		So(got, ShouldResemble, []any{"c1", 2 * time.Second, "127.0.0.1:7201", 6 * time.Second, time.Second,
-			2.0, 10 * time.Minute})
+			2.0, 10 * time.Minute, 64})
 		So(CheckJobsControlPlane(set), ShouldBeNil)
 		set.Control = set.Addr
 		So(invalidFields(CheckJobsControlPlane(set)), ShouldEqual, "jobs.control")
--- a/internal/httpapi/jobsapi/client_calls.go
+++ b/internal/httpapi/jobsapi/client_calls.go
@@ -67,12 +67,15 @@
 	if err != nil {
 		return nil, errs.Pass(err, "submit")
 	}
-	spec, digest, err := ParseJob(body)
+	call, err := rpc.DecodeBody(ctx, body, func(body []byte) (controller.SubmitCall, error) {
+		spec, digest, err := ParseJob(body)
+		return controller.SubmitCall{Spec: spec, Digest: digest}, errs.Pass(err, "job")
+	})
 	if err != nil {
 		return nil, errs.Pass(err, "submit")
 	}
-	answer, err := c.backend.Submit(ctx, controller.SubmitCall{Spec: spec, Digest: digest})
-	return JobState{ID: spec.ID, State: answer.State}, errs.Pass(err, "submit")
+	answer, err := c.backend.Submit(ctx, call)
+	return JobState{ID: call.Spec.ID, State: answer.State}, errs.Pass(err, "submit")
 }
 
 // jobID returns the job ID in the path of a request.
--- a/internal/httpapi/jobsapi/operator_calls.go
+++ b/internal/httpapi/jobsapi/operator_calls.go
@@ -109,7 +109,7 @@
 		if err != nil {
 			return nil, errs.Pass(err, "configure")
 		}
-		change, err := parse(body)
+		change, err := rpc.DecodeBody(ctx, body, parse)
 		if err != nil {
 			return nil, errs.Pass(err, "configure")
 		}
@@ -167,7 +167,10 @@
 	if err != nil {
 		return nil, errs.Pass(err, "heartbeat")
 	}
-	call, err := parseHeartbeat(r.PathValue("id"), body)
+	call, err := rpc.DecodeBody(ctx, body, func(body []byte) (controller.HeartbeatCall, error) {
+		call, err := parseHeartbeat(r.PathValue("id"), body)
+		return call, errs.Pass(err, "call")
+	})
 	if err != nil {
 		return nil, errs.Pass(err, "heartbeat")
 	}
--- a/internal/jobsnode/controlplane.go
+++ b/internal/jobsnode/controlplane.go
@@ -47,6 +47,7 @@
 	Workers           func(renewals, starts *rpc.Client) scheduler.Workers
 	OrdersByHeartbeat bool   // orders are sent in the answers to workers' heartbeats
 	ControlAddress    string // listening address for workers and operators
+	MaxControlBody    int64  // limit of the body of their requests in bytes; 0: 16 MiB
 	// ControlAddressOf returns the control address of the node with the given internal address; workers' heartbeats are
 	// then spread over all nodes. If it is nil, all heartbeats go to the leader.
 	ControlAddressOf func(internal string) string
@@ -151,7 +152,8 @@
 	if n.opt.ServeNodes != nil {
 		n.opt.ServeNodes(n.peerServer, n.store)
 	}
-	n.controlServer = n.newServer(n.opt.ControlAddress, "control", n.quotas.control, n.memory.control, controlLimits)
+	n.controlServer = n.newServer(n.opt.ControlAddress, "control", n.quotas.control, n.memory.control,
+		withBody(controlLimits, n.opt.MaxControlBody))
 	n.opt.ServeControl(n.controlServer, controller.NewRelay(n.leader, n.client, n.opt.Store.Addr))
 }
 
--- a/internal/jobsnode/dataplane.go
+++ b/internal/jobsnode/dataplane.go
@@ -31,7 +31,8 @@
 	Via                   map[string]string // by address: the address to dial instead
 	Address               string            // listening address for clients
 	// RegisterClients adds the endpoints for clients to the server clients; client forwards their calls.
-	ServeClients func(clients *rpc.Server, client *controller.Client)
+	ServeClients  func(clients *rpc.Server, client *controller.Client)
+	MaxClientBody int64 // limit of the body of a client's request in bytes; 0: 4 MiB
 	// RaiseLimits returns the limits of clients' connections under the limits of a configuration, which may raise the
 	// defaults; nil: the defaults are in force.
 	RaiseLimits  func(defaults rpc.Limits, configured json.RawMessage) (rpc.Limits, error)
@@ -91,7 +92,7 @@
 		Caller: n.caller, Seeds: opt.ControlPlaneAddresses, Logger: n.logger("client"), OnLimits: n.applyLimits,
 	})
 	n.readiness.leaderReady, n.readiness.leaderAnswered = n.client.Ready, n.client.CheckLeader
-	n.clientServer = n.newServer(opt.Address, n.quotas.clients, n.memory.clients, clientLimits)
+	n.clientServer = n.newServer(opt.Address, n.quotas.clients, n.memory.clients, n.clientLimits())
 	opt.ServeClients(n.clientServer, n.client)
 	n.readyServer = n.clientServer
 	if opt.ReadyAddress != "" {
@@ -112,12 +113,15 @@
 	})
 }
 
+// clientLimits returns the limits of clients' connections without a configuration.
+func (n *DataPlaneNode) clientLimits() rpc.Limits { return withBody(clientLimits, n.opt.MaxClientBody) }
+
 // applyLimits puts the limits of the configuration in force. Limits that cannot be read change nothing.
 func (n *DataPlaneNode) applyLimits(configured json.RawMessage) {
 	if n.opt.RaiseLimits == nil || len(configured) == 0 {
 		return
 	}
-	limits, err := n.opt.RaiseLimits(clientLimits.WithDefaults(), configured)
+	limits, err := n.opt.RaiseLimits(n.clientLimits().WithDefaults(), configured)
 	if err != nil {
 		_ = level.Warn(n.opt.Logger).Log("msg", "limits of the configuration not applied", "err", err)
 		return
--- a/internal/rpc/caller.go
+++ b/internal/rpc/caller.go
@@ -83,6 +83,19 @@
 	return release, errs.Pass(err, "decode")
 }
 
+// DecodeBody calls parse with the body of the request with the context ctx once AcquireDecoding allows it. parse must
+// copy what it keeps. Failures: those of AcquireDecoding and of parse.
+func DecodeBody[T any](ctx context.Context, body []byte, parse func(body []byte) (T, error)) (T, error) {
+	release, err := AcquireDecoding(ctx, body)
+	if err != nil {
+		var zero T
+		return zero, errs.Pass(err, "body")
+	}
+	defer release()
+	value, err := parse(body)
+	return value, errs.Pass(err, "body")
+}
+
 // WithRequestTimeout returns a context that ends timeout after the request with the context ctx arrived at the machine,
 // even if this process did not run then. For a context without a request it is context.WithTimeout. The close of the
 // connection does not end the context; CheckCaller reports that.
