rpc: the reservation for half a request is compared with a model

Change: a header line is counted once, however the head is split, so that the reservation follows from the bytes alone; TestMemoryBudget_model sends half a request in random pieces and compares.

--- a/internal/rpc/fuzz_test.go
+++ b/internal/rpc/fuzz_test.go
@@ -2,9 +2,7 @@
 
 import (
 	"net"
-	"runtime"
 	"testing"
-	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
 )
@@ -31,13 +29,7 @@
 	})
 	f.Fuzz(func(t *testing.T, text []byte, size uint8) {
 		s.sendPieces(t, text, int(size)+1)
-		deadline := time.Now().Add(time.Minute)
-		for budget.Usage()[0].Used != 0 {
-			runtime.Gosched()
-			if time.Now().After(deadline) {
-				t.Fatalf("%d bytes are still reserved", budget.Usage()[0].Used)
-			}
-		}
+		awaitUsed(t, budget, 0)
 		Convey("An ordinary request is answered", t, func() {
 			So(s.statuses("GET /wait HTTP/1.1\r\nHost: h\r\n\r\n", 1), ShouldResemble, []int{200})
 		})
--- a/internal/rpc/memorybudget_test.go
+++ b/internal/rpc/memorybudget_test.go
@@ -80,13 +80,7 @@
 			for _, c := range conns {
 				_ = c.Close() // the server may have closed it
 			}
-			deadline := time.Now().Add(time.Minute)
-			for budget.Usage()[0].Used != 0 {
-				runtime.Gosched()
-				if time.Now().After(deadline) {
-					rt.Fatalf("%d bytes are still reserved", budget.Usage()[0].Used)
-				}
-			}
+			awaitUsed(rt, budget, 0)
 		})
 		So(s.Stop(time.Minute), ShouldBeNil)
 	})
@@ -125,6 +119,49 @@
 	return conns
 }
 
+// TestMemoryBudget_model compares what is reserved for half a request with a model, however it is split.
+func TestMemoryBudget_model(t *testing.T) {
+	Convey("Half a request takes the memory of its bytes and lines, and of a request and a connection", t, func() {
+		budget := NewMemoryBudget(processBytes)
+		share, err := budget.NewShare("clients", 2)
+		So(err, ShouldBeNil)
+		s := newLimitedServer(t, ServerOptions{Memory: share})
+		head := headOf(testLimits.HeadBytes, "Content-Length: 1000\r\n")
+		whole := head + strings.Repeat("b", 1000)
+		rapid.Check(t, func(rt *rapid.T) {
+			text := whole[:rapid.IntRange(1, len(whole)-1).Draw(rt, "length")]
+			expected := int64(connectionBytes + requestBytes + arrivalFactor*len(text) +
+				headerLineBytes*strings.Count(text, "\n"))
+			c, err := net.Dial("tcp", s.Addr())
+			if err != nil {
+				rt.Fatal(err)
+			}
+			for rest := text; len(rest) > 0; {
+				n := rapid.IntRange(1, len(rest)).Draw(rt, "piece")
+				if _, err := io.WriteString(c, rest[:n]); err != nil {
+					rt.Fatal(err)
+				}
+				rest = rest[n:]
+			}
+			awaitUsed(rt, budget, expected)
+			_ = c.Close() // its answer is of no interest
+			awaitUsed(rt, budget, 0)
+		})
+		So(s.Stop(time.Minute), ShouldBeNil)
+	})
+}
+
+// awaitUsed waits until a budget's first share has reserved a number of bytes.
+func awaitUsed(t rapid.TB, budget *MemoryBudget, expected int64) {
+	deadline := time.Now().Add(10 * time.Second)
+	for used := budget.Usage()[0].Used; used != expected; used = budget.Usage()[0].Used {
+		runtime.Gosched()
+		if time.Now().After(deadline) {
+			t.Fatalf("%d bytes are reserved, expected %d", used, expected)
+		}
+	}
+}
+
 func TestMemoryBudget_refusal(t *testing.T) {
 	Convey("A request for which there is no memory is refused with 503, and served once there is", t, func() {
 		budget := NewMemoryBudget(processBytes)
--- a/internal/rpc/receive.go
+++ b/internal/rpc/receive.go
@@ -29,7 +29,7 @@
 		}
 		piece := c.incoming.nextPiece(data)
 		data = data[len(piece):]
-		if r := c.check(len(piece), limits); r != nil {
+		if r := c.check(piece, limits); r != nil {
 			c.refuse(r)
 			continue
 		}
@@ -40,29 +40,29 @@
 	c.updateDeadline(limits)
 }
 
-// check returns the reason to refuse the request that is being received if n more bytes arrive, or nil.
-func (c *serverConn) check(n int, limits Limits) *refusal {
+// check returns the reason to refuse the request that is being received if one more piece arrives, or nil.
+func (c *serverConn) check(piece []byte, limits Limits) *refusal {
 	if c.requestCount() > limits.RequestsAhead {
 		return &tooFarAhead
 	}
-	if r := c.incoming.check(n, limits); r != nil {
+	if r := c.incoming.check(len(piece), limits); r != nil {
 		return r
 	}
-	if !c.reserveArrival(n) {
+	if !c.reserveArrival(piece) {
 		c.server.admission.evictHolders(c)
 		return &outOfMemory
 	}
 	return nil
 }
 
-// reserveArrival reserves memory for n more bytes of the request that is being received. A piece of a head has one
-// header line at most.
-func (c *serverConn) reserveArrival(n int) bool {
-	memory := int64(n) * arrivalFactor
+// reserveArrival reserves memory for one more piece of the request that is being received. A piece of a head is a line
+// or a part of one.
+func (c *serverConn) reserveArrival(piece []byte) bool {
+	memory := int64(len(piece)) * arrivalFactor
 	if c.incoming.isEmpty() {
 		memory += requestBytes
 	}
-	if c.incoming.part == partHead {
+	if c.incoming.part == partHead && piece[len(piece)-1] == '\n' {
 		memory += headerLineBytes
 	}
 	if !c.reserve(memory) {
