rpc: connections that wait for their peer to close make room

What callers saw: nothing yet; found by reading. A crowd that sends Connection: close and never closes holds each connection for the second in which the server lingers, and these could not be evicted, so ordinary callers got 503. Change: a lingering connection is evicted like one that has had no request. Measured: TestAdmission_evictsLingering gets 503 before, its answer after.

--- a/internal/rpc/admission.go
+++ b/internal/rpc/admission.go
@@ -177,14 +177,20 @@
 	return c.RemoteAddr().String()
 }
 
-// evictable returns the connection as a candidate, and reports whether it can be evicted now.
+// evictable returns the connection as a candidate, and reports whether it can be evicted now. One that only waits for
+// its peer to close counts like one that has had no request.
 func (c *serverConn) evictable() (candidate, bool) {
-	if c.isEnding() {
-		return candidate{}, false
-	}
+	phase := c.phase.Load()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	item := candidate{conn: c, waiting: c.waiting, served: c.served, held: c.held}
+	switch phase {
+	case connLingering:
+		item.served = false
+		return item, c.requests == 0
+	case connFlushing, connTerminated:
+		return item, false
+	}
 	if c.requests > 0 {
 		return item, false
 	}
--- a/internal/rpc/admission_test.go
+++ b/internal/rpc/admission_test.go
@@ -134,3 +134,30 @@
 		So(s.Stop(time.Minute), ShouldBeNil)
 	})
 }
+
+func TestAdmission_evictsLingering(t *testing.T) {
+	Convey("A connection whose last response is sent makes room at once, even if its peer does not close it", t, func() {
+		s, limiter := quotaServer(t, 1)
+		last := s.dialFrom("127.0.0.2", limiter)
+		_, err := io.WriteString(last, "GET /none HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
+		So(err, ShouldBeNil)
+		answer, err := io.ReadAll(last) // until the server has shut down its side
+		So(err, ShouldBeNil)
+		So(string(answer), ShouldStartWith, "HTTP/1.1 404 ")
+		waitUntil(func() bool { return s.activeCount() == 0 })
+		next := s.dialFrom("127.0.0.3", limiter)
+		status, _, _ := get(t, next)
+		So(status, ShouldEqual, http.StatusNotFound)
+		So(s.refusals("evicted"), ShouldEqual, 1)
+		So(last.Close(), ShouldBeNil)
+		So(next.Close(), ShouldBeNil)
+		So(s.Stop(time.Minute), ShouldBeNil)
+	})
+}
+
+// activeCount returns the number of requests that the server is handling.
+func (s *limitedServer) activeCount() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.activeRequests
+}
