--- a/internal/store/downloadsnapshot.go
+++ b/internal/store/downloadsnapshot.go
@@ -81,6 +81,9 @@
 		if d.isComplete() {
 			break
 		}
+		if d.attemptsLeft == 0 && err == nil {
+			return nil, errs.New(errs.Stale, "the snapshot of %s has changed during the last attempt", wanted.From)
+		}
 		if d.attemptsLeft == 0 || err != nil && !s.sleep(ctx, retryInterval) {
 			return nil, errs.Pass(err, "no chunk received after byte %d", len(d.body))
 		}
