State: a plan that lists a task twice in a group is refused, and applied by every node

Cause: the starts of a group are checked together before the first is assigned; the second of the same task then finds it no longer due. Change: a group with a task twice is refused with the reason task.

--- a/internal/state/command/policy_starts.go
+++ b/internal/state/command/policy_starts.go
@@ -38,8 +38,13 @@
 		return RefusedBundle
 	}
 	taken := map[string]needs{} // by worker: needs of the starts of the group so far
+	seen := map[state.TaskRef]bool{}
 	var fees groupFees
 	for _, start := range group {
+		if seen[start.Ref] {
+			return RefusedTask // it would no longer be due at its second start
+		}
+		seen[start.Ref] = true
 		if refusal := startRefusal(s, start); refusal != "" {
 			return refusal
 		}
--- a/internal/state/command/policy_starts_test.go
+++ b/internal/state/command/policy_starts_test.go
@@ -67,3 +67,17 @@
 		So(s.HandlesByType(), ShouldBeEmpty)
 	})
 }
+
+func TestStarts_taskTwice(t *testing.T) {
+	Convey("A group that lists a task twice is refused as a whole, and each node applies the plan", t, func() {
+		s := newTestState()
+		s.submit("j", state.StepSpec{Name: "s", Type: "t", Tasks: 2})
+		first, second := startOn("m1", "j", 0), startOn("m1", "j", 1)
+		first.Group, second.Group = 1, 1
+		planned := s.start(1, first, first)
+		So(planned.RunIDs, ShouldResemble, []uint64{0, 0})
+		So(planned.Refused, ShouldResemble, []state.Refusal{RefusedTask, RefusedTask})
+		So(s.Handles, ShouldBeEmpty)
+		So(s.start(1, first, second).RunIDs, ShouldResemble, []uint64{1, 2})
+	})
+}
