--- a/internal/rpc/admission.go
+++ b/internal/rpc/admission.go
@@ -48,7 +48,7 @@
 	}
 	a.open.Store(c, struct{}{})
 	if isAdmitted {
-		c.quota.Store(int32(quotaHeld))
+		c.quota.Store(int32(quotaAcquired))
 		return
 	}
 	a.quota.countRejected()
@@ -71,7 +71,7 @@
 
 // releaseQuota releases the quota of a connection, if it holds one.
 func (a *admission) releaseQuota(c *serverConn) {
-	if c.quota.CompareAndSwap(int32(quotaHeld), int32(quotaNone)) {
+	if c.quota.CompareAndSwap(int32(quotaAcquired), int32(quotaNone)) {
 		a.quota.release()
 	}
 }
@@ -91,17 +91,17 @@
 
 const (
 	quotaNone quotaState = iota // not, or no longer
-	quotaHeld
+	quotaAcquired
 	quotaRejected // it is beyond the quota
 )
 
 // candidate is a connection that can be evicted.
 type candidate struct {
-	conn    *serverConn
-	waiting waiting
-	served  bool // it has had a request
-	held    int64
-	address string
+	conn     *serverConn
+	waiting  waiting
+	served   bool // it has had a request
+	reserved int64
+	address  string
 }
 
 // candidates returns the connections that can be evicted, and the number of open connections by address.
@@ -110,7 +110,7 @@
 	a.open.Range(func(c *serverConn, _ struct{}) bool {
 		address := c.address()
 		byAddress[address]++
-		if quotaState(c.quota.Load()) != quotaHeld {
+		if quotaState(c.quota.Load()) != quotaAcquired {
 			return true
 		}
 		if item, canEvict := c.evictable(); canEvict {
@@ -140,13 +140,13 @@
 	return count > 0
 }
 
-// evictHolders ends the connections that hold most memory for requests that have not arrived completely.
-func (a *admission) evictHolders(except *serverConn) {
+// evictLargest ends the connections that hold most memory for requests that have not arrived completely.
+func (a *admission) evictLargest(except *serverConn) {
 	found, _ := a.candidates()
 	found = slices.DeleteFunc(found, func(item candidate) bool {
-		return item.conn == except || item.held <= connectionBytes
+		return item.conn == except || item.reserved <= connectionBytes
 	})
-	slices.SortFunc(found, func(x, y candidate) int { return cmp.Compare(y.held, x.held) })
+	slices.SortFunc(found, func(x, y candidate) int { return cmp.Compare(y.reserved, x.reserved) })
 	for _, item := range found[:min(len(found), evictionBatch)] {
 		a.end(item.conn)
 	}
@@ -183,7 +183,7 @@
 	phase := c.phase.Load()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	item := candidate{conn: c, waiting: c.waiting, served: c.served, held: c.held}
+	item := candidate{conn: c, waiting: c.waiting, served: c.served, reserved: c.reserved}
 	switch phase {
 	case connLingering:
 		item.served = false
--- a/internal/rpc/admission_test.go
+++ b/internal/rpc/admission_test.go
@@ -114,7 +114,7 @@
 }
 
 func TestAdmission_keepsBusy(t *testing.T) {
-	Convey("A connection with a request is not evicted; a rejected connection ends by itself", t, func() {
+	Convey("A connection with a request is not evicted; a rejected connection ends after a second", t, func() {
 		s, limiter := quotaServer(t, 1)
 		busy := s.dialFrom("127.0.0.2", limiter)
 		_, err := io.WriteString(busy, "GET /wait HTTP/1.1\r\nHost: h\r\n\r\n")
--- a/internal/rpc/caller.go
+++ b/internal/rpc/caller.go
@@ -84,7 +84,7 @@
 }
 
 // DecodeBody calls parse with the body of the request with the context ctx once AcquireDecoding allows it. parse must
-// copy what it keeps. Failures: those of AcquireDecoding and of parse.
+// copy the values that it keeps. Failures: those of AcquireDecoding and of parse.
 func DecodeBody[T any](ctx context.Context, body []byte, parse func(body []byte) (T, error)) (T, error) {
 	release, err := AcquireDecoding(ctx, body)
 	if err != nil {
--- a/internal/rpc/fuzz_test.go
+++ b/internal/rpc/fuzz_test.go
@@ -7,7 +7,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 )
 
-// FuzzServer sends random bytes in pieces of a random size. The server must then hold nothing for the connection, and
+// FuzzServer sends random bytes in pieces of a random size. The server must then have released all memory, and
 // answer an ordinary request.
 func FuzzServer(f *testing.F) {
 	for _, text := range []string{
--- a/internal/rpc/limits.go
+++ b/internal/rpc/limits.go
@@ -14,8 +14,8 @@
 	IdleTimeout time.Duration
 	// RequestsAhead is the number of requests that wait for the response to an earlier one; default 64.
 	RequestsAhead int
-	// UnsentBytes is what may be held of the responses to earlier requests when a further response is written; default
-	// 256 KiB. A single response may be longer.
+	// UnsentBytes limits the unsent bytes of the responses to earlier requests when a further response is written;
+	// default 256 KiB. A single response may be longer.
 	UnsentBytes int64
 	// SocketReadBytes and SocketWriteBytes are the sizes of the kernel's buffers; default: the kernel's.
 	SocketReadBytes, SocketWriteBytes int
--- a/internal/rpc/memorybudget.go
+++ b/internal/rpc/memorybudget.go
@@ -32,8 +32,8 @@
 	smallDivisor    = 8 // of the budget: for small holdings only
 )
 
-// smallHolding is what an ordinary caller makes a process hold at most, in bytes.
-const smallHolding = 64 << 10
+// smallReservation is what an ordinary caller makes a process hold at most, in bytes.
+const smallReservation = 64 << 10
 
 // NewMemoryBudget returns a budget for a process that may use a number of bytes of memory, or nil, which limits
 // nothing, if that number is 0.
@@ -85,14 +85,14 @@
 	return s.budget
 }
 
-// reserve takes n bytes for a holder that then holds held bytes, and reports whether there was room.
-func (s *MemoryShare) reserve(n, held int64) bool {
+// reserve reserves n bytes for a connection whose reservation then has total bytes, and reports whether they fit.
+func (s *MemoryShare) reserve(n, total int64) bool {
 	if s == nil {
 		return true
 	}
 	s.budget.mu.Lock()
 	defer s.budget.mu.Unlock()
-	if !s.hasRoom(n, held <= smallHolding) {
+	if !s.fits(n, total <= smallReservation) {
 		s.refused++
 		return false
 	}
@@ -100,8 +100,8 @@
 	return true
 }
 
-// hasRoom reports whether the share may grow by n bytes. The caller holds the budget's mutex.
-func (s *MemoryShare) hasRoom(n int64, isSmall bool) bool {
+// fits reports whether the share may grow by n bytes. The caller holds the budget's mutex.
+func (s *MemoryShare) fits(n int64, isSmall bool) bool {
 	own, limit := s.reserved, s.budget.limit
 	if !isSmall {
 		own -= s.reserved / smallDivisor
@@ -160,7 +160,7 @@
 	headerLineBytes = 160     // of a header line, beside its text
 	// arrivalFactor is the memory for each byte of a request: in the parser, in the body and in the handler's copy.
 	arrivalFactor = 4
-	// socketBytes is what may be in a socket, sent but not acknowledged by the peer, without being reserved.
+	// socketBytes is the number of bytes that the peer may not have acknowledged without a reservation.
 	socketBytes = 4 << 10
 	// unsentFactor is the memory for each byte of a response that the socket does not accept.
 	unsentFactor = 2
--- a/internal/rpc/memorybudget_test.go
+++ b/internal/rpc/memorybudget_test.go
@@ -29,9 +29,9 @@
 }
 
 func TestMemoryBudget_shares(t *testing.T) {
-	Convey("A share can use what is not reserved, and never what is reserved for another share", t, func() {
+	Convey("A share can use unreserved bytes, and never those reserved for another share", t, func() {
 		budget, half, quarter := newShares()
-		const small, large = int64(1), int64(smallHolding + 1)
+		const small, large = int64(1), int64(smallReservation + 1)
 		limit := budget.limit
 		smallPart := limit / smallDivisor
 		So(half.reserve(limit-limit/4-smallPart, large), ShouldBeTrue)
@@ -50,8 +50,8 @@
 	Convey("Large holdings leave room for small ones in each share", t, func() {
 		_, half, quarter := newShares()
 		const step = 1 << 10
-		for hasRoom := true; hasRoom; {
-			hasRoom = half.reserve(step, smallHolding+1) || quarter.reserve(step, smallHolding+1)
+		for isReserved := true; isReserved; {
+			isReserved = half.reserve(step, smallReservation+1) || quarter.reserve(step, smallReservation+1)
 		}
 		So(half.reserve(step, step), ShouldBeTrue)
 		So(quarter.reserve(step, step), ShouldBeTrue)
@@ -66,8 +66,8 @@
 	})
 }
 
-// TestMemoryBudget_balance guards against memory that is reserved and not released on some way out, which would in the
-// end refuse all callers.
+// TestMemoryBudget_balance guards against a reservation that is never released: in the end all callers would be
+// refused.
 func TestMemoryBudget_balance(t *testing.T) {
 	Convey("Nothing is reserved once all connections are closed, whatever callers have sent and read", t, func() {
 		budget := NewMemoryBudget(processBytes)
@@ -119,7 +119,7 @@
 	return conns
 }
 
-// TestMemoryBudget_model compares what is reserved for half a request with a model, however it is split.
+// TestMemoryBudget_model compares the reservation for half a request with a model; the request is split at random.
 func TestMemoryBudget_model(t *testing.T) {
 	Convey("Half a request takes the memory of its bytes and lines, and of a request and a connection", t, func() {
 		budget := NewMemoryBudget(processBytes)
@@ -163,7 +163,7 @@
 }
 
 func TestMemoryBudget_refusal(t *testing.T) {
-	Convey("A request for which there is no memory is refused with 503, and served once there is", t, func() {
+	Convey("A request is refused with 503 while memory is short, and served afterwards", t, func() {
 		budget := NewMemoryBudget(processBytes)
 		share, err := budget.NewShare("clients", 2)
 		So(err, ShouldBeNil)
--- a/internal/rpc/receive.go
+++ b/internal/rpc/receive.go
@@ -20,7 +20,7 @@
 func (c *serverConn) receive(data []byte) {
 	limits := c.server.limits()
 	if c.sinceAsked.Load() > socketBytes {
-		_ = c.updateInSocket() // releases what the peer has read meanwhile
+		_ = c.updateInSocket() // releases the memory of bytes that the peer has acknowledged
 	}
 	for len(data) > 0 {
 		if c.isEnding() || c.isIgnoring.Load() {
@@ -49,7 +49,7 @@
 		return r
 	}
 	if !c.reserveArrival(piece) {
-		c.server.admission.evictHolders(c)
+		c.server.admission.evictLargest(c)
 		return &outOfMemory
 	}
 	return nil
--- a/internal/rpc/server.go
+++ b/internal/rpc/server.go
@@ -30,8 +30,8 @@
 	Descriptors int
 	// Loops is the number of event loops. Default: nbio's.
 	Loops int
-	// Quota limits the connections. For a connection beyond it, others that wait without a request are closed; if there
-	// are none, its first request is answered with errs.Unavailable and Retry-After. Default: no limit.
+	// Quota limits the connections. For a connection beyond it, others that wait without a request are closed; if no
+	// connection waits, its first request is answered with errs.Unavailable and Retry-After. Default: no limit.
 	Quota *ConnQuota
 	// Memory limits what callers make the process hold. Default: no limit.
 	Memory *MemoryShare
--- a/internal/rpc/serverconn.go
+++ b/internal/rpc/serverconn.go
@@ -35,7 +35,7 @@
 	incoming *incoming // only the event loop uses it
 	ignored  int       // bytes that arrived after the end of the last request; only the event loop uses it
 
-	arrived int64 // memory held for the request that is being received; only the event loop uses it
+	arrived int64 // memory reserved for the request that is being received; only the event loop uses it
 
 	phase      atomic.Int32 // a connPhase; it only increases
 	quota      atomic.Int32 // a quotaState
@@ -46,9 +46,9 @@
 	mu       sync.Mutex    // guards the fields below
 	requests int           // requests that are not answered yet
 	served   bool          // a request has arrived
-	held     int64         // memory reserved in the server's share
+	reserved int64         // memory reserved in the server's share
 	inSocket int64         // of it, for bytes that the socket has accepted and the peer has not acknowledged
-	isClosed bool          // the descriptor is closed, and held was released
+	isClosed bool          // the descriptor is closed, and the memory released
 	waiting  waiting       // for what the connection waits while it has no requests
 	timer    clock.Stopper // calls checkDeadline
 	timerAt  time.Duration // when it does
@@ -119,10 +119,10 @@
 func (c *serverConn) reserve(n int64) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.isClosed || !c.server.opt.Memory.reserve(n, c.held+n) {
+	if c.isClosed || !c.server.opt.Memory.reserve(n, c.reserved+n) {
 		return false
 	}
-	c.held += n
+	c.reserved += n
 	return true
 }
 
@@ -133,7 +133,7 @@
 	if c.isClosed {
 		return
 	}
-	c.held -= n
+	c.reserved -= n
 	c.server.opt.Memory.release(n)
 }
 
@@ -178,7 +178,7 @@
 	if len(rest) == 0 {
 		return len(b), nil
 	}
-	if r := c.hold(int64(len(rest))); r != nil {
+	if r := c.buffer(int64(len(rest))); r != nil {
 		return 0, errs.Pass(c.endUnread(r), "response")
 	}
 	if _, err := c.Conn.Write(rest); err != nil {
@@ -187,16 +187,16 @@
 	return len(b), nil
 }
 
-// endUnread ends the connection because its responses cannot be held, and returns the error of the write.
+// endUnread ends the connection because its responses cannot be buffered, and returns the error of the write.
 func (c *serverConn) endUnread(r *refusal) error {
 	c.countRefusal(r)
 	c.terminate()
 	return errs.New(errs.Unavailable, "%s: the peer does not read", r.cause)
 }
 
-// hold counts bytes of a response that the socket did not accept. It returns the reason why they cannot be held, or
-// nil.
-func (c *serverConn) hold(n int64) *refusal {
+// buffer counts bytes of a response that the socket did not accept. It returns the reason why they cannot be buffered,
+// or nil.
+func (c *serverConn) buffer(n int64) *refusal {
 	if before := c.unsent.Load(); before > 0 && before+n > c.server.limits().UnsentBytes {
 		return &answersUnread
 	}
@@ -226,7 +226,7 @@
 	return sent, errs.Wrap(err, errs.Unavailable, "write to the connection")
 }
 
-// onWritten records that the socket has accepted n bytes that nbio held. nbio calls it with the connection's lock.
+// onWritten records that the socket has accepted n bytes that nbio buffered. nbio calls it with the connection's lock.
 func (c *serverConn) onWritten(n int) {
 	c.release(int64(n) * unsentFactor)
 	if c.unsent.Add(-int64(n)) == 0 && c.phase.CompareAndSwap(connFlushing, connLingering) {
@@ -256,13 +256,13 @@
 }
 
 // shutDown shuts down one or both sides of the connection, unless its descriptor is closed.
-func (c *serverConn) shutDown(how int) {
-	withDescriptor(c.Conn, func(fd int) { _ = unix.Shutdown(fd, how) }) // fails if the peer has closed
+func (c *serverConn) shutDown(side int) {
+	withDescriptor(c.Conn, func(fd int) { _ = unix.Shutdown(fd, side) }) // fails if the peer has closed
 }
 
 // shutDownLocked is shutDown for a caller that holds the connection's lock.
-func (c *serverConn) shutDownLocked(how int) {
-	useDescriptor(c.Conn, func(fd int) { _ = unix.Shutdown(fd, how) }) // fails if the peer has closed
+func (c *serverConn) shutDownLocked(side int) {
+	useDescriptor(c.Conn, func(fd int) { _ = unix.Shutdown(fd, side) }) // fails if the peer has closed
 }
 
 // onClosed releases what the connection holds. The descriptor is closed, and all requests have ended.
@@ -271,15 +271,15 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.isClosed = true
-	c.server.opt.Memory.release(c.held)
-	c.held = 0
+	c.server.opt.Memory.release(c.reserved)
+	c.reserved = 0
 	if c.timer != nil {
 		c.timer.Stop()
 	}
 }
 
-// SetReadDeadline does nothing: nbio would close the descriptor in the goroutine of a timer.
+// SetReadDeadline has no effect: nbio would close the descriptor in the goroutine of a timer.
 func (*serverConn) SetReadDeadline(time.Time) error { return nil }
 
-// SetWriteDeadline does nothing, for the same reason.
+// SetWriteDeadline has no effect, for the same reason.
 func (*serverConn) SetWriteDeadline(time.Time) error { return nil }
--- a/internal/rpc/socket.go
+++ b/internal/rpc/socket.go
@@ -3,8 +3,8 @@
 import "golang.org/x/sys/unix"
 
 // countSent counts bytes that the socket has accepted, and reserves memory for those that the peer has not
-// acknowledged. The kernel is asked only once they may be more than socketBytes. It returns the reason why they cannot
-// be held, or nil.
+// acknowledged. The kernel is queried only once they may be more than socketBytes. It returns the reason why they
+// cannot be buffered, or nil.
 func (c *serverConn) countSent(n int) *refusal {
 	if c.sinceAsked.Add(int64(n)) <= socketBytes {
 		return nil
@@ -13,7 +13,7 @@
 }
 
 // updateInSocket sets the reservation for the bytes in the socket to what the kernel reports. It returns the reason why
-// they cannot be held, or nil.
+// they cannot be buffered, or nil.
 func (c *serverConn) updateInSocket() *refusal {
 	unacknowledged := int64(0)
 	withDescriptor(c.Conn, func(fd int) {
@@ -39,12 +39,12 @@
 	switch {
 	case c.isClosed:
 		return false
-	case change > 0 && !c.server.opt.Memory.reserve(change, c.held+change):
+	case change > 0 && !c.server.opt.Memory.reserve(change, c.reserved+change):
 		return false
 	case change < 0:
 		c.server.opt.Memory.release(-change)
 	}
-	c.held += change
+	c.reserved += change
 	c.inSocket = n
 	return true
 }
--- a/internal/testbed/hostile/crowd.go
+++ b/internal/testbed/hostile/clients.go
@@ -10,7 +10,7 @@
 	"crosstide/internal/routine"
 )
 
-// Size bounds what a crowd sends.
+// Size bounds what a group of clients sends.
 type Size struct {
 	Clients    int // that press at the same time
 	Bytes      int // that a client sends on one connection at most
@@ -24,8 +24,8 @@
 	readBuffer = 4 << 10
 )
 
-// Crowd is a number of clients that press on one port. Its connections stay open until Close.
-type Crowd struct {
+// Clients is a number of clients that press on one port. Its connections stay open until Close.
+type Clients struct {
 	kind    Kind
 	target  Target
 	size    Size
@@ -37,9 +37,9 @@
 	ended bool // Close was called
 }
 
-// Start starts a crowd.
-func Start(target Target, kind Kind, size Size) *Crowd {
-	c := &Crowd{kind: kind, target: target, size: size, group: routine.New(context.Background())}
+// Start starts a group of clients.
+func Start(target Target, kind Kind, size Size) *Clients {
+	c := &Clients{kind: kind, target: target, size: size, group: routine.New(context.Background())}
 	for range size.Clients {
 		c.pressed.Add(1)
 		c.group.Go(func(ctx context.Context) {
@@ -50,11 +50,11 @@
 	return c
 }
 
-// Wait waits until every client has sent all that it may send, or can send no more.
-func (c *Crowd) Wait() { c.pressed.Wait() }
+// Wait waits until every client has sent its bytes or can send no more.
+func (c *Clients) Wait() { c.pressed.Wait() }
 
 // Close ends all clients and closes their connections. It may be called again.
-func (c *Crowd) Close() {
+func (c *Clients) Close() {
 	c.group.Cancel()
 	c.mu.Lock()
 	c.ended = true
@@ -68,7 +68,7 @@
 
 // press is one client: it presses on its connections, one after the other, and opens new ones for those that the server
 // has closed.
-func (c *Crowd) press(ctx context.Context) {
+func (c *Clients) press(ctx context.Context) {
 	held := max(c.kind.Connections, 1)
 	for range held + c.size.Reconnects {
 		if ctx.Err() != nil {
@@ -81,7 +81,7 @@
 }
 
 // pressOnce opens a connection and sends what the kind sends. It reports whether the connection is still open then.
-func (c *Crowd) pressOnce(ctx context.Context) (isOpen bool) {
+func (c *Clients) pressOnce(ctx context.Context) (isOpen bool) {
 	conn, err := net.DialTimeout("tcp", c.target.Addr, dialTimeout)
 	if err != nil {
 		return false
@@ -111,7 +111,7 @@
 }
 
 // piece returns the start for -1, and the piece with number i otherwise.
-func (c *Crowd) piece(i int) string {
+func (c *Clients) piece(i int) string {
 	switch {
 	case i < 0:
 		return c.kind.Start(c.target)
@@ -122,7 +122,7 @@
 }
 
 // keep keeps a connection open until Close. It reports false, and closes it, if Close was called.
-func (c *Crowd) keep(conn net.Conn) bool {
+func (c *Clients) keep(conn net.Conn) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.ended {
--- a/internal/testbed/hostile/kinds.go
+++ b/internal/testbed/hostile/kinds.go
@@ -6,7 +6,7 @@
 	"strings"
 )
 
-// Target is a port on which a crowd presses.
+// Target is a port on which a group of clients presses.
 type Target struct {
 	Addr string // host:port
 	Host string // value of the header Host
@@ -73,7 +73,7 @@
 	return slices.Concat(headKinds(), bodyKinds(), aheadKinds(), connectionKinds(), itemKinds())
 }
 
-// ByName returns the kind with a name. It panics if there is none.
+// ByName returns the kind with a name. It panics if the name is unknown.
 func ByName(name string) Kind {
 	for _, kind := range Kinds() {
 		if kind.Name == name {
--- a/internal/testbed/processes/settings.go
+++ b/internal/testbed/processes/settings.go
@@ -29,7 +29,7 @@
 	Bootstrap                                   bool
 }
 
-// maxSeeds is the number of control planes that the settings name as seeds, if there are that many.
+// maxSeeds is the maximum number of control planes that the settings name as seeds.
 const maxSeeds = 3
 
 // settingsOf returns the settings of a node for its next start.
