--- a/review/rig2/hung.go
+++ b/review/rig2/hung.go
@@ -20,7 +20,7 @@
 	minionsOfZone = 12
 	flapPause     = 200 * time.Millisecond
 	flapsOfRound  = 20
-	trafficEnd    = 95 * time.Second
+	trafficEnd    = 85 * time.Second
 
 	// hangLimit is how long a process may leave a call without any answer, in a calm time. The operator waits 1 s.
 	hangLimit = 10 * time.Second
