Jobs: a job belongs to the route that serves its location, or served it last

Cause: a job kept the name of the route that accepted it, and each reader looked the name up in the configuration of the moment, with an answer of its own if it was missing: no units, starts rejected, attempts not checked, runs with the highest priority, jobs missing from counts.

Change: jobs.Table.QueueOf is the one answer. A job keeps the location to which it was submitted; if no route serves it any longer, it keeps the route that served it last and is completed there, as LOST demands and ROUTE allows. Scheduler, starts, ends, moves, payments, counts and lists call it. The fields are replicated, so the table has a schema: the new rules hold from the entry `job-schema` on, which the leader proposes once every member has announced in its calls that it supports them.

Tests: TestQueueOf and others; the simulator and the soak rename, remove, exchange and overlap routes with jobs.

Two tests held the old behaviour and were written from the code: TestJobsWaitForRemovedQueue now holds only for entries before schemas, and jobs of a removed route must start under the new one; a case of progress_end_test likewise. In TestStarts_races the removal of a queue, which no longer prevents a start, became its move to another service; TestStarts_removedQueue checks the removal under both schemas.

--- a/internal/controller/commands.go
+++ b/internal/controller/commands.go
@@ -12,8 +12,8 @@
 	"crosstide/internal/state/command"
 )
 
-// Submit accepts a job. The location is ignored if the spec names its queue. Submit is idempotent: if a job with the
-// same ID and digest exists, its state is returned.
+// Submit accepts a job. The location is ignored if the spec names its queue; otherwise the job keeps it, if the schema
+// of the table allows. Submit is idempotent: if a job with the same ID and digest exists, its state is returned.
 func (l *Leader) Submit(ctx context.Context, call SubmitCall) (SubmitAnswer, error) {
 	release := func() {}
 	term, err := l.readTable(func(table *jobs.Table) (err error) {
@@ -24,6 +24,9 @@
 				return errs.Pass(err, "submit")
 			}
 			call.Spec.Queue = queue.Name
+			if table.Schema >= jobs.SchemaLocations {
+				call.Spec.Location = &jobs.Location{Host: call.Location.Host, Path: call.Location.Path}
+			}
 		}
 		release, err = l.jobMemory.reserve(table, &call.Spec)
 		return errs.Pass(err, "submit")
--- a/internal/controller/fakes_test.go
+++ b/internal/controller/fakes_test.go
@@ -25,6 +25,7 @@
 	proposeErr      errs.Kind // kind of the error of every proposal; "": proposals succeed
 	commitsAnyway   bool      // a proposal that returns an error is committed nevertheless
 	reachableVoters []string
+	schema          jobs.Schema // the newest that all members support
 }
 
 func newFakeStore() *fakeStore { return &fakeStore{state: state.New(), term: 3} }
@@ -33,6 +34,7 @@
 func (f *fakeStore) LeaderTerm(time.Duration) (uint64, bool) { return f.term, f.term != 0 }
 func (*fakeStore) Changed() <-chan struct{}                  { return nil }
 func (f *fakeStore) ReachableVoters() []string               { return f.reachableVoters }
+func (f *fakeStore) MembersSupport(schema jobs.Schema) bool  { return schema <= f.schema }
 
 func (*fakeStore) Members() (leader string, addresses []string) {
 	return "lead:1", []string{"lead:1"}
--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -39,6 +39,8 @@
 	Changed() <-chan struct{}
 	// Members returns the leader's address, or "" if unknown, and the addresses of all members.
 	Members() (leader string, addresses []string)
+	// MembersSupport reports whether all members are known to support a schema of the job table.
+	MembersSupport(schema jobs.Schema) bool
 	// ReachableVoters returns the addresses of the voters that this leader recently heard from, including its own.
 	ReachableVoters() []string
 }
@@ -78,9 +80,10 @@
 	latestHealth atomic.Pointer[scheduler.Health] // as of the latest report; nil before the first one
 
 	// Owned by the loop.
-	core        *scheduler.Core
-	health      healthLog
-	nextPurgeAt time.Duration
+	core          *scheduler.Core
+	health        healthLog
+	nextPurgeAt   time.Duration
+	nextUpgradeAt time.Duration // of the schema
 }
 
 // NewLeader returns a Leader that does not schedule before Start is called.
@@ -159,7 +162,9 @@
 		return now + leasePollInterval
 	}
 	var actions scheduler.Actions
+	var schema jobs.Schema
 	l.opt.Store.View(func(s *state.State) {
+		schema = s.JobTable.Schema
 		if l.core.Term() == 0 {
 			l.becomeLeader(now, term, s.JobTable)
 		}
@@ -169,6 +174,7 @@
 	})
 	l.dispatch(term, actions)
 	l.purgeEndedJobs(now, term)
+	l.upgradeSchema(now, term, schema)
 	return actions.Next
 }
 
@@ -204,7 +210,7 @@
 	l.dropForgottenWorkers(table.Workers)
 	table.OnEvent = l.inbox.onTableChange
 	l.core.BecomeLeader(now, term, table)
-	l.nextPurgeAt = now + purgeInterval
+	l.nextPurgeAt, l.nextUpgradeAt = now+purgeInterval, now
 	_ = level.Info(l.log).Log("msg", "scheduling started", "term", term,
 		"jobs", len(table.Jobs), "workers", len(table.Workers))
 }
--- a/internal/controller/queries.go
+++ b/internal/controller/queries.go
@@ -76,16 +76,16 @@
 	_, err = l.readTable(func(table *jobs.Table) error {
 		job, err := jobByID(table, call.ID)
 		if err == nil {
-			view = viewOf(job)
+			view = viewOf(table, job)
 		}
 		return errs.Pass(err, "show")
 	})
 	return view, errs.Pass(err, "show")
 }
 
-func viewOf(job *jobs.Job) JobView {
+func viewOf(table *jobs.Table, job *jobs.Job) JobView {
 	view := JobView{
-		ID: job.Spec.ID, Queue: job.Spec.Queue, State: job.State, Accepted: job.AcceptedAt, Ended: job.EndedAt,
+		ID: job.Spec.ID, Queue: table.QueueName(job), State: job.State, Accepted: job.AcceptedAt, Ended: job.EndedAt,
 		Steps: make([]StepView, len(job.Spec.Steps)),
 	}
 	for _, round := range job.Rounds {
@@ -114,9 +114,10 @@
 	answer := ListAnswer{Jobs: []JobSummary{}}
 	_, err := l.readTable(func(table *jobs.Table) error {
 		for id, job := range table.Jobs {
-			if call.matches(job) {
+			queue := table.QueueName(job)
+			if call.matches(job, queue) {
 				answer.Jobs = append(answer.Jobs, JobSummary{
-					ID: id, Queue: job.Spec.Queue, State: job.State, Accepted: job.AcceptedAt, Ended: job.EndedAt,
+					ID: id, Queue: queue, State: job.State, Accepted: job.AcceptedAt, Ended: job.EndedAt,
 				})
 			}
 		}
@@ -129,8 +130,8 @@
 	return answer, errs.Pass(err, "list")
 }
 
-func (c ListCall) matches(job *jobs.Job) bool {
-	return job.Spec.ID > c.After && (c.Queue == "" || c.Queue == job.Spec.Queue) &&
+func (c ListCall) matches(job *jobs.Job, queue string) bool {
+	return job.Spec.ID > c.After && (c.Queue == "" || c.Queue == queue) &&
 		(c.State == "" || c.State == job.State)
 }
 
--- a/internal/controller/scheduler/cluster_test.go
+++ b/internal/controller/scheduler/cluster_test.go
@@ -26,6 +26,7 @@
 // newCluster returns a cluster with workers that have not answered yet. attempts is the limit of queue q.
 func newCluster(attempts int, workers ...string) *cluster {
 	c := &cluster{core: New(Defaults()), table: jobs.NewTable(), now: time.Minute}
+	must(c.table.UpgradeSchema(jobs.UpgradeSchema{Schema: jobs.NewestSchema}))
 	must(c.table.Configure(testConfig(1, attempts)))
 	for _, id := range workers {
 		c.table.Register(jobs.Register{Workers: []jobs.Worker{testWorker(id)}})
--- a/internal/controller/scheduler/core.go
+++ b/internal/controller/scheduler/core.go
@@ -124,7 +124,7 @@
 		c.dirtyJobs[change.Name] = true
 	case jobs.WorkerChanged:
 		c.trackWorker(change.Name)
-	case jobs.ConfigChanged: // a queue may have been removed, added again or assigned to another service
+	case jobs.ConfigChanged: // any job may belong to another queue, and any queue to another service
 		for id := range c.activeJobs {
 			c.dirtyJobs[id] = true
 		}
--- a/internal/controller/scheduler/job.go
+++ b/internal/controller/scheduler/job.go
@@ -53,9 +53,9 @@
 		}
 		return
 	}
-	queue := c.table.Config.Queue(j.Spec.Queue)
+	queue := c.table.QueueOf(j)
 	if queue == nil {
-		return // its queue was removed: the job waits until a configuration adds the queue again
+		return // it lost its queue under an earlier schema: it waits until a configuration adds the queue again
 	}
 	for round := range j.Rounds {
 		c.addDueUnits(rec, j, queue, round, wall)
--- a/internal/controller/scheduler/move.go
+++ b/internal/controller/scheduler/move.go
@@ -127,7 +127,7 @@
 	if j == nil || j.State.IsTerminal() || task.Step >= len(j.Spec.Steps) {
 		return false
 	}
-	queue := p.core.table.Config.Queue(j.Spec.Queue)
+	queue := p.core.table.QueueOf(j)
 	if queue == nil {
 		return false
 	}
--- a/internal/controller/scheduler/run.go
+++ b/internal/controller/scheduler/run.go
@@ -51,7 +51,7 @@
 		step := &j.Spec.Steps[key.Task.Step]
 		r.gang, r.longRunning, r.estimate, r.needs = step.Gang, step.LongRunning, step.Estimate, step.Needs
 	}
-	if queue := c.table.Config.Queue(j.Spec.Queue); queue != nil {
+	if queue := c.table.QueueOf(j); queue != nil {
 		r.priority = queue.Priority
 	}
 	c.runs[key] = r
--- a/internal/internalapi/controlplane.go
+++ b/internal/internalapi/controlplane.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"time"
 
+	"crosstide/internal/jobs"
 	"crosstide/internal/raft"
 	"crosstide/internal/rpc"
 )
@@ -15,6 +16,7 @@
 type RaftCall struct {
 	From     string         `json:"from"`
 	Messages []raft.Message `json:"m"`
+	Schema   jobs.Schema    `json:"schema,omitempty"` // the newest that the sender supports
 }
 
 // RaftAnswer is empty.
--- a/internal/internalapi/join.go
+++ b/internal/internalapi/join.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"crosstide/internal/jobs"
 	"crosstide/internal/raft"
 	"crosstide/internal/rpc"
 )
@@ -50,6 +51,8 @@
 	Zone string `json:"zone"`
 	// Since is the lowest index at which the folder has the node in the member set; 0 for an empty folder.
 	Since uint64 `json:"since,omitempty"`
+	// Schema is the newest schema that the node supports. A node that doesn't support the one in force can't join.
+	Schema jobs.Schema `json:"schema,omitempty"`
 }
 
 // JoinAnswer reports the progress of the join.
--- a/internal/jobs/changes.go
+++ b/internal/jobs/changes.go
@@ -37,6 +37,11 @@
 	RemoveServices []string        `json:"rs,omitempty"`
 }
 
+// UpgradeSchema puts a newer schema in force. The leader proposes it once all members of the store support the schema.
+type UpgradeSchema struct {
+	Schema Schema `json:"schema"`
+}
+
 // Evacuate starts or ends the evacuation of a zone. No task starts in an evacuated zone.
 type Evacuate struct {
 	Zone  string  `json:"zone"`
--- a/internal/jobs/configure.go
+++ b/internal/jobs/configure.go
@@ -28,6 +28,7 @@
 		return errs.Pass(err, "configuration %d", c.Version)
 	}
 	t.Config = next
+	t.reassignQueues()
 	t.rememberOrder(c.Digest)
 	t.notify(ConfigChanged, "")
 	return nil
--- a/internal/jobs/footprint.go
+++ b/internal/jobs/footprint.go
@@ -12,6 +12,9 @@
 // specification can name very many tasks.
 func (s *Spec) Footprint() int64 {
 	bytes, tasks := int64(jobFootprint+len(s.Payload)), int64(0)
+	if s.Location != nil {
+		bytes += int64(len(s.Location.Host) + len(s.Location.Path))
+	}
 	for _, step := range s.Steps {
 		bytes += int64(stepFootprint + wordFootprint*len(step.After) + len(step.Label) + len(step.PreferredRack))
 		tasks += int64(max(step.Count, 0))
--- a/internal/jobs/helpers_test.go
+++ b/internal/jobs/helpers_test.go
@@ -45,8 +45,16 @@
 	}
 }
 
-// testTable returns a table with testConfig, workers w1 and w2 for queue plain, and worker g1 for queue guarded.
+// testTable returns a table under the newest schema with testConfig, workers w1 and w2 for queue plain, and worker g1 for
+// queue guarded.
 func testTable() *Table {
+	t := testTableBeforeSchemas()
+	must(t.UpgradeSchema(UpgradeSchema{Schema: NewestSchema}))
+	return t
+}
+
+// testTableBeforeSchemas returns testTable as a release without schemas would have it.
+func testTableBeforeSchemas() *Table {
 	t := NewTable()
 	must(t.Configure(testConfig()))
 	t.Register(Register{Workers: []Worker{
--- a/internal/jobs/indexes.go
+++ b/internal/jobs/indexes.go
@@ -8,7 +8,7 @@
 	partyByQueue map[string]*Party     // into Table.Parties
 	orders       map[string]struct{}   // Table.Orders as a set
 	earlyCancels map[string]struct{}   // the IDs of Table.EarlyCancels
-	queued       map[string]int        // number of Queued jobs by queue; no zeros
+	queued       map[string]int        // number of Queued jobs by the queue that serves them; no zeros
 	occupancy    map[string]*occupancy // by worker ID; only workers with handles
 	retired      retiredJobs           // terminal jobs without handles
 	footprint    int64                 // sum of those of all jobs
@@ -36,6 +36,7 @@
 	undone    int     // the sum of remaining
 	handles   int     // number of handles of all tasks
 	footprint int64   // estimate of the job's memory, in bytes
+	serving   *Queue  // the queue of the configuration that serves the job; nil: none
 }
 
 // Rebuild derives the indexes from the exported fields, and initializes nil maps. UnmarshalJSON calls it.
@@ -90,9 +91,8 @@
 		}
 	}
 	t.setFootprint(job, footprintOf(job))
-	if job.State == Queued {
-		t.indexes.countQueued(job.Spec.Queue, 1)
-	}
+	job.index.serving = t.servingQueue(&job.Spec)
+	t.countQueued(job, 1)
 	if job.State.IsTerminal() && job.index.handles == 0 {
 		heap.Push(&t.indexes.retired, job)
 	}
@@ -109,10 +109,15 @@
 	}
 }
 
-// countQueued adds delta, 1 or -1, to the number of queued jobs of a queue.
-func (x *indexes) countQueued(queue string, delta int) {
-	if x.queued[queue] += delta; x.queued[queue] == 0 {
-		delete(x.queued, queue)
+// countQueued adds delta, 1 or -1, to the number of queued jobs of the queue that serves a job. It does nothing unless
+// the job is queued.
+func (t *Table) countQueued(job *Job, delta int) {
+	if job.State != Queued || job.index.serving == nil {
+		return
+	}
+	queued, name := t.indexes.queued, job.index.serving.Name
+	if queued[name] += delta; queued[name] == 0 {
+		delete(queued, name)
 	}
 }
 
--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -15,10 +15,19 @@
 	GPUs     int `json:"g,omitempty"`
 }
 
+// Location is the host and path to which a client submitted a job. It has the host in lower case and without a port.
+type Location struct {
+	Host string `json:"h"`
+	Path string `json:"p"`
+}
+
 // Spec is a job as its client submitted it.
 type Spec struct {
-	ID       string        `json:"id"`
-	Queue    string        `json:"q"`
+	ID    string `json:"id"`
+	Queue string `json:"q"` // the name of the queue that accepted the job; Table.QueueOf returns its present queue
+	// Location is set if the client addressed the queue by host and path instead of by name. Only commands proposed
+	// under SchemaLocations or later have it.
+	Location *Location     `json:"at,omitempty"`
 	Payload  string        `json:"p,omitempty"` // sent to the worker with each start
 	Steps    []Step        `json:"s"`
 	Rounds   int           `json:"k,omitempty"` // how often the steps are run; 0: once, immediately
@@ -91,7 +100,7 @@
 
 // Job is the record of a job.
 type Job struct {
-	Spec       Spec      `json:"spec"`   // without Payload and Steps once Rounds is nil
+	Spec       Spec      `json:"spec"`   // without Payload, Steps and Location once Rounds is nil
 	Digest     string    `json:"digest"` // of the submission; distinguishes a repetition from another job with this ID
 	State      JobState  `json:"state"`
 	Sequence   uint64    `json:"seq"` // position in the order of acceptance, from 1 on
@@ -101,6 +110,10 @@
 	// Rounds holds the tasks by round, step and index. It is nil once the job is retired: terminal and without handles.
 	Rounds [][][]Task `json:"rounds,omitempty"`
 
+	// LastQueue is the queue that served the job last, without its Document. It is nil while a queue of the
+	// configuration serves the job, and once Rounds is nil.
+	LastQueue *Queue `json:"last,omitempty"`
+
 	index jobIndex
 }
 
--- a/internal/jobs/lifecycle.go
+++ b/internal/jobs/lifecycle.go
@@ -53,14 +53,15 @@
 	t.retire(job)
 }
 
-// retire drops the tasks, payload and steps of a job if it is terminal and has no handles. The rest of the record stays
-// until Purge, to answer repeated submissions.
+// retire drops the tasks, payload, steps, location and last queue of a job if it is terminal and has no handles. The
+// rest of the record stays until Purge, to answer repeated submissions.
 func (t *Table) retire(job *Job) {
 	if !job.State.IsTerminal() || job.index.handles > 0 {
 		return
 	}
 	job.Rounds = nil
-	job.Spec.Payload, job.Spec.Steps = "", nil
+	job.Spec.Payload, job.Spec.Steps, job.Spec.Location = "", nil, nil
+	job.LastQueue = nil
 	job.index = jobIndex{footprint: job.index.footprint}
 	t.setFootprint(job, footprintOf(job))
 	heap.Push(&t.indexes.retired, job)
@@ -68,8 +69,6 @@
 
 // setState changes a job's state. All changes must go through it, so that the count of queued jobs stays correct.
 func (t *Table) setState(job *Job, to JobState) {
-	if job.State == Queued {
-		t.indexes.countQueued(job.Spec.Queue, -1)
-	}
+	t.countQueued(job, -1)
 	job.State = to
 }
--- a/internal/jobs/payment.go
+++ b/internal/jobs/payment.go
@@ -79,7 +79,7 @@
 	if len(t.Parties) == 0 {
 		return nil
 	}
-	return t.indexes.partyByQueue[job.Spec.Queue]
+	return t.indexes.partyByQueue[t.QueueName(job)]
 }
 
 // Fee returns the amount that the balance of a job's party must cover for a task to start: the price of a window. It is
--- a/internal/jobs/progress_end.go
+++ b/internal/jobs/progress_end.go
@@ -76,7 +76,7 @@
 		counter.FailedRun = key.Number
 	}
 	counter.Failures++
-	if queue := t.Config.Queue(job.Spec.Queue); queue != nil && counter.Failures >= queue.MaxAttempts {
+	if queue := t.QueueOf(job); queue != nil && counter.Failures >= queue.MaxAttempts {
 		t.finish(job, Failed, at)
 	}
 }
--- a/internal/jobs/progress_start.go
+++ b/internal/jobs/progress_start.go
@@ -39,10 +39,10 @@
 }
 
 // failIfOutOfAttempts fails a job if a task or gang has failed as often as its queue allows, and reports whether it did
-// so. recordEnd normally does this, but it cannot if the configuration lacks the queue when the run ends, or if a later
+// so. recordEnd normally does this, but it cannot if the job has no queue when the run ends, or if a later
 // configuration allows fewer attempts.
 func (t *Table) failIfOutOfAttempts(job *Job, ref TaskRef, at time.Time) bool {
-	queue := t.Config.Queue(job.Spec.Queue)
+	queue := t.QueueOf(job)
 	failures := job.members(ref)[0].Failures
 	if queue == nil || failures == 0 || failures < queue.MaxAttempts || job.State.IsTerminal() {
 		return false
@@ -97,7 +97,7 @@
 // canAccept reports whether a worker can accept a number of additional runs of a step.
 func (t *Table) canAccept(id string, job *Job, ref stepRef, runs int) bool {
 	worker := t.Workers[id]
-	queue := t.Config.Queue(job.Spec.Queue)
+	queue := t.QueueOf(job)
 	if worker == nil || worker.Draining || worker.Left || t.Evacuated[worker.Zone] {
 		return false
 	}
--- a/internal/jobs/query.go
+++ b/internal/jobs/query.go
@@ -40,7 +40,7 @@
 	return longest
 }
 
-// QueuedCount returns the number of Queued jobs of a queue.
+// QueuedCount returns the number of Queued jobs that a queue of the configuration serves.
 func (t *Table) QueuedCount(queue string) int { return t.indexes.queued[queue] }
 
 // Used returns the sum of the needs of the runs with a handle on a worker.
--- a/internal/jobs/submit.go
+++ b/internal/jobs/submit.go
@@ -7,8 +7,8 @@
 )
 
 // Submit accepts a job. For a repetition of an accepted job it returns the job's current state. A job whose ID was
-// cancelled early is accepted as a cancelled job. Failures: Conflict (the ID belongs to another job), Unknown (no such
-// queue), Invalid (invalid steps).
+// cancelled early is accepted as a cancelled job. If the spec has a Location, its Queue is set to the queue that serves
+// it. Failures: Conflict (the ID belongs to another job), Unknown (no such queue), Invalid (invalid steps).
 func (t *Table) Submit(c Submit) (JobState, error) {
 	if job := t.Jobs[c.Spec.ID]; job != nil {
 		if job.Digest != c.Digest {
@@ -16,9 +16,14 @@
 		}
 		return job.State, nil
 	}
-	if t.Config.Queue(c.Spec.Queue) == nil {
+	if t.Schema < SchemaLocations {
+		c.Spec.Location = nil
+	}
+	queue := t.servingQueue(&c.Spec)
+	if queue == nil {
 		return "", errs.Field(errs.Unknown, "queue", "no queue %q", c.Spec.Queue)
 	}
+	c.Spec.Queue = queue.Name
 	if err := validateSteps(c.Spec.Steps); err != nil {
 		return "", errs.Pass(err, "job %q", c.Spec.ID)
 	}
--- a/internal/jobs/table.go
+++ b/internal/jobs/table.go
@@ -22,6 +22,7 @@
 	Term         uint64        `json:"term"`              // of the newest Progress; never decreases
 	Orders       []string      `json:"orders,omitempty"`  // digests of accepted Configure orders, oldest first
 	Parties      []Party       `json:"parties,omitempty"` // if empty, all runs are free
+	Schema       Schema        `json:"schema,omitempty"`  // in force; changed by UpgradeSchema, never decreases
 
 	// OnEvent is called after each change, on the goroutine that applies the entry. It must not change the table. If it
 	// is nil, events are dropped.
--- a/internal/state/command/entry.go
+++ b/internal/state/command/entry.go
@@ -52,6 +52,7 @@
 	"job-submit":    func() Command { return &JobSubmit{} },
 	"job-cancel":    func() Command { return &JobCancel{} },
 	"job-configure": func() Command { return &JobConfigure{} },
+	"job-schema":    func() Command { return &JobUpgradeSchema{} },
 	"job-evacuate":  func() Command { return &JobEvacuate{} },
 	"job-register":  func() Command { return &JobRegister{} },
 	"job-progress":  func() Command { return &JobProgress{} },
--- a/internal/state/command/jobs_table.go
+++ b/internal/state/command/jobs_table.go
@@ -46,6 +46,17 @@
 	return nil, errs.Pass(s.JobTable.Configure(c.Configure), "configure")
 }
 
+// JobUpgradeSchema puts a newer schema of the job table in force. It must be proposed only once all members support the
+// schema: a node of an earlier release ignores the command.
+type JobUpgradeSchema struct{ jobs.UpgradeSchema }
+
+// Op returns "job-schema".
+func (*JobUpgradeSchema) Op() string { return "job-schema" }
+
+func (c *JobUpgradeSchema) apply(s *state.State, _ uint64) (any, error) {
+	return nil, errs.Pass(s.JobTable.UpgradeSchema(c.UpgradeSchema), "upgrade the schema")
+}
+
 // JobEvacuate starts or ends the evacuation of a zone.
 type JobEvacuate struct{ jobs.Evacuate }
 
--- a/internal/store/join.go
+++ b/internal/store/join.go
@@ -11,6 +11,7 @@
 	"crosstide/internal/config"
 	"crosstide/internal/errs"
 	"crosstide/internal/internalapi"
+	"crosstide/internal/jobs"
 	"crosstide/internal/raft"
 )
 
@@ -21,7 +22,9 @@
 
 // joinCall returns this node's request to join the fleet.
 func (s *Store) joinCall() internalapi.JoinCall {
-	return internalapi.JoinCall{ID: s.id, Name: s.settings.Name, Addr: s.settings.Addr, Zone: s.settings.Zone}
+	return internalapi.JoinCall{
+		ID: s.id, Name: s.settings.Name, Addr: s.settings.Addr, Zone: s.settings.Zone, Schema: jobs.NewestSchema,
+	}
 }
 
 // joinFleet is the goroutine that asks the leader of a fixed fleet to add this node, until it is a voter. Any member's
@@ -129,6 +132,9 @@
 	}
 	s.mu.Lock()
 	err := s.checkLeader()
+	if err == nil {
+		err = s.checkJoinSchema(call)
+	}
 	status := s.status
 	predecessor, isSuccessor := s.live.Successors[name]
 	s.mu.Unlock()
--- a/internal/store/loop.go
+++ b/internal/store/loop.go
@@ -95,6 +95,7 @@
 	now := s.clock.Now()
 	for _, m := range call.Messages {
 		s.peers.learn(m.From, call.From)
+		s.peers.setSchema(m.From, call.Schema)
 		s.core.Step(now, m)
 		if m.Kind == raft.Append && m.To == s.id && m.Term >= s.status.Term {
 			s.followerProgress.onAppend(m.Commit, now)
--- a/internal/store/manual.go
+++ b/internal/store/manual.go
@@ -94,7 +94,7 @@
 	for _, id := range slices.Sorted(maps.Keys(d.store.peers.byID)) {
 		peer := d.store.peers.byID[id]
 		for len(peer.queue) > 0 {
-			call := internalapi.RaftCall{From: d.store.settings.Addr, Messages: peer.takeBatch()}
+			call := d.store.raftCall(peer.takeBatch())
 			calls = append(calls, OutboundCall{peer.addr, call})
 		}
 	}
--- a/internal/store/peer.go
+++ b/internal/store/peer.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"crosstide/internal/internalapi"
+	"crosstide/internal/jobs"
 	"crosstide/internal/raft"
 )
 
@@ -35,11 +36,12 @@
 // peer is the queue of messages to one member. Its goroutine runSender sends them, many in one call. Guarded by
 // Store.mu; addr, wake and stop do not change.
 type peer struct {
-	addr  string
-	queue []raft.Message
-	bytes int           // approximate size of queue
-	wake  chan struct{} // capacity 1; a signal asks runSender to empty the queue
-	stop  context.CancelFunc
+	addr   string
+	schema jobs.Schema // the newest that the member supports, according to its newest call
+	queue  []raft.Message
+	bytes  int           // approximate size of queue
+	wake   chan struct{} // capacity 1; a signal asks runSender to empty the queue
+	stop   context.CancelFunc
 }
 
 // enqueue appends a message and drops the oldest beyond the bounds, which raft tolerates. It returns how many were
@@ -68,6 +70,11 @@
 	return batch
 }
 
+// raftCall returns the call that carries messages to a peer.
+func (s *Store) raftCall(messages []raft.Message) internalapi.RaftCall {
+	return internalapi.RaftCall{From: s.settings.Addr, Messages: messages, Schema: jobs.NewestSchema}
+}
+
 // messageSize returns the approximate size of a message in a call, in bytes.
 func messageSize(m raft.Message) int {
 	n := 256
@@ -173,7 +180,7 @@
 	s.group.Go(func(context.Context) {
 		defer func() { <-inFlight; close(done) }()
 		// Only these messages are lost by a failure; the core resends them if they are still needed.
-		call := internalapi.RaftCall{From: s.settings.Addr, Messages: batch}
+		call := s.raftCall(batch)
 		if err := s.opt.Net.SendMessages(ctx, p.addr, call); err != nil {
 			s.metrics.dropped.Add(float64(len(batch)))
 		}
--- a/internal/testbed/jobssim/invariants_jobs.go
+++ b/internal/testbed/jobssim/invariants_jobs.go
@@ -112,7 +112,7 @@
 		}
 		if ic.sim.now-j.idleSince > maxIdle {
 			ic.violate(LostInvariant, "job %s has been idle since %s: %s", c.spec.ID, j.idleSince,
-				ic.describeWorkers(queueOf(c.prefix)))
+				ic.describeWorkers(c.path()))
 			j.idleSince = ic.sim.now
 		}
 		ic.countCase(LostInvariant)
@@ -132,10 +132,10 @@
 	ic.sim.report.LongestIdle = max(ic.sim.report.LongestIdle, period)
 }
 
-// describeWorkers returns the running workers of the service to which a queue is directed.
-func (ic *invariantChecker) describeWorkers(queue string) string {
+// describeWorkers returns the running workers of the service to which the accepted jobs of a path are directed.
+func (ic *invariantChecker) describeWorkers(path string) string {
 	configs := ic.sim.operator.configs
-	service := configs[len(configs)-1].services[queue]
+	service := ic.sim.operator.lastServiceAt(configs[len(configs)-1], path)
 	text := service
 	for _, host := range ic.sim.hosts {
 		if host.service == service && host.current != nil {
@@ -169,15 +169,15 @@
 	return false
 }
 
-// serviceOf returns the service to which the newest configuration directs a job. It is empty if there is none, or if
-// that configuration may not be in force yet.
+// serviceOf returns the service to which the newest configuration directs an accepted job, or the service that served
+// the job last if no queue of that configuration does. It is empty if that configuration may not be in force yet.
 func (ic *invariantChecker) serviceOf(j *jobHistory) string {
 	configs := ic.sim.operator.configs
 	newest := configs[len(configs)-1]
 	if !newest.isAcknowledged || ic.sim.now < newest.acknowledgedAt+configTime {
 		return ""
 	}
-	return newest.services[queueOf(j.job.prefix)]
+	return ic.sim.operator.lastServiceAt(newest, j.job.path())
 }
 
 // isStepReady reports whether a step of a round is not done, but all steps on which it depends are.
--- a/internal/testbed/jobssim/log.go
+++ b/internal/testbed/jobssim/log.go
@@ -155,6 +155,8 @@
 		answer, err = t.Cancel(c)
 	case jobs.Configure:
 		err = t.Configure(c)
+	case jobs.UpgradeSchema:
+		err = t.UpgradeSchema(c)
 	case jobs.Evacuate:
 		err = t.Evacuate(c)
 	case jobs.Register:
--- a/internal/testbed/jobssim/node.go
+++ b/internal/testbed/jobssim/node.go
@@ -245,6 +245,19 @@
 	}
 	n.table.OnEvent = n.onTableChange
 	n.core.BecomeLeader(n.sim.now, term, n.table)
+	n.upgradeSchema(term)
+}
+
+// upgradeSchema proposes the newest schema until it is in force, as controller.Leader does once all members support it.
+func (n *node) upgradeSchema(term uint64) {
+	if n.table.Schema >= jobs.NewestSchema || n.core.Term() != term {
+		return
+	}
+	n.sim.log.propose(n, term, jobs.UpgradeSchema{Schema: jobs.NewestSchema}, func(_ any, err error) {
+		if err != nil {
+			n.after(retryBackoff, func() { n.upgradeSchema(term) })
+		}
+	})
 }
 
 // stepDownScheduler stops scheduling if it is active.
--- a/internal/testbed/jobssim/operator.go
+++ b/internal/testbed/jobssim/operator.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"time"
 
 	"crosstide/internal/errs"
@@ -18,9 +19,15 @@
 // configVariant holds the differences between the configurations of a run.
 type configVariant struct {
 	isQueueMoved     bool // the queue "moving" is directed to serviceOpen, not to serviceGuards
-	withoutSideQueue bool // the queue "side" does not exist
+	withoutSideQueue bool // no queue has the prefix "/side/"
+	sideRenames      int  // how often the queue with the prefix "/side/" was renamed
+	areExchanged     bool // the queues with the prefixes "/bulk/" and "/side/" have exchanged their names
+	isTakenOver      bool // a queue of serviceGuards with a longer prefix serves a part of the jobs of "/side/"
 }
 
+// takeoverPrefix is the prefix of the queue that takes over the jobs of "/side/" whose ID begins with 8.
+const takeoverPrefix = "/side/8"
+
 // sentConfig is a configuration that the operator sent.
 type sentConfig struct {
 	change         jobs.Configure
@@ -28,9 +35,38 @@
 	isAcknowledged bool
 	acknowledgedAt time.Duration
 	variant        configVariant
-	rival          *sentConfig       // the competing change in a race; nil: none
-	hasLostRace    bool              // it was refused because the competing change was accepted
-	services       map[string]string // service by queue
+	rival          *sentConfig // the competing change in a race; nil: none
+	hasLostRace    bool        // it was refused because the competing change was accepted
+}
+
+// serviceAt returns the service to which the configuration directs jobs submitted to a path, or "" if no queue serves
+// it.
+func (c *sentConfig) serviceAt(path string) string {
+	service, longest := "", -1
+	for _, queue := range c.change.Queues {
+		if strings.HasPrefix(path, queue.Prefix) && len(queue.Prefix) > longest {
+			service, longest = queue.Service, len(queue.Prefix)
+		}
+	}
+	return service
+}
+
+// lastServiceAt returns the service to which a configuration or, if no queue of it serves the path, the newest one
+// before it that does so directs the accepted jobs of a path.
+func (o *operator) lastServiceAt(c *sentConfig, path string) string {
+	for c != nil {
+		if service := c.serviceAt(path); service != "" {
+			return service
+		}
+		base := c.change.Base
+		c = nil
+		for _, other := range o.configs {
+			if other.change.Version == base && !other.hasLostRace {
+				c = other
+			}
+		}
+	}
+	return ""
 }
 
 // evacuation is one evacuation of a zone.
@@ -79,26 +115,34 @@
 // build returns a configuration based on a version.
 func (o *operator) build(base uint64, variant configVariant) *sentConfig {
 	version := base + 1 + uint64(o.sim.rng.IntN(3))
-	c := &sentConfig{sentAt: o.sim.now, variant: variant, services: map[string]string{}}
+	c := &sentConfig{sentAt: o.sim.now, variant: variant}
 	c.change = jobs.Configure{Base: base, Version: version, Replace: true,
-		Digest: fmt.Sprintf("config %d on %d moved %v without %v", version, base, variant.isQueueMoved,
-			variant.withoutSideQueue),
+		Digest:   fmt.Sprintf("config %d on %d %+v", version, base, variant),
 		Services: []jobs.Service{{Name: serviceGuards, ChecksCapacity: true}, {Name: serviceOpen}}}
-	queue := func(name, service string, priority int) {
-		c.services[name] = service
-		c.change.Queues = append(c.change.Queues, jobs.Queue{Name: name, Host: queueHost, Prefix: "/" + name + "/",
+	queue := func(name, prefix, service string, priority int) {
+		c.change.Queues = append(c.change.Queues, jobs.Queue{Name: name, Host: queueHost, Prefix: prefix,
 			Service: service, Priority: priority, MaxAttempts: maxAttempts, LatencyFactor: 2,
 			LatencyTarget: time.Second, Timeout: time.Second})
 	}
-	queue("urgent", serviceGuards, 0)
-	queue("bulk", serviceOpen, 2)
+	bulk, side := "bulk", "side"
+	if variant.sideRenames > 0 {
+		side = fmt.Sprintf("side-%d", variant.sideRenames)
+	}
+	if variant.areExchanged {
+		bulk, side = side, bulk
+	}
+	queue("urgent", "/urgent/", serviceGuards, 0)
+	queue(bulk, "/bulk/", serviceOpen, 2)
 	service := serviceGuards
 	if variant.isQueueMoved {
 		service = serviceOpen
 	}
-	queue("moving", service, 1)
+	queue("moving", "/moving/", service, 1)
 	if !variant.withoutSideQueue {
-		queue("side", serviceOpen, 1)
+		queue(side, "/side/", serviceOpen, 1)
+	}
+	if variant.isTakenOver {
+		queue("longer", takeoverPrefix, serviceGuards, 1)
 	}
 	return c
 }
@@ -247,21 +291,30 @@
 	})
 }
 
-// reconfigure either moves the queue "moving" to the other service or removes the queue "side" for a while.
+// reconfigure moves the queue "moving" to the other service, removes the queue of "/side/" for a while, renames it,
+// exchanges its name with another queue's, or lets a queue with a longer prefix take over or return a part of its jobs.
 func (o *operator) reconfigure() {
 	if o.isBusy {
 		return
 	}
-	if o.sim.chance(0.5) {
+	switch o.sim.rng.IntN(8) {
+	case 0, 1, 2:
 		o.variant.isQueueMoved = !o.variant.isQueueMoved
-	} else {
+	case 3, 4:
 		o.variant.withoutSideQueue = true
+		o.variant.sideRenames += o.sim.rng.IntN(2)
 		o.sim.after(o.sim.between(2*time.Second, 6*time.Second), o.restoreQueue)
+	case 5:
+		o.variant.sideRenames++
+	case 6:
+		o.variant.areExchanged = !o.variant.areExchanged
+	default:
+		o.variant.isTakenOver = !o.variant.isTakenOver
 	}
 	o.configure()
 }
 
-// restoreQueue adds the queue "side" again, as soon as no other change is pending.
+// restoreQueue adds the queue of "/side/" again, as soon as no other change is pending.
 func (o *operator) restoreQueue() {
 	if o.isBusy {
 		o.sim.after(200*time.Millisecond, o.restoreQueue)
