Controller: a job is read and cancelled by its ID, whether or not a route serves it

Cause: Leader.Job looked for the queue of the call's host and path before it looked for the job, and failed without one. The answer's text shows it; nothing was committed.

Change: Leader.Job asks only whether there is a configuration (503 otherwise) and finds the job by its ID. New jobs and counts on a removed route stay 404.

--- a/internal/controller/commands.go
+++ b/internal/controller/commands.go
@@ -41,14 +41,14 @@
 	return SubmitAnswer{State: state}, errs.Pass(err, "submit")
 }
 
-// Job reads or cancels a job. The job's ID is the last segment of the location's path. The cancellation of a job that
-// does not exist is committed too, before it is answered with NotFound: a submission that was sent earlier may still
-// arrive.
+// Job reads or cancels a job. The job's ID is the last segment of the location's path. An accepted job is found whether
+// or not a queue serves the location: its queue may have been removed since. The cancellation of a job that does not
+// exist is committed too, before it is answered with NotFound: a submission that was sent earlier may still arrive.
 func (l *Leader) Job(ctx context.Context, call JobCall) (JobAnswer, error) {
 	var answer JobAnswer
 	id := call.Location.Path[strings.LastIndexByte(call.Location.Path, '/')+1:]
 	term, err := l.readTable(func(table *jobs.Table) error {
-		if _, err := queueAt(table, call.Location); err != nil {
+		if err := requireConfig(table); err != nil {
 			return errs.Pass(err, "job")
 		}
 		if job := table.Jobs[id]; job != nil {
--- a/internal/controller/queries.go
+++ b/internal/controller/queries.go
@@ -29,10 +29,18 @@
 	return term, errs.Pass(err, "read the job table")
 }
 
+// requireConfig fails with Unavailable before the first configuration.
+func requireConfig(table *jobs.Table) error {
+	if table.Config.Version == 0 {
+		return errs.New(errs.Unavailable, "no configuration has been set")
+	}
+	return nil
+}
+
 // queueAt returns the queue that serves a location.
 func queueAt(table *jobs.Table, at Location) (*jobs.Queue, error) {
-	if table.Config.Version == 0 {
-		return nil, errs.New(errs.Unavailable, "no configuration has been set")
+	if err := requireConfig(table); err != nil {
+		return nil, errs.Pass(err, "queue")
 	}
 	queue := table.QueueFor(at.Host, at.Path)
 	if queue == nil {
--- a/internal/testbed/jobssim/clients.go
+++ b/internal/testbed/jobssim/clients.go
@@ -219,6 +219,7 @@
 func (c *clients) poll(j *clientJob) {
 	c.call(func(n *node, done func(any, error)) { n.queryJob(j, false, done) }, func(answer any, err error) {
 		if err != nil {
+			c.sim.checker.checkAnswered(j, "poll", err)
 			return
 		}
 		reported := answer.(jobAnswer)
@@ -240,9 +241,7 @@
 	}
 	c.call(func(n *node, done func(any, error)) { n.queryJob(j, true, done) }, func(answer any, err error) {
 		if err != nil {
-			if errs.KindOf(err) == errs.Unknown {
-				j.cancelSentAt = c.sim.now // its queue does not exist at present, which is a valid answer
-			}
+			c.sim.checker.checkAnswered(j, "cancel", err)
 			c.sim.after(c.sim.between(retryBackoff/2, retryBackoff), func() { c.cancel(j) })
 			return
 		}
@@ -262,8 +261,8 @@
 		done(nil, err)
 		return
 	}
-	if table.QueueFor(queueHost, j.path()) == nil {
-		done(nil, errs.New(errs.Unknown, "no queue"))
+	if table.Config.Version == 0 {
+		done(nil, errs.New(errs.Unavailable, "no configuration has been set"))
 		return
 	}
 	known := table.Jobs[j.spec.ID]
--- a/internal/testbed/jobssim/invariants_jobs.go
+++ b/internal/testbed/jobssim/invariants_jobs.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"crosstide/internal/errs"
 	"crosstide/internal/jobs"
 )
 
@@ -46,6 +47,12 @@
 	}
 }
 
+// checkAnswered requires that a poll or a cancel of an accepted job isn't refused because no queue serves its path.
+func (ic *invariantChecker) checkAnswered(c *clientJob, call string, err error) {
+	ic.require(LostInvariant, !errs.Is(err, errs.Unknown), "a %s of accepted job %s is refused: %v", call, c.spec.ID,
+		err)
+}
+
 // cancelled records that the cancel of a job was acknowledged, and verifies later that no run of it remains.
 func (ic *invariantChecker) cancelled(c *clientJob) {
 	since := ic.sim.now
