Scheduler: jobs that are blocked by set-aside capacity are backfilled, and reclaimed for it

Cause: a unit without a node reserves whole nodes until it is placed or has waited three objectives, and nothing else starts there.

Change: a unit whose job has nothing running, while its service is mostly idle and has capacity for it twice, may use capacity that is set aside by whatever mechanism after 1.8 s (Config.MaxBlocked), with all such units of its service; for a task of a long-running step the load doesn't matter. Its run is stopped as soon as the unit for which the capacity was set aside could start without it, so a large gang doesn't starve beside small jobs. Moves no longer mark nodes as reserved.

The simulator's idle time now ends with each run that begins: a trace showed runs of under 0.1 s between two of its checks.

--- a/internal/controller/scheduler/commit.go
+++ b/internal/controller/scheduler/commit.go
@@ -9,8 +9,9 @@
 // proposal is a Progress whose commit is in flight. Owned by propose and Committed.
 type proposal struct {
 	progress   *jobs.Progress
-	highestEnd map[string]uint64    // by worker: after the commit, ends up to this number may be acknowledged
-	starts     map[jobs.RunKey]bool // runs whose handles it records
+	highestEnd map[string]uint64         // by worker: after the commit, ends up to this number may be acknowledged
+	starts     map[jobs.RunKey]bool      // runs whose handles it records
+	backfilled map[jobs.RunKey]time.Time // runs of these that are backfilled, with the latest start of their units
 }
 
 // propose returns the next Progress to commit, or nil if there is nothing to commit or a proposal is in flight.
@@ -19,9 +20,12 @@
 		return nil
 	}
 	var starts []jobs.Start
+	var backfilled map[jobs.RunKey]time.Time
 	if c.placementDue {
 		c.placementDue = false
-		starts = c.place(now, wall)
+		if p := c.place(now, wall); p != nil {
+			starts, backfilled = p.starts, p.backfill.starts
+		}
 	}
 	var forget []string
 	if now >= c.nextForget {
@@ -37,7 +41,8 @@
 		return nil
 	}
 	progress := &jobs.Progress{Term: c.term, At: wall, Ends: ends, Starts: starts, RemoveWorkers: forget}
-	c.inFlight = &proposal{progress: progress, highestEnd: highestEnd, starts: map[jobs.RunKey]bool{}}
+	c.inFlight = &proposal{progress: progress, highestEnd: highestEnd, starts: map[jobs.RunKey]bool{},
+		backfilled: backfilled}
 	for _, s := range starts {
 		c.inFlight.starts[jobs.RunKey{Task: s.Task, Number: s.Number}] = true
 	}
@@ -61,7 +66,7 @@
 	for i, s := range progress.Starts {
 		c.dirtyJobs[s.Task.Job] = true
 		if i < len(started.Recorded) && started.Recorded[i] {
-			c.recordStart(s)
+			c.recordStart(s, finished.backfilled)
 		}
 	}
 }
@@ -83,9 +88,10 @@
 }
 
 // recordStart tracks a run whose handle was committed. The next pass sends its start order.
-func (c *Core) recordStart(s jobs.Start) {
+func (c *Core) recordStart(s jobs.Start, backfilled map[jobs.RunKey]time.Time) {
 	key := jobs.RunKey{Task: s.Task, Number: s.Number}
 	if r := c.trackRun(key, s.Worker, true); r != nil {
+		r.latestStart, r.backfilled = backfilled[key]
 		c.unsentStarts = append(c.unsentStarts, key)
 	}
 }
--- a/internal/controller/scheduler/config.go
+++ b/internal/controller/scheduler/config.go
@@ -28,6 +28,9 @@
 	RemoteDataFactor float64
 	// ReserveAfter is how long a unit waits before free capacity is reserved for it.
 	ReserveAfter time.Duration
+	// MaxBlocked is how long a job may have nothing running only because capacity is set aside for other units. The
+	// users' limit is 3 s until a task runs, with a commit that may have to be repeated.
+	MaxBlocked time.Duration
 	// ForgetAfter is how long a worker without runs may be silent before it is deleted from the table.
 	ForgetAfter time.Duration
 
@@ -60,6 +63,7 @@
 		EarlyStart:         0,
 		RemoteDataFactor:   1.5,
 		ReserveAfter:       500 * time.Millisecond,
+		MaxBlocked:         1800 * time.Millisecond,
 		ForgetAfter:        15 * time.Second,
 		MaxStarts:          512,
 		MaxOrdersPerWorker: 4,
--- a/internal/controller/scheduler/core.go
+++ b/internal/controller/scheduler/core.go
@@ -65,6 +65,9 @@
 	nextSweep    time.Duration
 	nextForget   time.Duration // earliest time of the next call of workersToForget
 
+	blocked    map[jobs.TaskRef]blockedUnit // by unit key; owned by backfill.go
+	backfillAt time.Duration                // when the next blocked unit may be backfilled; 0: none is blocked
+
 	ordersInFlight int // start and stop orders to all workers: the sum of worker.ordersInFlight
 	connBackoff    connBackoff
 	history        taskHistory
@@ -143,6 +146,7 @@
 		return Actions{Next: now + time.Hour}
 	}
 	c.refreshDirtyJobs(wall)
+	c.placementDue = c.placementDue || c.backfillAt > 0 && now >= c.backfillAt
 	if now >= c.nextSweep {
 		c.sweep(now)
 	}
@@ -196,6 +200,9 @@
 	if len(c.runs) > 0 || len(c.activeJobs) > 0 {
 		next = max(now+time.Millisecond, c.nextSweep)
 	}
+	if c.backfillAt > now {
+		next = min(next, c.backfillAt)
+	}
 	if !c.nextDue.IsZero() {
 		next = min(next, now+max(time.Millisecond, c.nextDue.Sub(wall)))
 	}
--- a/internal/controller/scheduler/feasible.go
+++ b/internal/controller/scheduler/feasible.go
@@ -9,12 +9,15 @@
 
 // node is a worker that may take starts in this pass. It belongs to one placement.
 type node struct {
-	worker   *worker
-	record   *jobs.Worker
-	free     jobs.Resources // after the starts planned so far
-	freeing  jobs.Resources // held by runs that are being stopped, or whose ends are not committed yet
-	reserved bool           // for a more urgent unit: the node gets no more starts in this pass
-	slowdown float64        // task duration on this worker relative to the average worker
+	worker     *worker
+	record     *jobs.Worker
+	free       jobs.Resources // after the starts planned and the capacity claimed so far
+	used       jobs.Resources // by the runs with a handle
+	planned    jobs.Resources // needs of the starts planned so far
+	freeing    jobs.Resources // held by runs that are being stopped, or whose ends are not committed yet
+	reserved   bool           // for a more urgent unit: the node gets no more starts in this pass
+	slowdown   float64        // task duration on this worker relative to the average worker
+	backfilled []*run         // runs that may be reclaimed, see backfill.go
 	// longRunning are the runs on the worker that end only if their job is cancelled or they are preempted.
 	longRunning []*run
 	// lowestPriority is the priority of the least urgent preemptible run on the worker, which is the highest number;
@@ -49,10 +52,12 @@
 
 // newNode returns the node of a worker. Its free capacity excludes what the worker's runs use.
 func (p *placement) newNode(w *worker, rec *jobs.Worker) *node {
+	used := p.core.table.Used(w.id)
 	n := &node{
 		worker:         w,
 		record:         rec,
-		free:           minus(rec.Capacity, p.core.table.Used(w.id)),
+		used:           used,
+		free:           minus(rec.Capacity, used),
 		slowdown:       p.core.speeds.slowdown(w.id),
 		lowestPriority: -1,
 	}
@@ -62,6 +67,9 @@
 		} else if r.longRunning {
 			n.longRunning = append(n.longRunning, r)
 		}
+		if r.backfilled {
+			n.backfilled = append(n.backfilled, r)
+		}
 		if r.isPreemptible() {
 			n.lowestPriority = max(n.lowestPriority, r.priority)
 		}
@@ -69,6 +77,19 @@
 	return n
 }
 
+// available returns the capacity that is free and not set aside.
+func (n *node) available() jobs.Resources {
+	if n.reserved {
+		return jobs.Resources{MilliCPU: -1, MemoryMB: -1, GPUs: -1}
+	}
+	return n.free
+}
+
+// unused returns the capacity that no run uses and no start planned so far takes, whether or not it is set aside.
+func (n *node) unused() jobs.Resources {
+	return minus(minus(n.record.Capacity, n.used), n.planned)
+}
+
 // cooldown holds when a worker last refused a start or stalled a run. Times are readings of the leader's clock;
 // 0: never.
 type cooldown struct {
@@ -148,12 +169,21 @@
 	if !p.isFeasible(u, n) {
 		return 0
 	}
-	needs, capacity := u.step.Needs, n.record.Capacity
+	capacity := n.record.Capacity
 	for _, r := range n.longRunning {
-		if !u.mayPreempt(r) {
+		if !u.mayPreempt(r) && !u.mayReclaim(r) {
 			capacity = minus(capacity, r.needs)
 		}
 	}
+	count := tasksWithin(u.step.Needs, capacity)
+	if u.step.MaxPerWorker > 0 {
+		count = min(count, u.step.MaxPerWorker)
+	}
+	return count
+}
+
+// tasksWithin returns how many tasks with the given needs fit into a capacity, at most maxTasksPerNode.
+func tasksWithin(needs, capacity jobs.Resources) int {
 	count := maxTasksPerNode
 	if needs.MilliCPU > 0 {
 		count = min(count, capacity.MilliCPU/needs.MilliCPU)
@@ -164,8 +194,5 @@
 	if needs.GPUs > 0 {
 		count = min(count, capacity.GPUs/needs.GPUs)
 	}
-	if u.step.MaxPerWorker > 0 {
-		count = min(count, u.step.MaxPerWorker)
-	}
 	return max(count, 0)
 }
--- a/internal/controller/scheduler/move.go
+++ b/internal/controller/scheduler/move.go
@@ -151,8 +151,5 @@
 	if index < 0 {
 		return p.selectNode(u, nodes, "")
 	}
-	excluded := nodes[index]
-	defer func(reserved bool) { excluded.reserved = reserved }(excluded.reserved)
-	excluded.reserved = true // selectNode skips reserved nodes
-	return p.selectNode(u, nodes, "")
+	return p.selectNode(u, slices.Delete(slices.Clone(nodes), index, index+1), "")
 }
--- a/internal/controller/scheduler/place.go
+++ b/internal/controller/scheduler/place.go
@@ -18,13 +18,15 @@
 	assigned  map[jobs.TaskRef]map[string]int // by unit key and worker, see tasksOn
 	preempted int                             // runs stopped so far for more urgent work
 
+	backfill backfill
+
 	feasible map[string][]*node // by service, see feasibleNodes
 	byFree   map[string][]*node // by service, see nodesByFree; cleared by each planned or undone start
 }
 
 // place selects workers for the due tasks, most urgent first, and moves runs away from slow workers. It returns the
-// starts to commit; stops are requested at once.
-func (c *Core) place(now time.Duration, wall time.Time) []jobs.Start {
+// placement with the starts to commit, or nil if it can't plan any; stops are requested at once.
+func (c *Core) place(now time.Duration, wall time.Time) *placement {
 	budget := min(c.cfg.MaxStarts, c.orderBudget())
 	if now < c.connBackoff.until || budget <= 0 {
 		c.placementDue = true
@@ -38,11 +40,12 @@
 		assigned: map[jobs.TaskRef]map[string]int{},
 		feasible: map[string][]*node{},
 		byFree:   map[string][]*node{},
+		backfill: newBackfill(c, now),
 	}
-	balances := newBalanceCheck(c.table)
+	balances, isComplete := newBalanceCheck(c.table), true
 	for _, u := range units {
 		if len(p.starts) >= budget {
-			c.placementDue = true
+			c.placementDue, isComplete = true, false
 			break
 		}
 		if u = balances.affordable(u); u == nil {
@@ -62,8 +65,9 @@
 		}
 		balances.reserve(u, p.starts[planned:])
 	}
+	p.finishBackfill(isComplete)
 	p.moveSlowRuns()
-	return p.starts
+	return p
 }
 
 // placeTasks places the tasks of a unit one by one.
@@ -72,11 +76,18 @@
 	tasks := u.tasks()
 	for position, index := range u.taskIndexes {
 		n := p.selectNode(u, nodes, p.core.history.avoid[u.task(index)])
+		isBackfilled := n == nil && p.mayBackfill(u)
+		if isBackfilled {
+			n = p.selectBackfillNode(u, nodes, "")
+		}
 		if n == nil {
 			p.freeCapacity(u, nodes, len(u.taskIndexes)-position)
 			return
 		}
 		p.assign(u, n, index, tasks[index].LastRun+1)
+		if isBackfilled {
+			p.markBackfilled(u, p.starts[len(p.starts)-1:])
+		}
 	}
 }
 
@@ -94,10 +105,15 @@
 		}
 	}
 	for _, group := range groups {
-		if p.tryGang(u, group) {
+		if p.tryGang(u, group, p.selectNode) {
 			return
 		}
 	}
+	planned := len(p.starts)
+	if p.mayBackfill(u) && p.tryGang(u, nodes, p.selectBackfillNode) {
+		p.markBackfilled(u, p.starts[planned:])
+		return
+	}
 	p.freeCapacity(u, nodes, len(u.taskIndexes))
 }
 
@@ -106,16 +122,19 @@
 	return slices.ContainsFunc(racks, func(rack []*node) bool { return p.totalCapacity(u, rack) >= len(u.taskIndexes) })
 }
 
-// tryGang assigns all members of a gang to the nodes under one run number, or none if one of them doesn't fit. It
-// reports whether it assigned them.
-func (p *placement) tryGang(u *unit, nodes []*node) bool {
+// nodeSelector returns a node for the next task of a unit, or nil. avoid is the ID of a worker to avoid, or empty.
+type nodeSelector func(u *unit, nodes []*node, avoid string) *node
+
+// tryGang assigns all members of a gang to nodes that selectNode returns, under one run number, or none if one of them
+// doesn't fit. It reports whether it assigned them.
+func (p *placement) tryGang(u *unit, nodes []*node, selectNode nodeSelector) bool {
 	number := 0
 	for _, task := range u.tasks() {
 		number = max(number, task.LastRun+1)
 	}
 	planned := len(p.starts)
 	for _, index := range u.taskIndexes {
-		n := p.selectNode(u, nodes, "")
+		n := selectNode(u, nodes, "")
 		if n == nil {
 			p.rollback(u, nodes, planned)
 			return false
@@ -127,19 +146,26 @@
 
 // assign plans the start of a task on a node.
 func (p *placement) assign(u *unit, n *node, index, number int) {
-	n.free = minus(n.free, u.step.Needs)
-	clear(p.byFree)
+	p.plan(n, u.step.Needs)
 	p.tasksOn(u)[n.record.ID]++
 	p.starts = append(p.starts, jobs.Start{Task: u.task(index), Number: number, Worker: n.record.ID})
 }
 
+// plan takes the needs of a planned start from a node.
+func (p *placement) plan(n *node, needs jobs.Resources) {
+	n.free, n.planned = minus(n.free, needs), plus(n.planned, needs)
+	clear(p.byFree)
+	if load := p.backfill.loads[n.record.Service]; load != nil {
+		load.used = plus(load.used, needs)
+	}
+}
+
 // rollback undoes the starts of a unit, which are those after the first planned ones.
 func (p *placement) rollback(u *unit, nodes []*node, planned int) {
-	clear(p.byFree)
 	for _, s := range p.starts[planned:] {
 		for _, n := range nodes {
 			if n.record.ID == s.Worker {
-				n.free = plus(n.free, u.step.Needs)
+				p.plan(n, minus(jobs.Resources{}, u.step.Needs))
 			}
 		}
 		p.tasksOn(u)[s.Worker]--
@@ -162,9 +188,9 @@
 	return counts
 }
 
-// freeCapacity handles a unit of which count tasks found no node. It preempts less urgent runs, or reserves nodes once
-// the unit has waited for Config.ReserveAfter. Expired units get neither. Small tasks get no reservation, as capacity
-// for them becomes free soon anyway.
+// freeCapacity handles a unit of which count tasks found no node. It preempts less urgent runs, or reclaims backfilled
+// capacity and reserves nodes once the unit has waited for Config.ReserveAfter. Expired units get neither. Small tasks
+// get no reservation, as capacity for them becomes free soon anyway.
 func (p *placement) freeCapacity(u *unit, nodes []*node, count int) {
 	if u.tier(p.wall) == expiredTier {
 		return
@@ -175,5 +201,6 @@
 	if p.now-u.waitingSince < p.core.cfg.ReserveAfter || !u.step.Gang && u.step.Needs.MilliCPU <= smallTaskMilliCPU {
 		return
 	}
+	p.reclaim(u, nodes, count)
 	p.reserve(u, nodes, count)
 }
--- a/internal/controller/scheduler/preempt.go
+++ b/internal/controller/scheduler/preempt.go
@@ -32,7 +32,7 @@
 			continue
 		}
 		if fits(plus(n.free, n.freeing), u.step.Needs) { // enough capacity is already becoming free here
-			n.claim(u.step.Needs)
+			p.claim(n, u.step.Needs)
 			return true
 		}
 		if n.lowestPriority <= u.queue.Priority || p.preempted >= p.core.cfg.MaxPreemptions {
@@ -53,13 +53,14 @@
 	}
 	p.preempted += len(victims)
 	p.core.placementDue = true
-	chosen.claim(u.step.Needs)
+	p.claim(chosen, u.step.Needs)
 	return true
 }
 
 // claim sets capacity aside for a task that waits until runs on the node have stopped. Without the claim, less urgent
 // units of this pass would take the part of that capacity that is already free, and each pass would stop more runs.
-func (n *node) claim(needs jobs.Resources) {
+func (p *placement) claim(n *node, needs jobs.Resources) {
+	p.backfill.aside[n.record.Service] = true
 	remaining := minus(plus(n.free, n.freeing), needs)
 	free := jobs.Resources{
 		MilliCPU: min(n.free.MilliCPU, remaining.MilliCPU),
--- a/internal/controller/scheduler/rank.go
+++ b/internal/controller/scheduler/rank.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"math"
 	"slices"
+
+	"crosstide/internal/jobs"
 )
 
 // Weights of a worker's speed.
@@ -20,10 +22,20 @@
 // capacity. Among nodes of equal cost prefersNode decides, then their order. avoid is the ID of a worker whose cost is
 // multiplied by avoidedCost, or empty.
 func (p *placement) selectNode(u *unit, nodes []*node, avoid string) *node {
+	return p.selectNodeWith(u, nodes, avoid, (*node).available)
+}
+
+// selectBackfillNode is selectNode for a unit that may use capacity that is set aside.
+func (p *placement) selectBackfillNode(u *unit, nodes []*node, avoid string) *node {
+	return p.selectNodeWith(u, nodes, avoid, (*node).unused)
+}
+
+// selectNodeWith is selectNode, with the capacity of each node that the unit may use.
+func (p *placement) selectNodeWith(u *unit, nodes []*node, avoid string, capacity func(*node) jobs.Resources) *node {
 	var best *node
 	var lowestCost float64
 	for _, n := range nodes {
-		if n.reserved || !fits(n.free, u.step.Needs) || !p.isFeasible(u, n) {
+		if !fits(capacity(n), u.step.Needs) || !p.isFeasible(u, n) {
 			continue
 		}
 		cost := p.cost(u, n)
--- a/internal/controller/scheduler/reserve.go
+++ b/internal/controller/scheduler/reserve.go
@@ -21,6 +21,7 @@
 		}
 		if capacity := p.capacityFor(u, n); capacity > 0 && !n.reserved {
 			n.reserved = true
+			p.backfill.aside[u.queue.Service] = true
 			count -= capacity
 		}
 	}
--- a/internal/controller/scheduler/run.go
+++ b/internal/controller/scheduler/run.go
@@ -20,6 +20,9 @@
 	needs       jobs.Resources
 	priority    int // priority of its queue; lower is more urgent
 
+	backfilled  bool      // it uses capacity that was set aside, see backfill.go
+	latestStart time.Time // of a backfilled run: that of its unit
+
 	start    startState
 	progress runProgress
 	stop     stopState
--- a/internal/testbed/jobssim/clients.go
+++ b/internal/testbed/jobssim/clients.go
@@ -39,10 +39,11 @@
 
 // clients submits jobs, polls their states and cancels some of them.
 type clients struct {
-	sim          *simulator
-	jobs         []*clientJob
-	byID         map[string]*clientJob
-	faultPending bool // the final fault is planned and the jobs that follow it are not yet submitted
+	sim           *simulator
+	jobs          []*clientJob
+	byID          map[string]*clientJob
+	nextLargeJobs time.Duration // earliest time of the next large jobs
+	faultPending  bool          // the final fault is planned and the jobs that follow it are not yet submitted
 }
 
 const (
--- a/internal/testbed/jobssim/disruptions.go
+++ b/internal/testbed/jobssim/disruptions.go
@@ -41,13 +41,16 @@
 	MassCancel             Disruption = "many jobs are cancelled"
 	Burst                  Disruption = "wide jobs come at once"
 	UrgentStorm            Disruption = "urgent jobs come at once"
+	LargeGangs             Disruption = "jobs that need a whole service come before small ones"
 	FailingJobs            Disruption = "jobs that can never be done come at once"
 	Shortage               Disruption = "calls of the leader find no connection"
 )
 
 // The following functions return the disruptions of each scenario. Every disruption belongs to one scenario.
 
-func overloads() []Disruption { return []Disruption{Burst, UrgentStorm, FailingJobs, MassCancel} }
+func overloads() []Disruption {
+	return []Disruption{Burst, UrgentStorm, LargeGangs, FailingJobs, MassCancel}
+}
 
 func workerDisruptions() []Disruption {
 	return []Disruption{WorkerCut, WorkerDrain, WorkerLeaves, WorkerFlaps, WorkerReportsUnhealthy, WorkerFailsPart,
@@ -194,6 +197,8 @@
 		s.clients.burst()
 	case UrgentStorm:
 		s.clients.urgentStorm()
+	case LargeGangs:
+		made = s.clients.submitLargeJobs()
 	case FailingJobs:
 		s.clients.submitFailingJobs()
 	case Shortage:
--- a/internal/testbed/jobssim/guards.go
+++ b/internal/testbed/jobssim/guards.go
@@ -37,11 +37,13 @@
 	NoEvacuationMark      Guard = "no evacuation mark" // an evacuation is acknowledged but not recorded
 
 	UnsentStopsCount Guard = "unsent stops count" // a stop without a connection counts as answered
+
+	NoBackfill Guard = "no backfill" // capacity that is set aside stays idle, however long other jobs wait
 )
 
 // Guards returns all guards that can be removed.
 func Guards() []Guard {
-	return []Guard{NoAttemptBound, NoCapacityCheck, NoJobDeduplication,
+	return []Guard{NoAttemptBound, NoCapacityCheck, NoJobDeduplication, NoBackfill,
 		UnconfirmedIsDead, UnconfirmedReservesNothing, NoDrainMark, NoLeaveMark, StaleHeartbeatsCount,
 		EarlyAcknowledgement, StartBeforeCommit, EarlyAnswers,
 		NoLeaseCheck, NoFencingWait, OldLeadersAnswer,
--- a/internal/testbed/jobssim/invariants_jobs.go
+++ b/internal/testbed/jobssim/invariants_jobs.go
@@ -168,7 +168,8 @@
 			continue
 		}
 		for step := range spec.Steps {
-			if ic.isStepReady(j, round, step) && ic.hasCapacityTwice(&spec.Steps[step], service) {
+			if ic.isStepReady(j, round, step) && ic.hasCapacityTwice(&spec.Steps[step], service) &&
+				ic.isHalfFree(service) {
 				return true
 			}
 		}
@@ -201,22 +202,14 @@
 }
 
 // hasCapacityTwice reports whether the healthy workers of a service have free capacity for two tasks of a step, or two
-// gangs, and less than half of their capacity is in use.
+// gangs.
 func (ic *invariantChecker) hasCapacityTwice(step *jobs.Step, service string) bool {
 	wanted, placeable := 2, 0
 	if step.Gang {
 		wanted = 2 * step.Count
 	}
-	var capacity, used jobs.Resources
-	for _, host := range ic.sim.hosts {
+	for _, host := range ic.healthyHosts(service) {
 		w := host.current
-		if host.service != service || w == nil {
-			continue
-		}
-		if !ic.isHealthy(host) {
-			continue
-		}
-		capacity, used = plus(capacity, host.capacity), plus(used, w.used())
 		if step.Label != "" && !slices.Contains(host.labels, step.Label) {
 			continue
 		}
@@ -228,9 +221,27 @@
 		}
 		placeable += onHost
 	}
-	isHalfFree := 2*used.MilliCPU < capacity.MilliCPU && 2*used.MemoryMB < capacity.MemoryMB &&
-		2*used.GPUs <= capacity.GPUs
-	return placeable >= wanted && isHalfFree
+	return placeable >= wanted
+}
+
+// isHalfFree reports whether less than half of the capacity of the healthy workers of a service is in use.
+func (ic *invariantChecker) isHalfFree(service string) bool {
+	var capacity, used jobs.Resources
+	for _, host := range ic.healthyHosts(service) {
+		capacity, used = plus(capacity, host.capacity), plus(used, host.current.used())
+	}
+	return 2*used.MilliCPU < capacity.MilliCPU && 2*used.MemoryMB < capacity.MemoryMB && 2*used.GPUs <= capacity.GPUs
+}
+
+// healthyHosts returns the hosts of a service whose workers are healthy.
+func (ic *invariantChecker) healthyHosts(service string) []*workerHost {
+	var healthy []*workerHost
+	for _, host := range ic.sim.hosts {
+		if host.service == service && host.current != nil && ic.isHealthy(host) {
+			healthy = append(healthy, host)
+		}
+	}
+	return healthy
 }
 
 // isHealthy reports whether every correct scheduler can be expected to assign runs to the worker of a host.
--- a/internal/testbed/jobssim/invariants_longrunning.go
+++ b/internal/testbed/jobssim/invariants_longrunning.go
@@ -20,7 +20,7 @@
 }
 
 // checkLongRunningTasks judges for how long long-running tasks that could run have not run. Unlike checkIdleJobs, it
-// checks each task, even if other tasks of its job are running.
+// checks each task, even if other tasks of its job are running, and however full the service is.
 func (ic *invariantChecker) checkLongRunningTasks() {
 	for _, c := range ic.sim.clients.jobs {
 		if !c.isAccepted || c.lastState.IsTerminal() || c.isCancelSent {
--- a/internal/testbed/jobssim/invariants_starts.go
+++ b/internal/testbed/jobssim/invariants_starts.go
@@ -28,6 +28,7 @@
 	t := j.task(r.key.Task)
 	t.running = append(t.running, r)
 	j.running++
+	j.idleSince, j.idleSinceAnyCause = 0, 0 // the run may end before the next check
 }
 
 // checkCapacity requires that the run fits the capacity of a worker that does not check its capacity itself.
--- a/internal/testbed/jobssim/node.go
+++ b/internal/testbed/jobssim/node.go
@@ -64,10 +64,13 @@
 }
 
 // schedulerConfig returns the default configuration of the scheduler, with the lease limited to maxLease.
-func (*simulator) schedulerConfig() scheduler.Config {
+func (s *simulator) schedulerConfig() scheduler.Config {
 	cfg := scheduler.Defaults()
 	cfg.Lease = min(cfg.Lease, maxLease)
 	cfg.RemoteDataFactor = spreadFactor
+	if s.options.WithoutGuard == NoBackfill {
+		cfg.MaxBlocked = time.Hour
+	}
 	return cfg
 }
 
--- a/internal/testbed/jobssim/scenarios.go
+++ b/internal/testbed/jobssim/scenarios.go
@@ -12,7 +12,7 @@
 func Scenarios() []Scenario {
 	return []Scenario{
 		{"overload and jobs that always fail", overloads(),
-			[]Guard{NoAttemptBound, NoCapacityCheck, NoJobDeduplication}},
+			[]Guard{NoAttemptBound, NoCapacityCheck, NoJobDeduplication, NoBackfill}},
 		{"unhealthy, slow, late and leaving workers", workerDisruptions(),
 			[]Guard{UnconfirmedIsDead, UnconfirmedReservesNothing, NoDrainMark, NoLeaveMark, StaleHeartbeatsCount}},
 		{"lost, frozen, wiped and killed machines, slow disks", machineDisruptions(),
--- a/internal/testbed/jobssim/shapes.go
+++ b/internal/testbed/jobssim/shapes.go
@@ -94,6 +94,43 @@
 	}
 }
 
+// submitLargeJobs submits a job that uses a small part of each worker of a service for long, then a gang or wide step
+// that fits only once these runs have ended, sometimes two of them, and then small jobs of the same queue, for which
+// there is capacity all the time. It returns false if the last such jobs were submitted less than largeJobsInterval
+// ago.
+func (c *clients) submitLargeJobs() bool {
+	s := c.sim
+	if s.now < c.nextLargeJobs {
+		return false
+	}
+	c.nextLargeJobs = s.now + largeJobsInterval
+	queue := []string{"/urgent/", "/bulk/"}[s.rng.IntN(2)]
+	c.submitStep(queue, jobs.Step{Count: workersPerService, MaxPerWorker: 1,
+		Estimate: s.between(8*time.Second, 16*time.Second), Needs: jobs.Resources{MilliCPU: 5500, MemoryMB: 4096}})
+	for range 1 + s.rng.IntN(2) {
+		large := jobs.Step{Count: workersPerService, Estimate: s.between(300*time.Millisecond, 4*time.Second),
+			Needs: jobs.Resources{MilliCPU: 11000, MemoryMB: 32768}, Gang: s.chance(0.7)}
+		if large.Gang && s.chance(0.3) {
+			large.SameRack, large.Count = true, workersPerService/rackCount
+		}
+		s.after(s.between(300*time.Millisecond, 800*time.Millisecond), func() { c.submitStep(queue, large) })
+	}
+	for range 4 + s.rng.IntN(5) {
+		small := jobs.Step{Count: 1 + s.rng.IntN(2), Estimate: s.between(300*time.Millisecond, 3*time.Second),
+			Needs: jobs.Resources{MilliCPU: 500 * (1 + s.rng.IntN(5)), MemoryMB: 1024}, LongRunning: s.chance(0.1)}
+		s.after(s.between(time.Second, 8*time.Second), func() { c.submitStep(queue, small) })
+	}
+	return true
+}
+
+// largeJobsInterval is the least time between two calls of submitLargeJobs, so that all jobs can end.
+const largeJobsInterval = 16 * time.Second
+
+// submitStep submits a sound job of one step.
+func (c *clients) submitStep(prefix string, step jobs.Step) {
+	c.submitNew(jobs.Spec{ID: c.newID(), Payload: payloadSound, Steps: []jobs.Step{step}}, prefix)
+}
+
 // submitFailingJobs submits 10 jobs at once whose first task always fails.
 func (c *clients) submitFailingJobs() {
 	for range 10 {
