Mailboxes: the lease is checked before the mailboxes' lock is taken

Cause: two locks in two orders. Leader.pass forgets workers inside Store.View (the store's lock, then the mailboxes'); Mailboxes.Exchange called hasLease, which takes the store's lock, with its own lock held.

Change: Exchange checks the lease before it takes its lock to collect the orders. The order, the store's lock first, is stated at both mutexes, at the assigner's and at Store.View.

--- a/internal/controller/heartbeat_assigner.go
+++ b/internal/controller/heartbeat_assigner.go
@@ -18,6 +18,7 @@
 type heartbeatAssigner struct {
 	reachable func() []string // returns the internal addresses of the reachable members, including the leader
 
+	// Lock order: mu before the store's lock, which reachable takes. nodeFor must not be called inside Store.View.
 	mu            sync.Mutex
 	members       []string // as of the last refresh, sorted
 	table         *rendezvous.Rendezvous
--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -28,7 +28,8 @@
 
 // Store is the part of the replicated store that the controller uses. It is safe for concurrent use.
 type Store interface {
-	// View calls read with the live state while holding the store's lock.
+	// View calls read with the live state while holding the store's lock. read may take the locks of Mailboxes, the
+	// inbox and the other parts of the leader, so these must not call the store while they hold them.
 	View(read func(*state.State))
 	// LeaderTerm returns the term in which this node leads, or 0 if it is not the leader. hasLease reports whether the
 	// leader's lease is in force at now and every entry committed before is applied on this node.
--- a/internal/controller/mailbox.go
+++ b/internal/controller/mailbox.go
@@ -34,7 +34,9 @@
 // control plane cannot connect to workers. An order waits for the worker's next heartbeat, is included in its answer
 // and all later ones, and is confirmed by the runs that a later heartbeat lists. It is safe for concurrent use.
 type Mailboxes struct {
-	mu       sync.Mutex // also guards each mailbox and its orders
+	// mu also guards each mailbox and its orders. Lock order: the store's lock before mu, because the leader's loop
+	// forgets workers inside Store.View. So no method calls the store, or a function that may do so, while it holds mu.
+	mu       sync.Mutex
 	byWorker map[string]*mailbox
 }
 
@@ -74,8 +76,9 @@
 }
 
 // Exchange completes the orders that the worker's heartbeat confirms and returns the orders for the answer. If no order
-// is pending and the worker is idle, it waits up to idleAnswerDelay for one. Finally it calls hasLease, which reports
-// whether this node may send orders under term, and returns nil if it may not. hasLease is called with the mutex held.
+// is pending and the worker is idle, it waits up to idleAnswerDelay for one. Immediately before it collects the orders
+// it calls hasLease, which reports whether this node may send orders under term, and returns nil if it may not.
+// hasLease may call the store: it is called without the mutex.
 func (m *Mailboxes) Exchange(ctx context.Context, id string, sequence, term uint64, listing scheduler.RenewalAnswer,
 	hasLease func() bool) *HeartbeatOrders {
 	m.mu.Lock()
@@ -93,11 +96,11 @@
 		}
 		cancel()
 	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
 	if !hasLease() {
 		return nil
 	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	orders := box.collectOrders(sequence, term, listing.Clock)
 	orders.NextHeartbeat = heartbeatInterval(isDelayed, len(m.byWorker))
 	return orders
--- a/internal/controller/mailbox_test.go
+++ b/internal/controller/mailbox_test.go
@@ -73,6 +73,8 @@
 	return done
 }
 
+// TestMailboxStart guards, among others, against a leader that hangs for good: the leader's loop takes the store's lock
+// and then that of the mailboxes, so the check of the lease, which takes the store's, must not run under the latter.
 func TestMailboxStart(t *testing.T) {
 	Convey("Given a start order for a worker", t, func() {
 		b := newMailboxFixture()
@@ -112,6 +114,17 @@
 			cancel()
 			So(errs.KindOf((<-done).err), ShouldEqual, errs.Timeout)
 		})
+		Convey("the lease is checked without the mutex", func() {
+			isFree := false
+			b.mailboxes.Exchange(context.Background(), "w", 1, mailboxTerm,
+				scheduler.RenewalAnswer{Clock: time.Minute, Running: []scheduler.ListedRun{{Key: runKey(99)}}}, func() bool {
+					if isFree = b.mailboxes.mu.TryLock(); isFree {
+						b.mailboxes.mu.Unlock()
+					}
+					return true
+				})
+			So(isFree, ShouldBeTrue)
+		})
 		Convey("a node without the lease sends no orders", func() {
 			b.hasLease = false
 			So(b.heartbeat(1), ShouldBeNil)
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -114,7 +114,9 @@
 	// goroutine runs.
 	snapshotter snapshotter
 
-	mu sync.Mutex // guards all below
+	// mu guards all below. The functions passed to View run under it and take locks of their callers: it comes before
+	// those in the lock order.
+	mu sync.Mutex
 
 	id     string      // raft ID: the node's name, or name~incarnation; set before core and not changed afterwards
 	core   *raft.Core  // nil until it is known whether this node bootstraps or joins
