Testbed: the audit of the jobs deployment finds jobs that are idle although they could run

Workers that were stopped, evacuated zones and the time of a failover are excused. `crosstide-testbed jobs` calls it.

--- a/internal/testbed/endtoend/jobs.go
+++ b/internal/testbed/endtoend/jobs.go
@@ -38,13 +38,15 @@
 
 // Job is a job as a client submits it, with its program and expected state for the audit.
 type Job struct {
-	ID        string             `json:"id"`
-	Queue     string             `json:"queue"`
-	Payload   string             `json:"payload"`
-	Times     *Times             `json:"times,omitempty"`
-	Steps     []Step             `json:"steps"`
-	WantState jobs.JobState      `json:"-"` // expected at the end of the scenario
-	Program   jobsworker.Program `json:"-"`
+	ID        string        `json:"id"`
+	Queue     string        `json:"queue"`
+	Payload   string        `json:"payload"`
+	Times     *Times        `json:"times,omitempty"`
+	Steps     []Step        `json:"steps"`
+	WantState jobs.JobState `json:"-"` // expected at the end of the scenario
+	// AcceptedAt is when its submission was acknowledged.
+	AcceptedAt time.Time          `json:"-"`
+	Program    jobsworker.Program `json:"-"`
 }
 
 // Times is the schedule of the rounds of a job.
--- a/internal/testbed/endtoend/scenario.go
+++ b/internal/testbed/endtoend/scenario.go
@@ -19,6 +19,7 @@
 	awaitTimeout    = 30 * time.Second
 	timedDelay      = 3 * time.Second // from the submission of the timed job until it is due
 	failoverJobs    = 10              // submitted after the leader was killed
+	failoverTime    = 5 * time.Second // after which the control plane counts as undisturbed
 	evacuatedZone   = "z2"
 	evacuationJobs  = 20 // submitted while the zone is evacuated
 )
@@ -53,7 +54,11 @@
 	if err != nil {
 		return s.result, errs.Pass(err, "drill")
 	}
-	s.result.Report, err = Audit(s.accepted, s.evacuations, events)
+	if s.result.Report, err = Audit(s.accepted, s.evacuations, events); err != nil {
+		return s.result, errs.Pass(err, "drill")
+	}
+	idle, err := AuditIdle(s.accepted, s.evacuations, s.disturbances, events)
+	s.result.Violations = append(s.result.Violations, idle...)
 	s.result.Accepted = len(s.accepted)
 	return s.result, errs.Pass(err, "drill")
 }
@@ -69,6 +74,8 @@
 	accepted    []Job
 	evacuations []Evacuation
 	result      Result
+
+	disturbances []Disturbance
 }
 
 // logf writes a line of progress.
@@ -114,6 +121,7 @@
 		if err := s.client.Submit(ctx, job); err != nil {
 			return errs.Pass(err, "submit job %s", job.ID)
 		}
+		job.AcceptedAt = s.clock.Wall()
 		s.accepted = append(s.accepted, job)
 	}
 	return nil
@@ -141,6 +149,7 @@
 // drainWorker signals the last worker to leave and waits until the leader reports a worker as draining or gone.
 func (s *scenario) drainWorker(ctx context.Context) error {
 	name := s.plan.Shapes[len(s.plan.Shapes)-1].Name
+	s.disturbances = append(s.disturbances, Disturbance{Worker: name, From: s.clock.Wall()})
 	if err := s.processes.Signal(name, syscall.SIGTERM); err != nil {
 		return errs.Pass(err, "leave")
 	}
@@ -167,6 +176,8 @@
 		return errs.New(errs.Unavailable, "leader address %q is not that of a control plane", topology.Leader)
 	}
 	killed := s.clock.Now()
+	killedAt := s.clock.Wall()
+	s.disturbances = append(s.disturbances, Disturbance{From: killedAt, To: killedAt.Add(failoverTime)})
 	if err := s.processes.Signal(leader, syscall.SIGKILL); err != nil {
 		return errs.Pass(err, "leader")
 	}
