--- a/internal/controller/scheduler/backfill.go
+++ b/internal/controller/scheduler/backfill.go
@@ -12,7 +12,7 @@
 // is set aside (backfill). A backfilled run is stopped as soon as the unit for which the capacity was set aside could
 // start without it (reclaim.go), so that the unit doesn't wait for runs that began after it.
 
-// unblockedAfter is how long a unit must not be blocked until it counts as blocked anew: the load of a service may
+// unblockedAfter is how long a unit must not be blocked until it counts as newly blocked: the load of a service may
 // exceed mostlyIdleLoad for a moment whenever a few runs start together.
 const unblockedAfter = 500 * time.Millisecond
 
--- a/internal/controller/scheduler/reclaim.go
+++ b/internal/controller/scheduler/reclaim.go
@@ -15,7 +15,7 @@
 	return cmp.Or(cmp.Compare(u.queue.Priority, r.priority), u.latestStart.Compare(r.latestStart)) < 0
 }
 
-// reclaim stops backfilled runs if count tasks of a unit, or at least one of them if it is no gang, then fit.
+// reclaim stops backfilled runs if count tasks of a unit, or at least one of them unless it is a gang, then fit.
 func (p *placement) reclaim(u *unit, nodes []*node, count int) {
 	victims := map[*node][]*run{}
 	total := 0
--- a/internal/testbed/processes/fleet.go
+++ b/internal/testbed/processes/fleet.go
@@ -31,10 +31,13 @@
 
 // Options describe a fleet.
 type Options struct {
-	Folder   string // of settings, data and logs
-	Bin      string // folder of the programs
-	Template string // path of the template of the settings files; see the type settings for its values
-	Variable string // environment variable that holds the path of the settings file
+	Folder string // of settings, data and logs
+	Bin    string // folder of the programs
+	// EarlierBin is the folder of the programs of an earlier release, which the control planes run until they are
+	// restarted; empty: none.
+	EarlierBin string
+	Template   string // path of the template of the settings files; see the type settings for its values
+	Variable   string // environment variable that holds the path of the settings file
 	// Network chooses the addresses; fleets that run side by side differ in it.
 	Network       uint64
 	Zones         []string // machine i is in zone i modulo their number
--- a/internal/testbed/processes/node.go
+++ b/internal/testbed/processes/node.go
@@ -33,6 +33,14 @@
 	exited     chan struct{}
 	isFrozen   bool
 	wasStarted bool
+	isUpgraded bool // its process doesn't run a program of Options.EarlierBin
+}
+
+// IsUpgraded reports whether the node's process runs the newer release.
+func (n *Node) IsUpgraded() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.isUpgraded
 }
 
 // PID returns the ID of the node's process.
@@ -84,7 +92,12 @@
 		return errs.Wrap(err, errs.Disk, "open the log")
 	}
 	defer output.Close() // the process has its own descriptor
-	cmd := exec.Command(filepath.Join(f.opt.Bin, n.program), "platform")
+	bin := f.opt.Bin
+	if f.opt.EarlierBin != "" && n.IsCore && n.cmd == nil {
+		bin = f.opt.EarlierBin
+	}
+	n.isUpgraded = bin == f.opt.Bin
+	cmd := exec.Command(filepath.Join(bin, n.program), "platform")
 	cmd.Stdout, cmd.Stderr = output, output
 	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + f.opt.Folder, "LANG=C", f.opt.Variable + "=" + path}
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
