Scheduler: reclaimed runs have a cause and a count of their own

Cause: runs that are stopped for the unit whose capacity they used were counted as preempted, so operators and trials couldn't tell what backfilling costs.

Change: the cause `reclaimed` of discarded runs, and Counts.Reclaimed.

Measured: tests of the controller, the lints and the simulator pass; decisions are unchanged (same histories).

--- a/internal/controller/scheduler/core.go
+++ b/internal/controller/scheduler/core.go
@@ -33,6 +33,7 @@
 	Unconfirmed uint64 // start orders without an answer
 	Stopped     uint64 // stop orders sent for runs with a handle
 	Preempted   uint64 // runs stopped for more urgent ones
+	Reclaimed   uint64 // backfilled runs stopped for the unit for which their capacity was set aside
 	Moved       uint64 // runs stopped on slow workers
 	Done        uint64 // runs that ended with jobs.EndDone
 	Failed      uint64 // runs that ended with jobs.EndFailed
--- a/internal/controller/scheduler/discard.go
+++ b/internal/controller/scheduler/discard.go
@@ -13,6 +13,7 @@
 const (
 	CauseJobOver      Cause = "job_over"   // its job was cancelled or has failed
 	CausePreempted    Cause = "preempted"  // stopped for a more urgent one
+	CauseReclaimed    Cause = "reclaimed"  // backfilled, and stopped for the unit for which its capacity was set aside
 	CauseMoved        Cause = "moved"      // stopped on a slow worker, to restart elsewhere
 	CauseGang         Cause = "gang"       // another member of its gang had ended
 	CauseUnanswered   Cause = "unanswered" // its start got no answer, and it was stopped so that it can't start late
--- a/internal/controller/scheduler/golden_test.go
+++ b/internal/controller/scheduler/golden_test.go
@@ -21,6 +21,7 @@
 		golden.Lines("causes of discarded work",
 			fmt.Sprintf("job over = %#v", string(CauseJobOver)),
 			fmt.Sprintf("preempted = %#v", string(CausePreempted)),
+			fmt.Sprintf("reclaimed = %#v", string(CauseReclaimed)),
 			fmt.Sprintf("moved = %#v", string(CauseMoved)),
 			fmt.Sprintf("gang = %#v", string(CauseGang)),
 			fmt.Sprintf("unanswered = %#v", string(CauseUnanswered)),
--- a/internal/controller/scheduler/reclaim.go
+++ b/internal/controller/scheduler/reclaim.go
@@ -63,10 +63,10 @@
 		}
 	}
 	for _, r := range victims[:stopped] {
-		p.core.requestStop(r, CausePreempted)
+		p.core.requestStop(r, CauseReclaimed)
 		p.forgetBlocked(r.key.Task)
 		n.freeing = plus(n.freeing, r.needs)
-		p.core.Counts.Preempted++
+		p.core.Counts.Reclaimed++
 	}
 	return gained
 }
