Scheduler: a unit that was placed in the ordinary way doesn't stay blocked

Cause: found by reading: a unit that had been blocked for a while and was then placed kept its clock while its job ran, and so let all blocked units of its service use capacity that is set aside at once.

Change: a unit with runs keeps its clock only until one of them is known to have begun, or if it was backfilled; and one whose job has runs doesn't make its service due.

--- a/internal/controller/scheduler/backfill.go
+++ b/internal/controller/scheduler/backfill.go
@@ -28,6 +28,8 @@
 	seenAt  time.Duration // when it was last found blocked
 	service string
 	granted bool // it was backfilled since: its next tasks may be, too
+	// hasRuns is set if its job has runs, so that the last pass did not find it blocked.
+	hasRuns bool
 }
 
 // backfill is the state of the backfilling of one placement.
@@ -51,7 +53,7 @@
 		aside:   map[string]bool{},
 	}
 	for _, unit := range c.blocked {
-		if !unit.granted && now-unit.since >= c.cfg.MaxBlocked {
+		if !unit.granted && !unit.hasRuns && now-unit.since >= c.cfg.MaxBlocked {
 			b.due[unit.service] = true
 		}
 	}
@@ -74,7 +76,7 @@
 		return false
 	}
 	if isBlocked {
-		unit.seenAt = p.now
+		unit.seenAt, unit.hasRuns = p.now, false
 	}
 	p.backfill.blocked[key] = unit
 	return isBlocked && (unit.granted || p.backfill.due[unit.service])
@@ -94,6 +96,20 @@
 	return rec != nil && len(rec.runs) > 0
 }
 
+// hasBegunRuns reports whether a run of a job is known to have begun.
+func (c *Core) hasBegunRuns(job string) bool {
+	rec := c.activeJobs[job]
+	if rec == nil {
+		return false
+	}
+	for key := range rec.runs {
+		if r := c.runs[key]; r != nil && (r.start.acceptedSeq > 0 || r.progress.listed) {
+			return true
+		}
+	}
+	return false
+}
+
 // hasPlannedStarts reports whether starts of a job are planned in this pass.
 func (p *placement) hasPlannedStarts(j *jobs.Job) bool {
 	return slices.ContainsFunc(p.starts, func(s jobs.Start) bool { return s.Task.Job == j.Spec.ID })
@@ -176,17 +192,18 @@
 }
 
 // finishBackfill hands the blocked units to the next pass. Those that this pass didn't reach stay blocked, and so do
-// those with runs: a start may still fail, and the next task of a job may be short of capacity again.
+// those with a start that isn't known to have begun, as it may fail. One that was backfilled keeps its grant while its
+// job has runs.
 func (p *placement) finishBackfill(isComplete bool) {
 	for key, unit := range p.core.blocked {
 		if _, isKnown := p.backfill.blocked[key]; isKnown || p.core.activeJobs[key.Job] == nil {
 			continue
 		}
-		hasRuns := p.core.hasRuns(key.Job)
-		if hasRuns {
-			unit.seenAt = p.now
+		isKept := p.core.hasRuns(key.Job) && (unit.granted || !p.core.hasBegunRuns(key.Job))
+		if isKept {
+			unit.seenAt, unit.hasRuns = p.now, true
 		}
-		if hasRuns || !isComplete {
+		if isKept || !isComplete {
 			p.backfill.blocked[key] = unit
 		}
 	}
