--- a/internal/controller/scheduler/starvation_test.go
+++ b/internal/controller/scheduler/starvation_test.go
@@ -202,6 +202,32 @@
 	}
 }
 
+// TestBlockedUnitForgotten guards against a reservation that is open to all, because a unit that was blocked before and
+// placed since still counts as blocked.
+func TestBlockedUnitForgotten(t *testing.T) {
+	Convey("After a blocked unit was placed in the ordinary way, others wait for MaxBlocked", t, func() {
+		w := newMatchFleet(matchTask(1))
+		gang := jobs.Step{Count: 8, Gang: true, Needs: matchTask(4), Estimate: longEstimate}
+		small := jobs.Step{Count: 1, Needs: matchTask(1), Estimate: longEstimate}
+		w.submit("gang", gang)
+		w.advanceFor(time.Second)
+		w.submit("first", small)
+		w.advanceFor(time.Second)
+		So(w.runningTasks("first"), ShouldEqual, 0)
+		_, err := w.table.Cancel(jobs.Cancel{ID: "gang", At: w.wall()})
+		So(err, ShouldBeNil)
+		w.advanceFor(100 * time.Millisecond)
+		So(w.runningTasks("first"), ShouldEqual, 1)
+		w.submit("another gang", gang)
+		w.advanceFor(time.Second)
+		w.submit("second", small)
+		w.advanceFor(Defaults().MaxBlocked - 200*time.Millisecond)
+		So(w.runningTasks("second"), ShouldEqual, 0)
+		w.advanceFor(400 * time.Millisecond)
+		So(w.runningTasks("second"), ShouldEqual, 1)
+	})
+}
+
 // gangWait submits a gang that needs each worker whole into a stream of small jobs, each of one task that takes
 // smallDuration, and returns how long the gang waits, at most limit.
 func gangWait(interval, smallDuration, limit time.Duration, needs jobs.Resources) time.Duration {
