Scheduler: one answer to what no run uses and no planned start takes

Cause: read once more: the capacity without handles and planned starts was computed in three places, from two fields of each node, and the check for capacity twice over built a map of all nodes for each blocked unit of each pass. Label and maximum per worker were checked in two places.

Change: placement.unused and placement.mostTasksOn serve all of them; the planned needs are kept by worker in the placement. Behaviour is unchanged.

--- a/internal/controller/scheduler/backfill.go
+++ b/internal/controller/scheduler/backfill.go
@@ -135,12 +135,9 @@
 	for _, w := range p.core.workerList {
 		if rec := w.record(); rec != nil && rec.Service == service {
 			load.capacity = plus(load.capacity, rec.Capacity)
-			load.used = plus(load.used, p.core.table.Used(w.id))
+			load.used = plus(load.used, minus(rec.Capacity, p.unused(rec)))
 		}
 	}
-	for _, n := range p.feasible[service] {
-		load.used = plus(load.used, n.planned)
-	}
 	p.backfill.loads[service] = load
 	return load
 }
@@ -152,35 +149,18 @@
 	if u.step.Gang {
 		wanted = 2 * len(u.taskIndexes)
 	}
-	planned := map[string]jobs.Resources{} // by worker
-	for _, n := range p.feasible[u.queue.Service] {
-		planned[n.record.ID] = n.planned
-	}
 	for _, w := range p.core.workerList {
 		rec := w.record()
 		if rec == nil || rec.Service != u.queue.Service || isLeaving(rec) || p.core.table.Evacuated[rec.Zone] {
 			continue
 		}
-		used := plus(p.core.table.Used(w.id), planned[w.id])
-		if wanted -= p.tasksThatFit(u, rec, minus(rec.Capacity, used)); wanted <= 0 {
+		if wanted -= p.tasksThatFit(u, rec, p.unused(rec)); wanted <= 0 {
 			return true
 		}
 	}
 	return false
 }
 
-// tasksThatFit returns how many more of a unit's tasks may run on a worker that has the given free capacity.
-func (p *placement) tasksThatFit(u *unit, worker *jobs.Worker, free jobs.Resources) int {
-	if u.step.Label != "" && !slices.Contains(worker.Labels, u.step.Label) {
-		return 0
-	}
-	count := tasksWithin(u.step.Needs, free)
-	if u.step.MaxPerWorker > 0 {
-		count = min(count, u.step.MaxPerWorker-p.tasksOn(u)[worker.ID])
-	}
-	return max(count, 0)
-}
-
 // markBackfilled records that starts of a unit, the newest ones planned, are backfilled.
 func (p *placement) markBackfilled(u *unit, starts []jobs.Start) {
 	for _, s := range starts {
--- a/internal/controller/scheduler/feasible.go
+++ b/internal/controller/scheduler/feasible.go
@@ -12,8 +12,6 @@
 	worker     *worker
 	record     *jobs.Worker
 	free       jobs.Resources // after the starts planned and the capacity claimed so far
-	used       jobs.Resources // by the runs with a handle
-	planned    jobs.Resources // needs of the starts planned so far
 	freeing    jobs.Resources // held by runs that are being stopped, or whose ends are not committed yet
 	reserved   bool           // for a more urgent unit: the node gets no more starts in this pass
 	slowdown   float64        // task duration on this worker relative to the average worker
@@ -52,12 +50,10 @@
 
 // newNode returns the node of a worker. Its free capacity excludes what the worker's runs use.
 func (p *placement) newNode(w *worker, rec *jobs.Worker) *node {
-	used := p.core.table.Used(w.id)
 	n := &node{
 		worker:         w,
 		record:         rec,
-		used:           used,
-		free:           minus(rec.Capacity, used),
+		free:           minus(rec.Capacity, p.core.table.Used(w.id)),
 		slowdown:       p.core.speeds.slowdown(w.id),
 		lowestPriority: -1,
 	}
@@ -85,9 +81,10 @@
 	return n.free
 }
 
-// unused returns the capacity that no run uses and no start planned so far takes, whether or not it is set aside.
-func (n *node) unused() jobs.Resources {
-	return minus(minus(n.record.Capacity, n.used), n.planned)
+// unused returns the capacity of a worker that no run uses and no start planned so far takes, whether or not it is set
+// aside.
+func (p *placement) unused(worker *jobs.Worker) jobs.Resources {
+	return minus(worker.Capacity, plus(p.core.table.Used(worker.ID), p.planned[worker.ID]))
 }
 
 // cooldown holds when a worker last refused a start or stalled a run. Times are readings of the leader's clock;
@@ -144,11 +141,22 @@
 }
 
 // isFeasible reports whether one more of a unit's tasks may run on a node, whatever its free capacity.
-func (p *placement) isFeasible(u *unit, n *node) bool {
-	if u.step.Label != "" && !slices.Contains(n.record.Labels, u.step.Label) {
-		return false
+func (p *placement) isFeasible(u *unit, n *node) bool { return p.mostTasksOn(u, n.record) > 0 }
+
+// mostTasksOn returns how many more of a unit's tasks may run on a worker, whatever its free capacity.
+func (p *placement) mostTasksOn(u *unit, worker *jobs.Worker) int {
+	switch {
+	case u.step.Label != "" && !slices.Contains(worker.Labels, u.step.Label):
+		return 0
+	case u.step.MaxPerWorker == 0:
+		return maxTasksPerNode
 	}
-	return u.step.MaxPerWorker == 0 || p.tasksOn(u)[n.record.ID] < u.step.MaxPerWorker
+	return max(u.step.MaxPerWorker-p.tasksOn(u)[worker.ID], 0)
+}
+
+// tasksThatFit returns how many more of a unit's tasks may run on a worker with the given free capacity.
+func (p *placement) tasksThatFit(u *unit, worker *jobs.Worker, free jobs.Resources) int {
+	return min(tasksWithin(u.step.Needs, free), p.mostTasksOn(u, worker))
 }
 
 // totalCapacity returns how many of a unit's tasks would fit on the nodes, as capacityFor counts them.
--- a/internal/controller/scheduler/place.go
+++ b/internal/controller/scheduler/place.go
@@ -18,6 +18,7 @@
 	assigned  map[jobs.TaskRef]map[string]int // by unit key and worker, see tasksOn
 	preempted int                             // runs stopped so far for more urgent work
 
+	planned  map[string]jobs.Resources // by worker: needs of the starts planned so far
 	backfill backfill
 
 	feasible map[string][]*node // by service, see feasibleNodes
@@ -38,6 +39,7 @@
 		now:      now,
 		wall:     wall,
 		assigned: map[jobs.TaskRef]map[string]int{},
+		planned:  map[string]jobs.Resources{},
 		feasible: map[string][]*node{},
 		byFree:   map[string][]*node{},
 		backfill: newBackfill(c, now),
@@ -153,7 +155,8 @@
 
 // plan takes the needs of a planned start from a node.
 func (p *placement) plan(n *node, needs jobs.Resources) {
-	n.free, n.planned = minus(n.free, needs), plus(n.planned, needs)
+	n.free = minus(n.free, needs)
+	p.planned[n.record.ID] = plus(p.planned[n.record.ID], needs)
 	clear(p.byFree)
 	if load := p.backfill.loads[n.record.Service]; load != nil {
 		load.used = plus(load.used, needs)
--- a/internal/controller/scheduler/rank.go
+++ b/internal/controller/scheduler/rank.go
@@ -27,7 +27,7 @@
 
 // selectBackfillNode is selectNode for a unit that may use capacity that is set aside.
 func (p *placement) selectBackfillNode(u *unit, nodes []*node, avoid string) *node {
-	return p.selectNodeWith(u, nodes, avoid, (*node).unused)
+	return p.selectNodeWith(u, nodes, avoid, func(n *node) jobs.Resources { return p.unused(n.record) })
 }
 
 // selectNodeWith is selectNode, with the capacity of each node that the unit may use.
