Names: capacity, long-running and busy in the field's terms

Change: tasksWithin is taskCapacity, isWithin fitsIn; tests say busy and longRunning. Behaviour and assertions are unchanged.

Measured: tests of jobs, scheduler, lints and the audit pass.

--- a/internal/controller/scheduler/feasible.go
+++ b/internal/controller/scheduler/feasible.go
@@ -156,7 +156,7 @@
 
 // tasksThatFit returns how many more of a unit's tasks may run on a worker with the given free capacity.
 func (p *placement) tasksThatFit(u *unit, worker *jobs.Worker, free jobs.Resources) int {
-	return min(tasksWithin(u.step.Needs, free), p.mostTasksOn(u, worker))
+	return min(taskCapacity(u.step.Needs, free), p.mostTasksOn(u, worker))
 }
 
 // totalCapacity returns how many of a unit's tasks would fit on the nodes, as capacityFor counts them.
@@ -183,15 +183,15 @@
 			capacity = minus(capacity, r.needs)
 		}
 	}
-	count := tasksWithin(u.step.Needs, capacity)
+	count := taskCapacity(u.step.Needs, capacity)
 	if u.step.MaxPerWorker > 0 {
 		count = min(count, u.step.MaxPerWorker)
 	}
 	return count
 }
 
-// tasksWithin returns how many tasks with the given needs fit into a capacity, at most maxTasksPerNode.
-func tasksWithin(needs, capacity jobs.Resources) int {
+// taskCapacity returns how many tasks with the given needs fit into a capacity, at most maxTasksPerNode.
+func taskCapacity(needs, capacity jobs.Resources) int {
 	count := maxTasksPerNode
 	if needs.MilliCPU > 0 {
 		count = min(count, capacity.MilliCPU/needs.MilliCPU)
--- a/internal/controller/scheduler/starvation_test.go
+++ b/internal/controller/scheduler/starvation_test.go
@@ -112,7 +112,7 @@
 
 // newMatchFleet returns a fleet of four workers with accelerators in two racks and zones. Each runs a task that takes
 // longDuration and uses the given resources.
-func newMatchFleet(held jobs.Resources) *idleWatch {
+func newMatchFleet(busy jobs.Resources) *idleWatch {
 	var workers []jobs.Worker
 	for i := range 4 {
 		id := fmt.Sprint("w", i)
@@ -132,10 +132,10 @@
 	}
 	w := newIdleWatch(f)
 	w.advanceFor(time.Second)
-	if held != (jobs.Resources{}) {
-		w.submit("held", jobs.Step{Count: 4, MaxPerWorker: 1, Needs: held, Estimate: longEstimate})
+	if busy != (jobs.Resources{}) {
+		w.submit("busy", jobs.Step{Count: 4, MaxPerWorker: 1, Needs: busy, Estimate: longEstimate})
 		w.advanceFor(100 * time.Millisecond)
-		So(w.runningTasks("held"), ShouldEqual, 4)
+		So(w.runningTasks("busy"), ShouldEqual, 4)
 	}
 	return w
 }
@@ -152,13 +152,13 @@
 	gang := jobs.Step{Count: 8, Gang: true, Needs: matchTask(4), Estimate: longEstimate}
 	wide := jobs.Step{Count: 8, Needs: jobs.Resources{MilliCPU: 52000, MemoryMB: 54000, GPUs: 4}, Estimate: longEstimate}
 	sameRack := jobs.Step{Count: 4, Gang: true, SameRack: true, Needs: matchTask(4), Estimate: longEstimate}
-	lasting, smallGang, smallWide := small, small, small
-	lasting.LongRunning = true
+	longRunning, smallGang, smallWide := small, small, small
+	longRunning.LongRunning = true
 	smallGang.Gang, smallGang.Count = true, 2
 	smallWide.Count = 6
 	for _, tt := range []struct {
 		name  string
-		held  jobs.Resources
+		busy  jobs.Resources
 		queue string // of the waiting jobs
 		large []jobs.Step
 		small jobs.Step
@@ -167,9 +167,9 @@
 		{"a gang", matchTask(1), "q", []jobs.Step{gang}, small, nil},
 		{"a gang, and the job is a gang, too", matchTask(1), "q", []jobs.Step{gang}, smallGang, nil},
 		{"a gang, and the job is wide", matchTask(1), "q", []jobs.Step{gang}, smallWide, nil},
-		{"a gang, and the job is long-running", matchTask(1), "q", []jobs.Step{gang}, lasting, nil},
+		{"a gang, and the job is long-running", matchTask(1), "q", []jobs.Step{gang}, longRunning, nil},
 		{"a gang in a full service, and the job is long-running", jobs.Resources{MilliCPU: 36000, MemoryMB: 54000, GPUs: 1},
-			"q", []jobs.Step{gang}, lasting, nil},
+			"q", []jobs.Step{gang}, longRunning, nil},
 		{"two gangs", matchTask(1), "q", []jobs.Step{sameRack, gang}, small, nil},
 		{"a wide step", matchTask(1), "q", []jobs.Step{wide}, small, nil},
 		{"a gang that needs one rack", matchTask(1), "q", []jobs.Step{sameRack, sameRack}, small, nil},
@@ -181,7 +181,7 @@
 			func(w *idleWatch) { w.table.Evacuate(jobs.Evacuate{Zone: "z1", Start: true}) }},
 	} {
 		Convey("No job is idle for long beside "+tt.name, t, func() {
-			w := newMatchFleet(tt.held)
+			w := newMatchFleet(tt.busy)
 			for i, step := range tt.large {
 				w.submitTo(tt.queue, fmt.Sprint("large", i), step)
 			}
--- a/internal/jobs/serving_test.go
+++ b/internal/jobs/serving_test.go
@@ -176,13 +176,13 @@
 func TestQueueOf_longRunning(t *testing.T) {
 	Convey("Long-running tasks and gangs of a removed queue are started again", t, func() {
 		table := testTable()
-		lasting := oneCore(1)
-		lasting.LongRunning = true
+		longRunning := oneCore(1)
+		longRunning.LongRunning = true
 		gang := oneCore(2)
 		gang.Gang = true
-		table.mustSubmit(locatedJob("lasting", lasting))
+		table.mustSubmit(locatedJob("long", longRunning))
 		table.mustSubmit(locatedJob("gang", gang))
-		first := startOf(taskOf("lasting", 0, 0), 1, "w1")
+		first := startOf(taskOf("long", 0, 0), 1, "w1")
 		So(table.start(first), ShouldResemble, []bool{true})
 		must(table.Configure(Configure{Base: 5, Version: 6, RemoveQueues: []string{"plain"}}))
 		table.end(endOf(first, EndFailed))
--- a/internal/testbed/endtoend/audit_idle.go
+++ b/internal/testbed/endtoend/audit_idle.go
@@ -180,7 +180,7 @@
 		used := worker.used
 		for here := 0; wanted > 0 && (step.MaxPerWorker == 0 || here < step.MaxPerWorker); here++ {
 			used = sum(used, step.Needs)
-			if !isWithin(used, worker.started.Needs) {
+			if !fitsIn(used, worker.started.Needs) {
 				break
 			}
 			wanted--
@@ -259,7 +259,7 @@
 	return jobs.Resources{MilliCPU: a.MilliCPU + b.MilliCPU, MemoryMB: a.MemoryMB + b.MemoryMB, GPUs: a.GPUs + b.GPUs}
 }
 
-// isWithin reports whether used doesn't exceed a capacity in any resource.
-func isWithin(used, capacity jobs.Resources) bool {
+// fitsIn reports whether used doesn't exceed a capacity in any resource.
+func fitsIn(used, capacity jobs.Resources) bool {
 	return used.MilliCPU <= capacity.MilliCPU && used.MemoryMB <= capacity.MemoryMB && used.GPUs <= capacity.GPUs
 }
