Scheduler: the choice of a node takes a predicate instead of a capacity of -1

Cause: read once more: a reserved node stood for capacity -1 of each resource, and the two locations with the same fields were copied field by field.

Behaviour is unchanged.

--- a/internal/controller/commands.go
+++ b/internal/controller/commands.go
@@ -25,7 +25,7 @@
 			}
 			call.Spec.Queue = queue.Name
 			if table.Schema >= jobs.SchemaLocations {
-				call.Spec.Location = &jobs.Location{Host: call.Location.Host, Path: call.Location.Path}
+				call.Spec.Location = (*jobs.Location)(&call.Location)
 			}
 		}
 		release, err = l.jobMemory.reserve(table, &call.Spec)
--- a/internal/controller/scheduler/feasible.go
+++ b/internal/controller/scheduler/feasible.go
@@ -73,14 +73,6 @@
 	return n
 }
 
-// available returns the capacity that is free and not set aside.
-func (n *node) available() jobs.Resources {
-	if n.reserved {
-		return jobs.Resources{MilliCPU: -1, MemoryMB: -1, GPUs: -1}
-	}
-	return n.free
-}
-
 // unused returns the capacity of a worker that no run uses and no start planned so far takes, whether or not it is set
 // aside.
 func (p *placement) unused(worker *jobs.Worker) jobs.Resources {
--- a/internal/controller/scheduler/rank.go
+++ b/internal/controller/scheduler/rank.go
@@ -4,8 +4,6 @@
 	"cmp"
 	"math"
 	"slices"
-
-	"crosstide/internal/jobs"
 )
 
 // Weights of a worker's speed.
@@ -22,20 +20,20 @@
 // capacity. Among nodes of equal cost prefersNode decides, then their order. avoid is the ID of a worker whose cost is
 // multiplied by avoidedCost, or empty.
 func (p *placement) selectNode(u *unit, nodes []*node, avoid string) *node {
-	return p.selectNodeWith(u, nodes, avoid, (*node).available)
+	return p.selectNodeAmong(u, nodes, avoid, func(n *node) bool { return !n.reserved && fits(n.free, u.step.Needs) })
 }
 
 // selectBackfillNode is selectNode for a unit that may use capacity that is set aside.
 func (p *placement) selectBackfillNode(u *unit, nodes []*node, avoid string) *node {
-	return p.selectNodeWith(u, nodes, avoid, func(n *node) jobs.Resources { return p.unused(n.record) })
+	return p.selectNodeAmong(u, nodes, avoid, func(n *node) bool { return fits(p.unused(n.record), u.step.Needs) })
 }
 
-// selectNodeWith is selectNode, with the capacity of each node that the unit may use.
-func (p *placement) selectNodeWith(u *unit, nodes []*node, avoid string, capacity func(*node) jobs.Resources) *node {
+// selectNodeAmong is selectNode among the nodes that have capacity for the task according to hasCapacity.
+func (p *placement) selectNodeAmong(u *unit, nodes []*node, avoid string, hasCapacity func(*node) bool) *node {
 	var best *node
 	var lowestCost float64
 	for _, n := range nodes {
-		if !fits(capacity(n), u.step.Needs) || !p.isFeasible(u, n) {
+		if !hasCapacity(n) || !p.isFeasible(u, n) {
 			continue
 		}
 		cost := p.cost(u, n)
