Store: a stored folder of the first schema

Cause: read once more: the folders that later code must read hold the format before schemas only.

Change: jobs-schema-1, written by this code: the schema, a job with its location whose queue was renamed, and one with its last queue.

Measured: TestStoredFolders passes for all three folders.

--- a/internal/store/stored_test.go
+++ b/internal/store/stored_test.go
@@ -24,7 +24,7 @@
 )
 
 // The folders under testdata/stored were written by the code of commit df84be1, one for each deployment: `cplane run`
-// and `cplane jobs run`. Later code must read the same contents from them. The commands in this file and the contents
+// and `cplane jobs run`; jobs-schema-1 by the first release with schemas. Later code must read the same contents from them. The commands in this file and the contents
 // in expected.json use the field names of the stored format, not those of Go.
 //
 // Never rewrite a folder after a change of the stored format: the folders exist to detect such changes. Add a folder in
@@ -44,6 +44,7 @@
 }{
 	{"cplane", "", writePolicy, writePolicyTail, extendPolicy},
 	{"jobs", "c1~abcdefghij", writeJobs, writeJobsTail, extendJobs},
+	{"jobs-schema-1", "c1~abcdefghij", writeJobsUnderSchema, writeJobsTail, extendJobsUnderSchema},
 }
 
 // storedContents is the content of expected.json.
