Scheduler: a backfilled task avoids the worker on which it failed

Cause: read once more: the node of a backfilled task was chosen without the worker to avoid, so a task could go back to the worker on which it had just failed although others had capacity.

Change: the same worker is avoided as in an ordinary placement.

Measured: TestBackfillAvoidsWorker fails before and passes now.

--- a/internal/controller/scheduler/place.go
+++ b/internal/controller/scheduler/place.go
@@ -77,10 +77,11 @@
 	nodes := p.feasibleNodes(u.queue.Service)
 	tasks := u.tasks()
 	for position, index := range u.taskIndexes {
-		n := p.selectNode(u, nodes, p.core.history.avoid[u.task(index)])
+		avoid := p.core.history.avoid[u.task(index)]
+		n := p.selectNode(u, nodes, avoid)
 		isBackfilled := n == nil && p.mayBackfill(u)
 		if isBackfilled {
-			n = p.selectBackfillNode(u, nodes, "")
+			n = p.selectBackfillNode(u, nodes, avoid)
 		}
 		if n == nil {
 			p.freeCapacity(u, nodes, len(u.taskIndexes)-position)
--- a/internal/controller/scheduler/starvation_test.go
+++ b/internal/controller/scheduler/starvation_test.go
@@ -228,6 +228,25 @@
 	})
 }
 
+// TestBackfillAvoidsWorker guards against a task that is backfilled on the worker on which it has just failed, although
+// others have capacity.
+func TestBackfillAvoidsWorker(t *testing.T) {
+	Convey("A backfilled task avoids the worker on which it failed", t, func() {
+		for _, avoided := range []string{"w0", "w1", "w2", "w3"} {
+			w := newMatchFleet(matchTask(1))
+			w.submit("gang", jobs.Step{Count: 8, Gang: true, Needs: matchTask(4), Estimate: longEstimate})
+			w.advanceFor(time.Second)
+			w.submit("small", jobs.Step{Count: 1, Needs: matchTask(1), Estimate: longEstimate})
+			w.core.history.avoid[jobs.TaskRef{Job: "small"}] = avoided
+			w.advanceFor(2 * time.Second)
+			So(w.runningTasks("small"), ShouldEqual, 1)
+			for key := range w.running[avoided] {
+				So(key.Task.Job, ShouldNotEqual, "small")
+			}
+		}
+	})
+}
+
 // gangWait submits a gang that needs each worker whole into a stream of small jobs, each of one task that takes
 // smallDuration, and returns how long the gang waits, at most limit.
 func gangWait(interval, smallDuration, limit time.Duration, needs jobs.Resources) time.Duration {
