Testbed: the audit of idle jobs covers long-running ones

Change: a job that is cancelled in the end is judged until its cancellation is sent.

Measured: two cases of TestAuditIdle; the first, a long-running task that starts late in a busy service, is not found without the change.

--- a/internal/testbed/endtoend/audit_idle.go
+++ b/internal/testbed/endtoend/audit_idle.go
@@ -23,7 +23,8 @@
 
 // AuditIdle checks that no job is idle for maxIdle: that it has nothing running while a task is due, there is capacity
 // for the task twice over, and less than half of each resource is in use. For a long-running step the load does not
-// matter. Only jobs with an AcceptedAt are checked. It returns the violations.
+// matter. It checks the jobs with an AcceptedAt that are expected to succeed, and cancelled ones until then. It returns the
+// violations.
 func AuditIdle(accepted []Job, evacuations []Evacuation, disturbances []Disturbance,
 	events []jobsworker.Event) ([]string, error) {
 	a := &idleAuditor{evacuations: evacuations, disturbances: disturbances,
@@ -34,8 +35,9 @@
 		if err != nil {
 			return nil, errs.Pass(err, "audit")
 		}
-		if !job.AcceptedAt.IsZero() && job.WantState == jobs.Succeeded {
-			a.jobs = append(a.jobs, &idleJob{spec: spec, acceptedAt: job.AcceptedAt})
+		isOwed := job.WantState == jobs.Succeeded || !job.CancelledAt.IsZero()
+		if isOwed && !job.AcceptedAt.IsZero() {
+			a.jobs = append(a.jobs, &idleJob{spec: spec, acceptedAt: job.AcceptedAt, cancelledAt: job.CancelledAt})
 		}
 	}
 	events = slices.Clone(events)
@@ -68,10 +70,11 @@
 
 // idleJob is a job and since when it has been idle although it could run.
 type idleJob struct {
-	spec       jobs.Spec
-	acceptedAt time.Time
-	idleSince  time.Time // zero: it is not idle
-	isReported bool
+	spec        jobs.Spec
+	acceptedAt  time.Time
+	cancelledAt time.Time // zero: it was not cancelled
+	idleSince   time.Time // zero: it is not idle
+	isReported  bool
 }
 
 // idleCheckInterval is the interval of checks between two events: disturbances and due times pass without an event.
@@ -108,7 +111,8 @@
 
 // couldRun reports whether a job has nothing running although one of its steps could run.
 func (a *idleAuditor) couldRun(job *idleJob) bool {
-	if a.checkedAt.Before(job.acceptedAt) || a.running[job.spec.ID] > 0 || a.isDisturbed() {
+	isCancelled := !job.cancelledAt.IsZero() && !a.checkedAt.Before(job.cancelledAt)
+	if a.checkedAt.Before(job.acceptedAt) || isCancelled || a.running[job.spec.ID] > 0 || a.isDisturbed() {
 		return false
 	}
 	for round := range max(job.spec.Rounds, 1) {
--- a/internal/testbed/endtoend/audit_idle_test.go
+++ b/internal/testbed/endtoend/audit_idle_test.go
@@ -19,6 +19,12 @@
 	single := job(jobs.Succeeded, smallStep(1).with(func(s *Step) { s.MilliCPU, s.MemoryMB = 100, 10 }))
 	large := job(jobs.Succeeded, smallStep(1).with(func(s *Step) { s.MilliCPU, s.MemoryMB = 300, 10 }))
 	ssd := job(jobs.Succeeded, smallStep(1).with(func(s *Step) { s.MilliCPU, s.MemoryMB, s.Label = 300, 10, "ssd" }))
+	longRunning := job(jobs.Cancelled, smallStep(1).with(func(s *Step) {
+		s.MilliCPU, s.MemoryMB, s.LongRunning = 100, 10, true
+	}))
+	longRunning.CancelledAt = at(8)
+	cancelled := longRunning
+	cancelled.CancelledAt = at(3)
 	for _, tt := range []struct {
 		name         string
 		job          Job
@@ -40,6 +46,9 @@
 			[]Evacuation{{"z", at(0), at(9)}}, nil, false},
 		{"it starts late, and a worker was stopped", large, 4.5, jobs.Resources{}, nil,
 			[]Disturbance{{Worker: "a", From: at(2)}}, false},
+		{"it is long-running and starts late, and more than half of the service is in use", longRunning, 4.5,
+			jobs.Resources{MilliCPU: 400, MemoryMB: 90}, nil, nil, true},
+		{"it is long-running and was cancelled before it starts late", cancelled, 4.5, jobs.Resources{}, nil, nil, false},
 		{"it starts late beside a disturbance of the control plane", single, 4.5, jobs.Resources{}, nil,
 			[]Disturbance{{From: at(2), To: at(3)}}, false},
 		{"it starts late, long after a disturbance of the control plane", single, 4.5, jobs.Resources{}, nil,
--- a/internal/testbed/endtoend/jobs.go
+++ b/internal/testbed/endtoend/jobs.go
@@ -44,9 +44,10 @@
 	Times     *Times        `json:"times,omitempty"`
 	Steps     []Step        `json:"steps"`
 	WantState jobs.JobState `json:"-"` // expected at the end of the scenario
-	// AcceptedAt is when its submission was acknowledged.
-	AcceptedAt time.Time          `json:"-"`
-	Program    jobsworker.Program `json:"-"`
+	// AcceptedAt is when its submission was acknowledged; CancelledAt is when its cancellation was sent, if it was.
+	AcceptedAt  time.Time          `json:"-"`
+	CancelledAt time.Time          `json:"-"`
+	Program     jobsworker.Program `json:"-"`
 }
 
 // Times is the schedule of the rounds of a job.
--- a/internal/testbed/endtoend/scenario.go
+++ b/internal/testbed/endtoend/scenario.go
@@ -222,11 +222,12 @@
 
 // awaitEnds waits until every job is in its expected state. It cancels the jobs that are expected to be cancelled.
 func (s *scenario) awaitEnds(ctx context.Context) error {
-	for _, job := range s.accepted {
+	for i, job := range s.accepted {
 		if job.WantState == jobs.Cancelled {
 			if err := s.client.AwaitState(ctx, job.ID, jobs.Running); err != nil {
 				return errs.Pass(err, "finish")
 			}
+			s.accepted[i].CancelledAt = s.clock.Wall()
 			if err := s.client.Cancel(ctx, job.ID); err != nil {
 				return errs.Pass(err, "finish")
 			}
