--- a/internal/testbed/endtoend/audit_idle.go
+++ b/internal/testbed/endtoend/audit_idle.go
@@ -23,8 +23,8 @@
 
 // AuditIdle checks that no job is idle for maxIdle: that it has nothing running while a task is due, there is capacity
 // for the task twice over, and less than half of each resource is in use. For a long-running step the load does not
-// matter. It checks the jobs with an AcceptedAt that are expected to succeed, and cancelled ones until then. It returns the
-// violations.
+// matter. It checks the jobs with an AcceptedAt that are expected to succeed, and cancelled ones until then. It returns
+// the violations.
 func AuditIdle(accepted []Job, evacuations []Evacuation, disturbances []Disturbance,
 	events []jobsworker.Event) ([]string, error) {
 	a := &idleAuditor{evacuations: evacuations, disturbances: disturbances,
